Add the micro-kernel, core types, design page and checks

Cause: the shape of the system has to stand before its services. Change: kernel with registry, message queue, timers and a real or virtual clock; tables with generation handles; typed messages and store records; counters; key=value log; design page; format, lint and test targets.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,111 @@
+# Plain make: one folder a module, every .c in it is part of the program but
+# for the main program, one test program for each tests/NAME_test.cc and one
+# stand-in for each tests/fakes/NAME.c.
+
+MODULES = kernel metrics log settings store conf ledger claims route request \
+	  dispatch front member peer instances admin router ctl
+PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
+DEBIAN_PACKAGES = gcc g++ make pkg-config clang-format clang-tidy curl \
+		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
+		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev
+
+BUILD ?= build
+CC = gcc
+CXX = g++
+WARNINGS = -Wall -Wextra -Wpointer-arith -Wshadow -Wformat=2 -Wundef \
+	   -Wwrite-strings -Werror
+CWARNINGS = $(WARNINGS) -Wstrict-prototypes -Wmissing-prototypes
+OPT = -O2 -g
+ifdef SANITIZE
+BUILD = build/sanitize
+OPT = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
+      -fno-sanitize-recover=undefined
+endif
+# Third-party headers are -isystem, so that warnings are about our own code.
+PKG_CFLAGS = $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PACKAGES)))
+PKG_LIBS = $(shell pkg-config --libs $(PACKAGES)) -lm
+GTEST_LIBS = $(shell pkg-config --libs gtest_main)
+CFLAGS = -std=gnu11 -I. $(OPT) $(CWARNINGS) $(PKG_CFLAGS) -MMD -MP
+CXXFLAGS = -std=c++17 -I. $(OPT) $(WARNINGS) -Wno-missing-field-initializers \
+	   $(PKG_CFLAGS) -MMD -MP
+LDFLAGS = $(OPT)
+
+SRC = $(foreach m,$(MODULES),$(wildcard $(m)/*.c))
+OBJ = $(SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libtanagertrestle.a
+BIN = $(BUILD)/tanagertrestle
+TESTS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/*_test.cc))
+FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/fakes/%,$(wildcard tests/fakes/*.c))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/*.c))
+OWN_C = $(SRC) $(wildcard main/*.c tests/fakes/*.c bench/*.c)
+OWN_ALL = $(OWN_C) $(foreach m,$(MODULES),$(wildcard $(m)/*.h)) \
+	  $(wildcard tests/*.cc tests/*.h bench/*.h)
+
+.PHONY: all packages build check test format lint clean demo prove bench \
+	slopes fakes
+
+all: $(BIN) $(FAKES)
+
+build: all $(TESTS) $(BENCHES)
+
+fakes: $(FAKES)
+
+packages:
+	@pkg-config --exists $(PACKAGES) gtest_main && \
+	command -v clang-format clang-tidy curl >/dev/null || \
+	{ apt-get update -qq && \
+	  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(DEBIAN_PACKAGES); }
+
+$(LIB): $(OBJ)
+	@rm -f $@ && ar rcs $@ $(OBJ)
+
+$(BIN): $(BUILD)/main/main.o $(LIB)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/fakes/%: $(BUILD)/tests/fakes/%.o $(LIB)
+	@mkdir -p $(@D)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
+	@mkdir -p $(@D)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/tests/%_test: $(BUILD)/tests/%_test.o $(LIB)
+	@$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) $(GTEST_LIBS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "cc $<"
+	@$(CC) $(CFLAGS) -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	@echo "c++ $<"
+	@$(CXX) $(CXXFLAGS) -c -o $@ $<
+
+format:
+	@clang-format --dry-run -Werror $(OWN_ALL)
+
+lint: $(OWN_C:%.c=$(BUILD)/lint/%.ok)
+
+# One stamp a file, so that only what changed is linted again.
+$(BUILD)/lint/%.ok: %.c .clang-tidy
+	@mkdir -p $(@D)
+	@echo "lint $<"
+	@clang-tidy --quiet $< -- -std=gnu11 -I. $(PKG_CFLAGS) >$@.log 2>&1 || \
+		{ cat $@.log; exit 1; }
+	@touch $@
+
+test: build
+	@sh tests/run.sh $(BUILD)
+
+check: packages
+	$(MAKE) format
+	$(MAKE) lint
+	$(MAKE) test
+
+clean:
+	rm -rf build
+
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/kernel/kernel.h
@@ -0,0 +1,100 @@
+/*
+ * Micro-kernel: one event loop on one thread, the registry of service names,
+ * the message queue, timers, the clock and the random numbers.  With a
+ * virtual clock nothing happens but in kernel_run_until(), and the same seed
+ * gives the same run.
+ */
+#ifndef KERNEL_KERNEL_H
+#define KERNEL_KERNEL_H
+
+#include "kernel/msg.h"
+#include "metrics/metrics.h"
+
+G_BEGIN_DECLS
+
+#define USEC_PER_MSEC ((int64_t)1000)
+#define USEC_PER_SEC ((int64_t)1000000)
+
+typedef enum clock_kind_t {
+	CLOCK_REAL,
+	CLOCK_VIRTUAL,
+} clock_kind_t;
+
+/* Receives one message.  It must not block. */
+typedef void (*recv_fn_t)(void *self, msg_t *msg);
+
+typedef struct kernel_t {
+	clock_kind_t clock;
+	int64_t virtual_now; /* us */
+	int64_t virtual_wall; /* us, wall clock at virtual_now 0 */
+	uint64_t random_state;
+	metrics_t *metrics;
+
+	GHashTable *names; /* service name -> svc_t */
+	table_t services; /* service_t */
+
+	msg_t *queue; /* ring */
+	uint32_t queue_size;
+	uint32_t queue_head;
+	uint32_t queue_len;
+
+	table_t timers; /* timer_entry_t */
+	GArray *heap; /* handle_t, ordered by due time */
+	uint64_t timer_seq;
+
+	GMainContext *context;
+	GMainLoop *loop;
+	GSource *source;
+} kernel_t;
+
+/* seed is used with the virtual clock; the real one seeds from the system. */
+void kernel_init(kernel_t *kernel, clock_kind_t clock, uint64_t seed);
+void kernel_finish(kernel_t *kernel);
+
+/* Names are unique; registering a name twice replaces the receiver. */
+svc_t kernel_register(kernel_t *kernel, const char *name, recv_fn_t recv,
+		      void *self);
+void kernel_unregister(kernel_t *kernel, svc_t svc);
+
+/* Returns HANDLE_NONE for an unknown name. */
+svc_t kernel_find(const kernel_t *kernel, const char *name);
+const char *kernel_service_name(const kernel_t *kernel, svc_t svc);
+
+/* Queues MSG_START, or MSG_STOP, to every service in registration order. */
+void kernel_start(kernel_t *kernel);
+void kernel_stop(kernel_t *kernel);
+
+/*
+ * Queues a message and takes over its payload.  A message to a service that
+ * does not exist is counted and released.
+ */
+void kernel_post(kernel_t *kernel, svc_t from, svc_t to, msg_t *msg);
+
+/* Sends MSG_TIMER with ref and what to owner after delay. */
+handle_t kernel_timer(kernel_t *kernel, svc_t owner, int64_t delay_us,
+		      handle_t ref, int what);
+/* Cancels and clears *timer; a timer that has fired is ignored. */
+void kernel_timer_cancel(kernel_t *kernel, handle_t *timer);
+
+int64_t kernel_now(const kernel_t *kernel); /* monotonic, us */
+int64_t kernel_wall(const kernel_t *kernel); /* since the epoch, us */
+uint64_t kernel_random(kernel_t *kernel);
+/* Uniform in [0, n); n must not be 0. */
+uint64_t kernel_random_below(kernel_t *kernel, uint64_t n);
+/* Writes a new time-ordered UUID (version 7) as text. */
+void kernel_uuid(kernel_t *kernel, char out[INCARNATION_SIZE]);
+
+/* Real clock: runs until kernel_quit(). */
+void kernel_run(kernel_t *kernel);
+void kernel_quit(kernel_t *kernel);
+
+/* Virtual clock: delivers all messages and timers up to the given time. */
+void kernel_run_until(kernel_t *kernel, int64_t now_us);
+/* Virtual clock: the due time of the next timer, or -1. */
+int64_t kernel_next_timer(const kernel_t *kernel);
+/* Delivers one queued message; false when the queue is empty. */
+bool kernel_deliver_one(kernel_t *kernel);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/kernel/record.c
@@ -0,0 +1,69 @@
+#include "kernel/record.h"
+
+#include <string.h>
+
+static const char *const preset_names[PRESET_COUNT] = {
+	[PRESET_ORDINARY] = "ordinary",
+	[PRESET_PEAK] = "peak",
+	[PRESET_MAINTENANCE] = "maintenance",
+};
+
+void outcome_copy(outcome_t *to, const outcome_t *from)
+{
+	*to = *from;
+	if (to->body != NULL)
+		g_bytes_ref(to->body);
+}
+
+void outcome_clear(outcome_t *outcome)
+{
+	g_clear_pointer(&outcome->body, g_bytes_unref);
+}
+
+void record_copy(record_t *to, const record_t *from)
+{
+	*to = *from;
+	if (to->kind == RECORD_CLAIM)
+		outcome_copy(&to->u.claim.outcome, &from->u.claim.outcome);
+}
+
+void record_clear(record_t *record)
+{
+	if (record->kind == RECORD_CLAIM)
+		outcome_clear(&record->u.claim.outcome);
+	memset(record, 0, sizeof(*record));
+}
+
+bool op_id_equal(const op_id_t *a, const op_id_t *b)
+{
+	return a->seq == b->seq && strcmp(a->writer, b->writer) == 0;
+}
+
+const char *preset_name(preset_t preset)
+{
+	return preset < PRESET_COUNT ? preset_names[preset] : "unknown";
+}
+
+bool preset_parse(const char *text, preset_t *preset)
+{
+	for (int i = 0; i < PRESET_COUNT; i++) {
+		if (strcmp(text, preset_names[i]) == 0) {
+			*preset = (preset_t)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+bool name_is_valid(const char *name)
+{
+	size_t len = strlen(name);
+
+	if (len == 0 || len >= NAME_SIZE || name[0] == '.')
+		return false;
+	for (size_t i = 0; i < len; i++) {
+		if (!g_ascii_isalnum(name[i]) && strchr("._-", name[i]) == NULL)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/kernel/record.h
@@ -0,0 +1,202 @@
+/*
+ * Records kept in the platform's key-value store, as plain structures.  The
+ * store service encodes them; decision code only sees these types.
+ */
+#ifndef KERNEL_RECORD_H
+#define KERNEL_RECORD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+#define NAME_SIZE 64 /* bytes, with terminator */
+#define IDEM_KEY_SIZE 128 /* bytes, with terminator */
+#define INCARNATION_SIZE 40 /* bytes, with terminator */
+#define HASH_SIZE 65 /* hex SHA-256, with terminator */
+#define HOST_SIZE 64 /* IP address as text, with terminator */
+#define PATH_SIZE 512 /* bytes, with terminator */
+#define CONTENT_TYPE_SIZE 96 /* bytes, with terminator */
+#define STORE_KEY_SIZE 320 /* bytes, with terminator */
+#define CLIENT_ACCOUNT_KEYS 4 /* API keys of one client account */
+#define BUDGET_OPS 8 /* operation ids remembered per budget */
+#define OUTCOME_BODY_MAX 262144 /* bytes of a stored outcome's body */
+
+typedef enum record_kind_t {
+	RECORD_NONE, /* absent */
+	RECORD_INVALID, /* present, but could not be decoded */
+	RECORD_CLIENT_ACCOUNT,
+	RECORD_SERVICE,
+	RECORD_TARGET,
+	RECORD_PRESET,
+	RECORD_QUARANTINE,
+	RECORD_BUDGET,
+	RECORD_GRANT,
+	RECORD_BILL,
+	RECORD_CLAIM,
+	RECORD_MEMBER,
+} record_kind_t;
+
+/* Identifies one write, so that a repeated write is recognised. */
+typedef struct op_id_t {
+	char writer[INCARNATION_SIZE];
+	uint64_t seq;
+} op_id_t;
+
+typedef struct api_key_t {
+	char hash[HASH_SIZE];
+	char budget[NAME_SIZE];
+} api_key_t;
+
+typedef struct record_client_account_t {
+	char name[NAME_SIZE];
+	op_id_t op;
+	bool removed; /* tombstone */
+	bool disabled;
+	uint32_t weight; /* share in fair queueing, 1 to 1000 */
+	uint32_t max_requests; /* in progress at one router, 0 for no limit */
+	uint32_t key_count;
+	api_key_t keys[CLIENT_ACCOUNT_KEYS];
+} record_client_account_t;
+
+typedef enum service_kind_t {
+	SERVICE_MODEL, /* OpenAI-style completions, streamed or not */
+	SERVICE_PLAIN, /* method, path and body passed through */
+} service_kind_t;
+
+typedef struct record_service_t {
+	char name[NAME_SIZE]; /* also the model's name in requests */
+	op_id_t op;
+	bool removed;
+	service_kind_t kind;
+	bool idempotent;
+	bool hedge; /* a second attempt of slow short work is allowed */
+	char path_prefix[PATH_SIZE]; /* plain services only */
+	uint32_t deadline_ms; /* default deadline of a request */
+	uint32_t first_byte_ms; /* limit on the wait for a target's head */
+	uint32_t idle_ms; /* limit on silence within an answer */
+	uint32_t max_tokens; /* limit on generated tokens of a request */
+	uint32_t call_tokens; /* price of one call of a plain service */
+	uint32_t short_tokens; /* work up to this size is short */
+	uint32_t max_body; /* bytes */
+} record_service_t;
+
+typedef struct record_target_t {
+	char name[NAME_SIZE];
+	op_id_t op;
+	bool removed;
+	char service[NAME_SIZE];
+	char host[HOST_SIZE];
+	uint16_t port;
+	char availability_zone[NAME_SIZE];
+	uint32_t concurrency; /* requests in progress, fleet-wide hint */
+	bool draining;
+	bool checks_fencing; /* refuses orders with an old fencing number */
+} record_target_t;
+
+typedef enum preset_t {
+	PRESET_ORDINARY,
+	PRESET_PEAK,
+	PRESET_MAINTENANCE,
+	PRESET_COUNT,
+} preset_t;
+
+typedef struct record_preset_t {
+	op_id_t op;
+	preset_t in_force;
+} record_preset_t;
+
+typedef struct record_quarantine_t {
+	char fingerprint[HASH_SIZE];
+	op_id_t op;
+	int64_t expires_ms; /* wall clock */
+} record_quarantine_t;
+
+/* Tokens.  granted counts all open grants and the spend of closed ones. */
+typedef struct record_budget_t {
+	int64_t budget;
+	int64_t granted;
+	int64_t retired; /* spend of closed grants */
+	op_id_t ops[BUDGET_OPS]; /* newest first */
+} record_budget_t;
+
+typedef struct record_grant_t {
+	op_id_t op;
+	int64_t granted; /* tokens, settled <= granted */
+	int64_t settled;
+	int64_t unprotected; /* may be spent without store and copy */
+	bool recovered; /* the buddy has settled it; rest is in doubt */
+} record_grant_t;
+
+typedef struct record_bill_t {
+	op_id_t op;
+	char budget[NAME_SIZE];
+	int64_t tokens;
+	int64_t wall_ms;
+} record_bill_t;
+
+typedef enum claim_state_t {
+	CLAIM_OPEN,
+	CLAIM_FINISHED,
+	CLAIM_ABORTED,
+} claim_state_t;
+
+typedef struct outcome_t {
+	uint32_t status; /* HTTP status of the target's answer */
+	char content_type[CONTENT_TYPE_SIZE];
+	GBytes *body; /* NULL when it was too large to keep */
+	int64_t tokens;
+} outcome_t;
+
+typedef struct record_claim_t {
+	op_id_t op;
+	claim_state_t state;
+	char fingerprint[HASH_SIZE];
+	int64_t wall_ms;
+	outcome_t outcome; /* with CLAIM_FINISHED */
+} record_claim_t;
+
+typedef struct record_member_t {
+	char incarnation[INCARNATION_SIZE];
+	char name[NAME_SIZE];
+	char availability_zone[NAME_SIZE];
+	char host[HOST_SIZE];
+	uint16_t peer_port;
+	uint16_t admin_port;
+	char buddy[INCARNATION_SIZE]; /* holds copies of its bills */
+	op_id_t op;
+} record_member_t;
+
+typedef struct record_t {
+	record_kind_t kind;
+	union {
+		record_client_account_t client_account;
+		record_service_t service;
+		record_target_t target;
+		record_preset_t preset;
+		record_quarantine_t quarantine;
+		record_budget_t budget;
+		record_grant_t grant;
+		record_bill_t bill;
+		record_claim_t claim;
+		record_member_t member;
+	} u;
+} record_t;
+
+/* Copies a record and takes references on what it points to. */
+void record_copy(record_t *to, const record_t *from);
+void record_clear(record_t *record);
+void outcome_copy(outcome_t *to, const outcome_t *from);
+void outcome_clear(outcome_t *outcome);
+
+bool op_id_equal(const op_id_t *a, const op_id_t *b);
+const char *preset_name(preset_t preset);
+bool preset_parse(const char *text, preset_t *preset);
+
+/* 1 to 63 bytes of letters, digits, '.', '_' and '-'. */
+bool name_is_valid(const char *name);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/kernel/timer.c
@@ -0,0 +1,151 @@
+#include "kernel/timer.h"
+
+typedef struct timer_entry_t {
+	int64_t due; /* us */
+	uint64_t seq; /* timers due at the same time fire in order */
+	uint32_t heap_index;
+	svc_t owner;
+	handle_t ref;
+	int what;
+} timer_entry_t;
+
+void timer_init(kernel_t *kernel)
+{
+	table_init(&kernel->timers, sizeof(timer_entry_t));
+	kernel->heap = g_array_new(FALSE, FALSE, sizeof(handle_t));
+}
+
+void timer_finish(kernel_t *kernel)
+{
+	table_finish(&kernel->timers);
+	g_array_unref(kernel->heap);
+}
+
+static timer_entry_t *entry_at(const kernel_t *kernel, uint32_t index)
+{
+	handle_t handle = g_array_index(kernel->heap, handle_t, index);
+
+	return table_get(&kernel->timers, handle);
+}
+
+static void place(kernel_t *kernel, uint32_t index, handle_t handle)
+{
+	timer_entry_t *entry = table_get(&kernel->timers, handle);
+
+	g_array_index(kernel->heap, handle_t, index) = handle;
+	entry->heap_index = index;
+}
+
+static bool is_earlier(const timer_entry_t *a, const timer_entry_t *b)
+{
+	return a->due != b->due ? a->due < b->due : a->seq < b->seq;
+}
+
+static void swap(kernel_t *kernel, uint32_t i, uint32_t j)
+{
+	handle_t a = g_array_index(kernel->heap, handle_t, i);
+	handle_t b = g_array_index(kernel->heap, handle_t, j);
+
+	place(kernel, i, b);
+	place(kernel, j, a);
+}
+
+static void sift_up(kernel_t *kernel, uint32_t index)
+{
+	while (index > 0) {
+		uint32_t parent = (index - 1) / 2;
+
+		if (!is_earlier(entry_at(kernel, index),
+				entry_at(kernel, parent)))
+			break;
+		swap(kernel, index, parent);
+		index = parent;
+	}
+}
+
+static void sift_down(kernel_t *kernel, uint32_t index)
+{
+	for (;;) {
+		uint32_t child = 2 * index + 1;
+
+		if (child >= kernel->heap->len)
+			break;
+		if (child + 1 < kernel->heap->len &&
+		    is_earlier(entry_at(kernel, child + 1),
+			       entry_at(kernel, child)))
+			child++;
+		if (!is_earlier(entry_at(kernel, child),
+				entry_at(kernel, index)))
+			break;
+		swap(kernel, index, child);
+		index = child;
+	}
+}
+
+static void heap_remove(kernel_t *kernel, uint32_t index)
+{
+	uint32_t last = kernel->heap->len - 1;
+
+	if (index != last)
+		swap(kernel, index, last);
+	g_array_set_size(kernel->heap, last);
+	if (index < last) {
+		sift_down(kernel, index);
+		sift_up(kernel, index);
+	}
+}
+
+handle_t kernel_timer(kernel_t *kernel, svc_t owner, int64_t delay_us,
+		      handle_t ref, int what)
+{
+	timer_entry_t *entry;
+	handle_t handle = table_add(&kernel->timers, (void **)&entry);
+
+	entry->due = kernel_now(kernel) + MAX(delay_us, 0);
+	entry->seq = kernel->timer_seq++;
+	entry->owner = owner;
+	entry->ref = ref;
+	entry->what = what;
+	g_array_append_val(kernel->heap, handle);
+	place(kernel, kernel->heap->len - 1, handle);
+	sift_up(kernel, kernel->heap->len - 1);
+	return handle;
+}
+
+void kernel_timer_cancel(kernel_t *kernel, handle_t *timer)
+{
+	timer_entry_t *entry = table_get(&kernel->timers, *timer);
+
+	if (entry != NULL) {
+		heap_remove(kernel, entry->heap_index);
+		table_remove(&kernel->timers, *timer);
+	}
+	*timer = HANDLE_NONE;
+}
+
+int64_t kernel_next_timer(const kernel_t *kernel)
+{
+	return kernel->heap->len == 0 ? -1 : entry_at(kernel, 0)->due;
+}
+
+bool timer_fire(kernel_t *kernel, int64_t now)
+{
+	handle_t handle;
+	timer_entry_t *entry;
+	msg_t msg = {.kind = MSG_TIMER};
+	svc_t owner;
+
+	if (kernel->heap->len == 0)
+		return false;
+	handle = g_array_index(kernel->heap, handle_t, 0);
+	entry = table_get(&kernel->timers, handle);
+	if (entry->due > now)
+		return false;
+	owner = entry->owner;
+	msg.ref = entry->ref;
+	msg.u.timer.what = entry->what;
+	heap_remove(kernel, 0);
+	table_remove(&kernel->timers, handle);
+	kernel_post(kernel, owner, owner, &msg);
+	return true;
+}
--- /dev/null
+++ b/log/log.c
@@ -0,0 +1,130 @@
+#include "log/log.h"
+
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <string.h>
+
+#define LINE_SIZE 2048 /* bytes */
+#define QUOTE_BUFFERS 4
+#define QUOTE_SIZE 320 /* bytes */
+#define INSTANCE_SIZE 64 /* bytes */
+
+static log4c_category_t *category;
+static log_level_t threshold;
+static char instance_name[INSTANCE_SIZE];
+
+static const char *const level_names[] = {
+	[LOG_LEVEL_ERROR] = "error",
+	[LOG_LEVEL_WARN] = "warn",
+	[LOG_LEVEL_INFO] = "info",
+	[LOG_LEVEL_DEBUG] = "debug",
+};
+
+static const int priorities[] = {
+	[LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
+	[LOG_LEVEL_WARN] = LOG4C_PRIORITY_WARN,
+	[LOG_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
+	[LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
+};
+
+/* The line is complete when it reaches log4c, which only adds a newline. */
+static const char *format_line(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *event)
+{
+	static char line[LINE_SIZE + 2];
+
+	(void)layout;
+	g_snprintf(line, sizeof(line), "%s\n", event->evt_msg);
+	return line;
+}
+
+static const log4c_layout_type_t line_layout = {
+	.name = "tanagertrestle_line",
+	.format = format_line,
+};
+
+int log_init(log_level_t level, const char *instance)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	if (log4c_init() != 0)
+		return -1;
+	log4c_layout_type_set(&line_layout);
+	category = log4c_category_get("tanagertrestle");
+	appender = log4c_appender_get("stderr");
+	layout = log4c_layout_get("tanagertrestle_line");
+	if (category == NULL || appender == NULL || layout == NULL) {
+		category = NULL;
+		return -1;
+	}
+	log4c_layout_set_type(layout, &line_layout);
+	log4c_appender_set_layout(appender, layout);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category, priorities[level]);
+	threshold = level;
+	g_strlcpy(instance_name, instance, sizeof(instance_name));
+	return 0;
+}
+
+void log_finish(void)
+{
+	if (category == NULL)
+		return;
+	category = NULL;
+	log4c_fini();
+}
+
+void log_event(log_level_t level, const char *service, const char *event,
+	       const char *fmt, ...)
+{
+	char pairs[LINE_SIZE];
+	char line[LINE_SIZE];
+	gint64 now;
+	GDateTime *time;
+	g_autofree char *stamp = NULL;
+	va_list ap;
+
+	if (category == NULL || level > threshold)
+		return;
+	va_start(ap, fmt);
+	g_vsnprintf(pairs, sizeof(pairs), fmt, ap);
+	va_end(ap);
+	now = g_get_real_time();
+	time = g_date_time_new_from_unix_utc(now / G_USEC_PER_SEC);
+	stamp = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
+	g_date_time_unref(time);
+	g_snprintf(line, sizeof(line),
+		   "time=%s.%06dZ level=%s instance=%s service=%s event=%s%s%s",
+		   stamp, (int)(now % G_USEC_PER_SEC), level_names[level],
+		   instance_name, service, event, pairs[0] == '\0' ? "" : " ",
+		   pairs);
+	log4c_category_log(category, priorities[level], "%s", line);
+}
+
+const char *log_quote(const char *text)
+{
+	static char buffers[QUOTE_BUFFERS][QUOTE_SIZE];
+	static unsigned int next;
+	char *out = buffers[next++ % QUOTE_BUFFERS];
+	size_t used = 0;
+
+	out[used++] = '"';
+	/* 6 bytes are left for an escape, the quote and the terminator. */
+	for (const char *p = text; *p != '\0' && used < QUOTE_SIZE - 6; p++) {
+		if (*p == '"' || *p == '\\') {
+			out[used++] = '\\';
+			out[used++] = *p;
+		} else if ((unsigned char)*p < 0x20 || *p == 0x7f) {
+			used += (size_t)g_snprintf(out + used, 5, "\\x%02x",
+						   (unsigned char)*p);
+		} else {
+			out[used++] = *p;
+		}
+	}
+	out[used++] = '"';
+	out[used] = '\0';
+	return out;
+}
--- /dev/null
+++ b/main/main.c
@@ -0,0 +1,7 @@
+#include <stdio.h>
+
+int main(void)
+{
+	fprintf(stderr, "usage: tanagertrestle command [arg ...]\n");
+	return 2;
+}
--- /dev/null
+++ b/metrics/metrics.h
@@ -0,0 +1,116 @@
+/*
+ * Counters, gauges and histograms of one process.  Each refusal reason and
+ * each retry reason has a counter of its own.
+ */
+#ifndef METRICS_METRICS_H
+#define METRICS_METRICS_H
+
+#include "kernel/msg.h"
+
+G_BEGIN_DECLS
+
+#define COUNTER_LIST(X)                                                       \
+	X(REQUESTS, "requests", "requests accepted from callers")             \
+	X(ANSWERS, "answers", "answers sent in full")                         \
+	X(REPLAYS, "replays", "answers given from a stored outcome")          \
+	X(BROKEN, "broken", "answers cut short after their head")             \
+	X(ATTEMPTS, "attempts", "requests sent to targets")                   \
+	X(HEDGES, "hedges", "second attempts of slow short requests")         \
+	X(TOKENS_BILLED, "tokens_billed", "tokens billed")                    \
+	X(BILLS, "bills", "bills recorded")                                   \
+	X(BILLS_DUPLICATE, "bills_duplicate", "bills recognised as repeated") \
+	X(BILLS_UNPROTECTED, "bills_unprotected",                             \
+	  "bills released without store and copy")                            \
+	X(GRANTS_TAKEN, "grants_taken", "grants taken or enlarged")           \
+	X(GRANTS_RETURNED, "grants_returned", "grants reduced or closed")     \
+	X(GRANTS_LOST, "grants_lost", "grants found recovered by a buddy")    \
+	X(GRANTS_RECOVERED, "grants_recovered",                               \
+	  "grants of dead routers recovered")                                 \
+	X(COPIES_HELD, "copies_held", "bills copied here by peers")           \
+	X(STORE_CALLS, "store_calls", "calls to the store")                   \
+	X(STORE_ERRORS, "store_errors", "store calls without an answer")      \
+	X(STORE_INVALID, "store_invalid", "store values that are malformed")  \
+	X(PEER_FRAMES_IN, "peer_frames_in", "frames received from peers")     \
+	X(PEER_FRAMES_OUT, "peer_frames_out", "frames sent to peers")         \
+	X(PEER_BYTES_IN, "peer_bytes_in", "bytes received from peers")        \
+	X(PEER_BYTES_OUT, "peer_bytes_out", "bytes sent to peers")            \
+	X(PEER_FRAMES_BAD, "peer_frames_bad", "malformed frames from peers")  \
+	X(PEER_AUTH_FAILED, "peer_auth_failed", "peers with a wrong key")     \
+	X(CONF_CHANGES, "conf_changes", "configuration records applied")      \
+	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
+	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
+	X(QUARANTINES, "quarantines", "requests put into quarantine")         \
+	X(MSG_UNDELIVERED, "msg_undelivered", "messages without a receiver")
+
+typedef enum counter_t {
+#define X(id, name, help) COUNTER_##id,
+	COUNTER_LIST(X)
+#undef X
+	COUNTER_COUNT,
+} counter_t;
+
+#define GAUGE_LIST(X)                                                       \
+	X(REQUESTS_RUNNING, "requests_running", "requests in progress")     \
+	X(CONNECTIONS, "connections", "connections of callers")             \
+	X(QUEUE_LENGTH, "queue_length", "requests that wait for a target")  \
+	X(MEMBERS_ALIVE, "members_alive", "routers seen alive")             \
+	X(PEERS, "peers", "peers connected")                                \
+	X(TARGETS, "targets", "targets in the configuration")               \
+	X(TARGETS_EJECTED, "targets_ejected", "targets ejected now")        \
+	X(CONF_REVISION, "conf_revision", "highest revision applied")       \
+	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent") \
+	X(BILLS_PENDING, "bills_pending", "bills not yet in the store")     \
+	X(PROTECTED, "protected", "1 when bills reach store or buddy")      \
+	X(STORE_UP, "store_up", "1 when the store answered last time")
+
+typedef enum gauge_t {
+#define X(id, name, help) GAUGE_##id,
+	GAUGE_LIST(X)
+#undef X
+	GAUGE_COUNT,
+} gauge_t;
+
+#define HISTOGRAM_LIST(X)                                             \
+	X(QUEUE_WAIT, "queue_wait", "wait for a target")              \
+	X(FIRST_BYTE, "first_byte", "time to a target's first byte")  \
+	X(REQUEST, "request", "time from a request to its last byte") \
+	X(STORE_CALL, "store_call", "time of a call to the store")    \
+	X(BILL, "bill", "time from a bill to its record")
+
+typedef enum histogram_id_t {
+#define X(id, name, help) HISTOGRAM_##id,
+	HISTOGRAM_LIST(X)
+#undef X
+	HISTOGRAM_COUNT,
+} histogram_id_t;
+
+#define HISTOGRAM_BUCKETS 28 /* bucket n counts up to 2^n us */
+
+typedef struct histogram_t {
+	uint64_t buckets[HISTOGRAM_BUCKETS];
+	uint64_t count;
+	uint64_t sum_us;
+} histogram_t;
+
+typedef struct metrics_t {
+	uint64_t counters[COUNTER_COUNT];
+	int64_t gauges[GAUGE_COUNT];
+	uint64_t refusals[REFUSAL_COUNT];
+	uint64_t retries[FAILURE_COUNT];
+	histogram_t histograms[HISTOGRAM_COUNT];
+} metrics_t;
+
+metrics_t *metrics_new(void);
+void metrics_free(metrics_t *metrics);
+void metrics_add(metrics_t *metrics, counter_t counter, uint64_t n);
+void metrics_set(metrics_t *metrics, gauge_t gauge, int64_t value);
+void metrics_refusal(metrics_t *metrics, refusal_t reason);
+void metrics_retry(metrics_t *metrics, failure_t reason);
+void metrics_observe(metrics_t *metrics, histogram_id_t id, int64_t us);
+
+/* Appends all metrics in the Prometheus text format. */
+void metrics_print(const metrics_t *metrics, GString *out);
+
+G_END_DECLS
+
+#endif
