--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -242,6 +242,7 @@
 	char client_account[NAME_SIZE];
 	char budget[NAME_SIZE];
 	char idem_key[IDEM_KEY_SIZE];
+	char fingerprint[HASH_SIZE];
 	int64_t tokens;
 	int64_t wall_ms;
 } bill_t;
@@ -450,6 +451,7 @@
 		} reserved; /* id is the reservation's handle */
 		struct {
 			char idem_key[IDEM_KEY_SIZE];
+			char fingerprint[HASH_SIZE];
 			int64_t tokens; /* at most what was reserved */
 		} bill; /* ref is the reservation, which it ends */
 		struct {
@@ -519,6 +521,7 @@
 			char request_id[INCARNATION_SIZE];
 			GBytes *body;
 			bool model; /* count tokens of an OpenAI-style answer */
+			uint32_t max_tokens; /* written into a model's body */
 			int32_t priority;
 			uint32_t first_byte_ms;
 			uint32_t idle_ms;
--- a/kernel/record.h
+++ b/kernel/record.h
@@ -36,6 +36,7 @@
 	RECORD_BILL,
 	RECORD_CLAIM,
 	RECORD_MEMBER,
+	RECORD_ALIVE,
 } record_kind_t;
 
 /* Identifies one write, so that a repeated write is recognised. */
@@ -132,6 +133,7 @@
 typedef struct record_bill_t {
 	op_id_t op;
 	char budget[NAME_SIZE];
+	char fingerprint[HASH_SIZE]; /* of the request billed */
 	int64_t tokens;
 	int64_t wall_ms;
 } record_bill_t;
@@ -168,6 +170,11 @@
 	op_id_t op;
 } record_member_t;
 
+/* Bound to the member's lease: its absence means that the lease expired. */
+typedef struct record_alive_t {
+	char incarnation[INCARNATION_SIZE];
+} record_alive_t;
+
 typedef struct record_t {
 	record_kind_t kind;
 	union {
@@ -181,6 +188,7 @@
 		record_bill_t bill;
 		record_claim_t claim;
 		record_member_t member;
+		record_alive_t alive;
 	} u;
 } record_t;
 
