--- /dev/null
+++ b/ledger/bill.c
@@ -0,0 +1,313 @@
+#include "ledger/local.h"
+
+#include <string.h>
+
+/* Longer escaped keys are replaced by their hash. */
+#define KEY_ESCAPED_MAX 200
+
+/*
+ * An escape is '%' and two hex digits, so the "%%" before a hash can't come
+ * from a short key.
+ */
+void ledger_bill_key(char out[STORE_KEY_SIZE], const char *client_account,
+		     const char *idem_key)
+{
+	GString *text = g_string_new(NULL);
+
+	for (const char *c = idem_key; *c != '\0'; c++) {
+		if (g_ascii_isalnum(*c) || strchr("._-", *c) != NULL)
+			g_string_append_c(text, *c);
+		else
+			g_string_append_printf(text, "%%%02X",
+					       (unsigned int)(guchar)*c);
+	}
+	if (text->len > KEY_ESCAPED_MAX) {
+		char *hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256,
+							   idem_key, -1);
+
+		g_string_printf(text, "%%%%%s", hash);
+		g_free(hash);
+	}
+	g_snprintf(out, STORE_KEY_SIZE, "bill/%s/%s", client_account,
+		   text->str);
+	g_string_free(text, TRUE);
+}
+
+/*
+ * The writer is the router that billed, also when its buddy writes the
+ * record: both then recognise it as the same bill.
+ */
+void bill_record(record_t *out, const char *writer, const bill_t *bill)
+{
+	record_bill_t *record = &out->u.bill;
+
+	memset(out, 0, sizeof(*out));
+	out->kind = RECORD_BILL;
+	g_strlcpy(record->op.writer, writer, sizeof(record->op.writer));
+	record->op.seq = bill->seq;
+	g_strlcpy(record->budget, bill->budget, sizeof(record->budget));
+	g_strlcpy(record->fingerprint, bill->fingerprint,
+		  sizeof(record->fingerprint));
+	record->tokens = bill->tokens;
+	record->wall_ms = bill->wall_ms;
+}
+
+static void answer(ledger_t *ledger, pending_t *bill, bill_result_t result)
+{
+	msg_t msg = {.kind = MSG_BILLED, .ref = bill->ref};
+	metrics_t *metrics = ledger->kernel->metrics;
+
+	if (bill->answered)
+		return;
+	bill->answered = true;
+	msg.u.billed.result = result;
+	kernel_post(ledger->kernel, ledger->self, bill->from, &msg);
+	metrics_observe(metrics, HISTOGRAM_BILL,
+			kernel_now(ledger->kernel) - bill->since);
+	switch (result) {
+	case BILL_RECORDED:
+		metrics_add(metrics, COUNTER_BILLS, 1);
+		metrics_add(metrics, COUNTER_TOKENS_BILLED,
+			    (uint64_t)bill->bill.tokens);
+		break;
+	case BILL_DUPLICATE:
+		metrics_add(metrics, COUNTER_BILLS_DUPLICATE, 1);
+		break;
+	case BILL_REFUSED:
+		break;
+	}
+}
+
+static pending_t *first_follower(const ledger_t *ledger, const pending_t *first)
+{
+	uint32_t cursor = 0;
+	pending_t *bill;
+
+	while ((bill = table_next(&ledger->bills, &cursor, NULL)) != NULL) {
+		if (bill->follower &&
+		    strcmp(bill->bill.idem_key, first->bill.idem_key) == 0 &&
+		    strcmp(bill->bill.client_account,
+			   first->bill.client_account) == 0)
+			return bill;
+	}
+	return NULL;
+}
+
+static void drop(ledger_t *ledger, pending_t *bill)
+{
+	slice_t *slice = table_get(&ledger->slices, bill->slice);
+
+	if (!bill->orphan) {
+		slice->pending -= bill->bill.tokens;
+		if (bill->exposed)
+			slice->exposed -= bill->bill.tokens;
+	}
+	if (bill->follower)
+		ledger->followers--;
+	slice->refs--;
+	array_remove_handle(slice->bills, bill->handle);
+	table_remove(&ledger->bills, bill->handle);
+}
+
+static void enter(ledger_t *ledger, pending_t *bill)
+{
+	char key[STORE_KEY_SIZE];
+
+	ledger_bill_key(key, bill->bill.client_account, bill->bill.idem_key);
+	g_hash_table_insert(ledger->bill_keys, g_strdup(key),
+			    handle_pack(bill->handle));
+	if (bill->orphan)
+		return;
+	copy_queue(ledger, bill);
+	bill_dirty(ledger, table_get(&ledger->slices, bill->slice));
+}
+
+/* A bill of the same key as one that was released: a repeated request. */
+static void answer_repeat(ledger_t *ledger, pending_t *bill,
+			  const char *fingerprint)
+{
+	answer(ledger, bill,
+	       strcmp(bill->bill.fingerprint, fingerprint) == 0 ? BILL_DUPLICATE
+								: BILL_REFUSED);
+}
+
+/* Ends the first bill of a key; the next one of that key follows. */
+static void end_bill(ledger_t *ledger, pending_t *bill)
+{
+	char key[STORE_KEY_SIZE];
+	pending_t *next = NULL;
+
+	ledger_bill_key(key, bill->bill.client_account, bill->bill.idem_key);
+	g_hash_table_remove(ledger->bill_keys, key);
+	if (ledger->followers > 0)
+		next = first_follower(ledger, bill);
+	drop(ledger, bill);
+	if (next != NULL) {
+		next->follower = false;
+		ledger->followers--;
+		enter(ledger, next);
+	}
+}
+
+/* The bill is in the store, copied or unprotected: the answer may go out. */
+void bill_release(ledger_t *ledger, pending_t *bill)
+{
+	pending_t *next;
+
+	answer(ledger, bill, BILL_RECORDED);
+	while (ledger->followers > 0 &&
+	       (next = first_follower(ledger, bill)) != NULL) {
+		answer_repeat(ledger, next, bill->bill.fingerprint);
+		drop(ledger, next);
+	}
+}
+
+void bill_settled(ledger_t *ledger, pending_t *bill)
+{
+	bill_release(ledger, bill);
+	end_bill(ledger, bill);
+}
+
+/* The store has a record for the bill's key. */
+void bill_present(ledger_t *ledger, pending_t *bill,
+		  const record_bill_t *record)
+{
+	if (record->op.seq == bill->bill.seq &&
+	    strcmp(record->op.writer, ledger->opts.incarnation) == 0) {
+		bill_settled(ledger, bill);
+		return;
+	}
+	answer_repeat(ledger, bill, record->fingerprint);
+	end_bill(ledger, bill);
+}
+
+void bill_refuse(ledger_t *ledger, pending_t *bill)
+{
+	answer(ledger, bill, BILL_REFUSED);
+	end_bill(ledger, bill);
+}
+
+static void fill_bill(ledger_t *ledger, pending_t *bill, const msg_t *msg,
+		      const reservation_t *res)
+{
+	const slice_t *slice = table_get(&ledger->slices, res->slice);
+	bill_t *data = &bill->bill;
+
+	bill->slice = res->slice;
+	bill->from = msg->from;
+	bill->ref = handle_is_none(msg->id) ? res->ref : msg->id;
+	bill->exposed = res->exposed;
+	bill->orphan = res->orphan;
+	bill->since = kernel_now(ledger->kernel);
+	data->seq = ++ledger->bill_seq;
+	data->tokens = CLAMP(msg->u.bill.tokens, 0, res->tokens);
+	data->wall_ms = kernel_wall(ledger->kernel) / USEC_PER_MSEC;
+	g_strlcpy(data->client_account, slice->client_account,
+		  sizeof(data->client_account));
+	g_strlcpy(data->budget, slice->budget, sizeof(data->budget));
+	g_strlcpy(data->idem_key, msg->u.bill.idem_key, sizeof(data->idem_key));
+	g_strlcpy(data->fingerprint, msg->u.bill.fingerprint,
+		  sizeof(data->fingerprint));
+}
+
+/* Enters the bill behind another of its key, or as the first. */
+static void start_bill(ledger_t *ledger, pending_t *bill)
+{
+	char key[STORE_KEY_SIZE];
+	const pending_t *first;
+
+	ledger_bill_key(key, bill->bill.client_account, bill->bill.idem_key);
+	first = table_get(&ledger->bills, handle_unpack(g_hash_table_lookup(
+						  ledger->bill_keys, key)));
+	if (first != NULL && first->answered) {
+		answer_repeat(ledger, bill, first->bill.fingerprint);
+		drop(ledger, bill);
+		return;
+	}
+	if (first != NULL) {
+		bill->follower = true;
+		ledger->followers++;
+		return;
+	}
+	enter(ledger, bill);
+	if (bill->exposed) {
+		metrics_add(ledger->kernel->metrics, COUNTER_BILLS_UNPROTECTED,
+			    1);
+		bill_release(ledger, bill);
+	}
+}
+
+void bill_recv(ledger_t *ledger, const msg_t *msg)
+{
+	reservation_t *res = table_get(&ledger->reservations, msg->ref);
+	msg_t reply = {.kind = MSG_BILLED, .ref = msg->id};
+	pending_t *bill;
+	slice_t *slice;
+	handle_t handle;
+
+	if (res == NULL || res->waiting) {
+		reply.u.billed.result = BILL_REFUSED;
+		kernel_post(ledger->kernel, ledger->self, msg->from, &reply);
+		return;
+	}
+	slice = table_get(&ledger->slices, res->slice);
+	handle = table_add(&ledger->bills, (void **)&bill);
+	bill->handle = handle;
+	fill_bill(ledger, bill, msg, res);
+	slice->refs++;
+	reserve_end(ledger, res, bill->bill.tokens);
+	if (!bill->orphan) {
+		slice->pending += bill->bill.tokens;
+		if (bill->exposed)
+			slice->exposed += bill->bill.tokens;
+	}
+	g_array_append_val(slice->bills, handle);
+	start_bill(ledger, bill);
+	reserve_pump(ledger, slice);
+	slice_step(ledger, slice);
+}
+
+/* Gives bills without a grant the tokens of a new one, oldest first. */
+void bills_cover(ledger_t *ledger, slice_t *slice)
+{
+	for (guint i = 0; i < slice->bills->len; i++) {
+		pending_t *bill =
+			table_get(&ledger->bills,
+				  g_array_index(slice->bills, handle_t, i));
+
+		if (!bill->orphan || bill->unchecked || bill->follower)
+			continue;
+		if (slice->grant_rev == 0 ||
+		    bill->bill.tokens > slice_available(slice))
+			return;
+		bill->orphan = false;
+		slice->pending += bill->bill.tokens;
+		copy_queue(ledger, bill);
+		bill_dirty(ledger, slice);
+	}
+}
+
+int64_t bills_orphaned(const ledger_t *ledger, const slice_t *slice)
+{
+	int64_t sum = 0;
+
+	for (guint i = 0; i < slice->bills->len; i++) {
+		const pending_t *bill =
+			table_get(&ledger->bills,
+				  g_array_index(slice->bills, handle_t, i));
+
+		if (bill->orphan && !bill->follower)
+			sum += bill->bill.tokens;
+	}
+	return sum;
+}
+
+/* Notes that the slice has bills to settle. */
+void bill_dirty(ledger_t *ledger, slice_t *slice)
+{
+	if (!slice->is_dirty && slice->bills->len > 0) {
+		slice->is_dirty = true;
+		g_array_append_val(ledger->dirty, slice->handle);
+	}
+	commit_schedule(ledger);
+}
--- /dev/null
+++ b/ledger/slice.c
@@ -0,0 +1,176 @@
+#include "ledger/local.h"
+
+#include <string.h>
+
+void grant_key(char out[STORE_KEY_SIZE], const char *incarnation,
+	       const char *client_account, const char *budget)
+{
+	g_snprintf(out, STORE_KEY_SIZE, "grant/%s/%s/%s", incarnation,
+		   client_account, budget);
+}
+
+void budget_key(char out[STORE_KEY_SIZE], const char *client_account,
+		const char *budget)
+{
+	g_snprintf(out, STORE_KEY_SIZE, "budget/%s/%s", client_account, budget);
+}
+
+static void slice_name(char out[2 * NAME_SIZE], const char *client_account,
+		       const char *budget)
+{
+	g_snprintf(out, 2 * (gulong)NAME_SIZE, "%s/%s", client_account, budget);
+}
+
+slice_t *slice_find(const ledger_t *ledger, const char *client_account,
+		    const char *budget)
+{
+	char name[2 * NAME_SIZE];
+
+	slice_name(name, client_account, budget);
+	return table_get(&ledger->slices, handle_unpack(g_hash_table_lookup(
+						  ledger->slice_names, name)));
+}
+
+slice_t *slice_get(ledger_t *ledger, const char *client_account,
+		   const char *budget)
+{
+	slice_t *slice = slice_find(ledger, client_account, budget);
+	char name[2 * NAME_SIZE];
+	handle_t handle;
+
+	if (slice != NULL)
+		return slice;
+	handle = table_add(&ledger->slices, (void **)&slice);
+	slice->handle = handle;
+	g_strlcpy(slice->client_account, client_account,
+		  sizeof(slice->client_account));
+	g_strlcpy(slice->budget, budget, sizeof(slice->budget));
+	slice->waiting = g_array_new(FALSE, FALSE, sizeof(handle_t));
+	slice->bills = g_array_new(FALSE, FALSE, sizeof(handle_t));
+	slice->askers = g_array_new(FALSE, FALSE, sizeof(asker_t));
+	slice->flight.bills = g_array_new(FALSE, FALSE, sizeof(handle_t));
+	slice->demand_from = kernel_now(ledger->kernel);
+	slice->used_at = slice->demand_from;
+	slice_name(name, client_account, budget);
+	g_hash_table_insert(ledger->slice_names, g_strdup(name),
+			    handle_pack(handle));
+	return slice;
+}
+
+void slice_free(ledger_t *ledger, slice_t *slice)
+{
+	char name[2 * NAME_SIZE];
+
+	slice_name(name, slice->client_account, slice->budget);
+	g_hash_table_remove(ledger->slice_names, name);
+	kernel_timer_cancel(ledger->kernel, &slice->ask_timer);
+	g_array_unref(slice->waiting);
+	g_array_unref(slice->bills);
+	g_array_unref(slice->askers);
+	g_array_unref(slice->flight.bills);
+	table_remove(&ledger->slices, slice->handle);
+}
+
+/* What may still be reserved, with a reduction under way taken as done. */
+int64_t slice_available(const slice_t *slice)
+{
+	int64_t granted = slice->grant.granted;
+
+	if (slice->grant_rev == 0 || slice->grant.recovered)
+		return 0;
+	switch (slice->flight.kind) {
+	case FLIGHT_CLOSE:
+		return 0;
+	case FLIGHT_RESIZE:
+		granted = MIN(granted, slice->flight.grant.granted);
+		break;
+	default:
+		break;
+	}
+	return MAX(granted - slice->grant.settled - slice->pending -
+			   slice->reserved,
+		   0);
+}
+
+/* Notes whether protection has run out since the last look. */
+void protection_update(ledger_t *ledger)
+{
+	int64_t until = MAX(ledger->lease_valid_until, ledger->ack_valid_until);
+
+	if (kernel_now(ledger->kernel) >= until)
+		ledger->lapsed = true;
+	metrics_set(ledger->kernel->metrics, GAUGE_PROTECTED, !ledger->lapsed);
+}
+
+/*
+ * Ends a lapse.  While it lasted the buddy may have recovered the grants, so
+ * they are verified, unless that same buddy says that it has not (trusted).
+ */
+void protection_renewed(ledger_t *ledger, bool trusted)
+{
+	if (!ledger->lapsed)
+		return;
+	ledger->lapsed = false;
+	if (!trusted)
+		ledger->epoch++;
+}
+
+bool is_protected(ledger_t *ledger, const slice_t *slice)
+{
+	protection_update(ledger);
+	return !ledger->lapsed && slice->verified == ledger->epoch;
+}
+
+static void orphan_bill(slice_t *slice, pending_t *bill)
+{
+	if (bill->orphan)
+		return;
+	bill->orphan = true;
+	bill->copy_seq = 0;
+	slice->pending -= bill->bill.tokens;
+	if (bill->exposed)
+		slice->exposed -= bill->bill.tokens;
+	bill->exposed = false;
+}
+
+static void orphan_reservation(slice_t *slice, reservation_t *res)
+{
+	if (res->orphan || res->waiting)
+		return;
+	res->orphan = true;
+	slice->reserved -= res->tokens;
+	if (res->exposed)
+		slice->exposed -= res->tokens;
+	res->exposed = false;
+}
+
+/*
+ * The grant was recovered or closed by another router.  Tokens spent without
+ * protection are covered by what recovery has withheld; everything else needs
+ * a new grant.
+ */
+void slice_lost(ledger_t *ledger, slice_t *slice)
+{
+	bool withheld = slice->grant_rev != 0;
+	uint32_t cursor = 0;
+	reservation_t *res;
+
+	metrics_add(ledger->kernel->metrics, COUNTER_GRANTS_LOST, 1);
+	for (guint i = 0; i < slice->bills->len; i++) {
+		pending_t *bill =
+			table_get(&ledger->bills,
+				  g_array_index(slice->bills, handle_t, i));
+
+		bill->unchecked = true;
+		if (!withheld || !bill->exposed)
+			orphan_bill(slice, bill);
+		slice->unchecked = true;
+	}
+	while ((res = table_next(&ledger->reservations, &cursor, NULL)) !=
+	       NULL) {
+		if (handle_equal(res->slice, slice->handle) &&
+		    (!withheld || !res->exposed))
+			orphan_reservation(slice, res);
+	}
+	slice->fresh = false;
+}
