--- /dev/null
+++ b/tests/ledger_prove.cc
@@ -0,0 +1,226 @@
+// Property test of the ledger: seeded schedules of faults against a tally
+// that shares no code with it.  SEEDS="A..B" chooses the schedules.
+#include "tests/ledger_world_impl.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const int STEPS = 160;
+const int64_t STEP_TIME = 250 * MS;
+
+struct Verdict {
+	uint64_t checks = 0;
+	std::string overspend, unbilled;
+};
+
+// A crash of owner and buddy together is outside the promise; so is one of
+// a router that released answers without store and buddy.
+bool may_crash(World &world, int index)
+{
+	Holder *holder = world.holders[(size_t)index].get();
+	if (holder == nullptr || world.live() < 2 ||
+	    world.has_grants_of_crashed())
+		return false;
+	for (auto &[inc, when] : world.crashed)
+		if (world.now - when < 15 * SEC)
+			return false;
+	Holder *buddy = world.find(holder->buddy);
+	if (buddy == nullptr || buddy->paused ||
+	    holder->ledger.out.acked == 0 || holder->ledger.lapsed)
+		return false;
+	uint32_t cursor = 0;
+	void *entry;
+	while ((entry = table_next(&holder->ledger.reservations, &cursor,
+				   nullptr)) != nullptr)
+		;
+	return holder->kernel.metrics->counters[COUNTER_BILLS_UNPROTECTED] == 0;
+}
+
+void random_fault(World &world, int holders)
+{
+	int index = (int)world.below(holders);
+	int other = (int)world.below(holders);
+	Holder *holder = world.holders[(size_t)index].get();
+
+	switch (world.below(14)) {
+	case 0:
+		world.store.up = false;
+		world.at(world.below(12 * SEC),
+			 [&world] { world.store.up = true; });
+		break;
+	case 1:
+		if (may_crash(world, index)) {
+			world.crash(index);
+			world.at(1 * SEC + world.below(5 * SEC),
+				 [&world, index] { world.start(index); });
+		}
+		break;
+	case 2:
+		if (holder != nullptr) {
+			std::string inc = holder->incarnation;
+			holder->paused = true;
+			world.at(world.below(20 * SEC), [&world, inc] {
+				if (world.find(inc) != nullptr)
+					world.find(inc)->paused = false;
+			});
+		}
+		break;
+	case 3:
+	case 4:
+		world.cuts.insert({index, other});
+		world.cuts.insert({other, index});
+		world.at(world.below(15 * SEC), [&world, index, other] {
+			world.cuts.erase({index, other});
+			world.cuts.erase({other, index});
+		});
+		break;
+	case 5:
+	case 6:
+		if (holder != nullptr) {
+			std::string inc = holder->incarnation;
+			holder->store_cut = true;
+			world.at(world.below(20 * SEC), [&world, inc] {
+				if (world.find(inc) != nullptr)
+					world.find(inc)->store_cut = false;
+			});
+		}
+		break;
+	case 7:
+		world.set_budget("main", 2000 + world.below(5000));
+		break;
+	default:
+		break;
+	}
+}
+
+void random_requests(World &world, int holders, int &serial)
+{
+	for (int64_t n = world.below(8); n > 0; n--) {
+		Request request;
+		int64_t worst = 1 + world.below(300);
+		request.budget = world.below(4) == 0 ? "side" : "main";
+		request.key = "k" + std::to_string(serial++);
+		request.reserved = worst;
+		request.tokens =
+			world.below(10) == 0 ? -1 : world.below(worst + 1);
+		request.run_us = world.below(2 * SEC);
+		world.submit((int)world.below(holders), request);
+		// The caller comes again, here or at another router.
+		if (world.below(6) == 0)
+			world.at(world.below(3 * SEC),
+				 [&world, request, holders] {
+					 world.submit((int)world.below(holders),
+						      request);
+				 });
+	}
+}
+
+Verdict run_schedule(uint64_t seed, int steps, bool broken_store)
+{
+	World world(seed);
+	int holders = 2 + (int)(seed % 2);
+	int serial = 0;
+
+	world.opts.tick_us = 2 * SEC;
+	world.opts.close_after_us = 20 * SEC;
+	world.opts.min_slice = 500;
+	world.opts.horizon_us = 60 * SEC;
+	world.store.ignore_grant_revision = broken_store;
+	world.set_budget("main", 20000);
+	world.set_budget("side", 5000);
+	for (int i = 0; i < holders; i++)
+		world.start(i);
+	world.run_for(2 * SEC);
+	world.store.fault_percent = (int)world.below(3) * 10;
+	for (int step = 0; step < steps && world.overspend.empty(); step++) {
+		random_fault(world, holders);
+		random_requests(world, holders, serial);
+		world.run_for(STEP_TIME);
+	}
+	world.run_for(1 * SEC);
+	world.heal();
+	world.run_for(120 * SEC);
+	world.check_end();
+	return {world.checks, world.overspend, world.unbilled};
+}
+
+int shortest_prefix(uint64_t seed, bool broken, std::string Verdict::*violation)
+{
+	for (int steps = 1; steps < STEPS; steps += 1 + steps / 8)
+		if (!(run_schedule(seed, steps, broken).*violation).empty())
+			return steps;
+	return STEPS;
+}
+
+void seed_range(uint64_t *from, uint64_t *to)
+{
+	const char *text = getenv("SEEDS");
+	unsigned long a = 1, b = 150;
+
+	if (text != nullptr && sscanf(text, "%lu..%lu", &a, &b) < 2)
+		b = a;
+	*from = a;
+	*to = b;
+}
+
+void report(int number, const char *name, unsigned schedules, uint64_t checks,
+	    unsigned violations, uint64_t seed, const std::string &what,
+	    int prefix)
+{
+	printf("promise %d %s schedules=%u checks=%lu violations=%u", number,
+	       name, schedules, (unsigned long)checks, violations);
+	if (violations > 0)
+		printf(" seed=%lu prefix=%d first=\"%s\"", (unsigned long)seed,
+		       prefix, what.c_str());
+	printf("\n");
+}
+
+// Guards promise 1 and 2 under crashes, pauses, partitions, lost answers.
+TEST(Prove, BudgetsUnderFaults)
+{
+	uint64_t from, to, checks = 0;
+	unsigned schedules = 0, bad[2] = {0, 0};
+	uint64_t seeds[2] = {0, 0};
+	std::string first[2];
+	int prefix[2] = {0, 0};
+	std::string Verdict::*kinds[2] = {&Verdict::overspend,
+					  &Verdict::unbilled};
+
+	seed_range(&from, &to);
+	for (uint64_t seed = from; seed <= to; seed++) {
+		Verdict verdict = run_schedule(seed, STEPS, false);
+		schedules++;
+		checks += verdict.checks;
+		for (int i = 0; i < 2; i++)
+			if (!(verdict.*kinds[i]).empty() && bad[i]++ == 0) {
+				seeds[i] = seed;
+				first[i] = verdict.*kinds[i];
+				prefix[i] =
+					shortest_prefix(seed, false, kinds[i]);
+			}
+	}
+	report(1, "overspend", schedules, checks, bad[0], seeds[0], first[0],
+	       prefix[0]);
+	report(2, "billed_once", schedules, checks, bad[1], seeds[1], first[1],
+	       prefix[1]);
+	EXPECT_EQ(bad[0], 0u) << first[0];
+	EXPECT_EQ(bad[1], 0u) << first[1];
+}
+
+// A tally that can't fail proves nothing: a store that ignores the
+// expectation on the grant record must be noticed.
+TEST(Prove, BrokenStoreIsNoticed)
+{
+	unsigned found = 0;
+
+	for (uint64_t seed = 1; seed <= 20; seed++)
+		found += !run_schedule(seed, STEPS, true).overspend.empty();
+	printf("broken store: overspend in %u of 20 schedules\n", found);
+	EXPECT_GT(found, 0u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/ledger_test.cc
@@ -0,0 +1,194 @@
+// Guards the ledger's rules one by one, under a virtual clock.
+#include "tests/ledger_prove.cc"
+
+namespace
+{
+
+class Ledger : public ::testing::Test
+{
+      protected:
+	void begin(int holders, int64_t tokens)
+	{
+		world.set_budget("main", tokens);
+		for (int i = 0; i < holders; i++)
+			world.start(i);
+		world.run_for(3 * SEC);
+	}
+	Request request(const char *key, int64_t reserved, int64_t tokens)
+	{
+		return Request{"main", key, reserved, tokens, 100 * MS};
+	}
+	Holder *holder(int index)
+	{
+		return world.holders[(size_t)index].get();
+	}
+	World world{1};
+};
+
+TEST_F(Ledger, BillsOnceAndReturnsTheRemainder)
+{
+	begin(1, 1000);
+	world.submit(0, request("a", 400, 150));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(world.released.size(), 1u);
+	EXPECT_EQ(world.store.entries.count("bill/acme/a"), 1u);
+	world.submit(0, request("b", 850, 850));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(world.spent["main"], 1000);
+	world.submit(0, request("c", 1, 1));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(holder(0)->outcomes[RESERVE_SPENT], 1);
+}
+
+TEST_F(Ledger, TopUpIsSeenSoon)
+{
+	begin(1, 100);
+	world.submit(0, request("a", 200, 200));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(holder(0)->outcomes[RESERVE_SPENT], 1);
+	world.set_budget("main", 500);
+	world.run_for(1 * SEC);
+	world.submit(0, request("b", 200, 200));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(world.spent["main"], 200);
+}
+
+// A slice unused at one router must not make another one refuse.
+TEST_F(Ledger, PeersGiveUnusedSlices)
+{
+	begin(2, 10000);
+	world.submit(0, request("a", 100, 100));
+	world.run_for(1 * SEC);
+	world.submit(1, request("b", 9900, 9900));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(world.spent["main"], 10000);
+}
+
+// With the store down the buddy's copy releases the answer; the bill must
+// reach the store afterwards.
+TEST_F(Ledger, BuddyCopyReleasesDuringAnOutage)
+{
+	begin(2, 100000);
+	world.submit(0, request("a", 100, 100));
+	world.run_for(1 * SEC);
+	world.store.up = false;
+	world.run_for(30 * SEC);
+	world.submit(0, request("b", 100, 100));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(world.released.size(), 2u);
+	EXPECT_EQ(world.store.entries.count("bill/acme/b"), 0u);
+	world.store.up = true;
+	world.run_for(5 * SEC);
+	EXPECT_EQ(world.store.entries.count("bill/acme/b"), 1u);
+	EXPECT_EQ(world.overspend, "");
+}
+
+// A lone router without store may spend only the unprotected part.
+TEST_F(Ledger, UnprotectedSpendIsBounded)
+{
+	begin(1, 10000);
+	world.submit(0, request("a", 100, 100));
+	world.run_for(1 * SEC);
+	int64_t part = world.store.entries["grant/inc-0/acme/main"]
+			       .record.u.grant.unprotected;
+	world.store.up = false;
+	world.run_for(20 * SEC);
+	for (int i = 0; i < 40; i++)
+		world.submit(
+			0, request(("u" + std::to_string(i)).c_str(), 50, 50));
+	world.run_for(5 * SEC);
+	EXPECT_GT(world.spent["main"], 100);
+	EXPECT_LE(world.spent["main"] - 100, part);
+	world.store.up = true;
+	world.run_for(5 * SEC);
+	EXPECT_EQ(world.overspend, "");
+}
+
+// The crash of a router must not lose the bills its buddy holds, and its
+// tokens come back once the platform no longer lists it.
+TEST_F(Ledger, BuddyRecoversACrashedRouter)
+{
+	begin(2, 10000);
+	world.submit(0, request("a", 100, 100));
+	world.run_for(1 * SEC);
+	world.store.up = false;
+	world.submit(0, request("b", 100, 100));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(world.released.size(), 2u);
+	world.crash(0);
+	world.store.up = true;
+	world.run_for(15 * SEC);
+	EXPECT_EQ(world.store.entries.count("bill/acme/b"), 1u);
+	EXPECT_TRUE(world.store.entries["grant/inc-0/acme/main"]
+			    .record.u.grant.recovered);
+	world.run_for(30 * SEC);
+	EXPECT_FALSE(world.has_grants("inc-0"));
+	EXPECT_EQ(world.store.entries.count("member/inc-0"), 0u);
+	EXPECT_EQ(world.overspend, "");
+}
+
+TEST_F(Ledger, StopReturnsGrants)
+{
+	begin(2, 10000);
+	world.submit(0, request("a", 100, 60));
+	world.run_for(50 * MS);
+	kernel_stop(&holder(0)->kernel);
+	world.run_for(2 * SEC);
+	EXPECT_TRUE(holder(0)->stopped);
+	EXPECT_FALSE(world.has_grants("inc-0"));
+	EXPECT_EQ(world.budget("main").retired, 60);
+}
+
+// A key reused for a different request must not be served free of charge.
+TEST_F(Ledger, KeysAreEscapedAndBounded)
+{
+	char a[STORE_KEY_SIZE], b[STORE_KEY_SIZE];
+	std::string longer(IDEM_KEY_SIZE - 1, '/');
+
+	ledger_bill_key(a, "acme", "x/y");
+	ledger_bill_key(b, "acme", "x%2Fy");
+	EXPECT_STREQ(a, "bill/acme/x%2Fy");
+	EXPECT_STRNE(a, b);
+	ledger_bill_key(a, "acme", longer.c_str());
+	EXPECT_LT(strlen(a), 100u);
+}
+
+// Store calls stay few because bills are settled in groups.
+TEST_F(Ledger, SteadyRunNeedsFewStoreCalls)
+{
+	world.fast_links = true;
+	begin(2, 1000000000);
+	int64_t before = world.store.calls;
+	for (int i = 0; i < 20000; i++) {
+		world.submit(i % 2, request(("s" + std::to_string(i)).c_str(),
+					    1000, 400));
+		world.run_for(1 * MS);
+	}
+	world.run_for(2 * SEC);
+	EXPECT_EQ(world.released.size(), 20000u);
+	double calls = (double)(world.store.calls - before) / 20;
+	printf("store calls per 1000 requests: %.1f\n", calls);
+	EXPECT_LT(calls, 200);
+}
+
+// The last tokens of a budget must serve requests at either router.
+TEST_F(Ledger, FewFalseRefusalsNearTheEnd)
+{
+	world.fast_links = true;
+	begin(2, 1000000);
+	int admitted = 0;
+	for (int i = 0; i < 4000; i++) {
+		world.submit(i % 2, request(("e" + std::to_string(i)).c_str(),
+					    1000, 400));
+		world.run_for(5 * MS);
+	}
+	world.run_for(3 * SEC);
+	admitted = holder(0)->outcomes[RESERVE_OK] +
+		   holder(1)->outcomes[RESERVE_OK];
+	printf("near the end: admitted %d of 2500, spent %ld of 1000000\n",
+	       admitted, (long)world.spent["main"]);
+	EXPECT_LE(world.spent["main"], 1000000);
+	EXPECT_GE(admitted, 2490);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/ledger_world.h
@@ -0,0 +1,144 @@
+// A fleet of ledgers under one virtual clock, with a store, members and a
+// network that fail on request.  The tally shares no code with the ledger.
+#ifndef TESTS_LEDGER_WORLD_H
+#define TESTS_LEDGER_WORLD_H
+
+#include "ledger/ledger.h"
+
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+struct World;
+
+struct Entry {
+	record_t record;
+	int64_t revision;
+};
+
+// Keeps records in memory; what fails is decided call by call.
+struct Store {
+	std::map<std::string, Entry> entries;
+	int64_t revision = 10;
+	int64_t calls = 0;
+	bool up = true;
+	int fault_percent = 0;
+	bool ignore_grant_revision = false; // a broken store
+
+	int64_t revision_of(const std::string &key) const
+	{
+		auto it = entries.find(key);
+		return it == entries.end() ? 0 : it->second.revision;
+	}
+	void put(const std::string &key, const record_t &record)
+	{
+		entries[key] = Entry{record, ++revision};
+	}
+	void drop(const std::string &key)
+	{
+		revision++;
+		entries.erase(key);
+	}
+	bool holds(const store_op_t &op) const
+	{
+		if (ignore_grant_revision && strncmp(op.key, "grant/", 6) == 0)
+			return true;
+		return op.expect == EXPECT_ANY ||
+		       revision_of(op.key) == op.expect;
+	}
+	void add_kv(store_result_t *result, uint32_t group,
+		    const std::string &key) const
+	{
+		auto it = entries.find(key);
+		bool found = it != entries.end();
+		store_result_add(result, group, key.c_str(),
+				 found ? it->second.revision : 0,
+				 found ? &it->second.record : nullptr);
+	}
+	store_result_t *apply(const store_txn_t *txn);
+	store_result_t *get(const std::string &key, bool prefix) const;
+};
+
+struct Request {
+	std::string budget;
+	std::string key;
+	int64_t reserved;
+	int64_t tokens;
+	int64_t run_us;
+};
+
+// One router: a kernel with a ledger and stand-ins for its neighbours.
+struct Holder {
+	World *world;
+	int index;
+	std::string incarnation;
+	kernel_t kernel;
+	ledger_t ledger;
+	svc_t store, peer, member, request, router;
+	bool paused = false;
+	bool store_cut = false;
+	bool stopped = false;
+	int64_t alive_until = 0; // of its lease in the store
+	bool gone_told = false;
+	std::string buddy;
+	std::map<uint32_t, Request> requests;
+	uint32_t next_request = 0;
+	int outcomes[3] = {0, 0, 0}; // by reserve_result_t
+	int refused_bills = 0;
+	std::map<std::string, int64_t> peer_clock; // keeps links in order
+};
+
+struct World {
+	explicit World(uint64_t seed);
+	~World();
+
+	int64_t now = 0;
+	uint64_t random_state;
+	Store store;
+	std::vector<std::unique_ptr<Holder>> holders; // crashed: null
+	std::multimap<int64_t, std::function<void()>> events;
+	std::set<std::pair<int, int>> cuts;
+	std::map<std::string, int64_t> crashed; // incarnation -> when
+	std::set<std::string> told_gone; // still to be recovered
+	ledger_opts_t opts;
+	bool fast_links = false;
+	int next_incarnation = 0;
+	int64_t peer_messages = 0;
+
+	// Released answers: key -> tokens, and the budget charged.
+	std::map<std::string, std::pair<std::string, int64_t>> released;
+	std::map<std::string, int64_t> spent;
+	uint64_t checks = 0;
+	std::string overspend, unbilled;
+
+	uint64_t random();
+	int64_t below(int64_t n);
+	void at(int64_t delay, std::function<void()> run);
+	Holder *find(const std::string &incarnation);
+	int live() const;
+	void start(int index);
+	void crash(int index);
+	void set_budget(const std::string &name, int64_t add);
+	void submit(int index, const Request &request, int64_t deadline_us = 0);
+	void run_for(int64_t us);
+	void heal();
+	void check_store();
+	void check_end();
+	void post(const std::string &incarnation, svc_t Holder::*from,
+		  msg_t *m);
+	void members_tick();
+	void publish_members();
+	void choose_buddy(Holder *holder);
+	bool has_grants(const std::string &incarnation) const;
+	bool has_grants_of_crashed() const;
+	record_budget_t budget(const std::string &name);
+	void on_store(Holder *holder, msg_t *msg);
+	void on_peer(Holder *holder, msg_t *msg);
+	void on_request(Holder *holder, msg_t *msg);
+};
+
+#endif
--- /dev/null
+++ b/tests/ledger_world_impl.h
@@ -0,0 +1,584 @@
+// Bodies of the fleet under test; included by the ledger's test program once.
+#ifndef TESTS_LEDGER_WORLD_IMPL_H
+#define TESTS_LEDGER_WORLD_IMPL_H
+
+#include "tests/ledger_world.h"
+
+#define MS USEC_PER_MSEC
+#define SEC USEC_PER_SEC
+#define LEASE_TTL (6 * SEC)
+#define LEASE_MARGIN (1 * SEC)
+#define GONE_LAG (20 * SEC) // the instance list shows a crash this late
+
+inline store_result_t *Store::apply(const store_txn_t *txn)
+{
+	store_result_t *result = store_result_new(STORE_OK);
+	int64_t next = revision + 1;
+	bool wrote = false;
+
+	for (uint32_t group = 0; group < txn->group_count; group++) {
+		bool ok = true;
+		for (guint i = 0; i < txn->ops->len; i++) {
+			auto &op = g_array_index(txn->ops, store_op_t, i);
+			if (op.group == group)
+				ok = ok && holds(op);
+		}
+		g_array_append_val(result->committed, ok);
+		for (guint i = 0; i < txn->ops->len; i++) {
+			auto &op = g_array_index(txn->ops, store_op_t, i);
+			if (op.group != group)
+				continue;
+			if (!ok) {
+				add_kv(result, group, op.key);
+			} else if (op.kind == STORE_PUT) {
+				entries[op.key] = Entry{op.record, next};
+				wrote = true;
+			} else if (op.kind == STORE_DELETE) {
+				entries.erase(op.key);
+				wrote = true;
+			}
+		}
+	}
+	if (wrote)
+		revision = next;
+	result->revision = revision;
+	return result;
+}
+
+inline store_result_t *Store::get(const std::string &key, bool prefix) const
+{
+	store_result_t *result = store_result_new(STORE_OK);
+
+	result->revision = revision;
+	if (!prefix)
+		add_kv(result, 0, key);
+	for (auto it = entries.lower_bound(key);
+	     prefix && it != entries.end() &&
+	     it->first.compare(0, key.size(), key) == 0;
+	     ++it)
+		add_kv(result, 0, it->first);
+	return result;
+}
+
+inline World::World(uint64_t seed) : random_state(seed * 7919 + 1)
+{
+	ledger_opts_init(&opts, "");
+	at(1 * MS, [this] { members_tick(); });
+}
+
+inline World::~World()
+{
+	for (auto &holder : holders) {
+		if (holder == nullptr)
+			continue;
+		ledger_finish(&holder->ledger);
+		kernel_finish(&holder->kernel);
+	}
+}
+
+inline uint64_t World::random()
+{
+	uint64_t z = (random_state += UINT64_C(0x9e3779b97f4a7c15));
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+inline int64_t World::below(int64_t n)
+{
+	return (int64_t)(random() % (uint64_t)n);
+}
+
+inline void World::at(int64_t delay, std::function<void()> run)
+{
+	events.emplace(now + delay, std::move(run));
+}
+
+inline Holder *World::find(const std::string &incarnation)
+{
+	for (auto &holder : holders)
+		if (holder != nullptr && holder->incarnation == incarnation)
+			return holder.get();
+	return nullptr;
+}
+
+inline int World::live() const
+{
+	int count = 0;
+	for (auto &holder : holders)
+		count += holder != nullptr;
+	return count;
+}
+
+inline void World::start(int index)
+{
+	if ((int)holders.size() <= index)
+		holders.resize((size_t)index + 1);
+	holders[(size_t)index] = std::make_unique<Holder>();
+	Holder *holder = holders[(size_t)index].get();
+	holder->world = this;
+	holder->index = index;
+	holder->incarnation = "inc-" + std::to_string(next_incarnation++);
+	kernel_init(&holder->kernel, CLOCK_VIRTUAL, random());
+	holder->kernel.virtual_now = now;
+	auto add = [holder](const char *name, recv_fn_t recv) {
+		return kernel_register(&holder->kernel, name, recv, holder);
+	};
+	holder->store = add("store", [](void *self, msg_t *msg) {
+		auto *h = static_cast<Holder *>(self);
+		h->world->on_store(h, msg);
+	});
+	holder->peer = add("peer", [](void *self, msg_t *msg) {
+		auto *h = static_cast<Holder *>(self);
+		h->world->on_peer(h, msg);
+	});
+	holder->request = add("request", [](void *self, msg_t *msg) {
+		auto *h = static_cast<Holder *>(self);
+		h->world->on_request(h, msg);
+	});
+	holder->member = add("member", [](void *, msg_t *) {});
+	holder->router = add("router", [](void *self, msg_t *msg) {
+		if (msg->kind == MSG_STOPPED)
+			static_cast<Holder *>(self)->stopped = true;
+	});
+	ledger_opts_t own = opts;
+	g_strlcpy(own.incarnation, holder->incarnation.c_str(),
+		  sizeof(own.incarnation));
+	ledger_init(&holder->ledger, &holder->kernel, &own);
+	kernel_start(&holder->kernel);
+	kernel_run_until(&holder->kernel, now);
+	choose_buddy(holder);
+	publish_members();
+}
+
+inline void World::crash(int index)
+{
+	Holder *holder = holders[(size_t)index].get();
+
+	crashed[holder->incarnation] = now;
+	ledger_finish(&holder->ledger);
+	kernel_finish(&holder->kernel);
+	if (holder->alive_until > now) {
+		std::string inc = holder->incarnation;
+		at(holder->alive_until - now,
+		   [this, inc] { store.drop("alive/" + inc); });
+	}
+	holders[(size_t)index].reset();
+	publish_members();
+}
+
+// Messages to a paused router wait in its queue.
+inline void World::post(const std::string &incarnation, svc_t Holder::*from,
+			msg_t *msg)
+{
+	Holder *holder = find(incarnation);
+	if (holder == nullptr) {
+		msg_clear(msg);
+		return;
+	}
+	if (!holder->paused)
+		kernel_run_until(&holder->kernel, now);
+	kernel_post(&holder->kernel, holder->*from, holder->ledger.self, msg);
+	if (!holder->paused)
+		kernel_run_until(&holder->kernel, now);
+}
+
+inline void World::publish_members()
+{
+	for (auto &to : holders) {
+		if (to == nullptr)
+			continue;
+		msg_t msg = {};
+		msg.kind = MSG_MEMBER_CHANGED;
+		msg.u.members = member_list_new();
+		for (auto &holder : holders) {
+			if (holder == nullptr)
+				continue;
+			member_info_t info = {};
+			g_strlcpy(info.incarnation, holder->incarnation.c_str(),
+				  sizeof(info.incarnation));
+			info.state = MEMBER_ALIVE;
+			g_array_append_val(msg.u.members->members, info);
+		}
+		post(to->incarnation, &Holder::member, &msg);
+	}
+}
+
+inline void World::choose_buddy(Holder *holder)
+{
+	Holder *current = find(holder->buddy);
+	auto is_cut = [&](Holder *other) {
+		return cuts.count({holder->index, other->index}) > 0;
+	};
+	bool registered = store.revision_of("member/" + holder->incarnation);
+
+	if (registered && current != nullptr && !is_cut(current) &&
+	    !current->paused)
+		return;
+	std::string buddy = current == nullptr ? "" : holder->buddy;
+	for (auto &other : holders)
+		if (other != nullptr && other.get() != holder &&
+		    !is_cut(other.get()) && !other->paused)
+			buddy = other->incarnation;
+	if (registered && buddy == holder->buddy)
+		return;
+	record_t record = {};
+	record.kind = RECORD_MEMBER;
+	g_strlcpy(record.u.member.buddy, buddy.c_str(),
+		  sizeof(record.u.member.buddy));
+	store.put("member/" + holder->incarnation, record);
+	holder->buddy = buddy;
+	msg_t msg = {};
+	msg.kind = MSG_BUDDY_CHANGED;
+	g_strlcpy(msg.u.buddy.incarnation, buddy.c_str(),
+		  sizeof(msg.u.buddy.incarnation));
+	post(holder->incarnation, &Holder::member, &msg);
+}
+
+inline bool World::has_grants(const std::string &incarnation) const
+{
+	std::string prefix = "grant/" + incarnation + "/";
+	auto it = store.entries.lower_bound(prefix);
+	return it != store.entries.end() &&
+	       it->first.compare(0, prefix.size(), prefix) == 0;
+}
+
+inline bool World::has_grants_of_crashed() const
+{
+	for (auto &[inc, when] : crashed)
+		if (has_grants(inc))
+			return true;
+	return false;
+}
+
+// Leases, buddies and news of lost members, once a second.
+inline void World::members_tick()
+{
+	at(1 * SEC, [this] { members_tick(); });
+	auto tell = [this](const std::string &inc, bool instance_gone) {
+		auto it = store.entries.find("member/" + inc);
+		for (auto &holder : holders) {
+			if (holder == nullptr || holder->incarnation == inc ||
+			    holder->store_cut || !store.up)
+				continue;
+			msg_t msg = {};
+			msg.kind = MSG_MEMBER_GONE;
+			g_strlcpy(msg.u.gone.incarnation, inc.c_str(),
+				  sizeof(msg.u.gone.incarnation));
+			msg.u.gone.copied_here =
+				it != store.entries.end() &&
+				holder->incarnation ==
+					it->second.record.u.member.buddy;
+			msg.u.gone.instance_gone = instance_gone;
+			post(holder->incarnation, &Holder::member, &msg);
+		}
+	};
+	for (auto &[inc, when] : crashed)
+		if (has_grants(inc) && store.up &&
+		    store.revision_of("alive/" + inc) == 0)
+			tell(inc, now - when > GONE_LAG);
+	for (size_t i = 0; i < holders.size(); i++) {
+		Holder *holder = holders[i].get();
+		if (holder == nullptr)
+			continue;
+		std::string alive = "alive/" + holder->incarnation;
+		if (store.up && store.revision_of(alive) != 0 &&
+		    holder->alive_until <= now)
+			store.drop(alive);
+		if (store.up && !store.revision_of(alive) && now > 2 * SEC)
+			tell(holder->incarnation, false);
+		if (!store.up || holder->store_cut || holder->paused)
+			continue;
+		choose_buddy(holder);
+		if (store.revision_of(alive) == 0) {
+			record_t record = {};
+			record.kind = RECORD_ALIVE;
+			store.put(alive, record);
+		}
+		holder->alive_until = now + LEASE_TTL;
+		msg_t msg = {};
+		msg.kind = MSG_LEASE_RENEWED;
+		msg.u.lease.valid_until = now + LEASE_TTL - LEASE_MARGIN;
+		post(holder->incarnation, &Holder::member, &msg);
+	}
+}
+
+inline void World::on_store(Holder *holder, msg_t *msg)
+{
+	std::string inc = holder->incarnation;
+	handle_t ref = msg->id;
+	auto answer = [this, inc, ref](int64_t delay, store_result_t *result) {
+		at(delay, [this, inc, ref, result] {
+			msg_t reply = {};
+			reply.kind = MSG_STORE_RESULT;
+			reply.ref = ref;
+			reply.u.store_result = result;
+			post(inc, &Holder::store, &reply);
+		});
+	};
+	auto fail = [&](int64_t delay, store_status_t status) {
+		answer(delay, store_result_new(status));
+	};
+	auto copy = std::make_shared<msg_t>(*msg);
+	std::shared_ptr<store_txn_t> txn(
+		msg->kind == MSG_STORE_TXN ? msg->u.store_txn : nullptr,
+		store_txn_free);
+	if (msg->kind == MSG_STORE_TXN)
+		msg->u.store_txn = nullptr;
+	auto run = [this, copy, txn]() -> store_result_t * {
+		if (txn != nullptr) {
+			store_result_t *result = store.apply(txn.get());
+			check_store();
+			return result;
+		}
+		if (copy->kind == MSG_STORE_GET)
+			return store.get(copy->u.store_get.key,
+					 copy->u.store_get.prefix);
+		store_result_t *result = store_result_new(STORE_OK);
+		result->lease = 7;
+		return result;
+	};
+	store.calls++;
+	if (!store.up || holder->store_cut) {
+		if (below(3) == 0)
+			fail(300 * MS, STORE_UNKNOWN);
+		else
+			fail(5 * MS, STORE_UNAVAILABLE);
+		return;
+	}
+	int64_t there = fast_links ? 1 * MS : 1 * MS + below(4 * MS);
+	int64_t back = fast_links ? 1 * MS : 1 * MS + below(4 * MS);
+	int64_t fault = below(100) < store.fault_percent ? below(4) : -1;
+	// Lost before or after it took effect, late, answered twice.
+	if (fault == 0) {
+		fail(300 * MS, STORE_UNKNOWN);
+		return;
+	}
+	if (fault == 2)
+		there += below(5 * SEC);
+	if (fault == 1 || fault == 2) {
+		fail(300 * MS, STORE_UNKNOWN);
+		at(there, [run] { store_result_free(run()); });
+		return;
+	}
+	at(there, [run, answer, back, fault] {
+		store_result_t *result = run();
+		if (fault == 3) {
+			store_result_t *twice = store_result_new(STORE_OK);
+			twice->revision = result->revision;
+			g_array_append_vals(twice->committed,
+					    result->committed->data,
+					    result->committed->len);
+			answer(back + 3 * MS, twice);
+		}
+		answer(back, result);
+	});
+}
+
+inline void World::on_peer(Holder *holder, msg_t *msg)
+{
+	Holder *to = find(msg->u.peer.incarnation);
+	peer_messages++;
+	if (to == nullptr || cuts.count({holder->index, to->index}) > 0)
+		return;
+	std::string inc = to->incarnation, from = holder->incarnation;
+	std::shared_ptr<peer_body_t> body(msg->u.peer.body,
+					  [](peer_body_t *) {});
+	peer_body_t *raw = msg->u.peer.body;
+	msg->u.peer.body = nullptr;
+	int64_t due = now + (fast_links ? 1 * MS : 1 * MS + below(3 * MS));
+	due = std::max(due, holder->peer_clock[inc]);
+	holder->peer_clock[inc] = due;
+	at(due - now, [this, inc, from, raw] {
+		msg_t reply = {};
+		reply.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(reply.u.peer.incarnation, from.c_str(),
+			  sizeof(reply.u.peer.incarnation));
+		reply.u.peer.body = raw;
+		post(inc, &Holder::peer, &reply);
+	});
+}
+
+inline void World::submit(int index, const Request &request, int64_t deadline)
+{
+	Holder *holder = holders[(size_t)index].get();
+	if (holder == nullptr || holder->paused)
+		return;
+	uint32_t id = ++holder->next_request;
+	holder->requests[id] = request;
+	msg_t msg = {};
+	msg.kind = MSG_RESERVE;
+	msg.id = handle_t{id, 1};
+	g_strlcpy(msg.u.reserve.client_account, "acme", NAME_SIZE);
+	g_strlcpy(msg.u.reserve.budget, request.budget.c_str(), NAME_SIZE);
+	msg.u.reserve.tokens = request.reserved;
+	msg.u.reserve.deadline =
+		deadline == 0 ? now + 30 * SEC : now + deadline;
+	post(holder->incarnation, &Holder::request, &msg);
+}
+
+// The caller's side: run, bill, release the answer once it is billed.
+inline void World::on_request(Holder *holder, msg_t *msg)
+{
+	auto it = holder->requests.find(msg->ref.index);
+	if (it == holder->requests.end())
+		return;
+	Request request = it->second;
+	if (msg->kind == MSG_RESERVED) {
+		holder->outcomes[msg->u.reserved.result]++;
+		if (msg->u.reserved.result != RESERVE_OK) {
+			holder->requests.erase(it);
+			return;
+		}
+		std::string inc = holder->incarnation;
+		handle_t reservation = msg->id, ref = msg->ref;
+		at(request.run_us, [this, inc, reservation, ref, request] {
+			msg_t bill = {};
+			bill.kind = request.tokens < 0 ? MSG_RELEASE : MSG_BILL;
+			bill.ref = reservation;
+			bill.id = ref;
+			g_strlcpy(bill.u.bill.idem_key, request.key.c_str(),
+				  IDEM_KEY_SIZE);
+			g_strlcpy(bill.u.bill.fingerprint, "f", HASH_SIZE);
+			bill.u.bill.tokens = request.tokens;
+			if (request.tokens < 0)
+				memset(&bill.u, 0, sizeof(bill.u));
+			post(inc, &Holder::request, &bill);
+		});
+		return;
+	}
+	if (msg->kind != MSG_BILLED)
+		return;
+	holder->requests.erase(it);
+	if (msg->u.billed.result == BILL_REFUSED)
+		holder->refused_bills++;
+	if (msg->u.billed.result != BILL_RECORDED ||
+	    released.count(request.key) > 0)
+		return;
+	released[request.key] = {request.budget, request.tokens};
+	spent[request.budget] += request.tokens;
+	checks++;
+	if (spent[request.budget] > budget(request.budget).budget &&
+	    overspend.empty())
+		overspend = request.budget + " spent " +
+			    std::to_string(spent[request.budget]) + " of " +
+			    std::to_string(budget(request.budget).budget) +
+			    " at " + std::to_string(now);
+}
+
+inline record_budget_t World::budget(const std::string &name)
+{
+	return store.entries["budget/acme/" + name].record.u.budget;
+}
+
+inline void World::set_budget(const std::string &name, int64_t add)
+{
+	std::string key = "budget/acme/" + name;
+	record_t record = {};
+	record.kind = RECORD_BUDGET;
+	if (store.revision_of(key) != 0)
+		record.u.budget = budget(name);
+	record.u.budget.budget += add;
+	store.put(key, record);
+}
+
+// The store's own arithmetic, after each write.
+inline void World::check_store()
+{
+	std::map<std::string, int64_t> granted, settled, billed;
+	auto fail = [this](const std::string &what) {
+		if (overspend.empty())
+			overspend = what + " at " + std::to_string(now);
+	};
+	checks++;
+	for (auto &[key, entry] : store.entries) {
+		if (entry.record.kind == RECORD_GRANT) {
+			auto &grant = entry.record.u.grant;
+			std::string name = key.substr(key.rfind('/') + 1);
+			granted[name] += grant.granted;
+			settled[name] += grant.settled;
+			if (grant.settled > grant.granted || grant.settled < 0)
+				fail("settled over granted in " + key);
+		} else if (entry.record.kind == RECORD_BILL) {
+			auto &bill = entry.record.u.bill;
+			billed[bill.budget] += bill.tokens;
+		}
+	}
+	for (auto &[key, entry] : store.entries) {
+		if (entry.record.kind != RECORD_BUDGET)
+			continue;
+		auto &record = entry.record.u.budget;
+		std::string name = key.substr(key.rfind('/') + 1);
+		if (granted[name] + record.retired != record.granted)
+			fail("grants differ from the budget's sum in " + key);
+		if (record.granted > record.budget)
+			fail("granted over budget in " + key);
+		if (settled[name] + record.retired != billed[name])
+			fail("settled differs from the bills of " + key);
+	}
+}
+
+inline void World::run_for(int64_t us)
+{
+	int64_t end = now + us;
+	for (;;) {
+		int64_t next = events.empty() ? end : events.begin()->first;
+		for (auto &holder : holders) {
+			if (holder == nullptr || holder->paused)
+				continue;
+			int64_t timer = kernel_next_timer(&holder->kernel);
+			if (timer >= 0)
+				next = std::min(next, timer);
+			if (holder->kernel.queue_len > 0)
+				next = now;
+		}
+		next = std::max(std::min(next, end), now);
+		now = next;
+		for (size_t i = 0; i < holders.size(); i++)
+			if (holders[i] != nullptr && !holders[i]->paused) {
+				holders[i]->kernel.virtual_now = now;
+				kernel_run_until(&holders[i]->kernel, now);
+			}
+		if (!events.empty() && events.begin()->first <= now) {
+			auto run = std::move(events.begin()->second);
+			events.erase(events.begin());
+			run();
+		} else if (now >= end) {
+			break;
+		}
+	}
+}
+
+inline void World::heal()
+{
+	store.up = true;
+	store.fault_percent = 0;
+	cuts.clear();
+	for (auto &holder : holders) {
+		if (holder == nullptr)
+			continue;
+		holder->store_cut = false;
+		holder->paused = false;
+	}
+}
+
+// After healing and rest: all is billed once and nothing is stranded.
+inline void World::check_end()
+{
+	for (auto &[key, what] : released) {
+		checks++;
+		if (store.revision_of("bill/acme/" + key) == 0 &&
+		    unbilled.empty())
+			unbilled = key + " was released and not billed";
+	}
+	for (auto &[key, entry] : store.entries) {
+		if (entry.record.kind != RECORD_BUDGET)
+			continue;
+		checks++;
+		auto &record = entry.record.u.budget;
+		if (record.granted != record.retired && unbilled.empty())
+			unbilled = "tokens stranded in " + key;
+	}
+}
+
+#endif
