Keep released bills in each copy session and let the buddy recover first

The property test found released bills that no record covered: a session reset dropped copies that had released answers, and a router without copies closed grants while the buddy was cut off from the store.

--- a/ledger/copy.c
+++ b/ledger/copy.c
@@ -80,13 +80,19 @@
 
 /*
  * A copy counts only if the grant was seen intact since protection last
- * lapsed: an earlier buddy may have recovered it without this bill.
+ * lapsed: an earlier buddy may have recovered it without this bill.  Bills
+ * that were released already are always copied, because a new session
+ * replaces the copies of the last one.
  */
 static bool may_copy(ledger_t *ledger, const pending_t *bill)
 {
 	const slice_t *slice = table_get(&ledger->slices, bill->slice);
 
-	return !bill->orphan && (!ledger->lapsed || ledger->out.trusted) &&
+	if (bill->orphan || bill->copy_seq != 0)
+		return false;
+	if (bill->answered)
+		return true;
+	return (!ledger->lapsed || ledger->out.trusted) &&
 	       slice->verified == ledger->epoch && !slice->grant.recovered;
 }
 
--- a/ledger/local.h
+++ b/ledger/local.h
@@ -149,6 +149,7 @@
 typedef enum job_step_t {
 	JOB_WAIT,
 	JOB_MEMBER, /* reads the member record */
+	JOB_BUDDY, /* looks whether the dead router's buddy is there */
 	JOB_LIST, /* reads the grants */
 	JOB_GRANT, /* writes one grant */
 	JOB_FORGET, /* deletes the member record */
@@ -166,6 +167,7 @@
 	bool closing; /* grants are closed: the instance is gone */
 	bool progress; /* something was written since the last listing */
 	int64_t member_rev;
+	char buddy[INCARNATION_SIZE]; /* as the member record says */
 	GArray *grants; /* store_kv_t */
 	guint next;
 	int64_t budget_rev;
--- a/ledger/recover.c
+++ b/ledger/recover.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #define JOB_RETRY (500 * USEC_PER_MSEC)
-/* Routers with copies come first; the others wait this long. */
-#define WAIT_WITHOUT_COPIES (15 * USEC_PER_SEC)
+/* Routers with copies come first; the others look again after this. */
+#define WAIT_WITHOUT_COPIES (5 * USEC_PER_SEC)
 
 static job_t *job_find(const ledger_t *ledger, const char *incarnation)
 {
@@ -216,19 +216,22 @@
 static record_grant_t next_grant(job_t *job)
 {
 	record_grant_t grant = job_grant(job)->record.u.grant;
+	guint i = 0;
 
-	job->attempt_bills = MIN(job->bills->len, GROUP_BILLS_MAX);
-	job->last = job->attempt_bills == job->bills->len;
-	for (guint i = 0; i < job->attempt_bills; i++) {
+	while (i < job->bills->len && i < GROUP_BILLS_MAX) {
 		int64_t tokens = g_array_index(job->bills, bill_t, i).tokens;
 
-		if (tokens > grant.granted - grant.settled) {
+		if (tokens < 0 || tokens > grant.granted - grant.settled) {
 			log_event(LOG_LEVEL_ERROR, "ledger", "copy_too_large",
 				  "grant=%s", job_grant(job)->key);
-			tokens = grant.granted - grant.settled;
+			g_array_remove_index(job->bills, i);
+			continue;
 		}
 		grant.settled += tokens;
+		i++;
 	}
+	job->attempt_bills = i;
+	job->last = i == job->bills->len;
 	grant.op = job->op;
 	return grant;
 }
@@ -342,6 +345,25 @@
 		job_end(ledger, job, job->give_back);
 }
 
+static void get_buddy(ledger_t *ledger, job_t *job)
+{
+	char key[STORE_KEY_SIZE];
+
+	job->step = JOB_BUDDY;
+	g_snprintf(key, sizeof(key), "member/%s", job->buddy);
+	job_get(ledger, job, key, false);
+}
+
+/* The buddy may hold bills, so it comes first unless it is gone as well. */
+static bool must_ask_for_buddy(const ledger_t *ledger, const job_t *job)
+{
+	const job_t *other = job_find(ledger, job->buddy);
+
+	return job->buddy[0] != '\0' &&
+	       strcmp(job->buddy, ledger->opts.incarnation) != 0 &&
+	       (other == NULL || !other->instance_gone);
+}
+
 static void handle_member(ledger_t *ledger, job_t *job,
 			  const store_result_t *result)
 {
@@ -351,12 +373,34 @@
 	member_key(key, job);
 	kv = store_result_find(result, key);
 	job->member_rev = kv == NULL ? 0 : kv->revision;
+	job->buddy[0] = '\0';
+	if (kv != NULL && kv->record.kind == RECORD_MEMBER)
+		g_strlcpy(job->buddy, kv->record.u.member.buddy,
+			  sizeof(job->buddy));
 	/* Without being the buddy it only records the bills copied here. */
 	job->give_back = job->closing ||
-			 (kv != NULL && kv->record.kind == RECORD_MEMBER &&
-			  strcmp(kv->record.u.member.buddy,
-				 ledger->opts.incarnation) == 0);
-	job_list(ledger, job);
+			 strcmp(job->buddy, ledger->opts.incarnation) == 0;
+	if (job->closing && must_ask_for_buddy(ledger, job))
+		get_buddy(ledger, job);
+	else
+		job_list(ledger, job);
+}
+
+static void handle_buddy(ledger_t *ledger, job_t *job,
+			 const store_result_t *result)
+{
+	char key[STORE_KEY_SIZE];
+	const store_kv_t *kv;
+
+	g_snprintf(key, sizeof(key), "member/%s", job->buddy);
+	kv = store_result_find(result, key);
+	if (kv == NULL || kv->revision == 0) {
+		job_list(ledger, job);
+		return;
+	}
+	job->step = JOB_WAIT;
+	job->since = kernel_now(ledger->kernel);
+	job_wait(ledger, job, WAIT_WITHOUT_COPIES);
 }
 
 static void handle_list(ledger_t *ledger, job_t *job,
@@ -371,7 +415,7 @@
 	}
 	if (result->more)
 		return;
-	if (job->grants->len == 0 && job->member_rev != 0)
+	if (job->grants->len == 0 && job->closing && job->member_rev != 0)
 		job_forget(ledger, job);
 	else if (job->grants->len == 0)
 		job_end(ledger, job, true);
@@ -481,6 +525,9 @@
 	case JOB_MEMBER:
 		handle_member(ledger, job, result);
 		break;
+	case JOB_BUDDY:
+		handle_buddy(ledger, job, result);
+		break;
 	case JOB_LIST:
 		handle_list(ledger, job, result);
 		break;
@@ -514,6 +561,7 @@
 			job_begin(ledger, job);
 		break;
 	case JOB_MEMBER:
+	case JOB_BUDDY:
 		job_begin(ledger, job);
 		break;
 	case JOB_LIST:
