--- a/ledger/grant.c
+++ b/ledger/grant.c
@@ -5,6 +5,8 @@
 #define ASK_FANOUT 8 /* peers asked for their slices in one round */
 #define ASK_ROUNDS 2
 #define ASKERS_MAX 64
+/* Keeps the fleet's repeated looks at one budget under 1,000 a second. */
+#define SPENT_SPREAD_PER_MEMBER USEC_PER_MSEC
 #define RATE_MAX (TOKENS_MAX / 4096)
 #define RATE_MIN_TIME USEC_PER_SEC /* shortest time a rate is taken over */
 
@@ -210,14 +212,23 @@
 	return true;
 }
 
+/*
+ * Remembers the refusal.  While some tokens are left, here or in reservations
+ * that will not use all of theirs, they may soon be enough, so it is brief.
+ */
 static void conclude_spent(ledger_t *ledger, slice_t *slice, int64_t need)
 {
 	int64_t now = kernel_now(ledger->kernel);
+	int64_t spread =
+		(int64_t)member_count(ledger) * SPENT_SPREAD_PER_MEMBER;
+	int64_t keep = MAX(ledger->opts.spent_cache_us, spread);
 
+	if (unallocated(slice) + unused(slice) + slice->reserved > 0)
+		keep = MIN(keep, spread);
 	slice->spent_tokens = now < slice->spent_until
 				      ? MIN(slice->spent_tokens, need)
 				      : need;
-	slice->spent_until = now + ledger->opts.spent_cache_us;
+	slice->spent_until = now + keep;
 }
 
 /* Refuses the first in line; false when it can't be refused. */
--- a/ledger/local.h
+++ b/ledger/local.h
@@ -159,7 +159,6 @@
 typedef struct job_t {
 	handle_t handle;
 	char incarnation[INCARNATION_SIZE];
-	bool copied_here;
 	bool instance_gone;
 	bool give_back; /* the unspent part may be returned */
 	int64_t since;
--- a/ledger/recover.c
+++ b/ledger/recover.c
@@ -642,7 +642,7 @@
 	}
 }
 
-/* A router's lease has expired, or the platform has dropped its instance. */
+/* Who the buddy was is read from the member record, which can't be stale. */
 void recover_gone(ledger_t *ledger, const msg_t *msg)
 {
 	const char *incarnation = msg->u.gone.incarnation;
@@ -652,7 +652,6 @@
 		return;
 	if (job == NULL)
 		job = job_new(ledger, incarnation);
-	job->copied_here |= msg->u.gone.copied_here;
 	job->instance_gone |= msg->u.gone.instance_gone;
 	if (job->step == JOB_WAIT)
 		job_wait(ledger, job, 0);
