--- /dev/null
+++ b/dispatch/json_depth.c
@@ -0,0 +1,33 @@
+#include "dispatch/json_depth.h"
+
+bool json_depth_ok(const char *text, size_t len, int max_depth)
+{
+	bool in_string = false;
+	int depth = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		char c = text[i];
+
+		if (in_string) {
+			if (c == '\\')
+				i++;
+			else if (c == '"')
+				in_string = false;
+		} else if (c == '"') {
+			in_string = true;
+		} else if (c == '{' || c == '[') {
+			if (++depth > max_depth)
+				return false;
+		} else if (c == '}' || c == ']') {
+			depth--;
+		} else if (c == '/' || c == '\'') {
+			/*
+			 * Comments and single quotes are no JSON, but the
+			 * parser accepts some of them, which would upset
+			 * the count.
+			 */
+			return false;
+		}
+	}
+	return true;
+}
--- /dev/null
+++ b/front/front.c
@@ -0,0 +1,516 @@
+#include "front/front.h"
+
+#include "front/parse.h"
+#include "front/refusal.h"
+#include "front/stream.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define BACKLOG 1024
+/* Bytes of a too large body read before the connection is dropped. */
+#define DISCARD_MAX (1024 * 1024)
+
+static const char *const model_paths[] = {
+	"/v1/chat/completions",
+	"/v1/completions",
+};
+
+void front_opts_default(front_opts_t *opts)
+{
+	memset(opts, 0, sizeof(*opts));
+	g_strlcpy(opts->host, "127.0.0.1", sizeof(opts->host));
+	opts->max_header = 16 * 1024;
+	opts->max_body = 8 * 1024 * 1024;
+	opts->max_connections = 20000;
+	opts->max_streams = 10000;
+	opts->max_streams_per_key = 10000;
+	opts->high_water = 256 * 1024;
+	opts->low_water = 64 * 1024;
+}
+
+void front_check_stopped(front_t *front)
+{
+	msg_t msg = {.kind = MSG_STOPPED};
+
+	if (!front->stopping || front->stopped ||
+	    table_count(&front->streams) > 0)
+		return;
+	front->stopped = true;
+	kernel_post(front->kernel, front->svc, front->router, &msg);
+}
+
+static void refuse(front_t *front, SoupServerMessage *msg,
+		   const char *request_id, refusal_t reason, const char *detail)
+{
+	metrics_refusal(front->kernel->metrics, reason);
+	stream_refuse(front, msg, request_id, reason, RUN_NOT_RUN, 0, detail);
+}
+
+static size_t header_bytes(SoupMessageHeaders *headers)
+{
+	SoupMessageHeadersIter iter;
+	const char *name, *value;
+	size_t size = 0;
+
+	soup_message_headers_iter_init(&iter, headers);
+	while (soup_message_headers_iter_next(&iter, &name, &value))
+		size += strlen(name) + strlen(value) + 4;
+	return size;
+}
+
+static void refuse_body(front_t *front, SoupServerMessage *msg)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(msg);
+	char request_id[INCARNATION_SIZE];
+
+	soup_message_body_set_accumulate(body, FALSE);
+	soup_message_body_truncate(body);
+	kernel_uuid(front->kernel, request_id);
+	refuse(front, msg, request_id, REFUSAL_TOO_LARGE, NULL);
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(msg), "Connection",
+		"close");
+}
+
+static void on_chunk(SoupServerMessage *msg, GBytes *chunk, front_t *front)
+{
+	gsize size = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(msg), "size"));
+	GSocket *socket = soup_server_message_get_socket(msg);
+
+	size += g_bytes_get_size(chunk);
+	g_object_set_data(G_OBJECT(msg), "size", GSIZE_TO_POINTER(size));
+	if (size <= front->opts.max_body)
+		return;
+	if (soup_server_message_get_status(msg) == 0)
+		refuse_body(front, msg);
+	if (size > (gsize)front->opts.max_body + DISCARD_MAX && socket != NULL)
+		g_socket_shutdown(socket, TRUE, TRUE, NULL);
+}
+
+/* The head has arrived; the body has not. */
+static void on_head(SoupServer *server, SoupServerMessage *msg,
+		    const char *path, GHashTable *query, gpointer data)
+{
+	front_t *front = data;
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(msg);
+
+	(void)server;
+	(void)path;
+	(void)query;
+	if (header_bytes(headers) > front->opts.max_header ||
+	    soup_message_headers_get_content_length(headers) >
+		    (goffset)front->opts.max_body)
+		refuse_body(front, msg);
+	if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_NONE)
+		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), front);
+}
+
+static bool is_model_path(const char *path)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(model_paths); i++)
+		if (strcmp(path, model_paths[i]) == 0)
+			return true;
+	return false;
+}
+
+/* The key is not kept: its hash is enough to find the client account. */
+static parse_status_t take_key(SoupMessageHeaders *headers,
+			       request_spec_t *spec)
+{
+	const char *name = "Authorization";
+	const char *value = soup_message_headers_get_one(headers, name);
+	parse_status_t status = parse_bearer(value, spec->key_hash);
+
+	if (value != NULL)
+		explicit_bzero((char *)value, strlen(value));
+	soup_message_headers_remove(headers, name);
+	return status;
+}
+
+static refusal_t read_headers(SoupMessageHeaders *headers, request_spec_t *spec,
+			      errmsg_t *err)
+{
+	const char *value;
+
+	if (take_key(headers, spec) != PARSE_OK)
+		return REFUSAL_UNAUTHENTICATED;
+	value = soup_message_headers_get_one(headers, "Idempotency-Key");
+	if (value != NULL &&
+	    parse_idem_key(value, spec->idem_key) != PARSE_OK) {
+		errmsg_set(err,
+			   "Idempotency-Key must be 1 to %d printable "
+			   "ASCII characters",
+			   IDEM_KEY_SIZE - 1);
+		return REFUSAL_BAD_REQUEST;
+	}
+	value = soup_message_headers_get_one(headers, "X-Request-Deadline-Ms");
+	if (value != NULL &&
+	    parse_deadline(value, &spec->deadline_ms) != PARSE_OK) {
+		errmsg_set(err, "X-Request-Deadline-Ms must be 1 to %d",
+			   DEADLINE_MS_MAX);
+		return REFUSAL_BAD_REQUEST;
+	}
+	value = soup_message_headers_get_one(headers, "Content-Type");
+	if (value != NULL &&
+	    g_strlcpy(spec->content_type, value, sizeof(spec->content_type)) >=
+		    sizeof(spec->content_type)) {
+		errmsg_set(err, "Content-Type is too long");
+		return REFUSAL_BAD_REQUEST;
+	}
+	return REFUSAL_NONE;
+}
+
+static refusal_t read_line(SoupServerMessage *msg, request_spec_t *spec,
+			   errmsg_t *err)
+{
+	GUri *uri = soup_server_message_get_uri(msg);
+	const char *method = soup_server_message_get_method(msg);
+	const char *query = g_uri_get_query(uri);
+	char *path;
+	bool ok;
+
+	path = query == NULL
+		       ? g_strdup(g_uri_get_path(uri))
+		       : g_strconcat(g_uri_get_path(uri), "?", query, NULL);
+	ok = parse_path(path) == PARSE_OK &&
+	     g_strlcpy(spec->method, method, sizeof(spec->method)) <
+		     sizeof(spec->method);
+	g_strlcpy(spec->path, path, sizeof(spec->path));
+	g_free(path);
+	if (!ok) {
+		errmsg_set(err, "the method or path is not valid");
+		return REFUSAL_BAD_REQUEST;
+	}
+	return REFUSAL_NONE;
+}
+
+static refusal_t check_load(front_t *front, const request_spec_t *spec)
+{
+	guint of_key = GPOINTER_TO_UINT(
+		g_hash_table_lookup(front->per_key, spec->key_hash));
+
+	if (front->stopping)
+		return REFUSAL_STOPPING;
+	if (table_count(&front->streams) >= front->opts.max_streams)
+		return REFUSAL_OVERLOADED;
+	if (of_key >= front->opts.max_streams_per_key)
+		return REFUSAL_TOO_MANY_REQUESTS;
+	return REFUSAL_NONE;
+}
+
+static refusal_t read_request(front_t *front, SoupServerMessage *msg,
+			      request_spec_t *spec, errmsg_t *err)
+{
+	refusal_t reason = read_headers(
+		soup_server_message_get_request_headers(msg), spec, err);
+
+	if (reason == REFUSAL_NONE)
+		reason = read_line(msg, spec, err);
+	if (reason == REFUSAL_NONE)
+		reason = check_load(front, spec);
+	if (reason != REFUSAL_NONE)
+		return reason;
+	spec->body = soup_message_body_flatten(
+		soup_server_message_get_request_body(msg));
+	spec->prompt_bytes = (int64_t)g_bytes_get_size(spec->body);
+	parse_fingerprint(spec);
+	if (strcmp(spec->method, "POST") == 0 && is_model_path(spec->path) &&
+	    parse_model(spec, err) != PARSE_OK)
+		return REFUSAL_BAD_REQUEST;
+	return REFUSAL_NONE;
+}
+
+static void add_model(JsonBuilder *builder, const record_service_t *service)
+{
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "id");
+	json_builder_add_string_value(builder, service->name);
+	json_builder_set_member_name(builder, "object");
+	json_builder_add_string_value(builder, "model");
+	json_builder_end_object(builder);
+}
+
+static void answer_models(front_t *front, SoupServerMessage *msg)
+{
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "object");
+	json_builder_add_string_value(builder, "list");
+	json_builder_set_member_name(builder, "data");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < front->conf->services->len; i++) {
+		const record_service_t *service = &g_array_index(
+			front->conf->services, record_service_t, i);
+
+		if (service->kind == SERVICE_MODEL)
+			add_model(builder, service);
+	}
+	json_builder_end_array(builder);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	text = json_to_string(root, FALSE);
+	soup_server_message_set_status(msg, 200, NULL);
+	soup_server_message_set_response(msg, "application/json",
+					 SOUP_MEMORY_TAKE, text, strlen(text));
+	json_node_unref(root);
+	g_object_unref(builder);
+}
+
+static refusal_t list_models(front_t *front, SoupServerMessage *msg,
+			     const request_spec_t *spec)
+{
+	const record_client_account_t *account;
+	const char *budget;
+
+	if (front->conf == NULL)
+		return REFUSAL_NO_TARGET;
+	account = conf_snapshot_account_by_key(front->conf, spec->key_hash,
+					       &budget);
+	if (account == NULL || account->disabled)
+		return REFUSAL_UNAUTHENTICATED;
+	answer_models(front, msg);
+	return REFUSAL_NONE;
+}
+
+static void on_request(SoupServer *server, SoupServerMessage *msg,
+		       const char *path, GHashTable *query, gpointer data)
+{
+	front_t *front = data;
+	request_spec_t *spec;
+	errmsg_t err = {""};
+	refusal_t reason;
+
+	(void)server;
+	(void)query;
+	/* Refused when its head or body arrived. */
+	if (soup_server_message_get_status(msg) != 0)
+		return;
+	spec = request_spec_new();
+	kernel_uuid(front->kernel, spec->request_id);
+	reason = read_request(front, msg, spec, &err);
+	if (reason != REFUSAL_NONE)
+		goto out;
+	if (strcmp(path, "/v1/models") == 0 &&
+	    strcmp(spec->method, "GET") == 0) {
+		reason = list_models(front, msg, spec);
+		goto out;
+	}
+	stream_open(front, msg, spec);
+	spec = NULL;
+out:
+	if (reason != REFUSAL_NONE)
+		refuse(front, msg, spec->request_id, reason,
+		       err.text[0] != '\0' ? err.text : NULL);
+	request_spec_free(spec);
+}
+
+static void count_connections(front_connections_t *connections, int change)
+{
+	connections->count = (uint32_t)((int)connections->count + change);
+	if (connections->metrics != NULL)
+		metrics_set(connections->metrics, GAUGE_CONNECTIONS,
+			    connections->count);
+}
+
+static void on_connection_closed(gpointer data)
+{
+	count_connections(data, -1);
+	g_rc_box_release(data);
+}
+
+/* Called for each new connection and each later request on it. */
+static void on_started(SoupServer *server, SoupServerMessage *msg,
+		       front_t *front)
+{
+	GSocket *socket = soup_server_message_get_socket(msg);
+
+	(void)server;
+	if (socket == NULL ||
+	    g_object_get_data(G_OBJECT(socket), "front") != NULL)
+		return;
+	g_object_set_data_full(G_OBJECT(socket), "front",
+			       g_rc_box_acquire(front->connections),
+			       on_connection_closed);
+	count_connections(front->connections, 1);
+	if (front->connections->count > front->opts.max_connections)
+		g_socket_shutdown(socket, TRUE, TRUE, NULL);
+}
+
+/*
+ * soup_server_disconnect() would cut requests in progress, so only the
+ * listening socket is shut down; the server stops polling it when accept
+ * fails.
+ */
+static void stop(front_t *front)
+{
+	front->stopping = true;
+	if (front->listener != NULL)
+		g_socket_shutdown(front->listener, TRUE, TRUE, NULL);
+	front_check_stopped(front);
+}
+
+static void start(front_t *front)
+{
+	msg_t msg = {.kind = MSG_CONF_SUBSCRIBE};
+
+	front->request = kernel_find(front->kernel, "request");
+	front->router = kernel_find(front->kernel, "router");
+	kernel_post(front->kernel, front->svc,
+		    kernel_find(front->kernel, "conf"), &msg);
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	front_t *front = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		start(front);
+		break;
+	case MSG_STOP:
+		stop(front);
+		break;
+	case MSG_CONF_CHANGED:
+		conf_snapshot_unref(front->conf);
+		front->conf = g_steal_pointer(&msg->u.conf);
+		break;
+	case MSG_TIMER:
+	case MSG_REQ_STARTED:
+	case MSG_REPLY_HEAD:
+	case MSG_REPLY_DATA:
+	case MSG_REPLY_END:
+	case MSG_REPLY_REFUSED:
+	case MSG_REPLY_BROKEN:
+		stream_recv(front, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+void front_init(front_t *front, kernel_t *kernel, const front_opts_t *opts)
+{
+	memset(front, 0, sizeof(*front));
+	front->kernel = kernel;
+	front->opts = *opts;
+	front->svc = kernel_register(kernel, "front", receive, front);
+	table_init(&front->streams, sizeof(stream_t));
+	front->per_key =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	front->connections = g_rc_box_new0(front_connections_t);
+	front->connections->metrics = kernel->metrics;
+	front->server = soup_server_new(NULL, NULL);
+	soup_server_add_early_handler(front->server, NULL, on_head, front,
+				      NULL);
+	soup_server_add_handler(front->server, NULL, on_request, front, NULL);
+	g_signal_connect(front->server, "request-started",
+			 G_CALLBACK(on_started), front);
+}
+
+void front_finish(front_t *front)
+{
+	uint32_t cursor = 0;
+	stream_t *stream;
+
+	front->stopped = true;
+	while ((stream = table_next(&front->streams, &cursor, NULL)) != NULL)
+		stream_drop(stream);
+	soup_server_disconnect(front->server);
+	g_clear_object(&front->server);
+	g_clear_object(&front->listener);
+	g_hash_table_unref(front->per_key);
+	table_finish(&front->streams);
+	if (front->conf != NULL)
+		conf_snapshot_unref(front->conf);
+	front->connections->metrics = NULL;
+	g_rc_box_release(front->connections);
+	kernel_unregister(front->kernel, front->svc);
+}
+
+static front_status_t load_tls(front_t *front)
+{
+	GTlsCertificate *cert;
+	GError *error = NULL;
+
+	cert = g_tls_certificate_new_from_files(front->opts.tls_cert,
+						front->opts.tls_key, &error);
+	if (cert == NULL) {
+		errmsg_set(&front->err, "TLS certificate: %s", error->message);
+		g_error_free(error);
+		return FRONT_TLS_FAILED;
+	}
+	soup_server_set_tls_certificate(front->server, cert);
+	g_object_unref(cert);
+	return FRONT_OK;
+}
+
+static GSocket *open_listener(GSocketAddress *address, GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, error);
+
+	if (socket == NULL)
+		return NULL;
+	g_socket_set_listen_backlog(socket, BACKLOG);
+	if (!g_socket_bind(socket, address, TRUE, error) ||
+	    !g_socket_listen(socket, error))
+		g_clear_object(&socket);
+	return socket;
+}
+
+static uint16_t local_port(GSocket *socket)
+{
+	GSocketAddress *address = g_socket_get_local_address(socket, NULL);
+	uint16_t port;
+
+	if (address == NULL)
+		return 0;
+	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+	g_object_unref(address);
+	return port;
+}
+
+front_status_t front_listen(front_t *front)
+{
+	bool tls = front->opts.tls_cert[0] != '\0';
+	front_status_t status = FRONT_BAD_ADDRESS;
+	GSocketAddress *address;
+	GError *error = NULL;
+
+	address = g_inet_socket_address_new_from_string(front->opts.host,
+							front->opts.port);
+	if (address == NULL) {
+		errmsg_set(&front->err, "%s is not an IP address",
+			   front->opts.host);
+		goto out;
+	}
+	if (tls && (status = load_tls(front)) != FRONT_OK)
+		goto out;
+	status = FRONT_LISTEN_FAILED;
+	front->listener = open_listener(address, &error);
+	if (front->listener == NULL ||
+	    !soup_server_listen_socket(front->server, front->listener,
+				       tls ? SOUP_SERVER_LISTEN_HTTPS : 0,
+				       &error)) {
+		errmsg_set(&front->err, "listen on %s port %u: %s",
+			   front->opts.host, front->opts.port, error->message);
+		goto out;
+	}
+	front->port = local_port(front->listener);
+	status = FRONT_OK;
+out:
+	g_clear_error(&error);
+	g_clear_object(&address);
+	return status;
+}
+
+uint16_t front_port(const front_t *front)
+{
+	return front->port;
+}
