--- /dev/null
+++ b/dispatch/call.c
@@ -0,0 +1,475 @@
+#include "dispatch/call.h"
+
+#include "dispatch/body.h"
+
+#include <string.h>
+
+#define READ_SIZE (16 * 1024) /* bytes read from a target at a time */
+/* Bytes of an unwanted answer read so that the connection can be reused. */
+#define DISCARD_MAX (64 * 1024)
+#define LIMIT_MS_DEFAULT 60000 /* for a limit of 0 */
+
+static void read_more(call_t *call);
+
+static void post(call_t *call, msg_t *msg)
+{
+	msg->ref = call->ref;
+	msg->id = call->self;
+	kernel_post(call->dispatch->kernel, call->dispatch->svc, call->owner,
+		    msg);
+}
+
+static void free_call(call_t *call)
+{
+	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
+	if (call->msg != NULL)
+		g_signal_handlers_disconnect_by_data(call->msg, call);
+	g_clear_object(&call->stream);
+	g_clear_object(&call->msg);
+	g_clear_object(&call->cancellable);
+	tokens_finish(&call->tokens);
+	table_remove(&call->dispatch->calls, call->self);
+}
+
+static void on_closed(GObject *source, GAsyncResult *result, gpointer data)
+{
+	call_t *call = data;
+
+	g_input_stream_close_finish(G_INPUT_STREAM(source), result, NULL);
+	call->pending = false;
+	free_call(call);
+}
+
+/* Frees a call that is over, once no operation is in progress. */
+static void release(call_t *call)
+{
+	if (!call->over || call->pending)
+		return;
+	if (call->stream == NULL) {
+		free_call(call);
+		return;
+	}
+	call->pending = true;
+	g_input_stream_close_async(call->stream, G_PRIORITY_DEFAULT,
+				   call->cancellable, on_closed, call);
+}
+
+static void post_failed(call_t *call, failure_t failure, bool reset)
+{
+	msg_t msg = {.kind = MSG_TARGET_FAILED};
+
+	msg.u.target_failed.failure = failure;
+	msg.u.target_failed.reset = reset;
+	post(call, &msg);
+	call->over = true;
+}
+
+/* Ends the call and drops its connection. */
+static void fail(call_t *call, failure_t failure, bool reset)
+{
+	if (!call->over)
+		post_failed(call, failure, reset);
+	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
+	g_cancellable_cancel(call->cancellable);
+	release(call);
+}
+
+static int64_t next_limit(const call_t *call)
+{
+	int64_t limit =
+		call->active +
+		(call->stream == NULL ? call->first_byte_us : call->idle_us);
+
+	return call->paused ? call->deadline : MIN(limit, call->deadline);
+}
+
+static void arm(call_t *call)
+{
+	kernel_t *kernel = call->dispatch->kernel;
+	int64_t wait = next_limit(call) - kernel_now(kernel);
+
+	kernel_timer_cancel(kernel, &call->timer);
+	call->timer = kernel_timer(kernel, call->dispatch->svc, MAX(wait, 0),
+				   call->self, 0);
+}
+
+/*
+ * Progress only moves call->active; the timer fires at the old limit and is
+ * set again, which is cheaper than a new timer for each read.
+ */
+static void on_timer(call_t *call)
+{
+	int64_t now = kernel_now(call->dispatch->kernel);
+
+	call->timer = HANDLE_NONE;
+	if (now >= call->deadline)
+		fail(call, FAILURE_DEADLINE, false);
+	else if (now >= next_limit(call))
+		fail(call, FAILURE_SILENT, false);
+	else
+		arm(call);
+}
+
+static bool is_reset(const GError *error)
+{
+	return g_error_matches(error, G_IO_ERROR,
+			       G_IO_ERROR_CONNECTION_CLOSED) ||
+	       g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT);
+}
+
+static void post_report(call_t *call, SoupMessageHeaders *headers)
+{
+	const char *running =
+		soup_message_headers_get_one(headers, "X-Load-Running");
+	const char *queued =
+		soup_message_headers_get_one(headers, "X-Load-Queued");
+	msg_t msg = {.kind = MSG_TARGET_REPORT};
+	guint64 a, b = 0;
+
+	if (running == NULL ||
+	    !g_ascii_string_to_unsigned(running, 10, 0, G_MAXUINT32, &a, NULL))
+		return;
+	if (queued != NULL &&
+	    !g_ascii_string_to_unsigned(queued, 10, 0, G_MAXUINT32, &b, NULL))
+		return;
+	g_strlcpy(msg.u.report.host, call->host, sizeof(msg.u.report.host));
+	msg.u.report.port = call->port;
+	msg.u.report.running = (uint32_t)a;
+	msg.u.report.queued = (uint32_t)b;
+	kernel_post(call->dispatch->kernel, call->dispatch->svc,
+		    call->dispatch->route, &msg);
+}
+
+static void post_leaving(call_t *call)
+{
+	msg_t msg = {.kind = MSG_TARGET_LEAVING};
+
+	g_strlcpy(msg.u.leaving.host, call->host, sizeof(msg.u.leaving.host));
+	msg.u.leaving.port = call->port;
+	msg.u.leaving.leaving = true;
+	kernel_post(call->dispatch->kernel, call->dispatch->svc,
+		    call->dispatch->route, &msg);
+}
+
+static bool header_is(SoupMessageHeaders *headers, const char *name,
+		      const char *value)
+{
+	const char *got = soup_message_headers_get_one(headers, name);
+
+	return got != NULL && strcmp(got, value) == 0;
+}
+
+/* True when the answer says that the target did not take the request. */
+static bool check_refused(call_t *call, SoupMessageHeaders *headers,
+			  uint32_t status)
+{
+	bool leaving =
+		status == 503 && header_is(headers, "X-Target-Leaving", "1");
+	msg_t msg = {.kind = MSG_TARGET_FAILED};
+
+	if (status != 429 && status != 503)
+		return false;
+	if (leaving)
+		post_leaving(call);
+	msg.u.target_failed.failure =
+		leaving ? FAILURE_LEAVING : FAILURE_OVERLOADED;
+	msg.u.target_failed.not_run =
+		header_is(headers, "X-Request-State", "not_run");
+	post(call, &msg);
+	call->over = true;
+	call->discard = true;
+	return true;
+}
+
+static void post_head(call_t *call, SoupMessageHeaders *headers,
+		      uint32_t status)
+{
+	const char *type =
+		soup_message_headers_get_one(headers, "Content-Type");
+	msg_t msg = {.kind = MSG_TARGET_HEAD};
+
+	if (type == NULL)
+		type = "";
+	tokens_init(&call->tokens, g_str_has_prefix(type, "text/event-stream"));
+	msg.u.target_head.status = status;
+	g_strlcpy(msg.u.target_head.content_type, type,
+		  sizeof(msg.u.target_head.content_type));
+	post(call, &msg);
+}
+
+static void post_end(call_t *call)
+{
+	tokens_t *tokens = &call->tokens;
+	msg_t msg = {.kind = MSG_TARGET_END};
+
+	if (call->model)
+		tokens_end(tokens);
+	msg.u.target_end.usage_known = tokens->usage_known;
+	msg.u.target_end.prompt_tokens = tokens->prompt;
+	msg.u.target_end.completion_tokens =
+		tokens->usage_known ? tokens->completion : tokens->counted;
+	post(call, &msg);
+	call->over = true;
+	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
+}
+
+static void on_end(call_t *call)
+{
+	/* An engine that fails may still end its answer in good form. */
+	if (!call->over && call->model && call->tokens.sse &&
+	    !call->tokens.done) {
+		fail(call, FAILURE_STREAM, false);
+		return;
+	}
+	if (!call->over)
+		post_end(call);
+	release(call);
+}
+
+static void post_data(call_t *call, GBytes *bytes)
+{
+	msg_t msg = {.kind = MSG_TARGET_DATA};
+
+	if (call->model)
+		msg.u.target_data.tokens = tokens_feed(
+			&call->tokens, g_bytes_get_data(bytes, NULL),
+			g_bytes_get_size(bytes));
+	msg.u.target_data.bytes = g_bytes_ref(bytes);
+	post(call, &msg);
+}
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+	call_t *call = data;
+	GError *error = NULL;
+	GBytes *bytes;
+
+	bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result,
+						 &error);
+	call->pending = false;
+	if (bytes == NULL) {
+		fail(call, FAILURE_STREAM, is_reset(error));
+		g_error_free(error);
+		return;
+	}
+	call->active = kernel_now(call->dispatch->kernel);
+	if (g_bytes_get_size(bytes) == 0)
+		on_end(call);
+	else if (call->discard &&
+		 (call->discarded += (uint32_t)g_bytes_get_size(bytes)) >
+			 DISCARD_MAX)
+		fail(call, FAILURE_NONE, false);
+	else if (call->over && !call->discard)
+		release(call);
+	else {
+		if (!call->discard)
+			post_data(call, bytes);
+		read_more(call);
+	}
+	g_bytes_unref(bytes);
+}
+
+static void read_more(call_t *call)
+{
+	if (call->paused || call->pending || call->stream == NULL)
+		return;
+	call->pending = true;
+	g_input_stream_read_bytes_async(call->stream, READ_SIZE,
+					G_PRIORITY_DEFAULT, call->cancellable,
+					on_read, call);
+}
+
+/*
+ * The library does not tell whether a part of the head had arrived, so only
+ * a malformed head is classed as such and any other loss as sent.
+ */
+static void on_head_error(call_t *call, const GError *error)
+{
+	failure_t failure = FAILURE_SENT;
+
+	if (!call->started)
+		failure = FAILURE_CONNECT;
+	else if (error->domain == SOUP_SESSION_ERROR)
+		failure = FAILURE_HEAD;
+	fail(call, failure, call->started && is_reset(error));
+}
+
+static void on_head(GObject *source, GAsyncResult *result, gpointer data)
+{
+	call_t *call = data;
+	SoupMessageHeaders *headers;
+	GError *error = NULL;
+	uint32_t status;
+
+	call->stream =
+		soup_session_send_finish(SOUP_SESSION(source), result, &error);
+	call->pending = false;
+	if (call->stream == NULL) {
+		on_head_error(call, error);
+		g_error_free(error);
+		return;
+	}
+	if (call->over) {
+		release(call);
+		return;
+	}
+	call->active = kernel_now(call->dispatch->kernel);
+	arm(call);
+	headers = soup_message_get_response_headers(call->msg);
+	status = soup_message_get_status(call->msg);
+	post_report(call, headers);
+	if (!check_refused(call, headers, status))
+		post_head(call, headers, status);
+	read_more(call);
+}
+
+static void on_starting(SoupMessage *msg, call_t *call)
+{
+	(void)msg;
+	call->started = true;
+}
+
+/*
+ * The library sends some requests again by itself when a reused connection
+ * turns out to be closed.  Whether to retry is decided elsewhere.
+ */
+static void on_restarted(SoupMessage *msg, call_t *call)
+{
+	(void)msg;
+	g_cancellable_cancel(call->cancellable);
+}
+
+static bool reuses_connection(const char *method)
+{
+	return strcmp(method, "POST") == 0 || strcmp(method, "PATCH") == 0;
+}
+
+static SoupMessage *new_message(const msg_t *msg)
+{
+	bool v6 = strchr(msg->u.send.host, ':') != NULL;
+	SoupMessage *message;
+	char *uri;
+
+	uri = g_strdup_printf("http://%s%s%s:%u%s", v6 ? "[" : "",
+			      msg->u.send.host, v6 ? "]" : "", msg->u.send.port,
+			      msg->u.send.path);
+	message = soup_message_new(msg->u.send.method, uri);
+	g_free(uri);
+	if (message == NULL)
+		return NULL;
+	/*
+	 * The library resends GET, HEAD, PUT and DELETE on a stale reused
+	 * connection, so these get a new one.  It never resends others; the
+	 * flag only lets them reuse connections.
+	 */
+	soup_message_set_flags(message,
+			       SOUP_MESSAGE_NO_REDIRECT |
+				       (reuses_connection(msg->u.send.method)
+						? SOUP_MESSAGE_IDEMPOTENT
+						: SOUP_MESSAGE_NEW_CONNECTION));
+	return message;
+}
+
+static void set_headers(SoupMessage *message, const msg_t *msg)
+{
+	SoupMessageHeaders *headers = soup_message_get_request_headers(message);
+	char text[16];
+
+	g_snprintf(text, sizeof(text), "%d", msg->u.send.priority);
+	soup_message_headers_replace(headers, "X-Request-Id",
+				     msg->u.send.request_id);
+	soup_message_headers_replace(headers, "X-Request-Priority", text);
+}
+
+/* False when there is no valid request to send. */
+static bool prepare(call_t *call, const msg_t *msg)
+{
+	const char *type = msg->u.send.content_type;
+	GBytes *body = NULL;
+
+	call->msg = new_message(msg);
+	if (call->msg == NULL)
+		return false;
+	set_headers(call->msg, msg);
+	if (msg->u.send.model) {
+		body = body_rewrite(msg->u.send.body, msg->u.send.max_tokens);
+		if (body == NULL)
+			return false;
+	} else if (msg->u.send.body != NULL) {
+		body = g_bytes_ref(msg->u.send.body);
+	}
+	if (body != NULL && g_bytes_get_size(body) > 0)
+		soup_message_set_request_body_from_bytes(
+			call->msg, type[0] != '\0' ? type : NULL, body);
+	g_clear_pointer(&body, g_bytes_unref);
+	g_signal_connect(call->msg, "starting", G_CALLBACK(on_starting), call);
+	g_signal_connect(call->msg, "restarted", G_CALLBACK(on_restarted),
+			 call);
+	return true;
+}
+
+static int64_t limit_us(uint32_t ms)
+{
+	return (ms == 0 ? LIMIT_MS_DEFAULT : ms) * USEC_PER_MSEC;
+}
+
+void call_open(dispatch_t *dispatch, const msg_t *msg)
+{
+	msg_t started = {.kind = MSG_SEND_STARTED};
+	call_t *call;
+	handle_t self = table_add(&dispatch->calls, (void **)&call);
+
+	call->dispatch = dispatch;
+	call->self = self;
+	call->owner = msg->from;
+	call->ref = msg->id;
+	call->model = msg->u.send.model;
+	call->port = msg->u.send.port;
+	g_strlcpy(call->host, msg->u.send.host, sizeof(call->host));
+	call->first_byte_us = limit_us(msg->u.send.first_byte_ms);
+	call->idle_us = limit_us(msg->u.send.idle_ms);
+	call->deadline =
+		msg->u.send.deadline > 0 ? msg->u.send.deadline : G_MAXINT64;
+	call->active = kernel_now(dispatch->kernel);
+	call->cancellable = g_cancellable_new();
+	post(call, &started);
+	if (!prepare(call, msg)) {
+		fail(call, FAILURE_CONNECT, false);
+		return;
+	}
+	arm(call);
+	call->pending = true;
+	soup_session_send_async(dispatch->session, call->msg,
+				G_PRIORITY_DEFAULT, call->cancellable, on_head,
+				call);
+}
+
+void call_abort(call_t *call)
+{
+	call->over = true;
+	fail(call, FAILURE_NONE, false);
+}
+
+void call_recv(dispatch_t *dispatch, const msg_t *msg)
+{
+	call_t *call = table_get(&dispatch->calls, msg->ref);
+
+	if (call == NULL)
+		return;
+	if (msg->kind == MSG_TIMER) {
+		on_timer(call);
+		return;
+	}
+	if (call->over)
+		return;
+	if (msg->kind == MSG_SEND_CANCEL) {
+		fail(call, FAILURE_CANCELLED, false);
+	} else if (msg->kind == MSG_SEND_PAUSE) {
+		call->paused = true;
+	} else if (msg->kind == MSG_SEND_RESUME && call->paused) {
+		call->paused = false;
+		call->active = kernel_now(dispatch->kernel);
+		arm(call);
+		read_more(call);
+	}
+}
--- /dev/null
+++ b/dispatch/call.h
@@ -0,0 +1,46 @@
+/*
+ * One request to one target, from the connection to the last byte.
+ */
+#ifndef DISPATCH_CALL_H
+#define DISPATCH_CALL_H
+
+#include "dispatch/dispatch.h"
+#include "dispatch/tokens.h"
+
+G_BEGIN_DECLS
+
+typedef struct call_t {
+	dispatch_t *dispatch;
+	handle_t self;
+	svc_t owner; /* the service that sent MSG_SEND */
+	handle_t ref; /* its handle */
+	SoupMessage *msg;
+	GCancellable *cancellable;
+	GInputStream *stream; /* NULL before the head */
+	handle_t timer;
+	char host[HOST_SIZE];
+	uint16_t port;
+	bool model;
+	bool pending; /* an asynchronous operation is in progress */
+	bool started; /* bytes may have been sent */
+	bool over; /* the last message was sent to the owner */
+	bool discard; /* the body is read only to keep the connection */
+	bool paused;
+	uint32_t discarded; /* bytes */
+	int64_t first_byte_us;
+	int64_t idle_us;
+	int64_t deadline; /* monotonic, us */
+	int64_t active; /* monotonic, us, of the last progress */
+	tokens_t tokens;
+} call_t;
+
+/* Starts a call for a MSG_SEND. */
+void call_open(dispatch_t *dispatch, const msg_t *msg);
+/* Handles a message whose ref is a call; a stale ref is ignored. */
+void call_recv(dispatch_t *dispatch, const msg_t *msg);
+/* Drops a call without telling its owner. */
+void call_abort(call_t *call);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/dispatch/dispatch.c
@@ -0,0 +1,65 @@
+#include "dispatch/dispatch.h"
+
+#include "dispatch/call.h"
+
+#include <string.h>
+
+/* The bound on requests to a target is route's; this only has to exceed it. */
+#define CONNECTIONS_MAX 100000
+#define CONNECTION_IDLE_S 30 /* an unused connection is closed */
+
+static void receive(void *self, msg_t *msg)
+{
+	dispatch_t *dispatch = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		dispatch->route = kernel_find(dispatch->kernel, "route");
+		break;
+	case MSG_SEND:
+		call_open(dispatch, msg);
+		break;
+	case MSG_TIMER:
+	case MSG_SEND_CANCEL:
+	case MSG_SEND_PAUSE:
+	case MSG_SEND_RESUME:
+		call_recv(dispatch, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+void dispatch_init(dispatch_t *dispatch, kernel_t *kernel)
+{
+	memset(dispatch, 0, sizeof(*dispatch));
+	dispatch->kernel = kernel;
+	dispatch->svc = kernel_register(kernel, "dispatch", receive, dispatch);
+	table_init(&dispatch->calls, sizeof(call_t));
+	dispatch->session = soup_session_new_with_options(
+		"max-conns", CONNECTIONS_MAX, "max-conns-per-host",
+		CONNECTIONS_MAX, "idle-timeout", CONNECTION_IDLE_S, "timeout",
+		0, NULL);
+	soup_session_set_proxy_resolver(dispatch->session, NULL);
+	/* Answers pass through unchanged, and nothing is sent twice. */
+	soup_session_remove_feature_by_type(dispatch->session,
+					    SOUP_TYPE_CONTENT_DECODER);
+	soup_session_remove_feature_by_type(dispatch->session,
+					    SOUP_TYPE_AUTH_MANAGER);
+}
+
+void dispatch_finish(dispatch_t *dispatch)
+{
+	uint32_t cursor = 0;
+	call_t *call;
+
+	while ((call = table_next(&dispatch->calls, &cursor, NULL)) != NULL)
+		call_abort(call);
+	soup_session_abort(dispatch->session);
+	/* The callbacks of cancelled operations free the calls. */
+	while (table_count(&dispatch->calls) > 0)
+		g_main_context_iteration(NULL, TRUE);
+	g_clear_object(&dispatch->session);
+	table_finish(&dispatch->calls);
+	kernel_unregister(dispatch->kernel, dispatch->svc);
+}
--- /dev/null
+++ b/dispatch/tokens.c
@@ -0,0 +1,188 @@
+#define _GNU_SOURCE /* memmem */
+
+#include "dispatch/tokens.h"
+
+#include "dispatch/json_depth.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* Keys whose text is generated output. */
+static const char *const content_keys[] = {
+	"\"content\"",
+	"\"text\"",
+	"\"reasoning_content\"",
+	"\"arguments\"",
+};
+
+void tokens_init(tokens_t *tokens, bool sse)
+{
+	memset(tokens, 0, sizeof(*tokens));
+	tokens->sse = sse;
+	tokens->held = g_byte_array_new();
+}
+
+void tokens_finish(tokens_t *tokens)
+{
+	g_clear_pointer(&tokens->held, g_byte_array_unref);
+}
+
+static const char *skip_space(const char *p, const char *end)
+{
+	while (p < end && g_ascii_isspace(*p))
+		p++;
+	return p;
+}
+
+/*
+ * Returns the value after the next occurrence of a quoted key.  A quote
+ * within a JSON string is escaped, so text can't be taken for a key.
+ */
+static const char *find_value(const char *p, const char *end, const char *key)
+{
+	size_t len = strlen(key);
+
+	while (p < end &&
+	       (p = memmem(p, (size_t)(end - p), key, len)) != NULL) {
+		p = skip_space(p + len, end);
+		if (p < end && *p == ':')
+			return skip_space(p + 1, end);
+	}
+	return NULL;
+}
+
+static bool has_content(const char *text, size_t len)
+{
+	const char *end = text + len;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(content_keys); i++) {
+		const char *p = text;
+
+		while ((p = find_value(p, end, content_keys[i])) != NULL)
+			if (end - p >= 2 && p[0] == '"' && p[1] != '"')
+				return true;
+	}
+	return false;
+}
+
+static bool read_count(JsonObject *usage, const char *name, int64_t *out)
+{
+	JsonNode *node = json_object_get_member(usage, name);
+	int64_t value;
+
+	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != G_TYPE_INT64)
+		return false;
+	value = json_node_get_int(node);
+	if (value < 0 || value > TOKENS_USAGE_MAX)
+		return false;
+	*out = value;
+	return true;
+}
+
+static void read_usage(tokens_t *tokens, const char *text, size_t len)
+{
+	int64_t prompt, completion;
+	JsonParser *parser;
+	JsonNode *root, *usage;
+
+	if (find_value(text, text + len, "\"usage\"") == NULL ||
+	    !json_depth_ok(text, len, JSON_DEPTH_MAX))
+		return;
+	parser = json_parser_new_immutable();
+	if (!json_parser_load_from_data(parser, text, (gssize)len, NULL))
+		goto out;
+	root = json_parser_get_root(parser);
+	if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root))
+		goto out;
+	usage = json_object_get_member(json_node_get_object(root), "usage");
+	if (usage == NULL || !JSON_NODE_HOLDS_OBJECT(usage) ||
+	    !read_count(json_node_get_object(usage), "prompt_tokens",
+			&prompt) ||
+	    !read_count(json_node_get_object(usage), "completion_tokens",
+			&completion))
+		goto out;
+	tokens->usage_known = true;
+	tokens->prompt = prompt;
+	tokens->completion = completion;
+out:
+	g_object_unref(parser);
+}
+
+static int64_t read_line(tokens_t *tokens, const char *line, size_t len)
+{
+	const char *end = line + len;
+	const char *data;
+
+	if (len > 0 && end[-1] == '\r')
+		end--;
+	if (end - line < 5 || memcmp(line, "data:", 5) != 0)
+		return 0;
+	data = line + 5;
+	if (data < end && *data == ' ')
+		data++;
+	if (end - data == 6 && memcmp(data, "[DONE]", 6) == 0) {
+		tokens->done = true;
+		return 0;
+	}
+	read_usage(tokens, data, (size_t)(end - data));
+	return has_content(data, (size_t)(end - data)) ? 1 : 0;
+}
+
+static int64_t end_line(tokens_t *tokens, const char *data, size_t len)
+{
+	int64_t count;
+
+	if (tokens->skip || tokens->held->len + len > TOKENS_RECORD_MAX) {
+		/* Too long to read: taken for a record with content. */
+		count = 1;
+	} else if (tokens->held->len > 0) {
+		g_byte_array_append(tokens->held, (const guint8 *)data,
+				    (guint)len);
+		count = read_line(tokens, (const char *)tokens->held->data,
+				  tokens->held->len);
+	} else {
+		count = read_line(tokens, data, len);
+	}
+	tokens->skip = false;
+	g_byte_array_set_size(tokens->held, 0);
+	return count;
+}
+
+static void hold(tokens_t *tokens, const char *data, size_t len, size_t max)
+{
+	if (!tokens->skip && tokens->held->len + len > max) {
+		tokens->skip = true;
+		g_byte_array_set_size(tokens->held, 0);
+	}
+	if (!tokens->skip && len > 0)
+		g_byte_array_append(tokens->held, (const guint8 *)data,
+				    (guint)len);
+}
+
+int64_t tokens_feed(tokens_t *tokens, const char *data, size_t len)
+{
+	int64_t count = 0;
+	const char *end = data + len;
+	const char *newline;
+
+	if (!tokens->sse) {
+		hold(tokens, data, len, TOKENS_BODY_MAX);
+		return 0;
+	}
+	while (data < end &&
+	       (newline = memchr(data, '\n', (size_t)(end - data))) != NULL) {
+		count += end_line(tokens, data, (size_t)(newline - data));
+		data = newline + 1;
+	}
+	hold(tokens, data, (size_t)(end - data), TOKENS_RECORD_MAX);
+	tokens->counted += count;
+	return count;
+}
+
+void tokens_end(tokens_t *tokens)
+{
+	if (!tokens->sse && !tokens->skip && tokens->held->len > 0)
+		read_usage(tokens, (const char *)tokens->held->data,
+			   tokens->held->len);
+}
