--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -4,9 +4,9 @@
 
 #include <string.h>
 
-#define READ_SIZE (16 * 1024) /* bytes read from a target at a time */
+#define READ_SIZE 16384 /* bytes read from a target at a time */
 /* Bytes of an unwanted answer read so that the connection can be reused. */
-#define DISCARD_MAX (64 * 1024)
+#define DISCARD_MAX 65536
 #define LIMIT_MS_DEFAULT 60000 /* for a limit of 0 */
 
 static void read_more(call_t *call);
--- a/dispatch/tokens.h
+++ b/dispatch/tokens.h
@@ -11,8 +11,8 @@
 
 G_BEGIN_DECLS
 
-#define TOKENS_RECORD_MAX (256 * 1024) /* bytes of one event-stream line */
-#define TOKENS_BODY_MAX (4 * 1024 * 1024) /* bytes of a whole answer kept */
+#define TOKENS_RECORD_MAX 262144 /* bytes of one event-stream line */
+#define TOKENS_BODY_MAX 4194304 /* bytes of a whole answer kept */
 #define TOKENS_USAGE_MAX (INT64_C(1) << 40) /* larger usage is ignored */
 
 typedef struct tokens_t {
--- a/front/front.c
+++ b/front/front.c
@@ -9,7 +9,7 @@
 
 #define BACKLOG 1024
 /* Bytes of a too large body read before the connection is dropped. */
-#define DISCARD_MAX (1024 * 1024)
+#define DISCARD_MAX 1048576
 
 static const char *const model_paths[] = {
 	"/v1/chat/completions",
@@ -20,13 +20,13 @@
 {
 	memset(opts, 0, sizeof(*opts));
 	g_strlcpy(opts->host, "127.0.0.1", sizeof(opts->host));
-	opts->max_header = 16 * 1024;
-	opts->max_body = 8 * 1024 * 1024;
+	opts->max_header = 16384;
+	opts->max_body = 8388608;
 	opts->max_connections = 20000;
 	opts->max_streams = 10000;
 	opts->max_streams_per_key = 10000;
-	opts->high_water = 256 * 1024;
-	opts->low_water = 64 * 1024;
+	opts->high_water = 262144;
+	opts->low_water = 65536;
 }
 
 void front_check_stopped(front_t *front)
