--- /dev/null
+++ b/settings/settings.h
@@ -0,0 +1,85 @@
+/*
+ * Settings of a router: a JSON file checked against one table of keys.  The
+ * first fault is reported with the key's path, the value and what is allowed.
+ */
+#ifndef SETTINGS_SETTINGS_H
+#define SETTINGS_SETTINGS_H
+
+#include "kernel/record.h"
+#include "kernel/status.h"
+
+G_BEGIN_DECLS
+
+#define SETTING_TEXT_SIZE 256 /* bytes, with terminator */
+#define SETTING_LIST_MAX 16 /* entries of a list */
+
+typedef enum settings_status_t {
+	SETTINGS_OK,
+	SETTINGS_UNREADABLE, /* the file can't be read */
+	SETTINGS_SYNTAX, /* not a JSON object */
+	SETTINGS_INVALID, /* a key or a value is refused */
+} settings_status_t;
+
+typedef struct setting_list_t {
+	guint count;
+	char items[SETTING_LIST_MAX][SETTING_TEXT_SIZE];
+} setting_list_t;
+
+typedef struct settings_t {
+	char name[SETTING_TEXT_SIZE];
+	char availability_zone[SETTING_TEXT_SIZE];
+	char log_level[SETTING_TEXT_SIZE];
+	int64_t stop_timeout_s;
+
+	char caller_host[SETTING_TEXT_SIZE];
+	int64_t caller_port;
+	char caller_tls_certificate[SETTING_TEXT_SIZE];
+	char caller_tls_key[SETTING_TEXT_SIZE];
+	int64_t caller_max_body;
+	int64_t caller_max_header;
+	int64_t caller_max_connections;
+	int64_t caller_buffer;
+
+	char peer_host[SETTING_TEXT_SIZE];
+	int64_t peer_port;
+	char peer_key[SETTING_TEXT_SIZE];
+	setting_list_t peer_seeds; /* HOST:PORT */
+
+	char admin_host[SETTING_TEXT_SIZE];
+	int64_t admin_port;
+	char admin_token[SETTING_TEXT_SIZE];
+
+	setting_list_t store_endpoints; /* http://HOST:PORT */
+	char store_prefix[SETTING_TEXT_SIZE];
+	char store_token[SETTING_TEXT_SIZE];
+	int64_t store_timeout_ms;
+
+	char instances_url[SETTING_TEXT_SIZE];
+	int64_t instances_interval_ms;
+
+	int64_t member_lease_s;
+	int64_t ledger_horizon_s;
+	int64_t ledger_unprotected_percent;
+	int64_t request_retry_percent;
+	int64_t request_max_running;
+} settings_t;
+
+void settings_init(settings_t *settings);
+/* Clears secrets from memory. */
+void settings_finish(settings_t *settings);
+
+settings_status_t settings_load(settings_t *settings, const char *path,
+				errmsg_t *err);
+settings_status_t settings_parse(settings_t *settings, const char *text,
+				 gssize len, errmsg_t *err);
+
+/* Appends the reference of all keys as a Markdown table. */
+void settings_print_reference(GString *out);
+
+/* Splits "IP:PORT" or "[IPv6]:PORT"; false if it is not of that form. */
+bool settings_parse_address(const char *text, char *host, size_t host_size,
+			    uint16_t *port);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,113 @@
+// Guards the settings file: a fault is refused before anything starts, with
+// the key's path, the value and what is allowed.
+#include "settings/settings.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+
+namespace
+{
+
+const char *const complete =
+	R"({"name":"r1","availability_zone":"az1",
+"caller":{"port":8080},
+"peer":{"port":7000,"key":"0123456789abcdef","seeds":["127.0.0.1:7001"]},
+"admin":{"port":9000},
+"store":{"endpoints":["http://127.0.0.1:2379"]}})";
+
+settings_status_t parse(const std::string &text, errmsg_t *err)
+{
+	settings_t settings;
+
+	settings_init(&settings);
+	return settings_parse(&settings, text.data(),
+			      static_cast<gssize>(text.size()), err);
+}
+
+std::string replaced(const char *from, const char *to)
+{
+	std::string text = complete;
+
+	return text.replace(text.find(from), strlen(from), to);
+}
+
+TEST(Settings, CompleteFileIsReadWithDefaults)
+{
+	settings_t settings;
+	errmsg_t err;
+
+	settings_init(&settings);
+	ASSERT_EQ(settings_parse(&settings, complete, -1, &err), SETTINGS_OK);
+	EXPECT_STREQ(settings.name, "r1");
+	EXPECT_EQ(settings.caller_port, 8080);
+	EXPECT_EQ(settings.store_timeout_ms, 2000);
+	EXPECT_EQ(settings.peer_seeds.count, 1u);
+	EXPECT_STREQ(settings.log_level, "info");
+}
+
+struct Fault {
+	const char *from, *to, *message;
+};
+
+class SettingsFault : public ::testing::TestWithParam<Fault>
+{
+};
+
+TEST_P(SettingsFault, IsRefusedWithPathValueAndRange)
+{
+	errmsg_t err = {};
+
+	EXPECT_NE(parse(replaced(GetParam().from, GetParam().to), &err),
+		  SETTINGS_OK);
+	EXPECT_NE(std::string(err.text).find(GetParam().message),
+		  std::string::npos)
+		<< err.text;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	All, SettingsFault,
+	::testing::Values(
+		Fault{"8080", "70000",
+		      "caller.port: 70000 is not allowed, expected a whole "
+		      "number from 0 to 65535"},
+		Fault{"8080", "\"8080\"", "caller.port: \"8080\""},
+		Fault{"8080", "80.5", "caller.port: 80.5"},
+		Fault{"\"caller\"", "\"colour\"", "colour: unknown key"},
+		Fault{"\"caller\":{", "\"caller\":{\"prot\":1,",
+		      "caller.prot: unknown key"},
+		Fault{"\"name\":\"r1\",", "", "name: missing"},
+		Fault{"\"r1\"", "\"r 1\"", "name: \"r 1\""},
+		Fault{"0123456789abcdef", "short", "peer.key: (secret)"},
+		Fault{"127.0.0.1:7001", "host.example:7001", "peer.seeds"},
+		Fault{"[\"http://127.0.0.1:2379\"]", "[]", "store.endpoints"},
+		Fault{"\"admin\":{", "\"admin\":{\"host\":\"0.0.0.0\",",
+		      "admin.token: missing"},
+		Fault{"{\"name\"", "[{\"name\"", "not JSON"}));
+
+// Guards the decoder against malformed files: no crash, no accepted value
+// outside its range.
+TEST(Settings, MutatedFilesNeverCrash)
+{
+	std::mt19937 random(1);
+
+	for (int i = 0; i < 20000; i++) {
+		std::string text = complete;
+		settings_t settings;
+		errmsg_t err = {};
+
+		for (int n = random() % 4 + 1; n > 0; n--)
+			text[random() % text.size()] =
+				static_cast<char>(random());
+		settings_init(&settings);
+		if (settings_parse(&settings, text.data(),
+				   static_cast<gssize>(text.size()),
+				   &err) != SETTINGS_OK)
+			continue;
+		EXPECT_LE(settings.caller_port, 65535);
+		EXPECT_TRUE(name_is_valid(settings.name));
+	}
+}
+
+} // namespace
