--- a/Makefile
+++ b/Makefile
@@ -104,6 +104,11 @@
 	$(MAKE) lint
 	$(MAKE) test
 
+# The main job in one command: install, build, run a small fleet.
+demo: packages
+	@$(MAKE) -s all
+	@BUILD=$(BUILD) timeout 60 bash demo/run.sh
+
 clean:
 	rm -rf build
 
--- /dev/null
+++ b/ctl/account.c
@@ -0,0 +1,211 @@
+#include "ctl/command.h"
+#include "ctl/out.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+#define API_KEY_BYTES 24 /* random bytes, 192 bits */
+#define WEIGHT_DEFAULT 100
+#define WEIGHT_MAX 1000
+#define MAX_REQUESTS_MAX 1000000
+#define HASH_HEAD_MIN 8 /* characters that name a key's hash */
+#define DEFAULT_BUDGET "main"
+
+static void account_key(char *key, const char *name)
+{
+	g_snprintf(key, STORE_KEY_SIZE, "conf/account/%s", name);
+}
+
+/* Makes a random key; the store only ever sees its hash. */
+static ctl_status_t make_api_key(ctl_t *ctl, char **text, char *hash)
+{
+	guchar bytes[API_KEY_BYTES];
+	g_autofree char *encoded = NULL;
+	g_autofree char *digest = NULL;
+
+	if (getrandom(bytes, sizeof(bytes), 0) != sizeof(bytes)) {
+		errmsg_set(&ctl->err, "no random numbers for an API key");
+		return CTL_FAILED;
+	}
+	encoded = g_base64_encode(bytes, sizeof(bytes));
+	explicit_bzero(bytes, sizeof(bytes));
+	/* The URL-safe alphabet survives every shell and header. */
+	g_strdelimit(encoded, "+", '-');
+	g_strdelimit(encoded, "/", '_');
+	*text = g_strconcat("tt-", encoded, NULL);
+	digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, *text, -1);
+	g_strlcpy(hash, digest, HASH_SIZE);
+	explicit_bzero(encoded, strlen(encoded));
+	return CTL_OK;
+}
+
+static ctl_status_t add_key(ctl_t *ctl, record_client_account_t *account,
+			    const char *budget, char **text)
+{
+	api_key_t *key;
+
+	if (budget == NULL)
+		budget = DEFAULT_BUDGET;
+	if (!name_is_valid(budget)) {
+		errmsg_set(&ctl->err, "--budget: %.40s is not a name", budget);
+		return CTL_USAGE;
+	}
+	if (account->key_count >= CLIENT_ACCOUNT_KEYS) {
+		errmsg_set(&ctl->err, "%s has %d API keys already, remove one",
+			   account->name, CLIENT_ACCOUNT_KEYS);
+		return CTL_REFUSED;
+	}
+	key = &account->keys[account->key_count++];
+	g_strlcpy(key->budget, budget, sizeof(key->budget));
+	return make_api_key(ctl, text, key->hash);
+}
+
+static ctl_status_t take_limits(ctl_t *ctl, const args_t *args,
+				record_client_account_t *account)
+{
+	ctl_status_t status;
+
+	status = args_take_int(ctl, "weight", args->weight, 1, WEIGHT_MAX,
+			       &account->weight);
+	if (status == CTL_OK)
+		status = args_take_int(ctl, "max-requests", args->max_requests,
+				       0, MAX_REQUESTS_MAX,
+				       &account->max_requests);
+	return status;
+}
+
+static void print_key(ctl_t *ctl, const char *name, const char *text)
+{
+	JsonObject *object = json_object_new();
+	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
+
+	json_object_set_string_member(object, "client_account", name);
+	json_object_set_string_member(object, "api_key", text);
+	json_object_set_string_member(object, "note",
+				      "the key is not shown again");
+	json_node_take_object(node, object);
+	ctl_print(ctl, node);
+}
+
+static ctl_status_t create(ctl_t *ctl, const args_t *args)
+{
+	const char *name = args->names[0];
+	char key[STORE_KEY_SIZE];
+	char *text = NULL;
+	store_kv_t kv;
+	record_t record = {.kind = RECORD_CLIENT_ACCOUNT};
+	record_client_account_t *account = &record.u.client_account;
+	ctl_status_t status;
+
+	if (!name_is_valid(name)) {
+		errmsg_set(&ctl->err, "%.80s is not a name", name);
+		return CTL_USAGE;
+	}
+	account_key(key, name);
+	status = ctl_get(ctl, key, &kv);
+	if (status != CTL_OK)
+		goto out;
+	if (kv.record.kind != RECORD_NONE &&
+	    !kv.record.u.client_account.removed) {
+		errmsg_set(&ctl->err, "client account %s exists", name);
+		status = CTL_REFUSED;
+		goto out;
+	}
+	g_strlcpy(account->name, name, sizeof(account->name));
+	account->weight = WEIGHT_DEFAULT;
+	account->op = ctl->op;
+	status = take_limits(ctl, args, account);
+	if (status == CTL_OK)
+		status = add_key(ctl, account, args->budget, &text);
+	if (status == CTL_OK)
+		status = ctl_put(ctl, key, kv.revision, &record);
+	if (status == CTL_OK)
+		print_key(ctl, name, text);
+out:
+	record_clear(&kv.record);
+	g_free(text);
+	return status;
+}
+
+static ctl_status_t remove_key(ctl_t *ctl, record_client_account_t *account,
+			       const char *hash)
+{
+	if (strlen(hash) < HASH_HEAD_MIN) {
+		errmsg_set(&ctl->err, "HASH: give at least %d characters",
+			   HASH_HEAD_MIN);
+		return CTL_USAGE;
+	}
+	for (uint32_t i = 0; i < account->key_count; i++) {
+		if (g_str_has_prefix(account->keys[i].hash, hash)) {
+			account->keys[i] = account->keys[--account->key_count];
+			return CTL_OK;
+		}
+	}
+	errmsg_set(&ctl->err, "%s has no API key %.64s", account->name, hash);
+	return CTL_REFUSED;
+}
+
+static ctl_status_t edit(ctl_t *ctl, const args_t *args,
+			 record_client_account_t *account, char **text)
+{
+	switch (args->command) {
+	case COMMAND_ACCOUNT_DISABLE:
+		account->disabled = true;
+		return CTL_OK;
+	case COMMAND_ACCOUNT_ENABLE:
+		account->disabled = false;
+		return CTL_OK;
+	case COMMAND_ACCOUNT_REMOVE:
+		account->removed = true;
+		account->key_count = 0;
+		return CTL_OK;
+	case COMMAND_KEY_ADD:
+		return add_key(ctl, account, args->budget, text);
+	case COMMAND_KEY_REMOVE:
+		return remove_key(ctl, account, args->names[1]);
+	default:
+		return CTL_USAGE;
+	}
+}
+
+static ctl_status_t change(ctl_t *ctl, const args_t *args)
+{
+	const char *name = args->names[0];
+	char key[STORE_KEY_SIZE];
+	char *text = NULL;
+	store_kv_t kv;
+	ctl_status_t status;
+
+	account_key(key, name);
+	status = ctl_get_existing(ctl, key, RECORD_CLIENT_ACCOUNT, &kv);
+	if (status == CTL_OK)
+		status = edit(ctl, args, &kv.record.u.client_account, &text);
+	if (status == CTL_OK) {
+		kv.record.u.client_account.op = ctl->op;
+		status = ctl_put(ctl, key, kv.revision, &kv.record);
+	}
+	if (status == CTL_OK && text != NULL)
+		print_key(ctl, name, text);
+	else if (status == CTL_OK)
+		ctl_say(ctl, "client account %s changed", name);
+	record_clear(&kv.record);
+	g_free(text);
+	return status;
+}
+
+ctl_status_t account_run(ctl_t *ctl, const args_t *args)
+{
+	char key[STORE_KEY_SIZE];
+
+	switch (args->command) {
+	case COMMAND_ACCOUNT_CREATE:
+		return create(ctl, args);
+	case COMMAND_ACCOUNT_LIST:
+		return ctl_print_list(ctl, "conf/account/");
+	case COMMAND_ACCOUNT_SHOW:
+		account_key(key, args->names[0]);
+		return ctl_print_one(ctl, key, RECORD_CLIENT_ACCOUNT);
+	default:
+		return change(ctl, args);
+	}
+}
--- /dev/null
+++ b/ctl/call.c
@@ -0,0 +1,225 @@
+#include "ctl/call.h"
+
+#include <string.h>
+
+#define TRIES 6
+#define FIRST_BACKOFF_US (50 * 1000)
+
+/* Posts a call and runs the loop until its answer is there. */
+static store_result_t *call(ctl_t *ctl, msg_t *msg)
+{
+	svc_t store = kernel_find(&ctl->kernel, "store");
+
+	ctl->result = NULL;
+	kernel_post(&ctl->kernel, ctl->svc, store, msg);
+	while (ctl->result == NULL)
+		g_main_context_iteration(ctl->kernel.context, TRUE);
+	return g_steal_pointer(&ctl->result);
+}
+
+static void wait_us(int64_t us)
+{
+	/* A command-line client has nothing else to serve meanwhile. */
+	g_usleep((gulong)us);
+}
+
+static ctl_status_t store_failed(ctl_t *ctl, const store_result_t *result)
+{
+	switch (result->status) {
+	case STORE_OK:
+		return CTL_OK;
+	case STORE_INVALID:
+		errmsg_set(&ctl->err, "the store refused the call");
+		return CTL_FAILED;
+	case STORE_UNKNOWN:
+		errmsg_set(&ctl->err, "the store did not answer; the change "
+				      "may have taken effect");
+		return CTL_UNKNOWN;
+	case STORE_UNAVAILABLE:
+		break;
+	}
+	errmsg_set(&ctl->err, "the store can't be reached");
+	return CTL_FAILED;
+}
+
+/* A read may be repeated freely. */
+static store_result_t *read_result(ctl_t *ctl, const char *key, bool prefix)
+{
+	store_result_t *result = NULL;
+	int64_t backoff = FIRST_BACKOFF_US;
+
+	for (int i = 0; i < TRIES; i++) {
+		msg_t msg = {.kind = MSG_STORE_GET};
+
+		g_strlcpy(msg.u.store_get.key, key,
+			  sizeof(msg.u.store_get.key));
+		msg.u.store_get.prefix = prefix;
+		store_result_free(result);
+		result = call(ctl, &msg);
+		if (result->status == STORE_OK ||
+		    result->status == STORE_INVALID)
+			break;
+		wait_us(backoff);
+		backoff *= 2;
+	}
+	return result;
+}
+
+static void clear_kv(gpointer data)
+{
+	record_clear(&((store_kv_t *)data)->record);
+}
+
+static void append_kvs(GArray *to, const store_result_t *result)
+{
+	for (guint i = 0; i < result->kvs->len; i++) {
+		store_kv_t kv = g_array_index(result->kvs, store_kv_t, i);
+		record_t copy;
+
+		record_copy(&copy, &kv.record);
+		kv.record = copy;
+		g_array_append_val(to, kv);
+	}
+}
+
+ctl_status_t ctl_get(ctl_t *ctl, const char *key, store_kv_t *kv)
+{
+	store_result_t *result = read_result(ctl, key, false);
+	const store_kv_t *found;
+	ctl_status_t status = store_failed(ctl, result);
+
+	memset(kv, 0, sizeof(*kv));
+	g_strlcpy(kv->key, key, sizeof(kv->key));
+	if (status != CTL_OK)
+		goto out;
+	found = store_result_find(result, key);
+	if (found == NULL)
+		goto out;
+	kv->revision = found->revision;
+	record_copy(&kv->record, &found->record);
+	if (kv->record.kind == RECORD_INVALID) {
+		errmsg_set(&ctl->err, "%.100s: the stored value is malformed",
+			   key);
+		status = CTL_REFUSED;
+	}
+out:
+	store_result_free(result);
+	return status;
+}
+
+ctl_status_t ctl_list(ctl_t *ctl, const char *prefix, GArray **kvs)
+{
+	store_result_t *result = read_result(ctl, prefix, true);
+	ctl_status_t status = store_failed(ctl, result);
+	bool more;
+
+	*kvs = g_array_new(FALSE, TRUE, sizeof(store_kv_t));
+	g_array_set_clear_func(*kvs, clear_kv);
+	while (status == CTL_OK) {
+		append_kvs(*kvs, result);
+		more = result->more;
+		if (!more)
+			break;
+		/* The further pages follow without another call. */
+		store_result_free(result);
+		while (ctl->result == NULL)
+			g_main_context_iteration(ctl->kernel.context, TRUE);
+		result = g_steal_pointer(&ctl->result);
+		status = store_failed(ctl, result);
+	}
+	store_result_free(result);
+	return status;
+}
+
+ctl_status_t ctl_txn(ctl_t *ctl, store_txn_t *txn, bool *committed)
+{
+	msg_t msg = {.kind = MSG_STORE_TXN};
+	store_result_t *result;
+	ctl_status_t status;
+
+	msg.u.store_txn = txn;
+	result = call(ctl, &msg);
+	status = store_failed(ctl, result);
+	*committed = store_result_committed(result, 0);
+	store_result_free(result);
+	return status;
+}
+
+const op_id_t *ctl_record_op(const record_t *record)
+{
+	switch (record->kind) {
+	case RECORD_CLIENT_ACCOUNT:
+		return &record->u.client_account.op;
+	case RECORD_SERVICE:
+		return &record->u.service.op;
+	case RECORD_TARGET:
+		return &record->u.target.op;
+	case RECORD_PRESET:
+		return &record->u.preset.op;
+	case RECORD_QUARANTINE:
+		return &record->u.quarantine.op;
+	case RECORD_BUDGET:
+		return &record->u.budget.ops[0];
+	default:
+		return NULL;
+	}
+}
+
+/* Looks whether the key now holds our write, its old value or another's. */
+static ctl_status_t look_again(ctl_t *ctl, const char *key, int64_t expect,
+			       bool *again)
+{
+	store_kv_t kv;
+	const op_id_t *op;
+	ctl_status_t status = ctl_get(ctl, key, &kv);
+
+	*again = false;
+	if (status != CTL_OK)
+		goto out;
+	op = ctl_record_op(&kv.record);
+	if (op != NULL && op_id_equal(op, &ctl->op))
+		goto out;
+	if (kv.revision == expect) {
+		*again = true;
+		goto out;
+	}
+	errmsg_set(&ctl->err,
+		   "%.100s: changed first by %s, revision %" G_GINT64_FORMAT
+		   "; look at it and repeat",
+		   key, op == NULL ? "another writer" : op->writer,
+		   kv.revision);
+	status = CTL_RACE;
+out:
+	record_clear(&kv.record);
+	return status;
+}
+
+ctl_status_t ctl_put(ctl_t *ctl, const char *key, int64_t expect,
+		     const record_t *record)
+{
+	int64_t backoff = FIRST_BACKOFF_US;
+	ctl_status_t status = CTL_FAILED;
+	bool committed, again;
+
+	for (int i = 0; i < TRIES; i++) {
+		store_txn_t *txn = store_txn_new();
+
+		store_txn_group(txn);
+		store_txn_put(txn, key, expect, 0, record);
+		status = ctl_txn(ctl, txn, &committed);
+		if (committed)
+			return CTL_OK;
+		if (status == CTL_FAILED) {
+			wait_us(backoff);
+			backoff *= 2;
+			continue;
+		}
+		/* Lost race or lost answer: the operation id tells. */
+		status = look_again(ctl, key, expect, &again);
+		if (status == CTL_FAILED)
+			return CTL_UNKNOWN;
+		if (!again)
+			return status;
+	}
+	return status;
+}
--- /dev/null
+++ b/ctl/service.c
@@ -0,0 +1,188 @@
+#include "ctl/command.h"
+#include "ctl/out.h"
+
+#include <string.h>
+
+#define DEADLINE_MS_MAX 3600000
+#define TOKENS_PER_CALL_MAX 10000000
+#define BODY_MAX 67108864 /* bytes */
+
+static const record_service_t defaults = {
+	.kind = SERVICE_MODEL,
+	.idempotent = true,
+	.hedge = true,
+	.deadline_ms = 60000,
+	.first_byte_ms = 15000,
+	.idle_ms = 10000,
+	.max_tokens = 4096,
+	.call_tokens = 1,
+	.short_tokens = 512,
+	.max_body = 1048576,
+};
+
+static void service_key(char *key, const char *name)
+{
+	g_snprintf(key, STORE_KEY_SIZE, "conf/service/%s", name);
+}
+
+static ctl_status_t take_kind(ctl_t *ctl, const args_t *args,
+			      record_service_t *service)
+{
+	if (args->kind == NULL)
+		return CTL_OK;
+	if (strcmp(args->kind, "model") == 0) {
+		service->kind = SERVICE_MODEL;
+	} else if (strcmp(args->kind, "plain") == 0) {
+		service->kind = SERVICE_PLAIN;
+	} else {
+		errmsg_set(&ctl->err,
+			   "--kind: %.40s is not allowed, expected "
+			   "model or plain",
+			   args->kind);
+		return CTL_USAGE;
+	}
+	return CTL_OK;
+}
+
+static ctl_status_t take_path(ctl_t *ctl, const args_t *args,
+			      record_service_t *service)
+{
+	const char *path = args->path_prefix;
+
+	if (path != NULL && (path[0] != '/' || strlen(path) >= PATH_SIZE)) {
+		errmsg_set(&ctl->err,
+			   "--path-prefix: expected a path of at "
+			   "most %d bytes that begins with '/'",
+			   PATH_SIZE - 1);
+		return CTL_USAGE;
+	}
+	if (path != NULL)
+		g_strlcpy(service->path_prefix, path,
+			  sizeof(service->path_prefix));
+	if (service->kind == SERVICE_PLAIN && service->path_prefix[0] == '\0') {
+		errmsg_set(&ctl->err,
+			   "--path-prefix: a plain service needs one");
+		return CTL_USAGE;
+	}
+	return CTL_OK;
+}
+
+static ctl_status_t take_numbers(ctl_t *ctl, const args_t *args,
+				 record_service_t *service)
+{
+	const struct {
+		const char *name;
+		gint given;
+		gint min;
+		gint max;
+		uint32_t *value;
+	} numbers[] = {
+		{"deadline-ms", args->deadline_ms, 1, DEADLINE_MS_MAX,
+		 &service->deadline_ms},
+		{"first-byte-ms", args->first_byte_ms, 1, DEADLINE_MS_MAX,
+		 &service->first_byte_ms},
+		{"idle-ms", args->idle_ms, 1, DEADLINE_MS_MAX,
+		 &service->idle_ms},
+		{"max-tokens", args->max_tokens, 1, TOKENS_PER_CALL_MAX,
+		 &service->max_tokens},
+		{"call-tokens", args->call_tokens, 0, TOKENS_PER_CALL_MAX,
+		 &service->call_tokens},
+		{"short-tokens", args->short_tokens, 0, TOKENS_PER_CALL_MAX,
+		 &service->short_tokens},
+		{"max-body", args->max_body, 1, BODY_MAX, &service->max_body},
+	};
+	ctl_status_t status = CTL_OK;
+
+	for (gsize i = 0; i < G_N_ELEMENTS(numbers) && status == CTL_OK; i++)
+		status = args_take_int(ctl, numbers[i].name, numbers[i].given,
+				       numbers[i].min, numbers[i].max,
+				       numbers[i].value);
+	return status;
+}
+
+static ctl_status_t take_options(ctl_t *ctl, const args_t *args,
+				 record_service_t *service)
+{
+	ctl_status_t status = take_kind(ctl, args, service);
+
+	if (status == CTL_OK)
+		status = take_path(ctl, args, service);
+	if (status == CTL_OK)
+		status = args_take_bool(ctl, "idempotent", args->idempotent,
+					&service->idempotent);
+	if (status == CTL_OK)
+		status = args_take_bool(ctl, "hedge", args->hedge,
+					&service->hedge);
+	if (status == CTL_OK)
+		status = take_numbers(ctl, args, service);
+	if (status == CTL_OK && !service->idempotent)
+		service->hedge = false;
+	return status;
+}
+
+static ctl_status_t set(ctl_t *ctl, const args_t *args)
+{
+	const char *name = args->names[0];
+	char key[STORE_KEY_SIZE];
+	store_kv_t kv;
+	record_t record = {.kind = RECORD_SERVICE};
+	ctl_status_t status;
+
+	if (!name_is_valid(name)) {
+		errmsg_set(&ctl->err, "%.80s is not a name", name);
+		return CTL_USAGE;
+	}
+	service_key(key, name);
+	status = ctl_get(ctl, key, &kv);
+	if (status != CTL_OK)
+		goto out;
+	record.u.service = defaults;
+	if (kv.record.kind == RECORD_SERVICE && !kv.record.u.service.removed)
+		record.u.service = kv.record.u.service;
+	g_strlcpy(record.u.service.name, name, NAME_SIZE);
+	record.u.service.op = ctl->op;
+	status = take_options(ctl, args, &record.u.service);
+	if (status == CTL_OK)
+		status = ctl_put(ctl, key, kv.revision, &record);
+	if (status == CTL_OK)
+		ctl_say(ctl, "service %s set", name);
+out:
+	record_clear(&kv.record);
+	return status;
+}
+
+static ctl_status_t remove_service(ctl_t *ctl, const args_t *args)
+{
+	char key[STORE_KEY_SIZE];
+	store_kv_t kv;
+	ctl_status_t status;
+
+	service_key(key, args->names[0]);
+	status = ctl_get_existing(ctl, key, RECORD_SERVICE, &kv);
+	if (status == CTL_OK) {
+		kv.record.u.service.removed = true;
+		kv.record.u.service.op = ctl->op;
+		status = ctl_put(ctl, key, kv.revision, &kv.record);
+	}
+	if (status == CTL_OK)
+		ctl_say(ctl, "service %s removed", args->names[0]);
+	record_clear(&kv.record);
+	return status;
+}
+
+ctl_status_t service_run(ctl_t *ctl, const args_t *args)
+{
+	char key[STORE_KEY_SIZE];
+
+	switch (args->command) {
+	case COMMAND_SERVICE_SET:
+		return set(ctl, args);
+	case COMMAND_SERVICE_LIST:
+		return ctl_print_list(ctl, "conf/service/");
+	case COMMAND_SERVICE_SHOW:
+		service_key(key, args->names[0]);
+		return ctl_print_one(ctl, key, RECORD_SERVICE);
+	default:
+		return remove_service(ctl, args);
+	}
+}
--- /dev/null
+++ b/ctl/target.c
@@ -0,0 +1,136 @@
+#include "ctl/command.h"
+#include "ctl/out.h"
+#include "settings/settings.h"
+
+#include <string.h>
+
+#define CONCURRENCY_DEFAULT 8
+#define CONCURRENCY_MAX 100000
+
+static void target_key(char *key, const char *name)
+{
+	g_snprintf(key, STORE_KEY_SIZE, "conf/target/%s", name);
+}
+
+static ctl_status_t take_name(ctl_t *ctl, const char *option, const char *given,
+			      char *value)
+{
+	if (given != NULL) {
+		if (!name_is_valid(given)) {
+			errmsg_set(&ctl->err, "--%s: %.40s is not a name",
+				   option, given);
+			return CTL_USAGE;
+		}
+		g_strlcpy(value, given, NAME_SIZE);
+	}
+	if (*value == '\0') {
+		errmsg_set(&ctl->err, "--%s: a new target needs it", option);
+		return CTL_USAGE;
+	}
+	return CTL_OK;
+}
+
+static ctl_status_t take_address(ctl_t *ctl, const char *given,
+				 record_target_t *target)
+{
+	if (given != NULL &&
+	    !settings_parse_address(given, target->host, sizeof(target->host),
+				    &target->port)) {
+		errmsg_set(&ctl->err, "--address: %.60s is not IP:PORT", given);
+		return CTL_USAGE;
+	}
+	if (target->port == 0) {
+		errmsg_set(&ctl->err, "--address: a new target needs it");
+		return CTL_USAGE;
+	}
+	return CTL_OK;
+}
+
+static ctl_status_t take_options(ctl_t *ctl, const args_t *args,
+				 record_target_t *target)
+{
+	ctl_status_t status;
+
+	status = take_name(ctl, "service", args->service, target->service);
+	if (status == CTL_OK)
+		status = take_name(ctl, "availability-zone",
+				   args->availability_zone,
+				   target->availability_zone);
+	if (status == CTL_OK)
+		status = take_address(ctl, args->address, target);
+	if (status == CTL_OK)
+		status = args_take_int(ctl, "concurrency", args->concurrency, 1,
+				       CONCURRENCY_MAX, &target->concurrency);
+	if (status == CTL_OK)
+		status = args_take_bool(ctl, "checks-fencing",
+					args->checks_fencing,
+					&target->checks_fencing);
+	return status;
+}
+
+static ctl_status_t set(ctl_t *ctl, const args_t *args)
+{
+	const char *name = args->names[0];
+	char key[STORE_KEY_SIZE];
+	store_kv_t kv;
+	record_t record = {.kind = RECORD_TARGET};
+	ctl_status_t status;
+
+	if (!name_is_valid(name)) {
+		errmsg_set(&ctl->err, "%.80s is not a name", name);
+		return CTL_USAGE;
+	}
+	target_key(key, name);
+	status = ctl_get(ctl, key, &kv);
+	if (status != CTL_OK)
+		goto out;
+	record.u.target.concurrency = CONCURRENCY_DEFAULT;
+	if (kv.record.kind == RECORD_TARGET && !kv.record.u.target.removed)
+		record.u.target = kv.record.u.target;
+	g_strlcpy(record.u.target.name, name, NAME_SIZE);
+	record.u.target.op = ctl->op;
+	status = take_options(ctl, args, &record.u.target);
+	if (status == CTL_OK)
+		status = ctl_put(ctl, key, kv.revision, &record);
+	if (status == CTL_OK)
+		ctl_say(ctl, "target %s set", name);
+out:
+	record_clear(&kv.record);
+	return status;
+}
+
+static ctl_status_t change(ctl_t *ctl, const args_t *args)
+{
+	char key[STORE_KEY_SIZE];
+	store_kv_t kv;
+	record_target_t *target = &kv.record.u.target;
+	ctl_status_t status;
+
+	target_key(key, args->names[0]);
+	status = ctl_get_existing(ctl, key, RECORD_TARGET, &kv);
+	if (status == CTL_OK) {
+		if (args->command == COMMAND_TARGET_REMOVE)
+			target->removed = true;
+		else
+			target->draining =
+				args->command == COMMAND_TARGET_DRAIN;
+		target->op = ctl->op;
+		status = ctl_put(ctl, key, kv.revision, &kv.record);
+	}
+	if (status == CTL_OK)
+		ctl_say(ctl, "target %s changed", args->names[0]);
+	record_clear(&kv.record);
+	return status;
+}
+
+ctl_status_t target_run(ctl_t *ctl, const args_t *args)
+{
+	switch (args->command) {
+	case COMMAND_TARGET_SET:
+		return set(ctl, args);
+	case COMMAND_TARGET_LIST:
+		return ctl_print_list(ctl, "conf/target/");
+	default:
+		return change(ctl, args);
+	}
+}
--- /dev/null
+++ b/demo/lib.sh
@@ -0,0 +1,123 @@
+# Functions to start routers and stand-ins as separate processes on loopback.
+# Used by the demo and by the process-level tests.  Callers set BUILD.
+
+BUILD=${BUILD:-build}
+BIN=$BUILD/tanagertrestle
+WORK=$(mktemp -d)
+PIDS=""
+PEER_KEY=demonstration-key-0123456789
+
+say() {
+	echo "== $*"
+}
+
+fail() {
+	echo "FAILED: $*" >&2
+	for log in "$WORK"/*.log; do
+		echo "--- $(basename "$log")" >&2
+		tail -15 "$log" >&2
+	done
+	exit 1
+}
+
+cleanup() {
+	for pid in $PIDS; do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait 2>/dev/null
+	rm -rf "$WORK"
+}
+trap cleanup EXIT
+trap 'exit 1' INT TERM
+
+# free_ports N: prints N ports that are free now.
+free_ports() {
+	python3 -c '
+import socket, sys
+s = [socket.socket() for _ in range(int(sys.argv[1]))]
+for x in s:
+    x.bind(("127.0.0.1", 0))
+print(*[x.getsockname()[1] for x in s])' "$1"
+}
+
+# json FILTER: evaluates a Python expression on the JSON document "d" on stdin.
+json() {
+	python3 -c '
+import json, sys
+d = json.load(sys.stdin)
+print(eval(sys.argv[1]))' "$1"
+}
+
+# start_fake NAME PROGRAM [ARG ...]: starts a stand-in and sets NAME_port and
+# NAME_pid.
+start_fake() {
+	name=$1
+	program=$2
+	shift 2
+	"$BUILD/fakes/$program" --port 0 "$@" >"$WORK/$name.out" \
+		2>"$WORK/$name.log" &
+	eval "${name}_pid=$!"
+	PIDS="$PIDS $!"
+	for _ in $(seq 100); do
+		port=$(sed -n 's/^listening //p' "$WORK/$name.out")
+		[ -n "$port" ] && break
+		sleep 0.05
+	done
+	[ -n "$port" ] || fail "$name did not start"
+	eval "${name}_port=$port"
+}
+
+# write_settings NAME ZONE CALLER PEER ADMIN SEED
+write_settings() {
+	cat >"$WORK/$1.json" <<JSON
+{
+  "name": "$1",
+  "availability_zone": "$2",
+  "caller": {"port": $3},
+  "peer": {"port": $4, "key": "$PEER_KEY", "seeds": ["127.0.0.1:$6"]},
+  "admin": {"port": $5},
+  "store": {"endpoints": ["http://127.0.0.1:$store_port"],
+            "timeout_ms": ${STORE_TIMEOUT_MS:-1000}},
+  "instances": {"url": "${INSTANCES_URL:-}"},
+  "member": {"lease_s": ${LEASE_S:-4}},
+  "stop_timeout_s": 20
+}
+JSON
+}
+
+# start_router NAME: starts it with $WORK/NAME.json and sets NAME_pid.
+start_router() {
+	"$BIN" router -f "$WORK/$1.json" >>"$WORK/$1.log" 2>&1 &
+	eval "${1}_pid=$!"
+	PIDS="$PIDS $!"
+}
+
+# wait_ready ADMIN_PORT
+wait_ready() {
+	for _ in $(seq 150); do
+		curl -sf -o /dev/null "http://127.0.0.1:$1/readyz" && return 0
+		sleep 0.1
+	done
+	fail "the router with admin port $1 is not ready"
+}
+
+ctl() {
+	"$BIN" "$@" --store "http://127.0.0.1:$store_port"
+}
+
+# stop_router NAME: planned stop; the exit code has to be 0.
+stop_router() {
+	eval "pid=\$${1}_pid"
+	kill -TERM "$pid" 2>/dev/null
+	wait "$pid" || fail "$1 exited with $? on a planned stop"
+}
+
+# balance ACCOUNT: tokens left, after all grants are settled.
+balance() {
+	ctl budget show "$1" --json | json 'd["balance"]'
+}
+
+spent() {
+	ctl budget show "$1" --json | json 'd["spent"]'
+}
