--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -400,19 +400,15 @@
 static ctl_status_t run_with_store(const args_t *args, errmsg_t *err)
 {
 	ctl_t ctl = {.json = args->json};
-	store_opts_t opts;
+	store_opts_t opts = {0};
 	ctl_status_t status;
 
 	kernel_init(&ctl.kernel, CLOCK_REAL, 0);
 	ctl.out = g_string_new(NULL);
 	ctl.svc = kernel_register(&ctl.kernel, "ctl", receive, &ctl);
-	store_opts_init(&opts);
-	for (char **url = args->stores; *url != NULL; url++)
-		store_opts_add_endpoint(&opts, *url);
-	if (args->prefix != NULL)
-		g_strlcpy(opts.prefix, args->prefix, sizeof(opts.prefix));
-	if (args->token != NULL)
-		g_strlcpy(opts.token, args->token, sizeof(opts.token));
+	opts.endpoints = (const char *const *)args->stores;
+	opts.key_prefix = args->prefix;
+	opts.token = args->token;
 	store_init(&ctl.store, &ctl.kernel, &opts);
 	kernel_start(&ctl.kernel);
 	make_op(&ctl, args);
