--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,10 @@
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+# The property tests of a module, tests/NAME_prove.cc, are part of its program.
+$(foreach p,$(wildcard tests/*_prove.cc),$(eval \
+	$(BUILD)/$(p:%_prove.cc=%_test): $(BUILD)/$(p:%.cc=%.o)))
+
 $(BUILD)/tests/%_test: $(BUILD)/tests/%_test.o $(LIB)
 	@$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) $(GTEST_LIBS)
 
@@ -109,6 +113,10 @@
 	@$(MAKE) -s all
 	@BUILD=$(BUILD) timeout 60 bash demo/run.sh
 
+# Property tests of the promises; SEEDS=A..B runs other schedules.
+prove: build
+	@sh tests/prove.sh $(BUILD)
+
 clean:
 	rm -rf build
 
