--- /dev/null
+++ b/tests/front_test.cc
@@ -0,0 +1,494 @@
+// Guards the callers' HTTP side: limits on what is parsed, whole answers, no
+// well-formed short ones, back-pressure, disconnects and the planned stop.
+#include "dispatch/json_depth.h"
+#include "front/front.h"
+#include "front/parse.h"
+#include "front/refusal.h"
+#include "tests/pump.h"
+
+#include <algorithm>
+#include <cstring>
+#include <gtest/gtest.h>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace
+{
+
+const char *const chat = "/v1/chat/completions";
+
+parse_status_t parse(const std::string &body, request_spec_t *out,
+		     const char *path = chat)
+{
+	request_spec_t *spec = request_spec_new();
+	errmsg_t err = {""};
+
+	g_strlcpy(spec->path, path, sizeof(spec->path));
+	spec->body = g_bytes_new(body.data(), body.size());
+	parse_status_t status = parse_model(spec, &err);
+	EXPECT_EQ(status == PARSE_OK, err.text[0] == '\0');
+	*out = *spec;
+	request_spec_free(spec);
+	return status;
+}
+
+TEST(Parse, ReadsTheFieldsOfAModelRequest)
+{
+	std::string body =
+		R"({"model":"m1","stream":true,"max_tokens":7,)"
+		R"("max_completion_tokens":9,"messages":[{"role":)"
+		R"("user","content":[{"type":"text","text":"a"}]}]})";
+	request_spec_t spec;
+
+	ASSERT_EQ(parse(body, &spec), PARSE_OK);
+	EXPECT_STREQ(spec.service, "m1");
+	EXPECT_TRUE(spec.stream);
+	EXPECT_EQ(spec.max_tokens, 9u); // the larger: the worst case
+	EXPECT_EQ(spec.prompt_bytes, (int64_t)body.size());
+	EXPECT_NE(spec.prefix_hash, 0u);
+}
+
+// Each of these would let a request cost more than its worst case, or is not
+// what the engines accept.
+TEST(Parse, RefusesWhatTheWorstCaseDoesNotCover)
+{
+	const char *bad[] = {
+		"",
+		"[]",
+		"{",
+		R"({"messages":[{"role":"u","content":"x"}]})",
+		R"({"model":"a/b","messages":[{"role":"u","content":"x"}]})",
+		R"({"model":"m","messages":[]})",
+		R"({"model":"m","messages":[{"content":"x"}]})",
+		R"({"model":"m","n":2,"messages":[{"role":"u","content":"x"}]})",
+		R"({"model":"m","max_tokens":0,"messages":[{"role":"u"}]})",
+		R"({"model":"m","max_tokens":1e3,"messages":[{"role":"u"}]})",
+		R"({"model":"m","max_tokens":99999999999,"messages":[{"role":"u"}]})",
+		R"({"model":"m","stream":1,"messages":[{"role":"u"}]})",
+		R"({"model":"m","messages":[{"role":"u","content":[{"type":"image_url","image_url":"x"}]}]})",
+	};
+	const char *bad_prompts[] = {R"(["a","b"])", "[[1],[2]]", "[]", "3"};
+	request_spec_t spec;
+
+	for (const char *body : bad)
+		EXPECT_EQ(parse(body, &spec), PARSE_BAD) << body;
+	for (const char *prompt : bad_prompts)
+		EXPECT_EQ(parse(std::string(R"({"model":"m","prompt":)") +
+					prompt + "}",
+				&spec, "/v1/completions"),
+			  PARSE_BAD)
+			<< prompt;
+	EXPECT_EQ(parse(R"({"model":"m","prompt":[1,2]})", &spec,
+			"/v1/completions"),
+		  PARSE_OK);
+}
+
+// The parser recurses: unchecked nesting would overflow the stack.
+TEST(Parse, DepthIsCheckedOutsideStringsOnly)
+{
+	std::string deep = std::string(65, '[') + std::string(65, ']');
+	std::string text = "\"" + std::string(99, '[') + "\\\"[[\"";
+
+	EXPECT_FALSE(json_depth_ok(deep.data(), deep.size(), 64));
+	EXPECT_TRUE(json_depth_ok(deep.data() + 1, 128, 64));
+	EXPECT_TRUE(json_depth_ok(text.data(), text.size(), 1));
+}
+
+TEST(Parse, HeadersAndPathsAreLimited)
+{
+	char hash[HASH_SIZE], key[IDEM_KEY_SIZE];
+	uint32_t ms;
+
+	EXPECT_EQ(parse_bearer("Bearer abc", hash), PARSE_OK);
+	EXPECT_STREQ(hash, "ba7816bf8f01cfea414140de5dae2223"
+			   "b00361a396177a9cb410ff61f20015ad");
+	for (const char *bad : {"", "Basic abc", "Bearer "})
+		EXPECT_EQ(parse_bearer(bad, hash), PARSE_BAD);
+	EXPECT_EQ(parse_bearer(nullptr, hash), PARSE_BAD);
+	EXPECT_EQ(parse_idem_key(std::string(127, 'k').c_str(), key), PARSE_OK);
+	EXPECT_EQ(parse_idem_key(std::string(128, 'k').c_str(), key),
+		  PARSE_BAD);
+	EXPECT_EQ(parse_idem_key("a\x80", key), PARSE_BAD);
+	EXPECT_EQ(parse_idem_key("", key), PARSE_BAD);
+	EXPECT_EQ(parse_deadline("3600000", &ms), PARSE_OK);
+	for (const char *bad : {"0", "3600001", "-1", "1s", ""})
+		EXPECT_EQ(parse_deadline(bad, &ms), PARSE_BAD) << bad;
+	EXPECT_EQ(parse_path("/a/..b/.c?x=/../"), PARSE_OK);
+	for (const char *bad : {"/a/../b", "/a/%2e%2E", "/./a", "/.?x", "a"})
+		EXPECT_EQ(parse_path(bad), PARSE_BAD) << bad;
+}
+
+// Malformed input must be refused or parsed within the limits, never crash.
+TEST(Parse, FuzzedBodiesStayWithinLimits)
+{
+	const std::string good =
+		R"({"model":"m1","stream":false,"max_tokens":70,"n":1,)"
+		R"("messages":[{"role":"user","content":"\u00e9 {["},)"
+		R"({"role":"a","content":[{"type":"text","text":"b"}]}]})";
+	const std::string alphabet = "{}[]\",:\\u0019.e-tfn \x80\xff/'";
+	std::mt19937 random(7);
+	request_spec_t spec;
+	int accepted = 0;
+
+	for (int i = 0; i < 20000; i++) {
+		std::string body = good;
+		for (unsigned n = random() % 4; n > 0; n--) {
+			size_t at = random() % body.size();
+			char c = alphabet[random() % alphabet.size()];
+			switch (random() % 3) {
+			case 0:
+				body[at] = c;
+				break;
+			case 1:
+				body.insert(at, 1 + random() % 80, c);
+				break;
+			default:
+				body.erase(at, 1 + random() % 5);
+			}
+		}
+		if (parse(body, &spec) != PARSE_OK)
+			continue;
+		accepted++;
+		ASSERT_LE(spec.max_tokens, (uint32_t)MAX_TOKENS_MAX);
+		ASSERT_TRUE(name_is_valid(spec.service));
+		ASSERT_EQ(spec.prompt_bytes, (int64_t)body.size());
+	}
+	EXPECT_GT(accepted, 100);
+}
+
+TEST(Refusal, EveryReasonHasAStatusAndAMessage)
+{
+	for (int i = 0; i < REFUSAL_COUNT; i++) {
+		EXPECT_GE(refusal_status((refusal_t)i), 400u) << i;
+		EXPECT_NE(refusal_message((refusal_t)i), nullptr) << i;
+	}
+	EXPECT_EQ(refusal_retry_after(REFUSAL_QUEUE_FULL, 9), 9u);
+	EXPECT_EQ(refusal_retry_after(REFUSAL_BAD_REQUEST, 9), 0u);
+	// A caller can't tell a disabled key from an unknown one.
+	char *a = refusal_json(REFUSAL_UNAUTHENTICATED, RUN_NOT_RUN, "i", NULL);
+	char *b =
+		refusal_json(REFUSAL_ACCOUNT_DISABLED, RUN_NOT_RUN, "i", NULL);
+	EXPECT_STREQ(a, b);
+	g_free(a);
+	g_free(b);
+}
+
+class FrontTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		front_opts_t opts;
+
+		front_opts_default(&opts);
+		opts.max_body = 1000;
+		opts.high_water = 100000;
+		opts.low_water = 10000;
+		opts.max_connections = 20;
+		kernel_init(&kernel, CLOCK_REAL, 0);
+		svc = kernel_register(&kernel, "request", receive, this);
+		kernel_register(&kernel, "router", receive, this);
+		front_init(&front, &kernel, &opts);
+		ASSERT_EQ(front_listen(&front), FRONT_OK) << front.err.text;
+		kernel_start(&kernel);
+	}
+	void TearDown() override
+	{
+		front_finish(&front);
+		kernel_finish(&kernel);
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		auto *test = static_cast<FrontTest *>(self);
+
+		test->counts[msg->kind]++;
+		if (msg->kind != MSG_REQ_OPEN)
+			return;
+		request_spec_free(test->spec);
+		test->spec = msg->u.open;
+		msg->u.open = nullptr;
+		test->stream = msg->id;
+		if (test->hold_start)
+			return;
+		test->started();
+		if (test->at_once != nullptr)
+			test->reply_whole(test->at_once);
+	}
+	msg_t message(msg_kind_t kind)
+	{
+		msg_t msg = {};
+
+		msg.kind = kind;
+		msg.ref = stream;
+		return msg;
+	}
+	void post(msg_t msg)
+	{
+		kernel_post(&kernel, svc, front.svc, &msg);
+	}
+	void started()
+	{
+		msg_t msg = message(MSG_REQ_STARTED);
+
+		msg.id = {1, 1};
+		post(msg);
+	}
+	void head(const char *type)
+	{
+		msg_t msg = message(MSG_REPLY_HEAD);
+
+		msg.u.head.status = 200;
+		g_strlcpy(msg.u.head.content_type, type, CONTENT_TYPE_SIZE);
+		g_strlcpy(msg.u.head.idem_key, "k1", IDEM_KEY_SIZE);
+		post(msg);
+	}
+	void data(const std::string &text)
+	{
+		msg_t msg = message(MSG_REPLY_DATA);
+
+		msg.u.data.bytes = g_bytes_new(text.data(), text.size());
+		post(msg);
+	}
+	void reply_whole(const char *text)
+	{
+		head("text/plain");
+		data(text);
+		post(message(MSG_REPLY_END));
+	}
+	void refused(msg_kind_t kind, refusal_t reason)
+	{
+		msg_t msg = message(kind);
+
+		msg.u.refused.reason = reason;
+		msg.u.refused.run = RUN_UNKNOWN;
+		post(msg);
+	}
+	std::string request(const std::string &path, const std::string &body)
+	{
+		return "POST " + path +
+		       " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer abc\r\n"
+		       "Content-Length: " +
+		       std::to_string(body.size()) + "\r\n\r\n" + body;
+	}
+	bool wait(msg_kind_t kind, int count = 1)
+	{
+		return pump([&] { return counts[kind] >= count; });
+	}
+	~FrontTest() override
+	{
+		request_spec_free(spec);
+	}
+	kernel_t kernel;
+	front_t front;
+	svc_t svc;
+	handle_t stream = {};
+	request_spec_t *spec = nullptr;
+	int counts[MSG_KIND_COUNT] = {};
+	bool hold_start = false;
+	const char *at_once = nullptr;
+};
+
+TEST_F(FrontTest, WholeAnswersOnOneConnectionHaveALength)
+{
+	Client client(front_port(&front));
+
+	at_once = "one two";
+	for (int i = 1; i <= 3; i++) {
+		client.in.clear();
+		client.send(request("/a/b?c=d", "xyz"));
+		ASSERT_TRUE(client.wait_for("\r\n\r\none two")) << client.in;
+		EXPECT_NE(client.in.find("Content-Length: 7\r\n"),
+			  std::string::npos);
+		EXPECT_NE(client.in.find("Idempotency-Key: k1\r\n"),
+			  std::string::npos);
+		EXPECT_EQ(counts[MSG_REQ_OPEN], i);
+	}
+	EXPECT_STREQ(spec->path, "/a/b?c=d");
+	EXPECT_EQ(g_bytes_get_size(spec->body), 3u);
+	EXPECT_EQ(strncmp(spec->key_hash, "ba7816bf", 8), 0);
+	EXPECT_EQ(front.connections->count, 1u);
+	EXPECT_EQ(table_count(&front.streams), 0u);
+}
+
+TEST_F(FrontTest, StreamedAnswersGoOutAsTheyArrive)
+{
+	Client client(front_port(&front));
+
+	client.send(request("/s", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	head("text/event-stream");
+	data("data: 1\n\n");
+	ASSERT_TRUE(client.wait_for("9\r\ndata: 1\n\n\r\n")) << client.in;
+	data("data: 2\n\n");
+	ASSERT_TRUE(client.wait_for("9\r\ndata: 2\n\n\r\n"));
+	EXPECT_EQ(client.in.find("\r\n0\r\n"), std::string::npos);
+	post(message(MSG_REPLY_END));
+	ASSERT_TRUE(client.wait_for("\r\n0\r\n\r\n"));
+	EXPECT_EQ(counts[MSG_REQ_CALLER_GONE], 0);
+}
+
+TEST_F(FrontTest, RefusalsCarryStatusReasonAndRunState)
+{
+	Client client(front_port(&front));
+
+	client.send(request("/r", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	refused(MSG_REPLY_REFUSED, REFUSAL_QUEUE_FULL);
+	ASSERT_TRUE(client.wait_for("\"request_id\"")) << client.in;
+	for (const char *part :
+	     {"HTTP/1.1 429", "Retry-After: 1\r\n", "\"type\":\"queue_full\"",
+	      "X-Request-State: unknown\r\n", "\"run_state\":\"unknown\""})
+		EXPECT_NE(client.in.find(part), std::string::npos) << part;
+}
+
+TEST_F(FrontTest, BadRequestsAreRefusedHere)
+{
+	struct {
+		std::string text;
+		const char *status;
+	} cases[] = {
+		{"GET /x HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 401"},
+		{"GET /x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k\r\n"
+		 "X-Request-Deadline-Ms: 0\r\n\r\n",
+		 "HTTP/1.1 400"},
+		{request(chat, "{}"), "HTTP/1.1 400"},
+		{request("/x", std::string(1001, 'a')), "HTTP/1.1 413"},
+		{"POST /x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k\r\n"
+		 "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+			 std::string(1001, 'a') + "\r\n0\r\n\r\n",
+		 "HTTP/1.1 413"},
+		{"GET /x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+		 "k\r\nA: " +
+			 std::string(20000, 'a') + "\r\n\r\n",
+		 "HTTP/1.1 413"},
+	};
+
+	for (const auto &c : cases) {
+		Client client(front_port(&front));
+		client.send(c.text);
+		EXPECT_TRUE(client.wait_for("\"run_state\":\"not_run\""));
+		EXPECT_EQ(client.in.find(c.status), 0u) << client.in;
+	}
+	EXPECT_EQ(counts[MSG_REQ_OPEN], 0);
+}
+
+// A caller must never take a cut answer for a whole one.
+TEST_F(FrontTest, BrokenAnswersAreNotWellFormed)
+{
+	Client plain(front_port(&front)), sse(front_port(&front));
+	Client old(front_port(&front));
+
+	plain.send(request("/p", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	head("text/plain");
+	data("begin");
+	ASSERT_TRUE(plain.wait_for("begin\r\n"));
+	refused(MSG_REPLY_BROKEN, REFUSAL_TARGET_FAILED);
+	ASSERT_TRUE(plain.wait_closed());
+	EXPECT_EQ(plain.in.find("\r\n0\r\n"), std::string::npos) << plain.in;
+
+	sse.send(request("/s", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN, 2));
+	head("text/event-stream");
+	data("data: 1\n\n");
+	ASSERT_TRUE(sse.wait_for("data: 1"));
+	refused(MSG_REPLY_BROKEN, REFUSAL_TARGET_FAILED);
+	ASSERT_TRUE(sse.wait_for("event: error\ndata: {\"error\":{\"type\":"
+				 "\"target_failed\""));
+
+	// The end of an HTTP/1.0 answer is the end of the connection.
+	old.send("GET /o HTTP/1.0\r\nAuthorization: Bearer k\r\n\r\n");
+	ASSERT_TRUE(wait(MSG_REQ_OPEN, 3));
+	head("text/plain");
+	data("begin");
+	ASSERT_TRUE(old.wait_for("begin"));
+	refused(MSG_REPLY_BROKEN, REFUSAL_TARGET_FAILED);
+	ASSERT_TRUE(pump([&] { return table_count(&front.streams) == 0; }));
+	old.read();
+	EXPECT_FALSE(old.closed) << "a reset was expected";
+	EXPECT_EQ(counts[MSG_REQ_CALLER_GONE], 0);
+}
+
+TEST_F(FrontTest, DisconnectIsReportedOnceEvenBeforeTheStart)
+{
+	Client a(front_port(&front)), b(front_port(&front));
+
+	a.send(request("/a", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	a.close();
+	ASSERT_TRUE(wait(MSG_REQ_CALLER_GONE));
+	hold_start = true;
+	b.send(request("/b", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN, 2));
+	b.close();
+	ASSERT_TRUE(pump([&] { return front.connections->count == 0; }));
+	EXPECT_EQ(counts[MSG_REQ_CALLER_GONE], 1);
+	started();
+	ASSERT_TRUE(wait(MSG_REQ_CALLER_GONE, 2));
+	EXPECT_EQ(table_count(&front.streams), 0u);
+}
+
+TEST_F(FrontTest, SlowReaderPausesTheRequestAndLosesNothing)
+{
+	Client client(front_port(&front));
+	std::string block(50000, 'b');
+	size_t sent = 0;
+
+	client.send(request("/s", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	head("text/plain");
+	// The socket buffers take some of it first; 50 MB is beyond them.
+	ASSERT_TRUE(pump([&] {
+		data(block);
+		sent += block.size();
+		return counts[MSG_REQ_PAUSE] > 0 || sent > 50000000;
+	}));
+	ASSERT_EQ(counts[MSG_REQ_PAUSE], 1);
+	EXPECT_EQ(counts[MSG_REQ_RESUME], 0);
+	ASSERT_TRUE(pump([&] {
+		client.read();
+		return counts[MSG_REQ_RESUME] == 1;
+	}));
+	post(message(MSG_REPLY_END));
+	ASSERT_TRUE(client.wait_for("\r\n0\r\n\r\n"));
+	EXPECT_EQ((size_t)std::count(client.in.begin(), client.in.end(), 'b'),
+		  sent);
+}
+
+TEST_F(FrontTest, PlannedStopFinishesWhatRuns)
+{
+	Client running(front_port(&front)), idle(front_port(&front));
+
+	at_once = "x";
+	idle.send(request("/i", ""));
+	ASSERT_TRUE(idle.wait_for("\r\n\r\nx"));
+	at_once = nullptr;
+	running.send(request("/r", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN, 2));
+	kernel_stop(&kernel);
+	ASSERT_TRUE(pump([&] { return front.stopping; }));
+	EXPECT_FALSE(Client(front_port(&front)).connected);
+	idle.send(request("/late", ""));
+	ASSERT_TRUE(idle.wait_for("\"type\":\"stopping\"")) << idle.in;
+	ASSERT_TRUE(idle.wait_closed());
+	EXPECT_EQ(counts[MSG_STOPPED], 0);
+	reply_whole("done");
+	ASSERT_TRUE(running.wait_for("\r\n\r\ndone"));
+	ASSERT_TRUE(wait(MSG_STOPPED));
+	ASSERT_TRUE(running.wait_closed());
+	EXPECT_EQ(counts[MSG_STOPPED], 1);
+}
+
+TEST_F(FrontTest, ConnectionsAreLimited)
+{
+	std::vector<std::unique_ptr<Client>> clients;
+
+	for (int i = 0; i < 21; i++)
+		clients.push_back(std::make_unique<Client>(front_port(&front)));
+	ASSERT_TRUE(clients.back()->wait_closed());
+	clients.front()->read();
+	EXPECT_FALSE(clients.front()->closed);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/pump.h
@@ -0,0 +1,96 @@
+// Runs the default main context until a condition holds, and a plain TCP
+// client on it.  The bound only ends a test that has failed.
+#ifndef TESTS_PUMP_H
+#define TESTS_PUMP_H
+
+#include <functional>
+#include <gio/gio.h>
+#include <string>
+
+inline gboolean pump_tick(gpointer)
+{
+	return G_SOURCE_CONTINUE;
+}
+
+inline bool pump(const std::function<bool()> &done, int turns = 200000)
+{
+	guint tick = g_timeout_add(1, pump_tick, nullptr);
+	gint64 give_up = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
+	bool ok;
+
+	while (!(ok = done()) && turns-- > 0 &&
+	       g_get_monotonic_time() < give_up)
+		g_main_context_iteration(nullptr, TRUE);
+	g_source_remove(tick);
+	return ok;
+}
+
+class Client
+{
+      public:
+	explicit Client(uint16_t port)
+	{
+		GSocketAddress *address = g_inet_socket_address_new_from_string(
+			"127.0.0.1", port);
+
+		socket =
+			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, nullptr);
+		connected = g_socket_connect(socket, address, nullptr, nullptr);
+		g_socket_set_blocking(socket, FALSE);
+		g_object_unref(address);
+	}
+	~Client()
+	{
+		g_object_unref(socket);
+	}
+	void send(const std::string &text)
+	{
+		size_t sent = 0;
+
+		pump([&] {
+			gssize n = g_socket_send(socket, text.data() + sent,
+						 text.size() - sent, nullptr,
+						 nullptr);
+			sent += n > 0 ? (size_t)n : 0;
+			return sent == text.size();
+		});
+	}
+	// Reads what is there.
+	void read()
+	{
+		char buffer[65536];
+		gssize n;
+
+		while ((n = g_socket_receive(socket, buffer, sizeof(buffer),
+					     nullptr, nullptr)) > 0)
+			in.append(buffer, (size_t)n);
+		closed = closed || n == 0;
+	}
+	bool wait_for(const std::string &text)
+	{
+		return pump([&] {
+			read();
+			return in.find(text) != std::string::npos;
+		});
+	}
+	bool wait_closed()
+	{
+		return pump([&] {
+			read();
+			return closed;
+		});
+	}
+	void close()
+	{
+		g_socket_close(socket, nullptr);
+	}
+	std::string in;
+	bool connected;
+	bool closed = false;
+
+      private:
+	GSocket *socket;
+};
+
+#endif
