Add tests of dispatch; detect chunked answers that were cut off

libsoup 3.2 reports a chunked answer whose connection was closed before the last chunk as complete. The connection's state after the end tells the two apart.

--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -2,7 +2,9 @@
 
 #include "dispatch/body.h"
 
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define READ_SIZE 16384 /* bytes read from a target at a time */
 /* Bytes of an unwanted answer read so that the connection can be reused. */
@@ -26,6 +28,7 @@
 		g_signal_handlers_disconnect_by_data(call->msg, call);
 	g_clear_object(&call->stream);
 	g_clear_object(&call->msg);
+	g_clear_object(&call->socket);
 	g_clear_object(&call->cancellable);
 	tokens_finish(&call->tokens);
 	table_remove(&call->dispatch->calls, call->self);
@@ -213,8 +216,37 @@
 	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
 }
 
+/*
+ * The library reports a chunked answer that was cut off as one that ended.
+ * After a cut the connection has reached its end; after the last chunk it is
+ * still open, unless the target closes it without being asked to.  Then the
+ * answer itself has to show that it is whole.
+ */
+static bool is_whole(call_t *call)
+{
+	ssize_t got;
+	char byte;
+
+	if (!call->chunked)
+		return true;
+	if (call->socket != NULL && !g_socket_is_closed(call->socket)) {
+		got = recv(g_socket_get_fd(call->socket), &byte, 1,
+			   MSG_PEEK | MSG_DONTWAIT);
+		if (got > 0 || (got < 0 && errno == EAGAIN))
+			return true;
+	}
+	if (!call->model)
+		return false;
+	tokens_end(&call->tokens);
+	return call->tokens.sse ? call->tokens.done : call->tokens.usage_known;
+}
+
 static void on_end(call_t *call)
 {
+	if (!call->over && !is_whole(call)) {
+		fail(call, FAILURE_STREAM, true);
+		return;
+	}
 	/* An engine that fails may still end its answer in good form. */
 	if (!call->over && call->model && call->tokens.sse &&
 	    !call->tokens.done) {
@@ -294,6 +326,56 @@
 	fail(call, failure, call->started && is_reset(error));
 }
 
+static void on_network_event(SoupMessage *msg, GSocketClientEvent event,
+			     GIOStream *connection, call_t *call)
+{
+	(void)msg;
+	if (event != G_SOCKET_CLIENT_COMPLETE ||
+	    !G_IS_SOCKET_CONNECTION(connection))
+		return;
+	g_clear_object(&call->socket);
+	call->socket = g_object_ref(g_socket_connection_get_socket(
+		G_SOCKET_CONNECTION(connection)));
+}
+
+typedef struct socket_entry_t {
+	GHashTable *sockets;
+	gint64 id;
+} socket_entry_t;
+
+static void on_socket_gone(gpointer data, GObject *socket)
+{
+	socket_entry_t *entry = data;
+
+	(void)socket;
+	g_hash_table_remove(entry->sockets, &entry->id);
+	g_hash_table_unref(entry->sockets);
+	g_free(entry);
+}
+
+/* A reused connection has no network events, so its socket is looked up. */
+static void find_socket(call_t *call)
+{
+	GHashTable *sockets = call->dispatch->sockets;
+	gint64 id = (gint64)soup_message_get_connection_id(call->msg);
+	socket_entry_t *entry;
+	gint64 *key;
+
+	if (call->socket == NULL) {
+		call->socket = g_hash_table_lookup(sockets, &id);
+		if (call->socket != NULL)
+			g_object_ref(call->socket);
+		return;
+	}
+	key = g_new(gint64, 1);
+	*key = id;
+	g_hash_table_insert(sockets, key, call->socket);
+	entry = g_new(socket_entry_t, 1);
+	entry->sockets = g_hash_table_ref(sockets);
+	entry->id = id;
+	g_object_weak_ref(G_OBJECT(call->socket), on_socket_gone, entry);
+}
+
 static void on_head(GObject *source, GAsyncResult *result, gpointer data)
 {
 	call_t *call = data;
@@ -317,6 +399,9 @@
 	arm(call);
 	headers = soup_message_get_response_headers(call->msg);
 	status = soup_message_get_status(call->msg);
+	call->chunked = soup_message_headers_get_encoding(headers) ==
+			SOUP_ENCODING_CHUNKED;
+	find_socket(call);
 	post_report(call, headers);
 	if (!check_refused(call, headers, status))
 		post_head(call, headers, status);
@@ -403,6 +488,8 @@
 			call->msg, type[0] != '\0' ? type : NULL, body);
 	g_clear_pointer(&body, g_bytes_unref);
 	g_signal_connect(call->msg, "starting", G_CALLBACK(on_starting), call);
+	g_signal_connect(call->msg, "network-event",
+			 G_CALLBACK(on_network_event), call);
 	g_signal_connect(call->msg, "restarted", G_CALLBACK(on_restarted),
 			 call);
 	return true;
--- a/dispatch/call.h
+++ b/dispatch/call.h
@@ -17,6 +17,7 @@
 	SoupMessage *msg;
 	GCancellable *cancellable;
 	GInputStream *stream; /* NULL before the head */
+	GSocket *socket; /* of the connection, once known */
 	handle_t timer;
 	char host[HOST_SIZE];
 	uint16_t port;
@@ -26,6 +27,7 @@
 	bool over; /* the last message was sent to the owner */
 	bool discard; /* the body is read only to keep the connection */
 	bool paused;
+	bool chunked;
 	uint32_t discarded; /* bytes */
 	int64_t first_byte_us;
 	int64_t idle_us;
--- a/dispatch/dispatch.c
+++ b/dispatch/dispatch.c
@@ -36,6 +36,8 @@
 	dispatch->kernel = kernel;
 	dispatch->svc = kernel_register(kernel, "dispatch", receive, dispatch);
 	table_init(&dispatch->calls, sizeof(call_t));
+	dispatch->sockets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, NULL);
 	dispatch->session = soup_session_new_with_options(
 		"max-conns", CONNECTIONS_MAX, "max-conns-per-host",
 		CONNECTIONS_MAX, "idle-timeout", CONNECTION_IDLE_S, "timeout",
@@ -60,6 +62,7 @@
 	while (table_count(&dispatch->calls) > 0)
 		g_main_context_iteration(NULL, TRUE);
 	g_clear_object(&dispatch->session);
+	g_hash_table_unref(dispatch->sockets);
 	table_finish(&dispatch->calls);
 	kernel_unregister(dispatch->kernel, dispatch->svc);
 }
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -17,6 +17,7 @@
 	svc_t route;
 	SoupSession *session;
 	table_t calls; /* call_t */
+	GHashTable *sockets; /* library's connection id -> GSocket */
 } dispatch_t;
 
 void dispatch_init(dispatch_t *dispatch, kernel_t *kernel);
--- /dev/null
+++ b/tests/dispatch_test.cc
@@ -0,0 +1,484 @@
+// Guards the HTTP client to targets: honest failure classes, nothing sent
+// twice, cancels that reach the target, and the count of generated tokens.
+#include "dispatch/body.h"
+#include "dispatch/dispatch.h"
+#include "dispatch/tokens.h"
+#include "tests/pump.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace
+{
+
+const std::string sse =
+	"data: {\"choices\":[{\"delta\":{\"role\":\"assistant\","
+	"\"content\":\"\"}}]}\r\n\r\n"
+	": comment \"content\":\"x\"\n\n"
+	"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	"data:{\"choices\":[{\"text\" : \"say \\\"usage\\\":{}\"}]}\n\n"
+	"event: x\ndata: {\"choices\":[{\"delta\":{\"content\":null}}]}\n\n"
+	"data: {\"choices\":[],\"usage\":{\"prompt_tokens\":11,"
+	"\"completion_tokens\":5}}\n\n"
+	"data: [DONE]\n\n";
+
+// Reads arrive in any split; the count must not depend on it.
+TEST(Tokens, AnySplitOfAStreamCountsTheSame)
+{
+	std::mt19937 random(3);
+
+	for (int i = 0; i < 3000; i++) {
+		tokens_t tokens;
+		int64_t count = 0;
+
+		tokens_init(&tokens, true);
+		for (size_t at = 0; at < sse.size();) {
+			size_t n = std::min<size_t>(1 + random() % 40,
+						    sse.size() - at);
+			count += tokens_feed(&tokens, sse.data() + at, n);
+			ASSERT_EQ(tokens.done, at + n + 1 >= sse.size());
+			at += n;
+		}
+		ASSERT_EQ(count, 2);
+		ASSERT_EQ(tokens.counted, 2);
+		ASSERT_TRUE(tokens.usage_known);
+		ASSERT_EQ(tokens.prompt, 11);
+		ASSERT_EQ(tokens.completion, 5);
+		tokens_finish(&tokens);
+	}
+}
+
+// Targets are not trusted to be sane: no crash, no negative or huge usage.
+TEST(Tokens, FuzzedAnswersStayWithinLimits)
+{
+	const std::string alphabet = "{}[]\":,\\ -9e.\n\r\x80";
+	std::mt19937 random(5);
+
+	for (int i = 0; i < 20000; i++) {
+		std::string text = sse;
+		tokens_t tokens;
+
+		for (int n = 1 + random() % 5; n > 0; n--)
+			text[random() % text.size()] =
+				alphabet[random() % alphabet.size()];
+		tokens_init(&tokens, i % 2 == 0);
+		tokens_feed(&tokens, text.data(), text.size());
+		tokens_end(&tokens);
+		ASSERT_LE(tokens.counted, 6);
+		ASSERT_GE(tokens.completion, 0);
+		ASSERT_LE(tokens.completion, TOKENS_USAGE_MAX);
+		tokens_finish(&tokens);
+	}
+}
+
+// A line without end must not be held in memory.
+TEST(Tokens, LongLinesAreCountedButNotHeld)
+{
+	std::string block(100000, 'a');
+	tokens_t tokens;
+
+	tokens_init(&tokens, true);
+	for (int i = 0; i < 50; i++)
+		tokens_feed(&tokens, block.data(), block.size());
+	EXPECT_LE(tokens.held->len, (guint)TOKENS_RECORD_MAX);
+	EXPECT_EQ(tokens_feed(&tokens, "\ndata: [DONE]\n", 14), 1);
+	EXPECT_TRUE(tokens.done);
+	tokens_finish(&tokens);
+}
+
+std::string rewrite(const char *body)
+{
+	GBytes *in = g_bytes_new(body, strlen(body));
+	GBytes *out = body_rewrite(in, 50);
+	gsize len = 0;
+	const char *data = out == nullptr
+				   ? nullptr
+				   : (const char *)g_bytes_get_data(out, &len);
+	std::string text(data == nullptr ? "" : data, len);
+
+	g_bytes_unref(in);
+	if (out != nullptr)
+		g_bytes_unref(out);
+	return text;
+}
+
+// The target must not generate more than was reserved.
+TEST(Body, GeneratedTokensAreLimited)
+{
+	EXPECT_EQ(rewrite(R"({"a":1.5})"), R"({"a":1.5,"max_tokens":50})");
+	EXPECT_EQ(rewrite(R"({"max_tokens":51})"), R"({"max_tokens":50})");
+	EXPECT_EQ(rewrite(R"({"max_tokens":7})"), R"({"max_tokens":7})");
+	EXPECT_EQ(rewrite(R"({"max_tokens":null})"), R"({"max_tokens":50})");
+	EXPECT_EQ(rewrite(R"({"max_completion_tokens":99})"),
+		  R"({"max_completion_tokens":50})");
+	EXPECT_EQ(rewrite(R"({"max_tokens":7,"max_tok\u0065ns":99})"),
+		  R"({"max_tokens":50})");
+	EXPECT_EQ(rewrite(R"({"stream":true,"max_tokens":7})"),
+		  R"({"stream":true,"max_tokens":7,)"
+		  R"("stream_options":{"include_usage":true}})");
+	EXPECT_EQ(rewrite("[1]"), "");
+	EXPECT_EQ(rewrite("{"), "");
+}
+
+// A target that plays a script: what it answers to each request in turn.
+struct Step {
+	std::string answer;
+	bool close; // after the answer
+};
+
+struct Peer {
+	GSocket *socket;
+	std::string in;
+	std::string out;
+	bool close = false;
+	bool closed = false;
+};
+
+class DispatchTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		GSocketAddress *address =
+			g_inet_socket_address_new_from_string("127.0.0.1", 0);
+
+		kernel_init(&kernel, CLOCK_REAL, 0);
+		svc = kernel_register(&kernel, "request", receive, this);
+		kernel_register(&kernel, "route", receive, this);
+		dispatch_init(&dispatch, &kernel);
+		kernel_start(&kernel);
+		listener =
+			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, nullptr);
+		g_socket_bind(listener, address, TRUE, nullptr);
+		g_socket_listen(listener, nullptr);
+		g_socket_set_blocking(listener, FALSE);
+		g_object_unref(address);
+		address = g_socket_get_local_address(listener, nullptr);
+		port = g_inet_socket_address_get_port(
+			G_INET_SOCKET_ADDRESS(address));
+		g_object_unref(address);
+	}
+	void TearDown() override
+	{
+		dispatch_finish(&dispatch);
+		kernel_finish(&kernel);
+		for (auto &peer : peers)
+			g_object_unref(peer->socket);
+		g_object_unref(listener);
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		auto *test = static_cast<DispatchTest *>(self);
+		gsize len;
+
+		test->counts[msg->kind]++;
+		if (msg->kind == MSG_SEND_STARTED)
+			test->call = msg->id;
+		else if (msg->kind == MSG_TARGET_HEAD)
+			test->status = msg->u.target_head.status;
+		else if (msg->kind == MSG_TARGET_FAILED)
+			test->failed = *msg;
+		else if (msg->kind == MSG_TARGET_END)
+			test->end = *msg;
+		else if (msg->kind == MSG_TARGET_REPORT)
+			test->report = *msg;
+		else if (msg->kind == MSG_TARGET_DATA) {
+			auto *data = (const char *)g_bytes_get_data(
+				msg->u.target_data.bytes, &len);
+			test->body.append(data, len);
+			test->tokens += msg->u.target_data.tokens;
+		}
+	}
+	void send(const char *method, bool model = false,
+		  uint32_t first_byte_ms = 10000, uint32_t idle_ms = 10000)
+	{
+		const char *text = model ? "{\"stream\":true}" : "";
+		msg_t msg = {};
+
+		msg.kind = MSG_SEND;
+		msg.id = {9, 9};
+		g_strlcpy(msg.u.send.host, "127.0.0.1", HOST_SIZE);
+		msg.u.send.port = port;
+		g_strlcpy(msg.u.send.method, method, 16);
+		g_strlcpy(msg.u.send.path, "/p?q=1", PATH_SIZE);
+		g_strlcpy(msg.u.send.request_id, "id-1", INCARNATION_SIZE);
+		msg.u.send.body = g_bytes_new(text, strlen(text));
+		msg.u.send.model = model;
+		msg.u.send.max_tokens = 5;
+		msg.u.send.first_byte_ms = first_byte_ms;
+		msg.u.send.idle_ms = idle_ms;
+		msg.u.send.deadline = kernel_now(&kernel) + 60 * USEC_PER_SEC;
+		kernel_post(&kernel, svc, dispatch.svc, &msg);
+	}
+	void control(msg_kind_t kind)
+	{
+		msg_t msg = {};
+
+		msg.kind = kind;
+		msg.ref = call;
+		kernel_post(&kernel, svc, dispatch.svc, &msg);
+	}
+	// A head with the body that it announces.
+	static bool is_request(const std::string &in)
+	{
+		size_t end = in.find("\r\n\r\n");
+		size_t at = in.find("Content-Length: ");
+		size_t body = at < end ? std::stoul(in.substr(at + 16)) : 0;
+
+		return end != std::string::npos && in.size() >= end + 4 + body;
+	}
+	void serve_peer(Peer &peer)
+	{
+		char buffer[65536];
+		gssize n;
+
+		while ((n = g_socket_receive(peer.socket, buffer,
+					     sizeof(buffer), nullptr,
+					     nullptr)) > 0)
+			peer.in.append(buffer, (size_t)n);
+		peer.closed = peer.closed || n == 0;
+		if (is_request(peer.in) && requests < (int)steps.size()) {
+			peer.out += steps[requests].answer;
+			peer.close = steps[requests].close;
+			last_request = peer.in;
+			peer.in.clear();
+			requests++;
+		}
+		while (!peer.out.empty() &&
+		       (n = g_socket_send(peer.socket, peer.out.data(),
+					  peer.out.size(), nullptr, nullptr)) >
+			       0)
+			peer.out.erase(0, (size_t)n);
+		if (peer.close && peer.out.empty()) {
+			g_socket_close(peer.socket, nullptr);
+			peer.close = false;
+		}
+	}
+	void serve()
+	{
+		GSocket *socket = g_socket_accept(listener, nullptr, nullptr);
+
+		if (socket != nullptr) {
+			g_socket_set_blocking(socket, FALSE);
+			peers.push_back(std::make_unique<Peer>());
+			peers.back()->socket = socket;
+		}
+		for (auto &peer : peers)
+			if (!g_socket_is_closed(peer->socket))
+				serve_peer(*peer);
+	}
+	bool wait(const std::function<bool()> &done, int turns = 200000)
+	{
+		return pump(
+			[&] {
+				serve();
+				return done();
+			},
+			turns);
+	}
+	bool wait_over(int count = 1)
+	{
+		return wait([&] {
+			return counts[MSG_TARGET_END] +
+				       counts[MSG_TARGET_FAILED] >=
+			       count;
+		});
+	}
+	void expect_failure(const Step &step, failure_t failure, bool model,
+			    bool reset)
+	{
+		int over = counts[MSG_TARGET_END] + counts[MSG_TARGET_FAILED];
+
+		steps.push_back(step);
+		send("POST", model, 300, 300);
+		ASSERT_TRUE(wait_over(over + 1));
+		EXPECT_EQ(counts[MSG_TARGET_END], 0) << step.answer;
+		EXPECT_STREQ(failure_name(failed.u.target_failed.failure),
+			     failure_name(failure))
+			<< step.answer;
+		EXPECT_EQ(failed.u.target_failed.reset, reset) << step.answer;
+		EXPECT_EQ(requests, (int)steps.size()) << step.answer;
+	}
+	kernel_t kernel;
+	dispatch_t dispatch;
+	svc_t svc;
+	GSocket *listener;
+	uint16_t port;
+	std::vector<std::unique_ptr<Peer>> peers;
+	std::vector<Step> steps;
+	int requests = 0;
+	std::string last_request;
+	int counts[MSG_KIND_COUNT] = {};
+	handle_t call = {};
+	msg_t failed = {}, end = {}, report = {};
+	std::string body;
+	uint32_t status = 0;
+	int64_t tokens = 0;
+};
+
+std::string chunked(const std::string &type, const std::string &body,
+		    bool complete)
+{
+	char size[16];
+
+	g_snprintf(size, sizeof(size), "%zx", body.size());
+	return "HTTP/1.1 200 OK\r\nContent-Type: " + type +
+	       "\r\nX-Load-Running: 3\r\nX-Load-Queued: 4\r\n"
+	       "Transfer-Encoding: chunked\r\n\r\n" +
+	       size + "\r\n" + body + "\r\n" + (complete ? "0\r\n\r\n" : "");
+}
+
+TEST_F(DispatchTest, WholeAnswersArriveByteForByteOnOneConnection)
+{
+	for (int i = 1; i <= 3; i++) {
+		body.clear();
+		tokens = 0;
+		steps.push_back(
+			{chunked("text/event-stream", sse, true), false});
+		send("POST", true);
+		ASSERT_TRUE(wait_over(i));
+		EXPECT_EQ(body, sse);
+		EXPECT_EQ(tokens, 2);
+		EXPECT_TRUE(end.u.target_end.usage_known);
+		EXPECT_EQ(end.u.target_end.completion_tokens, 5);
+		EXPECT_TRUE(handle_equal(end.ref, {9, 9}));
+		ASSERT_TRUE(wait(
+			[&] { return table_count(&dispatch.calls) == 0; }));
+	}
+	EXPECT_EQ(counts[MSG_TARGET_FAILED], 0);
+	EXPECT_EQ(peers.size(), 1u);
+	EXPECT_EQ(report.u.report.running, 3u);
+	EXPECT_EQ(report.u.report.queued, 4u);
+	EXPECT_EQ(last_request.find("POST /p?q=1 HTTP/1.1\r\n"), 0u);
+	EXPECT_NE(last_request.find("X-Request-Id: id-1\r\n"),
+		  std::string::npos);
+	EXPECT_NE(last_request.find("\"max_tokens\":5"), std::string::npos);
+}
+
+TEST_F(DispatchTest, FailuresAreClassedByWhatTheTargetMayHaveSeen)
+{
+	std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
+	std::string no_done =
+		chunked("text/event-stream", "data: {}\n\n", true);
+
+	expect_failure({"", true}, FAILURE_SENT, false, true);
+	expect_failure({"HTTP/1.1 200 OK\r\nContent-Le", true}, FAILURE_SENT,
+		       false, true);
+	expect_failure({"HTTP/1.1 200 OK\r\nA: b\r\n", true}, FAILURE_SENT,
+		       false, true);
+	expect_failure({"nonsense\r\n\r\n", true}, FAILURE_HEAD, false, false);
+	expect_failure({"", false}, FAILURE_SILENT, false, false);
+	expect_failure({cut, true}, FAILURE_STREAM, false, true);
+	expect_failure({cut, false}, FAILURE_SILENT, false, false);
+	expect_failure({chunked("text/plain", "abc", false), true},
+		       FAILURE_STREAM, false, true);
+	expect_failure({no_done, false}, FAILURE_STREAM, true, false);
+	ASSERT_TRUE(wait([&] { return table_count(&dispatch.calls) == 0; }));
+}
+
+TEST_F(DispatchTest, RefusedConnectionIsConnect)
+{
+	g_socket_close(listener, nullptr);
+	send("POST");
+	ASSERT_TRUE(pump([&] { return counts[MSG_TARGET_FAILED] > 0; }));
+	EXPECT_EQ(failed.u.target_failed.failure, FAILURE_CONNECT);
+	EXPECT_FALSE(failed.u.target_failed.reset);
+}
+
+// Only a target's own statement makes a refusal safe to retry.
+TEST_F(DispatchTest, TargetRefusalsAreTold)
+{
+	std::string head = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n";
+
+	expect_failure({head + "\r\n", false}, FAILURE_OVERLOADED, false,
+		       false);
+	EXPECT_FALSE(failed.u.target_failed.not_run);
+	expect_failure({head + "X-Request-State: not_run\r\n\r\n", false},
+		       FAILURE_OVERLOADED, false, false);
+	EXPECT_TRUE(failed.u.target_failed.not_run);
+	EXPECT_EQ(counts[MSG_TARGET_LEAVING], 0);
+	expect_failure({head + "X-Target-Leaving: 1\r\n\r\n", false},
+		       FAILURE_LEAVING, false, false);
+	EXPECT_EQ(counts[MSG_TARGET_LEAVING], 1);
+	EXPECT_EQ(counts[MSG_TARGET_HEAD], 0);
+	EXPECT_EQ(peers.size(), 1u);
+}
+
+// The library resends some requests when a reused connection was closed.
+TEST_F(DispatchTest, NothingIsSentTwice)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	int over = 0;
+
+	for (const char *method : {"GET", "PUT", "DELETE", "POST", "PATCH"}) {
+		steps.push_back({ok, false});
+		send(method);
+		ASSERT_TRUE(wait_over(++over)) << method;
+		ASSERT_TRUE(wait(
+			[&] { return table_count(&dispatch.calls) == 0; }));
+		steps.push_back({"", true});
+		steps.push_back({ok, false}); // for a request sent again
+		send(method);
+		ASSERT_TRUE(wait_over(++over)) << method;
+		wait([] { return false; }, 20);
+		EXPECT_EQ(failed.u.target_failed.failure, FAILURE_SENT);
+		EXPECT_EQ(counts[MSG_TARGET_FAILED], over / 2) << method;
+		EXPECT_EQ(requests, (int)steps.size() - 1) << method;
+		steps.pop_back();
+	}
+}
+
+TEST_F(DispatchTest, CancelReachesTheTarget)
+{
+	// Before the head, within the answer, and while reading is paused.
+	for (int i = 0; i < 3; i++) {
+		steps.push_back(
+			{i == 0 ? "" : chunked("text/plain", "abc", false),
+			 false});
+		send("POST");
+		ASSERT_TRUE(wait([&] {
+			return requests == i + 1 &&
+			       counts[MSG_TARGET_DATA] == i;
+		}));
+		if (i == 2) {
+			control(MSG_SEND_PAUSE);
+			wait([] { return false; }, 5);
+		}
+		control(MSG_SEND_CANCEL);
+		ASSERT_TRUE(wait([&] { return peers.back()->closed; })) << i;
+		EXPECT_EQ(counts[MSG_TARGET_FAILED], i + 1);
+		EXPECT_EQ(failed.u.target_failed.failure, FAILURE_CANCELLED);
+		ASSERT_TRUE(wait(
+			[&] { return table_count(&dispatch.calls) == 0; }));
+	}
+}
+
+// A paused reader must slow the target down, not fill the router's memory.
+TEST_F(DispatchTest, PauseClosesTheWindow)
+{
+	std::string big(30000000, 'b');
+
+	steps.push_back({chunked("text/plain", big, true), false});
+	send("POST");
+	ASSERT_TRUE(wait([&] { return body.size() > 0; }));
+	control(MSG_SEND_PAUSE);
+	size_t before = 0;
+	ASSERT_TRUE(wait([&] {
+		bool same = before == body.size();
+		before = body.size();
+		return same;
+	}));
+	wait([] { return false; }, 50);
+	EXPECT_EQ(body.size(), before);
+	EXPECT_GT(peers[0]->out.size(), 0u);
+	control(MSG_SEND_RESUME);
+	ASSERT_TRUE(wait_over());
+	EXPECT_EQ(counts[MSG_TARGET_END], 1);
+	EXPECT_TRUE(body == big);
+}
+
+} // namespace
