--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -216,24 +216,38 @@
 	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
 }
 
+static bool is_open(const call_t *call)
+{
+	ssize_t got;
+	char byte;
+
+	if (call->socket == NULL || g_socket_is_closed(call->socket))
+		return false;
+	got = recv(g_socket_get_fd(call->socket), &byte, 1,
+		   MSG_PEEK | MSG_DONTWAIT);
+	return got > 0 || (got < 0 && errno == EAGAIN);
+}
+
 /*
  * The library reports a chunked answer that was cut off as one that ended.
  * After a cut the connection has reached its end; after the last chunk it is
- * still open, unless the target closes it without being asked to.  Then the
- * answer itself has to show that it is whole.
+ * still open, unless the target closes it without being asked to.  An answer
+ * that ends with the connection never tells, and a head that was cut off
+ * looks like one of those.  Where the connection does not tell, the answer
+ * itself has to show that it is whole.
  */
 static bool is_whole(call_t *call)
 {
-	ssize_t got;
-	char byte;
-
-	if (!call->chunked)
+	switch (call->encoding) {
+	case SOUP_ENCODING_NONE:
+	case SOUP_ENCODING_CONTENT_LENGTH:
 		return true;
-	if (call->socket != NULL && !g_socket_is_closed(call->socket)) {
-		got = recv(g_socket_get_fd(call->socket), &byte, 1,
-			   MSG_PEEK | MSG_DONTWAIT);
-		if (got > 0 || (got < 0 && errno == EAGAIN))
+	case SOUP_ENCODING_CHUNKED:
+		if (is_open(call))
 			return true;
+		break;
+	default:
+		break;
 	}
 	if (!call->model)
 		return false;
@@ -399,8 +413,7 @@
 	arm(call);
 	headers = soup_message_get_response_headers(call->msg);
 	status = soup_message_get_status(call->msg);
-	call->chunked = soup_message_headers_get_encoding(headers) ==
-			SOUP_ENCODING_CHUNKED;
+	call->encoding = soup_message_headers_get_encoding(headers);
 	find_socket(call);
 	post_report(call, headers);
 	if (!check_refused(call, headers, status))
--- a/dispatch/call.h
+++ b/dispatch/call.h
@@ -27,7 +27,7 @@
 	bool over; /* the last message was sent to the owner */
 	bool discard; /* the body is read only to keep the connection */
 	bool paused;
-	bool chunked;
+	SoupEncoding encoding; /* how the answer ends */
 	uint32_t discarded; /* bytes */
 	int64_t first_byte_us;
 	int64_t idle_us;
--- /dev/null
+++ b/front/caller.c
@@ -0,0 +1,246 @@
+#include "front/caller.h"
+
+#include <string.h>
+
+#define DATA_KEY "front-caller"
+
+static const char last_request[] = "GET / HTTP/1.0\r\n\r\n";
+
+typedef struct caller_input_t {
+	GInputStream parent;
+	GPollableInputStream *base;
+	bool idle;
+	bool ended;
+	size_t given; /* bytes of last_request */
+} caller_input_t;
+
+typedef GInputStreamClass caller_input_tClass;
+
+typedef struct caller_io_t {
+	GIOStream parent;
+	GIOStream *base;
+	caller_input_t *input;
+} caller_io_t;
+
+typedef GIOStreamClass caller_io_tClass;
+
+static void pollable_init(GPollableInputStreamInterface *iface);
+
+static GType caller_input_get_type(void);
+static GType caller_io_get_type(void);
+
+G_DEFINE_TYPE_WITH_CODE(caller_input_t, caller_input, G_TYPE_INPUT_STREAM,
+			G_IMPLEMENT_INTERFACE(G_TYPE_POLLABLE_INPUT_STREAM,
+					      pollable_init))
+G_DEFINE_TYPE(caller_io_t, caller_io, G_TYPE_IO_STREAM)
+
+static gssize give_last_request(caller_input_t *input, void *buffer,
+				gsize count)
+{
+	size_t left = sizeof(last_request) - 1 - input->given;
+	size_t n = MIN(count, left);
+
+	memcpy(buffer, last_request + input->given, n);
+	input->given += n;
+	return (gssize)n;
+}
+
+static gssize read_nonblocking(GPollableInputStream *stream, void *buffer,
+			       gsize count, GError **error)
+{
+	caller_input_t *input = (caller_input_t *)stream;
+	GError *failure = NULL;
+	gssize n;
+
+	if (input->ended)
+		return give_last_request(input, buffer, count);
+	n = g_pollable_input_stream_read_nonblocking(input->base, buffer, count,
+						     NULL, &failure);
+	if (n > 0) {
+		input->idle = false;
+	} else if (input->idle && !g_error_matches(failure, G_IO_ERROR,
+						   G_IO_ERROR_WOULD_BLOCK)) {
+		g_clear_error(&failure);
+		input->ended = true;
+		return give_last_request(input, buffer, count);
+	}
+	if (failure != NULL)
+		g_propagate_error(error, failure);
+	return n;
+}
+
+/* The server only reads without blocking. */
+static gssize read_blocking(GInputStream *stream, void *buffer, gsize count,
+			    GCancellable *cancellable, GError **error)
+{
+	(void)cancellable;
+	return read_nonblocking(G_POLLABLE_INPUT_STREAM(stream), buffer, count,
+				error);
+}
+
+static gboolean is_readable(GPollableInputStream *stream)
+{
+	caller_input_t *input = (caller_input_t *)stream;
+
+	return input->ended || g_pollable_input_stream_is_readable(input->base);
+}
+
+static GSource *create_source(GPollableInputStream *stream,
+			      GCancellable *cancellable)
+{
+	caller_input_t *input = (caller_input_t *)stream;
+	GSource *child =
+		g_pollable_input_stream_create_source(input->base, NULL);
+	GSource *source =
+		g_pollable_source_new_full(stream, child, cancellable);
+
+	g_source_unref(child);
+	return source;
+}
+
+static void pollable_init(GPollableInputStreamInterface *iface)
+{
+	iface->is_readable = is_readable;
+	iface->create_source = create_source;
+	iface->read_nonblocking = read_nonblocking;
+}
+
+static void input_finalize(GObject *object)
+{
+	g_object_unref(((caller_input_t *)object)->base);
+	G_OBJECT_CLASS(caller_input_parent_class)->finalize(object);
+}
+
+static void caller_input_class_init(caller_input_tClass *class)
+{
+	G_OBJECT_CLASS(class)->finalize = input_finalize;
+	class->read_fn = read_blocking;
+}
+
+static void caller_input_init(caller_input_t *input)
+{
+	input->idle = true;
+}
+
+static GInputStream *get_input(GIOStream *stream)
+{
+	return G_INPUT_STREAM(((caller_io_t *)stream)->input);
+}
+
+static GOutputStream *get_output(GIOStream *stream)
+{
+	return g_io_stream_get_output_stream(((caller_io_t *)stream)->base);
+}
+
+static gboolean close_io(GIOStream *stream, GCancellable *cancellable,
+			 GError **error)
+{
+	return g_io_stream_close(((caller_io_t *)stream)->base, cancellable,
+				 error);
+}
+
+/* The default would close in a thread. */
+static void close_async(GIOStream *stream, int priority,
+			GCancellable *cancellable, GAsyncReadyCallback callback,
+			gpointer data)
+{
+	GTask *task = g_task_new(stream, cancellable, callback, data);
+
+	g_task_set_priority(task, priority);
+	g_task_return_boolean(task, close_io(stream, NULL, NULL));
+	g_object_unref(task);
+}
+
+static gboolean close_finish(GIOStream *stream, GAsyncResult *result,
+			     GError **error)
+{
+	(void)stream;
+	return g_task_propagate_boolean(G_TASK(result), error);
+}
+
+static void io_finalize(GObject *object)
+{
+	caller_io_t *io = (caller_io_t *)object;
+
+	g_object_unref(io->input);
+	g_object_unref(io->base);
+	G_OBJECT_CLASS(caller_io_parent_class)->finalize(object);
+}
+
+static void caller_io_class_init(caller_io_tClass *class)
+{
+	G_OBJECT_CLASS(class)->finalize = io_finalize;
+	class->get_input_stream = get_input;
+	class->get_output_stream = get_output;
+	class->close_fn = close_io;
+	class->close_async = close_async;
+	class->close_finish = close_finish;
+}
+
+static void caller_io_init(caller_io_t *io)
+{
+	(void)io;
+}
+
+GIOStream *caller_new(GIOStream *base, GSocket *socket)
+{
+	caller_io_t *io = g_object_new(caller_io_get_type(), NULL);
+
+	io->base = base;
+	io->input = g_object_new(caller_input_get_type(), NULL);
+	io->input->base = G_POLLABLE_INPUT_STREAM(
+		g_object_ref(g_io_stream_get_input_stream(base)));
+	g_object_set_data_full(G_OBJECT(io->input), DATA_KEY,
+			       g_object_ref(socket), g_object_unref);
+	return G_IO_STREAM(io);
+}
+
+/* A message only leads back to the connection through the address. */
+bool caller_accept(SoupServer *server, GIOStream *caller, GSocket *socket)
+{
+	GSocketAddress *local = g_socket_get_local_address(socket, NULL);
+	GSocketAddress *remote = g_socket_get_remote_address(socket, NULL);
+	bool ok = false;
+
+	if (local == NULL || remote == NULL)
+		goto out;
+	g_object_set_data_full(G_OBJECT(remote), DATA_KEY,
+			       g_object_ref(((caller_io_t *)caller)->input),
+			       g_object_unref);
+	ok = soup_server_accept_iostream(server, caller, local, remote, NULL);
+out:
+	g_clear_object(&local);
+	g_clear_object(&remote);
+	return ok;
+}
+
+static caller_input_t *input_of(SoupServerMessage *msg)
+{
+	GSocketAddress *address = soup_server_message_get_remote_address(msg);
+
+	return address == NULL ? NULL
+			       : g_object_get_data(G_OBJECT(address), DATA_KEY);
+}
+
+GSocket *caller_socket(SoupServerMessage *msg)
+{
+	caller_input_t *input = input_of(msg);
+
+	return input == NULL ? NULL
+			     : g_object_get_data(G_OBJECT(input), DATA_KEY);
+}
+
+void caller_set_idle(SoupServerMessage *msg)
+{
+	caller_input_t *input = input_of(msg);
+
+	if (input != NULL)
+		input->idle = true;
+}
+
+bool caller_has_ended(SoupServerMessage *msg)
+{
+	caller_input_t *input = input_of(msg);
+
+	return input != NULL && input->ended;
+}
--- a/front/front.c
+++ b/front/front.c
@@ -1,5 +1,7 @@
 #include "front/front.h"
 
+#include "front/caller.h"
+#include "front/listen.h"
 #include "front/parse.h"
 #include "front/refusal.h"
 #include "front/stream.h"
@@ -7,7 +9,6 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#define BACKLOG 1024
 /* Bytes of a too large body read before the connection is dropped. */
 #define DISCARD_MAX 1048576
 
@@ -76,7 +77,7 @@
 static void on_chunk(SoupServerMessage *msg, GBytes *chunk, front_t *front)
 {
 	gsize size = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(msg), "size"));
-	GSocket *socket = soup_server_message_get_socket(msg);
+	GSocket *socket = caller_socket(msg);
 
 	size += g_bytes_get_size(chunk);
 	g_object_set_data(G_OBJECT(msg), "size", GSIZE_TO_POINTER(size));
@@ -287,6 +288,13 @@
 
 	(void)server;
 	(void)query;
+	if (caller_has_ended(msg)) {
+		soup_server_message_set_status(msg, 400, NULL);
+		soup_message_headers_replace(
+			soup_server_message_get_response_headers(msg),
+			"Connection", "close");
+		return;
+	}
 	/* Refused when its head or body arrived. */
 	if (soup_server_message_get_status(msg) != 0)
 		return;
@@ -309,48 +317,18 @@
 	request_spec_free(spec);
 }
 
-static void count_connections(front_connections_t *connections, int change)
-{
-	connections->count = (uint32_t)((int)connections->count + change);
-	if (connections->metrics != NULL)
-		metrics_set(connections->metrics, GAUGE_CONNECTIONS,
-			    connections->count);
-}
-
-static void on_connection_closed(gpointer data)
+static void on_finished(SoupServer *server, SoupServerMessage *msg,
+			gpointer data)
 {
-	count_connections(data, -1);
-	g_rc_box_release(data);
-}
-
-/* Called for each new connection and each later request on it. */
-static void on_started(SoupServer *server, SoupServerMessage *msg,
-		       front_t *front)
-{
-	GSocket *socket = soup_server_message_get_socket(msg);
-
 	(void)server;
-	if (socket == NULL ||
-	    g_object_get_data(G_OBJECT(socket), "front") != NULL)
-		return;
-	g_object_set_data_full(G_OBJECT(socket), "front",
-			       g_rc_box_acquire(front->connections),
-			       on_connection_closed);
-	count_connections(front->connections, 1);
-	if (front->connections->count > front->opts.max_connections)
-		g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	(void)data;
+	caller_set_idle(msg);
 }
 
-/*
- * soup_server_disconnect() would cut requests in progress, so only the
- * listening socket is shut down; the server stops polling it when accept
- * fails.
- */
 static void stop(front_t *front)
 {
 	front->stopping = true;
-	if (front->listener != NULL)
-		g_socket_shutdown(front->listener, TRUE, TRUE, NULL);
+	listen_close(front);
 	front_check_stopped(front);
 }
 
@@ -380,6 +358,11 @@
 		front->conf = g_steal_pointer(&msg->u.conf);
 		break;
 	case MSG_TIMER:
+		if (handle_is_none(msg->ref))
+			listen_resume(front);
+		else
+			stream_recv(front, msg);
+		break;
 	case MSG_REQ_STARTED:
 	case MSG_REPLY_HEAD:
 	case MSG_REPLY_DATA:
@@ -408,8 +391,8 @@
 	soup_server_add_early_handler(front->server, NULL, on_head, front,
 				      NULL);
 	soup_server_add_handler(front->server, NULL, on_request, front, NULL);
-	g_signal_connect(front->server, "request-started",
-			 G_CALLBACK(on_started), front);
+	g_signal_connect(front->server, "request-finished",
+			 G_CALLBACK(on_finished), NULL);
 }
 
 void front_finish(front_t *front)
@@ -420,9 +403,10 @@
 	front->stopped = true;
 	while ((stream = table_next(&front->streams, &cursor, NULL)) != NULL)
 		stream_drop(stream);
+	listen_close(front);
 	soup_server_disconnect(front->server);
 	g_clear_object(&front->server);
-	g_clear_object(&front->listener);
+	g_clear_object(&front->cert);
 	g_hash_table_unref(front->per_key);
 	table_finish(&front->streams);
 	if (front->conf != NULL)
@@ -431,86 +415,3 @@
 	g_rc_box_release(front->connections);
 	kernel_unregister(front->kernel, front->svc);
 }
-
-static front_status_t load_tls(front_t *front)
-{
-	GTlsCertificate *cert;
-	GError *error = NULL;
-
-	cert = g_tls_certificate_new_from_files(front->opts.tls_cert,
-						front->opts.tls_key, &error);
-	if (cert == NULL) {
-		errmsg_set(&front->err, "TLS certificate: %s", error->message);
-		g_error_free(error);
-		return FRONT_TLS_FAILED;
-	}
-	soup_server_set_tls_certificate(front->server, cert);
-	g_object_unref(cert);
-	return FRONT_OK;
-}
-
-static GSocket *open_listener(GSocketAddress *address, GError **error)
-{
-	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
-				       G_SOCKET_TYPE_STREAM,
-				       G_SOCKET_PROTOCOL_TCP, error);
-
-	if (socket == NULL)
-		return NULL;
-	g_socket_set_listen_backlog(socket, BACKLOG);
-	if (!g_socket_bind(socket, address, TRUE, error) ||
-	    !g_socket_listen(socket, error))
-		g_clear_object(&socket);
-	return socket;
-}
-
-static uint16_t local_port(GSocket *socket)
-{
-	GSocketAddress *address = g_socket_get_local_address(socket, NULL);
-	uint16_t port;
-
-	if (address == NULL)
-		return 0;
-	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
-	g_object_unref(address);
-	return port;
-}
-
-front_status_t front_listen(front_t *front)
-{
-	bool tls = front->opts.tls_cert[0] != '\0';
-	front_status_t status = FRONT_BAD_ADDRESS;
-	GSocketAddress *address;
-	GError *error = NULL;
-
-	address = g_inet_socket_address_new_from_string(front->opts.host,
-							front->opts.port);
-	if (address == NULL) {
-		errmsg_set(&front->err, "%s is not an IP address",
-			   front->opts.host);
-		goto out;
-	}
-	if (tls && (status = load_tls(front)) != FRONT_OK)
-		goto out;
-	status = FRONT_LISTEN_FAILED;
-	front->listener = open_listener(address, &error);
-	if (front->listener == NULL ||
-	    !soup_server_listen_socket(front->server, front->listener,
-				       tls ? SOUP_SERVER_LISTEN_HTTPS : 0,
-				       &error)) {
-		errmsg_set(&front->err, "listen on %s port %u: %s",
-			   front->opts.host, front->opts.port, error->message);
-		goto out;
-	}
-	front->port = local_port(front->listener);
-	status = FRONT_OK;
-out:
-	g_clear_error(&error);
-	g_clear_object(&address);
-	return status;
-}
-
-uint16_t front_port(const front_t *front)
-{
-	return front->port;
-}
--- a/front/front.h
+++ b/front/front.h
@@ -48,6 +48,8 @@
 	front_opts_t opts;
 	SoupServer *server;
 	GSocket *listener;
+	GSource *accepting; /* NULL while not accepting */
+	GTlsCertificate *cert; /* NULL for plain HTTP */
 	uint16_t port;
 	table_t streams; /* stream_t */
 	GHashTable *per_key; /* API key hash -> requests in progress */
--- /dev/null
+++ b/front/listen.c
@@ -0,0 +1,212 @@
+#include "front/listen.h"
+
+#include "front/caller.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#define BACKLOG 1024
+#define ACCEPT_MAX 64 /* connections accepted in one turn of the loop */
+/* When accept fails, as it does without free descriptors. */
+#define ACCEPT_RETRY_US (100 * USEC_PER_MSEC)
+
+static void count_connections(front_connections_t *connections, int change)
+{
+	connections->count = (uint32_t)((int)connections->count + change);
+	if (connections->metrics != NULL)
+		metrics_set(connections->metrics, GAUGE_CONNECTIONS,
+			    connections->count);
+}
+
+static void on_connection_closed(gpointer data)
+{
+	count_connections(data, -1);
+	g_rc_box_release(data);
+}
+
+static GIOStream *wrap_socket(front_t *front, GSocket *socket)
+{
+	GIOStream *plain = G_IO_STREAM(
+		g_socket_connection_factory_create_connection(socket));
+	GIOStream *tls;
+
+	if (front->cert == NULL)
+		return plain;
+	tls = g_tls_server_connection_new(plain, front->cert, NULL);
+	g_object_unref(plain);
+	return tls;
+}
+
+static void add_connection(front_t *front, GSocket *socket)
+{
+	GIOStream *base, *caller;
+
+	if (front->connections->count >= front->opts.max_connections)
+		return;
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	base = wrap_socket(front, socket);
+	if (base == NULL)
+		return;
+	caller = caller_new(base, socket);
+	g_object_set_data_full(G_OBJECT(caller), "connections",
+			       g_rc_box_acquire(front->connections),
+			       on_connection_closed);
+	count_connections(front->connections, 1);
+	caller_accept(front->server, caller, socket);
+	g_object_unref(caller);
+}
+
+static void stop_accepting(front_t *front)
+{
+	if (front->accepting == NULL)
+		return;
+	g_source_destroy(front->accepting);
+	g_clear_pointer(&front->accepting, g_source_unref);
+}
+
+static gboolean on_incoming(GSocket *listener, GIOCondition condition,
+			    gpointer data)
+{
+	front_t *front = data;
+	GError *error = NULL;
+	GSocket *socket;
+
+	(void)condition;
+	for (int i = 0; i < ACCEPT_MAX; i++) {
+		socket = g_socket_accept(listener, NULL, &error);
+		if (socket == NULL)
+			break;
+		add_connection(front, socket);
+		g_object_unref(socket);
+	}
+	if (error != NULL &&
+	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+		stop_accepting(front);
+		kernel_timer(front->kernel, front->svc, ACCEPT_RETRY_US,
+			     HANDLE_NONE, 0);
+	}
+	g_clear_error(&error);
+	return G_SOURCE_CONTINUE;
+}
+
+void listen_resume(front_t *front)
+{
+	if (front->listener == NULL || front->accepting != NULL)
+		return;
+	front->accepting =
+		g_socket_create_source(front->listener, G_IO_IN, NULL);
+	g_source_set_callback(front->accepting, G_SOURCE_FUNC(on_incoming),
+			      front, NULL);
+	g_source_attach(front->accepting, NULL);
+}
+
+void listen_close(front_t *front)
+{
+	stop_accepting(front);
+	if (front->listener == NULL)
+		return;
+	g_socket_close(front->listener, NULL);
+	g_clear_object(&front->listener);
+}
+
+static front_status_t load_tls(front_t *front)
+{
+	GTlsCertificate *cert;
+	GError *error = NULL;
+
+	cert = g_tls_certificate_new_from_files(front->opts.tls_cert,
+						front->opts.tls_key, &error);
+	if (cert == NULL) {
+		errmsg_set(&front->err, "TLS certificate: %s", error->message);
+		g_error_free(error);
+		return FRONT_TLS_FAILED;
+	}
+	front->cert = cert;
+	return FRONT_OK;
+}
+
+static GSocket *open_listener(GSocketAddress *address, GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, error);
+
+	if (socket == NULL)
+		return NULL;
+	g_socket_set_listen_backlog(socket, BACKLOG);
+	g_socket_set_blocking(socket, FALSE);
+	if (!g_socket_bind(socket, address, TRUE, error) ||
+	    !g_socket_listen(socket, error))
+		g_clear_object(&socket);
+	return socket;
+}
+
+static uint16_t local_port(GSocket *socket)
+{
+	GSocketAddress *address = g_socket_get_local_address(socket, NULL);
+	uint16_t port;
+
+	if (address == NULL)
+		return 0;
+	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+	g_object_unref(address);
+	return port;
+}
+
+/*
+ * The server keeps connections open between requests only while it listens
+ * itself, so it gets a listening socket that takes no connections.
+ */
+static bool keep_alive(SoupServer *server, GError **error)
+{
+	GInetAddress *host = g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *address = g_inet_socket_address_new(host, 0);
+	GSocket *socket = open_listener(address, error);
+	bool ok = false;
+
+	if (socket != NULL) {
+		ok = soup_server_listen_socket(server, socket, 0, error);
+		g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	}
+	g_clear_object(&socket);
+	g_object_unref(address);
+	g_object_unref(host);
+	return ok;
+}
+
+front_status_t front_listen(front_t *front)
+{
+	bool tls = front->opts.tls_cert[0] != '\0';
+	front_status_t status = FRONT_BAD_ADDRESS;
+	GSocketAddress *address;
+	GError *error = NULL;
+
+	address = g_inet_socket_address_new_from_string(front->opts.host,
+							front->opts.port);
+	if (address == NULL) {
+		errmsg_set(&front->err, "%s is not an IP address",
+			   front->opts.host);
+		goto out;
+	}
+	if (tls && (status = load_tls(front)) != FRONT_OK)
+		goto out;
+	status = FRONT_LISTEN_FAILED;
+	front->listener = open_listener(address, &error);
+	if (front->listener == NULL || !keep_alive(front->server, &error)) {
+		errmsg_set(&front->err, "listen on %s port %u: %s",
+			   front->opts.host, front->opts.port, error->message);
+		goto out;
+	}
+	front->port = local_port(front->listener);
+	listen_resume(front);
+	status = FRONT_OK;
+out:
+	g_clear_error(&error);
+	g_clear_object(&address);
+	return status;
+}
+
+uint16_t front_port(const front_t *front)
+{
+	return front->port;
+}
--- a/front/stream.c
+++ b/front/stream.c
@@ -2,6 +2,7 @@
 
 #include "front/stream.h"
 
+#include "front/caller.h"
 #include "front/refusal.h"
 
 #include <glib-unix.h>
@@ -93,7 +94,7 @@
 static void abort_message(stream_t *stream)
 {
 	SoupServerMessage *msg = stream->msg;
-	GSocket *socket = soup_server_message_get_socket(msg);
+	GSocket *socket = caller_socket(msg);
 	SoupMessageBody *body = soup_server_message_get_response_body(msg);
 	struct linger linger = {.l_onoff = 1, .l_linger = 0};
 
@@ -130,7 +131,7 @@
  */
 static void watch_caller(stream_t *stream)
 {
-	GSocket *socket = soup_server_message_get_socket(stream->msg);
+	GSocket *socket = caller_socket(stream->msg);
 
 	if (socket == NULL)
 		return;
