--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -105,6 +105,9 @@
 
 #define EXPECT_ANY (-1) /* write whatever the key's revision is */
 #define EXPECT_ABSENT 0 /* write only if the key does not exist */
+/* Limits of one transaction; together they stay within etcd's 128. */
+#define STORE_GROUPS_MAX 96
+#define STORE_GROUP_OPS_MAX 32
 
 typedef enum store_status_t {
 	STORE_OK, /* answered; see each group for whether it committed */
@@ -130,7 +133,10 @@
 
 /*
  * One call.  The operations of a group take effect together if all their
- * expectations hold; groups are independent of each other.
+ * expectations hold; groups are independent of each other.  All expectations
+ * are compared before anything is written, and a key is written at most once
+ * in a call (the store refuses it otherwise).  Every put of a call gets the
+ * revision of the result.
  */
 typedef struct store_txn_t {
 	GArray *ops; /* store_op_t, ordered by group */
--- /dev/null
+++ b/store/http.h
@@ -0,0 +1,44 @@
+/*
+ * One HTTP exchange with the store: a POST and the bytes of its answer.  The
+ * owner is a call or a watch, told by call_event() or watch_event().
+ */
+#ifndef STORE_HTTP_H
+#define STORE_HTTP_H
+
+#include "store/store.h"
+
+G_BEGIN_DECLS
+
+typedef enum exchange_owner_t {
+	OWNER_CALL,
+	OWNER_WATCH,
+} exchange_owner_t;
+
+typedef enum exchange_event_t {
+	EXCHANGE_DATA,
+	EXCHANGE_END, /* the answer is complete */
+	EXCHANGE_FAILED,
+} exchange_event_t;
+
+typedef struct exchange_t {
+	store_t *store; /* NULL: dropped, no more events */
+	exchange_owner_t owner_kind;
+	handle_t owner;
+	SoupMessage *message;
+	GCancellable *cancel;
+	GInputStream *stream;
+	bool sent; /* on a connection: the store may have received it */
+	guint status; /* HTTP */
+	char buffer[16384];
+} exchange_t;
+
+/* repeatable: the call may be sent twice without harm. */
+exchange_t *exchange_open(store_t *store, exchange_owner_t owner_kind,
+			  handle_t owner, const char *path, const char *body,
+			  bool repeatable);
+/* Closes the connection and ends all events. */
+void exchange_drop(exchange_t *exchange);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/store/store.h
@@ -0,0 +1,59 @@
+/*
+ * Service "store": adapter over the JSON gateway of etcd v3.  It answers
+ * MSG_STORE_GET, TXN, LEASE, KEEPALIVE and REVOKE with MSG_STORE_RESULT and
+ * keeps watches alive.  Calls run concurrently and may be reordered; callers
+ * order their writes by revision.
+ */
+#ifndef STORE_STORE_H
+#define STORE_STORE_H
+
+#include "kernel/kernel.h"
+
+#include <libsoup/soup.h>
+
+G_BEGIN_DECLS
+
+#define STORE_TIMEOUT_MS 2000
+#define STORE_WATCH_IDLE_MS 5000
+#define STORE_KEY_PREFIX "tanagertrestle/"
+#define STORE_FRESH_MS 5000
+#define STORE_ENDPOINTS_MAX 8
+#define STORE_CALLS_MAX 32 /* sent at the same time */
+#define STORE_QUEUE_MAX 4096 /* calls waiting to be sent */
+#define STORE_PAGE 256 /* keys of one page of a prefix */
+#define STORE_ANSWER_MAX (64 * 1024 * 1024) /* bytes */
+
+typedef struct store_opts_t {
+	const char *const *endpoints; /* base URLs, ends with NULL */
+	const char *token; /* sent as the Authorization header, or NULL */
+	const char *key_prefix; /* NULL: STORE_KEY_PREFIX */
+	int32_t timeout_ms; /* of a call, 0: STORE_TIMEOUT_MS */
+	/* A watch silent for so long is opened anew; 0: the default. */
+	int32_t watch_idle_ms;
+} store_opts_t;
+
+typedef struct store_t {
+	kernel_t *kernel;
+	svc_t self;
+	SoupSession *session;
+	gchar **endpoints;
+	guint endpoint_count;
+	guint endpoint; /* the one in use */
+	gchar *token;
+	gchar *key_prefix;
+	int64_t timeout_us;
+	int64_t watch_idle_us;
+	/* After a timeout pooled connections, maybe dead, are not used. */
+	int64_t fresh_until; /* monotonic, us */
+	table_t calls; /* call_t */
+	GQueue waiting; /* handle_t *, of calls not yet sent */
+	guint sent;
+	table_t watches; /* watch_t */
+} store_t;
+
+void store_init(store_t *store, kernel_t *kernel, const store_opts_t *opts);
+void store_finish(store_t *store);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/store/watch.c
@@ -0,0 +1,299 @@
+#include "store/watch.h"
+
+#include "log/log.h"
+#include "store/call.h"
+
+#include <string.h>
+
+#define BACKOFF_MIN (100 * USEC_PER_MSEC)
+#define BACKOFF_MAX (2 * USEC_PER_SEC)
+
+typedef enum watch_state_t {
+	WATCH_READING,
+	WATCH_OPENING, /* asked for the stream */
+	WATCH_OPEN, /* the store has confirmed it */
+	WATCH_WAITING, /* backoff before the next read */
+} watch_state_t;
+
+typedef struct watch_t {
+	svc_t to;
+	handle_t ref;
+	char key[STORE_KEY_SIZE];
+	bool prefix;
+	watch_state_t state;
+	int64_t next_revision; /* first revision not yet delivered, or 0 */
+	int64_t backoff;
+	exchange_t *exchange;
+	GByteArray *line;
+	handle_t timer;
+	GHashTable *present; /* keys that exist, as far as delivered */
+} watch_t;
+
+size_t watch_size(void)
+{
+	return sizeof(watch_t);
+}
+
+static void set_timer(store_t *store, handle_t handle, watch_t *watch,
+		      int64_t delay)
+{
+	kernel_timer_cancel(store->kernel, &watch->timer);
+	watch->timer = kernel_timer(store->kernel, store->self, delay, handle,
+				    STORE_TIMER_WATCH);
+}
+
+static void read_keys(store_t *store, handle_t handle, watch_t *watch)
+{
+	watch->state = WATCH_READING;
+	call_start_watch_read(store, handle, watch->key, watch->prefix);
+}
+
+static void close_stream(watch_t *watch)
+{
+	if (watch->exchange != NULL)
+		exchange_drop(watch->exchange);
+	watch->exchange = NULL;
+	g_byte_array_set_size(watch->line, 0);
+}
+
+static void open_stream(store_t *store, handle_t handle, watch_t *watch)
+{
+	wire_t wire = store_wire(store);
+	gchar *body = wire_watch(&wire, watch->key, watch->prefix,
+				 watch->next_revision);
+
+	close_stream(watch);
+	watch->state = WATCH_OPENING;
+	watch->exchange = exchange_open(store, OWNER_WATCH, handle, "/v3/watch",
+					body, false);
+	g_free(body);
+	set_timer(store, handle, watch, store->timeout_us);
+}
+
+/* Reads again after a pause that grows with each failure. */
+static void retry(store_t *store, handle_t handle, watch_t *watch)
+{
+	int64_t delay;
+
+	close_stream(watch);
+	watch->state = WATCH_WAITING;
+	watch->backoff = CLAMP(watch->backoff * 2, BACKOFF_MIN, BACKOFF_MAX);
+	/* Half of it is random: routers must not come back all at once. */
+	delay = watch->backoff / 2 +
+		(int64_t)kernel_random_below(store->kernel,
+					     (uint64_t)watch->backoff / 2 + 1);
+	set_timer(store, handle, watch, delay);
+}
+
+void watch_start(store_t *store, const msg_t *msg)
+{
+	watch_t *watch;
+	handle_t handle = table_add(&store->watches, (void **)&watch);
+
+	watch->to = msg->from;
+	watch->ref = msg->id;
+	g_strlcpy(watch->key, msg->u.store_get.key, sizeof(watch->key));
+	watch->prefix = msg->u.store_get.prefix;
+	watch->line = g_byte_array_new();
+	watch->present =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (msg->u.store_get.min_revision > 0) {
+		watch->next_revision = msg->u.store_get.min_revision;
+		open_stream(store, handle, watch);
+	} else {
+		read_keys(store, handle, watch);
+	}
+}
+
+/* Hands the result to the watcher and keeps track of the keys. */
+static void deliver(store_t *store, watch_t *watch, store_result_t *result)
+{
+	msg_t msg = {.kind = MSG_STORE_EVENT, .ref = watch->ref};
+
+	for (guint i = 0; i < result->kvs->len; i++) {
+		const store_kv_t *kv =
+			&g_array_index(result->kvs, store_kv_t, i);
+
+		if (kv->record.kind == RECORD_NONE)
+			g_hash_table_remove(watch->present, kv->key);
+		else
+			g_hash_table_add(watch->present, g_strdup(kv->key));
+	}
+	watch->next_revision = MAX(watch->next_revision, result->revision + 1);
+	msg.u.store_result = result;
+	kernel_post(store->kernel, store->self, watch->to, &msg);
+}
+
+/* A read lists what exists; keys that vanished meanwhile are added. */
+static void add_vanished(watch_t *watch, store_result_t *result)
+{
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	guint count = result->kvs->len;
+	gpointer key;
+
+	for (guint i = 0; i < count; i++)
+		g_hash_table_add(
+			listed,
+			g_strdup(
+				g_array_index(result->kvs, store_kv_t, i).key));
+	g_hash_table_iter_init(&iter, watch->present);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (!g_hash_table_contains(listed, key))
+			store_result_add(result, 0, key, result->revision,
+					 NULL);
+	}
+	g_hash_table_iter_init(&iter, listed);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_free(key);
+	g_hash_table_unref(listed);
+}
+
+void watch_read_done(store_t *store, handle_t handle, store_result_t *result)
+{
+	watch_t *watch = table_get(&store->watches, handle);
+
+	if (watch == NULL || result->status != STORE_OK ||
+	    watch->state != WATCH_READING) {
+		if (watch != NULL)
+			retry(store, handle, watch);
+		store_result_free(result);
+		return;
+	}
+	/* An endpoint that lags behind what was delivered is read again. */
+	if (result->revision + 1 < watch->next_revision) {
+		store_result_free(result);
+		retry(store, handle, watch);
+		return;
+	}
+	add_vanished(watch, result);
+	watch->next_revision = result->revision + 1;
+	deliver(store, watch, result);
+	open_stream(store, handle, watch);
+}
+
+static void take_line(store_t *store, handle_t handle, watch_t *watch,
+		      const char *text, size_t len)
+{
+	store_result_t *result = store_result_new(STORE_OK);
+	wire_t wire = store_wire(store);
+
+	switch (wire_parse_watch(&wire, text, len, result)) {
+	case WIRE_WATCH_EVENTS:
+		deliver(store, watch, result);
+		result = NULL;
+		break;
+	case WIRE_WATCH_PROGRESS:
+		if (watch->state == WATCH_OPEN)
+			watch->next_revision =
+				MAX(watch->next_revision, result->revision + 1);
+		break;
+	case WIRE_WATCH_CREATED:
+		watch->state = WATCH_OPEN;
+		watch->backoff = 0;
+		break;
+	case WIRE_WATCH_CANCELED:
+	case WIRE_WATCH_BAD:
+		/* The next read starts from what exists now. */
+		store_result_free(result);
+		log_event(LOG_LEVEL_WARN, "store", "watch_ended", "key=%s",
+			  log_quote(watch->key));
+		retry(store, handle, watch);
+		return;
+	}
+	store_result_free(result);
+	set_timer(store, handle, watch, store->watch_idle_us);
+}
+
+static void take_data(store_t *store, handle_t handle, watch_t *watch,
+		      const char *data, size_t len)
+{
+	const exchange_t *exchange = watch->exchange;
+	const char *end;
+	size_t part;
+
+	while (len > 0 && watch->exchange == exchange) {
+		end = memchr(data, '\n', len);
+		part = end == NULL ? len : (size_t)(end - data);
+		if (watch->line->len + part > STORE_ANSWER_MAX) {
+			retry(store, handle, watch);
+			return;
+		}
+		g_byte_array_append(watch->line, (const guint8 *)data,
+				    (guint)part);
+		if (end == NULL)
+			return;
+		if (watch->line->len > 0)
+			take_line(store, handle, watch,
+				  (const char *)watch->line->data,
+				  watch->line->len);
+		g_byte_array_set_size(watch->line, 0);
+		data = end + 1;
+		len -= part + 1;
+	}
+}
+
+void watch_event(store_t *store, exchange_t *exchange, exchange_event_t event,
+		 const char *data, size_t len)
+{
+	handle_t handle = exchange->owner;
+	watch_t *watch = table_get(&store->watches, handle);
+
+	if (watch == NULL || watch->exchange != exchange)
+		return;
+	switch (event) {
+	case EXCHANGE_DATA:
+		if (exchange->status == 200)
+			take_data(store, handle, watch, data, len);
+		break;
+	case EXCHANGE_END:
+	case EXCHANGE_FAILED:
+		if (!exchange->sent)
+			store->endpoint =
+				(store->endpoint + 1) % store->endpoint_count;
+		retry(store, handle, watch);
+		break;
+	}
+}
+
+void watch_timeout(store_t *store, handle_t handle)
+{
+	watch_t *watch = table_get(&store->watches, handle);
+
+	if (watch == NULL)
+		return;
+	switch (watch->state) {
+	case WATCH_READING:
+		break;
+	case WATCH_WAITING:
+		read_keys(store, handle, watch);
+		break;
+	case WATCH_OPENING:
+		store->endpoint = (store->endpoint + 1) % store->endpoint_count;
+		retry(store, handle, watch);
+		break;
+	case WATCH_OPEN:
+		/*
+		 * Silence is either no change or a dead connection.  A new
+		 * stream continues where this one stopped.
+		 */
+		open_stream(store, handle, watch);
+		break;
+	}
+}
+
+void watch_drop_all(store_t *store)
+{
+	uint32_t cursor = 0;
+	handle_t handle;
+	watch_t *watch;
+
+	while ((watch = table_next(&store->watches, &cursor, &handle)) !=
+	       NULL) {
+		close_stream(watch);
+		kernel_timer_cancel(store->kernel, &watch->timer);
+		g_byte_array_unref(watch->line);
+		g_hash_table_unref(watch->present);
+		table_remove(&store->watches, handle);
+	}
+}
--- /dev/null
+++ b/store/wire.c
@@ -0,0 +1,579 @@
+#include "store/wire.h"
+
+#include "log/log.h"
+#include "store/codec.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* --- requests ----------------------------------------------------------- */
+
+static void put_base64(GString *out, const char *name, const char *data,
+		       size_t len)
+{
+	gchar *text = g_base64_encode((const guchar *)data, len);
+
+	g_string_append_printf(out, "\"%s\":\"%s\"", name, text);
+	g_free(text);
+}
+
+static void put_key(GString *out, const wire_t *wire, const char *key)
+{
+	gchar *full = g_strconcat(wire->key_prefix, key, NULL);
+
+	put_base64(out, "key", full, strlen(full));
+	g_free(full);
+}
+
+static void put_span(GString *out, const wire_t *wire, const char *key,
+		     bool prefix, const char *after)
+{
+	gchar *full = g_strconcat(wire->key_prefix, key, NULL);
+	size_t len = strlen(full);
+	gchar *start;
+
+	if (after == NULL) {
+		put_base64(out, "key", full, len);
+	} else {
+		/* The next possible key is the last one and a NUL byte. */
+		start = g_strconcat(wire->key_prefix, after, NULL);
+		put_base64(out, "key", start, strlen(start) + 1);
+		g_free(start);
+	}
+	if (prefix) {
+		/* Keys are ASCII: the last byte can be raised by one. */
+		full[len - 1]++;
+		g_string_append_c(out, ',');
+		put_base64(out, "range_end", full, len);
+	}
+	g_free(full);
+}
+
+gchar *wire_range(const wire_t *wire, const wire_range_t *range)
+{
+	GString *out = g_string_new("{");
+
+	put_span(out, wire, range->key, range->prefix, range->after);
+	if (range->revision > 0)
+		g_string_append_printf(out,
+				       ",\"revision\":\"%" G_GINT64_FORMAT "\"",
+				       range->revision);
+	if (range->prefix)
+		g_string_append_printf(out, ",\"limit\":\"%d\"", range->limit);
+	g_string_append_c(out, '}');
+	return g_string_free(out, FALSE);
+}
+
+static void put_compare(GString *out, const wire_t *wire, const store_op_t *op)
+{
+	g_string_append_c(out, '{');
+	put_key(out, wire, op->key);
+	if (op->expect == EXPECT_ABSENT)
+		g_string_append(out, ",\"target\":\"CREATE\","
+				     "\"create_revision\":\"0\"");
+	else
+		g_string_append_printf(out,
+				       ",\"target\":\"MOD\",\"mod_revision\":"
+				       "\"%" G_GINT64_FORMAT "\"",
+				       op->expect);
+	g_string_append(out, ",\"result\":\"EQUAL\"}");
+}
+
+static bool put_put(GString *out, const wire_t *wire, const store_op_t *op,
+		    errmsg_t *err)
+{
+	GString *value = g_string_new(NULL);
+	bool ok = codec_encode(&op->record, value, err);
+
+	if (ok) {
+		g_string_append(out, "{\"request_put\":{");
+		put_key(out, wire, op->key);
+		g_string_append_c(out, ',');
+		put_base64(out, "value", value->str, value->len);
+		if (op->lease != 0)
+			g_string_append_printf(
+				out, ",\"lease\":\"%" G_GINT64_FORMAT "\"",
+				op->lease);
+		g_string_append(out, "}}");
+	}
+	g_string_free(value, TRUE);
+	return ok;
+}
+
+typedef struct group_text_t {
+	GString *compare;
+	GString *success;
+	GString *failure;
+} group_text_t;
+
+static void separate(GString *out)
+{
+	if (out->len > 0)
+		g_string_append_c(out, ',');
+}
+
+static bool put_op(group_text_t *text, const wire_t *wire, const store_op_t *op,
+		   errmsg_t *err)
+{
+	if (op->expect != EXPECT_ANY) {
+		separate(text->compare);
+		put_compare(text->compare, wire, op);
+	}
+	separate(text->failure);
+	g_string_append(text->failure, "{\"request_range\":{");
+	put_key(text->failure, wire, op->key);
+	g_string_append(text->failure, "}}");
+	switch (op->kind) {
+	case STORE_PUT:
+		separate(text->success);
+		return put_put(text->success, wire, op, err);
+	case STORE_DELETE:
+		separate(text->success);
+		g_string_append(text->success, "{\"request_delete_range\":{");
+		put_key(text->success, wire, op->key);
+		g_string_append(text->success, "}}");
+		return true;
+	case STORE_CHECK:
+		return true;
+	}
+	return false;
+}
+
+/* Appends the operations of one group as a nested transaction. */
+static bool put_group(GString *out, const wire_t *wire, const store_txn_t *txn,
+		      guint *at, errmsg_t *err)
+{
+	group_text_t text = {g_string_new(NULL), g_string_new(NULL),
+			     g_string_new(NULL)};
+	uint32_t group = g_array_index(txn->ops, store_op_t, *at).group;
+	guint first = *at;
+	bool ok = true;
+
+	for (; ok && *at < txn->ops->len; (*at)++) {
+		const store_op_t *op =
+			&g_array_index(txn->ops, store_op_t, *at);
+
+		if (op->group != group)
+			break;
+		ok = put_op(&text, wire, op, err);
+	}
+	if (ok && *at - first > STORE_GROUP_OPS_MAX) {
+		errmsg_set(err, "too many operations in a group");
+		ok = false;
+	}
+	g_string_append_printf(out,
+			       "{\"request_txn\":{\"compare\":[%s],"
+			       "\"success\":[%s],\"failure\":[%s]}}",
+			       text.compare->str, text.success->str,
+			       text.failure->str);
+	g_string_free(text.compare, TRUE);
+	g_string_free(text.success, TRUE);
+	g_string_free(text.failure, TRUE);
+	return ok;
+}
+
+gchar *wire_txn(const wire_t *wire, const store_txn_t *txn, errmsg_t *err)
+{
+	GString *out = g_string_new("{\"success\":[");
+	uint32_t group = 0;
+	bool ok = true;
+
+	if (txn->group_count == 0 || txn->group_count > STORE_GROUPS_MAX) {
+		errmsg_set(err, "no group or too many groups");
+		ok = false;
+	}
+	for (guint at = 0; ok && at < txn->ops->len; group++) {
+		if (group > 0)
+			g_string_append_c(out, ',');
+		if (g_array_index(txn->ops, store_op_t, at).group != group) {
+			errmsg_set(err, "empty group");
+			ok = false;
+		}
+		ok = ok && put_group(out, wire, txn, &at, err);
+	}
+	if (ok && group != txn->group_count) {
+		errmsg_set(err, "empty group");
+		ok = false;
+	}
+	g_string_append(out, "]}");
+	if (ok)
+		return g_string_free(out, FALSE);
+	g_string_free(out, TRUE);
+	return NULL;
+}
+
+gchar *wire_lease_grant(int32_t ttl_s)
+{
+	return g_strdup_printf("{\"TTL\":\"%d\"}", ttl_s);
+}
+
+gchar *wire_lease_id(int64_t lease)
+{
+	return g_strdup_printf("{\"ID\":\"%" G_GINT64_FORMAT "\"}", lease);
+}
+
+gchar *wire_watch(const wire_t *wire, const char *key, bool prefix,
+		  int64_t start_revision)
+{
+	GString *out = g_string_new("{\"create_request\":{");
+
+	put_span(out, wire, key, prefix, NULL);
+	g_string_append_printf(out,
+			       ",\"start_revision\":\"%" G_GINT64_FORMAT
+			       "\",\"progress_notify\":true}}",
+			       start_revision);
+	return g_string_free(out, FALSE);
+}
+
+/* --- answers ------------------------------------------------------------ */
+
+static JsonParser *parse(const char *text, size_t len, JsonObject **root)
+{
+	JsonParser *parser;
+	JsonNode *node;
+
+	if (!codec_text_ok(text, len, WIRE_DEPTH_MAX))
+		return NULL;
+	parser = json_parser_new_immutable();
+	if (json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
+		node = json_parser_get_root(parser);
+		if (node != NULL && JSON_NODE_HOLDS_OBJECT(node)) {
+			*root = json_node_get_object(node);
+			return parser;
+		}
+	}
+	g_object_unref(parser);
+	return NULL;
+}
+
+static JsonObject *member_object(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	return node != NULL && JSON_NODE_HOLDS_OBJECT(node)
+		       ? json_node_get_object(node)
+		       : NULL;
+}
+
+static JsonArray *member_array(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	return node != NULL && JSON_NODE_HOLDS_ARRAY(node)
+		       ? json_node_get_array(node)
+		       : NULL;
+}
+
+static JsonObject *element_object(JsonArray *array, guint i)
+{
+	JsonNode *node;
+
+	if (array == NULL || i >= json_array_get_length(array))
+		return NULL;
+	node = json_array_get_element(array, i);
+	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
+}
+
+static bool member_bool(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	return node != NULL &&
+	       json_node_get_value_type(node) == G_TYPE_BOOLEAN &&
+	       json_node_get_boolean(node);
+}
+
+/* A decimal string or a number; an absent member is 0. */
+static bool member_int(JsonObject *object, const char *name, int64_t *out)
+{
+	JsonNode *node = json_object_get_member(object, name);
+	GType type;
+
+	*out = 0;
+	if (node == NULL)
+		return true;
+	type = json_node_get_value_type(node);
+	if (type == G_TYPE_INT64)
+		*out = json_node_get_int(node);
+	else if (type != G_TYPE_STRING ||
+		 !g_ascii_string_to_signed(json_node_get_string(node), 10, 0,
+					   INT64_MAX, out, NULL))
+		return false;
+	return *out >= 0;
+}
+
+static bool header_revision(JsonObject *object, int64_t *revision)
+{
+	JsonObject *header = member_object(object, "header");
+
+	return header != NULL && member_int(header, "revision", revision);
+}
+
+/* Decodes a base64 member; *out is terminated and owned by the caller. */
+static bool member_base64(JsonObject *object, const char *name, guchar **out,
+			  gsize *len)
+{
+	JsonNode *node = json_object_get_member(object, name);
+	const char *text;
+
+	*out = NULL;
+	if (node == NULL) {
+		*out = g_malloc0(1);
+		*len = 0;
+		return true;
+	}
+	if (json_node_get_value_type(node) != G_TYPE_STRING)
+		return false;
+	text = json_node_get_string(node);
+	*out = g_base64_decode(text, len);
+	*out = g_realloc(*out, *len + 1);
+	(*out)[*len] = '\0';
+	return true;
+}
+
+static void count_invalid(const wire_t *wire, const char *key,
+			  const char *reason)
+{
+	metrics_add(wire->metrics, COUNTER_STORE_INVALID, 1);
+	log_event(LOG_LEVEL_WARN, "store", "invalid_value", "key=%s reason=%s",
+		  log_quote(key), log_quote(reason));
+}
+
+/* Strips the prefix; false for a key that isn't one of ours. */
+static bool kv_key(const wire_t *wire, JsonObject *kv, char out[STORE_KEY_SIZE])
+{
+	size_t prefix_len = strlen(wire->key_prefix);
+	guchar *key;
+	gsize len;
+	bool ok;
+
+	if (!member_base64(kv, "key", &key, &len))
+		return false;
+	ok = len > prefix_len && len - prefix_len < STORE_KEY_SIZE &&
+	     memchr(key, '\0', len) == NULL &&
+	     memcmp(key, wire->key_prefix, prefix_len) == 0;
+	if (ok)
+		g_strlcpy(out, (const char *)key + prefix_len, STORE_KEY_SIZE);
+	else
+		count_invalid(wire, (const char *)key, "malformed key");
+	g_free(key);
+	return ok;
+}
+
+/* Adds one key and value; a value that can't be decoded is RECORD_INVALID. */
+static bool add_kv(const wire_t *wire, JsonObject *kv, uint32_t group,
+		   store_result_t *result)
+{
+	char key[STORE_KEY_SIZE];
+	errmsg_t err = {""};
+	record_t record;
+	int64_t revision;
+	guchar *value;
+	gsize len;
+
+	if (kv == NULL || !member_int(kv, "mod_revision", &revision) ||
+	    revision == 0)
+		return false;
+	if (!kv_key(wire, kv, key))
+		return true;
+	if (!member_base64(kv, "value", &value, &len))
+		return false;
+	if (!codec_decode(key, (const char *)value, len, &record, &err))
+		count_invalid(wire, key, err.text);
+	store_result_add(result, group, key, revision, &record);
+	record_clear(&record);
+	g_free(value);
+	return true;
+}
+
+static bool last_key(const wire_t *wire, JsonObject *kv,
+		     char last[STORE_KEY_SIZE])
+{
+	return kv != NULL && kv_key(wire, kv, last);
+}
+
+bool wire_parse_range(const wire_t *wire, const char *text, size_t len,
+		      store_result_t *result, char last[STORE_KEY_SIZE])
+{
+	JsonParser *parser;
+	JsonObject *root;
+	JsonArray *kvs;
+	guint count;
+	bool ok;
+
+	parser = parse(text, len, &root);
+	if (parser == NULL)
+		return false;
+	ok = header_revision(root, &result->revision);
+	kvs = member_array(root, "kvs");
+	count = kvs == NULL ? 0 : json_array_get_length(kvs);
+	for (guint i = 0; ok && i < count; i++)
+		ok = add_kv(wire, element_object(kvs, i), 0, result);
+	result->more = member_bool(root, "more");
+	if (ok && result->more)
+		ok = count > 0 &&
+		     last_key(wire, element_object(kvs, count - 1), last);
+	g_object_unref(parser);
+	return ok;
+}
+
+/* The present state of one key of a group that did not commit. */
+static bool add_failure(const wire_t *wire, JsonObject *response,
+			const store_op_t *op, store_result_t *result)
+{
+	JsonObject *range;
+	JsonArray *kvs;
+
+	if (response == NULL)
+		return false;
+	range = member_object(response, "response_range");
+	if (range == NULL)
+		return false;
+	kvs = member_array(range, "kvs");
+	if (kvs == NULL || json_array_get_length(kvs) == 0) {
+		store_result_add(result, op->group, op->key, 0, NULL);
+		return true;
+	}
+	return add_kv(wire, element_object(kvs, 0), op->group, result);
+}
+
+static bool add_group(const wire_t *wire, JsonObject *response,
+		      const store_txn_t *txn, uint32_t group,
+		      store_result_t *result)
+{
+	JsonObject *nested;
+	JsonArray *list;
+	bool committed;
+	guint at = 0;
+
+	if (response == NULL)
+		return false;
+	nested = member_object(response, "response_txn");
+	if (nested == NULL)
+		return false;
+	committed = member_bool(nested, "succeeded");
+	g_array_append_val(result->committed, committed);
+	if (committed)
+		return true;
+	list = member_array(nested, "responses");
+	for (guint i = 0; i < txn->ops->len; i++) {
+		const store_op_t *op = &g_array_index(txn->ops, store_op_t, i);
+
+		if (op->group == group &&
+		    !add_failure(wire, element_object(list, at++), op, result))
+			return false;
+	}
+	return true;
+}
+
+bool wire_parse_txn(const wire_t *wire, const char *text, size_t len,
+		    const store_txn_t *txn, store_result_t *result)
+{
+	JsonParser *parser;
+	JsonObject *root;
+	JsonArray *responses;
+	bool ok;
+
+	parser = parse(text, len, &root);
+	if (parser == NULL)
+		return false;
+	ok = header_revision(root, &result->revision) &&
+	     member_bool(root, "succeeded");
+	responses = member_array(root, "responses");
+	for (uint32_t group = 0; ok && group < txn->group_count; group++)
+		ok = add_group(wire, element_object(responses, group), txn,
+			       group, result);
+	g_object_unref(parser);
+	return ok;
+}
+
+/* Grants answer plainly, keepalives within "result". */
+bool wire_parse_lease(const char *text, size_t len, store_result_t *result)
+{
+	JsonParser *parser;
+	JsonObject *root, *inner;
+	int64_t ttl = 0;
+	bool ok;
+
+	parser = parse(text, len, &root);
+	if (parser == NULL)
+		return false;
+	inner = member_object(root, "result");
+	if (inner == NULL)
+		inner = root;
+	ok = header_revision(inner, &result->revision) &&
+	     member_int(inner, "ID", &result->lease) &&
+	     member_int(inner, "TTL", &ttl) && ttl <= INT32_MAX;
+	result->lease_ttl_s = (int32_t)ttl;
+	g_object_unref(parser);
+	return ok;
+}
+
+static bool add_event(const wire_t *wire, JsonObject *event,
+		      store_result_t *result)
+{
+	char key[STORE_KEY_SIZE];
+	const char *type = NULL;
+	JsonObject *kv;
+	JsonNode *node;
+	int64_t revision;
+
+	if (event == NULL)
+		return false;
+	kv = member_object(event, "kv");
+	if (kv == NULL || !member_int(kv, "mod_revision", &revision) ||
+	    revision == 0)
+		return false;
+	/*
+	 * The header's revision may be ahead of what was delivered; only the
+	 * revisions of the events themselves are complete.
+	 */
+	result->revision = MAX(result->revision, revision);
+	node = json_object_get_member(event, "type");
+	if (node != NULL && json_node_get_value_type(node) == G_TYPE_STRING)
+		type = json_node_get_string(node);
+	if (type == NULL || strcmp(type, "DELETE") != 0)
+		return add_kv(wire, kv, 0, result);
+	if (kv_key(wire, kv, key))
+		store_result_add(result, 0, key, revision, NULL);
+	return true;
+}
+
+static wire_watch_kind_t parse_watch_result(const wire_t *wire,
+					    JsonObject *inner,
+					    store_result_t *result)
+{
+	JsonArray *events = member_array(inner, "events");
+	guint count = events == NULL ? 0 : json_array_get_length(events);
+
+	if (member_bool(inner, "canceled"))
+		return WIRE_WATCH_CANCELED;
+	if (member_bool(inner, "created") && count == 0)
+		return WIRE_WATCH_CREATED;
+	if (count == 0)
+		return header_revision(inner, &result->revision)
+			       ? WIRE_WATCH_PROGRESS
+			       : WIRE_WATCH_BAD;
+	for (guint i = 0; i < count; i++) {
+		if (!add_event(wire, element_object(events, i), result))
+			return WIRE_WATCH_BAD;
+	}
+	return WIRE_WATCH_EVENTS;
+}
+
+wire_watch_kind_t wire_parse_watch(const wire_t *wire, const char *text,
+				   size_t len, store_result_t *result)
+{
+	wire_watch_kind_t kind = WIRE_WATCH_BAD;
+	JsonObject *root, *inner;
+	JsonParser *parser;
+
+	parser = parse(text, len, &root);
+	if (parser == NULL)
+		return WIRE_WATCH_BAD;
+	inner = member_object(root, "result");
+	if (inner != NULL)
+		kind = parse_watch_result(wire, inner, result);
+	g_object_unref(parser);
+	return kind;
+}
