--- /dev/null
+++ b/conf/conf.c
@@ -0,0 +1,312 @@
+#include "conf/conf.h"
+
+#include "conf/entry.h"
+#include "log/log.h"
+
+#include <string.h>
+
+typedef enum conf_timer_t {
+	CONF_TIMER_PUBLISH,
+	CONF_TIMER_EXPIRY,
+} conf_timer_t;
+
+typedef struct subscriber_t {
+	svc_t svc;
+	handle_t ref;
+} subscriber_t;
+
+static void send_snapshot(conf_t *conf, const subscriber_t *subscriber)
+{
+	msg_t msg = {.kind = MSG_CONF_CHANGED, .ref = subscriber->ref};
+
+	msg.u.conf = conf_snapshot_ref(conf->snapshot);
+	kernel_post(conf->kernel, conf->self, subscriber->svc, &msg);
+}
+
+static void subscribe(conf_t *conf, const msg_t *msg)
+{
+	subscriber_t subscriber = {msg->from, msg->id};
+
+	g_array_append_val(conf->subscribers, subscriber);
+	send_snapshot(conf, &subscriber);
+}
+
+static void set_expiry_timer(conf_t *conf)
+{
+	int64_t next = entries_next_expiry(conf->entries);
+	int64_t wait;
+
+	kernel_timer_cancel(conf->kernel, &conf->expiry_timer);
+	if (next == 0)
+		return;
+	wait = next - kernel_wall(conf->kernel) / USEC_PER_MSEC;
+	wait = CLAMP(wait, 0, CONF_QUARANTINE_CHECK_MS) * USEC_PER_MSEC;
+	conf->expiry_timer = kernel_timer(conf->kernel, conf->self, wait,
+					  HANDLE_NONE, CONF_TIMER_EXPIRY);
+}
+
+static void publish(conf_t *conf)
+{
+	conf->publish_timer = HANDLE_NONE;
+	conf->published = kernel_now(conf->kernel);
+	entries_expire(conf->entries,
+		       kernel_wall(conf->kernel) / USEC_PER_MSEC);
+	conf_snapshot_unref(conf->snapshot);
+	conf->snapshot = entries_snapshot(conf->entries, conf->complete);
+	metrics_set(conf->kernel->metrics, GAUGE_CONF_REVISION, conf->complete);
+	set_expiry_timer(conf);
+	for (guint i = 0; i < conf->subscribers->len; i++)
+		send_snapshot(conf, &g_array_index(conf->subscribers,
+						   subscriber_t, i));
+}
+
+/*
+ * Publishes after the messages that are queued now, so that a burst makes one
+ * snapshot.  Nothing is published while the first configuration is
+ * incomplete: it would refuse callers whose records are still on the way.
+ */
+static void publish_soon(conf_t *conf)
+{
+	int64_t wait;
+
+	if (!conf->loaded || !handle_is_none(conf->publish_timer))
+		return;
+	wait = conf->published + CONF_PUBLISH_MS * USEC_PER_MSEC -
+	       kernel_now(conf->kernel);
+	conf->publish_timer =
+		kernel_timer(conf->kernel, conf->self, MAX(wait, 0),
+			     HANDLE_NONE, CONF_TIMER_PUBLISH);
+}
+
+/* Applies what is newer; returns whether anything changed. */
+static bool apply_all(conf_t *conf, const GArray *kvs, int64_t *highest)
+{
+	bool changed = false;
+
+	for (guint i = 0; i < kvs->len; i++) {
+		const store_kv_t *kv = &g_array_index(kvs, store_kv_t, i);
+
+		*highest = MAX(*highest, kv->revision);
+		switch (entries_apply(conf->entries, kv)) {
+		case APPLY_NEW:
+			metrics_add(conf->kernel->metrics, COUNTER_CONF_CHANGES,
+				    1);
+			changed = true;
+			break;
+		case APPLY_SAME:
+			break;
+		case APPLY_STALE:
+			metrics_add(conf->kernel->metrics, COUNTER_CONF_STALE,
+				    1);
+			break;
+		case APPLY_REFUSED:
+			log_event(LOG_LEVEL_WARN, "conf", "record_refused",
+				  "key=%s revision=%" G_GINT64_FORMAT
+				  " reason=%s",
+				  log_quote(kv->key), kv->revision,
+				  kv->record.kind == RECORD_NONE ? "deleted"
+								 : "invalid");
+			break;
+		}
+	}
+	return changed;
+}
+
+static void advance(conf_t *conf, int64_t complete, bool changed)
+{
+	if (complete > conf->complete) {
+		conf->complete = complete;
+		changed = true;
+	}
+	if (changed)
+		publish_soon(conf);
+}
+
+/*
+ * The store's events have no gaps, so each is complete up to the highest
+ * revision in it.  The header's revision also counts other keys' writes: with
+ * it, peers that hold the same records would differ and pull without end.
+ */
+static void on_store_event(conf_t *conf, const store_result_t *result)
+{
+	int64_t highest = 0;
+	bool first = !conf->loaded;
+	bool changed;
+
+	if (result->status != STORE_OK)
+		return;
+	conf->store_answered = true;
+	conf->loaded = true;
+	changed = apply_all(conf, result->kvs, &highest);
+	advance(conf, highest, changed || first);
+}
+
+/* --- exchange with peers -------------------------------------------------- */
+
+static void send_to_peer(conf_t *conf, const char *incarnation,
+			 peer_body_t *body)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	g_strlcpy(msg.u.peer.incarnation, incarnation,
+		  sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = body;
+	kernel_post(conf->kernel, conf->self, conf->peer, &msg);
+}
+
+/* One pull at a time; one that gets no answer is given up. */
+static void pull(conf_t *conf, const char *incarnation)
+{
+	peer_body_t *body;
+	int64_t now = kernel_now(conf->kernel);
+
+	if (conf->pull_peer[0] != '\0' && now < conf->pull_until)
+		return;
+	g_strlcpy(conf->pull_peer, incarnation, sizeof(conf->pull_peer));
+	conf->pull_until = now + CONF_PULL_TIMEOUT_MS * USEC_PER_MSEC;
+	body = peer_body_new(PEER_CONF_PULL);
+	body->u.conf_pull.from_revision = conf->complete;
+	send_to_peer(conf, incarnation, body);
+}
+
+static void on_pull(conf_t *conf, const char *incarnation, int64_t from)
+{
+	peer_body_t *body = peer_body_new(PEER_CONF_ITEMS);
+
+	body->u.conf_items.up_to_revision =
+		entries_items(conf->entries, MAX(from, 0), conf->complete,
+			      body->u.conf_items.kvs);
+	send_to_peer(conf, incarnation, body);
+}
+
+/*
+ * Records are applied whoever sent them.  The frame's claim to be complete is
+ * taken only from the peer that was asked: its frame starts at a revision
+ * that this process was complete to when it asked, and still is.
+ */
+static void on_items(conf_t *conf, const char *incarnation,
+		     const peer_body_t *body)
+{
+	bool asked = strcmp(conf->pull_peer, incarnation) == 0 &&
+		     conf->pull_peer[0] != '\0';
+	int64_t before = conf->complete;
+	int64_t highest = 0;
+	bool changed;
+
+	changed = apply_all(conf, body->u.conf_items.kvs, &highest);
+	advance(conf, asked ? body->u.conf_items.up_to_revision : 0, changed);
+	if (!asked)
+		return;
+	conf->pull_peer[0] = '\0';
+	if (conf->complete > before) {
+		/* There may be more; an empty frame ends the exchange. */
+		pull(conf, incarnation);
+	} else if (conf->complete > 0 && !conf->loaded) {
+		conf->loaded = true;
+		publish_soon(conf);
+	}
+}
+
+static void on_peer(conf_t *conf, const msg_t *msg)
+{
+	const char *incarnation = msg->u.peer.incarnation;
+	const peer_body_t *body = msg->u.peer.body;
+
+	switch (body->kind) {
+	case PEER_HEARTBEAT:
+		if (body->u.heartbeat.conf_revision > conf->complete)
+			pull(conf, incarnation);
+		break;
+	case PEER_CONF_PULL:
+		on_pull(conf, incarnation, body->u.conf_pull.from_revision);
+		break;
+	case PEER_CONF_ITEMS:
+		on_items(conf, incarnation, body);
+		break;
+	default:
+		break;
+	}
+}
+
+/* --- service ---------------------------------------------------------------
+ */
+
+static void on_start(conf_t *conf)
+{
+	msg_t msg = {.kind = MSG_STORE_WATCH};
+
+	conf->store = kernel_find(conf->kernel, "store");
+	conf->peer = kernel_find(conf->kernel, "peer");
+	g_strlcpy(msg.u.store_get.key, CONF_PREFIX,
+		  sizeof(msg.u.store_get.key));
+	msg.u.store_get.prefix = true;
+	kernel_post(conf->kernel, conf->self, conf->store, &msg);
+}
+
+static void on_timer(conf_t *conf, const msg_t *msg)
+{
+	switch ((conf_timer_t)msg->u.timer.what) {
+	case CONF_TIMER_PUBLISH:
+		publish(conf);
+		break;
+	case CONF_TIMER_EXPIRY:
+		conf->expiry_timer = HANDLE_NONE;
+		if (entries_expire(conf->entries, kernel_wall(conf->kernel) /
+							  USEC_PER_MSEC) > 0)
+			publish_soon(conf);
+		else
+			set_expiry_timer(conf);
+		break;
+	}
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	conf_t *conf = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		on_start(conf);
+		break;
+	case MSG_TIMER:
+		on_timer(conf, msg);
+		break;
+	case MSG_CONF_SUBSCRIBE:
+		subscribe(conf, msg);
+		break;
+	case MSG_STORE_EVENT:
+		on_store_event(conf, msg->u.store_result);
+		break;
+	case MSG_PEER_RECEIVED:
+		on_peer(conf, msg);
+		break;
+	case MSG_PEER_UP:
+		if (!conf->store_answered)
+			pull(conf, msg->u.peer_addr.incarnation);
+		break;
+	default:
+		break;
+	}
+}
+
+void conf_init(conf_t *conf, kernel_t *kernel)
+{
+	memset(conf, 0, sizeof(*conf));
+	conf->kernel = kernel;
+	conf->entries = entries_new();
+	conf->subscribers = g_array_new(FALSE, FALSE, sizeof(subscriber_t));
+	conf->snapshot = conf_snapshot_new();
+	conf->published = kernel_now(kernel) - CONF_PUBLISH_MS * USEC_PER_MSEC;
+	conf->self = kernel_register(kernel, "conf", receive, conf);
+}
+
+void conf_finish(conf_t *conf)
+{
+	kernel_timer_cancel(conf->kernel, &conf->publish_timer);
+	kernel_timer_cancel(conf->kernel, &conf->expiry_timer);
+	kernel_unregister(conf->kernel, conf->self);
+	conf_snapshot_unref(conf->snapshot);
+	g_array_unref(conf->subscribers);
+	g_tree_unref(conf->entries);
+	memset(conf, 0, sizeof(*conf));
+}
