Add the request service

Cause: nothing carries a request from its admission to its last byte. Change: the service request with its retry rules, retry budget and quarantine; MSG_CLAIM_FORGET and target_failed.not_run in kernel/msg.h.

--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -338,7 +338,8 @@
 	MSG_CLAIM_RESULT,
 	MSG_CLAIM_DONE,
 	MSG_CLAIM_STORED,
-	MSG_CLAIM_ABORT,
+	MSG_CLAIM_ABORT, /* surely not run: the claim may be taken again */
+	MSG_CLAIM_FORGET, /* the outcome is unknown: the claim stays open */
 
 	MSG_ROUTE_ASK, /* request -> route */
 	MSG_ROUTE_PICKED,
@@ -544,6 +545,9 @@
 			failure_t failure;
 			bool reset; /* the connection was reset or closed early
 				     */
+			bool not_run; /* the target states that it did not run
+				       * the request
+				       */
 		} target_failed;
 
 		struct {
--- /dev/null
+++ b/request/answer.c
@@ -0,0 +1,242 @@
+#include "request/life.h"
+
+/*
+ * Bytes of an answer that is not streamed and is kept back, so that a retry
+ * stays possible before the caller has seen a byte.
+ */
+#define BUFFER_MAX (64 * 1024)
+/* Wait for the outcome's record before the last byte. */
+#define STORE_WAIT_US (200 * USEC_PER_MSEC)
+/*
+ * Without the target's usage the prompt is counted as a tokeniser's usual
+ * four bytes a token.
+ */
+#define PROMPT_BYTES_PER_TOKEN 4
+
+int64_t answer_estimate(const request_t *request, int64_t generated)
+{
+	int64_t bytes = 0;
+
+	if (request->service.kind == SERVICE_PLAIN)
+		return request->worst_tokens;
+	if (request->spec->body != NULL)
+		bytes = (int64_t)g_bytes_get_size(request->spec->body);
+	return MIN(bytes / PROMPT_BYTES_PER_TOKEN + generated,
+		   request->worst_tokens);
+}
+
+static void post_head(request_svc_t *svc, request_t *request, bool replayed)
+{
+	msg_t msg = {.kind = MSG_REPLY_HEAD,
+		     .ref = request->front_id,
+		     .id = request->self};
+
+	request->head_sent = true;
+	msg.u.head.status = request->status;
+	msg.u.head.replayed = replayed;
+	g_strlcpy(msg.u.head.content_type, request->content_type,
+		  sizeof(msg.u.head.content_type));
+	g_strlcpy(msg.u.head.idem_key, request->idem_key,
+		  sizeof(msg.u.head.idem_key));
+	kernel_post(svc->kernel, svc->self, request->front, &msg);
+}
+
+static void post_data(request_svc_t *svc, const request_t *request,
+		      GBytes *bytes)
+{
+	msg_t msg = {.kind = MSG_REPLY_DATA,
+		     .ref = request->front_id,
+		     .id = request->self};
+
+	msg.u.data.bytes = bytes;
+	kernel_post(svc->kernel, svc->self, request->front, &msg);
+}
+
+static void post_end(request_svc_t *svc, const request_t *request)
+{
+	msg_t msg = {.kind = MSG_REPLY_END,
+		     .ref = request->front_id,
+		     .id = request->self};
+
+	msg.u.end.billed_tokens = request->billed;
+	kernel_post(svc->kernel, svc->self, request->front, &msg);
+	metrics_add(svc->kernel->metrics, COUNTER_ANSWERS, 1);
+}
+
+/* Passes on what is held but the last chunks, as many as keep. */
+static void pass_on(request_svc_t *svc, request_t *request, guint keep)
+{
+	GBytes *bytes;
+
+	while (request->held.length > keep) {
+		bytes = g_queue_pop_head(&request->held);
+		request->held_bytes -= g_bytes_get_size(bytes);
+		if (request->caller_gone) {
+			g_bytes_unref(bytes);
+			continue;
+		}
+		if (!request->head_sent)
+			post_head(svc, request, false);
+		post_data(svc, request, bytes);
+	}
+}
+
+static void keep_outcome(request_t *request, GBytes *bytes)
+{
+	gsize size;
+	const guint8 *data = g_bytes_get_data(bytes, &size);
+
+	if (request->outcome == NULL)
+		return;
+	if (request->outcome->len + size > OUTCOME_BODY_MAX) {
+		g_byte_array_unref(request->outcome);
+		request->outcome = NULL;
+		return;
+	}
+	g_byte_array_append(request->outcome, data, (guint)size);
+}
+
+void answer_add(request_svc_t *svc, request_t *request, GBytes *bytes)
+{
+	if (!handle_is_none(request->claim))
+		keep_outcome(request, bytes);
+	g_queue_push_tail(&request->held, bytes);
+	request->held_bytes += g_bytes_get_size(bytes);
+	if (request->held_bytes > BUFFER_MAX)
+		request->passing = true;
+	/* The last chunk waits for the bill. */
+	if (request->passing)
+		pass_on(svc, request, 1);
+}
+
+void answer_reset(request_t *request)
+{
+	GBytes *bytes;
+
+	while ((bytes = g_queue_pop_head(&request->held)) != NULL)
+		g_bytes_unref(bytes);
+	request->held_bytes = 0;
+	request->status = 0;
+	if (request->outcome != NULL)
+		g_byte_array_set_size(request->outcome, 0);
+}
+
+static void finish(request_svc_t *svc, request_t *request)
+{
+	if (request->caller_gone) {
+		life_end(svc, request, "caller_gone");
+		return;
+	}
+	pass_on(svc, request, 0);
+	if (!request->head_sent)
+		post_head(svc, request, false);
+	post_end(svc, request);
+	life_end(svc, request, "answered");
+}
+
+/* A replay always is of a billed answer: stored only once it is billed. */
+static void store_outcome(request_svc_t *svc, request_t *request)
+{
+	msg_t msg = {.kind = MSG_CLAIM_DONE, .ref = request->claim};
+	outcome_t *outcome = &msg.u.claim_done.outcome;
+
+	request->state = REQUEST_STORING;
+	msg.id = request->self;
+	outcome->status = request->status;
+	outcome->tokens = request->billed;
+	g_strlcpy(outcome->content_type, request->content_type,
+		  sizeof(outcome->content_type));
+	if (request->outcome != NULL)
+		outcome->body = g_byte_array_free_to_bytes(request->outcome);
+	request->outcome = NULL;
+	kernel_post(svc->kernel, svc->self, svc->claims, &msg);
+	life_step_timer(svc, request, STORE_WAIT_US);
+}
+
+static void after_bill(request_svc_t *svc, request_t *request)
+{
+	kernel_timer_cancel(svc->kernel, &request->deadline_timer);
+	request->reservation = HANDLE_NONE;
+	if (request->over_limit)
+		life_refuse(svc, request, REFUSAL_TARGET_FAILED, 0);
+	else if (!handle_is_none(request->claim))
+		store_outcome(svc, request);
+	else
+		finish(svc, request);
+}
+
+void answer_complete(request_svc_t *svc, request_t *request, int64_t tokens)
+{
+	msg_t msg = {.kind = MSG_BILL,
+		     .ref = request->reservation,
+		     .id = request->self};
+
+	request->state = REQUEST_BILLING;
+	if (tokens == 0) {
+		/*
+		 * Released instead of billed: a bill of 0 tokens would make
+		 * a later run under the same key free of charge.
+		 */
+		msg.kind = MSG_RELEASE;
+		kernel_post(svc->kernel, svc->self, svc->ledger, &msg);
+		after_bill(svc, request);
+		return;
+	}
+	request->billed = MIN(tokens, request->worst_tokens);
+	g_strlcpy(msg.u.bill.idem_key, request->idem_key,
+		  sizeof(msg.u.bill.idem_key));
+	g_strlcpy(msg.u.bill.fingerprint, request->spec->fingerprint,
+		  sizeof(msg.u.bill.fingerprint));
+	msg.u.bill.tokens = request->billed;
+	kernel_post(svc->kernel, svc->self, svc->ledger, &msg);
+}
+
+void answer_billed(request_svc_t *svc, const msg_t *msg)
+{
+	request_t *request = table_get(&svc->requests, msg->ref);
+
+	if (request == NULL || request->state != REQUEST_BILLING)
+		return;
+	switch (msg->u.billed.result) {
+	case BILL_RECORDED:
+		break;
+	case BILL_DUPLICATE:
+		request->billed = 0;
+		break;
+	case BILL_REFUSED:
+		request->billed = 0;
+		request->reservation = HANDLE_NONE;
+		life_refuse(svc, request, REFUSAL_BILL_REFUSED, 0);
+		return;
+	}
+	after_bill(svc, request);
+}
+
+void answer_stored(request_svc_t *svc, request_t *request)
+{
+	if (request->state == REQUEST_STORING)
+		finish(svc, request);
+}
+
+void answer_replay(request_svc_t *svc, request_t *request, msg_t *msg)
+{
+	outcome_t *outcome = &msg->u.claimed.outcome;
+
+	request->status = outcome->status;
+	if (outcome->body == NULL) {
+		/* It ran, but its body was too large to keep. */
+		request->maybe_ran++;
+		life_refuse(svc, request, REFUSAL_OUTCOME_UNKNOWN, 0);
+		return;
+	}
+	metrics_add(svc->kernel->metrics, COUNTER_REPLAYS, 1);
+	g_strlcpy(request->content_type, outcome->content_type,
+		  sizeof(request->content_type));
+	post_head(svc, request, true);
+	if (g_bytes_get_size(outcome->body) > 0) {
+		post_data(svc, request, outcome->body);
+		outcome->body = NULL;
+	}
+	post_end(svc, request);
+	life_end(svc, request, "replayed");
+}
--- /dev/null
+++ b/request/attempt.c
@@ -0,0 +1,401 @@
+#include "request/life.h"
+
+/* The one attempt, or the other one than the given, that is still there. */
+static attempt_t *other_attempt(request_svc_t *svc, const request_t *request,
+				handle_t than)
+{
+	for (int i = 0; i < REQUEST_ATTEMPTS; i++) {
+		attempt_t *attempt =
+			table_get(&svc->attempts, request->attempts[i]);
+
+		if (attempt != NULL && !handle_equal(attempt->self, than))
+			return attempt;
+	}
+	return NULL;
+}
+
+static void post_route_done(request_svc_t *svc, handle_t assignment,
+			    failure_t failure, int64_t tokens)
+{
+	msg_t msg = {.kind = MSG_ROUTE_DONE, .ref = assignment};
+
+	msg.u.route_done.failure = failure;
+	msg.u.route_done.tokens = tokens;
+	kernel_post(svc->kernel, svc->self, svc->route, &msg);
+}
+
+static void post_dispatch(request_svc_t *svc, msg_kind_t kind, handle_t send)
+{
+	msg_t msg = {.kind = kind, .ref = send};
+
+	kernel_post(svc->kernel, svc->self, svc->dispatch, &msg);
+}
+
+/* Ends the assignment with its one ROUTE_DONE and forgets the attempt. */
+static void remove_attempt(request_svc_t *svc, request_t *request,
+			   attempt_t *attempt, failure_t failure,
+			   int64_t tokens)
+{
+	handle_t self = attempt->self;
+
+	if (!handle_is_none(attempt->assignment))
+		post_route_done(svc, attempt->assignment, failure, tokens);
+	for (int i = 0; i < REQUEST_ATTEMPTS; i++) {
+		if (handle_equal(request->attempts[i], self))
+			request->attempts[i] = HANDLE_NONE;
+	}
+	if (handle_equal(request->answer, self))
+		request->answer = HANDLE_NONE;
+	table_remove(&svc->attempts, self);
+}
+
+static void cancel_attempt(request_svc_t *svc, request_t *request,
+			   attempt_t *attempt)
+{
+	msg_t msg = {.kind = MSG_ROUTE_CANCEL, .id = attempt->self};
+
+	switch (attempt->state) {
+	case ATTEMPT_ASKED:
+		if (handle_is_none(attempt->assignment))
+			kernel_post(svc->kernel, svc->self, svc->route, &msg);
+		break;
+	case ATTEMPT_SENT:
+	case ATTEMPT_HEAD:
+		/* Without a handle yet, SEND_STARTED will find it gone. */
+		if (!handle_is_none(attempt->send))
+			post_dispatch(svc, MSG_SEND_CANCEL, attempt->send);
+		break;
+	}
+	remove_attempt(svc, request, attempt, FAILURE_CANCELLED,
+		       answer_estimate(request, attempt->generated));
+}
+
+void attempt_cancel_all(request_svc_t *svc, request_t *request, handle_t keep)
+{
+	attempt_t *attempt;
+
+	while ((attempt = other_attempt(svc, request, keep)) != NULL)
+		cancel_attempt(svc, request, attempt);
+}
+
+void attempt_pause(request_svc_t *svc, const request_t *request)
+{
+	const attempt_t *attempt;
+
+	for (int i = 0; i < REQUEST_ATTEMPTS; i++) {
+		attempt = table_get(&svc->attempts, request->attempts[i]);
+		if (attempt != NULL && !handle_is_none(attempt->send))
+			post_dispatch(svc,
+				      request->paused ? MSG_SEND_PAUSE
+						      : MSG_SEND_RESUME,
+				      attempt->send);
+	}
+}
+
+void attempt_start(request_svc_t *svc, request_t *request, bool hedge)
+{
+	msg_t msg = {.kind = MSG_ROUTE_ASK};
+	const attempt_t *first = other_attempt(svc, request, HANDLE_NONE);
+	attempt_t *attempt;
+	uint32_t n = request->avoid_count;
+
+	msg.id = table_add(&svc->attempts, (void **)&attempt);
+	attempt->self = msg.id;
+	attempt->request = request->self;
+	attempt->hedge = hedge;
+	request->attempts[first != NULL && handle_equal(request->attempts[0],
+							first->self)] = msg.id;
+	g_strlcpy(msg.u.ask.service, request->service.name,
+		  sizeof(msg.u.ask.service));
+	g_strlcpy(msg.u.ask.client_account, request->client_account,
+		  sizeof(msg.u.ask.client_account));
+	msg.u.ask.tokens = request->worst_tokens;
+	msg.u.ask.deadline = request->deadline;
+	msg.u.ask.prefix_hash = request->spec->prefix_hash;
+	msg.u.ask.hedge = hedge;
+	for (uint32_t i = 0; i < n; i++)
+		msg.u.ask.avoid[i] = request->avoid[i];
+	if (first != NULL && n < ROUTE_AVOID_MAX)
+		msg.u.ask.avoid[n++] = first->target;
+	msg.u.ask.avoid_count = n;
+	kernel_post(svc->kernel, svc->self, svc->route, &msg);
+}
+
+static void send_attempt(request_svc_t *svc, request_t *request,
+			 attempt_t *attempt, const msg_t *picked)
+{
+	msg_t msg = {.kind = MSG_SEND, .id = attempt->self};
+	const request_spec_t *spec = request->spec;
+
+	attempt->state = ATTEMPT_SENT;
+	request->maybe_ran++;
+	request->attempt_count++;
+	metrics_add(svc->kernel->metrics, COUNTER_ATTEMPTS, 1);
+	if (attempt->hedge)
+		metrics_add(svc->kernel->metrics, COUNTER_HEDGES, 1);
+	g_strlcpy(msg.u.send.host, picked->u.picked.host,
+		  sizeof(msg.u.send.host));
+	msg.u.send.port = picked->u.picked.port;
+	g_strlcpy(msg.u.send.method, spec->method, sizeof(msg.u.send.method));
+	g_strlcpy(msg.u.send.path, spec->path, sizeof(msg.u.send.path));
+	g_strlcpy(msg.u.send.content_type, spec->content_type,
+		  sizeof(msg.u.send.content_type));
+	g_strlcpy(msg.u.send.request_id, spec->request_id,
+		  sizeof(msg.u.send.request_id));
+	if (spec->body != NULL)
+		msg.u.send.body = g_bytes_ref(spec->body);
+	msg.u.send.model = request->service.kind == SERVICE_MODEL;
+	msg.u.send.max_tokens = request->max_tokens;
+	msg.u.send.priority = picked->u.picked.priority;
+	msg.u.send.first_byte_ms = request->service.first_byte_ms;
+	msg.u.send.idle_ms = request->service.idle_ms;
+	msg.u.send.deadline = request->deadline;
+	kernel_post(svc->kernel, svc->self, svc->dispatch, &msg);
+}
+
+void attempt_picked(request_svc_t *svc, const msg_t *msg)
+{
+	attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	request_t *request;
+
+	if (attempt == NULL || attempt->state != ATTEMPT_ASKED) {
+		if (attempt == NULL ||
+		    !handle_equal(attempt->assignment, msg->id))
+			post_route_done(svc, msg->id, FAILURE_CANCELLED, 0);
+		return;
+	}
+	request = table_get(&svc->requests, attempt->request);
+	attempt->assignment = msg->id;
+	attempt->target = msg->u.picked.target;
+	g_strlcpy(attempt->target_name, msg->u.picked.name,
+		  sizeof(attempt->target_name));
+	g_strlcpy(request->target, msg->u.picked.name, sizeof(request->target));
+	/* A process that was paused must not send what has expired. */
+	if (kernel_now(svc->kernel) >= request->deadline) {
+		life_refuse(svc, request, REFUSAL_DEADLINE, 0);
+		return;
+	}
+	send_attempt(svc, request, attempt, msg);
+}
+
+void attempt_refused(request_svc_t *svc, const msg_t *msg)
+{
+	attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	refusal_t reason = msg->u.route_refused.reason;
+	request_t *request;
+
+	if (attempt == NULL || attempt->state != ATTEMPT_ASKED)
+		return;
+	request = table_get(&svc->requests, attempt->request);
+	remove_attempt(svc, request, attempt, FAILURE_CANCELLED, 0);
+	if (other_attempt(svc, request, HANDLE_NONE) != NULL)
+		return;
+	life_refuse(svc, request,
+		    reason == REFUSAL_NONE ? REFUSAL_NO_TARGET : reason,
+		    msg->u.route_refused.retry_after_s);
+}
+
+void attempt_hedge(request_svc_t *svc, const msg_t *msg)
+{
+	const attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	request_t *request;
+
+	if (attempt == NULL || attempt->state != ATTEMPT_SENT)
+		return;
+	request = table_get(&svc->requests, attempt->request);
+	if (!request->service.idempotent ||
+	    other_attempt(svc, request, attempt->self) != NULL)
+		return;
+	attempt_start(svc, request, true);
+}
+
+void attempt_started(request_svc_t *svc, const msg_t *msg)
+{
+	attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	const request_t *request;
+
+	if (attempt == NULL) {
+		post_dispatch(svc, MSG_SEND_CANCEL, msg->id);
+		return;
+	}
+	if (!handle_is_none(attempt->send))
+		return;
+	attempt->send = msg->id;
+	request = table_get(&svc->requests, attempt->request);
+	if (request->paused)
+		post_dispatch(svc, MSG_SEND_PAUSE, attempt->send);
+}
+
+void attempt_head(request_svc_t *svc, const msg_t *msg)
+{
+	attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	msg_t first = {.kind = MSG_ROUTE_FIRST_BYTE};
+	request_t *request;
+
+	if (attempt == NULL || attempt->state != ATTEMPT_SENT)
+		return;
+	request = table_get(&svc->requests, attempt->request);
+	attempt->state = ATTEMPT_HEAD;
+	attempt->status = msg->u.target_head.status;
+	first.ref = attempt->assignment;
+	kernel_post(svc->kernel, svc->self, svc->route, &first);
+	/* A quick error must not win against a slow answer. */
+	if (attempt->status >= 500 &&
+	    other_attempt(svc, request, attempt->self) != NULL) {
+		cancel_attempt(svc, request, attempt);
+		return;
+	}
+	attempt_cancel_all(svc, request, attempt->self);
+	request->answer = attempt->self;
+	g_strlcpy(request->content_type, msg->u.target_head.content_type,
+		  sizeof(request->content_type));
+	request->status = attempt->status;
+}
+
+void attempt_data(request_svc_t *svc, msg_t *msg)
+{
+	attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	request_t *request;
+
+	if (attempt == NULL || attempt->state != ATTEMPT_HEAD)
+		return;
+	request = table_get(&svc->requests, attempt->request);
+	attempt->generated += CLAMP(msg->u.target_data.tokens, 0, G_MAXINT32);
+	if (request->service.kind == SERVICE_MODEL &&
+	    attempt->generated > (int64_t)request->max_tokens) {
+		request->over_limit = true;
+		attempt_cancel_all(svc, request, HANDLE_NONE);
+		answer_complete(svc, request, request->worst_tokens);
+		return;
+	}
+	if (msg->u.target_data.bytes == NULL)
+		return;
+	answer_add(svc, request, msg->u.target_data.bytes);
+	msg->u.target_data.bytes = NULL;
+}
+
+static int64_t count_tokens(const request_t *request, const attempt_t *attempt,
+			    const msg_t *msg)
+{
+	int64_t prompt = msg->u.target_end.prompt_tokens;
+	int64_t completion = msg->u.target_end.completion_tokens;
+
+	/* An error answer has generated nothing, so it costs nothing. */
+	if (attempt->status >= 400)
+		return 0;
+	if (request->service.kind == SERVICE_PLAIN)
+		return request->worst_tokens;
+	if (!msg->u.target_end.usage_known)
+		return answer_estimate(request, attempt->generated);
+	prompt = CLAMP(prompt, 0, request->worst_tokens);
+	completion = CLAMP(completion, 0, request->worst_tokens - prompt);
+	return prompt + completion;
+}
+
+static void fail(request_svc_t *svc, attempt_t *attempt, failure_t failure,
+		 bool reset, bool stated_not_run);
+
+void attempt_end(request_svc_t *svc, const msg_t *msg)
+{
+	attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	request_t *request;
+	int64_t tokens;
+
+	if (attempt == NULL || attempt->state == ATTEMPT_ASKED)
+		return;
+	if (attempt->state == ATTEMPT_SENT) {
+		fail(svc, attempt, FAILURE_SENT, false, false);
+		return;
+	}
+	request = table_get(&svc->requests, attempt->request);
+	tokens = count_tokens(request, attempt, msg);
+	if (attempt->status < 500)
+		quarantine_forgive(&svc->quarantine,
+				   request->spec->fingerprint);
+	remove_attempt(svc, request, attempt,
+		       attempt->status >= 500 ? FAILURE_HEAD : FAILURE_NONE,
+		       tokens);
+	answer_complete(svc, request, tokens);
+}
+
+static void retry(request_svc_t *svc, request_t *request, int64_t backoff,
+		  failure_t failure)
+{
+	metrics_retry(svc->kernel->metrics, failure);
+	request->state = REQUEST_BACKOFF;
+	life_step_timer(svc, request, backoff);
+}
+
+/* The last attempt of a request has failed: retries or refuses it. */
+static void retry_or_refuse(request_svc_t *svc, request_t *request,
+			    retry_case_t *what)
+{
+	refusal_t refusal;
+	int64_t now = kernel_now(svc->kernel);
+
+	if (!request->head_sent)
+		answer_reset(request);
+	what->idempotent = request->service.idempotent;
+	/* Nobody waits for the answer, and a retry would cost tokens. */
+	if (request->caller_gone) {
+		life_refuse(svc, request, REFUSAL_CALLER_GONE, 0);
+		return;
+	}
+	if (quarantine_holds(&svc->quarantine, request->spec->fingerprint,
+			     kernel_wall(svc->kernel) / USEC_PER_MSEC)) {
+		life_refuse(svc, request, REFUSAL_QUARANTINED, 0);
+		return;
+	}
+	what->byte_passed = request->head_sent;
+	what->attempts = request->attempt_count;
+	what->left_us = request->deadline - now;
+	what->backoff_us = retry_backoff_us(request->attempt_count,
+					    kernel_random(svc->kernel));
+	refusal = retry_decide(what, &svc->retries);
+	if (refusal == REFUSAL_NONE)
+		retry(svc, request, what->backoff_us, what->failure);
+	else
+		life_refuse(svc, request, refusal, 0);
+}
+
+static void fail(request_svc_t *svc, attempt_t *attempt, failure_t failure,
+		 bool reset, bool stated_not_run)
+{
+	request_t *request = table_get(&svc->requests, attempt->request);
+	retry_case_t what = {.failure = failure};
+	attempt_t *other;
+
+	/* What has answered, was run, whatever is claimed afterwards. */
+	what.stated_not_run = stated_not_run && attempt->state == ATTEMPT_SENT;
+	if (attempt->state == ATTEMPT_SENT &&
+	    retry_surely_not_run(failure, what.stated_not_run))
+		request->maybe_ran--;
+	if (request->avoid_count < ROUTE_AVOID_MAX)
+		request->avoid[request->avoid_count++] = attempt->target;
+	if (reset && failure != FAILURE_CONNECT)
+		blame_report(svc, request, attempt->target_name);
+	remove_attempt(svc, request, attempt, failure,
+		       answer_estimate(request, attempt->generated));
+	other = other_attempt(svc, request, HANDLE_NONE);
+	if (other != NULL && other->state != ATTEMPT_ASKED)
+		return;
+	/* A hedge that only waits for a target becomes the retry. */
+	if (other != NULL)
+		cancel_attempt(svc, request, other);
+	retry_or_refuse(svc, request, &what);
+}
+
+void attempt_failed(request_svc_t *svc, const msg_t *msg)
+{
+	attempt_t *attempt = table_get(&svc->attempts, msg->ref);
+	failure_t failure = msg->u.target_failed.failure;
+
+	if (attempt == NULL || attempt->state == ATTEMPT_ASKED)
+		return;
+	/* A failure to connect can't follow an answer. */
+	if (failure == FAILURE_NONE ||
+	    (failure == FAILURE_CONNECT && attempt->state == ATTEMPT_HEAD))
+		failure = FAILURE_STREAM;
+	fail(svc, attempt, failure, msg->u.target_failed.reset,
+	     msg->u.target_failed.not_run);
+}
--- /dev/null
+++ b/request/life.h
@@ -0,0 +1,156 @@
+/*
+ * Internals of the request service: the entries of its tables and the steps
+ * of a request's life.
+ */
+#ifndef REQUEST_LIFE_H
+#define REQUEST_LIFE_H
+
+#include "request/request.h"
+
+G_BEGIN_DECLS
+
+#define REQUEST_ATTEMPTS 2 /* at the same time: the first and its hedge */
+
+typedef enum request_state_t {
+	REQUEST_CLAIMING, /* waits for CLAIM_RESULT */
+	REQUEST_ABANDONED, /* ended while claiming: aborts the claim */
+	REQUEST_RESERVING, /* waits for RESERVED */
+	REQUEST_TRYING, /* has one or two attempts */
+	REQUEST_BACKOFF, /* waits for its next attempt */
+	REQUEST_BILLING, /* the answer is complete: waits for BILLED */
+	REQUEST_STORING, /* waits for CLAIM_STORED */
+} request_state_t;
+
+typedef struct request_t {
+	handle_t self;
+	request_state_t state;
+	svc_t front;
+	handle_t front_id;
+	request_spec_t *spec;
+	char client_account[NAME_SIZE];
+	char budget[NAME_SIZE];
+	record_service_t service; /* as it was at admission */
+	char idem_key[IDEM_KEY_SIZE];
+	uint32_t max_tokens; /* limit on generated tokens */
+	int64_t worst_tokens; /* reserved */
+	int64_t started;
+	int64_t deadline; /* monotonic, us */
+	handle_t deadline_timer;
+	handle_t step_timer; /* backoff, or the wait for CLAIM_STORED */
+
+	handle_t claim;
+	handle_t reservation;
+	handle_t attempts[REQUEST_ATTEMPTS];
+	uint32_t attempt_count; /* sent so far */
+	uint32_t avoid_count;
+	handle_t avoid[ROUTE_AVOID_MAX];
+	char target[NAME_SIZE]; /* of the last attempt */
+
+	uint32_t maybe_ran; /* attempts sent and not known to be not run */
+	bool caller_gone;
+	bool refused; /* the caller has got its refusal */
+	bool paused;
+	bool passing; /* data is passed on as it comes */
+	bool head_sent;
+	bool over_limit; /* more tokens came than the limit allows */
+	bool in_grace; /* past the deadline, waits for its bill */
+
+	handle_t answer; /* attempt whose answer is taken, or none */
+	uint32_t status; /* of the complete answer */
+	char content_type[CONTENT_TYPE_SIZE];
+	GQueue held; /* GBytes not yet passed on */
+	size_t held_bytes;
+	GByteArray *outcome; /* copy for the claim, NULL when too large */
+	int64_t billed;
+} request_t;
+
+typedef enum attempt_state_t {
+	ATTEMPT_ASKED, /* waits for a target */
+	ATTEMPT_SENT,
+	ATTEMPT_HEAD, /* the head has come */
+} attempt_state_t;
+
+typedef struct attempt_t {
+	handle_t self;
+	handle_t request;
+	attempt_state_t state;
+	bool hedge;
+	handle_t assignment;
+	handle_t target;
+	char target_name[NAME_SIZE];
+	handle_t send; /* dispatch's handle, none before SEND_STARTED */
+	uint32_t status;
+	int64_t generated; /* tokens counted so far */
+} attempt_t;
+
+/* A quarantine record on its way to the store: first a lease, then the put. */
+typedef struct quarantine_write_t {
+	handle_t self;
+	char fingerprint[HASH_SIZE];
+	int64_t expires_ms;
+	int64_t lease; /* 0 before it is known */
+	uint32_t tries;
+} quarantine_write_t;
+
+/* check.c: admission without any other service. */
+refusal_t check_request(request_svc_t *svc, request_t *request);
+
+/* life.c */
+void life_open(request_svc_t *svc, msg_t *msg);
+void life_claimed(request_svc_t *svc, msg_t *msg);
+void life_reserved(request_svc_t *svc, const msg_t *msg);
+void life_timer(request_svc_t *svc, const msg_t *msg);
+void life_caller_gone(request_svc_t *svc, request_t *request);
+void life_pause(request_svc_t *svc, request_t *request, bool paused);
+/* Ends the request without a whole answer, and what still runs for it. */
+void life_refuse(request_svc_t *svc, request_t *request, refusal_t reason,
+		 uint32_t retry_after_s);
+/* Removes the request after its last message; result is for the log. */
+void life_end(request_svc_t *svc, request_t *request, const char *result);
+/* not_run only when no attempt can have run. */
+run_state_t life_run_state(const request_t *request);
+void life_step_timer(request_svc_t *svc, request_t *request, int64_t delay);
+void life_check_stopped(request_svc_t *svc);
+
+/* attempt.c */
+void attempt_start(request_svc_t *svc, request_t *request, bool hedge);
+void attempt_picked(request_svc_t *svc, const msg_t *msg);
+void attempt_refused(request_svc_t *svc, const msg_t *msg);
+void attempt_hedge(request_svc_t *svc, const msg_t *msg);
+void attempt_started(request_svc_t *svc, const msg_t *msg);
+void attempt_head(request_svc_t *svc, const msg_t *msg);
+void attempt_data(request_svc_t *svc, msg_t *msg);
+void attempt_end(request_svc_t *svc, const msg_t *msg);
+void attempt_failed(request_svc_t *svc, const msg_t *msg);
+/* Ends all attempts of a request but the one to keep. */
+void attempt_cancel_all(request_svc_t *svc, request_t *request, handle_t keep);
+void attempt_pause(request_svc_t *svc, const request_t *request);
+
+/* answer.c */
+void answer_add(request_svc_t *svc, request_t *request, GBytes *bytes);
+/* Drops what an attempt that failed had answered. */
+void answer_reset(request_t *request);
+/* The answer is complete: bills it, stores it and passes on the rest. */
+void answer_complete(request_svc_t *svc, request_t *request, int64_t tokens);
+void answer_billed(request_svc_t *svc, const msg_t *msg);
+void answer_stored(request_svc_t *svc, request_t *request);
+void answer_replay(request_svc_t *svc, request_t *request, msg_t *msg);
+/* Tokens of an unfinished or uncounted answer, bounded by what is reserved. */
+int64_t answer_estimate(const request_t *request, int64_t generated);
+
+/* blame.c */
+void blame_report(request_svc_t *svc, const request_t *request,
+		  const char *target);
+void blame_received(request_svc_t *svc, const msg_t *msg);
+void blame_store_result(request_svc_t *svc, const msg_t *msg);
+void blame_timer(request_svc_t *svc, const msg_t *msg);
+
+typedef enum request_timer_t {
+	TIMER_DEADLINE,
+	TIMER_STEP,
+	TIMER_BLAME,
+} request_timer_t;
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/request/quarantine.c
@@ -0,0 +1,101 @@
+#include "request/quarantine.h"
+
+#include <string.h>
+
+typedef struct blame_t {
+	char reporter[INCARNATION_SIZE];
+	uint64_t seq;
+} blame_t;
+
+typedef struct entry_t {
+	char fingerprint[HASH_SIZE];
+	uint32_t count;
+	blame_t blames[QUARANTINE_BLAMES];
+	int64_t last_ms; /* wall clock of the last blame */
+	int64_t until_ms; /* 0: not in quarantine */
+	GList link; /* in order */
+} entry_t;
+
+void quarantine_init(quarantine_t *quarantine)
+{
+	quarantine->entries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g_queue_init(&quarantine->order);
+}
+
+void quarantine_finish(quarantine_t *quarantine)
+{
+	g_hash_table_unref(quarantine->entries);
+	memset(quarantine, 0, sizeof(*quarantine));
+}
+
+static void remove_entry(quarantine_t *quarantine, entry_t *entry)
+{
+	g_queue_unlink(&quarantine->order, &entry->link);
+	g_hash_table_remove(quarantine->entries, entry->fingerprint);
+}
+
+static entry_t *add_entry(quarantine_t *quarantine, const char *fingerprint)
+{
+	entry_t *entry;
+
+	if (quarantine->order.length >= QUARANTINE_MAX)
+		remove_entry(quarantine, quarantine->order.head->data);
+	entry = g_new0(entry_t, 1);
+	g_strlcpy(entry->fingerprint, fingerprint, sizeof(entry->fingerprint));
+	entry->link.data = entry;
+	g_queue_push_tail_link(&quarantine->order, &entry->link);
+	g_hash_table_insert(quarantine->entries, entry->fingerprint, entry);
+	return entry;
+}
+
+static bool is_known(const entry_t *entry, const char *reporter, uint64_t seq)
+{
+	for (uint32_t i = 0; i < entry->count; i++) {
+		if (entry->blames[i].seq == seq &&
+		    strcmp(entry->blames[i].reporter, reporter) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool quarantine_blame(quarantine_t *quarantine, const char *fingerprint,
+		      const char *reporter, uint64_t seq, int64_t wall_ms)
+{
+	entry_t *entry = g_hash_table_lookup(quarantine->entries, fingerprint);
+	blame_t *blame;
+
+	if (entry != NULL && wall_ms - entry->last_ms > QUARANTINE_MS) {
+		remove_entry(quarantine, entry);
+		entry = NULL;
+	}
+	if (entry == NULL)
+		entry = add_entry(quarantine, fingerprint);
+	if (entry->count >= QUARANTINE_BLAMES || is_known(entry, reporter, seq))
+		return false;
+	blame = &entry->blames[entry->count++];
+	g_strlcpy(blame->reporter, reporter, sizeof(blame->reporter));
+	blame->seq = seq;
+	entry->last_ms = wall_ms;
+	if (entry->count < QUARANTINE_BLAMES)
+		return false;
+	entry->until_ms = wall_ms + QUARANTINE_MS;
+	return true;
+}
+
+bool quarantine_holds(const quarantine_t *quarantine, const char *fingerprint,
+		      int64_t wall_ms)
+{
+	const entry_t *entry =
+		g_hash_table_lookup(quarantine->entries, fingerprint);
+
+	return entry != NULL && wall_ms < entry->until_ms;
+}
+
+void quarantine_forgive(quarantine_t *quarantine, const char *fingerprint)
+{
+	entry_t *entry = g_hash_table_lookup(quarantine->entries, fingerprint);
+
+	if (entry != NULL && entry->until_ms == 0)
+		remove_entry(quarantine, entry);
+}
--- /dev/null
+++ b/request/quarantine.h
@@ -0,0 +1,37 @@
+/*
+ * Blames and quarantine of request fingerprints.  The table is bounded: the
+ * oldest fingerprint makes room for a new one.
+ */
+#ifndef REQUEST_QUARANTINE_H
+#define REQUEST_QUARANTINE_H
+
+#include "kernel/msg.h"
+
+G_BEGIN_DECLS
+
+#define QUARANTINE_MAX 1024 /* fingerprints */
+#define QUARANTINE_BLAMES 2 /* blames that quarantine a fingerprint */
+#define QUARANTINE_MS ((int64_t)3600 * 1000)
+
+typedef struct quarantine_t {
+	GHashTable *entries; /* fingerprint -> entry */
+	GQueue order; /* entries, oldest first */
+} quarantine_t;
+
+void quarantine_init(quarantine_t *quarantine);
+void quarantine_finish(quarantine_t *quarantine);
+
+/*
+ * Records the loss of one attempt; a repeated (reporter, seq) is ignored.
+ * True when this blame put the fingerprint into quarantine.
+ */
+bool quarantine_blame(quarantine_t *quarantine, const char *fingerprint,
+		      const char *reporter, uint64_t seq, int64_t wall_ms);
+bool quarantine_holds(const quarantine_t *quarantine, const char *fingerprint,
+		      int64_t wall_ms);
+/* A success clears the blames, but lifts no quarantine. */
+void quarantine_forgive(quarantine_t *quarantine, const char *fingerprint);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/request/request.c
@@ -0,0 +1,185 @@
+#include "request/request.h"
+
+#include "request/life.h"
+
+#include <string.h>
+
+#define RETRY_SHARE 0.1
+#define MAX_REQUESTS 20000
+#define MAX_BODY (4 * 1024 * 1024)
+#define DEFAULT_DEADLINE_MS 60000
+
+void request_opts_defaults(request_opts_t *opts)
+{
+	memset(opts, 0, sizeof(*opts));
+	opts->retry_share = RETRY_SHARE;
+	opts->max_requests = MAX_REQUESTS;
+	opts->max_body = MAX_BODY;
+	opts->default_deadline_ms = DEFAULT_DEADLINE_MS;
+}
+
+static void start(request_svc_t *svc)
+{
+	msg_t msg = {.kind = MSG_CONF_SUBSCRIBE};
+
+	svc->claims = kernel_find(svc->kernel, "claims");
+	svc->ledger = kernel_find(svc->kernel, "ledger");
+	svc->route = kernel_find(svc->kernel, "route");
+	svc->dispatch = kernel_find(svc->kernel, "dispatch");
+	svc->store = kernel_find(svc->kernel, "store");
+	svc->peer = kernel_find(svc->kernel, "peer");
+	kernel_post(svc->kernel, svc->self, kernel_find(svc->kernel, "conf"),
+		    &msg);
+}
+
+static void conf_changed(request_svc_t *svc, msg_t *msg)
+{
+	conf_snapshot_unref(svc->conf);
+	svc->conf = msg->u.conf;
+	msg->u.conf = NULL;
+}
+
+static void timer(request_svc_t *svc, const msg_t *msg)
+{
+	switch ((request_timer_t)msg->u.timer.what) {
+	case TIMER_BLAME:
+		blame_timer(svc, msg);
+		break;
+	case TIMER_DEADLINE:
+	case TIMER_STEP:
+		life_timer(svc, msg);
+		break;
+	}
+}
+
+/* Messages about one request that is still there. */
+static void receive_for(request_svc_t *svc, request_t *request, msg_kind_t kind)
+{
+	if (request == NULL)
+		return;
+	switch (kind) {
+	case MSG_REQ_CALLER_GONE:
+		life_caller_gone(svc, request);
+		break;
+	case MSG_REQ_PAUSE:
+	case MSG_REQ_RESUME:
+		life_pause(svc, request, kind == MSG_REQ_PAUSE);
+		break;
+	case MSG_CLAIM_STORED:
+		answer_stored(svc, request);
+		break;
+	default:
+		break;
+	}
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	request_svc_t *svc = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		start(svc);
+		break;
+	case MSG_STOP:
+		svc->stopping = true;
+		life_check_stopped(svc);
+		break;
+	case MSG_TIMER:
+		timer(svc, msg);
+		break;
+	case MSG_CONF_CHANGED:
+		conf_changed(svc, msg);
+		break;
+	case MSG_REQ_OPEN:
+		life_open(svc, msg);
+		break;
+	case MSG_REQ_CALLER_GONE:
+	case MSG_REQ_PAUSE:
+	case MSG_REQ_RESUME:
+	case MSG_CLAIM_STORED:
+		receive_for(svc, table_get(&svc->requests, msg->ref),
+			    msg->kind);
+		break;
+	case MSG_CLAIM_RESULT:
+		life_claimed(svc, msg);
+		break;
+	case MSG_RESERVED:
+		life_reserved(svc, msg);
+		break;
+	case MSG_BILLED:
+		answer_billed(svc, msg);
+		break;
+	case MSG_ROUTE_PICKED:
+		attempt_picked(svc, msg);
+		break;
+	case MSG_ROUTE_REFUSED:
+		attempt_refused(svc, msg);
+		break;
+	case MSG_ROUTE_HEDGE:
+		attempt_hedge(svc, msg);
+		break;
+	case MSG_SEND_STARTED:
+		attempt_started(svc, msg);
+		break;
+	case MSG_TARGET_HEAD:
+		attempt_head(svc, msg);
+		break;
+	case MSG_TARGET_DATA:
+		attempt_data(svc, msg);
+		break;
+	case MSG_TARGET_END:
+		attempt_end(svc, msg);
+		break;
+	case MSG_TARGET_FAILED:
+		attempt_failed(svc, msg);
+		break;
+	case MSG_STORE_RESULT:
+		blame_store_result(svc, msg);
+		break;
+	case MSG_PEER_RECEIVED:
+		blame_received(svc, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+void request_init(request_svc_t *request_svc, kernel_t *kernel,
+		  const request_opts_t *opts)
+{
+	memset(request_svc, 0, sizeof(*request_svc));
+	request_svc->kernel = kernel;
+	request_svc->opts = *opts;
+	table_init(&request_svc->requests, sizeof(request_t));
+	table_init(&request_svc->attempts, sizeof(attempt_t));
+	table_init(&request_svc->records, sizeof(quarantine_write_t));
+	request_svc->running =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	retry_budget_init(&request_svc->retries, opts->retry_share);
+	quarantine_init(&request_svc->quarantine);
+	request_svc->self =
+		kernel_register(kernel, "request", receive, request_svc);
+}
+
+void request_finish(request_svc_t *request_svc)
+{
+	request_t *request;
+	uint32_t cursor = 0;
+
+	while ((request = table_next(&request_svc->requests, &cursor, NULL)) !=
+	       NULL) {
+		answer_reset(request);
+		if (request->outcome != NULL)
+			g_byte_array_unref(request->outcome);
+		request_spec_free(request->spec);
+	}
+	kernel_unregister(request_svc->kernel, request_svc->self);
+	conf_snapshot_unref(request_svc->conf);
+	table_finish(&request_svc->requests);
+	table_finish(&request_svc->attempts);
+	table_finish(&request_svc->records);
+	g_hash_table_unref(request_svc->running);
+	quarantine_finish(&request_svc->quarantine);
+	memset(request_svc, 0, sizeof(*request_svc));
+}
--- /dev/null
+++ b/request/request.h
@@ -0,0 +1,53 @@
+/*
+ * Service "request": the life of each request from its admission to its last
+ * byte.  It takes the decisions; the encodings are front's and dispatch's.
+ */
+#ifndef REQUEST_REQUEST_H
+#define REQUEST_REQUEST_H
+
+#include "kernel/kernel.h"
+#include "request/quarantine.h"
+#include "request/retry.h"
+
+G_BEGIN_DECLS
+
+typedef struct request_opts_t {
+	char incarnation[INCARNATION_SIZE];
+	double retry_share; /* retries for each request, 0.1 by default */
+	uint32_t max_requests; /* in progress at this router */
+	uint32_t max_body; /* bytes, for services without a limit */
+	uint32_t default_deadline_ms; /* for services without one */
+} request_opts_t;
+
+typedef struct request_svc_t {
+	kernel_t *kernel;
+	request_opts_t opts;
+	svc_t self;
+	svc_t claims;
+	svc_t ledger;
+	svc_t route;
+	svc_t dispatch;
+	svc_t store;
+	svc_t peer;
+	conf_snapshot_t *conf; /* newest, NULL before the first */
+	table_t requests; /* request_t */
+	table_t attempts; /* attempt_t */
+	table_t records; /* quarantine records on their way to the store */
+	GHashTable *running; /* client account -> requests in progress */
+	retry_budget_t retries;
+	quarantine_t quarantine;
+	uint64_t blame_seq;
+	bool stopping;
+	bool stopped;
+} request_svc_t;
+
+/* Fills in the defaults; the incarnation is left empty. */
+void request_opts_defaults(request_opts_t *opts);
+
+void request_init(request_svc_t *request_svc, kernel_t *kernel,
+		  const request_opts_t *opts);
+void request_finish(request_svc_t *request_svc);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/request/retry.c
@@ -0,0 +1,77 @@
+#include "request/retry.h"
+
+#define CREDIT_START (10 * RETRY_UNIT) /* lets a quiet router retry */
+#define CREDIT_MAX (100 * RETRY_UNIT) /* bounds a burst of retries */
+/* The avoid list of an ask holds all earlier targets but the last. */
+#define ATTEMPTS_MAX (ROUTE_AVOID_MAX + 1)
+#define BACKOFF_FIRST_US 5000
+#define BACKOFF_MAX_US 80000
+
+void retry_budget_init(retry_budget_t *budget, double share)
+{
+	budget->share = (uint32_t)(CLAMP(share, 0.0, 1.0) * RETRY_UNIT + 0.5);
+	budget->credit = share > 0 ? CREDIT_START : 0;
+}
+
+void retry_budget_earn(retry_budget_t *budget)
+{
+	budget->credit = MIN(budget->credit + budget->share, CREDIT_MAX);
+}
+
+bool retry_budget_take(retry_budget_t *budget)
+{
+	if (budget->credit < RETRY_UNIT)
+		return false;
+	budget->credit -= RETRY_UNIT;
+	return true;
+}
+
+bool retry_surely_not_run(failure_t failure, bool stated_not_run)
+{
+	switch (failure) {
+	case FAILURE_CONNECT:
+		return true;
+	case FAILURE_OVERLOADED:
+	case FAILURE_LEAVING:
+		return stated_not_run;
+	default:
+		return false;
+	}
+}
+
+static refusal_t reason_of(failure_t failure)
+{
+	switch (failure) {
+	case FAILURE_DEADLINE:
+		return REFUSAL_DEADLINE;
+	case FAILURE_OVERLOADED:
+		return REFUSAL_OVERLOADED;
+	default:
+		return REFUSAL_TARGET_FAILED;
+	}
+}
+
+refusal_t retry_decide(const retry_case_t *retry, retry_budget_t *budget)
+{
+	if (retry->failure == FAILURE_DEADLINE ||
+	    retry->failure == FAILURE_CANCELLED || retry->byte_passed)
+		return reason_of(retry->failure);
+	if (!retry->idempotent &&
+	    !retry_surely_not_run(retry->failure, retry->stated_not_run))
+		return reason_of(retry->failure);
+	if (retry->left_us <= retry->backoff_us)
+		return REFUSAL_DEADLINE;
+	if (retry->attempts >= ATTEMPTS_MAX || !retry_budget_take(budget))
+		return REFUSAL_RETRIES_SPENT;
+	return REFUSAL_NONE;
+}
+
+int64_t retry_backoff_us(uint32_t attempts, uint64_t random)
+{
+	int64_t limit = BACKOFF_FIRST_US;
+
+	for (uint32_t i = 1; i < attempts && limit < BACKOFF_MAX_US; i++)
+		limit *= 2;
+	limit = MIN(limit, BACKOFF_MAX_US);
+	return limit / 2 + (int64_t)(random % (uint64_t)(limit / 2 + 1));
+}
