--- /dev/null
+++ b/tests/prove_world.h
@@ -0,0 +1,338 @@
+// Seeded world of the property tests: kernels as routers under one virtual
+// clock, a shared fake store, delayed, lost and doubled messages, crashes,
+// pauses and store outages.
+#ifndef TESTS_PROVE_WORLD_H
+#define TESTS_PROVE_WORLD_H
+
+#include "kernel/kernel.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+constexpr int64_t MS = USEC_PER_MSEC;
+
+struct Rng {
+	uint64_t state;
+	uint64_t below(uint64_t n)
+	{
+		uint64_t z = (state += UINT64_C(0x9e3779b97f4a7c15));
+		z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+		z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+		return (z ^ (z >> 31)) % n;
+	}
+	bool percent(uint64_t p)
+	{
+		return below(100) < p;
+	}
+	int64_t ms(int64_t from, int64_t to)
+	{
+		return from * MS + (int64_t)below((to - from) * MS + 1);
+	}
+};
+
+struct Tally {
+	uint64_t checks[6] = {}, violations[6] = {}; // by promise
+};
+
+struct World;
+
+// One router.  A test derives it and sets up its services in boot().
+struct Node {
+	World *world = nullptr;
+	kernel_t kernel;
+	int epoch = 0;
+	bool up = false;
+	int64_t paused_until = 0;
+	char incarnation[INCARNATION_SIZE];
+
+	virtual ~Node() = default;
+	virtual void boot() = 0; // register services
+	virtual void shut() = 0; // finish services
+	void start();
+	void crash();
+	// Posts a message later, unless this incarnation has ended by then.
+	void later(int64_t delay, svc_t from, svc_t to, const msg_t &msg);
+	svc_t fake(const char *name, recv_fn_t recv)
+	{
+		return kernel_register(&kernel, name, recv, this);
+	}
+};
+
+struct World {
+	struct Event {
+		int64_t time;
+		uint64_t seq;
+		std::shared_ptr<std::function<void()>> run;
+		bool operator<(const Event &other) const
+		{
+			return time != other.time ? time > other.time
+						  : seq > other.seq;
+		}
+	};
+	Rng rng;
+	int64_t now = 0;
+	uint64_t seq = 0;
+	std::priority_queue<Event> events;
+	std::vector<Node *> nodes;
+	Tally tally;
+
+	struct Value {
+		int64_t revision;
+		record_t record;
+	};
+	std::map<std::string, Value> values;
+	int64_t revision = 1;
+	bool store_down = false;
+	bool ignore_expect = false; // deliberate fault
+	uint64_t calls = 0, max_groups = 0;
+
+	explicit World(uint64_t seed) : rng{seed * 7919 + 1}
+	{
+	}
+	~World()
+	{
+		for (auto &value : values)
+			record_clear(&value.second.record);
+	}
+	void at(int64_t delay, std::function<void()> fn)
+	{
+		events.push({now + delay, ++seq,
+			     std::make_shared<std::function<void()>>(
+				     std::move(fn))});
+	}
+	void run(int64_t until)
+	{
+		for (;;) {
+			int64_t next =
+				events.empty() ? until + 1 : events.top().time;
+			for (Node *node : nodes) {
+				int64_t due = node->up ? kernel_next_timer(
+								 &node->kernel)
+						       : -1;
+				if (due >= 0)
+					next = std::min(
+						next,
+						std::max(due,
+							 node->paused_until));
+			}
+			if (next > until)
+				break;
+			now = std::max(now, next);
+			while (!events.empty() && events.top().time <= now) {
+				auto fn = events.top().run;
+				events.pop();
+				(*fn)();
+			}
+			for (Node *node : nodes) {
+				if (!node->up || node->paused_until > now)
+					continue;
+				// A pause is a jump of the clock.
+				node->kernel.virtual_now = now;
+				kernel_run_until(&node->kernel, now);
+			}
+		}
+		now = until;
+	}
+	void put(const store_op_t &op)
+	{
+		Value &value = values[op.key];
+		record_clear(&value.record);
+		record_copy(&value.record, &op.record);
+		value.revision = revision;
+	}
+	store_result_t *apply(const store_txn_t *txn)
+	{
+		store_result_t *result = store_result_new(STORE_OK);
+		max_groups = std::max<uint64_t>(max_groups, txn->group_count);
+		revision++;
+		for (guint g = 0; g < txn->group_count; g++)
+			apply_group(txn, g, result);
+		result->revision = revision;
+		return result;
+	}
+	void apply_group(const store_txn_t *txn, guint g,
+			 store_result_t *result)
+	{
+		bool holds = true;
+		for (int pass = 0; pass < 2; pass++)
+			for (guint i = 0; i < txn->ops->len; i++) {
+				auto &op =
+					g_array_index(txn->ops, store_op_t, i);
+				auto found = values.find(op.key);
+				bool has = found != values.end();
+				int64_t rev = has ? found->second.revision : 0;
+				if (op.group != g)
+					continue;
+				if (pass == 0)
+					holds = holds &&
+						(op.expect == EXPECT_ANY ||
+						 op.expect == rev ||
+						 ignore_expect);
+				else if (holds)
+					put(op);
+				else
+					store_result_add(
+						result, g, op.key, rev,
+						has ? &found->second.record
+						    : nullptr);
+			}
+		g_array_append_val(result->committed, holds);
+	}
+	void reply(Node *node, svc_t from, const msg_t &call, int64_t delay,
+		   store_result_t *result)
+	{
+		msg_t msg = {};
+		msg.kind = MSG_STORE_RESULT;
+		msg.ref = call.id;
+		msg.u.store_result = result;
+		node->later(delay, call.to, from, msg);
+	}
+	void store_call(Node *node, msg_t *msg)
+	{
+		svc_t from = msg->from;
+		int epoch = node->epoch;
+		calls++;
+		if (msg->kind == MSG_STORE_LEASE) {
+			store_result_t *result = store_result_new(
+				store_down ? STORE_UNAVAILABLE : STORE_OK);
+			result->lease = store_down ? 0 : 7;
+			reply(node, from, *msg, rng.ms(0, 5), result);
+			return;
+		}
+		if (msg->kind != MSG_STORE_TXN)
+			return;
+		if (store_down && rng.percent(60)) {
+			reply(node, from, *msg, rng.ms(1, 50),
+			      store_result_new(rng.percent(70)
+						       ? STORE_UNAVAILABLE
+						       : STORE_UNKNOWN));
+			return;
+		}
+		// The answer is lost, perhaps before the call takes effect.
+		bool lost = store_down || rng.percent(15);
+		if (lost)
+			reply(node, from, *msg, rng.ms(1, 100),
+			      store_result_new(STORE_UNKNOWN));
+		std::shared_ptr<store_txn_t> txn(msg->u.store_txn,
+						 store_txn_free);
+		msg->u.store_txn = nullptr;
+		msg_t call = *msg;
+		at(rng.ms(0, lost ? 300 : 5), [=]() {
+			store_result_t *result = apply(txn.get());
+			if (lost || node->epoch != epoch)
+				store_result_free(result);
+			else
+				reply(node, from, call, rng.ms(0, 5), result);
+		});
+	}
+	// Crashes, pauses and outages at random times up to the given one.
+	void plan_faults(int64_t until)
+	{
+		for (int i = (int)rng.below(6); i > 0; i--) {
+			Node *node = nodes[rng.below(nodes.size())];
+			int64_t length = rng.ms(20, 2500);
+			uint64_t kind = rng.below(3);
+			at((int64_t)rng.below(until), [=]() {
+				if (kind == 0 && node->up) {
+					node->crash();
+					at(length, [=]() { node->start(); });
+				} else if (kind == 1) {
+					node->paused_until = now + length;
+				} else if (kind == 2 && !store_down) {
+					store_down = true;
+					at(length,
+					   [=]() { store_down = false; });
+				}
+			});
+		}
+	}
+};
+
+inline void Node::start()
+{
+	if (up)
+		return;
+	kernel_init(&kernel, CLOCK_VIRTUAL, world->rng.below(UINT64_MAX));
+	kernel.virtual_now = world->now;
+	kernel_uuid(&kernel, incarnation);
+	up = true;
+	epoch++;
+	boot();
+	kernel_start(&kernel);
+}
+
+inline void Node::crash()
+{
+	if (!up)
+		return;
+	up = false;
+	epoch++;
+	shut();
+	kernel_finish(&kernel);
+}
+
+inline void Node::later(int64_t delay, svc_t from, svc_t to, const msg_t &msg)
+{
+	int at_epoch = epoch;
+	world->at(delay, [=]() {
+		msg_t copy = msg;
+		if (epoch == at_epoch)
+			kernel_post(&kernel, from, to, &copy);
+		else
+			msg_clear(&copy);
+	});
+}
+
+using Schedule = std::function<Tally(uint64_t seed, int steps)>;
+
+// Runs a schedule for each seed and prints one line for each promise, with
+// the seed and the shortest failing prefix of its first violation.
+inline Tally prove(const char *what, const std::vector<int> &promises,
+		   uint64_t first, uint64_t last, int steps,
+		   const Schedule &schedule, bool print = true)
+{
+	Tally sum;
+	std::map<int, uint64_t> bad;
+	const char *range = getenv("SEEDS");
+
+	if (print && range != nullptr)
+		sscanf(range, "%" G_GUINT64_FORMAT "..%" G_GUINT64_FORMAT,
+		       &first, &last);
+	for (uint64_t seed = first; seed <= last; seed++) {
+		Tally one = schedule(seed, steps);
+		for (int p : promises) {
+			sum.checks[p] += one.checks[p];
+			sum.violations[p] += one.violations[p];
+			if (one.violations[p] > 0)
+				bad.emplace(p, seed);
+		}
+	}
+	for (int p : promises) {
+		if (!print)
+			continue;
+		printf("promise %d %s schedules=%" G_GUINT64_FORMAT
+		       " checks=%" G_GUINT64_FORMAT
+		       " violations=%" G_GUINT64_FORMAT,
+		       p, what, last - first + 1, sum.checks[p],
+		       sum.violations[p]);
+		int prefix = 1;
+		if (bad.count(p) != 0) {
+			while (prefix < steps &&
+			       schedule(bad[p], prefix).violations[p] == 0)
+				prefix++;
+			printf(" seed=%" G_GUINT64_FORMAT " prefix=%d", bad[p],
+			       prefix);
+		}
+		printf("\n");
+	}
+	fflush(stdout);
+	return sum;
+}
+
+#endif
