--- a/kernel/msg.c
+++ b/kernel/msg.c
@@ -300,6 +300,29 @@
 	g_free(list);
 }
 
+instance_list_t *instance_list_new(void)
+{
+	instance_list_t *list = g_new0(instance_list_t, 1);
+
+	list->refs = 1;
+	list->instances = g_array_new(FALSE, TRUE, sizeof(instance_info_t));
+	return list;
+}
+
+instance_list_t *instance_list_ref(instance_list_t *list)
+{
+	list->refs++;
+	return list;
+}
+
+void instance_list_unref(instance_list_t *list)
+{
+	if (list == NULL || --list->refs > 0)
+		return;
+	g_array_unref(list->instances);
+	g_free(list);
+}
+
 peer_body_t *peer_body_new(peer_kind_t kind)
 {
 	peer_body_t *body = g_new0(peer_body_t, 1);
@@ -381,6 +404,9 @@
 	case MSG_MEMBER_CHANGED:
 		g_clear_pointer(&msg->u.members, member_list_unref);
 		break;
+	case MSG_INSTANCES_LISTED:
+		g_clear_pointer(&msg->u.instances, instance_list_unref);
+		break;
 	default:
 		break;
 	}
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -236,6 +236,23 @@
 member_list_t *member_list_ref(member_list_t *list);
 void member_list_unref(member_list_t *list);
 
+/* The platform's list of instances, routers and targets alike. */
+typedef struct instance_info_t {
+	char host[HOST_SIZE];
+	uint16_t port;
+	bool leaving;
+} instance_info_t;
+
+typedef struct instance_list_t {
+	int refs;
+	int64_t revision;
+	GArray *instances; /* instance_info_t */
+} instance_list_t;
+
+instance_list_t *instance_list_new(void);
+instance_list_t *instance_list_ref(instance_list_t *list);
+void instance_list_unref(instance_list_t *list);
+
 /* A bill as its router copies it to the buddy. */
 typedef struct bill_t {
 	uint64_t seq;
@@ -384,6 +401,7 @@
 	MSG_LEASE_RENEWED, /* member -> ledger, claims */
 	MSG_BUDDY_CHANGED, /* member -> ledger */
 	MSG_MEMBER_GONE, /* member -> ledger: a router's lease has expired */
+	MSG_INSTANCES_LISTED, /* instances -> member: the list was answered */
 
 	MSG_KIND_COUNT,
 } msg_kind_t;
@@ -585,6 +603,7 @@
 			bool instance_gone; /* the platform no longer lists it
 					     */
 		} gone;
+		instance_list_t *instances; /* MSG_INSTANCES_LISTED */
 	} u;
 } msg_t;
 
--- /dev/null
+++ b/member/buddy.c
@@ -0,0 +1,143 @@
+#include "member/view.h"
+
+#include "log/log.h"
+
+#include <string.h>
+
+/* Silence after which the buddy is given up: a new connection was tried. */
+#define GONE_AFTER (2 * SUSPECT_AFTER)
+/* After the start, so that members of the own zone are connected first. */
+#define SETTLE (2 * USEC_PER_SEC)
+/*
+ * Between telling the ledger that it has no buddy and naming another one in
+ * the store: time to flush the bills that only the old buddy holds.
+ */
+#define FLUSH (2 * USEC_PER_SEC)
+
+static void post_buddy(member_t *member, const char *incarnation)
+{
+	entry_t *own = view_find(member, member->opts.self.incarnation);
+	msg_t msg = {.kind = MSG_BUDDY_CHANGED};
+
+	g_strlcpy(own->info.buddy, incarnation, sizeof(own->info.buddy));
+	member->changed = true;
+	g_strlcpy(member->buddy, incarnation, sizeof(member->buddy));
+	g_strlcpy(msg.u.buddy.incarnation, incarnation,
+		  sizeof(msg.u.buddy.incarnation));
+	log_event(LOG_LEVEL_INFO, "member", "buddy", "buddy=%s",
+		  log_quote(incarnation));
+	member_post(member, member->ledger, &msg);
+}
+
+void buddy_clear(member_t *member)
+{
+	if (member->buddy[0] == '\0')
+		return;
+	member->cleared_at = kernel_now(member->kernel);
+	post_buddy(member, "");
+}
+
+static bool is_gone(const member_t *member, const entry_t *entry)
+{
+	if (entry == NULL || entry->left ||
+	    view_state(member, entry) == MEMBER_DEAD)
+		return true;
+	return kernel_now(member->kernel) - entry->heard_direct > GONE_AFTER;
+}
+
+static bool is_usable(const member_t *member, const entry_t *entry)
+{
+	return entry != NULL && !entry->own && entry->connected &&
+	       view_heard(member, entry) &&
+	       view_state(member, entry) == MEMBER_ALIVE;
+}
+
+static bool in_own_zone(const member_t *member, const entry_t *entry)
+{
+	return strcmp(entry->info.availability_zone,
+		      member->opts.self.availability_zone) == 0;
+}
+
+/* Rendezvous hashing: each member ranks the others differently. */
+static entry_t *choose(member_t *member)
+{
+	uint64_t weight, most = 0;
+	uint32_t cursor = 0;
+	bool zone, best_zone = false;
+	entry_t *entry, *best = NULL;
+
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
+		if (!is_usable(member, entry))
+			continue;
+		zone = in_own_zone(member, entry);
+		weight = ring_hash(member->opts.self.incarnation,
+				   entry->info.incarnation);
+		if (best == NULL || zone > best_zone ||
+		    (zone == best_zone && weight > most)) {
+			best = entry;
+			most = weight;
+			best_zone = zone;
+		}
+	}
+	return best;
+}
+
+/*
+ * The record names the buddy already.  A write of unknown result may name
+ * another one; then there is none until it is settled.
+ */
+static bool resume(member_t *member, const entry_t *best)
+{
+	const entry_t *entry = view_find(member, member->stored_buddy);
+
+	if (member->stored_buddy[0] == '\0' || !is_usable(member, entry))
+		return false;
+	if (best != NULL && in_own_zone(member, best) &&
+	    !in_own_zone(member, entry))
+		return false;
+	post_buddy(member, member->stored_buddy);
+	return true;
+}
+
+/* A buddy in another zone is given up for one in our own zone. */
+static bool is_worse(member_t *member, const entry_t *buddy)
+{
+	const entry_t *best;
+
+	if (in_own_zone(member, buddy))
+		return false;
+	best = choose(member);
+	return best != NULL && in_own_zone(member, best);
+}
+
+void buddy_tick(member_t *member)
+{
+	int64_t now = kernel_now(member->kernel);
+	entry_t *entry = view_find(member, member->buddy);
+	entry_t *best;
+
+	if (member->stopping)
+		return;
+	if (member->buddy[0] != '\0') {
+		if (is_gone(member, entry) ||
+		    (member->registered && member->write_kind == CALL_NONE &&
+		     is_worse(member, entry)))
+			buddy_clear(member);
+		return;
+	}
+	if (member->write_kind != CALL_NONE || member->revision == 0)
+		return;
+	best = choose(member);
+	if (resume(member, best) || best == NULL || !member->registered)
+		return;
+	if (now < member->write_at || now - member->registered_at < SETTLE ||
+	    (member->cleared_at != 0 && now - member->cleared_at < FLUSH))
+		return;
+	lease_write_buddy(member, best->info.incarnation);
+}
+
+void buddy_committed(member_t *member, const char *incarnation)
+{
+	if (is_usable(member, view_find(member, incarnation)))
+		post_buddy(member, incarnation);
+}
--- /dev/null
+++ b/member/lease.c
@@ -0,0 +1,409 @@
+#include "member/view.h"
+
+#include "log/log.h"
+
+#include <string.h>
+
+/* Taken off the lease's end: delays on the way and drift of the clocks. */
+#define LEASE_MARGIN USEC_PER_SEC
+#define STOP_LIMIT (5 * USEC_PER_SEC) /* the store may be out */
+
+static void own_key(const member_t *member, const char *prefix, char *key)
+{
+	g_snprintf(key, STORE_KEY_SIZE, "%s%s", prefix,
+		   member->opts.self.incarnation);
+}
+
+static void post_renewed(member_t *member)
+{
+	svc_t to[] = {member->ledger, member->claims};
+
+	for (guint i = 0; i < G_N_ELEMENTS(to); i++) {
+		msg_t msg = {.kind = MSG_LEASE_RENEWED};
+
+		msg.u.lease.lease = member->lease;
+		msg.u.lease.valid_until = member->valid_until;
+		member_post(member, to[i], &msg);
+	}
+}
+
+static void ask_lease(member_t *member, call_kind_t kind, msg_kind_t msg_kind)
+{
+	msg_t msg = {.kind = msg_kind};
+	call_t *call;
+
+	msg.u.store_lease.lease = member->lease;
+	msg.u.store_lease.ttl_s = member->opts.lease_ttl_s;
+	call = member_call(member, kind, &msg);
+	call->lease = member->lease;
+}
+
+static void fill_record(member_t *member, record_t *record)
+{
+	const member_info_t *self = &member->opts.self;
+	record_member_t *to = &record->u.member;
+
+	memset(record, 0, sizeof(*record));
+	record->kind = RECORD_MEMBER;
+	g_strlcpy(to->incarnation, self->incarnation, sizeof(to->incarnation));
+	g_strlcpy(to->name, self->name, sizeof(to->name));
+	g_strlcpy(to->availability_zone, self->availability_zone,
+		  sizeof(to->availability_zone));
+	g_strlcpy(to->host, self->host, sizeof(to->host));
+	to->peer_port = self->peer_port;
+	to->admin_port = self->admin_port;
+	g_strlcpy(to->buddy, member->stored_buddy, sizeof(to->buddy));
+	g_strlcpy(to->op.writer, self->incarnation, sizeof(to->op.writer));
+	to->op.seq = ++member->op_seq;
+}
+
+/* Sends the write, or sends it again with the same operation id. */
+static void send_write(member_t *member)
+{
+	char key[STORE_KEY_SIZE], alive[STORE_KEY_SIZE];
+	msg_t msg = {.kind = MSG_STORE_TXN};
+	store_txn_t *txn = store_txn_new();
+	record_t record = {.kind = RECORD_ALIVE};
+
+	own_key(member, "member/", key);
+	own_key(member, "alive/", alive);
+	g_strlcpy(record.u.alive.incarnation, member->opts.self.incarnation,
+		  sizeof(record.u.alive.incarnation));
+	store_txn_group(txn);
+	switch ((call_kind_t)member->write_kind) {
+	case CALL_REGISTER:
+		store_txn_put(txn, key, EXPECT_ABSENT, 0,
+			      &member->write_record);
+		store_txn_put(txn, alive, EXPECT_ANY, member->lease, &record);
+		break;
+	case CALL_REVIVE:
+		/* Without member/INC our grants may have been recovered. */
+		store_txn_check(txn, key, member->revision);
+		store_txn_put(txn, alive, EXPECT_ANY, member->lease, &record);
+		break;
+	default:
+		store_txn_put(txn, key, member->revision, 0,
+			      &member->write_record);
+		break;
+	}
+	msg.u.store_txn = txn;
+	member->write_pending = true;
+	member_call(member, (call_kind_t)member->write_kind, &msg)->lease =
+		member->lease;
+}
+
+/* One write is in flight at a time; the record is in write_record. */
+static void begin_write(member_t *member, call_kind_t kind)
+{
+	member->write_kind = (int)kind;
+	send_write(member);
+}
+
+static void begin_registration(member_t *member)
+{
+	fill_record(member, &member->write_record);
+	begin_write(member,
+		    member->revision == 0 ? CALL_REGISTER : CALL_REVIVE);
+}
+
+void lease_write_buddy(member_t *member, const char *incarnation)
+{
+	fill_record(member, &member->write_record);
+	g_strlcpy(member->write_record.u.member.buddy, incarnation,
+		  sizeof(member->write_record.u.member.buddy));
+	begin_write(member, CALL_BUDDY);
+}
+
+static void tick_lease(member_t *member, int64_t now)
+{
+	if (now < member->lease_at)
+		return;
+	if (member->lease == 0 && !member->lease_pending) {
+		member->lease_pending = true;
+		ask_lease(member, CALL_LEASE, MSG_STORE_LEASE);
+	} else if (member->lease != 0 && !member->keepalive_pending) {
+		member->keepalive_pending = true;
+		ask_lease(member, CALL_KEEPALIVE, MSG_STORE_KEEPALIVE);
+	}
+}
+
+static void delete_records(member_t *member)
+{
+	char key[STORE_KEY_SIZE];
+	msg_t msg = {.kind = MSG_STORE_TXN};
+	store_txn_t *txn = store_txn_new();
+
+	store_txn_group(txn);
+	own_key(member, "member/", key);
+	store_txn_delete(txn, key, EXPECT_ANY);
+	own_key(member, "alive/", key);
+	store_txn_delete(txn, key, EXPECT_ANY);
+	msg.u.store_txn = txn;
+	member->write_pending = true;
+	member_call(member, CALL_LEAVE, &msg);
+}
+
+static void stop_done(member_t *member)
+{
+	msg_t msg = {.kind = MSG_STOPPED};
+
+	member->stopped = true;
+	member_post(member, member->router, &msg);
+}
+
+/* A write in flight is awaited, so that it can't follow the delete. */
+static void tick_stop(member_t *member, int64_t now)
+{
+	if (member->stopped)
+		return;
+	if (now >= member->stop_until) {
+		log_event(LOG_LEVEL_WARN, "member", "stop_limit",
+			  "reason=\"the store does not answer\"");
+		stop_done(member);
+		return;
+	}
+	if (!member->write_pending && now >= member->write_at)
+		delete_records(member);
+}
+
+void lease_tick(member_t *member)
+{
+	int64_t now = kernel_now(member->kernel);
+
+	if (member->stopping) {
+		tick_stop(member, now);
+		return;
+	}
+	tick_lease(member, now);
+	if (member->write_pending || now < member->write_at)
+		return;
+	/* alive/INC is never written without a lease: it would stay. */
+	if (member->lease == 0 && member->write_kind != CALL_BUDDY)
+		return;
+	if (member->write_kind != CALL_NONE)
+		send_write(member);
+	else if (!member->registered)
+		begin_registration(member);
+}
+
+static void lose_lease(member_t *member, const char *reason)
+{
+	log_event(LOG_LEVEL_WARN, "member", "lease_lost",
+		  "lease=%" G_GINT64_FORMAT " reason=%s", member->lease,
+		  log_quote(reason));
+	member->lease = 0;
+	member->registered = false;
+	member->lease_at = 0;
+}
+
+/*
+ * member/INC is gone although we did not delete it: our grants were
+ * recovered.  We register as a new start would; the record is created
+ * together with alive/INC, so no router sees one without the other, and the
+ * ledger finds the loss of each grant by its own compare.
+ */
+static void note_recovered(member_t *member)
+{
+	log_event(LOG_LEVEL_WARN, "member", "recovered",
+		  "reason=\"the record was removed by another router\"");
+	member->revision = 0;
+	member->registered = false;
+	member->stored_buddy[0] = '\0';
+	buddy_clear(member);
+}
+
+static void lease_granted(member_t *member, const call_t *call,
+			  const store_result_t *result)
+{
+	int64_t now = kernel_now(member->kernel);
+
+	member->lease_pending = false;
+	if (result->status != STORE_OK || result->lease == 0) {
+		member->lease_at = now + STORE_RETRY;
+		return;
+	}
+	member->lease = result->lease;
+	member->valid_until = call->sent +
+			      member->opts.lease_ttl_s * USEC_PER_SEC -
+			      LEASE_MARGIN;
+	member->lease_at =
+		call->sent + member->opts.lease_ttl_s * USEC_PER_SEC / 3;
+}
+
+static void lease_kept(member_t *member, const call_t *call,
+		       const store_result_t *result)
+{
+	int32_t ttl = MIN(result->lease_ttl_s, member->opts.lease_ttl_s);
+	int64_t now = kernel_now(member->kernel);
+
+	member->keepalive_pending = false;
+	if (call->lease != member->lease)
+		return;
+	if (result->status != STORE_OK) {
+		member->lease_at = now + STORE_RETRY;
+		return;
+	}
+	if (ttl <= 0) {
+		lose_lease(member, "expired");
+		return;
+	}
+	member->lease_at =
+		call->sent + member->opts.lease_ttl_s * USEC_PER_SEC / 3;
+	member->valid_until = call->sent + ttl * USEC_PER_SEC - LEASE_MARGIN;
+	if (member->registered)
+		post_renewed(member);
+}
+
+static void set_registered(member_t *member, int64_t lease)
+{
+	if (lease != member->lease)
+		return; /* alive/INC is bound to a lease that we lost */
+	member->registered = true;
+	member->registered_at = kernel_now(member->kernel);
+	log_event(LOG_LEVEL_INFO, "member", "registered",
+		  "lease=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT,
+		  member->lease, member->revision);
+	post_renewed(member);
+}
+
+static void write_committed(member_t *member, call_kind_t kind, int64_t lease,
+			    int64_t revision)
+{
+	const record_member_t *record = &member->write_record.u.member;
+
+	if (kind == CALL_REVIVE) {
+		set_registered(member, lease);
+		return;
+	}
+	member->revision = revision;
+	g_strlcpy(member->stored_buddy, record->buddy,
+		  sizeof(member->stored_buddy));
+	if (kind == CALL_REGISTER)
+		set_registered(member, lease);
+	else
+		buddy_committed(member, record->buddy);
+}
+
+/* The compare failed; kvs hold what the store has. */
+static void write_refused(member_t *member, const call_t *call,
+			  const store_result_t *result)
+{
+	char key[STORE_KEY_SIZE];
+	const store_kv_t *kv;
+
+	own_key(member, "member/", key);
+	kv = store_result_find(result, key);
+	if (kv == NULL || kv->record.kind != RECORD_MEMBER) {
+		if (member->revision != 0)
+			note_recovered(member);
+		return;
+	}
+	if (call->kind != CALL_REVIVE &&
+	    op_id_equal(&kv->record.u.member.op,
+			&member->write_record.u.member.op)) {
+		/* An earlier try had taken effect, its answer was lost. */
+		write_committed(member, call->kind, 0, kv->revision);
+		return;
+	}
+	member->revision = kv->revision;
+	g_strlcpy(member->stored_buddy, kv->record.u.member.buddy,
+		  sizeof(member->stored_buddy));
+}
+
+static void write_result(member_t *member, const call_t *call,
+			 const store_result_t *result)
+{
+	int64_t now = kernel_now(member->kernel);
+	const store_kv_t *kv;
+	char key[STORE_KEY_SIZE];
+
+	member->write_pending = false;
+	if (result->status != STORE_OK) {
+		member->write_at = now + STORE_RETRY;
+		if (result->status == STORE_UNKNOWN)
+			member->write_unknown = true;
+		/* Unless an earlier try may have taken effect, start over. */
+		if (!member->write_unknown)
+			member->write_kind = CALL_NONE;
+		return;
+	}
+	member->write_kind = CALL_NONE;
+	member->write_unknown = false;
+	member->written = MAX(member->written, result->revision);
+	if (!store_result_committed(result, 0)) {
+		write_refused(member, call, result);
+		return;
+	}
+	own_key(member, "member/", key);
+	kv = store_result_find(result, key);
+	write_committed(member, call->kind, call->lease,
+			kv != NULL && kv->revision > 0 ? kv->revision
+						       : result->revision);
+}
+
+void lease_result(member_t *member, const call_t *call,
+		  const store_result_t *result)
+{
+	switch (call->kind) {
+	case CALL_LEASE:
+		lease_granted(member, call, result);
+		break;
+	case CALL_KEEPALIVE:
+		lease_kept(member, call, result);
+		break;
+	case CALL_REGISTER:
+	case CALL_REVIVE:
+	case CALL_BUDDY:
+		write_result(member, call, result);
+		break;
+	default:
+		break;
+	}
+	lease_tick(member);
+}
+
+void lease_observe(member_t *member, const store_kv_t *kv, int64_t seen)
+{
+	bool is_alive = g_str_has_prefix(kv->key, "alive/");
+
+	/* Older than our last write, or about to be settled by a new one. */
+	if (!member->registered || member->write_kind != CALL_NONE ||
+	    seen <= member->written || member->stopping || kv->revision > 0)
+		return;
+	if (!is_alive)
+		note_recovered(member);
+	else
+		lose_lease(member, "alive record is absent");
+}
+
+void lease_stop(member_t *member)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	if (member->stopping)
+		return;
+	member->stopping = true;
+	member->stop_until = kernel_now(member->kernel) + STOP_LIMIT;
+	member->write_at = 0;
+	msg.u.peer.body = peer_body_new(PEER_LEAVE);
+	member_post(member, member->peer, &msg);
+	tick_stop(member, kernel_now(member->kernel));
+}
+
+void lease_stop_result(member_t *member, const call_t *call,
+		       const store_result_t *result)
+{
+	member->write_pending = false;
+	if (member->stopped)
+		return;
+	if (call->kind == CALL_REVOKE) {
+		stop_done(member);
+	} else if (result->status != STORE_OK) {
+		member->write_at = kernel_now(member->kernel) + STORE_RETRY;
+	} else if (member->lease != 0) {
+		member->write_pending = true;
+		ask_lease(member, CALL_REVOKE, MSG_STORE_REVOKE);
+	} else {
+		stop_done(member);
+	}
+}
--- /dev/null
+++ b/member/ring.c
@@ -0,0 +1,206 @@
+#include "member/view.h"
+
+#include <string.h>
+
+#define GOSSIP_MAX 8 /* members told of in a small fleet */
+#define GOSSIP_LARGE 2 /* in a large one: bounds the bytes per second */
+#define RING_MAX 6 /* neighbours on the ring; the others are buddies */
+#define HEARTBEATS_MAX 24 /* heartbeats sent in one round */
+
+typedef struct place_t {
+	uint64_t at;
+	entry_t *entry;
+} place_t;
+
+/* FNV-1a over both texts, with a final mix. */
+uint64_t ring_hash(const char *a, const char *b)
+{
+	uint64_t hash = UINT64_C(0xcbf29ce484222325);
+
+	for (; *a != '\0'; a++)
+		hash = (hash ^ (uint8_t)*a) * UINT64_C(0x100000001b3);
+	hash = (hash ^ '/') * UINT64_C(0x100000001b3);
+	for (; *b != '\0'; b++)
+		hash = (hash ^ (uint8_t)*b) * UINT64_C(0x100000001b3);
+	hash = (hash ^ (hash >> 33)) * UINT64_C(0xff51afd7ed558ccd);
+	return hash ^ (hash >> 33);
+}
+
+static int by_place(gconstpointer a, gconstpointer b)
+{
+	const place_t *x = a;
+	const place_t *y = b;
+
+	return x->at < y->at ? -1 : x->at > y->at;
+}
+
+/* The members to connect to, by their place on the ring. */
+static GArray *candidates(member_t *member)
+{
+	GArray *places = g_array_new(FALSE, FALSE, sizeof(place_t));
+	uint32_t cursor = 0;
+	entry_t *entry;
+	place_t place;
+
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
+		member_state_t state = view_state(member, entry);
+
+		if (entry->own || state == MEMBER_LEFT ||
+		    state == MEMBER_DEAD || entry->info.host[0] == '\0' ||
+		    entry->info.peer_port == 0)
+			continue;
+		place.at = ring_hash(entry->info.incarnation, "");
+		place.entry = entry;
+		g_array_append_val(places, place);
+	}
+	g_array_sort(places, by_place);
+	return places;
+}
+
+/* The own zone's likeliest buddy must be connected to become one. */
+static entry_t *likely_buddy(member_t *member, const GArray *places)
+{
+	const char *own = member->opts.self.incarnation;
+	entry_t *best = NULL;
+	uint64_t weight, most = 0;
+
+	for (guint i = 0; i < places->len; i++) {
+		entry_t *entry = g_array_index(places, place_t, i).entry;
+
+		if (strcmp(entry->info.availability_zone,
+			   member->opts.self.availability_zone) != 0)
+			continue;
+		weight = ring_hash(own, entry->info.incarnation);
+		if (best == NULL || weight > most) {
+			best = entry;
+			most = weight;
+		}
+	}
+	return best;
+}
+
+static void choose(GPtrArray *chosen, entry_t *entry)
+{
+	if (entry != NULL && chosen->len < MEMBER_NEIGHBOURS &&
+	    !g_ptr_array_find(chosen, entry, NULL))
+		g_ptr_array_add(chosen, entry);
+}
+
+/* As many after our own place as before it, so that neighbours are mutual. */
+static GPtrArray *neighbours(member_t *member)
+{
+	GArray *places = candidates(member);
+	GPtrArray *chosen = g_ptr_array_new();
+	uint64_t own = ring_hash(member->opts.self.incarnation, "");
+	guint n = places->len, next = 0;
+	entry_t *buddy = view_find(member, member->buddy);
+
+	while (next < n && g_array_index(places, place_t, next).at < own)
+		next++;
+	if (n > MEMBER_NEIGHBOURS) {
+		choose(chosen, buddy);
+		choose(chosen, likely_buddy(member, places));
+	}
+	for (guint i = 0; i < n && i < MEMBER_NEIGHBOURS; i++) {
+		guint at = (i % 2 == 0) ? next + i / 2 : next + n - 1 - i / 2;
+
+		if (n > MEMBER_NEIGHBOURS && i == RING_MAX)
+			break;
+		choose(chosen, g_array_index(places, place_t, at % n).entry);
+	}
+	g_array_unref(places);
+	return chosen;
+}
+
+static void post_connect(member_t *member, msg_kind_t kind,
+			 const entry_t *entry)
+{
+	msg_t msg = {.kind = kind};
+
+	g_strlcpy(msg.u.peer_addr.incarnation, entry->info.incarnation,
+		  sizeof(msg.u.peer_addr.incarnation));
+	g_strlcpy(msg.u.peer_addr.host, entry->info.host,
+		  sizeof(msg.u.peer_addr.host));
+	msg.u.peer_addr.port = entry->info.peer_port;
+	member_post(member, member->peer, &msg);
+}
+
+static void connect_to(member_t *member, GPtrArray *chosen)
+{
+	uint32_t cursor = 0;
+	entry_t *entry;
+
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
+		bool wanted = g_ptr_array_find(chosen, entry, NULL);
+
+		if (wanted == entry->wanted)
+			continue;
+		entry->wanted = wanted;
+		entry->wanted_since = kernel_now(member->kernel);
+		post_connect(member,
+			     wanted ? MSG_PEER_CONNECT : MSG_PEER_DISCONNECT,
+			     entry);
+	}
+}
+
+/* A random stretch of the table; only members heard of lately are told. */
+static void add_gossip(member_t *member, GArray *members)
+{
+	uint32_t count = table_count(&member->entries);
+	guint most = count > MEMBER_NEIGHBOURS + 1 ? GOSSIP_LARGE : GOSSIP_MAX;
+	uint32_t cursor = (uint32_t)kernel_random_below(member->kernel, count);
+	int64_t now = kernel_now(member->kernel);
+	entry_t *entry;
+
+	for (uint32_t i = 0; i < count && members->len < most; i++) {
+		entry = table_next(&member->entries, &cursor, NULL);
+		if (entry == NULL) {
+			cursor = 0;
+			entry = table_next(&member->entries, &cursor, NULL);
+		}
+		if (entry != NULL && !entry->own && !entry->left &&
+		    entry->info.heartbeat != 0 &&
+		    now - entry->last_heard < SUSPECT_AFTER)
+			g_array_append_val(members, entry->info);
+	}
+}
+
+void ring_send_heartbeat(member_t *member, const entry_t *to)
+{
+	entry_t *own = view_find(member, member->opts.self.incarnation);
+	msg_t msg = {.kind = MSG_PEER_SEND};
+	peer_body_t *body = peer_body_new(PEER_HEARTBEAT);
+
+	/* Rises with each heartbeat sent: only a higher one is news. */
+	own->info.heartbeat++;
+	body->u.heartbeat.conf_revision = member->conf_revision;
+	body->u.heartbeat.self = own->info;
+	add_gossip(member, body->u.heartbeat.members);
+	g_strlcpy(msg.u.peer.incarnation, to->info.incarnation,
+		  sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = body;
+	member_post(member, member->peer, &msg);
+}
+
+/*
+ * Besides the neighbours, members that chose us as theirs get an answer to
+ * their heartbeats, because they expect it.
+ */
+void ring_beat(member_t *member)
+{
+	GPtrArray *chosen = neighbours(member);
+	uint32_t cursor = 0;
+	uint32_t sent = 0;
+	entry_t *entry;
+
+	connect_to(member, chosen);
+	g_ptr_array_unref(chosen);
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
+		if (!entry->connected ||
+		    !(entry->wanted || view_heard(member, entry)))
+			continue;
+		if (++sent > HEARTBEATS_MAX)
+			break;
+		ring_send_heartbeat(member, entry);
+	}
+}
--- /dev/null
+++ b/member/sync.c
@@ -0,0 +1,178 @@
+#include "member/view.h"
+
+#include <string.h>
+
+#define LIST_EVERY (60 * USEC_PER_SEC) /* safety net below the watches */
+#define MEMBER_PREFIX "member/"
+#define ALIVE_PREFIX "alive/"
+
+static void list(member_t *member, member_prefix_t *prefix, call_kind_t kind)
+{
+	msg_t msg = {.kind = MSG_STORE_GET};
+
+	g_strlcpy(msg.u.store_get.key, prefix->prefix,
+		  sizeof(msg.u.store_get.key));
+	msg.u.store_get.prefix = true;
+	prefix->listing = true;
+	prefix->round++;
+	member_call(member, kind, &msg);
+}
+
+static void watch(member_t *member, member_prefix_t *prefix, int64_t from)
+{
+	msg_t msg = {.kind = MSG_STORE_WATCH};
+
+	g_strlcpy(msg.u.store_get.key, prefix->prefix,
+		  sizeof(msg.u.store_get.key));
+	msg.u.store_get.prefix = true;
+	msg.u.store_get.min_revision = from;
+	prefix->watched = true;
+	member_post(member, member->store, &msg);
+}
+
+void sync_tick(member_t *member)
+{
+	int64_t now = kernel_now(member->kernel);
+
+	if (!member->members.listing && now >= member->members.list_at)
+		list(member, &member->members, CALL_LIST_MEMBERS);
+	if (!member->alive.listing && now >= member->alive.list_at)
+		list(member, &member->alive, CALL_LIST_ALIVE);
+}
+
+/* Present record and absent liveness: the lease has expired. */
+static void note_absence(member_t *member, entry_t *entry)
+{
+	if (entry->revision == 0 || entry->alive)
+		entry->absent_since = 0;
+	else if (entry->absent_since == 0 && member->alive.synced)
+		entry->absent_since = kernel_now(member->kernel);
+}
+
+static void take_record(entry_t *entry, const record_member_t *record)
+{
+	member_info_t *info = &entry->info;
+
+	g_strlcpy(info->name, record->name, sizeof(info->name));
+	g_strlcpy(info->availability_zone, record->availability_zone,
+		  sizeof(info->availability_zone));
+	g_strlcpy(info->host, record->host, sizeof(info->host));
+	info->peer_port = record->peer_port;
+	info->admin_port = record->admin_port;
+	g_strlcpy(info->buddy, record->buddy, sizeof(info->buddy));
+}
+
+static void apply_member(member_t *member, const store_kv_t *kv, int64_t seen,
+			 uint32_t round)
+{
+	const char *name = kv->key + strlen(MEMBER_PREFIX);
+	bool present = kv->revision > 0 && kv->record.kind != RECORD_NONE;
+	entry_t *entry =
+		present ? view_get(member, name) : view_find(member, name);
+
+	if (entry == NULL)
+		return;
+	if (round != 0)
+		entry->round = round;
+	if (seen < entry->seen)
+		return;
+	entry->seen = seen;
+	if (kv->revision != entry->revision) {
+		entry->revision = kv->revision;
+		member->changed = true;
+		if (kv->record.kind == RECORD_MEMBER && !entry->own)
+			take_record(entry, &kv->record.u.member);
+	}
+	note_absence(member, entry);
+}
+
+static void apply_alive(member_t *member, const store_kv_t *kv, int64_t seen,
+			uint32_t round)
+{
+	const char *name = kv->key + strlen(ALIVE_PREFIX);
+	bool present = kv->revision > 0;
+	entry_t *entry =
+		present ? view_get(member, name) : view_find(member, name);
+
+	if (entry == NULL)
+		return;
+	if (round != 0)
+		entry->alive_round = round;
+	if (seen < entry->alive_seen)
+		return;
+	entry->alive_seen = seen;
+	if (entry->alive != present)
+		member->changed = true;
+	entry->alive = present;
+	note_absence(member, entry);
+}
+
+void sync_apply(member_t *member, const store_result_t *result, uint32_t round)
+{
+	for (guint i = 0; i < result->kvs->len; i++) {
+		const store_kv_t *kv =
+			&g_array_index(result->kvs, store_kv_t, i);
+		int64_t seen = MAX(result->revision, kv->revision);
+
+		if (g_str_has_prefix(kv->key, MEMBER_PREFIX))
+			apply_member(member, kv, seen, round);
+		else if (g_str_has_prefix(kv->key, ALIVE_PREFIX))
+			apply_alive(member, kv, seen, round);
+		else
+			continue;
+		if (strcmp(strchr(kv->key, '/') + 1,
+			   member->opts.self.incarnation) == 0)
+			lease_observe(member, kv, seen);
+	}
+}
+
+/* What a complete list does not hold was absent when it began. */
+static void sweep(member_t *member, call_kind_t kind, int64_t revision)
+{
+	uint32_t cursor = 0;
+	store_kv_t kv = {0};
+	entry_t *entry;
+
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
+		if (kind == CALL_LIST_MEMBERS &&
+		    entry->round != member->members.round) {
+			g_snprintf(kv.key, sizeof(kv.key), "%s%s",
+				   MEMBER_PREFIX, entry->info.incarnation);
+			apply_member(member, &kv, revision, 0);
+		}
+		if (kind == CALL_LIST_ALIVE &&
+		    entry->alive_round != member->alive.round) {
+			g_snprintf(kv.key, sizeof(kv.key), "%s%s", ALIVE_PREFIX,
+				   entry->info.incarnation);
+			apply_alive(member, &kv, revision, 0);
+		}
+		if (entry->own && kv.key[0] != '\0')
+			lease_observe(member, &kv, revision);
+		kv.key[0] = '\0';
+	}
+}
+
+void sync_listed(member_t *member, call_t *call, const store_result_t *result)
+{
+	member_prefix_t *prefix = call->kind == CALL_LIST_MEMBERS
+					  ? &member->members
+					  : &member->alive;
+	int64_t now = kernel_now(member->kernel);
+
+	if (result->status != STORE_OK) {
+		prefix->listing = false;
+		prefix->list_at = now + STORE_RETRY;
+		return;
+	}
+	if (call->revision == 0)
+		call->revision = result->revision;
+	sync_apply(member, result, prefix->round);
+	if (result->more)
+		return;
+	prefix->listing = false;
+	prefix->synced = true;
+	prefix->list_at = now + LIST_EVERY;
+	sweep(member, call->kind, call->revision);
+	if (!prefix->watched)
+		watch(member, prefix, call->revision + 1);
+}
--- /dev/null
+++ b/member/view.c
@@ -0,0 +1,173 @@
+#include "member/view.h"
+
+#include "log/log.h"
+
+#include <string.h>
+
+#define MEMBERS_MAX 4096
+
+entry_t *view_find(member_t *member, const char *incarnation)
+{
+	return g_hash_table_lookup(member->by_incarnation, incarnation);
+}
+
+entry_t *view_get(member_t *member, const char *incarnation)
+{
+	entry_t *entry = view_find(member, incarnation);
+	handle_t self;
+
+	if (entry != NULL)
+		return entry;
+	if (incarnation[0] == '\0' ||
+	    table_count(&member->entries) >= MEMBERS_MAX)
+		return NULL;
+	self = table_add(&member->entries, (void **)&entry);
+	entry->self = self;
+	g_strlcpy(entry->info.incarnation, incarnation,
+		  sizeof(entry->info.incarnation));
+	entry->last_heard = kernel_now(member->kernel);
+	g_hash_table_insert(member->by_incarnation, entry->info.incarnation,
+			    entry);
+	member->changed = true;
+	return entry;
+}
+
+void view_remove(member_t *member, entry_t *entry)
+{
+	g_hash_table_remove(member->by_incarnation, entry->info.incarnation);
+	table_remove(&member->entries, entry->self);
+	member->changed = true;
+}
+
+bool view_heard(const member_t *member, const entry_t *entry)
+{
+	return entry->heard_direct != 0 &&
+	       kernel_now(member->kernel) - entry->heard_direct < SUSPECT_AFTER;
+}
+
+/*
+ * Heartbeats reach only neighbours, so a member that is not expected to send
+ * us any is alive as long as its record in the store is.
+ */
+member_state_t view_state(const member_t *member, const entry_t *entry)
+{
+	int64_t now = kernel_now(member->kernel);
+
+	if (entry->own)
+		return member->stopping ? MEMBER_LEFT : MEMBER_ALIVE;
+	if (entry->left)
+		return MEMBER_LEFT;
+	if (now - entry->last_heard < SUSPECT_AFTER)
+		return MEMBER_ALIVE;
+	if (!member->alive.synced)
+		return MEMBER_SUSPECT;
+	if (!entry->alive)
+		return MEMBER_DEAD;
+	if (entry->wanted && now - entry->wanted_since >= SUSPECT_AFTER)
+		return MEMBER_SUSPECT;
+	return MEMBER_ALIVE;
+}
+
+void view_heartbeat(member_t *member, const member_info_t *info, bool direct)
+{
+	entry_t *entry = view_get(member, info->incarnation);
+	member_info_t *known;
+	member_state_t state;
+	bool same;
+
+	if (entry == NULL || entry->own || entry->left)
+		return;
+	known = &entry->info;
+	if (direct) {
+		entry->last_heard = kernel_now(member->kernel);
+		entry->heard_direct = entry->last_heard;
+	}
+	/* Gossip may have overtaken it, or be old. */
+	if (info->heartbeat <= known->heartbeat && known->heartbeat != 0)
+		return;
+	same = strcmp(known->name, info->name) == 0 &&
+	       strcmp(known->availability_zone, info->availability_zone) == 0 &&
+	       strcmp(known->host, info->host) == 0 &&
+	       strcmp(known->buddy, info->buddy) == 0 &&
+	       known->peer_port == info->peer_port &&
+	       known->admin_port == info->admin_port;
+	if (!same)
+		member->changed = true;
+	state = known->state;
+	*known = *info;
+	known->state = state; /* our own judgement */
+	entry->last_heard = kernel_now(member->kernel);
+}
+
+static int by_incarnation(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const member_info_t *)a)->incarnation,
+		      ((const member_info_t *)b)->incarnation);
+}
+
+static void post_list(member_t *member, svc_t to, member_list_t *list)
+{
+	msg_t msg = {.kind = MSG_MEMBER_CHANGED};
+
+	msg.u.members = member_list_ref(list);
+	member_post(member, to, &msg);
+}
+
+static void count_members(member_t *member)
+{
+	uint32_t cursor = 0;
+	int64_t alive = 0, connected = 0;
+	member_state_t state;
+	entry_t *entry;
+
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
+		state = view_state(member, entry);
+		if (state != entry->info.state) {
+			log_event(LOG_LEVEL_INFO, "member", "state",
+				  "member=%s name=%s state=%d",
+				  log_quote(entry->info.incarnation),
+				  log_quote(entry->info.name), (int)state);
+			entry->info.state = state;
+			member->changed = true;
+		}
+		alive += state == MEMBER_ALIVE;
+		connected += entry->connected;
+	}
+	metrics_set(member->kernel->metrics, GAUGE_MEMBERS_ALIVE, alive);
+	metrics_set(member->kernel->metrics, GAUGE_PEERS, connected);
+}
+
+void view_publish(member_t *member)
+{
+	uint32_t cursor = 0;
+	member_list_t *list;
+	entry_t *entry;
+
+	count_members(member);
+	if (!member->changed)
+		return;
+	member->changed = false;
+	list = member_list_new();
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL)
+		g_array_append_val(list->members, entry->info);
+	g_array_sort(list->members, by_incarnation);
+	for (uint32_t i = 0; i < member->subscriber_count; i++)
+		post_list(member, member->subscribers[i], list);
+	member_list_unref(list);
+}
+
+/* An entry is kept for a while, so that old gossip doesn't bring it back. */
+void view_forget(member_t *member)
+{
+	int64_t now = kernel_now(member->kernel);
+	uint32_t cursor = 0;
+	entry_t *entry;
+
+	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
+		if (entry->own || entry->connected || entry->wanted ||
+		    entry->revision != 0 || entry->alive ||
+		    now - entry->last_heard < FORGET_AFTER)
+			continue;
+		view_remove(member, entry);
+	}
+}
--- /dev/null
+++ b/member/view.h
@@ -0,0 +1,115 @@
+/*
+ * Parts of the service member: the view of the members, own records in the
+ * store, the buddy.  Private to the service.
+ */
+#ifndef MEMBER_VIEW_H
+#define MEMBER_VIEW_H
+
+#include "member/member.h"
+
+G_BEGIN_DECLS
+
+#define SUSPECT_AFTER (3 * USEC_PER_SEC) /* silence */
+#define FORGET_AFTER (60 * USEC_PER_SEC) /* silence, and not in the store */
+#define STORE_RETRY (500 * USEC_PER_MSEC)
+
+typedef struct entry_t {
+	handle_t self;
+	member_info_t info;
+	bool own;
+	bool connected;
+	bool wanted; /* peer was asked to connect */
+	bool left;
+	int64_t last_heard; /* directly or as gossip */
+	int64_t heard_direct; /* 0: never */
+	int64_t wanted_since; /* heartbeats are expected from here on */
+
+	int64_t revision; /* of member/X, 0: absent */
+	int64_t seen; /* store revision of this knowledge */
+	uint32_t round;
+	bool alive; /* alive/X is present */
+	int64_t alive_seen;
+	uint32_t alive_round;
+	int64_t absent_since; /* alive/X absent and member/X present; 0: no */
+	bool confirming;
+	int64_t gone_at; /* next report of the member as gone */
+	int64_t unlisted_since; /* by the platform's list; 0: listed */
+} entry_t;
+
+typedef enum call_kind_t {
+	CALL_NONE,
+	CALL_LIST_MEMBERS,
+	CALL_LIST_ALIVE,
+	CALL_LEASE,
+	CALL_KEEPALIVE,
+	CALL_REGISTER, /* member/INC and alive/INC */
+	CALL_REVIVE, /* alive/INC under a new lease */
+	CALL_BUDDY, /* member/INC with a new buddy */
+	CALL_CONFIRM, /* member/X is present and alive/X absent */
+	CALL_LEAVE,
+	CALL_REVOKE,
+} call_kind_t;
+
+typedef struct call_t {
+	handle_t self;
+	call_kind_t kind;
+	int64_t sent;
+	int64_t lease;
+	int64_t revision; /* list: of the first page */
+	handle_t entry;
+} call_t;
+
+/* member.c */
+void member_post(member_t *member, svc_t to, msg_t *msg);
+/* Sends a store call; the message's payload is filled in. */
+call_t *member_call(member_t *member, call_kind_t kind, msg_t *msg);
+
+/* view.c */
+entry_t *view_find(member_t *member, const char *incarnation);
+/* Finds or adds; NULL when the view is full. */
+entry_t *view_get(member_t *member, const char *incarnation);
+void view_remove(member_t *member, entry_t *entry);
+member_state_t view_state(const member_t *member, const entry_t *entry);
+bool view_heard(const member_t *member, const entry_t *entry);
+void view_heartbeat(member_t *member, const member_info_t *info, bool direct);
+void view_publish(member_t *member);
+void view_forget(member_t *member);
+
+/* ring.c */
+uint64_t ring_hash(const char *a, const char *b);
+/* Connects to the neighbours and sends them a heartbeat. */
+void ring_beat(member_t *member);
+void ring_send_heartbeat(member_t *member, const entry_t *to);
+
+/* sync.c: the records of the members in the store */
+void sync_tick(member_t *member);
+void sync_listed(member_t *member, call_t *call, const store_result_t *result);
+void sync_apply(member_t *member, const store_result_t *result, uint32_t round);
+
+/* lease.c: own records */
+void lease_tick(member_t *member);
+void lease_result(member_t *member, const call_t *call,
+		  const store_result_t *result);
+/* A watch or a list shows one of our own keys. */
+void lease_observe(member_t *member, const store_kv_t *kv, int64_t seen);
+void lease_stop(member_t *member);
+void lease_stop_result(member_t *member, const call_t *call,
+		       const store_result_t *result);
+
+/* Writes member/INC with another buddy. */
+void lease_write_buddy(member_t *member, const char *incarnation);
+
+/* buddy.c */
+void buddy_tick(member_t *member);
+void buddy_committed(member_t *member, const char *incarnation);
+void buddy_clear(member_t *member);
+
+/* gone.c: members whose lease has expired */
+void gone_tick(member_t *member);
+void gone_confirmed(member_t *member, const call_t *call,
+		    const store_result_t *result);
+void gone_listed(member_t *member, instance_list_t *list);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/peer/codec.c
@@ -0,0 +1,554 @@
+#include "peer/codec.h"
+
+#include "peer/fields.h"
+
+#include <string.h>
+
+#define VERSION 1
+#define BODY_KIND_BASE 16 /* kind on the wire of the first peer_kind_t */
+#define DEPTH_MAX 8 /* nested arrays and maps */
+
+static const field_t member_fields[] = {
+	FIELD_TEXT_OF(member_info_t, incarnation),
+	FIELD_TEXT_OF(member_info_t, name),
+	FIELD_TEXT_OF(member_info_t, availability_zone),
+	FIELD_TEXT_OF(member_info_t, host),
+	{"peer_port", FIELD_U16, offsetof(member_info_t, peer_port),
+	 UINT16_MAX},
+	{"admin_port", FIELD_U16, offsetof(member_info_t, admin_port),
+	 UINT16_MAX},
+	FIELD_TEXT_OF(member_info_t, buddy),
+	{"state", FIELD_ENUM, offsetof(member_info_t, state), MEMBER_LEFT},
+	{"heartbeat", FIELD_U64, offsetof(member_info_t, heartbeat),
+	 UINT64_MAX},
+};
+
+static const field_t bill_fields[] = {
+	{"seq", FIELD_U64, offsetof(bill_t, seq), UINT64_MAX},
+	FIELD_TEXT_OF(bill_t, client_account),
+	FIELD_TEXT_OF(bill_t, budget),
+	FIELD_TEXT_OF(bill_t, idem_key),
+	FIELD_TEXT_OF(bill_t, fingerprint),
+	{"tokens", FIELD_I64, offsetof(bill_t, tokens), INT64_MAX},
+	{"wall_ms", FIELD_I64, offsetof(bill_t, wall_ms), INT64_MAX},
+};
+
+#define BODY_TEXT(kind, member)                                            \
+	{                                                                  \
+#member, FIELD_TEXT, offsetof(peer_body_t, u.kind.member), \
+			sizeof(((peer_body_t *)NULL)->u.kind.member)       \
+	}
+#define BODY_U64(kind, member)                                            \
+	{                                                                 \
+#member, FIELD_U64, offsetof(peer_body_t, u.kind.member), \
+			UINT64_MAX                                        \
+	}
+#define BODY_I64(kind, member)                                            \
+	{                                                                 \
+#member, FIELD_I64, offsetof(peer_body_t, u.kind.member), \
+			INT64_MAX                                         \
+	}
+#define BODY_BOOL(kind, member)                                              \
+	{                                                                    \
+#member, FIELD_BOOL, offsetof(peer_body_t, u.kind.member), 1 \
+	}
+
+static const field_t heartbeat_fields[] = {
+	BODY_I64(heartbeat, conf_revision),
+};
+static const field_t conf_pull_fields[] = {
+	BODY_I64(conf_pull, from_revision),
+};
+static const field_t conf_items_fields[] = {
+	BODY_I64(conf_items, up_to_revision),
+};
+static const field_t bill_copy_fields[] = {
+	BODY_U64(bill_copy, session),
+	BODY_U64(bill_copy, seq),
+	BODY_BOOL(bill_copy, reset),
+};
+static const field_t copy_ack_fields[] = {
+	BODY_U64(copy_ack, session),
+	BODY_U64(copy_ack, seq),
+	BODY_BOOL(copy_ack, rejected),
+};
+static const field_t copy_trim_fields[] = {
+	BODY_U64(copy_trim, session),
+	BODY_U64(copy_trim, up_to),
+};
+static const field_t slice_fields[] = {
+	BODY_TEXT(slice, client_account),
+	BODY_TEXT(slice, budget),
+	BODY_I64(slice, tokens),
+};
+static const field_t blame_fields[] = {
+	BODY_TEXT(blame, fingerprint),
+	BODY_TEXT(blame, target),
+	BODY_TEXT(blame, reporter),
+	BODY_U64(blame, seq),
+};
+
+static fields_t body_fields(peer_kind_t kind)
+{
+	switch (kind) {
+	case PEER_HEARTBEAT:
+		return FIELDS_OF(heartbeat_fields);
+	case PEER_CONF_PULL:
+		return FIELDS_OF(conf_pull_fields);
+	case PEER_CONF_ITEMS:
+		return FIELDS_OF(conf_items_fields);
+	case PEER_BILL_COPY:
+		return FIELDS_OF(bill_copy_fields);
+	case PEER_COPY_ACK:
+		return FIELDS_OF(copy_ack_fields);
+	case PEER_COPY_TRIM:
+		return FIELDS_OF(copy_trim_fields);
+	case PEER_SLICE_ASK:
+	case PEER_SLICE_REPLY:
+		return FIELDS_OF(slice_fields);
+	case PEER_BLAME:
+		return FIELDS_OF(blame_fields);
+	case PEER_LEAVE:
+	case PEER_KIND_COUNT:
+		break;
+	}
+	return (fields_t){NULL, 0};
+}
+
+/* Arrays that follow the plain fields of a body. */
+static uint32_t body_nested(peer_kind_t kind)
+{
+	switch (kind) {
+	case PEER_HEARTBEAT:
+		return 2;
+	case PEER_CONF_ITEMS:
+	case PEER_BILL_COPY:
+		return 1;
+	default:
+		return 0;
+	}
+}
+
+static bool pack_struct(msgpack_packer *packer, fields_t fields,
+			const void *from, errmsg_t *err)
+{
+	msgpack_pack_array(packer, fields.count);
+	return fields_pack(packer, fields, from, err);
+}
+
+static bool parse_struct(const msgpack_object *object, fields_t fields,
+			 void *to, errmsg_t *err)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size != fields.count) {
+		errmsg_set(err, "structure has a wrong number of fields");
+		return false;
+	}
+	return fields_parse(object->via.array.ptr, fields, to, err);
+}
+
+static bool pack_list(msgpack_packer *packer, fields_t fields,
+		      const GArray *list, guint max, errmsg_t *err)
+{
+	guint size = g_array_get_element_size((GArray *)list);
+
+	if (list->len > max) {
+		errmsg_set(err, "list has more than %u elements", max);
+		return false;
+	}
+	msgpack_pack_array(packer, list->len);
+	for (guint i = 0; i < list->len; i++) {
+		if (!pack_struct(packer, fields, list->data + (size_t)i * size,
+				 err))
+			return false;
+	}
+	return true;
+}
+
+static bool check_list(const msgpack_object *object, uint32_t max,
+		       errmsg_t *err)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY) {
+		errmsg_set(err, "list is not an array");
+		return false;
+	}
+	if (object->via.array.size > max) {
+		errmsg_set(err, "list has more than %u elements", max);
+		return false;
+	}
+	return true;
+}
+
+static bool parse_list(const msgpack_object *object, fields_t fields,
+		       GArray *list, uint32_t max, errmsg_t *err)
+{
+	guint size = g_array_get_element_size(list);
+
+	if (!check_list(object, max, err))
+		return false;
+	g_array_set_size(list, object->via.array.size);
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		if (!parse_struct(&object->via.array.ptr[i], fields,
+				  list->data + (size_t)i * size, err))
+			return false;
+	}
+	return true;
+}
+
+static bool pack_items(msgpack_packer *packer, const GArray *kvs, errmsg_t *err)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < kvs->len; i++)
+		count += conf_item_is_packable(
+			&g_array_index(kvs, store_kv_t, i));
+	if (count > PEER_ITEMS_MAX) {
+		errmsg_set(err, "more than %d items", PEER_ITEMS_MAX);
+		return false;
+	}
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < kvs->len; i++) {
+		const store_kv_t *kv = &g_array_index(kvs, store_kv_t, i);
+
+		if (conf_item_is_packable(kv) &&
+		    !conf_item_pack(packer, kv, err))
+			return false;
+	}
+	return true;
+}
+
+static bool parse_items(const msgpack_object *object, GArray *kvs,
+			errmsg_t *err)
+{
+	if (!check_list(object, PEER_ITEMS_MAX, err))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		store_kv_t kv = {0};
+
+		if (!conf_item_parse(&object->via.array.ptr[i], &kv, err))
+			return false;
+		g_array_append_val(kvs, kv);
+	}
+	return true;
+}
+
+static bool pack_body(msgpack_packer *packer, const peer_body_t *body,
+		      errmsg_t *err)
+{
+	fields_t fields = body_fields(body->kind);
+
+	msgpack_pack_array(packer, 2 + fields.count + body_nested(body->kind));
+	msgpack_pack_uint64(packer, VERSION);
+	msgpack_pack_uint64(packer, BODY_KIND_BASE + (uint64_t)body->kind);
+	if (!fields_pack(packer, fields, body, err))
+		return false;
+	switch (body->kind) {
+	case PEER_HEARTBEAT:
+		return pack_struct(packer, FIELDS_OF(member_fields),
+				   &body->u.heartbeat.self, err) &&
+		       pack_list(packer, FIELDS_OF(member_fields),
+				 body->u.heartbeat.members, PEER_MEMBERS_MAX,
+				 err);
+	case PEER_CONF_ITEMS:
+		return pack_items(packer, body->u.conf_items.kvs, err);
+	case PEER_BILL_COPY:
+		return pack_list(packer, FIELDS_OF(bill_fields),
+				 body->u.bill_copy.bills, PEER_BILLS_MAX, err);
+	default:
+		return true;
+	}
+}
+
+static bool parse_body(const msgpack_object_array *array, peer_kind_t kind,
+		       peer_frame_t *frame, errmsg_t *err)
+{
+	fields_t fields = body_fields(kind);
+	const msgpack_object *nested = array->ptr + 2 + fields.count;
+	peer_body_t *body;
+	bool ok = false;
+
+	if (array->size != 2 + fields.count + body_nested(kind)) {
+		errmsg_set(err, "body has a wrong number of fields");
+		return false;
+	}
+	body = peer_body_new(kind);
+	if (!fields_parse(array->ptr + 2, fields, body, err))
+		goto out;
+	switch (kind) {
+	case PEER_HEARTBEAT:
+		ok = parse_struct(&nested[0], FIELDS_OF(member_fields),
+				  &body->u.heartbeat.self, err) &&
+		     parse_list(&nested[1], FIELDS_OF(member_fields),
+				body->u.heartbeat.members, PEER_MEMBERS_MAX,
+				err);
+		break;
+	case PEER_CONF_ITEMS:
+		ok = parse_items(&nested[0], body->u.conf_items.kvs, err);
+		break;
+	case PEER_BILL_COPY:
+		ok = parse_list(&nested[0], FIELDS_OF(bill_fields),
+				body->u.bill_copy.bills, PEER_BILLS_MAX, err);
+		break;
+	default:
+		ok = true;
+		break;
+	}
+out:
+	if (!ok) {
+		peer_body_free(body);
+		return false;
+	}
+	frame->kind = FRAME_BODY;
+	frame->u.body = body;
+	return true;
+}
+
+static bool pack_frame(msgpack_packer *packer, const peer_frame_t *frame,
+		       errmsg_t *err)
+{
+	if (frame->kind == FRAME_BODY)
+		return pack_body(packer, frame->u.body, err);
+	msgpack_pack_array(packer, frame->kind == FRAME_HELLO	? 4
+				   : frame->kind == FRAME_PROOF ? 3
+								: 2);
+	msgpack_pack_uint64(packer, VERSION);
+	msgpack_pack_uint64(packer, (uint64_t)frame->kind);
+	switch (frame->kind) {
+	case FRAME_HELLO:
+		msgpack_pack_bin(packer, PEER_NONCE_SIZE);
+		msgpack_pack_bin_body(packer, frame->u.hello.nonce,
+				      PEER_NONCE_SIZE);
+		return pack_struct(packer, FIELDS_OF(member_fields),
+				   &frame->u.hello.self, err);
+	case FRAME_PROOF:
+		msgpack_pack_bin(packer, PEER_PROOF_SIZE);
+		msgpack_pack_bin_body(packer, frame->u.proof, PEER_PROOF_SIZE);
+		return true;
+	default:
+		return true;
+	}
+}
+
+bool peer_encode(const peer_frame_t *frame, GByteArray *out, errmsg_t *err)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	uint32_t len;
+	bool ok;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	ok = pack_frame(&packer, frame, err);
+	if (ok && buffer.size > PEER_FRAME_MAX) {
+		errmsg_set(err, "frame has more than %d bytes", PEER_FRAME_MAX);
+		ok = false;
+	}
+	if (ok) {
+		len = GUINT32_TO_BE((uint32_t)buffer.size);
+		g_byte_array_append(out, (const guint8 *)&len, sizeof(len));
+		g_byte_array_append(out, (const guint8 *)buffer.data,
+				    (guint)buffer.size);
+	}
+	msgpack_sbuffer_destroy(&buffer);
+	return ok;
+}
+
+typedef struct scan_t {
+	const uint8_t *data;
+	size_t len;
+	size_t at;
+	uint64_t wanted; /* values still needed at all levels */
+} scan_t;
+
+static bool scan_uint(scan_t *scan, int bytes, uint64_t *value)
+{
+	*value = 0;
+	if (scan->len - scan->at < (size_t)bytes)
+		return false;
+	for (int i = 0; i < bytes; i++)
+		*value = *value << 8 | scan->data[scan->at++];
+	return true;
+}
+
+static bool scan_skip(scan_t *scan, uint64_t bytes)
+{
+	if (bytes > scan->len - scan->at)
+		return false;
+	scan->at += bytes;
+	return true;
+}
+
+/* Reads one head; *children is the number of values nested in it. */
+static bool scan_head(scan_t *scan, uint64_t *children)
+{
+	uint8_t head = scan->data[scan->at++];
+	uint64_t n = 0;
+
+	*children = 0;
+	if (head <= 0x7f || head >= 0xe0 || head == 0xc2 || head == 0xc3)
+		return true;
+	if (head <= 0x9f) { /* fixmap, fixarray */
+		*children = (head & 0x0f) * (head <= 0x8f ? 2U : 1U);
+		return true;
+	}
+	if (head <= 0xbf)
+		return scan_skip(scan, head & 0x1f);
+	switch (head) {
+	case 0xc4: /* bin */
+	case 0xc5:
+	case 0xc6:
+		return scan_uint(scan, 1 << (head - 0xc4), &n) &&
+		       scan_skip(scan, n);
+	case 0xcc: /* unsigned integers */
+	case 0xcd:
+	case 0xce:
+	case 0xcf:
+		return scan_skip(scan, UINT64_C(1) << (head - 0xcc));
+	case 0xd9: /* str */
+	case 0xda:
+	case 0xdb:
+		return scan_uint(scan, 1 << (head - 0xd9), &n) &&
+		       scan_skip(scan, n);
+	case 0xdc: /* array */
+	case 0xdd:
+		return scan_uint(scan, 2 << (head - 0xdc), children);
+	case 0xde: /* map */
+	case 0xdf:
+		if (!scan_uint(scan, 2 << (head - 0xde), &n))
+			return false;
+		*children = n * 2;
+		return true;
+	default:
+		/* No frame holds nil, floats, negative or extension values. */
+		return false;
+	}
+}
+
+/*
+ * Checks the structure before msgpack-c allocates for it: msgpack-c trusts
+ * the counts in array and map heads, so a few bytes could make it reserve
+ * gigabytes.  Here every counted value needs at least a byte that is present.
+ */
+static bool scan_value(const uint8_t *data, size_t len)
+{
+	scan_t scan = {.data = data, .len = len};
+	uint64_t left[DEPTH_MAX + 1] = {1};
+	uint64_t children;
+	int depth = 0;
+
+	while (depth >= 0) {
+		if (left[depth] == 0) {
+			depth--;
+			continue;
+		}
+		left[depth]--;
+		if (scan.at == scan.len || !scan_head(&scan, &children) ||
+		    children > scan.len - scan.at)
+			return false;
+		if (children == 0)
+			continue;
+		if (depth == DEPTH_MAX)
+			return false;
+		left[++depth] = children;
+	}
+	return scan.at == scan.len;
+}
+
+static bool parse_bytes(const msgpack_object *object, uint8_t *to, size_t size,
+			errmsg_t *err)
+{
+	if (object->type != MSGPACK_OBJECT_BIN ||
+	    object->via.bin.size != size) {
+		errmsg_set(err, "nonce or proof has a wrong form");
+		return false;
+	}
+	memcpy(to, object->via.bin.ptr, size);
+	return true;
+}
+
+static bool parse_control(const msgpack_object_array *array, uint64_t kind,
+			  peer_frame_t *frame, errmsg_t *err)
+{
+	frame->kind = (peer_frame_kind_t)kind;
+	if (kind == FRAME_HELLO && array->size == 4)
+		return parse_bytes(&array->ptr[2], frame->u.hello.nonce,
+				   PEER_NONCE_SIZE, err) &&
+		       parse_struct(&array->ptr[3], FIELDS_OF(member_fields),
+				    &frame->u.hello.self, err);
+	if (kind == FRAME_PROOF && array->size == 3)
+		return parse_bytes(&array->ptr[2], frame->u.proof,
+				   PEER_PROOF_SIZE, err);
+	if (kind == FRAME_PING && array->size == 2)
+		return true;
+	errmsg_set(err, "frame has an unknown kind or a wrong length");
+	return false;
+}
+
+static bool parse_frame(const msgpack_object *object, peer_frame_t *frame,
+			errmsg_t *err)
+{
+	const msgpack_object_array *array = &object->via.array;
+	uint64_t version, kind;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY || array->size < 2) {
+		errmsg_set(err, "frame is not an array");
+		return false;
+	}
+	if (!field_parse_uint(&array->ptr[0], UINT64_MAX, &version, "version",
+			      err) ||
+	    !field_parse_uint(&array->ptr[1],
+			      BODY_KIND_BASE + PEER_KIND_COUNT - 1, &kind,
+			      "kind", err))
+		return false;
+	if (version != VERSION) {
+		errmsg_set(err, "version is not %d", VERSION);
+		return false;
+	}
+	if (kind < BODY_KIND_BASE)
+		return parse_control(array, kind, frame, err);
+	return parse_body(array, (peer_kind_t)(kind - BODY_KIND_BASE), frame,
+			  err);
+}
+
+bool peer_decode(const uint8_t *data, size_t len, peer_frame_t *frame,
+		 errmsg_t *err)
+{
+	msgpack_unpacked unpacked;
+	size_t at = 0;
+	bool ok = false;
+
+	memset(frame, 0, sizeof(*frame));
+	if (len > PEER_FRAME_MAX || !scan_value(data, len)) {
+		errmsg_set(err, "frame is not one msgpack value within limits");
+		return false;
+	}
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, (const char *)data, len, &at) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		ok = parse_frame(&unpacked.data, frame, err);
+	else
+		errmsg_set(err, "frame is not a msgpack value");
+	msgpack_unpacked_destroy(&unpacked);
+	return ok;
+}
+
+void peer_frame_clear(peer_frame_t *frame)
+{
+	if (frame->kind == FRAME_BODY)
+		g_clear_pointer(&frame->u.body, peer_body_free);
+}
+
+frame_status_t peer_frame_find(const uint8_t *data, size_t len,
+			       size_t *value_len)
+{
+	uint32_t head;
+
+	if (len < PEER_FRAME_HEAD)
+		return FRAME_PARTIAL;
+	memcpy(&head, data, sizeof(head));
+	head = GUINT32_FROM_BE(head);
+	if (head == 0 || head > PEER_FRAME_MAX)
+		return FRAME_BAD;
+	*value_len = head;
+	return len - PEER_FRAME_HEAD < head ? FRAME_PARTIAL : FRAME_COMPLETE;
+}
--- /dev/null
+++ b/peer/conn.c
@@ -0,0 +1,336 @@
+#include "peer/conn.h"
+
+#include "log/log.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define READ_SIZE 16384 /* bytes */
+#define HANDSHAKE_FRAME_MAX 1024 /* bytes, before authentication */
+#define BUFFER_KEEP 65536 /* a buffer that was larger is given back */
+
+void conn_release(conn_t *conn)
+{
+	if (conn->in != NULL) {
+		g_source_destroy(conn->in);
+		g_source_unref(conn->in);
+	}
+	if (conn->out != NULL) {
+		g_source_destroy(conn->out);
+		g_source_unref(conn->out);
+	}
+	g_socket_close(conn->socket, NULL);
+	g_object_unref(conn->stream);
+	g_byte_array_unref(conn->input);
+	g_byte_array_unref(conn->output);
+	g_byte_array_unref(conn->hello_sent);
+	g_byte_array_unref(conn->hello_received);
+	table_remove(&conn->peer->conns, conn->self);
+}
+
+void conn_close(conn_t *conn, const char *reason)
+{
+	peer_t *peer = conn->peer;
+	handle_t dial = conn->dial;
+	bool was_up = conn->state == CONN_UP;
+
+	log_event(LOG_LEVEL_INFO, "peer", "closed", "peer=%s reason=%s",
+		  log_quote(conn->remote.incarnation), log_quote(reason));
+	peer_conn_down(peer, conn);
+	conn_release(conn);
+	dial_lost(peer, dial, was_up);
+}
+
+static void close_bad(conn_t *conn, const char *reason)
+{
+	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_FRAMES_BAD, 1);
+	conn_close(conn, reason);
+}
+
+/* Gives the memory of a buffer back when one large frame has passed. */
+static void empty_buffer(GByteArray **buffer, guint held)
+{
+	if (held <= BUFFER_KEEP) {
+		g_byte_array_set_size(*buffer, 0);
+		return;
+	}
+	g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+}
+
+void conn_flush(conn_t *conn)
+{
+	GError *error = NULL;
+	gssize n;
+
+	n = g_socket_send(conn->socket,
+			  (const gchar *)conn->output->data + conn->written,
+			  conn->output->len - conn->written, NULL, &error);
+	if (n < 0) {
+		/* A failed connection is closed by the reading side. */
+		g_clear_error(&error);
+		return;
+	}
+	conn->written += (guint)n;
+	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_BYTES_OUT,
+		    (uint64_t)n);
+	if (conn->written == conn->output->len) {
+		empty_buffer(&conn->output, conn->output->len);
+		conn->written = 0;
+	} else if (conn->written > BUFFER_KEEP) {
+		g_byte_array_remove_range(conn->output, 0, conn->written);
+		conn->written = 0;
+	}
+}
+
+static gboolean on_writable(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	conn_t *conn = data;
+
+	(void)socket;
+	/* The reading side closes a lost connection after its last frames. */
+	if ((condition & (G_IO_ERR | G_IO_HUP)) == 0) {
+		conn_flush(conn);
+		if (conn->output->len > 0)
+			return G_SOURCE_CONTINUE;
+	}
+	g_clear_pointer(&conn->out, g_source_unref);
+	return G_SOURCE_REMOVE;
+}
+
+/* Frames of one turn of the loop are written together from on_writable(). */
+bool conn_send(conn_t *conn, const uint8_t *data, size_t len)
+{
+	if (conn->output->len - conn->written + len > PEER_OUTPUT_MAX) {
+		conn_close(conn, "output buffer is full");
+		return false;
+	}
+	g_byte_array_append(conn->output, data, (guint)len);
+	conn->last_sent = kernel_now(conn->peer->kernel);
+	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_FRAMES_OUT, 1);
+	if (conn->out == NULL) {
+		conn->out =
+			g_socket_create_source(conn->socket, G_IO_OUT, NULL);
+		g_source_set_callback(conn->out,
+				      (GSourceFunc)(GCallback)on_writable, conn,
+				      NULL);
+		g_source_attach(conn->out, conn->peer->kernel->context);
+	}
+	return true;
+}
+
+static bool send_frame(conn_t *conn, const peer_frame_t *frame)
+{
+	GByteArray *scratch = conn->peer->scratch;
+
+	g_byte_array_set_size(scratch, 0);
+	if (!peer_encode(frame, scratch, &conn->peer->err)) {
+		conn_close(conn, conn->peer->err.text);
+		return false;
+	}
+	return conn_send(conn, scratch->data, scratch->len);
+}
+
+static void make_proof(const conn_t *conn, bool own, uint8_t *proof)
+{
+	bool dialled = !handle_is_none(conn->dial);
+
+	auth_proof(conn->peer->opts.key, own == dialled,
+		   dialled ? conn->hello_sent : conn->hello_received,
+		   dialled ? conn->hello_received : conn->hello_sent, proof);
+}
+
+static bool got_hello(conn_t *conn, const peer_frame_t *hello,
+		      const uint8_t *data, size_t len)
+{
+	peer_frame_t proof = {.kind = FRAME_PROOF};
+	dial_t *dial = table_get(&conn->peer->dials, conn->dial);
+
+	conn->remote = hello->u.hello.self;
+	if (strcmp(conn->remote.incarnation,
+		   conn->peer->opts.self.incarnation) == 0) {
+		if (dial != NULL)
+			dial->own_address = true;
+		conn_close(conn, "the address is our own");
+		return false;
+	}
+	if (conn->remote.incarnation[0] == '\0') {
+		close_bad(conn, "hello without an incarnation");
+		return false;
+	}
+	if (dial != NULL && dial->incarnation[0] != '\0' &&
+	    strcmp(dial->incarnation, conn->remote.incarnation) != 0) {
+		conn_close(conn, "another incarnation has the address");
+		return false;
+	}
+	g_byte_array_append(conn->hello_received, data, (guint)len);
+	make_proof(conn, true, proof.u.proof);
+	conn->state = CONN_PROOF;
+	return send_frame(conn, &proof);
+}
+
+static bool got_proof(conn_t *conn, const peer_frame_t *frame)
+{
+	handle_t self = conn->self;
+	peer_t *peer = conn->peer;
+	uint8_t expected[PEER_PROOF_SIZE];
+
+	make_proof(conn, false, expected);
+	if (!auth_equal(expected, frame->u.proof, sizeof(expected))) {
+		metrics_add(peer->kernel->metrics, COUNTER_PEER_AUTH_FAILED, 1);
+		log_event(LOG_LEVEL_WARN, "peer", "auth_failed", "claimed=%s",
+			  log_quote(conn->remote.name));
+		conn_close(conn, "authentication failed");
+		return false;
+	}
+	conn->state = CONN_UP;
+	peer_conn_up(peer, conn);
+	return table_get(&peer->conns, self) != NULL;
+}
+
+static bool got_body(conn_t *conn, peer_frame_t *frame)
+{
+	peer_body_t *body = frame->u.body;
+	handle_t self = conn->self;
+	peer_t *peer = conn->peer;
+
+	if (body->kind == PEER_HEARTBEAT &&
+	    strcmp(body->u.heartbeat.self.incarnation,
+		   conn->remote.incarnation) != 0) {
+		close_bad(conn, "heartbeat of another incarnation");
+		return false;
+	}
+	frame->u.body = NULL;
+	peer_body_received(peer, conn, body);
+	return table_get(&peer->conns, self) != NULL;
+}
+
+/* data holds the frame with its length; false when conn is gone. */
+static bool got_frame(conn_t *conn, const uint8_t *data, size_t len)
+{
+	peer_frame_t frame;
+	bool open = true;
+
+	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_FRAMES_IN, 1);
+	if (!peer_decode(data + PEER_FRAME_HEAD, len - PEER_FRAME_HEAD, &frame,
+			 &conn->peer->err)) {
+		close_bad(conn, conn->peer->err.text);
+		return false;
+	}
+	if (frame.kind == FRAME_HELLO && conn->state == CONN_HELLO)
+		open = got_hello(conn, &frame, data, len);
+	else if (frame.kind == FRAME_PROOF && conn->state == CONN_PROOF)
+		open = got_proof(conn, &frame);
+	else if (frame.kind == FRAME_BODY && conn->state == CONN_UP)
+		open = got_body(conn, &frame);
+	else if (frame.kind != FRAME_PING || conn->state != CONN_UP) {
+		close_bad(conn, "frame out of order");
+		open = false;
+	}
+	peer_frame_clear(&frame);
+	return open;
+}
+
+/* Handles the complete frames of the input; false when conn is gone. */
+static bool handle_input(conn_t *conn)
+{
+	guint at = 0, held = conn->input->len;
+	size_t len = 0;
+	frame_status_t status;
+
+	for (;;) {
+		status = peer_frame_find(conn->input->data + at, held - at,
+					 &len);
+		if (status == FRAME_BAD ||
+		    (status == FRAME_PARTIAL && len > HANDSHAKE_FRAME_MAX &&
+		     conn->state != CONN_UP)) {
+			close_bad(conn, "frame length is out of range");
+			return false;
+		}
+		if (status == FRAME_PARTIAL)
+			break;
+		len += PEER_FRAME_HEAD;
+		if (!got_frame(conn, conn->input->data + at, len))
+			return false;
+		at += (guint)len;
+		len = 0;
+	}
+	if (at == held)
+		empty_buffer(&conn->input, held);
+	else if (at > 0)
+		g_byte_array_remove_range(conn->input, 0, at);
+	return true;
+}
+
+static gboolean on_readable(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	conn_t *conn = data;
+	gchar buffer[READ_SIZE];
+	GError *error = NULL;
+	gssize n;
+
+	(void)condition;
+	n = g_socket_receive(socket, buffer, sizeof(buffer), NULL, &error);
+	if (n < 0 &&
+	    g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+		g_clear_error(&error);
+		return G_SOURCE_CONTINUE;
+	}
+	if (n <= 0) {
+		conn_close(conn,
+			   n == 0 ? "closed by the peer" : error->message);
+		g_clear_error(&error);
+		return G_SOURCE_REMOVE;
+	}
+	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_BYTES_IN,
+		    (uint64_t)n);
+	conn->last_received = kernel_now(conn->peer->kernel);
+	g_byte_array_append(conn->input, (const guint8 *)buffer, (guint)n);
+	return handle_input(conn) ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+static bool send_hello(conn_t *conn)
+{
+	peer_frame_t hello = {.kind = FRAME_HELLO};
+
+	hello.u.hello.self = conn->peer->opts.self;
+	if (!auth_nonce(hello.u.hello.nonce) ||
+	    !peer_encode(&hello, conn->hello_sent, &conn->peer->err)) {
+		conn_close(conn, "no hello could be made");
+		return false;
+	}
+	return conn_send(conn, conn->hello_sent->data, conn->hello_sent->len);
+}
+
+void conn_open(peer_t *peer, GSocketConnection *stream, handle_t dial)
+{
+	conn_t *conn;
+	handle_t self = table_add(&peer->conns, (void **)&conn);
+	dial_t *dial_entry = table_get(&peer->dials, dial);
+
+	conn->peer = peer;
+	conn->self = self;
+	conn->dial = dial;
+	if (dial_entry != NULL)
+		dial_entry->conn = self;
+	conn->stream = g_object_ref(stream);
+	conn->socket = g_socket_connection_get_socket(stream);
+	conn->input = g_byte_array_new();
+	conn->output = g_byte_array_new();
+	conn->hello_sent = g_byte_array_new();
+	conn->hello_received = g_byte_array_new();
+	conn->opened = kernel_now(peer->kernel);
+	conn->last_sent = conn->opened;
+	conn->last_received = conn->opened;
+	g_socket_set_blocking(conn->socket, FALSE);
+	g_socket_set_option(conn->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	if (!send_hello(conn))
+		return;
+	conn->in = g_socket_create_source(conn->socket, G_IO_IN, NULL);
+	g_source_set_callback(conn->in, (GSourceFunc)(GCallback)on_readable,
+			      conn, NULL);
+	g_source_attach(conn->in, peer->kernel->context);
+}
--- /dev/null
+++ b/peer/fields.h
@@ -0,0 +1,67 @@
+/*
+ * Structures as msgpack: a table of fields for each structure drives both the
+ * encoder and the strict decoder.
+ */
+#ifndef PEER_FIELDS_H
+#define PEER_FIELDS_H
+
+#include "kernel/msg.h"
+#include "kernel/status.h"
+
+#include <msgpack.h>
+
+G_BEGIN_DECLS
+
+typedef enum field_type_t {
+	FIELD_BOOL,
+	FIELD_U16,
+	FIELD_U32,
+	FIELD_U64,
+	FIELD_I64, /* never negative */
+	FIELD_ENUM,
+	FIELD_TEXT,
+	FIELD_OP, /* op_id_t as [writer, seq] */
+} field_type_t;
+
+typedef struct field_t {
+	const char *key; /* in a map */
+	field_type_t type;
+	size_t offset;
+	uint64_t limit; /* highest value, or size of the text's array */
+} field_t;
+
+typedef struct fields_t {
+	const field_t *fields;
+	uint32_t count;
+} fields_t;
+
+#define FIELD_TEXT_OF(type, member)                          \
+	{                                                    \
+#member, FIELD_TEXT, offsetof(type, member), \
+			sizeof(((type *)NULL)->member)       \
+	}
+#define FIELDS_OF(array) ((fields_t){array, G_N_ELEMENTS(array)})
+
+/* Packs the values only; the caller has opened the array. */
+bool fields_pack(msgpack_packer *packer, fields_t fields, const void *from,
+		 errmsg_t *err);
+/* Reads fields.count values that start at objects. */
+bool fields_parse(const msgpack_object *objects, fields_t fields, void *to,
+		  errmsg_t *err);
+
+bool field_pack_text(msgpack_packer *packer, const char *text, errmsg_t *err);
+bool field_parse_text(const msgpack_object *object, char *to, size_t size,
+		      const char *what, errmsg_t *err);
+bool field_parse_uint(const msgpack_object *object, uint64_t limit,
+		      uint64_t *to, const char *what, errmsg_t *err);
+
+/* Configuration records, [key, revision, record kind, map of the record]. */
+bool conf_item_is_packable(const store_kv_t *kv);
+bool conf_item_pack(msgpack_packer *packer, const store_kv_t *kv,
+		    errmsg_t *err);
+bool conf_item_parse(const msgpack_object *object, store_kv_t *kv,
+		     errmsg_t *err);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/peer/peer.c
@@ -0,0 +1,337 @@
+#include "peer/peer.h"
+
+#include "log/log.h"
+#include "peer/conn.h"
+
+#include <string.h>
+
+#define TICK (250 * USEC_PER_MSEC)
+#define PROBE_AFTER USEC_PER_SEC /* nothing sent: send a ping */
+#define SILENT_AFTER (3 * USEC_PER_SEC) /* nothing received: close */
+#define HANDSHAKE_LIMIT (3 * USEC_PER_SEC)
+/*
+ * A connection that has been quiet for longer than two probes gives way to a
+ * new one, whoever dialled: the other side may have lost it already.
+ */
+#define QUIET_AFTER (2 * USEC_PER_SEC)
+#define CONNS_MAX 512
+#define HANDSHAKES_MAX 64 /* connections that are not authenticated */
+
+enum {
+	TIMER_TICK = 1
+};
+
+static void post_addr(peer_t *peer, svc_t to, msg_kind_t kind,
+		      const conn_t *conn)
+{
+	msg_t msg = {.kind = kind};
+
+	if (handle_is_none(to))
+		return;
+	g_strlcpy(msg.u.peer_addr.incarnation, conn->remote.incarnation,
+		  sizeof(msg.u.peer_addr.incarnation));
+	g_strlcpy(msg.u.peer_addr.host, conn->remote.host,
+		  sizeof(msg.u.peer_addr.host));
+	msg.u.peer_addr.port = conn->remote.peer_port;
+	kernel_post(peer->kernel, peer->svc, to, &msg);
+}
+
+/* Both ends must choose alike: the one dialled by the lower incarnation. */
+static bool replaces(const conn_t *conn, const conn_t *used)
+{
+	const peer_t *peer = conn->peer;
+	bool dialled = !handle_is_none(conn->dial);
+	bool own_is_lower = strcmp(peer->opts.self.incarnation,
+				   conn->remote.incarnation) < 0;
+
+	if (dialled == !handle_is_none(used->dial))
+		return true;
+	if (kernel_now(peer->kernel) - used->last_received > QUIET_AFTER)
+		return true;
+	return dialled == own_is_lower;
+}
+
+void peer_conn_up(peer_t *peer, conn_t *conn)
+{
+	conn_t *used = g_hash_table_lookup(peer->up, conn->remote.incarnation);
+	dial_t *dial = table_get(&peer->dials, conn->dial);
+
+	if (dial != NULL) {
+		g_strlcpy(dial->resolved, conn->remote.incarnation,
+			  sizeof(dial->resolved));
+		dial->backoff = 0;
+	}
+	if (used != NULL && !replaces(conn, used)) {
+		conn_close(conn, "another connection is in use");
+		return;
+	}
+	g_hash_table_replace(peer->up, conn->remote.incarnation, conn);
+	if (used != NULL) {
+		conn_close(used, "replaced by another connection");
+		return;
+	}
+	log_event(LOG_LEVEL_INFO, "peer", "up", "peer=%s name=%s dialled=%d",
+		  log_quote(conn->remote.incarnation),
+		  log_quote(conn->remote.name), !handle_is_none(conn->dial));
+	post_addr(peer, peer->member, MSG_PEER_UP, conn);
+	post_addr(peer, peer->conf, MSG_PEER_UP, conn);
+}
+
+void peer_conn_down(peer_t *peer, conn_t *conn)
+{
+	if (g_hash_table_lookup(peer->up, conn->remote.incarnation) != conn)
+		return;
+	g_hash_table_remove(peer->up, conn->remote.incarnation);
+	post_addr(peer, peer->member, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->conf, MSG_PEER_DOWN, conn);
+}
+
+static svc_t body_owner(const peer_t *peer, peer_kind_t kind)
+{
+	switch (kind) {
+	case PEER_HEARTBEAT:
+	case PEER_LEAVE:
+		return peer->member;
+	case PEER_CONF_PULL:
+	case PEER_CONF_ITEMS:
+		return peer->conf;
+	case PEER_BILL_COPY:
+	case PEER_COPY_ACK:
+	case PEER_COPY_TRIM:
+	case PEER_SLICE_ASK:
+	case PEER_SLICE_REPLY:
+		return peer->ledger;
+	case PEER_BLAME:
+		return peer->request;
+	case PEER_KIND_COUNT:
+		break;
+	}
+	return HANDLE_NONE;
+}
+
+void peer_body_received(peer_t *peer, conn_t *conn, peer_body_t *body)
+{
+	msg_t msg = {.kind = MSG_PEER_RECEIVED};
+
+	g_strlcpy(msg.u.peer.incarnation, conn->remote.incarnation,
+		  sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = body;
+	kernel_post(peer->kernel, peer->svc, body_owner(peer, body->kind),
+		    &msg);
+}
+
+static void send_to_all(peer_t *peer)
+{
+	uint32_t cursor = 0;
+	conn_t *conn;
+
+	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL) {
+		if (g_hash_table_lookup(peer->up, conn->remote.incarnation) ==
+		    conn)
+			conn_send(conn, peer->scratch->data,
+				  peer->scratch->len);
+	}
+}
+
+static void send_body(peer_t *peer, const char *incarnation, peer_body_t *body)
+{
+	peer_frame_t frame = {.kind = FRAME_BODY, .u.body = body};
+	conn_t *conn = NULL;
+
+	if (incarnation[0] != '\0') {
+		conn = g_hash_table_lookup(peer->up, incarnation);
+		if (conn == NULL)
+			return;
+	}
+	g_byte_array_set_size(peer->scratch, 0);
+	if (!peer_encode(&frame, peer->scratch, &peer->err)) {
+		log_event(LOG_LEVEL_ERROR, "peer", "not_sent",
+			  "kind=%d reason=%s", (int)body->kind,
+			  log_quote(peer->err.text));
+		return;
+	}
+	if (conn != NULL)
+		conn_send(conn, peer->scratch->data, peer->scratch->len);
+	else
+		send_to_all(peer);
+}
+
+static void probe(peer_t *peer, conn_t *conn, int64_t now)
+{
+	peer_frame_t ping = {.kind = FRAME_PING};
+
+	if (conn->state != CONN_UP) {
+		if (now - conn->opened >= HANDSHAKE_LIMIT)
+			conn_close(conn, "handshake took too long");
+		return;
+	}
+	if (now - conn->last_received >= SILENT_AFTER) {
+		conn_close(conn, "silent");
+		return;
+	}
+	if (now - conn->last_sent < PROBE_AFTER)
+		return;
+	g_byte_array_set_size(peer->scratch, 0);
+	if (peer_encode(&ping, peer->scratch, &peer->err))
+		conn_send(conn, peer->scratch->data, peer->scratch->len);
+}
+
+static void tick(peer_t *peer)
+{
+	int64_t now = kernel_now(peer->kernel);
+	uint32_t cursor = 0;
+	conn_t *conn;
+
+	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL)
+		probe(peer, conn, now);
+	dial_all(peer);
+	kernel_timer(peer->kernel, peer->svc, TICK, HANDLE_NONE, TIMER_TICK);
+}
+
+static void start(peer_t *peer)
+{
+	peer->member = kernel_find(peer->kernel, "member");
+	peer->conf = kernel_find(peer->kernel, "conf");
+	peer->ledger = kernel_find(peer->kernel, "ledger");
+	peer->request = kernel_find(peer->kernel, "request");
+	g_socket_service_start(peer->listener);
+	kernel_timer(peer->kernel, peer->svc, TICK, HANDLE_NONE, TIMER_TICK);
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	peer_t *peer = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		start(peer);
+		break;
+	case MSG_TIMER:
+		tick(peer);
+		break;
+	case MSG_PEER_CONNECT:
+		dial_add(peer, msg->u.peer_addr.incarnation,
+			 msg->u.peer_addr.host, msg->u.peer_addr.port);
+		break;
+	case MSG_PEER_DISCONNECT:
+		dial_remove(peer, msg->u.peer_addr.incarnation,
+			    msg->u.peer_addr.host, msg->u.peer_addr.port);
+		break;
+	case MSG_PEER_SEND:
+		if (msg->u.peer.body != NULL)
+			send_body(peer, msg->u.peer.incarnation,
+				  msg->u.peer.body);
+		break;
+	default:
+		break;
+	}
+}
+
+static uint32_t count_handshakes(const peer_t *peer)
+{
+	return table_count(&peer->conns) - g_hash_table_size(peer->up);
+}
+
+static gboolean on_incoming(GSocketService *service, GSocketConnection *stream,
+			    GObject *source, gpointer data)
+{
+	peer_t *peer = data;
+
+	(void)service;
+	(void)source;
+	/* GIO closes a refused stream with its last reference. */
+	if (table_count(&peer->conns) >= CONNS_MAX ||
+	    count_handshakes(peer) >= HANDSHAKES_MAX)
+		return TRUE;
+	conn_open(peer, stream, HANDLE_NONE);
+	return TRUE;
+}
+
+static int listen_on(peer_t *peer)
+{
+	GSocketAddress *address, *effective = NULL;
+	GError *error = NULL;
+	int result = -1;
+
+	address = g_inet_socket_address_new_from_string(peer->opts.listen_host,
+							peer->opts.listen_port);
+	if (address == NULL) {
+		errmsg_set(&peer->err, "%s is not an IP address",
+			   peer->opts.listen_host);
+		return -1;
+	}
+	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(peer->listener),
+					   address, G_SOCKET_TYPE_STREAM,
+					   G_SOCKET_PROTOCOL_TCP, NULL,
+					   &effective, &error)) {
+		errmsg_set(&peer->err, "cannot listen on %s port %u: %s",
+			   peer->opts.listen_host, peer->opts.listen_port,
+			   error->message);
+		g_error_free(error);
+		goto out;
+	}
+	peer->opts.listen_port = g_inet_socket_address_get_port(
+		G_INET_SOCKET_ADDRESS(effective));
+	if (peer->opts.self.peer_port == 0)
+		peer->opts.self.peer_port = peer->opts.listen_port;
+	result = 0;
+out:
+	g_clear_object(&effective);
+	g_object_unref(address);
+	return result;
+}
+
+int peer_init(peer_t *peer, kernel_t *kernel, const peer_opts_t *opts)
+{
+	memset(peer, 0, sizeof(*peer));
+	peer->kernel = kernel;
+	peer->opts = *opts;
+	table_init(&peer->conns, sizeof(conn_t));
+	table_init(&peer->dials, sizeof(dial_t));
+	peer->up = g_hash_table_new(g_str_hash, g_str_equal);
+	peer->calls = g_ptr_array_new();
+	peer->scratch = g_byte_array_new();
+	peer->client = g_socket_client_new();
+	g_socket_client_set_enable_proxy(peer->client, FALSE);
+	peer->listener = g_socket_service_new();
+	g_socket_service_stop(peer->listener);
+	g_signal_connect(peer->listener, "incoming", G_CALLBACK(on_incoming),
+			 peer);
+	peer->svc = kernel_register(kernel, "peer", receive, peer);
+	if (strlen(opts->key) < PEER_KEY_MIN) {
+		errmsg_set(&peer->err, "the peer key has less than %d bytes",
+			   PEER_KEY_MIN);
+		return -1;
+	}
+	return listen_on(peer);
+}
+
+void peer_finish(peer_t *peer)
+{
+	uint32_t cursor = 0;
+	conn_t *conn;
+
+	g_signal_handlers_disconnect_by_data(peer->listener, peer);
+	g_socket_service_stop(peer->listener);
+	g_socket_listener_close(G_SOCKET_LISTENER(peer->listener));
+	g_object_unref(peer->listener);
+	dial_finish(peer);
+	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL) {
+		/* The farewell may still be queued. */
+		if (conn->state == CONN_UP && conn->output->len > 0)
+			conn_flush(conn);
+		conn_release(conn);
+	}
+	g_object_unref(peer->client);
+	g_byte_array_unref(peer->scratch);
+	g_ptr_array_unref(peer->calls);
+	g_hash_table_unref(peer->up);
+	table_finish(&peer->dials);
+	table_finish(&peer->conns);
+	kernel_unregister(peer->kernel, peer->svc);
+}
+
+uint16_t peer_port(const peer_t *peer)
+{
+	return peer->opts.listen_port;
+}
--- /dev/null
+++ b/peer/peer.h
@@ -0,0 +1,54 @@
+/*
+ * Service "peer": authenticated TCP connections between routers.  It dials
+ * what "member" asks for, keeps one connection to each incarnation, replaces
+ * silent ones and passes typed bodies to the service that owns their kind.
+ */
+#ifndef PEER_PEER_H
+#define PEER_PEER_H
+
+#include "kernel/kernel.h"
+#include "kernel/status.h"
+
+#include <gio/gio.h>
+
+G_BEGIN_DECLS
+
+#define PEER_KEY_MIN 16 /* bytes of the shared key */
+#define PEER_KEY_SIZE 256 /* bytes, with terminator */
+#define PEER_OUTPUT_MAX (4 * 1024 * 1024) /* bytes queued at a connection */
+
+typedef struct peer_opts_t {
+	member_info_t self; /* as told to peers */
+	char listen_host[HOST_SIZE];
+	uint16_t listen_port; /* 0: any free port */
+	char key[PEER_KEY_SIZE];
+} peer_opts_t;
+
+typedef struct peer_t {
+	kernel_t *kernel;
+	svc_t svc;
+	svc_t member;
+	svc_t conf;
+	svc_t ledger;
+	svc_t request;
+	peer_opts_t opts;
+	GSocketService *listener;
+	GSocketClient *client;
+	table_t conns; /* conn_t */
+	table_t dials; /* dial_t */
+	GHashTable *up; /* incarnation -> conn_t that is in use */
+	GPtrArray *calls; /* dial_call_t in progress */
+	GByteArray *scratch; /* a frame that is being encoded */
+	errmsg_t err;
+} peer_t;
+
+/* Returns 0, or -1 with the reason in peer->err; finish it either way. */
+int peer_init(peer_t *peer, kernel_t *kernel, const peer_opts_t *opts);
+void peer_finish(peer_t *peer);
+
+/* The port that is listened on. */
+uint16_t peer_port(const peer_t *peer);
+
+G_END_DECLS
+
+#endif
