--- a/request/life.c
+++ b/request/life.c
@@ -22,6 +22,8 @@
 
 run_state_t life_run_state(const request_t *request)
 {
+	if (request->ran)
+		return RUN_RAN;
 	return request->maybe_ran ? RUN_UNKNOWN : RUN_NOT_RUN;
 }
 
