--- a/tests/conf_prove.cc
+++ b/tests/conf_prove.cc
@@ -68,7 +68,6 @@
 	World world(seed);
 	bool leave_cut = seed % 2 == 0;
 	int64_t first = seed % 10 == 0 ? 3 * CONF_ITEMS_MAX : 0;
-	std::string error;
 
 	// A peer may rely on another's order of store events.
 	world.crossed = !leave_cut;
@@ -94,16 +93,17 @@
 }
 
 // Guards against lost, reverted and endlessly stale configuration.
-TEST(ConfProve, Promise8)
+TEST(ProveConf, Promise8)
 {
 	uint64_t first = 1, last = 400, checks = 0, violations = 0;
 	const char *range = getenv("SEEDS");
 
-	if (range != nullptr)
+	if (range != nullptr) {
 		ASSERT_EQ(sscanf(range,
 				 "%" G_GUINT64_FORMAT "..%" G_GUINT64_FORMAT,
 				 &first, &last),
 			  2);
+	}
 	for (uint64_t seed = first; seed <= last; seed++) {
 		std::string error = run_schedule(seed, checks);
 		if (error.empty())
@@ -122,7 +122,7 @@
 
 // Shows that the check fails on a snapshot that goes back, on a key that
 // vanishes without a removal and on a removed key that comes back.
-TEST(ConfProve, CheckerFindsReverts)
+TEST(ProveConf, CheckerFindsReverts)
 {
 	std::vector<Change> history = {{2, "conf/account/a", false},
 				       {3, "conf/account/a", true}};
--- a/tests/conf_world.h
+++ b/tests/conf_world.h
@@ -127,6 +127,7 @@
 	bool watched = false; // conf asked the store
 	bool store_cut = false;
 	uint64_t stream = 0; // changes when the watch breaks
+	bool streaming = false; // the stream's read was made
 	int64_t last_event = 0;
 	int64_t published_revision = 0;
 	preset_t preset = PRESET_ORDINARY;
@@ -401,6 +402,7 @@
 			newest[change.key] = change;
 		for (const auto &[key, change] : newest)
 			all.push_back(change);
+		to->streaming = true;
 		to->last_event = now;
 		post_event(*to, all);
 	});
@@ -449,7 +451,7 @@
 	revision += 1 + below(5);
 	history.push_back({revision, key, removed});
 	for (auto &instance : instances)
-		if (instance->watched && !instance->store_cut && store_up)
+		if (instance->streaming)
 			send_changes(*instance, {history.back()});
 }
 
@@ -458,6 +460,7 @@
 	store_up = up;
 	for (auto &instance : instances) {
 		instance->stream++;
+		instance->streaming = false;
 		if (up && instance->watched && !instance->store_cut)
 			read_all(*instance);
 	}
@@ -467,6 +470,7 @@
 {
 	instance.store_cut = cut;
 	instance.stream++;
+	instance.streaming = false;
 	if (!cut && instance.watched)
 		read_all(instance);
 }
