--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -1,19 +1,13 @@
 /*
  * Stand-in for the platform's store: the JSON gateway of etcd v3 in memory.
- * POST /test/mode, GET /test/stats and GET /test/dump are its controls.
+ * POST /test/mode, POST /test/compact, GET /test/stats and GET /test/dump
+ * are its controls.
  */
-#include <json-glib/json-glib.h>
-#include <libsoup/soup.h>
-#include <stdbool.h>
-#include <stdint.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <unistd.h>
-
-#include <glib-unix.h>
+#include "tests/fakes/fake.h"
 
 #define LEASE_TICK_MS 100
+#define TXN_OPS_MAX 128 /* etcd's default */
+#define I64 "%" G_GINT64_FORMAT
 
 typedef enum fake_mode_t {
 	MODE_NORMAL,
@@ -24,43 +18,41 @@
 
 typedef struct kv_t {
 	GBytes *key;
-	gchar *value; /* base64, as it was given */
-	int64_t create, mod, version, lease;
+	char *value; /* base64, as it was given; NULL: deleted */
+	int64_t create, mod, lease;
 } kv_t;
 
-typedef struct event_t {
-	GBytes *key;
-	int64_t revision;
-	gchar *json;
-} event_t;
-
 typedef struct lease_t {
 	int64_t id, ttl_s, due_us;
 } lease_t;
 
+typedef struct span_t {
+	GBytes *start, *end; /* end NULL: one key */
+} span_t;
+
 typedef struct watch_t {
 	SoupServerMessage *message;
-	GBytes *start, *end; /* end NULL: one key */
+	span_t span;
 } watch_t;
 
-typedef struct txn_t {
-	int64_t revision; /* of the writes of the call */
-	int sub; /* writes so far */
-} txn_t;
-
-static GMainLoop *loop;
+static fake_t fake;
 static GTree *keys; /* GBytes -> kv_t */
-static GPtrArray *history; /* event_t */
+static GPtrArray *history; /* kv_t */
 static GHashTable *leases; /* id -> lease_t */
 static GPtrArray *watches; /* watch_t */
-static GHashTable *stats; /* path -> count */
 static int64_t revision = 1;
 static int64_t compacted;
 static int64_t next_lease = 1000;
 static fake_mode_t mode;
-static int mode_left; /* calls the mode still holds for, 0: no limit */
-static guint mode_delay_ms;
-static guint delay_ms;
+static int64_t mode_left; /* calls the mode still holds for, 0: no limit */
+static int64_t mode_delay_ms;
+static int port, delay_ms;
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return g_bytes_compare(a, b);
+}
 
 static void kv_free(gpointer data)
 {
@@ -71,13 +63,10 @@
 	g_free(kv);
 }
 
-static void event_free(gpointer data)
+static void span_clear(span_t *span)
 {
-	event_t *event = data;
-
-	g_bytes_unref(event->key);
-	g_free(event->json);
-	g_free(event);
+	g_bytes_unref(span->start);
+	g_clear_pointer(&span->end, g_bytes_unref);
 }
 
 static void watch_free(gpointer data)
@@ -85,17 +74,10 @@
 	watch_t *watch = data;
 
 	g_object_unref(watch->message);
-	g_bytes_unref(watch->start);
-	g_clear_pointer(&watch->end, g_bytes_unref);
+	span_clear(&watch->span);
 	g_free(watch);
 }
 
-static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
-{
-	(void)data;
-	return g_bytes_compare(a, b);
-}
-
 /* --- members of requests ------------------------------------------------ */
 
 static int64_t get_int(JsonObject *object, const char *name)
@@ -109,31 +91,25 @@
 	return json_node_get_int(node);
 }
 
+static const char *get_text(JsonObject *object, const char *name)
+{
+	return json_object_get_string_member_with_default(object, name, "");
+}
+
 static GBytes *get_bytes(JsonObject *object, const char *name)
 {
-	const char *text =
-		json_object_get_string_member_with_default(object, name, NULL);
-	guchar *data;
 	gsize len;
+	guchar *data = g_base64_decode(get_text(object, name), &len);
 
-	if (text == NULL)
-		return NULL;
-	data = g_base64_decode(text, &len);
 	return g_bytes_new_take(data, len);
 }
 
-static JsonArray *get_array(JsonObject *object, const char *name)
+static span_t get_span(JsonObject *object)
 {
-	JsonNode *node = json_object_get_member(object, name);
+	bool one = !json_object_has_member(object, "range_end");
 
-	return node != NULL && JSON_NODE_HOLDS_ARRAY(node)
-		       ? json_node_get_array(node)
-		       : NULL;
-}
-
-static guint array_len(JsonArray *array)
-{
-	return array == NULL ? 0 : json_array_get_length(array);
+	return (span_t){get_bytes(object, "key"),
+			one ? NULL : get_bytes(object, "range_end")};
 }
 
 static JsonObject *get_object(JsonObject *object, const char *name)
@@ -145,107 +121,122 @@
 		       : NULL;
 }
 
-/* --- answers ------------------------------------------------------------ */
+static JsonArray *get_array(JsonObject *object, const char *name)
+{
+	if (!json_object_has_member(object, name))
+		json_object_set_array_member(object, name, json_array_new());
+	return json_object_get_array_member(object, name);
+}
 
-static void put_header(GString *out)
+static guint array_len(JsonObject *object, const char *name)
+{
+	return json_array_get_length(get_array(object, name));
+}
+
+static JsonObject *element(JsonObject *object, const char *name, guint i)
 {
-	g_string_append_printf(
-		out, "\"header\":{\"revision\":\"%" G_GINT64_FORMAT "\"}",
-		revision);
+	return json_array_get_object_element(get_array(object, name), i);
 }
 
-static void put_number(GString *out, const char *name, int64_t value)
+/* --- answers ------------------------------------------------------------ */
+
+static void put(GString *out, const char *name, int64_t value)
 {
 	if (value != 0)
-		g_string_append_printf(out, ",\"%s\":\"%" G_GINT64_FORMAT "\"",
-				       name, value);
+		g_string_append_printf(out, ",\"%s\":\"" I64 "\"", name, value);
+}
+
+static void put_header(GString *out)
+{
+	g_string_append_printf(out, "\"header\":{\"revision\":\"" I64 "\"}",
+			       revision);
 }
 
-static void put_kv(GString *out, GBytes *key, const kv_t *kv, int64_t mod)
+static void put_kv(GString *out, const kv_t *kv)
 {
-	gchar *text = g_base64_encode(g_bytes_get_data(key, NULL),
-				      g_bytes_get_size(key));
+	char *text = g_base64_encode(g_bytes_get_data(kv->key, NULL),
+				     g_bytes_get_size(kv->key));
 
 	g_string_append_printf(out, "{\"key\":\"%s\"", text);
 	g_free(text);
-	put_number(out, "mod_revision", mod);
-	if (kv != NULL) {
-		put_number(out, "create_revision", kv->create);
-		put_number(out, "version", kv->version);
-		put_number(out, "lease", kv->lease);
+	put(out, "mod_revision", kv->mod);
+	put(out, "create_revision", kv->create);
+	put(out, "lease", kv->lease);
+	if (kv->value != NULL)
 		g_string_append_printf(out, ",\"value\":\"%s\"", kv->value);
-	}
 	g_string_append_c(out, '}');
 }
 
-static bool in_span(GBytes *key, GBytes *start, GBytes *end)
+static bool in_span(GBytes *key, const span_t *span)
 {
-	if (end == NULL)
-		return g_bytes_equal(key, start);
-	return g_bytes_compare(key, start) >= 0 &&
-	       g_bytes_compare(key, end) < 0;
+	if (span->end == NULL)
+		return g_bytes_equal(key, span->start);
+	return g_bytes_compare(key, span->start) >= 0 &&
+	       g_bytes_compare(key, span->end) < 0;
 }
 
 static void send_line(watch_t *watch, const char *text)
 {
-	SoupMessageBody *body =
-		soup_server_message_get_response_body(watch->message);
-
-	soup_message_body_append(body, SOUP_MEMORY_COPY, text, strlen(text));
+	soup_message_body_append(
+		soup_server_message_get_response_body(watch->message),
+		SOUP_MEMORY_COPY, text, strlen(text));
 	soup_server_message_unpause(watch->message);
 }
 
-static void send_event(watch_t *watch, const event_t *event)
+/* One line with all events of the watch from index first on. */
+static void send_events(watch_t *watch, guint first, int64_t start)
 {
 	GString *out = g_string_new("{\"result\":{");
+	guint count = 0;
 
 	put_header(out);
-	g_string_append_printf(out, ",\"events\":[%s]}}\n", event->json);
-	send_line(watch, out->str);
+	g_string_append(out, ",\"events\":[");
+	for (guint i = first; i < history->len; i++) {
+		const kv_t *kv = g_ptr_array_index(history, i);
+
+		if (kv->mod < start || !in_span(kv->key, &watch->span))
+			continue;
+		g_string_append(out, count++ > 0 ? "," : "");
+		g_string_append(out, kv->value == NULL
+					     ? "{\"type\":\"DELETE\",\"kv\":"
+					     : "{\"kv\":");
+		put_kv(out, kv);
+		g_string_append_c(out, '}');
+	}
+	g_string_append(out, "]}}\n");
+	if (count > 0)
+		send_line(watch, out->str);
 	g_string_free(out, TRUE);
 }
 
-static void record_event(GBytes *key, const kv_t *kv, int64_t mod)
+static void notify(guint first)
 {
-	event_t *event = g_new0(event_t, 1);
-	GString *out = g_string_new(kv == NULL ? "{\"type\":\"DELETE\"," : "{");
-
-	g_string_append(out, "\"kv\":");
-	put_kv(out, key, kv, mod);
-	g_string_append_c(out, '}');
-	event->key = g_bytes_ref(key);
-	event->revision = mod;
-	event->json = g_string_free(out, FALSE);
-	g_ptr_array_add(history, event);
+	for (guint i = 0; i < watches->len; i++)
+		send_events(g_ptr_array_index(watches, i), first, 0);
 }
 
-/* Sends the events from index first on to the watches. */
-static void notify(guint first)
+static void add_event(const kv_t *kv, int64_t mod, const char *value)
 {
-	for (guint i = first; i < history->len; i++) {
-		const event_t *event = g_ptr_array_index(history, i);
+	kv_t *event = g_memdup2(kv, sizeof(*kv));
 
-		for (guint j = 0; j < watches->len; j++) {
-			watch_t *watch = g_ptr_array_index(watches, j);
-
-			if (in_span(event->key, watch->start, watch->end))
-				send_event(watch, event);
-		}
-	}
+	g_bytes_ref(event->key);
+	event->value = g_strdup(value);
+	event->mod = mod;
+	revision = mod;
+	g_ptr_array_add(history, event);
 }
 
 /* --- reads and writes ---------------------------------------------------- */
 
-static GPtrArray *select_keys(GBytes *start, GBytes *end)
+static GPtrArray *select_keys(const span_t *span)
 {
 	GPtrArray *found = g_ptr_array_new();
-	GTreeNode *node;
+	GTreeNode *node = g_tree_lower_bound(keys, span->start);
 
-	for (node = g_tree_lower_bound(keys, start); node != NULL;
-	     node = g_tree_node_next(node)) {
+	for (; node != NULL; node = g_tree_node_next(node)) {
 		kv_t *kv = g_tree_node_value(node);
 
-		if (!in_span(kv->key, start, end))
+		if (!in_span(kv->key, span))
 			break;
 		g_ptr_array_add(found, kv);
 	}
@@ -255,10 +246,9 @@
 /* Earlier revisions are answered with the newest state. */
 static void do_range(JsonObject *request, GString *out)
 {
-	GBytes *start = get_bytes(request, "key");
-	GBytes *end = get_bytes(request, "range_end");
+	span_t span = get_span(request);
 	int64_t limit = get_int(request, "limit");
-	GPtrArray *found = select_keys(start, end);
+	GPtrArray *found = select_keys(&span);
 	guint count = found->len;
 
 	if (limit > 0 && count > limit)
@@ -269,47 +259,39 @@
 	for (guint i = 0; i < count; i++) {
 		const kv_t *kv = g_ptr_array_index(found, i);
 
-		if (i > 0)
-			g_string_append_c(out, ',');
-		put_kv(out, kv->key, kv, kv->mod);
+		g_string_append(out, i > 0 ? "," : "");
+		put_kv(out, kv);
 	}
-	g_string_append_printf(out, "],\"count\":\"%u\"", found->len);
-	if (count < found->len)
-		g_string_append(out, ",\"more\":true");
-	g_string_append_c(out, '}');
+	g_string_append_printf(out, "],\"count\":\"%u\"%s}", found->len,
+			       count < found->len ? ",\"more\":true" : "");
 	g_ptr_array_unref(found);
-	g_bytes_unref(start);
-	g_clear_pointer(&end, g_bytes_unref);
+	span_clear(&span);
 }
 
-static void do_put(JsonObject *request, txn_t *txn)
+static void do_put(JsonObject *request, int64_t mod)
 {
-	GBytes *key = get_bytes(request, "key");
-	kv_t *old = g_tree_lookup(keys, key);
 	kv_t *kv = g_new0(kv_t, 1);
+	const kv_t *old;
 
-	kv->key = key;
-	kv->value = g_strdup(json_object_get_string_member_with_default(
-		request, "value", ""));
-	kv->mod = txn->revision;
-	kv->create = old == NULL ? txn->revision : old->create;
-	kv->version = old == NULL ? 1 : old->version + 1;
+	kv->key = get_bytes(request, "key");
+	old = g_tree_lookup(keys, kv->key);
+	kv->value = g_strdup(get_text(request, "value"));
+	kv->mod = mod;
+	kv->create = old == NULL ? mod : old->create;
 	kv->lease = get_int(request, "lease");
-	txn->sub++;
-	record_event(key, kv, kv->mod);
-	g_tree_replace(keys, key, kv);
+	add_event(kv, mod, kv->value);
+	g_tree_replace(keys, kv->key, kv);
 }
 
-static guint do_delete(GBytes *start, GBytes *end, txn_t *txn)
+static guint do_delete(const span_t *span, int64_t mod)
 {
-	GPtrArray *found = select_keys(start, end);
+	GPtrArray *found = select_keys(span);
 	guint count = found->len;
 
 	for (guint i = 0; i < count; i++) {
 		kv_t *kv = g_ptr_array_index(found, i);
 
-		txn->sub++;
-		record_event(kv->key, NULL, txn->revision);
+		add_event(kv, mod, NULL);
 		g_tree_remove(keys, kv->key);
 	}
 	g_ptr_array_unref(found);
@@ -320,22 +302,13 @@
 {
 	GBytes *key = get_bytes(compare, "key");
 	const kv_t *kv = g_tree_lookup(keys, key);
-	const char *target = json_object_get_string_member_with_default(
-		compare, "target", "VERSION");
-	int64_t have, want;
-
-	if (strcmp(target, "CREATE") == 0) {
-		have = kv == NULL ? 0 : kv->create;
-		want = get_int(compare, "create_revision");
-	} else if (strcmp(target, "MOD") == 0) {
-		have = kv == NULL ? 0 : kv->mod;
-		want = get_int(compare, "mod_revision");
-	} else {
-		have = kv == NULL ? 0 : kv->version;
-		want = get_int(compare, "version");
-	}
+	const char *target = get_text(compare, "target");
+
 	g_bytes_unref(key);
-	return have == want;
+	if (strcmp(target, "CREATE") == 0)
+		return (kv == NULL ? 0 : kv->create) ==
+		       get_int(compare, "create_revision");
+	return (kv == NULL ? 0 : kv->mod) == get_int(compare, "mod_revision");
 }
 
 /*
@@ -344,18 +317,16 @@
  */
 static void decide(JsonObject *txn, GArray *verdicts)
 {
-	JsonArray *compares = get_array(txn, "compare");
+	const char *branch;
 	bool ok = true;
-	JsonArray *ops;
 
-	for (guint i = 0; i < array_len(compares); i++)
-		ok = compare_ok(json_array_get_object_element(compares, i)) &&
-		     ok;
+	for (guint i = 0; i < array_len(txn, "compare"); i++)
+		ok = compare_ok(element(txn, "compare", i)) && ok;
 	g_array_append_val(verdicts, ok);
-	ops = get_array(txn, ok ? "success" : "failure");
-	for (guint i = 0; i < array_len(ops); i++) {
-		JsonObject *nested = get_object(
-			json_array_get_object_element(ops, i), "request_txn");
+	branch = ok ? "success" : "failure";
+	for (guint i = 0; i < array_len(txn, branch); i++) {
+		JsonObject *nested =
+			get_object(element(txn, branch, i), "request_txn");
 
 		if (nested != NULL)
 			decide(nested, verdicts);
@@ -365,49 +336,42 @@
 /* Why etcd would refuse the transaction, or NULL. */
 static const char *txn_error(JsonObject *txn, GHashTable *written, guint left)
 {
-	JsonArray *ops = get_array(txn, "success");
-	guint count =
-		MAX(array_len(ops), MAX(array_len(get_array(txn, "compare")),
-					array_len(get_array(txn, "failure"))));
-	const char *error = NULL;
+	guint ops = array_len(txn, "success");
+	guint count = MAX(
+		ops, MAX(array_len(txn, "compare"), array_len(txn, "failure")));
+	const char *error = count > left ? "too many operations" : NULL;
 
-	if (count > left)
-		return "etcdserver: too many operations in txn request";
-	for (guint i = 0; i < array_len(ops) && error == NULL; i++) {
-		JsonObject *op = json_array_get_object_element(ops, i);
+	for (guint i = 0; i < ops && error == NULL; i++) {
+		JsonObject *op = element(txn, "success", i);
 		JsonObject *nested = get_object(op, "request_txn");
-		JsonObject *put = get_object(op, "request_put");
+		JsonObject *request = get_object(op, "request_put");
 		gpointer lease;
 
 		if (nested != NULL)
 			error = txn_error(nested, written, left - count);
-		if (put == NULL)
+		if (request == NULL)
 			continue;
-		if (!g_hash_table_add(
-			    written,
-			    (gpointer)
-				    json_object_get_string_member_with_default(
-					    put, "key", "")))
-			error = "etcdserver: duplicate key given in txn "
-				"request";
-		lease = GINT_TO_POINTER(get_int(put, "lease"));
-		if (lease != NULL && !g_hash_table_contains(leases, lease))
-			error = "etcdserver: requested lease not found";
+		lease = GINT_TO_POINTER(get_int(request, "lease"));
+		if (!g_hash_table_add(written,
+				      g_strdup(get_text(request, "key"))))
+			error = "duplicate key given in txn request";
+		else if (lease != NULL && !g_hash_table_contains(leases, lease))
+			error = "requested lease not found";
 	}
 	return error;
 }
 
-static void do_txn(JsonObject *request, GArray *verdicts, guint *at, txn_t *txn,
-		   GString *out);
+static void do_txn(JsonObject *request, GArray *verdicts, guint *at,
+		   int64_t mod, GString *out);
 
-static void do_op(JsonObject *op, GArray *verdicts, guint *at, txn_t *txn,
+static void do_op(JsonObject *op, GArray *verdicts, guint *at, int64_t mod,
 		  GString *out)
 {
 	JsonObject *request;
-	GBytes *start, *end;
+	span_t span;
 
 	if ((request = get_object(op, "request_put")) != NULL) {
-		do_put(request, txn);
+		do_put(request, mod);
 		g_string_append(out, "{\"response_put\":{}}");
 	} else if ((request = get_object(op, "request_range")) != NULL) {
 		g_string_append(out, "{\"response_range\":");
@@ -415,38 +379,29 @@
 		g_string_append_c(out, '}');
 	} else if ((request = get_object(op, "request_txn")) != NULL) {
 		g_string_append(out, "{\"response_txn\":");
-		do_txn(request, verdicts, at, txn, out);
+		do_txn(request, verdicts, at, mod, out);
 		g_string_append_c(out, '}');
 	} else if ((request = get_object(op, "request_delete_range")) != NULL) {
-		start = get_bytes(request, "key");
-		end = get_bytes(request, "range_end");
+		span = get_span(request);
 		g_string_append_printf(
 			out, "{\"response_delete_range\":{\"deleted\":\"%u\"}}",
-			do_delete(start, end, txn));
-		g_bytes_unref(start);
-		g_clear_pointer(&end, g_bytes_unref);
+			do_delete(&span, mod));
+		span_clear(&span);
 	}
 }
 
-static void do_txn(JsonObject *request, GArray *verdicts, guint *at, txn_t *txn,
-		   GString *out)
+static void do_txn(JsonObject *request, GArray *verdicts, guint *at,
+		   int64_t mod, GString *out)
 {
 	bool ok = g_array_index(verdicts, bool, (*at)++);
-	JsonArray *ops = get_array(request, ok ? "success" : "failure");
-
-	g_string_append(out, ok ? "{\"succeeded\":true,\"responses\":["
-				: "{\"responses\":[");
-	for (guint i = 0; i < array_len(ops); i++) {
-		if (i > 0)
-			g_string_append_c(out, ',');
-		do_op(json_array_get_object_element(ops, i), verdicts, at, txn,
-		      out);
+	const char *branch = ok ? "success" : "failure";
+
+	g_string_append(out, "{\"responses\":[");
+	for (guint i = 0; i < array_len(request, branch); i++) {
+		g_string_append(out, i > 0 ? "," : "");
+		do_op(element(request, branch, i), verdicts, at, mod, out);
 	}
-	g_string_append(out, "]");
-	/* Nested answers carry no header. */
-	if (txn->sub > 0)
-		revision = txn->revision;
-	g_string_append_c(out, ',');
+	g_string_append(out, ok ? "],\"succeeded\":true," : "],");
 	put_header(out);
 	g_string_append_c(out, '}');
 }
@@ -454,18 +409,19 @@
 static guint handle_txn(JsonObject *request, GString *out)
 {
 	GArray *verdicts = g_array_new(FALSE, FALSE, sizeof(bool));
-	GHashTable *written = g_hash_table_new(g_str_hash, g_str_equal);
-	const char *error = txn_error(request, written, 128);
-	txn_t txn = {.revision = revision + 1};
+	GHashTable *written =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const char *error = txn_error(request, written, TXN_OPS_MAX);
 	guint first = history->len;
 	guint at = 0;
 
 	if (error == NULL) {
 		decide(request, verdicts);
-		do_txn(request, verdicts, &at, &txn, out);
+		do_txn(request, verdicts, &at, revision + 1, out);
 		notify(first);
 	} else {
-		g_string_append_printf(out, "{\"error\":\"%s\"}", error);
+		g_string_append_printf(out, "{\"error\":\"etcdserver: %s\"}",
+				       error);
 	}
 	g_array_unref(verdicts);
 	g_hash_table_unref(written);
@@ -477,87 +433,70 @@
 static void end_lease(int64_t id)
 {
 	GPtrArray *gone = g_ptr_array_new();
-	txn_t txn = {.revision = revision + 1};
+	int64_t mod = revision + 1;
 	guint first = history->len;
-	GTreeNode *node;
+	GTreeNode *node = g_tree_node_first(keys);
 
-	for (node = g_tree_node_first(keys); node != NULL;
-	     node = g_tree_node_next(node)) {
+	for (; node != NULL; node = g_tree_node_next(node)) {
 		kv_t *kv = g_tree_node_value(node);
 
 		if (kv->lease == id)
-			g_ptr_array_add(gone, g_bytes_ref(kv->key));
+			g_ptr_array_add(gone, kv);
 	}
 	for (guint i = 0; i < gone->len; i++) {
-		do_delete(g_ptr_array_index(gone, i), NULL, &txn);
-		g_bytes_unref(g_ptr_array_index(gone, i));
+		kv_t *kv = g_ptr_array_index(gone, i);
+
+		add_event(kv, mod, NULL);
+		g_tree_remove(keys, kv->key);
 	}
 	g_ptr_array_unref(gone);
-	if (txn.sub > 0)
-		revision = txn.revision;
 	notify(first);
 	g_hash_table_remove(leases, GINT_TO_POINTER(id));
 }
 
 static gboolean expire_leases(gpointer data)
 {
-	GHashTableIter iter;
-	gpointer value;
-	int64_t id = 0;
+	GList *list = g_hash_table_get_values(leases);
 
 	(void)data;
-	do {
-		id = 0;
-		g_hash_table_iter_init(&iter, leases);
-		while (id == 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
-			const lease_t *lease = value;
-
-			if (lease->due_us <= g_get_monotonic_time())
-				id = lease->id;
-		}
-		if (id != 0)
-			end_lease(id);
-	} while (id != 0);
+	for (GList *i = list; i != NULL; i = i->next) {
+		const lease_t *lease = i->data;
+
+		if (lease->due_us <= g_get_monotonic_time())
+			end_lease(lease->id);
+	}
+	g_list_free(list);
 	return G_SOURCE_CONTINUE;
 }
 
 static guint handle_lease(const char *path, JsonObject *request, GString *out)
 {
+	bool keepalive = g_str_has_suffix(path, "keepalive");
+	int64_t id = get_int(request, "ID");
 	lease_t *lease;
 
 	if (g_str_has_suffix(path, "grant")) {
+		id = ++next_lease;
 		lease = g_new0(lease_t, 1);
-		lease->id = ++next_lease;
+		lease->id = id;
 		lease->ttl_s = MAX(get_int(request, "TTL"), 1);
-		g_hash_table_insert(leases, GINT_TO_POINTER(lease->id), lease);
-	} else {
-		lease = g_hash_table_lookup(
-			leases, GINT_TO_POINTER(get_int(request, "ID")));
+		g_hash_table_insert(leases, GINT_TO_POINTER(id), lease);
 	}
+	lease = g_hash_table_lookup(leases, GINT_TO_POINTER(id));
 	if (g_str_has_suffix(path, "revoke")) {
-		if (lease == NULL) {
-			g_string_append(out, "{\"error\":\"etcdserver: "
-					     "requested lease not found\"}");
+		if (lease == NULL)
 			return 404;
-		}
-		end_lease(lease->id);
-		g_string_append_c(out, '{');
-		put_header(out);
-		g_string_append_c(out, '}');
-		return 200;
+		end_lease(id);
+		lease = NULL;
 	}
 	if (lease != NULL)
 		lease->due_us =
 			g_get_monotonic_time() + lease->ttl_s * G_USEC_PER_SEC;
-	g_string_append(out, g_str_has_suffix(path, "keepalive")
-				     ? "{\"result\":{"
-				     : "{");
+	g_string_append(out, keepalive ? "{\"result\":{" : "{");
 	put_header(out);
-	put_number(out, "ID",
-		   lease != NULL ? lease->id : get_int(request, "ID"));
-	put_number(out, "TTL", lease != NULL ? lease->ttl_s : 0);
-	g_string_append(out,
-			g_str_has_suffix(path, "keepalive") ? "}}\n" : "}");
+	put(out, "ID", id);
+	put(out, "TTL", lease != NULL ? lease->ttl_s : 0);
+	g_string_append(out, keepalive ? "}}\n" : "}");
 	return 200;
 }
 
@@ -572,42 +511,33 @@
 static void handle_watch(SoupServerMessage *message, JsonObject *root)
 {
 	JsonObject *request = get_object(root, "create_request");
-	watch_t *watch = g_new0(watch_t, 1);
+	SoupMessageBody *body = soup_server_message_get_response_body(message);
 	int64_t start = get_int(request, "start_revision");
 	GString *out = g_string_new("{\"result\":{");
+	watch_t *watch = g_new0(watch_t, 1);
 
 	watch->message = g_object_ref(message);
-	watch->start = get_bytes(request, "key");
-	watch->end = get_bytes(request, "range_end");
+	watch->span = get_span(request);
+	g_ptr_array_add(watches, watch);
+	g_signal_connect(message, "finished", G_CALLBACK(on_watch_finished),
+			 watch);
 	soup_server_message_set_status(message, 200, NULL);
 	soup_message_headers_set_encoding(
 		soup_server_message_get_response_headers(message),
 		SOUP_ENCODING_CHUNKED);
-	soup_message_body_set_accumulate(
-		soup_server_message_get_response_body(message), FALSE);
-	g_ptr_array_add(watches, watch);
-	g_signal_connect(message, "finished", G_CALLBACK(on_watch_finished),
-			 watch);
+	soup_message_body_set_accumulate(body, FALSE);
 	put_header(out);
 	if (start > 0 && start <= compacted) {
-		g_string_append_printf(
-			out,
-			",\"canceled\":true,\"compact_revision\":"
-			"\"%" G_GINT64_FORMAT "\"}}\n",
-			compacted);
+		g_string_append(out, ",\"canceled\":true");
+		put(out, "compact_revision", compacted);
+		g_string_append(out, "}}\n");
 		send_line(watch, out->str);
-		soup_message_body_complete(
-			soup_server_message_get_response_body(message));
+		soup_message_body_complete(body);
 	} else {
 		g_string_append(out, ",\"created\":true}}\n");
 		send_line(watch, out->str);
-		for (guint i = 0; start > 0 && i < history->len; i++) {
-			const event_t *event = g_ptr_array_index(history, i);
-
-			if (event->revision >= start &&
-			    in_span(event->key, watch->start, watch->end))
-				send_event(watch, event);
-		}
+		if (start > 0)
+			send_events(watch, 0, start);
 	}
 	g_string_free(out, TRUE);
 }
@@ -637,69 +567,47 @@
 
 static void set_mode(JsonObject *request)
 {
-	const char *name = json_object_get_string_member_with_default(
-		request, "mode", "normal");
-
-	mode = strcmp(name, "slow") == 0	  ? MODE_SLOW
-	       : strcmp(name, "out") == 0	  ? MODE_OUT
-	       : strcmp(name, "lose_answer") == 0 ? MODE_LOSE_ANSWER
-						  : MODE_NORMAL;
-	mode_left = (int)get_int(request, "count");
-	mode_delay_ms = (guint)get_int(request, "delay_ms");
+	const char *name = get_text(request, "mode");
+
+	mode = MODE_NORMAL;
+	if (strcmp(name, "slow") == 0)
+		mode = MODE_SLOW;
+	else if (strcmp(name, "out") == 0)
+		mode = MODE_OUT;
+	else if (strcmp(name, "lose_answer") == 0)
+		mode = MODE_LOSE_ANSWER;
+	mode_left = get_int(request, "count");
+	mode_delay_ms = get_int(request, "delay_ms");
 	if (mode == MODE_OUT)
 		close_watches();
 }
 
-static void control(const char *path, JsonObject *request, GString *out)
+static void control(SoupServerMessage *message, const char *path,
+		    JsonObject *request)
 {
-	GHashTableIter iter;
-	gpointer name, count;
-	GTreeNode *node;
+	JsonObject *answer = json_object_new();
+	GString *out = g_string_new(NULL);
 
-	if (strcmp(path, "/test/mode") == 0 && request != NULL) {
+	if (g_str_has_suffix(path, "/mode") && request != NULL) {
 		set_mode(request);
-		g_string_append(out, "{}");
-	} else if (strcmp(path, "/test/compact") == 0) {
+	} else if (g_str_has_suffix(path, "/compact")) {
 		compacted = revision;
 		g_ptr_array_set_size(history, 0);
 		close_watches();
-		g_string_append(out, "{}");
-	} else if (strcmp(path, "/test/stats") == 0) {
-		g_string_append_printf(out, "{\"watches\":%u", watches->len);
-		g_hash_table_iter_init(&iter, stats);
-		while (g_hash_table_iter_next(&iter, &name, &count))
-			g_string_append_printf(out, ",\"%s\":%u",
-					       (const char *)name,
-					       GPOINTER_TO_UINT(count));
-		g_string_append_c(out, '}');
-	} else {
-		g_string_append_c(out, '{');
-		put_header(out);
-		g_string_append(out, ",\"kvs\":[");
-		for (node = g_tree_node_first(keys); node != NULL;
-		     node = g_tree_node_next(node)) {
-			const kv_t *kv = g_tree_node_value(node);
-
-			if (node != g_tree_node_first(keys))
-				g_string_append_c(out, ',');
-			put_kv(out, kv->key, kv, kv->mod);
-		}
-		g_string_append(out, "]}");
 	}
-}
-
-static guint dispatch(const char *path, JsonObject *request, GString *out)
-{
-	if (strcmp(path, "/v3/kv/range") == 0) {
-		do_range(request, out);
-		return 200;
+	if (g_str_has_suffix(path, "/dump")) {
+		json_object_set_string_member(answer, "range_end", "/w==");
+		do_range(answer, out);
+		fake_answer(message, 200, "application/json", out->str,
+			    out->len);
+		json_object_unref(answer);
+	} else {
+		json_object_set_object_member(answer, "calls",
+					      fake_counts(fake.runs));
+		json_object_set_int_member(answer, "watches", watches->len);
+		fake_answer_json(message, 200, answer);
 	}
-	if (strcmp(path, "/v3/kv/txn") == 0)
-		return handle_txn(request, out);
-	if (strstr(path, "/lease/") != NULL)
-		return handle_lease(path, request, out);
-	g_string_append(out, "{\"error\":\"Not Found\"}");
-	return 404;
+	g_string_free(out, TRUE);
 }
 
 static gboolean unpause(gpointer data)
@@ -720,112 +628,71 @@
 }
 
 static void respond(SoupServerMessage *message, const char *path,
-		    JsonObject *request)
+		    JsonObject *request, int64_t wait_ms)
 {
 	GString *out = g_string_new(NULL);
-	fake_mode_t now = MODE_NORMAL;
 	guint status = 200;
-	guint wait = 0;
 
-	if (g_str_has_prefix(path, "/test/")) {
-		control(path, request, out);
-	} else {
-		g_hash_table_insert(
-			stats, g_strdup(path),
-			GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(
-						 stats, path)) +
-					 1));
-		now = take_mode();
-		wait = delay_ms + (now == MODE_SLOW ? mode_delay_ms : 0);
-		if (now == MODE_OUT)
-			goto out;
-		if (strcmp(path, "/v3/watch") == 0) {
-			handle_watch(message, request);
-			goto out;
-		}
-		status = dispatch(path, request, out);
-	}
-	soup_server_message_set_status(message, status, NULL);
-	soup_server_message_set_response(message, "application/json",
-					 SOUP_MEMORY_COPY, out->str, out->len);
-	if (wait > 0) {
+	if (strcmp(path, "/v3/kv/range") == 0)
+		do_range(request, out);
+	else if (strcmp(path, "/v3/kv/txn") == 0)
+		status = handle_txn(request, out);
+	else if (strstr(path, "/lease/") != NULL)
+		status = handle_lease(path, request, out);
+	else
+		status = 404;
+	fake_answer(message, status, "application/json", out->str, out->len);
+	if (wait_ms > 0) {
 		soup_server_message_pause(message);
-		g_timeout_add(wait, unpause, g_object_ref(message));
+		g_timeout_add((guint)wait_ms, unpause, g_object_ref(message));
 	}
-out:
-	if (now == MODE_OUT || now == MODE_LOSE_ANSWER)
-		close_connection(message);
 	g_string_free(out, TRUE);
 }
 
 static void on_request(SoupServer *server, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer data)
 {
-	SoupMessageBody *body = soup_server_message_get_request_body(message);
 	JsonParser *parser = json_parser_new();
-	JsonNode *root = NULL;
-	JsonObject *request = NULL;
+	JsonObject *request = fake_parse(message, parser);
+	fake_mode_t now;
 
 	(void)server;
 	(void)query;
 	(void)data;
-	if (body->length > 0 &&
-	    json_parser_load_from_data(parser, body->data, (gssize)body->length,
-				       NULL))
-		root = json_parser_get_root(parser);
-	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root))
-		request = json_node_get_object(root);
-	if (request == NULL && !g_str_has_prefix(path, "/test/"))
-		soup_server_message_set_status(message, 400, NULL);
-	else
-		respond(message, path, request);
+	if (g_str_has_prefix(path, "/test/")) {
+		control(message, path, request);
+		goto out;
+	}
+	if (request == NULL) {
+		fake_answer(message, 400, "text/plain", "no object\n", 10);
+		goto out;
+	}
+	fake_count(fake.runs, path);
+	now = take_mode();
+	if (now != MODE_OUT && strcmp(path, "/v3/watch") == 0)
+		handle_watch(message, request);
+	else if (now != MODE_OUT)
+		respond(message, path, request,
+			delay_ms + (now == MODE_SLOW ? mode_delay_ms : 0));
+	if (now == MODE_OUT || now == MODE_LOSE_ANSWER)
+		close_connection(message);
+out:
 	g_object_unref(parser);
 }
 
-static gboolean on_term(gpointer data)
-{
-	(void)data;
-	g_main_loop_quit(loop);
-	return G_SOURCE_REMOVE;
-}
-
 int main(int argc, char **argv)
 {
-	gint port = 0, delay = 0;
-	GOptionEntry entries[] = {
-		{"port", 0, 0, G_OPTION_ARG_INT, &port, "port, 0 picks one",
-		 "N"},
-		{"delay-ms", 0, 0, G_OPTION_ARG_INT, &delay,
-		 "delay of each answer", "N"},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
-	GOptionContext *context = g_option_context_new(NULL);
-	SoupServer *server = soup_server_new(NULL, NULL);
-	GError *error = NULL;
-	GSList *uris;
-
-	g_option_context_add_main_entries(context, entries, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, &error))
-		g_error("%s", error->message);
-	delay_ms = (guint)MAX(delay, 0);
+	const GOptionEntry options[] = {{"port", 0, 0, G_OPTION_ARG_INT, &port,
+					 "port, 0 picks one", "N"},
+					{"delay-ms", 0, 0, G_OPTION_ARG_INT,
+					 &delay_ms, "delay of each answer",
+					 "N"},
+					G_OPTION_ENTRY_NULL};
+
 	keys = g_tree_new_full(compare_keys, NULL, NULL, kv_free);
-	history = g_ptr_array_new_with_free_func(event_free);
+	history = g_ptr_array_new_with_free_func(kv_free);
 	watches = g_ptr_array_new_with_free_func(watch_free);
 	leases = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	soup_server_add_handler(server, NULL, on_request, NULL, NULL);
-	if (!soup_server_listen_local(server, (guint)port,
-				      SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
-		g_error("%s", error->message);
-	uris = soup_server_get_uris(server);
-	printf("listening %d\n", g_uri_get_port(uris->data));
-	fflush(stdout);
-	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
-	g_unix_signal_add(SIGTERM, on_term, NULL);
 	g_timeout_add(LEASE_TICK_MS, expire_leases, NULL);
-	loop = g_main_loop_new(NULL, FALSE);
-	g_main_loop_run(loop);
-	close_watches();
-	g_object_unref(server);
-	g_option_context_free(context);
-	return 0;
+	return fake_main(&fake, argc, argv, &port, options, on_request);
 }
