--- a/store/codec.c
+++ b/store/codec.c
@@ -300,9 +300,9 @@
 
 static bool outcome_ok(const outcome_t *outcome)
 {
-	return outcome->status <= 999 &&
-	       text_ok(outcome->content_type, 0, CONTENT_TYPE_SIZE - 1) &&
-	       outcome->tokens >= 0 && outcome->tokens <= TOKENS_MAX &&
+	/* The content type is a target's text; put_text() makes it valid. */
+	return outcome->status <= 999 && outcome->tokens >= 0 &&
+	       outcome->tokens <= TOKENS_MAX &&
 	       (outcome->body == NULL ||
 		g_bytes_get_size(outcome->body) <= OUTCOME_BODY_MAX);
 }
@@ -422,13 +422,19 @@
 
 /* --- encoding ----------------------------------------------------------- */
 
+/* Bytes that can't be in a record's text are replaced by a question mark. */
 static void put_text(GString *out, const char *text)
 {
+	bool utf8 = g_utf8_validate(text, -1, NULL);
+
 	g_string_append_c(out, '"');
 	for (const char *p = text; *p != '\0'; p++) {
 		if (*p == '"' || *p == '\\')
 			g_string_append_c(out, '\\');
-		g_string_append_c(out, *p);
+		if (g_ascii_iscntrl(*p) || (!utf8 && (*p & 0x80)))
+			g_string_append_c(out, '?');
+		else
+			g_string_append_c(out, *p);
 	}
 	g_string_append_c(out, '"');
 }
