--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -545,8 +545,7 @@
 			failure_t failure;
 			bool reset; /* the connection was reset or closed early
 				     */
-			bool not_run; /* the target states that it did not run
-				       * the request
+			bool not_run; /* the target stated that it did not run
 				       */
 		} target_failed;
 
--- a/request/answer.c
+++ b/request/answer.c
@@ -223,9 +223,9 @@
 	outcome_t *outcome = &msg->u.claimed.outcome;
 
 	request->status = outcome->status;
+	request->ran = true;
 	if (outcome->body == NULL) {
 		/* It ran, but its body was too large to keep. */
-		request->maybe_ran++;
 		life_refuse(svc, request, REFUSAL_OUTCOME_UNKNOWN, 0);
 		return;
 	}
--- a/request/attempt.c
+++ b/request/attempt.c
@@ -308,6 +308,7 @@
 		return;
 	}
 	request = table_get(&svc->requests, attempt->request);
+	request->ran = true;
 	tokens = count_tokens(request, attempt, msg);
 	if (attempt->status < 500)
 		quarantine_forgive(&svc->quarantine,
--- a/request/life.c
+++ b/request/life.c
@@ -22,6 +22,8 @@
 
 run_state_t life_run_state(const request_t *request)
 {
+	if (request->ran)
+		return RUN_RAN;
 	return request->maybe_ran ? RUN_UNKNOWN : RUN_NOT_RUN;
 }
 
@@ -46,9 +48,7 @@
 		  log_quote(request->spec->request_id), request->client_account,
 		  request->service.name, request->target,
 		  request->attempt_count, request->billed, result,
-		  request->status != 0
-			  ? run_state_name(RUN_RAN)
-			  : run_state_name(life_run_state(request)),
+		  run_state_name(life_run_state(request)),
 		  took / USEC_PER_MSEC);
 	metrics_observe(svc->kernel->metrics, HISTOGRAM_REQUEST, took);
 }
--- a/request/life.h
+++ b/request/life.h
@@ -47,6 +47,7 @@
 	char target[NAME_SIZE]; /* of the last attempt */
 
 	uint32_t maybe_ran; /* attempts sent and not known to be not run */
+	bool ran; /* a whole answer came, now or in an earlier run */
 	bool caller_gone;
 	bool refused; /* the caller has got its refusal */
 	bool paused;
