--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 	$(BUILD)/$(p:%_prove.cc=%_test): $(BUILD)/$(p:%.cc=%.o)))
 
 $(BUILD)/tests/%_test: $(BUILD)/tests/%_test.o $(LIB)
-	@$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) $(GTEST_LIBS)
+	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(PKG_LIBS) $(GTEST_LIBS)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
--- a/tests/prove.sh
+++ b/tests/prove.sh
@@ -1,5 +1,5 @@
-#!/bin/sh
-# Runs the property tests of every module and prints one line a promise.
+#!/ bin / sh
+#Runs the property tests of every module and prints one line a promise.
 build=${1:-build}
 status=0
 out=$(mktemp)
--- a/tests/prove_world.h
+++ b/tests/prove_world.h
@@ -112,9 +112,12 @@
 			int64_t next =
 				events.empty() ? until + 1 : events.top().time;
 			for (Node *node : nodes) {
-				int64_t due = node->up ? kernel_next_timer(
-								 &node->kernel)
-						       : -1;
+				int64_t due = -1;
+				if (node->up)
+					due = node->kernel.queue_len > 0
+						      ? now
+						      : kernel_next_timer(
+								&node->kernel);
 				if (due >= 0)
 					next = std::min(
 						next,
