--- a/claims/batch.c
+++ b/claims/batch.c
@@ -4,7 +4,7 @@
 
 #define GROUPS_MAX 100 /* claims written by one call */
 /* Outcome bytes of one call; the store's values are limited to 1 MB. */
-#define CALL_BYTES_MAX ((size_t)512 * 1024)
+#define CALL_BYTES_MAX ((size_t)524288)
 /*
  * A claim expires 48 hours after it was written, give or take two: one lease
  * serves all claims of an hour and one more hour if the store is down.
--- a/request/answer.c
+++ b/request/answer.c
@@ -4,7 +4,7 @@
  * Bytes of an answer that is not streamed and is kept back, so that a retry
  * stays possible before the caller has seen a byte.
  */
-#define BUFFER_MAX (64 * 1024)
+#define BUFFER_MAX 65536
 /* Wait for the outcome's record before the last byte. */
 #define STORE_WAIT_US (200 * USEC_PER_MSEC)
 /*
