--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -105,6 +105,9 @@
 
 #define EXPECT_ANY (-1) /* write whatever the key's revision is */
 #define EXPECT_ABSENT 0 /* write only if the key does not exist */
+/* Limits of one transaction; together they stay within etcd's 128. */
+#define STORE_GROUPS_MAX 96
+#define STORE_GROUP_OPS_MAX 32
 
 typedef enum store_status_t {
 	STORE_OK, /* answered; see each group for whether it committed */
@@ -130,7 +133,10 @@
 
 /*
  * One call.  The operations of a group take effect together if all their
- * expectations hold; groups are independent of each other.
+ * expectations hold; groups are independent of each other.  All expectations
+ * are compared before anything is written, and a key is written at most once
+ * in a call (the store refuses it otherwise).  Every put of a call gets the
+ * revision of the result.
  */
 typedef struct store_txn_t {
 	GArray *ops; /* store_op_t, ordered by group */
@@ -236,6 +242,23 @@
 member_list_t *member_list_ref(member_list_t *list);
 void member_list_unref(member_list_t *list);
 
+/* The platform's list of instances, routers and targets alike. */
+typedef struct instance_info_t {
+	char host[HOST_SIZE];
+	uint16_t port;
+	bool leaving;
+} instance_info_t;
+
+typedef struct instance_list_t {
+	int refs;
+	int64_t revision;
+	GArray *instances; /* instance_info_t */
+} instance_list_t;
+
+instance_list_t *instance_list_new(void);
+instance_list_t *instance_list_ref(instance_list_t *list);
+void instance_list_unref(instance_list_t *list);
+
 /* A bill as its router copies it to the buddy. */
 typedef struct bill_t {
 	uint64_t seq;
@@ -385,6 +408,7 @@
 	MSG_LEASE_RENEWED, /* member -> ledger, claims */
 	MSG_BUDDY_CHANGED, /* member -> ledger */
 	MSG_MEMBER_GONE, /* member -> ledger: a router's lease has expired */
+	MSG_INSTANCES_LISTED, /* instances -> member: the list was answered */
 
 	MSG_KIND_COUNT,
 } msg_kind_t;
@@ -588,6 +612,7 @@
 			bool instance_gone; /* the platform no longer lists it
 					     */
 		} gone;
+		instance_list_t *instances; /* MSG_INSTANCES_LISTED */
 	} u;
 } msg_t;
 
