Let callers of a crashed router come again, with longer answers

Cause: the schedules left it to chance that a caller met the other router after a crash, and no answer was longer than what is kept back for a retry.

--- a/tests/prove_world.h
+++ b/tests/prove_world.h
@@ -56,7 +56,8 @@
 	virtual void shut() = 0; // finish services
 	void start();
 	void crash();
-	// Posts a message later, unless this incarnation has ended by then.
+	// Runs later, unless this incarnation has ended by then.
+	void soon(int64_t delay, const std::function<void()> &fn);
 	void later(int64_t delay, svc_t from, svc_t to, const msg_t &msg);
 	svc_t fake(const char *name, recv_fn_t recv)
 	{
@@ -259,6 +260,16 @@
 	kernel_finish(&kernel);
 }
 
+inline void Node::soon(int64_t delay, const std::function<void()> &fn)
+{
+	int at_epoch = epoch;
+
+	world->at(delay, [=]() {
+		if (epoch == at_epoch)
+			fn();
+	});
+}
+
 inline void Node::later(int64_t delay, svc_t from, svc_t to, const msg_t &msg)
 {
 	int at_epoch = epoch;
--- a/tests/request_prove.cc
+++ b/tests/request_prove.cc
@@ -21,7 +21,7 @@
 
 struct Caller {
 	std::string key, fingerprint, got;
-	bool idempotent, gone = false, lost = false;
+	bool idempotent, gone = false;
 	int router, epoch, runs = 0, finals = 0;
 	bool ended = false, not_run = false, head = false;
 	handle_t request = HANDLE_NONE;
@@ -43,11 +43,7 @@
 	RequestWorld *w;
 	request_svc_t request;
 	claims_svc_t claims;
-	struct Sent {
-		size_t caller;
-		bool cancelled = false;
-	};
-	std::map<uint32_t, Sent> sent; // by dispatch's handle
+	std::set<uint32_t> cancelled; // dispatch's handles
 	handle_t last_attempt = HANDLE_NONE; // for crossed answers
 
 	static void receive(void *self, msg_t *msg)
@@ -60,7 +56,7 @@
 		claims_opts_t claims_opts;
 		msg_t conf = {};
 
-		sent.clear();
+		cancelled.clear();
 		last_attempt = HANDLE_NONE;
 		for (const char *name :
 		     {"front", "ledger", "route", "dispatch", "conf", "store"})
@@ -77,8 +73,14 @@
 		conf.u.conf = request_conf(0);
 		kernel_post(&kernel, HANDLE_NONE, request.self, &conf);
 	}
+	// The callers of a router that has crashed come again.
 	void shut() override
 	{
+		for (size_t i = 0, n = w->callers.size(); i < n; i++)
+			if (w->callers[i].epoch == epoch - 1 &&
+			    w->routers[w->callers[i].router] == this &&
+			    w->callers[i].finals == 0)
+				again(w->callers[i]);
 		request_finish(&request);
 		claims_finish(&claims);
 	}
@@ -133,9 +135,8 @@
 			break;
 		case MSG_SEND_CANCEL:
 			// Some answers were on their way already.
-			if (sent.count(msg->ref.index) != 0 &&
-			    w->rng.percent(50))
-				sent[msg->ref.index].cancelled = true;
+			if (w->rng.percent(50))
+				cancelled.insert(msg->ref.index);
 			break;
 		default:
 			on_reply(msg);
@@ -168,7 +169,6 @@
 		uint64_t plan = w->rng.below(100);
 
 		reply.id = send;
-		sent[send.index] = {caller};
 		tell(w->rng.ms(0, 2), reply);
 		auto &failure = failed.u.target_failed;
 		if (plan < 15) {
@@ -188,7 +188,7 @@
 			failure.reset = plan < 28;
 			delay += w->rng.ms(0, plan < 35 ? 10 : 1000);
 		} else {
-			answer(delay, attempt, send.index, plan < 50);
+			answer(delay, attempt, send.index, caller, plan < 50);
 			return;
 		}
 		tell(delay, failed);
@@ -204,8 +204,8 @@
 			if (++w->runs[caller.key] > 1)
 				w->tally.violations[5]++;
 		}
-		for (uint64_t i = w->rng.below(4) * 8000; i > 0; i--)
-			text += (char)('a' + (w->serial + i) % 26);
+		// Up to more than what is kept back for a retry.
+		text.append(w->rng.below(4) * 30000, 'a' + w->serial % 26);
 		text += ".";
 		w->answers[caller.key + caller.fingerprint].insert(text);
 		return text;
@@ -215,16 +215,16 @@
 	{
 		w->at(delay, [=]() { run(caller); });
 	}
-	void answer(int64_t delay, handle_t attempt, uint32_t send, bool breaks)
+	void answer(int64_t delay, handle_t attempt, uint32_t send,
+		    size_t caller, bool breaks)
 	{
-		size_t caller = sent[send].caller;
 		int at_epoch = epoch;
 
 		w->at(delay, [=]() {
 			std::string text = run(caller);
+			msg_t head = make(MSG_TARGET_HEAD, attempt);
 			if (epoch != at_epoch)
 				return;
-			msg_t head = make(MSG_TARGET_HEAD, attempt);
 			head.u.target_head.status = 200;
 			tell(w->rng.ms(0, 20), head);
 			stream(w->rng.ms(20, 40), attempt, send, text, breaks);
@@ -233,26 +233,21 @@
 	void stream(int64_t delay, handle_t attempt, uint32_t send,
 		    const std::string &text, bool breaks)
 	{
-		int at_epoch = epoch;
-
-		w->at(delay, [=]() {
-			if (epoch != at_epoch || sent[send].cancelled)
+		soon(delay, [=]() {
+			size_t size = 1 + w->rng.below(30000);
+			msg_t msg = make(MSG_TARGET_END, attempt);
+			if (cancelled.count(send) != 0)
 				return;
-			size_t size = 1 + w->rng.below(12000);
-			msg_t msg = make(text.empty() ? MSG_TARGET_END
-						      : MSG_TARGET_DATA,
-					 attempt);
 			if (breaks && w->rng.percent(50)) {
-				msg = make(MSG_TARGET_FAILED, attempt);
+				msg.kind = MSG_TARGET_FAILED;
 				msg.u.target_failed.failure = FAILURE_STREAM;
-				tell(0, msg);
-				return;
 			}
-			if (text.empty()) {
+			if (text.empty() || msg.kind == MSG_TARGET_FAILED) {
 				tell(0, msg);
 				return;
 			}
 			size = std::min(size, text.size());
+			msg.kind = MSG_TARGET_DATA;
 			msg.u.target_data.bytes =
 				g_bytes_new(text.data(), size);
 			if (w->fault == CROSSED_ANSWERS && w->rng.percent(10) &&
@@ -270,6 +265,7 @@
 		if (msg->ref.index == 0 || msg->ref.gen != 9)
 			return;
 		Caller &caller = w->callers[msg->ref.index - 1];
+		const char *data;
 		gsize size;
 
 		switch (msg->kind) {
@@ -282,10 +278,9 @@
 			caller.head = true;
 			break;
 		case MSG_REPLY_DATA:
-			caller.got += std::string(
-				static_cast<const char *>(g_bytes_get_data(
-					msg->u.data.bytes, &size)),
-				g_bytes_get_size(msg->u.data.bytes));
+			data = static_cast<const char *>(
+				g_bytes_get_data(msg->u.data.bytes, &size));
+			caller.got.append(data, size);
 			break;
 		case MSG_REPLY_END:
 			caller.ended = true;
@@ -303,9 +298,9 @@
 	}
 	void leave(size_t index)
 	{
-		w->at(w->rng.ms(0, 300), [=]() {
+		soon(w->rng.ms(0, 300), [=]() {
 			Caller &caller = w->callers[index];
-			if (caller.epoch != epoch || caller.finals > 0)
+			if (caller.finals > 0)
 				return;
 			caller.gone = true;
 			later(0, kernel_find(&kernel, "front"), request.self,
@@ -430,7 +425,7 @@
 TEST(Prove, AnswersAreWholeRefusalsTrueAndRunsSingle)
 {
 	uint64_t ended = 0;
-	Tally tally = prove_fault(SOUND, 300, true, &ended);
+	Tally tally = prove_fault(SOUND, 600, true, &ended);
 	for (int promise : {3, 4, 5}) {
 		EXPECT_EQ(tally.violations[promise], 0u);
 		EXPECT_GT(tally.checks[promise], 0u);
