--- /dev/null
+++ b/tests/fakes/store.c
@@ -0,0 +1,698 @@
+/*
+ * Stand-in for the platform's store: the JSON gateway of etcd v3 in memory.
+ * POST /test/mode, POST /test/compact, GET /test/stats and GET /test/dump
+ * are its controls.
+ */
+#include "tests/fakes/fake.h"
+
+#define LEASE_TICK_MS 100
+#define TXN_OPS_MAX 128 /* etcd's default */
+#define I64 "%" G_GINT64_FORMAT
+
+typedef enum fake_mode_t {
+	MODE_NORMAL,
+	MODE_SLOW,
+	MODE_OUT, /* closes the connection unanswered */
+	MODE_LOSE_ANSWER, /* applies the call, then closes */
+} fake_mode_t;
+
+typedef struct kv_t {
+	GBytes *key;
+	char *value; /* base64, as it was given; NULL: deleted */
+	int64_t create, mod, lease;
+} kv_t;
+
+typedef struct lease_t {
+	int64_t id, ttl_s, due_us;
+} lease_t;
+
+typedef struct span_t {
+	GBytes *start, *end; /* end NULL: one key */
+} span_t;
+
+typedef struct watch_t {
+	SoupServerMessage *message;
+	span_t span;
+} watch_t;
+
+static fake_t fake;
+static GTree *keys; /* GBytes -> kv_t */
+static GPtrArray *history; /* kv_t */
+static GHashTable *leases; /* id -> lease_t */
+static GPtrArray *watches; /* watch_t */
+static int64_t revision = 1;
+static int64_t compacted;
+static int64_t next_lease = 1000;
+static fake_mode_t mode;
+static int64_t mode_left; /* calls the mode still holds for, 0: no limit */
+static int64_t mode_delay_ms;
+static int port, delay_ms;
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return g_bytes_compare(a, b);
+}
+
+static void kv_free(gpointer data)
+{
+	kv_t *kv = data;
+
+	g_bytes_unref(kv->key);
+	g_free(kv->value);
+	g_free(kv);
+}
+
+static void span_clear(span_t *span)
+{
+	g_bytes_unref(span->start);
+	g_clear_pointer(&span->end, g_bytes_unref);
+}
+
+static void watch_free(gpointer data)
+{
+	watch_t *watch = data;
+
+	g_object_unref(watch->message);
+	span_clear(&watch->span);
+	g_free(watch);
+}
+
+/* --- members of requests ------------------------------------------------ */
+
+static int64_t get_int(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node))
+		return 0;
+	if (json_node_get_value_type(node) == G_TYPE_STRING)
+		return g_ascii_strtoll(json_node_get_string(node), NULL, 10);
+	return json_node_get_int(node);
+}
+
+static const char *get_text(JsonObject *object, const char *name)
+{
+	return json_object_get_string_member_with_default(object, name, "");
+}
+
+static GBytes *get_bytes(JsonObject *object, const char *name)
+{
+	gsize len;
+	guchar *data = g_base64_decode(get_text(object, name), &len);
+
+	return g_bytes_new_take(data, len);
+}
+
+static span_t get_span(JsonObject *object)
+{
+	bool one = !json_object_has_member(object, "range_end");
+
+	return (span_t){get_bytes(object, "key"),
+			one ? NULL : get_bytes(object, "range_end")};
+}
+
+static JsonObject *get_object(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	return node != NULL && JSON_NODE_HOLDS_OBJECT(node)
+		       ? json_node_get_object(node)
+		       : NULL;
+}
+
+static JsonArray *get_array(JsonObject *object, const char *name)
+{
+	if (!json_object_has_member(object, name))
+		json_object_set_array_member(object, name, json_array_new());
+	return json_object_get_array_member(object, name);
+}
+
+static guint array_len(JsonObject *object, const char *name)
+{
+	return json_array_get_length(get_array(object, name));
+}
+
+static JsonObject *element(JsonObject *object, const char *name, guint i)
+{
+	return json_array_get_object_element(get_array(object, name), i);
+}
+
+/* --- answers ------------------------------------------------------------ */
+
+static void put(GString *out, const char *name, int64_t value)
+{
+	if (value != 0)
+		g_string_append_printf(out, ",\"%s\":\"" I64 "\"", name, value);
+}
+
+static void put_header(GString *out)
+{
+	g_string_append_printf(out, "\"header\":{\"revision\":\"" I64 "\"}",
+			       revision);
+}
+
+static void put_kv(GString *out, const kv_t *kv)
+{
+	char *text = g_base64_encode(g_bytes_get_data(kv->key, NULL),
+				     g_bytes_get_size(kv->key));
+
+	g_string_append_printf(out, "{\"key\":\"%s\"", text);
+	g_free(text);
+	put(out, "mod_revision", kv->mod);
+	put(out, "create_revision", kv->create);
+	put(out, "lease", kv->lease);
+	if (kv->value != NULL)
+		g_string_append_printf(out, ",\"value\":\"%s\"", kv->value);
+	g_string_append_c(out, '}');
+}
+
+static bool in_span(GBytes *key, const span_t *span)
+{
+	if (span->end == NULL)
+		return g_bytes_equal(key, span->start);
+	return g_bytes_compare(key, span->start) >= 0 &&
+	       g_bytes_compare(key, span->end) < 0;
+}
+
+static void send_line(watch_t *watch, const char *text)
+{
+	soup_message_body_append(
+		soup_server_message_get_response_body(watch->message),
+		SOUP_MEMORY_COPY, text, strlen(text));
+	soup_server_message_unpause(watch->message);
+}
+
+/* One line with all events of the watch from index first on. */
+static void send_events(watch_t *watch, guint first, int64_t start)
+{
+	GString *out = g_string_new("{\"result\":{");
+	guint count = 0;
+
+	put_header(out);
+	g_string_append(out, ",\"events\":[");
+	for (guint i = first; i < history->len; i++) {
+		const kv_t *kv = g_ptr_array_index(history, i);
+
+		if (kv->mod < start || !in_span(kv->key, &watch->span))
+			continue;
+		g_string_append(out, count++ > 0 ? "," : "");
+		g_string_append(out, kv->value == NULL
+					     ? "{\"type\":\"DELETE\",\"kv\":"
+					     : "{\"kv\":");
+		put_kv(out, kv);
+		g_string_append_c(out, '}');
+	}
+	g_string_append(out, "]}}\n");
+	if (count > 0)
+		send_line(watch, out->str);
+	g_string_free(out, TRUE);
+}
+
+static void notify(guint first)
+{
+	for (guint i = 0; i < watches->len; i++)
+		send_events(g_ptr_array_index(watches, i), first, 0);
+}
+
+static void add_event(const kv_t *kv, int64_t mod, const char *value)
+{
+	kv_t *event = g_memdup2(kv, sizeof(*kv));
+
+	g_bytes_ref(event->key);
+	event->value = g_strdup(value);
+	event->mod = mod;
+	revision = mod;
+	g_ptr_array_add(history, event);
+}
+
+/* --- reads and writes ---------------------------------------------------- */
+
+static GPtrArray *select_keys(const span_t *span)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GTreeNode *node = g_tree_lower_bound(keys, span->start);
+
+	for (; node != NULL; node = g_tree_node_next(node)) {
+		kv_t *kv = g_tree_node_value(node);
+
+		if (!in_span(kv->key, span))
+			break;
+		g_ptr_array_add(found, kv);
+	}
+	return found;
+}
+
+/* Earlier revisions are answered with the newest state. */
+static void do_range(JsonObject *request, GString *out)
+{
+	span_t span = get_span(request);
+	int64_t limit = get_int(request, "limit");
+	GPtrArray *found = select_keys(&span);
+	guint count = found->len;
+
+	if (limit > 0 && count > limit)
+		count = (guint)limit;
+	g_string_append_c(out, '{');
+	put_header(out);
+	g_string_append(out, ",\"kvs\":[");
+	for (guint i = 0; i < count; i++) {
+		const kv_t *kv = g_ptr_array_index(found, i);
+
+		g_string_append(out, i > 0 ? "," : "");
+		put_kv(out, kv);
+	}
+	g_string_append_printf(out, "],\"count\":\"%u\"%s}", found->len,
+			       count < found->len ? ",\"more\":true" : "");
+	g_ptr_array_unref(found);
+	span_clear(&span);
+}
+
+static void do_put(JsonObject *request, int64_t mod)
+{
+	kv_t *kv = g_new0(kv_t, 1);
+	const kv_t *old;
+
+	kv->key = get_bytes(request, "key");
+	old = g_tree_lookup(keys, kv->key);
+	kv->value = g_strdup(get_text(request, "value"));
+	kv->mod = mod;
+	kv->create = old == NULL ? mod : old->create;
+	kv->lease = get_int(request, "lease");
+	add_event(kv, mod, kv->value);
+	g_tree_replace(keys, kv->key, kv);
+}
+
+static guint do_delete(const span_t *span, int64_t mod)
+{
+	GPtrArray *found = select_keys(span);
+	guint count = found->len;
+
+	for (guint i = 0; i < count; i++) {
+		kv_t *kv = g_ptr_array_index(found, i);
+
+		add_event(kv, mod, NULL);
+		g_tree_remove(keys, kv->key);
+	}
+	g_ptr_array_unref(found);
+	return count;
+}
+
+static bool compare_ok(JsonObject *compare)
+{
+	GBytes *key = get_bytes(compare, "key");
+	const kv_t *kv = g_tree_lookup(keys, key);
+	const char *target = get_text(compare, "target");
+
+	g_bytes_unref(key);
+	if (strcmp(target, "CREATE") == 0)
+		return (kv == NULL ? 0 : kv->create) ==
+		       get_int(compare, "create_revision");
+	return (kv == NULL ? 0 : kv->mod) == get_int(compare, "mod_revision");
+}
+
+/*
+ * Like etcd, decides all compares before anything is written; verdicts lists
+ * them in the order of the nested transactions.
+ */
+static void decide(JsonObject *txn, GArray *verdicts)
+{
+	const char *branch;
+	bool ok = true;
+
+	for (guint i = 0; i < array_len(txn, "compare"); i++)
+		ok = compare_ok(element(txn, "compare", i)) && ok;
+	g_array_append_val(verdicts, ok);
+	branch = ok ? "success" : "failure";
+	for (guint i = 0; i < array_len(txn, branch); i++) {
+		JsonObject *nested =
+			get_object(element(txn, branch, i), "request_txn");
+
+		if (nested != NULL)
+			decide(nested, verdicts);
+	}
+}
+
+/* Why etcd would refuse the transaction, or NULL. */
+static const char *txn_error(JsonObject *txn, GHashTable *written, guint left)
+{
+	guint ops = array_len(txn, "success");
+	guint count = MAX(
+		ops, MAX(array_len(txn, "compare"), array_len(txn, "failure")));
+	const char *error = count > left ? "too many operations" : NULL;
+
+	for (guint i = 0; i < ops && error == NULL; i++) {
+		JsonObject *op = element(txn, "success", i);
+		JsonObject *nested = get_object(op, "request_txn");
+		JsonObject *request = get_object(op, "request_put");
+		gpointer lease;
+
+		if (nested != NULL)
+			error = txn_error(nested, written, left - count);
+		if (request == NULL)
+			continue;
+		lease = GINT_TO_POINTER(get_int(request, "lease"));
+		if (!g_hash_table_add(written,
+				      g_strdup(get_text(request, "key"))))
+			error = "duplicate key given in txn request";
+		else if (lease != NULL && !g_hash_table_contains(leases, lease))
+			error = "requested lease not found";
+	}
+	return error;
+}
+
+static void do_txn(JsonObject *request, GArray *verdicts, guint *at,
+		   int64_t mod, GString *out);
+
+static void do_op(JsonObject *op, GArray *verdicts, guint *at, int64_t mod,
+		  GString *out)
+{
+	JsonObject *request;
+	span_t span;
+
+	if ((request = get_object(op, "request_put")) != NULL) {
+		do_put(request, mod);
+		g_string_append(out, "{\"response_put\":{}}");
+	} else if ((request = get_object(op, "request_range")) != NULL) {
+		g_string_append(out, "{\"response_range\":");
+		do_range(request, out);
+		g_string_append_c(out, '}');
+	} else if ((request = get_object(op, "request_txn")) != NULL) {
+		g_string_append(out, "{\"response_txn\":");
+		do_txn(request, verdicts, at, mod, out);
+		g_string_append_c(out, '}');
+	} else if ((request = get_object(op, "request_delete_range")) != NULL) {
+		span = get_span(request);
+		g_string_append_printf(
+			out, "{\"response_delete_range\":{\"deleted\":\"%u\"}}",
+			do_delete(&span, mod));
+		span_clear(&span);
+	}
+}
+
+static void do_txn(JsonObject *request, GArray *verdicts, guint *at,
+		   int64_t mod, GString *out)
+{
+	bool ok = g_array_index(verdicts, bool, (*at)++);
+	const char *branch = ok ? "success" : "failure";
+
+	g_string_append(out, "{\"responses\":[");
+	for (guint i = 0; i < array_len(request, branch); i++) {
+		g_string_append(out, i > 0 ? "," : "");
+		do_op(element(request, branch, i), verdicts, at, mod, out);
+	}
+	g_string_append(out, ok ? "],\"succeeded\":true," : "],");
+	put_header(out);
+	g_string_append_c(out, '}');
+}
+
+static guint handle_txn(JsonObject *request, GString *out)
+{
+	GArray *verdicts = g_array_new(FALSE, FALSE, sizeof(bool));
+	GHashTable *written =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const char *error = txn_error(request, written, TXN_OPS_MAX);
+	guint first = history->len;
+	guint at = 0;
+
+	if (error == NULL) {
+		decide(request, verdicts);
+		do_txn(request, verdicts, &at, revision + 1, out);
+		notify(first);
+	} else {
+		g_string_append_printf(out, "{\"error\":\"etcdserver: %s\"}",
+				       error);
+	}
+	g_array_unref(verdicts);
+	g_hash_table_unref(written);
+	return error == NULL ? 200 : 400;
+}
+
+/* --- leases -------------------------------------------------------------- */
+
+static void end_lease(int64_t id)
+{
+	GPtrArray *gone = g_ptr_array_new();
+	int64_t mod = revision + 1;
+	guint first = history->len;
+	GTreeNode *node = g_tree_node_first(keys);
+
+	for (; node != NULL; node = g_tree_node_next(node)) {
+		kv_t *kv = g_tree_node_value(node);
+
+		if (kv->lease == id)
+			g_ptr_array_add(gone, kv);
+	}
+	for (guint i = 0; i < gone->len; i++) {
+		kv_t *kv = g_ptr_array_index(gone, i);
+
+		add_event(kv, mod, NULL);
+		g_tree_remove(keys, kv->key);
+	}
+	g_ptr_array_unref(gone);
+	notify(first);
+	g_hash_table_remove(leases, GINT_TO_POINTER(id));
+}
+
+static gboolean expire_leases(gpointer data)
+{
+	GList *list = g_hash_table_get_values(leases);
+
+	(void)data;
+	for (GList *i = list; i != NULL; i = i->next) {
+		const lease_t *lease = i->data;
+
+		if (lease->due_us <= g_get_monotonic_time())
+			end_lease(lease->id);
+	}
+	g_list_free(list);
+	return G_SOURCE_CONTINUE;
+}
+
+static guint handle_lease(const char *path, JsonObject *request, GString *out)
+{
+	bool keepalive = g_str_has_suffix(path, "keepalive");
+	int64_t id = get_int(request, "ID");
+	lease_t *lease;
+
+	if (g_str_has_suffix(path, "grant")) {
+		id = ++next_lease;
+		lease = g_new0(lease_t, 1);
+		lease->id = id;
+		lease->ttl_s = MAX(get_int(request, "TTL"), 1);
+		g_hash_table_insert(leases, GINT_TO_POINTER(id), lease);
+	}
+	lease = g_hash_table_lookup(leases, GINT_TO_POINTER(id));
+	if (g_str_has_suffix(path, "revoke")) {
+		if (lease == NULL)
+			return 404;
+		end_lease(id);
+		lease = NULL;
+	}
+	if (lease != NULL)
+		lease->due_us =
+			g_get_monotonic_time() + lease->ttl_s * G_USEC_PER_SEC;
+	g_string_append(out, keepalive ? "{\"result\":{" : "{");
+	put_header(out);
+	put(out, "ID", id);
+	put(out, "TTL", lease != NULL ? lease->ttl_s : 0);
+	g_string_append(out, keepalive ? "}}\n" : "}");
+	return 200;
+}
+
+/* --- watches ------------------------------------------------------------- */
+
+static void on_watch_finished(SoupServerMessage *message, gpointer data)
+{
+	(void)message;
+	g_ptr_array_remove(watches, data);
+}
+
+static void handle_watch(SoupServerMessage *message, JsonObject *root)
+{
+	JsonObject *request = get_object(root, "create_request");
+	SoupMessageBody *body = soup_server_message_get_response_body(message);
+	int64_t start = get_int(request, "start_revision");
+	GString *out = g_string_new("{\"result\":{");
+	watch_t *watch = g_new0(watch_t, 1);
+
+	watch->message = g_object_ref(message);
+	watch->span = get_span(request);
+	g_ptr_array_add(watches, watch);
+	g_signal_connect(message, "finished", G_CALLBACK(on_watch_finished),
+			 watch);
+	soup_server_message_set_status(message, 200, NULL);
+	soup_message_headers_set_encoding(
+		soup_server_message_get_response_headers(message),
+		SOUP_ENCODING_CHUNKED);
+	soup_message_body_set_accumulate(body, FALSE);
+	put_header(out);
+	if (start > 0 && start <= compacted) {
+		g_string_append(out, ",\"canceled\":true");
+		put(out, "compact_revision", compacted);
+		g_string_append(out, "}}\n");
+		send_line(watch, out->str);
+		soup_message_body_complete(body);
+	} else {
+		g_string_append(out, ",\"created\":true}}\n");
+		send_line(watch, out->str);
+		if (start > 0)
+			send_events(watch, 0, start);
+	}
+	g_string_free(out, TRUE);
+}
+
+/* --- controls and dispatch ------------------------------------------------ */
+
+static void close_connection(SoupServerMessage *message)
+{
+	GIOStream *stream = soup_server_message_steal_connection(message);
+
+	g_io_stream_close(stream, NULL, NULL);
+	g_object_unref(stream);
+}
+
+static void close_watches(void)
+{
+	while (watches->len > 0) {
+		watch_t *watch = g_ptr_array_index(watches, 0);
+		SoupServerMessage *message = g_object_ref(watch->message);
+
+		g_signal_handlers_disconnect_by_data(message, watch);
+		g_ptr_array_remove_index(watches, 0);
+		close_connection(message);
+		g_object_unref(message);
+	}
+}
+
+static void set_mode(JsonObject *request)
+{
+	const char *name = get_text(request, "mode");
+
+	mode = MODE_NORMAL;
+	if (strcmp(name, "slow") == 0)
+		mode = MODE_SLOW;
+	else if (strcmp(name, "out") == 0)
+		mode = MODE_OUT;
+	else if (strcmp(name, "lose_answer") == 0)
+		mode = MODE_LOSE_ANSWER;
+	mode_left = get_int(request, "count");
+	mode_delay_ms = get_int(request, "delay_ms");
+	if (mode == MODE_OUT)
+		close_watches();
+}
+
+static void control(SoupServerMessage *message, const char *path,
+		    JsonObject *request)
+{
+	JsonObject *answer = json_object_new();
+	GString *out = g_string_new(NULL);
+
+	if (g_str_has_suffix(path, "/mode") && request != NULL) {
+		set_mode(request);
+	} else if (g_str_has_suffix(path, "/compact")) {
+		compacted = revision;
+		g_ptr_array_set_size(history, 0);
+		close_watches();
+	}
+	if (g_str_has_suffix(path, "/dump")) {
+		json_object_set_string_member(answer, "range_end", "/w==");
+		do_range(answer, out);
+		fake_answer(message, 200, "application/json", out->str,
+			    out->len);
+		json_object_unref(answer);
+	} else {
+		json_object_set_object_member(answer, "calls",
+					      fake_counts(fake.runs));
+		json_object_set_int_member(answer, "watches", watches->len);
+		fake_answer_json(message, 200, answer);
+	}
+	g_string_free(out, TRUE);
+}
+
+static gboolean unpause(gpointer data)
+{
+	soup_server_message_unpause(data);
+	g_object_unref(data);
+	return G_SOURCE_REMOVE;
+}
+
+/* The mode that holds for this call. */
+static fake_mode_t take_mode(void)
+{
+	fake_mode_t now = mode;
+
+	if (mode != MODE_NORMAL && mode_left > 0 && --mode_left == 0)
+		mode = MODE_NORMAL;
+	return now;
+}
+
+static void respond(SoupServerMessage *message, const char *path,
+		    JsonObject *request, int64_t wait_ms)
+{
+	GString *out = g_string_new(NULL);
+	guint status = 200;
+
+	if (strcmp(path, "/v3/kv/range") == 0)
+		do_range(request, out);
+	else if (strcmp(path, "/v3/kv/txn") == 0)
+		status = handle_txn(request, out);
+	else if (strstr(path, "/lease/") != NULL)
+		status = handle_lease(path, request, out);
+	else
+		status = 404;
+	fake_answer(message, status, "application/json", out->str, out->len);
+	if (wait_ms > 0) {
+		soup_server_message_pause(message);
+		g_timeout_add((guint)wait_ms, unpause, g_object_ref(message));
+	}
+	g_string_free(out, TRUE);
+}
+
+static void on_request(SoupServer *server, SoupServerMessage *message,
+		       const char *path, GHashTable *query, gpointer data)
+{
+	JsonParser *parser = json_parser_new();
+	JsonObject *request = fake_parse(message, parser);
+	fake_mode_t now;
+
+	(void)server;
+	(void)query;
+	(void)data;
+	if (g_str_has_prefix(path, "/test/")) {
+		control(message, path, request);
+		goto out;
+	}
+	if (request == NULL) {
+		fake_answer(message, 400, "text/plain", "no object\n", 10);
+		goto out;
+	}
+	fake_count(fake.runs, path);
+	now = take_mode();
+	if (now != MODE_OUT && strcmp(path, "/v3/watch") == 0)
+		handle_watch(message, request);
+	else if (now != MODE_OUT)
+		respond(message, path, request,
+			delay_ms + (now == MODE_SLOW ? mode_delay_ms : 0));
+	if (now == MODE_OUT || now == MODE_LOSE_ANSWER)
+		close_connection(message);
+out:
+	g_object_unref(parser);
+}
+
+int main(int argc, char **argv)
+{
+	const GOptionEntry options[] = {{"port", 0, 0, G_OPTION_ARG_INT, &port,
+					 "port, 0 picks one", "N"},
+					{"delay-ms", 0, 0, G_OPTION_ARG_INT,
+					 &delay_ms, "delay of each answer",
+					 "N"},
+					G_OPTION_ENTRY_NULL};
+
+	keys = g_tree_new_full(compare_keys, NULL, NULL, kv_free);
+	history = g_ptr_array_new_with_free_func(kv_free);
+	watches = g_ptr_array_new_with_free_func(watch_free);
+	leases = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	g_timeout_add(LEASE_TICK_MS, expire_leases, NULL);
+	return fake_main(&fake, argc, argv, &port, options, on_request);
+}
