--- a/store/call.c
+++ b/store/call.c
@@ -115,7 +115,8 @@
 
 	call->started = kernel_now(store->kernel);
 	call->answer = g_byte_array_new();
-	if (store->waiting.length >= STORE_QUEUE_MAX) {
+	if (store->endpoint_count == 0 ||
+	    store->waiting.length >= STORE_QUEUE_MAX) {
 		fail(store, handle, call);
 		return HANDLE_NONE;
 	}
--- a/store/codec.h
+++ b/store/codec.h
@@ -18,8 +18,8 @@
 #define CODEC_REQUESTS_MAX 1000000
 #define CODEC_MS_MAX 86400000 /* a day */
 #define CODEC_REQUEST_TOKENS_MAX 100000000
-#define CODEC_BODY_MAX (64 * 1024 * 1024) /* bytes of a request */
-#define CODEC_VALUE_MAX (1024 * 1024) /* bytes, the store's own limit */
+#define CODEC_BODY_MAX 67108864 /* bytes of a request */
+#define CODEC_VALUE_MAX 1048576 /* bytes, the store's own limit */
 #define CODEC_DEPTH_MAX 8 /* nesting of a record */
 
 /* RECORD_NONE for a key that belongs to no kind. */
--- /dev/null
+++ b/store/schema.c
@@ -0,0 +1,341 @@
+#include "store/schema.h"
+
+#include <stddef.h>
+#include <string.h>
+
+static const char *const service_kinds[] = {"model", "plain", NULL};
+static const char *const claim_states[] = {"open", "done", "aborted", NULL};
+static const char *const presets[] = {"ordinary", "peak", "maintenance", NULL};
+
+#define AT(type, member) offsetof(record_##type##_t, member)
+/* The members of a field_t, for use within braces. */
+#define TEXT(type, member, low)                     \
+#member, FIELD_TEXT, AT(type, member), low, \
+		sizeof(((record_##type##_t *)NULL)->member) - 1, NULL
+#define HEX(type, member, low) \
+#member, FIELD_HEX, AT(type, member), low, HASH_SIZE - 1, NULL
+#define NAMED(type, member) \
+#member, FIELD_NAME, AT(type, member), 1, NAME_SIZE - 1, NULL
+#define HOST(type, member) \
+#member, FIELD_HOST, AT(type, member), 1, HOST_SIZE - 1, NULL
+#define BOOLEAN(type, member) #member, FIELD_BOOL, AT(type, member), 0, 1, NULL
+#define PORT(type, member, low) \
+#member, FIELD_U16, AT(type, member), low, 65535, NULL
+#define U32(type, member, low, high) \
+#member, FIELD_U32, AT(type, member), low, high, NULL
+#define I64(type, member, low, high) \
+#member, FIELD_I64, AT(type, member), low, high, NULL
+#define TOKENS(type, member) I64(type, member, 0, TOKENS_MAX)
+#define OP(type) "op", FIELD_OP, AT(type, op), 0, 0, NULL
+#define ENUM(label, type, member, texts)        \
+	label, FIELD_ENUM, AT(type, member), 0, \
+		(int64_t)G_N_ELEMENTS(texts) - 2, texts
+
+static const field_t client_account_fields[] = {
+	{NAMED(client_account, name)},
+	{OP(client_account)},
+	{BOOLEAN(client_account, removed)},
+	{BOOLEAN(client_account, disabled)},
+	{U32(client_account, weight, 1, CODEC_WEIGHT_MAX)},
+	{U32(client_account, max_requests, 0, CODEC_REQUESTS_MAX)},
+	{"keys", FIELD_KEYS, 0, 0, CLIENT_ACCOUNT_KEYS, NULL},
+};
+
+static const field_t service_fields[] = {
+	{NAMED(service, name)},
+	{OP(service)},
+	{BOOLEAN(service, removed)},
+	{ENUM("service_kind", service, kind, service_kinds)},
+	{BOOLEAN(service, idempotent)},
+	{BOOLEAN(service, hedge)},
+	{TEXT(service, path_prefix, 0)},
+	{U32(service, deadline_ms, 1, CODEC_MS_MAX)},
+	{U32(service, first_byte_ms, 1, CODEC_MS_MAX)},
+	{U32(service, idle_ms, 1, CODEC_MS_MAX)},
+	{U32(service, max_tokens, 0, CODEC_REQUEST_TOKENS_MAX)},
+	{U32(service, call_tokens, 0, CODEC_REQUEST_TOKENS_MAX)},
+	{U32(service, short_tokens, 0, CODEC_REQUEST_TOKENS_MAX)},
+	{U32(service, max_body, 1, CODEC_BODY_MAX)},
+};
+
+static const field_t target_fields[] = {
+	{NAMED(target, name)},
+	{OP(target)},
+	{BOOLEAN(target, removed)},
+	{NAMED(target, service)},
+	{HOST(target, host)},
+	{PORT(target, port, 1)},
+	{NAMED(target, availability_zone)},
+	{U32(target, concurrency, 1, CODEC_REQUESTS_MAX)},
+	{BOOLEAN(target, draining)},
+	{BOOLEAN(target, checks_fencing)},
+};
+
+static const field_t preset_fields[] = {
+	{OP(preset)},
+	{ENUM("in_force", preset, in_force, presets)},
+};
+
+static const field_t quarantine_fields[] = {
+	{HEX(quarantine, fingerprint, 1)},
+	{OP(quarantine)},
+	{I64(quarantine, expires_ms, 0, CODEC_WALL_MS_MAX)},
+};
+
+static const field_t budget_fields[] = {
+	{TOKENS(budget, budget)},
+	{TOKENS(budget, granted)},
+	{TOKENS(budget, retired)},
+	{"ops", FIELD_OPS, AT(budget, ops), 0, BUDGET_OPS, NULL},
+};
+
+static const field_t grant_fields[] = {
+	{OP(grant)},
+	{TOKENS(grant, granted)},
+	{TOKENS(grant, settled)},
+	{TOKENS(grant, unprotected)},
+	{BOOLEAN(grant, recovered)},
+};
+
+static const field_t bill_fields[] = {
+	{OP(bill)},
+	{NAMED(bill, budget)},
+	{HEX(bill, fingerprint, 1)},
+	{TOKENS(bill, tokens)},
+	{I64(bill, wall_ms, 0, CODEC_WALL_MS_MAX)},
+};
+
+static const field_t claim_fields[] = {
+	{OP(claim)},
+	{ENUM("state", claim, state, claim_states)},
+	{HEX(claim, fingerprint, 1)},
+	{I64(claim, wall_ms, 0, CODEC_WALL_MS_MAX)},
+	{"outcome", FIELD_OUTCOME, AT(claim, outcome), 0, 0, NULL},
+};
+
+static const field_t member_fields[] = {
+	{TEXT(member, incarnation, 1)},	    {NAMED(member, name)},
+	{NAMED(member, availability_zone)}, {HOST(member, host)},
+	{PORT(member, peer_port, 0)},	    {PORT(member, admin_port, 0)},
+	{TEXT(member, buddy, 0)},	    {OP(member)},
+};
+
+static const field_t alive_fields[] = {
+	{TEXT(alive, incarnation, 1)},
+};
+
+#define KIND(id, text, prefix, list, is_named) \
+	RECORD_##id, text, prefix, list, G_N_ELEMENTS(list), is_named
+
+static const kind_t kinds[] = {
+	{KIND(CLIENT_ACCOUNT, "client_account", "conf/account/",
+	      client_account_fields, true)},
+	{KIND(SERVICE, "service", "conf/service/", service_fields, true)},
+	{KIND(TARGET, "target", "conf/target/", target_fields, true)},
+	{KIND(QUARANTINE, "quarantine", "conf/quarantine/", quarantine_fields,
+	      true)},
+	{KIND(BUDGET, "budget", "budget/", budget_fields, false)},
+	{KIND(GRANT, "grant", "grant/", grant_fields, false)},
+	{KIND(BILL, "bill", "bill/", bill_fields, false)},
+	{KIND(CLAIM, "claim", "claim/", claim_fields, false)},
+	{KIND(MEMBER, "member", "member/", member_fields, true)},
+	{KIND(ALIVE, "alive", "alive/", alive_fields, true)},
+	{KIND(PRESET, "preset", "conf/preset", preset_fields, false)},
+};
+
+const kind_t *schema_by_id(record_kind_t id)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		if (kinds[i].kind == id)
+			return &kinds[i];
+	}
+	return NULL;
+}
+
+const kind_t *schema_by_key(const char *key)
+{
+	if (strcmp(key, "conf/preset") == 0)
+		return schema_by_id(RECORD_PRESET);
+	for (guint i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		size_t len = strlen(kinds[i].key_prefix);
+
+		if (kinds[i].kind != RECORD_PRESET &&
+		    strncmp(key, kinds[i].key_prefix, len) == 0 &&
+		    key[len] != '\0')
+			return &kinds[i];
+	}
+	return NULL;
+}
+
+/* --- limits, the same for both directions ------------------------------ */
+
+static bool text_ok(const char *text, int64_t min, int64_t max)
+{
+	size_t len = strlen(text);
+
+	if ((int64_t)len < min || (int64_t)len > max ||
+	    !g_utf8_validate(text, (gssize)len, NULL))
+		return false;
+	for (size_t i = 0; i < len; i++) {
+		if (g_ascii_iscntrl(text[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool hex_ok(const char *text, int64_t min, int64_t max)
+{
+	size_t len = strlen(text);
+
+	return (int64_t)len >= min && (int64_t)len <= max &&
+	       strspn(text, "0123456789abcdef") == len;
+}
+
+static bool op_ok(const op_id_t *op)
+{
+	return text_ok(op->writer, 0, INCARNATION_SIZE - 1) &&
+	       op->seq <= (uint64_t)CODEC_SEQ_MAX;
+}
+
+static bool keys_ok(const record_client_account_t *account)
+{
+	if (account->key_count > CLIENT_ACCOUNT_KEYS)
+		return false;
+	for (uint32_t i = 0; i < account->key_count; i++) {
+		if (!hex_ok(account->keys[i].hash, HASH_SIZE - 1,
+			    HASH_SIZE - 1) ||
+		    !name_is_valid(account->keys[i].budget))
+			return false;
+	}
+	return true;
+}
+
+static bool ops_ok(const op_id_t *ops)
+{
+	for (int i = 0; i < BUDGET_OPS; i++) {
+		if (!op_ok(&ops[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool outcome_ok(const outcome_t *outcome)
+{
+	/* The content type is a target's text; put_text() makes it valid. */
+	return outcome->status <= 999 && outcome->tokens >= 0 &&
+	       outcome->tokens <= TOKENS_MAX &&
+	       (outcome->body == NULL ||
+		g_bytes_get_size(outcome->body) <= OUTCOME_BODY_MAX);
+}
+
+int64_t schema_integer(const field_t *field, const void *at)
+{
+	switch (field->type) {
+	case FIELD_U16:
+		return *(const uint16_t *)at;
+	case FIELD_U32:
+		return *(const uint32_t *)at;
+	case FIELD_ENUM:
+		return *(const int *)at;
+	default:
+		return *(const int64_t *)at;
+	}
+}
+
+static bool field_ok(const field_t *field, const void *base)
+{
+	const void *at = (const char *)base + field->offset;
+	int64_t value;
+
+	switch (field->type) {
+	case FIELD_NAME:
+		return name_is_valid(at);
+	case FIELD_TEXT:
+		return text_ok(at, field->min, field->max);
+	case FIELD_HEX:
+		return hex_ok(at, field->min, field->max);
+	case FIELD_HOST:
+		return g_hostname_is_ip_address(at);
+	case FIELD_BOOL:
+		return true;
+	case FIELD_U16:
+	case FIELD_U32:
+	case FIELD_I64:
+	case FIELD_ENUM:
+		value = schema_integer(field, at);
+		return value >= field->min && value <= field->max;
+	case FIELD_OP:
+		return op_ok(at);
+	case FIELD_KEYS:
+		return keys_ok(base);
+	case FIELD_OPS:
+		return ops_ok(at);
+	case FIELD_OUTCOME:
+		return outcome_ok(at);
+	}
+	return false;
+}
+
+bool schema_removed(const record_t *record)
+{
+	switch (record->kind) {
+	case RECORD_CLIENT_ACCOUNT:
+		return record->u.client_account.removed;
+	case RECORD_SERVICE:
+		return record->u.service.removed;
+	case RECORD_TARGET:
+		return record->u.target.removed;
+	default:
+		return false;
+	}
+}
+
+bool schema_in_tombstone(const field_t *field)
+{
+	return field->type == FIELD_OP || strcmp(field->name, "name") == 0 ||
+	       strcmp(field->name, "removed") == 0;
+}
+
+/* Rules between the members of one record. */
+static const char *relation_error(const record_t *record)
+{
+	const record_service_t *service = &record->u.service;
+
+	switch (record->kind) {
+	case RECORD_SERVICE:
+		if (!service->removed && service->kind == SERVICE_PLAIN &&
+		    service->path_prefix[0] != '/')
+			return "a plain service needs a path_prefix";
+		return NULL;
+	case RECORD_BUDGET:
+		if (record->u.budget.retired > record->u.budget.granted)
+			return "retired exceeds granted";
+		return NULL;
+	case RECORD_GRANT:
+		if (record->u.grant.settled > record->u.grant.granted)
+			return "settled exceeds granted";
+		return NULL;
+	default:
+		return NULL;
+	}
+}
+
+bool schema_check(const kind_t *kind, const record_t *record, errmsg_t *err)
+{
+	const char *error;
+
+	for (guint i = 0; i < kind->field_count; i++) {
+		const field_t *field = &kind->fields[i];
+
+		if (schema_removed(record) && !schema_in_tombstone(field))
+			continue;
+		if (!field_ok(field, &record->u)) {
+			errmsg_set(err, "%s is out of range", field->name);
+			return false;
+		}
+	}
+	error = relation_error(record);
+	if (error != NULL)
+		errmsg_set(err, "%s", error);
+	return error == NULL;
+}
--- /dev/null
+++ b/store/schema.h
@@ -0,0 +1,63 @@
+/*
+ * Members of each kind of record with their types and limits, which hold for
+ * encoding and decoding alike.
+ */
+#ifndef STORE_SCHEMA_H
+#define STORE_SCHEMA_H
+
+#include "store/codec.h"
+
+G_BEGIN_DECLS
+
+typedef enum field_type_t {
+	FIELD_NAME, /* name_is_valid() */
+	FIELD_TEXT, /* min to max bytes without control characters */
+	FIELD_HEX, /* min to max lower-case hexadecimal digits */
+	FIELD_HOST, /* IP address */
+	FIELD_BOOL,
+	FIELD_U16,
+	FIELD_U32,
+	FIELD_I64,
+	FIELD_ENUM, /* one of names */
+	FIELD_OP, /* op_id_t */
+	FIELD_KEYS, /* API keys of a client account */
+	FIELD_OPS, /* last operations of a budget */
+	FIELD_OUTCOME, /* outcome_t of a finished claim */
+} field_type_t;
+
+typedef struct field_t {
+	const char *name;
+	field_type_t type;
+	size_t offset;
+	int64_t min;
+	int64_t max;
+	const char *const *names; /* FIELD_ENUM, ends with NULL */
+} field_t;
+
+typedef struct kind_t {
+	record_kind_t kind;
+	const char *name;
+	const char *key_prefix;
+	const field_t *fields;
+	guint field_count;
+	/* The key's last part must equal the first field. */
+	bool named;
+} kind_t;
+
+/* NULL when there is none. */
+const kind_t *schema_by_id(record_kind_t id);
+const kind_t *schema_by_key(const char *key);
+
+/* Whether a decoded record, or one to be encoded, is within its limits. */
+bool schema_check(const kind_t *kind, const record_t *record, errmsg_t *err);
+
+/* A tombstone holds its name, the operation and nothing else. */
+bool schema_removed(const record_t *record);
+bool schema_in_tombstone(const field_t *field);
+
+/* Value of a number or enum at its place in a record. */
+int64_t schema_integer(const field_t *field, const void *at);
+
+G_END_DECLS
+
+#endif
--- a/store/store.c
+++ b/store/store.c
@@ -113,9 +113,6 @@
 		}
 		g_clear_pointer(&uri, g_uri_unref);
 	}
-	/* Port 9 (discard): every call is refused, as without a store. */
-	if (list->len == 0)
-		g_ptr_array_add(list, g_strdup("http://127.0.0.1:9"));
 	store->endpoint_count = list->len;
 	g_ptr_array_add(list, NULL);
 	store->endpoints = (gchar **)g_ptr_array_free(list, FALSE);
--- a/store/store.h
+++ b/store/store.h
@@ -21,7 +21,7 @@
 #define STORE_CALLS_MAX 32 /* sent at the same time */
 #define STORE_QUEUE_MAX 4096 /* calls waiting to be sent */
 #define STORE_PAGE 256 /* keys of one page of a prefix */
-#define STORE_ANSWER_MAX (64 * 1024 * 1024) /* bytes */
+#define STORE_ANSWER_MAX 67108864 /* bytes */
 
 typedef struct store_opts_t {
 	const char *const *endpoints; /* base URLs, ends with NULL */
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -206,12 +206,14 @@
 		client = kernel_register(&kernel, "client", receive, this);
 		session = soup_session_new();
 		start_fake();
+		bind_refusing();
 	}
 	void TearDown() override
 	{
 		store_finish(&store);
 		kernel_finish(&kernel);
 		g_object_unref(session);
+		g_object_unref(bound);
 		for (store_result_t *result : results)
 			store_result_free(result);
 		for (store_result_t *event : events)
@@ -238,10 +240,28 @@
 		ASSERT_EQ(sscanf(line, "listening %d", &port), 1);
 		url = "http://127.0.0.1:" + std::to_string(port);
 	}
+	// A port that is bound but not listened on refuses connections.
+	void bind_refusing()
+	{
+		GInetAddress *loopback =
+			g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+		GSocketAddress *address =
+			g_inet_socket_address_new(loopback, 0);
+
+		bound = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, nullptr);
+		ASSERT_TRUE(g_socket_bind(bound, address, FALSE, nullptr));
+		g_object_unref(address);
+		g_object_unref(loopback);
+		address = g_socket_get_local_address(bound, nullptr);
+		refusing = "http://127.0.0.1:" +
+			   std::to_string(g_inet_socket_address_get_port(
+				   G_INET_SOCKET_ADDRESS(address)));
+		g_object_unref(address);
+	}
 	void init(int timeout_ms = 20000, int idle_ms = 20000)
 	{
-		// The first endpoint refuses connections.
-		const char *endpoints[] = {"http://127.0.0.1:9", url.c_str(),
+		const char *endpoints[] = {refusing.c_str(), url.c_str(),
 					   nullptr};
 		store_opts_t opts = {};
 
@@ -363,7 +383,8 @@
 	svc_t client;
 	SoupSession *session;
 	GSubprocess *fake;
-	std::string url;
+	GSocket *bound;
+	std::string url, refusing;
 	std::vector<store_result_t *> results, events;
 	const record_t grant = make_grant();
 };
@@ -396,7 +417,7 @@
 // A caller repeats a write only if it knows whether it may have happened.
 TEST_F(StoreTest, StatusTellsWhetherAWriteMayHaveHappened)
 {
-	init(300);
+	init();
 	ASSERT_EQ(put("grant/a", EXPECT_ABSENT)->status, STORE_OK);
 	http("/test/mode", R"({"mode":"lose_answer","count":1})");
 	EXPECT_EQ(put("grant/b", EXPECT_ABSENT)->status, STORE_UNKNOWN);
@@ -404,6 +425,7 @@
 	EXPECT_EQ(again->status, STORE_OK);
 	EXPECT_FALSE(store_result_committed(again, 0));
 	http("/test/mode", R"({"mode":"slow","delay_ms":60000})");
+	store.timeout_us = USEC_PER_SEC;
 	EXPECT_EQ(put("grant/c", EXPECT_ABSENT)->status, STORE_UNKNOWN);
 	get(MSG_STORE_GET, "grant/a", false);
 	size_t count = results.size();
