--- a/request/answer.c
+++ b/request/answer.c
@@ -4,7 +4,7 @@
  * Bytes of an answer that is not streamed and is kept back, so that a retry
  * stays possible before the caller has seen a byte.
  */
-#define BUFFER_MAX (64 * 1024)
+#define BUFFER_MAX 65536
 /* Wait for the outcome's record before the last byte. */
 #define STORE_WAIT_US (200 * USEC_PER_MSEC)
 /*
@@ -223,9 +223,9 @@
 	outcome_t *outcome = &msg->u.claimed.outcome;
 
 	request->status = outcome->status;
+	request->ran = true;
 	if (outcome->body == NULL) {
 		/* It ran, but its body was too large to keep. */
-		request->maybe_ran++;
 		life_refuse(svc, request, REFUSAL_OUTCOME_UNKNOWN, 0);
 		return;
 	}
