--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -105,9 +105,8 @@
 
 #define EXPECT_ANY (-1) /* write whatever the key's revision is */
 #define EXPECT_ABSENT 0 /* write only if the key does not exist */
-/* Limits of one transaction; together they stay within etcd's 128. */
-#define STORE_GROUPS_MAX 96
-#define STORE_GROUP_OPS_MAX 32
+/* Limit on a transaction: its groups plus the operations of the longest one. */
+#define STORE_TXN_OPS_MAX 128 /* etcd's default */
 
 typedef enum store_status_t {
 	STORE_OK, /* answered; see each group for whether it committed */
--- a/store/schema.c
+++ b/store/schema.c
@@ -100,7 +100,7 @@
 static const field_t bill_fields[] = {
 	{OP(bill)},
 	{NAMED(bill, budget)},
-	{HEX(bill, fingerprint, 1)},
+	{HEX(bill, fingerprint, 0)},
 	{TOKENS(bill, tokens)},
 	{I64(bill, wall_ms, 0, CODEC_WALL_MS_MAX)},
 };
--- a/store/wire.c
+++ b/store/wire.c
@@ -157,8 +157,8 @@
 			break;
 		ok = put_op(&text, wire, op, err);
 	}
-	if (ok && *at - first > STORE_GROUP_OPS_MAX) {
-		errmsg_set(err, "too many operations in a group");
+	if (ok && txn->group_count + (*at - first) > STORE_TXN_OPS_MAX) {
+		errmsg_set(err, "too many groups or operations");
 		ok = false;
 	}
 	g_string_append_printf(out,
@@ -178,8 +178,8 @@
 	uint32_t group = 0;
 	bool ok = true;
 
-	if (txn->group_count == 0 || txn->group_count > STORE_GROUPS_MAX) {
-		errmsg_set(err, "no group or too many groups");
+	if (txn->group_count == 0) {
+		errmsg_set(err, "no group");
 		ok = false;
 	}
 	for (guint at = 0; ok && at < txn->ops->len; group++) {
