--- a/store/watch.c
+++ b/store/watch.c
@@ -162,7 +162,11 @@
 	}
 	/* An endpoint that lags behind what was delivered is read again. */
 	if (result->revision + 1 < watch->next_revision) {
+		log_event(LOG_LEVEL_WARN, "store", "endpoint_behind",
+			  "key=%s revision=%" G_GINT64_FORMAT,
+			  log_quote(watch->key), result->revision);
 		store_result_free(result);
+		store->endpoint = (store->endpoint + 1) % store->endpoint_count;
 		retry(store, handle, watch);
 		return;
 	}
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -316,25 +316,22 @@
 	return (kv == NULL ? 0 : kv->mod) == get_int(compare, "mod_revision");
 }
 
-/*
- * Like etcd, decides all compares before anything is written; verdicts lists
- * them in the order of the nested transactions.
- */
-static void decide(JsonObject *txn, GArray *verdicts)
+/* Like etcd, decides all compares before anything is written. */
+static void decide(JsonObject *txn)
 {
 	const char *branch;
 	bool ok = true;
 
 	for (guint i = 0; i < array_len(txn, "compare"); i++)
 		ok = compare_ok(element(txn, "compare", i)) && ok;
-	g_array_append_val(verdicts, ok);
 	branch = ok ? "success" : "failure";
+	json_object_set_string_member(txn, "decided", branch);
 	for (guint i = 0; i < array_len(txn, branch); i++) {
 		JsonObject *nested =
 			get_object(element(txn, branch, i), "request_txn");
 
 		if (nested != NULL)
-			decide(nested, verdicts);
+			decide(nested);
 	}
 }
 
@@ -366,11 +363,9 @@
 	return error;
 }
 
-static void do_txn(JsonObject *request, GArray *verdicts, guint *at,
-		   int64_t mod, GString *out);
+static void do_txn(JsonObject *request, int64_t mod, GString *out);
 
-static void do_op(JsonObject *op, GArray *verdicts, guint *at, int64_t mod,
-		  GString *out)
+static void do_op(JsonObject *op, int64_t mod, GString *out)
 {
 	JsonObject *request;
 
@@ -383,7 +378,7 @@
 		g_string_append_c(out, '}');
 	} else if ((request = get_object(op, "request_txn")) != NULL) {
 		g_string_append(out, "{\"response_txn\":");
-		do_txn(request, verdicts, at, mod, out);
+		do_txn(request, mod, out);
 		g_string_append_c(out, '}');
 	} else if ((request = get_object(op, "request_delete_range")) != NULL) {
 		g_string_append_printf(
@@ -392,38 +387,34 @@
 	}
 }
 
-static void do_txn(JsonObject *request, GArray *verdicts, guint *at,
-		   int64_t mod, GString *out)
+static void do_txn(JsonObject *request, int64_t mod, GString *out)
 {
-	bool ok = g_array_index(verdicts, bool, (*at)++);
-	const char *branch = ok ? "success" : "failure";
+	const char *branch = get_text(request, "decided");
 
 	g_string_append(out, "{\"responses\":[");
 	for (guint i = 0; i < array_len(request, branch); i++) {
 		g_string_append(out, i > 0 ? "," : "");
-		do_op(element(request, branch, i), verdicts, at, mod, out);
+		do_op(element(request, branch, i), mod, out);
 	}
-	g_string_append(out, ok ? "],\"succeeded\":true," : "],");
+	g_string_append(out, branch[0] == 's' ? "],\"succeeded\":true," : "],");
 	put_header(out);
 	g_string_append_c(out, '}');
 }
 
 static guint handle_txn(JsonObject *request, GString *out)
 {
-	g_autoptr(GArray) verdicts = g_array_new(FALSE, FALSE, sizeof(bool));
 	g_autoptr(GHashTable) written =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	const char *error = txn_error(request, written, TXN_OPS_MAX);
 	guint first = history->len;
-	guint at = 0;
 
 	if (error != NULL) {
 		g_string_append_printf(out, "{\"error\":\"etcdserver: %s\"}",
 				       error);
 		return 400;
 	}
-	decide(request, verdicts);
-	do_txn(request, verdicts, &at, revision + 1, out);
+	decide(request);
+	do_txn(request, revision + 1, out);
 	notify(first);
 	return 200;
 }
@@ -450,12 +441,9 @@
 
 static void compact(guint events)
 {
-	const kv_t *last;
-
-	if (events == 0 || events > history->len)
+	if (events == 0)
 		return;
-	last = g_ptr_array_index(history, events - 1);
-	compacted = last->mod;
+	compacted = ((kv_t *)g_ptr_array_index(history, events - 1))->mod;
 	g_ptr_array_remove_range(history, 0, events);
 }
 
@@ -465,10 +453,8 @@
 
 	(void)data;
 	for (GList *i = list; i != NULL; i = i->next) {
-		const lease_t *lease = i->data;
-
-		if (lease->due_us <= g_get_monotonic_time())
-			end_lease(lease->id);
+		if (((lease_t *)i->data)->due_us <= g_get_monotonic_time())
+			end_lease(((lease_t *)i->data)->id);
 	}
 	if (history->len > HISTORY_MAX)
 		compact(HISTORY_MAX / 2);
@@ -580,15 +566,14 @@
 
 static void set_mode(JsonObject *request)
 {
-	const char *name = get_text(request, "mode");
+	static const char *const names[] = {"normal", "slow", "out",
+					    "lose_answer", NULL};
 
 	mode = MODE_NORMAL;
-	if (strcmp(name, "slow") == 0)
-		mode = MODE_SLOW;
-	else if (strcmp(name, "out") == 0)
-		mode = MODE_OUT;
-	else if (strcmp(name, "lose_answer") == 0)
-		mode = MODE_LOSE_ANSWER;
+	for (int i = 0; names[i] != NULL; i++) {
+		if (strcmp(get_text(request, "mode"), names[i]) == 0)
+			mode = (fake_mode_t)i;
+	}
 	mode_left = get_int(request, "count");
 	mode_delay_ms = get_int(request, "delay_ms");
 	if (mode == MODE_OUT)
@@ -662,8 +647,9 @@
 static void on_request(SoupServer *server, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer data)
 {
-	JsonParser *parser = json_parser_new();
+	g_autoptr(JsonParser) parser = json_parser_new();
 	JsonObject *request = fake_parse(message, parser);
+	bool is_watch = strcmp(path, "/v3/watch") == 0;
 	fake_mode_t now;
 
 	(void)server;
@@ -671,23 +657,21 @@
 	(void)data;
 	if (g_str_has_prefix(path, "/test/")) {
 		control(message, path, request);
-		goto out;
+		return;
 	}
 	if (request == NULL) {
 		fake_answer(message, 400, "text/plain", "no object\n", 10);
-		goto out;
+		return;
 	}
 	fake_count(fake.runs, path);
 	now = take_mode();
-	if (now != MODE_OUT && strcmp(path, "/v3/watch") == 0)
-		handle_watch(message, request);
-	else if (now != MODE_OUT)
+	if (now != MODE_OUT && !is_watch)
 		respond(message, path, request,
 			delay_ms + (now == MODE_SLOW ? mode_delay_ms : 0));
 	if (now == MODE_OUT || now == MODE_LOSE_ANSWER)
 		close_connection(message);
-out:
-	g_object_unref(parser);
+	else if (is_watch)
+		handle_watch(message, request);
 }
 
 int main(int argc, char **argv)
