Test the peer codec, handshake and connections

The decoder reads what comes from outside. Guards round trips, forged counts, wrong keys, frames before authentication and stalled readers.

--- a/peer/codec.c
+++ b/peer/codec.c
@@ -388,7 +388,7 @@
 	if (head <= 0x7f || head >= 0xe0 || head == 0xc2 || head == 0xc3)
 		return true;
 	if (head <= 0x9f) { /* fixmap, fixarray */
-		*children = (head & 0x0f) * (head <= 0x8f ? 2U : 1U);
+		*children = (uint64_t)(head & 0x0f) * (head <= 0x8f ? 2 : 1);
 		return true;
 	}
 	if (head <= 0xbf)
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -15,7 +15,7 @@
 
 #define PEER_KEY_MIN 16 /* bytes of the shared key */
 #define PEER_KEY_SIZE 256 /* bytes, with terminator */
-#define PEER_OUTPUT_MAX (4 * 1024 * 1024) /* bytes queued at a connection */
+#define PEER_OUTPUT_MAX 4194304 /* bytes queued at a connection */
 
 typedef struct peer_opts_t {
 	member_info_t self; /* as told to peers */
--- /dev/null
+++ b/tests/peer_test.cc
@@ -0,0 +1,415 @@
+// Guards the frames between routers, their authentication and the
+// connections: what one router sends is what the other one gets, and nothing
+// that arrives from outside is accepted by chance or crashes the decoder.
+#include "peer/codec.h"
+#include "peer/peer.h"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+member_info_t info(const char *incarnation, const char *zone)
+{
+	member_info_t self = {};
+
+	g_strlcpy(self.incarnation, incarnation, sizeof(self.incarnation));
+	g_strlcpy(self.name, "router", sizeof(self.name));
+	g_strlcpy(self.availability_zone, zone, sizeof(self.availability_zone));
+	g_strlcpy(self.host, "127.0.0.1", sizeof(self.host));
+	self.heartbeat = 7;
+	return self;
+}
+
+void add_item(peer_body_t *body, const char *key, const record_t &record)
+{
+	store_kv_t kv = {};
+
+	g_strlcpy(kv.key, key, sizeof(kv.key));
+	kv.revision = 42;
+	kv.record = record;
+	g_array_append_val(body->u.conf_items.kvs, kv);
+}
+
+void fill_items(peer_body_t *body)
+{
+	record_t account = {}, service = {}, target = {}, preset = {};
+	record_t quarantine = {};
+
+	account.kind = RECORD_CLIENT_ACCOUNT;
+	g_strlcpy(account.u.client_account.name, "acme", NAME_SIZE);
+	account.u.client_account.weight = 3;
+	account.u.client_account.key_count = 1;
+	g_strlcpy(account.u.client_account.keys[0].hash, "ab12", HASH_SIZE);
+	service.kind = RECORD_SERVICE;
+	g_strlcpy(service.u.service.name, "draft", NAME_SIZE);
+	service.u.service.kind = SERVICE_PLAIN;
+	service.u.service.max_body = 65536;
+	target.kind = RECORD_TARGET;
+	g_strlcpy(target.u.target.name, "t1", NAME_SIZE);
+	target.u.target.port = 65535;
+	target.u.target.draining = true;
+	preset.kind = RECORD_PRESET;
+	preset.u.preset.in_force = PRESET_PEAK;
+	preset.u.preset.op.seq = 5;
+	quarantine.kind = RECORD_QUARANTINE;
+	g_strlcpy(quarantine.u.quarantine.fingerprint, "ff", HASH_SIZE);
+	quarantine.u.quarantine.expires_ms = INT64_MAX;
+	add_item(body, "conf/account/acme", account);
+	add_item(body, "conf/service/draft", service);
+	add_item(body, "conf/target/t1", target);
+	add_item(body, "conf/preset", preset);
+	add_item(body, "conf/quarantine/ff", quarantine);
+}
+
+peer_body_t *body_of(int kind)
+{
+	peer_body_t *body = peer_body_new(static_cast<peer_kind_t>(kind));
+	member_info_t other = info("b", "z2");
+	bill_t bill = {};
+
+	switch (body->kind) {
+	case PEER_HEARTBEAT:
+		body->u.heartbeat.conf_revision = 9;
+		body->u.heartbeat.self = info("a", "z1");
+		g_array_append_val(body->u.heartbeat.members, other);
+		break;
+	case PEER_CONF_ITEMS:
+		body->u.conf_items.up_to_revision = 42;
+		fill_items(body);
+		break;
+	case PEER_BILL_COPY:
+		body->u.bill_copy.session = 3;
+		body->u.bill_copy.reset = true;
+		bill.seq = UINT64_MAX;
+		bill.tokens = 1234567;
+		g_strlcpy(bill.idem_key, "key-\xc3\xa9", IDEM_KEY_SIZE);
+		g_array_append_val(body->u.bill_copy.bills, bill);
+		break;
+	case PEER_COPY_ACK:
+		body->u.copy_ack.seq = 300;
+		body->u.copy_ack.rejected = true;
+		break;
+	case PEER_SLICE_ASK:
+	case PEER_SLICE_REPLY:
+		g_strlcpy(body->u.slice.budget, "main", NAME_SIZE);
+		body->u.slice.tokens = INT64_MAX;
+		break;
+	case PEER_BLAME:
+		g_strlcpy(body->u.blame.fingerprint, "ff", HASH_SIZE);
+		body->u.blame.seq = 70000;
+		break;
+	default:
+		break;
+	}
+	return body;
+}
+
+std::string encode(peer_frame_t *frame)
+{
+	GByteArray *out = g_byte_array_new();
+	errmsg_t err = {};
+
+	EXPECT_TRUE(peer_encode(frame, out, &err)) << err.text;
+	std::string bytes(reinterpret_cast<char *>(out->data), out->len);
+	g_byte_array_unref(out);
+	return bytes;
+}
+
+bool decode(const std::string &value, peer_frame_t *frame)
+{
+	errmsg_t err = {};
+
+	return peer_decode(reinterpret_cast<const uint8_t *>(value.data()),
+			   value.size(), frame, &err);
+}
+
+std::vector<std::string> samples()
+{
+	std::vector<std::string> all;
+
+	for (int kind = 0; kind < PEER_KIND_COUNT; kind++) {
+		peer_frame_t frame = {FRAME_BODY, {}};
+
+		frame.u.body = body_of(kind);
+		all.push_back(encode(&frame));
+		peer_frame_clear(&frame);
+	}
+	peer_frame_t hello = {FRAME_HELLO, {}};
+	peer_frame_t proof = {FRAME_PROOF, {}};
+	peer_frame_t ping = {FRAME_PING, {}};
+
+	hello.u.hello.self = info("a", "z1");
+	all.push_back(encode(&hello));
+	all.push_back(encode(&proof));
+	all.push_back(encode(&ping));
+	return all;
+}
+
+// A field that is lost or swapped on the way would go unnoticed for long.
+TEST(Codec, EveryKindSurvivesTheRoundTrip)
+{
+	for (const std::string &bytes : samples()) {
+		peer_frame_t frame;
+
+		ASSERT_TRUE(decode(bytes.substr(PEER_FRAME_HEAD), &frame));
+		EXPECT_EQ(encode(&frame), bytes);
+		peer_frame_clear(&frame);
+	}
+	peer_frame_t frame;
+	ASSERT_TRUE(decode(samples()[PEER_CONF_ITEMS].substr(4), &frame));
+	GArray *kvs = frame.u.body->u.conf_items.kvs;
+	ASSERT_EQ(kvs->len, 5u);
+	const record_t *account = &g_array_index(kvs, store_kv_t, 0).record;
+	EXPECT_STREQ(account->u.client_account.keys[0].hash, "ab12");
+	const record_t *target = &g_array_index(kvs, store_kv_t, 2).record;
+	EXPECT_EQ(target->u.target.port, 65535);
+	EXPECT_TRUE(target->u.target.draining);
+	peer_frame_clear(&frame);
+}
+
+// Damaged frames must be refused or decode to a value within the limits.
+TEST(Codec, FuzzedFramesNeverCrash)
+{
+	std::mt19937 random(20260101);
+	std::vector<std::string> all = samples();
+	int accepted = 0;
+
+	for (int round = 0; round < 60000; round++) {
+		std::string value = all[random() % all.size()].substr(4);
+		int edits = 1 + (int)(random() % 4);
+		peer_frame_t frame;
+
+		for (int i = 0; i < edits; i++)
+			value[random() % value.size()] = (char)random();
+		if (random() % 4 == 0)
+			value.resize(random() % (value.size() + 1));
+		if (!decode(value, &frame))
+			continue;
+		accepted++;
+		encode(&frame); /* what was accepted can be sent on */
+		peer_frame_clear(&frame);
+	}
+	EXPECT_GT(accepted, 0);
+}
+
+// A few bytes must not reserve gigabytes, nor nest without end.
+TEST(Codec, RefusesForgedCountsAndTypes)
+{
+	peer_frame_t frame;
+	const std::string forged[] = {
+		std::string("\xdd\xff\xff\xff\xff", 5),
+		std::string("\xdf\xff\xff\xff\xff", 5),
+		std::string(100000, '\x91'),
+		std::string("\x92\x01\x02\x00", 4), /* a byte too many */
+		std::string("\x92\x02\x02", 3), /* version 2 */
+		std::string("\x92\x01\x0f", 3), /* kind 15 */
+		std::string("\x93\x01\x12\xff", 4), /* revision -1 */
+		std::string("\x93\x01\x12\xa1\x31", 5), /* revision "1" */
+		std::string("\x93\x01\x12\xc0", 4), /* revision nil */
+		"",
+	};
+
+	for (const std::string &value : forged)
+		EXPECT_FALSE(decode(value, &frame));
+	EXPECT_TRUE(decode(std::string("\x93\x01\x12\x05", 4), &frame));
+	peer_frame_clear(&frame);
+}
+
+// TCP splits frames anywhere.
+TEST(Codec, FindsFramesAtAnySplit)
+{
+	std::string bytes = samples()[PEER_HEARTBEAT];
+	size_t len = 0;
+
+	for (size_t have = 0; have < bytes.size(); have++)
+		ASSERT_EQ(peer_frame_find((const uint8_t *)bytes.data(), have,
+					  &len),
+			  FRAME_PARTIAL);
+	EXPECT_EQ(peer_frame_find((const uint8_t *)bytes.data(), bytes.size(),
+				  &len),
+		  FRAME_COMPLETE);
+	EXPECT_EQ(len, bytes.size() - PEER_FRAME_HEAD);
+	EXPECT_EQ(peer_frame_find((const uint8_t *)"\x00\x10\x00\x01", 4, &len),
+		  FRAME_BAD);
+}
+
+struct Router {
+	kernel_t kernel;
+	peer_t peer;
+	int up = 0, down = 0, blames = 0, heartbeats = 0;
+	std::string from;
+
+	static void receive(void *self, msg_t *msg)
+	{
+		auto *router = static_cast<Router *>(self);
+
+		if (msg->kind == MSG_PEER_UP)
+			router->up++;
+		if (msg->kind == MSG_PEER_DOWN)
+			router->down++;
+		if (msg->kind != MSG_PEER_RECEIVED)
+			return;
+		router->from = msg->u.peer.incarnation;
+		if (msg->u.peer.body->kind == PEER_BLAME)
+			router->blames++;
+		if (msg->u.peer.body->kind == PEER_HEARTBEAT)
+			router->heartbeats++;
+	}
+	Router(const char *incarnation, const char *key)
+	{
+		peer_opts_t opts = {};
+
+		kernel_init(&kernel, CLOCK_REAL, 0);
+		kernel_register(&kernel, "member", receive, this);
+		kernel_register(&kernel, "request", receive, this);
+		opts.self = info(incarnation, "z1");
+		g_strlcpy(opts.listen_host, "127.0.0.1", HOST_SIZE);
+		g_strlcpy(opts.key, key, sizeof(opts.key));
+		EXPECT_EQ(peer_init(&peer, &kernel, &opts), 0) << peer.err.text;
+		kernel_start(&kernel);
+	}
+	~Router()
+	{
+		peer_finish(&peer);
+		kernel_finish(&kernel);
+	}
+	void connect(const char *incarnation, const Router &to)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_CONNECT;
+		g_strlcpy(msg.u.peer_addr.incarnation, incarnation,
+			  INCARNATION_SIZE);
+		g_strlcpy(msg.u.peer_addr.host, "127.0.0.1", HOST_SIZE);
+		msg.u.peer_addr.port = peer_port(&to.peer);
+		kernel_post(&kernel, HANDLE_NONE, peer.svc, &msg);
+	}
+	void send(const char *incarnation, int kind)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_SEND;
+		g_strlcpy(msg.u.peer.incarnation, incarnation,
+			  INCARNATION_SIZE);
+		msg.u.peer.body = body_of(kind);
+		kernel_post(&kernel, HANDLE_NONE, peer.svc, &msg);
+	}
+	uint64_t counter(counter_t id) const
+	{
+		return kernel.metrics->counters[id];
+	}
+};
+
+// Waits for an event, never for a time; the limit only ends a broken run.
+template <typename Condition> bool wait_for(Condition condition)
+{
+	gint64 limit = g_get_monotonic_time() + 60 * G_USEC_PER_SEC;
+
+	while (!condition() && g_get_monotonic_time() < limit)
+		g_main_context_iteration(NULL, TRUE);
+	return condition();
+}
+
+const char key_a[] = "0123456789abcdef";
+
+// Both dial at once: one connection must remain, and bodies must pass in
+// both directions to the services that own their kinds.
+TEST(Peer, ExchangesBodiesOverOneConnection)
+{
+	Router a("a", key_a), b("b", key_a);
+
+	a.connect("", b);
+	b.connect("a", a);
+	ASSERT_TRUE(wait_for([&] {
+		return a.up == 1 && b.up == 1 &&
+		       table_count(&a.peer.conns) == 1 &&
+		       table_count(&b.peer.conns) == 1;
+	}));
+	/* A frame sent while the second connection closes may be lost. */
+	ASSERT_TRUE(wait_for([&] {
+		a.send("b", PEER_BLAME);
+		b.send("", PEER_BLAME);
+		return a.blames > 0 && b.blames > 0;
+	}));
+	EXPECT_EQ(b.from, "a");
+	EXPECT_EQ(a.up, 1);
+	EXPECT_EQ(a.down + b.down, 0);
+}
+
+// A router with another key must never be taken for a member.
+TEST(Peer, RefusesAnotherKey)
+{
+	Router a("a", key_a), b("b", "0123456789abcdeF");
+
+	a.connect("b", b);
+	ASSERT_TRUE(wait_for([&] {
+		return a.counter(COUNTER_PEER_AUTH_FAILED) +
+			       b.counter(COUNTER_PEER_AUTH_FAILED) >
+		       0;
+	}));
+	EXPECT_EQ(a.up + b.up, 0);
+}
+
+// A body's sender is the authenticated one; a forged heartbeat ends the
+// connection, which is then dialled again.
+TEST(Peer, ClosesAndRedialsAfterABadFrame)
+{
+	Router a("a", key_a), b("b", key_a);
+
+	b.connect("a", a);
+	ASSERT_TRUE(wait_for([&] { return a.up == 1 && b.up == 1; }));
+	b.send("a", PEER_HEARTBEAT); /* claims to come from "a" */
+	ASSERT_TRUE(wait_for([&] { return a.up == 2 && b.up == 2; }));
+	EXPECT_EQ(a.counter(COUNTER_PEER_FRAMES_BAD), 1u);
+	EXPECT_EQ(a.heartbeats, 0);
+	EXPECT_EQ(a.down, 1);
+}
+
+int connect_raw(const Router &to)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *stream = g_socket_client_connect_to_host(
+		client, "127.0.0.1", peer_port(&to.peer), NULL, NULL);
+	int fd = dup(g_socket_get_fd(g_socket_connection_get_socket(stream)));
+
+	g_object_unref(stream);
+	g_object_unref(client);
+	return fd;
+}
+
+// Frames before authentication are refused, whatever they are.
+TEST(Peer, AcceptsNothingBeforeAuthentication)
+{
+	Router a("a", key_a);
+	std::string bytes = samples()[PEER_BLAME];
+	int fd = connect_raw(a);
+
+	ASSERT_EQ(write(fd, bytes.data(), bytes.size()), (ssize_t)bytes.size());
+	ASSERT_TRUE(wait_for(
+		[&] { return a.counter(COUNTER_PEER_FRAMES_BAD) == 1; }));
+	EXPECT_EQ(a.blames, 0);
+	EXPECT_EQ(table_count(&a.peer.conns), 0u);
+	close(fd);
+}
+
+// A reader that stalls must cost its connection, not our memory.
+TEST(Peer, DropsAPeerThatDoesNotRead)
+{
+	Router a("a", key_a), b("b", key_a);
+
+	a.connect("b", b);
+	ASSERT_TRUE(wait_for([&] { return a.up == 1 && b.up == 1; }));
+	/* No turn of the loop between the messages: nothing is read. */
+	for (int i = 0; i < 200000 && table_count(&a.peer.conns) == 1; i++) {
+		a.send("b", PEER_CONF_ITEMS);
+		kernel_deliver_one(&a.kernel);
+	}
+	EXPECT_EQ(table_count(&a.peer.conns), 0u);
+	ASSERT_TRUE(wait_for([&] { return a.up == 2; }));
+}
+
+} // namespace
