--- a/member/buddy.c
+++ b/member/buddy.c
@@ -16,7 +16,7 @@
 
 static void post_buddy(member_t *member, const char *incarnation)
 {
-	entry_t *own = view_find(member, member->opts.self.incarnation);
+	entry_t *own = member_view_find(member, member->opts.self.incarnation);
 	msg_t msg = {.kind = MSG_BUDDY_CHANGED};
 
 	g_strlcpy(own->info.buddy, incarnation, sizeof(own->info.buddy));
@@ -29,7 +29,7 @@
 	member_post(member, member->ledger, &msg);
 }
 
-void buddy_clear(member_t *member)
+void member_buddy_clear(member_t *member)
 {
 	if (member->buddy[0] == '\0')
 		return;
@@ -40,16 +40,17 @@
 static bool is_gone(const member_t *member, const entry_t *entry)
 {
 	if (entry == NULL || entry->left ||
-	    view_state(member, entry) == MEMBER_DEAD)
+	    member_view_state(member, entry) == MEMBER_DEAD)
 		return true;
-	return kernel_now(member->kernel) - entry->heard_direct > GONE_AFTER;
+	return !entry->connected &&
+	       kernel_now(member->kernel) - entry->heard_direct > GONE_AFTER;
 }
 
 static bool is_usable(const member_t *member, const entry_t *entry)
 {
 	return entry != NULL && !entry->own && entry->connected &&
-	       view_heard(member, entry) &&
-	       view_state(member, entry) == MEMBER_ALIVE;
+	       member_view_heard(member, entry) &&
+	       member_view_state(member, entry) == MEMBER_ALIVE;
 }
 
 static bool in_own_zone(const member_t *member, const entry_t *entry)
@@ -70,8 +71,8 @@
 		if (!is_usable(member, entry))
 			continue;
 		zone = in_own_zone(member, entry);
-		weight = ring_hash(member->opts.self.incarnation,
-				   entry->info.incarnation);
+		weight = member_ring_hash(member->opts.self.incarnation,
+					  entry->info.incarnation);
 		if (best == NULL || zone > best_zone ||
 		    (zone == best_zone && weight > most)) {
 			best = entry;
@@ -88,7 +89,7 @@
  */
 static bool resume(member_t *member, const entry_t *best)
 {
-	const entry_t *entry = view_find(member, member->stored_buddy);
+	const entry_t *entry = member_view_find(member, member->stored_buddy);
 
 	if (member->stored_buddy[0] == '\0' || !is_usable(member, entry))
 		return false;
@@ -110,10 +111,10 @@
 	return best != NULL && in_own_zone(member, best);
 }
 
-void buddy_tick(member_t *member)
+void member_buddy_tick(member_t *member)
 {
 	int64_t now = kernel_now(member->kernel);
-	entry_t *entry = view_find(member, member->buddy);
+	entry_t *entry = member_view_find(member, member->buddy);
 	entry_t *best;
 
 	if (member->stopping)
@@ -122,7 +123,7 @@
 		if (is_gone(member, entry) ||
 		    (member->registered && member->write_kind == CALL_NONE &&
 		     is_worse(member, entry)))
-			buddy_clear(member);
+			member_buddy_clear(member);
 		return;
 	}
 	if (member->write_kind != CALL_NONE || member->revision == 0)
@@ -133,11 +134,11 @@
 	if (now < member->write_at || now - member->registered_at < SETTLE ||
 	    (member->cleared_at != 0 && now - member->cleared_at < FLUSH))
 		return;
-	lease_write_buddy(member, best->info.incarnation);
+	member_lease_write_buddy(member, best->info.incarnation);
 }
 
-void buddy_committed(member_t *member, const char *incarnation)
+void member_buddy_committed(member_t *member, const char *incarnation)
 {
-	if (is_usable(member, view_find(member, incarnation)))
+	if (is_usable(member, member_view_find(member, incarnation)))
 		post_buddy(member, incarnation);
 }
--- a/member/gone.c
+++ b/member/gone.c
@@ -10,6 +10,8 @@
 #define LIST_RECENT (5 * USEC_PER_SEC)
 /* The list lags: absent for this long in every answer means gone. */
 #define UNLISTED_AFTER (30 * USEC_PER_SEC)
+/* An answer that we read later than this may have been overtaken. */
+#define ANSWER_RECENT USEC_PER_SEC
 #define REPORTERS 3 /* members besides the buddy that report a member */
 
 static bool is_listed(const member_info_t *info, const instance_list_t *list)
@@ -30,7 +32,7 @@
  * A list that does not hold ourselves says nothing about routers.  After a
  * gap in the answers the count of absent time begins anew.
  */
-void gone_listed(member_t *member, instance_list_t *list)
+void member_gone_listed(member_t *member, instance_list_t *list)
 {
 	int64_t now = kernel_now(member->kernel);
 	bool gap = now - member->instances_at > LIST_RECENT;
@@ -64,17 +66,18 @@
 static bool is_reporter(member_t *member, const entry_t *gone)
 {
 	const char *own = member->opts.self.incarnation;
-	uint64_t weight = ring_hash(gone->info.incarnation, own);
+	uint64_t weight = member_ring_hash(gone->info.incarnation, own);
 	uint32_t cursor = 0;
 	uint32_t before = 0;
 	entry_t *entry;
 
-	if (strcmp(gone->info.buddy, own) == 0)
+	if (strcmp(gone->stored_buddy, own) == 0)
 		return true;
 	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
-		if (!entry->own && view_state(member, entry) == MEMBER_ALIVE &&
-		    ring_hash(gone->info.incarnation, entry->info.incarnation) >
-			    weight)
+		if (!entry->own &&
+		    member_view_state(member, entry) == MEMBER_ALIVE &&
+		    member_ring_hash(gone->info.incarnation,
+				     entry->info.incarnation) > weight)
 			before++;
 	}
 	return before < REPORTERS;
@@ -101,10 +104,11 @@
 	int64_t now = kernel_now(member->kernel);
 
 	return !entry->own && entry->absent_since != 0 &&
-	       now - entry->absent_since >= GRACE && !view_heard(member, entry);
+	       now - entry->absent_since >= GRACE &&
+	       !member_view_heard(member, entry);
 }
 
-void gone_tick(member_t *member)
+void member_gone_tick(member_t *member)
 {
 	int64_t now = kernel_now(member->kernel);
 	uint32_t cursor = 0;
@@ -121,8 +125,8 @@
 	}
 }
 
-void gone_confirmed(member_t *member, const call_t *call,
-		    const store_result_t *result)
+void member_gone_confirmed(member_t *member, const call_t *call,
+			   const store_result_t *result)
 {
 	entry_t *entry = table_get(&member->entries, call->entry);
 	msg_t msg = {.kind = MSG_MEMBER_GONE};
@@ -130,10 +134,11 @@
 	if (entry == NULL)
 		return;
 	entry->confirming = false;
-	if (result->status != STORE_OK)
+	if (result->status != STORE_OK ||
+	    kernel_now(member->kernel) - call->sent > ANSWER_RECENT)
 		return;
 	if (!store_result_committed(result, 0)) {
-		sync_apply(member, result, 0);
+		member_sync_apply(member, result, 0);
 		return;
 	}
 	/* It may have come back while the answer was under way. */
@@ -142,7 +147,7 @@
 	g_strlcpy(msg.u.gone.incarnation, entry->info.incarnation,
 		  sizeof(msg.u.gone.incarnation));
 	msg.u.gone.copied_here =
-		strcmp(entry->info.buddy, member->opts.self.incarnation) == 0;
+		strcmp(entry->stored_buddy, member->opts.self.incarnation) == 0;
 	msg.u.gone.instance_gone = instance_gone(member, entry);
 	log_event(LOG_LEVEL_INFO, "member", "gone",
 		  "member=%s copied_here=%d instance_gone=%d",
--- a/member/lease.c
+++ b/member/lease.c
@@ -106,7 +106,7 @@
 		    member->revision == 0 ? CALL_REGISTER : CALL_REVIVE);
 }
 
-void lease_write_buddy(member_t *member, const char *incarnation)
+void member_lease_write_buddy(member_t *member, const char *incarnation)
 {
 	fill_record(member, &member->write_record);
 	g_strlcpy(member->write_record.u.member.buddy, incarnation,
@@ -166,7 +166,7 @@
 		delete_records(member);
 }
 
-void lease_tick(member_t *member)
+void member_lease_tick(member_t *member)
 {
 	int64_t now = kernel_now(member->kernel);
 
@@ -209,7 +209,7 @@
 	member->revision = 0;
 	member->registered = false;
 	member->stored_buddy[0] = '\0';
-	buddy_clear(member);
+	member_buddy_clear(member);
 }
 
 static void lease_granted(member_t *member, const call_t *call,
@@ -281,7 +281,7 @@
 	if (kind == CALL_REGISTER)
 		set_registered(member, lease);
 	else
-		buddy_committed(member, record->buddy);
+		member_buddy_committed(member, record->buddy);
 }
 
 /* The compare failed; kvs hold what the store has. */
@@ -341,8 +341,8 @@
 						       : result->revision);
 }
 
-void lease_result(member_t *member, const call_t *call,
-		  const store_result_t *result)
+void member_lease_result(member_t *member, const call_t *call,
+			 const store_result_t *result)
 {
 	switch (call->kind) {
 	case CALL_LEASE:
@@ -359,10 +359,10 @@
 	default:
 		break;
 	}
-	lease_tick(member);
+	member_lease_tick(member);
 }
 
-void lease_observe(member_t *member, const store_kv_t *kv, int64_t seen)
+void member_lease_observe(member_t *member, const store_kv_t *kv, int64_t seen)
 {
 	bool is_alive = g_str_has_prefix(kv->key, "alive/");
 
@@ -376,7 +376,7 @@
 		lose_lease(member, "alive record is absent");
 }
 
-void lease_stop(member_t *member)
+void member_lease_stop(member_t *member)
 {
 	msg_t msg = {.kind = MSG_PEER_SEND};
 
@@ -390,8 +390,8 @@
 	tick_stop(member, kernel_now(member->kernel));
 }
 
-void lease_stop_result(member_t *member, const call_t *call,
-		       const store_result_t *result)
+void member_lease_stop_result(member_t *member, const call_t *call,
+			      const store_result_t *result)
 {
 	member->write_pending = false;
 	if (member->stopped)
--- a/member/member.c
+++ b/member/member.c
@@ -37,20 +37,20 @@
 	switch (call.kind) {
 	case CALL_LIST_MEMBERS:
 	case CALL_LIST_ALIVE:
-		sync_listed(member, found, result);
+		member_sync_listed(member, found, result);
 		/* More pages answer the same call. */
 		if (result->status == STORE_OK && result->more)
 			return;
 		break;
 	case CALL_CONFIRM:
-		gone_confirmed(member, &call, result);
+		member_gone_confirmed(member, &call, result);
 		break;
 	case CALL_LEAVE:
 	case CALL_REVOKE:
-		lease_stop_result(member, &call, result);
+		member_lease_stop_result(member, &call, result);
 		break;
 	default:
-		lease_result(member, &call, result);
+		member_lease_result(member, &call, result);
 		break;
 	}
 	table_remove(&member->calls, ref);
@@ -87,8 +87,8 @@
 	member->router = kernel_find(kernel, "router");
 	member_post(member, member->conf, &msg);
 	connect_seeds(member);
-	sync_tick(member);
-	lease_tick(member);
+	member_sync_tick(member);
+	member_lease_tick(member);
 	kernel_timer(kernel, member->svc, TICK, HANDLE_NONE, 0);
 }
 
@@ -96,18 +96,18 @@
 {
 	int64_t now = kernel_now(member->kernel);
 
-	lease_tick(member);
+	member_lease_tick(member);
 	if (!member->stopping) {
-		sync_tick(member);
+		member_sync_tick(member);
 		if (now >= member->heartbeat_at) {
 			member->heartbeat_at = now + HEARTBEAT_EVERY;
-			ring_beat(member);
-			view_forget(member);
+			member_ring_beat(member);
+			member_view_forget(member);
 		}
-		buddy_tick(member);
-		gone_tick(member);
+		member_buddy_tick(member);
+		member_gone_tick(member);
 	}
-	view_publish(member);
+	member_view_publish(member);
 	if (!member->stopped)
 		kernel_timer(member->kernel, member->svc, TICK, HANDLE_NONE, 0);
 }
@@ -121,12 +121,12 @@
 	if (strcmp(body->u.heartbeat.self.incarnation,
 		   msg->u.peer.incarnation) != 0)
 		return;
-	view_heartbeat(member, &body->u.heartbeat.self, true);
+	member_view_heartbeat(member, &body->u.heartbeat.self, true);
 	for (guint i = 0; i < body->u.heartbeat.members->len; i++)
-		view_heartbeat(member,
-			       &g_array_index(body->u.heartbeat.members,
-					      member_info_t, i),
-			       false);
+		member_view_heartbeat(member,
+				      &g_array_index(body->u.heartbeat.members,
+						     member_info_t, i),
+				      false);
 	forward.u.peer = msg->u.peer;
 	msg->u.peer.body = NULL;
 	member_post(member, member->conf, &forward);
@@ -143,7 +143,7 @@
 		got_heartbeat(member, msg);
 		break;
 	case PEER_LEAVE:
-		entry = view_find(member, msg->u.peer.incarnation);
+		entry = member_view_find(member, msg->u.peer.incarnation);
 		if (entry != NULL)
 			entry->left = true;
 		break;
@@ -154,12 +154,19 @@
 
 static void peer_changed(member_t *member, const msg_t *msg, bool up)
 {
+	int64_t now = kernel_now(member->kernel);
 	entry_t *entry;
 
-	entry = up ? view_get(member, msg->u.peer_addr.incarnation)
-		   : view_find(member, msg->u.peer_addr.incarnation);
+	entry = up ? member_view_get(member, msg->u.peer_addr.incarnation)
+		   : member_view_find(member, msg->u.peer_addr.incarnation);
 	if (entry == NULL || entry->own)
 		return;
+	if (entry->connected && !up) {
+		/* It was heard when the connection was, 3 s ago at most. */
+		entry->heard_direct =
+			MAX(entry->heard_direct, now - SUSPECT_AFTER);
+		entry->last_heard = MAX(entry->last_heard, entry->heard_direct);
+	}
 	entry->connected = up;
 	if (!up || member->stopping)
 		return;
@@ -169,7 +176,7 @@
 		entry->info.peer_port = msg->u.peer_addr.port;
 	}
 	/* It learns of us at once rather than at the next round. */
-	ring_send_heartbeat(member, entry);
+	member_ring_send_heartbeat(member, entry);
 }
 
 static void subscribe(member_t *member, svc_t svc)
@@ -189,7 +196,7 @@
 		start(member);
 		break;
 	case MSG_STOP:
-		lease_stop(member);
+		member_lease_stop(member);
 		break;
 	case MSG_TIMER:
 		tick(member);
@@ -199,7 +206,7 @@
 		break;
 	case MSG_STORE_EVENT:
 		if (msg->u.store_result != NULL)
-			sync_apply(member, msg->u.store_result, 0);
+			member_sync_apply(member, msg->u.store_result, 0);
 		break;
 	case MSG_CONF_CHANGED:
 		if (msg->u.conf != NULL)
@@ -217,7 +224,8 @@
 		break;
 	case MSG_INSTANCES_LISTED:
 		if (msg->u.instances != NULL)
-			gone_listed(member, g_steal_pointer(&msg->u.instances));
+			member_gone_listed(member,
+					   g_steal_pointer(&msg->u.instances));
 		break;
 	default:
 		break;
@@ -239,7 +247,7 @@
 	table_init(&member->calls, sizeof(call_t));
 	member->by_incarnation = g_hash_table_new(g_str_hash, g_str_equal);
 	member->svc = kernel_register(kernel, "member", receive, member);
-	own = view_get(member, opts->self.incarnation);
+	own = member_view_get(member, opts->self.incarnation);
 	g_assert(own != NULL);
 	own->info = opts->self;
 	own->own = true;
--- a/member/ring.c
+++ b/member/ring.c
@@ -5,7 +5,6 @@
 #define GOSSIP_MAX 8 /* members told of in a small fleet */
 #define GOSSIP_LARGE 2 /* in a large one: bounds the bytes per second */
 #define RING_MAX 6 /* neighbours on the ring; the others are buddies */
-#define HEARTBEATS_MAX 24 /* heartbeats sent in one round */
 
 typedef struct place_t {
 	uint64_t at;
@@ -13,7 +12,7 @@
 } place_t;
 
 /* FNV-1a over both texts, with a final mix. */
-uint64_t ring_hash(const char *a, const char *b)
+uint64_t member_ring_hash(const char *a, const char *b)
 {
 	uint64_t hash = UINT64_C(0xcbf29ce484222325);
 
@@ -43,13 +42,13 @@
 	place_t place;
 
 	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
-		member_state_t state = view_state(member, entry);
+		member_state_t state = member_view_state(member, entry);
 
 		if (entry->own || state == MEMBER_LEFT ||
 		    state == MEMBER_DEAD || entry->info.host[0] == '\0' ||
 		    entry->info.peer_port == 0)
 			continue;
-		place.at = ring_hash(entry->info.incarnation, "");
+		place.at = member_ring_hash(entry->info.incarnation, "");
 		place.entry = entry;
 		g_array_append_val(places, place);
 	}
@@ -70,7 +69,7 @@
 		if (strcmp(entry->info.availability_zone,
 			   member->opts.self.availability_zone) != 0)
 			continue;
-		weight = ring_hash(own, entry->info.incarnation);
+		weight = member_ring_hash(own, entry->info.incarnation);
 		if (best == NULL || weight > most) {
 			best = entry;
 			most = weight;
@@ -91,9 +90,9 @@
 {
 	GArray *places = candidates(member);
 	GPtrArray *chosen = g_ptr_array_new();
-	uint64_t own = ring_hash(member->opts.self.incarnation, "");
+	uint64_t own = member_ring_hash(member->opts.self.incarnation, "");
 	guint n = places->len, next = 0;
-	entry_t *buddy = view_find(member, member->buddy);
+	entry_t *buddy = member_view_find(member, member->buddy);
 
 	while (next < n && g_array_index(places, place_t, next).at < own)
 		next++;
@@ -165,9 +164,9 @@
 	}
 }
 
-void ring_send_heartbeat(member_t *member, const entry_t *to)
+void member_ring_send_heartbeat(member_t *member, const entry_t *to)
 {
-	entry_t *own = view_find(member, member->opts.self.incarnation);
+	entry_t *own = member_view_find(member, member->opts.self.incarnation);
 	msg_t msg = {.kind = MSG_PEER_SEND};
 	peer_body_t *body = peer_body_new(PEER_HEARTBEAT);
 
@@ -182,25 +181,16 @@
 	member_post(member, member->peer, &msg);
 }
 
-/*
- * Besides the neighbours, members that chose us as theirs get an answer to
- * their heartbeats, because they expect it.
- */
-void ring_beat(member_t *member)
+void member_ring_beat(member_t *member)
 {
 	GPtrArray *chosen = neighbours(member);
 	uint32_t cursor = 0;
-	uint32_t sent = 0;
 	entry_t *entry;
 
 	connect_to(member, chosen);
 	g_ptr_array_unref(chosen);
 	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
-		if (!entry->connected ||
-		    !(entry->wanted || view_heard(member, entry)))
-			continue;
-		if (++sent > HEARTBEATS_MAX)
-			break;
-		ring_send_heartbeat(member, entry);
+		if (entry->connected && entry->wanted)
+			member_ring_send_heartbeat(member, entry);
 	}
 }
--- a/member/sync.c
+++ b/member/sync.c
@@ -30,7 +30,7 @@
 	member_post(member, member->store, &msg);
 }
 
-void sync_tick(member_t *member)
+void member_sync_tick(member_t *member)
 {
 	int64_t now = kernel_now(member->kernel);
 
@@ -53,6 +53,9 @@
 {
 	member_info_t *info = &entry->info;
 
+	/* Recovery goes by this one; a heartbeat may be older or newer. */
+	g_strlcpy(entry->stored_buddy, record->buddy,
+		  sizeof(entry->stored_buddy));
 	g_strlcpy(info->name, record->name, sizeof(info->name));
 	g_strlcpy(info->availability_zone, record->availability_zone,
 		  sizeof(info->availability_zone));
@@ -67,8 +70,8 @@
 {
 	const char *name = kv->key + strlen(MEMBER_PREFIX);
 	bool present = kv->revision > 0 && kv->record.kind != RECORD_NONE;
-	entry_t *entry =
-		present ? view_get(member, name) : view_find(member, name);
+	entry_t *entry = present ? member_view_get(member, name)
+				 : member_view_find(member, name);
 
 	if (entry == NULL)
 		return;
@@ -91,8 +94,8 @@
 {
 	const char *name = kv->key + strlen(ALIVE_PREFIX);
 	bool present = kv->revision > 0;
-	entry_t *entry =
-		present ? view_get(member, name) : view_find(member, name);
+	entry_t *entry = present ? member_view_get(member, name)
+				 : member_view_find(member, name);
 
 	if (entry == NULL)
 		return;
@@ -107,7 +110,8 @@
 	note_absence(member, entry);
 }
 
-void sync_apply(member_t *member, const store_result_t *result, uint32_t round)
+void member_sync_apply(member_t *member, const store_result_t *result,
+		       uint32_t round)
 {
 	for (guint i = 0; i < result->kvs->len; i++) {
 		const store_kv_t *kv =
@@ -122,7 +126,7 @@
 			continue;
 		if (strcmp(strchr(kv->key, '/') + 1,
 			   member->opts.self.incarnation) == 0)
-			lease_observe(member, kv, seen);
+			member_lease_observe(member, kv, seen);
 	}
 }
 
@@ -147,12 +151,13 @@
 			apply_alive(member, &kv, revision, 0);
 		}
 		if (entry->own && kv.key[0] != '\0')
-			lease_observe(member, &kv, revision);
+			member_lease_observe(member, &kv, revision);
 		kv.key[0] = '\0';
 	}
 }
 
-void sync_listed(member_t *member, call_t *call, const store_result_t *result)
+void member_sync_listed(member_t *member, call_t *call,
+			const store_result_t *result)
 {
 	member_prefix_t *prefix = call->kind == CALL_LIST_MEMBERS
 					  ? &member->members
@@ -166,7 +171,7 @@
 	}
 	if (call->revision == 0)
 		call->revision = result->revision;
-	sync_apply(member, result, prefix->round);
+	member_sync_apply(member, result, prefix->round);
 	if (result->more)
 		return;
 	prefix->listing = false;
--- a/member/view.c
+++ b/member/view.c
@@ -6,14 +6,14 @@
 
 #define MEMBERS_MAX 4096
 
-entry_t *view_find(member_t *member, const char *incarnation)
+entry_t *member_view_find(member_t *member, const char *incarnation)
 {
 	return g_hash_table_lookup(member->by_incarnation, incarnation);
 }
 
-entry_t *view_get(member_t *member, const char *incarnation)
+entry_t *member_view_get(member_t *member, const char *incarnation)
 {
-	entry_t *entry = view_find(member, incarnation);
+	entry_t *entry = member_view_find(member, incarnation);
 	handle_t self;
 
 	if (entry != NULL)
@@ -32,24 +32,27 @@
 	return entry;
 }
 
-void view_remove(member_t *member, entry_t *entry)
+void member_view_remove(member_t *member, entry_t *entry)
 {
 	g_hash_table_remove(member->by_incarnation, entry->info.incarnation);
 	table_remove(&member->entries, entry->self);
 	member->changed = true;
 }
 
-bool view_heard(const member_t *member, const entry_t *entry)
+bool member_view_heard(const member_t *member, const entry_t *entry)
 {
-	return entry->heard_direct != 0 &&
-	       kernel_now(member->kernel) - entry->heard_direct < SUSPECT_AFTER;
+	return entry->connected ||
+	       (entry->heard_direct != 0 &&
+		kernel_now(member->kernel) - entry->heard_direct <
+			SUSPECT_AFTER);
 }
 
 /*
- * Heartbeats reach only neighbours, so a member that is not expected to send
- * us any is alive as long as its record in the store is.
+ * peer probes a connection each second and reports a silent one as down, so
+ * a connection is as good as a heartbeat.  Only neighbours are connected: a
+ * member that is not one is alive as long as its record in the store is.
  */
-member_state_t view_state(const member_t *member, const entry_t *entry)
+member_state_t member_view_state(const member_t *member, const entry_t *entry)
 {
 	int64_t now = kernel_now(member->kernel);
 
@@ -57,7 +60,7 @@
 		return member->stopping ? MEMBER_LEFT : MEMBER_ALIVE;
 	if (entry->left)
 		return MEMBER_LEFT;
-	if (now - entry->last_heard < SUSPECT_AFTER)
+	if (entry->connected || now - entry->last_heard < SUSPECT_AFTER)
 		return MEMBER_ALIVE;
 	if (!member->alive.synced)
 		return MEMBER_SUSPECT;
@@ -68,9 +71,10 @@
 	return MEMBER_ALIVE;
 }
 
-void view_heartbeat(member_t *member, const member_info_t *info, bool direct)
+void member_view_heartbeat(member_t *member, const member_info_t *info,
+			   bool direct)
 {
-	entry_t *entry = view_get(member, info->incarnation);
+	entry_t *entry = member_view_get(member, info->incarnation);
 	member_info_t *known;
 	member_state_t state;
 	bool same;
@@ -121,7 +125,7 @@
 	entry_t *entry;
 
 	while ((entry = table_next(&member->entries, &cursor, NULL)) != NULL) {
-		state = view_state(member, entry);
+		state = member_view_state(member, entry);
 		if (state != entry->info.state) {
 			log_event(LOG_LEVEL_INFO, "member", "state",
 				  "member=%s name=%s state=%d",
@@ -137,7 +141,7 @@
 	metrics_set(member->kernel->metrics, GAUGE_PEERS, connected);
 }
 
-void view_publish(member_t *member)
+void member_view_publish(member_t *member)
 {
 	uint32_t cursor = 0;
 	member_list_t *list;
@@ -157,7 +161,7 @@
 }
 
 /* An entry is kept for a while, so that old gossip doesn't bring it back. */
-void view_forget(member_t *member)
+void member_view_forget(member_t *member)
 {
 	int64_t now = kernel_now(member->kernel);
 	uint32_t cursor = 0;
@@ -168,6 +172,6 @@
 		    entry->revision != 0 || entry->alive ||
 		    now - entry->last_heard < FORGET_AFTER)
 			continue;
-		view_remove(member, entry);
+		member_view_remove(member, entry);
 	}
 }
--- a/member/view.h
+++ b/member/view.h
@@ -25,6 +25,7 @@
 	int64_t wanted_since; /* heartbeats are expected from here on */
 
 	int64_t revision; /* of member/X, 0: absent */
+	char stored_buddy[INCARNATION_SIZE]; /* as in member/X */
 	int64_t seen; /* store revision of this knowledge */
 	uint32_t round;
 	bool alive; /* alive/X is present */
@@ -65,50 +66,53 @@
 call_t *member_call(member_t *member, call_kind_t kind, msg_t *msg);
 
 /* view.c */
-entry_t *view_find(member_t *member, const char *incarnation);
+entry_t *member_view_find(member_t *member, const char *incarnation);
 /* Finds or adds; NULL when the view is full. */
-entry_t *view_get(member_t *member, const char *incarnation);
-void view_remove(member_t *member, entry_t *entry);
-member_state_t view_state(const member_t *member, const entry_t *entry);
-bool view_heard(const member_t *member, const entry_t *entry);
-void view_heartbeat(member_t *member, const member_info_t *info, bool direct);
-void view_publish(member_t *member);
-void view_forget(member_t *member);
+entry_t *member_view_get(member_t *member, const char *incarnation);
+void member_view_remove(member_t *member, entry_t *entry);
+member_state_t member_view_state(const member_t *member, const entry_t *entry);
+bool member_view_heard(const member_t *member, const entry_t *entry);
+void member_view_heartbeat(member_t *member, const member_info_t *info,
+			   bool direct);
+void member_view_publish(member_t *member);
+void member_view_forget(member_t *member);
 
 /* ring.c */
-uint64_t ring_hash(const char *a, const char *b);
+uint64_t member_ring_hash(const char *a, const char *b);
 /* Connects to the neighbours and sends them a heartbeat. */
-void ring_beat(member_t *member);
-void ring_send_heartbeat(member_t *member, const entry_t *to);
+void member_ring_beat(member_t *member);
+void member_ring_send_heartbeat(member_t *member, const entry_t *to);
 
 /* sync.c: the records of the members in the store */
-void sync_tick(member_t *member);
-void sync_listed(member_t *member, call_t *call, const store_result_t *result);
-void sync_apply(member_t *member, const store_result_t *result, uint32_t round);
+void member_sync_tick(member_t *member);
+void member_sync_listed(member_t *member, call_t *call,
+			const store_result_t *result);
+void member_sync_apply(member_t *member, const store_result_t *result,
+		       uint32_t round);
 
 /* lease.c: own records */
-void lease_tick(member_t *member);
-void lease_result(member_t *member, const call_t *call,
-		  const store_result_t *result);
+void member_lease_tick(member_t *member);
+void member_lease_result(member_t *member, const call_t *call,
+			 const store_result_t *result);
 /* A watch or a list shows one of our own keys. */
-void lease_observe(member_t *member, const store_kv_t *kv, int64_t seen);
-void lease_stop(member_t *member);
-void lease_stop_result(member_t *member, const call_t *call,
-		       const store_result_t *result);
+void member_lease_observe(member_t *member, const store_kv_t *kv, int64_t seen);
+void member_lease_stop(member_t *member);
+void member_lease_stop_result(member_t *member, const call_t *call,
+			      const store_result_t *result);
 
 /* Writes member/INC with another buddy. */
-void lease_write_buddy(member_t *member, const char *incarnation);
+void member_lease_write_buddy(member_t *member, const char *incarnation);
 
 /* buddy.c */
-void buddy_tick(member_t *member);
-void buddy_committed(member_t *member, const char *incarnation);
-void buddy_clear(member_t *member);
+void member_buddy_tick(member_t *member);
+void member_buddy_committed(member_t *member, const char *incarnation);
+void member_buddy_clear(member_t *member);
 
 /* gone.c: members whose lease has expired */
-void gone_tick(member_t *member);
-void gone_confirmed(member_t *member, const call_t *call,
-		    const store_result_t *result);
-void gone_listed(member_t *member, instance_list_t *list);
+void member_gone_tick(member_t *member);
+void member_gone_confirmed(member_t *member, const call_t *call,
+			   const store_result_t *result);
+void member_gone_listed(member_t *member, instance_list_t *list);
 
 G_END_DECLS
 
--- a/peer/auth.c
+++ b/peer/auth.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <sys/random.h>
 
-bool auth_nonce(uint8_t nonce[PEER_NONCE_SIZE])
+bool peer_auth_nonce(uint8_t nonce[PEER_NONCE_SIZE])
 {
 	return getrandom(nonce, PEER_NONCE_SIZE, 0) == PEER_NONCE_SIZE;
 }
@@ -12,8 +12,9 @@
  * The role keeps a proof from being reflected to its sender; the hellos hold
  * the nonces and bind the claimed identities to the proof.
  */
-void auth_proof(const char *key, bool by_dialler, const GByteArray *dialler,
-		const GByteArray *listener, uint8_t proof[PEER_PROOF_SIZE])
+void peer_auth_proof(const char *key, bool by_dialler,
+		     const GByteArray *dialler, const GByteArray *listener,
+		     uint8_t proof[PEER_PROOF_SIZE])
 {
 	GHmac *hmac =
 		g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)key, strlen(key));
@@ -29,7 +30,7 @@
 	g_hmac_unref(hmac);
 }
 
-bool auth_equal(const uint8_t *a, const uint8_t *b, size_t len)
+bool peer_auth_equal(const uint8_t *a, const uint8_t *b, size_t len)
 {
 	uint8_t diff = 0;
 
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -133,7 +133,7 @@
 			const void *from, errmsg_t *err)
 {
 	msgpack_pack_array(packer, fields.count);
-	return fields_pack(packer, fields, from, err);
+	return peer_fields_pack(packer, fields, from, err);
 }
 
 static bool parse_struct(const msgpack_object *object, fields_t fields,
@@ -144,7 +144,7 @@
 		errmsg_set(err, "structure has a wrong number of fields");
 		return false;
 	}
-	return fields_parse(object->via.array.ptr, fields, to, err);
+	return peer_fields_parse(object->via.array.ptr, fields, to, err);
 }
 
 static bool pack_list(msgpack_packer *packer, fields_t fields,
@@ -200,7 +200,7 @@
 	uint32_t count = 0;
 
 	for (guint i = 0; i < kvs->len; i++)
-		count += conf_item_is_packable(
+		count += peer_conf_item_is_packable(
 			&g_array_index(kvs, store_kv_t, i));
 	if (count > PEER_ITEMS_MAX) {
 		errmsg_set(err, "more than %d items", PEER_ITEMS_MAX);
@@ -210,8 +210,8 @@
 	for (guint i = 0; i < kvs->len; i++) {
 		const store_kv_t *kv = &g_array_index(kvs, store_kv_t, i);
 
-		if (conf_item_is_packable(kv) &&
-		    !conf_item_pack(packer, kv, err))
+		if (peer_conf_item_is_packable(kv) &&
+		    !peer_conf_item_pack(packer, kv, err))
 			return false;
 	}
 	return true;
@@ -225,7 +225,7 @@
 	for (uint32_t i = 0; i < object->via.array.size; i++) {
 		store_kv_t kv = {0};
 
-		if (!conf_item_parse(&object->via.array.ptr[i], &kv, err))
+		if (!peer_conf_item_parse(&object->via.array.ptr[i], &kv, err))
 			return false;
 		g_array_append_val(kvs, kv);
 	}
@@ -240,7 +240,7 @@
 	msgpack_pack_array(packer, 2 + fields.count + body_nested(body->kind));
 	msgpack_pack_uint64(packer, VERSION);
 	msgpack_pack_uint64(packer, BODY_KIND_BASE + (uint64_t)body->kind);
-	if (!fields_pack(packer, fields, body, err))
+	if (!peer_fields_pack(packer, fields, body, err))
 		return false;
 	switch (body->kind) {
 	case PEER_HEARTBEAT:
@@ -272,7 +272,7 @@
 		return false;
 	}
 	body = peer_body_new(kind);
-	if (!fields_parse(array->ptr + 2, fields, body, err))
+	if (!peer_fields_parse(array->ptr + 2, fields, body, err))
 		goto out;
 	switch (kind) {
 	case PEER_HEARTBEAT:
@@ -494,11 +494,11 @@
 		errmsg_set(err, "frame is not an array");
 		return false;
 	}
-	if (!field_parse_uint(&array->ptr[0], UINT64_MAX, &version, "version",
-			      err) ||
-	    !field_parse_uint(&array->ptr[1],
-			      BODY_KIND_BASE + PEER_KIND_COUNT - 1, &kind,
-			      "kind", err))
+	if (!peer_field_parse_uint(&array->ptr[0], UINT64_MAX, &version,
+				   "version", err) ||
+	    !peer_field_parse_uint(&array->ptr[1],
+				   BODY_KIND_BASE + PEER_KIND_COUNT - 1, &kind,
+				   "kind", err))
 		return false;
 	if (version != VERSION) {
 		errmsg_set(err, "version is not %d", VERSION);
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -10,7 +10,7 @@
 #define HANDSHAKE_FRAME_MAX 1024 /* bytes, before authentication */
 #define BUFFER_KEEP 65536 /* a buffer that was larger is given back */
 
-void conn_release(conn_t *conn)
+void peer_conn_release(conn_t *conn)
 {
 	if (conn->in != NULL) {
 		g_source_destroy(conn->in);
@@ -29,7 +29,7 @@
 	table_remove(&conn->peer->conns, conn->self);
 }
 
-void conn_close(conn_t *conn, const char *reason)
+void peer_conn_close(conn_t *conn, const char *reason)
 {
 	peer_t *peer = conn->peer;
 	handle_t dial = conn->dial;
@@ -38,14 +38,14 @@
 	log_event(LOG_LEVEL_INFO, "peer", "closed", "peer=%s reason=%s",
 		  log_quote(conn->remote.incarnation), log_quote(reason));
 	peer_conn_down(peer, conn);
-	conn_release(conn);
-	dial_lost(peer, dial, was_up);
+	peer_conn_release(conn);
+	peer_dial_lost(peer, dial, was_up);
 }
 
 static void close_bad(conn_t *conn, const char *reason)
 {
 	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_FRAMES_BAD, 1);
-	conn_close(conn, reason);
+	peer_conn_close(conn, reason);
 }
 
 /* Gives the memory of a buffer back when one large frame has passed. */
@@ -59,7 +59,7 @@
 	*buffer = g_byte_array_new();
 }
 
-void conn_flush(conn_t *conn)
+void peer_conn_flush(conn_t *conn)
 {
 	GError *error = NULL;
 	gssize n;
@@ -92,7 +92,7 @@
 	(void)socket;
 	/* The reading side closes a lost connection after its last frames. */
 	if ((condition & (G_IO_ERR | G_IO_HUP)) == 0) {
-		conn_flush(conn);
+		peer_conn_flush(conn);
 		if (conn->output->len > 0)
 			return G_SOURCE_CONTINUE;
 	}
@@ -101,10 +101,10 @@
 }
 
 /* Frames of one turn of the loop are written together from on_writable(). */
-bool conn_send(conn_t *conn, const uint8_t *data, size_t len)
+bool peer_conn_send(conn_t *conn, const uint8_t *data, size_t len)
 {
 	if (conn->output->len - conn->written + len > PEER_OUTPUT_MAX) {
-		conn_close(conn, "output buffer is full");
+		peer_conn_close(conn, "output buffer is full");
 		return false;
 	}
 	g_byte_array_append(conn->output, data, (guint)len);
@@ -127,19 +127,20 @@
 
 	g_byte_array_set_size(scratch, 0);
 	if (!peer_encode(frame, scratch, &conn->peer->err)) {
-		conn_close(conn, conn->peer->err.text);
+		peer_conn_close(conn, conn->peer->err.text);
 		return false;
 	}
-	return conn_send(conn, scratch->data, scratch->len);
+	return peer_conn_send(conn, scratch->data, scratch->len);
 }
 
 static void make_proof(const conn_t *conn, bool own, uint8_t *proof)
 {
 	bool dialled = !handle_is_none(conn->dial);
 
-	auth_proof(conn->peer->opts.key, own == dialled,
-		   dialled ? conn->hello_sent : conn->hello_received,
-		   dialled ? conn->hello_received : conn->hello_sent, proof);
+	peer_auth_proof(conn->peer->opts.key, own == dialled,
+			dialled ? conn->hello_sent : conn->hello_received,
+			dialled ? conn->hello_received : conn->hello_sent,
+			proof);
 }
 
 static bool got_hello(conn_t *conn, const peer_frame_t *hello,
@@ -153,7 +154,7 @@
 		   conn->peer->opts.self.incarnation) == 0) {
 		if (dial != NULL)
 			dial->own_address = true;
-		conn_close(conn, "the address is our own");
+		peer_conn_close(conn, "the address is our own");
 		return false;
 	}
 	if (conn->remote.incarnation[0] == '\0') {
@@ -162,7 +163,7 @@
 	}
 	if (dial != NULL && dial->incarnation[0] != '\0' &&
 	    strcmp(dial->incarnation, conn->remote.incarnation) != 0) {
-		conn_close(conn, "another incarnation has the address");
+		peer_conn_close(conn, "another incarnation has the address");
 		return false;
 	}
 	g_byte_array_append(conn->hello_received, data, (guint)len);
@@ -178,11 +179,11 @@
 	uint8_t expected[PEER_PROOF_SIZE];
 
 	make_proof(conn, false, expected);
-	if (!auth_equal(expected, frame->u.proof, sizeof(expected))) {
+	if (!peer_auth_equal(expected, frame->u.proof, sizeof(expected))) {
 		metrics_add(peer->kernel->metrics, COUNTER_PEER_AUTH_FAILED, 1);
 		log_event(LOG_LEVEL_WARN, "peer", "auth_failed", "claimed=%s",
 			  log_quote(conn->remote.name));
-		conn_close(conn, "authentication failed");
+		peer_conn_close(conn, "authentication failed");
 		return false;
 	}
 	conn->state = CONN_UP;
@@ -280,8 +281,8 @@
 		return G_SOURCE_CONTINUE;
 	}
 	if (n <= 0) {
-		conn_close(conn,
-			   n == 0 ? "closed by the peer" : error->message);
+		peer_conn_close(conn,
+				n == 0 ? "closed by the peer" : error->message);
 		g_clear_error(&error);
 		return G_SOURCE_REMOVE;
 	}
@@ -297,15 +298,16 @@
 	peer_frame_t hello = {.kind = FRAME_HELLO};
 
 	hello.u.hello.self = conn->peer->opts.self;
-	if (!auth_nonce(hello.u.hello.nonce) ||
+	if (!peer_auth_nonce(hello.u.hello.nonce) ||
 	    !peer_encode(&hello, conn->hello_sent, &conn->peer->err)) {
-		conn_close(conn, "no hello could be made");
+		peer_conn_close(conn, "no hello could be made");
 		return false;
 	}
-	return conn_send(conn, conn->hello_sent->data, conn->hello_sent->len);
+	return peer_conn_send(conn, conn->hello_sent->data,
+			      conn->hello_sent->len);
 }
 
-void conn_open(peer_t *peer, GSocketConnection *stream, handle_t dial)
+void peer_conn_open(peer_t *peer, GSocketConnection *stream, handle_t dial)
 {
 	conn_t *conn;
 	handle_t self = table_add(&peer->conns, (void **)&conn);
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -52,29 +52,30 @@
 } dial_t;
 
 /* Takes over a connected stream and sends the hello. */
-void conn_open(peer_t *peer, GSocketConnection *stream, handle_t dial);
+void peer_conn_open(peer_t *peer, GSocketConnection *stream, handle_t dial);
 /* Appends an encoded frame; false when the connection was dropped. */
-bool conn_send(conn_t *conn, const uint8_t *data, size_t len);
+bool peer_conn_send(conn_t *conn, const uint8_t *data, size_t len);
 /* Writes what the socket takes now. */
-void conn_flush(conn_t *conn);
-void conn_close(conn_t *conn, const char *reason);
-void conn_release(conn_t *conn);
+void peer_conn_flush(conn_t *conn);
+void peer_conn_close(conn_t *conn, const char *reason);
+void peer_conn_release(conn_t *conn);
 
 /* HMAC-SHA-256 by the shared key over the prover's role and both hellos. */
-void auth_proof(const char *key, bool by_dialler, const GByteArray *dialler,
-		const GByteArray *listener, uint8_t proof[PEER_PROOF_SIZE]);
-bool auth_equal(const uint8_t *a, const uint8_t *b, size_t len);
-bool auth_nonce(uint8_t nonce[PEER_NONCE_SIZE]);
+void peer_auth_proof(const char *key, bool by_dialler,
+		     const GByteArray *dialler, const GByteArray *listener,
+		     uint8_t proof[PEER_PROOF_SIZE]);
+bool peer_auth_equal(const uint8_t *a, const uint8_t *b, size_t len);
+bool peer_auth_nonce(uint8_t nonce[PEER_NONCE_SIZE]);
 
-void dial_add(peer_t *peer, const char *incarnation, const char *host,
-	      uint16_t port);
-void dial_remove(peer_t *peer, const char *incarnation, const char *host,
-		 uint16_t port);
+void peer_dial_add(peer_t *peer, const char *incarnation, const char *host,
+		   uint16_t port);
+void peer_dial_remove(peer_t *peer, const char *incarnation, const char *host,
+		      uint16_t port);
 /* Starts every dial that is due. */
-void dial_all(peer_t *peer);
+void peer_dial_all(peer_t *peer);
 /* The connection of a dial has ended. */
-void dial_lost(peer_t *peer, handle_t dial, bool was_up);
-void dial_finish(peer_t *peer);
+void peer_dial_lost(peer_t *peer, handle_t dial, bool was_up);
+void peer_dial_finish(peer_t *peer);
 
 /* The handshake is done: keep this connection or the one in use. */
 void peer_conn_up(peer_t *peer, conn_t *conn);
--- a/peer/dial.c
+++ b/peer/dial.c
@@ -48,7 +48,7 @@
 	dial->calling = false;
 	g_clear_object(&dial->cancel);
 	if (stream != NULL)
-		conn_open(peer, stream, self);
+		peer_conn_open(peer, stream, self);
 	else
 		back_off(peer, dial);
 out:
@@ -89,7 +89,7 @@
 	return who[0] != '\0' && g_hash_table_contains(peer->up, who);
 }
 
-void dial_all(peer_t *peer)
+void peer_dial_all(peer_t *peer)
 {
 	int64_t now = kernel_now(peer->kernel);
 	uint32_t cursor = 0;
@@ -110,7 +110,7 @@
 }
 
 /* A connection that had worked is dialled again at once. */
-void dial_lost(peer_t *peer, handle_t self, bool was_up)
+void peer_dial_lost(peer_t *peer, handle_t self, bool was_up)
 {
 	dial_t *dial = table_get(&peer->dials, self);
 
@@ -140,8 +140,8 @@
 	return NULL;
 }
 
-void dial_add(peer_t *peer, const char *incarnation, const char *host,
-	      uint16_t port)
+void peer_dial_add(peer_t *peer, const char *incarnation, const char *host,
+		   uint16_t port)
 {
 	dial_t *dial = find(peer, incarnation, host, port);
 	handle_t self;
@@ -156,7 +156,7 @@
 	}
 	g_strlcpy(dial->host, host, sizeof(dial->host));
 	dial->port = port;
-	dial_all(peer);
+	peer_dial_all(peer);
 }
 
 static void remove_dial(peer_t *peer, dial_t *dial)
@@ -168,8 +168,8 @@
 	table_remove(&peer->dials, dial->self);
 }
 
-void dial_remove(peer_t *peer, const char *incarnation, const char *host,
-		 uint16_t port)
+void peer_dial_remove(peer_t *peer, const char *incarnation, const char *host,
+		      uint16_t port)
 {
 	dial_t *dial = find(peer, incarnation, host, port);
 	conn_t *conn;
@@ -179,10 +179,10 @@
 	conn = table_get(&peer->conns, dial->conn);
 	remove_dial(peer, dial);
 	if (conn != NULL)
-		conn_close(conn, "not wanted any more");
+		peer_conn_close(conn, "not wanted any more");
 }
 
-void dial_finish(peer_t *peer)
+void peer_dial_finish(peer_t *peer)
 {
 	uint32_t cursor = 0;
 	dial_t *dial;
--- a/peer/fields.c
+++ b/peer/fields.c
@@ -14,7 +14,8 @@
 	return g_utf8_validate(text, (gssize)len, NULL);
 }
 
-bool field_pack_text(msgpack_packer *packer, const char *text, errmsg_t *err)
+bool peer_field_pack_text(msgpack_packer *packer, const char *text,
+			  errmsg_t *err)
 {
 	size_t len = strlen(text);
 
@@ -27,8 +28,8 @@
 	return true;
 }
 
-bool field_parse_text(const msgpack_object *object, char *to, size_t size,
-		      const char *what, errmsg_t *err)
+bool peer_field_parse_text(const msgpack_object *object, char *to, size_t size,
+			   const char *what, errmsg_t *err)
 {
 	if (object->type != MSGPACK_OBJECT_STR) {
 		errmsg_set(err, "%s is not a string", what);
@@ -47,8 +48,8 @@
 	return true;
 }
 
-bool field_parse_uint(const msgpack_object *object, uint64_t limit,
-		      uint64_t *to, const char *what, errmsg_t *err)
+bool peer_field_parse_uint(const msgpack_object *object, uint64_t limit,
+			   uint64_t *to, const char *what, errmsg_t *err)
 {
 	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
 		errmsg_set(err, "%s is not an unsigned integer", what);
@@ -65,7 +66,7 @@
 static bool pack_op(msgpack_packer *packer, const op_id_t *op, errmsg_t *err)
 {
 	msgpack_pack_array(packer, 2);
-	if (!field_pack_text(packer, op->writer, err))
+	if (!peer_field_pack_text(packer, op->writer, err))
 		return false;
 	msgpack_pack_uint64(packer, op->seq);
 	return true;
@@ -81,9 +82,10 @@
 		return false;
 	}
 	items = object->via.array.ptr;
-	return field_parse_text(&items[0], op->writer, sizeof(op->writer),
-				"writer", err) &&
-	       field_parse_uint(&items[1], UINT64_MAX, &op->seq, "seq", err);
+	return peer_field_parse_text(&items[0], op->writer, sizeof(op->writer),
+				     "writer", err) &&
+	       peer_field_parse_uint(&items[1], UINT64_MAX, &op->seq, "seq",
+				     err);
 }
 
 static bool pack_field(msgpack_packer *packer, const field_t *field,
@@ -116,7 +118,7 @@
 		msgpack_pack_int64(packer, *(const int64_t *)at);
 		return true;
 	case FIELD_TEXT:
-		return field_pack_text(packer, at, err);
+		return peer_field_pack_text(packer, at, err);
 	case FIELD_OP:
 		return pack_op(packer, (const op_id_t *)at, err);
 	}
@@ -145,13 +147,14 @@
 	case FIELD_BOOL:
 		return parse_bool(object, (bool *)at, field->key, err);
 	case FIELD_TEXT:
-		return field_parse_text(object, at, limit, field->key, err);
+		return peer_field_parse_text(object, at, limit, field->key,
+					     err);
 	case FIELD_OP:
 		return parse_op(object, (op_id_t *)at, err);
 	default:
 		break;
 	}
-	if (!field_parse_uint(object, limit, &value, field->key, err))
+	if (!peer_field_parse_uint(object, limit, &value, field->key, err))
 		return false;
 	switch (field->type) {
 	case FIELD_U16:
@@ -170,8 +173,8 @@
 	return true;
 }
 
-bool fields_pack(msgpack_packer *packer, fields_t fields, const void *from,
-		 errmsg_t *err)
+bool peer_fields_pack(msgpack_packer *packer, fields_t fields, const void *from,
+		      errmsg_t *err)
 {
 	for (uint32_t i = 0; i < fields.count; i++) {
 		if (!pack_field(packer, &fields.fields[i], from, err))
@@ -180,8 +183,8 @@
 	return true;
 }
 
-bool fields_parse(const msgpack_object *objects, fields_t fields, void *to,
-		  errmsg_t *err)
+bool peer_fields_parse(const msgpack_object *objects, fields_t fields, void *to,
+		       errmsg_t *err)
 {
 	for (uint32_t i = 0; i < fields.count; i++) {
 		if (!parse_field(&objects[i], &fields.fields[i], to, err))
--- a/peer/fields.h
+++ b/peer/fields.h
@@ -43,24 +43,25 @@
 #define FIELDS_OF(array) ((fields_t){array, G_N_ELEMENTS(array)})
 
 /* Packs the values only; the caller has opened the array. */
-bool fields_pack(msgpack_packer *packer, fields_t fields, const void *from,
-		 errmsg_t *err);
+bool peer_fields_pack(msgpack_packer *packer, fields_t fields, const void *from,
+		      errmsg_t *err);
 /* Reads fields.count values that start at objects. */
-bool fields_parse(const msgpack_object *objects, fields_t fields, void *to,
-		  errmsg_t *err);
+bool peer_fields_parse(const msgpack_object *objects, fields_t fields, void *to,
+		       errmsg_t *err);
 
-bool field_pack_text(msgpack_packer *packer, const char *text, errmsg_t *err);
-bool field_parse_text(const msgpack_object *object, char *to, size_t size,
-		      const char *what, errmsg_t *err);
-bool field_parse_uint(const msgpack_object *object, uint64_t limit,
-		      uint64_t *to, const char *what, errmsg_t *err);
+bool peer_field_pack_text(msgpack_packer *packer, const char *text,
+			  errmsg_t *err);
+bool peer_field_parse_text(const msgpack_object *object, char *to, size_t size,
+			   const char *what, errmsg_t *err);
+bool peer_field_parse_uint(const msgpack_object *object, uint64_t limit,
+			   uint64_t *to, const char *what, errmsg_t *err);
 
 /* Configuration records, [key, revision, record kind, map of the record]. */
-bool conf_item_is_packable(const store_kv_t *kv);
-bool conf_item_pack(msgpack_packer *packer, const store_kv_t *kv,
-		    errmsg_t *err);
-bool conf_item_parse(const msgpack_object *object, store_kv_t *kv,
-		     errmsg_t *err);
+bool peer_conf_item_is_packable(const store_kv_t *kv);
+bool peer_conf_item_pack(msgpack_packer *packer, const store_kv_t *kv,
+			 errmsg_t *err);
+bool peer_conf_item_parse(const msgpack_object *object, store_kv_t *kv,
+			  errmsg_t *err);
 
 G_END_DECLS
 
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -62,12 +62,12 @@
 		dial->backoff = 0;
 	}
 	if (used != NULL && !replaces(conn, used)) {
-		conn_close(conn, "another connection is in use");
+		peer_conn_close(conn, "another connection is in use");
 		return;
 	}
 	g_hash_table_replace(peer->up, conn->remote.incarnation, conn);
 	if (used != NULL) {
-		conn_close(used, "replaced by another connection");
+		peer_conn_close(used, "replaced by another connection");
 		return;
 	}
 	log_event(LOG_LEVEL_INFO, "peer", "up", "peer=%s name=%s dialled=%d",
@@ -128,8 +128,8 @@
 	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL) {
 		if (g_hash_table_lookup(peer->up, conn->remote.incarnation) ==
 		    conn)
-			conn_send(conn, peer->scratch->data,
-				  peer->scratch->len);
+			peer_conn_send(conn, peer->scratch->data,
+				       peer->scratch->len);
 	}
 }
 
@@ -151,7 +151,7 @@
 		return;
 	}
 	if (conn != NULL)
-		conn_send(conn, peer->scratch->data, peer->scratch->len);
+		peer_conn_send(conn, peer->scratch->data, peer->scratch->len);
 	else
 		send_to_all(peer);
 }
@@ -162,18 +162,18 @@
 
 	if (conn->state != CONN_UP) {
 		if (now - conn->opened >= HANDSHAKE_LIMIT)
-			conn_close(conn, "handshake took too long");
+			peer_conn_close(conn, "handshake took too long");
 		return;
 	}
 	if (now - conn->last_received >= SILENT_AFTER) {
-		conn_close(conn, "silent");
+		peer_conn_close(conn, "silent");
 		return;
 	}
 	if (now - conn->last_sent < PROBE_AFTER)
 		return;
 	g_byte_array_set_size(peer->scratch, 0);
 	if (peer_encode(&ping, peer->scratch, &peer->err))
-		conn_send(conn, peer->scratch->data, peer->scratch->len);
+		peer_conn_send(conn, peer->scratch->data, peer->scratch->len);
 }
 
 static void tick(peer_t *peer)
@@ -184,7 +184,7 @@
 
 	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL)
 		probe(peer, conn, now);
-	dial_all(peer);
+	peer_dial_all(peer);
 	kernel_timer(peer->kernel, peer->svc, TICK, HANDLE_NONE, TIMER_TICK);
 }
 
@@ -210,12 +210,12 @@
 		tick(peer);
 		break;
 	case MSG_PEER_CONNECT:
-		dial_add(peer, msg->u.peer_addr.incarnation,
-			 msg->u.peer_addr.host, msg->u.peer_addr.port);
+		peer_dial_add(peer, msg->u.peer_addr.incarnation,
+			      msg->u.peer_addr.host, msg->u.peer_addr.port);
 		break;
 	case MSG_PEER_DISCONNECT:
-		dial_remove(peer, msg->u.peer_addr.incarnation,
-			    msg->u.peer_addr.host, msg->u.peer_addr.port);
+		peer_dial_remove(peer, msg->u.peer_addr.incarnation,
+				 msg->u.peer_addr.host, msg->u.peer_addr.port);
 		break;
 	case MSG_PEER_SEND:
 		if (msg->u.peer.body != NULL)
@@ -243,7 +243,7 @@
 	if (table_count(&peer->conns) >= CONNS_MAX ||
 	    count_handshakes(peer) >= HANDSHAKES_MAX)
 		return TRUE;
-	conn_open(peer, stream, HANDLE_NONE);
+	peer_conn_open(peer, stream, HANDLE_NONE);
 	return TRUE;
 }
 
@@ -315,12 +315,12 @@
 	g_socket_service_stop(peer->listener);
 	g_socket_listener_close(G_SOCKET_LISTENER(peer->listener));
 	g_object_unref(peer->listener);
-	dial_finish(peer);
+	peer_dial_finish(peer);
 	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL) {
 		/* The farewell may still be queued. */
 		if (conn->state == CONN_UP && conn->output->len > 0)
-			conn_flush(conn);
-		conn_release(conn);
+			peer_conn_flush(conn);
+		peer_conn_release(conn);
 	}
 	g_object_unref(peer->client);
 	g_byte_array_unref(peer->scratch);
--- a/peer/records.c
+++ b/peer/records.c
@@ -132,7 +132,7 @@
 	       strcmp(key + strlen(prefix), name) == 0;
 }
 
-bool conf_item_is_packable(const store_kv_t *kv)
+bool peer_conf_item_is_packable(const store_kv_t *kv)
 {
 	return kv->revision > 0 && key_matches(kv->key, &kv->record);
 }
@@ -144,25 +144,26 @@
 		errmsg_set(err, "too many API keys");
 		return false;
 	}
-	if (!field_pack_text(packer, "keys", err))
+	if (!peer_field_pack_text(packer, "keys", err))
 		return false;
 	msgpack_pack_array(packer, account->key_count);
 	for (uint32_t i = 0; i < account->key_count; i++) {
 		msgpack_pack_array(packer, G_N_ELEMENTS(key_fields));
-		if (!fields_pack(packer, FIELDS_OF(key_fields),
-				 &account->keys[i], err))
+		if (!peer_fields_pack(packer, FIELDS_OF(key_fields),
+				      &account->keys[i], err))
 			return false;
 	}
 	return true;
 }
 
-bool conf_item_pack(msgpack_packer *packer, const store_kv_t *kv, errmsg_t *err)
+bool peer_conf_item_pack(msgpack_packer *packer, const store_kv_t *kv,
+			 errmsg_t *err)
 {
 	fields_t fields = record_fields(kv->record.kind);
 	bool keys = kv->record.kind == RECORD_CLIENT_ACCOUNT;
 
 	msgpack_pack_array(packer, 4);
-	if (!field_pack_text(packer, kv->key, err))
+	if (!peer_field_pack_text(packer, kv->key, err))
 		return false;
 	msgpack_pack_int64(packer, kv->revision);
 	msgpack_pack_uint64(packer, kv->record.kind);
@@ -170,8 +171,8 @@
 	for (uint32_t i = 0; i < fields.count; i++) {
 		fields_t one = {&fields.fields[i], 1};
 
-		if (!field_pack_text(packer, one.fields->key, err) ||
-		    !fields_pack(packer, one, &kv->record, err))
+		if (!peer_field_pack_text(packer, one.fields->key, err) ||
+		    !peer_fields_pack(packer, one, &kv->record, err))
 			return false;
 	}
 	return !keys || pack_keys(packer, &kv->record.u.client_account, err);
@@ -204,8 +205,9 @@
 			errmsg_set(err, "an API key is not a pair");
 			return false;
 		}
-		if (!fields_parse(key->via.array.ptr, FIELDS_OF(key_fields),
-				  &account->keys[i], err))
+		if (!peer_fields_parse(key->via.array.ptr,
+				       FIELDS_OF(key_fields), &account->keys[i],
+				       err))
 			return false;
 	}
 	return true;
@@ -231,15 +233,15 @@
 			errmsg_set(err, "field %s is missing", one.fields->key);
 			return false;
 		}
-		if (!fields_parse(&items[i].val, one, record, err))
+		if (!peer_fields_parse(&items[i].val, one, record, err))
 			return false;
 	}
 	return !keys ||
 	       parse_keys(&items[fields.count], &record->u.client_account, err);
 }
 
-bool conf_item_parse(const msgpack_object *object, store_kv_t *kv,
-		     errmsg_t *err)
+bool peer_conf_item_parse(const msgpack_object *object, store_kv_t *kv,
+			  errmsg_t *err)
 {
 	const msgpack_object *items;
 	uint64_t revision, kind;
@@ -250,18 +252,18 @@
 		return false;
 	}
 	items = object->via.array.ptr;
-	if (!field_parse_text(&items[0], kv->key, sizeof(kv->key), "key",
-			      err) ||
-	    !field_parse_uint(&items[1], INT64_MAX, &revision, "revision",
-			      err) ||
-	    !field_parse_uint(&items[2], RECORD_ALIVE, &kind, "record kind",
-			      err))
+	if (!peer_field_parse_text(&items[0], kv->key, sizeof(kv->key), "key",
+				   err) ||
+	    !peer_field_parse_uint(&items[1], INT64_MAX, &revision, "revision",
+				   err) ||
+	    !peer_field_parse_uint(&items[2], RECORD_ALIVE, &kind,
+				   "record kind", err))
 		return false;
 	kv->revision = (int64_t)revision;
 	kv->record.kind = (record_kind_t)kind;
 	if (!parse_record(&items[3], &kv->record, err))
 		return false;
-	if (!conf_item_is_packable(kv)) {
+	if (!peer_conf_item_is_packable(kv)) {
 		errmsg_set(err, "record does not belong under its key");
 		return false;
 	}
--- /dev/null
+++ b/tests/member_prove.cc
@@ -0,0 +1,114 @@
+// Property test of membership: random crashes, pauses past the lease,
+// partitions, store outages and lost answers.
+#include "tests/member_world.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+void fault(MemberWorld &world)
+{
+	MemberNode *node = world.routers[world.rng.below(5)].get();
+	int64_t length = world.rng.ms(500, 25000);
+
+	switch (world.rng.below(7)) {
+	case 0:
+		node->crash();
+		world.at(length, [=]() { node->start(); });
+		break;
+	case 1:
+	case 2:
+		node->paused_until = world.now + length;
+		break;
+	case 3:
+		for (auto &other : world.routers)
+			other->part = other->zone == node->zone;
+		break;
+	case 4:
+		node->store_cut = true;
+		world.at(length, [=]() { node->store_cut = false; });
+		break;
+	case 5:
+		world.store_down = true;
+		world.at(length, [&world]() { world.store_down = false; });
+		break;
+	default:
+		world.lose_percent = 30;
+		/* A buddy's ledger has recovered a router in the meantime. */
+		world.at(length, [&world]() {
+			world.lose_percent = 0;
+			for (auto &other : world.routers)
+				for (auto &gone : other->gone_copied)
+					if (!world.has("alive/" + gone)) {
+						world.revision++;
+						world.erase("member/" + gone);
+					}
+		});
+		break;
+	}
+}
+
+// Checks at each message what tests/member_world.h says, and in tally 0: when
+// all is well again, every router is registered, protected and seen, and
+// every record without its router is reported to the buddy that it names.
+Tally schedule(uint64_t seed, int steps)
+{
+	MemberWorld world(seed, {"z1", "z1", "z1", "z2", "z2"});
+
+	world.run(10 * SEC);
+	for (int i = 0; i < steps; i++) {
+		fault(world);
+		world.run(world.now + world.rng.ms(200, 12000));
+		for (auto &node : world.routers)
+			if (world.rng.percent(20))
+				node->part = 0;
+	}
+	world.run(world.now + 26 * SEC);
+	for (auto &node : world.routers) {
+		node->part = 0;
+		node->paused_until = 0;
+		node->start();
+	}
+	world.run(world.now + 60 * SEC);
+	for (auto &node : world.routers) {
+		auto &gauges = node->kernel.metrics->gauges;
+
+		world.check(0, world.has(node->key("alive/")));
+		world.check(0, world.has(node->key("member/")));
+		world.check(0, node->valid_until > world.now);
+		world.check(0, world.find(node->buddy) != nullptr);
+		world.check(0, gauges[GAUGE_MEMBERS_ALIVE] == 5);
+	}
+	for (auto &value : world.values) {
+		if (value.first.rfind("member/", 0) != 0)
+			continue;
+		MemberNode *buddy =
+			world.find(value.second.record.u.member.buddy);
+		std::string name = value.first.substr(7);
+		if (world.find(name) == nullptr && buddy != nullptr)
+			world.check(0, buddy->gone_copied.count(name) != 0);
+	}
+	return world.tally;
+}
+
+TEST(ProveMember, HoldsUnderFaults)
+{
+	Tally end;
+	Tally sum = prove("member", {1, 2}, 1, 150, 12,
+			  [&](uint64_t seed, int steps) {
+				  Tally one = schedule(seed, steps);
+				  end.checks[0] += one.checks[0];
+				  end.violations[0] += one.violations[0];
+				  return one;
+			  });
+
+	for (int p = 1; p <= 2; p++) {
+		EXPECT_GT(sum.checks[p], 0u);
+		EXPECT_EQ(sum.violations[p], 0u) << "promise " << p;
+	}
+	EXPECT_GT(end.checks[0], 0u);
+	EXPECT_EQ(end.violations[0], 0u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/member_test.cc
@@ -0,0 +1,192 @@
+// Guards membership: the lease, the view, the buddy and the reports of
+// routers whose lease has expired.
+#include "tests/member_world.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const std::vector<std::string> five = {"z1", "z1", "z1", "z2", "z2"};
+
+// A partitioned zone keeps its whole slices only with a buddy inside it.
+TEST(Member, BuddyIsInTheOwnZoneAndCommittedFirst)
+{
+	MemberWorld world(1, five);
+
+	world.run(12 * SEC);
+	for (auto &node : world.routers) {
+		MemberNode *buddy = world.find(node->buddy);
+
+		ASSERT_NE(buddy, nullptr) << "router " << node->index;
+		EXPECT_EQ(buddy->zone, node->zone);
+		EXPECT_NE(buddy, node.get());
+		EXPECT_EQ(node->kernel.metrics->gauges[GAUGE_MEMBERS_ALIVE], 5);
+		EXPECT_EQ(node->kernel.metrics->gauges[GAUGE_PEERS], 4);
+		EXPECT_GT(node->valid_until, world.now);
+	}
+	EXPECT_GT(world.tally.checks[2], 0u);
+	EXPECT_EQ(world.tally.violations[2], 0u);
+}
+
+// Without the report the tokens of a crashed router would stay granted.
+TEST(Member, CrashIsReportedToTheBuddyWithinABound)
+{
+	MemberWorld world(2, five);
+
+	world.run(12 * SEC);
+	std::string dead = world[0].incarnation, buddy = world[0].buddy;
+	world[0].crash();
+	world.run(world.now + 20 * SEC); /* lease 10, grace 3, and rounding */
+	MemberNode *holder = world.find(buddy);
+	ASSERT_NE(holder, nullptr);
+	EXPECT_TRUE(holder->gone_copied.count(dead));
+	int64_t reports = holder->gone[dead];
+	world.run(world.now + 12 * SEC);
+	EXPECT_GT(holder->gone[dead], reports); /* repeated until removed */
+	world.revision++;
+	world.erase("member/" + dead);
+	world.run(world.now + SEC);
+	reports = holder->gone[dead];
+	world.run(world.now + 12 * SEC);
+	EXPECT_EQ(holder->gone[dead], reports);
+	EXPECT_EQ(world.tally.violations[1], 0u);
+}
+
+// Whoever had the dead router as its buddy must stop to count on its copies.
+TEST(Member, BuddyThatDiesIsReplaced)
+{
+	MemberWorld world(3, five);
+
+	world.run(12 * SEC);
+	std::string old = world[1].buddy;
+	world.find(old)->crash();
+	world.run(world.now + 7 * SEC);
+	EXPECT_NE(world[1].buddy, old);
+	world.run(world.now + 5 * SEC);
+	ASSERT_NE(world.find(world[1].buddy), nullptr);
+	EXPECT_EQ(world.tally.violations[2], 0u);
+}
+
+// The new buddy can't be named while the store is out: none must be used.
+TEST(Member, NoNewBuddyWithoutTheStore)
+{
+	MemberWorld world(4, five);
+
+	world.run(12 * SEC);
+	std::string old = world[1].buddy;
+	world.store_down = true;
+	world.find(old)->crash();
+	world.run(world.now + 30 * SEC);
+	EXPECT_EQ(world[1].buddy, "");
+	EXPECT_LT(world[1].valid_until, world.now);
+	EXPECT_TRUE(world[1].gone.empty());
+	world.store_down = false;
+	world.run(world.now + 20 * SEC);
+	EXPECT_NE(world.find(world[1].buddy), nullptr);
+	EXPECT_GT(world[1].valid_until, world.now);
+	EXPECT_EQ(world.tally.violations[2], 0u);
+}
+
+// A router that only lost its lease must be seen again, under a new one; one
+// whose grants were recovered must write its record afresh.
+TEST(Member, ReturnsAfterALostLeaseAndAfterRecovery)
+{
+	MemberWorld world(5, five);
+
+	world.run(12 * SEC);
+	std::string name = world[0].incarnation;
+	int64_t before = world.values["member/" + name].revision;
+	world[0].paused_until = world.now + 15 * SEC;
+	world.run(world.now + 12 * SEC);
+	EXPECT_FALSE(world.has("alive/" + name));
+	world.run(world.now + 6 * SEC);
+	EXPECT_TRUE(world.has("alive/" + name));
+	EXPECT_GT(world[0].valid_until, world.now);
+	EXPECT_EQ(world.values["member/" + name].revision, before);
+
+	world[0].paused_until = world.now + 25 * SEC;
+	world.run(world.now + 22 * SEC);
+	EXPECT_TRUE(world.has("member/" + name));
+	world.revision++;
+	world.erase("member/" + name); /* as the buddy's ledger does */
+	world.run(world.now + 20 * SEC);
+	EXPECT_TRUE(world.has("alive/" + name));
+	EXPECT_GT(world.values["member/" + name].revision, before);
+	EXPECT_NE(world[0].buddy, "");
+}
+
+// A planned stop must leave no trace that others would have to clean up.
+TEST(Member, StopRemovesItsRecords)
+{
+	MemberWorld world(6, five);
+
+	world.run(12 * SEC);
+	std::string name = world[0].incarnation;
+	world[0].stop();
+	world.run(world.now + SEC);
+	EXPECT_TRUE(world[0].stopped);
+	EXPECT_FALSE(world.has("member/" + name));
+	EXPECT_FALSE(world.has("alive/" + name));
+	for (size_t i = 1; i < 5; i++)
+		EXPECT_NE(world[i].buddy, name);
+	world[1].store_cut = true;
+	world[1].stop();
+	world.run(world.now + 4 * SEC);
+	EXPECT_FALSE(world[1].stopped);
+	world.run(world.now + 3 * SEC);
+	EXPECT_TRUE(world[1].stopped); /* the wait is bounded */
+}
+
+// Tokens withheld from recovery are freed only on the platform's word, and
+// neither a list without routers nor an outage of the list is its word.
+TEST(Member, InstanceIsGoneOnlyWhenTheListSaysSo)
+{
+	MemberWorld world(7, {"z1", "z1", "z1"});
+	std::vector<MemberNode *> listed;
+
+	auto run = [&](int seconds) {
+		for (int i = 0; i < seconds; i++) {
+			for (auto &node : world.routers)
+				if (node->up && !listed.empty())
+					node->list_instances(listed);
+			world.run(world.now + SEC);
+		}
+	};
+	run(12);
+	std::string dead = world[0].incarnation;
+	world[0].crash();
+	run(60); /* no answers */
+	EXPECT_GT(world[1].gone[dead], 0);
+	EXPECT_TRUE(world[1].gone_instance.empty());
+	listed = {&world[0]};
+	run(60); /* the list does not hold ourselves */
+	EXPECT_TRUE(world[1].gone_instance.empty());
+	listed = {&world[0], &world[1], &world[2]};
+	run(60); /* the list lags */
+	EXPECT_TRUE(world[1].gone_instance.empty());
+	listed = {&world[1], &world[2]};
+	run(45);
+	EXPECT_TRUE(world[1].gone_instance.count(dead));
+}
+
+// At the size of two years a router must not talk to everyone.
+TEST(Member, LargeFleetUsesFewNeighbours)
+{
+	std::vector<std::string> zones;
+
+	for (int i = 0; i < 60; i++)
+		zones.push_back("z" + std::to_string(i % 7));
+	MemberWorld world(8, zones);
+	world.run(30 * SEC);
+	for (auto &node : world.routers) {
+		EXPECT_LE(node->wanted.size(), (size_t)MEMBER_NEIGHBOURS);
+		EXPECT_EQ(node->kernel.metrics->gauges[GAUGE_MEMBERS_ALIVE],
+			  60);
+		ASSERT_NE(world.find(node->buddy), nullptr);
+		EXPECT_EQ(world.find(node->buddy)->zone, node->zone);
+	}
+	EXPECT_EQ(world.tally.violations[1] + world.tally.violations[2], 0u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/member_world.h
@@ -0,0 +1,478 @@
+// World of the member tests: routers under one virtual clock with a shared
+// store that has leases and watches, and connections that can be cut.
+#ifndef TESTS_MEMBER_WORLD_H
+#define TESTS_MEMBER_WORLD_H
+
+#include "member/member.h"
+#include "tests/prove_world.h"
+
+#include <cstring>
+#include <set>
+
+constexpr int64_t SEC = USEC_PER_SEC;
+
+struct MemberWorld;
+
+struct MemberNode : Node {
+	MemberWorld *fleet;
+	int index;
+	std::string zone, buddy;
+	int part = 0; // routers in different parts don't reach each other
+	bool store_cut = false;
+	member_t member;
+	std::vector<std::string> watches;
+	std::set<int> links; // routers with a connection
+	std::set<std::string> wanted;
+	std::map<std::string, int64_t> gone; // -> number of reports
+	std::set<std::string> gone_copied, gone_instance;
+	int64_t valid_until = 0;
+	int renewals = 0, buddies = 0;
+	bool stopped = false;
+
+	void boot() override;
+	void shut() override
+	{
+		member_finish(&member);
+		links.clear();
+		watches.clear();
+		wanted.clear();
+	}
+	static void store_recv(void *self, msg_t *msg);
+	static void peer_recv(void *self, msg_t *msg);
+	static void ledger_recv(void *self, msg_t *msg);
+	static void other_recv(void *self, msg_t *msg)
+	{
+		if (msg->kind == MSG_STOPPED)
+			static_cast<MemberNode *>(self)->stopped = true;
+	}
+	void post_peer(msg_kind_t kind, MemberNode *other);
+	void list_instances(const std::vector<MemberNode *> &nodes);
+	std::string key(const char *prefix) const
+	{
+		return std::string(prefix) + incarnation;
+	}
+	void stop()
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STOP;
+		later(0, HANDLE_NONE, member.svc, msg);
+	}
+};
+
+struct MemberWorld : World {
+	struct Lease {
+		int64_t ttl, until;
+		std::set<std::string> keys;
+	};
+	std::map<int64_t, Lease> leases;
+	std::vector<std::unique_ptr<MemberNode>> routers;
+	std::vector<std::pair<int64_t, std::string>> changes;
+	bool over = false;
+	uint64_t lose_percent = 0; // of the store's answers
+
+	// Routers in the given zones, one for each.
+	MemberWorld(uint64_t seed, const std::vector<std::string> &zones)
+	    : World(seed)
+	{
+		for (size_t i = 0; i < zones.size(); i++) {
+			routers.push_back(std::make_unique<MemberNode>());
+			MemberNode *node = routers.back().get();
+			node->world = this;
+			node->fleet = this;
+			node->index = (int)i;
+			node->zone = zones[i];
+			nodes.push_back(node);
+		}
+		for (auto &node : routers)
+			node->start();
+		connect_step();
+		lease_step();
+	}
+	~MemberWorld()
+	{
+		for (auto &node : routers)
+			node->crash();
+		over = true;
+		World::run(now + 60 * SEC); /* releases messages under way */
+	}
+	MemberNode &operator[](size_t i)
+	{
+		return *routers[i];
+	}
+	MemberNode *find(const std::string &incarnation)
+	{
+		for (auto &node : routers)
+			if (node->up && incarnation == node->incarnation)
+				return node.get();
+		return nullptr;
+	}
+	bool has(const std::string &key) const
+	{
+		return values.count(key) != 0;
+	}
+	bool reach(const MemberNode *a, const MemberNode *b) const
+	{
+		return a->up && b->up && a->part == b->part;
+	}
+	bool store_out(const MemberNode *node) const
+	{
+		return store_down || node->store_cut;
+	}
+	void check(int promise, bool holds)
+	{
+		tally.checks[promise]++;
+		tally.violations[promise] += !holds;
+	}
+	// Connections come at once and are noticed as lost after 3 s.
+	void connect_step()
+	{
+		for (auto &a : routers)
+			for (auto &b : routers)
+				if (a != b && reach(a.get(), b.get()) &&
+				    !a->links.count(b->index) &&
+				    (a->wanted.count(b->incarnation) ||
+				     b->links.count(a->index) ||
+				     b->wanted.count(a->incarnation))) {
+					a->links.insert(b->index);
+					a->post_peer(MSG_PEER_UP, b.get());
+				}
+		for (auto &a : routers)
+			for (int i : std::set<int>(a->links))
+				if (!reach(a.get(), routers[i].get()))
+					drop(a.get(), routers[i].get());
+		if (!over)
+			at(50 * MS, [this]() { connect_step(); });
+	}
+	void drop(MemberNode *a, MemberNode *b)
+	{
+		std::string other = b->incarnation;
+		int epoch = a->epoch;
+
+		a->links.erase(b->index);
+		at(3 * SEC, [=]() {
+			if (a->epoch == epoch && !(a->links.count(b->index) &&
+						   other == b->incarnation)) {
+				msg_t msg = {};
+				msg.kind = MSG_PEER_DOWN;
+				g_strlcpy(msg.u.peer_addr.incarnation,
+					  other.c_str(), INCARNATION_SIZE);
+				kernel_post(&a->kernel, HANDLE_NONE,
+					    a->member.svc, &msg);
+			}
+		});
+	}
+	void lease_step()
+	{
+		for (auto it = leases.begin(); !store_down;) {
+			it = std::find_if(
+				leases.begin(), leases.end(),
+				[&](auto &l) { return l.second.until <= now; });
+			if (it == leases.end())
+				break;
+			end_lease(it->first);
+		}
+		if (!over)
+			at(100 * MS, [this]() { lease_step(); });
+	}
+	void end_lease(int64_t id)
+	{
+		std::set<std::string> keys = leases[id].keys;
+
+		leases.erase(id);
+		for (const std::string &key : keys) {
+			revision++;
+			erase(key);
+		}
+	}
+	void erase(const std::string &key)
+	{
+		auto found = values.find(key);
+
+		if (found == values.end())
+			return;
+		record_clear(&found->second.record);
+		values.erase(found);
+		for (auto &lease : leases)
+			lease.second.keys.erase(key);
+		notify(key);
+	}
+	void notify(const std::string &key)
+	{
+		changes.emplace_back(revision, key);
+		for (auto &node : routers)
+			for (const std::string &prefix : node->watches)
+				if (node->up && key.rfind(prefix, 0) == 0)
+					notify_one(node.get(), key, revision,
+						   node->epoch);
+	}
+	// A watch catches up when the store can be reached again.
+	void notify_one(MemberNode *node, const std::string &key, int64_t rev,
+			int epoch)
+	{
+		auto found = values.find(key);
+		msg_t msg = {};
+
+		if (node->epoch != epoch)
+			return;
+		if (store_out(node)) {
+			at(200 * MS,
+			   [=]() { notify_one(node, key, revision, epoch); });
+			return;
+		}
+		msg.kind = MSG_STORE_EVENT;
+		msg.u.store_result = store_result_new(STORE_OK);
+		msg.u.store_result->revision = rev;
+		if (found != values.end())
+			store_result_add(msg.u.store_result, 0, key.c_str(),
+					 found->second.revision,
+					 &found->second.record);
+		else
+			store_result_add(msg.u.store_result, 0, key.c_str(), 0,
+					 nullptr);
+		node->later(0, HANDLE_NONE, node->member.svc, msg);
+	}
+	void write(const store_op_t &op)
+	{
+		for (auto &lease : leases)
+			lease.second.keys.erase(op.key);
+		if (op.kind == STORE_DELETE) {
+			erase(op.key);
+		} else if (op.kind == STORE_PUT) {
+			put(op);
+			if (op.lease != 0)
+				leases[op.lease].keys.insert(op.key);
+			notify(op.key);
+		}
+	}
+	store_result_t *txn(const store_txn_t *txn)
+	{
+		store_result_t *result = store_result_new(STORE_OK);
+		bool holds = true;
+
+		for (guint i = 0; i < txn->ops->len; i++) {
+			auto &op = g_array_index(txn->ops, store_op_t, i);
+			auto found = values.find(op.key);
+			bool has = found != values.end();
+			int64_t rev = has ? found->second.revision : 0;
+
+			holds = holds &&
+				(op.expect == EXPECT_ANY || op.expect == rev) &&
+				(op.lease == 0 || leases.count(op.lease));
+			store_result_add(result, 0, op.key, rev,
+					 has ? &found->second.record : nullptr);
+		}
+		revision += holds;
+		for (guint i = 0; holds && i < txn->ops->len; i++)
+			write(g_array_index(txn->ops, store_op_t, i));
+		if (holds)
+			g_array_set_size(result->kvs, 0);
+		g_array_append_val(result->committed, holds);
+		result->revision = revision;
+		return result;
+	}
+	store_result_t *list(const std::string &prefix)
+	{
+		store_result_t *result = store_result_new(STORE_OK);
+
+		for (auto &value : values)
+			if (value.first.rfind(prefix, 0) == 0)
+				store_result_add(result, 0, value.first.c_str(),
+						 value.second.revision,
+						 &value.second.record);
+		result->revision = revision;
+		return result;
+	}
+	store_result_t *lease_call(const msg_t *msg)
+	{
+		store_result_t *result = store_result_new(STORE_OK);
+		int64_t id = msg->u.store_lease.lease;
+		int64_t ttl = msg->u.store_lease.ttl_s;
+
+		if (msg->kind == MSG_STORE_LEASE) {
+			id = 1000 + (int64_t)++seq;
+			leases[id] = {ttl, now + ttl * SEC, {}};
+		} else if (msg->kind == MSG_STORE_REVOKE && leases.count(id)) {
+			end_lease(id);
+		} else if (leases.count(id)) {
+			leases[id].until = now + leases[id].ttl * SEC;
+		}
+		result->lease = id;
+		result->lease_ttl_s =
+			leases.count(id) ? (int32_t)leases[id].ttl : 0;
+		result->revision = revision;
+		return result;
+	}
+	// The call takes effect before or after its answer is known or lost.
+	void call(MemberNode *node, msg_t *msg)
+	{
+		bool lost = rng.percent(lose_percent);
+
+		calls++;
+		if (store_out(node)) {
+			reply(node, msg->from, *msg, rng.ms(1, 2000),
+			      store_result_new(rng.percent(50)
+						       ? STORE_UNAVAILABLE
+						       : STORE_UNKNOWN));
+			return;
+		}
+		store_result_t *result = msg->kind == MSG_STORE_TXN
+						 ? txn(msg->u.store_txn)
+					 : msg->kind == MSG_STORE_GET
+						 ? list(msg->u.store_get.key)
+						 : lease_call(msg);
+		if (lost) {
+			store_result_free(result);
+			result = store_result_new(STORE_UNKNOWN);
+		}
+		reply(node, msg->from, *msg, rng.ms(0, 5), result);
+	}
+};
+
+inline void MemberNode::boot()
+{
+	member_opts_t opts = {};
+
+	links.clear();
+	gone.clear();
+	gone_copied.clear();
+	gone_instance.clear();
+	buddy.clear();
+	stopped = false;
+	valid_until = 0;
+	fake("store", store_recv);
+	fake("peer", peer_recv);
+	fake("ledger", ledger_recv);
+	fake("router", other_recv);
+	fake("conf", other_recv);
+	fake("claims", other_recv);
+	g_strlcpy(opts.self.incarnation, incarnation, INCARNATION_SIZE);
+	g_snprintf(opts.self.name, NAME_SIZE, "r%d", index);
+	g_strlcpy(opts.self.availability_zone, zone.c_str(), NAME_SIZE);
+	g_strlcpy(opts.self.host, "127.0.0.1", HOST_SIZE);
+	opts.self.peer_port = (uint16_t)(7000 + index);
+	member_init(&member, &kernel, &opts);
+}
+
+inline void MemberNode::store_recv(void *self, msg_t *msg)
+{
+	auto *node = static_cast<MemberNode *>(self);
+
+	if (msg->kind == MSG_STORE_WATCH) {
+		std::string prefix = msg->u.store_get.key;
+
+		node->watches.push_back(prefix);
+		for (auto &change : node->fleet->changes)
+			if (change.first >= msg->u.store_get.min_revision &&
+			    change.second.rfind(prefix, 0) == 0)
+				node->fleet->notify_one(node, change.second,
+							node->fleet->revision,
+							node->epoch);
+	} else if (msg->kind >= MSG_STORE_GET && msg->kind <= MSG_STORE_REVOKE)
+		node->fleet->call(node, msg);
+}
+
+inline void MemberNode::peer_recv(void *self, msg_t *msg)
+{
+	auto *node = static_cast<MemberNode *>(self);
+
+	if (msg->kind == MSG_PEER_CONNECT)
+		node->wanted.insert(msg->u.peer_addr.incarnation);
+	if (msg->kind == MSG_PEER_DISCONNECT)
+		node->wanted.erase(msg->u.peer_addr.incarnation);
+	if (msg->kind != MSG_PEER_SEND)
+		return;
+	for (int i : node->links) {
+		MemberNode *to = node->fleet->routers[i].get();
+		const char *name = msg->u.peer.incarnation;
+		peer_body_t *body = msg->u.peer.body;
+		msg_t out = {};
+
+		if (!node->fleet->reach(node, to) ||
+		    (name[0] != '\0' && strcmp(name, to->incarnation) != 0))
+			continue;
+		out.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(out.u.peer.incarnation, node->incarnation,
+			  INCARNATION_SIZE);
+		out.u.peer.body = peer_body_new(body->kind);
+		if (body->kind == PEER_HEARTBEAT) {
+			auto &heartbeat = out.u.peer.body->u.heartbeat;
+			GArray *members = heartbeat.members;
+
+			heartbeat = body->u.heartbeat;
+			heartbeat.members = members;
+			g_array_append_vals(members,
+					    body->u.heartbeat.members->data,
+					    body->u.heartbeat.members->len);
+		}
+		to->later(MS, HANDLE_NONE, to->member.svc, out);
+	}
+}
+
+// For promise 1, no router whose alive record is present is reported gone and
+// no lease is taken for longer than the store keeps it; for promise 2, the
+// ledger gets a buddy only when our record in the store names it.
+inline void MemberNode::ledger_recv(void *self, msg_t *msg)
+{
+	auto *node = static_cast<MemberNode *>(self);
+	MemberWorld *fleet = node->fleet;
+
+	if (msg->kind == MSG_MEMBER_GONE) {
+		std::string name = msg->u.gone.incarnation;
+
+		fleet->check(1, !fleet->has("alive/" + name));
+		node->gone[name]++;
+		if (msg->u.gone.copied_here)
+			node->gone_copied.insert(name);
+		if (msg->u.gone.instance_gone)
+			node->gone_instance.insert(name);
+	} else if (msg->kind == MSG_BUDDY_CHANGED) {
+		auto own = fleet->values.find(node->key("member/"));
+
+		node->buddy = msg->u.buddy.incarnation;
+		node->buddies++;
+		if (!node->buddy.empty())
+			fleet->check(2, own == fleet->values.end() ||
+						node->buddy ==
+							own->second.record.u
+								.member.buddy);
+	} else if (msg->kind == MSG_LEASE_RENEWED) {
+		auto lease = fleet->leases.find(msg->u.lease.lease);
+
+		node->renewals++;
+		node->valid_until = msg->u.lease.valid_until;
+		fleet->check(1, (lease != fleet->leases.end() &&
+				 node->valid_until < lease->second.until) ||
+					node->valid_until < fleet->now);
+	}
+}
+
+inline void MemberNode::post_peer(msg_kind_t kind, MemberNode *other)
+{
+	msg_t msg = {};
+
+	msg.kind = kind;
+	g_strlcpy(msg.u.peer_addr.incarnation, other->incarnation,
+		  INCARNATION_SIZE);
+	g_strlcpy(msg.u.peer_addr.host, "127.0.0.1", HOST_SIZE);
+	msg.u.peer_addr.port = (uint16_t)(7000 + other->index);
+	later(0, HANDLE_NONE, member.svc, msg);
+}
+
+inline void MemberNode::list_instances(const std::vector<MemberNode *> &nodes)
+{
+	msg_t msg = {};
+
+	msg.kind = MSG_INSTANCES_LISTED;
+	msg.u.instances = instance_list_new();
+	for (MemberNode *node : nodes) {
+		instance_info_t one = {};
+
+		g_strlcpy(one.host, "127.0.0.1", HOST_SIZE);
+		one.port = (uint16_t)(7000 + node->index);
+		g_array_append_val(msg.u.instances->instances, one);
+	}
+	later(0, HANDLE_NONE, member.svc, msg);
+}
+
+#endif
