--- a/member/lease.c
+++ b/member/lease.c
@@ -256,8 +256,9 @@
 
 static void set_registered(member_t *member, int64_t lease)
 {
-	if (lease != member->lease)
-		return; /* alive/INC is bound to a lease that we lost */
+	/* Otherwise alive/INC is bound to a lease that we lost. */
+	if (lease == 0 || lease != member->lease)
+		return;
 	member->registered = true;
 	member->registered_at = kernel_now(member->kernel);
 	log_event(LOG_LEVEL_INFO, "member", "registered",
