--- /dev/null
+++ b/instances/instances.h
@@ -0,0 +1,52 @@
+/*
+ * Service "instances": polls the platform's list of live and leaving
+ * instances.  It tells "route" which targets leave and "member" what is
+ * listed; an outage of the list changes nothing.
+ */
+#ifndef INSTANCES_INSTANCES_H
+#define INSTANCES_INSTANCES_H
+
+#include "kernel/kernel.h"
+#include "kernel/status.h"
+
+#include <libsoup/soup.h>
+
+G_BEGIN_DECLS
+
+#define INSTANCES_INTERVAL_MS 1000 /* default */
+#define INSTANCES_ANSWER_MAX 8388608 /* bytes */
+#define INSTANCES_MAX 65536 /* instances in one answer */
+
+typedef struct instances_opts_t {
+	const char *url; /* NULL or empty: there is no list */
+	int64_t interval_ms; /* 0: the default */
+} instances_opts_t;
+
+typedef struct instances_t {
+	kernel_t *kernel;
+	svc_t svc;
+	svc_t route;
+	svc_t member;
+	gchar *url;
+	int64_t interval; /* us */
+	SoupSession *session;
+	struct poll_t *poll; /* in progress, or NULL */
+	int64_t poll_until;
+	GHashTable *known; /* "HOST PORT" -> known_t */
+	int64_t answered; /* last good answer, us, 0: none */
+	int64_t revision; /* of that answer */
+	int64_t older_since; /* answers with a lower revision, 0: none */
+	bool failing; /* logged */
+	errmsg_t err;
+} instances_t;
+
+/* Strict: a malformed answer is refused as a whole and NULL is returned. */
+instance_list_t *instances_parse(const char *text, size_t len, errmsg_t *err);
+
+void instances_init(instances_t *instances, kernel_t *kernel,
+		    const instances_opts_t *opts);
+void instances_finish(instances_t *instances);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/instances/parse.c
@@ -0,0 +1,135 @@
+#include "instances/instances.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define DEPTH_MAX 8 /* the parser recurses, the list needs 3 */
+
+static bool depth_is_bounded(const char *text, size_t len)
+{
+	bool quoted = false;
+	int depth = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		if (quoted && text[i] == '\\')
+			i++;
+		else if (text[i] == '"')
+			quoted = !quoted;
+		else if (!quoted && (text[i] == '[' || text[i] == '{'))
+			depth++;
+		else if (!quoted && (text[i] == ']' || text[i] == '}'))
+			depth--;
+		if (depth > DEPTH_MAX)
+			return false;
+	}
+	return true;
+}
+
+static JsonNode *member_of(JsonObject *object, const char *name, GType type)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != type)
+		return NULL;
+	return node;
+}
+
+static bool parse_instance(JsonNode *node, instance_info_t *info, errmsg_t *err)
+{
+	JsonNode *host, *port, *state;
+	const char *text;
+	gint64 number;
+
+	if (!JSON_NODE_HOLDS_OBJECT(node)) {
+		errmsg_set(err, "an instance is not an object");
+		return false;
+	}
+	host = member_of(json_node_get_object(node), "host", G_TYPE_STRING);
+	port = member_of(json_node_get_object(node), "port", G_TYPE_INT64);
+	state = member_of(json_node_get_object(node), "state", G_TYPE_STRING);
+	if (host == NULL || port == NULL || state == NULL) {
+		errmsg_set(err, "an instance lacks host, port or state");
+		return false;
+	}
+	text = json_node_get_string(host);
+	if (strlen(text) >= HOST_SIZE || !g_hostname_is_ip_address(text)) {
+		errmsg_set(err, "an instance's host is not an IP address");
+		return false;
+	}
+	g_strlcpy(info->host, text, sizeof(info->host));
+	number = json_node_get_int(port);
+	if (number < 1 || number > UINT16_MAX) {
+		errmsg_set(err, "an instance's port is out of range");
+		return false;
+	}
+	info->port = (uint16_t)number;
+	text = json_node_get_string(state);
+	info->leaving = strcmp(text, "leaving") == 0;
+	if (!info->leaving && strcmp(text, "live") != 0) {
+		errmsg_set(err, "an instance's state is unknown");
+		return false;
+	}
+	return true;
+}
+
+static bool parse_root(JsonNode *root, instance_list_t *list, errmsg_t *err)
+{
+	JsonNode *revision, *node;
+	JsonArray *array;
+	guint count;
+
+	if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+		errmsg_set(err, "the list is not an object");
+		return false;
+	}
+	revision =
+		member_of(json_node_get_object(root), "revision", G_TYPE_INT64);
+	node = json_object_get_member(json_node_get_object(root), "instances");
+	if (revision == NULL || json_node_get_int(revision) < 0 ||
+	    node == NULL || !JSON_NODE_HOLDS_ARRAY(node)) {
+		errmsg_set(err, "the list lacks revision or instances");
+		return false;
+	}
+	list->revision = json_node_get_int(revision);
+	array = json_node_get_array(node);
+	count = json_array_get_length(array);
+	if (count > INSTANCES_MAX) {
+		errmsg_set(err, "more than %d instances", INSTANCES_MAX);
+		return false;
+	}
+	for (guint i = 0; i < count; i++) {
+		instance_info_t info = {0};
+
+		if (!parse_instance(json_array_get_element(array, i), &info,
+				    err))
+			return false;
+		g_array_append_val(list->instances, info);
+	}
+	return true;
+}
+
+instance_list_t *instances_parse(const char *text, size_t len, errmsg_t *err)
+{
+	instance_list_t *list = NULL;
+	JsonParser *parser;
+
+	if (len == 0 || !g_utf8_validate(text, (gssize)len, NULL) ||
+	    !depth_is_bounded(text, len)) {
+		errmsg_set(err, "the answer is not JSON of the list's depth");
+		return NULL;
+	}
+	parser = json_parser_new_immutable();
+	if (!json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
+		errmsg_set(err, "the answer is not JSON");
+		goto out;
+	}
+	list = instance_list_new();
+	if (!parse_root(json_parser_get_root(parser), list, err)) {
+		instance_list_unref(list);
+		list = NULL;
+	}
+out:
+	g_object_unref(parser);
+	return list;
+}
