Read a deletion in a watch as an absence

The store gives a deleted key the revision of its deletion, which member took for presence: a crashed router was never seen dead. Found by a trial against the store's stand-in; the fake in the tests now does the same.

--- a/member/lease.c
+++ b/member/lease.c
@@ -369,7 +369,8 @@
 
 	/* Older than our last write, or about to be settled by a new one. */
 	if (!member->registered || member->write_kind != CALL_NONE ||
-	    seen <= member->written || member->stopping || kv->revision > 0)
+	    seen <= member->written || member->stopping ||
+	    member_sync_is_present(kv))
 		return;
 	if (!is_alive)
 		note_recovered(member);
--- a/member/sync.c
+++ b/member/sync.c
@@ -40,6 +40,12 @@
 		list(member, &member->alive, CALL_LIST_ALIVE);
 }
 
+/* A deletion in a watch has the revision at which the key was deleted. */
+bool member_sync_is_present(const store_kv_t *kv)
+{
+	return kv->revision > 0 && kv->record.kind != RECORD_NONE;
+}
+
 /* Present record and absent liveness: the lease has expired. */
 static void note_absence(member_t *member, entry_t *entry)
 {
@@ -69,7 +75,8 @@
 			 uint32_t round)
 {
 	const char *name = kv->key + strlen(MEMBER_PREFIX);
-	bool present = kv->revision > 0 && kv->record.kind != RECORD_NONE;
+	bool present = member_sync_is_present(kv);
+	int64_t revision = present ? kv->revision : 0;
 	entry_t *entry = present ? member_view_get(member, name)
 				 : member_view_find(member, name);
 
@@ -80,8 +87,8 @@
 	if (seen < entry->seen)
 		return;
 	entry->seen = seen;
-	if (kv->revision != entry->revision) {
-		entry->revision = kv->revision;
+	if (revision != entry->revision) {
+		entry->revision = revision;
 		member->changed = true;
 		if (kv->record.kind == RECORD_MEMBER && !entry->own)
 			take_record(entry, &kv->record.u.member);
@@ -93,7 +100,7 @@
 			uint32_t round)
 {
 	const char *name = kv->key + strlen(ALIVE_PREFIX);
-	bool present = kv->revision > 0;
+	bool present = member_sync_is_present(kv);
 	entry_t *entry = present ? member_view_get(member, name)
 				 : member_view_find(member, name);
 
@@ -116,7 +123,10 @@
 	for (guint i = 0; i < result->kvs->len; i++) {
 		const store_kv_t *kv =
 			&g_array_index(result->kvs, store_kv_t, i);
-		int64_t seen = MAX(result->revision, kv->revision);
+		/* A list tells of its own time, an event of the change's. */
+		int64_t seen = round == 0 && kv->revision > 0
+				       ? kv->revision
+				       : result->revision;
 
 		if (g_str_has_prefix(kv->key, MEMBER_PREFIX))
 			apply_member(member, kv, seen, round);
--- a/member/view.h
+++ b/member/view.h
@@ -84,6 +84,7 @@
 void member_ring_send_heartbeat(member_t *member, const entry_t *to);
 
 /* sync.c: the records of the members in the store */
+bool member_sync_is_present(const store_kv_t *kv);
 void member_sync_tick(member_t *member);
 void member_sync_listed(member_t *member, call_t *call,
 			const store_result_t *result);
--- a/tests/member_world.h
+++ b/tests/member_world.h
@@ -228,8 +228,8 @@
 					 found->second.revision,
 					 &found->second.record);
 		else
-			store_result_add(msg.u.store_result, 0, key.c_str(), 0,
-					 nullptr);
+			store_result_add(msg.u.store_result, 0, key.c_str(),
+					 rev, nullptr);
 		node->later(0, HANDLE_NONE, node->member.svc, msg);
 	}
 	void write(const store_op_t &op)
@@ -239,7 +239,11 @@
 		if (op.kind == STORE_DELETE) {
 			erase(op.key);
 		} else if (op.kind == STORE_PUT) {
-			put(op);
+			Value &value = values[op.key];
+
+			record_clear(&value.record);
+			record_copy(&value.record, &op.record);
+			value.revision = revision;
 			if (op.lease != 0)
 				leases[op.lease].keys.insert(op.key);
 			notify(op.key);
@@ -308,7 +312,6 @@
 	{
 		bool lost = rng.percent(lose_percent);
 
-		calls++;
 		if (store_out(node)) {
 			reply(node, msg->from, *msg, rng.ms(1, 2000),
 			      store_result_new(rng.percent(50)
