--- a/peer/fields.c
+++ b/peer/fields.c
@@ -43,7 +43,8 @@
 		errmsg_set(err, "%s is not printable UTF-8", what);
 		return false;
 	}
-	memcpy(to, object->via.str.ptr, object->via.str.size);
+	if (object->via.str.size > 0)
+		memcpy(to, object->via.str.ptr, object->via.str.size);
 	to[object->via.str.size] = '\0';
 	return true;
 }
