--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # stand-in for each tests/fakes/NAME.c.
 
 MODULES = kernel metrics log settings store conf ledger claims route request \
-	  dispatch front member peer instances admin router
+	  dispatch front member peer instances admin router ctl
 PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
 DEBIAN_PACKAGES = gcc g++ make pkg-config clang-format clang-tidy curl \
 		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define TRIES 6
-#define FIRST_BACKOFF_US (50 * 1000)
+#define FIRST_BACKOFF_US 50000
 
 /* Posts a call and runs the loop until its answer is there. */
 static store_result_t *call(ctl_t *ctl, msg_t *msg)
--- a/ctl/out.c
+++ b/ctl/out.c
@@ -43,12 +43,28 @@
 	}
 }
 
+/* Widens each column to the longest value in the row. */
+static void widen(guint *widths, GList *names, JsonObject *row)
+{
+	guint column = 0;
+
+	for (GList *l = names; l != NULL; l = l->next, column++) {
+		g_autofree char *text = NULL;
+
+		if (json_object_has_member(row, l->data))
+			text = value_text(json_object_get_member(row, l->data));
+		if (text != NULL)
+			widths[column] =
+				MAX(widths[column], (guint)strlen(text));
+		widths[column] = MAX(widths[column], (guint)strlen(l->data));
+	}
+}
+
 static void print_table(GString *out, JsonArray *array)
 {
-	g_autoptr(GList) names = NULL;
-	g_autofree guint *widths = NULL;
+	GList *names;
+	guint *widths;
 	guint rows = json_array_get_length(array);
-	guint column;
 
 	if (rows == 0) {
 		g_string_append(out, "none\n");
@@ -57,26 +73,14 @@
 	names = json_object_get_members(
 		json_array_get_object_element(array, 0));
 	widths = g_new0(guint, g_list_length(names) + 1);
-	for (guint i = 0; i < rows; i++) {
-		JsonObject *row = json_array_get_object_element(array, i);
-
-		column = 0;
-		for (GList *l = names; l != NULL; l = l->next, column++) {
-			g_autofree char *text = NULL;
-
-			if (json_object_has_member(row, l->data))
-				text = value_text(
-					json_object_get_member(row, l->data));
-			widths[column] =
-				MAX(widths[column],
-				    (guint)MAX(text == NULL ? 1 : strlen(text),
-					       strlen(l->data)));
-		}
-	}
+	for (guint i = 0; i < rows; i++)
+		widen(widths, names, json_array_get_object_element(array, i));
 	print_row(out, names, widths, NULL);
 	for (guint i = 0; i < rows; i++)
 		print_row(out, names, widths,
 			  json_array_get_object_element(array, i));
+	g_free(widths);
+	g_list_free(names);
 }
 
 void ctl_print(ctl_t *ctl, JsonNode *node)
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -67,7 +67,7 @@
 		"$r/orders/frames" || fail "the order failed"
 	echo
 done
-runs=$(curl -s "http://127.0.0.1:$plain_port/test/stats" | json 'd["total_runs"]')
+runs=$(curl -s "http://127.0.0.1:$plain_port/test/stats" | json 'sum(d["bodies"].values())')
 echo "the plain service ran it $runs time(s)"
 [ "$runs" = 1 ] || fail "the order ran $runs times"
 
@@ -86,7 +86,7 @@
 
 say "a wrong key, and a budget that is spent"
 code=$(curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer wrong" \
-	-d '{"model":"assistant","messages":[]}' "$r2/v1/chat/completions")
+	-d '{"model":"assistant","messages":[{"role":"user","content":"Hi."}]}' "$r2/v1/chat/completions")
 echo "wrong key: $code"
 [ "$code" = 401 ] || fail "a wrong key got $code"
 ctl budget create small 10 || fail "budget create"
@@ -94,7 +94,7 @@
 for _ in $(seq 50); do
 	code=$(curl -s -o "$WORK/spent" -w '%{http_code}' \
 		-H "Authorization: Bearer $small_key" \
-		-d '{"model":"assistant","max_tokens":50,"messages":[]}' \
+		-d '{"model":"assistant","max_tokens":50,"messages":[{"role":"user","content":"Hi."}]}' \
 		"$r2/v1/chat/completions")
 	[ "$code" != 401 ] && break
 	sleep 0.1
--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -280,6 +280,7 @@
 		msg.u.target_data.tokens = tokens_feed(
 			&call->tokens, g_bytes_get_data(bytes, NULL),
 			g_bytes_get_size(bytes));
+	msg.u.target_data.marker = call->tokens.done;
 	msg.u.target_data.bytes = g_bytes_ref(bytes);
 	post(call, &msg);
 }
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -558,6 +558,7 @@
 		struct {
 			GBytes *bytes;
 			int64_t tokens; /* generated, in these bytes */
+			bool marker; /* they hold an event stream's [DONE] */
 		} target_data;
 		struct {
 			bool usage_known; /* the target stated its usage */
--- a/log/log.c
+++ b/log/log.c
@@ -3,6 +3,7 @@
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdbool.h>
+#include <stdio.h>
 #include <string.h>
 
 #define LINE_SIZE 2048 /* bytes */
@@ -44,6 +45,19 @@
 	.format = format_line,
 };
 
+/* The library's own stream appender puts its name before each line. */
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t line_appender = {
+	.name = "tanagertrestle_stderr",
+	.append = append_line,
+};
+
 int log_init(log_level_t level, const char *instance)
 {
 	log4c_appender_t *appender;
@@ -52,14 +66,16 @@
 	if (log4c_init() != 0)
 		return -1;
 	log4c_layout_type_set(&line_layout);
+	log4c_appender_type_set(&line_appender);
 	category = log4c_category_get("tanagertrestle");
-	appender = log4c_appender_get("stderr");
+	appender = log4c_appender_get("tanagertrestle_stderr");
 	layout = log4c_layout_get("tanagertrestle_line");
 	if (category == NULL || appender == NULL || layout == NULL) {
 		category = NULL;
 		return -1;
 	}
 	log4c_layout_set_type(layout, &line_layout);
+	log4c_appender_set_type(appender, &line_appender);
 	log4c_appender_set_layout(appender, layout);
 	log4c_category_set_appender(category, appender);
 	log4c_category_set_additivity(category, 0);
--- a/request/answer.c
+++ b/request/answer.c
@@ -96,7 +96,14 @@
 	g_byte_array_append(request->outcome, data, (guint)size);
 }
 
-void answer_add(request_svc_t *svc, request_t *request, GBytes *bytes)
+static bool is_event_stream(const request_t *request)
+{
+	return request->service.kind == SERVICE_MODEL &&
+	       g_str_has_prefix(request->content_type, "text/event-stream");
+}
+
+void answer_add(request_svc_t *svc, request_t *request, GBytes *bytes,
+		bool marker)
 {
 	if (!handle_is_none(request->claim))
 		keep_outcome(request, bytes);
@@ -104,9 +111,18 @@
 	request->held_bytes += g_bytes_get_size(bytes);
 	if (request->held_bytes > BUFFER_MAX)
 		request->passing = true;
-	/* The last chunk waits for the bill. */
-	if (request->passing)
+	request->marked |= marker;
+	if (!request->passing)
+		return;
+	/*
+	 * What completes the answer waits for the bill: the end marker of an
+	 * event stream, the last chunk of any other answer.  Holding a chunk
+	 * of an event stream would show each token one interval late.
+	 */
+	if (!is_event_stream(request))
 		pass_on(svc, request, 1);
+	else if (!request->marked)
+		pass_on(svc, request, 0);
 }
 
 void answer_reset(request_t *request)
@@ -116,6 +132,7 @@
 	while ((bytes = g_queue_pop_head(&request->held)) != NULL)
 		g_bytes_unref(bytes);
 	request->held_bytes = 0;
+	request->marked = false;
 	request->status = 0;
 	if (request->outcome != NULL)
 		g_byte_array_set_size(request->outcome, 0);
--- a/request/attempt.c
+++ b/request/attempt.c
@@ -270,7 +270,8 @@
 	}
 	if (msg->u.target_data.bytes == NULL)
 		return;
-	answer_add(svc, request, msg->u.target_data.bytes);
+	answer_add(svc, request, msg->u.target_data.bytes,
+		   msg->u.target_data.marker);
 	msg->u.target_data.bytes = NULL;
 }
 
--- a/request/life.h
+++ b/request/life.h
@@ -52,6 +52,7 @@
 	bool refused; /* the caller has got its refusal */
 	bool paused;
 	bool passing; /* data is passed on as it comes */
+	bool marked; /* the end marker of an event stream has come */
 	bool head_sent;
 	bool over_limit; /* more tokens came than the limit allows */
 	bool in_grace; /* past the deadline, waits for its bill */
@@ -128,7 +129,8 @@
 void attempt_pause(request_svc_t *svc, const request_t *request);
 
 /* answer.c */
-void answer_add(request_svc_t *svc, request_t *request, GBytes *bytes);
+void answer_add(request_svc_t *svc, request_t *request, GBytes *bytes,
+		bool marker);
 /* Drops what an attempt that failed had answered. */
 void answer_reset(request_t *request);
 /* The answer is complete: bills it, stores it and passes on the rest. */
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -111,16 +111,20 @@
 		send(make(MSG_SEND_STARTED, attempt, {++callers, 4}));
 		return attempt;
 	}
-	void head(handle_t attempt, uint32_t status = 200)
+	void head(handle_t attempt, uint32_t status = 200,
+		  const char *type = "")
 	{
 		msg_t msg = make(MSG_TARGET_HEAD, attempt);
 		msg.u.target_head.status = status;
+		g_strlcpy(msg.u.target_head.content_type, type,
+			  sizeof(msg.u.target_head.content_type));
 		send(msg);
 	}
 	void data(handle_t attempt, const std::string &bytes,
-		  int64_t tokens = 1)
+		  int64_t tokens = 1, bool marker = false)
 	{
 		msg_t msg = make(MSG_TARGET_DATA, attempt);
+		msg.u.target_data.marker = marker;
 		msg.u.target_data.bytes =
 			g_bytes_new(bytes.data(), bytes.size());
 		msg.u.target_data.tokens = tokens;
@@ -200,6 +204,25 @@
 	EXPECT_EQ(table_count(&service.attempts), 0u);
 }
 
+// Tokens of an event stream must not reach the caller one interval late, and
+// its end marker must not leave before the bill is recorded.
+TEST_F(RequestTest, EventStreamIsPassedOnAtOnceButForItsEndMarker)
+{
+	open_chat(true);
+	reserved();
+	handle_t attempt = picked();
+	head(attempt, 200, "text/event-stream; charset=utf-8");
+	data(attempt, "one ");
+	EXPECT_EQ(body, "one ");
+	data(attempt, "[DONE]", 0, true);
+	data(attempt, "\n\n", 0, true);
+	EXPECT_EQ(body, "one ");
+	end(attempt);
+	EXPECT_EQ(body, "one ");
+	billed();
+	EXPECT_EQ(body, "one [DONE]\n\n");
+}
+
 // Unknown and disabled keys must not be told apart.
 TEST_F(RequestTest, AdmissionRefusals)
 {
