--- a/Makefile
+++ b/Makefile
@@ -70,8 +70,12 @@
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+# The property tests of a module, tests/NAME_prove.cc, are part of its program.
+$(foreach p,$(wildcard tests/*_prove.cc),$(eval \
+	$(BUILD)/$(p:%_prove.cc=%_test): $(BUILD)/$(p:%.cc=%.o)))
+
 $(BUILD)/tests/%_test: $(BUILD)/tests/%_test.o $(LIB)
-	@$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) $(GTEST_LIBS)
+	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(PKG_LIBS) $(GTEST_LIBS)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -104,6 +108,15 @@
 	$(MAKE) lint
 	$(MAKE) test
 
+# The main job in one command: install, build, run a small fleet.
+demo: packages
+	@$(MAKE) -s all
+	@BUILD=$(BUILD) timeout 60 bash demo/run.sh
+
+# Property tests of the promises; SEEDS=A..B runs other schedules.
+prove: build
+	@sh tests/prove.sh $(BUILD)
+
 clean:
 	rm -rf build
 
--- /dev/null
+++ b/store/codec.c
@@ -0,0 +1,489 @@
+#include "store/codec.h"
+
+#include "store/schema.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/*
+ * Longer integers are refused before parsing: json-glib wraps what does not
+ * fit into 64 bits around to a small number.
+ */
+#define DIGITS_MAX 18
+
+record_kind_t codec_kind_of_key(const char *key)
+{
+	const kind_t *kind = schema_by_key(key);
+
+	return kind == NULL ? RECORD_NONE : kind->kind;
+}
+
+const char *codec_kind_name(record_kind_t id)
+{
+	const kind_t *kind = schema_by_id(id);
+
+	return kind == NULL ? "none" : kind->name;
+}
+
+/* --- encoding ----------------------------------------------------------- */
+
+/* Bytes that can't be in a record's text are replaced by a question mark. */
+static void put_text(GString *out, const char *text)
+{
+	bool utf8 = g_utf8_validate(text, -1, NULL);
+
+	g_string_append_c(out, '"');
+	for (const char *p = text; *p != '\0'; p++) {
+		if (*p == '"' || *p == '\\')
+			g_string_append_c(out, '\\');
+		if (g_ascii_iscntrl(*p) || (!utf8 && (*p & 0x80)))
+			g_string_append_c(out, '?');
+		else
+			g_string_append_c(out, *p);
+	}
+	g_string_append_c(out, '"');
+}
+
+static void put_op(GString *out, const op_id_t *op)
+{
+	g_string_append(out, "{\"writer\":");
+	put_text(out, op->writer);
+	g_string_append_printf(out, ",\"seq\":%" G_GUINT64_FORMAT "}", op->seq);
+}
+
+static void put_keys(GString *out, const record_client_account_t *account)
+{
+	g_string_append_c(out, '[');
+	for (uint32_t i = 0; i < account->key_count; i++) {
+		g_string_append(out, i > 0 ? ",{\"hash\":" : "{\"hash\":");
+		put_text(out, account->keys[i].hash);
+		g_string_append(out, ",\"budget\":");
+		put_text(out, account->keys[i].budget);
+		g_string_append_c(out, '}');
+	}
+	g_string_append_c(out, ']');
+}
+
+static void put_ops(GString *out, const op_id_t *ops)
+{
+	bool first = true;
+
+	g_string_append_c(out, '[');
+	for (int i = 0; i < BUDGET_OPS; i++) {
+		if (ops[i].writer[0] == '\0' && ops[i].seq == 0)
+			continue;
+		if (!first)
+			g_string_append_c(out, ',');
+		put_op(out, &ops[i]);
+		first = false;
+	}
+	g_string_append_c(out, ']');
+}
+
+static void put_outcome(GString *out, const outcome_t *outcome)
+{
+	gchar *body;
+
+	g_string_append_printf(
+		out, "{\"status\":%u,\"content_type\":", outcome->status);
+	put_text(out, outcome->content_type);
+	g_string_append_printf(out, ",\"tokens\":%" G_GINT64_FORMAT,
+			       outcome->tokens);
+	if (outcome->body != NULL) {
+		body = g_base64_encode(g_bytes_get_data(outcome->body, NULL),
+				       g_bytes_get_size(outcome->body));
+		g_string_append_printf(out, ",\"body\":\"%s\"", body);
+		g_free(body);
+	}
+	g_string_append_c(out, '}');
+}
+
+static void put_value(GString *out, const field_t *field, const void *base)
+{
+	const void *at = (const char *)base + field->offset;
+
+	switch (field->type) {
+	case FIELD_NAME:
+	case FIELD_TEXT:
+	case FIELD_HEX:
+	case FIELD_HOST:
+		put_text(out, at);
+		break;
+	case FIELD_BOOL:
+		g_string_append(out, *(const bool *)at ? "true" : "false");
+		break;
+	case FIELD_U16:
+	case FIELD_U32:
+	case FIELD_I64:
+		g_string_append_printf(out, "%" G_GINT64_FORMAT,
+				       schema_integer(field, at));
+		break;
+	case FIELD_ENUM:
+		put_text(out, field->names[schema_integer(field, at)]);
+		break;
+	case FIELD_OP:
+		put_op(out, at);
+		break;
+	case FIELD_KEYS:
+		put_keys(out, base);
+		break;
+	case FIELD_OPS:
+		put_ops(out, at);
+		break;
+	case FIELD_OUTCOME:
+		put_outcome(out, at);
+		break;
+	}
+}
+
+bool codec_encode(const record_t *record, GString *out, errmsg_t *err)
+{
+	const kind_t *kind = schema_by_id(record->kind);
+
+	if (kind == NULL) {
+		errmsg_set(err, "no record to encode");
+		return false;
+	}
+	if (!schema_check(kind, record, err))
+		return false;
+	g_string_append_printf(out, "{\"kind\":\"%s\"", kind->name);
+	for (guint i = 0; i < kind->field_count; i++) {
+		const field_t *field = &kind->fields[i];
+
+		if (schema_removed(record) && !schema_in_tombstone(field))
+			continue;
+		if (field->type == FIELD_OUTCOME &&
+		    record->u.claim.state != CLAIM_FINISHED)
+			continue;
+		g_string_append_printf(out, ",\"%s\":", field->name);
+		put_value(out, field, &record->u);
+	}
+	g_string_append_c(out, '}');
+	return true;
+}
+
+/* --- decoding ----------------------------------------------------------- */
+
+static bool get_text(JsonNode *node, char *out, size_t size)
+{
+	const char *text;
+
+	if (node == NULL || json_node_get_value_type(node) != G_TYPE_STRING)
+		return false;
+	text = json_node_get_string(node);
+	return g_strlcpy(out, text, size) < size;
+}
+
+static bool get_integer(JsonNode *node, int64_t min, int64_t max, int64_t *out)
+{
+	if (node == NULL || json_node_get_value_type(node) != G_TYPE_INT64)
+		return false;
+	*out = json_node_get_int(node);
+	return *out >= min && *out <= max;
+}
+
+static bool get_op(JsonNode *node, op_id_t *op)
+{
+	JsonObject *object;
+	int64_t seq;
+
+	if (node == NULL || !JSON_NODE_HOLDS_OBJECT(node))
+		return false;
+	object = json_node_get_object(node);
+	if (!get_text(json_object_get_member(object, "writer"), op->writer,
+		      sizeof(op->writer)) ||
+	    !get_integer(json_object_get_member(object, "seq"), 0,
+			 CODEC_SEQ_MAX, &seq))
+		return false;
+	op->seq = (uint64_t)seq;
+	return true;
+}
+
+static bool get_keys(JsonNode *node, record_client_account_t *account)
+{
+	JsonArray *array;
+	guint count;
+
+	if (!JSON_NODE_HOLDS_ARRAY(node))
+		return false;
+	array = json_node_get_array(node);
+	count = json_array_get_length(array);
+	if (count > CLIENT_ACCOUNT_KEYS)
+		return false;
+	for (guint i = 0; i < count; i++) {
+		JsonNode *item = json_array_get_element(array, i);
+		api_key_t *key = &account->keys[i];
+		JsonObject *object;
+
+		if (!JSON_NODE_HOLDS_OBJECT(item))
+			return false;
+		object = json_node_get_object(item);
+		if (!get_text(json_object_get_member(object, "hash"), key->hash,
+			      sizeof(key->hash)) ||
+		    !get_text(json_object_get_member(object, "budget"),
+			      key->budget, sizeof(key->budget)))
+			return false;
+	}
+	account->key_count = count;
+	return true;
+}
+
+static bool get_ops(JsonNode *node, op_id_t *ops)
+{
+	JsonArray *array;
+	guint count;
+
+	if (!JSON_NODE_HOLDS_ARRAY(node))
+		return false;
+	array = json_node_get_array(node);
+	count = json_array_get_length(array);
+	if (count > BUDGET_OPS)
+		return false;
+	for (guint i = 0; i < count; i++) {
+		if (!get_op(json_array_get_element(array, i), &ops[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool get_body(JsonNode *node, outcome_t *outcome)
+{
+	const char *text;
+	guchar *bytes;
+	size_t len, plain;
+	gsize size;
+
+	if (json_node_get_value_type(node) != G_TYPE_STRING)
+		return false;
+	text = json_node_get_string(node);
+	len = strlen(text);
+	plain = strspn(text, "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuv"
+			     "wxyz0123456789+/");
+	if (len % 4 != 0 || len - plain > 2 ||
+	    strspn(text + plain, "=") != len - plain ||
+	    len / 4 > (OUTCOME_BODY_MAX + 2) / 3)
+		return false;
+	bytes = g_base64_decode(text, &size);
+	outcome->body = g_bytes_new_take(bytes, size);
+	return true;
+}
+
+static bool get_outcome(JsonNode *node, outcome_t *outcome)
+{
+	JsonObject *object;
+	JsonNode *body;
+	int64_t status;
+
+	if (!JSON_NODE_HOLDS_OBJECT(node))
+		return false;
+	object = json_node_get_object(node);
+	if (!get_integer(json_object_get_member(object, "status"), 0, 999,
+			 &status) ||
+	    !get_text(json_object_get_member(object, "content_type"),
+		      outcome->content_type, sizeof(outcome->content_type)) ||
+	    !get_integer(json_object_get_member(object, "tokens"), 0,
+			 TOKENS_MAX, &outcome->tokens))
+		return false;
+	outcome->status = (uint32_t)status;
+	body = json_object_get_member(object, "body");
+	return body == NULL || get_body(body, outcome);
+}
+
+static bool get_enum(JsonNode *node, const field_t *field, int *out)
+{
+	const char *text;
+
+	if (json_node_get_value_type(node) != G_TYPE_STRING)
+		return false;
+	text = json_node_get_string(node);
+	for (int i = 0; field->names[i] != NULL; i++) {
+		if (strcmp(field->names[i], text) == 0) {
+			*out = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static bool get_number(JsonNode *node, const field_t *field, void *at)
+{
+	int64_t value;
+
+	if (!get_integer(node, field->min, field->max, &value))
+		return false;
+	switch (field->type) {
+	case FIELD_U16:
+		*(uint16_t *)at = (uint16_t)value;
+		break;
+	case FIELD_U32:
+		*(uint32_t *)at = (uint32_t)value;
+		break;
+	default:
+		*(int64_t *)at = value;
+		break;
+	}
+	return true;
+}
+
+static bool get_value(JsonNode *node, const field_t *field, void *base)
+{
+	void *at = (char *)base + field->offset;
+
+	switch (field->type) {
+	case FIELD_NAME:
+	case FIELD_TEXT:
+	case FIELD_HEX:
+	case FIELD_HOST:
+		return get_text(node, at, (size_t)field->max + 1);
+	case FIELD_BOOL:
+		if (json_node_get_value_type(node) != G_TYPE_BOOLEAN)
+			return false;
+		*(bool *)at = json_node_get_boolean(node);
+		return true;
+	case FIELD_U16:
+	case FIELD_U32:
+	case FIELD_I64:
+		return get_number(node, field, at);
+	case FIELD_ENUM:
+		return get_enum(node, field, at);
+	case FIELD_OP:
+		return get_op(node, at);
+	case FIELD_KEYS:
+		return get_keys(node, base);
+	case FIELD_OPS:
+		return get_ops(node, at);
+	case FIELD_OUTCOME:
+		return get_outcome(node, at);
+	}
+	return false;
+}
+
+static bool get_fields(const kind_t *kind, JsonObject *object, record_t *record,
+		       errmsg_t *err)
+{
+	for (guint i = 0; i < kind->field_count; i++) {
+		const field_t *field = &kind->fields[i];
+		JsonNode *node = json_object_get_member(object, field->name);
+
+		/* "removed" comes before what a tombstone lacks. */
+		if (schema_removed(record) && !schema_in_tombstone(field))
+			continue;
+		if (field->type == FIELD_OUTCOME &&
+		    record->u.claim.state != CLAIM_FINISHED)
+			continue;
+		if (node == NULL) {
+			errmsg_set(err, "%s is missing", field->name);
+			return false;
+		}
+		if (!get_value(node, field, &record->u)) {
+			errmsg_set(err, "%s has a wrong type or value",
+				   field->name);
+			return false;
+		}
+	}
+	return true;
+}
+
+static bool get_record(const kind_t *kind, const char *key, JsonNode *root,
+		       record_t *record, errmsg_t *err)
+{
+	char name[NAME_SIZE];
+	JsonObject *object;
+
+	if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+		errmsg_set(err, "not an object");
+		return false;
+	}
+	object = json_node_get_object(root);
+	if (!get_text(json_object_get_member(object, "kind"), name,
+		      sizeof(name)) ||
+	    strcmp(name, kind->name) != 0) {
+		errmsg_set(err, "kind is not %s", kind->name);
+		return false;
+	}
+	if (!get_fields(kind, object, record, err) ||
+	    !schema_check(kind, record, err))
+		return false;
+	if (kind->named &&
+	    strcmp((const char *)&record->u + kind->fields[0].offset,
+		   key + strlen(kind->key_prefix)) != 0) {
+		errmsg_set(err, "%s differs from the key",
+			   kind->fields[0].name);
+		return false;
+	}
+	return true;
+}
+
+/* Runs over the text outside of strings; digits_max 0 sets no limit. */
+static bool scan(const char *text, size_t len, int max_depth, int digits_max)
+{
+	bool quoted = false;
+	int depth = 0;
+	int digits = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		char c = text[i];
+
+		if (quoted) {
+			if (c == '\\')
+				i++;
+			else if (c == '"')
+				quoted = false;
+			continue;
+		}
+		digits = g_ascii_isdigit(c) ? digits + 1 : 0;
+		if (digits_max > 0 && digits > digits_max)
+			return false;
+		if (c == '"')
+			quoted = true;
+		else if ((c == '[' || c == '{') && ++depth > max_depth)
+			return false;
+		else if (c == ']' || c == '}')
+			depth--;
+		else if (c == '\'' || c == '/')
+			/* json-glib reads these as quotes and comments. */
+			return false;
+	}
+	return true;
+}
+
+bool codec_text_ok(const char *text, size_t len, int max_depth)
+{
+	return g_utf8_validate(text, (gssize)len, NULL) &&
+	       scan(text, len, max_depth, 0);
+}
+
+bool codec_decode(const char *key, const char *text, size_t len,
+		  record_t *record, errmsg_t *err)
+{
+	const kind_t *kind = schema_by_key(key);
+	JsonParser *parser = NULL;
+	bool ok = false;
+
+	memset(record, 0, sizeof(*record));
+	if (kind == NULL) {
+		errmsg_set(err, "unknown kind of key");
+		goto out;
+	}
+	if (len > CODEC_VALUE_MAX ||
+	    !codec_text_ok(text, len, CODEC_DEPTH_MAX) ||
+	    !scan(text, len, CODEC_DEPTH_MAX, DIGITS_MAX)) {
+		errmsg_set(err, "too long, too deep or not JSON");
+		goto out;
+	}
+	parser = json_parser_new_immutable();
+	if (!json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
+		errmsg_set(err, "not JSON");
+		goto out;
+	}
+	record->kind = kind->kind;
+	ok = get_record(kind, key, json_parser_get_root(parser), record, err);
+out:
+	if (parser != NULL)
+		g_object_unref(parser);
+	if (!ok) {
+		record_clear(record);
+		record->kind = RECORD_INVALID;
+	}
+	return ok;
+}
--- /dev/null
+++ b/tests/conf_world.h
@@ -0,0 +1,425 @@
+// Several conf services, each in a kernel of its own, with a store, peers and
+// a network between them that a seed drives.
+#ifndef TESTS_CONF_WORLD_H
+#define TESTS_CONF_WORLD_H
+
+#include "conf/conf.h"
+
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace conf_world
+{
+
+// Records carry their revision as op.seq, so that snapshots show it.
+inline record_t make_record(const std::string &key, int64_t revision,
+			    bool removed)
+{
+	record_t record = {};
+	auto &account = record.u.client_account;
+
+	if (key == "conf/preset") {
+		record.kind = RECORD_PRESET;
+		record.u.preset.in_force = (preset_t)(revision % PRESET_COUNT);
+		return record;
+	}
+	record.kind = RECORD_CLIENT_ACCOUNT;
+	account.op.seq = (uint64_t)revision;
+	account.removed = removed;
+	g_strlcpy(account.name, key.c_str() + strlen("conf/account/"),
+		  NAME_SIZE);
+	return record;
+}
+
+struct Change {
+	int64_t revision;
+	std::string key;
+	bool removed;
+};
+
+// Revision of each client account in a snapshot; removed ones are absent.
+using View = std::map<std::string, int64_t>;
+
+inline View view_of(const conf_snapshot_t *snapshot)
+{
+	View view;
+
+	for (guint i = 0; i < snapshot->client_accounts->len; i++) {
+		auto &account = g_array_index(snapshot->client_accounts,
+					      record_client_account_t, i);
+		view[std::string("conf/account/") + account.name] =
+			(int64_t)account.op.seq;
+	}
+	return view;
+}
+
+// Checks that no key goes back within one instance's snapshots.
+class RevertChecker
+{
+      public:
+	explicit RevertChecker(const std::vector<Change> *changes)
+	    : history(changes)
+	{
+	}
+	// Returns an empty string or what went back.
+	std::string add(const View &view)
+	{
+		for (const auto &[key, revision] : view) {
+			if (revision < highest[key])
+				return key + " went back";
+			highest[key] = revision;
+		}
+		// An absent key must have been removed since it was seen.
+		for (auto &[key, revision] : highest) {
+			if (view.count(key) == 0)
+				revision = removed_after(key, revision);
+			if (revision < 0)
+				return key + " vanished";
+		}
+		return "";
+	}
+
+      private:
+	int64_t removed_after(const std::string &key, int64_t revision) const
+	{
+		for (const Change &change : *history)
+			if (change.key == key && change.removed &&
+			    change.revision >= revision)
+				return change.revision;
+		return -1;
+	}
+	const std::vector<Change> *history;
+	View highest;
+};
+
+class World;
+
+struct Instance {
+	World *world;
+	std::string incarnation;
+	kernel_t kernel;
+	conf_t conf;
+	svc_t self; // stands for store, peer and a subscriber
+	bool watched = false; // conf asked the store
+	bool store_cut = false;
+	uint64_t stream = 0; // changes when the watch breaks
+	bool streaming = false; // the stream's read was made
+	int64_t last_event = 0;
+	int64_t published_revision = 0;
+	preset_t preset = PRESET_ORDINARY;
+	View view;
+	std::unique_ptr<RevertChecker> checker;
+
+	void post(msg_t *msg)
+	{
+		kernel_post(&kernel, self, kernel_find(&kernel, "conf"), msg);
+	}
+};
+
+class World
+{
+      public:
+	explicit World(uint64_t seed) : random(seed), base_seed(seed)
+	{
+	}
+	~World()
+	{
+		for (auto &instance : instances)
+			stop(*instance);
+	}
+	int64_t below(int64_t n)
+	{
+		return (int64_t)(random() % (uint64_t)n);
+	}
+	Instance &start()
+	{
+		instances.push_back(std::make_unique<Instance>());
+		Instance &instance = *instances.back();
+		kernel_t *kernel = &instance.kernel;
+		std::string name = "i" + std::to_string(started++);
+		msg_t msg = {};
+
+		instance.world = this;
+		instance.incarnation = name;
+		instance.checker = std::make_unique<RevertChecker>(&history);
+		kernel_init(kernel, CLOCK_VIRTUAL, base_seed + started);
+		kernel->virtual_now = now;
+		kernel_register(kernel, "store", receive, &instance);
+		instance.self =
+			kernel_register(kernel, "peer", receive, &instance);
+		conf_init(&instance.conf, kernel);
+		kernel_start(kernel);
+		msg.kind = MSG_CONF_SUBSCRIBE;
+		instance.post(&msg);
+		at(below(USEC_PER_SEC), [this, name] { heartbeat(name); });
+		return instance;
+	}
+	// A replacement starts with empty memory and a new incarnation.
+	void restart(size_t index)
+	{
+		bool cut = instances[index]->store_cut;
+
+		stop(*instances[index]);
+		instances.erase(instances.begin() + (long)index);
+		start().store_cut = cut;
+	}
+	void write(const std::string &key, bool removed)
+	{
+		// Other writers move the store's revision too.
+		revision += 1 + below(5);
+		history.push_back({revision, key, removed});
+		for (auto &instance : instances)
+			if (instance->streaming)
+				send_change(*instance, history.back());
+	}
+	void set_store(bool up)
+	{
+		store_up = up;
+		for (auto &instance : instances)
+			cut_from_store(*instance, instance->store_cut);
+	}
+	// Breaks the watch; the next one begins with a complete read.
+	void cut_from_store(Instance &instance, bool cut)
+	{
+		instance.store_cut = cut;
+		instance.stream++;
+		instance.streaming = false;
+		if (instance.watched && !cut && store_up)
+			read_all(instance);
+	}
+	void run_to(int64_t time)
+	{
+		for (;;) {
+			int64_t next = time + 1;
+
+			for (auto &instance : instances) {
+				kernel_run_until(&instance->kernel, now);
+				int64_t due =
+					kernel_next_timer(&instance->kernel);
+				next = due < 0 ? next : std::min(next, due);
+			}
+			if (!events.empty())
+				next = std::min(next, events.top().time);
+			if (next > time)
+				break;
+			now = std::max(now, next);
+			while (!events.empty() && events.top().time <= now) {
+				auto action = events.top().action;
+				events.pop();
+				action();
+			}
+		}
+		now = time;
+	}
+	// Whether every instance has the newest configuration.
+	bool all_current() const
+	{
+		int64_t preset = 0;
+		View newest;
+
+		for (const Change &change : history) {
+			if (change.key == "conf/preset")
+				preset = change.revision % PRESET_COUNT;
+			else if (change.removed)
+				newest.erase(change.key);
+			else
+				newest[change.key] = change.revision;
+		}
+		for (const auto &instance : instances)
+			if (instance->view != newest ||
+			    instance->preset != preset)
+				return false;
+		return true;
+	}
+
+	std::vector<std::unique_ptr<Instance>> instances;
+	std::vector<Change> history;
+	std::map<std::pair<std::string, std::string>, bool> link_cut;
+	std::string violation;
+	uint64_t checks = 0;
+	int64_t now = 0;
+	bool store_up = true;
+	bool calm = false; // no loss, short delays
+	bool crossed = false; // store events may overtake each other
+
+      private:
+	struct Event {
+		int64_t time;
+		uint64_t order;
+		std::function<void()> action;
+		bool operator<(const Event &other) const
+		{
+			return std::tie(time, order) >
+			       std::tie(other.time, other.order);
+		}
+	};
+	void at(int64_t delay, std::function<void()> action)
+	{
+		events.push({now + delay, order++, std::move(action)});
+	}
+	static void stop(Instance &instance)
+	{
+		conf_finish(&instance.conf);
+		kernel_finish(&instance.kernel);
+	}
+	Instance *find(const std::string &incarnation)
+	{
+		for (auto &instance : instances)
+			if (instance->incarnation == incarnation)
+				return instance.get();
+		return nullptr;
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		auto *instance = static_cast<Instance *>(self);
+		World *world = instance->world;
+
+		if (msg->kind == MSG_STORE_WATCH) {
+			instance->watched = true;
+			world->read_all(*instance);
+		} else if (msg->kind == MSG_PEER_SEND) {
+			world->carry(*instance, msg->u.peer.incarnation,
+				     msg->u.peer.body);
+		} else if (msg->kind == MSG_CONF_CHANGED) {
+			world->check(*instance, msg->u.conf);
+		}
+	}
+	void check(Instance &instance, const conf_snapshot_t *snapshot)
+	{
+		instance.view = view_of(snapshot);
+		instance.preset = snapshot->preset;
+		checks++;
+		std::string error = instance.checker->add(instance.view);
+		if (snapshot->revision < instance.published_revision)
+			error = "revision of the snapshot went back";
+		instance.published_revision = snapshot->revision;
+		if (!error.empty())
+			violation = instance.incarnation + ": " + error;
+	}
+	void heartbeat(const std::string &incarnation)
+	{
+		Instance *from = find(incarnation);
+
+		if (from == nullptr)
+			return;
+		peer_body_t *body = peer_body_new(PEER_HEARTBEAT);
+		body->u.heartbeat.conf_revision = from->published_revision;
+		for (auto &other : instances)
+			if (other.get() != from)
+				carry(*from, other->incarnation, body);
+		peer_body_free(body);
+		at(USEC_PER_SEC,
+		   [this, incarnation] { heartbeat(incarnation); });
+	}
+	static peer_body_t *share(const peer_body_t *from)
+	{
+		auto *body = (peer_body_t *)g_memdup2(from, sizeof(*from));
+
+		if (from->kind == PEER_CONF_ITEMS)
+			g_array_ref(body->u.conf_items.kvs);
+		else if (from->kind == PEER_HEARTBEAT)
+			g_array_ref(body->u.heartbeat.members);
+		return body;
+	}
+	// Frames are lost, doubled and overtake each other.
+	void carry(Instance &from, const std::string &to, peer_body_t *body)
+	{
+		std::string sender = from.incarnation;
+
+		for (int64_t i = calm ? 1 : below(5) % 3; i > 0; i--) {
+			std::shared_ptr<peer_body_t> copy(share(body),
+							  peer_body_free);
+			at(below(calm ? 50000 : 900000),
+			   [this, sender, to, copy] {
+				   deliver(sender, to, copy.get());
+			   });
+		}
+	}
+	void deliver(const std::string &from, const std::string &to,
+		     const peer_body_t *body)
+	{
+		Instance *instance = find(to);
+		msg_t msg = {};
+
+		if (instance == nullptr || link_cut[std::minmax(from, to)])
+			return;
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, from.c_str(),
+			  INCARNATION_SIZE);
+		msg.u.peer.body = share(body);
+		instance->post(&msg);
+	}
+	void read_all(Instance &instance)
+	{
+		std::string name = instance.incarnation;
+		uint64_t stream = ++instance.stream;
+
+		at(below(2 * USEC_PER_SEC), [this, name, stream] {
+			Instance *to = find(name);
+			std::map<std::string, Change> newest;
+
+			if (to == nullptr || to->stream != stream ||
+			    !store_up || to->store_cut)
+				return;
+			for (const Change &change : history)
+				newest[change.key] = change;
+			std::vector<Change> all;
+			for (const auto &item : newest)
+				all.push_back(item.second);
+			to->streaming = true;
+			to->last_event = now;
+			post_event(*to, all);
+		});
+	}
+	void post_event(Instance &instance, const std::vector<Change> &changes)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STORE_EVENT;
+		msg.u.store_result = store_result_new(STORE_OK);
+		msg.u.store_result->revision = revision;
+		for (const Change &change : changes) {
+			record_t record = make_record(
+				change.key, change.revision, change.removed);
+			store_result_add(msg.u.store_result, 0,
+					 change.key.c_str(), change.revision,
+					 &record);
+		}
+		instance.post(&msg);
+	}
+	// Events are late and doubled; they overtake only if crossed is set.
+	void send_change(Instance &instance, const Change &change)
+	{
+		std::string name = instance.incarnation;
+		uint64_t stream = instance.stream;
+		int64_t time = now + below(calm ? 50000 : 700000);
+
+		if (!crossed)
+			time = std::max(time, instance.last_event + 1);
+		instance.last_event = std::max(time, instance.last_event);
+		for (int64_t copies = 1 + below(4) / 3; copies > 0; copies--)
+			at(time - now, [this, name, stream, change] {
+				Instance *to = find(name);
+
+				if (to != nullptr && to->stream == stream)
+					post_event(*to, {change});
+			});
+	}
+
+	std::mt19937_64 random;
+	uint64_t base_seed;
+	uint64_t order = 0;
+	uint64_t started = 0;
+	int64_t revision = 1;
+	std::priority_queue<Event> events;
+};
+
+} // namespace conf_world
+
+#endif
