Measure overspend and false refusals of the ledger

Change: bench_budget runs seven shipped ledgers on the virtual clock with ten accounts, budgets from 0.3 to 3 times the demand, a moving home zone and a top-up, with and without a zone cut off for ten minutes, beside static shares and one all-knowing ledger.

--- /dev/null
+++ b/bench/bench_budget.cc
@@ -0,0 +1,284 @@
+// Overspend and false refusals of the ledger at today's sizes, beside equal
+// static shares and one ledger that knows everything at once.
+#include "tests/ledger_world.h"
+#include "tests/ledger_world_impl.h"
+
+#include <cstdio>
+
+namespace
+{
+
+constexpr int ROUTERS = 7;
+constexpr int ACCOUNTS = 10;
+constexpr int LARGE_ACCOUNTS = 3; // of these each has a quarter of the work
+constexpr int64_t LENGTH_S = 900;
+constexpr int64_t RATE = 40; // requests per second
+constexpr int64_t TOPUP_S = 420;
+constexpr int64_t SHIFT_S = 450; // each account's home zone moves
+constexpr int64_t CUT_FROM_S = 180;
+constexpr int64_t CUT_TO_S = 780;
+constexpr double GOAL_CONNECTED = 0.1; // percent
+constexpr double GOAL_CUT = 1.0; // percent
+
+struct Deployment {
+	const char *name;
+	std::vector<int> zones; // of each router
+};
+
+struct Arrival {
+	int64_t at; // us
+	int router;
+	int account;
+	Request request;
+};
+
+struct Trace {
+	std::vector<Arrival> arrivals;
+	int64_t budgets[ACCOUNTS];
+	int64_t topups[ACCOUNTS];
+};
+
+// SplitMix64, so that a trace depends on its seed only.
+struct Random {
+	uint64_t state;
+	int64_t below(int64_t n)
+	{
+		uint64_t z = (state += UINT64_C(0x9e3779b97f4a7c15));
+		z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+		z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+		return (int64_t)((z ^ (z >> 31)) % (uint64_t)n);
+	}
+};
+
+int pick_account(Random &random)
+{
+	int64_t x = random.below(100);
+
+	if (x < 25 * LARGE_ACCOUNTS)
+		return (int)(x / 25);
+	return LARGE_ACCOUNTS + (int)random.below(ACCOUNTS - LARGE_ACCOUNTS);
+}
+
+// Six in ten requests of an account come to its home zone.
+int pick_router(Random &random, const Deployment &deployment, int account,
+		int64_t at)
+{
+	int zones = deployment.zones.back() + 1;
+	int home = (account + (at >= SHIFT_S * SEC ? 1 : 0)) % zones;
+
+	for (;;) {
+		int router = (int)random.below(ROUTERS);
+		if (random.below(10) >= 6 ||
+		    deployment.zones[(size_t)router] == home)
+			return router;
+	}
+}
+
+Trace make_trace(const Deployment &deployment, uint64_t seed)
+{
+	// Budgets as a share of what the account would use in all.
+	const double shares[ACCOUNTS] = {0.5, 1.02, 2.0, 0.3, 0.6,
+					 0.9, 1.0,  1.1, 1.5, 3.0};
+	int64_t demand[ACCOUNTS] = {};
+	Random random = {seed};
+	Trace trace = {};
+	int64_t at = 0;
+
+	for (int i = 0; at < LENGTH_S * SEC; i++) {
+		Arrival arrival = {};
+		int64_t prompt = 100 + random.below(1400);
+		int64_t limit = 128 << random.below(4);
+		int64_t generated = 1 + random.below(limit);
+
+		at += 1 + random.below(2 * SEC / RATE);
+		arrival.at = at;
+		arrival.account = pick_account(random);
+		arrival.router =
+			pick_router(random, deployment, arrival.account, at);
+		arrival.request.budget = "b" + std::to_string(arrival.account);
+		arrival.request.key = "k" + std::to_string(i);
+		arrival.request.reserved = prompt + limit;
+		arrival.request.tokens = prompt / 4 + generated;
+		arrival.request.run_us = 200 * MS + generated * 20 * MS;
+		demand[arrival.account] += arrival.request.tokens;
+		trace.arrivals.push_back(arrival);
+	}
+	for (int i = 0; i < ACCOUNTS; i++) {
+		trace.budgets[i] = (int64_t)((double)demand[i] * shares[i]);
+		trace.topups[i] = shares[i] < 1 ? demand[i] / 5 : 0;
+	}
+	return trace;
+}
+
+// One ledger that knows every reservation and top-up at once.
+std::vector<bool> run_single(const Trace &trace, int shards)
+{
+	std::vector<bool> admitted;
+	std::multimap<int64_t, std::pair<std::pair<int, int>, int64_t>> ends;
+	std::map<std::pair<int, int>, int64_t> left;
+	bool topped = false;
+
+	for (int a = 0; a < ACCOUNTS; a++)
+		for (int s = 0; s < shards; s++)
+			left[{a, s}] = trace.budgets[a] / shards;
+	for (const Arrival &arrival : trace.arrivals) {
+		if (!topped && arrival.at >= TOPUP_S * SEC) {
+			topped = true;
+			for (auto &[key, tokens] : left)
+				tokens += trace.topups[key.first] / shards;
+		}
+		while (!ends.empty() && ends.begin()->first <= arrival.at) {
+			left[ends.begin()->second.first] +=
+				ends.begin()->second.second;
+			ends.erase(ends.begin());
+		}
+		std::pair<int, int> key = {arrival.account,
+					   shards == 1 ? 0 : arrival.router};
+		bool ok = left[key] >= arrival.request.reserved;
+		admitted.push_back(ok);
+		if (!ok)
+			continue;
+		left[key] -= arrival.request.reserved;
+		ends.emplace(
+			arrival.at + arrival.request.run_us,
+			std::make_pair(key, arrival.request.reserved -
+						    arrival.request.tokens));
+	}
+	return admitted;
+}
+
+void set_cut(World &world, const Deployment &deployment, bool cut)
+{
+	for (int i = 0; i < ROUTERS; i++) {
+		if (deployment.zones[(size_t)i] != 0)
+			continue;
+		world.holders[(size_t)i]->store_cut = cut;
+		for (int j = 0; j < ROUTERS; j++) {
+			if (deployment.zones[(size_t)j] == 0)
+				continue;
+			if (cut) {
+				world.cuts.insert({i, j});
+				world.cuts.insert({j, i});
+			} else {
+				world.cuts.erase({i, j});
+				world.cuts.erase({j, i});
+			}
+		}
+	}
+}
+
+struct Outcome {
+	std::vector<bool> admitted;
+	std::string overspend;
+	int64_t store_calls;
+};
+
+Outcome run_ledger(const Deployment &deployment, const Trace &trace, bool cut)
+{
+	Outcome outcome;
+	World world(1);
+	std::set<std::string> refused;
+
+	world.fast_links = true;
+	world.check_writes = false;
+	world.zones = deployment.zones;
+	world.reserved = [&](const Request &request, reserve_result_t result) {
+		if (result != RESERVE_OK)
+			refused.insert(request.key);
+	};
+	for (int a = 0; a < ACCOUNTS; a++)
+		world.set_budget("b" + std::to_string(a), trace.budgets[a]);
+	for (int i = 0; i < ROUTERS; i++)
+		world.start(i);
+	world.run_for(5 * SEC);
+	int64_t start = world.now;
+	world.at(TOPUP_S * SEC, [&] {
+		for (int a = 0; a < ACCOUNTS; a++)
+			world.set_budget("b" + std::to_string(a),
+					 trace.topups[a]);
+	});
+	if (cut) {
+		world.at(CUT_FROM_S * SEC,
+			 [&] { set_cut(world, deployment, true); });
+		world.at(CUT_TO_S * SEC,
+			 [&] { set_cut(world, deployment, false); });
+	}
+	for (const Arrival &arrival : trace.arrivals) {
+		world.run_for(start + arrival.at - world.now);
+		world.submit(arrival.router, arrival.request);
+	}
+	world.run_for(60 * SEC);
+	world.check_store();
+	for (const Arrival &arrival : trace.arrivals)
+		outcome.admitted.push_back(refused.count(arrival.request.key) ==
+					   0);
+	outcome.overspend = world.overspend;
+	outcome.store_calls = world.store.calls;
+	return outcome;
+}
+
+// Refused although the single ledger admits it, in percent of what it admits.
+double false_refusals(const std::vector<bool> &best,
+		      const std::vector<bool> &run)
+{
+	int64_t admitted = 0, refused = 0;
+
+	for (size_t i = 0; i < best.size(); i++) {
+		admitted += best[i];
+		refused += best[i] && !run[i];
+	}
+	return 100.0 * (double)refused / (double)admitted;
+}
+
+bool print(const char *name, const char *trace, const char *policy,
+	   double value, const char *unit, double goal)
+{
+	bool met = value <= goal;
+
+	printf("bench %s trace=%s policy=%s value=%.3f%s goal=%g%s met=%s\n",
+	       name, trace, policy, value, unit, goal, unit,
+	       met ? "yes" : "no");
+	return met;
+}
+
+bool run(const Deployment &deployment, bool cut, uint64_t seed)
+{
+	const char *name = cut ? "false_refusals_cut" : "false_refusals";
+	double goal = cut ? GOAL_CUT : GOAL_CONNECTED;
+	Trace trace = make_trace(deployment, seed);
+	std::vector<bool> best = run_single(trace, 1);
+	std::vector<bool> shares = run_single(trace, ROUTERS);
+	Outcome ours = run_ledger(deployment, trace, cut);
+	bool met;
+
+	met = print(cut ? "overspend_cut" : "overspend", deployment.name,
+		    "tanagertrestle", ours.overspend.empty() ? 0 : 1, "", 0);
+	if (!ours.overspend.empty())
+		printf("# %s\n", ours.overspend.c_str());
+	met &= print(name, deployment.name, "tanagertrestle",
+		     false_refusals(best, ours.admitted), "%", goal);
+	printf("bench %s trace=%s policy=static_shares value=%.3f%%\n", name,
+	       deployment.name, false_refusals(best, shares));
+	printf("bench store_calls_per_1000 trace=%s policy=tanagertrestle "
+	       "cut=%s value=%.1f\n",
+	       deployment.name, cut ? "yes" : "no",
+	       1000.0 * (double)ours.store_calls / (double)best.size());
+	fflush(stdout);
+	return met;
+}
+
+} // namespace
+
+int main()
+{
+	const Deployment deployments[] = {
+		{"szunyoghalo", {0, 0, 1, 1, 2, 2, 3}},
+		{"pemberton", {0, 0, 0, 1, 1, 2, 2}},
+	};
+	bool met = true;
+
+	for (const Deployment &deployment : deployments)
+		for (bool cut : {false, true})
+			met &= run(deployment, cut, 20261204);
+	return met ? 0 : 1;
+}
--- a/tests/ledger_world.h
+++ b/tests/ledger_world.h
@@ -105,6 +105,10 @@
 	uint64_t counters[COUNTER_COUNT] = {}; // of all holders
 	ledger_opts_t opts;
 	bool fast_links = false;
+	bool check_writes = true; // long runs check at their end only
+	std::vector<int> zones; // of each holder; a buddy in the own one first
+	// Told of each admission and refusal, where set.
+	std::function<void(const Request &, reserve_result_t)> reserved;
 	int next_incarnation = 0;
 	int64_t peer_messages = 0;
 
