Bound the wait for a dead router's buddy, link the property test once

Two routers that were each other's buddies could wait for each other's records for good if different routers recover them; the wait ends after 30 minutes.

--- a/ledger/local.h
+++ b/ledger/local.h
@@ -161,7 +161,8 @@
 	char incarnation[INCARNATION_SIZE];
 	bool instance_gone;
 	bool give_back; /* the unspent part may be returned */
-	int64_t since;
+	int64_t since; /* of the wait */
+	int64_t began;
 	job_step_t step;
 	bool closing; /* grants are closed: the instance is gone */
 	bool progress; /* something was written since the last listing */
--- a/ledger/recover.c
+++ b/ledger/recover.c
@@ -6,6 +6,11 @@
 #define JOB_RETRY (500 * USEC_PER_MSEC)
 /* Routers with copies come first; the others look again after this. */
 #define WAIT_WITHOUT_COPIES (5 * USEC_PER_SEC)
+/*
+ * A buddy that stays cut off from the store this long is not waited for: two
+ * routers that were each other's buddies may both be gone.
+ */
+#define BUDDY_WAIT_MAX (1800 * USEC_PER_SEC)
 
 static job_t *job_find(const ledger_t *ledger, const char *incarnation)
 {
@@ -46,6 +51,7 @@
 	job->handle = handle;
 	g_strlcpy(job->incarnation, incarnation, sizeof(job->incarnation));
 	job->since = kernel_now(ledger->kernel);
+	job->began = job->since;
 	job->grants = g_array_new(FALSE, TRUE, sizeof(store_kv_t));
 	g_array_set_clear_func(job->grants, clear_kv);
 	job->bills = g_array_new(FALSE, FALSE, sizeof(bill_t));
@@ -399,7 +405,8 @@
 
 	return job->buddy[0] != '\0' &&
 	       strcmp(job->buddy, ledger->opts.incarnation) != 0 &&
-	       (other == NULL || !other->instance_gone);
+	       (other == NULL || !other->instance_gone) &&
+	       kernel_now(ledger->kernel) - job->began < BUDDY_WAIT_MAX;
 }
 
 static void handle_member(ledger_t *ledger, job_t *job,
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -1,5 +1,8 @@
 // Guards the ledger's rules one by one, under a virtual clock.
-#include "tests/ledger_prove.cc"
+#include "tests/ledger_world_impl.h"
+
+#include <cstdio>
+#include <gtest/gtest.h>
 
 namespace
 {
