Add the routing policy: estimates, fair queues, ejection, hedges, presets

Cause: the first route took the target with the fewest outstanding tokens and a FIFO queue; long work filled targets and slow targets kept getting work. Change: decisions are split by job (admit, queue, pick, flight, outlier, estimate, target) and take their parameters from one table per preset.

--- /dev/null
+++ b/route/estimate.c
@@ -0,0 +1,85 @@
+#include "route/estimate.h"
+
+#define MEAN_WEIGHT 0.02
+/* A sample counts for at most this multiple, so that one can't spoil a mean. */
+#define SAMPLE_MAX 8.0
+/* Steps of the p95: up and down balance when 1 in 20 samples is above it. */
+#define P95_UP 0.095
+#define P95_DOWN 0.005
+
+void mean_add(mean_t *mean, double sample, double weight)
+{
+	if (mean->samples < G_MAXUINT32)
+		mean->samples++;
+	weight = MAX(weight, 1.0 / mean->samples);
+	mean->value += weight * (sample - mean->value);
+}
+
+static void add_clipped(mean_t *mean, double sample)
+{
+	if (mean->samples > 0 && mean->value > 0)
+		sample = MIN(sample, mean->value * SAMPLE_MAX);
+	mean_add(mean, sample, MEAN_WEIGHT);
+}
+
+uint32_t estimate_size_class(int64_t tokens)
+{
+	uint32_t class = 0;
+
+	while (tokens > 0 && class < SIZE_CLASSES - 1) {
+		tokens >>= 1;
+		class ++;
+	}
+	return class;
+}
+
+int64_t estimate_tokens(const estimate_t *estimate, int64_t worst)
+{
+	int class = (int)estimate_size_class(worst);
+
+	/* A class without samples takes the ratio of the nearest one. */
+	for (int d = 0; d < SIZE_CLASSES; d++) {
+		if (class - d >= 0 && estimate->ratio[class - d].samples > 0)
+			return MAX(1,
+				   (int64_t)((double)worst *
+					     estimate->ratio[class - d].value));
+		if (class + d < SIZE_CLASSES &&
+		    estimate->ratio[class + d].samples > 0)
+			return MAX(1,
+				   (int64_t)((double)worst *
+					     estimate->ratio[class + d].value));
+	}
+	return MAX(worst, 1);
+}
+
+int64_t estimate_duration(const estimate_t *estimate, int64_t tokens)
+{
+	return (int64_t)(estimate->first_byte.value +
+			 estimate->us_per_token.value * (double)tokens);
+}
+
+void estimate_first_byte(estimate_t *estimate, int64_t us)
+{
+	double sample = (double)MAX(us, 1);
+
+	add_clipped(&estimate->first_byte, sample);
+	if (estimate->first_byte_p95 <= 0)
+		estimate->first_byte_p95 = 2 * sample;
+	else if (sample > estimate->first_byte_p95)
+		estimate->first_byte_p95 *= 1 + P95_UP;
+	else
+		estimate->first_byte_p95 *= 1 - P95_DOWN;
+}
+
+void estimate_done(estimate_t *estimate, int64_t worst, int64_t real,
+		   int64_t duration_us, int64_t first_byte_us)
+{
+	double ratio = (double)real / (double)MAX(worst, 1);
+
+	if (real <= 0)
+		return;
+	mean_add(&estimate->ratio[estimate_size_class(worst)],
+		 CLAMP(ratio, 0, 1), MEAN_WEIGHT);
+	add_clipped(&estimate->us_per_token,
+		    (double)MAX(duration_us - first_byte_us, 0) / (double)real);
+}
--- /dev/null
+++ b/route/pick.c
@@ -0,0 +1,275 @@
+#include "route/pick.h"
+
+#include <math.h>
+#include <string.h>
+
+#define RING_POINTS 8 /* for each target */
+#define RING_TRIES 3 /* targets asked before the prefix is ignored */
+#define STALE_TRIES 8 /* scores found out of date in one choice */
+/* Below this many samples a target's slowness says little. */
+#define SLOWNESS_SAMPLES 5
+#define SLOWNESS_MAX 4.0
+/* Spreads the choices of routers that know the same. */
+#define JITTER 0.02
+
+static bool is_local(const route_t *route, const target_t *target)
+{
+	return strcmp(target->record.availability_zone,
+		      route->availability_zone) == 0;
+}
+
+static bool has_room(const route_t *route, const target_t *target, work_t work)
+{
+	if (target_running(target) >= target_limit(route, target, WORK_SHORT))
+		return false;
+	return work == WORK_SHORT ||
+	       target->running[WORK_LONG] < target_limit(route, target, work);
+}
+
+/*
+ * Load of a target: half by the router's own work, which is exact, and half
+ * by the report, which counts everybody's work but is late.
+ */
+static double load_of(const route_t *route, const target_t *target)
+{
+	double own = target_running(target) + 1;
+	double load = own / target_share(route, target);
+	double all;
+
+	if (target_report_is_valid(route, target)) {
+		all = (own + target_others(route, target)) /
+		      MAX(target->record.concurrency, 1);
+		load = (load + all) / 2;
+	}
+	if (target->slowness.samples >= SLOWNESS_SAMPLES &&
+	    target->group->median > 0)
+		load *= CLAMP(target->slowness.value / target->group->median, 1,
+			      SLOWNESS_MAX);
+	return load;
+}
+
+static double score_of(const route_t *route, const target_t *target,
+		       work_t work)
+{
+	double score;
+
+	if (!target->configured || !has_room(route, target, work))
+		return INFINITY;
+	/* A probe is due: without work the target can't be readmitted. */
+	if (target->state == TARGET_PROBED)
+		return -1;
+	score = load_of(route, target) +
+		JITTER * (double)(target->salt % 1024) / 1024;
+	/* Another zone costs a few ms, which is less than queueing. */
+	if (!is_local(route, target))
+		score += route->policy->zone_spill_percent / 100.0;
+	return score;
+}
+
+static target_t *at(const GPtrArray *heap, uint32_t index)
+{
+	return g_ptr_array_index(heap, index);
+}
+
+static void place(GPtrArray *heap, work_t work, uint32_t index,
+		  target_t *target)
+{
+	heap->pdata[index] = target;
+	target->heap_index[work] = index;
+}
+
+static void sift(GPtrArray *heap, work_t work, uint32_t index)
+{
+	target_t *target = at(heap, index);
+	double score = target->score[work];
+	uint32_t child;
+
+	while (index > 0 && score < at(heap, (index - 1) / 2)->score[work]) {
+		place(heap, work, index, at(heap, (index - 1) / 2));
+		index = (index - 1) / 2;
+	}
+	while ((child = 2 * index + 1) < heap->len) {
+		if (child + 1 < heap->len &&
+		    at(heap, child + 1)->score[work] <
+			    at(heap, child)->score[work])
+			child++;
+		if (at(heap, child)->score[work] >= score)
+			break;
+		place(heap, work, index, at(heap, child));
+		index = child;
+	}
+	place(heap, work, index, target);
+}
+
+void pick_update(const route_t *route, target_t *target)
+{
+	if (!target->configured)
+		return;
+	for (int work = 0; work < WORK_COUNT; work++) {
+		target->score[work] = score_of(route, target, work);
+		sift(target->group->heap[work], work, target->heap_index[work]);
+	}
+}
+
+static uint64_t mix(uint64_t x)
+{
+	x ^= x >> 33;
+	x *= UINT64_C(0xff51afd7ed558ccd);
+	x ^= x >> 33;
+	x *= UINT64_C(0xc4ceb9fe1a85ec53);
+	return x ^ (x >> 33);
+}
+
+static gint compare_points(gconstpointer a, gconstpointer b)
+{
+	const ring_point_t *x = a, *y = b;
+
+	if (x->hash != y->hash)
+		return x->hash < y->hash ? -1 : 1;
+	return 0;
+}
+
+/*
+ * The points depend on the target's name only, so that all routers of a zone
+ * send a prefix to the same target.  Targets of the router's own zone only,
+ * if there are any.
+ */
+static void rebuild_ring(const route_t *route, group_t *group)
+{
+	bool local = false;
+
+	g_array_set_size(group->ring, 0);
+	for (guint i = 0; i < group->targets->len; i++)
+		local = local || is_local(route, at(group->targets, i));
+	for (guint i = 0; i < group->targets->len; i++) {
+		ring_point_t point = {.target = at(group->targets, i)};
+		uint64_t hash = g_str_hash(point.target->record.name);
+
+		if (local && !is_local(route, point.target))
+			continue;
+		for (uint64_t n = 0; n < RING_POINTS; n++) {
+			point.hash = mix((hash << 8) + n);
+			g_array_append_val(group->ring, point);
+		}
+	}
+	g_array_sort(group->ring, compare_points);
+}
+
+void pick_rebuild(const route_t *route, group_t *group)
+{
+	group->long_share = 0;
+	group->open = 0;
+	for (int work = 0; work < WORK_COUNT; work++)
+		g_ptr_array_set_size(group->heap[work], 0);
+	for (guint i = 0; i < group->targets->len; i++) {
+		target_t *target = at(group->targets, i);
+
+		group->long_share += target_long_share(route, target);
+		for (int work = 0; work < WORK_COUNT; work++) {
+			target->heap_index[work] = i;
+			target->score[work] = INFINITY;
+			g_ptr_array_add(group->heap[work], target);
+		}
+	}
+	for (guint i = 0; i < group->targets->len; i++)
+		pick_update(route, at(group->targets, i));
+	rebuild_ring(route, group);
+}
+
+/* A hedge is no probe: it is there to be quick. */
+static bool is_excluded(const ask_t *ask, const target_t *target)
+{
+	if (ask->hedge && target->state == TARGET_PROBED)
+		return true;
+	for (uint32_t i = 0; i < ask->avoid_count; i++) {
+		if (handle_equal(ask->avoid[i], target->self))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The best target below a place of the heap.  It descends further only below
+ * excluded targets, of which there are few.
+ */
+static target_t *best_below(const GPtrArray *heap, const ask_t *ask,
+			    uint32_t index)
+{
+	target_t *target, *left, *right;
+
+	if (index >= heap->len)
+		return NULL;
+	target = at(heap, index);
+	if (isinf(target->score[ask->work]))
+		return NULL;
+	if (!is_excluded(ask, target))
+		return target;
+	left = best_below(heap, ask, 2 * index + 1);
+	right = best_below(heap, ask, 2 * index + 2);
+	if (left == NULL ||
+	    (right != NULL && right->score[ask->work] < left->score[ask->work]))
+		return right;
+	return left;
+}
+
+static uint32_t ring_find(const GArray *ring, uint64_t hash)
+{
+	uint32_t low = 0, high = ring->len;
+
+	while (low < high) {
+		uint32_t middle = (low + high) / 2;
+
+		if (g_array_index(ring, ring_point_t, middle).hash < hash)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+/*
+ * The target that probably holds the prefix in its cache, if its load is at
+ * most a little above the mean: the cache saves less than a queue costs.
+ */
+static target_t *by_prefix(const route_t *route, const ask_t *ask)
+{
+	const group_t *group = ask->group;
+	uint32_t running = group->running[0] + group->running[1];
+	double bound = (running + 1.0) / MAX(group->targets->len, 1) *
+		       route->policy->affinity_percent / 100.0;
+	uint32_t start, tried = 0;
+	target_t *target, *last = NULL;
+
+	if (ask->prefix_hash == 0 || ask->hedge || group->ring->len == 0)
+		return NULL;
+	start = ring_find(group->ring, mix(ask->prefix_hash));
+	for (uint32_t i = 0; i < group->ring->len && tried < RING_TRIES; i++) {
+		target = g_array_index(group->ring, ring_point_t,
+				       (start + i) % group->ring->len)
+				 .target;
+		if (target == last)
+			continue;
+		last = target;
+		tried++;
+		if (target->state == TARGET_OPEN && !is_excluded(ask, target) &&
+		    has_room(route, target, ask->work) &&
+		    target_running(target) < ceil(bound))
+			return target;
+	}
+	return NULL;
+}
+
+target_t *pick_choose(const route_t *route, const ask_t *ask)
+{
+	target_t *target = by_prefix(route, ask);
+
+	if (target != NULL)
+		return target;
+	for (int i = 0; i < STALE_TRIES; i++) {
+		target = best_below(ask->group->heap[ask->work], ask, 0);
+		if (target == NULL || has_room(route, target, ask->work))
+			return target;
+		pick_update(route, target);
+	}
+	return NULL;
+}
--- a/route/route.h
+++ b/route/route.h
@@ -6,6 +6,7 @@
 #define ROUTE_ROUTE_H
 
 #include "kernel/kernel.h"
+#include "route/policy.h"
 
 G_BEGIN_DECLS
 
@@ -15,11 +16,17 @@
 	svc_t request;
 	char availability_zone[NAME_SIZE];
 	conf_snapshot_t *conf;
+	const policy_t *policy;
 	uint32_t members; /* routers alive, this one included */
+	uint32_t ejected; /* targets that are outliers */
+	uint32_t waiting; /* requests in all queues */
+	GHashTable *groups; /* service -> group_t */
+	GHashTable *by_name; /* target -> target_t */
+	GHashTable *by_address; /* "host port" -> target_t */
+	GHashTable *by_attempt; /* the asker's handle -> ask_t */
 	table_t targets; /* target_t */
 	table_t asks; /* ask_t: requests that wait */
 	table_t assignments; /* assignment_t: requests on targets */
-	GQueue queue; /* handle_t *, oldest first */
 } route_t;
 
 void route_init(route_t *route, kernel_t *kernel,
--- a/route/target.c
+++ b/route/target.c
@@ -1,80 +1,285 @@
 #include "route/target.h"
 
+#include "route/pick.h"
+
+#include <math.h>
 #include <string.h>
 
-static target_t *find_by_name(route_t *route, const char *name)
+/* A report older than this says nothing about the load now. */
+#define REPORT_VALID (5 * USEC_PER_SEC)
+#define SLOW_START_STEPS 8
+#define SLOW_START_FLOOR 0.25 /* share at the beginning of a slow start */
+
+void group_free(gpointer data)
 {
-	target_t *target;
-	uint32_t cursor = 0;
+	group_t *group = data;
 
-	while ((target = table_next(&route->targets, &cursor, NULL)) != NULL) {
-		if (strcmp(target->record.name, name) == 0)
-			return target;
-	}
-	return NULL;
+	g_ptr_array_unref(group->targets);
+	for (int work = 0; work < WORK_COUNT; work++)
+		g_ptr_array_unref(group->heap[work]);
+	g_array_unref(group->ring);
+	queue_finish(&group->queue);
+	g_free(group);
 }
 
-void target_update_all(route_t *route, const conf_snapshot_t *conf)
+group_t *group_find(const route_t *route, const char *service)
 {
-	target_t *target;
-	handle_t handle;
-	uint32_t cursor = 0;
+	return g_hash_table_lookup(route->groups, service);
+}
 
-	while ((target = table_next(&route->targets, &cursor, NULL)) != NULL)
-		target->configured = false;
-	for (guint i = 0; i < conf->targets->len; i++) {
-		const record_target_t *record =
-			&g_array_index(conf->targets, record_target_t, i);
-
-		target = find_by_name(route, record->name);
-		if (target == NULL)
-			table_add(&route->targets, (void **)&target);
-		target->record = *record;
-		target->configured = true;
-	}
-	cursor = 0;
-	while ((target = table_next(&route->targets, &cursor, &handle)) !=
-	       NULL) {
-		if (!target->configured && target->running == 0)
-			table_remove(&route->targets, handle);
-	}
-	metrics_set(route->kernel->metrics, GAUGE_TARGETS,
-		    table_count(&route->targets));
+/* A group outlives its service: what it has learned stays of use. */
+group_t *group_get(route_t *route, const char *service)
+{
+	group_t *group = group_find(route, service);
+
+	if (group != NULL)
+		return group;
+	group = g_new0(group_t, 1);
+	g_strlcpy(group->service, service, sizeof(group->service));
+	group->targets = g_ptr_array_new();
+	for (int work = 0; work < WORK_COUNT; work++)
+		group->heap[work] = g_ptr_array_new();
+	group->ring = g_array_new(FALSE, FALSE, sizeof(ring_point_t));
+	queue_init(&group->queue);
+	g_hash_table_insert(route->groups, group->service, group);
+	return group;
 }
 
-uint32_t target_limit(const route_t *route, const target_t *target)
+static char *address_key(const char *host, uint16_t port)
 {
-	uint32_t concurrency = MAX(target->record.concurrency, 1);
-	uint32_t share, others;
+	return g_strdup_printf("%s %u", host, port);
+}
+
+target_t *target_find(const route_t *route, const char *host, uint16_t port)
+{
+	char *key = address_key(host, port);
+	target_t *target = g_hash_table_lookup(route->by_address, key);
+
+	g_free(key);
+	return target;
+}
 
-	/*
-	 * Each router always has its even share.  Beyond it, it may use what
-	 * the other routers leave free according to the target's report.
-	 */
-	share = (concurrency + route->members - 1) / route->members;
-	others = target->reported > target->running
-			 ? target->reported - target->running
-			 : 0;
-	if (others >= concurrency)
-		return share;
-	return MAX(share, concurrency - others);
+uint32_t target_running(const target_t *target)
+{
+	return target->running[WORK_SHORT] + target->running[WORK_LONG];
 }
 
-bool target_is_open(const target_t *target)
+bool target_is_open(const route_t *route, const target_t *target)
 {
 	return target->configured && !target->leaving &&
-	       !target->record.draining;
+	       !target->record.draining &&
+	       target->hold_until <= kernel_now(route->kernel);
+}
+
+static double slow_start(const route_t *route, const target_t *target)
+{
+	double length = (double)route->policy->slow_start_ms * USEC_PER_MSEC;
+	double part;
+
+	if (target->readmitted == 0 || length <= 0)
+		return 1;
+	part = (double)(kernel_now(route->kernel) - target->readmitted) /
+	       length;
+	return CLAMP(part, SLOW_START_FLOOR, 1);
+}
+
+void target_slow_start(route_t *route, target_t *target)
+{
+	int64_t step =
+		route->policy->slow_start_ms * USEC_PER_MSEC / SLOW_START_STEPS;
+
+	target->readmitted = kernel_now(route->kernel);
+	kernel_timer_cancel(route->kernel, &target->timer);
+	target->timer = kernel_timer(route->kernel, route->svc, step,
+				     target->self, TIMER_TARGET);
+}
+
+double target_share(const route_t *route, const target_t *target)
+{
+	return MAX(target->record.concurrency, 1) * slow_start(route, target) /
+	       route->members;
+}
+
+/*
+ * Rounds up for some routers and down for others, by the salt, so that the
+ * routers' shares add up to about the whole.
+ */
+static uint32_t round_by_salt(const target_t *target, double share)
+{
+	double whole = floor(share);
+
+	return (uint32_t)whole +
+	       ((double)(target->salt % 1024) / 1024 < share - whole);
+}
+
+uint32_t target_long_share(const route_t *route, const target_t *target)
+{
+	double room = route->policy->short_room_percent / 100.0;
+
+	return round_by_salt(target, target_share(route, target) * (1 - room));
+}
+
+bool target_report_is_valid(const route_t *route, const target_t *target)
+{
+	return target->report_time != 0 &&
+	       kernel_now(route->kernel) - target->report_time <= REPORT_VALID;
+}
+
+uint32_t target_others(const route_t *route, const target_t *target)
+{
+	uint32_t own = target->running_at_report;
+
+	if (!target_report_is_valid(route, target))
+		return target->record.concurrency;
+	return target->reported > own ? target->reported - own : 0;
+}
+
+static uint32_t limit_long(const route_t *route, const target_t *target)
+{
+	double room = route->policy->short_room_percent / 100.0;
+	double share = target_share(route, target) * (1 - room);
+	double free_room = target->record.concurrency * (1 - room) -
+			   target_others(route, target);
+	uint32_t limit = target_long_share(route, target);
+
+	/* A service too small for a share each: better some than none. */
+	if (limit == 0 && target->group->long_share == 0)
+		limit = 1;
+	if (free_room > limit)
+		limit = (uint32_t)MIN(
+			free_room,
+			share * route->policy->burst_percent / 100.0 + limit);
+	return limit;
+}
+
+uint32_t target_limit(const route_t *route, const target_t *target, work_t work)
+{
+	double share, burst, free_room;
+
+	if (target->state == TARGET_EJECTED || !target_is_open(route, target))
+		return 0;
+	if (target->state == TARGET_PROBED)
+		return handle_is_none(target->probe)
+			       ? target_running(target) + 1
+			       : 0;
+	if (work == WORK_LONG)
+		return limit_long(route, target);
+	share = target_share(route, target);
+	burst = share * route->policy->burst_percent / 100.0;
+	share = share * route->policy->share_percent / 100.0;
+	free_room = target->record.concurrency * slow_start(route, target) -
+		    target_others(route, target);
+	return (uint32_t)ceil(CLAMP(free_room, share, MAX(burst, share)));
+}
+
+void target_forget(route_t *route, target_t *target)
+{
+	char *key;
+
+	if (target->configured || target_running(target) > 0)
+		return;
+	kernel_timer_cancel(route->kernel, &target->timer);
+	key = address_key(target->record.host, target->record.port);
+	if (g_hash_table_lookup(route->by_address, key) == target)
+		g_hash_table_remove(route->by_address, key);
+	g_free(key);
+	if (g_hash_table_lookup(route->by_name, target->record.name) == target)
+		g_hash_table_remove(route->by_name, target->record.name);
+	table_remove(&route->targets, target->self);
+}
+
+/* A target with another service or address is another target. */
+static bool is_same(const record_target_t *a, const record_target_t *b)
+{
+	return strcmp(a->service, b->service) == 0 &&
+	       strcmp(a->host, b->host) == 0 && a->port == b->port;
+}
+
+static target_t *add_target(route_t *route, const record_target_t *record,
+			    bool slow)
+{
+	target_t *target;
+	handle_t self = table_add(&route->targets, (void **)&target);
+
+	target->self = self;
+	target->record = *record;
+	target->group = group_get(route, record->service);
+	target->salt = kernel_random(route->kernel);
+	if (slow && target->group->targets->len > 0)
+		target_slow_start(route, target);
+	g_hash_table_insert(route->by_name, target->record.name, target);
+	g_hash_table_replace(route->by_address,
+			     address_key(record->host, record->port), target);
+	return target;
+}
+
+static void update_target(route_t *route, const record_target_t *record,
+			  bool slow)
+{
+	target_t *target = g_hash_table_lookup(route->by_name, record->name);
+	bool known = target != NULL && is_same(&target->record, record);
+
+	if (target != NULL && !known) {
+		g_hash_table_remove(route->by_name, target->record.name);
+		target = NULL;
+	}
+	if (target == NULL)
+		target = add_target(route, record, slow);
+	target->record = *record;
+	target->configured = true;
 }
 
-target_t *target_find(route_t *route, const char *host, uint16_t port)
+static void link_targets(route_t *route)
 {
+	GHashTableIter i;
 	target_t *target;
+	group_t *group;
 	uint32_t cursor = 0;
 
 	while ((target = table_next(&route->targets, &cursor, NULL)) != NULL) {
-		if (target->record.port == port &&
-		    strcmp(target->record.host, host) == 0)
-			return target;
+		if (!target->configured)
+			continue;
+		group = target->group;
+		target->index = group->targets->len;
+		g_ptr_array_add(group->targets, target);
+		if (target->state != TARGET_OPEN && target->outlier)
+			group->ejected++;
 	}
-	return NULL;
+	g_hash_table_iter_init(&i, route->groups);
+	while (g_hash_table_iter_next(&i, NULL, (gpointer *)&group))
+		pick_rebuild(route, group);
+}
+
+void target_update_all(route_t *route, const conf_snapshot_t *conf)
+{
+	bool slow = table_count(&route->targets) > 0;
+	GHashTableIter i;
+	target_t *target;
+	group_t *group;
+	uint32_t cursor = 0;
+
+	for (guint n = 0; n < conf->services->len; n++) {
+		const record_service_t *record =
+			&g_array_index(conf->services, record_service_t, n);
+
+		group_get(route, record->name)->record = *record;
+	}
+	while ((target = table_next(&route->targets, &cursor, NULL)) != NULL)
+		target->configured = false;
+	for (guint n = 0; n < conf->targets->len; n++)
+		update_target(route,
+			      &g_array_index(conf->targets, record_target_t, n),
+			      slow);
+	g_hash_table_iter_init(&i, route->groups);
+	while (g_hash_table_iter_next(&i, NULL, (gpointer *)&group)) {
+		g_ptr_array_set_size(group->targets, 0);
+		group->ejected = 0;
+		queue_prune(&group->queue);
+	}
+	link_targets(route);
+	cursor = 0;
+	while ((target = table_next(&route->targets, &cursor, NULL)) != NULL)
+		target_forget(route, target);
+	metrics_set(route->kernel->metrics, GAUGE_TARGETS,
+		    table_count(&route->targets));
 }
--- a/route/target.h
+++ b/route/target.h
@@ -1,32 +1,122 @@
 /*
- * What this router knows of the targets: configuration, own outstanding work,
- * reported load.
+ * What this router knows of the targets, and of the service that a group of
+ * them serves: configuration, own outstanding work, reported load, state.
  */
 #ifndef ROUTE_TARGET_H
 #define ROUTE_TARGET_H
 
+#include "route/policy.h"
+#include "route/queue.h"
 #include "route/route.h"
 
 G_BEGIN_DECLS
 
+typedef enum target_state_t {
+	TARGET_OPEN,
+	TARGET_EJECTED, /* gets nothing until its timer fires */
+	TARGET_PROBED, /* gets one request, whose first byte decides */
+} target_state_t;
+
 typedef struct target_t {
+	handle_t self;
 	record_target_t record;
+	struct group_t *group;
 	bool configured; /* false: removed, kept until its work ends */
-	bool leaving; /* listed as leaving, or said so itself */
-	uint32_t running; /* attempts of this router */
-	int64_t outstanding; /* tokens of these attempts */
+	bool leaving; /* listed as leaving */
+	int64_t hold_until; /* us; it said itself that it leaves */
+	target_state_t state;
+	bool outlier; /* ejected because of its latency */
+	uint32_t ejections; /* in a row */
+	uint32_t failures; /* in a row */
+	uint32_t late; /* attempts without a first byte in time, in a row */
+	int64_t readmitted; /* us, start of its slow start; 0: none */
+	handle_t probe; /* assignment */
+	handle_t timer;
+	uint32_t running[WORK_COUNT]; /* attempts of this router */
+	uint32_t overdue; /* of these, counted as overdue */
+	mean_t slowness; /* time taken to time expected */
 	uint32_t reported; /* requests running or queued, all routers */
+	uint32_t running_at_report;
+	int64_t report_time; /* us */
+	uint64_t salt; /* differs between routers and targets */
+	double score[WORK_COUNT];
+	uint32_t heap_index[WORK_COUNT];
+	uint32_t index; /* in the group */
 } target_t;
 
-/* Takes over the targets of a new configuration. */
+/* The targets of one service, and what waits for them. */
+typedef struct group_t {
+	char service[NAME_SIZE];
+	record_service_t record; /* zeroes while it isn't configured */
+	GPtrArray *targets; /* target_t, configured */
+	GPtrArray *heap[WORK_COUNT]; /* target_t, the best first */
+	GArray *ring; /* ring_point_t, sorted */
+	uint32_t open; /* targets that could ever serve */
+	uint32_t ejected; /* outliers that are not open */
+	uint32_t long_share; /* sum of the shares for long work */
+	uint32_t running[WORK_COUNT];
+	uint32_t overdue;
+	double hedge_credit;
+	double median; /* of the targets' slowness */
+	int64_t median_time; /* us */
+	estimate_t estimate;
+	queue_t queue;
+} group_t;
+
+typedef struct assignment_t {
+	handle_t self;
+	handle_t id; /* the asker's attempt */
+	handle_t target;
+	group_t *group;
+	work_t work;
+	bool hedge; /* is itself a second attempt */
+	bool first_byte;
+	bool late;
+	bool overdue; /* counted in the target */
+	int64_t worst;
+	int64_t tokens; /* expected */
+	int64_t duration; /* expected, us */
+	int64_t since; /* us */
+	int64_t first_byte_us; /* after since */
+	handle_t timer;
+} assignment_t;
+
+typedef enum timer_what_t {
+	TIMER_ASK, /* its latest start */
+	TIMER_LATE,
+	TIMER_OVERDUE,
+	TIMER_TARGET, /* end of an ejection or hold, step of a slow start */
+} timer_what_t;
+
+group_t *group_get(route_t *route, const char *service);
+group_t *group_find(const route_t *route, const char *service);
+void group_free(gpointer group);
+
+/* Takes over the services and targets of a new configuration. */
 void target_update_all(route_t *route, const conf_snapshot_t *conf);
+target_t *target_find(const route_t *route, const char *host, uint16_t port);
+/* Removes a target that is not configured and runs nothing. */
+void target_forget(route_t *route, target_t *target);
+
+/* True unless it is leaving, draining or removed. */
+bool target_is_open(const route_t *route, const target_t *target);
+uint32_t target_running(const target_t *target);
 
-/* Requests that this router may run on the target at one time. */
-uint32_t target_limit(const route_t *route, const target_t *target);
+/* Begins with a small share, which grows to the whole. */
+void target_slow_start(route_t *route, target_t *target);
 
-bool target_is_open(const target_t *target);
+/* True when a report is there that is recent enough to be used. */
+bool target_report_is_valid(const route_t *route, const target_t *target);
+/* Other routers' requests by the last report, the worst without one. */
+uint32_t target_others(const route_t *route, const target_t *target);
+/* Requests of long work that this router may always run on the target. */
+uint32_t target_long_share(const route_t *route, const target_t *target);
 
-target_t *target_find(route_t *route, const char *host, uint16_t port);
+/* This router's even share of the target's concurrency. */
+double target_share(const route_t *route, const target_t *target);
+/* Requests of a class that this router may run on the target at one time. */
+uint32_t target_limit(const route_t *route, const target_t *target,
+		      work_t work);
 
 G_END_DECLS
 
