--- a/bench/replay.h
+++ b/bench/replay.h
@@ -264,7 +264,8 @@
 			break;
 		}
 	}
-	attempt_advance(r, a);
+	if (a->state == ATTEMPT_BATCH)
+		attempt_advance(r, a);
 	target->outstanding[replay_job(r, a->job)->router]--;
 	a->state = ATTEMPT_OVER;
 	a->event = 0;
@@ -563,9 +564,12 @@
 static inline void replay_loop(replay_t *r)
 {
 	const GArray *jobs = r->trace->jobs;
-	int64_t end = replay_job(r, jobs->len - 1)->deadline + 1;
+	int64_t end = 0;
 	uint32_t job = 0;
 
+	for (guint i = 0; i < jobs->len; i++)
+		end = MAX(end, replay_job(r, i)->deadline + 1);
+
 	while (r->now < end) {
 		int64_t event_time = g_array_index(r->events, event_t, 0).time;
 		int64_t arrival = job < jobs->len ? replay_job(r, job)->arrival
