--- a/route/outlier.c
+++ b/route/outlier.c
@@ -2,6 +2,7 @@
 
 #include "route/pick.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #define MEDIAN_VALID (100 * USEC_PER_MSEC)
@@ -10,6 +11,13 @@
 #define SLOWNESS_SAMPLES 4 /* before a mean can eject */
 #define SLOWNESS_MAX 20.0 /* of one sample */
 #define FAILURES_MAX 3 /* other than of the connection, in a row */
+#define LATE_WEIGHT 0.02
+#define LATE_MIN 0.05 /* the attempts above the p95 */
+/*
+ * A run of late attempts ejects when it is no chance: in a burst attempts are
+ * late on all targets, and an ejection would only take capacity away.
+ */
+#define LATE_CHANCE 2e-4
 #define DOUBLINGS_MAX 10
 
 static int compare_doubles(const void *a, const void *b)
@@ -130,8 +138,11 @@
 			target_t *target)
 {
 	clear_overdue(assignment, target);
-	if (!assignment->late)
+	if (!assignment->late) {
+		if (target->late == 0)
+			mean_add(&assignment->group->late, 0, LATE_WEIGHT);
 		target->late = 0;
+	}
 	if (is_probe(assignment, target))
 		readmit(route, target);
 }
@@ -142,8 +153,14 @@
  */
 void outlier_late(route_t *route, assignment_t *assignment, target_t *target)
 {
+	double chance = CLAMP(assignment->group->late.value, LATE_MIN, 1);
+
+	/* Runs are not counted on, so that a slowed target hides little. */
+	if (target->late == 0)
+		mean_add(&assignment->group->late, 1, LATE_WEIGHT);
 	assignment->late = true;
 	if (++target->late >= route->policy->late_count &&
+	    pow(chance, target->late) < LATE_CHANCE &&
 	    target->state == TARGET_OPEN)
 		eject(route, target);
 }
--- a/route/target.h
+++ b/route/target.h
@@ -57,6 +57,7 @@
 	uint32_t running[WORK_COUNT];
 	uint32_t overdue;
 	double hedge_credit;
+	mean_t late; /* share of attempts that are late after a timely one */
 	double median; /* of the targets' slowness */
 	int64_t median_time; /* us */
 	estimate_t estimate;
