Divide the spare room for long work among the routers

Cause: each router took all the spare room that a report showed, so together they put more long work on a target than its limit and filled the room that is kept for short work. Change: beyond its share a router takes its part of the spare room.

--- a/route/target.c
+++ b/route/target.c
@@ -137,18 +137,16 @@
 static uint32_t limit_long(const route_t *route, const target_t *target)
 {
 	double room = route->policy->short_room_percent / 100.0;
-	double share = target_share(route, target) * (1 - room);
-	double free_room = target->record.concurrency * (1 - room) -
-			   target_others(route, target);
+	double spare = target->record.concurrency * (1 - room) -
+		       target_others(route, target) - target_running(target);
 	uint32_t limit = target_long_share(route, target);
 
 	/* A service too small for a share each: better some than none. */
 	if (limit == 0 && target->group->long_share == 0)
 		limit = 1;
-	if (free_room > limit)
-		limit = (uint32_t)MIN(
-			free_room,
-			share * route->policy->burst_percent / 100.0 + limit);
+	/* All routers see the same spare room, and each takes its part. */
+	if (spare > 0)
+		limit += round_by_salt(target, spare / route->members);
 	return limit;
 }
 
