Order targets by the router's own work only

Cause: half of a target's load came from its report, which is 2 s late; the routers then chose the same targets. Change: reports bound the work on a target, but no longer order the targets.

--- a/route/pick.c
+++ b/route/pick.c
@@ -27,20 +27,14 @@
 }
 
 /*
- * Load of a target: half by the router's own work, which is exact, and half
- * by the report, which counts everybody's work but is late.
+ * The router's own work only.  Reports count everybody's, but with reports 2 s
+ * late all routers go to the same targets at once; they only bound the work.
  */
 static double load_of(const route_t *route, const target_t *target)
 {
-	double own = target_running(target) + 1;
-	double load = own / target_share(route, target);
-	double all;
+	double load =
+		(target_running(target) + 1) / target_share(route, target);
 
-	if (target_report_is_valid(route, target)) {
-		all = (own + target_others(route, target)) /
-		      MAX(target->record.concurrency, 1);
-		load = (load + all) / 2;
-	}
 	if (target->slowness.samples >= SLOWNESS_SAMPLES &&
 	    target->group->median > 0)
 		load *= CLAMP(target->slowness.value / target->group->median, 1,
