--- a/route/outlier.c
+++ b/route/outlier.c
@@ -50,6 +50,13 @@
 	return group->median;
 }
 
+/* A full target has a queue, which explains late first bytes. */
+static bool is_full(const route_t *route, const target_t *target)
+{
+	return target->reported >= target->record.concurrency &&
+	       target_report_is_valid(route, target);
+}
+
 static int64_t pause_us(uint32_t first_ms, uint32_t max_ms, uint32_t times)
 {
 	int64_t pause = (int64_t)first_ms << MIN(times, DOUBLINGS_MAX);
@@ -161,7 +168,7 @@
 	assignment->late = true;
 	if (++target->late >= route->policy->late_count &&
 	    pow(chance, target->late) < LATE_CHANCE &&
-	    target->state == TARGET_OPEN)
+	    target->state == TARGET_OPEN && !is_full(route, target))
 		eject(route, target);
 }
 
@@ -255,7 +262,8 @@
 				      target->ejections++));
 		return;
 	}
-	if (target->overdue < route->policy->overdue_count)
+	if (target->overdue < route->policy->overdue_count ||
+	    is_full(route, target))
 		return;
 	running = group->running[WORK_SHORT] + group->running[WORK_LONG] -
 		  target_running(target) + 1.0;
--- a/route/target.c
+++ b/route/target.c
@@ -119,7 +119,7 @@
 	return round_by_salt(target, target_share(route, target) * (1 - room));
 }
 
-static bool report_is_valid(const route_t *route, const target_t *target)
+bool target_report_is_valid(const route_t *route, const target_t *target)
 {
 	return target->report_time != 0 &&
 	       kernel_now(route->kernel) - target->report_time <= REPORT_VALID;
@@ -129,7 +129,7 @@
 {
 	uint32_t own = target->running_at_report;
 
-	if (!report_is_valid(route, target))
+	if (!target_report_is_valid(route, target))
 		return target->record.concurrency;
 	return target->reported > own ? target->reported - own : 0;
 }
--- a/route/target.h
+++ b/route/target.h
@@ -106,6 +106,8 @@
 /* Begins with a small share, which grows to the whole. */
 void target_slow_start(route_t *route, target_t *target);
 
+/* True when a report is there that is recent enough to be used. */
+bool target_report_is_valid(const route_t *route, const target_t *target);
 /* Other routers' requests by the last report, the worst without one. */
 uint32_t target_others(const route_t *route, const target_t *target);
 /* Requests of long work that this router may always run on the target. */
