Serve waiting work by its latest start when deadlines come near

Cause: ordered by size, large work was refused although the queue could have held it until the crest was over; ordered by arrival, small work was lost.

--- a/route/admit.c
+++ b/route/admit.c
@@ -84,10 +84,10 @@
 }
 
 /* Gives the head of a class of work a target, or refuses it. */
-static bool serve_one(route_t *route, group_t *group, work_t work)
+static bool serve_one(route_t *route, group_t *group, work_t work, bool pressed)
 {
 	for (uint32_t nth = 0; nth < HEADS_TRIED; nth++) {
-		ask_t *ask = queue_head(&group->queue, work, nth);
+		ask_t *ask = queue_head(&group->queue, work, nth, pressed);
 		target_t *target;
 
 		if (ask == NULL)
@@ -108,27 +108,79 @@
 	return false;
 }
 
+/* The class of work whose head goes first. */
+static work_t first_class(const ask_t *short_head, const ask_t *long_head,
+			  bool pressed)
+{
+	if (short_head == NULL || long_head == NULL)
+		return short_head == NULL ? WORK_LONG : WORK_SHORT;
+	if (pressed)
+		return long_head->latest < short_head->latest ? WORK_LONG
+							      : WORK_SHORT;
+	/* Long work that has aged goes before newer short work. */
+	return long_head->order < short_head->order ? WORK_LONG : WORK_SHORT;
+}
+
+static double pressure_of(const route_t *route, const group_t *group,
+			  int64_t *violated)
+{
+	uint32_t running =
+		group->running[WORK_SHORT] + group->running[WORK_LONG];
+
+	return queue_pressure(&group->queue, kernel_now(route->kernel),
+			      MAX(running, 1), violated);
+}
+
+/* True when a waiting request must start soon to end in time. */
+static bool is_pressed(const route_t *route, const queue_t *queue)
+{
+	int64_t soon = kernel_now(route->kernel) +
+		       route->policy->urgent_ms * USEC_PER_MSEC;
+
+	for (int work = 0; work < WORK_COUNT; work++) {
+		const ask_t *ask = queue_head(queue, (work_t)work, 0, true);
+
+		if (ask != NULL && ask->latest < soon)
+			return true;
+	}
+	return false;
+}
+
 void admit_serve(route_t *route, group_t *group)
 {
 	const queue_t *queue = &group->queue;
 
 	while (queue->length > 0) {
-		ask_t *head[WORK_COUNT] = {queue_head(queue, WORK_SHORT, 0),
-					   queue_head(queue, WORK_LONG, 0)};
-		work_t first = WORK_SHORT;
+		bool pressed = is_pressed(route, queue);
+		ask_t *head[WORK_COUNT] = {
+			queue_head(queue, WORK_SHORT, 0, pressed),
+			queue_head(queue, WORK_LONG, 0, pressed)};
+		work_t first = first_class(head[0], head[1], pressed);
 
 		if (group->open == 0) {
-			refuse(route, head[head[0] == NULL], REFUSAL_NO_TARGET);
+			refuse(route, head[first], REFUSAL_NO_TARGET);
 			continue;
 		}
-		/* Long work that has aged goes before newer short work. */
-		if (head[0] == NULL ||
-		    (head[1] != NULL && head[1]->order < head[0]->order))
-			first = WORK_LONG;
-		if (!serve_one(route, group, first) &&
+		if (!serve_one(route, group, first, pressed) &&
 		    !serve_one(route, group,
-			       first == WORK_LONG ? WORK_SHORT : WORK_LONG))
+			       first == WORK_LONG ? WORK_SHORT : WORK_LONG,
+			       pressed))
+			return;
+	}
+}
+
+/* Refuses as few requests as possible, so that the others end in time. */
+static void shed(route_t *route, group_t *group)
+{
+	int64_t violated;
+	ask_t *victim;
+
+	while (pressure_of(route, group, &violated) * 100 >
+	       route->policy->refuse_percent) {
+		victim = queue_victim(&group->queue, violated);
+		if (victim == NULL)
 			return;
+		refuse(route, victim, REFUSAL_OVERLOADED);
 	}
 }
 
@@ -154,6 +206,18 @@
 	return usable;
 }
 
+/*
+ * The margin is there because a request may well need 1.8 times what is
+ * expected; without it a tenth of the work in a crest ended too late.
+ */
+static int64_t latest_start(const route_t *route, const ask_t *ask)
+{
+	int64_t margin = ask->duration * route->policy->margin_percent / 100;
+
+	margin = MIN(margin, (ask->deadline - ask->since) / 2);
+	return ask->deadline - ask->duration - margin;
+}
+
 static ask_t *new_ask(route_t *route, group_t *group, const msg_t *msg)
 {
 	ask_t *ask;
@@ -173,6 +237,7 @@
 	ask->since = kernel_now(route->kernel);
 	ask->order = ask->since +
 		     ask->duration * route->policy->size_weight_percent / 100;
+	ask->latest = latest_start(route, ask);
 	ask->prefix_hash = msg->u.ask.prefix_hash;
 	ask->avoid_count = MIN(msg->u.ask.avoid_count, ROUTE_AVOID_MAX);
 	memcpy(ask->avoid, msg->u.ask.avoid, sizeof(ask->avoid));
@@ -218,12 +283,16 @@
 		refuse(route, ask, REFUSAL_QUEUE_FULL);
 		return;
 	}
+	/* Beyond the horizon of shed() the whole queue before it counts. */
+	if (ask->bucket >= 0)
+		wait = 0;
 	if (ask->hedge || is_hopeless(route, ask, wait)) {
 		refuse(route, ask, REFUSAL_OVERLOADED);
 		return;
 	}
 	ask->timer = kernel_timer(route->kernel, route->svc,
 				  left - ask->duration, ask->self, TIMER_ASK);
+	shed(route, ask->group);
 }
 
 void admit_ask(route_t *route, const msg_t *msg)
--- a/route/policy.h
+++ b/route/policy.h
@@ -16,6 +16,8 @@
 	X(share_percent, "%", "of its even share a router always uses")    \
 	X(burst_percent, "%", "of its even share a router ever uses")      \
 	X(size_weight_percent, "%", "wait that offsets larger work")       \
+	X(margin_percent, "%", "more time than expected to start in time") \
+	X(urgent_ms, "ms", "before its latest start work goes first")      \
 	X(refuse_percent, "%", "of the time left that may be expected")    \
 	X(eject_factor_percent, "%", "of the peers' median time")          \
 	X(eject_max_percent, "%", "of a service's targets ejected")        \
--- a/route/queue.c
+++ b/route/queue.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define VICTIMS_TRIED 32
+
 static gint compare_asks(gconstpointer a, gconstpointer b, gpointer data)
 {
 	const ask_t *x = a, *y = b;
@@ -12,6 +14,22 @@
 	return 0;
 }
 
+static gint compare_latest(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const ask_t *x = a, *y = b;
+
+	(void)data;
+	return (x->latest > y->latest) - (x->latest < y->latest);
+}
+
+static gint compare_sizes(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const ask_t *x = a, *y = b;
+
+	(void)data;
+	return (x->duration > y->duration) - (x->duration < y->duration);
+}
+
 static gint compare_flows(gconstpointer a, gconstpointer b, gpointer data)
 {
 	const flow_t *x = a, *y = b;
@@ -37,15 +55,19 @@
 		queue->flows[work] = g_hash_table_new_full(
 			g_str_hash, g_str_equal, NULL, free_flow);
 		queue->waiting[work] = g_sequence_new(NULL);
+		queue->by_latest[work] = g_sequence_new(NULL);
 	}
+	queue->by_size = g_sequence_new(NULL);
 }
 
 void queue_finish(queue_t *queue)
 {
 	for (int work = 0; work < WORK_COUNT; work++) {
 		g_sequence_free(queue->waiting[work]);
+		g_sequence_free(queue->by_latest[work]);
 		g_hash_table_unref(queue->flows[work]);
 	}
+	g_sequence_free(queue->by_size);
 }
 
 static flow_t *get_flow(queue_t *queue, work_t work, const char *client_account)
@@ -78,9 +100,15 @@
 	return length;
 }
 
-static int64_t *duration_of(queue_t *queue, const ask_t *ask)
+static void count_work(queue_t *queue, ask_t *ask, int64_t duration)
 {
-	return &queue->duration[ask->work][estimate_size_class(ask->tokens)];
+	uint32_t size = estimate_size_class(ask->tokens);
+
+	queue->duration[ask->work][size] += duration;
+	queue->total += duration;
+	ask->flow->duration += duration;
+	if (ask->bucket >= 0)
+		queue->due[ask->bucket] += duration;
 }
 
 void queue_push(queue_t *queue, ask_t *ask, const char *client_account,
@@ -88,14 +116,24 @@
 {
 	flow_t *flow = get_flow(queue, ask->work, client_account);
 
-	flow->weight = MAX(weight, 1);
+	if (flow->place == NULL)
+		flow->weight = MAX(weight, 1);
 	ask->flow = flow;
 	ask->place =
 		g_sequence_insert_sorted(flow->asks, ask, compare_asks, NULL);
-	*duration_of(queue, ask) += ask->duration;
+	ask->latest_place = g_sequence_insert_sorted(
+		queue->by_latest[ask->work], ask, compare_latest, NULL);
+	ask->size_place = g_sequence_insert_sorted(queue->by_size, ask,
+						   compare_sizes, NULL);
+	ask->bucket = -1;
+	if (ask->latest >= ask->since &&
+	    ask->latest - ask->since < (DUE_BUCKETS - 1) * DUE_STEP)
+		ask->bucket = (int32_t)(ask->latest / DUE_STEP % DUE_BUCKETS);
+	count_work(queue, ask, ask->duration);
 	queue->length++;
 	if (flow->place != NULL)
 		return;
+	queue->weight += flow->weight;
 	/* An account that was idle has no claim on the time that passed. */
 	flow->served = MAX(flow->served, queue->served[ask->work]);
 	flow->place = g_sequence_insert_sorted(queue->waiting[ask->work], flow,
@@ -109,10 +147,13 @@
 	if (flow == NULL)
 		return;
 	g_sequence_remove(ask->place);
+	g_sequence_remove(ask->latest_place);
+	g_sequence_remove(ask->size_place);
+	count_work(queue, ask, -ask->duration);
 	ask->flow = NULL;
-	*duration_of(queue, ask) -= ask->duration;
 	queue->length--;
 	if (g_sequence_is_empty(flow->asks)) {
+		queue->weight -= flow->weight;
 		g_sequence_remove(flow->place);
 		flow->place = NULL;
 	}
@@ -131,17 +172,63 @@
 		g_sequence_sort_changed(flow->place, compare_flows, NULL);
 }
 
-ask_t *queue_head(const queue_t *queue, work_t work, uint32_t nth)
+static gpointer nth_of(GSequence *sequence, uint32_t nth)
 {
-	GSequenceIter *i = g_sequence_get_begin_iter(queue->waiting[work]);
-	const flow_t *flow;
+	GSequenceIter *i = g_sequence_get_begin_iter(sequence);
 
 	while (nth-- > 0 && !g_sequence_iter_is_end(i))
 		i = g_sequence_iter_next(i);
-	if (g_sequence_iter_is_end(i))
-		return NULL;
-	flow = g_sequence_get(i);
-	return g_sequence_get(g_sequence_get_begin_iter(flow->asks));
+	return g_sequence_iter_is_end(i) ? NULL : g_sequence_get(i);
+}
+
+ask_t *queue_head(const queue_t *queue, work_t work, uint32_t nth, bool pressed)
+{
+	const flow_t *flow;
+
+	if (pressed)
+		return nth_of(queue->by_latest[work], nth);
+	flow = nth_of(queue->waiting[work], nth);
+	return flow == NULL ? NULL : nth_of(flow->asks, 0);
+}
+
+double queue_pressure(const queue_t *queue, int64_t now, uint32_t parallel,
+		      int64_t *violated)
+{
+	int64_t first = now / DUE_STEP, sum = 0;
+	double most = 0;
+
+	*violated = INT64_MAX;
+	for (int64_t i = first; i < first + DUE_BUCKETS; i++) {
+		double left = (double)((i + 1) * DUE_STEP - now) * parallel;
+
+		sum += queue->due[i % DUE_BUCKETS];
+		if ((double)sum > left && *violated == INT64_MAX)
+			*violated = (i + 1) * DUE_STEP;
+		most = MAX(most, (double)sum / left);
+	}
+	return most;
+}
+
+ask_t *queue_victim(const queue_t *queue, int64_t violated)
+{
+	GSequenceIter *i = g_sequence_get_end_iter(queue->by_size);
+	ask_t *largest = NULL;
+
+	for (int n = 0; n < VICTIMS_TRIED && !g_sequence_iter_is_begin(i);
+	     n++) {
+		ask_t *ask;
+
+		i = g_sequence_iter_prev(i);
+		ask = g_sequence_get(i);
+		if (ask->latest >= violated)
+			continue;
+		if (largest == NULL)
+			largest = ask;
+		if ((double)ask->flow->duration * (double)queue->weight >
+		    (double)queue->total * ask->flow->weight)
+			return ask;
+	}
+	return largest;
 }
 
 int64_t queue_ahead(const queue_t *queue, const ask_t *ask)
--- a/route/queue.h
+++ b/route/queue.h
@@ -1,6 +1,8 @@
 /*
  * Requests of one service that wait for a target: weighted fair between
- * client accounts, within an account by expected work with ageing.
+ * client accounts, within an account by expected work with ageing.  When the
+ * deadlines come near, the latest start decides on the order and fairness on
+ * who is refused.
  */
 #ifndef ROUTE_QUEUE_H
 #define ROUTE_QUEUE_H
@@ -10,6 +12,10 @@
 
 G_BEGIN_DECLS
 
+/* Latest starts are counted in steps, up to a horizon. */
+#define DUE_BUCKETS 128
+#define DUE_STEP ((int64_t)256000) /* us */
+
 typedef enum work_t {
 	WORK_SHORT,
 	WORK_LONG,
@@ -32,12 +38,16 @@
 	int64_t deadline; /* us */
 	int64_t since; /* us */
 	int64_t order; /* within the flow */
+	int64_t latest; /* start, us, to end before the deadline */
+	int32_t bucket; /* of latest, -1: beyond the horizon */
 	uint64_t prefix_hash;
 	uint32_t avoid_count;
 	handle_t avoid[ROUTE_AVOID_MAX];
 	handle_t timer;
 	flow_t *flow; /* while it waits */
 	GSequenceIter *place;
+	GSequenceIter *latest_place;
+	GSequenceIter *size_place;
 } ask_t;
 
 /* The waiting requests of one client account in one class of work. */
@@ -45,6 +55,7 @@
 	char client_account[NAME_SIZE];
 	uint32_t weight;
 	double served; /* tokens by weight, the virtual time of the flow */
+	int64_t duration; /* sum of what waits */
 	GSequence *asks; /* ask_t, by order */
 	GSequenceIter *place; /* in the list of flows that wait */
 	struct queue_t *queue;
@@ -55,7 +66,12 @@
 	GHashTable *flows[WORK_COUNT]; /* client account -> flow_t */
 	GSequence *waiting[WORK_COUNT]; /* flow_t with asks, by served */
 	double served[WORK_COUNT]; /* of the flow served last */
+	GSequence *by_latest[WORK_COUNT]; /* ask_t */
+	GSequence *by_size; /* ask_t, the largest last */
 	int64_t duration[WORK_COUNT][SIZE_CLASSES]; /* sums of what waits */
+	int64_t due[DUE_BUCKETS]; /* the same by latest start */
+	int64_t total; /* the same in all */
+	uint64_t weight; /* of the flows with asks */
 	uint32_t length;
 } queue_t;
 
@@ -69,8 +85,26 @@
 /* Removes an ask that got a target and charges its client account. */
 void queue_served(queue_t *queue, ask_t *ask);
 
-/* The next request of the nth flow in the order of service, or NULL. */
-ask_t *queue_head(const queue_t *queue, work_t work, uint32_t nth);
+/*
+ * The nth request in the order of service, or NULL.  Under pressure it is the
+ * one with the nth latest start, otherwise the next of the nth flow.
+ */
+ask_t *queue_head(const queue_t *queue, work_t work, uint32_t nth,
+		  bool pressed);
+
+/*
+ * The largest part of the time left that waiting work needs at any latest
+ * start, when this many requests run side by side.  Above 1 not all of it can
+ * end in time; *violated is then the first latest start that is missed.
+ */
+double queue_pressure(const queue_t *queue, int64_t now, uint32_t parallel,
+		      int64_t *violated);
+
+/*
+ * The request to refuse so that most others end in time: the largest that
+ * starts before the time given, of an account above its share of what waits.
+ */
+ask_t *queue_victim(const queue_t *queue, int64_t violated);
 
 /* Expected time on targets, in us, of the requests that go before this. */
 int64_t queue_ahead(const queue_t *queue, const ask_t *ask);
