Test the route service; spread idle choices, no weight for slowness

Cause: the tests showed that idle requests always went to one target, so that there were no peers to compare, and that slow targets beyond the bound of a third got no work and no new sample, for ever. Change: jitter is drawn at each update; the score has no factor for slowness.

--- a/route/pick.c
+++ b/route/pick.c
@@ -6,10 +6,10 @@
 #define RING_POINTS 8 /* for each target */
 #define RING_TRIES 3 /* targets asked before the prefix is ignored */
 #define STALE_TRIES 8 /* scores found out of date in one choice */
-/* Below this many samples a target's slowness says little. */
-#define SLOWNESS_SAMPLES 5
-#define SLOWNESS_MAX 4.0
-/* Spreads the choices of routers that know the same. */
+/*
+ * Spreads the choices of routers that know the same, and those of one router
+ * among idle targets, so that all get work to be compared by.
+ */
 #define JITTER 0.02
 
 static bool is_local(const route_t *route, const target_t *target)
@@ -32,14 +32,7 @@
  */
 static double load_of(const route_t *route, const target_t *target)
 {
-	double load =
-		(target_running(target) + 1) / target_share(route, target);
-
-	if (target->slowness.samples >= SLOWNESS_SAMPLES &&
-	    target->group->median > 0)
-		load *= CLAMP(target->slowness.value / target->group->median, 1,
-			      SLOWNESS_MAX);
-	return load;
+	return (target_running(target) + 1) / target_share(route, target);
 }
 
 static double score_of(const route_t *route, const target_t *target,
@@ -53,7 +46,8 @@
 	if (target->state == TARGET_PROBED)
 		return -1;
 	score = load_of(route, target) +
-		JITTER * (double)(target->salt % 1024) / 1024;
+		JITTER * (double)kernel_random_below(route->kernel, 1024) /
+			1024;
 	/* Another zone costs a few ms, which is less than queueing. */
 	if (!is_local(route, target))
 		score += route->policy->zone_spill_percent / 100.0;
--- /dev/null
+++ b/tests/route_test.cc
@@ -0,0 +1,470 @@
+// Decisions of the route service at its message interface, under the virtual
+// clock.
+#include "route/route.h"
+#include "route/target.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t kMsec = USEC_PER_MSEC;
+constexpr int64_t kSec = USEC_PER_SEC;
+
+void copy(char *to, const std::string &from, size_t size = NAME_SIZE)
+{
+	g_strlcpy(to, from.c_str(), size);
+}
+
+struct Pick {
+	handle_t assignment;
+	handle_t target;
+	std::string name;
+};
+
+class RouteTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		kernel_init(&kernel, CLOCK_VIRTUAL, 1);
+		request = kernel_register(&kernel, "request", receive, this);
+		route_init(&route, &kernel, "z0");
+		route_svc = kernel_find(&kernel, "route");
+		kernel_start(&kernel);
+		run(0);
+	}
+	void TearDown() override
+	{
+		route_finish(&route);
+		kernel_finish(&kernel);
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		auto *test = static_cast<RouteTest *>(self);
+		uint32_t id = msg->ref.index;
+
+		if (msg->kind == MSG_ROUTE_PICKED) {
+			test->picks[id] = {msg->id, msg->u.picked.target,
+					   msg->u.picked.name};
+			test->order.push_back(id);
+		} else if (msg->kind == MSG_ROUTE_REFUSED) {
+			test->refusals[id] = msg->u.route_refused.reason;
+			test->retry_after = msg->u.route_refused.retry_after_s;
+		} else if (msg->kind == MSG_ROUTE_HEDGE) {
+			test->hedges++;
+		}
+	}
+	void run(int64_t us)
+	{
+		kernel_run_until(&kernel, kernel_now(&kernel) + us);
+	}
+	void post(msg_t msg)
+	{
+		kernel_post(&kernel, request, route_svc, &msg);
+		run(0);
+	}
+	// One service "s" on targets t0, t1, ... of one zone.
+	void configure(uint32_t targets, uint32_t concurrency)
+	{
+		msg_t msg = {};
+
+		width = targets;
+		msg.kind = MSG_CONF_CHANGED;
+		msg.u.conf = conf_snapshot_new();
+		record_service_t service = {};
+		copy(service.name, "s");
+		service.idempotent = service.hedge = true;
+		service.short_tokens = 100;
+		g_array_append_val(msg.u.conf->services, service);
+		for (uint32_t i = 0; i < targets; i++) {
+			record_target_t target = {};
+			copy(target.name, "t" + std::to_string(i));
+			copy(target.service, "s");
+			copy(target.host, "127.0.0.1");
+			copy(target.availability_zone, "z0");
+			target.port = (uint16_t)(i + 1);
+			target.concurrency = concurrency;
+			target.draining = drained.count(i) > 0;
+			g_array_append_val(msg.u.conf->targets, target);
+		}
+		for (uint32_t i = 0; i < 2; i++) {
+			record_client_account_t account = {};
+			copy(account.name, i == 0 ? "heavy" : "light");
+			account.weight = i == 0 ? 3 : 1;
+			g_array_append_val(msg.u.conf->client_accounts,
+					   account);
+		}
+		post(msg);
+	}
+	uint32_t ask(int64_t tokens = 10, int64_t left = 1000 * kSec,
+		     const char *account = "heavy",
+		     const std::vector<handle_t> &avoid = {})
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_ROUTE_ASK;
+		msg.id = {++last, 1};
+		copy(msg.u.ask.service, "s");
+		copy(msg.u.ask.client_account, account);
+		msg.u.ask.tokens = tokens;
+		msg.u.ask.deadline = kernel_now(&kernel) + left;
+		for (const handle_t &handle : avoid)
+			msg.u.ask.avoid[msg.u.ask.avoid_count++] = handle;
+		post(msg);
+		return last;
+	}
+	void first_byte(uint32_t id)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_ROUTE_FIRST_BYTE;
+		msg.ref = picks.at(id).assignment;
+		post(msg);
+	}
+	void done(uint32_t id, failure_t failure = FAILURE_NONE,
+		  int64_t tokens = 10)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_ROUTE_DONE;
+		msg.ref = picks.at(id).assignment;
+		msg.u.route_done.failure = failure;
+		msg.u.route_done.tokens = tokens;
+		post(msg);
+	}
+	// Serves rounds of one request for each target; slow ones take longer.
+	void serve(int rounds, const std::set<std::string> &slow = {},
+		   std::map<std::string, int> *where = nullptr)
+	{
+		while (rounds-- > 0) {
+			std::vector<uint32_t> ids[2];
+
+			for (uint32_t i = 0; i < width; i++) {
+				uint32_t id = ask();
+
+				ASSERT_TRUE(picks.count(id));
+				ids[slow.count(picks[id].name)].push_back(id);
+				if (where != nullptr)
+					(*where)[picks[id].name]++;
+			}
+			for (const auto &some : ids) {
+				int64_t time =
+					(&some == ids ? 50 : 500) * kMsec;
+
+				run(time);
+				for (uint32_t id : some)
+					first_byte(id);
+				run(time);
+				for (uint32_t id : some)
+					done(id);
+			}
+		}
+	}
+	void leaving(uint16_t port, bool leaving)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_TARGET_LEAVING;
+		copy(msg.u.leaving.host, "127.0.0.1", HOST_SIZE);
+		msg.u.leaving.port = port;
+		msg.u.leaving.leaving = leaving;
+		post(msg);
+	}
+
+	kernel_t kernel;
+	route_t route;
+	svc_t request, route_svc;
+	uint32_t last = 0;
+	uint32_t width = 0;
+	std::map<uint32_t, Pick> picks;
+	std::vector<uint32_t> order;
+	std::map<uint32_t, refusal_t> refusals;
+	uint32_t retry_after = 0;
+	int hedges = 0;
+	std::set<uint32_t> drained;
+};
+
+// Long jobs that fill every slot would make short work wait for their end.
+TEST_F(RouteTest, LongWorkLeavesRoomForShortWork)
+{
+	configure(2, 8);
+	for (int i = 0; i < 40; i++)
+		ask(5000);
+	EXPECT_EQ(picks.size(), 12u);
+	EXPECT_TRUE(picks.count(ask(10)));
+}
+
+// Aged long work must not starve behind a steady flow of short work.
+TEST_F(RouteTest, LongWorkThatHasAgedGoesFirst)
+{
+	configure(1, 1);
+	serve(5);
+	uint32_t running = ask();
+	uint32_t waiting = ask(5000);
+	run(100 * kSec);
+	uint32_t newer = ask();
+	done(running);
+	EXPECT_TRUE(picks.count(waiting));
+	EXPECT_FALSE(picks.count(newer));
+}
+
+// A slow target that still gets work delays a part of all requests.
+TEST_F(RouteTest, OutlierGetsNothingUntilAProbeSucceeds)
+{
+	std::map<std::string, int> where;
+
+	configure(4, 4);
+	serve(20);
+	serve(20, {"t1"});
+	ASSERT_EQ(route.ejected, 1u);
+	serve(1, {}, &where);
+	EXPECT_EQ(where["t1"], 0);
+	// Its pause ends; one probe goes there and readmits it.
+	run(20 * kSec);
+	serve(1, {}, &where);
+	EXPECT_EQ(where["t1"], 1);
+	EXPECT_EQ(route.ejected, 0u);
+	serve(10, {}, &where);
+	EXPECT_GT(where["t1"], 5);
+}
+
+// A probe that hangs must not be followed by more work.
+TEST_F(RouteTest, ProbeIsOneRequest)
+{
+	configure(4, 4);
+	serve(20);
+	serve(20, {"t1"});
+	run(20 * kSec);
+	uint32_t probe = ask();
+	ASSERT_EQ(picks[probe].name, "t1");
+	for (int i = 0; i < 12; i++) {
+		uint32_t id = ask();
+		if (picks.count(id)) {
+			EXPECT_NE(picks[id].name, "t1");
+		}
+	}
+	run(2 * kSec);
+	EXPECT_EQ(route.ejected, 1u);
+}
+
+// Ejecting most targets would overload the rest.
+TEST_F(RouteTest, AtMostAThirdIsEjected)
+{
+	uint32_t most = 0;
+
+	configure(9, 4);
+	serve(20);
+	for (int i = 0; i < 30; i++) {
+		serve(1, {"t0", "t1", "t2", "t3"});
+		most = MAX(most, route.ejected);
+	}
+	EXPECT_EQ(most, 3u);
+}
+
+// Work sent to a leaving target is cut off when it stops.
+TEST_F(RouteTest, LeavingTargetGetsNothingNew)
+{
+	std::map<std::string, int> where;
+
+	configure(3, 4);
+	leaving(1, true);
+	drained = {1};
+	configure(3, 4);
+	width = 1;
+	serve(20, {}, &where);
+	EXPECT_EQ(where["t2"], 20);
+	leaving(3, true);
+	EXPECT_EQ(refusals[ask()], REFUSAL_NO_TARGET);
+	leaving(1, false);
+	EXPECT_EQ(picks[ask()].name, "t0");
+}
+
+// Waiting requests must not hang on when their last target leaves.
+TEST_F(RouteTest, WaitingWorkIsRefusedWhenTheLastTargetLeaves)
+{
+	configure(1, 1);
+	ask();
+	uint32_t waiting = ask();
+	leaving(1, true);
+	EXPECT_EQ(refusals[waiting], REFUSAL_NO_TARGET);
+}
+
+// A target that refuses connections would eat one retry after the other.
+TEST_F(RouteTest, ConnectFailuresBackOffExponentially)
+{
+	int64_t failed_at[4];
+
+	configure(1, 4);
+	for (int64_t &at : failed_at) {
+		uint32_t id = ask();
+		while (!picks.count(id))
+			run(10 * kMsec);
+		at = kernel_now(&kernel);
+		done(id, FAILURE_CONNECT);
+	}
+	EXPECT_GE(failed_at[1] - failed_at[0], 100 * kMsec);
+	EXPECT_GE(failed_at[2] - failed_at[1], 200 * kMsec);
+	EXPECT_GE(failed_at[3] - failed_at[2], 400 * kMsec);
+}
+
+// A flood of one client account must not take more than its weight.
+TEST_F(RouteTest, AccountsAreServedByWeight)
+{
+	std::map<bool, int> served;
+	std::set<uint32_t> light;
+
+	configure(1, 1);
+	serve(5);
+	uint32_t running = ask();
+	for (int i = 0; i < 40; i++) {
+		ask(10, 1000 * kSec, "heavy");
+		light.insert(ask(10, 1000 * kSec, "light"));
+	}
+	for (int i = 0; i < 40; i++) {
+		done(running);
+		running = order.back();
+		served[light.count(running) > 0]++;
+	}
+	EXPECT_NEAR(served[true], 10, 1);
+}
+
+// A request that can't end in time must hear so at once, not at its deadline.
+TEST_F(RouteTest, HopelessDeadlineIsRefusedEarly)
+{
+	configure(1, 1);
+	serve(30);
+	for (int i = 0; i < 100; i++)
+		ask(10, 2 * kSec);
+	// A request takes 0.1 s, so about 20 can end in time.
+	EXPECT_NEAR((double)refusals.size(), 80, 5);
+	EXPECT_EQ(refusals[last], REFUSAL_OVERLOADED);
+	EXPECT_GE(retry_after, 2u);
+	EXPECT_EQ(refusals[ask(10, 0)], REFUSAL_DEADLINE);
+}
+
+// What waits too long is refused before its deadline, when it can't end.
+TEST_F(RouteTest, WaitingWorkIsRefusedAtItsLatestStart)
+{
+	configure(1, 1);
+	serve(30);
+	ask();
+	uint32_t waiting = ask(10, 1 * kSec);
+	run(800 * kMsec);
+	EXPECT_FALSE(refusals.count(waiting));
+	run(150 * kMsec);
+	EXPECT_EQ(refusals[waiting], REFUSAL_OVERLOADED);
+}
+
+// An unbounded queue of one account would take the others' places.
+TEST_F(RouteTest, QueueIsBounded)
+{
+	configure(1, 1);
+	uint32_t part = policy_get(PRESET_ORDINARY)->queue_max *
+			policy_get(PRESET_ORDINARY)->account_queue_percent /
+			100;
+	for (uint32_t i = 0; i < part + 1; i++)
+		ask();
+	EXPECT_TRUE(refusals.empty());
+	EXPECT_EQ(refusals[ask()], REFUSAL_QUEUE_FULL);
+	EXPECT_FALSE(refusals.count(ask(10, 1000 * kSec, "light")));
+}
+
+// Hedges beyond the budget would load a slow service even more.
+TEST_F(RouteTest, HedgesStayWithinTheirBudget)
+{
+	configure(8, 100);
+	serve(20);
+	for (int i = 0; i < 200; i++)
+		ask();
+	run(10 * kSec);
+	EXPECT_GT(hedges, 0);
+	EXPECT_LE(hedges, (20 * 8 + 200) * 3 / 100);
+}
+
+// A retry at the target that has just failed it would fail again.
+TEST_F(RouteTest, AvoidedTargetsAreNotPicked)
+{
+	configure(2, 4);
+	Pick first = picks[ask()];
+	for (int i = 0; i < 6; i++) {
+		uint32_t id = ask(10, kSec, "heavy", {first.target});
+		if (picks.count(id)) {
+			EXPECT_NE(picks[id].name, first.name);
+		}
+	}
+	drained = {picks[last].name == "t0" ? 0u : 1u};
+	configure(2, 4);
+	EXPECT_EQ(refusals[ask(10, kSec, "heavy", {first.target})],
+		  drained.count(first.name == "t0" ? 1 : 0) ? REFUSAL_NO_TARGET
+							    : REFUSAL_NONE);
+}
+
+// An end that is told twice must not free the slot of another request.
+TEST_F(RouteTest, StaleAssignmentIsIgnored)
+{
+	configure(1, 1);
+	uint32_t first = ask();
+	done(first);
+	uint32_t second = ask();
+	done(first);
+	first_byte(first);
+	EXPECT_FALSE(picks.count(ask()));
+	EXPECT_TRUE(picks.count(second));
+}
+
+// A caller that left must not be given a target afterwards.
+TEST_F(RouteTest, CancelledAskIsForgotten)
+{
+	configure(1, 1);
+	uint32_t running = ask();
+	uint32_t cancelled = ask();
+	uint32_t waiting = ask();
+	msg_t msg = {};
+	msg.kind = MSG_ROUTE_CANCEL;
+	msg.id = {cancelled, 1};
+	post(msg);
+	post(msg);
+	done(running);
+	EXPECT_FALSE(picks.count(cancelled));
+	EXPECT_TRUE(picks.count(waiting));
+}
+
+// Removing a target from the configuration must not lose its running work.
+TEST_F(RouteTest, RemovedTargetFinishesItsWork)
+{
+	configure(2, 1);
+	uint32_t a = ask();
+	uint32_t b = ask();
+	uint32_t waiting = ask();
+	configure(1, 1);
+	done(picks[a].name == "t1" ? a : b);
+	EXPECT_FALSE(picks.count(waiting));
+	EXPECT_EQ(table_count(&route.targets), 1u);
+	done(picks[a].name == "t1" ? b : a);
+	EXPECT_TRUE(picks.count(waiting));
+}
+
+// Operators must see every parameter of each preset.
+TEST(Policy, PrintsEveryRow)
+{
+	GString *out = g_string_new(nullptr);
+	policy_row_t row;
+	uint32_t rows = 0;
+
+	while (policy_row(PRESET_PEAK, rows, &row))
+		rows++;
+	policy_print(PRESET_PEAK, out);
+	EXPECT_EQ(rows * sizeof(uint32_t), sizeof(policy_t));
+	EXPECT_NE(strstr(out->str, "short_room_percent"), nullptr);
+	EXPECT_GT(policy_get(PRESET_PEAK)->short_room_percent,
+		  policy_get(PRESET_ORDINARY)->short_room_percent);
+	g_string_free(out, TRUE);
+}
+
+} // namespace
