Readmit a target only after a probe with a timely first byte

Cause: a probe of a target that was still slow ended its ejection, if its first byte came before it counted as overdue.

--- a/route/outlier.c
+++ b/route/outlier.c
@@ -115,6 +115,15 @@
 			      target->ejections++));
 }
 
+/* After a probe that failed. */
+static void close_again(route_t *route, target_t *target)
+{
+	close_target(route, target,
+		     pause_us(route->policy->eject_ms,
+			      route->policy->eject_max_ms,
+			      target->ejections++));
+}
+
 static void readmit(route_t *route, target_t *target)
 {
 	set_outlier(route, target, false);
@@ -150,7 +159,12 @@
 			mean_add(&assignment->group->late, 0, LATE_WEIGHT);
 		target->late = 0;
 	}
-	if (is_probe(assignment, target))
+	if (!is_probe(assignment, target))
+		return;
+	/* A probe that is late shows that the target is still slow. */
+	if (assignment->late)
+		close_again(route, target);
+	else
 		readmit(route, target);
 }
 
@@ -256,10 +270,7 @@
 		assignment->group->overdue++;
 	}
 	if (is_probe(assignment, target)) {
-		close_target(route, target,
-			     pause_us(route->policy->eject_ms,
-				      route->policy->eject_max_ms,
-				      target->ejections++));
+		close_again(route, target);
 		return;
 	}
 	if (target->overdue < route->policy->overdue_count ||
