--- a/ledger/local.h
+++ b/ledger/local.h
@@ -149,6 +149,7 @@
 typedef enum job_step_t {
 	JOB_WAIT,
 	JOB_MEMBER, /* reads the member record */
+	JOB_BUDDY, /* looks whether the dead router's buddy is there */
 	JOB_LIST, /* reads the grants */
 	JOB_GRANT, /* writes one grant */
 	JOB_FORGET, /* deletes the member record */
@@ -158,7 +159,6 @@
 typedef struct job_t {
 	handle_t handle;
 	char incarnation[INCARNATION_SIZE];
-	bool copied_here;
 	bool instance_gone;
 	bool give_back; /* the unspent part may be returned */
 	int64_t since;
@@ -166,12 +166,16 @@
 	bool closing; /* grants are closed: the instance is gone */
 	bool progress; /* something was written since the last listing */
 	int64_t member_rev;
+	char buddy[INCARNATION_SIZE]; /* as the member record says */
 	GArray *grants; /* store_kv_t */
 	guint next;
 	int64_t budget_rev;
 	record_budget_t budget;
 	GArray *bills; /* bill_t of the present grant, not in the store */
-	guint attempt_bills; /* how many of them are in the call */
+	guint checked; /* how many of them the store is known to lack */
+	guint attempt_from; /* those in the call */
+	guint attempt_bills;
+	bool checking; /* the call only reads */
 	bool last; /* the call gives back or closes */
 	bool doubt;
 	op_id_t op;
@@ -211,6 +215,7 @@
 	       const char *client_account, const char *budget);
 void budget_key(char out[STORE_KEY_SIZE], const char *client_account,
 		const char *budget);
+void slice_check_bills(ledger_t *ledger, slice_t *slice);
 void slice_lost(ledger_t *ledger, slice_t *slice);
 
 /* reserve.c */
--- a/member/sync.c
+++ b/member/sync.c
@@ -30,7 +30,7 @@
 	member_post(member, member->store, &msg);
 }
 
-void sync_tick(member_t *member)
+void member_sync_tick(member_t *member)
 {
 	int64_t now = kernel_now(member->kernel);
 
@@ -40,6 +40,12 @@
 		list(member, &member->alive, CALL_LIST_ALIVE);
 }
 
+/* A deletion in a watch has the revision at which the key was deleted. */
+bool member_sync_is_present(const store_kv_t *kv)
+{
+	return kv->revision > 0 && kv->record.kind != RECORD_NONE;
+}
+
 /* Present record and absent liveness: the lease has expired. */
 static void note_absence(member_t *member, entry_t *entry)
 {
@@ -53,6 +59,9 @@
 {
 	member_info_t *info = &entry->info;
 
+	/* Recovery goes by this one; a heartbeat may be older or newer. */
+	g_strlcpy(entry->stored_buddy, record->buddy,
+		  sizeof(entry->stored_buddy));
 	g_strlcpy(info->name, record->name, sizeof(info->name));
 	g_strlcpy(info->availability_zone, record->availability_zone,
 		  sizeof(info->availability_zone));
@@ -66,9 +75,10 @@
 			 uint32_t round)
 {
 	const char *name = kv->key + strlen(MEMBER_PREFIX);
-	bool present = kv->revision > 0 && kv->record.kind != RECORD_NONE;
-	entry_t *entry =
-		present ? view_get(member, name) : view_find(member, name);
+	bool present = member_sync_is_present(kv);
+	int64_t revision = present ? kv->revision : 0;
+	entry_t *entry = present ? member_view_get(member, name)
+				 : member_view_find(member, name);
 
 	if (entry == NULL)
 		return;
@@ -77,8 +87,8 @@
 	if (seen < entry->seen)
 		return;
 	entry->seen = seen;
-	if (kv->revision != entry->revision) {
-		entry->revision = kv->revision;
+	if (revision != entry->revision) {
+		entry->revision = revision;
 		member->changed = true;
 		if (kv->record.kind == RECORD_MEMBER && !entry->own)
 			take_record(entry, &kv->record.u.member);
@@ -90,9 +100,9 @@
 			uint32_t round)
 {
 	const char *name = kv->key + strlen(ALIVE_PREFIX);
-	bool present = kv->revision > 0;
-	entry_t *entry =
-		present ? view_get(member, name) : view_find(member, name);
+	bool present = member_sync_is_present(kv);
+	entry_t *entry = present ? member_view_get(member, name)
+				 : member_view_find(member, name);
 
 	if (entry == NULL)
 		return;
@@ -107,12 +117,16 @@
 	note_absence(member, entry);
 }
 
-void sync_apply(member_t *member, const store_result_t *result, uint32_t round)
+void member_sync_apply(member_t *member, const store_result_t *result,
+		       uint32_t round)
 {
 	for (guint i = 0; i < result->kvs->len; i++) {
 		const store_kv_t *kv =
 			&g_array_index(result->kvs, store_kv_t, i);
-		int64_t seen = MAX(result->revision, kv->revision);
+		/* A list tells of its own time, an event of the change's. */
+		int64_t seen = round == 0 && kv->revision > 0
+				       ? kv->revision
+				       : result->revision;
 
 		if (g_str_has_prefix(kv->key, MEMBER_PREFIX))
 			apply_member(member, kv, seen, round);
@@ -122,7 +136,7 @@
 			continue;
 		if (strcmp(strchr(kv->key, '/') + 1,
 			   member->opts.self.incarnation) == 0)
-			lease_observe(member, kv, seen);
+			member_lease_observe(member, kv, seen);
 	}
 }
 
@@ -147,12 +161,13 @@
 			apply_alive(member, &kv, revision, 0);
 		}
 		if (entry->own && kv.key[0] != '\0')
-			lease_observe(member, &kv, revision);
+			member_lease_observe(member, &kv, revision);
 		kv.key[0] = '\0';
 	}
 }
 
-void sync_listed(member_t *member, call_t *call, const store_result_t *result)
+void member_sync_listed(member_t *member, call_t *call,
+			const store_result_t *result)
 {
 	member_prefix_t *prefix = call->kind == CALL_LIST_MEMBERS
 					  ? &member->members
@@ -166,7 +181,7 @@
 	}
 	if (call->revision == 0)
 		call->revision = result->revision;
-	sync_apply(member, result, prefix->round);
+	member_sync_apply(member, result, prefix->round);
 	if (result->more)
 		return;
 	prefix->listing = false;
