Show what each preset sets

Cause: operators switch presets and must see what changes. Change: preset show prints the routing policy's three tables side by side. Result: run by hand against the store stand-in, text and JSON.

--- a/ctl/preset.c
+++ b/ctl/preset.c
@@ -1,5 +1,6 @@
 #include "ctl/command.h"
 #include "ctl/out.h"
+#include "route/policy.h"
 
 #define PRESET_KEY "conf/preset"
 
@@ -26,18 +27,57 @@
 	return status;
 }
 
+/* One row for each parameter, one column for each preset. */
+static JsonArray *describe_presets(void)
+{
+	JsonArray *rows = json_array_new();
+	policy_row_t cell;
+
+	for (uint32_t i = 0; policy_row(PRESET_ORDINARY, i, &cell); i++) {
+		JsonObject *row = json_object_new();
+
+		json_object_set_string_member(row, "parameter", cell.name);
+		for (int p = 0; p < PRESET_COUNT; p++) {
+			policy_row((preset_t)p, i, &cell);
+			json_object_set_int_member(
+				row, preset_name((preset_t)p), cell.value);
+		}
+		json_object_set_string_member(row, "unit", cell.unit);
+		json_object_set_string_member(row, "meaning", cell.help);
+		json_array_add_object_element(rows, row);
+	}
+	return rows;
+}
+
+static void print_presets(ctl_t *ctl, preset_t in_force)
+{
+	JsonArray *rows = describe_presets();
+	JsonObject *object = json_object_new();
+	JsonNode *node =
+		json_node_new(ctl->json ? JSON_NODE_OBJECT : JSON_NODE_ARRAY);
+
+	if (ctl->json) {
+		json_object_set_string_member(object, "in_force",
+					      preset_name(in_force));
+		json_object_set_array_member(object, "parameters", rows);
+		json_node_set_object(node, object);
+	} else {
+		ctl_say(ctl, "preset %s is in force", preset_name(in_force));
+		json_node_take_array(node, rows);
+	}
+	json_object_unref(object);
+	ctl_print(ctl, node);
+}
+
 static ctl_status_t show(ctl_t *ctl)
 {
 	store_kv_t kv;
 	ctl_status_t status = ctl_get(ctl, PRESET_KEY, &kv);
 
-	if (status == CTL_OK) {
-		preset_t preset = kv.record.kind == RECORD_PRESET
-					  ? kv.record.u.preset.in_force
-					  : PRESET_ORDINARY;
-
-		ctl_say(ctl, "preset %s is in force", preset_name(preset));
-	}
+	if (status == CTL_OK)
+		print_presets(ctl, kv.record.kind == RECORD_PRESET
+					   ? kv.record.u.preset.in_force
+					   : PRESET_ORDINARY);
 	record_clear(&kv.record);
 	return status;
 }
