Test the callers' listener over TLS

Cause: TLS was written but never run. Change: a test that serves an answer over TLS with a fixture certificate and one that a missing certificate refuses the start; glib-networking, which brings GIO's TLS, is in the package list.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
 DEBIAN_PACKAGES = gcc g++ make pkg-config clang-format clang-tidy curl \
 		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
-		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev
+		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev \
+		  glib-networking
 
 BUILD ?= build
 CC = gcc
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -186,6 +186,7 @@
 		opts.high_water = 100000;
 		opts.low_water = 10000;
 		opts.max_connections = 20;
+		configure(&opts);
 		kernel_init(&kernel, CLOCK_REAL, 0);
 		svc = kernel_register(&kernel, "request", receive, this);
 		kernel_register(&kernel, "router", receive, this);
@@ -198,6 +199,9 @@
 		front_finish(&front);
 		kernel_finish(&kernel);
 	}
+	virtual void configure(front_opts_t *)
+	{
+	}
 	static void receive(void *self, msg_t *msg)
 	{
 		auto *test = static_cast<FrontTest *>(self);
@@ -494,4 +498,79 @@
 	EXPECT_FALSE(clients.front()->closed);
 }
 
+class TlsFrontTest : public FrontTest
+{
+      protected:
+	void configure(front_opts_t *opts) override
+	{
+		g_strlcpy(opts->tls_cert, "tests/tls/cert.pem", PATH_SIZE);
+		g_strlcpy(opts->tls_key, "tests/tls/key.pem", PATH_SIZE);
+	}
+};
+
+gboolean accept_certificate(SoupMessage *, GTlsCertificate *,
+			    GTlsCertificateFlags, gpointer)
+{
+	return TRUE;
+}
+
+// TLS settings must give an encrypted listener that serves whole answers.
+TEST_F(TlsFrontTest, AnswersOverTls)
+{
+	std::string url =
+		"https://127.0.0.1:" + std::to_string(front_port(&front)) +
+		"/a";
+	SoupSession *session = soup_session_new();
+	SoupMessage *get = soup_message_new("GET", url.c_str());
+	GBytes *bytes = nullptr;
+	struct Answer {
+		GBytes **bytes;
+		bool done;
+	} answer = {&bytes, false};
+
+	at_once = "over TLS";
+	soup_message_headers_append(soup_message_get_request_headers(get),
+				    "Authorization", "Bearer abc");
+	g_signal_connect(get, "accept-certificate",
+			 G_CALLBACK(accept_certificate), nullptr);
+	soup_session_send_and_read_async(
+		session, get, G_PRIORITY_DEFAULT, nullptr,
+		[](GObject *source, GAsyncResult *result, gpointer data) {
+			auto *to = static_cast<Answer *>(data);
+
+			*to->bytes = soup_session_send_and_read_finish(
+				SOUP_SESSION(source), result, nullptr);
+			to->done = true;
+		},
+		&answer);
+	ASSERT_TRUE(pump([&] { return answer.done; }));
+	ASSERT_NE(bytes, nullptr);
+	EXPECT_EQ(std::string(static_cast<const char *>(
+				      g_bytes_get_data(bytes, nullptr)),
+			      g_bytes_get_size(bytes)),
+		  "over TLS");
+	g_bytes_unref(bytes);
+	g_object_unref(get);
+	g_object_unref(session);
+}
+
+// A certificate that can't be read must stop the start, not fall back to
+// plain HTTP.
+TEST(Tls, MissingCertificateIsRefused)
+{
+	kernel_t kernel;
+	front_t front;
+	front_opts_t opts;
+
+	front_opts_default(&opts);
+	g_strlcpy(opts.tls_cert, "tests/tls/none.pem", PATH_SIZE);
+	g_strlcpy(opts.tls_key, "tests/tls/key.pem", PATH_SIZE);
+	kernel_init(&kernel, CLOCK_REAL, 0);
+	front_init(&front, &kernel, &opts);
+	EXPECT_EQ(front_listen(&front), FRONT_TLS_FAILED);
+	EXPECT_STRNE(front.err.text, "");
+	front_finish(&front);
+	kernel_finish(&kernel);
+}
+
 } // namespace
