Ask Debian's package list whether the build has what it needs

Cause: the check by pkg-config could not see that glib-networking is missing, and pkg-config ran again for every file. Change: dpkg-query over the whole list; pkg-config is asked once.

--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,9 @@
       -fno-sanitize-recover=undefined
 endif
 # Third-party headers are -isystem, so that warnings are about our own code.
-PKG_CFLAGS = $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PACKAGES)))
-PKG_LIBS = $(shell pkg-config --libs $(PACKAGES)) -lm
-GTEST_LIBS = $(shell pkg-config --libs gtest_main)
+PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PACKAGES)))
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES)) -lm
+GTEST_LIBS := $(shell pkg-config --libs gtest_main)
 CFLAGS = -std=gnu11 -I. $(OPT) $(CWARNINGS) $(PKG_CFLAGS) -MMD -MP
 CXXFLAGS = -std=c++17 -I. $(OPT) $(WARNINGS) -Wno-missing-field-initializers \
 	   $(PKG_CFLAGS) -MMD -MP
@@ -53,8 +53,7 @@
 fakes: $(FAKES)
 
 packages:
-	@pkg-config --exists $(PACKAGES) gtest_main && \
-	command -v clang-format clang-tidy curl >/dev/null || \
+	@dpkg-query -W $(DEBIAN_PACKAGES) >/dev/null 2>&1 || \
 	{ apt-get update -qq && \
 	  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(DEBIAN_PACKAGES); }
 
