Add records, client commands and sending of orders to targets

Operators need to tell targets to load or unload a model or to change role. The wish is a configuration record, conf/order/TARGET, kept and exchanged like the others; order/TARGET/lease and order/TARGET/state are for the service that carries it out. dispatch sends an order as a typed message and reduces the answer to one result; it holds back an order whose sender's lease is over.

--- a/conf/entry.c
+++ b/conf/entry.c
@@ -44,6 +44,8 @@
 	case RECORD_QUARANTINE:
 		return named(key, "conf/quarantine/",
 			     record->u.quarantine.fingerprint);
+	case RECORD_ORDER:
+		return named(key, "conf/order/", record->u.order.target);
 	case RECORD_PRESET:
 		return strcmp(key, "conf/preset") == 0;
 	default:
@@ -219,6 +221,9 @@
 	case RECORD_QUARANTINE:
 		g_array_append_val(snapshot->quarantine, record->u.quarantine);
 		break;
+	case RECORD_ORDER:
+		g_array_append_val(snapshot->orders, record->u.order);
+		break;
 	case RECORD_PRESET:
 		snapshot->preset = record->u.preset.in_force;
 		break;
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -156,6 +156,8 @@
 		return &record->u.target.op;
 	case RECORD_PRESET:
 		return &record->u.preset.op;
+	case RECORD_ORDER:
+		return &record->u.order.op;
 	case RECORD_QUARANTINE:
 		return &record->u.quarantine.op;
 	case RECORD_BUDGET:
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -32,6 +32,8 @@
 	COMMAND_TARGET_DRAIN,
 	COMMAND_TARGET_UNDRAIN,
 	COMMAND_TARGET_REMOVE,
+	COMMAND_TARGET_ORDER,
+	COMMAND_TARGET_ORDERS,
 	COMMAND_PRESET_SET,
 	COMMAND_PRESET_SHOW,
 	COMMAND_STATUS,
@@ -83,6 +85,7 @@
 ctl_status_t budget_run(ctl_t *ctl, const args_t *args);
 ctl_status_t service_run(ctl_t *ctl, const args_t *args);
 ctl_status_t target_run(ctl_t *ctl, const args_t *args);
+ctl_status_t order_run(ctl_t *ctl, const args_t *args);
 ctl_status_t preset_run(ctl_t *ctl, const args_t *args);
 ctl_status_t status_run(ctl_t *ctl, const args_t *args);
 
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -66,6 +66,11 @@
 	 "give a target work again"},
 	{"target", "remove", COMMAND_TARGET_REMOVE, 0, 1, "NAME",
 	 "remove a target"},
+	{"target", "order", COMMAND_TARGET_ORDER, 0, 3,
+	 "NAME load|unload|role WHAT[@VERSION]",
+	 "wish that a target loads or unloads a model or takes a role"},
+	{"target", "orders", COMMAND_TARGET_ORDERS, 0, 0, "",
+	 "list the wishes for targets and how far they are"},
 	{"preset", "set", COMMAND_PRESET_SET, 0, 1, "ordinary|peak|maintenance",
 	 "put a preset in force"},
 	{"preset", "show", COMMAND_PRESET_SHOW, 0, 0, "",
@@ -372,6 +377,9 @@
 	case COMMAND_TARGET_UNDRAIN:
 	case COMMAND_TARGET_REMOVE:
 		return target_run(ctl, args);
+	case COMMAND_TARGET_ORDER:
+	case COMMAND_TARGET_ORDERS:
+		return order_run(ctl, args);
 	case COMMAND_PRESET_SET:
 	case COMMAND_PRESET_SHOW:
 		return preset_run(ctl, args);
--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -1,6 +1,7 @@
 #include "dispatch/call.h"
 
 #include "dispatch/body.h"
+#include "dispatch/order.h"
 
 #include <errno.h>
 #include <string.h>
@@ -15,6 +16,10 @@
 
 static void post(call_t *call, msg_t *msg)
 {
+	if (call->order) {
+		order_post(call, msg);
+		return;
+	}
 	msg->ref = call->ref;
 	msg->id = call->self;
 	kernel_post(call->dispatch->kernel, call->dispatch->svc, call->owner,
@@ -425,6 +430,11 @@
 static void on_starting(SoupMessage *msg, call_t *call)
 {
 	(void)msg;
+	/* Connecting took time; the last moment to hold an order back. */
+	if (order_is_late(call)) {
+		fail(call, FAILURE_DEADLINE, false);
+		return;
+	}
 	call->started = true;
 }
 
@@ -514,9 +524,8 @@
 	return (ms == 0 ? LIMIT_MS_DEFAULT : ms) * USEC_PER_MSEC;
 }
 
-void call_open(dispatch_t *dispatch, const msg_t *msg)
+static call_t *new_call(dispatch_t *dispatch, const msg_t *msg)
 {
-	msg_t started = {.kind = MSG_SEND_STARTED};
 	call_t *call;
 	handle_t self = table_add(&dispatch->calls, (void **)&call);
 
@@ -533,18 +542,44 @@
 		msg->u.send.deadline > 0 ? msg->u.send.deadline : G_MAXINT64;
 	call->active = kernel_now(dispatch->kernel);
 	call->cancellable = g_cancellable_new();
-	post(call, &started);
+	return call;
+}
+
+static void start(call_t *call, const msg_t *msg)
+{
 	if (!prepare(call, msg)) {
 		fail(call, FAILURE_CONNECT, false);
 		return;
 	}
 	arm(call);
 	call->pending = true;
-	soup_session_send_async(dispatch->session, call->msg,
+	soup_session_send_async(call->dispatch->session, call->msg,
 				G_PRIORITY_DEFAULT, call->cancellable, on_head,
 				call);
 }
 
+void call_open(dispatch_t *dispatch, const msg_t *msg)
+{
+	msg_t started = {.kind = MSG_SEND_STARTED};
+	call_t *call = new_call(dispatch, msg);
+
+	post(call, &started);
+	start(call, msg);
+}
+
+void call_open_order(dispatch_t *dispatch, const msg_t *msg,
+		     int64_t send_before)
+{
+	call_t *call = new_call(dispatch, msg);
+
+	call->order = true;
+	call->send_before = send_before;
+	if (order_is_late(call))
+		fail(call, FAILURE_DEADLINE, false);
+	else
+		start(call, msg);
+}
+
 void call_abort(call_t *call)
 {
 	call->over = true;
--- a/dispatch/call.h
+++ b/dispatch/call.h
@@ -34,10 +34,16 @@
 	int64_t deadline; /* monotonic, us */
 	int64_t active; /* monotonic, us, of the last progress */
 	tokens_t tokens;
+	bool order; /* opened by MSG_ORDER_SEND */
+	uint32_t order_status; /* HTTP, of an order's answer */
+	int64_t send_before; /* monotonic, us, of an order */
 } call_t;
 
 /* Starts a call for a MSG_SEND. */
 void call_open(dispatch_t *dispatch, const msg_t *msg);
+/* The same for an order, of which nothing is sent at or after a time. */
+void call_open_order(dispatch_t *dispatch, const msg_t *msg,
+		     int64_t send_before);
 /* Handles a message whose ref is a call; a stale ref is ignored. */
 void call_recv(dispatch_t *dispatch, const msg_t *msg);
 /* Drops a call without telling its owner. */
--- a/dispatch/dispatch.c
+++ b/dispatch/dispatch.c
@@ -1,6 +1,7 @@
 #include "dispatch/dispatch.h"
 
 #include "dispatch/call.h"
+#include "dispatch/order.h"
 
 #include <string.h>
 
@@ -19,6 +20,9 @@
 	case MSG_SEND:
 		call_open(dispatch, msg);
 		break;
+	case MSG_ORDER_SEND:
+		order_open(dispatch, msg);
+		break;
 	case MSG_TIMER:
 	case MSG_SEND_CANCEL:
 	case MSG_SEND_PAUSE:
--- a/kernel/msg.c
+++ b/kernel/msg.c
@@ -188,6 +188,7 @@
 	snapshot->targets = g_array_new(FALSE, TRUE, sizeof(record_target_t));
 	snapshot->quarantine =
 		g_array_new(FALSE, TRUE, sizeof(record_quarantine_t));
+	snapshot->orders = g_array_new(FALSE, TRUE, sizeof(record_order_t));
 	snapshot->by_key_hash =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return snapshot;
@@ -207,6 +208,7 @@
 	g_array_unref(snapshot->services);
 	g_array_unref(snapshot->targets);
 	g_array_unref(snapshot->quarantine);
+	g_array_unref(snapshot->orders);
 	g_hash_table_unref(snapshot->by_key_hash);
 	g_free(snapshot);
 }
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -195,6 +195,7 @@
 	GArray *services; /* record_service_t */
 	GArray *targets; /* record_target_t */
 	GArray *quarantine; /* record_quarantine_t */
+	GArray *orders; /* record_order_t, sorted by target */
 	GHashTable *by_key_hash; /* API key hash -> index + 1 */
 } conf_snapshot_t;
 
@@ -383,6 +384,9 @@
 	MSG_TARGET_END,
 	MSG_TARGET_FAILED,
 
+	MSG_ORDER_SEND, /* orders -> dispatch */
+	MSG_ORDER_RESULT,
+
 	MSG_STORE_GET, /* any -> store */
 	MSG_STORE_TXN,
 	MSG_STORE_LEASE,
@@ -432,6 +436,14 @@
 	CLAIM_STORE_UNAVAILABLE, /* not claimed, not run */
 } claim_result_t;
 
+typedef enum order_result_t {
+	ORDER_RESULT_DONE,
+	ORDER_RESULT_REFUSED_FENCING, /* a newer holder's order came first */
+	ORDER_RESULT_FAILED, /* refused; the same order would be again */
+	ORDER_RESULT_NOT_SENT, /* the target surely did not get it */
+	ORDER_RESULT_UNKNOWN, /* it may have taken effect */
+} order_result_t;
+
 #define ROUTE_AVOID_MAX 4
 
 typedef struct msg_t {
@@ -573,6 +585,23 @@
 				       */
 		} target_failed;
 
+		struct {
+			char host[HOST_SIZE];
+			uint16_t port;
+			order_kind_t kind;
+			char subject[NAME_SIZE];
+			char version[NAME_SIZE]; /* empty: not stated */
+			int64_t fencing_token;
+			/* Nothing is sent at or after this; monotonic, us. */
+			int64_t send_before;
+			uint32_t longest_ms; /* limit on the wait for an answer
+					      */
+		} order_send;
+		struct {
+			order_result_t result;
+			char message[ORDER_MESSAGE_SIZE];
+		} order_result;
+
 		struct {
 			char key[STORE_KEY_SIZE];
 			bool prefix; /* all keys that begin with key */
--- a/kernel/record.c
+++ b/kernel/record.c
@@ -8,6 +8,19 @@
 	[PRESET_MAINTENANCE] = "maintenance",
 };
 
+static const char *const order_kinds[ORDER_KIND_COUNT] = {
+	[ORDER_LOAD] = "load",
+	[ORDER_UNLOAD] = "unload",
+	[ORDER_ROLE] = "role",
+};
+
+static const char *const order_states[ORDER_STATE_COUNT] = {
+	[ORDER_PENDING] = "pending",
+	[ORDER_RUNNING] = "running",
+	[ORDER_DONE] = "done",
+	[ORDER_FAILED] = "failed",
+};
+
 void outcome_copy(outcome_t *to, const outcome_t *from)
 {
 	*to = *from;
@@ -55,6 +68,27 @@
 	return false;
 }
 
+const char *order_kind_name(order_kind_t kind)
+{
+	return kind < ORDER_KIND_COUNT ? order_kinds[kind] : "unknown";
+}
+
+bool order_kind_parse(const char *text, order_kind_t *kind)
+{
+	for (int i = 0; i < ORDER_KIND_COUNT; i++) {
+		if (strcmp(text, order_kinds[i]) == 0) {
+			*kind = (order_kind_t)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+const char *order_state_name(order_state_t state)
+{
+	return state < ORDER_STATE_COUNT ? order_states[state] : "unknown";
+}
+
 bool name_is_valid(const char *name)
 {
 	size_t len = strlen(name);
--- a/kernel/record.h
+++ b/kernel/record.h
@@ -21,6 +21,7 @@
 #define STORE_KEY_SIZE 320 /* bytes, with terminator */
 #define CLIENT_ACCOUNT_KEYS 4 /* API keys of one client account */
 #define BUDGET_OPS 8 /* operation ids remembered per budget */
+#define ORDER_MESSAGE_SIZE 128 /* bytes, with terminator */
 #define OUTCOME_BODY_MAX 262144 /* bytes of a stored outcome's body */
 
 typedef enum record_kind_t {
@@ -37,6 +38,9 @@
 	RECORD_CLAIM,
 	RECORD_MEMBER,
 	RECORD_ALIVE,
+	RECORD_ORDER,
+	RECORD_ORDER_LEASE,
+	RECORD_ORDER_STATE,
 } record_kind_t;
 
 /* Identifies one write, so that a repeated write is recognised. */
@@ -175,6 +179,49 @@
 	char incarnation[INCARNATION_SIZE];
 } record_alive_t;
 
+typedef enum order_kind_t {
+	ORDER_LOAD,
+	ORDER_UNLOAD,
+	ORDER_ROLE,
+	ORDER_KIND_COUNT,
+} order_kind_t;
+
+/*
+ * The operators' newest wish for a target.  It replaces an older wish,
+ * carried out or not.
+ */
+typedef struct record_order_t {
+	char target[NAME_SIZE];
+	op_id_t op;
+	order_kind_t kind;
+	char subject[NAME_SIZE]; /* model or adapter, or the role */
+	char version[NAME_SIZE]; /* of what is loaded; may be empty */
+	int64_t number; /* rises with each wish of the target */
+} record_order_t;
+
+/* Bound to the holder's lease: its absence means that nobody may send. */
+typedef struct record_order_lease_t {
+	char owner[INCARNATION_SIZE];
+} record_order_lease_t;
+
+typedef enum order_state_t {
+	ORDER_PENDING, /* to be sent; no earlier send can still be running */
+	ORDER_RUNNING, /* may have been sent and may still be running */
+	ORDER_DONE,
+	ORDER_FAILED, /* refused by the target for good */
+	ORDER_STATE_COUNT,
+} order_state_t;
+
+typedef struct record_order_state_t {
+	char owner[INCARNATION_SIZE]; /* last holder */
+	op_id_t op;
+	int64_t number; /* of the wish */
+	order_state_t state;
+	char message[ORDER_MESSAGE_SIZE];
+	/* No order sent up to now runs longer than this after its sending. */
+	uint32_t longest_ms;
+} record_order_state_t;
+
 typedef struct record_t {
 	record_kind_t kind;
 	union {
@@ -189,6 +236,9 @@
 		record_claim_t claim;
 		record_member_t member;
 		record_alive_t alive;
+		record_order_t order;
+		record_order_lease_t order_lease;
+		record_order_state_t order_state;
 	} u;
 } record_t;
 
@@ -200,6 +250,9 @@
 
 bool op_id_equal(const op_id_t *a, const op_id_t *b);
 const char *preset_name(preset_t preset);
+const char *order_kind_name(order_kind_t kind);
+bool order_kind_parse(const char *text, order_kind_t *kind);
+const char *order_state_name(order_state_t state);
 bool preset_parse(const char *text, preset_t *preset);
 
 /* 1 to 63 bytes of letters, digits, '.', '_' and '-'. */
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -40,6 +40,12 @@
 	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
 	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
 	X(QUARANTINES, "quarantines", "requests put into quarantine")         \
+	X(ORDERS_SENT, "orders_sent", "orders sent to targets")               \
+	X(ORDERS_DONE, "orders_done", "orders that targets carried out")      \
+	X(ORDERS_FENCED, "orders_fenced",                                     \
+	  "orders refused for an old fencing number")                         \
+	X(ORDERS_WAITED, "orders_waited",                                     \
+	  "orders held back while an earlier one may run")                    \
 	X(MSG_UNDELIVERED, "msg_undelivered", "messages without a receiver")
 
 typedef enum counter_t {
--- a/peer/records.c
+++ b/peer/records.c
@@ -78,6 +78,15 @@
 	 INT64_MAX},
 };
 
+static const field_t order_fields[] = {
+	TEXT(order, target),
+	OP(order),
+	ENUM(order, kind, ORDER_ROLE),
+	TEXT(order, subject),
+	TEXT(order, version),
+	{"number", FIELD_I64, offsetof(record_t, u.order.number), INT64_MAX},
+};
+
 static const field_t key_fields[] = {
 	FIELD_TEXT_OF(api_key_t, hash),
 	FIELD_TEXT_OF(api_key_t, budget),
@@ -96,6 +105,8 @@
 		return FIELDS_OF(preset_fields);
 	case RECORD_QUARANTINE:
 		return FIELDS_OF(quarantine_fields);
+	case RECORD_ORDER:
+		return FIELDS_OF(order_fields);
 	default:
 		return (fields_t){NULL, 0};
 	}
@@ -123,6 +134,10 @@
 		prefix = "conf/quarantine/";
 		name = record->u.quarantine.fingerprint;
 		break;
+	case RECORD_ORDER:
+		prefix = "conf/order/";
+		name = record->u.order.target;
+		break;
 	case RECORD_PRESET:
 		return strcmp(key, "conf/preset") == 0;
 	default:
@@ -256,7 +271,7 @@
 				   err) ||
 	    !peer_field_parse_uint(&items[1], INT64_MAX, &revision, "revision",
 				   err) ||
-	    !peer_field_parse_uint(&items[2], RECORD_ALIVE, &kind,
+	    !peer_field_parse_uint(&items[2], RECORD_ORDER_STATE, &kind,
 				   "record kind", err))
 		return false;
 	kv->revision = (int64_t)revision;
--- a/store/schema.c
+++ b/store/schema.c
@@ -6,6 +6,9 @@
 static const char *const service_kinds[] = {"model", "plain", NULL};
 static const char *const claim_states[] = {"open", "done", "aborted", NULL};
 static const char *const presets[] = {"ordinary", "peak", "maintenance", NULL};
+static const char *const order_kinds[] = {"load", "unload", "role", NULL};
+static const char *const order_states[] = {"pending", "running", "done",
+					   "failed", NULL};
 
 #define AT(type, member) offsetof(record_##type##_t, member)
 /* The members of a field_t, for use within braces. */
@@ -124,6 +127,28 @@
 	{TEXT(alive, incarnation, 1)},
 };
 
+static const field_t order_fields[] = {
+	{NAMED(order, target)},
+	{OP(order)},
+	{ENUM("order", order, kind, order_kinds)},
+	{NAMED(order, subject)},
+	{TEXT(order, version, 0)},
+	{I64(order, number, 1, CODEC_SEQ_MAX)},
+};
+
+static const field_t order_lease_fields[] = {
+	{TEXT(order_lease, owner, 1)},
+};
+
+static const field_t order_state_fields[] = {
+	{TEXT(order_state, owner, 1)},
+	{OP(order_state)},
+	{I64(order_state, number, 1, CODEC_SEQ_MAX)},
+	{ENUM("state", order_state, state, order_states)},
+	{TEXT(order_state, message, 0)},
+	{U32(order_state, longest_ms, 0, CODEC_MS_MAX)},
+};
+
 #define KIND(id, text, prefix, list, is_named) \
 	RECORD_##id, text, prefix, list, G_N_ELEMENTS(list), is_named
 
@@ -140,6 +165,9 @@
 	{KIND(CLAIM, "claim", "claim/", claim_fields, false)},
 	{KIND(MEMBER, "member", "member/", member_fields, true)},
 	{KIND(ALIVE, "alive", "alive/", alive_fields, true)},
+	{KIND(ORDER, "order", "conf/order/", order_fields, true)},
+	{KIND(ORDER_LEASE, "order_lease", "order/", order_lease_fields, false)},
+	{KIND(ORDER_STATE, "order_state", "order/", order_state_fields, false)},
 	{KIND(PRESET, "preset", "conf/preset", preset_fields, false)},
 };
 
@@ -156,6 +184,13 @@
 {
 	if (strcmp(key, "conf/preset") == 0)
 		return schema_by_id(RECORD_PRESET);
+	/* order/TARGET/lease and order/TARGET/state */
+	if (g_str_has_prefix(key, "order/"))
+		return g_str_has_suffix(key, "/lease")
+			       ? schema_by_id(RECORD_ORDER_LEASE)
+		       : g_str_has_suffix(key, "/state")
+			       ? schema_by_id(RECORD_ORDER_STATE)
+			       : NULL;
 	for (guint i = 0; i < G_N_ELEMENTS(kinds); i++) {
 		size_t len = strlen(kinds[i].key_prefix);
 
@@ -315,6 +350,11 @@
 		if (record->u.grant.settled > record->u.grant.granted)
 			return "settled exceeds granted";
 		return NULL;
+	case RECORD_ORDER:
+		if (record->u.order.version[0] != '\0' &&
+		    !name_is_valid(record->u.order.version))
+			return "version is not a name";
+		return NULL;
 	default:
 		return NULL;
 	}
--- a/tests/conf_test.cc
+++ b/tests/conf_test.cc
@@ -228,6 +228,27 @@
 	EXPECT_EQ(snapshot->quarantine->len, 0u);
 }
 
+// A stale copy from a peer must not bring back an older wish.
+TEST_F(ConfTest, OrdersAreSortedAndNeverRevert)
+{
+	record_t record = {};
+
+	record.kind = RECORD_ORDER;
+	for (const char *name : {"b", "a"}) {
+		g_strlcpy(record.u.order.target, name, NAME_SIZE);
+		record.u.order.number = 2;
+		event(std::string("conf/order/") + name, 6, record);
+	}
+	record.u.order.number = 1;
+	event("conf/order/a", 5, record);
+	event("conf/order/c", 7, record); // not the target's own key
+	run(100);
+	ASSERT_EQ(snapshot->orders->len, 2u);
+	auto *order = &g_array_index(snapshot->orders, record_order_t, 0);
+	EXPECT_STREQ(order->target, "a");
+	EXPECT_EQ(order->number, 2);
+}
+
 // Accounts are found by the hash of any of their API keys.
 TEST_F(ConfTest, AccountsAreIndexedByKeyHash)
 {
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -184,6 +184,8 @@
 			test->failed = *msg;
 		else if (msg->kind == MSG_TARGET_END)
 			test->end = *msg;
+		else if (msg->kind == MSG_ORDER_RESULT)
+			test->ordered = msg->u.order_result.result;
 		else if (msg->kind == MSG_TARGET_REPORT)
 			test->report = *msg;
 		else if (msg->kind == MSG_TARGET_DATA) {
@@ -214,6 +216,26 @@
 		msg.u.send.deadline = kernel_now(&kernel) + 60 * USEC_PER_SEC;
 		kernel_post(&kernel, svc, dispatch.svc, &msg);
 	}
+	order_result_t order(int64_t time_to_send = USEC_PER_SEC)
+	{
+		int over = counts[MSG_ORDER_RESULT];
+		msg_t msg = {};
+
+		msg.kind = MSG_ORDER_SEND;
+		msg.id = {9, 9};
+		g_strlcpy(msg.u.order_send.host, "127.0.0.1", HOST_SIZE);
+		msg.u.order_send.port = port;
+		g_strlcpy(msg.u.order_send.subject, "m-7b", NAME_SIZE);
+		g_strlcpy(msg.u.order_send.version, "v2", NAME_SIZE);
+		msg.u.order_send.fencing_token = 77;
+		msg.u.order_send.send_before =
+			kernel_now(&kernel) + time_to_send;
+		msg.u.order_send.longest_ms = 300;
+		kernel_post(&kernel, svc, dispatch.svc, &msg);
+		EXPECT_TRUE(
+			wait([&] { return counts[MSG_ORDER_RESULT] > over; }));
+		return ordered;
+	}
 	void control(msg_kind_t kind)
 	{
 		msg_t msg = {};
@@ -315,6 +337,7 @@
 	int counts[MSG_KIND_COUNT] = {};
 	handle_t call = {};
 	msg_t failed = {}, end = {}, report = {};
+	order_result_t ordered = ORDER_RESULT_DONE;
 	std::string body;
 	uint32_t status = 0;
 	int64_t tokens = 0;
@@ -481,4 +504,40 @@
 	EXPECT_TRUE(body == big);
 }
 
+// An order in doubt must not count as done or as not sent, and one that is
+// late must not reach the target at all.
+TEST_F(DispatchTest, OrdersEndInOneHonestResult)
+{
+	const std::string empty = " x\r\nContent-Length: 0\r\n\r\n";
+	const std::vector<std::pair<std::string, order_result_t>> answers = {
+		{"HTTP/1.1 200" + empty, ORDER_RESULT_DONE},
+		{"HTTP/1.1 409" + empty, ORDER_RESULT_REFUSED_FENCING},
+		{"HTTP/1.1 404" + empty, ORDER_RESULT_FAILED},
+		{"HTTP/1.1 500" + empty, ORDER_RESULT_UNKNOWN},
+		{"HTTP/1.1 503 x\r\nX-Request-State: not_run\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 ORDER_RESULT_NOT_SENT},
+		{"", ORDER_RESULT_UNKNOWN}, // silent
+		{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nx",
+		 ORDER_RESULT_UNKNOWN}, // cut
+	};
+
+	EXPECT_EQ(order(0), ORDER_RESULT_NOT_SENT);
+	EXPECT_TRUE(peers.empty());
+	for (const auto &[answer, result] : answers) {
+		steps.push_back(
+			{answer, !answer.empty() && answer.back() == 'x'});
+		EXPECT_EQ(order(), result) << answer;
+	}
+	EXPECT_EQ(requests, (int)answers.size());
+	EXPECT_NE(last_request.find(R"({"fencing_token":77,"order":"load",)"
+				    R"("model":"m-7b","version":"v2"})"),
+		  std::string::npos);
+	g_socket_close(listener, nullptr);
+	for (auto &peer : peers)
+		g_socket_close(peer->socket, nullptr);
+	EXPECT_EQ(order(), ORDER_RESULT_NOT_SENT);
+	EXPECT_EQ(counts[MSG_SEND_STARTED] + counts[MSG_TARGET_END], 0);
+}
+
 } // namespace
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -37,6 +37,7 @@
 static int64_t fence;
 static unsigned orders;
 static unsigned orders_refused;
+static char *last_order; /* body of the last one that was accepted */
 
 static const GOptionEntry options[] = {
 	{"port", 0, 0, G_OPTION_ARG_INT, &port, "port, 0 for a free one", "N"},
@@ -298,6 +299,9 @@
 	} else {
 		orders++;
 		fence = MAX(fence, token);
+		g_free(last_order);
+		last_order =
+			json_to_string(json_parser_get_root(parser), FALSE);
 		fake_answer(msg, 200, "text/plain", "ok\n", 3);
 	}
 	g_object_unref(parser);
@@ -315,6 +319,7 @@
 	json_object_set_int_member(object, "orders", orders);
 	json_object_set_int_member(object, "orders_refused", orders_refused);
 	json_object_set_int_member(object, "fence", fence);
+	json_object_set_string_member(object, "last_order", last_order);
 	fake_answer_json(msg, 200, object);
 }
 
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -37,7 +37,7 @@
 void fill_items(peer_body_t *body)
 {
 	record_t account = {}, service = {}, target = {}, preset = {};
-	record_t quarantine = {};
+	record_t quarantine = {}, order = {};
 
 	account.kind = RECORD_CLIENT_ACCOUNT;
 	g_strlcpy(account.u.client_account.name, "acme", NAME_SIZE);
@@ -58,11 +58,17 @@
 	quarantine.kind = RECORD_QUARANTINE;
 	g_strlcpy(quarantine.u.quarantine.fingerprint, "ff", HASH_SIZE);
 	quarantine.u.quarantine.expires_ms = INT64_MAX;
+	order.kind = RECORD_ORDER;
+	g_strlcpy(order.u.order.target, "t1", NAME_SIZE);
+	order.u.order.kind = ORDER_ROLE;
+	g_strlcpy(order.u.order.subject, "prefill", NAME_SIZE);
+	order.u.order.number = INT64_MAX;
 	add_item(body, "conf/account/acme", account);
 	add_item(body, "conf/service/draft", service);
 	add_item(body, "conf/target/t1", target);
 	add_item(body, "conf/preset", preset);
 	add_item(body, "conf/quarantine/ff", quarantine);
+	add_item(body, "conf/order/t1", order);
 }
 
 peer_body_t *body_of(int kind)
@@ -162,12 +168,16 @@
 	peer_frame_t frame;
 	ASSERT_TRUE(decode(samples()[PEER_CONF_ITEMS].substr(4), &frame));
 	GArray *kvs = frame.u.body->u.conf_items.kvs;
-	ASSERT_EQ(kvs->len, 5u);
+	ASSERT_EQ(kvs->len, 6u);
 	const record_t *account = &g_array_index(kvs, store_kv_t, 0).record;
 	EXPECT_STREQ(account->u.client_account.keys[0].hash, "ab12");
 	const record_t *target = &g_array_index(kvs, store_kv_t, 2).record;
 	EXPECT_EQ(target->u.target.port, 65535);
 	EXPECT_TRUE(target->u.target.draining);
+	const record_t *order = &g_array_index(kvs, store_kv_t, 5).record;
+	EXPECT_EQ(order->u.order.kind, ORDER_ROLE);
+	EXPECT_STREQ(order->u.order.subject, "prefill");
+	EXPECT_EQ(order->u.order.number, INT64_MAX);
 	peer_frame_clear(&frame);
 }
 
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -41,6 +41,11 @@
 	 R"({"kind":"claim","op":{"writer":"x","seq":1},"state":"done","fingerprint":"ff","wall_ms":5,"outcome":{"status":200,"content_type":"a/b","tokens":1,"body":"AP8="}})"},
 	{"member/inc-1",
 	 R"({"kind":"member","incarnation":"inc-1","name":"r1","availability_zone":"a","host":"127.0.0.1","peer_port":1,"admin_port":2,"buddy":"","op":{"writer":"x","seq":1}})"},
+	{"conf/order/t-1",
+	 R"({"kind":"order","target":"t-1","op":{"writer":"x","seq":1},"order":"load","subject":"m-7b","version":"v2","number":3})"},
+	{"order/t-1/lease", R"({"kind":"order_lease","owner":"inc-1"})"},
+	{"order/t-1/state",
+	 R"({"kind":"order_state","owner":"inc-1","op":{"writer":"x","seq":1},"number":3,"state":"running","message":"","longest_ms":120000})"},
 	{"alive/inc-1", R"({"kind":"alive","incarnation":"inc-1"})"},
 };
 
@@ -101,6 +106,14 @@
 		{"budget/acme/main", "\"granted\":10", "\"granted\":-1"},
 		{"budget/acme/main", "\"granted\":10", "\"granted\":1e1"},
 		{"grant/i/acme/main", "\"settled\":10", "\"settled\":11"},
+		{"conf/order/t-1", "load", "restart"},
+		{"conf/order/t-1", "m-7b", "m/7b"},
+		{"conf/order/t-1", "v2", "v/2"},
+		{"conf/order/t-1", "\"number\":3", "\"number\":0"},
+		{"conf/order/t-1", "t-1", "t-2"},
+		{"order/t-1/state", "running", "runs"},
+		{"order/t-1/state", "120000", "86400001"},
+		{"order/t-1/lease", "inc-1", ""},
 		{"claim/acme/key", "AP8=", "AP8"},
 		{"claim/acme/key", "\"a/b\"",
 		 "\"" + std::string(96, 'x') + "\""},
@@ -153,6 +166,13 @@
 		EXPECT_TRUE(name_is_valid(record.u.client_account.name));
 	} else if (record.kind == RECORD_PRESET) {
 		EXPECT_LT(record.u.preset.in_force, PRESET_COUNT);
+	} else if (record.kind == RECORD_ORDER) {
+		EXPECT_LT(record.u.order.kind, ORDER_KIND_COUNT);
+		EXPECT_GE(record.u.order.number, 1);
+		EXPECT_TRUE(name_is_valid(record.u.order.subject));
+	} else if (record.kind == RECORD_ORDER_STATE) {
+		EXPECT_LT(record.u.order_state.state, ORDER_STATE_COUNT);
+		EXPECT_GE(record.u.order_state.number, 1);
 	}
 }
 
