--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 # for the main program, one test program for each tests/NAME_test.cc and one
 # stand-in for each tests/fakes/NAME.c.
 
-MODULES = kernel metrics log settings store conf ledger claims route request \
-	  dispatch front member peer instances admin router ctl
+MODULES = kernel metrics log settings store conf ledger claims orders route \
+	  request dispatch front member peer instances admin router ctl
 PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
 DEBIAN_PACKAGES = gcc g++ make pkg-config clang-format clang-tidy curl \
 		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
--- a/router/router.c
+++ b/router/router.c
@@ -9,6 +9,7 @@
 #include "ledger/ledger.h"
 #include "log/log.h"
 #include "member/member.h"
+#include "orders/orders.h"
 #include "peer/peer.h"
 #include "request/request.h"
 #include "route/route.h"
@@ -30,7 +31,7 @@
 typedef enum stage_t {
 	STAGE_RUNNING,
 	STAGE_REQUESTS, /* front and request finish what runs */
-	STAGE_SETTLING, /* ledger and claims write what is left */
+	STAGE_SETTLING, /* ledger, claims and orders write what is left */
 	STAGE_LEAVING, /* member leaves */
 	STAGE_STOPPED,
 } stage_t;
@@ -44,6 +45,7 @@
 	conf_t conf;
 	ledger_t ledger;
 	claims_svc_t claims;
+	orders_t orders;
 	route_t route;
 	request_svc_t request;
 	dispatch_t dispatch;
@@ -99,7 +101,8 @@
 	case STAGE_SETTLING:
 		stop_service(router, "ledger");
 		stop_service(router, "claims");
-		router->waiting = 2;
+		stop_service(router, "orders");
+		router->waiting = 3;
 		break;
 	case STAGE_LEAVING:
 		stop_service(router, "member");
@@ -119,7 +122,8 @@
 		       strcmp(service, "request") == 0;
 	case STAGE_SETTLING:
 		return strcmp(service, "ledger") == 0 ||
-		       strcmp(service, "claims") == 0;
+		       strcmp(service, "claims") == 0 ||
+		       strcmp(service, "orders") == 0;
 	case STAGE_LEAVING:
 		return strcmp(service, "member") == 0;
 	default:
@@ -210,6 +214,7 @@
 	const settings_t *settings = &router->settings;
 	ledger_opts_t ledger;
 	claims_opts_t claims;
+	orders_opts_t orders = {0};
 	request_opts_t request;
 
 	ledger_opts_init(&ledger, router->incarnation);
@@ -223,6 +228,10 @@
 		  sizeof(claims.incarnation));
 	claims_init(&router->claims, &router->kernel, &claims);
 
+	g_strlcpy(orders.incarnation, router->incarnation,
+		  sizeof(orders.incarnation));
+	orders_init(&router->orders, &router->kernel, &orders);
+
 	request_opts_defaults(&request);
 	g_strlcpy(request.incarnation, router->incarnation,
 		  sizeof(request.incarnation));
@@ -327,6 +336,7 @@
 	dispatch_finish(&router->dispatch);
 	request_finish(&router->request);
 	route_finish(&router->route);
+	orders_finish(&router->orders);
 	claims_finish(&router->claims);
 	ledger_finish(&router->ledger);
 	peer_finish(&router->peer);
