--- a/tests/orders_test.cc
+++ b/tests/orders_test.cc
@@ -6,7 +6,190 @@
 
 namespace
 {
-TEST(Placeholder, X)
+
+struct Fleet : OrderWorld {
+	Router routers[3];
+	int count;
+
+	explicit Fleet(int n) : OrderWorld(1), count(n)
+	{
+		quiet = true;
+		now = SEC;
+	}
+	~Fleet()
+	{
+		for (Router &router : routers)
+			router.crash();
+	}
+	void start()
+	{
+		for (int i = 0; i < count; i++) {
+			routers[i].world = this;
+			nodes.push_back(&routers[i]);
+			routers[i].start();
+		}
+		pass(100);
+	}
+	void add(const char *name, bool checks)
+	{
+		targets.emplace_back();
+		targets.back().name = name;
+		targets.back().checks = checks;
+	}
+	void pass(int64_t ms)
+	{
+		run(now + ms * MS);
+	}
+	void wish(Target &target)
+	{
+		target.wish++;
+		for (Router &router : routers)
+			if (router.up)
+				router.tell_conf();
+		pass(1);
+	}
+	const record_order_state_t &state(const std::string &target)
+	{
+		return values["order/" + target + "/state"]
+			.record.u.order_state;
+	}
+	// What a holder leaves behind that has crashed after it sent an order.
+	void leave_running(const std::string &target, int64_t number)
+	{
+		Value &value = values["order/" + target + "/state"];
+		value.revision = ++revision;
+		value.record.kind = RECORD_ORDER_STATE;
+		value.record.u.order_state.number = number;
+		value.record.u.order_state.state = ORDER_RUNNING;
+		value.record.u.order_state.longest_ms = 20000;
+	}
+};
+
+// Routers that all race would multiply the load on the store.
+TEST(Orders, OneRouterActsForEachWishAndTargetsAreShared)
 {
+	Fleet fleet(3);
+	std::set<std::string> owners;
+
+	for (int i = 0; i < 20; i++) // sorted by name, as in a snapshot
+		fleet.add(("t" + std::to_string(10 + i)).c_str(), i % 2 == 0);
+	fleet.start();
+	for (Target &target : fleet.targets)
+		fleet.wish(target);
+	fleet.pass(60000);
+	for (Target &target : fleet.targets) {
+		EXPECT_EQ(target.current, 1);
+		owners.insert(fleet.state(target.name).owner);
+	}
+	EXPECT_EQ(owners.size(), 3u);
+	EXPECT_EQ(fleet.sent, 20u);
+	EXPECT_EQ(fleet.calls[MSG_STORE_LEASE], 20u);
+	EXPECT_LE(fleet.calls[MSG_STORE_GET], 20u * 5);
+	uint64_t reads = fleet.calls[MSG_STORE_GET];
+	fleet.pass(600000); // with nothing to do, nothing is asked
+	EXPECT_EQ(fleet.calls[MSG_STORE_GET], reads);
 }
+
+// The first router may be gone before the others are told.
+TEST(Orders, AnotherRouterStepsInForTheFirst)
+{
+	Fleet fleet(2);
+
+	fleet.add("t", true);
+	fleet.start();
+	fleet.wish(fleet.targets[0]);
+	fleet.pass(20000);
+	std::string first = fleet.state("t").owner;
+	for (int i = 0; i < 2; i++)
+		if (first == fleet.routers[i].incarnation)
+			fleet.routers[i].crash();
+	fleet.wish(fleet.targets[0]);
+	fleet.pass(2000);
+	EXPECT_EQ(fleet.state("t").number, 1);
+	fleet.pass(20000);
+	EXPECT_EQ(fleet.targets[0].current, 2);
+	EXPECT_NE(fleet.state("t").owner, first);
+}
+
+// Only a target that ignores fencing numbers has to be waited for.
+TEST(Orders, WaitsOutAnEarlierOrderWhereTheNumberIsIgnored)
+{
+	Fleet fleet(1);
+
+	fleet.add("fenced", true);
+	fleet.add("ignores", false);
+	fleet.leave_running("fenced", 1);
+	fleet.leave_running("ignores", 1);
+	fleet.start();
+	for (Target &target : fleet.targets) {
+		target.wish = 1;
+		fleet.wish(target);
+	}
+	fleet.pass(19000);
+	EXPECT_EQ(fleet.targets[0].current, 2);
+	EXPECT_TRUE(fleet.targets[1].runs.empty());
+	EXPECT_EQ(fleet.state("ignores").longest_ms, 20000u);
+	fleet.pass(10000);
+	EXPECT_EQ(fleet.targets[1].current, 2);
+	EXPECT_EQ(fleet.routers[0]
+			  .kernel.metrics->counters[COUNTER_ORDERS_WAITED],
+		  1u);
+}
+
+// A holder that sleeps through its lease must not send when it wakes.
+TEST(Orders, PausedHolderSendsNothingPastItsDeadline)
+{
+	Fleet fleet(1);
+
+	fleet.add("t", false);
+	fleet.leave_running("t", 1);
+	fleet.start();
+	fleet.targets[0].wish = 1;
+	fleet.wish(fleet.targets[0]);
+	fleet.pass(15000);
+	fleet.routers[0].paused_until = fleet.now + 30 * SEC;
+	fleet.pass(31000);
+	EXPECT_EQ(fleet.sent, 0u);
+	fleet.pass(60000);
+	EXPECT_EQ(fleet.targets[0].current, 2);
+}
+
+// A refusal for good must be reported, not repeated for ever.
+TEST(Orders, RefusedOrderFailsAndTheNextWishIsSent)
+{
+	Fleet fleet(1);
+
+	fleet.add("t", true);
+	fleet.targets[0].refuses = true;
+	fleet.start();
+	fleet.wish(fleet.targets[0]);
+	fleet.pass(120000);
+	EXPECT_EQ(fleet.sent, 1u);
+	EXPECT_EQ(fleet.state("t").state, ORDER_FAILED);
+	fleet.targets[0].refuses = false;
+	fleet.wish(fleet.targets[0]);
+	fleet.pass(20000);
+	EXPECT_EQ(fleet.state("t").state, ORDER_DONE);
+	EXPECT_EQ(fleet.state("t").number, 2);
+}
+
+// A planned stop writes the result of what was sent and takes nothing new.
+TEST(Orders, StopWaitsForTheOrderThatWasSent)
+{
+	Fleet fleet(1);
+
+	fleet.add("t", true);
+	fleet.add("u", true);
+	fleet.start();
+	fleet.wish(fleet.targets[0]);
+	fleet.pass(150);
+	kernel_stop(&fleet.routers[0].kernel);
+	fleet.wish(fleet.targets[1]);
+	EXPECT_EQ(fleet.routers[0].stopped, 0);
+	fleet.pass(30000);
+	EXPECT_EQ(fleet.routers[0].stopped, 1);
+	EXPECT_EQ(fleet.state("t").state, ORDER_DONE);
+	EXPECT_EQ(fleet.sent, 1u);
+}
+
 } // namespace
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -10,12 +10,13 @@
 #include <set>
 
 constexpr int64_t SEC = USEC_PER_SEC;
-constexpr uint32_t LONGEST_MS = 6000;
+constexpr uint32_t LONGEST_MS[ORDER_KIND_COUNT] = {8000, 4000, 1500};
 
 struct Target {
 	std::string name;
 	bool checks = false;
 	bool down = false;
+	bool refuses = false; // for good
 	int64_t fence = 0;
 	int64_t current = 0, highest = 0; // numbers of wishes
 	int64_t wish = 0;
@@ -203,8 +204,7 @@
 	{
 		orders_opts_t opts = {};
 		g_strlcpy(opts.incarnation, incarnation, INCARNATION_SIZE);
-		for (uint32_t &longest : opts.longest_ms)
-			longest = LONGEST_MS;
+		memcpy(opts.longest_ms, LONGEST_MS, sizeof(LONGEST_MS));
 		fake("store", on_store);
 		conf = fake("conf", ignore);
 		member = fake("member", ignore);
@@ -251,6 +251,8 @@
 				continue;
 			g_strlcpy(order.target, from.name.c_str(), NAME_SIZE);
 			order.number = from.wish;
+			order.kind =
+				(order_kind_t)(from.wish % ORDER_KIND_COUNT);
 			g_snprintf(order.subject, NAME_SIZE,
 				   "%" G_GINT64_FORMAT, from.wish);
 			g_array_append_val(msg.u.conf->orders, order);
@@ -295,7 +297,8 @@
 		int at_epoch = epoch;
 		int64_t number = atoll(send.u.order_send.subject);
 		int64_t fence = send.u.order_send.fencing_token;
-		int64_t end = world_now->now + rng.ms(200, LONGEST_MS);
+		int64_t longest = send.u.order_send.longest_ms;
+		int64_t end = world_now->now + rng.ms(200, longest);
 		// A fence holds whatever the delay on the way.
 		int64_t delay = target->checks && world_now->chance(20)
 					? rng.ms(0, 40000)
@@ -303,11 +306,14 @@
 		bool lost = world_now->chance(15);
 
 		world_now->sent++;
+		if (target->refuses) {
+			result(send, delay, ORDER_RESULT_FAILED);
+			return;
+		}
 		if (lost)
-			result(send, rng.ms(0, LONGEST_MS),
-			       ORDER_RESULT_UNKNOWN);
+			result(send, rng.ms(0, longest), ORDER_RESULT_UNKNOWN);
 		else if (delay > 100 * MS)
-			result(send, LONGEST_MS * MS, ORDER_RESULT_UNKNOWN);
+			result(send, longest * MS, ORDER_RESULT_UNKNOWN);
 		bool answer = !lost && delay <= 100 * MS;
 		world_now->at(delay, [=]() {
 			bool ok = world_now->arrive(*target, self, fence,
