--- a/orders/job.c
+++ b/orders/job.c
@@ -478,6 +478,23 @@
 		abandon(orders, job, "another router has taken over");
 }
 
+static const char *result_name(order_result_t result)
+{
+	switch (result) {
+	case ORDER_RESULT_DONE:
+		return "done";
+	case ORDER_RESULT_REFUSED_FENCING:
+		return "refused_fencing";
+	case ORDER_RESULT_FAILED:
+		return "failed";
+	case ORDER_RESULT_NOT_SENT:
+		return "not_sent";
+	case ORDER_RESULT_UNKNOWN:
+		return "unknown";
+	}
+	return "unknown";
+}
+
 /* --- events -------------------------------------------------------------- */
 
 void job_timer(orders_t *orders, job_t *job)
@@ -539,9 +556,9 @@
 	if (job->phase != PHASE_SENT)
 		return;
 	log_event(LOG_LEVEL_INFO, "orders", "result",
-		  "target=%s number=%" G_GINT64_FORMAT " result=%d message=%s",
+		  "target=%s number=%" G_GINT64_FORMAT " result=%s message=%s",
 		  log_quote(attempt->wish.target), attempt->wish.number,
-		  (int)msg->u.order_result.result, log_quote(message));
+		  result_name(msg->u.order_result.result), log_quote(message));
 	switch (msg->u.order_result.result) {
 	case ORDER_RESULT_DONE:
 		metrics_add(metrics, COUNTER_ORDERS_DONE, 1);
