--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev
 
 BUILD ?= build
+PREFIX ?= /usr/local
 CC = gcc
 CXX = g++
 WARNINGS = -Wall -Wextra -Wpointer-arith -Wshadow -Wformat=2 -Wundef \
@@ -41,9 +42,10 @@
 OWN_C = $(SRC) $(wildcard main/*.c tests/fakes/*.c bench/*.c)
 OWN_ALL = $(OWN_C) $(foreach m,$(MODULES),$(wildcard $(m)/*.h)) \
 	  $(wildcard tests/*.cc tests/*.h bench/*.h)
+PAGES = $(wildcard main/*.1 ctl/*.1 router/*.8)
 
 .PHONY: all packages build check test format lint clean demo prove bench \
-	slopes fakes
+	slopes fakes install docs/settings.md
 
 all: $(BIN) $(FAKES)
 
@@ -53,7 +55,7 @@
 
 packages:
 	@pkg-config --exists $(PACKAGES) gtest_main && \
-	command -v clang-format clang-tidy curl >/dev/null || \
+	command -v clang-format clang-tidy curl mandoc >/dev/null || \
 	{ apt-get update -qq && \
 	  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(DEBIAN_PACKAGES); }
 
@@ -92,6 +94,7 @@
 	@clang-format --dry-run -Werror $(OWN_ALL)
 
 lint: $(OWN_C:%.c=$(BUILD)/lint/%.ok)
+	@mandoc -Tlint -Wwarning $(PAGES)
 
 # One stamp a file, so that only what changed is linted again.
 $(BUILD)/lint/%.ok: %.c .clang-tidy
@@ -118,6 +121,21 @@
 prove: build
 	@sh tests/prove.sh $(BUILD)
 
+# The reference of all settings; the page and the code are compared by a test.
+docs/settings.md: $(BIN)
+	@sed '/^| key /,$$d' $@ >$@.new
+	@$(BIN) settings >>$@.new
+	@mv $@.new $@
+
+install: $(BIN)
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(filter %.1,$(PAGES)) \
+		$(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 $(filter %.8,$(PAGES)) \
+		$(DESTDIR)$(PREFIX)/share/man/man8
+
 clean:
 	rm -rf build
 
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -3,8 +3,10 @@
 #include "settings/settings.h"
 
 #include <cstring>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <random>
+#include <sstream>
 #include <string>
 
 namespace
@@ -47,6 +49,51 @@
 	EXPECT_STREQ(settings.log_level, "info");
 }
 
+// Guards the operators' page against a key that was added or changed in the
+// code only.  Tests run at the repository's root.
+TEST(Settings, ReferencePageEndsWithTheTable)
+{
+	std::ifstream file("docs/settings.md");
+	std::stringstream page;
+	GString *table = g_string_new(nullptr);
+
+	page << file.rdbuf();
+	settings_print_reference(table);
+	ASSERT_NE(page.str().find(table->str), std::string::npos)
+		<< "run make docs/settings.md";
+	EXPECT_EQ(page.str().find(table->str) + table->len, page.str().size());
+	g_string_free(table, TRUE);
+}
+
+// Guards the example against keys that are renamed, added or refused later.
+TEST(Settings, ExampleIsAcceptedAndComplete)
+{
+	settings_t settings;
+	errmsg_t err = {};
+	std::ifstream file("demo/example.json");
+	std::stringstream text;
+	GString *table = g_string_new(nullptr);
+	std::string line;
+
+	settings_init(&settings);
+	EXPECT_EQ(settings_load(&settings, "demo/example.json", &err),
+		  SETTINGS_OK)
+		<< err.text;
+	text << file.rdbuf();
+	settings_print_reference(table);
+	std::stringstream rows(table->str);
+	while (std::getline(rows, line)) {
+		if (line.compare(0, 3, "| `") != 0)
+			continue;
+		std::string path = line.substr(3, line.find('`', 3) - 3);
+		std::string key = path.substr(path.find('.') + 1);
+
+		EXPECT_NE(text.str().find("\"" + key + "\""), std::string::npos)
+			<< path;
+	}
+	g_string_free(table, TRUE);
+}
+
 struct Fault {
 	const char *from, *to, *message;
 };
