--- /dev/null
+++ b/tests/metrics_test.cc
@@ -0,0 +1,57 @@
+// Guards the operators' page against a metric that nobody explains: every
+// sample that a router prints has a row there.  Runs at the repository's root.
+#include "metrics/metrics.h"
+
+#include <cstring>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+#include <string>
+
+namespace
+{
+
+const std::string prefix = "tanagertrestle_";
+
+// "tanagertrestle_NAME{LABELS} VALUE" -> name as the page has it.
+std::string row_name(const std::string &line)
+{
+	std::string name = line.substr(prefix.size());
+
+	name.erase(name.rfind(' '));
+	for (const char *suffix : {"_bucket{", "_sum", "_count"}) {
+		size_t at = name.find("_seconds" + std::string(suffix));
+
+		if (at != std::string::npos)
+			name.erase(at + strlen("_seconds"));
+	}
+	return name;
+}
+
+TEST(Metrics, EachHasARowOnTheOperatorsPage)
+{
+	std::ifstream file("docs/operators.md");
+	std::stringstream page;
+	GString *text = g_string_new(nullptr);
+	metrics_t *metrics = metrics_new();
+	std::string line;
+	int rows = 0;
+
+	page << file.rdbuf();
+	metrics_print(metrics, text);
+	std::stringstream lines(text->str);
+	while (std::getline(lines, line)) {
+		if (line.compare(0, prefix.size(), prefix) != 0)
+			continue;
+		EXPECT_NE(page.str().find("\n| `" + row_name(line) + "` | "),
+			  std::string::npos)
+			<< row_name(line);
+		rows++;
+	}
+	EXPECT_GT(rows, COUNTER_COUNT + GAUGE_COUNT + REFUSAL_COUNT +
+				FAILURE_COUNT + HISTOGRAM_COUNT);
+	metrics_free(metrics);
+	g_string_free(text, TRUE);
+}
+
+} // namespace
