Refuse a claim after 2 s without the store instead of at the deadline

Cause: in an outage that closes connections the store's answer is unknown, so a claim was written again until the caller's deadline (60 s by default), though the design has this class refused as not_run. The process tests store_start and store_mid showed it: FAILED: a non-idempotent call: expected {"503 claim_unavailable not_run": 1}, found {"cut": 1} FAILED: non-idempotent calls: expected {"503 claim_unavailable not_run": 4}, found {"cut": 4} Change: a claim waits at most 2 s for the store, the same as for a grant, and is then answered as unavailable and aborted.

--- a/claims/claims.c
+++ b/claims/claims.c
@@ -7,6 +7,11 @@
 
 #define MAX_CLAIMS 20000
 #define MAX_OUTCOME_BYTES ((int64_t)16 * 1024 * 1024)
+/*
+ * Longest wait of a caller for the store, the same as for a grant: during an
+ * outage it is refused as not run instead of at its deadline.
+ */
+#define OPEN_WAIT_US (2 * USEC_PER_SEC)
 /* Longest wait of a planned stop for the store. */
 #define STOP_WAIT_US (10 * USEC_PER_SEC)
 
@@ -185,9 +190,9 @@
 		  sizeof(claim->fingerprint));
 	new_op(claims, &claim->open_op);
 	g_hash_table_insert(claims->by_key, claim->key, claim);
-	claim->deadline_timer =
-		kernel_timer(claims->kernel, claims->self,
-			     claim->deadline - now, self, TIMER_DEADLINE);
+	claim->deadline_timer = kernel_timer(
+		claims->kernel, claims->self,
+		MIN(claim->deadline - now, OPEN_WAIT_US), self, TIMER_DEADLINE);
 	batch_add(claims, claim);
 	batch_run(claims);
 	return;
--- a/tests/claims_test.cc
+++ b/tests/claims_test.cc
@@ -199,6 +199,17 @@
 	EXPECT_EQ(last(), CLAIM_STORE_UNAVAILABLE);
 }
 
+// In an outage with answers lost a caller must not wait for its deadline.
+TEST_F(ClaimsTest, UnknownResultIsWaitedForABoundedTime)
+{
+	begin("k", "f", 60000);
+	answer(0, STORE_UNKNOWN);
+	EXPECT_TRUE(results.empty());
+	step(3000);
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(last(), CLAIM_STORE_UNAVAILABLE);
+}
+
 // Each state of the record found gives its own answer.
 TEST_F(ClaimsTest, RecordsOfEarlierClaims)
 {
