Test whole processes under kills, pauses, silence and store outages

Cause: property tests of single modules can't show faults between processes. Change: tests/process has one script a case, run by make process and make test; free_ports picks ports that no connection is given meanwhile; the plain service stand-in counts a silent run.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 	  $(wildcard tests/*.cc tests/*.h bench/*.h)
 
 .PHONY: all packages build check test format lint clean demo prove bench \
-	slopes fakes
+	slopes fakes process
 
 all: $(BIN) $(FAKES)
 
@@ -103,6 +103,7 @@
 
 test: build
 	@sh tests/run.sh $(BUILD)
+	@BUILD=$(BUILD) bash tests/process/run.sh
 
 check: packages
 	$(MAKE) format
@@ -122,6 +123,10 @@
 bench: $(BENCHES)
 	@sh bench/run.sh $(BUILD)
 
+# Whole processes under faults; CASES="stop kill" runs some of them.
+process: all
+	@BUILD=$(BUILD) bash tests/process/run.sh $(CASES)
+
 clean:
 	rm -rf build
 
--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -31,14 +31,23 @@
 trap cleanup EXIT
 trap 'exit 1' INT TERM
 
-# free_ports N: prints N ports that are free now.
+# free_ports N: prints N ports that are free now.  They lie below the range
+# that the kernel gives to connections, so that none takes them meanwhile.
 free_ports() {
 	python3 -c '
-import socket, sys
-s = [socket.socket() for _ in range(int(sys.argv[1]))]
-for x in s:
-    x.bind(("127.0.0.1", 0))
-print(*[x.getsockname()[1] for x in s])' "$1"
+import random, socket, sys
+ports = []
+while len(ports) < int(sys.argv[1]):
+    port = random.randrange(10000, 32000)
+    with socket.socket() as s:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            s.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+    if port not in ports:
+        ports.append(port)
+print(*ports)' "$1"
 }
 
 # json FILTER: evaluates a Python expression on the JSON document "d" on stdin.
@@ -77,11 +86,12 @@
   "caller": {"port": $3},
   "peer": {"port": $4, "key": "$PEER_KEY", "seeds": ["127.0.0.1:$6"]},
   "admin": {"port": $5},
-  "store": {"endpoints": ["http://127.0.0.1:$store_port"],
+  "store": {"endpoints": ["${STORE_URL:-http://127.0.0.1:$store_port}"],
             "timeout_ms": ${STORE_TIMEOUT_MS:-1000}},
   "instances": {"url": "${INSTANCES_URL:-}"},
   "member": {"lease_s": ${LEASE_S:-4}},
-  "stop_timeout_s": 20
+  "ledger": {"horizon_s": ${HORIZON_S:-600}},
+  "stop_timeout_s": ${STOP_S:-20}
 }
 JSON
 }
--- a/tests/fakes/plain.c
+++ b/tests/fakes/plain.c
@@ -89,6 +89,8 @@
 		fake_answer_json(msg, 200, fake_stats(&fake));
 		return;
 	}
+	if (fake.silent)
+		fake_run(&fake, msg); /* it runs, but never answers */
 	if (fake_refused(&fake, msg))
 		return;
 	fake_run(&fake, msg);
--- /dev/null
+++ b/tests/process/fleet.sh
@@ -0,0 +1,176 @@
+# What the process tests share beyond demo/lib.sh: a fleet in one call,
+# checks and polling.  Each test is a script of its own that sources this.
+set -u
+PS4="+\$SECONDS "
+cd "$(dirname "$0")/../.." || exit 1
+. demo/lib.sh
+
+tool() {
+	python3 tests/process/tool.py "$@"
+}
+
+# check TEXT COMMAND [ARG ...]: fails the test with the text.
+check() {
+	text=$1
+	shift
+	"$@" || fail "$text"
+}
+
+# equal TEXT EXPECTED FOUND
+equal() {
+	[ "$2" = "$3" ] || fail "$1: expected $2, found $3"
+}
+
+# until_true TEXT SECONDS COMMAND [ARG ...]: polls; the bound is generous
+# because the machine may be busy.
+until_true() {
+	text=$1
+	rounds=$(($2 * 5))
+	shift 2
+	for _ in $(seq "$rounds"); do
+		"$@" && return 0
+		sleep 0.2
+	done
+	fail "$text"
+}
+
+# start_store and basic configuration: engines $1, one plain service, the
+# client account workshop with the budget $2; sets api_key.
+start_platform() {
+	start_fake store store
+	start_fake plain plain ${PLAIN_ARGS:-}
+	ctl budget create workshop "$2" >/dev/null || fail "budget create"
+	api_key=$(ctl account create workshop --json | json 'd["api_key"]')
+	ctl service set assistant --kind model --max-tokens 1000000 \
+		${SERVICE_ARGS:-} >/dev/null || fail "service set"
+	ctl service set orders --kind plain --path-prefix /orders \
+		--idempotent no --call-tokens 5 ${ORDERS_ARGS:-} >/dev/null ||
+		fail "service set"
+	ctl target set desk --service orders --availability-zone az1 \
+		--address "127.0.0.1:$plain_port" >/dev/null ||
+		fail "target set"
+	for i in $(seq "$1"); do
+		start_fake "engine$i" engine --rate "${RATE:-1000}"
+		eval "port=\$engine${i}_port"
+		ctl target set "engine$i" --service assistant \
+			--availability-zone az1 --concurrency 64 \
+			--address "127.0.0.1:$port" >/dev/null ||
+			fail "target set"
+	done
+}
+
+# start_fleet N: N routers in one availability zone, all ready and connected;
+# sets rN (URL), rN_admin and rN_peer.
+start_fleet() {
+	count=$1
+	ports=$(free_ports $((3 * count)))
+	set -- $ports
+	first=$2
+	for i in $(seq "$count"); do
+		write_settings "r$i" az1 "$1" "$2" "$3" "$first"
+		eval "r$i=http://127.0.0.1:$1 r${i}_peer=$2 r${i}_admin=$3"
+		start_router "r$i"
+		shift 3
+	done
+	for i in $(seq "$count"); do
+		eval "port=\$r${i}_admin"
+		wait_ready "$port"
+		[ "$count" -gt 1 ] && until_true "r$i has no peers" 15 \
+			metric_is "$port" peers $((count - 1))
+	done
+	return 0
+}
+
+# metric ADMIN_PORT NAME: the value of a counter or gauge, 0 if there is none.
+metric() {
+	curl -s --max-time 5 "http://127.0.0.1:$1/metrics" |
+		awk -v name="tanagertrestle_$2" \
+			'$1 == name || $1 == name "_total" { v = $2 }
+			 END { print v + 0 }'
+}
+
+metric_is() {
+	[ "$(metric "$1" "$2")" = "$3" ]
+}
+
+metric_at_least() {
+	[ "$(metric "$1" "$2")" -ge "$3" ]
+}
+
+# dump EXPRESSION: on the records of the store, see tool.py.
+dump() {
+	tool dump "http://127.0.0.1:$store_port" "$1"
+}
+
+dump_is() {
+	[ "$(dump "$1")" = "$2" ]
+}
+
+# mode PORT JSON: puts a stand-in into a test mode.
+mode() {
+	curl -sf --max-time 5 -o /dev/null -d "$2" \
+		"http://127.0.0.1:$1/test/mode" || fail "mode of port $1"
+}
+
+# stat_of PORT EXPRESSION: on the stand-in's statistics d.
+stat_of() {
+	curl -s --max-time 5 "http://127.0.0.1:$1/test/stats" | json "$2"
+}
+
+stat_is() {
+	[ "$(stat_of "$1" "$2")" = "$3" ]
+}
+
+# incarnation ADMIN_PORT
+incarnation() {
+	curl -s --max-time 5 "http://127.0.0.1:$1/status" |
+		json 'd["incarnation"]'
+}
+
+# has_buddy ADMIN_PORT: the router has a buddy.
+has_buddy() {
+	[ -n "$(curl -s --max-time 5 "http://127.0.0.1:$1/status" | json \
+		'[m["buddy"] for m in d["members"] if m["incarnation"] == d["incarnation"]][0]')" ]
+}
+
+# kill_router NAME: kills it without a stop.
+kill_router() {
+	eval "pid=\$${1}_pid"
+	kill -KILL "$pid"
+	wait "$pid" 2>/dev/null
+	return 0
+}
+
+# background NAME COMMAND [ARG ...]: runs it with its output in
+# $WORK/NAME.out and sets NAME_pid.
+background() {
+	name=$1
+	shift
+	"$@" >"$WORK/$name.out" 2>>"$WORK/$name.log" &
+	eval "${name}_pid=$!"
+	PIDS="$PIDS $!"
+}
+
+# finish NAME: waits for a background command and sets output.
+finish() {
+	eval "pid=\$${1}_pid"
+	wait "$pid"
+	output=$(cat "$WORK/$1.out")
+}
+
+# all_complete TEXT COUNT JSON: every request of a load was answered whole.
+all_complete() {
+	equal "$1" "{\"complete\": $2}" "$3"
+}
+
+# spend_matches: what the budgets say is spent is what the bills say.
+spend_matches() {
+	[ "$(spent workshop)" = "$(dump 'sum(b.values())')" ]
+}
+
+# grants_match: the budget covers exactly what is granted on it.
+grants_match() {
+	dump_is '(lambda x: x["granted"] == x["retired"] + sum(g["granted"]
+		for g in under("grant/").values()) <= x["budget"])(
+		d["budget/workshop/main"])' True
+}
--- /dev/null
+++ b/tests/process/run.sh
@@ -0,0 +1,37 @@
+#!/bin/bash
+# Runs the process tests, a few at a time, and prints one line for each.
+# Cases named in KNOWN-RED.txt ("red: process NAME") are printed and left out
+# of the verdict.
+cd "$(dirname "$0")/../.." || exit 1
+JOBS=4 # cases at a time, each with up to ten processes
+LIMIT_S=80 # of one case
+
+run_case() {
+	start=$(date +%s)
+	if timeout -k 5 "$LIMIT_S" bash "tests/process/$1.sh" >"$2/$1" 2>&1; then
+		echo "process $1 ok $(($(date +%s) - start))"
+	elif grep -qx "red: process $1" KNOWN-RED.txt; then
+		echo "process $1 known red, not counted"
+	else
+		echo "process $1 FAILED $(($(date +%s) - start))"
+		{ grep '^FAILED' "$2/$1"; tail -c 4000 "$2/$1"; } >&2
+	fi
+}
+
+if [ "${1:-}" = --case ]; then
+	run_case "$2" "$3"
+	exit 0
+fi
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+if [ $# -eq 0 ]; then
+	set -- $(cd tests/process && ls ./*.sh | sed 's|^\./||; s|\.sh$||' |
+		grep -vx 'run\|fleet')
+fi
+printf '%s\n' "$@" |
+	xargs -P "$JOBS" -I{} bash tests/process/run.sh --case {} "$out" | tee "$out/summary"
+passed=$(grep -c '^process [a-z_]* ok' "$out/summary")
+failed=$(grep -c '^process [a-z_]* FAILED' "$out/summary")
+red=$(grep -c 'known red' "$out/summary")
+echo "process: $passed passed, $failed failed, $red known red"
+[ "$failed" -eq 0 ] && [ $((passed + red)) -eq $# ]
--- /dev/null
+++ b/tests/process/tool.py
@@ -0,0 +1,319 @@
+#!/usr/bin/env python3
+"""Clients, a TCP relay and a reader of the store for the process tests."""
+import argparse
+import base64
+import collections
+import concurrent.futures
+import hashlib
+import http.client
+import json
+import os
+import select
+import signal
+import socket
+import sys
+import time
+import urllib.request
+
+KEY_PREFIX = "tanagertrestle/"
+MASK = (1 << 64) - 1
+
+
+def words(prompt, count):
+    """The words that tests/fakes/engine.c generates for a prompt."""
+    x = 0xCBF29CE484222325
+    for byte in prompt.encode():
+        x = ((x ^ byte) * 0x100000001B3) & MASK
+    for _ in range(count):
+        x = (x * 6364136223846793005 + 1442695040888963407) & MASK
+        yield "%08x " % (x & 0xFFFFFFFF)
+
+
+def usage(prompt, count):
+    size = len(prompt.encode()) // 4 + 1
+    return '{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}' % (
+        size, count, size + count)
+
+
+def expected(prompt, count, stream):
+    if stream:
+        parts = ['data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n'
+                 % word for word in words(prompt, count)]
+        parts.append('data: {"choices":[],"usage":%s}\n\n'
+                     % usage(prompt, count))
+        parts.append("data: [DONE]\n\n")
+        return "".join(parts).encode()
+    return ('{"choices":[{"index":0,"message":{"role":"assistant","content":"'
+            '%s"},"finish_reason":"length"}],"usage":%s}'
+            % ("".join(words(prompt, count)), usage(prompt, count))).encode()
+
+
+def call(url, path, api_key, key, body, timeout):
+    """Returns status, headers and body; status 0 when it was cut off."""
+    host = url.split("//")[1]
+    connection = http.client.HTTPConnection(host, timeout=timeout)
+    headers = {"Authorization": "Bearer " + api_key, "Idempotency-Key": key}
+    try:
+        connection.request("POST", path, body, headers)
+        answer = connection.getresponse()
+        return answer.status, answer.headers, answer.read()
+    except (OSError, http.client.HTTPException):
+        return 0, {}, b""
+    finally:
+        connection.close()
+
+
+def classify(status, headers, body, want):
+    if status == 200:
+        if body == want:
+            return "complete"
+        if b"event: error" in body:
+            return "cut"
+        return "wrong"
+    if status == 0:
+        return "cut"
+    try:
+        error = json.loads(body)["error"]
+        return "%d %s %s" % (status, error["type"], error["run_state"])
+    except (ValueError, KeyError):
+        return "%d unreadable" % status
+
+
+def chat_body(args, i):
+    prompt = "%s-%d" % (args.prompt or args.prefix, i)
+    body = {"model": args.model, "max_tokens": args.tokens,
+            "messages": [{"role": "user", "content": prompt}]}
+    if args.stream:
+        body["stream"] = True
+    return prompt, json.dumps(body)
+
+
+def one(args, urls, i, end):
+    """Sends request i until it is complete; the last result counts."""
+    key = "%s-%d" % (args.prefix, i)
+    result = "not sent"
+    for attempt in range(args.tries):
+        if attempt > 0:
+            time.sleep(args.pause)
+        if time.monotonic() > end:
+            break
+        url = urls[(attempt if args.in_order else i + attempt) % len(urls)]
+        if args.path:
+            body = "%s-%d" % (args.prompt or args.prefix, i)
+            want = ("POST %s\n%s" % (args.path, body)).encode()
+        else:
+            prompt, body = chat_body(args, i)
+            want = expected(prompt, args.tokens, args.stream)
+        result = classify(*call(url, args.path or "/v1/chat/completions",
+                                args.api_key, key, body, args.timeout), want)
+        if result in ("complete", "wrong"):
+            break
+    return result
+
+
+def run_load(args):
+    """Prints how many requests ended in which way."""
+    urls = args.urls.split(",")
+    end = time.monotonic() + args.seconds
+    with concurrent.futures.ThreadPoolExecutor(args.parallel) as pool:
+        results = list(pool.map(lambda i: one(args, urls, i, end),
+                                range(args.count)))
+    if args.each:
+        print(json.dumps(results))
+    else:
+        print(json.dumps(collections.Counter(results)))
+
+
+def run_sum(args):
+    """Prints the SHA-256 of the body that an engine counts for a prompt."""
+    print(hashlib.sha256(args.text.encode()).hexdigest())
+
+
+def dump(store):
+    with urllib.request.urlopen(store + "/test/dump", timeout=5) as answer:
+        kvs = json.load(answer)["kvs"]
+    records = {}
+    for kv in kvs:
+        key = base64.b64decode(kv["key"]).decode()
+        records[key[len(KEY_PREFIX):]] = json.loads(
+            base64.b64decode(kv["value"]))
+    return records
+
+
+def run_dump(args):
+    """Evaluates an expression on the records d and the bills b of the store.
+
+    b maps ACCOUNT/KEY to tokens; under(PREFIX) lists the records there.
+    """
+    d = dump(args.store)
+    scope = {
+        "d": d,
+        "b": {k[5:]: v["tokens"] for k, v in d.items()
+              if k.startswith("bill/")},
+        "under": lambda p: {k: v for k, v in d.items() if k.startswith(p)},
+    }
+    print(eval(args.expression, scope))  # pylint: disable=eval-used
+
+
+class Relay:
+    """Passes TCP on; SIGUSR1 cuts and refuses connections, SIGUSR2 heals."""
+
+    def __init__(self, target):
+        self.target = target
+        self.cut = False
+        self.peers = {}
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        signal.signal(signal.SIGUSR1, lambda *_: setattr(self, "cut", True))
+        signal.signal(signal.SIGUSR2, lambda *_: setattr(self, "cut", False))
+
+    def drop(self, end):
+        other = self.peers.pop(end, None)
+        if other is not None:
+            self.peers.pop(other, None)
+            other.close()
+        end.close()
+
+    def accept(self):
+        end, _ = self.listener.accept()
+        if self.cut:
+            end.close()
+            return
+        try:
+            other = socket.create_connection(("127.0.0.1", self.target), 2)
+        except OSError:
+            end.close()
+            return
+        self.peers[end] = other
+        self.peers[other] = end
+
+    def pass_on(self, end):
+        try:
+            data = end.recv(65536)
+            if data:
+                self.peers[end].sendall(data)
+                return
+        except OSError:
+            pass
+        self.drop(end)
+
+    def run(self, end_at):
+        print("listening %d" % self.listener.getsockname()[1], flush=True)
+        while time.monotonic() < end_at:
+            if self.cut:
+                for end in list(self.peers):
+                    self.drop(end)
+            ready, _, _ = select.select([self.listener, *self.peers], [], [],
+                                        0.05)
+            for end in ready:
+                if end is self.listener:
+                    self.accept()
+                elif end in self.peers:
+                    self.pass_on(end)
+
+
+def run_relay(args):
+    Relay(args.target).run(time.monotonic() + args.seconds)
+
+
+def run_slow(args):
+    """Reads the head of a stream, stops, and reads on after SIGUSR1.
+
+    Prints "stopped", then the result once the stream has ended.
+    """
+    resume = []
+    signal.signal(signal.SIGUSR1, lambda *_: resume.append(1))
+    prompt, body = chat_body(args, 0)
+    host, port = args.urls.split("//")[1].split(":")
+    with socket.socket() as raw:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        raw.settimeout(args.timeout)
+        raw.connect((host, int(port)))
+        raw.sendall(("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                     "Authorization: Bearer %s\r\nIdempotency-Key: %s-0\r\n"
+                     "Content-Length: %d\r\n\r\n%s"
+                     % (args.api_key, args.prefix, len(body), body)).encode())
+        answer = http.client.HTTPResponse(raw)
+        answer.begin()
+        got = hashlib.sha256(answer.read(65536))
+        print("stopped", flush=True)
+        end = time.monotonic() + args.seconds
+        while not resume and time.monotonic() < end:
+            time.sleep(0.05)
+        while data := answer.read(65536):
+            got.update(data)
+    want = hashlib.sha256(expected(prompt, args.tokens, True))
+    print("complete" if got.digest() == want.digest() else "wrong")
+
+
+def run_raw(args):
+    """Sends bytes from stdin to a port and prints what comes back."""
+    data = sys.stdin.buffer.read()
+    with socket.create_connection(("127.0.0.1", args.port), 5) as raw:
+        raw.settimeout(args.timeout)
+        got = b""
+        try:
+            raw.sendall(data)
+            while part := raw.recv(65536):
+                got += part
+        except OSError:
+            pass
+    os.write(1, got[:4096])
+
+
+def run_hold(args):
+    """Opens connections that send a part of a message and stay open."""
+    ends = []
+    for i in range(args.count):
+        end = socket.create_connection(("127.0.0.1", args.port), 5)
+        end.sendall(args.text.encode()[:i % (len(args.text) + 1)])
+        ends.append(end)
+    print("holding", flush=True)
+    time.sleep(args.seconds)
+
+
+def parse():
+    parser = argparse.ArgumentParser()
+    commands = parser.add_subparsers(required=True)
+
+    def add(name, run, *positional):
+        command = commands.add_parser(name)
+        command.set_defaults(run=run)
+        for argument in positional:
+            command.add_argument(argument)
+        return command
+
+    for name, run in (("load", run_load), ("slow", run_slow)):
+        load = add(name, run, "urls", "api_key", "prefix")
+        load.add_argument("--count", type=int, default=1)
+        load.add_argument("--parallel", type=int, default=32)
+        load.add_argument("--tokens", type=int, default=8)
+        load.add_argument("--model", default="assistant")
+        load.add_argument("--path", help="of a plain service")
+        load.add_argument("--prompt", help="same for other keys")
+        load.add_argument("--stream", action="store_true")
+        load.add_argument("--in-order", action="store_true",
+                          help="each request goes to the first URL first")
+        load.add_argument("--each", action="store_true")
+        load.add_argument("--tries", type=int, default=1)
+        load.add_argument("--pause", type=float, default=0.3)
+        load.add_argument("--timeout", type=float, default=20)
+        load.add_argument("--seconds", type=float, default=40)
+    add("sum", run_sum, "text")
+    add("dump", run_dump, "store", "expression")
+    relay = add("relay", run_relay)
+    relay.add_argument("target", type=int)
+    relay.add_argument("--seconds", type=float, default=80)
+    raw = add("raw", run_raw)
+    raw.add_argument("port", type=int)
+    raw.add_argument("--timeout", type=float, default=3)
+    hold = add("hold", run_hold)
+    hold.add_argument("port", type=int)
+    hold.add_argument("text")
+    hold.add_argument("--count", type=int, default=20)
+    hold.add_argument("--seconds", type=float, default=30)
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    ARGS = parse()
+    ARGS.run(ARGS)
