--- /dev/null
+++ b/tests/process/operators.sh
@@ -0,0 +1,57 @@
+#!/bin/bash
+# Guards against two operators who both believe to have set one thing, and
+# against lost or doubled top-ups.
+. "$(dirname "$0")/fleet.sh"
+
+start_fake store store
+ctl budget create workshop 1000 >/dev/null || fail "budget create"
+ctl preset set ordinary >/dev/null || fail "preset set"
+
+# The store answers late, so that both clients read before either writes.
+mode "$store_port" '{"mode": "slow", "delay_ms": 500}'
+races=0
+for round in 1 2 3 4 5; do
+	ctl preset set peak --op "anna-$round" >"$WORK/a" 2>&1 &
+	a_pid=$!
+	ctl preset set maintenance --op "bert-$round" >"$WORK/b" 2>&1 &
+	b_pid=$!
+	wait $a_pid
+	a=$?
+	wait $b_pid
+	b=$?
+	set=$(dump '"%s %s" % (d["conf/preset"]["in_force"],
+		d["conf/preset"]["op"])')
+	case $a-$b in
+	0-4)
+		winner=anna-$round preset=peak loser=$WORK/b
+		;;
+	4-0)
+		winner=bert-$round preset=maintenance loser=$WORK/a
+		;;
+	0-0) # one after the other, because the machine is busy
+		continue
+		;;
+	*)
+		fail "round $round: exit codes $a and $b"
+		;;
+	esac
+	races=$((races + 1))
+	check "round $round: $preset is not in force: $set" \
+		grep -q "$preset.*$winner" <<<"$set"
+	check "round $round: the winner is not named: $(cat "$loser")" \
+		grep -q "$winner" "$loser"
+done
+echo "$races races in 5 rounds"
+check "no race in five rounds" [ $races -gt 0 ]
+
+mode "$store_port" '{"mode": "slow", "delay_ms": 100}'
+for round in 1 2 3 4 5; do
+	ctl budget topup workshop 10 >/dev/null &
+	a_pid=$!
+	ctl budget topup workshop 100 >/dev/null &
+	b_pid=$!
+	wait $a_pid || fail "round $round: top-up exits with $?"
+	wait $b_pid || fail "round $round: top-up exits with $?"
+	equal "budget after round $round" $((1000 + 110 * round)) \
+		"$(dump 'd["budget/workshop/main"]["budget"]')"
+done
