--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 PAGES = $(wildcard main/*.1 ctl/*.1 router/*.8)
 
 .PHONY: all packages build check test format lint clean demo prove bench \
-	slopes fakes install docs/settings.md
+	slopes fakes install docs/settings.md process
 
 all: $(BIN) $(FAKES)
 
@@ -106,6 +106,7 @@
 
 test: build
 	@sh tests/run.sh $(BUILD)
+	@BUILD=$(BUILD) bash tests/process/run.sh
 
 check: packages
 	$(MAKE) format
@@ -140,6 +141,10 @@
 bench: $(BENCHES)
 	@sh bench/run.sh $(BUILD)
 
+# Whole processes under faults; CASES="stop kill" runs some of them.
+process: all
+	@BUILD=$(BUILD) bash tests/process/run.sh $(CASES)
+
 clean:
 	rm -rf build
 
