Mend the operators' client: false success, reclaim, removed targets

Cause: found while documenting it. A change that the store never took was reported as done; reclaim took grants whose buddy still held bills and raced with the router's return; status listed removed targets; no command changed an account's limits; a target could name a service that does not exist. The client has no test program of its own yet.

--- a/ctl/account.c
+++ b/ctl/account.c
@@ -159,6 +159,8 @@
 		account->removed = true;
 		account->key_count = 0;
 		return CTL_OK;
+	case COMMAND_ACCOUNT_SET:
+		return take_limits(ctl, args, account);
 	case COMMAND_KEY_ADD:
 		return add_key(ctl, account, args->budget, text);
 	case COMMAND_KEY_REMOVE:
--- a/ctl/budget.c
+++ b/ctl/budget.c
@@ -194,9 +194,11 @@
 
 /* Closes one grant: what it has settled stays spent, the rest goes back. */
 static ctl_status_t close_grant(ctl_t *ctl, const store_kv_t *grant,
+				const char *incarnation, bool force,
 				bool *committed)
 {
 	char key[STORE_KEY_SIZE];
+	char alive[STORE_KEY_SIZE];
 	store_kv_t kv = {0};
 	store_txn_t *txn;
 	record_budget_t *budget = &kv.record.u.budget;
@@ -209,6 +211,14 @@
 		errmsg_set(&ctl->err, "%.100s: malformed", grant->key);
 		return CTL_REFUSED;
 	}
+	if (!given->recovered && !force) {
+		errmsg_set(&ctl->err,
+			   "%.100s: its buddy has not recovered it and may "
+			   "hold bills; wait, or use --force if the buddy is "
+			   "gone as well",
+			   grant->key);
+		return CTL_REFUSED;
+	}
 	status = ctl_get_existing(ctl, key, RECORD_BUDGET, &kv);
 	if (status != CTL_OK)
 		goto out;
@@ -217,6 +227,8 @@
 	add_op(budget, &ctl->op);
 	txn = store_txn_new();
 	store_txn_group(txn);
+	g_snprintf(alive, sizeof(alive), "alive/%s", incarnation);
+	store_txn_check(txn, alive, EXPECT_ABSENT);
 	store_txn_put(txn, key, kv.revision, 0, &kv.record);
 	store_txn_delete(txn, grant->key, grant->revision);
 	status = ctl_txn(ctl, txn, committed);
@@ -241,6 +253,30 @@
 	return status;
 }
 
+/* Without grants the record of a dead router has no use. */
+static ctl_status_t forget_member(ctl_t *ctl, const char *incarnation)
+{
+	char key[STORE_KEY_SIZE];
+	char alive[STORE_KEY_SIZE];
+	store_kv_t kv;
+	store_txn_t *txn;
+	bool committed;
+	ctl_status_t status;
+
+	g_snprintf(key, sizeof(key), "member/%s", incarnation);
+	g_snprintf(alive, sizeof(alive), "alive/%s", incarnation);
+	status = ctl_get(ctl, key, &kv);
+	if (status == CTL_OK && kv.record.kind == RECORD_MEMBER) {
+		txn = store_txn_new();
+		store_txn_group(txn);
+		store_txn_check(txn, alive, EXPECT_ABSENT);
+		store_txn_delete(txn, key, kv.revision);
+		status = ctl_txn(ctl, txn, &committed);
+	}
+	record_clear(&kv.record);
+	return status;
+}
+
 static ctl_status_t reclaim(ctl_t *ctl, const args_t *args)
 {
 	const char *incarnation = args->names[0];
@@ -263,7 +299,7 @@
 		bool committed;
 
 		status = close_grant(ctl, &g_array_index(kvs, store_kv_t, i),
-				     &committed);
+				     incarnation, args->force, &committed);
 		if (status == CTL_OK && !committed) {
 			errmsg_set(&ctl->err,
 				   "a router changed the grant meanwhile, "
@@ -273,6 +309,8 @@
 		closed += committed ? 1 : 0;
 	}
 	g_array_unref(kvs);
+	if (status == CTL_OK)
+		status = forget_member(ctl, incarnation);
 	if (status == CTL_OK)
 		ctl_say(ctl, "%u grants of %s given back", closed, incarnation);
 	return status;
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -202,6 +202,7 @@
 	int64_t backoff = FIRST_BACKOFF_US;
 	ctl_status_t status = CTL_FAILED;
 	bool committed, again;
+	bool doubt = false;
 
 	for (int i = 0; i < TRIES; i++) {
 		store_txn_t *txn = store_txn_new();
@@ -216,6 +217,7 @@
 			backoff *= 2;
 			continue;
 		}
+		doubt |= status == CTL_UNKNOWN;
 		/* Lost race or lost answer: the operation id tells. */
 		status = look_again(ctl, key, expect, &again);
 		if (status == CTL_FAILED)
@@ -223,5 +225,8 @@
 		if (!again)
 			return status;
 	}
-	return status;
+	/* The key is unchanged, but a late write may still take effect. */
+	errmsg_set(&ctl->err, "%.100s: the store does not take the change",
+		   key);
+	return doubt ? CTL_UNKNOWN : CTL_FAILED;
 }
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -15,6 +15,7 @@
 	COMMAND_ACCOUNT_DISABLE,
 	COMMAND_ACCOUNT_ENABLE,
 	COMMAND_ACCOUNT_REMOVE,
+	COMMAND_ACCOUNT_SET,
 	COMMAND_KEY_ADD,
 	COMMAND_KEY_REMOVE,
 	COMMAND_BUDGET_CREATE,
@@ -41,9 +42,11 @@
 
 typedef enum option_set_t {
 	OPTIONS_COMMON = 0,
-	OPTIONS_ACCOUNT = 1,
-	OPTIONS_SERVICE = 2,
-	OPTIONS_TARGET = 4,
+	OPTIONS_KEY = 1,
+	OPTIONS_LIMITS = 2,
+	OPTIONS_SERVICE = 4,
+	OPTIONS_TARGET = 8,
+	OPTIONS_RECLAIM = 16,
 } option_set_t;
 
 #define OPTION_UNSET (-1) /* an integer option that was not given */
@@ -62,6 +65,8 @@
 	gint weight;
 	gint max_requests;
 
+	gboolean force;
+
 	char *kind;
 	char *path_prefix;
 	char *idempotent;
@@ -102,6 +107,8 @@
 /* Reads a record that has to exist and is not removed. */
 ctl_status_t ctl_get_existing(ctl_t *ctl, const char *key, record_kind_t kind,
 			      store_kv_t *kv);
+/* True for an absent record and for a tombstone. */
+bool ctl_is_removed(const record_t *record);
 /* Prints all records below a prefix but for the removed ones. */
 ctl_status_t ctl_print_list(ctl_t *ctl, const char *prefix);
 ctl_status_t ctl_print_one(ctl_t *ctl, const char *key, record_kind_t kind);
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -21,8 +21,9 @@
 } command_spec_t;
 
 static const command_spec_t commands[] = {
-	{"account", "create", COMMAND_ACCOUNT_CREATE, OPTIONS_ACCOUNT, 1,
-	 "NAME", "create a client account; its API key is shown once"},
+	{"account", "create", COMMAND_ACCOUNT_CREATE,
+	 OPTIONS_KEY | OPTIONS_LIMITS, 1, "NAME",
+	 "create a client account; its API key is shown once"},
 	{"account", "list", COMMAND_ACCOUNT_LIST, 0, 0, "",
 	 "list the client accounts"},
 	{"account", "show", COMMAND_ACCOUNT_SHOW, 0, 1, "NAME",
@@ -31,9 +32,11 @@
 	 "refuse the account's requests"},
 	{"account", "enable", COMMAND_ACCOUNT_ENABLE, 0, 1, "NAME",
 	 "accept the account's requests again"},
+	{"account", "set", COMMAND_ACCOUNT_SET, OPTIONS_LIMITS, 1, "NAME",
+	 "change a client account's weight or limit"},
 	{"account", "remove", COMMAND_ACCOUNT_REMOVE, 0, 1, "NAME",
 	 "remove a client account; its budgets stay"},
-	{"key", "add", COMMAND_KEY_ADD, OPTIONS_ACCOUNT, 1, "ACCOUNT",
+	{"key", "add", COMMAND_KEY_ADD, OPTIONS_KEY, 1, "ACCOUNT",
 	 "add an API key, which is shown once"},
 	{"key", "remove", COMMAND_KEY_REMOVE, 0, 2, "ACCOUNT HASH",
 	 "remove the API key whose hash begins with HASH"},
@@ -47,7 +50,8 @@
 	{"budget", "show", COMMAND_BUDGET_SHOW, 0, 1, "ACCOUNT[/BUDGET]",
 	 "show a budget and the grants drawn on it"},
 	{"budget", "list", COMMAND_BUDGET_LIST, 0, 0, "", "list the budgets"},
-	{"budget", "reclaim", COMMAND_BUDGET_RECLAIM, 0, 1, "INCARNATION",
+	{"budget", "reclaim", COMMAND_BUDGET_RECLAIM, OPTIONS_RECLAIM, 1,
+	 "INCARNATION",
 	 "give back the grants of a router that is gone for good"},
 	{"service", "set", COMMAND_SERVICE_SET, OPTIONS_SERVICE, 1, "NAME",
 	 "create a service or change it"},
@@ -166,7 +170,7 @@
 	return CTL_OK;
 }
 
-static bool is_removed(const record_t *record)
+bool ctl_is_removed(const record_t *record)
 {
 	switch (record->kind) {
 	case RECORD_CLIENT_ACCOUNT:
@@ -189,7 +193,7 @@
 
 	if (status != CTL_OK)
 		return status;
-	if (kv->record.kind != kind || is_removed(&kv->record)) {
+	if (kv->record.kind != kind || ctl_is_removed(&kv->record)) {
 		errmsg_set(&ctl->err, "%.100s: not found", key);
 		return CTL_REFUSED;
 	}
@@ -206,7 +210,7 @@
 	for (guint i = 0; i < kvs->len && status == CTL_OK; i++) {
 		const store_kv_t *kv = &g_array_index(kvs, store_kv_t, i);
 
-		if (!is_removed(&kv->record))
+		if (!ctl_is_removed(&kv->record))
 			json_array_add_object_element(array, ctl_describe(kv));
 	}
 	if (status == CTL_OK) {
@@ -244,18 +248,26 @@
 		{"prefix", 0, 0, G_OPTION_ARG_STRING, &args->prefix,
 		 "prefix of all keys", "TEXT"},
 		{"op", 0, 0, G_OPTION_ARG_STRING, &args->op,
-		 "operation id: the same id is never applied twice", "ID"},
+		 "operation id: a repeated top-up with the same id adds "
+		 "nothing",
+		 "ID"},
 		{"json", 0, 0, G_OPTION_ARG_NONE, &args->json,
 		 "print JSON for scripts", NULL},
 		{NULL}};
-	const GOptionEntry account[] = {
+	const GOptionEntry key[] = {
 		{"budget", 0, 0, G_OPTION_ARG_STRING, &args->budget,
 		 "budget that the API key draws on (main)", "NAME"},
+		{NULL}};
+	const GOptionEntry limits[] = {
 		{"weight", 0, 0, G_OPTION_ARG_INT, &args->weight,
 		 "share of capacity under load, 1 to 1000 (100)", "N"},
 		{"max-requests", 0, 0, G_OPTION_ARG_INT, &args->max_requests,
 		 "requests in progress at one router, 0 for no limit", "N"},
 		{NULL}};
+	const GOptionEntry reclaim[] = {
+		{"force", 0, 0, G_OPTION_ARG_NONE, &args->force,
+		 "also grants that no buddy has recovered", NULL},
+		{NULL}};
 	const GOptionEntry service[] = {
 		{"kind", 0, 0, G_OPTION_ARG_STRING, &args->kind,
 		 "model or plain", "KIND"},
@@ -302,8 +314,12 @@
 
 	g_option_context_set_summary(context, summary);
 	g_option_context_add_main_entries(context, common, NULL);
-	if (spec->options & OPTIONS_ACCOUNT)
-		g_option_context_add_main_entries(context, account, NULL);
+	if (spec->options & OPTIONS_KEY)
+		g_option_context_add_main_entries(context, key, NULL);
+	if (spec->options & OPTIONS_LIMITS)
+		g_option_context_add_main_entries(context, limits, NULL);
+	if (spec->options & OPTIONS_RECLAIM)
+		g_option_context_add_main_entries(context, reclaim, NULL);
 	if (spec->options & OPTIONS_SERVICE)
 		g_option_context_add_main_entries(context, service, NULL);
 	if (spec->options & OPTIONS_TARGET)
@@ -356,6 +372,7 @@
 	case COMMAND_ACCOUNT_DISABLE:
 	case COMMAND_ACCOUNT_ENABLE:
 	case COMMAND_ACCOUNT_REMOVE:
+	case COMMAND_ACCOUNT_SET:
 	case COMMAND_KEY_ADD:
 	case COMMAND_KEY_REMOVE:
 		return account_run(ctl, args);
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -23,9 +23,12 @@
 	GArray *kvs = NULL;
 	ctl_status_t status = ctl_list(ctl, prefix, &kvs);
 
-	for (guint i = 0; i < kvs->len && status == CTL_OK; i++)
-		json_array_add_object_element(
-			rows, ctl_describe(&g_array_index(kvs, store_kv_t, i)));
+	for (guint i = 0; i < kvs->len && status == CTL_OK; i++) {
+		const store_kv_t *kv = &g_array_index(kvs, store_kv_t, i);
+
+		if (!ctl_is_removed(&kv->record))
+			json_array_add_object_element(rows, ctl_describe(kv));
+	}
 	json_object_set_array_member(object, name, rows);
 	g_array_unref(kvs);
 	return status;
--- a/ctl/target.c
+++ b/ctl/target.c
@@ -68,6 +68,18 @@
 	return status;
 }
 
+static ctl_status_t check_service(ctl_t *ctl, const char *name)
+{
+	char key[STORE_KEY_SIZE];
+	store_kv_t kv;
+	ctl_status_t status;
+
+	g_snprintf(key, sizeof(key), "conf/service/%s", name);
+	status = ctl_get_existing(ctl, key, RECORD_SERVICE, &kv);
+	record_clear(&kv.record);
+	return status;
+}
+
 static ctl_status_t set(ctl_t *ctl, const args_t *args)
 {
 	const char *name = args->names[0];
@@ -90,6 +102,8 @@
 	g_strlcpy(record.u.target.name, name, NAME_SIZE);
 	record.u.target.op = ctl->op;
 	status = take_options(ctl, args, &record.u.target);
+	if (status == CTL_OK)
+		status = check_service(ctl, record.u.target.service);
 	if (status == CTL_OK)
 		status = ctl_put(ctl, key, kv.revision, &record);
 	if (status == CTL_OK)
