Learn the ratio of real tokens in four classes for each doubling

Cause: one class for each power of two mixed sizes whose ratios differ twofold, so the largest work was not told apart.

--- a/route/estimate.c
+++ b/route/estimate.c
@@ -24,13 +24,13 @@
 
 uint32_t estimate_size_class(int64_t tokens)
 {
-	uint32_t class = 0;
+	uint32_t doublings = 0;
 
-	while (tokens > 0 && class < SIZE_CLASSES - 1) {
+	while (tokens >= 8) {
 		tokens >>= 1;
-		class ++;
+		doublings++;
 	}
-	return class;
+	return MIN(4 * doublings + (uint32_t)MAX(tokens, 0), SIZE_CLASSES - 1);
 }
 
 int64_t estimate_tokens(const estimate_t *estimate, int64_t worst)
--- a/route/estimate.h
+++ b/route/estimate.h
@@ -11,7 +11,8 @@
 
 G_BEGIN_DECLS
 
-#define SIZE_CLASSES 32 /* class n holds sizes below 2^n tokens */
+/* Four classes for each doubling of the size. */
+#define SIZE_CLASSES 128
 
 typedef struct mean_t {
 	double value;
