Hold a target that said it leaves for a while, then probe it

Cause: dispatch reports a target's own statement like the list does; a target that restarted without ever being listed as leaving stayed closed for ever.

--- a/bench/bench_pick.c
+++ b/bench/bench_pick.c
@@ -1,13 +1,15 @@
 /*
  * Cost of one request in the route service on the real clock (asked, picked,
- * first byte, done) with 12 and with 12,000 targets.  Printed without a bound.
+ * first byte, done) with 12 and 12,000 targets, and with requests that wait.
+ * Printed without a bound.
  */
 #include "route/route.h"
 
 #include <stdio.h>
 
 #define CONCURRENCY 32
-#define WAITING 64 /* requests on targets at one time */
+#define RUNNING 64 /* requests on targets at one time, unless some wait */
+#define RUNNING_MAX 1024
 #define REQUESTS 100000
 
 typedef struct asker_t {
@@ -15,7 +17,7 @@
 	route_t route;
 	svc_t svc;
 	svc_t route_svc;
-	handle_t running[WAITING];
+	handle_t running[RUNNING_MAX];
 	uint32_t head, count;
 	uint32_t refused;
 } asker_t;
@@ -28,7 +30,7 @@
 		asker->refused++;
 	if (msg->kind != MSG_ROUTE_PICKED)
 		return;
-	asker->running[(asker->head + asker->count++) % WAITING] = msg->id;
+	asker->running[(asker->head + asker->count++) % RUNNING_MAX] = msg->id;
 }
 
 static void configure(asker_t *asker, uint32_t targets)
@@ -64,15 +66,29 @@
 
 	first.ref = done.ref = asker->running[asker->head];
 	done.u.route_done.tokens = 20;
-	asker->head = (asker->head + 1) % WAITING;
+	asker->head = (asker->head + 1) % RUNNING_MAX;
 	asker->count--;
 	kernel_post(&asker->kernel, asker->svc, asker->route_svc, &first);
 	kernel_post(&asker->kernel, asker->svc, asker->route_svc, &done);
 }
 
-static void run(uint32_t targets, bool prefix)
+static void post_ask(asker_t *asker, uint32_t number, bool prefix)
+{
+	msg_t ask = {.kind = MSG_ROUTE_ASK, .id = {number, 1}};
+
+	g_strlcpy(ask.u.ask.service, "s", NAME_SIZE);
+	g_snprintf(ask.u.ask.client_account, NAME_SIZE, "c%u", number % 10);
+	ask.u.ask.tokens = 50 + number % 100;
+	ask.u.ask.deadline = kernel_now(&asker->kernel) + 100 * USEC_PER_SEC;
+	ask.u.ask.prefix_hash = prefix ? number % 1000 + 1 : 0;
+	kernel_post(&asker->kernel, asker->svc, asker->route_svc, &ask);
+	deliver(asker);
+}
+
+static void run(uint32_t targets, bool prefix, uint32_t waiting)
 {
 	asker_t asker = {.head = 0};
+	uint32_t number = 1;
 	gint64 started;
 
 	kernel_init(&asker.kernel, CLOCK_REAL, 1);
@@ -82,25 +98,18 @@
 	kernel_start(&asker.kernel);
 	configure(&asker, targets);
 	deliver(&asker);
+	while (asker.route.waiting < waiting && number < REQUESTS)
+		post_ask(&asker, number++, prefix);
 	started = g_get_monotonic_time();
 	for (uint32_t i = 0; i < REQUESTS; i++) {
-		msg_t ask = {.kind = MSG_ROUTE_ASK, .id = {i + 1, 1}};
-
-		g_strlcpy(ask.u.ask.service, "s", NAME_SIZE);
-		g_strlcpy(ask.u.ask.client_account, "c", NAME_SIZE);
-		ask.u.ask.tokens = 50;
-		ask.u.ask.deadline =
-			kernel_now(&asker.kernel) + 100 * USEC_PER_SEC;
-		ask.u.ask.prefix_hash = prefix ? i % 1000 + 1 : 0;
-		kernel_post(&asker.kernel, asker.svc, asker.route_svc, &ask);
-		deliver(&asker);
-		if (asker.count == WAITING)
+		post_ask(&asker, number++, prefix);
+		if (asker.count >= RUNNING)
 			end_oldest(&asker);
 	}
 	deliver(&asker);
-	printf("bench route_request_us targets=%u prefix=%s value=%.2f "
-	       "refused=%u\n",
-	       targets, prefix ? "yes" : "no",
+	printf("bench route_request_us targets=%u prefix=%s waiting=%u "
+	       "value=%.2f refused=%u\n",
+	       targets, prefix ? "yes" : "no", asker.route.waiting,
 	       (double)(g_get_monotonic_time() - started) / REQUESTS,
 	       asker.refused);
 	route_finish(&asker.route);
@@ -109,9 +118,10 @@
 
 int main(void)
 {
-	run(12, false);
-	run(12, true);
-	run(12000, false);
-	run(12000, true);
+	run(12, false, 0);
+	run(12, true, 0);
+	run(12000, false, 0);
+	run(12000, true, 0);
+	run(12, false, 4000);
 	return 0;
 }
--- a/route/outlier.c
+++ b/route/outlier.c
@@ -206,6 +206,24 @@
 		eject(route, target);
 }
 
+void outlier_leaves(route_t *route, target_t *target)
+{
+	int64_t hold = route->policy->leave_hold_ms * USEC_PER_MSEC;
+
+	target->hold_until = kernel_now(route->kernel) + hold;
+	close_target(route, target, hold);
+}
+
+void outlier_listed(route_t *route, target_t *target, bool leaving)
+{
+	target->leaving = leaving;
+	if (!leaving && target->hold_until > kernel_now(route->kernel)) {
+		target->hold_until = 0;
+		close_target(route, target, 0);
+	}
+	pick_update(route, target);
+}
+
 static void on_failure(route_t *route, target_t *target, failure_t failure)
 {
 	switch (failure) {
@@ -226,11 +244,7 @@
 		target->report_time = kernel_now(route->kernel);
 		break;
 	case FAILURE_LEAVING:
-		target->hold_until =
-			kernel_now(route->kernel) +
-			route->policy->leave_hold_ms * USEC_PER_MSEC;
-		close_target(route, target,
-			     route->policy->leave_hold_ms * USEC_PER_MSEC);
+		outlier_leaves(route, target);
 		break;
 	default:
 		break;
--- a/route/policy.c
+++ b/route/policy.c
@@ -26,7 +26,7 @@
 			.affinity_percent = 125,
 			.backoff_ms = 100,
 			.backoff_max_ms = 10000,
-			.leave_hold_ms = 30000,
+			.leave_hold_ms = 60000,
 		},
 	/* More room for short work, less extra work, earlier refusals. */
 	[PRESET_PEAK] =
@@ -54,7 +54,7 @@
 			.affinity_percent = 110,
 			.backoff_ms = 100,
 			.backoff_max_ms = 5000,
-			.leave_hold_ms = 30000,
+			.leave_hold_ms = 60000,
 		},
 	/*
 	 * Targets restart one after the other: a returning one is loaded
@@ -85,7 +85,7 @@
 			.affinity_percent = 125,
 			.backoff_ms = 500,
 			.backoff_max_ms = 20000,
-			.leave_hold_ms = 300000,
+			.leave_hold_ms = 600000,
 		},
 };
 
--- a/route/route.c
+++ b/route/route.c
@@ -91,11 +91,11 @@
 
 	if (target == NULL)
 		return;
-	target->leaving = msg->u.leaving.leaving;
-	/* The list is newer than what the target said of itself. */
-	if (!target->leaving)
-		target->hold_until = 0;
-	pick_update(route, target);
+	/* Dispatch passes on what the target itself said. */
+	if (handle_equal(msg->from, route->dispatch))
+		outlier_leaves(route, target);
+	else
+		outlier_listed(route, target, msg->u.leaving.leaving);
 	refresh(route, target->group);
 }
 
@@ -128,6 +128,7 @@
 	kernel_t *kernel = route->kernel;
 
 	route->request = kernel_find(kernel, "request");
+	route->dispatch = kernel_find(kernel, "dispatch");
 	kernel_post(kernel, route->svc, kernel_find(kernel, "conf"), &conf);
 	kernel_post(kernel, route->svc, kernel_find(kernel, "member"),
 		    &members);
--- a/route/route.h
+++ b/route/route.h
@@ -14,6 +14,7 @@
 	kernel_t *kernel;
 	svc_t svc;
 	svc_t request;
+	svc_t dispatch;
 	char availability_zone[NAME_SIZE];
 	conf_snapshot_t *conf;
 	const policy_t *policy;
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -285,6 +285,21 @@
 	EXPECT_EQ(picks[ask()].name, "t0");
 }
 
+// A target that restarts without being listed as leaving must come back, and
+// must get nothing before.
+TEST_F(RouteTest, TargetThatSaidItLeavesIsProbedLater)
+{
+	configure(2, 4);
+	uint32_t first = ask();
+	std::string name = picks[first].name;
+	done(first, FAILURE_LEAVING);
+	run(59 * kSec);
+	for (int i = 0; i < 4; i++)
+		EXPECT_NE(picks[ask()].name, name);
+	run(2 * kSec);
+	EXPECT_EQ(picks[ask()].name, name);
+}
+
 // Waiting requests must not hang on when their last target leaves.
 TEST_F(RouteTest, WaitingWorkIsRefusedWhenTheLastTargetLeaves)
 {
