--- /dev/null
+++ b/bench/event.h
@@ -0,0 +1,84 @@
+/*
+ * Events of a replay: a binary heap ordered by time, then by creation.
+ */
+#ifndef BENCH_EVENT_H
+#define BENCH_EVENT_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum event_kind_t {
+	EVENT_ATTEMPT,
+	EVENT_DEADLINE,
+	EVENT_SPEED,
+	EVENT_REPORT,
+	EVENT_DELIVER,
+} event_kind_t;
+
+typedef struct event_t {
+	int64_t time;
+	uint64_t seq;
+	event_kind_t kind;
+	uint32_t index;
+	uint32_t value;
+	double speed;
+} event_t;
+
+typedef struct events_t {
+	GArray *heap; /* event_t */
+	uint64_t seq;
+} events_t;
+
+static inline bool event_before(const event_t *a, const event_t *b)
+{
+	return a->time != b->time ? a->time < b->time : a->seq < b->seq;
+}
+
+static inline void event_swap(GArray *events, uint32_t i, uint32_t j)
+{
+	event_t *a = &g_array_index(events, event_t, i);
+	event_t *b = &g_array_index(events, event_t, j);
+	event_t saved = *a;
+
+	*a = *b;
+	*b = saved;
+}
+
+static inline void event_add(events_t *events, event_t event)
+{
+	uint32_t i = events->heap->len;
+
+	event.seq = events->seq++;
+	g_array_append_val(events->heap, event);
+	while (i > 0 && event_before(&g_array_index(events->heap, event_t, i),
+				     &g_array_index(events->heap, event_t,
+						    (i - 1) / 2))) {
+		event_swap(events->heap, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static inline event_t event_pop(events_t *events)
+{
+	GArray *heap = events->heap;
+	event_t first = g_array_index(heap, event_t, 0);
+	uint32_t i = 0, child;
+
+	event_swap(heap, 0, heap->len - 1);
+	g_array_set_size(heap, heap->len - 1);
+	while ((child = 2 * i + 1) < heap->len) {
+		if (child + 1 < heap->len &&
+		    event_before(&g_array_index(heap, event_t, child + 1),
+				 &g_array_index(heap, event_t, child)))
+			child++;
+		if (!event_before(&g_array_index(heap, event_t, child),
+				  &g_array_index(heap, event_t, i)))
+			break;
+		event_swap(heap, i, child);
+		i = child;
+	}
+	return first;
+}
+
+#endif
