Measure added latency, highest rate and memory per stream

A load generator with an open-loop schedule and an engine stand-in over raw sockets run against the real binary (make latency).

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 OWN_ALL = $(OWN_C) $(foreach m,$(MODULES),$(wildcard $(m)/*.h)) \
 	  $(wildcard tests/*.cc tests/*.h bench/*.h)
 
-.PHONY: all packages build check test format lint clean demo prove bench \
+.PHONY: all packages build check test format lint clean demo prove bench latency \
 	slopes fakes
 
 all: $(BIN) $(FAKES)
@@ -117,6 +117,14 @@
 prove: build
 	@sh tests/prove.sh $(BUILD)
 
+# Added latency, highest rate and memory of one router; a report.
+latency: all $(BENCHES)
+	@BUILD=$(BUILD) timeout 180 bash bench/latency.sh
+
+# Cost of one more of each thing that a fleet grows by; a report.
+slopes: all $(BENCHES)
+	@BUILD=$(BUILD) timeout 300 bash bench/slopes.sh
+
 clean:
 	rm -rf build
 
