Read what a target has sent without a turn of the loop for each part

An asynchronous read allocates 16 KB and takes a turn of the loop for the body and another for its end. Non-blocking reads take both when the head is in.

--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #define READ_SIZE 16384 /* bytes read from a target at a time */
+#define READS_MAX 4 /* reads from one target in a turn of the loop */
 /* Bytes of an unwanted answer read so that the connection can be reused. */
 #define DISCARD_MAX 65536
 #define LIMIT_MS_DEFAULT 60000 /* for a limit of 0 */
@@ -285,45 +286,85 @@
 	post(call, &msg);
 }
 
-static void on_read(GObject *source, GAsyncResult *result, gpointer data)
+/* Takes one read's bytes; false when nothing more is to be read. */
+static bool take_bytes(call_t *call, const char *buffer, gsize size)
 {
-	call_t *call = data;
-	GError *error = NULL;
 	GBytes *bytes;
 
-	bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result,
-						 &error);
-	call->pending = false;
-	if (bytes == NULL) {
-		fail(call, FAILURE_STREAM, is_reset(error));
-		g_error_free(error);
-		return;
-	}
-	call->active = kernel_now(call->dispatch->kernel);
-	if (g_bytes_get_size(bytes) == 0)
-		on_end(call);
-	else if (call->discard &&
-		 (call->discarded += (uint32_t)g_bytes_get_size(bytes)) >
-			 DISCARD_MAX)
+	if (call->discard) {
+		call->discarded += (uint32_t)size;
+		if (call->discarded <= DISCARD_MAX)
+			return true;
 		fail(call, FAILURE_NONE, false);
-	else if (call->over && !call->discard)
+		return false;
+	}
+	if (call->over) {
 		release(call);
-	else {
-		if (!call->discard)
-			post_data(call, bytes);
-		read_more(call);
+		return false;
 	}
+	bytes = g_bytes_new(buffer, size);
+	post_data(call, bytes);
 	g_bytes_unref(bytes);
+	return true;
 }
 
+static gboolean on_readable(GObject *stream, gpointer data)
+{
+	call_t *call = data;
+
+	(void)stream;
+	call->pending = false;
+	/* A resumed call reads on; one that ended meanwhile is released. */
+	if (call->over && !call->discard)
+		release(call);
+	else
+		read_more(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void wait_readable(call_t *call)
+{
+	GSource *source = g_pollable_input_stream_create_source(
+		G_POLLABLE_INPUT_STREAM(call->stream), call->cancellable);
+
+	call->pending = true;
+	g_source_set_callback(source, G_SOURCE_FUNC(on_readable), call, NULL);
+	g_source_attach(source, NULL);
+	g_source_unref(source);
+}
+
+/*
+ * Reads what has arrived at once.  An asynchronous read takes a turn of the
+ * loop for each part of a small answer, and a buffer of full size.
+ */
 static void read_more(call_t *call)
 {
+	char buffer[READ_SIZE];
+	GError *error = NULL;
+	gssize size;
+
 	if (call->paused || call->pending || call->stream == NULL)
 		return;
-	call->pending = true;
-	g_input_stream_read_bytes_async(call->stream, READ_SIZE,
-					G_PRIORITY_DEFAULT, call->cancellable,
-					on_read, call);
+	for (int i = 0; i < READS_MAX; i++) {
+		size = g_pollable_input_stream_read_nonblocking(
+			G_POLLABLE_INPUT_STREAM(call->stream), buffer,
+			sizeof(buffer), call->cancellable, &error);
+		if (size < 0)
+			break;
+		call->active = kernel_now(call->dispatch->kernel);
+		if (size == 0) {
+			on_end(call);
+			return;
+		}
+		if (!take_bytes(call, buffer, (gsize)size))
+			return;
+	}
+	if (error == NULL ||
+	    g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+		wait_readable(call);
+	else
+		fail(call, FAILURE_STREAM, is_reset(error));
+	g_clear_error(&error);
 }
 
 /*
