--- a/front/front.c
+++ b/front/front.c
@@ -342,6 +342,16 @@
 		    kernel_find(front->kernel, "conf"), &msg);
 }
 
+static void on_timer(front_t *front, msg_t *msg)
+{
+	if (!handle_is_none(msg->ref))
+		stream_recv(front, msg);
+	else if (msg->u.timer.what == FRONT_TIMER_WATCH)
+		stream_watch_all(front);
+	else
+		listen_resume(front);
+}
+
 static void receive(void *self, msg_t *msg)
 {
 	front_t *front = self;
@@ -358,10 +368,7 @@
 		front->conf = g_steal_pointer(&msg->u.conf);
 		break;
 	case MSG_TIMER:
-		if (handle_is_none(msg->ref))
-			listen_resume(front);
-		else
-			stream_recv(front, msg);
+		on_timer(front, msg);
 		break;
 	case MSG_REQ_STARTED:
 	case MSG_REPLY_HEAD:
@@ -383,6 +390,7 @@
 	front->opts = *opts;
 	front->svc = kernel_register(kernel, "front", receive, front);
 	table_init(&front->streams, sizeof(stream_t));
+	front->unwatched = g_array_new(FALSE, FALSE, sizeof(handle_t));
 	front->per_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	front->connections = g_rc_box_new0(front_connections_t);
@@ -407,6 +415,8 @@
 	soup_server_disconnect(front->server);
 	g_clear_object(&front->server);
 	g_clear_object(&front->cert);
+	kernel_timer_cancel(front->kernel, &front->watch_timer);
+	g_array_unref(front->unwatched);
 	g_hash_table_unref(front->per_key);
 	table_finish(&front->streams);
 	if (front->conf != NULL)
--- a/front/front.h
+++ b/front/front.h
@@ -40,6 +40,9 @@
 	metrics_t *metrics; /* NULL once the front has finished */
 } front_connections_t;
 
+#define FRONT_TIMER_ACCEPT 0
+#define FRONT_TIMER_WATCH 1
+
 typedef struct front_t {
 	kernel_t *kernel;
 	svc_t svc;
@@ -51,6 +54,8 @@
 	GSource *accepting; /* NULL while not accepting */
 	GTlsCertificate *cert; /* NULL for plain HTTP */
 	uint16_t port;
+	GArray *unwatched; /* handle_t of streams without a watch */
+	handle_t watch_timer;
 	table_t streams; /* stream_t */
 	GHashTable *per_key; /* API key hash -> requests in progress */
 	front_connections_t *connections; /* GRcBox */
--- a/front/listen.c
+++ b/front/listen.c
@@ -83,7 +83,7 @@
 	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
 		stop_accepting(front);
 		kernel_timer(front->kernel, front->svc, ACCEPT_RETRY_US,
-			     HANDLE_NONE, 0);
+			     HANDLE_NONE, FRONT_TIMER_ACCEPT);
 	}
 	g_clear_error(&error);
 	return G_SOURCE_CONTINUE;
--- a/front/stream.c
+++ b/front/stream.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define WATCH_AFTER_US (50 * USEC_PER_MSEC)
 #define TIMER_FLUSH 1 /* the end did not come in the same turn as the head */
 
 static void post(stream_t *stream, msg_kind_t kind)
@@ -143,6 +144,35 @@
 	g_source_attach(stream->watch, NULL);
 }
 
+void stream_watch_all(front_t *front)
+{
+	front->watch_timer = HANDLE_NONE;
+	for (guint i = 0; i < front->unwatched->len; i++) {
+		stream_t *stream =
+			table_get(&front->streams,
+				  g_array_index(front->unwatched, handle_t, i));
+
+		if (stream != NULL && stream->msg != NULL)
+			watch_caller(stream);
+	}
+	g_array_set_size(front->unwatched, 0);
+}
+
+/*
+ * A watch costs two wake-ups and a turn of the loop, so an answer that is
+ * complete within WATCH_AFTER_US does without.
+ */
+static void watch_later(stream_t *stream)
+{
+	front_t *front = stream->front;
+
+	g_array_append_val(front->unwatched, stream->self);
+	if (handle_is_none(front->watch_timer))
+		front->watch_timer =
+			kernel_timer(front->kernel, front->svc, WATCH_AFTER_US,
+				     HANDLE_NONE, FRONT_TIMER_WATCH);
+}
+
 void stream_open(front_t *front, SoupServerMessage *msg, request_spec_t *spec)
 {
 	msg_t out = {.kind = MSG_REQ_OPEN};
@@ -161,7 +191,7 @@
 	soup_message_body_set_accumulate(
 		soup_server_message_get_response_body(msg), FALSE);
 	soup_server_message_pause(msg);
-	watch_caller(stream);
+	watch_later(stream);
 	out.id = self;
 	out.u.open = spec;
 	kernel_post(front->kernel, front->svc, front->request, &out);
--- a/front/stream.h
+++ b/front/stream.h
@@ -30,6 +30,8 @@
 void stream_open(front_t *front, SoupServerMessage *msg, request_spec_t *spec);
 /* Handles a message whose ref is a stream; a stale ref is ignored. */
 void stream_recv(front_t *front, msg_t *msg);
+/* Watches the callers of the streams that were opened since the last time. */
+void stream_watch_all(front_t *front);
 /* Releases a stream without telling "request". */
 void stream_drop(stream_t *stream);
 
