--- a/dispatch/tokens.c
+++ b/dispatch/tokens.c
@@ -80,27 +80,89 @@
 	return true;
 }
 
+/* A part of a JSON text, from the bracket that opens it to its end. */
+typedef struct span_t {
+	const char *begin; /* NULL: none */
+	const char *end;
+} span_t;
+
+/* Returns the end of the string whose opening quote is at p. */
+static const char *skip_string(const char *p, const char *end)
+{
+	for (p++; p < end && *p != '"'; p++)
+		if (*p == '\\')
+			p++;
+	return MIN(p + 1, end);
+}
+
+static bool is_key(const char *begin, const char *end, const char *text_end,
+		   const char *key)
+{
+	size_t len = strlen(key);
+	const char *colon = skip_space(end, text_end);
+
+	return (size_t)(end - begin) == len && memcmp(begin, key, len) == 0 &&
+	       colon < text_end && *colon == ':';
+}
+
+/*
+ * Returns the object that is the last member of this quoted key in a whole
+ * JSON object, without parsing the rest, which may be a long text.  A text
+ * that was cut off has none.
+ */
+static span_t find_object(const char *text, const char *end, const char *key)
+{
+	span_t found = {NULL, NULL};
+	const char *value = NULL;
+	const char *p = skip_space(text, end);
+	int depth = 0;
+
+	if (p == end || *p != '{')
+		return found;
+	do {
+		const char *next = *p == '"' ? skip_string(p, end) : p + 1;
+
+		if (*p == '"' && depth == 1 && is_key(p, next, end, key)) {
+			next = skip_space(skip_space(next, end) + 1, end);
+			value = next < end && *next == '{' ? next : NULL;
+			found.begin = NULL;
+		}
+		if (*p == '{' || *p == '[') {
+			depth++;
+		} else if (*p == '}' || *p == ']') {
+			depth--;
+			if (depth == 1 && value != NULL) {
+				found = (span_t){value, p + 1};
+				value = NULL;
+			}
+		}
+		p = next;
+	} while (p < end && depth > 0);
+	if (depth != 0 || skip_space(p, end) != end)
+		found.begin = NULL;
+	return found;
+}
+
 static void read_usage(tokens_t *tokens, const char *text, size_t len)
 {
 	int64_t prompt, completion;
 	JsonParser *parser;
-	JsonNode *root, *usage;
+	JsonObject *usage;
+	span_t span;
 
 	if (find_value(text, text + len, "\"usage\"") == NULL ||
 	    !json_depth_ok(text, len, JSON_DEPTH_MAX))
 		return;
+	span = find_object(text, text + len, "\"usage\"");
+	if (span.begin == NULL)
+		return;
 	parser = json_parser_new_immutable();
-	if (!json_parser_load_from_data(parser, text, (gssize)len, NULL))
-		goto out;
-	root = json_parser_get_root(parser);
-	if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root))
+	if (!json_parser_load_from_data(parser, span.begin,
+					span.end - span.begin, NULL))
 		goto out;
-	usage = json_object_get_member(json_node_get_object(root), "usage");
-	if (usage == NULL || !JSON_NODE_HOLDS_OBJECT(usage) ||
-	    !read_count(json_node_get_object(usage), "prompt_tokens",
-			&prompt) ||
-	    !read_count(json_node_get_object(usage), "completion_tokens",
-			&completion))
+	usage = json_node_get_object(json_parser_get_root(parser));
+	if (!read_count(usage, "prompt_tokens", &prompt) ||
+	    !read_count(usage, "completion_tokens", &completion))
 		goto out;
 	tokens->usage_known = true;
 	tokens->prompt = prompt;
