--- /dev/null
+++ b/bench/slopes.c
@@ -0,0 +1,483 @@
+/*
+ * Slopes of requests and of the configuration: what one more message, request,
+ * client account, target or change costs, with the shipped services under the
+ * virtual clock.
+ */
+#include "bench/slopes_world.h"
+#include "claims/claims.h"
+#include "conf/conf.h"
+#include "request/request.h"
+#include "route/route.h"
+
+/* --- kernel -------------------------------------------------------------- */
+
+static double kernel_messages(int n)
+{
+	world_t world;
+	int64_t begin;
+	double us;
+
+	world_init(&world);
+	begin = cpu_ns();
+	for (int i = 0; i < n; i++) {
+		msg_t msg = {.kind = MSG_RELEASE};
+
+		kernel_post(&world.kernel, world.other, world.other, &msg);
+		if (i % 16 == 15)
+			world_run(&world, 0);
+	}
+	us = (double)(cpu_ns() - begin) / 1e3;
+	world_finish(&world);
+	return us;
+}
+
+static double kernel_timers(int n)
+{
+	world_t world;
+	int64_t begin;
+	double us;
+
+	world_init(&world);
+	begin = cpu_ns();
+	for (int i = 0; i < n; i++)
+		kernel_timer(&world.kernel, world.other, i % 1000, HANDLE_NONE,
+			     0);
+	world_run(&world, 1000);
+	us = (double)(cpu_ns() - begin) / 1e3;
+	world_finish(&world);
+	return us;
+}
+
+/* --- configuration ------------------------------------------------------- */
+
+static void account_kv(store_result_t *event, int i, int64_t revision)
+{
+	record_t record = {.kind = RECORD_CLIENT_ACCOUNT};
+	record_client_account_t *account = &record.u.client_account;
+	char key[STORE_KEY_SIZE];
+
+	g_snprintf(account->name, NAME_SIZE, "account-%06d", i);
+	account->weight = 1;
+	account->key_count = 1;
+	g_snprintf(account->keys[0].hash, HASH_SIZE, "%064d", i);
+	g_strlcpy(account->keys[0].budget, "main", NAME_SIZE);
+	g_snprintf(key, sizeof(key), "conf/account/%s", account->name);
+	store_result_add(event, 0, key, revision, &record);
+}
+
+static void target_kv(store_result_t *event, int i, int64_t revision)
+{
+	record_t record = {.kind = RECORD_TARGET};
+	record_target_t *target = &record.u.target;
+	char key[STORE_KEY_SIZE];
+
+	g_snprintf(target->name, NAME_SIZE, "target-%06d", i);
+	g_snprintf(target->service, NAME_SIZE, "model-%02d", i % 17);
+	g_snprintf(target->host, HOST_SIZE, "10.%d.%d.%d", i / 65536,
+		   i / 256 % 256, i % 256);
+	target->port = 8000;
+	g_strlcpy(target->availability_zone, "az1", NAME_SIZE);
+	target->concurrency = 16;
+	g_snprintf(key, sizeof(key), "conf/target/%s", target->name);
+	store_result_add(event, 0, key, revision, &record);
+}
+
+typedef void (*kv_fn_t)(store_result_t *event, int i, int64_t revision);
+
+static void send_event(world_t *world, svc_t conf, kv_fn_t add, int from,
+		       int to, int64_t revision)
+{
+	msg_t msg = {.kind = MSG_STORE_EVENT};
+
+	msg.u.store_result = store_result_new(STORE_OK);
+	for (int i = from; i < to; i++)
+		add(msg.u.store_result, i, revision);
+	msg.u.store_result->revision = revision;
+	kernel_post(&world->kernel, world->store, conf, &msg);
+	world_run(world, 1000 * USEC_PER_MSEC);
+}
+
+typedef struct conf_cost_t {
+	double bytes;
+	double change_us;
+} conf_cost_t;
+
+/* Configuration with n records; route takes each snapshot if wanted. */
+static conf_cost_t conf_cost(int n, kv_fn_t add, bool with_route)
+{
+	conf_cost_t cost;
+	world_t world;
+	conf_t conf;
+	route_t route;
+	size_t before;
+	int64_t begin;
+
+	world_init(&world);
+	conf_init(&conf, &world.kernel);
+	if (with_route)
+		route_init(&route, &world.kernel, "az1");
+	kernel_start(&world.kernel);
+	world_run(&world, 0);
+	before = heap_bytes();
+	send_event(&world, conf.self, add, 0, n, 100);
+	cost.bytes = (double)(heap_bytes() - before);
+	begin = cpu_ns();
+	for (int i = 0; i < 10; i++)
+		send_event(&world, conf.self, add, i, i + 1, 101 + i);
+	cost.change_us = (double)(cpu_ns() - begin) / 1e4;
+	if (with_route)
+		route_finish(&route);
+	conf_finish(&conf);
+	world_finish(&world);
+	return cost;
+}
+
+static double account_bytes(int n)
+{
+	return conf_cost(n, account_kv, false).bytes;
+}
+
+static double account_change(int n)
+{
+	return conf_cost(n, account_kv, false).change_us;
+}
+
+static double target_bytes(int n)
+{
+	return conf_cost(n, target_kv, true).bytes;
+}
+
+static double target_change(int n)
+{
+	return conf_cost(n, target_kv, true).change_us;
+}
+
+/* Bytes of one frame with n changed client accounts to a peer. */
+static double change_bytes(int n)
+{
+	peer_body_t *body = peer_body_new(PEER_CONF_ITEMS);
+	store_result_t *event = store_result_new(STORE_OK);
+	world_t world;
+	size_t size;
+
+	world_init(&world);
+	for (int i = 0; i < n; i++)
+		account_kv(event, i, 100 + i);
+	g_array_append_vals(body->u.conf_items.kvs, event->kvs->data,
+			    event->kvs->len);
+	size = body_bytes(&world, body);
+	peer_body_free(body);
+	store_result_free(event);
+	world_finish(&world);
+	return (double)size;
+}
+
+/* --- request, route, claims ---------------------------------------------- */
+
+static conf_snapshot_t *small_conf(int targets)
+{
+	conf_snapshot_t *conf = conf_snapshot_new();
+	record_client_account_t account = {.weight = 1, .key_count = 1};
+	record_service_t service = {.kind = SERVICE_MODEL,
+				    .idempotent = true,
+				    .deadline_ms = 60000,
+				    .max_tokens = 100,
+				    .max_body = 100000};
+	record_target_t target = {.port = 8000, .concurrency = 100000};
+
+	g_strlcpy(account.name, "acme", NAME_SIZE);
+	g_strlcpy(account.keys[0].hash, "key", HASH_SIZE);
+	g_strlcpy(account.keys[0].budget, "main", NAME_SIZE);
+	g_array_append_val(conf->client_accounts, account);
+	g_hash_table_insert(conf->by_key_hash, g_strdup("key"),
+			    GUINT_TO_POINTER(1));
+	g_strlcpy(service.name, "chat", NAME_SIZE);
+	g_array_append_val(conf->services, service);
+	g_strlcpy(target.service, "chat", NAME_SIZE);
+	g_strlcpy(target.availability_zone, "az1", NAME_SIZE);
+	for (int i = 0; i < targets; i++) {
+		g_snprintf(target.name, NAME_SIZE, "target-%06d", i);
+		g_snprintf(target.host, HOST_SIZE, "10.0.%d.%d", i / 256,
+			   i % 256);
+		g_array_append_val(conf->targets, target);
+	}
+	return conf;
+}
+
+static void send_conf(world_t *world, svc_t to, int targets)
+{
+	msg_t msg = {.kind = MSG_CONF_CHANGED};
+
+	msg.u.conf = small_conf(targets);
+	world_send(world, to, &msg);
+}
+
+static void answer(world_t *world, const msg_t *msg, msg_kind_t kind)
+{
+	msg_t reply = {.kind = kind, .ref = msg->id, .id = {1, 1}};
+
+	if (kind == MSG_TARGET_HEAD) {
+		reply.u.target_head.status = 200;
+		g_strlcpy(reply.u.target_head.content_type, "application/json",
+			  CONTENT_TYPE_SIZE);
+	} else if (kind == MSG_TARGET_DATA) {
+		reply.u.target_data.bytes = g_bytes_new_static("{}", 2);
+	} else if (kind == MSG_TARGET_END) {
+		reply.u.target_end.usage_known = true;
+		reply.u.target_end.prompt_tokens = 9;
+		reply.u.target_end.completion_tokens = 3;
+	}
+	kernel_post(&world->kernel, world->other, msg->from, &reply);
+}
+
+/* Ledger, route and dispatch as seen by "request". */
+static void on_request(void *self, msg_t *msg)
+{
+	world_t *world = self;
+
+	switch (msg->kind) {
+	case MSG_RESERVE:
+		answer(world, msg, MSG_RESERVED);
+		break;
+	case MSG_ROUTE_ASK:
+		answer(world, msg, MSG_ROUTE_PICKED);
+		break;
+	case MSG_SEND:
+		answer(world, msg, MSG_SEND_STARTED);
+		answer(world, msg, MSG_TARGET_HEAD);
+		answer(world, msg, MSG_TARGET_DATA);
+		answer(world, msg, MSG_TARGET_END);
+		break;
+	case MSG_BILL:
+		answer(world, msg, MSG_BILLED);
+		break;
+	default:
+		break;
+	}
+}
+
+static void open_request(world_t *world, svc_t request, int i)
+{
+	msg_t msg = {.kind = MSG_REQ_OPEN, .id = {(uint32_t)i, 1}};
+	request_spec_t *spec = request_spec_new();
+
+	g_strlcpy(spec->key_hash, "key", HASH_SIZE);
+	g_strlcpy(spec->service, "chat", NAME_SIZE);
+	g_strlcpy(spec->method, "POST", sizeof(spec->method));
+	g_strlcpy(spec->path, "/v1/chat/completions", PATH_SIZE);
+	g_snprintf(spec->fingerprint, HASH_SIZE, "%064d", i);
+	spec->body = g_bytes_new_static("{\"model\":\"chat\"}", 16);
+	msg.u.open = spec;
+	kernel_post(&world->kernel, world->other, request, &msg);
+}
+
+static double request_cost(int n)
+{
+	static const char *const names[] = {"ledger", "route", "dispatch",
+					    "claims", "front"};
+	request_opts_t opts;
+	request_svc_t svc;
+	world_t world;
+	int64_t begin;
+	double us;
+
+	world_init(&world);
+	world.on_other = on_request;
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		kernel_register(&world.kernel, names[i], on_other, &world);
+	request_opts_defaults(&opts);
+	g_strlcpy(opts.incarnation, SELF, INCARNATION_SIZE);
+	request_init(&svc, &world.kernel, &opts);
+	kernel_start(&world.kernel);
+	send_conf(&world, svc.self, 0);
+	begin = cpu_ns();
+	for (int i = 0; i < n; i++) {
+		open_request(&world, svc.self, i);
+		world_run(&world, USEC_PER_MSEC);
+	}
+	us = (double)(cpu_ns() - begin) / 1e3;
+	if (world.kernel.metrics->counters[COUNTER_ANSWERS] != (uint64_t)n)
+		g_error("requests were not answered");
+	request_finish(&svc);
+	world_finish(&world);
+	return us;
+}
+
+typedef struct routed_t {
+	handle_t assignment;
+	bool picked;
+} routed_t;
+
+static void on_route(void *self, msg_t *msg)
+{
+	routed_t *routed = ((world_t *)self)->data;
+
+	routed->picked = msg->kind == MSG_ROUTE_PICKED;
+	routed->assignment = msg->id;
+}
+
+static int route_targets;
+
+static double route_cost(int n)
+{
+	routed_t routed;
+	route_t route;
+	world_t world;
+	int64_t begin;
+	double us;
+
+	world_init(&world);
+	world.on_other = on_route;
+	world.data = &routed;
+	kernel_register(&world.kernel, "request", on_other, &world);
+	route_init(&route, &world.kernel, "az1");
+	kernel_start(&world.kernel);
+	send_conf(&world, route.svc, route_targets);
+	begin = cpu_ns();
+	for (int i = 0; i < n; i++) {
+		msg_t ask = {.kind = MSG_ROUTE_ASK, .id = {1, 1}};
+		msg_t done = {.kind = MSG_ROUTE_DONE};
+
+		g_strlcpy(ask.u.ask.service, "chat", NAME_SIZE);
+		g_strlcpy(ask.u.ask.client_account, "acme", NAME_SIZE);
+		ask.u.ask.tokens = 100;
+		ask.u.ask.deadline = kernel_now(&world.kernel) + USEC_PER_SEC;
+		routed.picked = false;
+		world_send(&world, route.svc, &ask);
+		if (!routed.picked)
+			g_error("no target was picked");
+		world_run(&world, USEC_PER_MSEC);
+		done.ref = routed.assignment;
+		done.u.route_done.tokens = 12;
+		world_send(&world, route.svc, &done);
+	}
+	us = (double)(cpu_ns() - begin) / 1e3;
+	route_finish(&route);
+	world_finish(&world);
+	return us;
+}
+
+/* 1,000 requests over n targets of one service. */
+static double route_by_targets(int n)
+{
+	route_targets = n;
+	return route_cost(1000) / 1000;
+}
+
+static void on_claims(void *self, msg_t *msg)
+{
+	world_t *world = self;
+	msg_t done = {.kind = MSG_CLAIM_DONE, .ref = msg->id, .id = {1, 1}};
+
+	if (msg->kind != MSG_CLAIM_RESULT)
+		return;
+	done.u.claim_done.outcome.status = 200;
+	done.u.claim_done.outcome.body = g_bytes_new_static("ok", 2);
+	kernel_post(&world->kernel, world->other, msg->from, &done);
+}
+
+static int claim_rate = 1000;
+
+/* n claims with their outcomes; returns calls or processor time. */
+static double claims_cost(int n, bool calls)
+{
+	static uint64_t serial;
+	claims_opts_t opts;
+	claims_svc_t claims;
+	world_t world;
+	int64_t begin, store;
+	double us;
+
+	world_init(&world);
+	world.on_other = on_claims;
+	world.latency_us = 2 * USEC_PER_MSEC;
+	claims_opts_defaults(&opts);
+	g_strlcpy(opts.incarnation, SELF, INCARNATION_SIZE);
+	claims_init(&claims, &world.kernel, &opts);
+	kernel_start(&world.kernel);
+	world_run(&world, 10 * USEC_PER_MSEC);
+	begin = cpu_ns();
+	store = world.store_ns;
+	world.calls = 0;
+	for (int i = 0; i < n; i++) {
+		msg_t msg = {.kind = MSG_CLAIM_BEGIN, .id = {1, 1}};
+
+		g_strlcpy(msg.u.claim.client_account, "acme", NAME_SIZE);
+		g_snprintf(msg.u.claim.idem_key, IDEM_KEY_SIZE,
+			   "order-%" G_GUINT64_FORMAT, ++serial);
+		g_snprintf(msg.u.claim.fingerprint, HASH_SIZE, "%064d", i);
+		msg.u.claim.deadline =
+			kernel_now(&world.kernel) + 10 * USEC_PER_SEC;
+		kernel_post(&world.kernel, world.other, claims.self, &msg);
+		world_run(&world, USEC_PER_SEC / claim_rate);
+	}
+	world_run(&world, USEC_PER_SEC);
+	us = (double)world_ns(&world, begin, store) / 1e3;
+	claims_finish(&claims);
+	if (calls)
+		us = (double)world.calls;
+	world_finish(&world);
+	return us;
+}
+
+static double claims_requests(int n)
+{
+	return claims_cost(n, false);
+}
+
+static double claims_calls(int rate)
+{
+	claim_rate = rate;
+	return claims_cost(1000, true);
+}
+
+/* --- all ----------------------------------------------------------------- */
+
+static void kernel_and_requests(void)
+{
+	static const int many[] = {20000, 40000, 80000};
+	static const int some[] = {2000, 4000, 8000};
+	static const int targets[] = {10, 100, 1000};
+	static const int rates[] = {10, 100, 1000};
+
+	printf("size msg_t bytes=%zu\n", sizeof(msg_t));
+	slope("kernel_message", "cpu_us", "message", many, kernel_messages,
+	      REPEATS);
+	slope("kernel_timer", "cpu_us", "timer", many, kernel_timers, REPEATS);
+	slope("request_cpu", "cpu_us", "request", some, request_cost, REPEATS);
+	slope("claims_cpu", "cpu_us", "request", some, claims_requests,
+	      REPEATS);
+	slope("claim_calls", "calls_per_1000_requests", "request_per_s", rates,
+	      claims_calls, 1);
+	route_targets = 16;
+	slope("route_cpu_16_targets", "cpu_us", "request", some, route_cost,
+	      REPEATS);
+	slope("route_cpu_by_targets", "cpu_us_per_request", "target", targets,
+	      route_by_targets, REPEATS);
+}
+
+static void configuration(void)
+{
+	static const int accounts[] = {1000, 5000, 21000};
+	static const int targets[] = {100, 1000, 12000};
+	static const int items[] = {1, 10, 100};
+
+	slope("account_memory", "bytes", "client_account", accounts,
+	      account_bytes, 1);
+	slope("account_change", "cpu_us_per_change", "client_account", accounts,
+	      account_change, REPEATS);
+	slope("target_memory", "bytes", "target", targets, target_bytes, 1);
+	slope("target_change", "cpu_us_per_change", "target", targets,
+	      target_change, REPEATS);
+	slope("change_frame", "bytes", "changed_account", items, change_bytes,
+	      1);
+}
+
+int main(void)
+{
+	/* One heap, so that what is in use can be read exactly. */
+	mallopt(M_MMAP_THRESHOLD, 1 << 30);
+	kernel_and_requests();
+	configuration();
+	return 0;
+}
