--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -311,6 +311,7 @@
 static gboolean on_readable(GObject *stream, gpointer data)
 {
 	call_t *call = data;
+	kernel_t *kernel = call->dispatch->kernel;
 
 	(void)stream;
 	call->pending = false;
@@ -319,6 +320,7 @@
 		release(call);
 	else
 		read_more(call);
+	kernel_flush(kernel);
 	return G_SOURCE_REMOVE;
 }
 
@@ -432,15 +434,13 @@
 	g_object_weak_ref(G_OBJECT(call->socket), on_socket_gone, entry);
 }
 
-static void on_head(GObject *source, GAsyncResult *result, gpointer data)
+static void take_head(call_t *call, SoupSession *session, GAsyncResult *result)
 {
-	call_t *call = data;
 	SoupMessageHeaders *headers;
 	GError *error = NULL;
 	uint32_t status;
 
-	call->stream =
-		soup_session_send_finish(SOUP_SESSION(source), result, &error);
+	call->stream = soup_session_send_finish(session, result, &error);
 	call->pending = false;
 	if (call->stream == NULL) {
 		on_head_error(call, error);
@@ -463,6 +463,15 @@
 	read_more(call);
 }
 
+static void on_head(GObject *source, GAsyncResult *result, gpointer data)
+{
+	call_t *call = data;
+	kernel_t *kernel = call->dispatch->kernel;
+
+	take_head(call, SOUP_SESSION(source), result);
+	kernel_flush(kernel);
+}
+
 static void on_starting(SoupMessage *msg, call_t *call)
 {
 	(void)msg;
--- a/front/front.c
+++ b/front/front.c
@@ -315,6 +315,7 @@
 		refuse(front, msg, spec->request_id, reason,
 		       err.text[0] != '\0' ? err.text : NULL);
 	request_spec_free(spec);
+	kernel_flush(front->kernel);
 }
 
 static void on_finished(SoupServer *server, SoupServerMessage *msg,
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -27,6 +27,18 @@
 
 static void run_due_timers(kernel_t *kernel);
 
+static void deliver_turn(kernel_t *kernel)
+{
+	for (int i = 0; i < TURN_MAX && kernel_deliver_one(kernel); i++)
+		;
+}
+
+void kernel_flush(kernel_t *kernel)
+{
+	if (kernel->clock == CLOCK_REAL && !kernel->delivering)
+		deliver_turn(kernel);
+}
+
 static gboolean source_prepare(GSource *source, gint *timeout)
 {
 	kernel_t *kernel = ((kernel_source_t *)source)->kernel;
@@ -64,8 +76,7 @@
 	(void)callback;
 	(void)data;
 	run_due_timers(kernel);
-	for (int i = 0; i < TURN_MAX && kernel_deliver_one(kernel); i++)
-		;
+	deliver_turn(kernel);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -238,10 +249,12 @@
 	kernel->queue_head = (kernel->queue_head + 1) % kernel->queue_size;
 	kernel->queue_len--;
 	service = table_get(&kernel->services, msg.to);
+	kernel->delivering = true;
 	if (service != NULL)
 		service->recv(service->self, &msg);
 	else
 		metrics_add(kernel->metrics, COUNTER_MSG_UNDELIVERED, 1);
+	kernel->delivering = false;
 	msg_clear(&msg);
 	return true;
 }
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -37,6 +37,7 @@
 	uint32_t queue_size;
 	uint32_t queue_head;
 	uint32_t queue_len;
+	bool delivering; /* a receive function is running */
 
 	table_t timers; /* timer_entry_t */
 	GArray *heap; /* handle_t, ordered by due time */
@@ -70,6 +71,13 @@
  */
 void kernel_post(kernel_t *kernel, svc_t from, svc_t to, msg_t *msg);
 
+/*
+ * Delivers what is queued, for the end of a socket's callback: waiting for
+ * the next turn of the loop would poll all sockets first.  Does nothing
+ * within a receive function or with the virtual clock.
+ */
+void kernel_flush(kernel_t *kernel);
+
 /* Sends MSG_TIMER with ref and what to owner after delay. */
 handle_t kernel_timer(kernel_t *kernel, svc_t owner, int64_t delay_us,
 		      handle_t ref, int what);
