--- a/bench/slopes_fleet.c
+++ b/bench/slopes_fleet.c
@@ -195,6 +195,27 @@
 	return value;
 }
 
+/* Store calls for one request on each of n budgets, until all are closed. */
+static double cold_calls(int n)
+{
+	bench_ledger_t bench;
+	uint64_t calls;
+	double value;
+
+	ledger_open(&bench, n, fleet);
+	bench.world.latency_us = 2 * USEC_PER_MSEC;
+	calls = bench.world.calls;
+	for (int i = 0; i < n; i++) {
+		post_reserve(&bench, i);
+		world_run(&bench.world, 50 * USEC_PER_MSEC);
+		post_bills(&bench);
+	}
+	world_run(&bench.world, 600 * USEC_PER_SEC);
+	value = (double)(bench.world.calls - calls);
+	ledger_close(&bench);
+	return value;
+}
+
 /* Bytes of one frame that copies n bills to the buddy. */
 static peer_body_t *bill_frame(int n)
 {
@@ -401,6 +422,8 @@
 	fleet = 1700;
 	slope("settle_calls_1700_members", "calls_per_1000_requests",
 	      "request_per_s", rates, ledger_calls, 1);
+	slope("cold_budget_calls", "calls", "request_on_an_unused_budget",
+	      grants, cold_calls, 1);
 	slope("bill_copy", "bytes", "bill", bills, bill_bytes, 1);
 	slope("bill_copy_codec", "cpu_us", "bill", bills, bill_codec, REPEATS);
 }
