--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -335,9 +335,10 @@
 	send_conf(&world, route.svc, route_targets);
 	begin = cpu_ns();
 	for (int i = 0; i < n; i++) {
-		msg_t ask = {.kind = MSG_ROUTE_ASK, .id = {1, 1}};
+		msg_t ask = {.kind = MSG_ROUTE_ASK};
 		msg_t done = {.kind = MSG_ROUTE_DONE};
 
+		ask.id = (handle_t){(uint32_t)i, 1};
 		g_strlcpy(ask.u.ask.service, "chat", NAME_SIZE);
 		g_strlcpy(ask.u.ask.client_account, "acme", NAME_SIZE);
 		ask.u.ask.tokens = 100;
--- a/ledger/local.h
+++ b/ledger/local.h
@@ -159,10 +159,10 @@
 typedef struct job_t {
 	handle_t handle;
 	char incarnation[INCARNATION_SIZE];
-	bool copied_here;
 	bool instance_gone;
 	bool give_back; /* the unspent part may be returned */
-	int64_t since;
+	int64_t since; /* of the wait */
+	int64_t began;
 	job_step_t step;
 	bool closing; /* grants are closed: the instance is gone */
 	bool progress; /* something was written since the last listing */
@@ -173,7 +173,10 @@
 	int64_t budget_rev;
 	record_budget_t budget;
 	GArray *bills; /* bill_t of the present grant, not in the store */
-	guint attempt_bills; /* how many of them are in the call */
+	guint checked; /* how many of them the store is known to lack */
+	guint attempt_from; /* those in the call */
+	guint attempt_bills;
+	bool checking; /* the call only reads */
 	bool last; /* the call gives back or closes */
 	bool doubt;
 	op_id_t op;
