--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 PAGES = $(wildcard main/*.1 ctl/*.1 router/*.8)
 
 .PHONY: all packages build check test format lint clean demo prove bench \
-	slopes fakes install docs/settings.md process
+	latency slopes fakes install docs/settings.md process
 
 all: $(BIN) $(FAKES)
 
@@ -145,6 +145,14 @@
 process: all
 	@BUILD=$(BUILD) bash tests/process/run.sh $(CASES)
 
+# Added latency, highest rate and memory of one router; a report.
+latency: all $(BENCHES)
+	@BUILD=$(BUILD) timeout 180 bash bench/latency.sh
+
+# Cost of one more of each thing that a fleet grows by; a report.
+slopes: all $(BENCHES)
+	@BUILD=$(BUILD) timeout 300 bash bench/slopes.sh
+
 clean:
 	rm -rf build
 
