--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -1,7 +1,7 @@
 # What the process tests share beyond demo/lib.sh: a fleet in one call,
 # checks and polling.  Each test is a script of its own that sources this.
 set -u
-PS4="+\$SECONDS "
+
 cd "$(dirname "$0")/../.." || exit 1
 . demo/lib.sh
 
@@ -141,12 +141,13 @@
 	return 0
 }
 
-# background NAME COMMAND [ARG ...]: runs it with its output in
-# $WORK/NAME.out and sets NAME_pid.
+# background NAME ARG ...: runs tool.py with its output in $WORK/NAME.out and
+# sets NAME_pid, which takes signals.
 background() {
 	name=$1
 	shift
-	"$@" >"$WORK/$name.out" 2>>"$WORK/$name.log" &
+	python3 tests/process/tool.py "$@" >"$WORK/$name.out" \
+		2>>"$WORK/$name.log" &
 	eval "${name}_pid=$!"
 	PIDS="$PIDS $!"
 }
--- a/tests/process/kill.sh
+++ b/tests/process/kill.sh
@@ -12,7 +12,7 @@
 
 # Short requests are answered by r1 just before it dies; their bills may be
 # with the buddy only.
-background streams tool load "$r1,$r2,$r3" "$api_key" long --count 12 \
+background streams load "$r1,$r2,$r3" "$api_key" long --count 12 \
 	--tokens 450 --stream --in-order --tries 10
 until_true "the streams do not run" 20 \
 	metric_at_least "$r1_admin" requests_running 12
--- a/tests/process/leaving.sh
+++ b/tests/process/leaving.sh
@@ -43,7 +43,7 @@
 	way=$1
 	shift
 	until_true "engine1 gets no work before $way" 15 busy_batch
-	background "streams$way" tool load "$r1,$r2" "$api_key" "long-$way" \
+	background "streams$way" load "$r1,$r2" "$api_key" "long-$way" \
 		--count 12 --tokens 300 --stream
 	until_true "no streams at engine1 ($way)" 10 \
 		stat_is "$engine1_port" 'd["running"] > 2' True
--- a/tests/process/pause.sh
+++ b/tests/process/pause.sh
@@ -35,7 +35,7 @@
 	under("grant/'"$inc"'").values())')
 
 # These wait in r1's socket, so that it finds them first when it wakes up.
-background woken tool load "$r1" "$api_key" woken --count 40 --tokens 400 \
+background woken load "$r1" "$api_key" woken --count 40 --tokens 400 \
 	--parallel 40
 sleep 0.5
 kill -CONT "$r1_pid"
--- a/tests/process/silent.sh
+++ b/tests/process/silent.sh
@@ -21,7 +21,7 @@
 # whole when it is sent again.
 mode "$engine1_port" '{"slow_factor": 20}'
 mode "$engine2_port" '{"slow_factor": 20}'
-background cut tool load "$r1,$r2" "$api_key" cut --count 4 --tokens 200 \
+background cut load "$r1,$r2" "$api_key" cut --count 4 --tokens 200 \
 	--stream --in-order --tries 6
 until_true "the streams have not begun" 10 \
 	metric_at_least "$r1_admin" requests_running 4
--- a/tests/process/stop.sh
+++ b/tests/process/stop.sh
@@ -8,11 +8,11 @@
 start_fleet 3
 until_true "r1 has no buddy" 20 has_buddy "$r1_admin"
 inc=$(incarnation "$r1_admin")
-background streams tool load "$r1" "$api_key" long --count 30 --tokens 200 \
+background streams load "$r1" "$api_key" long --count 30 --tokens 200 \
 	--stream
 until_true "the streams do not run" 20 \
 	metric_at_least "$r1_admin" requests_running 30
-background others tool load "$r2,$r3" "$api_key" other --count 60 \
+background others load "$r2,$r3" "$api_key" other --count 60 \
 	--parallel 4
 kill -TERM "$r1_pid"
 finish streams
--- a/tests/process/store_lose.sh
+++ b/tests/process/store_lose.sh
@@ -23,8 +23,8 @@
 ctl budget topup workshop 1000 --op topup-2 >"$WORK/ctl.out" 2>&1
 equal "the client succeeds without an answer" False \
 	"$([ $? -eq 0 ] && echo True || echo False)"
-background load tool load "$r1,$r2" "$api_key" lost --count 30 --tries 30
-background orders tool load "$r1,$r2" "$api_key" order --count 10 \
+background load load "$r1,$r2" "$api_key" lost --count 30 --tries 30
+background orders load "$r1,$r2" "$api_key" order --count 10 \
 	--path /orders/a --tries 30
 sleep 3
 mode "$store_port" '{"mode": "normal"}'
--- a/tests/process/store_stop.sh
+++ b/tests/process/store_stop.sh
@@ -10,7 +10,7 @@
 start_platform 1 100000
 start_fleet 2
 until_true "r1 has no buddy" 20 has_buddy "$r1_admin"
-background streams tool load "$r1" "$api_key" long --count 8 --tokens 300 \
+background streams load "$r1" "$api_key" long --count 8 --tokens 300 \
 	--stream
 until_true "the streams do not run" 20 \
 	metric_at_least "$r1_admin" requests_running 8
