--- a/front/refusal.c
+++ b/front/refusal.c
@@ -9,17 +9,10 @@
 	const char *message;
 } refusal_entry_t;
 
-/* A disabled key gets the same answer as an unknown one. */
-#define UNAUTHENTICATED                                       \
-	{                                                     \
-		REFUSAL_UNAUTHENTICATED, 401, 0,              \
-			"the API key is missing or not valid" \
-	}
-
 static const refusal_entry_t table[REFUSAL_COUNT] = {
 	[REFUSAL_NONE] = {REFUSAL_INTERNAL, 500, 0, "internal error"},
-	[REFUSAL_UNAUTHENTICATED] = UNAUTHENTICATED,
-	[REFUSAL_ACCOUNT_DISABLED] = UNAUTHENTICATED,
+	[REFUSAL_UNAUTHENTICATED] = {REFUSAL_UNAUTHENTICATED, 401, 0,
+				     "the API key is missing or not valid"},
 	[REFUSAL_BAD_REQUEST] = {REFUSAL_BAD_REQUEST, 400, 0,
 				 "the request is not valid"},
 	[REFUSAL_NO_SERVICE] = {REFUSAL_NO_SERVICE, 404, 0,
@@ -37,9 +30,6 @@
 	[REFUSAL_KEY_MISMATCH] = {REFUSAL_KEY_MISMATCH, 422, 0,
 				  "the idempotency key was used with another "
 				  "request"},
-	[REFUSAL_KEY_IN_USE] = {REFUSAL_KEY_IN_USE, 409, 0,
-				"a request with this idempotency key is in "
-				"progress"},
 	[REFUSAL_OUTCOME_UNKNOWN] = {REFUSAL_OUTCOME_UNKNOWN, 409, 0,
 				     "the outcome of the request with this "
 				     "idempotency key is not known"},
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -19,7 +19,6 @@
 /* Why a request was refused.  Each has a counter. */
 #define REFUSAL_LIST(X)                             \
 	X(UNAUTHENTICATED, "unauthenticated")       \
-	X(ACCOUNT_DISABLED, "account_disabled")     \
 	X(BAD_REQUEST, "bad_request")               \
 	X(NO_SERVICE, "no_service")                 \
 	X(TOO_LARGE, "too_large")                   \
@@ -28,7 +27,6 @@
 	X(BUDGET_UNAVAILABLE, "budget_unavailable") \
 	X(BILL_REFUSED, "bill_refused")             \
 	X(KEY_MISMATCH, "key_mismatch")             \
-	X(KEY_IN_USE, "key_in_use")                 \
 	X(OUTCOME_UNKNOWN, "outcome_unknown")       \
 	X(CLAIM_UNAVAILABLE, "claim_unavailable")   \
 	X(QUARANTINED, "quarantined")               \
