--- a/tests/process/slow_reader.sh
+++ b/tests/process/slow_reader.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Guards against a router that stores what a caller does not read.
-RATE=0
+RATE=250000
 SERVICE_ARGS="--deadline-ms 120000 --first-byte-ms 60000 --idle-ms 60000"
 . "$(dirname "$0")/fleet.sh"
 
