Generate crashes of routers that released unprotected bills

Cause: the property test excluded such crashes, so it could not see that recovery gives the withheld part of a grant back once the platform no longer lists the instance, and that others spend it again. Change: routers that reach nobody crash too; the end check compares the lost bills of each crashed router with what its grants still withhold.

--- a/tests/ledger_prove.cc
+++ b/tests/ledger_prove.cc
@@ -16,25 +16,49 @@
 	uint64_t checks = 0;
 	std::string overspend, unbilled;
 	uint64_t counters[COUNTER_COUNT] = {};
-	uint64_t crashes = 0;
+	uint64_t crashes = 0, lost = 0;
 };
 
-// A crash of owner and buddy together is outside the promise; so is one of
-// a router that released answers without store and buddy.
+// A crash of owner and buddy together is outside the promise.
 bool may_crash(World &world, int index)
 {
 	Holder *holder = world.holders[(size_t)index].get();
-	if (holder == nullptr || world.live() < 2 ||
-	    world.has_grants_of_crashed())
+	if (holder == nullptr || world.live() < 2 || world.is_recovering())
 		return false;
 	for (auto &[inc, when] : world.crashed)
 		if (world.now - when < 15 * SEC)
 			return false;
 	Holder *buddy = world.find(holder->buddy);
-	if (buddy == nullptr || buddy->paused ||
-	    holder->ledger.out.acked == 0 || holder->ledger.lapsed)
-		return false;
-	return holder->kernel.metrics->counters[COUNTER_BILLS_UNPROTECTED] == 0;
+	return buddy != nullptr && !buddy->paused &&
+	       holder->ledger.out.acked != 0;
+}
+
+// A router that reaches nobody releases answers unprotected, then crashes.
+void isolate_and_crash(World &world, int index)
+{
+	Holder *holder = world.holders[(size_t)index].get();
+	if (holder == nullptr)
+		return;
+	std::string inc = holder->incarnation;
+	holder->store_cut = true;
+	for (size_t i = 0; i < world.holders.size(); i++) {
+		world.cuts.insert({index, (int)i});
+		world.cuts.insert({(int)i, index});
+	}
+	world.at(5 * SEC + world.below(6 * SEC), [&world, index, inc] {
+		for (size_t i = 0; i < world.holders.size(); i++) {
+			world.cuts.erase({index, (int)i});
+			world.cuts.erase({(int)i, index});
+		}
+		if (world.find(inc) == nullptr)
+			return;
+		world.find(inc)->store_cut = false;
+		if (!may_crash(world, index))
+			return;
+		world.crash(index);
+		world.at(1 * SEC + world.below(5 * SEC),
+			 [&world, index] { world.start(index); });
+	});
 }
 
 void random_fault(World &world, int holders)
@@ -89,6 +113,10 @@
 	case 7:
 		world.set_budget("main", 2000 + world.below(5000));
 		break;
+	case 8:
+		if (world.below(3) == 0)
+			isolate_and_crash(world, index);
+		break;
 	default:
 		break;
 	}
@@ -122,6 +150,7 @@
 	int holders = 2 + (int)(seed % 2);
 	int serial = 0;
 
+	world.gone_lag = 10 * SEC;
 	world.opts.tick_us = 2 * SEC;
 	world.opts.close_after_us = 20 * SEC;
 	world.opts.min_slice = 500;
@@ -147,6 +176,7 @@
 	verdict.overspend = world.overspend;
 	verdict.unbilled = world.unbilled;
 	verdict.crashes = world.crashed.size();
+	verdict.lost = world.bills_lost;
 	memcpy(verdict.counters, world.counters, sizeof(verdict.counters));
 	return verdict;
 }
@@ -188,7 +218,7 @@
 	uint64_t from, to, checks = 0;
 	unsigned schedules = 0, bad[2] = {0, 0};
 	uint64_t seeds[2] = {0, 0};
-	uint64_t seen[COUNTER_COUNT] = {}, crashes = 0;
+	uint64_t seen[COUNTER_COUNT] = {}, crashes = 0, lost = 0;
 	std::string first[2];
 	int prefix[2] = {0, 0};
 	std::string Verdict::*kinds[2] = {&Verdict::overspend,
@@ -200,6 +230,7 @@
 		schedules++;
 		checks += verdict.checks;
 		crashes += verdict.crashes;
+		lost += verdict.lost;
 		for (int i = 0; i < COUNTER_COUNT; i++)
 			seen[i] += verdict.counters[i];
 		for (int i = 0; i < 2; i++)
@@ -215,13 +246,14 @@
 	report(2, "billed_once", schedules, checks, bad[1], seeds[1], first[1],
 	       prefix[1]);
 	printf("seen: crashes=%lu recovered=%lu lost=%lu bills=%lu "
-	       "duplicate=%lu unprotected=%lu\n",
+	       "duplicate=%lu unprotected=%lu lost_unprotected=%lu\n",
 	       (unsigned long)crashes,
 	       (unsigned long)seen[COUNTER_GRANTS_RECOVERED],
 	       (unsigned long)seen[COUNTER_GRANTS_LOST],
 	       (unsigned long)seen[COUNTER_BILLS],
 	       (unsigned long)seen[COUNTER_BILLS_DUPLICATE],
-	       (unsigned long)seen[COUNTER_BILLS_UNPROTECTED]);
+	       (unsigned long)seen[COUNTER_BILLS_UNPROTECTED],
+	       (unsigned long)lost);
 	if (schedules >= 100) {
 		// Schedules that never reach a rule don't prove it.
 		EXPECT_GT(crashes, 0u);
@@ -229,6 +261,7 @@
 		EXPECT_GT(seen[COUNTER_GRANTS_LOST], 0u);
 		EXPECT_GT(seen[COUNTER_BILLS_DUPLICATE], 0u);
 		EXPECT_GT(seen[COUNTER_BILLS_UNPROTECTED], 0u);
+		EXPECT_GT(lost, 0u);
 	}
 	EXPECT_EQ(bad[0], 0u) << first[0];
 	EXPECT_EQ(bad[1], 0u) << first[1];
--- a/tests/ledger_world.h
+++ b/tests/ledger_world.h
@@ -102,6 +102,10 @@
 	std::multimap<int64_t, std::function<void()>> events;
 	std::set<std::pair<int, int>> cuts;
 	std::map<std::string, int64_t> crashed; // incarnation -> when
+	std::map<std::string, uint64_t> exposed_bills; // of crashed ones
+	std::map<std::string, std::string> released_by; // key -> incarnation
+	int64_t gone_lag = 20 * USEC_PER_SEC; // of the instance list
+	uint64_t bills_lost = 0; // released unprotected, gone with a crash
 	uint64_t counters[COUNTER_COUNT] = {}; // of all holders
 	ledger_opts_t opts;
 	bool fast_links = false;
@@ -138,7 +142,8 @@
 	void publish_members();
 	void choose_buddy(Holder *holder);
 	bool has_grants(const std::string &incarnation) const;
-	bool has_grants_of_crashed() const;
+	bool is_recovering() const;
+	int64_t check_withheld(const std::string &name);
 	record_budget_t budget(const std::string &name);
 	void on_store(Holder *holder, msg_t *msg);
 	void on_peer(Holder *holder, msg_t *msg);
--- a/tests/ledger_world_impl.h
+++ b/tests/ledger_world_impl.h
@@ -8,7 +8,6 @@
 #define SEC USEC_PER_SEC
 #define LEASE_TTL (6 * SEC)
 #define LEASE_MARGIN (1 * SEC)
-#define GONE_LAG (20 * SEC) // the instance list shows a crash this late
 
 // Owns a payload until it is delivered, or for good if it never is.
 template <typename T>
@@ -171,6 +170,8 @@
 	Holder *holder = holders[(size_t)index].get();
 
 	crashed[holder->incarnation] = now;
+	exposed_bills[holder->incarnation] =
+		holder->kernel.metrics->counters[COUNTER_BILLS_UNPROTECTED];
 	note_counters(holder);
 	ledger_finish(&holder->ledger);
 	kernel_finish(&holder->kernel);
@@ -266,11 +267,16 @@
 	       it->first.compare(0, prefix.size(), prefix) == 0;
 }
 
-inline bool World::has_grants_of_crashed() const
+// Some grant of a crashed router still waits for its buddy.
+inline bool World::is_recovering() const
 {
-	for (auto &[inc, when] : crashed)
-		if (has_grants(inc))
+	for (auto &[key, entry] : store.entries) {
+		if (entry.record.kind != RECORD_GRANT)
+			continue;
+		std::string inc = key.substr(6, key.find('/', 6) - 6);
+		if (crashed.count(inc) > 0 && !entry.record.u.grant.recovered)
 			return true;
+	}
 	return false;
 }
 
@@ -297,9 +303,9 @@
 		}
 	};
 	for (auto &[inc, when] : crashed)
-		if (has_grants(inc) && store.up &&
+		if (store.revision_of("member/" + inc) != 0 && store.up &&
 		    store.revision_of("alive/" + inc) == 0)
-			tell(inc, now - when > GONE_LAG);
+			tell(inc, now - when > gone_lag);
 	for (size_t i = 0; i < holders.size(); i++) {
 		Holder *holder = holders[i].get();
 		if (holder == nullptr)
@@ -486,6 +492,7 @@
 	    released.count(request.key) > 0)
 		return;
 	released[request.key] = {request.budget, request.tokens};
+	released_by[request.key] = holder->incarnation;
 	spent[request.budget] += request.tokens;
 	checks++;
 	if (spent[request.budget] > budget(request.budget).budget &&
@@ -592,15 +599,55 @@
 	}
 }
 
-// After healing and rest: all is billed once and nothing is stranded.
+// Sums up what the grants of crashed routers still hold of a budget.  It must
+// cover the answers that each of them released unprotected and whose bills
+// were lost with it, and be no more than the unprotected part.
+inline int64_t World::check_withheld(const std::string &name)
+{
+	int64_t sum = 0;
+
+	for (auto &[inc, bills] : exposed_bills) {
+		auto it = store.entries.find("grant/" + inc + "/acme/" + name);
+		int64_t held = 0, lost = 0;
+		if (it != store.entries.end()) {
+			auto &grant = it->second.record.u.grant;
+			held = grant.granted - grant.settled;
+			if ((!grant.recovered || held <= 0 ||
+			     held > grant.unprotected) &&
+			    unbilled.empty())
+				unbilled = "tokens stranded in " + it->first;
+			sum += grant.granted;
+		}
+		for (auto &[key, what] : released)
+			if (what.first == name && released_by[key] == inc &&
+			    store.revision_of("bill/acme/" + key) == 0)
+				lost += what.second;
+		if (lost > held && overspend.empty())
+			overspend = inc + " lost bills of " +
+				    std::to_string(lost) + " tokens of " +
+				    name + ", withheld " + std::to_string(held);
+	}
+	return sum;
+}
+
+// After healing and rest: all is billed once, but for what a router released
+// unprotected before it crashed, and nothing is stranded but what recovery
+// withholds for that.
 inline void World::check_end()
 {
+	std::map<std::string, uint64_t> lost; // bills by incarnation
+
 	for (auto &holder : holders)
 		if (holder != nullptr)
 			note_counters(holder.get());
 	for (auto &[key, what] : released) {
 		checks++;
-		if (store.revision_of("bill/acme/" + key) == 0 &&
+		if (store.revision_of("bill/acme/" + key) != 0)
+			continue;
+		std::string inc = released_by[key];
+		bills_lost++;
+		if ((crashed.count(inc) == 0 ||
+		     ++lost[inc] > exposed_bills[inc]) &&
 		    unbilled.empty())
 			unbilled = key + " was released and not billed";
 	}
@@ -609,7 +656,10 @@
 			continue;
 		checks++;
 		auto &record = entry.record.u.budget;
-		if (record.granted != record.retired && unbilled.empty())
+		int64_t withheld =
+			check_withheld(key.substr(key.rfind('/') + 1));
+		if (record.granted != record.retired + withheld &&
+		    unbilled.empty())
 			unbilled = "tokens stranded in " + key;
 	}
 }
