Never give back the unprotected part of a dead router's grant

Cause: a router that reached neither store nor buddy releases answers against the unprotected part of its grant; when it crashes, their bills are lost. Recovery gave that part back once the platform no longer listed the instance, so that it was spent a second time. Change: recovery keeps it withheld; the owner or `budget reclaim` gives it back. A grant with nothing to withhold is closed, the member record goes with the last grant. Such members are looked at once a minute; the gauge withheld_tokens shows what waits.

--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -106,6 +106,8 @@
 	}
 	holder_tick(ledger);
 	metrics_set(ledger->kernel->metrics, GAUGE_GRANT_TOKENS, tokens);
+	metrics_set(ledger->kernel->metrics, GAUGE_WITHHELD_TOKENS,
+		    withheld_sum(ledger));
 	metrics_set(ledger->kernel->metrics, GAUGE_BILLS_PENDING,
 		    table_count(&ledger->bills));
 }
@@ -298,6 +300,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ledger->job_names =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ledger->withheld =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ledger->dirty = g_array_new(FALSE, FALSE, sizeof(handle_t));
 	ledger->stalled = g_array_new(FALSE, FALSE, sizeof(handle_t));
 }
@@ -339,6 +343,7 @@
 	g_hash_table_unref(ledger->bill_keys);
 	g_hash_table_unref(ledger->holder_names);
 	g_hash_table_unref(ledger->job_names);
+	g_hash_table_unref(ledger->withheld);
 	g_array_unref(ledger->dirty);
 	g_array_unref(ledger->stalled);
 	g_clear_pointer(&ledger->members, member_list_unref);
--- a/ledger/ledger.h
+++ b/ledger/ledger.h
@@ -60,6 +60,7 @@
 	GHashTable *bill_keys; /* store key -> handle of the first bill */
 	GHashTable *holder_names; /* incarnation -> handle */
 	GHashTable *job_names; /* incarnation -> handle */
+	GHashTable *withheld; /* incarnation -> withheld_t */
 
 	member_list_t *members;
 	uint64_t op_seq; /* of grant and budget writes */
--- a/ledger/local.h
+++ b/ledger/local.h
@@ -164,7 +164,7 @@
 	int64_t since; /* of the wait */
 	int64_t began;
 	job_step_t step;
-	bool closing; /* grants are closed: the instance is gone */
+	bool closing; /* the instance is gone: empty grants are closed */
 	bool progress; /* something was written since the last listing */
 	int64_t member_rev;
 	char buddy[INCARNATION_SIZE]; /* as the member record says */
@@ -183,6 +183,12 @@
 	handle_t timer;
 } job_t;
 
+/* What the recovered grants of a dead router still hold. */
+typedef struct withheld_t {
+	int64_t tokens;
+	int64_t looked_at;
+} withheld_t;
+
 static inline gpointer handle_pack(handle_t handle)
 {
 	return GSIZE_TO_POINTER(((gsize)handle.gen << 32) | handle.index);
@@ -293,6 +299,14 @@
 bool recover_is_active(const ledger_t *ledger, const char *incarnation);
 void recover_free(ledger_t *ledger, job_t *job);
 
+/* withheld.c */
+int64_t grant_rest(const record_grant_t *grant);
+int64_t grant_withheld(const record_grant_t *grant);
+bool grant_is_withheld(const record_grant_t *grant);
+void withheld_note(ledger_t *ledger, const job_t *job);
+bool withheld_is_known(const ledger_t *ledger, const char *incarnation);
+int64_t withheld_sum(ledger_t *ledger);
+
 G_END_DECLS
 
 #endif
--- a/ledger/recover.c
+++ b/ledger/recover.c
@@ -11,7 +11,6 @@
  * routers that were each other's buddies may both be gone.
  */
 #define BUDDY_WAIT_MAX (1800 * USEC_PER_SEC)
-
 static job_t *job_find(const ledger_t *ledger, const char *incarnation)
 {
 	return table_get(&ledger->jobs,
@@ -288,15 +287,15 @@
 static void add_return(store_txn_t *txn, job_t *job, record_grant_t *grant,
 		       const char *budget_name)
 {
-	int64_t rest = grant->granted - grant->settled;
-	int64_t keep = MIN(rest, MAX(grant->unprotected, 0));
+	int64_t rest = grant_rest(grant);
+	int64_t keep = grant_withheld(grant);
 	record_t record = {.kind = RECORD_BUDGET};
 	record_t grant_record = {.kind = RECORD_GRANT};
 	int64_t revision = job_grant(job)->revision;
 
 	record.u.budget = job->budget;
 	push_op(&record.u.budget, &job->op);
-	if (job->closing) {
+	if (job->closing && keep == 0) {
 		record.u.budget.granted -= rest;
 		record.u.budget.retired += grant->settled;
 		store_txn_delete(txn, job_grant(job)->key, revision);
@@ -339,11 +338,11 @@
 
 static void job_write(ledger_t *ledger, job_t *job)
 {
-	call_t *call = call_new(ledger, CALL_JOB);
-	store_txn_t *txn = store_txn_new();
 	char account[NAME_SIZE] = "";
 	char budget[NAME_SIZE] = "";
 	char key[STORE_KEY_SIZE];
+	call_t *call = call_new(ledger, CALL_JOB);
+	store_txn_t *txn = store_txn_new();
 
 	call->job = job->handle;
 	split_grant_key(job_grant(job)->key, account, budget);
@@ -375,12 +374,14 @@
 		    (kv->record.u.grant.recovered && !job->closing))
 			continue;
 		collect_bills(ledger, job);
-		if (!job->give_back && job->bills->len == 0)
+		if (job->bills->len == 0 &&
+		    (!job->give_back || grant_is_withheld(&kv->record.u.grant)))
 			continue;
 		job->step = JOB_GRANT;
 		job_write(ledger, job);
 		return;
 	}
+	withheld_note(ledger, job);
 	if (job->instance_gone && !job->closing)
 		job_begin(ledger, job);
 	else if (job->closing && job->progress)
@@ -389,6 +390,18 @@
 		job_end(ledger, job, job->give_back);
 }
 
+/* The copied bills may have turned out to be in the store already. */
+static void job_go_on(ledger_t *ledger, job_t *job)
+{
+	if (job->bills->len > 0 ||
+	    !grant_is_withheld(&job_grant(job)->record.u.grant)) {
+		job_write(ledger, job);
+		return;
+	}
+	job->next++;
+	job_next(ledger, job);
+}
+
 static void get_buddy(ledger_t *ledger, job_t *job)
 {
 	char key[STORE_KEY_SIZE];
@@ -536,7 +549,7 @@
 	}
 	if (job->checking) {
 		job->checked += job->attempt_bills;
-		job_write(ledger, job);
+		job_go_on(ledger, job);
 		return;
 	}
 	job->progress = true;
@@ -572,7 +585,7 @@
 	if (grant->kind == RECORD_GRANT &&
 	    !(grant->u.grant.recovered && !job->closing) &&
 	    job->budget_rev != 0) {
-		job_write(ledger, job);
+		job_go_on(ledger, job);
 		return;
 	}
 	job->next++;
@@ -608,6 +621,7 @@
 		handle_grant(ledger, job, result);
 		break;
 	case JOB_FORGET:
+		g_hash_table_remove(ledger->withheld, job->incarnation);
 		job_end(ledger, job, true);
 		break;
 	}
@@ -655,7 +669,8 @@
 	const char *incarnation = msg->u.gone.incarnation;
 	job_t *job = job_find(ledger, incarnation);
 
-	if (strcmp(incarnation, ledger->opts.incarnation) == 0)
+	if (strcmp(incarnation, ledger->opts.incarnation) == 0 ||
+	    withheld_is_known(ledger, incarnation))
 		return;
 	if (job == NULL)
 		job = job_new(ledger, incarnation);
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -59,6 +59,8 @@
 	X(TARGETS_EJECTED, "targets_ejected", "targets ejected now")        \
 	X(CONF_REVISION, "conf_revision", "highest revision applied")       \
 	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent") \
+	X(WITHHELD_TOKENS, "withheld_tokens",                               \
+	  "tokens of dead routers that wait for budget reclaim")            \
 	X(BILLS_PENDING, "bills_pending", "bills not yet in the store")     \
 	X(PROTECTED, "protected", "1 when bills reach store or buddy")      \
 	X(STORE_UP, "store_up", "1 when the store answered last time")
