Level the slices of a budget among its holders

Cause: about half of the refusals under the cut had enough tokens on the other side or in the store: slices followed each router's own recent demand, at most 1/14 of the rest at a time, and the demand moves while the zone is cut off. Change: a slice aims at the larger of its demand and three times what is unallocated, so that all hold about the same and little stays in the store; it takes at most 1/n of the rest at a time and returns what is above both.

--- a/ledger/grant.c
+++ b/ledger/grant.c
@@ -8,6 +8,8 @@
 /* Keeps the fleet's repeated looks at one budget under 1,000 a second. */
 #define SPENT_SPREAD_PER_MEMBER USEC_PER_MSEC
 #define RATE_MAX (TOKENS_MAX / 4096)
+#define LEVEL 3
+#define LEVEL_SLACK 8 /* smaller parts of a slice are not moved */
 #define RATE_MIN_TIME USEC_PER_SEC /* shortest time a rate is taken over */
 
 static void begin(ledger_t *ledger, slice_t *slice, flight_kind_t kind)
@@ -103,7 +105,18 @@
 /* A larger share than this is taken only for requests that wait. */
 static int64_t fair_share(const ledger_t *ledger, const slice_t *slice)
 {
-	return unallocated(slice) / (2 * (int64_t)member_count(ledger));
+	return unallocated(slice) / (int64_t)member_count(ledger);
+}
+
+/*
+ * Every holder aims at LEVEL times what is unallocated, so that all hold about
+ * the same and little stays in the store, out of reach of a partitioned
+ * availability zone: where the demand will be during a partition is unknown.
+ * Returns what is missing, or less than 0 for what is too much.
+ */
+static int64_t below_level(const slice_t *slice)
+{
+	return (LEVEL * unallocated(slice) - unused(slice)) / (LEVEL + 1);
 }
 
 static bool is_idle(const slice_t *slice)
@@ -164,7 +177,8 @@
 			       ? orphan_reservations(ledger, slice)
 			       : 0);
 	int64_t take = all - unused(slice);
-	int64_t wish = wanted(ledger, slice) - unused(slice);
+	int64_t wish =
+		MAX(wanted(ledger, slice) - unused(slice), below_level(slice));
 
 	take = MAX(take, MIN(wish, fair_share(ledger, slice)));
 	take = MIN(take, unallocated(slice));
@@ -360,15 +374,17 @@
 {
 	int64_t target = wanted(ledger, slice);
 	int64_t have = slice_available(slice);
+	int64_t excess;
 
 	if (slice->grant_rev == 0 || slice->grant.recovered ||
 	    slice->budget_rev == 0 || slice->verified != ledger->epoch)
 		return;
-	if (have / 2 > target)
-		begin_resize(ledger, slice,
-			     slice->grant.granted - (have - target), 0);
-	else if (have < target / 2 &&
-		 fair_share(ledger, slice) > MAX(have, target / 10))
+	excess = MIN(have - target, -below_level(slice));
+	if (excess > have / LEVEL_SLACK)
+		begin_resize(ledger, slice, slice->grant.granted - excess, 0);
+	else if (MIN(MAX(target - have, below_level(slice)),
+		     fair_share(ledger, slice)) >
+		 MAX(have, target) / LEVEL_SLACK)
 		enlarge(ledger, slice);
 }
 
