Take exactly the waiting demand from the last tokens of a budget

Cause: near exhaustion a router that took the tokens for its waiting requests also took 1/n of the rest, which then had to be asked back. Change: below min_slice unallocated tokens only the waiting demand is taken.

--- a/ledger/grant.c
+++ b/ledger/grant.c
@@ -180,7 +180,8 @@
 	int64_t wish =
 		MAX(wanted(ledger, slice) - unused(slice), below_level(slice));
 
-	take = MAX(take, MIN(wish, fair_share(ledger, slice)));
+	if (unallocated(slice) >= ledger->opts.min_slice)
+		take = MAX(take, MIN(wish, fair_share(ledger, slice)));
 	take = MIN(take, unallocated(slice));
 	begin_resize(ledger, slice, slice->grant.granted + take, 0);
 }
