--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -6,7 +6,7 @@
 {
 	memset(opts, 0, sizeof(*opts));
 	g_strlcpy(opts->incarnation, incarnation, sizeof(opts->incarnation));
-	opts->horizon_us = 600 * USEC_PER_SEC;
+	opts->horizon_us = 150 * USEC_PER_SEC;
 	opts->commit_spacing_us = 5 * USEC_PER_MSEC;
 	opts->fleet_calls = 100;
 	opts->buddy_valid_us = 3 * USEC_PER_SEC;
--- a/ledger/ledger.h
+++ b/ledger/ledger.h
@@ -12,7 +12,7 @@
 
 typedef struct ledger_opts_t {
 	char incarnation[INCARNATION_SIZE]; /* of this router */
-	int64_t horizon_us; /* a grant lasts this long at recent demand */
+	int64_t horizon_us; /* of recent demand that a grant covers at least */
 	int64_t commit_spacing_us; /* least time between settlement calls */
 	uint32_t fleet_calls; /* settlement calls per second of all members */
 	int64_t buddy_valid_us; /* an acknowledgement protects this long */
