--- a/bench/bench_budget.cc
+++ b/bench/bench_budget.cc
@@ -19,10 +19,12 @@
 constexpr int64_t SHIFT_S = 450; // each account's home zone moves
 constexpr int64_t CUT_FROM_S = 180;
 constexpr int64_t CUT_TO_S = 780;
-constexpr uint64_t SEED = 20261204;
+constexpr uint64_t SEED = 20261204; // an argument chooses another
 constexpr double GOAL_CONNECTED = 0.1; // percent
 constexpr double GOAL_CUT = 1.0; // percent
 
+uint64_t chosen_seed = SEED;
+
 struct Deployment {
 	const char *name;
 	std::vector<int> zones; // of each router
@@ -396,8 +398,8 @@
 
 	printf("bench %s trace=%s seed=%lu policy=%s value=%.3f%s goal=%g%s "
 	       "met=%s\n",
-	       name, trace, (unsigned long)SEED, policy, value, unit, goal,
-	       unit, met ? "yes" : "no");
+	       name, trace, (unsigned long)chosen_seed, policy, value, unit,
+	       goal, unit, met ? "yes" : "no");
 	return met;
 }
 
@@ -406,7 +408,7 @@
 {
 	const char *name = cut ? "false_refusals_cut" : "false_refusals";
 	double goal = cut ? GOAL_CUT : GOAL_CONNECTED;
-	Trace trace = make_trace(deployment, shares_of, SEED);
+	Trace trace = make_trace(deployment, shares_of, chosen_seed);
 	std::vector<bool> best = run_single(trace, 1);
 	std::vector<bool> shares = run_single(trace, ROUTERS);
 	Outcome ours = run_ledger(deployment, trace, cut);
@@ -437,7 +439,7 @@
 
 } // namespace
 
-int main()
+int main(int argc, char **argv)
 {
 	const Deployment deployments[] = {
 		{"szunyoghalo", {0, 0, 1, 1, 2, 2, 3}},
@@ -445,6 +447,8 @@
 	};
 	bool met = true;
 
+	if (argc > 1)
+		chosen_seed = strtoul(argv[1], nullptr, 10);
 	for (const Deployment &deployment : deployments)
 		for (bool cut : {false, true})
 			for (bool tight : {true, false}) {
