Adjust slices every 3 s

Cause: under the cut the zone holds what the last adjustments left it; a tick of 10 s follows the level of a budget too slowly. Change: tick_us 3 s instead of 10 s.

--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -15,7 +15,7 @@
 	opts->reserve_wait_us = 2 * USEC_PER_SEC;
 	opts->ask_wait_us = 300 * USEC_PER_MSEC;
 	opts->spent_cache_us = 500 * USEC_PER_MSEC;
-	opts->tick_us = 10 * USEC_PER_SEC;
+	opts->tick_us = 3 * USEC_PER_SEC;
 	opts->close_after_us = 120 * USEC_PER_SEC;
 }
 
