Bill another request under a reused key

Change: the request's fingerprint is part of a bill's key. A claim still answers such a request with 422 before it runs. Settings default to the horizon of 150 s that the ledger's measurements chose.

--- a/ledger/bill.c
+++ b/ledger/bill.c
@@ -4,17 +4,20 @@
 
 /* Longer escaped keys are replaced by their hash. */
 #define KEY_ESCAPED_MAX 200
+/* Digits of the fingerprint in a bill's key, 128 bits. */
+#define KEY_FINGERPRINT_DIGITS 32
 
 /*
  * An escape is '%' and two hex digits, so the "%%" before a hash can't come
- * from a short key.
+ * from a short key.  The fingerprint is part of the key: a caller that reuses
+ * an idempotency key for another request pays for that one too, as its stream
+ * has reached the caller before the bill is known to the store.
  */
-void ledger_bill_key(char out[STORE_KEY_SIZE], const char *client_account,
-		     const char *idem_key)
+void ledger_bill_key(char out[STORE_KEY_SIZE], const bill_t *bill)
 {
 	GString *text = g_string_new(NULL);
 
-	for (const char *c = idem_key; *c != '\0'; c++) {
+	for (const char *c = bill->idem_key; *c != '\0'; c++) {
 		if (g_ascii_isalnum(*c) || strchr("._-", *c) != NULL)
 			g_string_append_c(text, *c);
 		else
@@ -23,16 +26,24 @@
 	}
 	if (text->len > KEY_ESCAPED_MAX) {
 		char *hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256,
-							   idem_key, -1);
+							   bill->idem_key, -1);
 
 		g_string_printf(text, "%%%%%s", hash);
 		g_free(hash);
 	}
-	g_snprintf(out, STORE_KEY_SIZE, "bill/%s/%s", client_account,
-		   text->str);
+	g_snprintf(out, STORE_KEY_SIZE, "bill/%s/%s/%.*s", bill->client_account,
+		   text->str, KEY_FINGERPRINT_DIGITS, bill->fingerprint);
 	g_string_free(text, TRUE);
 }
 
+/* Two bills of the same request. */
+bool bill_is_same(const bill_t *a, const bill_t *b)
+{
+	return strcmp(a->idem_key, b->idem_key) == 0 &&
+	       strcmp(a->fingerprint, b->fingerprint) == 0 &&
+	       strcmp(a->client_account, b->client_account) == 0;
+}
+
 /*
  * The writer is the router that billed, also when its buddy writes the
  * record: both then recognise it as the same bill.
@@ -84,10 +95,7 @@
 	pending_t *bill;
 
 	while ((bill = table_next(&ledger->bills, &cursor, NULL)) != NULL) {
-		if (bill->follower &&
-		    strcmp(bill->bill.idem_key, first->bill.idem_key) == 0 &&
-		    strcmp(bill->bill.client_account,
-			   first->bill.client_account) == 0)
+		if (bill->follower && bill_is_same(&bill->bill, &first->bill))
 			return bill;
 	}
 	return NULL;
@@ -113,7 +121,7 @@
 {
 	char key[STORE_KEY_SIZE];
 
-	ledger_bill_key(key, bill->bill.client_account, bill->bill.idem_key);
+	ledger_bill_key(key, &bill->bill);
 	g_hash_table_insert(ledger->bill_keys, g_strdup(key),
 			    handle_pack(bill->handle));
 	if (bill->orphan)
@@ -122,22 +130,13 @@
 	bill_dirty(ledger, table_get(&ledger->slices, bill->slice));
 }
 
-/* A bill of the same key as one that was released: a repeated request. */
-static void answer_repeat(ledger_t *ledger, pending_t *bill,
-			  const char *fingerprint)
-{
-	answer(ledger, bill,
-	       strcmp(bill->bill.fingerprint, fingerprint) == 0 ? BILL_DUPLICATE
-								: BILL_REFUSED);
-}
-
 /* Ends the first bill of a key; the next one of that key follows. */
 static void end_bill(ledger_t *ledger, pending_t *bill)
 {
 	char key[STORE_KEY_SIZE];
 	pending_t *next = NULL;
 
-	ledger_bill_key(key, bill->bill.client_account, bill->bill.idem_key);
+	ledger_bill_key(key, &bill->bill);
 	g_hash_table_remove(ledger->bill_keys, key);
 	if (ledger->followers > 0)
 		next = first_follower(ledger, bill);
@@ -157,7 +156,7 @@
 	answer(ledger, bill, BILL_RECORDED);
 	while (ledger->followers > 0 &&
 	       (next = first_follower(ledger, bill)) != NULL) {
-		answer_repeat(ledger, next, bill->bill.fingerprint);
+		answer(ledger, next, BILL_DUPLICATE);
 		drop(ledger, next);
 	}
 }
@@ -177,7 +176,7 @@
 		bill_settled(ledger, bill);
 		return;
 	}
-	answer_repeat(ledger, bill, record->fingerprint);
+	answer(ledger, bill, BILL_DUPLICATE);
 	end_bill(ledger, bill);
 }
 
@@ -216,11 +215,11 @@
 	char key[STORE_KEY_SIZE];
 	const pending_t *first;
 
-	ledger_bill_key(key, bill->bill.client_account, bill->bill.idem_key);
+	ledger_bill_key(key, &bill->bill);
 	first = table_get(&ledger->bills, handle_unpack(g_hash_table_lookup(
 						  ledger->bill_keys, key)));
 	if (first != NULL && first->answered) {
-		answer_repeat(ledger, bill, first->bill.fingerprint);
+		answer(ledger, bill, BILL_DUPLICATE);
 		drop(ledger, bill);
 		return;
 	}
--- a/ledger/flight.c
+++ b/ledger/flight.c
@@ -64,8 +64,7 @@
 			&ledger->bills,
 			g_array_index(slice->flight.bills, handle_t, i));
 
-		ledger_bill_key(key, slice->client_account,
-				bill->bill.idem_key);
+		ledger_bill_key(key, &bill->bill);
 		if (slice->flight.kind == FLIGHT_READ) {
 			store_txn_check(txn, key, EXPECT_ABSENT);
 			continue;
@@ -220,8 +219,7 @@
 		const store_kv_t *kv;
 
 		bill->in_flight = false;
-		ledger_bill_key(key, slice->client_account,
-				bill->bill.idem_key);
+		ledger_bill_key(key, &bill->bill);
 		kv = store_result_find(result, key);
 		if (kv != NULL && kv->record.kind == RECORD_BILL)
 			bill_present(ledger, bill, &kv->record.u.bill);
--- a/ledger/ledger.h
+++ b/ledger/ledger.h
@@ -94,8 +94,7 @@
 void ledger_finish(ledger_t *ledger);
 
 /* Writes the store key of a bill; unsafe bytes are escaped. */
-void ledger_bill_key(char out[STORE_KEY_SIZE], const char *client_account,
-		     const char *idem_key);
+void ledger_bill_key(char out[STORE_KEY_SIZE], const bill_t *bill);
 
 G_END_DECLS
 
--- a/ledger/local.h
+++ b/ledger/local.h
@@ -264,6 +264,7 @@
 void bill_settled(ledger_t *ledger, pending_t *bill);
 void bill_present(ledger_t *ledger, pending_t *bill,
 		  const record_bill_t *record);
+bool bill_is_same(const bill_t *a, const bill_t *b);
 void bill_refuse(ledger_t *ledger, pending_t *bill);
 void bills_cover(ledger_t *ledger, slice_t *slice);
 int64_t bills_orphaned(const ledger_t *ledger, const slice_t *slice);
--- a/ledger/recover.c
+++ b/ledger/recover.c
@@ -204,7 +204,7 @@
 	for (guint i = 0; i < job->bills->len; i++) {
 		bill_t *other = &g_array_index(job->bills, bill_t, i);
 
-		if (strcmp(other->idem_key, bill->idem_key) == 0) {
+		if (bill_is_same(other, bill)) {
 			*other = *bill;
 			return;
 		}
@@ -272,7 +272,7 @@
 		const bill_t *bill = &g_array_index(job->bills, bill_t,
 						    job->attempt_from + i);
 
-		ledger_bill_key(key, bill->client_account, bill->idem_key);
+		ledger_bill_key(key, bill);
 		if (job->checking) {
 			store_txn_check(txn, key, EXPECT_ABSENT);
 			continue;
@@ -490,7 +490,7 @@
 		const bill_t *bill = &g_array_index(job->bills, bill_t, at);
 		const store_kv_t *kv;
 
-		ledger_bill_key(key, bill->client_account, bill->idem_key);
+		ledger_bill_key(key, bill);
 		kv = store_result_find(result, key);
 		if (kv == NULL || kv->revision == 0)
 			continue;
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -95,7 +95,7 @@
 	{"member.lease_s", SETTING_INTEGER, AT(member_lease_s), false, 3, 300,
 	 10, "", "time to live of a router's lease in the store, s"},
 	{"ledger.horizon_s", SETTING_INTEGER, AT(ledger_horizon_s), false, 1,
-	 3600, 600, "", "demand that a grant covers, s"},
+	 3600, 150, "", "demand that a grant covers, s"},
 	{"ledger.unprotected_percent", SETTING_INTEGER,
 	 AT(ledger_unprotected_percent), false, 0, 100, 10, "",
 	 "part of a grant that may be spent without store and buddy, %"},
--- a/tests/ledger_world.h
+++ b/tests/ledger_world.h
@@ -69,6 +69,7 @@
 	int64_t reserved;
 	int64_t tokens;
 	int64_t run_us;
+	std::string fingerprint = "f";
 };
 
 // One router: a kernel with a ledger and stand-ins for its neighbours.
