--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,16 @@
 # for the main program, one test program for each tests/NAME_test.cc and one
 # stand-in for each tests/fakes/NAME.c.
 
-MODULES = kernel metrics log settings store conf ledger claims route request \
-	  dispatch front member peer instances admin router ctl
+MODULES = kernel metrics log settings store conf ledger claims orders route \
+	  request dispatch front member peer instances admin router ctl
 PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
 DEBIAN_PACKAGES = gcc g++ make pkg-config clang-format clang-tidy curl \
 		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
-		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev
+		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev \
+		  glib-networking
 
 BUILD ?= build
+PREFIX ?= /usr/local
 CC = gcc
 CXX = g++
 WARNINGS = -Wall -Wextra -Wpointer-arith -Wshadow -Wformat=2 -Wundef \
@@ -22,9 +24,9 @@
       -fno-sanitize-recover=undefined
 endif
 # Third-party headers are -isystem, so that warnings are about our own code.
-PKG_CFLAGS = $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PACKAGES)))
-PKG_LIBS = $(shell pkg-config --libs $(PACKAGES)) -lm
-GTEST_LIBS = $(shell pkg-config --libs gtest_main)
+PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PACKAGES)))
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES)) -lm
+GTEST_LIBS := $(shell pkg-config --libs gtest_main)
 CFLAGS = -std=gnu11 -I. $(OPT) $(CWARNINGS) $(PKG_CFLAGS) -MMD -MP
 CXXFLAGS = -std=c++17 -I. $(OPT) $(WARNINGS) -Wno-missing-field-initializers \
 	   $(PKG_CFLAGS) -MMD -MP
@@ -41,9 +43,10 @@
 OWN_C = $(SRC) $(wildcard main/*.c tests/fakes/*.c bench/*.c)
 OWN_ALL = $(OWN_C) $(foreach m,$(MODULES),$(wildcard $(m)/*.h)) \
 	  $(wildcard tests/*.cc tests/*.h bench/*.h)
+PAGES = $(wildcard main/*.1 ctl/*.1 router/*.8)
 
 .PHONY: all packages build check test format lint clean demo prove bench \
-	slopes fakes process
+	latency slopes fakes install docs/settings.md process
 
 all: $(BIN) $(FAKES)
 
@@ -52,8 +55,7 @@
 fakes: $(FAKES)
 
 packages:
-	@pkg-config --exists $(PACKAGES) gtest_main && \
-	command -v clang-format clang-tidy curl >/dev/null || \
+	@dpkg-query -W $(DEBIAN_PACKAGES) >/dev/null 2>&1 || \
 	{ apt-get update -qq && \
 	  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(DEBIAN_PACKAGES); }
 
@@ -92,6 +94,7 @@
 	@clang-format --dry-run -Werror $(OWN_ALL)
 
 lint: $(OWN_C:%.c=$(BUILD)/lint/%.ok)
+	@mandoc -Tlint -Wwarning $(PAGES)
 
 # One stamp a file, so that only what changed is linted again.
 $(BUILD)/lint/%.ok: %.c .clang-tidy
@@ -119,6 +122,21 @@
 prove: build
 	@sh tests/prove.sh $(BUILD)
 
+# The reference of all settings; the page and the code are compared by a test.
+docs/settings.md: $(BIN)
+	@sed '/^| key /,$$d' $@ >$@.new
+	@$(BIN) settings >>$@.new
+	@mv $@.new $@
+
+install: $(BIN)
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(filter %.1,$(PAGES)) \
+		$(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 $(filter %.8,$(PAGES)) \
+		$(DESTDIR)$(PREFIX)/share/man/man8
+
 # Every program bench/bench_*.c; fails when a figure misses its bound.
 bench: $(BENCHES)
 	@sh bench/run.sh $(BUILD)
@@ -127,6 +145,14 @@
 process: all
 	@BUILD=$(BUILD) bash tests/process/run.sh $(CASES)
 
+# Added latency, highest rate and memory of one router; a report.
+latency: all $(BENCHES)
+	@BUILD=$(BUILD) timeout 180 bash bench/latency.sh
+
+# Cost of one more of each thing that a fleet grows by; a report.
+slopes: all $(BENCHES)
+	@BUILD=$(BUILD) timeout 300 bash bench/slopes.sh
+
 clean:
 	rm -rf build
 
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -19,7 +19,6 @@
 /* Why a request was refused.  Each has a counter. */
 #define REFUSAL_LIST(X)                             \
 	X(UNAUTHENTICATED, "unauthenticated")       \
-	X(ACCOUNT_DISABLED, "account_disabled")     \
 	X(BAD_REQUEST, "bad_request")               \
 	X(NO_SERVICE, "no_service")                 \
 	X(TOO_LARGE, "too_large")                   \
@@ -28,7 +27,6 @@
 	X(BUDGET_UNAVAILABLE, "budget_unavailable") \
 	X(BILL_REFUSED, "bill_refused")             \
 	X(KEY_MISMATCH, "key_mismatch")             \
-	X(KEY_IN_USE, "key_in_use")                 \
 	X(OUTCOME_UNKNOWN, "outcome_unknown")       \
 	X(CLAIM_UNAVAILABLE, "claim_unavailable")   \
 	X(QUARANTINED, "quarantined")               \
@@ -195,6 +193,7 @@
 	GArray *services; /* record_service_t */
 	GArray *targets; /* record_target_t */
 	GArray *quarantine; /* record_quarantine_t */
+	GArray *orders; /* record_order_t, sorted by target */
 	GHashTable *by_key_hash; /* API key hash -> index + 1 */
 } conf_snapshot_t;
 
@@ -383,6 +382,9 @@
 	MSG_TARGET_END,
 	MSG_TARGET_FAILED,
 
+	MSG_ORDER_SEND, /* orders -> dispatch */
+	MSG_ORDER_RESULT,
+
 	MSG_STORE_GET, /* any -> store */
 	MSG_STORE_TXN,
 	MSG_STORE_LEASE,
@@ -432,6 +434,14 @@
 	CLAIM_STORE_UNAVAILABLE, /* not claimed, not run */
 } claim_result_t;
 
+typedef enum order_result_t {
+	ORDER_RESULT_DONE,
+	ORDER_RESULT_REFUSED_FENCING, /* a newer holder's order came first */
+	ORDER_RESULT_FAILED, /* refused; the same order would be again */
+	ORDER_RESULT_NOT_SENT, /* the target surely did not get it */
+	ORDER_RESULT_UNKNOWN, /* it may have taken effect */
+} order_result_t;
+
 #define ROUTE_AVOID_MAX 4
 
 typedef struct msg_t {
@@ -573,6 +583,23 @@
 				       */
 		} target_failed;
 
+		struct {
+			char host[HOST_SIZE];
+			uint16_t port;
+			order_kind_t kind;
+			char subject[NAME_SIZE];
+			char version[NAME_SIZE]; /* empty: not stated */
+			int64_t fencing_token;
+			/* Nothing is sent at or after this; monotonic, us. */
+			int64_t send_before;
+			uint32_t longest_ms; /* limit on the wait for an answer
+					      */
+		} order_send;
+		struct {
+			order_result_t result;
+			char message[ORDER_MESSAGE_SIZE];
+		} order_result;
+
 		struct {
 			char key[STORE_KEY_SIZE];
 			bool prefix; /* all keys that begin with key */
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -40,6 +40,12 @@
 	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
 	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
 	X(QUARANTINES, "quarantines", "requests put into quarantine")         \
+	X(ORDERS_SENT, "orders_sent", "orders sent to targets")               \
+	X(ORDERS_DONE, "orders_done", "orders that targets carried out")      \
+	X(ORDERS_FENCED, "orders_fenced",                                     \
+	  "orders refused for an old fencing number")                         \
+	X(ORDERS_WAITED, "orders_waited",                                     \
+	  "orders held back while an earlier one may run")                    \
 	X(MSG_UNDELIVERED, "msg_undelivered", "messages without a receiver")
 
 typedef enum counter_t {
@@ -59,6 +65,8 @@
 	X(TARGETS_EJECTED, "targets_ejected", "targets ejected now")        \
 	X(CONF_REVISION, "conf_revision", "highest revision applied")       \
 	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent") \
+	X(WITHHELD_TOKENS, "withheld_tokens",                               \
+	  "tokens of dead routers that wait for budget reclaim")            \
 	X(BILLS_PENDING, "bills_pending", "bills not yet in the store")     \
 	X(PROTECTED, "protected", "1 when bills reach store or buddy")      \
 	X(STORE_UP, "store_up", "1 when the store answered last time")
