Limit the silence of callers

Cause: a caller that sent its head or body slowly, or nothing, held its connection for ever. Reads only set a flag, so they need no clock.

--- a/front/caller.c
+++ b/front/caller.c
@@ -5,11 +5,16 @@
 #define DATA_KEY "front-caller"
 
 static const char last_request[] = "GET / HTTP/1.0\r\n\r\n";
+static const char timeout_answer[] =
+	"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+	"Content-Length: 0\r\n\r\n";
 
 typedef struct caller_input_t {
 	GInputStream parent;
 	GPollableInputStream *base;
-	bool idle;
+	caller_phase_t phase;
+	bool progress; /* since the last sweep */
+	int64_t since; /* monotonic, us, of the sweep that saw progress */
 	bool ended;
 	size_t given; /* bytes of last_request */
 } caller_input_t;
@@ -45,6 +50,28 @@
 	return (gssize)n;
 }
 
+static void set_phase(caller_input_t *input, caller_phase_t phase)
+{
+	if (input->phase == CALLER_EXPIRED)
+		return;
+	input->phase = phase;
+	input->progress = true;
+}
+
+static bool is_idle(const caller_input_t *input)
+{
+	return input->phase == CALLER_NEW || input->phase == CALLER_IDLE;
+}
+
+/* A head is limited as a whole, a body only in its silences. */
+static void take_progress(caller_input_t *input)
+{
+	if (is_idle(input))
+		set_phase(input, CALLER_HEAD);
+	else if (input->phase == CALLER_BODY)
+		input->progress = true;
+}
+
 static gssize read_nonblocking(GPollableInputStream *stream, void *buffer,
 			       gsize count, GError **error)
 {
@@ -57,9 +84,9 @@
 	n = g_pollable_input_stream_read_nonblocking(input->base, buffer, count,
 						     NULL, &failure);
 	if (n > 0) {
-		input->idle = false;
-	} else if (input->idle && !g_error_matches(failure, G_IO_ERROR,
-						   G_IO_ERROR_WOULD_BLOCK)) {
+		take_progress(input);
+	} else if (is_idle(input) && !g_error_matches(failure, G_IO_ERROR,
+						      G_IO_ERROR_WOULD_BLOCK)) {
 		g_clear_error(&failure);
 		input->ended = true;
 		return give_last_request(input, buffer, count);
@@ -119,7 +146,8 @@
 
 static void caller_input_init(caller_input_t *input)
 {
-	input->idle = true;
+	input->phase = CALLER_NEW;
+	input->progress = true;
 }
 
 static GInputStream *get_input(GIOStream *stream)
@@ -230,12 +258,12 @@
 			     : g_object_get_data(G_OBJECT(input), DATA_KEY);
 }
 
-void caller_set_idle(SoupServerMessage *msg)
+void caller_set_phase(SoupServerMessage *msg, caller_phase_t phase)
 {
 	caller_input_t *input = input_of(msg);
 
 	if (input != NULL)
-		input->idle = true;
+		set_phase(input, phase);
 }
 
 bool caller_has_ended(SoupServerMessage *msg)
@@ -244,3 +272,53 @@
 
 	return input != NULL && input->ended;
 }
+
+static int64_t phase_limit(caller_phase_t phase, const caller_limits_t *limits)
+{
+	switch (phase) {
+	case CALLER_NEW:
+	case CALLER_HEAD:
+		return limits->head_us;
+	case CALLER_BODY:
+		return limits->body_us;
+	case CALLER_IDLE:
+		return limits->idle_us;
+	case CALLER_BUSY:
+	case CALLER_EXPIRED:
+		break;
+	}
+	return G_MAXINT64;
+}
+
+/*
+ * The server has written nothing for a request that is still being read, so
+ * the answer goes around it.  It then reads the end of the input and drops
+ * the connection.
+ */
+static void expire(caller_io_t *io)
+{
+	caller_input_t *input = io->input;
+	GSocket *socket = g_object_get_data(G_OBJECT(input), DATA_KEY);
+	GOutputStream *out = get_output(G_IO_STREAM(io));
+
+	if (!is_idle(input)) {
+		g_pollable_output_stream_write_nonblocking(
+			G_POLLABLE_OUTPUT_STREAM(out), timeout_answer,
+			sizeof(timeout_answer) - 1, NULL, NULL);
+		input->phase = CALLER_EXPIRED;
+	}
+	g_socket_shutdown(socket, TRUE, TRUE, NULL);
+}
+
+void caller_sweep(GIOStream *caller, int64_t now, const caller_limits_t *limits)
+{
+	caller_io_t *io = (caller_io_t *)caller;
+	caller_input_t *input = io->input;
+
+	if (input->progress) {
+		input->progress = false;
+		input->since = now;
+	} else if (now - input->since >= phase_limit(input->phase, limits)) {
+		expire(io);
+	}
+}
--- a/front/caller.h
+++ b/front/caller.h
@@ -12,6 +12,21 @@
 
 G_BEGIN_DECLS
 
+typedef enum caller_phase_t {
+	CALLER_NEW, /* nothing was read yet */
+	CALLER_IDLE, /* between two requests */
+	CALLER_HEAD,
+	CALLER_BODY,
+	CALLER_BUSY, /* the request is being answered */
+	CALLER_EXPIRED,
+} caller_phase_t;
+
+typedef struct caller_limits_t {
+	int64_t head_us; /* the whole head; the first byte of a connection */
+	int64_t body_us; /* silence within a body */
+	int64_t idle_us; /* between two requests */
+} caller_limits_t;
+
 /*
  * Wraps a connection.  The stream owns base, which may be the socket's
  * connection or a TLS connection on top of it.
@@ -22,11 +37,18 @@
 
 /* The socket of a message's connection; not a new reference. */
 GSocket *caller_socket(SoupServerMessage *msg);
-/* No request is in progress from now until the next byte. */
-void caller_set_idle(SoupServerMessage *msg);
+void caller_set_phase(SoupServerMessage *msg, caller_phase_t phase);
 /* The input has ended; a request read from now on is not the caller's. */
 bool caller_has_ended(SoupServerMessage *msg);
 
+/*
+ * Ends a connection that has been too long in its phase, with status 408
+ * where a request was begun.  Called at intervals, which are the resolution
+ * of the limits, so that reads need no clock.
+ */
+void caller_sweep(GIOStream *caller, int64_t now,
+		  const caller_limits_t *limits);
+
 G_END_DECLS
 
 #endif
--- a/front/front.c
+++ b/front/front.c
@@ -28,6 +28,9 @@
 	opts->max_streams_per_key = 10000;
 	opts->high_water = 262144;
 	opts->low_water = 65536;
+	opts->limits.head_us = 10 * USEC_PER_SEC;
+	opts->limits.body_us = 30 * USEC_PER_SEC;
+	opts->limits.idle_us = 120 * USEC_PER_SEC;
 }
 
 void front_check_stopped(front_t *front)
@@ -100,6 +103,7 @@
 	(void)server;
 	(void)path;
 	(void)query;
+	caller_set_phase(msg, CALLER_BODY);
 	if (header_bytes(headers) > front->opts.max_header ||
 	    soup_message_headers_get_content_length(headers) >
 		    (goffset)front->opts.max_body)
@@ -288,6 +292,7 @@
 
 	(void)server;
 	(void)query;
+	caller_set_phase(msg, CALLER_BUSY);
 	if (caller_has_ended(msg)) {
 		soup_server_message_set_status(msg, 400, NULL);
 		soup_message_headers_replace(
@@ -323,7 +328,7 @@
 {
 	(void)server;
 	(void)data;
-	caller_set_idle(msg);
+	caller_set_phase(msg, CALLER_IDLE);
 }
 
 static void stop(front_t *front)
@@ -349,6 +354,8 @@
 		stream_recv(front, msg);
 	else if (msg->u.timer.what == FRONT_TIMER_WATCH)
 		stream_watch_all(front);
+	else if (msg->u.timer.what == FRONT_TIMER_SWEEP)
+		listen_sweep(front);
 	else
 		listen_resume(front);
 }
@@ -396,6 +403,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	front->connections = g_rc_box_new0(front_connections_t);
 	front->connections->metrics = kernel->metrics;
+	table_init(&front->connections->table, sizeof(connection_t));
 	front->server = soup_server_new(NULL, NULL);
 	soup_server_add_early_handler(front->server, NULL, on_head, front,
 				      NULL);
@@ -417,12 +425,13 @@
 	g_clear_object(&front->server);
 	g_clear_object(&front->cert);
 	kernel_timer_cancel(front->kernel, &front->watch_timer);
+	kernel_timer_cancel(front->kernel, &front->sweep_timer);
 	g_array_unref(front->unwatched);
 	g_hash_table_unref(front->per_key);
 	table_finish(&front->streams);
 	if (front->conf != NULL)
 		conf_snapshot_unref(front->conf);
 	front->connections->metrics = NULL;
-	g_rc_box_release(front->connections);
+	listen_release(front->connections);
 	kernel_unregister(front->kernel, front->svc);
 }
--- a/front/front.h
+++ b/front/front.h
@@ -6,6 +6,7 @@
 #ifndef FRONT_FRONT_H
 #define FRONT_FRONT_H
 
+#include "front/caller.h"
 #include "kernel/kernel.h"
 #include "kernel/status.h"
 
@@ -32,16 +33,19 @@
 	uint32_t max_streams_per_key; /* of one API key */
 	uint32_t high_water; /* unsent bytes of a stream, MSG_REQ_PAUSE */
 	uint32_t low_water; /* MSG_REQ_RESUME */
+	caller_limits_t limits; /* of a caller's silence */
 } front_opts_t;
 
 /* Shared with the connections, which may outlive the front. */
 typedef struct front_connections_t {
 	uint32_t count;
 	metrics_t *metrics; /* NULL once the front has finished */
+	table_t table; /* connection_t */
 } front_connections_t;
 
 #define FRONT_TIMER_ACCEPT 0
 #define FRONT_TIMER_WATCH 1
+#define FRONT_TIMER_SWEEP 2
 
 typedef struct front_t {
 	kernel_t *kernel;
@@ -56,6 +60,7 @@
 	uint16_t port;
 	GArray *unwatched; /* handle_t of streams without a watch */
 	handle_t watch_timer;
+	handle_t sweep_timer; /* while there are connections */
 	table_t streams; /* stream_t */
 	GHashTable *per_key; /* API key hash -> requests in progress */
 	front_connections_t *connections; /* GRcBox */
--- a/front/listen.c
+++ b/front/listen.c
@@ -9,6 +9,7 @@
 #define ACCEPT_MAX 64 /* connections accepted in one turn of the loop */
 /* When accept fails, as it does without free descriptors. */
 #define ACCEPT_RETRY_US (100 * USEC_PER_MSEC)
+#define SWEEP_US USEC_PER_SEC /* resolution of the limits on silence */
 
 static void count_connections(front_connections_t *connections, int change)
 {
@@ -20,8 +21,56 @@
 
 static void on_connection_closed(gpointer data)
 {
-	count_connections(data, -1);
-	g_rc_box_release(data);
+	connection_t *connection = data;
+	front_connections_t *connections = connection->connections;
+
+	table_remove(&connections->table, connection->self);
+	count_connections(connections, -1);
+	listen_release(connections);
+}
+
+static void free_connections(gpointer data)
+{
+	table_finish(&((front_connections_t *)data)->table);
+}
+
+void listen_release(front_connections_t *connections)
+{
+	g_rc_box_release_full(connections, free_connections);
+}
+
+static void keep_connection(front_t *front, GIOStream *caller)
+{
+	connection_t *connection;
+	handle_t self =
+		table_add(&front->connections->table, (void **)&connection);
+
+	connection->connections = g_rc_box_acquire(front->connections);
+	connection->self = self;
+	connection->caller = caller;
+	g_object_set_data_full(G_OBJECT(caller), "connection", connection,
+			       on_connection_closed);
+	count_connections(front->connections, 1);
+	if (handle_is_none(front->sweep_timer))
+		front->sweep_timer =
+			kernel_timer(front->kernel, front->svc, SWEEP_US,
+				     HANDLE_NONE, FRONT_TIMER_SWEEP);
+}
+
+void listen_sweep(front_t *front)
+{
+	table_t *table = &front->connections->table;
+	int64_t now = kernel_now(front->kernel);
+	connection_t *connection;
+	uint32_t cursor = 0;
+
+	front->sweep_timer = HANDLE_NONE;
+	while ((connection = table_next(table, &cursor, NULL)) != NULL)
+		caller_sweep(connection->caller, now, &front->opts.limits);
+	if (table_count(table) > 0)
+		front->sweep_timer =
+			kernel_timer(front->kernel, front->svc, SWEEP_US,
+				     HANDLE_NONE, FRONT_TIMER_SWEEP);
 }
 
 static GIOStream *wrap_socket(front_t *front, GSocket *socket)
@@ -48,10 +97,7 @@
 	if (base == NULL)
 		return;
 	caller = caller_new(base, socket);
-	g_object_set_data_full(G_OBJECT(caller), "connections",
-			       g_rc_box_acquire(front->connections),
-			       on_connection_closed);
-	count_connections(front->connections, 1);
+	keep_connection(front, caller);
 	caller_accept(front->server, caller, socket);
 	g_object_unref(caller);
 }
--- a/front/listen.h
+++ b/front/listen.h
@@ -8,8 +8,18 @@
 
 G_BEGIN_DECLS
 
+typedef struct connection_t {
+	front_connections_t *connections;
+	handle_t self;
+	GIOStream *caller; /* owns this entry */
+} connection_t;
+
 /* Accepts connections again after an error that has no event of its end. */
 void listen_resume(front_t *front);
+/* Ends the connections whose callers are silent or too slow. */
+void listen_sweep(front_t *front);
+/* The last reference releases the table of connections. */
+void listen_release(front_connections_t *connections);
 /* Closes the listening socket; accepted connections go on. */
 void listen_close(front_t *front);
 
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -187,7 +187,7 @@
 		opts.low_water = 10000;
 		opts.max_connections = 20;
 		configure(&opts);
-		kernel_init(&kernel, CLOCK_REAL, 0);
+		kernel_init(&kernel, clock(), 0);
 		svc = kernel_register(&kernel, "request", receive, this);
 		kernel_register(&kernel, "router", receive, this);
 		front_init(&front, &kernel, &opts);
@@ -199,6 +199,10 @@
 		front_finish(&front);
 		kernel_finish(&kernel);
 	}
+	virtual clock_kind_t clock()
+	{
+		return CLOCK_REAL;
+	}
 	virtual void configure(front_opts_t *)
 	{
 	}
@@ -498,6 +502,115 @@
 	EXPECT_FALSE(clients.front()->closed);
 }
 
+// The sockets are real; only pass() moves the time of the limits.
+class TimedFrontTest : public FrontTest
+{
+      protected:
+	clock_kind_t clock() override
+	{
+		return CLOCK_VIRTUAL;
+	}
+	void SetUp() override
+	{
+		FrontTest::SetUp();
+		deliver(&kernel);
+		tick = g_timeout_add(1, deliver, &kernel);
+	}
+	void TearDown() override
+	{
+		g_source_remove(tick);
+		FrontTest::TearDown();
+	}
+	static gboolean deliver(gpointer kernel)
+	{
+		auto *k = static_cast<kernel_t *>(kernel);
+
+		kernel_run_until(k, k->virtual_now);
+		return G_SOURCE_CONTINUE;
+	}
+	void settle()
+	{
+		pump([] { return false; }, 10);
+	}
+	void pass(int seconds)
+	{
+		settle();
+		kernel_run_until(&kernel,
+				 kernel.virtual_now + seconds * USEC_PER_SEC);
+		settle();
+	}
+	void expect_timeout(Client &client)
+	{
+		EXPECT_TRUE(client.wait_closed());
+		EXPECT_EQ(client.in.find("HTTP/1.1 408 "), 0u) << client.in;
+		EXPECT_EQ(client.in.find("HTTP/1.1", 1), std::string::npos);
+		EXPECT_TRUE(
+			pump([&] { return front.connections->count == 0; }));
+	}
+	guint tick = 0;
+};
+
+// Slow or silent callers must not hold connections for ever.
+TEST_F(TimedFrontTest, SlowHeadsAndSilentCallersAreClosed)
+{
+	Client silent(front_port(&front)), slow(front_port(&front));
+
+	for (int i = 0; i < 13; i++) {
+		if (i < 9)
+			slow.send(i == 0 ? "GET /x HTTP/1.1\r\nA: " : "a");
+		pass(1);
+		silent.read();
+		EXPECT_EQ(silent.closed, i >= 10) << i;
+	}
+	EXPECT_EQ(silent.in, "");
+	expect_timeout(slow);
+	pass(2);
+	EXPECT_TRUE(handle_is_none(front.sweep_timer));
+}
+
+TEST_F(TimedFrontTest, SilenceWithinABodyIsLimited)
+{
+	Client client(front_port(&front));
+	std::string text = request("/x", "abcdef");
+
+	client.send(text.substr(0, text.size() - 5));
+	for (int i = 0; i < 4; i++) {
+		pass(25);
+		client.read();
+		ASSERT_FALSE(client.closed) << i;
+		client.send("b");
+	}
+	pass(33);
+	expect_timeout(client);
+	EXPECT_EQ(counts[MSG_REQ_OPEN], 0);
+}
+
+// An answer may take its time; only the wait for the next request is bounded.
+TEST_F(TimedFrontTest, KeptConnectionsAreLimitedOnlyWhileIdle)
+{
+	Client client(front_port(&front));
+
+	client.send(request("/x", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	pass(1000);
+	reply_whole("late");
+	ASSERT_TRUE(client.wait_for("\r\n\r\nlate"));
+	pass(100);
+	client.in.clear();
+	client.send(request("/y", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN, 2));
+	reply_whole("again");
+	ASSERT_TRUE(client.wait_for("\r\n\r\nagain"));
+	client.in.clear();
+	pass(119);
+	client.read();
+	EXPECT_FALSE(client.closed);
+	pass(3);
+	EXPECT_TRUE(client.wait_closed());
+	EXPECT_EQ(client.in, "");
+	EXPECT_TRUE(pump([&] { return front.connections->count == 0; }));
+}
+
 class TlsFrontTest : public FrontTest
 {
       protected:
