Check API keys before anything else; announce the close after 204

Cause: a caller without a valid key learned limits and parse errors. libsoup closes the connection after 204 without saying so. Change: the front looks the key up when the head has arrived and again before the body is parsed, with one answer and one path for unknown, removed and disabled keys. 204 carries Connection: close.

--- a/front/front.c
+++ b/front/front.c
@@ -11,6 +11,7 @@
 
 /* Bytes of a too large body read before the connection is dropped. */
 #define DISCARD_MAX 1048576
+#define KEY_HASH "key-hash" /* of a message, from its head to its end */
 
 static const char *const model_paths[] = {
 	"/v1/chat/completions",
@@ -63,7 +64,9 @@
 	return size;
 }
 
-static void refuse_body(front_t *front, SoupServerMessage *msg)
+/* Refuses a request whose body was not read, or not to its end. */
+static void refuse_unread(front_t *front, SoupServerMessage *msg,
+			  refusal_t reason)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(msg);
 	char request_id[INCARNATION_SIZE];
@@ -71,7 +74,7 @@
 	soup_message_body_set_accumulate(body, FALSE);
 	soup_message_body_truncate(body);
 	kernel_uuid(front->kernel, request_id);
-	refuse(front, msg, request_id, REFUSAL_TOO_LARGE, NULL);
+	refuse(front, msg, request_id, reason, NULL);
 	soup_message_headers_replace(
 		soup_server_message_get_response_headers(msg), "Connection",
 		"close");
@@ -87,11 +90,43 @@
 	if (size <= front->opts.max_body)
 		return;
 	if (soup_server_message_get_status(msg) == 0)
-		refuse_body(front, msg);
+		refuse_unread(front, msg, REFUSAL_TOO_LARGE);
 	if (size > (gsize)front->opts.max_body + DISCARD_MAX && socket != NULL)
 		g_socket_shutdown(socket, TRUE, TRUE, NULL);
 }
 
+/* The key is not kept: its hash is enough to find the client account. */
+static void take_key(SoupServerMessage *msg, char hash[HASH_SIZE])
+{
+	const char *name = "Authorization";
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(msg);
+	const char *value = soup_message_headers_get_one(headers, name);
+
+	if (parse_bearer(value, hash) == PARSE_OK)
+		g_object_set_data_full(G_OBJECT(msg), KEY_HASH, g_strdup(hash),
+				       g_free);
+	if (value != NULL)
+		explicit_bzero((char *)value, strlen(value));
+	soup_message_headers_remove(headers, name);
+}
+
+/*
+ * "request" decides; this keeps callers without a valid key from learning
+ * about limits and from having their bodies parsed.  Without a configuration
+ * only the form of the key is known.
+ */
+static bool key_is_valid(const front_t *front, const char *hash)
+{
+	const record_client_account_t *account;
+	const char *budget;
+
+	if (hash[0] == '\0' || front->conf == NULL)
+		return hash[0] != '\0';
+	account = conf_snapshot_account_by_key(front->conf, hash, &budget);
+	return account != NULL && !account->removed && !account->disabled;
+}
+
 /* The head has arrived; the body has not. */
 static void on_head(SoupServer *server, SoupServerMessage *msg,
 		    const char *path, GHashTable *query, gpointer data)
@@ -99,15 +134,23 @@
 	front_t *front = data;
 	SoupMessageHeaders *headers =
 		soup_server_message_get_request_headers(msg);
+	char hash[HASH_SIZE];
+	size_t size;
 
 	(void)server;
 	(void)path;
 	(void)query;
+	if (caller_has_ended(msg))
+		return;
 	caller_set_phase(msg, CALLER_BODY);
-	if (header_bytes(headers) > front->opts.max_header ||
-	    soup_message_headers_get_content_length(headers) >
-		    (goffset)front->opts.max_body)
-		refuse_body(front, msg);
+	size = header_bytes(headers);
+	take_key(msg, hash);
+	if (!key_is_valid(front, hash))
+		refuse_unread(front, msg, REFUSAL_UNAUTHENTICATED);
+	else if (size > front->opts.max_header ||
+		 soup_message_headers_get_content_length(headers) >
+			 (goffset)front->opts.max_body)
+		refuse_unread(front, msg, REFUSAL_TOO_LARGE);
 	if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_NONE)
 		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), front);
 }
@@ -120,27 +163,11 @@
 	return false;
 }
 
-/* The key is not kept: its hash is enough to find the client account. */
-static parse_status_t take_key(SoupMessageHeaders *headers,
-			       request_spec_t *spec)
-{
-	const char *name = "Authorization";
-	const char *value = soup_message_headers_get_one(headers, name);
-	parse_status_t status = parse_bearer(value, spec->key_hash);
-
-	if (value != NULL)
-		explicit_bzero((char *)value, strlen(value));
-	soup_message_headers_remove(headers, name);
-	return status;
-}
-
 static refusal_t read_headers(SoupMessageHeaders *headers, request_spec_t *spec,
 			      errmsg_t *err)
 {
 	const char *value;
 
-	if (take_key(headers, spec) != PARSE_OK)
-		return REFUSAL_UNAUTHENTICATED;
 	value = soup_message_headers_get_one(headers, "Idempotency-Key");
 	if (value != NULL &&
 	    parse_idem_key(value, spec->idem_key) != PARSE_OK) {
@@ -208,9 +235,16 @@
 static refusal_t read_request(front_t *front, SoupServerMessage *msg,
 			      request_spec_t *spec, errmsg_t *err)
 {
-	refusal_t reason = read_headers(
-		soup_server_message_get_request_headers(msg), spec, err);
+	const char *hash = g_object_get_data(G_OBJECT(msg), KEY_HASH);
+	refusal_t reason;
 
+	if (hash != NULL)
+		g_strlcpy(spec->key_hash, hash, sizeof(spec->key_hash));
+	/* The configuration may have changed while the body arrived. */
+	if (!key_is_valid(front, spec->key_hash))
+		return REFUSAL_UNAUTHENTICATED;
+	reason = read_headers(soup_server_message_get_request_headers(msg),
+			      spec, err);
 	if (reason == REFUSAL_NONE)
 		reason = read_line(msg, spec, err);
 	if (reason == REFUSAL_NONE)
@@ -266,18 +300,10 @@
 	g_object_unref(builder);
 }
 
-static refusal_t list_models(front_t *front, SoupServerMessage *msg,
-			     const request_spec_t *spec)
+static refusal_t list_models(front_t *front, SoupServerMessage *msg)
 {
-	const record_client_account_t *account;
-	const char *budget;
-
 	if (front->conf == NULL)
 		return REFUSAL_NO_TARGET;
-	account = conf_snapshot_account_by_key(front->conf, spec->key_hash,
-					       &budget);
-	if (account == NULL || account->disabled)
-		return REFUSAL_UNAUTHENTICATED;
 	answer_models(front, msg);
 	return REFUSAL_NONE;
 }
@@ -310,7 +336,7 @@
 		goto out;
 	if (strcmp(path, "/v1/models") == 0 &&
 	    strcmp(spec->method, "GET") == 0) {
-		reason = list_models(front, msg, spec);
+		reason = list_models(front, msg);
 		goto out;
 	}
 	stream_open(front, msg, spec);
--- a/front/stream.c
+++ b/front/stream.c
@@ -244,6 +244,9 @@
 	if (stream->writing)
 		return;
 	stream->writing = true;
+	/* libsoup takes 204 to end with the connection, and does not say so. */
+	if (soup_server_message_get_status(stream->msg) == 204)
+		set_header(headers, "Connection", "close");
 	if (stream->ended) {
 		soup_message_headers_set_content_length(
 			headers, (goffset)stream->unsent);
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -11,6 +11,8 @@
 #include <gtest/gtest.h>
 #include <memory>
 #include <random>
+#include <sys/resource.h>
+#include <unistd.h>
 #include <vector>
 
 namespace
@@ -242,11 +244,11 @@
 		msg.id = {1, 1};
 		post(msg);
 	}
-	void head(const char *type)
+	void head(const char *type, uint32_t status = 200)
 	{
 		msg_t msg = message(MSG_REPLY_HEAD);
 
-		msg.u.head.status = 200;
+		msg.u.head.status = status;
 		g_strlcpy(msg.u.head.content_type, type, CONTENT_TYPE_SIZE);
 		g_strlcpy(msg.u.head.idem_key, "k1", IDEM_KEY_SIZE);
 		post(msg);
@@ -258,6 +260,32 @@
 		msg.u.data.bytes = g_bytes_new(text.data(), text.size());
 		post(msg);
 	}
+	// Accounts with the keys "abc", "off" (disabled) and "old" (removed).
+	void configure_accounts()
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_CONF_CHANGED;
+		msg.u.conf = conf_snapshot_new();
+		for (const char *key : {"abc", "off", "old"}) {
+			record_client_account_t account = {};
+			std::string header = std::string("Bearer ") + key;
+
+			parse_bearer(header.c_str(), account.keys[0].hash);
+			account.key_count = 1;
+			account.disabled = strcmp(key, "off") == 0;
+			account.removed = strcmp(key, "old") == 0;
+			g_array_append_val(msg.u.conf->client_accounts,
+					   account);
+			g_hash_table_insert(
+				msg.u.conf->by_key_hash,
+				g_strdup(account.keys[0].hash),
+				GUINT_TO_POINTER(
+					msg.u.conf->client_accounts->len));
+		}
+		post(msg);
+		ASSERT_TRUE(pump([&] { return front.conf != nullptr; }));
+	}
 	void reply_whole(const char *text)
 	{
 		head("text/plain");
@@ -339,6 +367,43 @@
 	EXPECT_EQ(counts[MSG_REQ_CALLER_GONE], 0);
 }
 
+// A body after the answer to HEAD, or after 204, would be read as the next
+// answer; a missing end would keep the caller waiting.
+TEST_F(FrontTest, AnswersWithoutABodyEndWithTheirHead)
+{
+	const std::string tail =
+		" /x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer abc\r\n\r\n";
+	Client client(front_port(&front));
+	int opened = 0;
+
+	// Whole, head first, refused, and a status without a body.
+	for (int i = 0; i < 4; i++) {
+		client.in.clear();
+		client.send((i == 3 ? "OPTIONS" : "HEAD") + tail);
+		ASSERT_TRUE(wait(MSG_REQ_OPEN, ++opened));
+		EXPECT_STREQ(spec->method, i == 3 ? "OPTIONS" : "HEAD");
+		if (i == 2)
+			refused(MSG_REPLY_REFUSED, REFUSAL_NO_TARGET);
+		else
+			head("text/plain", i == 3 ? 204 : 200);
+		if (i == 1) {
+			ASSERT_TRUE(client.wait_for("\r\n\r\n"));
+		}
+		if (i != 2)
+			post(message(MSG_REPLY_END));
+		ASSERT_TRUE(
+			pump([&] { return table_count(&front.streams) == 0; }));
+		ASSERT_TRUE(client.wait_for("\r\n\r\n"));
+		EXPECT_EQ(client.in.find("\r\n\r\n"), client.in.size() - 4)
+			<< client.in;
+	}
+	// RFC 9110, 8.6; and the end of the connection must be announced.
+	EXPECT_EQ(client.in.find("Content-Length"), std::string::npos);
+	EXPECT_NE(client.in.find("Connection: close\r\n"), std::string::npos)
+		<< client.in;
+	EXPECT_TRUE(client.wait_closed());
+}
+
 TEST_F(FrontTest, RefusalsCarryStatusReasonAndRunState)
 {
 	Client client(front_port(&front));
@@ -384,6 +449,58 @@
 	EXPECT_EQ(counts[MSG_REQ_OPEN], 0);
 }
 
+// Only the request id and the date may differ between such answers.
+std::string without_id(std::string text)
+{
+	size_t at;
+
+	for (const char *before : {"X-Request-Id: ", "\"request_id\":\""})
+		if ((at = text.find(before)) != std::string::npos)
+			text.erase(at + strlen(before), 36);
+	if ((at = text.find("Date: ")) != std::string::npos)
+		text.erase(at, text.find("\r\n", at) + 2 - at);
+	return text;
+}
+
+// A caller without a valid key must learn nothing about limits, headers or
+// bodies, nor whether its key once was valid.
+TEST_F(FrontTest, KeysAreCheckedBeforeAnythingElse)
+{
+	const std::string tails[] = {
+		"Content-Length: 2\r\n\r\n{}",
+		"Expect: 100-continue\r\nContent-Length: 9999\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+			std::string(1001, 'a') + "\r\n0\r\n\r\n",
+		"X-Request-Deadline-Ms: 0\r\nContent-Length: 0\r\n\r\n",
+		"A: " + std::string(20000, 'a') +
+			"\r\nContent-Length: 0\r\n\r\n",
+		"Content-Length: 0\r\n\r\n",
+	};
+	std::string first;
+
+	configure_accounts();
+	for (const char *key : {"none", "off", "old", ""}) {
+		for (const auto &tail : tails) {
+			Client client(front_port(&front));
+			client.send("POST " + std::string(chat) +
+				    " HTTP/1.1\r\nHost: x\r\n"
+				    "Authorization: Bearer " +
+				    key + "\r\n" + tail);
+			ASSERT_TRUE(client.wait_for("\"request_id\""))
+				<< key << tail.substr(0, 40);
+			client.in = without_id(client.in);
+			if (first.empty())
+				first = client.in;
+			EXPECT_EQ(client.in.find("HTTP/1.1 401 "), 0u);
+			EXPECT_EQ(client.in, first);
+		}
+	}
+	Client client(front_port(&front));
+	client.send(request(chat, "{}"));
+	EXPECT_TRUE(client.wait_for("HTTP/1.1 400 ")) << client.in;
+	EXPECT_EQ(counts[MSG_REQ_OPEN], 0);
+}
+
 // A caller must never take a cut answer for a whole one.
 TEST_F(FrontTest, BrokenAnswersAreNotWellFormed)
 {
@@ -611,6 +728,32 @@
 	EXPECT_TRUE(pump([&] { return front.connections->count == 0; }));
 }
 
+// Without free descriptors the listener pauses instead of spinning, and it
+// takes the waiting connections once there are some again.
+TEST_F(TimedFrontTest, ListenerResumesAfterDescriptorsRanOut)
+{
+	Client client(front_port(&front));
+	struct rlimit limit, none;
+	int free_fd = dup(0);
+
+	ASSERT_GE(free_fd, 0);
+	close(free_fd);
+	ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	none = limit;
+	none.rlim_cur = (rlim_t)free_fd;
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+	EXPECT_TRUE(pump([&] { return front.accepting == nullptr; }));
+	pass(1);
+	EXPECT_EQ(front.accepting, nullptr);
+	EXPECT_EQ(front.connections->count, 0u);
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	pass(1);
+	at_once = "served";
+	client.send(request("/x", ""));
+	EXPECT_TRUE(client.wait_for("\r\n\r\nserved"));
+	EXPECT_NE(front.accepting, nullptr);
+}
+
 class TlsFrontTest : public FrontTest
 {
       protected:
