Take answers without a body as whole

Cause: answers to HEAD and 204 or 304 without a length, or with a chunked one, were classed as cut, so a call that must not be repeated ended as unknown. Change: such answers are whole once their head is there. Tests cover them and what engines do to model calls.

--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -439,6 +439,13 @@
 	g_object_weak_ref(G_OBJECT(call->socket), on_socket_gone, entry);
 }
 
+/* An answer without a body is whole, whatever length its head states. */
+static bool has_body(SoupMessage *msg, uint32_t status)
+{
+	return status != 204 && status != 304 &&
+	       strcmp(soup_message_get_method(msg), "HEAD") != 0;
+}
+
 static void take_head(call_t *call, SoupSession *session, GAsyncResult *result)
 {
 	SoupMessageHeaders *headers;
@@ -460,7 +467,9 @@
 	arm(call);
 	headers = soup_message_get_response_headers(call->msg);
 	status = soup_message_get_status(call->msg);
-	call->encoding = soup_message_headers_get_encoding(headers);
+	call->encoding = has_body(call->msg, status)
+				 ? soup_message_headers_get_encoding(headers)
+				 : SOUP_ENCODING_NONE;
 	find_socket(call);
 	post_report(call, headers);
 	if (!check_refused(call, headers, status))
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -403,6 +403,37 @@
 	ASSERT_TRUE(wait([&] { return table_count(&dispatch.calls) == 0; }));
 }
 
+// Answers without a body have no length that could show their end.
+TEST_F(DispatchTest, AnswersWithoutABodyAreWhole)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	const struct {
+		const char *method;
+		std::string answer;
+		bool close;
+	} cases[] = {
+		{"HEAD", ok + "Content-Length: 9\r\n\r\n", false},
+		{"HEAD", ok + "\r\n", false},
+		{"HEAD", ok + "Transfer-Encoding: chunked\r\n\r\n", false},
+		{"HEAD", ok + "Connection: close\r\n\r\n", true},
+		{"OPTIONS", "HTTP/1.1 204 No\r\nAllow: GET\r\n\r\n", false},
+		{"DELETE", "HTTP/1.1 204 No\r\n\r\n", true},
+		{"GET", "HTTP/1.1 304 Same\r\nContent-Length: 9\r\n\r\n",
+		 false},
+	};
+	int over = 0;
+
+	for (const auto &c : cases) {
+		steps.push_back({c.answer, c.close});
+		send(c.method, false, 300, 300);
+		ASSERT_TRUE(wait_over(++over));
+		EXPECT_EQ(counts[MSG_TARGET_END], over)
+			<< c.method << " " << c.answer;
+	}
+	EXPECT_EQ(body, "");
+	ASSERT_TRUE(wait([&] { return table_count(&dispatch.calls) == 0; }));
+}
+
 TEST_F(DispatchTest, RefusedConnectionIsConnect)
 {
 	g_socket_close(listener, nullptr);
@@ -431,6 +462,41 @@
 	EXPECT_EQ(peers.size(), 1u);
 }
 
+// What engines do to model calls: a refusal with a body whose state decides
+// about a retry, and silence after the head of a stream.
+TEST_F(DispatchTest, EngineHabitsAreClassed)
+{
+	const std::string tail = "Content-Type: application/json\r\n"
+				 "Content-Length: 13\r\n\r\n{\"error\":\"x\"}";
+	const std::string full = "HTTP/1.1 429 Full\r\n";
+
+	expect_failure({full + tail, false}, FAILURE_OVERLOADED, true, false);
+	EXPECT_FALSE(failed.u.target_failed.not_run);
+	expect_failure({full + "X-Request-State: not_run\r\n" + tail, false},
+		       FAILURE_OVERLOADED, true, false);
+	EXPECT_TRUE(failed.u.target_failed.not_run);
+	// Only 503 tells that a target leaves.
+	expect_failure({full + "X-Target-Leaving: 1\r\n" + tail, false},
+		       FAILURE_OVERLOADED, true, false);
+	EXPECT_EQ(counts[MSG_TARGET_LEAVING], 0);
+	expect_failure({"HTTP/1.1 503 x\r\nX-Target-Leaving: 1\r\n"
+			"X-Request-State: not_run\r\n" +
+				tail,
+			false},
+		       FAILURE_LEAVING, true, false);
+	EXPECT_TRUE(failed.u.target_failed.not_run);
+	EXPECT_EQ(counts[MSG_TARGET_LEAVING], 1);
+	EXPECT_EQ(counts[MSG_TARGET_HEAD], 0);
+	EXPECT_EQ(peers.size(), 1u);
+	expect_failure({"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+			"\r\nTransfer-Encoding: chunked\r\n\r\n",
+			false},
+		       FAILURE_SILENT, true, false);
+	EXPECT_EQ(counts[MSG_TARGET_HEAD], 1);
+	EXPECT_EQ(body, "");
+	ASSERT_TRUE(wait([&] { return table_count(&dispatch.calls) == 0; }));
+}
+
 // The library resends some requests when a reused connection was closed.
 TEST_F(DispatchTest, NothingIsSentTwice)
 {
