Test the operators' client against the store stand-in

Cause: only the router tests ran a few of the client's commands; nothing checked exit codes, JSON output or a store that loses only transactions. The relay of tool.py can cut only requests to one path.

--- a/tests/process/tool.py
+++ b/tests/process/tool.py
@@ -155,11 +155,29 @@
     print(eval(args.expression, scope))  # pylint: disable=eval-used
 
 
+def run_put(args):
+    """Writes one record into the store, as a router or a platform would."""
+    encode = lambda text: base64.b64encode(text.encode()).decode()
+    body = {"success": [{"request_put": {
+        "key": encode(KEY_PREFIX + args.key), "value": encode(args.record)}}]}
+    urllib.request.urlopen(args.store + "/v3/kv/txn",
+                           json.dumps(body).encode(), timeout=5).close()
+
+
 class Relay:
-    """Passes TCP on; SIGUSR1 cuts and refuses connections, SIGUSR2 heals."""
+    """Passes TCP on; SIGUSR1 cuts and refuses connections, SIGUSR2 heals.
+
+    With a path it cuts only requests to it, in one of three ways: "request"
+    drops them, "answer" passes them on and drops the answer, "hold" keeps
+    them until SIGUSR2.
+    """
 
-    def __init__(self, target):
+    def __init__(self, target, path, way):
         self.target = target
+        self.path = path.encode()
+        self.way = way
+        self.held = []
+        self.mute = set()
         self.cut = False
         self.peers = {}
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -168,6 +186,7 @@
 
     def drop(self, end):
         other = self.peers.pop(end, None)
+        self.mute -= {end, other}
         if other is not None:
             self.peers.pop(other, None)
             other.close()
@@ -175,7 +194,7 @@
 
     def accept(self):
         end, _ = self.listener.accept()
-        if self.cut:
+        if self.cut and not self.path:
             end.close()
             return
         try:
@@ -189,19 +208,35 @@
     def pass_on(self, end):
         try:
             data = end.recv(65536)
-            if data:
+            matches = self.cut and self.path and self.path in data
+            if matches and self.way == "hold":
+                self.held.append((end, data))
+                print("held", flush=True)
+                return
+            if matches and self.way == "answer":
+                self.mute.add(self.peers[end])
+            if data and end not in self.mute and not (
+                    matches and self.way == "request"):
                 self.peers[end].sendall(data)
                 return
         except OSError:
             pass
         self.drop(end)
 
+    def release(self):
+        for end, data in self.held:
+            if end in self.peers:
+                self.peers[end].sendall(data)
+        self.held = []
+
     def run(self, end_at):
         print("listening %d" % self.listener.getsockname()[1], flush=True)
         while time.monotonic() < end_at:
-            if self.cut:
+            if self.cut and not self.path:
                 for end in list(self.peers):
                     self.drop(end)
+            if not self.cut:
+                self.release()
             ready, _, _ = select.select([self.listener, *self.peers], [], [],
                                         0.05)
             for end in ready:
@@ -212,7 +247,7 @@
 
 
 def run_relay(args):
-    Relay(args.target).run(time.monotonic() + args.seconds)
+    Relay(args.target, args.path, args.way).run(time.monotonic() + args.seconds)
 
 
 def run_slow(args):
@@ -303,6 +338,10 @@
     relay = add("relay", run_relay)
     relay.add_argument("target", type=int)
     relay.add_argument("--seconds", type=float, default=80)
+    relay.add_argument("--path", default="", help="cut only requests to it")
+    relay.add_argument("--way", default="request",
+                       choices=("request", "answer", "hold"))
+    add("put", run_put, "store", "key", "record")
     raw = add("raw", run_raw)
     raw.add_argument("port", type=int)
     raw.add_argument("--timeout", type=float, default=3)
