Split the client's command line from its commands, share what they repeat

Change: args.c parses the command line; records.c holds ctl_get_named, ctl_get_or_new, ctl_put_back and the printing of lists; record_is_removed in kernel/record.c replaces two equal functions of ctl/ and store/; store/codec.c reads both its arrays by one function.

--- a/ctl/account.c
+++ b/ctl/account.c
@@ -1,5 +1,5 @@
 #include "ctl/command.h"
-#include "ctl/out.h"
+#include "ctl/records.h"
 
 #include <string.h>
 #include <sys/random.h>
@@ -9,12 +9,6 @@
 #define WEIGHT_MAX 1000
 #define MAX_REQUESTS_MAX 1000000
 #define HASH_HEAD_MIN 8 /* characters that name a key's hash */
-#define DEFAULT_BUDGET "main"
-
-static void account_key(char *key, const char *name)
-{
-	g_snprintf(key, STORE_KEY_SIZE, "conf/account/%s", name);
-}
 
 /* Makes a random key; the store only ever sees its hash. */
 static ctl_status_t make_api_key(ctl_t *ctl, char **text, char *hash)
@@ -77,48 +71,37 @@
 static void print_key(ctl_t *ctl, const char *name, const char *text)
 {
 	JsonObject *object = json_object_new();
-	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
 
 	json_object_set_string_member(object, "client_account", name);
 	json_object_set_string_member(object, "api_key", text);
 	json_object_set_string_member(object, "note",
 				      "the key is not shown again");
-	json_node_take_object(node, object);
-	ctl_print(ctl, node);
+	ctl_print_object(ctl, object);
 }
 
 static ctl_status_t create(ctl_t *ctl, const args_t *args)
 {
 	const char *name = args->names[0];
-	char key[STORE_KEY_SIZE];
 	char *text = NULL;
 	store_kv_t kv;
-	record_t record = {.kind = RECORD_CLIENT_ACCOUNT};
-	record_client_account_t *account = &record.u.client_account;
-	ctl_status_t status;
+	record_client_account_t *account = &kv.record.u.client_account;
+	bool is_new;
+	ctl_status_t status =
+		ctl_get_or_new(ctl, RECORD_CLIENT_ACCOUNT, name, &kv, &is_new);
 
-	if (!name_is_valid(name)) {
-		errmsg_set(&ctl->err, "%.80s is not a name", name);
-		return CTL_USAGE;
-	}
-	account_key(key, name);
-	status = ctl_get(ctl, key, &kv);
-	if (status != CTL_OK)
-		goto out;
-	if (kv.record.kind != RECORD_NONE &&
-	    !kv.record.u.client_account.removed) {
+	if (status == CTL_OK && !is_new) {
 		errmsg_set(&ctl->err, "client account %s exists", name);
 		status = CTL_REFUSED;
-		goto out;
 	}
+	if (status != CTL_OK)
+		goto out;
 	g_strlcpy(account->name, name, sizeof(account->name));
 	account->weight = WEIGHT_DEFAULT;
-	account->op = ctl->op;
 	status = take_limits(ctl, args, account);
 	if (status == CTL_OK)
 		status = add_key(ctl, account, args->budget, &text);
 	if (status == CTL_OK)
-		status = ctl_put(ctl, key, kv.revision, &record);
+		status = ctl_put_back(ctl, &kv);
 	if (status == CTL_OK)
 		print_key(ctl, name, text);
 out:
@@ -173,19 +156,15 @@
 static ctl_status_t change(ctl_t *ctl, const args_t *args)
 {
 	const char *name = args->names[0];
-	char key[STORE_KEY_SIZE];
 	char *text = NULL;
 	store_kv_t kv;
-	ctl_status_t status;
+	ctl_status_t status =
+		ctl_get_named(ctl, RECORD_CLIENT_ACCOUNT, name, &kv);
 
-	account_key(key, name);
-	status = ctl_get_existing(ctl, key, RECORD_CLIENT_ACCOUNT, &kv);
 	if (status == CTL_OK)
 		status = edit(ctl, args, &kv.record.u.client_account, &text);
-	if (status == CTL_OK) {
-		kv.record.u.client_account.op = ctl->op;
-		status = ctl_put(ctl, key, kv.revision, &kv.record);
-	}
+	if (status == CTL_OK)
+		status = ctl_put_back(ctl, &kv);
 	if (status == CTL_OK && text != NULL)
 		print_key(ctl, name, text);
 	else if (status == CTL_OK)
@@ -197,16 +176,14 @@
 
 ctl_status_t account_run(ctl_t *ctl, const args_t *args)
 {
-	char key[STORE_KEY_SIZE];
-
 	switch (args->command) {
 	case COMMAND_ACCOUNT_CREATE:
 		return create(ctl, args);
 	case COMMAND_ACCOUNT_LIST:
 		return ctl_print_list(ctl, "conf/account/");
 	case COMMAND_ACCOUNT_SHOW:
-		account_key(key, args->names[0]);
-		return ctl_print_one(ctl, key, RECORD_CLIENT_ACCOUNT);
+		return ctl_print_named(ctl, RECORD_CLIENT_ACCOUNT,
+				       args->names[0]);
 	default:
 		return change(ctl, args);
 	}
--- a/ctl/budget.c
+++ b/ctl/budget.c
@@ -1,10 +1,9 @@
 #include "ctl/command.h"
-#include "ctl/out.h"
+#include "ctl/records.h"
 
 #include <string.h>
 
 #define RACE_TRIES 20 /* routers write the same record */
-#define DEFAULT_BUDGET "main"
 #define BUDGET_TOKENS_MAX (INT64_C(1) << 53)
 
 /* ACCOUNT or ACCOUNT/BUDGET -> the key of the budget's record. */
@@ -154,7 +153,6 @@
 	store_kv_t kv = {0};
 	JsonArray *rows = json_array_new();
 	JsonObject *object = NULL;
-	JsonNode *node;
 	int64_t settled = 0;
 	ctl_status_t status = budget_key(ctl, args->names[0], key);
 
@@ -170,9 +168,7 @@
 	json_object_set_int_member(object, "balance",
 				   kv.record.u.budget.budget - settled);
 	json_object_set_array_member(object, "grants", json_array_ref(rows));
-	node = json_node_new(JSON_NODE_OBJECT);
-	json_node_take_object(node, object);
-	ctl_print(ctl, node);
+	ctl_print_object(ctl, object);
 out:
 	json_array_unref(rows);
 	record_clear(&kv.record);
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -145,7 +145,7 @@
 	return status;
 }
 
-const op_id_t *ctl_record_op(const record_t *record)
+op_id_t *ctl_record_op(record_t *record)
 {
 	switch (record->kind) {
 	case RECORD_CLIENT_ACCOUNT:
--- a/ctl/call.h
+++ b/ctl/call.h
@@ -43,7 +43,7 @@
 ctl_status_t ctl_txn(ctl_t *ctl, store_txn_t *txn, bool *committed);
 
 /* The operation id inside a record, or NULL for a kind without one. */
-const op_id_t *ctl_record_op(const record_t *record);
+op_id_t *ctl_record_op(record_t *record);
 
 G_END_DECLS
 
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -1,90 +1,14 @@
 /*
- * The client's commands and their parsed options.
+ * What runs the commands, one function for each noun or two.
  */
 #ifndef CTL_COMMAND_H
 #define CTL_COMMAND_H
 
-#include "ctl/call.h"
+#include "ctl/args.h"
 
 G_BEGIN_DECLS
 
-typedef enum command_t {
-	COMMAND_ACCOUNT_CREATE,
-	COMMAND_ACCOUNT_LIST,
-	COMMAND_ACCOUNT_SHOW,
-	COMMAND_ACCOUNT_DISABLE,
-	COMMAND_ACCOUNT_ENABLE,
-	COMMAND_ACCOUNT_REMOVE,
-	COMMAND_ACCOUNT_SET,
-	COMMAND_KEY_ADD,
-	COMMAND_KEY_REMOVE,
-	COMMAND_BUDGET_CREATE,
-	COMMAND_BUDGET_TOPUP,
-	COMMAND_BUDGET_LOWER,
-	COMMAND_BUDGET_SHOW,
-	COMMAND_BUDGET_LIST,
-	COMMAND_BUDGET_RECLAIM,
-	COMMAND_SERVICE_SET,
-	COMMAND_SERVICE_LIST,
-	COMMAND_SERVICE_SHOW,
-	COMMAND_SERVICE_REMOVE,
-	COMMAND_TARGET_SET,
-	COMMAND_TARGET_LIST,
-	COMMAND_TARGET_DRAIN,
-	COMMAND_TARGET_UNDRAIN,
-	COMMAND_TARGET_REMOVE,
-	COMMAND_TARGET_ORDER,
-	COMMAND_TARGET_ORDERS,
-	COMMAND_PRESET_SET,
-	COMMAND_PRESET_SHOW,
-	COMMAND_STATUS,
-} command_t;
-
-typedef enum option_set_t {
-	OPTIONS_COMMON = 0,
-	OPTIONS_KEY = 1,
-	OPTIONS_LIMITS = 2,
-	OPTIONS_SERVICE = 4,
-	OPTIONS_TARGET = 8,
-	OPTIONS_RECLAIM = 16,
-} option_set_t;
-
-#define OPTION_UNSET (-1) /* an integer option that was not given */
-
-typedef struct args_t {
-	command_t command;
-	char **names; /* positional arguments after noun and verb */
-
-	char **stores;
-	char *prefix;
-	char *token;
-	char *op;
-	gboolean json;
-
-	char *budget;
-	gint weight;
-	gint max_requests;
-
-	gboolean force;
-
-	char *kind;
-	char *path_prefix;
-	char *idempotent;
-	char *hedge;
-	gint deadline_ms;
-	gint first_byte_ms;
-	gint idle_ms;
-	gint max_tokens;
-	gint call_tokens;
-	gint short_tokens;
-	gint max_body;
-
-	char *service;
-	char *address;
-	char *availability_zone;
-	gint concurrency;
-	char *checks_fencing;
-} args_t;
+#define DEFAULT_BUDGET "main"
 
 ctl_status_t account_run(ctl_t *ctl, const args_t *args);
 ctl_status_t budget_run(ctl_t *ctl, const args_t *args);
@@ -94,25 +18,6 @@
 ctl_status_t preset_run(ctl_t *ctl, const args_t *args);
 ctl_status_t status_run(ctl_t *ctl, const args_t *args);
 
-/* Takes an integer option within a range; unset leaves *value alone. */
-ctl_status_t args_take_int(ctl_t *ctl, const char *name, gint given, gint min,
-			   gint max, uint32_t *value);
-/* Takes a "yes" or "no" option; NULL leaves *value alone. */
-ctl_status_t args_take_bool(ctl_t *ctl, const char *name, const char *given,
-			    bool *value);
-/* Parses a whole number of tokens from 1 to TOKENS_MAX. */
-ctl_status_t args_take_tokens(ctl_t *ctl, const char *text, int64_t min,
-			      int64_t *tokens);
-
-/* Reads a record that has to exist and is not removed. */
-ctl_status_t ctl_get_existing(ctl_t *ctl, const char *key, record_kind_t kind,
-			      store_kv_t *kv);
-/* True for an absent record and for a tombstone. */
-bool ctl_is_removed(const record_t *record);
-/* Prints all records below a prefix but for the removed ones. */
-ctl_status_t ctl_print_list(ctl_t *ctl, const char *prefix);
-ctl_status_t ctl_print_one(ctl_t *ctl, const char *key, record_kind_t kind);
-
 G_END_DECLS
 
 #endif
--- a/ctl/order.c
+++ b/ctl/order.c
@@ -1,5 +1,5 @@
 #include "ctl/command.h"
-#include "ctl/out.h"
+#include "ctl/records.h"
 
 #include <string.h>
 
@@ -53,15 +53,12 @@
 static ctl_status_t wish(ctl_t *ctl, const args_t *args)
 {
 	const char *name = args->names[0];
-	char key[STORE_KEY_SIZE];
 	record_order_t order = {0};
 	store_kv_t kv;
-	ctl_status_t status;
+	ctl_status_t status = ctl_check_name(ctl, name);
 
-	if (!name_is_valid(name)) {
-		errmsg_set(&ctl->err, "%.80s is not a name", name);
-		return CTL_USAGE;
-	}
+	if (status != CTL_OK)
+		return status;
 	g_strlcpy(order.target, name, sizeof(order.target));
 	if (!order_kind_parse(args->names[1], &order.kind)) {
 		errmsg_set(&ctl->err,
@@ -77,8 +74,7 @@
 						    : "a name");
 		return CTL_USAGE;
 	}
-	g_snprintf(key, sizeof(key), "conf/target/%s", name);
-	status = ctl_get_existing(ctl, key, RECORD_TARGET, &kv);
+	status = ctl_get_named(ctl, RECORD_TARGET, name, &kv);
 	record_clear(&kv.record);
 	return status == CTL_OK ? put_wish(ctl, &order) : status;
 }
@@ -124,7 +120,6 @@
 	JsonArray *array = json_array_new();
 	GArray *wishes = NULL, *states = NULL;
 	ctl_status_t status = ctl_list(ctl, "conf/order/", &wishes);
-	JsonNode *node;
 
 	if (status == CTL_OK)
 		status = ctl_list(ctl, "order/", &states);
@@ -141,9 +136,7 @@
 					 find_state(states,
 						    record->u.order.target)));
 	}
-	node = json_node_alloc();
-	json_node_init_array(node, array);
-	ctl_print(ctl, node);
+	ctl_print_array(ctl, json_array_ref(array));
 out:
 	json_array_unref(array);
 	g_array_unref(wishes);
--- a/ctl/out.c
+++ b/ctl/out.c
@@ -98,6 +98,22 @@
 	json_node_unref(node);
 }
 
+void ctl_print_object(ctl_t *ctl, JsonObject *object)
+{
+	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
+
+	json_node_take_object(node, object);
+	ctl_print(ctl, node);
+}
+
+void ctl_print_array(ctl_t *ctl, JsonArray *array)
+{
+	JsonNode *node = json_node_new(JSON_NODE_ARRAY);
+
+	json_node_take_array(node, array);
+	ctl_print(ctl, node);
+}
+
 void ctl_say(ctl_t *ctl, const char *fmt, ...)
 {
 	g_autofree char *text = NULL;
@@ -179,13 +195,18 @@
 				       record->checks_fencing);
 }
 
+/* "grant/A/B" -> "A/B" */
+static const char *without_folder(const char *key)
+{
+	const char *slash = strchr(key, '/');
+
+	return slash == NULL ? key : slash + 1;
+}
+
 static void describe_budget(JsonObject *object, const char *key,
 			    const record_budget_t *record)
 {
-	const char *name = strchr(key, '/');
-
-	json_object_set_string_member(object, "budget",
-				      name == NULL ? key : name + 1);
+	json_object_set_string_member(object, "budget", without_folder(key));
 	json_object_set_int_member(object, "tokens", record->budget);
 	json_object_set_int_member(object, "granted", record->granted);
 	json_object_set_int_member(object, "unallocated",
@@ -197,10 +218,7 @@
 static void describe_grant(JsonObject *object, const char *key,
 			   const record_grant_t *record)
 {
-	const char *name = strchr(key, '/');
-
-	json_object_set_string_member(object, "grant",
-				      name == NULL ? key : name + 1);
+	json_object_set_string_member(object, "grant", without_folder(key));
 	json_object_set_int_member(object, "granted", record->granted);
 	json_object_set_int_member(object, "settled", record->settled);
 	json_object_set_int_member(object, "unprotected", record->unprotected);
--- a/ctl/out.h
+++ b/ctl/out.h
@@ -14,6 +14,10 @@
 /* Prints an object, or an array of objects as a table; takes it over. */
 void ctl_print(ctl_t *ctl, JsonNode *node);
 
+/* The same for what is not in a node yet. */
+void ctl_print_object(ctl_t *ctl, JsonObject *object);
+void ctl_print_array(ctl_t *ctl, JsonArray *array);
+
 /* One line for people, {"result": text} for scripts. */
 void ctl_say(ctl_t *ctl, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
--- a/ctl/preset.c
+++ b/ctl/preset.c
@@ -1,5 +1,5 @@
 #include "ctl/command.h"
-#include "ctl/out.h"
+#include "ctl/records.h"
 #include "route/policy.h"
 
 #define PRESET_KEY "conf/preset"
--- a/ctl/service.c
+++ b/ctl/service.c
@@ -1,5 +1,5 @@
 #include "ctl/command.h"
-#include "ctl/out.h"
+#include "ctl/records.h"
 
 #include <string.h>
 
@@ -20,11 +20,6 @@
 	.max_body = 1048576,
 };
 
-static void service_key(char *key, const char *name)
-{
-	g_snprintf(key, STORE_KEY_SIZE, "conf/service/%s", name);
-}
-
 static ctl_status_t take_kind(ctl_t *ctl, const args_t *args,
 			      record_service_t *service)
 {
@@ -123,66 +118,51 @@
 static ctl_status_t set(ctl_t *ctl, const args_t *args)
 {
 	const char *name = args->names[0];
-	char key[STORE_KEY_SIZE];
 	store_kv_t kv;
-	record_t record = {.kind = RECORD_SERVICE};
-	ctl_status_t status;
-
-	if (!name_is_valid(name)) {
-		errmsg_set(&ctl->err, "%.80s is not a name", name);
-		return CTL_USAGE;
+	record_service_t *service = &kv.record.u.service;
+	bool is_new;
+	ctl_status_t status =
+		ctl_get_or_new(ctl, RECORD_SERVICE, name, &kv, &is_new);
+
+	if (status == CTL_OK && is_new) {
+		*service = defaults;
+		g_strlcpy(service->name, name, sizeof(service->name));
 	}
-	service_key(key, name);
-	status = ctl_get(ctl, key, &kv);
-	if (status != CTL_OK)
-		goto out;
-	record.u.service = defaults;
-	if (kv.record.kind == RECORD_SERVICE && !kv.record.u.service.removed)
-		record.u.service = kv.record.u.service;
-	g_strlcpy(record.u.service.name, name, NAME_SIZE);
-	record.u.service.op = ctl->op;
-	status = take_options(ctl, args, &record.u.service);
 	if (status == CTL_OK)
-		status = ctl_put(ctl, key, kv.revision, &record);
+		status = take_options(ctl, args, service);
+	if (status == CTL_OK)
+		status = ctl_put_back(ctl, &kv);
 	if (status == CTL_OK)
 		ctl_say(ctl, "service %s set", name);
-out:
 	record_clear(&kv.record);
 	return status;
 }
 
-static ctl_status_t remove_service(ctl_t *ctl, const args_t *args)
+static ctl_status_t remove_service(ctl_t *ctl, const char *name)
 {
-	char key[STORE_KEY_SIZE];
 	store_kv_t kv;
-	ctl_status_t status;
+	ctl_status_t status = ctl_get_named(ctl, RECORD_SERVICE, name, &kv);
 
-	service_key(key, args->names[0]);
-	status = ctl_get_existing(ctl, key, RECORD_SERVICE, &kv);
 	if (status == CTL_OK) {
 		kv.record.u.service.removed = true;
-		kv.record.u.service.op = ctl->op;
-		status = ctl_put(ctl, key, kv.revision, &kv.record);
+		status = ctl_put_back(ctl, &kv);
 	}
 	if (status == CTL_OK)
-		ctl_say(ctl, "service %s removed", args->names[0]);
+		ctl_say(ctl, "service %s removed", name);
 	record_clear(&kv.record);
 	return status;
 }
 
 ctl_status_t service_run(ctl_t *ctl, const args_t *args)
 {
-	char key[STORE_KEY_SIZE];
-
 	switch (args->command) {
 	case COMMAND_SERVICE_SET:
 		return set(ctl, args);
 	case COMMAND_SERVICE_LIST:
 		return ctl_print_list(ctl, "conf/service/");
 	case COMMAND_SERVICE_SHOW:
-		service_key(key, args->names[0]);
-		return ctl_print_one(ctl, key, RECORD_SERVICE);
+		return ctl_print_named(ctl, RECORD_SERVICE, args->names[0]);
 	default:
-		return remove_service(ctl, args);
+		return remove_service(ctl, args->names[0]);
 	}
 }
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -1,5 +1,5 @@
 #include "ctl/command.h"
-#include "ctl/out.h"
+#include "ctl/records.h"
 
 #include <string.h>
 
@@ -20,17 +20,9 @@
 				const char *name, const char *prefix)
 {
 	JsonArray *rows = json_array_new();
-	GArray *kvs = NULL;
-	ctl_status_t status = ctl_list(ctl, prefix, &kvs);
+	ctl_status_t status = ctl_add_rows(ctl, prefix, rows);
 
-	for (guint i = 0; i < kvs->len && status == CTL_OK; i++) {
-		const store_kv_t *kv = &g_array_index(kvs, store_kv_t, i);
-
-		if (!ctl_is_removed(&kv->record))
-			json_array_add_object_element(rows, ctl_describe(kv));
-	}
 	json_object_set_array_member(object, name, rows);
-	g_array_unref(kvs);
 	return status;
 }
 
@@ -79,7 +71,6 @@
 ctl_status_t status_run(ctl_t *ctl, const args_t *args)
 {
 	JsonObject *object = json_object_new();
-	JsonNode *node;
 	ctl_status_t status = add_members(ctl, object);
 
 	(void)args;
@@ -92,9 +83,7 @@
 	if (status == CTL_OK && !ctl->json) {
 		print_sections(ctl, object);
 	} else if (status == CTL_OK) {
-		node = json_node_new(JSON_NODE_OBJECT);
-		json_node_set_object(node, object);
-		ctl_print(ctl, node);
+		ctl_print_object(ctl, json_object_ref(object));
 	}
 	json_object_unref(object);
 	return status;
--- a/ctl/target.c
+++ b/ctl/target.c
@@ -1,5 +1,5 @@
 #include "ctl/command.h"
-#include "ctl/out.h"
+#include "ctl/records.h"
 #include "settings/settings.h"
 
 #include <string.h>
@@ -7,11 +7,6 @@
 #define CONCURRENCY_DEFAULT 8
 #define CONCURRENCY_MAX 100000
 
-static void target_key(char *key, const char *name)
-{
-	g_snprintf(key, STORE_KEY_SIZE, "conf/target/%s", name);
-}
-
 static ctl_status_t take_name(ctl_t *ctl, const char *option, const char *given,
 			      char *value)
 {
@@ -70,12 +65,9 @@
 
 static ctl_status_t check_service(ctl_t *ctl, const char *name)
 {
-	char key[STORE_KEY_SIZE];
 	store_kv_t kv;
-	ctl_status_t status;
+	ctl_status_t status = ctl_get_named(ctl, RECORD_SERVICE, name, &kv);
 
-	g_snprintf(key, sizeof(key), "conf/service/%s", name);
-	status = ctl_get_existing(ctl, key, RECORD_SERVICE, &kv);
 	record_clear(&kv.record);
 	return status;
 }
@@ -83,53 +75,42 @@
 static ctl_status_t set(ctl_t *ctl, const args_t *args)
 {
 	const char *name = args->names[0];
-	char key[STORE_KEY_SIZE];
 	store_kv_t kv;
-	record_t record = {.kind = RECORD_TARGET};
-	ctl_status_t status;
+	record_target_t *target = &kv.record.u.target;
+	bool is_new;
+	ctl_status_t status =
+		ctl_get_or_new(ctl, RECORD_TARGET, name, &kv, &is_new);
 
-	if (!name_is_valid(name)) {
-		errmsg_set(&ctl->err, "%.80s is not a name", name);
-		return CTL_USAGE;
+	if (status == CTL_OK && is_new) {
+		target->concurrency = CONCURRENCY_DEFAULT;
+		g_strlcpy(target->name, name, sizeof(target->name));
 	}
-	target_key(key, name);
-	status = ctl_get(ctl, key, &kv);
-	if (status != CTL_OK)
-		goto out;
-	record.u.target.concurrency = CONCURRENCY_DEFAULT;
-	if (kv.record.kind == RECORD_TARGET && !kv.record.u.target.removed)
-		record.u.target = kv.record.u.target;
-	g_strlcpy(record.u.target.name, name, NAME_SIZE);
-	record.u.target.op = ctl->op;
-	status = take_options(ctl, args, &record.u.target);
 	if (status == CTL_OK)
-		status = check_service(ctl, record.u.target.service);
+		status = take_options(ctl, args, target);
 	if (status == CTL_OK)
-		status = ctl_put(ctl, key, kv.revision, &record);
+		status = check_service(ctl, target->service);
+	if (status == CTL_OK)
+		status = ctl_put_back(ctl, &kv);
 	if (status == CTL_OK)
 		ctl_say(ctl, "target %s set", name);
-out:
 	record_clear(&kv.record);
 	return status;
 }
 
 static ctl_status_t change(ctl_t *ctl, const args_t *args)
 {
-	char key[STORE_KEY_SIZE];
 	store_kv_t kv;
 	record_target_t *target = &kv.record.u.target;
-	ctl_status_t status;
+	ctl_status_t status =
+		ctl_get_named(ctl, RECORD_TARGET, args->names[0], &kv);
 
-	target_key(key, args->names[0]);
-	status = ctl_get_existing(ctl, key, RECORD_TARGET, &kv);
 	if (status == CTL_OK) {
 		if (args->command == COMMAND_TARGET_REMOVE)
 			target->removed = true;
 		else
 			target->draining =
 				args->command == COMMAND_TARGET_DRAIN;
-		target->op = ctl->op;
-		status = ctl_put(ctl, key, kv.revision, &kv.record);
+		status = ctl_put_back(ctl, &kv);
 	}
 	if (status == CTL_OK)
 		ctl_say(ctl, "target %s changed", args->names[0]);
--- a/kernel/record.c
+++ b/kernel/record.c
@@ -89,6 +89,20 @@
 	return state < ORDER_STATE_COUNT ? order_states[state] : "unknown";
 }
 
+bool record_is_removed(const record_t *record)
+{
+	switch (record->kind) {
+	case RECORD_CLIENT_ACCOUNT:
+		return record->u.client_account.removed;
+	case RECORD_SERVICE:
+		return record->u.service.removed;
+	case RECORD_TARGET:
+		return record->u.target.removed;
+	default:
+		return false;
+	}
+}
+
 bool name_is_valid(const char *name)
 {
 	size_t len = strlen(name);
--- a/kernel/record.h
+++ b/kernel/record.h
@@ -255,6 +255,9 @@
 const char *order_state_name(order_state_t state);
 bool preset_parse(const char *text, preset_t *preset);
 
+/* True for the tombstone of a client account, service or target. */
+bool record_is_removed(const record_t *record);
+
 /* 1 to 63 bytes of letters, digits, '.', '_' and '-'. */
 bool name_is_valid(const char *name);
 
--- a/store/codec.c
+++ b/store/codec.c
@@ -150,7 +150,7 @@
 	for (guint i = 0; i < kind->field_count; i++) {
 		const field_t *field = &kind->fields[i];
 
-		if (schema_removed(record) && !schema_in_tombstone(field))
+		if (record_is_removed(record) && !schema_in_tombstone(field))
 			continue;
 		if (field->type == FIELD_OUTCOME &&
 		    record->u.claim.state != CLAIM_FINISHED)
@@ -199,16 +199,23 @@
 	return true;
 }
 
+/* An array of at most max elements. */
+static bool get_array(JsonNode *node, guint max, JsonArray **array,
+		      guint *count)
+{
+	if (!JSON_NODE_HOLDS_ARRAY(node))
+		return false;
+	*array = json_node_get_array(node);
+	*count = json_array_get_length(*array);
+	return *count <= max;
+}
+
 static bool get_keys(JsonNode *node, record_client_account_t *account)
 {
 	JsonArray *array;
 	guint count;
 
-	if (!JSON_NODE_HOLDS_ARRAY(node))
-		return false;
-	array = json_node_get_array(node);
-	count = json_array_get_length(array);
-	if (count > CLIENT_ACCOUNT_KEYS)
+	if (!get_array(node, CLIENT_ACCOUNT_KEYS, &array, &count))
 		return false;
 	for (guint i = 0; i < count; i++) {
 		JsonNode *item = json_array_get_element(array, i);
@@ -233,11 +240,7 @@
 	JsonArray *array;
 	guint count;
 
-	if (!JSON_NODE_HOLDS_ARRAY(node))
-		return false;
-	array = json_node_get_array(node);
-	count = json_array_get_length(array);
-	if (count > BUDGET_OPS)
+	if (!get_array(node, BUDGET_OPS, &array, &count))
 		return false;
 	for (guint i = 0; i < count; i++) {
 		if (!get_op(json_array_get_element(array, i), &ops[i]))
@@ -366,7 +369,7 @@
 		JsonNode *node = json_object_get_member(object, field->name);
 
 		/* "removed" comes before what a tombstone lacks. */
-		if (schema_removed(record) && !schema_in_tombstone(field))
+		if (record_is_removed(record) && !schema_in_tombstone(field))
 			continue;
 		if (field->type == FIELD_OUTCOME &&
 		    record->u.claim.state != CLAIM_FINISHED)
--- a/store/schema.c
+++ b/store/schema.c
@@ -311,20 +311,6 @@
 	return false;
 }
 
-bool schema_removed(const record_t *record)
-{
-	switch (record->kind) {
-	case RECORD_CLIENT_ACCOUNT:
-		return record->u.client_account.removed;
-	case RECORD_SERVICE:
-		return record->u.service.removed;
-	case RECORD_TARGET:
-		return record->u.target.removed;
-	default:
-		return false;
-	}
-}
-
 bool schema_in_tombstone(const field_t *field)
 {
 	return field->type == FIELD_OP || strcmp(field->name, "name") == 0 ||
@@ -367,7 +353,7 @@
 	for (guint i = 0; i < kind->field_count; i++) {
 		const field_t *field = &kind->fields[i];
 
-		if (schema_removed(record) && !schema_in_tombstone(field))
+		if (record_is_removed(record) && !schema_in_tombstone(field))
 			continue;
 		if (!field_ok(field, &record->u)) {
 			errmsg_set(err, "%s is out of range", field->name);
--- a/store/schema.h
+++ b/store/schema.h
@@ -52,7 +52,6 @@
 bool schema_check(const kind_t *kind, const record_t *record, errmsg_t *err);
 
 /* A tombstone holds its name, the operation and nothing else. */
-bool schema_removed(const record_t *record);
 bool schema_in_tombstone(const field_t *field);
 
 /* Value of a number or enum at its place in a record. */
