--- a/ledger/ledger.h
+++ b/ledger/ledger.h
@@ -12,7 +12,7 @@
 
 typedef struct ledger_opts_t {
 	char incarnation[INCARNATION_SIZE]; /* of this router */
-	int64_t horizon_us; /* a grant lasts this long at recent demand */
+	int64_t horizon_us; /* of recent demand that a grant covers at least */
 	int64_t commit_spacing_us; /* least time between settlement calls */
 	uint32_t fleet_calls; /* settlement calls per second of all members */
 	int64_t buddy_valid_us; /* an acknowledgement protects this long */
@@ -60,6 +60,7 @@
 	GHashTable *bill_keys; /* store key -> handle of the first bill */
 	GHashTable *holder_names; /* incarnation -> handle */
 	GHashTable *job_names; /* incarnation -> handle */
+	GHashTable *withheld; /* incarnation -> withheld_t */
 
 	member_list_t *members;
 	uint64_t op_seq; /* of grant and budget writes */
@@ -93,8 +94,7 @@
 void ledger_finish(ledger_t *ledger);
 
 /* Writes the store key of a bill; unsafe bytes are escaped. */
-void ledger_bill_key(char out[STORE_KEY_SIZE], const char *client_account,
-		     const char *idem_key);
+void ledger_bill_key(char out[STORE_KEY_SIZE], const bill_t *bill);
 
 G_END_DECLS
 
