Keep operators' operation ids when routers write a budget

Cause: each resize of a grant pushed an id into the budget's list, so after a few seconds a repeated top-up with the same --op was applied twice. Change: only operators' changes are listed, the last 16; routers recognise their own writes by the grant record and never read the list.

--- a/kernel/record.h
+++ b/kernel/record.h
@@ -20,7 +20,7 @@
 #define CONTENT_TYPE_SIZE 96 /* bytes, with terminator */
 #define STORE_KEY_SIZE 320 /* bytes, with terminator */
 #define CLIENT_ACCOUNT_KEYS 4 /* API keys of one client account */
-#define BUDGET_OPS 8 /* operation ids remembered per budget */
+#define BUDGET_OPS 16 /* operation ids remembered per budget */
 #define ORDER_MESSAGE_SIZE 128 /* bytes, with terminator */
 #define OUTCOME_BODY_MAX 262144 /* bytes of a stored outcome's body */
 
@@ -123,7 +123,7 @@
 	int64_t budget;
 	int64_t granted;
 	int64_t retired; /* spend of closed grants */
-	op_id_t ops[BUDGET_OPS]; /* newest first */
+	op_id_t ops[BUDGET_OPS]; /* of operators, newest first */
 } record_budget_t;
 
 typedef struct record_grant_t {
--- a/ledger/grant.c
+++ b/ledger/grant.c
@@ -24,7 +24,6 @@
 	flight->grant.op = next_op(ledger);
 	flight->grant.recovered = false;
 	flight->budget = slice->record;
-	push_op(&flight->budget, &flight->grant.op);
 }
 
 static void begin_read(ledger_t *ledger, slice_t *slice)
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -29,13 +29,6 @@
 	}
 }
 
-void push_op(record_budget_t *budget, const op_id_t *op)
-{
-	memmove(&budget->ops[1], &budget->ops[0],
-		sizeof(budget->ops) - sizeof(budget->ops[0]));
-	budget->ops[0] = *op;
-}
-
 op_id_t next_op(ledger_t *ledger)
 {
 	op_id_t op = {.seq = ++ledger->op_seq};
--- a/ledger/local.h
+++ b/ledger/local.h
@@ -202,7 +202,6 @@
 }
 
 void array_remove_handle(GArray *array, handle_t handle);
-void push_op(record_budget_t *budget, const op_id_t *op);
 op_id_t next_op(ledger_t *ledger);
 uint32_t member_count(const ledger_t *ledger);
 void check_stopped(ledger_t *ledger);
--- a/ledger/recover.c
+++ b/ledger/recover.c
@@ -294,7 +294,6 @@
 	int64_t revision = job_grant(job)->revision;
 
 	record.u.budget = job->budget;
-	push_op(&record.u.budget, &job->op);
 	if (job->closing && keep == 0) {
 		record.u.budget.granted -= rest;
 		record.u.budget.retired += grant->settled;
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -198,6 +198,24 @@
 	EXPECT_EQ(settled, 130);
 }
 
+// A repeated top-up is recognised by its operation id, so the routers' many
+// writes to the budget must not push it out.
+TEST_F(Ledger, OperatorsOperationIdsSurviveTheRoutersWrites)
+{
+	begin(1, 100000);
+	std::string key = "budget/acme/main";
+	g_strlcpy(world.store.entries[key].record.u.budget.ops[0].writer,
+		  "weekend-1", INCARNATION_SIZE);
+	int64_t revision = world.store.revision_of(key);
+	for (int i = 0; i < 30; i++) {
+		world.submit(0, request(("o" + std::to_string(i)).c_str(), 3000,
+					2500));
+		world.run_for(20 * SEC);
+	}
+	EXPECT_GT(world.store.revision_of(key), revision);
+	EXPECT_STREQ(world.budget("main").ops[0].writer, "weekend-1");
+}
+
 // Store calls stay few because bills are settled in groups.
 TEST_F(Ledger, SteadyRunNeedsFewStoreCalls)
 {
