Read the store for a bill that follows a refused one

Cause: bills behind another of their key are left out when unchecked bills are read; after the first was refused for want of tokens, the next one stayed unchecked, was neither settled nor refused, and kept its caller and its grant. Change: its slice is marked for a read when it comes first.

--- a/ledger/bill.c
+++ b/ledger/bill.c
@@ -145,6 +145,13 @@
 	if (next != NULL) {
 		next->follower = false;
 		ledger->followers--;
+		/* Followers are left out when unchecked bills are read. */
+		if (next->unchecked) {
+			slice_t *slice =
+				table_get(&ledger->slices, next->slice);
+
+			slice->unchecked = true;
+		}
 		enter(ledger, next);
 	}
 }
--- a/tests/ledger_prove.cc
+++ b/tests/ledger_prove.cc
@@ -267,6 +267,17 @@
 	EXPECT_EQ(bad[1], 0u) << first[1];
 }
 
+// Schedules beyond the default range that once failed.
+TEST(Prove, SchedulesThatFailedBefore)
+{
+	// A bill behind a refused one of its key was never answered.
+	for (uint64_t seed : {1438}) {
+		Verdict verdict = run_schedule(seed, STEPS, false);
+		EXPECT_EQ(verdict.overspend, "");
+		EXPECT_EQ(verdict.unbilled, "");
+	}
+}
+
 // A tally that can't fail proves nothing: a store that ignores the
 // expectation on the grant record must be noticed.
 TEST(Prove, BrokenStoreIsNoticed)
