--- a/kernel/msg.c
+++ b/kernel/msg.c
@@ -311,12 +311,6 @@
 	return list;
 }
 
-instance_list_t *instance_list_ref(instance_list_t *list)
-{
-	list->refs++;
-	return list;
-}
-
 void instance_list_unref(instance_list_t *list)
 {
 	if (list == NULL || --list->refs > 0)
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -254,7 +254,6 @@
 } instance_list_t;
 
 instance_list_t *instance_list_new(void);
-instance_list_t *instance_list_ref(instance_list_t *list);
 void instance_list_unref(instance_list_t *list);
 
 /* A bill as its router copies it to the buddy. */
--- a/route/policy.c
+++ b/route/policy.c
@@ -110,12 +110,3 @@
 	*row = rows[index];
 	return true;
 }
-
-void policy_print(preset_t preset, GString *out)
-{
-	policy_row_t row;
-
-	for (uint32_t i = 0; policy_row(preset, i, &row); i++)
-		g_string_append_printf(out, "%-24s %8u %-10s %s\n", row.name,
-				       row.value, row.unit, row.help);
-}
--- a/route/policy.h
+++ b/route/policy.h
@@ -53,9 +53,6 @@
 /* The rows of a preset's table; false when there is no row of that index. */
 bool policy_row(preset_t preset, uint32_t index, policy_row_t *row);
 
-/* Appends the table as text, one row a line. */
-void policy_print(preset_t preset, GString *out);
-
 G_END_DECLS
 
 #endif
--- a/store/codec.c
+++ b/store/codec.c
@@ -18,13 +18,6 @@
 	return kind == NULL ? RECORD_NONE : kind->kind;
 }
 
-const char *codec_kind_name(record_kind_t id)
-{
-	const kind_t *kind = schema_by_id(id);
-
-	return kind == NULL ? "none" : kind->name;
-}
-
 /* --- encoding ----------------------------------------------------------- */
 
 /* Bytes that can't be in a record's text are replaced by a question mark. */
--- a/store/codec.h
+++ b/store/codec.h
@@ -24,7 +24,6 @@
 
 /* RECORD_NONE for a key that belongs to no kind. */
 record_kind_t codec_kind_of_key(const char *key);
-const char *codec_kind_name(record_kind_t kind);
 
 /*
  * Appends the record's JSON text.  Returns false and appends nothing when the
