Show each router's refusals by reason in status

Cause: the state of the fleet lacked what callers were refused, so an operator had to read each router's metrics.

--- a/ctl/args.c
+++ b/ctl/args.c
@@ -85,7 +85,7 @@
 	{"preset", "show", COMMAND_PRESET_SHOW, 0, 0, "",
 	 "show the preset in force and what each one sets"},
 	{"status", "", COMMAND_STATUS, 0, 0, "",
-	 "show routers, targets, budgets and the preset"},
+	 "show routers, targets, budgets, preset, refusals"},
 };
 
 bool ctl_has_noun(const char *noun)
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -113,6 +113,11 @@
 [ "$preset" = peak ] || fail "the preset is $preset after 8 s"
 echo "router r2 has preset $preset in force"
 
+say "the state of the fleet"
+ctl status || fail "status"
+ctl status --json | json '[r["refusals"] for r in d["refusals"] if r["member"] == "r2"][0]' |
+	grep -q budget_spent=1 || fail "status does not count the refusal"
+
 say "planned stop of the routers, then the bill"
 stop_router r2
 stop_router r3
