--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,15 @@
 # stand-in for each tests/fakes/NAME.c.
 
 MODULES = kernel metrics log settings store conf ledger claims orders route \
-	  request dispatch front member peer instances admin router ctl
+	  request dispatch front member peer instances admin router ctl \
+	  http fleet prepaid balance proxy ingress outbound platform gateway
 PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
+# http-parser comes without a pkg-config file.
+EXTRA_LIBS = -lhttp_parser -lm
 DEBIAN_PACKAGES = gcc g++ make pkg-config clang-format clang-tidy curl \
 		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
 		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev \
+		  libhttp-parser-dev \
 		  glib-networking
 
 BUILD ?= build
@@ -25,7 +29,7 @@
 endif
 # Third-party headers are -isystem, so that warnings are about our own code.
 PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PACKAGES)))
-PKG_LIBS := $(shell pkg-config --libs $(PACKAGES)) -lm
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES)) $(EXTRA_LIBS)
 GTEST_LIBS := $(shell pkg-config --libs gtest_main)
 CFLAGS = -std=gnu11 -I. $(OPT) $(CWARNINGS) $(PKG_CFLAGS) -MMD -MP
 CXXFLAGS = -std=c++17 -I. $(OPT) $(WARNINGS) -Wno-missing-field-initializers \
--- /dev/null
+++ b/balance/balance.h
@@ -0,0 +1,32 @@
+/*
+ * Service "balance": chooses the target of each request.  It weighs the work
+ * that this instance has outstanding, what targets report, cached prompt
+ * prefixes, the availability zone and recent failures; requests that find no
+ * room wait in the order of their priority.
+ */
+#ifndef BALANCE_BALANCE_H
+#define BALANCE_BALANCE_H
+
+#include "kernel/kernel.h"
+
+G_BEGIN_DECLS
+
+typedef struct balance_t {
+	kernel_t *kernel;
+	svc_t svc;
+	char zone[NAME_SIZE];
+	fleet_conf_t *conf;
+	uint32_t instances; /* in the fleet, this one included */
+	table_t targets; /* balance_target_t */
+	table_t waiting; /* waiting_t */
+	table_t placements; /* placement_t */
+	GHashTable *by_id; /* target's id -> balance_target_t */
+	uint64_t arrivals; /* orders requests of one priority */
+} balance_t;
+
+void balance_init(balance_t *balance, kernel_t *kernel, const char *zone);
+void balance_finish(balance_t *balance);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/balance/target.h
@@ -0,0 +1,53 @@
+/*
+ * What this instance knows of one target, and the cost of sending it a
+ * request, in milliseconds of expected delay.
+ */
+#ifndef BALANCE_TARGET_H
+#define BALANCE_TARGET_H
+
+#include "balance/balance.h"
+
+G_BEGIN_DECLS
+
+typedef struct balance_target_t {
+	handle_t self;
+	fleet_target_t info;
+	bool engine;
+	int64_t kv_tokens; /* memory for cached prompts */
+	bool closed; /* draining or gone: gets nothing new */
+	uint32_t outstanding; /* of this instance */
+	int64_t unread_tokens; /* of prompts without a first byte */
+	target_load_t load; /* as last reported */
+	int64_t load_at; /* monotonic, us */
+	uint32_t outstanding_at_load;
+	double failures; /* recent ones, decaying */
+	int64_t failures_at; /* monotonic, us, of the last change */
+	GHashTable *cached; /* prompt part -> cached_part_t */
+	GQueue cached_order; /* cached_part_t, least recently used first */
+	int64_t cached_tokens;
+} balance_target_t;
+
+void balance_target_init(balance_target_t *target, const fleet_target_t *info);
+void balance_target_finish(balance_target_t *target);
+
+/* Tokens of the leading parts that the target keeps, by what it was sent. */
+int64_t balance_target_cached(const balance_target_t *target,
+			      const prompt_part_t *parts, uint32_t count);
+void balance_target_remember(balance_target_t *target,
+			     const prompt_part_t *parts, uint32_t count);
+/* Forgets what an earlier process at the target kept. */
+void balance_target_forget(balance_target_t *target);
+
+void balance_target_reported(balance_target_t *target,
+			     const target_load_t *load, int64_t now);
+void balance_target_failed(balance_target_t *target, double weight,
+			   int64_t now);
+void balance_target_succeeded(balance_target_t *target, int64_t now);
+
+/* overdue_us: age of the oldest request that has no first byte. */
+double balance_target_cost(const balance_target_t *target, const msg_t *place,
+			   bool same_zone, int64_t overdue_us, int64_t now);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/fleet/fleet.h
@@ -0,0 +1,33 @@
+/*
+ * Service "fleet": the configuration in force, the targets that the platform
+ * lists and the number of instances.  A configuration only ever gives way to
+ * a newer version.
+ */
+#ifndef FLEET_FLEET_H
+#define FLEET_FLEET_H
+
+#include "kernel/kernel.h"
+
+G_BEGIN_DECLS
+
+#define FLEET_SUBSCRIBERS_MAX 8
+
+typedef struct fleet_t {
+	kernel_t *kernel;
+	svc_t svc;
+	svc_t subscribers[FLEET_SUBSCRIBERS_MAX];
+	uint32_t subscriber_count;
+	fleet_conf_t *conf; /* NULL until one is known */
+	GHashTable *targets; /* id -> listed_target_t */
+	bool store_up;
+	int64_t returned_at; /* monotonic, us, of the store's last return */
+	uint32_t instances;
+	handle_t timer; /* ends the wait for lapsed entries */
+} fleet_t;
+
+void fleet_init(fleet_t *fleet, kernel_t *kernel);
+void fleet_finish(fleet_t *fleet);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,364 @@
+#include "gateway/gateway.h"
+
+#include "balance/balance.h"
+#include "fleet/fleet.h"
+#include "fleet/mesh.h"
+#include "ingress/ingress.h"
+#include "log/log.h"
+#include "outbound/outbound.h"
+#include "peer/peer.h"
+#include "platform/store.h"
+#include "prepaid/prepaid.h"
+#include "proxy/proxy.h"
+#include "settings/settings.h"
+
+#include <glib-unix.h>
+#include <stdio.h>
+#include <string.h>
+
+#define EXIT_USAGE 2
+/* Left of the grace period when the process ends by itself. */
+#define GRACE_MARGIN_US (400 * USEC_PER_MSEC)
+/* Of the grace period, to return unused tokens after the last request. */
+#define RETURN_US (500 * USEC_PER_MSEC)
+
+typedef enum gateway_timer_t {
+	TIMER_RETURN, /* requests that still run are given up */
+	TIMER_EXIT,
+} gateway_timer_t;
+
+/* A planned stop goes through these stages one after the other. */
+typedef enum gateway_stage_t {
+	STAGE_RUNNING,
+	STAGE_REQUESTS, /* requests in progress are finished */
+	STAGE_RETURNING, /* unused tokens go back to the store */
+	STAGE_STOPPED,
+} gateway_stage_t;
+
+typedef struct gateway_t {
+	settings_t settings;
+	const char *path; /* of the settings file */
+	char incarnation[INCARNATION_SIZE];
+	kernel_t kernel;
+	svc_t svc;
+	outbound_t outbound;
+	platform_store_t store;
+	fleet_t fleet;
+	mesh_t mesh;
+	peer_t peer;
+	prepaid_t prepaid;
+	balance_t balance;
+	proxy_t proxy;
+	ingress_t ingress;
+	gateway_stage_t stage;
+} gateway_t;
+
+static const char *stage_name(gateway_stage_t stage)
+{
+	switch (stage) {
+	case STAGE_RUNNING:
+		return "running";
+	case STAGE_REQUESTS:
+		return "requests";
+	case STAGE_RETURNING:
+		return "returning";
+	case STAGE_STOPPED:
+		return "stopped";
+	}
+	return "unknown";
+}
+
+static void stop_service(gateway_t *gateway, const char *name)
+{
+	msg_t msg = {.kind = MSG_STOP};
+
+	kernel_post(&gateway->kernel, gateway->svc,
+		    kernel_find(&gateway->kernel, name), &msg);
+}
+
+static void timer(gateway_t *gateway, int64_t delay, gateway_timer_t what)
+{
+	kernel_timer(&gateway->kernel, gateway->svc, MAX(delay, 0), HANDLE_NONE,
+		     (int)what);
+}
+
+static void enter(gateway_t *gateway, gateway_stage_t stage)
+{
+	int64_t grace = gateway->settings.gateway_grace_s * USEC_PER_SEC;
+
+	gateway->stage = stage;
+	log_event(LOG_LEVEL_INFO, "gateway", "stop", "stage=%s",
+		  stage_name(stage));
+	switch (stage) {
+	case STAGE_RUNNING:
+		break;
+	case STAGE_REQUESTS:
+		stop_service(gateway, "ingress");
+		timer(gateway, grace - GRACE_MARGIN_US - RETURN_US,
+		      TIMER_RETURN);
+		timer(gateway, grace - GRACE_MARGIN_US, TIMER_EXIT);
+		break;
+	case STAGE_RETURNING:
+		stop_service(gateway, "prepaid");
+		break;
+	case STAGE_STOPPED:
+		stop_service(gateway, "member");
+		kernel_quit(&gateway->kernel);
+		break;
+	}
+}
+
+static void stopped(gateway_t *gateway, const char *service)
+{
+	if (gateway->stage == STAGE_REQUESTS && strcmp(service, "ingress") == 0)
+		enter(gateway, STAGE_RETURNING);
+	else if (gateway->stage == STAGE_RETURNING &&
+		 strcmp(service, "prepaid") == 0)
+		enter(gateway, STAGE_STOPPED);
+}
+
+static void on_timer(gateway_t *gateway, gateway_timer_t what)
+{
+	if (what == TIMER_RETURN && gateway->stage == STAGE_REQUESTS)
+		enter(gateway, STAGE_RETURNING);
+	else if (what == TIMER_EXIT && gateway->stage != STAGE_STOPPED)
+		enter(gateway, STAGE_STOPPED);
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	gateway_t *gateway = self;
+
+	if (msg->kind == MSG_STOPPED)
+		stopped(gateway,
+			kernel_service_name(&gateway->kernel, msg->from));
+	else if (msg->kind == MSG_TIMER)
+		on_timer(gateway, (gateway_timer_t)msg->u.timer.what);
+}
+
+static gboolean on_term(gpointer data)
+{
+	gateway_t *gateway = data;
+
+	if (gateway->stage == STAGE_RUNNING)
+		enter(gateway, STAGE_REQUESTS);
+	kernel_flush(&gateway->kernel);
+	return G_SOURCE_CONTINUE;
+}
+
+/* What can change without a restart: the log's level. */
+static gboolean on_hup(gpointer data)
+{
+	gateway_t *gateway = data;
+	settings_t settings;
+	errmsg_t err = {""};
+
+	settings_init(&settings);
+	if (settings_load(&settings, gateway->path, &err) == SETTINGS_OK) {
+		log_set_level(log_level_parse(settings.log_level));
+		log_event(LOG_LEVEL_INFO, "gateway", "reload", "result=ok");
+	} else {
+		log_event(LOG_LEVEL_ERROR, "gateway", "reload",
+			  "result=refused reason=%s", log_quote(err.text));
+	}
+	settings_finish(&settings);
+	return G_SOURCE_CONTINUE;
+}
+
+static void split(const char *address, char *host, uint16_t *port)
+{
+	settings_parse_address(address, host, HOST_SIZE, port);
+}
+
+static void init_state(gateway_t *gateway)
+{
+	const settings_t *settings = &gateway->settings;
+	platform_store_opts_t store = {0};
+	prepaid_opts_t prepaid = {0};
+
+	outbound_init(&gateway->outbound, &gateway->kernel);
+	split(settings->gateway_store, store.host, &store.port);
+	store.watch_pause_ms = (uint32_t)settings->gateway_watch_pause_ms;
+	platform_store_init(&gateway->store, &gateway->kernel, &store);
+	fleet_init(&gateway->fleet, &gateway->kernel);
+	g_strlcpy(prepaid.node, settings->name, sizeof(prepaid.node));
+	g_strlcpy(prepaid.incarnation, gateway->incarnation,
+		  sizeof(prepaid.incarnation));
+	prepaid_init(&gateway->prepaid, &gateway->kernel, &prepaid);
+}
+
+static void init_requests(gateway_t *gateway)
+{
+	const settings_t *settings = &gateway->settings;
+	proxy_opts_t proxy = {
+		.repeats.ratio = settings->gateway_retry_ratio,
+		.repeats.slack = (uint32_t)settings->gateway_retry_slack,
+		.repeats.window_us =
+			settings->gateway_retry_window_s * USEC_PER_SEC,
+	};
+
+	balance_init(&gateway->balance, &gateway->kernel,
+		     settings->availability_zone);
+	g_strlcpy(proxy.incarnation, gateway->incarnation,
+		  sizeof(proxy.incarnation));
+	proxy_init(&gateway->proxy, &gateway->kernel, &proxy);
+	ingress_init(&gateway->ingress, &gateway->kernel);
+}
+
+static int init_peers(gateway_t *gateway)
+{
+	const settings_t *settings = &gateway->settings;
+	peer_opts_t peer = {0};
+
+	split(settings->gateway_peers, peer.listen_host, &peer.listen_port);
+	g_strlcpy(peer.key, settings->peer_key, sizeof(peer.key));
+	g_strlcpy(peer.self.incarnation, gateway->incarnation,
+		  sizeof(peer.self.incarnation));
+	g_strlcpy(peer.self.name, settings->name, sizeof(peer.self.name));
+	g_strlcpy(peer.self.availability_zone, settings->availability_zone,
+		  sizeof(peer.self.availability_zone));
+	g_strlcpy(peer.self.host, peer.listen_host, sizeof(peer.self.host));
+	peer.self.peer_port = peer.listen_port;
+	mesh_init(&gateway->mesh, &gateway->kernel, &peer.self,
+		  &settings->peer_seeds);
+	return peer_init(&gateway->peer, &gateway->kernel, &peer);
+}
+
+static int listen_on(gateway_t *gateway, listener_kind_t kind,
+		     const char *address)
+{
+	char host[HOST_SIZE];
+	uint16_t port;
+
+	split(address, host, &port);
+	if (ingress_listen(&gateway->ingress, kind, host, port) == INGRESS_OK)
+		return 0;
+	fprintf(stderr, "tanagertrestle: %s\n", gateway->ingress.err.text);
+	return -1;
+}
+
+/* Ports open only when every service can take messages. */
+static int open_ports(gateway_t *gateway)
+{
+	const settings_t *settings = &gateway->settings;
+
+	if (init_peers(gateway) != 0) {
+		fprintf(stderr, "tanagertrestle: peer: %s\n",
+			gateway->peer.err.text);
+		return -1;
+	}
+	if (listen_on(gateway, LISTENER_READINESS,
+		      settings->gateway_readiness) != 0 ||
+	    listen_on(gateway, LISTENER_METRICS, settings->gateway_metrics) !=
+		    0 ||
+	    listen_on(gateway, LISTENER_CALLERS, settings->gateway_callers) !=
+		    0)
+		return -1;
+	return 0;
+}
+
+static void finish_all(gateway_t *gateway)
+{
+	ingress_finish(&gateway->ingress);
+	proxy_finish(&gateway->proxy);
+	balance_finish(&gateway->balance);
+	peer_finish(&gateway->peer);
+	mesh_finish(&gateway->mesh);
+	prepaid_finish(&gateway->prepaid);
+	fleet_finish(&gateway->fleet);
+	platform_store_finish(&gateway->store);
+	outbound_finish(&gateway->outbound);
+	kernel_finish(&gateway->kernel);
+}
+
+static int run(gateway_t *gateway)
+{
+	guint term, interrupt, hup;
+	int status = 1;
+
+	kernel_init(&gateway->kernel, CLOCK_REAL, 0);
+	kernel_uuid(&gateway->kernel, gateway->incarnation);
+	gateway->svc =
+		kernel_register(&gateway->kernel, "gateway", receive, gateway);
+	init_state(gateway);
+	init_requests(gateway);
+	if (open_ports(gateway) != 0)
+		goto out;
+	term = g_unix_signal_add(SIGTERM, on_term, gateway);
+	interrupt = g_unix_signal_add(SIGINT, on_term, gateway);
+	hup = g_unix_signal_add(SIGHUP, on_hup, gateway);
+	kernel_start(&gateway->kernel);
+	log_event(LOG_LEVEL_INFO, "gateway", "start",
+		  "incarnation=%s availability_zone=%s callers=%s",
+		  gateway->incarnation, gateway->settings.availability_zone,
+		  gateway->settings.gateway_callers);
+	kernel_run(&gateway->kernel);
+	g_source_remove(term);
+	g_source_remove(interrupt);
+	g_source_remove(hup);
+	status = 0;
+	log_event(LOG_LEVEL_INFO, "gateway", "exit", "code=%d", status);
+out:
+	finish_all(gateway);
+	return status;
+}
+
+static int load(gateway_t *gateway)
+{
+	errmsg_t err;
+
+	settings_init(&gateway->settings);
+	if (settings_load(&gateway->settings, gateway->path, &err) !=
+	    SETTINGS_OK) {
+		fprintf(stderr, "tanagertrestle: %s\n", err.text);
+		return EXIT_USAGE;
+	}
+	if (!gateway->settings.gateway) {
+		fprintf(stderr,
+			"tanagertrestle: %s: gateway: missing section\n",
+			gateway->path);
+		return EXIT_USAGE;
+	}
+	return 0;
+}
+
+int gateway_main(int argc, char **argv)
+{
+	gateway_t *gateway;
+	char *path = NULL;
+	const GOptionEntry entries[] = {{"file", 'f', 0, G_OPTION_ARG_FILENAME,
+					 &path, "settings file", "SETTINGS"},
+					{NULL}};
+	g_autoptr(GOptionContext) context =
+		g_option_context_new("- run a gateway");
+	g_autoptr(GError) error = NULL;
+	int status = EXIT_USAGE;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	gateway = g_new0(gateway_t, 1);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "tanagertrestle: %s\n", error->message);
+		goto out;
+	}
+	if (path == NULL || argc != 1) {
+		fprintf(stderr, "usage: tanagertrestle gateway -f SETTINGS\n");
+		goto out;
+	}
+	gateway->path = path;
+	status = load(gateway);
+	if (status != 0)
+		goto out;
+	if (log_init(log_level_parse(gateway->settings.log_level),
+		     gateway->settings.name) != 0) {
+		fprintf(stderr, "tanagertrestle: log4c can't be started\n");
+		status = 1;
+		goto out;
+	}
+	status = run(gateway);
+	log_finish();
+out:
+	settings_finish(&gateway->settings);
+	g_free(gateway);
+	g_free(path);
+	return status;
+}
--- /dev/null
+++ b/http/parse.c
@@ -0,0 +1,261 @@
+#include "http/parse.h"
+
+#include <string.h>
+
+#define HEAD_MAX 65536 /* bytes of a response's head */
+
+static http_parse_t *self_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int count_head(http_parse_t *parse, size_t len)
+{
+	parse->head_bytes += len;
+	if (parse->head_bytes <= parse->max_head)
+		return 0;
+	parse->too_large = true;
+	return 1;
+}
+
+static void end_field(http_parse_t *parse)
+{
+	if (!parse->in_value)
+		return;
+	http_head_add(parse->head, parse->name->str, parse->value->str);
+	g_string_truncate(parse->name, 0);
+	g_string_truncate(parse->value, 0);
+	parse->in_value = false;
+}
+
+static int on_begin(http_parser *parser)
+{
+	http_parse_t *parse = self_of(parser);
+
+	parse->state = HTTP_STATE_HEAD;
+	if (parse->head == NULL)
+		parse->head = http_head_new();
+	return 0;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	http_parse_t *parse = self_of(parser);
+
+	g_string_append_len(parse->target, at, (gssize)len);
+	return count_head(parse, len);
+}
+
+static int on_name(http_parser *parser, const char *at, size_t len)
+{
+	http_parse_t *parse = self_of(parser);
+
+	end_field(parse);
+	g_string_append_len(parse->name, at, (gssize)len);
+	return count_head(parse, len);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	http_parse_t *parse = self_of(parser);
+
+	parse->in_value = true;
+	g_string_append_len(parse->value, at, (gssize)len);
+	return count_head(parse, len);
+}
+
+/* A response without a length ends with its connection. */
+static bool needs_eof(const http_parser *parser)
+{
+	uint32_t status = parser->status_code;
+
+	return parser->type == HTTP_RESPONSE && status >= 200 &&
+	       status != 204 && status != 304 &&
+	       (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+}
+
+static int on_head(http_parser *parser)
+{
+	http_parse_t *parse = self_of(parser);
+
+	end_field(parse);
+	parse->state = HTTP_STATE_BODY;
+	if (parser->type == HTTP_REQUEST) {
+		parse->head->method = g_strdup(
+			http_method_str((enum http_method)parser->method));
+		parse->head->target = g_strdup(parse->target->str);
+	} else {
+		parse->head->status = parser->status_code;
+	}
+	parse->until_eof = needs_eof(parser);
+	/* A tunnel or another protocol on the connection is not supported. */
+	return parser->upgrade ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	http_parse_t *parse = self_of(parser);
+
+	g_byte_array_append(parse->body, (const guint8 *)at, (guint)len);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	http_parse_t *parse = self_of(parser);
+
+	parse->keep_alive = http_should_keep_alive(parser) != 0;
+	parse->state = HTTP_STATE_COMPLETE;
+	/* The next byte may belong to another message. */
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void http_parse_init(http_parse_t *parse, bool response)
+{
+	memset(parse, 0, sizeof(*parse));
+	http_parser_init(&parse->parser,
+			 response ? HTTP_RESPONSE : HTTP_REQUEST);
+	parse->parser.data = parse;
+	parse->target = g_string_new(NULL);
+	parse->name = g_string_new(NULL);
+	parse->value = g_string_new(NULL);
+	parse->body = g_byte_array_new();
+	parse->max_head = HEAD_MAX;
+}
+
+void http_parse_finish(http_parse_t *parse)
+{
+	http_head_free(parse->head);
+	g_string_free(parse->target, TRUE);
+	g_string_free(parse->name, TRUE);
+	g_string_free(parse->value, TRUE);
+	g_byte_array_unref(parse->body);
+	memset(parse, 0, sizeof(*parse));
+}
+
+void http_parse_reset(http_parse_t *parse)
+{
+	enum http_parser_type type = (enum http_parser_type)parse->parser.type;
+
+	g_clear_pointer(&parse->head, http_head_free);
+	g_string_truncate(parse->target, 0);
+	g_string_truncate(parse->name, 0);
+	g_string_truncate(parse->value, 0);
+	g_byte_array_set_size(parse->body, 0);
+	parse->in_value = false;
+	parse->head_bytes = 0;
+	parse->too_large = false;
+	parse->until_eof = false;
+	parse->keep_alive = false;
+	parse->state = HTTP_STATE_IDLE;
+	http_parser_init(&parse->parser, type);
+	parse->parser.data = parse;
+}
+
+size_t http_parse_feed(http_parse_t *parse, const char *data, size_t len)
+{
+	size_t used;
+
+	if (parse->state == HTTP_STATE_COMPLETE ||
+	    parse->state == HTTP_STATE_BAD || len == 0)
+		return 0;
+	used = http_parser_execute(&parse->parser, &callbacks, data, len);
+	if (parse->state == HTTP_STATE_COMPLETE)
+		return used;
+	if (HTTP_PARSER_ERRNO(&parse->parser) != HPE_OK)
+		parse->state = HTTP_STATE_BAD;
+	return used;
+}
+
+void http_parse_eof(http_parse_t *parse)
+{
+	if (parse->state == HTTP_STATE_COMPLETE ||
+	    parse->state == HTTP_STATE_IDLE)
+		return;
+	if (parse->state != HTTP_STATE_BAD)
+		http_parser_execute(&parse->parser, &callbacks, NULL, 0);
+	if (parse->state != HTTP_STATE_COMPLETE)
+		parse->state = HTTP_STATE_BAD;
+}
+
+GBytes *http_parse_take_body(http_parse_t *parse)
+{
+	GBytes *bytes;
+
+	if (parse->body->len == 0)
+		return NULL;
+	bytes = g_byte_array_free_to_bytes(parse->body);
+	parse->body = g_byte_array_new();
+	return bytes;
+}
+
+http_head_t *http_parse_take_head(http_parse_t *parse)
+{
+	return g_steal_pointer(&parse->head);
+}
+
+int64_t http_parse_length(const http_parse_t *parse)
+{
+	uint64_t length;
+
+	if (parse->head == NULL ||
+	    !http_parse_uint(http_head_get(parse->head, "Content-Length"),
+			     INT64_MAX, &length))
+		return -1;
+	return (int64_t)length;
+}
+
+static const char *reason_phrase(uint32_t status)
+{
+	switch (status) {
+#define XX(code, name, text) \
+	case code:           \
+		return #text;
+		HTTP_STATUS_MAP(XX)
+#undef XX
+	default:
+		return "Unknown";
+	}
+}
+
+static void append_text(GByteArray *out, const char *text)
+{
+	g_byte_array_append(out, (const guint8 *)text, (guint)strlen(text));
+}
+
+void http_head_write(const http_head_t *head, GByteArray *out)
+{
+	char line[64];
+
+	if (head->method != NULL) {
+		append_text(out, head->method);
+		append_text(out, " ");
+		append_text(out, head->target);
+		append_text(out, " HTTP/1.1\r\n");
+	} else {
+		g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n",
+			   head->status, reason_phrase(head->status));
+		append_text(out, line);
+	}
+	for (guint i = 0; i < head->fields->len; i++) {
+		const http_field_t *field =
+			&g_array_index(head->fields, http_field_t, i);
+
+		append_text(out, field->name);
+		append_text(out, ": ");
+		append_text(out, field->value);
+		append_text(out, "\r\n");
+	}
+	append_text(out, "\r\n");
+}
--- /dev/null
+++ b/ingress/ingress.c
@@ -0,0 +1,211 @@
+#include "ingress/ingress.h"
+
+#include "ingress/conn.h"
+#include "platform/wire.h"
+
+#include <string.h>
+
+#define ACCEPT_MAX 64 /* connections accepted in one turn of the loop */
+#define SWEEP_US (250 * USEC_PER_MSEC) /* resolution of the time limits */
+/*
+ * Connections still come until the load balancer has seen two checks fail,
+ * one a second.
+ */
+#define STOP_MIN_US (2500 * USEC_PER_MSEC)
+/* Descriptors left for the files, targets and peers of this process. */
+#define CONNS_MAX 3000
+
+/* Limits until a configuration states them. */
+static const fleet_limits_t default_limits = {
+	.max_header = 16384,
+	.max_body = 4194304,
+	.header_timeout_ms = 3000,
+	.idle_timeout_ms = 15000,
+};
+
+static gboolean on_incoming(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	listener_t *listener = data;
+	ingress_t *ingress = listener->ingress;
+	GSocket *accepted;
+
+	(void)condition;
+	for (int i = 0; i < ACCEPT_MAX; i++) {
+		if (table_count(&ingress->conns) >= CONNS_MAX)
+			break;
+		accepted = g_socket_accept(socket, NULL, NULL);
+		if (accepted == NULL)
+			break;
+		ingress_conn_open(ingress, accepted, listener->kind);
+		g_object_unref(accepted);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+ingress_status_t ingress_listen(ingress_t *ingress, listener_kind_t kind,
+				const char *host, uint16_t port)
+{
+	listener_t *listener = &ingress->listeners[kind];
+
+	listener->ingress = ingress;
+	listener->kind = kind;
+	listener->socket = http_socket_listen(host, port, &ingress->err);
+	if (listener->socket == NULL)
+		return INGRESS_LISTEN_FAILED;
+	listener->source =
+		g_socket_create_source(listener->socket, G_IO_IN, NULL);
+	g_source_set_callback(listener->source, G_SOURCE_FUNC(on_incoming),
+			      listener, NULL);
+	g_source_attach(listener->source, NULL);
+	return INGRESS_OK;
+}
+
+static void close_listener(listener_t *listener)
+{
+	if (listener->source != NULL) {
+		g_source_destroy(listener->source);
+		g_clear_pointer(&listener->source, g_source_unref);
+	}
+	if (listener->socket != NULL)
+		g_socket_close(listener->socket, NULL);
+	g_clear_object(&listener->socket);
+}
+
+static void answer_readiness(ingress_t *ingress, ingress_conn_t *conn)
+{
+	bool ready = ingress->ready && !ingress->stopping;
+
+	ingress_conn_answer(conn, ready ? 200 : 503, "text/plain",
+			    ready ? "ready\n" : "not ready\n", false);
+}
+
+static void answer_metrics(ingress_t *ingress, ingress_conn_t *conn)
+{
+	GString *text = g_string_new(NULL);
+
+	metrics_print(ingress->kernel->metrics, text);
+	ingress_conn_answer(conn, 200, "text/plain; version=0.0.4", text->str,
+			    false);
+	g_string_free(text, TRUE);
+}
+
+static void forward(ingress_t *ingress, ingress_conn_t *conn)
+{
+	exchange_spec_t *spec = exchange_spec_new();
+	GBytes *body = http_parse_take_body(&conn->parse);
+	msg_t msg = {.kind = MSG_EXCHANGE_OPEN, .id = conn->self};
+	errmsg_t err;
+
+	metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
+	if (!wire_read_request(conn->parse.head, body, spec, &err)) {
+		metrics_refusal(ingress->kernel->metrics, REFUSAL_BAD_REQUEST);
+		exchange_spec_free(spec);
+		g_clear_pointer(&body, g_bytes_unref);
+		ingress_conn_answer(conn, 400, "text/plain", err.text, false);
+		return;
+	}
+	g_clear_pointer(&body, g_bytes_unref);
+	msg.u.exchange = spec;
+	kernel_post(ingress->kernel, ingress->svc, ingress->proxy, &msg);
+}
+
+void ingress_request(ingress_t *ingress, ingress_conn_t *conn)
+{
+	switch (conn->kind) {
+	case LISTENER_CALLERS:
+		forward(ingress, conn);
+		break;
+	case LISTENER_READINESS:
+		answer_readiness(ingress, conn);
+		break;
+	case LISTENER_METRICS:
+		answer_metrics(ingress, conn);
+		break;
+	case LISTENER_COUNT:
+		break;
+	}
+}
+
+static void check_stopped(ingress_t *ingress)
+{
+	int64_t age = kernel_now(ingress->kernel) - ingress->stop_at;
+	msg_t msg = {.kind = MSG_STOPPED};
+
+	if (!ingress->stopping || ingress->stopped || ingress->busy > 0 ||
+	    age < STOP_MIN_US)
+		return;
+	ingress->stopped = true;
+	kernel_post(ingress->kernel, ingress->svc,
+		    kernel_find(ingress->kernel, "gateway"), &msg);
+}
+
+static void tick(ingress_t *ingress)
+{
+	ingress_conn_sweep(ingress);
+	check_stopped(ingress);
+	kernel_timer(ingress->kernel, ingress->svc, SWEEP_US, HANDLE_NONE, 0);
+}
+
+static void start(ingress_t *ingress)
+{
+	msg_t msg = {.kind = MSG_FLEET_SUBSCRIBE};
+
+	ingress->proxy = kernel_find(ingress->kernel, "proxy");
+	kernel_post(ingress->kernel, ingress->svc,
+		    kernel_find(ingress->kernel, "fleet"), &msg);
+	kernel_timer(ingress->kernel, ingress->svc, SWEEP_US, HANDLE_NONE, 0);
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	ingress_t *ingress = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		start(ingress);
+		break;
+	case MSG_STOP:
+		ingress->stopping = true;
+		ingress->stop_at = kernel_now(ingress->kernel);
+		break;
+	case MSG_TIMER:
+		tick(ingress);
+		break;
+	case MSG_FLEET_CONF:
+		ingress->limits = msg->u.fleet_conf->limits;
+		ingress->ready = true;
+		break;
+	case MSG_EXCHANGE_STARTED:
+	case MSG_EXCHANGE_HEAD:
+	case MSG_EXCHANGE_DATA:
+	case MSG_EXCHANGE_END:
+	case MSG_EXCHANGE_BROKEN:
+		ingress_conn_recv(ingress, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+void ingress_init(ingress_t *ingress, kernel_t *kernel)
+{
+	memset(ingress, 0, sizeof(*ingress));
+	ingress->kernel = kernel;
+	ingress->limits = default_limits;
+	table_init(&ingress->conns, sizeof(ingress_conn_t));
+	ingress->svc = kernel_register(kernel, "ingress", receive, ingress);
+}
+
+void ingress_finish(ingress_t *ingress)
+{
+	uint32_t cursor = 0;
+	ingress_conn_t *conn;
+
+	for (int i = 0; i < LISTENER_COUNT; i++)
+		close_listener(&ingress->listeners[i]);
+	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
+		ingress_conn_drop(conn);
+	table_finish(&ingress->conns);
+	kernel_unregister(ingress->kernel, ingress->svc);
+}
--- /dev/null
+++ b/ingress/ingress.h
@@ -0,0 +1,60 @@
+/*
+ * Service "ingress": the gateway's HTTP server.  It reads whole requests,
+ * hands them to "proxy" and writes the answers as they come; it also answers
+ * the load balancer's readiness checks and serves the metrics.
+ */
+#ifndef INGRESS_INGRESS_H
+#define INGRESS_INGRESS_H
+
+#include "http/parse.h"
+#include "http/socket.h"
+#include "kernel/kernel.h"
+#include "kernel/status.h"
+
+G_BEGIN_DECLS
+
+typedef enum listener_kind_t {
+	LISTENER_CALLERS,
+	LISTENER_READINESS,
+	LISTENER_METRICS,
+	LISTENER_COUNT,
+} listener_kind_t;
+
+typedef enum ingress_status_t {
+	INGRESS_OK,
+	INGRESS_LISTEN_FAILED,
+} ingress_status_t;
+
+struct ingress_t;
+
+typedef struct listener_t {
+	struct ingress_t *ingress;
+	listener_kind_t kind;
+	GSocket *socket; /* NULL: not listening */
+	GSource *source; /* NULL while not accepting */
+} listener_t;
+
+typedef struct ingress_t {
+	kernel_t *kernel;
+	svc_t svc;
+	svc_t proxy;
+	listener_t listeners[LISTENER_COUNT];
+	table_t conns; /* ingress_conn_t */
+	uint32_t busy; /* requests in progress */
+	fleet_limits_t limits;
+	bool ready; /* a configuration is known */
+	bool stopping;
+	int64_t stop_at; /* monotonic, us, when MSG_STOP came */
+	bool stopped; /* MSG_STOPPED was sent */
+	errmsg_t err;
+} ingress_t;
+
+void ingress_init(ingress_t *ingress, kernel_t *kernel);
+void ingress_finish(ingress_t *ingress);
+/* Listens on IP:PORT for one kind of caller; ingress->err says what failed. */
+ingress_status_t ingress_listen(ingress_t *ingress, listener_kind_t kind,
+				const char *host, uint16_t port);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/kernel/exchange.c
@@ -0,0 +1,21 @@
+#include "kernel/exchange.h"
+
+#include <string.h>
+
+exchange_spec_t *exchange_spec_new(void)
+{
+	exchange_spec_t *spec = g_new0(exchange_spec_t, 1);
+
+	spec->wait_ms = -1;
+	return spec;
+}
+
+void exchange_spec_free(exchange_spec_t *spec)
+{
+	if (spec == NULL)
+		return;
+	explicit_bzero(spec->api_key, sizeof(spec->api_key));
+	http_head_free(spec->head);
+	g_clear_pointer(&spec->body, g_bytes_unref);
+	g_free(spec);
+}
--- /dev/null
+++ b/kernel/fleet.c
@@ -0,0 +1,131 @@
+#include "kernel/fleet.h"
+
+#include <string.h>
+
+fleet_conf_t *fleet_conf_new(void)
+{
+	fleet_conf_t *conf = g_new0(fleet_conf_t, 1);
+
+	conf->refs = 1;
+	conf->routes = g_array_new(FALSE, TRUE, sizeof(fleet_route_t));
+	conf->services = g_array_new(FALSE, TRUE, sizeof(fleet_service_t));
+	conf->accounts = g_array_new(FALSE, TRUE, sizeof(fleet_account_t));
+	conf->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return conf;
+}
+
+fleet_conf_t *fleet_conf_ref(fleet_conf_t *conf)
+{
+	conf->refs++;
+	return conf;
+}
+
+void fleet_conf_unref(fleet_conf_t *conf)
+{
+	if (conf == NULL || --conf->refs > 0)
+		return;
+	g_array_unref(conf->routes);
+	g_array_unref(conf->services);
+	g_array_unref(conf->accounts);
+	g_hash_table_unref(conf->keys);
+	g_clear_pointer(&conf->document, g_bytes_unref);
+	g_free(conf);
+}
+
+const fleet_route_t *fleet_conf_route(const fleet_conf_t *conf,
+				      const char *host, const char *path)
+{
+	const fleet_route_t *best = NULL;
+	size_t best_len = 0;
+
+	for (guint i = 0; i < conf->routes->len; i++) {
+		const fleet_route_t *route =
+			&g_array_index(conf->routes, fleet_route_t, i);
+		size_t len = strlen(route->path_prefix);
+
+		if (len < best_len ||
+		    strncmp(path, route->path_prefix, len) != 0 ||
+		    g_ascii_strcasecmp(host, route->host) != 0)
+			continue;
+		best = route;
+		best_len = len;
+	}
+	return best;
+}
+
+const fleet_service_t *fleet_conf_service(const fleet_conf_t *conf,
+					  const char *name)
+{
+	for (guint i = 0; i < conf->services->len; i++) {
+		const fleet_service_t *service =
+			&g_array_index(conf->services, fleet_service_t, i);
+
+		if (strcmp(service->name, name) == 0)
+			return service;
+	}
+	return NULL;
+}
+
+const fleet_account_t *fleet_conf_account(const fleet_conf_t *conf,
+					  const char *key)
+{
+	guint index = GPOINTER_TO_UINT(g_hash_table_lookup(conf->keys, key));
+
+	if (index == 0)
+		return NULL;
+	return &g_array_index(conf->accounts, fleet_account_t, index - 1);
+}
+
+const fleet_account_t *fleet_conf_account_named(const fleet_conf_t *conf,
+						const char *name)
+{
+	for (guint i = 0; i < conf->accounts->len; i++) {
+		const fleet_account_t *account =
+			&g_array_index(conf->accounts, fleet_account_t, i);
+
+		if (strcmp(account->name, name) == 0)
+			return account;
+	}
+	return NULL;
+}
+
+record_allocation_t *allocation_new(void)
+{
+	record_allocation_t *allocation = g_new0(record_allocation_t, 1);
+
+	allocation->holders = g_array_new(FALSE, TRUE, sizeof(grant_holder_t));
+	return allocation;
+}
+
+record_allocation_t *allocation_copy(const record_allocation_t *from)
+{
+	record_allocation_t *copy = allocation_new();
+
+	copy->closed = from->closed;
+	g_array_append_vals(copy->holders, from->holders->data,
+			    from->holders->len);
+	return copy;
+}
+
+void allocation_free(record_allocation_t *allocation)
+{
+	if (allocation == NULL)
+		return;
+	g_array_unref(allocation->holders);
+	g_free(allocation);
+}
+
+int64_t allocation_total(const record_allocation_t *allocation)
+{
+	int64_t total = allocation->closed;
+
+	for (guint i = 0; i < allocation->holders->len; i++) {
+		const grant_holder_t *holder =
+			&g_array_index(allocation->holders, grant_holder_t, i);
+
+		if (__builtin_add_overflow(total, holder->granted, &total))
+			return -1;
+	}
+	return total;
+}
--- /dev/null
+++ b/kernel/http.h
@@ -0,0 +1,47 @@
+/*
+ * The head of an HTTP/1.1 message as plain data, for messages between
+ * services.  Encoding and decoding are in http/.
+ */
+#ifndef KERNEL_HTTP_H
+#define KERNEL_HTTP_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+typedef struct http_field_t {
+	char *name;
+	char *value;
+} http_field_t;
+
+typedef struct http_head_t {
+	char *method; /* of a request */
+	char *target; /* of a request: path and query */
+	uint32_t status; /* of a response */
+	GArray *fields; /* http_field_t, in order */
+} http_head_t;
+
+http_head_t *http_head_new(void);
+http_head_t *http_head_request(const char *method, const char *target);
+http_head_t *http_head_response(uint32_t status);
+http_head_t *http_head_copy(const http_head_t *head);
+void http_head_free(http_head_t *head);
+
+void http_head_add(http_head_t *head, const char *name, const char *value);
+void http_head_add_int(http_head_t *head, const char *name, int64_t value);
+/* The first field of that name in any case, or NULL. */
+const char *http_head_get(const http_head_t *head, const char *name);
+/* True when a comma-separated field holds the token, in any case. */
+bool http_head_has_token(const http_head_t *head, const char *name,
+			 const char *token);
+/* Concerns one connection only and is never forwarded. */
+bool http_field_is_hop_by_hop(const char *name);
+
+/* A whole number from 0 to max; false leaves *value as it is. */
+bool http_parse_uint(const char *text, uint64_t max, uint64_t *value);
+
+G_END_DECLS
+
+#endif
--- a/kernel/msg.c
+++ b/kernel/msg.c
@@ -319,6 +319,13 @@
 	g_free(list);
 }
 
+static void clear_store_item(gpointer data)
+{
+	store_item_t *item = data;
+
+	g_clear_pointer(&item->value, g_bytes_unref);
+}
+
 peer_body_t *peer_body_new(peer_kind_t kind)
 {
 	peer_body_t *body = g_new0(peer_body_t, 1);
@@ -336,6 +343,12 @@
 		body->u.bill_copy.bills =
 			g_array_new(FALSE, TRUE, sizeof(bill_t));
 		break;
+	case PEER_STORE_ITEMS:
+		body->u.store_items.items =
+			g_array_new(FALSE, TRUE, sizeof(store_item_t));
+		g_array_set_clear_func(body->u.store_items.items,
+				       clear_store_item);
+		break;
 	default:
 		break;
 	}
@@ -356,6 +369,9 @@
 	case PEER_BILL_COPY:
 		g_array_unref(body->u.bill_copy.bills);
 		break;
+	case PEER_STORE_ITEMS:
+		g_array_unref(body->u.store_items.items);
+		break;
 	default:
 		break;
 	}
@@ -403,6 +419,26 @@
 	case MSG_INSTANCES_LISTED:
 		g_clear_pointer(&msg->u.instances, instance_list_unref);
 		break;
+	case MSG_EXCHANGE_OPEN:
+		g_clear_pointer(&msg->u.exchange, exchange_spec_free);
+		break;
+	case MSG_EXCHANGE_HEAD:
+		g_clear_pointer(&msg->u.exchange_head.head, http_head_free);
+		break;
+	case MSG_EXCHANGE_DATA:
+	case MSG_OUT_DATA:
+		g_clear_pointer(&msg->u.data.bytes, g_bytes_unref);
+		break;
+	case MSG_OUT_SEND:
+		g_clear_pointer(&msg->u.out_send.head, http_head_free);
+		g_clear_pointer(&msg->u.out_send.body, g_bytes_unref);
+		break;
+	case MSG_OUT_HEAD:
+		g_clear_pointer(&msg->u.out_head.head, http_head_free);
+		break;
+	case MSG_FLEET_CONF:
+		g_clear_pointer(&msg->u.fleet_conf, fleet_conf_unref);
+		break;
 	default:
 		break;
 	}
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -9,6 +9,8 @@
 #ifndef KERNEL_MSG_H
 #define KERNEL_MSG_H
 
+#include "kernel/exchange.h"
+#include "kernel/fleet.h"
 #include "kernel/record.h"
 #include "kernel/table.h"
 
@@ -36,6 +38,9 @@
 	X(NO_TARGET, "no_target")                   \
 	X(TARGET_FAILED, "target_failed")           \
 	X(RETRIES_SPENT, "retries_spent")           \
+	X(NO_CONFIGURATION, "no_configuration")     \
+	X(NO_ROUTE, "no_route")                     \
+	X(NOT_GENUINE, "not_genuine")               \
 	X(STOPPING, "stopping")                     \
 	X(CALLER_GONE, "caller_gone")               \
 	X(INTERNAL, "internal")
@@ -49,15 +54,16 @@
 } refusal_t;
 
 /* How an attempt at a target failed.  Each has a retry counter. */
-#define FAILURE_LIST(X)             \
-	X(CONNECT, "connect")       \
-	X(SENT, "sent")             \
-	X(HEAD, "head")             \
-	X(STREAM, "stream")         \
-	X(SILENT, "silent")         \
-	X(OVERLOADED, "overloaded") \
-	X(LEAVING, "leaving")       \
-	X(DEADLINE, "deadline")     \
+#define FAILURE_LIST(X)               \
+	X(CONNECT, "connect")         \
+	X(SENT, "sent")               \
+	X(HEAD, "head")               \
+	X(STREAM, "stream")           \
+	X(SILENT, "silent")           \
+	X(OVERLOADED, "overloaded")   \
+	X(LEAVING, "leaving")         \
+	X(MISDIRECTED, "misdirected") \
+	X(DEADLINE, "deadline")       \
 	X(CANCELLED, "cancelled")
 
 typedef enum failure_t {
@@ -278,9 +284,18 @@
 	PEER_SLICE_ASK,
 	PEER_SLICE_REPLY,
 	PEER_BLAME,
+	PEER_STORE_PULL,
+	PEER_STORE_ITEMS,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
+/* An item of the store as it lies there, for routers that can't read it. */
+typedef struct store_item_t {
+	char key[STORE_KEY_SIZE];
+	int64_t revision;
+	GBytes *value; /* NULL: deleted */
+} store_item_t;
+
 typedef struct peer_body_t {
 	peer_kind_t kind;
 	union {
@@ -322,6 +337,13 @@
 			char reporter[INCARNATION_SIZE];
 			uint64_t seq; /* of the reporter */
 		} blame;
+		struct {
+			int64_t after; /* revision up to which all is known */
+		} store_pull;
+		struct {
+			int64_t up_to; /* all changes up to this revision */
+			GArray *items; /* store_item_t */
+		} store_items;
 	} u;
 } peer_body_t;
 
@@ -410,9 +432,51 @@
 	MSG_MEMBER_GONE, /* member -> ledger: a router's lease has expired */
 	MSG_INSTANCES_LISTED, /* instances -> member: the list was answered */
 
+	MSG_EXCHANGE_OPEN, /* ingress -> proxy */
+	MSG_EXCHANGE_STARTED, /* proxy -> ingress */
+	MSG_EXCHANGE_GONE, /* ingress -> proxy: the caller has left */
+	MSG_EXCHANGE_HEAD, /* proxy -> ingress */
+	MSG_EXCHANGE_DATA,
+	MSG_EXCHANGE_END,
+	MSG_EXCHANGE_BROKEN, /* the answer is incomplete */
+
+	MSG_PLACE, /* proxy -> balance */
+	MSG_PLACED,
+	MSG_PLACE_REFUSED,
+	MSG_PLACE_CANCEL, /* withdraws a request that was not yet placed */
+	MSG_PLACE_FIRST_BYTE,
+	MSG_PLACE_DONE, /* ends a placement */
+
+	MSG_OUT_SEND, /* any -> outbound */
+	MSG_OUT_STARTED,
+	MSG_OUT_CANCEL,
+	MSG_OUT_HEAD, /* outbound -> the sender */
+	MSG_OUT_DATA,
+	MSG_OUT_END,
+	MSG_OUT_FAILED,
+
+	MSG_FLEET_SUBSCRIBE, /* any -> fleet */
+	MSG_FLEET_CONF, /* a newer configuration is in force */
+	MSG_FLEET_TARGET, /* a target was listed, changed or removed */
+	MSG_FLEET_SIZE, /* number of instances in the fleet */
+
+	MSG_SPEND, /* proxy -> prepaid: ends a reservation */
+
 	MSG_KIND_COUNT,
 } msg_kind_t;
 
+/* How a placement ended. */
+typedef enum place_result_t {
+	PLACE_OK,
+	PLACE_NOT_SENT, /* nothing was learned about the target */
+	PLACE_UNREACHABLE, /* no connection could be made */
+	PLACE_FULL, /* the target rejected the request as full */
+	PLACE_MISDIRECTED, /* another instance has the address */
+	PLACE_ERROR, /* the target answered with an error of its own */
+	PLACE_LOST, /* reset, cut short or silent */
+	PLACE_CANCELLED, /* the caller left */
+} place_result_t;
+
 typedef enum reserve_result_t {
 	RESERVE_OK,
 	RESERVE_SPENT, /* the budget can't cover it */
@@ -639,6 +703,79 @@
 					     */
 		} gone;
 		instance_list_t *instances; /* MSG_INSTANCES_LISTED */
+
+		exchange_spec_t *exchange; /* MSG_EXCHANGE_OPEN */
+		struct {
+			http_head_t *head;
+			int64_t length; /* bytes of the body, -1: not known */
+		} exchange_head;
+
+		struct {
+			char request_id[REQUEST_ID_SIZE];
+			char service[NAME_SIZE];
+			int32_t priority; /* 0 is the highest */
+			int64_t deadline; /* to be placed, monotonic, us */
+			int64_t prompt_tokens;
+			int64_t max_tokens;
+			uint32_t part_count;
+			prompt_part_t parts[PROMPT_PARTS_MAX];
+			uint32_t avoid_count;
+			handle_t avoid[ROUTE_AVOID_MAX]; /* targets */
+		} place;
+		struct {
+			handle_t target;
+			char instance[NAME_SIZE];
+			char host[HOST_SIZE];
+			uint16_t port;
+		} placed; /* id is the placement, ended by PLACE_DONE */
+		struct {
+			refusal_t reason;
+			uint32_t retry_after_ms;
+		} place_refused;
+		struct {
+			place_result_t result;
+			target_load_t load;
+		} place_done; /* ref is the placement */
+
+		struct {
+			char host[HOST_SIZE];
+			uint16_t port;
+			http_head_t *head;
+			GBytes *body; /* NULL: none */
+			/*
+			 * A field that answers repeat; one with another value
+			 * answers an earlier request.  Empty: not compared.
+			 */
+			char echo_name[NAME_SIZE];
+			char echo_value[REQUEST_ID_SIZE];
+			int64_t deadline; /* monotonic, us */
+			int64_t head_deadline; /* of the answer's head; 0: none
+						*/
+		} out_send;
+		struct {
+			http_head_t *head;
+		} out_head;
+		struct {
+			bool reused; /* the connection had served before */
+		} out_started;
+		struct {
+			failure_t failure;
+			bool sent; /* bytes may have reached the target */
+			bool reset; /* the connection was reset or closed early
+				     */
+		} out_failed;
+
+		fleet_conf_t *fleet_conf; /* MSG_FLEET_CONF */
+		struct {
+			fleet_target_t target;
+			bool gone;
+		} fleet_target;
+		struct {
+			uint32_t instances; /* this one included */
+		} fleet_size;
+		struct {
+			int64_t tokens; /* at most what was reserved */
+		} spend; /* ref is the reservation */
 	} u;
 } msg_t;
 
--- a/kernel/record.c
+++ b/kernel/record.c
@@ -1,5 +1,7 @@
 #include "kernel/record.h"
 
+#include "kernel/fleet.h"
+
 #include <string.h>
 
 static const char *const preset_names[PRESET_COUNT] = {
@@ -36,14 +38,43 @@
 void record_copy(record_t *to, const record_t *from)
 {
 	*to = *from;
-	if (to->kind == RECORD_CLAIM)
+	switch (from->kind) {
+	case RECORD_CLAIM:
 		outcome_copy(&to->u.claim.outcome, &from->u.claim.outcome);
+		break;
+	case RECORD_FLEET_CONF:
+		fleet_conf_ref(from->u.fleet_conf);
+		break;
+	case RECORD_FLEET_TARGET:
+		to->u.fleet_target =
+			g_memdup2(from->u.fleet_target, sizeof(fleet_target_t));
+		break;
+	case RECORD_ALLOCATION:
+		to->u.allocation = allocation_copy(from->u.allocation);
+		break;
+	default:
+		break;
+	}
 }
 
 void record_clear(record_t *record)
 {
-	if (record->kind == RECORD_CLAIM)
+	switch (record->kind) {
+	case RECORD_CLAIM:
 		outcome_clear(&record->u.claim.outcome);
+		break;
+	case RECORD_FLEET_CONF:
+		fleet_conf_unref(record->u.fleet_conf);
+		break;
+	case RECORD_FLEET_TARGET:
+		g_free(record->u.fleet_target);
+		break;
+	case RECORD_ALLOCATION:
+		allocation_free(record->u.allocation);
+		break;
+	default:
+		break;
+	}
 	memset(record, 0, sizeof(*record));
 }
 
--- a/kernel/record.h
+++ b/kernel/record.h
@@ -41,6 +41,9 @@
 	RECORD_ORDER,
 	RECORD_ORDER_LEASE,
 	RECORD_ORDER_STATE,
+	RECORD_FLEET_CONF, /* the gateway's configuration */
+	RECORD_FLEET_TARGET,
+	RECORD_ALLOCATION, /* of an account's prepaid tokens */
 } record_kind_t;
 
 /* Identifies one write, so that a repeated write is recognised. */
@@ -222,9 +225,16 @@
 	uint32_t longest_ms;
 } record_order_state_t;
 
+struct fleet_conf_t;
+struct fleet_target_t;
+struct record_allocation_t;
+
 typedef struct record_t {
 	record_kind_t kind;
 	union {
+		struct fleet_conf_t *fleet_conf; /* reference counted */
+		struct fleet_target_t *fleet_target; /* owned */
+		struct record_allocation_t *allocation; /* owned */
 		record_client_account_t client_account;
 		record_service_t service;
 		record_target_t target;
--- a/log/log.c
+++ b/log/log.c
@@ -85,6 +85,21 @@
 	return 0;
 }
 
+void log_set_level(log_level_t level)
+{
+	threshold = level;
+	if (category != NULL)
+		log4c_category_set_priority(category, priorities[level]);
+}
+
+log_level_t log_level_parse(const char *text)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(level_names); i++)
+		if (strcmp(text, level_names[i]) == 0)
+			return (log_level_t)i;
+	return LOG_LEVEL_INFO;
+}
+
 void log_finish(void)
 {
 	if (category == NULL)
--- a/log/log.h
+++ b/log/log.h
@@ -18,6 +18,9 @@
 /* Before log_init() and after log_finish() events are dropped. */
 int log_init(log_level_t level, const char *instance);
 void log_finish(void);
+void log_set_level(log_level_t level);
+/* "error", "warn", "info" or "debug"; info for any other text. */
+log_level_t log_level_parse(const char *text);
 
 /*
  * Writes "time=... level=... instance=... service=... event=..." and the
--- a/main/main.c
+++ b/main/main.c
@@ -2,6 +2,7 @@
  * tanagertrestle: one binary with the daemon and the operators' client.
  */
 #include "ctl/ctl.h"
+#include "gateway/gateway.h"
 #include "router/router.h"
 #include "settings/settings.h"
 
@@ -14,6 +15,7 @@
 typedef enum run_mode_t {
 	MODE_UNKNOWN,
 	MODE_ROUTER,
+	MODE_GATEWAY,
 	MODE_CHECK,
 	MODE_SETTINGS,
 	MODE_CLIENT,
@@ -25,6 +27,8 @@
 {
 	if (strcmp(word, "router") == 0)
 		return MODE_ROUTER;
+	if (strcmp(word, "gateway") == 0)
+		return MODE_GATEWAY;
 	if (strcmp(word, "check") == 0)
 		return MODE_CHECK;
 	if (strcmp(word, "settings") == 0)
@@ -43,6 +47,8 @@
 
 	g_string_append(text, "  router -f SETTINGS                         "
 			      "run a router\n"
+			      "  gateway -f SETTINGS                        "
+			      "run a gateway on the users' platform\n"
 			      "  check SETTINGS                             "
 			      "check a settings file\n"
 			      "  settings                                   "
@@ -73,6 +79,8 @@
 	switch (parse_mode(argv[1])) {
 	case MODE_ROUTER:
 		return router_main(argc - 1, argv + 1);
+	case MODE_GATEWAY:
+		return gateway_main(argc - 1, argv + 1);
 	case MODE_CHECK:
 		return router_check_main(argc - 1, argv + 1);
 	case MODE_SETTINGS:
--- /dev/null
+++ b/outbound/conn.c
@@ -0,0 +1,301 @@
+#include "outbound/conn.h"
+
+#include <string.h>
+
+#define READ_SIZE 16384 /* bytes read at a time */
+#define READS_MAX 8 /* reads from one connection in a turn of the loop */
+/* A path without loss connects in a few ms; a lost packet costs a second. */
+#define CONNECT_TIMEOUT_US (400 * USEC_PER_MSEC)
+/* For ends that don't say how long they keep an idle connection. */
+#define IDLE_DEFAULT_US (500 * USEC_PER_MSEC)
+/* Left to a request on its way before the other end closes. */
+#define IDLE_MARGIN_US (400 * USEC_PER_MSEC)
+#define IDLE_MAX_US (30 * USEC_PER_SEC)
+
+static void forget_idle(out_conn_t *conn)
+{
+	GQueue *queue =
+		g_hash_table_lookup(conn->outbound->idle, conn->address);
+
+	if (queue == NULL)
+		return;
+	g_queue_remove(queue, conn);
+	if (g_queue_is_empty(queue))
+		g_hash_table_remove(conn->outbound->idle, conn->address);
+}
+
+void out_conn_close(out_conn_t *conn)
+{
+	outbound_t *outbound = conn->outbound;
+
+	if (handle_is_none(conn->call))
+		forget_idle(conn);
+	kernel_timer_cancel(outbound->kernel, &conn->connect_timer);
+	http_socket_finish(&conn->sock);
+	http_parse_finish(&conn->parse);
+	table_remove(&outbound->conns, conn->self);
+}
+
+static out_conn_t *take_idle(outbound_t *outbound, const char *address)
+{
+	int64_t now = kernel_now(outbound->kernel);
+	out_conn_t *conn;
+	GQueue *queue;
+
+	while ((queue = g_hash_table_lookup(outbound->idle, address)) != NULL) {
+		conn = g_queue_peek_tail(queue);
+		if (now - conn->idle_since < conn->idle_limit &&
+		    http_socket_is_quiet(&conn->sock)) {
+			forget_idle(conn);
+			return conn;
+		}
+		out_conn_close(conn);
+	}
+	return NULL;
+}
+
+static out_conn_t *open_new(outbound_t *outbound, const char *address,
+			    const char *host, uint16_t port)
+{
+	out_conn_t *conn;
+	handle_t self = table_add(&outbound->conns, (void **)&conn);
+
+	conn->outbound = outbound;
+	conn->self = self;
+	g_strlcpy(conn->address, address, sizeof(conn->address));
+	if (!http_socket_connect(&conn->sock, host, port, out_conn_ready,
+				 conn)) {
+		table_remove(&outbound->conns, self);
+		return NULL;
+	}
+	http_parse_init(&conn->parse, true);
+	conn->connect_timer =
+		kernel_timer(outbound->kernel, outbound->svc,
+			     CONNECT_TIMEOUT_US, self, OUT_TIMER_CONNECT);
+	return conn;
+}
+
+out_conn_t *out_conn_acquire(outbound_t *outbound, const char *host,
+			     uint16_t port, bool *reused)
+{
+	char address[ADDRESS_SIZE];
+	out_conn_t *conn;
+
+	g_snprintf(address, sizeof(address), "%s:%u", host, port);
+	conn = take_idle(outbound, address);
+	*reused = conn != NULL;
+	if (conn == NULL)
+		conn = open_new(outbound, address, host, port);
+	return conn;
+}
+
+static int64_t idle_limit(const http_head_t *head)
+{
+	const char *value = http_head_get(head, "Keep-Alive");
+	const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
+	int64_t seconds;
+
+	if (timeout == NULL)
+		return IDLE_DEFAULT_US;
+	seconds = g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10);
+	seconds = CLAMP(seconds, 0, IDLE_MAX_US / USEC_PER_SEC);
+	return MAX(seconds * USEC_PER_SEC - IDLE_MARGIN_US, 0);
+}
+
+void out_conn_release(out_conn_t *conn)
+{
+	outbound_t *outbound = conn->outbound;
+	GQueue *queue;
+
+	/* An answer before the end of its request leaves bytes unsent. */
+	if (!conn->parse.keep_alive || conn->parse.until_eof ||
+	    http_socket_has_output(&conn->sock) || conn->sock.failed ||
+	    idle_limit(conn->parse.head) == 0) {
+		out_conn_close(conn);
+		return;
+	}
+	conn->call = HANDLE_NONE;
+	conn->idle_since = kernel_now(outbound->kernel);
+	conn->idle_limit = idle_limit(conn->parse.head);
+	http_parse_reset(&conn->parse);
+	queue = g_hash_table_lookup(outbound->idle, conn->address);
+	if (queue == NULL) {
+		queue = g_queue_new();
+		g_hash_table_insert(outbound->idle, g_strdup(conn->address),
+				    queue);
+	}
+	g_queue_push_tail(queue, conn);
+}
+
+void out_conn_sweep(outbound_t *outbound)
+{
+	int64_t now = kernel_now(outbound->kernel);
+	uint32_t cursor = 0;
+	out_conn_t *conn;
+
+	while ((conn = table_next(&outbound->conns, &cursor, NULL)) != NULL) {
+		if (handle_is_none(conn->call) &&
+		    now - conn->idle_since >= conn->idle_limit)
+			out_conn_close(conn);
+	}
+}
+
+static void post_head(out_conn_t *conn, out_call_t *call)
+{
+	outbound_t *outbound = conn->outbound;
+	msg_t msg = {.kind = MSG_OUT_HEAD, .ref = call->ref, .id = call->self};
+
+	call->head_posted = true;
+	kernel_timer_cancel(outbound->kernel, &call->head_timer);
+	/* The connection still needs the head for its idle limit. */
+	msg.u.out_head.head = http_head_copy(conn->parse.head);
+	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
+}
+
+static void post_body(out_conn_t *conn, out_call_t *call)
+{
+	outbound_t *outbound = conn->outbound;
+	GBytes *bytes = http_parse_take_body(&conn->parse);
+	msg_t msg = {.kind = MSG_OUT_DATA, .ref = call->ref, .id = call->self};
+
+	if (bytes == NULL)
+		return;
+	if (conn->discarding) {
+		g_bytes_unref(bytes);
+		return;
+	}
+	msg.u.data.bytes = bytes;
+	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
+}
+
+static bool answers_another(const out_conn_t *conn, const out_call_t *call)
+{
+	const char *value;
+
+	if (call->echo_name[0] == '\0')
+		return false;
+	value = http_head_get(conn->parse.head, call->echo_name);
+	return value != NULL && strcmp(value, call->echo_value) != 0;
+}
+
+/* Tells the owner what has come; the message may be complete. */
+static void pass_on(out_conn_t *conn, out_call_t *call)
+{
+	if (conn->parse.state != HTTP_STATE_BODY &&
+	    conn->parse.state != HTTP_STATE_COMPLETE)
+		return;
+	if (conn->parse.head->status < 200) {
+		conn->discarding = true;
+	} else if (!call->head_posted && !conn->discarding) {
+		if (answers_another(conn, call))
+			conn->discarding = true;
+		else
+			post_head(conn, call);
+	}
+	post_body(conn, call);
+}
+
+static failure_t failure_of(const out_call_t *call, const out_conn_t *conn)
+{
+	if (call->head_posted)
+		return FAILURE_STREAM;
+	return conn->parse.state == HTTP_STATE_IDLE ? FAILURE_SENT
+						    : FAILURE_HEAD;
+}
+
+/* False when the connection is closed or was given back. */
+static bool take_bytes(out_conn_t *conn, out_call_t *call, const char *data,
+		       size_t len)
+{
+	outbound_t *outbound = conn->outbound;
+	size_t used = 0;
+
+	while (used < len) {
+		used += http_parse_feed(&conn->parse, data + used, len - used);
+		pass_on(conn, call);
+		if (conn->parse.state == HTTP_STATE_BAD) {
+			out_call_fail(outbound, call, failure_of(call, conn),
+				      true, false);
+			return false;
+		}
+		if (conn->parse.state != HTTP_STATE_COMPLETE)
+			continue;
+		if (!conn->discarding) {
+			/* Bytes after the answer belong to no request. */
+			if (used < len)
+				conn->parse.keep_alive = false;
+			out_call_end(outbound, call);
+			return false;
+		}
+		conn->discarding = false;
+		http_parse_reset(&conn->parse);
+	}
+	return true;
+}
+
+static void input_ended(out_conn_t *conn, out_call_t *call, bool reset)
+{
+	outbound_t *outbound = conn->outbound;
+
+	if (!reset) {
+		http_parse_eof(&conn->parse);
+		pass_on(conn, call);
+		if (conn->parse.state == HTTP_STATE_COMPLETE &&
+		    !conn->discarding) {
+			out_call_end(outbound, call);
+			return;
+		}
+	}
+	out_call_fail(outbound, call, failure_of(call, conn), true, true);
+}
+
+static void read_answer(out_conn_t *conn, out_call_t *call)
+{
+	char buffer[READ_SIZE];
+	size_t got = 0;
+
+	for (int i = 0; i < READS_MAX; i++) {
+		switch (http_socket_read(&conn->sock, buffer, sizeof(buffer),
+					 &got)) {
+		case SOCKET_DATA:
+			if (!take_bytes(conn, call, buffer, got))
+				return;
+			break;
+		case SOCKET_WAIT:
+			return;
+		case SOCKET_EOF:
+			input_ended(conn, call, false);
+			return;
+		case SOCKET_RESET:
+			input_ended(conn, call, true);
+			return;
+		}
+	}
+}
+
+gboolean out_conn_ready(GSocket *socket, GIOCondition condition, gpointer data)
+{
+	out_conn_t *conn = data;
+	outbound_t *outbound = conn->outbound;
+	out_call_t *call = table_get(&outbound->calls, conn->call);
+
+	(void)socket;
+	if (call == NULL) {
+		/* Nothing is awaited on an idle connection but its end. */
+		out_conn_close(conn);
+		return G_SOURCE_CONTINUE;
+	}
+	if (!handle_is_none(conn->connect_timer) && !conn->sock.connecting) {
+		kernel_timer_cancel(outbound->kernel, &conn->connect_timer);
+		if (conn->sock.failed) {
+			out_call_fail(outbound, call, FAILURE_CONNECT, false,
+				      false);
+			goto out;
+		}
+	}
+	if ((condition & ~G_IO_OUT) != 0 || conn->sock.failed)
+		read_answer(conn, call);
+out:
+	kernel_flush(outbound->kernel);
+	return G_SOURCE_CONTINUE;
+}
--- /dev/null
+++ b/outbound/outbound.c
@@ -0,0 +1,225 @@
+#include "outbound/outbound.h"
+
+#include "outbound/conn.h"
+
+#include <string.h>
+
+#define SWEEP_US (250 * USEC_PER_MSEC) /* resolution of idle limits */
+
+static void remove_call(outbound_t *outbound, out_call_t *call)
+{
+	kernel_timer_cancel(outbound->kernel, &call->timer);
+	kernel_timer_cancel(outbound->kernel, &call->head_timer);
+	table_remove(&outbound->calls, call->self);
+}
+
+void out_call_fail(outbound_t *outbound, out_call_t *call, failure_t failure,
+		   bool sent, bool reset)
+{
+	out_conn_t *conn = table_get(&outbound->conns, call->conn);
+	msg_t msg = {
+		.kind = MSG_OUT_FAILED, .ref = call->ref, .id = call->self};
+
+	msg.u.out_failed.failure = failure;
+	msg.u.out_failed.sent = sent;
+	msg.u.out_failed.reset = reset;
+	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
+	if (conn != NULL)
+		out_conn_close(conn);
+	remove_call(outbound, call);
+}
+
+void out_call_end(outbound_t *outbound, out_call_t *call)
+{
+	out_conn_t *conn = table_get(&outbound->conns, call->conn);
+	msg_t msg = {.kind = MSG_OUT_END, .ref = call->ref, .id = call->self};
+
+	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
+	remove_call(outbound, call);
+	if (conn != NULL)
+		out_conn_release(conn);
+}
+
+static void write_request(out_conn_t *conn, const msg_t *msg)
+{
+	GByteArray *bytes = g_byte_array_new();
+	const void *body;
+	gsize size = 0;
+
+	http_head_write(msg->u.out_send.head, bytes);
+	if (msg->u.out_send.body != NULL) {
+		body = g_bytes_get_data(msg->u.out_send.body, &size);
+		if (size > 0)
+			g_byte_array_append(bytes, body, (guint)size);
+	}
+	http_socket_write(&conn->sock, bytes->data, bytes->len);
+	g_byte_array_unref(bytes);
+}
+
+static void arm(outbound_t *outbound, const out_call_t *call, handle_t *timer,
+		int64_t deadline, out_timer_t what)
+{
+	int64_t left = deadline - kernel_now(outbound->kernel);
+
+	if (deadline > 0)
+		*timer = kernel_timer(outbound->kernel, outbound->svc,
+				      MAX(left, 0), call->self, (int)what);
+}
+
+static void open_call(outbound_t *outbound, const msg_t *msg)
+{
+	out_call_t *call;
+	handle_t self = table_add(&outbound->calls, (void **)&call);
+	msg_t started = {.kind = MSG_OUT_STARTED, .ref = msg->id, .id = self};
+	out_conn_t *conn;
+
+	call->self = self;
+	call->owner = msg->from;
+	call->ref = msg->id;
+	g_strlcpy(call->echo_name, msg->u.out_send.echo_name,
+		  sizeof(call->echo_name));
+	g_strlcpy(call->echo_value, msg->u.out_send.echo_value,
+		  sizeof(call->echo_value));
+	conn = out_conn_acquire(outbound, msg->u.out_send.host,
+				msg->u.out_send.port,
+				&started.u.out_started.reused);
+	kernel_post(outbound->kernel, outbound->svc, msg->from, &started);
+	if (conn == NULL) {
+		out_call_fail(outbound, call, FAILURE_CONNECT, false, false);
+		return;
+	}
+	call->conn = conn->self;
+	conn->call = self;
+	conn->discarding = false;
+	arm(outbound, call, &call->timer, msg->u.out_send.deadline,
+	    OUT_TIMER_DEADLINE);
+	arm(outbound, call, &call->head_timer, msg->u.out_send.head_deadline,
+	    OUT_TIMER_HEAD);
+	write_request(conn, msg);
+}
+
+static void cancel_call(outbound_t *outbound, handle_t ref)
+{
+	out_call_t *call = table_get(&outbound->calls, ref);
+	out_conn_t *conn;
+
+	if (call == NULL)
+		return;
+	conn = table_get(&outbound->conns, call->conn);
+	if (conn != NULL)
+		out_conn_close(conn);
+	remove_call(outbound, call);
+}
+
+/* A request is on its way once its connection stands. */
+static bool was_sent(const outbound_t *outbound, const out_call_t *call)
+{
+	const out_conn_t *conn = table_get(&outbound->conns, call->conn);
+
+	return conn != NULL && !conn->sock.connecting;
+}
+
+static void call_timed_out(outbound_t *outbound, handle_t ref,
+			   failure_t failure)
+{
+	out_call_t *call = table_get(&outbound->calls, ref);
+
+	if (call != NULL)
+		out_call_fail(outbound, call, failure, was_sent(outbound, call),
+			      false);
+}
+
+static void connect_timed_out(outbound_t *outbound, handle_t ref)
+{
+	out_conn_t *conn = table_get(&outbound->conns, ref);
+	out_call_t *call;
+
+	if (conn == NULL)
+		return;
+	conn->connect_timer = HANDLE_NONE;
+	call = table_get(&outbound->calls, conn->call);
+	if (conn->sock.connecting && call != NULL)
+		out_call_fail(outbound, call, FAILURE_CONNECT, false, false);
+}
+
+static void sweep(outbound_t *outbound)
+{
+	out_conn_sweep(outbound);
+	outbound->sweep_timer =
+		kernel_timer(outbound->kernel, outbound->svc, SWEEP_US,
+			     HANDLE_NONE, OUT_TIMER_SWEEP);
+}
+
+static void on_timer(outbound_t *outbound, const msg_t *msg)
+{
+	switch ((out_timer_t)msg->u.timer.what) {
+	case OUT_TIMER_SWEEP:
+		sweep(outbound);
+		break;
+	case OUT_TIMER_CONNECT:
+		connect_timed_out(outbound, msg->ref);
+		break;
+	case OUT_TIMER_DEADLINE:
+		call_timed_out(outbound, msg->ref, FAILURE_DEADLINE);
+		break;
+	case OUT_TIMER_HEAD:
+		call_timed_out(outbound, msg->ref, FAILURE_SILENT);
+		break;
+	}
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	outbound_t *outbound = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		sweep(outbound);
+		break;
+	case MSG_TIMER:
+		on_timer(outbound, msg);
+		break;
+	case MSG_OUT_SEND:
+		open_call(outbound, msg);
+		break;
+	case MSG_OUT_CANCEL:
+		cancel_call(outbound, msg->ref);
+		break;
+	default:
+		break;
+	}
+}
+
+static void free_queue(gpointer data)
+{
+	g_queue_free(data);
+}
+
+void outbound_init(outbound_t *outbound, kernel_t *kernel)
+{
+	memset(outbound, 0, sizeof(*outbound));
+	outbound->kernel = kernel;
+	outbound->svc = kernel_register(kernel, "outbound", receive, outbound);
+	table_init(&outbound->calls, sizeof(out_call_t));
+	table_init(&outbound->conns, sizeof(out_conn_t));
+	outbound->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_queue);
+}
+
+void outbound_finish(outbound_t *outbound)
+{
+	uint32_t cursor = 0;
+	out_conn_t *conn;
+	out_call_t *call;
+
+	while ((call = table_next(&outbound->calls, &cursor, NULL)) != NULL)
+		remove_call(outbound, call);
+	cursor = 0;
+	while ((conn = table_next(&outbound->conns, &cursor, NULL)) != NULL)
+		out_conn_close(conn);
+	kernel_timer_cancel(outbound->kernel, &outbound->sweep_timer);
+	g_hash_table_unref(outbound->idle);
+	table_finish(&outbound->calls);
+	table_finish(&outbound->conns);
+	kernel_unregister(outbound->kernel, outbound->svc);
+}
--- /dev/null
+++ b/outbound/outbound.h
@@ -0,0 +1,32 @@
+/*
+ * Service "outbound": the HTTP client of the gateway.  Each MSG_OUT_SEND is
+ * written to one connection at most once and ends in exactly one MSG_OUT_END
+ * or MSG_OUT_FAILED, unless it is cancelled.
+ */
+#ifndef OUTBOUND_OUTBOUND_H
+#define OUTBOUND_OUTBOUND_H
+
+#include "http/parse.h"
+#include "http/socket.h"
+#include "kernel/kernel.h"
+
+G_BEGIN_DECLS
+
+#define ADDRESS_SIZE (HOST_SIZE + 8) /* bytes, with terminator */
+
+typedef struct outbound_t {
+	kernel_t *kernel;
+	svc_t svc;
+	table_t calls; /* out_call_t */
+	table_t conns; /* out_conn_t */
+	GHashTable *idle; /* address -> GQueue of out_conn_t, newest last */
+	handle_t sweep_timer;
+} outbound_t;
+
+void outbound_init(outbound_t *outbound, kernel_t *kernel);
+/* Drops what is in progress without telling its senders. */
+void outbound_finish(outbound_t *outbound);
+
+G_END_DECLS
+
+#endif
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -88,6 +88,13 @@
 	BODY_U64(blame, seq),
 };
 
+static const field_t store_pull_fields[] = {
+	BODY_I64(store_pull, after),
+};
+static const field_t store_items_fields[] = {
+	BODY_I64(store_items, up_to),
+};
+
 static fields_t body_fields(peer_kind_t kind)
 {
 	switch (kind) {
@@ -108,6 +115,10 @@
 		return FIELDS_OF(slice_fields);
 	case PEER_BLAME:
 		return FIELDS_OF(blame_fields);
+	case PEER_STORE_PULL:
+		return FIELDS_OF(store_pull_fields);
+	case PEER_STORE_ITEMS:
+		return FIELDS_OF(store_items_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
@@ -123,6 +134,7 @@
 		return 2;
 	case PEER_CONF_ITEMS:
 	case PEER_BILL_COPY:
+	case PEER_STORE_ITEMS:
 		return 1;
 	default:
 		return 0;
@@ -232,6 +244,71 @@
 	return true;
 }
 
+/* An item of the store is [key, revision, 1 if deleted, value]. */
+static bool pack_store_items(msgpack_packer *packer, const GArray *items,
+			     errmsg_t *err)
+{
+	msgpack_pack_array(packer, items->len);
+	for (guint i = 0; i < items->len; i++) {
+		const store_item_t *item =
+			&g_array_index(items, store_item_t, i);
+		gsize size = 0;
+		const void *data = NULL;
+
+		if (item->value != NULL)
+			data = g_bytes_get_data(item->value, &size);
+		msgpack_pack_array(packer, 4);
+		if (!peer_field_pack_text(packer, item->key, err))
+			return false;
+		msgpack_pack_uint64(packer, (uint64_t)item->revision);
+		msgpack_pack_uint64(packer, item->value == NULL);
+		msgpack_pack_bin(packer, size);
+		if (size > 0)
+			msgpack_pack_bin_body(packer, data, size);
+	}
+	return true;
+}
+
+static bool parse_store_item(const msgpack_object *object, store_item_t *item,
+			     errmsg_t *err)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t revision, deleted;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size != 4 ||
+	    fields[3].type != MSGPACK_OBJECT_BIN) {
+		errmsg_set(err, "item of the store has a wrong form");
+		return false;
+	}
+	if (!peer_field_parse_text(&fields[0], item->key, sizeof(item->key),
+				   "key", err) ||
+	    !peer_field_parse_uint(&fields[1], INT64_MAX, &revision, "revision",
+				   err) ||
+	    !peer_field_parse_uint(&fields[2], 1, &deleted, "deleted", err))
+		return false;
+	item->revision = (int64_t)revision;
+	if (deleted == 0)
+		item->value = g_bytes_new(fields[3].via.bin.ptr,
+					  fields[3].via.bin.size);
+	return true;
+}
+
+static bool parse_store_items(const msgpack_object *object, GArray *items,
+			      errmsg_t *err)
+{
+	if (!check_list(object, PEER_ITEMS_MAX, err))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		store_item_t item = {0};
+
+		if (!parse_store_item(&object->via.array.ptr[i], &item, err))
+			return false;
+		g_array_append_val(items, item);
+	}
+	return true;
+}
+
 static bool pack_body(msgpack_packer *packer, const peer_body_t *body,
 		      errmsg_t *err)
 {
@@ -254,6 +331,8 @@
 	case PEER_BILL_COPY:
 		return pack_list(packer, FIELDS_OF(bill_fields),
 				 body->u.bill_copy.bills, PEER_BILLS_MAX, err);
+	case PEER_STORE_ITEMS:
+		return pack_store_items(packer, body->u.store_items.items, err);
 	default:
 		return true;
 	}
@@ -289,6 +368,10 @@
 		ok = parse_list(&nested[0], FIELDS_OF(bill_fields),
 				body->u.bill_copy.bills, PEER_BILLS_MAX, err);
 		break;
+	case PEER_STORE_ITEMS:
+		ok = parse_store_items(&nested[0], body->u.store_items.items,
+				       err);
+		break;
 	default:
 		ok = true;
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -75,6 +75,7 @@
 		  log_quote(conn->remote.name), !handle_is_none(conn->dial));
 	post_addr(peer, peer->member, MSG_PEER_UP, conn);
 	post_addr(peer, peer->conf, MSG_PEER_UP, conn);
+	post_addr(peer, peer->store, MSG_PEER_UP, conn);
 }
 
 void peer_conn_down(peer_t *peer, conn_t *conn)
@@ -84,6 +85,7 @@
 	g_hash_table_remove(peer->up, conn->remote.incarnation);
 	post_addr(peer, peer->member, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->conf, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->store, MSG_PEER_DOWN, conn);
 }
 
 static svc_t body_owner(const peer_t *peer, peer_kind_t kind)
@@ -103,6 +105,9 @@
 		return peer->ledger;
 	case PEER_BLAME:
 		return peer->request;
+	case PEER_STORE_PULL:
+	case PEER_STORE_ITEMS:
+		return peer->store;
 	case PEER_KIND_COUNT:
 		break;
 	}
@@ -188,12 +193,22 @@
 	kernel_timer(peer->kernel, peer->svc, TICK, HANDLE_NONE, TIMER_TICK);
 }
 
+/* Routers and gateways have different services for the same bodies. */
+static svc_t find_either(const peer_t *peer, const char *router,
+			 const char *gateway)
+{
+	svc_t svc = kernel_find(peer->kernel, router);
+
+	return handle_is_none(svc) ? kernel_find(peer->kernel, gateway) : svc;
+}
+
 static void start(peer_t *peer)
 {
 	peer->member = kernel_find(peer->kernel, "member");
 	peer->conf = kernel_find(peer->kernel, "conf");
-	peer->ledger = kernel_find(peer->kernel, "ledger");
-	peer->request = kernel_find(peer->kernel, "request");
+	peer->ledger = find_either(peer, "ledger", "prepaid");
+	peer->request = find_either(peer, "request", "proxy");
+	peer->store = kernel_find(peer->kernel, "store");
 	g_socket_service_start(peer->listener);
 	kernel_timer(peer->kernel, peer->svc, TICK, HANDLE_NONE, TIMER_TICK);
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -31,6 +31,7 @@
 	svc_t conf;
 	svc_t ledger;
 	svc_t request;
+	svc_t store;
 	peer_opts_t opts;
 	GSocketService *listener;
 	GSocketClient *client;
--- /dev/null
+++ b/prepaid/account.c
@@ -0,0 +1,115 @@
+#include "prepaid/account.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Demand that the tokens held beyond present requests cover. */
+#define HEADROOM_S 9.0
+/*
+ * All instances together hold at most this part of what is left of an
+ * account, because that much is lost when all of them lose power.
+ */
+#define HEADROOM_PART 4
+#define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
+
+int64_t account_available(const prepaid_account_t *account)
+{
+	return account->granted + account->received - account->given -
+	       account->spent - account->reserved;
+}
+
+int64_t account_room(const prepaid_account_t *account)
+{
+	int64_t total = 0;
+
+	if (account->prepaid < 0)
+		return 0;
+	if (account->record != NULL)
+		total = allocation_total(account->record);
+	if (total < 0)
+		return 0;
+	return MAX(account->prepaid - total, 0);
+}
+
+int64_t account_headroom(const prepaid_account_t *account, uint32_t instances)
+{
+	int64_t most = account_room(account) /
+		       ((int64_t)HEADROOM_PART * MAX(instances, 1));
+
+	return MIN((int64_t)(account->demand * HEADROOM_S), most);
+}
+
+void account_note_demand(prepaid_account_t *account, int64_t tokens,
+			 int64_t now)
+{
+	double age = (double)(now - account->demand_at) / USEC_PER_SEC;
+
+	account->demand = account->demand * exp(-age / DEMAND_TIME_S) +
+			  (double)tokens / DEMAND_TIME_S;
+	account->demand_at = now;
+}
+
+static bool is_own(const grant_holder_t *holder, const prepaid_opts_t *self)
+{
+	return strcmp(holder->node, self->node) == 0 &&
+	       strcmp(holder->incarnation, self->incarnation) == 0;
+}
+
+void account_adopt(prepaid_account_t *account, const prepaid_opts_t *self,
+		   const record_t *record, int64_t revision)
+{
+	int64_t granted = 0;
+
+	if (revision < account->revision)
+		return;
+	if (record->kind == RECORD_ALLOCATION) {
+		allocation_free(account->record);
+		account->record = allocation_copy(record->u.allocation);
+	} else if (record->kind == RECORD_NONE && revision == 0) {
+		g_clear_pointer(&account->record, allocation_free);
+	} else {
+		return;
+	}
+	account->revision = revision;
+	for (guint i = 0;
+	     account->record != NULL && i < account->record->holders->len;
+	     i++) {
+		const grant_holder_t *holder = &g_array_index(
+			account->record->holders, grant_holder_t, i);
+
+		if (is_own(holder, self))
+			granted = holder->granted;
+	}
+	/* Only this instance writes its part, and it lowers it only to stop. */
+	account->granted = MAX(granted, account->granted);
+}
+
+record_allocation_t *account_next_record(const prepaid_account_t *account,
+					 const prepaid_opts_t *self,
+					 int64_t granted, bool close)
+{
+	record_allocation_t *next = account->record != NULL
+					    ? allocation_copy(account->record)
+					    : allocation_new();
+	grant_holder_t own = {.granted = granted};
+
+	for (guint i = next->holders->len; i > 0; i--) {
+		const grant_holder_t *holder =
+			&g_array_index(next->holders, grant_holder_t, i - 1);
+
+		if (strcmp(holder->node, self->node) != 0)
+			continue;
+		/* An earlier process on this node may have spent all of it. */
+		if (!is_own(holder, self))
+			next->closed += holder->granted;
+		g_array_remove_index_fast(next->holders, i - 1);
+	}
+	if (close) {
+		next->closed += granted;
+		return next;
+	}
+	g_strlcpy(own.node, self->node, sizeof(own.node));
+	g_strlcpy(own.incarnation, self->incarnation, sizeof(own.incarnation));
+	g_array_append_val(next->holders, own);
+	return next;
+}
--- /dev/null
+++ b/prepaid/account.h
@@ -0,0 +1,75 @@
+/*
+ * One client account's tokens at this instance.
+ */
+#ifndef PREPAID_ACCOUNT_H
+#define PREPAID_ACCOUNT_H
+
+#include "prepaid/prepaid.h"
+
+G_BEGIN_DECLS
+
+#define REVISION_UNKNOWN (-1)
+
+typedef struct prepaid_account_t {
+	handle_t self;
+	char name[NAME_SIZE];
+	int64_t prepaid; /* of the configuration; -1: not limited */
+	record_allocation_t *record; /* newest known, NULL: none */
+	int64_t revision; /* of record, 0: absent, or REVISION_UNKNOWN */
+
+	int64_t granted; /* taken from the store, as it confirmed */
+	int64_t received; /* handed over by peers */
+	int64_t given; /* handed over to peers */
+	int64_t spent;
+	int64_t reserved;
+
+	bool calling; /* a call to the store is in progress */
+	bool returning; /* it gives the unused part back */
+	int64_t asked; /* granted after the call in progress */
+	int64_t retry_at; /* monotonic, us, no call before it */
+	uint32_t conflicts; /* in a row */
+	handle_t timer;
+	GQueue waiting; /* reservation_t, oldest first */
+	double demand; /* tokens a second, smoothed */
+	int64_t demand_at; /* monotonic, us, of its last change */
+} prepaid_account_t;
+
+typedef struct reservation_t {
+	handle_t self;
+	prepaid_account_t *account; /* NULL: the account is not limited */
+	svc_t owner;
+	handle_t ref;
+	char peer[INCARNATION_SIZE]; /* asked for it; empty: a request */
+	int64_t tokens;
+	bool waiting;
+	bool asked_peers;
+	handle_t timer;
+} reservation_t;
+
+typedef enum prepaid_timer_t {
+	PREPAID_TIMER_RETRY, /* ref is the account */
+	PREPAID_TIMER_WAIT, /* ref is the reservation */
+} prepaid_timer_t;
+
+/* Tokens that may be reserved now. */
+int64_t account_available(const prepaid_account_t *account);
+/* Tokens that nobody has taken, by the newest known record. */
+int64_t account_room(const prepaid_account_t *account);
+/* Tokens to hold beyond what is asked for now. */
+int64_t account_headroom(const prepaid_account_t *account, uint32_t instances);
+void account_note_demand(prepaid_account_t *account, int64_t tokens,
+			 int64_t now);
+/* Takes over what the store says unless it is older than what is known. */
+void account_adopt(prepaid_account_t *account, const prepaid_opts_t *self,
+		   const record_t *record, int64_t revision);
+/*
+ * The record with this instance's part set to granted, and those of earlier
+ * incarnations on this node closed.  close: the part is closed at granted.
+ */
+record_allocation_t *account_next_record(const prepaid_account_t *account,
+					 const prepaid_opts_t *self,
+					 int64_t granted, bool close);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/prepaid/prepaid.h
@@ -0,0 +1,42 @@
+/*
+ * Service "prepaid": reservations against the prepaid tokens of client
+ * accounts.  Each instance spends only what it has taken from an account's
+ * record in the store by a compare-and-swap, or what a peer has handed over
+ * from its own part.  What an instance has taken counts as spent if it dies.
+ */
+#ifndef PREPAID_PREPAID_H
+#define PREPAID_PREPAID_H
+
+#include "kernel/kernel.h"
+
+G_BEGIN_DECLS
+
+typedef struct prepaid_opts_t {
+	char node[NAME_SIZE];
+	char incarnation[INCARNATION_SIZE];
+} prepaid_opts_t;
+
+typedef struct prepaid_t {
+	kernel_t *kernel;
+	svc_t svc;
+	svc_t store;
+	svc_t peer;
+	prepaid_opts_t opts;
+	table_t accounts; /* prepaid_account_t */
+	table_t reservations; /* reservation_t */
+	GHashTable *by_name; /* account's name -> prepaid_account_t */
+	fleet_conf_t *conf;
+	uint32_t instances; /* this one included */
+	bool store_up;
+	bool stopping;
+	bool stopped;
+	int64_t stop_at; /* monotonic, us, when MSG_STOP came */
+} prepaid_t;
+
+void prepaid_init(prepaid_t *prepaid, kernel_t *kernel,
+		  const prepaid_opts_t *opts);
+void prepaid_finish(prepaid_t *prepaid);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/proxy/answer.c
@@ -0,0 +1,317 @@
+#include "proxy/exchange.h"
+
+#include "log/log.h"
+#include "platform/wire.h"
+
+#include <string.h>
+
+/* Answers that are not passed on as they come are held up to this size. */
+#define BODY_MAX 8388608 /* bytes */
+#define SENDS_MAX 4 /* of one request, targets that ran nothing included */
+#define STATUS_ERROR 500
+
+static bool is_idempotent(const exchange_t *exchange)
+{
+	switch (exchange->route.kind) {
+	case ROUTE_SAFE:
+		return true;
+	case ROUTE_UNSAFE:
+		return false;
+	case ROUTE_STREAM:
+		return exchange->route.resumable;
+	}
+	return false;
+}
+
+/* Where a refusal of the gateway's own has no better reason. */
+static refusal_t reason_of(failure_t failure)
+{
+	switch (failure) {
+	case FAILURE_DEADLINE:
+		return REFUSAL_DEADLINE;
+	case FAILURE_OVERLOADED:
+	case FAILURE_LEAVING:
+		return REFUSAL_OVERLOADED;
+	case FAILURE_MISDIRECTED:
+		return REFUSAL_NO_TARGET;
+	default:
+		return REFUSAL_TARGET_FAILED;
+	}
+}
+
+/* May the request go to another target after this failure? */
+static bool may_repeat(proxy_t *proxy, const exchange_t *exchange,
+		       failure_t failure, bool ran)
+{
+	int64_t now = kernel_now(proxy->kernel);
+
+	if (exchange->sends >= SENDS_MAX || now >= exchange->deadline)
+		return false;
+	/* Nothing reached a target, so nothing is sent again. */
+	if (failure == FAILURE_CONNECT)
+		return true;
+	if (ran && (!is_idempotent(exchange) ||
+		    exchange->runs >= exchange->route.max_attempts ||
+		    poison_holds(proxy, exchange)))
+		return false;
+	if (exchange->head_sent && !exchange->route.resumable)
+		return false;
+	return repeats_take(&proxy->repeats, exchange->service,
+			    proxy->instances, now);
+}
+
+static void log_failure(const exchange_t *exchange, failure_t failure, bool ran,
+			bool repeat)
+{
+	log_event(LOG_LEVEL_INFO, "proxy", "attempt_failed",
+		  "request=%s target=%s failure=%s ran=%d reused=%d send=%u "
+		  "status=%u events=%u repeat=%d",
+		  log_quote(exchange->spec->request_id), exchange->instance,
+		  failure_name(failure), ran, exchange->reused, exchange->sends,
+		  exchange->head != NULL ? exchange->head->status : 0,
+		  exchange->events.count, repeat);
+}
+
+static void avoid_target(exchange_t *exchange)
+{
+	if (exchange->avoid_count < ROUTE_AVOID_MAX)
+		exchange->avoid[exchange->avoid_count++] = exchange->target;
+}
+
+/* An attempt is over without an answer that can be passed on. */
+static void attempt_over(proxy_t *proxy, exchange_t *exchange,
+			 failure_t failure, bool ran, place_result_t result)
+{
+	bool repeat;
+
+	if (ran)
+		exchange->runs++;
+	exchange_leave_target(proxy, exchange, result);
+	repeat = may_repeat(proxy, exchange, failure, ran);
+	log_failure(exchange, failure, ran, repeat);
+	avoid_target(exchange);
+	if (!exchange->head_sent)
+		g_clear_pointer(&exchange->head, http_head_free);
+	g_byte_array_set_size(exchange->body, 0);
+	events_cut(&exchange->events);
+	if (!repeat) {
+		exchange_refuse(proxy, exchange, reason_of(failure), 0);
+		return;
+	}
+	metrics_retry(proxy->kernel->metrics, failure);
+	exchange_place(proxy, exchange);
+}
+
+static void note_first_byte(proxy_t *proxy, exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_PLACE_FIRST_BYTE, .ref = exchange->placement};
+
+	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &msg);
+	if (exchange->first_byte_at == 0)
+		exchange->first_byte_at = kernel_now(proxy->kernel);
+}
+
+static http_head_t *end_to_end(const http_head_t *head)
+{
+	http_head_t *out = http_head_response(head->status);
+
+	for (guint i = 0; i < head->fields->len; i++) {
+		const http_field_t *field =
+			&g_array_index(head->fields, http_field_t, i);
+
+		if (!http_field_is_hop_by_hop(field->name) &&
+		    !http_head_has_token(head, "Connection", field->name))
+			http_head_add(out, field->name, field->value);
+	}
+	return out;
+}
+
+static void send_head(proxy_t *proxy, exchange_t *exchange, int64_t length)
+{
+	msg_t msg = {.kind = MSG_EXCHANGE_HEAD, .ref = exchange->caller};
+
+	exchange->head_sent = true;
+	msg.u.exchange_head.head = end_to_end(exchange->head);
+	msg.u.exchange_head.length = length;
+	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &msg);
+}
+
+static void send_bytes(proxy_t *proxy, const exchange_t *exchange,
+		       GBytes *bytes)
+{
+	msg_t msg = {.kind = MSG_EXCHANGE_DATA, .ref = exchange->caller};
+
+	msg.u.data.bytes = bytes;
+	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &msg);
+}
+
+static void send_end(proxy_t *proxy, exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_EXCHANGE_END, .ref = exchange->caller};
+
+	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &msg);
+	metrics_add(proxy->kernel->metrics, COUNTER_ANSWERS, 1);
+}
+
+void answer_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg)
+{
+	const http_head_t *head = msg->u.out_head.head;
+	bool success = head->status >= 200 && head->status < 300;
+
+	if (exchange->state != EXCHANGE_SENT)
+		return;
+	wire_read_reply(head, exchange->spec, &exchange->reply);
+	if (exchange->reply.not_run) {
+		exchange->state = EXCHANGE_REJECTED;
+		return;
+	}
+	if (!exchange->reply.matches || (success && !exchange->reply.genuine)) {
+		attempt_over(proxy, exchange, FAILURE_HEAD, true, PLACE_LOST);
+		return;
+	}
+	note_first_byte(proxy, exchange);
+	exchange->state = EXCHANGE_ANSWERING;
+	exchange->streaming = success && exchange->route.kind == ROUTE_STREAM;
+	/* A stream that goes on keeps the head of its first target. */
+	if (exchange->head_sent)
+		return;
+	http_head_free(exchange->head);
+	exchange->head = g_steal_pointer(&msg->u.out_head.head);
+}
+
+static void stream_data(proxy_t *proxy, exchange_t *exchange, GBytes *bytes)
+{
+	GBytes *whole = events_feed(&exchange->events, bytes);
+
+	if (whole == NULL)
+		return;
+	if (!exchange->head_sent)
+		send_head(proxy, exchange, -1);
+	send_bytes(proxy, exchange, whole);
+}
+
+void answer_data(proxy_t *proxy, exchange_t *exchange, msg_t *msg)
+{
+	gsize size;
+	const guint8 *data;
+
+	if (exchange->state != EXCHANGE_ANSWERING)
+		return;
+	if (exchange->streaming) {
+		stream_data(proxy, exchange, msg->u.data.bytes);
+		return;
+	}
+	data = g_bytes_get_data(msg->u.data.bytes, &size);
+	g_byte_array_append(exchange->body, data, (guint)size);
+	if (exchange->body->len > BODY_MAX)
+		attempt_over(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
+}
+
+static void rejected(proxy_t *proxy, exchange_t *exchange)
+{
+	if (exchange->reply.other_instance)
+		attempt_over(proxy, exchange, FAILURE_MISDIRECTED, false,
+			     PLACE_MISDIRECTED);
+	else
+		attempt_over(proxy, exchange, FAILURE_OVERLOADED, false,
+			     PLACE_FULL);
+}
+
+static void finish(proxy_t *proxy, exchange_t *exchange, place_result_t result)
+{
+	exchange->runs++;
+	exchange->out = HANDLE_NONE;
+	exchange_leave_target(proxy, exchange, result);
+	poison_forgive(proxy, exchange);
+	send_end(proxy, exchange);
+	exchange_end(proxy, exchange,
+		     result == PLACE_OK ? "answered" : "target_error");
+}
+
+static void stream_ended(proxy_t *proxy, exchange_t *exchange)
+{
+	/* A whole body that ends within an event was cut at its source. */
+	if (exchange->events.partial->len > 0) {
+		attempt_over(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
+		return;
+	}
+	if (!exchange->head_sent)
+		send_head(proxy, exchange, -1);
+	finish(proxy, exchange, PLACE_OK);
+}
+
+static void whole_answer(proxy_t *proxy, exchange_t *exchange)
+{
+	bool error = exchange->head->status >= STATUS_ERROR;
+
+	/* Another target may answer a request that may run again. */
+	if (error && is_idempotent(exchange) && !exchange->head_sent &&
+	    exchange->runs + 1 < exchange->route.max_attempts &&
+	    repeats_take(&proxy->repeats, exchange->service, proxy->instances,
+			 kernel_now(proxy->kernel))) {
+		exchange->runs++;
+		exchange->out = HANDLE_NONE;
+		exchange_leave_target(proxy, exchange, PLACE_ERROR);
+		log_failure(exchange, FAILURE_HEAD, true, true);
+		metrics_retry(proxy->kernel->metrics, FAILURE_HEAD);
+		avoid_target(exchange);
+		g_byte_array_set_size(exchange->body, 0);
+		exchange_place(proxy, exchange);
+		return;
+	}
+	if (exchange->head_sent) {
+		attempt_over(proxy, exchange, FAILURE_HEAD, true, PLACE_ERROR);
+		return;
+	}
+	send_head(proxy, exchange, exchange->body->len);
+	if (exchange->body->len > 0)
+		send_bytes(
+			proxy, exchange,
+			g_bytes_new(exchange->body->data, exchange->body->len));
+	finish(proxy, exchange, error ? PLACE_ERROR : PLACE_OK);
+}
+
+void answer_end(proxy_t *proxy, exchange_t *exchange)
+{
+	switch (exchange->state) {
+	case EXCHANGE_REJECTED:
+		exchange->out = HANDLE_NONE;
+		rejected(proxy, exchange);
+		break;
+	case EXCHANGE_ANSWERING:
+		if (exchange->streaming)
+			stream_ended(proxy, exchange);
+		else
+			whole_answer(proxy, exchange);
+		break;
+	case EXCHANGE_RESERVING:
+	case EXCHANGE_PLACING:
+	case EXCHANGE_SENT:
+		break;
+	}
+}
+
+void answer_failed(proxy_t *proxy, exchange_t *exchange, const msg_t *msg)
+{
+	failure_t failure = msg->u.out_failed.failure;
+	bool sent = msg->u.out_failed.sent;
+
+	if (exchange->state == EXCHANGE_RESERVING ||
+	    exchange->state == EXCHANGE_PLACING)
+		return;
+	exchange->out = HANDLE_NONE;
+	/* The statement that nothing ran came before the loss. */
+	if (exchange->state == EXCHANGE_REJECTED) {
+		rejected(proxy, exchange);
+		return;
+	}
+	if (!sent) {
+		poison_unreachable(proxy, exchange->instance);
+		attempt_over(proxy, exchange, FAILURE_CONNECT, false,
+			     PLACE_UNREACHABLE);
+		return;
+	}
+	if (msg->u.out_failed.reset && exchange->state == EXCHANGE_SENT)
+		poison_suspect(proxy, exchange);
+	attempt_over(proxy, exchange, failure, true, PLACE_LOST);
+}
--- /dev/null
+++ b/proxy/exchange.c
@@ -0,0 +1,462 @@
+#include "proxy/exchange.h"
+
+#include "front/refusal.h"
+#include "log/log.h"
+#include "platform/wire.h"
+
+#include <string.h>
+
+/*
+ * Part of the latency objective that a request waits for a target.  Refused
+ * early, its caller has time for another attempt.
+ */
+#define PLACE_WAIT_PART 2
+#define PLACE_WAIT_MIN_MS 60
+/* A target is not offered a request that has less time left. */
+#define SEND_MIN_US (10 * USEC_PER_MSEC)
+/*
+ * Silence after which a request that may be repeated is sent to another
+ * target: usual answers take a fraction of their objective.
+ */
+#define SILENCE_AIMS 4
+#define SILENCE_MIN_MS 600
+#define RETRY_AFTER_MS 300 /* of refusals without a time of their own */
+#define RANK_OF_SIZE 4 /* priorities of a target's queue for one of a route */
+
+void exchange_free(proxy_t *proxy, exchange_t *exchange)
+{
+	kernel_timer_cancel(proxy->kernel, &exchange->deadline_timer);
+	http_head_free(exchange->head);
+	exchange_spec_free(exchange->spec);
+	g_byte_array_unref(exchange->body);
+	events_finish(&exchange->events);
+	table_remove(&proxy->exchanges, exchange->self);
+}
+
+/* Input counts once, and generated tokens as far as they were delivered. */
+static int64_t spent_tokens(const exchange_t *exchange)
+{
+	int64_t generated =
+		(int64_t)exchange->events.count * exchange->event_tokens;
+
+	if (exchange->runs == 0)
+		return 0;
+	return exchange->spec->prompt_tokens +
+	       MIN(generated, exchange->spec->max_tokens);
+}
+
+static void settle(proxy_t *proxy, exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_SPEND, .ref = exchange->reservation};
+
+	if (handle_is_none(exchange->reservation))
+		return;
+	msg.u.spend.tokens = spent_tokens(exchange);
+	kernel_post(proxy->kernel, proxy->svc, proxy->prepaid, &msg);
+	exchange->reservation = HANDLE_NONE;
+}
+
+void exchange_leave_target(proxy_t *proxy, exchange_t *exchange,
+			   place_result_t result)
+{
+	msg_t cancel = {.kind = MSG_OUT_CANCEL, .ref = exchange->out};
+	msg_t done = {.kind = MSG_PLACE_DONE, .ref = exchange->placement};
+
+	if (!handle_is_none(exchange->out))
+		kernel_post(proxy->kernel, proxy->svc, proxy->outbound,
+			    &cancel);
+	exchange->out = HANDLE_NONE;
+	if (handle_is_none(exchange->placement))
+		return;
+	done.u.place_done.result = result;
+	done.u.place_done.load = exchange->reply.load;
+	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &done);
+	exchange->placement = HANDLE_NONE;
+}
+
+static void log_outcome(proxy_t *proxy, const exchange_t *exchange,
+			const char *outcome)
+{
+	int64_t now = kernel_now(proxy->kernel);
+	int64_t first = exchange->first_byte_at;
+
+	metrics_observe(proxy->kernel->metrics, HISTOGRAM_REQUEST,
+			now - exchange->started);
+	log_event(LOG_LEVEL_INFO, "proxy", "finished",
+		  "request=%s outcome=%s route=%s service=%s account=%s "
+		  "version=%" G_GINT64_FORMAT " target=%s sends=%u runs=%u "
+		  "reused=%d status=%u events=%u tokens=%" G_GINT64_FORMAT
+		  " ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT,
+		  log_quote(exchange->spec->request_id), outcome,
+		  exchange->route.name, exchange->service, exchange->account,
+		  exchange->version, exchange->instance, exchange->sends,
+		  exchange->runs, exchange->reused,
+		  exchange->head != NULL ? exchange->head->status : 0,
+		  exchange->events.count, spent_tokens(exchange),
+		  (now - exchange->started) / USEC_PER_MSEC,
+		  first > 0 ? (first - exchange->started) / USEC_PER_MSEC : -1);
+}
+
+void exchange_end(proxy_t *proxy, exchange_t *exchange, const char *outcome)
+{
+	log_outcome(proxy, exchange, outcome);
+	settle(proxy, exchange);
+	exchange_free(proxy, exchange);
+}
+
+/* A refusal after a run that can't be excluded must not promise anything. */
+static uint32_t status_of(const exchange_t *exchange, refusal_t reason)
+{
+	if (exchange->runs > 0)
+		return reason == REFUSAL_DEADLINE ? 504 : 502;
+	switch (reason) {
+	case REFUSAL_DEADLINE:
+	case REFUSAL_TARGET_FAILED:
+	case REFUSAL_RETRIES_SPENT:
+	case REFUSAL_QUARANTINED:
+		return 503;
+	default:
+		return refusal_status(reason);
+	}
+}
+
+void exchange_refuse(proxy_t *proxy, exchange_t *exchange, refusal_t reason,
+		     uint32_t retry_after_ms)
+{
+	uint32_t status = status_of(exchange, reason);
+	run_state_t run = exchange->runs > 0 ? RUN_UNKNOWN : RUN_NOT_RUN;
+	msg_t head = {.kind = MSG_EXCHANGE_HEAD, .ref = exchange->caller};
+	msg_t data = {.kind = MSG_EXCHANGE_DATA, .ref = exchange->caller};
+	msg_t end = {.kind = MSG_EXCHANGE_END, .ref = exchange->caller};
+	char *text;
+
+	if (retry_after_ms == 0)
+		retry_after_ms = RETRY_AFTER_MS;
+	metrics_refusal(proxy->kernel->metrics, reason);
+	exchange_leave_target(proxy, exchange, PLACE_CANCELLED);
+	if (exchange->head_sent) {
+		msg_t broken = {.kind = MSG_EXCHANGE_BROKEN,
+				.ref = exchange->caller};
+
+		metrics_add(proxy->kernel->metrics, COUNTER_BROKEN, 1);
+		kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &broken);
+		exchange_end(proxy, exchange, refusal_name(reason));
+		return;
+	}
+	text = refusal_json(reason, run, exchange->spec->request_id, NULL);
+	head.u.exchange_head.head = wire_write_refusal(
+		exchange->spec, status,
+		status == 503 || status == 429 ? retry_after_ms : 0);
+	head.u.exchange_head.length = (int64_t)strlen(text);
+	data.u.data.bytes = g_bytes_new_take(text, strlen(text));
+	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &head);
+	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &data);
+	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &end);
+	exchange_end(proxy, exchange, refusal_name(reason));
+}
+
+static void choose_service(proxy_t *proxy, exchange_t *exchange)
+{
+	const fleet_route_t *route = &exchange->route;
+	const fleet_service_t *service;
+	uint64_t total = 0, at;
+	uint32_t chosen = 0;
+
+	for (uint32_t i = 0; i < route->share_count; i++)
+		total += route->shares[i].weight;
+	if (total > 0) {
+		at = kernel_random_below(proxy->kernel, total);
+		while (at >= route->shares[chosen].weight)
+			at -= route->shares[chosen++].weight;
+	}
+	g_strlcpy(exchange->service, route->shares[chosen].service,
+		  sizeof(exchange->service));
+	service = fleet_conf_service(proxy->conf, exchange->service);
+	if (service != NULL && service->engine)
+		exchange->event_tokens = service->event_tokens;
+}
+
+/* The same request of the same caller has the same fingerprint. */
+static void fingerprint(exchange_t *exchange)
+{
+	const exchange_spec_t *spec = exchange->spec;
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	const guchar *body = NULL;
+	gsize len = 0;
+
+	g_checksum_update(sum, (const guchar *)spec->head->method, -1);
+	g_checksum_update(sum, (const guchar *)"\n", 1);
+	g_checksum_update(sum, (const guchar *)spec->host, -1);
+	g_checksum_update(sum, (const guchar *)spec->head->target, -1);
+	g_checksum_update(sum, (const guchar *)"\n", 1);
+	g_checksum_update(sum, (const guchar *)spec->api_key, -1);
+	g_checksum_update(sum, (const guchar *)"\n", 1);
+	if (spec->body != NULL)
+		body = g_bytes_get_data(spec->body, &len);
+	if (len > 0)
+		g_checksum_update(sum, body, (gssize)len);
+	g_strlcpy(exchange->fingerprint, g_checksum_get_string(sum),
+		  sizeof(exchange->fingerprint));
+	g_checksum_free(sum);
+}
+
+/* Route, API key and account, by the configuration in force. */
+static refusal_t admit(proxy_t *proxy, exchange_t *exchange)
+{
+	const exchange_spec_t *spec = exchange->spec;
+	const fleet_route_t *route;
+	const fleet_account_t *account = NULL;
+
+	if (proxy->conf == NULL)
+		return REFUSAL_NO_CONFIGURATION;
+	exchange->version = proxy->conf->version;
+	route = fleet_conf_route(proxy->conf, spec->host, spec->path);
+	if (route == NULL)
+		return REFUSAL_NO_ROUTE;
+	exchange->route = *route;
+	exchange->priority = route->priority;
+	if (spec->api_key[0] != '\0')
+		account = fleet_conf_account(proxy->conf, spec->api_key);
+	if (proxy->conf->has_accounts && !route->is_public && account == NULL)
+		return REFUSAL_UNAUTHENTICATED;
+	if (account != NULL) {
+		g_strlcpy(exchange->account, account->name,
+			  sizeof(exchange->account));
+		if (account->priority >= 0)
+			exchange->priority = account->priority;
+	}
+	fingerprint(exchange);
+	if (poison_holds(proxy, exchange))
+		return REFUSAL_QUARANTINED;
+	choose_service(proxy, exchange);
+	repeats_request(&proxy->repeats, exchange->service, exchange->started);
+	return REFUSAL_NONE;
+}
+
+static void reserve(proxy_t *proxy, exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_RESERVE, .id = exchange->self};
+
+	exchange->state = EXCHANGE_RESERVING;
+	exchange->reserved =
+		exchange->spec->prompt_tokens + exchange->spec->max_tokens;
+	g_strlcpy(msg.u.reserve.client_account, exchange->account,
+		  sizeof(msg.u.reserve.client_account));
+	msg.u.reserve.tokens = exchange->reserved;
+	msg.u.reserve.deadline = exchange->deadline;
+	kernel_post(proxy->kernel, proxy->svc, proxy->prepaid, &msg);
+}
+
+static void set_deadline(proxy_t *proxy, exchange_t *exchange)
+{
+	int64_t wait = exchange->spec->wait_ms;
+
+	if (wait < 0 || wait > exchange->route.timeout_ms)
+		wait = exchange->route.timeout_ms;
+	exchange->deadline = exchange->started + wait * USEC_PER_MSEC;
+	exchange->deadline_timer =
+		kernel_timer(proxy->kernel, proxy->svc, wait * USEC_PER_MSEC,
+			     exchange->self, 0);
+}
+
+void exchange_start(proxy_t *proxy, msg_t *msg)
+{
+	msg_t started = {.kind = MSG_EXCHANGE_STARTED, .ref = msg->id};
+	exchange_t *exchange;
+	handle_t self = table_add(&proxy->exchanges, (void **)&exchange);
+	refusal_t reason;
+
+	exchange->self = self;
+	exchange->caller = msg->id;
+	exchange->spec = g_steal_pointer(&msg->u.exchange);
+	exchange->started = kernel_now(proxy->kernel);
+	exchange->body = g_byte_array_new();
+	events_init(&exchange->events);
+	started.id = self;
+	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &started);
+	reason = admit(proxy, exchange);
+	if (reason != REFUSAL_NONE) {
+		exchange_refuse(proxy, exchange, reason, 0);
+		return;
+	}
+	set_deadline(proxy, exchange);
+	if (exchange->event_tokens > 0 && exchange->account[0] != '\0' &&
+	    exchange->spec->prompt_tokens + exchange->spec->max_tokens > 0)
+		reserve(proxy, exchange);
+	else
+		exchange_place(proxy, exchange);
+}
+
+void exchange_reserved(proxy_t *proxy, const msg_t *msg)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, msg->ref);
+	msg_t release = {.kind = MSG_RELEASE, .ref = msg->id};
+
+	if (exchange == NULL || exchange->state != EXCHANGE_RESERVING) {
+		kernel_post(proxy->kernel, proxy->svc, proxy->prepaid,
+			    &release);
+		return;
+	}
+	switch (msg->u.reserved.result) {
+	case RESERVE_OK:
+		exchange->reservation = msg->id;
+		exchange_place(proxy, exchange);
+		break;
+	case RESERVE_SPENT:
+		exchange_refuse(proxy, exchange, REFUSAL_BUDGET_SPENT, 0);
+		break;
+	case RESERVE_UNAVAILABLE:
+		exchange_refuse(proxy, exchange, REFUSAL_BUDGET_UNAVAILABLE, 0);
+		break;
+	}
+}
+
+void exchange_place(proxy_t *proxy, exchange_t *exchange)
+{
+	const exchange_spec_t *spec = exchange->spec;
+	msg_t msg = {.kind = MSG_PLACE, .id = exchange->self};
+	int64_t wait = MAX(exchange->route.aim_ms / PLACE_WAIT_PART,
+			   PLACE_WAIT_MIN_MS);
+
+	exchange->state = EXCHANGE_PLACING;
+	g_strlcpy(msg.u.place.request_id, spec->request_id,
+		  sizeof(msg.u.place.request_id));
+	g_strlcpy(msg.u.place.service, exchange->service,
+		  sizeof(msg.u.place.service));
+	msg.u.place.priority = exchange->priority;
+	msg.u.place.deadline =
+		MIN(kernel_now(proxy->kernel) + wait * USEC_PER_MSEC,
+		    exchange->deadline);
+	msg.u.place.prompt_tokens = spec->prompt_tokens;
+	msg.u.place.max_tokens = spec->max_tokens;
+	msg.u.place.part_count = spec->part_count;
+	memcpy(msg.u.place.parts, spec->parts, sizeof(spec->parts));
+	msg.u.place.avoid_count = exchange->avoid_count;
+	memcpy(msg.u.place.avoid, exchange->avoid, sizeof(exchange->avoid));
+	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &msg);
+}
+
+/* When silence means that another target is tried; 0: never. */
+static int64_t head_deadline(const exchange_t *exchange, int64_t now)
+{
+	const fleet_route_t *route = &exchange->route;
+	int64_t silence =
+		MAX((int64_t)route->aim_ms * SILENCE_AIMS, SILENCE_MIN_MS);
+	bool idempotent = route->kind == ROUTE_SAFE ||
+			  (route->kind == ROUTE_STREAM && route->resumable);
+
+	if (!idempotent || exchange->runs + 1 >= route->max_attempts)
+		return 0;
+	return now + silence * USEC_PER_MSEC;
+}
+
+static void send(proxy_t *proxy, exchange_t *exchange, const msg_t *placed)
+{
+	int64_t now = kernel_now(proxy->kernel);
+	wire_send_t add = {
+		.instance = placed->u.placed.instance,
+		.account =
+			exchange->account[0] != '\0' ? exchange->account : NULL,
+		.wait_ms = (exchange->deadline - now) / USEC_PER_MSEC,
+		.priority = exchange->priority * RANK_OF_SIZE,
+		.last_event_id = exchange->events.last_id[0] != '\0'
+					 ? exchange->events.last_id
+					 : NULL,
+	};
+	msg_t msg = {.kind = MSG_OUT_SEND, .id = exchange->self};
+
+	exchange->state = EXCHANGE_SENT;
+	exchange->sends++;
+	exchange->out = HANDLE_NONE;
+	memset(&exchange->reply, 0, sizeof(exchange->reply));
+	g_strlcpy(msg.u.out_send.host, placed->u.placed.host,
+		  sizeof(msg.u.out_send.host));
+	msg.u.out_send.port = placed->u.placed.port;
+	msg.u.out_send.head = wire_write_request(exchange->spec, &add);
+	if (exchange->spec->body != NULL)
+		msg.u.out_send.body = g_bytes_ref(exchange->spec->body);
+	wire_echo(exchange->spec, msg.u.out_send.echo_name,
+		  sizeof(msg.u.out_send.echo_name), msg.u.out_send.echo_value,
+		  sizeof(msg.u.out_send.echo_value));
+	msg.u.out_send.head_deadline = head_deadline(exchange, now);
+	kernel_post(proxy->kernel, proxy->svc, proxy->outbound, &msg);
+	metrics_add(proxy->kernel->metrics, COUNTER_ATTEMPTS, 1);
+}
+
+void exchange_placed(proxy_t *proxy, const msg_t *msg)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, msg->ref);
+	msg_t done = {.kind = MSG_PLACE_DONE, .ref = msg->id};
+	int64_t now = kernel_now(proxy->kernel);
+
+	if (exchange == NULL || exchange->state != EXCHANGE_PLACING) {
+		done.u.place_done.result = PLACE_NOT_SENT;
+		kernel_post(proxy->kernel, proxy->svc, proxy->balance, &done);
+		return;
+	}
+	exchange->placement = msg->id;
+	exchange->target = msg->u.placed.target;
+	g_strlcpy(exchange->instance, msg->u.placed.instance,
+		  sizeof(exchange->instance));
+	if (exchange->deadline - now < SEND_MIN_US) {
+		exchange_leave_target(proxy, exchange, PLACE_NOT_SENT);
+		exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
+		return;
+	}
+	send(proxy, exchange, msg);
+}
+
+void exchange_place_refused(proxy_t *proxy, const msg_t *msg)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, msg->ref);
+
+	if (exchange == NULL || exchange->state != EXCHANGE_PLACING)
+		return;
+	exchange_refuse(proxy, exchange, msg->u.place_refused.reason,
+			msg->u.place_refused.retry_after_ms);
+}
+
+static void withdraw(proxy_t *proxy, const exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_PLACE_CANCEL, .id = exchange->self};
+
+	if (exchange->state == EXCHANGE_PLACING)
+		kernel_post(proxy->kernel, proxy->svc, proxy->balance, &msg);
+}
+
+/* Whether the request on its way may have run by now. */
+static void count_run(exchange_t *exchange)
+{
+	if (exchange->state == EXCHANGE_SENT ||
+	    exchange->state == EXCHANGE_ANSWERING)
+		exchange->runs++;
+}
+
+void exchange_timer(proxy_t *proxy, handle_t ref)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, ref);
+
+	if (exchange == NULL)
+		return;
+	exchange->deadline_timer = HANDLE_NONE;
+	withdraw(proxy, exchange);
+	count_run(exchange);
+	exchange_leave_target(proxy, exchange,
+			      exchange->state == EXCHANGE_SENT
+				      ? PLACE_LOST
+				      : PLACE_CANCELLED);
+	exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
+}
+
+void exchange_gone(proxy_t *proxy, handle_t ref)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, ref);
+
+	if (exchange == NULL)
+		return;
+	metrics_refusal(proxy->kernel->metrics, REFUSAL_CALLER_GONE);
+	withdraw(proxy, exchange);
+	count_run(exchange);
+	exchange_leave_target(proxy, exchange, PLACE_CANCELLED);
+	exchange_end(proxy, exchange, "caller_gone");
+}
--- /dev/null
+++ b/proxy/proxy.c
@@ -0,0 +1,135 @@
+#include "proxy/proxy.h"
+
+#include "proxy/exchange.h"
+
+#include <string.h>
+
+static void start(proxy_t *proxy)
+{
+	msg_t msg = {.kind = MSG_FLEET_SUBSCRIBE};
+
+	proxy->ingress = kernel_find(proxy->kernel, "ingress");
+	proxy->balance = kernel_find(proxy->kernel, "balance");
+	proxy->outbound = kernel_find(proxy->kernel, "outbound");
+	proxy->prepaid = kernel_find(proxy->kernel, "prepaid");
+	proxy->peer = kernel_find(proxy->kernel, "peer");
+	kernel_post(proxy->kernel, proxy->svc,
+		    kernel_find(proxy->kernel, "fleet"), &msg);
+}
+
+static void cancel_out(proxy_t *proxy, handle_t out)
+{
+	msg_t msg = {.kind = MSG_OUT_CANCEL, .ref = out};
+
+	kernel_post(proxy->kernel, proxy->svc, proxy->outbound, &msg);
+}
+
+/* Messages of outbound about the attempt in progress; others are late. */
+static void receive_out(proxy_t *proxy, msg_t *msg)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, msg->ref);
+
+	if (msg->kind == MSG_OUT_STARTED) {
+		if (exchange == NULL || exchange->state != EXCHANGE_SENT ||
+		    !handle_is_none(exchange->out)) {
+			cancel_out(proxy, msg->id);
+			return;
+		}
+		exchange->out = msg->id;
+		exchange->reused = msg->u.out_started.reused;
+		return;
+	}
+	if (exchange == NULL || !handle_equal(exchange->out, msg->id))
+		return;
+	switch (msg->kind) {
+	case MSG_OUT_HEAD:
+		answer_head(proxy, exchange, msg);
+		break;
+	case MSG_OUT_DATA:
+		answer_data(proxy, exchange, msg);
+		break;
+	case MSG_OUT_END:
+		answer_end(proxy, exchange);
+		break;
+	case MSG_OUT_FAILED:
+		answer_failed(proxy, exchange, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	proxy_t *proxy = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		start(proxy);
+		break;
+	case MSG_TIMER:
+		exchange_timer(proxy, msg->ref);
+		break;
+	case MSG_FLEET_CONF:
+		fleet_conf_unref(proxy->conf);
+		proxy->conf = g_steal_pointer(&msg->u.fleet_conf);
+		break;
+	case MSG_FLEET_SIZE:
+		proxy->instances = msg->u.fleet_size.instances;
+		break;
+	case MSG_EXCHANGE_OPEN:
+		exchange_start(proxy, msg);
+		break;
+	case MSG_EXCHANGE_GONE:
+		exchange_gone(proxy, msg->ref);
+		break;
+	case MSG_RESERVED:
+		exchange_reserved(proxy, msg);
+		break;
+	case MSG_PLACED:
+		exchange_placed(proxy, msg);
+		break;
+	case MSG_PLACE_REFUSED:
+		exchange_place_refused(proxy, msg);
+		break;
+	case MSG_PEER_RECEIVED:
+		poison_heard(proxy, msg);
+		break;
+	case MSG_OUT_STARTED:
+	case MSG_OUT_HEAD:
+	case MSG_OUT_DATA:
+	case MSG_OUT_END:
+	case MSG_OUT_FAILED:
+		receive_out(proxy, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+void proxy_init(proxy_t *proxy, kernel_t *kernel, const proxy_opts_t *opts)
+{
+	memset(proxy, 0, sizeof(*proxy));
+	proxy->kernel = kernel;
+	proxy->opts = *opts;
+	proxy->instances = 1;
+	table_init(&proxy->exchanges, sizeof(exchange_t));
+	repeats_init(&proxy->repeats, &opts->repeats);
+	poison_init(proxy);
+	proxy->svc = kernel_register(kernel, "proxy", receive, proxy);
+}
+
+void proxy_finish(proxy_t *proxy)
+{
+	uint32_t cursor = 0;
+	exchange_t *exchange;
+
+	while ((exchange = table_next(&proxy->exchanges, &cursor, NULL)) !=
+	       NULL)
+		exchange_free(proxy, exchange);
+	fleet_conf_unref(proxy->conf);
+	repeats_finish(&proxy->repeats);
+	quarantine_finish(&proxy->quarantine);
+	table_finish(&proxy->exchanges);
+	kernel_unregister(proxy->kernel, proxy->svc);
+}
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -10,14 +10,16 @@
 typedef struct entry_t {
 	char fingerprint[HASH_SIZE];
 	uint32_t count;
-	blame_t blames[QUARANTINE_BLAMES];
+	blame_t blames[QUARANTINE_BLAMES_MAX];
 	int64_t last_ms; /* wall clock of the last blame */
 	int64_t until_ms; /* 0: not in quarantine */
 	GList link; /* in order */
 } entry_t;
 
-void quarantine_init(quarantine_t *quarantine)
+void quarantine_init(quarantine_t *quarantine, uint32_t blames, int64_t hold_ms)
 {
+	quarantine->blames = MIN(blames, QUARANTINE_BLAMES_MAX);
+	quarantine->hold_ms = hold_ms;
 	quarantine->entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	g_queue_init(&quarantine->order);
@@ -65,21 +67,22 @@
 	entry_t *entry = g_hash_table_lookup(quarantine->entries, fingerprint);
 	blame_t *blame;
 
-	if (entry != NULL && wall_ms - entry->last_ms > QUARANTINE_MS) {
+	if (entry != NULL && wall_ms - entry->last_ms > quarantine->hold_ms) {
 		remove_entry(quarantine, entry);
 		entry = NULL;
 	}
 	if (entry == NULL)
 		entry = add_entry(quarantine, fingerprint);
-	if (entry->count >= QUARANTINE_BLAMES || is_known(entry, reporter, seq))
+	if (entry->count >= quarantine->blames ||
+	    is_known(entry, reporter, seq))
 		return false;
 	blame = &entry->blames[entry->count++];
 	g_strlcpy(blame->reporter, reporter, sizeof(blame->reporter));
 	blame->seq = seq;
 	entry->last_ms = wall_ms;
-	if (entry->count < QUARANTINE_BLAMES)
+	if (entry->count < quarantine->blames)
 		return false;
-	entry->until_ms = wall_ms + QUARANTINE_MS;
+	entry->until_ms = wall_ms + quarantine->hold_ms;
 	return true;
 }
 
--- a/request/quarantine.h
+++ b/request/quarantine.h
@@ -11,14 +11,19 @@
 
 #define QUARANTINE_MAX 1024 /* fingerprints */
 #define QUARANTINE_BLAMES 2 /* blames that quarantine a fingerprint */
+#define QUARANTINE_BLAMES_MAX 4
 #define QUARANTINE_MS ((int64_t)3600 * 1000)
 
 typedef struct quarantine_t {
 	GHashTable *entries; /* fingerprint -> entry */
 	GQueue order; /* entries, oldest first */
+	uint32_t blames; /* that quarantine a fingerprint */
+	int64_t hold_ms; /* time in quarantine, and that a blame counts */
 } quarantine_t;
 
-void quarantine_init(quarantine_t *quarantine);
+/* blames is at most QUARANTINE_BLAMES_MAX. */
+void quarantine_init(quarantine_t *quarantine, uint32_t blames,
+		     int64_t hold_ms);
 void quarantine_finish(quarantine_t *quarantine);
 
 /*
--- a/request/request.c
+++ b/request/request.c
@@ -157,7 +157,8 @@
 	request_svc->running =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	retry_budget_init(&request_svc->retries, opts->retry_share);
-	quarantine_init(&request_svc->quarantine);
+	quarantine_init(&request_svc->quarantine, QUARANTINE_BLAMES,
+			QUARANTINE_MS);
 	request_svc->self =
 		kernel_register(kernel, "request", receive, request_svc);
 }
--- a/request/retry.c
+++ b/request/retry.c
@@ -33,6 +33,7 @@
 		return true;
 	case FAILURE_OVERLOADED:
 	case FAILURE_LEAVING:
+	case FAILURE_MISDIRECTED:
 		return stated_not_run;
 	default:
 		return false;
--- a/router/router.c
+++ b/router/router.c
@@ -381,17 +381,6 @@
 	return status;
 }
 
-static log_level_t parse_level(const char *text)
-{
-	if (strcmp(text, "error") == 0)
-		return LOG_LEVEL_ERROR;
-	if (strcmp(text, "warn") == 0)
-		return LOG_LEVEL_WARN;
-	if (strcmp(text, "debug") == 0)
-		return LOG_LEVEL_DEBUG;
-	return LOG_LEVEL_INFO;
-}
-
 /* Loads settings and checks what can be checked without starting. */
 static int load(settings_t *settings, const char *path)
 {
@@ -430,7 +419,7 @@
 	status = load(&router->settings, path);
 	if (status != 0)
 		goto out;
-	if (log_init(parse_level(router->settings.log_level),
+	if (log_init(log_level_parse(router->settings.log_level),
 		     router->settings.name) != 0) {
 		fprintf(stderr, "tanagertrestle: log4c can't be started\n");
 		status = 1;
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -18,13 +18,23 @@
 	SETTING_URL, /* an http or https URL, or empty */
 	SETTING_SEEDS, /* list of IP:PORT */
 	SETTING_URLS, /* list of URLs, at least one */
+	SETTING_LISTEN, /* IP:PORT */
+	SETTING_RATIO, /* a decimal number from 0 to 1 */
 } setting_type_t;
 
+/* Which programs can't run without a setting. */
+typedef enum setting_need_t {
+	NEED_NOBODY,
+	NEED_ROUTER,
+	NEED_GATEWAY,
+	NEED_ALL,
+} setting_need_t;
+
 typedef struct setting_t {
 	const char *path;
 	setting_type_t type;
 	size_t offset;
-	bool required;
+	setting_need_t need;
 	int64_t min;
 	int64_t max;
 	int64_t number; /* default of an integer */
@@ -35,74 +45,106 @@
 #define AT(field) offsetof(settings_t, field)
 
 static const setting_t table[] = {
-	{"name", SETTING_NAME, AT(name), true, 0, 0, 0, "",
+	{"name", SETTING_NAME, AT(name), NEED_ALL, 0, 0, 0, "",
 	 "name of this router, unique in the fleet"},
-	{"availability_zone", SETTING_NAME, AT(availability_zone), true, 0, 0,
-	 0, "", "availability zone of this instance"},
-	{"log_level", SETTING_LEVEL, AT(log_level), false, 0, 0, 0, "info",
-	 "least severe level that is written"},
-	{"stop_timeout_s", SETTING_INTEGER, AT(stop_timeout_s), false, 1, 86400,
-	 600, "", "longest wait for running requests on a planned stop, s"},
-
-	{"caller.host", SETTING_ADDRESS, AT(caller_host), false, 0, 0, 0,
+	{"availability_zone", SETTING_NAME, AT(availability_zone), NEED_ALL, 0,
+	 0, 0, "", "availability zone of this instance"},
+	{"log_level", SETTING_LEVEL, AT(log_level), NEED_NOBODY, 0, 0, 0,
+	 "info", "least severe level that is written"},
+	{"stop_timeout_s", SETTING_INTEGER, AT(stop_timeout_s), NEED_NOBODY, 1,
+	 86400, 600, "",
+	 "longest wait for running requests on a planned stop, s"},
+
+	{"caller.host", SETTING_ADDRESS, AT(caller_host), NEED_NOBODY, 0, 0, 0,
 	 "127.0.0.1", "address for callers"},
-	{"caller.port", SETTING_INTEGER, AT(caller_port), true, 0, PORT_MAX, 0,
-	 "", "port for callers, 0 for any free one"},
+	{"caller.port", SETTING_INTEGER, AT(caller_port), NEED_ROUTER, 0,
+	 PORT_MAX, 0, "", "port for callers, 0 for any free one"},
 	{"caller.tls_certificate", SETTING_TEXT, AT(caller_tls_certificate),
-	 false, 0, 255, 0, "", "certificate file in PEM, empty for plain HTTP"},
-	{"caller.tls_key", SETTING_TEXT, AT(caller_tls_key), false, 0, 255, 0,
-	 "", "private key file in PEM"},
-	{"caller.max_body", SETTING_INTEGER, AT(caller_max_body), false, 1024,
-	 67108864, 4194304, "", "largest request body, bytes"},
-	{"caller.max_header", SETTING_INTEGER, AT(caller_max_header), false,
-	 1024, 65536, 16384, "", "largest request head, bytes"},
+	 NEED_NOBODY, 0, 255, 0, "",
+	 "certificate file in PEM, empty for plain HTTP"},
+	{"caller.tls_key", SETTING_TEXT, AT(caller_tls_key), NEED_NOBODY, 0,
+	 255, 0, "", "private key file in PEM"},
+	{"caller.max_body", SETTING_INTEGER, AT(caller_max_body), NEED_NOBODY,
+	 1024, 67108864, 4194304, "", "largest request body, bytes"},
+	{"caller.max_header", SETTING_INTEGER, AT(caller_max_header),
+	 NEED_NOBODY, 1024, 65536, 16384, "", "largest request head, bytes"},
 	{"caller.max_connections", SETTING_INTEGER, AT(caller_max_connections),
-	 false, 1, 1000000, 20000, "", "connections of callers at one time"},
-	{"caller.buffer", SETTING_INTEGER, AT(caller_buffer), false, 4096,
+	 NEED_NOBODY, 1, 1000000, 20000, "",
+	 "connections of callers at one time"},
+	{"caller.buffer", SETTING_INTEGER, AT(caller_buffer), NEED_NOBODY, 4096,
 	 16777216, 65536, "",
 	 "unsent bytes of one answer at which its target is paused"},
 
-	{"peer.host", SETTING_ADDRESS, AT(peer_host), false, 0, 0, 0,
+	{"peer.host", SETTING_ADDRESS, AT(peer_host), NEED_NOBODY, 0, 0, 0,
 	 "127.0.0.1", "address for other routers"},
-	{"peer.port", SETTING_INTEGER, AT(peer_port), true, 1, PORT_MAX, 0, "",
-	 "port for other routers"},
-	{"peer.key", SETTING_SECRET, AT(peer_key), true, 16, 255, 0, "",
+	{"peer.port", SETTING_INTEGER, AT(peer_port), NEED_ROUTER, 1, PORT_MAX,
+	 0, "", "port for other routers"},
+	{"peer.key", SETTING_SECRET, AT(peer_key), NEED_ALL, 16, 255, 0, "",
 	 "key shared by all routers, 16 bytes at least"},
-	{"peer.seeds", SETTING_SEEDS, AT(peer_seeds), false, 0, 0, 0, "",
+	{"peer.seeds", SETTING_SEEDS, AT(peer_seeds), NEED_NOBODY, 0, 0, 0, "",
 	 "addresses IP:PORT of routers to join through"},
 
-	{"admin.host", SETTING_ADDRESS, AT(admin_host), false, 0, 0, 0,
+	{"admin.host", SETTING_ADDRESS, AT(admin_host), NEED_NOBODY, 0, 0, 0,
 	 "127.0.0.1", "address for health, metrics and status"},
-	{"admin.port", SETTING_INTEGER, AT(admin_port), true, 1, PORT_MAX, 0,
-	 "", "port for health, metrics and status"},
-	{"admin.token", SETTING_SECRET, AT(admin_token), false, 0, 255, 0, "",
+	{"admin.port", SETTING_INTEGER, AT(admin_port), NEED_ROUTER, 1,
+	 PORT_MAX, 0, "", "port for health, metrics and status"},
+	{"admin.token", SETTING_SECRET, AT(admin_token), NEED_NOBODY, 0, 255, 0,
+	 "",
 	 "bearer token, required when admin.host is not a loopback address"},
 
-	{"store.endpoints", SETTING_URLS, AT(store_endpoints), true, 0, 0, 0,
-	 "", "URLs of the platform's key-value store"},
-	{"store.prefix", SETTING_TEXT, AT(store_prefix), false, 1, 64, 0,
+	{"store.endpoints", SETTING_URLS, AT(store_endpoints), NEED_ROUTER, 0,
+	 0, 0, "", "URLs of the platform's key-value store"},
+	{"store.prefix", SETTING_TEXT, AT(store_prefix), NEED_NOBODY, 1, 64, 0,
 	 "tanagertrestle/", "prefix of all keys in the store"},
-	{"store.token", SETTING_SECRET, AT(store_token), false, 0, 255, 0, "",
-	 "token sent to the store"},
-	{"store.timeout_ms", SETTING_INTEGER, AT(store_timeout_ms), false, 50,
-	 60000, 2000, "", "longest wait for an answer of the store, ms"},
+	{"store.token", SETTING_SECRET, AT(store_token), NEED_NOBODY, 0, 255, 0,
+	 "", "token sent to the store"},
+	{"store.timeout_ms", SETTING_INTEGER, AT(store_timeout_ms), NEED_NOBODY,
+	 50, 60000, 2000, "", "longest wait for an answer of the store, ms"},
 
-	{"instances.url", SETTING_URL, AT(instances_url), false, 0, 0, 0, "",
-	 "URL of the platform's list of instances, empty for none"},
+	{"instances.url", SETTING_URL, AT(instances_url), NEED_NOBODY, 0, 0, 0,
+	 "", "URL of the platform's list of instances, empty for none"},
 	{"instances.interval_ms", SETTING_INTEGER, AT(instances_interval_ms),
-	 false, 100, 60000, 1000, "", "time between reads of the list, ms"},
+	 NEED_NOBODY, 100, 60000, 1000, "",
+	 "time between reads of the list, ms"},
 
-	{"member.lease_s", SETTING_INTEGER, AT(member_lease_s), false, 3, 300,
-	 10, "", "time to live of a router's lease in the store, s"},
-	{"ledger.horizon_s", SETTING_INTEGER, AT(ledger_horizon_s), false, 1,
-	 3600, 150, "", "demand that a grant covers, s"},
+	{"member.lease_s", SETTING_INTEGER, AT(member_lease_s), NEED_NOBODY, 3,
+	 300, 10, "", "time to live of a router's lease in the store, s"},
+	{"ledger.horizon_s", SETTING_INTEGER, AT(ledger_horizon_s), NEED_NOBODY,
+	 1, 3600, 150, "", "demand that a grant covers, s"},
 	{"ledger.unprotected_percent", SETTING_INTEGER,
-	 AT(ledger_unprotected_percent), false, 0, 100, 10, "",
+	 AT(ledger_unprotected_percent), NEED_NOBODY, 0, 100, 10, "",
 	 "part of a grant that may be spent without store and buddy, %"},
 	{"request.retry_percent", SETTING_INTEGER, AT(request_retry_percent),
-	 false, 0, 100, 10, "", "retries as a share of requests, %"},
-	{"request.max_running", SETTING_INTEGER, AT(request_max_running), false,
-	 1, 1000000, 20000, "", "requests in progress at one time"},
+	 NEED_NOBODY, 0, 100, 10, "", "retries as a share of requests, %"},
+	{"request.max_running", SETTING_INTEGER, AT(request_max_running),
+	 NEED_NOBODY, 1, 1000000, 20000, "",
+	 "requests in progress at one time"},
+
+	{"gateway.callers", SETTING_LISTEN, AT(gateway_callers), NEED_GATEWAY,
+	 0, 0, 0, "", "address for callers"},
+	{"gateway.readiness", SETTING_LISTEN, AT(gateway_readiness),
+	 NEED_GATEWAY, 0, 0, 0, "",
+	 "address for the load balancer's readiness checks"},
+	{"gateway.metrics", SETTING_LISTEN, AT(gateway_metrics), NEED_GATEWAY,
+	 0, 0, 0, "", "address for the metrics"},
+	{"gateway.peers", SETTING_LISTEN, AT(gateway_peers), NEED_GATEWAY, 0, 0,
+	 0, "", "address for other gateways"},
+	{"gateway.store", SETTING_LISTEN, AT(gateway_store), NEED_GATEWAY, 0, 0,
+	 0, "", "address of the platform's key-value store"},
+	{"gateway.watch_pause_ms", SETTING_INTEGER, AT(gateway_watch_pause_ms),
+	 NEED_NOBODY, 10, 10000, 600, "",
+	 "pause between two reads of the store's changes, ms"},
+	{"gateway.retry_ratio", SETTING_RATIO, AT(gateway_retry_ratio),
+	 NEED_NOBODY, 0, 1, 0, "0.1",
+	 "requests sent again to a service, as a share of its requests"},
+	{"gateway.retry_slack", SETTING_INTEGER, AT(gateway_retry_slack),
+	 NEED_NOBODY, 0, 1000000, 20, "",
+	 "requests sent again beside that share, by the whole fleet"},
+	{"gateway.retry_window_s", SETTING_INTEGER, AT(gateway_retry_window_s),
+	 NEED_NOBODY, 1, 3600, 10, "",
+	 "time over which requests sent again are counted, s"},
+	{"gateway.grace_s", SETTING_INTEGER, AT(gateway_grace_s), NEED_NOBODY,
+	 2, 3600, 8, "", "time from SIGTERM to the end of the process, s"},
 };
 
 void settings_init(settings_t *settings)
@@ -118,6 +160,10 @@
 		case SETTING_SEEDS:
 		case SETTING_URLS:
 			break;
+		case SETTING_RATIO:
+			*(double *)(void *)field =
+				g_ascii_strtod(table[i].text, NULL);
+			break;
 		default:
 			g_strlcpy(field, table[i].text, SETTING_TEXT_SIZE);
 			break;
@@ -198,6 +244,10 @@
 	case SETTING_URLS:
 		return g_strdup_printf("a list of 1 to %d http or https URLs",
 				       SETTING_LIST_MAX);
+	case SETTING_LISTEN:
+		return g_strdup("IP:PORT");
+	case SETTING_RATIO:
+		return g_strdup("a number from 0 to 1");
 	}
 	return g_strdup("nothing");
 }
@@ -220,10 +270,14 @@
 static bool text_is_allowed(const setting_t *setting, const char *text)
 {
 	size_t len = strlen(text);
+	char host[HOST_SIZE];
+	uint16_t port;
 
 	if (len >= SETTING_TEXT_SIZE)
 		return false;
 	switch (setting->type) {
+	case SETTING_LISTEN:
+		return settings_parse_address(text, host, sizeof(host), &port);
 	case SETTING_NAME:
 		return name_is_valid(text);
 	case SETTING_TEXT:
@@ -285,6 +339,20 @@
 	return true;
 }
 
+static settings_status_t read_ratio(const setting_t *setting, JsonNode *node,
+				    double *to, errmsg_t *err)
+{
+	double number;
+
+	if (!node_is(node, G_TYPE_DOUBLE) && !node_is(node, G_TYPE_INT64))
+		return refuse(setting, node, err);
+	number = json_node_get_double(node);
+	if (!(number >= (double)setting->min && number <= (double)setting->max))
+		return refuse(setting, node, err);
+	*to = number;
+	return SETTINGS_OK;
+}
+
 static settings_status_t read_value(settings_t *settings,
 				    const setting_t *setting, JsonNode *node,
 				    errmsg_t *err)
@@ -301,6 +369,8 @@
 			return refuse(setting, node, err);
 		*(int64_t *)(void *)field = number;
 		return SETTINGS_OK;
+	case SETTING_RATIO:
+		return read_ratio(setting, node, (double *)(void *)field, err);
 	case SETTING_SEEDS:
 	case SETTING_URLS:
 		if (!read_list(setting, node, (setting_list_t *)(void *)field))
@@ -375,11 +445,36 @@
 	return address != NULL && g_inet_address_get_is_loopback(address);
 }
 
-static settings_status_t check_whole(const settings_t *settings,
-				     const bool *seen, errmsg_t *err)
+static bool is_needed(const setting_t *setting, bool gateway)
+{
+	switch (setting->need) {
+	case NEED_NOBODY:
+		return false;
+	case NEED_ROUTER:
+		return !gateway;
+	case NEED_GATEWAY:
+		return gateway;
+	case NEED_ALL:
+		return true;
+	}
+	return false;
+}
+
+/* A file with a section for the gateway is a gateway's. */
+static bool is_for_gateway(const bool *seen)
+{
+	for (gsize i = 0; i < G_N_ELEMENTS(table); i++)
+		if (seen[i] && g_str_has_prefix(table[i].path, "gateway."))
+			return true;
+	return false;
+}
+
+static settings_status_t check_whole(settings_t *settings, const bool *seen,
+				     errmsg_t *err)
 {
+	settings->gateway = is_for_gateway(seen);
 	for (gsize i = 0; i < G_N_ELEMENTS(table); i++) {
-		if (table[i].required && !seen[i]) {
+		if (is_needed(&table[i], settings->gateway) && !seen[i]) {
 			errmsg_set(err, "%s: missing, %s", table[i].path,
 				   table[i].help);
 			return SETTINGS_INVALID;
@@ -485,7 +580,11 @@
 		g_autofree char *allowed = describe_allowed(setting);
 		g_autofree char *value = NULL;
 
-		if (setting->required)
+		if (setting->need == NEED_GATEWAY)
+			value = g_strdup("required for a gateway");
+		else if (setting->need == NEED_ROUTER)
+			value = g_strdup("required for a router");
+		else if (setting->need == NEED_ALL)
 			value = g_strdup("required");
 		else if (setting->type == SETTING_INTEGER)
 			value = g_strdup_printf("%" G_GINT64_FORMAT,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -1,6 +1,7 @@
 /*
- * Settings of a router: a JSON file checked against one table of keys.  The
- * first fault is reported with the key's path, the value and what is allowed.
+ * Settings of a router or a gateway: a JSON file checked against one table of
+ * keys.  The first fault is reported with the key's path, the value and what is
+ * allowed.
  */
 #ifndef SETTINGS_SETTINGS_H
 #define SETTINGS_SETTINGS_H
@@ -62,6 +63,18 @@
 	int64_t ledger_unprotected_percent;
 	int64_t request_retry_percent;
 	int64_t request_max_running;
+
+	bool gateway; /* the settings are a gateway's */
+	char gateway_callers[SETTING_TEXT_SIZE]; /* IP:PORT, as the others */
+	char gateway_readiness[SETTING_TEXT_SIZE];
+	char gateway_metrics[SETTING_TEXT_SIZE];
+	char gateway_peers[SETTING_TEXT_SIZE];
+	char gateway_store[SETTING_TEXT_SIZE];
+	int64_t gateway_watch_pause_ms;
+	double gateway_retry_ratio;
+	int64_t gateway_retry_slack;
+	int64_t gateway_retry_window_s;
+	int64_t gateway_grace_s;
 } settings_t;
 
 void settings_init(settings_t *settings);
