--- a/balance/balance.c
+++ b/balance/balance.c
@@ -68,10 +68,34 @@
 	return oldest;
 }
 
+/* The target that all instances prefer for the prompt, or NULL. */
+static const balance_target_t *preferred_for(const balance_t *balance,
+					     const msg_t *ask)
+{
+	const balance_target_t *best = NULL, *target;
+	uint64_t best_score = 0, score;
+	uint32_t cursor = 0;
+
+	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
+	       NULL) {
+		if (!target->engine || target->closed ||
+		    strcmp(target->info.service, ask->u.place.service) != 0)
+			continue;
+		score = balance_target_affinity(target, ask->u.place.parts,
+						ask->u.place.part_count);
+		if (best == NULL || score > best_score) {
+			best = target;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
 static balance_target_t *choose(balance_t *balance, const msg_t *ask,
 				bool *listed)
 {
 	int64_t now = kernel_now(balance->kernel);
+	const balance_target_t *preferred = preferred_for(balance, ask);
 	balance_target_t *best = NULL, *target;
 	double best_cost = 0.0, cost;
 	uint32_t cursor = 0;
@@ -90,6 +114,7 @@
 		cost = balance_target_cost(
 			       target, ask,
 			       strcmp(target->info.zone, balance->zone) == 0,
+			       target == preferred,
 			       oldest_unanswered(balance, target->self, now),
 			       now) +
 		       (double)kernel_random_below(balance->kernel, 1000) /
@@ -130,12 +155,15 @@
 	log_event(LOG_LEVEL_DEBUG, "balance", "placed",
 		  "request=%s target=%s outstanding=%u load=%u,%u,%u "
 		  "load_age_ms=%" G_GINT64_FORMAT " cached=%" G_GINT64_FORMAT
-		  " prompt=%" G_GINT64_FORMAT,
+		  " prompt=%" G_GINT64_FORMAT " parts=%u shared=%" G_GINT64_MODIFIER "x",
 		  log_quote(ask->u.place.request_id), target->info.id,
 		  target->outstanding, target->load.running,
 		  target->load.waiting, target->load.slowness,
 		  (placement->since - target->load_at) / USEC_PER_MSEC, cached,
-		  ask->u.place.prompt_tokens);
+		  ask->u.place.prompt_tokens, ask->u.place.part_count,
+		  ask->u.place.part_count > 1
+			  ? ask->u.place.parts[ask->u.place.part_count - 2].id
+			  : 0);
 }
 
 static void refuse(balance_t *balance, const msg_t *ask, refusal_t reason)
--- a/balance/target.c
+++ b/balance/target.c
@@ -9,6 +9,11 @@
 /* One more running request slows the tokens of all others. */
 #define ENGINE_RUNNING_MS 4.0
 #define ENGINE_WAITING_MS 40.0
+/*
+ * For each shared token that has to be read although another target keeps it.
+ * Reading it takes a hundredth of a millisecond, but the platform bills it.
+ */
+#define REREAD_MS 0.05
 /* Usual time of a short call, for targets that run calls one a slot. */
 #define CALL_MS 30.0
 /*
@@ -148,8 +153,38 @@
 	return MAX(target->load.slowness / 100.0, 0.5);
 }
 
+/* The last part of a prompt belongs to the request alone. */
+static uint32_t shared_count(uint32_t count)
+{
+	return count > 0 ? count - 1 : 0;
+}
+
+uint64_t balance_target_affinity(const balance_target_t *target,
+				 const prompt_part_t *parts, uint32_t count)
+{
+	uint64_t hash = g_str_hash(target->info.id);
+
+	count = shared_count(count);
+	if (count > 0)
+		hash ^= parts[count - 1].id * UINT64_C(0x9e3779b97f4a7c15);
+	hash = (hash ^ (hash >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	hash = (hash ^ (hash >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return hash ^ (hash >> 31);
+}
+
+/* Shared tokens that would be read again at this target. */
+static int64_t reread_tokens(const msg_t *place, int64_t cached, bool preferred)
+{
+	uint32_t count = shared_count(place->u.place.part_count);
+	int64_t shared = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		shared += place->u.place.parts[i].tokens;
+	return preferred ? 0 : MAX(shared - cached, 0);
+}
+
 static double engine_cost(const balance_target_t *target, const msg_t *place,
-			  int64_t now)
+			  bool preferred, int64_t now)
 {
 	int64_t cached = balance_target_cached(target, place->u.place.parts,
 					       place->u.place.part_count);
@@ -157,7 +192,8 @@
 	double running = requests_at(target, target->load.running, now);
 	double waiting = target->load.known ? target->load.waiting : 0.0;
 
-	return (MAX(unread, 0.0) + (double)target->unread_tokens) /
+	return (double)reread_tokens(place, cached, preferred) * REREAD_MS +
+	       (MAX(unread, 0.0) + (double)target->unread_tokens) /
 		       PREFILL_TOKENS_PER_MS +
 	       running * ENGINE_RUNNING_MS + waiting * ENGINE_WAITING_MS;
 }
@@ -173,10 +209,12 @@
 }
 
 double balance_target_cost(const balance_target_t *target, const msg_t *place,
-			   bool same_zone, int64_t overdue_us, int64_t now)
+			   bool same_zone, bool preferred, int64_t overdue_us,
+			   int64_t now)
 {
-	double cost = target->engine ? engine_cost(target, place, now)
-				     : call_cost(target, now);
+	double cost = target->engine
+			      ? engine_cost(target, place, preferred, now)
+			      : call_cost(target, now);
 
 	cost *= slowness(target, now);
 	if (!same_zone)
--- a/balance/target.h
+++ b/balance/target.h
@@ -44,9 +44,18 @@
 			   int64_t now);
 void balance_target_succeeded(balance_target_t *target, int64_t now);
 
-/* overdue_us: age of the oldest request that has no first byte. */
+/* How well a target's id and a prompt's shared parts go together. */
+uint64_t balance_target_affinity(const balance_target_t *target,
+				 const prompt_part_t *parts, uint32_t count);
+
+/*
+ * preferred: the target is the one that all instances choose for the shared
+ * parts of this prompt.  overdue_us: age of the oldest request that has no
+ * first byte.
+ */
 double balance_target_cost(const balance_target_t *target, const msg_t *place,
-			   bool same_zone, int64_t overdue_us, int64_t now);
+			   bool same_zone, bool preferred, int64_t overdue_us,
+			   int64_t now);
 
 G_END_DECLS
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -23,7 +23,7 @@
 #define RETURN_US (500 * USEC_PER_MSEC)
 
 typedef enum gateway_timer_t {
-	TIMER_RETURN, /* requests that still run are given up */
+	TIMER_RETURN, /* unused tokens go back while requests still run */
 	TIMER_EXIT,
 } gateway_timer_t;
 
@@ -51,6 +51,8 @@
 	proxy_t proxy;
 	ingress_t ingress;
 	gateway_stage_t stage;
+	bool idle; /* no request is in progress after MSG_STOP */
+	bool returned; /* unused tokens are back in the store */
 } gateway_t;
 
 static const char *stage_name(gateway_stage_t stage)
@@ -108,12 +110,15 @@
 	}
 }
 
+/* Requests that still run keep the process until its grace period ends. */
 static void stopped(gateway_t *gateway, const char *service)
 {
-	if (gateway->stage == STAGE_REQUESTS && strcmp(service, "ingress") == 0)
+	gateway->idle |= strcmp(service, "ingress") == 0;
+	gateway->returned |= strcmp(service, "prepaid") == 0;
+	if (gateway->stage == STAGE_REQUESTS && gateway->idle)
 		enter(gateway, STAGE_RETURNING);
-	else if (gateway->stage == STAGE_RETURNING &&
-		 strcmp(service, "prepaid") == 0)
+	else if (gateway->stage == STAGE_RETURNING && gateway->idle &&
+		 gateway->returned)
 		enter(gateway, STAGE_STOPPED);
 }
 
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -100,12 +100,9 @@
 	conn->chunked = length < 0;
 }
 
-void ingress_conn_answer(ingress_conn_t *conn, uint32_t status,
-			 const char *type, const char *text, bool close)
+static void write_answer(ingress_conn_t *conn, http_head_t *head,
+			 const char *type, const char *text)
 {
-	http_head_t *head = http_head_response(status);
-
-	conn->close_after |= close;
 	http_head_add(head, "Content-Type", type);
 	write_head(conn, head, (int64_t)strlen(text));
 	write_text(conn, text);
@@ -113,6 +110,23 @@
 	finish_answer(conn);
 }
 
+void ingress_conn_answer(ingress_conn_t *conn, uint32_t status,
+			 const char *type, const char *text, bool close)
+{
+	conn->close_after |= close;
+	write_answer(conn, http_head_response(status), type, text);
+}
+
+void ingress_conn_refuse_later(ingress_conn_t *conn, uint32_t status,
+			       const char *text, const char *retry_after)
+{
+	http_head_t *head = http_head_response(status);
+
+	conn->close_after = true;
+	http_head_add(head, "Retry-After", retry_after);
+	write_answer(conn, head, "text/plain", text);
+}
+
 static void refuse(ingress_conn_t *conn, uint32_t status, const char *text)
 {
 	ingress_conn_answer(conn, status, "text/plain", text, true);
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -40,6 +40,9 @@
 /* Writes a whole answer made here. */
 void ingress_conn_answer(ingress_conn_t *conn, uint32_t status,
 			 const char *type, const char *text, bool close);
+/* The same for a refusal that states when to come back, in seconds. */
+void ingress_conn_refuse_later(ingress_conn_t *conn, uint32_t status,
+			       const char *text, const char *retry_after);
 
 /* ingress.c */
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -12,9 +12,16 @@
  * one a second.
  */
 #define STOP_MIN_US (2500 * USEC_PER_MSEC)
+/*
+ * Requests that come later after MSG_STOP are refused: their answers might
+ * not end within the grace period.
+ */
+#define STOP_TAKE_US (2700 * USEC_PER_MSEC)
 /* Descriptors left for the files, targets and peers of this process. */
 #define CONNS_MAX 3000
 
+#define STOP_RETRY_AFTER "0.1" /* s; other instances take the request */
+
 /* Limits until a configuration states them. */
 static const fleet_limits_t default_limits = {
 	.max_header = 16384,
@@ -90,24 +97,42 @@
 	g_string_free(text, TRUE);
 }
 
+static bool takes_requests(const ingress_t *ingress)
+{
+	return !ingress->stopping ||
+	       kernel_now(ingress->kernel) - ingress->stop_at < STOP_TAKE_US;
+}
+
+static void refuse_stopping(ingress_t *ingress, ingress_conn_t *conn)
+{
+	metrics_refusal(ingress->kernel->metrics, REFUSAL_STOPPING);
+	ingress_conn_refuse_later(conn, 503, "this instance is stopping\n",
+				  STOP_RETRY_AFTER);
+}
+
 static void forward(ingress_t *ingress, ingress_conn_t *conn)
 {
-	exchange_spec_t *spec = exchange_spec_new();
+	exchange_spec_t *spec = NULL;
 	GBytes *body = http_parse_take_body(&conn->parse);
 	msg_t msg = {.kind = MSG_EXCHANGE_OPEN, .id = conn->self};
 	errmsg_t err;
 
 	metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
+	if (!takes_requests(ingress)) {
+		refuse_stopping(ingress, conn);
+		goto out;
+	}
+	spec = exchange_spec_new();
 	if (!wire_read_request(conn->parse.head, body, spec, &err)) {
 		metrics_refusal(ingress->kernel->metrics, REFUSAL_BAD_REQUEST);
-		exchange_spec_free(spec);
-		g_clear_pointer(&body, g_bytes_unref);
 		ingress_conn_answer(conn, 400, "text/plain", err.text, false);
-		return;
+		goto out;
 	}
-	g_clear_pointer(&body, g_bytes_unref);
-	msg.u.exchange = spec;
+	msg.u.exchange = g_steal_pointer(&spec);
 	kernel_post(ingress->kernel, ingress->svc, ingress->proxy, &msg);
+out:
+	exchange_spec_free(spec);
+	g_clear_pointer(&body, g_bytes_unref);
 }
 
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn)
--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -14,6 +14,8 @@
 
 int64_t account_available(const prepaid_account_t *account)
 {
+	if (account->returning)
+		return 0;
 	return account->granted + account->received - account->given -
 	       account->spent - account->reserved;
 }
@@ -39,6 +41,16 @@
 	return MIN((int64_t)(account->demand * HEADROOM_S), most);
 }
 
+void account_closed(prepaid_account_t *account)
+{
+	account->granted = 0;
+	account->received = 0;
+	account->given = 0;
+	account->spent = 0;
+	account->reserved = 0;
+	account->epoch++;
+}
+
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now)
 {
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -115,6 +115,7 @@
 		return;
 	}
 	account->reserved += reservation->tokens;
+	reservation->epoch = account->epoch;
 	answer(prepaid, reservation, RESERVE_OK);
 }
 
@@ -321,7 +322,10 @@
 	account->record = next;
 	account->revision = revision;
 	account->conflicts = 0;
-	account->granted = account->returning ? 0 : account->asked;
+	if (account->returning)
+		account_closed(account);
+	else
+		account->granted = account->asked;
 	log_event(LOG_LEVEL_DEBUG, "prepaid",
 		  account->returning ? "returned" : "taken",
 		  "account=%s granted=%" G_GINT64_FORMAT
@@ -442,7 +446,8 @@
 	if (reservation == NULL)
 		return;
 	account = reservation->account;
-	if (!reservation->waiting) {
+	/* A part that was closed meanwhile counts the reservation as spent. */
+	if (!reservation->waiting && reservation->epoch == account->epoch) {
 		account->reserved -= reservation->tokens;
 		tokens = CLAMP(tokens, 0, reservation->tokens);
 		account->spent += tokens;
