Let an instance hold up to a quarter of an account's rest

Machines that are cut off from the store refused requests although most of an account was unallocated: the bound divided a quarter of the rest by the number of instances, while an account's callers use one or two of them.

--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -6,8 +6,8 @@
 /* Demand that the tokens held beyond present requests cover. */
 #define HEADROOM_S 9.0
 /*
- * All instances together hold at most this part of what is left of an
- * account, because that much is lost when all of them lose power.
+ * An instance holds at most this part of what is left, because what it holds
+ * is lost when it loses power.
  */
 #define HEADROOM_PART 4
 #define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
@@ -33,12 +33,10 @@
 	return MAX(account->prepaid - total, 0);
 }
 
-int64_t account_headroom(const prepaid_account_t *account, uint32_t instances)
+int64_t account_headroom(const prepaid_account_t *account)
 {
-	int64_t most = account_room(account) /
-		       ((int64_t)HEADROOM_PART * MAX(instances, 1));
-
-	return MIN((int64_t)(account->demand * HEADROOM_S), most);
+	return MIN((int64_t)(account->demand * HEADROOM_S),
+		   account_room(account) / HEADROOM_PART);
 }
 
 void account_closed(prepaid_account_t *account)
