Use no part of an account once its return was sent

A planned stop writes the spent part back and frees the rest. The part is now sealed before the write. Ruled out: undercounted answers; the instances' own count exceeded the account as well.

--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -14,7 +14,7 @@
 
 int64_t account_available(const prepaid_account_t *account)
 {
-	if (account->returning)
+	if (account->sealed)
 		return 0;
 	return account->granted + account->received - account->given -
 	       account->spent - account->reserved;
@@ -39,16 +39,6 @@
 		   account_room(account) / HEADROOM_PART);
 }
 
-void account_closed(prepaid_account_t *account)
-{
-	account->granted = 0;
-	account->received = 0;
-	account->given = 0;
-	account->spent = 0;
-	account->reserved = 0;
-	account->epoch++;
-}
-
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now)
 {
@@ -91,7 +81,8 @@
 			granted = holder->granted;
 	}
 	/* Only this instance writes its part, and it lowers it only to stop. */
-	account->granted = MAX(granted, account->granted);
+	account->granted =
+		account->sealed ? granted : MAX(granted, account->granted);
 }
 
 record_allocation_t *account_next_record(const prepaid_account_t *account,
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -25,7 +25,11 @@
 
 	bool calling; /* a call to the store is in progress */
 	bool returning; /* it gives the unused part back */
-	uint32_t epoch; /* rises when the part is closed */
+	/*
+	 * The part was or may be closed in the store: nothing more is taken
+	 * from it, because a write without an answer may still take effect.
+	 */
+	bool sealed;
 	int64_t asked; /* granted after the call in progress */
 	int64_t retry_at; /* monotonic, us, no call before it */
 	uint32_t conflicts; /* in a row */
@@ -43,7 +47,6 @@
 	char peer[INCARNATION_SIZE]; /* asked for it; empty: a request */
 	int64_t tokens;
 	bool waiting;
-	uint32_t epoch; /* of the account when it was held */
 	bool asked_peers;
 	handle_t timer;
 } reservation_t;
@@ -53,14 +56,12 @@
 	PREPAID_TIMER_WAIT, /* ref is the reservation */
 } prepaid_timer_t;
 
-/* Tokens that may be reserved now; none while the part is being closed. */
+/* Tokens that may be reserved now. */
 int64_t account_available(const prepaid_account_t *account);
 /* Tokens that nobody has taken, by the newest known record. */
 int64_t account_room(const prepaid_account_t *account);
 /* Tokens to hold beyond what is asked for now. */
 int64_t account_headroom(const prepaid_account_t *account);
-/* Starts anew after the part was closed with what is reserved in it. */
-void account_closed(prepaid_account_t *account);
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now);
 /* Takes over what the store says unless it is older than what is known. */
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -115,7 +115,6 @@
 		return;
 	}
 	account->reserved += reservation->tokens;
-	reservation->epoch = account->epoch;
 	answer(prepaid, reservation, RESERVE_OK);
 }
 
@@ -274,6 +273,7 @@
 	if (account->granted == 0)
 		return;
 	metrics_add(prepaid->kernel->metrics, COUNTER_GRANTS_RETURNED, 1);
+	account->sealed = true;
 	call_put(prepaid, account, used(account), true);
 }
 
@@ -290,19 +290,29 @@
 		ask_peers(prepaid, link->data, STORE_WAIT_US);
 }
 
+static void refuse_all(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	reservation_t *reservation;
+
+	while ((reservation = g_queue_peek_head(&account->waiting)) != NULL)
+		refuse(prepaid, reservation, RESERVE_UNAVAILABLE);
+}
+
 /* Goes on with whatever the account needs now. */
 static void advance(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	serve_waiting(prepaid, account);
+	if (account->sealed)
+		refuse_all(prepaid, account);
 	if (account->calling)
 		return;
 	if (kernel_now(prepaid->kernel) < account->retry_at)
 		wait_for_store(prepaid, account);
+	else if (account->revision == REVISION_UNKNOWN &&
+		 (account->waiting.length > 0 || prepaid->stopping))
+		call_get(prepaid, account);
 	else if (prepaid->stopping && account->waiting.length == 0)
 		return_unused(prepaid, account);
-	else if (account->waiting.length > 0 &&
-		 account->revision == REVISION_UNKNOWN)
-		call_get(prepaid, account);
 	else if (account->revision != REVISION_UNKNOWN)
 		take(prepaid, account);
 }
@@ -322,10 +332,7 @@
 	account->record = next;
 	account->revision = revision;
 	account->conflicts = 0;
-	if (account->returning)
-		account_closed(account);
-	else
-		account->granted = account->asked;
+	account->granted = account->returning ? 0 : account->asked;
 	log_event(LOG_LEVEL_DEBUG, "prepaid",
 		  account->returning ? "returned" : "taken",
 		  "account=%s granted=%" G_GINT64_FORMAT
@@ -446,8 +453,7 @@
 	if (reservation == NULL)
 		return;
 	account = reservation->account;
-	/* A part that was closed meanwhile counts the reservation as spent. */
-	if (!reservation->waiting && reservation->epoch == account->epoch) {
+	if (!reservation->waiting) {
 		account->reserved -= reservation->tokens;
 		tokens = CLAMP(tokens, 0, reservation->tokens);
 		account->spent += tokens;
