Bound what all instances hold of an account by their shares

Each of seven instances could take a quarter of what was left, so a power loss late in an account's life lost most of the rest. Together they now hold half of it at most, each by its share of what was taken.

--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -6,10 +6,10 @@
 /* Demand that the tokens held beyond present requests cover. */
 #define HEADROOM_S 9.0
 /*
- * An instance holds at most this part of what is left, because what it holds
- * is lost when it loses power.
+ * All instances together hold at most this part of what is left, because
+ * what they hold is lost when all of them lose power.
  */
-#define HEADROOM_PART 4
+#define HEADROOM_PART 0.5
 #define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
 
 int64_t account_available(const prepaid_account_t *account)
@@ -33,10 +33,28 @@
 	return MAX(account->prepaid - total, 0);
 }
 
-int64_t account_headroom(const prepaid_account_t *account)
+/* What this instance has taken as a share of what all have; they differ. */
+static double own_share(const prepaid_account_t *account, uint32_t instances)
 {
-	return MIN((int64_t)(account->demand * HEADROOM_S),
-		   account_room(account) / HEADROOM_PART);
+	double least = 0.5 / MAX(instances, 1);
+	int64_t taken = 0;
+
+	for (guint i = 0;
+	     account->record != NULL && i < account->record->holders->len; i++)
+		taken += g_array_index(account->record->holders, grant_holder_t,
+				       i)
+				 .granted;
+	if (taken <= 0)
+		return 2.0 * least;
+	return CLAMP((double)account->granted / (double)taken, least, 1.0);
+}
+
+int64_t account_headroom(const prepaid_account_t *account, uint32_t instances)
+{
+	double most = (double)account_room(account) * HEADROOM_PART *
+		      own_share(account, instances);
+
+	return (int64_t)MIN(account->demand * HEADROOM_S, most);
 }
 
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -61,7 +61,7 @@
 /* Tokens that nobody has taken, by the newest known record. */
 int64_t account_room(const prepaid_account_t *account);
 /* Tokens to hold beyond what is asked for now. */
-int64_t account_headroom(const prepaid_account_t *account);
+int64_t account_headroom(const prepaid_account_t *account, uint32_t instances);
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now);
 /* Takes over what the store says unless it is older than what is known. */
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -243,7 +243,7 @@
 static void take(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	int64_t available = account_available(account);
-	int64_t headroom = account_headroom(account);
+	int64_t headroom = account_headroom(account, prepaid->instances);
 	int64_t room = account_room(account);
 	int64_t want = sum_waiting(account) + headroom - available;
 
