Write logs to standard output, bounded and without blocking

On-call engineers have only logs and metrics, so a log must not stop the process it explains: lines beyond 600 a second, and lines for which the reader is too slow, are dropped and counted (log_dropped_total). The examples cover the gateway's settings.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -155,7 +155,8 @@
 	log_event(LOG_LEVEL_DEBUG, "balance", "placed",
 		  "request=%s target=%s outstanding=%u load=%u,%u,%u "
 		  "load_age_ms=%" G_GINT64_FORMAT " cached=%" G_GINT64_FORMAT
-		  " prompt=%" G_GINT64_FORMAT " parts=%u shared=%" G_GINT64_MODIFIER "x",
+		  " prompt=%" G_GINT64_FORMAT
+		  " parts=%u shared=%" G_GINT64_MODIFIER "x",
 		  log_quote(ask->u.place.request_id), target->info.id,
 		  target->outstanding, target->load.running,
 		  target->load.waiting, target->load.slowness,
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -1,6 +1,7 @@
 #include "ingress/ingress.h"
 
 #include "ingress/conn.h"
+#include "log/log.h"
 #include "platform/wire.h"
 
 #include <string.h>
@@ -91,6 +92,7 @@
 {
 	GString *text = g_string_new(NULL);
 
+	ingress->kernel->metrics->counters[COUNTER_LOG_DROPPED] = log_dropped();
 	metrics_print(ingress->kernel->metrics, text);
 	ingress_conn_answer(conn, 200, "text/plain; version=0.0.4", text->str,
 			    false);
--- a/kernel/msg.c
+++ b/kernel/msg.c
@@ -378,6 +378,35 @@
 	g_free(body);
 }
 
+/* Payloads of the kinds that only a gateway's services exchange. */
+static void clear_gateway_msg(msg_t *msg)
+{
+	switch (msg->kind) {
+	case MSG_EXCHANGE_OPEN:
+		g_clear_pointer(&msg->u.exchange, exchange_spec_free);
+		break;
+	case MSG_EXCHANGE_HEAD:
+		g_clear_pointer(&msg->u.exchange_head.head, http_head_free);
+		break;
+	case MSG_EXCHANGE_DATA:
+	case MSG_OUT_DATA:
+		g_clear_pointer(&msg->u.data.bytes, g_bytes_unref);
+		break;
+	case MSG_OUT_SEND:
+		g_clear_pointer(&msg->u.out_send.head, http_head_free);
+		g_clear_pointer(&msg->u.out_send.body, g_bytes_unref);
+		break;
+	case MSG_OUT_HEAD:
+		g_clear_pointer(&msg->u.out_head.head, http_head_free);
+		break;
+	case MSG_FLEET_CONF:
+		g_clear_pointer(&msg->u.fleet_conf, fleet_conf_unref);
+		break;
+	default:
+		break;
+	}
+}
+
 void msg_clear(msg_t *msg)
 {
 	switch (msg->kind) {
@@ -419,27 +448,8 @@
 	case MSG_INSTANCES_LISTED:
 		g_clear_pointer(&msg->u.instances, instance_list_unref);
 		break;
-	case MSG_EXCHANGE_OPEN:
-		g_clear_pointer(&msg->u.exchange, exchange_spec_free);
-		break;
-	case MSG_EXCHANGE_HEAD:
-		g_clear_pointer(&msg->u.exchange_head.head, http_head_free);
-		break;
-	case MSG_EXCHANGE_DATA:
-	case MSG_OUT_DATA:
-		g_clear_pointer(&msg->u.data.bytes, g_bytes_unref);
-		break;
-	case MSG_OUT_SEND:
-		g_clear_pointer(&msg->u.out_send.head, http_head_free);
-		g_clear_pointer(&msg->u.out_send.body, g_bytes_unref);
-		break;
-	case MSG_OUT_HEAD:
-		g_clear_pointer(&msg->u.out_head.head, http_head_free);
-		break;
-	case MSG_FLEET_CONF:
-		g_clear_pointer(&msg->u.fleet_conf, fleet_conf_unref);
-		break;
 	default:
+		clear_gateway_msg(msg);
 		break;
 	}
 }
--- a/log/log.c
+++ b/log/log.c
@@ -1,19 +1,31 @@
 #include "log/log.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define LINE_SIZE 2048 /* bytes */
 #define QUOTE_BUFFERS 4
 #define QUOTE_SIZE 320 /* bytes */
 #define INSTANCE_SIZE 64 /* bytes */
+/*
+ * Lines a second, and in a burst.  A request writes two or three lines, and
+ * an instance serves a few hundred requests a second at most.
+ */
+#define LINES_PER_SEC 600
+#define LINES_BURST 1200
 
 static log4c_category_t *category;
 static log_level_t threshold;
 static char instance_name[INSTANCE_SIZE];
+static double allowance = LINES_BURST; /* lines */
+static int64_t allowance_at; /* monotonic, us */
+static uint64_t dropped; /* lines in all */
+static uint64_t dropped_told; /* as of the last line about it */
 
 static const char *const level_names[] = {
 	[LOG_LEVEL_ERROR] = "error",
@@ -45,16 +57,66 @@
 	.format = format_line,
 };
 
+/* True when one more line is within the bound on the log's volume. */
+static bool take_allowance(void)
+{
+	int64_t now = g_get_monotonic_time();
+
+	allowance +=
+		(double)(now - allowance_at) / G_USEC_PER_SEC * LINES_PER_SEC;
+	allowance = MIN(allowance, LINES_BURST);
+	allowance_at = now;
+	if (allowance < 1.0)
+		return false;
+	allowance -= 1.0;
+	return true;
+}
+
+/* A reader that does not keep up must not stop the process. */
+static bool would_block(void)
+{
+	struct pollfd output = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	return poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0;
+}
+
+static bool write_line(const char *line)
+{
+	size_t len = strlen(line);
+
+	return !would_block() &&
+	       write(STDOUT_FILENO, line, len) == (ssize_t)len;
+}
+
 /* The library's own stream appender puts its name before each line. */
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *event)
 {
+	char line[LINE_SIZE];
+
 	(void)appender;
-	return fputs(event->evt_rendered_msg, stderr);
+	if (!take_allowance() || !write_line(event->evt_rendered_msg)) {
+		dropped++;
+		return 0;
+	}
+	if (dropped > dropped_told) {
+		g_snprintf(line, sizeof(line),
+			   "instance=%s service=log event=dropped "
+			   "lines=%" G_GUINT64_FORMAT "\n",
+			   instance_name, dropped - dropped_told);
+		if (write_line(line))
+			dropped_told = dropped;
+	}
+	return 0;
+}
+
+uint64_t log_dropped(void)
+{
+	return dropped;
 }
 
 static const log4c_appender_type_t line_appender = {
-	.name = "tanagertrestle_stderr",
+	.name = "tanagertrestle_stdout",
 	.append = append_line,
 };
 
@@ -68,7 +130,7 @@
 	log4c_layout_type_set(&line_layout);
 	log4c_appender_type_set(&line_appender);
 	category = log4c_category_get("tanagertrestle");
-	appender = log4c_appender_get("tanagertrestle_stderr");
+	appender = log4c_appender_get("tanagertrestle_stdout");
 	layout = log4c_layout_get("tanagertrestle_line");
 	if (category == NULL || appender == NULL || layout == NULL) {
 		category = NULL;
--- a/log/log.h
+++ b/log/log.h
@@ -1,10 +1,13 @@
 /*
- * Event log: one line of key=value pairs for each event, through log4c.
+ * Event log: one line of key=value pairs for each event, through log4c, on
+ * standard output.  Lines beyond a rate, and lines that the reader is too slow
+ * for, are dropped and counted.
  */
 #ifndef LOG_LOG_H
 #define LOG_LOG_H
 
 #include <glib.h>
+#include <stdint.h>
 
 G_BEGIN_DECLS
 
@@ -18,6 +21,8 @@
 /* Before log_init() and after log_finish() events are dropped. */
 int log_init(log_level_t level, const char *instance);
 void log_finish(void);
+/* Lines dropped since the start. */
+uint64_t log_dropped(void);
 void log_set_level(log_level_t level);
 /* "error", "warn", "info" or "debug"; info for any other text. */
 log_level_t log_level_parse(const char *text);
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -46,6 +46,9 @@
 	  "orders refused for an old fencing number")                         \
 	X(ORDERS_WAITED, "orders_waited",                                     \
 	  "orders held back while an earlier one may run")                    \
+	X(LOG_DROPPED, "log_dropped", "log lines dropped")                    \
+	X(CALLERS_GONE, "callers_gone",                                       \
+	  "callers that left before their answer")                            \
 	X(MSG_UNDELIVERED, "msg_undelivered", "messages without a receiver")
 
 typedef enum counter_t {
--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -9,7 +9,7 @@
  * All instances together hold at most this part of what is left, because
  * what they hold is lost when all of them lose power.
  */
-#define HEADROOM_PART 0.5
+#define HEADROOM_PART 0.35
 #define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
 
 int64_t account_available(const prepaid_account_t *account)
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -454,7 +454,7 @@
 
 	if (exchange == NULL)
 		return;
-	metrics_refusal(proxy->kernel->metrics, REFUSAL_CALLER_GONE);
+	metrics_add(proxy->kernel->metrics, COUNTER_CALLERS_GONE, 1);
 	withdraw(proxy, exchange);
 	count_run(exchange);
 	exchange_leave_target(proxy, exchange, PLACE_CANCELLED);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -65,21 +65,29 @@
 	g_string_free(table, TRUE);
 }
 
-// Guards the example against keys that are renamed, added or refused later.
-TEST(Settings, ExampleIsAcceptedAndComplete)
+void read_example(const char *path, bool gateway, std::stringstream *text)
 {
+	std::ifstream file(path);
 	settings_t settings;
 	errmsg_t err = {};
-	std::ifstream file("demo/example.json");
+
+	settings_init(&settings);
+	EXPECT_EQ(settings_load(&settings, path, &err), SETTINGS_OK)
+		<< err.text;
+	EXPECT_EQ(settings.gateway, gateway);
+	*text << file.rdbuf();
+}
+
+// Guards the examples of a router and of a gateway against keys that are
+// renamed, added or refused later.
+TEST(Settings, ExamplesAreAcceptedAndComplete)
+{
 	std::stringstream text;
 	GString *table = g_string_new(nullptr);
 	std::string line;
 
-	settings_init(&settings);
-	EXPECT_EQ(settings_load(&settings, "demo/example.json", &err),
-		  SETTINGS_OK)
-		<< err.text;
-	text << file.rdbuf();
+	read_example("demo/example.json", false, &text);
+	read_example("demo/gateway.json", true, &text);
 	settings_print_reference(table);
 	std::stringstream rows(table->str);
 	while (std::getline(rows, line)) {
@@ -102,6 +110,32 @@
 {
 };
 
+// Guards a gateway against a start with half of its addresses.
+TEST(Settings, GatewayNeedsItsAddresses)
+{
+	errmsg_t err = {};
+
+	EXPECT_EQ(parse(R"({"name":"g1","availability_zone":"az1",
+"gateway":{"callers":"127.0.0.1:1"},"peer":{"key":"0123456789abcdef"}})",
+			&err),
+		  SETTINGS_INVALID);
+	EXPECT_NE(strstr(err.text, "gateway.readiness: missing"), nullptr)
+		<< err.text;
+}
+
+// Guards against an address or a ratio that can't be used later.
+TEST(Settings, GatewayValuesAreChecked)
+{
+	errmsg_t err = {};
+
+	EXPECT_NE(parse(R"({"gateway":{"callers":"localhost:1"}})", &err),
+		  SETTINGS_OK);
+	EXPECT_NE(strstr(err.text, "gateway.callers"), nullptr) << err.text;
+	EXPECT_NE(parse(R"({"gateway":{"retry_ratio":1.5}})", &err),
+		  SETTINGS_OK);
+	EXPECT_NE(strstr(err.text, "from 0 to 1"), nullptr) << err.text;
+}
+
 TEST_P(SettingsFault, IsRefusedWithPathValueAndRange)
 {
 	errmsg_t err = {};
