--- /dev/null
+++ b/tests/http_test.cc
@@ -0,0 +1,154 @@
+// Guards HTTP parsing: messages split anywhere, requests that could smuggle
+// another one, and answers whose end can't be told from a cut.
+#include "http/parse.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+
+namespace
+{
+
+class Parse
+{
+      public:
+	explicit Parse(bool response)
+	{
+		http_parse_init(&parse, response);
+	}
+	~Parse()
+	{
+		http_parse_finish(&parse);
+	}
+	// Feeds in pieces and returns how many bytes were taken.
+	size_t feed(const std::string &text, size_t piece)
+	{
+		size_t at = 0;
+
+		while (at < text.size()) {
+			size_t n = std::min(piece, text.size() - at);
+			size_t used =
+				http_parse_feed(&parse, text.data() + at, n);
+
+			at += used;
+			take();
+			if (used < n)
+				break;
+		}
+		return at;
+	}
+	void take()
+	{
+		GBytes *bytes = http_parse_take_body(&parse);
+		gsize size;
+		const void *data;
+
+		if (bytes == nullptr)
+			return;
+		data = g_bytes_get_data(bytes, &size);
+		body.append(static_cast<const char *>(data), size);
+		g_bytes_unref(bytes);
+	}
+	http_parse_t parse;
+	std::string body;
+};
+
+const std::string chunked = "POST /a/b?q=1 HTTP/1.1\r\nHost: h\r\n"
+			    "X-Long: some value\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n"
+			    "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n";
+
+TEST(Parse, AnySplitGivesTheSameRequest)
+{
+	for (size_t piece = 1; piece < chunked.size(); piece++) {
+		Parse p(false);
+
+		EXPECT_EQ(p.feed(chunked, piece), chunked.size());
+		ASSERT_EQ(p.parse.state, HTTP_STATE_COMPLETE);
+		EXPECT_STREQ(p.parse.head->method, "POST");
+		EXPECT_STREQ(p.parse.head->target, "/a/b?q=1");
+		EXPECT_STREQ(http_head_get(p.parse.head, "x-long"),
+			     "some value");
+		EXPECT_EQ(p.body, "abcdefg");
+	}
+}
+
+// A second request hidden behind two lengths must not be read as one.
+TEST(Parse, TwoLengthsAreRefused)
+{
+	Parse p(false);
+
+	p.feed("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+	       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n",
+	       1000);
+	EXPECT_EQ(p.parse.state, HTTP_STATE_BAD);
+}
+
+TEST(Parse, BytesAfterAMessageAreNotTaken)
+{
+	Parse p(true);
+	std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+	EXPECT_EQ(p.feed(first + "HTTP/1.1 500 X\r\n", 1000), first.size());
+	EXPECT_EQ(p.parse.state, HTTP_STATE_COMPLETE);
+	EXPECT_TRUE(p.parse.keep_alive);
+	EXPECT_EQ(p.body, "ok");
+	http_parse_reset(&p.parse);
+	EXPECT_EQ(p.parse.state, HTTP_STATE_IDLE);
+	p.feed("HTTP/1.1 204 No Content\r\n\r\n", 1000);
+	EXPECT_EQ(p.parse.state, HTTP_STATE_COMPLETE);
+	EXPECT_EQ(p.parse.head->status, 204u);
+}
+
+TEST(Parse, AnswerWithoutALengthEndsWithItsConnection)
+{
+	Parse p(true);
+
+	p.feed("HTTP/1.1 200 OK\r\n\r\npart", 1000);
+	EXPECT_EQ(p.parse.state, HTTP_STATE_BODY);
+	EXPECT_TRUE(p.parse.until_eof);
+	http_parse_eof(&p.parse);
+	EXPECT_EQ(p.parse.state, HTTP_STATE_COMPLETE);
+}
+
+TEST(Parse, CutAnswersAreNotComplete)
+{
+	const char *const cut[] = {
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc",
+	};
+
+	for (const char *text : cut) {
+		Parse p(true);
+
+		p.feed(text, 1000);
+		http_parse_eof(&p.parse);
+		EXPECT_EQ(p.parse.state, HTTP_STATE_BAD) << text;
+	}
+}
+
+TEST(Parse, HeadBeyondItsLimitIsToldApart)
+{
+	Parse p(false);
+
+	p.parse.max_head = 100;
+	p.feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n",
+	       10);
+	EXPECT_EQ(p.parse.state, HTTP_STATE_BAD);
+	EXPECT_TRUE(p.parse.too_large);
+}
+
+TEST(Head, TokensOfAListAreFoundWhole)
+{
+	http_head_t *head = http_head_response(200);
+
+	http_head_add(head, "Connection", "keep-alive, X-Own;q=1");
+	EXPECT_TRUE(http_head_has_token(head, "connection", "x-own"));
+	EXPECT_TRUE(http_head_has_token(head, "Connection", "keep-alive"));
+	EXPECT_FALSE(http_head_has_token(head, "Connection", "keep"));
+	EXPECT_FALSE(http_head_has_token(head, "Connection", "alive"));
+	http_head_free(head);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/ingress_test.cc
@@ -0,0 +1,233 @@
+// Guards the HTTP server towards callers: requests that are not whole or hide
+// another are refused, a caller that leaves is told to "proxy", an answer that
+// was cut does not look complete, and a planned stop loses no request.
+#include "ingress/ingress.h"
+#include "tests/pump.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+class Ingress : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		kernel_init(&kernel, CLOCK_REAL, 1);
+		ingress_init(&ingress, &kernel);
+		proxy = kernel_register(&kernel, "proxy", receive, this);
+		kernel_register(&kernel, "gateway", receive_stop, this);
+		ASSERT_EQ(ingress_listen(&ingress, LISTENER_CALLERS,
+					 "127.0.0.1", 0),
+			  INGRESS_OK);
+		ASSERT_EQ(ingress_listen(&ingress, LISTENER_READINESS,
+					 "127.0.0.1", 0),
+			  INGRESS_OK);
+		kernel_start(&kernel);
+		pump([&] { return ingress.proxy.gen != 0; });
+	}
+	void TearDown() override
+	{
+		for (exchange_spec_t *spec : specs)
+			exchange_spec_free(spec);
+		ingress_finish(&ingress);
+		kernel_finish(&kernel);
+	}
+	uint16_t port(listener_kind_t kind)
+	{
+		GSocketAddress *address = g_socket_get_local_address(
+			ingress.listeners[kind].socket, nullptr);
+		uint16_t number = g_inet_socket_address_get_port(
+			G_INET_SOCKET_ADDRESS(address));
+
+		g_object_unref(address);
+		return number;
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		static_cast<Ingress *>(self)->take(msg);
+	}
+	static void receive_stop(void *self, msg_t *msg)
+	{
+		if (msg->kind == MSG_STOPPED)
+			static_cast<Ingress *>(self)->stopped = true;
+	}
+	void take(msg_t *msg)
+	{
+		msg_t started = {};
+
+		if (msg->kind == MSG_EXCHANGE_GONE)
+			gone.push_back(msg->ref.index);
+		if (msg->kind != MSG_EXCHANGE_OPEN)
+			return;
+		callers.push_back(msg->id);
+		specs.push_back(msg->u.exchange);
+		msg->u.exchange = nullptr;
+		started.kind = MSG_EXCHANGE_STARTED;
+		started.ref = msg->id;
+		started.id.index = (uint32_t)specs.size();
+		started.id.gen = 1;
+		kernel_post(&kernel, proxy, msg->from, &started);
+	}
+	bool wait_requests(size_t n)
+	{
+		return pump([&] { return specs.size() >= n; });
+	}
+	void post(msg_kind_t kind, size_t request, const char *text = "")
+	{
+		msg_t msg = {};
+
+		msg.kind = kind;
+		msg.ref = callers[request];
+		if (kind == MSG_EXCHANGE_HEAD) {
+			msg.u.exchange_head.head = http_head_response(200);
+			msg.u.exchange_head.length = -1;
+		} else if (kind == MSG_EXCHANGE_DATA) {
+			msg.u.data.bytes = g_bytes_new(text, strlen(text));
+		}
+		kernel_post(&kernel, proxy, ingress.svc, &msg);
+		kernel_flush(&kernel);
+	}
+	void answer(size_t request, const char *text)
+	{
+		post(MSG_EXCHANGE_HEAD, request);
+		post(MSG_EXCHANGE_DATA, request, text);
+		post(MSG_EXCHANGE_END, request);
+	}
+	void stop()
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STOP;
+		kernel_post(&kernel, proxy, ingress.svc, &msg);
+		kernel_flush(&kernel);
+	}
+	kernel_t kernel;
+	ingress_t ingress;
+	svc_t proxy;
+	std::vector<handle_t> callers;
+	std::vector<exchange_spec_t *> specs;
+	std::vector<uint32_t> gone;
+	bool stopped = false;
+};
+
+const std::string get = "GET /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\n\r\n";
+
+TEST_F(Ingress, ConnectionServesOneRequestAfterTheOther)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get + get);
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_STREQ(specs[0]->path, "/a/b");
+	EXPECT_STREQ(specs[0]->head->target, "/a/b?c=1");
+	answer(0, "one");
+	ASSERT_TRUE(wait_requests(2));
+	answer(1, "two");
+	EXPECT_TRUE(client.wait_for("3\r\none\r\n0\r\n\r\n"));
+	EXPECT_TRUE(client.wait_for("3\r\ntwo\r\n0\r\n\r\n"));
+	EXPECT_TRUE(gone.empty());
+}
+
+TEST_F(Ingress, RequestThatHidesAnotherIsRefused)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		    get);
+	EXPECT_TRUE(client.wait_for("HTTP/1.1 400"));
+	EXPECT_TRUE(client.wait_closed());
+	EXPECT_TRUE(specs.empty());
+}
+
+TEST_F(Ingress, HeadAndBodyBeyondTheLimitsAreRefused)
+{
+	Client head(port(LISTENER_CALLERS)), body(port(LISTENER_CALLERS));
+
+	head.send("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(20000, 'x') +
+		  "\r\n\r\n");
+	EXPECT_TRUE(head.wait_for("HTTP/1.1 431"));
+	body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
+		  "100000000\r\n\r\n");
+	EXPECT_TRUE(body.wait_for("HTTP/1.1 413"));
+	EXPECT_TRUE(specs.empty());
+}
+
+TEST_F(Ingress, CallerThatLeavesIsTold)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get);
+	ASSERT_TRUE(wait_requests(1));
+	client.close();
+	EXPECT_TRUE(pump([&] { return gone.size() == 1; }));
+	EXPECT_EQ(gone[0], 1u);
+}
+
+TEST_F(Ingress, BrokenAnswerDoesNotLookComplete)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get);
+	ASSERT_TRUE(wait_requests(1));
+	post(MSG_EXCHANGE_HEAD, 0);
+	post(MSG_EXCHANGE_DATA, 0, "part");
+	EXPECT_TRUE(client.wait_for("part"));
+	post(MSG_EXCHANGE_BROKEN, 0);
+	pump([&] {
+		client.read();
+		return client.closed || !client.connected ||
+		       table_count(&ingress.conns) == 0;
+	});
+	EXPECT_EQ(client.in.find("0\r\n\r\n"), std::string::npos);
+	EXPECT_EQ(table_count(&ingress.conns), 0u);
+}
+
+TEST_F(Ingress, NotReadyBeforeAConfigurationAndWhileStopping)
+{
+	Client first(port(LISTENER_READINESS));
+
+	first.send("GET /api/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
+	EXPECT_TRUE(first.wait_for("HTTP/1.1 503"));
+	ingress.ready = true;
+	first.send("GET /api/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
+	EXPECT_TRUE(first.wait_for("HTTP/1.1 200"));
+	stop();
+	first.send("GET /api/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
+	EXPECT_TRUE(first.wait_for("Connection: close"));
+}
+
+TEST_F(Ingress, PlannedStopAnswersWhatItHasRead)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get);
+	ASSERT_TRUE(wait_requests(1));
+	stop();
+	answer(0, "late");
+	EXPECT_TRUE(client.wait_for("Connection: close"));
+	EXPECT_TRUE(client.wait_for("late"));
+	EXPECT_TRUE(client.wait_closed());
+	EXPECT_TRUE(pump([&] { return stopped; }));
+}
+
+// An answer to a request that comes late might not end within the grace
+// period: it is refused while nothing has run.
+TEST_F(Ingress, RequestLateInAStopIsRefused)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	stop();
+	ingress.stop_at -= 3 * USEC_PER_SEC;
+	client.send(get);
+	EXPECT_TRUE(client.wait_for("HTTP/1.1 503"));
+	EXPECT_TRUE(client.wait_for("Retry-After"));
+	EXPECT_TRUE(specs.empty());
+}
+
+} // namespace
--- /dev/null
+++ b/tests/outbound_test.cc
@@ -0,0 +1,281 @@
+// Guards the HTTP client: nothing is sent twice, an answer that was cut is
+// never taken for a whole one, and bytes that belong to no request reach
+// nobody.
+#include "outbound/outbound.h"
+#include "tests/script_server.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+
+namespace
+{
+
+struct result_t {
+	int started = 0, heads = 0, ends = 0, failures = 0;
+	uint32_t status = 0;
+	std::string body;
+	bool reused = false, sent = false, reset = false;
+	failure_t failure = FAILURE_NONE;
+	handle_t call = HANDLE_NONE;
+};
+
+class Outbound : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		kernel_init(&kernel, CLOCK_REAL, 1);
+		outbound_init(&outbound, &kernel);
+		owner = kernel_register(&kernel, "owner", receive, this);
+		kernel_start(&kernel);
+	}
+	void TearDown() override
+	{
+		outbound_finish(&outbound);
+		kernel_finish(&kernel);
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		static_cast<Outbound *>(self)->take(msg);
+	}
+	void take(msg_t *msg)
+	{
+		result_t &r = results[msg->ref.index];
+		gsize size;
+		const void *data;
+
+		switch (msg->kind) {
+		case MSG_OUT_STARTED:
+			r.started++;
+			r.call = msg->id;
+			r.reused = msg->u.out_started.reused;
+			break;
+		case MSG_OUT_HEAD:
+			r.heads++;
+			r.status = msg->u.out_head.head->status;
+			break;
+		case MSG_OUT_DATA:
+			data = g_bytes_get_data(msg->u.data.bytes, &size);
+			r.body.append(static_cast<const char *>(data), size);
+			break;
+		case MSG_OUT_END:
+			r.ends++;
+			break;
+		case MSG_OUT_FAILED:
+			r.failures++;
+			r.failure = msg->u.out_failed.failure;
+			r.sent = msg->u.out_failed.sent;
+			r.reset = msg->u.out_failed.reset;
+			break;
+		default:
+			break;
+		}
+	}
+	// Sends a request and waits for its end.
+	result_t &call(uint16_t port, const char *id = "", size_t body = 0)
+	{
+		uint32_t number = post(port, id, body);
+
+		EXPECT_TRUE(pump([&] {
+			return results[number].ends + results[number].failures >
+			       0;
+		}));
+		return results[number];
+	}
+	uint32_t post(uint16_t port, const char *id, size_t body)
+	{
+		msg_t msg = {};
+		uint32_t number = ++next;
+
+		msg.kind = MSG_OUT_SEND;
+		msg.id.index = number;
+		msg.id.gen = 1;
+		g_strlcpy(msg.u.out_send.host, "127.0.0.1",
+			  sizeof(msg.u.out_send.host));
+		msg.u.out_send.port = port;
+		msg.u.out_send.head = http_head_request("POST", "/x");
+		http_head_add(msg.u.out_send.head, "Host", "h");
+		http_head_add_int(msg.u.out_send.head, "Content-Length",
+				  (int64_t)body);
+		if (body > 0)
+			msg.u.out_send.body =
+				g_bytes_new_take(g_malloc0(body), body);
+		if (id[0] != '\0') {
+			g_strlcpy(msg.u.out_send.echo_name, "X-Id",
+				  sizeof(msg.u.out_send.echo_name));
+			g_strlcpy(msg.u.out_send.echo_value, id,
+				  sizeof(msg.u.out_send.echo_value));
+		}
+		msg.u.out_send.deadline =
+			kernel_now(&kernel) + 5 * USEC_PER_SEC;
+		kernel_post(&kernel, owner, outbound.svc, &msg);
+		kernel_flush(&kernel);
+		return number;
+	}
+	kernel_t kernel;
+	outbound_t outbound;
+	svc_t owner;
+	uint32_t next = 0;
+	std::map<uint32_t, result_t> results;
+};
+
+const std::string kept = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
+			 "Content-Length: 2\r\n\r\nok";
+
+TEST_F(Outbound, KeptConnectionServesTheNextCall)
+{
+	ScriptServer server([](script_conn_t &conn) { conn.send(kept); });
+
+	EXPECT_EQ(call(server.port).body, "ok");
+	result_t &second = call(server.port);
+	EXPECT_TRUE(second.reused);
+	EXPECT_EQ(second.body, "ok");
+	EXPECT_EQ(server.conns.size(), 1u);
+}
+
+TEST_F(Outbound, BytesAfterAnAnswerReachNobody)
+{
+	ScriptServer server([](script_conn_t &conn) {
+		conn.send(kept + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+				 "extra");
+	});
+
+	EXPECT_EQ(call(server.port).body, "ok");
+	result_t &second = call(server.port);
+	EXPECT_FALSE(second.reused);
+	EXPECT_EQ(second.body, "ok");
+	EXPECT_EQ(server.conns.size(), 2u);
+}
+
+// A second answer may come where the next one is expected.
+TEST_F(Outbound, AnswerToAnEarlierRequestIsPassedOver)
+{
+	ScriptServer server([](script_conn_t &conn) {
+		std::string id = std::to_string(conn.requests);
+
+		if (conn.requests == 2)
+			conn.send("HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+				  "Content-Length: 5\r\n\r\nextra");
+		conn.send("HTTP/1.1 200 OK\r\nX-Id: " + id +
+			  "\r\nKeep-Alive: timeout=5\r\n"
+			  "Content-Length: 1\r\n\r\n" +
+			  id);
+	});
+
+	EXPECT_EQ(call(server.port, "1").body, "1");
+	result_t &second = call(server.port, "2");
+	EXPECT_TRUE(second.reused);
+	EXPECT_EQ(second.body, "2");
+	EXPECT_EQ(second.heads, 1);
+}
+
+TEST_F(Outbound, AnswerWithoutALengthIsWholeOnlyWithoutAReset)
+{
+	bool reset = false;
+	ScriptServer server([&](script_conn_t &conn) {
+		conn.send("HTTP/1.1 200 OK\r\n\r\npart");
+		if (reset)
+			conn.reset();
+		else
+			conn.close();
+	});
+
+	result_t &whole = call(server.port);
+	EXPECT_EQ(whole.ends, 1);
+	EXPECT_EQ(whole.body, "part");
+	reset = true;
+	result_t &cut = call(server.port);
+	EXPECT_EQ(cut.ends, 0);
+	EXPECT_EQ(cut.failures, 1);
+	EXPECT_TRUE(cut.sent);
+	EXPECT_TRUE(cut.reset);
+}
+
+TEST_F(Outbound, CutOfAKnownLengthIsAFailure)
+{
+	ScriptServer server([](script_conn_t &conn) {
+		conn.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+		conn.close();
+	});
+
+	result_t &r = call(server.port);
+	EXPECT_EQ(r.failure, FAILURE_STREAM);
+	EXPECT_TRUE(r.sent);
+}
+
+// A request on a connection that ends may have run: it is not sent again.
+TEST_F(Outbound, NothingIsSentAgainAfterALoss)
+{
+	int requests = 0;
+	ScriptServer server([&](script_conn_t &conn) {
+		if (++requests == 2)
+			conn.reset();
+		else
+			conn.send(kept);
+	});
+
+	call(server.port);
+	result_t &second = call(server.port);
+	EXPECT_TRUE(second.reused);
+	EXPECT_EQ(second.failures, 1);
+	EXPECT_EQ(second.failure, FAILURE_SENT);
+	EXPECT_TRUE(second.sent);
+	EXPECT_EQ(requests, 2);
+}
+
+TEST_F(Outbound, RefusedConnectionWasNotSent)
+{
+	uint16_t port;
+	{
+		ScriptServer server([](script_conn_t &) {});
+
+		port = server.port;
+	}
+	result_t &r = call(port);
+	EXPECT_EQ(r.failure, FAILURE_CONNECT);
+	EXPECT_FALSE(r.sent);
+}
+
+// The rest of a body that was answered early would be read as a request.
+TEST_F(Outbound, EarlyAnswerEndsTheConnection)
+{
+	ScriptServer server([](script_conn_t &conn) {
+		conn.send(kept);
+		/* The rest of the body stays in the socket's buffers. */
+		g_source_destroy(conn.source);
+	});
+
+	EXPECT_EQ(call(server.port, "", 32 * 1024 * 1024).ends, 1);
+	EXPECT_FALSE(call(server.port).reused);
+}
+
+TEST_F(Outbound, CancelClosesTheConnection)
+{
+	ScriptServer server([](script_conn_t &) {});
+	uint32_t number = post(server.port, "", 0);
+	msg_t msg = {};
+
+	ASSERT_TRUE(pump([&] {
+		return server.conns.size() == 1 &&
+		       server.conns[0]->requests == 1;
+	}));
+	msg.kind = MSG_OUT_CANCEL;
+	msg.ref = results[number].call;
+	kernel_post(&kernel, owner, outbound.svc, &msg);
+	EXPECT_TRUE(pump([&] { return server.conns[0]->closed; }));
+	EXPECT_EQ(results[number].failures + results[number].ends, 0);
+}
+
+TEST_F(Outbound, ConnectionThatIsSoonClosedIsNotKept)
+{
+	ScriptServer server([](script_conn_t &conn) {
+		conn.send("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+			  "Content-Length: 0\r\n\r\n");
+	});
+
+	call(server.port);
+	EXPECT_FALSE(call(server.port).reused);
+}
+
+} // namespace
