--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 OWN_C = $(SRC) $(wildcard main/*.c tests/fakes/*.c bench/*.c)
 OWN_ALL = $(OWN_C) $(foreach m,$(MODULES),$(wildcard $(m)/*.h)) \
 	  $(wildcard tests/*.cc tests/*.h bench/*.h)
-PAGES = $(wildcard main/*.1 ctl/*.1 router/*.8)
+PAGES = $(wildcard main/*.1 ctl/*.1 router/*.8 gateway/*.8)
 
 .PHONY: all packages build check test format lint clean demo prove bench \
 	latency slopes fakes install docs/settings.md process
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -538,6 +538,7 @@
 		} refused; /* MSG_REPLY_REFUSED, MSG_REPLY_BROKEN */
 
 		struct {
+			char request_id[REQUEST_ID_SIZE]; /* for the log */
 			char client_account[NAME_SIZE];
 			char budget[NAME_SIZE];
 			int64_t tokens; /* worst case */
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -44,6 +44,7 @@
 	prepaid_account_t *account; /* NULL: the account is not limited */
 	svc_t owner;
 	handle_t ref;
+	char request_id[REQUEST_ID_SIZE]; /* for the log */
 	char peer[INCARNATION_SIZE]; /* asked for it; empty: a request */
 	int64_t tokens;
 	bool waiting;
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -124,11 +124,12 @@
 	prepaid_account_t *account = reservation->account;
 
 	log_event(LOG_LEVEL_INFO, "prepaid", "refused",
-		  "account=%s tokens=%" G_GINT64_FORMAT " reason=%s "
+		  "request=%s account=%s tokens=%" G_GINT64_FORMAT " reason=%s "
 		  "available=%" G_GINT64_FORMAT " room=%" G_GINT64_FORMAT
 		  " prepaid=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
 		  " store_up=%d peer=%s",
-		  account->name, reservation->tokens,
+		  log_quote(reservation->request_id), account->name,
+		  reservation->tokens,
 		  result == RESERVE_SPENT ? "spent" : "store_unavailable",
 		  account_available(account), account_room(account),
 		  account->prepaid, account->revision, prepaid->store_up,
@@ -437,6 +438,8 @@
 
 	reservation->owner = msg->from;
 	reservation->ref = msg->id;
+	g_strlcpy(reservation->request_id, msg->u.reserve.request_id,
+		  sizeof(reservation->request_id));
 	if (account->prepaid < 0) {
 		hold(prepaid, reservation);
 		return;
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -240,6 +240,8 @@
 	exchange->state = EXCHANGE_RESERVING;
 	exchange->reserved =
 		exchange->spec->prompt_tokens + exchange->spec->max_tokens;
+	g_strlcpy(msg.u.reserve.request_id, exchange->spec->request_id,
+		  sizeof(msg.u.reserve.request_id));
 	g_strlcpy(msg.u.reserve.client_account, exchange->account,
 		  sizeof(msg.u.reserve.client_account));
 	msg.u.reserve.tokens = exchange->reserved;
