Weigh how much a prompt delays the requests at its target

A prompt of 50,000 tokens is read for over half a second, and every stream at its target pauses. The cost of a target now grows with the time to read the prompt and the requests that it would delay.

--- a/balance/target.c
+++ b/balance/target.c
@@ -14,6 +14,11 @@
  * Reading it takes a hundredth of a millisecond, but the platform bills it.
  */
 #define REREAD_MS 0.05
+/*
+ * Reading a prompt delays the tokens of all requests at its target: cost of a
+ * millisecond of reading for each of them.
+ */
+#define DISTURBED_MS 0.04
 /* Usual time of a short call, for targets that run calls one a slot. */
 #define CALL_MS 30.0
 /*
@@ -191,10 +196,11 @@
 	double unread = (double)(place->u.place.prompt_tokens - cached);
 	double running = requests_at(target, target->load.running, now);
 	double waiting = target->load.known ? target->load.waiting : 0.0;
+	double reading = MAX(unread, 0.0) / PREFILL_TOKENS_PER_MS;
 
 	return (double)reread_tokens(place, cached, preferred) * REREAD_MS +
-	       (MAX(unread, 0.0) + (double)target->unread_tokens) /
-		       PREFILL_TOKENS_PER_MS +
+	       reading * (1.0 + running * DISTURBED_MS) +
+	       (double)target->unread_tokens / PREFILL_TOKENS_PER_MS +
 	       running * ENGINE_RUNNING_MS + waiting * ENGINE_WAITING_MS;
 }
 
