--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -10,6 +10,12 @@
  * what they hold is lost when all of them lose power.
  */
 #define HEADROOM_PART 0.35
+/*
+ * And at least so many usual requests, so that an account which is seldom
+ * used here does not need a call to the store for each of them.
+ */
+#define HEADROOM_REQUESTS 5
+#define USUAL_WEIGHT 0.1 /* of the newest reservation */
 #define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
 
 int64_t account_available(const prepaid_account_t *account)
@@ -54,7 +60,9 @@
 	double most = (double)account_room(account) * HEADROOM_PART *
 		      own_share(account, instances);
 
-	return (int64_t)MIN(account->demand * HEADROOM_S, most);
+	return (int64_t)MIN(MAX(account->demand * HEADROOM_S,
+				account->usual * HEADROOM_REQUESTS),
+			    most);
 }
 
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
@@ -65,6 +73,7 @@
 	account->demand = account->demand * exp(-age / DEMAND_TIME_S) +
 			  (double)tokens / DEMAND_TIME_S;
 	account->demand_at = now;
+	account->usual += USUAL_WEIGHT * ((double)tokens - account->usual);
 }
 
 static bool is_own(const grant_holder_t *holder, const prepaid_opts_t *self)
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -36,6 +36,7 @@
 	handle_t timer;
 	GQueue waiting; /* reservation_t, oldest first */
 	double demand; /* tokens a second, smoothed */
+	double usual; /* tokens of a reservation, smoothed */
 	int64_t demand_at; /* monotonic, us, of its last change */
 } prepaid_account_t;
 
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -8,7 +8,13 @@
 #define KEY_PREFIX "prepaid/"
 /* After a call that the store did not answer. */
 #define RETRY_US (250 * USEC_PER_MSEC)
-#define CONFLICTS_MAX 6 /* in a row before calls are spread */
+/*
+ * After another instance has written first.  Doubles with each conflict in a
+ * row, and is spread, so that instances do not meet again.
+ */
+#define CONFLICT_US (4 * USEC_PER_MSEC)
+#define CONFLICT_MAX_US (64 * USEC_PER_MSEC)
+#define REFILL_PART 2 /* of the headroom, at which more is taken */
 /* A peer answers within a few ms, unless it has to ask the store itself. */
 #define PEER_WAIT_US (120 * USEC_PER_MSEC)
 /* For a reservation that the store does not answer. */
@@ -248,7 +254,7 @@
 	int64_t room = account_room(account);
 	int64_t want = sum_waiting(account) + headroom - available;
 
-	if (account->waiting.length == 0 && available >= headroom / 2)
+	if (account->waiting.length == 0 && available >= headroom / REFILL_PART)
 		return;
 	if (account->waiting.length > 0 && least_missing(account) > room) {
 		exhausted(prepaid, account);
@@ -286,6 +292,9 @@
 		account->timer = kernel_timer(prepaid->kernel, prepaid->svc,
 					      MAX(wait, 0), account->self,
 					      PREPAID_TIMER_RETRY);
+	/* After a conflict the store will answer soon. */
+	if (account->conflicts > 0 && account->revision != REVISION_UNKNOWN)
+		return;
 	for (GList *link = account->waiting.head; link != NULL;
 	     link = link->next)
 		ask_peers(prepaid, link->data, STORE_WAIT_US);
@@ -323,6 +332,17 @@
 	account->retry_at = kernel_now(prepaid->kernel) + RETRY_US;
 }
 
+static void spread(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	int64_t most = CONFLICT_US << MIN(account->conflicts, 10);
+
+	account->conflicts++;
+	most = MIN(most, CONFLICT_MAX_US);
+	account->retry_at =
+		kernel_now(prepaid->kernel) +
+		(int64_t)kernel_random_below(prepaid->kernel, (uint64_t)most);
+}
+
 static void committed(prepaid_t *prepaid, prepaid_account_t *account,
 		      int64_t revision)
 {
@@ -373,10 +393,7 @@
 			break;
 		}
 		adopt_result(prepaid, account, result);
-		if (++account->conflicts > CONFLICTS_MAX) {
-			account->conflicts = 0;
-			back_off(prepaid, account);
-		}
+		spread(prepaid, account);
 		break;
 	case STORE_UNKNOWN:
 		/* It may still be written, so the record is read first. */
@@ -385,6 +402,7 @@
 		break;
 	case STORE_UNAVAILABLE:
 	case STORE_INVALID:
+		account->conflicts = 0;
 		back_off(prepaid, account);
 		break;
 	}
