Ask a store that turns calls away once, not for each account

No call for tokens is made while the store does not answer; six peers are asked instead of all; a large fleet does not read the changes of prepaid records; and a record older than 2 s is read again before a request is refused by it.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -76,6 +76,7 @@
 	post_addr(peer, peer->member, MSG_PEER_UP, conn);
 	post_addr(peer, peer->conf, MSG_PEER_UP, conn);
 	post_addr(peer, peer->store, MSG_PEER_UP, conn);
+	post_addr(peer, peer->ledger, MSG_PEER_UP, conn);
 }
 
 void peer_conn_down(peer_t *peer, conn_t *conn)
@@ -86,6 +87,7 @@
 	post_addr(peer, peer->member, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->conf, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->store, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->ledger, MSG_PEER_DOWN, conn);
 }
 
 static svc_t body_owner(const peer_t *peer, peer_kind_t kind)
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -16,6 +16,7 @@
 	int64_t prepaid; /* of the configuration; -1: not limited */
 	record_allocation_t *record; /* newest known, NULL: none */
 	int64_t revision; /* of record, 0: absent, or REVISION_UNKNOWN */
+	int64_t known_at; /* monotonic, us, when the record was last read */
 
 	int64_t granted; /* taken from the store, as it confirmed */
 	int64_t received; /* handed over by peers */
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -15,11 +15,14 @@
 #define CONFLICT_US (4 * USEC_PER_MSEC)
 #define CONFLICT_MAX_US (64 * USEC_PER_MSEC)
 #define REFILL_PART 2 /* of the headroom, at which more is taken */
+/* Peers asked for one reservation: each costs a message. */
+#define ASK_PEERS 6
 /* A peer answers within a few ms, unless it has to ask the store itself. */
 #define PEER_WAIT_US (120 * USEC_PER_MSEC)
 /* For a reservation that the store does not answer. */
 #define STORE_WAIT_US (350 * USEC_PER_MSEC)
-#define STOP_US (1500 * USEC_PER_MSEC) /* to give unused tokens back */
+/* A record read longer ago is read again before a request is refused by it. */
+#define FRESH_US (2 * USEC_PER_SEC)
 
 static void advance(prepaid_t *prepaid, prepaid_account_t *account);
 
@@ -199,11 +202,26 @@
 	kernel_post(prepaid->kernel, prepaid->svc, prepaid->store, &msg);
 }
 
-/* Asks all peers to hand over tokens that they don't use. */
+static void ask_peer(prepaid_t *prepaid, const reservation_t *reservation,
+		     const char *peer)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	g_strlcpy(msg.u.peer.incarnation, peer, sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = peer_body_new(PEER_SLICE_ASK);
+	g_strlcpy(msg.u.peer.body->u.slice.client_account,
+		  reservation->account->name,
+		  sizeof(msg.u.peer.body->u.slice.client_account));
+	msg.u.peer.body->u.slice.tokens = reservation->tokens;
+	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
+}
+
+/* Asks some peers, from a random one on, to hand over unused tokens. */
 static void ask_peers(prepaid_t *prepaid, reservation_t *reservation,
 		      int64_t wait)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
+	guint count = prepaid->peers->len;
+	guint first;
 
 	if (reservation->asked_peers || reservation->peer[0] != '\0')
 		return;
@@ -212,12 +230,13 @@
 	reservation->timer =
 		kernel_timer(prepaid->kernel, prepaid->svc, wait,
 			     reservation->self, PREPAID_TIMER_WAIT);
-	msg.u.peer.body = peer_body_new(PEER_SLICE_ASK);
-	g_strlcpy(msg.u.peer.body->u.slice.client_account,
-		  reservation->account->name,
-		  sizeof(msg.u.peer.body->u.slice.client_account));
-	msg.u.peer.body->u.slice.tokens = reservation->tokens;
-	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
+	if (count == 0)
+		return;
+	first = (guint)kernel_random_below(prepaid->kernel, count);
+	for (guint i = 0; i < MIN(count, ASK_PEERS); i++)
+		ask_peer(
+			prepaid, reservation,
+			g_ptr_array_index(prepaid->peers, (first + i) % count));
 }
 
 /* The record does not leave enough: peers may still hold unused tokens. */
@@ -229,7 +248,7 @@
 		reservation_t *reservation = link->data;
 
 		link = link->next;
-		if (reservation->peer[0] != '\0' || prepaid->instances == 1)
+		if (reservation->peer[0] != '\0' || prepaid->peers->len == 0)
 			refuse(prepaid, reservation, RESERVE_SPENT);
 		else
 			ask_peers(prepaid, reservation, PEER_WAIT_US);
@@ -257,7 +276,10 @@
 	if (account->waiting.length == 0 && available >= headroom / REFILL_PART)
 		return;
 	if (account->waiting.length > 0 && least_missing(account) > room) {
-		exhausted(prepaid, account);
+		if (kernel_now(prepaid->kernel) - account->known_at > FRESH_US)
+			call_get(prepaid, account);
+		else
+			exhausted(prepaid, account);
 		return;
 	}
 	want = MIN(want, room);
@@ -286,9 +308,11 @@
 
 static void wait_for_store(prepaid_t *prepaid, prepaid_account_t *account)
 {
-	int64_t wait = account->retry_at - kernel_now(prepaid->kernel);
+	int64_t retry_at = MAX(account->retry_at, prepaid->retry_at);
+	int64_t wait = retry_at - kernel_now(prepaid->kernel);
 
-	if (handle_is_none(account->timer))
+	/* The return of a store that is down is told by an event. */
+	if (prepaid->store_up && handle_is_none(account->timer))
 		account->timer = kernel_timer(prepaid->kernel, prepaid->svc,
 					      MAX(wait, 0), account->self,
 					      PREPAID_TIMER_RETRY);
@@ -316,7 +340,9 @@
 		refuse_all(prepaid, account);
 	if (account->calling)
 		return;
-	if (kernel_now(prepaid->kernel) < account->retry_at)
+	if (!prepaid->store_up ||
+	    kernel_now(prepaid->kernel) <
+		    MAX(account->retry_at, prepaid->retry_at))
 		wait_for_store(prepaid, account);
 	else if (account->revision == REVISION_UNKNOWN &&
 		 (account->waiting.length > 0 || prepaid->stopping))
@@ -352,6 +378,7 @@
 	allocation_free(account->record);
 	account->record = next;
 	account->revision = revision;
+	account->known_at = kernel_now(prepaid->kernel);
 	account->conflicts = 0;
 	account->granted = account->returning ? 0 : account->asked;
 	log_event(LOG_LEVEL_DEBUG, "prepaid",
@@ -376,6 +403,7 @@
 		return;
 	}
 	account_adopt(account, &prepaid->opts, &kv->record, kv->revision);
+	account->known_at = kernel_now(prepaid->kernel);
 }
 
 static void store_result(prepaid_t *prepaid, const msg_t *msg)
@@ -393,7 +421,9 @@
 			break;
 		}
 		adopt_result(prepaid, account, result);
-		spread(prepaid, account);
+		/* The answer to a read holds no result of a write. */
+		if (result->committed->len > 0)
+			spread(prepaid, account);
 		break;
 	case STORE_UNKNOWN:
 		/* It may still be written, so the record is read first. */
@@ -401,6 +431,10 @@
 		back_off(prepaid, account);
 		break;
 	case STORE_UNAVAILABLE:
+		/* A store that turns one call away does so with others. */
+		account->conflicts = 0;
+		prepaid->retry_at = kernel_now(prepaid->kernel) + RETRY_US;
+		break;
 	case STORE_INVALID:
 		account->conflicts = 0;
 		back_off(prepaid, account);
@@ -411,12 +445,25 @@
 	check_stopped(prepaid);
 }
 
+static void store_changed(prepaid_t *prepaid, bool up)
+{
+	uint32_t cursor = 0;
+	prepaid_account_t *account;
+
+	prepaid->store_up = up;
+	prepaid->retry_at = 0;
+	while (up && (account = table_next(&prepaid->accounts, &cursor,
+					   NULL)) != NULL)
+		if (account->waiting.length > 0 || prepaid->stopping)
+			advance(prepaid, account);
+}
+
 static void store_event(prepaid_t *prepaid, const store_result_t *result)
 {
 	prepaid_account_t *account;
 
 	if (result->kvs->len == 0)
-		prepaid->store_up = result->status == STORE_OK;
+		store_changed(prepaid, result->status == STORE_OK);
 	for (guint i = 0; i < result->kvs->len; i++) {
 		const store_kv_t *kv =
 			&g_array_index(result->kvs, store_kv_t, i);
@@ -595,13 +642,24 @@
 	prepaid_account_t *account;
 
 	prepaid->stopping = true;
-	prepaid->stop_at = kernel_now(prepaid->kernel);
 	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
 	       NULL)
 		advance(prepaid, account);
 	check_stopped(prepaid);
 }
 
+static void peer_changed(prepaid_t *prepaid, const msg_t *msg)
+{
+	const char *who = msg->u.peer_addr.incarnation;
+	guint index;
+
+	if (g_ptr_array_find_with_equal_func(prepaid->peers, who, g_str_equal,
+					     &index))
+		g_ptr_array_remove_index_fast(prepaid->peers, index);
+	if (msg->kind == MSG_PEER_UP)
+		g_ptr_array_add(prepaid->peers, g_strdup(who));
+}
+
 static void peer_received(prepaid_t *prepaid, const msg_t *msg)
 {
 	if (msg->u.peer.body->kind == PEER_SLICE_ASK)
@@ -645,6 +703,10 @@
 	case MSG_SPEND:
 		spend(prepaid, msg->ref, msg->u.spend.tokens);
 		break;
+	case MSG_PEER_UP:
+	case MSG_PEER_DOWN:
+		peer_changed(prepaid, msg);
+		break;
 	case MSG_PEER_RECEIVED:
 		peer_received(prepaid, msg);
 		break;
@@ -660,6 +722,7 @@
 	prepaid->kernel = kernel;
 	prepaid->opts = *opts;
 	prepaid->instances = 1;
+	prepaid->peers = g_ptr_array_new_with_free_func(g_free);
 	table_init(&prepaid->accounts, sizeof(prepaid_account_t));
 	table_init(&prepaid->reservations, sizeof(reservation_t));
 	prepaid->by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -677,6 +740,7 @@
 		allocation_free(account->record);
 	}
 	fleet_conf_unref(prepaid->conf);
+	g_ptr_array_unref(prepaid->peers);
 	g_hash_table_unref(prepaid->by_name);
 	table_finish(&prepaid->accounts);
 	table_finish(&prepaid->reservations);
--- a/prepaid/prepaid.h
+++ b/prepaid/prepaid.h
@@ -27,10 +27,11 @@
 	GHashTable *by_name; /* account's name -> prepaid_account_t */
 	fleet_conf_t *conf;
 	uint32_t instances; /* this one included */
+	GPtrArray *peers; /* incarnations of the connected ones, as text */
 	bool store_up;
+	int64_t retry_at; /* monotonic, us, no call to the store before it */
 	bool stopping;
 	bool stopped;
-	int64_t stop_at; /* monotonic, us, when MSG_STOP came */
 } prepaid_t;
 
 void prepaid_init(prepaid_t *prepaid, kernel_t *kernel,
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -395,6 +395,32 @@
 	EXPECT_EQ(store.revision, 30);
 }
 
+// The records of prepaid tokens would fill a small machine's link.
+TEST_F(Store, LargeFleetReadsOnlyConfigurationAndTargets)
+{
+	size_t from;
+
+	kernel_start(&kernel);
+	run(100000);
+	for (int i = 0; i < 40; i++) {
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_UP;
+		g_snprintf(msg.u.peer_addr.incarnation,
+			   sizeof(msg.u.peer_addr.incarnation), "p%d", i);
+		kernel_post(&kernel, peer, store.svc, &msg);
+	}
+	run(2 * USEC_PER_SEC);
+	from = paths.size();
+	run(6 * USEC_PER_SEC);
+	ASSERT_GE(paths.size(), from + 4);
+	EXPECT_LE(paths.size(), from + 13);
+	for (size_t i = from; i < paths.size(); i++)
+		EXPECT_EQ(paths[i].find("path_prefix=&"), std::string::npos);
+	EXPECT_NE(paths[from].find("kv-watch"), std::string::npos);
+	EXPECT_NE(paths[from], paths[from + 1]);
+}
+
 TEST_F(Store, WriteWithoutAnAnswerIsUnknown)
 {
 	struct {
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -87,7 +87,7 @@
 	bool stopped = false;
 	std::vector<held_t> held;
 	std::map<uint32_t, int64_t> asked; // request number -> tokens
-	uint32_t next = 1;
+	uint32_t next = 0; // 0: not started
 };
 
 struct world_t {
@@ -287,6 +287,16 @@
 	post(node, &size);
 }
 
+void tell_peer(node_t *to, const node_t *about, msg_kind_t kind)
+{
+	msg_t msg = {};
+
+	msg.kind = kind;
+	g_strlcpy(msg.u.peer_addr.incarnation, about->prepaid.opts.incarnation,
+		  sizeof(msg.u.peer_addr.incarnation));
+	kernel_post(&to->kernel, to->peer, to->prepaid.svc, &msg);
+}
+
 void start(node_t *node)
 {
 	world_t *world = node->world;
@@ -309,6 +319,13 @@
 	node->stopped = false;
 	kernel_start(&node->kernel);
 	send_conf(node);
+	for (auto &other : world->nodes) {
+		if (other.get() == node || other->next == 0)
+			continue;
+		tell_peer(node, other.get(), MSG_PEER_UP);
+		tell_peer(other.get(), node, MSG_PEER_UP);
+	}
+	node->next = 1;
 }
 
 // A process ends: what it holds has been spent at its targets, at most.
@@ -318,6 +335,10 @@
 		node->world->spent += held.tokens;
 	node->held.clear();
 	node->asked.clear();
+	for (auto &other : node->world->nodes)
+		if (other.get() != node && other->next != 0)
+			tell_peer(other.get(), node, MSG_PEER_DOWN);
+	node->next = 0;
 	prepaid_finish(&node->prepaid);
 	kernel_finish(&node->kernel);
 }
@@ -471,6 +492,60 @@
 	end(&world);
 }
 
+// Guards against a refusal by a record that was read long ago: a part that
+// was returned meanwhile can pay for the request.
+TEST(Prepaid, RecordIsReadAgainBeforeARefusalByIt)
+{
+	world_t world;
+	record_t record = {};
+
+	world.random.seed(5);
+	begin(&world, 1, 100000);
+	/* Another instance has taken most, and returns it unseen. */
+	record.kind = RECORD_ALLOCATION;
+	record.u.allocation = allocation_new();
+	record.u.allocation->closed = 99000;
+	world.cloud.write(0, &record);
+	for (int i = 0; i < 100; i++) {
+		if (i % 50 == 0)
+			reserve(world.nodes[0].get(), 900);
+		tick(&world);
+	}
+	ASSERT_EQ(world.granted, 1);
+	ASSERT_EQ(world.refused_spent, 1);
+	record_clear(&record);
+	record_copy(&record, &world.cloud.item.record);
+	record.u.allocation->closed -= 50000;
+	world.cloud.write(world.cloud.item.revision, &record);
+	record_clear(&record);
+	for (int i = 0; i < 600; i++)
+		tick(&world);
+	reserve(world.nodes[0].get(), 900);
+	for (int i = 0; i < 100; i++)
+		tick(&world);
+	EXPECT_EQ(world.granted, 2);
+	end(&world);
+}
+
+// Guards against a storm of refused calls: an instance that the store turns
+// away must not ask again for each account and request.
+TEST(Prepaid, StoreThatTurnsCallsAwayIsNotAskedForEachRequest)
+{
+	world_t world;
+
+	world.random.seed(4);
+	begin(&world, 1, 1000000);
+	world.cloud.down = true;
+	world.cloud.writes = 0;
+	for (int i = 0; i < 400; i++) {
+		reserve(world.nodes[0].get(), 5000);
+		tick(&world);
+	}
+	/* 2 s, four times a second. */
+	EXPECT_LE(world.cloud.writes, 10);
+	end(&world);
+}
+
 // Guards against a refusal as spent while the account has enough.
 TEST(Prepaid, SpendsAlmostAllOfAnAccountAcrossInstances)
 {
