Make the test of a store that turns calls away fail without its mend

It now tells the instance that the store is lost and allows no call; it fails when the check of store_up is taken out.

--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -176,15 +176,13 @@
 	reply(node, msg, result);
 }
 
-// The first event of a watch says that the store answers.
-void store_watch(node_t *node, const msg_t *to)
+void tell_store(node_t *node, store_status_t status)
 {
 	msg_t msg = {};
 
 	msg.kind = MSG_STORE_EVENT;
-	msg.ref = to->id;
-	msg.u.store_result = store_result_new(STORE_OK);
-	kernel_post(&node->kernel, node->store, to->from, &msg);
+	msg.u.store_result = store_result_new(status);
+	kernel_post(&node->kernel, node->store, node->prepaid.svc, &msg);
 }
 
 void store_recv(void *self, msg_t *msg)
@@ -194,7 +192,7 @@
 	else if (msg->kind == MSG_STORE_TXN)
 		store_txn(static_cast<node_t *>(self), msg);
 	else if (msg->kind == MSG_STORE_WATCH)
-		store_watch(static_cast<node_t *>(self), msg);
+		tell_store(static_cast<node_t *>(self), STORE_OK);
 }
 
 void deliver(node_t *to, const node_t *from, peer_kind_t kind, int64_t tokens)
@@ -537,12 +535,20 @@
 	begin(&world, 1, 1000000);
 	world.cloud.down = true;
 	world.cloud.writes = 0;
+	tell_store(world.nodes[0].get(), STORE_UNAVAILABLE);
 	for (int i = 0; i < 400; i++) {
 		reserve(world.nodes[0].get(), 5000);
 		tick(&world);
 	}
-	/* 2 s, four times a second. */
-	EXPECT_LE(world.cloud.writes, 10);
+	EXPECT_EQ(world.cloud.writes, 0);
+	EXPECT_EQ(world.granted, 0);
+	/* Its return is told, and nothing else is waited for. */
+	world.cloud.down = false;
+	reserve(world.nodes[0].get(), 5000);
+	tell_store(world.nodes[0].get(), STORE_OK);
+	for (int i = 0; i < 10; i++)
+		tick(&world);
+	EXPECT_GE(world.granted, 1);
 	end(&world);
 }
 
