Refuse at once without store and peers; spread conflicts by fleet size

In a cut of all machines a request waited 350 ms for tokens that nobody could give. At the start of traffic 64 instances write the same record at once; the wait after a conflict grows with their number, and a part covers ten usual requests.

--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -14,7 +14,7 @@
  * And at least so many usual requests, so that an account which is seldom
  * used here does not need a call to the store for each of them.
  */
-#define HEADROOM_REQUESTS 5
+#define HEADROOM_REQUESTS 10
 #define USUAL_WEIGHT 0.1 /* of the newest reservation */
 #define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
 
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -9,11 +9,12 @@
 /* After a call that the store did not answer. */
 #define RETRY_US (250 * USEC_PER_MSEC)
 /*
- * After another instance has written first.  Doubles with each conflict in a
- * row, and is spread, so that instances do not meet again.
+ * After another instance has written first, for each instance in the fleet:
+ * a write takes some ms, and all may want to write at once.  The wait is
+ * spread, so that instances do not meet again, and grows with each conflict.
  */
 #define CONFLICT_US (4 * USEC_PER_MSEC)
-#define CONFLICT_MAX_US (64 * USEC_PER_MSEC)
+#define CONFLICT_GROWTH_MAX 3 /* times */
 #define REFILL_PART 2 /* of the headroom, at which more is taken */
 /* Peers asked for one reservation: each costs a message. */
 #define ASK_PEERS 6
@@ -306,11 +307,24 @@
 	call_put(prepaid, account, used(account), true);
 }
 
+static void refuse_all(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	reservation_t *reservation;
+
+	while ((reservation = g_queue_peek_head(&account->waiting)) != NULL)
+		refuse(prepaid, reservation, RESERVE_UNAVAILABLE);
+}
+
 static void wait_for_store(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	int64_t retry_at = MAX(account->retry_at, prepaid->retry_at);
 	int64_t wait = retry_at - kernel_now(prepaid->kernel);
 
+	/* Nobody can help: the caller's next attempt may find tokens. */
+	if (!prepaid->store_up && prepaid->peers->len == 0) {
+		refuse_all(prepaid, account);
+		return;
+	}
 	/* The return of a store that is down is told by an event. */
 	if (prepaid->store_up && handle_is_none(account->timer))
 		account->timer = kernel_timer(prepaid->kernel, prepaid->svc,
@@ -324,14 +338,6 @@
 		ask_peers(prepaid, link->data, STORE_WAIT_US);
 }
 
-static void refuse_all(prepaid_t *prepaid, prepaid_account_t *account)
-{
-	reservation_t *reservation;
-
-	while ((reservation = g_queue_peek_head(&account->waiting)) != NULL)
-		refuse(prepaid, reservation, RESERVE_UNAVAILABLE);
-}
-
 /* Goes on with whatever the account needs now. */
 static void advance(prepaid_t *prepaid, prepaid_account_t *account)
 {
@@ -360,10 +366,11 @@
 
 static void spread(prepaid_t *prepaid, prepaid_account_t *account)
 {
-	int64_t most = CONFLICT_US << MIN(account->conflicts, 10);
+	int64_t most;
 
-	account->conflicts++;
-	most = MIN(most, CONFLICT_MAX_US);
+	if (account->conflicts < CONFLICT_GROWTH_MAX)
+		account->conflicts++;
+	most = CONFLICT_US * MAX(prepaid->instances, 1) * account->conflicts;
 	account->retry_at =
 		kernel_now(prepaid->kernel) +
 		(int64_t)kernel_random_below(prepaid->kernel, (uint64_t)most);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -21,7 +21,8 @@
 #define SILENCE_AIMS 4
 #define SILENCE_MIN_MS 600
 #define RETRY_AFTER_MS 300 /* of refusals without a time of their own */
-#define RANK_OF_SIZE 4 /* priorities of a target's queue for one of a route */
+#define PRIORITY_STEP 4 /* priorities of a target's queue for one of a route \
+			 */
 
 void exchange_free(proxy_t *proxy, exchange_t *exchange)
 {
@@ -360,7 +361,7 @@
 		.account =
 			exchange->account[0] != '\0' ? exchange->account : NULL,
 		.wait_ms = (exchange->deadline - now) / USEC_PER_MSEC,
-		.priority = exchange->priority * RANK_OF_SIZE,
+		.priority = exchange->priority * PRIORITY_STEP,
 		.last_event_id = exchange->events.last_id[0] != '\0'
 					 ? exchange->events.last_id
 					 : NULL,
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -490,6 +490,21 @@
 	end(&world);
 }
 
+// Guards against a refusal that comes late although nothing can change it.
+TEST(Prepaid, RefusedAtOnceWithoutStoreAndPeers)
+{
+	world_t world;
+
+	world.random.seed(6);
+	begin(&world, 1, 100000);
+	tell_store(world.nodes[0].get(), STORE_UNAVAILABLE);
+	tick(&world);
+	reserve(world.nodes[0].get(), 900);
+	tick(&world);
+	EXPECT_EQ(world.refused_other, 1);
+	end(&world);
+}
+
 // Guards against a refusal by a record that was read long ago: a part that
 // was returned meanwhile can pay for the request.
 TEST(Prepaid, RecordIsReadAgainBeforeARefusalByIt)
@@ -544,8 +559,8 @@
 	EXPECT_EQ(world.granted, 0);
 	/* Its return is told, and nothing else is waited for. */
 	world.cloud.down = false;
-	reserve(world.nodes[0].get(), 5000);
 	tell_store(world.nodes[0].get(), STORE_OK);
+	reserve(world.nodes[0].get(), 5000);
 	for (int i = 0; i < 10; i++)
 		tick(&world);
 	EXPECT_GE(world.granted, 1);
