--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -9,12 +9,11 @@
 /* After a call that the store did not answer. */
 #define RETRY_US (250 * USEC_PER_MSEC)
 /*
- * After another instance has written first, for each instance in the fleet:
- * a write takes some ms, and all may want to write at once.  The wait is
- * spread, so that instances do not meet again, and grows with each conflict.
+ * After another instance has written first.  Doubles with each conflict in a
+ * row, and is spread, so that instances do not meet again.
  */
 #define CONFLICT_US (4 * USEC_PER_MSEC)
-#define CONFLICT_GROWTH_MAX 3 /* times */
+#define CONFLICT_MAX_US (64 * USEC_PER_MSEC)
 #define REFILL_PART 2 /* of the headroom, at which more is taken */
 /* Peers asked for one reservation: each costs a message. */
 #define ASK_PEERS 6
@@ -366,11 +365,10 @@
 
 static void spread(prepaid_t *prepaid, prepaid_account_t *account)
 {
-	int64_t most;
+	int64_t most = CONFLICT_US << MIN(account->conflicts, 10);
 
-	if (account->conflicts < CONFLICT_GROWTH_MAX)
-		account->conflicts++;
-	most = CONFLICT_US * MAX(prepaid->instances, 1) * account->conflicts;
+	account->conflicts++;
+	most = MIN(most, CONFLICT_MAX_US);
 	account->retry_at =
 		kernel_now(prepaid->kernel) +
 		(int64_t)kernel_random_below(prepaid->kernel, (uint64_t)most);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -21,8 +21,7 @@
 #define SILENCE_AIMS 4
 #define SILENCE_MIN_MS 600
 #define RETRY_AFTER_MS 300 /* of refusals without a time of their own */
-#define PRIORITY_STEP 4 /* priorities of a target's queue for one of a route \
-			 */
+#define PRIORITY_STEP 4 /* in a target's queue, for one of a route */
 
 void exchange_free(proxy_t *proxy, exchange_t *exchange)
 {
