Split the kernel's messages by subject

kernel/msg.h had grown to 788 lines: reasons of refusals, calls to the store, configuration, peers' bodies and the messages themselves. Each subject has a header and a source file of its own now; msg.h includes them, and no type or function changes but for kv_array_new(), which two files need and which is store_kvs_new().

The unit tests of kernel, peer, platform, prepaid, fleet, store, conf, request and member pass.

--- /dev/null
+++ b/kernel/peering.h
@@ -0,0 +1,145 @@
+/*
+ * Members of the fleet and what they send each other.
+ */
+#ifndef KERNEL_PEERING_H
+#define KERNEL_PEERING_H
+
+#include "kernel/storage.h"
+
+G_BEGIN_DECLS
+
+typedef enum member_state_t {
+	MEMBER_ALIVE,
+	MEMBER_SUSPECT, /* silent, but its lease may still be valid */
+	MEMBER_DEAD, /* its store lease has expired */
+	MEMBER_LEFT, /* planned stop */
+} member_state_t;
+
+typedef struct member_info_t {
+	char incarnation[INCARNATION_SIZE];
+	char name[NAME_SIZE];
+	char availability_zone[NAME_SIZE];
+	char host[HOST_SIZE];
+	uint16_t peer_port;
+	uint16_t admin_port;
+	char buddy[INCARNATION_SIZE];
+	member_state_t state;
+	uint64_t heartbeat; /* sequence number, rises within an incarnation */
+} member_info_t;
+
+typedef struct member_list_t {
+	int refs;
+	GArray *members; /* member_info_t, sorted by incarnation */
+} member_list_t;
+
+member_list_t *member_list_new(void);
+member_list_t *member_list_ref(member_list_t *list);
+void member_list_unref(member_list_t *list);
+
+/* The platform's list of instances, routers and targets alike. */
+typedef struct instance_info_t {
+	char host[HOST_SIZE];
+	uint16_t port;
+	bool leaving;
+} instance_info_t;
+
+typedef struct instance_list_t {
+	int refs;
+	int64_t revision;
+	GArray *instances; /* instance_info_t */
+} instance_list_t;
+
+instance_list_t *instance_list_new(void);
+void instance_list_unref(instance_list_t *list);
+
+/* A bill as its router copies it to the buddy. */
+typedef struct bill_t {
+	uint64_t seq;
+	char client_account[NAME_SIZE];
+	char budget[NAME_SIZE];
+	char idem_key[IDEM_KEY_SIZE];
+	char fingerprint[HASH_SIZE];
+	int64_t tokens;
+	int64_t wall_ms;
+} bill_t;
+
+typedef enum peer_kind_t {
+	PEER_HEARTBEAT,
+	PEER_LEAVE,
+	PEER_CONF_PULL,
+	PEER_CONF_ITEMS,
+	PEER_BILL_COPY,
+	PEER_COPY_ACK,
+	PEER_COPY_TRIM,
+	PEER_SLICE_ASK,
+	PEER_SLICE_REPLY,
+	PEER_BLAME,
+	PEER_STORE_PULL,
+	PEER_STORE_ITEMS,
+	PEER_KIND_COUNT,
+} peer_kind_t;
+
+/* An item of the store as it lies there, for routers that can't read it. */
+typedef struct store_item_t {
+	char key[STORE_KEY_SIZE];
+	int64_t revision;
+	GBytes *value; /* NULL: deleted */
+} store_item_t;
+
+typedef struct peer_body_t {
+	peer_kind_t kind;
+	union {
+		struct {
+			int64_t conf_revision;
+			member_info_t self;
+			GArray *members; /* member_info_t */
+		} heartbeat;
+		struct {
+			int64_t from_revision;
+		} conf_pull;
+		struct {
+			int64_t up_to_revision;
+			GArray *kvs; /* store_kv_t */
+		} conf_items;
+		struct {
+			uint64_t session; /* rises with each change of buddy */
+			uint64_t seq; /* sequence number of this message */
+			bool reset; /* bills replace all earlier copies */
+			GArray *bills; /* bill_t */
+		} bill_copy;
+		struct {
+			uint64_t session;
+			uint64_t seq;
+			bool rejected; /* the grants were recovered */
+		} copy_ack;
+		struct {
+			uint64_t session;
+			uint64_t up_to; /* bill sequence numbers in the store */
+		} copy_trim;
+		struct {
+			char client_account[NAME_SIZE];
+			char budget[NAME_SIZE];
+			int64_t tokens;
+		} slice; /* ask: needed, reply: returned to the store */
+		struct {
+			char fingerprint[HASH_SIZE];
+			char target[NAME_SIZE];
+			char reporter[INCARNATION_SIZE];
+			uint64_t seq; /* of the reporter */
+		} blame;
+		struct {
+			int64_t after; /* revision up to which all is known */
+		} store_pull;
+		struct {
+			int64_t up_to; /* all changes up to this revision */
+			GArray *items; /* store_item_t */
+		} store_items;
+	} u;
+} peer_body_t;
+
+peer_body_t *peer_body_new(peer_kind_t kind);
+void peer_body_free(peer_body_t *body);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/kernel/refusal.h
@@ -0,0 +1,80 @@
+/*
+ * Reasons of refusals and failures, each with a counter, and what is known
+ * of a run.
+ */
+#ifndef KERNEL_REFUSAL_H
+#define KERNEL_REFUSAL_H
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/* Why a request was refused.  Each has a counter. */
+#define REFUSAL_LIST(X)                             \
+	X(UNAUTHENTICATED, "unauthenticated")       \
+	X(BAD_REQUEST, "bad_request")               \
+	X(NO_SERVICE, "no_service")                 \
+	X(TOO_LARGE, "too_large")                   \
+	X(TOO_MANY_REQUESTS, "too_many_requests")   \
+	X(BUDGET_SPENT, "budget_spent")             \
+	X(BUDGET_UNAVAILABLE, "budget_unavailable") \
+	X(BILL_REFUSED, "bill_refused")             \
+	X(KEY_MISMATCH, "key_mismatch")             \
+	X(OUTCOME_UNKNOWN, "outcome_unknown")       \
+	X(CLAIM_UNAVAILABLE, "claim_unavailable")   \
+	X(QUARANTINED, "quarantined")               \
+	X(DEADLINE, "deadline")                     \
+	X(QUEUE_FULL, "queue_full")                 \
+	X(OVERLOADED, "overloaded")                 \
+	X(NO_TARGET, "no_target")                   \
+	X(TARGET_FAILED, "target_failed")           \
+	X(RETRIES_SPENT, "retries_spent")           \
+	X(NO_CONFIGURATION, "no_configuration")     \
+	X(NO_ROUTE, "no_route")                     \
+	X(NOT_GENUINE, "not_genuine")               \
+	X(STOPPING, "stopping")                     \
+	X(CALLER_GONE, "caller_gone")               \
+	X(INTERNAL, "internal")
+
+typedef enum refusal_t {
+	REFUSAL_NONE,
+#define X(id, text) REFUSAL_##id,
+	REFUSAL_LIST(X)
+#undef X
+	REFUSAL_COUNT,
+} refusal_t;
+
+/* How an attempt at a target failed.  Each has a retry counter. */
+#define FAILURE_LIST(X)               \
+	X(CONNECT, "connect")         \
+	X(SENT, "sent")               \
+	X(HEAD, "head")               \
+	X(STREAM, "stream")           \
+	X(SILENT, "silent")           \
+	X(OVERLOADED, "overloaded")   \
+	X(LEAVING, "leaving")         \
+	X(MISDIRECTED, "misdirected") \
+	X(DEADLINE, "deadline")       \
+	X(CANCELLED, "cancelled")
+
+typedef enum failure_t {
+	FAILURE_NONE,
+#define X(id, text) FAILURE_##id,
+	FAILURE_LIST(X)
+#undef X
+	FAILURE_COUNT,
+} failure_t;
+
+typedef enum run_state_t {
+	RUN_NOT_RUN,
+	RUN_RAN,
+	RUN_UNKNOWN,
+} run_state_t;
+
+const char *refusal_name(refusal_t refusal);
+const char *failure_name(failure_t failure);
+const char *run_state_name(run_state_t state);
+
+G_END_DECLS
+
+#endif
