--- a/ctl/call.c
+++ b/ctl/call.c
@@ -29,6 +29,7 @@
 	case STORE_OK:
 		return CTL_OK;
 	case STORE_INVALID:
+	case STORE_COMPACTED:
 		errmsg_set(&ctl->err, "the store refused the call");
 		return CTL_FAILED;
 	case STORE_UNKNOWN:
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -99,19 +99,12 @@
 		send_conf(fleet, fleet->subscribers[i]);
 }
 
-static bool differs(const fleet_target_t *a, const fleet_target_t *b)
-{
-	return a->draining != b->draining || a->port != b->port ||
-	       a->slots != b->slots || a->born_ms != b->born_ms ||
-	       strcmp(a->host, b->host) != 0 || strcmp(a->zone, b->zone) != 0 ||
-	       strcmp(a->service, b->service) != 0;
-}
-
 static void target_listed(fleet_t *fleet, const fleet_target_t *target)
 {
 	listed_target_t *listed =
 		g_hash_table_lookup(fleet->targets, target->id);
-	bool changed = listed == NULL || differs(&listed->target, target);
+	bool changed =
+		listed == NULL || !fleet_target_same(&listed->target, target);
 
 	if (listed == NULL) {
 		listed = g_new0(listed_target_t, 1);
@@ -224,7 +217,7 @@
 	g_strlcpy(msg.u.store_get.key, "fleet/", sizeof(msg.u.store_get.key));
 	msg.u.store_get.prefix = true;
 	kernel_post(fleet->kernel, fleet->svc,
-		    kernel_find(fleet->kernel, "store"), &msg);
+		    kernel_find(fleet->kernel, "replica"), &msg);
 }
 
 static void receive(void *self, msg_t *msg)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include "platform/store.h"
 #include "prepaid/prepaid.h"
 #include "proxy/proxy.h"
+#include "replica/replica.h"
 #include "settings/settings.h"
 
 #include <glib-unix.h>
@@ -43,6 +44,7 @@
 	svc_t svc;
 	outbound_t outbound;
 	platform_store_t store;
+	replica_t replica;
 	fleet_t fleet;
 	mesh_t mesh;
 	peer_t peer;
@@ -179,12 +181,18 @@
 {
 	const settings_t *settings = &gateway->settings;
 	platform_store_opts_t store = {0};
+	replica_opts_t replica = {0};
 	prepaid_opts_t prepaid = {0};
 
 	outbound_init(&gateway->outbound, &gateway->kernel);
 	split(settings->gateway_store, store.host, &store.port);
-	store.watch_pause_ms = (uint32_t)settings->gateway_watch_pause_ms;
 	platform_store_init(&gateway->store, &gateway->kernel, &store);
+	g_strlcpy(replica.incarnation, gateway->incarnation,
+		  sizeof(replica.incarnation));
+	g_strlcpy(replica.availability_zone, settings->availability_zone,
+		  sizeof(replica.availability_zone));
+	replica.pause_ms = (uint32_t)settings->gateway_watch_pause_ms;
+	replica_init(&gateway->replica, &gateway->kernel, &replica);
 	fleet_init(&gateway->fleet, &gateway->kernel);
 	g_strlcpy(prepaid.node, settings->name, sizeof(prepaid.node));
 	g_strlcpy(prepaid.incarnation, gateway->incarnation,
@@ -271,6 +279,7 @@
 	mesh_finish(&gateway->mesh);
 	prepaid_finish(&gateway->prepaid);
 	fleet_finish(&gateway->fleet);
+	replica_finish(&gateway->replica);
 	platform_store_finish(&gateway->store);
 	outbound_finish(&gateway->outbound);
 	kernel_finish(&gateway->kernel);
--- a/kernel/fleet.c
+++ b/kernel/fleet.c
@@ -129,3 +129,11 @@
 	}
 	return total;
 }
+
+bool fleet_target_same(const fleet_target_t *a, const fleet_target_t *b)
+{
+	return a->draining == b->draining && a->port == b->port &&
+	       a->slots == b->slots && a->born_ms == b->born_ms &&
+	       strcmp(a->host, b->host) == 0 && strcmp(a->zone, b->zone) == 0 &&
+	       strcmp(a->service, b->service) == 0;
+}
--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -99,6 +99,9 @@
 	uint64_t sequence; /* rises with each heartbeat */
 } fleet_target_t;
 
+/* True if they differ in nothing but the heartbeat. */
+bool fleet_target_same(const fleet_target_t *a, const fleet_target_t *b);
+
 /* What one instance has taken of an account's prepaid tokens. */
 typedef struct grant_holder_t {
 	char node[NAME_SIZE];
--- a/kernel/msg.c
+++ b/kernel/msg.c
@@ -78,6 +78,7 @@
 		break;
 	case MSG_PEER_SEND:
 	case MSG_PEER_RECEIVED:
+	case MSG_STORE_DECODE:
 		g_clear_pointer(&msg->u.peer.body, peer_body_free);
 		break;
 	case MSG_MEMBER_CHANGED:
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -101,7 +101,10 @@
 	MSG_STORE_LEASE,
 	MSG_STORE_KEEPALIVE,
 	MSG_STORE_REVOKE,
-	MSG_STORE_WATCH,
+	MSG_STORE_WATCH, /* any -> store or replica */
+	MSG_STORE_LIST, /* replica -> store: one page of a prefix */
+	MSG_STORE_CHANGES, /* replica -> store: what was written since */
+	MSG_STORE_DECODE, /* replica -> store: items that a peer has read */
 	MSG_STORE_RESULT, /* reply to all but the watch */
 	MSG_STORE_EVENT,
 
@@ -357,8 +360,13 @@
 		struct {
 			char key[STORE_KEY_SIZE];
 			bool prefix; /* all keys that begin with key */
-			int64_t min_revision; /* watch: from this revision */
-		} store_get; /* MSG_STORE_GET, MSG_STORE_WATCH */
+			/* Watch: from this revision; changes: after it. */
+			int64_t min_revision;
+		} store_get; /* MSG_STORE_GET, _WATCH, _CHANGES */
+		struct {
+			char prefix[STORE_KEY_SIZE];
+			char after[STORE_KEY_SIZE]; /* empty: the first page */
+		} store_list;
 		store_txn_t *store_txn;
 		struct {
 			int64_t lease;
@@ -372,11 +380,12 @@
 			/* empty: all connected peers */
 			char incarnation[INCARNATION_SIZE];
 			peer_body_t *body;
-		} peer; /* MSG_PEER_SEND, MSG_PEER_RECEIVED */
+		} peer; /* MSG_PEER_SEND, _RECEIVED, MSG_STORE_DECODE */
 		struct {
 			char incarnation[INCARNATION_SIZE]; /* empty: a seed */
 			char host[HOST_SIZE];
 			uint16_t port;
+			char availability_zone[NAME_SIZE]; /* with up */
 		} peer_addr; /* connect, disconnect, up, down */
 
 		member_list_t *members; /* MSG_MEMBER_CHANGED */
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -131,7 +131,9 @@
 			int64_t after; /* revision up to which all is known */
 		} store_pull;
 		struct {
-			int64_t up_to; /* all changes up to this revision */
+			/* All changes after one revision up to another. */
+			int64_t after;
+			int64_t up_to;
 			GArray *items; /* store_item_t */
 		} store_items;
 	} u;
--- a/kernel/storage.c
+++ b/kernel/storage.c
@@ -67,6 +67,7 @@
 	store_kv_t *kv = data;
 
 	record_clear(&kv->record);
+	g_clear_pointer(&kv->raw, g_bytes_unref);
 }
 
 GArray *store_kvs_new(void)
@@ -107,6 +108,15 @@
 	g_array_append_val(result->kvs, kv);
 }
 
+void store_result_add_raw(store_result_t *result, const char *key,
+			  int64_t revision, const record_t *record, GBytes *raw)
+{
+	store_result_add(result, 0, key, revision, record);
+	if (raw != NULL)
+		g_array_index(result->kvs, store_kv_t, result->kvs->len - 1)
+			.raw = g_bytes_ref(raw);
+}
+
 bool store_result_committed(const store_result_t *result, uint32_t group)
 {
 	return result->status == STORE_OK && group < result->committed->len &&
--- a/kernel/storage.h
+++ b/kernel/storage.h
@@ -18,6 +18,7 @@
 	STORE_UNAVAILABLE, /* the call surely had no effect */
 	STORE_UNKNOWN, /* the call may have taken effect */
 	STORE_INVALID, /* the call was refused as malformed */
+	STORE_COMPACTED, /* the changes asked for are no longer kept */
 } store_status_t;
 
 typedef enum store_op_kind_t {
@@ -62,6 +63,7 @@
 	char key[STORE_KEY_SIZE];
 	int64_t revision; /* mod revision, 0 when absent */
 	record_t record; /* RECORD_NONE when absent */
+	GBytes *raw; /* the value as it lies in the store, NULL: not kept */
 } store_kv_t;
 
 GArray *store_kvs_new(void); /* of store_kv_t */
@@ -84,6 +86,10 @@
 void store_result_free(store_result_t *result);
 void store_result_add(store_result_t *result, uint32_t group, const char *key,
 		      int64_t revision, const record_t *record);
+/* Also keeps raw, which may be NULL, for peers. */
+void store_result_add_raw(store_result_t *result, const char *key,
+			  int64_t revision, const record_t *record,
+			  GBytes *raw);
 bool store_result_committed(const store_result_t *result, uint32_t group);
 const store_kv_t *store_result_find(const store_result_t *result,
 				    const char *key);
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -92,6 +92,7 @@
 	BODY_I64(store_pull, after),
 };
 static const field_t store_items_fields[] = {
+	BODY_I64(store_items, after),
 	BODY_I64(store_items, up_to),
 };
 
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -33,6 +33,9 @@
 	g_strlcpy(msg.u.peer_addr.host, conn->remote.host,
 		  sizeof(msg.u.peer_addr.host));
 	msg.u.peer_addr.port = conn->remote.peer_port;
+	g_strlcpy(msg.u.peer_addr.availability_zone,
+		  conn->remote.availability_zone,
+		  sizeof(msg.u.peer_addr.availability_zone));
 	kernel_post(peer->kernel, peer->svc, to, &msg);
 }
 
@@ -75,7 +78,7 @@
 		  log_quote(conn->remote.name), !handle_is_none(conn->dial));
 	post_addr(peer, peer->member, MSG_PEER_UP, conn);
 	post_addr(peer, peer->conf, MSG_PEER_UP, conn);
-	post_addr(peer, peer->store, MSG_PEER_UP, conn);
+	post_addr(peer, peer->replica, MSG_PEER_UP, conn);
 	post_addr(peer, peer->ledger, MSG_PEER_UP, conn);
 }
 
@@ -86,7 +89,7 @@
 	g_hash_table_remove(peer->up, conn->remote.incarnation);
 	post_addr(peer, peer->member, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->conf, MSG_PEER_DOWN, conn);
-	post_addr(peer, peer->store, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->replica, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->ledger, MSG_PEER_DOWN, conn);
 }
 
@@ -109,7 +112,7 @@
 		return peer->request;
 	case PEER_STORE_PULL:
 	case PEER_STORE_ITEMS:
-		return peer->store;
+		return peer->replica;
 	case PEER_KIND_COUNT:
 		break;
 	}
@@ -210,7 +213,7 @@
 	peer->conf = kernel_find(peer->kernel, "conf");
 	peer->ledger = find_either(peer, "ledger", "prepaid");
 	peer->request = find_either(peer, "request", "proxy");
-	peer->store = kernel_find(peer->kernel, "store");
+	peer->replica = kernel_find(peer->kernel, "replica");
 	g_socket_service_start(peer->listener);
 	kernel_timer(peer->kernel, peer->svc, TICK, HANDLE_NONE, TIMER_TICK);
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -31,7 +31,7 @@
 	svc_t conf;
 	svc_t ledger;
 	svc_t request;
-	svc_t store;
+	svc_t replica;
 	peer_opts_t opts;
 	GSocketService *listener;
 	GSocketClient *client;
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -441,6 +441,7 @@
 		prepaid->retry_at = kernel_now(prepaid->kernel) + RETRY_US;
 		break;
 	case STORE_INVALID:
+	case STORE_COMPACTED:
 		account->conflicts = 0;
 		back_off(prepaid, account);
 		break;
@@ -636,7 +637,8 @@
 	g_strlcpy(watch.u.store_get.key, KEY_PREFIX,
 		  sizeof(watch.u.store_get.key));
 	watch.u.store_get.prefix = true;
-	kernel_post(prepaid->kernel, prepaid->svc, prepaid->store, &watch);
+	kernel_post(prepaid->kernel, prepaid->svc,
+		    kernel_find(prepaid->kernel, "replica"), &watch);
 	kernel_post(prepaid->kernel, prepaid->svc,
 		    kernel_find(prepaid->kernel, "fleet"), &subscribe);
 }
--- /dev/null
+++ b/replica/entry.c
@@ -0,0 +1,131 @@
+#include "replica/entry.h"
+
+#include <string.h>
+
+#define ITEMS_BYTES 500000 /* of values in one body to a peer */
+/*
+ * Records of prepaid tokens are of use only to those that write to the store,
+ * and change so often that passing them on would fill a small link.
+ */
+#define KEY_NOT_RELAYED "prepaid/"
+
+static void free_entry(gpointer data)
+{
+	replica_entry_t *entry = data;
+
+	record_clear(&entry->record);
+	g_clear_pointer(&entry->raw, g_bytes_unref);
+	g_free(entry);
+}
+
+GHashTable *replica_entries_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     free_entry);
+}
+
+static bool says_same(const replica_entry_t *entry, const store_kv_t *kv)
+{
+	if (entry->record.kind != kv->record.kind)
+		return false;
+	switch (kv->record.kind) {
+	case RECORD_NONE:
+		return true;
+	case RECORD_FLEET_TARGET:
+		return fleet_target_same(entry->record.u.fleet_target,
+					 kv->record.u.fleet_target);
+	default:
+		return entry->raw != NULL && kv->raw != NULL &&
+		       g_bytes_equal(entry->raw, kv->raw);
+	}
+}
+
+entry_update_t replica_entries_apply(GHashTable *entries, const store_kv_t *kv,
+				     int64_t now)
+{
+	replica_entry_t *entry = g_hash_table_lookup(entries, kv->key);
+	bool same;
+
+	if (entry != NULL && entry->revision >= kv->revision)
+		return ENTRY_OLD;
+	same = entry != NULL && says_same(entry, kv);
+	if (entry == NULL) {
+		entry = g_new0(replica_entry_t, 1);
+		g_hash_table_insert(entries, g_strdup(kv->key), entry);
+	}
+	entry->revision = kv->revision;
+	if (same)
+		return ENTRY_SAME;
+	entry->changed = kv->revision;
+	entry->deleted_at = now;
+	record_clear(&entry->record);
+	record_copy(&entry->record, &kv->record);
+	g_clear_pointer(&entry->raw, g_bytes_unref);
+	entry->raw = kv->raw != NULL ? g_bytes_ref(kv->raw) : NULL;
+	return ENTRY_CHANGED;
+}
+
+void replica_entries_expire(GHashTable *entries, int64_t before)
+{
+	GHashTableIter iter;
+	gpointer data;
+
+	g_hash_table_iter_init(&iter, entries);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const replica_entry_t *entry = data;
+
+		if (entry->record.kind == RECORD_NONE &&
+		    entry->deleted_at < before)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static gint compare_items(gconstpointer a, gconstpointer b)
+{
+	const store_item_t *x = a, *y = b;
+
+	return (x->revision > y->revision) - (x->revision < y->revision);
+}
+
+/* Cuts the list so that it fits a frame; it is sorted by revision. */
+static int64_t cut_items(GArray *items, int64_t up_to)
+{
+	gsize bytes = 0;
+
+	g_array_sort(items, compare_items);
+	for (guint i = 0; i < items->len; i++) {
+		const store_item_t *item =
+			&g_array_index(items, store_item_t, i);
+
+		bytes +=
+			item->value != NULL ? g_bytes_get_size(item->value) : 0;
+		if (bytes > ITEMS_BYTES && i > 0) {
+			up_to = item->revision - 1;
+			g_array_set_size(items, i);
+			break;
+		}
+	}
+	return up_to;
+}
+
+int64_t replica_entries_since(GHashTable *entries, int64_t after, int64_t up_to,
+			      GArray *items)
+{
+	GHashTableIter iter;
+	gpointer key, data;
+
+	g_hash_table_iter_init(&iter, entries);
+	while (g_hash_table_iter_next(&iter, &key, &data)) {
+		const replica_entry_t *entry = data;
+		store_item_t item = {.revision = entry->changed};
+
+		if (entry->changed <= after ||
+		    g_str_has_prefix(key, KEY_NOT_RELAYED))
+			continue;
+		g_strlcpy(item.key, key, sizeof(item.key));
+		item.value =
+			entry->raw != NULL ? g_bytes_ref(entry->raw) : NULL;
+		g_array_append_val(items, item);
+	}
+	return cut_items(items, up_to);
+}
--- /dev/null
+++ b/replica/relay.h
@@ -0,0 +1,29 @@
+/*
+ * What a replica sends its peers and hears from them.
+ */
+#ifndef REPLICA_RELAY_H
+#define REPLICA_RELAY_H
+
+#include "replica/replica.h"
+
+G_BEGIN_DECLS
+
+typedef struct replica_peer_t {
+	char incarnation[INCARNATION_SIZE];
+	char availability_zone[NAME_SIZE];
+} replica_peer_t;
+
+/* True if this instance reads from the store for itself, or for its zone. */
+bool replica_reads(const replica_t *replica);
+/* True while others of the zone pass on all changes. */
+bool replica_is_relayed(const replica_t *replica);
+/* Passes on what has changed since the last time, if this one reads for all. */
+void replica_push(replica_t *replica);
+/* Asks the next peer for what it has read since. */
+void replica_ask_peer(replica_t *replica);
+void replica_peer_changed(replica_t *replica, const msg_t *msg);
+void replica_peer_received(replica_t *replica, msg_t *msg);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/replica/replica.c
@@ -0,0 +1,357 @@
+#include "replica/replica.h"
+
+#include "log/log.h"
+#include "replica/entry.h"
+#include "replica/relay.h"
+
+#include <string.h>
+
+/* Between reads while the store does not answer. */
+#define RETRY_US (300 * USEC_PER_MSEC)
+/* The same while peers pass on all changes: only its return is of interest. */
+#define RETRY_RELAYED_US USEC_PER_SEC
+/* Deleted keys are remembered for peers that were out of touch. */
+#define TOMBSTONE_US (300 * USEC_PER_SEC)
+
+static const char *const prefixes[] = {"fleet/conf", "fleet/target/",
+				       "prepaid/"};
+
+static void post_event(replica_t *replica, const replica_watch_t *watch,
+		       store_result_t *result)
+{
+	msg_t msg = {.kind = MSG_STORE_EVENT, .ref = watch->ref};
+
+	msg.u.store_result = result;
+	kernel_post(replica->kernel, replica->svc, watch->owner, &msg);
+}
+
+static void set_up(replica_t *replica, bool up, const char *reason)
+{
+	if (replica->up == up)
+		return;
+	replica->up = up;
+	metrics_set(replica->kernel->metrics, GAUGE_STORE_UP, up);
+	log_event(up ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "store",
+		  up ? "regained" : "lost",
+		  "revision=%" G_GINT64_FORMAT " reason=%s", replica->revision,
+		  reason);
+	for (uint32_t i = 0; i < replica->watch_count; i++)
+		post_event(replica, &replica->watches[i],
+			   store_result_new(up ? STORE_OK : STORE_UNAVAILABLE));
+}
+
+/* Remembers a state that is newer than the known one and tells the watches. */
+static void apply(replica_t *replica, const store_kv_t *kv)
+{
+	if (replica_entries_apply(replica->entries, kv,
+				  kernel_now(replica->kernel)) != ENTRY_CHANGED)
+		return;
+	for (uint32_t i = 0; i < replica->watch_count; i++) {
+		const replica_watch_t *watch = &replica->watches[i];
+		store_result_t *result;
+
+		if (!g_str_has_prefix(kv->key, watch->prefix))
+			continue;
+		result = store_result_new(STORE_OK);
+		result->revision = kv->revision;
+		store_result_add(result, 0, kv->key, kv->revision, &kv->record);
+		post_event(replica, watch, result);
+	}
+}
+
+static void apply_all(replica_t *replica, const store_result_t *result)
+{
+	for (guint i = 0; i < result->kvs->len; i++)
+		apply(replica, &g_array_index(result->kvs, store_kv_t, i));
+}
+
+static void schedule(replica_t *replica, int64_t delay)
+{
+	kernel_timer_cancel(replica->kernel, &replica->timer);
+	replica->timer = kernel_timer(replica->kernel, replica->svc, delay,
+				      HANDLE_NONE, 0);
+}
+
+static int64_t pause(const replica_t *replica)
+{
+	return replica->opts.pause_ms * USEC_PER_MSEC;
+}
+
+static void list_page(replica_t *replica, const char *after)
+{
+	msg_t msg = {.kind = MSG_STORE_LIST,
+		     .id = {.index = READ_LIST, .gen = 1}};
+
+	g_strlcpy(msg.u.store_list.prefix, prefixes[replica->list_prefix],
+		  sizeof(msg.u.store_list.prefix));
+	g_strlcpy(msg.u.store_list.after, after,
+		  sizeof(msg.u.store_list.after));
+	replica->reading = READ_LIST;
+	kernel_post(replica->kernel, replica->svc, replica->store, &msg);
+}
+
+static void start_listing(replica_t *replica)
+{
+	g_hash_table_remove_all(replica->listed);
+	replica->list_from = -1;
+	replica->list_prefix = 0;
+	list_page(replica, "");
+}
+
+static void read_changes(replica_t *replica)
+{
+	msg_t msg = {.kind = MSG_STORE_CHANGES,
+		     .id = {.index = READ_CHANGES, .gen = 1}};
+
+	msg.u.store_get.prefix = true;
+	msg.u.store_get.min_revision = replica->revision;
+	replica->reading = READ_CHANGES;
+	kernel_post(replica->kernel, replica->svc, replica->store, &msg);
+}
+
+/* Keys that the listing did not show are gone. */
+static void finish_listing(replica_t *replica)
+{
+	GArray *gone = store_kvs_new();
+	GHashTableIter iter;
+	gpointer key, data;
+
+	g_hash_table_iter_init(&iter, replica->entries);
+	while (g_hash_table_iter_next(&iter, &key, &data)) {
+		const replica_entry_t *entry = data;
+		store_kv_t kv = {.revision = replica->list_from};
+
+		if (entry->record.kind == RECORD_NONE ||
+		    entry->revision > replica->list_from ||
+		    g_hash_table_contains(replica->listed, key))
+			continue;
+		g_strlcpy(kv.key, key, sizeof(kv.key));
+		g_array_append_val(gone, kv);
+	}
+	for (guint i = 0; i < gone->len; i++)
+		apply(replica, &g_array_index(gone, store_kv_t, i));
+	g_array_unref(gone);
+	g_hash_table_remove_all(replica->listed);
+	replica->revision = MAX(replica->revision, replica->list_from);
+	replica->synced = true;
+	log_event(LOG_LEVEL_INFO, "store", "listed",
+		  "revision=%" G_GINT64_FORMAT " keys=%u", replica->revision,
+		  g_hash_table_size(replica->entries));
+}
+
+static void listed(replica_t *replica, const store_result_t *result)
+{
+	const char *last = "";
+
+	if (replica->list_from < 0)
+		replica->list_from = result->revision;
+	for (guint i = 0; i < result->kvs->len; i++) {
+		last = g_array_index(result->kvs, store_kv_t, i).key;
+		g_hash_table_add(replica->listed, g_strdup(last));
+	}
+	apply_all(replica, result);
+	if (result->more && last[0] != '\0') {
+		list_page(replica, last);
+	} else if (replica->list_prefix + 1 < G_N_ELEMENTS(prefixes)) {
+		replica->list_prefix++;
+		list_page(replica, "");
+	} else {
+		finish_listing(replica);
+		replica_push(replica);
+		schedule(replica, pause(replica));
+	}
+}
+
+static void changed(replica_t *replica, const store_result_t *result)
+{
+	apply_all(replica, result);
+	replica->revision = MAX(replica->revision, result->revision);
+	replica_push(replica);
+	schedule(replica, pause(replica));
+}
+
+static const char *status_name(store_status_t status)
+{
+	switch (status) {
+	case STORE_OK:
+		return "ok";
+	case STORE_UNAVAILABLE:
+		return "unavailable";
+	case STORE_UNKNOWN:
+		return "no_answer";
+	case STORE_INVALID:
+		return "invalid";
+	case STORE_COMPACTED:
+		return "compacted";
+	}
+	return "unknown";
+}
+
+static void read_failed(replica_t *replica, store_status_t status)
+{
+	if (status == STORE_COMPACTED) {
+		log_event(LOG_LEVEL_WARN, "store", "history_lost",
+			  "revision=%" G_GINT64_FORMAT, replica->revision);
+		replica->synced = false;
+		schedule(replica, 0);
+		return;
+	}
+	set_up(replica, false, status_name(status));
+	if (replica_is_relayed(replica)) {
+		schedule(replica, RETRY_RELAYED_US);
+		return;
+	}
+	replica_ask_peer(replica);
+	schedule(replica, RETRY_US);
+}
+
+/* Items of a peer are complete up to the result's revision. */
+static void relayed(replica_t *replica, const store_result_t *result)
+{
+	apply_all(replica, result);
+	if (result->revision <= replica->revision)
+		return;
+	if (!replica->up)
+		log_event(LOG_LEVEL_INFO, "store", "relayed",
+			  "revision=%" G_GINT64_FORMAT " items=%u",
+			  result->revision, result->kvs->len);
+	replica->revision = result->revision;
+	replica->synced = true;
+}
+
+static void result_received(replica_t *replica, const msg_t *msg)
+{
+	const store_result_t *result = msg->u.store_result;
+
+	if (msg->ref.index == READ_RELAYED) {
+		relayed(replica, result);
+		return;
+	}
+	replica->reading = READ_NONE;
+	if (result->status != STORE_OK) {
+		read_failed(replica, result->status);
+		return;
+	}
+	set_up(replica, true, "answered");
+	if (msg->ref.index == READ_LIST)
+		listed(replica, result);
+	else
+		changed(replica, result);
+}
+
+/* A call of another service failed: the next read tells more. */
+static void call_failed(replica_t *replica)
+{
+	int64_t since = kernel_now(replica->kernel) - replica->tried_at;
+
+	if (!replica->up || replica->doubted || replica->reading != READ_NONE ||
+	    replica_reads(replica))
+		return;
+	replica->doubted = true;
+	schedule(replica, MAX(RETRY_US - since, 0));
+}
+
+static void watch(replica_t *replica, const msg_t *msg)
+{
+	replica_watch_t *to;
+
+	if (replica->watch_count == REPLICA_WATCHES_MAX) {
+		log_event(LOG_LEVEL_ERROR, "store", "watch_refused",
+			  "prefix=%s reason=too_many",
+			  log_quote(msg->u.store_get.key));
+		return;
+	}
+	to = &replica->watches[replica->watch_count++];
+	to->owner = msg->from;
+	to->ref = msg->id;
+	g_strlcpy(to->prefix, msg->u.store_get.key, sizeof(to->prefix));
+}
+
+/* True if another instance reads, and nothing speaks against the store. */
+static bool follows(const replica_t *replica)
+{
+	return replica->synced && replica->up && !replica->doubted &&
+	       !replica_reads(replica) && replica_is_relayed(replica);
+}
+
+static void tick(replica_t *replica)
+{
+	int64_t now = kernel_now(replica->kernel);
+
+	replica->timer = HANDLE_NONE;
+	if (replica->reading != READ_NONE)
+		return;
+	replica_entries_expire(replica->entries, now - TOMBSTONE_US);
+	if (follows(replica)) {
+		schedule(replica, pause(replica));
+		return;
+	}
+	replica->doubted = false;
+	replica->tried_at = now;
+	if (replica->synced)
+		read_changes(replica);
+	else
+		start_listing(replica);
+}
+
+static void start(replica_t *replica)
+{
+	replica->store = kernel_find(replica->kernel, "store");
+	replica->peer = kernel_find(replica->kernel, "peer");
+	schedule(replica, 0);
+}
+
+static void receive(void *self, msg_t *msg)
+{
+	replica_t *replica = self;
+
+	switch (msg->kind) {
+	case MSG_START:
+		start(replica);
+		break;
+	case MSG_TIMER:
+		tick(replica);
+		break;
+	case MSG_STORE_WATCH:
+		watch(replica, msg);
+		break;
+	case MSG_STORE_RESULT:
+		result_received(replica, msg);
+		break;
+	case MSG_STORE_EVENT:
+		call_failed(replica);
+		break;
+	case MSG_PEER_UP:
+	case MSG_PEER_DOWN:
+		replica_peer_changed(replica, msg);
+		break;
+	case MSG_PEER_RECEIVED:
+		replica_peer_received(replica, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+void replica_init(replica_t *replica, kernel_t *kernel,
+		  const replica_opts_t *opts)
+{
+	memset(replica, 0, sizeof(*replica));
+	replica->kernel = kernel;
+	replica->opts = *opts;
+	/* Not up before the first answer, and told as such from then on. */
+	replica->entries = replica_entries_new();
+	replica->listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	replica->peers = g_array_new(FALSE, TRUE, sizeof(replica_peer_t));
+	replica->svc = kernel_register(kernel, "replica", receive, replica);
+}
+
+void replica_finish(replica_t *replica)
+{
+	kernel_timer_cancel(replica->kernel, &replica->timer);
+	g_hash_table_unref(replica->entries);
+	g_hash_table_unref(replica->listed);
+	g_array_unref(replica->peers);
+	kernel_unregister(replica->kernel, replica->svc);
+}
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -18,7 +18,7 @@
 		msg_t msg = {};
 
 		kernel_init(&kernel, CLOCK_VIRTUAL, 1);
-		store = kernel_register(&kernel, "store", receive, this);
+		store = kernel_register(&kernel, "replica", receive, this);
 		listener = kernel_register(&kernel, "listener", receive, this);
 		fleet_init(&fleet, &kernel);
 		kernel_start(&kernel);
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -71,6 +71,20 @@
 	add_item(body, "conf/order/t1", order);
 }
 
+void fill_store_items(peer_body_t *body)
+{
+	store_item_t items[3] = {};
+
+	g_strlcpy(items[0].key, "fleet/conf", sizeof(items[0].key));
+	items[0].revision = 42;
+	items[0].value = g_bytes_new("{\0}", 3);
+	g_strlcpy(items[1].key, "fleet/target/i-1", sizeof(items[1].key));
+	items[1].revision = 43;
+	g_strlcpy(items[2].key, "fleet/target/i-2", sizeof(items[2].key));
+	items[2].value = g_bytes_new("", 0);
+	g_array_append_vals(body->u.store_items.items, items, 3);
+}
+
 peer_body_t *body_of(int kind)
 {
 	peer_body_t *body = peer_body_new(static_cast<peer_kind_t>(kind));
@@ -104,6 +118,14 @@
 		g_strlcpy(body->u.slice.budget, "main", NAME_SIZE);
 		body->u.slice.tokens = INT64_MAX;
 		break;
+	case PEER_STORE_PULL:
+		body->u.store_pull.after = INT64_MAX;
+		break;
+	case PEER_STORE_ITEMS:
+		body->u.store_items.after = 41;
+		body->u.store_items.up_to = 43;
+		fill_store_items(body);
+		break;
 	case PEER_BLAME:
 		g_strlcpy(body->u.blame.fingerprint, "ff", HASH_SIZE);
 		body->u.blame.seq = 70000;
@@ -181,6 +203,28 @@
 	peer_frame_clear(&frame);
 }
 
+// A deleted key must not come out as an empty value, nor the other way round.
+TEST(Codec, ItemsOfTheStoreKeepDeletionsAndBytes)
+{
+	peer_frame_t frame;
+	const GArray *items;
+
+	ASSERT_TRUE(decode(samples()[PEER_STORE_ITEMS].substr(PEER_FRAME_HEAD),
+			   &frame));
+	EXPECT_EQ(frame.u.body->u.store_items.after, 41);
+	EXPECT_EQ(frame.u.body->u.store_items.up_to, 43);
+	items = frame.u.body->u.store_items.items;
+	ASSERT_EQ(items->len, 3u);
+	const store_item_t *item = &g_array_index(items, store_item_t, 0);
+	EXPECT_STREQ(item[0].key, "fleet/conf");
+	EXPECT_EQ(item[0].revision, 42);
+	EXPECT_EQ(g_bytes_get_size(item[0].value), 3u);
+	EXPECT_EQ(item[1].value, nullptr);
+	ASSERT_NE(item[2].value, nullptr);
+	EXPECT_EQ(g_bytes_get_size(item[2].value), 0u);
+	peer_frame_clear(&frame);
+}
+
 // Damaged frames must be refused or decode to a value within the limits.
 TEST(Codec, FuzzedFramesNeverCrash)
 {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -213,70 +213,46 @@
       protected:
 	void SetUp() override
 	{
-		platform_store_opts_t opts = {"127.0.0.1", 1, 500};
+		platform_store_opts_t opts = {"127.0.0.1", 1};
 
 		kernel_init(&kernel, CLOCK_VIRTUAL, 1);
 		outbound = kernel_register(&kernel, "outbound", on_out, this);
-		peer = kernel_register(&kernel, "peer", on_peer, this);
+		replica = kernel_register(&kernel, "replica", on_replica, this);
 		owner = kernel_register(&kernel, "owner", on_owner, this);
 		platform_store_init(&store, &kernel, &opts);
-		watch("fleet/");
-		watch("prepaid/");
+		kernel_start(&kernel);
 	}
 	void TearDown() override
 	{
+		store_result_free(result);
 		platform_store_finish(&store);
 		kernel_finish(&kernel);
 	}
-	void watch(const char *prefix)
-	{
-		msg_t msg = {};
-
-		msg.kind = MSG_STORE_WATCH;
-		g_strlcpy(msg.u.store_get.key, prefix,
-			  sizeof(msg.u.store_get.key));
-		kernel_post(&kernel, owner, store.svc, &msg);
-	}
 	static void on_out(void *self, msg_t *msg)
 	{
 		if (msg->kind == MSG_OUT_SEND)
 			static_cast<Store *>(self)->answer(msg);
 	}
-	static void on_peer(void *self, msg_t *msg)
+	static void on_replica(void *self, msg_t *msg)
 	{
-		Store *s = static_cast<Store *>(self);
-
-		if (msg->kind == MSG_PEER_SEND &&
-		    msg->u.peer.body->kind == PEER_STORE_PULL)
-			s->pulls++;
+		if (msg->kind == MSG_STORE_EVENT)
+			static_cast<Store *>(self)->failures++;
 	}
 	static void on_owner(void *self, msg_t *msg)
 	{
 		Store *s = static_cast<Store *>(self);
-		const store_result_t *result = msg->u.store_result;
 
-		if (msg->kind == MSG_STORE_RESULT) {
-			s->status = result->status;
-			s->committed = store_result_committed(result, 0);
-		}
-		if (msg->kind != MSG_STORE_EVENT)
+		if (msg->kind != MSG_STORE_RESULT)
 			return;
-		for (guint i = 0; i < result->kvs->len; i++) {
-			const store_kv_t *kv =
-				&g_array_index(result->kvs, store_kv_t, i);
-
-			s->seen.push_back(std::string(kv->key) + "=" +
-					  std::to_string((int)kv->record.kind));
-		}
+		store_result_free(s->result);
+		s->result = msg->u.store_result;
+		msg->u.store_result = nullptr;
 	}
 	void answer(msg_t *msg)
 	{
-		std::string path = msg->u.out_send.head->target;
-		std::string text;
-		uint32_t code = script(path, &text);
 		msg_t head = {}, data = {}, end = {};
 
-		paths.push_back(path);
+		path = msg->u.out_send.head->target;
 		end.kind = code == 0 ? MSG_OUT_FAILED : MSG_OUT_END;
 		end.u.out_failed.sent = code == 0;
 		head.kind = MSG_OUT_HEAD;
@@ -288,137 +264,128 @@
 		kernel_post(&kernel, outbound, msg->from, &data);
 		kernel_post(&kernel, outbound, msg->from, &end);
 	}
-	void run(int64_t us)
+	// Sends one call and keeps its result.
+	void call(msg_t *msg, uint32_t status, const std::string &body)
 	{
-		kernel_run_until(&kernel, kernel_now(&kernel) + us);
+		code = status;
+		text = body;
+		kernel_post(&kernel, owner, store.svc, msg);
+		kernel_run_until(&kernel, kernel_now(&kernel));
+	}
+	void list(const char *prefix, const char *after, uint32_t status,
+		  const std::string &body)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STORE_LIST;
+		g_strlcpy(msg.u.store_list.prefix, prefix,
+			  sizeof(msg.u.store_list.prefix));
+		g_strlcpy(msg.u.store_list.after, after,
+			  sizeof(msg.u.store_list.after));
+		call(&msg, status, body);
+	}
+	void changes(int64_t after, uint32_t status, const std::string &body)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STORE_CHANGES;
+		msg.u.store_get.min_revision = after;
+		call(&msg, status, body);
 	}
 	static std::string item(const char *key, int revision,
 				const std::string &value)
 	{
 		gchar *encoded = g_base64_encode((const guchar *)value.data(),
 						 value.size());
-		std::string text =
+		std::string json =
 			std::string("{\"key\":\"") + key + "\",\"value\":\"" +
 			encoded +
 			"\",\"revision\":" + std::to_string(revision) + "}";
 
 		g_free(encoded);
-		return text;
+		return json;
 	}
-	uint32_t calm(const std::string &path, std::string *text)
-	{
-		if (path.find("/api/kv-range?path_prefix=servers/") == 0)
-			*text = "{\"items\":[" +
-				item("servers/i-1", 5, target) +
-				"],\"has_more\":false,\"at\":9}";
-		else if (path.find("/api/kv-range") == 0)
-			*text = "{\"items\":[],\"has_more\":false,\"at\":9}";
-		else
-			*text = "{\"events\":[],\"at\":9}";
-		return 200;
-	}
-	bool saw(const std::string &what)
-	{
-		return std::find(seen.begin(), seen.end(), what) != seen.end();
-	}
-	std::function<uint32_t(const std::string &, std::string *)> script =
-		[this](const std::string &p, std::string *t) {
-			return calm(p, t);
-		};
 	kernel_t kernel;
 	platform_store_t store;
-	svc_t outbound, peer, owner;
-	std::vector<std::string> paths, seen;
-	store_status_t status = STORE_INVALID;
-	bool committed = false;
-	int pulls = 0;
+	svc_t outbound, replica, owner;
+	store_result_t *result = nullptr;
+	std::string path, text;
+	uint32_t code = 200;
+	int failures = 0;
 };
 
-const std::string LISTED =
-	"fleet/target/i-1=" + std::to_string((int)RECORD_FLEET_TARGET);
-const std::string GONE = "fleet/target/i-1=" + std::to_string((int)RECORD_NONE);
+TEST_F(Store, PageOfTargetsIsListedUnderTheServicesKeys)
+{
+	const store_kv_t *kv;
+
+	list("fleet/target/", "fleet/target/i-0", 200,
+	     "{\"items\":[" + item("servers/i-1", 5, target) +
+		     "],\"has_more\":true,\"at\":9}");
+	EXPECT_EQ(path, "/api/kv-range?path_prefix=servers/"
+			"&after=servers%2Fi-0");
+	ASSERT_EQ(result->status, STORE_OK);
+	EXPECT_TRUE(result->more);
+	EXPECT_EQ(result->revision, 9);
+	kv = store_result_find(result, "fleet/target/i-1");
+	ASSERT_NE(kv, nullptr);
+	EXPECT_EQ(kv->record.kind, RECORD_FLEET_TARGET);
+	EXPECT_EQ(kv->revision, 5);
+	ASSERT_NE(kv->raw, nullptr);
+	EXPECT_EQ(g_bytes_get_size(kv->raw), target.size());
+}
 
-TEST_F(Store, ListsOnceAndThenReadsChanges)
+// A deletion among the changes must not be taken for an absent item.
+TEST_F(Store, ChangesHoldDeletions)
 {
-	kernel_start(&kernel);
-	run(3 * USEC_PER_SEC);
-	EXPECT_TRUE(saw(LISTED));
-	ASSERT_GT(paths.size(), 4u);
-	EXPECT_EQ(paths[0].find("/api/kv-range"), 0u);
-	EXPECT_NE(paths[3].find("kv-watch?path_prefix=&after=9"),
-		  std::string::npos);
-	/* The pause between reads bounds what the store is asked. */
-	EXPECT_LE(paths.size(), 3u + 7u);
+	changes(7, 200,
+		"{\"events\":[" + item("servers/i-1", 8, target) +
+			",{\"key\":\"servers/i-2\",\"revision\":9,"
+			"\"deleted\":true}],\"at\":9}");
+	EXPECT_EQ(path, "/api/kv-watch?path_prefix=&after=7&wait_ms=1000");
+	ASSERT_EQ(result->kvs->len, 2u);
+	EXPECT_EQ(store_result_find(result, "fleet/target/i-2")->record.kind,
+		  RECORD_NONE);
+	EXPECT_EQ(store_result_find(result, "fleet/target/i-2")->revision, 9);
 }
 
-// A target that left while the history was dropped must be noticed.
-TEST_F(Store, DroppedHistoryIsReadAnewWithoutAGap)
+TEST_F(Store, FailedReadsAreTold)
 {
-	kernel_start(&kernel);
-	run(100000);
-	ASSERT_TRUE(saw(LISTED));
-	script = [this](const std::string &path, std::string *text) {
-		if (path.find("/api/kv-watch") == 0)
-			return 410u;
-		*text = "{\"items\":[],\"has_more\":false,\"at\":20}";
-		return 200u;
-	};
-	run(USEC_PER_SEC);
-	EXPECT_TRUE(saw(GONE));
-	EXPECT_EQ(store.revision, 20);
+	changes(7, 410, "");
+	EXPECT_EQ(result->status, STORE_COMPACTED);
+	changes(7, 503, "");
+	EXPECT_EQ(result->status, STORE_UNAVAILABLE);
+	changes(7, 0, "");
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+	changes(7, 200, "{\"events\":");
+	EXPECT_EQ(result->status, STORE_UNAVAILABLE);
+	list("fleet/conf", "", 429, "");
+	EXPECT_EQ(result->status, STORE_UNAVAILABLE);
+	/* The reader of changes knows of its own failures. */
+	EXPECT_EQ(failures, 0);
 }
 
-TEST_F(Store, PeersAreAskedWhileTheStoreDoesNotAnswer)
+// What a peer has read is decoded like the store's own answers.
+TEST_F(Store, ItemsOfPeersAreDecoded)
 {
+	store_item_t items[2] = {};
 	msg_t msg = {};
 
-	script = [](const std::string &, std::string *) { return 0u; };
-	msg.kind = MSG_PEER_UP;
-	g_strlcpy(msg.u.peer_addr.incarnation, "p1",
-		  sizeof(msg.u.peer_addr.incarnation));
-	kernel_start(&kernel);
-	kernel_post(&kernel, peer, store.svc, &msg);
-	run(USEC_PER_SEC);
-	EXPECT_GE(pulls, 2);
-	msg = {};
-	msg.kind = MSG_PEER_RECEIVED;
+	msg.kind = MSG_STORE_DECODE;
 	msg.u.peer.body = peer_body_new(PEER_STORE_ITEMS);
 	msg.u.peer.body->u.store_items.up_to = 30;
-	store_item_t relayed = {};
-	g_strlcpy(relayed.key, "fleet/target/i-1", sizeof(relayed.key));
-	relayed.revision = 25;
-	relayed.value = g_bytes_new(target.data(), target.size());
-	g_array_append_val(msg.u.peer.body->u.store_items.items, relayed);
-	kernel_post(&kernel, peer, store.svc, &msg);
-	run(0);
-	EXPECT_TRUE(saw(LISTED));
-	EXPECT_EQ(store.revision, 30);
-}
-
-// The records of prepaid tokens would fill a small machine's link.
-TEST_F(Store, LargeFleetReadsOnlyConfigurationAndTargets)
-{
-	size_t from;
-
-	kernel_start(&kernel);
-	run(100000);
-	for (int i = 0; i < 40; i++) {
-		msg_t msg = {};
-
-		msg.kind = MSG_PEER_UP;
-		g_snprintf(msg.u.peer_addr.incarnation,
-			   sizeof(msg.u.peer_addr.incarnation), "p%d", i);
-		kernel_post(&kernel, peer, store.svc, &msg);
-	}
-	run(2 * USEC_PER_SEC);
-	from = paths.size();
-	run(6 * USEC_PER_SEC);
-	ASSERT_GE(paths.size(), from + 4);
-	EXPECT_LE(paths.size(), from + 13);
-	for (size_t i = from; i < paths.size(); i++)
-		EXPECT_EQ(paths[i].find("path_prefix=&"), std::string::npos);
-	EXPECT_NE(paths[from].find("kv-watch"), std::string::npos);
-	EXPECT_NE(paths[from], paths[from + 1]);
+	g_strlcpy(items[0].key, "fleet/target/i-1", sizeof(items[0].key));
+	items[0].revision = 25;
+	items[0].value = g_bytes_new(target.data(), target.size());
+	g_strlcpy(items[1].key, "fleet/target/i-2", sizeof(items[1].key));
+	items[1].revision = 26;
+	g_array_append_vals(msg.u.peer.body->u.store_items.items, items, 2);
+	call(&msg, 0, "");
+	ASSERT_EQ(result->status, STORE_OK);
+	EXPECT_EQ(result->revision, 30);
+	EXPECT_EQ(store_result_find(result, "fleet/target/i-1")->record.kind,
+		  RECORD_FLEET_TARGET);
+	EXPECT_EQ(store_result_find(result, "fleet/target/i-2")->record.kind,
+		  RECORD_NONE);
 }
 
 TEST_F(Store, WriteWithoutAnAnswerIsUnknown)
@@ -437,18 +404,10 @@
 		{403, "", STORE_INVALID, false},
 	};
 
-	kernel_start(&kernel);
-	run(100000);
 	for (auto &c : cases) {
 		msg_t msg = {};
 		record_t record = {};
 
-		script = [&](const std::string &path, std::string *text) {
-			if (path != "/api/kv-txn")
-				return calm(path, text);
-			*text = c.text;
-			return c.code;
-		};
 		record.kind = RECORD_ALLOCATION;
 		record.u.allocation = allocation_new();
 		msg.kind = MSG_STORE_TXN;
@@ -456,11 +415,13 @@
 		store_txn_group(msg.u.store_txn);
 		store_txn_put(msg.u.store_txn, "prepaid/a", 0, 0, &record);
 		record_clear(&record);
-		kernel_post(&kernel, owner, store.svc, &msg);
-		run(0);
-		EXPECT_EQ(status, c.status) << c.code;
-		EXPECT_EQ(committed, c.committed) << c.code;
+		call(&msg, c.code, c.text);
+		EXPECT_EQ(path, "/api/kv-txn");
+		EXPECT_EQ(result->status, c.status) << c.code;
+		EXPECT_EQ(store_result_committed(result, 0), c.committed)
+			<< c.code;
 	}
+	EXPECT_EQ(failures, 4);
 }
 
 } // namespace
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -307,6 +307,7 @@
 	g_snprintf(opts.incarnation, sizeof(opts.incarnation), "run-%d",
 		   number);
 	node->store = kernel_register(&node->kernel, "store", store_recv, node);
+	kernel_register(&node->kernel, "replica", store_recv, node);
 	node->peer = kernel_register(&node->kernel, "peer", peer_recv, node);
 	node->fleet = kernel_register(&node->kernel, "fleet", fleet_recv, node);
 	node->client =
--- /dev/null
+++ b/tests/replica_test.cc
@@ -0,0 +1,368 @@
+// Guards what an instance knows of the store: a dropped history read without a
+// gap, changes that peers pass on while the store is away, and the number of
+// calls that a large fleet makes.
+#include "replica/replica.h"
+
+#include <algorithm>
+#include <cstring>
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr const char *TARGET = "fleet/target/i-1";
+constexpr const char *SELF = "m";
+constexpr int LARGE = 40; // peers
+
+class Replica : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		replica_opts_t opts = {"", "z", 500};
+
+		g_strlcpy(opts.incarnation, SELF, sizeof(opts.incarnation));
+		kernel_init(&kernel, CLOCK_VIRTUAL, 1);
+		store = kernel_register(&kernel, "store", on_store, this);
+		peer = kernel_register(&kernel, "peer", on_peer, this);
+		owner = kernel_register(&kernel, "owner", on_owner, this);
+		replica_init(&replica, &kernel, &opts);
+		watch("fleet/");
+		put(TARGET, 5);
+		at = 9;
+	}
+	void TearDown() override
+	{
+		replica_finish(&replica);
+		kernel_finish(&kernel);
+	}
+	void watch(const char *prefix)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STORE_WATCH;
+		g_strlcpy(msg.u.store_get.key, prefix,
+			  sizeof(msg.u.store_get.key));
+		kernel_post(&kernel, owner, replica.svc, &msg);
+	}
+	void put(const std::string &key, int64_t revision)
+	{
+		items[key] = revision;
+		at = revision;
+	}
+	static void add(store_result_t *result, const std::string &key,
+			int64_t revision, bool gone, uint64_t sequence = 1)
+	{
+		std::string text = key + std::to_string(sequence);
+		GBytes *raw = g_bytes_new(text.data(), text.size());
+		record_t record = {};
+
+		if (!gone) {
+			record.kind = RECORD_FLEET_TARGET;
+			record.u.fleet_target = g_new0(fleet_target_t, 1);
+			record.u.fleet_target->sequence = sequence;
+		}
+		store_result_add_raw(result, key.c_str(), revision, &record,
+				     gone ? nullptr : raw);
+		record_clear(&record);
+		g_bytes_unref(raw);
+	}
+	static void on_store(void *self, msg_t *msg)
+	{
+		static_cast<Replica *>(self)->answer(msg);
+	}
+	void answer(const msg_t *msg)
+	{
+		store_result_t *result = store_result_new(status);
+		msg_t reply = {};
+
+		result->revision = at;
+		if (msg->kind == MSG_STORE_DECODE) {
+			decode(msg->u.peer.body, result);
+		} else if (msg->kind == MSG_STORE_LIST) {
+			calls.push_back(std::string("list ") +
+					msg->u.store_list.prefix);
+			for (auto &[key, revision] : items)
+				if (status == STORE_OK &&
+				    g_str_has_prefix(key.c_str(),
+						     msg->u.store_list.prefix))
+					add(result, key, revision, false);
+		} else if (msg->kind == MSG_STORE_CHANGES) {
+			calls.push_back(
+				"changes " +
+				std::to_string(msg->u.store_get.min_revision));
+			if (compacted) {
+				result->status = STORE_COMPACTED;
+				compacted = false;
+			}
+			for (auto &[key, revision] : items)
+				if (result->status == STORE_OK &&
+				    revision > msg->u.store_get.min_revision)
+					add(result, key, revision, false,
+					    (uint64_t)revision);
+		}
+		reply.kind = MSG_STORE_RESULT;
+		reply.ref = msg->id;
+		reply.u.store_result = result;
+		kernel_post(&kernel, store, msg->from, &reply);
+	}
+	static void decode(const peer_body_t *body, store_result_t *result)
+	{
+		const GArray *list = body->u.store_items.items;
+
+		result->status = STORE_OK;
+		result->revision = body->u.store_items.up_to;
+		for (guint i = 0; i < list->len; i++) {
+			const store_item_t *item =
+				&g_array_index(list, store_item_t, i);
+
+			add(result, item->key, item->revision,
+			    item->value == nullptr);
+		}
+	}
+	static void on_peer(void *self, msg_t *msg)
+	{
+		Replica *r = static_cast<Replica *>(self);
+
+		if (msg->kind != MSG_PEER_SEND)
+			return;
+		if (msg->u.peer.body->kind == PEER_STORE_PULL) {
+			r->pulls.push_back(msg->u.peer.incarnation);
+		} else {
+			r->pushes[msg->u.peer.incarnation]++;
+			r->pushed += msg->u.peer.body->u.store_items.items->len;
+			r->push_after = msg->u.peer.body->u.store_items.after;
+			r->push_up_to = msg->u.peer.body->u.store_items.up_to;
+		}
+	}
+	static void on_owner(void *self, msg_t *msg)
+	{
+		Replica *r = static_cast<Replica *>(self);
+		const store_result_t *result = msg->u.store_result;
+
+		if (msg->kind != MSG_STORE_EVENT)
+			return;
+		if (result->kvs->len == 0)
+			r->up = result->status == STORE_OK;
+		for (guint i = 0; i < result->kvs->len; i++) {
+			const store_kv_t *kv =
+				&g_array_index(result->kvs, store_kv_t, i);
+
+			r->seen[kv->key] = kv->record.kind;
+			r->events++;
+		}
+	}
+	void peer_up(const std::string &incarnation, const char *zone)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_UP;
+		g_strlcpy(msg.u.peer_addr.incarnation, incarnation.c_str(),
+			  sizeof(msg.u.peer_addr.incarnation));
+		g_strlcpy(msg.u.peer_addr.availability_zone, zone,
+			  sizeof(msg.u.peer_addr.availability_zone));
+		kernel_post(&kernel, peer, replica.svc, &msg);
+	}
+	// Peers of the own zone and another; first: below the own incarnation.
+	void grow(bool first)
+	{
+		for (int i = 0; i < LARGE; i++)
+			peer_up((first ? "z" : "a") + std::to_string(100 + i),
+				i % 2 == 0 ? "z" : "y");
+	}
+	void relay(int64_t after, int64_t up_to, const char *key = nullptr,
+		   bool gone = false)
+	{
+		msg_t msg = {};
+		store_item_t item = {};
+
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, "a100",
+			  sizeof(msg.u.peer.incarnation));
+		msg.u.peer.body = peer_body_new(PEER_STORE_ITEMS);
+		msg.u.peer.body->u.store_items.after = after;
+		msg.u.peer.body->u.store_items.up_to = up_to;
+		if (key != nullptr) {
+			g_strlcpy(item.key, key, sizeof(item.key));
+			item.revision = up_to;
+			if (!gone)
+				item.value = g_bytes_new("x", 1);
+			g_array_append_val(msg.u.peer.body->u.store_items.items,
+					   item);
+		}
+		kernel_post(&kernel, peer, replica.svc, &msg);
+		run(0);
+	}
+	void run(int64_t us)
+	{
+		kernel_run_until(&kernel, kernel_now(&kernel) + us);
+	}
+	void start()
+	{
+		kernel_start(&kernel);
+		run(100000);
+	}
+	kernel_t kernel;
+	replica_t replica;
+	svc_t store, peer, owner;
+	store_status_t status = STORE_OK;
+	std::map<std::string, int64_t> items; // of the store
+	int64_t at = 0; // the store's revision
+	bool compacted = false;
+	bool up = false;
+	std::vector<std::string> calls, pulls;
+	std::map<std::string, int> pushes;
+	std::map<std::string, record_kind_t> seen;
+	size_t pushed = 0; // items
+	int64_t push_after = 0, push_up_to = 0;
+	int events = 0;
+};
+
+TEST_F(Replica, ListsOnceAndThenReadsChanges)
+{
+	kernel_start(&kernel);
+	run(3 * USEC_PER_SEC);
+	EXPECT_EQ(seen[TARGET], RECORD_FLEET_TARGET);
+	ASSERT_GT(calls.size(), 4u);
+	EXPECT_EQ(calls[0], "list fleet/conf");
+	EXPECT_EQ(calls[3], "changes 9");
+	/* The pause between reads bounds what the store is asked. */
+	EXPECT_LE(calls.size(), 3u + 7u);
+}
+
+// A target that left while the history was dropped must be noticed.
+TEST_F(Replica, DroppedHistoryIsReadAnewWithoutAGap)
+{
+	start();
+	ASSERT_EQ(seen[TARGET], RECORD_FLEET_TARGET);
+	items.clear();
+	at = 20;
+	compacted = true;
+	run(USEC_PER_SEC);
+	EXPECT_EQ(seen[TARGET], RECORD_NONE);
+	EXPECT_EQ(replica.revision, 20);
+}
+
+TEST_F(Replica, HeartbeatsAreNotTold)
+{
+	start();
+	ASSERT_EQ(events, 1);
+	put(TARGET, 12);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(replica.revision, 12);
+	EXPECT_EQ(events, 1);
+}
+
+TEST_F(Replica, PeersAreAskedWhileTheStoreDoesNotAnswer)
+{
+	status = STORE_UNKNOWN;
+	peer_up("a100", "y");
+	kernel_start(&kernel);
+	run(USEC_PER_SEC);
+	EXPECT_FALSE(up);
+	EXPECT_GE(pulls.size(), 2u);
+	relay(0, 30, TARGET);
+	EXPECT_EQ(seen[TARGET], RECORD_FLEET_TARGET);
+	EXPECT_EQ(replica.revision, 30);
+	/* Relayed items are not the store's return. */
+	EXPECT_FALSE(up);
+}
+
+// A few instances of a zone read, so that the store is not asked by all.
+TEST_F(Replica, FollowerDoesNotReadWhileChangesArePassedOn)
+{
+	start();
+	grow(false);
+	relay(9, 9);
+	calls.clear();
+	for (int i = 0; i < 20; i++) {
+		relay(9 + i, 10 + i, i == 10 ? TARGET : nullptr, true);
+		run(300000);
+	}
+	EXPECT_EQ(calls.size(), 0u);
+	EXPECT_EQ(seen[TARGET], RECORD_NONE);
+	EXPECT_EQ(replica.revision, 29);
+}
+
+TEST_F(Replica, FollowerThatHearsNothingReadsByItself)
+{
+	start();
+	grow(false);
+	relay(9, 9);
+	run(600000);
+	calls.clear();
+	put("fleet/target/i-2", 14);
+	run(1400000);
+	EXPECT_GE(calls.size(), 1u);
+	EXPECT_EQ(seen["fleet/target/i-2"], RECORD_FLEET_TARGET);
+}
+
+// Changes that were passed on before the connection stood must not be missed.
+TEST_F(Replica, FollowerAsksForWhatIsMissing)
+{
+	start();
+	grow(false);
+	relay(9, 9);
+	pulls.clear();
+	relay(40, 50, TARGET, true);
+	ASSERT_EQ(pulls.size(), 1u);
+	EXPECT_EQ(pulls[0], "a100");
+	EXPECT_EQ(seen[TARGET], RECORD_FLEET_TARGET);
+	relay(9, 50, TARGET, true);
+	EXPECT_EQ(seen[TARGET], RECORD_NONE);
+	EXPECT_EQ(replica.revision, 50);
+}
+
+// A follower that the store turns away must notice without reads of its own.
+TEST_F(Replica, FollowerReadsWhenAnotherCallFailed)
+{
+	msg_t msg = {};
+
+	start();
+	grow(false);
+	run(600000);
+	relay(9, 10);
+	status = STORE_UNAVAILABLE;
+	msg.kind = MSG_STORE_EVENT;
+	msg.u.store_result = store_result_new(STORE_UNAVAILABLE);
+	kernel_post(&kernel, store, replica.svc, &msg);
+	run(400000);
+	EXPECT_FALSE(up);
+	/* Its return is noticed although peers pass on all changes. */
+	status = STORE_OK;
+	for (int i = 0; i < 5; i++) {
+		relay(10, 10);
+		run(300000);
+	}
+	EXPECT_TRUE(up);
+}
+
+TEST_F(Replica, ReaderPassesOnToItsZoneWhatHasChanged)
+{
+	start();
+	grow(true);
+	run(600000);
+	pushes.clear();
+	pushed = 0;
+	put("fleet/target/i-2", 14);
+	put("prepaid/a", 15);
+	run(600000);
+	/* All of the zone but the second reader, and none of another one. */
+	EXPECT_EQ(pushes.size(), (size_t)LARGE / 2 - 1);
+	EXPECT_EQ(pushes.count("z100"), 0u);
+	EXPECT_EQ(pushes.count("z101"), 0u);
+	EXPECT_EQ(pushed, pushes.size());
+	EXPECT_EQ(push_up_to, 15);
+	put("fleet/target/i-2", 16);
+	pushed = 0;
+	run(600000);
+	/* A heartbeat says only that nothing is missing. */
+	EXPECT_EQ(pushed, 0u);
+	EXPECT_EQ(push_after, 15);
+	EXPECT_EQ(push_up_to, 16);
+}
+
+} // namespace
