Refill the instances of a large zone from each account's home

With 16 peers or more one instance of each availability zone, chosen by highest random weight, takes an account's part from the store and hands over to the others of its zone what they ask for. It says how much an instance may hold and whether the record is spent. When the home does not answer within 250 ms the store is asked for a second. Unused tokens of peers go back to the home before a planned stop. prepaid.c is split: reservations, the own part, and what peers share.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -197,6 +197,8 @@
 	g_strlcpy(prepaid.node, settings->name, sizeof(prepaid.node));
 	g_strlcpy(prepaid.incarnation, gateway->incarnation,
 		  sizeof(prepaid.incarnation));
+	g_strlcpy(prepaid.availability_zone, settings->availability_zone,
+		  sizeof(prepaid.availability_zone));
 	prepaid_init(&gateway->prepaid, &gateway->kernel, &prepaid);
 }
 
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -73,6 +73,8 @@
 	PEER_COPY_TRIM,
 	PEER_SLICE_ASK,
 	PEER_SLICE_REPLY,
+	PEER_REFILL_ASK,
+	PEER_REFILL_REPLY,
 	PEER_BLAME,
 	PEER_STORE_PULL,
 	PEER_STORE_ITEMS,
@@ -121,6 +123,17 @@
 			char budget[NAME_SIZE];
 			int64_t tokens;
 		} slice; /* ask: needed, reply: returned to the store */
+		struct {
+			char client_account[NAME_SIZE];
+			int64_t tokens; /* wanted */
+			int64_t least; /* of use at all */
+		} refill_ask;
+		struct {
+			char client_account[NAME_SIZE];
+			int64_t tokens; /* handed over */
+			int64_t most; /* to hold beyond present requests */
+			bool spent; /* the store leaves less than asked for */
+		} refill_reply;
 		struct {
 			char fingerprint[HASH_SIZE];
 			char target[NAME_SIZE];
@@ -134,6 +147,7 @@
 			/* All changes after one revision up to another. */
 			int64_t after;
 			int64_t up_to;
+			bool live; /* the sender has just read from the store */
 			GArray *items; /* store_item_t */
 		} store_items;
 	} u;
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -81,6 +81,17 @@
 	BODY_TEXT(slice, budget),
 	BODY_I64(slice, tokens),
 };
+static const field_t refill_ask_fields[] = {
+	BODY_TEXT(refill_ask, client_account),
+	BODY_I64(refill_ask, tokens),
+	BODY_I64(refill_ask, least),
+};
+static const field_t refill_reply_fields[] = {
+	BODY_TEXT(refill_reply, client_account),
+	BODY_I64(refill_reply, tokens),
+	BODY_I64(refill_reply, most),
+	BODY_BOOL(refill_reply, spent),
+};
 static const field_t blame_fields[] = {
 	BODY_TEXT(blame, fingerprint),
 	BODY_TEXT(blame, target),
@@ -94,6 +105,7 @@
 static const field_t store_items_fields[] = {
 	BODY_I64(store_items, after),
 	BODY_I64(store_items, up_to),
+	BODY_BOOL(store_items, live),
 };
 
 static fields_t body_fields(peer_kind_t kind)
@@ -114,6 +126,10 @@
 	case PEER_SLICE_ASK:
 	case PEER_SLICE_REPLY:
 		return FIELDS_OF(slice_fields);
+	case PEER_REFILL_ASK:
+		return FIELDS_OF(refill_ask_fields);
+	case PEER_REFILL_REPLY:
+		return FIELDS_OF(refill_reply_fields);
 	case PEER_BLAME:
 		return FIELDS_OF(blame_fields);
 	case PEER_STORE_PULL:
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -107,6 +107,8 @@
 	case PEER_COPY_TRIM:
 	case PEER_SLICE_ASK:
 	case PEER_SLICE_REPLY:
+	case PEER_REFILL_ASK:
+	case PEER_REFILL_REPLY:
 		return peer->ledger;
 	case PEER_BLAME:
 		return peer->request;
--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -15,6 +15,11 @@
  * used here does not need a call to the store for each of them.
  */
 #define HEADROOM_REQUESTS 10
+/*
+ * What a home keeps for refills of its zone lasts for so long: each refill of
+ * the home is a call to the store.
+ */
+#define RELAYED_S 4.0
 #define USUAL_WEIGHT 0.1 /* of the newest reservation */
 #define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
 
@@ -55,27 +60,61 @@
 	return CLAMP((double)account->granted / (double)taken, least, 1.0);
 }
 
+int64_t account_part_max(const prepaid_account_t *account, uint32_t instances)
+{
+	return (int64_t)((double)account_room(account) * HEADROOM_PART *
+			 own_share(account, instances));
+}
+
 int64_t account_headroom(const prepaid_account_t *account, uint32_t instances)
 {
-	double most = (double)account_room(account) * HEADROOM_PART *
-		      own_share(account, instances);
+	double want =
+		MAX(account->demand * HEADROOM_S + account->relayed * RELAYED_S,
+		    account->usual * HEADROOM_REQUESTS);
+	int64_t most = account->most >= 0
+			       ? account->most
+			       : account_part_max(account, instances);
+
+	return MIN((int64_t)want, most);
+}
+
+/* An exponentially weighted rate. */
+static void note(double *rate, int64_t *at, int64_t tokens, int64_t now)
+{
+	double age = (double)(now - *at) / USEC_PER_SEC;
 
-	return (int64_t)MIN(MAX(account->demand * HEADROOM_S,
-				account->usual * HEADROOM_REQUESTS),
-			    most);
+	*rate = *rate * exp(-age / DEMAND_TIME_S) +
+		(double)tokens / DEMAND_TIME_S;
+	*at = now;
 }
 
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now)
 {
-	double age = (double)(now - account->demand_at) / USEC_PER_SEC;
-
-	account->demand = account->demand * exp(-age / DEMAND_TIME_S) +
-			  (double)tokens / DEMAND_TIME_S;
-	account->demand_at = now;
+	note(&account->demand, &account->demand_at, tokens, now);
 	account->usual += USUAL_WEIGHT * ((double)tokens - account->usual);
 }
 
+void account_note_relayed(prepaid_account_t *account, int64_t tokens,
+			  int64_t now)
+{
+	note(&account->relayed, &account->relayed_at, tokens, now);
+}
+
+int64_t account_used(const prepaid_account_t *account)
+{
+	return MAX(account->spent + account->given + account->reserved -
+			   account->received,
+		   0);
+}
+
+int64_t account_surplus(const prepaid_account_t *account)
+{
+	return MAX(account->received - account->spent - account->given -
+			   account->reserved,
+		   0);
+}
+
 static bool is_own(const grant_holder_t *holder, const prepaid_opts_t *self)
 {
 	return strcmp(holder->node, self->node) == 0 &&
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -9,6 +9,7 @@
 G_BEGIN_DECLS
 
 #define REVISION_UNKNOWN (-1)
+#define REFILL_PART 2 /* of the headroom, at which more is taken */
 
 typedef struct prepaid_account_t {
 	handle_t self;
@@ -36,37 +37,38 @@
 	uint32_t conflicts; /* in a row */
 	handle_t timer;
 	GQueue waiting; /* reservation_t, oldest first */
+
+	char home[INCARNATION_SIZE]; /* of the zone; empty: this instance */
+	uint64_t home_version; /* of the peers that home was chosen from */
+	bool asking; /* the home has not answered yet */
+	handle_t ask_timer;
+	int64_t home_retry_at; /* monotonic, us, not asked before it */
+	int64_t most; /* to hold, as the home said; -1: it has not */
+	int64_t spent_at; /* monotonic, us, the home said it is spent */
+
 	double demand; /* tokens a second, smoothed */
+	double relayed; /* the same, of peers that are refilled from here */
+	int64_t relayed_at; /* monotonic, us, of its last change */
 	double usual; /* tokens of a reservation, smoothed */
 	int64_t demand_at; /* monotonic, us, of its last change */
 } prepaid_account_t;
 
-typedef struct reservation_t {
-	handle_t self;
-	prepaid_account_t *account; /* NULL: the account is not limited */
-	svc_t owner;
-	handle_t ref;
-	char request_id[REQUEST_ID_SIZE]; /* for the log */
-	char peer[INCARNATION_SIZE]; /* asked for it; empty: a request */
-	int64_t tokens;
-	bool waiting;
-	bool asked_peers;
-	handle_t timer;
-} reservation_t;
-
-typedef enum prepaid_timer_t {
-	PREPAID_TIMER_RETRY, /* ref is the account */
-	PREPAID_TIMER_WAIT, /* ref is the reservation */
-} prepaid_timer_t;
-
 /* Tokens that may be reserved now. */
 int64_t account_available(const prepaid_account_t *account);
 /* Tokens that nobody has taken, by the newest known record. */
 int64_t account_room(const prepaid_account_t *account);
+/* What this instance may hold, so that little is lost if all lose power. */
+int64_t account_part_max(const prepaid_account_t *account, uint32_t instances);
 /* Tokens to hold beyond what is asked for now. */
 int64_t account_headroom(const prepaid_account_t *account, uint32_t instances);
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now);
+void account_note_relayed(prepaid_account_t *account, int64_t tokens,
+			  int64_t now);
+/* Tokens of the own part that are spent or handed over. */
+int64_t account_used(const prepaid_account_t *account);
+/* Unused tokens that came from peers. */
+int64_t account_surplus(const prepaid_account_t *account);
 /* Takes over what the store says unless it is older than what is known. */
 void account_adopt(prepaid_account_t *account, const prepaid_opts_t *self,
 		   const record_t *record, int64_t revision);
--- a/prepaid/prepaid.h
+++ b/prepaid/prepaid.h
@@ -3,6 +3,9 @@
  * accounts.  Each instance spends only what it has taken from an account's
  * record in the store by a compare-and-swap, or what a peer has handed over
  * from its own part.  What an instance has taken counts as spent if it dies.
+ *
+ * In a large fleet one instance of each availability zone, an account's home,
+ * takes from the record and hands over to the others of its zone.
  */
 #ifndef PREPAID_PREPAID_H
 #define PREPAID_PREPAID_H
@@ -14,8 +17,14 @@
 typedef struct prepaid_opts_t {
 	char node[NAME_SIZE];
 	char incarnation[INCARNATION_SIZE];
+	char availability_zone[NAME_SIZE];
 } prepaid_opts_t;
 
+typedef struct prepaid_peer_t {
+	char incarnation[INCARNATION_SIZE];
+	bool in_zone; /* of this instance's own availability zone */
+} prepaid_peer_t;
+
 typedef struct prepaid_t {
 	kernel_t *kernel;
 	svc_t svc;
@@ -27,7 +36,9 @@
 	GHashTable *by_name; /* account's name -> prepaid_account_t */
 	fleet_conf_t *conf;
 	uint32_t instances; /* this one included */
-	GPtrArray *peers; /* incarnations of the connected ones, as text */
+	GArray *peers; /* prepaid_peer_t, the connected ones */
+	uint32_t zone_peers; /* of them, in the own availability zone */
+	uint64_t peers_version; /* rises when peers change */
 	bool store_up;
 	int64_t retry_at; /* monotonic, us, no call to the store before it */
 	bool stopping;
--- /dev/null
+++ b/prepaid/reservation.c
@@ -0,0 +1,184 @@
+#include "prepaid/reservation.h"
+
+#include "log/log.h"
+
+#include <string.h>
+
+reservation_t *reservation_add(prepaid_t *prepaid, prepaid_account_t *account,
+			       reservation_kind_t kind, int64_t tokens)
+{
+	reservation_t *reservation;
+	handle_t self =
+		table_add(&prepaid->reservations, (void **)&reservation);
+
+	reservation->self = self;
+	reservation->kind = kind;
+	reservation->account = account;
+	reservation->tokens = tokens;
+	reservation->least = tokens;
+	reservation->waiting = true;
+	g_queue_push_tail(&account->waiting, reservation);
+	return reservation;
+}
+
+void reservation_drop(prepaid_t *prepaid, reservation_t *reservation)
+{
+	kernel_timer_cancel(prepaid->kernel, &reservation->timer);
+	if (reservation->waiting)
+		g_queue_remove(&reservation->account->waiting, reservation);
+	table_remove(&prepaid->reservations, reservation->self);
+}
+
+void reservation_limit(prepaid_t *prepaid, reservation_t *reservation,
+		       int64_t wait)
+{
+	kernel_timer_cancel(prepaid->kernel, &reservation->timer);
+	reservation->timer =
+		kernel_timer(prepaid->kernel, prepaid->svc, wait,
+			     reservation->self, PREPAID_TIMER_WAIT);
+}
+
+static void answer(prepaid_t *prepaid, const reservation_t *reservation,
+		   reserve_result_t result)
+{
+	msg_t msg = {.kind = MSG_RESERVED,
+		     .ref = reservation->ref,
+		     .id = reservation->self};
+
+	msg.u.reserved.result = result;
+	kernel_post(prepaid->kernel, prepaid->svc, reservation->owner, &msg);
+}
+
+void reservation_give(prepaid_t *prepaid, prepaid_account_t *account,
+		      const char *peer, int64_t tokens)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	tokens = CLAMP(account_available(account), 0, tokens);
+	account->given += tokens;
+	g_strlcpy(msg.u.peer.incarnation, peer, sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = peer_body_new(PEER_SLICE_REPLY);
+	g_strlcpy(msg.u.peer.body->u.slice.client_account, account->name,
+		  sizeof(msg.u.peer.body->u.slice.client_account));
+	msg.u.peer.body->u.slice.tokens = tokens;
+	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
+}
+
+static void refill(prepaid_t *prepaid, const reservation_t *reservation,
+		   bool spent)
+{
+	prepaid_account_t *account = reservation->account;
+	int64_t tokens =
+		CLAMP(account_available(account), 0, reservation->tokens);
+	msg_t msg = {.kind = MSG_PEER_SEND};
+	peer_body_t *body = peer_body_new(PEER_REFILL_REPLY);
+
+	account->given += tokens;
+	g_strlcpy(body->u.refill_reply.client_account, account->name,
+		  sizeof(body->u.refill_reply.client_account));
+	body->u.refill_reply.tokens = tokens;
+	body->u.refill_reply.most =
+		account_part_max(account, prepaid->instances) /
+		(prepaid->zone_peers + 1);
+	body->u.refill_reply.spent = spent && tokens < reservation->least;
+	g_strlcpy(msg.u.peer.incarnation, reservation->peer,
+		  sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = body;
+	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
+}
+
+static void hold(prepaid_t *prepaid, reservation_t *reservation)
+{
+	prepaid_account_t *account = reservation->account;
+
+	switch (reservation->kind) {
+	case RESERVATION_REQUEST:
+		g_queue_remove(&account->waiting, reservation);
+		reservation->waiting = false;
+		kernel_timer_cancel(prepaid->kernel, &reservation->timer);
+		account->reserved += reservation->tokens;
+		answer(prepaid, reservation, RESERVE_OK);
+		break;
+	case RESERVATION_SLICE:
+		reservation_give(prepaid, account, reservation->peer,
+				 reservation->tokens);
+		reservation_drop(prepaid, reservation);
+		break;
+	case RESERVATION_REFILL:
+		refill(prepaid, reservation, false);
+		reservation_drop(prepaid, reservation);
+		break;
+	}
+}
+
+void reservation_refuse(prepaid_t *prepaid, reservation_t *reservation,
+			reserve_result_t result)
+{
+	prepaid_account_t *account = reservation->account;
+
+	log_event(LOG_LEVEL_INFO, "prepaid", "refused",
+		  "request=%s account=%s tokens=%" G_GINT64_FORMAT " reason=%s "
+		  "available=%" G_GINT64_FORMAT " room=%" G_GINT64_FORMAT
+		  " prepaid=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
+		  " store_up=%d home=%s peer=%s",
+		  log_quote(reservation->request_id), account->name,
+		  reservation->tokens,
+		  result == RESERVE_SPENT ? "spent" : "store_unavailable",
+		  account_available(account), account_room(account),
+		  account->prepaid, account->revision, prepaid->store_up,
+		  account->home, reservation->peer);
+	switch (reservation->kind) {
+	case RESERVATION_REQUEST:
+		answer(prepaid, reservation, result);
+		break;
+	case RESERVATION_SLICE:
+		reservation_give(prepaid, account, reservation->peer,
+				 reservation->tokens);
+		break;
+	case RESERVATION_REFILL:
+		refill(prepaid, reservation, result == RESERVE_SPENT);
+		break;
+	}
+	reservation_drop(prepaid, reservation);
+}
+
+void reservations_serve(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	GList *link = account->waiting.head;
+
+	while (link != NULL) {
+		reservation_t *reservation = link->data;
+
+		link = link->next;
+		if (account_available(account) >= reservation->tokens)
+			hold(prepaid, reservation);
+	}
+}
+
+void reservations_refuse_all(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	reservation_t *reservation;
+
+	while ((reservation = g_queue_peek_head(&account->waiting)) != NULL)
+		reservation_refuse(prepaid, reservation, RESERVE_UNAVAILABLE);
+}
+
+int64_t reservations_sum(const prepaid_account_t *account)
+{
+	int64_t sum = 0;
+
+	for (const GList *link = account->waiting.head; link != NULL;
+	     link = link->next)
+		sum += ((const reservation_t *)link->data)->tokens;
+	return sum;
+}
+
+int64_t reservations_least_missing(const prepaid_account_t *account)
+{
+	int64_t least = INT64_MAX;
+
+	for (const GList *link = account->waiting.head; link != NULL;
+	     link = link->next)
+		least = MIN(least, ((const reservation_t *)link->data)->least);
+	return least - account_available(account);
+}
--- /dev/null
+++ b/prepaid/reservation.h
@@ -0,0 +1,60 @@
+/*
+ * Reservations of one account's tokens, for requests here and for peers.
+ */
+#ifndef PREPAID_RESERVATION_H
+#define PREPAID_RESERVATION_H
+
+#include "prepaid/account.h"
+
+G_BEGIN_DECLS
+
+typedef enum reservation_kind_t {
+	RESERVATION_REQUEST,
+	RESERVATION_SLICE, /* of a peer that found nothing elsewhere */
+	RESERVATION_REFILL, /* of a peer whose home this instance is */
+} reservation_kind_t;
+
+typedef struct reservation_t {
+	handle_t self;
+	reservation_kind_t kind;
+	prepaid_account_t *account;
+	svc_t owner; /* of a request */
+	handle_t ref;
+	char request_id[REQUEST_ID_SIZE]; /* for the log */
+	char peer[INCARNATION_SIZE]; /* of a slice or a refill */
+	int64_t tokens;
+	int64_t least; /* of a refill: fewer are of no use */
+	bool waiting;
+	bool asked_peers;
+	handle_t timer;
+} reservation_t;
+
+typedef enum prepaid_timer_t {
+	PREPAID_TIMER_RETRY, /* ref is the account */
+	PREPAID_TIMER_HOME, /* ref is the account */
+	PREPAID_TIMER_WAIT, /* ref is the reservation */
+} prepaid_timer_t;
+
+reservation_t *reservation_add(prepaid_t *prepaid, prepaid_account_t *account,
+			       reservation_kind_t kind, int64_t tokens);
+void reservation_drop(prepaid_t *prepaid, reservation_t *reservation);
+/* Refuses it, or hands over to the peer what there is. */
+void reservation_refuse(prepaid_t *prepaid, reservation_t *reservation,
+			reserve_result_t result);
+/* The time that it may go on waiting. */
+void reservation_limit(prepaid_t *prepaid, reservation_t *reservation,
+		       int64_t wait);
+/* Grants whatever the tokens at hand cover. */
+void reservations_serve(prepaid_t *prepaid, prepaid_account_t *account);
+void reservations_refuse_all(prepaid_t *prepaid, prepaid_account_t *account);
+int64_t reservations_sum(const prepaid_account_t *account);
+/* The least that one of those waiting lacks. */
+int64_t reservations_least_missing(const prepaid_account_t *account);
+
+/* Hands tokens to a peer; from here on they are the peer's. */
+void reservation_give(prepaid_t *prepaid, prepaid_account_t *account,
+		      const char *peer, int64_t tokens);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/prepaid/sharing.c
@@ -0,0 +1,231 @@
+#include "prepaid/sharing.h"
+
+#include "log/log.h"
+
+#include <string.h>
+
+/* Peers asked for one reservation: each costs a message. */
+#define ASK_PEERS 6
+/* A home may have to ask the store first, which answers in some ms. */
+#define HOME_WAIT_US (250 * USEC_PER_MSEC)
+/* After the home said that an account is spent, without a new request. */
+#define SPENT_PAUSE_US (300 * USEC_PER_MSEC)
+/*
+ * With fewer peers each instance takes from the store by itself.  With more
+ * of them the parts of an account would be so small that most requests need
+ * a call, and their compare-and-swaps would meet.
+ */
+#define HOME_PEERS_MIN 16
+/* After a home that did not answer: the store is asked meanwhile. */
+#define HOME_RETRY_US USEC_PER_SEC
+
+static void send_body(prepaid_t *prepaid, const char *peer, peer_body_t *body)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	g_strlcpy(msg.u.peer.incarnation, peer, sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = body;
+	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
+}
+
+static const char *peer_at(const prepaid_t *prepaid, guint i)
+{
+	return g_array_index(prepaid->peers, prepaid_peer_t, i).incarnation;
+}
+
+static void ask_peer(prepaid_t *prepaid, const reservation_t *reservation,
+		     const char *peer)
+{
+	peer_body_t *body = peer_body_new(PEER_SLICE_ASK);
+
+	g_strlcpy(body->u.slice.client_account, reservation->account->name,
+		  sizeof(body->u.slice.client_account));
+	body->u.slice.tokens = reservation->tokens;
+	send_body(prepaid, peer, body);
+}
+
+void sharing_ask_peers(prepaid_t *prepaid, reservation_t *reservation,
+		       int64_t wait)
+{
+	guint count = prepaid->peers->len;
+	guint first;
+
+	if (reservation->asked_peers ||
+	    reservation->kind != RESERVATION_REQUEST)
+		return;
+	reservation->asked_peers = true;
+	reservation_limit(prepaid, reservation, wait);
+	if (count == 0)
+		return;
+	first = (guint)kernel_random_below(prepaid->kernel, count);
+	for (guint i = 0; i < MIN(count, ASK_PEERS); i++)
+		ask_peer(prepaid, reservation,
+			 peer_at(prepaid, (first + i) % count));
+}
+
+void sharing_exhausted(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	GList *link = account->waiting.head;
+
+	while (link != NULL) {
+		reservation_t *reservation = link->data;
+
+		link = link->next;
+		if (reservation->kind != RESERVATION_REQUEST ||
+		    prepaid->peers->len == 0)
+			reservation_refuse(prepaid, reservation, RESERVE_SPENT);
+		else
+			sharing_ask_peers(prepaid, reservation, PEER_WAIT_US);
+	}
+}
+
+/* Highest random weight: most instances agree, and few accounts move. */
+static uint64_t weight_of(const char *account, const char *incarnation)
+{
+	uint64_t hash = 14695981039346656037ULL; /* FNV-1a, 64 bits */
+
+	for (const char *c = account; *c != '\0'; c++)
+		hash = (hash ^ (uint8_t)*c) * 1099511628211ULL;
+	for (const char *c = incarnation; *c != '\0'; c++)
+		hash = (hash ^ (uint8_t)*c) * 1099511628211ULL;
+	/* FNV leaves the high bits of short texts alike. */
+	hash ^= hash >> 32;
+	return hash * 0x9e3779b97f4a7c15ULL;
+}
+
+static void choose_home(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	uint64_t best = weight_of(account->name, prepaid->opts.incarnation);
+
+	account->home[0] = '\0';
+	account->home_version = prepaid->peers_version;
+	for (guint i = 0; i < prepaid->peers->len; i++) {
+		const prepaid_peer_t *peer =
+			&g_array_index(prepaid->peers, prepaid_peer_t, i);
+		uint64_t weight;
+
+		if (!peer->in_zone)
+			continue;
+		weight = weight_of(account->name, peer->incarnation);
+		if (weight <= best)
+			continue;
+		best = weight;
+		g_strlcpy(account->home, peer->incarnation,
+			  sizeof(account->home));
+	}
+}
+
+/* Peers that wait here are served from the store, or both would wait. */
+static bool serves_peers(const prepaid_account_t *account)
+{
+	for (const GList *link = account->waiting.head; link != NULL;
+	     link = link->next)
+		if (((const reservation_t *)link->data)->kind !=
+		    RESERVATION_REQUEST)
+			return true;
+	return false;
+}
+
+bool sharing_has_home(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	if (prepaid->peers->len < HOME_PEERS_MIN || prepaid->stopping ||
+	    account->prepaid < 0)
+		return false;
+	if (account->home_version != prepaid->peers_version)
+		choose_home(prepaid, account);
+	return account->home[0] != '\0' && !serves_peers(account) &&
+	       kernel_now(prepaid->kernel) >= account->home_retry_at;
+}
+
+static bool all_asked_peers(const prepaid_account_t *account)
+{
+	for (const GList *link = account->waiting.head; link != NULL;
+	     link = link->next)
+		if (!((const reservation_t *)link->data)->asked_peers)
+			return false;
+	return true;
+}
+
+void sharing_refill(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	int64_t available = account_available(account);
+	int64_t headroom = account_headroom(account, prepaid->instances);
+	peer_body_t *body;
+
+	if (account->asking)
+		return;
+	if (all_asked_peers(account) &&
+	    (available >= headroom / REFILL_PART ||
+	     kernel_now(prepaid->kernel) - account->spent_at < SPENT_PAUSE_US))
+		return;
+	body = peer_body_new(PEER_REFILL_ASK);
+	g_strlcpy(body->u.refill_ask.client_account, account->name,
+		  sizeof(body->u.refill_ask.client_account));
+	body->u.refill_ask.tokens =
+		MAX(reservations_sum(account) + headroom - available, 0);
+	body->u.refill_ask.least =
+		account->waiting.length > 0
+			? MAX(reservations_least_missing(account), 0)
+			: 0;
+	send_body(prepaid, account->home, body);
+	account->asking = true;
+	account->ask_timer =
+		kernel_timer(prepaid->kernel, prepaid->svc, HOME_WAIT_US,
+			     account->self, PREPAID_TIMER_HOME);
+}
+
+void sharing_home_answered(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	account->asking = false;
+	kernel_timer_cancel(prepaid->kernel, &account->ask_timer);
+}
+
+void sharing_home_failed(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	account->asking = false;
+	account->ask_timer = HANDLE_NONE;
+	account->most = -1;
+	account->home_retry_at = kernel_now(prepaid->kernel) + HOME_RETRY_US;
+	log_event(LOG_LEVEL_INFO, "prepaid", "home_failed",
+		  "account=%s home=%s waiting=%u", account->name, account->home,
+		  account->waiting.length);
+}
+
+void sharing_return(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	int64_t surplus = account_surplus(account);
+
+	if (surplus <= 0 || prepaid->peers->len == 0)
+		return;
+	if (account->home_version != prepaid->peers_version)
+		choose_home(prepaid, account);
+	reservation_give(prepaid, account,
+			 account->home[0] != '\0' ? account->home
+						  : peer_at(prepaid, 0),
+			 surplus);
+}
+
+void sharing_peer_changed(prepaid_t *prepaid, const msg_t *msg)
+{
+	prepaid_peer_t peer = {0};
+
+	g_strlcpy(peer.incarnation, msg->u.peer_addr.incarnation,
+		  sizeof(peer.incarnation));
+	peer.in_zone = strcmp(msg->u.peer_addr.availability_zone,
+			      prepaid->opts.availability_zone) == 0;
+	prepaid->peers_version++;
+	for (guint i = 0; i < prepaid->peers->len; i++) {
+		const prepaid_peer_t *known =
+			&g_array_index(prepaid->peers, prepaid_peer_t, i);
+
+		if (strcmp(known->incarnation, peer.incarnation) != 0)
+			continue;
+		prepaid->zone_peers -= known->in_zone;
+		g_array_remove_index_fast(prepaid->peers, i);
+		break;
+	}
+	if (msg->kind != MSG_PEER_UP)
+		return;
+	g_array_append_val(prepaid->peers, peer);
+	prepaid->zone_peers += peer.in_zone;
+}
--- /dev/null
+++ b/prepaid/sharing.h
@@ -0,0 +1,34 @@
+/*
+ * What an instance asks its peers for: refills from the account's home in the
+ * zone, and unused tokens of any peer when nothing else is left.
+ */
+#ifndef PREPAID_SHARING_H
+#define PREPAID_SHARING_H
+
+#include "prepaid/reservation.h"
+
+G_BEGIN_DECLS
+
+/* A peer answers within a few ms, unless it has to ask the store itself. */
+#define PEER_WAIT_US (120 * USEC_PER_MSEC)
+
+/* Asks some peers for one reservation, which waits so long for answers. */
+void sharing_ask_peers(prepaid_t *prepaid, reservation_t *reservation,
+		       int64_t wait);
+/* The record leaves too little: peers may still hold unused tokens. */
+void sharing_exhausted(prepaid_t *prepaid, prepaid_account_t *account);
+
+/* True if the account is refilled from a home that can be asked now. */
+bool sharing_has_home(prepaid_t *prepaid, prepaid_account_t *account);
+/* Asks the home if little is left; one ask at a time. */
+void sharing_refill(prepaid_t *prepaid, prepaid_account_t *account);
+void sharing_home_answered(prepaid_t *prepaid, prepaid_account_t *account);
+void sharing_home_failed(prepaid_t *prepaid, prepaid_account_t *account);
+/* Hands unused tokens of peers back before a planned stop. */
+void sharing_return(prepaid_t *prepaid, prepaid_account_t *account);
+
+void sharing_peer_changed(prepaid_t *prepaid, const msg_t *msg);
+
+G_END_DECLS
+
+#endif
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -100,6 +100,7 @@
 		if (reads)
 			continue;
 		body = items_since(replica, replica->pushed_to);
+		body->u.store_items.live = true;
 		up_to = body->u.store_items.up_to;
 		send_body(replica, peer->incarnation, body);
 	}
@@ -147,7 +148,9 @@
 		pull(replica, msg->u.peer.incarnation);
 		return;
 	}
-	replica->heard_at = kernel_now(replica->kernel);
+	/* The answer to a pull may come from one that is turned away too. */
+	if (body->u.store_items.live)
+		replica->heard_at = kernel_now(replica->kernel);
 	if (body->u.store_items.up_to <= replica->revision)
 		return;
 	log_event(LOG_LEVEL_DEBUG, "replica", "relayed",
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -118,12 +118,25 @@
 		g_strlcpy(body->u.slice.budget, "main", NAME_SIZE);
 		body->u.slice.tokens = INT64_MAX;
 		break;
+	case PEER_REFILL_ASK:
+		g_strlcpy(body->u.refill_ask.client_account, "acme", NAME_SIZE);
+		body->u.refill_ask.tokens = INT64_MAX;
+		body->u.refill_ask.least = 17;
+		break;
+	case PEER_REFILL_REPLY:
+		g_strlcpy(body->u.refill_reply.client_account, "acme",
+			  NAME_SIZE);
+		body->u.refill_reply.tokens = 17;
+		body->u.refill_reply.most = INT64_MAX;
+		body->u.refill_reply.spent = true;
+		break;
 	case PEER_STORE_PULL:
 		body->u.store_pull.after = INT64_MAX;
 		break;
 	case PEER_STORE_ITEMS:
 		body->u.store_items.after = 41;
 		body->u.store_items.up_to = 43;
+		body->u.store_items.live = true;
 		fill_store_items(body);
 		break;
 	case PEER_BLAME:
@@ -213,6 +226,7 @@
 			   &frame));
 	EXPECT_EQ(frame.u.body->u.store_items.after, 41);
 	EXPECT_EQ(frame.u.body->u.store_items.up_to, 43);
+	EXPECT_TRUE(frame.u.body->u.store_items.live);
 	items = frame.u.body->u.store_items.items;
 	ASSERT_EQ(items->len, 3u);
 	const store_item_t *item = &g_array_index(items, store_item_t, 0);
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -1,7 +1,7 @@
 // Guards the promise that no account spends more than it has paid for, over
 // lost and late answers of the store, kills, planned stops and cuts between
 // instances, and that a refusal for want of tokens is true.
-#include "prepaid/prepaid.h"
+#include "prepaid/account.h"
 
 #include <cstring>
 #include <deque>
@@ -18,6 +18,8 @@
 constexpr const char *ACCOUNT = "a1";
 constexpr const char *KEY = "prepaid/a1";
 constexpr int64_t STEP_US = 5000;
+constexpr int LARGE = 20; // instances of a fleet with homes
+constexpr unsigned LARGE_SEEDS = 12;
 
 struct item_t {
 	int64_t revision = 0;
@@ -102,6 +104,7 @@
 	int refused_other = 0;
 	int granted = 0;
 	int incarnations = 0;
+	int messages = 0; // between instances
 
 	bool chance(double p)
 	{
@@ -195,17 +198,15 @@
 		tell_store(static_cast<node_t *>(self), STORE_OK);
 }
 
-void deliver(node_t *to, const node_t *from, peer_kind_t kind, int64_t tokens)
+void deliver(node_t *to, const node_t *from, const peer_body_t *body)
 {
 	msg_t msg = {};
 
 	msg.kind = MSG_PEER_RECEIVED;
-	msg.u.peer.body = peer_body_new(kind);
+	msg.u.peer.body = peer_body_new(body->kind);
+	*msg.u.peer.body = *body; // these kinds hold no arrays
 	g_strlcpy(msg.u.peer.incarnation, from->prepaid.opts.incarnation,
 		  sizeof(msg.u.peer.incarnation));
-	g_strlcpy(msg.u.peer.body->u.slice.client_account, ACCOUNT,
-		  sizeof(msg.u.peer.body->u.slice.client_account));
-	msg.u.peer.body->u.slice.tokens = tokens;
 	kernel_post(&to->kernel, to->peer, to->prepaid.svc, &msg);
 }
 
@@ -223,8 +224,8 @@
 		    strcmp(msg->u.peer.incarnation,
 			   other->prepaid.opts.incarnation) != 0)
 			continue;
-		deliver(other.get(), node, msg->u.peer.body->kind,
-			msg->u.peer.body->u.slice.tokens);
+		world->messages++;
+		deliver(other.get(), node, msg->u.peer.body);
 	}
 }
 
@@ -433,14 +434,14 @@
 			!world->cut[(size_t)node->index];
 }
 
-// Returns the tokens spent after a run with faults of every kind.
-void run_schedule(unsigned seed)
+// A run with faults of every kind.
+void run_schedule(unsigned seed, int nodes, int steps, int64_t prepaid)
 {
 	world_t world;
 
 	world.random.seed(seed);
-	begin(&world, 4, 100000);
-	for (int i = 0; i < 3000; i++) {
+	begin(&world, nodes, prepaid);
+	for (int i = 0; i < steps; i++) {
 		if (world.chance(0.002))
 			world.cloud.lost = world.chance(0.5) ? 0.4 : 0.0;
 		if (world.chance(0.002))
@@ -463,7 +464,99 @@
 TEST(Prepaid, NeverSpendsMoreThanWasPaidForUnderFaults)
 {
 	for (unsigned seed = 1; seed <= 60; seed++)
-		run_schedule(seed);
+		run_schedule(seed, 4, 3000, 100000);
+}
+
+// The same with a home for the account, from which the others are refilled.
+TEST(Prepaid, NeverSpendsMoreThanWasPaidForWithAHome)
+{
+	for (unsigned seed = 1; seed <= LARGE_SEEDS; seed++)
+		run_schedule(seed, LARGE, 1200, 200000);
+}
+
+// Guards against a call to the store for each request: parts of a large
+// fleet's instances are small.
+TEST(Prepaid, LargeFleetTakesFromTheStoreThroughItsHome)
+{
+	world_t world;
+
+	world.random.seed(11);
+	begin(&world, LARGE, 4000000);
+	for (int i = 0; i < 2000; i++) {
+		node_t *node =
+			world.nodes[(size_t)world.number(0, LARGE - 1)].get();
+
+		if (i % 2 == 0)
+			reserve(node, 1000);
+		tick(&world);
+		settle(node, true);
+	}
+	EXPECT_EQ(world.granted, 1000);
+	EXPECT_GT(world.messages, 0);
+	/* 10 s, and the home takes more every 2 s or so. */
+	EXPECT_LE(world.cloud.writes, 50);
+	end(&world);
+}
+
+// Guards against requests that fail with the home of their account.
+TEST(Prepaid, StoreIsAskedWhenTheHomeDoesNotAnswer)
+{
+	world_t world;
+	std::string home;
+
+	world.random.seed(12);
+	begin(&world, LARGE, 4000000);
+	reserve(world.nodes[0].get(), 1000);
+	reserve(world.nodes[1].get(), 1000);
+	for (int i = 0; i < 20; i++)
+		tick(&world);
+	ASSERT_EQ(world.granted, 2);
+	for (auto &node : world.nodes) {
+		prepaid_account_t *account = static_cast<prepaid_account_t *>(
+			g_hash_table_lookup(node->prepaid.by_name, ACCOUNT));
+
+		if (account != nullptr && account->home[0] != '\0')
+			home = account->home;
+	}
+	ASSERT_FALSE(home.empty());
+	for (auto &node : world.nodes)
+		if (home == node->prepaid.opts.incarnation)
+			world.cut[(size_t)node->index] = true;
+	for (auto &node : world.nodes)
+		if (!world.cut[(size_t)node->index])
+			reserve(node.get(), 30000);
+	for (int i = 0; i < 120; i++)
+		tick(&world);
+	EXPECT_EQ(world.granted, 2 + LARGE - 1);
+	end(&world);
+}
+
+// Guards against a refusal as spent while instances of a large fleet hold
+// tokens, and against refusals that do not say that the account is spent.
+TEST(Prepaid, LargeFleetSpendsAlmostAllOfAnAccount)
+{
+	world_t world;
+
+	world.random.seed(13);
+	begin(&world, LARGE, 400000);
+	for (int i = 0; i < 12000; i++) {
+		node_t *node =
+			world.nodes[(size_t)world.number(0, LARGE - 1)].get();
+		int64_t before = world.spent;
+
+		if (i % 2 == 0)
+			reserve(node, 200);
+		tick(&world);
+		settle(node, true);
+		if (world.refused_spent > 0) {
+			EXPECT_GE(before, 388000);
+			break;
+		}
+	}
+	EXPECT_GT(world.refused_spent, 0);
+	EXPECT_EQ(world.refused_other, 0);
+	EXPECT_LE(world.spent, world.prepaid);
+	end(&world);
 }
 
 // Guards against reservations from a part whose return was written but not
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -174,7 +174,7 @@
 				i % 2 == 0 ? "z" : "y");
 	}
 	void relay(int64_t after, int64_t up_to, const char *key = nullptr,
-		   bool gone = false)
+		   bool gone = false, bool live = true)
 	{
 		msg_t msg = {};
 		store_item_t item = {};
@@ -185,6 +185,7 @@
 		msg.u.peer.body = peer_body_new(PEER_STORE_ITEMS);
 		msg.u.peer.body->u.store_items.after = after;
 		msg.u.peer.body->u.store_items.up_to = up_to;
+		msg.u.peer.body->u.store_items.live = live;
 		if (key != nullptr) {
 			g_strlcpy(item.key, key, sizeof(item.key));
 			item.revision = up_to;
@@ -340,6 +341,23 @@
 	EXPECT_TRUE(up);
 }
 
+// Guards against a configuration that arrives late: one that was turned away
+// took the answers of others in the same place for a reader's.
+TEST_F(Replica, AnswersOfPeersDoNotStandForAReader)
+{
+	start();
+	grow(false);
+	status = STORE_UNAVAILABLE;
+	run(USEC_PER_SEC);
+	ASSERT_FALSE(up);
+	pulls.clear();
+	for (int i = 0; i < 10; i++) {
+		relay(9, 20 + i, nullptr, false, false);
+		run(300000);
+	}
+	EXPECT_GE(pulls.size(), 9u);
+}
+
 TEST_F(Replica, ReaderPassesOnToItsZoneWhatHasChanged)
 {
 	start();
