Take from the store less often: next homes, no calls for slices

A request that found too little asked six peers, and each of them took a share of the few tokens from the record by a call of its own. An instance whose home the store turned away went to the store itself. And a rate that is smoothed from zero says too little in its first seconds, so that a part grew in many small steps.

In a large fleet a slice is now given from what is at hand; a home that failed or has no store is avoided for a second and the next one by weight is asked; rates are corrected for their age. A home's first part is sized for its whole zone.

--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -22,6 +22,8 @@
 #define RELAYED_S 4.0
 #define USUAL_WEIGHT 0.1 /* of the newest reservation */
 #define DEMAND_TIME_S 6.0 /* over which demand is smoothed */
+/* One request right after the first says little about the demand. */
+#define DEMAND_AGE_MIN_S 1.0
 
 int64_t account_available(const prepaid_account_t *account)
 {
@@ -45,9 +47,10 @@
 }
 
 /* What this instance has taken as a share of what all have; they differ. */
-static double own_share(const prepaid_account_t *account, uint32_t instances)
+static double own_share(const prepaid_account_t *account,
+			const fleet_share_t *share)
 {
-	double least = 0.5 / MAX(instances, 1);
+	double least = 0.5 * share->own / MAX(share->all, 1);
 	int64_t taken = 0;
 
 	for (guint i = 0;
@@ -60,45 +63,64 @@
 	return CLAMP((double)account->granted / (double)taken, least, 1.0);
 }
 
-int64_t account_part_max(const prepaid_account_t *account, uint32_t instances)
+int64_t account_part_max(const prepaid_account_t *account,
+			 const fleet_share_t *share)
 {
 	return (int64_t)((double)account_room(account) * HEADROOM_PART *
-			 own_share(account, instances));
+			 own_share(account, share));
 }
 
-int64_t account_headroom(const prepaid_account_t *account, uint32_t instances)
+static double seconds(int64_t from, int64_t to)
 {
-	double want =
-		MAX(account->demand * HEADROOM_S + account->relayed * RELAYED_S,
-		    account->usual * HEADROOM_REQUESTS);
-	int64_t most = account->most >= 0
-			       ? account->most
-			       : account_part_max(account, instances);
+	return (double)(to - from) / USEC_PER_SEC;
+}
 
-	return MIN((int64_t)want, most);
+/*
+ * A smoothed rate begins at zero and says too little for its first seconds,
+ * so it is divided by the share of its weights that these fill.
+ */
+static double rate_now(const token_rate_t *rate, int64_t now)
+{
+	double age = MAX(seconds(rate->since, now), DEMAND_AGE_MIN_S);
+
+	if (rate->since == 0)
+		return 0.0;
+	return rate->rate * exp(-seconds(rate->at, now) / DEMAND_TIME_S) /
+	       (1.0 - exp(-age / DEMAND_TIME_S));
 }
 
-/* An exponentially weighted rate. */
-static void note(double *rate, int64_t *at, int64_t tokens, int64_t now)
+static void note(token_rate_t *rate, int64_t tokens, int64_t now)
 {
-	double age = (double)(now - *at) / USEC_PER_SEC;
+	if (rate->since == 0)
+		rate->since = now;
+	rate->rate = rate->rate * exp(-seconds(rate->at, now) / DEMAND_TIME_S) +
+		     (double)tokens / DEMAND_TIME_S;
+	rate->at = now;
+}
 
-	*rate = *rate * exp(-age / DEMAND_TIME_S) +
-		(double)tokens / DEMAND_TIME_S;
-	*at = now;
+int64_t account_headroom(const prepaid_account_t *account,
+			 const fleet_share_t *share, int64_t now)
+{
+	double want = MAX(rate_now(&account->demand, now) * HEADROOM_S +
+				  rate_now(&account->relayed, now) * RELAYED_S,
+			  account->usual * HEADROOM_REQUESTS);
+	int64_t most = account->most >= 0 ? account->most
+					  : account_part_max(account, share);
+
+	return MIN((int64_t)want, most);
 }
 
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now)
 {
-	note(&account->demand, &account->demand_at, tokens, now);
+	note(&account->demand, tokens, now);
 	account->usual += USUAL_WEIGHT * ((double)tokens - account->usual);
 }
 
 void account_note_relayed(prepaid_account_t *account, int64_t tokens,
 			  int64_t now)
 {
-	note(&account->relayed, &account->relayed_at, tokens, now);
+	note(&account->relayed, tokens, now);
 }
 
 int64_t account_used(const prepaid_account_t *account)
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -9,8 +9,16 @@
 G_BEGIN_DECLS
 
 #define REVISION_UNKNOWN (-1)
+#define HOMES_AVOIDED_MAX 3 /* then the store is asked for a while */
 #define REFILL_PART 2 /* of the headroom, at which more is taken */
 
+/* Tokens a second, smoothed over some seconds. */
+typedef struct token_rate_t {
+	double rate;
+	int64_t at; /* monotonic, us, of its last change */
+	int64_t since; /* monotonic, us, of the first one; 0: none */
+} token_rate_t;
+
 typedef struct prepaid_account_t {
 	handle_t self;
 	char name[NAME_SIZE];
@@ -40,27 +48,35 @@
 
 	char home[INCARNATION_SIZE]; /* of the zone; empty: this instance */
 	uint64_t home_version; /* of the peers that home was chosen from */
+	char avoided[HOMES_AVOIDED_MAX][INCARNATION_SIZE];
+	uint32_t avoided_count; /* homes that failed */
+	int64_t avoided_until; /* monotonic, us */
 	bool asking; /* the home has not answered yet */
 	handle_t ask_timer;
-	int64_t home_retry_at; /* monotonic, us, not asked before it */
 	int64_t most; /* to hold, as the home said; -1: it has not */
 	int64_t spent_at; /* monotonic, us, the home said it is spent */
 
-	double demand; /* tokens a second, smoothed */
-	double relayed; /* the same, of peers that are refilled from here */
-	int64_t relayed_at; /* monotonic, us, of its last change */
+	token_rate_t demand; /* of requests here */
+	token_rate_t relayed; /* of peers that are refilled from here */
 	double usual; /* tokens of a reservation, smoothed */
-	int64_t demand_at; /* monotonic, us, of its last change */
 } prepaid_account_t;
 
+/* How many of the fleet's instances this one takes tokens for. */
+typedef struct fleet_share_t {
+	uint32_t own; /* 1, or those of the zone whose home it is */
+	uint32_t all;
+} fleet_share_t;
+
 /* Tokens that may be reserved now. */
 int64_t account_available(const prepaid_account_t *account);
 /* Tokens that nobody has taken, by the newest known record. */
 int64_t account_room(const prepaid_account_t *account);
 /* What this instance may hold, so that little is lost if all lose power. */
-int64_t account_part_max(const prepaid_account_t *account, uint32_t instances);
+int64_t account_part_max(const prepaid_account_t *account,
+			 const fleet_share_t *share);
 /* Tokens to hold beyond what is asked for now. */
-int64_t account_headroom(const prepaid_account_t *account, uint32_t instances);
+int64_t account_headroom(const prepaid_account_t *account,
+			 const fleet_share_t *share, int64_t now);
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
 			 int64_t now);
 void account_note_relayed(prepaid_account_t *account, int64_t tokens,
--- a/prepaid/part.c
+++ b/prepaid/part.c
@@ -54,9 +54,12 @@
 	int64_t available = account_available(account);
 	int64_t room = account_room(account);
 	int64_t headroom, want;
+	fleet_share_t share;
 
 	account->most = -1;
-	headroom = account_headroom(account, prepaid->instances);
+	share = sharing_share(prepaid, account);
+	headroom =
+		account_headroom(account, &share, kernel_now(prepaid->kernel));
 	want = reservations_sum(account) + headroom - available;
 	if (account->waiting.length == 0 && available >= headroom / REFILL_PART)
 		return;
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -10,8 +10,6 @@
  * there is if the store is slow.
  */
 #define REFILL_WAIT_US (220 * USEC_PER_MSEC)
-/* After a home that could hand over too little: the store is asked. */
-#define HOME_EMPTY_US (300 * USEC_PER_MSEC)
 
 static void check_stopped(prepaid_t *prepaid)
 {
@@ -57,6 +55,7 @@
 	prepaid_account_t *account;
 
 	prepaid->store_up = up;
+	prepaid->peers_version++; /* homes are chosen anew */
 	prepaid->retry_at = 0;
 	while (up && (account = table_next(&prepaid->accounts, &cursor,
 					   NULL)) != NULL)
@@ -163,8 +162,11 @@
 
 	if (account->prepaid < 0 || prepaid->stopping)
 		return;
-	/* What the store still has, the peer gets from there or through us. */
-	if (!prepaid->store_up ||
+	/*
+	 * What the store still has, the peer gets from there or through us;
+	 * in a large fleet through a home.
+	 */
+	if (!prepaid->store_up || sharing_is_large(prepaid) ||
 	    account_room(account) < body->u.slice.tokens ||
 	    account->revision == REVISION_UNKNOWN) {
 		reservation_give(prepaid, account, msg->u.peer.incarnation,
@@ -203,9 +205,10 @@
 		find_account(prepaid, body->u.refill_ask.client_account);
 	int64_t least = MAX(body->u.refill_ask.least, 0);
 	int64_t spare = MAX(body->u.refill_ask.tokens - least, 0);
+	fleet_share_t share = {prepaid->zone_peers + 1, prepaid->instances};
 	reservation_t *reservation;
 
-	spare = MIN(spare, account_part_max(account, prepaid->instances) /
+	spare = MIN(spare, account_part_max(account, &share) /
 				   (prepaid->zone_peers + 1));
 	account_note_relayed(account, least + spare,
 			     kernel_now(prepaid->kernel));
@@ -245,7 +248,7 @@
 		sharing_exhausted(prepaid, account);
 		return;
 	}
-	account->home_retry_at = now + HOME_EMPTY_US;
+	sharing_home_failed(prepaid, account);
 	part_advance(prepaid, account);
 }
 
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -71,6 +71,7 @@
 	int64_t tokens =
 		CLAMP(account_available(account), 0, reservation->tokens);
 	msg_t msg = {.kind = MSG_PEER_SEND};
+	fleet_share_t share = {prepaid->zone_peers + 1, prepaid->instances};
 	peer_body_t *body = peer_body_new(PEER_REFILL_REPLY);
 
 	account->given += tokens;
@@ -78,8 +79,7 @@
 		  sizeof(body->u.refill_reply.client_account));
 	body->u.refill_reply.tokens = tokens;
 	body->u.refill_reply.most =
-		account_part_max(account, prepaid->instances) /
-		(prepaid->zone_peers + 1);
+		account_part_max(account, &share) / (prepaid->zone_peers + 1);
 	body->u.refill_reply.spent = spent && tokens < reservation->least;
 	g_strlcpy(msg.u.peer.incarnation, reservation->peer,
 		  sizeof(msg.u.peer.incarnation));
--- a/prepaid/sharing.c
+++ b/prepaid/sharing.c
@@ -16,7 +16,7 @@
  * a call, and their compare-and-swaps would meet.
  */
 #define HOME_PEERS_MIN 16
-/* After a home that did not answer: the store is asked meanwhile. */
+/* A home that failed is not asked; the next one is meanwhile. */
 #define HOME_RETRY_US USEC_PER_SEC
 
 static void send_body(prepaid_t *prepaid, const char *peer, peer_body_t *body)
@@ -93,10 +93,22 @@
 	return hash * 0x9e3779b97f4a7c15ULL;
 }
 
+static bool is_avoided(const prepaid_account_t *account,
+		       const char *incarnation)
+{
+	for (uint32_t i = 0; i < account->avoided_count; i++)
+		if (strcmp(account->avoided[i], incarnation) == 0)
+			return true;
+	return false;
+}
+
 static void choose_home(prepaid_t *prepaid, prepaid_account_t *account)
 {
-	uint64_t best = weight_of(account->name, prepaid->opts.incarnation);
+	uint64_t best = 0;
 
+	/* One that the store turns away can take nothing for others. */
+	if (prepaid->store_up)
+		best = weight_of(account->name, prepaid->opts.incarnation);
 	account->home[0] = '\0';
 	account->home_version = prepaid->peers_version;
 	for (guint i = 0; i < prepaid->peers->len; i++) {
@@ -104,7 +116,7 @@
 			&g_array_index(prepaid->peers, prepaid_peer_t, i);
 		uint64_t weight;
 
-		if (!peer->in_zone)
+		if (!peer->in_zone || is_avoided(account, peer->incarnation))
 			continue;
 		weight = weight_of(account->name, peer->incarnation);
 		if (weight <= best)
@@ -126,15 +138,38 @@
 	return false;
 }
 
+bool sharing_is_large(const prepaid_t *prepaid)
+{
+	return prepaid->peers->len >= HOME_PEERS_MIN;
+}
+
+fleet_share_t sharing_share(const prepaid_t *prepaid,
+			    const prepaid_account_t *account)
+{
+	bool is_home = sharing_is_large(prepaid) && account->home[0] == '\0';
+	fleet_share_t share = {
+		.own = is_home ? prepaid->zone_peers + 1 : 1,
+		.all = prepaid->instances,
+	};
+
+	return share;
+}
+
 bool sharing_has_home(prepaid_t *prepaid, prepaid_account_t *account)
 {
-	if (prepaid->peers->len < HOME_PEERS_MIN || prepaid->stopping ||
+	if (!sharing_is_large(prepaid) || prepaid->stopping ||
 	    account->prepaid < 0)
 		return false;
+	if (account->avoided_count > 0 &&
+	    kernel_now(prepaid->kernel) >= account->avoided_until) {
+		account->avoided_count = 0;
+		choose_home(prepaid, account);
+	}
+	if (account->avoided_count == HOMES_AVOIDED_MAX)
+		return false;
 	if (account->home_version != prepaid->peers_version)
 		choose_home(prepaid, account);
-	return account->home[0] != '\0' && !serves_peers(account) &&
-	       kernel_now(prepaid->kernel) >= account->home_retry_at;
+	return account->home[0] != '\0' && !serves_peers(account);
 }
 
 static bool all_asked_peers(const prepaid_account_t *account)
@@ -149,7 +184,9 @@
 void sharing_refill(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	int64_t available = account_available(account);
-	int64_t headroom = account_headroom(account, prepaid->instances);
+	fleet_share_t share = sharing_share(prepaid, account);
+	int64_t headroom =
+		account_headroom(account, &share, kernel_now(prepaid->kernel));
 	peer_body_t *body;
 
 	if (account->asking)
@@ -183,12 +220,18 @@
 void sharing_home_failed(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	account->asking = false;
-	account->ask_timer = HANDLE_NONE;
+	kernel_timer_cancel(prepaid->kernel, &account->ask_timer);
 	account->most = -1;
-	account->home_retry_at = kernel_now(prepaid->kernel) + HOME_RETRY_US;
 	log_event(LOG_LEVEL_INFO, "prepaid", "home_failed",
 		  "account=%s home=%s waiting=%u", account->name, account->home,
 		  account->waiting.length);
+	if (account->avoided_count == HOMES_AVOIDED_MAX ||
+	    account->home[0] == '\0')
+		return;
+	g_strlcpy(account->avoided[account->avoided_count++], account->home,
+		  INCARNATION_SIZE);
+	account->avoided_until = kernel_now(prepaid->kernel) + HOME_RETRY_US;
+	choose_home(prepaid, account);
 }
 
 void sharing_return(prepaid_t *prepaid, prepaid_account_t *account)
--- a/prepaid/sharing.h
+++ b/prepaid/sharing.h
@@ -20,6 +20,11 @@
 
 /* True if the account is refilled from a home that can be asked now. */
 bool sharing_has_home(prepaid_t *prepaid, prepaid_account_t *account);
+/* The instances that this one takes the account's tokens for. */
+fleet_share_t sharing_share(const prepaid_t *prepaid,
+			    const prepaid_account_t *account);
+/* True in a fleet in which accounts have homes. */
+bool sharing_is_large(const prepaid_t *prepaid);
 /* Asks the home if little is left; one ask at a time. */
 void sharing_refill(prepaid_t *prepaid, prepaid_account_t *account);
 void sharing_home_answered(prepaid_t *prepaid, prepaid_account_t *account);
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -559,6 +559,72 @@
 	end(&world);
 }
 
+// Guards against peers that each take from the store for one of them that
+// found too little: one request of it became six calls for a few tokens.
+TEST(Prepaid, PeersOfALargeFleetTakeNothingForASlice)
+{
+	world_t world;
+	int writes;
+
+	world.random.seed(14);
+	begin(&world, LARGE, 4000000);
+	for (auto &node : world.nodes)
+		reserve(node.get(), 1000);
+	for (int i = 0; i < 20; i++)
+		tick(&world);
+	ASSERT_EQ(world.granted, LARGE);
+	writes = world.cloud.writes;
+	for (auto &to : world.nodes) {
+		peer_body_t body = {};
+
+		body.kind = PEER_SLICE_ASK;
+		g_strlcpy(body.u.slice.client_account, ACCOUNT,
+			  sizeof(body.u.slice.client_account));
+		body.u.slice.tokens = 20000;
+		deliver(to.get(), world.nodes[0].get(), &body);
+	}
+	for (int i = 0; i < 20; i++)
+		tick(&world);
+	EXPECT_LE(world.cloud.writes, writes + 1);
+	end(&world);
+}
+
+// Guards against instances that go to the store by themselves because their
+// home is turned away: the next one is asked.
+TEST(Prepaid, HomeThatTheStoreTurnsAwayIsReplaced)
+{
+	world_t world;
+	int writes;
+
+	world.random.seed(15);
+	begin(&world, LARGE, 4000000);
+	for (auto &node : world.nodes)
+		reserve(node.get(), 1000);
+	for (int i = 0; i < 20; i++)
+		tick(&world);
+	for (auto &node : world.nodes) {
+		prepaid_account_t *account = static_cast<prepaid_account_t *>(
+			g_hash_table_lookup(node->prepaid.by_name, ACCOUNT));
+
+		if (account->home[0] == '\0')
+			tell_store(node.get(), STORE_UNAVAILABLE);
+	}
+	tick(&world);
+	world.granted = 0;
+	writes = world.cloud.writes;
+	for (int i = 0; i < 400; i++) {
+		if (i % 2 == 0)
+			reserve(world.nodes[(size_t)world.number(0, LARGE - 1)]
+					.get(),
+				5000);
+		tick(&world);
+		settle(world.nodes[0].get(), true);
+	}
+	EXPECT_EQ(world.granted, 200);
+	EXPECT_LE(world.cloud.writes, writes + 20);
+	end(&world);
+}
+
 // Guards against reservations from a part whose return was written but not
 // answered: the write may still take effect.
 TEST(Prepaid, PartIsNotUsedOnceItsReturnWasSent)
