Tell peers of placements at targets that read prompts

An instance now tells its peers, in a large fleet those of its zone, of each placement at an engine: the target and the tokens to be read. They add them to the target's cost until they are read, and count the request for some seconds.

Test: the second instance avoids a target that reads a peer's prompts (fails without the messages), only the zone of a large fleet is told.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -14,6 +14,8 @@
 #define JITTER_MS 2.0 /* keeps instances from choosing in step */
 /* A call's target queues a few requests; more only wait there. */
 #define CALL_QUEUE_SHARE 2
+/* With more instances a message to all for each placement costs too much. */
+#define TOLD_INSTANCES 16
 
 typedef struct placement_t {
 	handle_t self;
@@ -127,6 +129,39 @@
 	return best;
 }
 
+/*
+ * Peers that don't know of each other's placements choose the same targets,
+ * whose tokens then stop while they read the prompts.  Few peers are all
+ * told, many only within the zone, where most of their targets are.
+ */
+static void tell_peers(balance_t *balance, const balance_target_t *target,
+		       int64_t tokens)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	if (!target->engine)
+		return;
+	if (balance->instances > TOLD_INSTANCES)
+		g_strlcpy(msg.u.peer.availability_zone, balance->zone,
+			  sizeof(msg.u.peer.availability_zone));
+	msg.u.peer.body = peer_body_new(PEER_PLACED);
+	g_strlcpy(msg.u.peer.body->u.placed.target, target->info.id,
+		  sizeof(msg.u.peer.body->u.placed.target));
+	msg.u.peer.body->u.placed.tokens = tokens;
+	kernel_post(balance->kernel, balance->svc, balance->peer, &msg);
+}
+
+static void peer_placed(balance_t *balance, const peer_body_t *body)
+{
+	balance_target_t *target =
+		g_hash_table_lookup(balance->by_id, body->u.placed.target);
+
+	if (body->kind == PEER_PLACED && target != NULL)
+		balance_target_peer_placed(target,
+					   MAX(body->u.placed.tokens, 0),
+					   kernel_now(balance->kernel));
+}
+
 static void place(balance_t *balance, const msg_t *ask,
 		  balance_target_t *target)
 {
@@ -152,6 +187,7 @@
 	g_strlcpy(msg.u.placed.host, target->info.host,
 		  sizeof(msg.u.placed.host));
 	kernel_post(balance->kernel, balance->svc, ask->from, &msg);
+	tell_peers(balance, target, placement->unread_tokens);
 	log_event(LOG_LEVEL_DEBUG, "balance", "placed",
 		  "request=%s target=%s outstanding=%u load=%u,%u,%u "
 		  "load_age_ms=%" G_GINT64_FORMAT " cached=%" G_GINT64_FORMAT
@@ -414,6 +450,7 @@
 {
 	msg_t msg = {.kind = MSG_FLEET_SUBSCRIBE};
 
+	balance->peer = kernel_find(balance->kernel, "peer");
 	kernel_post(balance->kernel, balance->svc,
 		    kernel_find(balance->kernel, "fleet"), &msg);
 }
@@ -438,6 +475,9 @@
 	case MSG_FLEET_SIZE:
 		balance->instances = msg->u.fleet_size.instances;
 		break;
+	case MSG_PEER_RECEIVED:
+		peer_placed(balance, msg->u.peer.body);
+		break;
 	case MSG_PLACE:
 		ask(balance, msg);
 		break;
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -14,6 +14,7 @@
 typedef struct balance_t {
 	kernel_t *kernel;
 	svc_t svc;
+	svc_t peer;
 	char zone[NAME_SIZE];
 	fleet_conf_t *conf;
 	uint32_t instances; /* in the fleet, this one included */
--- a/balance/target.c
+++ b/balance/target.c
@@ -35,6 +35,8 @@
 /* A first byte usually takes less; beyond it the target may be silent. */
 #define OVERDUE_US (800 * USEC_PER_MSEC)
 #define OVERDUE_WEIGHT 0.5 /* of the time beyond */
+/* Streams last 1 to 4 s. */
+#define RUN_HALF_LIFE_US (1.5 * 1e6)
 
 typedef struct cached_part_t {
 	uint64_t id;
@@ -120,6 +122,29 @@
 	target->outstanding_at_load = target->outstanding;
 }
 
+/* Peers tell when they place a request, and not when it ends. */
+static double peers_tokens(const balance_target_t *target, int64_t now)
+{
+	double age = (double)(now - target->peers_at) / USEC_PER_MSEC_F;
+
+	return MAX(target->peers_tokens - age * PREFILL_TOKENS_PER_MS, 0.0);
+}
+
+static double peers_running(const balance_target_t *target, int64_t now)
+{
+	double age = (double)(now - target->peers_at);
+
+	return target->peers_running * exp2(-age / RUN_HALF_LIFE_US);
+}
+
+void balance_target_peer_placed(balance_target_t *target, int64_t tokens,
+				int64_t now)
+{
+	target->peers_tokens = peers_tokens(target, now) + (double)tokens;
+	target->peers_running = peers_running(target, now) + 1.0;
+	target->peers_at = now;
+}
+
 static double decayed(const balance_target_t *target, int64_t now)
 {
 	double age = (double)(now - target->failures_at);
@@ -145,10 +170,11 @@
 {
 	double fresh = 1.0 - (double)(now - target->load_at) / LOAD_AGE_US;
 	double others = (double)reported - target->outstanding_at_load;
+	double told = peers_running(target, now);
 
 	if (!target->load.known || fresh <= 0.0)
-		return target->outstanding;
-	return target->outstanding + MAX(others, 0.0) * fresh;
+		return target->outstanding + told;
+	return target->outstanding + MAX(others * fresh, told);
 }
 
 static double slowness(const balance_target_t *target, int64_t now)
@@ -200,7 +226,8 @@
 
 	return (double)reread_tokens(place, cached, preferred) * REREAD_MS +
 	       reading * (1.0 + running * DISTURBED_MS) +
-	       (double)target->unread_tokens / PREFILL_TOKENS_PER_MS +
+	       ((double)target->unread_tokens + peers_tokens(target, now)) /
+		       PREFILL_TOKENS_PER_MS +
 	       running * ENGINE_RUNNING_MS + waiting * ENGINE_WAITING_MS;
 }
 
--- a/balance/target.h
+++ b/balance/target.h
@@ -20,6 +20,9 @@
 	target_load_t load; /* as last reported */
 	int64_t load_at; /* monotonic, us */
 	uint32_t outstanding_at_load;
+	double peers_tokens; /* of prompts that peers have placed, unread */
+	double peers_running; /* requests of peers */
+	int64_t peers_at; /* monotonic, us, of these two */
 	double failures; /* recent ones, decaying */
 	int64_t failures_at; /* monotonic, us, of the last change */
 	GHashTable *cached; /* prompt part -> cached_part_t */
@@ -40,6 +43,9 @@
 
 void balance_target_reported(balance_target_t *target,
 			     const target_load_t *load, int64_t now);
+/* A peer has placed a request with so many tokens to be read. */
+void balance_target_peer_placed(balance_target_t *target, int64_t tokens,
+				int64_t now);
 void balance_target_failed(balance_target_t *target, double weight,
 			   int64_t now);
 void balance_target_succeeded(balance_target_t *target, int64_t now);
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -377,8 +377,9 @@
 		conf_snapshot_t *conf; /* MSG_CONF_CHANGED */
 
 		struct {
-			/* empty: all connected peers */
+			/* empty: all connected peers, of a zone or any */
 			char incarnation[INCARNATION_SIZE];
+			char availability_zone[NAME_SIZE];
 			peer_body_t *body;
 		} peer; /* MSG_PEER_SEND, _RECEIVED, MSG_STORE_DECODE */
 		struct {
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -78,6 +78,7 @@
 	PEER_BLAME,
 	PEER_STORE_PULL,
 	PEER_STORE_ITEMS,
+	PEER_PLACED,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -150,6 +151,10 @@
 			bool live; /* the sender has just read from the store */
 			GArray *items; /* store_item_t */
 		} store_items;
+		struct {
+			char target[NAME_SIZE];
+			int64_t tokens; /* of the prompt, to be read there */
+		} placed;
 	} u;
 } peer_body_t;
 
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -108,6 +108,11 @@
 	BODY_BOOL(store_items, live),
 };
 
+static const field_t placed_fields[] = {
+	BODY_TEXT(placed, target),
+	BODY_I64(placed, tokens),
+};
+
 static fields_t body_fields(peer_kind_t kind)
 {
 	switch (kind) {
@@ -136,6 +141,8 @@
 		return FIELDS_OF(store_pull_fields);
 	case PEER_STORE_ITEMS:
 		return FIELDS_OF(store_items_fields);
+	case PEER_PLACED:
+		return FIELDS_OF(placed_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -115,6 +115,8 @@
 	case PEER_STORE_PULL:
 	case PEER_STORE_ITEMS:
 		return peer->replica;
+	case PEER_PLACED:
+		return peer->balance;
 	case PEER_KIND_COUNT:
 		break;
 	}
@@ -132,12 +134,16 @@
 		    &msg);
 }
 
-static void send_to_all(peer_t *peer)
+/* zone: empty for all availability zones. */
+static void send_to_all(peer_t *peer, const char *zone)
 {
 	uint32_t cursor = 0;
 	conn_t *conn;
 
 	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL) {
+		if (zone[0] != '\0' &&
+		    strcmp(conn->remote.availability_zone, zone) != 0)
+			continue;
 		if (g_hash_table_lookup(peer->up, conn->remote.incarnation) ==
 		    conn)
 			peer_conn_send(conn, peer->scratch->data,
@@ -145,8 +151,10 @@
 	}
 }
 
-static void send_body(peer_t *peer, const char *incarnation, peer_body_t *body)
+static void send_body(peer_t *peer, const msg_t *msg)
 {
+	const char *incarnation = msg->u.peer.incarnation;
+	peer_body_t *body = msg->u.peer.body;
 	peer_frame_t frame = {.kind = FRAME_BODY, .u.body = body};
 	conn_t *conn = NULL;
 
@@ -165,7 +173,7 @@
 	if (conn != NULL)
 		peer_conn_send(conn, peer->scratch->data, peer->scratch->len);
 	else
-		send_to_all(peer);
+		send_to_all(peer, msg->u.peer.availability_zone);
 }
 
 static void probe(peer_t *peer, conn_t *conn, int64_t now)
@@ -215,6 +223,7 @@
 	peer->conf = kernel_find(peer->kernel, "conf");
 	peer->ledger = find_either(peer, "ledger", "prepaid");
 	peer->request = find_either(peer, "request", "proxy");
+	peer->balance = kernel_find(peer->kernel, "balance");
 	peer->replica = kernel_find(peer->kernel, "replica");
 	g_socket_service_start(peer->listener);
 	kernel_timer(peer->kernel, peer->svc, TICK, HANDLE_NONE, TIMER_TICK);
@@ -241,8 +250,7 @@
 		break;
 	case MSG_PEER_SEND:
 		if (msg->u.peer.body != NULL)
-			send_body(peer, msg->u.peer.incarnation,
-				  msg->u.peer.body);
+			send_body(peer, msg);
 		break;
 	default:
 		break;
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -32,6 +32,7 @@
 	svc_t ledger;
 	svc_t request;
 	svc_t replica;
+	svc_t balance;
 	peer_opts_t opts;
 	GSocketService *listener;
 	GSocketClient *client;
--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -179,12 +179,25 @@
 	exchange->head = g_steal_pointer(&msg->u.out_head.head);
 }
 
+static void note_event(const proxy_t *proxy, exchange_t *exchange)
+{
+	int64_t now = kernel_now(proxy->kernel);
+
+	if (exchange->first_event_at == 0)
+		exchange->first_event_at = now;
+	else
+		exchange->longest_gap = MAX(exchange->longest_gap,
+					    now - exchange->last_event_at);
+	exchange->last_event_at = now;
+}
+
 static void stream_data(proxy_t *proxy, exchange_t *exchange, GBytes *bytes)
 {
 	GBytes *whole = events_feed(&exchange->events, bytes);
 
 	if (whole == NULL)
 		return;
+	note_event(proxy, exchange);
 	if (!exchange->head_sent)
 		send_head(proxy, exchange, -1);
 	send_bytes(proxy, exchange, whole);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -74,11 +74,16 @@
 	exchange->placement = HANDLE_NONE;
 }
 
+/* ms, -1: it has not happened */
+static int64_t since_start(const exchange_t *exchange, int64_t at)
+{
+	return at > 0 ? (at - exchange->started) / USEC_PER_MSEC : -1;
+}
+
 static void log_outcome(proxy_t *proxy, const exchange_t *exchange,
 			const char *outcome)
 {
 	int64_t now = kernel_now(proxy->kernel);
-	int64_t first = exchange->first_byte_at;
 
 	metrics_observe(proxy->kernel->metrics, HISTOGRAM_REQUEST,
 			now - exchange->started);
@@ -86,7 +91,8 @@
 		  "request=%s outcome=%s route=%s service=%s account=%s "
 		  "version=%" G_GINT64_FORMAT " target=%s sends=%u runs=%u "
 		  "reused=%d status=%u events=%u tokens=%" G_GINT64_FORMAT
-		  " ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT,
+		  " ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
+		  " event_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT,
 		  log_quote(exchange->spec->request_id), outcome,
 		  exchange->route.name, exchange->service, exchange->account,
 		  exchange->version, exchange->instance, exchange->sends,
@@ -94,7 +100,9 @@
 		  exchange->head != NULL ? exchange->head->status : 0,
 		  exchange->events.count, spent_tokens(exchange),
 		  (now - exchange->started) / USEC_PER_MSEC,
-		  first > 0 ? (first - exchange->started) / USEC_PER_MSEC : -1);
+		  since_start(exchange, exchange->first_byte_at),
+		  since_start(exchange, exchange->first_event_at),
+		  exchange->longest_gap / USEC_PER_MSEC);
 }
 
 void exchange_end(proxy_t *proxy, exchange_t *exchange, const char *outcome)
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -53,6 +53,9 @@
 	bool ended_well; /* a target has answered in full */
 	events_t events;
 	int64_t first_byte_at; /* monotonic, us */
+	int64_t first_event_at; /* monotonic, us, 0: none */
+	int64_t last_event_at; /* monotonic, us */
+	int64_t longest_gap; /* us, between two events */
 } exchange_t;
 
 /* exchange.c */
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -21,11 +21,18 @@
 	std::vector<uint32_t> refused;
 	refusal_t reason = REFUSAL_NONE;
 
+	svc_t peer;
+	std::vector<peer_body_t> told; // what peers would get
+	std::string told_zone;
+
 	static void receive(void *self, msg_t *msg)
 	{
 		instance_t *i = static_cast<instance_t *>(self);
 
-		if (msg->kind == MSG_PLACED) {
+		if (msg->kind == MSG_PEER_SEND) {
+			i->told.push_back(*msg->u.peer.body);
+			i->told_zone = msg->u.peer.availability_zone;
+		} else if (msg->kind == MSG_PLACED) {
 			i->placed.emplace_back(msg->ref.index,
 					       msg->u.placed.instance);
 			i->placements.push_back(msg->id);
@@ -39,6 +46,7 @@
 		kernel_init(&kernel, CLOCK_VIRTUAL, seed);
 		proxy = kernel_register(&kernel, "proxy", receive, this);
 		fleet = kernel_register(&kernel, "fleet", receive, this);
+		peer = kernel_register(&kernel, "peer", receive, this);
 		balance_init(&balance, &kernel, zone);
 		kernel_start(&kernel);
 		conf();
@@ -85,6 +93,25 @@
 		kernel_post(&kernel, fleet, balance.svc, &msg);
 		run(0);
 	}
+	void size(uint32_t instances)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_FLEET_SIZE;
+		msg.u.fleet_size.instances = instances;
+		kernel_post(&kernel, fleet, balance.svc, &msg);
+		run(0);
+	}
+	void hear(const peer_body_t &body)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_RECEIVED;
+		msg.u.peer.body = peer_body_new(body.kind);
+		*msg.u.peer.body = body; // this kind holds no arrays
+		kernel_post(&kernel, peer, balance.svc, &msg);
+		run(0);
+	}
 	void ask(uint32_t number, const char *service, uint64_t part = 0,
 		 int32_t priority = 0)
 	{
@@ -238,4 +265,62 @@
 	EXPECT_EQ(a.placed.size(), 2u);
 }
 
+// Guards against streams that stop for the prompts of others: instances that
+// know nothing of each other send them to the same target.
+TEST(Balance, InstancesAvoidTargetsThatReadAPromptOfAPeer)
+{
+	instance_t a("z1", 1), b("z1", 2), c("z1", 3);
+
+	for (instance_t *i : {&a, &b, &c})
+		for (const char *id : {"t1", "t2"})
+			i->target("engine", id, "z1");
+	a.ask(1, "engine", 7);
+	ASSERT_EQ(a.told.size(), 1u);
+	EXPECT_EQ(a.told[0].kind, PEER_PLACED);
+	EXPECT_EQ(a.told[0].u.placed.tokens, 6000);
+	EXPECT_STREQ(a.told[0].u.placed.target, a.placed[0].second.c_str());
+	for (instance_t *i : {&b, &c})
+		for (int n = 0; n < 8; n++)
+			i->hear(a.told[0]);
+	b.ask(1, "engine", 7);
+	EXPECT_NE(b.placed[0].second, a.placed[0].second);
+	/* Once they are read, the shared parts decide again. */
+	c.run(20 * USEC_PER_SEC);
+	c.ask(1, "engine", 7);
+	EXPECT_EQ(c.placed[0].second, a.placed[0].second);
+}
+
+// A message to all for each placement would fill the links of a large fleet.
+TEST(Balance, OnlyTheZoneOfALargeFleetIsTold)
+{
+	instance_t a("z1", 1);
+
+	a.target("engine", "t1", "z1");
+	a.target("desk", "d1", "z1");
+	a.ask(1, "engine", 7);
+	EXPECT_EQ(a.told_zone, "");
+	a.size(64);
+	a.ask(2, "engine", 7);
+	EXPECT_EQ(a.told_zone, "z1");
+	/* Calls hold their target for some ms only. */
+	a.told.clear();
+	a.ask(3, "desk");
+	EXPECT_TRUE(a.told.empty());
+}
+
+// A target that this instance does not list must be ignored.
+TEST(Balance, PlacementAtAnUnknownTargetIsIgnored)
+{
+	instance_t a("z1", 1);
+	peer_body_t body = {};
+
+	body.kind = PEER_PLACED;
+	g_strlcpy(body.u.placed.target, "t9", sizeof(body.u.placed.target));
+	body.u.placed.tokens = -5;
+	a.hear(body);
+	a.target("engine", "t1", "z1");
+	a.ask(1, "engine", 7);
+	EXPECT_EQ(a.placed.size(), 1u);
+}
+
 } // namespace
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -130,6 +130,10 @@
 		body->u.refill_reply.most = INT64_MAX;
 		body->u.refill_reply.spent = true;
 		break;
+	case PEER_PLACED:
+		g_strlcpy(body->u.placed.target, "i-1", NAME_SIZE);
+		body->u.placed.tokens = 11992;
+		break;
 	case PEER_STORE_PULL:
 		body->u.store_pull.after = INT64_MAX;
 		break;
--- /dev/null
+++ b/tests/soak/gateways.py
@@ -0,0 +1,99 @@
+"""The real program: one process for each gateway."""
+import asyncio
+import json
+import os
+import signal
+import socket
+
+import relay
+
+START_S = 5.0  # in which a gateway becomes ready
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Gateway:
+    def __init__(self, world, number, peers_port, seeds):
+        self.world = world
+        self.number = number
+        self.name = "g%d" % number
+        self.callers_port, self.ready_port, self.metrics_port = free_ports(3)
+        self.peers_port = peers_port
+        self.seeds = seeds
+        self.store = relay.Relay("127.0.0.1", world.store.port)
+        self.process = None
+        self.incarnation = 0
+        self.stopping_since = None
+        self.restarting = False
+        self.disturbed = []  # [from, to] of faults on it or its link
+
+    def disturb(self, until):
+        self.disturbed.append((self.world.now(), until))
+
+    def calm(self, start, end, margin):
+        """No fault from margin seconds before start until end."""
+        return all(to < start - margin or begin > end
+                   for begin, to in self.disturbed)
+
+    async def start(self):
+        if self.store.server is None:
+            await self.store.start()
+        path = os.path.join(self.world.folder, self.name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({
+                "name": self.name, "availability_zone": "a",
+                "log_level": self.world.log_level,
+                "gateway": {
+                    "callers": "127.0.0.1:%d" % self.callers_port,
+                    "readiness": "127.0.0.1:%d" % self.ready_port,
+                    "metrics": "127.0.0.1:%d" % self.metrics_port,
+                    "peers": "127.0.0.1:%d" % self.peers_port,
+                    "store": "127.0.0.1:%d" % self.store.port,
+                    "watch_pause_ms": 300, "retry_ratio": 0.2,
+                    "retry_slack": 54, "retry_window_s": 10, "grace_s": 6},
+                "peer": {"key": "soak test of the gateways",
+                         "seeds": self.seeds}}, file)
+        self.incarnation += 1
+        self.stopping_since = None
+        with open(os.path.join(self.world.folder, self.name + ".log"),
+                  "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.world.binary, "gateway", "-f", path, stdout=log,
+                stderr=log)
+
+    async def is_ready(self):
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ready_port)
+            writer.write(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1)
+            writer.transport.abort()
+            return b" 200 " in line
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    async def wait_ready(self):
+        end = self.world.now() + START_S
+        while not await self.is_ready():
+            if self.world.now() > end:
+                return False
+            await asyncio.sleep(0.05)
+        return True
+
+    def signal(self, number):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
--- /dev/null
+++ b/tests/soak/http1.py
@@ -0,0 +1,56 @@
+"""HTTP/1.1 messages over asyncio streams, as the stand-ins and clients speak it."""
+import asyncio
+
+HEAD_MAX = 65536  # bytes
+
+
+class Closed(Exception):
+    """The connection ended, or what arrived is no message."""
+
+
+async def read_head(reader):
+    """Returns the first line and the fields, names in lower case."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError,
+            OSError) as error:
+        raise Closed() from error
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+async def read_chunks(reader):
+    """Yields the chunks of a chunked body."""
+    try:
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            data = await reader.readexactly(size + 2)
+            if size == 0:
+                return
+            yield data[:-2]
+    except (asyncio.IncompleteReadError, ValueError, OSError) as error:
+        raise Closed() from error
+
+
+async def read_body(reader, fields):
+    if fields.get("transfer-encoding", "").lower() == "chunked":
+        return b"".join([chunk async for chunk in read_chunks(reader)])
+    try:
+        return await reader.readexactly(int(fields.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ValueError, OSError) as error:
+        raise Closed() from error
+
+
+def message(first, fields, body=b""):
+    lines = [first] + ["%s: %s" % pair for pair in fields]
+    lines.append("Content-Length: %d" % len(body))
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def chunk(data):
+    return b"%x\r\n" % len(data) + data + b"\r\n"
--- /dev/null
+++ b/tests/soak/platform_store.py
@@ -0,0 +1,163 @@
+"""Stand-in of the platform's store, by its published protocol."""
+import asyncio
+import base64
+import json
+import random
+import urllib.parse
+
+import http1
+
+PAGE = 500  # items of one answer
+
+
+class Store:
+    """One linearizable key-value store with a history of changes."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.items = {}  # key -> (value, revision, created)
+        self.history = []  # (revision, key, value or None)
+        self.first_kept = 1
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.server = None
+        self.port = 0
+        self.mode = "serve"  # or "refuse", "reset", "silent"
+        self.delay_s = 0.0
+        self.lost_share = 0.0  # of writes that are done and not answered
+        self.late_share = 0.0  # of these, done some time later
+        self.calls = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def write(self, key, value):
+        """Writes or, with None, removes a key; returns the revision."""
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            created = self.items.get(key, (0, 0, self.revision))[2]
+            self.items[key] = (value, self.revision, created)
+        self.history.append((self.revision, key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.revision
+
+    def forget(self):
+        self.history.clear()
+        self.first_kept = self.revision + 1
+
+    def _item(self, key):
+        value, revision, created = self.items[key]
+        return {"key": key, "value": base64.b64encode(value).decode(),
+                "revision": revision, "created": created, "lease": 0}
+
+    def _get(self, query):
+        key = query.get("key", "")
+        if key not in self.items:
+            return 404, {}
+        return 200, dict(self._item(key), at=self.revision)
+
+    def _range(self, query):
+        keys = sorted(k for k in self.items
+                      if k.startswith(query.get("path_prefix", "")) and
+                      k > query.get("after", ""))
+        return 200, {"items": [self._item(k) for k in keys[:PAGE]],
+                     "has_more": len(keys) > PAGE, "at": self.revision}
+
+    def _events(self, prefix, after):
+        newest = {}
+        for revision, key, value in self.history:
+            if revision > after and key.startswith(prefix):
+                newest[key] = (revision, value)
+        for key, (revision, value) in sorted(newest.items(),
+                                             key=lambda e: e[1][0]):
+            if value is None:
+                yield {"key": key, "revision": revision, "deleted": True}
+            else:
+                yield {"key": key, "revision": revision,
+                       "value": base64.b64encode(value).decode(),
+                       "created": revision, "lease": 0}
+
+    async def _watch(self, query):
+        prefix = query.get("path_prefix", "")
+        after = int(query.get("after", 0))
+        end = asyncio.get_running_loop().time() + \
+            int(query.get("wait_ms", 0)) / 1000
+        while True:
+            if after + 1 < self.first_kept:
+                return 410, {}
+            events = list(self._events(prefix, after))
+            left = end - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return 200, {"events": events, "at": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def _commit(self, call):
+        for row in call.get("expect", []):
+            found = self.items.get(row["key"], (None, 0, 0))[1]
+            if found != row["revision"]:
+                return 412, {"items": [
+                    self._item(r["key"]) for r in call["expect"]
+                    if r["key"] in self.items]}
+        for put in call.get("puts", []):
+            self.write(put["key"], base64.b64decode(put["value"]))
+        for key in call.get("remove", []):
+            self.write(key, None)
+        return 200, {"revision": self.revision}
+
+    async def _txn(self, call):
+        """None: done, or to be done later, and not answered."""
+        if self.random.random() >= self.lost_share:
+            return self._commit(call)
+        if self.random.random() < self.late_share:
+            asyncio.get_running_loop().call_later(
+                self.random.uniform(0.5, 3), self._commit, call)
+        else:
+            self._commit(call)
+        return None
+
+    async def _answer(self, first, body):
+        method, target, _ = first.split(" ", 2)
+        path, _, text = target.partition("?")
+        query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        self.calls += 1
+        await asyncio.sleep(self.delay_s)
+        if self.mode == "refuse":
+            return 503, {}
+        if (method, path) == ("GET", "/api/kv-key"):
+            return self._get(query)
+        if (method, path) == ("GET", "/api/kv-range"):
+            return self._range(query)
+        if (method, path) == ("GET", "/api/kv-watch"):
+            return await self._watch(query)
+        if (method, path) == ("POST", "/api/kv-txn"):
+            return await self._txn(json.loads(body))
+        return 404, {}
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                first, fields = await http1.read_head(reader)
+                body = await http1.read_body(reader, fields)
+                while self.mode == "silent":
+                    await asyncio.sleep(0.05)
+                if self.mode == "reset":
+                    break
+                answer = await self._answer(first, body)
+                if answer is None:
+                    break
+                writer.write(http1.message(
+                    "HTTP/1.1 %d x" % answer[0],
+                    [("Content-Type", "application/json")],
+                    json.dumps(answer[1]).encode()))
+                await writer.drain()
+        except (http1.Closed, OSError):
+            pass
+        finally:
+            writer.transport.abort()
