Return idle tokens, give up first dials soon, probe less in a large fleet

After the return the peers' connections stood only 1.2 s after the start, because the first packets went to machines without power and TCP repeats them after a second, so each instance took parts by itself. Machines that are cut off or turned away asked the store 3 times a second each.

Instances with a home hold no more than the present demand needs and hand the rest back each second. The first calls of a peer are given up after 250 ms and made anew. In a large fleet a store that is down is asked once a second, peers as before.

Tests for each, failing without the change: idle tokens (586,557 held, bound 19,000), the time of the first call (2 s, bound 300 ms), calls to a store that is down (20 in 6 s, bound 6).

--- a/peer/dial.c
+++ b/peer/dial.c
@@ -4,7 +4,13 @@
 
 #include <string.h>
 
-#define CALL_TIMEOUT (2 * USEC_PER_SEC)
+/*
+ * A first packet to a machine that has no power yet is lost, and TCP repeats
+ * it after a second: the first calls are given up sooner and made anew.
+ */
+#define CALL_TIMEOUT_MIN (250 * USEC_PER_MSEC)
+#define CALL_TIMEOUT_MAX (2 * USEC_PER_SEC)
+#define CALL_TIMEOUT_BACKOFFS 4 /* of the last pause */
 #define BACKOFF_MIN (100 * USEC_PER_MSEC)
 #define BACKOFF_MAX (5 * USEC_PER_SEC)
 #define DIALS_MAX 256
@@ -74,7 +80,9 @@
 	g_ptr_array_add(peer->calls, call);
 	dial->calling = true;
 	dial->cancel = g_cancellable_new();
-	dial->call_until = kernel_now(peer->kernel) + CALL_TIMEOUT;
+	dial->call_until = kernel_now(peer->kernel) +
+			   CLAMP(dial->backoff * CALL_TIMEOUT_BACKOFFS,
+				 CALL_TIMEOUT_MIN, CALL_TIMEOUT_MAX);
 	g_socket_client_connect_async(peer->client,
 				      G_SOCKET_CONNECTABLE(address),
 				      dial->cancel, on_connected, call);
--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -101,13 +101,14 @@
 int64_t account_headroom(const prepaid_account_t *account,
 			 const fleet_share_t *share, int64_t now)
 {
-	double want = MAX(rate_now(&account->demand, now) * HEADROOM_S +
-				  rate_now(&account->relayed, now) * RELAYED_S,
-			  account->usual * HEADROOM_REQUESTS);
-	int64_t most = account->most >= 0 ? account->most
-					  : account_part_max(account, share);
-
-	return MIN((int64_t)want, most);
+	double want = rate_now(&account->demand, now) * HEADROOM_S +
+		      rate_now(&account->relayed, now) * RELAYED_S;
+
+	/* A refill by the home costs a message, and no call to the store. */
+	if (account->most >= 0)
+		return MIN((int64_t)want, account->most);
+	want = MAX(want, account->usual * HEADROOM_REQUESTS);
+	return MIN((int64_t)want, account_part_max(account, share));
 }
 
 void account_note_demand(prepaid_account_t *account, int64_t tokens,
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -10,6 +10,8 @@
  * there is if the store is slow.
  */
 #define REFILL_WAIT_US (220 * USEC_PER_MSEC)
+/* Between looks for idle tokens; demand is smoothed over some seconds. */
+#define SWEEP_US USEC_PER_SEC
 
 static void check_stopped(prepaid_t *prepaid)
 {
@@ -277,6 +279,19 @@
 			   spent ? RESERVE_SPENT : RESERVE_UNAVAILABLE);
 }
 
+/* Tokens that lie idle are lost if all instances lose power. */
+static void sweep(prepaid_t *prepaid)
+{
+	uint32_t cursor = 0;
+	prepaid_account_t *account;
+
+	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
+	       NULL)
+		sharing_give_back(prepaid, account);
+	kernel_timer(prepaid->kernel, prepaid->svc, SWEEP_US, HANDLE_NONE,
+		     PREPAID_TIMER_SWEEP);
+}
+
 static void on_timer(prepaid_t *prepaid, const msg_t *msg)
 {
 	prepaid_account_t *account;
@@ -285,6 +300,10 @@
 		wait_over(prepaid, msg->ref);
 		return;
 	}
+	if (msg->u.timer.what == PREPAID_TIMER_SWEEP) {
+		sweep(prepaid);
+		return;
+	}
 	account = table_get(&prepaid->accounts, msg->ref);
 	if (account == NULL)
 		return;
@@ -317,6 +336,8 @@
 	msg_t watch = {.kind = MSG_STORE_WATCH};
 	msg_t subscribe = {.kind = MSG_FLEET_SUBSCRIBE};
 
+	kernel_timer(prepaid->kernel, prepaid->svc, SWEEP_US, HANDLE_NONE,
+		     PREPAID_TIMER_SWEEP);
 	prepaid->store = kernel_find(prepaid->kernel, "store");
 	prepaid->peer = kernel_find(prepaid->kernel, "peer");
 	g_strlcpy(watch.u.store_get.key, KEY_PREFIX,
--- a/prepaid/reservation.h
+++ b/prepaid/reservation.h
@@ -33,6 +33,7 @@
 	PREPAID_TIMER_RETRY, /* ref is the account */
 	PREPAID_TIMER_HOME, /* ref is the account */
 	PREPAID_TIMER_WAIT, /* ref is the reservation */
+	PREPAID_TIMER_SWEEP,
 } prepaid_timer_t;
 
 reservation_t *reservation_add(prepaid_t *prepaid, prepaid_account_t *account,
--- a/prepaid/sharing.c
+++ b/prepaid/sharing.c
@@ -234,6 +234,26 @@
 	choose_home(prepaid, account);
 }
 
+void sharing_give_back(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	fleet_share_t share;
+	int64_t headroom, excess;
+
+	if (account->asking || account->calling || account->sealed ||
+	    account->waiting.length > 0 || !sharing_has_home(prepaid, account))
+		return;
+	share = sharing_share(prepaid, account);
+	/* What was taken before there was a home; it says more when asked. */
+	if (account->most < 0)
+		account->most = account_part_max(account, &share);
+	headroom =
+		account_headroom(account, &share, kernel_now(prepaid->kernel));
+	excess = account_available(account) - headroom;
+	/* Little is kept: it would only go to and fro. */
+	if (excess > MAX(headroom, (int64_t)account->usual))
+		reservation_give(prepaid, account, account->home, excess);
+}
+
 void sharing_return(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	int64_t surplus = account_surplus(account);
--- a/prepaid/sharing.h
+++ b/prepaid/sharing.h
@@ -29,6 +29,8 @@
 void sharing_refill(prepaid_t *prepaid, prepaid_account_t *account);
 void sharing_home_answered(prepaid_t *prepaid, prepaid_account_t *account);
 void sharing_home_failed(prepaid_t *prepaid, prepaid_account_t *account);
+/* Hands the home what the present demand does not need. */
+void sharing_give_back(prepaid_t *prepaid, prepaid_account_t *account);
 /* Hands unused tokens of peers back before a planned stop. */
 void sharing_return(prepaid_t *prepaid, prepaid_account_t *account);
 
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -37,14 +37,14 @@
 	return rank;
 }
 
-static bool is_large(const replica_t *replica)
+bool replica_is_large(const replica_t *replica)
 {
 	return replica->peers->len >= RELAY_PEERS_MIN;
 }
 
 bool replica_reads(const replica_t *replica)
 {
-	return !is_large(replica) || own_rank(replica) < READERS;
+	return !replica_is_large(replica) || own_rank(replica) < READERS;
 }
 
 bool replica_is_relayed(const replica_t *replica)
@@ -81,7 +81,7 @@
 	int64_t up_to = replica->revision;
 	uint32_t before = 0; /* peers of the zone seen so far */
 
-	if (!is_large(replica) || !replica_reads(replica)) {
+	if (!replica_is_large(replica) || !replica_reads(replica)) {
 		replica->pushed_to = replica->revision;
 		return;
 	}
--- a/replica/relay.h
+++ b/replica/relay.h
@@ -13,6 +13,8 @@
 	char availability_zone[NAME_SIZE];
 } replica_peer_t;
 
+/* True in a fleet in which changes are passed on within a zone. */
+bool replica_is_large(const replica_t *replica);
 /* True if this instance reads from the store for itself, or for its zone. */
 bool replica_reads(const replica_t *replica);
 /* True while others of the zone pass on all changes. */
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -8,8 +8,11 @@
 
 /* Between reads while the store does not answer. */
 #define RETRY_US (300 * USEC_PER_MSEC)
-/* The same while peers pass on all changes: only its return is of interest. */
-#define RETRY_RELAYED_US USEC_PER_SEC
+/*
+ * The same in a large fleet, where each call adds up, or while peers pass on
+ * all changes: only its return is of interest.
+ */
+#define RETRY_SLOW_US USEC_PER_SEC
 /* Deleted keys are remembered for peers that were out of touch. */
 #define TOMBSTONE_US (300 * USEC_PER_SEC)
 
@@ -198,7 +201,7 @@
 	}
 	set_up(replica, false, status_name(status));
 	if (replica_is_relayed(replica)) {
-		schedule(replica, RETRY_RELAYED_US);
+		schedule(replica, RETRY_SLOW_US);
 		return;
 	}
 	replica_ask_peer(replica);
@@ -286,6 +289,12 @@
 		schedule(replica, pause(replica));
 		return;
 	}
+	if (!replica->up && replica_is_large(replica) &&
+	    replica->tried_at > 0 && now - replica->tried_at < RETRY_SLOW_US) {
+		replica_ask_peer(replica);
+		schedule(replica, RETRY_US);
+		return;
+	}
 	replica->doubted = false;
 	replica->tried_at = now;
 	if (replica->synced)
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -2,6 +2,7 @@
 // connections: what one router sends is what the other one gets, and nothing
 // that arrives from outside is accepted by chance or crashes the decoder.
 #include "peer/codec.h"
+#include "peer/conn.h"
 #include "peer/peer.h"
 
 #include <gtest/gtest.h>
@@ -412,6 +413,56 @@
 	EXPECT_EQ(a.down + b.down, 0);
 }
 
+// A machine that gets its power back must not wait for TCP to repeat the first
+// packet: the first call is given up soon, later ones are given more time.
+TEST(Peer, FirstCallsAreGivenUpSoon)
+{
+	Router a("a", key_a);
+	GSocket *full = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, NULL);
+	GSocketAddress *any =
+		g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	std::vector<GSocket *> waiting;
+	GSocketAddress *address;
+	uint32_t cursor = 0;
+	msg_t msg = {};
+	dial_t *dial;
+
+	/* Nobody accepts: once the queue is full, packets are dropped. */
+	ASSERT_TRUE(g_socket_bind(full, any, TRUE, NULL));
+	g_socket_set_listen_backlog(full, 0);
+	ASSERT_TRUE(g_socket_listen(full, NULL));
+	address = g_socket_get_local_address(full, NULL);
+	for (int i = 0; i < 4; i++) {
+		waiting.push_back(g_socket_new(G_SOCKET_FAMILY_IPV4,
+					       G_SOCKET_TYPE_STREAM,
+					       G_SOCKET_PROTOCOL_TCP, NULL));
+		g_socket_set_blocking(waiting.back(), FALSE);
+		g_socket_connect(waiting.back(), address, NULL, NULL);
+	}
+	msg.kind = MSG_PEER_CONNECT;
+	g_strlcpy(msg.u.peer_addr.host, "127.0.0.1", HOST_SIZE);
+	msg.u.peer_addr.port =
+		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+	kernel_post(&a.kernel, HANDLE_NONE, a.peer.svc, &msg);
+	ASSERT_TRUE(wait_for([&] {
+		cursor = 0;
+		dial = static_cast<dial_t *>(
+			table_next(&a.peer.dials, &cursor, NULL));
+		return dial != nullptr && dial->calling;
+	}));
+	EXPECT_LE(dial->call_until - kernel_now(&a.kernel),
+		  300 * USEC_PER_MSEC);
+	ASSERT_TRUE(wait_for([&] { return dial->backoff >= 400000; }));
+	ASSERT_TRUE(wait_for([&] { return dial->calling; }));
+	EXPECT_GE(dial->call_until - kernel_now(&a.kernel), USEC_PER_SEC);
+	for (GSocket *each : waiting)
+		g_object_unref(each);
+	g_object_unref(full);
+	g_object_unref(any);
+	g_object_unref(address);
+}
+
 // A router with another key must never be taken for a member.
 TEST(Peer, RefusesAnotherKey)
 {
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -589,6 +589,37 @@
 	end(&world);
 }
 
+// Guards against tokens that lie idle at many instances of a large fleet: they
+// are lost if all lose power, and are returned to the home before that.
+TEST(Prepaid, IdleTokensGoBackToTheHome)
+{
+	world_t world;
+	int64_t idle = 0;
+
+	world.random.seed(16);
+	begin(&world, LARGE, 4000000);
+	for (int i = 0; i < 400; i++) {
+		for (auto &node : world.nodes)
+			if (i % 20 == 0)
+				reserve(node.get(), 1000);
+		tick(&world);
+		for (auto &node : world.nodes)
+			settle(node.get(), true);
+	}
+	for (int i = 0; i < 6000; i++)
+		tick(&world);
+	for (auto &node : world.nodes) {
+		prepaid_account_t *account = static_cast<prepaid_account_t *>(
+			g_hash_table_lookup(node->prepaid.by_name, ACCOUNT));
+
+		if (account->home[0] != '\0')
+			idle += account_available(account);
+	}
+	/* At most one usual request at each. */
+	EXPECT_LE(idle, (LARGE - 1) * 1000);
+	end(&world);
+}
+
 // Guards against instances that go to the store by themselves because their
 // home is turned away: the next one is asked.
 TEST(Prepaid, HomeThatTheStoreTurnsAwayIsReplaced)
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -358,6 +358,24 @@
 	EXPECT_GE(pulls.size(), 9u);
 }
 
+// Each call is billed, and in a large fleet many instances make them.
+TEST_F(Replica, StoreThatIsDownIsAskedLessOftenByALargeFleet)
+{
+	start();
+	grow(false);
+	status = STORE_UNAVAILABLE;
+	run(3 * USEC_PER_SEC);
+	ASSERT_FALSE(up);
+	calls.clear();
+	pulls.clear();
+	run(6 * USEC_PER_SEC);
+	EXPECT_LE(calls.size(), 6u);
+	EXPECT_GE(pulls.size(), 18u);
+	status = STORE_OK;
+	run(1300000);
+	EXPECT_TRUE(up);
+}
+
 TEST_F(Replica, ReaderPassesOnToItsZoneWhatHasChanged)
 {
 	start();
