Choose the same second target for a prompt while the first is busy

The target with the second highest affinity is now preferred over the others, so the parts are read there once.

Test: instances agree on a first and a second target (fails without the change: four different ones).

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -70,12 +70,17 @@
 	return oldest;
 }
 
-/* The target that all instances prefer for the prompt, or NULL. */
-static const balance_target_t *preferred_for(const balance_t *balance,
-					     const msg_t *ask)
+/* The targets that all instances prefer for a prompt; NULL: none. */
+typedef struct preferred_t {
+	const balance_target_t *first;
+	const balance_target_t *second; /* while the first one is busy */
+} preferred_t;
+
+static preferred_t preferred_for(const balance_t *balance, const msg_t *ask)
 {
-	const balance_target_t *best = NULL, *target;
-	uint64_t best_score = 0, score;
+	preferred_t found = {NULL, NULL};
+	uint64_t first_score = 0, second_score = 0, score;
+	const balance_target_t *target;
 	uint32_t cursor = 0;
 
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
@@ -85,19 +90,32 @@
 			continue;
 		score = balance_target_affinity(target, ask->u.place.parts,
 						ask->u.place.part_count);
-		if (best == NULL || score > best_score) {
-			best = target;
-			best_score = score;
+		if (found.first == NULL || score > first_score) {
+			found.second = found.first;
+			second_score = first_score;
+			found.first = target;
+			first_score = score;
+		} else if (found.second == NULL || score > second_score) {
+			found.second = target;
+			second_score = score;
 		}
 	}
-	return best;
+	return found;
+}
+
+static target_rank_t rank_of(const preferred_t *preferred,
+			     const balance_target_t *target)
+{
+	if (target == preferred->first)
+		return TARGET_FIRST;
+	return target == preferred->second ? TARGET_SECOND : TARGET_OTHER;
 }
 
 static balance_target_t *choose(balance_t *balance, const msg_t *ask,
 				bool *listed)
 {
 	int64_t now = kernel_now(balance->kernel);
-	const balance_target_t *preferred = preferred_for(balance, ask);
+	preferred_t preferred = preferred_for(balance, ask);
 	balance_target_t *best = NULL, *target;
 	double best_cost = 0.0, cost;
 	uint32_t cursor = 0;
@@ -116,7 +134,7 @@
 		cost = balance_target_cost(
 			       target, ask,
 			       strcmp(target->info.zone, balance->zone) == 0,
-			       target == preferred,
+			       rank_of(&preferred, target),
 			       oldest_unanswered(balance, target->self, now),
 			       now) +
 		       (double)kernel_random_below(balance->kernel, 1000) /
--- a/balance/target.c
+++ b/balance/target.c
@@ -14,6 +14,8 @@
  * Reading it takes a hundredth of a millisecond, but the platform bills it.
  */
 #define REREAD_MS 0.05
+/* Others have mostly read the parts at the second target before. */
+#define SECOND_REREAD 0.3
 /*
  * Reading a prompt delays the tokens of all requests at its target: cost of a
  * millisecond of reading for each of them.
@@ -204,18 +206,27 @@
 }
 
 /* Shared tokens that would be read again at this target. */
-static int64_t reread_tokens(const msg_t *place, int64_t cached, bool preferred)
+static double reread_tokens(const msg_t *place, int64_t cached,
+			    target_rank_t rank)
 {
 	uint32_t count = shared_count(place->u.place.part_count);
 	int64_t shared = 0;
 
 	for (uint32_t i = 0; i < count; i++)
 		shared += place->u.place.parts[i].tokens;
-	return preferred ? 0 : MAX(shared - cached, 0);
+	switch (rank) {
+	case TARGET_FIRST:
+		return 0.0;
+	case TARGET_SECOND:
+		return (double)MAX(shared - cached, 0) * SECOND_REREAD;
+	case TARGET_OTHER:
+		break;
+	}
+	return (double)MAX(shared - cached, 0);
 }
 
 static double engine_cost(const balance_target_t *target, const msg_t *place,
-			  bool preferred, int64_t now)
+			  target_rank_t rank, int64_t now)
 {
 	int64_t cached = balance_target_cached(target, place->u.place.parts,
 					       place->u.place.part_count);
@@ -224,7 +235,7 @@
 	double waiting = target->load.known ? target->load.waiting : 0.0;
 	double reading = MAX(unread, 0.0) / PREFILL_TOKENS_PER_MS;
 
-	return (double)reread_tokens(place, cached, preferred) * REREAD_MS +
+	return reread_tokens(place, cached, rank) * REREAD_MS +
 	       reading * (1.0 + running * DISTURBED_MS) +
 	       ((double)target->unread_tokens + peers_tokens(target, now)) /
 		       PREFILL_TOKENS_PER_MS +
@@ -242,12 +253,11 @@
 }
 
 double balance_target_cost(const balance_target_t *target, const msg_t *place,
-			   bool same_zone, bool preferred, int64_t overdue_us,
-			   int64_t now)
+			   bool same_zone, target_rank_t rank,
+			   int64_t overdue_us, int64_t now)
 {
-	double cost = target->engine
-			      ? engine_cost(target, place, preferred, now)
-			      : call_cost(target, now);
+	double cost = target->engine ? engine_cost(target, place, rank, now)
+				     : call_cost(target, now);
 
 	cost *= slowness(target, now);
 	if (!same_zone)
--- a/balance/target.h
+++ b/balance/target.h
@@ -54,14 +54,20 @@
 uint64_t balance_target_affinity(const balance_target_t *target,
 				 const prompt_part_t *parts, uint32_t count);
 
+/* Among the targets that all instances choose for the same shared parts. */
+typedef enum target_rank_t {
+	TARGET_FIRST,
+	TARGET_SECOND, /* takes over while the first one is busy */
+	TARGET_OTHER,
+} target_rank_t;
+
 /*
- * preferred: the target is the one that all instances choose for the shared
- * parts of this prompt.  overdue_us: age of the oldest request that has no
+ * overdue_us: age of the oldest request that has no
  * first byte.
  */
 double balance_target_cost(const balance_target_t *target, const msg_t *place,
-			   bool same_zone, bool preferred, int64_t overdue_us,
-			   int64_t now);
+			   bool same_zone, target_rank_t rank,
+			   int64_t overdue_us, int64_t now);
 
 G_END_DECLS
 
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -290,6 +290,36 @@
 	EXPECT_EQ(c.placed[0].second, a.placed[0].second);
 }
 
+// Guards against shared parts that are read at a different target each time
+// while the preferred one is busy.
+TEST(Balance, InstancesAgreeOnASecondTargetForAPrompt)
+{
+	std::map<std::string, int> firsts, seconds;
+
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		instance_t i("z1", seed);
+		peer_body_t body = {};
+
+		for (const char *id : {"t1", "t2", "t3", "t4", "t5", "t6"})
+			i.target("engine", id, "z1");
+		i.ask(1, "engine", 7);
+		firsts[i.placed[0].second]++;
+		instance_t j("z1", seed + 100);
+		for (const char *id : {"t1", "t2", "t3", "t4", "t5", "t6"})
+			j.target("engine", id, "z1");
+		body.kind = PEER_PLACED;
+		body.u.placed.tokens = 30000;
+		g_strlcpy(body.u.placed.target, i.placed[0].second.c_str(),
+			  sizeof(body.u.placed.target));
+		j.hear(body);
+		j.ask(1, "engine", 7);
+		seconds[j.placed[0].second]++;
+	}
+	EXPECT_EQ(firsts.size(), 1u);
+	EXPECT_EQ(seconds.size(), 1u);
+	EXPECT_NE(firsts.begin()->first, seconds.begin()->first);
+}
+
 // A message to all for each placement would fill the links of a large fleet.
 TEST(Balance, OnlyTheZoneOfALargeFleetIsTold)
 {
