--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,7 +5,7 @@
 
 KINDS = ("kill", "stop", "pause", "store_link", "worker_link", "worker_crash",
          "worker_drain", "store_down", "store_slow", "store_lost",
-         "store_forget", "revoke", "top_up", "kill_all")
+         "store_forget", "revoke", "top_up", "kill_all", "answer_lost")
 MARGIN_S = 0.5  # after a fault, until connections have noticed
 
 
@@ -91,6 +91,14 @@
     store.lost_share = store.late_share = 0.0
 
 
+async def _lose_answers(world, fault):
+    for each in world.gateways:
+        each.disturb(world.now() + fault.for_s + MARGIN_S)
+    world.lost_answers = 0.4
+    await asyncio.sleep(fault.for_s)
+    world.lost_answers = 0.0
+
+
 async def play(world, fault):
     gateway = world.gateways[fault.pick % len(world.gateways)]
     if fault.kind == "kill":
@@ -113,6 +121,8 @@
         await world.replace_worker(fault.pick, crash=True)
     elif fault.kind == "worker_drain":
         await world.replace_worker(fault.pick, crash=False)
+    elif fault.kind == "answer_lost":
+        await _lose_answers(world, fault)
     elif fault.kind in ("store_down", "store_slow", "store_lost"):
         await _store(world, fault)
     elif fault.kind == "store_forget":
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -10,13 +10,25 @@
 START_S = 5.0  # in which a gateway becomes ready
 
 
+# Below the ports that the kernel gives to clients, and apart for each process:
+# a port that was free a moment ago may belong to another soak otherwise.
+PORTS_FIRST = 10000
+PORTS = 20000
+next_port = os.getpid() * 61 % PORTS
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    global next_port
+    ports = []
+    while len(ports) < count:
+        port = PORTS_FIRST + next_port
+        next_port = (next_port + 1) % PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -54,6 +54,7 @@
         self.version = 0
         self.revoked_at = None
         self.refused_revoked = set()  # (gateway, incarnation)
+        self.lost_answers = 0.0  # share of runs without an answer
         self.over = False
         self.seen = {}
         self.runs = collections.defaultdict(list)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -87,6 +87,9 @@
             await self._stream(writer, run, head)
             return
         await asyncio.sleep(self.work_s)
+        if self.fleet.random.random() < self.fleet.lost_answers:
+            writer.transport.abort()
+            return
         body = b"answer to " + run.attempt.encode()
         writer.write(http1.message(
             "HTTP/1.1 200 OK",
