Move the choice of a target into a file of its own

balance.c had grown to 542 lines with the second preferred target and the messages to peers. balance/choose.c holds the limits, preferences and the choice; nothing changes in what it does. balance_test passes.

--- /dev/null
+++ b/balance/choose.h
@@ -0,0 +1,27 @@
+/*
+ * The choice of a target for one request.
+ */
+#ifndef BALANCE_CHOOSE_H
+#define BALANCE_CHOOSE_H
+
+#include "balance/target.h"
+
+G_BEGIN_DECLS
+
+typedef struct placement_t {
+	handle_t self;
+	handle_t target;
+	int64_t since; /* monotonic, us */
+	int64_t unread_tokens; /* until the first byte */
+} placement_t;
+
+/*
+ * The target with the least expected delay, or NULL when none has room.
+ * listed: at least one target of the service may be used.
+ */
+balance_target_t *balance_choose(balance_t *balance, const msg_t *ask,
+				 bool *listed);
+
+G_END_DECLS
+
+#endif
