Tell new peers of eight members only; skip idle targets in the choice

Each instance told each new peer of up to 64 members, 12 kB for each of N * N connections when a fleet starts; and the choice of a target looked through all placements for each of 3,000 targets.

A new peer is told of eight members from a random one on, and one random peer each second of eight more, so that all meet. Targets without a request of this instance are skipped when the oldest unanswered one is looked for.

--- a/balance/choose.c
+++ b/balance/choose.c
@@ -30,17 +30,20 @@
 }
 
 /* Age of the oldest request at the target that has no first byte. */
-static int64_t oldest_unanswered(const balance_t *balance, handle_t target,
-				 int64_t now)
+static int64_t oldest_unanswered(const balance_t *balance,
+				 const balance_target_t *target, int64_t now)
 {
 	const placement_t *placement;
 	uint32_t cursor = 0;
 	int64_t oldest = 0;
 
+	/* Most of many targets have nothing of this instance. */
+	if (target->outstanding == 0)
+		return 0;
 	while ((placement = table_next(&balance->placements, &cursor, NULL)) !=
 	       NULL)
 		if (placement->since > 0 &&
-		    handle_equal(placement->target, target))
+		    handle_equal(placement->target, target->self))
 			oldest = MAX(oldest, now - placement->since);
 	return oldest;
 }
@@ -110,8 +113,7 @@
 			       target, ask,
 			       strcmp(target->info.zone, balance->zone) == 0,
 			       rank_of(&preferred, target),
-			       oldest_unanswered(balance, target->self, now),
-			       now) +
+			       oldest_unanswered(balance, target, now), now) +
 		       (double)kernel_random_below(balance->kernel, 1000) /
 			       1000.0 * JITTER_MS;
 		if (best == NULL || cost < best_cost) {
--- a/fleet/mesh.c
+++ b/fleet/mesh.c
@@ -6,6 +6,12 @@
 
 #define ADDRESS_SIZE (HOST_SIZE + 8) /* bytes, with terminator */
 #define TICK_US USEC_PER_SEC
+/*
+ * Told to each new peer, from a random one on.  All of them to each of many
+ * peers would fill the links when a fleet starts, and a few names from each
+ * peer lead to all.
+ */
+#define TOLD_MEMBERS 8
 /*
  * An instance that has been out of touch for so long is not counted: its
  * share of what the fleet divides goes to the others.
@@ -90,20 +96,29 @@
 	kernel_post(mesh->kernel, mesh->svc, mesh->fleet, &msg);
 }
 
-/* Tells one peer, or all, who is known here. */
+/* Tells one peer, or all, of some who are known here. */
 static void send_members(mesh_t *mesh, const char *incarnation)
 {
 	msg_t msg = {.kind = MSG_PEER_SEND};
 	peer_body_t *body = peer_body_new(PEER_HEARTBEAT);
+	guint count = g_hash_table_size(mesh->members);
+	guint skip = 0;
 	GHashTableIter iter;
 	gpointer data;
 
 	body->u.heartbeat.self = mesh->self;
+	if (count > TOLD_MEMBERS)
+		skip = (guint)kernel_random_below(mesh->kernel,
+						  count - TOLD_MEMBERS + 1);
 	g_hash_table_iter_init(&iter, mesh->members);
 	while (g_hash_table_iter_next(&iter, NULL, &data)) {
 		const mesh_member_t *member = data;
 
-		if (member->up && body->u.heartbeat.members->len < 64)
+		if (skip > 0) {
+			skip--;
+			continue;
+		}
+		if (member->up && body->u.heartbeat.members->len < TOLD_MEMBERS)
 			g_array_append_val(body->u.heartbeat.members,
 					   member->info);
 	}
@@ -177,6 +192,29 @@
 	return false;
 }
 
+/* Names that were missed so far come with time. */
+static void tell_one(mesh_t *mesh)
+{
+	guint count = g_hash_table_size(mesh->members);
+	guint chosen;
+	GHashTableIter iter;
+	gpointer data;
+
+	if (count == 0)
+		return;
+	chosen = (guint)kernel_random_below(mesh->kernel, count);
+	g_hash_table_iter_init(&iter, mesh->members);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const mesh_member_t *member = data;
+
+		if (chosen-- > 0)
+			continue;
+		if (member->up)
+			send_members(mesh, member->info.incarnation);
+		return;
+	}
+}
+
 static void tick(mesh_t *mesh)
 {
 	int64_t now = kernel_now(mesh->kernel);
@@ -194,6 +232,7 @@
 			hang_up(mesh, member);
 		g_hash_table_iter_remove(&iter);
 	}
+	tell_one(mesh);
 	count(mesh);
 	kernel_timer(mesh->kernel, mesh->svc, TICK_US, HANDLE_NONE, 0);
 }
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -1,11 +1,15 @@
 // Guards configuration that must not revert, and targets whose entries lapse
 // while the store is away.
 #include "fleet/fleet.h"
+#include "fleet/mesh.h"
 
 #include <cstring>
 #include <gtest/gtest.h>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -178,4 +182,130 @@
 	EXPECT_EQ(targets["i-1"], "gone");
 }
 
+struct mesh_world_t;
+
+// One instance with its own kernel; its peer service is the test's.
+struct mesh_node_t {
+	mesh_world_t *world;
+	kernel_t kernel;
+	mesh_t mesh;
+	svc_t peer;
+	std::string host;
+	std::set<mesh_node_t *> up;
+	uint32_t instances = 1;
+
+	static void on_peer(void *self, msg_t *msg);
+	static void on_fleet(void *self, msg_t *msg)
+	{
+		if (msg->kind == MSG_FLEET_SIZE)
+			static_cast<mesh_node_t *>(self)->instances =
+				msg->u.fleet_size.instances;
+	}
+	void tell(msg_kind_t kind, const mesh_node_t *about)
+	{
+		msg_t msg = {};
+
+		msg.kind = kind;
+		g_strlcpy(msg.u.peer_addr.incarnation, about->host.c_str(),
+			  sizeof(msg.u.peer_addr.incarnation));
+		g_strlcpy(msg.u.peer_addr.host, about->host.c_str(),
+			  sizeof(msg.u.peer_addr.host));
+		msg.u.peer_addr.port = 7000;
+		kernel_post(&kernel, peer, mesh.svc, &msg);
+	}
+};
+
+struct mesh_world_t {
+	std::map<std::string, std::unique_ptr<mesh_node_t>> nodes;
+	size_t most_told = 0;
+
+	void add(const std::string &host, const setting_list_t &seeds)
+	{
+		auto node = std::make_unique<mesh_node_t>();
+		member_info_t self = {};
+
+		node->world = this;
+		node->host = host;
+		kernel_init(&node->kernel, CLOCK_VIRTUAL, nodes.size() + 1);
+		node->peer = kernel_register(&node->kernel, "peer",
+					     mesh_node_t::on_peer, node.get());
+		kernel_register(&node->kernel, "fleet", mesh_node_t::on_fleet,
+				node.get());
+		g_strlcpy(self.host, host.c_str(), sizeof(self.host));
+		g_strlcpy(self.incarnation, host.c_str(),
+			  sizeof(self.incarnation));
+		self.peer_port = 7000;
+		mesh_init(&node->mesh, &node->kernel, &self, &seeds);
+		nodes[host] = std::move(node);
+	}
+	void connect(mesh_node_t *a, mesh_node_t *b)
+	{
+		if (!a->up.insert(b).second)
+			return;
+		b->up.insert(a);
+		a->tell(MSG_PEER_UP, b);
+		b->tell(MSG_PEER_UP, a);
+	}
+	void run(int64_t until)
+	{
+		for (int64_t now = 0; now <= until; now += 50000)
+			for (auto &[host, node] : nodes)
+				kernel_run_until(&node->kernel, now);
+	}
+	~mesh_world_t()
+	{
+		for (auto &[host, node] : nodes) {
+			mesh_finish(&node->mesh);
+			kernel_finish(&node->kernel);
+		}
+	}
+};
+
+void mesh_node_t::on_peer(void *self, msg_t *msg)
+{
+	mesh_node_t *node = static_cast<mesh_node_t *>(self);
+	mesh_world_t *world = node->world;
+
+	if (msg->kind == MSG_PEER_CONNECT &&
+	    world->nodes.count(msg->u.peer_addr.host) > 0) {
+		world->connect(node, world->nodes[msg->u.peer_addr.host].get());
+	} else if (msg->kind == MSG_PEER_SEND &&
+		   msg->u.peer.body->kind == PEER_HEARTBEAT) {
+		mesh_node_t *to = world->nodes[msg->u.peer.incarnation].get();
+		msg_t received = {};
+
+		world->most_told = std::max<size_t>(
+			world->most_told,
+			msg->u.peer.body->u.heartbeat.members->len);
+		received.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(received.u.peer.incarnation, node->host.c_str(),
+			  sizeof(received.u.peer.incarnation));
+		received.u.peer.body = msg->u.peer.body;
+		msg->u.peer.body = nullptr;
+		kernel_post(&to->kernel, to->peer, to->mesh.svc, &received);
+	}
+}
+
+// Guards against links that fill when a fleet starts, because each instance
+// tells each other one of all, and against instances that never meet.
+TEST(Mesh, AllMeetAlthoughEachTellsOfFew)
+{
+	constexpr int NODES = 60;
+	mesh_world_t world;
+	setting_list_t seeds = {};
+
+	seeds.count = 3;
+	for (int i = 0; i < 3; i++)
+		g_snprintf(seeds.items[i], sizeof(seeds.items[i]),
+			   "10.0.0.%d:7000", i + 1);
+	for (int i = 0; i < NODES; i++)
+		world.add("10.0.0." + std::to_string(i + 1), seeds);
+	for (auto &[host, node] : world.nodes)
+		kernel_start(&node->kernel);
+	world.run(10 * USEC_PER_SEC);
+	for (auto &[host, node] : world.nodes)
+		EXPECT_EQ(node->instances, (uint32_t)NODES) << host;
+	EXPECT_LE(world.most_told, 8u);
+}
+
 } // namespace
