Leave large items to the store when changes are passed on

All machines came back from a cut while the configuration grew; both readers of each zone sent it to each instance, over links of 10 Mbit/s and more, and each copy was decoded although it was known.

Items above 8 kB are not passed on: the others are told that something is missing and read it from the store. Known items are dropped before they are decoded.

Tests: large items are left out (fails without), the follower reads them.

--- a/peer/codec.c
+++ b/peer/codec.c
@@ -106,6 +106,7 @@
 	BODY_I64(store_items, after),
 	BODY_I64(store_items, up_to),
 	BODY_BOOL(store_items, live),
+	BODY_BOOL(store_items, partial),
 };
 
 static const field_t placed_fields[] = {
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -14,6 +14,11 @@
 #define READERS 2
 /* More than the pause between two reads and less than any bound on changes. */
 #define RELAY_SILENT_US USEC_PER_SEC
+/*
+ * A configuration of some 100 kB to each instance of a zone would fill the
+ * reader's link for seconds; the store's is wide, and it changes seldom.
+ */
+#define PUSHED_BYTES_MAX 8192 /* of one item */
 
 static bool in_zone(const replica_t *replica, const replica_peer_t *peer)
 {
@@ -76,6 +81,25 @@
 	return body;
 }
 
+/* Leaves large items to the store. */
+static void leave_out_large(peer_body_t *body)
+{
+	GArray *items = body->u.store_items.items;
+
+	for (guint i = items->len; i > 0; i--) {
+		const store_item_t *item =
+			&g_array_index(items, store_item_t, i - 1);
+
+		if (item->value == NULL ||
+		    g_bytes_get_size(item->value) <= PUSHED_BYTES_MAX)
+			continue;
+		body->u.store_items.partial = true;
+		body->u.store_items.up_to =
+			MIN(body->u.store_items.up_to, item->revision - 1);
+		g_array_remove_index(items, i - 1);
+	}
+}
+
 void replica_push(replica_t *replica)
 {
 	int64_t up_to = replica->revision;
@@ -102,6 +126,7 @@
 		body = items_since(replica, replica->pushed_to);
 		body->u.store_items.live = true;
 		up_to = body->u.store_items.up_to;
+		leave_out_large(body);
 		send_body(replica, peer->incarnation, body);
 	}
 	replica->pushed_to = up_to;
@@ -135,6 +160,20 @@
 		  items_since(replica, after));
 }
 
+/* Decoding a configuration takes long; most of them are known already. */
+static void drop_known(const replica_t *replica, GArray *items)
+{
+	for (guint i = items->len; i > 0; i--) {
+		const store_item_t *item =
+			&g_array_index(items, store_item_t, i - 1);
+		const replica_entry_t *entry =
+			g_hash_table_lookup(replica->entries, item->key);
+
+		if (entry != NULL && entry->revision >= item->revision)
+			g_array_remove_index(items, i - 1);
+	}
+}
+
 /* The store decodes the items, as it does with those that it has read. */
 static void items_received(replica_t *replica, msg_t *msg)
 {
@@ -142,16 +181,23 @@
 	msg_t decode = {.kind = MSG_STORE_DECODE,
 			.id = {.index = READ_RELAYED, .gen = 1}};
 
+	drop_known(replica, body->u.store_items.items);
 	if (body->u.store_items.after > replica->revision ||
 	    (!replica->synced && body->u.store_items.after > 0)) {
-		/* Changes in between are missing. */
+		/* Changes in between are missing; a read brings them too. */
+		if (replica->up &&
+		    (replica->doubted || replica->reading != READ_NONE))
+			return;
 		pull(replica, msg->u.peer.incarnation);
 		return;
 	}
 	/* The answer to a pull may come from one that is turned away too. */
 	if (body->u.store_items.live)
 		replica->heard_at = kernel_now(replica->kernel);
-	if (body->u.store_items.up_to <= replica->revision)
+	if (body->u.store_items.partial && replica->up)
+		replica_read_now(replica);
+	if (body->u.store_items.up_to <= replica->revision &&
+	    body->u.store_items.items->len == 0)
 		return;
 	log_event(LOG_LEVEL_DEBUG, "replica", "relayed",
 		  "peer=%s revision=%" G_GINT64_FORMAT " items=%u",
--- a/replica/relay.h
+++ b/replica/relay.h
@@ -23,6 +23,8 @@
 void replica_push(replica_t *replica);
 /* Asks the next peer for what it has read since. */
 void replica_ask_peer(replica_t *replica);
+/* Reads from the store as soon as the read in progress has ended. */
+void replica_read_now(replica_t *replica);
 void replica_peer_changed(replica_t *replica, const msg_t *msg);
 void replica_peer_received(replica_t *replica, msg_t *msg);
 
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -242,6 +242,13 @@
 		changed(replica, result);
 }
 
+void replica_read_now(replica_t *replica)
+{
+	replica->doubted = true;
+	if (replica->reading == READ_NONE)
+		schedule(replica, 0);
+}
+
 /* A call of another service failed: the next read tells more. */
 static void call_failed(replica_t *replica)
 {
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -142,6 +142,7 @@
 		body->u.store_items.after = 41;
 		body->u.store_items.up_to = 43;
 		body->u.store_items.live = true;
+		body->u.store_items.partial = true;
 		fill_store_items(body);
 		break;
 	case PEER_BLAME:
@@ -232,6 +233,7 @@
 	EXPECT_EQ(frame.u.body->u.store_items.after, 41);
 	EXPECT_EQ(frame.u.body->u.store_items.up_to, 43);
 	EXPECT_TRUE(frame.u.body->u.store_items.live);
+	EXPECT_TRUE(frame.u.body->u.store_items.partial);
 	items = frame.u.body->u.store_items.items;
 	ASSERT_EQ(items->len, 3u);
 	const store_item_t *item = &g_array_index(items, store_item_t, 0);
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -57,9 +57,12 @@
 			int64_t revision, bool gone, uint64_t sequence = 1)
 	{
 		std::string text = key + std::to_string(sequence);
-		GBytes *raw = g_bytes_new(text.data(), text.size());
 		record_t record = {};
+		GBytes *raw;
 
+		if (key == "fleet/conf")
+			text.resize(200000);
+		raw = g_bytes_new(text.data(), text.size());
 		if (!gone) {
 			record.kind = RECORD_FLEET_TARGET;
 			record.u.fleet_target = g_new0(fleet_target_t, 1);
@@ -136,6 +139,8 @@
 			r->pushed += msg->u.peer.body->u.store_items.items->len;
 			r->push_after = msg->u.peer.body->u.store_items.after;
 			r->push_up_to = msg->u.peer.body->u.store_items.up_to;
+			r->push_partial =
+				msg->u.peer.body->u.store_items.partial;
 		}
 	}
 	static void on_owner(void *self, msg_t *msg)
@@ -174,7 +179,7 @@
 				i % 2 == 0 ? "z" : "y");
 	}
 	void relay(int64_t after, int64_t up_to, const char *key = nullptr,
-		   bool gone = false, bool live = true)
+		   bool gone = false, bool live = true, bool partial = false)
 	{
 		msg_t msg = {};
 		store_item_t item = {};
@@ -186,6 +191,7 @@
 		msg.u.peer.body->u.store_items.after = after;
 		msg.u.peer.body->u.store_items.up_to = up_to;
 		msg.u.peer.body->u.store_items.live = live;
+		msg.u.peer.body->u.store_items.partial = partial;
 		if (key != nullptr) {
 			g_strlcpy(item.key, key, sizeof(item.key));
 			item.revision = up_to;
@@ -219,6 +225,7 @@
 	std::map<std::string, record_kind_t> seen;
 	size_t pushed = 0; // items
 	int64_t push_after = 0, push_up_to = 0;
+	bool push_partial = false;
 	int events = 0;
 };
 
@@ -359,6 +366,41 @@
 }
 
 // Each call is billed, and in a large fleet many instances make them.
+// Guards against notices that come late behind a large configuration, which
+// a reader with a narrow link sends to its whole zone.
+TEST_F(Replica, LargeItemsAreLeftToTheStore)
+{
+	start();
+	grow(true);
+	run(600000);
+	pushes.clear();
+	pushed = 0;
+	put("fleet/conf", 14);
+	put("fleet/target/i-2", 15);
+	run(600000);
+	EXPECT_EQ(pushed, pushes.size());
+	EXPECT_TRUE(push_partial);
+	EXPECT_EQ(push_up_to, 13);
+	run(600000);
+	/* What follows is complete again. */
+	EXPECT_FALSE(push_partial);
+	EXPECT_EQ(push_after, 15);
+}
+
+TEST_F(Replica, FollowerReadsWhatWasLeftOut)
+{
+	start();
+	grow(false);
+	run(600000);
+	relay(9, 10);
+	calls.clear();
+	put("fleet/conf", 14);
+	relay(10, 13, nullptr, false, true, true);
+	EXPECT_EQ(calls.size(), 1u);
+	EXPECT_EQ(seen.count("fleet/conf"), 1u);
+	EXPECT_EQ(replica.revision, 14);
+}
+
 TEST_F(Replica, StoreThatIsDownIsAskedLessOftenByALargeFleet)
 {
 	start();
