--- a/balance/balance.c
+++ b/balance/balance.c
@@ -1,6 +1,7 @@
 #include "balance/balance.h"
 
 #include "balance/choose.h"
+#include "kernel/peer_set.h"
 #include "log/log.h"
 
 #include <string.h>
@@ -11,8 +12,6 @@
 #define WEIGHT_FULL 0.5
 #define WEIGHT_ERROR 0.2
 #define RETRY_AFTER_MS 300 /* of a refusal for want of room */
-/* With more instances a message to all for each placement costs too much. */
-#define TOLD_INSTANCES 16
 
 typedef struct waiting_t {
 	handle_t self;
@@ -33,7 +32,7 @@
 
 	if (!target->engine)
 		return;
-	if (balance->instances > TOLD_INSTANCES)
+	if (balance->instances > FLEET_LARGE_PEERS)
 		g_strlcpy(msg.u.peer.availability_zone, balance->zone,
 			  sizeof(msg.u.peer.availability_zone));
 	msg.u.peer.body = peer_body_new(PEER_PLACED);
--- a/balance/target.c
+++ b/balance/target.c
@@ -1,5 +1,7 @@
 #include "balance/target.h"
 
+#include "kernel/hash.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -200,9 +202,7 @@
 	count = shared_count(count);
 	if (count > 0)
 		hash ^= parts[count - 1].id * UINT64_C(0x9e3779b97f4a7c15);
-	hash = (hash ^ (hash >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	hash = (hash ^ (hash >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return hash ^ (hash >> 31);
+	return hash_mix(hash);
 }
 
 /* Shared tokens that would be read again at this target. */
--- a/conf/conf.c
+++ b/conf/conf.c
@@ -143,17 +143,6 @@
 
 /* --- exchange with peers -------------------------------------------------- */
 
-static void send_to_peer(conf_t *conf, const char *incarnation,
-			 peer_body_t *body)
-{
-	msg_t msg = {.kind = MSG_PEER_SEND};
-
-	g_strlcpy(msg.u.peer.incarnation, incarnation,
-		  sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = body;
-	kernel_post(conf->kernel, conf->self, conf->peer, &msg);
-}
-
 /* One pull at a time; one that gets no answer is given up. */
 static void pull(conf_t *conf, const char *incarnation)
 {
@@ -166,7 +155,8 @@
 	conf->pull_until = now + CONF_PULL_TIMEOUT_MS * USEC_PER_MSEC;
 	body = peer_body_new(PEER_CONF_PULL);
 	body->u.conf_pull.from_revision = conf->complete;
-	send_to_peer(conf, incarnation, body);
+	kernel_post_body(conf->kernel, conf->self, conf->peer, incarnation,
+			 body);
 }
 
 static void on_pull(conf_t *conf, const char *incarnation, int64_t from)
@@ -176,7 +166,8 @@
 	body->u.conf_items.up_to_revision =
 		entries_items(conf->entries, MAX(from, 0), conf->complete,
 			      body->u.conf_items.kvs);
-	send_to_peer(conf, incarnation, body);
+	kernel_post_body(conf->kernel, conf->self, conf->peer, incarnation,
+			 body);
 }
 
 /*
--- a/fleet/mesh.c
+++ b/fleet/mesh.c
@@ -96,36 +96,29 @@
 	kernel_post(mesh->kernel, mesh->svc, mesh->fleet, &msg);
 }
 
-/* Tells one peer, or all, of some who are known here. */
+/* Tells a peer of some who are known here. */
 static void send_members(mesh_t *mesh, const char *incarnation)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
 	peer_body_t *body = peer_body_new(PEER_HEARTBEAT);
+	g_autoptr(GList) all = g_hash_table_get_values(mesh->members);
 	guint count = g_hash_table_size(mesh->members);
-	guint skip = 0;
-	GHashTableIter iter;
-	gpointer data;
+	const GList *link = NULL;
 
 	body->u.heartbeat.self = mesh->self;
-	if (count > TOLD_MEMBERS)
-		skip = (guint)kernel_random_below(mesh->kernel,
-						  count - TOLD_MEMBERS + 1);
-	g_hash_table_iter_init(&iter, mesh->members);
-	while (g_hash_table_iter_next(&iter, NULL, &data)) {
-		const mesh_member_t *member = data;
+	if (count > 0)
+		link = g_list_nth(
+			all, (guint)kernel_random_below(mesh->kernel, count));
+	for (guint i = 0;
+	     i < count && body->u.heartbeat.members->len < TOLD_MEMBERS; i++) {
+		const mesh_member_t *member = link->data;
 
-		if (skip > 0) {
-			skip--;
-			continue;
-		}
-		if (member->up && body->u.heartbeat.members->len < TOLD_MEMBERS)
+		if (member->up)
 			g_array_append_val(body->u.heartbeat.members,
 					   member->info);
+		link = link->next != NULL ? link->next : all;
 	}
-	g_strlcpy(msg.u.peer.incarnation, incarnation,
-		  sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = body;
-	kernel_post(mesh->kernel, mesh->svc, mesh->peer, &msg);
+	kernel_post_body(mesh->kernel, mesh->svc, mesh->peer, incarnation,
+			 body);
 }
 
 static void peer_up(mesh_t *mesh, const msg_t *msg)
@@ -195,24 +188,16 @@
 /* Names that were missed so far come with time. */
 static void tell_one(mesh_t *mesh)
 {
+	g_autoptr(GList) all = g_hash_table_get_values(mesh->members);
 	guint count = g_hash_table_size(mesh->members);
-	guint chosen;
-	GHashTableIter iter;
-	gpointer data;
+	const mesh_member_t *member;
 
 	if (count == 0)
 		return;
-	chosen = (guint)kernel_random_below(mesh->kernel, count);
-	g_hash_table_iter_init(&iter, mesh->members);
-	while (g_hash_table_iter_next(&iter, NULL, &data)) {
-		const mesh_member_t *member = data;
-
-		if (chosen-- > 0)
-			continue;
-		if (member->up)
-			send_members(mesh, member->info.incarnation);
-		return;
-	}
+	member = g_list_nth_data(
+		all, (guint)kernel_random_below(mesh->kernel, count));
+	if (member->up)
+		send_members(mesh, member->info.incarnation);
 }
 
 static void tick(mesh_t *mesh)
@@ -253,10 +238,8 @@
 
 static void stop(mesh_t *mesh)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
-
-	msg.u.peer.body = peer_body_new(PEER_LEAVE);
-	kernel_post(mesh->kernel, mesh->svc, mesh->peer, &msg);
+	kernel_post_body(mesh->kernel, mesh->svc, mesh->peer, "",
+			 peer_body_new(PEER_LEAVE));
 }
 
 static void receive(void *self, msg_t *msg)
--- /dev/null
+++ b/kernel/hash.c
@@ -0,0 +1,26 @@
+#include "kernel/hash.h"
+
+uint64_t hash_mix(uint64_t hash)
+{
+	hash = (hash ^ (hash >> 30)) * G_GUINT64_CONSTANT(0xbf58476d1ce4e5b9);
+	hash = (hash ^ (hash >> 27)) * G_GUINT64_CONSTANT(0x94d049bb133111eb);
+	return hash ^ (hash >> 31);
+}
+
+static uint64_t hash_text(uint64_t hash, const char *text)
+{
+	/* FNV-1a; the terminator separates the two names. */
+	do {
+		hash = (hash ^ (unsigned char)*text) *
+		       G_GUINT64_CONSTANT(0x100000001b3);
+	} while (*text++ != '\0');
+	return hash;
+}
+
+uint64_t hash_weight(const char *candidate, const char *item)
+{
+	uint64_t hash = G_GUINT64_CONSTANT(0xcbf29ce484222325);
+
+	/* FNV's high bits change little with the last bytes. */
+	return hash_mix(hash_text(hash_text(hash, candidate), item));
+}
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -1,5 +1,6 @@
 #include "kernel/kernel.h"
 
+#include "kernel/hash.h"
 #include "kernel/timer.h"
 
 #include <string.h>
@@ -20,6 +21,17 @@
 	void *self;
 } service_t;
 
+void kernel_post_body(kernel_t *kernel, svc_t from, svc_t peer,
+		      const char *incarnation, peer_body_t *body)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	g_strlcpy(msg.u.peer.incarnation, incarnation,
+		  sizeof(msg.u.peer.incarnation));
+	msg.u.peer.body = body;
+	kernel_post(kernel, from, peer, &msg);
+}
+
 typedef struct kernel_source_t {
 	GSource source;
 	kernel_t *kernel;
@@ -284,11 +296,8 @@
 /* SplitMix64: good enough for choices and ids, not for secrets. */
 uint64_t kernel_random(kernel_t *kernel)
 {
-	uint64_t z = (kernel->random_state += UINT64_C(0x9e3779b97f4a7c15));
-
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
+	kernel->random_state += UINT64_C(0x9e3779b97f4a7c15);
+	return hash_mix(kernel->random_state);
 }
 
 uint64_t kernel_random_below(kernel_t *kernel, uint64_t n)
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -71,6 +71,10 @@
  */
 void kernel_post(kernel_t *kernel, svc_t from, svc_t to, msg_t *msg);
 
+/* Has "peer" send a body to one peer, or to all with an empty incarnation. */
+void kernel_post_body(kernel_t *kernel, svc_t from, svc_t peer,
+		      const char *incarnation, peer_body_t *body);
+
 /*
  * Delivers what is queued, for the end of a socket's callback: waiting for
  * the next turn of the loop would poll all sockets first.  Does nothing
--- /dev/null
+++ b/kernel/peer_set.c
@@ -0,0 +1,65 @@
+#include "kernel/peer_set.h"
+
+#include <string.h>
+
+void peer_set_init(peer_set_t *set)
+{
+	set->peers = g_array_new(FALSE, TRUE, sizeof(peer_ref_t));
+}
+
+void peer_set_finish(peer_set_t *set)
+{
+	g_array_unref(set->peers);
+}
+
+guint peer_set_count(const peer_set_t *set)
+{
+	return set->peers->len;
+}
+
+const peer_ref_t *peer_set_at(const peer_set_t *set, guint i)
+{
+	return &g_array_index(set->peers, peer_ref_t, i);
+}
+
+bool peer_set_is_large(const peer_set_t *set)
+{
+	return peer_set_count(set) >= FLEET_LARGE_PEERS;
+}
+
+uint32_t peer_set_in_zone(const peer_set_t *set, const char *zone)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < peer_set_count(set); i++)
+		count += strcmp(peer_set_at(set, i)->availability_zone, zone) ==
+			 0;
+	return count;
+}
+
+static gint compare(gconstpointer a, gconstpointer b)
+{
+	const peer_ref_t *x = a, *y = b;
+
+	return strcmp(x->incarnation, y->incarnation);
+}
+
+void peer_set_update(peer_set_t *set, const msg_t *msg)
+{
+	peer_ref_t peer = {0};
+
+	g_strlcpy(peer.incarnation, msg->u.peer_addr.incarnation,
+		  sizeof(peer.incarnation));
+	g_strlcpy(peer.availability_zone, msg->u.peer_addr.availability_zone,
+		  sizeof(peer.availability_zone));
+	for (guint i = 0; i < peer_set_count(set); i++) {
+		if (compare(peer_set_at(set, i), &peer) != 0)
+			continue;
+		g_array_remove_index(set->peers, i);
+		break;
+	}
+	if (msg->kind != MSG_PEER_UP)
+		return;
+	g_array_append_val(set->peers, peer);
+	g_array_sort(set->peers, compare);
+}
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -149,7 +149,7 @@
 			int64_t after;
 			int64_t up_to;
 			bool live; /* the sender has just read from the store */
-			bool partial; /* large items must be read there */
+			bool partial; /* large items are left to the store */
 			GArray *items; /* store_item_t */
 		} store_items;
 		struct {
--- a/ledger/copy.c
+++ b/ledger/copy.c
@@ -30,11 +30,7 @@
 
 void peer_send(ledger_t *ledger, const char *to, peer_body_t *body)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
-
-	g_strlcpy(msg.u.peer.incarnation, to, sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = body;
-	kernel_post(ledger->kernel, ledger->self, ledger->peer, &msg);
+	kernel_post_body(ledger->kernel, ledger->self, ledger->peer, to, body);
 }
 
 /* Bills of one turn of the loop go out together. */
--- a/member/lease.c
+++ b/member/lease.c
@@ -380,15 +380,13 @@
 
 void member_lease_stop(member_t *member)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
-
 	if (member->stopping)
 		return;
 	member->stopping = true;
 	member->stop_until = kernel_now(member->kernel) + STOP_LIMIT;
 	member->write_at = 0;
-	msg.u.peer.body = peer_body_new(PEER_LEAVE);
-	member_post(member, member->peer, &msg);
+	kernel_post_body(member->kernel, member->svc, member->peer, "",
+			 peer_body_new(PEER_LEAVE));
 	tick_stop(member, kernel_now(member->kernel));
 }
 
--- a/member/ring.c
+++ b/member/ring.c
@@ -167,7 +167,6 @@
 void member_ring_send_heartbeat(member_t *member, const entry_t *to)
 {
 	entry_t *own = member_view_find(member, member->opts.self.incarnation);
-	msg_t msg = {.kind = MSG_PEER_SEND};
 	peer_body_t *body = peer_body_new(PEER_HEARTBEAT);
 
 	/* Rises with each heartbeat sent: only a higher one is news. */
@@ -175,10 +174,8 @@
 	body->u.heartbeat.conf_revision = member->conf_revision;
 	body->u.heartbeat.self = own->info;
 	add_gossip(member, body->u.heartbeat.members);
-	g_strlcpy(msg.u.peer.incarnation, to->info.incarnation,
-		  sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = body;
-	member_post(member, member->peer, &msg);
+	kernel_post_body(member->kernel, member->svc, member->peer,
+			 to->info.incarnation, body);
 }
 
 void member_ring_beat(member_t *member)
--- a/orders/orders.c
+++ b/orders/orders.c
@@ -1,5 +1,6 @@
 #include "orders/orders.h"
 
+#include "kernel/hash.h"
 #include "log/log.h"
 #include "orders/job.h"
 
@@ -18,28 +19,6 @@
 
 /* --- which router acts --------------------------------------------------- */
 
-static uint64_t hash_text(uint64_t hash, const char *text)
-{
-	/* FNV-1a; the terminator separates the two names. */
-	do {
-		hash = (hash ^ (unsigned char)*text) *
-		       G_GUINT64_CONSTANT(0x100000001b3);
-	} while (*text++ != '\0');
-	return hash;
-}
-
-/* Rendezvous hashing: the highest weight for a target acts first. */
-static uint64_t weight(const char *incarnation, const char *target)
-{
-	uint64_t hash = G_GUINT64_CONSTANT(0xcbf29ce484222325);
-
-	hash = hash_text(hash_text(hash, incarnation), target);
-	/* FNV's high bits change little with the last bytes. */
-	hash = (hash ^ (hash >> 30)) * G_GUINT64_CONSTANT(0xbf58476d1ce4e5b9);
-	hash = (hash ^ (hash >> 27)) * G_GUINT64_CONSTANT(0x94d049bb133111eb);
-	return hash ^ (hash >> 31);
-}
-
 static bool may_act(const member_info_t *member, const char *zone)
 {
 	return member->state == MEMBER_ALIVE &&
@@ -60,7 +39,7 @@
 {
 	const member_list_t *list = orders->members;
 	const char *zone = target->availability_zone;
-	uint64_t own = weight(orders->opts.incarnation, target->name);
+	uint64_t own = hash_weight(orders->opts.incarnation, target->name);
 	bool found = false;
 	int rank = 0;
 
@@ -76,7 +55,7 @@
 			continue;
 		if (strcmp(member->incarnation, orders->opts.incarnation) == 0)
 			found = true;
-		else if (weight(member->incarnation, target->name) > own)
+		else if (hash_weight(member->incarnation, target->name) > own)
 			rank++;
 	}
 	return found && rank < RANKS ? rank : -1;
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -47,7 +47,7 @@
 	GQueue waiting; /* reservation_t, oldest first */
 
 	char home[INCARNATION_SIZE]; /* of the zone; empty: this instance */
-	uint64_t home_version; /* of the peers that home was chosen from */
+	uint64_t home_version; /* of the homes when it was chosen */
 	char avoided[HOMES_AVOIDED_MAX][INCARNATION_SIZE];
 	uint32_t avoided_count; /* homes that failed */
 	int64_t avoided_until; /* monotonic, us */
--- a/prepaid/part.c
+++ b/prepaid/part.c
@@ -99,7 +99,7 @@
 	int64_t wait = retry_at - kernel_now(prepaid->kernel);
 
 	/* Nobody can help: the caller's next attempt may find tokens. */
-	if (!prepaid->store_up && prepaid->peers->len == 0) {
+	if (!prepaid->store_up && peer_set_count(&prepaid->peers) == 0) {
 		reservations_refuse_all(prepaid, account);
 		return;
 	}
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -57,7 +57,7 @@
 	prepaid_account_t *account;
 
 	prepaid->store_up = up;
-	prepaid->peers_version++; /* homes are chosen anew */
+	prepaid->homes_version++;
 	prepaid->retry_at = 0;
 	while (up && (account = table_next(&prepaid->accounts, &cursor,
 					   NULL)) != NULL)
@@ -95,22 +95,6 @@
 	check_stopped(prepaid);
 }
 
-/* Nothing is counted against an account without a limit. */
-static void grant_unlimited(prepaid_t *prepaid, prepaid_account_t *account,
-			    const msg_t *msg)
-{
-	msg_t reply = {.kind = MSG_RESERVED, .ref = msg->id};
-	reservation_t *reservation = reservation_add(
-		prepaid, account, RESERVATION_REQUEST, msg->u.reserve.tokens);
-
-	g_queue_remove(&account->waiting, reservation);
-	reservation->waiting = false;
-	account->reserved += reservation->tokens;
-	reply.id = reservation->self;
-	reply.u.reserved.result = RESERVE_OK;
-	kernel_post(prepaid->kernel, prepaid->svc, msg->from, &reply);
-}
-
 static void reserve(prepaid_t *prepaid, const msg_t *msg)
 {
 	prepaid_account_t *account =
@@ -118,17 +102,17 @@
 	int64_t tokens = MAX(msg->u.reserve.tokens, 0);
 	reservation_t *reservation;
 
-	if (account->prepaid < 0) {
-		grant_unlimited(prepaid, account, msg);
-		return;
-	}
-	account_note_demand(account, tokens, kernel_now(prepaid->kernel));
 	reservation =
 		reservation_add(prepaid, account, RESERVATION_REQUEST, tokens);
 	reservation->owner = msg->from;
 	reservation->ref = msg->id;
 	g_strlcpy(reservation->request_id, msg->u.reserve.request_id,
 		  sizeof(reservation->request_id));
+	if (account->prepaid < 0) {
+		reservation_hold(prepaid, reservation);
+		return;
+	}
+	account_note_demand(account, tokens, kernel_now(prepaid->kernel));
 	part_advance(prepaid, account);
 }
 
@@ -168,7 +152,7 @@
 	 * What the store still has, the peer gets from there or through us;
 	 * in a large fleet through a home.
 	 */
-	if (!prepaid->store_up || sharing_is_large(prepaid) ||
+	if (!prepaid->store_up || peer_set_is_large(&prepaid->peers) ||
 	    account_room(account) < body->u.slice.tokens ||
 	    account->revision == REVISION_UNKNOWN) {
 		reservation_give(prepaid, account, msg->u.peer.incarnation,
@@ -207,11 +191,9 @@
 		find_account(prepaid, body->u.refill_ask.client_account);
 	int64_t least = MAX(body->u.refill_ask.least, 0);
 	int64_t spare = MAX(body->u.refill_ask.tokens - least, 0);
-	fleet_share_t share = {prepaid->zone_peers + 1, prepaid->instances};
 	reservation_t *reservation;
 
-	spare = MIN(spare, account_part_max(account, &share) /
-				   (prepaid->zone_peers + 1));
+	spare = MIN(spare, reservation_refill_max(prepaid, account));
 	account_note_relayed(account, least + spare,
 			     kernel_now(prepaid->kernel));
 	reservation = reservation_add(prepaid, account, RESERVATION_REFILL,
@@ -292,28 +274,38 @@
 		     PREPAID_TIMER_SWEEP);
 }
 
-static void on_timer(prepaid_t *prepaid, const msg_t *msg)
+static void account_timer(prepaid_t *prepaid, handle_t ref,
+			  prepaid_timer_t what)
 {
-	prepaid_account_t *account;
+	prepaid_account_t *account = table_get(&prepaid->accounts, ref);
 
-	if (msg->u.timer.what == PREPAID_TIMER_WAIT) {
-		wait_over(prepaid, msg->ref);
-		return;
-	}
-	if (msg->u.timer.what == PREPAID_TIMER_SWEEP) {
-		sweep(prepaid);
-		return;
-	}
-	account = table_get(&prepaid->accounts, msg->ref);
 	if (account == NULL)
 		return;
-	if (msg->u.timer.what == PREPAID_TIMER_HOME)
+	if (what == PREPAID_TIMER_HOME)
 		sharing_home_failed(prepaid, account);
 	else
 		account->timer = HANDLE_NONE;
 	part_advance(prepaid, account);
 }
 
+static void on_timer(prepaid_t *prepaid, const msg_t *msg)
+{
+	prepaid_timer_t what = (prepaid_timer_t)msg->u.timer.what;
+
+	switch (what) {
+	case PREPAID_TIMER_RETRY:
+	case PREPAID_TIMER_HOME:
+		account_timer(prepaid, msg->ref, what);
+		break;
+	case PREPAID_TIMER_WAIT:
+		wait_over(prepaid, msg->ref);
+		break;
+	case PREPAID_TIMER_SWEEP:
+		sweep(prepaid);
+		break;
+	}
+}
+
 static void conf_changed(prepaid_t *prepaid, msg_t *msg)
 {
 	fleet_conf_unref(prepaid->conf);
@@ -418,7 +410,8 @@
 		break;
 	case MSG_PEER_UP:
 	case MSG_PEER_DOWN:
-		sharing_peer_changed(prepaid, msg);
+		peer_set_update(&prepaid->peers, msg);
+		prepaid->homes_version++;
 		break;
 	case MSG_PEER_RECEIVED:
 		peer_received(prepaid, msg);
@@ -435,7 +428,7 @@
 	prepaid->kernel = kernel;
 	prepaid->opts = *opts;
 	prepaid->instances = 1;
-	prepaid->peers = g_array_new(FALSE, TRUE, sizeof(prepaid_peer_t));
+	peer_set_init(&prepaid->peers);
 	table_init(&prepaid->accounts, sizeof(prepaid_account_t));
 	table_init(&prepaid->reservations, sizeof(reservation_t));
 	prepaid->by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -453,7 +446,7 @@
 		allocation_free(account->record);
 	}
 	fleet_conf_unref(prepaid->conf);
-	g_array_unref(prepaid->peers);
+	peer_set_finish(&prepaid->peers);
 	g_hash_table_unref(prepaid->by_name);
 	table_finish(&prepaid->accounts);
 	table_finish(&prepaid->reservations);
--- a/prepaid/prepaid.h
+++ b/prepaid/prepaid.h
@@ -11,6 +11,7 @@
 #define PREPAID_PREPAID_H
 
 #include "kernel/kernel.h"
+#include "kernel/peer_set.h"
 
 G_BEGIN_DECLS
 
@@ -20,11 +21,6 @@
 	char availability_zone[NAME_SIZE];
 } prepaid_opts_t;
 
-typedef struct prepaid_peer_t {
-	char incarnation[INCARNATION_SIZE];
-	bool in_zone; /* of this instance's own availability zone */
-} prepaid_peer_t;
-
 typedef struct prepaid_t {
 	kernel_t *kernel;
 	svc_t svc;
@@ -36,9 +32,8 @@
 	GHashTable *by_name; /* account's name -> prepaid_account_t */
 	fleet_conf_t *conf;
 	uint32_t instances; /* this one included */
-	GArray *peers; /* prepaid_peer_t, the connected ones */
-	uint32_t zone_peers; /* of them, in the own availability zone */
-	uint64_t peers_version; /* rises when peers change */
+	peer_set_t peers;
+	uint64_t homes_version; /* rises when homes may have changed */
 	bool store_up;
 	int64_t retry_at; /* monotonic, us, no call to the store before it */
 	bool stopping;
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -49,45 +49,67 @@
 	kernel_post(prepaid->kernel, prepaid->svc, reservation->owner, &msg);
 }
 
-void reservation_give(prepaid_t *prepaid, prepaid_account_t *account,
-		      const char *peer, int64_t tokens)
+static void send_body(prepaid_t *prepaid, const char *peer, peer_body_t *body)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
+	kernel_post_body(prepaid->kernel, prepaid->svc, prepaid->peer, peer,
+			 body);
+}
 
+/* Takes tokens out of the account for a peer, as many as there are. */
+static int64_t hand_over(prepaid_account_t *account, int64_t tokens)
+{
 	tokens = CLAMP(account_available(account), 0, tokens);
 	account->given += tokens;
-	g_strlcpy(msg.u.peer.incarnation, peer, sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = peer_body_new(PEER_SLICE_REPLY);
-	g_strlcpy(msg.u.peer.body->u.slice.client_account, account->name,
-		  sizeof(msg.u.peer.body->u.slice.client_account));
-	msg.u.peer.body->u.slice.tokens = tokens;
-	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
+	return tokens;
+}
+
+void reservation_give(prepaid_t *prepaid, prepaid_account_t *account,
+		      const char *peer, int64_t tokens)
+{
+	peer_body_t *body = peer_body_new(PEER_SLICE_REPLY);
+
+	g_strlcpy(body->u.slice.client_account, account->name,
+		  sizeof(body->u.slice.client_account));
+	body->u.slice.tokens = hand_over(account, tokens);
+	send_body(prepaid, peer, body);
+}
+
+fleet_share_t reservation_zone_share(const prepaid_t *prepaid)
+{
+	fleet_share_t share = {
+		.own = peer_set_in_zone(&prepaid->peers,
+					prepaid->opts.availability_zone) +
+		       1,
+		.all = prepaid->instances,
+	};
+
+	return share;
+}
+
+int64_t reservation_refill_max(const prepaid_t *prepaid,
+			       const prepaid_account_t *account)
+{
+	fleet_share_t share = reservation_zone_share(prepaid);
+
+	return account_part_max(account, &share) / share.own;
 }
 
 static void refill(prepaid_t *prepaid, const reservation_t *reservation,
 		   bool spent)
 {
 	prepaid_account_t *account = reservation->account;
-	int64_t tokens =
-		CLAMP(account_available(account), 0, reservation->tokens);
-	msg_t msg = {.kind = MSG_PEER_SEND};
-	fleet_share_t share = {prepaid->zone_peers + 1, prepaid->instances};
 	peer_body_t *body = peer_body_new(PEER_REFILL_REPLY);
+	int64_t tokens = hand_over(account, reservation->tokens);
 
-	account->given += tokens;
 	g_strlcpy(body->u.refill_reply.client_account, account->name,
 		  sizeof(body->u.refill_reply.client_account));
 	body->u.refill_reply.tokens = tokens;
-	body->u.refill_reply.most =
-		account_part_max(account, &share) / (prepaid->zone_peers + 1);
+	body->u.refill_reply.most = reservation_refill_max(prepaid, account);
 	body->u.refill_reply.spent = spent && tokens < reservation->least;
-	g_strlcpy(msg.u.peer.incarnation, reservation->peer,
-		  sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = body;
-	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
+	send_body(prepaid, reservation->peer, body);
 }
 
-static void hold(prepaid_t *prepaid, reservation_t *reservation)
+void reservation_hold(prepaid_t *prepaid, reservation_t *reservation)
 {
 	prepaid_account_t *account = reservation->account;
 
@@ -151,7 +173,7 @@
 
 		link = link->next;
 		if (account_available(account) >= reservation->tokens)
-			hold(prepaid, reservation);
+			reservation_hold(prepaid, reservation);
 	}
 }
 
--- a/prepaid/reservation.h
+++ b/prepaid/reservation.h
@@ -39,6 +39,8 @@
 reservation_t *reservation_add(prepaid_t *prepaid, prepaid_account_t *account,
 			       reservation_kind_t kind, int64_t tokens);
 void reservation_drop(prepaid_t *prepaid, reservation_t *reservation);
+/* Grants it, or hands over to the peer what it asked for. */
+void reservation_hold(prepaid_t *prepaid, reservation_t *reservation);
 /* Refuses it, or hands over to the peer what there is. */
 void reservation_refuse(prepaid_t *prepaid, reservation_t *reservation,
 			reserve_result_t result);
@@ -52,6 +54,11 @@
 /* The least that one of those waiting lacks. */
 int64_t reservations_least_missing(const prepaid_account_t *account);
 
+/* The zone's instances, which a home takes tokens for. */
+fleet_share_t reservation_zone_share(const prepaid_t *prepaid);
+/* What one of them may hold beyond its present requests. */
+int64_t reservation_refill_max(const prepaid_t *prepaid,
+			       const prepaid_account_t *account);
 /* Hands tokens to a peer; from here on they are the peer's. */
 void reservation_give(prepaid_t *prepaid, prepaid_account_t *account,
 		      const char *peer, int64_t tokens);
--- a/prepaid/sharing.c
+++ b/prepaid/sharing.c
@@ -1,36 +1,25 @@
 #include "prepaid/sharing.h"
 
+#include "kernel/hash.h"
 #include "log/log.h"
 
 #include <string.h>
 
 /* Peers asked for one reservation: each costs a message. */
 #define ASK_PEERS 6
+/* A peer answers within a few ms, unless it has to ask the store itself. */
+#define PEER_WAIT_US (120 * USEC_PER_MSEC)
 /* A home may have to ask the store first, which answers in some ms. */
 #define HOME_WAIT_US (250 * USEC_PER_MSEC)
 /* After the home said that an account is spent, without a new request. */
 #define SPENT_PAUSE_US (300 * USEC_PER_MSEC)
-/*
- * With fewer peers each instance takes from the store by itself.  With more
- * of them the parts of an account would be so small that most requests need
- * a call, and their compare-and-swaps would meet.
- */
-#define HOME_PEERS_MIN 16
 /* A home that failed is not asked; the next one is meanwhile. */
 #define HOME_RETRY_US USEC_PER_SEC
 
 static void send_body(prepaid_t *prepaid, const char *peer, peer_body_t *body)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
-
-	g_strlcpy(msg.u.peer.incarnation, peer, sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = body;
-	kernel_post(prepaid->kernel, prepaid->svc, prepaid->peer, &msg);
-}
-
-static const char *peer_at(const prepaid_t *prepaid, guint i)
-{
-	return g_array_index(prepaid->peers, prepaid_peer_t, i).incarnation;
+	kernel_post_body(prepaid->kernel, prepaid->svc, prepaid->peer, peer,
+			 body);
 }
 
 static void ask_peer(prepaid_t *prepaid, const reservation_t *reservation,
@@ -47,7 +36,7 @@
 void sharing_ask_peers(prepaid_t *prepaid, reservation_t *reservation,
 		       int64_t wait)
 {
-	guint count = prepaid->peers->len;
+	guint count = peer_set_count(&prepaid->peers);
 	guint first;
 
 	if (reservation->asked_peers ||
@@ -60,7 +49,8 @@
 	first = (guint)kernel_random_below(prepaid->kernel, count);
 	for (guint i = 0; i < MIN(count, ASK_PEERS); i++)
 		ask_peer(prepaid, reservation,
-			 peer_at(prepaid, (first + i) % count));
+			 peer_set_at(&prepaid->peers, (first + i) % count)
+				 ->incarnation);
 }
 
 void sharing_exhausted(prepaid_t *prepaid, prepaid_account_t *account)
@@ -72,27 +62,13 @@
 
 		link = link->next;
 		if (reservation->kind != RESERVATION_REQUEST ||
-		    prepaid->peers->len == 0)
+		    peer_set_count(&prepaid->peers) == 0)
 			reservation_refuse(prepaid, reservation, RESERVE_SPENT);
 		else
 			sharing_ask_peers(prepaid, reservation, PEER_WAIT_US);
 	}
 }
 
-/* Highest random weight: most instances agree, and few accounts move. */
-static uint64_t weight_of(const char *account, const char *incarnation)
-{
-	uint64_t hash = 14695981039346656037ULL; /* FNV-1a, 64 bits */
-
-	for (const char *c = account; *c != '\0'; c++)
-		hash = (hash ^ (uint8_t)*c) * 1099511628211ULL;
-	for (const char *c = incarnation; *c != '\0'; c++)
-		hash = (hash ^ (uint8_t)*c) * 1099511628211ULL;
-	/* FNV leaves the high bits of short texts alike. */
-	hash ^= hash >> 32;
-	return hash * 0x9e3779b97f4a7c15ULL;
-}
-
 static bool is_avoided(const prepaid_account_t *account,
 		       const char *incarnation)
 {
@@ -108,17 +84,18 @@
 
 	/* One that the store turns away can take nothing for others. */
 	if (prepaid->store_up)
-		best = weight_of(account->name, prepaid->opts.incarnation);
+		best = hash_weight(prepaid->opts.incarnation, account->name);
 	account->home[0] = '\0';
-	account->home_version = prepaid->peers_version;
-	for (guint i = 0; i < prepaid->peers->len; i++) {
-		const prepaid_peer_t *peer =
-			&g_array_index(prepaid->peers, prepaid_peer_t, i);
+	account->home_version = prepaid->homes_version;
+	for (guint i = 0; i < peer_set_count(&prepaid->peers); i++) {
+		const peer_ref_t *peer = peer_set_at(&prepaid->peers, i);
 		uint64_t weight;
 
-		if (!peer->in_zone || is_avoided(account, peer->incarnation))
+		if (strcmp(peer->availability_zone,
+			   prepaid->opts.availability_zone) != 0 ||
+		    is_avoided(account, peer->incarnation))
 			continue;
-		weight = weight_of(account->name, peer->incarnation);
+		weight = hash_weight(peer->incarnation, account->name);
 		if (weight <= best)
 			continue;
 		best = weight;
@@ -138,26 +115,17 @@
 	return false;
 }
 
-bool sharing_is_large(const prepaid_t *prepaid)
-{
-	return prepaid->peers->len >= HOME_PEERS_MIN;
-}
-
 fleet_share_t sharing_share(const prepaid_t *prepaid,
 			    const prepaid_account_t *account)
 {
-	bool is_home = sharing_is_large(prepaid) && account->home[0] == '\0';
-	fleet_share_t share = {
-		.own = is_home ? prepaid->zone_peers + 1 : 1,
-		.all = prepaid->instances,
-	};
-
-	return share;
+	if (peer_set_is_large(&prepaid->peers) && account->home[0] == '\0')
+		return reservation_zone_share(prepaid);
+	return (fleet_share_t){.own = 1, .all = prepaid->instances};
 }
 
 bool sharing_has_home(prepaid_t *prepaid, prepaid_account_t *account)
 {
-	if (!sharing_is_large(prepaid) || prepaid->stopping ||
+	if (!peer_set_is_large(&prepaid->peers) || prepaid->stopping ||
 	    account->prepaid < 0)
 		return false;
 	if (account->avoided_count > 0 &&
@@ -167,7 +135,7 @@
 	}
 	if (account->avoided_count == HOMES_AVOIDED_MAX)
 		return false;
-	if (account->home_version != prepaid->peers_version)
+	if (account->home_version != prepaid->homes_version)
 		choose_home(prepaid, account);
 	return account->home[0] != '\0' && !serves_peers(account);
 }
@@ -249,7 +217,7 @@
 	headroom =
 		account_headroom(account, &share, kernel_now(prepaid->kernel));
 	excess = account_available(account) - headroom;
-	/* Little is kept: it would only go to and fro. */
+	/* A small excess stays: it would be asked for again. */
 	if (excess > MAX(headroom, (int64_t)account->usual))
 		reservation_give(prepaid, account, account->home, excess);
 }
@@ -258,37 +226,13 @@
 {
 	int64_t surplus = account_surplus(account);
 
-	if (surplus <= 0 || prepaid->peers->len == 0)
+	if (surplus <= 0 || peer_set_count(&prepaid->peers) == 0)
 		return;
-	if (account->home_version != prepaid->peers_version)
+	if (account->home_version != prepaid->homes_version)
 		choose_home(prepaid, account);
 	reservation_give(prepaid, account,
-			 account->home[0] != '\0' ? account->home
-						  : peer_at(prepaid, 0),
+			 account->home[0] != '\0'
+				 ? account->home
+				 : peer_set_at(&prepaid->peers, 0)->incarnation,
 			 surplus);
 }
-
-void sharing_peer_changed(prepaid_t *prepaid, const msg_t *msg)
-{
-	prepaid_peer_t peer = {0};
-
-	g_strlcpy(peer.incarnation, msg->u.peer_addr.incarnation,
-		  sizeof(peer.incarnation));
-	peer.in_zone = strcmp(msg->u.peer_addr.availability_zone,
-			      prepaid->opts.availability_zone) == 0;
-	prepaid->peers_version++;
-	for (guint i = 0; i < prepaid->peers->len; i++) {
-		const prepaid_peer_t *known =
-			&g_array_index(prepaid->peers, prepaid_peer_t, i);
-
-		if (strcmp(known->incarnation, peer.incarnation) != 0)
-			continue;
-		prepaid->zone_peers -= known->in_zone;
-		g_array_remove_index_fast(prepaid->peers, i);
-		break;
-	}
-	if (msg->kind != MSG_PEER_UP)
-		return;
-	g_array_append_val(prepaid->peers, peer);
-	prepaid->zone_peers += peer.in_zone;
-}
--- a/prepaid/sharing.h
+++ b/prepaid/sharing.h
@@ -9,9 +9,6 @@
 
 G_BEGIN_DECLS
 
-/* A peer answers within a few ms, unless it has to ask the store itself. */
-#define PEER_WAIT_US (120 * USEC_PER_MSEC)
-
 /* Asks some peers for one reservation, which waits so long for answers. */
 void sharing_ask_peers(prepaid_t *prepaid, reservation_t *reservation,
 		       int64_t wait);
@@ -23,8 +20,6 @@
 /* The instances that this one takes the account's tokens for. */
 fleet_share_t sharing_share(const prepaid_t *prepaid,
 			    const prepaid_account_t *account);
-/* True in a fleet in which accounts have homes. */
-bool sharing_is_large(const prepaid_t *prepaid);
 /* Asks the home if little is left; one ask at a time. */
 void sharing_refill(prepaid_t *prepaid, prepaid_account_t *account);
 void sharing_home_answered(prepaid_t *prepaid, prepaid_account_t *account);
@@ -34,8 +29,6 @@
 /* Hands unused tokens of peers back before a planned stop. */
 void sharing_return(prepaid_t *prepaid, prepaid_account_t *account);
 
-void sharing_peer_changed(prepaid_t *prepaid, const msg_t *msg);
-
 G_END_DECLS
 
 #endif
--- a/proxy/poison.c
+++ b/proxy/poison.c
@@ -40,7 +40,6 @@
 static void report(proxy_t *proxy, const suspect_t *suspect)
 {
 	uint64_t seq = ++proxy->blame_seq;
-	msg_t msg = {.kind = MSG_PEER_SEND};
 	peer_body_t *body = peer_body_new(PEER_BLAME);
 
 	blame(proxy, suspect->fingerprint, proxy->opts.incarnation, seq);
@@ -51,8 +50,7 @@
 	g_strlcpy(body->u.blame.reporter, proxy->opts.incarnation,
 		  sizeof(body->u.blame.reporter));
 	body->u.blame.seq = seq;
-	msg.u.peer.body = body;
-	kernel_post(proxy->kernel, proxy->svc, proxy->peer, &msg);
+	kernel_post_body(proxy->kernel, proxy->svc, proxy->peer, "", body);
 }
 
 void poison_suspect(proxy_t *proxy, const exchange_t *exchange)
--- a/replica/entry.c
+++ b/replica/entry.c
@@ -40,14 +40,14 @@
 	}
 }
 
-entry_update_t replica_entries_apply(GHashTable *entries, const store_kv_t *kv,
-				     int64_t now)
+bool replica_entries_apply(GHashTable *entries, const store_kv_t *kv,
+			   int64_t now)
 {
 	replica_entry_t *entry = g_hash_table_lookup(entries, kv->key);
 	bool same;
 
 	if (entry != NULL && entry->revision >= kv->revision)
-		return ENTRY_OLD;
+		return false;
 	same = entry != NULL && says_same(entry, kv);
 	if (entry == NULL) {
 		entry = g_new0(replica_entry_t, 1);
@@ -55,14 +55,14 @@
 	}
 	entry->revision = kv->revision;
 	if (same)
-		return ENTRY_SAME;
+		return false;
 	entry->changed = kv->revision;
 	entry->deleted_at = now;
 	record_clear(&entry->record);
 	record_copy(&entry->record, &kv->record);
 	g_clear_pointer(&entry->raw, g_bytes_unref);
 	entry->raw = kv->raw != NULL ? g_bytes_ref(kv->raw) : NULL;
-	return ENTRY_CHANGED;
+	return true;
 }
 
 void replica_entries_expire(GHashTable *entries, int64_t before)
--- a/replica/entry.h
+++ b/replica/entry.h
@@ -16,15 +16,10 @@
 	int64_t deleted_at; /* monotonic, us */
 } replica_entry_t;
 
-typedef enum entry_update_t {
-	ENTRY_OLD, /* not newer than what is known */
-	ENTRY_SAME, /* newer, but it says the same */
-	ENTRY_CHANGED,
-} entry_update_t;
-
 GHashTable *replica_entries_new(void);
-entry_update_t replica_entries_apply(GHashTable *entries, const store_kv_t *kv,
-				     int64_t now);
+/* True if the state is newer than the known one and says something else. */
+bool replica_entries_apply(GHashTable *entries, const store_kv_t *kv,
+			   int64_t now);
 /* Forgets keys that were deleted before the given time. */
 void replica_entries_expire(GHashTable *entries, int64_t before);
 /*
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -5,11 +5,6 @@
 
 #include <string.h>
 
-/*
- * Up to so many peers each instance reads for itself: a call to the store is
- * then cheaper than the messages and the delay of passing changes on.
- */
-#define RELAY_PEERS_MIN 16
 /* Of an availability zone; with one of them gone the other goes on. */
 #define READERS 2
 /* More than the pause between two reads and less than any bound on changes. */
@@ -20,36 +15,32 @@
  */
 #define PUSHED_BYTES_MAX 8192 /* of one item */
 
-static bool in_zone(const replica_t *replica, const replica_peer_t *peer)
+static bool in_zone(const replica_t *replica, const peer_ref_t *peer)
 {
 	return strcmp(peer->availability_zone,
 		      replica->opts.availability_zone) == 0;
 }
 
-/* Peers of the zone with an incarnation below this one's. */
-static uint32_t own_rank(const replica_t *replica)
+/* The instances of the own zone with the lowest incarnations are readers. */
+static bool is_reader(const replica_t *replica, const char *incarnation)
 {
-	uint32_t rank = 0;
+	uint32_t before = strcmp(replica->opts.incarnation, incarnation) < 0;
 
-	for (guint i = 0; i < replica->peers->len; i++) {
-		const replica_peer_t *peer =
-			&g_array_index(replica->peers, replica_peer_t, i);
+	for (guint i = 0;
+	     before < READERS && i < peer_set_count(&replica->peers); i++) {
+		const peer_ref_t *peer = peer_set_at(&replica->peers, i);
 
-		rank += in_zone(replica, peer) &&
-			strcmp(peer->incarnation, replica->opts.incarnation) <
-				0;
+		if (strcmp(peer->incarnation, incarnation) >= 0)
+			break;
+		before += in_zone(replica, peer);
 	}
-	return rank;
-}
-
-bool replica_is_large(const replica_t *replica)
-{
-	return replica->peers->len >= RELAY_PEERS_MIN;
+	return before < READERS;
 }
 
 bool replica_reads(const replica_t *replica)
 {
-	return !replica_is_large(replica) || own_rank(replica) < READERS;
+	return !peer_set_is_large(&replica->peers) ||
+	       is_reader(replica, replica->opts.incarnation);
 }
 
 bool replica_is_relayed(const replica_t *replica)
@@ -62,12 +53,8 @@
 static void send_body(replica_t *replica, const char *incarnation,
 		      peer_body_t *body)
 {
-	msg_t msg = {.kind = MSG_PEER_SEND};
-
-	g_strlcpy(msg.u.peer.incarnation, incarnation,
-		  sizeof(msg.u.peer.incarnation));
-	msg.u.peer.body = body;
-	kernel_post(replica->kernel, replica->svc, replica->peer, &msg);
+	kernel_post_body(replica->kernel, replica->svc, replica->peer,
+			 incarnation, body);
 }
 
 static peer_body_t *items_since(const replica_t *replica, int64_t after)
@@ -102,26 +89,16 @@
 
 void replica_push(replica_t *replica)
 {
+	bool pushes =
+		peer_set_is_large(&replica->peers) && replica_reads(replica);
 	int64_t up_to = replica->revision;
-	uint32_t before = 0; /* peers of the zone seen so far */
 
-	if (!replica_is_large(replica) || !replica_reads(replica)) {
-		replica->pushed_to = replica->revision;
-		return;
-	}
-	for (guint i = 0; i < replica->peers->len; i++) {
-		const replica_peer_t *peer =
-			&g_array_index(replica->peers, replica_peer_t, i);
+	for (guint i = 0; pushes && i < peer_set_count(&replica->peers); i++) {
+		const peer_ref_t *peer = peer_set_at(&replica->peers, i);
 		peer_body_t *body;
-		bool reads;
 
-		if (!in_zone(replica, peer))
-			continue;
-		reads = before + (strcmp(replica->opts.incarnation,
-					 peer->incarnation) < 0) <
-			READERS;
-		before++;
-		if (reads)
+		if (!in_zone(replica, peer) ||
+		    is_reader(replica, peer->incarnation))
 			continue;
 		body = items_since(replica, replica->pushed_to);
 		body->u.store_items.live = true;
@@ -142,12 +119,13 @@
 
 void replica_ask_peer(replica_t *replica)
 {
-	if (replica->peers->len == 0)
+	guint count = peer_set_count(&replica->peers);
+
+	if (count == 0)
 		return;
-	replica->next_peer = (replica->next_peer + 1) % replica->peers->len;
+	replica->next_peer = (replica->next_peer + 1) % count;
 	pull(replica,
-	     g_array_index(replica->peers, replica_peer_t, replica->next_peer)
-		     .incarnation);
+	     peer_set_at(&replica->peers, replica->next_peer)->incarnation);
 }
 
 static void answer_pull(replica_t *replica, const msg_t *msg)
@@ -186,7 +164,7 @@
 	    (!replica->synced && body->u.store_items.after > 0)) {
 		/* Changes in between are missing; a read brings them too. */
 		if (replica->up &&
-		    (replica->doubted || replica->reading != READ_NONE))
+		    (replica->must_read || replica->reading != READ_NONE))
 			return;
 		pull(replica, msg->u.peer.incarnation);
 		return;
@@ -194,13 +172,13 @@
 	/* The answer to a pull may come from one that is turned away too. */
 	if (body->u.store_items.live)
 		replica->heard_at = kernel_now(replica->kernel);
-	if (body->u.store_items.partial && replica->up)
-		replica_read_now(replica);
+	if (body->u.store_items.partial)
+		replica_read_soon(replica);
 	if (body->u.store_items.up_to <= replica->revision &&
 	    body->u.store_items.items->len == 0)
 		return;
-	log_event(LOG_LEVEL_DEBUG, "replica", "relayed",
-		  "peer=%s revision=%" G_GINT64_FORMAT " items=%u",
+	log_event(replica->up ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO, "replica",
+		  "relayed", "peer=%s revision=%" G_GINT64_FORMAT " items=%u",
 		  msg->u.peer.incarnation, body->u.store_items.up_to,
 		  body->u.store_items.items->len);
 	decode.u.peer.body = g_steal_pointer(&msg->u.peer.body);
@@ -214,35 +192,3 @@
 	else if (msg->u.peer.body->kind == PEER_STORE_ITEMS)
 		items_received(replica, msg);
 }
-
-static gint compare_peers(gconstpointer a, gconstpointer b)
-{
-	const replica_peer_t *x = a, *y = b;
-
-	return strcmp(x->incarnation, y->incarnation);
-}
-
-void replica_peer_changed(replica_t *replica, const msg_t *msg)
-{
-	replica_peer_t peer = {0};
-
-	g_strlcpy(peer.incarnation, msg->u.peer_addr.incarnation,
-		  sizeof(peer.incarnation));
-	g_strlcpy(peer.availability_zone, msg->u.peer_addr.availability_zone,
-		  sizeof(peer.availability_zone));
-	for (guint i = 0; i < replica->peers->len; i++) {
-		const replica_peer_t *known =
-			&g_array_index(replica->peers, replica_peer_t, i);
-
-		if (strcmp(known->incarnation, peer.incarnation) == 0) {
-			g_array_remove_index(replica->peers, i);
-			break;
-		}
-	}
-	if (msg->kind != MSG_PEER_UP)
-		return;
-	g_array_append_val(replica->peers, peer);
-	g_array_sort(replica->peers, compare_peers);
-	if (!replica->up)
-		replica_ask_peer(replica);
-}
--- a/replica/relay.h
+++ b/replica/relay.h
@@ -8,13 +8,6 @@
 
 G_BEGIN_DECLS
 
-typedef struct replica_peer_t {
-	char incarnation[INCARNATION_SIZE];
-	char availability_zone[NAME_SIZE];
-} replica_peer_t;
-
-/* True in a fleet in which changes are passed on within a zone. */
-bool replica_is_large(const replica_t *replica);
 /* True if this instance reads from the store for itself, or for its zone. */
 bool replica_reads(const replica_t *replica);
 /* True while others of the zone pass on all changes. */
@@ -23,9 +16,8 @@
 void replica_push(replica_t *replica);
 /* Asks the next peer for what it has read since. */
 void replica_ask_peer(replica_t *replica);
-/* Reads from the store as soon as the read in progress has ended. */
-void replica_read_now(replica_t *replica);
-void replica_peer_changed(replica_t *replica, const msg_t *msg);
+/* Has this instance read by itself although others pass changes on. */
+void replica_read_soon(replica_t *replica);
 void replica_peer_received(replica_t *replica, msg_t *msg);
 
 G_END_DECLS
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -8,10 +8,7 @@
 
 /* Between reads while the store does not answer. */
 #define RETRY_US (300 * USEC_PER_MSEC)
-/*
- * The same in a large fleet, where each call adds up, or while peers pass on
- * all changes: only its return is of interest.
- */
+/* The same in a large fleet, where such calls add up; peers are asked more. */
 #define RETRY_SLOW_US USEC_PER_SEC
 /* Deleted keys are remembered for peers that were out of touch. */
 #define TOMBSTONE_US (300 * USEC_PER_SEC)
@@ -34,8 +31,8 @@
 		return;
 	replica->up = up;
 	metrics_set(replica->kernel->metrics, GAUGE_STORE_UP, up);
-	log_event(up ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "store",
-		  up ? "regained" : "lost",
+	log_event(up ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "replica",
+		  up ? "store_regained" : "store_lost",
 		  "revision=%" G_GINT64_FORMAT " reason=%s", replica->revision,
 		  reason);
 	for (uint32_t i = 0; i < replica->watch_count; i++)
@@ -46,8 +43,8 @@
 /* Remembers a state that is newer than the known one and tells the watches. */
 static void apply(replica_t *replica, const store_kv_t *kv)
 {
-	if (replica_entries_apply(replica->entries, kv,
-				  kernel_now(replica->kernel)) != ENTRY_CHANGED)
+	if (!replica_entries_apply(replica->entries, kv,
+				   kernel_now(replica->kernel)))
 		return;
 	for (uint32_t i = 0; i < replica->watch_count; i++) {
 		const replica_watch_t *watch = &replica->watches[i];
@@ -137,7 +134,7 @@
 	g_hash_table_remove_all(replica->listed);
 	replica->revision = MAX(replica->revision, replica->list_from);
 	replica->synced = true;
-	log_event(LOG_LEVEL_INFO, "store", "listed",
+	log_event(LOG_LEVEL_INFO, "replica", "listed",
 		  "revision=%" G_GINT64_FORMAT " keys=%u", replica->revision,
 		  g_hash_table_size(replica->entries));
 }
@@ -190,21 +187,24 @@
 	return "unknown";
 }
 
+/* Readers that pass on all changes say more than any peer. */
+static void ask_peer(replica_t *replica)
+{
+	if (!replica_is_relayed(replica))
+		replica_ask_peer(replica);
+}
+
 static void read_failed(replica_t *replica, store_status_t status)
 {
 	if (status == STORE_COMPACTED) {
-		log_event(LOG_LEVEL_WARN, "store", "history_lost",
+		log_event(LOG_LEVEL_WARN, "replica", "history_lost",
 			  "revision=%" G_GINT64_FORMAT, replica->revision);
 		replica->synced = false;
 		schedule(replica, 0);
 		return;
 	}
 	set_up(replica, false, status_name(status));
-	if (replica_is_relayed(replica)) {
-		schedule(replica, RETRY_SLOW_US);
-		return;
-	}
-	replica_ask_peer(replica);
+	ask_peer(replica);
 	schedule(replica, RETRY_US);
 }
 
@@ -214,10 +214,6 @@
 	apply_all(replica, result);
 	if (result->revision <= replica->revision)
 		return;
-	if (!replica->up)
-		log_event(LOG_LEVEL_INFO, "store", "relayed",
-			  "revision=%" G_GINT64_FORMAT " items=%u",
-			  result->revision, result->kvs->len);
 	replica->revision = result->revision;
 	replica->synced = true;
 }
@@ -242,23 +238,16 @@
 		changed(replica, result);
 }
 
-void replica_read_now(replica_t *replica)
-{
-	replica->doubted = true;
-	if (replica->reading == READ_NONE)
-		schedule(replica, 0);
-}
-
-/* A call of another service failed: the next read tells more. */
-static void call_failed(replica_t *replica)
+void replica_read_soon(replica_t *replica)
 {
 	int64_t since = kernel_now(replica->kernel) - replica->tried_at;
 
-	if (!replica->up || replica->doubted || replica->reading != READ_NONE ||
-	    replica_reads(replica))
+	/* One that reads anyway, or waits for the store, goes on with that. */
+	if (!replica->up || replica->must_read || replica_reads(replica))
 		return;
-	replica->doubted = true;
-	schedule(replica, MAX(RETRY_US - since, 0));
+	replica->must_read = true;
+	if (replica->reading == READ_NONE)
+		schedule(replica, MAX(RETRY_US - since, 0));
 }
 
 static void watch(replica_t *replica, const msg_t *msg)
@@ -266,7 +255,7 @@
 	replica_watch_t *to;
 
 	if (replica->watch_count == REPLICA_WATCHES_MAX) {
-		log_event(LOG_LEVEL_ERROR, "store", "watch_refused",
+		log_event(LOG_LEVEL_ERROR, "replica", "watch_refused",
 			  "prefix=%s reason=too_many",
 			  log_quote(msg->u.store_get.key));
 		return;
@@ -277,10 +266,10 @@
 	g_strlcpy(to->prefix, msg->u.store_get.key, sizeof(to->prefix));
 }
 
-/* True if another instance reads, and nothing speaks against the store. */
+/* True if another instance reads for this one. */
 static bool follows(const replica_t *replica)
 {
-	return replica->synced && replica->up && !replica->doubted &&
+	return replica->synced && replica->up && !replica->must_read &&
 	       !replica_reads(replica) && replica_is_relayed(replica);
 }
 
@@ -296,13 +285,13 @@
 		schedule(replica, pause(replica));
 		return;
 	}
-	if (!replica->up && replica_is_large(replica) &&
+	if (!replica->up && peer_set_is_large(&replica->peers) &&
 	    replica->tried_at > 0 && now - replica->tried_at < RETRY_SLOW_US) {
-		replica_ask_peer(replica);
+		ask_peer(replica);
 		schedule(replica, RETRY_US);
 		return;
 	}
-	replica->doubted = false;
+	replica->must_read = false;
 	replica->tried_at = now;
 	if (replica->synced)
 		read_changes(replica);
@@ -335,11 +324,16 @@
 		result_received(replica, msg);
 		break;
 	case MSG_STORE_EVENT:
-		call_failed(replica);
+		/* A call of another service failed: a read tells more. */
+		replica_read_soon(replica);
 		break;
 	case MSG_PEER_UP:
+		peer_set_update(&replica->peers, msg);
+		if (!replica->up)
+			ask_peer(replica);
+		break;
 	case MSG_PEER_DOWN:
-		replica_peer_changed(replica, msg);
+		peer_set_update(&replica->peers, msg);
 		break;
 	case MSG_PEER_RECEIVED:
 		replica_peer_received(replica, msg);
@@ -359,7 +353,7 @@
 	replica->entries = replica_entries_new();
 	replica->listed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	replica->peers = g_array_new(FALSE, TRUE, sizeof(replica_peer_t));
+	peer_set_init(&replica->peers);
 	replica->svc = kernel_register(kernel, "replica", receive, replica);
 }
 
@@ -368,6 +362,6 @@
 	kernel_timer_cancel(replica->kernel, &replica->timer);
 	g_hash_table_unref(replica->entries);
 	g_hash_table_unref(replica->listed);
-	g_array_unref(replica->peers);
+	peer_set_finish(&replica->peers);
 	kernel_unregister(replica->kernel, replica->svc);
 }
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -12,6 +12,7 @@
 #define REPLICA_REPLICA_H
 
 #include "kernel/kernel.h"
+#include "kernel/peer_set.h"
 
 G_BEGIN_DECLS
 
@@ -48,14 +49,14 @@
 	int64_t revision; /* all changes up to it are in entries */
 	bool synced; /* entries hold a complete state */
 	bool up; /* the last read was answered */
-	bool doubted; /* another call to the store failed since */
+	bool must_read; /* by itself, at the next turn */
 	replica_read_t reading; /* from the store */
 	int64_t tried_at; /* monotonic, us, of the last read */
 	uint32_t list_prefix; /* index of the prefix that is listed */
 	int64_t list_from; /* revision at the start of the listing */
 	GHashTable *listed; /* keys seen by the listing in progress */
 	handle_t timer;
-	GArray *peers; /* replica_peer_t, sorted by incarnation */
+	peer_set_t peers;
 	uint32_t next_peer;
 	int64_t heard_at; /* monotonic, us, of the last complete relay */
 	int64_t pushed_to; /* revision up to which peers were sent changes */
--- a/request/blame.c
+++ b/request/blame.c
@@ -96,7 +96,6 @@
 		  const char *target)
 {
 	const char *fingerprint = request->spec->fingerprint;
-	msg_t msg = {.kind = MSG_PEER_SEND};
 	peer_body_t *body = peer_body_new(PEER_BLAME);
 	uint64_t seq = ++svc->blame_seq;
 
@@ -106,8 +105,7 @@
 	g_strlcpy(body->u.blame.reporter, svc->opts.incarnation,
 		  sizeof(body->u.blame.reporter));
 	body->u.blame.seq = seq;
-	msg.u.peer.body = body;
-	kernel_post(svc->kernel, svc->self, svc->peer, &msg);
+	kernel_post_body(svc->kernel, svc->self, svc->peer, "", body);
 	/* Only the router that saw the deciding loss writes the record. */
 	if (add_blame(svc, fingerprint, svc->opts.incarnation, seq))
 		begin_write(svc, fingerprint,
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -1,5 +1,6 @@
 // Guards the micro-kernel: stale handles, timer order, delivery by name.
 #include "kernel/kernel.h"
+#include "kernel/peer_set.h"
 
 #include <algorithm>
 #include <cstring>
@@ -135,4 +136,38 @@
 	EXPECT_LT(strcmp(a, b), 0);
 }
 
+// A peer that comes back must not be counted twice, and services that rank
+// peers rely on their order.
+TEST(PeerSet, HoldsEachPeerOnceInOrder)
+{
+	peer_set_t set;
+	auto update = [&set](msg_kind_t kind, const char *incarnation,
+			     const char *zone) {
+		msg_t msg = {};
+
+		msg.kind = kind;
+		g_strlcpy(msg.u.peer_addr.incarnation, incarnation,
+			  sizeof(msg.u.peer_addr.incarnation));
+		g_strlcpy(msg.u.peer_addr.availability_zone, zone,
+			  sizeof(msg.u.peer_addr.availability_zone));
+		peer_set_update(&set, &msg);
+	};
+
+	peer_set_init(&set);
+	update(MSG_PEER_UP, "c", "z1");
+	update(MSG_PEER_UP, "a", "z1");
+	update(MSG_PEER_UP, "b", "z2");
+	update(MSG_PEER_UP, "c", "z1");
+	ASSERT_EQ(peer_set_count(&set), 3u);
+	EXPECT_STREQ(peer_set_at(&set, 0)->incarnation, "a");
+	EXPECT_STREQ(peer_set_at(&set, 2)->incarnation, "c");
+	EXPECT_EQ(peer_set_in_zone(&set, "z1"), 2u);
+	update(MSG_PEER_DOWN, "a", "");
+	update(MSG_PEER_DOWN, "x", "");
+	EXPECT_EQ(peer_set_count(&set), 2u);
+	EXPECT_EQ(peer_set_in_zone(&set, "z1"), 1u);
+	EXPECT_FALSE(peer_set_is_large(&set));
+	peer_set_finish(&set);
+}
+
 } // namespace
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -343,6 +343,12 @@
 	kernel_finish(&node->kernel);
 }
 
+const prepaid_account_t *account_of(const node_t *node)
+{
+	return static_cast<prepaid_account_t *>(
+		g_hash_table_lookup(node->prepaid.by_name, ACCOUNT));
+}
+
 void reserve(node_t *node, int64_t tokens)
 {
 	msg_t msg = {};
@@ -589,6 +595,26 @@
 	end(&world);
 }
 
+// Guards against parts that are too small in an account's first seconds: a
+// rate that is smoothed from zero says too little.
+TEST(Account, FirstSecondsOfDemandCountInFull)
+{
+	prepaid_account_t account = {};
+	fleet_share_t share = {1, 1};
+	int64_t now = USEC_PER_SEC;
+
+	account.prepaid = 1000000000;
+	account.most = -1;
+	for (int i = 0; i < 10; i++, now += 100000)
+		account_note_demand(&account, 100, now);
+	/* 1,000 tokens a second, for 9 s. */
+	EXPECT_GE(account_headroom(&account, &share, now), 8000);
+	EXPECT_LE(account_headroom(&account, &share, now), 10000);
+	/* And little is held for an account that is not used. */
+	EXPECT_LE(account_headroom(&account, &share, now + 60 * USEC_PER_SEC),
+		  1000);
+}
+
 // Guards against tokens that lie idle at many instances of a large fleet: they
 // are lost if all lose power, and are returned to the home before that.
 TEST(Prepaid, IdleTokensGoBackToTheHome)
@@ -653,6 +679,13 @@
 	}
 	EXPECT_EQ(world.granted, 200);
 	EXPECT_LE(world.cloud.writes, writes + 20);
+	/* Its own requests go to the next home as well. */
+	for (auto &node : world.nodes)
+		if (!node->prepaid.store_up)
+			reserve(node.get(), 500000);
+	for (int i = 0; i < 20; i++)
+		tick(&world);
+	EXPECT_EQ(world.granted, 201);
 	end(&world);
 }
 
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -84,6 +84,7 @@
 
 		result->revision = at;
 		if (msg->kind == MSG_STORE_DECODE) {
+			decoded += msg->u.peer.body->u.store_items.items->len;
 			decode(msg->u.peer.body, result);
 		} else if (msg->kind == MSG_STORE_LIST) {
 			calls.push_back(std::string("list ") +
@@ -223,7 +224,7 @@
 	std::vector<std::string> calls, pulls;
 	std::map<std::string, int> pushes;
 	std::map<std::string, record_kind_t> seen;
-	size_t pushed = 0; // items
+	size_t pushed = 0, decoded = 0; // items
 	int64_t push_after = 0, push_up_to = 0;
 	bool push_partial = false;
 	int events = 0;
@@ -393,6 +394,7 @@
 	grow(false);
 	run(600000);
 	relay(9, 10);
+	run(400000);
 	calls.clear();
 	put("fleet/conf", 14);
 	relay(10, 13, nullptr, false, true, true);
@@ -401,6 +403,19 @@
 	EXPECT_EQ(replica.revision, 14);
 }
 
+// Decoding a large configuration takes long, and two readers send the same.
+TEST_F(Replica, KnownItemsAreNotDecodedAgain)
+{
+	start();
+	grow(false);
+	relay(9, 20, TARGET);
+	EXPECT_EQ(decoded, 1u);
+	relay(9, 20, TARGET);
+	relay(9, 21);
+	EXPECT_EQ(decoded, 1u);
+	EXPECT_EQ(replica.revision, 21);
+}
+
 TEST_F(Replica, StoreThatIsDownIsAskedLessOftenByALargeFleet)
 {
 	start();
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -24,6 +24,7 @@
         self.status = 0  # 0: the connection ended without an answer
         self.fault = None  # of the answer
         self.events = 0  # delivered
+        self.complete = False  # the answer has come to its end
 
 
 class Client:
@@ -67,6 +68,7 @@
         self.world.seen[attempt] = seen
         try:
             await asyncio.wait_for(self._exchange(seen), WAIT_S + 1.5)
+            seen.complete = True
         except asyncio.TimeoutError:
             seen.fault = "late"
             self._drop()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,10 +3,14 @@
 import random
 import signal
 
+import gateways
+import relay
+
 KINDS = ("kill", "stop", "pause", "store_link", "worker_link", "worker_crash",
          "worker_drain", "store_down", "store_slow", "store_lost",
          "store_forget", "revoke", "top_up", "kill_all", "answer_lost")
 MARGIN_S = 0.5  # after a fault, until connections have noticed
+RESTART_S = 1.0  # between an end and the next start, at the most
 
 
 class Fault:
@@ -23,15 +27,19 @@
 
 
 def draw(seed, seconds, count):
-    """The first second and the last fifth are left calm."""
+    """Each kind comes once before any comes twice.
+
+    The first second and the last fifth are left calm.
+    """
     rand = random.Random(seed)
     faults = []
+    kinds = []
     for _ in range(count):
+        kinds = kinds or rand.sample(KINDS, len(KINDS))
         faults.append(Fault(
-            rand.choice(KINDS), rand.uniform(1, seconds * 0.8),
+            kinds.pop(), rand.uniform(1, seconds * 0.8),
             rand.uniform(0.3, 3.0), rand.randrange(1000),
-            rand.choice(("delay", "silent", "to_server_lost",
-                         "to_client_lost", "reset"))))
+            rand.choice(relay.FAULTS)))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -39,22 +47,22 @@
     if gateway.restarting:
         return
     gateway.restarting = True
-    gateway.disturb(world.now() + fault.for_s + MARGIN_S + 1)
+    gateway.disturb(world.now() + fault.for_s + MARGIN_S + RESTART_S)
     if number == signal.SIGTERM:
         gateway.stopping_since = world.now()
     gateway.signal(number)
     process = gateway.process
     if number == signal.SIGTERM:
         try:
-            await asyncio.wait_for(process.wait(), 6 + 1)
+            await asyncio.wait_for(process.wait(), gateways.GRACE_S + 1)
         except asyncio.TimeoutError:
             world.violation("STOP", "%s runs after its grace period"
                             % gateway.name)
             gateway.signal(signal.SIGKILL)
     await process.wait()
     world.note_exit(gateway, process.returncode, number)
-    gateway.disturb(world.now() + fault.for_s + MARGIN_S + 1)
-    await asyncio.sleep(min(fault.for_s, 1.0))
+    gateway.disturb(world.now() + fault.for_s + MARGIN_S + RESTART_S)
+    await asyncio.sleep(min(fault.for_s, RESTART_S))
     await gateway.start()
     gateway.restarting = False
 
@@ -67,12 +75,11 @@
 
 
 async def _link(world, link, fault, disturbed):
-    for each in disturbed:
-        each.disturb(world.now() + fault.for_s + MARGIN_S)
+    disturbed(world.now() + fault.for_s + MARGIN_S)
     link.set(fault.how)
     await asyncio.sleep(fault.for_s)
     link.set("pass")
-    # What was held up is lost: the ends have given up on it.
+    # A real cut of this length leaves connections that both ends give up.
     link.abort()
 
 
@@ -92,8 +99,7 @@
 
 
 async def _lose_answers(world, fault):
-    for each in world.gateways:
-        each.disturb(world.now() + fault.for_s + MARGIN_S)
+    world.disturb_workers(world.now() + fault.for_s + MARGIN_S)
     world.lost_answers = 0.4
     await asyncio.sleep(fault.for_s)
     world.lost_answers = 0.0
@@ -112,11 +118,11 @@
     elif fault.kind == "pause":
         await _pause(world, gateway, fault)
     elif fault.kind == "store_link":
-        await _link(world, gateway.store, fault, [gateway])
+        await _link(world, gateway.store, fault, gateway.disturb)
     elif fault.kind == "worker_link":
         links = list(world.links.values())
         await _link(world, links[fault.pick % len(links)], fault,
-                    world.gateways)
+                    world.disturb_workers)
     elif fault.kind == "worker_crash":
         await world.replace_worker(fault.pick, crash=True)
     elif fault.kind == "worker_drain":
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -6,8 +6,10 @@
 import socket
 
 import relay
+import spans
 
 START_S = 5.0  # in which a gateway becomes ready
+GRACE_S = 6  # of a planned stop
 
 
 # Below the ports that the kernel gives to clients, and apart for each process:
@@ -45,15 +47,11 @@
         self.incarnation = 0
         self.stopping_since = None
         self.restarting = False
-        self.disturbed = []  # [from, to] of faults on it or its link
+        # Faults on the process, its way to the store or the store itself.
+        self.faults = spans.Spans()
 
     def disturb(self, until):
-        self.disturbed.append((self.world.now(), until))
-
-    def calm(self, start, end, margin):
-        """No fault from margin seconds before start until end."""
-        return all(to < start - margin or begin > end
-                   for begin, to in self.disturbed)
+        self.faults.add(self.world.now(), until)
 
     async def start(self):
         if self.store.server is None:
@@ -70,7 +68,7 @@
                     "peers": "127.0.0.1:%d" % self.peers_port,
                     "store": "127.0.0.1:%d" % self.store.port,
                     "watch_pause_ms": 300, "retry_ratio": 0.2,
-                    "retry_slack": 54, "retry_window_s": 10, "grace_s": 6},
+                    "retry_slack": 54, "retry_window_s": 10, "grace_s": GRACE_S},
                 "peer": {"key": "soak test of the gateways",
                          "seeds": self.seeds}}, file)
         self.incarnation += 1
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -1,11 +1,11 @@
 """A loopback relay that harms the connections through it."""
 import asyncio
 
-MODES = ("pass", "delay", "silent", "to_server_lost", "to_client_lost", "reset")
+FAULTS = ("delay", "silent", "to_server_lost", "to_client_lost", "reset")
 
 
 class Relay:
-    """Passes one port on to another; the mode says how."""
+    """Passes one port on to another; the mode is "pass" or a fault."""
 
     def __init__(self, host, port):
         self.target = (host, port)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,6 +21,7 @@
 import faults
 import gateways
 import relay
+import spans
 import workers
 import platform_store
 
@@ -29,6 +30,8 @@
 CONFIG_S = 3.0  # in which a gateway in touch follows the configuration
 DRAIN_S = 3.0  # in which a leaving worker gets its last request
 LATE_S = 0.5  # an answer comes at the client's deadline at the latest
+READ_S = 0.05  # in which a gateway reads a request on loopback
+NOTICED_S = 1.0  # in which the end of a connection is noticed
 ACCOUNTS = {"small": 40000, "large": 2000000}  # prepaid tokens
 TOP_UP = 10000
 
@@ -47,7 +50,7 @@
         self.workers = []
         self.links = {}  # worker -> its relay
         self.numbers = collections.Counter()
-        self.events = 8  # of a stream
+        self.events = 20  # of a stream
         self.prompt = 200  # tokens of a stream's prompt
         self.keys = ["key-small", "key-large", "key-revoked"]
         self.prepaid = dict(ACCOUNTS)
@@ -59,11 +62,14 @@
         self.seen = {}
         self.runs = collections.defaultdict(list)
         self.violations = []
-        self.crashed = []  # (time, worker id)
+        self.worker_faults = spans.Spans()
 
     def now(self):
         return time.monotonic() - self.begin
 
+    def disturb_workers(self, until):
+        self.worker_faults.add(self.now(), until)
+
     def violation(self, rule, text):
         self.violations.append((round(self.now(), 3), rule, text))
 
@@ -122,19 +128,15 @@
     async def replace_worker(self, pick, crash):
         ready = [w for w in self.workers if w.state == "ready"]
         worker = ready[pick % len(ready)]
-        self.crashed.append((self.now(), worker.id))
         await self.add_worker(worker.service)
-        if crash:
-            self.workers.remove(worker)
-            worker.crash()
-            self.links.pop(worker).close()
+        if not crash:
+            # It goes on serving what reaches it, as a leaving worker does.
+            worker.drain()
             return
-        worker.drain()
-        await asyncio.sleep(DRAIN_S + CONTACT_S)
-        if worker in self.workers:
-            self.workers.remove(worker)
-            worker.crash()
-            self.links.pop(worker).close()
+        self.disturb_workers(self.now() + NOTICED_S)
+        self.workers.remove(worker)
+        worker.crash()
+        self.links.pop(worker).close()
 
     def note_run(self, run):
         earlier = self.runs[run.attempt]
@@ -151,7 +153,7 @@
                                                             seen.status))
         left = run.worker.left_at
         if left is not None and run.at > left + DRAIN_S and \
-                seen.gateway.calm(left, run.at, CONTACT_S):
+                seen.gateway.faults.none(run.at - CONTACT_S, run.at):
             self.violation("DRAIN", "%s reaches %s %.1f s after its notice" % (
                 run.attempt, run.worker.id, run.at - left))
 
@@ -159,7 +161,8 @@
 
     def note_answer(self, seen):
         runs = self.runs.get(seen.attempt, [])
-        calm = seen.gateway.calm(seen.at, seen.ended, 0) and \
+        calm = seen.gateway.faults.none(seen.at, seen.ended) and \
+            self.worker_faults.none(seen.at, seen.ended) and \
             seen.incarnation == seen.gateway.incarnation
         if seen.fault is not None and (seen.fault != "late" or calm):
             self.violation("ANSWER", "%s %s: %s" % (seen.attempt, seen.kind,
@@ -172,20 +175,25 @@
                 seen.kind in ("unsafe", "fixed"):
             self.violation("REFUSED", "%s has run, and is refused with %d" % (
                 seen.attempt, seen.status))
-        if seen.status == 0 and seen.fault is None and \
-                self._is_planned_stop(seen):
-            self.violation("LOST", "%s ended without an answer at a stop" %
-                           seen.attempt)
+        if not seen.complete and seen.fault is None and (
+                self._is_calm(seen) or self._is_planned_stop(seen)):
+            self.violation("LOST", "%s %s ended without a whole answer" % (
+                seen.attempt, seen.kind))
         if seen.key == "key-revoked":
             self._check_revoked(seen)
 
+    def _is_calm(self, seen):
+        return seen.incarnation == seen.gateway.incarnation and \
+            seen.gateway.faults.none(seen.at - NOTICED_S, seen.ended) and \
+            self.worker_faults.none(seen.at - NOTICED_S, seen.ended)
+
     def _is_planned_stop(self, seen):
         """Only the stop of its gateway can have ended it, and it was read."""
         stop = seen.gateway.stopping_since
-        return stop is not None and seen.at < stop - 0.2 and \
+        return stop is not None and seen.at < stop - READ_S and \
             seen.incarnation == seen.gateway.incarnation and \
-            seen.gateway.calm(seen.at, stop - 0.01, CONTACT_S) and \
-            not any(seen.at - CONTACT_S < at for at, _ in self.crashed)
+            seen.gateway.faults.none(seen.at - NOTICED_S, stop - 0.01) and \
+            self.worker_faults.none(seen.at - NOTICED_S, seen.ended)
 
     def _check_revoked(self, seen):
         gateway = (seen.gateway, seen.incarnation)
@@ -198,7 +206,7 @@
                                seen.attempt)
             if self.revoked_at is not None and \
                     seen.at > self.revoked_at + CONFIG_S and \
-                    seen.gateway.calm(self.revoked_at, seen.ended, CONTACT_S):
+                    seen.gateway.faults.none(seen.at - CONTACT_S, seen.ended):
                 self.violation("CONFIG", "%s succeeds with a key that was "
                                "revoked %.1f s before" % (
                                    seen.attempt, seen.at - self.revoked_at))
@@ -250,7 +258,7 @@
     async def run(self, plan):
         await self.set_up()
         self.started = self.now()
-        crowd = [asyncio.ensure_future(clients.Client(self, i).run())
+        tasks = [asyncio.ensure_future(clients.Client(self, i).run())
                  for i in range(self.args.clients)]
         playing = asyncio.ensure_future(self._play(plan))
         await asyncio.sleep(self.args.seconds)
@@ -264,11 +272,12 @@
                                gateway.name)
         await self._check_recovery()
         self.over = True
-        await asyncio.gather(*crowd)
+        await asyncio.gather(*tasks)
         await self._tear_down()
 
     async def _check_recovery(self):
-        """The last seconds are calm: most requests are served again."""
+        """After some calm seconds most requests are served again."""
+        await asyncio.sleep(CONTACT_S)
         begin = self.now()
         await asyncio.sleep(2)
         done = [s for s in self.seen.values() if s.at > begin and
@@ -284,7 +293,8 @@
             gateway.signal(signal.SIGTERM)
         for gateway in self.gateways:
             try:
-                await asyncio.wait_for(gateway.process.wait(), 7)
+                await asyncio.wait_for(gateway.process.wait(),
+                                       gateways.GRACE_S + 1)
             except asyncio.TimeoutError:
                 self.violation("STOP", "%s runs after its grace period" %
                                gateway.name)
