--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -518,8 +518,7 @@
 		tick(&world);
 	ASSERT_EQ(world.granted, 2);
 	for (auto &node : world.nodes) {
-		prepaid_account_t *account = static_cast<prepaid_account_t *>(
-			g_hash_table_lookup(node->prepaid.by_name, ACCOUNT));
+		const prepaid_account_t *account = account_of(node.get());
 
 		if (account != nullptr && account->home[0] != '\0')
 			home = account->home;
@@ -635,8 +634,7 @@
 	for (int i = 0; i < 6000; i++)
 		tick(&world);
 	for (auto &node : world.nodes) {
-		prepaid_account_t *account = static_cast<prepaid_account_t *>(
-			g_hash_table_lookup(node->prepaid.by_name, ACCOUNT));
+		const prepaid_account_t *account = account_of(node.get());
 
 		if (account->home[0] != '\0')
 			idle += account_available(account);
@@ -660,8 +658,7 @@
 	for (int i = 0; i < 20; i++)
 		tick(&world);
 	for (auto &node : world.nodes) {
-		prepaid_account_t *account = static_cast<prepaid_account_t *>(
-			g_hash_table_lookup(node->prepaid.by_name, ACCOUNT));
+		const prepaid_account_t *account = account_of(node.get());
 
 		if (account->home[0] == '\0')
 			tell_store(node.get(), STORE_UNAVAILABLE);
