Charge an account only for responses that were forwarded

Cause: a run whose response was lost, or ended with an error, was charged its prompt although the caller got nothing.

Change: a request is charged once a part of a successful response has been forwarded. A response without events is charged at its largest, because its generated tokens are not known.

--- a/kernel/http.c
+++ b/kernel/http.c
@@ -123,6 +123,11 @@
 	return false;
 }
 
+bool http_status_is_success(uint32_t status)
+{
+	return status >= 200 && status < 300;
+}
+
 bool http_field_is_hop_by_hop(const char *name)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
--- a/kernel/http.h
+++ b/kernel/http.h
@@ -36,6 +36,7 @@
 /* True if a comma-separated field contains the token, ignoring case. */
 bool http_head_has_token(const http_head_t *head, const char *name,
 			 const char *token);
+bool http_status_is_success(uint32_t status);
 /* True for fields that concern one connection only and are never forwarded. */
 bool http_field_is_hop_by_hop(const char *name);
 
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -35,19 +35,27 @@
 	table_remove(&proxy->exchanges, exchange->self);
 }
 
+static bool is_success_forwarded(const exchange_t *exchange)
+{
+	return exchange->head_sent && exchange->head != NULL &&
+	       http_status_is_success(exchange->head->status);
+}
+
 /*
- * Prompt tokens count once, however often the request ran; generated tokens
- * count if they were delivered.
+ * An account pays once a part of a successful response has been forwarded.
+ * The prompt then counts once, however often the request ran, and generated
+ * tokens count if they were forwarded.  They can be counted in streams only.
  */
 static int64_t spent_tokens(const exchange_t *exchange)
 {
-	int64_t generated =
-		(int64_t)exchange->events.count * exchange->event_tokens;
+	int64_t generated = exchange->spec->max_tokens;
 
-	if (exchange->runs == 0)
+	if (!is_success_forwarded(exchange))
 		return 0;
-	return exchange->spec->prompt_tokens +
-	       MIN(generated, exchange->spec->max_tokens);
+	if (exchange->route.kind == ROUTE_STREAM)
+		generated = MIN(generated, (int64_t)exchange->events.count *
+						   exchange->event_tokens);
+	return exchange->spec->prompt_tokens + generated;
 }
 
 static void report_usage(proxy_t *proxy, exchange_t *exchange)
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -160,7 +160,7 @@
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg)
 {
 	const http_head_t *head = msg->u.out_head.head;
-	bool success = head->status >= 200 && head->status < 300;
+	bool success = http_status_is_success(head->status);
 
 	if (exchange->state != EXCHANGE_SENT)
 		return;
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -73,6 +73,7 @@
 		add_route(conf, "unsafe", ROUTE_UNSAFE, false, 2, "plain");
 		add_route(conf, "stream", ROUTE_STREAM, false, 2, "engine");
 		add_route(conf, "resume", ROUTE_STREAM, true, 3, "engine");
+		add_route(conf, "call", ROUTE_SAFE, false, 2, "engine");
 		g_strlcpy(engine.name, "engine", sizeof(engine.name));
 		engine.engine = true;
 		engine.event_tokens = 6;
@@ -395,6 +396,46 @@
 	EXPECT_EQ(spent, 0);
 }
 
+// Guards against accounts that run dry early: a caller that got nothing must
+// not pay for a run whose response was lost or failed.
+TEST_F(Proxy, RunWithoutForwardedResponseIsNotCharged)
+{
+	post_open("/stream/x");
+	post_failed(FAILURE_SENT, true, true);
+	EXPECT_EQ(status, 502u);
+	EXPECT_EQ(spent, 0);
+	spent = -1;
+	post_open("/stream/x");
+	post_head(500);
+	post_data("err");
+	post_end();
+	EXPECT_EQ(status, 500u);
+	EXPECT_EQ(spent, 0);
+}
+
+// Guards against tokens that are delivered and not charged.
+TEST_F(Proxy, CutStreamIsChargedForForwardedEvents)
+{
+	post_open("/stream/x");
+	post_head(200);
+	post_data("id: 1\ndata: a\n\nid: 2\nda");
+	post_failed(FAILURE_STREAM, true, true);
+	EXPECT_EQ(aborted, 1);
+	EXPECT_EQ(spent, 106);
+}
+
+// Guards against an overspent account: the generated tokens of a response
+// without events are not known.
+TEST_F(Proxy, EngineResponseWithoutEventsIsChargedAtItsLargest)
+{
+	post_open("/call/x");
+	post_head(200);
+	post_data("ok");
+	post_end();
+	EXPECT_EQ(status, 200u);
+	EXPECT_EQ(spent, 150);
+}
+
 TEST_F(Proxy, UnknownRouteAndKeyAreRefused)
 {
 	post_open("/other/x");
