Refuse requests for tokens once all peers have replied

Cause: while the store is away, a request that no instance can cover waited 350 ms for peers that had replied within 2 ms, and its caller was told to come back after 300 ms, into the same outage. In a fleet of 9 only 6 peers were asked, so the last tokens of an account could be at the other two.

Change: all peers of a small fleet are asked; once all have replied and the store cannot help, the request is refused. During an outage Retry-After is the time that the outage has lasted, between 0.3 and 5 s.

--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -239,6 +239,7 @@
 		} reserve;
 		struct {
 			reserve_result_t result;
+			uint32_t retry_after_ms; /* 0: not known */
 		} reserved; /* id is the reservation */
 		struct {
 			char idem_key[IDEM_KEY_SIZE];
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -22,6 +22,12 @@
 	int64_t started_at; /* monotonic, us; 0: no tokens were added yet */
 } token_rate_t;
 
+/* A peer that was asked for slices and has not replied to all requests. */
+typedef struct asked_peer_t {
+	char incarnation[INCARNATION_SIZE];
+	uint32_t replies_due;
+} asked_peer_t;
+
 typedef struct prepaid_account_t {
 	handle_t self;
 	char name[NAME_SIZE];
@@ -48,6 +54,8 @@
 	uint32_t conflicts; /* consecutive conflicting writes */
 	handle_t retry_timer;
 	GQueue waiting; /* reservation_t, oldest first */
+	asked_peer_t asked[LARGE_FLEET_PEERS];
+	uint32_t asked_count;
 
 	char home[INCARNATION_SIZE]; /* the zone's home; empty: this instance */
 	uint64_t home_version; /* homes_version when home was chosen */
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -60,6 +60,8 @@
 	uint32_t cursor = 0;
 	prepaid_account_t *account;
 
+	if (prepaid->store_up && !up)
+		prepaid->store_down_since = kernel_now(prepaid->kernel);
 	prepaid->store_up = up;
 	prepaid->homes_version++;
 	prepaid->retry_at = 0;
@@ -177,21 +179,6 @@
 	grant_advance(prepaid, account);
 }
 
-static void slice_received(prepaid_t *prepaid, const msg_t *msg)
-{
-	const peer_body_t *body = msg->u.peer.body;
-	prepaid_account_t *account =
-		find_or_add_account(prepaid, body->u.slice.client_account);
-
-	if (body->u.slice.tokens <= 0)
-		return;
-	account->transferred_in += body->u.slice.tokens;
-	log_event(LOG_LEVEL_DEBUG, "prepaid", "received",
-		  "account=%s tokens=%" G_GINT64_FORMAT " peer=%s",
-		  account->name, body->u.slice.tokens, msg->u.peer.incarnation);
-	reservations_serve(prepaid, account);
-}
-
 /* Handles the request of a peer that has this instance as the home. */
 static void refill_requested(prepaid_t *prepaid, const msg_t *msg)
 {
@@ -256,25 +243,74 @@
 		       RECORD_MAX_AGE_US;
 }
 
+/*
+ * True if the account cannot cover the reservation: the home has reported it as
+ * spent, or the known record leaves too few tokens.
+ */
+static bool is_spent(const prepaid_t *prepaid, const reservation_t *reservation)
+{
+	const prepaid_account_t *account = reservation->account;
+
+	return is_recently_exhausted(prepaid, account) ||
+	       (account->revision != REVISION_UNKNOWN && prepaid->store_up &&
+		account_unallocated(account) + account_available(account) <
+			reservation->tokens);
+}
+
+static void refuse_waiting(prepaid_t *prepaid, reservation_t *reservation)
+{
+	reservation_refuse(prepaid, reservation,
+			   is_spent(prepaid, reservation)
+				   ? RESERVE_SPENT
+				   : RESERVE_UNAVAILABLE);
+}
+
 static void reservation_timed_out(prepaid_t *prepaid, handle_t ref)
 {
 	reservation_t *reservation = table_get(&prepaid->reservations, ref);
-	prepaid_account_t *account;
-	bool spent;
 
 	if (reservation == NULL || !reservation->waiting)
 		return;
-	account = reservation->account;
-	/*
-	 * The account is spent if the home has reported it, or if the known
-	 * record leaves too few tokens.
-	 */
-	spent = is_recently_exhausted(prepaid, account) ||
-		(account->revision != REVISION_UNKNOWN && prepaid->store_up &&
-		 account_unallocated(account) + account_available(account) <
-			 reservation->tokens);
-	reservation_refuse(prepaid, reservation,
-			   spent ? RESERVE_SPENT : RESERVE_UNAVAILABLE);
+	sharing_forget_asked(reservation->account);
+	refuse_waiting(prepaid, reservation);
+}
+
+/*
+ * Refuses requests for which all asked peers had too few tokens, unless the
+ * store may still provide some.
+ */
+static void refuse_answered(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	GList *link = account->waiting.head;
+
+	if (!sharing_is_answered(account))
+		return;
+	while (link != NULL) {
+		reservation_t *reservation = link->data;
+
+		link = link->next;
+		if (reservation->slices_requested &&
+		    (!prepaid->store_up || is_spent(prepaid, reservation)))
+			refuse_waiting(prepaid, reservation);
+	}
+}
+
+static void slice_received(prepaid_t *prepaid, const msg_t *msg)
+{
+	const peer_body_t *body = msg->u.peer.body;
+	prepaid_account_t *account =
+		find_or_add_account(prepaid, body->u.slice.client_account);
+
+	sharing_slice_received(account, msg->u.peer.incarnation);
+	if (body->u.slice.tokens > 0) {
+		account->transferred_in += body->u.slice.tokens;
+		log_event(LOG_LEVEL_DEBUG, "prepaid", "received",
+			  "account=%s tokens=%" G_GINT64_FORMAT " peer=%s",
+			  account->name, body->u.slice.tokens,
+			  msg->u.peer.incarnation);
+		reservations_serve(prepaid, account);
+	}
+	refuse_answered(prepaid, account);
 }
 
 /*
--- a/prepaid/prepaid.h
+++ b/prepaid/prepaid.h
@@ -37,6 +37,7 @@
 	peer_set_t peers;
 	uint64_t homes_version; /* incremented when homes may change */
 	bool store_up;
+	int64_t store_down_since; /* monotonic, us; valid if !store_up */
 	int64_t retry_at; /* monotonic, us; earliest next call to the store */
 	bool stopping;
 	bool stopped;
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -38,6 +38,30 @@
 			     reservation->self, PREPAID_TIMER_WAIT);
 }
 
+/*
+ * Bounds of the time after which a caller is asked to return during an outage
+ * of the store.
+ */
+#define OUTAGE_RETRY_MIN_MS 300
+#define OUTAGE_RETRY_MAX_MS 5000
+
+/*
+ * Estimates when the store is available again: an outage is expected to last
+ * as long again as it has lasted.  A caller that returns earlier would be
+ * refused a second time.
+ */
+static uint32_t retry_after_ms(const prepaid_t *prepaid)
+{
+	int64_t elapsed_ms =
+		(kernel_now(prepaid->kernel) - prepaid->store_down_since) /
+		USEC_PER_MSEC;
+
+	if (prepaid->store_up)
+		return 0;
+	return (uint32_t)CLAMP(elapsed_ms, OUTAGE_RETRY_MIN_MS,
+			       OUTAGE_RETRY_MAX_MS);
+}
+
 static void post_result(prepaid_t *prepaid, const reservation_t *reservation,
 			reserve_result_t result)
 {
@@ -46,6 +70,7 @@
 		     .id = reservation->self};
 
 	msg.u.reserved.result = result;
+	msg.u.reserved.retry_after_ms = retry_after_ms(prepaid);
 	kernel_post(prepaid->kernel, prepaid->svc, reservation->owner, &msg);
 }
 
--- a/prepaid/sharing.c
+++ b/prepaid/sharing.c
@@ -5,8 +5,12 @@
 
 #include <string.h>
 
-/* Peers asked for slices for one reservation; each one costs a message. */
-#define ASKED_PEERS_MAX 6
+/*
+ * Peers of a large fleet that are asked for slices for one reservation.  In a
+ * small fleet all are asked, because the last tokens of an account are spread
+ * over all instances.
+ */
+#define ASKED_PEERS_LARGE_FLEET 6
 /* A peer replies within a few ms, unless it has to call the store itself. */
 #define PEER_WAIT_US (120 * USEC_PER_MSEC)
 /* A home may have to call the store first, which takes some ms. */
@@ -37,10 +41,53 @@
 	send_body(prepaid, peer, body);
 }
 
+static void add_asked_peer(prepaid_account_t *account, const char *incarnation)
+{
+	asked_peer_t *asked;
+
+	for (uint32_t i = 0; i < account->asked_count; i++) {
+		if (strcmp(account->asked[i].incarnation, incarnation) != 0)
+			continue;
+		account->asked[i].replies_due++;
+		return;
+	}
+	if (account->asked_count == G_N_ELEMENTS(account->asked))
+		return;
+	asked = &account->asked[account->asked_count++];
+	g_strlcpy(asked->incarnation, incarnation, sizeof(asked->incarnation));
+	asked->replies_due = 1;
+}
+
+void sharing_slice_received(prepaid_account_t *account, const char *incarnation)
+{
+	for (uint32_t i = 0; i < account->asked_count; i++) {
+		asked_peer_t *asked = &account->asked[i];
+
+		if (strcmp(asked->incarnation, incarnation) != 0)
+			continue;
+		if (--asked->replies_due == 0)
+			*asked = account->asked[--account->asked_count];
+		return;
+	}
+}
+
+bool sharing_is_answered(const prepaid_account_t *account)
+{
+	return account->asked_count == 0;
+}
+
+void sharing_forget_asked(prepaid_account_t *account)
+{
+	account->asked_count = 0;
+}
+
 void sharing_request_slices(prepaid_t *prepaid, reservation_t *reservation,
 			    int64_t wait)
 {
 	guint count = peer_set_count(&prepaid->peers);
+	guint asked = peer_set_is_large(&prepaid->peers)
+			      ? ASKED_PEERS_LARGE_FLEET
+			      : count;
 	guint first;
 
 	if (reservation->slices_requested ||
@@ -51,11 +98,13 @@
 	if (count == 0)
 		return;
 	first = (guint)kernel_random_below(prepaid->kernel, count);
-	for (guint i = 0; i < MIN(count, ASKED_PEERS_MAX); i++)
-		send_slice_request(
-			prepaid, reservation,
-			peer_set_at(&prepaid->peers, (first + i) % count)
-				->incarnation);
+	for (guint i = 0; i < asked; i++) {
+		const peer_ref_t *peer =
+			peer_set_at(&prepaid->peers, (first + i) % count);
+
+		send_slice_request(prepaid, reservation, peer->incarnation);
+		add_asked_peer(reservation->account, peer->incarnation);
+	}
 }
 
 void sharing_exhausted(prepaid_t *prepaid, prepaid_account_t *account)
--- a/prepaid/sharing.h
+++ b/prepaid/sharing.h
@@ -12,6 +12,13 @@
 /* Requests slices for a reservation, which waits this long for them. */
 void sharing_request_slices(prepaid_t *prepaid, reservation_t *reservation,
 			    int64_t wait);
+/* Records the reply of a peer that may have been asked for a slice. */
+void sharing_slice_received(prepaid_account_t *account,
+			    const char *incarnation);
+/* True if no asked peer has a reply due. */
+bool sharing_is_answered(const prepaid_account_t *account);
+/* Expects no more replies, after a timeout. */
+void sharing_forget_asked(prepaid_account_t *account);
 /*
  * Handles an account whose record leaves too few tokens for the waiting
  * reservations: peers may still hold unused ones.
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -332,7 +332,8 @@
 		exchange_refuse(proxy, exchange, REFUSAL_BUDGET_SPENT, 0);
 		break;
 	case RESERVE_UNAVAILABLE:
-		exchange_refuse(proxy, exchange, REFUSAL_BUDGET_UNAVAILABLE, 0);
+		exchange_refuse(proxy, exchange, REFUSAL_BUDGET_UNAVAILABLE,
+				msg->u.reserved.retry_after_ms);
 		break;
 	}
 }
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -106,6 +106,7 @@
 	int granted = 0;
 	int incarnations = 0;
 	int messages = 0; // between instances
+	uint32_t retry_after_ms = 0; // of the last refusal
 
 	bool random_bool(double p)
 	{
@@ -256,6 +257,7 @@
 		break;
 	case RESERVE_UNAVAILABLE:
 		cluster->refused_unavailable++;
+		cluster->retry_after_ms = msg->u.reserved.retry_after_ms;
 		break;
 	}
 }
@@ -835,6 +837,79 @@
 	finish_cluster(&cluster);
 }
 
+// Guards against a refusal that comes late: once all peers have replied that
+// they hold too little, waiting longer helps nobody.
+TEST(Prepaid, RefusesOnceAllPeersHaveReplied)
+{
+	cluster_t cluster;
+
+	cluster.random.seed(7);
+	start_cluster(&cluster, 9, 100000);
+	cluster.store.down = true;
+	for (auto &node : cluster.nodes)
+		post_store_event(node.get(), STORE_UNAVAILABLE);
+	step(&cluster);
+	reserve(cluster.nodes[0].get(), 900);
+	for (int i = 0; i < 4; i++)
+		step(&cluster);
+	EXPECT_EQ(cluster.refused_unavailable, 1);
+	finish_cluster(&cluster);
+}
+
+// Guards against callers that return during the same outage and are refused
+// again: most have a single retry.
+TEST(Prepaid, OutageThatLastsDefersRetries)
+{
+	cluster_t cluster;
+
+	cluster.random.seed(9);
+	start_cluster(&cluster, 2, 100000);
+	cluster.store.down = true;
+	for (auto &node : cluster.nodes)
+		post_store_event(node.get(), STORE_UNAVAILABLE);
+	step(&cluster);
+	reserve(cluster.nodes[0].get(), 900);
+	for (int i = 0; i < 4; i++)
+		step(&cluster);
+	ASSERT_EQ(cluster.refused_unavailable, 1);
+	EXPECT_LE(cluster.retry_after_ms, 500u);
+	for (int i = 0; i < 2 * USEC_PER_SEC / STEP_US; i++)
+		step(&cluster);
+	reserve(cluster.nodes[0].get(), 900);
+	for (int i = 0; i < 4; i++)
+		step(&cluster);
+	ASSERT_EQ(cluster.refused_unavailable, 2);
+	EXPECT_GE(cluster.retry_after_ms, 1900u);
+	finish_cluster(&cluster);
+}
+
+// Guards against a refusal while some peer of a small fleet holds the tokens.
+TEST(Prepaid, AsksAllPeersOfSmallFleet)
+{
+	cluster_t cluster;
+
+	cluster.random.seed(8);
+	start_cluster(&cluster, 12, 1000000);
+	for (int i = 0; i < 400; i++) {
+		reserve(cluster.nodes[11].get(), 1000);
+		step(&cluster);
+		settle(cluster.nodes[11].get(), true);
+	}
+	cluster.store.down = true;
+	for (auto &node : cluster.nodes)
+		post_store_event(node.get(), STORE_UNAVAILABLE);
+	step(&cluster);
+	cluster.granted = 0;
+	for (int i = 0; i < 11; i++) {
+		reserve(cluster.nodes[(size_t)i].get(), 100);
+		for (int j = 0; j < 20; j++)
+			step(&cluster);
+	}
+	EXPECT_EQ(cluster.granted, 11);
+	EXPECT_EQ(cluster.refused_unavailable, 0);
+	finish_cluster(&cluster);
+}
+
 // Guards against refusals while the store is down and peers hold tokens.
 TEST(Prepaid, PeersTransferTokensWhileStoreIsDown)
 {
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -110,8 +110,8 @@
 			break;
 		case MSG_EXCHANGE_HEAD:
 			status = msg->u.exchange_head.head->status;
-			retry_after = http_head_get(msg->u.exchange_head.head,
-						    "Retry-After") != nullptr;
+			set_retry_after(http_head_get(msg->u.exchange_head.head,
+						      "Retry-After"));
 			break;
 		case MSG_EXCHANGE_DATA:
 			data = g_bytes_get_data(msg->u.data.bytes, &size);
@@ -145,6 +145,11 @@
 			break;
 		}
 	}
+	void set_retry_after(const char *text)
+	{
+		retry_after = text != nullptr;
+		retry_after_text = retry_after ? text : "";
+	}
 	void handle_reserve(const msg_t *request)
 	{
 		msg_t msg = {};
@@ -152,7 +157,8 @@
 		msg.kind = MSG_RESERVED;
 		msg.ref = request->id;
 		msg.id = {1, 1};
-		msg.u.reserved.result = RESERVE_OK;
+		msg.u.reserved.result = reserve_result;
+		msg.u.reserved.retry_after_ms = 2500;
 		kernel_post(&kernel, prepaid, request->from, &msg);
 	}
 	void handle_place(const msg_t *request)
@@ -260,6 +266,8 @@
 	handle_t exchange, call_ref;
 	uint32_t status = 0, avoided = 0;
 	bool retry_after = false, no_target = false;
+	std::string retry_after_text;
+	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
 	std::vector<place_result_t> results;
 	int completed = 0, aborted = 0, placements = 0, attempts = 0,
@@ -436,6 +444,15 @@
 	EXPECT_EQ(spent, 150);
 }
 
+// Guards against callers that return before tokens can be had again.
+TEST_F(Proxy, RefusalStatesWhenTokensAreExpected)
+{
+	reserve_result = RESERVE_UNAVAILABLE;
+	post_open("/stream/x");
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(retry_after_text, "2.500");
+}
+
 TEST_F(Proxy, UnknownRouteAndKeyAreRefused)
 {
 	post_open("/other/x");
