--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -88,7 +88,8 @@
 
 static void enter_stage(gateway_t *gateway, gateway_stage_t stage)
 {
-	int64_t grace = gateway->settings.gateway_grace_s * USEC_PER_SEC;
+	int64_t grace = (int64_t)(gateway->settings.gateway_grace_s *
+				  (double)USEC_PER_SEC);
 
 	gateway->stage = stage;
 	log_event(LOG_LEVEL_INFO, "gateway", "stop", "stage=%s",
@@ -208,9 +209,10 @@
 	const settings_t *settings = &gateway->settings;
 	proxy_opts_t proxy = {
 		.retry_limits.ratio = settings->gateway_retry_ratio,
-		.retry_limits.slack = (uint32_t)settings->gateway_retry_slack,
+		.retry_limits.slack = settings->gateway_retry_slack,
 		.retry_limits.window_us =
-			settings->gateway_retry_window_s * USEC_PER_SEC,
+			(int64_t)(settings->gateway_retry_window_s *
+				  (double)USEC_PER_SEC),
 	};
 
 	balance_init(&gateway->balance, &gateway->kernel,
--- a/proxy/retry_window.c
+++ b/proxy/retry_window.c
@@ -79,9 +79,8 @@
 		requests += counts->slots[i].requests;
 		retries += counts->slots[i].retries;
 	}
-	allowed =
-		USED_SHARE * (window->limits.ratio * requests +
-			      (double)window->limits.slack / MAX(instances, 1));
+	allowed = USED_SHARE * (window->limits.ratio * requests +
+				window->limits.slack / MAX(instances, 1));
 	if (retries + 1 > allowed)
 		return false;
 	slot->retries++;
--- a/proxy/retry_window.h
+++ b/proxy/retry_window.h
@@ -14,7 +14,7 @@
 
 typedef struct retry_limits_t {
 	double ratio; /* retries per request */
-	uint32_t slack; /* additional retries of the whole fleet */
+	double slack; /* additional retries of the whole fleet */
 	int64_t window_us;
 } retry_limits_t;
 
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -19,7 +19,7 @@
 	SETTING_SEEDS, /* list of IP:PORT */
 	SETTING_URLS, /* list of URLs, at least one */
 	SETTING_LISTEN, /* IP:PORT */
-	SETTING_RATIO, /* a decimal number from 0 to 1 */
+	SETTING_DECIMAL, /* a number from min to max, whole or not */
 } setting_type_t;
 
 /* The programs for which a setting is required. */
@@ -141,17 +141,17 @@
 	{"gateway.watch_pause_ms", SETTING_INTEGER,
 	 FIELD(gateway_watch_pause_ms), REQUIRED_BY_NONE, 10, 10000, 600, "",
 	 "pause between two reads of the store's changes, ms"},
-	{"gateway.retry_ratio", SETTING_RATIO, FIELD(gateway_retry_ratio),
+	{"gateway.retry_ratio", SETTING_DECIMAL, FIELD(gateway_retry_ratio),
 	 REQUIRED_BY_NONE, 0, 1, 0, "0.1",
 	 "requests sent again to a service, as a share of its requests"},
-	{"gateway.retry_slack", SETTING_INTEGER, FIELD(gateway_retry_slack),
-	 REQUIRED_BY_NONE, 0, 1000000, 20, "",
+	{"gateway.retry_slack", SETTING_DECIMAL, FIELD(gateway_retry_slack),
+	 REQUIRED_BY_NONE, 0, 1000000, 0, "20",
 	 "requests sent again beside that share, by the whole fleet"},
-	{"gateway.retry_window_s", SETTING_INTEGER,
-	 FIELD(gateway_retry_window_s), REQUIRED_BY_NONE, 1, 3600, 10, "",
+	{"gateway.retry_window_s", SETTING_DECIMAL,
+	 FIELD(gateway_retry_window_s), REQUIRED_BY_NONE, 1, 3600, 0, "10",
 	 "time over which requests sent again are counted, s"},
-	{"gateway.grace_s", SETTING_INTEGER, FIELD(gateway_grace_s),
-	 REQUIRED_BY_NONE, 2, 3600, 8, "",
+	{"gateway.grace_s", SETTING_DECIMAL, FIELD(gateway_grace_s),
+	 REQUIRED_BY_NONE, 2, 3600, 0, "8",
 	 "time from SIGTERM to the end of the process, s"},
 };
 
@@ -169,7 +169,7 @@
 		case SETTING_SEEDS:
 		case SETTING_URLS:
 			break;
-		case SETTING_RATIO:
+		case SETTING_DECIMAL:
 			*(double *)(void *)field = g_ascii_strtod(
 				setting_table[i].default_text, NULL);
 			break;
@@ -256,8 +256,10 @@
 				       SETTING_LIST_MAX);
 	case SETTING_LISTEN:
 		return g_strdup("IP:PORT");
-	case SETTING_RATIO:
-		return g_strdup("a number from 0 to 1");
+	case SETTING_DECIMAL:
+		return g_strdup_printf("a number from %" G_GINT64_FORMAT
+				       " to %" G_GINT64_FORMAT,
+				       setting->min, setting->max);
 	}
 	return g_strdup("nothing");
 }
@@ -349,8 +351,8 @@
 	return true;
 }
 
-static settings_status_t parse_ratio(const setting_t *setting, JsonNode *node,
-				     double *ratio, errmsg_t *err)
+static settings_status_t parse_decimal(const setting_t *setting, JsonNode *node,
+				       double *value, errmsg_t *err)
 {
 	double number;
 
@@ -360,7 +362,7 @@
 	number = json_node_get_double(node);
 	if (!(number >= (double)setting->min && number <= (double)setting->max))
 		return reject_value(setting, node, err);
-	*ratio = number;
+	*value = number;
 	return SETTINGS_OK;
 }
 
@@ -380,8 +382,9 @@
 			return reject_value(setting, node, err);
 		*(int64_t *)(void *)field = number;
 		return SETTINGS_OK;
-	case SETTING_RATIO:
-		return parse_ratio(setting, node, (double *)(void *)field, err);
+	case SETTING_DECIMAL:
+		return parse_decimal(setting, node, (double *)(void *)field,
+				     err);
 	case SETTING_SEEDS:
 	case SETTING_URLS:
 		if (!parse_list(setting, node, (setting_list_t *)(void *)field))
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -73,9 +73,9 @@
 	char gateway_store[SETTING_TEXT_SIZE];
 	int64_t gateway_watch_pause_ms;
 	double gateway_retry_ratio;
-	int64_t gateway_retry_slack;
-	int64_t gateway_retry_window_s;
-	int64_t gateway_grace_s;
+	double gateway_retry_slack;
+	double gateway_retry_window_s;
+	double gateway_grace_s;
 } settings_t;
 
 void settings_init(settings_t *settings);
