Watch all connections through one epoll descriptor

Cause: each connection had a GLib source of its own.

Change: kernel/pollset.c holds the descriptors in one epoll set, which is the only source for them, and reports readiness by handle. http/, ingress/ and peer/ use it; interest is changed in place, and a descriptor without interest is taken out, because epoll would report its hang-up in every iteration.

--- a/http/socket.c
+++ b/http/socket.c
@@ -21,38 +21,23 @@
 			    USER_TIMEOUT_MS, NULL);
 }
 
-static void clear_source(GSource **source)
+static void update_interest(http_socket_t *sock)
 {
-	if (*source == NULL)
-		return;
-	g_source_destroy(*source);
-	g_clear_pointer(source, g_source_unref);
+	pollset_set(sock->pollset, sock->watch,
+		    (sock->watches_input ? POLLSET_IN : 0) |
+			    (sock->watches_output ? POLLSET_OUT : 0));
 }
 
-void http_socket_watch_input(http_socket_t *sock, bool watch)
+static void watch_output(http_socket_t *sock, bool watch)
 {
-	if (!watch) {
-		clear_source(&sock->in_source);
-		return;
-	}
-	if (sock->in_source != NULL)
-		return;
-	sock->in_source = g_socket_create_source(sock->socket, G_IO_IN, NULL);
-	g_source_set_callback(sock->in_source, G_SOURCE_FUNC(sock->ready),
-			      sock->data, NULL);
-	g_source_attach(sock->in_source, NULL);
+	sock->watches_output = watch;
+	update_interest(sock);
 }
 
-void http_socket_init(http_socket_t *sock, GSocket *socket,
-		      GSocketSourceFunc ready, gpointer data)
+void http_socket_watch_input(http_socket_t *sock, bool watch)
 {
-	memset(sock, 0, sizeof(*sock));
-	sock->socket = g_object_ref(socket);
-	sock->output = g_byte_array_new();
-	sock->ready = ready;
-	sock->data = data;
-	set_options(socket);
-	http_socket_watch_input(sock, true);
+	sock->watches_input = watch;
+	update_interest(sock);
 }
 
 static void flush(http_socket_t *sock)
@@ -79,42 +64,69 @@
 	}
 }
 
-static gboolean on_writable(GSocket *socket, GIOCondition condition,
-			    gpointer data)
+static void on_writable(http_socket_t *sock)
 {
-	http_socket_t *sock = data;
-
 	if (sock->connecting) {
 		sock->connecting = false;
-		if (!g_socket_check_connect_result(socket, NULL)) {
+		if (!g_socket_check_connect_result(sock->socket, NULL)) {
 			sock->failed = true;
-			clear_source(&sock->out_source);
-			sock->ready(socket, condition, sock->data);
-			return G_SOURCE_REMOVE;
+			watch_output(sock, false);
+			sock->ready(sock->data, POLLSET_ERROR);
+			return;
 		}
-		http_socket_watch_input(sock, true);
+		sock->watches_input = true;
 	}
 	flush(sock);
-	if (sock->output->len > 0 && !sock->failed)
-		return G_SOURCE_CONTINUE;
-	clear_source(&sock->out_source);
+	if (sock->output->len > 0 && !sock->failed) {
+		update_interest(sock);
+		return;
+	}
+	watch_output(sock, false);
 	/* The owner may be waiting until all output is written. */
-	sock->ready(socket, G_IO_OUT, sock->data);
-	return G_SOURCE_REMOVE;
+	sock->ready(sock->data, POLLSET_OUT);
+}
+
+/*
+ * The callback may free the socket, so only one is made.  Input is reported
+ * again in the next iteration.
+ */
+static void on_event(void *data, unsigned ready)
+{
+	http_socket_t *sock = data;
+
+	if (sock->watches_output && (ready & (POLLSET_OUT | POLLSET_ERROR)))
+		on_writable(sock);
+	else
+		sock->ready(sock->data, ready);
 }
 
-static void watch_output(http_socket_t *sock)
+static bool start_watch(http_socket_t *sock, pollset_t *pollset,
+			unsigned interest, pollset_fn_t ready, void *data)
 {
-	if (sock->out_source != NULL)
-		return;
-	sock->out_source = g_socket_create_source(sock->socket, G_IO_OUT, NULL);
-	g_source_set_callback(sock->out_source, G_SOURCE_FUNC(on_writable),
-			      sock, NULL);
-	g_source_attach(sock->out_source, NULL);
+	sock->pollset = pollset;
+	sock->output = g_byte_array_new();
+	sock->ready = ready;
+	sock->data = data;
+	sock->watches_input = (interest & POLLSET_IN) != 0;
+	sock->watches_output = (interest & POLLSET_OUT) != 0;
+	sock->watch = pollset_add(pollset, g_socket_get_fd(sock->socket),
+				  interest, on_event, sock);
+	return !handle_is_none(sock->watch);
 }
 
-bool http_socket_connect(http_socket_t *sock, const char *host, uint16_t port,
-			 GSocketSourceFunc ready, gpointer data)
+void http_socket_init(http_socket_t *sock, pollset_t *pollset, GSocket *socket,
+		      pollset_fn_t ready, void *data)
+{
+	memset(sock, 0, sizeof(*sock));
+	sock->socket = g_object_ref(socket);
+	set_options(socket);
+	if (!start_watch(sock, pollset, POLLSET_IN, ready, data))
+		g_error("epoll_ctl: %s", g_strerror(errno));
+}
+
+bool http_socket_connect(http_socket_t *sock, pollset_t *pollset,
+			 const char *host, uint16_t port, pollset_fn_t ready,
+			 void *data)
 {
 	GSocketAddress *address =
 		g_inet_socket_address_new_from_string(host, port);
@@ -129,9 +141,6 @@
 			     G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
 	if (sock->socket == NULL)
 		goto out;
-	sock->output = g_byte_array_new();
-	sock->ready = ready;
-	sock->data = data;
 	set_options(sock->socket);
 	if (!g_socket_connect(sock->socket, address, NULL, &error) &&
 	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) {
@@ -139,8 +148,9 @@
 		goto out;
 	}
 	sock->connecting = true;
-	watch_output(sock);
-	ok = true;
+	ok = start_watch(sock, pollset, POLLSET_OUT, ready, data);
+	if (!ok)
+		http_socket_finish(sock);
 out:
 	g_clear_error(&error);
 	g_object_unref(address);
@@ -149,8 +159,8 @@
 
 void http_socket_finish(http_socket_t *sock)
 {
-	clear_source(&sock->in_source);
-	clear_source(&sock->out_source);
+	if (sock->pollset != NULL)
+		pollset_remove(sock->pollset, &sock->watch);
 	if (sock->socket != NULL)
 		g_socket_close(sock->socket, NULL);
 	g_clear_object(&sock->socket);
@@ -160,11 +170,11 @@
 void http_socket_write(http_socket_t *sock, const void *data, size_t len)
 {
 	g_byte_array_append(sock->output, data, (guint)len);
-	if (sock->connecting || sock->out_source != NULL)
+	if (sock->watches_output)
 		return;
 	flush(sock);
 	if (sock->output->len > 0 && !sock->failed)
-		watch_output(sock);
+		watch_output(sock, true);
 }
 
 bool http_socket_has_output(const http_socket_t *sock)
--- a/http/socket.h
+++ b/http/socket.h
@@ -1,12 +1,12 @@
 /*
- * A non-blocking TCP socket on the main loop with a buffer for output.  One
- * callback reports that the socket is readable, has written all output or has
- * failed.
+ * A non-blocking TCP socket with a buffer for output.  One callback reports
+ * that the socket is readable, has written all output or has failed.
  */
 #ifndef HTTP_SOCKET_H
 #define HTTP_SOCKET_H
 
 #include "kernel/errmsg.h"
+#include "kernel/pollset.h"
 
 #include <gio/gio.h>
 #include <stdbool.h>
@@ -23,22 +23,26 @@
 
 typedef struct http_socket_t {
 	GSocket *socket;
-	GSource *in_source;
-	GSource *out_source; /* set while connecting or with bytes to write */
+	pollset_t *pollset;
+	handle_t watch;
+	bool watches_input;
+	bool watches_output; /* while connecting or with bytes to write */
 	GByteArray *output;
 	guint written; /* bytes of output already written */
 	bool connecting;
 	bool failed; /* connect or write failed; a read returns the error */
-	GSocketSourceFunc ready;
-	gpointer data;
+	/* Gets POLLSET_OUT alone when all output is written. */
+	pollset_fn_t ready;
+	void *data;
 } http_socket_t;
 
 /* Initializes sock with a new reference to an accepted socket. */
-void http_socket_init(http_socket_t *sock, GSocket *socket,
-		      GSocketSourceFunc ready, gpointer data);
+void http_socket_init(http_socket_t *sock, pollset_t *pollset, GSocket *socket,
+		      pollset_fn_t ready, void *data);
 /* Starts to connect to an IP address; returns false on immediate failure. */
-bool http_socket_connect(http_socket_t *sock, const char *host, uint16_t port,
-			 GSocketSourceFunc ready, gpointer data);
+bool http_socket_connect(http_socket_t *sock, pollset_t *pollset,
+			 const char *host, uint16_t port, pollset_fn_t ready,
+			 void *data);
 void http_socket_finish(http_socket_t *sock);
 
 /* Writes as much as possible now and buffers the rest. */
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -12,8 +12,7 @@
 /* Time for the caller to read the last response and close. */
 #define LINGER_TIMEOUT_US USEC_PER_SEC
 
-static gboolean on_ready(GSocket *socket, GIOCondition condition,
-			 gpointer data);
+static void on_ready(void *data, unsigned ready);
 
 static void set_phase(ingress_conn_t *conn, ingress_phase_t phase)
 {
@@ -37,7 +36,8 @@
 	conn->input = g_byte_array_new();
 	http_parse_init(&conn->parse, false);
 	conn->parse.max_head = ingress->limits.max_header;
-	http_socket_init(&conn->sock, socket, on_ready, conn);
+	http_socket_init(&conn->sock, &ingress->kernel->pollset, socket,
+			 on_ready, conn);
 	set_phase(conn, INGRESS_IDLE);
 	metrics_set(ingress->kernel->metrics, GAUGE_CONNECTIONS,
 		    table_count(&ingress->conns));
@@ -220,16 +220,15 @@
 	return true;
 }
 
-static gboolean on_ready(GSocket *socket, GIOCondition condition, gpointer data)
+static void on_ready(void *data, unsigned ready)
 {
 	ingress_conn_t *conn = data;
 	kernel_t *kernel = conn->ingress->kernel;
 
-	(void)socket;
-	if (condition == G_IO_OUT) {
+	if (ready == POLLSET_OUT) {
 		if (conn->phase == INGRESS_LINGER)
 			http_socket_shutdown(&conn->sock);
-		return G_SOURCE_CONTINUE;
+		return;
 	}
 	if (read_input(conn)) {
 		/* If too much is buffered, send_end() resumes reading. */
@@ -239,7 +238,6 @@
 			parse_input(conn);
 	}
 	kernel_flush(kernel);
-	return G_SOURCE_CONTINUE;
 }
 
 static void send_head(ingress_conn_t *conn, msg_t *msg)
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -4,6 +4,7 @@
 #include "log/log.h"
 #include "platform/wire.h"
 
+#include <errno.h>
 #include <string.h>
 
 #define ACCEPT_MAX 64 /* connections accepted per loop iteration */
@@ -32,24 +33,22 @@
 	.idle_timeout_ms = 15000,
 };
 
-static gboolean on_accept(GSocket *socket, GIOCondition condition,
-			  gpointer data)
+static void on_accept(void *data, unsigned ready)
 {
 	listener_t *listener = data;
 	ingress_t *ingress = listener->ingress;
 	GSocket *accepted;
 
-	(void)condition;
+	(void)ready;
 	for (int i = 0; i < ACCEPT_MAX; i++) {
 		if (table_count(&ingress->conns) >= CONNS_MAX)
 			break;
-		accepted = g_socket_accept(socket, NULL, NULL);
+		accepted = g_socket_accept(listener->socket, NULL, NULL);
 		if (accepted == NULL)
 			break;
 		ingress_conn_open(ingress, accepted, listener->kind);
 		g_object_unref(accepted);
 	}
-	return G_SOURCE_CONTINUE;
 }
 
 ingress_status_t ingress_listen(ingress_t *ingress, listener_kind_t kind,
@@ -62,20 +61,22 @@
 	listener->socket = http_socket_listen(host, port, &ingress->err);
 	if (listener->socket == NULL)
 		return INGRESS_LISTEN_FAILED;
-	listener->source =
-		g_socket_create_source(listener->socket, G_IO_IN, NULL);
-	g_source_set_callback(listener->source, G_SOURCE_FUNC(on_accept),
-			      listener, NULL);
-	g_source_attach(listener->source, NULL);
+	listener->watch = pollset_add(&ingress->kernel->pollset,
+				      g_socket_get_fd(listener->socket),
+				      POLLSET_IN, on_accept, listener);
+	if (handle_is_none(listener->watch)) {
+		errmsg_set(&ingress->err, "cannot watch %s port %u: %s", host,
+			   port, g_strerror(errno));
+		return INGRESS_LISTEN_FAILED;
+	}
 	return INGRESS_OK;
 }
 
 static void close_listener(listener_t *listener)
 {
-	if (listener->source != NULL) {
-		g_source_destroy(listener->source);
-		g_clear_pointer(&listener->source, g_source_unref);
-	}
+	if (listener->ingress != NULL)
+		pollset_remove(&listener->ingress->kernel->pollset,
+			       &listener->watch);
 	if (listener->socket != NULL)
 		g_socket_close(listener->socket, NULL);
 	g_clear_object(&listener->socket);
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -127,6 +127,7 @@
 			g_error("getrandom: cannot seed random numbers");
 		attach_source(kernel);
 	}
+	pollset_init(&kernel->pollset, kernel->context);
 }
 
 void kernel_finish(kernel_t *kernel)
@@ -140,6 +141,7 @@
 			(kernel->queue_head + 1) % kernel->queue_size;
 		kernel->queue_len--;
 	}
+	pollset_finish(&kernel->pollset);
 	if (kernel->source != NULL) {
 		g_source_destroy(kernel->source);
 		g_source_unref(kernel->source);
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -8,6 +8,7 @@
 #define KERNEL_KERNEL_H
 
 #include "kernel/msg.h"
+#include "kernel/pollset.h"
 #include "metrics/metrics.h"
 
 G_BEGIN_DECLS
@@ -43,6 +44,8 @@
 	GArray *timer_heap; /* handle_t, ordered by due time */
 	uint64_t timer_seq;
 
+	pollset_t pollset;
+
 	GMainContext *context;
 	GMainLoop *loop;
 	GSource *source;
--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -63,8 +63,8 @@
 	conn->outbound = outbound;
 	conn->self = self;
 	g_strlcpy(conn->address, address, sizeof(conn->address));
-	if (!http_socket_connect(&conn->sock, host, port, out_conn_ready,
-				 conn)) {
+	if (!http_socket_connect(&conn->sock, &outbound->kernel->pollset, host,
+				 port, out_conn_ready, conn)) {
 		table_remove(&outbound->conns, self);
 		return NULL;
 	}
@@ -275,17 +275,16 @@
 	}
 }
 
-gboolean out_conn_ready(GSocket *socket, GIOCondition condition, gpointer data)
+void out_conn_ready(void *data, unsigned ready)
 {
 	out_conn_t *conn = data;
 	outbound_t *outbound = conn->outbound;
 	out_call_t *call = table_get(&outbound->calls, conn->call);
 
-	(void)socket;
 	if (call == NULL) {
 		/* The only input expected on an idle connection is its end. */
 		out_conn_close(conn);
-		return G_SOURCE_CONTINUE;
+		return;
 	}
 	if (!handle_is_none(conn->connect_timer) && !conn->sock.connecting) {
 		kernel_timer_cancel(outbound->kernel, &conn->connect_timer);
@@ -295,9 +294,8 @@
 			goto out;
 		}
 	}
-	if ((condition & ~G_IO_OUT) != 0 || conn->sock.failed)
+	if ((ready & ~POLLSET_OUT) != 0 || conn->sock.failed)
 		read_response(conn, call);
 out:
 	kernel_flush(outbound->kernel);
-	return G_SOURCE_CONTINUE;
 }
--- a/outbound/conn.h
+++ b/outbound/conn.h
@@ -51,7 +51,7 @@
 void out_conn_release(out_conn_t *conn);
 /* Closes idle connections that the server is about to close. */
 void out_conn_sweep(outbound_t *outbound);
-gboolean out_conn_ready(GSocket *socket, GIOCondition condition, gpointer data);
+void out_conn_ready(void *data, unsigned ready);
 
 /* outbound.c: both functions end a call and remove it. */
 void out_call_fail(outbound_t *outbound, out_call_t *call, failure_t failure,
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -2,6 +2,7 @@
 
 #include "log/log.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -12,14 +13,7 @@
 
 void peer_conn_free(conn_t *conn)
 {
-	if (conn->read_source != NULL) {
-		g_source_destroy(conn->read_source);
-		g_source_unref(conn->read_source);
-	}
-	if (conn->write_source != NULL) {
-		g_source_destroy(conn->write_source);
-		g_source_unref(conn->write_source);
-	}
+	pollset_remove(&conn->peer->kernel->pollset, &conn->watch);
 	g_socket_close(conn->socket, NULL);
 	g_object_unref(conn->stream);
 	g_byte_array_unref(conn->input);
@@ -71,7 +65,7 @@
 			  (const gchar *)conn->output->data + conn->written,
 			  conn->output->len - conn->written, NULL, &error);
 	if (n < 0) {
-		/* A failed connection is closed by on_readable(). */
+		/* A failed connection is closed by on_ready(). */
 		g_clear_error(&error);
 		return;
 	}
@@ -87,28 +81,17 @@
 	}
 }
 
-static gboolean on_writable(GSocket *socket, GIOCondition condition,
-			    gpointer data)
+static void on_writable(conn_t *conn)
 {
-	conn_t *conn = data;
-
-	(void)socket;
-	/*
-	 * A lost connection is closed by on_readable(), after the last frames
-	 * have been read.
-	 */
-	if ((condition & (G_IO_ERR | G_IO_HUP)) == 0) {
-		peer_conn_flush(conn);
-		if (conn->output->len > 0)
-			return G_SOURCE_CONTINUE;
-	}
-	g_clear_pointer(&conn->write_source, g_source_unref);
-	return G_SOURCE_REMOVE;
+	peer_conn_flush(conn);
+	if (conn->output->len == 0)
+		pollset_set(&conn->peer->kernel->pollset, conn->watch,
+			    POLLSET_IN);
 }
 
 /*
  * Frames queued in the same iteration of the main loop are written together by
- * on_writable().
+ * on_ready().
  */
 bool peer_conn_send(conn_t *conn, const uint8_t *data, size_t len)
 {
@@ -119,15 +102,8 @@
 	g_byte_array_append(conn->output, data, (guint)len);
 	conn->last_sent = kernel_now(conn->peer->kernel);
 	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_FRAMES_OUT, 1);
-	if (conn->write_source == NULL) {
-		conn->write_source =
-			g_socket_create_source(conn->socket, G_IO_OUT, NULL);
-		g_source_set_callback(conn->write_source,
-				      (GSourceFunc)(GCallback)on_writable, conn,
-				      NULL);
-		g_source_attach(conn->write_source,
-				conn->peer->kernel->context);
-	}
+	pollset_set(&conn->peer->kernel->pollset, conn->watch,
+		    POLLSET_IN | POLLSET_OUT);
 	return true;
 }
 
@@ -279,35 +255,44 @@
 	return true;
 }
 
-static gboolean on_readable(GSocket *socket, GIOCondition condition,
-			    gpointer data)
+static void on_readable(conn_t *conn)
 {
-	conn_t *conn = data;
 	gchar buffer[READ_SIZE];
 	GError *error = NULL;
 	gssize n;
 
-	(void)condition;
-	n = g_socket_receive(socket, buffer, sizeof(buffer), NULL, &error);
+	n = g_socket_receive(conn->socket, buffer, sizeof(buffer), NULL,
+			     &error);
 	if (n < 0 &&
 	    g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
 		g_clear_error(&error);
-		return G_SOURCE_CONTINUE;
+		return;
 	}
 	if (n <= 0) {
 		peer_conn_close(conn,
 				n == 0 ? "closed by the peer" : error->message);
 		g_clear_error(&error);
-		return G_SOURCE_REMOVE;
+		return;
 	}
 	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_BYTES_IN,
 		    (uint64_t)n);
 	conn->last_received = kernel_now(conn->peer->kernel);
 	g_byte_array_append(conn->input, (const guint8 *)buffer, (guint)n);
-	return process_input(conn) ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+	process_input(conn);
 }
 
-static bool send_hello(conn_t *conn)
+static void on_ready(void *data, unsigned ready)
+{
+	conn_t *conn = data;
+
+	/* The last frames of a lost connection are read before it is closed. */
+	if (ready == POLLSET_OUT || ready == (POLLSET_IN | POLLSET_OUT))
+		on_writable(conn);
+	if ((ready & ~POLLSET_OUT) != 0)
+		on_readable(conn);
+}
+
+static void send_hello(conn_t *conn)
 {
 	peer_frame_t hello = {.kind = FRAME_HELLO};
 
@@ -315,10 +300,9 @@
 	if (!peer_auth_nonce(hello.u.hello.nonce) ||
 	    !peer_encode(&hello, conn->hello_sent, &conn->peer->err)) {
 		peer_conn_close(conn, "cannot create the hello");
-		return false;
+		return;
 	}
-	return peer_conn_send(conn, conn->hello_sent->data,
-			      conn->hello_sent->len);
+	peer_conn_send(conn, conn->hello_sent->data, conn->hello_sent->len);
 }
 
 void peer_conn_open(peer_t *peer, GSocketConnection *stream, handle_t dialler)
@@ -343,10 +327,11 @@
 	conn->last_received = conn->opened;
 	g_socket_set_blocking(conn->socket, FALSE);
 	g_socket_set_option(conn->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-	if (!send_hello(conn))
-		return;
-	conn->read_source = g_socket_create_source(conn->socket, G_IO_IN, NULL);
-	g_source_set_callback(conn->read_source,
-			      (GSourceFunc)(GCallback)on_readable, conn, NULL);
-	g_source_attach(conn->read_source, peer->kernel->context);
+	conn->watch = pollset_add(&peer->kernel->pollset,
+				  g_socket_get_fd(conn->socket), POLLSET_IN,
+				  on_ready, conn);
+	if (handle_is_none(conn->watch))
+		peer_conn_close(conn, g_strerror(errno));
+	else
+		send_hello(conn);
 }
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -23,8 +23,7 @@
 	conn_state_t state;
 	GSocketConnection *stream;
 	GSocket *socket;
-	GSource *read_source;
-	GSource *write_source; /* NULL while there is nothing to write */
+	handle_t watch;
 	GByteArray *input;
 	GByteArray *output;
 	guint written; /* bytes of output already written */
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -1,11 +1,13 @@
-// Tests of the micro-kernel: handles, timers, services, messages and the set of
-// peers.
+// Tests of the micro-kernel: handles, timers, services, messages, readiness of
+// descriptors and the set of peers.
 #include "kernel/kernel.h"
 #include "kernel/peer_set.h"
 
 #include <algorithm>
 #include <cstring>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace
@@ -139,6 +141,123 @@
 	EXPECT_LT(strcmp(a, b), 0);
 }
 
+class PollsetTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		kernel_init(&kernel, CLOCK_REAL, 0);
+		for (Pair &pair : pairs) {
+			ASSERT_EQ(socketpair(AF_UNIX,
+					     SOCK_STREAM | SOCK_NONBLOCK, 0,
+					     pair.fds),
+				  0);
+			pair.test = this;
+			pair.watch = pollset_add(&kernel.pollset, pair.fds[0],
+						 POLLSET_IN, on_ready, &pair);
+			ASSERT_FALSE(handle_is_none(pair.watch));
+		}
+	}
+	void TearDown() override
+	{
+		for (Pair &pair : pairs) {
+			pollset_remove(&kernel.pollset, &pair.watch);
+			close(pair.fds[0]);
+			close(pair.fds[1]);
+		}
+		kernel_finish(&kernel);
+	}
+	struct Pair {
+		PollsetTest *test;
+		int fds[2];
+		handle_t watch;
+		std::vector<unsigned> ready;
+	};
+	static void on_ready(void *data, unsigned ready)
+	{
+		Pair *pair = static_cast<Pair *>(data);
+
+		pair->ready.push_back(ready);
+		if (pair->test->removes_all)
+			for (Pair &other : pair->test->pairs)
+				pollset_remove(&pair->test->kernel.pollset,
+					       &other.watch);
+	}
+	void make_readable(Pair &pair)
+	{
+		ASSERT_EQ(write(pair.fds[1], "x", 1), 1);
+	}
+	// Returns false if nothing was ready.
+	bool iterate()
+	{
+		return g_main_context_iteration(kernel.context, FALSE);
+	}
+	size_t reports() const
+	{
+		size_t count = 0;
+
+		for (const Pair &pair : pairs)
+			count += pair.ready.size();
+		return count;
+	}
+	kernel_t kernel;
+	Pair pairs[3] = {};
+	bool removes_all = false;
+};
+
+TEST_F(PollsetTest, ReportsOnlyDescriptorsThatAreReady)
+{
+	make_readable(pairs[1]);
+	while (reports() == 0)
+		iterate();
+	EXPECT_EQ(pairs[1].ready.back(), POLLSET_IN);
+	EXPECT_TRUE(pairs[0].ready.empty());
+	EXPECT_TRUE(pairs[2].ready.empty());
+}
+
+// Guards against a callback for a connection that an earlier callback of the
+// same iteration has closed and freed.
+TEST_F(PollsetTest, RemovedDescriptorIsNotReported)
+{
+	removes_all = true;
+	for (Pair &pair : pairs)
+		make_readable(pair);
+	while (reports() == 0)
+		iterate();
+	for (int i = 0; i < 10; i++)
+		iterate();
+	EXPECT_EQ(reports(), 1u);
+}
+
+// Guards against a loop that spins: the hang-up of a descriptor that nobody
+// waits for would be reported in every iteration.
+TEST_F(PollsetTest, NothingIsReportedWithoutInterest)
+{
+	pollset_set(&kernel.pollset, pairs[0].watch, 0);
+	make_readable(pairs[0]);
+	shutdown(pairs[0].fds[1], SHUT_RDWR);
+	for (int i = 0; i < 10; i++)
+		iterate();
+	EXPECT_EQ(reports(), 0u);
+	pollset_set(&kernel.pollset, pairs[0].watch, POLLSET_IN);
+	while (reports() == 0)
+		iterate();
+	EXPECT_TRUE(pairs[0].ready.back() & POLLSET_IN);
+}
+
+TEST_F(PollsetTest, OutputAndHangupAreReported)
+{
+	pollset_set(&kernel.pollset, pairs[0].watch, POLLSET_IN | POLLSET_OUT);
+	while (reports() == 0)
+		iterate();
+	EXPECT_EQ(pairs[0].ready.back(), POLLSET_OUT);
+	pollset_set(&kernel.pollset, pairs[0].watch, POLLSET_IN);
+	shutdown(pairs[0].fds[1], SHUT_RDWR);
+	while (pairs[0].ready.back() == POLLSET_OUT)
+		iterate();
+	EXPECT_TRUE(pairs[0].ready.back() & POLLSET_ERROR);
+}
+
 // A peer that reconnects must not be counted twice.  Services that rank peers
 // rely on the order of the set.
 TEST(PeerSet, HoldsEachPeerOnceInOrder)
