Read the store's changes once for the whole fleet

Each configuration was read twice by each instance, because the second reader's push omitted it again.

Change: the instance with the lowest incarnation reads and pushes to two relays in each zone, which pass the changes on. The first relays of the other zones take over 750 ms and more after the last push, relays after 1 s, followers after 1.2 s. An omitted item that is known is not read again.

--- a/replica/relay.c
+++ b/replica/relay.c
@@ -5,14 +5,18 @@
 
 #include <string.h>
 
-/* Two readers, so that the other one still pushes if one fails. */
-#define READERS_PER_ZONE 2
+/* Two relays, so that the other one still pushes if one fails. */
+#define RELAYS_PER_ZONE 2
 /*
- * Time without a push after which a follower reads from the store.  The time is
- * longer than the interval between two reads, and shorter than any limit on the
- * time that a change may take to arrive.
+ * Time without a push after which an instance reads from the store.  The time
+ * is longer than the interval between two reads and shorter than any limit on
+ * the time that a change may take to arrive.  The standby readers, one a zone,
+ * take over one after the other, so that few of them read at a time.
  */
+#define STANDBY_TIMEOUT_US (750 * USEC_PER_MSEC)
+#define STANDBY_STEP_US (120 * USEC_PER_MSEC)
 #define RELAY_TIMEOUT_US USEC_PER_SEC
+#define FOLLOWER_TIMEOUT_US (1200 * USEC_PER_MSEC)
 /*
  * Larger items are not pushed: a configuration of some 100 kB, sent to each
  * instance of a zone, would saturate the reader's link for seconds.  The store
@@ -20,40 +24,121 @@
  */
 #define PUSH_ITEM_BYTES_MAX 8192
 
+/*
+ * What an instance of a large fleet does for the others.  Each zone has relays,
+ * its instances with the lowest incarnations.  The first relay of the zone with
+ * the lowest one is the reader, the first relays of the other zones stand by.
+ */
+typedef enum role_kind_t {
+	ROLE_READER,
+	ROLE_STANDBY,
+	ROLE_RELAY,
+	ROLE_FOLLOWER,
+} role_kind_t;
+
+typedef struct role_t {
+	role_kind_t kind;
+	uint32_t rank; /* of a standby reader, from 1 */
+} role_t;
+
 static bool in_own_zone(const replica_t *replica, const peer_ref_t *peer)
 {
 	return strcmp(peer->availability_zone,
 		      replica->opts.availability_zone) == 0;
 }
 
-/* The readers are the instances of the zone with the lowest incarnations. */
-static bool is_reader(const replica_t *replica, const char *incarnation)
+/* Counts the instances of a zone with a lower incarnation. */
+static uint32_t rank_in_zone(const replica_t *replica, const char *incarnation,
+			     const char *zone)
 {
-	uint32_t lower = strcmp(replica->opts.incarnation, incarnation) < 0;
+	bool own_zone = strcmp(replica->opts.availability_zone, zone) == 0;
+	uint32_t rank =
+		own_zone && strcmp(replica->opts.incarnation, incarnation) < 0;
 
-	for (guint i = 0;
-	     lower < READERS_PER_ZONE && i < peer_set_count(&replica->peers);
-	     i++) {
+	for (guint i = 0; i < peer_set_count(&replica->peers); i++) {
 		const peer_ref_t *peer = peer_set_at(&replica->peers, i);
 
 		if (strcmp(peer->incarnation, incarnation) >= 0)
 			break;
-		lower += in_own_zone(replica, peer);
+		rank += strcmp(peer->availability_zone, zone) == 0;
+	}
+	return rank;
+}
+
+static bool is_relay(const replica_t *replica, const peer_ref_t *peer)
+{
+	return rank_in_zone(replica, peer->incarnation,
+			    peer->availability_zone) < RELAYS_PER_ZONE;
+}
+
+/* Counts the zones whose first relay has a lower incarnation. */
+static uint32_t count_zones_before(const replica_t *replica)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < peer_set_count(&replica->peers); i++) {
+		const peer_ref_t *peer = peer_set_at(&replica->peers, i);
+
+		if (strcmp(peer->incarnation, replica->opts.incarnation) >= 0)
+			break;
+		count += rank_in_zone(replica, peer->incarnation,
+				      peer->availability_zone) == 0;
 	}
-	return lower < READERS_PER_ZONE;
+	return count;
+}
+
+static role_t own_role(const replica_t *replica)
+{
+	uint32_t rank = rank_in_zone(replica, replica->opts.incarnation,
+				     replica->opts.availability_zone);
+	role_t role = {.kind = ROLE_FOLLOWER};
+
+	if (rank == 0) {
+		role.rank = count_zones_before(replica);
+		role.kind = role.rank == 0 ? ROLE_READER : ROLE_STANDBY;
+	} else if (rank < RELAYS_PER_ZONE) {
+		role.kind = ROLE_RELAY;
+	}
+	return role;
 }
 
 bool replica_reads_store(const replica_t *replica)
 {
 	return !peer_set_is_large(&replica->peers) ||
-	       is_reader(replica, replica->opts.incarnation);
+	       own_role(replica).kind == ROLE_READER;
+}
+
+static int64_t push_timeout(const replica_t *replica)
+{
+	role_t role = own_role(replica);
+
+	switch (role.kind) {
+	case ROLE_READER:
+		return 0;
+	case ROLE_STANDBY:
+		return MIN(STANDBY_TIMEOUT_US +
+				   (role.rank - 1) * STANDBY_STEP_US,
+			   RELAY_TIMEOUT_US);
+	case ROLE_RELAY:
+		return RELAY_TIMEOUT_US;
+	case ROLE_FOLLOWER:
+		break;
+	}
+	return FOLLOWER_TIMEOUT_US;
+}
+
+int64_t replica_relay_expires_in(const replica_t *replica)
+{
+	if (replica->last_relay_at == 0)
+		return 0;
+	return MAX(replica->last_relay_at + push_timeout(replica) -
+			   kernel_now(replica->kernel),
+		   0);
 }
 
 bool replica_relay_active(const replica_t *replica)
 {
-	return replica->last_relay_at > 0 &&
-	       kernel_now(replica->kernel) - replica->last_relay_at <
-		       RELAY_TIMEOUT_US;
+	return replica_relay_expires_in(replica) > 0;
 }
 
 static void send_body(replica_t *replica, const char *incarnation,
@@ -93,18 +178,24 @@
 	}
 }
 
-void replica_push_changes(replica_t *replica)
+/* True if this instance passes its changes on to the peer. */
+static bool pushes_to(const replica_t *replica, const peer_ref_t *peer,
+		      bool to_relays)
+{
+	if (is_relay(replica, peer))
+		return to_relays;
+	return in_own_zone(replica, peer);
+}
+
+static void push_changes(replica_t *replica, bool to_relays)
 {
-	bool pushes = peer_set_is_large(&replica->peers) &&
-		      replica_reads_store(replica);
 	int64_t up_to = replica->revision;
 
-	for (guint i = 0; pushes && i < peer_set_count(&replica->peers); i++) {
+	for (guint i = 0; i < peer_set_count(&replica->peers); i++) {
 		const peer_ref_t *peer = peer_set_at(&replica->peers, i);
 		peer_body_t *body;
 
-		if (!in_own_zone(replica, peer) ||
-		    is_reader(replica, peer->incarnation))
+		if (!pushes_to(replica, peer, to_relays))
 			continue;
 		body = items_since(replica, replica->pushed_revision);
 		body->u.store_items.live = true;
@@ -115,6 +206,27 @@
 	replica->pushed_revision = up_to;
 }
 
+void replica_push_changes(replica_t *replica)
+{
+	if (peer_set_is_large(&replica->peers) &&
+	    own_role(replica).kind != ROLE_FOLLOWER)
+		/* A relay that read for itself leaves the others to the reader.
+		 */
+		push_changes(replica, !replica_relay_active(replica));
+	else
+		replica->pushed_revision = replica->revision;
+}
+
+void replica_forward_changes(replica_t *replica)
+{
+	if (!replica->forward_due)
+		return;
+	replica->forward_due = false;
+	if (peer_set_is_large(&replica->peers) &&
+	    own_role(replica).kind != ROLE_FOLLOWER)
+		push_changes(replica, false);
+}
+
 static void send_pull(replica_t *replica, const char *incarnation)
 {
 	peer_body_t *body = peer_body_new(PEER_STORE_PULL);
@@ -186,13 +298,18 @@
 	 * Only a reader's push counts: the reply to a pull may come from a
 	 * peer that cannot reach the store either.
 	 */
-	if (body->u.store_items.live)
+	if (body->u.store_items.live) {
 		replica->last_relay_at = kernel_now(replica->kernel);
-	if (body->u.store_items.partial)
+		replica->forward_due = true;
+	}
+	if (body->u.store_items.partial &&
+	    body->u.store_items.up_to >= replica->revision)
 		replica_request_read(replica);
 	if (body->u.store_items.up_to <= replica->revision &&
-	    body->u.store_items.items->len == 0)
+	    body->u.store_items.items->len == 0) {
+		replica_forward_changes(replica);
 		return;
+	}
 	log_event(replica->store_up ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
 		  "replica", "relayed",
 		  "peer=%s revision=%" G_GINT64_FORMAT " items=%u",
--- a/replica/relay.h
+++ b/replica/relay.h
@@ -1,7 +1,8 @@
 /*
- * Exchange of store changes between the replicas of a fleet: readers push
- * changes to the followers of their availability zone, and a replica that
- * lacks changes pulls them from a peer.
+ * Exchange of store changes between the replicas of a fleet.  In a large fleet
+ * one instance reads and pushes the changes to the relays of all availability
+ * zones, which pass them on to their followers.  A replica that lacks changes
+ * pulls them from a peer.
  */
 #ifndef REPLICA_RELAY_H
 #define REPLICA_RELAY_H
@@ -12,13 +13,17 @@
 
 /*
  * True if this instance reads from the store regularly: always in a small
- * fleet, and in a large one as a reader of its zone.
+ * fleet, and in a large one as its reader.
  */
 bool replica_reads_store(const replica_t *replica);
-/* True while readers of the zone push all changes to this instance. */
+/* True while changes are pushed to this instance. */
 bool replica_relay_active(const replica_t *replica);
-/* If this instance is a reader, pushes the changes since the last push. */
+/* Time until the lack of pushes makes this instance read, us. */
+int64_t replica_relay_expires_in(const replica_t *replica);
+/* After a read of the store: pushes the changes since the last push. */
 void replica_push_changes(replica_t *replica);
+/* After changes were pushed to a relay: passes them on to its followers. */
+void replica_forward_changes(replica_t *replica);
 /* Asks the next peer, in turn, for changes that this instance lacks. */
 void replica_pull_next_peer(replica_t *replica);
 /* Schedules a read from the store, even while readers push all changes. */
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -219,10 +219,11 @@
 static void relay_received(replica_t *replica, const store_result_t *result)
 {
 	apply_all(replica, result);
-	if (result->revision <= replica->revision)
-		return;
-	replica->revision = result->revision;
-	replica->synced = true;
+	if (result->revision > replica->revision) {
+		replica->revision = result->revision;
+		replica->synced = true;
+	}
+	replica_forward_changes(replica);
 }
 
 static void result_received(replica_t *replica, const msg_t *msg)
@@ -294,7 +295,7 @@
 		return;
 	replica_entries_expire(replica->entries, now - TOMBSTONE_TTL_US);
 	if (relies_on_relay(replica)) {
-		schedule(replica, poll_interval(replica));
+		schedule(replica, replica_relay_expires_in(replica));
 		return;
 	}
 	if (!replica->store_up && peer_set_is_large(&replica->peers) &&
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -1,10 +1,9 @@
 /*
  * Service "replica": keeps the newest known state of the store's keys and
  * reports changes to watches.  Changes are read from the store at intervals.
- * In a large fleet only some instances of each availability zone, the readers,
- * do this and push the changes to the other instances, the followers.  A
- * follower that receives no pushes reads from the store itself.  While the
- * store does not respond, changes are pulled from peers.
+ * In a large fleet one instance does this, and its changes are pushed to the
+ * others (relay.c).  An instance that receives no pushes reads from the store
+ * itself.  While the store does not respond, changes are pulled from peers.
  *
  * An event with a status other than STORE_OK reports that the store stopped
  * responding; an event with STORE_OK and no keys, that it responds again.
@@ -60,7 +59,8 @@
 	handle_t timer;
 	peer_set_t peers;
 	uint32_t next_peer;
-	int64_t last_relay_at; /* monotonic, us, last push by a reader */
+	int64_t last_relay_at; /* monotonic, us, last push received */
+	bool forward_due; /* changes that were pushed are not passed on yet */
 	int64_t pushed_revision; /* changes up to this revision were pushed */
 } replica_t;
 
