Look for the store's return with few instances

While no machine reached the store, each of them tried once a second.

During an outage the reader tries every second, the standby readers every 2 s and others every 4 s; a push makes an instance try within 0.3 s.

--- a/replica/relay.c
+++ b/replica/relay.c
@@ -17,6 +17,14 @@
 #define STANDBY_STEP_US (120 * USEC_PER_MSEC)
 #define RELAY_TIMEOUT_US USEC_PER_SEC
 #define FOLLOWER_TIMEOUT_US (1200 * USEC_PER_MSEC)
+/*
+ * Intervals between two reads of an instance of a large fleet while the store
+ * does not respond.  The reads of all instances add up, so few of them look for
+ * its return, and a push tells the others.
+ */
+#define OUTAGE_RETRY_US USEC_PER_SEC
+#define OUTAGE_RETRY_STANDBY_US (2 * USEC_PER_SEC)
+#define OUTAGE_RETRY_OTHERS_US (4 * USEC_PER_SEC)
 /*
  * Larger items are not pushed: a configuration of some 100 kB, sent to each
  * instance of a zone, would saturate the reader's link for seconds.  The store
@@ -141,6 +149,24 @@
 	return replica_relay_expires_in(replica) > 0;
 }
 
+int64_t replica_outage_retry(const replica_t *replica)
+{
+	if (!peer_set_is_large(&replica->peers))
+		return 0;
+	if (replica_relay_active(replica))
+		return OUTAGE_RETRY_US;
+	switch (own_role(replica).kind) {
+	case ROLE_READER:
+		return OUTAGE_RETRY_US;
+	case ROLE_STANDBY:
+		return OUTAGE_RETRY_STANDBY_US;
+	case ROLE_RELAY:
+	case ROLE_FOLLOWER:
+		break;
+	}
+	return OUTAGE_RETRY_OTHERS_US;
+}
+
 static void send_body(replica_t *replica, const char *incarnation,
 		      peer_body_t *body)
 {
--- a/replica/relay.h
+++ b/replica/relay.h
@@ -20,6 +20,8 @@
 bool replica_relay_active(const replica_t *replica);
 /* Time until the lack of pushes makes this instance read, us. */
 int64_t replica_relay_expires_in(const replica_t *replica);
+/* Time between two reads while the store does not respond, us. */
+int64_t replica_outage_retry(const replica_t *replica);
 /* After a read of the store: pushes the changes since the last push. */
 void replica_push_changes(replica_t *replica);
 /* After changes were pushed to a relay: passes them on to its followers. */
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -8,12 +8,6 @@
 
 /* Interval between two reads while the store does not respond. */
 #define RETRY_US (300 * USEC_PER_MSEC)
-/*
- * Interval between two reads in a large fleet while the store does not respond.
- * The reads of all instances add up there.  Peers are still asked every
- * RETRY_US.
- */
-#define RETRY_LARGE_FLEET_US USEC_PER_SEC
 /* Deleted keys are kept this long, for peers that were disconnected. */
 #define TOMBSTONE_TTL_US (300 * USEC_PER_SEC)
 
@@ -298,9 +292,8 @@
 		schedule(replica, replica_relay_expires_in(replica));
 		return;
 	}
-	if (!replica->store_up && peer_set_is_large(&replica->peers) &&
-	    replica->last_read_at > 0 &&
-	    now - replica->last_read_at < RETRY_LARGE_FLEET_US) {
+	if (!replica->store_up && replica->last_read_at > 0 &&
+	    now - replica->last_read_at < replica_outage_retry(replica)) {
 		pull_unless_relayed(replica);
 		schedule(replica, RETRY_US);
 		return;
