Give an account one home in a large fleet

Change: the home is the instance with the highest weight of the whole fleet. An instance whose home fails uses the one of its zone, then the store, as before.

--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -28,6 +28,11 @@
 /* Minimum age of a rate: two requests in quick succession are no trend. */
 #define DEMAND_AGE_MIN_S 1.0
 
+bool account_has_fleet_home(const prepaid_account_t *account)
+{
+	return account->failed_home_count == 0;
+}
+
 int64_t account_available(const prepaid_account_t *account)
 {
 	if (account->grant_closed)
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -57,7 +57,7 @@
 	asked_peer_t asked[LARGE_FLEET_PEERS];
 	uint32_t asked_count;
 
-	char home[INCARNATION_SIZE]; /* the zone's home; empty: this instance */
+	char home[INCARNATION_SIZE]; /* empty: this instance */
 	uint64_t home_version; /* homes_version when home was chosen */
 	char failed_homes[FAILED_HOMES_MAX][INCARNATION_SIZE];
 	uint32_t failed_home_count;
@@ -74,10 +74,15 @@
 
 /* How many of the fleet's instances are served from one grant. */
 typedef struct fleet_share_t {
-	uint32_t served; /* 1, or all instances of a home's zone */
+	uint32_t served; /* 1, or all instances that have this home */
 	uint32_t total;
 } fleet_share_t;
 
+/*
+ * In a large fleet an account has one home, so that its calls to the store do
+ * not grow with the zones.  While that one fails, each zone has its own.
+ */
+bool account_has_fleet_home(const prepaid_account_t *account);
 /* Tokens at this instance that may be reserved now. */
 int64_t account_available(const prepaid_account_t *account);
 /* Tokens not granted to any instance, by the newest known record. */
--- a/prepaid/prepaid.h
+++ b/prepaid/prepaid.h
@@ -5,9 +5,8 @@
  * transferred from its own grant.  If an instance dies, its whole grant counts
  * as spent.
  *
- * In a large fleet, one instance in each availability zone is an account's
- * home: it takes tokens from the record and refills the other instances of
- * its zone.
+ * In a large fleet, one instance is an account's home: it takes tokens from the
+ * record and refills the other instances.
  */
 #ifndef PREPAID_PREPAID_H
 #define PREPAID_PREPAID_H
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -99,23 +99,26 @@
 	send_body(prepaid, peer, body);
 }
 
-fleet_share_t reservation_zone_share(const prepaid_t *prepaid)
+fleet_share_t reservation_home_share(const prepaid_t *prepaid,
+				     const prepaid_account_t *account)
 {
 	fleet_share_t share = {
-		.served = peer_set_count_in_zone(
-				  &prepaid->peers,
-				  prepaid->opts.availability_zone) +
-			  1,
+		.served = prepaid->instances,
 		.total = prepaid->instances,
 	};
 
+	if (!account_has_fleet_home(account))
+		share.served = peer_set_count_in_zone(
+				       &prepaid->peers,
+				       prepaid->opts.availability_zone) +
+			       1;
 	return share;
 }
 
 int64_t reservation_refill_max(const prepaid_t *prepaid,
 			       const prepaid_account_t *account)
 {
-	fleet_share_t share = reservation_zone_share(prepaid);
+	fleet_share_t share = reservation_home_share(prepaid, account);
 
 	return account_headroom_max(account, &share) / share.served;
 }
--- a/prepaid/reservation.h
+++ b/prepaid/reservation.h
@@ -54,8 +54,9 @@
 /* Tokens missing for the smallest waiting reservation. */
 int64_t reservations_min_shortfall(const prepaid_account_t *account);
 
-/* Counts the instances of the zone, for which a home takes tokens. */
-fleet_share_t reservation_zone_share(const prepaid_t *prepaid);
+/* Counts the instances for which this one takes tokens as a home. */
+fleet_share_t reservation_home_share(const prepaid_t *prepaid,
+				     const prepaid_account_t *account);
 /* Limit on the headroom of one instance that the home refills. */
 int64_t reservation_refill_max(const prepaid_t *prepaid,
 			       const prepaid_account_t *account);
--- a/prepaid/sharing.c
+++ b/prepaid/sharing.c
@@ -147,8 +147,9 @@
 		const peer_ref_t *peer = peer_set_at(&prepaid->peers, i);
 		uint64_t weight;
 
-		if (strcmp(peer->availability_zone,
-			   prepaid->opts.availability_zone) != 0 ||
+		if ((!account_has_fleet_home(account) &&
+		     strcmp(peer->availability_zone,
+			    prepaid->opts.availability_zone) != 0) ||
 		    is_failed_home(account, peer->incarnation))
 			continue;
 		weight = hash_rendezvous(peer->incarnation, account->name);
@@ -178,7 +179,7 @@
 				  const prepaid_account_t *account)
 {
 	if (peer_set_is_large(&prepaid->peers) && account->home[0] == '\0')
-		return reservation_zone_share(prepaid);
+		return reservation_home_share(prepaid, account);
 	return (fleet_share_t){.served = 1, .total = prepaid->instances};
 }
 
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -99,6 +99,8 @@
 	std::vector<std::unique_ptr<node_t>> nodes;
 	std::vector<bool> partitioned; // from the store and all peers
 	int64_t now = 0;
+	int zones = 1;
+	int cut_zone = -1; // without connections to the other zones
 	int64_t prepaid;
 	int64_t spent = 0; // tokens counted by the targets
 	int refused_spent = 0;
@@ -112,6 +114,14 @@
 	{
 		return std::uniform_real_distribution<>(0, 1)(random) < p;
 	}
+	int zone_of(const node_t *node) const
+	{
+		return node->index % zones;
+	}
+	bool is_connected(const node_t *a, const node_t *b) const
+	{
+		return (zone_of(a) == cut_zone) == (zone_of(b) == cut_zone);
+	}
 	int64_t random_int(int64_t from, int64_t to)
 	{
 		return std::uniform_int_distribution<int64_t>(from, to)(random);
@@ -225,7 +235,8 @@
 		return;
 	for (auto &other : cluster->nodes) {
 		if (other.get() == node ||
-		    cluster->partitioned[(size_t)other->index])
+		    cluster->partitioned[(size_t)other->index] ||
+		    !cluster->is_connected(node, other.get()))
 			continue;
 		if (msg->u.peer.incarnation[0] != '\0' &&
 		    strcmp(msg->u.peer.incarnation,
@@ -302,6 +313,9 @@
 	msg.kind = kind;
 	g_strlcpy(msg.u.peer_addr.incarnation, about->prepaid.opts.incarnation,
 		  sizeof(msg.u.peer_addr.incarnation));
+	g_strlcpy(msg.u.peer_addr.availability_zone,
+		  about->prepaid.opts.availability_zone,
+		  sizeof(msg.u.peer_addr.availability_zone));
 	kernel_post(&to->kernel, to->peer, to->prepaid.svc, &msg);
 }
 
@@ -316,6 +330,8 @@
 	g_snprintf(opts.node, sizeof(opts.node), "node-%d", node->index);
 	g_snprintf(opts.incarnation, sizeof(opts.incarnation), "run-%d",
 		   number);
+	g_snprintf(opts.availability_zone, sizeof(opts.availability_zone),
+		   "zone-%d", cluster->zone_of(node));
 	node->store =
 		kernel_register(&node->kernel, "store", store_receive, node);
 	kernel_register(&node->kernel, "replica", store_receive, node);
@@ -454,11 +470,13 @@
 }
 
 // Runs requests with random faults of every kind.
-void run_schedule(unsigned seed, int nodes, int steps, int64_t prepaid)
+void run_schedule(unsigned seed, int nodes, int steps, int64_t prepaid,
+		  int zones = 1)
 {
 	cluster_t cluster;
 
 	cluster.random.seed(seed);
+	cluster.zones = zones;
 	start_cluster(&cluster, nodes, prepaid);
 	for (int i = 0; i < steps; i++) {
 		if (cluster.random_bool(0.002))
@@ -469,6 +487,9 @@
 				cluster.random_bool(0.5) ? 0.7 : 0.0;
 		if (cluster.random_bool(0.001))
 			cluster.store.down = !cluster.store.down;
+		if (zones > 1 && cluster.random_bool(0.002))
+			cluster.cut_zone =
+				(int)cluster.random_int(-1, zones - 1);
 		for (auto &node : cluster.nodes) {
 			inject_faults(&cluster, node.get());
 			if (cluster.random_bool(0.1))
@@ -494,6 +515,8 @@
 {
 	for (unsigned seed = 1; seed <= LARGE_FLEET_SEEDS; seed++)
 		run_schedule(seed, LARGE_FLEET, 1200, 200000);
+	for (unsigned seed = 1; seed <= LARGE_FLEET_SEEDS; seed++)
+		run_schedule(seed, LARGE_FLEET, 1200, 200000, 4);
 }
 
 // Guards against a call to the store for each request: in a large fleet, the
@@ -522,6 +545,58 @@
 	finish_cluster(&cluster);
 }
 
+// Guards against calls to the store that grow with the zones.
+TEST(Prepaid, AllZonesShareOneHome)
+{
+	cluster_t cluster;
+
+	cluster.random.seed(21);
+	cluster.zones = 5;
+	start_cluster(&cluster, LARGE_FLEET, 4000000);
+	for (int i = 0; i < 2000; i++) {
+		node_t *node = cluster.nodes[(size_t)cluster.random_int(
+						     0, LARGE_FLEET - 1)]
+				       .get();
+
+		if (i % 2 == 0)
+			reserve(node, 1000);
+		step(&cluster);
+		settle(node, true);
+	}
+	EXPECT_EQ(cluster.granted, 1000);
+	EXPECT_LE(cluster.store.writes, 50);
+	finish_cluster(&cluster);
+}
+
+// Guards against refusals in a zone that has lost the others, the home among
+// them, while its connections still look open.
+TEST(Prepaid, ZoneWithoutTheOthersHasItsOwnHome)
+{
+	for (int zone = 0; zone < 4; zone++) {
+		cluster_t cluster;
+
+		cluster.random.seed(22);
+		cluster.zones = 4;
+		start_cluster(&cluster, LARGE_FLEET, 40000000);
+		for (auto &node : cluster.nodes)
+			reserve(node.get(), 1000);
+		for (int i = 0; i < 100; i++)
+			step(&cluster);
+		ASSERT_EQ(cluster.granted, LARGE_FLEET);
+		cluster.cut_zone = zone;
+		cluster.granted = 0;
+		cluster.store.writes = 0;
+		for (auto &node : cluster.nodes)
+			if (cluster.zone_of(node.get()) == zone)
+				reserve(node.get(), 30000);
+		for (int i = 0; i < 120; i++)
+			step(&cluster);
+		EXPECT_EQ(cluster.granted, LARGE_FLEET / 4);
+		EXPECT_EQ(cluster.refused_unavailable, 0);
+		finish_cluster(&cluster);
+	}
+}
+
 // Guards against requests that fail because the account's home has failed.
 TEST(Prepaid, UsesStoreWhenHomeDoesNotAnswer)
 {
