Refill a burst of requests at one instance at once

Cause: a home gave the smallest waiting request plus an equal part of what all instances may hold.

Change: a home gives what is asked for up to what the fleet may hold, because the instance has limited its headroom. A home counts as failed only if it gives less than the smallest waiting request.

--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -63,6 +63,7 @@
 	uint32_t failed_home_count;
 	int64_t failed_homes_until; /* monotonic, us; end of the pause */
 	bool refill_pending; /* the home has not replied yet */
+	int64_t refill_least; /* smallest useful reply to the last request */
 	handle_t refill_timer;
 	int64_t headroom_limit; /* set by the home; -1: not set */
 	int64_t exhausted_at; /* monotonic, us; reported spent by the home */
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -188,8 +188,14 @@
 	int64_t min_tokens = MAX(body->u.refill_request.least, 0);
 	int64_t spare = MAX(body->u.refill_request.tokens - min_tokens, 0);
 	reservation_t *reservation;
+	fleet_share_t share;
 
-	spare = MIN(spare, reservation_refill_max(prepaid, account));
+	/*
+	 * The peer has limited its headroom.  The rest is for requests that
+	 * wait there, and may be much more than an equal part.
+	 */
+	share = reservation_home_share(prepaid, account);
+	spare = MIN(spare, account_headroom_max(account, &share));
 	account_add_refill_demand(account, min_tokens + spare,
 				  kernel_now(prepaid->kernel));
 	reservation = reservation_add(prepaid, account, RESERVATION_REFILL,
@@ -230,7 +236,8 @@
 		sharing_exhausted(prepaid, account);
 		return;
 	}
-	sharing_home_failed(prepaid, account);
+	if (body->u.refill_reply.tokens < account->refill_least)
+		sharing_home_failed(prepaid, account);
 	grant_advance(prepaid, account);
 }
 
--- a/prepaid/sharing.c
+++ b/prepaid/sharing.c
@@ -229,10 +229,11 @@
 		  sizeof(body->u.refill_request.client_account));
 	body->u.refill_request.tokens =
 		MAX(reservations_total(account) + headroom - available, 0);
-	body->u.refill_request.least =
+	account->refill_least =
 		account->waiting.length > 0
 			? MAX(reservations_min_shortfall(account), 0)
 			: 0;
+	body->u.refill_request.least = account->refill_least;
 	send_body(prepaid, account->home, body);
 	account->refill_pending = true;
 	account->refill_timer =
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -597,6 +597,35 @@
 	}
 }
 
+// Guards against a burst at one instance that gets tokens for one request with
+// each refill, and against a home that is left because it did not cover all.
+TEST(Prepaid, BurstAtOneInstanceIsRefilledAtOnce)
+{
+	cluster_t cluster;
+	node_t *node;
+
+	cluster.random.seed(23);
+	start_cluster(&cluster, LARGE_FLEET, 2000000);
+	for (auto &other : cluster.nodes)
+		reserve(other.get(), 1000);
+	for (int i = 0; i < 20; i++)
+		step(&cluster);
+	ASSERT_EQ(cluster.granted, LARGE_FLEET);
+	node = cluster.nodes[0].get();
+	if (find_account(node)->home[0] == '\0')
+		node = cluster.nodes[1].get();
+	cluster.granted = 0;
+	cluster.messages = 0;
+	for (int i = 0; i < 60; i++)
+		reserve(node, 5000);
+	for (int i = 0; i < 8; i++)
+		step(&cluster);
+	EXPECT_EQ(cluster.granted, 60);
+	EXPECT_LE(cluster.messages, 20);
+	EXPECT_EQ(find_account(node)->failed_home_count, 0u);
+	finish_cluster(&cluster);
+}
+
 // Guards against requests that fail because the account's home has failed.
 TEST(Prepaid, UsesStoreWhenHomeDoesNotAnswer)
 {
