Ping the peers of a gateway rarely and let TCP probe connections

Cause: each of 295 gateways pinged each peer every second: 87,000 wake-ups a second in the fleet, most of what was left of the processor time on the large site after the epoll set (profile of 80 gateways: no function above 5 %, spread over the cost of a wake-up).

Change: the interval is an option of "peer", 5 s in gateways, and the connection has TCP keep-alive probes and a user timeout, which find a lost peer within 3 s. Readers and homes that are late are replaced by their own timeouts.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -23,6 +23,12 @@
 /* Part of the grace period reserved for returning unused tokens. */
 #define TOKEN_RETURN_US (500 * USEC_PER_MSEC)
 
+/*
+ * Finds a peer that hangs.  Lost connections are found by the operating system,
+ * and a reader or a home that is late is replaced long before.
+ */
+#define PEER_PING_INTERVAL_US (5 * USEC_PER_SEC)
+
 typedef enum gateway_timer_t {
 	TIMER_RETURN, /* return unused tokens although requests still run */
 	TIMER_EXIT,
@@ -238,6 +244,7 @@
 		  sizeof(peer.self.availability_zone));
 	g_strlcpy(peer.self.host, peer.listen_host, sizeof(peer.self.host));
 	peer.self.peer_port = peer.listen_port;
+	peer.ping_interval = PEER_PING_INTERVAL_US;
 	mesh_init(&gateway->mesh, &gateway->kernel, &peer.self,
 		  &settings->peer_seeds);
 	return peer_init(&gateway->peer, &gateway->kernel, &peer);
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -6,9 +6,14 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define READ_SIZE 16384 /* bytes per receive */
 #define HANDSHAKE_FRAME_MAX 1024 /* bytes, until the peer is authenticated */
+#define KEEPALIVE_S 1
+#define KEEPALIVE_PROBES 2
+/* Time for data to be acknowledged. */
+#define USER_TIMEOUT_MS 3000
 #define BUFFER_RETAIN_MAX 65536 /* bytes kept allocated while empty */
 
 void peer_conn_free(conn_t *conn)
@@ -305,6 +310,24 @@
 	peer_conn_send(conn, conn->hello_sent->data, conn->hello_sent->len);
 }
 
+/*
+ * The operating system probes idle connections, which finds a lost peer within
+ * three seconds without waking up either process.
+ */
+static void set_options(GSocket *socket)
+{
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	g_socket_set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_S,
+			    NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_S,
+			    NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES,
+			    NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			    USER_TIMEOUT_MS, NULL);
+}
+
 void peer_conn_open(peer_t *peer, GSocketConnection *stream, handle_t dialler)
 {
 	conn_t *conn;
@@ -326,7 +349,7 @@
 	conn->last_sent = conn->opened;
 	conn->last_received = conn->opened;
 	g_socket_set_blocking(conn->socket, FALSE);
-	g_socket_set_option(conn->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	set_options(conn->socket);
 	conn->watch = pollset_add(&peer->kernel->pollset,
 				  g_socket_get_fd(conn->socket), POLLSET_IN,
 				  on_ready, conn);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -6,15 +6,16 @@
 #include <string.h>
 
 #define TICK_US (250 * USEC_PER_MSEC)
-#define PING_INTERVAL_US USEC_PER_SEC /* time without output before a ping */
-#define RECEIVE_TIMEOUT_US (3 * USEC_PER_SEC) /* longest time without input */
+#define PING_INTERVAL_DEFAULT_US USEC_PER_SEC
+/* Longest time without input, in ping intervals. */
+#define RECEIVE_TIMEOUT_PINGS 3
 #define HANDSHAKE_TIMEOUT_US (3 * USEC_PER_SEC)
 /*
  * A connection on which nothing was received for longer than two ping intervals
  * is replaced by a new one, no matter which side dialled, because the peer may
  * have lost the old connection already.
  */
-#define STALE_AFTER_US (2 * USEC_PER_SEC)
+#define STALE_AFTER_PINGS 2
 #define CONNS_MAX 512
 #define HANDSHAKES_MAX 64 /* unauthenticated connections */
 
@@ -54,7 +55,8 @@
 
 	if (dialled == !handle_is_none(current->dialler))
 		return true;
-	if (kernel_now(peer->kernel) - current->last_received > STALE_AFTER_US)
+	if (kernel_now(peer->kernel) - current->last_received >
+	    STALE_AFTER_PINGS * peer->opts.ping_interval)
 		return true;
 	return dialled == own_is_lower;
 }
@@ -194,11 +196,12 @@
 			peer_conn_close(conn, "handshake timeout");
 		return;
 	}
-	if (now - conn->last_received >= RECEIVE_TIMEOUT_US) {
+	if (now - conn->last_received >=
+	    RECEIVE_TIMEOUT_PINGS * peer->opts.ping_interval) {
 		peer_conn_close(conn, "receive timeout");
 		return;
 	}
-	if (now - conn->last_sent < PING_INTERVAL_US)
+	if (now - conn->last_sent < peer->opts.ping_interval)
 		return;
 	g_byte_array_set_size(peer->scratch, 0);
 	if (peer_encode(&ping, peer->scratch, &peer->err))
@@ -328,6 +331,8 @@
 	memset(peer, 0, sizeof(*peer));
 	peer->kernel = kernel;
 	peer->opts = *opts;
+	if (peer->opts.ping_interval == 0)
+		peer->opts.ping_interval = PING_INTERVAL_DEFAULT_US;
 	table_init(&peer->conns, sizeof(conn_t));
 	table_init(&peer->diallers, sizeof(dialler_t));
 	peer->active = g_hash_table_new(g_str_hash, g_str_equal);
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -23,6 +23,11 @@
 	char listen_host[HOST_SIZE];
 	uint16_t listen_port; /* 0: any free port */
 	char key[PEER_KEY_SIZE];
+	/*
+	 * Time without output before a ping, us; 0: one second.  Each ping
+	 * wakes up a peer, and each peer has a connection to all others.
+	 */
+	int64_t ping_interval;
 } peer_opts_t;
 
 typedef struct peer_t {
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -6,6 +6,8 @@
 #include "peer/peer.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <random>
 #include <string>
 #include <vector>
@@ -340,7 +342,8 @@
 		if (msg->u.peer.body->kind == PEER_HEARTBEAT)
 			router->heartbeats++;
 	}
-	Router(const char *incarnation, const char *key)
+	Router(const char *incarnation, const char *key,
+	       int64_t ping_interval = 0)
 	{
 		peer_opts_t opts = {};
 
@@ -350,6 +353,7 @@
 		opts.self = make_member(incarnation, "z1");
 		g_strlcpy(opts.listen_host, "127.0.0.1", HOST_SIZE);
 		g_strlcpy(opts.key, key, sizeof(opts.key));
+		opts.ping_interval = ping_interval;
 		EXPECT_EQ(peer_init(&peer, &kernel, &opts), 0) << peer.err.text;
 		kernel_start(&kernel);
 	}
@@ -475,6 +479,42 @@
 	g_object_unref(address);
 }
 
+// Guards against wake-ups that grow with the square of the fleet: an idle peer
+// of a gateway is pinged rarely, and lost connections are left to the operating
+// system.
+TEST(Peer, IdlePeersArePingedAtTheirInterval)
+{
+	Router a("r1", shared_key, 50 * USEC_PER_MSEC);
+	Router b("r2", shared_key, 50 * USEC_PER_MSEC);
+	Router c("r3", shared_key, 3600 * USEC_PER_SEC);
+	Router d("r4", shared_key, 3600 * USEC_PER_SEC);
+	uint64_t frames;
+	uint32_t cursor = 0;
+	const conn_t *conn;
+
+	a.connect("r2", b);
+	c.connect("r4", d);
+	ASSERT_TRUE(wait_for([&] {
+		return g_hash_table_size(a.peer.active) == 1 &&
+		       g_hash_table_size(c.peer.active) == 1 &&
+		       g_hash_table_size(d.peer.active) == 1;
+	}));
+	frames = d.counter(COUNTER_PEER_FRAMES_IN);
+	ASSERT_TRUE(wait_for(
+		[&] { return b.counter(COUNTER_PEER_FRAMES_IN) >= 12; }));
+	EXPECT_EQ(d.counter(COUNTER_PEER_FRAMES_IN), frames);
+	EXPECT_EQ(g_hash_table_size(c.peer.active), 1u);
+	conn = static_cast<conn_t *>(table_next(&c.peer.conns, &cursor, NULL));
+	ASSERT_NE(conn, nullptr);
+	for (int option : {TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_KEEPCNT}) {
+		gint value = 0;
+
+		ASSERT_TRUE(g_socket_get_option(conn->socket, IPPROTO_TCP,
+						option, &value, NULL));
+		EXPECT_LE(value, 2) << option;
+	}
+}
+
 // A router with a different key must not become a peer.
 TEST(Peer, RefusesWrongKey)
 {
