--- a/balance/balance.c
+++ b/balance/balance.c
@@ -68,7 +68,6 @@
 	placement->placed_at = kernel_now(balance->kernel);
 	placement->prefill_tokens =
 		MAX(request->u.place.prompt_tokens - cached, 0);
-	placement->ahead_tokens = target->prefill_tokens;
 	target->outstanding++;
 	target->prefill_tokens += placement->prefill_tokens;
 	balance_target_cache_parts(target, request->u.place.parts,
@@ -216,57 +215,16 @@
 			dequeue(balance, queued);
 }
 
-static capacity_t *find_capacity(const balance_t *balance, const char *service)
-{
-	uint32_t cursor = 0;
-	capacity_t *capacity;
-
-	while ((capacity = table_next(&balance->capacities, &cursor, NULL)) !=
-	       NULL)
-		if (strcmp(capacity->service, service) == 0)
-			return capacity;
-	return NULL;
-}
-
-static capacity_t *find_or_add_capacity(balance_t *balance, const char *service)
-{
-	capacity_t *capacity = find_capacity(balance, service);
-
-	if (capacity != NULL)
-		return capacity;
-	table_add(&balance->capacities, (void **)&capacity);
-	capacity_init(capacity, service);
-	return capacity;
-}
-
-static void observe_first_byte(balance_t *balance, const placement_t *placement,
-			       balance_target_t *target)
-{
-	capacity_t *capacity = find_capacity(balance, target->info.service);
-	int64_t now = kernel_now(balance->kernel);
-	int64_t elapsed = now - placement->placed_at;
-
-	if (target->engine)
-		capacity_add_prompt(capacity, &target->speed,
-				    placement->ahead_tokens +
-					    placement->prefill_tokens,
-				    elapsed, now);
-	else
-		capacity_add_call(capacity, elapsed);
-}
-
 static void first_byte_received(balance_t *balance, handle_t ref)
 {
 	placement_t *placement = table_get(&balance->placements, ref);
 	balance_target_t *target;
 
-	if (placement == NULL || placement->placed_at == 0)
+	if (placement == NULL)
 		return;
 	target = table_get(&balance->targets, placement->target);
-	if (target != NULL) {
-		observe_first_byte(balance, placement, target);
+	if (target != NULL)
 		target->prefill_tokens -= placement->prefill_tokens;
-	}
 	metrics_observe(balance->kernel->metrics, HISTOGRAM_FIRST_BYTE,
 			kernel_now(balance->kernel) - placement->placed_at);
 	placement->prefill_tokens = 0;
@@ -338,7 +296,6 @@
 			: fleet_conf_service(balance->conf,
 					     target->info.service);
 
-	target->capacity = find_or_add_capacity(balance, target->info.service);
 	target->engine = service != NULL && service->engine;
 	target->kv_cache_tokens = target->engine ? service->kv_cache_tokens : 0;
 }
@@ -445,7 +402,6 @@
 	table_init(&balance->targets, sizeof(balance_target_t));
 	table_init(&balance->queue, sizeof(queued_t));
 	table_init(&balance->placements, sizeof(placement_t));
-	table_init(&balance->capacities, sizeof(capacity_t));
 	balance->targets_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
 }
@@ -462,6 +418,5 @@
 	table_finish(&balance->targets);
 	table_finish(&balance->queue);
 	table_finish(&balance->placements);
-	table_finish(&balance->capacities);
 	kernel_unregister(balance->kernel, balance->svc);
 }
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -21,7 +21,6 @@
 	table_t targets; /* balance_target_t */
 	table_t queue; /* queued_t */
 	table_t placements; /* placement_t */
-	table_t capacities; /* capacity_t, one for each service */
 	GHashTable *targets_by_id; /* id -> balance_target_t */
 	uint64_t arrivals; /* orders queued requests of equal priority */
 } balance_t;
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -13,7 +13,6 @@
 	handle_t target;
 	int64_t placed_at; /* monotonic, us; 0 once the first byte came */
 	int64_t prefill_tokens; /* unread tokens; 0 after the first byte */
-	int64_t ahead_tokens; /* unread tokens of requests placed before */
 } placement_t;
 
 /*
--- a/balance/target.c
+++ b/balance/target.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define USEC_PER_MSEC_F 1000.0
+/* Prompt tokens that an engine reads per ms, according to its data sheet. */
+#define PREFILL_TOKENS_PER_MS 92.0
 /* Cost of each running request, which slows the tokens of all others. */
 #define RUNNING_COST_MS 4.0
 #define QUEUED_COST_MS 40.0
@@ -28,6 +30,8 @@
 #define LATENCY_FACTOR_MIN 0.5
 #define CALL_LOAD_WEIGHT 2.0
 #define HASH_MULTIPLIER UINT64_C(0x9e3779b97f4a7c15) /* 2^64 / golden ratio */
+/* Usual duration of a short call, for targets that run one call per slot. */
+#define CALL_TIME_MS 30.0
 /*
  * Cost of a target in another zone: the zone boundary is crossed twice more,
  * and the bytes are billed.  A prompt has some ten kB, a call less than one.
@@ -137,18 +141,12 @@
 	target->outstanding_at_load = target->outstanding;
 }
 
-static double tokens_per_ms(const balance_target_t *target, int64_t now)
-{
-	return capacity_tokens_per_ms(target->capacity, &target->speed, now);
-}
-
 /* Peers announce when they place a request, but not when it ends. */
 static double current_peer_prefill(const balance_target_t *target, int64_t now)
 {
 	double age = (double)(now - target->peer_load_at) / USEC_PER_MSEC_F;
 
-	return MAX(target->peer_prefill_tokens -
-			   age * tokens_per_ms(target, now),
+	return MAX(target->peer_prefill_tokens - age * PREFILL_TOKENS_PER_MS,
 		   0.0);
 }
 
@@ -259,14 +257,13 @@
 	double uncached = (double)(request->u.place.prompt_tokens - cached);
 	double running = estimate_requests(target, target->load.running, now);
 	double waiting = target->load.known ? target->load.waiting : 0.0;
-	double rate = tokens_per_ms(target, now);
-	double prefill_ms = MAX(uncached, 0.0) / rate;
+	double prefill_ms = MAX(uncached, 0.0) / PREFILL_TOKENS_PER_MS;
 
 	return reread_tokens(request, cached, rank) * REREAD_TOKEN_COST_MS +
 	       prefill_ms * (1.0 + running * PREFILL_STALL_WEIGHT) +
 	       ((double)target->prefill_tokens +
 		current_peer_prefill(target, now)) /
-		       rate +
+		       PREFILL_TOKENS_PER_MS +
 	       running * RUNNING_COST_MS + waiting * QUEUED_COST_MS;
 }
 
@@ -277,8 +274,7 @@
 	double busy = estimate_requests(target, reported, now) / slots;
 
 	/* Below half of its slots, a target responds without delay. */
-	return target->capacity->call_ms *
-	       (1.0 + busy * busy * CALL_LOAD_WEIGHT);
+	return CALL_TIME_MS * (1.0 + busy * busy * CALL_LOAD_WEIGHT);
 }
 
 double balance_target_cost(const balance_target_t *target, const msg_t *request,
--- a/balance/target.h
+++ b/balance/target.h
@@ -6,7 +6,6 @@
 #define BALANCE_TARGET_H
 
 #include "balance/balance.h"
-#include "balance/capacity.h"
 
 G_BEGIN_DECLS
 
@@ -14,9 +13,6 @@
 	handle_t self;
 	fleet_target_t info;
 	bool engine;
-	const capacity_t
-		*capacity; /* of the service; lasts as long as "balance" */
-	target_speed_t speed;
 	int64_t kv_cache_tokens; /* capacity of the KV cache */
 	bool unavailable; /* draining or gone: gets no new requests */
 	uint32_t outstanding; /* requests of this instance */
