Bound the bytes that a target in trouble sends

Cause: an HTTP call skipped interim and earlier responses without a limit, also the endless body of an earlier one; a rejected request waited for the end of the rejection's body until its own deadline; an event without an end was collected without a limit.

Change: a call fails after 128 kB of skipped bytes; a rejection is taken after 16 kB or 250 ms of its body, and the request is tried elsewhere; an event of more than 256 kB fails the attempt, which resumes after the last complete event where that is allowed.

Tests, which failed first: EndlessBytesFailTheCall (interim and earlier responses and the body of an earlier one; heads, chunk extensions, trailers and noise were bounded already), RejectionWithoutEndIsNotWaitedFor, EventWithoutEndFailsTheAttempt.

--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -4,6 +4,11 @@
 
 #define READ_SIZE 16384 /* bytes read at a time */
 #define READS_MAX 8 /* reads from one connection per loop iteration */
+/*
+ * Bytes of interim and stale responses that are skipped during one call.  A
+ * broken server may send them without end.
+ */
+#define DISCARD_MAX 131072
 /* Connecting takes a few ms without loss, and a second if a packet is lost. */
 #define CONNECT_TIMEOUT_US (400 * USEC_PER_MSEC)
 /* Idle limit for servers that do not state how long they keep connections. */
@@ -209,11 +214,19 @@
 			size_t len)
 {
 	outbound_t *outbound = conn->outbound;
-	size_t used = 0;
+	size_t used = 0, fed;
 
 	while (used < len) {
-		used += http_parse_feed(&conn->parse, data + used, len - used);
+		fed = http_parse_feed(&conn->parse, data + used, len - used);
+		used += fed;
 		forward_response(conn, call);
+		if (conn->discarding)
+			conn->discarded += fed;
+		if (conn->discarded > DISCARD_MAX) {
+			out_call_fail(outbound, call, FAILURE_HEAD, true,
+				      false);
+			return false;
+		}
 		if (conn->parse.state == HTTP_STATE_ERROR) {
 			out_call_fail(outbound, call,
 				      classify_failure(call, conn), true,
--- a/outbound/conn.h
+++ b/outbound/conn.h
@@ -29,6 +29,7 @@
 	http_socket_t sock;
 	http_parse_t parse;
 	bool discarding; /* skipping an interim or stale response */
+	size_t discarded; /* bytes skipped during the call */
 	int64_t idle_since; /* monotonic, us */
 	int64_t idle_limit; /* us, time until an idle connection is closed */
 } out_conn_t;
--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -92,6 +92,7 @@
 	call->conn = conn->self;
 	conn->call = self;
 	conn->discarding = false;
+	conn->discarded = 0;
 	start_timer(outbound, call, &call->timer, msg->u.out_send.deadline,
 		    OUT_TIMER_DEADLINE);
 	start_timer(outbound, call, &call->head_timer,
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -28,6 +28,7 @@
 void exchange_free(proxy_t *proxy, exchange_t *exchange)
 {
 	kernel_timer_cancel(proxy->kernel, &exchange->deadline_timer);
+	kernel_timer_cancel(proxy->kernel, &exchange->rejection_timer);
 	http_head_free(exchange->head);
 	exchange_spec_free(exchange->spec);
 	g_byte_array_unref(exchange->body);
@@ -282,7 +283,7 @@
 	exchange->deadline = exchange->started_at + wait * USEC_PER_MSEC;
 	exchange->deadline_timer =
 		kernel_timer(proxy->kernel, proxy->svc, wait * USEC_PER_MSEC,
-			     exchange->self, 0);
+			     exchange->self, EXCHANGE_TIMER_DEADLINE);
 }
 
 void exchange_start(proxy_t *proxy, msg_t *msg)
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -10,6 +10,11 @@
 
 G_BEGIN_DECLS
 
+typedef enum exchange_timer_t {
+	EXCHANGE_TIMER_DEADLINE,
+	EXCHANGE_TIMER_REJECTION,
+} exchange_timer_t;
+
 typedef enum exchange_state_t {
 	EXCHANGE_RESERVING, /* waiting for a token reservation */
 	EXCHANGE_PLACING, /* waiting for a target */
@@ -47,6 +52,8 @@
 	handle_t avoid[ROUTE_AVOID_MAX]; /* targets already tried */
 
 	response_info_t response_info;
+	handle_t rejection_timer;
+	size_t rejection_bytes; /* of the body of a rejection */
 	http_head_t *head; /* response head */
 	GByteArray *body; /* buffered response body, unless streaming */
 	bool streaming; /* the response is forwarded event by event */
@@ -86,6 +93,8 @@
 void response_data(proxy_t *proxy, exchange_t *exchange, msg_t *msg);
 void response_end(proxy_t *proxy, exchange_t *exchange);
 void response_failed(proxy_t *proxy, exchange_t *exchange, const msg_t *msg);
+/* The body of a rejection has not ended in time. */
+void response_rejection_timed_out(proxy_t *proxy, handle_t ref);
 
 /*
  * crash.c: a request whose connection was reset becomes a suspect, and counts
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -62,6 +62,18 @@
 	}
 }
 
+static void on_timer(proxy_t *proxy, const msg_t *msg)
+{
+	switch ((exchange_timer_t)msg->u.timer.kind) {
+	case EXCHANGE_TIMER_DEADLINE:
+		exchange_timed_out(proxy, msg->ref);
+		break;
+	case EXCHANGE_TIMER_REJECTION:
+		response_rejection_timed_out(proxy, msg->ref);
+		break;
+	}
+}
+
 static void receive(void *self, msg_t *msg)
 {
 	proxy_t *proxy = self;
@@ -71,7 +83,7 @@
 		start(proxy);
 		break;
 	case MSG_TIMER:
-		exchange_timed_out(proxy, msg->ref);
+		on_timer(proxy, msg);
 		break;
 	case MSG_FLEET_CONF:
 		fleet_conf_unref(proxy->conf);
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -10,6 +10,14 @@
 #include <string.h>
 
 #define BODY_SIZE_MAX 8388608 /* bytes of a response that is not streamed */
+/*
+ * Bounds of the body of a rejection, which is read so that the connection can
+ * be used again.  A broken target may send it without end.
+ */
+#define REJECTION_BODY_MAX 16384 /* bytes */
+#define REJECTION_TIMEOUT_US (250 * USEC_PER_MSEC)
+/* Limit on an event that is not complete yet. */
+#define EVENT_SIZE_MAX 262144 /* bytes */
 /* Limit on the requests sent for one exchange, including those not run. */
 #define SENDS_MAX 4
 #define STATUS_SERVER_ERROR 500
@@ -167,6 +175,10 @@
 	wire_read_reply(head, exchange->spec, &exchange->response_info);
 	if (exchange->response_info.not_run) {
 		exchange->state = EXCHANGE_REJECTED;
+		exchange->rejection_bytes = 0;
+		exchange->rejection_timer = kernel_timer(
+			proxy->kernel, proxy->svc, REJECTION_TIMEOUT_US,
+			exchange->self, EXCHANGE_TIMER_REJECTION);
 		return;
 	}
 	if (!exchange->response_info.matches ||
@@ -196,16 +208,46 @@
 	exchange->last_event_at = now;
 }
 
+static void reject_attempt(proxy_t *proxy, exchange_t *exchange)
+{
+	kernel_timer_cancel(proxy->kernel, &exchange->rejection_timer);
+	if (exchange->response_info.misdirected)
+		fail_attempt(proxy, exchange, FAILURE_MISDIRECTED, false,
+			     PLACE_MISDIRECTED);
+	else
+		fail_attempt(proxy, exchange, FAILURE_OVERLOADED, false,
+			     PLACE_FULL);
+}
+
+void response_rejection_timed_out(proxy_t *proxy, handle_t ref)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, ref);
+
+	if (exchange == NULL || exchange->state != EXCHANGE_REJECTED)
+		return;
+	exchange->rejection_timer = HANDLE_NONE;
+	reject_attempt(proxy, exchange);
+}
+
+static void discard_rejection(proxy_t *proxy, exchange_t *exchange, gsize size)
+{
+	exchange->rejection_bytes += size;
+	if (exchange->rejection_bytes > REJECTION_BODY_MAX)
+		reject_attempt(proxy, exchange);
+}
+
 static void forward_events(proxy_t *proxy, exchange_t *exchange, GBytes *bytes)
 {
 	GBytes *complete = sse_feed(&exchange->events, bytes);
 
-	if (complete == NULL)
-		return;
-	record_event(proxy, exchange);
-	if (!exchange->head_sent)
-		send_head(proxy, exchange, -1);
-	send_bytes(proxy, exchange, complete);
+	if (complete != NULL) {
+		record_event(proxy, exchange);
+		if (!exchange->head_sent)
+			send_head(proxy, exchange, -1);
+		send_bytes(proxy, exchange, complete);
+	}
+	if (exchange->events.partial->len > EVENT_SIZE_MAX)
+		fail_attempt(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
 }
 
 void response_data(proxy_t *proxy, exchange_t *exchange, msg_t *msg)
@@ -213,6 +255,11 @@
 	gsize size;
 	const guint8 *data;
 
+	if (exchange->state == EXCHANGE_REJECTED) {
+		discard_rejection(proxy, exchange,
+				  g_bytes_get_size(msg->u.data.bytes));
+		return;
+	}
 	if (exchange->state != EXCHANGE_RESPONDING)
 		return;
 	if (exchange->streaming) {
@@ -225,16 +272,6 @@
 		fail_attempt(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
 }
 
-static void reject_attempt(proxy_t *proxy, exchange_t *exchange)
-{
-	if (exchange->response_info.misdirected)
-		fail_attempt(proxy, exchange, FAILURE_MISDIRECTED, false,
-			     PLACE_MISDIRECTED);
-	else
-		fail_attempt(proxy, exchange, FAILURE_OVERLOADED, false,
-			     PLACE_FULL);
-}
-
 static void finish_exchange(proxy_t *proxy, exchange_t *exchange,
 			    place_result_t result)
 {
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -283,4 +283,113 @@
 	EXPECT_FALSE(call(server.port).reused);
 }
 
+// Sends the text again and again until the call has ended.
+#define CALL_WITH_ENDLESS(server, id, text)                              \
+	[&]() -> result_t & {                                            \
+		uint32_t number = post((server).port, id, 0);            \
+		EXPECT_TRUE(pump([&] {                                   \
+			for (auto &conn : (server).conns)                \
+				if (conn->requests > 0 && !conn->closed) \
+					conn->send(text);                \
+			return results[number].ends +                    \
+				       results[number].failures >        \
+			       0;                                        \
+		}));                                                     \
+		return results[number];                                  \
+	}()
+
+// Guards against a server in trouble that sends bytes which are no response,
+// without end: the call must fail long before its deadline, which is when its
+// caller would give up, and without using up the memory.
+TEST_F(Outbound, EndlessBytesFailTheCall)
+{
+	const struct {
+		const char *name, *first, *more;
+	} cases[] = {
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+		{"one header value", "HTTP/1.1 200 OK\r\nX-A: ", "bbbbbbbb"},
+		{"one header name", "HTTP/1.1 200 OK\r\n", "aaaaaaaa"},
+		{"status line", "HTTP/1.1 200 ", "OKOKOKOK"},
+		{"empty lines", "", "\r\n\r\n\r\n"},
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"chunk extension",
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;",
+		 "aaaaaaaa"},
+		{"trailers",
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		 "2\r\nok\r\n0\r\n",
+		 "X-A: b\r\n"},
+		{"noise", "", "\x01\x02\x03\x04"},
+		{"body of an earlier response",
+		 "HTTP/1.1 200 OK\r\nX-Id: old\r\n\r\n", "aaaaaaaa"},
+		{"earlier responses", "",
+		 "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 2\r\n\r\nok"},
+	};
+
+	for (auto &c : cases) {
+		std::string more;
+		ScriptServer server([&](script_conn_t &conn) {
+			if (c.first[0] != '\0')
+				conn.send(c.first);
+		});
+
+		for (int i = 0; i < 500; i++)
+			more += c.more;
+		result_t &r = CALL_WITH_ENDLESS(server, "new", more);
+		EXPECT_EQ(r.failures, 1) << c.name;
+		EXPECT_EQ(r.ends, 0) << c.name;
+		EXPECT_TRUE(r.sent) << c.name;
+		EXPECT_NE(r.failure, FAILURE_DEADLINE) << c.name;
+		EXPECT_LE(r.body.size(), 100000u) << c.name;
+	}
+}
+
+// Guards against a second copy of a response that the next caller gets, however
+// much of it arrives with the first one, before the next request or after it.
+TEST_F(Outbound, CopyOfAResponseReachesNobodyAtAnySplit)
+{
+	const std::string copy = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+				 "Keep-Alive: timeout=5\r\n"
+				 "Content-Length: 5\r\n\r\nfirst";
+
+	for (size_t split = 0; split <= copy.size(); split++) {
+		int requests = 0;
+		ScriptServer server([&](script_conn_t &conn) {
+			bool first = ++requests == 1;
+
+			if (conn.requests > 1)
+				conn.send(copy.substr(split));
+			conn.send("HTTP/1.1 200 OK\r\nX-Id: " +
+				  std::to_string(requests) +
+				  "\r\nKeep-Alive: timeout=5\r\n"
+				  "Content-Length: 5\r\n\r\n" +
+				  (first ? "first" : "other"));
+			if (first)
+				conn.send(copy.substr(0, split));
+		});
+
+		EXPECT_EQ(call(server.port, "1").body, "first") << split;
+		result_t &second = call(server.port, "2");
+		EXPECT_EQ(second.body, "other") << split;
+		EXPECT_EQ(second.heads, 1) << split;
+	}
+}
+
+// Responses that have no body by definition: bytes that follow them must not
+// reach the next caller.
+TEST_F(Outbound, BodyOfAResponseThatHasNoneIsDiscarded)
+{
+	for (const char *status : {"204 No Content", "304 Not Modified"}) {
+		ScriptServer server([&](script_conn_t &conn) {
+			conn.send(std::string("HTTP/1.1 ") + status +
+				  "\r\nKeep-Alive: timeout=5\r\n\r\nbody");
+		});
+
+		EXPECT_EQ(call(server.port).body, "");
+		result_t &second = call(server.port);
+		EXPECT_FALSE(second.reused) << status;
+		EXPECT_EQ(second.body, "") << status;
+	}
+}
+
 } // namespace
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -453,6 +453,70 @@
 	EXPECT_EQ(retry_after_text, "2.500");
 }
 
+// Guards against a target in trouble that rejects a request and goes on
+// sending: the request must be tried elsewhere, not at its deadline.
+TEST_F(Proxy, RejectionWithoutEndIsNotWaitedFor)
+{
+	std::string noise(4000, 'x');
+
+	post_open("/unsafe/x");
+	post_head(503, false, true);
+	for (int i = 0; i < 5; i++)
+		post_data(noise.c_str());
+	EXPECT_EQ(attempts, 2);
+	EXPECT_EQ(cancels, 1);
+	EXPECT_EQ(results.back(), PLACE_FULL);
+	post_head(503, false, true);
+	post_data("slow");
+	run(300000);
+	EXPECT_EQ(attempts, 3);
+	post_head(200);
+	post_data("ok");
+	post_end();
+	EXPECT_EQ(status, 200u);
+	EXPECT_EQ(body, "ok");
+}
+
+// Guards against memory that is used up by an event without end, and against a
+// stream that does not resume after the last complete event before it.
+TEST_F(Proxy, EventWithoutEndFailsTheAttempt)
+{
+	std::string noise(65536, 'x');
+
+	post_open("/resume/x");
+	post_head(200);
+	post_data("id: 1\ndata: a\n\nid: 2\ndata: ");
+	for (int i = 0; i < 5 && attempts == 1; i++)
+		post_data(noise.c_str());
+	EXPECT_EQ(attempts, 2);
+	EXPECT_EQ(last_event_id, "1");
+	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+	EXPECT_EQ(results.back(), PLACE_LOST);
+}
+
+// Guards against slow but sound streams that are cut, and against stalled ones
+// that never end: only the route's limit ends them, whatever trickles in.
+TEST_F(Proxy, OnlyTheLimitOfTheRouteEndsAStream)
+{
+	post_open("/stream/x");
+	post_head(200);
+	for (int i = 1; i <= 6; i++) {
+		std::string event =
+			"id: " + std::to_string(i) + "\ndata: a\n\n";
+
+		run(300000);
+		post_data(event.c_str());
+	}
+	EXPECT_EQ(aborted, 0);
+	EXPECT_EQ(cancels, 0);
+	for (int i = 0; i < 10; i++) {
+		run(100000);
+		post_data(i % 2 == 0 ? ":\n\n" : "x");
+	}
+	EXPECT_EQ(aborted, 1);
+	EXPECT_EQ(cancels, 1);
+}
+
 TEST_F(Proxy, UnknownRouteAndKeyAreRefused)
 {
 	post_open("/other/x");
