Refuse a large handshake frame that arrives whole

Cause: the size of a frame before authentication was checked only while it was incomplete, so a frame of up to one read was decoded.

Change: the check applies to complete frames too. The test sends such a frame whole and in part; whole, it failed first.

--- a/peer/conn.c
+++ b/peer/conn.c
@@ -239,8 +239,7 @@
 		status = peer_frame_find(conn->input->data + offset,
 					 size - offset, &len);
 		if (status == FRAME_BAD ||
-		    (status == FRAME_PARTIAL && len > HANDSHAKE_FRAME_MAX &&
-		     conn->state != CONN_UP)) {
+		    (len > HANDSHAKE_FRAME_MAX && conn->state != CONN_UP)) {
 			close_protocol_error(conn,
 					     "frame length is out of range");
 			return false;
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -572,6 +572,26 @@
 	close(fd);
 }
 
+// Before authentication, a frame must not be larger than a handshake needs, no
+// matter whether it arrives whole or in parts.
+TEST(Peer, LargeFrameBeforeAuthenticationIsNotDecoded)
+{
+	for (size_t sent : {(size_t)4 + 4000, (size_t)4 + 10}) {
+		Router a("a", shared_key);
+		std::string bytes(4 + 4000, '\0');
+		int fd = connect_raw(a);
+
+		bytes[2] = (char)(4000 >> 8);
+		bytes[3] = (char)(4000 & 0xff);
+		ASSERT_EQ(write(fd, bytes.data(), sent), (ssize_t)sent);
+		ASSERT_TRUE(wait_for([&] {
+			return a.counter(COUNTER_PEER_FRAMES_BAD) == 1;
+		}));
+		EXPECT_EQ(a.counter(COUNTER_PEER_FRAMES_IN), 0u) << sent;
+		close(fd);
+	}
+}
+
 // A peer that does not read must be disconnected before the frames queued for
 // it use up the memory.
 TEST(Peer, DropsPeerThatDoesNotRead)
