Recognise a store response that belongs to another call

Cause: the store's responses carry no id of their call. A second copy of one, late on a connection that is in use again, was taken for the next call's: a grant could count as taken that was not, and a listing could remove all targets.

Change: a commit must have a higher revision than all that were seen before it was sent, a conflict only compared keys, a read its key and a page its prefix; otherwise the result counts as unknown. A response of more than 32 MB ends its call.

Tests, which failed first: ResponseToAnotherCallIsNotTaken and ResponseWithoutEndFailsTheCall.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,6 +1,7 @@
 // Tests the client of the platform's store and the conversion of its items and
-// of HTTP headers: malformed items, header fields that callers must not set,
-// missing responses of the store, and a compacted change history.
+// of HTTP headers: malformed and mutated items, header fields that callers must
+// not set, missing responses of the store, and a compacted change history.
+#include "http/parse.h"
 #include "platform/entries.h"
 #include "platform/store.h"
 #include "platform/wire.h"
@@ -9,6 +10,7 @@
 #include <cstring>
 #include <functional>
 #include <gtest/gtest.h>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -214,6 +216,113 @@
 	}
 }
 
+// Replaces, removes, doubles or inserts bytes, mostly ones that have a meaning.
+std::string mutate(std::mt19937 &random, std::string text)
+{
+	static const char special[] = "{}[]\":,\\0-9.eE+tfn \r\n\0\xff/%";
+	auto below = [&](size_t n) {
+		return random() % std::max<size_t>(n, 1);
+	};
+
+	for (size_t n = 1 + below(4); n > 0 && !text.empty(); n--) {
+		size_t at = below(text.size()), len = below(text.size() - at);
+		char byte = special[below(sizeof(special) - 1)];
+
+		switch (below(5)) {
+		case 0:
+			text[at] = byte;
+			break;
+		case 1:
+			text.insert(at, 1, byte);
+			break;
+		case 2:
+			text.erase(at, len);
+			break;
+		case 3:
+			text.insert(at,
+				    text.substr(at, std::min<size_t>(len, 64)));
+			break;
+		default:
+			text.insert(at, std::to_string(random()));
+			break;
+		}
+	}
+	return text;
+}
+
+constexpr int FUZZ_CASES = 20000;
+
+// Guards against a malformed entry or configuration that ends the process.
+TEST(Entries, MutatedEntriesAreDecodedOrRejected)
+{
+	std::mt19937 random(1);
+	int valid = 0;
+
+	for (int i = 0; i < FUZZ_CASES; i++) {
+		record_kind_t target =
+			decode("fleet/target/i-1", mutate(random, target_json));
+		record_kind_t conf =
+			decode("fleet/conf", mutate(random, conf_json));
+		record_kind_t allocation =
+			decode("prepaid/a", mutate(random, "{\"closed\":7,"
+							   "\"holders\":[]}"));
+
+		EXPECT_TRUE(target == RECORD_FLEET_TARGET ||
+			    target == RECORD_INVALID);
+		EXPECT_TRUE(conf == RECORD_FLEET_CONF ||
+			    conf == RECORD_INVALID);
+		EXPECT_TRUE(allocation == RECORD_ALLOCATION ||
+			    allocation == RECORD_INVALID);
+		valid += target == RECORD_FLEET_TARGET;
+	}
+	EXPECT_GT(valid, 0);
+}
+
+// Guards against a malformed request or response that ends the process.
+TEST(Wire, MutatedMessagesAreReadOrRejected)
+{
+	const std::string request =
+		"POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Attempt-Id: 9c41\r\nModel: m\r\nToken-Count: 1460,80\r\n"
+		"Prompt-Prefix: a:800,b:410,ffff:250\r\n"
+		"Time-Budget-Ms: 15000\r\nAuthorization: Bearer secret\r\n"
+		"Content-Length: 2\r\n\r\nok";
+	const std::string response =
+		"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
+		"Response-Seal: 3e1b.07\r\nInstance-Load: 3,0,8,100\r\n"
+		"Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2;a=b\r\nok\r\n0\r\nX-A: b\r\n\r\n";
+	std::mt19937 random(2);
+	int read = 0;
+
+	for (int i = 0; i < FUZZ_CASES; i++) {
+		bool is_response = i % 2 != 0;
+		std::string text =
+			mutate(random, is_response ? response : request);
+		exchange_spec_t *spec = exchange_spec_new();
+		response_info_t info = {};
+		http_parse_t parse;
+		errmsg_t err;
+
+		http_parse_init(&parse, is_response);
+		http_parse_feed(&parse, text.data(), text.size());
+		if (parse.state == HTTP_STATE_BODY ||
+		    parse.state == HTTP_STATE_COMPLETE) {
+			read++;
+			if (is_response)
+				wire_read_reply(parse.head, spec, &info);
+			else
+				wire_read_request(parse.head, nullptr, spec,
+						  &err);
+			http_parse_content_length(&parse);
+		}
+		http_parse_eof(&parse);
+		http_parse_finish(&parse);
+		exchange_spec_free(spec);
+	}
+	EXPECT_GT(read, 0);
+}
+
 // Runs the store service against an HTTP client that returns set responses.
 class Store : public ::testing::Test
 {
@@ -238,8 +347,12 @@
 	}
 	static void on_out(void *self, msg_t *msg)
 	{
+		Store *s = static_cast<Store *>(self);
+
 		if (msg->kind == MSG_OUT_SEND)
-			static_cast<Store *>(self)->answer(msg);
+			s->answer(msg);
+		else if (msg->kind == MSG_OUT_CANCEL)
+			s->cancels++;
 	}
 	static void on_replica(void *self, msg_t *msg)
 	{
@@ -271,7 +384,42 @@
 			g_bytes_new(response_body.data(), response_body.size());
 		kernel_post(&kernel, outbound, msg->from, &head);
 		kernel_post(&kernel, outbound, msg->from, &data);
-		kernel_post(&kernel, outbound, msg->from, &end);
+		call_ref = msg->id;
+		if (!endless)
+			kernel_post(&kernel, outbound, msg->from, &end);
+	}
+	void post_more(const std::string &body)
+	{
+		msg_t data = {};
+
+		data.kind = MSG_OUT_DATA;
+		data.ref = call_ref;
+		data.u.data.bytes = g_bytes_new(body.data(), body.size());
+		kernel_post(&kernel, outbound, store.svc, &data);
+		kernel_run_until(&kernel, kernel_now(&kernel));
+	}
+	void get(const char *key, uint32_t status, const std::string &body)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STORE_GET;
+		g_strlcpy(msg.u.store_get.key, key,
+			  sizeof(msg.u.store_get.key));
+		call(&msg, status, body);
+	}
+	void transaction(uint32_t status, const std::string &body)
+	{
+		msg_t msg = {};
+		record_t record = {};
+
+		record.kind = RECORD_ALLOCATION;
+		record.u.allocation = allocation_new();
+		msg.kind = MSG_STORE_TXN;
+		msg.u.store_txn = store_txn_new();
+		store_txn_group(msg.u.store_txn);
+		store_txn_put(msg.u.store_txn, "prepaid/a1", 3, 0, &record);
+		record_clear(&record);
+		call(&msg, status, body);
 	}
 	// Sends one message and keeps its result.
 	void call(msg_t *msg, uint32_t status, const std::string &body)
@@ -320,7 +468,9 @@
 	store_result_t *result = nullptr;
 	std::string path, response_body;
 	uint32_t http_status = 200;
-	int failure_events = 0;
+	int failure_events = 0, cancels = 0;
+	handle_t call_ref = HANDLE_NONE;
+	bool endless = false; // responses do not end
 };
 
 TEST_F(Store, ListedKeysAreTranslated)
@@ -397,6 +547,48 @@
 		  RECORD_NONE);
 }
 
+// A server may send a response twice, and the copy then arrives in place of the
+// response to the next call.  Taken for a commit, it would let an instance
+// spend tokens that it has not taken.
+TEST_F(Store, ResponseToAnotherCallIsNotTaken)
+{
+	transaction(200, "{\"revision\":12}");
+	ASSERT_EQ(result->status, STORE_OK);
+	transaction(200, "{\"revision\":12}");
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+	transaction(200, "{\"revision\":13}");
+	EXPECT_EQ(result->status, STORE_OK);
+	changes(13, 200, "{\"events\":[],\"at\":20}");
+	transaction(200, "{\"revision\":19}");
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+	transaction(412,
+		    "{\"items\":[" + item("prepaid/other", 5, "{}") + "]}");
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+	get("prepaid/a1", 200, item("prepaid/other", 5, "{}"));
+	EXPECT_EQ(result->status, STORE_UNAVAILABLE);
+	list("fleet/target/", "", 200,
+	     "{\"items\":[" + item("op/config", 5, "{}") + "],\"at\":9}");
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+}
+
+// Guards against memory that is used up by a response without end.
+TEST_F(Store, ResponseWithoutEndFailsTheCall)
+{
+	std::string body(1 << 20, ' ');
+	msg_t msg = {};
+
+	endless = true;
+	msg.kind = MSG_STORE_CHANGES;
+	msg.u.store_get.min_revision = 7;
+	call(&msg, 200, body);
+	for (int i = 0; i < 64 && result == nullptr; i++)
+		post_more(body);
+	ASSERT_NE(result, nullptr);
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+	EXPECT_EQ(cancels, 1);
+	EXPECT_EQ(table_count(&store.calls), 0u);
+}
+
 TEST_F(Store, TransactionStatusFollowsTheResponse)
 {
 	struct {
