--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -199,6 +199,26 @@
 	EXPECT_EQ(a.reason, REFUSAL_NO_TARGET);
 }
 
+// Guards against running work that is started elsewhere or given up because its
+// target was silent for a while: an entry that expires takes new requests away
+// from the target, and nothing else.
+TEST(Balance, RequestsAtATargetOutliveItsEntry)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("engine", "i-1", "z1");
+	a.request(1, "engine", 2);
+	ASSERT_EQ(a.placed.size(), 1u);
+	a.set_target("engine", "i-1", "z1", false, true);
+	a.run(10 * USEC_PER_SEC);
+	EXPECT_EQ(a.placed.size(), 1u);
+	EXPECT_TRUE(a.refused.empty());
+	a.set_target("engine", "i-1", "z1");
+	a.finish_request(0, PLACE_OK);
+	a.request(2, "engine", 2);
+	EXPECT_EQ(a.placed.size(), 2u);
+}
+
 TEST(Balance, UnreachableTargetIsAvoidedTemporarily)
 {
 	instance_t a("z1", 1);
