List at once when the store has dropped its history in an outage

Cause: a read that is answered with "history dropped" ends an outage, but the replica still counted the store as down and delayed the listing like a retry, by up to 4 s for a follower and 2 s for a standby reader.

Change: such an answer counts as a response of the store.

Test: HistoryDroppedInAnOutageIsListedAtOnce, which failed first for the reader and for a follower.

--- a/replica/replica.c
+++ b/replica/replica.c
@@ -201,6 +201,8 @@
 		log_event(LOG_LEVEL_WARN, "replica", "changes_compacted",
 			  "revision=%" G_GINT64_FORMAT, replica->revision);
 		replica->synced = false;
+		/* The store responds, so the listing does not wait. */
+		set_store_up(replica, true, status_name(status));
 		schedule(replica, 0);
 		return;
 	}
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -260,6 +260,30 @@
 	EXPECT_EQ(replica.revision, 20);
 }
 
+// Guards against a configuration that arrives seconds late: a store that has
+// dropped its history responds, so the listing must not wait like a retry of a
+// store that does not.
+TEST_F(Replica, HistoryDroppedInAnOutageIsListedAtOnce)
+{
+	for (bool reader : {true, false}) {
+		start();
+		connect_large_fleet(reader);
+		status = STORE_UNKNOWN;
+		run(3 * USEC_PER_SEC);
+		ASSERT_FALSE(store_reported_up);
+		calls.clear();
+		status = STORE_OK;
+		compacted = true;
+		for (int i = 0; i < 500 && calls.empty(); i++)
+			run(10000);
+		run(10000);
+		EXPECT_TRUE(store_reported_up) << reader;
+		EXPECT_GE(calls.size(), 4u) << reader;
+		TearDown();
+		SetUp();
+	}
+}
+
 TEST_F(Replica, HeartbeatsSendNoEvents)
 {
 	start();
