--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -606,17 +606,7 @@
 	};
 
 	for (auto &c : cases) {
-		msg_t msg = {};
-		record_t record = {};
-
-		record.kind = RECORD_ALLOCATION;
-		record.u.allocation = allocation_new();
-		msg.kind = MSG_STORE_TXN;
-		msg.u.store_txn = store_txn_new();
-		store_txn_group(msg.u.store_txn);
-		store_txn_put(msg.u.store_txn, "prepaid/a", 0, 0, &record);
-		record_clear(&record);
-		call(&msg, c.http_status, c.body);
+		transaction(c.http_status, c.body);
 		EXPECT_EQ(path, "/api/kv-txn");
 		EXPECT_EQ(result->status, c.status) << c.http_status;
 		EXPECT_EQ(store_result_committed(result, 0), c.committed)
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -437,6 +437,15 @@
 	step(cluster);
 }
 
+// Takes the store down, and all instances notice.
+void stop_store(cluster_t *cluster)
+{
+	cluster->store.down = true;
+	for (auto &node : cluster->nodes)
+		post_store_event(node.get(), STORE_UNAVAILABLE);
+	step(cluster);
+}
+
 void finish_cluster(cluster_t *cluster)
 {
 	for (auto &node : cluster->nodes)
@@ -949,10 +958,7 @@
 
 	cluster.random.seed(7);
 	start_cluster(&cluster, 9, 100000);
-	cluster.store.down = true;
-	for (auto &node : cluster.nodes)
-		post_store_event(node.get(), STORE_UNAVAILABLE);
-	step(&cluster);
+	stop_store(&cluster);
 	reserve(cluster.nodes[0].get(), 900);
 	for (int i = 0; i < 4; i++)
 		step(&cluster);
@@ -968,10 +974,7 @@
 
 	cluster.random.seed(9);
 	start_cluster(&cluster, 2, 100000);
-	cluster.store.down = true;
-	for (auto &node : cluster.nodes)
-		post_store_event(node.get(), STORE_UNAVAILABLE);
-	step(&cluster);
+	stop_store(&cluster);
 	reserve(cluster.nodes[0].get(), 900);
 	for (int i = 0; i < 4; i++)
 		step(&cluster);
@@ -999,10 +1002,7 @@
 		step(&cluster);
 		settle(cluster.nodes[11].get(), true);
 	}
-	cluster.store.down = true;
-	for (auto &node : cluster.nodes)
-		post_store_event(node.get(), STORE_UNAVAILABLE);
-	step(&cluster);
+	stop_store(&cluster);
 	cluster.granted = 0;
 	for (int i = 0; i < 11; i++) {
 		reserve(cluster.nodes[(size_t)i].get(), 100);
