Send callers elsewhere while an instance cannot keep up

Cause: the platform's load balancer chooses an instance by a hash of the caller, so one of 295 gateways with 0.12 cores got 150 requests a second in calm and up to 487 with the retries of a cut, where the mean is 5. It fell seconds behind: calls to the store timed out unread, and a configuration was known 5 s late. Ruled out: the one home of an account, as 35 of 1,225 refusals there were for peers.

Change: two late checks in a row (over 150 ms) make an instance unready, and new requests are refused with 503 on a closed connection until a check is in time.

Test: OverloadedInstanceSendsCallersElsewhere, OnlyRepeatedLatenessCounts.

--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -8,6 +8,7 @@
 
 #include "http/parse.h"
 #include "http/socket.h"
+#include "ingress/overload.h"
 #include "kernel/errmsg.h"
 #include "kernel/kernel.h"
 
@@ -31,7 +32,7 @@
 	struct ingress_t *ingress;
 	listener_kind_t kind;
 	GSocket *socket; /* NULL if not listening */
-	handle_t watch; /* NULL if not accepting */
+	handle_t watch; /* none if not accepting */
 } listener_t;
 
 typedef struct ingress_t {
@@ -43,6 +44,7 @@
 	uint32_t busy; /* requests in progress */
 	fleet_limits_t limits;
 	bool ready; /* a configuration has been received */
+	overload_t overload;
 	bool stopping;
 	int64_t stop_requested_at; /* monotonic, us */
 	bool stopped; /* MSG_STOPPED has been posted */
