--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -238,22 +238,27 @@
 {
 	Client client(port(LISTENER_CALLERS));
 	Client balancer(port(LISTENER_READINESS));
-	/* The periodic check would end the state. */
+	/* A check that is due long since does not end the state. */
+	auto keep_overloaded = [&] {
+		ingress.overload.active = true;
+		ingress.overload.due = 1;
+	};
 	auto wait_overloaded = [&](Client &from, const char *text) {
 		return pump([&] {
-			ingress.overload.active = true;
+			keep_overloaded();
 			from.read();
 			return from.in.find(text) != std::string::npos;
 		});
 	};
 
 	ingress.ready = true;
-	ingress.overload.active = true;
+	keep_overloaded();
 	client.send(get_request);
 	EXPECT_TRUE(wait_overloaded(client, "HTTP/1.1 503"));
 	EXPECT_TRUE(wait_overloaded(client, "Connection: close"));
 	EXPECT_TRUE(wait_overloaded(client, "Retry-After"));
 	EXPECT_TRUE(specs.empty());
+	keep_overloaded();
 	balancer.send("GET /api/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
 	EXPECT_TRUE(wait_overloaded(balancer, "HTTP/1.1 503"));
 }
