Close a connection that cannot be watched instead of ending the process

Cause: found by reading; a failed epoll_ctl for an accepted connection ended the process.

Change: the connection is closed with a log line. Also a comment and a result that nobody read.

--- a/http/socket.c
+++ b/http/socket.c
@@ -114,14 +114,13 @@
 	return !handle_is_none(sock->watch);
 }
 
-void http_socket_init(http_socket_t *sock, pollset_t *pollset, GSocket *socket,
+bool http_socket_init(http_socket_t *sock, pollset_t *pollset, GSocket *socket,
 		      pollset_fn_t ready, void *data)
 {
 	memset(sock, 0, sizeof(*sock));
 	sock->socket = g_object_ref(socket);
 	set_options(socket);
-	if (!start_watch(sock, pollset, POLLSET_IN, ready, data))
-		g_error("epoll_ctl: %s", g_strerror(errno));
+	return start_watch(sock, pollset, POLLSET_IN, ready, data);
 }
 
 bool http_socket_connect(http_socket_t *sock, pollset_t *pollset,
--- a/http/socket.h
+++ b/http/socket.h
@@ -36,8 +36,11 @@
 	void *data;
 } http_socket_t;
 
-/* Initializes sock with a new reference to an accepted socket. */
-void http_socket_init(http_socket_t *sock, pollset_t *pollset, GSocket *socket,
+/*
+ * Initializes sock with a new reference to an accepted socket.  Returns false,
+ * with errno set, if it cannot be watched; http_socket_finish() follows then.
+ */
+bool http_socket_init(http_socket_t *sock, pollset_t *pollset, GSocket *socket,
 		      pollset_fn_t ready, void *data);
 /* Starts to connect to an IP address; returns false on immediate failure. */
 bool http_socket_connect(http_socket_t *sock, pollset_t *pollset,
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -1,5 +1,8 @@
 #include "ingress/conn.h"
 
+#include "log/log.h"
+
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -29,6 +32,7 @@
 {
 	ingress_conn_t *conn;
 	handle_t self = table_add(&ingress->conns, (void **)&conn);
+	bool watched;
 
 	conn->ingress = ingress;
 	conn->self = self;
@@ -36,9 +40,15 @@
 	conn->input = g_byte_array_new();
 	http_parse_init(&conn->parse, false);
 	conn->parse.max_head = ingress->limits.max_header;
-	http_socket_init(&conn->sock, &ingress->kernel->pollset, socket,
-			 on_ready, conn);
+	watched = http_socket_init(&conn->sock, &ingress->kernel->pollset,
+				   socket, on_ready, conn);
 	set_phase(conn, INGRESS_IDLE);
+	if (!watched) {
+		log_event(LOG_LEVEL_WARN, "ingress", "not_watched", "reason=%s",
+			  log_quote(g_strerror(errno)));
+		ingress_conn_close(conn);
+		return;
+	}
 	metrics_set(ingress->kernel->metrics, GAUGE_CONNECTIONS,
 		    table_count(&ingress->conns));
 }
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -31,7 +31,7 @@
 	struct ingress_t *ingress;
 	listener_kind_t kind;
 	GSocket *socket; /* NULL if not listening */
-	handle_t watch; /* NULL if not accepting */
+	handle_t watch; /* none if not accepting */
 } listener_t;
 
 typedef struct ingress_t {
--- a/kernel/pollset.c
+++ b/kernel/pollset.c
@@ -165,7 +165,7 @@
 		op = EPOLL_CTL_ADD;
 	watch->interest = interest;
 	if (!control(set, op, watch))
-		g_error("epoll_ctl: %s", g_strerror(errno));
+		g_critical("epoll_ctl: %s", g_strerror(errno));
 }
 
 void pollset_remove(pollset_t *set, handle_t *handle)
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -228,8 +228,8 @@
 	return open;
 }
 
-/* Processes all complete frames.  Returns false if conn was closed. */
-static bool process_input(conn_t *conn)
+/* Processes all complete frames, unless one of them closes conn. */
+static void process_input(conn_t *conn)
 {
 	guint offset = 0, size = conn->input->len;
 	size_t len = 0;
@@ -242,13 +242,13 @@
 		    (len > HANDSHAKE_FRAME_MAX && conn->state != CONN_UP)) {
 			close_protocol_error(conn,
 					     "frame length is out of range");
-			return false;
+			return;
 		}
 		if (status == FRAME_PARTIAL)
 			break;
 		len += PEER_FRAME_HEADER_SIZE;
 		if (!process_frame(conn, conn->input->data + offset, len))
-			return false;
+			return;
 		offset += (guint)len;
 		len = 0;
 	}
@@ -256,7 +256,6 @@
 		reset_buffer(&conn->input, size);
 	else if (offset > 0)
 		g_byte_array_remove_range(conn->input, 0, offset);
-	return true;
 }
 
 static void on_readable(conn_t *conn)
