Ask the callers of a new instance to return soon

Cause: found by reading; before a new instance has reached the store, the time of the outage was counted from 0 on its clock, so Retry-After was 5 s.

Change: it counts from the start of the service. The test failed first.

--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -491,6 +491,7 @@
 	prepaid->kernel = kernel;
 	prepaid->opts = *opts;
 	prepaid->instances = 1;
+	prepaid->store_down_since = kernel_now(kernel);
 	peer_set_init(&prepaid->peers);
 	table_init(&prepaid->accounts, sizeof(prepaid_account_t));
 	table_init(&prepaid->reservations, sizeof(reservation_t));
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -39,7 +39,7 @@
 	std::vector<delayed_write_t> delayed_writes;
 	double unanswered_share = 0.0; // share of writes without a result
 	double delayed_share = 0.0; // share of unanswered writes applied later
-	bool down = false;
+	bool down = false; // instances that start then hear nothing
 	int writes = 0;
 
 	~fake_store_t()
@@ -209,7 +209,8 @@
 		store_get(static_cast<node_t *>(self), msg);
 	else if (msg->kind == MSG_STORE_TXN)
 		store_txn(static_cast<node_t *>(self), msg);
-	else if (msg->kind == MSG_STORE_WATCH)
+	else if (msg->kind == MSG_STORE_WATCH &&
+		 !static_cast<node_t *>(self)->cluster->store.down)
 		post_store_event(static_cast<node_t *>(self), STORE_OK);
 }
 
@@ -990,6 +991,24 @@
 	finish_cluster(&cluster);
 }
 
+// Guards against callers of a new instance that are sent away for long before
+// it has reached the store: its clock does not start at 0.
+TEST(Prepaid, NewInstanceAsksCallersToReturnSoon)
+{
+	cluster_t cluster;
+
+	cluster.random.seed(10);
+	cluster.now = 1000 * USEC_PER_SEC;
+	cluster.store.down = true;
+	start_cluster(&cluster, 2, 100000);
+	reserve(cluster.nodes[0].get(), 900);
+	for (int i = 0; i < 4; i++)
+		step(&cluster);
+	ASSERT_EQ(cluster.refused_unavailable, 1);
+	EXPECT_LE(cluster.retry_after_ms, 500u);
+	finish_cluster(&cluster);
+}
+
 // Guards against a refusal while some peer of a small fleet holds the tokens.
 TEST(Prepaid, AsksAllPeersOfSmallFleet)
 {
