--- a/kernel/pollset.c
+++ b/kernel/pollset.c
@@ -17,7 +17,7 @@
 typedef struct pollset_source_t {
 	GSource source;
 	pollset_t *set;
-	gpointer tag; /* of the epoll descriptor */
+	gpointer tag; /* identifies the epoll descriptor */
 } pollset_source_t;
 
 static uint64_t handle_to_u64(handle_t handle)
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -53,7 +53,7 @@
 
 	response_info_t response_info;
 	handle_t rejection_timer;
-	size_t rejection_bytes; /* of the body of a rejection */
+	size_t rejection_bytes; /* body bytes of a rejection */
 	http_head_t *head; /* response head */
 	GByteArray *body; /* buffered response body, unless streaming */
 	bool streaming; /* the response is forwarded event by event */
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -46,7 +46,7 @@
 
 typedef struct role_t {
 	role_kind_t kind;
-	uint32_t rank; /* of a standby reader, from 1 */
+	uint32_t rank; /* standby readers only, from 1 */
 } role_t;
 
 static bool in_own_zone(const replica_t *replica, const peer_ref_t *peer)
