Log what a stopping gateway refuses or drops

Lines: ingress refused (request, time since the stop began), proxy finished outcome=abandoned at the exit, ingress closed when a connection is closed with bytes unread, unparsed or not written.

--- a/http/socket.c
+++ b/http/socket.c
@@ -181,6 +181,19 @@
 	return sock->output->len > 0;
 }
 
+uint32_t http_socket_output_len(const http_socket_t *sock)
+{
+	return sock->output->len - sock->written;
+}
+
+bool http_socket_has_input(const http_socket_t *sock)
+{
+	char byte;
+
+	return recv(g_socket_get_fd(sock->socket), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 socket_read_t http_socket_read(http_socket_t *sock, char *buffer, size_t size,
 			       size_t *received)
 {
--- a/http/socket.h
+++ b/http/socket.h
@@ -51,6 +51,10 @@
 /* Writes as much as possible now and buffers the rest. */
 void http_socket_write(http_socket_t *sock, const void *data, size_t len);
 bool http_socket_has_output(const http_socket_t *sock);
+/* Returns the bytes that are buffered and not written yet. */
+uint32_t http_socket_output_len(const http_socket_t *sock);
+/* Returns whether bytes have arrived that were not read. */
+bool http_socket_has_input(const http_socket_t *sock);
 socket_read_t http_socket_read(http_socket_t *sock, char *buffer, size_t size,
 			       size_t *received);
 /* Starts or stops polling for input. */
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -53,11 +53,44 @@
 		    table_count(&ingress->conns));
 }
 
+static const char *phase_name(ingress_phase_t phase)
+{
+	switch (phase) {
+	case INGRESS_IDLE:
+		return "idle";
+	case INGRESS_READING:
+		return "reading";
+	case INGRESS_BUSY:
+		return "busy";
+	case INGRESS_LINGER:
+		return "linger";
+	}
+	return "unknown";
+}
+
+/* Logs what the caller loses when this side closes the connection. */
+static void log_lost_bytes(const ingress_conn_t *conn)
+{
+	bool unread = http_socket_has_input(&conn->sock);
+	uint32_t unsent = http_socket_output_len(&conn->sock);
+
+	if (unsent == 0 && !unread && conn->input->len == 0)
+		return;
+	log_event(LOG_LEVEL_INFO, "ingress", "closed",
+		  "phase=%s age_ms=%" G_GINT64_FORMAT
+		  " unsent=%u unread=%d unparsed=%u stopping=%d",
+		  phase_name(conn->phase),
+		  (kernel_now(conn->ingress->kernel) - conn->phase_since) /
+			  USEC_PER_MSEC,
+		  unsent, unread, conn->input->len, conn->ingress->stopping);
+}
+
 void ingress_conn_close(ingress_conn_t *conn)
 {
 	ingress_t *ingress = conn->ingress;
 	msg_t msg = {.kind = MSG_EXCHANGE_CANCEL, .ref = conn->exchange};
 
+	log_lost_bytes(conn);
 	if (conn->phase == INGRESS_BUSY) {
 		kernel_post(ingress->kernel, ingress->svc, ingress->proxy,
 			    &msg);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -101,16 +101,24 @@
 	g_string_free(text, TRUE);
 }
 
+static int64_t stop_age(const ingress_t *ingress)
+{
+	return kernel_now(ingress->kernel) - ingress->stop_requested_at;
+}
+
 static bool accepts_requests(const ingress_t *ingress)
 {
-	return !ingress->stopping ||
-	       kernel_now(ingress->kernel) - ingress->stop_requested_at <
-		       STOP_ACCEPT_US;
+	return !ingress->stopping || stop_age(ingress) < STOP_ACCEPT_US;
 }
 
-static void refuse_stopping(ingress_t *ingress, ingress_conn_t *conn)
+static void refuse_stopping(ingress_t *ingress, ingress_conn_t *conn,
+			    const char *request_id)
 {
 	metrics_refusal(ingress->kernel->metrics, REFUSAL_STOPPING);
+	log_event(LOG_LEVEL_INFO, "ingress", "refused",
+		  "request=%s reason=%s stop_ms=%" G_GINT64_FORMAT,
+		  log_quote(request_id), refusal_name(REFUSAL_STOPPING),
+		  stop_age(ingress) / USEC_PER_MSEC);
 	ingress_conn_respond_retry_after(
 		conn, 503, "this instance is stopping\n", STOP_RETRY_AFTER);
 }
@@ -123,16 +131,16 @@
 	errmsg_t err;
 
 	metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
-	if (!accepts_requests(ingress)) {
-		refuse_stopping(ingress, conn);
-		goto out;
-	}
 	spec = exchange_spec_new();
 	if (!wire_read_request(conn->parse.head, body, spec, &err)) {
 		metrics_refusal(ingress->kernel->metrics, REFUSAL_BAD_REQUEST);
 		ingress_conn_respond(conn, 400, "text/plain", err.text, false);
 		goto out;
 	}
+	if (!accepts_requests(ingress)) {
+		refuse_stopping(ingress, conn, spec->request_id);
+		goto out;
+	}
 	msg.u.exchange = g_steal_pointer(&spec);
 	kernel_post(ingress->kernel, ingress->svc, ingress->proxy, &msg);
 out:
@@ -159,11 +167,10 @@
 
 static void check_stopped(ingress_t *ingress)
 {
-	int64_t age = kernel_now(ingress->kernel) - ingress->stop_requested_at;
 	msg_t msg = {.kind = MSG_STOPPED};
 
 	if (!ingress->stopping || ingress->stopped || ingress->busy > 0 ||
-	    age < STOP_MIN_US)
+	    stop_age(ingress) < STOP_MIN_US)
 		return;
 	ingress->stopped = true;
 	kernel_post(ingress->kernel, ingress->svc,
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -119,6 +119,12 @@
 		  exchange->longest_gap / USEC_PER_MSEC);
 }
 
+void exchange_abandon(proxy_t *proxy, exchange_t *exchange)
+{
+	log_outcome(proxy, exchange, "abandoned");
+	exchange_free(proxy, exchange);
+}
+
 void exchange_end(proxy_t *proxy, exchange_t *exchange, const char *outcome)
 {
 	log_outcome(proxy, exchange, outcome);
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -87,6 +87,8 @@
 void exchange_release_target(proxy_t *proxy, exchange_t *exchange,
 			     place_result_t result);
 void exchange_free(proxy_t *proxy, exchange_t *exchange);
+/* Frees an exchange whose caller gets no answer, as the process exits. */
+void exchange_abandon(proxy_t *proxy, exchange_t *exchange);
 
 /* response.c */
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -141,7 +141,7 @@
 
 	while ((exchange = table_next(&proxy->exchanges, &cursor, NULL)) !=
 	       NULL)
-		exchange_free(proxy, exchange);
+		exchange_abandon(proxy, exchange);
 	fleet_conf_unref(proxy->conf);
 	retry_window_finish(&proxy->retries);
 	quarantine_finish(&proxy->quarantine);
