Refuse requests once a planned stop is complete

Callers saw: a whole request on an open connection got neither an answer nor a refusal while its instance was stopped, with planned work only; a request that must not run twice may have been running.

Cause: ingress reports once, 2.5 s after SIGTERM or later, that no request is running. It went on accepting requests until 2.7 s. The gateway returns its tokens meanwhile and exits as soon as they are, without asking again, so a request of that time was passed to a target and dropped.

Evidence: RequestAfterTheLastOneOfAStopIsNotDropped failed on the code before (the request was passed on, no 503 within 20 s).

Change: a request that is read after the report is refused with 503, which is true, and the caller goes elsewhere. Nothing that is accepted can start after the process has decided to exit.

--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -106,9 +106,11 @@
 	return kernel_now(ingress->kernel) - ingress->stop_requested_at;
 }
 
+/* Once the stop is complete, the process does not wait for further requests. */
 static bool accepts_requests(const ingress_t *ingress)
 {
-	return !ingress->stopping || stop_age(ingress) < STOP_ACCEPT_US;
+	return !ingress->stopping ||
+	       (!ingress->stopped && stop_age(ingress) < STOP_ACCEPT_US);
 }
 
 static void refuse_stopping(ingress_t *ingress, ingress_conn_t *conn,
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -217,6 +217,20 @@
 	EXPECT_TRUE(pump([&] { return stopped; }));
 }
 
+// Nothing waits for a request that is accepted once the stop is complete.
+TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	stop();
+	ingress.stop_requested_at -= 2500 * USEC_PER_MSEC;
+	ASSERT_TRUE(pump([&] { return stopped; }));
+	ingress.stop_requested_at = kernel_now(&kernel) - 2600 * USEC_PER_MSEC;
+	client.send(get_request);
+	EXPECT_TRUE(client.wait_for("HTTP/1.1 503"));
+	EXPECT_TRUE(specs.empty());
+}
+
 // The response to a request that arrives late might not end within the grace
 // period, so the request is refused before anything runs.
 TEST_F(Ingress, RequestLateInTheStopIsRefused)
