Let a slow caller read the whole last answer of a connection

Callers saw: a complete answer with "Connection: close", as every answer of a stopping instance is, ended early when the caller read slowly or its link was full: the connection was closed 1 s after the answer was queued, with a part of it still in the output buffer.

Cause: the time in which the caller may close counted from the moment at which the answer was queued, not from the one at which it was written.

Change: the linger time starts when the output is written; until then the connection has the idle limit, like one whose caller is silent.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -12,7 +12,7 @@
 #define INPUT_MAX 262144
 /* Unsent response bytes at which a caller that reads too slowly is dropped. */
 #define OUTPUT_MAX 1048576
-/* Time for the caller to read the last response and close. */
+/* Time for the caller to close after the last response was written. */
 #define LINGER_TIMEOUT_US USEC_PER_SEC
 
 static void on_ready(void *data, unsigned ready);
@@ -109,6 +109,13 @@
 	http_socket_write(&conn->sock, text, strlen(text));
 }
 
+/* Leaves the caller time to read the end of the response and to close. */
+static void start_linger(ingress_conn_t *conn)
+{
+	set_phase(conn, INGRESS_LINGER);
+	http_socket_shutdown(&conn->sock);
+}
+
 /* Continues with the next request, or closes, after a complete response. */
 static void finish_response(ingress_conn_t *conn)
 {
@@ -117,7 +124,7 @@
 	if (conn->close_after) {
 		set_phase(conn, INGRESS_LINGER);
 		if (!http_socket_has_output(&conn->sock))
-			http_socket_shutdown(&conn->sock);
+			start_linger(conn);
 		return;
 	}
 	set_phase(conn, INGRESS_IDLE);
@@ -270,7 +277,7 @@
 
 	if (ready == POLLSET_OUT) {
 		if (conn->phase == INGRESS_LINGER)
-			http_socket_shutdown(&conn->sock);
+			start_linger(conn);
 		return;
 	}
 	if (read_input(conn)) {
@@ -358,6 +365,15 @@
 	}
 }
 
+/* A caller that reads slowly has as long as an idle one for the response. */
+static int64_t linger_limit(const ingress_conn_t *conn)
+{
+	if (!http_socket_has_output(&conn->sock))
+		return LINGER_TIMEOUT_US;
+	return MAX(conn->ingress->limits.idle_timeout_ms * USEC_PER_MSEC,
+		   LINGER_TIMEOUT_US);
+}
+
 static void sweep(ingress_conn_t *conn, int64_t now)
 {
 	const fleet_limits_t *limits = &conn->ingress->limits;
@@ -380,7 +396,7 @@
 	case INGRESS_BUSY:
 		break;
 	case INGRESS_LINGER:
-		if (age > LINGER_TIMEOUT_US)
+		if (age > linger_limit(conn))
 			ingress_conn_close(conn);
 		break;
 	}
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -1,6 +1,7 @@
 // Tests the HTTP server: malformed, oversized and smuggled requests are
 // refused, "proxy" learns that a caller has disconnected, an aborted response
 // does not look complete, and a planned stop loses no request.
+#include "ingress/conn.h"
 #include "ingress/ingress.h"
 #include "tests/pump.h"
 
@@ -98,6 +99,46 @@
 		post(MSG_EXCHANGE_DATA, request, text);
 		post(MSG_EXCHANGE_END, request);
 	}
+	bool has_unsent_output()
+	{
+		uint32_t cursor = 0;
+		auto *conn = static_cast<ingress_conn_t *>(
+			table_next(&ingress.conns, &cursor, nullptr));
+
+		return conn != nullptr && http_socket_has_output(&conn->sock);
+	}
+	// Keeps the system from buffering whole responses.
+	void shrink_send_buffers()
+	{
+		uint32_t cursor = 0;
+		void *conn;
+
+		while ((conn = table_next(&ingress.conns, &cursor, nullptr)) !=
+		       nullptr)
+			g_socket_set_option(static_cast<ingress_conn_t *>(conn)
+						    ->sock.socket,
+					    SOL_SOCKET, SO_SNDBUF, 4096,
+					    nullptr);
+	}
+	// Makes the phase of every connection this old, in microseconds.
+	void set_age(int64_t age)
+	{
+		uint32_t cursor = 0;
+		void *conn;
+
+		while ((conn = table_next(&ingress.conns, &cursor, nullptr)) !=
+		       nullptr)
+			static_cast<ingress_conn_t *>(conn)->phase_since =
+				kernel_now(&kernel) - age;
+	}
+	void sweep()
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_TIMER;
+		kernel_post(&kernel, proxy, ingress.svc, &msg);
+		kernel_flush(&kernel);
+	}
 	void stop()
 	{
 		msg_t msg = {};
@@ -217,6 +258,22 @@
 	EXPECT_TRUE(pump([&] { return stopped; }));
 }
 
+TEST_F(Ingress, SlowReaderOfALastAnswerIsNotCutAfterTheLingerTime)
+{
+	const std::string part(900000, 'x');
+	Client client(port(LISTENER_CALLERS), 4096);
+
+	client.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	ASSERT_TRUE(wait_requests(1));
+	shrink_send_buffers();
+	respond(0, part.c_str());
+	ASSERT_TRUE(has_unsent_output());
+	set_age(USEC_PER_SEC + 1);
+	sweep();
+	EXPECT_TRUE(client.wait_closed());
+	EXPECT_NE(client.in.find(part + "\r\n0\r\n\r\n"), std::string::npos);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
--- a/tests/pump.h
+++ b/tests/pump.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <gio/gio.h>
 #include <string>
+#include <sys/socket.h>
 
 inline gboolean keep_ticking(gpointer)
 {
@@ -29,7 +30,8 @@
 class Client
 {
       public:
-	explicit Client(uint16_t port)
+	// A receive buffer of 0 bytes leaves the size to the system.
+	explicit Client(uint16_t port, int receive_buffer = 0)
 	{
 		GSocketAddress *address = g_inet_socket_address_new_from_string(
 			"127.0.0.1", port);
@@ -37,6 +39,9 @@
 		socket =
 			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
 				     G_SOCKET_PROTOCOL_TCP, nullptr);
+		if (receive_buffer > 0)
+			g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
+					    receive_buffer, nullptr);
 		connected = g_socket_connect(socket, address, nullptr, nullptr);
 		g_socket_set_blocking(socket, FALSE);
 		g_object_unref(address);
