Do not end a planned stop while an answer is being written

Callers saw: the answer to a request that an instance had served was cut when its process ended, 2.5 s after SIGTERM or later and well before the end of the grace period.

Cause: a connection counts as busy until its answer is queued. The stop was complete when no connection was busy, so the process could end while bytes of the last answers were in its output buffers.

Evidence: StopDoesNotCutAnAnswerThatIsStillWritten failed before (the stop was reported as complete with output left) and passes.

Change: the stop is complete when no connection has output left either. A connection that failed does not count. The exit timer still ends the stop.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -402,6 +402,17 @@
 	}
 }
 
+bool ingress_conn_any_output(const ingress_t *ingress)
+{
+	uint32_t cursor = 0;
+	const ingress_conn_t *conn;
+
+	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
+		if (http_socket_has_output(&conn->sock) && !conn->sock.failed)
+			return true;
+	return false;
+}
+
 void ingress_conn_sweep(ingress_t *ingress)
 {
 	int64_t now = kernel_now(ingress->kernel);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -172,7 +172,7 @@
 	msg_t msg = {.kind = MSG_STOPPED};
 
 	if (!ingress->stopping || ingress->stopped || ingress->busy > 0 ||
-	    stop_age(ingress) < STOP_MIN_US)
+	    stop_age(ingress) < STOP_MIN_US || ingress_conn_any_output(ingress))
 		return;
 	ingress->stopped = true;
 	kernel_post(ingress->kernel, ingress->svc,
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -258,6 +258,25 @@
 	EXPECT_TRUE(pump([&] { return stopped; }));
 }
 
+TEST_F(Ingress, StopDoesNotCutAnAnswerThatIsStillWritten)
+{
+	const std::string part(900000, 'x');
+	Client client(port(LISTENER_CALLERS), 4096);
+
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	shrink_send_buffers();
+	stop();
+	ingress.stop_requested_at -= 2500 * USEC_PER_MSEC;
+	respond(0, part.c_str());
+	ASSERT_TRUE(has_unsent_output());
+	sweep();
+	EXPECT_FALSE(stopped);
+	EXPECT_TRUE(client.wait_closed());
+	EXPECT_NE(client.in.find(part + "\r\n0\r\n\r\n"), std::string::npos);
+	EXPECT_TRUE(pump([&] { return stopped; }));
+}
+
 TEST_F(Ingress, SlowReaderOfALastAnswerIsNotCutAfterTheLingerTime)
 {
 	const std::string part(900000, 'x');
