Answer the requests that a planned stop has to end

Callers saw: a request that an instance had accepted got neither an answer nor a refusal when the instance's grace period ran out.

Cause: the gateway ended its loop at the exit timer whatever it held. Nothing told proxy that the instance stops, so a request that waited for tokens, for a target or between two attempts was dropped, and one that ran lost its connection.

Evidence: RequestThatWaitsAtTheEndOfAStopIsNotDropped, RequestThatRunsAtTheEndOfAStopIsNotDropped and StreamThatRunsAtTheEndOfAStopDoesNotLookComplete failed before and pass.

Change: proxy learns the end of the stop with MSG_STOP and moves every later deadline there, 200 ms before the exit. What has not run is refused with 503, what runs without a response head gets 502, a stream whose head was sent is aborted. The time that a target is given ends there as well.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -20,6 +20,8 @@
 #define EXIT_USAGE 2
 /* Time left of the grace period when the process exits by itself. */
 #define EXIT_MARGIN_US (400 * USEC_PER_MSEC)
+/* Time before the exit in which the callers of ended requests are answered. */
+#define ANSWER_MARGIN_US (200 * USEC_PER_MSEC)
 /* Part of the grace period reserved for returning unused tokens. */
 #define TOKEN_RETURN_US (500 * USEC_PER_MSEC)
 
@@ -78,9 +80,10 @@
 	return "unknown";
 }
 
-static void stop_service(gateway_t *gateway, const char *name)
+/* The service ends what still runs at the deadline; 0: none. */
+static void stop_service(gateway_t *gateway, const char *name, int64_t deadline)
 {
-	msg_t msg = {.kind = MSG_STOP};
+	msg_t msg = {.kind = MSG_STOP, .u.stop.deadline = deadline};
 
 	kernel_post(&gateway->kernel, gateway->svc,
 		    kernel_find(&gateway->kernel, name), &msg);
@@ -96,6 +99,7 @@
 {
 	int64_t grace = (int64_t)(gateway->settings.gateway_grace_s *
 				  (double)USEC_PER_SEC);
+	int64_t exit_at = kernel_now(&gateway->kernel) + grace - EXIT_MARGIN_US;
 
 	gateway->stage = stage;
 	log_event(LOG_LEVEL_INFO, "gateway", "stop", "stage=%s",
@@ -104,16 +108,17 @@
 	case STAGE_RUNNING:
 		break;
 	case STAGE_REQUESTS:
-		stop_service(gateway, "ingress");
+		stop_service(gateway, "ingress", 0);
+		stop_service(gateway, "proxy", exit_at - ANSWER_MARGIN_US);
 		start_timer(gateway, grace - EXIT_MARGIN_US - TOKEN_RETURN_US,
 			    TIMER_RETURN);
 		start_timer(gateway, grace - EXIT_MARGIN_US, TIMER_EXIT);
 		break;
 	case STAGE_RETURNING:
-		stop_service(gateway, "prepaid");
+		stop_service(gateway, "prepaid", 0);
 		break;
 	case STAGE_STOPPED:
-		stop_service(gateway, "member");
+		stop_service(gateway, "member", 0);
 		kernel_quit(&gateway->kernel);
 		break;
 	}
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -210,6 +210,9 @@
 		struct {
 			int kind; /* defined by the owner of the timer */
 		} timer;
+		struct {
+			int64_t deadline; /* monotonic, us; 0: none */
+		} stop; /* requests that still run then are ended */
 		request_spec_t *open; /* MSG_REQ_OPEN */
 		struct {
 			uint32_t status; /* HTTP */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -22,6 +22,7 @@
 #define HEAD_TIMEOUT_GOALS 4
 #define HEAD_TIMEOUT_MIN_MS 600
 #define RETRY_AFTER_DEFAULT_MS 300 /* applies if a refusal states no time */
+#define STOP_RETRY_AFTER_MS 100 /* another instance takes the request */
 /* Priority levels of a target's queue per priority level of a route. */
 #define QUEUE_PRIORITY_FACTOR 4
 
@@ -280,6 +281,26 @@
 	kernel_post(proxy->kernel, proxy->svc, proxy->prepaid, &msg);
 }
 
+static void start_deadline_timer(proxy_t *proxy, exchange_t *exchange)
+{
+	int64_t wait = exchange->deadline - kernel_now(proxy->kernel);
+
+	kernel_timer_cancel(proxy->kernel, &exchange->deadline_timer);
+	exchange->deadline_timer =
+		kernel_timer(proxy->kernel, proxy->svc, MAX(wait, 0),
+			     exchange->self, EXCHANGE_TIMER_DEADLINE);
+}
+
+void exchange_limit_to_stop(proxy_t *proxy, exchange_t *exchange)
+{
+	if (proxy->stop_deadline == 0 ||
+	    exchange->deadline <= proxy->stop_deadline)
+		return;
+	exchange->deadline = proxy->stop_deadline;
+	exchange->ends_at_stop = true;
+	start_deadline_timer(proxy, exchange);
+}
+
 static void set_deadline(proxy_t *proxy, exchange_t *exchange)
 {
 	int64_t wait = exchange->spec->wait_ms;
@@ -287,9 +308,8 @@
 	if (wait < 0 || wait > exchange->route.timeout_ms)
 		wait = exchange->route.timeout_ms;
 	exchange->deadline = exchange->started_at + wait * USEC_PER_MSEC;
-	exchange->deadline_timer =
-		kernel_timer(proxy->kernel, proxy->svc, wait * USEC_PER_MSEC,
-			     exchange->self, EXCHANGE_TIMER_DEADLINE);
+	start_deadline_timer(proxy, exchange);
+	exchange_limit_to_stop(proxy, exchange);
 }
 
 void exchange_start(proxy_t *proxy, msg_t *msg)
@@ -482,7 +502,11 @@
 				exchange->state == EXCHANGE_SENT
 					? PLACE_LOST
 					: PLACE_CANCELLED);
-	exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
+	if (exchange->ends_at_stop)
+		exchange_refuse(proxy, exchange, REFUSAL_STOPPING,
+				STOP_RETRY_AFTER_MS);
+	else
+		exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
 }
 
 void exchange_cancelled(proxy_t *proxy, handle_t ref)
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -36,7 +36,8 @@
 	char fingerprint[HASH_SIZE];
 	int32_t priority;
 	int64_t started_at; /* monotonic, us */
-	int64_t deadline; /* caller's deadline, monotonic, us */
+	int64_t deadline; /* of the caller or the stop, monotonic, us */
+	bool ends_at_stop; /* deadline is that of the planned stop */
 	handle_t deadline_timer;
 
 	handle_t reservation;
@@ -72,6 +73,8 @@
 void exchange_placed(proxy_t *proxy, const msg_t *msg);
 void exchange_place_refused(proxy_t *proxy, const msg_t *msg);
 void exchange_timed_out(proxy_t *proxy, handle_t ref);
+/* Moves the deadline to that of the planned stop if it is later. */
+void exchange_limit_to_stop(proxy_t *proxy, exchange_t *exchange);
 void exchange_cancelled(proxy_t *proxy, handle_t ref);
 /* Requests a target for the first attempt or for a retry. */
 void exchange_place(proxy_t *proxy, exchange_t *exchange);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -74,6 +74,17 @@
 	}
 }
 
+static void stop(proxy_t *proxy, int64_t deadline)
+{
+	uint32_t cursor = 0;
+	exchange_t *exchange;
+
+	proxy->stop_deadline = deadline;
+	while ((exchange = table_next(&proxy->exchanges, &cursor, NULL)) !=
+	       NULL)
+		exchange_limit_to_stop(proxy, exchange);
+}
+
 static void receive(void *self, msg_t *msg)
 {
 	proxy_t *proxy = self;
@@ -82,6 +93,9 @@
 	case MSG_START:
 		start(proxy);
 		break;
+	case MSG_STOP:
+		stop(proxy, msg->u.stop.deadline);
+		break;
 	case MSG_TIMER:
 		on_timer(proxy, msg);
 		break;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -38,6 +38,8 @@
 	fleet_conf_t *conf; /* NULL until one is received */
 	uint32_t instances; /* size of the fleet, including this one */
 	table_t exchanges; /* exchange_t */
+	int64_t stop_deadline; /* end of a planned stop, monotonic, us; 0: none
+				*/
 	retry_window_t retries;
 	quarantine_t quarantine;
 	uint64_t crash_seq; /* number of the last crash report */
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -211,6 +211,15 @@
 		kernel_post(&kernel, ingress, proxy.svc, &msg);
 		run(0);
 	}
+	void stop(int64_t us)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STOP;
+		msg.u.stop.deadline = kernel_now(&kernel) + us;
+		kernel_post(&kernel, ingress, proxy.svc, &msg);
+		run(0);
+	}
 	msg_t outbound_msg(msg_kind_t kind)
 	{
 		msg_t msg = {};
@@ -444,6 +453,49 @@
 	EXPECT_EQ(spent, 150);
 }
 
+TEST_F(Proxy, RequestThatWaitsAtTheEndOfAStopIsNotDropped)
+{
+	no_target = true;
+	post_open("/safe/x");
+	stop(USEC_PER_SEC);
+	post_open("/unsafe/x");
+	run(USEC_PER_SEC - 1);
+	EXPECT_EQ(completed, 0);
+	run(1);
+	EXPECT_EQ(completed, 2);
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(retry_after_text, "0.100");
+}
+
+TEST_F(Proxy, RequestThatRunsAtTheEndOfAStopIsNotDropped)
+{
+	post_open("/unsafe/x");
+	stop(USEC_PER_SEC);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(cancels, 1);
+	EXPECT_EQ(status, 502u);
+	EXPECT_FALSE(retry_after);
+}
+
+TEST_F(Proxy, StreamThatRunsAtTheEndOfAStopDoesNotLookComplete)
+{
+	post_open("/stream/x");
+	post_head(200);
+	post_data("id: 1\n\n");
+	stop(USEC_PER_SEC);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(completed, 0);
+	EXPECT_EQ(aborted, 1);
+}
+
+TEST_F(Proxy, StopDoesNotExtendTheDeadlineOfARequest)
+{
+	post_open("/unsafe/x");
+	stop(10 * USEC_PER_SEC);
+	run(2 * USEC_PER_SEC);
+	EXPECT_EQ(status, 504u);
+}
+
 // Guards against callers that return before tokens can be had again.
 TEST_F(Proxy, RefusalStatesWhenTokensAreExpected)
 {
