Apply a lowered idle limit from the next phase of a connection on

Callers saw: a request was sent on an open connection that had rested for less than the limit in force when it began to rest, and the connection was closed: a configuration with a lower idle limit closed every connection that had rested for longer at once, whatever crossed it.

Change: a connection keeps the higher of the limit in force when its phase began and the present one.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -25,6 +25,18 @@
 		conn->ingress->busy--;
 	conn->phase = phase;
 	conn->phase_since = kernel_now(conn->ingress->kernel);
+	conn->idle_timeout_ms = conn->ingress->limits.idle_timeout_ms;
+}
+
+/*
+ * A lowered limit applies from the next phase on: until then the caller may
+ * rely on the former one.
+ */
+static int64_t idle_limit(const ingress_conn_t *conn)
+{
+	return MAX(conn->idle_timeout_ms,
+		   conn->ingress->limits.idle_timeout_ms) *
+	       USEC_PER_MSEC;
 }
 
 void ingress_conn_open(ingress_t *ingress, GSocket *socket,
@@ -370,8 +382,7 @@
 {
 	if (!http_socket_has_output(&conn->sock))
 		return LINGER_TIMEOUT_US;
-	return MAX(conn->ingress->limits.idle_timeout_ms * USEC_PER_MSEC,
-		   LINGER_TIMEOUT_US);
+	return MAX(idle_limit(conn), LINGER_TIMEOUT_US);
 }
 
 static void sweep(ingress_conn_t *conn, int64_t now)
@@ -381,7 +392,7 @@
 
 	switch (conn->phase) {
 	case INGRESS_IDLE:
-		if (age > limits->idle_timeout_ms * USEC_PER_MSEC)
+		if (age > idle_limit(conn))
 			ingress_conn_close(conn);
 		break;
 	case INGRESS_READING:
@@ -389,7 +400,7 @@
 		    age > limits->header_timeout_ms * USEC_PER_MSEC)
 			respond_error(conn, 408,
 				      "the head did not come in time\n");
-		else if (age > limits->idle_timeout_ms * USEC_PER_MSEC)
+		else if (age > idle_limit(conn))
 			respond_error(conn, 408,
 				      "the body did not come in time\n");
 		break;
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -293,6 +293,20 @@
 	EXPECT_NE(client.in.find(part + "\r\n0\r\n\r\n"), std::string::npos);
 }
 
+TEST_F(Ingress, LoweredIdleLimitDoesNotCloseAConnectionInUse)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	ASSERT_TRUE(pump([&] { return table_count(&ingress.conns) == 1; }));
+	set_age(10 * USEC_PER_SEC);
+	ingress.limits.idle_timeout_ms = 5000;
+	sweep();
+	EXPECT_EQ(table_count(&ingress.conns), 1u);
+	set_age(16 * USEC_PER_SEC);
+	sweep();
+	EXPECT_EQ(table_count(&ingress.conns), 0u);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
