Serve late in a stop what ends before it

Callers saw: 503 from an instance that was stopping, for a short call that it could have served; a caller that may try again only once is refused twice when a rolling restart has most instances of a zone stopping at a time, because the load balancer then uses all of them.

Cause: 2.7 s after SIGTERM every request was refused, because a stream may last longer than the rest of the grace period. The limit on the caller's own time was not looked at.

Change: ingress knows the end of the stop and accepts a request whose time, as stated by its caller, ends before it. Test: RequestThatEndsBeforeTheStopIsNotRefused (failed before).

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -108,7 +108,7 @@
 	case STAGE_RUNNING:
 		break;
 	case STAGE_REQUESTS:
-		stop_service(gateway, "ingress", 0);
+		stop_service(gateway, "ingress", exit_at - ANSWER_MARGIN_US);
 		stop_service(gateway, "proxy", exit_at - ANSWER_MARGIN_US);
 		start_timer(gateway, grace - EXIT_MARGIN_US - TOKEN_RETURN_US,
 			    TIMER_RETURN);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -16,8 +16,8 @@
  */
 #define STOP_MIN_US (2500 * USEC_PER_MSEC)
 /*
- * Requests that arrive later than this after MSG_STOP are refused, because
- * their responses might not end within the grace period.
+ * Requests that arrive later than this after MSG_STOP are refused if their
+ * responses might not end within the grace period.
  */
 #define STOP_ACCEPT_US (2700 * USEC_PER_MSEC)
 /* Leaves descriptors for the files, targets and peers of this process. */
@@ -106,11 +106,23 @@
 	return kernel_now(ingress->kernel) - ingress->stop_requested_at;
 }
 
+/* Returns whether the caller's time ends before the stop does. */
+static bool ends_before_stop(const ingress_t *ingress,
+			     const exchange_spec_t *spec)
+{
+	return spec->wait_ms >= 0 &&
+	       kernel_now(ingress->kernel) + spec->wait_ms * USEC_PER_MSEC <=
+		       ingress->stop_deadline;
+}
+
 /* Once the stop is complete, the process does not wait for further requests. */
-static bool accepts_requests(const ingress_t *ingress)
+static bool accepts_request(const ingress_t *ingress,
+			    const exchange_spec_t *spec)
 {
-	return !ingress->stopping ||
-	       (!ingress->stopped && stop_age(ingress) < STOP_ACCEPT_US);
+	if (!ingress->stopping)
+		return true;
+	return !ingress->stopped && (stop_age(ingress) < STOP_ACCEPT_US ||
+				     ends_before_stop(ingress, spec));
 }
 
 static void refuse_stopping(ingress_t *ingress, ingress_conn_t *conn,
@@ -139,7 +151,7 @@
 		ingress_conn_respond(conn, 400, "text/plain", err.text, false);
 		goto out;
 	}
-	if (!accepts_requests(ingress)) {
+	if (!accepts_request(ingress, spec)) {
 		refuse_stopping(ingress, conn, spec->request_id);
 		goto out;
 	}
@@ -209,6 +221,7 @@
 	case MSG_STOP:
 		ingress->stopping = true;
 		ingress->stop_requested_at = kernel_now(ingress->kernel);
+		ingress->stop_deadline = msg->u.stop.deadline;
 		break;
 	case MSG_TIMER:
 		on_timer(ingress);
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -45,6 +45,7 @@
 	bool ready; /* a configuration has been received */
 	bool stopping;
 	int64_t stop_requested_at; /* monotonic, us */
+	int64_t stop_deadline; /* end of the stop, monotonic, us; 0: unknown */
 	bool stopped; /* MSG_STOPPED has been posted */
 	errmsg_t err;
 } ingress_t;
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -139,11 +139,14 @@
 		kernel_post(&kernel, proxy, ingress.svc, &msg);
 		kernel_flush(&kernel);
 	}
-	void stop()
+	// The deadline is relative to now, in microseconds; 0: none.
+	void stop(int64_t deadline = 0)
 	{
 		msg_t msg = {};
 
 		msg.kind = MSG_STOP;
+		if (deadline > 0)
+			msg.u.stop.deadline = kernel_now(&kernel) + deadline;
 		kernel_post(&kernel, proxy, ingress.svc, &msg);
 		kernel_flush(&kernel);
 	}
@@ -334,6 +337,21 @@
 	EXPECT_TRUE(specs.empty());
 }
 
+TEST_F(Ingress, RequestThatEndsBeforeTheStopIsNotRefused)
+{
+	Client fits(port(LISTENER_CALLERS)), late(port(LISTENER_CALLERS));
+
+	stop(60 * USEC_PER_SEC);
+	ingress.stop_requested_at -= 3 * USEC_PER_SEC;
+	fits.send("GET / HTTP/1.1\r\nHost: h\r\nTime-Budget-Ms: 30000\r\n\r\n");
+	ASSERT_TRUE(wait_requests(1));
+	late.send("GET / HTTP/1.1\r\nHost: h\r\nTime-Budget-Ms: 70000\r\n\r\n");
+	EXPECT_TRUE(late.wait_for("HTTP/1.1 503"));
+	respond(0, "ok");
+	EXPECT_TRUE(fits.wait_for("ok"));
+	EXPECT_EQ(specs.size(), 1u);
+}
+
 // The response to a request that arrives late might not end within the grace
 // period, so the request is refused before anything runs.
 TEST_F(Ingress, RequestLateInTheStopIsRefused)
