Answer the last connections before a planned stop is complete

Callers saw: a request on a connection that had just been established got no answer: the instance exited with connections in its accept queue, or accepted and not read.

Cause: the process exited as soon as no request was running, with its listener open, so connections were dropped between the last accept and the exit.

Change: when the stop would be complete, or 500 ms before its end, established connections are accepted and the listener is closed, so that new callers are turned away by the system at once; the stop is complete 50 ms later if nothing runs then. Test: ConnectionOpenedAtTheEndOfAStopIsNotDropped (failed before: the connection was still accepted, and the stop reported as complete).

--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -10,6 +10,11 @@
 #define ACCEPT_MAX 64 /* connections accepted per loop iteration */
 /* Resolution of the time limits. */
 #define SWEEP_INTERVAL_US (250 * USEC_PER_MSEC)
+/*
+ * Time before the end of the stop from which connections are refused.  A
+ * request on a new connection would not end before the stop does.
+ */
+#define STOP_REFUSE_US (500 * USEC_PER_MSEC)
 /*
  * New connections arrive until the load balancer has seen two failed readiness
  * checks, which are one second apart.
@@ -23,8 +28,16 @@
 /* Leaves descriptors for the files, targets and peers of this process. */
 #define CONNS_MAX 3000
 
+/* Time for requests on the last connections, which were just established. */
+#define STOP_SETTLE_US (50 * USEC_PER_MSEC)
+
 #define STOP_RETRY_AFTER "0.1" /* s; another instance takes the request */
 
+typedef enum ingress_timer_t {
+	INGRESS_TIMER_SWEEP,
+	INGRESS_TIMER_SETTLED, /* STOP_SETTLE_US after the listener closed */
+} ingress_timer_t;
+
 /* Limits until a configuration is received. */
 static const fleet_limits_t default_limits = {
 	.max_header = 16384,
@@ -179,6 +192,26 @@
 	}
 }
 
+static bool is_listening(const ingress_t *ingress, listener_kind_t kind)
+{
+	return ingress->listeners[kind].socket != NULL;
+}
+
+/*
+ * Accepts the connections that are established and closes the listener.  The
+ * requests on them have STOP_SETTLE_US to arrive.
+ */
+static void refuse_connections(ingress_t *ingress)
+{
+	listener_t *listener = &ingress->listeners[LISTENER_CALLERS];
+
+	on_accept(listener, POLLSET_IN);
+	close_listener(listener);
+	ingress->closed_at = kernel_now(ingress->kernel);
+	kernel_timer(ingress->kernel, ingress->svc, STOP_SETTLE_US, HANDLE_NONE,
+		     INGRESS_TIMER_SETTLED);
+}
+
 static void check_stopped(ingress_t *ingress)
 {
 	msg_t msg = {.kind = MSG_STOPPED};
@@ -186,17 +219,41 @@
 	if (!ingress->stopping || ingress->stopped || ingress->busy > 0 ||
 	    stop_age(ingress) < STOP_MIN_US || ingress_conn_any_output(ingress))
 		return;
+	if (is_listening(ingress, LISTENER_CALLERS)) {
+		refuse_connections(ingress);
+		return;
+	}
+	if (kernel_now(ingress->kernel) - ingress->closed_at < STOP_SETTLE_US)
+		return;
 	ingress->stopped = true;
 	kernel_post(ingress->kernel, ingress->svc,
 		    kernel_find(ingress->kernel, "gateway"), &msg);
 }
 
-static void on_timer(ingress_t *ingress)
+/* Callers then use another instance at once. */
+static void check_stop_deadline(ingress_t *ingress)
+{
+	if (!ingress->stopping || ingress->stop_deadline == 0 ||
+	    !is_listening(ingress, LISTENER_CALLERS))
+		return;
+	if (kernel_now(ingress->kernel) >=
+	    ingress->stop_deadline - STOP_REFUSE_US)
+		refuse_connections(ingress);
+}
+
+static void on_timer(ingress_t *ingress, ingress_timer_t kind)
 {
-	ingress_conn_sweep(ingress);
+	switch (kind) {
+	case INGRESS_TIMER_SWEEP:
+		ingress_conn_sweep(ingress);
+		check_stop_deadline(ingress);
+		kernel_timer(ingress->kernel, ingress->svc, SWEEP_INTERVAL_US,
+			     HANDLE_NONE, INGRESS_TIMER_SWEEP);
+		break;
+	case INGRESS_TIMER_SETTLED:
+		break;
+	}
 	check_stopped(ingress);
-	kernel_timer(ingress->kernel, ingress->svc, SWEEP_INTERVAL_US,
-		     HANDLE_NONE, 0);
 }
 
 static void start(ingress_t *ingress)
@@ -207,7 +264,7 @@
 	kernel_post(ingress->kernel, ingress->svc,
 		    kernel_find(ingress->kernel, "fleet"), &msg);
 	kernel_timer(ingress->kernel, ingress->svc, SWEEP_INTERVAL_US,
-		     HANDLE_NONE, 0);
+		     HANDLE_NONE, INGRESS_TIMER_SWEEP);
 }
 
 static void receive(void *self, msg_t *msg)
@@ -224,7 +281,7 @@
 		ingress->stop_deadline = msg->u.stop.deadline;
 		break;
 	case MSG_TIMER:
-		on_timer(ingress);
+		on_timer(ingress, (ingress_timer_t)msg->u.timer.kind);
 		break;
 	case MSG_FLEET_CONF:
 		ingress->limits = msg->u.fleet_conf->limits;
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -46,6 +46,7 @@
 	bool stopping;
 	int64_t stop_requested_at; /* monotonic, us */
 	int64_t stop_deadline; /* end of the stop, monotonic, us; 0: unknown */
+	int64_t closed_at; /* callers' listener was closed, monotonic, us */
 	bool stopped; /* MSG_STOPPED has been posted */
 	errmsg_t err;
 } ingress_t;
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -323,6 +323,26 @@
 	EXPECT_EQ(table_count(&ingress.conns), 0u);
 }
 
+TEST_F(Ingress, ConnectionOpenedAtTheEndOfAStopIsNotDropped)
+{
+	uint16_t callers_port = port(LISTENER_CALLERS);
+	Client last(callers_port);
+
+	stop();
+	ingress.stop_requested_at -= 2500 * USEC_PER_MSEC;
+	sweep();
+	EXPECT_FALSE(stopped);
+	EXPECT_FALSE(Client(callers_port).connected);
+	last.send_at_once(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	ingress.closed_at -= USEC_PER_SEC;
+	sweep();
+	EXPECT_FALSE(stopped);
+	respond(0, "ok");
+	EXPECT_TRUE(last.wait_for("ok"));
+	EXPECT_TRUE(pump([&] { return stopped; }));
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
