State how long an idle connection is kept

Callers saw: under configuration changes alone, a whole request that was sent on an open connection got no answer.

Cause: the instance closes a connection at the idle limit that it knows. A caller that follows a newer, higher limit, or a limit that was lowered meanwhile, sends on it until then, and the request crosses the close.

Change: responses on kept connections state the limit in Keep-Alive, half a second and the rest of a second less than it is kept, and a connection is kept for as long as was stated. Test: IdleLimitIsStatedSoThatNoRequestCrossesTheClose (failed before).

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -12,11 +12,23 @@
 #define INPUT_MAX 262144
 /* Unsent response bytes at which a caller that reads too slowly is dropped. */
 #define OUTPUT_MAX 1048576
+/* Time for a request on an idle connection to arrive before it is closed. */
+#define KEEP_ALIVE_MARGIN_MS 500
+#define MSEC_PER_SEC 1000
 /* Time for the caller to close after the last response was written. */
 #define LINGER_TIMEOUT_US USEC_PER_SEC
 
 static void on_ready(void *data, unsigned ready);
 
+/*
+ * A lowered limit applies from the next request on: until then the caller may
+ * rely on the former one.
+ */
+static void keep_idle_limit(ingress_conn_t *conn)
+{
+	conn->idle_timeout_ms = conn->ingress->limits.idle_timeout_ms;
+}
+
 static void set_phase(ingress_conn_t *conn, ingress_phase_t phase)
 {
 	if (phase == INGRESS_BUSY)
@@ -25,13 +37,10 @@
 		conn->ingress->busy--;
 	conn->phase = phase;
 	conn->phase_since = kernel_now(conn->ingress->kernel);
-	conn->idle_timeout_ms = conn->ingress->limits.idle_timeout_ms;
+	if (phase == INGRESS_READING)
+		keep_idle_limit(conn);
 }
 
-/*
- * A lowered limit applies from the next phase on: until then the caller may
- * rely on the former one.
- */
 static int64_t idle_limit(const ingress_conn_t *conn)
 {
 	return MAX(conn->idle_timeout_ms,
@@ -55,6 +64,7 @@
 	watched = http_socket_init(&conn->sock, &ingress->kernel->pollset,
 				   socket, on_ready, conn);
 	set_phase(conn, INGRESS_IDLE);
+	keep_idle_limit(conn);
 	if (!watched) {
 		log_event(LOG_LEVEL_WARN, "ingress", "not_watched", "reason=%s",
 			  log_quote(g_strerror(errno)));
@@ -144,6 +154,20 @@
 	conn->parse.max_head = conn->ingress->limits.max_header;
 }
 
+/* States how long the caller may leave the connection idle. */
+static void add_keep_alive(ingress_conn_t *conn, http_head_t *head)
+{
+	int64_t seconds;
+	char value[32];
+
+	keep_idle_limit(conn);
+	if (conn->idle_timeout_ms < KEEP_ALIVE_MARGIN_MS + MSEC_PER_SEC)
+		return;
+	seconds = (conn->idle_timeout_ms - KEEP_ALIVE_MARGIN_MS) / MSEC_PER_SEC;
+	g_snprintf(value, sizeof(value), "timeout=%" G_GINT64_FORMAT, seconds);
+	http_head_add(head, "Keep-Alive", value);
+}
+
 static void write_head(ingress_conn_t *conn, http_head_t *head, int64_t length)
 {
 	GByteArray *bytes = g_byte_array_new();
@@ -155,6 +179,8 @@
 	conn->close_after |= conn->ingress->stopping;
 	if (conn->close_after)
 		http_head_add(head, "Connection", "close");
+	else
+		add_keep_alive(conn, head);
 	http_head_write(head, bytes);
 	http_socket_write(&conn->sock, bytes->data, bytes->len);
 	g_byte_array_unref(bytes);
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -24,7 +24,7 @@
 	http_parse_t parse;
 	GByteArray *input; /* received, not yet parsed */
 	int64_t phase_since; /* start of the phase, monotonic, us */
-	uint32_t idle_timeout_ms; /* in force when the phase began */
+	uint32_t idle_timeout_ms; /* limit that the caller relies on */
 	handle_t exchange; /* handle in "proxy" while INGRESS_BUSY */
 	bool head_sent;
 	bool chunked; /* the response body is sent in chunks */
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -343,6 +343,24 @@
 	EXPECT_TRUE(pump([&] { return stopped; }));
 }
 
+TEST_F(Ingress, IdleLimitIsStatedSoThatNoRequestCrossesTheClose)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	post(MSG_EXCHANGE_HEAD, 0);
+	EXPECT_TRUE(client.wait_for("Keep-Alive: timeout=14\r\n"));
+	ingress.limits.idle_timeout_ms = 5000;
+	post(MSG_EXCHANGE_END, 0);
+	set_age(14 * USEC_PER_SEC);
+	sweep();
+	EXPECT_EQ(table_count(&ingress.conns), 1u);
+	set_age(16 * USEC_PER_SEC);
+	sweep();
+	EXPECT_EQ(table_count(&ingress.conns), 0u);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
