Record the bills of peers before a planned stop ends

Seen: after kill -KILL of a router and a planned stop of its buddy, answers that callers had got were not billed, up to 4 of 31.

Cause: a planned stop completed once the router's own bills and grants were settled. The copies that it held for other routers were dropped, and it acknowledged further copies until the process ended, so that their owners released answers by them. In the trial the bills of the last 30 ms, the interval of commits, were only with the buddy, which stopped within 4 ms.

Change: a stopping router records the copied bills in the store and completes its stop when none is left. It uses the transactions of recovery without the checks of the owner's lease: they expect the grant's revision and no record of the bill, and name the owner as the writer, so a live owner finds its bills recorded as it finds those that a buddy recovered. From the first reply of the store on, copies are not acknowledged; they are not rejected, because after a rejection the owner spends without protection. While the store is out, copies are still taken, and the stop waits for stop_timeout_s at most; what is left then is logged as copies_unsettled.

As the owner may now write beside a recovery, a failed write reads all bills again if the grant has changed: else bills recorded meanwhile counted twice against the grant, and the last ones were dropped as too large (StopOfTheBuddyRecordsManyBillsBesideTheirOwner, 22 of 200 bills).

--- a/ledger/copy_in.c
+++ b/ledger/copy_in.c
@@ -3,6 +3,7 @@
  * this one as their buddy.
  */
 #include "ledger/local.h"
+#include "log/log.h"
 
 #include <string.h>
 
@@ -86,7 +87,8 @@
 	uint64_t session = body->u.bill_copy.session;
 	uint64_t seq = body->u.bill_copy.seq;
 
-	if (copies == NULL)
+	/* A rejection would make the sender spend without protection. */
+	if (copies == NULL || ledger->copies_closed)
 		return;
 	if (recovery_is_active(ledger, from))
 		copy_in_raise_floor(ledger, copies);
@@ -140,3 +142,24 @@
 			copy_in_free(ledger, copies);
 	}
 }
+
+/* Logs the copies that a stop leaves unsettled, one line a sender. */
+void copy_in_log_unsettled(ledger_t *ledger)
+{
+	uint32_t cursor = 0;
+	const copy_in_t *copies;
+
+	while ((copies = table_next(&ledger->copies_in, &cursor, NULL)) !=
+	       NULL) {
+		int64_t tokens = 0;
+
+		for (guint i = 0; i < copies->bills->len; i++)
+			tokens +=
+				g_array_index(copies->bills, bill_t, i).tokens;
+		if (copies->bills->len > 0)
+			log_event(LOG_LEVEL_ERROR, "ledger", "copies_unsettled",
+				  "member=%s bills=%u tokens=%" G_GINT64_FORMAT,
+				  log_quote(copies->incarnation),
+				  copies->bills->len, tokens);
+	}
+}
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -54,14 +54,16 @@
 	return MAX(count, 1);
 }
 
-/* Reports a planned stop as complete once no bill or grant is left. */
+/* Reports a planned stop as complete once no bill, grant or copy is left. */
 void check_stopped(ledger_t *ledger)
 {
 	uint32_t cursor = 0;
 	slice_t *slice;
 	msg_t msg = {.kind = MSG_STOPPED};
 
-	if (!ledger->stopping || ledger->stopped ||
+	if (!ledger->stopping || ledger->stopped)
+		return;
+	if (recovery_settle_copies(ledger) ||
 	    table_count(&ledger->reservations) > 0 ||
 	    table_count(&ledger->bills) > 0)
 		return;
@@ -70,6 +72,7 @@
 			return;
 	}
 	ledger->stopped = true;
+	ledger->copies_closed = true;
 	kernel_post(ledger->kernel, ledger->self, ledger->router, &msg);
 }
 
@@ -316,6 +319,8 @@
 	uint32_t cursor = 0;
 	void *entry;
 
+	if (ledger->stopping && !ledger->stopped)
+		copy_in_log_unsettled(ledger);
 	while ((entry = table_next(&ledger->slices, &cursor, NULL)) != NULL)
 		slice_free(ledger, entry);
 	for (cursor = 0; (entry = table_next(&ledger->calls, &cursor, NULL));)
--- a/ledger/ledger.h
+++ b/ledger/ledger.h
@@ -89,6 +89,7 @@
 	bool bill_lease_pending;
 
 	bool stopping;
+	bool copies_closed; /* copies are no longer acknowledged */
 	bool stopped;
 } ledger_t;
 
--- a/ledger/local.h
+++ b/ledger/local.h
@@ -158,12 +158,13 @@
 	RECOVERY_DELETE, /* deletes the member record */
 } recovery_step_t;
 
-/* Recovery of a dead router's grants. */
+/* Recovery of a dead router's grants, or the settlement of copies at a stop. */
 typedef struct recovery_t {
 	handle_t handle;
 	char incarnation[INCARNATION_SIZE];
 	bool instance_gone;
 	bool return_unspent; /* unspent tokens may go back to the budget */
+	bool copies_only; /* records copied bills; the owner may be alive */
 	int64_t waiting_since;
 	int64_t created_at;
 	recovery_step_t step;
@@ -291,6 +292,7 @@
 void copy_in_trim(ledger_t *ledger, const char *from, const peer_body_t *body);
 void copy_in_free(ledger_t *ledger, copy_in_t *copies);
 void copy_in_raise_floor(ledger_t *ledger, copy_in_t *copies);
+void copy_in_log_unsettled(ledger_t *ledger);
 void copy_in_tick(ledger_t *ledger);
 
 /* recover.c */
@@ -299,6 +301,7 @@
 void recovery_result(ledger_t *ledger, handle_t handle,
 		     const store_result_t *result);
 bool recovery_is_active(const ledger_t *ledger, const char *incarnation);
+bool recovery_settle_copies(ledger_t *ledger);
 void recovery_free(ledger_t *ledger, recovery_t *recovery);
 
 /* withheld.c */
--- a/ledger/recover.c
+++ b/ledger/recover.c
@@ -1,6 +1,7 @@
 /*
  * Recovery of the grants of dead routers: records the bills copied here and
- * returns unspent tokens to the budgets.
+ * returns unspent tokens to the budgets.  A planned stop records the copied
+ * bills of all routers, dead or alive, and leaves their grants.
  */
 #include "ledger/local.h"
 #include "log/log.h"
@@ -32,7 +33,8 @@
 {
 	const recovery_t *recovery = recovery_find(ledger, incarnation);
 
-	return recovery != NULL && recovery->step != RECOVERY_WAIT;
+	return recovery != NULL && recovery->step != RECOVERY_WAIT &&
+	       !recovery->copies_only;
 }
 
 void recovery_free(ledger_t *ledger, recovery_t *recovery)
@@ -92,6 +94,8 @@
 	int64_t now = kernel_now(ledger->kernel);
 	int64_t expiry = 2 * ledger->opts.ack_valid_us;
 
+	if (recovery->copies_only)
+		return 0;
 	if (holds_copies(ledger, recovery))
 		return MAX(copies->last_recv_at + expiry - now, 0);
 	if (!recovery->instance_gone)
@@ -127,10 +131,11 @@
 	copy_in_t *copies = copy_in_find(ledger, recovery->incarnation);
 	char key[STORE_KEY_SIZE];
 
-	if (copies != NULL)
+	if (copies != NULL && !recovery->copies_only)
 		copy_in_raise_floor(ledger, copies);
 	recovery->step = RECOVERY_MEMBER;
-	recovery->close_grants = recovery->instance_gone;
+	recovery->close_grants =
+		recovery->instance_gone && !recovery->copies_only;
 	member_key(key, recovery);
 	recovery_get(ledger, recovery, key, false);
 }
@@ -372,7 +377,8 @@
 	if (!recovery->outcome_unknown)
 		recovery->op = next_op(ledger);
 	store_txn_group(txn);
-	add_owner_checks(txn, recovery);
+	if (!recovery->copies_only)
+		add_owner_checks(txn, recovery);
 	if (recovery->read_only)
 		add_reads(txn, recovery, key);
 	else
@@ -405,22 +411,25 @@
 		return;
 	}
 	withheld_record(ledger, recovery);
-	if (recovery->instance_gone && !recovery->close_grants)
+	if (recovery->instance_gone && !recovery->close_grants &&
+	    !recovery->copies_only)
 		recovery_begin(ledger, recovery);
 	else if (recovery->close_grants && recovery->wrote)
 		recovery_list_grants(ledger, recovery);
 	else
-		recovery_end(ledger, recovery, recovery->return_unspent);
+		recovery_end(ledger, recovery,
+			     recovery->return_unspent || recovery->copies_only);
 }
 
 /*
- * Writes the current grant, or skips it if only withheld tokens are left and
- * the store already has all copied bills.
+ * Writes the current grant, or skips it if no tokens are to be returned and the
+ * store already has all copied bills.
  */
 static void recovery_continue(ledger_t *ledger, recovery_t *recovery)
 {
 	if (recovery->bills->len > 0 ||
-	    !grant_is_withheld(&current_grant(recovery)->record.u.grant)) {
+	    (!recovery->copies_only &&
+	     !grant_is_withheld(&current_grant(recovery)->record.u.grant))) {
 		recovery_write(ledger, recovery);
 		return;
 	}
@@ -455,6 +464,12 @@
 	char key[STORE_KEY_SIZE];
 	const store_kv_t *kv;
 
+	if (recovery->copies_only) {
+		/* Only now: there is no other buddy during a store outage. */
+		ledger->copies_closed = true;
+		recovery_list_grants(ledger, recovery);
+		return;
+	}
 	member_key(key, recovery);
 	kv = store_result_find(result, key);
 	recovery->member_rev = kv == NULL ? 0 : kv->revision;
@@ -510,7 +525,8 @@
 		recovery_next_grant(ledger, recovery);
 }
 
-static void drop_recorded(recovery_t *recovery, const store_result_t *result)
+static void drop_recorded(recovery_t *recovery, const store_result_t *result,
+			  bool grant_changed)
 {
 	char key[STORE_KEY_SIZE];
 
@@ -532,6 +548,10 @@
 		    recovery->batch_start + recovery->batch_len);
 	recovery->bills_checked =
 		MIN(recovery->bills_checked, recovery->bills->len);
+	/* With the grant, bills outside the call may have been recorded. */
+	if (grant_changed)
+		recovery->bills_checked =
+			recovery->batch_start == 0 ? recovery->batch_len : 0;
 }
 
 /*
@@ -545,6 +565,7 @@
 	char budget[NAME_SIZE];
 	char key[STORE_KEY_SIZE];
 	const store_kv_t *kv;
+	bool grant_changed;
 
 	alive_key(key, recovery);
 	kv = store_result_find(result, key);
@@ -555,6 +576,7 @@
 	if (kv != NULL && kv->revision != recovery->member_rev)
 		return false;
 	kv = store_result_find(result, grant->key);
+	grant_changed = kv != NULL && kv->revision != grant->revision;
 	if (kv != NULL) {
 		grant->revision = kv->revision;
 		grant->record = kv->record;
@@ -566,7 +588,7 @@
 		recovery->budget_rev = kv->revision;
 		recovery->budget = kv->record.u.budget;
 	}
-	drop_recorded(recovery, result);
+	drop_recorded(recovery, result, grant_changed);
 	return true;
 }
 
@@ -715,3 +737,34 @@
 	if (recovery->step == RECOVERY_WAIT)
 		recovery_wait(ledger, recovery, 0);
 }
+
+/*
+ * Starts to record the bills copied here, and returns true while any are left.
+ * A bill that its owner records at the same time is recorded once: each writer
+ * expects the grant's revision and no record of the bill.
+ */
+bool recovery_settle_copies(ledger_t *ledger)
+{
+	uint32_t cursor = 0;
+	bool left = false;
+	const copy_in_t *copies;
+	recovery_t *recovery;
+
+	while ((copies = table_next(&ledger->copies_in, &cursor, NULL)) !=
+	       NULL) {
+		if (copies->bills->len == 0)
+			continue;
+		left = true;
+		recovery = recovery_find(ledger, copies->incarnation);
+		if (recovery == NULL)
+			recovery = recovery_new(ledger, copies->incarnation);
+		if (recovery->step != RECOVERY_WAIT || recovery->copies_only)
+			continue;
+		log_event(LOG_LEVEL_INFO, "ledger", "settle_copies",
+			  "member=%s bills=%u", log_quote(copies->incarnation),
+			  copies->bills->len);
+		recovery->copies_only = true;
+		recovery_wait(ledger, recovery, 0);
+	}
+	return left;
+}
--- a/tests/ledger_prove.cc
+++ b/tests/ledger_prove.cc
@@ -16,9 +16,15 @@
 	uint64_t checks = 0;
 	std::string overspend, unbilled;
 	uint64_t counters[COUNTER_COUNT] = {};
-	uint64_t crashes = 0, lost = 0;
+	uint64_t crashes = 0, lost = 0, stops = 0;
 };
 
+void start_absent(World &world, int index)
+{
+	if (world.routers[(size_t)index] == nullptr)
+		world.start(index);
+}
+
 // The promises exclude crashes of a router and its buddy at the same time.
 bool may_crash(World &world, int index)
 {
@@ -47,21 +53,21 @@
 		world.cut_links.insert({index, (int)i});
 		world.cut_links.insert({(int)i, index});
 	}
-	world.after(
-		5 * SEC + world.random_below(6 * SEC), [&world, index, inc] {
-			for (size_t i = 0; i < world.routers.size(); i++) {
-				world.cut_links.erase({index, (int)i});
-				world.cut_links.erase({(int)i, index});
-			}
-			if (world.find(inc) == nullptr)
-				return;
-			world.find(inc)->store_unreachable = false;
-			if (!may_crash(world, index))
-				return;
-			world.crash(index);
-			world.after(1 * SEC + world.random_below(5 * SEC),
-				    [&world, index] { world.start(index); });
-		});
+	world.after(5 * SEC + world.random_below(6 * SEC), [&world, index,
+							    inc] {
+		for (size_t i = 0; i < world.routers.size(); i++) {
+			world.cut_links.erase({index, (int)i});
+			world.cut_links.erase({(int)i, index});
+		}
+		if (world.find(inc) == nullptr)
+			return;
+		world.find(inc)->store_unreachable = false;
+		if (!may_crash(world, index))
+			return;
+		world.crash(index);
+		world.after(1 * SEC + world.random_below(5 * SEC),
+			    [&world, index] { start_absent(world, index); });
+	});
 }
 
 void random_fault(World &world, int routers)
@@ -80,7 +86,9 @@
 		if (may_crash(world, index)) {
 			world.crash(index);
 			world.after(1 * SEC + world.random_below(5 * SEC),
-				    [&world, index] { world.start(index); });
+				    [&world, index] {
+					    start_absent(world, index);
+				    });
 		}
 		break;
 	case 2:
@@ -129,6 +137,40 @@
 	}
 }
 
+// Stops a router as planned, often the buddy of a router that has just crashed,
+// and sometimes all of them.
+void random_stop(World &world, int routers)
+{
+	int index = (int)world.random_below(routers);
+	Router *router = world.routers[(size_t)index].get();
+	std::string buddy = router == nullptr ? "" : router->buddy;
+	int64_t choice = world.random_below(12);
+
+	if (choice > 2 || router == nullptr)
+		return;
+	if (choice > 0 && may_crash(world, index))
+		world.crash(index);
+	for (int i = 0; i < routers; i++) {
+		Router *other = world.routers[(size_t)i].get();
+		if (other == nullptr || other->stopping ||
+		    (choice < 2 && other->incarnation != buddy))
+			continue;
+		std::string inc = other->incarnation;
+		world.after(world.random_below(60 * MS), [&world, i, inc] {
+			if (world.find(inc) != nullptr)
+				world.stop(i);
+		});
+	}
+}
+
+// Starts absent routers after 2 s on average.
+void restart_some(World &world, int routers)
+{
+	for (int i = 0; i < routers; i++)
+		if (world.random_below(8) == 0)
+			start_absent(world, i);
+}
+
 void random_requests(World &world, int routers, int &serial)
 {
 	for (int64_t n = world.random_below(8); n > 0; n--) {
@@ -153,7 +195,8 @@
 	}
 }
 
-ScheduleResult run_schedule(uint64_t seed, int steps, bool broken_store)
+ScheduleResult run_schedule(uint64_t seed, int steps, bool broken_store,
+			    bool planned_stops = false)
 {
 	World world(seed);
 	int routers = 2 + (int)(seed % 2);
@@ -175,9 +218,18 @@
 		random_fault(world, routers);
 		random_requests(world, routers, serial);
 		world.run_for(STEP_TIME);
+		if (planned_stops) {
+			random_stop(world, routers);
+			restart_some(world, routers);
+		}
 	}
 	world.run_for(1 * SEC);
 	world.clear_faults();
+	if (planned_stops) {
+		world.run_for(5 * SEC);
+		for (int i = 0; i < routers; i++)
+			start_absent(world, i);
+	}
 	world.run_for(120 * SEC);
 	world.check_end();
 	ScheduleResult result;
@@ -186,6 +238,7 @@
 	result.unbilled = world.unbilled;
 	result.crashes = world.crashed.size();
 	result.lost = world.unprotected_bills_lost;
+	result.stops = world.stops;
 	memcpy(result.counters, world.counters, sizeof(result.counters));
 	return result;
 }
@@ -279,6 +332,43 @@
 	EXPECT_EQ(violations[1], 0u) << first[1];
 }
 
+// Promises 1 and 2 must hold when routers stop as planned, also right after a
+// crash of a router whose bills they hold.
+TEST(Prove, PlannedStopsUnderFaults)
+{
+	uint64_t from, to, checks = 0, crashes = 0, stops = 0;
+	unsigned schedules = 0, violations[2] = {0, 0};
+	uint64_t seeds[2] = {0, 0};
+	std::string first[2];
+
+	seed_range(&from, &to);
+	for (uint64_t seed = from; seed <= to; seed++) {
+		ScheduleResult result = run_schedule(seed, STEPS, false, true);
+		std::string found[2] = {result.overspend, result.unbilled};
+		schedules++;
+		checks += result.checks;
+		crashes += result.crashes;
+		stops += result.stops;
+		for (int i = 0; i < 2; i++)
+			if (!found[i].empty() && violations[i]++ == 0) {
+				seeds[i] = seed;
+				first[i] = found[i];
+			}
+	}
+	report(1, "overspend_stops", schedules, checks, violations[0], seeds[0],
+	       first[0], STEPS);
+	report(2, "billed_once_stops", schedules, checks, violations[1],
+	       seeds[1], first[1], STEPS);
+	printf("seen: crashes=%lu stops=%lu\n", (unsigned long)crashes,
+	       (unsigned long)stops);
+	if (schedules >= 100) {
+		EXPECT_GT(crashes, 0u);
+		EXPECT_GT(stops, 0u);
+	}
+	EXPECT_EQ(violations[0], 0u) << first[0];
+	EXPECT_EQ(violations[1], 0u) << first[1];
+}
+
 // Regression test: schedules outside the default range that failed.
 TEST(Prove, SchedulesThatFailedBefore)
 {
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -156,6 +156,127 @@
 	EXPECT_EQ(world.budget("main").retired, 60);
 }
 
+// A planned stop must not lose the bills that it holds for a crashed router.
+TEST_F(Ledger, StopOfTheBuddyKeepsBillsOfACrashedRouter)
+{
+	start_routers(3, 30000);
+	ASSERT_EQ(router(0)->buddy, router(2)->incarnation);
+	world.submit(0, request("a", 100, 100));
+	world.run_for(1 * SEC);
+	router(0)->store_unreachable = true;
+	world.submit(0, request("b", 100, 70));
+	world.run_for(200 * MS);
+	EXPECT_EQ(world.released.size(), 2u);
+	EXPECT_EQ(world.store.entries.count("bill/acme/b/f"), 0u);
+	world.crash(0);
+	kernel_stop(&router(1)->kernel);
+	kernel_stop(&router(2)->kernel);
+	world.run_for(2 * SEC);
+	EXPECT_TRUE(router(1)->stopped);
+	EXPECT_TRUE(router(2)->stopped);
+	EXPECT_EQ(world.store.entries.count("bill/acme/b/f"), 1u);
+	EXPECT_EQ(world.overspend, "");
+}
+
+// The buddy and the owner must not both charge a bill, and a buddy that stops
+// must not acknowledge copies that it drops.
+TEST_F(Ledger, StopOfTheBuddyBillsALiveRouterOnce)
+{
+	start_routers(3, 30000);
+	world.submit(0, request("a", 100, 100));
+	world.run_for(1 * SEC);
+	router(0)->store_unreachable = true;
+	world.submit(0, request("b", 100, 70));
+	world.run_for(200 * MS);
+	EXPECT_EQ(world.released.count("b"), 1u);
+	kernel_stop(&router(2)->kernel);
+	world.run_for(1 * SEC);
+	EXPECT_TRUE(router(2)->stopped);
+	EXPECT_EQ(world.store.entries.count("bill/acme/b/f"), 1u);
+	world.submit(0, request("c", 100, 30));
+	world.run_for(1 * SEC);
+	EXPECT_EQ(world.released.count("c"), 0u);
+	router(0)->store_unreachable = false;
+	world.run_for(5 * SEC);
+	EXPECT_EQ(world.released.count("c"), 1u);
+	record_grant_t grant =
+		world.store.entries["grant/inc-0/acme/main"].record.u.grant;
+	EXPECT_EQ(grant.settled, 200);
+	EXPECT_EQ(world.overspend, "");
+}
+
+// More bills than one write holds, most of which their owner records between
+// the buddy's reads and its write, must not seem too large for the grant.
+TEST_F(Ledger, StopOfTheBuddyRecordsManyBillsBesideTheirOwner)
+{
+	for (int delay = 0; delay < 30; delay++) {
+		World local(1);
+		Store &store = local.store;
+		local.fast_links = true;
+		local.set_budget("main", 2000);
+		for (int i = 0; i < 3; i++)
+			local.start(i);
+		local.run_for(3 * SEC);
+		local.submit(0, request("a", 2000, 0));
+		local.run_for(1 * SEC);
+		local.routers[0]->store_unreachable = true;
+		for (int i = 0; i < 200; i++)
+			local.submit(0,
+				     request(("m" + std::to_string(i)).c_str(),
+					     10, 10));
+		local.run_for(200 * MS);
+		ASSERT_EQ(local.released.size(), 201u);
+		local.crash(0);
+		kernel_stop(&local.routers[2]->kernel);
+		local.run_for((490 + delay) * MS);
+		record_t grant = store.entries["grant/inc-0/acme/main"].record;
+		record_t bill = store.entries["bill/acme/a/f"].record;
+		bill.u.bill.tokens = 10;
+		for (int i = 0; i < 178; i++) {
+			std::string key =
+				"bill/acme/m" + std::to_string(i) + "/f";
+			if (store.revision_of(key) != 0)
+				continue;
+			store.put(key, bill);
+			grant.u.grant.settled += 10;
+		}
+		store.put("grant/inc-0/acme/main", grant);
+		local.run_for(3 * SEC);
+		EXPECT_TRUE(local.routers[2]->stopped);
+		for (int i = 178; i < 200; i++)
+			EXPECT_NE(store.revision_of("bill/acme/m" +
+						    std::to_string(i) + "/f"),
+				  0)
+				<< "bill " << i << " after " << delay << " ms";
+		EXPECT_EQ(local.overspend, "");
+	}
+}
+
+// A buddy that stops while the store is down must protect its peers until it
+// can write their bills.
+TEST_F(Ledger, StopOfTheBuddyHoldsCopiesUntilTheStoreReplies)
+{
+	start_routers(3, 30000);
+	world.submit(0, request("a", 100, 100));
+	world.run_for(1 * SEC);
+	world.store.up = false;
+	world.submit(0, request("b", 100, 70));
+	world.run_for(200 * MS);
+	kernel_stop(&router(2)->kernel);
+	world.run_for(20 * SEC);
+	EXPECT_FALSE(router(2)->stopped);
+	world.submit(0, request("c", 100, 30));
+	world.run_for(500 * MS);
+	EXPECT_EQ(world.released.count("c"), 1u);
+	world.crash(0);
+	world.store.up = true;
+	world.run_for(3 * SEC);
+	EXPECT_TRUE(router(2)->stopped);
+	EXPECT_EQ(world.store.entries.count("bill/acme/b/f"), 1u);
+	EXPECT_EQ(world.store.entries.count("bill/acme/c/f"), 1u);
+	EXPECT_EQ(world.overspend, "");
+}
+
 // Two idempotency keys must never share a record, whatever their bytes.
 TEST_F(Ledger, KeysAreEscapedAndBounded)
 {
--- a/tests/ledger_world.h
+++ b/tests/ledger_world.h
@@ -83,6 +83,7 @@
 	svc_t store, peer, member, request, router;
 	bool paused = false;
 	bool store_unreachable = false;
+	bool stopping = false;
 	bool stopped = false;
 	int64_t lease_until = 0; // end of the store lease
 	std::string buddy;
@@ -109,6 +110,7 @@
 	// Time until the instance list shows a crash.
 	int64_t instance_gone_delay = 20 * USEC_PER_SEC;
 	uint64_t unprotected_bills_lost = 0; // released, then lost in a crash
+	uint64_t stops = 0; // planned stops that were completed
 	uint64_t counters[COUNTER_COUNT] = {}; // sums over all routers
 	ledger_opts_t opts;
 	bool fast_links = false;
@@ -133,6 +135,8 @@
 	int live_routers() const;
 	void start(int index);
 	void crash(int index);
+	void stop(int index);
+	void exit_if_stopped(const std::string &incarnation);
 	void set_budget(const std::string &name, int64_t add);
 	void submit(int index, const Request &request, int64_t deadline_us = 0);
 	void run_for(int64_t us);
--- a/tests/ledger_world_impl.h
+++ b/tests/ledger_world_impl.h
@@ -182,6 +182,37 @@
 	publish_members();
 }
 
+// Starts a planned stop; the router exits once its ledger has stopped.
+inline void World::stop(int index)
+{
+	Router *router = routers[(size_t)index].get();
+
+	router->stopping = true;
+	kernel_stop(&router->kernel);
+	exit_if_stopped(router->incarnation);
+}
+
+inline void World::exit_if_stopped(const std::string &incarnation)
+{
+	Router *router = find(incarnation);
+
+	if (router == nullptr)
+		return;
+	if (!router->stopped || router->paused) {
+		after(10 * MS,
+		      [this, incarnation] { exit_if_stopped(incarnation); });
+		return;
+	}
+	stops++;
+	add_counters(router);
+	ledger_finish(&router->ledger);
+	kernel_finish(&router->kernel);
+	store.erase("alive/" + incarnation);
+	store.erase("member/" + incarnation);
+	routers[(size_t)router->index].reset();
+	publish_members();
+}
+
 // Posts a message to a router; a paused router keeps it in its queue.
 inline void World::post(const std::string &incarnation, svc_t Router::*from,
 			msg_t *msg)
