Log for whom prepaid tokens were refused, and each transfer

Tokens that arrive at an instance that has returned its grant could not be told from others.

event=refused gets kind and stopping; event=received gets stopping and closed; each transfer to a peer writes event=sent (level debug).

--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -312,8 +312,10 @@
 	if (body->u.slice.tokens > 0) {
 		account->transferred_in += body->u.slice.tokens;
 		log_event(LOG_LEVEL_DEBUG, "prepaid", "received",
-			  "account=%s tokens=%" G_GINT64_FORMAT " peer=%s",
+			  "account=%s tokens=%" G_GINT64_FORMAT
+			  " stopping=%d closed=%d peer=%s",
 			  account->name, body->u.slice.tokens,
+			  prepaid->stopping, account->grant_closed,
 			  msg->u.peer.incarnation);
 		reservations_serve(prepaid, account);
 	}
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -96,6 +96,9 @@
 	g_strlcpy(body->u.slice.client_account, account->name,
 		  sizeof(body->u.slice.client_account));
 	body->u.slice.tokens = transfer_out(account, tokens);
+	log_event(LOG_LEVEL_DEBUG, "prepaid", "sent",
+		  "account=%s tokens=%" G_GINT64_FORMAT " stopping=%d peer=%s",
+		  account->name, body->u.slice.tokens, prepaid->stopping, peer);
 	send_body(prepaid, peer, body);
 }
 
@@ -162,22 +165,37 @@
 	}
 }
 
+static const char *kind_name(reservation_kind_t kind)
+{
+	switch (kind) {
+	case RESERVATION_REQUEST:
+		return "request";
+	case RESERVATION_SLICE:
+		return "slice";
+	case RESERVATION_REFILL:
+		return "refill";
+	}
+	return "unknown";
+}
+
 void reservation_refuse(prepaid_t *prepaid, reservation_t *reservation,
 			reserve_result_t result)
 {
 	prepaid_account_t *account = reservation->account;
 
 	log_event(LOG_LEVEL_INFO, "prepaid", "refused",
-		  "request=%s account=%s tokens=%" G_GINT64_FORMAT " reason=%s "
-		  "available=%" G_GINT64_FORMAT " unallocated=%" G_GINT64_FORMAT
-		  " prepaid=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
-		  " store_up=%d home=%s peer=%s",
+		  "kind=%s request=%s account=%s tokens=%" G_GINT64_FORMAT
+		  " reason=%s available=%" G_GINT64_FORMAT
+		  " unallocated=%" G_GINT64_FORMAT " prepaid=%" G_GINT64_FORMAT
+		  " revision=%" G_GINT64_FORMAT
+		  " store_up=%d stopping=%d home=%s peer=%s",
+		  kind_name(reservation->kind),
 		  log_quote(reservation->request_id), account->name,
 		  reservation->tokens,
 		  result == RESERVE_SPENT ? "spent" : "store_unavailable",
 		  account_available(account), account_unallocated(account),
 		  account->prepaid_tokens, account->revision, prepaid->store_up,
-		  account->home, reservation->peer);
+		  prepaid->stopping, account->home, reservation->peer);
 	switch (reservation->kind) {
 	case RESERVATION_REQUEST:
 		post_result(prepaid, reservation, result);
