Tell the peers before a stopping instance returns its tokens

What callers saw: nothing at once. Tokens of their accounts were lost at planned stops, which brings 402 nearer for an account that isn't spent.

Cause: an instance that has returned its grant runs on until its last request ends or the exit timer fires, up to 0.5 s. Its peers still took it for the home of accounts and returned what they did not need, each second. It could neither use nor pass on these tokens.

Change: prepaid announces its stop with the leave message that member sends at the exit, and peer gives it to prepaid too. Peers choose other homes at once, and so does an instance that stops itself. Tokens that cross the announcement are passed on. They are added to what was received and to what was sent, so the grant that is being returned stays as it was and each token has one holder.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -131,15 +131,22 @@
 	return HANDLE_NONE;
 }
 
-void peer_body_received(peer_t *peer, conn_t *conn, peer_body_t *body)
+static void post_body(peer_t *peer, const conn_t *conn, svc_t to,
+		      peer_body_t *body)
 {
 	msg_t msg = {.kind = MSG_PEER_RECEIVED};
 
 	g_strlcpy(msg.u.peer.incarnation, conn->remote.incarnation,
 		  sizeof(msg.u.peer.incarnation));
 	msg.u.peer.body = body;
-	kernel_post(peer->kernel, peer->svc, body_service(peer, body->kind),
-		    &msg);
+	kernel_post(peer->kernel, peer->svc, to, &msg);
+}
+
+void peer_body_received(peer_t *peer, conn_t *conn, peer_body_t *body)
+{
+	if (body->kind == PEER_LEAVE)
+		post_body(peer, conn, peer->ledger, peer_body_new(PEER_LEAVE));
+	post_body(peer, conn, body_service(peer, body->kind), body);
 }
 
 /*
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -220,7 +220,6 @@
 	int64_t now = kernel_now(prepaid->kernel);
 
 	sharing_home_replied(prepaid, account);
-	account->transferred_in += MAX(body->u.refill_reply.tokens, 0);
 	account->headroom_limit = MAX(body->u.refill_reply.most, 0);
 	log_event(LOG_LEVEL_DEBUG, "prepaid", "refilled",
 		  "account=%s tokens=%" G_GINT64_FORMAT
@@ -228,7 +227,8 @@
 		  account->name, body->u.refill_reply.tokens,
 		  account->headroom_limit, body->u.refill_reply.spent,
 		  msg->u.peer.incarnation);
-	reservations_serve(prepaid, account);
+	sharing_tokens_received(prepaid, account,
+				MAX(body->u.refill_reply.tokens, 0));
 	if (account->waiting.length == 0)
 		return;
 	if (body->u.refill_reply.spent) {
@@ -310,14 +310,13 @@
 
 	sharing_slice_received(account, msg->u.peer.incarnation);
 	if (body->u.slice.tokens > 0) {
-		account->transferred_in += body->u.slice.tokens;
 		log_event(LOG_LEVEL_DEBUG, "prepaid", "received",
 			  "account=%s tokens=%" G_GINT64_FORMAT
 			  " stopping=%d closed=%d peer=%s",
 			  account->name, body->u.slice.tokens,
 			  prepaid->stopping, account->grant_closed,
 			  msg->u.peer.incarnation);
-		reservations_serve(prepaid, account);
+		sharing_tokens_received(prepaid, account, body->u.slice.tokens);
 	}
 	refuse_answered(prepaid, account);
 }
@@ -412,12 +411,25 @@
 	prepaid_account_t *account;
 
 	prepaid->stopping = true;
+	prepaid->homes_version++;
+	sharing_announce_stop(prepaid);
 	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
 	       NULL)
 		grant_advance(prepaid, account);
 	check_stopped(prepaid);
 }
 
+/* A peer that stops keeps no tokens, so nothing more is sent to it. */
+static void peer_stops(prepaid_t *prepaid, const msg_t *msg)
+{
+	msg_t down = {.kind = MSG_PEER_DOWN};
+
+	g_strlcpy(down.u.peer_addr.incarnation, msg->u.peer.incarnation,
+		  sizeof(down.u.peer_addr.incarnation));
+	peer_set_update(&prepaid->peers, &down);
+	prepaid->homes_version++;
+}
+
 static void peer_received(prepaid_t *prepaid, const msg_t *msg)
 {
 	switch (msg->u.peer.body->kind) {
@@ -433,6 +445,9 @@
 	case PEER_REFILL_REPLY:
 		refill_received(prepaid, msg);
 		break;
+	case PEER_LEAVE:
+		peer_stops(prepaid, msg);
+		break;
 	default:
 		break;
 	}
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -88,20 +88,33 @@
 	return tokens;
 }
 
-void reservation_send_slice(prepaid_t *prepaid, prepaid_account_t *account,
-			    const char *peer, int64_t tokens)
+static void send_slice(prepaid_t *prepaid, const prepaid_account_t *account,
+		       const char *peer, int64_t tokens)
 {
 	peer_body_t *body = peer_body_new(PEER_SLICE_REPLY);
 
 	g_strlcpy(body->u.slice.client_account, account->name,
 		  sizeof(body->u.slice.client_account));
-	body->u.slice.tokens = transfer_out(account, tokens);
+	body->u.slice.tokens = tokens;
 	log_event(LOG_LEVEL_DEBUG, "prepaid", "sent",
 		  "account=%s tokens=%" G_GINT64_FORMAT " stopping=%d peer=%s",
-		  account->name, body->u.slice.tokens, prepaid->stopping, peer);
+		  account->name, tokens, prepaid->stopping, peer);
 	send_body(prepaid, peer, body);
 }
 
+void reservation_send_slice(prepaid_t *prepaid, prepaid_account_t *account,
+			    const char *peer, int64_t tokens)
+{
+	send_slice(prepaid, account, peer, transfer_out(account, tokens));
+}
+
+void reservation_forward_slice(prepaid_t *prepaid, prepaid_account_t *account,
+			       const char *peer, int64_t tokens)
+{
+	account->transferred_out += tokens;
+	send_slice(prepaid, account, peer, tokens);
+}
+
 fleet_share_t reservation_home_share(const prepaid_t *prepaid,
 				     const prepaid_account_t *account)
 {
--- a/prepaid/reservation.h
+++ b/prepaid/reservation.h
@@ -63,6 +63,9 @@
 /* Transfers up to this many tokens to a peer, which owns them from then on. */
 void reservation_send_slice(prepaid_t *prepaid, prepaid_account_t *account,
 			    const char *peer, int64_t tokens);
+/* Transfers tokens that were received after the grant was closed. */
+void reservation_forward_slice(prepaid_t *prepaid, prepaid_account_t *account,
+			       const char *peer, int64_t tokens);
 
 G_END_DECLS
 
--- a/prepaid/sharing.c
+++ b/prepaid/sharing.c
@@ -137,8 +137,8 @@
 {
 	uint64_t best = 0;
 
-	/* An instance that cannot call the store cannot be a home. */
-	if (prepaid->store_up)
+	/* A home has to call the store, and keeps its grant. */
+	if (prepaid->store_up && !prepaid->stopping)
 		best = hash_rendezvous(prepaid->opts.incarnation,
 				       account->name);
 	account->home[0] = '\0';
@@ -289,18 +289,47 @@
 		reservation_send_slice(prepaid, account, account->home, excess);
 }
 
+static const char *return_address(prepaid_t *prepaid,
+				  prepaid_account_t *account)
+{
+	if (account->home_version != prepaid->homes_version)
+		choose_home(prepaid, account);
+	return account->home[0] != '\0'
+		       ? account->home
+		       : peer_set_at(&prepaid->peers, 0)->incarnation;
+}
+
 void sharing_return_transfers(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	int64_t unused = account_unused_transfers(account);
 
 	if (unused <= 0 || peer_set_count(&prepaid->peers) == 0)
 		return;
-	if (account->home_version != prepaid->homes_version)
-		choose_home(prepaid, account);
-	reservation_send_slice(
-		prepaid, account,
-		account->home[0] != '\0'
-			? account->home
-			: peer_set_at(&prepaid->peers, 0)->incarnation,
-		unused);
+	reservation_send_slice(prepaid, account,
+			       return_address(prepaid, account), unused);
+}
+
+void sharing_tokens_received(prepaid_t *prepaid, prepaid_account_t *account,
+			     int64_t tokens)
+{
+	account->transferred_in += tokens;
+	reservations_serve(prepaid, account);
+	if (!prepaid->stopping || tokens <= 0)
+		return;
+	if (!account->grant_closed)
+		sharing_return_transfers(prepaid, account);
+	else if (peer_set_count(&prepaid->peers) > 0)
+		reservation_forward_slice(prepaid, account,
+					  return_address(prepaid, account),
+					  tokens);
+	else
+		log_event(LOG_LEVEL_WARN, "prepaid", "lost",
+			  "account=%s tokens=%" G_GINT64_FORMAT
+			  " reason=no_peer",
+			  account->name, tokens);
+}
+
+void sharing_announce_stop(prepaid_t *prepaid)
+{
+	send_body(prepaid, "", peer_body_new(PEER_LEAVE));
 }
--- a/prepaid/sharing.h
+++ b/prepaid/sharing.h
@@ -38,6 +38,11 @@
 void sharing_return_excess(prepaid_t *prepaid, prepaid_account_t *account);
 /* Passes on unused tokens received from peers, before a planned stop. */
 void sharing_return_transfers(prepaid_t *prepaid, prepaid_account_t *account);
+/* Uses tokens from a peer, or passes them on during a planned stop. */
+void sharing_tokens_received(prepaid_t *prepaid, prepaid_account_t *account,
+			     int64_t tokens);
+/* Tells the peers that this instance keeps no tokens from now on. */
+void sharing_announce_stop(prepaid_t *prepaid);
 
 G_END_DECLS
 
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -324,8 +324,16 @@
 	kernel_t kernel;
 	peer_t peer;
 	int up = 0, down = 0, crash_reports = 0, heartbeats = 0;
+	int leaves_to_member = 0, leaves_to_prepaid = 0;
 	std::string last_sender;
 
+	static void receive_prepaid(void *self, msg_t *msg)
+	{
+		if (msg->kind == MSG_PEER_RECEIVED &&
+		    msg->u.peer.body->kind == PEER_LEAVE)
+			static_cast<Router *>(self)->leaves_to_prepaid++;
+	}
+
 	static void receive(void *self, msg_t *msg)
 	{
 		auto *router = static_cast<Router *>(self);
@@ -341,6 +349,8 @@
 			router->crash_reports++;
 		if (msg->u.peer.body->kind == PEER_HEARTBEAT)
 			router->heartbeats++;
+		if (msg->u.peer.body->kind == PEER_LEAVE)
+			router->leaves_to_member++;
 	}
 	Router(const char *incarnation, const char *key,
 	       int64_t ping_interval = 0)
@@ -350,6 +360,7 @@
 		kernel_init(&kernel, CLOCK_REAL, 0);
 		kernel_register(&kernel, "member", receive, this);
 		kernel_register(&kernel, "request", receive, this);
+		kernel_register(&kernel, "prepaid", receive_prepaid, this);
 		opts.self = make_member(incarnation, "z1");
 		g_strlcpy(opts.listen_host, "127.0.0.1", HOST_SIZE);
 		g_strlcpy(opts.key, key, sizeof(opts.key));
@@ -426,6 +437,20 @@
 	EXPECT_EQ(a.down + b.down, 0);
 }
 
+// Guards against tokens that are sent to an instance that is about to stop.
+TEST(Peer, LeaveReachesMemberAndPrepaid)
+{
+	Router a("a", shared_key), b("b", shared_key);
+
+	a.connect("", b);
+	ASSERT_TRUE(wait_for([&] { return a.up == 1 && b.up == 1; }));
+	ASSERT_TRUE(wait_for([&] {
+		a.send("", PEER_LEAVE);
+		return b.leaves_to_member > 0;
+	}));
+	EXPECT_EQ(b.leaves_to_prepaid, b.leaves_to_member);
+}
+
 // A SYN to an instance without power is lost, and TCP retransmits it only after
 // 1 s.  The first attempt must time out earlier, so that the instance is
 // reached soon after its power returns; later attempts must have more time.
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -777,6 +777,99 @@
 	finish_cluster(&cluster);
 }
 
+// Tokens that are neither spent nor at an instance that runs nor in the record.
+int64_t lost_tokens(const cluster_t *cluster)
+{
+	int64_t lost = -cluster->spent;
+	const record_t *record = &cluster->store.stored.record;
+
+	if (record->kind == RECORD_ALLOCATION)
+		lost += allocation_total(record->u.allocation);
+	for (auto &node : cluster->nodes) {
+		const prepaid_account_t *account = find_account(node.get());
+
+		lost -= account_available(account) + account->reserved;
+	}
+	return lost;
+}
+
+// Guards against tokens that are returned to a home whose own grant has been
+// returned already, because it is about to stop.
+TEST(Prepaid, TokensReturnedToStoppingHomeAreNotLost)
+{
+	cluster_t cluster;
+	node_t *home = nullptr;
+
+	cluster.random.seed(23);
+	start_cluster(&cluster, LARGE_FLEET, 4000000);
+	for (int i = 0; i < 400; i++) {
+		for (auto &node : cluster.nodes)
+			if (i % 20 == 0)
+				reserve(node.get(), 1000);
+		step(&cluster);
+		for (auto &node : cluster.nodes)
+			settle(node.get(), true);
+	}
+	for (auto &node : cluster.nodes)
+		if (find_account(node.get())->home[0] == '\0')
+			home = node.get();
+	ASSERT_NE(home, nullptr);
+	ASSERT_EQ(lost_tokens(&cluster), 0);
+	stop_node(home);
+	for (int i = 0; i < 2000; i++)
+		step(&cluster);
+	finish_node(home);
+	start_node(home);
+	step(&cluster);
+	EXPECT_EQ(lost_tokens(&cluster), 0);
+	finish_cluster(&cluster);
+}
+
+// Guards against tokens that instances which stop at the same time pass to each
+// other until they exit.
+TEST(Prepaid, OverlappingStopsLoseNoTokens)
+{
+	constexpr int STOPS = 8;
+
+	for (unsigned seed = 1; seed <= LARGE_FLEET_SEEDS; seed++) {
+		cluster_t cluster;
+		int messages;
+
+		cluster.random.seed(seed);
+		cluster.zones = 4;
+		start_cluster(&cluster, LARGE_FLEET, 4000000);
+		for (int i = 0; i < 800; i++) {
+			for (auto &node : cluster.nodes) {
+				if (!node->stopping &&
+				    cluster.random_bool(0.05))
+					reserve(node.get(), 1000);
+				settle(node.get(), true);
+			}
+			step(&cluster);
+		}
+		ASSERT_EQ(lost_tokens(&cluster), 0) << "seed " << seed;
+		messages = cluster.messages;
+		for (int i = 0; i < STOPS * 40; i++) {
+			if (i % 40 == 0)
+				stop_node(
+					cluster.nodes[(size_t)(i / 40)].get());
+			step(&cluster);
+		}
+		for (auto &node : cluster.nodes) {
+			if (!node->stopping)
+				continue;
+			finish_node(node.get());
+			start_node(node.get());
+		}
+		step(&cluster);
+		EXPECT_EQ(lost_tokens(&cluster), 0) << "seed " << seed;
+		EXPECT_LE(cluster.messages - messages,
+			  STOPS * (LARGE_FLEET - 1) + 10 * LARGE_FLEET)
+			<< "seed " << seed;
+		finish_cluster(&cluster);
+	}
+}
+
 // Guards against instances that all call the store themselves because their
 // home cannot: they use the next home instead.
 TEST(Prepaid, HomeWithoutStoreIsReplaced)
