Return the grant of an account whose refill ends during a stop

What callers saw: an instance with nothing left to do stayed for up to 2.6 s, until its exit timer, and the unused rest of a grant was lost with it.

Cause: a stop waits while a refill is under way. The reply, with no request waiting, ended without another look at the account, so its grant was never returned. The same held when the last waiting reservation was refused by its timer or by the answers of the peers.

Change: each of these ends continues the stop. The test failed before: not stopped after 0.5 s, with the grant still held.

--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -212,6 +212,13 @@
 	grant_advance(prepaid, account);
 }
 
+/* The grant is returned once the account waits for nothing any more. */
+static void continue_stop(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	if (prepaid->stopping)
+		grant_advance(prepaid, account);
+}
+
 static void refill_received(prepaid_t *prepaid, const msg_t *msg)
 {
 	const peer_body_t *body = msg->u.peer.body;
@@ -229,11 +236,14 @@
 		  msg->u.peer.incarnation);
 	sharing_tokens_received(prepaid, account,
 				MAX(body->u.refill_reply.tokens, 0));
-	if (account->waiting.length == 0)
+	if (account->waiting.length == 0) {
+		continue_stop(prepaid, account);
 		return;
+	}
 	if (body->u.refill_reply.spent) {
 		account->exhausted_at = now;
 		sharing_exhausted(prepaid, account);
+		continue_stop(prepaid, account);
 		return;
 	}
 	if (body->u.refill_reply.tokens < account->refill_least)
@@ -275,11 +285,14 @@
 static void reservation_timed_out(prepaid_t *prepaid, handle_t ref)
 {
 	reservation_t *reservation = table_get(&prepaid->reservations, ref);
+	prepaid_account_t *account;
 
 	if (reservation == NULL || !reservation->waiting)
 		return;
-	sharing_forget_asked(reservation->account);
+	account = reservation->account;
+	sharing_forget_asked(account);
 	refuse_waiting(prepaid, reservation);
+	continue_stop(prepaid, account);
 }
 
 /*
@@ -319,6 +332,7 @@
 		sharing_tokens_received(prepaid, account, body->u.slice.tokens);
 	}
 	refuse_answered(prepaid, account);
+	continue_stop(prepaid, account);
 }
 
 /*
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -825,6 +825,72 @@
 	finish_cluster(&cluster);
 }
 
+node_t *find_home(const cluster_t *cluster, const node_t *of)
+{
+	for (auto &node : cluster->nodes)
+		if (strcmp(node->prepaid.opts.incarnation,
+			   find_account(of)->home) == 0)
+			return node.get();
+	return nullptr;
+}
+
+// Guards against a stop that keeps its grant until the process is ended,
+// because a refill was under way when it began.
+TEST(Prepaid, RefillDuringStopDoesNotKeepTheGrant)
+{
+	cluster_t cluster;
+	node_t *node = nullptr, *home = nullptr;
+	peer_body_t reply = {};
+
+	cluster.random.seed(24);
+	start_cluster(&cluster, LARGE_FLEET, 4000000);
+	for (auto &other : cluster.nodes)
+		reserve(other.get(), 1000);
+	step(&cluster);
+	for (auto &other : cluster.nodes) {
+		settle(other.get(), true);
+		if (find_account(other.get())->granted > 0)
+			node = other.get();
+	}
+	ASSERT_NE(node, nullptr);
+	/* Another instance becomes the home. */
+	for (int i = 0; i < 100 && home == nullptr; i++) {
+		node_t *other = cluster.nodes[(size_t)i % LARGE_FLEET].get();
+
+		if (other == node)
+			continue;
+		finish_node(other);
+		start_node(other);
+		step(&cluster);
+		reserve(node, 1);
+		step(&cluster);
+		settle(node, true);
+		home = find_home(&cluster, node);
+	}
+	ASSERT_NE(home, nullptr);
+	cluster.partitioned[(size_t)home->index] = true;
+	for (int i = 0; i < 1000 && !find_account(node)->refill_pending; i++) {
+		reserve(node, 100);
+		step(&cluster);
+		settle(node, true);
+	}
+	step(&cluster);
+	ASSERT_TRUE(find_account(node)->refill_pending);
+	ASSERT_EQ(find_account(node)->waiting.length, 0u);
+	stop_node(node);
+	step(&cluster);
+	ASSERT_FALSE(node->stopped);
+	reply.kind = PEER_REFILL_REPLY;
+	g_strlcpy(reply.u.refill_reply.client_account, ACCOUNT,
+		  sizeof(reply.u.refill_reply.client_account));
+	deliver_to_peer(node, home, &reply);
+	for (int i = 0; i < 100; i++)
+		step(&cluster);
+	EXPECT_TRUE(node->stopped);
+	EXPECT_EQ(find_account(node)->granted, 0);
+	finish_cluster(&cluster);
+}
+
 // Guards against tokens that instances which stop at the same time pass to each
 // other until they exit.
 TEST(Prepaid, OverlappingStopsLoseNoTokens)
