--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -212,6 +212,13 @@
 	grant_advance(prepaid, account);
 }
 
+/* The grant is returned once the account waits for nothing any more. */
+static void continue_stop(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	if (prepaid->stopping)
+		grant_advance(prepaid, account);
+}
+
 static void refill_received(prepaid_t *prepaid, const msg_t *msg)
 {
 	const peer_body_t *body = msg->u.peer.body;
@@ -220,7 +227,6 @@
 	int64_t now = kernel_now(prepaid->kernel);
 
 	sharing_home_replied(prepaid, account);
-	account->transferred_in += MAX(body->u.refill_reply.tokens, 0);
 	account->headroom_limit = MAX(body->u.refill_reply.most, 0);
 	log_event(LOG_LEVEL_DEBUG, "prepaid", "refilled",
 		  "account=%s tokens=%" G_GINT64_FORMAT
@@ -228,12 +234,16 @@
 		  account->name, body->u.refill_reply.tokens,
 		  account->headroom_limit, body->u.refill_reply.spent,
 		  msg->u.peer.incarnation);
-	reservations_serve(prepaid, account);
-	if (account->waiting.length == 0)
+	sharing_tokens_received(prepaid, account,
+				MAX(body->u.refill_reply.tokens, 0));
+	if (account->waiting.length == 0) {
+		continue_stop(prepaid, account);
 		return;
+	}
 	if (body->u.refill_reply.spent) {
 		account->exhausted_at = now;
 		sharing_exhausted(prepaid, account);
+		continue_stop(prepaid, account);
 		return;
 	}
 	if (body->u.refill_reply.tokens < account->refill_least)
@@ -275,11 +285,14 @@
 static void reservation_timed_out(prepaid_t *prepaid, handle_t ref)
 {
 	reservation_t *reservation = table_get(&prepaid->reservations, ref);
+	prepaid_account_t *account;
 
 	if (reservation == NULL || !reservation->waiting)
 		return;
-	sharing_forget_asked(reservation->account);
+	account = reservation->account;
+	sharing_forget_asked(account);
 	refuse_waiting(prepaid, reservation);
+	continue_stop(prepaid, account);
 }
 
 /*
@@ -310,14 +323,16 @@
 
 	sharing_slice_received(account, msg->u.peer.incarnation);
 	if (body->u.slice.tokens > 0) {
-		account->transferred_in += body->u.slice.tokens;
 		log_event(LOG_LEVEL_DEBUG, "prepaid", "received",
-			  "account=%s tokens=%" G_GINT64_FORMAT " peer=%s",
+			  "account=%s tokens=%" G_GINT64_FORMAT
+			  " stopping=%d closed=%d peer=%s",
 			  account->name, body->u.slice.tokens,
+			  prepaid->stopping, account->grant_closed,
 			  msg->u.peer.incarnation);
-		reservations_serve(prepaid, account);
+		sharing_tokens_received(prepaid, account, body->u.slice.tokens);
 	}
 	refuse_answered(prepaid, account);
+	continue_stop(prepaid, account);
 }
 
 /*
@@ -410,12 +425,25 @@
 	prepaid_account_t *account;
 
 	prepaid->stopping = true;
+	prepaid->homes_version++;
+	sharing_announce_stop(prepaid);
 	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
 	       NULL)
 		grant_advance(prepaid, account);
 	check_stopped(prepaid);
 }
 
+/* A peer that stops keeps no tokens, so nothing more is sent to it. */
+static void peer_stops(prepaid_t *prepaid, const msg_t *msg)
+{
+	msg_t down = {.kind = MSG_PEER_DOWN};
+
+	g_strlcpy(down.u.peer_addr.incarnation, msg->u.peer.incarnation,
+		  sizeof(down.u.peer_addr.incarnation));
+	peer_set_update(&prepaid->peers, &down);
+	prepaid->homes_version++;
+}
+
 static void peer_received(prepaid_t *prepaid, const msg_t *msg)
 {
 	switch (msg->u.peer.body->kind) {
@@ -431,6 +459,9 @@
 	case PEER_REFILL_REPLY:
 		refill_received(prepaid, msg);
 		break;
+	case PEER_LEAVE:
+		peer_stops(prepaid, msg);
+		break;
 	default:
 		break;
 	}
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -88,17 +88,33 @@
 	return tokens;
 }
 
-void reservation_send_slice(prepaid_t *prepaid, prepaid_account_t *account,
-			    const char *peer, int64_t tokens)
+static void send_slice(prepaid_t *prepaid, const prepaid_account_t *account,
+		       const char *peer, int64_t tokens)
 {
 	peer_body_t *body = peer_body_new(PEER_SLICE_REPLY);
 
 	g_strlcpy(body->u.slice.client_account, account->name,
 		  sizeof(body->u.slice.client_account));
-	body->u.slice.tokens = transfer_out(account, tokens);
+	body->u.slice.tokens = tokens;
+	log_event(LOG_LEVEL_DEBUG, "prepaid", "sent",
+		  "account=%s tokens=%" G_GINT64_FORMAT " stopping=%d peer=%s",
+		  account->name, tokens, prepaid->stopping, peer);
 	send_body(prepaid, peer, body);
 }
 
+void reservation_send_slice(prepaid_t *prepaid, prepaid_account_t *account,
+			    const char *peer, int64_t tokens)
+{
+	send_slice(prepaid, account, peer, transfer_out(account, tokens));
+}
+
+void reservation_forward_slice(prepaid_t *prepaid, prepaid_account_t *account,
+			       const char *peer, int64_t tokens)
+{
+	account->transferred_out += tokens;
+	send_slice(prepaid, account, peer, tokens);
+}
+
 fleet_share_t reservation_home_share(const prepaid_t *prepaid,
 				     const prepaid_account_t *account)
 {
@@ -162,22 +178,37 @@
 	}
 }
 
+static const char *kind_name(reservation_kind_t kind)
+{
+	switch (kind) {
+	case RESERVATION_REQUEST:
+		return "request";
+	case RESERVATION_SLICE:
+		return "slice";
+	case RESERVATION_REFILL:
+		return "refill";
+	}
+	return "unknown";
+}
+
 void reservation_refuse(prepaid_t *prepaid, reservation_t *reservation,
 			reserve_result_t result)
 {
 	prepaid_account_t *account = reservation->account;
 
 	log_event(LOG_LEVEL_INFO, "prepaid", "refused",
-		  "request=%s account=%s tokens=%" G_GINT64_FORMAT " reason=%s "
-		  "available=%" G_GINT64_FORMAT " unallocated=%" G_GINT64_FORMAT
-		  " prepaid=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
-		  " store_up=%d home=%s peer=%s",
+		  "kind=%s request=%s account=%s tokens=%" G_GINT64_FORMAT
+		  " reason=%s available=%" G_GINT64_FORMAT
+		  " unallocated=%" G_GINT64_FORMAT " prepaid=%" G_GINT64_FORMAT
+		  " revision=%" G_GINT64_FORMAT
+		  " store_up=%d stopping=%d home=%s peer=%s",
+		  kind_name(reservation->kind),
 		  log_quote(reservation->request_id), account->name,
 		  reservation->tokens,
 		  result == RESERVE_SPENT ? "spent" : "store_unavailable",
 		  account_available(account), account_unallocated(account),
 		  account->prepaid_tokens, account->revision, prepaid->store_up,
-		  account->home, reservation->peer);
+		  prepaid->stopping, account->home, reservation->peer);
 	switch (reservation->kind) {
 	case RESERVATION_REQUEST:
 		post_result(prepaid, reservation, result);
