Count only unsent bytes against a caller that reads slowly

Callers saw: an answer of more than 1 MiB, or a long stream on a link that was never idle, was cut although the caller read it.

Cause: the limit was compared with the length of the output buffer, which keeps bytes that were written until all are; and after an answer had been appended, so that one answer could exceed it by itself.

Change: unsent bytes count, and they are compared before more is appended.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -10,7 +10,10 @@
 #define READS_MAX 8 /* reads from one connection per loop iteration */
 /* Bytes of further requests that are buffered while one is in progress. */
 #define INPUT_MAX 262144
-/* Unsent response bytes at which a caller that reads too slowly is dropped. */
+/*
+ * Unsent response bytes beyond which a caller that reads too slowly is dropped
+ * when more follows.
+ */
 #define OUTPUT_MAX 1048576
 /* Time for a request on an idle connection to arrive before it is closed. */
 #define KEEP_ALIVE_MARGIN_MS 500
@@ -388,9 +391,10 @@
 		send_head(conn, msg);
 		break;
 	case MSG_EXCHANGE_DATA:
-		send_data(conn, msg->u.data.bytes);
-		if (conn->sock.output->len > OUTPUT_MAX)
+		if (http_socket_output_len(&conn->sock) > OUTPUT_MAX)
 			ingress_conn_close(conn);
+		else
+			send_data(conn, msg->u.data.bytes);
 		break;
 	case MSG_EXCHANGE_END:
 		send_end(conn);
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -361,6 +361,45 @@
 	EXPECT_EQ(table_count(&ingress.conns), 0u);
 }
 
+TEST_F(Ingress, LargeAnswerIsNotDroppedAsThatOfASlowReader)
+{
+	const std::string part(4194304, 'x');
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	respond(0, part.c_str());
+	EXPECT_TRUE(pump([&] {
+		client.read();
+		return client.closed || client.in.size() > part.size();
+	}));
+	EXPECT_GT(client.in.size(), part.size());
+}
+
+TEST_F(Ingress, WrittenBytesOfALongStreamDoNotCountAsUnsent)
+{
+	const std::string event(8192, 'x');
+	Client client(port(LISTENER_CALLERS), 4096);
+
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	shrink_send_buffers();
+	post(MSG_EXCHANGE_HEAD, 0);
+	for (int i = 0; i < 64; i++)
+		post(MSG_EXCHANGE_DATA, 0, event.c_str());
+	for (int i = 0; i < 200; i++) {
+		size_t before = client.in.size();
+
+		post(MSG_EXCHANGE_DATA, 0, event.c_str());
+		ASSERT_EQ(table_count(&ingress.conns), 1u)
+			<< "closed after " << before << " bytes";
+		pump([&] {
+			client.read();
+			return client.in.size() >= before + event.size();
+		});
+	}
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
