Accept every established connection before the listener closes

Callers saw: when more than 64 connections waited as an instance stopped, the rest got no answer.

Cause: the last accept before the listener closes was bounded like one turn of the loop.

Change: the last accept goes on until no connection waits; the limit on open connections still holds.

--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -46,22 +46,28 @@
 	.idle_timeout_ms = 15000,
 };
 
-static void on_accept(void *data, unsigned ready)
+/* Returns false if no connection waits or no further one may be open. */
+static bool accept_one(listener_t *listener)
 {
-	listener_t *listener = data;
 	ingress_t *ingress = listener->ingress;
 	GSocket *accepted;
 
+	if (table_count(&ingress->conns) >= CONNS_MAX)
+		return false;
+	accepted = g_socket_accept(listener->socket, NULL, NULL);
+	if (accepted == NULL)
+		return false;
+	ingress_conn_open(ingress, accepted, listener->kind);
+	g_object_unref(accepted);
+	return true;
+}
+
+static void on_accept(void *data, unsigned ready)
+{
 	(void)ready;
-	for (int i = 0; i < ACCEPT_MAX; i++) {
-		if (table_count(&ingress->conns) >= CONNS_MAX)
-			break;
-		accepted = g_socket_accept(listener->socket, NULL, NULL);
-		if (accepted == NULL)
+	for (int i = 0; i < ACCEPT_MAX; i++)
+		if (!accept_one(data))
 			break;
-		ingress_conn_open(ingress, accepted, listener->kind);
-		g_object_unref(accepted);
-	}
 }
 
 ingress_status_t ingress_listen(ingress_t *ingress, listener_kind_t kind,
@@ -205,7 +211,8 @@
 {
 	listener_t *listener = &ingress->listeners[LISTENER_CALLERS];
 
-	on_accept(listener, POLLSET_IN);
+	while (accept_one(listener))
+		;
 	close_listener(listener);
 	ingress->closed_at = kernel_now(ingress->kernel);
 	kernel_timer(ingress->kernel, ingress->svc, STOP_SETTLE_US, HANDLE_NONE,
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -7,6 +7,7 @@
 
 #include <cstring>
 #include <gtest/gtest.h>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -400,6 +401,23 @@
 	}
 }
 
+TEST_F(Ingress, ManyConnectionsOpenedAtTheEndOfAStopAreNotDropped)
+{
+	const size_t count = 80;
+	uint16_t callers_port = port(LISTENER_CALLERS);
+	std::vector<std::unique_ptr<Client>> clients;
+
+	stop();
+	ingress.stop_requested_at -= 2500 * USEC_PER_MSEC;
+	for (size_t i = 0; i < count; i++) {
+		clients.push_back(std::make_unique<Client>(callers_port));
+		clients.back()->send_at_once(get_request);
+	}
+	sweep();
+	pump([&] { return specs.size() >= count || stopped; }, 300);
+	EXPECT_EQ(specs.size(), count);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
