Let a request that is being received finish before a stop is complete

Callers saw: the connection was closed while the body of a request was on its way, 2.5 s after SIGTERM, with most of the grace period left.

Cause: a connection that receives a request does not count as busy. Evidence: RequestUnderWayAtTheEndOfAStopIsNotDropped failed before, found by the review.

Change: the stop is not complete while a request is being received. The limits on the time for a head and a body, and the exit timer, bound it.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -445,13 +445,21 @@
 	}
 }
 
-bool ingress_conn_any_output(const ingress_t *ingress)
+static bool is_unfinished(const ingress_conn_t *conn)
+{
+	if (conn->sock.failed)
+		return false;
+	return conn->phase == INGRESS_READING ||
+	       http_socket_has_output(&conn->sock);
+}
+
+bool ingress_conn_any_unfinished(const ingress_t *ingress)
 {
 	uint32_t cursor = 0;
 	const ingress_conn_t *conn;
 
 	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
-		if (http_socket_has_output(&conn->sock) && !conn->sock.failed)
+		if (is_unfinished(conn))
 			return true;
 	return false;
 }
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -224,7 +224,8 @@
 	msg_t msg = {.kind = MSG_STOPPED};
 
 	if (!ingress->stopping || ingress->stopped || ingress->busy > 0 ||
-	    stop_age(ingress) < STOP_MIN_US || ingress_conn_any_output(ingress))
+	    stop_age(ingress) < STOP_MIN_US ||
+	    ingress_conn_any_unfinished(ingress))
 		return;
 	if (is_listening(ingress, LISTENER_CALLERS)) {
 		refuse_connections(ingress);
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -418,6 +418,27 @@
 	EXPECT_EQ(specs.size(), count);
 }
 
+TEST_F(Ingress, RequestUnderWayAtTheEndOfAStopIsNotDropped)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	stop();
+	client.send(
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+	ASSERT_TRUE(pump([&] {
+		uint32_t cursor = 0;
+		auto *conn = static_cast<ingress_conn_t *>(
+			table_next(&ingress.conns, &cursor, nullptr));
+
+		return conn != nullptr && conn->phase == INGRESS_READING;
+	}));
+	ingress.stop_requested_at -= 2500 * USEC_PER_MSEC;
+	sweep();
+	ingress.closed_at -= USEC_PER_SEC;
+	sweep();
+	EXPECT_FALSE(stopped);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
