Read the requests that have arrived before a stop is complete

Callers saw: requests that had reached the instance were dropped when the loop had been held up as the stop ended.

Cause: the stop was complete although requests waited in sockets; of those, one more turn of the loop reads at most 64.

Change: the stop is not complete while an idle connection has unread input. The sockets are asked only when the stop would be complete otherwise.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -449,8 +449,11 @@
 {
 	if (conn->sock.failed)
 		return false;
-	return conn->phase == INGRESS_READING ||
-	       http_socket_has_output(&conn->sock);
+	if (conn->phase == INGRESS_READING ||
+	    http_socket_has_output(&conn->sock))
+		return true;
+	return conn->phase == INGRESS_IDLE &&
+	       http_socket_has_input(&conn->sock);
 }
 
 bool ingress_conn_any_unfinished(const ingress_t *ingress)
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -37,7 +37,7 @@
 void ingress_conn_close(ingress_conn_t *conn);
 /* Closes connections that have been idle or slow for too long. */
 void ingress_conn_sweep(ingress_t *ingress);
-/* Returns whether a request is being received or a response being written. */
+/* Returns whether a request has arrived or a response is being written. */
 bool ingress_conn_any_unfinished(const ingress_t *ingress);
 void ingress_conn_recv(ingress_t *ingress, msg_t *msg);
 /* Writes a complete response of the gateway itself. */
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -439,6 +439,35 @@
 	EXPECT_FALSE(stopped);
 }
 
+// The loop ends after the iteration in which the stop is complete.
+TEST_F(Ingress, RequestsThatArrivedBeforeTheStopWasCompleteAreNotDropped)
+{
+	const size_t count = 80;
+	uint16_t callers_port = port(LISTENER_CALLERS);
+	std::vector<std::unique_ptr<Client>> clients;
+	uint32_t cursor = 0;
+	size_t unread = 0;
+	void *conn;
+
+	for (size_t i = 0; i < count; i++)
+		clients.push_back(std::make_unique<Client>(callers_port));
+	ASSERT_TRUE(pump([&] { return table_count(&ingress.conns) == count; }));
+	stop();
+	ingress.stop_requested_at -= 2500 * USEC_PER_MSEC;
+	sweep();
+	for (size_t i = 0; i < count; i++)
+		clients[i]->send_at_once(get_request);
+	ingress.closed_at -= USEC_PER_SEC;
+	sweep();
+	if (!stopped)
+		return;
+	g_main_context_iteration(nullptr, FALSE);
+	while ((conn = table_next(&ingress.conns, &cursor, nullptr)) != nullptr)
+		unread += http_socket_has_input(
+			&static_cast<ingress_conn_t *>(conn)->sock);
+	EXPECT_EQ(unread, 0u);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
