Start the idle time of a connection when its answer is written

Callers saw: an open connection was closed right after a slow caller had read its answer, although the stated idle time had not passed.

Cause: the idle time counted from the queueing of the answer. Evidence: IdleTimeStartsWhenTheAnswerIsWritten failed before, found by the review.

Change: it starts again when the last byte is written.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -311,14 +311,29 @@
 	return true;
 }
 
+/* The caller's time to close or to send the next request starts now. */
+static void on_output_written(ingress_conn_t *conn)
+{
+	switch (conn->phase) {
+	case INGRESS_IDLE:
+		set_phase(conn, INGRESS_IDLE);
+		break;
+	case INGRESS_LINGER:
+		start_linger(conn);
+		break;
+	case INGRESS_READING:
+	case INGRESS_BUSY:
+		break;
+	}
+}
+
 static void on_ready(void *data, unsigned ready)
 {
 	ingress_conn_t *conn = data;
 	kernel_t *kernel = conn->ingress->kernel;
 
 	if (ready == POLLSET_OUT) {
-		if (conn->phase == INGRESS_LINGER)
-			start_linger(conn);
+		on_output_written(conn);
 		return;
 	}
 	if (read_input(conn)) {
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -468,6 +468,22 @@
 	EXPECT_EQ(unread, 0u);
 }
 
+TEST_F(Ingress, IdleTimeStartsWhenTheAnswerIsWritten)
+{
+	const std::string part(900000, 'x');
+	Client client(port(LISTENER_CALLERS), 4096);
+
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	shrink_send_buffers();
+	respond(0, part.c_str());
+	ASSERT_TRUE(has_unsent_output());
+	set_age(16 * USEC_PER_SEC);
+	ASSERT_TRUE(client.wait_for("\r\n0\r\n\r\n"));
+	sweep();
+	EXPECT_EQ(table_count(&ingress.conns), 1u);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
