Rest while no further connection can be opened

Seen by: operators of an instance with 3,000 open connections, or without free descriptors: the process used a whole core, and the load balancer's checks failed, because they shared the limit.

Cause: the accept loop gave up, but the listener stayed ready, so the loop was woken at once again.

The limit is that of callers' connections only.

--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -25,7 +25,10 @@
  * responses might not end within the grace period.
  */
 #define STOP_ACCEPT_US (2700 * USEC_PER_MSEC)
-/* Leaves descriptors for the files, targets and peers of this process. */
+/*
+ * Callers' connections; leaves descriptors for the files, targets, peers and
+ * readiness checks of this process.
+ */
 #define CONNS_MAX 3000
 
 /* Time for requests on the last connections, which were just established. */
@@ -46,20 +49,49 @@
 	.idle_timeout_ms = 15000,
 };
 
-/* Returns false if no connection waits or no further one may be open. */
+static bool is_full(const ingress_t *ingress, listener_kind_t kind)
+{
+	return kind == LISTENER_CALLERS &&
+	       table_count(&ingress->conns) >= CONNS_MAX;
+}
+
+/* The sweep resumes it: a connection that waits would wake the loop on. */
+static void pause_listener(listener_t *listener, const char *reason)
+{
+	log_event(LOG_LEVEL_WARN, "ingress", "accept_paused",
+		  "connections=%u reason=%s",
+		  table_count(&listener->ingress->conns), log_quote(reason));
+	pollset_set(&listener->ingress->kernel->pollset, listener->watch, 0);
+}
+
+/* Returns false if no connection waits or no further one can be open. */
 static bool accept_one(listener_t *listener)
 {
-	ingress_t *ingress = listener->ingress;
+	GError *error = NULL;
 	GSocket *accepted;
 
-	if (table_count(&ingress->conns) >= CONNS_MAX)
+	if (is_full(listener->ingress, listener->kind)) {
+		pause_listener(listener, "limit");
 		return false;
-	accepted = g_socket_accept(listener->socket, NULL, NULL);
-	if (accepted == NULL)
-		return false;
-	ingress_conn_open(ingress, accepted, listener->kind);
-	g_object_unref(accepted);
-	return true;
+	}
+	accepted = g_socket_accept(listener->socket, NULL, &error);
+	if (accepted != NULL) {
+		ingress_conn_open(listener->ingress, accepted, listener->kind);
+		g_object_unref(accepted);
+		return true;
+	}
+	if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+		pause_listener(listener, error->message);
+	g_error_free(error);
+	return false;
+}
+
+static void resume_listeners(ingress_t *ingress)
+{
+	for (int i = 0; i < LISTENER_COUNT; i++)
+		if (!is_full(ingress, (listener_kind_t)i))
+			pollset_set(&ingress->kernel->pollset,
+				    ingress->listeners[i].watch, POLLSET_IN);
 }
 
 static void on_accept(void *data, unsigned ready)
@@ -254,6 +286,7 @@
 	switch (kind) {
 	case INGRESS_TIMER_SWEEP:
 		ingress_conn_sweep(ingress);
+		resume_listeners(ingress);
 		check_stop_deadline(ingress);
 		kernel_timer(ingress->kernel, ingress->svc, SWEEP_INTERVAL_US,
 			     HANDLE_NONE, INGRESS_TIMER_SWEEP);
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -484,6 +484,26 @@
 	EXPECT_EQ(table_count(&ingress.conns), 1u);
 }
 
+// The loop must rest although a connection waits to be accepted.
+TEST_F(Ingress, FullTableOfConnectionsDoesNotSpin)
+{
+	std::vector<handle_t> handles;
+	guint tick = g_timeout_add(5, keep_ticking, nullptr);
+	int64_t end = kernel_now(&kernel) + 100 * USEC_PER_MSEC;
+	int iterations = 0;
+	void *conn;
+
+	for (int i = 0; i < 3000; i++)
+		handles.push_back(table_add(&ingress.conns, &conn));
+	Client client(port(LISTENER_CALLERS));
+	for (; kernel_now(&kernel) < end; iterations++)
+		g_main_context_iteration(nullptr, TRUE);
+	for (handle_t handle : handles)
+		table_remove(&ingress.conns, handle);
+	g_source_remove(tick);
+	EXPECT_LT(iterations, 100);
+}
+
 // Nothing waits for a request that is accepted once the stop is complete.
 TEST_F(Ingress, RequestAfterTheLastOneOfAStopIsNotDropped)
 {
