Take no tokens after they were returned at a stop

Callers and operators saw: tokens of an account were lost when a stopping instance took a request in the last half second before its end.

Cause: tokens are returned 500 ms before the exit although requests are still accepted; a reservation of that time took a new grant, which nothing returned. Evidence: RequestAfterTheStopDoesNotTakeTokensThatAreNeverReturned failed before, found by the review of the planned stops.

Change: once the tokens are returned, reservations are refused at once.

--- a/prepaid/grant.c
+++ b/prepaid/grant.c
@@ -126,9 +126,10 @@
 	reservations_serve(prepaid, account);
 	if (prepaid->stopping && !account->grant_closed)
 		sharing_return_transfers(prepaid, account);
-	if (account->grant_closed)
+	if (account->grant_closed || prepaid->stopped)
 		reservations_refuse_all(prepaid, account);
-	if (account->call_pending || account->refill_pending)
+	if (prepaid->stopped || account->call_pending ||
+	    account->refill_pending)
 		return;
 	if (sharing_has_home(prepaid, account)) {
 		sharing_request_refill(prepaid, account);
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -981,6 +981,23 @@
 
 // Guards against reservations from a grant whose close was sent and has no
 // result: the write may still take effect.
+TEST(Prepaid, RequestAfterTheStopDoesNotTakeTokensThatAreNeverReturned)
+{
+	cluster_t cluster;
+
+	cluster.random.seed(1);
+	start_cluster(&cluster, 1, 100000);
+	stop_node(cluster.nodes[0].get());
+	for (int i = 0; i < 200; i++)
+		step(&cluster);
+	cluster.granted = 0;
+	reserve(cluster.nodes[0].get(), 10);
+	for (int i = 0; i < 200; i++)
+		step(&cluster);
+	EXPECT_EQ(cluster.granted, 0);
+	finish_cluster(&cluster);
+}
+
 TEST(Prepaid, GrantIsNotUsedOnceCloseWasSent)
 {
 	cluster_t cluster;
