Handle signals before callers can connect

Callers could see: an instance that was told to stop, or to read its settings again, right after its ports were open ended at once, because the default action applied until the handlers were installed. By the code, found by the review; not seen in a run.

Change: the handlers are installed before the ports are opened.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -312,25 +312,26 @@
 	kernel_uuid(&gateway->kernel, gateway->incarnation);
 	gateway->svc =
 		kernel_register(&gateway->kernel, "gateway", receive, gateway);
+	/* A signal must not end the process once callers can connect. */
+	term = g_unix_signal_add(SIGTERM, on_stop_signal, gateway);
+	interrupt = g_unix_signal_add(SIGINT, on_stop_signal, gateway);
+	hup = g_unix_signal_add(SIGHUP, on_hup, gateway);
 	init_data_services(gateway);
 	init_requests(gateway);
 	if (open_ports(gateway) != 0)
 		goto out;
-	term = g_unix_signal_add(SIGTERM, on_stop_signal, gateway);
-	interrupt = g_unix_signal_add(SIGINT, on_stop_signal, gateway);
-	hup = g_unix_signal_add(SIGHUP, on_hup, gateway);
 	kernel_start(&gateway->kernel);
 	log_event(LOG_LEVEL_INFO, "gateway", "start",
 		  "incarnation=%s availability_zone=%s callers=%s",
 		  gateway->incarnation, gateway->settings.availability_zone,
 		  gateway->settings.gateway_callers);
 	kernel_run(&gateway->kernel);
-	g_source_remove(term);
-	g_source_remove(interrupt);
-	g_source_remove(hup);
 	status = 0;
 	log_event(LOG_LEVEL_INFO, "gateway", "exit", "code=%d", status);
 out:
+	g_source_remove(term);
+	g_source_remove(interrupt);
+	g_source_remove(hup);
 	finish_all(gateway);
 	return status;
 }
