--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -36,6 +36,23 @@
 	table_remove(&proxy->exchanges, exchange->self);
 }
 
+uint32_t exchange_shared_parts(const exchange_spec_t *spec)
+{
+	return spec->part_count > 0 ? spec->part_count - 1 : 0;
+}
+
+void exchange_format_parts(const exchange_spec_t *spec,
+			   char text[PARTS_TEXT_SIZE])
+{
+	size_t len = 0;
+
+	text[0] = '\0';
+	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++)
+		len += (size_t)g_snprintf(text + len, PARTS_TEXT_SIZE - len,
+					  "%s%" G_GINT64_MODIFIER "x",
+					  i > 0 ? ":" : "", spec->parts[i].id);
+}
+
 static bool is_success_forwarded(const exchange_t *exchange)
 {
 	return exchange->head_sent && exchange->head != NULL &&
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -66,6 +66,8 @@
 	int64_t longest_gap; /* us, between two events */
 } exchange_t;
 
+#define PARTS_TEXT_SIZE (PROMPT_PARTS_MAX * 17 + 1) /* bytes */
+
 /* exchange.c */
 void exchange_start(proxy_t *proxy, msg_t *msg);
 void exchange_reserved(proxy_t *proxy, const msg_t *msg);
@@ -87,6 +89,11 @@
 void exchange_release_target(proxy_t *proxy, exchange_t *exchange,
 			     place_result_t result);
 void exchange_free(proxy_t *proxy, exchange_t *exchange);
+/* Parts that requests share: all but the last. */
+uint32_t exchange_shared_parts(const exchange_spec_t *spec);
+/* Writes the ids of the shared parts for the log, separated by colons. */
+void exchange_format_parts(const exchange_spec_t *spec,
+			   char text[PARTS_TEXT_SIZE]);
 
 /* response.c */
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg);
