--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -193,11 +193,15 @@
 		msg.id = {(uint32_t)attempts, 1};
 		kernel_post(&kernel, outbound, request->from, &msg);
 	}
-	void post_open(const char *path, const char *key = "key")
+	void post_open(const char *path, const char *key = "key",
+		       const std::vector<uint64_t> &parts = {})
 	{
 		msg_t msg = {};
 		exchange_spec_t *spec = exchange_spec_new();
 
+		for (uint64_t part : parts)
+			spec->parts[spec->part_count++] = {part, 40};
+
 		g_strlcpy(spec->host, "h", sizeof(spec->host));
 		g_strlcpy(spec->path, path, sizeof(spec->path));
 		g_strlcpy(spec->api_key, key, sizeof(spec->api_key));
@@ -546,6 +550,44 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+// Requests that are never alike must not crash one target after the other.
+TEST_F(Proxy, PromptPartThatCrashesTargetsIsQuarantined)
+{
+	const uint64_t shared = 1, deadly = 2;
+	uint64_t own = 100;
+
+	for (int i = 0; i < 5; i++) {
+		post_open("/stream/x", "key", {shared, 10, own++});
+		post_head(200);
+		post_data("id: 1\ndata: a\n\n");
+		post_end();
+		post_open("/stream/x", "key", {shared, deadly, own++});
+		if (attempts == 0)
+			continue;
+		post_head(200);
+		post_failed(FAILURE_STREAM, true, true);
+		placements--;
+		post_open("/stream/x", "key", {shared, 11, own++});
+		post_failed(FAILURE_CONNECT, false);
+		post_head(200);
+		post_data("id: 1\ndata: a\n\n");
+		post_end();
+		run(USEC_PER_SEC);
+	}
+	run(3 * USEC_PER_SEC);
+	attempts = 0;
+	for (int i = 0; i < 10; i++) {
+		status = 0;
+		post_open("/stream/x", "key", {shared, deadly, own++});
+		EXPECT_EQ(status, 503u);
+	}
+	EXPECT_LE(attempts, 3);
+	attempts = 0;
+	for (int i = 0; i < 10; i++)
+		post_open("/stream/x", "key", {shared, 10, own++});
+	EXPECT_EQ(attempts, 10);
+}
+
 TEST(RetryWindow, StaysWithinTheShareOfTheFleet)
 {
 	retry_limits_t limits = {0.2, 54, 10 * USEC_PER_SEC};
