Let the proxy ask whether a target accepts connections

MSG_OUT_CHECK opens a connection, which serves the next request to that target, and reports whether it was accepted. tests/outbound_test.cc: CheckedConnectionServesTheNextCall, CheckFindsAServerThatRefusesConnections. No caller yet.

--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -147,6 +147,8 @@
 	MSG_OUT_DATA,
 	MSG_OUT_END,
 	MSG_OUT_FAILED,
+	MSG_OUT_CHECK, /* proxy -> outbound: does the target accept? */
+	MSG_OUT_CHECKED,
 
 	MSG_FLEET_SUBSCRIBE, /* any -> fleet */
 	MSG_FLEET_CONF, /* a newer configuration took effect */
@@ -466,6 +468,12 @@
 			/* The connection was reset or closed early. */
 			bool reset;
 		} out_failed;
+		struct {
+			char instance[NAME_SIZE]; /* returned unchanged */
+			char host[HOST_SIZE];
+			uint16_t port;
+			bool reachable; /* MSG_OUT_CHECKED */
+		} out_check; /* MSG_OUT_CHECK, _CHECKED */
 
 		fleet_conf_t *fleet_conf; /* MSG_FLEET_CONF */
 		struct {
--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -59,15 +59,14 @@
 	return NULL;
 }
 
-static out_conn_t *open_conn(outbound_t *outbound, const char *address,
-			     const char *host, uint16_t port)
+out_conn_t *out_conn_open(outbound_t *outbound, const char *host, uint16_t port)
 {
 	out_conn_t *conn;
 	handle_t self = table_add(&outbound->conns, (void **)&conn);
 
 	conn->outbound = outbound;
 	conn->self = self;
-	g_strlcpy(conn->address, address, sizeof(conn->address));
+	g_snprintf(conn->address, sizeof(conn->address), "%s:%u", host, port);
 	if (!http_socket_connect(&conn->sock, &outbound->kernel->pollset, host,
 				 port, out_conn_ready, conn)) {
 		table_remove(&outbound->conns, self);
@@ -90,7 +89,7 @@
 	conn = take_idle(outbound, address);
 	*reused = conn != NULL;
 	if (conn == NULL)
-		conn = open_conn(outbound, address, host, port);
+		conn = out_conn_open(outbound, host, port);
 	return conn;
 }
 
@@ -107,22 +106,14 @@
 	return MAX(seconds * USEC_PER_SEC - IDLE_LIMIT_MARGIN_US, 0);
 }
 
-void out_conn_release(out_conn_t *conn)
+static void keep_idle(out_conn_t *conn, int64_t limit)
 {
 	outbound_t *outbound = conn->outbound;
 	GQueue *queue;
 
-	/* An early response can leave a part of the request unsent. */
-	if (!conn->parse.keep_alive || conn->parse.until_eof ||
-	    http_socket_has_output(&conn->sock) || conn->sock.failed ||
-	    idle_limit(conn->parse.head) == 0) {
-		out_conn_close(conn);
-		return;
-	}
 	conn->call = HANDLE_NONE;
 	conn->idle_since = kernel_now(outbound->kernel);
-	conn->idle_limit = idle_limit(conn->parse.head);
-	http_parse_reset(&conn->parse);
+	conn->idle_limit = limit;
 	queue = g_hash_table_lookup(outbound->idle, conn->address);
 	if (queue == NULL) {
 		queue = g_queue_new();
@@ -132,6 +123,27 @@
 	g_queue_push_tail(queue, conn);
 }
 
+void out_conn_release(out_conn_t *conn)
+{
+	int64_t limit;
+
+	/* An early response can leave a part of the request unsent. */
+	if (!conn->parse.keep_alive || conn->parse.until_eof ||
+	    http_socket_has_output(&conn->sock) || conn->sock.failed ||
+	    idle_limit(conn->parse.head) == 0) {
+		out_conn_close(conn);
+		return;
+	}
+	limit = idle_limit(conn->parse.head);
+	http_parse_reset(&conn->parse);
+	keep_idle(conn, limit);
+}
+
+void out_conn_release_unused(out_conn_t *conn)
+{
+	keep_idle(conn, IDLE_LIMIT_DEFAULT_US);
+}
+
 void out_conn_sweep(outbound_t *outbound)
 {
 	int64_t now = kernel_now(outbound->kernel);
@@ -306,6 +318,10 @@
 				      false);
 			goto out;
 		}
+		if (call->check[0] != '\0') {
+			out_check_end(outbound, call);
+			goto out;
+		}
 	}
 	if ((ready & ~POLLSET_OUT) != 0 || conn->sock.failed)
 		read_response(conn, call);
--- a/outbound/conn.h
+++ b/outbound/conn.h
@@ -18,6 +18,7 @@
 	char echo_name[NAME_SIZE];
 	char echo_value[REQUEST_ID_SIZE];
 	bool head_posted;
+	char check[NAME_SIZE]; /* instance of MSG_OUT_CHECK; empty: a request */
 } out_call_t;
 
 typedef struct out_conn_t {
@@ -47,17 +48,24 @@
  */
 out_conn_t *out_conn_acquire(outbound_t *outbound, const char *host,
 			     uint16_t port, bool *reused);
+/* Returns a new connection, or NULL if connecting fails at once. */
+out_conn_t *out_conn_open(outbound_t *outbound, const char *host,
+			  uint16_t port);
 void out_conn_close(out_conn_t *conn);
 /* Keeps a connection for another call after a complete response. */
 void out_conn_release(out_conn_t *conn);
+/* Keeps an established connection that no request has used. */
+void out_conn_release_unused(out_conn_t *conn);
 /* Closes idle connections that the server is about to close. */
 void out_conn_sweep(outbound_t *outbound);
 void out_conn_ready(void *data, unsigned ready);
 
-/* outbound.c: both functions end a call and remove it. */
+/* outbound.c: these functions end a call and remove it. */
 void out_call_fail(outbound_t *outbound, out_call_t *call, failure_t failure,
 		   bool sent, bool reset);
 void out_call_end(outbound_t *outbound, out_call_t *call);
+/* Ends a check whose connection was established. */
+void out_check_end(outbound_t *outbound, out_call_t *call);
 
 G_END_DECLS
 
--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -14,10 +14,27 @@
 	table_remove(&outbound->calls, call->self);
 }
 
-void out_call_fail(outbound_t *outbound, out_call_t *call, failure_t failure,
-		   bool sent, bool reset)
+static void post_checked(outbound_t *outbound, const out_call_t *call,
+			 bool reachable)
+{
+	msg_t msg = {.kind = MSG_OUT_CHECKED};
+
+	g_strlcpy(msg.u.out_check.instance, call->check,
+		  sizeof(msg.u.out_check.instance));
+	msg.u.out_check.reachable = reachable;
+	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
+}
+
+void out_check_end(outbound_t *outbound, out_call_t *call)
+{
+	post_checked(outbound, call, true);
+	out_conn_release_unused(table_get(&outbound->conns, call->conn));
+	remove_call(outbound, call);
+}
+
+static void post_failed(outbound_t *outbound, const out_call_t *call,
+			failure_t failure, bool sent, bool reset)
 {
-	out_conn_t *conn = table_get(&outbound->conns, call->conn);
 	msg_t msg = {
 		.kind = MSG_OUT_FAILED, .ref = call->ref, .id = call->self};
 
@@ -25,6 +42,17 @@
 	msg.u.out_failed.sent = sent;
 	msg.u.out_failed.reset = reset;
 	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
+}
+
+void out_call_fail(outbound_t *outbound, out_call_t *call, failure_t failure,
+		   bool sent, bool reset)
+{
+	out_conn_t *conn = table_get(&outbound->conns, call->conn);
+
+	if (call->check[0] != '\0')
+		post_checked(outbound, call, false);
+	else
+		post_failed(outbound, call, failure, sent, reset);
 	if (conn != NULL)
 		out_conn_close(conn);
 	remove_call(outbound, call);
@@ -100,6 +128,25 @@
 	write_request(conn, msg);
 }
 
+static void open_check(outbound_t *outbound, const msg_t *msg)
+{
+	out_call_t *call;
+	handle_t self = table_add(&outbound->calls, (void **)&call);
+	out_conn_t *conn;
+
+	call->self = self;
+	call->owner = msg->from;
+	g_strlcpy(call->check, msg->u.out_check.instance, sizeof(call->check));
+	conn = out_conn_open(outbound, msg->u.out_check.host,
+			     msg->u.out_check.port);
+	if (conn == NULL) {
+		out_call_fail(outbound, call, FAILURE_CONNECT, false, false);
+		return;
+	}
+	call->conn = conn->self;
+	conn->call = self;
+}
+
 static void cancel_call(outbound_t *outbound, handle_t ref)
 {
 	out_call_t *call = table_get(&outbound->calls, ref);
@@ -184,6 +231,9 @@
 	case MSG_OUT_SEND:
 		open_call(outbound, msg);
 		break;
+	case MSG_OUT_CHECK:
+		open_check(outbound, msg);
+		break;
 	case MSG_OUT_CANCEL:
 		cancel_call(outbound, msg->ref);
 		break;
--- a/outbound/outbound.h
+++ b/outbound/outbound.h
@@ -1,7 +1,9 @@
 /*
  * Service "outbound": the HTTP client of the gateway.  The request of each
  * MSG_OUT_SEND is sent at most once, on one connection.  Unless it is
- * cancelled, it ends in exactly one MSG_OUT_END or MSG_OUT_FAILED.
+ * cancelled, it ends in exactly one MSG_OUT_END or MSG_OUT_FAILED.  Each
+ * MSG_OUT_CHECK opens a connection, which is kept for the next request, and
+ * ends in MSG_OUT_CHECKED.
  */
 #ifndef OUTBOUND_OUTBOUND_H
 #define OUTBOUND_OUTBOUND_H
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -68,6 +68,10 @@
 			r.sent = msg->u.out_failed.sent;
 			r.reset = msg->u.out_failed.reset;
 			break;
+		case MSG_OUT_CHECKED:
+			checked = msg->u.out_check.instance;
+			reachable = msg->u.out_check.reachable;
+			break;
 		default:
 			break;
 		}
@@ -83,6 +87,23 @@
 		}));
 		return results[number];
 	}
+	// Returns whether the server accepts a connection.
+	bool check(uint16_t port)
+	{
+		msg_t msg = {};
+
+		checked.clear();
+		msg.kind = MSG_OUT_CHECK;
+		g_strlcpy(msg.u.out_check.instance, "i-1",
+			  sizeof(msg.u.out_check.instance));
+		g_strlcpy(msg.u.out_check.host, "127.0.0.1",
+			  sizeof(msg.u.out_check.host));
+		msg.u.out_check.port = port;
+		kernel_post(&kernel, owner, outbound.svc, &msg);
+		kernel_flush(&kernel);
+		EXPECT_TRUE(pump([&] { return checked == "i-1"; }));
+		return reachable;
+	}
 	uint32_t post(uint16_t port, const char *id, size_t body)
 	{
 		msg_t msg = {};
@@ -117,6 +138,8 @@
 	outbound_t outbound;
 	svc_t owner;
 	uint32_t next = 0;
+	std::string checked;
+	bool reachable = false;
 	std::map<uint32_t, result_t> results;
 };
 
@@ -243,6 +266,32 @@
 
 // The server responds before it has read the whole request body.  On the same
 // connection, it would read the rest of the body as the next request.
+// A check must not cost a connection that the next request could use.
+TEST_F(Outbound, CheckedConnectionServesTheNextCall)
+{
+	ScriptServer server(
+		[](script_conn_t &conn) { conn.send(keep_alive_response); });
+
+	EXPECT_TRUE(check(server.port));
+	result_t &first = call(server.port);
+	EXPECT_TRUE(first.reused);
+	EXPECT_EQ(first.body, "ok");
+	EXPECT_EQ(server.conns.size(), 1u);
+}
+
+TEST_F(Outbound, CheckFindsAServerThatRefusesConnections)
+{
+	uint16_t port;
+
+	{
+		ScriptServer server([](script_conn_t &) {});
+		port = server.port;
+	}
+	EXPECT_FALSE(check(port));
+	EXPECT_EQ(table_count(&outbound.calls), 0u);
+	EXPECT_EQ(table_count(&outbound.conns), 0u);
+}
+
 TEST_F(Outbound, EarlyResponseClosesTheConnection)
 {
 	ScriptServer server([](script_conn_t &conn) {
