--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -79,9 +79,20 @@
 	PEER_STORE_PULL,
 	PEER_STORE_ITEMS,
 	PEER_PLACED,
+	PEER_PART_REPORT,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
+/* What an instance tells its peers of a part that prompts share. */
+typedef enum part_event_t {
+	PART_EVENT_CRASHED, /* a target crashed that may have run it */
+	PART_EVENT_EXPLAINED, /* another part explains its crashes */
+	PART_EVENT_SURVIVED, /* a response with it went on */
+	PART_EVENT_HELD, /* it is in quarantine, or is being probed */
+	PART_EVENT_RELEASED, /* its quarantine has ended */
+	PART_EVENT_COUNT,
+} part_event_t;
+
 /* An encoded item of the store, sent to peers that cannot reach the store. */
 typedef struct store_item_t {
 	char key[STORE_KEY_SIZE];
@@ -162,6 +173,15 @@
 			char target[NAME_SIZE];
 			int64_t tokens; /* prompt tokens that are not cached */
 		} placed;
+		struct {
+			part_event_t event;
+			uint64_t part;
+			char target[NAME_SIZE]; /* crashed */
+			uint64_t weight; /* crashed: percent */
+			uint64_t age_ms; /* crashed, held */
+			uint64_t left_ms; /* held */
+			uint64_t strikes; /* held */
+		} part_report;
 	} u;
 } peer_body_t;
 
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -40,6 +40,13 @@
 	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
 	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
 	X(QUARANTINES, "quarantines", "requests put into quarantine")         \
+	X(PART_CRASHES, "part_crashes",                                       \
+	  "crashes counted for parts of prompts")                             \
+	X(PART_QUARANTINES, "part_quarantines",                               \
+	  "parts of prompts put into quarantine")                             \
+	X(PART_RELEASES, "part_releases",                                     \
+	  "parts of prompts released from quarantine")                        \
+	X(PART_PROBES, "part_probes", "requests sent to probe a part")        \
 	X(ORDERS_SENT, "orders_sent", "orders sent to targets")               \
 	X(ORDERS_DONE, "orders_done", "orders that targets carried out")      \
 	X(ORDERS_FENCED, "orders_fenced",                                     \
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -114,6 +114,17 @@
 	BODY_I64(placed, tokens),
 };
 
+static const field_t part_report_fields[] = {
+	{"event", FIELD_ENUM, offsetof(peer_body_t, u.part_report.event),
+	 PART_EVENT_COUNT - 1},
+	BODY_U64(part_report, part),
+	BODY_TEXT(part_report, target),
+	BODY_U64(part_report, weight),
+	BODY_U64(part_report, age_ms),
+	BODY_U64(part_report, left_ms),
+	BODY_U64(part_report, strikes),
+};
+
 static fields_t body_fields(peer_kind_t kind)
 {
 	switch (kind) {
@@ -144,6 +155,8 @@
 		return FIELDS_OF(store_items_fields);
 	case PEER_PLACED:
 		return FIELDS_OF(placed_fields);
+	case PEER_PART_REPORT:
+		return FIELDS_OF(part_report_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -88,6 +88,7 @@
 	post_addr(peer, peer->conf, MSG_PEER_UP, conn);
 	post_addr(peer, peer->replica, MSG_PEER_UP, conn);
 	post_addr(peer, peer->ledger, MSG_PEER_UP, conn);
+	post_addr(peer, peer->proxy, MSG_PEER_UP, conn);
 }
 
 void peer_conn_down(peer_t *peer, conn_t *conn)
@@ -120,6 +121,8 @@
 		return peer->ledger;
 	case PEER_CRASH_REPORT:
 		return peer->request;
+	case PEER_PART_REPORT:
+		return peer->proxy;
 	case PEER_STORE_PULL:
 	case PEER_STORE_ITEMS:
 		return peer->replica;
@@ -238,6 +241,7 @@
 	peer->conf = kernel_find(peer->kernel, "conf");
 	peer->ledger = find_service(peer, "ledger", "prepaid");
 	peer->request = find_service(peer, "request", "proxy");
+	peer->proxy = kernel_find(peer->kernel, "proxy");
 	peer->balance = kernel_find(peer->kernel, "balance");
 	peer->replica = kernel_find(peer->kernel, "replica");
 	g_socket_service_start(peer->listener);
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -39,6 +39,7 @@
 	svc_t request;
 	svc_t replica;
 	svc_t balance;
+	svc_t proxy;
 	peer_opts_t opts;
 	GSocketService *listener;
 	GSocketClient *client;
--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -12,6 +12,8 @@
 #define CRASH_QUARANTINE_MS ((int64_t)30 * 1000)
 /* A target that has crashed refuses connections soon after. */
 #define SUSPECT_WINDOW_US (3 * USEC_PER_SEC)
+/* A target's listening socket may be closed after its connections. */
+#define CHECK_DELAY_US (50 * USEC_PER_MSEC)
 
 static int64_t now_ms(const proxy_t *proxy)
 {
@@ -26,7 +28,8 @@
 bool crash_quarantined(const proxy_t *proxy, const exchange_t *exchange)
 {
 	return quarantine_contains(&proxy->quarantine, exchange->fingerprint,
-				   now_ms(proxy));
+				   now_ms(proxy)) ||
+	       parts_quarantined(proxy, exchange->spec);
 }
 
 static void record_crash(proxy_t *proxy, const char *fingerprint,
@@ -56,30 +59,128 @@
 	kernel_post_peer(proxy->kernel, proxy->svc, proxy->peer, "", body);
 }
 
+static suspicion_t suspicion_of(const proxy_t *proxy,
+				const exchange_t *exchange)
+{
+	int64_t now = kernel_now(proxy->kernel);
+
+	if (exchange->state == EXCHANGE_SENT)
+		return SUSPICION_WEAK;
+	if (exchange->attempt_event_at == 0)
+		return SUSPICION_STRONG;
+	if (now - exchange->attempt_event_at < ANSWER_START_US)
+		return SUSPICION_WEAK;
+	return SUSPICION_NONE;
+}
+
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange)
 {
-	suspect_t *suspect =
-		&proxy->suspects[proxy->next_suspect++ % SUSPECTS_MAX];
+	const exchange_spec_t *spec = exchange->spec;
+	suspicion_t suspicion = suspicion_of(proxy, exchange);
+	suspect_t *suspect;
 
-	g_strlcpy(suspect->fingerprint, exchange->fingerprint,
-		  sizeof(suspect->fingerprint));
+	if (suspicion == SUSPICION_NONE)
+		return;
+	suspect = &proxy->suspects[proxy->next_suspect++ % SUSPECTS_MAX];
+	memset(suspect, 0, sizeof(*suspect));
+	g_strlcpy(suspect->request_id, spec->request_id,
+		  sizeof(suspect->request_id));
+	if (exchange->attempt_event_at == 0)
+		g_strlcpy(suspect->fingerprint, exchange->fingerprint,
+			  sizeof(suspect->fingerprint));
 	g_strlcpy(suspect->instance, exchange->instance,
 		  sizeof(suspect->instance));
+	g_strlcpy(suspect->host, exchange->target_host, sizeof(suspect->host));
+	suspect->port = exchange->target_port;
+	suspect->suspicion = suspicion;
+	suspect->part_count = exchange_shared_parts(spec);
+	for (uint32_t i = 0; i < suspect->part_count; i++)
+		suspect->parts[i] = spec->parts[i].id;
 	suspect->at = kernel_now(proxy->kernel);
+	/* Targets close kept connections at any time. */
+	suspect->checked = suspicion == SUSPICION_WEAK && exchange->reused;
+	if (!suspect->checked && handle_is_none(proxy->check_timer))
+		proxy->check_timer =
+			kernel_timer(proxy->kernel, proxy->svc, CHECK_DELAY_US,
+				     HANDLE_NONE, EXCHANGE_TIMER_CHECK);
+}
+
+static void check_target(proxy_t *proxy, const suspect_t *suspect)
+{
+	msg_t msg = {.kind = MSG_OUT_CHECK};
+
+	g_strlcpy(msg.u.out_check.instance, suspect->instance,
+		  sizeof(msg.u.out_check.instance));
+	g_strlcpy(msg.u.out_check.host, suspect->host,
+		  sizeof(msg.u.out_check.host));
+	msg.u.out_check.port = suspect->port;
+	kernel_post(proxy->kernel, proxy->svc, proxy->outbound, &msg);
+	for (int i = 0; i < SUSPECTS_MAX; i++) {
+		if (strcmp(proxy->suspects[i].instance, suspect->instance) == 0)
+			proxy->suspects[i].checked = true;
+	}
+}
+
+void crash_check_targets(proxy_t *proxy)
+{
+	proxy->check_timer = HANDLE_NONE;
+	for (int i = 0; i < SUSPECTS_MAX; i++) {
+		const suspect_t *suspect = &proxy->suspects[i];
+
+		if (suspect->instance[0] != '\0' && !suspect->checked)
+			check_target(proxy, suspect);
+	}
+}
+
+/*
+ * Reports the parts of the suspects of a crash.  Requests that the target had
+ * not begun to answer are left out if it had begun to run others.
+ */
+static void report_parts(proxy_t *proxy, const suspect_t *const *suspects,
+			 uint32_t count)
+{
+	const suspect_t *chosen[SUSPECTS_MAX];
+	suspicion_t most = SUSPICION_NONE;
+	uint32_t chosen_count = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		most = MAX(most, suspects[i]->suspicion);
+	for (uint32_t i = 0; i < count; i++) {
+		if (suspects[i]->suspicion == most)
+			chosen[chosen_count++] = suspects[i];
+	}
+	if (chosen_count > 0)
+		parts_crashed(proxy, chosen, chosen_count);
 }
 
 void crash_target_unreachable(proxy_t *proxy, const char *instance)
 {
+	const suspect_t *found[SUSPECTS_MAX];
 	int64_t now = kernel_now(proxy->kernel);
+	uint32_t count = 0;
 
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
 		suspect_t *suspect = &proxy->suspects[i];
 
-		if (strcmp(suspect->instance, instance) != 0)
+		if (suspect->instance[0] == '\0' ||
+		    strcmp(suspect->instance, instance) != 0)
 			continue;
-		if (now - suspect->at < SUSPECT_WINDOW_US)
-			report_crash(proxy, suspect);
-		suspect->instance[0] = '\0';
+		if (now - suspect->at < SUSPECT_WINDOW_US) {
+			log_event(LOG_LEVEL_INFO, "proxy", "crash_suspect",
+				  "request=%s target=%s begun=%d parts=%u",
+				  log_quote(suspect->request_id),
+				  suspect->instance,
+				  suspect->suspicion == SUSPICION_STRONG,
+				  suspect->part_count);
+			if (suspect->fingerprint[0] != '\0')
+				report_crash(proxy, suspect);
+			found[count++] = suspect;
+		}
+	}
+	report_parts(proxy, found, count);
+	for (int i = 0; i < SUSPECTS_MAX; i++) {
+		if (strcmp(proxy->suspects[i].instance, instance) == 0)
+			proxy->suspects[i].instance[0] = '\0';
 	}
 }
 
@@ -92,8 +193,6 @@
 {
 	const peer_body_t *body = msg->u.peer.body;
 
-	if (body->kind == PEER_CRASH_REPORT)
-		record_crash(proxy, body->u.crash_report.fingerprint,
-			     body->u.crash_report.reporter,
-			     body->u.crash_report.seq);
+	record_crash(proxy, body->u.crash_report.fingerprint,
+		     body->u.crash_report.reporter, body->u.crash_report.seq);
 }
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -173,6 +173,8 @@
 	if (retry_after_ms == 0)
 		retry_after_ms = RETRY_AFTER_DEFAULT_MS;
 	metrics_refusal(proxy->kernel->metrics, reason);
+	if (reason == REFUSAL_QUARANTINED)
+		parts_log_refused(proxy, exchange->spec);
 	exchange_release_target(proxy, exchange, PLACE_CANCELLED);
 	if (exchange->head_sent) {
 		msg_t aborted = {.kind = MSG_EXCHANGE_ABORTED,
@@ -415,6 +417,8 @@
 	exchange->state = EXCHANGE_SENT;
 	exchange->sends++;
 	exchange->call = HANDLE_NONE;
+	exchange->attempt_event_at = 0;
+	exchange->survived = false;
 	memset(&exchange->response_info, 0, sizeof(exchange->response_info));
 	g_strlcpy(msg.u.out_send.host, placed->u.placed.host,
 		  sizeof(msg.u.out_send.host));
@@ -446,11 +450,19 @@
 	exchange->target = msg->u.placed.target;
 	g_strlcpy(exchange->instance, msg->u.placed.instance,
 		  sizeof(exchange->instance));
+	g_strlcpy(exchange->target_host, msg->u.placed.host,
+		  sizeof(exchange->target_host));
+	exchange->target_port = msg->u.placed.port;
 	if (exchange->deadline - now < SEND_TIME_MIN_US) {
 		exchange_release_target(proxy, exchange, PLACE_NOT_SENT);
 		exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
 		return;
 	}
+	if (!parts_admit(proxy, exchange->spec)) {
+		exchange_release_target(proxy, exchange, PLACE_NOT_SENT);
+		exchange_refuse(proxy, exchange, REFUSAL_QUARANTINED, 0);
+		return;
+	}
 	send_request(proxy, exchange, msg);
 }
 
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -13,6 +13,8 @@
 typedef enum exchange_timer_t {
 	EXCHANGE_TIMER_DEADLINE,
 	EXCHANGE_TIMER_REJECTION,
+	EXCHANGE_TIMER_CHECK, /* the proxy's, without an exchange */
+	EXCHANGE_TIMER_TELL, /* the proxy's, without an exchange */
 } exchange_timer_t;
 
 typedef enum exchange_state_t {
@@ -44,6 +46,8 @@
 	handle_t placement;
 	handle_t target;
 	char instance[NAME_SIZE]; /* instance of the last target */
+	char target_host[HOST_SIZE];
+	uint16_t target_port;
 	handle_t call; /* handle in outbound, none until MSG_OUT_STARTED */
 	bool reused; /* the last attempt used a kept-alive connection */
 	uint32_t sends; /* requests sent to targets */
@@ -62,10 +66,17 @@
 	sse_t events;
 	int64_t first_byte_at; /* monotonic, us, 0: none */
 	int64_t first_event_at; /* monotonic, us, 0: none */
+	int64_t attempt_event_at; /* first event of the attempt, or 0 */
+	bool survived; /* the attempt's response has gone on */
 	int64_t last_event_at; /* monotonic, us */
 	int64_t longest_gap; /* us, between two events */
 } exchange_t;
 
+/*
+ * A response whose events come for this time has outlived its start, at which
+ * a request may crash its target.
+ */
+#define ANSWER_START_US (250 * USEC_PER_MSEC)
 #define PARTS_TEXT_SIZE (PROMPT_PARTS_MAX * 17 + 1) /* bytes */
 
 /* exchange.c */
@@ -104,17 +115,39 @@
 void response_rejection_timed_out(proxy_t *proxy, handle_t ref);
 
 /*
- * crash.c: a request whose connection was reset becomes a suspect, and counts
- * as the cause of a crash if its target refuses connections soon after.  Any
- * other reset only loses a response.
+ * crash.c: a request whose connection was reset before its answer went on
+ * becomes a suspect, and counts as the cause of a crash if its target refuses
+ * connections soon after.  Any other reset only loses a response.
  */
 void crash_init(proxy_t *proxy);
+/* Whether the request or a part of its prompt is in quarantine. */
 bool crash_quarantined(const proxy_t *proxy, const exchange_t *exchange);
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange);
+void crash_check_targets(proxy_t *proxy);
 void crash_target_unreachable(proxy_t *proxy, const char *instance);
 void crash_request_completed(proxy_t *proxy, const exchange_t *exchange);
 void crash_report_received(proxy_t *proxy, const msg_t *msg);
 
+/* parts.c: parts of prompts that crash targets, on all instances. */
+void parts_init(proxy_t *proxy);
+bool parts_quarantined(const proxy_t *proxy, const exchange_spec_t *spec);
+/* Logs which parts are the reason of a refusal. */
+void parts_log_refused(const proxy_t *proxy, const exchange_spec_t *spec);
+/*
+ * Called before a request is sent.  Returns false if a part is in quarantine,
+ * or is being probed by another request.
+ */
+bool parts_admit(proxy_t *proxy, const exchange_spec_t *spec);
+/* Counts the crash of the target of these suspects, which share a weight. */
+void parts_crashed(proxy_t *proxy, const suspect_t *const *suspects,
+		   uint32_t count);
+/* The response to the request went on. */
+void parts_survived(proxy_t *proxy, exchange_t *exchange);
+void parts_tell_survivals(proxy_t *proxy);
+/* Tells a peer that has just connected of the quarantines in force. */
+void parts_tell_peer(proxy_t *proxy, const char *incarnation);
+void parts_report_received(proxy_t *proxy, const msg_t *msg);
+
 G_END_DECLS
 
 #endif
--- /dev/null
+++ b/proxy/part_quarantine.c
@@ -0,0 +1,390 @@
+#include "proxy/part_quarantine.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Score that quarantines a part: three crashes within a minute. */
+#define SCORE_QUARANTINE 2.25
+/* Bounds, so that the past of a part that changed is soon outweighed. */
+#define SCORE_MIN (-2.0)
+#define SCORE_MAX 4.0
+#define SCORE_CLEAR (-1.5) /* below, further evidence changes nothing */
+/* Most that a part keeps of crashes that another part explains. */
+#define SCORE_EXPLAINED 1.0
+#define SCORE_HALF_LIFE_MS (60.0 * 1000)
+/* Reports of the same target within this time are of one crash. */
+#define SAME_CRASH_MS 2000
+/*
+ * Crashes of several targets within this time count once: a rack or a network
+ * that fails takes many targets down at the same moment.
+ */
+#define CRASH_SPACING_MS 250
+#define CRASHES_KEPT 4
+/* A part whose last crash is older is not worth a message to peers. */
+#define CRASH_NEWS_MS ((int64_t)60 * 1000)
+#define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
+
+typedef struct part_entry_t {
+	uint64_t id;
+	double score; /* as of scored_at */
+	int64_t scored_at;
+	part_crash_t crashes[CRASHES_KEPT];
+	uint32_t crash_count; /* crashes ever counted */
+	int64_t crashed_at; /* when the last one was counted */
+	bool held;
+	bool probed; /* a request of this instance probes the part */
+	uint32_t strikes; /* quarantines so far */
+	int64_t until; /* end of the quarantine, without stagger_ms */
+	int64_t decided_at;
+	bool released; /* released_at is set */
+	int64_t released_at;
+	GQueue *queue; /* queue that holds the entry */
+	GList link;
+} part_entry_t;
+
+void part_quarantine_init(part_quarantine_t *quarantine, int64_t stagger_ms)
+{
+	memset(quarantine, 0, sizeof(*quarantine));
+	quarantine->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    NULL, g_free);
+	quarantine->stagger_ms = stagger_ms;
+}
+
+void part_quarantine_finish(part_quarantine_t *quarantine)
+{
+	g_hash_table_unref(quarantine->entries);
+	memset(quarantine, 0, sizeof(*quarantine));
+}
+
+static part_entry_t *find_entry(const part_quarantine_t *quarantine,
+				uint64_t part)
+{
+	return g_hash_table_lookup(quarantine->entries, &part);
+}
+
+static void move_entry(part_entry_t *entry, GQueue *queue)
+{
+	if (entry->queue != NULL)
+		g_queue_unlink(entry->queue, &entry->link);
+	entry->queue = queue;
+	g_queue_push_tail_link(queue, &entry->link);
+}
+
+static void remove_entry(part_quarantine_t *quarantine, part_entry_t *entry)
+{
+	g_queue_unlink(entry->queue, &entry->link);
+	g_hash_table_remove(quarantine->entries, &entry->id);
+}
+
+/* Entries in quarantine are kept as long as there are others. */
+static void remove_victim(part_quarantine_t *quarantine)
+{
+	part_entry_t *victim = g_queue_peek_head(&quarantine->trusted);
+	const GList *link = quarantine->suspected.head;
+
+	for (; victim == NULL && link != NULL; link = link->next) {
+		part_entry_t *entry = link->data;
+
+		if (!entry->held)
+			victim = entry;
+	}
+	if (victim == NULL)
+		victim = g_queue_peek_head(&quarantine->suspected);
+	if (victim != NULL)
+		remove_entry(quarantine, victim);
+}
+
+static part_entry_t *touch_entry(part_quarantine_t *quarantine, uint64_t part,
+				 bool suspected)
+{
+	part_entry_t *entry = find_entry(quarantine, part);
+
+	if (entry == NULL) {
+		if (g_hash_table_size(quarantine->entries) >= PARTS_SCORED_MAX)
+			remove_victim(quarantine);
+		entry = g_new0(part_entry_t, 1);
+		entry->id = part;
+		entry->link.data = entry;
+		g_hash_table_insert(quarantine->entries, &entry->id, entry);
+	}
+	if (suspected || entry->queue == &quarantine->suspected)
+		move_entry(entry, &quarantine->suspected);
+	else
+		move_entry(entry, &quarantine->trusted);
+	return entry;
+}
+
+static double score_at(const part_entry_t *entry, int64_t now)
+{
+	return entry->score *
+	       exp2(-(double)(now - entry->scored_at) / SCORE_HALF_LIFE_MS);
+}
+
+static void add_score(part_entry_t *entry, double change, int64_t now)
+{
+	entry->score =
+		CLAMP(score_at(entry, now) + change, SCORE_MIN, SCORE_MAX);
+	entry->scored_at = now;
+}
+
+double part_quarantine_score(const part_quarantine_t *quarantine, uint64_t part,
+			     int64_t now)
+{
+	const part_entry_t *entry = find_entry(quarantine, part);
+
+	return entry != NULL ? score_at(entry, now) : 0;
+}
+
+static part_state_t entry_state(const part_quarantine_t *quarantine,
+				const part_entry_t *entry, int64_t now)
+{
+	if (entry == NULL || !entry->held)
+		return PART_ALLOWED;
+	return now < entry->until + quarantine->stagger_ms ? PART_QUARANTINED
+							   : PART_PROBE_DUE;
+}
+
+part_state_t part_quarantine_state(const part_quarantine_t *quarantine,
+				   uint64_t part, int64_t now)
+{
+	return entry_state(quarantine, find_entry(quarantine, part), now);
+}
+
+static void hold(part_entry_t *entry, int64_t now)
+{
+	int64_t length = PART_QUARANTINE_MIN_MS
+			 << (STRIKE_FACTOR_BITS * entry->strikes);
+
+	entry->held = true;
+	entry->probed = false;
+	entry->until = now + MIN(length, PART_QUARANTINE_MAX_MS);
+	entry->decided_at = now;
+	if (entry->strikes < PART_STRIKES_MAX)
+		entry->strikes++;
+}
+
+static void release(part_entry_t *entry, int64_t now)
+{
+	add_score(entry, 0, now);
+	entry->score = MIN(entry->score, 0);
+	entry->held = false;
+	entry->probed = false;
+	entry->released = true;
+	entry->released_at = now;
+}
+
+static part_crash_t *find_crash(part_entry_t *entry, const part_crash_t *crash)
+{
+	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
+
+	for (uint32_t i = 0; i < kept; i++) {
+		part_crash_t *known = &entry->crashes[i];
+		int64_t apart = ABS(known->at - crash->at);
+
+		if (apart < CRASH_SPACING_MS ||
+		    (known->target == crash->target && apart < SAME_CRASH_MS))
+			return known;
+	}
+	return NULL;
+}
+
+/* Returns whether the crash is new or weighs more than it did. */
+static bool count_crash(part_entry_t *entry, const part_crash_t *crash,
+			int64_t now)
+{
+	part_crash_t *known = find_crash(entry, crash);
+	double change = crash->weight;
+
+	if (known != NULL) {
+		change -= known->weight;
+		if (change <= 0)
+			return false;
+		known->weight = crash->weight;
+	} else {
+		entry->crashes[entry->crash_count++ % CRASHES_KEPT] = *crash;
+	}
+	entry->crashed_at = now;
+	add_score(entry, change, now);
+	return true;
+}
+
+void part_quarantine_crash_told(part_quarantine_t *quarantine, uint64_t part,
+				const part_crash_t *crash, int64_t now)
+{
+	count_crash(touch_entry(quarantine, part, true), crash, now);
+}
+
+/* Returns a part in quarantine, a probed one if there is any, or -1. */
+static int find_held(const part_quarantine_t *quarantine, const uint64_t *parts,
+		     uint32_t count)
+{
+	int found = -1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const part_entry_t *entry = find_entry(quarantine, parts[i]);
+
+		if (entry != NULL && entry->held &&
+		    (found < 0 || entry->probed))
+			found = (int)i;
+	}
+	return found;
+}
+
+/* Returns the part that the crashes point to most, or -1. */
+static int find_cause(const part_quarantine_t *quarantine,
+		      const uint64_t *parts, uint32_t count, int64_t now)
+{
+	double best = SCORE_QUARANTINE, score;
+	int found = -1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		score = part_quarantine_score(quarantine, parts[i], now);
+		if (score < best)
+			continue;
+		best = score;
+		found = (int)i;
+	}
+	return found;
+}
+
+int part_quarantine_crashed(part_quarantine_t *quarantine,
+			    const uint64_t *parts, uint32_t count,
+			    const part_crash_t *crash, int64_t now,
+			    bool *counted)
+{
+	int found = find_held(quarantine, parts, count);
+	part_entry_t *entry;
+
+	memset(counted, 0, count * sizeof(*counted));
+	if (found >= 0) {
+		entry = find_entry(quarantine, parts[found]);
+		if (!entry->probed)
+			return -1;
+		hold(entry, now);
+		return found;
+	}
+	for (uint32_t i = 0; i < count; i++)
+		counted[i] = count_crash(
+			touch_entry(quarantine, parts[i], true), crash, now);
+	found = find_cause(quarantine, parts, count, now);
+	if (found < 0)
+		return -1;
+	for (uint32_t i = 0; i < count; i++) {
+		if ((int)i != found)
+			part_quarantine_explained(quarantine, parts[i], now);
+	}
+	hold(find_entry(quarantine, parts[found]), now);
+	return found;
+}
+
+void part_quarantine_explained(part_quarantine_t *quarantine, uint64_t part,
+			       int64_t now)
+{
+	part_entry_t *entry = find_entry(quarantine, part);
+
+	if (entry == NULL || entry->held)
+		return;
+	add_score(entry, 0, now);
+	entry->score = MIN(entry->score, SCORE_EXPLAINED);
+}
+
+part_news_t part_quarantine_survived(part_quarantine_t *quarantine,
+				     uint64_t part, bool told, int64_t now)
+{
+	part_entry_t *entry = find_entry(quarantine, part);
+	double before;
+
+	if (entry == NULL && told)
+		return PART_NO_NEWS;
+	entry = touch_entry(quarantine, part, false);
+	before = score_at(entry, now);
+	add_score(entry, -1, now);
+	if (entry->held && (entry->probed || entry->score <= 0)) {
+		release(entry, now);
+		return PART_RELEASED;
+	}
+	if (told || entry->crash_count == 0 ||
+	    now - entry->crashed_at > CRASH_NEWS_MS || before < SCORE_CLEAR)
+		return PART_NO_NEWS;
+	return PART_NEWS;
+}
+
+bool part_quarantine_begin_probe(part_quarantine_t *quarantine, uint64_t part,
+				 int64_t now)
+{
+	part_entry_t *entry = find_entry(quarantine, part);
+
+	if (entry_state(quarantine, entry, now) != PART_PROBE_DUE)
+		return false;
+	entry->probed = true;
+	entry->until = now + PART_PROBE_MS;
+	return true;
+}
+
+bool part_quarantine_sentence(const part_quarantine_t *quarantine,
+			      uint64_t part, int64_t now,
+			      part_sentence_t *sentence)
+{
+	const part_entry_t *entry = find_entry(quarantine, part);
+
+	if (entry == NULL || !entry->held)
+		return false;
+	sentence->part = part;
+	sentence->left_ms = MAX(entry->until - now, 0);
+	sentence->age_ms = now - entry->decided_at;
+	sentence->strikes = entry->strikes;
+	return true;
+}
+
+uint32_t part_quarantine_list(const part_quarantine_t *quarantine, int64_t now,
+			      part_sentence_t *list, uint32_t max)
+{
+	const GList *link = quarantine->suspected.tail;
+	uint32_t count = 0;
+
+	for (; link != NULL && count < max; link = link->prev) {
+		const part_entry_t *entry = link->data;
+
+		if (part_quarantine_sentence(quarantine, entry->id, now,
+					     &list[count]))
+			count++;
+	}
+	return count;
+}
+
+bool part_quarantine_adopt(part_quarantine_t *quarantine,
+			   const part_sentence_t *sentence, int64_t now)
+{
+	part_entry_t *entry = find_entry(quarantine, sentence->part);
+	int64_t left = CLAMP(sentence->left_ms, 0, PART_QUARANTINE_MAX_MS);
+	int64_t decided_at = now - MAX(sentence->age_ms, 0);
+	bool added;
+
+	if (entry != NULL && entry->released &&
+	    decided_at <= entry->released_at)
+		return false;
+	entry = touch_entry(quarantine, sentence->part, true);
+	added = !entry->held;
+	entry->until = added ? now + left : MAX(entry->until, now + left);
+	entry->decided_at =
+		added ? decided_at : MAX(entry->decided_at, decided_at);
+	entry->strikes =
+		MIN(MAX(entry->strikes, sentence->strikes), PART_STRIKES_MAX);
+	entry->held = true;
+	if (added) {
+		add_score(entry, 0, now);
+		entry->score = MAX(entry->score, SCORE_QUARANTINE);
+	}
+	return added;
+}
+
+bool part_quarantine_release(part_quarantine_t *quarantine, uint64_t part,
+			     int64_t now)
+{
+	part_entry_t *entry = find_entry(quarantine, part);
+
+	if (entry == NULL || !entry->held)
+		return false;
+	release(entry, now);
+	return true;
+}
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -71,6 +71,26 @@
 	case EXCHANGE_TIMER_REJECTION:
 		response_rejection_timed_out(proxy, msg->ref);
 		break;
+	case EXCHANGE_TIMER_CHECK:
+		crash_check_targets(proxy);
+		break;
+	case EXCHANGE_TIMER_TELL:
+		parts_tell_survivals(proxy);
+		break;
+	}
+}
+
+static void receive_peer(proxy_t *proxy, const msg_t *msg)
+{
+	switch (msg->u.peer.body->kind) {
+	case PEER_CRASH_REPORT:
+		crash_report_received(proxy, msg);
+		break;
+	case PEER_PART_REPORT:
+		parts_report_received(proxy, msg);
+		break;
+	default:
+		break;
 	}
 }
 
@@ -108,7 +128,15 @@
 		exchange_place_refused(proxy, msg);
 		break;
 	case MSG_PEER_RECEIVED:
-		crash_report_received(proxy, msg);
+		receive_peer(proxy, msg);
+		break;
+	case MSG_PEER_UP:
+		parts_tell_peer(proxy, msg->u.peer_addr.incarnation);
+		break;
+	case MSG_OUT_CHECKED:
+		if (!msg->u.out_check.reachable)
+			crash_target_unreachable(proxy,
+						 msg->u.out_check.instance);
 		break;
 	case MSG_OUT_STARTED:
 	case MSG_OUT_HEAD:
@@ -131,6 +159,7 @@
 	table_init(&proxy->exchanges, sizeof(exchange_t));
 	retry_window_init(&proxy->retries, &opts->retry_limits);
 	crash_init(proxy);
+	parts_init(proxy);
 	proxy->svc = kernel_register(kernel, "proxy", receive, proxy);
 }
 
@@ -144,7 +173,10 @@
 		exchange_free(proxy, exchange);
 	fleet_conf_unref(proxy->conf);
 	retry_window_finish(&proxy->retries);
+	kernel_timer_cancel(proxy->kernel, &proxy->check_timer);
+	kernel_timer_cancel(proxy->kernel, &proxy->tell_timer);
 	quarantine_finish(&proxy->quarantine);
+	part_quarantine_finish(&proxy->parts);
 	table_finish(&proxy->exchanges);
 	kernel_unregister(proxy->kernel, proxy->svc);
 }
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -7,20 +7,45 @@
 #define PROXY_PROXY_H
 
 #include "kernel/kernel.h"
+#include "proxy/part_quarantine.h"
 #include "proxy/retry_window.h"
 #include "request/quarantine.h"
 
 G_BEGIN_DECLS
 
-#define SUSPECTS_MAX 16
+#define SUSPECTS_MAX 32
+#define PART_TELLS_MAX 64
+
+/*
+ * How far a request was when its target reset the connection.  A request that
+ * crashes targets does so as they begin to answer it.
+ */
+typedef enum suspicion_t {
+	SUSPICION_NONE, /* its answer has been going on */
+	SUSPICION_WEAK, /* no answer, or one that had just begun */
+	SUSPICION_STRONG, /* the target had begun to run it */
+} suspicion_t;
 
 /* A request that was running when its target reset the connection. */
 typedef struct suspect_t {
-	char fingerprint[HASH_SIZE];
+	char request_id[REQUEST_ID_SIZE];
+	char fingerprint[HASH_SIZE]; /* empty if only its parts are suspected */
 	char instance[NAME_SIZE]; /* empty: unused entry */
+	char host[HOST_SIZE];
+	uint16_t port;
+	bool checked; /* a connection to the target has been tried */
+	suspicion_t suspicion;
+	uint32_t part_count;
+	uint64_t parts[PROMPT_PARTS_MAX]; /* shared parts, in order */
 	int64_t at; /* monotonic, us */
 } suspect_t;
 
+/* A part whose response went on, which peers are told soon. */
+typedef struct part_tell_t {
+	uint64_t part;
+	bool heard; /* a peer has told so meanwhile */
+} part_tell_t;
+
 typedef struct proxy_opts_t {
 	char incarnation[INCARNATION_SIZE];
 	retry_limits_t retry_limits;
@@ -43,6 +68,11 @@
 	uint64_t crash_seq; /* number of the last crash report */
 	suspect_t suspects[SUSPECTS_MAX];
 	uint32_t next_suspect;
+	handle_t check_timer; /* checks the targets of new suspects */
+	part_quarantine_t parts;
+	part_tell_t tells[PART_TELLS_MAX];
+	uint32_t tell_count;
+	handle_t tell_timer;
 } proxy_t;
 
 void proxy_init(proxy_t *proxy, kernel_t *kernel, const proxy_opts_t *opts);
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -57,14 +57,14 @@
 {
 	int64_t now = kernel_now(proxy->kernel);
 
-	if (exchange->sends >= SENDS_MAX || now >= exchange->deadline)
+	if (exchange->sends >= SENDS_MAX || now >= exchange->deadline ||
+	    crash_quarantined(proxy, exchange))
 		return false;
 	/* Nothing reached a target, so another attempt is not a retry. */
 	if (failure == FAILURE_CONNECT)
 		return true;
 	if (ran && (!is_idempotent(exchange) ||
-		    exchange->runs >= exchange->route.max_attempts ||
-		    crash_quarantined(proxy, exchange)))
+		    exchange->runs >= exchange->route.max_attempts))
 		return false;
 	if (exchange->head_sent && !exchange->route.resumable)
 		return false;
@@ -110,7 +110,11 @@
 	g_byte_array_set_size(exchange->body, 0);
 	sse_discard_partial(&exchange->events);
 	if (!retry) {
-		exchange_refuse(proxy, exchange, refusal_for(failure), 0);
+		exchange_refuse(proxy, exchange,
+				crash_quarantined(proxy, exchange)
+					? REFUSAL_QUARANTINED
+					: refusal_for(failure),
+				0);
 		return;
 	}
 	metrics_retry(proxy->kernel->metrics, failure);
@@ -199,10 +203,14 @@
 	exchange->head = g_steal_pointer(&msg->u.out_head.head);
 }
 
-static void record_event(const proxy_t *proxy, exchange_t *exchange)
+static void record_event(proxy_t *proxy, exchange_t *exchange)
 {
 	int64_t now = kernel_now(proxy->kernel);
 
+	if (exchange->attempt_event_at == 0)
+		exchange->attempt_event_at = now;
+	else if (now - exchange->attempt_event_at >= ANSWER_START_US)
+		parts_survived(proxy, exchange);
 	if (exchange->first_event_at == 0)
 		exchange->first_event_at = now;
 	else
@@ -282,6 +290,8 @@
 	exchange->call = HANDLE_NONE;
 	exchange_release_target(proxy, exchange, result);
 	crash_request_completed(proxy, exchange);
+	if (result == PLACE_OK)
+		parts_survived(proxy, exchange);
 	send_end(proxy, exchange);
 	exchange_end(proxy, exchange,
 		     result == PLACE_OK ? "answered" : "target_error");
@@ -291,6 +301,7 @@
 {
 	/* The body is complete, but the target truncated the last event. */
 	if (exchange->events.partial->len > 0) {
+		crash_add_suspect(proxy, exchange);
 		fail_attempt(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
 		return;
 	}
@@ -370,7 +381,7 @@
 			     PLACE_UNREACHABLE);
 		return;
 	}
-	if (msg->u.out_failed.reset && exchange->state == EXCHANGE_SENT)
+	if (msg->u.out_failed.reset)
 		crash_add_suspect(proxy, exchange);
 	fail_attempt(proxy, exchange, failure, true, PLACE_LOST);
 }
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -138,6 +138,15 @@
 		g_strlcpy(body->u.placed.target, "i-1", NAME_SIZE);
 		body->u.placed.tokens = 11992;
 		break;
+	case PEER_PART_REPORT:
+		body->u.part_report.event = PART_EVENT_HELD;
+		body->u.part_report.part = UINT64_MAX;
+		g_strlcpy(body->u.part_report.target, "i-1", NAME_SIZE);
+		body->u.part_report.weight = 50;
+		body->u.part_report.age_ms = 700;
+		body->u.part_report.left_ms = 600000;
+		body->u.part_report.strikes = 3;
+		break;
 	case PEER_STORE_PULL:
 		body->u.store_pull.after = INT64_MAX;
 		break;
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1,6 +1,7 @@
 // Tests the proxy: which requests may be sent to a second target, whether a
 // refusal says that nothing ran, and this instance's share of the fleet's
 // retry budget.
+#include "proxy/part_quarantine.h"
 #include "proxy/proxy.h"
 #include "proxy/sse.h"
 
@@ -28,7 +29,7 @@
 		balance = kernel_register(&kernel, "balance", receive, this);
 		outbound = kernel_register(&kernel, "outbound", receive, this);
 		prepaid = kernel_register(&kernel, "prepaid", receive, this);
-		kernel_register(&kernel, "peer", receive, this);
+		peer = kernel_register(&kernel, "peer", receive, this);
 		fleet = kernel_register(&kernel, "fleet", receive, this);
 		proxy_init(&proxy, &kernel, &opts);
 		kernel_start(&kernel);
@@ -141,6 +142,16 @@
 		case MSG_OUT_CANCEL:
 			cancels++;
 			break;
+		case MSG_OUT_CHECK:
+			handle_check(msg);
+			break;
+		case MSG_PEER_SEND:
+			told.push_back(msg->u.peer.body->kind ==
+						       PEER_PART_REPORT
+					       ? (int)msg->u.peer.body->u
+							 .part_report.event
+					       : -1);
+			break;
 		default:
 			break;
 		}
@@ -193,6 +204,46 @@
 		msg.id = {(uint32_t)attempts, 1};
 		kernel_post(&kernel, outbound, request->from, &msg);
 	}
+	void handle_check(const msg_t *request)
+	{
+		msg_t msg = {};
+
+		checks++;
+		msg.kind = MSG_OUT_CHECKED;
+		msg.u.out_check = request->u.out_check;
+		msg.u.out_check.reachable = !target_down;
+		kernel_post(&kernel, outbound, request->from, &msg);
+	}
+	void post_part_report(part_event_t event, uint64_t part,
+			      uint64_t left_ms = 0)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, "run-2",
+			  sizeof(msg.u.peer.incarnation));
+		msg.u.peer.body = peer_body_new(PEER_PART_REPORT);
+		msg.u.peer.body->u.part_report.event = event;
+		msg.u.peer.body->u.part_report.part = part;
+		msg.u.peer.body->u.part_report.left_ms = left_ms;
+		msg.u.peer.body->u.part_report.strikes = 1;
+		kernel_post(&kernel, peer, proxy.svc, &msg);
+		run(0);
+	}
+	// Crashes three targets, which begin to answer requests with the part.
+	void quarantine(uint64_t part)
+	{
+		for (uint64_t own = 1000; own < 1003; own++) {
+			post_open("/stream/x", "key", {part, own});
+			post_head(200);
+			target_down = true;
+			post_failed(FAILURE_STREAM, true, true);
+			run(USEC_PER_SEC);
+			target_down = false;
+		}
+		attempts = 0;
+		status = 0;
+	}
 	void post_open(const char *path, const char *key = "key",
 		       const std::vector<uint64_t> &parts = {})
 	{
@@ -201,6 +252,8 @@
 
 		for (uint64_t part : parts)
 			spec->parts[spec->part_count++] = {part, 40};
+		if (!parts.empty()) // no two requests are alike
+			spec->body = g_bytes_new(&++bodies, sizeof(bodies));
 
 		g_strlcpy(spec->host, "h", sizeof(spec->host));
 		g_strlcpy(spec->path, path, sizeof(spec->path));
@@ -266,16 +319,18 @@
 	}
 	kernel_t kernel;
 	proxy_t proxy;
-	svc_t ingress, balance, outbound, prepaid, fleet;
+	svc_t ingress, balance, outbound, prepaid, fleet, peer;
 	handle_t exchange, call_ref;
 	uint32_t status = 0, avoided = 0;
-	bool retry_after = false, no_target = false;
+	bool retry_after = false, no_target = false, target_down = false;
 	std::string retry_after_text;
 	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
 	std::vector<place_result_t> results;
 	int completed = 0, aborted = 0, placements = 0, attempts = 0,
-	    cancels = 0;
+	    cancels = 0, checks = 0;
+	uint64_t bodies = 0;
+	std::vector<int> told; // events of part reports; -1: another message
 	int64_t spent = -1;
 };
 
@@ -588,6 +643,417 @@
 	EXPECT_EQ(attempts, 10);
 }
 
+// Few instances try to reach a crashed target by themselves in time.
+TEST_F(Proxy, CrashIsFoundWithoutFurtherTraffic)
+{
+	quarantine(2);
+	EXPECT_EQ(checks, 3);
+	post_open("/stream/x", "key", {1, 2, 9});
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(status, 503u);
+	EXPECT_TRUE(retry_after);
+	post_open("/stream/x", "key", {1, 2});
+	EXPECT_EQ(attempts, 1);
+}
+
+// A target that loses answers has not crashed.
+TEST_F(Proxy, LostAnswersOfARunningTargetBlameNoPart)
+{
+	for (uint64_t own = 10; own < 20; own++) {
+		post_open("/stream/x", "key", {2, own});
+		post_head(200);
+		post_failed(FAILURE_STREAM, true, true);
+		run(USEC_PER_SEC);
+	}
+	EXPECT_EQ(checks, 10);
+	attempts = 0;
+	post_open("/stream/x", "key", {2, 30});
+	EXPECT_EQ(attempts, 1);
+}
+
+// Requests with answers under way lose them in a crash, but didn't cause it.
+TEST_F(Proxy, RequestsWithAnswersUnderWayAreNoSuspects)
+{
+	for (uint64_t own = 10; own < 20; own++) {
+		post_open("/stream/x", "key", {2, own});
+		post_head(200);
+		post_data("id: 1\ndata: a\n\n");
+		run(USEC_PER_SEC / 2);
+		target_down = true;
+		post_failed(FAILURE_STREAM, true, true);
+		run(USEC_PER_SEC / 2);
+	}
+	attempts = 0;
+	post_open("/stream/x", "key", {2, 30});
+	EXPECT_EQ(attempts, 1);
+}
+
+TEST_F(Proxy, RequestThatWaitsForATargetIsRefusedOnceItsPartIsQuarantined)
+{
+	no_target = true;
+	post_open("/stream/x", "key", {2, 9});
+	EXPECT_EQ(placements, 1);
+	post_part_report(PART_EVENT_HELD, 2, 600000);
+	msg_t msg = {};
+	msg.kind = MSG_PLACED;
+	msg.ref = exchange;
+	msg.id = {1, 1};
+	kernel_post(&kernel, balance, proxy.svc, &msg);
+	run(0);
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(results.back(), PLACE_NOT_SENT);
+}
+
+TEST_F(Proxy, QuarantinedPartIsNotSentToASecondTarget)
+{
+	post_open("/resume/x", "key", {2, 9});
+	post_head(200);
+	post_part_report(PART_EVENT_HELD, 2, 600000);
+	post_failed(FAILURE_STREAM, true, true);
+	EXPECT_EQ(attempts, 1);
+	EXPECT_EQ(status, 502u);
+	post_open("/safe/x", "key", {3, 9});
+	post_part_report(PART_EVENT_HELD, 3, 600000);
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(attempts, 2);
+	EXPECT_EQ(status, 503u);
+}
+
+TEST_F(Proxy, QuarantineEndsWithTheFirstProbeThatIsAnswered)
+{
+	quarantine(2);
+	run(2 * PART_QUARANTINE_MIN_MS * USEC_PER_MSEC);
+	told.clear();
+	post_open("/stream/x", "key", {2, 8});
+	EXPECT_EQ(attempts, 1);
+	EXPECT_EQ(told, std::vector<int>{PART_EVENT_HELD});
+	handle_t probe = call_ref;
+	post_open("/stream/x", "key", {2, 9});
+	EXPECT_EQ(attempts, 1);
+	EXPECT_EQ(status, 503u);
+	call_ref = probe;
+	post_head(200);
+	post_data("id: 1\ndata: a\n\n");
+	post_end();
+	EXPECT_EQ(told.back(), PART_EVENT_RELEASED);
+	post_open("/stream/x", "key", {2, 10});
+	EXPECT_EQ(attempts, 2);
+}
+
+TEST_F(Proxy, NewPeerIsToldOfQuarantines)
+{
+	msg_t msg = {};
+
+	quarantine(2);
+	told.clear();
+	msg.kind = MSG_PEER_UP;
+	g_strlcpy(msg.u.peer_addr.incarnation, "run-3",
+		  sizeof(msg.u.peer_addr.incarnation));
+	kernel_post(&kernel, peer, proxy.svc, &msg);
+	run(0);
+	EXPECT_EQ(told, std::vector<int>{PART_EVENT_HELD});
+}
+
+// Without a length, only an orderly end between events completes a stream.
+TEST_F(Proxy, StreamThatEndsInsideAnEventIsBrokenOff)
+{
+	post_open("/stream/x");
+	post_head(200);
+	post_data("id: 1\ndata: a\n\nid: 2\nda");
+	post_end();
+	EXPECT_EQ(completed, 0);
+	EXPECT_EQ(aborted, 1);
+	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+}
+
+// The part quarantines of a fleet whose messages arrive at once.
+class Parts : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		for (part_quarantine_t &instance : fleet)
+			part_quarantine_init(&instance, 0);
+	}
+	void TearDown() override
+	{
+		for (part_quarantine_t &instance : fleet)
+			part_quarantine_finish(&instance);
+	}
+	bool connected(size_t a, size_t b) const
+	{
+		return a != b && a != cut && b != cut;
+	}
+	// Returns the part that is quarantined, or 0.
+	uint64_t crash(size_t reporter, uint64_t target,
+		       const std::vector<uint64_t> &parts, double weight = 1)
+	{
+		part_crash_t crash = {target, weight, now};
+		bool counted[PROMPT_PARTS_MAX] = {};
+		int cause = part_quarantine_crashed(
+			&fleet[reporter], parts.data(), (uint32_t)parts.size(),
+			&crash, now, counted);
+
+		for (size_t peer = 0; peer < fleet.size(); peer++) {
+			if (!connected(reporter, peer))
+				continue;
+			for (size_t i = 0; i < parts.size(); i++) {
+				if (counted[i])
+					part_quarantine_crash_told(&fleet[peer],
+								   parts[i],
+								   &crash, now);
+			}
+			for (size_t i = 0; cause >= 0 && i < parts.size(); i++)
+				part_quarantine_explained(&fleet[peer],
+							  parts[i], now);
+			if (cause >= 0)
+				tell(reporter, peer, parts[(size_t)cause]);
+		}
+		return cause < 0 ? 0 : parts[(size_t)cause];
+	}
+	void tell(size_t from, size_t to, uint64_t part)
+	{
+		part_sentence_t sentence = {};
+
+		if (part_quarantine_sentence(&fleet[from], part, now,
+					     &sentence))
+			part_quarantine_adopt(&fleet[to], &sentence, now);
+	}
+	void survive(size_t at, const std::vector<uint64_t> &parts)
+	{
+		for (uint64_t part : parts) {
+			part_news_t news = part_quarantine_survived(
+				&fleet[at], part, false, now);
+
+			for (size_t peer = 0; peer < fleet.size(); peer++) {
+				if (!connected(at, peer))
+					continue;
+				if (news == PART_RELEASED)
+					part_quarantine_release(&fleet[peer],
+								part, now);
+				if (news == PART_NEWS)
+					part_quarantine_survived(
+						&fleet[peer], part, true, now);
+			}
+		}
+	}
+	part_state_t state(size_t at, uint64_t part)
+	{
+		return part_quarantine_state(&fleet[at], part, now);
+	}
+	// Three crashes with the part, at different instances and targets.
+	void quarantine(uint64_t part)
+	{
+		for (size_t i = 0; i < 3; i++) {
+			crash(i % 2, next_target++, {part});
+			now += 1000;
+		}
+	}
+	std::vector<part_quarantine_t> fleet =
+		std::vector<part_quarantine_t>(7);
+	size_t cut = SIZE_MAX; // this instance reaches no other
+	int64_t now = 1000000;
+	uint64_t next_target = 1;
+};
+
+// Sound parts in each of the crashing requests must stay in use.
+TEST_F(Parts, OneBadPartIsFoundAmongHotSoundOnes)
+{
+	const uint64_t hot = 1, thing = 2, bad = 3;
+	uint64_t blamed = 0;
+	int crashes = 0;
+
+	for (int i = 0; blamed == 0 && i < 5; i++, crashes++) {
+		for (size_t at = 0; at < 5; at++)
+			survive(at, {hot, 100 + at});
+		blamed = crash((size_t)i % 7, next_target++, {hot, thing, bad});
+		now += 700;
+	}
+	EXPECT_EQ(blamed, bad);
+	EXPECT_EQ(crashes, 3);
+	for (size_t at = 0; at < fleet.size(); at++) {
+		EXPECT_EQ(state(at, bad), PART_QUARANTINED);
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+		EXPECT_EQ(state(at, thing), PART_ALLOWED);
+	}
+}
+
+// The blame must not stop at the parts behind the one that crashes targets.
+TEST_F(Parts, BadPartInFrontOfManyOthersIsFound)
+{
+	uint64_t blamed = 0;
+	int crashes = 0;
+
+	for (; crashes < 3; crashes++, now += 700)
+		blamed = crash(0, next_target++, {1, 2});
+	EXPECT_EQ(blamed, 2u);
+	for (uint64_t i = 3; blamed != 1 && i < 9; i++, crashes++, now += 700)
+		blamed = crash(0, next_target++, {1, i});
+	EXPECT_LE(crashes, 5);
+	EXPECT_EQ(blamed, 1u);
+	for (int i = 0; i < 3; i++, now += 700)
+		crash(0, next_target++, {5, 10 + (uint64_t)i});
+	EXPECT_EQ(state(0, 5), PART_QUARANTINED);
+	EXPECT_EQ(state(0, 12), PART_ALLOWED);
+}
+
+TEST_F(Parts, TwoBadPartsAreBothFound)
+{
+	const uint64_t hot = 1, first = 2, second = 3;
+
+	for (int i = 0; i < 3; i++, now += 500) {
+		for (size_t at = 2; at < 6; at++)
+			survive(at, {hot});
+		crash(0, next_target++, {hot, first});
+		now += 300;
+		crash(1, next_target++, {hot, second});
+	}
+	for (size_t at = 0; at < fleet.size(); at++) {
+		EXPECT_EQ(state(at, first), PART_QUARANTINED);
+		EXPECT_EQ(state(at, second), PART_QUARANTINED);
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+	}
+}
+
+TEST_F(Parts, TargetThatCrashesOnItsOwnBlamesNoPart)
+{
+	for (uint64_t i = 0; i < 200; i++, now += 2500) {
+		uint64_t hot = 1 + i % 4, thing = 10 + i % 40;
+
+		EXPECT_EQ(crash(i % 7, 9, {hot, thing}), 0u);
+		now += 500;
+		survive((i + 3) % 7, {hot, thing});
+		survive((i + 5) % 7, {hot, 10 + (i + 1) % 40});
+	}
+}
+
+// A rack or network that fails takes many targets away at the same moment.
+TEST_F(Parts, ManyTargetsLostAtOnceBlameNoPart)
+{
+	for (uint64_t target = 0; target < 50; target++, now += 4)
+		EXPECT_EQ(crash(target % 7, target, {1, 100 + target}), 0u);
+}
+
+// One crash is seen by each instance that had requests at the target.
+TEST_F(Parts, ReportsOfOneCrashCountOnce)
+{
+	for (size_t at = 0; at < fleet.size(); at++, now += 200)
+		EXPECT_EQ(crash(at, 9, {1, 2}), 0u);
+}
+
+// Requests without an answer so far are weaker evidence, but not none.
+TEST_F(Parts, CrashesBeforeTheAnswerBeginsCountLess)
+{
+	uint64_t blamed = 0;
+	int crashes = 0;
+
+	for (; blamed == 0 && crashes < 10; crashes++, now += 500)
+		blamed = crash(0, next_target++, {1}, 0.5);
+	EXPECT_EQ(crashes, 5);
+}
+
+TEST_F(Parts, InstanceThatWasCutOffLearnsOfQuarantines)
+{
+	part_sentence_t list[8];
+
+	cut = 6;
+	quarantine(2);
+	EXPECT_EQ(state(0, 2), PART_QUARANTINED);
+	EXPECT_EQ(state(6, 2), PART_ALLOWED);
+	cut = SIZE_MAX;
+	now += 5000;
+	ASSERT_EQ(part_quarantine_list(&fleet[0], now, list, 8), 1u);
+	EXPECT_TRUE(part_quarantine_adopt(&fleet[6], &list[0], now));
+	EXPECT_EQ(state(6, 2), PART_QUARANTINED);
+}
+
+// An instance that returns must not renew what was found to be wrong.
+TEST_F(Parts, ReleaseOutlivesOlderQuarantineOfAnInstanceCutOff)
+{
+	part_sentence_t sentence;
+
+	quarantine(2);
+	cut = 6;
+	now += 1000;
+	for (int i = 0; i < 4; i++)
+		survive(0, {2});
+	EXPECT_EQ(state(1, 2), PART_ALLOWED);
+	EXPECT_EQ(state(6, 2), PART_QUARANTINED);
+	cut = SIZE_MAX;
+	now += 5000;
+	ASSERT_TRUE(part_quarantine_sentence(&fleet[6], 2, now, &sentence));
+	EXPECT_FALSE(part_quarantine_adopt(&fleet[1], &sentence, now));
+	EXPECT_EQ(state(1, 2), PART_ALLOWED);
+}
+
+TEST_F(Parts, PartThatNoLongerCrashesComesBack)
+{
+	quarantine(2);
+	now += PART_QUARANTINE_MIN_MS;
+	ASSERT_TRUE(part_quarantine_begin_probe(&fleet[0], 2, now));
+	tell(0, 1, 2);
+	EXPECT_EQ(state(0, 2), PART_QUARANTINED);
+	EXPECT_EQ(state(1, 2), PART_QUARANTINED);
+	now += 1000;
+	survive(0, {2});
+	for (size_t at = 0; at < fleet.size(); at++)
+		EXPECT_EQ(state(at, 2), PART_ALLOWED);
+}
+
+// Probes reach targets too: a day may see three of them after the fifth crash.
+TEST_F(Parts, ProbesOfABadPartStayRare)
+{
+	const int64_t day = (int64_t)24 * 3600 * 1000;
+	int64_t end = now + day;
+	int crashes = 3;
+
+	quarantine(2);
+	for (; now < end; now += 1000) {
+		for (size_t at = 0; at < fleet.size(); at++) {
+			if (!part_quarantine_begin_probe(&fleet[at], 2, now))
+				continue;
+			for (size_t peer = 0; peer < fleet.size(); peer++)
+				tell(at, peer, 2);
+			now += 500;
+			EXPECT_EQ(crash(at, next_target++, {2}), 2u);
+			crashes++;
+		}
+	}
+	EXPECT_GT(crashes, 3);
+	EXPECT_LE(crashes, 5 + 3);
+}
+
+// A false quarantine must end as soon as responses show it to be wrong.
+TEST_F(Parts, ResponsesInProgressEndAFalseQuarantine)
+{
+	quarantine(2);
+	for (int i = 0; i < 4; i++, now += 100)
+		survive(5, {2});
+	for (size_t at = 0; at < fleet.size(); at++)
+		EXPECT_EQ(state(at, 2), PART_ALLOWED);
+}
+
+TEST_F(Parts, ThousandsOfPartsSeenOnceAreBoundedAndBlameless)
+{
+	const uint64_t bad = 2;
+
+	for (uint64_t i = 0; i < 5000; i++, now += 300) {
+		EXPECT_EQ(crash(0, next_target++, {1000 + i}), 0u);
+		survive(0, {100000 + i});
+	}
+	quarantine(bad);
+	for (uint64_t i = 0; i < 5000; i++, now += 300) {
+		crash(0, next_target++, {200000 + i});
+		survive(0, {300000 + i});
+	}
+	for (part_quarantine_t &instance : fleet)
+		EXPECT_LE(g_hash_table_size(instance.entries),
+			  (guint)PARTS_SCORED_MAX);
+	now -= 2 * 5000 * 300;
+	EXPECT_EQ(state(0, bad), PART_QUARANTINED);
+}
+
 TEST(RetryWindow, StaysWithinTheShareOfTheFleet)
 {
 	retry_limits_t limits = {0.2, 54, 10 * USEC_PER_SEC};
