Count crashes with one request once for its parts

A request that crashes targets by itself is repeated with the same parts; its parts were blamed for it with the third crash, and other requests with them were refused. The crash of a request that was counted before is no further evidence against its parts; the whole request is quarantined as before. Peers are told the request's hash, and of all parts that another explains, also those whose crash another instance had counted.

tests/proxy_test.cc, RepeatsOfOneRequestBlameNoPart, failed before (refused with three attempts).

--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -176,6 +176,7 @@
 		struct {
 			part_event_t event;
 			uint64_t part;
+			uint64_t request; /* crashed: hash of the request */
 			char target[NAME_SIZE]; /* crashed */
 			uint64_t weight; /* crashed: percent */
 			uint64_t age_ms; /* crashed, held */
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -118,6 +118,7 @@
 	{"event", FIELD_ENUM, offsetof(peer_body_t, u.part_report.event),
 	 PART_EVENT_COUNT - 1},
 	BODY_U64(part_report, part),
+	BODY_U64(part_report, request),
 	BODY_TEXT(part_report, target),
 	BODY_U64(part_report, weight),
 	BODY_U64(part_report, age_ms),
--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -85,9 +85,9 @@
 	memset(suspect, 0, sizeof(*suspect));
 	g_strlcpy(suspect->request_id, spec->request_id,
 		  sizeof(suspect->request_id));
-	if (exchange->attempt_event_at == 0)
-		g_strlcpy(suspect->fingerprint, exchange->fingerprint,
-			  sizeof(suspect->fingerprint));
+	g_strlcpy(suspect->fingerprint, exchange->fingerprint,
+		  sizeof(suspect->fingerprint));
+	suspect->answering = exchange->attempt_event_at != 0;
 	g_strlcpy(suspect->instance, exchange->instance,
 		  sizeof(suspect->instance));
 	g_strlcpy(suspect->host, exchange->target_host, sizeof(suspect->host));
@@ -172,7 +172,7 @@
 				  suspect->instance,
 				  suspect->suspicion == SUSPICION_STRONG,
 				  suspect->part_count);
-			if (suspect->fingerprint[0] != '\0')
+			if (!suspect->answering)
 				report_crash(proxy, suspect);
 			found[count++] = suspect;
 		}
--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -182,6 +182,7 @@
 		int64_t apart = ABS(known->at - crash->at);
 
 		if (apart < CRASH_SPACING_MS ||
+		    known->request == crash->request ||
 		    (known->target == crash->target && apart < SAME_CRASH_MS))
 			return known;
 	}
@@ -215,13 +216,14 @@
 }
 
 /* Returns a part in quarantine, a probed one if there is any, or -1. */
-static int find_held(const part_quarantine_t *quarantine, const uint64_t *parts,
-		     uint32_t count)
+static int find_held(const part_quarantine_t *quarantine,
+		     const part_suspect_t *suspects, uint32_t count)
 {
 	int found = -1;
 
 	for (uint32_t i = 0; i < count; i++) {
-		const part_entry_t *entry = find_entry(quarantine, parts[i]);
+		const part_entry_t *entry =
+			find_entry(quarantine, suspects[i].part);
 
 		if (entry != NULL && entry->held &&
 		    (found < 0 || entry->probed))
@@ -232,13 +234,15 @@
 
 /* Returns the part that the crashes point to most, or -1. */
 static int find_cause(const part_quarantine_t *quarantine,
-		      const uint64_t *parts, uint32_t count, int64_t now)
+		      const part_suspect_t *suspects, uint32_t count,
+		      int64_t now)
 {
 	double best = SCORE_QUARANTINE, score;
 	int found = -1;
 
 	for (uint32_t i = 0; i < count; i++) {
-		score = part_quarantine_score(quarantine, parts[i], now);
+		score = part_quarantine_score(quarantine, suspects[i].part,
+					      now);
 		if (score < best)
 			continue;
 		best = score;
@@ -247,33 +251,45 @@
 	return found;
 }
 
+static bool count_suspect(part_quarantine_t *quarantine,
+			  const part_suspect_t *suspect,
+			  const part_crash_t *crash, int64_t now)
+{
+	part_crash_t own = *crash;
+
+	own.request = suspect->request;
+	return count_crash(touch_entry(quarantine, suspect->part, true), &own,
+			   now);
+}
+
 int part_quarantine_crashed(part_quarantine_t *quarantine,
-			    const uint64_t *parts, uint32_t count,
+			    const part_suspect_t *suspects, uint32_t count,
 			    const part_crash_t *crash, int64_t now,
 			    bool *counted)
 {
-	int found = find_held(quarantine, parts, count);
+	int found = find_held(quarantine, suspects, count);
 	part_entry_t *entry;
 
 	memset(counted, 0, count * sizeof(*counted));
 	if (found >= 0) {
-		entry = find_entry(quarantine, parts[found]);
+		entry = find_entry(quarantine, suspects[found].part);
 		if (!entry->probed)
 			return -1;
 		hold(entry, now);
 		return found;
 	}
 	for (uint32_t i = 0; i < count; i++)
-		counted[i] = count_crash(
-			touch_entry(quarantine, parts[i], true), crash, now);
-	found = find_cause(quarantine, parts, count, now);
+		counted[i] =
+			count_suspect(quarantine, &suspects[i], crash, now);
+	found = find_cause(quarantine, suspects, count, now);
 	if (found < 0)
 		return -1;
 	for (uint32_t i = 0; i < count; i++) {
 		if ((int)i != found)
-			part_quarantine_explained(quarantine, parts[i], now);
+			part_quarantine_explained(quarantine, suspects[i].part,
+						  now);
 	}
-	hold(find_entry(quarantine, parts[found]), now);
+	hold(find_entry(quarantine, suspects[found].part), now);
 	return found;
 }
 
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -57,8 +57,15 @@
 	uint32_t strikes; /* quarantines of the part so far */
 } part_sentence_t;
 
+/* A part of a request that may have caused a crash. */
+typedef struct part_suspect_t {
+	uint64_t part;
+	uint64_t request; /* hash of all of the request */
+} part_suspect_t;
+
 typedef struct part_crash_t {
 	uint64_t target; /* hash of its id */
+	uint64_t request; /* crashes with one request count once */
 	double weight; /* 1 if the target had begun to answer the request */
 	int64_t at;
 } part_crash_t;
@@ -74,11 +81,12 @@
 /*
  * Counts a crash for all parts of the requests that may have caused it, ordered
  * by their places in the prompts.  Sets counted[i] unless the crash was counted
- * before.  Returns the index of the part that is quarantined, or -1.  Nothing
- * is counted if a part that is in quarantine explains the crash.
+ * before.  crash->request is ignored.  Returns the index of the part that is
+ * quarantined, or -1.  Nothing is counted if a part that is in quarantine
+ * explains the crash.
  */
 int part_quarantine_crashed(part_quarantine_t *quarantine,
-			    const uint64_t *parts, uint32_t count,
+			    const part_suspect_t *suspects, uint32_t count,
 			    const part_crash_t *crash, int64_t now,
 			    bool *counted);
 /* Counts a crash told by a peer, which decides what is quarantined for it. */
--- a/proxy/parts.c
+++ b/proxy/parts.c
@@ -26,7 +26,7 @@
 
 /* Parts that may have caused a crash, ordered by their places in prompts. */
 typedef struct crash_parts_t {
-	uint64_t parts[CRASH_PARTS_MAX];
+	part_suspect_t suspects[CRASH_PARTS_MAX];
 	bool counted[CRASH_PARTS_MAX];
 	uint32_t count;
 } crash_parts_t;
@@ -36,9 +36,9 @@
 	return kernel_now(proxy->kernel) / USEC_PER_MSEC;
 }
 
-static uint64_t hash_target(const char *instance)
+static uint64_t hash_name(const char *name)
 {
-	return hash_rendezvous(instance, "");
+	return hash_rendezvous(name, "");
 }
 
 void parts_init(proxy_t *proxy)
@@ -74,11 +74,12 @@
 	tell(proxy, incarnation, body);
 }
 
-static void tell_crash(proxy_t *proxy, uint64_t part, const suspect_t *suspect,
-		       const part_crash_t *crash)
+static void tell_crash(proxy_t *proxy, const part_suspect_t *part,
+		       const suspect_t *suspect, const part_crash_t *crash)
 {
-	peer_body_t *body = new_report(PART_EVENT_CRASHED, part);
+	peer_body_t *body = new_report(PART_EVENT_CRASHED, part->part);
 
+	body->u.part_report.request = part->request;
 	g_strlcpy(body->u.part_report.target, suspect->instance,
 		  sizeof(body->u.part_report.target));
 	body->u.part_report.weight = (uint64_t)(crash->weight * PERCENT);
@@ -168,14 +169,16 @@
 	return true;
 }
 
-static void add_part(crash_parts_t *list, uint64_t part)
+static void add_part(crash_parts_t *list, const suspect_t *suspect,
+		     uint64_t part)
 {
 	for (uint32_t i = 0; i < list->count; i++) {
-		if (list->parts[i] == part)
+		if (list->suspects[i].part == part)
 			return;
 	}
 	if (list->count < CRASH_PARTS_MAX)
-		list->parts[list->count++] = part;
+		list->suspects[list->count++] =
+			(part_suspect_t){part, hash_name(suspect->fingerprint)};
 }
 
 static void collect_parts(crash_parts_t *list, const suspect_t *const *suspects,
@@ -185,7 +188,8 @@
 	for (uint32_t place = 0; place < PROMPT_PARTS_MAX; place++) {
 		for (uint32_t i = 0; i < count; i++) {
 			if (place < suspects[i]->part_count)
-				add_part(list, suspects[i]->parts[place]);
+				add_part(list, suspects[i],
+					 suspects[i]->parts[place]);
 		}
 	}
 }
@@ -194,20 +198,21 @@
 static int count_crash(proxy_t *proxy, crash_parts_t *list,
 		       const suspect_t *suspect, const part_crash_t *crash)
 {
-	int cause =
-		part_quarantine_crashed(&proxy->parts, list->parts, list->count,
-					crash, now_ms(proxy), list->counted);
+	int cause = part_quarantine_crashed(&proxy->parts, list->suspects,
+					    list->count, crash, now_ms(proxy),
+					    list->counted);
 
 	for (uint32_t i = 0; i < list->count; i++) {
 		if (!list->counted[i])
 			continue;
-		tell_crash(proxy, list->parts[i], suspect, crash);
+		tell_crash(proxy, &list->suspects[i], suspect, crash);
 		metrics_add(proxy->kernel->metrics, COUNTER_PART_CRASHES, 1);
 		log_event(LOG_LEVEL_INFO, "proxy", "part_crash",
 			  "part=" PART_FORMAT " target=%s score=%.2f "
 			  "weight=%.1f",
-			  list->parts[i], suspect->instance,
-			  part_quarantine_score(&proxy->parts, list->parts[i],
+			  list->suspects[i].part, suspect->instance,
+			  part_quarantine_score(&proxy->parts,
+						list->suspects[i].part,
 						now_ms(proxy)),
 			  crash->weight);
 	}
@@ -219,15 +224,16 @@
 {
 	part_sentence_t sentence;
 
-	if (!part_quarantine_sentence(&proxy->parts, list->parts[cause],
+	if (!part_quarantine_sentence(&proxy->parts, list->suspects[cause].part,
 				      now_ms(proxy), &sentence))
 		return;
 	log_held(proxy, &sentence, proxy->opts.incarnation, suspect->instance);
 	tell_sentence(proxy, "", &sentence);
 	for (uint32_t i = 0; i < list->count; i++) {
-		if (list->counted[i] && (int)i != cause)
+		if ((int)i != cause)
 			tell(proxy, "",
-			     new_report(PART_EVENT_EXPLAINED, list->parts[i]));
+			     new_report(PART_EVENT_EXPLAINED,
+					list->suspects[i].part));
 	}
 }
 
@@ -236,7 +242,7 @@
 {
 	crash_parts_t list;
 	part_crash_t crash = {
-		.target = hash_target(suspects[0]->instance),
+		.target = hash_name(suspects[0]->instance),
 		.weight = weights[suspects[0]->suspicion],
 		.at = suspects[0]->at / USEC_PER_MSEC,
 	};
@@ -331,7 +337,8 @@
 		       const char *reporter)
 {
 	part_crash_t crash = {
-		.target = hash_target(body->u.part_report.target),
+		.target = hash_name(body->u.part_report.target),
+		.request = body->u.part_report.request,
 		.weight = (double)MIN(body->u.part_report.weight, PERCENT) /
 			  PERCENT,
 		.at = now_ms(proxy) -
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -29,7 +29,8 @@
 /* A request that was running when its target reset the connection. */
 typedef struct suspect_t {
 	char request_id[REQUEST_ID_SIZE];
-	char fingerprint[HASH_SIZE]; /* empty if only its parts are suspected */
+	char fingerprint[HASH_SIZE];
+	bool answering; /* its answer had begun; only parts are suspected */
 	char instance[NAME_SIZE]; /* empty: unused entry */
 	char host[HOST_SIZE];
 	uint16_t port;
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -141,6 +141,7 @@
 	case PEER_PART_REPORT:
 		body->u.part_report.event = PART_EVENT_HELD;
 		body->u.part_report.part = UINT64_MAX;
+		body->u.part_report.request = 70000;
 		g_strlcpy(body->u.part_report.target, "i-1", NAME_SIZE);
 		body->u.part_report.weight = 50;
 		body->u.part_report.age_ms = 700;
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -656,6 +656,26 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+// The whole request is quarantined; others share its parts.
+TEST_F(Proxy, RepeatsOfOneRequestBlameNoPart)
+{
+	for (int i = 0; i < 4; i++) {
+		post_open("/stream/x", "key", {1, 2, 9});
+		if (attempts > i) {
+			post_head(200);
+			target_down = true;
+			post_failed(FAILURE_STREAM, true, true);
+		}
+		run(USEC_PER_SEC);
+		target_down = false;
+		bodies = 0;
+	}
+	EXPECT_EQ(attempts, 3);
+	bodies = 5;
+	post_open("/stream/x", "key", {1, 2, 10});
+	EXPECT_EQ(attempts, 4);
+}
+
 // A target that loses answers has not crashed.
 TEST_F(Proxy, LostAnswersOfARunningTargetBlameNoPart)
 {
@@ -789,12 +809,16 @@
 	uint64_t crash(size_t reporter, uint64_t target,
 		       const std::vector<uint64_t> &parts, double weight = 1)
 	{
-		part_crash_t crash = {target, weight, now};
+		part_crash_t crash = {target, ++requests, weight, now};
+		std::vector<part_suspect_t> suspects;
 		bool counted[PROMPT_PARTS_MAX] = {};
-		int cause = part_quarantine_crashed(
-			&fleet[reporter], parts.data(), (uint32_t)parts.size(),
-			&crash, now, counted);
+		int cause;
 
+		for (uint64_t part : parts)
+			suspects.push_back({part, requests});
+		cause = part_quarantine_crashed(
+			&fleet[reporter], suspects.data(),
+			(uint32_t)suspects.size(), &crash, now, counted);
 		for (size_t peer = 0; peer < fleet.size(); peer++) {
 			if (!connected(reporter, peer))
 				continue;
@@ -854,7 +878,7 @@
 		std::vector<part_quarantine_t>(7);
 	size_t cut = SIZE_MAX; // this instance reaches no other
 	int64_t now = 1000000;
-	uint64_t next_target = 1;
+	uint64_t next_target = 1, requests = 0;
 };
 
 // Sound parts in each of the crashing requests must stay in use.
