Count crashes of different targets apart after 100 ms

With a fifth or more of a kind of request deadly, a small site lost all 12 targets in 1.2 s: crashes within 250 ms counted once, so the third was counted 0.6 s after the first.

--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -18,7 +18,7 @@
  * Crashes of several targets within this time count once: a rack or a network
  * that fails takes many targets down at the same moment.
  */
-#define CRASH_SPACING_MS 250
+#define CRASH_SPACING_MS 100
 #define CRASHES_KEPT 4
 /* A part whose last crash is older is not worth a message to peers. */
 #define CRASH_NEWS_MS ((int64_t)60 * 1000)
