--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -215,21 +215,18 @@
 	count_crash(touch_entry(quarantine, part, true), crash, now);
 }
 
-/* Returns a part in quarantine, a probed one if there is any, or -1. */
-static int find_held(const part_quarantine_t *quarantine,
-		     const part_suspect_t *suspects, uint32_t count)
+/* Returns whether one of the parts is in quarantine. */
+static bool is_explained(const part_quarantine_t *quarantine,
+			 const part_suspect_t *suspects, uint32_t count)
 {
-	int found = -1;
-
 	for (uint32_t i = 0; i < count; i++) {
 		const part_entry_t *entry =
 			find_entry(quarantine, suspects[i].part);
 
-		if (entry != NULL && entry->held &&
-		    (found < 0 || entry->probed))
-			found = (int)i;
+		if (entry != NULL && entry->held)
+			return true;
 	}
-	return found;
+	return false;
 }
 
 /* Returns the part that the crashes point to most, or -1. */
@@ -267,17 +264,11 @@
 			    const part_crash_t *crash, int64_t now,
 			    bool *counted)
 {
-	int found = find_held(quarantine, suspects, count);
-	part_entry_t *entry;
+	int found;
 
 	memset(counted, 0, count * sizeof(*counted));
-	if (found >= 0) {
-		entry = find_entry(quarantine, suspects[found].part);
-		if (!entry->probed)
-			return -1;
-		hold(entry, now);
-		return found;
-	}
+	if (is_explained(quarantine, suspects, count))
+		return -1;
 	for (uint32_t i = 0; i < count; i++)
 		counted[i] =
 			count_suspect(quarantine, &suspects[i], crash, now);
@@ -332,8 +323,8 @@
 
 	if (entry_state(quarantine, entry, now) != PART_PROBE_DUE)
 		return false;
+	hold(entry, now);
 	entry->probed = true;
-	entry->until = now + PART_PROBE_MS;
 	return true;
 }
 
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -6,8 +6,8 @@
  * scores, the one furthest back in its prompt, which the fewest other requests
  * share.
  *
- * After its quarantine, one request of the fleet probes a part.  Each crash of
- * a probe makes the next quarantine four times as long.
+ * After its quarantine, one request of the fleet probes a part and begins the
+ * next quarantine, four times as long, which ends if the probe is answered.
  *
  * Times are in ms, of any clock, but of the same one in all calls.
  */
@@ -23,9 +23,6 @@
 #define PARTS_SCORED_MAX 512
 #define PART_QUARANTINE_MIN_MS ((int64_t)10 * 60 * 1000)
 #define PART_QUARANTINE_MAX_MS ((int64_t)24 * 3600 * 1000)
-#define PART_PROBE_MS                                          \
-	((int64_t)60 * 1000) /* time for the result of a probe \
-			      */
 #define PART_STRIKES_MAX 8
 
 typedef struct part_quarantine_t {
