Count repeats of a request half for its parts

A repeat now counts half, and all crashes with one request at most 1.5, below the 2.25 that quarantine a part.

tests/proxy_test.cc, RepeatedRequestsHideNoPart, failed before (found with the ninth crash, now the fifth); RepeatsOfOneRequestBlameNoPart still passes.

--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -20,6 +20,11 @@
  */
 #define CRASH_SPACING_MS 100
 #define CRASHES_KEPT 4
+/*
+ * All crashes with one request weigh no more: it is quarantined as a whole, and
+ * others share its parts.
+ */
+#define WEIGHT_REPEATED_MAX 1.5
 /* A part whose last crash is older is not worth a message to peers. */
 #define CRASH_NEWS_MS ((int64_t)60 * 1000)
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
@@ -173,7 +178,8 @@
 	entry->released_at = now;
 }
 
-static part_crash_t *find_crash(part_entry_t *entry, const part_crash_t *crash)
+static part_crash_t *find_same_crash(part_entry_t *entry,
+				     const part_crash_t *crash)
 {
 	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
 
@@ -182,25 +188,42 @@
 		int64_t apart = ABS(known->at - crash->at);
 
 		if (apart < CRASH_SPACING_MS ||
-		    known->request == crash->request ||
 		    (known->target == crash->target && apart < SAME_CRASH_MS))
 			return known;
 	}
 	return NULL;
 }
 
-/* Returns whether the crash is new or weighs more than it did. */
+static part_crash_t *find_same_request(part_entry_t *entry,
+				       const part_crash_t *crash)
+{
+	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
+
+	for (uint32_t i = 0; i < kept; i++) {
+		if (entry->crashes[i].request == crash->request)
+			return &entry->crashes[i];
+	}
+	return NULL;
+}
+
+/* Returns whether the crash is new or weighs more than what was counted. */
 static bool count_crash(part_entry_t *entry, const part_crash_t *crash,
 			int64_t now)
 {
-	part_crash_t *known = find_crash(entry, crash);
-	double change = crash->weight;
-
+	part_crash_t *known = find_same_crash(entry, crash);
+	double weight = crash->weight, change = weight;
+
+	if (known == NULL) {
+		known = find_same_request(entry, crash);
+		if (known != NULL)
+			weight = MIN(known->weight + weight / 2,
+				     WEIGHT_REPEATED_MAX);
+	}
 	if (known != NULL) {
-		change -= known->weight;
+		change = weight - known->weight;
 		if (change <= 0)
 			return false;
-		known->weight = crash->weight;
+		known->weight = weight;
 	} else {
 		entry->crashes[entry->crash_count++ % CRASHES_KEPT] = *crash;
 	}
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -62,7 +62,7 @@
 
 typedef struct part_crash_t {
 	uint64_t target; /* hash of its id */
-	uint64_t request; /* crashes with one request count once */
+	uint64_t request; /* repeats of a request weigh less */
 	double weight; /* 1 if the target had begun to answer the request */
 	int64_t at;
 } part_crash_t;
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -809,7 +809,8 @@
 	uint64_t crash(size_t reporter, uint64_t target,
 		       const std::vector<uint64_t> &parts, double weight = 1)
 	{
-		part_crash_t crash = {target, ++requests, weight, now};
+		part_crash_t crash = {target, repeats ? requests : ++requests,
+				      weight, now};
 		std::vector<part_suspect_t> suspects;
 		bool counted[PROMPT_PARTS_MAX] = {};
 		int cause;
@@ -879,6 +880,7 @@
 	size_t cut = SIZE_MAX; // this instance reaches no other
 	int64_t now = 1000000;
 	uint64_t next_target = 1, requests = 0;
+	bool repeats = false; // the next crash is of the same request
 };
 
 // Sound parts in each of the crashing requests must stay in use.
@@ -966,6 +968,20 @@
 		EXPECT_EQ(crash(at, 9, {1, 2}), 0u);
 }
 
+// Callers and gateways repeat requests, so each may crash several targets.
+TEST_F(Parts, RepeatedRequestsHideNoPart)
+{
+	uint64_t blamed = 0;
+	int crashes = 0;
+
+	for (; blamed == 0 && crashes < 10; crashes++, now += 300) {
+		repeats = crashes % 4 != 0;
+		blamed = crash((size_t)crashes % 7, next_target++, {1, 2});
+	}
+	EXPECT_EQ(blamed, 2u);
+	EXPECT_LE(crashes, 5);
+}
+
 // Requests without an answer so far are weaker evidence, but not none.
 TEST_F(Parts, CrashesBeforeTheAnswerBeginsCountLess)
 {
