Take a stream without length and events for broken off

A target that crashes may close its connections in order. An answer with neither a length nor chunks then looked complete: the caller got an empty success, a resumed stream ended as whole without the rest, and the response counted in favour of the parts that had crashed its target. Such a stream without an event is a failed attempt now, and its request a suspect. An end inside an event already was (StreamThatEndsInsideAnEventIsBrokenOff); its request is a suspect too.

tests/proxy_test.cc: StreamWithoutLengthAndEventsIsBrokenOff and OrderlyCrashesOfTargetsAreCountedToo failed before.

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -66,7 +66,7 @@
 
 	if (exchange->state == EXCHANGE_SENT)
 		return SUSPICION_WEAK;
-	if (exchange->attempt_event_at == 0)
+	if (!exchange->attempt_began)
 		return SUSPICION_STRONG;
 	if (now - exchange->attempt_event_at < ANSWER_START_US)
 		return SUSPICION_WEAK;
@@ -87,7 +87,7 @@
 		  sizeof(suspect->request_id));
 	g_strlcpy(suspect->fingerprint, exchange->fingerprint,
 		  sizeof(suspect->fingerprint));
-	suspect->answering = exchange->attempt_event_at != 0;
+	suspect->answering = exchange->attempt_began;
 	g_strlcpy(suspect->instance, exchange->instance,
 		  sizeof(suspect->instance));
 	g_strlcpy(suspect->host, exchange->target_host, sizeof(suspect->host));
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -417,7 +417,7 @@
 	exchange->state = EXCHANGE_SENT;
 	exchange->sends++;
 	exchange->call = HANDLE_NONE;
-	exchange->attempt_event_at = 0;
+	exchange->attempt_began = false;
 	exchange->survived = false;
 	memset(&exchange->response_info, 0, sizeof(exchange->response_info));
 	g_strlcpy(msg.u.out_send.host, placed->u.placed.host,
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -61,12 +61,14 @@
 	http_head_t *head; /* response head */
 	GByteArray *body; /* buffered response body, unless streaming */
 	bool streaming; /* the response is forwarded event by event */
+	bool until_close; /* the response ends with its connection */
 	bool head_sent;
 	bool completed; /* a target has sent a complete response */
 	sse_t events;
 	int64_t first_byte_at; /* monotonic, us, 0: none */
 	int64_t first_event_at; /* monotonic, us, 0: none */
-	int64_t attempt_event_at; /* first event of the attempt, or 0 */
+	bool attempt_began; /* the attempt has brought an event */
+	int64_t attempt_event_at; /* its first event, if it has */
 	bool survived; /* the attempt's response has gone on */
 	int64_t last_event_at; /* monotonic, us */
 	int64_t longest_gap; /* us, between two events */
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -20,6 +20,7 @@
 #define EVENT_SIZE_MAX 262144 /* bytes */
 /* Limit on the requests sent for one exchange, including those not run. */
 #define SENDS_MAX 4
+#define STATUS_NO_CONTENT 204
 #define STATUS_SERVER_ERROR 500
 
 static bool is_idempotent(const exchange_t *exchange)
@@ -130,6 +131,13 @@
 		exchange->first_byte_at = kernel_now(proxy->kernel);
 }
 
+static bool ends_with_connection(const http_head_t *head)
+{
+	return head->status != STATUS_NO_CONTENT &&
+	       http_head_get(head, "Content-Length") == NULL &&
+	       !http_head_has_token(head, "Transfer-Encoding", "chunked");
+}
+
 static http_head_t *copy_end_to_end(const http_head_t *head)
 {
 	http_head_t *out = http_head_response(head->status);
@@ -196,6 +204,7 @@
 	report_first_byte(proxy, exchange);
 	exchange->state = EXCHANGE_RESPONDING;
 	exchange->streaming = success && exchange->route.kind == ROUTE_STREAM;
+	exchange->until_close = ends_with_connection(head);
 	/* A resumed stream keeps the head of its first target. */
 	if (exchange->head_sent)
 		return;
@@ -207,10 +216,11 @@
 {
 	int64_t now = kernel_now(proxy->kernel);
 
-	if (exchange->attempt_event_at == 0)
+	if (!exchange->attempt_began)
 		exchange->attempt_event_at = now;
 	else if (now - exchange->attempt_event_at >= ANSWER_START_US)
 		parts_survived(proxy, exchange);
+	exchange->attempt_began = true;
 	if (exchange->first_event_at == 0)
 		exchange->first_event_at = now;
 	else
@@ -299,8 +309,13 @@
 
 static void end_stream(proxy_t *proxy, exchange_t *exchange)
 {
-	/* The body is complete, but the target truncated the last event. */
-	if (exchange->events.partial->len > 0) {
+	bool empty = exchange->until_close && !exchange->attempt_began;
+
+	/*
+	 * The body is complete, but the target truncated the last event or
+	 * closed the connection instead of sending any.
+	 */
+	if (exchange->events.partial->len > 0 || empty) {
 		crash_add_suspect(proxy, exchange);
 		fail_attempt(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
 		return;
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -787,6 +787,39 @@
 	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
 }
 
+// A target that crashes may close its connections in order.
+TEST_F(Proxy, StreamWithoutLengthAndEventsIsBrokenOff)
+{
+	post_open("/stream/x");
+	post_head(200);
+	post_end();
+	EXPECT_EQ(status, 502u);
+	post_open("/resume/x");
+	post_head(200);
+	post_data("id: 1\ndata: a\n\n");
+	post_failed(FAILURE_STREAM, true, true);
+	for (int i = 0; i < 2; i++) {
+		post_head(200);
+		post_end();
+	}
+	EXPECT_EQ(aborted, 1);
+}
+
+TEST_F(Proxy, OrderlyCrashesOfTargetsAreCountedToo)
+{
+	for (uint64_t own = 10; own < 13; own++) {
+		post_open("/stream/x", "key", {2, own});
+		post_head(200);
+		target_down = true;
+		post_end();
+		run(USEC_PER_SEC);
+		target_down = false;
+	}
+	attempts = 0;
+	post_open("/stream/x", "key", {2, 30});
+	EXPECT_EQ(attempts, 0);
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
