--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -37,6 +37,23 @@
 	table_remove(&proxy->exchanges, exchange->self);
 }
 
+uint32_t exchange_shared_parts(const exchange_spec_t *spec)
+{
+	return spec->part_count > 0 ? spec->part_count - 1 : 0;
+}
+
+void exchange_format_parts(const exchange_spec_t *spec,
+			   char text[PARTS_TEXT_SIZE])
+{
+	size_t len = 0;
+
+	text[0] = '\0';
+	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++)
+		len += (size_t)g_snprintf(text + len, PARTS_TEXT_SIZE - len,
+					  "%s%" G_GINT64_MODIFIER "x",
+					  i > 0 ? ":" : "", spec->parts[i].id);
+}
+
 static bool is_success_forwarded(const exchange_t *exchange)
 {
 	return exchange->head_sent && exchange->head != NULL &&
@@ -163,6 +180,8 @@
 	if (retry_after_ms == 0)
 		retry_after_ms = RETRY_AFTER_DEFAULT_MS;
 	metrics_refusal(proxy->kernel->metrics, reason);
+	if (reason == REFUSAL_QUARANTINED)
+		parts_log_refused(proxy, exchange->spec);
 	exchange_release_target(proxy, exchange, PLACE_CANCELLED);
 	if (exchange->head_sent) {
 		msg_t aborted = {.kind = MSG_EXCHANGE_ABORTED,
@@ -424,6 +443,8 @@
 	exchange->state = EXCHANGE_SENT;
 	exchange->sends++;
 	exchange->call = HANDLE_NONE;
+	exchange->attempt_began = false;
+	exchange->survived = false;
 	memset(&exchange->response_info, 0, sizeof(exchange->response_info));
 	g_strlcpy(msg.u.out_send.host, placed->u.placed.host,
 		  sizeof(msg.u.out_send.host));
@@ -455,11 +476,19 @@
 	exchange->target = msg->u.placed.target;
 	g_strlcpy(exchange->instance, msg->u.placed.instance,
 		  sizeof(exchange->instance));
+	g_strlcpy(exchange->target_host, msg->u.placed.host,
+		  sizeof(exchange->target_host));
+	exchange->target_port = msg->u.placed.port;
 	if (exchange->deadline - now < SEND_TIME_MIN_US) {
 		exchange_release_target(proxy, exchange, PLACE_NOT_SENT);
 		exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
 		return;
 	}
+	if (!parts_admit(proxy, exchange->spec)) {
+		exchange_release_target(proxy, exchange, PLACE_NOT_SENT);
+		exchange_refuse(proxy, exchange, REFUSAL_QUARANTINED, 0);
+		return;
+	}
 	send_request(proxy, exchange, msg);
 }
 
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -13,6 +13,8 @@
 typedef enum exchange_timer_t {
 	EXCHANGE_TIMER_DEADLINE,
 	EXCHANGE_TIMER_REJECTION,
+	EXCHANGE_TIMER_CHECK, /* the proxy's, without an exchange */
+	EXCHANGE_TIMER_TELL, /* the proxy's, without an exchange */
 } exchange_timer_t;
 
 typedef enum exchange_state_t {
@@ -45,6 +47,8 @@
 	handle_t placement;
 	handle_t target;
 	char instance[NAME_SIZE]; /* instance of the last target */
+	char target_host[HOST_SIZE];
+	uint16_t target_port;
 	handle_t call; /* handle in outbound, none until MSG_OUT_STARTED */
 	bool reused; /* the last attempt used a kept-alive connection */
 	uint32_t sends; /* requests sent to targets */
@@ -58,15 +62,26 @@
 	http_head_t *head; /* response head */
 	GByteArray *body; /* buffered response body, unless streaming */
 	bool streaming; /* the response is forwarded event by event */
+	bool until_close; /* the response ends with its connection */
 	bool head_sent;
 	bool completed; /* a target has sent a complete response */
 	sse_t events;
 	int64_t first_byte_at; /* monotonic, us, 0: none */
 	int64_t first_event_at; /* monotonic, us, 0: none */
+	bool attempt_began; /* the attempt has brought an event */
+	int64_t attempt_event_at; /* its first event, if it has */
+	bool survived; /* the attempt's response has gone on */
 	int64_t last_event_at; /* monotonic, us */
 	int64_t longest_gap; /* us, between two events */
 } exchange_t;
 
+/*
+ * A response whose events come for this time has outlived its start, at which
+ * a request may crash its target.
+ */
+#define ANSWER_START_US (250 * USEC_PER_MSEC)
+#define PARTS_TEXT_SIZE (PROMPT_PARTS_MAX * 17 + 1) /* bytes */
+
 /* exchange.c */
 void exchange_start(proxy_t *proxy, msg_t *msg);
 void exchange_reserved(proxy_t *proxy, const msg_t *msg);
@@ -92,6 +107,11 @@
 void exchange_free(proxy_t *proxy, exchange_t *exchange);
 /* Frees an exchange whose caller gets no answer, as the process exits. */
 void exchange_abandon(proxy_t *proxy, exchange_t *exchange);
+/* Parts that requests share: all but the last. */
+uint32_t exchange_shared_parts(const exchange_spec_t *spec);
+/* Writes the ids of the shared parts for the log, separated by colons. */
+void exchange_format_parts(const exchange_spec_t *spec,
+			   char text[PARTS_TEXT_SIZE]);
 
 /* response.c */
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg);
@@ -102,17 +122,39 @@
 void response_rejection_timed_out(proxy_t *proxy, handle_t ref);
 
 /*
- * crash.c: a request whose connection was reset becomes a suspect, and counts
- * as the cause of a crash if its target refuses connections soon after.  Any
- * other reset only loses a response.
+ * crash.c: a request whose connection was reset before its answer went on
+ * becomes a suspect, and counts as the cause of a crash if its target refuses
+ * connections soon after.  Any other reset only loses a response.
  */
 void crash_init(proxy_t *proxy);
+/* Whether the request or a part of its prompt is in quarantine. */
 bool crash_quarantined(const proxy_t *proxy, const exchange_t *exchange);
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange);
+void crash_check_targets(proxy_t *proxy);
 void crash_target_unreachable(proxy_t *proxy, const char *instance);
 void crash_request_completed(proxy_t *proxy, const exchange_t *exchange);
 void crash_report_received(proxy_t *proxy, const msg_t *msg);
 
+/* parts.c: parts of prompts that crash targets, on all instances. */
+void parts_init(proxy_t *proxy);
+bool parts_quarantined(const proxy_t *proxy, const exchange_spec_t *spec);
+/* Logs which parts are the reason of a refusal. */
+void parts_log_refused(const proxy_t *proxy, const exchange_spec_t *spec);
+/*
+ * Called before a request is sent.  Returns false if a part is in quarantine,
+ * or is being probed by another request.
+ */
+bool parts_admit(proxy_t *proxy, const exchange_spec_t *spec);
+/* Counts the crash of the target of these suspects, which share a weight. */
+void parts_crashed(proxy_t *proxy, const suspect_t *const *suspects,
+		   uint32_t count);
+/* The response to the request went on. */
+void parts_survived(proxy_t *proxy, exchange_t *exchange);
+void parts_tell_survivals(proxy_t *proxy);
+/* Tells a peer that has just connected of the quarantines in force. */
+void parts_tell_peer(proxy_t *proxy, const char *incarnation);
+void parts_report_received(proxy_t *proxy, const msg_t *msg);
+
 G_END_DECLS
 
 #endif
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -20,6 +20,7 @@
 #define EVENT_SIZE_MAX 262144 /* bytes */
 /* Limit on the requests sent for one exchange, including those not run. */
 #define SENDS_MAX 4
+#define STATUS_NO_CONTENT 204
 #define STATUS_SERVER_ERROR 500
 
 static bool is_idempotent(const exchange_t *exchange)
@@ -57,14 +58,14 @@
 {
 	int64_t now = kernel_now(proxy->kernel);
 
-	if (exchange->sends >= SENDS_MAX || now >= exchange->deadline)
+	if (exchange->sends >= SENDS_MAX || now >= exchange->deadline ||
+	    crash_quarantined(proxy, exchange))
 		return false;
 	/* Nothing reached a target, so another attempt is not a retry. */
 	if (failure == FAILURE_CONNECT)
 		return true;
 	if (ran && (!is_idempotent(exchange) ||
-		    exchange->runs >= exchange->route.max_attempts ||
-		    crash_quarantined(proxy, exchange)))
+		    exchange->runs >= exchange->route.max_attempts))
 		return false;
 	if (exchange->head_sent && !exchange->route.resumable)
 		return false;
@@ -75,13 +76,16 @@
 static void log_failure(const exchange_t *exchange, failure_t failure, bool ran,
 			bool retry)
 {
+	char parts[PARTS_TEXT_SIZE];
+
+	exchange_format_parts(exchange->spec, parts);
 	log_event(LOG_LEVEL_INFO, "proxy", "attempt_failed",
 		  "request=%s target=%s failure=%s ran=%d reused=%d send=%u "
-		  "status=%u events=%u retry=%d",
+		  "status=%u events=%u parts=%s retry=%d",
 		  log_quote(exchange->spec->request_id), exchange->instance,
 		  failure_name(failure), ran, exchange->reused, exchange->sends,
 		  exchange->head != NULL ? exchange->head->status : 0,
-		  exchange->events.count, retry);
+		  exchange->events.count, parts, retry);
 }
 
 static void avoid_target(exchange_t *exchange)
@@ -107,7 +111,11 @@
 	g_byte_array_set_size(exchange->body, 0);
 	sse_discard_partial(&exchange->events);
 	if (!retry) {
-		exchange_refuse(proxy, exchange, refusal_for(failure), 0);
+		exchange_refuse(proxy, exchange,
+				crash_quarantined(proxy, exchange)
+					? REFUSAL_QUARANTINED
+					: refusal_for(failure),
+				0);
 		return;
 	}
 	metrics_retry(proxy->kernel->metrics, failure);
@@ -123,6 +131,13 @@
 		exchange->first_byte_at = kernel_now(proxy->kernel);
 }
 
+static bool ends_with_connection(const http_head_t *head)
+{
+	return head->status != STATUS_NO_CONTENT &&
+	       http_head_get(head, "Content-Length") == NULL &&
+	       !http_head_has_token(head, "Transfer-Encoding", "chunked");
+}
+
 static http_head_t *copy_end_to_end(const http_head_t *head)
 {
 	http_head_t *out = http_head_response(head->status);
@@ -189,6 +204,7 @@
 	report_first_byte(proxy, exchange);
 	exchange->state = EXCHANGE_RESPONDING;
 	exchange->streaming = success && exchange->route.kind == ROUTE_STREAM;
+	exchange->until_close = ends_with_connection(head);
 	/* A resumed stream keeps the head of its first target. */
 	if (exchange->head_sent)
 		return;
@@ -196,10 +212,15 @@
 	exchange->head = g_steal_pointer(&msg->u.out_head.head);
 }
 
-static void record_event(const proxy_t *proxy, exchange_t *exchange)
+static void record_event(proxy_t *proxy, exchange_t *exchange)
 {
 	int64_t now = kernel_now(proxy->kernel);
 
+	if (!exchange->attempt_began)
+		exchange->attempt_event_at = now;
+	else if (now - exchange->attempt_event_at >= ANSWER_START_US)
+		parts_survived(proxy, exchange);
+	exchange->attempt_began = true;
 	if (exchange->first_event_at == 0)
 		exchange->first_event_at = now;
 	else
@@ -279,6 +300,8 @@
 	exchange->call = HANDLE_NONE;
 	exchange_release_target(proxy, exchange, result);
 	crash_request_completed(proxy, exchange);
+	if (result == PLACE_OK)
+		parts_survived(proxy, exchange);
 	send_end(proxy, exchange);
 	exchange_end(proxy, exchange,
 		     result == PLACE_OK ? "answered" : "target_error");
@@ -286,8 +309,14 @@
 
 static void end_stream(proxy_t *proxy, exchange_t *exchange)
 {
-	/* The body is complete, but the target truncated the last event. */
-	if (exchange->events.partial->len > 0) {
+	bool empty = exchange->until_close && !exchange->attempt_began;
+
+	/*
+	 * The body is complete, but the target truncated the last event or
+	 * closed the connection instead of sending any.
+	 */
+	if (exchange->events.partial->len > 0 || empty) {
+		crash_add_suspect(proxy, exchange);
 		fail_attempt(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
 		return;
 	}
@@ -367,7 +396,7 @@
 			     PLACE_UNREACHABLE);
 		return;
 	}
-	if (msg->u.out_failed.reset && exchange->state == EXCHANGE_SENT)
+	if (msg->u.out_failed.reset)
 		crash_add_suspect(proxy, exchange);
 	fail_attempt(proxy, exchange, failure, true, PLACE_LOST);
 }
