Do not close an idle connection of a router that has unread input

Callers saw: a request sent as its kept connection reached the idle limit ran and may have been billed, and its answer was lost.

Cause: the idle check shut the socket down whatever it held. libsoup still reads what arrived before the shutdown, so the request ran and its answer was written to a closed socket.

Evidence: IdleLimitDoesNotDropARequestThatHasArrived failed before (the request is opened, no byte of the answer arrives) and passes.

Change: an idle or new connection with readable input is not expired; it leaves that phase when the input is read.

--- a/front/caller.c
+++ b/front/caller.c
@@ -307,6 +307,9 @@
 	GSocket *socket = g_object_get_data(G_OBJECT(input), DATA_KEY);
 	GOutputStream *out = get_output(G_IO_STREAM(io));
 
+	/* libsoup would run a request that has arrived but not been read. */
+	if (is_idle(input) && g_pollable_input_stream_is_readable(input->base))
+		return;
 	if (!is_idle(input)) {
 		g_pollable_output_stream_write_nonblocking(
 			G_POLLABLE_OUTPUT_STREAM(out), timeout_response,
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -727,6 +727,27 @@
 	EXPECT_TRUE(pump([&] { return front.connections->count == 0; }));
 }
 
+TEST_F(TimedFrontTest, IdleLimitDoesNotDropARequestThatHasArrived)
+{
+	Client client(front_port(&front));
+
+	client.send(request("/x", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	reply_complete("first");
+	ASSERT_TRUE(client.wait_for("\r\n\r\nfirst"));
+	advance(119);
+	client.send_at_once(request("/y", ""));
+	kernel_run_until(&kernel, kernel.virtual_now + 3 * USEC_PER_SEC);
+	ASSERT_TRUE(wait(MSG_REQ_OPEN, 2));
+	reply_complete("again");
+	pump([&] {
+		client.read();
+		return client.closed ||
+		       client.in.find("again") != std::string::npos;
+	});
+	EXPECT_NE(client.in.find("again"), std::string::npos);
+}
+
 // Without free file descriptors, accept() fails at once on each attempt.  The
 // listener must pause instead of spinning, and accept the waiting connections
 // when descriptors are free again.
