Answer the requests that a router's planned stop has to end

Callers saw: a request that a router had accepted got neither an answer nor a refusal when its planned stop reached stop_timeout_s.

Cause: the router ended its loop at the timer whatever it held. Nothing told request when the stop ends, so requests that waited for a claim, tokens, a target, a retry or their bill were dropped, and those that ran lost their connection.

Evidence, failed before and pass: in request_test RequestThatWaitsAtTheEndOfAStopIsNotDropped, RequestThatRunsAtTheEndOfAStopIsNotDropped, RetryThatWouldOutlastAStopIsNotDropped, StreamThatRunsAtTheEndOfAStopDoesNotLookComplete, BillThatIsPendingAtTheEndOfAStopDoesNotDropTheRequest, BillThatIsLateWhenAStopBeginsDoesNotDropTheRequest, ClaimThatIsPendingAtTheEndOfAStopDoesNotDropTheRequest; in front_test RefusalOfARequestThatAStopEndsDoesNotClaimThatItHasNotRun. StopDoesNotExtendTheDeadlineOfARequest passed before and passes.

Change: request learns the end of the stop with MSG_STOP, 2 s before stop_timeout_s (half of it if that is below 4 s), and moves every later deadline there, also that of the wait for a bill. What has not run is refused with 503 and Retry-After, what may have run with 502, a response whose head was sent is aborted.

--- a/front/stream.c
+++ b/front/stream.c
@@ -215,6 +215,12 @@
 		set_header(headers, "Connection", "close");
 }
 
+/* A 503 with Retry-After invites a repeat, which is safe if nothing ran. */
+static bool is_cut_by_stop(refusal_t reason, run_state_t run)
+{
+	return reason == REFUSAL_STOPPING && run != RUN_NOT_RUN;
+}
+
 void stream_refuse(front_t *front, SoupServerMessage *msg,
 		   const char *request_id, refusal_t reason, run_state_t run,
 		   uint32_t retry_after_s, const char *detail)
@@ -223,16 +229,21 @@
 		soup_server_message_get_response_headers(msg);
 	char *json = refusal_json(reason, run, request_id, detail);
 	uint32_t retry_after = refusal_retry_after(reason, retry_after_s);
+	uint32_t status = refusal_status(reason);
 	char text[16];
 
+	if (is_cut_by_stop(reason, run)) {
+		status = refusal_status(REFUSAL_TARGET_FAILED);
+		retry_after = 0;
+	}
 	set_common_headers(front, headers, request_id, run);
 	if (retry_after > 0) {
 		g_snprintf(text, sizeof(text), "%u", retry_after);
 		set_header(headers, "Retry-After", text);
 	}
-	if (refusal_status(reason) == 401)
+	if (status == 401)
 		set_header(headers, "WWW-Authenticate", "Bearer");
-	soup_server_message_set_status(msg, refusal_status(reason), NULL);
+	soup_server_message_set_status(msg, status, NULL);
 	soup_message_headers_set_content_length(headers, (goffset)strlen(json));
 	soup_server_message_set_response(msg, "application/json",
 					 SOUP_MEMORY_TAKE, json, strlen(json));
--- a/request/internal.h
+++ b/request/internal.h
@@ -34,7 +34,8 @@
 	uint32_t max_tokens; /* limit on generated tokens */
 	int64_t reserved_tokens; /* upper limit of the tokens used */
 	int64_t started; /* monotonic, us */
-	int64_t deadline; /* monotonic, us */
+	int64_t deadline; /* of the caller or the stop, monotonic, us */
+	bool ends_at_stop; /* deadline is that of the planned stop */
 	handle_t deadline_timer;
 	handle_t step_timer; /* backoff, or the wait for CLAIM_STORED */
 
@@ -104,6 +105,8 @@
 void request_timer(request_svc_t *svc, const msg_t *msg);
 void request_caller_gone(request_svc_t *svc, request_t *request);
 void request_pause(request_svc_t *svc, request_t *request, bool paused);
+/* Moves later deadlines of all requests to that of the planned stop. */
+void request_limit_to_stop(request_svc_t *svc);
 /* Ends the request and its attempts without a complete response. */
 void request_refuse(request_svc_t *svc, request_t *request, refusal_t reason,
 		    uint32_t retry_after_s);
--- a/request/lifecycle.c
+++ b/request/lifecycle.c
@@ -134,6 +134,8 @@
 void request_refuse(request_svc_t *svc, request_t *request, refusal_t reason,
 		    uint32_t retry_after_s)
 {
+	if (reason == REFUSAL_DEADLINE && request->ends_at_stop)
+		reason = REFUSAL_STOPPING;
 	attempt_cancel_all(svc, request, HANDLE_NONE);
 	post_refused(svc, request, reason, retry_after_s);
 	if (request->state == REQUEST_CLAIMING) {
@@ -146,6 +148,33 @@
 	request_end(svc, request, refusal_name(reason));
 }
 
+static void set_deadline(request_svc_t *svc, request_t *request,
+			 int64_t deadline)
+{
+	int64_t wait;
+
+	request->ends_at_stop =
+		svc->stop_deadline != 0 && deadline > svc->stop_deadline;
+	request->deadline =
+		request->ends_at_stop ? svc->stop_deadline : deadline;
+	wait = request->deadline - kernel_now(svc->kernel);
+	kernel_timer_cancel(svc->kernel, &request->deadline_timer);
+	request->deadline_timer =
+		kernel_timer(svc->kernel, svc->self, MAX(wait, 0),
+			     request->self, TIMER_DEADLINE);
+}
+
+void request_limit_to_stop(request_svc_t *svc)
+{
+	request_t *request;
+	uint32_t cursor = 0;
+
+	/* Without a deadline timer, the request is about to end. */
+	while ((request = table_next(&svc->requests, &cursor, NULL)) != NULL)
+		if (!handle_is_none(request->deadline_timer))
+			set_deadline(svc, request, request->deadline);
+}
+
 static void begin_reserve(request_svc_t *svc, request_t *request)
 {
 	msg_t msg = {.kind = MSG_RESERVE, .id = request->self};
@@ -214,9 +243,7 @@
 	retry_budget_deposit(&svc->retry_budget);
 	count_running(svc, request->client_account, 1);
 	request->forwarding = request->spec->stream;
-	request->deadline_timer = kernel_timer(
-		svc->kernel, svc->self, request->deadline - request->started,
-		self, TIMER_DEADLINE);
+	set_deadline(svc, request, request->deadline);
 	if (request->service.idempotent)
 		begin_reserve(svc, request);
 	else
@@ -296,9 +323,8 @@
 	case REQUEST_BILLING:
 		if (!request->in_bill_grace) {
 			request->in_bill_grace = true;
-			request->deadline_timer = kernel_timer(
-				svc->kernel, svc->self, BILL_GRACE_US,
-				request->self, TIMER_DEADLINE);
+			set_deadline(svc, request,
+				     kernel_now(svc->kernel) + BILL_GRACE_US);
 			break;
 		}
 		/*
--- a/request/request.c
+++ b/request/request.c
@@ -32,6 +32,14 @@
 		    &msg);
 }
 
+static void stop(request_svc_t *svc, int64_t deadline)
+{
+	svc->stopping = true;
+	svc->stop_deadline = deadline;
+	request_limit_to_stop(svc);
+	request_check_stopped(svc);
+}
+
 static void conf_changed(request_svc_t *svc, msg_t *msg)
 {
 	conf_snapshot_unref(svc->conf);
@@ -83,8 +91,7 @@
 		start(svc);
 		break;
 	case MSG_STOP:
-		svc->stopping = true;
-		request_check_stopped(svc);
+		stop(svc, msg->u.stop.deadline);
 		break;
 	case MSG_TIMER:
 		timer(svc, msg);
--- a/request/request.h
+++ b/request/request.h
@@ -39,6 +39,7 @@
 	quarantine_t quarantine;
 	uint64_t blame_seq;
 	bool stopping;
+	int64_t stop_deadline; /* requests end then, monotonic us; 0: none */
 	bool stopped;
 } request_svc_t;
 
--- a/router/router.c
+++ b/router/router.c
@@ -23,6 +23,12 @@
 #define EXIT_USAGE 2
 /* A target is paused at the high-water mark and resumed at a quarter of it. */
 #define LOW_WATER_DIVISOR 4
+/*
+ * Time before stop_timeout_s at which running requests are ended, so that their
+ * callers are answered, bills recorded and grants returned.
+ */
+#define STOP_FINISH_US (2 * USEC_PER_SEC)
+#define STOP_FINISH_DIVISOR 2 /* limits it for a short stop_timeout_s */
 
 typedef enum router_timer_t {
 	TIMER_STOP, /* the planned stop exceeds stop_timeout_s */
@@ -60,14 +66,23 @@
 	int exit_code;
 } router_t;
 
-static void stop_service(router_t *router, const char *name)
+/* The service ends what still runs at the deadline; 0: none. */
+static void stop_service(router_t *router, const char *name, int64_t deadline)
 {
-	msg_t msg = {.kind = MSG_STOP};
+	msg_t msg = {.kind = MSG_STOP, .u.stop.deadline = deadline};
 
 	kernel_post(&router->kernel, router->svc,
 		    kernel_find(&router->kernel, name), &msg);
 }
 
+static int64_t request_deadline(const router_t *router)
+{
+	int64_t timeout = router->settings.stop_timeout_s * USEC_PER_SEC;
+
+	return kernel_now(&router->kernel) + timeout -
+	       MIN(STOP_FINISH_US, timeout / STOP_FINISH_DIVISOR);
+}
+
 static const char *stage_name(router_stage_t stage)
 {
 	switch (stage) {
@@ -94,19 +109,19 @@
 	case STAGE_RUNNING:
 		break;
 	case STAGE_REQUESTS:
-		stop_service(router, "admin");
-		stop_service(router, "front");
-		stop_service(router, "request");
+		stop_service(router, "admin", 0);
+		stop_service(router, "front", 0);
+		stop_service(router, "request", request_deadline(router));
 		router->pending_stops = 2;
 		break;
 	case STAGE_SETTLING:
-		stop_service(router, "ledger");
-		stop_service(router, "claims");
-		stop_service(router, "orders");
+		stop_service(router, "ledger", 0);
+		stop_service(router, "claims", 0);
+		stop_service(router, "orders", 0);
 		router->pending_stops = 3;
 		break;
 	case STAGE_LEAVING:
-		stop_service(router, "member");
+		stop_service(router, "member", 0);
 		router->pending_stops = 1;
 		break;
 	case STAGE_STOPPED:
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -606,6 +606,20 @@
 	EXPECT_EQ(counts[MSG_STOPPED], 1);
 }
 
+TEST_F(FrontTest, RefusalOfARequestThatAStopEndsDoesNotClaimThatItHasNotRun)
+{
+	Client client(front_port(&front));
+
+	client.send(request("/x", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	kernel_stop(&kernel);
+	post_refused(MSG_REPLY_REFUSED, REFUSAL_STOPPING);
+	ASSERT_TRUE(client.wait_for("\"type\":\"stopping\""));
+	EXPECT_EQ(client.in.find("HTTP/1.1 502 "), 0u) << client.in;
+	EXPECT_EQ(client.in.find("Retry-After"), std::string::npos);
+	EXPECT_TRUE(wait(MSG_STOPPED));
+}
+
 TEST_F(FrontTest, ConnectionsAreLimited)
 {
 	std::vector<std::unique_ptr<Client>> clients;
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -167,6 +167,22 @@
 				g_bytes_new(stored, strlen(stored));
 		send(msg);
 	}
+	// Opens a request whose complete response waits for its bill.
+	void open_complete()
+	{
+		open_chat();
+		reserved();
+		handle_t attempt = picked();
+		head(attempt);
+		data(attempt, "one");
+		end(attempt);
+	}
+	void stop(int64_t ms)
+	{
+		msg_t msg = make_msg(MSG_STOP, HANDLE_NONE);
+		msg.u.stop.deadline = kernel_now(&kernel) + ms * USEC_PER_MSEC;
+		send(msg);
+	}
 	void expect_refused(refusal_t reason, run_state_t run)
 	{
 		EXPECT_STREQ(
@@ -516,6 +532,107 @@
 	EXPECT_EQ(count(MSG_STOPPED), 1u);
 }
 
+TEST_F(RequestTest, RequestThatWaitsAtTheEndOfAStopIsNotDropped)
+{
+	open_chat();
+	reserved();
+	open_chat();
+	stop(1000);
+	advance(999);
+	EXPECT_EQ(count(MSG_REPLY_REFUSED), 0u);
+	advance(1);
+	EXPECT_EQ(count(MSG_REPLY_REFUSED), 2u);
+	expect_refused(REFUSAL_STOPPING, RUN_NOT_RUN);
+	EXPECT_EQ(count(MSG_ROUTE_CANCEL), 1u);
+	EXPECT_EQ(count(MSG_RELEASE), 1u);
+	EXPECT_EQ(count(MSG_STOPPED), 1u);
+}
+
+TEST_F(RequestTest, RequestThatRunsAtTheEndOfAStopIsNotDropped)
+{
+	open_chat();
+	reserved();
+	picked();
+	stop(1000);
+	advance(1000);
+	expect_refused(REFUSAL_STOPPING, RUN_UNKNOWN);
+	EXPECT_EQ(count(MSG_SEND_CANCEL), 1u);
+	EXPECT_EQ(count(MSG_STOPPED), 1u);
+}
+
+TEST_F(RequestTest, RetryThatWouldOutlastAStopIsNotDropped)
+{
+	open_chat();
+	reserved();
+	handle_t attempt = picked();
+	stop(1000);
+	advance(999);
+	failed(attempt, FAILURE_CONNECT);
+	advance(1);
+	expect_refused(REFUSAL_STOPPING, RUN_NOT_RUN);
+}
+
+TEST_F(RequestTest, StreamThatRunsAtTheEndOfAStopDoesNotLookComplete)
+{
+	open_chat(true);
+	reserved();
+	handle_t attempt = picked();
+	head(attempt, 200, "text/event-stream");
+	data(attempt, "one");
+	stop(1000);
+	advance(1000);
+	EXPECT_EQ(last(MSG_REPLY_ABORTED).u.refused.reason, REFUSAL_STOPPING);
+	EXPECT_EQ(last(MSG_REPLY_ABORTED).u.refused.run, RUN_UNKNOWN);
+	EXPECT_EQ(count(MSG_REPLY_END), 0u);
+	EXPECT_EQ(count(MSG_STOPPED), 1u);
+}
+
+TEST_F(RequestTest, BillThatIsPendingAtTheEndOfAStopDoesNotDropTheRequest)
+{
+	open_complete();
+	advance(1900);
+	stop(1000);
+	advance(999);
+	EXPECT_EQ(count(MSG_REPLY_REFUSED), 0u);
+	advance(1);
+	expect_refused(REFUSAL_STOPPING, RUN_RAN);
+	EXPECT_EQ(count(MSG_RELEASE), 0u);
+	EXPECT_EQ(count(MSG_STOPPED), 1u);
+}
+
+TEST_F(RequestTest, BillThatIsLateWhenAStopBeginsDoesNotDropTheRequest)
+{
+	open_complete();
+	advance(2100);
+	stop(1000);
+	advance(999);
+	EXPECT_EQ(count(MSG_REPLY_REFUSED), 0u);
+	advance(1);
+	expect_refused(REFUSAL_STOPPING, RUN_RAN);
+	EXPECT_EQ(count(MSG_STOPPED), 1u);
+}
+
+TEST_F(RequestTest, ClaimThatIsPendingAtTheEndOfAStopDoesNotDropTheRequest)
+{
+	open(request_spec(false, "k", "f"));
+	stop(1000);
+	advance(1000);
+	expect_refused(REFUSAL_STOPPING, RUN_NOT_RUN);
+	claimed(CLAIM_OWNED);
+	EXPECT_EQ(count(MSG_CLAIM_ABORT), 1u);
+	EXPECT_EQ(count(MSG_STOPPED), 1u);
+}
+
+TEST_F(RequestTest, StopDoesNotExtendTheDeadlineOfARequest)
+{
+	open_chat();
+	reserved();
+	picked();
+	stop(10000);
+	advance(2000);
+	expect_refused(REFUSAL_DEADLINE, RUN_UNKNOWN);
+}
+
 // A slow caller must pause its target, also one that a retry chooses later.
 TEST_F(RequestTest, PauseReachesTheTarget)
 {
