Refuse the last callers before a router's planned stop is complete

Callers saw: a request on a connection that had just been established got neither an answer nor a refusal from a router that was told to stop.

Cause: at SIGTERM the router closed its listener with connections in the accept queue, which the system then resets. Without requests in progress, front reported at once that it had finished, so that the process could also exit before it had read a request on a connection just accepted.

Evidence, failed before and pass: ConnectionInTheAcceptQueueIsNotDroppedByAStop (no answer), StopIsNotCompleteBeforeItsLastConnectionsAreRefused (the stop was reported before the requests were refused).

Change: front accepts until the queue is empty, closes the listener, and reports that it has finished 50 ms later at the earliest. Requests read in between are refused as by any stopping router. A failed accept() is logged.

--- a/front/front.c
+++ b/front/front.c
@@ -11,6 +11,8 @@
 
 /* Bytes read beyond the limit of a body before the connection is closed. */
 #define DISCARD_BYTES_MAX 1048576
+/* Time for requests on the last connections, which were just established. */
+#define STOP_SETTLE_US (50 * USEC_PER_MSEC)
 #define KEY_HASH "key-hash" /* hash of the API key, attached to a message */
 
 static const char *const model_paths[] = {
@@ -38,7 +40,7 @@
 {
 	msg_t msg = {.kind = MSG_STOPPED};
 
-	if (!front->stopping || front->stopped ||
+	if (!front->settled || front->stopped ||
 	    table_count(&front->streams) > 0)
 		return;
 	front->stopped = true;
@@ -364,7 +366,14 @@
 static void stop(front_t *front)
 {
 	front->stopping = true;
-	listen_close(front);
+	listen_drain(front);
+	kernel_timer(front->kernel, front->svc, STOP_SETTLE_US, HANDLE_NONE,
+		     FRONT_TIMER_SETTLED);
+}
+
+static void settled(front_t *front)
+{
+	front->settled = true;
 	front_check_stopped(front);
 }
 
@@ -386,6 +395,8 @@
 		stream_watch_all(front);
 	else if (msg->u.timer.kind == FRONT_TIMER_TIMEOUTS)
 		listen_check_timeouts(front);
+	else if (msg->u.timer.kind == FRONT_TIMER_SETTLED)
+		settled(front);
 	else
 		listen_resume(front);
 }
--- a/front/front.h
+++ b/front/front.h
@@ -46,6 +46,7 @@
 #define FRONT_TIMER_ACCEPT 0
 #define FRONT_TIMER_WATCH 1
 #define FRONT_TIMER_TIMEOUTS 2
+#define FRONT_TIMER_SETTLED 3
 
 typedef struct front_t {
 	kernel_t *kernel;
@@ -65,6 +66,7 @@
 	GHashTable *streams_per_key; /* API key hash -> requests in progress */
 	front_connections_t *connections; /* a GRcBox */
 	bool stopping;
+	bool settled; /* requests on the last connections have been refused */
 	bool stopped; /* MSG_STOPPED was sent */
 	conf_snapshot_t *conf; /* NULL until a configuration arrives */
 	errmsg_t err; /* last failure */
--- a/front/listen.c
+++ b/front/listen.c
@@ -1,6 +1,7 @@
 #include "front/listen.h"
 
 #include "front/caller.h"
+#include "log/log.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -12,6 +13,12 @@
 /* Interval of the timeout checks and so the resolution of the timeouts. */
 #define TIMEOUT_CHECK_US USEC_PER_SEC
 
+typedef enum accept_status_t {
+	ACCEPT_OK,
+	ACCEPT_NONE_LEFT, /* the accept queue is empty */
+	ACCEPT_FAILED,
+} accept_status_t;
+
 static void adjust_connection_count(front_connections_t *connections,
 				    int change)
 {
@@ -113,31 +120,53 @@
 	g_clear_pointer(&front->accept_source, g_source_unref);
 }
 
+static accept_status_t accept_next(front_t *front)
+{
+	GError *error = NULL;
+	GSocket *socket = g_socket_accept(front->listener, NULL, &error);
+	accept_status_t status = ACCEPT_OK;
+
+	if (socket != NULL)
+		accept_connection(front, socket);
+	else if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+		status = ACCEPT_NONE_LEFT;
+	else
+		status = ACCEPT_FAILED;
+	if (status == ACCEPT_FAILED)
+		log_event(LOG_LEVEL_WARN, "front", "accept_failed", "reason=%s",
+			  log_quote(error->message));
+	g_clear_object(&socket);
+	g_clear_error(&error);
+	return status;
+}
+
 static gboolean on_incoming(GSocket *listener, GIOCondition condition,
 			    gpointer data)
 {
 	front_t *front = data;
-	GError *error = NULL;
-	GSocket *socket;
+	accept_status_t status = ACCEPT_OK;
 
+	(void)listener;
 	(void)condition;
-	for (int i = 0; i < ACCEPT_BATCH; i++) {
-		socket = g_socket_accept(listener, NULL, &error);
-		if (socket == NULL)
-			break;
-		accept_connection(front, socket);
-		g_object_unref(socket);
-	}
-	if (error != NULL &&
-	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+	for (int i = 0; i < ACCEPT_BATCH && status == ACCEPT_OK; i++)
+		status = accept_next(front);
+	if (status == ACCEPT_FAILED) {
 		stop_accepting(front);
 		kernel_timer(front->kernel, front->svc, ACCEPT_RETRY_US,
 			     HANDLE_NONE, FRONT_TIMER_ACCEPT);
 	}
-	g_clear_error(&error);
 	return G_SOURCE_CONTINUE;
 }
 
+void listen_drain(front_t *front)
+{
+	if (front->listener == NULL)
+		return;
+	while (accept_next(front) == ACCEPT_OK)
+		;
+	listen_close(front);
+}
+
 void listen_resume(front_t *front)
 {
 	if (front->listener == NULL || front->accept_source != NULL)
--- a/front/listen.h
+++ b/front/listen.h
@@ -23,6 +23,8 @@
 void listen_check_timeouts(front_t *front);
 /* Drops a reference; the last one frees the table of connections. */
 void front_connections_unref(front_connections_t *connections);
+/* Accepts the established connections, then closes the listening socket. */
+void listen_drain(front_t *front);
 /* Closes the listening socket; accepted connections stay open. */
 void listen_close(front_t *front);
 
--- a/front/stream.h
+++ b/front/stream.h
@@ -40,7 +40,7 @@
 		   const char *request_id, refusal_t reason, run_state_t run,
 		   uint32_t retry_after_s, const char *detail);
 
-/* Sends MSG_STOPPED if the front is stopping and has no streams. */
+/* Sends MSG_STOPPED if the stop has settled and no stream is left. */
 void front_check_stopped(front_t *front);
 
 G_END_DECLS
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -606,6 +606,22 @@
 	EXPECT_EQ(counts[MSG_STOPPED], 1);
 }
 
+TEST_F(FrontTest, ConnectionInTheAcceptQueueIsNotDroppedByAStop)
+{
+	Client client(front_port(&front));
+
+	client.send_at_once(request("/x", ""));
+	kernel_stop(&kernel);
+	ASSERT_TRUE(pump([&] { return front.stopping; }));
+	pump(
+		[&] {
+			client.read();
+			return client.closed || !client.in.empty();
+		},
+		1000);
+	EXPECT_NE(client.in.find("HTTP/1.1 503"), std::string::npos);
+}
+
 TEST_F(FrontTest, RefusalOfARequestThatAStopEndsDoesNotClaimThatItHasNotRun)
 {
 	Client client(front_port(&front));
@@ -762,6 +778,26 @@
 	EXPECT_NE(client.in.find("again"), std::string::npos);
 }
 
+TEST_F(TimedFrontTest, StopIsNotCompleteBeforeItsLastConnectionsAreRefused)
+{
+	std::vector<std::unique_ptr<Client>> clients;
+
+	for (int i = 0; i < 20; i++)
+		clients.push_back(std::make_unique<Client>(front_port(&front)));
+	kernel_stop(&kernel);
+	ASSERT_TRUE(pump([&] { return front.stopping; }));
+	EXPECT_FALSE(Client(front_port(&front)).connected);
+	run_pending();
+	EXPECT_EQ(counts[MSG_STOPPED], 0);
+	for (auto &client : clients) {
+		client->send(request("/x", ""));
+		EXPECT_TRUE(client->wait_for("\"type\":\"stopping\""));
+	}
+	EXPECT_EQ(counts[MSG_STOPPED], 0);
+	advance(1);
+	EXPECT_EQ(counts[MSG_STOPPED], 1);
+}
+
 // Without free file descriptors, accept() fails at once on each attempt.  The
 // listener must pause instead of spinning, and accept the waiting connections
 // when descriptors are free again.
