--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -881,6 +881,48 @@
 	g_object_unref(session);
 }
 
+class TlsTimeoutTest : public TlsFrontTest
+{
+      protected:
+	void configure(front_opts_t *opts) override
+	{
+		TlsFrontTest::configure(opts);
+		opts->timeouts.head_us = USEC_PER_SEC;
+		opts->timeouts.idle_us = USEC_PER_SEC;
+	}
+};
+
+TEST_F(TlsTimeoutTest, SilentAndIdleTlsConnectionsAreNotKeptForever)
+{
+	std::string url =
+		"https://127.0.0.1:" + std::to_string(front_port(&front)) +
+		"/v1/models";
+	Client silent(front_port(&front));
+	SoupSession *session = soup_session_new();
+	SoupMessage *get = soup_message_new("GET", url.c_str());
+	bool done = false;
+
+	soup_message_headers_append(soup_message_get_request_headers(get),
+				    "Authorization", "Bearer abc");
+	g_signal_connect(get, "accept-certificate",
+			 G_CALLBACK(accept_certificate), nullptr);
+	soup_session_send_and_read_async(
+		session, get, G_PRIORITY_DEFAULT, nullptr,
+		[](GObject *source, GAsyncResult *result, gpointer data) {
+			g_bytes_unref(soup_session_send_and_read_finish(
+				SOUP_SESSION(source), result, nullptr));
+			*static_cast<bool *>(data) = true;
+		},
+		&done);
+	ASSERT_TRUE(pump([&] { return done; }));
+	EXPECT_EQ(soup_message_get_status(get), 503u); // keeps the connection
+	EXPECT_EQ(front.connections->count, 2u);
+	EXPECT_TRUE(pump([&] { return front.connections->count == 0; }));
+	EXPECT_TRUE(silent.wait_closed());
+	g_object_unref(get);
+	g_object_unref(session);
+}
+
 // An unreadable certificate must make the start fail instead of falling back to
 // plain HTTP.
 TEST(Tls, MissingCertificateFailsListen)
