--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -606,6 +606,36 @@
 	EXPECT_EQ(counts[MSG_STOPPED], 1);
 }
 
+TEST_F(FrontTest, ConnectionInTheAcceptQueueIsNotDroppedByAStop)
+{
+	Client client(front_port(&front));
+
+	client.send_at_once(request("/x", ""));
+	kernel_stop(&kernel);
+	ASSERT_TRUE(pump([&] { return front.stopping; }));
+	pump(
+		[&] {
+			client.read();
+			return client.closed || !client.in.empty();
+		},
+		1000);
+	EXPECT_NE(client.in.find("HTTP/1.1 503"), std::string::npos);
+}
+
+TEST_F(FrontTest, RefusalOfARequestThatAStopEndsDoesNotClaimThatItHasNotRun)
+{
+	Client client(front_port(&front));
+
+	client.send(request("/x", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	kernel_stop(&kernel);
+	post_refused(MSG_REPLY_REFUSED, REFUSAL_STOPPING);
+	ASSERT_TRUE(client.wait_for("\"type\":\"stopping\""));
+	EXPECT_EQ(client.in.find("HTTP/1.1 502 "), 0u) << client.in;
+	EXPECT_EQ(client.in.find("Retry-After"), std::string::npos);
+	EXPECT_TRUE(wait(MSG_STOPPED));
+}
+
 TEST_F(FrontTest, ConnectionsAreLimited)
 {
 	std::vector<std::unique_ptr<Client>> clients;
@@ -727,6 +757,47 @@
 	EXPECT_TRUE(pump([&] { return front.connections->count == 0; }));
 }
 
+TEST_F(TimedFrontTest, IdleLimitDoesNotDropARequestThatHasArrived)
+{
+	Client client(front_port(&front));
+
+	client.send(request("/x", ""));
+	ASSERT_TRUE(wait(MSG_REQ_OPEN));
+	reply_complete("first");
+	ASSERT_TRUE(client.wait_for("\r\n\r\nfirst"));
+	advance(119);
+	client.send_at_once(request("/y", ""));
+	kernel_run_until(&kernel, kernel.virtual_now + 3 * USEC_PER_SEC);
+	ASSERT_TRUE(wait(MSG_REQ_OPEN, 2));
+	reply_complete("again");
+	pump([&] {
+		client.read();
+		return client.closed ||
+		       client.in.find("again") != std::string::npos;
+	});
+	EXPECT_NE(client.in.find("again"), std::string::npos);
+}
+
+TEST_F(TimedFrontTest, StopIsNotCompleteBeforeItsLastConnectionsAreRefused)
+{
+	std::vector<std::unique_ptr<Client>> clients;
+
+	for (int i = 0; i < 20; i++)
+		clients.push_back(std::make_unique<Client>(front_port(&front)));
+	kernel_stop(&kernel);
+	ASSERT_TRUE(pump([&] { return front.stopping; }));
+	EXPECT_FALSE(Client(front_port(&front)).connected);
+	run_pending();
+	EXPECT_EQ(counts[MSG_STOPPED], 0);
+	for (auto &client : clients) {
+		client->send(request("/x", ""));
+		EXPECT_TRUE(client->wait_for("\"type\":\"stopping\""));
+	}
+	EXPECT_EQ(counts[MSG_STOPPED], 0);
+	advance(1);
+	EXPECT_EQ(counts[MSG_STOPPED], 1);
+}
+
 // Without free file descriptors, accept() fails at once on each attempt.  The
 // listener must pause instead of spinning, and accept the waiting connections
 // when descriptors are free again.
@@ -810,6 +881,48 @@
 	g_object_unref(session);
 }
 
+class TlsTimeoutTest : public TlsFrontTest
+{
+      protected:
+	void configure(front_opts_t *opts) override
+	{
+		TlsFrontTest::configure(opts);
+		opts->timeouts.head_us = USEC_PER_SEC;
+		opts->timeouts.idle_us = USEC_PER_SEC;
+	}
+};
+
+TEST_F(TlsTimeoutTest, SilentAndIdleTlsConnectionsAreNotKeptForever)
+{
+	std::string url =
+		"https://127.0.0.1:" + std::to_string(front_port(&front)) +
+		"/v1/models";
+	Client silent(front_port(&front));
+	SoupSession *session = soup_session_new();
+	SoupMessage *get = soup_message_new("GET", url.c_str());
+	bool done = false;
+
+	soup_message_headers_append(soup_message_get_request_headers(get),
+				    "Authorization", "Bearer abc");
+	g_signal_connect(get, "accept-certificate",
+			 G_CALLBACK(accept_certificate), nullptr);
+	soup_session_send_and_read_async(
+		session, get, G_PRIORITY_DEFAULT, nullptr,
+		[](GObject *source, GAsyncResult *result, gpointer data) {
+			g_bytes_unref(soup_session_send_and_read_finish(
+				SOUP_SESSION(source), result, nullptr));
+			*static_cast<bool *>(data) = true;
+		},
+		&done);
+	ASSERT_TRUE(pump([&] { return done; }));
+	EXPECT_EQ(soup_message_get_status(get), 503u); // keeps the connection
+	EXPECT_EQ(front.connections->count, 2u);
+	EXPECT_TRUE(pump([&] { return front.connections->count == 0; }));
+	EXPECT_TRUE(silent.wait_closed());
+	g_object_unref(get);
+	g_object_unref(session);
+}
+
 // An unreadable certificate must make the start fail instead of falling back to
 // plain HTTP.
 TEST(Tls, MissingCertificateFailsListen)
