Let no signal end a gateway before its loop or after it

Operators saw: a SIGHUP that came as a gateway started or was about to exit ended it at once (status -1), with connections open.

Cause: the default action of SIGHUP applied until the handler was installed and again once it was removed, before the services were finished.

Change: SIGHUP is ignored until its handler is installed, and the handlers stay until the process ends.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -14,6 +14,7 @@
 #include "settings/settings.h"
 
 #include <glib-unix.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -305,17 +306,16 @@
 
 static int run(gateway_t *gateway)
 {
-	guint term, interrupt, hup;
 	int status = 1;
 
 	kernel_init(&gateway->kernel, CLOCK_REAL, 0);
 	kernel_uuid(&gateway->kernel, gateway->incarnation);
 	gateway->svc =
 		kernel_register(&gateway->kernel, "gateway", receive, gateway);
-	/* A signal must not end the process once callers can connect. */
-	term = g_unix_signal_add(SIGTERM, on_stop_signal, gateway);
-	interrupt = g_unix_signal_add(SIGINT, on_stop_signal, gateway);
-	hup = g_unix_signal_add(SIGHUP, on_hup, gateway);
+	/* The handlers stay: a signal must not end the process as it exits. */
+	g_unix_signal_add(SIGTERM, on_stop_signal, gateway);
+	g_unix_signal_add(SIGINT, on_stop_signal, gateway);
+	g_unix_signal_add(SIGHUP, on_hup, gateway);
 	init_data_services(gateway);
 	init_requests(gateway);
 	if (open_ports(gateway) != 0)
@@ -329,9 +329,6 @@
 	status = 0;
 	log_event(LOG_LEVEL_INFO, "gateway", "exit", "code=%d", status);
 out:
-	g_source_remove(term);
-	g_source_remove(interrupt);
-	g_source_remove(hup);
 	finish_all(gateway);
 	return status;
 }
@@ -367,6 +364,8 @@
 	g_autoptr(GError) error = NULL;
 	int status = EXIT_USAGE;
 
+	/* Until its handler is installed, the signal would end the process. */
+	signal(SIGHUP, SIG_IGN);
 	g_option_context_add_main_entries(context, entries, NULL);
 	gateway = g_new0(gateway_t, 1);
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
