--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -13,7 +13,7 @@
 import http1
 
 SERIES = ("stop", "stop_together", "stop_in_turn", "reload", "configure",
-          "store_slow", "release")
+          "release")
 LEAVE_ROTATION_S = 2.0  # of the load balancer, after SIGTERM
 LOSS_SLACK_S = 0.2  # from the last sent byte until a gateway has read it
 LOOP_LAG_MIN_S = 0.02  # shorter delays of this process are not recorded
@@ -23,11 +23,32 @@
 SENT_EARLY = 3 / 8
 CUT_LATE = 5 / 6
 CONFIG_DELAY_MAX_S = 3.0  # until a gateway applies a configuration
-SMALL_BUFFER = 4096  # bytes, receive buffer of some clients
-READ_PARTS = 40  # of an answer that is read slowly
+# Of some clients.  Small segments keep the gateway's send buffer small too.
+SMALL_BUFFER = 4096  # bytes
+SMALL_SEGMENT = 536  # bytes
+READ_PAUSE_S = 0.05  # between two reads of an answer that is read slowly
+ANSWER_BYTES = (50000, 300000, 600000)  # of slow clients
 LOG_LINES_MAX = 12  # printed for one lost attempt
 
 
+class Load:
+    """What the clients of a run send; work, events and pauses in ms."""
+
+    def __init__(self, think_time_s, work_ms, event_ms, pause_ms):
+        self.think_time_s = think_time_s  # mean between two requests
+        self.work_ms = work_ms
+        self.event_ms = event_ms
+        self.pause_ms = pause_ms  # in the body of a request
+
+
+# A gateway is at times idle, with short or long requests, is never idle, or
+# waits for busy workers.
+LOADS = (Load(0.3, (5, 30), (5,), (0,)),
+         Load(1, (5, 600, 1500), (20,), (0, 0, 0, 300)),
+         Load(0.3, (5, 30, 300, 1500), (10, 50, 150), (0, 0, 0, 50, 1000)),
+         Load(0.02, (30, 600, 1500), (20, 100), (0, 0, 0, 0, 50)))
+
+
 class Step:
     """One planned action; the value depends on the action."""
 
@@ -52,6 +73,9 @@
 def _stop(rng, start_s, stopped):
     """Returns a stop with reloads and configurations that overlap it."""
     steps = [Step(start_s, "stop", stopped, rng.uniform(0, 1))]
+    if rng.random() < 0.4:
+        steps.append(Step(start_s + rng.uniform(-0.5, 2.5), "store_slow", (),
+                          (rng.uniform(0.05, 1), rng.uniform(1, 4))))
     for _ in range(rng.randrange(3)):
         steps.append(Step(start_s + rng.uniform(-0.3, 4), "reload", stopped))
     for _ in range(rng.randrange(4)):
@@ -77,10 +101,6 @@
     if kind == "configure":
         return [Step(start_s + i * rng.uniform(0.05, 1), "configure", (),
                      _limits(rng)) for i in range(5)]
-    if kind == "store_slow":
-        return [Step(start_s - 0.5, "store_slow", (),
-                     (rng.uniform(0.1, 1), rng.uniform(2, 5)))] + \
-            _stop(rng, start_s, some)
     return [Step(start_s, "release", (), rng.randrange(1000))]
 
 
@@ -131,11 +151,11 @@
 class Client(clients.Client):
     """Uses a connection until the gateway closes it."""
 
-    def __init__(self, soak, number, think_time_s):
+    def __init__(self, soak, number, load):
         super().__init__(soak, number)
-        self.think_time_s = think_time_s
-        self.slow = self.random.random() < 0.3
-        self.small_buffer = self.random.random() < 0.5
+        self.load = load
+        self.slow = self.random.random() < 0.4
+        self.small_buffer = self.random.random() < 0.7
 
     def _gateways(self):
         """Returns the gateways to which a load balancer sends connections."""
@@ -154,6 +174,8 @@
         sock.setblocking(False)
         if self.small_buffer:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG,
+                            SMALL_SEGMENT)
         try:
             await asyncio.wait_for(asyncio.get_running_loop().sock_connect(
                 sock, ("127.0.0.1", gateway.callers_port)), 1)
@@ -173,13 +195,14 @@
             self.soak.now())
         attempt.incarnation = self.incarnation
         attempt.deadline_s = rng.choice((2.5, 6, 12))
-        attempt.work_ms = rng.choice((5, 30, 300, 1500))
+        attempt.work_ms = rng.choice(self.load.work_ms)
         if attempt.is_stream():
             attempt.event_count = rng.choice((4, 20, 40))
-            attempt.event_ms = rng.choice((10, 50, 150))
+            attempt.event_ms = rng.choice(self.load.event_ms)
         elif self.slow:
-            attempt.answer_bytes = rng.choice((50000, 200000, 600000))
-            attempt.read_s = rng.uniform(0.3, 2.5)
+            attempt.answer_bytes = rng.choice(ANSWER_BYTES)
+            attempt.read_s = rng.uniform(0.5, 3)
+            attempt.deadline_s = 12
         return attempt
 
     async def _send_request(self):
@@ -211,7 +234,7 @@
         """Writes a request whose body may come in parts, with a pause."""
         rng = self.random
         body = b"x" * rng.choice((0, 200, 20000))
-        pause_s = rng.choice((0, 0, 0.05, 1, 2.4))
+        pause_ms = rng.choice(self.load.pause_ms)
         half = len(body) // 2
         if rng.random() < 0.5:
             data = http1.message("POST /%s/x HTTP/1.1" % attempt.kind, fields,
@@ -226,31 +249,34 @@
                 rest = http1.chunk(body[:half]) + rest
         writer.write(first)
         await writer.drain()
-        if body and pause_s:
-            await asyncio.sleep(pause_s)
+        if body and pause_ms:
+            await asyncio.sleep(pause_ms / 1000)
         writer.write(rest)
         await writer.drain()
         attempt.sent = self.soak.now()
 
     async def _read_body(self, attempt, reader, fields):
         size = int(fields.get("content-length", 0))
-        if attempt.read_s == 0 or size < READ_PARTS:
+        if attempt.read_s == 0 or attempt.status != 200:
             return await http1.read_body(reader, fields)
-        body = b""
+        body = bytearray()
+        begin = self.soak.now()
         while len(body) < size:
-            await asyncio.sleep(attempt.read_s / READ_PARTS)
-            data = await reader.read(
-                min(size // READ_PARTS + 1, size - len(body)))
+            data = await reader.read(size - len(body))
             if not data:
                 raise http1.ConnectionLost()
             body += data
             attempt.received = len(body)
-        return body
+            ahead_s = begin + attempt.read_s * len(body) / size - \
+                self.soak.now()
+            if ahead_s > READ_PAUSE_S:
+                await asyncio.sleep(ahead_s)
+        return bytes(body)
 
     async def run(self):
         while not self.soak.stopping:
             await asyncio.sleep(
-                self.random.expovariate(1 / self.think_time_s))
+                self.random.expovariate(1 / self.load.think_time_s))
             await self._send_request()
         self._disconnect()
 
@@ -317,5 +343,5 @@
     path = os.path.join(soak.folder, attempt.gateway.name + ".log")
     with open(path, encoding="utf-8", errors="replace") as log:
         lines = [line.rstrip() for line in log
-                 if "request=%s " % attempt.id in line]
+                 if 'request="%s" ' % attempt.id in line]
     return lines[:LOG_LINES_MAX] or ["no log line"]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,8 +36,6 @@
 REQUEST_READ_MAX_S = 0.05  # until a gateway has read a request on loopback
 DISCONNECT_DETECT_S = 1.0  # until the end of a connection is detected
 PREPAID_TOKENS = {"small": 40000, "large": 2000000}
-# Mean time in seconds between two requests of a client under planned work.
-THINK_TIMES_S = (0.05, 0.4, 1.5)
 TOP_UP_TOKENS = 10000
 PLANNED_PREFIX = "planned-"
 
@@ -192,7 +190,8 @@
             self.add_violation("ANSWER", "%s %s: %s" % (
                 attempt.id, attempt.kind, attempt.error))
         if attempt.ended - attempt.started > \
-                clients.DEADLINE_S + LATENESS_MAX_S and calm and \
+                attempt.deadline_s + attempt.read_s + LATENESS_MAX_S and \
+                calm and \
                 attempt.error is None and attempt.events == 0:
             self.add_violation("LATE", "%s answered after %.2f s" % (
                 attempt.id, attempt.ended - attempt.started))
@@ -331,7 +330,7 @@
         if not self.is_planned:
             return clients.Client(self, number)
         return planned.Client(
-            self, number, THINK_TIMES_S[self.seed % len(THINK_TIMES_S)])
+            self, number, planned.LOADS[self.seed % len(planned.LOADS)])
 
     async def _check_recovery(self):
         """Checks that most requests are served a few seconds after faults."""
