--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -12,8 +12,7 @@
 import faults
 import http1
 
-SERIES = ("stop", "stop_together", "stop_in_turn", "reload", "configure",
-          "release")
+SERIES = ("stop", "stop_together", "stop_in_turn", "change")
 LEAVE_ROTATION_S = 2.0  # of the load balancer, after SIGTERM
 LOSS_SLACK_S = 0.2  # from the last sent byte until a gateway has read it
 LOOP_LAG_MIN_S = 0.02  # shorter delays of this process are not recorded
@@ -34,7 +33,9 @@
 class Load:
     """What the clients of a run send; work, events and pauses in ms."""
 
-    def __init__(self, think_time_s, work_ms, event_ms, pause_ms):
+    def __init__(self, client_ratio, think_time_s, work_ms, event_ms,
+                 pause_ms):
+        self.client_ratio = client_ratio  # of the clients that take part
         self.think_time_s = think_time_s  # mean between two requests
         self.work_ms = work_ms
         self.event_ms = event_ms
@@ -43,10 +44,11 @@
 
 # A gateway is at times idle, with short or long requests, is never idle, or
 # waits for busy workers.
-LOADS = (Load(0.3, (5, 30), (5,), (0,)),
-         Load(1, (5, 600, 1500), (20,), (0, 0, 0, 300)),
-         Load(0.3, (5, 30, 300, 1500), (10, 50, 150), (0, 0, 0, 50, 1000)),
-         Load(0.02, (30, 600, 1500), (20, 100), (0, 0, 0, 0, 50)))
+LOADS = (Load(0.4, 0.3, (5, 30), (5,), (0,)),
+         Load(0.4, 1, (5, 600, 1500), (20,), (0, 0, 0, 300)),
+         Load(1, 0.3, (5, 30, 300, 1500), (10, 50, 150),
+              (0, 0, 0, 50, 1000)),
+         Load(1, 0.02, (30, 600, 1500), (20, 100), (0, 0, 0, 0, 50)))
 
 
 class Step:
@@ -95,13 +97,11 @@
         gap_s = rng.uniform(0.3, 1.5)
         return [step for i, each in enumerate(some)
                 for step in _stop(rng, start_s + i * gap_s, [each])]
-    if kind == "reload":
-        return [Step(start_s + i * rng.uniform(0.1, 1), "reload", everyone)
-                for i in range(3)]
-    if kind == "configure":
-        return [Step(start_s + i * rng.uniform(0.05, 1), "configure", (),
-                     _limits(rng)) for i in range(5)]
-    return [Step(start_s, "release", (), rng.randrange(1000))]
+    return [Step(start_s, "release", (), rng.randrange(1000))] + \
+        [Step(start_s + rng.uniform(0, 3), "reload", everyone)
+         for _ in range(3)] + \
+        [Step(start_s + rng.uniform(0, 3), "configure", (), _limits(rng))
+         for _ in range(5)]
 
 
 def plan(seed, seconds, count, gateway_count):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -305,8 +305,8 @@
     async def run(self, plan):
         await self.set_up()
         self.started = self.now()
-        tasks = [asyncio.ensure_future(self._client(i).run())
-                 for i in range(self.args.clients)]
+        tasks = [asyncio.ensure_future(client.run())
+                 for client in self._clients()]
         injection = asyncio.ensure_future(self._run_plan(plan))
         lag_record = asyncio.ensure_future(planned.record_lag(self))
         await asyncio.sleep(self.args.seconds)
@@ -326,11 +326,13 @@
         lag_record.cancel()
         await self._tear_down()
 
-    def _client(self, number):
+    def _clients(self):
+        count = self.args.clients
         if not self.is_planned:
-            return clients.Client(self, number)
-        return planned.Client(
-            self, number, planned.LOADS[self.seed % len(planned.LOADS)])
+            return [clients.Client(self, i) for i in range(count)]
+        load = planned.LOADS[self.seed % len(planned.LOADS)]
+        return [planned.Client(self, i, load)
+                for i in range(round(count * load.client_ratio))]
 
     async def _check_recovery(self):
         """Checks that most requests are served a few seconds after faults."""
