--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -107,7 +107,9 @@
         if signal_number == signal.SIGTERM:
             self.stopping_since = self.soak.now()
             self.stops[self.incarnation] = self.stopping_since
-        self.process.send_signal(signal_number)
+        # Process.send_signal() would reap a process that has just ended, and
+        # its exit status would be lost.
+        os.kill(self.process.pid, signal_number)
 
     async def kill(self):
         self.signal(signal.SIGCONT)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -43,12 +43,13 @@
 
 
 # A gateway is at times idle, with short or long requests, is never idle, or
-# waits for busy workers.
+# waits for busy workers, at last for seconds.
 LOADS = (Load(0.4, 0.3, (5, 30), (5,), (0,)),
          Load(0.4, 1, (5, 600, 1500), (20,), (0, 0, 0, 300)),
          Load(1, 0.3, (5, 30, 300, 1500), (10, 50, 150),
               (0, 0, 0, 50, 1000)),
-         Load(1, 0.02, (30, 600, 1500), (20, 100), (0, 0, 0, 0, 50)))
+         Load(1, 0.02, (30, 600, 1500), (20, 100), (0, 0, 0, 0, 50)),
+         Load(3, 0.02, (1500, 5000), (20,), (0,)))
 
 
 class Step:
