--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -1,5 +1,6 @@
 """Gateway processes, each running the program under test."""
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -109,7 +110,8 @@
             self.stops[self.incarnation] = self.stopping_since
         # Process.send_signal() would reap a process that has just ended, and
         # its exit status would be lost.
-        os.kill(self.process.pid, signal_number)
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.process.pid, signal_number)
 
     async def kill(self):
         self.signal(signal.SIGCONT)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -25,6 +25,7 @@
 # Of some clients.  Small segments keep the gateway's send buffer small too.
 SMALL_BUFFER = 4096  # bytes
 SMALL_SEGMENT = 536  # bytes
+RETRY_DELAY_S = 1.0  # of a client after a refusal
 READ_PAUSE_S = 0.05  # between two reads of an answer that is read slowly
 ANSWER_BYTES = (50000, 300000, 600000)  # of slow clients
 LOG_LINES_MAX = 12  # printed for one lost attempt
@@ -230,6 +231,8 @@
             self._disconnect()
         attempt.ended = self.soak.now()
         self.soak.record_response(attempt)
+        if attempt.status in (429, 503):
+            await asyncio.sleep(RETRY_DELAY_S)
 
     async def _write_request(self, attempt, writer, fields):
         """Writes a request whose body may come in parts, with a pause."""
@@ -304,8 +307,7 @@
     The workers of a planned run never break off a response.
     """
     runs = soak.runs.get(attempt.id, [])
-    if attempt.complete or attempt.error is not None or (
-            attempt.sent is None and not runs):
+    if attempt.sent is None and not runs:
         return False
     if attempt.ended - attempt.started >= min(attempt.deadline_s,
                                               _timeout_s(soak, attempt)):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,7 +51,7 @@
         self.limits = [(0, {"idle_timeout_ms": 15000, "timeout_ms": 6000,
                             "extra_routes": 0, "safe_service": "orders"})]
         self.lags = []  # (begin, end, length) of delays of this process
-        self.lost = []  # attempts without a response under planned work
+        self.cut = []  # attempts without a response under planned work
         self.folder = folder
         self.binary = args.binary
         self.log_level = args.log_level
@@ -200,11 +200,11 @@
             self.add_violation(
                 "REFUSED", "%s has run but is refused with %d" % (
                     attempt.id, attempt.status))
-        if self.is_planned:
-            if planned.is_lost(self, attempt):
-                self.lost.append(attempt)
-        elif not attempt.complete and attempt.error is None and (
-                self._is_calm(attempt) or self._is_planned_stop(attempt)):
+        if attempt.complete or attempt.error is not None:
+            pass
+        elif self.is_planned:
+            self.cut.append(attempt)
+        elif self._is_calm(attempt) or self._is_planned_stop(attempt):
             self.add_violation(
                 "LOST", "%s %s ended without a complete response" % (
                     attempt.id, attempt.kind))
@@ -390,13 +390,16 @@
     try:
         await soak.run(plan)
     finally:
+        soak.stopping = True
         for gateway in soak.gateways:
             await gateway.kill()
     spent = soak.check_tokens()
-    for attempt in soak.lost:
-        soak.violations.append((attempt.ended, "LOST", "\n    ".join(
-            [planned.lost_text(soak, attempt)] +
-            planned.log_lines(soak, attempt))))
+    for attempt in soak.cut:
+        # Delays of this process are known only afterwards.
+        if planned.is_lost(soak, attempt):
+            soak.violations.append((attempt.ended, "LOST", "\n    ".join(
+                [planned.lost_text(soak, attempt)] +
+                planned.log_lines(soak, attempt))))
     print(json.dumps(summary(soak, spent)), flush=True)
     if not soak.violations:
         shutil.rmtree(folder)
