Keep a connection open while its answer is being written

Callers saw: an answer was cut while the caller read it, on an open connection: under a low idle limit after a few hundred milliseconds.

Cause: the idle limit ran against connections with output left.

Change: while output is left, a caller has 30 s for the end of its answer, on a kept connection and on one that is closed after it.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -20,6 +20,8 @@
 #define MSEC_PER_SEC 1000
 /* Time for the caller to close after the last response was written. */
 #define LINGER_TIMEOUT_US USEC_PER_SEC
+/* Time for a caller that reads slowly to read the end of a response. */
+#define OUTPUT_TIMEOUT_US (30 * USEC_PER_SEC)
 
 static void on_ready(void *data, unsigned ready);
 
@@ -422,12 +424,13 @@
 	}
 }
 
-/* A caller that reads slowly has as long as an idle one for the response. */
-static int64_t linger_limit(const ingress_conn_t *conn)
+/* Returns how long a connection without a request stays open. */
+static int64_t rest_limit(const ingress_conn_t *conn)
 {
-	if (!http_socket_has_output(&conn->sock))
-		return LINGER_TIMEOUT_US;
-	return MAX(idle_limit(conn), LINGER_TIMEOUT_US);
+	if (http_socket_has_output(&conn->sock))
+		return OUTPUT_TIMEOUT_US;
+	return conn->phase == INGRESS_LINGER ? LINGER_TIMEOUT_US
+					     : idle_limit(conn);
 }
 
 static void sweep(ingress_conn_t *conn, int64_t now)
@@ -438,7 +441,7 @@
 	switch (conn->phase) {
 	case INGRESS_IDLE:
 		/* A request that has arrived is read in this iteration. */
-		if (age > idle_limit(conn) &&
+		if (age > rest_limit(conn) &&
 		    !http_socket_has_input(&conn->sock))
 			ingress_conn_close(conn);
 		break;
@@ -454,7 +457,7 @@
 	case INGRESS_BUSY:
 		break;
 	case INGRESS_LINGER:
-		if (age > linger_limit(conn))
+		if (age > rest_limit(conn))
 			ingress_conn_close(conn);
 		break;
 	}
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -468,6 +468,23 @@
 	EXPECT_EQ(unread, 0u);
 }
 
+TEST_F(Ingress, IdleLimitDoesNotCutAnAnswerThatIsStillWritten)
+{
+	const std::string part(900000, 'x');
+	Client client(port(LISTENER_CALLERS), 4096);
+
+	ingress.limits.idle_timeout_ms = 300;
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	shrink_send_buffers();
+	respond(0, part.c_str());
+	ASSERT_TRUE(has_unsent_output());
+	set_age(5 * USEC_PER_SEC);
+	sweep();
+	EXPECT_TRUE(client.wait_for("\r\n0\r\n\r\n"));
+	EXPECT_NE(client.in.find(part), std::string::npos);
+}
+
 TEST_F(Ingress, IdleTimeStartsWhenTheAnswerIsWritten)
 {
 	const std::string part(900000, 'x');
