--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -55,7 +55,7 @@
 	       table_count(&ingress->conns) >= CONNS_MAX;
 }
 
-/* The sweep resumes it: a connection that waits would wake the loop on. */
+/* Until the sweep resumes it, waiting connections do not wake the loop. */
 static void pause_listener(listener_t *listener, const char *reason)
 {
 	log_event(LOG_LEVEL_WARN, "ingress", "accept_paused",
