Keep the strongest suspects of a crash

Callers saw: targets crashed by a part of a prompt one after the other while each had many requests waiting; nothing was quarantined.

Cause: the suspects were a ring of 32, and each reset overwrote the oldest entry. A crash that also resets 32 requests that only waited pushed out the one that the target had begun to run.

Change: a new suspect overwrites an unused or expired entry first, then the oldest of the least suspicion, and never one of a higher suspicion.

Evidence: ManyWaitingRequestsDoNotHideTheCauseOfACrash failed before (score 0 after six crashes, at least 1 expected; the next request was sent, 503 expected).

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -73,6 +73,33 @@
 	return SUSPICION_NONE;
 }
 
+static bool is_current(const proxy_t *proxy, const suspect_t *suspect)
+{
+	return suspect->instance[0] != '\0' &&
+	       kernel_now(proxy->kernel) - suspect->at < SUSPECT_WINDOW_US;
+}
+
+/*
+ * Returns the entry to overwrite: the oldest of the least suspicion, or NULL
+ * if all entries are of a higher suspicion than this one.
+ */
+static suspect_t *find_entry(proxy_t *proxy, suspicion_t suspicion)
+{
+	suspect_t *found = NULL;
+
+	for (int i = 0; i < SUSPECTS_MAX; i++) {
+		suspect_t *suspect = &proxy->suspects[i];
+
+		if (!is_current(proxy, suspect))
+			return suspect;
+		if (found == NULL || suspect->suspicion < found->suspicion ||
+		    (suspect->suspicion == found->suspicion &&
+		     suspect->at < found->at))
+			found = suspect;
+	}
+	return found->suspicion <= suspicion ? found : NULL;
+}
+
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange)
 {
 	const exchange_spec_t *spec = exchange->spec;
@@ -81,7 +108,9 @@
 
 	if (suspicion == SUSPICION_NONE)
 		return;
-	suspect = &proxy->suspects[proxy->next_suspect++ % SUSPECTS_MAX];
+	suspect = find_entry(proxy, suspicion);
+	if (suspect == NULL)
+		return;
 	memset(suspect, 0, sizeof(*suspect));
 	g_strlcpy(suspect->request_id, spec->request_id,
 		  sizeof(suspect->request_id));
@@ -156,26 +185,22 @@
 void crash_target_unreachable(proxy_t *proxy, const char *instance)
 {
 	const suspect_t *found[SUSPECTS_MAX];
-	int64_t now = kernel_now(proxy->kernel);
 	uint32_t count = 0;
 
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
 		suspect_t *suspect = &proxy->suspects[i];
 
-		if (suspect->instance[0] == '\0' ||
+		if (!is_current(proxy, suspect) ||
 		    strcmp(suspect->instance, instance) != 0)
 			continue;
-		if (now - suspect->at < SUSPECT_WINDOW_US) {
-			log_event(LOG_LEVEL_INFO, "proxy", "crash_suspect",
-				  "request=%s target=%s begun=%d parts=%u",
-				  log_quote(suspect->request_id),
-				  suspect->instance,
-				  suspect->suspicion == SUSPICION_STRONG,
-				  suspect->part_count);
-			if (!suspect->answering)
-				report_crash(proxy, suspect);
-			found[count++] = suspect;
-		}
+		log_event(LOG_LEVEL_INFO, "proxy", "crash_suspect",
+			  "request=%s target=%s begun=%d parts=%u",
+			  log_quote(suspect->request_id), suspect->instance,
+			  suspect->suspicion == SUSPICION_STRONG,
+			  suspect->part_count);
+		if (!suspect->answering)
+			report_crash(proxy, suspect);
+		found[count++] = suspect;
 	}
 	report_parts(proxy, found, count);
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -70,7 +70,6 @@
 	quarantine_t quarantine;
 	uint64_t crash_seq; /* number of the last crash report */
 	suspect_t suspects[SUSPECTS_MAX];
-	uint32_t next_suspect;
 	handle_t check_timer; /* checks the targets of new suspects */
 	part_quarantine_t parts;
 	part_tell_t tells[PART_TELLS_MAX];
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -872,6 +872,58 @@
 	EXPECT_EQ(attempts, 0);
 }
 
+// Requests that only waited at the target share its crash.
+TEST_F(Proxy, ManyWaitingRequestsDoNotHideTheCauseOfACrash)
+{
+	uint64_t own = 10;
+
+	for (int crash = 0; crash < 6; crash++) {
+		std::vector<handle_t> refs;
+		std::vector<int> ids;
+		handle_t deadly;
+		int deadly_id;
+
+		int base = placements;
+		int sent = attempts;
+		post_open("/stream/x", "key", {2, own++});
+		if (attempts == sent)
+			break;
+		deadly = call_ref;
+		deadly_id = attempts;
+		post_head(200);
+		for (int i = 0; i < 33; i++) {
+			placements = base; // the same target
+			post_open("/stream/x", "key", {1000 + own, own + 1});
+			own += 2;
+			refs.push_back(call_ref);
+			ids.push_back(attempts);
+		}
+		target_down = true;
+		auto cut = [&](handle_t ref, int id, failure_t failure) {
+			msg_t msg = {};
+			msg.kind = MSG_OUT_FAILED;
+			msg.ref = ref;
+			msg.id = {(uint32_t)id, 1};
+			msg.u.out_failed.failure = failure;
+			msg.u.out_failed.sent = true;
+			msg.u.out_failed.reset = true;
+			kernel_post(&kernel, outbound, proxy.svc, &msg);
+			run(0);
+		};
+		cut(deadly, deadly_id, FAILURE_STREAM);
+		for (size_t i = 0; i < refs.size(); i++)
+			cut(refs[i], ids[i], FAILURE_SENT);
+		run(USEC_PER_SEC);
+		target_down = false;
+	}
+	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
+					kernel_now(&kernel) / USEC_PER_MSEC),
+		  1.0);
+	status = 0;
+	post_open("/stream/x", "key", {2, own});
+	EXPECT_EQ(status, 503u);
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
