Suspect answers without length that end at once

Callers saw: targets crashed by a part of a prompt one after the other, and empty or short answers that looked complete.

Cause: a target that crashes may close its connections in order. An answer with neither length nor chunks then looks complete; unless it was a stream without any event, it counted as survival of its parts and lowered their scores.

Callers get the same answer as before.

--- a/proxy/response.c
+++ b/proxy/response.c
@@ -293,15 +293,31 @@
 		fail_attempt(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
 }
 
+/*
+ * Returns whether a crash may have ended the response: a target that crashes
+ * may close its connections in order.
+ */
+static bool may_be_cut(const proxy_t *proxy, const exchange_t *exchange)
+{
+	return exchange->until_close &&
+	       (!exchange->attempt_began ||
+		kernel_now(proxy->kernel) - exchange->attempt_event_at <
+			ANSWER_START_US);
+}
+
 static void finish_exchange(proxy_t *proxy, exchange_t *exchange,
 			    place_result_t result)
 {
 	exchange->runs++;
 	exchange->call = HANDLE_NONE;
 	exchange_release_target(proxy, exchange, result);
-	crash_request_completed(proxy, exchange);
-	if (result == PLACE_OK)
-		parts_survived(proxy, exchange);
+	if (may_be_cut(proxy, exchange)) {
+		crash_add_suspect(proxy, exchange);
+	} else {
+		crash_request_completed(proxy, exchange);
+		if (result == PLACE_OK)
+			parts_survived(proxy, exchange);
+	}
 	send_end(proxy, exchange);
 	exchange_end(proxy, exchange,
 		     result == PLACE_OK ? "answered" : "target_error");
