Check a target no sooner than 50 ms after its reset

Callers saw: crashes by a part of a prompt that were not counted, so more targets crashed.

Cause: one timer serves the checks of all targets, and checked every suspect when it expired. A target whose connection was reset just before the timer set by another one expired was checked at once, while its listening socket was still open, and counted as running.

Change: the timer checks only targets whose suspects are 50 ms old, and starts again for the others.

Evidence: EarlierResetDoesNotHastenTheCheckOfATarget failed before (score 0, a crash expected).

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -100,6 +100,14 @@
 	return found->suspicion <= suspicion ? found : NULL;
 }
 
+static void check_later(proxy_t *proxy, int64_t delay)
+{
+	if (handle_is_none(proxy->check_timer))
+		proxy->check_timer =
+			kernel_timer(proxy->kernel, proxy->svc, delay,
+				     HANDLE_NONE, EXCHANGE_TIMER_CHECK);
+}
+
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange)
 {
 	const exchange_spec_t *spec = exchange->spec;
@@ -128,10 +136,14 @@
 	suspect->at = kernel_now(proxy->kernel);
 	/* Targets close kept connections at any time. */
 	suspect->checked = suspicion == SUSPICION_WEAK && exchange->reused;
-	if (!suspect->checked && handle_is_none(proxy->check_timer))
-		proxy->check_timer =
-			kernel_timer(proxy->kernel, proxy->svc, CHECK_DELAY_US,
-				     HANDLE_NONE, EXCHANGE_TIMER_CHECK);
+	if (!suspect->checked)
+		check_later(proxy, CHECK_DELAY_US);
+}
+
+/* Returns the time until the target of the suspect may be checked. */
+static int64_t check_wait(const proxy_t *proxy, const suspect_t *suspect)
+{
+	return suspect->at + CHECK_DELAY_US - kernel_now(proxy->kernel);
 }
 
 static void check_target(proxy_t *proxy, const suspect_t *suspect)
@@ -145,20 +157,32 @@
 	msg.u.out_check.port = suspect->port;
 	kernel_post(proxy->kernel, proxy->svc, proxy->outbound, &msg);
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
-		if (strcmp(proxy->suspects[i].instance, suspect->instance) == 0)
-			proxy->suspects[i].checked = true;
+		suspect_t *other = &proxy->suspects[i];
+
+		if (strcmp(other->instance, suspect->instance) == 0 &&
+		    check_wait(proxy, other) <= 0)
+			other->checked = true;
 	}
 }
 
 void crash_check_targets(proxy_t *proxy)
 {
+	int64_t wait = 0; /* until the next check, 0: none */
+
 	proxy->check_timer = HANDLE_NONE;
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
 		const suspect_t *suspect = &proxy->suspects[i];
+		int64_t left = check_wait(proxy, suspect);
 
-		if (suspect->instance[0] != '\0' && !suspect->checked)
+		if (suspect->instance[0] == '\0' || suspect->checked)
+			continue;
+		if (left <= 0)
 			check_target(proxy, suspect);
+		else
+			wait = wait > 0 ? MIN(wait, left) : left;
 	}
+	if (wait > 0)
+		check_later(proxy, wait);
 }
 
 /*
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -958,6 +958,23 @@
 	EXPECT_LE(attempts, 8);
 }
 
+TEST_F(Proxy, EarlierResetDoesNotHastenTheCheckOfATarget)
+{
+	post_open("/stream/x", "key", {3, 9});
+	post_head(200);
+	post_failed(FAILURE_STREAM, true, true);
+	run(45 * USEC_PER_MSEC);
+	post_open("/stream/x", "key", {2, 10});
+	post_head(200);
+	post_failed(FAILURE_STREAM, true, true);
+	run(8 * USEC_PER_MSEC); // the target still listens
+	target_down = true;
+	run(USEC_PER_SEC);
+	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
+					kernel_now(&kernel) / USEC_PER_MSEC),
+		  0);
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
