Drop the suspects of a target that accepts a connection

Callers saw: sound parts of prompts in quarantine, so requests were refused.

Cause: a lost answer made its request a suspect for 3 s, also when the check had found the target running. A crash or a stop of the target within this time blamed the parts of that request.

Change: when the target accepts the connection of a check, its suspects from before the check are dropped; later ones stay.

Evidence: LostAnswerOfAReachableTargetIsNotBlamedForALaterCrash failed before (score 1, 0 expected).

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -135,9 +135,10 @@
 		suspect->parts[i] = spec->parts[i].id;
 	suspect->at = kernel_now(proxy->kernel);
 	/* Targets close kept connections at any time. */
-	suspect->checked = suspicion == SUSPICION_WEAK && exchange->reused;
-	if (!suspect->checked)
-		check_later(proxy, CHECK_DELAY_US);
+	if (suspicion == SUSPICION_WEAK && exchange->reused)
+		return;
+	suspect->check = CHECK_WANTED;
+	check_later(proxy, CHECK_DELAY_US);
 }
 
 /* Returns the time until the target of the suspect may be checked. */
@@ -161,7 +162,7 @@
 
 		if (strcmp(other->instance, suspect->instance) == 0 &&
 		    check_wait(proxy, other) <= 0)
-			other->checked = true;
+			other->check = CHECK_SENT;
 	}
 }
 
@@ -174,7 +175,8 @@
 		const suspect_t *suspect = &proxy->suspects[i];
 		int64_t left = check_wait(proxy, suspect);
 
-		if (suspect->instance[0] == '\0' || suspect->checked)
+		if (suspect->instance[0] == '\0' ||
+		    suspect->check != CHECK_WANTED)
 			continue;
 		if (left <= 0)
 			check_target(proxy, suspect);
@@ -233,6 +235,17 @@
 	}
 }
 
+void crash_target_reachable(proxy_t *proxy, const char *instance)
+{
+	for (int i = 0; i < SUSPECTS_MAX; i++) {
+		suspect_t *suspect = &proxy->suspects[i];
+
+		if (strcmp(suspect->instance, instance) == 0 &&
+		    suspect->check == CHECK_SENT)
+			suspect->instance[0] = '\0';
+	}
+}
+
 void crash_request_completed(proxy_t *proxy, const exchange_t *exchange)
 {
 	quarantine_clear_blames(&proxy->quarantine, exchange->fingerprint);
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -132,6 +132,8 @@
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange);
 void crash_check_targets(proxy_t *proxy);
 void crash_target_unreachable(proxy_t *proxy, const char *instance);
+/* The target has accepted the connection of a check. */
+void crash_target_reachable(proxy_t *proxy, const char *instance);
 void crash_request_completed(proxy_t *proxy, const exchange_t *exchange);
 void crash_report_received(proxy_t *proxy, const msg_t *msg);
 
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -148,7 +148,10 @@
 		parts_tell_peer(proxy, msg->u.peer_addr.incarnation);
 		break;
 	case MSG_OUT_CHECKED:
-		if (!msg->u.out_check.reachable)
+		if (msg->u.out_check.reachable)
+			crash_target_reachable(proxy,
+					       msg->u.out_check.instance);
+		else
 			crash_target_unreachable(proxy,
 						 msg->u.out_check.instance);
 		break;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -26,6 +26,13 @@
 	SUSPICION_STRONG, /* the target had begun to run it */
 } suspicion_t;
 
+/* A connection to a target that shows whether it has crashed. */
+typedef enum check_t {
+	CHECK_NONE, /* left to other suspects and requests */
+	CHECK_WANTED,
+	CHECK_SENT, /* after the suspect's connection was reset */
+} check_t;
+
 /* A request that was running when its target reset the connection. */
 typedef struct suspect_t {
 	char request_id[REQUEST_ID_SIZE];
@@ -34,7 +41,7 @@
 	char instance[NAME_SIZE]; /* empty: unused entry */
 	char host[HOST_SIZE];
 	uint16_t port;
-	bool checked; /* a connection to the target has been tried */
+	check_t check;
 	suspicion_t suspicion;
 	uint32_t part_count;
 	uint64_t parts[PROMPT_PARTS_MAX]; /* shared parts, in order */
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -975,6 +975,21 @@
 		  0);
 }
 
+TEST_F(Proxy, LostAnswerOfAReachableTargetIsNotBlamedForALaterCrash)
+{
+	post_open("/stream/x", "key", {2, 9});
+	post_head(200);
+	post_failed(FAILURE_STREAM, true, true);
+	run(2 * USEC_PER_SEC);
+	EXPECT_EQ(checks, 1);
+	placements--;
+	post_open("/stream/x", "key", {3, 11});
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(part_quarantine_score(&proxy.parts, 2,
+					kernel_now(&kernel) / USEC_PER_MSEC),
+		  0);
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
