Suspect no buffered answer that is under way

Callers saw: sound parts of prompts in quarantine after targets were replaced one after the other, so requests were refused.

Cause: the start of an answer was recorded for streams only. A buffered answer that had been coming for seconds still made its request a strong suspect when its target ended.

Change: the first bytes of a buffered body are recorded too. As for streams, the request is a weak suspect for 250 ms after them and none later.

Evidence: BufferedAnswersUnderWayAreNotBlamedForACrash failed before (the request after ten such answers was refused).

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -68,7 +68,7 @@
 		return SUSPICION_WEAK;
 	if (!exchange->attempt_began)
 		return SUSPICION_STRONG;
-	if (now - exchange->attempt_event_at < ANSWER_START_US)
+	if (now - exchange->attempt_began_at < ANSWER_START_US)
 		return SUSPICION_WEAK;
 	return SUSPICION_NONE;
 }
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -68,15 +68,15 @@
 	sse_t events;
 	int64_t first_byte_at; /* monotonic, us, 0: none */
 	int64_t first_event_at; /* monotonic, us, 0: none */
-	bool attempt_began; /* the attempt has brought an event */
-	int64_t attempt_event_at; /* its first event, if it has */
+	bool attempt_began; /* an event, or bytes of a buffered body, came */
+	int64_t attempt_began_at; /* monotonic, us, if it has */
 	bool survived; /* the attempt's response has gone on */
 	int64_t last_event_at; /* monotonic, us */
 	int64_t longest_gap; /* us, between two events */
 } exchange_t;
 
 /*
- * A response whose events come for this time has outlived its start, at which
+ * A response whose body comes for this time has outlived its start, at which
  * a request may crash its target.
  */
 #define ANSWER_START_US (250 * USEC_PER_MSEC)
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -212,15 +212,21 @@
 	exchange->head = g_steal_pointer(&msg->u.out_head.head);
 }
 
+static void record_start(const proxy_t *proxy, exchange_t *exchange)
+{
+	if (exchange->attempt_began)
+		return;
+	exchange->attempt_began = true;
+	exchange->attempt_began_at = kernel_now(proxy->kernel);
+}
+
 static void record_event(proxy_t *proxy, exchange_t *exchange)
 {
 	int64_t now = kernel_now(proxy->kernel);
 
-	if (!exchange->attempt_began)
-		exchange->attempt_event_at = now;
-	else if (now - exchange->attempt_event_at >= ANSWER_START_US)
+	record_start(proxy, exchange);
+	if (now - exchange->attempt_began_at >= ANSWER_START_US)
 		parts_survived(proxy, exchange);
-	exchange->attempt_began = true;
 	if (exchange->first_event_at == 0)
 		exchange->first_event_at = now;
 	else
@@ -287,6 +293,7 @@
 		forward_events(proxy, exchange, msg->u.data.bytes);
 		return;
 	}
+	record_start(proxy, exchange);
 	data = g_bytes_get_data(msg->u.data.bytes, &size);
 	g_byte_array_append(exchange->body, data, (guint)size);
 	if (exchange->body->len > BODY_SIZE_MAX)
@@ -301,7 +308,7 @@
 {
 	return exchange->until_close &&
 	       (!exchange->attempt_began ||
-		kernel_now(proxy->kernel) - exchange->attempt_event_at <
+		kernel_now(proxy->kernel) - exchange->attempt_began_at <
 			ANSWER_START_US);
 }
 
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -990,6 +990,24 @@
 		  0);
 }
 
+TEST_F(Proxy, BufferedAnswersUnderWayAreNotBlamedForACrash)
+{
+	for (uint64_t own = 10; own < 20; own++) {
+		post_open("/call/x", "key", {2, own});
+		post_head(200);
+		post_data("{");
+		run(USEC_PER_SEC);
+		post_data("1");
+		target_down = true;
+		post_failed(FAILURE_STREAM, true, true);
+		run(USEC_PER_SEC / 2);
+		target_down = false;
+	}
+	attempts = 0;
+	post_open("/call/x", "key", {2, 30});
+	EXPECT_EQ(attempts, 1);
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
