Count only successful answers as survival of prompt parts

Callers saw: targets crashed again by a part that had been in quarantine.

Cause: any complete answer below 500 to a probe ended the quarantine on all instances. A target that answers 409 has not run the prompt.

Change: only answers with a 2xx status count as survival.

Evidence: ClientErrorOfATargetDoesNotEndAQuarantine failed before (2 requests sent, 1 expected). Its 409 has chunks, since answers without length that end at once don't count as survival anyway.

--- a/proxy/response.c
+++ b/proxy/response.c
@@ -322,7 +322,7 @@
 		crash_add_suspect(proxy, exchange);
 	} else {
 		crash_request_completed(proxy, exchange);
-		if (result == PLACE_OK)
+		if (http_status_is_success(exchange->head->status))
 			parts_survived(proxy, exchange);
 	}
 	send_end(proxy, exchange);
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1008,6 +1008,18 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+TEST_F(Proxy, ClientErrorOfATargetDoesNotEndAQuarantine)
+{
+	quarantine(2);
+	run(2 * PART_QUARANTINE_MIN_MS * USEC_PER_MSEC);
+	post_open("/stream/x", "key", {2, 8});
+	ASSERT_EQ(attempts, 1);
+	post_head(409, true, false, true);
+	post_end();
+	post_open("/stream/x", "key", {2, 10});
+	EXPECT_EQ(attempts, 1);
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
