Fail tests of the proxy instead of crashing them

Seen: without the check of quarantined parts in parts_admit, the test program ended with a segmentation fault, and the tests after the failed one didn't run.

Cause: results.back() on an empty vector.

Change: the tests assert that results and told aren't empty first.

Evidence, with that check removed for a trial: before, exit status 139; now RequestThatWaitsForATargetIsRefusedOnceItsPartIsQuarantined fails and 59 tests pass. With the check in place all 60 tests pass.

--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -402,6 +402,7 @@
 	post_open("/safe/x");
 	post_failed(FAILURE_SILENT, true);
 	EXPECT_EQ(attempts, 2);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_LOST);
 }
 
@@ -462,6 +463,7 @@
 	run(0);
 	EXPECT_EQ(cancels, 1);
 	EXPECT_EQ(spent, 106);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_CANCELLED);
 }
 
@@ -579,6 +581,7 @@
 		post_data(noise.c_str());
 	EXPECT_EQ(attempts, 2);
 	EXPECT_EQ(cancels, 1);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_FULL);
 	post_head(503, false, true);
 	post_data("slow");
@@ -605,6 +608,7 @@
 	EXPECT_EQ(attempts, 2);
 	EXPECT_EQ(last_event_id, "1");
 	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_LOST);
 }
 
@@ -777,6 +781,7 @@
 	run(0);
 	EXPECT_EQ(attempts, 0);
 	EXPECT_EQ(status, 503u);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_NOT_SENT);
 }
 
@@ -811,6 +816,7 @@
 	post_head(200, true, false, true);
 	post_data("id: 1\ndata: a\n\n");
 	post_end();
+	ASSERT_FALSE(told.empty());
 	EXPECT_EQ(told.back(), PART_EVENT_RELEASED);
 	post_open("/stream/x", "key", {2, 10});
 	EXPECT_EQ(attempts, 2);
