--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -68,11 +68,46 @@
 		return SUSPICION_WEAK;
 	if (!exchange->attempt_began)
 		return SUSPICION_STRONG;
-	if (now - exchange->attempt_event_at < ANSWER_START_US)
+	if (now - exchange->attempt_began_at < ANSWER_START_US)
 		return SUSPICION_WEAK;
 	return SUSPICION_NONE;
 }
 
+static bool is_current(const proxy_t *proxy, const suspect_t *suspect)
+{
+	return suspect->instance[0] != '\0' &&
+	       kernel_now(proxy->kernel) - suspect->at < SUSPECT_WINDOW_US;
+}
+
+/*
+ * Returns the entry to overwrite: the oldest of the least suspicion, or NULL
+ * if all entries are of a higher suspicion than this one.
+ */
+static suspect_t *find_entry(proxy_t *proxy, suspicion_t suspicion)
+{
+	suspect_t *found = NULL;
+
+	for (int i = 0; i < SUSPECTS_MAX; i++) {
+		suspect_t *suspect = &proxy->suspects[i];
+
+		if (!is_current(proxy, suspect))
+			return suspect;
+		if (found == NULL || suspect->suspicion < found->suspicion ||
+		    (suspect->suspicion == found->suspicion &&
+		     suspect->at < found->at))
+			found = suspect;
+	}
+	return found->suspicion <= suspicion ? found : NULL;
+}
+
+static void check_later(proxy_t *proxy, int64_t delay)
+{
+	if (handle_is_none(proxy->check_timer))
+		proxy->check_timer =
+			kernel_timer(proxy->kernel, proxy->svc, delay,
+				     HANDLE_NONE, EXCHANGE_TIMER_CHECK);
+}
+
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange)
 {
 	const exchange_spec_t *spec = exchange->spec;
@@ -81,7 +116,9 @@
 
 	if (suspicion == SUSPICION_NONE)
 		return;
-	suspect = &proxy->suspects[proxy->next_suspect++ % SUSPECTS_MAX];
+	suspect = find_entry(proxy, suspicion);
+	if (suspect == NULL)
+		return;
 	memset(suspect, 0, sizeof(*suspect));
 	g_strlcpy(suspect->request_id, spec->request_id,
 		  sizeof(suspect->request_id));
@@ -98,11 +135,16 @@
 		suspect->parts[i] = spec->parts[i].id;
 	suspect->at = kernel_now(proxy->kernel);
 	/* Targets close kept connections at any time. */
-	suspect->checked = suspicion == SUSPICION_WEAK && exchange->reused;
-	if (!suspect->checked && handle_is_none(proxy->check_timer))
-		proxy->check_timer =
-			kernel_timer(proxy->kernel, proxy->svc, CHECK_DELAY_US,
-				     HANDLE_NONE, EXCHANGE_TIMER_CHECK);
+	if (suspicion == SUSPICION_WEAK && exchange->reused)
+		return;
+	suspect->check = CHECK_WANTED;
+	check_later(proxy, CHECK_DELAY_US);
+}
+
+/* Returns the time until the target of the suspect may be checked. */
+static int64_t check_wait(const proxy_t *proxy, const suspect_t *suspect)
+{
+	return suspect->at + CHECK_DELAY_US - kernel_now(proxy->kernel);
 }
 
 static void check_target(proxy_t *proxy, const suspect_t *suspect)
@@ -116,20 +158,33 @@
 	msg.u.out_check.port = suspect->port;
 	kernel_post(proxy->kernel, proxy->svc, proxy->outbound, &msg);
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
-		if (strcmp(proxy->suspects[i].instance, suspect->instance) == 0)
-			proxy->suspects[i].checked = true;
+		suspect_t *other = &proxy->suspects[i];
+
+		if (strcmp(other->instance, suspect->instance) == 0 &&
+		    check_wait(proxy, other) <= 0)
+			other->check = CHECK_SENT;
 	}
 }
 
 void crash_check_targets(proxy_t *proxy)
 {
+	int64_t wait = 0; /* until the next check, 0: none */
+
 	proxy->check_timer = HANDLE_NONE;
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
 		const suspect_t *suspect = &proxy->suspects[i];
+		int64_t left = check_wait(proxy, suspect);
 
-		if (suspect->instance[0] != '\0' && !suspect->checked)
+		if (suspect->instance[0] == '\0' ||
+		    suspect->check != CHECK_WANTED)
+			continue;
+		if (left <= 0)
 			check_target(proxy, suspect);
+		else
+			wait = wait > 0 ? MIN(wait, left) : left;
 	}
+	if (wait > 0)
+		check_later(proxy, wait);
 }
 
 /*
@@ -156,26 +211,22 @@
 void crash_target_unreachable(proxy_t *proxy, const char *instance)
 {
 	const suspect_t *found[SUSPECTS_MAX];
-	int64_t now = kernel_now(proxy->kernel);
 	uint32_t count = 0;
 
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
 		suspect_t *suspect = &proxy->suspects[i];
 
-		if (suspect->instance[0] == '\0' ||
+		if (!is_current(proxy, suspect) ||
 		    strcmp(suspect->instance, instance) != 0)
 			continue;
-		if (now - suspect->at < SUSPECT_WINDOW_US) {
-			log_event(LOG_LEVEL_INFO, "proxy", "crash_suspect",
-				  "request=%s target=%s begun=%d parts=%u",
-				  log_quote(suspect->request_id),
-				  suspect->instance,
-				  suspect->suspicion == SUSPICION_STRONG,
-				  suspect->part_count);
-			if (!suspect->answering)
-				report_crash(proxy, suspect);
-			found[count++] = suspect;
-		}
+		log_event(LOG_LEVEL_INFO, "proxy", "crash_suspect",
+			  "request=%s target=%s begun=%d parts=%u",
+			  log_quote(suspect->request_id), suspect->instance,
+			  suspect->suspicion == SUSPICION_STRONG,
+			  suspect->part_count);
+		if (!suspect->answering)
+			report_crash(proxy, suspect);
+		found[count++] = suspect;
 	}
 	report_parts(proxy, found, count);
 	for (int i = 0; i < SUSPECTS_MAX; i++) {
@@ -184,6 +235,17 @@
 	}
 }
 
+void crash_target_reachable(proxy_t *proxy, const char *instance)
+{
+	for (int i = 0; i < SUSPECTS_MAX; i++) {
+		suspect_t *suspect = &proxy->suspects[i];
+
+		if (strcmp(suspect->instance, instance) == 0 &&
+		    suspect->check == CHECK_SENT)
+			suspect->instance[0] = '\0';
+	}
+}
+
 void crash_request_completed(proxy_t *proxy, const exchange_t *exchange)
 {
 	quarantine_clear_blames(&proxy->quarantine, exchange->fingerprint);
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -212,15 +212,21 @@
 	exchange->head = g_steal_pointer(&msg->u.out_head.head);
 }
 
+static void record_start(const proxy_t *proxy, exchange_t *exchange)
+{
+	if (exchange->attempt_began)
+		return;
+	exchange->attempt_began = true;
+	exchange->attempt_began_at = kernel_now(proxy->kernel);
+}
+
 static void record_event(proxy_t *proxy, exchange_t *exchange)
 {
 	int64_t now = kernel_now(proxy->kernel);
 
-	if (!exchange->attempt_began)
-		exchange->attempt_event_at = now;
-	else if (now - exchange->attempt_event_at >= ANSWER_START_US)
+	record_start(proxy, exchange);
+	if (now - exchange->attempt_began_at >= ANSWER_START_US)
 		parts_survived(proxy, exchange);
-	exchange->attempt_began = true;
 	if (exchange->first_event_at == 0)
 		exchange->first_event_at = now;
 	else
@@ -287,21 +293,38 @@
 		forward_events(proxy, exchange, msg->u.data.bytes);
 		return;
 	}
+	record_start(proxy, exchange);
 	data = g_bytes_get_data(msg->u.data.bytes, &size);
 	g_byte_array_append(exchange->body, data, (guint)size);
 	if (exchange->body->len > BODY_SIZE_MAX)
 		fail_attempt(proxy, exchange, FAILURE_STREAM, true, PLACE_LOST);
 }
 
+/*
+ * Returns whether a crash may have ended the response: a target that crashes
+ * may close its connections in order.
+ */
+static bool may_be_cut(const proxy_t *proxy, const exchange_t *exchange)
+{
+	return exchange->until_close &&
+	       (!exchange->attempt_began ||
+		kernel_now(proxy->kernel) - exchange->attempt_began_at <
+			ANSWER_START_US);
+}
+
 static void finish_exchange(proxy_t *proxy, exchange_t *exchange,
 			    place_result_t result)
 {
 	exchange->runs++;
 	exchange->call = HANDLE_NONE;
 	exchange_release_target(proxy, exchange, result);
-	crash_request_completed(proxy, exchange);
-	if (result == PLACE_OK)
-		parts_survived(proxy, exchange);
+	if (may_be_cut(proxy, exchange)) {
+		crash_add_suspect(proxy, exchange);
+	} else {
+		crash_request_completed(proxy, exchange);
+		if (http_status_is_success(exchange->head->status))
+			parts_survived(proxy, exchange);
+	}
 	send_end(proxy, exchange);
 	exchange_end(proxy, exchange,
 		     result == PLACE_OK ? "answered" : "target_error");
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -287,7 +287,7 @@
 		return msg;
 	}
 	void post_head(uint32_t status_code, bool sealed = true,
-		       bool not_run = false)
+		       bool not_run = false, bool chunked = false)
 	{
 		msg_t msg = outbound_msg(MSG_OUT_HEAD);
 
@@ -298,6 +298,9 @@
 				      "s");
 		if (not_run)
 			http_head_add(msg.u.out_head.head, "Not-Executed", "1");
+		if (chunked)
+			http_head_add(msg.u.out_head.head, "Transfer-Encoding",
+				      "chunked");
 		kernel_post(&kernel, outbound, proxy.svc, &msg);
 		run(0);
 	}
@@ -399,6 +402,7 @@
 	post_open("/safe/x");
 	post_failed(FAILURE_SILENT, true);
 	EXPECT_EQ(attempts, 2);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_LOST);
 }
 
@@ -459,6 +463,7 @@
 	run(0);
 	EXPECT_EQ(cancels, 1);
 	EXPECT_EQ(spent, 106);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_CANCELLED);
 }
 
@@ -576,6 +581,7 @@
 		post_data(noise.c_str());
 	EXPECT_EQ(attempts, 2);
 	EXPECT_EQ(cancels, 1);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_FULL);
 	post_head(503, false, true);
 	post_data("slow");
@@ -602,6 +608,7 @@
 	EXPECT_EQ(attempts, 2);
 	EXPECT_EQ(last_event_id, "1");
 	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_LOST);
 }
 
@@ -774,6 +781,7 @@
 	run(0);
 	EXPECT_EQ(attempts, 0);
 	EXPECT_EQ(status, 503u);
+	ASSERT_FALSE(results.empty());
 	EXPECT_EQ(results.back(), PLACE_NOT_SENT);
 }
 
@@ -805,9 +813,10 @@
 	EXPECT_EQ(attempts, 1);
 	EXPECT_EQ(status, 503u);
 	call_ref = probe;
-	post_head(200);
+	post_head(200, true, false, true);
 	post_data("id: 1\ndata: a\n\n");
 	post_end();
+	ASSERT_FALSE(told.empty());
 	EXPECT_EQ(told.back(), PART_EVENT_RELEASED);
 	post_open("/stream/x", "key", {2, 10});
 	EXPECT_EQ(attempts, 2);
@@ -872,6 +881,151 @@
 	EXPECT_EQ(attempts, 0);
 }
 
+// Requests that only waited at the target share its crash.
+TEST_F(Proxy, ManyWaitingRequestsDoNotHideTheCauseOfACrash)
+{
+	uint64_t own = 10;
+
+	for (int crash = 0; crash < 6; crash++) {
+		std::vector<handle_t> refs;
+		std::vector<int> ids;
+		handle_t deadly;
+		int deadly_id;
+
+		int base = placements;
+		int sent = attempts;
+		post_open("/stream/x", "key", {2, own++});
+		if (attempts == sent)
+			break;
+		deadly = call_ref;
+		deadly_id = attempts;
+		post_head(200);
+		for (int i = 0; i < 33; i++) {
+			placements = base; // the same target
+			post_open("/stream/x", "key", {1000 + own, own + 1});
+			own += 2;
+			refs.push_back(call_ref);
+			ids.push_back(attempts);
+		}
+		target_down = true;
+		auto cut = [&](handle_t ref, int id, failure_t failure) {
+			msg_t msg = {};
+			msg.kind = MSG_OUT_FAILED;
+			msg.ref = ref;
+			msg.id = {(uint32_t)id, 1};
+			msg.u.out_failed.failure = failure;
+			msg.u.out_failed.sent = true;
+			msg.u.out_failed.reset = true;
+			kernel_post(&kernel, outbound, proxy.svc, &msg);
+			run(0);
+		};
+		cut(deadly, deadly_id, FAILURE_STREAM);
+		for (size_t i = 0; i < refs.size(); i++)
+			cut(refs[i], ids[i], FAILURE_SENT);
+		run(USEC_PER_SEC);
+		target_down = false;
+	}
+	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
+					kernel_now(&kernel) / USEC_PER_MSEC),
+		  1.0);
+	status = 0;
+	post_open("/stream/x", "key", {2, own});
+	EXPECT_EQ(status, 503u);
+}
+
+// A target that crashes may close the connection without an error.
+TEST_F(Proxy, EmptyAnswerWithoutLengthDoesNotHideACrash)
+{
+	for (uint64_t own = 10; own < 20; own++) {
+		post_open("/safe/x", "key", {2, own});
+		post_head(200);
+		target_down = true;
+		post_end();
+		run(USEC_PER_SEC);
+		target_down = false;
+	}
+	EXPECT_LE(attempts, 8);
+	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
+					kernel_now(&kernel) / USEC_PER_MSEC),
+		  0);
+}
+
+TEST_F(Proxy, StreamWithoutLengthEndingAtOnceDoesNotHideACrash)
+{
+	for (uint64_t own = 10; own < 20; own++) {
+		post_open("/stream/x", "key", {2, own});
+		post_head(200);
+		post_data("id: 1\ndata: a\n\n");
+		target_down = true;
+		post_end();
+		run(USEC_PER_SEC);
+		target_down = false;
+	}
+	EXPECT_LE(attempts, 8);
+}
+
+TEST_F(Proxy, EarlierResetDoesNotHastenTheCheckOfATarget)
+{
+	post_open("/stream/x", "key", {3, 9});
+	post_head(200);
+	post_failed(FAILURE_STREAM, true, true);
+	run(45 * USEC_PER_MSEC);
+	post_open("/stream/x", "key", {2, 10});
+	post_head(200);
+	post_failed(FAILURE_STREAM, true, true);
+	run(8 * USEC_PER_MSEC); // the target still listens
+	target_down = true;
+	run(USEC_PER_SEC);
+	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
+					kernel_now(&kernel) / USEC_PER_MSEC),
+		  0);
+}
+
+TEST_F(Proxy, LostAnswerOfAReachableTargetIsNotBlamedForALaterCrash)
+{
+	post_open("/stream/x", "key", {2, 9});
+	post_head(200);
+	post_failed(FAILURE_STREAM, true, true);
+	run(2 * USEC_PER_SEC);
+	EXPECT_EQ(checks, 1);
+	placements--;
+	post_open("/stream/x", "key", {3, 11});
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(part_quarantine_score(&proxy.parts, 2,
+					kernel_now(&kernel) / USEC_PER_MSEC),
+		  0);
+}
+
+TEST_F(Proxy, BufferedAnswersUnderWayAreNotBlamedForACrash)
+{
+	for (uint64_t own = 10; own < 20; own++) {
+		post_open("/call/x", "key", {2, own});
+		post_head(200);
+		post_data("{");
+		run(USEC_PER_SEC);
+		post_data("1");
+		target_down = true;
+		post_failed(FAILURE_STREAM, true, true);
+		run(USEC_PER_SEC / 2);
+		target_down = false;
+	}
+	attempts = 0;
+	post_open("/call/x", "key", {2, 30});
+	EXPECT_EQ(attempts, 1);
+}
+
+TEST_F(Proxy, ClientErrorOfATargetDoesNotEndAQuarantine)
+{
+	quarantine(2);
+	run(2 * PART_QUARANTINE_MIN_MS * USEC_PER_MSEC);
+	post_open("/stream/x", "key", {2, 8});
+	ASSERT_EQ(attempts, 1);
+	post_head(409, true, false, true);
+	post_end();
+	post_open("/stream/x", "key", {2, 10});
+	EXPECT_EQ(attempts, 1);
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
