Tell quarantines again on a connection that replaces a lost one

Callers saw: nothing yet; found in a review. An instance whose connection was replaced before its peers saw the end of the old one kept sending requests with a quarantined part to targets.

Cause: peer_conn_up() returned before MSG_PEER_UP when a connection replaced another one, so the proxy told the peer no quarantines. What it had written to the old connection was lost.

Change: the proxy learns of the replacement too; applying a quarantine twice changes nothing. A reported crash with a part in quarantine is answered with the quarantine.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -79,6 +79,8 @@
 	g_hash_table_replace(peer->active, conn->remote.incarnation, conn);
 	if (current != NULL) {
 		peer_conn_close(current, "replaced by another connection");
+		/* What the proxy told on the old connection may be lost. */
+		post_addr(peer, peer->proxy, MSG_PEER_UP, conn);
 		return;
 	}
 	log_event(LOG_LEVEL_INFO, "peer", "up", "peer=%s name=%s dialled=%d",
--- a/proxy/parts.c
+++ b/proxy/parts.c
@@ -345,10 +345,15 @@
 		      (int64_t)MIN(body->u.part_report.age_ms,
 				   (uint64_t)PART_QUARANTINE_MAX_MS),
 	};
+	part_sentence_t sentence;
 
 	part_quarantine_crash_told(&proxy->parts, body->u.part_report.part,
 				   &crash, now_ms(proxy));
 	log_told(proxy, "part_crash_told", body->u.part_report.part, reporter);
+	/* An instance that knew of it would not have counted the crash. */
+	if (part_quarantine_sentence(&proxy->parts, body->u.part_report.part,
+				     now_ms(proxy), &sentence))
+		tell_sentence(proxy, reporter, &sentence);
 }
 
 static void survival_told(proxy_t *proxy, uint64_t part, const char *reporter)
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -335,6 +335,7 @@
 	peer_t peer;
 	int up = 0, down = 0, crash_reports = 0, heartbeats = 0;
 	int leaves_to_member = 0, leaves_to_prepaid = 0;
+	int connections_to_proxy = 0;
 	std::string last_sender;
 
 	static void receive_prepaid(void *self, msg_t *msg)
@@ -344,6 +345,12 @@
 			static_cast<Router *>(self)->leaves_to_prepaid++;
 	}
 
+	static void receive_proxy(void *self, msg_t *msg)
+	{
+		if (msg->kind == MSG_PEER_UP)
+			static_cast<Router *>(self)->connections_to_proxy++;
+	}
+
 	static void receive(void *self, msg_t *msg)
 	{
 		auto *router = static_cast<Router *>(self);
@@ -371,6 +378,7 @@
 		kernel_register(&kernel, "member", receive, this);
 		kernel_register(&kernel, "request", receive, this);
 		kernel_register(&kernel, "prepaid", receive_prepaid, this);
+		kernel_register(&kernel, "proxy", receive_proxy, this);
 		opts.self = make_member(incarnation, "z1");
 		g_strlcpy(opts.listen_host, "127.0.0.1", HOST_SIZE);
 		g_strlcpy(opts.key, key, sizeof(opts.key));
@@ -580,6 +588,22 @@
 	EXPECT_EQ(a.down, 1);
 }
 
+// Quarantines sent on a connection that the peer had lost must be sent again.
+TEST(Peer, ConnectionThatReplacesALostOneIsAnnouncedToTheProxy)
+{
+	Router a("a", shared_key), b("b", shared_key), again("b", shared_key);
+
+	b.connect("a", a);
+	ASSERT_TRUE(wait_for([&] { return a.up == 1 && b.up == 1; }));
+	again.connect("a", a);
+	ASSERT_TRUE(wait_for([&] { return again.up == 1; }));
+	for (int i = 0; i < 20; i++) {
+		g_usleep(1000);
+		g_main_context_iteration(NULL, FALSE);
+	}
+	EXPECT_EQ(a.connections_to_proxy, 2);
+}
+
 int connect_raw(const Router &to)
 {
 	GSocketClient *client = g_socket_client_new();
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -872,6 +872,17 @@
 	EXPECT_EQ(attempts, 0);
 }
 
+// An instance that missed a quarantine would send the part to more targets.
+TEST_F(Proxy, CrashReportOfAnInstanceThatMissedAQuarantineIsAnswered)
+{
+	post_part_report(PART_EVENT_CRASHED, 2);
+	EXPECT_EQ(told, std::vector<int>{});
+	quarantine(2);
+	told.clear();
+	post_part_report(PART_EVENT_CRASHED, 2);
+	EXPECT_EQ(told, std::vector<int>{PART_EVENT_HELD});
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
