Confirm a crash by a refused connection only

Callers saw: nothing yet; found in a review. Requests with a sound prompt part could be refused after lost answers, if the check of a slow target or of one behind a cut link had no answer within 400 ms.

Cause: MSG_OUT_CHECKED told only whether a connection was established. A timeout, a lack of descriptors and any other error counted as a crash.

Evidence: CheckWithoutAnAnswerIsNoRefusal (a listener whose queue is full) failed before: the check was reported like a refusal.

Change: the result is accepted, refused or unknown. Refused is ECONNREFUSED, or a reset while connecting; the socket keeps which. Unknown is logged and confirms nothing. The tests of checks compare the three results.

--- a/http/socket.c
+++ b/http/socket.c
@@ -64,11 +64,25 @@
 	}
 }
 
+static bool connected(http_socket_t *sock)
+{
+	GError *error = NULL;
+
+	if (g_socket_check_connect_result(sock->socket, &error))
+		return true;
+	sock->refused = g_error_matches(error, G_IO_ERROR,
+					G_IO_ERROR_CONNECTION_REFUSED) ||
+			g_error_matches(error, G_IO_ERROR,
+					G_IO_ERROR_CONNECTION_CLOSED);
+	g_clear_error(&error);
+	return false;
+}
+
 static void on_writable(http_socket_t *sock)
 {
 	if (sock->connecting) {
 		sock->connecting = false;
-		if (!g_socket_check_connect_result(sock->socket, NULL)) {
+		if (!connected(sock)) {
 			sock->failed = true;
 			watch_output(sock, false);
 			sock->ready(sock->data, POLLSET_ERROR);
--- a/http/socket.h
+++ b/http/socket.h
@@ -31,6 +31,7 @@
 	guint written; /* bytes of output already written */
 	bool connecting;
 	bool failed; /* connect or write failed; a read returns the error */
+	bool refused; /* the peer refused or reset the connection at once */
 	/* Gets POLLSET_OUT alone when all output is written. */
 	pollset_fn_t ready;
 	void *data;
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -200,6 +200,12 @@
 	ORDER_RESULT_UNKNOWN, /* the order may have taken effect */
 } order_result_t;
 
+typedef enum check_result_t {
+	CHECK_UNKNOWN, /* no answer in time, or no connection could be opened */
+	CHECK_ACCEPTED,
+	CHECK_REFUSED,
+} check_result_t;
+
 #define ROUTE_AVOID_MAX 4
 
 typedef struct msg_t {
@@ -475,7 +481,7 @@
 			char instance[NAME_SIZE]; /* returned unchanged */
 			char host[HOST_SIZE];
 			uint16_t port;
-			bool reachable; /* MSG_OUT_CHECKED */
+			check_result_t result; /* MSG_OUT_CHECKED */
 		} out_check; /* MSG_OUT_CHECK, _CHECKED */
 
 		fleet_conf_t *fleet_conf; /* MSG_FLEET_CONF */
--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -1,5 +1,6 @@
 #include "outbound/outbound.h"
 
+#include "log/log.h"
 #include "outbound/conn.h"
 
 #include <string.h>
@@ -15,23 +16,35 @@
 }
 
 static void post_checked(outbound_t *outbound, const out_call_t *call,
-			 bool reachable)
+			 check_result_t result)
 {
 	msg_t msg = {.kind = MSG_OUT_CHECKED};
 
 	g_strlcpy(msg.u.out_check.instance, call->check,
 		  sizeof(msg.u.out_check.instance));
-	msg.u.out_check.reachable = reachable;
+	msg.u.out_check.result = result;
 	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
 }
 
 void out_check_end(outbound_t *outbound, out_call_t *call)
 {
-	post_checked(outbound, call, true);
+	post_checked(outbound, call, CHECK_ACCEPTED);
 	out_conn_release_unused(table_get(&outbound->conns, call->conn));
 	remove_call(outbound, call);
 }
 
+/* No connection after a timeout or a local error says nothing of the target. */
+static void check_failed(outbound_t *outbound, const out_call_t *call,
+			 const out_conn_t *conn)
+{
+	bool refused = conn != NULL && conn->sock.refused;
+
+	if (!refused)
+		log_event(LOG_LEVEL_INFO, "outbound", "check_without_answer",
+			  "target=%s", log_quote(call->check));
+	post_checked(outbound, call, refused ? CHECK_REFUSED : CHECK_UNKNOWN);
+}
+
 static void post_failed(outbound_t *outbound, const out_call_t *call,
 			failure_t failure, bool sent, bool reset)
 {
@@ -50,7 +63,7 @@
 	out_conn_t *conn = table_get(&outbound->conns, call->conn);
 
 	if (call->check[0] != '\0')
-		post_checked(outbound, call, false);
+		check_failed(outbound, call, conn);
 	else
 		post_failed(outbound, call, failure, sent, reset);
 	if (conn != NULL)
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -148,7 +148,7 @@
 		parts_tell_peer(proxy, msg->u.peer_addr.incarnation);
 		break;
 	case MSG_OUT_CHECKED:
-		if (!msg->u.out_check.reachable)
+		if (msg->u.out_check.result == CHECK_REFUSED)
 			crash_target_unreachable(proxy,
 						 msg->u.out_check.instance);
 		break;
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -4,9 +4,13 @@
 #include "outbound/outbound.h"
 #include "tests/script_server.h"
 
+#include <arpa/inet.h>
 #include <cstring>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace
 {
@@ -70,7 +74,7 @@
 			break;
 		case MSG_OUT_CHECKED:
 			checked = msg->u.out_check.instance;
-			reachable = msg->u.out_check.reachable;
+			check_result = msg->u.out_check.result;
 			break;
 		default:
 			break;
@@ -87,8 +91,7 @@
 		}));
 		return results[number];
 	}
-	// Returns whether the server accepts a connection.
-	bool check(uint16_t port)
+	check_result_t check(uint16_t port)
 	{
 		msg_t msg = {};
 
@@ -102,7 +105,7 @@
 		kernel_post(&kernel, owner, outbound.svc, &msg);
 		kernel_flush(&kernel);
 		EXPECT_TRUE(pump([&] { return checked == "i-1"; }));
-		return reachable;
+		return check_result;
 	}
 	uint32_t post(uint16_t port, const char *id, size_t body)
 	{
@@ -139,7 +142,7 @@
 	svc_t owner;
 	uint32_t next = 0;
 	std::string checked;
-	bool reachable = false;
+	check_result_t check_result = CHECK_UNKNOWN;
 	std::map<uint32_t, result_t> results;
 };
 
@@ -272,7 +275,7 @@
 	ScriptServer server(
 		[](script_conn_t &conn) { conn.send(keep_alive_response); });
 
-	EXPECT_TRUE(check(server.port));
+	EXPECT_EQ(check(server.port), CHECK_ACCEPTED);
 	result_t &first = call(server.port);
 	EXPECT_TRUE(first.reused);
 	EXPECT_EQ(first.body, "ok");
@@ -287,7 +290,7 @@
 		ScriptServer server([](script_conn_t &) {});
 		port = server.port;
 	}
-	EXPECT_FALSE(check(port));
+	EXPECT_EQ(check(port), CHECK_REFUSED);
 	EXPECT_EQ(table_count(&outbound.calls), 0u);
 	EXPECT_EQ(table_count(&outbound.conns), 0u);
 }
@@ -304,6 +307,30 @@
 	EXPECT_FALSE(call(server.port).reused);
 }
 
+// A target that is slow to accept, or behind a cut link, has not crashed.
+TEST_F(Outbound, CheckWithoutAnAnswerIsNoRefusal)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in address = {};
+	socklen_t size = sizeof(address);
+	int fill[8];
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ASSERT_EQ(bind(fd, (struct sockaddr *)&address, size), 0);
+	ASSERT_EQ(listen(fd, 0), 0);
+	ASSERT_EQ(getsockname(fd, (struct sockaddr *)&address, &size), 0);
+	for (int &one : fill) {
+		one = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)!connect(one, (struct sockaddr *)&address, size);
+	}
+	usleep(20000);
+	EXPECT_EQ(check(ntohs(address.sin_port)), CHECK_UNKNOWN);
+	for (int one : fill)
+		close(one);
+	close(fd);
+}
+
 TEST_F(Outbound, CancelClosesTheConnection)
 {
 	ScriptServer server([](script_conn_t &) {});
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -211,7 +211,8 @@
 		checks++;
 		msg.kind = MSG_OUT_CHECKED;
 		msg.u.out_check = request->u.out_check;
-		msg.u.out_check.reachable = !target_down;
+		msg.u.out_check.result =
+			target_down ? CHECK_REFUSED : CHECK_ACCEPTED;
 		kernel_post(&kernel, outbound, request->from, &msg);
 	}
 	void post_part_report(part_event_t event, uint64_t part,
