Decline the quarantine of an instance that was cut off

Callers saw: nothing yet; found in a review. Requests with a sound first part could be refused on all instances after one that was cut off was connected again.

Cause: an instance that reaches no target takes them for crashed, quarantines the part that its requests share, and tells its peers when they connect. They applied the quarantine, whatever their own responses had shown.

Evidence: InstanceThatWasCutOffSpreadsNoFalseQuarantine failed before: all six others held the part.

Change: a quarantine decided more than 1 s ago is declined if the own score of the part is below -1.5. New quarantines are applied as before.

The instance that was cut off keeps its quarantine until it is told of responses with the part, or answers a probe.

--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -27,6 +27,8 @@
 #define WEIGHT_REPEATED_MAX 1.5
 /* A part whose last crash is older is not worth a message to peers. */
 #define CRASH_NEWS_MS ((int64_t)60 * 1000)
+/* A quarantine that is told at once is younger. */
+#define QUARANTINE_NEWS_MS 1000
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
 
 typedef struct part_entry_t {
@@ -382,6 +384,19 @@
 	return count;
 }
 
+/*
+ * An instance that was cut off from the targets takes them for crashed, and
+ * tells of its quarantines when it is connected again.
+ */
+static bool is_disproved(const part_entry_t *entry, int64_t age_ms,
+			 int64_t decided_at, int64_t now)
+{
+	if (entry->released && decided_at <= entry->released_at)
+		return true;
+	return !entry->held && age_ms > QUARANTINE_NEWS_MS &&
+	       score_at(entry, now) < SCORE_CLEAR;
+}
+
 bool part_quarantine_adopt(part_quarantine_t *quarantine,
 			   const part_sentence_t *sentence, int64_t now)
 {
@@ -390,8 +405,8 @@
 	int64_t decided_at = now - MAX(sentence->age_ms, 0);
 	bool added;
 
-	if (entry != NULL && entry->released &&
-	    decided_at <= entry->released_at)
+	if (entry != NULL &&
+	    is_disproved(entry, sentence->age_ms, decided_at, now))
 		return false;
 	entry = touch_entry(quarantine, sentence->part, true);
 	added = !entry->held;
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -106,7 +106,11 @@
 /* Writes quarantines in force and returns their number. */
 uint32_t part_quarantine_list(const part_quarantine_t *quarantine, int64_t now,
 			      part_sentence_t *list, uint32_t max);
-/* Applies a quarantine told by a peer.  Returns whether it is new here. */
+/*
+ * Applies a quarantine told by a peer, unless the part was released after it,
+ * or the quarantine is old and responses with the part go on here.  Returns
+ * whether it is new here.
+ */
 bool part_quarantine_adopt(part_quarantine_t *quarantine,
 			   const part_sentence_t *sentence, int64_t now);
 /* Returns whether the part was in quarantine. */
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1187,6 +1187,30 @@
 		EXPECT_EQ(state(at, 2), PART_ALLOWED);
 }
 
+// Targets that a cut-off instance cannot reach have not crashed.
+TEST_F(Parts, InstanceThatWasCutOffSpreadsNoFalseQuarantine)
+{
+	const uint64_t hot = 1;
+	part_sentence_t list[8];
+	uint32_t count;
+
+	cut = 6;
+	for (uint64_t i = 0; i < 8; i++, now += 300) {
+		crash(6, next_target++, {hot, 50 + i}, 0.5);
+		for (size_t at = 0; at < 6; at++)
+			survive(at, {hot, 200 + at});
+	}
+	cut = SIZE_MAX;
+	now += 500;
+	count = part_quarantine_list(&fleet[6], now, list, 8);
+	for (size_t at = 0; at < 6; at++) {
+		EXPECT_LT(part_quarantine_score(&fleet[at], hot, now), -1.5);
+		for (uint32_t i = 0; i < count; i++)
+			part_quarantine_adopt(&fleet[at], &list[i], now);
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+	}
+}
+
 TEST_F(Parts, ThousandsOfPartsSeenOnceAreBoundedAndBlameless)
 {
 	const uint64_t bad = 2;
