Let a bystander of a crash blame no part of a stronger suspect

Callers saw: nothing yet; found in a review. Requests with a sound first part could be refused for 10 min because another request with it crashed targets.

Cause: an instance that had only a waiting request at the target counted the crash as weak evidence for all of its parts. Added to the strong evidence that peers had told, it quarantined the first part, which the bystander and the deadly request share, before the report with the deadly part came.

Evidence: InstanceWithABystanderBlamesNoSharedPart and BystanderSeenFirstBlamesNoPartWithFewSoundResponses failed before.

Change: a crash with a weight below 1 decides nothing for a part with a strong crash among its last four; it still counts. Parts with weak evidence only are found as before, after five crashes.

Two strong crashes followed by weak ones only now quarantine a part after six crashes at most (WeakCrashesAfterStrongOnesStillFindThePart), after three before, unless a strong one comes earlier.

--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -20,6 +20,7 @@
  */
 #define CRASH_SPACING_MS 100
 #define CRASHES_KEPT 4
+#define WEIGHT_STRONG 1 /* of a crash whose target had begun to answer */
 /*
  * All crashes with one request weigh no more: it is quarantined as a whole, and
  * others share its parts.
@@ -31,11 +32,16 @@
 #define QUARANTINE_NEWS_MS 1000
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
 
+typedef struct kept_crash_t {
+	part_crash_t crash; /* its weight as far as it was counted */
+	bool strong; /* a target had begun to answer a request */
+} kept_crash_t;
+
 typedef struct part_entry_t {
 	uint64_t id;
 	double score; /* as of scored_at */
 	int64_t scored_at;
-	part_crash_t crashes[CRASHES_KEPT];
+	kept_crash_t crashes[CRASHES_KEPT];
 	uint32_t crash_count; /* crashes ever counted */
 	int64_t crashed_at; /* when the last one was counted */
 	bool held;
@@ -180,29 +186,30 @@
 	entry->released_at = now;
 }
 
-static part_crash_t *find_same_crash(part_entry_t *entry,
+static kept_crash_t *find_same_crash(part_entry_t *entry,
 				     const part_crash_t *crash)
 {
 	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
 
 	for (uint32_t i = 0; i < kept; i++) {
-		part_crash_t *known = &entry->crashes[i];
-		int64_t apart = ABS(known->at - crash->at);
+		kept_crash_t *known = &entry->crashes[i];
+		int64_t apart = ABS(known->crash.at - crash->at);
 
 		if (apart < CRASH_SPACING_MS ||
-		    (known->target == crash->target && apart < SAME_CRASH_MS))
+		    (known->crash.target == crash->target &&
+		     apart < SAME_CRASH_MS))
 			return known;
 	}
 	return NULL;
 }
 
-static part_crash_t *find_same_request(part_entry_t *entry,
+static kept_crash_t *find_same_request(part_entry_t *entry,
 				       const part_crash_t *crash)
 {
 	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
 
 	for (uint32_t i = 0; i < kept; i++) {
-		if (entry->crashes[i].request == crash->request)
+		if (entry->crashes[i].crash.request == crash->request)
 			return &entry->crashes[i];
 	}
 	return NULL;
@@ -212,22 +219,25 @@
 static bool count_crash(part_entry_t *entry, const part_crash_t *crash,
 			int64_t now)
 {
-	part_crash_t *known = find_same_crash(entry, crash);
+	kept_crash_t *known = find_same_crash(entry, crash);
 	double weight = crash->weight, change = weight;
+	bool strong = weight >= WEIGHT_STRONG;
 
 	if (known == NULL) {
 		known = find_same_request(entry, crash);
 		if (known != NULL)
-			weight = MIN(known->weight + weight / 2,
+			weight = MIN(known->crash.weight + weight / 2,
 				     WEIGHT_REPEATED_MAX);
 	}
 	if (known != NULL) {
-		change = weight - known->weight;
+		change = weight - known->crash.weight;
 		if (change <= 0)
 			return false;
-		known->weight = weight;
+		known->crash.weight = weight;
+		known->strong = known->strong || strong;
 	} else {
-		entry->crashes[entry->crash_count++ % CRASHES_KEPT] = *crash;
+		entry->crashes[entry->crash_count++ % CRASHES_KEPT] =
+			(kept_crash_t){*crash, strong};
 	}
 	entry->crashed_at = now;
 	add_score(entry, change, now);
@@ -254,17 +264,38 @@
 	return false;
 }
 
+/*
+ * A request that only waited at the target shares parts with the one that
+ * crashed it, which another instance knows: a weak crash decides nothing for a
+ * part with strong ones.
+ */
+static bool may_decide(const part_entry_t *entry, const part_crash_t *crash)
+{
+	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
+
+	if (crash->weight >= WEIGHT_STRONG)
+		return true;
+	for (uint32_t i = 0; i < kept; i++) {
+		if (entry->crashes[i].strong)
+			return false;
+	}
+	return true;
+}
+
 /* Returns the part that the crashes point to most, or -1. */
 static int find_cause(const part_quarantine_t *quarantine,
 		      const part_suspect_t *suspects, uint32_t count,
-		      int64_t now)
+		      const part_crash_t *crash, int64_t now)
 {
+	const part_entry_t *entry;
 	double best = SCORE_QUARANTINE, score;
 	int found = -1;
 
 	for (uint32_t i = 0; i < count; i++) {
-		score = part_quarantine_score(quarantine, suspects[i].part,
-					      now);
+		entry = find_entry(quarantine, suspects[i].part);
+		if (entry == NULL || !may_decide(entry, crash))
+			continue;
+		score = score_at(entry, now);
 		if (score < best)
 			continue;
 		best = score;
@@ -297,7 +328,7 @@
 	for (uint32_t i = 0; i < count; i++)
 		counted[i] =
 			count_suspect(quarantine, &suspects[i], crash, now);
-	found = find_cause(quarantine, suspects, count, now);
+	found = find_cause(quarantine, suspects, count, crash, now);
 	if (found < 0)
 		return -1;
 	for (uint32_t i = 0; i < count; i++) {
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1211,6 +1211,56 @@
 	}
 }
 
+// An instance that saw only a bystander must not blame what both share.
+TEST_F(Parts, InstanceWithABystanderBlamesNoSharedPart)
+{
+	const uint64_t hot = 1, bad = 2;
+
+	for (int i = 0; i < 2; i++, now += 1000) {
+		crash(0, next_target, {hot, bad});
+		crash(1, next_target++, {hot, 50 + (uint64_t)i}, 0.5);
+	}
+	// The third crash, seen first by the instance with the bystander.
+	EXPECT_EQ(crash(1, next_target, {hot, 60}, 0.5), 0u);
+	now += 5;
+	EXPECT_EQ(crash(0, next_target++, {hot, bad}), bad);
+	for (size_t at = 0; at < fleet.size(); at++)
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+}
+
+// The same with a few sound responses, which lower the score of what is shared.
+TEST_F(Parts, BystanderSeenFirstBlamesNoPartWithFewSoundResponses)
+{
+	const uint64_t hot = 1, bad = 2;
+
+	for (int i = 0; i < 12 && state(0, bad) != PART_QUARANTINED;
+	     i++, now += 700) {
+		if (i % 4 == 3)
+			survive(2, {hot});
+		EXPECT_EQ(state(0, hot), PART_ALLOWED) << i;
+		if (state(0, hot) != PART_ALLOWED)
+			break;
+		crash(1, next_target, {hot, 60 + (uint64_t)i}, 0.5);
+		now += 5;
+		crash(0, next_target++, {hot, bad});
+	}
+}
+
+// A deadly part must be found by weak evidence even after strong evidence.
+TEST_F(Parts, WeakCrashesAfterStrongOnesStillFindThePart)
+{
+	int crashes = 2;
+
+	crash(0, next_target++, {1});
+	now += 500;
+	crash(0, next_target++, {1});
+	for (; state(0, 1) == PART_ALLOWED && crashes < 20; crashes++) {
+		now += 500;
+		crash(0, next_target++, {1}, 0.5);
+	}
+	EXPECT_LE(crashes, 6);
+}
+
 TEST_F(Parts, ThousandsOfPartsSeenOnceAreBoundedAndBlameless)
 {
 	const uint64_t bad = 2;
