Keep a release that comes before the quarantine that it ends

Callers saw: nothing yet; found in a review. After a false quarantine had ended, one instance could go on refusing requests with the part for 10 min.

Cause: messages of different peers have no order. A release of a part that an instance did not hold was dropped; the older quarantine, told after it, was then applied.

Evidence: ReleaseThatOvertakesItsQuarantineHolds failed before.

Change: the moment of the release is kept for such a part too.

A quarantine decided less than its own travel time before the release is told as younger than it is and is applied still.

--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -459,8 +459,13 @@
 {
 	part_entry_t *entry = find_entry(quarantine, part);
 
-	if (entry == NULL || !entry->held)
-		return false;
-	release(entry, now);
-	return true;
+	if (entry != NULL && entry->held) {
+		release(entry, now);
+		return true;
+	}
+	/* The release may have overtaken the quarantine. */
+	entry = touch_entry(quarantine, part, false);
+	entry->released = true;
+	entry->released_at = now;
+	return false;
 }
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -113,7 +113,10 @@
  */
 bool part_quarantine_adopt(part_quarantine_t *quarantine,
 			   const part_sentence_t *sentence, int64_t now);
-/* Returns whether the part was in quarantine. */
+/*
+ * Ends the quarantine of the part, and those decided before that are told
+ * later.  Returns whether the part was in quarantine.
+ */
 bool part_quarantine_release(part_quarantine_t *quarantine, uint64_t part,
 			     int64_t now);
 
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1220,7 +1220,6 @@
 		crash(0, next_target, {hot, bad});
 		crash(1, next_target++, {hot, 50 + (uint64_t)i}, 0.5);
 	}
-	// The third crash, seen first by the instance with the bystander.
 	EXPECT_EQ(crash(1, next_target, {hot, 60}, 0.5), 0u);
 	now += 5;
 	EXPECT_EQ(crash(0, next_target++, {hot, bad}), bad);
@@ -1261,6 +1260,24 @@
 	EXPECT_LE(crashes, 6);
 }
 
+// A release may overtake the quarantine that it ends.
+TEST_F(Parts, ReleaseThatOvertakesItsQuarantineHolds)
+{
+	part_sentence_t sentence;
+
+	cut = 6;
+	quarantine(2);
+	ASSERT_TRUE(part_quarantine_sentence(&fleet[0], 2, now, &sentence));
+	ASSERT_EQ(sentence.age_ms, 1000);
+	now += 20;
+	part_quarantine_release(&fleet[1], 2, now);
+	part_quarantine_release(&fleet[6], 2, now);
+	now += 20;
+	part_quarantine_adopt(&fleet[6], &sentence, now);
+	EXPECT_EQ(state(1, 2), PART_ALLOWED);
+	EXPECT_EQ(state(6, 2), PART_ALLOWED);
+}
+
 TEST_F(Parts, ThousandsOfPartsSeenOnceAreBoundedAndBlameless)
 {
 	const uint64_t bad = 2;
