Add up crashes with a prompt part that comes rarely

Callers saw: nothing yet; found in a review. A part that comes once in 51 s or less often, and crashes its target each time, was never quarantined.

Cause: scores halved every 60 s, faster than such crashes add up.

Evidence: RareCrashesAddUp (no quarantine after 60 crashes 51, 60 and 120 s apart) and RareWeakCrashesAddUp (nine crashes at 18 s, none after 60 at 22 and 30 s) failed before.

Change: positive scores halve every 10 min, negative ones every 60 s as before. Responses that go on still lower a score by 1 each; they are told to peers for 10 min after a crash, as long as the score lasts. SoundResponsesLongAfterACrashLowerTheScoreEverywhere fails without that.

--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-/* Score that quarantines a part: three crashes within a minute. */
+/* Score that quarantines a part: three crashes within minutes. */
 #define SCORE_QUARANTINE 2.25
 /* Bounds, so that the past of a part that changed is soon outweighed. */
 #define SCORE_MIN (-2.0)
@@ -11,7 +11,8 @@
 #define SCORE_CLEAR (-1.5) /* below, further evidence changes nothing */
 /* Most that a part keeps of crashes that another part explains. */
 #define SCORE_EXPLAINED 1.0
-#define SCORE_HALF_LIFE_MS (60.0 * 1000)
+#define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000) /* of positive scores */
+#define HALF_LIFE_TRUSTED_MS (60.0 * 1000)
 /* Reports of the same target within this time are of one crash. */
 #define SAME_CRASH_MS 2000
 /*
@@ -27,7 +28,7 @@
  */
 #define WEIGHT_REPEATED_MAX 1.5
 /* A part whose last crash is older is not worth a message to peers. */
-#define CRASH_NEWS_MS ((int64_t)60 * 1000)
+#define CRASH_NEWS_MS ((int64_t)10 * 60 * 1000)
 /* A quarantine that is told at once is younger. */
 #define QUARANTINE_NEWS_MS 1000
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
@@ -129,8 +130,12 @@
 
 static double score_at(const part_entry_t *entry, int64_t now)
 {
+	double half_life = HALF_LIFE_TRUSTED_MS;
+
+	if (entry->score > 0)
+		half_life = HALF_LIFE_BLAMED_MS;
 	return entry->score *
-	       exp2(-(double)(now - entry->scored_at) / SCORE_HALF_LIFE_MS);
+	       exp2(-(double)(now - entry->scored_at) / half_life);
 }
 
 static void add_score(part_entry_t *entry, double change, int64_t now)
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1278,6 +1278,48 @@
 	EXPECT_EQ(state(6, 2), PART_ALLOWED);
 }
 
+// A deadly part that comes once a minute must not end targets for ever.
+TEST_F(Parts, RareCrashesAddUp)
+{
+	for (int64_t spacing : {30, 45, 51, 60, 120}) {
+		uint64_t part = 1000 + (uint64_t)spacing;
+		int crashes = 0;
+
+		while (crashes < 60 && state(0, part) == PART_ALLOWED) {
+			crash(0, next_target++, {part});
+			now += spacing * 1000;
+			crashes++;
+		}
+		EXPECT_LE(crashes, 8) << "spacing " << spacing;
+	}
+}
+
+// The same with weak evidence only.
+TEST_F(Parts, RareWeakCrashesAddUp)
+{
+	for (int64_t spacing : {5, 10, 15, 18, 22, 30}) {
+		uint64_t part = 1000 + (uint64_t)spacing;
+		int crashes = 0;
+
+		while (crashes < 60 && state(0, part) == PART_ALLOWED) {
+			crash(0, next_target++, {part}, 0.5);
+			now += spacing * 1000;
+			crashes++;
+		}
+		EXPECT_LE(crashes, 8) << "spacing " << spacing;
+	}
+}
+
+// A score that lasts must not miss the sound responses of other instances.
+TEST_F(Parts, SoundResponsesLongAfterACrashLowerTheScoreEverywhere)
+{
+	crash(0, next_target++, {2});
+	now += 300000;
+	survive(5, {2});
+	for (const part_quarantine_t &instance : fleet)
+		EXPECT_LT(part_quarantine_score(&instance, 2, now), 0);
+}
+
 TEST_F(Parts, ThousandsOfPartsSeenOnceAreBoundedAndBlameless)
 {
 	const uint64_t bad = 2;
