--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-/* Score that quarantines a part: three crashes within a minute. */
+/* Score that quarantines a part: three crashes within minutes. */
 #define SCORE_QUARANTINE 2.25
 /* Bounds, so that the past of a part that changed is soon outweighed. */
 #define SCORE_MIN (-2.0)
@@ -11,7 +11,8 @@
 #define SCORE_CLEAR (-1.5) /* below, further evidence changes nothing */
 /* Most that a part keeps of crashes that another part explains. */
 #define SCORE_EXPLAINED 1.0
-#define SCORE_HALF_LIFE_MS (60.0 * 1000)
+#define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000) /* of positive scores */
+#define HALF_LIFE_TRUSTED_MS (60.0 * 1000)
 /* Reports of the same target within this time are of one crash. */
 #define SAME_CRASH_MS 2000
 /*
@@ -20,20 +21,28 @@
  */
 #define CRASH_SPACING_MS 100
 #define CRASHES_KEPT 4
+#define WEIGHT_STRONG 1 /* of a crash whose target had begun to answer */
 /*
  * All crashes with one request weigh no more: it is quarantined as a whole, and
  * others share its parts.
  */
 #define WEIGHT_REPEATED_MAX 1.5
 /* A part whose last crash is older is not worth a message to peers. */
-#define CRASH_NEWS_MS ((int64_t)60 * 1000)
+#define CRASH_NEWS_MS ((int64_t)10 * 60 * 1000)
+/* A quarantine that is told at once is younger. */
+#define QUARANTINE_NEWS_MS 1000
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
 
+typedef struct kept_crash_t {
+	part_crash_t crash; /* its weight as far as it was counted */
+	bool strong; /* a target had begun to answer a request */
+} kept_crash_t;
+
 typedef struct part_entry_t {
 	uint64_t id;
 	double score; /* as of scored_at */
 	int64_t scored_at;
-	part_crash_t crashes[CRASHES_KEPT];
+	kept_crash_t crashes[CRASHES_KEPT];
 	uint32_t crash_count; /* crashes ever counted */
 	int64_t crashed_at; /* when the last one was counted */
 	bool held;
@@ -121,8 +130,12 @@
 
 static double score_at(const part_entry_t *entry, int64_t now)
 {
+	double half_life = HALF_LIFE_TRUSTED_MS;
+
+	if (entry->score > 0)
+		half_life = HALF_LIFE_BLAMED_MS;
 	return entry->score *
-	       exp2(-(double)(now - entry->scored_at) / SCORE_HALF_LIFE_MS);
+	       exp2(-(double)(now - entry->scored_at) / half_life);
 }
 
 static void add_score(part_entry_t *entry, double change, int64_t now)
@@ -178,29 +191,30 @@
 	entry->released_at = now;
 }
 
-static part_crash_t *find_same_crash(part_entry_t *entry,
+static kept_crash_t *find_same_crash(part_entry_t *entry,
 				     const part_crash_t *crash)
 {
 	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
 
 	for (uint32_t i = 0; i < kept; i++) {
-		part_crash_t *known = &entry->crashes[i];
-		int64_t apart = ABS(known->at - crash->at);
+		kept_crash_t *known = &entry->crashes[i];
+		int64_t apart = ABS(known->crash.at - crash->at);
 
 		if (apart < CRASH_SPACING_MS ||
-		    (known->target == crash->target && apart < SAME_CRASH_MS))
+		    (known->crash.target == crash->target &&
+		     apart < SAME_CRASH_MS))
 			return known;
 	}
 	return NULL;
 }
 
-static part_crash_t *find_same_request(part_entry_t *entry,
+static kept_crash_t *find_same_request(part_entry_t *entry,
 				       const part_crash_t *crash)
 {
 	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
 
 	for (uint32_t i = 0; i < kept; i++) {
-		if (entry->crashes[i].request == crash->request)
+		if (entry->crashes[i].crash.request == crash->request)
 			return &entry->crashes[i];
 	}
 	return NULL;
@@ -210,22 +224,25 @@
 static bool count_crash(part_entry_t *entry, const part_crash_t *crash,
 			int64_t now)
 {
-	part_crash_t *known = find_same_crash(entry, crash);
+	kept_crash_t *known = find_same_crash(entry, crash);
 	double weight = crash->weight, change = weight;
+	bool strong = weight >= WEIGHT_STRONG;
 
 	if (known == NULL) {
 		known = find_same_request(entry, crash);
 		if (known != NULL)
-			weight = MIN(known->weight + weight / 2,
+			weight = MIN(known->crash.weight + weight / 2,
 				     WEIGHT_REPEATED_MAX);
 	}
 	if (known != NULL) {
-		change = weight - known->weight;
+		change = weight - known->crash.weight;
 		if (change <= 0)
 			return false;
-		known->weight = weight;
+		known->crash.weight = weight;
+		known->strong = known->strong || strong;
 	} else {
-		entry->crashes[entry->crash_count++ % CRASHES_KEPT] = *crash;
+		entry->crashes[entry->crash_count++ % CRASHES_KEPT] =
+			(kept_crash_t){*crash, strong};
 	}
 	entry->crashed_at = now;
 	add_score(entry, change, now);
@@ -252,17 +269,38 @@
 	return false;
 }
 
+/*
+ * A request that only waited at the target shares parts with the one that
+ * crashed it, which another instance knows: a weak crash decides nothing for a
+ * part with strong ones.
+ */
+static bool may_decide(const part_entry_t *entry, const part_crash_t *crash)
+{
+	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
+
+	if (crash->weight >= WEIGHT_STRONG)
+		return true;
+	for (uint32_t i = 0; i < kept; i++) {
+		if (entry->crashes[i].strong)
+			return false;
+	}
+	return true;
+}
+
 /* Returns the part that the crashes point to most, or -1. */
 static int find_cause(const part_quarantine_t *quarantine,
 		      const part_suspect_t *suspects, uint32_t count,
-		      int64_t now)
+		      const part_crash_t *crash, int64_t now)
 {
+	const part_entry_t *entry;
 	double best = SCORE_QUARANTINE, score;
 	int found = -1;
 
 	for (uint32_t i = 0; i < count; i++) {
-		score = part_quarantine_score(quarantine, suspects[i].part,
-					      now);
+		entry = find_entry(quarantine, suspects[i].part);
+		if (entry == NULL || !may_decide(entry, crash))
+			continue;
+		score = score_at(entry, now);
 		if (score < best)
 			continue;
 		best = score;
@@ -295,7 +333,7 @@
 	for (uint32_t i = 0; i < count; i++)
 		counted[i] =
 			count_suspect(quarantine, &suspects[i], crash, now);
-	found = find_cause(quarantine, suspects, count, now);
+	found = find_cause(quarantine, suspects, count, crash, now);
 	if (found < 0)
 		return -1;
 	for (uint32_t i = 0; i < count; i++) {
@@ -382,6 +420,19 @@
 	return count;
 }
 
+/*
+ * An instance that was cut off from the targets takes them for crashed, and
+ * tells of its quarantines when it is connected again.
+ */
+static bool is_disproved(const part_entry_t *entry, int64_t age_ms,
+			 int64_t decided_at, int64_t now)
+{
+	if (entry->released && decided_at <= entry->released_at)
+		return true;
+	return !entry->held && age_ms > QUARANTINE_NEWS_MS &&
+	       score_at(entry, now) < SCORE_CLEAR;
+}
+
 bool part_quarantine_adopt(part_quarantine_t *quarantine,
 			   const part_sentence_t *sentence, int64_t now)
 {
@@ -390,8 +441,8 @@
 	int64_t decided_at = now - MAX(sentence->age_ms, 0);
 	bool added;
 
-	if (entry != NULL && entry->released &&
-	    decided_at <= entry->released_at)
+	if (entry != NULL &&
+	    is_disproved(entry, sentence->age_ms, decided_at, now))
 		return false;
 	entry = touch_entry(quarantine, sentence->part, true);
 	added = !entry->held;
@@ -413,8 +464,13 @@
 {
 	part_entry_t *entry = find_entry(quarantine, part);
 
-	if (entry == NULL || !entry->held)
-		return false;
-	release(entry, now);
-	return true;
+	if (entry != NULL && entry->held) {
+		release(entry, now);
+		return true;
+	}
+	/* The release may have overtaken the quarantine. */
+	entry = touch_entry(quarantine, part, false);
+	entry->released = true;
+	entry->released_at = now;
+	return false;
 }
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -105,6 +105,22 @@
 		exchange_limit_to_stop(proxy, exchange);
 }
 
+static void target_checked(proxy_t *proxy, const msg_t *msg)
+{
+	const char *instance = msg->u.out_check.instance;
+
+	switch (msg->u.out_check.result) {
+	case CHECK_ACCEPTED:
+		crash_target_reachable(proxy, instance);
+		break;
+	case CHECK_REFUSED:
+		crash_target_unreachable(proxy, instance);
+		break;
+	case CHECK_UNKNOWN:
+		break;
+	}
+}
+
 static void receive(void *self, msg_t *msg)
 {
 	proxy_t *proxy = self;
@@ -148,12 +164,7 @@
 		parts_tell_peer(proxy, msg->u.peer_addr.incarnation);
 		break;
 	case MSG_OUT_CHECKED:
-		if (msg->u.out_check.reachable)
-			crash_target_reachable(proxy,
-					       msg->u.out_check.instance);
-		else
-			crash_target_unreachable(proxy,
-						 msg->u.out_check.instance);
+		target_checked(proxy, msg);
 		break;
 	case MSG_OUT_STARTED:
 	case MSG_OUT_HEAD:
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -211,7 +211,8 @@
 		checks++;
 		msg.kind = MSG_OUT_CHECKED;
 		msg.u.out_check = request->u.out_check;
-		msg.u.out_check.reachable = !target_down;
+		msg.u.out_check.result =
+			target_down ? CHECK_REFUSED : CHECK_ACCEPTED;
 		kernel_post(&kernel, outbound, request->from, &msg);
 	}
 	void post_part_report(part_event_t event, uint64_t part,
@@ -1026,6 +1027,17 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+// An instance that missed a quarantine would send the part to more targets.
+TEST_F(Proxy, CrashReportOfAnInstanceThatMissedAQuarantineIsAnswered)
+{
+	post_part_report(PART_EVENT_CRASHED, 2);
+	EXPECT_EQ(told, std::vector<int>{});
+	quarantine(2);
+	told.clear();
+	post_part_report(PART_EVENT_CRASHED, 2);
+	EXPECT_EQ(told, std::vector<int>{PART_EVENT_HELD});
+}
+
 // The part quarantines of a fleet whose messages arrive at once.
 class Parts : public ::testing::Test
 {
@@ -1329,6 +1341,139 @@
 		EXPECT_EQ(state(at, 2), PART_ALLOWED);
 }
 
+// Targets that a cut-off instance cannot reach have not crashed.
+TEST_F(Parts, InstanceThatWasCutOffSpreadsNoFalseQuarantine)
+{
+	const uint64_t hot = 1;
+	part_sentence_t list[8];
+	uint32_t count;
+
+	cut = 6;
+	for (uint64_t i = 0; i < 8; i++, now += 300) {
+		crash(6, next_target++, {hot, 50 + i}, 0.5);
+		for (size_t at = 0; at < 6; at++)
+			survive(at, {hot, 200 + at});
+	}
+	cut = SIZE_MAX;
+	now += 500;
+	count = part_quarantine_list(&fleet[6], now, list, 8);
+	for (size_t at = 0; at < 6; at++) {
+		EXPECT_LT(part_quarantine_score(&fleet[at], hot, now), -1.5);
+		for (uint32_t i = 0; i < count; i++)
+			part_quarantine_adopt(&fleet[at], &list[i], now);
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+	}
+}
+
+// An instance that saw only a bystander must not blame what both share.
+TEST_F(Parts, InstanceWithABystanderBlamesNoSharedPart)
+{
+	const uint64_t hot = 1, bad = 2;
+
+	for (int i = 0; i < 2; i++, now += 1000) {
+		crash(0, next_target, {hot, bad});
+		crash(1, next_target++, {hot, 50 + (uint64_t)i}, 0.5);
+	}
+	EXPECT_EQ(crash(1, next_target, {hot, 60}, 0.5), 0u);
+	now += 5;
+	EXPECT_EQ(crash(0, next_target++, {hot, bad}), bad);
+	for (size_t at = 0; at < fleet.size(); at++)
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+}
+
+// The same with a few sound responses, which lower the score of what is shared.
+TEST_F(Parts, BystanderSeenFirstBlamesNoPartWithFewSoundResponses)
+{
+	const uint64_t hot = 1, bad = 2;
+
+	for (int i = 0; i < 12 && state(0, bad) != PART_QUARANTINED;
+	     i++, now += 700) {
+		if (i % 4 == 3)
+			survive(2, {hot});
+		EXPECT_EQ(state(0, hot), PART_ALLOWED) << i;
+		if (state(0, hot) != PART_ALLOWED)
+			break;
+		crash(1, next_target, {hot, 60 + (uint64_t)i}, 0.5);
+		now += 5;
+		crash(0, next_target++, {hot, bad});
+	}
+}
+
+// A deadly part must be found by weak evidence even after strong evidence.
+TEST_F(Parts, WeakCrashesAfterStrongOnesStillFindThePart)
+{
+	int crashes = 2;
+
+	crash(0, next_target++, {1});
+	now += 500;
+	crash(0, next_target++, {1});
+	for (; state(0, 1) == PART_ALLOWED && crashes < 20; crashes++) {
+		now += 500;
+		crash(0, next_target++, {1}, 0.5);
+	}
+	EXPECT_LE(crashes, 6);
+}
+
+// A release may overtake the quarantine that it ends.
+TEST_F(Parts, ReleaseThatOvertakesItsQuarantineHolds)
+{
+	part_sentence_t sentence;
+
+	cut = 6;
+	quarantine(2);
+	ASSERT_TRUE(part_quarantine_sentence(&fleet[0], 2, now, &sentence));
+	ASSERT_EQ(sentence.age_ms, 1000);
+	now += 20;
+	part_quarantine_release(&fleet[1], 2, now);
+	part_quarantine_release(&fleet[6], 2, now);
+	now += 20;
+	part_quarantine_adopt(&fleet[6], &sentence, now);
+	EXPECT_EQ(state(1, 2), PART_ALLOWED);
+	EXPECT_EQ(state(6, 2), PART_ALLOWED);
+}
+
+// A deadly part that comes once a minute must not end targets for ever.
+TEST_F(Parts, RareCrashesAddUp)
+{
+	for (int64_t spacing : {30, 45, 51, 60, 120}) {
+		uint64_t part = 1000 + (uint64_t)spacing;
+		int crashes = 0;
+
+		while (crashes < 60 && state(0, part) == PART_ALLOWED) {
+			crash(0, next_target++, {part});
+			now += spacing * 1000;
+			crashes++;
+		}
+		EXPECT_LE(crashes, 8) << "spacing " << spacing;
+	}
+}
+
+// The same with weak evidence only.
+TEST_F(Parts, RareWeakCrashesAddUp)
+{
+	for (int64_t spacing : {5, 10, 15, 18, 22, 30}) {
+		uint64_t part = 1000 + (uint64_t)spacing;
+		int crashes = 0;
+
+		while (crashes < 60 && state(0, part) == PART_ALLOWED) {
+			crash(0, next_target++, {part}, 0.5);
+			now += spacing * 1000;
+			crashes++;
+		}
+		EXPECT_LE(crashes, 8) << "spacing " << spacing;
+	}
+}
+
+// A score that lasts must not miss the sound responses of other instances.
+TEST_F(Parts, SoundResponsesLongAfterACrashLowerTheScoreEverywhere)
+{
+	crash(0, next_target++, {2});
+	now += 300000;
+	survive(5, {2});
+	for (const part_quarantine_t &instance : fleet)
+		EXPECT_LT(part_quarantine_score(&instance, 2, now), 0);
+}
+
 TEST_F(Parts, ThousandsOfPartsSeenOnceAreBoundedAndBlameless)
 {
 	const uint64_t bad = 2;
