Refuse repeats of a request that crashes targets for ten minutes

Users saw: a request that had crashed three targets was refused for 30 s and then crashed three more, as long as its caller sent it again.

Cause: the quarantine of a whole request, and the time for which a crash counts against it, were 30 s, and a repeat counts little against its parts.

Change: both are 10 min, as the first quarantine of a part. A request that is answered clears its crashes, as before.

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 #define CRASHES_MAX 3 /* crashes that quarantine a request */
-#define CRASH_QUARANTINE_MS ((int64_t)30 * 1000)
+#define CRASH_QUARANTINE_MS ((int64_t)10 * 60 * 1000)
 /* A target that has crashed refuses connections soon after. */
 #define SUSPECT_WINDOW_US (3 * USEC_PER_SEC)
 /* A target's listening socket may be closed after its connections. */
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1027,6 +1027,34 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+// Repeats count too: three may reach targets later than 4 s after the fifth
+// crash.
+TEST_F(Proxy, RepeatsOfARequestWithADeadlyPartStayRare)
+{
+	int crashes = 0, late = 0;
+	int64_t fifth = 0;
+
+	for (int second = 0; second < 150; second++) {
+		int before = attempts;
+
+		bodies = 0;
+		post_open("/stream/x", "key", {1, 2, 9});
+		if (attempts > before) {
+			if (fifth > 0 &&
+			    kernel_now(&kernel) - fifth > 4 * USEC_PER_SEC)
+				late++;
+			post_head(200);
+			target_down = true;
+			post_failed(FAILURE_STREAM, true, true);
+			if (++crashes == 5)
+				fifth = kernel_now(&kernel);
+		}
+		run(USEC_PER_SEC);
+		target_down = false;
+	}
+	EXPECT_LE(late, 3);
+}
+
 // An instance that missed a quarantine would send the part to more targets.
 TEST_F(Proxy, CrashReportOfAnInstanceThatMissedAQuarantineIsAnswered)
 {
