--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1055,6 +1055,22 @@
 	EXPECT_LE(late, 3);
 }
 
+// A probe that no target ran says nothing, and must not cost a sound part 40
+// min.
+TEST_F(Proxy, ProbeThatDidNotRunIsRepeatedSoon)
+{
+	quarantine(2);
+	run(2 * PART_QUARANTINE_MIN_MS * USEC_PER_MSEC);
+	post_open("/stream/x", "key", {2, 8});
+	ASSERT_EQ(attempts, 1);
+	post_head(503, true, true);
+	post_end();
+	run(5 * 60 * USEC_PER_SEC);
+	attempts = 0;
+	post_open("/stream/x", "key", {2, 10});
+	EXPECT_EQ(attempts, 1);
+}
+
 // An instance that missed a quarantine would send the part to more targets.
 TEST_F(Proxy, CrashReportOfAnInstanceThatMissedAQuarantineIsAnswered)
 {
