Reload no gateway of the soak that has not begun

Trace: of 130 processes that got SIGHUP 0 to 50 ms after they were created, 57 ended, all within 15 ms, none of which had set the action of the signal yet (SigIgn and SigCgt in /proc). Nothing in the program can handle a signal then, so the case is allowed; once it was seen with the action set, a process is always signalled, so a signal that ends one later, as at its exit, is found as before.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -50,6 +50,7 @@
         self.stops = {}  # incarnation -> time of SIGTERM
         self.exits = {}  # incarnation -> time at which its exit was seen
         self.restarting = False
+        self.begun = 0  # incarnation that was seen to have begun
         # Faults of the process, its link to the store or the store itself.
         self.faults = spans.Spans()
 
@@ -113,6 +114,21 @@
         with contextlib.suppress(ProcessLookupError):
             os.kill(self.process.pid, signal_number)
 
+    def has_begun(self):
+        """Whether the program has set what SIGHUP does, its first action.
+
+        Nothing can handle a signal before that.
+        """
+        if self.begun != self.incarnation and self.process is not None:
+            with contextlib.suppress(OSError), open(
+                    "/proc/%d/status" % self.process.pid,
+                    encoding="utf-8") as file:
+                masks = [int(line.split()[1], 16) for line in file
+                         if line.startswith(("SigIgn:", "SigCgt:"))]
+                if any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks):
+                    self.begun = self.incarnation
+        return self.begun == self.incarnation
+
     async def kill(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -132,7 +132,8 @@
                                    signal.SIGTERM) for i in step.gateways])
     elif step.action == "reload":
         for i in step.gateways:
-            soak.gateways[i].signal(signal.SIGHUP)
+            if soak.gateways[i].has_begun():
+                soak.gateways[i].signal(signal.SIGHUP)
     elif step.action == "configure":
         soak.limits.append((soak.now(), step.value))
         soak.configure()
