--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -87,9 +87,9 @@
 typedef enum part_event_t {
 	PART_EVENT_CRASHED, /* a target crashed that may have run it */
 	PART_EVENT_EXPLAINED, /* another part explains its crashes */
-	PART_EVENT_SURVIVED, /* a response with it went on */
-	PART_EVENT_HELD, /* it is in quarantine */
-	PART_EVENT_RELEASED, /* its quarantine has ended */
+	PART_EVENT_SURVIVED, /* a response with the part went on */
+	PART_EVENT_HELD, /* the part is in quarantine */
+	PART_EVENT_RELEASED, /* the quarantine has ended */
 	PART_EVENT_COUNT,
 } part_event_t;
 
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -38,7 +38,7 @@
 	char fingerprint[HASH_SIZE];
 	int32_t priority;
 	int64_t started_at; /* monotonic, us */
-	int64_t deadline; /* of the caller or the stop, monotonic, us */
+	int64_t deadline; /* caller's or the stop's, monotonic, us */
 	bool ends_at_stop; /* deadline is that of the planned stop */
 	handle_t deadline_timer;
 
--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -11,7 +11,7 @@
 #define SCORE_CLEAR (-1.5) /* below, further evidence changes nothing */
 /* Most that a part keeps of crashes that another part explains. */
 #define SCORE_EXPLAINED 1.0
-#define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000) /* of positive scores */
+#define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000) /* half-life of positive scores */
 #define HALF_LIFE_TRUSTED_MS (60.0 * 1000)
 /* Reports of the same target within this time are of one crash. */
 #define SAME_CRASH_MS 2000
@@ -21,7 +21,7 @@
  */
 #define CRASH_SPACING_MS 100
 #define CRASHES_KEPT 4
-#define WEIGHT_STRONG 1 /* of a crash whose target had begun to answer */
+#define WEIGHT_STRONG 1 /* crash of a target that had begun to answer */
 /*
  * All crashes with one request weigh no more: it is quarantined as a whole, and
  * others share its parts.
@@ -34,7 +34,7 @@
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
 
 typedef struct kept_crash_t {
-	part_crash_t crash; /* its weight as far as it was counted */
+	part_crash_t crash; /* with the weight counted so far */
 	bool strong; /* a target had begun to answer a request */
 } kept_crash_t;
 
@@ -44,7 +44,7 @@
 	int64_t scored_at;
 	kept_crash_t crashes[CRASHES_KEPT];
 	uint32_t crash_count; /* crashes ever counted */
-	int64_t crashed_at; /* when the last one was counted */
+	int64_t crashed_at; /* time at which the last crash was counted */
 	bool held;
 	bool probed; /* a request of this instance probes the part */
 	uint32_t strikes; /* quarantines so far */
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -43,7 +43,7 @@
 typedef enum part_news_t {
 	PART_NO_NEWS,
 	PART_NEWS, /* other instances have counted a crash with the part */
-	PART_RELEASED, /* its quarantine has ended */
+	PART_RELEASED, /* the quarantine has ended */
 } part_news_t;
 
 /* A quarantine as told to other instances. */
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -21,7 +21,7 @@
  * crashes targets does so as they begin to answer it.
  */
 typedef enum suspicion_t {
-	SUSPICION_NONE, /* its answer has been going on */
+	SUSPICION_NONE, /* the answer has been going on */
 	SUSPICION_WEAK, /* no answer, or one that had just begun */
 	SUSPICION_STRONG, /* the target had begun to run it */
 } suspicion_t;
@@ -37,7 +37,7 @@
 typedef struct suspect_t {
 	char request_id[REQUEST_ID_SIZE];
 	char fingerprint[HASH_SIZE];
-	bool answering; /* its answer had begun; only parts are suspected */
+	bool answering; /* the answer had begun; only parts are suspected */
 	char instance[NAME_SIZE]; /* empty: unused entry */
 	char host[HOST_SIZE];
 	uint16_t port;
--- a/request/internal.h
+++ b/request/internal.h
@@ -34,7 +34,7 @@
 	uint32_t max_tokens; /* limit on generated tokens */
 	int64_t reserved_tokens; /* upper limit of the tokens used */
 	int64_t started; /* monotonic, us */
-	int64_t deadline; /* of the caller or the stop, monotonic, us */
+	int64_t deadline; /* caller's or the stop's, monotonic, us */
 	bool ends_at_stop; /* deadline is that of the planned stop */
 	handle_t deadline_timer;
 	handle_t step_timer; /* backoff, or the wait for CLAIM_STORED */
