--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -11,7 +11,8 @@
 #define SCORE_CLEAR (-1.5) /* below, further evidence changes nothing */
 /* Most that a part keeps of crashes that another part explains. */
 #define SCORE_EXPLAINED 1.0
-#define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000) /* half-life of positive scores */
+/* Half-lives of positive and of negative scores. */
+#define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000)
 #define HALF_LIFE_TRUSTED_MS (60.0 * 1000)
 /* Reports of the same target within this time are of one crash. */
 #define SAME_CRASH_MS 2000
