Count crashes of many targets at once once for a whole request

Callers could see: a popular request, the same one from many callers of an account, was refused for 10 min after a rack failed while several targets ran it: each of their ends counted as a crash by the request.

Cause: reports of crashes counted whatever their distance in time; prompt parts had a spacing, whole requests had none.

Change: crashes less than 100 ms apart count once for a fingerprint too. The routers keep theirs. Test: CrashOfManyTargetsAtOnceQuarantinesNoRequest (failed before). RequestThatCrashesTargetsIsQuarantined had three crashes at the same moment, which is the case that no longer counts; they are 100 ms apart now, and its checks are the same.

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -22,7 +22,8 @@
 
 void crash_init(proxy_t *proxy)
 {
-	quarantine_init(&proxy->quarantine, CRASHES_MAX, CRASH_QUARANTINE_MS);
+	quarantine_init(&proxy->quarantine, CRASHES_MAX, CRASH_QUARANTINE_MS,
+			CRASH_SPACING_MS);
 }
 
 bool crash_quarantined(const proxy_t *proxy, const exchange_t *exchange)
--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -16,11 +16,6 @@
 #define HALF_LIFE_TRUSTED_MS (60.0 * 1000)
 /* Reports of the same target within this time are of one crash. */
 #define SAME_CRASH_MS 2000
-/*
- * Crashes of several targets within this time count once: a rack or a network
- * that fails takes many targets down at the same moment.
- */
-#define CRASH_SPACING_MS 100
 #define CRASHES_KEPT 4
 #define WEIGHT_STRONG 1 /* crash of a target that had begun to answer */
 /*
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -20,6 +20,11 @@
 
 G_BEGIN_DECLS
 
+/*
+ * Crashes of several targets within this time count once: a rack or a network
+ * that fails takes many targets down at the same moment.
+ */
+#define CRASH_SPACING_MS 100
 #define PARTS_SCORED_MAX 512
 #define PART_QUARANTINE_MIN_MS ((int64_t)10 * 60 * 1000)
 #define PART_QUARANTINE_MAX_MS ((int64_t)24 * 3600 * 1000)
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -17,11 +17,12 @@
 } quarantine_entry_t;
 
 void quarantine_init(quarantine_t *quarantine, uint32_t blame_threshold,
-		     int64_t duration_ms)
+		     int64_t duration_ms, int64_t spacing_ms)
 {
 	quarantine->blame_threshold =
 		MIN(blame_threshold, QUARANTINE_BLAMES_MAX);
 	quarantine->duration_ms = duration_ms;
+	quarantine->spacing_ms = spacing_ms;
 	quarantine->entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	g_queue_init(&quarantine->order);
@@ -82,6 +83,9 @@
 	if (entry->count >= quarantine->blame_threshold ||
 	    has_blame(entry, reporter, seq))
 		return false;
+	if (entry->count > 0 &&
+	    now_ms - entry->last_blame_ms < quarantine->spacing_ms)
+		return false;
 	blame = &entry->blames[entry->count++];
 	g_strlcpy(blame->reporter, reporter, sizeof(blame->reporter));
 	blame->seq = seq;
--- a/request/quarantine.h
+++ b/request/quarantine.h
@@ -20,11 +20,12 @@
 	GQueue order; /* entries, oldest first */
 	uint32_t blame_threshold; /* blames that start a quarantine */
 	int64_t duration_ms; /* length of a quarantine, validity of a blame */
+	int64_t spacing_ms; /* a blame this soon after another does not count */
 } quarantine_t;
 
 /* The threshold is capped at QUARANTINE_BLAMES_MAX. */
 void quarantine_init(quarantine_t *quarantine, uint32_t blame_threshold,
-		     int64_t duration_ms);
+		     int64_t duration_ms, int64_t spacing_ms);
 void quarantine_finish(quarantine_t *quarantine);
 
 /*
--- a/request/request.c
+++ b/request/request.c
@@ -166,7 +166,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	retry_budget_init(&svc->retry_budget, opts->retry_ratio);
 	quarantine_init(&svc->quarantine, QUARANTINE_BLAME_THRESHOLD,
-			QUARANTINE_DURATION_MS);
+			QUARANTINE_DURATION_MS, 0);
 	svc->self = kernel_register(kernel, "request", receive, svc);
 }
 
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -656,6 +656,7 @@
 		post_failed(FAILURE_CONNECT, false);
 		post_head(200);
 		post_end();
+		run(100 * USEC_PER_MSEC);
 	}
 	attempts = 0;
 	post_open("/unsafe/crash");
@@ -665,6 +666,23 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+// A rack that fails ends many targets that run the same popular request.
+TEST_F(Proxy, CrashOfManyTargetsAtOnceQuarantinesNoRequest)
+{
+	for (int i = 0; i < 20; i++) {
+		post_open("/unsafe/popular");
+		post_failed(FAILURE_SENT, true, true);
+		placements--;
+		post_open("/unsafe/other");
+		post_failed(FAILURE_CONNECT, false);
+		post_head(200);
+		post_end();
+	}
+	attempts = 0;
+	post_open("/unsafe/popular");
+	EXPECT_EQ(attempts, 1);
+}
+
 // Requests that are never alike must not crash one target after the other.
 TEST_F(Proxy, PromptPartThatCrashesTargetsIsQuarantined)
 {
