Log the limits that targets state, and count the responses with one

The log could not tell why targets got more than the limit that they named: no line showed that a response named one. The field is now read in platform/ with the load into one report of the target, which proxy passes to balance when the response head arrives; balance writes a line when it changes. No decision uses it yet. A malformed value is logged and tells nothing; of several the lowest holds; an unsigned error without the field is no sign that the limit is over.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -231,6 +231,39 @@
 	placement->placed_at = 0;
 }
 
+static bool same_limit(const target_limit_t *a, const target_limit_t *b)
+{
+	bool a_limits = a->kind == LIMIT_STATED;
+	bool b_limits = b->kind == LIMIT_STATED;
+
+	return a_limits == b_limits && (!a_limits || a->per_ks == b->per_ks);
+}
+
+static void report_received(balance_t *balance, const msg_t *msg)
+{
+	const target_limit_t *limit = &msg->u.place_report.limit;
+	const placement_t *placement =
+		table_get(&balance->placements, msg->ref);
+	balance_target_t *target;
+
+	if (placement == NULL || limit->kind == LIMIT_UNKNOWN)
+		return;
+	target = table_get(&balance->targets, placement->target);
+	if (target == NULL)
+		return;
+	if (limit->kind == LIMIT_STATED)
+		metrics_add(balance->kernel->metrics, COUNTER_LIMITS_STATED, 1);
+	if (!same_limit(limit, &target->limit))
+		log_event(LOG_LEVEL_INFO, "balance", "limit",
+			  "target=%s service=%s kind=%s per_s=%.3f "
+			  "outstanding=%u",
+			  target->info.id, target->info.service,
+			  limit->kind == LIMIT_STATED ? "stated" : "none",
+			  limit->per_ks / 1000.0, target->outstanding);
+	target->limit = *limit;
+	target->limit_at = kernel_now(balance->kernel);
+}
+
 static void record_result(balance_t *balance, balance_target_t *target,
 			  place_result_t result)
 {
@@ -385,6 +418,9 @@
 	case MSG_PLACE_FIRST_BYTE:
 		first_byte_received(balance, msg->ref);
 		break;
+	case MSG_PLACE_REPORT:
+		report_received(balance, msg);
+		break;
 	case MSG_PLACE_DONE:
 		placement_done(balance, msg);
 		break;
--- a/balance/target.h
+++ b/balance/target.h
@@ -20,6 +20,8 @@
 	target_load_t load; /* last report */
 	int64_t load_at; /* monotonic, us */
 	uint32_t outstanding_at_load; /* outstanding at the last report */
+	target_limit_t limit; /* last stated */
+	int64_t limit_at; /* monotonic, us; when it was stated */
 	double peer_prefill_tokens; /* unread tokens of peers' prompts */
 	double peer_requests; /* estimate of running requests of peers */
 	int64_t peer_load_at; /* monotonic, us; last change of either */
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -52,15 +52,32 @@
 	uint32_t latency_percent; /* 100 is the normal latency */
 } target_load_t;
 
+typedef enum limit_kind_t {
+	LIMIT_UNKNOWN, /* nothing was stated */
+	LIMIT_NONE,
+	LIMIT_STATED,
+} limit_kind_t;
+
+/* How many requests a target takes from all instances together. */
+typedef struct target_limit_t {
+	limit_kind_t kind;
+	uint32_t per_ks; /* requests in 1,000 s */
+} target_limit_t;
+
+/* What a target states about itself in the head of a response. */
+typedef struct target_report_t {
+	target_load_t load;
+	target_limit_t limit;
+	const char *unreadable; /* field with a malformed value, or NULL */
+} target_report_t;
+
 /* Metadata of a target's response. */
 typedef struct response_info_t {
 	bool matches; /* the response belongs to this request */
 	bool authentic; /* proves that the target sent all of the response */
 	bool not_run; /* the target states that it executed nothing */
 	bool misdirected; /* another instance has the address now */
-	bool leaving; /* the target closes the connection after the response */
-	uint32_t keep_alive_s; /* 0 if not stated */
-	target_load_t load;
+	target_report_t report;
 } response_info_t;
 
 G_END_DECLS
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -138,6 +138,7 @@
 	MSG_PLACE_REFUSED,
 	MSG_PLACE_CANCEL, /* withdraws a request not yet placed */
 	MSG_PLACE_FIRST_BYTE,
+	MSG_PLACE_REPORT, /* a response head told about its target */
 	MSG_PLACE_DONE, /* ends a placement */
 
 	MSG_OUT_SEND, /* any -> outbound */
@@ -449,6 +450,7 @@
 			place_result_t result;
 			target_load_t load;
 		} place_done; /* ref is the placement */
+		target_report_t place_report; /* ref is the placement */
 
 		struct {
 			char host[HOST_SIZE];
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -38,6 +38,8 @@
 	X(PEER_AUTH_FAILED, "peer_auth_failed", "peers with a wrong key")     \
 	X(CONF_CHANGES, "conf_changes", "configuration records applied")      \
 	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
+	X(LIMITS_STATED, "limits_stated",                                     \
+	  "responses in which a target stated a limit")                       \
 	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
 	X(QUARANTINES, "quarantines", "requests put into quarantine")         \
 	X(PART_CRASHES, "part_crashes",                                       \
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -101,7 +101,7 @@
 	if (handle_is_none(exchange->placement))
 		return;
 	done.u.place_done.result = result;
-	done.u.place_done.load = exchange->response_info.load;
+	done.u.place_done.load = exchange->response_info.report.load;
 	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &done);
 	exchange->placement = HANDLE_NONE;
 }
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -180,6 +180,23 @@
 	metrics_add(proxy->kernel->metrics, COUNTER_ANSWERS, 1);
 }
 
+/* Another instance's response tells nothing about the target. */
+static void forward_report(proxy_t *proxy, const exchange_t *exchange)
+{
+	const response_info_t *info = &exchange->response_info;
+	msg_t msg = {.kind = MSG_PLACE_REPORT, .ref = exchange->placement};
+
+	if (!info->matches || info->misdirected)
+		return;
+	if (info->report.unreadable != NULL)
+		log_event(LOG_LEVEL_WARN, "proxy", "field_ignored",
+			  "request=%s target=%s field=%s reason=malformed",
+			  log_quote(exchange->spec->request_id),
+			  exchange->instance, info->report.unreadable);
+	msg.u.place_report = info->report;
+	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &msg);
+}
+
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg)
 {
 	const http_head_t *head = msg->u.out_head.head;
@@ -188,6 +205,7 @@
 	if (exchange->state != EXCHANGE_SENT)
 		return;
 	wire_read_reply(head, exchange->spec, &exchange->response_info);
+	forward_report(proxy, exchange);
 	if (exchange->response_info.not_run) {
 		exchange->state = EXCHANGE_REJECTED;
 		exchange->rejection_bytes = 0;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -290,6 +290,7 @@
 	const std::string response =
 		"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
 		"Response-Seal: 3e1b.07\r\nInstance-Load: 3,0,8,100\r\n"
+		"Server-Limit: 2.7\r\n"
 		"Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 		"2;a=b\r\nok\r\n0\r\nX-A: b\r\n\r\n";
 	std::mt19937 random(2);
@@ -323,6 +324,64 @@
 	EXPECT_GT(read, 0);
 }
 
+struct limit_case_t {
+	std::vector<const char *> values;
+	bool sealed;
+	limit_kind_t kind;
+	uint32_t per_ks;
+	bool malformed;
+};
+
+// Guards against a limit that is taken for another one, or for none, because of
+// how its target writes it.
+TEST(Wire, LimitOfATargetIsRead)
+{
+	const limit_case_t cases[] = {
+		{{"2.7"}, true, LIMIT_STATED, 2700, false},
+		{{"3"}, false, LIMIT_STATED, 3000, false},
+		{{"0"}, true, LIMIT_STATED, 0, false},
+		{{"0.2"}, true, LIMIT_STATED, 200, false},
+		{{".5"}, true, LIMIT_STATED, 500, false},
+		{{"99999999999999999999"},
+		 true,
+		 LIMIT_STATED,
+		 1000000000,
+		 false},
+		{{"4", "1.5"}, true, LIMIT_STATED, 1500, false},
+		{{"4", "x"}, true, LIMIT_STATED, 4000, true},
+		{{}, true, LIMIT_NONE, 0, false},
+		{{}, false, LIMIT_UNKNOWN, 0, false},
+		{{"-1"}, true, LIMIT_UNKNOWN, 0, true},
+		{{""}, true, LIMIT_UNKNOWN, 0, true},
+		{{"."}, true, LIMIT_UNKNOWN, 0, true},
+		{{"1.2.3"}, true, LIMIT_UNKNOWN, 0, true},
+		{{"1,5"}, true, LIMIT_UNKNOWN, 0, true},
+		{{"inf"}, true, LIMIT_UNKNOWN, 0, true},
+		{{"0x10"}, true, LIMIT_UNKNOWN, 0, true},
+	};
+	exchange_spec_t *spec = exchange_spec_new();
+
+	for (const limit_case_t &c : cases) {
+		http_head_t *head = http_head_response(200);
+		std::string all;
+		response_info_t info;
+
+		if (c.sealed)
+			http_head_add(head, "Response-Seal", "s");
+		for (const char *value : c.values) {
+			http_head_add(head, "server-limit", value);
+			all += std::string(value) + ";";
+		}
+		wire_read_reply(head, spec, &info);
+		EXPECT_EQ(info.report.limit.kind, c.kind) << all;
+		EXPECT_EQ(info.report.limit.per_ks, c.per_ks) << all;
+		EXPECT_EQ(info.report.unreadable != nullptr, c.malformed)
+			<< all;
+		http_head_free(head);
+	}
+	exchange_spec_free(spec);
+}
+
 // Runs the store service against an HTTP client that returns set responses.
 class Store : public ::testing::Test
 {
