--- a/balance/choose.c
+++ b/balance/choose.c
@@ -1,5 +1,7 @@
 #include "balance/choose.h"
 
+#include "balance/placement.h"
+
 #include <string.h>
 
 #define JITTER_MS 2.0 /* keeps instances from choosing in lockstep */
