Share the limit that a target states among all instances

The cause is that what a target states about itself was not read but for its load, and that each instance places requests by what it sees itself, while the limit is one on the sum. The log lines showed that instances told of a limit went on.

A request goes to such a target only with a permit of the target's home, an instance that all agree on. The homes schedule requests at the stated rate; a request that asks says how long it may wait, less if it is less urgent.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -1,5 +1,7 @@
 #include "balance/balance.h"
 
+#include "balance/home.h"
+#include "balance/permit.h"
 #include "balance/placement.h"
 #include "balance/queue.h"
 #include "balance/target.h"
@@ -45,6 +47,7 @@
 				    target);
 	} else if (target->info.started_ms != info->started_ms) {
 		balance_target_clear_cache(target);
+		permit_reset(target);
 	}
 	g_strlcpy(target->info.host, info->host, sizeof(target->info.host));
 	target->info.port = info->port;
@@ -78,6 +81,41 @@
 		    kernel_find(balance->kernel, "fleet"), &msg);
 }
 
+static void on_timer(balance_t *balance, const msg_t *msg)
+{
+	switch ((balance_timer_t)msg->u.timer.kind) {
+	case BALANCE_TIMER_QUEUE:
+		queue_timed_out(balance, msg->ref);
+		break;
+	case BALANCE_TIMER_ASK:
+		permit_timed_out(balance, msg->ref);
+		break;
+	case BALANCE_TIMER_WAKE:
+		queue_woken(balance);
+		break;
+	}
+}
+
+static void receive_peer(balance_t *balance, const msg_t *msg)
+{
+	switch (msg->u.peer.body->kind) {
+	case PEER_PLACED:
+		placement_announced(balance, msg->u.peer.body);
+		break;
+	case PEER_LIMIT:
+		home_told(balance, msg->u.peer.body);
+		break;
+	case PEER_PERMIT_REQUEST:
+		permit_asked(balance, msg);
+		break;
+	case PEER_PERMIT_REPLY:
+		permit_replied(balance, msg);
+		break;
+	default:
+		break;
+	}
+}
+
 static void receive(void *self, msg_t *msg)
 {
 	balance_t *balance = self;
@@ -87,7 +125,7 @@
 		start(balance);
 		break;
 	case MSG_TIMER:
-		queue_timed_out(balance, msg->ref);
+		on_timer(balance, msg);
 		break;
 	case MSG_FLEET_CONF:
 		conf_changed(balance, msg);
@@ -99,7 +137,14 @@
 		balance->instances = msg->u.fleet_size.instances;
 		break;
 	case MSG_PEER_RECEIVED:
-		placement_announced(balance, msg->u.peer.body);
+		receive_peer(balance, msg);
+		break;
+	case MSG_PEER_UP:
+		peer_set_update(&balance->peers, msg);
+		home_tell_peer(balance, msg->u.peer_addr.incarnation);
+		break;
+	case MSG_PEER_DOWN:
+		peer_set_update(&balance->peers, msg);
 		break;
 	case MSG_PLACE:
 		queue_place(balance, msg);
@@ -121,15 +166,20 @@
 	}
 }
 
-void balance_init(balance_t *balance, kernel_t *kernel, const char *zone)
+void balance_init(balance_t *balance, kernel_t *kernel, const char *incarnation,
+		  const char *zone)
 {
 	memset(balance, 0, sizeof(*balance));
 	balance->kernel = kernel;
 	balance->instances = 1;
+	g_strlcpy(balance->incarnation, incarnation,
+		  sizeof(balance->incarnation));
 	g_strlcpy(balance->zone, zone, sizeof(balance->zone));
+	peer_set_init(&balance->peers);
 	table_init(&balance->targets, sizeof(balance_target_t));
 	table_init(&balance->queue, sizeof(queued_t));
 	table_init(&balance->placements, sizeof(placement_t));
+	permit_init(balance);
 	balance->targets_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
 }
@@ -146,5 +196,7 @@
 	table_finish(&balance->targets);
 	table_finish(&balance->queue);
 	table_finish(&balance->placements);
+	table_finish(&balance->asks);
+	peer_set_finish(&balance->peers);
 	kernel_unregister(balance->kernel, balance->svc);
 }
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -8,14 +8,31 @@
 #define BALANCE_BALANCE_H
 
 #include "kernel/kernel.h"
+#include "kernel/peer_set.h"
 
 G_BEGIN_DECLS
 
+#define FAILED_HOMES_MAX 4
+
+/* A peer that did not answer as the home of a target. */
+typedef struct failed_home_t {
+	char incarnation[INCARNATION_SIZE];
+	int64_t until; /* monotonic, us */
+} failed_home_t;
+
+typedef enum balance_timer_t {
+	BALANCE_TIMER_QUEUE, /* deadline of a request that waits */
+	BALANCE_TIMER_ASK, /* a home has not answered */
+	BALANCE_TIMER_WAKE, /* the queue is to be run */
+} balance_timer_t;
+
 typedef struct balance_t {
 	kernel_t *kernel;
 	svc_t svc;
 	svc_t peer;
 	char zone[NAME_SIZE];
+	char incarnation[INCARNATION_SIZE];
+	peer_set_t peers;
 	fleet_conf_t *conf;
 	uint32_t instances; /* size of the fleet, including this one */
 	table_t targets; /* balance_target_t */
@@ -23,9 +40,14 @@
 	table_t placements; /* placement_t */
 	GHashTable *targets_by_id; /* id -> balance_target_t */
 	uint64_t arrivals; /* orders queued requests of equal priority */
+	table_t asks; /* ask_t */
+	failed_home_t failed_homes[FAILED_HOMES_MAX];
+	handle_t wake_timer;
+	int64_t wake_at; /* monotonic, us; if wake_timer is set */
 } balance_t;
 
-void balance_init(balance_t *balance, kernel_t *kernel, const char *zone);
+void balance_init(balance_t *balance, kernel_t *kernel, const char *incarnation,
+		  const char *zone);
 void balance_finish(balance_t *balance);
 
 G_END_DECLS
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -1,5 +1,6 @@
 #include "balance/choose.h"
 
+#include "balance/permit.h"
 #include "balance/placement.h"
 
 #include <string.h>
@@ -10,6 +11,7 @@
  * there.
  */
 #define CALL_REQUESTS_PER_SLOT 2
+#define PRIORITY_MAX 3 /* lower priorities wait as long as this one */
 
 /* Returns the limit on this instance's concurrent requests to a target. */
 static uint32_t max_outstanding(const balance_t *balance,
@@ -100,26 +102,102 @@
 	return target == preferred->secondary ? TARGET_SECONDARY : TARGET_OTHER;
 }
 
-balance_target_t *balance_choose(balance_t *balance, const msg_t *request,
-				 bool *usable)
+/* The less urgent a request is, the fewer others it may wait for. */
+static int64_t permit_wait(const msg_t *request, int64_t now)
+{
+	int32_t priority = CLAMP(request->u.place.priority, 0, PRIORITY_MAX);
+
+	return CLAMP(request->u.place.deadline - now, 0, LIMIT_WAIT_MAX_US) >>
+	       priority;
+}
+
+/* The cheapest targets among those looked at so far. */
+typedef struct candidates_t {
+	balance_target_t *open;
+	double open_cost;
+	balance_target_t *free; /* may give a permit at once */
+	double free_cost;
+	balance_target_t *later; /* may give a permit for later */
+	double later_cost;
+	int64_t room_at; /* monotonic, us; INT64_MAX: not known */
+	bool room_known;
+} candidates_t;
+
+static void keep_cheapest(balance_target_t **best, double *best_cost,
+			  balance_target_t *target, double cost)
+{
+	if (*best != NULL && cost >= *best_cost)
+		return;
+	*best = target;
+	*best_cost = cost;
+}
+
+static void decide(const candidates_t *found, int64_t wait, choice_t *choice)
+{
+	const passed_over_t *passed_over = &choice->passed_over;
+
+	if (found->open != NULL &&
+	    (found->free == NULL || found->open_cost <= found->free_cost)) {
+		choice->kind = CHOICE_TARGET;
+		choice->u.target = found->open;
+	} else if (found->free != NULL) {
+		choice->kind = CHOICE_ASK;
+		choice->u.ask.target = found->free;
+		choice->u.ask.wait = found->open != NULL ? 0 : wait;
+	} else if (found->later != NULL) {
+		choice->kind = CHOICE_ASK;
+		choice->u.ask.target = found->later;
+		choice->u.ask.wait = wait;
+	} else if (passed_over->full + passed_over->limited > 0) {
+		choice->kind = CHOICE_WAIT;
+		choice->u.wait.until = found->room_at;
+		choice->u.wait.known = found->room_known;
+	} else {
+		choice->kind = CHOICE_NONE;
+	}
+}
+
+void balance_choose(balance_t *balance, const msg_t *request, bool may_ask,
+		    choice_t *choice)
 {
 	int64_t now = kernel_now(balance->kernel);
+	int64_t wait = permit_wait(request, now);
 	preferred_t preferred = preferred_for(balance, request);
-	balance_target_t *best = NULL, *target;
-	double best_cost = 0.0, cost;
+	candidates_t found = {.room_at = INT64_MAX, .room_known = true};
+	balance_target_t *target;
 	uint32_t cursor = 0;
+	double cost;
 
-	*usable = false;
+	memset(choice, 0, sizeof(*choice));
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
 	       NULL) {
-		if (target->unavailable ||
-		    strcmp(target->info.service, request->u.place.service) != 0)
+		bool open = permit_is_open(target, now);
+
+		if (strcmp(target->info.service, request->u.place.service) != 0)
+			continue;
+		if (target->unavailable) {
+			choice->passed_over.unavailable++;
 			continue;
-		if (is_avoided(request, target->self))
+		}
+		if (is_avoided(request, target->self)) {
+			choice->passed_over.tried++;
 			continue;
-		*usable = true;
-		if (target->outstanding >= max_outstanding(balance, target))
+		}
+		if (target->outstanding >= max_outstanding(balance, target)) {
+			choice->passed_over.full++;
+			found.room_known = false;
 			continue;
+		}
+		if (!open) {
+			choice->passed_over.limited++;
+			if (!may_ask)
+				found.room_known = false;
+			else if (target->free_at > now)
+				found.room_at =
+					MIN(found.room_at, target->free_at);
+			if (!may_ask || target->free_at - now > wait)
+				continue;
+		}
 		cost = balance_target_cost(
 			       target, request,
 			       strcmp(target->info.zone, balance->zone) == 0,
@@ -128,10 +206,15 @@
 			       now) +
 		       (double)kernel_random_below(balance->kernel, 1000) /
 			       1000.0 * JITTER_MS;
-		if (best == NULL || cost < best_cost) {
-			best = target;
-			best_cost = cost;
-		}
+		if (open)
+			keep_cheapest(&found.open, &found.open_cost, target,
+				      cost);
+		else if (target->free_at <= now)
+			keep_cheapest(&found.free, &found.free_cost, target,
+				      cost);
+		else
+			keep_cheapest(&found.later, &found.later_cost, target,
+				      cost);
 	}
-	return best;
+	decide(&found, wait, choice);
 }
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -8,13 +8,45 @@
 
 G_BEGIN_DECLS
 
+typedef enum choice_kind_t {
+	CHOICE_TARGET, /* the request goes to the target */
+	CHOICE_ASK, /* a permit for the target is worth asking for */
+	CHOICE_WAIT, /* no target has room */
+	CHOICE_NONE, /* the service has no target for the request */
+} choice_kind_t;
+
+/* Number of targets of the service, by the reason to pass them over. */
+typedef struct passed_over_t {
+	uint32_t unavailable; /* draining, or replaced */
+	uint32_t tried; /* the request has failed there */
+	uint32_t full; /* as many requests as this instance may have there */
+	uint32_t limited; /* no permit */
+} passed_over_t;
+
+typedef struct choice_t {
+	choice_kind_t kind;
+	passed_over_t passed_over;
+	union {
+		balance_target_t *target; /* CHOICE_TARGET */
+		struct {
+			balance_target_t *target;
+			int64_t wait; /* us; a later start is of no use */
+		} ask;
+		struct {
+			/* The time from which a target has room; monotonic, us.
+			 */
+			int64_t until;
+			bool known; /* false: one may have room before */
+		} wait;
+	} u;
+} choice_t;
+
 /*
- * Returns the target with the lowest expected delay, or NULL if none has room.
- * Sets usable to whether the service has any target that may get the request,
- * with or without room.
+ * Chooses the target with the lowest expected delay.  may_ask is whether a
+ * permit may be asked for, if that target needs one.
  */
-balance_target_t *balance_choose(balance_t *balance, const msg_t *request,
-				 bool *usable);
+void balance_choose(balance_t *balance, const msg_t *request, bool may_ask,
+		    choice_t *choice);
 
 G_END_DECLS
 
--- /dev/null
+++ b/balance/home.h
@@ -0,0 +1,41 @@
+/*
+ * The home of a target that states a limit: the instance that admits requests
+ * to it for all.  The instances that reach each other choose the same one.
+ */
+#ifndef BALANCE_HOME_H
+#define BALANCE_HOME_H
+
+#include "balance/target.h"
+
+G_BEGIN_DECLS
+
+/*
+ * Writes the incarnation of the target's home, and returns true if it is
+ * another instance.
+ */
+bool home_find(balance_t *balance, const balance_target_t *target,
+	       char incarnation[INCARNATION_SIZE]);
+/* The home did not answer: another instance takes its place for a while. */
+void home_failed(balance_t *balance, const char *incarnation);
+/* Part of a limit that the instances which reach this one may use. */
+double home_share(const balance_t *balance);
+
+/* A response of the target stated a limit, or none. */
+void home_heard(balance_t *balance, balance_target_t *target,
+		const target_limit_t *limit);
+/* A peer told about a target's limit. */
+void home_told(balance_t *balance, const peer_body_t *body);
+/* Applies what a peer knows about a target's limit. */
+void home_apply(balance_t *balance, balance_target_t *target,
+		const target_limit_t *limit, uint64_t age_us);
+/* Tells a new peer the limits of the targets whose home this instance is. */
+void home_tell_peer(balance_t *balance, const char *incarnation);
+
+/* What this instance knows about a target's limit, for a message to a peer. */
+target_limit_t home_limit(const balance_target_t *target);
+uint64_t home_limit_age(const balance_t *balance,
+			const balance_target_t *target);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/balance/permit.c
@@ -0,0 +1,249 @@
+#include "balance/permit.h"
+
+#include "balance/home.h"
+#include "log/log.h"
+
+#include <string.h>
+
+/* A permit that is not used within this time lapses. */
+#define VALID_US (200 * USEC_PER_MSEC)
+/* A home answers within a few ms. */
+#define REPLY_WAIT_US (120 * USEC_PER_MSEC)
+/* Longest delay that is believed of a home. */
+#define DELAY_MAX_US (10 * USEC_PER_SEC)
+/* Time after which a home that does not list the target yet is asked again. */
+#define UNLISTED_RETRY_US (250 * USEC_PER_MSEC)
+
+typedef struct ask_t {
+	handle_t self;
+	handle_t target;
+	handle_t queued;
+	char home[INCARNATION_SIZE];
+	handle_t timer;
+} ask_t;
+
+void permit_init(balance_t *balance)
+{
+	table_init(&balance->asks, sizeof(ask_t));
+}
+
+void permit_reset(balance_target_t *target)
+{
+	memset(&target->limit, 0, sizeof(target->limit));
+	target->permit_count = 0;
+	target->free_at = 0;
+}
+
+static bool is_valid(int64_t from, int64_t now)
+{
+	return from <= now && now < from + VALID_US;
+}
+
+bool permit_is_open(const balance_target_t *target, int64_t now)
+{
+	if (!target->limit.stated)
+		return true;
+	for (uint32_t i = 0; i < target->permit_count; i++)
+		if (is_valid(target->permits[i], now))
+			return true;
+	return false;
+}
+
+static void remove_permit(balance_target_t *target, uint32_t i)
+{
+	target->permits[i] = target->permits[--target->permit_count];
+}
+
+void permit_use(balance_target_t *target, int64_t now)
+{
+	for (uint32_t i = 0; i < target->permit_count; i++) {
+		if (!is_valid(target->permits[i], now))
+			continue;
+		remove_permit(target, i);
+		return;
+	}
+}
+
+static void remove_lapsed(balance_t *balance, balance_target_t *target)
+{
+	int64_t now = kernel_now(balance->kernel);
+	uint32_t i = 0;
+
+	while (i < target->permit_count) {
+		if (now < target->permits[i] + VALID_US) {
+			i++;
+			continue;
+		}
+		remove_permit(target, i);
+		metrics_add(balance->kernel->metrics, COUNTER_PERMITS_LAPSED,
+			    1);
+	}
+}
+
+/* queued is NULL if the request does not wait any more. */
+static void receive_admission(balance_t *balance, balance_target_t *target,
+			      queued_t *queued, bool admitted, int64_t at)
+{
+	remove_lapsed(balance, target);
+	if (!admitted) {
+		target->free_at = at;
+		metrics_add(balance->kernel->metrics, COUNTER_PERMITS_REFUSED,
+			    1);
+		return;
+	}
+	metrics_add(balance->kernel->metrics, COUNTER_PERMITS, 1);
+	if (target->permit_count < G_N_ELEMENTS(target->permits))
+		target->permits[target->permit_count++] = at;
+	if (queued != NULL)
+		queued->ask_after = at + VALID_US;
+	queue_wake_at(balance, at);
+}
+
+static uint64_t pack_handle(handle_t handle)
+{
+	return (uint64_t)handle.gen << 32 | handle.index;
+}
+
+static handle_t unpack_handle(uint64_t packed)
+{
+	return (handle_t){(uint32_t)packed, (uint32_t)(packed >> 32)};
+}
+
+static void send_ask(balance_t *balance, const balance_target_t *target,
+		     const ask_t *ask, int64_t wait)
+{
+	peer_body_t *body = peer_body_new(PEER_PERMIT_REQUEST);
+
+	g_strlcpy(body->u.permit_request.target, target->info.id,
+		  sizeof(body->u.permit_request.target));
+	body->u.permit_request.ask = pack_handle(ask->self);
+	body->u.permit_request.wait_us = (uint64_t)wait;
+	body->u.permit_request.limit = home_limit(target);
+	body->u.permit_request.age_us = home_limit_age(balance, target);
+	kernel_post_peer(balance->kernel, balance->svc, balance->peer,
+			 ask->home, body);
+}
+
+void permit_ask(balance_t *balance, balance_target_t *target, queued_t *queued,
+		int64_t wait)
+{
+	int64_t now = kernel_now(balance->kernel);
+	char home[INCARNATION_SIZE];
+	admission_t admission;
+	ask_t *ask;
+	handle_t self;
+
+	if (!home_find(balance, target, home)) {
+		admission = limit_admit(&target->limit, home_share(balance),
+					now, wait);
+		receive_admission(balance, target, queued, admission.admitted,
+				  admission.at);
+		return;
+	}
+	self = table_add(&balance->asks, (void **)&ask);
+	ask->self = self;
+	ask->target = target->self;
+	ask->queued = queued->self;
+	g_strlcpy(ask->home, home, sizeof(ask->home));
+	ask->timer = kernel_timer(balance->kernel, balance->svc, REPLY_WAIT_US,
+				  self, BALANCE_TIMER_ASK);
+	queued->asking = true;
+	send_ask(balance, target, ask, wait);
+}
+
+static void reply(balance_t *balance, const msg_t *request,
+		  const balance_target_t *target, const admission_t *admission)
+{
+	peer_body_t *body = peer_body_new(PEER_PERMIT_REPLY);
+	const peer_body_t *asked = request->u.peer.body;
+	int64_t delay = admission->at - kernel_now(balance->kernel);
+
+	g_strlcpy(body->u.permit_reply.target, asked->u.permit_request.target,
+		  sizeof(body->u.permit_reply.target));
+	body->u.permit_reply.ask = asked->u.permit_request.ask;
+	body->u.permit_reply.admitted = admission->admitted;
+	body->u.permit_reply.delay_us = (uint64_t)MAX(delay, 0);
+	if (target != NULL) {
+		body->u.permit_reply.limit = home_limit(target);
+		body->u.permit_reply.age_us = home_limit_age(balance, target);
+	}
+	kernel_post_peer(balance->kernel, balance->svc, balance->peer,
+			 request->u.peer.incarnation, body);
+}
+
+/* A peer asks for a permit. */
+void permit_asked(balance_t *balance, const msg_t *msg)
+{
+	const peer_body_t *body = msg->u.peer.body;
+	balance_target_t *target = g_hash_table_lookup(
+		balance->targets_by_id, body->u.permit_request.target);
+	int64_t now = kernel_now(balance->kernel);
+	admission_t admission = {.admitted = true, .at = now};
+
+	if (target == NULL) {
+		admission.admitted = false;
+		admission.at = now + UNLISTED_RETRY_US;
+		goto out;
+	}
+	home_apply(balance, target, &body->u.permit_request.limit,
+		   body->u.permit_request.age_us);
+	if (target->limit.stated)
+		admission =
+			limit_admit(&target->limit, home_share(balance), now,
+				    (int64_t)MIN(body->u.permit_request.wait_us,
+						 LIMIT_WAIT_MAX_US));
+out:
+	reply(balance, msg, target, &admission);
+}
+
+static void end_ask(balance_t *balance, ask_t *ask)
+{
+	queued_t *queued = table_get(&balance->queue, ask->queued);
+
+	if (queued != NULL)
+		queued->asking = false;
+	kernel_timer_cancel(balance->kernel, &ask->timer);
+	table_remove(&balance->asks, ask->self);
+}
+
+void permit_replied(balance_t *balance, const msg_t *msg)
+{
+	const peer_body_t *body = msg->u.peer.body;
+	ask_t *ask = table_get(&balance->asks,
+			       unpack_handle(body->u.permit_reply.ask));
+	int64_t now = kernel_now(balance->kernel);
+	int64_t delay =
+		(int64_t)MIN(body->u.permit_reply.delay_us, DELAY_MAX_US);
+	balance_target_t *target;
+	queued_t *queued;
+
+	/* The reply to an ask that was given up is of no use. */
+	if (ask == NULL || strcmp(ask->home, msg->u.peer.incarnation) != 0)
+		return;
+	target = table_get(&balance->targets, ask->target);
+	queued = table_get(&balance->queue, ask->queued);
+	end_ask(balance, ask);
+	if (target != NULL) {
+		receive_admission(balance, target, queued,
+				  body->u.permit_reply.admitted, now + delay);
+		home_apply(balance, target, &body->u.permit_reply.limit,
+			   body->u.permit_reply.age_us);
+	}
+	queue_run(balance);
+}
+
+void permit_timed_out(balance_t *balance, handle_t ref)
+{
+	ask_t *ask = table_get(&balance->asks, ref);
+	const balance_target_t *target;
+
+	if (ask == NULL)
+		return;
+	ask->timer = HANDLE_NONE;
+	target = table_get(&balance->targets, ask->target);
+	log_event(LOG_LEVEL_INFO, "balance", "home_failed", "home=%s target=%s",
+		  ask->home, target != NULL ? target->info.id : "");
+	home_failed(balance, ask->home);
+	end_ask(balance, ask);
+	queue_run(balance);
+}
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -1,5 +1,7 @@
 #include "balance/placement.h"
 
+#include "balance/home.h"
+#include "balance/permit.h"
 #include "balance/queue.h"
 #include "kernel/peer_set.h"
 #include "log/log.h"
@@ -50,6 +52,7 @@
 	placement->prefill_tokens =
 		MAX(request->u.place.prompt_tokens - cached, 0);
 	target->outstanding++;
+	permit_use(target, placement->placed_at);
 	target->prefill_tokens += placement->prefill_tokens;
 	balance_target_cache_parts(target, request->u.place.parts,
 				   request->u.place.part_count);
@@ -85,7 +88,7 @@
 	balance_target_t *target = g_hash_table_lookup(balance->targets_by_id,
 						       body->u.placed.target);
 
-	if (body->kind == PEER_PLACED && target != NULL)
+	if (target != NULL)
 		balance_target_add_peer_request(target,
 						MAX(body->u.placed.tokens, 0),
 						kernel_now(balance->kernel));
@@ -107,37 +110,16 @@
 	placement->placed_at = 0;
 }
 
-static bool same_limit(const target_limit_t *a, const target_limit_t *b)
-{
-	bool a_limits = a->kind == LIMIT_STATED;
-	bool b_limits = b->kind == LIMIT_STATED;
-
-	return a_limits == b_limits && (!a_limits || a->per_ks == b->per_ks);
-}
-
 void placement_reported(balance_t *balance, const msg_t *msg)
 {
-	const target_limit_t *limit = &msg->u.place_report.limit;
 	const placement_t *placement =
 		table_get(&balance->placements, msg->ref);
-	balance_target_t *target;
+	balance_target_t *target = NULL;
 
-	if (placement == NULL || limit->kind == LIMIT_UNKNOWN)
-		return;
-	target = table_get(&balance->targets, placement->target);
-	if (target == NULL)
-		return;
-	if (limit->kind == LIMIT_STATED)
-		metrics_add(balance->kernel->metrics, COUNTER_LIMITS_STATED, 1);
-	if (!same_limit(limit, &target->limit))
-		log_event(LOG_LEVEL_INFO, "balance", "limit",
-			  "target=%s service=%s kind=%s per_s=%.3f "
-			  "outstanding=%u",
-			  target->info.id, target->info.service,
-			  limit->kind == LIMIT_STATED ? "stated" : "none",
-			  limit->per_ks / 1000.0, target->outstanding);
-	target->limit = *limit;
-	target->limit_at = kernel_now(balance->kernel);
+	if (placement != NULL)
+		target = table_get(&balance->targets, placement->target);
+	if (target != NULL)
+		home_heard(balance, target, &msg->u.place_report.limit);
 }
 
 static void record_result(balance_t *balance, balance_target_t *target,
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -1,16 +1,21 @@
 #include "balance/queue.h"
 
 #include "balance/choose.h"
+#include "balance/permit.h"
 #include "balance/placement.h"
+#include "log/log.h"
 
-#define RETRY_AFTER_MS 300 /* suggested to a refused caller */
+/* Suggested to a refused caller if it isn't known when a target has room. */
+#define RETRY_AFTER_MS 300
+#define RETRY_AFTER_MAX_MS 5000
 
-static void refuse(balance_t *balance, const msg_t *request, refusal_t reason)
+static void refuse(balance_t *balance, const msg_t *request, refusal_t reason,
+		   uint32_t retry_after_ms)
 {
 	msg_t msg = {.kind = MSG_PLACE_REFUSED, .ref = request->id};
 
 	msg.u.place_refused.reason = reason;
-	msg.u.place_refused.retry_after_ms = RETRY_AFTER_MS;
+	msg.u.place_refused.retry_after_ms = retry_after_ms;
 	kernel_post(balance->kernel, balance->svc, request->from, &msg);
 }
 
@@ -27,7 +32,7 @@
 	update_queue_gauge(balance);
 }
 
-static void enqueue(balance_t *balance, const msg_t *request)
+static queued_t *enqueue(balance_t *balance, const msg_t *request)
 {
 	int64_t wait = request->u.place.deadline - kernel_now(balance->kernel);
 	queued_t *queued;
@@ -37,24 +42,93 @@
 	queued->request = *request;
 	queued->arrival = balance->arrivals++;
 	queued->timer = kernel_timer(balance->kernel, balance->svc,
-				     MAX(wait, 0), self, 0);
+				     MAX(wait, 0), self, BALANCE_TIMER_QUEUE);
 	update_queue_gauge(balance);
+	return queued;
+}
+
+static uint32_t retry_after(const balance_t *balance, int64_t room_at)
+{
+	int64_t wait_ms =
+		(room_at - kernel_now(balance->kernel)) / USEC_PER_MSEC;
+
+	return wait_ms > 0 ? (uint32_t)MIN(wait_ms, RETRY_AFTER_MAX_MS)
+			   : RETRY_AFTER_MS;
+}
+
+/*
+ * Refuses a request that no target has room for in time.  The callers of one
+ * service are asked to come back at different times.
+ */
+static void refuse_choice(balance_t *balance, queued_t *queued,
+			  const choice_t *choice)
+{
+	bool known = choice->kind == CHOICE_WAIT && choice->u.wait.known;
+	uint32_t wait_ms =
+		retry_after(balance, known ? choice->u.wait.until : 0);
+	const passed_over_t *passed_over = &choice->passed_over;
+	refusal_t reason = choice->kind == CHOICE_NONE ? REFUSAL_NO_TARGET
+						       : REFUSAL_OVERLOADED;
+
+	if (passed_over->limited > 0)
+		wait_ms += (uint32_t)kernel_random_below(
+			balance->kernel, MAX(wait_ms, RETRY_AFTER_MS));
+	log_event(LOG_LEVEL_INFO, "balance", "refused",
+		  "request=%s service=%s reason=%s retry_after_ms=%u "
+		  "unavailable=%u tried=%u full=%u limited=%u",
+		  log_quote(queued->request.u.place.request_id),
+		  queued->request.u.place.service, refusal_name(reason),
+		  wait_ms, passed_over->unavailable, passed_over->tried,
+		  passed_over->full, passed_over->limited);
+	refuse(balance, &queued->request, reason, wait_ms);
+	dequeue(balance, queued);
+}
+
+/* Asks for permits as long as this instance answers them itself. */
+static void try_place(balance_t *balance, queued_t *queued)
+{
+	const msg_t *request = &queued->request;
+	int64_t now = kernel_now(balance->kernel);
+	choice_t choice;
+
+	while (!queued->asking) {
+		balance_choose(balance, request, now >= queued->ask_after,
+			       &choice);
+		switch (choice.kind) {
+		case CHOICE_TARGET:
+			placement_start(balance, request, choice.u.target);
+			dequeue(balance, queued);
+			return;
+		case CHOICE_ASK:
+			permit_ask(balance, choice.u.ask.target, queued,
+				   choice.u.ask.wait);
+			break;
+		case CHOICE_WAIT:
+			if (choice.u.wait.known &&
+			    choice.u.wait.until > request->u.place.deadline)
+				refuse_choice(balance, queued, &choice);
+			else if (choice.u.wait.until < INT64_MAX)
+				queue_wake_at(balance, choice.u.wait.until);
+			return;
+		case CHOICE_NONE:
+			return;
+		}
+	}
 }
 
 void queue_place(balance_t *balance, const msg_t *msg)
 {
-	balance_target_t *target;
-	bool usable;
+	choice_t choice;
 
 	if (balance->conf == NULL) {
-		refuse(balance, msg, REFUSAL_NO_CONFIGURATION);
+		refuse(balance, msg, REFUSAL_NO_CONFIGURATION, RETRY_AFTER_MS);
 		return;
 	}
-	target = balance_choose(balance, msg, &usable);
-	if (target != NULL)
-		placement_start(balance, msg, target);
+	balance_choose(balance, msg, true, &choice);
+	if (choice.kind == CHOICE_TARGET)
+		placement_start(balance, msg, choice.u.target);
 	else
-		enqueue(balance, msg);
+		try_place(balance, enqueue(balance, msg));
 }
 
 static bool precedes(const queued_t *a, const queued_t *b)
@@ -70,7 +144,6 @@
 	GPtrArray *order;
 	queued_t *queued;
 	uint32_t cursor = 0;
-	bool usable;
 
 	if (table_count(&balance->queue) == 0)
 		return;
@@ -83,31 +156,40 @@
 			at--;
 		g_ptr_array_insert(order, (gint)at, queued);
 	}
-	for (guint i = 0; i < order->len; i++) {
-		balance_target_t *target;
-
-		queued = g_ptr_array_index(order, i);
-		target = balance_choose(balance, &queued->request, &usable);
-		if (target == NULL)
-			continue;
-		placement_start(balance, &queued->request, target);
-		dequeue(balance, queued);
-	}
+	for (guint i = 0; i < order->len; i++)
+		try_place(balance, g_ptr_array_index(order, i));
 	g_ptr_array_unref(order);
 }
 
+void queue_wake_at(balance_t *balance, int64_t at)
+{
+	int64_t wait = at - kernel_now(balance->kernel);
+
+	if (!handle_is_none(balance->wake_timer) && balance->wake_at <= at)
+		return;
+	kernel_timer_cancel(balance->kernel, &balance->wake_timer);
+	balance->wake_at = at;
+	balance->wake_timer =
+		kernel_timer(balance->kernel, balance->svc, MAX(wait, 0),
+			     HANDLE_NONE, BALANCE_TIMER_WAKE);
+}
+
+void queue_woken(balance_t *balance)
+{
+	balance->wake_timer = HANDLE_NONE;
+	queue_run(balance);
+}
+
 void queue_timed_out(balance_t *balance, handle_t ref)
 {
 	queued_t *queued = table_get(&balance->queue, ref);
-	bool usable;
+	choice_t choice;
 
 	if (queued == NULL)
 		return;
 	queued->timer = HANDLE_NONE;
-	balance_choose(balance, &queued->request, &usable);
-	refuse(balance, &queued->request,
-	       usable ? REFUSAL_OVERLOADED : REFUSAL_NO_TARGET);
-	dequeue(balance, queued);
+	balance_choose(balance, &queued->request, false, &choice);
+	refuse_choice(balance, queued, &choice);
 }
 
 void queue_cancel(balance_t *balance, const msg_t *msg)
--- a/balance/queue.h
+++ b/balance/queue.h
@@ -13,12 +13,17 @@
 	msg_t request; /* MSG_PLACE */
 	uint64_t arrival;
 	handle_t timer;
+	bool asking; /* a home is to answer whether there is a permit */
+	int64_t ask_after; /* monotonic, us; no home is asked before */
 } queued_t;
 
 /* Places the request, or lets it wait if no target has room. */
 void queue_place(balance_t *balance, const msg_t *msg);
-/* Places the requests that wait while targets have room. */
+/* Places the requests that wait, as far as targets have room. */
 void queue_run(balance_t *balance);
+/* Runs the queue at this time, if not before. */
+void queue_wake_at(balance_t *balance, int64_t at);
+void queue_woken(balance_t *balance);
 void queue_timed_out(balance_t *balance, handle_t ref);
 void queue_cancel(balance_t *balance, const msg_t *msg);
 
--- a/balance/target.h
+++ b/balance/target.h
@@ -6,9 +6,12 @@
 #define BALANCE_TARGET_H
 
 #include "balance/balance.h"
+#include "balance/limit.h"
 
 G_BEGIN_DECLS
 
+#define PERMITS_MAX 16 /* unused permits for one target */
+
 typedef struct balance_target_t {
 	handle_t self;
 	fleet_target_t info;
@@ -20,8 +23,13 @@
 	target_load_t load; /* last report */
 	int64_t load_at; /* monotonic, us */
 	uint32_t outstanding_at_load; /* outstanding at the last report */
-	target_limit_t limit; /* last stated */
-	int64_t limit_at; /* monotonic, us; when it was stated */
+	limit_t limit;
+	int64_t end_told_at; /* monotonic, us; the home was told that it ended
+			      */
+	/* Permits of the home: when they become valid; monotonic, us. */
+	int64_t permits[PERMITS_MAX];
+	uint32_t permit_count;
+	int64_t free_at; /* the home admits nothing that starts before */
 	double peer_prefill_tokens; /* unread tokens of peers' prompts */
 	double peer_requests; /* estimate of running requests of peers */
 	int64_t peer_load_at; /* monotonic, us; last change of either */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -227,7 +227,7 @@
 				  (double)USEC_PER_SEC),
 	};
 
-	balance_init(&gateway->balance, &gateway->kernel,
+	balance_init(&gateway->balance, &gateway->kernel, gateway->incarnation,
 		     settings->availability_zone);
 	g_strlcpy(proxy.incarnation, gateway->incarnation,
 		  sizeof(proxy.incarnation));
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -4,6 +4,7 @@
 #ifndef KERNEL_PEERING_H
 #define KERNEL_PEERING_H
 
+#include "kernel/exchange.h"
 #include "kernel/storage.h"
 
 G_BEGIN_DECLS
@@ -80,6 +81,9 @@
 	PEER_STORE_ITEMS,
 	PEER_PLACED,
 	PEER_PART_REPORT,
+	PEER_LIMIT,
+	PEER_PERMIT_REQUEST,
+	PEER_PERMIT_REPLY,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -183,6 +187,30 @@
 			uint64_t left_ms; /* held */
 			uint64_t strikes; /* held */
 		} part_report;
+		struct {
+			char target[NAME_SIZE];
+			target_limit_t limit;
+			uint64_t age_us; /* since the target stated it */
+		} limit;
+		struct {
+			char target[NAME_SIZE];
+			uint64_t ask; /* returned unchanged */
+			uint64_t wait_us; /* a later start is of no use */
+			target_limit_t limit; /* as known to the sender */
+			uint64_t age_us; /* since the target stated it */
+		} permit_request;
+		struct {
+			char target[NAME_SIZE];
+			uint64_t ask;
+			bool admitted;
+			/*
+			 * Time until the request may start, or until the next
+			 * one may be admitted.
+			 */
+			uint64_t delay_us;
+			target_limit_t limit; /* as known to the sender */
+			uint64_t age_us; /* since the target stated it */
+		} permit_reply;
 	} u;
 } peer_body_t;
 
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -40,6 +40,10 @@
 	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
 	X(LIMITS_STATED, "limits_stated",                                     \
 	  "responses in which a target stated a limit")                       \
+	X(PERMITS, "permits",                                                 \
+	  "permits received for targets that state a limit")                  \
+	X(PERMITS_REFUSED, "permits_refused", "permits that a home refused")  \
+	X(PERMITS_LAPSED, "permits_lapsed", "permits not used in time")       \
 	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
 	X(QUARANTINES, "quarantines", "requests put into quarantine")         \
 	X(PART_CRASHES, "part_crashes",                                       \
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -126,6 +126,29 @@
 	BODY_U64(part_report, strikes),
 };
 
+#define BODY_LIMIT(body)                                                  \
+	{"kind", FIELD_ENUM, offsetof(peer_body_t, u.body.limit.kind),    \
+	 LIMIT_STATED},                                                   \
+		{"per_ks", FIELD_U32,                                     \
+		 offsetof(peer_body_t, u.body.limit.per_ks), UINT32_MAX}, \
+		BODY_U64(body, age_us)
+
+static const field_t limit_fields[] = {
+	BODY_TEXT(limit, target),
+	BODY_LIMIT(limit),
+};
+static const field_t permit_request_fields[] = {
+	BODY_TEXT(permit_request, target),
+	BODY_U64(permit_request, ask),
+	BODY_U64(permit_request, wait_us),
+	BODY_LIMIT(permit_request),
+};
+static const field_t permit_reply_fields[] = {
+	BODY_TEXT(permit_reply, target),   BODY_U64(permit_reply, ask),
+	BODY_BOOL(permit_reply, admitted), BODY_U64(permit_reply, delay_us),
+	BODY_LIMIT(permit_reply),
+};
+
 static fields_t body_fields(peer_kind_t kind)
 {
 	switch (kind) {
@@ -158,6 +181,12 @@
 		return FIELDS_OF(placed_fields);
 	case PEER_PART_REPORT:
 		return FIELDS_OF(part_report_fields);
+	case PEER_LIMIT:
+		return FIELDS_OF(limit_fields);
+	case PEER_PERMIT_REQUEST:
+		return FIELDS_OF(permit_request_fields);
+	case PEER_PERMIT_REPLY:
+		return FIELDS_OF(permit_reply_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -79,8 +79,9 @@
 	g_hash_table_replace(peer->active, conn->remote.incarnation, conn);
 	if (current != NULL) {
 		peer_conn_close(current, "replaced by another connection");
-		/* What the proxy told on the old connection may be lost. */
+		/* What was told on the old connection may be lost. */
 		post_addr(peer, peer->proxy, MSG_PEER_UP, conn);
+		post_addr(peer, peer->balance, MSG_PEER_UP, conn);
 		return;
 	}
 	log_event(LOG_LEVEL_INFO, "peer", "up", "peer=%s name=%s dialled=%d",
@@ -91,6 +92,7 @@
 	post_addr(peer, peer->replica, MSG_PEER_UP, conn);
 	post_addr(peer, peer->ledger, MSG_PEER_UP, conn);
 	post_addr(peer, peer->proxy, MSG_PEER_UP, conn);
+	post_addr(peer, peer->balance, MSG_PEER_UP, conn);
 }
 
 void peer_conn_down(peer_t *peer, conn_t *conn)
@@ -102,6 +104,7 @@
 	post_addr(peer, peer->conf, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->replica, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->ledger, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->balance, MSG_PEER_DOWN, conn);
 }
 
 static svc_t body_service(const peer_t *peer, peer_kind_t kind)
@@ -129,6 +132,9 @@
 	case PEER_STORE_ITEMS:
 		return peer->replica;
 	case PEER_PLACED:
+	case PEER_LIMIT:
+	case PEER_PERMIT_REQUEST:
+	case PEER_PERMIT_REPLY:
 		return peer->balance;
 	case PEER_KIND_COUNT:
 		break;
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -48,7 +48,7 @@
 		proxy = kernel_register(&kernel, "proxy", receive, this);
 		fleet = kernel_register(&kernel, "fleet", receive, this);
 		peer = kernel_register(&kernel, "peer", receive, this);
-		balance_init(&balance, &kernel, zone);
+		balance_init(&balance, &kernel, "run-1", zone);
 		kernel_start(&kernel);
 		send_conf();
 	}
--- a/tests/balance_world.h
+++ b/tests/balance_world.h
@@ -164,7 +164,7 @@
 	proxy = kernel_register(&kernel, "proxy", receive, this);
 	fleet = kernel_register(&kernel, "fleet", receive, this);
 	peer = kernel_register(&kernel, "peer", receive, this);
-	balance_init(&balance, &kernel, zone.c_str());
+	balance_init(&balance, &kernel, incarnation.c_str(), zone.c_str());
 	kernel_start(&kernel);
 	msg.kind = MSG_FLEET_CONF;
 	msg.u.fleet_conf = fleet_conf_new();
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -148,6 +148,26 @@
 		body->u.part_report.left_ms = 600000;
 		body->u.part_report.strikes = 3;
 		break;
+	case PEER_LIMIT:
+		g_strlcpy(body->u.limit.target, "i-1", NAME_SIZE);
+		body->u.limit.limit = {LIMIT_STATED, UINT32_MAX};
+		body->u.limit.age_us = 2500;
+		break;
+	case PEER_PERMIT_REQUEST:
+		g_strlcpy(body->u.permit_request.target, "i-1", NAME_SIZE);
+		body->u.permit_request.ask = UINT64_MAX;
+		body->u.permit_request.wait_us = 250000;
+		body->u.permit_request.limit = {LIMIT_STATED, 2700};
+		body->u.permit_request.age_us = 80000;
+		break;
+	case PEER_PERMIT_REPLY:
+		g_strlcpy(body->u.permit_reply.target, "i-1", NAME_SIZE);
+		body->u.permit_reply.ask = 4294967297;
+		body->u.permit_reply.admitted = true;
+		body->u.permit_reply.delay_us = 120000;
+		body->u.permit_reply.limit = {LIMIT_NONE, 0};
+		body->u.permit_reply.age_us = 1;
+		break;
 	case PEER_STORE_PULL:
 		body->u.store_pull.after = INT64_MAX;
 		break;
