Believe a refusal without an id on a new connection only

An operator's report: a target writes an earlier refusal once more on a kept connection, and callers are told that a request has not run although it runs, or it runs at a second target. A copy with the id of the earlier request is discarded by outbound, but one without an id passed, and the proxy read not-run before it looked at the id. Proxy.RefusalOfAnEarlierRequestDoesNotMove- ARunningOne failed before: the request was sent twice.

On a connection that had another request before, a response without the id of this one now fails the attempt as one that may have run; on a new connection it can belong to no other request.

--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -71,9 +71,16 @@
 	const char *unreadable; /* field with a malformed value, or NULL */
 } target_report_t;
 
+/* Which request a response belongs to. */
+typedef enum response_id_t {
+	RESPONSE_ID_SAME, /* this request, or it has no id to compare with */
+	RESPONSE_ID_MISSING,
+	RESPONSE_ID_OTHER,
+} response_id_t;
+
 /* Metadata of a target's response. */
 typedef struct response_info_t {
-	bool matches; /* the response belongs to this request */
+	response_id_t id;
 	bool authentic; /* proves that the target sent all of the response */
 	bool not_run; /* the target states that it executed nothing */
 	bool misdirected; /* another instance has the address now */
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -180,13 +180,32 @@
 	metrics_add(proxy->kernel->metrics, COUNTER_ANSWERS, 1);
 }
 
+/*
+ * A refusal may come without the id of its request.  On a connection that had
+ * another request before, it may be a copy of the refusal of that one.
+ */
+static bool belongs_to(const exchange_t *exchange)
+{
+	const response_info_t *info = &exchange->response_info;
+
+	switch (info->id) {
+	case RESPONSE_ID_SAME:
+		return true;
+	case RESPONSE_ID_MISSING:
+		return info->not_run && !exchange->reused;
+	case RESPONSE_ID_OTHER:
+		return false;
+	}
+	return false;
+}
+
 /* Another instance's response tells nothing about the target. */
 static void forward_report(proxy_t *proxy, const exchange_t *exchange)
 {
 	const response_info_t *info = &exchange->response_info;
 	msg_t msg = {.kind = MSG_PLACE_REPORT, .ref = exchange->placement};
 
-	if (!info->matches || info->misdirected)
+	if (info->misdirected)
 		return;
 	if (info->report.unreadable != NULL)
 		log_event(LOG_LEVEL_WARN, "proxy", "field_ignored",
@@ -205,6 +224,10 @@
 	if (exchange->state != EXCHANGE_SENT)
 		return;
 	wire_read_reply(head, exchange->spec, &exchange->response_info);
+	if (!belongs_to(exchange)) {
+		fail_attempt(proxy, exchange, FAILURE_HEAD, true, PLACE_LOST);
+		return;
+	}
 	forward_report(proxy, exchange);
 	if (exchange->response_info.not_run) {
 		exchange->state = EXCHANGE_REJECTED;
@@ -214,8 +237,7 @@
 			exchange->self, EXCHANGE_TIMER_REJECTION);
 		return;
 	}
-	if (!exchange->response_info.matches ||
-	    (success && !exchange->response_info.authentic)) {
+	if (success && !exchange->response_info.authentic) {
 		fail_attempt(proxy, exchange, FAILURE_HEAD, true, PLACE_LOST);
 		return;
 	}
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -202,6 +202,7 @@
 		msg.kind = MSG_OUT_STARTED;
 		msg.ref = request->id;
 		msg.id = {(uint32_t)attempts, 1};
+		msg.u.out_started.reused = kept_connection;
 		kernel_post(&kernel, outbound, request->from, &msg);
 	}
 	void handle_check(const msg_t *request)
@@ -305,6 +306,18 @@
 		kernel_post(&kernel, outbound, proxy.svc, &msg);
 		run(0);
 	}
+	// A response without an id, or with that of another request.
+	void post_refusal(const char *id)
+	{
+		msg_t msg = outbound_msg(MSG_OUT_HEAD);
+
+		msg.u.out_head.head = http_head_response(503);
+		http_head_add(msg.u.out_head.head, "Not-Executed", "1");
+		if (id[0] != '\0')
+			http_head_add(msg.u.out_head.head, "Attempt-Id", id);
+		kernel_post(&kernel, outbound, proxy.svc, &msg);
+		run(0);
+	}
 	void post_data(const char *text)
 	{
 		msg_t msg = outbound_msg(MSG_OUT_DATA);
@@ -336,6 +349,7 @@
 	handle_t exchange, call_ref;
 	uint32_t status = 0, avoided = 0;
 	bool retry_after = false, no_target = false, target_down = false;
+	bool kept_connection = false;
 	std::string retry_after_text;
 	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
@@ -372,6 +386,28 @@
 	EXPECT_EQ(body, "ok");
 }
 
+// Guards against a second copy of an earlier refusal, on a connection that was
+// kept, after which a request that is running is sent to another target.
+TEST_F(Proxy, RefusalOfAnEarlierRequestDoesNotMoveARunningOne)
+{
+	for (const char *id : {"", "r0"}) {
+		kept_connection = true;
+		attempts = 0;
+		post_open("/unsafe/x");
+		post_refusal(id);
+		post_end();
+		EXPECT_EQ(attempts, 1) << id;
+		EXPECT_EQ(status, 502u) << id;
+	}
+	/* Nothing else was sent on a new connection. */
+	kept_connection = false;
+	attempts = 0;
+	post_open("/unsafe/x");
+	post_refusal("");
+	post_end();
+	EXPECT_EQ(attempts, 2);
+}
+
 TEST_F(Proxy, RefusalIsRetryableOnlyWhenNothingRan)
 {
 	post_open("/unsafe/x");
