Send a request without an id on a connection of its own

Found beside the operator's report of repeated refusals: a caller's request without an id goes to a target on a kept connection, and whatever comes next on it counts as its response, a copy of another one as well. Proxy.RequestWithout- AnIdHasAConnectionOfItsOwn and Outbound.RequestOnAConnectionOfItsOwnSharesItWith- None failed before. Such requests are rare: the users' callers state an id.

--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -464,6 +464,8 @@
 			 */
 			char echo_name[NAME_SIZE];
 			char echo_value[REQUEST_ID_SIZE];
+			/* No other request shares the connection. */
+			bool own_connection;
 			int64_t deadline; /* monotonic, us */
 			int64_t head_deadline; /* monotonic, us; 0 if none */
 		} out_send;
--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -128,7 +128,7 @@
 	int64_t limit;
 
 	/* An early response can leave a part of the request unsent. */
-	if (!conn->parse.keep_alive || conn->parse.until_eof ||
+	if (conn->own || !conn->parse.keep_alive || conn->parse.until_eof ||
 	    http_socket_has_output(&conn->sock) || conn->sock.failed ||
 	    idle_limit(conn->parse.head) == 0) {
 		out_conn_close(conn);
--- a/outbound/conn.h
+++ b/outbound/conn.h
@@ -29,6 +29,7 @@
 	char address[ADDRESS_SIZE];
 	http_socket_t sock;
 	http_parse_t parse;
+	bool own; /* for one call only */
 	bool discarding; /* skipping an interim or stale response */
 	size_t discarded; /* bytes skipped during the call */
 	int64_t idle_since; /* monotonic, us */
--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -108,6 +108,22 @@
 				      MAX(remaining, 0), call->self, (int)kind);
 }
 
+static out_conn_t *acquire_conn(outbound_t *outbound, const msg_t *msg,
+				bool *reused)
+{
+	const char *host = msg->u.out_send.host;
+	uint16_t port = msg->u.out_send.port;
+	out_conn_t *conn;
+
+	if (!msg->u.out_send.own_connection)
+		return out_conn_acquire(outbound, host, port, reused);
+	*reused = false;
+	conn = out_conn_open(outbound, host, port);
+	if (conn != NULL)
+		conn->own = true;
+	return conn;
+}
+
 static void open_call(outbound_t *outbound, const msg_t *msg)
 {
 	out_call_t *call;
@@ -122,9 +138,7 @@
 		  sizeof(call->echo_name));
 	g_strlcpy(call->echo_value, msg->u.out_send.echo_value,
 		  sizeof(call->echo_value));
-	conn = out_conn_acquire(outbound, msg->u.out_send.host,
-				msg->u.out_send.port,
-				&started.u.out_started.reused);
+	conn = acquire_conn(outbound, msg, &started.u.out_started.reused);
 	kernel_post(outbound->kernel, outbound->svc, msg->from, &started);
 	if (conn == NULL) {
 		out_call_fail(outbound, call, FAILURE_CONNECT, false, false);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -456,6 +456,8 @@
 			sizeof(msg.u.out_send.echo_name),
 			msg.u.out_send.echo_value,
 			sizeof(msg.u.out_send.echo_value));
+	/* Without an id, nothing tells responses on a connection apart. */
+	msg.u.out_send.own_connection = msg.u.out_send.echo_name[0] == '\0';
 	msg.u.out_send.head_deadline = head_deadline(exchange, now);
 	kernel_post(proxy->kernel, proxy->svc, proxy->outbound, &msg);
 	metrics_add(proxy->kernel->metrics, COUNTER_ATTEMPTS, 1);
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -131,6 +131,7 @@
 			g_strlcpy(msg.u.out_send.echo_value, id,
 				  sizeof(msg.u.out_send.echo_value));
 		}
+		msg.u.out_send.own_connection = own_connection;
 		msg.u.out_send.deadline =
 			kernel_now(&kernel) + 5 * USEC_PER_SEC;
 		kernel_post(&kernel, owner, outbound.svc, &msg);
@@ -141,6 +142,7 @@
 	outbound_t outbound;
 	svc_t owner;
 	uint32_t next = 0;
+	bool own_connection = false;
 	std::string checked;
 	check_result_t check_result = CHECK_UNKNOWN;
 	std::map<uint32_t, result_t> results;
@@ -451,6 +453,23 @@
 	}
 }
 
+// Guards against responses that reach another caller because nothing in them
+// tells to which request they belong.
+TEST_F(Outbound, RequestOnAConnectionOfItsOwnSharesItWithNone)
+{
+	ScriptServer server(
+		[](script_conn_t &conn) { conn.send(keep_alive_response); });
+
+	call(server.port);
+	own_connection = true;
+	EXPECT_FALSE(call(server.port).reused);
+	own_connection = false;
+	call(server.port);
+	EXPECT_EQ(server.conns.size(), 2u);
+	EXPECT_EQ(server.conns[0]->requests, 2);
+	EXPECT_TRUE(pump([&] { return server.conns[1]->closed; }));
+}
+
 // Responses that have no body by definition: bytes that follow them must not
 // reach the next caller.
 TEST_F(Outbound, BodyOfAResponseThatHasNoneIsDiscarded)
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -203,6 +203,7 @@
 		msg.ref = request->id;
 		msg.id = {(uint32_t)attempts, 1};
 		msg.u.out_started.reused = kept_connection;
+		own_connection = request->u.out_send.own_connection;
 		kernel_post(&kernel, outbound, request->from, &msg);
 	}
 	void handle_check(const msg_t *request)
@@ -260,7 +261,8 @@
 		g_strlcpy(spec->host, "h", sizeof(spec->host));
 		g_strlcpy(spec->path, path, sizeof(spec->path));
 		g_strlcpy(spec->api_key, key, sizeof(spec->api_key));
-		g_strlcpy(spec->request_id, "r1", sizeof(spec->request_id));
+		g_strlcpy(spec->request_id, request_id,
+			  sizeof(spec->request_id));
 		spec->prompt_tokens = 100;
 		spec->max_tokens = 50;
 		spec->head = http_head_request("POST", path);
@@ -349,7 +351,8 @@
 	handle_t exchange, call_ref;
 	uint32_t status = 0, avoided = 0;
 	bool retry_after = false, no_target = false, target_down = false;
-	bool kept_connection = false;
+	bool kept_connection = false, own_connection = false;
+	const char *request_id = "r1";
 	std::string retry_after_text;
 	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
@@ -408,6 +411,17 @@
 	EXPECT_EQ(attempts, 2);
 }
 
+// Guards against the response to another request, if the caller gave no id by
+// which responses could be told apart.
+TEST_F(Proxy, RequestWithoutAnIdHasAConnectionOfItsOwn)
+{
+	post_open("/unsafe/x");
+	EXPECT_FALSE(own_connection);
+	request_id = "";
+	post_open("/unsafe/x");
+	EXPECT_TRUE(own_connection);
+}
+
 TEST_F(Proxy, RefusalIsRetryableOnlyWhenNothingRan)
 {
 	post_open("/unsafe/x");
