Send a request again only on another connection

Found beside the operator's report of repeated refusals: a request that its target refuses and that is sent again under its id to another target at the same address may get the kept connection of the first. A second copy of the refusal then has the right id, and nothing else tells it from the response. Outbound.RequestIsNotSentAgainOnItsConnection failed before.

--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -41,7 +41,14 @@
 	table_remove(&outbound->conns, conn->self);
 }
 
-static out_conn_t *take_idle(outbound_t *outbound, const char *address)
+static bool sent_last(const out_conn_t *conn, const char *echo_value)
+{
+	return echo_value[0] != '\0' &&
+	       strcmp(conn->last_echo, echo_value) == 0;
+}
+
+static out_conn_t *take_idle(outbound_t *outbound, const char *address,
+			     const char *echo_value)
 {
 	int64_t now = kernel_now(outbound->kernel);
 	out_conn_t *conn;
@@ -50,6 +57,7 @@
 	while ((queue = g_hash_table_lookup(outbound->idle, address)) != NULL) {
 		conn = g_queue_peek_tail(queue);
 		if (now - conn->idle_since < conn->idle_limit &&
+		    !sent_last(conn, echo_value) &&
 		    http_socket_is_idle(&conn->sock)) {
 			remove_idle(conn);
 			return conn;
@@ -79,17 +87,22 @@
 	return conn;
 }
 
-out_conn_t *out_conn_acquire(outbound_t *outbound, const char *host,
-			     uint16_t port, bool *reused)
+out_conn_t *out_conn_acquire(outbound_t *outbound, const msg_t *msg,
+			     bool *reused)
 {
+	const char *host = msg->u.out_send.host;
+	uint16_t port = msg->u.out_send.port;
 	char address[ADDRESS_SIZE];
 	out_conn_t *conn;
 
 	g_snprintf(address, sizeof(address), "%s:%u", host, port);
-	conn = take_idle(outbound, address);
+	conn = take_idle(outbound, address, msg->u.out_send.echo_value);
 	*reused = conn != NULL;
 	if (conn == NULL)
 		conn = out_conn_open(outbound, host, port);
+	if (conn != NULL)
+		g_strlcpy(conn->last_echo, msg->u.out_send.echo_value,
+			  sizeof(conn->last_echo));
 	return conn;
 }
 
--- a/outbound/conn.h
+++ b/outbound/conn.h
@@ -32,6 +32,7 @@
 	bool own; /* for one call only */
 	bool discarding; /* skipping an interim or stale response */
 	size_t discarded; /* bytes skipped during the call */
+	char last_echo[REQUEST_ID_SIZE]; /* echo_value of the last call */
 	int64_t idle_since; /* monotonic, us */
 	int64_t idle_limit; /* us, time until an idle connection is closed */
 } out_conn_t;
@@ -45,10 +46,11 @@
 
 /*
  * conn.c: returns an idle connection that is still usable or a new one, or
- * NULL if connecting fails at once.
+ * NULL if connecting fails at once.  The last request of an idle connection
+ * had another echo_value, so that late copies of its response can be told.
  */
-out_conn_t *out_conn_acquire(outbound_t *outbound, const char *host,
-			     uint16_t port, bool *reused);
+out_conn_t *out_conn_acquire(outbound_t *outbound, const msg_t *msg,
+			     bool *reused);
 /* Returns a new connection, or NULL if connecting fails at once. */
 out_conn_t *out_conn_open(outbound_t *outbound, const char *host,
 			  uint16_t port);
--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -111,14 +111,13 @@
 static out_conn_t *acquire_conn(outbound_t *outbound, const msg_t *msg,
 				bool *reused)
 {
-	const char *host = msg->u.out_send.host;
-	uint16_t port = msg->u.out_send.port;
 	out_conn_t *conn;
 
 	if (!msg->u.out_send.own_connection)
-		return out_conn_acquire(outbound, host, port, reused);
+		return out_conn_acquire(outbound, msg, reused);
 	*reused = false;
-	conn = out_conn_open(outbound, host, port);
+	conn = out_conn_open(outbound, msg->u.out_send.host,
+			     msg->u.out_send.port);
 	if (conn != NULL)
 		conn->own = true;
 	return conn;
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -453,6 +453,25 @@
 	}
 }
 
+// Guards against a copy of a refusal that is taken for the response to the same
+// request, sent again to another target at the address: both have its id.
+TEST_F(Outbound, RequestIsNotSentAgainOnItsConnection)
+{
+	int requests = 0;
+	ScriptServer server([&](script_conn_t &conn) {
+		conn.send(std::string("HTTP/1.1 200 OK\r\nX-Id: ") +
+			  (++requests < 3 ? "1" : "2") +
+			  "\r\n"
+			  "Keep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\n"
+			  "ok");
+	});
+
+	call(server.port, "1");
+	EXPECT_FALSE(call(server.port, "1").reused);
+	EXPECT_TRUE(call(server.port, "2").reused);
+	EXPECT_EQ(server.conns.size(), 2u);
+}
+
 // Guards against responses that reach another caller because nothing in them
 // tells to which request they belong.
 TEST_F(Outbound, RequestOnAConnectionOfItsOwnSharesItWithNone)
