Let a broken stream go on with events of the same kind only

An operator's report: a stream breaks off, the next target answers with an error, and its text ends up in the stream, or the stream ends as if it were complete. Errors were refused before (500, 504, 404, 302, 304, with and without length); successes were not: a 204 or an empty 200 ended the caller's stream as complete, and a 200 or 206 of another type was forwarded as far as its last blank line.

The response to a resumed stream must have the status and the type of the first one.

--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -71,7 +71,7 @@
 
 	if (!is_success_forwarded(exchange))
 		return 0;
-	if (exchange->route.kind == ROUTE_STREAM)
+	if (exchange->streaming)
 		generated = MIN(generated, (int64_t)exchange->events.count *
 						   exchange->event_tokens);
 	return exchange->spec->prompt_tokens + generated;
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -216,6 +216,27 @@
 	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &msg);
 }
 
+/* A response that states no type is taken for what its route asks for. */
+static bool is_event_stream(const http_head_t *head)
+{
+	static const char type[] = "text/event-stream";
+	const char *stated = http_head_get(head, "Content-Type");
+
+	return stated == NULL ||
+	       g_ascii_strncasecmp(stated, type, strlen(type)) == 0;
+}
+
+/* Whether the response goes on with the stream that the caller receives. */
+static bool continues_stream(const exchange_t *exchange,
+			     const http_head_t *head)
+{
+	const char *type = http_head_get(head, "Content-Type");
+	const char *first = http_head_get(exchange->head, "Content-Type");
+
+	return exchange->streaming && head->status == exchange->head->status &&
+	       g_strcmp0(type, first) == 0;
+}
+
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg)
 {
 	const http_head_t *head = msg->u.out_head.head;
@@ -241,13 +262,18 @@
 		fail_attempt(proxy, exchange, FAILURE_HEAD, true, PLACE_LOST);
 		return;
 	}
+	if (exchange->head_sent && !continues_stream(exchange, head)) {
+		fail_attempt(proxy, exchange, FAILURE_HEAD, true, PLACE_ERROR);
+		return;
+	}
 	report_first_byte(proxy, exchange);
 	exchange->state = EXCHANGE_RESPONDING;
-	exchange->streaming = success && exchange->route.kind == ROUTE_STREAM;
 	exchange->until_close = ends_with_connection(head);
 	/* A resumed stream keeps the head of its first target. */
 	if (exchange->head_sent)
 		return;
+	exchange->streaming = success && is_event_stream(head) &&
+			      exchange->route.kind == ROUTE_STREAM;
 	http_head_free(exchange->head);
 	exchange->head = g_steal_pointer(&msg->u.out_head.head);
 }
@@ -393,7 +419,7 @@
 	bool error = exchange->head->status >= STATUS_SERVER_ERROR;
 
 	/* Another target may succeed if the request may run again. */
-	if (error && is_idempotent(exchange) && !exchange->head_sent &&
+	if (error && is_idempotent(exchange) &&
 	    exchange->runs + 1 < exchange->route.max_attempts &&
 	    retry_window_take(&proxy->retries, exchange->service,
 			      proxy->instances, kernel_now(proxy->kernel))) {
@@ -407,10 +433,6 @@
 		exchange_place(proxy, exchange);
 		return;
 	}
-	if (exchange->head_sent) {
-		fail_attempt(proxy, exchange, FAILURE_HEAD, true, PLACE_ERROR);
-		return;
-	}
 	send_head(proxy, exchange, exchange->body->len);
 	if (exchange->body->len > 0)
 		send_bytes(
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -308,6 +308,22 @@
 		kernel_post(&kernel, outbound, proxy.svc, &msg);
 		run(0);
 	}
+	void post_stream_head(
+		uint32_t status_code,
+		const std::vector<std::pair<const char *, const char *>>
+			&fields)
+	{
+		msg_t msg = outbound_msg(MSG_OUT_HEAD);
+		http_head_t *head = http_head_response(status_code);
+
+		http_head_add(head, "Attempt-Id", "r1");
+		http_head_add(head, "Response-Seal", "s");
+		for (auto &field : fields)
+			http_head_add(head, field.first, field.second);
+		msg.u.out_head.head = head;
+		kernel_post(&kernel, outbound, proxy.svc, &msg);
+		run(0);
+	}
 	// A response without an id, or with that of another request.
 	void post_refusal(const char *id)
 	{
@@ -501,6 +517,68 @@
 	EXPECT_EQ(spent, 100 + 2 * 6);
 }
 
+// Guards against a stream that broke off and goes on with the text of another
+// target's error, or ends as if it were complete.
+TEST_F(Proxy, BrokenStreamGoesOnWithEventsOnly)
+{
+	const struct {
+		uint32_t status;
+		std::vector<std::pair<const char *, const char *>> fields;
+		const char *body;
+	} cases[] = {
+		{500, {{"Content-Length", "5"}}, "err\n\n"},
+		{500, {}, "HTTP/1.1 500 X\r\n\r\nerr\n\n"},
+		{504, {{"Transfer-Encoding", "chunked"}}, "id: 2\n\n"},
+		{404, {{"Content-Length", "3"}}, "a\n\n"},
+		{302, {{"Location", "/"}, {"Content-Length", "0"}}, ""},
+		{304, {}, ""},
+		{204, {}, ""},
+		{206, {{"Content-Type", "text/event-stream"}}, "id: 2\n\n"},
+		{200, {{"Content-Length", "0"}}, ""},
+		{200,
+		 {{"Content-Type", "text/html"}, {"Content-Length", "9"}},
+		 "<p>\n\n</p>"},
+		{200, {{"Content-Type", "application/json"}}, "{\n\n}\n\n"},
+	};
+
+	for (auto &c : cases) {
+		int tries = 0;
+
+		body.clear();
+		aborted = completed = attempts = 0;
+		post_open("/resume/x");
+		post_stream_head(200, {{"Content-Type", "text/event-stream"},
+				       {"Transfer-Encoding", "chunked"}});
+		post_data("id: 1\ndata: a\n\n");
+		post_failed(FAILURE_STREAM, true, true);
+		ASSERT_EQ(attempts, 2);
+		while (aborted + completed == 0 && tries++ < 4) {
+			post_stream_head(c.status, c.fields);
+			if (c.body[0] != '\0')
+				post_data(c.body);
+			post_end();
+		}
+		EXPECT_EQ(body, "id: 1\ndata: a\n\n") << c.status << c.body;
+		EXPECT_EQ(aborted, 1) << c.status << c.body;
+		EXPECT_EQ(completed, 0) << c.status << c.body;
+	}
+}
+
+// Guards against a response on a streaming route that is no stream and is cut
+// at its blank lines, or charged for the events that it does not have.
+TEST_F(Proxy, ResponseThatIsNoStreamIsForwardedWhole)
+{
+	post_open("/stream/x");
+	post_stream_head(200, {{"Content-Type", "application/json"},
+			       {"Content-Length", "9"}});
+	post_data("{\n\n\"a\":1}");
+	post_end();
+	EXPECT_EQ(status, 200u);
+	EXPECT_EQ(body, "{\n\n\"a\":1}");
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(spent, 150);
+}
+
 TEST_F(Proxy, CancelledRequestIsChargedForDeliveredTokens)
 {
 	msg_t msg = {};
