Take no response of a target for whole that stops inside its head

An operator's report: a worker stops in the middle of its answer's head and closes, and callers get a 200 with an empty or short body, framed as whole.

If the connection is at its end, such a response now counts only if as many bytes of head were received as its lines and the empty line have in their usual form. A target that writes them otherwise and closes the connection after an empty response is taken to have failed, with the outcome unknown.

--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -1,6 +1,7 @@
 #include "dispatch/call.h"
 
 #include "dispatch/body.h"
+#include "dispatch/head.h"
 #include "dispatch/order.h"
 
 #include <errno.h>
@@ -249,14 +250,17 @@
  * response that is delimited by the end of the connection, the state of the
  * connection proves nothing, and a response with a truncated head looks like
  * such a response.  Where the connection proves nothing, the content of the
- * response has to show that the response is complete.
+ * response has to show that the response is complete, or, if it has none, the
+ * size of its head.
  */
 static bool response_is_complete(call_t *call)
 {
 	switch (call->encoding) {
 	case SOUP_ENCODING_NONE:
+		return connection_is_open(call) || head_has_end(call->msg);
 	case SOUP_ENCODING_CONTENT_LENGTH:
-		return true;
+		return call->received > 0 || connection_is_open(call) ||
+		       head_has_end(call->msg);
 	case SOUP_ENCODING_CHUNKED:
 		if (connection_is_open(call))
 			return true;
@@ -319,6 +323,7 @@
 		release(call);
 		return false;
 	}
+	call->received += size;
 	bytes = g_bytes_new(buffer, size);
 	post_data(call, bytes);
 	g_bytes_unref(bytes);
@@ -596,6 +601,7 @@
 		soup_message_set_request_body_from_bytes(
 			call->msg, type[0] != '\0' ? type : NULL, body);
 	g_clear_pointer(&body, g_bytes_unref);
+	soup_message_add_flags(call->msg, SOUP_MESSAGE_COLLECT_METRICS);
 	g_signal_connect(call->msg, "starting", G_CALLBACK(on_starting), call);
 	g_signal_connect(call->msg, "network-event",
 			 G_CALLBACK(on_network_event), call);
--- a/dispatch/call.h
+++ b/dispatch/call.h
@@ -29,6 +29,7 @@
 	bool discard; /* the body is read only to reuse the connection */
 	bool paused;
 	SoupEncoding encoding; /* how the end of the response is found */
+	uint64_t received; /* bytes of the body */
 	uint32_t discarded; /* bytes of the body read and discarded */
 	int64_t first_byte_timeout_us;
 	int64_t idle_timeout_us;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -410,6 +410,34 @@
 	ASSERT_TRUE(wait([&] { return table_count(&dispatch.calls) == 0; }));
 }
 
+// Guards against a response that stops inside its head and is taken for one
+// with an empty or a short body.
+TEST_F(DispatchTest, ResponseThatStopsInItsHeadIsAFailure)
+{
+	const std::string heads[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nA: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nA: b\r\nC: d\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		"Transfer-Encoding: chunked\r\nA: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nA: b\r\n\r\n",
+	};
+	int calls = 0;
+
+	for (const std::string &head : heads) {
+		for (size_t cut = 1; cut < head.size(); cut++) {
+			steps.push_back({head.substr(0, cut), true});
+			send("POST", false, 300, 300);
+			ASSERT_TRUE(wait_finished(++calls));
+			EXPECT_EQ(counts[MSG_TARGET_END], 0)
+				<< head.substr(0, cut);
+			counts[MSG_TARGET_FAILED] += counts[MSG_TARGET_END];
+			counts[MSG_TARGET_END] = 0;
+		}
+	}
+	EXPECT_EQ(body, "");
+}
+
 // A response without a body must end the call whatever length its head states,
 // because no body follows.
 TEST_F(DispatchTest, ResponsesWithoutABodyAreComplete)
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -489,6 +489,38 @@
 	EXPECT_TRUE(pump([&] { return server.conns[1]->closed; }));
 }
 
+// Guards against a response that stops inside its head and is taken for one
+// with an empty or a short body.
+TEST_F(Outbound, ResponseThatStopsInItsHeadIsAFailure)
+{
+	const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"X-Id: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n",
+		"HTTP/1.0 200 OK\nX-Id: 1\n\n",
+		"HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n",
+	};
+
+	for (const char *head : heads) {
+		for (size_t cut = 0; cut < strlen(head); cut++) {
+			std::string part(head, cut);
+			ScriptServer server([&](script_conn_t &conn) {
+				if (!part.empty())
+					conn.send(part);
+				conn.close();
+			});
+
+			result_t &r = call(server.port, "1");
+			EXPECT_EQ(r.failures, 1) << part;
+			EXPECT_EQ(r.heads + r.ends, 0) << part;
+			EXPECT_EQ(r.body, "") << part;
+			EXPECT_TRUE(r.sent) << part;
+		}
+	}
+}
+
 // Responses that have no body by definition: bytes that follow them must not
 // reach the next caller.
 TEST_F(Outbound, BodyOfAResponseThatHasNoneIsDiscarded)
