Close a connection of a router on which a target stated that nothing ran

A second copy of a refusal that comes after the next request on the connection was sent is taken for its response: the caller is told not_run, or the request goes to another target, although it runs.

The connection of a refusal that states that nothing ran is now closed, which costs a connection for each such refusal. Refusals without that statement promise nothing and keep theirs.

--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -74,14 +74,19 @@
 	call->ended = true;
 }
 
+static void close_connection(call_t *call)
+{
+	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
+	g_cancellable_cancel(call->cancellable);
+	release(call);
+}
+
 /* Ends the call and closes its connection. */
 static void fail(call_t *call, failure_t failure, bool reset)
 {
 	if (!call->ended)
 		post_failed(call, failure, reset);
-	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
-	g_cancellable_cancel(call->cancellable);
-	release(call);
+	close_connection(call);
 }
 
 static int64_t next_timeout(const call_t *call)
@@ -175,7 +180,9 @@
 
 /*
  * Reports a response by which the target refuses the request, and returns true.
- * Returns false for any other response.
+ * Returns false for any other response.  Responses carry no id, so the next
+ * request could get a second copy of a statement that nothing ran: it must not
+ * use the connection.
  */
 static bool handle_refusal(call_t *call, SoupMessageHeaders *headers,
 			   uint32_t status)
@@ -194,7 +201,7 @@
 		header_is(headers, "X-Request-State", "not_run");
 	post(call, &msg);
 	call->ended = true;
-	call->discard = true;
+	call->discard = !msg.u.target_failed.not_run;
 	return true;
 }
 
@@ -500,7 +507,10 @@
 	post_load_report(call, headers);
 	if (!handle_refusal(call, headers, status))
 		post_head(call, headers, status);
-	read_more(call);
+	if (call->ended && !call->discard)
+		close_connection(call);
+	else
+		read_more(call);
 }
 
 static void on_head(GObject *source, GAsyncResult *result, gpointer data)
