Act on what targets state: that they leave, or want a pause

The same class as the limit: a target states in its responses what it wants, and nothing read it. A target that says that it leaves got requests until the list said so, which it can't while the store is away; one that turned a request away with 503 and a time got more at once.

The report of a response head now has both, balance keeps them with the limit in one record a target, and passes the target over. Marks of leaving go to all peers. The record outlives the list entry and ends with the process of the target.

Tests on the virtual clock: a mark that outlives list entries, a target replaced at its address, peers that tell before the list does, two pauses, all targets paused, a pause without end, malformed values.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -1,6 +1,7 @@
 #include "balance/balance.h"
 
 #include "balance/home.h"
+#include "balance/notice.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
 #include "balance/queue.h"
@@ -10,6 +11,7 @@
 
 static void remove_target(balance_t *balance, balance_target_t *target)
 {
+	notice_keep(balance, target);
 	g_hash_table_remove(balance->targets_by_id, target->info.id);
 	balance_target_finish(target);
 	table_remove(&balance->targets, target->self);
@@ -45,9 +47,11 @@
 		balance_target_init(target, info);
 		g_hash_table_insert(balance->targets_by_id, target->info.id,
 				    target);
+		notice_restore(balance, target);
 	} else if (target->info.started_ms != info->started_ms) {
 		balance_target_clear_cache(target);
 		permit_reset(target);
+		memset(&target->notice, 0, sizeof(target->notice));
 	}
 	g_strlcpy(target->info.host, info->host, sizeof(target->info.host));
 	target->info.port = info->port;
@@ -102,7 +106,10 @@
 	case PEER_PLACED:
 		placement_announced(balance, msg->u.peer.body);
 		break;
-	case PEER_LIMIT:
+	case PEER_TARGET_LEAVING:
+		notice_told(balance, msg->u.peer.body);
+		break;
+	case PEER_TARGET_LIMIT:
 		home_told(balance, msg->u.peer.body);
 		break;
 	case PEER_PERMIT_REQUEST:
@@ -180,6 +187,7 @@
 	table_init(&balance->queue, sizeof(queued_t));
 	table_init(&balance->placements, sizeof(placement_t));
 	permit_init(balance);
+	notices_init(balance);
 	balance->targets_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
 }
@@ -197,6 +205,7 @@
 	table_finish(&balance->queue);
 	table_finish(&balance->placements);
 	table_finish(&balance->asks);
+	notices_finish(balance);
 	peer_set_finish(&balance->peers);
 	kernel_unregister(balance->kernel, balance->svc);
 }
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -1,5 +1,6 @@
 #include "balance/choose.h"
 
+#include "balance/notice.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
 
@@ -76,6 +77,7 @@
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
 	       NULL) {
 		if (!target->engine || target->unavailable ||
+		    target->notice.leaving ||
 		    strcmp(target->info.service, request->u.place.service) != 0)
 			continue;
 		score = balance_target_affinity(target, request->u.place.parts,
@@ -104,7 +106,8 @@
 bool balance_is_usable(const balance_target_t *target, const msg_t *request)
 {
 	return strcmp(target->info.service, request->u.place.service) == 0 &&
-	       !target->unavailable && !is_avoided(request, target->self);
+	       !target->unavailable && !target->notice.leaving &&
+	       !is_avoided(request, target->self);
 }
 
 limit_request_t balance_limit_request(const msg_t *request, int64_t now)
@@ -155,7 +158,9 @@
 	} else if (found->later != NULL) {
 		choice->kind = CHOICE_ASK;
 		choice->u.ask.target = found->later;
-	} else if (passed_over->full + passed_over->limited > 0) {
+	} else if (passed_over->full + passed_over->limited +
+			   passed_over->paused >
+		   0) {
 		choice->kind = CHOICE_WAIT;
 		choice->u.wait.until = found->room_at;
 		choice->u.wait.known = found->room_known;
@@ -186,10 +191,20 @@
 			choice->passed_over.unavailable++;
 			continue;
 		}
+		if (target->notice.leaving) {
+			choice->passed_over.leaving++;
+			continue;
+		}
 		if (is_avoided(request, target->self)) {
 			choice->passed_over.tried++;
 			continue;
 		}
+		if (notice_is_paused(target, now)) {
+			choice->passed_over.paused++;
+			found.room_at =
+				MIN(found.room_at, target->notice.paused_until);
+			continue;
+		}
 		if (target->outstanding >= max_outstanding(balance, target)) {
 			choice->passed_over.full++;
 			found.room_known = false;
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -18,7 +18,9 @@
 /* Number of targets of the service, by the reason to pass them over. */
 typedef struct passed_over_t {
 	uint32_t unavailable; /* draining, or replaced */
+	uint32_t leaving; /* it has stated that it leaves */
 	uint32_t tried; /* the request has failed there */
+	uint32_t paused; /* it wants no requests for a while */
 	uint32_t full; /* as many requests as this instance may have there */
 	uint32_t limited; /* no permit */
 } passed_over_t;
--- a/balance/home.c
+++ b/balance/home.c
@@ -1,5 +1,6 @@
 #include "balance/home.h"
 
+#include "balance/notice.h"
 #include "balance/queue.h"
 #include "kernel/hash.h"
 #include "log/log.h"
@@ -99,9 +100,9 @@
 {
 	target_limit_t limit = {.kind = LIMIT_NONE};
 
-	if (target->limit.stated) {
+	if (target->notice.limit.stated) {
 		limit.kind = LIMIT_STATED;
-		limit.per_ks = target->limit.per_ks;
+		limit.per_ks = target->notice.limit.per_ks;
 	}
 	return limit;
 }
@@ -109,14 +110,14 @@
 uint64_t home_limit_age(const balance_t *balance,
 			const balance_target_t *target)
 {
-	return (uint64_t)MAX(kernel_now(balance->kernel) - target->limit.as_of,
-			     0);
+	return (uint64_t)MAX(
+		kernel_now(balance->kernel) - target->notice.limit.as_of, 0);
 }
 
 static void tell(balance_t *balance, const balance_target_t *target,
 		 const target_limit_t *limit, uint64_t age_us, const char *to)
 {
-	peer_body_t *body = peer_body_new(PEER_LIMIT);
+	peer_body_t *body = peer_body_new(PEER_TARGET_LIMIT);
 
 	g_strlcpy(body->u.limit.target, target->info.id,
 		  sizeof(body->u.limit.target));
@@ -133,8 +134,10 @@
 		  "target=%s service=%s kind=%s per_s=%.3f source=%s "
 		  "age_ms=%" G_GUINT64_FORMAT " outstanding=%u",
 		  target->info.id, target->info.service,
-		  target->limit.stated ? "stated" : "none",
-		  target->limit.stated ? target->limit.per_ks / 1000.0 : 0.0,
+		  target->notice.limit.stated ? "stated" : "none",
+		  target->notice.limit.stated
+			  ? target->notice.limit.per_ks / 1000.0
+			  : 0.0,
 		  source, age_us / USEC_PER_MSEC, target->outstanding);
 }
 
@@ -159,10 +162,10 @@
 	int64_t now = kernel_now(balance->kernel);
 	char home[INCARNATION_SIZE];
 
-	if (!target->limit.stated)
+	if (!target->notice.limit.stated)
 		return;
 	if (!home_find(balance, target, home)) {
-		if (!limit_apply(&target->limit, limit, now, now))
+		if (!limit_apply(&target->notice.limit, limit, now, now))
 			return;
 		log_limit(target, "response", 0);
 		tell(balance, target, limit, 0, "");
@@ -186,7 +189,7 @@
 		break;
 	case LIMIT_STATED:
 		metrics_add(balance->kernel->metrics, COUNTER_LIMITS_STATED, 1);
-		if (!limit_apply(&target->limit, limit, now, now))
+		if (!limit_apply(&target->notice.limit, limit, now, now))
 			break;
 		log_limit(target, "response", 0);
 		pass_on(balance, target, limit, 0);
@@ -201,7 +204,8 @@
 	char home[INCARNATION_SIZE];
 
 	age_us = MIN(age_us, AGE_MAX_US);
-	if (!limit_apply(&target->limit, limit, now - (int64_t)age_us, now))
+	if (!limit_apply(&target->notice.limit, limit, now - (int64_t)age_us,
+			 now))
 		return;
 	log_limit(target, "peer", age_us);
 	if (!home_find(balance, target, home))
@@ -230,11 +234,15 @@
 	       NULL) {
 		target_limit_t limit = home_limit(target);
 
-		if (!target->limit.stated ||
-		    (home_find(balance, target, home) &&
-		     strcmp(home, incarnation) != 0))
+		if (!target->notice.limit.stated && !target->notice.leaving)
 			continue;
-		tell(balance, target, &limit, home_limit_age(balance, target),
-		     incarnation);
+		if (home_find(balance, target, home) &&
+		    strcmp(home, incarnation) != 0)
+			continue;
+		if (target->notice.leaving)
+			notice_tell(balance, target, incarnation);
+		if (target->notice.limit.stated)
+			tell(balance, target, &limit,
+			     home_limit_age(balance, target), incarnation);
 	}
 }
--- a/balance/home.h
+++ b/balance/home.h
@@ -28,7 +28,10 @@
 /* Applies what a peer knows about a target's limit. */
 void home_apply(balance_t *balance, balance_target_t *target,
 		const target_limit_t *limit, uint64_t age_us);
-/* Tells a new peer the limits of the targets whose home this instance is. */
+/*
+ * Tells a new peer what the targets have stated whose home this instance is,
+ * pauses aside: these are meant for one instance.
+ */
 void home_tell_peer(balance_t *balance, const char *incarnation);
 
 /* What this instance knows about a target's limit, for a message to a peer. */
--- a/balance/permit.c
+++ b/balance/permit.c
@@ -30,7 +30,6 @@
 
 void permit_reset(balance_target_t *target)
 {
-	memset(&target->limit, 0, sizeof(target->limit));
 	target->permit_count = 0;
 	memset(target->free_at, 0, sizeof(target->free_at));
 }
@@ -42,7 +41,7 @@
 
 bool permit_is_open(const balance_target_t *target, int64_t now)
 {
-	if (!target->limit.stated)
+	if (!target->notice.limit.stated)
 		return true;
 	for (uint32_t i = 0; i < target->permit_count; i++)
 		if (is_valid(target->permits[i], now))
@@ -167,8 +166,9 @@
 	handle_t self;
 
 	if (!home_find(balance, target, home)) {
-		admission = limit_admit(&target->limit, home_share(balance),
-					kernel_now(balance->kernel), request);
+		admission =
+			limit_admit(&target->notice.limit, home_share(balance),
+				    kernel_now(balance->kernel), request);
 		receive_admission(balance, target, request->priority,
 				  &admission);
 		return;
@@ -226,9 +226,9 @@
 	}
 	home_apply(balance, target, &body->u.permit_request.limit,
 		   body->u.permit_request.age_us);
-	if (target->limit.stated)
-		admission = limit_admit(&target->limit, home_share(balance),
-					now, &request);
+	if (target->notice.limit.stated)
+		admission = limit_admit(&target->notice.limit,
+					home_share(balance), now, &request);
 out:
 	reply(balance, msg, target, &admission);
 }
--- a/balance/permit.h
+++ b/balance/permit.h
@@ -12,7 +12,7 @@
 G_BEGIN_DECLS
 
 void permit_init(balance_t *balance);
-/* Forgets the target's limit and the permits, as its process was replaced. */
+/* Forgets the permits, as the target's process was replaced. */
 void permit_reset(balance_target_t *target);
 /* Whether a request may go to the target now. */
 bool permit_is_open(const balance_target_t *target, int64_t now);
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -1,6 +1,6 @@
 #include "balance/placement.h"
 
-#include "balance/home.h"
+#include "balance/notice.h"
 #include "balance/permit.h"
 #include "balance/queue.h"
 #include "kernel/peer_set.h"
@@ -119,7 +119,7 @@
 	if (placement != NULL)
 		target = table_get(&balance->targets, placement->target);
 	if (target != NULL)
-		home_heard(balance, target, &msg->u.place_report.limit);
+		notice_heard(balance, target, &msg->u.place_report);
 }
 
 static void record_result(balance_t *balance, balance_target_t *target,
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -7,7 +7,7 @@
 
 /* Suggested to a refused caller if it isn't known when a target has room. */
 #define RETRY_AFTER_MS 300
-#define RETRY_AFTER_MAX_MS 5000
+#define RETRY_AFTER_MAX_MS 60000
 
 static void refuse(balance_t *balance, const msg_t *request, refusal_t reason,
 		   uint32_t retry_after_ms)
@@ -69,16 +69,18 @@
 	refusal_t reason = choice->kind == CHOICE_NONE ? REFUSAL_NO_TARGET
 						       : REFUSAL_OVERLOADED;
 
-	if (passed_over->limited > 0)
+	if (passed_over->limited + passed_over->paused > 0)
 		wait_ms += (uint32_t)kernel_random_below(
 			balance->kernel, MAX(wait_ms, RETRY_AFTER_MS));
 	log_event(LOG_LEVEL_INFO, "balance", "refused",
 		  "request=%s service=%s reason=%s retry_after_ms=%u "
-		  "unavailable=%u tried=%u full=%u limited=%u",
+		  "unavailable=%u leaving=%u tried=%u paused=%u full=%u "
+		  "limited=%u",
 		  log_quote(queued->request.u.place.request_id),
 		  queued->request.u.place.service, refusal_name(reason),
-		  wait_ms, passed_over->unavailable, passed_over->tried,
-		  passed_over->full, passed_over->limited);
+		  wait_ms, passed_over->unavailable, passed_over->leaving,
+		  passed_over->tried, passed_over->paused, passed_over->full,
+		  passed_over->limited);
 	refuse(balance, &queued->request, reason, wait_ms);
 	dequeue(balance, queued);
 }
@@ -164,7 +166,7 @@
 	}
 	enqueue(balance, msg);
 	/* More urgent requests claim their permits first. */
-	if (choice.passed_over.limited > 0)
+	if (choice.passed_over.limited + choice.passed_over.paused > 0)
 		queue_run(balance);
 }
 
--- a/balance/target.h
+++ b/balance/target.h
@@ -12,6 +12,16 @@
 
 #define PERMITS_MAX 16 /* unused permits for one target */
 
+/* What a target has stated about itself. */
+typedef struct target_notice_t {
+	bool leaving;
+	int64_t leaving_at; /* monotonic, us; when it was stated */
+	/* Until then it wants no requests of this instance; monotonic, us. */
+	int64_t paused_until;
+	int64_t paused_at; /* monotonic, us; when it was stated */
+	limit_t limit;
+} target_notice_t;
+
 typedef struct balance_target_t {
 	handle_t self;
 	fleet_target_t info;
@@ -23,9 +33,8 @@
 	target_load_t load; /* last report */
 	int64_t load_at; /* monotonic, us */
 	uint32_t outstanding_at_load; /* outstanding at the last report */
-	limit_t limit;
-	int64_t end_told_at; /* monotonic, us; the home was told that it ended
-			      */
+	target_notice_t notice;
+	int64_t end_told_at; /* monotonic, us; the limit's end, to the home */
 	/* Permits of the home: when they become valid; monotonic, us. */
 	int64_t permits[PERMITS_MAX];
 	uint32_t permit_count;
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -68,6 +68,8 @@
 typedef struct target_report_t {
 	target_load_t load;
 	target_limit_t limit;
+	bool leaving;
+	int64_t pause_ms; /* it wants no requests for this long; 0: none */
 	const char *unreadable; /* field with a malformed value, or NULL */
 } target_report_t;
 
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -81,7 +81,8 @@
 	PEER_STORE_ITEMS,
 	PEER_PLACED,
 	PEER_PART_REPORT,
-	PEER_LIMIT,
+	PEER_TARGET_LEAVING,
+	PEER_TARGET_LIMIT,
 	PEER_PERMIT_REQUEST,
 	PEER_PERMIT_REPLY,
 	PEER_KIND_COUNT,
@@ -187,6 +188,11 @@
 			uint64_t left_ms; /* held */
 			uint64_t strikes; /* held */
 		} part_report;
+		struct {
+			char target[NAME_SIZE];
+			int64_t started_ms; /* process of the target */
+			uint64_t age_us; /* since the target stated it */
+		} leaving;
 		struct {
 			char target[NAME_SIZE];
 			target_limit_t limit;
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -40,6 +40,8 @@
 	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
 	X(LIMITS_STATED, "limits_stated",                                     \
 	  "responses in which a target stated a limit")                       \
+	X(PAUSES_STATED, "pauses_stated",                                     \
+	  "responses in which a target asked for a pause")                    \
 	X(PERMITS, "permits",                                                 \
 	  "permits received for targets that state a limit")                  \
 	X(PERMITS_REFUSED, "permits_refused", "permits that a home refused")  \
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -133,6 +133,11 @@
 		 offsetof(peer_body_t, u.body.limit.per_ks), UINT32_MAX}, \
 		BODY_U64(body, age_us)
 
+static const field_t leaving_fields[] = {
+	BODY_TEXT(leaving, target),
+	BODY_I64(leaving, started_ms),
+	BODY_U64(leaving, age_us),
+};
 static const field_t limit_fields[] = {
 	BODY_TEXT(limit, target),
 	BODY_LIMIT(limit),
@@ -183,7 +188,9 @@
 		return FIELDS_OF(placed_fields);
 	case PEER_PART_REPORT:
 		return FIELDS_OF(part_report_fields);
-	case PEER_LIMIT:
+	case PEER_TARGET_LEAVING:
+		return FIELDS_OF(leaving_fields);
+	case PEER_TARGET_LIMIT:
 		return FIELDS_OF(limit_fields);
 	case PEER_PERMIT_REQUEST:
 		return FIELDS_OF(permit_request_fields);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -132,7 +132,8 @@
 	case PEER_STORE_ITEMS:
 		return peer->replica;
 	case PEER_PLACED:
-	case PEER_LIMIT:
+	case PEER_TARGET_LEAVING:
+	case PEER_TARGET_LIMIT:
 	case PEER_PERMIT_REQUEST:
 	case PEER_PERMIT_REPLY:
 		return peer->balance;
--- a/tests/balance_prove.cc
+++ b/tests/balance_prove.cc
@@ -58,7 +58,7 @@
 		balance_target_t *known = static_cast<balance_target_t *>(
 			g_hash_table_lookup(i->balance.targets_by_id, target));
 
-		count += known != nullptr && known->limit.stated;
+		count += known != nullptr && known->notice.limit.stated;
 	}
 	return count;
 }
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -23,6 +23,7 @@
 	std::vector<handle_t> placements;
 	std::vector<uint32_t> refused;
 	refusal_t reason = REFUSAL_NONE;
+	uint32_t retry_after_ms = 0;
 
 	svc_t peer;
 	std::vector<peer_body_t> announced; // bodies sent to peers
@@ -42,6 +43,7 @@
 		} else if (msg->kind == MSG_PLACE_REFUSED) {
 			i->refused.push_back(msg->ref.index);
 			i->reason = msg->u.place_refused.reason;
+			i->retry_after_ms = msg->u.place_refused.retry_after_ms;
 		}
 	}
 	instance_t(const char *zone, uint64_t seed)
@@ -79,7 +81,7 @@
 	}
 	void set_target(const char *service, const char *id, const char *zone,
 			bool draining = false, bool gone = false,
-			uint32_t slots = 8)
+			uint32_t slots = 8, int64_t started_ms = 1)
 	{
 		msg_t msg = {};
 		fleet_target_t *info = &msg.u.fleet_target.target;
@@ -91,6 +93,7 @@
 		g_strlcpy(info->host, "127.0.0.1", sizeof(info->host));
 		info->port = 1;
 		info->slots = slots;
+		info->started_ms = started_ms;
 		info->draining = draining;
 		msg.u.fleet_target.gone = gone;
 		kernel_post(&kernel, fleet, balance.svc, &msg);
@@ -136,6 +139,18 @@
 		kernel_post(&kernel, proxy, balance.svc, &msg);
 		run(0);
 	}
+	// What the response to a placed request states about its target.
+	void report(size_t i, bool leaving, int64_t pause_ms)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PLACE_REPORT;
+		msg.ref = placements[i];
+		msg.u.place_report.leaving = leaving;
+		msg.u.place_report.pause_ms = pause_ms;
+		kernel_post(&kernel, proxy, balance.svc, &msg);
+		run(0);
+	}
 	void finish_request(size_t i, place_result_t result)
 	{
 		msg_t msg = {};
@@ -381,6 +396,152 @@
 	EXPECT_EQ(a.placed.size(), 1u);
 }
 
+// Guards against requests to a target that has stated that it leaves, while the
+// list still has it as ready, or has it again.
+TEST(Balance, LeavingTargetGetsNothingWhateverTheListSays)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("call", "i-1", "z1", false, false, 1);
+	for (uint32_t i = 1; i <= 3; i++)
+		a.request(i, "call");
+	ASSERT_EQ(a.placed.size(), 2u);
+	a.report(0, true, 0);
+	a.finish_request(0, PLACE_OK);
+	a.run(60000);
+	a.set_target("call", "i-1", "z1");
+	a.set_target("call", "i-1", "z1", false, true);
+	a.set_target("call", "i-1", "z1");
+	a.request(4, "call");
+	a.run(60 * USEC_PER_SEC);
+	a.request(5, "call");
+	a.run(USEC_PER_SEC);
+	EXPECT_EQ(a.placed.size(), 2u);
+	EXPECT_EQ(a.refused.size(), 3u);
+	EXPECT_EQ(a.reason, REFUSAL_NO_TARGET);
+	/* Another process has started at the address, under the same id. */
+	a.set_target("call", "i-1", "z1", false, false, 8, 2);
+	a.request(6, "call");
+	EXPECT_EQ(a.placed.size(), 3u);
+}
+
+// Guards against a peer's news of a leaving target that is lost because the
+// target is not listed yet, or that is held against its next process.
+TEST(Balance, PeersTellOfLeavingTargets)
+{
+	instance_t a("z1", 1), b("z1", 2);
+	peer_body_t told;
+
+	a.set_target("call", "i-1", "z1");
+	a.request(1, "call");
+	a.report(0, true, 0);
+	a.report(0, true, 0);
+	ASSERT_EQ(a.announced.size(), 1u);
+	told = a.announced[0];
+	EXPECT_EQ(told.kind, PEER_TARGET_LEAVING);
+	b.receive_from_peer(told);
+	b.set_target("call", "i-1", "z1");
+	b.request(1, "call");
+	EXPECT_TRUE(b.placed.empty());
+	b.set_target("call", "i-1", "z1", false, false, 8, 2);
+	EXPECT_EQ(b.placed.size(), 1u);
+	b.receive_from_peer(told);
+	b.request(2, "call");
+	EXPECT_EQ(b.placed.size(), 2u);
+	EXPECT_TRUE(b.announced.empty());
+}
+
+// Guards against requests during a pause that a target asked for, and against a
+// pause that never ends or is cut short by an earlier one.
+TEST(Balance, PausedTargetGetsNothingUntilTheLastPauseEnds)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("call", "i-1", "z1");
+	a.set_target("call", "i-2", "z2");
+	a.request(1, "call");
+	a.request(2, "call");
+	ASSERT_EQ(a.placed[0].second, "i-1");
+	a.report(0, false, 5000);
+	a.run(USEC_PER_SEC);
+	a.report(0, false, 2000);
+	/* An entry that lapses and comes back does not end the pause. */
+	a.set_target("call", "i-1", "z1", false, true);
+	a.set_target("call", "i-1", "z1");
+	for (uint32_t i = 3; i < 42; i++) {
+		a.request(i, "call");
+		EXPECT_EQ(a.placed.back().second, "i-2");
+		a.finish_request(a.placements.size() - 1, PLACE_OK);
+		a.run(100000);
+	}
+	a.run(200000);
+	a.request(50, "call");
+	EXPECT_EQ(a.placed.back().second, "i-1");
+}
+
+// Guards against callers that wait although it is known that all targets want
+// a pause, or that all return at its end.
+TEST(Balance, RequestIsRefusedAtOnceWhileAllTargetsPause)
+{
+	instance_t a("z1", 1);
+	uint32_t least = UINT32_MAX, most = 0;
+
+	a.set_target("call", "i-1", "z1");
+	a.set_target("call", "i-2", "z1");
+	a.request(1, "call");
+	a.request(2, "call");
+	ASSERT_NE(a.placed[0].second, a.placed[1].second);
+	a.report(0, false, 900);
+	a.report(1, false, 4000);
+	for (uint32_t i = 3; i < 103; i++) {
+		a.request(i, "call");
+		ASSERT_EQ(a.refused.size(), i - 2);
+		EXPECT_EQ(a.reason, REFUSAL_OVERLOADED);
+		least = MIN(least, a.retry_after_ms);
+		most = MAX(most, a.retry_after_ms);
+	}
+	EXPECT_GE(least, 900u);
+	EXPECT_GE(most - least, 450u);
+	EXPECT_LE(most, 2000u);
+	/* A pause that ends in time is waited for. */
+	a.run(850000);
+	a.request(200, "call");
+	EXPECT_EQ(a.refused.size(), 100u);
+	a.run(60000);
+	EXPECT_EQ(a.placed.back().first, 200u);
+}
+
+// Guards against a mistaken pause that takes a target out for good.
+TEST(Balance, PauseWithoutEndEnds)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("call", "i-1", "z1");
+	a.request(1, "call");
+	a.report(0, false, INT64_C(1000000000000));
+	a.run(3599 * USEC_PER_SEC);
+	a.request(2, "call");
+	EXPECT_EQ(a.placed.size(), 1u);
+	a.run(2 * USEC_PER_SEC);
+	a.request(3, "call");
+	EXPECT_EQ(a.placed.size(), 2u);
+}
+
+// Guards against a list of notices that grows with every target that ever left.
+TEST(Balance, NoticesOfTargetsThatLeftAreBounded)
+{
+	instance_t a("z1", 1);
+
+	for (int i = 0; i < 3000; i++) {
+		peer_body_t body = {};
+
+		body.kind = PEER_TARGET_LEAVING;
+		g_snprintf(body.u.leaving.target, NAME_SIZE, "i-%d", i);
+		a.receive_from_peer(body);
+	}
+	EXPECT_LE(g_hash_table_size(a.balance.kept_notices), 1024u);
+}
+
 // Admits requests of a priority as often as possible until a time.
 std::vector<int64_t> admit_all(limit_t *limit, int64_t from, int64_t to,
 			       int64_t wait, uint32_t priority = 0)
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -148,7 +148,12 @@
 		body->u.part_report.left_ms = 600000;
 		body->u.part_report.strikes = 3;
 		break;
-	case PEER_LIMIT:
+	case PEER_TARGET_LEAVING:
+		g_strlcpy(body->u.leaving.target, "i-1", NAME_SIZE);
+		body->u.leaving.started_ms = 1764900000000;
+		body->u.leaving.age_us = 1200;
+		break;
+	case PEER_TARGET_LIMIT:
 		g_strlcpy(body->u.limit.target, "i-1", NAME_SIZE);
 		body->u.limit.limit = {LIMIT_STATED, UINT32_MAX};
 		body->u.limit.age_us = 2500;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -382,6 +382,51 @@
 	exchange_spec_free(spec);
 }
 
+// Guards against a target's wish to get no requests that is missed, or read
+// from a response that doesn't state it.
+TEST(Wire, LeavingAndPauseOfATargetAreRead)
+{
+	const struct {
+		uint32_t status;
+		const char *name, *value;
+		bool leaving;
+		int64_t pause_ms;
+		bool malformed;
+	} cases[] = {
+		{200, "Server-Leaving", "1", true, 0, false},
+		{503, "server-leaving", "1", true, 0, false},
+		{200, "Server-Leaving", "0", false, 0, false},
+		{200, "Server-Leaving", "yes", false, 0, true},
+		{200, "Server-Leaving", "", false, 0, true},
+		{503, "Retry-After", "2", false, 2000, false},
+		{503, "retry-after", "0.25", false, 250, false},
+		{503, "Retry-After", "0", false, 0, false},
+		{200, "Retry-After", "2", false, 0, false},
+		{429, "Retry-After", "2", false, 0, false},
+		{503, "Retry-After", "-1", false, 0, true},
+		{503, "Retry-After", "soon", false, 0, true},
+		{503, "Retry-After", "Sat, 05 Dec 2026 02:00:00 GMT", false, 0,
+		 true},
+		{503, "Retry-After", "99999999999999999999", false,
+		 INT64_C(1000000000000), false},
+	};
+	exchange_spec_t *spec = exchange_spec_new();
+
+	for (auto &c : cases) {
+		http_head_t *head = http_head_response(c.status);
+		response_info_t info;
+
+		http_head_add(head, c.name, c.value);
+		wire_read_reply(head, spec, &info);
+		EXPECT_EQ(info.report.leaving, c.leaving) << c.value;
+		EXPECT_EQ(info.report.pause_ms, c.pause_ms) << c.value;
+		EXPECT_EQ(info.report.unreadable != nullptr, c.malformed)
+			<< c.value;
+		http_head_free(head);
+	}
+	exchange_spec_free(spec);
+}
+
 // Runs the store service against an HTTP client that returns set responses.
 class Store : public ::testing::Test
 {
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -133,6 +133,9 @@
 		case MSG_PLACE:
 			handle_place(msg);
 			break;
+		case MSG_PLACE_REPORT:
+			reports.push_back(msg->u.place_report);
+			break;
 		case MSG_PLACE_DONE:
 			results.push_back(msg->u.place_done.result);
 			break;
@@ -373,6 +376,7 @@
 	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
 	std::vector<place_result_t> results;
+	std::vector<target_report_t> reports;
 	int completed = 0, aborted = 0, placements = 0, attempts = 0,
 	    cancels = 0, checks = 0;
 	uint64_t bodies = 0;
@@ -405,6 +409,36 @@
 	EXPECT_EQ(body, "ok");
 }
 
+// Guards against a target's statement that is missed because it comes with a
+// refusal or an error, or taken from another target at its address.
+TEST_F(Proxy, WhatATargetStatesIsReadFromEachOfItsResponses)
+{
+	post_open("/unsafe/x");
+	post_stream_head(503, {{"Not-Executed", "1"}, {"Retry-After", "2"}});
+	post_end();
+	ASSERT_EQ(reports.size(), 1u);
+	EXPECT_EQ(reports[0].pause_ms, 2000);
+	post_stream_head(503, {{"Retry-After", "x"}});
+	post_data("err");
+	post_end();
+	ASSERT_EQ(reports.size(), 2u);
+	EXPECT_EQ(reports[1].pause_ms, 0);
+	for (uint32_t code : {200u, 500u}) {
+		post_open("/unsafe/x");
+		post_stream_head(
+			code, {{"Server-Leaving", "1"}, {"Server-Limit", "2"}});
+		post_end();
+	}
+	ASSERT_EQ(reports.size(), 4u);
+	for (size_t i = 2; i < 4; i++) {
+		EXPECT_TRUE(reports[i].leaving);
+		EXPECT_EQ(reports[i].limit.per_ks, 2000u);
+	}
+	post_open("/unsafe/x");
+	post_stream_head(421, {{"Server-Leaving", "1"}});
+	EXPECT_EQ(reports.size(), 4u);
+}
+
 // Guards against a second copy of an earlier refusal, on a connection that was
 // kept, after which a request that is running is sent to another target.
 TEST_F(Proxy, RefusalOfAnEarlierRequestDoesNotMoveARunningOne)
