--- a/balance/choose.c
+++ b/balance/choose.c
@@ -130,8 +130,7 @@
 	double free_cost;
 	balance_target_t *later; /* may give a permit for later */
 	double later_cost;
-	int64_t room_at; /* monotonic, us; INT64_MAX: not known */
-	bool room_known;
+	int64_t room_at; /* earliest known; monotonic, us; INT64_MAX: none */
 } candidates_t;
 
 static void keep_cheapest(balance_target_t **best, double *best_cost,
@@ -145,7 +144,7 @@
 
 static void decide(const candidates_t *found, choice_t *choice)
 {
-	const passed_over_t *passed_over = &choice->passed_over;
+	const uint32_t *count = choice->passed_over.count;
 
 	if (found->open != NULL &&
 	    (found->free == NULL || found->open_cost <= found->free_cost)) {
@@ -158,23 +157,102 @@
 	} else if (found->later != NULL) {
 		choice->kind = CHOICE_ASK;
 		choice->u.ask.target = found->later;
-	} else if (passed_over->full + passed_over->limited +
-			   passed_over->paused >
+	} else if (count[PASS_FULL] + count[PASS_LIMITED] + count[PASS_PAUSED] >
 		   0) {
 		choice->kind = CHOICE_WAIT;
 		choice->u.wait.until = found->room_at;
-		choice->u.wait.known = found->room_known;
+		choice->u.wait.known = count[PASS_FULL] == 0;
 	} else {
 		choice->kind = CHOICE_NONE;
 	}
 }
 
+static pass_reason_t reason_to_pass(const balance_t *balance,
+				    const balance_target_t *target,
+				    const msg_t *request, int64_t now)
+{
+	if (target->unavailable)
+		return PASS_UNAVAILABLE;
+	if (target->notice.leaving)
+		return PASS_LEAVING;
+	if (is_avoided(request, target->self))
+		return PASS_TRIED;
+	if (notice_is_paused(target, now))
+		return PASS_PAUSED;
+	if (target->outstanding >= max_outstanding(balance, target))
+		return PASS_FULL;
+	return permit_is_open(target, now) ? PASS_NONE : PASS_LIMITED;
+}
+
+static int64_t stated_at(const target_notice_t *notice, pass_reason_t reason)
+{
+	switch (reason) {
+	case PASS_LEAVING:
+		return notice->leaving_at;
+	case PASS_PAUSED:
+		return notice->paused_at;
+	case PASS_LIMITED:
+		return notice->limit.as_of;
+	default:
+		return 0;
+	}
+}
+
+static void count_passed(passed_over_t *passed_over,
+			 const balance_target_t *target, pass_reason_t reason)
+{
+	int64_t at = stated_at(&target->notice, reason);
+
+	passed_over->count[reason]++;
+	if (at > 0 &&
+	    (passed_over->stated_at == 0 || at < passed_over->stated_at))
+		passed_over->stated_at = at;
+}
+
+bool passed_over_stated(const passed_over_t *passed_over)
+{
+	return passed_over->count[PASS_LEAVING] +
+		       passed_over->count[PASS_PAUSED] +
+		       passed_over->count[PASS_LIMITED] >
+	       0;
+}
+
+/* Adds a target for which the request needs a permit. */
+static void add_limited(candidates_t *found, balance_target_t *target,
+			const limit_request_t *limit_request, double cost,
+			int64_t now)
+{
+	int64_t free_at = target->free_at[limit_request->priority];
+
+	if (free_at <= now) {
+		keep_cheapest(&found->free, &found->free_cost, target, cost);
+		return;
+	}
+	found->room_at = MIN(found->room_at, free_at);
+	if (free_at - now <= limit_request->wait)
+		keep_cheapest(&found->later, &found->later_cost, target, cost);
+}
+
+static double target_cost(balance_t *balance, const balance_target_t *target,
+			  const msg_t *request, const preferred_t *preferred,
+			  int64_t now)
+{
+	bool same_zone = strcmp(target->info.zone, balance->zone) == 0;
+
+	return balance_target_cost(target, request, same_zone,
+				   target_rank(preferred, target),
+				   oldest_unanswered_age(balance, target, now),
+				   now) +
+	       (double)kernel_random_below(balance->kernel, 1000) / 1000.0 *
+		       JITTER_MS;
+}
+
 void balance_choose(balance_t *balance, const msg_t *request, choice_t *choice)
 {
 	int64_t now = kernel_now(balance->kernel);
 	limit_request_t limit_request = balance_limit_request(request, now);
 	preferred_t preferred = preferred_for(balance, request);
-	candidates_t found = {.room_at = INT64_MAX, .room_known = true};
+	candidates_t found = {.room_at = INT64_MAX};
 	balance_target_t *target;
 	uint32_t cursor = 0;
 	double cost;
@@ -182,58 +260,32 @@
 	memset(choice, 0, sizeof(*choice));
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
 	       NULL) {
-		int64_t free_at = target->free_at[limit_request.priority];
-		bool open = permit_is_open(target, now);
+		pass_reason_t reason;
 
 		if (strcmp(target->info.service, request->u.place.service) != 0)
 			continue;
-		if (target->unavailable) {
-			choice->passed_over.unavailable++;
-			continue;
-		}
-		if (target->notice.leaving) {
-			choice->passed_over.leaving++;
-			continue;
-		}
-		if (is_avoided(request, target->self)) {
-			choice->passed_over.tried++;
-			continue;
-		}
-		if (notice_is_paused(target, now)) {
-			choice->passed_over.paused++;
+		reason = reason_to_pass(balance, target, request, now);
+		if (reason != PASS_NONE)
+			count_passed(&choice->passed_over, target, reason);
+		switch (reason) {
+		case PASS_NONE:
+			cost = target_cost(balance, target, request, &preferred,
+					   now);
+			keep_cheapest(&found.open, &found.open_cost, target,
+				      cost);
+			break;
+		case PASS_LIMITED:
+			cost = target_cost(balance, target, request, &preferred,
+					   now);
+			add_limited(&found, target, &limit_request, cost, now);
+			break;
+		case PASS_PAUSED:
 			found.room_at =
 				MIN(found.room_at, target->notice.paused_until);
-			continue;
-		}
-		if (target->outstanding >= max_outstanding(balance, target)) {
-			choice->passed_over.full++;
-			found.room_known = false;
-			continue;
+			break;
+		default:
+			break;
 		}
-		if (!open) {
-			choice->passed_over.limited++;
-			if (free_at > now)
-				found.room_at = MIN(found.room_at, free_at);
-			if (free_at - now > limit_request.wait)
-				continue;
-		}
-		cost = balance_target_cost(
-			       target, request,
-			       strcmp(target->info.zone, balance->zone) == 0,
-			       target_rank(&preferred, target),
-			       oldest_unanswered_age(balance, target, now),
-			       now) +
-		       (double)kernel_random_below(balance->kernel, 1000) /
-			       1000.0 * JITTER_MS;
-		if (open)
-			keep_cheapest(&found.open, &found.open_cost, target,
-				      cost);
-		else if (free_at <= now)
-			keep_cheapest(&found.free, &found.free_cost, target,
-				      cost);
-		else
-			keep_cheapest(&found.later, &found.later_cost, target,
-				      cost);
 	}
 	decide(&found, choice);
 }
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -15,14 +15,11 @@
 	CHOICE_NONE, /* the service has no target for the request */
 } choice_kind_t;
 
-/* Number of targets of the service, by the reason to pass them over. */
+/* Targets of the service that the request did not go to. */
 typedef struct passed_over_t {
-	uint32_t unavailable; /* draining, or replaced */
-	uint32_t leaving; /* it has stated that it leaves */
-	uint32_t tried; /* the request has failed there */
-	uint32_t paused; /* it wants no requests for a while */
-	uint32_t full; /* as many requests as this instance may have there */
-	uint32_t limited; /* no permit */
+	uint32_t count[PASS_COUNT]; /* by reason */
+	/* Oldest statement that was a reason; monotonic, us; 0: none. */
+	int64_t stated_at;
 } passed_over_t;
 
 typedef struct choice_t {
@@ -43,6 +40,8 @@
 	} u;
 } choice_t;
 
+/* Whether targets were passed over for what they had stated. */
+bool passed_over_stated(const passed_over_t *passed_over);
 /* Chooses the target with the lowest expected delay. */
 void balance_choose(balance_t *balance, const msg_t *request, choice_t *choice);
 /*
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -8,6 +8,7 @@
 /* Suggested to a refused caller if it isn't known when a target has room. */
 #define RETRY_AFTER_MS 300
 #define RETRY_AFTER_MAX_MS 60000
+#define PASSED_OVER_SIZE 160 /* bytes, with terminator */
 
 static void refuse(balance_t *balance, const msg_t *request, refusal_t reason,
 		   uint32_t retry_after_ms)
@@ -55,6 +56,51 @@
 			   : RETRY_AFTER_MS;
 }
 
+static void count_passed_over(balance_t *balance,
+			      const passed_over_t *passed_over)
+{
+	for (int i = PASS_NONE + 1; i < PASS_COUNT; i++)
+		metrics_passed_over(balance->kernel->metrics, (pass_reason_t)i,
+				    passed_over->count[i]);
+}
+
+/* Writes the counts and the age of the oldest statement, for the log. */
+static const char *format_passed_over(const balance_t *balance,
+				      const passed_over_t *passed_over,
+				      char text[PASSED_OVER_SIZE])
+{
+	int64_t age_ms =
+		(kernel_now(balance->kernel) - passed_over->stated_at) /
+		USEC_PER_MSEC;
+	size_t len = 0;
+
+	for (int i = PASS_NONE + 1; i < PASS_COUNT; i++)
+		len += (size_t)g_snprintf(text + len, PASSED_OVER_SIZE - len,
+					  "%s=%u ",
+					  pass_reason_name((pass_reason_t)i),
+					  passed_over->count[i]);
+	g_snprintf(text + len, PASSED_OVER_SIZE - len,
+		   "stated_age_ms=%" G_GINT64_FORMAT,
+		   passed_over->stated_at > 0 ? age_ms : -1);
+	return text;
+}
+
+static void place(balance_t *balance, const msg_t *request,
+		  const choice_t *choice)
+{
+	char text[PASSED_OVER_SIZE];
+
+	count_passed_over(balance, &choice->passed_over);
+	if (passed_over_stated(&choice->passed_over))
+		log_event(LOG_LEVEL_INFO, "balance", "passed_over",
+			  "request=%s target=%s %s",
+			  log_quote(request->u.place.request_id),
+			  choice->u.target->info.id,
+			  format_passed_over(balance, &choice->passed_over,
+					     text));
+	placement_start(balance, request, choice->u.target);
+}
+
 /*
  * Refuses a request that no target has room for in time.  The callers of one
  * service are asked to come back at different times.
@@ -65,22 +111,20 @@
 	bool known = choice->kind == CHOICE_WAIT && choice->u.wait.known;
 	uint32_t wait_ms =
 		retry_after(balance, known ? choice->u.wait.until : 0);
-	const passed_over_t *passed_over = &choice->passed_over;
 	refusal_t reason = choice->kind == CHOICE_NONE ? REFUSAL_NO_TARGET
 						       : REFUSAL_OVERLOADED;
+	char text[PASSED_OVER_SIZE];
 
-	if (passed_over->limited + passed_over->paused > 0)
+	if (passed_over_stated(&choice->passed_over))
 		wait_ms += (uint32_t)kernel_random_below(
 			balance->kernel, MAX(wait_ms, RETRY_AFTER_MS));
+	count_passed_over(balance, &choice->passed_over);
 	log_event(LOG_LEVEL_INFO, "balance", "refused",
-		  "request=%s service=%s reason=%s retry_after_ms=%u "
-		  "unavailable=%u leaving=%u tried=%u paused=%u full=%u "
-		  "limited=%u",
+		  "request=%s service=%s reason=%s retry_after_ms=%u %s",
 		  log_quote(queued->request.u.place.request_id),
 		  queued->request.u.place.service, refusal_name(reason),
-		  wait_ms, passed_over->unavailable, passed_over->leaving,
-		  passed_over->tried, passed_over->paused, passed_over->full,
-		  passed_over->limited);
+		  wait_ms,
+		  format_passed_over(balance, &choice->passed_over, text));
 	refuse(balance, &queued->request, reason, wait_ms);
 	dequeue(balance, queued);
 }
@@ -127,7 +171,7 @@
 		balance_choose(balance, request, &choice);
 		switch (choice.kind) {
 		case CHOICE_TARGET:
-			placement_start(balance, request, choice.u.target);
+			place(balance, request, &choice);
 			dequeue(balance, queued);
 			return;
 		case CHOICE_ASK:
@@ -161,12 +205,12 @@
 	}
 	balance_choose(balance, msg, &choice);
 	if (choice.kind == CHOICE_TARGET) {
-		placement_start(balance, msg, choice.u.target);
+		place(balance, msg, &choice);
 		return;
 	}
 	enqueue(balance, msg);
 	/* More urgent requests claim their permits first. */
-	if (choice.passed_over.limited + choice.passed_over.paused > 0)
+	if (passed_over_stated(&choice.passed_over))
 		queue_run(balance);
 }
 
--- a/kernel/refusal.c
+++ b/kernel/refusal.c
@@ -14,6 +14,12 @@
 #undef X
 };
 
+static const char *const pass_names[PASS_COUNT] = {[PASS_NONE] = "none",
+#define X(id, text) [PASS_##id] = text,
+						   PASS_LIST(X)
+#undef X
+};
+
 const char *refusal_name(refusal_t refusal)
 {
 	return refusal < REFUSAL_COUNT ? refusal_names[refusal] : "unknown";
@@ -24,6 +30,11 @@
 	return failure < FAILURE_COUNT ? failure_names[failure] : "unknown";
 }
 
+const char *pass_reason_name(pass_reason_t reason)
+{
+	return reason < PASS_COUNT ? pass_names[reason] : "unknown";
+}
+
 const char *run_state_name(run_state_t state)
 {
 	switch (state) {
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -65,6 +65,23 @@
 	FAILURE_COUNT,
 } failure_t;
 
+/* Reasons to pass a target over for a request.  Each has a counter. */
+#define PASS_LIST(X)                  \
+	X(UNAVAILABLE, "unavailable") \
+	X(LEAVING, "leaving")         \
+	X(TRIED, "tried")             \
+	X(PAUSED, "paused")           \
+	X(FULL, "full")               \
+	X(LIMITED, "limited")
+
+typedef enum pass_reason_t {
+	PASS_NONE,
+#define X(id, text) PASS_##id,
+	PASS_LIST(X)
+#undef X
+	PASS_COUNT,
+} pass_reason_t;
+
 /* Whether a target has executed a request. */
 typedef enum run_state_t {
 	RUN_NOT_RUN,
@@ -74,6 +91,7 @@
 
 const char *refusal_name(refusal_t refusal);
 const char *failure_name(failure_t failure);
+const char *pass_reason_name(pass_reason_t reason);
 const char *run_state_name(run_state_t state);
 
 G_END_DECLS
--- a/metrics/metrics.c
+++ b/metrics/metrics.c
@@ -55,6 +55,11 @@
 	metrics->retries[reason]++;
 }
 
+void metrics_passed_over(metrics_t *metrics, pass_reason_t reason, uint64_t n)
+{
+	metrics->passed_over[reason] += n;
+}
+
 void metrics_observe(metrics_t *metrics, histogram_id_t id, int64_t us)
 {
 	histogram_t *histogram = &metrics->histograms[id];
@@ -133,6 +138,15 @@
 					      "%" G_GUINT64_FORMAT "\n",
 				       failure_name((failure_t)i),
 				       metrics->retries[i]);
+	print_header(out, "passed_over", "_total",
+		     "targets passed over by reason", "counter");
+	for (int i = PASS_NONE + 1; i < PASS_COUNT; i++)
+		g_string_append_printf(out,
+				       PREFIX
+				       "passed_over_total{reason=\"%s\"} "
+				       "%" G_GUINT64_FORMAT "\n",
+				       pass_reason_name((pass_reason_t)i),
+				       metrics->passed_over[i]);
 	for (int i = 0; i < HISTOGRAM_COUNT; i++)
 		print_histogram(&metrics->histograms[i], &histogram_descs[i],
 				out);
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -123,6 +123,7 @@
 	int64_t gauges[GAUGE_COUNT];
 	uint64_t refusals[REFUSAL_COUNT];
 	uint64_t retries[FAILURE_COUNT];
+	uint64_t passed_over[PASS_COUNT];
 	histogram_t histograms[HISTOGRAM_COUNT];
 } metrics_t;
 
@@ -132,6 +133,8 @@
 void metrics_set(metrics_t *metrics, gauge_t gauge, int64_t value);
 void metrics_refusal(metrics_t *metrics, refusal_t reason);
 void metrics_retry(metrics_t *metrics, failure_t reason);
+/* Counts targets that were passed over for one request. */
+void metrics_passed_over(metrics_t *metrics, pass_reason_t reason, uint64_t n);
 void metrics_observe(metrics_t *metrics, histogram_id_t id, int64_t us);
 
 /* Appends all metrics in the Prometheus text format. */
