Let routers keep to the pause that a target asks for

The same class of fault in the routers: a target that answers 503 with the published Retry-After got further requests at once, and was only taken to be full until its next report. Dispatch now reads the time and route holds the target for it, probes it after that, and refuses at once, with the first end, when all targets are held.

--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -3,6 +3,7 @@
 #include "dispatch/body.h"
 #include "dispatch/head.h"
 #include "dispatch/order.h"
+#include "log/log.h"
 
 #include <errno.h>
 #include <string.h>
@@ -13,6 +14,8 @@
 /* Bytes of an unwanted response read so that the connection can be reused. */
 #define DISCARD_BYTES_MAX 65536
 #define TIMEOUT_MS_DEFAULT 60000 /* replaces a timeout of 0 */
+/* A longer pause is more likely a mistake of the target. */
+#define PAUSE_MAX_S 3600.0
 
 static void read_more(call_t *call);
 
@@ -170,6 +173,27 @@
 		    call->dispatch->route, &msg);
 }
 
+/* Forwards how long a target that refuses a request wants no others. */
+static void post_pause(call_t *call, const char *seconds)
+{
+	msg_t msg = {.kind = MSG_TARGET_PAUSED};
+	double pause_s;
+
+	if (!http_parse_decimal(seconds, &pause_s)) {
+		log_event(LOG_LEVEL_WARN, "dispatch", "field_ignored",
+			  "target=%s:%u field=Retry-After value=%s", call->host,
+			  call->port, log_quote(seconds));
+		return;
+	}
+	g_strlcpy(msg.u.target_paused.host, call->host,
+		  sizeof(msg.u.target_paused.host));
+	msg.u.target_paused.port = call->port;
+	msg.u.target_paused.pause_us =
+		(int64_t)(MIN(pause_s, PAUSE_MAX_S) * (double)USEC_PER_SEC);
+	kernel_post(call->dispatch->kernel, call->dispatch->svc,
+		    call->dispatch->route, &msg);
+}
+
 static bool header_is(SoupMessageHeaders *headers, const char *name,
 		      const char *value)
 {
@@ -189,12 +213,16 @@
 {
 	bool leaving =
 		status == 503 && header_is(headers, "X-Target-Leaving", "1");
+	const char *retry_after =
+		soup_message_headers_get_one(headers, "Retry-After");
 	msg_t msg = {.kind = MSG_TARGET_FAILED};
 
 	if (status != 429 && status != 503)
 		return false;
 	if (leaving)
 		post_leaving(call);
+	else if (status == 503 && retry_after != NULL)
+		post_pause(call, retry_after);
 	msg.u.target_failed.failure =
 		leaving ? FAILURE_LEAVING : FAILURE_OVERLOADED;
 	msg.u.target_failed.not_run =
--- a/kernel/http.c
+++ b/kernel/http.c
@@ -146,3 +146,18 @@
 	*value = number;
 	return true;
 }
+
+bool http_parse_decimal(const char *text, double *value)
+{
+	double number;
+	char *end;
+
+	if (text == NULL || strspn(text, "0123456789.") != strlen(text) ||
+	    strpbrk(text, "0123456789") == NULL)
+		return false;
+	number = g_ascii_strtod(text, &end);
+	if (*end != '\0')
+		return false;
+	*value = number;
+	return true;
+}
--- a/kernel/http.h
+++ b/kernel/http.h
@@ -45,6 +45,11 @@
  * *value unchanged.
  */
 bool http_parse_uint(const char *text, uint64_t max, uint64_t *value);
+/*
+ * Parses a decimal number that is not negative and has no exponent.  On error,
+ * returns false and leaves *value unchanged.
+ */
+bool http_parse_decimal(const char *text, double *value);
 
 G_END_DECLS
 
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -82,6 +82,7 @@
 	MSG_ROUTE_DONE,
 	MSG_TARGET_REPORT, /* dispatch -> route */
 	MSG_TARGET_LEAVING, /* dispatch, instances -> route */
+	MSG_TARGET_PAUSED, /* dispatch -> route: it wants no requests */
 
 	MSG_SEND, /* request -> dispatch */
 	MSG_SEND_STARTED,
@@ -315,6 +316,11 @@
 			uint16_t port;
 			bool leaving; /* false if listed as live again */
 		} target_leaving;
+		struct {
+			char host[HOST_SIZE];
+			uint16_t port;
+			int64_t pause_us;
+		} target_paused;
 
 		struct {
 			char host[HOST_SIZE];
--- a/route/admit.c
+++ b/route/admit.c
@@ -318,6 +318,21 @@
 	shed_load(route, req->group);
 }
 
+/* Returns the time until the first target may be used again, 0 if unknown. */
+static int64_t hold_left(const route_t *route, const group_t *group)
+{
+	int64_t left = 0;
+
+	for (guint i = 0; i < group->targets->len; i++) {
+		int64_t hold = target_hold(
+			route, g_ptr_array_index(group->targets, i));
+
+		if (hold > 0 && (left == 0 || hold < left))
+			left = hold;
+	}
+	return left;
+}
+
 void admit_request(route_t *route, const msg_t *msg)
 {
 	group_t *group = group_find(route, msg->u.route.service);
@@ -325,7 +340,8 @@
 	handle_t self;
 
 	if (group == NULL || count_usable(route, group, msg) == 0) {
-		post_refusal(route, msg->id, REFUSAL_NO_TARGET, 0);
+		post_refusal(route, msg->id, REFUSAL_NO_TARGET,
+			     group != NULL ? hold_left(route, group) : 0);
 		return;
 	}
 	if (msg->u.route.deadline <= kernel_now(route->kernel)) {
--- a/route/outlier.c
+++ b/route/outlier.c
@@ -1,5 +1,6 @@
 #include "route/outlier.h"
 
+#include "log/log.h"
 #include "route/pick.h"
 
 #include <math.h>
@@ -224,12 +225,26 @@
 	suspend_target(route, target, hold);
 }
 
+/* Of several pauses, the one that ends last counts. */
+void outlier_target_paused(route_t *route, target_t *target, int64_t pause)
+{
+	int64_t now = kernel_now(route->kernel);
+
+	if (now + pause <= target->paused_until)
+		return;
+	target->paused_until = now + pause;
+	log_event(LOG_LEVEL_INFO, "route", "paused",
+		  "target=%s pause_ms=%" G_GINT64_FORMAT, target->record.name,
+		  pause / USEC_PER_MSEC);
+	suspend_target(route, target, target_hold(route, target));
+}
+
 void outlier_set_leaving(route_t *route, target_t *target, bool leaving)
 {
 	target->leaving = leaving;
 	if (!leaving && target->hold_until > kernel_now(route->kernel)) {
 		target->hold_until = 0;
-		suspend_target(route, target, 0);
+		suspend_target(route, target, target_hold(route, target));
 	}
 	pick_update(route, target);
 }
--- a/route/outlier.h
+++ b/route/outlier.h
@@ -29,6 +29,8 @@
  * show that it returned.
  */
 void outlier_target_leaving(route_t *route, target_t *target);
+/* The target wants no requests for this time. */
+void outlier_target_paused(route_t *route, target_t *target, int64_t pause);
 /* Records whether the platform lists the target as leaving. */
 void outlier_set_leaving(route_t *route, target_t *target, bool leaving);
 
--- a/route/route.c
+++ b/route/route.c
@@ -100,6 +100,17 @@
 	refresh(route, target->group);
 }
 
+static void on_paused(route_t *route, const msg_t *msg)
+{
+	target_t *target = target_find(route, msg->u.target_paused.host,
+				       msg->u.target_paused.port);
+
+	if (target == NULL)
+		return;
+	outlier_target_paused(route, target, msg->u.target_paused.pause_us);
+	refresh(route, target->group);
+}
+
 static void on_timer(route_t *route, const msg_t *msg)
 {
 	target_t *target;
@@ -168,6 +179,9 @@
 	case MSG_TARGET_LEAVING:
 		on_leaving(route, msg);
 		break;
+	case MSG_TARGET_PAUSED:
+		on_paused(route, msg);
+		break;
 	case MSG_TIMER:
 		on_timer(route, msg);
 		break;
--- a/route/target.c
+++ b/route/target.c
@@ -64,11 +64,17 @@
 	return target->running[WORK_SHORT] + target->running[WORK_LONG];
 }
 
+int64_t target_hold(const route_t *route, const target_t *target)
+{
+	int64_t until = MAX(target->hold_until, target->paused_until);
+
+	return MAX(until - kernel_now(route->kernel), 0);
+}
+
 bool target_is_available(const route_t *route, const target_t *target)
 {
 	return target->configured && !target->leaving &&
-	       !target->record.draining &&
-	       target->hold_until <= kernel_now(route->kernel);
+	       !target->record.draining && target_hold(route, target) == 0;
 }
 
 static double slow_start_factor(const route_t *route, const target_t *target)
--- a/route/target.h
+++ b/route/target.h
@@ -24,6 +24,7 @@
 	bool configured; /* false: removed, kept until running work ends */
 	bool leaving; /* listed as leaving by the platform */
 	int64_t hold_until; /* us, end of the hold of a leaving target */
+	int64_t paused_until; /* us, until then it wants no requests */
 	target_state_t state;
 	bool is_outlier; /* ejected for latency */
 	uint32_t consecutive_ejections; /* ejections and back-offs */
@@ -100,6 +101,8 @@
 /* Removes the target if it isn't configured and runs no requests. */
 void target_remove_unused(route_t *route, target_t *target);
 
+/* Returns the time until the target's hold and its pause are over; us. */
+int64_t target_hold(const route_t *route, const target_t *target);
 /* Returns true unless the target is leaving, held, draining or removed. */
 bool target_is_available(const route_t *route, const target_t *target);
 uint32_t target_running(const target_t *target);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -191,6 +191,8 @@
 			test->order_result = msg->u.order_result.result;
 		else if (msg->kind == MSG_TARGET_REPORT)
 			test->report = *msg;
+		else if (msg->kind == MSG_TARGET_PAUSED)
+			test->pause_us = msg->u.target_paused.pause_us;
 		else if (msg->kind == MSG_TARGET_DATA) {
 			auto *data = (const char *)g_bytes_get_data(
 				msg->u.target_data.bytes, &len);
@@ -349,6 +351,7 @@
 	std::string body;
 	uint32_t status = 0;
 	int64_t tokens = 0;
+	int64_t pause_us = -1;
 };
 
 std::string chunked_response(const std::string &type, const std::string &body,
@@ -541,6 +544,33 @@
 	ASSERT_TRUE(wait([&] { return table_count(&dispatch.calls) == 0; }));
 }
 
+// Guards against a target's pause that is missed, or read from a value that is
+// none.
+TEST_F(DispatchTest, PauseOfATargetIsForwarded)
+{
+	const struct {
+		std::string head;
+		int64_t pause_us;
+	} cases[] = {
+		{"503 x\r\nRetry-After: 2\r\n", 2000000},
+		{"503 x\r\nRetry-After: 0.25\r\n", 250000},
+		{"503 x\r\nRetry-After: 1e9\r\n", -1},
+		{"503 x\r\nRetry-After: -1\r\n", -1},
+		{"503 x\r\nRetry-After: soon\r\n", -1},
+		{"503 x\r\nRetry-After: 99999999999999\r\n", 3600000000},
+		{"429 x\r\nRetry-After: 2\r\n", -1},
+	};
+
+	for (auto &c : cases) {
+		pause_us = -1;
+		expect_failure(
+			{"HTTP/1.1 " + c.head + "Content-Length: 0\r\n\r\n",
+			 false},
+			FAILURE_OVERLOADED, false, false);
+		EXPECT_EQ(pause_us, c.pause_us) << c.head;
+	}
+}
+
 // Guards against a second copy of a refusal that is taken for the response to
 // the next request, which runs: nothing in it tells them apart.
 TEST_F(DispatchTest, NoRequestFollowsARefusalOnItsConnection)
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -176,6 +176,17 @@
 		post(msg);
 	}
 
+	void post_pause(uint16_t port, int64_t pause)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_TARGET_PAUSED;
+		copy(msg.u.target_paused.host, "127.0.0.1", HOST_SIZE);
+		msg.u.target_paused.port = port;
+		msg.u.target_paused.pause_us = pause;
+		post(msg);
+	}
+
 	kernel_t kernel;
 	route_t route;
 	svc_t request, route_svc;
@@ -299,6 +310,27 @@
 	EXPECT_EQ(picks[submit()].name, name);
 }
 
+// Guards against requests to a target that turned one away and asked for a
+// pause, and against callers who are told to come back before any pause ends.
+TEST_F(RouteTest, PausedTargetGetsNothingUntilThePauseEnds)
+{
+	configure(2, 4);
+	post_pause(1, 5 * kSec);
+	post_pause(1, 2 * kSec);
+	post_leaving(1, false);
+	run(4900 * kMsec);
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(picks[submit()].name, "t1");
+	post_pause(2, 20 * kSec);
+	EXPECT_EQ(refusals[submit()], REFUSAL_NO_TARGET);
+	run(200 * kMsec);
+	EXPECT_EQ(picks[submit()].name, "t0");
+	post_pause(1, 10 * kSec);
+	EXPECT_EQ(refusals[submit()], REFUSAL_NO_TARGET);
+	EXPECT_GE(retry_after, 10u);
+	EXPECT_LE(retry_after, 11u);
+}
+
 // Queued requests must not keep waiting when their last target leaves.
 TEST_F(RouteTest, WaitingWorkIsRefusedWhenTheLastTargetLeaves)
 {
