Play targets that state what they want in the soak

Seeds with the prefix stated- add to the faults workers that state that they leave while the store still has them as ready, that they want a pause after a refusal, or how many requests they take, and check that they get no more, by the users' bounds, from gateways that no fault excuses.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -109,6 +109,7 @@
         attempt.status = int(start_line.split(" ")[1])
         if fields.get("attempt-id", attempt.id) != attempt.id:
             attempt.error = "response to another request"
+        self.soak.record_statement(attempt, fields)
         if attempt.status == 200 and attempt.is_stream():
             await self._read_events(attempt, reader)
         else:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,8 @@
 The store and the workers are fakes; the guarantees are checked by what
 clients and workers observe.  A seed determines the plan of faults and the
 requests of the clients, but not the scheduling of the processes.  A seed with
-the prefix "planned-" plays planned work only.
+the prefix "planned-" plays planned work only, one with the prefix "stated-"
+also workers that state what they want.
 """
 import argparse
 import asyncio
@@ -24,6 +25,7 @@
 import planned
 import relay
 import spans
+import statements
 import workers
 import platform_store
 
@@ -38,15 +40,17 @@
 PREPAID_TOKENS = {"small": 40000, "large": 2000000}
 TOP_UP_TOKENS = 10000
 PLANNED_PREFIX = "planned-"
+STATED_PREFIX = "stated-"
+STEPS_STATED = 6  # statements of a run
 
 
 class Soak:
     """One run: the processes, the fakes and what clients and workers saw."""
 
-    def __init__(self, args, seed, folder, is_planned):
+    def __init__(self, args, seed, folder, prefix):
         self.seed = seed
         self.args = args
-        self.is_planned = is_planned
+        self.is_planned = prefix == PLANNED_PREFIX
         # (time, limits) of the configurations
         self.limits = [(0, {"idle_timeout_ms": 15000, "timeout_ms": 6000,
                             "extra_routes": 0, "safe_service": "orders"})]
@@ -150,11 +154,19 @@
             # A draining worker still serves the requests that it receives.
             worker.drain()
             return
+        await self.remove_worker(worker)
+
+    async def remove_worker(self, worker):
         self.add_worker_fault(self.now() + DISCONNECT_DETECT_S)
         self.workers.remove(worker)
         worker.crash()
         self.links.pop(worker).close()
 
+    def record_statement(self, attempt, fields):
+        runs = self.runs.get(attempt.id, [])
+        if runs:
+            runs[-1].worker.statements.answered(attempt, fields)
+
     def record_run(self, run):
         earlier = self.runs[run.attempt_id]
         earlier.append(run)
@@ -297,9 +309,13 @@
         for fault in plan:
             await asyncio.sleep(
                 max(fault.start_s - (self.now() - self.started), 0))
-            tasks.append(asyncio.ensure_future(
-                planned.perform(self, fault) if self.is_planned else
-                faults.inject(self, fault)))
+            if isinstance(fault, statements.Step):
+                action = statements.perform(self, fault)
+            elif self.is_planned:
+                action = planned.perform(self, fault)
+            else:
+                action = faults.inject(self, fault)
+            tasks.append(asyncio.ensure_future(action))
         await asyncio.gather(*tasks)
 
     async def run(self, plan):
@@ -380,13 +396,20 @@
         loop.default_exception_handler(context)
 
 
-async def run_seed(args, seed, is_planned):
+def make_plan(args, seed, prefix):
+    if prefix == PLANNED_PREFIX:
+        return planned.plan(seed, args.seconds, args.faults, args.gateways)
+    plan = faults.plan(seed, args.seconds, args.faults)
+    if prefix == STATED_PREFIX:
+        plan += statements.plan(seed, args.seconds, STEPS_STATED)
+    return sorted(plan, key=lambda step: step.start_s)
+
+
+async def run_seed(args, seed, prefix):
     asyncio.get_running_loop().set_exception_handler(ignore_cancelled)
-    folder = tempfile.mkdtemp(prefix="soak-%s%d-" % (
-        PLANNED_PREFIX if is_planned else "", seed))
-    soak = Soak(args, seed, folder, is_planned)
-    plan = planned.plan(seed, args.seconds, args.faults, args.gateways) \
-        if is_planned else faults.plan(seed, args.seconds, args.faults)
+    folder = tempfile.mkdtemp(prefix="soak-%s%d-" % (prefix, seed))
+    soak = Soak(args, seed, folder, prefix)
+    plan = make_plan(args, seed, prefix)
     try:
         await soak.run(plan)
     finally:
@@ -413,18 +436,21 @@
 
 
 def parse_seeds(text):
-    """Yields pairs of a seed and whether it plays planned work only."""
+    """Yields pairs of a seed and its prefix."""
     for part in text.split(","):
-        is_planned = part.startswith(PLANNED_PREFIX)
-        first, _, last = part.removeprefix(PLANNED_PREFIX).partition("-")
+        prefix = ""
+        for each in (PLANNED_PREFIX, STATED_PREFIX):
+            if part.startswith(each):
+                prefix = each
+        first, _, last = part.removeprefix(prefix).partition("-")
         for seed in range(int(first), int(last or first) + 1):
-            yield seed, is_planned
+            yield seed, prefix
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--binary", default="build/tanagertrestle")
-    parser.add_argument("--seeds", default="1", help="as 1,5-9,planned-1-4")
+    parser.add_argument("--seeds", default="1", help="as 1,5-9,planned-1-4,stated-1-4")
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--clients", type=int, default=24)
@@ -435,9 +461,9 @@
     parser.add_argument("--log-level", default="info")
     args = parser.parse_args()
     args.binary = os.path.abspath(args.binary)
-    failed = ["%s%d" % (PLANNED_PREFIX if is_planned else "", seed)
-              for seed, is_planned in parse_seeds(args.seeds)
-              if not asyncio.run(run_seed(args, seed, is_planned))]
+    failed = ["%s%d" % (prefix, seed)
+              for seed, prefix in parse_seeds(args.seeds)
+              if not asyncio.run(run_seed(args, seed, prefix))]
     if failed:
         print("soak: failed seeds: %s" % " ".join(failed))
     sys.exit(1 if failed else 0)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -4,6 +4,7 @@
 import json
 
 import http1
+import statements
 
 QUEUE_MAX = 4  # queued requests beyond the running ones
 HEARTBEAT_S = 1.2  # between two writes of the worker's entry in the store
@@ -65,6 +66,7 @@
         self.server = None
         self.port = 0
         self.heartbeat = None
+        self.statements = statements.Statements(self)
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -102,6 +104,7 @@
     async def _respond(self, writer, run):
         head = [("Attempt-Id", run.attempt_id), ("Connection", "keep-alive"),
                 ("Instance-Load", "%d,0,%d" % (self.running, self.slots))]
+        head += self.statements.fields()
         if run.kind in ("stream", "fixed"):
             await self._stream(writer, run, head)
             return
@@ -135,10 +138,17 @@
     async def _handle(self, writer, request_line, fields):
         attempt_id = fields.get("attempt-id", "")
         kind = request_line.split(" ")[1].split("/")[1]
+        attempt = self.soak.attempts.get(attempt_id)
+        if attempt is not None:
+            self.statements.arrived(attempt)
+        stated = self.statements.fields()
         if fields.get("expect-instance") != self.id:
             code, reason = 421, "misdirected"
-        elif self.running >= self.slots + QUEUE_MAX:
+        elif self.running >= self.slots + QUEUE_MAX or \
+                self.statements.refuses():
             code, reason = 503, "full"
+            if attempt is not None:
+                stated = self.statements.refusal_fields(attempt)
         else:
             self.running += 1
             try:
@@ -151,7 +161,7 @@
             return
         writer.write(http1.message(
             "HTTP/1.1 %d x" % code,
-            [("Attempt-Id", attempt_id), ("Not-Executed", reason)]))
+            [("Attempt-Id", attempt_id), ("Not-Executed", reason)] + stated))
         await writer.drain()
 
     async def _serve(self, reader, writer):
