Send an engine no more requests than it has slots

A target's requests are known from its load, its peers' announcements and the instance's own. When they reach its slots, an engine is full, and requests wait in the instance's queue by priority, or go elsewhere. Balance.EngineWithoutAFreeSlotGetsNoMore failed before.

--- a/balance/choose.c
+++ b/balance/choose.c
@@ -30,6 +30,19 @@
 	return limit;
 }
 
+/*
+ * Beyond its slots, an engine lets requests wait, in its order and without an
+ * end in sight.
+ */
+static bool is_full(const balance_t *balance, const balance_target_t *target,
+		    int64_t now)
+{
+	if (target->outstanding >= max_outstanding(balance, target))
+		return true;
+	return target->engine && balance_target_requests(target, now) >=
+					 MAX(target->info.slots, 1);
+}
+
 static bool is_avoided(const msg_t *request, handle_t target)
 {
 	for (uint32_t i = 0; i < request->u.place.avoid_count; i++)
@@ -179,7 +192,7 @@
 		return PASS_TRIED;
 	if (notice_is_paused(target, now))
 		return PASS_PAUSED;
-	if (target->outstanding >= max_outstanding(balance, target))
+	if (is_full(balance, target, now))
 		return PASS_FULL;
 	return permit_is_open(target, now) ? PASS_NONE : PASS_LIMITED;
 }
--- a/balance/target.c
+++ b/balance/target.c
@@ -205,6 +205,12 @@
 	return target->outstanding + MAX(others * freshness, announced);
 }
 
+double balance_target_requests(const balance_target_t *target, int64_t now)
+{
+	return estimate_requests(
+		target, target->load.running + target->load.waiting, now);
+}
+
 static double latency_factor(const balance_target_t *target, int64_t now)
 {
 	if (!target->load.known || now - target->load_at > LOAD_MAX_AGE_US)
--- a/balance/target.h
+++ b/balance/target.h
@@ -75,6 +75,9 @@
 				int64_t now);
 void balance_target_add_success(balance_target_t *target, int64_t now);
 
+/* Estimates the requests that run or wait at the target. */
+double balance_target_requests(const balance_target_t *target, int64_t now);
+
 /* Rendezvous hash of a target's id and a prompt's shared parts. */
 uint64_t balance_target_affinity(const balance_target_t *target,
 				 const prompt_part_t *parts, uint32_t count);
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -331,6 +331,30 @@
 	EXPECT_EQ(c.placed[0].second, a.placed[0].second);
 }
 
+// Guards against requests that wait at an engine whose slots are all taken, for
+// longer than their callers do, while the instances see only their own ones.
+TEST(Balance, EngineWithoutAFreeSlotGetsNoMore)
+{
+	instance_t a("z1", 1);
+	peer_body_t body = {};
+
+	a.set_target("engine", "t1", "z1");
+	a.request(1, "engine");
+	ASSERT_EQ(a.placed.size(), 1u);
+	body.kind = PEER_PLACED;
+	g_strlcpy(body.u.placed.target, "t1", sizeof(body.u.placed.target));
+	for (int i = 0; i < 7; i++)
+		a.receive_from_peer(body);
+	a.request(2, "engine");
+	EXPECT_EQ(a.placed.size(), 1u);
+	a.run(100000);
+	EXPECT_EQ(a.reason, REFUSAL_OVERLOADED);
+	/* The requests of the peers end. */
+	a.run(2 * USEC_PER_SEC);
+	a.request(3, "engine");
+	EXPECT_EQ(a.placed.size(), 2u);
+}
+
 // Guards against shared parts that are read at a different target each time
 // while the primary target is busy.
 TEST(Balance, InstancesAgreeOnSecondaryTarget)
