Refuse at once what the requests before it leave no time for

Retry-After was 300 ms whatever the queue.

The time that a request will wait is the number of requests before it over the rate at which requests of its service were placed in the last second. One that waits too long is refused at its arrival, or once a more urgent one takes its place, and Retry-After is that time, up to doubled at random. Balance.RequestBehindALongQueueIsRefusedAtOnce failed before (0 of 160 early).

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -1,5 +1,6 @@
 #include "balance/balance.h"
 
+#include "balance/flow.h"
 #include "balance/home.h"
 #include "balance/notice.h"
 #include "balance/permit.h"
@@ -188,6 +189,7 @@
 	table_init(&balance->placements, sizeof(placement_t));
 	permit_init(balance);
 	notices_init(balance);
+	flows_init(balance);
 	balance->targets_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
 }
@@ -206,6 +208,7 @@
 	table_finish(&balance->placements);
 	table_finish(&balance->asks);
 	notices_finish(balance);
+	flows_finish(balance);
 	peer_set_finish(&balance->peers);
 	kernel_unregister(balance->kernel, balance->svc);
 }
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -39,6 +39,7 @@
 	table_t queue; /* queued_t */
 	table_t placements; /* placement_t */
 	GHashTable *targets_by_id; /* id -> balance_target_t */
+	GHashTable *flows; /* service -> flow_t */
 	GHashTable *kept_notices; /* id -> kept_notice_t, of unlisted targets */
 	uint64_t arrivals; /* orders queued requests of equal priority */
 	table_t asks; /* ask_t */
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -1,10 +1,13 @@
 #include "balance/queue.h"
 
 #include "balance/choose.h"
+#include "balance/flow.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
 #include "log/log.h"
 
+#include <string.h>
+
 /* Suggested to a refused caller if it isn't known when a target has room. */
 #define RETRY_AFTER_MS 300
 #define RETRY_AFTER_MAX_MS 60000
@@ -47,15 +50,6 @@
 	update_queue_gauge(balance);
 }
 
-static uint32_t retry_after(const balance_t *balance, int64_t room_at)
-{
-	int64_t wait_ms =
-		(room_at - kernel_now(balance->kernel)) / USEC_PER_MSEC;
-
-	return wait_ms > 0 ? (uint32_t)MIN(wait_ms, RETRY_AFTER_MAX_MS)
-			   : RETRY_AFTER_MS;
-}
-
 static void count_passed_over(balance_t *balance,
 			      const passed_over_t *passed_over)
 {
@@ -90,6 +84,7 @@
 {
 	char text[PASSED_OVER_SIZE];
 
+	flow_add(balance, request->u.place.service);
 	count_passed_over(balance, &choice->passed_over);
 	if (passed_over_stated(&choice->passed_over))
 		log_event(LOG_LEVEL_INFO, "balance", "passed_over",
@@ -101,23 +96,64 @@
 	placement_start(balance, request, choice->u.target);
 }
 
+static bool precedes(const queued_t *a, const queued_t *b)
+{
+	if (a->request.u.place.priority != b->request.u.place.priority)
+		return a->request.u.place.priority <
+		       b->request.u.place.priority;
+	return a->arrival < b->arrival;
+}
+
+/* Counts the requests of the same service that are placed before this one. */
+static uint32_t count_ahead(const balance_t *balance, const queued_t *queued)
+{
+	const queued_t *other;
+	uint32_t cursor = 0, ahead = 0;
+
+	while ((other = table_next(&balance->queue, &cursor, NULL)) != NULL)
+		ahead += other != queued && precedes(other, queued) &&
+			 strcmp(other->request.u.place.service,
+				queued->request.u.place.service) == 0;
+	return ahead;
+}
+
+/*
+ * Returns when a target may have room for the request, as far as is known;
+ * monotonic, us.
+ */
+static int64_t room_at(balance_t *balance, const queued_t *queued,
+		       const choice_t *choice)
+{
+	if (choice->kind == CHOICE_WAIT && choice->u.wait.known)
+		return choice->u.wait.until;
+	return kernel_now(balance->kernel) +
+	       flow_time(balance, queued->request.u.place.service,
+			 count_ahead(balance, queued));
+}
+
 /*
- * Refuses a request that no target has room for in time.  The callers of one
- * service are asked to come back at different times.
+ * Returns the time until a target may have room, up to doubled at random: the
+ * callers that are refused must not all come back at one moment.
  */
+static uint32_t retry_after_ms(const balance_t *balance, int64_t at)
+{
+	int64_t wait_ms = (at - kernel_now(balance->kernel)) / USEC_PER_MSEC;
+	uint32_t least_ms =
+		(uint32_t)CLAMP(wait_ms, RETRY_AFTER_MS, RETRY_AFTER_MAX_MS);
+
+	return least_ms +
+	       (uint32_t)kernel_random_below(balance->kernel, least_ms);
+}
+
+/* Refuses a request that no target has room for before this time. */
 static void refuse_choice(balance_t *balance, queued_t *queued,
-			  const choice_t *choice)
+			  const choice_t *choice, int64_t at)
 {
-	bool known = choice->kind == CHOICE_WAIT && choice->u.wait.known;
-	uint32_t wait_ms =
-		retry_after(balance, known ? choice->u.wait.until : 0);
 	refusal_t reason = choice->kind == CHOICE_NONE ? REFUSAL_NO_TARGET
 						       : REFUSAL_OVERLOADED;
+	uint32_t wait_ms = retry_after_ms(balance, at);
 	char text[PASSED_OVER_SIZE];
 
-	if (passed_over_stated(&choice->passed_over))
-		wait_ms += (uint32_t)kernel_random_below(
-			balance->kernel, MAX(wait_ms, RETRY_AFTER_MS));
 	count_passed_over(balance, &choice->passed_over);
 	log_event(LOG_LEVEL_INFO, "balance", "refused",
 		  "request=%s service=%s reason=%s retry_after_ms=%u %s",
@@ -161,6 +197,20 @@
 	permit_ask(balance, choice->u.ask.target, queued, &limit_request);
 }
 
+static void wait_or_refuse(balance_t *balance, queued_t *queued,
+			   const choice_t *choice)
+{
+	int64_t at;
+
+	if (claim_permit(balance, &queued->request))
+		return;
+	at = room_at(balance, queued, choice);
+	if (at > queued->request.u.place.deadline)
+		refuse_choice(balance, queued, choice, at);
+	else if (choice->u.wait.until < INT64_MAX)
+		queue_wake_at(balance, choice->u.wait.until);
+}
+
 /* Asks for permits as long as this instance answers them itself. */
 static void try_place(balance_t *balance, queued_t *queued)
 {
@@ -181,13 +231,7 @@
 			ask(balance, queued, &choice);
 			break;
 		case CHOICE_WAIT:
-			if (claim_permit(balance, request))
-				return;
-			if (choice.u.wait.known &&
-			    choice.u.wait.until > request->u.place.deadline)
-				refuse_choice(balance, queued, &choice);
-			else if (choice.u.wait.until < INT64_MAX)
-				queue_wake_at(balance, choice.u.wait.until);
+			wait_or_refuse(balance, queued, &choice);
 			return;
 		case CHOICE_NONE:
 			return;
@@ -210,18 +254,10 @@
 	}
 	enqueue(balance, msg);
 	/* More urgent requests claim their permits first. */
-	if (passed_over_stated(&choice.passed_over))
+	if (choice.kind != CHOICE_NONE)
 		queue_run(balance);
 }
 
-static bool precedes(const queued_t *a, const queued_t *b)
-{
-	if (a->request.u.place.priority != b->request.u.place.priority)
-		return a->request.u.place.priority <
-		       b->request.u.place.priority;
-	return a->arrival < b->arrival;
-}
-
 void queue_run(balance_t *balance)
 {
 	GPtrArray *order;
@@ -273,7 +309,8 @@
 		return;
 	queued->timer = HANDLE_NONE;
 	balance_choose(balance, &queued->request, &choice);
-	refuse_choice(balance, queued, &choice);
+	refuse_choice(balance, queued, &choice,
+		      room_at(balance, queued, &choice));
 }
 
 void queue_cancel(balance_t *balance, const msg_t *msg)
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -305,6 +305,38 @@
 	EXPECT_EQ(a.placed.size(), 2u);
 }
 
+// Guards against requests that are held until their deadline although the
+// queue before them is too long.
+TEST(Balance, RequestBehindALongQueueIsRefusedAtOnce)
+{
+	instance_t a("z1", 1);
+	std::map<uint32_t, int64_t> asked;
+	int64_t begin = kernel_now(&a.kernel);
+	size_t early = 0, refused = 0;
+
+	a.set_target("call", "i-1", "z1", false, false, 1);
+	/* 100 requests a second, of which the target takes 20. */
+	for (uint32_t i = 1; i <= 400; i++) {
+		asked[i] = kernel_now(&a.kernel);
+		a.request(i, "call");
+		a.run(10000);
+		if (i % 5 == 0 && i / 5 - 1 < a.placements.size())
+			a.finish_request(i / 5 - 1, PLACE_OK);
+		if (kernel_now(&a.kernel) - begin < 2 * USEC_PER_SEC) {
+			refused = a.refused.size();
+			continue;
+		}
+		for (; refused < a.refused.size(); refused++)
+			early += kernel_now(&a.kernel) -
+					 asked[a.refused[refused]] <=
+				 20000;
+	}
+	EXPECT_GE(a.placed.size(), 78u);
+	EXPECT_GE(a.refused.size(), 300u);
+	/* Of 160 requests of the last two seconds that find no room. */
+	EXPECT_GE(early, 130u);
+}
+
 // Guards against streams that stall while prompts of other instances are read:
 // without announcements, instances send prompts to the same target.
 TEST(Balance, TargetReadingAPeersPromptIsAvoided)
