Repeat the probe of a prompt part that did not run after a minute

The instance that sent it now takes the strike back and probes again a minute later; the others wait for its result, as before.

--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -70,6 +70,7 @@
 	int64_t first_event_at; /* monotonic, us, 0: none */
 	bool attempt_began; /* an event, or bytes of a buffered body, came */
 	int64_t attempt_began_at; /* monotonic, us, if it has */
+	bool probing; /* the attempt probes parts whose quarantine is over */
 	bool survived; /* the attempt's response has gone on */
 	int64_t last_event_at; /* monotonic, us */
 	int64_t longest_gap; /* us, between two events */
@@ -146,7 +147,9 @@
  * Called before a request is sent.  Returns false if a part is in quarantine,
  * or is being probed by another request.
  */
-bool parts_admit(proxy_t *proxy, const exchange_spec_t *spec);
+bool parts_admit(proxy_t *proxy, exchange_t *exchange);
+/* The attempt did not run, so it has probed nothing. */
+void parts_not_run(proxy_t *proxy, exchange_t *exchange);
 /* Counts the crash of the target of these suspects, which share a weight. */
 void parts_crashed(proxy_t *proxy, const suspect_t *const *suspects,
 		   uint32_t count);
--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -27,6 +27,7 @@
 #define CRASH_NEWS_MS ((int64_t)10 * 60 * 1000)
 /* A quarantine that is told at once is younger. */
 #define QUARANTINE_NEWS_MS 1000
+#define PROBE_RETRY_MS 60000 /* after a probe that did not run */
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
 
 typedef struct kept_crash_t {
@@ -385,6 +386,19 @@
 	return true;
 }
 
+bool part_quarantine_probe_unused(part_quarantine_t *quarantine, uint64_t part,
+				  int64_t now)
+{
+	part_entry_t *entry = find_entry(quarantine, part);
+
+	if (entry == NULL || !entry->held || !entry->probed)
+		return false;
+	entry->probed = false;
+	entry->strikes--;
+	entry->until = now + PROBE_RETRY_MS;
+	return true;
+}
+
 bool part_quarantine_sentence(const part_quarantine_t *quarantine,
 			      uint64_t part, int64_t now,
 			      part_sentence_t *sentence)
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -104,6 +104,12 @@
 /* Returns false if another request probes the part. */
 bool part_quarantine_begin_probe(part_quarantine_t *quarantine, uint64_t part,
 				 int64_t now);
+/*
+ * The request that probed the part did not run: another may soon.  Returns
+ * false if the part is not being probed.
+ */
+bool part_quarantine_probe_unused(part_quarantine_t *quarantine, uint64_t part,
+				  int64_t now);
 /* Returns false if the part is not in quarantine. */
 bool part_quarantine_sentence(const part_quarantine_t *quarantine,
 			      uint64_t part, int64_t now,
--- a/proxy/parts.c
+++ b/proxy/parts.c
@@ -154,21 +154,45 @@
 	return true;
 }
 
-bool parts_admit(proxy_t *proxy, const exchange_spec_t *spec)
+bool parts_admit(proxy_t *proxy, exchange_t *exchange)
 {
+	const exchange_spec_t *spec = exchange->spec;
+
+	exchange->probing = false;
 	if (parts_quarantined(proxy, spec))
 		return false;
 	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++) {
 		uint64_t part = spec->parts[i].id;
 
-		if (part_quarantine_state(&proxy->parts, part, now_ms(proxy)) ==
-			    PART_PROBE_DUE &&
-		    !begin_probe(proxy, spec, part))
+		if (part_quarantine_state(&proxy->parts, part, now_ms(proxy)) !=
+		    PART_PROBE_DUE)
+			continue;
+		if (!begin_probe(proxy, spec, part)) {
+			parts_not_run(proxy, exchange);
 			return false;
+		}
+		exchange->probing = true;
 	}
 	return true;
 }
 
+void parts_not_run(proxy_t *proxy, exchange_t *exchange)
+{
+	const exchange_spec_t *spec = exchange->spec;
+
+	if (!exchange->probing)
+		return;
+	exchange->probing = false;
+	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++) {
+		if (!part_quarantine_probe_unused(
+			    &proxy->parts, spec->parts[i].id, now_ms(proxy)))
+			continue;
+		log_event(LOG_LEVEL_INFO, "proxy", "part_probe_unused",
+			  "part=" PART_FORMAT " request=%s", spec->parts[i].id,
+			  log_quote(spec->request_id));
+	}
+}
+
 static void add_part(crash_parts_t *list, const suspect_t *suspect,
 		     uint64_t part)
 {
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -102,6 +102,8 @@
 
 	if (ran)
 		exchange->runs++;
+	else
+		parts_not_run(proxy, exchange);
 	exchange_release_target(proxy, exchange, result);
 	retry = may_retry(proxy, exchange, failure, ran);
 	log_failure(exchange, failure, ran, retry);
