--- a/dispatch/call.c
+++ b/dispatch/call.c
@@ -3,7 +3,7 @@
 #include "dispatch/body.h"
 #include "dispatch/head.h"
 #include "dispatch/order.h"
-#include "log/log.h"
+#include "dispatch/statement.h"
 
 #include <errno.h>
 #include <string.h>
@@ -14,12 +14,10 @@
 /* Bytes of an unwanted response read so that the connection can be reused. */
 #define DISCARD_BYTES_MAX 65536
 #define TIMEOUT_MS_DEFAULT 60000 /* replaces a timeout of 0 */
-/* A longer pause is more likely a mistake of the target. */
-#define PAUSE_MAX_S 3600.0
 
 static void read_more(call_t *call);
 
-static void post(call_t *call, msg_t *msg)
+void call_post(call_t *call, msg_t *msg)
 {
 	if (call->is_order) {
 		order_recv(call, msg);
@@ -73,7 +71,7 @@
 
 	msg.u.target_failed.failure = failure;
 	msg.u.target_failed.reset = reset;
-	post(call, &msg);
+	call_post(call, &msg);
 	call->ended = true;
 }
 
@@ -135,104 +133,6 @@
 	       g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT);
 }
 
-static void post_load_report(call_t *call, SoupMessageHeaders *headers)
-{
-	const char *running =
-		soup_message_headers_get_one(headers, "X-Load-Running");
-	const char *queued =
-		soup_message_headers_get_one(headers, "X-Load-Queued");
-	msg_t msg = {.kind = MSG_TARGET_REPORT};
-	guint64 running_count, queued_count = 0;
-
-	if (running == NULL ||
-	    !g_ascii_string_to_unsigned(running, 10, 0, G_MAXUINT32,
-					&running_count, NULL))
-		return;
-	if (queued != NULL &&
-	    !g_ascii_string_to_unsigned(queued, 10, 0, G_MAXUINT32,
-					&queued_count, NULL))
-		return;
-	g_strlcpy(msg.u.target_report.host, call->host,
-		  sizeof(msg.u.target_report.host));
-	msg.u.target_report.port = call->port;
-	msg.u.target_report.running = (uint32_t)running_count;
-	msg.u.target_report.queued = (uint32_t)queued_count;
-	kernel_post(call->dispatch->kernel, call->dispatch->svc,
-		    call->dispatch->route, &msg);
-}
-
-static void post_leaving(call_t *call)
-{
-	msg_t msg = {.kind = MSG_TARGET_LEAVING};
-
-	g_strlcpy(msg.u.target_leaving.host, call->host,
-		  sizeof(msg.u.target_leaving.host));
-	msg.u.target_leaving.port = call->port;
-	msg.u.target_leaving.leaving = true;
-	kernel_post(call->dispatch->kernel, call->dispatch->svc,
-		    call->dispatch->route, &msg);
-}
-
-/* Forwards how long a target that refuses a request wants no others. */
-static void post_pause(call_t *call, const char *seconds)
-{
-	msg_t msg = {.kind = MSG_TARGET_PAUSED};
-	double pause_s;
-
-	if (!http_parse_decimal(seconds, &pause_s)) {
-		log_event(LOG_LEVEL_WARN, "dispatch", "field_ignored",
-			  "target=%s:%u field=Retry-After value=%s", call->host,
-			  call->port, log_quote(seconds));
-		return;
-	}
-	g_strlcpy(msg.u.target_paused.host, call->host,
-		  sizeof(msg.u.target_paused.host));
-	msg.u.target_paused.port = call->port;
-	msg.u.target_paused.pause_us =
-		(int64_t)(MIN(pause_s, PAUSE_MAX_S) * (double)USEC_PER_SEC);
-	kernel_post(call->dispatch->kernel, call->dispatch->svc,
-		    call->dispatch->route, &msg);
-}
-
-static bool header_is(SoupMessageHeaders *headers, const char *name,
-		      const char *value)
-{
-	const char *got = soup_message_headers_get_one(headers, name);
-
-	return got != NULL && strcmp(got, value) == 0;
-}
-
-/*
- * Reports a response by which the target refuses the request, and returns true.
- * Returns false for any other response.  Responses carry no id, so the next
- * request could get a second copy of a statement that nothing ran: it must not
- * use the connection.
- */
-static bool handle_refusal(call_t *call, SoupMessageHeaders *headers,
-			   uint32_t status)
-{
-	bool leaving =
-		status == 503 && header_is(headers, "X-Target-Leaving", "1");
-	const char *retry_after =
-		soup_message_headers_get_one(headers, "Retry-After");
-	msg_t msg = {.kind = MSG_TARGET_FAILED};
-
-	if (status != 429 && status != 503)
-		return false;
-	if (leaving)
-		post_leaving(call);
-	else if (status == 503 && retry_after != NULL)
-		post_pause(call, retry_after);
-	msg.u.target_failed.failure =
-		leaving ? FAILURE_LEAVING : FAILURE_OVERLOADED;
-	msg.u.target_failed.not_run =
-		header_is(headers, "X-Request-State", "not_run");
-	post(call, &msg);
-	call->ended = true;
-	call->discard = !msg.u.target_failed.not_run;
-	return true;
-}
-
 static void post_head(call_t *call, SoupMessageHeaders *headers,
 		      uint32_t status)
 {
@@ -246,7 +146,7 @@
 	msg.u.target_head.status = status;
 	g_strlcpy(msg.u.target_head.content_type, type,
 		  sizeof(msg.u.target_head.content_type));
-	post(call, &msg);
+	call_post(call, &msg);
 }
 
 static void post_end(call_t *call)
@@ -261,7 +161,7 @@
 	msg.u.target_end.completion_tokens = tokens->usage_known
 						     ? tokens->completion_tokens
 						     : tokens->content_records;
-	post(call, &msg);
+	call_post(call, &msg);
 	call->ended = true;
 	kernel_timer_cancel(call->dispatch->kernel, &call->timer);
 }
@@ -339,7 +239,7 @@
 			g_bytes_get_size(bytes));
 	msg.u.target_data.marker = call->tokens.done;
 	msg.u.target_data.bytes = g_bytes_ref(bytes);
-	post(call, &msg);
+	call_post(call, &msg);
 }
 
 /* Handles the bytes of one read.  Returns false if reading must stop. */
@@ -532,8 +432,8 @@
 				 ? soup_message_headers_get_encoding(headers)
 				 : SOUP_ENCODING_NONE;
 	find_socket(call);
-	post_load_report(call, headers);
-	if (!handle_refusal(call, headers, status))
+	statement_report_load(call, headers);
+	if (!statement_refuses(call, headers, status))
 		post_head(call, headers, status);
 	if (call->ended && !call->discard)
 		close_connection(call);
@@ -692,7 +592,7 @@
 	msg_t started = {.kind = MSG_SEND_STARTED};
 	call_t *call = new_call(dispatch, msg);
 
-	post(call, &started);
+	call_post(call, &started);
 	start_call(call, msg);
 }
 
--- a/dispatch/call.h
+++ b/dispatch/call.h
@@ -51,6 +51,8 @@
 		     int64_t send_before);
 /* Handles a message whose ref is a call.  A stale ref is ignored. */
 void call_recv(dispatch_t *dispatch, const msg_t *msg);
+/* Sends a message about the call to its owner. */
+void call_post(call_t *call, msg_t *msg);
 /* Ends a call without a message to its owner. */
 void call_abort(call_t *call);
 
