Give no final refusal by a configuration that is known to be outdated

The trace: version 5 is acknowledged at 16.143 s; the instance's read of the store, sent for it, fails at 18.27 s; a push at 18.45 s tells that a large item is missing; the next thing that arrives is the configuration, at 22.42 s. From 18.45 s on it knows that it is behind, and answers 404 at 22.43 s to a request that the newer version has a route for, which its caller does not repeat.

An instance that knows of a newer configuration answers 503 instead of 401 and 404. It also asks the sender of the push for the missing item at once if the store does not answer it; pushes that went on counted as complete, so nothing was asked for up to 4 s. Replica.FollowerWithoutTheStorePullsOmittedItems and Proxy.RefusalByAnOutdatedConfigurationIsNotFinal failed before.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -63,6 +63,21 @@
 	kernel_post(fleet->kernel, fleet->svc, to, &msg);
 }
 
+static void post_behind(fleet_t *fleet, svc_t to)
+{
+	msg_t msg = {.kind = MSG_FLEET_BEHIND};
+
+	msg.u.fleet_behind.behind = fleet->behind;
+	kernel_post(fleet->kernel, fleet->svc, to, &msg);
+}
+
+static void set_behind(fleet_t *fleet, bool behind)
+{
+	fleet->behind = behind;
+	for (uint32_t i = 0; i < fleet->subscriber_count; i++)
+		post_behind(fleet, fleet->subscribers[i]);
+}
+
 static void subscribe(fleet_t *fleet, svc_t subscriber)
 {
 	GHashTableIter iter;
@@ -73,6 +88,7 @@
 	fleet->subscribers[fleet->subscriber_count++] = subscriber;
 	post_conf(fleet, subscriber);
 	post_size(fleet, subscriber);
+	post_behind(fleet, subscriber);
 	g_hash_table_iter_init(&iter, fleet->targets);
 	while (g_hash_table_iter_next(&iter, NULL, &data))
 		post_target(fleet, subscriber,
@@ -240,6 +256,9 @@
 	case MSG_STORE_EVENT:
 		handle_store_event(fleet, msg->u.store_result);
 		break;
+	case MSG_FLEET_BEHIND:
+		set_behind(fleet, msg->u.fleet_behind.behind);
+		break;
 	case MSG_FLEET_SIZE:
 		set_instances(fleet, msg->u.fleet_size.instances);
 		break;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -20,6 +20,7 @@
 	fleet_conf_t *conf; /* NULL until one is received */
 	GHashTable *targets; /* id -> known_target_t */
 	bool store_up;
+	bool behind; /* a newer configuration has not arrived yet */
 	int64_t store_up_since; /* last recovery, monotonic, us */
 	uint32_t instances;
 	handle_t removal_timer; /* applies the pending removals */
--- a/front/refusal.c
+++ b/front/refusal.c
@@ -53,6 +53,8 @@
 				   "the target failed and no retry is left"},
 	[REFUSAL_NO_CONFIGURATION] = {REFUSAL_NO_CONFIGURATION, 503, 1,
 				      "no configuration is known yet"},
+	[REFUSAL_CONF_BEHIND] = {REFUSAL_CONF_BEHIND, 503, 1,
+				 "a newer configuration is being read"},
 	[REFUSAL_NO_ROUTE] = {REFUSAL_NO_ROUTE, 404, 0,
 			      "no route has this host and path"},
 	[REFUSAL_NOT_GENUINE] = {REFUSAL_NOT_GENUINE, 502, 0,
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -155,6 +155,7 @@
 	MSG_FLEET_SUBSCRIBE, /* any -> fleet */
 	MSG_FLEET_CONF, /* a newer configuration took effect */
 	MSG_FLEET_TARGET, /* a target was added, changed or removed */
+	MSG_FLEET_BEHIND, /* a newer configuration has not arrived yet */
 	MSG_FLEET_SIZE, /* number of instances in the fleet */
 
 	MSG_SPEND, /* proxy -> prepaid: ends a reservation */
@@ -499,6 +500,9 @@
 			fleet_target_t target;
 			bool gone;
 		} fleet_target;
+		struct {
+			bool behind;
+		} fleet_behind; /* replica -> fleet -> subscribers */
 		struct {
 			uint32_t instances; /* including this one */
 		} fleet_size;
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -30,6 +30,7 @@
 	X(TARGET_FAILED, "target_failed")           \
 	X(RETRIES_SPENT, "retries_spent")           \
 	X(NO_CONFIGURATION, "no_configuration")     \
+	X(CONF_BEHIND, "configuration_behind")      \
 	X(NO_ROUTE, "no_route")                     \
 	X(NOT_GENUINE, "not_genuine")               \
 	X(STOPPING, "stopping")                     \
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -347,6 +347,10 @@
 	started.id = self;
 	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &started);
 	reason = admit(proxy, exchange);
+	/* The newer configuration may have the route or the key. */
+	if (proxy->conf_behind &&
+	    (reason == REFUSAL_NO_ROUTE || reason == REFUSAL_UNAUTHENTICATED))
+		reason = REFUSAL_CONF_BEHIND;
 	if (reason != REFUSAL_NONE) {
 		exchange_refuse(proxy, exchange, reason, 0);
 		return;
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -139,6 +139,9 @@
 		fleet_conf_unref(proxy->conf);
 		proxy->conf = g_steal_pointer(&msg->u.fleet_conf);
 		break;
+	case MSG_FLEET_BEHIND:
+		proxy->conf_behind = msg->u.fleet_behind.behind;
+		break;
 	case MSG_FLEET_SIZE:
 		proxy->instances = msg->u.fleet_size.instances;
 		break;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -69,6 +69,7 @@
 	svc_t peer;
 	proxy_opts_t opts;
 	fleet_conf_t *conf; /* NULL until one is received */
+	bool conf_behind; /* a newer configuration has not arrived yet */
 	uint32_t instances; /* size of the fleet, including this one */
 	table_t exchanges; /* exchange_t */
 	int64_t stop_deadline; /* end of a planned stop, monotonic, us; 0: none
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -25,6 +25,11 @@
 #define OUTAGE_RETRY_US USEC_PER_SEC
 #define OUTAGE_RETRY_STANDBY_US (2 * USEC_PER_SEC)
 #define OUTAGE_RETRY_OTHERS_US (4 * USEC_PER_SEC)
+/*
+ * Interval between two pulls of a large item that a push has left out.  On a
+ * full link, one takes seconds to arrive.
+ */
+#define MISSING_PULL_US (2 * USEC_PER_SEC)
 /*
  * Larger items are not pushed: a configuration of some 100 kB, sent to each
  * instance of a zone, would saturate the reader's link for seconds.  The store
@@ -300,6 +305,22 @@
 	}
 }
 
+/*
+ * Reads the items that a push has left out, or asks its sender for them while
+ * the store does not respond to this instance.
+ */
+static void fetch_missing(replica_t *replica, const msg_t *msg)
+{
+	int64_t now = kernel_now(replica->kernel);
+
+	if (replica->store_up) {
+		replica_request_read(replica);
+	} else if (now - replica->last_pull_at >= MISSING_PULL_US) {
+		replica->last_pull_at = now;
+		send_pull(replica, msg->u.peer.incarnation);
+	}
+}
+
 /* Has the store service decode the items, as it decodes what it reads. */
 static void items_received(replica_t *replica, msg_t *msg)
 {
@@ -308,6 +329,8 @@
 			.id = {.index = READ_RELAYED, .gen = 1}};
 
 	drop_known_items(replica, body->u.store_items.items);
+	if (body->u.store_items.partial)
+		replica_set_missing(replica, body->u.store_items.up_to + 1);
 	if (body->u.store_items.after > replica->revision ||
 	    (!replica->synced && body->u.store_items.after > 0)) {
 		/*
@@ -330,7 +353,7 @@
 	}
 	if (body->u.store_items.partial &&
 	    body->u.store_items.up_to >= replica->revision)
-		replica_request_read(replica);
+		fetch_missing(replica, msg);
 	if (body->u.store_items.up_to <= replica->revision &&
 	    body->u.store_items.items->len == 0) {
 		replica_forward_changes(replica);
--- a/replica/relay.h
+++ b/replica/relay.h
@@ -30,6 +30,8 @@
 void replica_pull_next_peer(replica_t *replica);
 /* Schedules a read from the store, even while readers push all changes. */
 void replica_request_read(replica_t *replica);
+/* A change up to this revision exists that pushes do not bring. */
+void replica_set_missing(replica_t *replica, int64_t revision);
 void replica_peer_received(replica_t *replica, msg_t *msg);
 
 G_END_DECLS
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -38,6 +38,45 @@
 			   store_result_new(up ? STORE_OK : STORE_UNAVAILABLE));
 }
 
+static void post_behind(replica_t *replica)
+{
+	bool behind = replica->missing_revision != 0;
+
+	log_event(LOG_LEVEL_INFO, "replica", "behind",
+		  "behind=%d revision=%" G_GINT64_FORMAT
+		  " missing=%" G_GINT64_FORMAT " store_up=%d",
+		  behind, replica->revision, replica->missing_revision,
+		  replica->store_up);
+	for (uint32_t i = 0; i < replica->watch_count; i++) {
+		msg_t msg = {.kind = MSG_FLEET_BEHIND};
+
+		msg.u.fleet_behind.behind = behind;
+		kernel_post(replica->kernel, replica->svc,
+			    replica->watches[i].owner, &msg);
+	}
+}
+
+void replica_set_missing(replica_t *replica, int64_t revision)
+{
+	bool was_behind = replica->missing_revision != 0;
+
+	if (revision <= replica->revision)
+		return;
+	replica->missing_revision = MAX(replica->missing_revision, revision);
+	if (!was_behind)
+		post_behind(replica);
+}
+
+static void advance(replica_t *replica, int64_t revision)
+{
+	replica->revision = MAX(replica->revision, revision);
+	if (replica->missing_revision == 0 ||
+	    replica->revision < replica->missing_revision)
+		return;
+	replica->missing_revision = 0;
+	post_behind(replica);
+}
+
 /* Stores a state that is newer than the known one and notifies the watches. */
 static void apply_kv(replica_t *replica, const store_kv_t *kv)
 {
@@ -130,7 +169,7 @@
 		apply_kv(replica, &g_array_index(deleted, store_kv_t, i));
 	g_array_unref(deleted);
 	g_hash_table_remove_all(replica->listed_keys);
-	replica->revision = MAX(replica->revision, replica->list_revision);
+	advance(replica, replica->list_revision);
 	replica->synced = true;
 	log_event(LOG_LEVEL_INFO, "replica", "listed",
 		  "revision=%" G_GINT64_FORMAT " keys=%u", replica->revision,
@@ -163,7 +202,7 @@
 static void changes_received(replica_t *replica, const store_result_t *result)
 {
 	apply_all(replica, result);
-	replica->revision = MAX(replica->revision, result->revision);
+	advance(replica, result->revision);
 	replica_push_changes(replica);
 	schedule(replica, poll_interval(replica));
 }
@@ -216,7 +255,7 @@
 {
 	apply_all(replica, result);
 	if (result->revision > replica->revision) {
-		replica->revision = result->revision;
+		advance(replica, result->revision);
 		replica->synced = true;
 	}
 	replica_forward_changes(replica);
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -48,6 +48,9 @@
 	uint32_t watch_count;
 	GHashTable *entries; /* key -> replica_entry_t */
 	int64_t revision; /* entries hold all changes up to this revision */
+	/* A change of this revision is known of and not here; 0: none. */
+	int64_t missing_revision;
+	int64_t last_pull_at; /* monotonic, us, pull for the missing change */
 	bool synced; /* entries hold the complete state at revision */
 	bool store_up; /* the last read succeeded */
 	bool read_requested; /* the next timer reads, even in a follower */
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -275,6 +275,14 @@
 		kernel_post(&kernel, ingress, proxy.svc, &msg);
 		run(0);
 	}
+	void post_behind(bool behind)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_FLEET_BEHIND;
+		msg.u.fleet_behind.behind = behind;
+		kernel_post(&kernel, fleet, proxy.svc, &msg);
+	}
 	void stop(int64_t us)
 	{
 		msg_t msg = {};
@@ -807,7 +815,23 @@
 	EXPECT_EQ(attempts, 0);
 }
 
-// A request that crashes its targets must not reach all of them.
+// Guards against a 401 or a 404 that ends a request which the configuration in
+// force elsewhere allows.
+TEST_F(Proxy, RefusalByAnOutdatedConfigurationIsNotFinal)
+{
+	post_behind(true);
+	for (const char *path : {"/none/x", "/safe/x"}) {
+		post_open(path, path[1] == 'n' ? "key" : "unknown");
+		EXPECT_EQ(status, 503u) << path;
+		EXPECT_TRUE(retry_after) << path;
+	}
+	post_open("/safe/x");
+	EXPECT_EQ(attempts, 1);
+	post_behind(false);
+	post_open("/none/x");
+	EXPECT_EQ(status, 404u);
+}
+
 TEST_F(Proxy, RequestThatCrashesTargetsIsQuarantined)
 {
 	for (int i = 0; i < 3; i++) {
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -150,6 +150,8 @@
 		Replica *r = static_cast<Replica *>(self);
 		const store_result_t *result = msg->u.store_result;
 
+		if (msg->kind == MSG_FLEET_BEHIND)
+			r->behind = msg->u.fleet_behind.behind;
 		if (msg->kind != MSG_STORE_EVENT)
 			return;
 		if (result->kvs->len == 0)
@@ -231,6 +233,7 @@
 	size_t pushed = 0, decoded = 0; // number of items
 	int64_t push_after = 0, push_up_to = 0;
 	bool push_partial = false;
+	bool behind = false;
 	int events = 0;
 };
 
@@ -434,6 +437,31 @@
 	EXPECT_EQ(replica.revision, 14);
 }
 
+// Guards against a configuration that is seconds late at an instance which the
+// store does not answer, while pushes without it go on, and against final
+// refusals by the older one meanwhile.
+TEST_F(Replica, FollowerWithoutTheStorePullsOmittedItems)
+{
+	start();
+	connect_large_fleet(false);
+	run(600000);
+	receive_items(9, 10);
+	status = STORE_UNAVAILABLE;
+	run(2 * USEC_PER_SEC);
+	ASSERT_FALSE(store_reported_up);
+	receive_items(10, 10);
+	pulls.clear();
+	EXPECT_FALSE(behind);
+	receive_items(10, 13, nullptr, false, true, true);
+	EXPECT_TRUE(behind);
+	EXPECT_EQ(pulls, std::vector<std::string>{"a100"});
+	receive_items(13, 13, nullptr, false, true, true);
+	EXPECT_EQ(pulls.size(), 1u);
+	receive_items(10, 14, "fleet/conf", false, false);
+	EXPECT_EQ(seen.count("fleet/conf"), 1u);
+	EXPECT_FALSE(behind);
+}
+
 // Guards against two calls of each instance for each configuration: a second
 // push that omits the same item must not lead to another read.
 TEST_F(Replica, KnownOmittedItemIsNotReadAgain)
