Order revisions across restores of the store

Cause: newer meant a higher revision, and a restored store gives its revisions out again. Changes, items and commits with a lower revision than the highest ever seen were dropped; the 410 to a read after a lost revision led to a listing that was dropped too, and so on twice a second.

The platform's store states its era in each response. Responses without a valid era or with an earlier one are not used, unless they refuse the call. A write or a read of changes that is based on an earlier era is not sent; if the era turns out to have changed meanwhile, the write is in doubt and the changes count as compacted. The log writes revisions as ERA.NUMBER and the change of the era as event=era, and there is a gauge of it.

Four tests of platform_test fail on the code before (LowerRevisionOfARestoredStoreIsNewer, ChangesSinceALostRevisionAreNotTaken, WriteBasedOnALostRevisionIsNotACommit, ResponseOfAnUnknownOrEarlierEraIsNotTaken).

--- a/kernel/storage.h
+++ b/kernel/storage.h
@@ -16,6 +16,36 @@
  */
 #define STORE_TXN_OPS_MAX 128
 
+/*
+ * Revisions of a store that may be restored from a copy.  A restored store
+ * gives revisions out again, so a revision also holds the store's era, which
+ * increases with each restore.  It is compared as one number.  The number 0
+ * means in each era that the key is absent.
+ */
+#define REVISION_NUMBER_BITS 48
+#define REVISION_NUMBER_MAX ((INT64_C(1) << REVISION_NUMBER_BITS) - 1)
+#define REVISION_ERA_MAX (INT64_MAX >> REVISION_NUMBER_BITS)
+
+static inline int64_t revision_make(int64_t era, int64_t number)
+{
+	return era << REVISION_NUMBER_BITS | number;
+}
+
+static inline int64_t revision_era(int64_t revision)
+{
+	return revision >> REVISION_NUMBER_BITS;
+}
+
+static inline int64_t revision_number(int64_t revision)
+{
+	return revision & REVISION_NUMBER_MAX;
+}
+
+/* Written to the log as ERA.NUMBER. */
+#define REVISION_FORMAT "%" G_GINT64_FORMAT ".%" G_GINT64_FORMAT
+#define REVISION_ARGS(revision) \
+	revision_era(revision), revision_number(revision)
+
 typedef enum store_status_t {
 	STORE_OK, /* the store replied; groups may still have failed */
 	STORE_UNAVAILABLE, /* the call certainly had no effect */
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -87,7 +87,8 @@
 	  "tokens of dead routers that wait for budget reclaim")            \
 	X(BILLS_PENDING, "bills_pending", "bills not yet in the store")     \
 	X(PROTECTED, "protected", "1 when bills reach store or buddy")      \
-	X(STORE_UP, "store_up", "1 when the store answered last time")
+	X(STORE_UP, "store_up", "1 when the store answered last time")      \
+	X(STORE_ERA, "store_era", "restores of the store, as it states them")
 
 typedef enum gauge_t {
 #define X(id, name, help) GAUGE_##id,
--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -174,7 +174,8 @@
 	if (record->kind == RECORD_ALLOCATION) {
 		allocation_free(account->record);
 		account->record = allocation_copy(record->u.allocation);
-	} else if (record->kind == RECORD_NONE && revision == 0) {
+	} else if (record->kind == RECORD_NONE &&
+		   revision_number(revision) == 0) {
 		g_clear_pointer(&account->record, allocation_free);
 	} else {
 		return;
--- a/prepaid/grant.c
+++ b/prepaid/grant.c
@@ -182,10 +182,9 @@
 	log_event(LOG_LEVEL_DEBUG, "prepaid",
 		  account->call_closes ? "returned" : "taken",
 		  "account=%s granted=%" G_GINT64_FORMAT
-		  " unallocated=%" G_GINT64_FORMAT
-		  " revision=%" G_GINT64_FORMAT,
+		  " unallocated=%" G_GINT64_FORMAT " revision=" REVISION_FORMAT,
 		  account->name, account->call_granted,
-		  account_unallocated(account), revision);
+		  account_unallocated(account), REVISION_ARGS(revision));
 }
 
 static void update_from_result(prepaid_t *prepaid, prepaid_account_t *account,
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -200,14 +200,15 @@
 		  "kind=%s request=%s account=%s tokens=%" G_GINT64_FORMAT
 		  " reason=%s available=%" G_GINT64_FORMAT
 		  " unallocated=%" G_GINT64_FORMAT " prepaid=%" G_GINT64_FORMAT
-		  " revision=%" G_GINT64_FORMAT
+		  " revision=" REVISION_FORMAT
 		  " store_up=%d stopping=%d home=%s peer=%s",
 		  kind_name(reservation->kind),
 		  log_quote(reservation->request_id), account->name,
 		  reservation->tokens,
 		  result == RESERVE_SPENT ? "spent" : "store_unavailable",
 		  account_available(account), account_unallocated(account),
-		  account->prepaid_tokens, account->revision, prepaid->store_up,
+		  account->prepaid_tokens,
+		  REVISION_ARGS(MAX(account->revision, 0)), prepaid->store_up,
 		  prepaid->stopping, account->home, reservation->peer);
 	switch (reservation->kind) {
 	case RESERVATION_REQUEST:
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -361,8 +361,9 @@
 	}
 	log_event(replica->store_up ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
 		  "replica", "relayed",
-		  "peer=%s revision=%" G_GINT64_FORMAT " items=%u",
-		  msg->u.peer.incarnation, body->u.store_items.up_to,
+		  "peer=%s revision=" REVISION_FORMAT " items=%u",
+		  msg->u.peer.incarnation,
+		  REVISION_ARGS(body->u.store_items.up_to),
 		  body->u.store_items.items->len);
 	decode.u.peer.body = g_steal_pointer(&msg->u.peer.body);
 	kernel_post(replica->kernel, replica->svc, replica->store, &decode);
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -31,8 +31,8 @@
 	metrics_set(replica->kernel->metrics, GAUGE_STORE_UP, up);
 	log_event(up ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "replica",
 		  up ? "store_available" : "store_unavailable",
-		  "revision=%" G_GINT64_FORMAT " reason=%s", replica->revision,
-		  reason);
+		  "revision=" REVISION_FORMAT " reason=%s",
+		  REVISION_ARGS(replica->revision), reason);
 	for (uint32_t i = 0; i < replica->watch_count; i++)
 		post_event(replica, &replica->watches[i],
 			   store_result_new(up ? STORE_OK : STORE_UNAVAILABLE));
@@ -43,10 +43,10 @@
 	bool behind = replica->missing_revision != 0;
 
 	log_event(LOG_LEVEL_INFO, "replica", "behind",
-		  "behind=%d revision=%" G_GINT64_FORMAT
-		  " missing=%" G_GINT64_FORMAT " store_up=%d",
-		  behind, replica->revision, replica->missing_revision,
-		  replica->store_up);
+		  "behind=%d revision=" REVISION_FORMAT
+		  " missing=" REVISION_FORMAT " store_up=%d",
+		  behind, REVISION_ARGS(replica->revision),
+		  REVISION_ARGS(replica->missing_revision), replica->store_up);
 	for (uint32_t i = 0; i < replica->watch_count; i++) {
 		msg_t msg = {.kind = MSG_FLEET_BEHIND};
 
@@ -172,7 +172,8 @@
 	advance(replica, replica->list_revision);
 	replica->synced = true;
 	log_event(LOG_LEVEL_INFO, "replica", "listed",
-		  "revision=%" G_GINT64_FORMAT " keys=%u", replica->revision,
+		  "revision=" REVISION_FORMAT " keys=%u",
+		  REVISION_ARGS(replica->revision),
 		  g_hash_table_size(replica->entries));
 }
 
@@ -238,7 +239,8 @@
 {
 	if (status == STORE_COMPACTED) {
 		log_event(LOG_LEVEL_WARN, "replica", "changes_compacted",
-			  "revision=%" G_GINT64_FORMAT, replica->revision);
+			  "revision=" REVISION_FORMAT,
+			  REVISION_ARGS(replica->revision));
 		replica->synced = false;
 		/* The store responds, so the listing does not wait. */
 		set_store_up(replica, true, status_name(status));
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -478,12 +478,22 @@
 		msg_t head = {}, data = {}, end = {};
 
 		path = msg->u.out_send.head->uri;
+		request_body.clear();
+		if (msg->u.out_send.body != nullptr)
+			request_body.assign(
+				static_cast<const char *>(g_bytes_get_data(
+					msg->u.out_send.body, nullptr)),
+				g_bytes_get_size(msg->u.out_send.body));
+		sends++;
 		end.kind = http_status == 0 ? MSG_OUT_FAILED : MSG_OUT_END;
 		end.u.out_failed.sent = http_status == 0;
 		head.kind = MSG_OUT_HEAD;
 		data.kind = MSG_OUT_DATA;
 		head.ref = data.ref = end.ref = msg->id;
 		head.u.out_head.head = http_head_response(http_status);
+		if (!era.empty())
+			http_head_add(head.u.out_head.head, "Store-Era",
+				      era.c_str());
 		data.u.data.bytes =
 			g_bytes_new(response_body.data(), response_body.size());
 		kernel_post(&kernel, outbound, msg->from, &head);
@@ -511,7 +521,8 @@
 			  sizeof(msg.u.store_get.key));
 		call(&msg, status, body);
 	}
-	void transaction(uint32_t status, const std::string &body)
+	void transaction(uint32_t status, const std::string &body,
+			 int64_t expect = 3)
 	{
 		msg_t msg = {};
 		record_t record = {};
@@ -521,7 +532,8 @@
 		msg.kind = MSG_STORE_TXN;
 		msg.u.store_txn = store_txn_new();
 		store_txn_group(msg.u.store_txn);
-		store_txn_put(msg.u.store_txn, "prepaid/a1", 3, 0, &record);
+		store_txn_put(msg.u.store_txn, "prepaid/a1", expect, 0,
+			      &record);
 		record_clear(&record);
 		call(&msg, status, body);
 	}
@@ -570,9 +582,10 @@
 	platform_store_t store;
 	svc_t outbound, replica, requester;
 	store_result_t *result = nullptr;
-	std::string path, response_body;
+	std::string path, response_body, request_body;
+	std::string era; // stated in responses, unless empty
 	uint32_t http_status = 200;
-	int failure_events = 0, cancels = 0;
+	int sends = 0, failure_events = 0, cancels = 0;
 	handle_t call_ref = HANDLE_NONE;
 	bool endless = false; // responses do not end
 };
@@ -675,6 +688,102 @@
 	EXPECT_EQ(result->status, STORE_UNKNOWN);
 }
 
+// A restored store gives revisions out again.  What it states then is newer
+// than all that was read before, though its revisions are lower.
+TEST_F(Store, LowerRevisionOfARestoredStoreIsNewer)
+{
+	int64_t before, after;
+
+	era = "1";
+	changes(0, 200, "{\"events\":[],\"at\":193}");
+	list("fleet/conf", "", 200, "{\"items\":[],\"at\":193}");
+	before = result->revision;
+	EXPECT_EQ(revision_number(before), 193);
+	era = "2";
+	changes(before, 410, "");
+	EXPECT_EQ(result->status, STORE_COMPACTED);
+	list("prepaid/", "", 200,
+	     "{\"items\":[" +
+		     item("prepaid/a1", 90, "{\"closed\":1,\"holders\":[]}") +
+		     "],\"at\":95}");
+	after = result->revision;
+	EXPECT_GT(after, before);
+	EXPECT_GT(store_result_find(result, "prepaid/a1")->revision, before);
+	changes(after, 200,
+		"{\"events\":[" + item("op/config", 96, conf_json) +
+			"],\"at\":96}");
+	EXPECT_EQ(path, "/api/kv-watch?path_prefix=&after=95&wait_ms=50");
+	ASSERT_EQ(result->status, STORE_OK);
+	EXPECT_GT(store_result_find(result, "fleet/conf")->revision, before);
+	transaction(200, "{\"revision\":97}", after);
+	EXPECT_NE(request_body.find("\"revision\":95}"), std::string::npos);
+	EXPECT_EQ(result->status, STORE_OK);
+	EXPECT_TRUE(store_result_committed(result, 0));
+}
+
+// Changes after a revision of the lost history may lack some of the present
+// one.
+TEST_F(Store, ChangesSinceALostRevisionAreNotTaken)
+{
+	int sent;
+
+	era = "1";
+	list("fleet/conf", "", 200, "{\"items\":[],\"at\":50}");
+	era = "2";
+	changes(revision_make(1, 50), 200, "{\"events\":[],\"at\":60}");
+	EXPECT_EQ(result->status, STORE_COMPACTED);
+	sent = sends;
+	changes(revision_make(1, 50), 200, "{\"events\":[],\"at\":60}");
+	EXPECT_EQ(result->status, STORE_COMPACTED);
+	EXPECT_EQ(sends, sent);
+}
+
+// A condition on a revision of the lost history may hold by chance.
+TEST_F(Store, WriteBasedOnALostRevisionIsNotACommit)
+{
+	int sent;
+
+	era = "4";
+	transaction(200, "{\"revision\":12}", revision_make(4, 3));
+	ASSERT_EQ(result->status, STORE_OK);
+	era = "5";
+	transaction(200, "{\"revision\":13}", revision_make(4, 12));
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+	sent = sends;
+	transaction(200, "{\"revision\":14}", revision_make(4, 12));
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+	EXPECT_EQ(sends, sent);
+	transaction(200, "{\"revision\":14}", revision_make(5, 13));
+	EXPECT_EQ(result->status, STORE_OK);
+	era = "6";
+	transaction(200, "{\"revision\":15}", EXPECT_ABSENT);
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+}
+
+TEST_F(Store, ResponseOfAnUnknownOrEarlierEraIsNotTaken)
+{
+	era = "7";
+	list("fleet/conf", "", 200, "{\"items\":[],\"at\":50}");
+	ASSERT_EQ(result->status, STORE_OK);
+	for (const char *odd : {"", "6", "x", "-1", "7.0", "99999999999999",
+				"18446744073709551623"}) {
+		era = odd;
+		list("fleet/conf", "", 200, "{\"items\":[],\"at\":51}");
+		EXPECT_EQ(result->status, STORE_UNKNOWN) << odd;
+		changes(revision_make(7, 50), 200, "{\"events\":[],\"at\":51}");
+		EXPECT_EQ(result->status, STORE_UNKNOWN) << odd;
+		transaction(200, "{\"revision\":52}", revision_make(7, 50));
+		EXPECT_EQ(result->status, STORE_UNKNOWN) << odd;
+		get("prepaid/a1", 404, "");
+		EXPECT_EQ(result->status, STORE_UNAVAILABLE) << odd;
+		transaction(503, "", revision_make(7, 50));
+		EXPECT_EQ(result->status, STORE_UNAVAILABLE) << odd;
+	}
+	era = "7";
+	transaction(200, "{\"revision\":53}", revision_make(7, 50));
+	EXPECT_EQ(result->status, STORE_OK);
+}
+
 // Guards against memory that is used up by a response without end.
 TEST_F(Store, ResponseWithoutEndFailsTheCall)
 {
