Let a restored store take back no version and no statement of a target

A restored store holds what was written before its copy was made: an older configuration, targets as ready that have reported since that they leave, and targets that have left. The replica took all of that as news, so an instance that started then got the older configuration from its peers too, and a target that was leaving got requests again.

Of a configuration, the version now decides: it is replaced by one with the same or a higher version only, whatever its revision. Of a target, its own count of statements (start of its process, then sequence) decides between what was known in the era before and what a restored store holds; within an era the store's order still does. A deleted target is remembered with its count as long as its deletion is.

Entry.ConfigurationOfARestoredStoreReplacesNoHigherVersion, Entry.HigherVersionOfAPeerIsTakenAtAnyRevision, Entry.RestoredStoreMakesNoDrainingTargetReady and Entry.TargetThatHasLeftDoesNotReturnWithARestoredStore fail on the code before.

--- a/replica/entry.c
+++ b/replica/entry.c
@@ -1,5 +1,7 @@
 #include "replica/entry.h"
 
+#include "log/log.h"
+
 #include <string.h>
 
 #define ITEMS_BYTES_MAX 500000 /* total of the values in a message */
@@ -41,23 +43,78 @@
 	}
 }
 
+static bool holds_conf(const replica_entry_t *entry)
+{
+	return entry != NULL && entry->record.kind == RECORD_FLEET_CONF;
+}
+
+static bool is_newer(const replica_entry_t *entry, const store_kv_t *kv)
+{
+	if (entry == NULL || entry->revision < kv->revision)
+		return true;
+	return kv->record.kind == RECORD_FLEET_CONF &&
+	       (!holds_conf(entry) ||
+		kv->record.u.fleet_conf->version >
+			entry->record.u.fleet_conf->version);
+}
+
+static bool is_older_statement(const replica_entry_t *entry,
+			       const fleet_target_t *target)
+{
+	if (entry->started_ms == 0 || target->started_ms == 0)
+		return false;
+	if (target->started_ms != entry->started_ms)
+		return target->started_ms < entry->started_ms;
+	if (entry->record.kind == RECORD_NONE)
+		return target->sequence <= entry->sequence;
+	return target->sequence < entry->sequence;
+}
+
+/* True if a newer state of the key says less than the known one. */
+static bool is_superseded(const replica_entry_t *entry, const store_kv_t *kv)
+{
+	if (holds_conf(entry))
+		return kv->record.kind != RECORD_FLEET_CONF ||
+		       kv->record.u.fleet_conf->version <
+			       entry->record.u.fleet_conf->version;
+	return entry != NULL && kv->record.kind == RECORD_FLEET_TARGET &&
+	       revision_era(entry->revision) < revision_era(kv->revision) &&
+	       is_older_statement(entry, kv->record.u.fleet_target);
+}
+
+static void keep_statement(replica_entry_t *entry, const record_t *record)
+{
+	if (record->kind != RECORD_FLEET_TARGET)
+		return;
+	entry->started_ms = record->u.fleet_target->started_ms;
+	entry->sequence = record->u.fleet_target->sequence;
+}
+
 bool replica_entries_apply(GHashTable *entries, const store_kv_t *kv,
 			   int64_t now)
 {
 	replica_entry_t *entry = g_hash_table_lookup(entries, kv->key);
 	bool same;
 
-	if (entry != NULL && entry->revision >= kv->revision)
+	if (!is_newer(entry, kv))
 		return false;
+	if (is_superseded(entry, kv)) {
+		entry->revision = kv->revision;
+		log_event(LOG_LEVEL_INFO, "replica", "superseded",
+			  "key=%s revision=" REVISION_FORMAT,
+			  log_quote(kv->key), REVISION_ARGS(kv->revision));
+		return false;
+	}
 	same = entry != NULL && same_value(entry, kv);
 	if (entry == NULL) {
 		entry = g_new0(replica_entry_t, 1);
 		g_hash_table_insert(entries, g_strdup(kv->key), entry);
 	}
-	entry->revision = kv->revision;
+	entry->revision = MAX(entry->revision, kv->revision);
+	keep_statement(entry, &kv->record);
 	if (same)
 		return false;
-	entry->changed_revision = kv->revision;
+	entry->changed_revision = entry->revision;
 	entry->changed_at = now;
 	record_clear(&entry->record);
 	record_copy(&entry->record, &kv->record);
--- a/replica/entry.h
+++ b/replica/entry.h
@@ -15,10 +15,18 @@
 	record_t record; /* RECORD_NONE if the key is deleted */
 	GBytes *raw; /* value as stored, to be sent to peers */
 	int64_t changed_at; /* monotonic, us, when the change was applied */
+	/* Newest statement of a target, kept after the key is deleted. */
+	int64_t started_ms; /* 0: none, or the target does not state it */
+	uint64_t sequence;
 } replica_entry_t;
 
 GHashTable *replica_entries_new(void);
-/* Stores a newer state of a key.  Returns true if the value has changed. */
+/*
+ * Stores a newer state of a key.  Returns true if the value has changed.  A
+ * configuration is replaced only by one of the same or a higher version,
+ * because a restored store may hold an older one, and what a restored store
+ * holds of a target only if the target has not stated something newer.
+ */
 bool replica_entries_apply(GHashTable *entries, const store_kv_t *kv,
 			   int64_t now);
 /* Removes the entries of keys that were deleted before the given time. */
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -1,6 +1,7 @@
 // Tests the replica: listing again after the store compacted its history,
 // changes pulled from peers while the store is unavailable, and the number of
 // store calls of a large fleet.
+#include "replica/entry.h"
 #include "replica/replica.h"
 
 #include <algorithm>
@@ -237,6 +238,125 @@
 	int events = 0;
 };
 
+// Applies states of one key, as they come from the store or from peers.
+class Entry : public ::testing::Test
+{
+      protected:
+	void TearDown() override
+	{
+		g_hash_table_unref(entries);
+	}
+	bool apply(const char *key, int64_t revision, record_t *record)
+	{
+		store_kv_t kv = {};
+		std::string text = std::to_string(++values);
+		bool changed;
+
+		g_strlcpy(kv.key, key, sizeof(kv.key));
+		kv.revision = revision;
+		kv.record = *record;
+		kv.raw = g_bytes_new(text.data(), text.size());
+		changed = replica_entries_apply(entries, &kv, 0);
+		g_bytes_unref(kv.raw);
+		record_clear(&kv.record);
+		return changed;
+	}
+	bool conf(int64_t revision, int64_t version)
+	{
+		record_t record = {};
+
+		record.kind = RECORD_FLEET_CONF;
+		record.u.fleet_conf = fleet_conf_new();
+		record.u.fleet_conf->version = version;
+		return apply("fleet/conf", revision, &record);
+	}
+	bool target(int64_t revision, int64_t started_ms, uint64_t sequence,
+		    bool draining)
+	{
+		record_t record = {};
+
+		record.kind = RECORD_FLEET_TARGET;
+		record.u.fleet_target = g_new0(fleet_target_t, 1);
+		record.u.fleet_target->started_ms = started_ms;
+		record.u.fleet_target->sequence = sequence;
+		record.u.fleet_target->draining = draining;
+		return apply(TARGET, revision, &record);
+	}
+	bool deleted(const char *key, int64_t revision)
+	{
+		record_t record = {};
+
+		return apply(key, revision, &record);
+	}
+	const record_t *known(const char *key)
+	{
+		return &static_cast<replica_entry_t *>(
+				g_hash_table_lookup(entries, key))
+				->record;
+	}
+	GHashTable *entries = replica_entries_new();
+	int values = 0;
+};
+
+TEST_F(Entry, ConfigurationOfARestoredStoreReplacesNoHigherVersion)
+{
+	record_t invalid = {};
+
+	invalid.kind = RECORD_INVALID;
+	EXPECT_TRUE(conf(revision_make(1, 90), 15));
+	EXPECT_FALSE(conf(revision_make(2, 40), 11));
+	EXPECT_FALSE(apply("fleet/conf", revision_make(2, 41), &invalid));
+	EXPECT_FALSE(deleted("fleet/conf", revision_make(2, 42)));
+	ASSERT_EQ(known("fleet/conf")->kind, RECORD_FLEET_CONF);
+	EXPECT_EQ(known("fleet/conf")->u.fleet_conf->version, 15);
+	// The next version has a lower revision than the last one.
+	EXPECT_TRUE(conf(revision_make(2, 43), 17));
+	// Another document of that version, written later.
+	EXPECT_TRUE(conf(revision_make(2, 44), 17));
+}
+
+// An instance that has just started may know only the restored store.
+TEST_F(Entry, HigherVersionOfAPeerIsTakenAtAnyRevision)
+{
+	EXPECT_TRUE(conf(revision_make(2, 40), 11));
+	EXPECT_TRUE(conf(revision_make(1, 90), 15));
+	EXPECT_FALSE(conf(revision_make(1, 80), 13));
+	EXPECT_EQ(known("fleet/conf")->u.fleet_conf->version, 15);
+}
+
+TEST_F(Entry, RestoredStoreMakesNoDrainingTargetReady)
+{
+	EXPECT_TRUE(target(revision_make(1, 50), 1000, 7, false));
+	EXPECT_TRUE(target(revision_make(1, 60), 1000, 9, true));
+	EXPECT_FALSE(target(revision_make(2, 50), 1000, 7, false));
+	EXPECT_TRUE(known(TARGET)->u.fleet_target->draining);
+	// Written again by the target itself.
+	EXPECT_FALSE(target(revision_make(2, 51), 1000, 10, true));
+	EXPECT_TRUE(known(TARGET)->u.fleet_target->draining);
+	// Another process with the same id counts anew.
+	EXPECT_TRUE(target(revision_make(2, 52), 2000, 1, false));
+}
+
+TEST_F(Entry, TargetThatHasLeftDoesNotReturnWithARestoredStore)
+{
+	EXPECT_TRUE(target(revision_make(1, 50), 1000, 7, false));
+	// A heartbeat is no change, but counts as a statement.
+	EXPECT_FALSE(target(revision_make(1, 60), 1000, 9, false));
+	EXPECT_TRUE(deleted(TARGET, revision_make(1, 70)));
+	EXPECT_FALSE(target(revision_make(2, 55), 1000, 8, false));
+	EXPECT_EQ(known(TARGET)->kind, RECORD_NONE);
+	EXPECT_TRUE(target(revision_make(2, 56), 1000, 10, false));
+	EXPECT_EQ(known(TARGET)->kind, RECORD_FLEET_TARGET);
+}
+
+// Without the start of its process, only the store's order is left.
+TEST_F(Entry, TargetWithoutAStartFollowsTheStore)
+{
+	EXPECT_TRUE(target(revision_make(1, 50), 0, 9, true));
+	EXPECT_TRUE(target(revision_make(2, 40), 0, 7, false));
+	EXPECT_FALSE(known(TARGET)->u.fleet_target->draining);
+}
+
 TEST_F(Replica, ListsOnceThenReadsChanges)
 {
 	kernel_start(&kernel);
