Take no key from a peer that was deleted before

A peer that was cut off from the store relays keys that have been deleted since. If the deletion was not known here, because the key had been written after this instance's last read or the store was restored, the key came back.

Items with a revision that the replica has passed are now dropped for unknown keys as well: its state is complete up to there. An item of the configuration that differs from the known one is decoded, since its version decides and not its revision.

Replica.PeerBringsNoDeletedKeyBack fails on the code before.

--- a/replica/relay.c
+++ b/replica/relay.c
@@ -288,6 +288,24 @@
 		  items_since(replica, after));
 }
 
+/*
+ * True if nothing new can be in the item.  A key that is missing from the
+ * complete state at a later revision was deleted.  A configuration with the
+ * revision that the store has may be a higher version, which the store lost.
+ */
+static bool is_known_item(const replica_t *replica, const store_item_t *item)
+{
+	const replica_entry_t *entry =
+		g_hash_table_lookup(replica->entries, item->key);
+
+	if (entry == NULL)
+		return replica->synced && item->revision <= replica->revision;
+	if (entry->record.kind == RECORD_FLEET_CONF && item->value != NULL &&
+	    entry->raw != NULL && !g_bytes_equal(entry->raw, item->value))
+		return false;
+	return entry->revision >= item->revision;
+}
+
 /*
  * Removes known items before they are decoded: most items are known, and
  * decoding a configuration takes long.
@@ -297,10 +315,8 @@
 	for (guint i = items->len; i > 0; i--) {
 		const store_item_t *item =
 			&g_array_index(items, store_item_t, i - 1);
-		const replica_entry_t *entry =
-			g_hash_table_lookup(replica->entries, item->key);
 
-		if (entry != NULL && entry->revision >= item->revision)
+		if (is_known_item(replica, item))
 			g_array_remove_index(items, i - 1);
 	}
 }
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -613,6 +613,18 @@
 	EXPECT_EQ(replica.revision, 21);
 }
 
+// A peer that was cut off does not know of the deletion.
+TEST_F(Replica, PeerBringsNoDeletedKeyBack)
+{
+	start();
+	connect_large_fleet(false);
+	receive_items(9, revision_make(1, 4), "fleet/target/i-3", true);
+	receive_items(0, 8, "fleet/target/i-7", false, false);
+	EXPECT_EQ(seen.count("fleet/target/i-7"), 0u);
+	receive_items(0, 8, "fleet/target/i-3", false, false);
+	EXPECT_EQ(seen["fleet/target/i-3"], RECORD_NONE);
+}
+
 // Each call is billed, and in a large fleet many instances make calls.
 TEST_F(Replica, FollowerRarelyRetriesAnUnavailableStore)
 {
