Keep targets that a restored store lacks until they write themselves again

A store that comes back from a copy lacks the targets that were listed since. The listing took what was missing as removed, so those targets got no requests until they had written themselves again. The grace of two seconds after an outage did not hold for instances that had not seen one, those that live on pushes and those whose reads fell beside it.

The replica reports a restore to its watches, before it applies what the listing found, and "fleet" counts the grace from there too. A listing whose pages come from two eras is begun again.

Fleet.TargetMissingInARestoredStoreIsKeptForAWhile, Replica.RestoreIsReportedBeforeItsDeletions and Replica.ListingIsRepeatedIfTheStoreIsRestoredMeanwhile fail on the code before.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 /*
- * Delay from the store's recovery to the removal of targets whose entries
- * expired during the outage.  Targets that are up write their entries again
+ * Delay from the store's recovery or restore to the removal of targets whose
+ * entries are missing then.  Targets that are up write their entries again
  * within two seconds.
  */
 #define REMOVAL_DELAY_US (2 * USEC_PER_SEC)
@@ -209,10 +209,13 @@
 static void handle_store_event(fleet_t *fleet, const store_result_t *result)
 {
 	bool up = result->status == STORE_OK;
+	bool restored = revision_era(result->revision) > fleet->store_era;
 
 	/* Items relayed by peers during an outage don't end the outage. */
-	if (result->kvs->len == 0 && up != fleet->store_up) {
+	if (result->kvs->len == 0 && (up != fleet->store_up || restored)) {
 		fleet->store_up = up;
+		fleet->store_era =
+			MAX(fleet->store_era, revision_era(result->revision));
 		if (up) {
 			fleet->store_up_since = kernel_now(fleet->kernel);
 			arm_removal_timer(fleet);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -21,7 +21,9 @@
 	GHashTable *targets; /* id -> known_target_t */
 	bool store_up;
 	bool behind; /* a newer configuration has not arrived yet */
-	int64_t store_up_since; /* last recovery, monotonic, us */
+	/* Last recovery or restore, monotonic, us. */
+	int64_t store_up_since;
+	int64_t store_era; /* increases with each restore */
 	uint32_t instances;
 	handle_t removal_timer; /* applies the pending removals */
 } fleet_t;
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -23,6 +23,32 @@
 	kernel_post(replica->kernel, replica->svc, watch->owner, &msg);
 }
 
+static void post_store_status(replica_t *replica)
+{
+	for (uint32_t i = 0; i < replica->watch_count; i++) {
+		store_result_t *result = store_result_new(
+			replica->store_up ? STORE_OK : STORE_UNAVAILABLE);
+
+		result->revision = revision_make(replica->era, 0);
+		post_event(replica, &replica->watches[i], result);
+	}
+}
+
+/*
+ * Reports a restore before its changes, which delete what the copy did not
+ * have.
+ */
+static void set_era(replica_t *replica, int64_t revision)
+{
+	if (revision_era(revision) <= replica->era)
+		return;
+	replica->era = revision_era(revision);
+	log_event(LOG_LEVEL_INFO, "replica", "era", "era=%" G_GINT64_FORMAT,
+		  replica->era);
+	if (replica->store_up)
+		post_store_status(replica);
+}
+
 static void set_store_up(replica_t *replica, bool up, const char *reason)
 {
 	if (replica->store_up == up)
@@ -33,9 +59,7 @@
 		  up ? "store_available" : "store_unavailable",
 		  "revision=" REVISION_FORMAT " reason=%s",
 		  REVISION_ARGS(replica->revision), reason);
-	for (uint32_t i = 0; i < replica->watch_count; i++)
-		post_event(replica, &replica->watches[i],
-			   store_result_new(up ? STORE_OK : STORE_UNAVAILABLE));
+	post_store_status(replica);
 }
 
 static void post_behind(replica_t *replica)
@@ -183,6 +207,12 @@
 
 	if (replica->list_revision < 0)
 		replica->list_revision = result->revision;
+	if (revision_era(result->revision) !=
+	    revision_era(replica->list_revision)) {
+		start_listing(replica);
+		return;
+	}
+	set_era(replica, result->revision);
 	for (guint i = 0; i < result->kvs->len; i++) {
 		last = g_array_index(result->kvs, store_kv_t, i).key;
 		g_hash_table_add(replica->listed_keys, g_strdup(last));
@@ -255,6 +285,7 @@
 /* The items from a peer are complete up to the result's revision. */
 static void relay_received(replica_t *replica, const store_result_t *result)
 {
+	set_era(replica, result->revision);
 	apply_all(replica, result);
 	if (result->revision > replica->revision) {
 		advance(replica, result->revision);
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -6,7 +6,8 @@
  * itself.  While the store does not respond, changes are pulled from peers.
  *
  * An event with a status other than STORE_OK reports that the store stopped
- * responding; an event with STORE_OK and no keys, that it responds again.
+ * responding; an event with STORE_OK and no keys, that it responds again or was
+ * restored.  The revision of that event has the store's era.
  */
 #ifndef REPLICA_REPLICA_H
 #define REPLICA_REPLICA_H
@@ -48,6 +49,7 @@
 	uint32_t watch_count;
 	GHashTable *entries; /* key -> replica_entry_t */
 	int64_t revision; /* entries hold all changes up to this revision */
+	int64_t era; /* of the store, as known by reads and pushes */
 	/* A change of this revision is known of and not here; 0: none. */
 	int64_t missing_revision;
 	int64_t last_pull_at; /* monotonic, us, pull for the missing change */
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -175,6 +175,27 @@
 	EXPECT_EQ(targets["i-2"], "ready");
 }
 
+// A restored store lacks the targets that were listed after its copy was made,
+// until they write themselves again.
+TEST_F(Fleet, TargetMissingInARestoredStoreIsKeptForAWhile)
+{
+	store_result_t *restored = store_result_new(STORE_OK);
+
+	put_target("i-1");
+	put_target("i-2");
+	restored->revision = revision_make(2, 0);
+	send_event(restored);
+	remove_target("i-1");
+	remove_target("i-2");
+	run_for(1900 * USEC_PER_MSEC);
+	EXPECT_EQ(targets["i-1"], "ready");
+	EXPECT_EQ(targets["i-2"], "ready");
+	put_target("i-2", false, 9);
+	run_for(200 * USEC_PER_MSEC);
+	EXPECT_EQ(targets["i-1"], "gone");
+	EXPECT_EQ(targets["i-2"], "ready");
+}
+
 TEST_F(Fleet, DrainingTargetIsRemovedDuringStoreOutage)
 {
 	put_target("i-1", true);
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -89,6 +89,11 @@
 			decoded += msg->u.peer.body->u.store_items.items->len;
 			decode(msg->u.peer.body, result);
 		} else if (msg->kind == MSG_STORE_LIST) {
+			if (restore_after_page && !calls.empty()) {
+				restore_after_page = false;
+				put(TARGET, revision_make(1, 3));
+				result->revision = store_revision;
+			}
 			calls.push_back(std::string("list ") +
 					msg->u.store_list.prefix);
 			for (auto &[key, revision] : store_items)
@@ -155,8 +160,11 @@
 			r->behind = msg->u.fleet_behind.behind;
 		if (msg->kind != MSG_STORE_EVENT)
 			return;
-		if (result->kvs->len == 0)
+		if (result->kvs->len == 0) {
 			r->store_reported_up = result->status == STORE_OK;
+			r->eras.push_back(revision_era(result->revision));
+			r->events_before_era = r->events;
+		}
 		for (guint i = 0; i < result->kvs->len; i++) {
 			const store_kv_t *kv =
 				&g_array_index(result->kvs, store_kv_t, i);
@@ -227,6 +235,7 @@
 	std::map<std::string, int64_t> store_items; // key -> revision
 	int64_t store_revision = 0;
 	bool compacted = false;
+	bool restore_after_page = false;
 	bool store_reported_up = false;
 	std::vector<std::string> calls, pulls;
 	std::map<std::string, int> pushes;
@@ -235,7 +244,8 @@
 	int64_t push_after = 0, push_up_to = 0;
 	bool push_partial = false;
 	bool behind = false;
-	int events = 0;
+	int events = 0, events_before_era = 0;
+	std::vector<int64_t> eras; // of events without keys
 };
 
 // Applies states of one key, as they come from the store or from peers.
@@ -613,6 +623,36 @@
 	EXPECT_EQ(replica.revision, 21);
 }
 
+// Services wait for targets to write themselves again only if they learn of the
+// restore before the deletions.
+TEST_F(Replica, RestoreIsReportedBeforeItsDeletions)
+{
+	start();
+	EXPECT_EQ(seen[TARGET], RECORD_FLEET_TARGET);
+	store_items.clear();
+	put("fleet/target/i-2", revision_make(1, 4));
+	compacted = true;
+	run(700000);
+	EXPECT_EQ(seen[TARGET], RECORD_NONE);
+	EXPECT_EQ(seen["fleet/target/i-2"], RECORD_FLEET_TARGET);
+	ASSERT_EQ(eras.size(), 2u);
+	EXPECT_EQ(eras.back(), 1);
+	EXPECT_EQ(events_before_era, 1);
+}
+
+// Pages of two eras are no state of the store.
+TEST_F(Replica, ListingIsRepeatedIfTheStoreIsRestoredMeanwhile)
+{
+	restore_after_page = true;
+	start();
+	EXPECT_EQ(calls, (std::vector<std::string>{
+				 "list fleet/conf", "list fleet/target/",
+				 "list fleet/conf", "list fleet/target/",
+				 "list prepaid/"}));
+	EXPECT_EQ(replica.revision, revision_make(1, 3));
+	EXPECT_EQ(seen[TARGET], RECORD_FLEET_TARGET);
+}
+
 // A peer that was cut off does not know of the deletion.
 TEST_F(Replica, PeerBringsNoDeletedKeyBack)
 {
