Give instances the configuration that a restored store has lost

An instance that starts between a restore and the operator's next write reads the older configuration of the copy and has nothing to compare it with. A key that was revoked is valid there, and a route that was added gets 404. The same holds where only some instances had read the last version.

Peers state the version of their configuration when they connect, and to all when a listing shows that the store holds an older one. Whoever knows a lower version asks for the document. Instances without these two messages close the connection of a peer that sends one, as with those before.

Replica.LostConfigurationIsTakenFromAPeer and Replica.PeersAreToldOfAConfigurationThatTheStoreHasLost fail on the code before (no such message).

--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -85,6 +85,8 @@
 	PEER_TARGET_LIMIT,
 	PEER_PERMIT_REQUEST,
 	PEER_PERMIT_REPLY,
+	PEER_CONF_OFFER,
+	PEER_CONF_REQUEST,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -174,6 +176,9 @@
 			bool partial; /* large items are only in the store */
 			GArray *items; /* store_item_t */
 		} store_items;
+		struct {
+			int64_t version; /* of the gateway's configuration */
+		} conf_offer; /* PEER_CONF_OFFER, _REQUEST */
 		struct {
 			char target[NAME_SIZE];
 			int64_t tokens; /* prompt tokens that are not cached */
--- a/peer/bodies.c
+++ b/peer/bodies.c
@@ -123,6 +123,10 @@
 	BODY_LIMIT(permit_reply),
 };
 
+static const field_t conf_offer_fields[] = {
+	BODY_I64(conf_offer, version),
+};
+
 fields_t peer_body_fields(peer_kind_t kind)
 {
 	switch (kind) {
@@ -163,6 +167,9 @@
 		return FIELDS_OF(permit_request_fields);
 	case PEER_PERMIT_REPLY:
 		return FIELDS_OF(permit_reply_fields);
+	case PEER_CONF_OFFER:
+	case PEER_CONF_REQUEST:
+		return FIELDS_OF(conf_offer_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -130,6 +130,8 @@
 		return peer->proxy;
 	case PEER_STORE_PULL:
 	case PEER_STORE_ITEMS:
+	case PEER_CONF_OFFER:
+	case PEER_CONF_REQUEST:
 		return peer->replica;
 	case PEER_PLACED:
 	case PEER_TARGET_LEAVING:
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -2,6 +2,7 @@
 
 #include "log/log.h"
 #include "replica/entry.h"
+#include "replica/offer.h"
 
 #include <string.h>
 
@@ -298,11 +299,12 @@
 	const replica_entry_t *entry =
 		g_hash_table_lookup(replica->entries, item->key);
 
+	if (strcmp(item->key, REPLICA_KEY_CONF) == 0 && item->value != NULL &&
+	    (entry == NULL || entry->raw == NULL ||
+	     !g_bytes_equal(entry->raw, item->value)))
+		return false;
 	if (entry == NULL)
 		return replica->synced && item->revision <= replica->revision;
-	if (entry->record.kind == RECORD_FLEET_CONF && item->value != NULL &&
-	    entry->raw != NULL && !g_bytes_equal(entry->raw, item->value))
-		return false;
 	return entry->revision >= item->revision;
 }
 
@@ -387,8 +389,20 @@
 
 void replica_peer_received(replica_t *replica, msg_t *msg)
 {
-	if (msg->u.peer.body->kind == PEER_STORE_PULL)
+	switch (msg->u.peer.body->kind) {
+	case PEER_STORE_PULL:
 		answer_pull(replica, msg);
-	else if (msg->u.peer.body->kind == PEER_STORE_ITEMS)
+		break;
+	case PEER_STORE_ITEMS:
 		items_received(replica, msg);
+		break;
+	case PEER_CONF_OFFER:
+		replica_offer_received(replica, msg);
+		break;
+	case PEER_CONF_REQUEST:
+		replica_conf_requested(replica, msg);
+		break;
+	default:
+		break;
+	}
 }
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -2,6 +2,7 @@
 
 #include "log/log.h"
 #include "replica/entry.h"
+#include "replica/offer.h"
 #include "replica/relay.h"
 
 #include <string.h>
@@ -11,7 +12,7 @@
 /* Deleted keys are kept this long, for peers that were disconnected. */
 #define TOMBSTONE_TTL_US (300 * USEC_PER_SEC)
 
-static const char *const prefixes[] = {"fleet/conf", "fleet/target/",
+static const char *const prefixes[] = {REPLICA_KEY_CONF, "fleet/target/",
 				       "prepaid/"};
 
 static void post_event(replica_t *replica, const replica_watch_t *watch,
@@ -155,6 +156,7 @@
 {
 	g_hash_table_remove_all(replica->listed_keys);
 	replica->list_revision = -1;
+	replica->listed_version = -1;
 	replica->list_prefix = 0;
 	list_page(replica, "");
 }
@@ -195,6 +197,8 @@
 	g_hash_table_remove_all(replica->listed_keys);
 	advance(replica, replica->list_revision);
 	replica->synced = true;
+	replica_check_offer(replica);
+	replica_offer_lost_conf(replica);
 	log_event(LOG_LEVEL_INFO, "replica", "listed",
 		  "revision=" REVISION_FORMAT " keys=%u",
 		  REVISION_ARGS(replica->revision),
@@ -214,8 +218,14 @@
 	}
 	set_era(replica, result->revision);
 	for (guint i = 0; i < result->kvs->len; i++) {
-		last = g_array_index(result->kvs, store_kv_t, i).key;
+		const store_kv_t *kv =
+			&g_array_index(result->kvs, store_kv_t, i);
+
+		last = kv->key;
 		g_hash_table_add(replica->listed_keys, g_strdup(last));
+		if (kv->record.kind == RECORD_FLEET_CONF)
+			replica->listed_version =
+				kv->record.u.fleet_conf->version;
 	}
 	apply_all(replica, result);
 	if (result->more && last[0] != '\0') {
@@ -291,6 +301,7 @@
 		advance(replica, result->revision);
 		replica->synced = true;
 	}
+	replica_check_offer(replica);
 	replica_forward_changes(replica);
 }
 
@@ -415,6 +426,7 @@
 		peer_set_update(&replica->peers, msg);
 		if (!replica->store_up)
 			pull_unless_relayed(replica);
+		replica_offer_conf(replica, msg->u.peer_addr.incarnation);
 		break;
 	case MSG_PEER_DOWN:
 		peer_set_update(&replica->peers, msg);
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -18,6 +18,7 @@
 G_BEGIN_DECLS
 
 #define REPLICA_WATCHES_MAX 4
+#define REPLICA_KEY_CONF "fleet/conf"
 
 typedef struct replica_opts_t {
 	char incarnation[INCARNATION_SIZE];
@@ -60,6 +61,7 @@
 	int64_t last_read_at; /* monotonic, us, start of the last read */
 	uint32_t list_prefix; /* index of the prefix being listed */
 	int64_t list_revision; /* revision of the first page; -1: unknown */
+	int64_t listed_version; /* of the configuration; -1: none found */
 	GHashTable *listed_keys; /* keys found by the listing in progress */
 	handle_t timer;
 	peer_set_t peers;
@@ -67,6 +69,10 @@
 	int64_t last_relay_at; /* monotonic, us, last push received */
 	bool forward_due; /* changes that were pushed are not passed on yet */
 	int64_t pushed_revision; /* changes up to this revision were pushed */
+	int64_t offered_version; /* highest of the configuration, by a peer */
+	char offered_by[INCARNATION_SIZE];
+	int64_t requested_version; /* last one requested from a peer */
+	int64_t requested_at; /* monotonic, us */
 } replica_t;
 
 void replica_init(replica_t *replica, kernel_t *kernel,
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -174,6 +174,10 @@
 		body->u.permit_reply.limit = {LIMIT_NONE, 0};
 		body->u.permit_reply.age_us = 1;
 		break;
+	case PEER_CONF_OFFER:
+	case PEER_CONF_REQUEST:
+		body->u.conf_offer.version = 1764900000000;
+		break;
 	case PEER_STORE_PULL:
 		body->u.store_pull.after = INT64_MAX;
 		break;
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -55,17 +55,22 @@
 		store_items[key] = revision;
 		store_revision = revision;
 	}
-	static void add(store_result_t *result, const std::string &key,
-			int64_t revision, bool deleted, uint64_t sequence = 1)
+	void add(store_result_t *result, const std::string &key,
+		 int64_t revision, bool deleted, uint64_t sequence = 1) const
 	{
-		std::string text = key + std::to_string(sequence);
+		std::string text = key + std::to_string(sequence) +
+				   std::to_string(conf_version);
 		record_t record = {};
 		GBytes *raw;
 
 		if (key == "fleet/conf")
 			text.resize(200000);
 		raw = g_bytes_new(text.data(), text.size());
-		if (!deleted) {
+		if (!deleted && key == "fleet/conf" && conf_version > 0) {
+			record.kind = RECORD_FLEET_CONF;
+			record.u.fleet_conf = fleet_conf_new();
+			record.u.fleet_conf->version = conf_version;
+		} else if (!deleted) {
 			record.kind = RECORD_FLEET_TARGET;
 			record.u.fleet_target = g_new0(fleet_target_t, 1);
 			record.u.fleet_target->sequence = sequence;
@@ -120,7 +125,7 @@
 		reply.u.store_result = result;
 		kernel_post(&kernel, store, msg->from, &reply);
 	}
-	static void decode(const peer_body_t *body, store_result_t *result)
+	void decode(const peer_body_t *body, store_result_t *result) const
 	{
 		const GArray *list = body->u.store_items.items;
 
@@ -140,7 +145,16 @@
 
 		if (msg->kind != MSG_PEER_SEND)
 			return;
-		if (msg->u.peer.body->kind == PEER_STORE_PULL) {
+		if (msg->u.peer.body->kind == PEER_CONF_OFFER ||
+		    msg->u.peer.body->kind == PEER_CONF_REQUEST) {
+			auto &versions =
+				msg->u.peer.body->kind == PEER_CONF_OFFER
+					? r->conf_offers
+					: r->conf_requests;
+
+			versions[msg->u.peer.incarnation].push_back(
+				msg->u.peer.body->u.conf_offer.version);
+		} else if (msg->u.peer.body->kind == PEER_STORE_PULL) {
 			r->pulls.push_back(msg->u.peer.incarnation);
 		} else {
 			r->pushes[msg->u.peer.incarnation]++;
@@ -246,6 +260,8 @@
 	bool behind = false;
 	int events = 0, events_before_era = 0;
 	std::vector<int64_t> eras; // of events without keys
+	int64_t conf_version = 0; // in the store; 0: as a target
+	std::map<std::string, std::vector<int64_t>> conf_offers, conf_requests;
 };
 
 // Applies states of one key, as they come from the store or from peers.
@@ -653,6 +669,47 @@
 	EXPECT_EQ(seen[TARGET], RECORD_FLEET_TARGET);
 }
 
+// An instance that starts after a restore reads an older configuration than the
+// one that the operator has been told is in force.
+TEST_F(Replica, LostConfigurationIsTakenFromAPeer)
+{
+	msg_t offer = {};
+
+	conf_version = 11;
+	put("fleet/conf", revision_make(2, 7));
+	for (int i = 0; i < 3; i++) {
+		offer.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(offer.u.peer.incarnation, "b",
+			  sizeof(offer.u.peer.incarnation));
+		offer.u.peer.body = peer_body_new(PEER_CONF_OFFER);
+		offer.u.peer.body->u.conf_offer.version = 15;
+		kernel_post(&kernel, peer, replica.svc, &offer);
+	}
+	start();
+	ASSERT_EQ(conf_requests["b"], std::vector<int64_t>{15});
+	conf_version = 15;
+	receive_items(0, 0, "fleet/conf", false, false);
+	EXPECT_EQ(seen["fleet/conf"], RECORD_FLEET_CONF);
+	// It is passed on to others that start.
+	peer_up("c", "z");
+	run(0);
+	EXPECT_EQ(conf_offers["c"], std::vector<int64_t>{15});
+}
+
+// A version that only some instances have read before the restore.
+TEST_F(Replica, PeersAreToldOfAConfigurationThatTheStoreHasLost)
+{
+	conf_version = 15;
+	put("fleet/conf", revision_make(1, 90));
+	start();
+	EXPECT_TRUE(conf_offers[""].empty());
+	conf_version = 11;
+	put("fleet/conf", revision_make(2, 40));
+	compacted = true;
+	run(700000);
+	EXPECT_EQ(conf_offers[""], std::vector<int64_t>{15});
+}
+
 // A peer that was cut off does not know of the deletion.
 TEST_F(Replica, PeerBringsNoDeletedKeyBack)
 {
