Take another document with the version of the one in force

After a restore the operator may use the number of a version again that the store has lost, for another document. Its version is not higher, so it was ignored to the end of the process, though the store had acknowledged it.

The replica passes on states in the order in which they were written, so a different document with the same version is the later one and is taken.

Fleet.LaterDocumentOfTheSameVersionIsTaken fails on the code before.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -95,13 +95,27 @@
 			    &((known_target_t *)data)->target, false);
 }
 
+static bool is_same_document(const fleet_conf_t *a, const fleet_conf_t *b)
+{
+	return a->document == b->document ||
+	       (a->document != NULL && b->document != NULL &&
+		g_bytes_equal(a->document, b->document));
+}
+
+/*
+ * Applies a configuration unless it is older than the one in force.  The
+ * operator may write another one with the same version after a restore of the
+ * store; the one that is written last is in force.
+ */
 static void apply_conf(fleet_t *fleet, const record_t *record)
 {
 	fleet_conf_t *conf = record->u.fleet_conf;
 
 	if (record->kind != RECORD_FLEET_CONF)
 		return;
-	if (fleet->conf != NULL && conf->version <= fleet->conf->version) {
+	if (fleet->conf != NULL && (conf->version < fleet->conf->version ||
+				    (conf->version == fleet->conf->version &&
+				     is_same_document(conf, fleet->conf)))) {
 		metrics_add(fleet->kernel->metrics, COUNTER_CONF_STALE, 1);
 		return;
 	}
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -1,7 +1,8 @@
 /*
  * Service "fleet": keeps the configuration in force, the targets that the
  * platform lists and the number of instances, and publishes them to its
- * subscribers.  A configuration is replaced only by a newer version.
+ * subscribers.  A configuration is replaced only by a newer version, or by
+ * another document of the same version.
  */
 #ifndef FLEET_FLEET_H
 #define FLEET_FLEET_H
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -42,6 +42,7 @@
 
 		if (msg->kind == MSG_FLEET_CONF) {
 			f->version = msg->u.fleet_conf->version;
+			f->conf_notifications++;
 		} else if (msg->kind == MSG_FLEET_TARGET) {
 			const fleet_target_t &target =
 				msg->u.fleet_target.target;
@@ -66,7 +67,7 @@
 	{
 		send_event(store_result_new(up ? STORE_OK : STORE_UNAVAILABLE));
 	}
-	void put_conf(int64_t revision)
+	void put_conf(int64_t revision, const char *text = nullptr)
 	{
 		store_result_t *result = store_result_new(STORE_OK);
 		record_t record = {};
@@ -74,6 +75,9 @@
 		record.kind = RECORD_FLEET_CONF;
 		record.u.fleet_conf = fleet_conf_new();
 		record.u.fleet_conf->version = revision;
+		if (text != nullptr)
+			record.u.fleet_conf->document =
+				g_bytes_new(text, strlen(text));
 		store_result_add(result, 0, "fleet/conf", revision, &record);
 		record_clear(&record);
 		send_event(result);
@@ -115,7 +119,7 @@
 	svc_t store, listener;
 	int64_t version = 0;
 	std::map<std::string, std::string> targets;
-	int notifications = 0;
+	int notifications = 0, conf_notifications = 0;
 };
 
 TEST_F(Fleet, ConfigurationNeverReverts)
@@ -128,6 +132,18 @@
 	EXPECT_EQ(version, 12);
 }
 
+// A restored store may lose a version whose number the operator uses again.
+TEST_F(Fleet, LaterDocumentOfTheSameVersionIsTaken)
+{
+	put_conf(7, "first");
+	put_conf(7, "first");
+	EXPECT_EQ(conf_notifications, 1);
+	put_conf(7, "second");
+	EXPECT_EQ(conf_notifications, 2);
+	put_conf(6, "first");
+	EXPECT_EQ(conf_notifications, 2);
+}
+
 TEST_F(Fleet, PublishesDrainingTargetAtOnceAndIgnoresHeartbeats)
 {
 	put_target("i-1");
