Join the fleet's grants before tokens are taken from a restored store

Cause: the records in the copy lack what was taken since. Whoever takes tokens by such a record takes some of them a second time; holders of the lost grants go on spending them.

Each holder's grant is now an entry of its own that only grows until it is returned, so that states of a record can be joined in any order and repeatedly. In a new era every instance asks its peers for what they know, takes nothing until all have replied or 2.5 s have passed, and joins that with what it reads. One instance writes the joined record back; the others do so only if it has not. Takes are told to the peers at once (in a large fleet to the account's three next homes), so that the grants of an instance that has ended or is cut off are known. An instance that starts asks too, before it takes any.

--- a/kernel/fleet.c
+++ b/kernel/fleet.c
@@ -116,6 +116,54 @@
 	g_free(allocation);
 }
 
+grant_holder_t *allocation_find(const record_allocation_t *allocation,
+				const char *incarnation)
+{
+	for (guint i = 0; i < allocation->holders->len; i++) {
+		grant_holder_t *holder =
+			&g_array_index(allocation->holders, grant_holder_t, i);
+
+		if (strcmp(holder->incarnation, incarnation) == 0)
+			return holder;
+	}
+	return NULL;
+}
+
+bool allocation_join_holder(record_allocation_t *allocation,
+			    const grant_holder_t *holder)
+{
+	grant_holder_t *known =
+		allocation_find(allocation, holder->incarnation);
+	grant_holder_t before;
+
+	if (known == NULL) {
+		g_array_append_val(allocation->holders, *holder);
+		return true;
+	}
+	before = *known;
+	/* What a holder has returned is not in its last open grant. */
+	if (holder->state == GRANT_RETURNED && known->state != GRANT_RETURNED)
+		known->granted = holder->granted;
+	else if (holder->state == GRANT_RETURNED ||
+		 known->state != GRANT_RETURNED)
+		known->granted = MAX(known->granted, holder->granted);
+	known->state = MAX(known->state, holder->state);
+	return known->granted != before.granted || known->state != before.state;
+}
+
+bool allocation_join(record_allocation_t *allocation,
+		     const record_allocation_t *other)
+{
+	bool changed = other->closed > allocation->closed;
+
+	allocation->closed = MAX(allocation->closed, other->closed);
+	for (guint i = 0; i < other->holders->len; i++)
+		changed |= allocation_join_holder(
+			allocation,
+			&g_array_index(other->holders, grant_holder_t, i));
+	return changed;
+}
+
 int64_t allocation_total(const record_allocation_t *allocation)
 {
 	int64_t total = allocation->closed;
--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -106,22 +106,43 @@
 /* True if two entries of a target differ only in the heartbeat. */
 bool fleet_target_equal(const fleet_target_t *a, const fleet_target_t *b);
 
+/* In this order, a later state replaces an earlier one. */
+typedef enum grant_state_t {
+	GRANT_OPEN,
+	GRANT_LOST, /* its process has ended; all tokens count as spent */
+	GRANT_RETURNED, /* closed by its process; granted are the tokens used */
+	GRANT_STATE_COUNT,
+} grant_state_t;
+
 /* Tokens that one instance has taken from an account's prepaid allocation. */
 typedef struct grant_holder_t {
 	char node[NAME_SIZE];
 	char incarnation[INCARNATION_SIZE];
-	int64_t granted; /* tokens taken less tokens returned */
+	int64_t granted; /* only increases, until the grant is returned */
+	grant_state_t state;
 } grant_holder_t;
 
 /* Tokens taken from an account's prepaid tokens, by holder. */
 typedef struct record_allocation_t {
-	int64_t closed; /* tokens taken by holders that have ended */
+	int64_t closed; /* by holders that were removed; earlier versions */
 	GArray *holders; /* grant_holder_t */
 } record_allocation_t;
 
 record_allocation_t *allocation_new(void);
 record_allocation_t *allocation_copy(const record_allocation_t *from);
 void allocation_free(record_allocation_t *allocation);
+/* Returns the holder of that incarnation, or NULL. */
+grant_holder_t *allocation_find(const record_allocation_t *allocation,
+				const char *incarnation);
+/*
+ * Adds what another state of the holder or the record says.  The result is the
+ * same in whatever order and however often states are joined.  Returns true if
+ * the allocation has changed.
+ */
+bool allocation_join_holder(record_allocation_t *allocation,
+			    const grant_holder_t *holder);
+bool allocation_join(record_allocation_t *allocation,
+		     const record_allocation_t *other);
 /* Returns all tokens taken, or -1 if the sum overflows. */
 int64_t allocation_total(const record_allocation_t *allocation);
 
--- a/kernel/peering.c
+++ b/kernel/peering.c
@@ -64,6 +64,10 @@
 		body->u.bill_copy.bills =
 			g_array_new(FALSE, TRUE, sizeof(bill_t));
 		break;
+	case PEER_HOLDINGS:
+		body->u.holdings.list =
+			g_array_new(FALSE, TRUE, sizeof(holding_t));
+		break;
 	case PEER_STORE_ITEMS:
 		body->u.store_items.items =
 			g_array_new(FALSE, TRUE, sizeof(store_item_t));
@@ -90,6 +94,9 @@
 	case PEER_BILL_COPY:
 		g_array_unref(body->u.bill_copy.bills);
 		break;
+	case PEER_HOLDINGS:
+		g_array_unref(body->u.holdings.list);
+		break;
 	case PEER_STORE_ITEMS:
 		g_array_unref(body->u.store_items.items);
 		break;
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -5,6 +5,7 @@
 #define KERNEL_PEERING_H
 
 #include "kernel/exchange.h"
+#include "kernel/fleet.h"
 #include "kernel/storage.h"
 
 G_BEGIN_DECLS
@@ -64,6 +65,14 @@
 	int64_t wall_ms;
 } bill_t;
 
+#define PEER_HOLDINGS_MAX 2048 /* in one message */
+
+/* What one instance knows of a grant. */
+typedef struct holding_t {
+	char client_account[NAME_SIZE];
+	grant_holder_t holder;
+} holding_t;
+
 typedef enum peer_kind_t {
 	PEER_HEARTBEAT,
 	PEER_LEAVE,
@@ -87,6 +96,8 @@
 	PEER_PERMIT_REPLY,
 	PEER_CONF_OFFER,
 	PEER_CONF_REQUEST,
+	PEER_HOLDINGS_PULL,
+	PEER_HOLDINGS,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -179,6 +190,11 @@
 		struct {
 			int64_t version; /* of the gateway's configuration */
 		} conf_offer; /* PEER_CONF_OFFER, _REQUEST */
+		struct {
+			int64_t era; /* of the store */
+			bool complete; /* ends the reply to a pull */
+			GArray *list; /* holding_t; NULL in a pull */
+		} holdings; /* PEER_HOLDINGS_PULL, PEER_HOLDINGS */
 		struct {
 			char target[NAME_SIZE];
 			int64_t tokens; /* prompt tokens that are not cached */
--- a/peer/bodies.c
+++ b/peer/bodies.c
@@ -127,6 +127,11 @@
 	BODY_I64(conf_offer, version),
 };
 
+static const field_t holdings_fields[] = {
+	BODY_I64(holdings, era),
+	BODY_BOOL(holdings, complete),
+};
+
 fields_t peer_body_fields(peer_kind_t kind)
 {
 	switch (kind) {
@@ -170,6 +175,9 @@
 	case PEER_CONF_OFFER:
 	case PEER_CONF_REQUEST:
 		return FIELDS_OF(conf_offer_fields);
+	case PEER_HOLDINGS_PULL:
+	case PEER_HOLDINGS:
+		return FIELDS_OF(holdings_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -34,6 +34,15 @@
 	{"wall_ms", FIELD_I64, offsetof(bill_t, wall_ms), INT64_MAX},
 };
 
+static const field_t holding_fields[] = {
+	FIELD_TEXT_OF(holding_t, client_account),
+	FIELD_TEXT_OF(holding_t, holder.node),
+	FIELD_TEXT_OF(holding_t, holder.incarnation),
+	{"granted", FIELD_I64, offsetof(holding_t, holder.granted), INT64_MAX},
+	{"state", FIELD_ENUM, offsetof(holding_t, holder.state),
+	 GRANT_STATE_COUNT - 1},
+};
+
 /* Returns the number of arrays that follow the scalar fields of a body. */
 static uint32_t body_nested_count(peer_kind_t kind)
 {
@@ -43,6 +52,7 @@
 	case PEER_CONF_ITEMS:
 	case PEER_BILL_COPY:
 	case PEER_STORE_ITEMS:
+	case PEER_HOLDINGS:
 		return 1;
 	default:
 		return 0;
@@ -241,6 +251,9 @@
 	case PEER_BILL_COPY:
 		return pack_list(packer, FIELDS_OF(bill_fields),
 				 body->u.bill_copy.bills, PEER_BILLS_MAX, err);
+	case PEER_HOLDINGS:
+		return pack_list(packer, FIELDS_OF(holding_fields),
+				 body->u.holdings.list, PEER_HOLDINGS_MAX, err);
 	case PEER_STORE_ITEMS:
 		return pack_store_items(packer, body->u.store_items.items, err);
 	default:
@@ -278,6 +291,10 @@
 		ok = parse_list(&nested[0], FIELDS_OF(bill_fields),
 				body->u.bill_copy.bills, PEER_BILLS_MAX, err);
 		break;
+	case PEER_HOLDINGS:
+		ok = parse_list(&nested[0], FIELDS_OF(holding_fields),
+				body->u.holdings.list, PEER_HOLDINGS_MAX, err);
+		break;
 	case PEER_STORE_ITEMS:
 		ok = parse_store_items(&nested[0], body->u.store_items.items,
 				       err);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -123,6 +123,8 @@
 	case PEER_SLICE_REPLY:
 	case PEER_REFILL_REQUEST:
 	case PEER_REFILL_REPLY:
+	case PEER_HOLDINGS_PULL:
+	case PEER_HOLDINGS:
 		return peer->ledger;
 	case PEER_CRASH_REPORT:
 		return peer->request;
--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -66,10 +66,14 @@
 	int64_t granted = 0;
 
 	for (guint i = 0;
-	     account->record != NULL && i < account->record->holders->len; i++)
-		granted += g_array_index(account->record->holders,
-					 grant_holder_t, i)
-				   .granted;
+	     account->record != NULL && i < account->record->holders->len;
+	     i++) {
+		const grant_holder_t *holder = &g_array_index(
+			account->record->holders, grant_holder_t, i);
+
+		if (holder->state == GRANT_OPEN)
+			granted += holder->granted;
+	}
 	if (granted <= 0)
 		return min_share / GRANT_SHARE_MIN;
 	return CLAMP((double)account->granted / (double)granted, min_share,
@@ -157,46 +161,84 @@
 		   0);
 }
 
-static bool is_own_holder(const grant_holder_t *holder,
-			  const prepaid_opts_t *self)
+const grant_holder_t *account_own_holder(const prepaid_account_t *account,
+					 const prepaid_opts_t *self)
 {
-	return strcmp(holder->node, self->node) == 0 &&
-	       strcmp(holder->incarnation, self->incarnation) == 0;
+	return account->record != NULL
+		       ? allocation_find(account->record, self->incarnation)
+		       : NULL;
 }
 
-void account_update(prepaid_account_t *account, const prepaid_opts_t *self,
-		    const record_t *record, int64_t revision)
+int64_t account_recorded_grant(const prepaid_account_t *account,
+			       const prepaid_opts_t *self)
 {
-	int64_t granted = 0;
+	const grant_holder_t *own = account_own_holder(account, self);
+
+	return own != NULL && own->state == GRANT_OPEN ? own->granted : 0;
+}
+
+void account_update(prepaid_account_t *account, const record_t *record,
+		    int64_t revision)
+{
+	record_allocation_t *read = NULL;
 
 	if (revision < account->revision)
 		return;
-	if (record->kind == RECORD_ALLOCATION) {
-		allocation_free(account->record);
-		account->record = allocation_copy(record->u.allocation);
-	} else if (record->kind == RECORD_NONE &&
-		   revision_number(revision) == 0) {
-		g_clear_pointer(&account->record, allocation_free);
-	} else {
+	if (record->kind == RECORD_ALLOCATION)
+		read = allocation_copy(record->u.allocation);
+	else if (record->kind != RECORD_NONE || revision_number(revision) != 0)
 		return;
+	if (account->unsaved) {
+		if (read == NULL)
+			read = allocation_new();
+		account->unsaved = allocation_join(read, account->record);
 	}
+	allocation_free(account->record);
+	account->record = read;
 	account->revision = revision;
-	for (guint i = 0;
-	     account->record != NULL && i < account->record->holders->len;
-	     i++) {
-		const grant_holder_t *holder = &g_array_index(
-			account->record->holders, grant_holder_t, i);
+}
+
+void account_adopt_grant(prepaid_account_t *account, const prepaid_opts_t *self)
+{
+	int64_t recorded = account_recorded_grant(account, self);
+	int64_t total =
+		account->record != NULL ? allocation_total(account->record) : 0;
 
-		if (is_own_holder(holder, self))
-			granted = holder->granted;
-	}
 	/*
 	 * Only this instance writes its own grant, and it lowers the grant only
 	 * before a planned stop.
 	 */
-	account->granted = account->grant_closed
-				   ? granted
-				   : MAX(granted, account->granted);
+	if (account->grant_closed)
+		account->granted = recorded;
+	else if (total >= 0 && total <= account->prepaid_tokens)
+		account->granted = MAX(recorded, account->granted);
+}
+
+/*
+ * Merges the entries of ended processes into one with a name of its own.  What
+ * an instance still knows of one of them is counted a second time, which is
+ * safe.
+ */
+static void merge_ended(record_allocation_t *allocation,
+			const prepaid_account_t *account,
+			const prepaid_opts_t *self)
+{
+	grant_holder_t merged = {.state = GRANT_LOST};
+
+	for (guint i = allocation->holders->len; i > 0; i--) {
+		const grant_holder_t *holder = &g_array_index(
+			allocation->holders, grant_holder_t, i - 1);
+
+		if (holder->state == GRANT_OPEN)
+			continue;
+		merged.granted += holder->granted;
+		g_array_remove_index_fast(allocation->holders, i - 1);
+	}
+	g_strlcpy(merged.node, self->node, sizeof(merged.node));
+	g_snprintf(merged.incarnation, sizeof(merged.incarnation),
+		   "%" G_GINT64_MODIFIER "x.%.20s", account->revision,
+		   self->incarnation);
+	g_array_append_val(allocation->holders, merged);
 }
 
 record_allocation_t *account_next_record(const prepaid_account_t *account,
@@ -206,28 +248,23 @@
 	record_allocation_t *next = account->record != NULL
 					    ? allocation_copy(account->record)
 					    : allocation_new();
-	grant_holder_t own = {.granted = granted};
+	grant_holder_t own = {.granted = granted,
+			      .state = close ? GRANT_RETURNED : GRANT_OPEN};
 
-	for (guint i = next->holders->len; i > 0; i--) {
-		const grant_holder_t *holder =
-			&g_array_index(next->holders, grant_holder_t, i - 1);
+	for (guint i = 0; i < next->holders->len; i++) {
+		grant_holder_t *holder =
+			&g_array_index(next->holders, grant_holder_t, i);
 
-		if (strcmp(holder->node, self->node) != 0)
-			continue;
-		/*
-		 * An earlier incarnation on this node may have spent its whole
-		 * grant.
-		 */
-		if (!is_own_holder(holder, self))
-			next->closed += holder->granted;
-		g_array_remove_index_fast(next->holders, i - 1);
-	}
-	if (close) {
-		next->closed += granted;
-		return next;
+		if (strcmp(holder->node, self->node) == 0 &&
+		    strcmp(holder->incarnation, self->incarnation) != 0 &&
+		    holder->state == GRANT_OPEN)
+			holder->state = GRANT_LOST;
 	}
+	if (next->holders->len >= GRANT_HOLDERS_MAX / 2)
+		merge_ended(next, account, self);
 	g_strlcpy(own.node, self->node, sizeof(own.node));
 	g_strlcpy(own.incarnation, self->incarnation, sizeof(own.incarnation));
-	g_array_append_val(next->holders, own);
+	if (granted > 0 || close)
+		allocation_join_holder(next, &own);
 	return next;
 }
--- a/prepaid/account.h
+++ b/prepaid/account.h
@@ -34,6 +34,9 @@
 	int64_t prepaid_tokens; /* configured limit; -1: none */
 	record_allocation_t *record; /* newest known; NULL: none */
 	int64_t revision; /* the record's; 0: absent, or REVISION_UNKNOWN */
+	/* The record here says more than the one in the store, as known. */
+	bool unsaved;
+	handle_t save_timer;
 	int64_t read_at; /* monotonic, us; last result with the record */
 
 	int64_t granted; /* the grant, as confirmed by the store */
@@ -50,6 +53,8 @@
 	 */
 	bool grant_closed;
 	int64_t call_granted; /* grant that the last write asks for */
+	bool saving; /* the pending read is followed by a write */
+	bool call_saves; /* the pending call writes what was unsaved */
 	int64_t retry_at; /* monotonic, us; earliest next call to the store */
 	uint32_t conflicts; /* consecutive conflicting writes */
 	handle_t retry_timer;
@@ -102,13 +107,28 @@
 int64_t account_grant_used(const prepaid_account_t *account);
 /* Unused tokens received from peers. */
 int64_t account_unused_transfers(const prepaid_account_t *account);
-/* Sets the record and the grant as read, unless a newer one is known. */
-void account_update(prepaid_account_t *account, const prepaid_opts_t *self,
-		    const record_t *record, int64_t revision);
+/* Returns this instance's entry in the newest known record, or NULL. */
+const grant_holder_t *account_own_holder(const prepaid_account_t *account,
+					 const prepaid_opts_t *self);
+/* Tokens of the own entry, which may be more than the confirmed grant. */
+int64_t account_recorded_grant(const prepaid_account_t *account,
+			       const prepaid_opts_t *self);
+/*
+ * Sets the record as read, joined with what it lacks after a restore of the
+ * store, unless a newer one is known.
+ */
+void account_update(prepaid_account_t *account, const record_t *record,
+		    int64_t revision);
+/*
+ * Sets the grant to the recorded one, which a write without a result may have
+ * raised, unless other instances may have taken the same tokens.
+ */
+void account_adopt_grant(prepaid_account_t *account,
+			 const prepaid_opts_t *self);
 /*
  * Returns a copy of the record in which the grant of this instance is set to
- * granted tokens or, if close is true, closed with that many tokens used.
- * Grants of earlier incarnations on this node are closed as fully used.
+ * granted tokens or, if close is true, returned with that many tokens used.
+ * Grants of earlier incarnations on this node are lost.
  */
 record_allocation_t *account_next_record(const prepaid_account_t *account,
 					 const prepaid_opts_t *self,
--- a/prepaid/grant.c
+++ b/prepaid/grant.c
@@ -1,6 +1,7 @@
 #include "prepaid/grant.h"
 
 #include "log/log.h"
+#include "prepaid/restore.h"
 
 #include <string.h>
 
@@ -49,6 +50,8 @@
 	account->call_pending = true;
 	account->call_closes = close;
 	account->call_granted = granted;
+	account->call_saves = account->unsaved;
+	account->unsaved = false;
 	kernel_post(prepaid->kernel, prepaid->svc, prepaid->store, &msg);
 }
 
@@ -80,7 +83,9 @@
 	if (want <= 0)
 		return;
 	metrics_add(prepaid->kernel->metrics, COUNTER_GRANTS_TAKEN, 1);
-	write_record(prepaid, account, account->granted + want, false);
+	write_record(prepaid, account,
+		     account_recorded_grant(account, &prepaid->opts) + want,
+		     false);
 }
 
 /* A write whose result is unknown may have created a grant. */
@@ -101,7 +106,8 @@
 static void wait_for_store(prepaid_t *prepaid, prepaid_account_t *account)
 {
 	int64_t retry_at = MAX(account->retry_at, prepaid->retry_at);
-	int64_t wait = retry_at - kernel_now(prepaid->kernel);
+	int64_t wait = MAX(retry_at - kernel_now(prepaid->kernel),
+			   restore_settles_in(prepaid));
 
 	/* Without store and peers, only a retry by the caller can succeed. */
 	if (!prepaid->store_up && peer_set_count(&prepaid->peers) == 0) {
@@ -114,7 +120,8 @@
 			prepaid->kernel, prepaid->svc, MAX(wait, 0),
 			account->self, PREPAID_TIMER_RETRY);
 	/* After a conflict a retry follows soon, so no peers are asked. */
-	if (account->conflicts > 0 && account->revision != REVISION_UNKNOWN)
+	if (!restore_is_settling(prepaid) && account->conflicts > 0 &&
+	    account->revision != REVISION_UNKNOWN)
 		return;
 	for (GList *link = account->waiting.head; link != NULL;
 	     link = link->next)
@@ -136,6 +143,7 @@
 		return;
 	}
 	if (!prepaid->store_up ||
+	    (restore_is_settling(prepaid) && !prepaid->stopping) ||
 	    kernel_now(prepaid->kernel) <
 		    MAX(account->retry_at, prepaid->retry_at))
 		wait_for_store(prepaid, account);
@@ -166,6 +174,30 @@
 		(int64_t)kernel_random_below(prepaid->kernel, (uint64_t)limit);
 }
 
+void grant_save(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	int64_t now = kernel_now(prepaid->kernel);
+
+	if (!account->unsaved || prepaid->stopped)
+		return;
+	if (!prepaid->store_up || account->call_pending ||
+	    now < MAX(account->retry_at, prepaid->retry_at)) {
+		restore_schedule_save(prepaid, account, STORE_RETRY_US);
+		return;
+	}
+	if (account->revision == REVISION_UNKNOWN) {
+		account->saving = true;
+		read_record(prepaid, account);
+		return;
+	}
+	log_event(LOG_LEVEL_INFO, "prepaid", "save",
+		  "account=%s revision=" REVISION_FORMAT
+		  " unallocated=%" G_GINT64_FORMAT,
+		  account->name, REVISION_ARGS(account->revision),
+		  account_unallocated(account));
+	write_record(prepaid, account, account->granted, false);
+}
+
 static void write_committed(prepaid_t *prepaid, prepaid_account_t *account,
 			    int64_t revision)
 {
@@ -179,6 +211,8 @@
 	account->read_at = kernel_now(prepaid->kernel);
 	account->conflicts = 0;
 	account->granted = account->call_closes ? 0 : account->call_granted;
+	account->call_saves = false;
+	restore_announce_grant(prepaid, account);
 	log_event(LOG_LEVEL_DEBUG, "prepaid",
 		  account->call_closes ? "returned" : "taken",
 		  "account=%s granted=%" G_GINT64_FORMAT
@@ -200,15 +234,32 @@
 		back_off(prepaid, account);
 		return;
 	}
-	account_update(account, &prepaid->opts, &kv->record, kv->revision);
+	account_update(account, &kv->record, kv->revision);
+	account_adopt_grant(account, &prepaid->opts);
 	account->read_at = kernel_now(prepaid->kernel);
 }
 
+static void note_result_era(prepaid_t *prepaid, const store_result_t *result)
+{
+	restore_note_era(prepaid, revision_era(result->revision));
+	for (guint i = 0; i < result->kvs->len; i++)
+		restore_note_era(
+			prepaid,
+			revision_era(g_array_index(result->kvs, store_kv_t, i)
+					     .revision));
+}
+
 void grant_store_result(prepaid_t *prepaid, prepaid_account_t *account,
 			const store_result_t *result)
 {
+	store_status_t status = result->status;
+
 	account->call_pending = false;
-	switch (result->status) {
+	note_result_era(prepaid, result);
+	if (store_result_committed(result, 0) &&
+	    revision_era(result->revision) < prepaid->era)
+		status = STORE_UNKNOWN; /* lost by a restore since */
+	switch (status) {
 	case STORE_OK:
 		if (store_result_committed(result, 0)) {
 			write_committed(prepaid, account, result->revision);
@@ -240,5 +291,11 @@
 		break;
 	}
 	account->call_closes = false;
+	account->unsaved |= account->call_saves;
+	account->call_saves = false;
+	if (account->unsaved)
+		restore_schedule_save(prepaid, account,
+				      account->saving ? 0 : STORE_RETRY_US);
+	account->saving = false;
 	grant_advance(prepaid, account);
 }
--- a/prepaid/grant.h
+++ b/prepaid/grant.h
@@ -22,6 +22,8 @@
  * the account needs.
  */
 void grant_advance(prepaid_t *prepaid, prepaid_account_t *account);
+/* Writes what the record in the store lacks, after reading it if necessary. */
+void grant_save(prepaid_t *prepaid, prepaid_account_t *account);
 /* Handles the result of the account's pending call to the store. */
 void grant_store_result(prepaid_t *prepaid, prepaid_account_t *account,
 			const store_result_t *result);
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -2,6 +2,7 @@
 
 #include "log/log.h"
 #include "prepaid/grant.h"
+#include "prepaid/restore.h"
 
 #include <string.h>
 
@@ -33,8 +34,7 @@
 		    kernel_find(prepaid->kernel, "gateway"), &msg);
 }
 
-static prepaid_account_t *find_or_add_account(prepaid_t *prepaid,
-					      const char *name)
+prepaid_account_t *prepaid_find_account(prepaid_t *prepaid, const char *name)
 {
 	prepaid_account_t *account =
 		g_hash_table_lookup(prepaid->accounts_by_name, name);
@@ -75,21 +75,35 @@
 {
 	prepaid_account_t *account;
 
-	if (result->kvs->len == 0)
+	if (result->kvs->len == 0) {
 		set_store_up(prepaid, result->status == STORE_OK);
+		if (result->status == STORE_OK)
+			restore_note_era(prepaid,
+					 revision_era(result->revision));
+	}
 	for (guint i = 0; i < result->kvs->len; i++) {
 		const store_kv_t *kv =
 			&g_array_index(result->kvs, store_kv_t, i);
+		int64_t revision = kv->revision;
 
 		if (!g_str_has_prefix(kv->key, RECORD_KEY_PREFIX))
 			continue;
-		account = find_or_add_account(
+		restore_note_era(prepaid, revision_era(revision));
+		account = prepaid_find_account(
 			prepaid, kv->key + strlen(RECORD_KEY_PREFIX));
+		/* A deleted key has the revision of its deletion. */
+		if (kv->record.kind == RECORD_NONE)
+			revision = revision_make(revision_era(kv->revision), 0);
+		/*
+		 * The first record of a new era is as good as one that is read
+		 * for the account.
+		 */
 		if (account->call_pending ||
-		    account->revision == REVISION_UNKNOWN)
+		    (account->revision == REVISION_UNKNOWN &&
+		     !account->unsaved))
 			continue;
-		account_update(account, &prepaid->opts, &kv->record,
-			       kv->revision);
+		account_update(account, &kv->record, revision);
+		account_adopt_grant(account, &prepaid->opts);
 	}
 }
 
@@ -106,7 +120,7 @@
 static void reserve(prepaid_t *prepaid, const msg_t *msg)
 {
 	prepaid_account_t *account =
-		find_or_add_account(prepaid, msg->u.reserve.client_account);
+		prepaid_find_account(prepaid, msg->u.reserve.client_account);
 	int64_t tokens = MAX(msg->u.reserve.tokens, 0);
 	reservation_t *reservation;
 
@@ -150,7 +164,7 @@
 {
 	const peer_body_t *body = msg->u.peer.body;
 	prepaid_account_t *account =
-		find_or_add_account(prepaid, body->u.slice.client_account);
+		prepaid_find_account(prepaid, body->u.slice.client_account);
 	reservation_t *reservation;
 	int64_t tokens;
 
@@ -183,7 +197,7 @@
 static void refill_requested(prepaid_t *prepaid, const msg_t *msg)
 {
 	const peer_body_t *body = msg->u.peer.body;
-	prepaid_account_t *account = find_or_add_account(
+	prepaid_account_t *account = prepaid_find_account(
 		prepaid, body->u.refill_request.client_account);
 	int64_t min_tokens = MAX(body->u.refill_request.least, 0);
 	int64_t spare = MAX(body->u.refill_request.tokens - min_tokens, 0);
@@ -222,7 +236,7 @@
 static void refill_received(prepaid_t *prepaid, const msg_t *msg)
 {
 	const peer_body_t *body = msg->u.peer.body;
-	prepaid_account_t *account = find_or_add_account(
+	prepaid_account_t *account = prepaid_find_account(
 		prepaid, body->u.refill_reply.client_account);
 	int64_t now = kernel_now(prepaid->kernel);
 
@@ -319,7 +333,7 @@
 {
 	const peer_body_t *body = msg->u.peer.body;
 	prepaid_account_t *account =
-		find_or_add_account(prepaid, body->u.slice.client_account);
+		prepaid_find_account(prepaid, body->u.slice.client_account);
 
 	sharing_slice_received(account, msg->u.peer.incarnation);
 	if (body->u.slice.tokens > 0) {
@@ -358,6 +372,11 @@
 
 	if (account == NULL)
 		return;
+	if (timer == PREPAID_TIMER_SAVE) {
+		account->save_timer = HANDLE_NONE;
+		grant_save(prepaid, account);
+		return;
+	}
 	if (timer == PREPAID_TIMER_REFILL)
 		sharing_home_failed(prepaid, account);
 	else
@@ -372,6 +391,7 @@
 	switch (timer) {
 	case PREPAID_TIMER_RETRY:
 	case PREPAID_TIMER_REFILL:
+	case PREPAID_TIMER_SAVE:
 		account_timer(prepaid, msg->ref, timer);
 		break;
 	case PREPAID_TIMER_WAIT:
@@ -380,6 +400,9 @@
 	case PREPAID_TIMER_EXCESS:
 		return_excess(prepaid);
 		break;
+	case PREPAID_TIMER_SETTLE:
+		restore_check_settled(prepaid);
+		break;
 	}
 }
 
@@ -391,7 +414,7 @@
 		const fleet_account_t *conf = &g_array_index(
 			prepaid->conf->accounts, fleet_account_t, i);
 		prepaid_account_t *account =
-			find_or_add_account(prepaid, conf->name);
+			prepaid_find_account(prepaid, conf->name);
 
 		if (conf->prepaid > account->prepaid_tokens)
 			account->exhausted_at = 0;
@@ -462,6 +485,12 @@
 	case PEER_LEAVE:
 		peer_stops(prepaid, msg);
 		break;
+	case PEER_HOLDINGS_PULL:
+		restore_pulled(prepaid, msg);
+		break;
+	case PEER_HOLDINGS:
+		restore_holdings_received(prepaid, msg);
+		break;
 	default:
 		break;
 	}
@@ -486,6 +515,7 @@
 		break;
 	case MSG_FLEET_SIZE:
 		prepaid->instances = msg->u.fleet_size.instances;
+		restore_check_settled(prepaid);
 		break;
 	case MSG_STORE_EVENT:
 		store_event(prepaid, msg->u.store_result);
@@ -506,6 +536,7 @@
 	case MSG_PEER_DOWN:
 		peer_set_update(&prepaid->peers, msg);
 		prepaid->homes_version++;
+		restore_check_settled(prepaid);
 		break;
 	case MSG_PEER_RECEIVED:
 		peer_received(prepaid, msg);
@@ -523,6 +554,11 @@
 	prepaid->opts = *opts;
 	prepaid->instances = 1;
 	prepaid->store_down_since = kernel_now(kernel);
+	prepaid->era = -1;
+	prepaid->pulled_peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	prepaid->replied_peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peer_set_init(&prepaid->peers);
 	table_init(&prepaid->accounts, sizeof(prepaid_account_t));
 	table_init(&prepaid->reservations, sizeof(reservation_t));
@@ -542,6 +578,8 @@
 	}
 	fleet_conf_unref(prepaid->conf);
 	peer_set_finish(&prepaid->peers);
+	g_hash_table_unref(prepaid->pulled_peers);
+	g_hash_table_unref(prepaid->replied_peers);
 	g_hash_table_unref(prepaid->accounts_by_name);
 	table_finish(&prepaid->accounts);
 	table_finish(&prepaid->reservations);
--- a/prepaid/prepaid.h
+++ b/prepaid/prepaid.h
@@ -38,10 +38,22 @@
 	bool store_up;
 	int64_t store_down_since; /* monotonic, us; valid if !store_up */
 	int64_t retry_at; /* monotonic, us; earliest next call to the store */
+	int64_t era; /* of the store; -1: not known yet */
+	bool era_is_first; /* the first one that this instance learned of */
+	bool settling; /* no tokens are taken; see restore.h */
+	int64_t settle_since; /* monotonic, us */
+	GHashTable *pulled_peers; /* asked for holdings in this era */
+	GHashTable *replied_peers;
 	bool stopping;
 	bool stopped;
 } prepaid_t;
 
+struct prepaid_account_t;
+
+/* Returns the account, which is added if it is not known yet. */
+struct prepaid_account_t *prepaid_find_account(prepaid_t *prepaid,
+					       const char *name);
+
 void prepaid_init(prepaid_t *prepaid, kernel_t *kernel,
 		  const prepaid_opts_t *opts);
 void prepaid_finish(prepaid_t *prepaid);
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -1,6 +1,7 @@
 #include "prepaid/reservation.h"
 
 #include "log/log.h"
+#include "prepaid/restore.h"
 
 #include <string.h>
 
@@ -57,7 +58,7 @@
 		USEC_PER_MSEC;
 
 	if (prepaid->store_up)
-		return 0;
+		return (uint32_t)(restore_settles_in(prepaid) / USEC_PER_MSEC);
 	return (uint32_t)CLAMP(elapsed_ms, OUTAGE_RETRY_MIN_MS,
 			       OUTAGE_RETRY_MAX_MS);
 }
--- a/prepaid/reservation.h
+++ b/prepaid/reservation.h
@@ -35,6 +35,8 @@
 	PREPAID_TIMER_REFILL, /* ref is the account */
 	PREPAID_TIMER_WAIT, /* ref is the reservation */
 	PREPAID_TIMER_EXCESS,
+	PREPAID_TIMER_SAVE, /* ref is the account */
+	PREPAID_TIMER_SETTLE,
 } prepaid_timer_t;
 
 reservation_t *reservation_add(prepaid_t *prepaid, prepaid_account_t *account,
--- /dev/null
+++ b/prepaid/restore.c
@@ -0,0 +1,357 @@
+#include "prepaid/restore.h"
+
+#include "kernel/hash.h"
+#include "log/log.h"
+#include "prepaid/grant.h"
+
+#include <string.h>
+
+/*
+ * Limit on the wait for peers.  An instance that is not connected to all others
+ * waits until those have written back what they know.
+ */
+#define SETTLE_US (2500 * USEC_PER_MSEC)
+/* Time in which an instance that has just started connects to its peers. */
+#define CONNECT_US (300 * USEC_PER_MSEC)
+/* Peers of a large fleet that are told of an account's grants. */
+#define SUCCESSORS 3
+/* Peers of a large fleet that an instance asks. */
+#define PULLED_PEERS_LARGE_FLEET 4
+/*
+ * Delays of the write of a joined record.  One instance writes first; the
+ * others see its record before it is their turn.
+ */
+#define SAVE_FIRST_US (100 * USEC_PER_MSEC)
+#define SAVE_OTHERS_US (1200 * USEC_PER_MSEC)
+/* Delay if the store should have the record already. */
+#define SAVE_ANNOUNCED_US (3 * USEC_PER_SEC)
+
+static int64_t spread(prepaid_t *prepaid, int64_t delay)
+{
+	return delay +
+	       (int64_t)kernel_random_below(prepaid->kernel, (uint64_t)delay);
+}
+
+/* True if no peer is preferred to this instance for the account. */
+static bool is_first_choice(const prepaid_t *prepaid,
+			    const prepaid_account_t *account)
+{
+	uint64_t own =
+		hash_rendezvous(prepaid->opts.incarnation, account->name);
+
+	for (guint i = 0; i < peer_set_count(&prepaid->peers); i++)
+		if (hash_rendezvous(
+			    peer_set_at(&prepaid->peers, i)->incarnation,
+			    account->name) > own)
+			return false;
+	return true;
+}
+
+/*
+ * Chooses the peers that are preferred for the account, the first one first.
+ * Returns their number.
+ */
+static guint choose_peers(const prepaid_t *prepaid,
+			  const prepaid_account_t *account,
+			  const char *chosen[SUCCESSORS])
+{
+	uint64_t weights[SUCCESSORS];
+	guint count = 0;
+
+	for (guint i = 0; i < peer_set_count(&prepaid->peers); i++) {
+		const char *peer = peer_set_at(&prepaid->peers, i)->incarnation;
+		uint64_t weight = hash_rendezvous(peer, account->name);
+		guint at = count;
+
+		while (at > 0 && weights[at - 1] < weight)
+			at--;
+		if (at == SUCCESSORS)
+			continue;
+		count = MIN(count + 1, SUCCESSORS);
+		for (guint j = count - 1; j > at; j--) {
+			chosen[j] = chosen[j - 1];
+			weights[j] = weights[j - 1];
+		}
+		chosen[at] = peer;
+		weights[at] = weight;
+	}
+	return count;
+}
+
+void restore_schedule_save(prepaid_t *prepaid, prepaid_account_t *account,
+			   int64_t delay)
+{
+	if (handle_is_none(account->save_timer))
+		account->save_timer =
+			kernel_timer(prepaid->kernel, prepaid->svc, delay,
+				     account->self, PREPAID_TIMER_SAVE);
+}
+
+static peer_body_t *holdings_new(const prepaid_t *prepaid, bool complete)
+{
+	peer_body_t *body = peer_body_new(PEER_HOLDINGS);
+
+	body->u.holdings.era = prepaid->era;
+	body->u.holdings.complete = complete;
+	return body;
+}
+
+static void add_holding(peer_body_t *body, const prepaid_account_t *account,
+			const grant_holder_t *holder)
+{
+	holding_t holding = {.holder = *holder};
+
+	g_strlcpy(holding.client_account, account->name,
+		  sizeof(holding.client_account));
+	g_array_append_val(body->u.holdings.list, holding);
+}
+
+static void send_holdings(prepaid_t *prepaid, const char *peer,
+			  peer_body_t *body)
+{
+	kernel_post_peer(prepaid->kernel, prepaid->svc, prepaid->peer, peer,
+			 body);
+}
+
+static void add_record(const prepaid_account_t *account, peer_body_t *body)
+{
+	for (guint i = 0;
+	     account->record != NULL && i < account->record->holders->len; i++)
+		add_holding(body, account,
+			    &g_array_index(account->record->holders,
+					   grant_holder_t, i));
+}
+
+/* Sends all that is known, in messages of limited size. */
+static void reply_to_pull(prepaid_t *prepaid, const char *peer)
+{
+	peer_body_t *body = holdings_new(prepaid, false);
+	uint32_t cursor = 0;
+	const prepaid_account_t *account;
+
+	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
+	       NULL) {
+		add_record(account, body);
+		if (body->u.holdings.list->len <
+		    PEER_HOLDINGS_MAX - GRANT_HOLDERS_MAX)
+			continue;
+		send_holdings(prepaid, peer, body);
+		body = holdings_new(prepaid, false);
+	}
+	body->u.holdings.complete = true;
+	send_holdings(prepaid, peer, body);
+}
+
+void restore_announce_grant(prepaid_t *prepaid,
+			    const prepaid_account_t *account)
+{
+	const grant_holder_t *own = account_own_holder(account, &prepaid->opts);
+	const char *peers[SUCCESSORS] = {""};
+	guint count = 1;
+
+	if (peer_set_is_large(&prepaid->peers))
+		count = choose_peers(prepaid, account, peers);
+	for (guint i = 0; own != NULL && i < count; i++) {
+		peer_body_t *body = holdings_new(prepaid, false);
+
+		add_holding(body, account, own);
+		send_holdings(prepaid, peers[i], body);
+	}
+}
+
+static void pull_from(prepaid_t *prepaid, const char *peer)
+{
+	peer_body_t *body = peer_body_new(PEER_HOLDINGS_PULL);
+
+	body->u.holdings.era = prepaid->era;
+	send_holdings(prepaid, peer, body);
+}
+
+static bool is_pulled(const prepaid_t *prepaid, guint i)
+{
+	return !peer_set_is_large(&prepaid->peers) ||
+	       i < PULLED_PEERS_LARGE_FLEET;
+}
+
+static bool has_replied(const prepaid_t *prepaid, const char *incarnation)
+{
+	return g_hash_table_contains(prepaid->replied_peers, incarnation);
+}
+
+/* Asks the peers that have not been asked since the wait began. */
+static void pull(prepaid_t *prepaid)
+{
+	for (guint i = 0; i < peer_set_count(&prepaid->peers); i++) {
+		const char *peer = peer_set_at(&prepaid->peers, i)->incarnation;
+
+		if (is_pulled(prepaid, i) &&
+		    g_hash_table_add(prepaid->pulled_peers, g_strdup(peer)))
+			pull_from(prepaid, peer);
+	}
+}
+
+/*
+ * In a large fleet only an account's home takes tokens, and if it fails, one of
+ * its successors.
+ */
+static void tell_homes(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	const char *peers[SUCCESSORS];
+	guint count = choose_peers(prepaid, account, peers);
+
+	for (guint i = 0; i < count; i++) {
+		peer_body_t *body = holdings_new(prepaid, false);
+
+		add_record(account, body);
+		send_holdings(prepaid, peers[i], body);
+	}
+}
+
+static void forget_revision(prepaid_t *prepaid, prepaid_account_t *account)
+{
+	if (account->revision > 0 &&
+	    revision_era(account->revision) < prepaid->era)
+		account->revision = REVISION_UNKNOWN;
+	if (account->record == NULL)
+		return;
+	account->unsaved = true;
+	restore_schedule_save(prepaid, account,
+			      is_first_choice(prepaid, account)
+				      ? SAVE_FIRST_US
+				      : spread(prepaid, SAVE_OTHERS_US));
+	if (peer_set_is_large(&prepaid->peers))
+		tell_homes(prepaid, account);
+}
+
+static void settle_timer(prepaid_t *prepaid, int64_t delay)
+{
+	kernel_timer(prepaid->kernel, prepaid->svc, delay, HANDLE_NONE,
+		     PREPAID_TIMER_SETTLE);
+}
+
+void restore_note_era(prepaid_t *prepaid, int64_t era)
+{
+	int64_t now = kernel_now(prepaid->kernel);
+	uint32_t cursor = 0;
+	prepaid_account_t *account;
+	bool first = prepaid->era < 0;
+
+	if (era <= prepaid->era)
+		return;
+	prepaid->era = era;
+	prepaid->era_is_first = first;
+	prepaid->settle_since = now;
+	prepaid->settling = true;
+	g_hash_table_remove_all(prepaid->pulled_peers);
+	g_hash_table_remove_all(prepaid->replied_peers);
+	log_event(LOG_LEVEL_INFO, "prepaid", "era",
+		  "era=%" G_GINT64_FORMAT " peers=%u instances=%u", era,
+		  peer_set_count(&prepaid->peers), prepaid->instances);
+	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
+	       NULL)
+		forget_revision(prepaid, account);
+	settle_timer(prepaid, SETTLE_US);
+	if (first)
+		settle_timer(prepaid, CONNECT_US);
+	restore_check_settled(prepaid);
+}
+
+bool restore_is_settling(const prepaid_t *prepaid)
+{
+	return prepaid->settling;
+}
+
+int64_t restore_settles_in(const prepaid_t *prepaid)
+{
+	int64_t elapsed = kernel_now(prepaid->kernel) - prepaid->settle_since;
+
+	if (!prepaid->settling)
+		return 0;
+	return (elapsed < CONNECT_US ? CONNECT_US : SETTLE_US) - elapsed;
+}
+
+static bool all_replied(const prepaid_t *prepaid)
+{
+	guint count = peer_set_count(&prepaid->peers);
+
+	if (count + 1 < prepaid->instances)
+		return false;
+	for (guint i = 0; i < count; i++)
+		if (is_pulled(prepaid, i) &&
+		    !has_replied(prepaid,
+				 peer_set_at(&prepaid->peers, i)->incarnation))
+			return false;
+	return true;
+}
+
+static bool is_settled(const prepaid_t *prepaid)
+{
+	int64_t elapsed = kernel_now(prepaid->kernel) - prepaid->settle_since;
+
+	if (elapsed >= SETTLE_US)
+		return true;
+	if (prepaid->era_is_first)
+		return elapsed >= CONNECT_US && all_replied(prepaid);
+	/* Others of a large fleet learn of the restore later. */
+	return !peer_set_is_large(&prepaid->peers) && all_replied(prepaid);
+}
+
+void restore_check_settled(prepaid_t *prepaid)
+{
+	uint32_t cursor = 0;
+	prepaid_account_t *account;
+
+	if (!prepaid->settling)
+		return;
+	pull(prepaid);
+	if (!is_settled(prepaid))
+		return;
+	prepaid->settling = false;
+	log_event(LOG_LEVEL_INFO, "prepaid", "settled",
+		  "era=%" G_GINT64_FORMAT " ms=%" G_GINT64_FORMAT
+		  " peers=%u replies=%u",
+		  prepaid->era,
+		  (kernel_now(prepaid->kernel) - prepaid->settle_since) /
+			  USEC_PER_MSEC,
+		  peer_set_count(&prepaid->peers),
+		  g_hash_table_size(prepaid->replied_peers));
+	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
+	       NULL)
+		if (account->waiting.length > 0)
+			grant_advance(prepaid, account);
+}
+
+void restore_pulled(prepaid_t *prepaid, const msg_t *msg)
+{
+	restore_note_era(prepaid, msg->u.peer.body->u.holdings.era);
+	reply_to_pull(prepaid, msg->u.peer.incarnation);
+}
+
+static void join_holding(prepaid_t *prepaid, const holding_t *holding)
+{
+	prepaid_account_t *account =
+		prepaid_find_account(prepaid, holding->client_account);
+
+	if (account->record == NULL)
+		account->record = allocation_new();
+	if (!allocation_join_holder(account->record, &holding->holder))
+		return;
+	account->unsaved = true;
+	restore_schedule_save(prepaid, account,
+			      spread(prepaid, SAVE_ANNOUNCED_US));
+}
+
+void restore_holdings_received(prepaid_t *prepaid, const msg_t *msg)
+{
+	const peer_body_t *body = msg->u.peer.body;
+	const char *from = msg->u.peer.incarnation;
+
+	restore_note_era(prepaid, body->u.holdings.era);
+	for (guint i = 0; i < body->u.holdings.list->len; i++)
+		join_holding(prepaid, &g_array_index(body->u.holdings.list,
+						     holding_t, i));
+	if (!body->u.holdings.complete || body->u.holdings.era < prepaid->era)
+		return;
+	g_hash_table_add(prepaid->replied_peers, g_strdup(from));
+	restore_check_settled(prepaid);
+}
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -93,6 +93,7 @@
 	peer_body_t *body = peer_body_new(static_cast<peer_kind_t>(kind));
 	member_info_t other = make_member("b", "z2");
 	bill_t bill = {};
+	holding_t holding = {};
 
 	switch (body->kind) {
 	case PEER_HEARTBEAT:
@@ -178,6 +179,20 @@
 	case PEER_CONF_REQUEST:
 		body->u.conf_offer.version = 1764900000000;
 		break;
+	case PEER_HOLDINGS_PULL:
+		body->u.holdings.era = 3;
+		break;
+	case PEER_HOLDINGS:
+		body->u.holdings.era = INT64_MAX;
+		body->u.holdings.complete = true;
+		g_strlcpy(holding.client_account, "acme", NAME_SIZE);
+		g_strlcpy(holding.holder.node, "n1", NAME_SIZE);
+		g_strlcpy(holding.holder.incarnation, "run-1",
+			  INCARNATION_SIZE);
+		holding.holder.granted = INT64_MAX;
+		holding.holder.state = GRANT_RETURNED;
+		g_array_append_val(body->u.holdings.list, holding);
+		break;
 	case PEER_STORE_PULL:
 		body->u.store_pull.after = INT64_MAX;
 		break;
