Let a broken stream go on at the version that began it only

While targets of two software versions served one service, a stream that broke off was continued, inside one response, by a target of the other version: status 200 and text from two versions.

Cause: the version in a target's entry was not read, so a retry could not keep to it. It is now part of the target; after the first event that is forwarded, the request is placed at targets of that version only, and refused at once, which cuts the stream, when none is listed. The line "proxy finished" has the version as software=, and targets passed over for it are counted.

Proxy.BrokenStreamGoesOnAtItsVersionOnly and Balance.RequestForAVersionIsPlacedThereOrRefusedAtOnce don't compile on the code before, which has no such field; there nothing in place or retry looks at a version.

--- a/balance/choose.c
+++ b/balance/choose.c
@@ -116,11 +116,18 @@
 	return target == preferred->secondary ? TARGET_SECONDARY : TARGET_OTHER;
 }
 
+static bool has_other_version(const balance_target_t *target,
+			      const msg_t *request)
+{
+	return request->u.place.one_version &&
+	       strcmp(target->info.version, request->u.place.version) != 0;
+}
+
 bool balance_is_usable(const balance_target_t *target, const msg_t *request)
 {
 	return strcmp(target->info.service, request->u.place.service) == 0 &&
-	       !target->unavailable && !target->notice.leaving &&
-	       !is_avoided(request, target->self);
+	       !has_other_version(target, request) && !target->unavailable &&
+	       !target->notice.leaving && !is_avoided(request, target->self);
 }
 
 limit_request_t balance_limit_request(const msg_t *request, int64_t now)
@@ -184,6 +191,8 @@
 				    const balance_target_t *target,
 				    const msg_t *request, int64_t now)
 {
+	if (has_other_version(target, request))
+		return PASS_VERSION;
 	if (target->unavailable)
 		return PASS_UNAVAILABLE;
 	if (target->notice.leaving)
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -61,6 +61,8 @@
 	msg.u.placed.port = target->info.port;
 	g_strlcpy(msg.u.placed.instance, target->info.id,
 		  sizeof(msg.u.placed.instance));
+	g_strlcpy(msg.u.placed.version, target->info.version,
+		  sizeof(msg.u.placed.version));
 	g_strlcpy(msg.u.placed.host, target->info.host,
 		  sizeof(msg.u.placed.host));
 	kernel_post(balance->kernel, balance->svc, request->from, &msg);
--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -97,6 +97,7 @@
 	char host[HOST_SIZE];
 	uint16_t port;
 	char zone[NAME_SIZE];
+	char version[NAME_SIZE]; /* of its software; empty: not stated */
 	uint32_t slots;
 	bool draining;
 	int64_t started_ms; /* Unix time when the target started */
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -442,10 +442,13 @@
 			prompt_part_t parts[PROMPT_PARTS_MAX];
 			uint32_t avoid_count;
 			handle_t avoid[ROUTE_AVOID_MAX]; /* targets */
+			bool one_version; /* only at targets of that version */
+			char version[NAME_SIZE];
 		} place;
 		struct {
 			handle_t target;
 			char instance[NAME_SIZE];
+			char version[NAME_SIZE]; /* of the target's software */
 			char host[HOST_SIZE];
 			uint16_t port;
 		} placed; /* id is the placement, until MSG_PLACE_DONE */
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -73,7 +73,8 @@
 	X(TRIED, "tried")             \
 	X(PAUSED, "paused")           \
 	X(FULL, "full")               \
-	X(LIMITED, "limited")
+	X(LIMITED, "limited")         \
+	X(VERSION, "version")
 
 typedef enum pass_reason_t {
 	PASS_NONE,
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -121,14 +121,16 @@
 			now - exchange->started_at);
 	log_event(LOG_LEVEL_INFO, "proxy", "finished",
 		  "request=%s outcome=%s route=%s service=%s account=%s "
-		  "version=%" G_GINT64_FORMAT " target=%s sends=%u runs=%u "
+		  "version=%" G_GINT64_FORMAT " target=%s software=%s "
+		  "sends=%u runs=%u "
 		  "reused=%d status=%u events=%u tokens=%" G_GINT64_FORMAT
 		  " ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
 		  " event_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT,
 		  log_quote(exchange->spec->request_id), outcome,
 		  exchange->route.name, exchange->service, exchange->account,
-		  exchange->version, exchange->instance, exchange->sends,
-		  exchange->runs, exchange->reused,
+		  exchange->version, exchange->instance,
+		  exchange->target_version, exchange->sends, exchange->runs,
+		  exchange->reused,
 		  exchange->head != NULL ? exchange->head->status : 0,
 		  exchange->events.count, spent_tokens(exchange),
 		  (now - exchange->started_at) / USEC_PER_MSEC,
@@ -410,6 +412,9 @@
 	memcpy(msg.u.place.parts, spec->parts, sizeof(spec->parts));
 	msg.u.place.avoid_count = exchange->avoid_count;
 	memcpy(msg.u.place.avoid, exchange->avoid, sizeof(exchange->avoid));
+	msg.u.place.one_version = exchange->has_stream_version;
+	g_strlcpy(msg.u.place.version, exchange->stream_version,
+		  sizeof(msg.u.place.version));
 	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &msg);
 }
 
@@ -482,6 +487,8 @@
 	exchange->target = msg->u.placed.target;
 	g_strlcpy(exchange->instance, msg->u.placed.instance,
 		  sizeof(exchange->instance));
+	g_strlcpy(exchange->target_version, msg->u.placed.version,
+		  sizeof(exchange->target_version));
 	g_strlcpy(exchange->target_host, msg->u.placed.host,
 		  sizeof(exchange->target_host));
 	exchange->target_port = msg->u.placed.port;
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -47,6 +47,10 @@
 	handle_t placement;
 	handle_t target;
 	char instance[NAME_SIZE]; /* instance of the last target */
+	char target_version[NAME_SIZE]; /* software of the last target */
+	bool has_stream_version;
+	/* Software of the targets at which the stream may go on. */
+	char stream_version[NAME_SIZE];
 	char target_host[HOST_SIZE];
 	uint16_t target_port;
 	handle_t call; /* handle in outbound, none until MSG_OUT_STARTED */
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -331,12 +331,23 @@
 		reject_attempt(proxy, exchange);
 }
 
+/* Events of two versions of a target's software do not fit together. */
+static void keep_version(exchange_t *exchange)
+{
+	if (exchange->has_stream_version)
+		return;
+	exchange->has_stream_version = true;
+	g_strlcpy(exchange->stream_version, exchange->target_version,
+		  sizeof(exchange->stream_version));
+}
+
 static void forward_events(proxy_t *proxy, exchange_t *exchange, GBytes *bytes)
 {
 	GBytes *complete = sse_feed(&exchange->events, bytes);
 
 	if (complete != NULL) {
 		record_event(proxy, exchange);
+		keep_version(exchange);
 		if (!exchange->head_sent)
 			send_head(proxy, exchange, -1);
 		send_bytes(proxy, exchange, complete);
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -81,7 +81,8 @@
 	}
 	void set_target(const char *service, const char *id, const char *zone,
 			bool draining = false, bool gone = false,
-			uint32_t slots = 8, int64_t started_ms = 1)
+			uint32_t slots = 8, int64_t started_ms = 1,
+			const char *version = "v1")
 	{
 		msg_t msg = {};
 		fleet_target_t *info = &msg.u.fleet_target.target;
@@ -95,6 +96,7 @@
 		info->slots = slots;
 		info->started_ms = started_ms;
 		info->draining = draining;
+		g_strlcpy(info->version, version, sizeof(info->version));
 		msg.u.fleet_target.gone = gone;
 		kernel_post(&kernel, fleet, balance.svc, &msg);
 		run(0);
@@ -119,11 +121,15 @@
 		run(0);
 	}
 	void request(uint32_t number, const char *service, uint64_t part = 0,
-		     int32_t priority = 0)
+		     int32_t priority = 0, const char *version = nullptr)
 	{
 		msg_t msg = {};
 
 		msg.kind = MSG_PLACE;
+		msg.u.place.one_version = version != nullptr;
+		g_strlcpy(msg.u.place.version,
+			  version != nullptr ? version : "",
+			  sizeof(msg.u.place.version));
 		msg.id = {number, 1};
 		g_strlcpy(msg.u.place.service, service,
 			  sizeof(msg.u.place.service));
@@ -167,6 +173,30 @@
 	}
 };
 
+// Guards against a stream that goes on at another version of the software, and
+// against a wait for a version that has left.
+TEST(Balance, RequestForAVersionIsPlacedThereOrRefusedAtOnce)
+{
+	instance_t instance("z1", 1);
+
+	for (int i = 0; i < 12; i++)
+		instance.set_target("engine",
+				    ("i-" + std::to_string(i)).c_str(), "z1",
+				    false, false, 8, 1, i == 7 ? "v2" : "v1");
+	for (uint32_t i = 0; i < 8; i++)
+		instance.request(i, "engine", 0, 0, "v2");
+	ASSERT_EQ(instance.placed.size(), 8u);
+	for (auto &placed : instance.placed)
+		EXPECT_EQ(placed.second, "i-7");
+	// That target is full: other versions are no substitute.
+	instance.request(8, "engine", 0, 0, "v2");
+	EXPECT_EQ(instance.placed.size(), 8u);
+	EXPECT_TRUE(instance.refused.empty());
+	instance.request(9, "engine", 0, 0, "v3");
+	ASSERT_EQ(instance.refused.size(), 1u);
+	EXPECT_EQ(instance.reason, REFUSAL_NO_TARGET);
+}
+
 // Guards against a shared prompt that is read at several targets because
 // instances in different zones choose different ones.
 TEST(Balance, InstancesAgreeOnTargetForAPrompt)
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -181,6 +181,10 @@
 
 		placements++;
 		avoided = request->u.place.avoid_count;
+		place_ref = request->id;
+		placed_at_version = request->u.place.one_version
+					    ? request->u.place.version
+					    : "any";
 		if (no_target)
 			return;
 		msg.kind = MSG_PLACED;
@@ -189,10 +193,22 @@
 		msg.u.placed.target = {(uint32_t)placements, 1};
 		g_snprintf(msg.u.placed.instance, sizeof(msg.u.placed.instance),
 			   "i-%d", placements);
+		g_strlcpy(msg.u.placed.version, target_version.c_str(),
+			  sizeof(msg.u.placed.version));
 		g_strlcpy(msg.u.placed.host, "127.0.0.1",
 			  sizeof(msg.u.placed.host));
 		kernel_post(&kernel, balance, request->from, &msg);
 	}
+	void post_place_refused(refusal_t reason)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PLACE_REFUSED;
+		msg.ref = place_ref;
+		msg.u.place_refused.reason = reason;
+		kernel_post(&kernel, balance, proxy.svc, &msg);
+		run(0);
+	}
 	void handle_send(const msg_t *request)
 	{
 		msg_t msg = {};
@@ -385,6 +401,8 @@
 	std::string body, last_event_id;
 	std::vector<place_result_t> results;
 	std::vector<target_report_t> reports;
+	std::string target_version, placed_at_version;
+	handle_t place_ref = HANDLE_NONE;
 	int completed = 0, aborted = 0, placements = 0, attempts = 0,
 	    cancels = 0, checks = 0;
 	uint64_t bodies = 0;
@@ -559,6 +577,27 @@
 	EXPECT_EQ(spent, 100 + 2 * 6);
 }
 
+// Guards against a response that is joined from two versions of the software.
+TEST_F(Proxy, BrokenStreamGoesOnAtItsVersionOnly)
+{
+	target_version = "v1";
+	post_open("/resume/x");
+	EXPECT_EQ(placed_at_version, "any");
+	post_head(200);
+	post_failed(FAILURE_STREAM, true, true);
+	// Without an event, nothing binds the request to a version.
+	EXPECT_EQ(attempts, 2);
+	EXPECT_EQ(placed_at_version, "any");
+	post_head(200);
+	post_data("id: 1\ndata: a\n\n");
+	no_target = true;
+	post_failed(FAILURE_STREAM, true, true);
+	EXPECT_EQ(placed_at_version, "v1");
+	post_place_refused(REFUSAL_NO_TARGET);
+	EXPECT_EQ(aborted, 1);
+	EXPECT_EQ(completed, 0);
+}
+
 // Guards against a stream that broke off and goes on with the text of another
 // target's error, or ends as if it were complete.
 TEST_F(Proxy, BrokenStreamGoesOnWithEventsOnly)
