Refuse a stream at once when its version has left

A request that needs one version waited half of its latency goal for a target though none of that version was listed. It is now refused at its arrival; the version is in the log line.

--- a/balance/queue.c
+++ b/balance/queue.c
@@ -239,6 +239,17 @@
 	}
 }
 
+/* True if no target of the version that the request needs is listed. */
+static bool is_version_gone(const msg_t *request, const choice_t *choice)
+{
+	if (!request->u.place.one_version)
+		return false;
+	for (int i = PASS_NONE + 1; i < PASS_COUNT; i++)
+		if (i != PASS_VERSION && choice->passed_over.count[i] > 0)
+			return false;
+	return true;
+}
+
 void queue_place(balance_t *balance, const msg_t *msg)
 {
 	choice_t choice;
@@ -252,6 +263,15 @@
 		place(balance, msg, &choice);
 		return;
 	}
+	if (choice.kind == CHOICE_NONE && is_version_gone(msg, &choice)) {
+		log_event(LOG_LEVEL_INFO, "balance", "refused",
+			  "request=%s service=%s reason=version_gone "
+			  "software=%s",
+			  log_quote(msg->u.place.request_id),
+			  msg->u.place.service, msg->u.place.version);
+		refuse(balance, msg, REFUSAL_NO_TARGET, RETRY_AFTER_MS);
+		return;
+	}
 	enqueue(balance, msg);
 	/* More urgent requests claim their permits first. */
 	if (choice.kind != CHOICE_NONE)
