Take streams up again at the version that began them only

Callers whose streams had broken off took them up again at whatever target was the cheapest: status 200, to the end, the first part from one version and the rest from another.

Cause: nothing kept at which version a stream had begun, and Resumes, which names the attempt that brought its first event, was not read.

The service "streams" remembers it for each stream that may be resumed, at the instance and at three peers chosen by the attempt's id. A take-up asks it: what is known here, then what peers know, then the only version that the service has had for twice the longest time limit of its routes, as peers see it. Where nobody knows, the caller gets 503 at once: one version in service now is no proof that it was the one then. The route's service and the client account have to be those of the stream.

streams_test (9 tests), Proxy.StreamTakenUpAgainGoesOnAtItsVersionOnly, Proxy.StreamOfUnknownVersionIsRefusedAtOnce, Proxy.BeginningOfAStreamIsReportedOnce, Wire.StreamThatIsTakenUpAgainIsRead; the code before has neither the service nor the field.

--- a/front/refusal.c
+++ b/front/refusal.c
@@ -47,6 +47,9 @@
 				"the service is overloaded"},
 	[REFUSAL_NO_TARGET] = {REFUSAL_NO_TARGET, 503, 2,
 			       "no target is available"},
+	[REFUSAL_VERSION_UNKNOWN] = {REFUSAL_VERSION_UNKNOWN, 503, 2,
+				     "it is not known at which version of its "
+				     "service the stream began"},
 	[REFUSAL_TARGET_FAILED] = {REFUSAL_TARGET_FAILED, 502, 0,
 				   "the target failed"},
 	[REFUSAL_RETRIES_SPENT] = {REFUSAL_RETRIES_SPENT, 502, 0,
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -12,6 +12,7 @@
 #include "proxy/proxy.h"
 #include "replica/replica.h"
 #include "settings/settings.h"
+#include "streams/streams.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -59,6 +60,7 @@
 	peer_t peer;
 	prepaid_t prepaid;
 	balance_t balance;
+	streams_t streams;
 	proxy_t proxy;
 	ingress_t ingress;
 	gateway_stage_t stage;
@@ -231,6 +233,7 @@
 		     settings->availability_zone);
 	g_strlcpy(proxy.incarnation, gateway->incarnation,
 		  sizeof(proxy.incarnation));
+	streams_init(&gateway->streams, &gateway->kernel);
 	proxy_init(&gateway->proxy, &gateway->kernel, &proxy);
 	ingress_init(&gateway->ingress, &gateway->kernel);
 }
@@ -293,6 +296,7 @@
 {
 	ingress_finish(&gateway->ingress);
 	proxy_finish(&gateway->proxy);
+	streams_finish(&gateway->streams);
 	balance_finish(&gateway->balance);
 	peer_finish(&gateway->peer);
 	mesh_finish(&gateway->mesh);
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -36,6 +36,8 @@
 	uint32_t part_count;
 	prompt_part_t parts[PROMPT_PARTS_MAX];
 	char last_event_id[EVENT_ID_SIZE]; /* last event of a resumed stream */
+	/* Attempt that brought the first event of a resumed stream. */
+	char resumes[REQUEST_ID_SIZE]; /* empty: not stated */
 	http_head_t *head; /* header to forward, without the API key */
 	GBytes *body; /* NULL if there is none */
 } exchange_spec_t;
@@ -43,6 +45,13 @@
 exchange_spec_t *exchange_spec_new(void);
 void exchange_spec_free(exchange_spec_t *spec);
 
+/* Where a stream began, and for whom. */
+typedef struct stream_origin_t {
+	char service[NAME_SIZE];
+	char account[NAME_SIZE];
+	char version[NAME_SIZE]; /* of the target's software */
+} stream_origin_t;
+
 /* Load of a target at the time of its response. */
 typedef struct target_load_t {
 	bool known;
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -158,6 +158,10 @@
 	MSG_FLEET_BEHIND, /* a newer configuration has not arrived yet */
 	MSG_FLEET_SIZE, /* number of instances in the fleet */
 
+	MSG_STREAM_BEGAN, /* proxy -> streams: the first event came */
+	MSG_STREAM_RESOLVE, /* proxy -> streams: where did a stream begin? */
+	MSG_STREAM_RESOLVED,
+
 	MSG_SPEND, /* proxy -> prepaid: ends a reservation */
 
 	MSG_KIND_COUNT,
@@ -509,6 +513,11 @@
 		struct {
 			uint32_t instances; /* including this one */
 		} fleet_size;
+		struct {
+			char request_id[REQUEST_ID_SIZE]; /* of the stream */
+			stream_origin_t origin;
+			bool known; /* MSG_STREAM_RESOLVED */
+		} stream; /* MSG_STREAM_BEGAN, _RESOLVE, _RESOLVED */
 		struct {
 			int64_t tokens; /* at most the reserved tokens */
 		} spend; /* ends the reservation ref */
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -65,6 +65,15 @@
 	int64_t wall_ms;
 } bill_t;
 
+/* What an instance knows of a stream that a caller takes up again. */
+typedef enum stream_answer_t {
+	STREAM_UNKNOWN,
+	STREAM_KNOWN,
+	STREAM_SOLE_VERSION, /* the service has had only this one lately */
+	STREAM_VERSIONS, /* unknown, and the service has had several */
+	STREAM_ANSWER_COUNT,
+} stream_answer_t;
+
 #define PEER_HOLDINGS_MAX 2048 /* in one message */
 
 /* What one instance knows of a grant. */
@@ -98,6 +107,9 @@
 	PEER_CONF_REQUEST,
 	PEER_HOLDINGS_PULL,
 	PEER_HOLDINGS,
+	PEER_STREAM_BEGAN,
+	PEER_STREAM_QUERY,
+	PEER_STREAM_ANSWER,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -196,6 +208,12 @@
 			bool in_store; /* written to the store in this era */
 			GArray *list; /* holding_t; NULL in a pull */
 		} holdings; /* PEER_HOLDINGS_PULL, PEER_HOLDINGS */
+		struct {
+			char request_id[REQUEST_ID_SIZE]; /* of the stream */
+			uint64_t lookup; /* returned unchanged */
+			stream_answer_t answer;
+			stream_origin_t origin;
+		} stream; /* PEER_STREAM_BEGAN, _QUERY, _ANSWER */
 		struct {
 			char target[NAME_SIZE];
 			int64_t tokens; /* prompt tokens that are not cached */
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -27,6 +27,7 @@
 	X(QUEUE_FULL, "queue_full")                 \
 	X(OVERLOADED, "overloaded")                 \
 	X(NO_TARGET, "no_target")                   \
+	X(VERSION_UNKNOWN, "version_unknown")       \
 	X(TARGET_FAILED, "target_failed")           \
 	X(RETRIES_SPENT, "retries_spent")           \
 	X(NO_CONFIGURATION, "no_configuration")     \
--- a/peer/bodies.c
+++ b/peer/bodies.c
@@ -133,6 +133,16 @@
 	BODY_BOOL(holdings, in_store),
 };
 
+static const field_t stream_fields[] = {
+	BODY_TEXT(stream, request_id),
+	BODY_U64(stream, lookup),
+	{"answer", FIELD_ENUM, offsetof(peer_body_t, u.stream.answer),
+	 STREAM_ANSWER_COUNT - 1},
+	BODY_TEXT(stream, origin.service),
+	BODY_TEXT(stream, origin.account),
+	BODY_TEXT(stream, origin.version),
+};
+
 fields_t peer_body_fields(peer_kind_t kind)
 {
 	switch (kind) {
@@ -179,6 +189,10 @@
 	case PEER_HOLDINGS_PULL:
 	case PEER_HOLDINGS:
 		return FIELDS_OF(holdings_fields);
+	case PEER_STREAM_BEGAN:
+	case PEER_STREAM_QUERY:
+	case PEER_STREAM_ANSWER:
+		return FIELDS_OF(stream_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -91,6 +91,7 @@
 	post_addr(peer, peer->conf, MSG_PEER_UP, conn);
 	post_addr(peer, peer->replica, MSG_PEER_UP, conn);
 	post_addr(peer, peer->ledger, MSG_PEER_UP, conn);
+	post_addr(peer, peer->streams, MSG_PEER_UP, conn);
 	post_addr(peer, peer->proxy, MSG_PEER_UP, conn);
 	post_addr(peer, peer->balance, MSG_PEER_UP, conn);
 }
@@ -104,6 +105,7 @@
 	post_addr(peer, peer->conf, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->replica, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->ledger, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->streams, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->balance, MSG_PEER_DOWN, conn);
 }
 
@@ -135,6 +137,10 @@
 	case PEER_CONF_OFFER:
 	case PEER_CONF_REQUEST:
 		return peer->replica;
+	case PEER_STREAM_BEGAN:
+	case PEER_STREAM_QUERY:
+	case PEER_STREAM_ANSWER:
+		return peer->streams;
 	case PEER_PLACED:
 	case PEER_TARGET_LEAVING:
 	case PEER_TARGET_LIMIT:
@@ -264,6 +270,7 @@
 	peer->proxy = kernel_find(peer->kernel, "proxy");
 	peer->balance = kernel_find(peer->kernel, "balance");
 	peer->replica = kernel_find(peer->kernel, "replica");
+	peer->streams = kernel_find(peer->kernel, "streams");
 	g_socket_service_start(peer->listener);
 	kernel_timer(peer->kernel, peer->svc, TICK_US, HANDLE_NONE, TIMER_TICK);
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -38,6 +38,7 @@
 	svc_t ledger;
 	svc_t request;
 	svc_t replica;
+	svc_t streams;
 	svc_t balance;
 	svc_t proxy;
 	peer_opts_t opts;
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -207,10 +207,19 @@
 	exchange_end(proxy, exchange, refusal_name(reason));
 }
 
+static void set_service(proxy_t *proxy, exchange_t *exchange, const char *name)
+{
+	const fleet_service_t *service;
+
+	g_strlcpy(exchange->service, name, sizeof(exchange->service));
+	service = fleet_conf_service(proxy->conf, exchange->service);
+	exchange->event_tokens =
+		service != NULL && service->engine ? service->event_tokens : 0;
+}
+
 static void choose_service(proxy_t *proxy, exchange_t *exchange)
 {
 	const fleet_route_t *route = &exchange->route;
-	const fleet_service_t *service;
 	uint64_t total = 0, at;
 	uint32_t chosen = 0;
 
@@ -221,11 +230,7 @@
 		while (at >= route->shares[chosen].weight)
 			at -= route->shares[chosen++].weight;
 	}
-	g_strlcpy(exchange->service, route->shares[chosen].service,
-		  sizeof(exchange->service));
-	service = fleet_conf_service(proxy->conf, exchange->service);
-	if (service != NULL && service->engine)
-		exchange->event_tokens = service->event_tokens;
+	set_service(proxy, exchange, route->shares[chosen].service);
 }
 
 /* Equal requests with the same API key have the same fingerprint. */
@@ -333,6 +338,39 @@
 	exchange_limit_to_stop(proxy, exchange);
 }
 
+static bool is_taken_up_again(const exchange_t *exchange)
+{
+	return exchange->route.kind == ROUTE_STREAM &&
+	       exchange->route.resumable &&
+	       exchange->spec->last_event_id[0] != '\0';
+}
+
+/* Asks at which version the stream began. */
+static void resolve_stream(proxy_t *proxy, exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_STREAM_RESOLVE, .id = exchange->self};
+
+	exchange->state = EXCHANGE_RESOLVING;
+	g_strlcpy(msg.u.stream.request_id, exchange->spec->resumes,
+		  sizeof(msg.u.stream.request_id));
+	g_strlcpy(msg.u.stream.origin.service, exchange->service,
+		  sizeof(msg.u.stream.origin.service));
+	g_strlcpy(msg.u.stream.origin.account, exchange->account,
+		  sizeof(msg.u.stream.origin.account));
+	kernel_post(proxy->kernel, proxy->svc, proxy->streams, &msg);
+}
+
+static void reserve_or_place(proxy_t *proxy, exchange_t *exchange)
+{
+	const exchange_spec_t *spec = exchange->spec;
+
+	if (exchange->event_tokens > 0 && exchange->account[0] != '\0' &&
+	    spec->prompt_tokens + spec->max_tokens > 0)
+		reserve_tokens(proxy, exchange);
+	else
+		exchange_place(proxy, exchange);
+}
+
 void exchange_start(proxy_t *proxy, msg_t *msg)
 {
 	msg_t started = {.kind = MSG_EXCHANGE_STARTED, .ref = msg->id};
@@ -358,11 +396,41 @@
 		return;
 	}
 	set_deadline(proxy, exchange);
-	if (exchange->event_tokens > 0 && exchange->account[0] != '\0' &&
-	    exchange->spec->prompt_tokens + exchange->spec->max_tokens > 0)
-		reserve_tokens(proxy, exchange);
+	if (is_taken_up_again(exchange))
+		resolve_stream(proxy, exchange);
 	else
-		exchange_place(proxy, exchange);
+		reserve_or_place(proxy, exchange);
+}
+
+static bool is_service_of(const fleet_route_t *route, const char *service)
+{
+	for (uint32_t i = 0; i < route->share_count; i++)
+		if (strcmp(route->shares[i].service, service) == 0)
+			return true;
+	return false;
+}
+
+void exchange_resolved(proxy_t *proxy, const msg_t *msg)
+{
+	const stream_origin_t *origin = &msg->u.stream.origin;
+	exchange_t *exchange = table_get(&proxy->exchanges, msg->ref);
+
+	if (exchange == NULL || exchange->state != EXCHANGE_RESOLVING)
+		return;
+	if (!msg->u.stream.known) {
+		exchange_refuse(proxy, exchange, REFUSAL_VERSION_UNKNOWN, 0);
+		return;
+	}
+	/* The route may lead to another service by now. */
+	if (!is_service_of(&exchange->route, origin->service)) {
+		exchange_refuse(proxy, exchange, REFUSAL_NO_TARGET, 0);
+		return;
+	}
+	set_service(proxy, exchange, origin->service);
+	exchange->has_stream_version = true;
+	g_strlcpy(exchange->stream_version, origin->version,
+		  sizeof(exchange->stream_version));
+	reserve_or_place(proxy, exchange);
 }
 
 void exchange_reserved(proxy_t *proxy, const msg_t *msg)
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -18,6 +18,7 @@
 } exchange_timer_t;
 
 typedef enum exchange_state_t {
+	EXCHANGE_RESOLVING, /* waiting for where the stream began */
 	EXCHANGE_RESERVING, /* waiting for a token reservation */
 	EXCHANGE_PLACING, /* waiting for a target */
 	EXCHANGE_SENT, /* waiting for the response head */
@@ -89,6 +90,7 @@
 
 /* exchange.c */
 void exchange_start(proxy_t *proxy, msg_t *msg);
+void exchange_resolved(proxy_t *proxy, const msg_t *msg);
 void exchange_reserved(proxy_t *proxy, const msg_t *msg);
 void exchange_placed(proxy_t *proxy, const msg_t *msg);
 void exchange_place_refused(proxy_t *proxy, const msg_t *msg);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -12,6 +12,7 @@
 	proxy->balance = kernel_find(proxy->kernel, "balance");
 	proxy->outbound = kernel_find(proxy->kernel, "outbound");
 	proxy->prepaid = kernel_find(proxy->kernel, "prepaid");
+	proxy->streams = kernel_find(proxy->kernel, "streams");
 	proxy->peer = kernel_find(proxy->kernel, "peer");
 	kernel_post(proxy->kernel, proxy->svc,
 		    kernel_find(proxy->kernel, "fleet"), &msg);
@@ -151,6 +152,9 @@
 	case MSG_EXCHANGE_CANCEL:
 		exchange_cancelled(proxy, msg->ref);
 		break;
+	case MSG_STREAM_RESOLVED:
+		exchange_resolved(proxy, msg);
+		break;
 	case MSG_RESERVED:
 		exchange_reserved(proxy, msg);
 		break;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -66,6 +66,7 @@
 	svc_t balance;
 	svc_t outbound;
 	svc_t prepaid;
+	svc_t streams;
 	svc_t peer;
 	proxy_opts_t opts;
 	fleet_conf_t *conf; /* NULL until one is received */
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -331,14 +331,32 @@
 		reject_attempt(proxy, exchange);
 }
 
+/* Lets other instances know where the stream began. */
+static void report_stream(proxy_t *proxy, const exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_STREAM_BEGAN};
+
+	g_strlcpy(msg.u.stream.request_id, exchange->spec->request_id,
+		  sizeof(msg.u.stream.request_id));
+	g_strlcpy(msg.u.stream.origin.service, exchange->service,
+		  sizeof(msg.u.stream.origin.service));
+	g_strlcpy(msg.u.stream.origin.account, exchange->account,
+		  sizeof(msg.u.stream.origin.account));
+	g_strlcpy(msg.u.stream.origin.version, exchange->stream_version,
+		  sizeof(msg.u.stream.origin.version));
+	kernel_post(proxy->kernel, proxy->svc, proxy->streams, &msg);
+}
+
 /* Events of two versions of a target's software do not fit together. */
-static void keep_version(exchange_t *exchange)
+static void keep_version(proxy_t *proxy, exchange_t *exchange)
 {
 	if (exchange->has_stream_version)
 		return;
 	exchange->has_stream_version = true;
 	g_strlcpy(exchange->stream_version, exchange->target_version,
 		  sizeof(exchange->stream_version));
+	if (exchange->route.resumable)
+		report_stream(proxy, exchange);
 }
 
 static void forward_events(proxy_t *proxy, exchange_t *exchange, GBytes *bytes)
@@ -347,7 +365,7 @@
 
 	if (complete != NULL) {
 		record_event(proxy, exchange);
-		keep_version(exchange);
+		keep_version(proxy, exchange);
 		if (!exchange->head_sent)
 			send_head(proxy, exchange, -1);
 		send_bytes(proxy, exchange, complete);
@@ -467,6 +485,7 @@
 		else
 			end_buffered(proxy, exchange);
 		break;
+	case EXCHANGE_RESOLVING:
 	case EXCHANGE_RESERVING:
 	case EXCHANGE_PLACING:
 	case EXCHANGE_SENT:
@@ -479,7 +498,8 @@
 	failure_t failure = msg->u.out_failed.failure;
 	bool sent = msg->u.out_failed.sent;
 
-	if (exchange->state == EXCHANGE_RESERVING ||
+	if (exchange->state == EXCHANGE_RESOLVING ||
+	    exchange->state == EXCHANGE_RESERVING ||
 	    exchange->state == EXCHANGE_PLACING)
 		return;
 	exchange->call = HANDLE_NONE;
--- /dev/null
+++ b/streams/streams.h
@@ -0,0 +1,38 @@
+/*
+ * Service "streams": remembers at which version of a service's software each
+ * stream began, so that a caller can take it up again at any instance.  Some
+ * peers keep a copy of each entry.
+ *
+ * MSG_STREAM_BEGAN adds an entry.  Each MSG_STREAM_RESOLVE is answered with one
+ * MSG_STREAM_RESOLVED, after peers were asked if necessary.  A stream whose
+ * version nobody knows has to stay broken, unless the service had only one
+ * version for as long as a stream may last.
+ */
+#ifndef STREAMS_STREAMS_H
+#define STREAMS_STREAMS_H
+
+#include "kernel/kernel.h"
+#include "kernel/peer_set.h"
+
+G_BEGIN_DECLS
+
+typedef struct streams_t {
+	kernel_t *kernel;
+	svc_t svc;
+	svc_t peer;
+	peer_set_t peers;
+	GHashTable *entries; /* request id of the stream -> stream_entry_t */
+	GQueue by_age; /* the same entries, oldest first */
+	GHashTable *targets; /* id -> known_target_t */
+	GArray *versions; /* version_t */
+	table_t lookups; /* lookup_t */
+	int64_t ttl; /* us, how long a stream may be taken up again */
+	int64_t listed_since; /* first target, monotonic, us; 0: none yet */
+} streams_t;
+
+void streams_init(streams_t *streams, kernel_t *kernel);
+void streams_finish(streams_t *streams);
+
+G_END_DECLS
+
+#endif
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -194,6 +194,17 @@
 		holding.holder.state = GRANT_RETURNED;
 		g_array_append_val(body->u.holdings.list, holding);
 		break;
+	case PEER_STREAM_BEGAN:
+	case PEER_STREAM_QUERY:
+	case PEER_STREAM_ANSWER:
+		g_strlcpy(body->u.stream.request_id, "9c41d07be2a35f68",
+			  REQUEST_ID_SIZE);
+		body->u.stream.lookup = 4294967298;
+		body->u.stream.answer = STREAM_SOLE_VERSION;
+		g_strlcpy(body->u.stream.origin.service, "s", NAME_SIZE);
+		g_strlcpy(body->u.stream.origin.account, "acme", NAME_SIZE);
+		g_strlcpy(body->u.stream.origin.version, "v1.1", NAME_SIZE);
+		break;
 	case PEER_STORE_PULL:
 		body->u.store_pull.after = INT64_MAX;
 		break;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -209,6 +209,33 @@
 	http_head_free(head);
 }
 
+// A field that is missing, ambiguous or too long names no stream.
+TEST(Wire, StreamThatIsTakenUpAgainIsRead)
+{
+	struct {
+		std::vector<std::string> values;
+		std::string resumes;
+	} cases[] = {
+		{{"9c41d07be2a35f68"}, "9c41d07be2a35f68"},
+		{{}, ""},
+		{{"a", "a"}, ""},
+		{{std::string(REQUEST_ID_SIZE, 'a')}, ""},
+	};
+
+	for (auto &c : cases) {
+		http_head_t *head = request_head();
+		exchange_spec_t *spec = exchange_spec_new();
+		errmsg_t err;
+
+		for (auto &value : c.values)
+			http_head_add(head, "Resumes", value.c_str());
+		ASSERT_TRUE(wire_read_request(head, nullptr, spec, &err));
+		EXPECT_EQ(spec->resumes, c.resumes);
+		exchange_spec_free(spec);
+		http_head_free(head);
+	}
+}
+
 TEST(Wire, MalformedTokenCountsAreRejected)
 {
 	for (const char *tokens :
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -29,6 +29,7 @@
 		balance = kernel_register(&kernel, "balance", receive, this);
 		outbound = kernel_register(&kernel, "outbound", receive, this);
 		prepaid = kernel_register(&kernel, "prepaid", receive, this);
+		streams = kernel_register(&kernel, "streams", receive, this);
 		peer = kernel_register(&kernel, "peer", receive, this);
 		fleet = kernel_register(&kernel, "fleet", receive, this);
 		proxy_init(&proxy, &kernel, &opts);
@@ -145,6 +146,13 @@
 		case MSG_OUT_CANCEL:
 			cancels++;
 			break;
+		case MSG_STREAM_BEGAN:
+			began++;
+			began_at_version = msg->u.stream.origin.version;
+			break;
+		case MSG_STREAM_RESOLVE:
+			resolve_stream(msg);
+			break;
 		case MSG_OUT_CHECK:
 			handle_check(msg);
 			break;
@@ -199,6 +207,19 @@
 			  sizeof(msg.u.placed.host));
 		kernel_post(&kernel, balance, request->from, &msg);
 	}
+	void resolve_stream(const msg_t *request)
+	{
+		msg_t msg = {};
+
+		resolved_stream = request->u.stream.request_id;
+		msg.kind = MSG_STREAM_RESOLVED;
+		msg.ref = request->id;
+		msg.u.stream = request->u.stream;
+		msg.u.stream.known = stream_is_known;
+		g_strlcpy(msg.u.stream.origin.version, stream_version.c_str(),
+			  NAME_SIZE);
+		kernel_post(&kernel, streams, request->from, &msg);
+	}
 	void post_place_refused(refusal_t reason)
 	{
 		msg_t msg = {};
@@ -282,6 +303,10 @@
 		g_strlcpy(spec->api_key, key, sizeof(spec->api_key));
 		g_strlcpy(spec->request_id, request_id,
 			  sizeof(spec->request_id));
+		g_strlcpy(spec->last_event_id, last_event.c_str(),
+			  sizeof(spec->last_event_id));
+		g_strlcpy(spec->resumes, resumes.c_str(),
+			  sizeof(spec->resumes));
 		spec->prompt_tokens = 100;
 		spec->max_tokens = 50;
 		spec->head = http_head_request("POST", path);
@@ -390,7 +415,7 @@
 	}
 	kernel_t kernel;
 	proxy_t proxy;
-	svc_t ingress, balance, outbound, prepaid, fleet, peer;
+	svc_t ingress, balance, outbound, prepaid, streams, fleet, peer;
 	handle_t exchange, call_ref;
 	uint32_t status = 0, avoided = 0;
 	bool retry_after = false, no_target = false, target_down = false;
@@ -402,6 +427,10 @@
 	std::vector<place_result_t> results;
 	std::vector<target_report_t> reports;
 	std::string target_version, placed_at_version;
+	std::string last_event, resumes, resolved_stream, stream_version,
+		began_at_version;
+	bool stream_is_known = true;
+	int began = 0;
 	handle_t place_ref = HANDLE_NONE;
 	int completed = 0, aborted = 0, placements = 0, attempts = 0,
 	    cancels = 0, checks = 0;
@@ -577,6 +606,42 @@
 	EXPECT_EQ(spent, 100 + 2 * 6);
 }
 
+// Guards against a stream that its caller takes up again and that goes on at
+// another version than the one that began it.
+TEST_F(Proxy, StreamTakenUpAgainGoesOnAtItsVersionOnly)
+{
+	last_event = "7";
+	resumes = "first-attempt";
+	stream_version = "v1";
+	post_open("/resume/x");
+	EXPECT_EQ(resolved_stream, "first-attempt");
+	EXPECT_EQ(placed_at_version, "v1");
+	EXPECT_EQ(attempts, 1);
+	EXPECT_EQ(began, 0);
+}
+
+TEST_F(Proxy, StreamOfUnknownVersionIsRefusedAtOnce)
+{
+	last_event = "7";
+	resumes = "nobody-knows";
+	stream_is_known = false;
+	post_open("/resume/x");
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(attempts, 0);
+}
+
+TEST_F(Proxy, BeginningOfAStreamIsReportedOnce)
+{
+	target_version = "v1";
+	post_open("/resume/x");
+	post_head(200);
+	EXPECT_EQ(began, 0);
+	post_data("id: 1\ndata: a\n\n");
+	post_data("id: 2\ndata: b\n\n");
+	EXPECT_EQ(began, 1);
+	EXPECT_EQ(began_at_version, "v1");
+}
+
 // Guards against a response that is joined from two versions of the software.
 TEST_F(Proxy, BrokenStreamGoesOnAtItsVersionOnly)
 {
--- /dev/null
+++ b/tests/streams_test.cc
@@ -0,0 +1,356 @@
+// Tests "streams": a stream that a caller takes up again goes on at the version
+// of the target's software that began it, at any instance, or not at all.
+#include "streams/streams.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t TTL_US = 24 * USEC_PER_SEC; // twice the route's time limit
+
+struct world_t;
+
+struct instance_t {
+	world_t *world;
+	std::string name;
+	kernel_t kernel;
+	streams_t streams;
+	svc_t proxy, fleet, peer;
+	bool cut = false;
+	bool resolved = false, known = false;
+	std::string version, service;
+	uint32_t answered = 0;
+};
+
+// A fleet whose instances know the same targets.
+struct world_t {
+	std::vector<std::unique_ptr<instance_t>> instances;
+	int started = 0;
+	int64_t now = USEC_PER_SEC;
+	std::map<std::string, std::string> targets; // id -> version
+	int messages = 0;
+
+	explicit world_t(int size)
+	{
+		for (int i = 0; i < size; i++)
+			start();
+	}
+	~world_t()
+	{
+		while (!instances.empty())
+			kill(0);
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		instance_t *instance = static_cast<instance_t *>(self);
+
+		if (msg->kind == MSG_STREAM_RESOLVED) {
+			instance->resolved = true;
+			instance->answered++;
+			instance->known = msg->u.stream.known;
+			instance->version = msg->u.stream.origin.version;
+			instance->service = msg->u.stream.origin.service;
+		} else if (msg->kind == MSG_PEER_SEND) {
+			instance->world->deliver(instance, msg);
+		}
+	}
+	void deliver(const instance_t *from, const msg_t *msg)
+	{
+		for (auto &to : instances) {
+			msg_t copy = {};
+
+			if (to->name != msg->u.peer.incarnation || to->cut ||
+			    from->cut)
+				continue;
+			messages++;
+			copy.kind = MSG_PEER_RECEIVED;
+			copy.u.peer.body =
+				peer_body_new(msg->u.peer.body->kind);
+			*copy.u.peer.body = *msg->u.peer.body;
+			g_strlcpy(copy.u.peer.incarnation, from->name.c_str(),
+				  sizeof(copy.u.peer.incarnation));
+			kernel_post(&to->kernel, to->peer, to->streams.svc,
+				    &copy);
+		}
+	}
+	static void post_peer(instance_t *to, const std::string &name,
+			      msg_kind_t kind)
+	{
+		msg_t msg = {};
+
+		msg.kind = kind;
+		g_strlcpy(msg.u.peer_addr.incarnation, name.c_str(),
+			  sizeof(msg.u.peer_addr.incarnation));
+		kernel_post(&to->kernel, to->peer, to->streams.svc, &msg);
+	}
+	instance_t *start()
+	{
+		instances.push_back(std::make_unique<instance_t>());
+		instance_t *instance = instances.back().get();
+
+		instance->world = this;
+		instance->name = "run-" + std::to_string(++started);
+		kernel_init(&instance->kernel, CLOCK_VIRTUAL,
+			    (uint64_t)started);
+		kernel_run_until(&instance->kernel, now);
+		instance->proxy = kernel_register(&instance->kernel, "proxy",
+						  receive, instance);
+		instance->fleet = kernel_register(&instance->kernel, "fleet",
+						  receive, instance);
+		instance->peer = kernel_register(&instance->kernel, "peer",
+						 receive, instance);
+		streams_init(&instance->streams, &instance->kernel);
+		kernel_start(&instance->kernel);
+		post_conf(instance);
+		for (auto &other : instances) {
+			if (other.get() == instance)
+				continue;
+			post_peer(instance, other->name, MSG_PEER_UP);
+			post_peer(other.get(), instance->name, MSG_PEER_UP);
+		}
+		for (auto &[id, version] : targets)
+			post_target(instance, id, version, false);
+		run(0);
+		return instance;
+	}
+	void kill(size_t i)
+	{
+		std::unique_ptr<instance_t> instance = std::move(instances[i]);
+
+		instances.erase(instances.begin() + (long)i);
+		streams_finish(&instance->streams);
+		kernel_finish(&instance->kernel);
+		for (auto &other : instances)
+			post_peer(other.get(), instance->name, MSG_PEER_DOWN);
+	}
+	static void post_conf(instance_t *to)
+	{
+		msg_t msg = {};
+		fleet_route_t route = {};
+
+		route.kind = ROUTE_STREAM;
+		route.resumable = true;
+		route.timeout_ms = 12000;
+		msg.kind = MSG_FLEET_CONF;
+		msg.u.fleet_conf = fleet_conf_new();
+		g_array_append_val(msg.u.fleet_conf->routes, route);
+		kernel_post(&to->kernel, to->fleet, to->streams.svc, &msg);
+	}
+	static void post_target(instance_t *to, const std::string &id,
+				const std::string &version, bool gone)
+	{
+		msg_t msg = {};
+		fleet_target_t *target = &msg.u.fleet_target.target;
+
+		msg.kind = MSG_FLEET_TARGET;
+		g_strlcpy(target->id, id.c_str(), sizeof(target->id));
+		g_strlcpy(target->service, "s", sizeof(target->service));
+		g_strlcpy(target->version, version.c_str(),
+			  sizeof(target->version));
+		msg.u.fleet_target.gone = gone;
+		kernel_post(&to->kernel, to->fleet, to->streams.svc, &msg);
+	}
+	void set_target(const std::string &id, const std::string &version)
+	{
+		bool gone = version.empty();
+
+		for (auto &instance : instances)
+			post_target(instance.get(), id,
+				    gone ? targets[id] : version, gone);
+		if (gone)
+			targets.erase(id);
+		else
+			targets[id] = version;
+		run(0);
+	}
+	void begin(size_t i, const char *id, const char *version,
+		   const char *account = "acme")
+	{
+		instance_t *at = instances[i].get();
+		msg_t msg = {};
+
+		msg.kind = MSG_STREAM_BEGAN;
+		g_strlcpy(msg.u.stream.request_id, id,
+			  sizeof(msg.u.stream.request_id));
+		g_strlcpy(msg.u.stream.origin.service, "s", NAME_SIZE);
+		g_strlcpy(msg.u.stream.origin.account, account, NAME_SIZE);
+		g_strlcpy(msg.u.stream.origin.version, version, NAME_SIZE);
+		kernel_post(&at->kernel, at->proxy, at->streams.svc, &msg);
+		run(0);
+	}
+	// Returns the version at which the stream goes on; empty if it does
+	// not.
+	std::string take_up(size_t i, const char *id,
+			    const char *account = "acme")
+	{
+		instance_t *at = instances[i].get();
+		msg_t msg = {};
+
+		at->resolved = false;
+		msg.kind = MSG_STREAM_RESOLVE;
+		g_strlcpy(msg.u.stream.request_id, id,
+			  sizeof(msg.u.stream.request_id));
+		g_strlcpy(msg.u.stream.origin.service, "s", NAME_SIZE);
+		g_strlcpy(msg.u.stream.origin.account, account, NAME_SIZE);
+		kernel_post(&at->kernel, at->proxy, at->streams.svc, &msg);
+		run(0);
+		run(200000);
+		EXPECT_TRUE(at->resolved) << "no answer in time";
+		return at->known ? at->version : "";
+	}
+	void run(int64_t us)
+	{
+		now += us;
+		for (int round = 0; round < 3; round++)
+			for (auto &instance : instances)
+				kernel_run_until(&instance->kernel, now);
+	}
+};
+
+// Guards against a stream that is joined from two versions.
+TEST(Streams, TakenUpAtAnyInstanceGoesOnAtItsVersion)
+{
+	world_t world(7);
+
+	world.set_target("i-1", "v1");
+	world.set_target("i-2", "v1.1");
+	world.begin(0, "a", "v1");
+	world.begin(3, "b", "v1.1");
+	for (size_t i = 0; i < 7; i++) {
+		EXPECT_EQ(world.take_up(i, "a"), "v1") << i;
+		EXPECT_EQ(world.take_up(i, "b"), "v1.1") << i;
+	}
+}
+
+TEST(Streams, VersionIsKnownAfterItsInstanceHasEnded)
+{
+	world_t world(7);
+
+	world.set_target("i-1", "v1");
+	world.set_target("i-2", "v1.1");
+	world.begin(0, "a", "v1");
+	// The instance and two of the three peers that keep a copy.
+	world.kill(0);
+	for (int killed = 0; killed < 2;)
+		for (size_t i = 0; i < world.instances.size(); i++)
+			if (g_hash_table_size(
+				    world.instances[i]->streams.entries) > 0) {
+				world.kill(i);
+				killed++;
+				break;
+			}
+	for (size_t i = 0; i < world.instances.size(); i++)
+		EXPECT_EQ(world.take_up(i, "a"), "v1") << i;
+}
+
+// Guards against streams joined after a kill of all instances: one version in
+// service now is no proof that it was the one then.
+TEST(Streams, UnknownStreamIsNotTakenUpAfterAllInstancesEnded)
+{
+	world_t world(7);
+
+	world.set_target("i-1", "v1");
+	world.set_target("i-2", "v1.1");
+	world.begin(0, "a", "v1");
+	while (!world.instances.empty())
+		world.kill(0);
+	world.targets.erase("i-1");
+	for (int i = 0; i < 7; i++)
+		world.start();
+	world.run(USEC_PER_SEC);
+	for (size_t i = 0; i < 7; i++)
+		EXPECT_EQ(world.take_up(i, "a"), "") << i;
+	// Those that began since are known.
+	world.begin(2, "c", "v1.1");
+	EXPECT_EQ(world.take_up(5, "c"), "v1.1");
+}
+
+TEST(Streams, VersionThatHasJustLeftStillCounts)
+{
+	world_t world(3);
+
+	world.set_target("i-1", "v1");
+	world.set_target("i-2", "v1.1");
+	world.run(TTL_US);
+	EXPECT_EQ(world.take_up(0, "unknown"), "");
+	world.set_target("i-1", "");
+	world.run(TTL_US - 2 * USEC_PER_SEC);
+	EXPECT_EQ(world.take_up(0, "unknown"), "");
+	world.run(3 * USEC_PER_SEC);
+	EXPECT_EQ(world.take_up(0, "unknown"), "v1.1");
+}
+
+// Guards against streams that stay broken though nothing speaks against it.
+TEST(Streams, SoleVersionIsEnoughForAStreamThatNobodyKnows)
+{
+	world_t world(3);
+
+	world.set_target("i-1", "v1");
+	world.run(TTL_US + USEC_PER_SEC);
+	EXPECT_EQ(world.take_up(0, "unknown"), "v1");
+	EXPECT_EQ(world.take_up(0, ""), "v1");
+	// An instance that has just started relies on its peers.
+	world.start();
+	EXPECT_EQ(world.take_up(3, "unknown"), "v1");
+	// A second version makes it uncertain at once.
+	world.set_target("i-2", "v2");
+	EXPECT_EQ(world.take_up(0, "unknown"), "");
+	EXPECT_EQ(world.take_up(3, ""), "");
+}
+
+// An instance that is cut off from the store may know of one version only.
+TEST(Streams, PeerWithANewerListGoesBeforeAnOutdatedOne)
+{
+	world_t world(3);
+
+	world.set_target("i-1", "v1");
+	world.run(TTL_US + USEC_PER_SEC);
+	world_t::post_target(world.instances[1].get(), "i-2", "v2", false);
+	world.run(0);
+	EXPECT_EQ(world.take_up(0, "unknown"), "");
+}
+
+TEST(Streams, AttemptOfAnotherAccountIsNotTakenUp)
+{
+	world_t world(3);
+
+	world.set_target("i-1", "v1");
+	world.begin(0, "a", "v1");
+	EXPECT_EQ(world.take_up(0, "a", "other"), "");
+	EXPECT_EQ(world.take_up(2, "a", "other"), "");
+	EXPECT_EQ(world.take_up(2, "a"), "v1");
+}
+
+// A peer that is cut off must not delay the answer beyond a short wait.
+TEST(Streams, SilentPeersDelayAnUnknownStreamBriefly)
+{
+	world_t world(4);
+
+	world.set_target("i-1", "v1");
+	world.set_target("i-2", "v2");
+	for (size_t i = 1; i < 4; i++)
+		world.instances[i]->cut = true;
+	EXPECT_EQ(world.take_up(0, "unknown"), "");
+	EXPECT_EQ(world.instances[0]->answered, 1u);
+}
+
+TEST(Streams, EntriesAreForgottenAfterAWhile)
+{
+	world_t world(2);
+
+	world.set_target("i-1", "v1");
+	world.set_target("i-2", "v2");
+	world.begin(0, "a", "v1");
+	world.run(TTL_US + USEC_PER_SEC);
+	world.begin(0, "b", "v1");
+	EXPECT_EQ(world.take_up(0, "a"), "");
+	EXPECT_EQ(g_hash_table_size(world.instances[0]->streams.entries), 1u);
+}
+
+} // namespace
