Save where streams began while a service has several versions

The instance with the lowest incarnation, which is told of every stream, writes them to the store, at most one call in 150 ms for the whole fleet and only while a service has more than one version. An instance that neither knows a stream nor has a peer that does reads them, at most once a second. A store that has none shows that there was one version. Records are removed once their streams have ended.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -233,7 +233,7 @@
 		     settings->availability_zone);
 	g_strlcpy(proxy.incarnation, gateway->incarnation,
 		  sizeof(proxy.incarnation));
-	streams_init(&gateway->streams, &gateway->kernel);
+	streams_init(&gateway->streams, &gateway->kernel, gateway->incarnation);
 	proxy_init(&gateway->proxy, &gateway->kernel, &proxy);
 	ingress_init(&gateway->ingress, &gateway->kernel);
 }
--- a/kernel/fleet.c
+++ b/kernel/fleet.c
@@ -90,6 +90,30 @@
 	return NULL;
 }
 
+record_streams_t *record_streams_new(void)
+{
+	record_streams_t *streams = g_new0(record_streams_t, 1);
+
+	streams->list = g_array_new(FALSE, TRUE, sizeof(saved_stream_t));
+	return streams;
+}
+
+record_streams_t *record_streams_copy(const record_streams_t *from)
+{
+	record_streams_t *copy = record_streams_new();
+
+	g_array_append_vals(copy->list, from->list->data, from->list->len);
+	return copy;
+}
+
+void record_streams_free(record_streams_t *streams)
+{
+	if (streams == NULL)
+		return;
+	g_array_unref(streams->list);
+	g_free(streams);
+}
+
 record_allocation_t *allocation_new(void)
 {
 	record_allocation_t *allocation = g_new0(record_allocation_t, 1);
--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -5,7 +5,7 @@
 #ifndef KERNEL_FLEET_H
 #define KERNEL_FLEET_H
 
-#include "kernel/record.h"
+#include "kernel/exchange.h"
 
 G_BEGIN_DECLS
 
@@ -107,6 +107,22 @@
 /* True if two entries of a target differ only in the heartbeat. */
 bool fleet_target_equal(const fleet_target_t *a, const fleet_target_t *b);
 
+#define SAVED_STREAMS_MAX 1000 /* in one record */
+
+/* A stream and where it began. */
+typedef struct saved_stream_t {
+	char request_id[REQUEST_ID_SIZE]; /* of the attempt that began it */
+	stream_origin_t origin;
+} saved_stream_t;
+
+typedef struct record_streams_t {
+	GArray *list; /* saved_stream_t */
+} record_streams_t;
+
+record_streams_t *record_streams_new(void);
+record_streams_t *record_streams_copy(const record_streams_t *from);
+void record_streams_free(record_streams_t *streams);
+
 /* In this order, a later state replaces an earlier one. */
 typedef enum grant_state_t {
 	GRANT_OPEN,
--- a/kernel/record.c
+++ b/kernel/record.c
@@ -52,6 +52,9 @@
 	case RECORD_ALLOCATION:
 		to->u.allocation = allocation_copy(from->u.allocation);
 		break;
+	case RECORD_STREAMS:
+		to->u.streams = record_streams_copy(from->u.streams);
+		break;
 	default:
 		break;
 	}
@@ -72,6 +75,9 @@
 	case RECORD_ALLOCATION:
 		allocation_free(record->u.allocation);
 		break;
+	case RECORD_STREAMS:
+		record_streams_free(record->u.streams);
+		break;
 	default:
 		break;
 	}
--- a/kernel/record.h
+++ b/kernel/record.h
@@ -44,6 +44,7 @@
 	RECORD_FLEET_CONF, /* the gateway's configuration */
 	RECORD_FLEET_TARGET,
 	RECORD_ALLOCATION, /* allocation of prepaid tokens */
+	RECORD_STREAMS, /* streams that began lately */
 } record_kind_t;
 
 /* Identifies a write, so that a repeated write is detected. */
@@ -231,6 +232,7 @@
 struct fleet_conf_t;
 struct fleet_target_t;
 struct record_allocation_t;
+struct record_streams_t;
 
 typedef struct record_t {
 	record_kind_t kind;
@@ -238,6 +240,7 @@
 		struct fleet_conf_t *fleet_conf; /* reference counted */
 		struct fleet_target_t *fleet_target; /* owned */
 		struct record_allocation_t *allocation; /* owned */
+		struct record_streams_t *streams; /* owned */
 		record_client_account_t client_account;
 		record_service_t service;
 		record_target_t target;
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -122,10 +122,24 @@
 	}
 }
 
+static bool is_replicated(const char *key)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(prefixes); i++)
+		if (g_str_has_prefix(key, prefixes[i]))
+			return true;
+	return false;
+}
+
+/* The store reports the changes of all keys. */
 static void apply_all(replica_t *replica, const store_result_t *result)
 {
-	for (guint i = 0; i < result->kvs->len; i++)
-		apply_kv(replica, &g_array_index(result->kvs, store_kv_t, i));
+	for (guint i = 0; i < result->kvs->len; i++) {
+		const store_kv_t *kv =
+			&g_array_index(result->kvs, store_kv_t, i);
+
+		if (is_replicated(kv->key))
+			apply_kv(replica, kv);
+	}
 }
 
 static void schedule(replica_t *replica, int64_t delay)
--- a/streams/streams.c
+++ b/streams/streams.c
@@ -2,6 +2,7 @@
 
 #include "kernel/hash.h"
 #include "log/log.h"
+#include "streams/saved.h"
 
 #include <string.h>
 
@@ -20,6 +21,7 @@
 #define ASKED_PEERS_LARGE_FLEET 8
 /* A peer answers within a few ms. */
 #define ANSWER_WAIT_US (150 * USEC_PER_MSEC)
+#define STORE_WAIT_US (400 * USEC_PER_MSEC)
 
 typedef struct stream_entry_t {
 	char request_id[REQUEST_ID_SIZE]; /* of the attempt that began it */
@@ -50,7 +52,8 @@
 	uint32_t answers_due;
 	/* Peers that know of one version only, and which one. */
 	uint32_t sole_answers;
-	bool several; /* peers know of several versions */
+	bool several; /* several versions are known of */
+	bool loading; /* waiting for the store */
 	char sole_version[NAME_SIZE];
 	handle_t timer;
 } lookup_t;
@@ -157,16 +160,6 @@
 			g_array_remove_index_fast(streams->versions, i - 1);
 }
 
-static void target_changed(streams_t *streams, const msg_t *msg)
-{
-	const fleet_target_t *target = &msg->u.fleet_target.target;
-
-	drop_versions(streams);
-	remove_target(streams, target->id);
-	if (!msg->u.fleet_target.gone)
-		add_target(streams, target);
-}
-
 static void drop_oldest(streams_t *streams)
 {
 	stream_entry_t *entry = g_queue_pop_head(&streams->by_age);
@@ -186,7 +179,7 @@
 }
 
 /* The first entry holds: later attempts do not change the version. */
-static void add_entry(streams_t *streams, const char *request_id,
+bool streams_remember(streams_t *streams, const char *request_id,
 		      const stream_origin_t *origin)
 {
 	stream_entry_t *entry;
@@ -194,13 +187,52 @@
 	drop_expired(streams);
 	if (request_id[0] == '\0' ||
 	    g_hash_table_contains(streams->entries, request_id))
-		return;
+		return false;
 	entry = g_new0(stream_entry_t, 1);
 	g_strlcpy(entry->request_id, request_id, sizeof(entry->request_id));
 	entry->origin = *origin;
 	entry->at = kernel_now(streams->kernel);
 	g_hash_table_insert(streams->entries, entry->request_id, entry);
 	g_queue_push_tail(&streams->by_age, entry);
+	return true;
+}
+
+/* A stream of a service with one version needs no record. */
+static void add_entry(streams_t *streams, const char *request_id,
+		      const stream_origin_t *origin)
+{
+	if (streams_remember(streams, request_id, origin) &&
+	    saved_is_writer(streams) &&
+	    count_versions(streams, origin->service) > 1)
+		saved_add(streams, request_id, origin);
+}
+
+/* Saves what is known of a service that has just got a second version. */
+static void save_known(streams_t *streams, const char *service)
+{
+	if (!saved_is_writer(streams))
+		return;
+	for (const GList *link = streams->by_age.head; link != NULL;
+	     link = link->next) {
+		const stream_entry_t *entry = link->data;
+
+		if (strcmp(entry->origin.service, service) == 0)
+			saved_add(streams, entry->request_id, &entry->origin);
+	}
+}
+
+static void target_changed(streams_t *streams, const msg_t *msg)
+{
+	const fleet_target_t *target = &msg->u.fleet_target.target;
+	guint before;
+
+	drop_versions(streams);
+	before = count_versions(streams, target->service);
+	remove_target(streams, target->id);
+	if (!msg->u.fleet_target.gone)
+		add_target(streams, target);
+	if (before == 1 && count_versions(streams, target->service) > 1)
+		save_known(streams, target->service);
 }
 
 /* Chooses the peers that are preferred for a stream; returns their number. */
@@ -239,11 +271,17 @@
 static void stream_began(streams_t *streams, const msg_t *msg)
 {
 	const char *request_id = msg->u.stream.request_id;
-	const char *keepers[KEEPERS];
+	const char *keepers[KEEPERS + 1];
+	const char *writer = saved_writer(streams);
+	bool is_keeper = writer == NULL;
 	guint count;
 
 	add_entry(streams, request_id, &msg->u.stream.origin);
 	count = choose_keepers(streams, request_id, keepers, KEEPERS);
+	for (guint i = 0; i < count; i++)
+		is_keeper |= writer == keepers[i];
+	if (!is_keeper)
+		keepers[count++] = writer;
 	for (guint i = 0; i < count; i++) {
 		peer_body_t *body = peer_body_new(PEER_STREAM_BEGAN);
 
@@ -277,29 +315,88 @@
 }
 
 /*
- * Ends a lookup of a stream that nobody knows.  This instance's list of targets
- * may be outdated, so a peer that knows of other versions goes before it.
+ * Returns the version of a stream that neither an instance nor the store knows,
+ * or NULL.  Streams are saved while a service has several versions, so a store
+ * that has none of them shows that there was one.
  */
+static const char *version_of_unknown(const streams_t *streams,
+				      const lookup_t *lookup)
+{
+	const version_t *sole = sole_version(streams, lookup->service);
+
+	if (lookup->several)
+		return NULL;
+	if (lookup->answers_due == 0 && lookup->sole_answers > 0)
+		return lookup->sole_version;
+	if (lookup->answers_due == 0 && sole != NULL)
+		return sole->version;
+	if (!saved_is_empty(streams))
+		return NULL;
+	for (guint i = 0; i < streams->versions->len; i++) {
+		const version_t *version =
+			&g_array_index(streams->versions, version_t, i);
+
+		if (strcmp(version->service, lookup->service) == 0)
+			return version->version;
+	}
+	return NULL;
+}
+
 static void finish_unknown(streams_t *streams, lookup_t *lookup,
 			   const char *reason)
 {
-	const version_t *sole = sole_version(streams, lookup->service);
+	const char *version = version_of_unknown(streams, lookup);
 	stream_origin_t origin = {.version = ""};
 
-	if (lookup->several || lookup->answers_due > 0 ||
-	    (lookup->sole_answers == 0 && sole == NULL)) {
+	if (version == NULL) {
 		finish_lookup(streams, lookup, NULL, reason);
 		return;
 	}
-	g_strlcpy(origin.version,
-		  lookup->sole_answers > 0 ? lookup->sole_version
-					   : sole->version,
-		  sizeof(origin.version));
+	g_strlcpy(origin.version, version, sizeof(origin.version));
 	g_strlcpy(origin.service, lookup->service, sizeof(origin.service));
 	g_strlcpy(origin.account, lookup->account, sizeof(origin.account));
 	finish_lookup(streams, lookup, &origin, "sole");
 }
 
+static void start_timer(streams_t *streams, lookup_t *lookup, int64_t delay)
+{
+	kernel_timer_cancel(streams->kernel, &lookup->timer);
+	lookup->timer = kernel_timer(streams->kernel, streams->svc, delay,
+				     lookup->self, STREAMS_TIMER_LOOKUP);
+}
+
+/* No instance knows the stream: the store may. */
+static void look_in_store(streams_t *streams, lookup_t *lookup,
+			  const char *reason)
+{
+	if (version_of_unknown(streams, lookup) != NULL ||
+	    lookup->request_id[0] == '\0' || !saved_load(streams)) {
+		finish_unknown(streams, lookup, reason);
+		return;
+	}
+	lookup->loading = true;
+	start_timer(streams, lookup, STORE_WAIT_US);
+}
+
+static void streams_loaded(streams_t *streams)
+{
+	uint32_t cursor = 0;
+	lookup_t *lookup;
+
+	while ((lookup = table_next(&streams->lookups, &cursor, NULL)) !=
+	       NULL) {
+		const stream_entry_t *entry = g_hash_table_lookup(
+			streams->entries, lookup->request_id);
+
+		if (!lookup->loading)
+			continue;
+		if (entry != NULL)
+			finish_lookup(streams, lookup, &entry->origin, "store");
+		else
+			finish_unknown(streams, lookup, "not_in_store");
+	}
+}
+
 static void ask_peers(streams_t *streams, lookup_t *lookup)
 {
 	const char *peers[ASKED_PEERS_LARGE_FLEET];
@@ -320,11 +417,10 @@
 	lookup->several = count_versions(streams, lookup->service) > 1;
 	lookup->answers_due = count;
 	if (count == 0) {
-		finish_unknown(streams, lookup, "unknown");
+		look_in_store(streams, lookup, "unknown");
 		return;
 	}
-	lookup->timer = kernel_timer(streams->kernel, streams->svc,
-				     ANSWER_WAIT_US, lookup->self, 0);
+	start_timer(streams, lookup, ANSWER_WAIT_US);
 }
 
 static void resolve(streams_t *streams, const msg_t *msg)
@@ -406,8 +502,8 @@
 	case STREAM_ANSWER_COUNT:
 		break;
 	}
-	if (--lookup->answers_due == 0)
-		finish_unknown(streams, lookup, "unknown");
+	if (!lookup->loading && --lookup->answers_due == 0)
+		look_in_store(streams, lookup, "unknown");
 }
 
 static void timed_out(streams_t *streams, handle_t ref)
@@ -417,7 +513,10 @@
 	if (lookup == NULL)
 		return;
 	lookup->timer = HANDLE_NONE;
-	finish_unknown(streams, lookup, "no_answer");
+	if (lookup->loading)
+		finish_lookup(streams, lookup, NULL, "store_silent");
+	else
+		look_in_store(streams, lookup, "no_answer");
 }
 
 static void receive_peer(streams_t *streams, const msg_t *msg)
@@ -459,6 +558,7 @@
 	msg_t msg = {.kind = MSG_FLEET_SUBSCRIBE};
 
 	streams->peer = kernel_find(streams->kernel, "peer");
+	streams->store = kernel_find(streams->kernel, "store");
 	kernel_post(streams->kernel, streams->svc,
 		    kernel_find(streams->kernel, "fleet"), &msg);
 }
@@ -472,7 +572,14 @@
 		start(streams);
 		break;
 	case MSG_TIMER:
-		timed_out(streams, msg->ref);
+		if (msg->u.timer.kind == STREAMS_TIMER_SAVE)
+			saved_write(streams);
+		else
+			timed_out(streams, msg->ref);
+		break;
+	case MSG_STORE_RESULT:
+		if (saved_store_result(streams, msg))
+			streams_loaded(streams);
 		break;
 	case MSG_FLEET_CONF:
 		conf_changed(streams, msg->u.fleet_conf);
@@ -498,11 +605,15 @@
 	}
 }
 
-void streams_init(streams_t *streams, kernel_t *kernel)
+void streams_init(streams_t *streams, kernel_t *kernel, const char *incarnation)
 {
 	memset(streams, 0, sizeof(*streams));
 	streams->kernel = kernel;
 	streams->ttl = STREAM_TTL_MAX_US;
+	g_strlcpy(streams->incarnation, incarnation,
+		  sizeof(streams->incarnation));
+	streams->unsaved = g_array_new(FALSE, TRUE, sizeof(saved_stream_t));
+	streams->saved_keys = saved_keys_new();
 	peer_set_init(&streams->peers);
 	/* The key of an entry is a part of it. */
 	streams->entries =
@@ -522,6 +633,9 @@
 	g_hash_table_unref(streams->entries);
 	g_hash_table_unref(streams->targets);
 	g_array_unref(streams->versions);
+	g_array_unref(streams->unsaved);
+	g_array_unref(streams->saved_keys);
+	record_streams_free(streams->writing);
 	table_finish(&streams->lookups);
 	kernel_unregister(streams->kernel, streams->svc);
 }
--- a/streams/streams.h
+++ b/streams/streams.h
@@ -20,17 +20,31 @@
 	kernel_t *kernel;
 	svc_t svc;
 	svc_t peer;
+	svc_t store;
+	char incarnation[INCARNATION_SIZE];
 	peer_set_t peers;
 	GHashTable *entries; /* request id of the stream -> stream_entry_t */
 	GQueue by_age; /* the same entries, oldest first */
 	GHashTable *targets; /* id -> known_target_t */
 	GArray *versions; /* version_t */
 	table_t lookups; /* lookup_t */
+	GArray *unsaved; /* saved_stream_t, to be written to the store */
+	record_streams_t *writing; /* the write in progress, or NULL */
+	uint64_t save_seq; /* number of the last record */
+	GArray *saved_keys; /* saved_key_t, oldest first */
+	handle_t save_timer;
+	bool loading; /* the saved streams are being read */
+	int64_t loaded_at; /* monotonic, us, last start of a read; 0: none */
+	int loaded; /* streams that the last read found; -1: it failed */
 	int64_t ttl; /* us, how long a stream may be taken up again */
 	int64_t listed_since; /* first target, monotonic, us; 0: none yet */
 } streams_t;
 
-void streams_init(streams_t *streams, kernel_t *kernel);
+void streams_init(streams_t *streams, kernel_t *kernel,
+		  const char *incarnation);
+/* Remembers a stream, unless it is known. Returns whether it was added. */
+bool streams_remember(streams_t *streams, const char *request_id,
+		      const stream_origin_t *origin);
 void streams_finish(streams_t *streams);
 
 G_END_DECLS
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -147,6 +147,32 @@
 	g_bytes_unref(bytes);
 }
 
+TEST(Entries, SavedStreamsAreUnchangedByEncodingAndDecoding)
+{
+	record_t record = {}, back;
+	saved_stream_t saved = {"a\"b\\c", {"s", "acme", "v1.1"}};
+	const saved_stream_t *read;
+	GBytes *bytes;
+	errmsg_t err;
+
+	record.kind = RECORD_STREAMS;
+	record.u.streams = record_streams_new();
+	g_array_append_val(record.u.streams->list, saved);
+	bytes = entry_encode(&record);
+	entry_decode("streams/run-1.1", bytes, &back, &err);
+	ASSERT_EQ(back.kind, RECORD_STREAMS) << err.text;
+	ASSERT_EQ(back.u.streams->list->len, 1u);
+	read = &g_array_index(back.u.streams->list, saved_stream_t, 0);
+	EXPECT_STREQ(read->request_id, saved.request_id);
+	EXPECT_STREQ(read->origin.account, "acme");
+	EXPECT_STREQ(read->origin.version, "v1.1");
+	record_clear(&record);
+	record_clear(&back);
+	g_bytes_unref(bytes);
+	EXPECT_EQ(decode("streams/x", R"({"streams":[{"id":1}]})"),
+		  RECORD_INVALID);
+}
+
 http_head_t *request_head()
 {
 	http_head_t *head = http_head_request("POST", "/p/x?q=1");
