Reject deeply nested entries before they are parsed

An entry of another writer among those of the targets, nested some 100,000 levels deep, ended each gateway that read the list with a segmentation fault, again after each restart. The parser recurses, and only callers' bodies and some other texts were checked for depth before.

The settings file and the codec of the routers' store keep theirs.

Entries.DeeplyNestedEntryIsRejected and Store.OddEntryHidesNoOther end the test program with a segmentation fault without the check. Entries.TargetWithANumberOutOfRangeIsRejected passed before: numbers that are too large and ports out of range were rejected already, and the others of a list are read.

--- a/ctl/status.c
+++ b/ctl/status.c
@@ -4,6 +4,7 @@
  */
 #include "ctl/command.h"
 #include "ctl/records.h"
+#include "kernel/json_depth.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
@@ -106,7 +107,8 @@
 		g_autofree char *text = g_strndup(g_bytes_get_data(bytes, NULL),
 						  g_bytes_get_size(bytes));
 
-		node = json_from_string(text, NULL);
+		if (json_depth_ok(text, strlen(text), JSON_DEPTH_MAX))
+			node = json_from_string(text, NULL);
 	}
 	if (bytes != NULL)
 		g_bytes_unref(bytes);
--- a/dispatch/tokens.c
+++ b/dispatch/tokens.c
@@ -2,7 +2,7 @@
 
 #include "dispatch/tokens.h"
 
-#include "dispatch/json_depth.h"
+#include "kernel/json_depth.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
--- a/front/parse.c
+++ b/front/parse.c
@@ -1,6 +1,6 @@
 #include "front/parse.h"
 
-#include "dispatch/json_depth.h"
+#include "kernel/json_depth.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
--- a/instances/parse.c
+++ b/instances/parse.c
@@ -1,31 +1,13 @@
 /* Parses the platform's list of instances, which is JSON. */
 #include "instances/instances.h"
 
+#include "kernel/json_depth.h"
+
 #include <json-glib/json-glib.h>
 #include <string.h>
 
 /* Bounds the recursion of the parser; a valid list has 3 levels. */
-#define JSON_DEPTH_MAX 8
-
-static bool is_depth_bounded(const char *text, size_t len)
-{
-	bool quoted = false;
-	int depth = 0;
-
-	for (size_t i = 0; i < len; i++) {
-		if (quoted && text[i] == '\\')
-			i++;
-		else if (text[i] == '"')
-			quoted = !quoted;
-		else if (!quoted && (text[i] == '[' || text[i] == '{'))
-			depth++;
-		else if (!quoted && (text[i] == ']' || text[i] == '}'))
-			depth--;
-		if (depth > JSON_DEPTH_MAX)
-			return false;
-	}
-	return true;
-}
+#define DEPTH_MAX 8
 
 static JsonNode *get_typed_member(JsonObject *object, const char *name,
 				  GType type)
@@ -123,7 +105,7 @@
 	JsonParser *parser;
 
 	if (len == 0 || !g_utf8_validate(text, (gssize)len, NULL) ||
-	    !is_depth_bounded(text, len)) {
+	    !json_depth_ok(text, len, DEPTH_MAX)) {
 		errmsg_set(err,
 			   "response is empty, not UTF-8 or nested too deeply");
 		return NULL;
--- a/dispatch/json_depth.c
+++ b/kernel/json_depth.c
@@ -1,4 +1,4 @@
-#include "dispatch/json_depth.h"
+#include "kernel/json_depth.h"
 
 bool json_depth_ok(const char *text, size_t len, int max_depth)
 {
--- a/dispatch/json_depth.h
+++ b/kernel/json_depth.h
@@ -2,8 +2,8 @@
  * Checks the nesting depth of JSON text before the text is parsed, because the
  * parser is recursive.
  */
-#ifndef DISPATCH_JSON_DEPTH_H
-#define DISPATCH_JSON_DEPTH_H
+#ifndef KERNEL_JSON_DEPTH_H
+#define KERNEL_JSON_DEPTH_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -315,6 +315,40 @@
 
 constexpr int FUZZ_CASES = 20000;
 
+// Guards against a process that ends because another writer left an odd entry:
+// the parser recurses.
+TEST(Entries, DeeplyNestedEntryIsRejected)
+{
+	for (const char *key :
+	     {"fleet/target/i-1", "fleet/conf", "prepaid/a", "streams/x"})
+		for (const char *open : {"[", "{\"a\":"})
+			for (size_t depth : {100, 100000, 500000}) {
+				std::string text = "{\"service\":";
+
+				for (size_t i = 0; i < depth; i++)
+					text += open;
+				EXPECT_EQ(decode(key, text), RECORD_INVALID);
+			}
+}
+
+TEST(Entries, TargetWithANumberOutOfRangeIsRejected)
+{
+	const std::string number(400, '9');
+
+	for (auto &bad :
+	     {replace_first(target_json, "10.0.0.1:80", "10.0.0.1:65536"),
+	      replace_first(target_json, "10.0.0.1:80", "10.0.0.1:0"),
+	      replace_first(target_json, "10.0.0.1:80", "10.0.0.1:-1"),
+	      replace_first(target_json, "10.0.0.1:80",
+			    ("10.0.0.1:" + number).c_str()),
+	      replace_first(target_json, "\"batch_slots\":4",
+			    ("\"batch_slots\":" + number).c_str()),
+	      replace_first(target_json, "\"batch_slots\":4",
+			    "\"batch_slots\":1e400")})
+		EXPECT_EQ(decode("fleet/target/i-1", bad), RECORD_INVALID)
+			<< bad;
+}
+
 // Guards against a malformed entry or configuration that ends the process.
 TEST(Entries, MutatedEntriesAreDecodedOrRejected)
 {
@@ -847,6 +881,35 @@
 	EXPECT_EQ(result->status, STORE_OK);
 }
 
+// Guards against a list that is no longer followed after an odd entry.
+TEST_F(Store, OddEntryHidesNoOther)
+{
+	std::string deep = "{\"service\":" + std::string(200000, '[');
+
+	list("fleet/target/", "", 200,
+	     "{\"items\":[" + item("servers/i-1", 5, target_json) + "," +
+		     item("servers/odd", 6, deep) + ",7,{\"key\":5}," +
+		     item("servers/i-2", 7, target_json) + "],\"at\":9}");
+	ASSERT_EQ(result->status, STORE_OK);
+	EXPECT_EQ(result->revision, 9);
+	EXPECT_EQ(store_result_find(result, "fleet/target/i-1")->record.kind,
+		  RECORD_FLEET_TARGET);
+	EXPECT_EQ(store_result_find(result, "fleet/target/odd")->record.kind,
+		  RECORD_INVALID);
+	EXPECT_EQ(store_result_find(result, "fleet/target/i-2")->record.kind,
+		  RECORD_FLEET_TARGET);
+	changes(9, 200,
+		"{\"events\":[" + item("servers/odd", 10, deep) + "," +
+			item("servers/i-3", 11, target_json) + "],\"at\":11}");
+	ASSERT_EQ(result->status, STORE_OK);
+	EXPECT_EQ(store_result_find(result, "fleet/target/i-3")->record.kind,
+		  RECORD_FLEET_TARGET);
+	// A whole response of that kind is none.
+	list("fleet/target/", "", 200,
+	     "{\"items\":" + std::string(200000, '['));
+	EXPECT_NE(result->status, STORE_OK);
+}
+
 // Guards against memory that is used up by a response without end.
 TEST_F(Store, ResponseWithoutEndFailsTheCall)
 {
