Refuse in a stop what may not be repeated and may not end in time

In the first 2.7 s of a planned stop every request was taken, whatever it can need, and with a short grace period that was late in it. One that still ran at the end was cut or answered 502, and where it may not be repeated its caller had lost it.

A request that may not be repeated is now taken during a stop only if the time that it can need at most, by its caller and its route, ends before the stop does; otherwise its caller gets 503 at once, with nothing run, and takes it elsewhere. Repeatable ones are taken as before.

--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -54,6 +54,19 @@
 					  i > 0 ? ":" : "", spec->parts[i].id);
 }
 
+bool exchange_is_idempotent(const exchange_t *exchange)
+{
+	switch (exchange->route.kind) {
+	case ROUTE_SAFE:
+		return true;
+	case ROUTE_UNSAFE:
+		return false;
+	case ROUTE_STREAM:
+		return exchange->route.resumable;
+	}
+	return false;
+}
+
 static bool is_success_forwarded(const exchange_t *exchange)
 {
 	return exchange->head_sent && exchange->head != NULL &&
@@ -396,6 +409,12 @@
 		return;
 	}
 	set_deadline(proxy, exchange);
+	/* Its caller could not repeat it if the stop cut it. */
+	if (exchange->ends_at_stop && !exchange_is_idempotent(exchange)) {
+		exchange_refuse(proxy, exchange, REFUSAL_STOPPING,
+				STOP_RETRY_AFTER_MS);
+		return;
+	}
 	if (is_taken_up_again(exchange))
 		resolve_stream(proxy, exchange);
 	else
@@ -493,10 +512,9 @@
 	int64_t timeout_ms =
 		MAX((int64_t)route->latency_goal_ms * HEAD_TIMEOUT_GOALS,
 		    HEAD_TIMEOUT_MIN_MS);
-	bool idempotent = route->kind == ROUTE_SAFE ||
-			  (route->kind == ROUTE_STREAM && route->resumable);
 
-	if (!idempotent || exchange->runs + 1 >= route->max_attempts)
+	if (!exchange_is_idempotent(exchange) ||
+	    exchange->runs + 1 >= route->max_attempts)
 		return 0;
 	return now + timeout_ms * USEC_PER_MSEC;
 }
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -114,6 +114,8 @@
 void exchange_free(proxy_t *proxy, exchange_t *exchange);
 /* Frees an exchange whose caller gets no answer, as the process exits. */
 void exchange_abandon(proxy_t *proxy, exchange_t *exchange);
+/* Whether a request that may have run can be sent again. */
+bool exchange_is_idempotent(const exchange_t *exchange);
 /* Parts that requests share: all but the last. */
 uint32_t exchange_shared_parts(const exchange_spec_t *spec);
 /* Writes the ids of the shared parts for the log, separated by colons. */
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -23,19 +23,6 @@
 #define STATUS_NO_CONTENT 204
 #define STATUS_SERVER_ERROR 500
 
-static bool is_idempotent(const exchange_t *exchange)
-{
-	switch (exchange->route.kind) {
-	case ROUTE_SAFE:
-		return true;
-	case ROUTE_UNSAFE:
-		return false;
-	case ROUTE_STREAM:
-		return exchange->route.resumable;
-	}
-	return false;
-}
-
 /* Returns the refusal for the caller after the last attempt has failed. */
 static refusal_t refusal_for(failure_t failure)
 {
@@ -64,7 +51,7 @@
 	/* Nothing reached a target, so another attempt is not a retry. */
 	if (failure == FAILURE_CONNECT)
 		return true;
-	if (ran && (!is_idempotent(exchange) ||
+	if (ran && (!exchange_is_idempotent(exchange) ||
 		    exchange->runs >= exchange->route.max_attempts))
 		return false;
 	if (exchange->head_sent && !exchange->route.resumable)
@@ -450,7 +437,7 @@
 	bool error = exchange->head->status >= STATUS_SERVER_ERROR;
 
 	/* Another target may succeed if the request may run again. */
-	if (error && is_idempotent(exchange) &&
+	if (error && exchange_is_idempotent(exchange) &&
 	    exchange->runs + 1 < exchange->route.max_attempts &&
 	    retry_window_take(&proxy->retries, exchange->service,
 			      proxy->instances, kernel_now(proxy->kernel))) {
