Play restores of the store in the soak, and read saved streams less often

Seeds with the prefix restored- bring the store back from a copy 1 to 5 s old, twice a run, beside stops, pauses, crashes, slow and lost responses, revoked keys and top-ups.

An instance reads the saved streams at most once in 10 s: those that began since a read are known to peers.

--- a/kernel/storage.h
+++ b/kernel/storage.h
@@ -28,7 +28,7 @@
 
 static inline int64_t revision_make(int64_t era, int64_t number)
 {
-	return era << REVISION_NUMBER_BITS | number;
+	return era * (REVISION_NUMBER_MAX + 1) + number;
 }
 
 static inline int64_t revision_era(int64_t revision)
--- a/streams/saved.c
+++ b/streams/saved.c
@@ -7,8 +7,10 @@
 #define KEY_PREFIX "streams/"
 /* Delay that gathers streams into one write. */
 #define SAVE_DELAY_US (150 * USEC_PER_MSEC)
-/* Interval between two reads, and delay after a failed write. */
+/* Delay after a failed write or read. */
 #define STORE_RETRY_US USEC_PER_SEC
+/* Streams that began after a read are known to peers. */
+#define READ_INTERVAL_US (10 * USEC_PER_SEC)
 #define REMOVALS_MAX 16 /* outdated records removed by one write */
 
 /* Kind of a call to the store, sent as the index of the message's id. */
@@ -154,7 +156,8 @@
 		return true;
 	if (handle_is_none(streams->store) ||
 	    (streams->loaded_at > 0 &&
-	     now - streams->loaded_at < STORE_RETRY_US))
+	     now - streams->loaded_at <
+		     (streams->loaded < 0 ? STORE_RETRY_US : READ_INTERVAL_US)))
 		return false;
 	streams->loading = true;
 	streams->loaded_at = now;
@@ -168,7 +171,7 @@
 	return !streams->loading && streams->loaded_at > 0 &&
 	       streams->loaded == 0 &&
 	       kernel_now(streams->kernel) - streams->loaded_at <
-		       2 * STORE_RETRY_US;
+		       READ_INTERVAL_US;
 }
 
 static bool page_received(streams_t *streams, const store_result_t *result)
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -1,10 +1,10 @@
 // Tests of the HTTP server for callers: input limits, complete responses,
 // truncated responses that must not look complete, back-pressure, disconnects,
 // timeouts and the planned stop.
-#include "kernel/json_depth.h"
 #include "front/front.h"
 #include "front/parse.h"
 #include "front/refusal.h"
+#include "kernel/json_depth.h"
 #include "tests/pump.h"
 
 #include <algorithm>
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,13 @@
 KINDS = ("kill", "stop", "pause", "store_link", "worker_link", "worker_crash",
          "worker_drain", "store_down", "store_slow", "store_lost",
          "store_forget", "revoke", "top_up", "kill_all", "answer_lost")
+# What an instance that ends or is cut off has just taken is not known to others.
+KINDS_WITH_RESTORE = ("stop", "pause", "worker_link", "worker_crash",
+                      "worker_drain", "store_slow", "store_forget", "revoke",
+                      "top_up", "answer_lost")
+COPY_AGE_S = (1.0, 5.0)  # of the copy that a restore brings back
+REWRITE_DELAY_S = 1.0  # until the operator has written again what is lost
+ENTRY_TTL_S = 2.0  # of workers that do not write themselves again
 RECOVERY_MARGIN_S = 0.5  # after a fault, until both ends of connections know
 RESTART_DELAY_MAX_S = 1.0  # between an exit and the next start
 
@@ -28,7 +35,7 @@
             self.link_mode)
 
 
-def plan(seed, seconds, count):
+def plan(seed, seconds, count, all_kinds=KINDS):
     """Returns a random plan in which kinds repeat only after all were used.
 
     No fault starts in the first second and the last fifth of the run.
@@ -37,7 +44,7 @@
     faults = []
     kinds = []
     for _ in range(count):
-        kinds = kinds or rng.sample(KINDS, len(KINDS))
+        kinds = kinds or rng.sample(all_kinds, len(all_kinds))
         faults.append(Fault(
             kinds.pop(), rng.uniform(1, seconds * 0.8),
             rng.uniform(0.3, 3.0), rng.randrange(1000),
@@ -45,6 +52,33 @@
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
+def plan_restores(seed, seconds, count):
+    """Returns a plan of two restores of the store beside other faults."""
+    rng = random.Random(seed)
+    return plan(seed, seconds, count, KINDS_WITH_RESTORE) + [
+        Fault("store_restore", seconds * rng.uniform(begin, begin + 0.2),
+              rng.uniform(0.3, 2.0), rng.randrange(1000), "pass")
+        for begin in (0.3, 0.55)]
+
+
+async def _restore_store(soak, fault):
+    for each in soak.gateways:
+        each.add_fault(soak.now() + fault.duration_s + REWRITE_DELAY_S +
+                       RECOVERY_MARGIN_S)
+    soak.store.mode = ("refuse", "reset", "silent")[fault.selector % 3]
+    await asyncio.sleep(fault.duration_s)
+    soak.store.restore(soak.now() - fault.duration_s - random.Random(
+        fault.selector).uniform(*COPY_AGE_S))
+    soak.store.mode = "serve"
+    await asyncio.sleep(REWRITE_DELAY_S)
+    soak.configure()
+    await asyncio.sleep(ENTRY_TTL_S - REWRITE_DELAY_S)
+    alive = {"servers/" + worker.id for worker in soak.workers}
+    for key in [key for key in soak.store.items
+                if key.startswith("servers/") and key not in alive]:
+        soak.store.write(key, None)
+
+
 async def restart_gateway(soak, gateway, duration_s, signal_number):
     if gateway.restarting:
         return
@@ -135,6 +169,8 @@
         await _lose_responses(soak, fault)
     elif fault.kind in ("store_down", "store_slow", "store_lost"):
         await _fail_store(soak, fault)
+    elif fault.kind == "store_restore":
+        await _restore_store(soak, fault)
     elif fault.kind == "store_forget":
         soak.store.compact()
     elif fault.kind == "revoke":
--- a/tests/soak/platform_store.py
+++ b/tests/soak/platform_store.py
@@ -27,6 +27,25 @@
         self.lost_write_ratio = 0.0  # of writes, applied without a response
         self.delayed_write_ratio = 0.0  # of lost writes, applied later
         self.requests = 0
+        self.era = 1  # increases with each restore
+        self.copies = []  # (time, revision, items)
+
+    def make_copy(self, at):
+        self.copies.append((at, self.revision, dict(self.items)))
+
+    def restore(self, at):
+        """Returns to the newest copy that is no newer than this time.
+
+        Revisions are given out again, and writes that are delayed may still
+        take effect.
+        """
+        older = [copy for copy in self.copies if copy[0] <= at]
+        _, self.revision, items = (older or self.copies)[-1]
+        self.items = dict(items)
+        self.era += 1
+        self.compact()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -88,7 +107,7 @@
         deadline = asyncio.get_running_loop().time() + \
             int(query.get("wait_ms", 0)) / 1000
         while True:
-            if after + 1 < self.oldest_revision:
+            if after + 1 < self.oldest_revision or after > self.revision:
                 return 410, {}
             events = list(self._events(prefix, after))
             remaining_s = deadline - asyncio.get_running_loop().time()
@@ -155,7 +174,8 @@
                     break
                 writer.write(http1.message(
                     "HTTP/1.1 %d x" % response[0],
-                    [("Content-Type", "application/json")],
+                    [("Content-Type", "application/json"),
+                     ("Store-Era", str(self.era))],
                     json.dumps(response[1]).encode()))
                 await writer.drain()
         except (http1.ConnectionLost, OSError):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,7 +5,8 @@
 clients and workers observe.  A seed determines the plan of faults and the
 requests of the clients, but not the scheduling of the processes.  A seed with
 the prefix "planned-" plays planned work only, one with the prefix "stated-"
-also workers that state what they want.
+also workers that state what they want, and one with the prefix "restored-" a
+store that comes back from a copy, twice.
 """
 import argparse
 import asyncio
@@ -41,6 +42,8 @@
 TOP_UP_TOKENS = 10000
 PLANNED_PREFIX = "planned-"
 STATED_PREFIX = "stated-"
+RESTORED_PREFIX = "restored-"
+COPY_INTERVAL_S = 0.5  # between two copies of the store
 STEPS_STATED = 6  # statements of a run
 
 
@@ -318,6 +321,11 @@
             tasks.append(asyncio.ensure_future(action))
         await asyncio.gather(*tasks)
 
+    async def _copy_store(self):
+        while True:
+            self.store.make_copy(self.now())
+            await asyncio.sleep(COPY_INTERVAL_S)
+
     async def run(self, plan):
         await self.set_up()
         self.started = self.now()
@@ -325,6 +333,7 @@
                  for client in self._clients()]
         injection = asyncio.ensure_future(self._run_plan(plan))
         lag_record = asyncio.ensure_future(planned.record_lag(self))
+        copies = asyncio.ensure_future(self._copy_store())
         await asyncio.sleep(self.args.seconds)
         await injection
         for gateway in self.gateways:
@@ -340,6 +349,7 @@
         self.stopping = True
         await asyncio.gather(*tasks)
         lag_record.cancel()
+        copies.cancel()
         await self._tear_down()
 
     def _clients(self):
@@ -399,6 +409,9 @@
 def make_plan(args, seed, prefix):
     if prefix == PLANNED_PREFIX:
         return planned.plan(seed, args.seconds, args.faults, args.gateways)
+    if prefix == RESTORED_PREFIX:
+        return sorted(faults.plan_restores(seed, args.seconds, args.faults),
+                      key=lambda step: step.start_s)
     plan = faults.plan(seed, args.seconds, args.faults)
     if prefix == STATED_PREFIX:
         plan += statements.plan(seed, args.seconds, STEPS_STATED)
@@ -439,7 +452,7 @@
     """Yields pairs of a seed and its prefix."""
     for part in text.split(","):
         prefix = ""
-        for each in (PLANNED_PREFIX, STATED_PREFIX):
+        for each in (PLANNED_PREFIX, STATED_PREFIX, RESTORED_PREFIX):
             if part.startswith(each):
                 prefix = each
         first, _, last = part.removeprefix(prefix).partition("-")
@@ -450,7 +463,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--binary", default="build/tanagertrestle")
-    parser.add_argument("--seeds", default="1", help="as 1,5-9,planned-1-4,stated-1-4")
+    parser.add_argument("--seeds", default="1", help="as 1,5-9,planned-1-4,stated-1-4,restored-1-4")
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--clients", type=int, default=24)
