--- a/prepaid/restore.c
+++ b/prepaid/restore.c
@@ -138,8 +138,15 @@
 					   grant_holder_t, i));
 }
 
-/* Sends all that is known, in messages of limited size. */
-static void reply_to_pull(prepaid_t *prepaid, const char *peer)
+/* True if the store has all that is known of the account. */
+static bool is_saved(const prepaid_t *prepaid, const prepaid_account_t *account)
+{
+	return !account->unsaved &&
+	       revision_era(account->revision) == prepaid->era;
+}
+
+/* Sends what is known of all accounts that are, or are not, saved. */
+static void send_known(prepaid_t *prepaid, const char *peer, bool saved)
 {
 	peer_body_t *body = holdings_new(prepaid, false);
 	uint32_t cursor = 0;
@@ -147,17 +154,27 @@
 
 	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
 	       NULL) {
-		add_record(account, body);
+		body->u.holdings.in_store = saved;
+		if (is_saved(prepaid, account) == saved)
+			add_record(account, body);
 		if (body->u.holdings.list->len <
 		    PEER_HOLDINGS_MAX - GRANT_HOLDERS_MAX)
 			continue;
 		send_holdings(prepaid, peer, body);
 		body = holdings_new(prepaid, false);
 	}
-	body->u.holdings.complete = true;
+	body->u.holdings.in_store = saved;
+	/* The unsaved ones come last. */
+	body->u.holdings.complete = !saved;
 	send_holdings(prepaid, peer, body);
 }
 
+static void reply_to_pull(prepaid_t *prepaid, const char *peer)
+{
+	send_known(prepaid, peer, true);
+	send_known(prepaid, peer, false);
+}
+
 void restore_announce_grant(prepaid_t *prepaid,
 			    const prepaid_account_t *account)
 {
