Ask a home again that waits for its peers

After a kill of all instances of a large fleet each home takes no tokens for up to 2.5 s, while it asks its peers what they know of grants.

A reply now says that the home takes no tokens yet; it is asked again.

--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -181,6 +181,7 @@
 			/* Limit on tokens held beyond current requests. */
 			int64_t most;
 			bool spent; /* the store has too few tokens left */
+			bool later; /* the home takes no tokens yet */
 		} refill_reply;
 		struct {
 			char fingerprint[HASH_SIZE];
--- a/peer/bodies.c
+++ b/peer/bodies.c
@@ -58,6 +58,7 @@
 	BODY_I64(refill_reply, tokens),
 	BODY_I64(refill_reply, most),
 	BODY_BOOL(refill_reply, spent),
+	BODY_BOOL(refill_reply, later),
 };
 static const field_t crash_report_fields[] = {
 	BODY_TEXT(crash_report, fingerprint),
--- a/prepaid/prepaid.c
+++ b/prepaid/prepaid.c
@@ -260,7 +260,9 @@
 		continue_stop(prepaid, account);
 		return;
 	}
-	if (body->u.refill_reply.tokens < account->refill_least)
+	/* A home that has to wait for its peers is asked again. */
+	if (body->u.refill_reply.tokens < account->refill_least &&
+	    !body->u.refill_reply.later)
 		sharing_home_failed(prepaid, account);
 	grant_advance(prepaid, account);
 }
--- a/prepaid/reservation.c
+++ b/prepaid/reservation.c
@@ -152,6 +152,7 @@
 	body->u.refill_reply.tokens = tokens;
 	body->u.refill_reply.most = reservation_refill_max(prepaid, account);
 	body->u.refill_reply.spent = spent && tokens < reservation->min_tokens;
+	body->u.refill_reply.later = restore_is_settling(prepaid);
 	send_body(prepaid, reservation->peer, body);
 }
 
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -134,6 +134,7 @@
 		body->u.refill_reply.tokens = 17;
 		body->u.refill_reply.most = INT64_MAX;
 		body->u.refill_reply.spent = true;
+		body->u.refill_reply.later = true;
 		break;
 	case PEER_PLACED:
 		g_strlcpy(body->u.placed.target, "i-1", NAME_SIZE);
