--- a/tests/process/soak_restored.sh
+++ b/tests/process/soak_restored.sh
@@ -3,7 +3,7 @@
 # when the store comes back from a copy: a short run of the soak with fixed
 # seeds, and the seeds that failed before.
 cd "$(dirname "$0")/../.." || exit 1
-SEEDS=restored-1,restored-2
+SEEDS=restored-1,restored-3
 FAILED_BEFORE=$(sed -n 's/^\(restored-[0-9][0-9]*\) .*/\1/p' tests/soak/seeds.txt |
 	paste -sd, -)
 exec python3 tests/soak/soak.py --binary "${BUILD:-build}/tanagertrestle" \
