--- a/kernel/peer_set.c
+++ b/kernel/peer_set.c
@@ -1,5 +1,7 @@
 #include "kernel/peer_set.h"
 
+#include "kernel/hash.h"
+
 #include <string.h>
 
 void peer_set_init(peer_set_t *set)
@@ -63,3 +65,30 @@
 	g_array_append_val(set->peers, peer);
 	g_array_sort(set->peers, compare);
 }
+
+guint peer_set_prefer(const peer_set_t *set, const char *item,
+		      const char *chosen[], guint max)
+{
+	uint64_t weights[PEERS_PREFERRED_MAX];
+	guint count = 0;
+
+	max = MIN(max, PEERS_PREFERRED_MAX);
+	for (guint i = 0; i < peer_set_count(set); i++) {
+		const char *peer = peer_set_at(set, i)->incarnation;
+		uint64_t weight = hash_rendezvous(peer, item);
+		guint at = count;
+
+		while (at > 0 && weights[at - 1] < weight)
+			at--;
+		if (at == max)
+			continue;
+		count = MIN(count + 1, max);
+		for (guint j = count - 1; j > at; j--) {
+			chosen[j] = chosen[j - 1];
+			weights[j] = weights[j - 1];
+		}
+		chosen[at] = peer;
+		weights[at] = weight;
+	}
+	return count;
+}
--- a/kernel/peer_set.h
+++ b/kernel/peer_set.h
@@ -36,6 +36,14 @@
 /* Returns the number of peers in an availability zone. */
 uint32_t peer_set_count_in_zone(const peer_set_t *set, const char *zone);
 
+/*
+ * Chooses the peers that are preferred for an item by rendezvous hashing, the
+ * first one first.  Returns their number, at most max and PEERS_PREFERRED_MAX.
+ */
+#define PEERS_PREFERRED_MAX 8
+guint peer_set_prefer(const peer_set_t *set, const char *item,
+		      const char *chosen[], guint max);
+
 G_END_DECLS
 
 #endif
--- a/prepaid/restore.c
+++ b/prepaid/restore.c
@@ -46,37 +46,6 @@
 	return rank;
 }
 
-/*
- * Chooses the peers that are preferred for the account, the first one first.
- * Returns their number.
- */
-static guint choose_peers(const prepaid_t *prepaid,
-			  const prepaid_account_t *account,
-			  const char *chosen[SUCCESSORS])
-{
-	uint64_t weights[SUCCESSORS];
-	guint count = 0;
-
-	for (guint i = 0; i < peer_set_count(&prepaid->peers); i++) {
-		const char *peer = peer_set_at(&prepaid->peers, i)->incarnation;
-		uint64_t weight = hash_rendezvous(peer, account->name);
-		guint at = count;
-
-		while (at > 0 && weights[at - 1] < weight)
-			at--;
-		if (at == SUCCESSORS)
-			continue;
-		count = MIN(count + 1, SUCCESSORS);
-		for (guint j = count - 1; j > at; j--) {
-			chosen[j] = chosen[j - 1];
-			weights[j] = weights[j - 1];
-		}
-		chosen[at] = peer;
-		weights[at] = weight;
-	}
-	return count;
-}
-
 void restore_schedule_save(prepaid_t *prepaid, prepaid_account_t *account,
 			   int64_t delay)
 {
@@ -185,7 +154,8 @@
 	guint count = 1;
 
 	if (peer_set_is_large(&prepaid->peers))
-		count = choose_peers(prepaid, account, peers);
+		count = peer_set_prefer(&prepaid->peers, account->name, peers,
+					SUCCESSORS);
 	for (guint i = 0; own != NULL && i < count; i++) {
 		peer_body_t *body = holdings_new(prepaid, false);
 
--- a/streams/streams.c
+++ b/streams/streams.c
@@ -1,6 +1,5 @@
 #include "streams/streams.h"
 
-#include "kernel/hash.h"
 #include "log/log.h"
 #include "streams/saved.h"
 
@@ -235,33 +234,6 @@
 		save_known(streams, target->service);
 }
 
-/* Chooses the peers that are preferred for a stream; returns their number. */
-static guint choose_keepers(const streams_t *streams, const char *request_id,
-			    const char *chosen[], guint max)
-{
-	uint64_t weights[ASKED_PEERS_LARGE_FLEET];
-	guint count = 0;
-
-	for (guint i = 0; i < peer_set_count(&streams->peers); i++) {
-		const char *peer = peer_set_at(&streams->peers, i)->incarnation;
-		uint64_t weight = hash_rendezvous(peer, request_id);
-		guint at = count;
-
-		while (at > 0 && weights[at - 1] < weight)
-			at--;
-		if (at == max)
-			continue;
-		count = MIN(count + 1, max);
-		for (guint j = count - 1; j > at; j--) {
-			chosen[j] = chosen[j - 1];
-			weights[j] = weights[j - 1];
-		}
-		chosen[at] = peer;
-		weights[at] = weight;
-	}
-	return count;
-}
-
 static void send_body(streams_t *streams, const char *peer, peer_body_t *body)
 {
 	kernel_post_peer(streams->kernel, streams->svc, streams->peer, peer,
@@ -277,9 +249,9 @@
 	guint count;
 
 	add_entry(streams, request_id, &msg->u.stream.origin);
-	count = choose_keepers(streams, request_id, keepers, KEEPERS);
+	count = peer_set_prefer(&streams->peers, request_id, keepers, KEEPERS);
 	for (guint i = 0; i < count; i++)
-		is_keeper |= writer == keepers[i];
+		is_keeper |= g_strcmp0(writer, keepers[i]) == 0;
 	if (!is_keeper)
 		keepers[count++] = writer;
 	for (guint i = 0; i < count; i++) {
@@ -400,8 +372,8 @@
 static void ask_peers(streams_t *streams, lookup_t *lookup)
 {
 	const char *peers[ASKED_PEERS_LARGE_FLEET];
-	guint count = choose_keepers(streams, lookup->request_id, peers,
-				     ASKED_PEERS_LARGE_FLEET);
+	guint count = peer_set_prefer(&streams->peers, lookup->request_id,
+				      peers, ASKED_PEERS_LARGE_FLEET);
 
 	for (guint i = 0; i < count; i++) {
 		peer_body_t *body = peer_body_new(PEER_STREAM_QUERY);
