Tell peers only the grants that the store may lack

After a kill of all instances of a large fleet each of them asks all others what they know of grants, and those that had read a record answered with all of it, entries of earlier processes included.

Whoever takes tokens has read the record at its newest revision, so only what the store may lack has to be told.

--- a/prepaid/restore.c
+++ b/prepaid/restore.c
@@ -109,15 +109,11 @@
 					   grant_holder_t, i));
 }
 
-/* True if the store has all that is known of the account. */
-static bool is_saved(const prepaid_t *prepaid, const prepaid_account_t *account)
-{
-	return !account->unsaved &&
-	       revision_era(account->revision) == prepaid->era;
-}
-
-/* Sends what is known of all accounts that are, or are not, saved. */
-static void send_known(prepaid_t *prepaid, const char *peer, bool saved)
+/*
+ * Sends what the store may lack, in messages of limited size.  The rest is in
+ * the record that an instance reads before it takes tokens.
+ */
+static void reply_to_pull(prepaid_t *prepaid, const char *peer)
 {
 	peer_body_t *body = holdings_new(prepaid, false);
 	uint32_t cursor = 0;
@@ -125,8 +121,7 @@
 
 	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
 	       NULL) {
-		body->u.holdings.in_store = saved;
-		if (is_saved(prepaid, account) == saved)
+		if (account->unsaved)
 			add_record(account, body);
 		if (body->u.holdings.list->len <
 		    PEER_HOLDINGS_MAX - GRANT_HOLDERS_MAX)
@@ -134,18 +129,10 @@
 		send_holdings(prepaid, peer, body);
 		body = holdings_new(prepaid, false);
 	}
-	body->u.holdings.in_store = saved;
-	/* The unsaved ones come last. */
-	body->u.holdings.complete = !saved;
+	body->u.holdings.complete = true;
 	send_holdings(prepaid, peer, body);
 }
 
-static void reply_to_pull(prepaid_t *prepaid, const char *peer)
-{
-	send_known(prepaid, peer, true);
-	send_known(prepaid, peer, false);
-}
-
 void restore_announce_grant(prepaid_t *prepaid,
 			    const prepaid_account_t *account)
 {
