--- a/review/1/harness.py
+++ b/review/1/harness.py
@@ -24,6 +24,7 @@
 
 PROGRAM = os.path.join(ROOT, "target", "tanagertrestle")
 HEARTBEAT_S = 1.2
+QUEUE = 4  # requests that wait at a worker, beyond its slots
 HOST = "desk.example"
 KEY = "review-key-of-tenant-one"
 TENANT = "tenant-one"
@@ -165,6 +166,33 @@
         await self.process.wait()
 
 
+class Load:
+    """Requests at one incarnation of a worker."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.places = asyncio.Semaphore(slots)
+        self.running = 0
+        self.waiting = 0
+
+    def is_full(self):
+        return self.running + self.waiting >= self.slots + QUEUE
+
+    @contextlib.asynccontextmanager
+    async def place(self):
+        self.waiting += 1
+        try:
+            await self.places.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self.places.release()
+
+
 class Worker:
     """A worker that follows the users' protocol; handle() is its work."""
 
@@ -178,7 +206,7 @@
         self.slots = slots
         self.version = version
         self.port = free_port(host)
-        self.running = 0
+        self.load = None
         self.sequence = 0
         self.born = 0
         self.state = "ready"
@@ -190,7 +218,7 @@
         """A start of the process: a new incarnation, maybe of the same id."""
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.running = 0
+        self.load = Load(self.slots)
         self.state = "ready"
         self.server = await asyncio.start_server(
             self._serve, self.host, self.port, reuse_address=True)
@@ -225,13 +253,15 @@
 
     def head_fields(self, attempt):
         return [("Attempt-Id", attempt),
-                ("Instance-Load", "%d,0,%d" % (self.running, self.slots)),
+                ("Instance-Load", "%d,%d,%d" % (
+                    self.load.running, self.load.waiting, self.slots)),
                 ("Keep-Alive", "timeout=5")]
 
     async def handle(self, writer, line, fields, body):
         raise NotImplementedError
 
     async def _serve(self, reader, writer):
+        load = self.load
         self.writers.add(writer)
         try:
             while True:
@@ -243,16 +273,13 @@
                         "HTTP/1.1 421 Misdirected Request",
                         [("Attempt-Id", attempt), ("Instance-Id", self.id),
                          ("Not-Executed", "1")]))
-                elif self.running >= self.slots:
+                elif load.is_full():
                     writer.write(http1.message(
                         "HTTP/1.1 503 Service Unavailable",
                         [("Attempt-Id", attempt), ("Not-Executed", "1")]))
                 else:
-                    self.running += 1
-                    try:
+                    async with load.place():
                         await self.handle(writer, line, fields, body)
-                    finally:
-                        self.running -= 1
                 await writer.drain()
         except (http1.ConnectionLost, OSError):
             pass
