Show how far a process is behind

An instance that got more than it could serve left no trace of it: no log line and no metric tells a processor that is not to be had from one long turn of the loop, from many small ones, or from a full link.

The kernel measures the turns of the main loop and their processor time, how late timers fire and how long input waits; the service overload logs when the process falls behind and when it has caught up.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 
 MODULES = kernel metrics log settings store conf ledger claims orders route \
 	  request dispatch front member peer instances admin router ctl \
-	  http replica fleet prepaid balance streams proxy ingress outbound platform gateway
+	  http replica fleet prepaid balance streams proxy ingress outbound overload \
+	  platform gateway
 PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
 # http-parser has no pkg-config file.
 EXTRA_LIBS = -lhttp_parser -lm
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -6,6 +6,7 @@
 #include "ingress/ingress.h"
 #include "log/log.h"
 #include "outbound/outbound.h"
+#include "overload/overload.h"
 #include "peer/peer.h"
 #include "platform/store.h"
 #include "prepaid/prepaid.h"
@@ -64,6 +65,7 @@
 	streams_t streams;
 	proxy_t proxy;
 	ingress_t ingress;
+	overload_t overload;
 	gateway_stage_t stage;
 	bool requests_done; /* "ingress" has stopped: no request is running */
 	bool tokens_returned; /* "prepaid" has stopped */
@@ -237,6 +239,7 @@
 	streams_init(&gateway->streams, &gateway->kernel, gateway->incarnation);
 	proxy_init(&gateway->proxy, &gateway->kernel, &proxy);
 	ingress_init(&gateway->ingress, &gateway->kernel);
+	overload_init(&gateway->overload, &gateway->kernel);
 }
 
 static int init_peers(gateway_t *gateway)
@@ -295,6 +298,7 @@
 
 static void finish_all(gateway_t *gateway)
 {
+	overload_finish(&gateway->overload);
 	ingress_finish(&gateway->ingress);
 	proxy_finish(&gateway->proxy);
 	streams_finish(&gateway->streams);
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -56,6 +56,7 @@
 	kernel_t *kernel = ((kernel_source_t *)source)->kernel;
 	int64_t next, wait;
 
+	lag_turn_ended(&kernel->lag, kernel_now(kernel));
 	*timeout = -1;
 	if (kernel->queue_len > 0)
 		return TRUE;
@@ -75,9 +76,10 @@
 {
 	kernel_t *kernel = ((kernel_source_t *)source)->kernel;
 	int64_t next = kernel_next_timer(kernel);
+	int64_t now = kernel_now(kernel);
 
-	return kernel->queue_len > 0 ||
-	       (next >= 0 && next <= kernel_now(kernel));
+	lag_turn_started(&kernel->lag, now);
+	return kernel->queue_len > 0 || (next >= 0 && next <= now);
 }
 
 static gboolean source_dispatch(GSource *source, GSourceFunc callback,
@@ -127,7 +129,8 @@
 			g_error("getrandom: cannot seed random numbers");
 		attach_source(kernel);
 	}
-	pollset_init(&kernel->pollset, kernel->context);
+	lag_init(&kernel->lag, kernel->metrics);
+	pollset_init(&kernel->pollset, kernel->context, &kernel->lag);
 	buffers_init(&kernel->buffers);
 }
 
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -8,6 +8,7 @@
 #define KERNEL_KERNEL_H
 
 #include "kernel/buffers.h"
+#include "kernel/lag.h"
 #include "kernel/msg.h"
 #include "kernel/pollset.h"
 #include "metrics/metrics.h"
@@ -47,6 +48,7 @@
 
 	pollset_t pollset;
 	buffers_t buffers;
+	lag_t lag;
 
 	GMainContext *context;
 	GMainLoop *loop;
--- a/kernel/pollset.c
+++ b/kernel/pollset.c
@@ -56,9 +56,15 @@
 	pollset_t *set = ((pollset_source_t *)source)->set;
 	struct epoll_event events[EVENTS_MAX];
 	int count = epoll_wait(set->epoll_fd, events, EVENTS_MAX, 0);
+	int64_t now = g_get_monotonic_time();
 
 	(void)callback;
 	(void)data;
+	/* Descriptors are reported in the order in which they became ready. */
+	if (count == EVENTS_MAX && set->drained_at != 0)
+		lag_input_handled(set->lag, now - set->drained_at);
+	else
+		set->drained_at = now;
 	for (int i = 0; i < count; i++) {
 		/* An earlier callback may have removed or changed the watch. */
 		const watch_t *watch = table_get(
@@ -79,8 +85,10 @@
 	.dispatch = source_dispatch,
 };
 
-void pollset_init(pollset_t *set, GMainContext *context)
+void pollset_init(pollset_t *set, GMainContext *context, lag_t *lag)
 {
+	set->lag = lag;
+	set->drained_at = 0;
 	set->epoll_fd = -1;
 	set->context = context;
 	set->source = NULL;
--- a/kernel/pollset.h
+++ b/kernel/pollset.h
@@ -6,6 +6,7 @@
 #ifndef KERNEL_POLLSET_H
 #define KERNEL_POLLSET_H
 
+#include "kernel/lag.h"
 #include "kernel/table.h"
 
 G_BEGIN_DECLS
@@ -22,9 +23,11 @@
 	table_t watches; /* watch_t */
 	GMainContext *context; /* NULL: the default one */
 	GSource *source;
+	lag_t *lag;
+	int64_t drained_at; /* monotonic, us; all that was ready is handled */
 } pollset_t;
 
-void pollset_init(pollset_t *set, GMainContext *context);
+void pollset_init(pollset_t *set, GMainContext *context, lag_t *lag);
 void pollset_finish(pollset_t *set);
 
 /*
--- a/kernel/timer.c
+++ b/kernel/timer.c
@@ -141,6 +141,7 @@
 	entry = table_get(&kernel->timers, handle);
 	if (entry->due > now)
 		return false;
+	lag_timer_fired(&kernel->lag, now - entry->due);
 	owner = entry->owner;
 	msg.ref = entry->ref;
 	msg.u.timer.kind = entry->kind;
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -93,6 +93,7 @@
 	X(PROTECTED, "protected", "1 when bills reach store or buddy")      \
 	X(BUFFERED_BYTES, "buffered_bytes",                                 \
 	  "bytes held for calls in progress")                               \
+	X(BEHIND, "behind", "1 while input or timers wait too long")        \
 	X(STORE_UP, "store_up", "1 when the store answered last time")      \
 	X(STORE_ERA, "store_era", "restores of the store, as it states them")
 
@@ -108,7 +109,11 @@
 	X(FIRST_BYTE, "first_byte", "time to a target's first byte")  \
 	X(REQUEST, "request", "time from a request to its last byte") \
 	X(STORE_CALL, "store_call", "time of a call to the store")    \
-	X(BILL, "bill", "time from a bill to its record")
+	X(BILL, "bill", "time from a bill to its record")             \
+	X(LOOP_TURN, "loop_turn", "turn of the main loop")            \
+	X(TIMER_LATE, "timer_late", "time by which a timer was late") \
+	X(INPUT_WAIT, "input_wait",                                   \
+	  "longest wait of input in a turn of the loop")
 
 typedef enum histogram_id_t {
 #define X(id, name, help) HISTOGRAM_##id,
