Handle responses, closes and due timers before new requests

Cause: descriptors were handled in the order in which they became ready, 64 a turn, new requests among them, so all else waited behind requests that could not be served anyway. Timers fired before the input of their turn, so connects that stood were given up as silent.

Change: a descriptor has a class. Input of idle and reading callers' connections and new connections are deferred: they are handled oldest first, once all other input and due timers are, for as long as the other input took. A hang-up does not wait. Each request carries when it arrived and how long it was unread.

Tests: kernel_test; without the classes DeferredInputWaitsBehindPromptInput can't be written, InputIsHandledBeforeTimersThatAreDue fails on the order of before.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -36,6 +36,22 @@
 	conn->idle_timeout_ms = conn->ingress->limits.idle_timeout_ms;
 }
 
+/* New requests wait while others are to be answered. */
+static pollset_class_t input_class(const ingress_conn_t *conn)
+{
+	if (conn->kind != LISTENER_CALLERS)
+		return POLLSET_PROMPT;
+	switch (conn->phase) {
+	case INGRESS_IDLE:
+	case INGRESS_READING:
+		return POLLSET_DEFERRED;
+	case INGRESS_BUSY:
+	case INGRESS_LINGER:
+		break;
+	}
+	return POLLSET_PROMPT;
+}
+
 static void set_phase(ingress_conn_t *conn, ingress_phase_t phase)
 {
 	if (phase == INGRESS_BUSY)
@@ -46,6 +62,8 @@
 	conn->phase_since = kernel_now(conn->ingress->kernel);
 	if (phase == INGRESS_READING)
 		keep_idle_limit(conn);
+	pollset_classify(&conn->ingress->kernel->pollset, conn->sock.watch,
+			 input_class(conn));
 }
 
 static void count_bytes(ingress_conn_t *conn)
@@ -166,6 +184,7 @@
 	conn->exchange = HANDLE_NONE;
 	conn->head_sent = false;
 	conn->request_bytes = 0;
+	conn->unread = 0;
 	if (conn->close_after) {
 		set_phase(conn, INGRESS_LINGER);
 		if (!http_socket_has_output(&conn->sock))
@@ -285,8 +304,10 @@
 
 	while (conn->input->len > 0 && (conn->phase == INGRESS_IDLE ||
 					conn->phase == INGRESS_READING)) {
-		if (conn->phase == INGRESS_IDLE)
+		if (conn->phase == INGRESS_IDLE) {
+			conn->arrived_at = conn->input_since;
 			set_phase(conn, INGRESS_READING);
+		}
 		before = conn->parse.state;
 		used = http_parse_feed(&conn->parse,
 				       (const char *)conn->input->data,
@@ -347,6 +368,19 @@
 	}
 }
 
+static void note_wait(ingress_conn_t *conn)
+{
+	const kernel_t *kernel = conn->ingress->kernel;
+	int64_t since = kernel->pollset.ready_since;
+
+	if (conn->input->len == 0)
+		conn->input_since = since;
+	if (conn->phase == INGRESS_IDLE)
+		conn->unread = 0;
+	if (conn->phase == INGRESS_IDLE || conn->phase == INGRESS_READING)
+		conn->unread += kernel_now(kernel) - since;
+}
+
 static void on_ready(void *data, unsigned ready)
 {
 	ingress_conn_t *conn = data;
@@ -358,6 +392,7 @@
 		kernel_flush(kernel);
 		return;
 	}
+	note_wait(conn);
 	if (read_input(conn)) {
 		/* If too much is buffered, send_end() resumes reading. */
 		if (conn->phase == INGRESS_BUSY && conn->input->len > INPUT_MAX)
@@ -527,6 +562,9 @@
 			ingress_conn_close(conn);
 		break;
 	case INGRESS_READING:
+		/* What has arrived and was not read yet is no fault of it. */
+		if (http_socket_has_input(&conn->sock))
+			break;
 		if (conn->parse.state < HTTP_STATE_BODY &&
 		    age > limits->header_timeout_ms * USEC_PER_MSEC)
 			respond_error(conn, 408,
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -29,6 +29,9 @@
 	bool head_sent;
 	bool chunked; /* the response body is sent in chunks */
 	bool close_after; /* close after this response */
+	int64_t input_since; /* monotonic, us; arrival of the first of input */
+	int64_t arrived_at; /* monotonic, us; of the request */
+	int64_t unread; /* us for which the request waited to be read */
 	size_t request_bytes; /* body of the request in progress */
 	size_t counted_requests; /* bytes in the process's buffers */
 	size_t counted_output;
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -115,6 +115,9 @@
 	listener->watch = pollset_add(&ingress->kernel->pollset,
 				      g_socket_get_fd(listener->socket),
 				      POLLSET_IN, on_accept, listener);
+	if (kind == LISTENER_CALLERS)
+		pollset_classify(&ingress->kernel->pollset, listener->watch,
+				 POLLSET_DEFERRED);
 	if (handle_is_none(listener->watch)) {
 		errmsg_set(&ingress->err, "cannot watch %s port %u: %s", host,
 			   port, g_strerror(errno));
@@ -207,6 +210,8 @@
 		refuse_stopping(ingress, conn, spec->request_id);
 		goto out;
 	}
+	spec->arrived_at = conn->arrived_at;
+	spec->unread = conn->unread;
 	msg.u.exchange = g_steal_pointer(&spec);
 	kernel_post(ingress->kernel, ingress->svc, ingress->proxy, &msg);
 out:
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -12,6 +12,13 @@
  * sockets are polled even while services keep sending each other messages.
  */
 #define BATCH_MAX 4096
+/*
+ * Rounds of prompt input in one turn.  Timers that are due fire after each, so
+ * that no timer takes for silence what has not been handled yet.
+ */
+#define PROMPT_ROUNDS_MAX 8
+/* Deferred input gets as much time as the prompt input of its turn, or this. */
+#define DEFERRED_MIN_US (10 * USEC_PER_MSEC)
 /* 2026-01-01T00:00:00Z, the wall clock time when a virtual run starts. */
 #define VIRTUAL_EPOCH (INT64_C(1767225600) * USEC_PER_SEC)
 
@@ -58,7 +65,7 @@
 
 	lag_turn_ended(&kernel->lag, kernel_now(kernel));
 	*timeout = -1;
-	if (kernel->queue_len > 0)
+	if (kernel->queue_len > 0 || pollset_has_deferred(&kernel->pollset))
 		return TRUE;
 	next = kernel_next_timer(kernel);
 	if (next < 0)
@@ -79,7 +86,9 @@
 	int64_t now = kernel_now(kernel);
 
 	lag_turn_started(&kernel->lag, now);
-	return kernel->queue_len > 0 || (next >= 0 && next <= now);
+	return kernel->queue_len > 0 || (next >= 0 && next <= now) ||
+	       pollset_is_ready(&kernel->pollset) ||
+	       pollset_has_deferred(&kernel->pollset);
 }
 
 static gboolean source_dispatch(GSource *source, GSourceFunc callback,
@@ -87,9 +96,26 @@
 {
 	kernel_t *kernel = ((kernel_source_t *)source)->kernel;
 
+	int64_t started = kernel_now(kernel);
+	int64_t next = kernel_next_timer(kernel);
+	/*
+	 * A process that does not get the processor wakes up late.  What is
+	 * ready then may have been so since the timer was due.
+	 */
+	int64_t since = next < 0 ? started : MIN(next, started);
+	bool more = true;
+	int64_t now;
+
 	(void)callback;
 	(void)data;
-	run_due_timers(kernel);
+	for (int i = 0; i < PROMPT_ROUNDS_MAX && more; i++) {
+		more = pollset_handle_prompt(&kernel->pollset, since);
+		run_due_timers(kernel);
+		deliver_batch(kernel);
+	}
+	now = kernel_now(kernel);
+	pollset_handle_deferred(&kernel->pollset,
+				now + MAX(now - started, DEFERRED_MIN_US));
 	deliver_batch(kernel);
 	return G_SOURCE_CONTINUE;
 }
@@ -130,7 +156,7 @@
 		attach_source(kernel);
 	}
 	lag_init(&kernel->lag, kernel->metrics);
-	pollset_init(&kernel->pollset, kernel->context, &kernel->lag);
+	pollset_init(&kernel->pollset, kernel->source, &kernel->lag);
 	buffers_init(&kernel->buffers);
 }
 
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -183,6 +183,13 @@
 				pollset_remove(&pair->test->kernel.pollset,
 					       &other.watch);
 	}
+	static void receive_timer(void *self, msg_t *msg)
+	{
+		PollsetTest *test = static_cast<PollsetTest *>(self);
+
+		if (msg->kind == MSG_TIMER)
+			test->reports_at_timer = (int)test->reports();
+	}
 	void make_readable(Pair &pair)
 	{
 		ASSERT_EQ(write(pair.fds[1], "x", 1), 1);
@@ -203,6 +210,7 @@
 	kernel_t kernel;
 	Pair pairs[3] = {};
 	bool removes_all = false;
+	int reports_at_timer = -1;
 };
 
 TEST_F(PollsetTest, ReportsOnlyDescriptorsThatAreReady)
@@ -292,4 +300,102 @@
 	peer_set_finish(&set);
 }
 
+// Guards against responses and closes that wait behind new requests.
+TEST_F(PollsetTest, DeferredInputWaitsBehindPromptInput)
+{
+	for (int i = 0; i < 2; i++)
+		pollset_classify(&kernel.pollset, pairs[i].watch,
+				 POLLSET_DEFERRED);
+	for (Pair &pair : pairs)
+		make_readable(pair);
+	pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+	EXPECT_EQ(reports(), 1u);
+	EXPECT_EQ(pairs[2].ready.size(), 1u);
+	EXPECT_TRUE(pollset_has_deferred(&kernel.pollset));
+}
+
+// Guards against new requests that hold up all else for as long as they come,
+// and against one that others overtake.
+TEST_F(PollsetTest, DeferredInputIsHandledOldestFirstUntilItsTimeIsUp)
+{
+	const int order[] = {1, 0, 2};
+
+	for (Pair &pair : pairs)
+		pollset_classify(&kernel.pollset, pair.watch, POLLSET_DEFERRED);
+	for (int i : order) {
+		make_readable(pairs[i]);
+		pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+	}
+	for (size_t i = 0; i < 3; i++) {
+		pollset_handle_deferred(&kernel.pollset, 0);
+		EXPECT_EQ(reports(), i + 1);
+		EXPECT_EQ(pairs[order[i]].ready.size(), 1u);
+	}
+	EXPECT_FALSE(pollset_has_deferred(&kernel.pollset));
+}
+
+TEST_F(PollsetTest, DeferredInputThatIsLeftUnreadIsReportedAgain)
+{
+	pollset_classify(&kernel.pollset, pairs[0].watch, POLLSET_DEFERRED);
+	pollset_classify(&kernel.pollset, pairs[1].watch, POLLSET_DEFERRED);
+	make_readable(pairs[0]);
+	make_readable(pairs[1]);
+	for (size_t i = 1; i <= 5; i++) {
+		pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+		pollset_handle_deferred(&kernel.pollset, 0);
+		EXPECT_EQ(reports(), i);
+	}
+	EXPECT_GE(pairs[0].ready.size(), 2u);
+	EXPECT_GE(pairs[1].ready.size(), 2u);
+}
+
+// Guards against work for callers that have left: their close must not wait
+// until their request would be read.
+TEST_F(PollsetTest, HangupOfDeferredInputDoesNotWait)
+{
+	for (Pair &pair : pairs) {
+		pollset_classify(&kernel.pollset, pair.watch, POLLSET_DEFERRED);
+		make_readable(pair);
+	}
+	pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+	pollset_handle_deferred(&kernel.pollset, 0);
+	shutdown(pairs[2].fds[1], SHUT_WR);
+	pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+	EXPECT_TRUE(pairs[1].ready.empty());
+	ASSERT_EQ(pairs[2].ready.size(), 1u);
+	EXPECT_TRUE(pairs[2].ready[0] & POLLSET_ERROR);
+}
+
+// Guards against a time-out that is counted from when a request is read.
+TEST_F(PollsetTest, DeferredInputKeepsTheTimeSinceWhichItIsReady)
+{
+	int64_t found, since;
+
+	pollset_classify(&kernel.pollset, pairs[0].watch, POLLSET_DEFERRED);
+	pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+	make_readable(pairs[0]);
+	found = g_get_monotonic_time();
+	/* It cannot have been ready when the last look found nothing. */
+	pollset_handle_prompt(&kernel.pollset, 0);
+	since = g_get_monotonic_time();
+	while (g_get_monotonic_time() == since)
+		;
+	pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+	pollset_handle_deferred(&kernel.pollset, 0);
+	EXPECT_LE(kernel.pollset.ready_since, found);
+	EXPECT_GT(kernel.pollset.ready_since, 0);
+}
+
+// Guards against timers that take for silence what was not handled yet.
+TEST_F(PollsetTest, InputIsHandledBeforeTimersThatAreDue)
+{
+	svc_t svc = kernel_register(&kernel, "receiver", receive_timer, this);
+
+	kernel_timer(&kernel, svc, 0, HANDLE_NONE, 1);
+	make_readable(pairs[0]);
+	while (reports_at_timer < 0)
+		iterate();
+	EXPECT_GE(reports_at_timer, 1);
+}
+
 } // namespace
