Refuse requests that were unread for too long, count time-outs from arrival

Cause: nothing knew how long a request had been unread. An instance that gets more than it can serve then answers each request late, and none in time.

A request that was unread for a quarter of its route's latency goal, 100 ms at least, is refused at once with 503 and Retry-After 0.1: it has not run, and its caller's retry reaches another instance.

Tests: proxy_test RequestThatWasUnreadForTooLongIsRefusedAtOnce and TimeoutCountsFromTheArrivalOfTheRequest fail without the change to proxy/exchange.c (run with it taken out).

--- a/front/refusal.c
+++ b/front/refusal.c
@@ -64,6 +64,8 @@
 				 "the target's answer was not whole"},
 	[REFUSAL_STOPPING] = {REFUSAL_STOPPING, 503, 1,
 			      "this router is stopping"},
+	[REFUSAL_BEHIND] = {REFUSAL_BEHIND, 503, 1,
+			    "this instance is behind with its requests"},
 	[REFUSAL_CALLER_GONE] = {REFUSAL_CALLER_GONE, 499, 0,
 				 "the caller has disconnected"},
 	[REFUSAL_INTERNAL] = {REFUSAL_INTERNAL, 500, 0, "internal error"},
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -35,6 +35,7 @@
 	X(NO_ROUTE, "no_route")                     \
 	X(NOT_GENUINE, "not_genuine")               \
 	X(STOPPING, "stopping")                     \
+	X(BEHIND, "behind")                         \
 	X(CALLER_GONE, "caller_gone")               \
 	X(INTERNAL, "internal")
 
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -21,8 +21,11 @@
  */
 #define HEAD_TIMEOUT_GOALS 4
 #define HEAD_TIMEOUT_MIN_MS 600
+/* A request that was unread for its latency goal, divided so, is refused. */
+#define UNREAD_DIVISOR 4
+#define UNREAD_MIN_US (100 * USEC_PER_MSEC)
 #define RETRY_AFTER_DEFAULT_MS 300 /* applies if a refusal states no time */
-#define STOP_RETRY_AFTER_MS 100 /* another instance takes the request */
+#define ELSEWHERE_RETRY_AFTER_MS 100 /* another instance takes the request */
 /* Priority levels of a target's queue per priority level of a route. */
 #define QUEUE_PRIORITY_FACTOR 4
 
@@ -272,6 +275,18 @@
 	g_checksum_free(sum);
 }
 
+/*
+ * Whether the request has waited here for so long, unread, that another
+ * instance would answer it sooner.
+ */
+static bool is_outdated(const exchange_t *exchange)
+{
+	int64_t goal = exchange->route.latency_goal_ms * USEC_PER_MSEC;
+
+	return exchange->spec->unread >
+	       MAX(goal / UNREAD_DIVISOR, UNREAD_MIN_US);
+}
+
 /* Checks route, API key and account against the current configuration. */
 static refusal_t admit(proxy_t *proxy, exchange_t *exchange)
 {
@@ -297,6 +312,8 @@
 		if (account->priority >= 0)
 			exchange->priority = account->priority;
 	}
+	if (is_outdated(exchange))
+		return REFUSAL_BEHIND;
 	compute_fingerprint(exchange);
 	if (crash_quarantined(proxy, exchange))
 		return REFUSAL_QUARANTINED;
@@ -342,13 +359,20 @@
 	start_deadline_timer(proxy, exchange);
 }
 
+/* The caller has been waiting since then. */
+static int64_t arrived_at(const exchange_t *exchange)
+{
+	return exchange->spec->arrived_at > 0 ? exchange->spec->arrived_at
+					      : exchange->started_at;
+}
+
 static void set_deadline(proxy_t *proxy, exchange_t *exchange)
 {
 	int64_t wait = exchange->spec->wait_ms;
 
 	if (wait < 0 || wait > exchange->route.timeout_ms)
 		wait = exchange->route.timeout_ms;
-	exchange->deadline = exchange->started_at + wait * USEC_PER_MSEC;
+	exchange->deadline = arrived_at(exchange) + wait * USEC_PER_MSEC;
 	start_deadline_timer(proxy, exchange);
 	exchange_limit_to_stop(proxy, exchange);
 }
@@ -407,14 +431,17 @@
 	    (reason == REFUSAL_NO_ROUTE || reason == REFUSAL_UNAUTHENTICATED))
 		reason = REFUSAL_CONF_BEHIND;
 	if (reason != REFUSAL_NONE) {
-		exchange_refuse(proxy, exchange, reason, 0);
+		exchange_refuse(proxy, exchange, reason,
+				reason == REFUSAL_BEHIND
+					? ELSEWHERE_RETRY_AFTER_MS
+					: 0);
 		return;
 	}
 	set_deadline(proxy, exchange);
 	/* Its caller could not repeat it if the stop cut it. */
 	if (exchange->ends_at_stop && !exchange_is_idempotent(exchange)) {
 		exchange_refuse(proxy, exchange, REFUSAL_STOPPING,
-				STOP_RETRY_AFTER_MS);
+				ELSEWHERE_RETRY_AFTER_MS);
 		return;
 	}
 	if (is_taken_up_again(exchange))
@@ -637,7 +664,7 @@
 					: PLACE_CANCELLED);
 	if (exchange->ends_at_stop)
 		exchange_refuse(proxy, exchange, REFUSAL_STOPPING,
-				STOP_RETRY_AFTER_MS);
+				ELSEWHERE_RETRY_AFTER_MS);
 	else
 		exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
 }
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -179,6 +179,36 @@
 	EXPECT_TRUE(cancelled.empty());
 }
 
+// Guards against time-outs that are counted from when a request is read.
+TEST_F(Ingress, RequestCarriesWhenItArrivedAndHowLongItWasUnread)
+{
+	Client client(port(LISTENER_CALLERS));
+	int64_t before = kernel_now(&kernel);
+
+	client.send(get_request.substr(0, 10));
+	client.send(get_request.substr(10));
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_GE(specs[0]->arrived_at, before);
+	EXPECT_LE(specs[0]->arrived_at, kernel_now(&kernel));
+	EXPECT_GE(specs[0]->unread, 0);
+	EXPECT_LE(specs[0]->unread, kernel_now(&kernel) - before);
+}
+
+// Guards against work for callers that left while their request was unread.
+TEST_F(Ingress, RequestOfACallerThatHasLeftIsNotForwarded)
+{
+	auto gone = std::make_unique<Client>(port(LISTENER_CALLERS));
+	Client client(port(LISTENER_CALLERS));
+
+	gone->send(get_request);
+	gone.reset();
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	for (int i = 0; i < 100; i++)
+		pump([] { return true; });
+	EXPECT_EQ(specs.size(), 1u);
+}
+
 TEST_F(Ingress, RequestSmugglingIsRejected)
 {
 	Client client(port(LISTENER_CALLERS));
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -401,6 +401,9 @@
 			  sizeof(spec->resumes));
 		spec->prompt_tokens = 100;
 		spec->max_tokens = 50;
+		spec->arrived_at = arrived_at;
+		spec->unread = unread;
+		spec->wait_ms = wait_ms;
 		spec->head = http_head_request("POST", path);
 		msg.kind = MSG_EXCHANGE_OPEN;
 		msg.id = {1, 1};
@@ -513,6 +516,9 @@
 		kernel_post(&kernel, outbound, proxy.svc, &msg);
 		run(0);
 	}
+	int64_t arrived_at = 0; // of the next request, us
+	int64_t unread = 0; // time of the next request, us
+	int64_t wait_ms = -1; // of the next request
 	kernel_t kernel;
 	proxy_t proxy;
 	svc_t ingress, balance, outbound, prepaid, streams, fleet, peer, store;
@@ -2371,4 +2377,39 @@
 	}
 }
 
+// Guards against requests that are read late, as others came before them, and
+// reach a target when their caller can no longer be served.
+TEST_F(Proxy, RequestThatWasUnreadForTooLongIsRefusedAtOnce)
+{
+	unread = 101 * USEC_PER_MSEC;
+	post_open("/unsafe/x");
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(retry_after_text, "0.100");
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(completed, 1);
+}
+
+TEST_F(Proxy, RequestThatWasReadInTimeIsServedThoughOthersWait)
+{
+	unread = 100 * USEC_PER_MSEC;
+	post_open("/unsafe/x");
+	EXPECT_EQ(attempts, 1);
+}
+
+// Guards against time-outs that are counted from when a request is read: its
+// caller has been waiting since it arrived.
+TEST_F(Proxy, TimeoutCountsFromTheArrivalOfTheRequest)
+{
+	run(5 * USEC_PER_SEC);
+	arrived_at = kernel_now(&kernel) - 80 * USEC_PER_MSEC;
+	unread = 80 * USEC_PER_MSEC;
+	post_open("/unsafe/x");
+	ASSERT_EQ(attempts, 1);
+	run(1919 * USEC_PER_MSEC);
+	EXPECT_EQ(completed, 0);
+	run(USEC_PER_MSEC);
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(status, 504u);
+}
+
 } // namespace
