Send callers of an instance that is behind to others of its zone

Change: an instance that is behind is not ready, and from 2.2 s later, when the load balancer has seen that, closes connections after their response. It tells the peers in its zone; only one in eight of a zone does so at a time, so zones of fewer than eight instances never do. It returns once nothing has waited for a second.

Tests: overload_test, ingress_test InstanceThatYieldsIsNotReadyAndLaterClosesItsConnections.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -239,7 +239,8 @@
 	streams_init(&gateway->streams, &gateway->kernel, gateway->incarnation);
 	proxy_init(&gateway->proxy, &gateway->kernel, &proxy);
 	ingress_init(&gateway->ingress, &gateway->kernel);
-	overload_init(&gateway->overload, &gateway->kernel);
+	overload_init(&gateway->overload, &gateway->kernel,
+		      settings->availability_zone);
 }
 
 static int init_peers(gateway_t *gateway)
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -218,7 +218,9 @@
 		http_head_add_int(head, "Content-Length", length);
 	else
 		http_head_add(head, "Transfer-Encoding", "chunked");
-	conn->close_after |= conn->ingress->stopping;
+	conn->close_after |= conn->ingress->stopping ||
+			     (conn->kind == LISTENER_CALLERS &&
+			      ingress_sends_callers_away(conn->ingress));
 	if (conn->close_after)
 		http_head_add(head, "Connection", "close");
 	else
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -57,6 +57,7 @@
 				      const char *retry_after);
 
 /* ingress.c */
+bool ingress_sends_callers_away(const ingress_t *ingress);
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn);
 
 G_END_DECLS
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -31,6 +31,12 @@
  */
 #define CONNS_MAX 3000
 
+/*
+ * Time until the load balancer has seen two failed readiness checks.  A caller
+ * whose connection ends earlier would come back to this instance.
+ */
+#define UNREADY_SEEN_US (2200 * USEC_PER_MSEC)
+
 /* Time for requests on the last connections, which were just established. */
 #define STOP_SETTLE_US (50 * USEC_PER_MSEC)
 
@@ -136,9 +142,17 @@
 	g_clear_object(&listener->socket);
 }
 
+bool ingress_sends_callers_away(const ingress_t *ingress)
+{
+	return ingress->yields_since != 0 &&
+	       kernel_now(ingress->kernel) - ingress->yields_since >=
+		       UNREADY_SEEN_US;
+}
+
 static void respond_readiness(ingress_t *ingress, ingress_conn_t *conn)
 {
-	bool ready = ingress->ready && !ingress->stopping;
+	bool ready = ingress->ready && !ingress->stopping &&
+		     ingress->yields_since == 0;
 
 	ingress_conn_respond(conn, ready ? 200 : 503, "text/plain",
 			     ready ? "ready\n" : "not ready\n", false);
@@ -327,6 +341,11 @@
 		ingress->stop_requested_at = kernel_now(ingress->kernel);
 		ingress->stop_deadline = msg->u.stop.deadline;
 		break;
+	case MSG_OVERLOAD:
+		ingress->yields_since = msg->u.overload.yields
+						? kernel_now(ingress->kernel)
+						: 0;
+		break;
 	case MSG_BUFFERS_FULL:
 		ingress_conn_relieve(ingress, msg->u.buffers_full.kind);
 		break;
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -44,6 +44,7 @@
 	fleet_limits_t limits;
 	bool ready; /* a configuration has been received */
 	bool stopping;
+	int64_t yields_since; /* callers are sent away, monotonic, us; 0: no */
 	int64_t stop_requested_at; /* monotonic, us */
 	int64_t stop_deadline; /* end of the stop, monotonic, us; 0: unknown */
 	int64_t closed_at; /* callers' listener was closed, monotonic, us */
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -50,6 +50,7 @@
 	MSG_STOPPED, /* any -> router: the sender has finished */
 	MSG_TIMER,
 	MSG_BUFFERS_FULL, /* kernel -> the service that holds the most bytes */
+	MSG_OVERLOAD, /* overload -> ingress */
 
 	MSG_REQ_OPEN, /* front -> request */
 	MSG_REQ_STARTED, /* request -> front */
@@ -243,6 +244,10 @@
 		struct {
 			buffer_kind_t kind;
 		} buffers_full;
+		struct {
+			/* Callers do better at other instances. */
+			bool yields;
+		} overload;
 		request_spec_t *open; /* MSG_REQ_OPEN */
 		struct {
 			uint32_t status; /* HTTP */
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -112,6 +112,7 @@
 	PEER_STREAM_ANSWER,
 	PEER_TARGET_DOUBTED,
 	PEER_QUARANTINE,
+	PEER_OVERLOAD,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -247,6 +248,9 @@
 			char target[NAME_SIZE];
 			int64_t started_ms; /* process of the target */
 		} doubted; /* it has ended, as far as the sender saw */
+		struct {
+			bool behind; /* with what it has to do */
+		} overload;
 		struct {
 			char target[NAME_SIZE];
 			target_limit_t limit;
--- a/overload/overload.c
+++ b/overload/overload.c
@@ -41,6 +41,11 @@
 	return OVERLOAD_ENDED;
 }
 
+bool overload_may_yield(uint32_t instances, uint32_t behind)
+{
+	return behind <= instances / OVERLOAD_YIELD_PART;
+}
+
 static void log_change(const overload_t *overload, const char *event,
 		       int64_t lasted)
 {
@@ -58,6 +63,39 @@
 		  buffers_total(buffers));
 }
 
+/* Tells the peers in the zone, or one of them, whether this one is behind. */
+static void tell(const overload_t *overload, const char *incarnation)
+{
+	msg_t msg = {.kind = MSG_PEER_SEND};
+
+	g_strlcpy(msg.u.peer.incarnation, incarnation,
+		  sizeof(msg.u.peer.incarnation));
+	g_strlcpy(msg.u.peer.availability_zone, overload->zone,
+		  sizeof(msg.u.peer.availability_zone));
+	msg.u.peer.body = peer_body_new(PEER_OVERLOAD);
+	msg.u.peer.body->u.overload.behind = overload->state.behind;
+	kernel_post(overload->kernel, overload->svc, overload->peer, &msg);
+}
+
+static void decide_yield(overload_t *overload)
+{
+	uint32_t instances =
+		1 + peer_set_count_in_zone(&overload->peers, overload->zone);
+	uint32_t behind = 1 + g_hash_table_size(overload->behind);
+	msg_t msg = {.kind = MSG_OVERLOAD};
+	bool yields =
+		overload->state.behind &&
+		(overload->yields || overload_may_yield(instances, behind));
+
+	if (yields == overload->yields)
+		return;
+	overload->yields = yields;
+	log_event(LOG_LEVEL_INFO, "overload", yields ? "yields" : "returns",
+		  "zone_instances=%u zone_behind=%u", instances, behind);
+	msg.u.overload.yields = yields;
+	kernel_post(overload->kernel, overload->svc, overload->ingress, &msg);
+}
+
 static void take_sample(overload_t *overload)
 {
 	overload_state_t *state = &overload->state;
@@ -67,34 +105,81 @@
 	switch (overload_update(state, &sample, now)) {
 	case OVERLOAD_BEGAN:
 		log_change(overload, "behind", 0);
+		tell(overload, "");
 		break;
 	case OVERLOAD_ENDED:
 		log_change(overload, "caught_up", state->last - state->since);
+		tell(overload, "");
 		break;
 	case OVERLOAD_UNCHANGED:
 		break;
 	}
+	decide_yield(overload);
 	metrics_set(overload->kernel->metrics, GAUGE_BEHIND, state->behind);
 	kernel_timer(overload->kernel, overload->svc, SAMPLE_INTERVAL_US,
 		     HANDLE_NONE, 0);
 }
 
+static bool is_in_zone(const overload_t *overload, const msg_t *msg)
+{
+	return strcmp(msg->u.peer_addr.availability_zone, overload->zone) == 0;
+}
+
+static void peer_told(overload_t *overload, const msg_t *msg)
+{
+	const char *incarnation = msg->u.peer.incarnation;
+
+	if (msg->u.peer.body->u.overload.behind)
+		g_hash_table_add(overload->behind, g_strdup(incarnation));
+	else
+		g_hash_table_remove(overload->behind, incarnation);
+}
+
 static void receive(void *self, msg_t *msg)
 {
 	overload_t *overload = self;
 
-	if (msg->kind == MSG_START || msg->kind == MSG_TIMER)
+	switch (msg->kind) {
+	case MSG_START:
+		overload->ingress = kernel_find(overload->kernel, "ingress");
+		overload->peer = kernel_find(overload->kernel, "peer");
+		take_sample(overload);
+		break;
+	case MSG_TIMER:
 		take_sample(overload);
+		break;
+	case MSG_PEER_UP:
+		peer_set_update(&overload->peers, msg);
+		if (overload->state.behind && is_in_zone(overload, msg))
+			tell(overload, msg->u.peer_addr.incarnation);
+		break;
+	case MSG_PEER_DOWN:
+		peer_set_update(&overload->peers, msg);
+		g_hash_table_remove(overload->behind,
+				    msg->u.peer_addr.incarnation);
+		break;
+	case MSG_PEER_RECEIVED:
+		peer_told(overload, msg);
+		break;
+	default:
+		break;
+	}
 }
 
-void overload_init(overload_t *overload, kernel_t *kernel)
+void overload_init(overload_t *overload, kernel_t *kernel, const char *zone)
 {
 	memset(overload, 0, sizeof(*overload));
 	overload->kernel = kernel;
+	g_strlcpy(overload->zone, zone, sizeof(overload->zone));
+	peer_set_init(&overload->peers);
+	overload->behind =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	overload->svc = kernel_register(kernel, "overload", receive, overload);
 }
 
 void overload_finish(overload_t *overload)
 {
+	g_hash_table_unref(overload->behind);
+	peer_set_finish(&overload->peers);
 	kernel_unregister(overload->kernel, overload->svc);
 }
--- a/overload/overload.h
+++ b/overload/overload.h
@@ -1,11 +1,13 @@
 /*
  * Service "overload": judges whether this process keeps up with what it gets,
- * from how late its timers fire and how long its input waits.
+ * from how late its timers fire and how long its input waits, and whether its
+ * callers do better at other instances of the availability zone.
  */
 #ifndef OVERLOAD_OVERLOAD_H
 #define OVERLOAD_OVERLOAD_H
 
 #include "kernel/kernel.h"
+#include "kernel/peer_set.h"
 
 G_BEGIN_DECLS
 
@@ -13,6 +15,11 @@
 #define OVERLOAD_WAIT_US (100 * USEC_PER_MSEC)
 /* It has caught up if nothing has waited so long for this time. */
 #define OVERLOAD_CALM_US USEC_PER_SEC
+/*
+ * One instance in so many of an availability zone may send its callers away.
+ * If more are behind, what they send away would put the others behind as well.
+ */
+#define OVERLOAD_YIELD_PART 8
 
 /* What changed with a sample. */
 typedef enum overload_change_t {
@@ -32,14 +39,26 @@
 	kernel_t *kernel;
 	svc_t svc;
 	overload_state_t state;
+	char zone[NAME_SIZE]; /* own availability zone */
+	svc_t ingress;
+	svc_t peer;
+	peer_set_t peers;
+	GHashTable *behind; /* incarnations of peers in the zone */
+	bool yields; /* callers are sent to other instances */
 } overload_t;
 
-void overload_init(overload_t *overload, kernel_t *kernel);
+void overload_init(overload_t *overload, kernel_t *kernel, const char *zone);
 void overload_finish(overload_t *overload);
 
 /* The decision: applies what was measured up to now. */
 overload_change_t overload_update(overload_state_t *state,
 				  const lag_sample_t *sample, int64_t now);
+/*
+ * Whether an instance that is behind sends its callers away, given the
+ * instances of its availability zone and those of them that are behind, both
+ * including itself.
+ */
+bool overload_may_yield(uint32_t instances, uint32_t behind);
 
 G_END_DECLS
 
--- a/peer/bodies.c
+++ b/peer/bodies.c
@@ -117,6 +117,9 @@
 	BODY_TEXT(doubted, target),
 	BODY_I64(doubted, started_ms),
 };
+static const field_t overload_fields[] = {
+	BODY_BOOL(overload, behind),
+};
 static const field_t limit_fields[] = {
 	BODY_TEXT(limit, target),
 	BODY_LIMIT(limit),
@@ -209,6 +212,8 @@
 		return FIELDS_OF(quarantine_fields);
 	case PEER_TARGET_DOUBTED:
 		return FIELDS_OF(doubted_fields);
+	case PEER_OVERLOAD:
+		return FIELDS_OF(overload_fields);
 	case PEER_LEAVE:
 	case PEER_KIND_COUNT:
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -82,6 +82,7 @@
 		/* What was told on the old connection may be lost. */
 		post_addr(peer, peer->proxy, MSG_PEER_UP, conn);
 		post_addr(peer, peer->balance, MSG_PEER_UP, conn);
+		post_addr(peer, peer->overload, MSG_PEER_UP, conn);
 		return;
 	}
 	log_event(LOG_LEVEL_INFO, "peer", "up", "peer=%s name=%s dialled=%d",
@@ -94,6 +95,7 @@
 	post_addr(peer, peer->streams, MSG_PEER_UP, conn);
 	post_addr(peer, peer->proxy, MSG_PEER_UP, conn);
 	post_addr(peer, peer->balance, MSG_PEER_UP, conn);
+	post_addr(peer, peer->overload, MSG_PEER_UP, conn);
 }
 
 void peer_conn_down(peer_t *peer, conn_t *conn)
@@ -107,6 +109,7 @@
 	post_addr(peer, peer->ledger, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->streams, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->balance, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->overload, MSG_PEER_DOWN, conn);
 }
 
 static svc_t body_service(const peer_t *peer, peer_kind_t kind)
@@ -149,6 +152,8 @@
 	case PEER_PERMIT_REQUEST:
 	case PEER_PERMIT_REPLY:
 		return peer->balance;
+	case PEER_OVERLOAD:
+		return peer->overload;
 	case PEER_KIND_COUNT:
 		break;
 	}
@@ -273,6 +278,7 @@
 	peer->balance = kernel_find(peer->kernel, "balance");
 	peer->replica = kernel_find(peer->kernel, "replica");
 	peer->streams = kernel_find(peer->kernel, "streams");
+	peer->overload = kernel_find(peer->kernel, "overload");
 	g_socket_service_start(peer->listener);
 	kernel_timer(peer->kernel, peer->svc, TICK_US, HANDLE_NONE, TIMER_TICK);
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -41,6 +41,7 @@
 	svc_t streams;
 	svc_t balance;
 	svc_t proxy;
+	svc_t overload;
 	peer_opts_t opts;
 	GSocketService *listener;
 	GSocketClient *client;
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -194,6 +194,32 @@
 	EXPECT_LE(specs[0]->unread, kernel_now(&kernel) - before);
 }
 
+// Guards against callers that stay at an instance that is behind, and against
+// ones that come back to it at once.
+TEST_F(Ingress, InstanceThatYieldsIsNotReadyAndLaterClosesItsConnections)
+{
+	Client ready(port(LISTENER_READINESS)), early(port(LISTENER_CALLERS)),
+		late(port(LISTENER_CALLERS));
+	msg_t msg = {};
+
+	ingress.ready = true;
+	msg.kind = MSG_OVERLOAD;
+	msg.u.overload.yields = true;
+	kernel_post(&kernel, proxy, ingress.svc, &msg);
+	ready.send(get_request);
+	EXPECT_TRUE(ready.wait_for("HTTP/1.1 503"));
+	early.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	respond(0, "one");
+	EXPECT_TRUE(early.wait_for("0\r\n\r\n"));
+	EXPECT_EQ(early.in.find("Connection: close"), std::string::npos);
+	ingress.yields_since -= 2200 * USEC_PER_MSEC;
+	late.send(get_request);
+	ASSERT_TRUE(wait_requests(2));
+	respond(1, "two");
+	EXPECT_TRUE(late.wait_for("Connection: close"));
+}
+
 // Guards against work for callers that left while their request was unread.
 TEST_F(Ingress, RequestOfACallerThatHasLeftIsNotForwarded)
 {
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -3,6 +3,7 @@
 #include "overload/overload.h"
 
 #include <gtest/gtest.h>
+#include <vector>
 
 namespace
 {
@@ -61,4 +62,121 @@
 	EXPECT_EQ(state.worst.input, 3 * OVERLOAD_WAIT_US);
 }
 
+// Guards against instances of a zone that send their callers to each other
+// while all of them are behind.
+TEST(Overload, OnlyFewInstancesOfAZoneSendTheirCallersAway)
+{
+	EXPECT_TRUE(overload_may_yield(8, 1));
+	EXPECT_FALSE(overload_may_yield(8, 2));
+	EXPECT_FALSE(overload_may_yield(7, 1));
+	EXPECT_TRUE(overload_may_yield(48, 6));
+	EXPECT_FALSE(overload_may_yield(48, 7));
+}
+
+class OverloadService : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		kernel_init(&kernel, CLOCK_VIRTUAL, 1);
+		kernel_register(&kernel, "ingress", receive, this);
+		peer = kernel_register(&kernel, "peer", receive, this);
+		overload_init(&overload, &kernel, "a");
+		kernel_start(&kernel);
+		for (int i = 0; i < 7; i++)
+			post_peer(MSG_PEER_UP, i);
+	}
+	void TearDown() override
+	{
+		overload_finish(&overload);
+		kernel_finish(&kernel);
+	}
+	static void receive(void *self, msg_t *msg)
+	{
+		auto *test = static_cast<OverloadService *>(self);
+
+		if (msg->kind == MSG_OVERLOAD)
+			test->yields = msg->u.overload.yields;
+		if (msg->kind == MSG_PEER_SEND)
+			test->told.push_back(
+				msg->u.peer.body->u.overload.behind);
+	}
+	void run(int64_t us)
+	{
+		kernel_run_until(&kernel, kernel_now(&kernel) + us);
+	}
+	void post_peer(msg_kind_t kind, int number)
+	{
+		msg_t msg = {};
+
+		msg.kind = kind;
+		g_snprintf(msg.u.peer_addr.incarnation, INCARNATION_SIZE, "p%d",
+			   number);
+		g_strlcpy(msg.u.peer_addr.availability_zone, "a", NAME_SIZE);
+		kernel_post(&kernel, peer, overload.svc, &msg);
+		run(0);
+	}
+	void post_behind(int number, bool behind)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_RECEIVED;
+		g_snprintf(msg.u.peer.incarnation, INCARNATION_SIZE, "p%d",
+			   number);
+		msg.u.peer.body = peer_body_new(PEER_OVERLOAD);
+		msg.u.peer.body->u.overload.behind = behind;
+		kernel_post(&kernel, peer, overload.svc, &msg);
+		run(0);
+	}
+	void fall_behind()
+	{
+		lag_input_handled(&kernel.lag, OVERLOAD_WAIT_US + 1);
+		run(100 * USEC_PER_MSEC);
+	}
+	kernel_t kernel;
+	overload_t overload;
+	svc_t peer;
+	std::vector<bool> told;
+	bool yields = false;
+};
+
+TEST_F(OverloadService, InstanceThatIsBehindSendsCallersAwayUntilItHasCaughtUp)
+{
+	fall_behind();
+	EXPECT_TRUE(yields);
+	ASSERT_EQ(told.size(), 1u);
+	EXPECT_TRUE(told[0]);
+	run(2 * OVERLOAD_CALM_US);
+	EXPECT_FALSE(yields);
+	ASSERT_EQ(told.size(), 2u);
+	EXPECT_FALSE(told[1]);
+}
+
+TEST_F(OverloadService, InstanceKeepsItsCallersWhileItsPeersAreBehind)
+{
+	post_behind(3, true);
+	fall_behind();
+	EXPECT_FALSE(yields);
+	post_behind(3, false);
+	run(100 * USEC_PER_MSEC);
+	EXPECT_TRUE(yields);
+}
+
+TEST_F(OverloadService, PeerThatIsGoneIsNotBehind)
+{
+	post_behind(3, true);
+	post_peer(MSG_PEER_DOWN, 3);
+	post_peer(MSG_PEER_UP, 7);
+	fall_behind();
+	EXPECT_TRUE(yields);
+}
+
+TEST_F(OverloadService, NewPeerIsToldOfAnInstanceThatIsBehind)
+{
+	fall_behind();
+	post_peer(MSG_PEER_UP, 8);
+	ASSERT_EQ(told.size(), 2u);
+	EXPECT_TRUE(told[1]);
+}
+
 } // namespace
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -165,6 +165,9 @@
 		g_strlcpy(body->u.doubted.target, "i-1", NAME_SIZE);
 		body->u.doubted.started_ms = 1764900000000;
 		break;
+	case PEER_OVERLOAD:
+		body->u.overload.behind = true;
+		break;
 	case PEER_TARGET_LIMIT:
 		g_strlcpy(body->u.limit.target, "i-1", NAME_SIZE);
 		body->u.limit.limit = {LIMIT_STATED, UINT32_MAX};
