Read a caller's request with one call less

A request took two reads, the second to find nothing, and two changes of the epoll set for its connection's class. A short read ends the loop unless the other side has closed, and the class is no concern of epoll's after its first change. Tests: kernel_test, ingress_test.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -328,8 +328,11 @@
 	}
 }
 
-/* Returns false if the connection was closed. */
-static bool read_input(ingress_conn_t *conn)
+/*
+ * Reads until nothing is left.  Without a hang-up, less than was asked for
+ * shows that.  Returns false if the connection was closed.
+ */
+static bool read_input(ingress_conn_t *conn, bool hangup)
 {
 	char buffer[READ_SIZE];
 	size_t received = 0;
@@ -342,6 +345,8 @@
 				g_byte_array_append(conn->input,
 						    (const guint8 *)buffer,
 						    (guint)received);
+			if (received < sizeof(buffer) && !hangup)
+				return true;
 			break;
 		case SOCKET_AGAIN:
 			return true;
@@ -395,7 +400,7 @@
 		return;
 	}
 	note_wait(conn);
-	if (read_input(conn)) {
+	if (read_input(conn, (ready & POLLSET_ERROR) != 0)) {
 		/* If too much is buffered, send_end() resumes reading. */
 		if (conn->phase == INGRESS_BUSY && conn->input->len > INPUT_MAX)
 			http_socket_watch_input(&conn->sock, false);
--- a/kernel/pollset.c
+++ b/kernel/pollset.c
@@ -16,6 +16,7 @@
 	GList link; /* in deferred; its data is NULL while not in it */
 	int64_t ready_since; /* monotonic, us; while in deferred */
 	bool masked; /* epoll does not report its input */
+	bool hangup; /* epoll reports the end of input apart */
 } watch_t;
 
 static uint64_t handle_to_u64(handle_t handle)
@@ -50,7 +51,7 @@
 		if (!watch->masked)
 			event.events |= EPOLLIN;
 		/* Callers that have left need not wait to be noticed. */
-		if (watch->kind == POLLSET_DEFERRED)
+		if (watch->hangup)
 			event.events |= EPOLLRDHUP;
 	}
 	if (watch->interest & POLLSET_OUT)
@@ -270,12 +271,14 @@
 void pollset_classify(pollset_t *set, handle_t handle, pollset_class_t kind)
 {
 	watch_t *watch = table_get(&set->watches, handle);
+	bool changed;
 
 	if (watch == NULL || watch->kind == kind)
 		return;
+	changed = undefer(set, watch) || !watch->hangup;
 	watch->kind = kind;
-	undefer(set, watch);
-	if (watch->interest != 0)
+	watch->hangup = true;
+	if (changed && watch->interest != 0)
 		update(set, watch);
 }
 
