Pass requests on through a peer while no target is reached

Each request took four connects of 400 ms and then a 503.

Cause: an instance served a request only by connections of its own.

Change: three targets that fail to connect or stay silent one after the other, with no answer in between, are a cut. Requests then go to a peer, one of the own zone first, at the address of its metrics, with a proof made with the fleet's key. The peer decides about them as about its own: it authenticates, holds the tokens, chooses the target and repeats attempts. A request is passed on once only; a peer that reaches no target itself says so and the next one is tried; what a peer may have sent is not sent again. Every 250 ms a target is connected to; once one accepts, one request at a time shows whether targets answer, and the first answer ends the cut. A request that reached no target twice goes to a peer too, as kept connections may live on while new ones are refused.

Tests: proxy_test (Reach and the tests on peers), ingress_test PeersPassRequestsOnAtTheAddressOfTheMetrics.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -236,6 +236,8 @@
 		     settings->availability_zone);
 	g_strlcpy(proxy.incarnation, gateway->incarnation,
 		  sizeof(proxy.incarnation));
+	g_strlcpy(proxy.zone, settings->availability_zone, sizeof(proxy.zone));
+	g_strlcpy(proxy.peer_key, settings->peer_key, sizeof(proxy.peer_key));
 	streams_init(&gateway->streams, &gateway->kernel, gateway->incarnation);
 	proxy_init(&gateway->proxy, &gateway->kernel, &proxy);
 	ingress_init(&gateway->ingress, &gateway->kernel);
@@ -243,6 +245,15 @@
 		      settings->availability_zone);
 }
 
+static uint16_t metrics_port(const settings_t *settings)
+{
+	char host[HOST_SIZE];
+	uint16_t port = 0;
+
+	parse_address(settings->gateway_metrics, host, &port);
+	return port;
+}
+
 static int init_peers(gateway_t *gateway)
 {
 	const settings_t *settings = &gateway->settings;
@@ -258,6 +269,8 @@
 		  sizeof(peer.self.availability_zone));
 	g_strlcpy(peer.self.host, peer.listen_host, sizeof(peer.self.host));
 	peer.self.peer_port = peer.listen_port;
+	/* Peers send requests there while they reach no target. */
+	peer.self.admin_port = metrics_port(settings);
 	peer.ping_interval = PEER_PING_INTERVAL_US;
 	mesh_init(&gateway->mesh, &gateway->kernel, &peer.self,
 		  &settings->peer_seeds);
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -39,7 +39,7 @@
 /* New requests wait while others are to be answered. */
 static pollset_class_t input_class(const ingress_conn_t *conn)
 {
-	if (conn->kind != LISTENER_CALLERS)
+	if (conn->kind == LISTENER_READINESS)
 		return POLLSET_PROMPT;
 	switch (conn->phase) {
 	case INGRESS_IDLE:
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -3,6 +3,7 @@
 #include "ingress/conn.h"
 #include "log/log.h"
 #include "platform/wire.h"
+#include "proxy/hop.h"
 
 #include <errno.h>
 #include <string.h>
@@ -224,6 +225,7 @@
 		refuse_stopping(ingress, conn, spec->request_id);
 		goto out;
 	}
+	spec->passed_on = conn->kind == LISTENER_METRICS;
 	spec->arrived_at = conn->arrived_at;
 	spec->unread = conn->unread;
 	msg.u.exchange = g_steal_pointer(&spec);
@@ -243,7 +245,10 @@
 		respond_readiness(ingress, conn);
 		break;
 	case LISTENER_METRICS:
-		respond_metrics(ingress, conn);
+		if (hop_is_passed_on(conn->parse.head))
+			forward(ingress, conn);
+		else
+			respond_metrics(ingress, conn);
 		break;
 	case LISTENER_COUNT:
 		break;
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -432,6 +432,8 @@
 			char host[HOST_SIZE];
 			uint16_t port;
 			char availability_zone[NAME_SIZE]; /* MSG_PEER_UP */
+			/* For callers' requests, 0: none; MSG_PEER_UP. */
+			uint16_t request_port;
 		} peer_addr; /* MSG_PEER_CONNECT, _DISCONNECT, _UP, _DOWN */
 
 		member_list_t *members; /* MSG_MEMBER_CHANGED */
@@ -533,6 +535,8 @@
 			char instance[NAME_SIZE]; /* returned unchanged */
 			char host[HOST_SIZE];
 			uint16_t port;
+			/* Whether targets are reached at all; unchanged. */
+			bool reach;
 			check_result_t result; /* MSG_OUT_CHECKED */
 		} out_check; /* MSG_OUT_CHECK, _CHECKED */
 
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -44,6 +44,8 @@
 	  "responses in which a target asked for a pause")                    \
 	X(TARGETS_DOUBTED, "targets_doubted",                                 \
 	  "targets whose process may have been replaced")                     \
+	X(PASSED_ON, "passed_on",                                             \
+	  "requests sent to a peer, as no target was reached")                \
 	X(PERMITS, "permits",                                                 \
 	  "permits received for targets that state a limit")                  \
 	X(PERMITS_REFUSED, "permits_refused", "permits that a home refused")  \
@@ -93,6 +95,7 @@
 	X(PROTECTED, "protected", "1 when bills reach store or buddy")      \
 	X(BUFFERED_BYTES, "buffered_bytes",                                 \
 	  "bytes held for calls in progress")                               \
+	X(UNREACHABLE, "unreachable", "1 while no target is reached")       \
 	X(BEHIND, "behind", "1 while input or timers wait too long")        \
 	X(STORE_UP, "store_up", "1 when the store answered last time")      \
 	X(STORE_ERA, "store_era", "restores of the store, as it states them")
--- a/outbound/conn.h
+++ b/outbound/conn.h
@@ -18,6 +18,7 @@
 	char echo_name[NAME_SIZE];
 	char echo_value[REQUEST_ID_SIZE];
 	bool head_posted;
+	bool check_reach; /* of MSG_OUT_CHECK, returned unchanged */
 	char check[NAME_SIZE]; /* instance of MSG_OUT_CHECK; empty: a request */
 } out_call_t;
 
--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -22,6 +22,7 @@
 
 	g_strlcpy(msg.u.out_check.instance, call->check,
 		  sizeof(msg.u.out_check.instance));
+	msg.u.out_check.reach = call->check_reach;
 	msg.u.out_check.result = result;
 	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
 }
@@ -177,6 +178,7 @@
 	call->self = self;
 	call->owner = msg->from;
 	g_strlcpy(call->check, msg->u.out_check.instance, sizeof(call->check));
+	call->check_reach = msg->u.out_check.reach;
 	conn = out_conn_open(outbound, msg->u.out_check.host,
 			     msg->u.out_check.port);
 	if (conn == NULL) {
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -35,6 +35,7 @@
 	g_strlcpy(msg.u.peer_addr.host, conn->remote.host,
 		  sizeof(msg.u.peer_addr.host));
 	msg.u.peer_addr.port = conn->remote.peer_port;
+	msg.u.peer_addr.request_port = conn->remote.admin_port;
 	g_strlcpy(msg.u.peer_addr.availability_zone,
 		  conn->remote.availability_zone,
 		  sizeof(msg.u.peer_addr.availability_zone));
@@ -109,6 +110,7 @@
 	post_addr(peer, peer->ledger, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->streams, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->balance, MSG_PEER_DOWN, conn);
+	post_addr(peer, peer->proxy, MSG_PEER_DOWN, conn);
 	post_addr(peer, peer->overload, MSG_PEER_DOWN, conn);
 }
 
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -106,6 +106,11 @@
 	exchange->reservation = HANDLE_NONE;
 }
 
+void exchange_return_tokens(proxy_t *proxy, exchange_t *exchange)
+{
+	report_usage(proxy, exchange);
+}
+
 void exchange_release_target(proxy_t *proxy, exchange_t *exchange,
 			     place_result_t result)
 {
@@ -218,6 +223,8 @@
 		exchange->spec, status,
 		status == 503 || status == 429 ? retry_after_ms : 0);
 	head.u.exchange_head.length = (int64_t)strlen(text);
+	if (reason == REFUSAL_UNREACHABLE && exchange->spec->passed_on)
+		hop_mark_unreachable(head.u.exchange_head.head);
 	data.u.data.bytes = g_bytes_new_take(text, strlen(text));
 	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &head);
 	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &data);
@@ -294,6 +301,9 @@
 	const fleet_route_t *route;
 	const fleet_account_t *account = NULL;
 
+	if (exchange->spec->passed_on &&
+	    !hop_verify(proxy->hops.key, spec->request_id, spec->head))
+		return REFUSAL_UNAUTHENTICATED;
 	if (proxy->conf == NULL)
 		return REFUSAL_NO_CONFIGURATION;
 	exchange->version = proxy->conf->version;
@@ -318,8 +328,10 @@
 	if (crash_quarantined(proxy, exchange))
 		return REFUSAL_QUARANTINED;
 	choose_service(proxy, exchange);
-	retry_window_add_request(&proxy->retries, exchange->service,
-				 exchange->started_at);
+	/* The instance that passed it on has counted it. */
+	if (!exchange->spec->passed_on)
+		retry_window_add_request(&proxy->retries, exchange->service,
+					 exchange->started_at);
 	return REFUSAL_NONE;
 }
 
@@ -444,7 +456,9 @@
 				ELSEWHERE_RETRY_AFTER_MS);
 		return;
 	}
-	if (is_taken_up_again(exchange))
+	if (forward_wanted(proxy, exchange))
+		forward_start(proxy, exchange);
+	else if (is_taken_up_again(exchange))
 		resolve_stream(proxy, exchange);
 	else
 		reserve_or_place(proxy, exchange);
@@ -613,6 +627,11 @@
 		exchange_refuse(proxy, exchange, REFUSAL_DEADLINE, 0);
 		return;
 	}
+	if (forward_wanted(proxy, exchange)) {
+		exchange_release_target(proxy, exchange, PLACE_NOT_SENT);
+		forward_start(proxy, exchange);
+		return;
+	}
 	/* The quarantine may have come while the request waited. */
 	if (crash_quarantined(proxy, exchange) ||
 	    !parts_admit(proxy, exchange)) {
@@ -656,6 +675,8 @@
 	if (exchange == NULL)
 		return;
 	exchange->deadline_timer = HANDLE_NONE;
+	if (exchange->state == EXCHANGE_SENT && !exchange->passed_on)
+		forward_target_failed(proxy, exchange);
 	cancel_placement(proxy, exchange);
 	count_run(exchange);
 	exchange_release_target(proxy, exchange,
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -16,6 +16,7 @@
 	EXCHANGE_TIMER_CHECK, /* the proxy's, without an exchange */
 	EXCHANGE_TIMER_TELL, /* the proxy's, without an exchange */
 	EXCHANGE_TIMER_HELD, /* the proxy's, without an exchange */
+	EXCHANGE_TIMER_REACH, /* the proxy's, without an exchange */
 } exchange_timer_t;
 
 typedef enum exchange_state_t {
@@ -61,6 +62,11 @@
 	bool reused; /* the last attempt used a kept-alive connection */
 	uint32_t sends; /* requests sent to targets */
 	uint32_t runs; /* sent requests that may have run */
+	uint32_t unreached; /* attempts that reached no target */
+	bool trial; /* shows whether targets are reached again */
+	bool passed_on; /* sent to a peer instead of a target */
+	uint32_t hops; /* peers that it was sent to */
+	char peer[INCARNATION_SIZE]; /* the last of them */
 	uint32_t avoid_count;
 	handle_t avoid[ROUTE_AVOID_MAX]; /* targets already tried */
 
@@ -118,6 +124,8 @@
 void exchange_free(proxy_t *proxy, exchange_t *exchange);
 /* Frees an exchange whose caller gets no answer, as the process exits. */
 void exchange_abandon(proxy_t *proxy, exchange_t *exchange);
+/* Gives back what was reserved for an exchange that spends nothing here. */
+void exchange_return_tokens(proxy_t *proxy, exchange_t *exchange);
 /* Whether a request that may have run can be sent again. */
 bool exchange_is_idempotent(const exchange_t *exchange);
 /* Parts that requests share: all but the last. */
@@ -138,6 +146,22 @@
 /* The body of a rejection has not ended in time. */
 void response_rejection_timed_out(proxy_t *proxy, handle_t ref);
 
+/* forward.c: requests that go through a peer. */
+/* Whether the request is to go through a peer instead of to a target. */
+bool forward_wanted(proxy_t *proxy, exchange_t *exchange);
+/* Sends it to a peer, or refuses it if there is none. */
+void forward_start(proxy_t *proxy, exchange_t *exchange);
+/* The peer's response ended too soon, or did not begin. */
+void forward_failed(proxy_t *proxy, exchange_t *exchange, bool sent);
+/* Returns whether the peer reaches no target; then the next one is tried. */
+bool forward_is_refused(proxy_t *proxy, exchange_t *exchange,
+			const http_head_t *head);
+/* What attempts and checks tell of whether targets are reached. */
+void forward_target_failed(proxy_t *proxy, const exchange_t *exchange);
+void forward_target_answered(proxy_t *proxy);
+void forward_checked(proxy_t *proxy, check_result_t result);
+void forward_check_due(proxy_t *proxy);
+
 /*
  * crash.c: a request whose connection was reset before its answer went on
  * becomes a suspect, and counts as the cause of a crash if its target refuses
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -81,6 +81,9 @@
 	case EXCHANGE_TIMER_TELL:
 		parts_tell_survivals(proxy);
 		break;
+	case EXCHANGE_TIMER_REACH:
+		forward_check_due(proxy);
+		break;
 	case EXCHANGE_TIMER_HELD:
 		held_timed_out(proxy);
 		break;
@@ -128,6 +131,10 @@
 {
 	const char *instance = msg->u.out_check.instance;
 
+	if (msg->u.out_check.reach) {
+		forward_checked(proxy, msg->u.out_check.result);
+		return;
+	}
 	switch (msg->u.out_check.result) {
 	case CHECK_ACCEPTED:
 		crash_target_reachable(proxy, instance);
@@ -193,7 +200,11 @@
 	case MSG_PEER_RECEIVED:
 		receive_peer(proxy, msg);
 		break;
+	case MSG_PEER_DOWN:
+		hops_update(&proxy->hops, msg);
+		break;
 	case MSG_PEER_UP:
+		hops_update(&proxy->hops, msg);
 		crash_tell_peer(proxy, msg->u.peer_addr.incarnation);
 		parts_tell_peer(proxy, msg->u.peer_addr.incarnation);
 		break;
@@ -226,6 +237,7 @@
 	proxy->instances = 1;
 	table_init(&proxy->exchanges, sizeof(exchange_t));
 	retry_window_init(&proxy->retries, &opts->retry_limits);
+	hops_init(&proxy->hops, opts->incarnation, opts->zone, opts->peer_key);
 	crash_init(proxy);
 	parts_init(proxy);
 	held_init(&proxy->held);
@@ -242,6 +254,8 @@
 		exchange_abandon(proxy, exchange);
 	fleet_conf_unref(proxy->conf);
 	retry_window_finish(&proxy->retries);
+	hops_finish(&proxy->hops);
+	kernel_timer_cancel(proxy->kernel, &proxy->reach_timer);
 	kernel_timer_cancel(proxy->kernel, &proxy->check_timer);
 	kernel_timer_cancel(proxy->kernel, &proxy->tell_timer);
 	kernel_timer_cancel(proxy->kernel, &proxy->held.timer);
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -7,7 +7,9 @@
 #define PROXY_PROXY_H
 
 #include "kernel/kernel.h"
+#include "proxy/hop.h"
 #include "proxy/part_quarantine.h"
+#include "proxy/reach.h"
 #include "proxy/retry_window.h"
 #include "request/quarantine.h"
 
@@ -70,6 +72,8 @@
 
 typedef struct proxy_opts_t {
 	char incarnation[INCARNATION_SIZE];
+	char zone[NAME_SIZE];
+	char peer_key[HOP_KEY_SIZE]; /* the fleet's shared key */
 	retry_limits_t retry_limits;
 } proxy_opts_t;
 
@@ -91,6 +95,9 @@
 	int64_t stop_deadline; /* end of a planned stop, monotonic, us; 0: none
 				*/
 	retry_window_t retries;
+	reach_t reach;
+	handle_t reach_timer; /* checks of targets, while none is reached */
+	hops_t hops;
 	quarantine_t quarantine;
 	uint64_t crash_seq; /* number of the last crash report */
 	suspect_t suspects[SUSPECTS_MAX];
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -45,8 +45,8 @@
 {
 	int64_t now = kernel_now(proxy->kernel);
 
-	if (exchange->sends >= SENDS_MAX || now >= exchange->deadline ||
-	    crash_quarantined(proxy, exchange))
+	if (exchange->passed_on || exchange->sends >= SENDS_MAX ||
+	    now >= exchange->deadline || crash_quarantined(proxy, exchange))
 		return false;
 	/* Nothing reached a target, so another attempt is not a retry. */
 	if (failure == FAILURE_CONNECT)
@@ -243,13 +243,17 @@
 
 	if (exchange->state != EXCHANGE_SENT)
 		return;
+	if (!exchange->passed_on)
+		forward_target_answered(proxy);
+	else if (forward_is_refused(proxy, exchange, head))
+		return;
 	wire_read_reply(head, exchange->spec, &exchange->response_info);
 	if (!belongs_to(exchange)) {
 		fail_attempt(proxy, exchange, FAILURE_HEAD, true, PLACE_LOST);
 		return;
 	}
 	forward_report(proxy, exchange);
-	if (exchange->response_info.not_run) {
+	if (exchange->response_info.not_run && !exchange->passed_on) {
 		exchange->state = EXCHANGE_REJECTED;
 		exchange->rejection_bytes = 0;
 		exchange->rejection_timer = kernel_timer(
@@ -468,7 +472,9 @@
 	exchange->runs++;
 	exchange->call = HANDLE_NONE;
 	exchange_release_target(proxy, exchange, result);
-	if (may_be_cut(proxy, exchange)) {
+	if (exchange->passed_on) {
+		/* The peer knows its target. */
+	} else if (may_be_cut(proxy, exchange)) {
 		crash_add_suspect(proxy, exchange);
 	} else {
 		crash_request_completed(proxy, exchange);
@@ -489,7 +495,8 @@
 	 * closed the connection instead of sending any.
 	 */
 	if (exchange->events.partial->len > 0 || empty) {
-		crash_add_suspect(proxy, exchange);
+		if (!exchange->passed_on)
+			crash_add_suspect(proxy, exchange);
 		fail_attempt(proxy, exchange, FAILURE_STREAM, true,
 			     exchange->until_close ? PLACE_RESET : PLACE_LOST);
 		return;
@@ -504,7 +511,7 @@
 	bool error = exchange->head->status >= STATUS_SERVER_ERROR;
 
 	/* Another target may succeed if the request may run again. */
-	if (error && exchange_is_idempotent(exchange) &&
+	if (error && !exchange->passed_on && exchange_is_idempotent(exchange) &&
 	    exchange->runs + 1 < exchange->route.max_attempts &&
 	    retry_window_take(&proxy->retries, exchange->service,
 			      proxy->instances, kernel_now(proxy->kernel))) {
@@ -558,19 +565,28 @@
 	    exchange->state == EXCHANGE_PLACING)
 		return;
 	exchange->call = HANDLE_NONE;
+	if (exchange->passed_on && exchange->state == EXCHANGE_SENT) {
+		forward_failed(proxy, exchange, sent);
+		return;
+	}
 	/* The target stated that nothing ran before the connection failed. */
 	if (exchange->state == EXCHANGE_REJECTED) {
 		reject_attempt(proxy, exchange);
 		return;
 	}
+	/* A reset may be a crash that the request itself has caused. */
+	if (!exchange->passed_on && exchange->state == EXCHANGE_SENT &&
+	    (!sent || failure == FAILURE_SILENT))
+		forward_target_failed(proxy, exchange);
 	if (!sent) {
+		exchange->unreached++;
 		crash_target_unreachable(proxy, exchange->instance);
 		fail_attempt(proxy, exchange, FAILURE_CONNECT, false,
 			     msg->u.out_failed.refused ? PLACE_REFUSED
 						       : PLACE_UNREACHABLE);
 		return;
 	}
-	if (msg->u.out_failed.reset)
+	if (msg->u.out_failed.reset && !exchange->passed_on)
 		crash_add_suspect(proxy, exchange);
 	fail_attempt(proxy, exchange, failure, true,
 		     msg->u.out_failed.reset ? PLACE_RESET : PLACE_LOST);
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -220,6 +220,27 @@
 	EXPECT_TRUE(late.wait_for("Connection: close"));
 }
 
+TEST_F(Ingress, PeersPassRequestsOnAtTheAddressOfTheMetrics)
+{
+	ASSERT_EQ(ingress_listen(&ingress, LISTENER_METRICS, "127.0.0.1", 0),
+		  INGRESS_OK);
+	Client metrics(port(LISTENER_METRICS)), peer(port(LISTENER_METRICS)),
+		caller(port(LISTENER_CALLERS));
+	const std::string marked =
+		get_request.substr(0, get_request.size() - 2) +
+		"Gateway-Passed-By: p1\r\n\r\n";
+
+	metrics.send(get_request);
+	EXPECT_TRUE(metrics.wait_for("requests_total"));
+	EXPECT_TRUE(specs.empty());
+	peer.send(marked);
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_TRUE(specs[0]->passed_on);
+	caller.send(marked);
+	ASSERT_TRUE(wait_requests(2));
+	EXPECT_FALSE(specs[1]->passed_on);
+}
+
 // Guards against work for callers that left while their request was unread.
 TEST_F(Ingress, RequestOfACallerThatHasLeftIsNotForwarded)
 {
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -23,6 +23,9 @@
 		proxy_opts_t opts = {};
 
 		g_strlcpy(opts.incarnation, "run-1", sizeof(opts.incarnation));
+		g_strlcpy(opts.zone, "a", sizeof(opts.zone));
+		g_strlcpy(opts.peer_key, "a key of the fleet",
+			  sizeof(opts.peer_key));
 		opts.retry_limits = {0.2, 100, 10 * USEC_PER_SEC};
 		kernel_init(&kernel, CLOCK_VIRTUAL, 1);
 		ingress = kernel_register(&kernel, "ingress", receive, this);
@@ -39,6 +42,7 @@
 	}
 	void TearDown() override
 	{
+		http_head_free(sent_head);
 		proxy_finish(&proxy);
 		kernel_finish(&kernel);
 	}
@@ -113,6 +117,8 @@
 			break;
 		case MSG_EXCHANGE_HEAD:
 			status = msg->u.exchange_head.head->status;
+			unreachable =
+				hop_is_unreachable(msg->u.exchange_head.head);
 			set_retry_after(http_head_get(msg->u.exchange_head.head,
 						      "Retry-After"));
 			break;
@@ -248,6 +254,9 @@
 						 "Last-Event-Id");
 
 		attempts++;
+		sent_to = request->u.out_send.port;
+		http_head_free(sent_head);
+		sent_head = http_head_copy(request->u.out_send.head);
 		last_event_id = last != nullptr ? last : "";
 		call_ref = request->id;
 		msg.kind = MSG_OUT_STARTED;
@@ -291,6 +300,9 @@
 	{
 		msg_t msg = {};
 
+		if (request->u.out_check.reach)
+			reach_checks++;
+
 		checks++;
 		msg.kind = MSG_OUT_CHECKED;
 		msg.u.out_check = request->u.out_check;
@@ -356,6 +368,52 @@
 		kernel_start(&kernel);
 		send_conf();
 	}
+	// The peer takes requests at the port.
+	void peer_up_at(const char *incarnation, const char *zone,
+			uint16_t request_port)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_UP;
+		g_strlcpy(msg.u.peer_addr.incarnation, incarnation,
+			  sizeof(msg.u.peer_addr.incarnation));
+		g_strlcpy(msg.u.peer_addr.host, "127.0.0.1", HOST_SIZE);
+		g_strlcpy(msg.u.peer_addr.availability_zone, zone, NAME_SIZE);
+		msg.u.peer_addr.request_port = request_port;
+		kernel_post(&kernel, peer, proxy.svc, &msg);
+		run(0);
+	}
+	// No target accepts a connection, nor a check of one.
+	void cut_off()
+	{
+		target_down = true;
+		while (proxy.reach.state == REACH_OPEN) {
+			post_open("/unsafe/x");
+			post_failed(FAILURE_CONNECT, false);
+			if (completed == 0)
+				post_failed(FAILURE_CONNECT, false);
+			completed = 0;
+		}
+		attempts = 0;
+		status = 0;
+		sent_to = 0;
+	}
+	// The last request was passed on; the peer answers so.
+	void post_peer_head(uint32_t status_code, bool sealed,
+			    bool no_target_there = false)
+	{
+		msg_t msg = outbound_msg(MSG_OUT_HEAD);
+
+		msg.u.out_head.head = http_head_response(status_code);
+		http_head_add(msg.u.out_head.head, "Attempt-Id", "r1");
+		if (sealed)
+			http_head_add(msg.u.out_head.head, "Response-Seal",
+				      "s");
+		if (no_target_there)
+			hop_mark_unreachable(msg.u.out_head.head);
+		kernel_post(&kernel, outbound, proxy.svc, &msg);
+		run(0);
+	}
 	// The request crashes its target.
 	void crash(const char *path)
 	{
@@ -389,6 +447,7 @@
 			spec->parts[spec->part_count++] = {part, 40};
 		if (!parts.empty()) // no two requests are alike
 			spec->body = g_bytes_new(&++bodies, sizeof(bodies));
+		spec->passed_on = passed_on;
 
 		g_strlcpy(spec->host, "h", sizeof(spec->host));
 		g_strlcpy(spec->path, path, sizeof(spec->path));
@@ -404,7 +463,9 @@
 		spec->arrived_at = arrived_at;
 		spec->unread = unread;
 		spec->wait_ms = wait_ms;
-		spec->head = http_head_request("POST", path);
+		spec->head = marks != nullptr ? marks
+					      : http_head_request("POST", path);
+		marks = nullptr;
 		msg.kind = MSG_EXCHANGE_OPEN;
 		msg.id = {1, 1};
 		msg.u.exchange = spec;
@@ -516,6 +577,12 @@
 		kernel_post(&kernel, outbound, proxy.svc, &msg);
 		run(0);
 	}
+	uint16_t sent_to = 0; // port of the last request
+	http_head_t *sent_head = http_head_new(); // of the last request
+	int reach_checks = 0;
+	bool passed_on = false; // the next request
+	http_head_t *marks = nullptr; // head of the next request
+	bool unreachable = false; // as the last response states
 	int64_t arrived_at = 0; // of the next request, us
 	int64_t unread = 0; // time of the next request, us
 	int64_t wait_ms = -1; // of the next request
@@ -2412,4 +2479,221 @@
 	EXPECT_EQ(status, 504u);
 }
 
+reach_target_t reach_target(int number)
+{
+	reach_target_t target = {};
+
+	g_snprintf(target.instance, sizeof(target.instance), "i-%d", number);
+	target.port = (uint16_t)number;
+	return target;
+}
+
+// Guards against one target that is silent taken for a partition.
+TEST(Reach, OnlySeveralTargetsThatFailWithNoAnswerBetweenAreACut)
+{
+	reach_t reach = {};
+	reach_target_t first = reach_target(1), second = reach_target(2),
+		       third = reach_target(3);
+
+	for (int i = 0; i < 10; i++)
+		EXPECT_FALSE(reach_failed(&reach, &first, i));
+	EXPECT_FALSE(reach_failed(&reach, &second, 10));
+	reach_answered(&reach);
+	EXPECT_FALSE(reach_failed(&reach, &third, 11));
+	EXPECT_FALSE(reach_failed(&reach, &second, 12));
+	EXPECT_TRUE(reach_failed(&reach, &first, 13));
+	EXPECT_EQ(reach.state, REACH_CUT);
+}
+
+// Guards against a burst of requests to targets that only seem to be back.
+TEST(Reach, TargetsAreTriedWithOneRequestAtATime)
+{
+	const int64_t second = USEC_PER_SEC;
+	reach_t reach = {};
+	reach_target_t target;
+
+	for (int i = 1; i <= REACH_FAILED_MAX; i++) {
+		target = reach_target(i);
+		reach_failed(&reach, &target, 0);
+	}
+	EXPECT_FALSE(reach_allows_trial(&reach, true, 0));
+	reach_accepted(&reach, 0);
+	EXPECT_FALSE(reach_allows_trial(&reach, false, second - 1));
+	EXPECT_TRUE(reach_allows_trial(&reach, true, 1));
+	EXPECT_FALSE(reach_allows_trial(&reach, true, 2));
+	reach_failed(&reach, &target, 3);
+	EXPECT_EQ(reach.state, REACH_CUT);
+	reach_accepted(&reach, 4);
+	EXPECT_TRUE(reach_allows_trial(&reach, false, 4 + second));
+	EXPECT_TRUE(reach_answered(&reach));
+	EXPECT_EQ(reach.state, REACH_OPEN);
+}
+
+TEST(Reach, TargetsThatFailedAreCheckedInTurn)
+{
+	reach_t reach = {};
+
+	EXPECT_EQ(reach_next_check(&reach), nullptr);
+	for (int i = 1; i <= REACH_FAILED_MAX; i++) {
+		reach_target_t target = reach_target(i);
+
+		reach_failed(&reach, &target, 0);
+	}
+	for (int i = 0; i < 2 * REACH_FAILED_MAX; i++)
+		EXPECT_EQ(reach_next_check(&reach)->port,
+			  i % REACH_FAILED_MAX + 1);
+}
+
+// Guards against callers of an instance that is cut off from all targets being
+// served worse than those of its peers.
+TEST_F(Proxy, RequestsGoThroughAPeerWhileNoTargetIsReached)
+{
+	cut_off();
+	peer_up_at("p1", "b", 81);
+	peer_up_at("p2", "a", 82);
+	spent = -1;
+	post_open("/stream/x");
+	EXPECT_EQ(attempts, 1);
+	EXPECT_EQ(sent_to, 82);
+	EXPECT_STREQ(http_head_get(sent_head, "Authorization"), "Bearer key");
+	EXPECT_EQ(http_head_get(sent_head, "Tenant"), nullptr);
+	EXPECT_TRUE(hop_verify("a key of the fleet", "r1", sent_head));
+	EXPECT_EQ(spent, -1);
+	post_peer_head(200, true);
+	post_data("id: 1\ndata: a\n\n");
+	post_end();
+	EXPECT_EQ(status, 200u);
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(began, 0);
+}
+
+TEST_F(Proxy, PeerOfAnotherZoneIsUsedIfNoneIsNear)
+{
+	cut_off();
+	peer_up_at("p1", "b", 81);
+	post_open("/unsafe/x");
+	EXPECT_EQ(sent_to, 81);
+}
+
+// Guards against requests that two instances without targets pass to and fro.
+TEST_F(Proxy, RequestIsPassedOnOnceOnly)
+{
+	http_head_t *head;
+
+	cut_off();
+	peer_up_at("p1", "a", 81);
+	head = http_head_request("POST", "/unsafe/x");
+	hop_sign(&proxy.hops, "r1", head);
+	passed_on = true;
+	marks = head;
+	post_open("/unsafe/x");
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(status, 503u);
+	EXPECT_TRUE(unreachable);
+}
+
+TEST_F(Proxy, RequestWithAForgedMarkOfAPeerIsRefused)
+{
+	http_head_t *head = http_head_request("POST", "/unsafe/x");
+
+	hop_sign(&proxy.hops, "r2", head);
+	passed_on = true;
+	marks = head;
+	post_open("/unsafe/x");
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(status, 401u);
+}
+
+TEST_F(Proxy, NextPeerIsTriedIfTheFirstReachesNoTargetOrIsGone)
+{
+	cut_off();
+	peer_up_at("p1", "a", 81);
+	peer_up_at("p2", "b", 82);
+	peer_up_at("p3", "c", 82);
+	post_open("/unsafe/x");
+	EXPECT_EQ(sent_to, 81);
+	post_peer_head(503, false, true);
+	EXPECT_EQ(sent_to, 82);
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(attempts, 3);
+	EXPECT_EQ(sent_to, 82);
+	post_peer_head(200, true);
+	post_end();
+	EXPECT_EQ(status, 200u);
+}
+
+// Guards against a request that runs twice, as its peer may have sent it to a
+// target, and against a promise that it has not run.
+TEST_F(Proxy, RequestThatAPeerMayHaveSentIsNotSentAgain)
+{
+	cut_off();
+	peer_up_at("p1", "a", 81);
+	peer_up_at("p2", "a", 82);
+	post_open("/unsafe/x");
+	post_failed(FAILURE_SENT, true, true);
+	EXPECT_EQ(attempts, 1);
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(status, 502u);
+}
+
+TEST_F(Proxy, RefusalOfAPeerReachesTheCaller)
+{
+	cut_off();
+	peer_up_at("p1", "a", 81);
+	post_open("/unsafe/x");
+	post_peer_head(429, false);
+	post_end();
+	EXPECT_EQ(attempts, 1);
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(status, 429u);
+}
+
+TEST_F(Proxy, RequestIsRefusedAtOnceIfNeitherTargetNorPeerIsReached)
+{
+	cut_off();
+	post_open("/unsafe/x");
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(status, 503u);
+}
+
+// Guards against requests that go through peers although targets are reached
+// again, and against sending them all at once to targets that are not.
+TEST_F(Proxy, RequestsGoToTargetsAgainOnceOneHasAnswered)
+{
+	cut_off();
+	peer_up_at("p1", "a", 81);
+	run(USEC_PER_SEC);
+	EXPECT_GE(reach_checks, 3);
+	post_open("/safe/x");
+	EXPECT_EQ(sent_to, 81);
+	target_down = false;
+	run(USEC_PER_SEC);
+	post_open("/safe/x");
+	EXPECT_EQ(sent_to, 0);
+	post_open("/unsafe/x");
+	EXPECT_EQ(sent_to, 81);
+	post_open("/safe/x");
+	EXPECT_EQ(sent_to, 81);
+	run(USEC_PER_SEC);
+	post_open("/safe/x");
+	EXPECT_EQ(sent_to, 0);
+	post_head(200);
+	post_open("/unsafe/x");
+	EXPECT_EQ(sent_to, 0);
+	EXPECT_EQ(proxy.reach.state, REACH_OPEN);
+}
+
+// Guards against requests that fail on new connections, which are refused,
+// while kept ones live on.
+TEST_F(Proxy, RequestThatReachedNoTargetTwiceGoesThroughAPeer)
+{
+	peer_up_at("p1", "a", 81);
+	post_open("/unsafe/x");
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(sent_to, 0);
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(sent_to, 81);
+}
+
 } // namespace
