Leave brittle targets alone once they turn a request away

Each instance learned of a full target by its own rejections only, and what all of them send counts.

Change: the statement is read from each response. A brittle target gets from each instance at most its slots divided by the instances, and none that would wait there; after a rejection this instance and its peers, which are told, leave it alone for a time that depends on how many rejections it bears.

Evidence: balance_test BrittleTargetsBearWhatAllInstancesSendTogether, 2, 10 and 40 instances on virtual clocks: more than 2 falls without the statement, 2 at most with it.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -1,4 +1,5 @@
 #include "balance/balance.h"
+#include "balance/brittle.h"
 
 #include "balance/flow.h"
 #include "balance/home.h"
@@ -131,6 +132,9 @@
 	case PEER_TARGET_LEAVING:
 		notice_told(balance, msg->u.peer.body);
 		break;
+	case PEER_TARGET_FULL:
+		brittle_told(balance, msg->u.peer.body);
+		break;
 	case PEER_TARGET_DOUBTED:
 		process_told(balance, msg->u.peer.body);
 		break;
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -1,5 +1,6 @@
 #include "balance/choose.h"
 
+#include "balance/brittle.h"
 #include "balance/notice.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
@@ -24,6 +25,9 @@
 	uint32_t limit =
 		target->engine ? slots : slots * CALL_REQUESTS_PER_SLOT;
 
+	/* Otherwise all instances might fill what one of them may. */
+	if (target->notice.brittle.stated)
+		limit = MAX(slots / MAX(balance->instances, 1), 1);
 	if (service != NULL && service->max_connections > 0)
 		limit = MIN(limit, MAX(service->max_connections /
 					       MAX(balance->instances, 1),
@@ -40,8 +44,10 @@
 {
 	if (target->outstanding >= max_outstanding(balance, target))
 		return true;
-	return target->engine && balance_target_requests(target, now) >=
-					 MAX(target->info.slots, 1);
+	/* What would wait there may be turned away. */
+	return (target->engine || target->notice.brittle.stated) &&
+	       balance_target_requests(target, now) >=
+		       MAX(target->info.slots, 1);
 }
 
 static bool is_avoided(const msg_t *request, handle_t target)
@@ -200,7 +206,7 @@
 		return PASS_LEAVING;
 	if (is_avoided(request, target->self))
 		return PASS_TRIED;
-	if (notice_is_paused(target, now))
+	if (notice_is_paused(target, now) || brittle_is_paused(target, now))
 		return PASS_PAUSED;
 	if (is_full(balance, target, now))
 		return PASS_FULL;
@@ -269,6 +275,12 @@
 		       JITTER_MS;
 }
 
+static int64_t paused_until(const balance_target_t *target)
+{
+	return MAX(target->notice.paused_until,
+		   target->notice.brittle.paused_until);
+}
+
 void balance_choose(balance_t *balance, const msg_t *request, choice_t *choice)
 {
 	int64_t now = kernel_now(balance->kernel);
@@ -303,7 +315,7 @@
 			break;
 		case PASS_PAUSED:
 			found.room_at =
-				MIN(found.room_at, target->notice.paused_until);
+				MIN(found.room_at, paused_until(target));
 			break;
 		case PASS_DOUBTED:
 			process_want(balance, target);
--- a/balance/notice.c
+++ b/balance/notice.c
@@ -1,5 +1,6 @@
 #include "balance/notice.h"
 
+#include "balance/brittle.h"
 #include "balance/home.h"
 #include "balance/queue.h"
 #include "log/log.h"
@@ -152,6 +153,7 @@
 	}
 	if (report->pause_ms > 0)
 		set_pause(balance, target, report->pause_ms);
+	brittle_heard(balance, target, report);
 	home_heard(balance, target, &report->limit);
 }
 
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -1,5 +1,6 @@
 #include "balance/placement.h"
 
+#include "balance/brittle.h"
 #include "balance/notice.h"
 #include "balance/permit.h"
 #include "balance/process.h"
@@ -174,6 +175,7 @@
 		process_doubt(balance, target, EVIDENCE_RESET);
 		break;
 	case PLACE_FULL:
+		brittle_rejected(balance, target);
 		balance_target_add_failure(target, FAILURE_WEIGHT_FULL, now);
 		break;
 	case PLACE_ERROR:
--- a/balance/target.h
+++ b/balance/target.h
@@ -12,6 +12,14 @@
 
 #define PERMITS_MAX 16 /* unused permits for one target */
 
+/* Whether a target falls over if it turns many requests away. */
+typedef struct brittle_t {
+	bool stated;
+	uint32_t rejections_per_s; /* more make it fall over */
+	int64_t heard_at; /* monotonic, us; last statement */
+	int64_t paused_until; /* monotonic, us; it was full */
+} brittle_t;
+
 /* What a target has stated about itself. */
 typedef struct target_notice_t {
 	bool leaving;
@@ -20,6 +28,7 @@
 	int64_t paused_until;
 	int64_t paused_at; /* monotonic, us; when it was stated */
 	limit_t limit;
+	brittle_t brittle;
 } target_notice_t;
 
 /* Whether another process may have the address; see balance/process.h. */
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -90,6 +90,8 @@
 	target_load_t load;
 	target_limit_t limit;
 	bool leaving;
+	bool brittle; /* it falls over if it turns too many away */
+	uint32_t brittle_per_s; /* rejections a second that it bears */
 	int64_t pause_ms; /* it wants no requests for this long; 0: none */
 	const char *unreadable; /* field with a malformed value, or NULL */
 } target_report_t;
--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -113,6 +113,7 @@
 	PEER_TARGET_DOUBTED,
 	PEER_QUARANTINE,
 	PEER_OVERLOAD,
+	PEER_TARGET_FULL,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -248,6 +249,12 @@
 			char target[NAME_SIZE];
 			int64_t started_ms; /* process of the target */
 		} doubted; /* it has ended, as far as the sender saw */
+		struct {
+			char target[NAME_SIZE];
+			int64_t started_ms; /* process of the target */
+			uint64_t
+				pause_us; /* it wants no requests for so long */
+		} full;
 		struct {
 			bool behind; /* with what it has to do */
 		} overload;
--- a/peer/bodies.c
+++ b/peer/bodies.c
@@ -117,6 +117,11 @@
 	BODY_TEXT(doubted, target),
 	BODY_I64(doubted, started_ms),
 };
+static const field_t full_fields[] = {
+	BODY_TEXT(full, target),
+	BODY_I64(full, started_ms),
+	BODY_U64(full, pause_us),
+};
 static const field_t overload_fields[] = {
 	BODY_BOOL(overload, behind),
 };
@@ -212,6 +217,8 @@
 		return FIELDS_OF(quarantine_fields);
 	case PEER_TARGET_DOUBTED:
 		return FIELDS_OF(doubted_fields);
+	case PEER_TARGET_FULL:
+		return FIELDS_OF(full_fields);
 	case PEER_OVERLOAD:
 		return FIELDS_OF(overload_fields);
 	case PEER_LEAVE:
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -151,6 +151,7 @@
 	case PEER_TARGET_LEAVING:
 	case PEER_TARGET_DOUBTED:
 	case PEER_TARGET_LIMIT:
+	case PEER_TARGET_FULL:
 	case PEER_PERMIT_REQUEST:
 	case PEER_PERMIT_REPLY:
 		return peer->balance;
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <gtest/gtest.h>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -175,6 +176,18 @@
 		kernel_post(&kernel, proxy, balance.svc, &msg);
 		run(0);
 	}
+	// The response states how many rejections a second its target bears.
+	void report_brittle(size_t i, uint32_t rejections_per_s)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PLACE_REPORT;
+		msg.ref = placements[i];
+		msg.u.place_report.brittle = rejections_per_s > 0;
+		msg.u.place_report.brittle_per_s = rejections_per_s;
+		kernel_post(&kernel, proxy, balance.svc, &msg);
+		run(0);
+	}
 	void peer_up(const char *peer_incarnation)
 	{
 		msg_t msg = {};
@@ -984,4 +997,212 @@
 		  8u);
 }
 
+// Guards against requests to a brittle target that has just turned one away,
+// from this instance and from its peers.
+TEST(Balance, BrittleTargetIsLeftAloneByAllAfterARejection)
+{
+	instance_t a("z1", 1), b("z1", 2);
+
+	a.run(1000);
+	b.run(1000);
+	a.set_target("call", "t1", "z1");
+	b.set_target("call", "t1", "z1");
+	a.request(1, "call");
+	a.report_brittle(0, 10);
+	a.finish_request(0, PLACE_FULL);
+	ASSERT_EQ(a.announced.size(), 1u);
+	EXPECT_EQ(a.announced[0].kind, PEER_TARGET_FULL);
+	b.receive_from_peer(a.announced[0]);
+	a.request(2, "call");
+	b.request(1, "call");
+	EXPECT_EQ(a.placed.size(), 1u);
+	EXPECT_TRUE(b.placed.empty());
+	a.run(800 * USEC_PER_MSEC);
+	a.request(3, "call");
+	EXPECT_EQ(a.placed.size(), 2u);
+}
+
+TEST(Balance, RejectionOfATargetThatIsNotBrittleIsNotTold)
+{
+	instance_t a("z1", 1);
+
+	a.run(1000);
+	a.set_target("call", "t1", "z1");
+	a.request(1, "call");
+	a.report_brittle(0, 0);
+	a.finish_request(0, PLACE_FULL);
+	EXPECT_TRUE(a.announced.empty());
+	a.request(2, "call");
+	EXPECT_EQ(a.placed.size(), 2u);
+}
+
+TEST(Balance, BrittleTargetHasNoRequestsWaiting)
+{
+	instance_t a("z1", 1);
+
+	a.run(1000);
+	a.set_target("call", "t1", "z1", false, false, 2);
+	a.request(1, "call");
+	a.report_brittle(0, 10);
+	a.request(2, "call");
+	EXPECT_EQ(a.placed.size(), 2u);
+	a.request(3, "call");
+	EXPECT_EQ(a.placed.size(), 2u);
+}
+
+// Instances that share brittle targets, which get more than they have room for.
+class BrittleWorld
+{
+      public:
+	static constexpr int TARGETS = 4;
+	static constexpr int ROOM = 6; // requests at a time
+	static constexpr uint32_t BORNE = 5; // rejections a second
+	static constexpr int64_t STEP = USEC_PER_MSEC;
+	static constexpr int64_t WORK = 50 * USEC_PER_MSEC;
+	static constexpr int64_t PEER_DELAY = 5 * USEC_PER_MSEC;
+	static constexpr int64_t CONTACT = 3 * USEC_PER_SEC;
+
+	BrittleWorld(int instances, bool stated) : is_stated(stated)
+	{
+		seen.resize((size_t)instances);
+		for (int i = 0; i < instances; i++) {
+			fleet.push_back(std::make_unique<instance_t>(
+				"z1", (uint64_t)i + 1));
+			fleet.back()->set_fleet_size((uint32_t)instances);
+			for (int t = 0; t < TARGETS; t++)
+				fleet.back()->set_target("call",
+							 name(t).c_str(), "z1");
+		}
+	}
+	// A request comes in each step, twice what there is room for.  Returns
+	// how often a target turned too many away after CONTACT.
+	int run(int64_t us)
+	{
+		for (now = STEP; now <= us; now += STEP) {
+			for (auto &i : fleet)
+				i->run(STEP);
+			end_work();
+			deliver();
+			numbers++;
+			fleet[(size_t)numbers % fleet.size()]->request(
+				(uint32_t)numbers, "call");
+			begin_work();
+			announce();
+		}
+		return falls;
+	}
+
+      private:
+	struct work_t {
+		size_t instance, placement;
+		int target;
+		int64_t ends;
+		bool rejected;
+	};
+	struct news_t {
+		size_t from;
+		int64_t arrives;
+		peer_body_t body;
+	};
+	static std::string name(int target)
+	{
+		return "t" + std::to_string(target);
+	}
+	void begin_work()
+	{
+		for (size_t i = 0; i < fleet.size(); i++)
+			for (; seen[i] < fleet[i]->placed.size(); seen[i]++) {
+				int t = fleet[i]->placed[seen[i]].second[1] -
+					'0';
+				bool full = running[t] >= ROOM;
+
+				running[t] += !full;
+				if (full)
+					reject(t);
+				work.push_back({i, seen[i], t,
+						now + (full ? STEP : WORK),
+						full});
+			}
+	}
+	void reject(int t)
+	{
+		std::vector<int64_t> &times = rejections[t];
+
+		if (now < CONTACT)
+			return;
+		times.push_back(now);
+		while (now - times.front() >= USEC_PER_SEC)
+			times.erase(times.begin());
+		if (times.size() <= BORNE)
+			return;
+		falls++;
+		times.clear();
+	}
+	void end_work()
+	{
+		for (size_t w = 0; w < work.size();) {
+			work_t done = work[w];
+
+			if (done.ends > now) {
+				w++;
+				continue;
+			}
+			work.erase(work.begin() + (long)w);
+			running[done.target] -= !done.rejected;
+			fleet[done.instance]->report_brittle(
+				done.placement, is_stated ? BORNE : 0);
+			fleet[done.instance]->finish_request(
+				done.placement,
+				done.rejected ? PLACE_FULL : PLACE_OK);
+		}
+	}
+	void announce()
+	{
+		for (size_t i = 0; i < fleet.size(); i++) {
+			for (auto &body : fleet[i]->announced)
+				news.push_back({i, now + PEER_DELAY, body});
+			fleet[i]->announced.clear();
+		}
+	}
+	void deliver()
+	{
+		for (size_t n = 0; n < news.size();) {
+			news_t item = news[n];
+
+			if (item.arrives > now) {
+				n++;
+				continue;
+			}
+			news.erase(news.begin() + (long)n);
+			for (size_t i = 0; i < fleet.size(); i++)
+				if (i != item.from)
+					fleet[i]->receive_from_peer(item.body);
+		}
+	}
+	bool is_stated;
+	int64_t now = 0;
+	int numbers = 0;
+	int falls = 0;
+	std::vector<std::unique_ptr<instance_t>> fleet;
+	std::vector<size_t> seen;
+	std::vector<work_t> work;
+	std::vector<news_t> news;
+	int running[TARGETS] = {};
+	std::vector<int64_t> rejections[TARGETS];
+};
+
+// Guards against brittle targets that fall over since each instance sends
+// little beyond their room, but all together send too much (LIMIT).
+TEST(Balance, BrittleTargetsBearWhatAllInstancesSendTogether)
+{
+	for (int instances : {2, 10, 40}) {
+		EXPECT_GT(BrittleWorld(instances, false).run(10 * USEC_PER_SEC),
+			  2)
+			<< instances;
+		EXPECT_LE(BrittleWorld(instances, true).run(10 * USEC_PER_SEC),
+			  2)
+			<< instances;
+	}
+}
+
 } // namespace
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -165,6 +165,11 @@
 		g_strlcpy(body->u.doubted.target, "i-1", NAME_SIZE);
 		body->u.doubted.started_ms = 1764900000000;
 		break;
+	case PEER_TARGET_FULL:
+		g_strlcpy(body->u.full.target, "i-1", NAME_SIZE);
+		body->u.full.started_ms = 1764900000000;
+		body->u.full.pause_us = 400000;
+		break;
 	case PEER_OVERLOAD:
 		body->u.overload.behind = true;
 		break;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -479,6 +479,75 @@
 	exchange_spec_free(spec);
 }
 
+TEST(Wire, BrittleTargetsAreRead)
+{
+	const struct {
+		const char *value;
+		bool brittle;
+		uint32_t per_s;
+		bool malformed;
+	} cases[] = {
+		{"5", true, 5, false},
+		{"0", true, 0, false},
+		{"2.5", true, 2, false},
+		{"-1", false, 0, true},
+		{"soon", false, 0, true},
+		{"", false, 0, true},
+		{"1e99", false, 0, true},
+		{nullptr, false, 0, false},
+		{"9999999999", true, 1000000, false},
+	};
+
+	for (auto &c : cases) {
+		http_head_t *head = http_head_response(503);
+		exchange_spec_t *spec = exchange_spec_new();
+		response_info_t info;
+
+		if (c.value != nullptr)
+			http_head_add(head, "Server-Brittle", c.value);
+		wire_read_reply(head, spec, &info);
+		EXPECT_EQ(info.report.brittle, c.brittle) << c.value;
+		EXPECT_EQ(info.report.brittle_per_s, c.per_s) << c.value;
+		EXPECT_EQ(info.report.unreadable != nullptr, c.malformed)
+			<< c.value;
+		exchange_spec_free(spec);
+		http_head_free(head);
+	}
+}
+
+TEST(Wire, RequestThatIsPassedOnIsAsItsCallerSentIt)
+{
+	http_head_t *head = http_head_request("POST", "/a/b?c=1"), *out;
+	exchange_spec_t *spec = exchange_spec_new(),
+			*read = exchange_spec_new();
+	GBytes *body = g_bytes_new("body", 4);
+	errmsg_t err;
+
+	http_head_add(head, "Host", "h.example");
+	http_head_add(head, "Attempt-Id", "r1");
+	http_head_add(head, "Authorization", "Bearer key");
+	http_head_add(head, "Token-Count", "100,50");
+	http_head_add(head, "Resumes", "r0");
+	http_head_add(head, "Time-Budget-Ms", "2000");
+	ASSERT_TRUE(wire_read_request(head, body, spec, &err));
+	out = wire_write_passed_on(spec, 1500);
+	EXPECT_STREQ(http_head_get(out, "Content-Length"), "4");
+	ASSERT_TRUE(wire_read_request(out, body, read, &err));
+	EXPECT_STREQ(read->request_id, "r1");
+	EXPECT_STREQ(read->api_key, "key");
+	EXPECT_STREQ(read->host, "h.example");
+	EXPECT_STREQ(read->path, "/a/b");
+	EXPECT_STREQ(read->resumes, "r0");
+	EXPECT_EQ(read->prompt_tokens, 100);
+	EXPECT_EQ(read->max_tokens, 50);
+	EXPECT_EQ(read->wait_ms, 1500);
+	g_bytes_unref(body);
+	http_head_free(out);
+	http_head_free(head);
+	exchange_spec_free(spec);
+	exchange_spec_free(read);
+}
+
 // Guards against a target's wish to get no requests that is missed, or read
 // from a response that doesn't state it.
 TEST(Wire, LeavingAndPauseOfATargetAreRead)
