Split the admission of requests from proxy/exchange.c

The comment on the peers' probes says that the user timeout decides when they give up. A removal of the number of probes was tried with it and taken back: peer_test IdlePeersArePingedAtTheirInterval asks for it. Tests: proxy_test, peer_test.

--- a/peer/conn.c
+++ b/peer/conn.c
@@ -309,8 +309,10 @@
 }
 
 /*
- * The operating system probes idle connections, which finds a lost peer within
- * three seconds without waking up either process.
+ * The operating system probes idle connections, which finds a lost peer without
+ * waking up either process.  Where a user timeout is set, it decides when the
+ * system gives up, whatever the number of probes: with the first probe after
+ * it.
  */
 static void set_options(GSocket *socket)
 {
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -21,9 +21,6 @@
  */
 #define HEAD_TIMEOUT_GOALS 4
 #define HEAD_TIMEOUT_MIN_MS 600
-/* A request that was unread for its latency goal, divided so, is refused. */
-#define UNREAD_DIVISOR 4
-#define UNREAD_MIN_US (100 * USEC_PER_MSEC)
 #define RETRY_AFTER_DEFAULT_MS 300 /* applies if a refusal states no time */
 #define ELSEWHERE_RETRY_AFTER_MS 100 /* another instance takes the request */
 /* Priority levels of a target's queue per priority level of a route. */
@@ -232,109 +229,6 @@
 	exchange_end(proxy, exchange, refusal_name(reason));
 }
 
-static void set_service(proxy_t *proxy, exchange_t *exchange, const char *name)
-{
-	const fleet_service_t *service;
-
-	g_strlcpy(exchange->service, name, sizeof(exchange->service));
-	service = fleet_conf_service(proxy->conf, exchange->service);
-	exchange->event_tokens =
-		service != NULL && service->engine ? service->event_tokens : 0;
-}
-
-static void choose_service(proxy_t *proxy, exchange_t *exchange)
-{
-	const fleet_route_t *route = &exchange->route;
-	uint64_t total = 0, at;
-	uint32_t chosen = 0;
-
-	for (uint32_t i = 0; i < route->share_count; i++)
-		total += route->shares[i].weight;
-	if (total > 0) {
-		at = kernel_random_below(proxy->kernel, total);
-		while (at >= route->shares[chosen].weight)
-			at -= route->shares[chosen++].weight;
-	}
-	set_service(proxy, exchange, route->shares[chosen].service);
-}
-
-/* Equal requests with the same API key have the same fingerprint. */
-static void compute_fingerprint(exchange_t *exchange)
-{
-	const exchange_spec_t *spec = exchange->spec;
-	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
-	const guchar *body = NULL;
-	gsize len = 0;
-
-	g_checksum_update(sum, (const guchar *)spec->head->method, -1);
-	g_checksum_update(sum, (const guchar *)"\n", 1);
-	g_checksum_update(sum, (const guchar *)spec->host, -1);
-	g_checksum_update(sum, (const guchar *)spec->head->uri, -1);
-	g_checksum_update(sum, (const guchar *)"\n", 1);
-	g_checksum_update(sum, (const guchar *)spec->api_key, -1);
-	g_checksum_update(sum, (const guchar *)"\n", 1);
-	if (spec->body != NULL)
-		body = g_bytes_get_data(spec->body, &len);
-	if (len > 0)
-		g_checksum_update(sum, body, (gssize)len);
-	g_strlcpy(exchange->fingerprint, g_checksum_get_string(sum),
-		  sizeof(exchange->fingerprint));
-	g_checksum_free(sum);
-}
-
-/*
- * Whether the request has waited here for so long, unread, that another
- * instance would answer it sooner.
- */
-static bool is_outdated(const exchange_t *exchange)
-{
-	int64_t goal = exchange->route.latency_goal_ms * USEC_PER_MSEC;
-
-	return exchange->spec->unread >
-	       MAX(goal / UNREAD_DIVISOR, UNREAD_MIN_US);
-}
-
-/* Checks route, API key and account against the current configuration. */
-static refusal_t admit(proxy_t *proxy, exchange_t *exchange)
-{
-	const exchange_spec_t *spec = exchange->spec;
-	const fleet_route_t *route;
-	const fleet_account_t *account = NULL;
-
-	if (exchange->spec->passed_on &&
-	    !hop_verify(proxy->hops.key, spec->request_id, spec->head))
-		return REFUSAL_UNAUTHENTICATED;
-	if (proxy->conf == NULL)
-		return REFUSAL_NO_CONFIGURATION;
-	exchange->version = proxy->conf->version;
-	route = fleet_conf_route(proxy->conf, spec->host, spec->path);
-	if (route == NULL)
-		return REFUSAL_NO_ROUTE;
-	exchange->route = *route;
-	exchange->priority = route->priority;
-	if (spec->api_key[0] != '\0')
-		account = fleet_conf_account_by_key(proxy->conf, spec->api_key);
-	if (proxy->conf->has_accounts && !route->is_public && account == NULL)
-		return REFUSAL_UNAUTHENTICATED;
-	if (account != NULL) {
-		g_strlcpy(exchange->account, account->name,
-			  sizeof(exchange->account));
-		if (account->priority >= 0)
-			exchange->priority = account->priority;
-	}
-	if (is_outdated(exchange))
-		return REFUSAL_BEHIND;
-	compute_fingerprint(exchange);
-	if (crash_quarantined(proxy, exchange))
-		return REFUSAL_QUARANTINED;
-	choose_service(proxy, exchange);
-	/* The instance that passed it on has counted it. */
-	if (!exchange->spec->passed_on)
-		retry_window_add_request(&proxy->retries, exchange->service,
-					 exchange->started_at);
-	return REFUSAL_NONE;
-}
-
 static void reserve_tokens(proxy_t *proxy, exchange_t *exchange)
 {
 	msg_t msg = {.kind = MSG_RESERVE, .id = exchange->self};
@@ -437,7 +331,7 @@
 	sse_init(&exchange->events);
 	started.id = self;
 	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &started);
-	reason = admit(proxy, exchange);
+	reason = exchange_admit(proxy, exchange);
 	/* The newer configuration may have the route or the key. */
 	if (proxy->conf_behind &&
 	    (reason == REFUSAL_NO_ROUTE || reason == REFUSAL_UNAUTHENTICATED))
@@ -488,7 +382,7 @@
 		exchange_refuse(proxy, exchange, REFUSAL_NO_TARGET, 0);
 		return;
 	}
-	set_service(proxy, exchange, origin->service);
+	exchange_set_service(proxy, exchange, origin->service);
 	exchange->has_stream_version = true;
 	g_strlcpy(exchange->stream_version, origin->version,
 		  sizeof(exchange->stream_version));
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -146,6 +146,12 @@
 /* The body of a rejection has not ended in time. */
 void response_rejection_timed_out(proxy_t *proxy, handle_t ref);
 
+/* admit.c */
+/* Checks route, API key and account against the current configuration. */
+refusal_t exchange_admit(proxy_t *proxy, exchange_t *exchange);
+void exchange_set_service(proxy_t *proxy, exchange_t *exchange,
+			  const char *name);
+
 /* forward.c: requests that go through a peer. */
 /* Whether the request is to go through a peer instead of to a target. */
 bool forward_wanted(proxy_t *proxy, exchange_t *exchange);
