Reset the connection of a call that is abandoned

Cause: outbound closed such connections in order, and the system went on delivering what it held.

Change: a call that ends before its response is complete resets its connection.

Test: outbound_test AbandonedCallResetsItsConnection, which fails without the change (run with it taken out).

--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -60,6 +60,16 @@
 	kernel_post(outbound->kernel, outbound->svc, call->owner, &msg);
 }
 
+/*
+ * Resets the connection: what the system has not delivered yet must not reach
+ * the target later, when a partition ends.
+ */
+static void abandon(out_conn_t *conn)
+{
+	http_socket_abort(&conn->sock);
+	out_conn_close(conn);
+}
+
 void out_call_fail(outbound_t *outbound, out_call_t *call, failure_t failure,
 		   bool sent, bool reset)
 {
@@ -70,7 +80,7 @@
 	else
 		post_failed(outbound, call, conn, failure, sent, reset);
 	if (conn != NULL)
-		out_conn_close(conn);
+		abandon(conn);
 	remove_call(outbound, call);
 }
 
@@ -198,7 +208,7 @@
 		return;
 	conn = table_get(&outbound->conns, call->conn);
 	if (conn != NULL)
-		out_conn_close(conn);
+		abandon(conn);
 	remove_call(outbound, call);
 }
 
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -556,4 +556,24 @@
 	}
 }
 
+// Guards against requests that are delivered after a partition, when nobody
+// waits for them any more and their target may be leaving.
+TEST_F(Outbound, AbandonedCallResetsItsConnection)
+{
+	ScriptServer server([](script_conn_t &) {});
+	uint32_t number = post(server.port, "r1", 0);
+	msg_t cancel = {};
+
+	ASSERT_TRUE(pump([&] {
+		return server.conns.size() == 1 &&
+		       server.conns[0]->requests == 1;
+	}));
+	cancel.kind = MSG_OUT_CANCEL;
+	cancel.ref = results[number].call;
+	kernel_post(&kernel, owner, outbound.svc, &cancel);
+	kernel_flush(&kernel);
+	ASSERT_TRUE(pump([&] { return server.conns[0]->closed; }));
+	EXPECT_TRUE(server.conns[0]->was_reset);
+}
+
 } // namespace
--- a/tests/script_server.h
+++ b/tests/script_server.h
@@ -17,6 +17,7 @@
 	std::string in;
 	int requests = 0;
 	bool closed = false;
+	bool was_reset = false; // by the other side
 
 	void send(const std::string &text) const
 	{
@@ -119,6 +120,7 @@
 
 		if (n <= 0) {
 			conn.closed = true;
+			conn.was_reset = n < 0;
 			return G_SOURCE_REMOVE;
 		}
 		conn.in.append(buffer, (size_t)n);
