Name requests that peers have passed on apart from those passed to peers

spec->from_peer is a request that a peer passed on to this instance, exchange->passed_on one that this instance sent to a peer; both had one name. Tests: proxy_test, ingress_test, platform_test.

--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -225,7 +225,7 @@
 		refuse_stopping(ingress, conn, spec->request_id);
 		goto out;
 	}
-	spec->passed_on = conn->kind == LISTENER_METRICS;
+	spec->from_peer = conn->kind == LISTENER_METRICS;
 	spec->arrived_at = conn->arrived_at;
 	spec->unread = conn->unread;
 	msg.u.exchange = g_steal_pointer(&spec);
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -38,7 +38,7 @@
 	char last_event_id[EVENT_ID_SIZE]; /* last event of a resumed stream */
 	/* Attempt that brought the first event of a resumed stream. */
 	char resumes[REQUEST_ID_SIZE]; /* empty: not stated */
-	bool passed_on; /* by a peer that reaches no target */
+	bool from_peer; /* passed on by a peer that reaches no target */
 	int64_t arrived_at; /* monotonic, us; 0: not known */
 	int64_t unread; /* us for which it waited to be read here */
 	http_head_t *head; /* header to forward, without the API key */
--- a/proxy/admit.c
+++ b/proxy/admit.c
@@ -77,7 +77,7 @@
 	const fleet_route_t *route;
 	const fleet_account_t *account = NULL;
 
-	if (exchange->spec->passed_on &&
+	if (exchange->spec->from_peer &&
 	    !hop_verify(proxy->hops.key, spec->request_id, spec->head))
 		return REFUSAL_UNAUTHENTICATED;
 	if (proxy->conf == NULL)
@@ -105,7 +105,7 @@
 		return REFUSAL_QUARANTINED;
 	choose_service(proxy, exchange);
 	/* The instance that passed it on has counted it. */
-	if (!exchange->spec->passed_on)
+	if (!exchange->spec->from_peer)
 		retry_window_add_request(&proxy->retries, exchange->service,
 					 exchange->started_at);
 	return REFUSAL_NONE;
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -220,7 +220,7 @@
 		exchange->spec, status,
 		status == 503 || status == 429 ? retry_after_ms : 0);
 	head.u.exchange_head.length = (int64_t)strlen(text);
-	if (reason == REFUSAL_UNREACHABLE && exchange->spec->passed_on)
+	if (reason == REFUSAL_UNREACHABLE && exchange->spec->from_peer)
 		hop_mark_unreachable(head.u.exchange_head.head);
 	data.u.data.bytes = g_bytes_new_take(text, strlen(text));
 	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &head);
--- a/proxy/forward.c
+++ b/proxy/forward.c
@@ -72,7 +72,7 @@
 
 	/* The peer holds the tokens for the request. */
 	exchange_return_tokens(proxy, exchange);
-	if (!exchange->spec->passed_on && exchange->hops < HOPS_MAX)
+	if (!exchange->spec->from_peer && exchange->hops < HOPS_MAX)
 		peer = hops_choose(&proxy->hops, kernel_random(proxy->kernel),
 				   kernel_now(proxy->kernel));
 	if (peer == NULL)
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -235,10 +235,10 @@
 	EXPECT_TRUE(specs.empty());
 	peer.send(marked);
 	ASSERT_TRUE(wait_requests(1));
-	EXPECT_TRUE(specs[0]->passed_on);
+	EXPECT_TRUE(specs[0]->from_peer);
 	caller.send(marked);
 	ASSERT_TRUE(wait_requests(2));
-	EXPECT_FALSE(specs[1]->passed_on);
+	EXPECT_FALSE(specs[1]->from_peer);
 }
 
 // Guards against work for callers that left while their request was unread.
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -447,7 +447,7 @@
 			spec->parts[spec->part_count++] = {part, 40};
 		if (!parts.empty()) // no two requests are alike
 			spec->body = g_bytes_new(&++bodies, sizeof(bodies));
-		spec->passed_on = passed_on;
+		spec->from_peer = passed_on;
 
 		g_strlcpy(spec->host, "h", sizeof(spec->host));
 		g_strlcpy(spec->path, path, sizeof(spec->path));
