Measure turns of the loop that begin with work waiting

Cause: GLib does not call check for a source that was ready before the poll, and there the turn was begun.

Change: the turn begins in dispatch if check has not begun it. Test: kernel_test TurnThatBeginsWithWaitingInputIsMeasured fails without it (0 turns counted instead of 1).

--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -108,6 +108,8 @@
 
 	(void)callback;
 	(void)data;
+	/* Nothing is checked after the poll if work was waiting before it. */
+	lag_turn_started(&kernel->lag, started);
 	for (int i = 0; i < PROMPT_ROUNDS_MAX && more; i++) {
 		more = pollset_handle_prompt(&kernel->pollset, since);
 		run_due_timers(kernel);
--- a/kernel/lag.c
+++ b/kernel/lag.c
@@ -24,7 +24,8 @@
 
 void lag_turn_started(lag_t *lag, int64_t now)
 {
-	lag->turn_started = now;
+	if (lag->turn_started == 0)
+		lag->turn_started = now;
 }
 
 void lag_turn_ended(lag_t *lag, int64_t now)
--- a/kernel/lag.h
+++ b/kernel/lag.h
@@ -26,7 +26,7 @@
 
 void lag_init(lag_t *lag, metrics_t *metrics);
 /* A turn lasts from the end of a poll to the start of the next one. */
-void lag_turn_started(lag_t *lag, int64_t now);
+void lag_turn_started(lag_t *lag, int64_t now); /* ignored within a turn */
 void lag_turn_ended(lag_t *lag, int64_t now);
 void lag_timer_fired(lag_t *lag, int64_t late);
 void lag_input_handled(lag_t *lag, int64_t waited);
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -398,4 +398,26 @@
 	EXPECT_GE(reports_at_timer, 1);
 }
 
+// Guards against turns that are not measured since work was waiting before the
+// poll, which are those of a process that is behind.
+TEST_F(PollsetTest, TurnThatBeginsWithWaitingInputIsMeasured)
+{
+	const histogram_t *turns =
+		&kernel.metrics->histograms[HISTOGRAM_LOOP_TURN];
+	uint64_t before;
+
+	for (int i = 0; i < 2; i++) {
+		pollset_classify(&kernel.pollset, pairs[i].watch,
+				 POLLSET_DEFERRED);
+		make_readable(pairs[i]);
+	}
+	pollset_handle_prompt(&kernel.pollset, g_get_monotonic_time());
+	pollset_handle_deferred(&kernel.pollset, 0);
+	ASSERT_TRUE(pollset_has_deferred(&kernel.pollset));
+	before = turns->count;
+	iterate();
+	iterate();
+	EXPECT_EQ(turns->count, before + 1);
+}
+
 } // namespace
