--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -375,6 +375,7 @@
 	}
 }
 
+/* Notes since when the input that is about to be read has been there. */
 static void note_wait(ingress_conn_t *conn)
 {
 	const kernel_t *kernel = conn->ingress->kernel;
@@ -569,7 +570,7 @@
 			ingress_conn_close(conn);
 		break;
 	case INGRESS_READING:
-		/* What has arrived and was not read yet is no fault of it. */
+		/* A caller is not late if its input waits to be read. */
 		if (http_socket_has_input(&conn->sock))
 			break;
 		if (conn->parse.state < HTTP_STATE_BODY &&
