Read and relay the keys of evacuated zones

Operators write op/evacuate/ZONE in the store; services know the key as evacuation/ZONE. Only its presence counts, so any value decodes. The replica lists the prefix before the targets (one more list call for each listing) and relays it like targets. Watch events say whether a peer passed a key on, and a service with two watches is told once of the store's state.

A build that does not know the key takes a relayed item for an allocation and logs one that it can't decode; the value that is passed on is therefore an empty allocation. As a reader it passes over the key and still calls its items complete up to a later revision, so an instance that relied on it would never learn of the evacuation. Messages now carry a mark, an item without a value that the former build drops as known; without it, an instance that reaches the store reads for itself, and one that is cut off keeps its own revision.

--- a/kernel/record.h
+++ b/kernel/record.h
@@ -46,6 +46,7 @@
 	RECORD_ALLOCATION, /* allocation of prepaid tokens */
 	RECORD_STREAMS, /* streams that began lately */
 	RECORD_HELD, /* a request or a part of prompts in quarantine */
+	RECORD_EVACUATION, /* a zone gets no requests; the key names it */
 } record_kind_t;
 
 /* Identifies a write, so that a repeated write is detected. */
--- a/kernel/storage.h
+++ b/kernel/storage.h
@@ -113,6 +113,7 @@
 	GArray *committed; /* bool for each group */
 	GArray *kvs; /* store_kv_t */
 	bool more; /* further pages of the prefix follow */
+	bool relayed; /* watch events: by a peer, not from the store */
 } store_result_t;
 
 store_result_t *store_result_new(store_status_t status);
--- a/replica/entry.c
+++ b/replica/entry.c
@@ -33,6 +33,7 @@
 		return false;
 	switch (kv->record.kind) {
 	case RECORD_NONE:
+	case RECORD_EVACUATION:
 		return true;
 	case RECORD_FLEET_TARGET:
 		return fleet_target_equal(entry->record.u.fleet_target,
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -180,6 +180,30 @@
 			 incarnation, body);
 }
 
+/*
+ * The mark has no value and a revision that the receiver knows, so that builds
+ * that do not know it pass over it.
+ */
+static void add_complete_mark(peer_body_t *body)
+{
+	store_item_t mark = {.revision = body->u.store_items.after};
+
+	g_strlcpy(mark.key, REPLICA_KEY_COMPLETE, sizeof(mark.key));
+	g_array_append_val(body->u.store_items.items, mark);
+}
+
+static bool take_complete_mark(GArray *items)
+{
+	for (guint i = items->len; i > 0; i--) {
+		if (strcmp(g_array_index(items, store_item_t, i - 1).key,
+			   REPLICA_KEY_COMPLETE) != 0)
+			continue;
+		g_array_remove_index(items, i - 1);
+		return true;
+	}
+	return false;
+}
+
 static peer_body_t *items_since(const replica_t *replica, int64_t after)
 {
 	peer_body_t *body = peer_body_new(PEER_STORE_ITEMS);
@@ -188,6 +212,8 @@
 	body->u.store_items.up_to = replica_entries_since(
 		replica->entries, after, replica->revision,
 		body->u.store_items.items);
+	if (!replica->incomplete)
+		add_complete_mark(body);
 	return body;
 }
 
@@ -263,7 +289,8 @@
 {
 	peer_body_t *body = peer_body_new(PEER_STORE_PULL);
 
-	body->u.store_pull.after = replica->synced ? replica->revision : 0;
+	body->u.store_pull.after =
+		replica->synced && !replica->incomplete ? replica->revision : 0;
 	send_body(replica, incarnation, body);
 }
 
@@ -303,6 +330,9 @@
 	    (entry == NULL || entry->raw == NULL ||
 	     !g_bytes_equal(entry->raw, item->value)))
 		return false;
+	if (replica->incomplete && entry == NULL &&
+	    g_str_has_prefix(item->key, REPLICA_EVACUATIONS))
+		return false;
 	if (entry == NULL)
 		return replica->synced && item->revision <= replica->revision;
 	return entry->revision >= item->revision;
@@ -345,7 +375,11 @@
 	const peer_body_t *body = msg->u.peer.body;
 	msg_t decode = {.kind = MSG_STORE_DECODE,
 			.id = {.index = READ_RELAYED, .gen = 1}};
+	bool complete = take_complete_mark(body->u.store_items.items);
 
+	/* An instance that reaches the store reads for itself instead. */
+	if (!complete && replica->store_up)
+		return;
 	drop_known_items(replica, body->u.store_items.items);
 	if (body->u.store_items.partial)
 		replica_set_missing(replica, body->u.store_items.up_to + 1);
@@ -383,6 +417,11 @@
 		  msg->u.peer.incarnation,
 		  REVISION_ARGS(body->u.store_items.up_to),
 		  body->u.store_items.items->len);
+	if (complete && body->u.store_items.after == 0 &&
+	    body->u.store_items.up_to >= replica->revision)
+		replica->incomplete = false;
+	if (!complete)
+		decode.id.index = READ_RELAYED_PARTLY;
 	decode.u.peer.body = g_steal_pointer(&msg->u.peer.body);
 	kernel_post(replica->kernel, replica->svc, replica->store, &decode);
 }
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -15,8 +15,12 @@
 /* Least time between two reads that other services ask for. */
 #define READ_SPACING_US (100 * USEC_PER_MSEC)
 
-static const char *const prefixes[] = {REPLICA_KEY_CONF, "fleet/target/",
-				       "prepaid/"};
+/*
+ * The evacuations come before the targets, so that an instance that starts
+ * knows no target of an evacuated zone before its evacuation.
+ */
+static const char *const prefixes[] = {REPLICA_EVACUATIONS, REPLICA_KEY_CONF,
+				       "fleet/target/", "prepaid/"};
 
 static void post_event(replica_t *replica, const replica_watch_t *watch,
 		       store_result_t *result)
@@ -27,12 +31,25 @@
 	kernel_post(replica->kernel, replica->svc, watch->owner, &msg);
 }
 
+/* A service with several watches is told once of what concerns all keys. */
+static bool is_first_of_owner(const replica_t *replica, uint32_t index)
+{
+	for (uint32_t i = 0; i < index; i++)
+		if (handle_equal(replica->watches[i].owner,
+				 replica->watches[index].owner))
+			return false;
+	return true;
+}
+
 static void post_store_status(replica_t *replica)
 {
 	for (uint32_t i = 0; i < replica->watch_count; i++) {
-		store_result_t *result = store_result_new(
-			replica->store_up ? STORE_OK : STORE_UNAVAILABLE);
+		store_result_t *result;
 
+		if (!is_first_of_owner(replica, i))
+			continue;
+		result = store_result_new(
+			replica->store_up ? STORE_OK : STORE_UNAVAILABLE);
 		result->revision =
 			replica->era >= 0 ? revision_make(replica->era, 0) : -1;
 		post_event(replica, &replica->watches[i], result);
@@ -79,6 +96,8 @@
 	for (uint32_t i = 0; i < replica->watch_count; i++) {
 		msg_t msg = {.kind = MSG_FLEET_BEHIND};
 
+		if (!is_first_of_owner(replica, i))
+			continue;
 		msg.u.fleet_behind.behind = behind;
 		kernel_post(replica->kernel, replica->svc,
 			    replica->watches[i].owner, &msg);
@@ -102,6 +121,8 @@
 	for (uint32_t i = 0; i < replica->watch_count; i++) {
 		msg_t msg = {.kind = MSG_LIST_CURRENT};
 
+		if (!is_first_of_owner(replica, i))
+			continue;
 		msg.u.list_current.as_of = as_of;
 		kernel_post(replica->kernel, replica->svc,
 			    replica->watches[i].owner, &msg);
@@ -119,7 +140,7 @@
 }
 
 /* Stores a state that is newer than the known one and notifies the watches. */
-static void apply_kv(replica_t *replica, const store_kv_t *kv)
+static void apply_kv(replica_t *replica, const store_kv_t *kv, bool relayed)
 {
 	if (!replica_entries_apply(replica->entries, kv,
 				   kernel_now(replica->kernel)))
@@ -132,6 +153,7 @@
 			continue;
 		result = store_result_new(STORE_OK);
 		result->revision = kv->revision;
+		result->relayed = relayed;
 		store_result_add(result, 0, kv->key, kv->revision, &kv->record);
 		post_event(replica, watch, result);
 	}
@@ -146,14 +168,15 @@
 }
 
 /* The store reports the changes of all keys. */
-static void apply_all(replica_t *replica, const store_result_t *result)
+static void apply_all(replica_t *replica, const store_result_t *result,
+		      bool relayed)
 {
 	for (guint i = 0; i < result->kvs->len; i++) {
 		const store_kv_t *kv =
 			&g_array_index(result->kvs, store_kv_t, i);
 
 		if (is_replicated(kv->key))
-			apply_kv(replica, kv);
+			apply_kv(replica, kv, relayed);
 	}
 }
 
@@ -222,11 +245,13 @@
 		g_array_append_val(deleted, kv);
 	}
 	for (guint i = 0; i < deleted->len; i++)
-		apply_kv(replica, &g_array_index(deleted, store_kv_t, i));
+		apply_kv(replica, &g_array_index(deleted, store_kv_t, i),
+			 false);
 	g_array_unref(deleted);
 	g_hash_table_remove_all(replica->listed_keys);
 	advance(replica, replica->list_revision);
 	replica->synced = true;
+	replica->incomplete &= replica->revision > replica->list_revision;
 	post_list_current(replica, replica->last_read_at);
 	replica_check_offer(replica);
 	replica_offer_lost_conf(replica);
@@ -258,7 +283,7 @@
 			replica->listed_version =
 				kv->record.u.fleet_conf->version;
 	}
-	apply_all(replica, result);
+	apply_all(replica, result, false);
 	if (result->more && last[0] != '\0') {
 		list_page(replica, last);
 	} else if (replica->list_prefix + 1 < G_N_ELEMENTS(prefixes)) {
@@ -273,8 +298,14 @@
 
 static void changes_received(replica_t *replica, const store_result_t *result)
 {
-	apply_all(replica, result);
+	apply_all(replica, result, false);
 	advance(replica, result->revision);
+	if (replica->incomplete) {
+		/* Changes that peers passed over are in no read of changes. */
+		replica->synced = false;
+		schedule(replica, RETRY_US);
+		return;
+	}
 	post_list_current(replica, replica->last_read_at);
 	replica_push_changes(replica);
 	schedule(replica, replica->read_again ? READ_SPACING_US
@@ -326,14 +357,22 @@
 	schedule(replica, RETRY_US);
 }
 
-/* The items from a peer are complete up to the result's revision. */
-static void relay_received(replica_t *replica, const store_result_t *result)
+/*
+ * The items from a peer are complete up to the result's revision, except those
+ * of a build that passes over keys.  What it passed over is fetched from
+ * another peer; only an instance that knows nothing yet goes on from that
+ * revision.
+ */
+static void relay_received(replica_t *replica, const store_result_t *result,
+			   bool complete)
 {
 	set_era(replica, result->revision);
-	apply_all(replica, result);
-	if (result->revision > replica->revision) {
+	apply_all(replica, result, true);
+	if (result->revision > replica->revision &&
+	    (complete || !replica->synced)) {
 		advance(replica, result->revision);
 		replica->synced = true;
+		replica->incomplete |= !complete;
 	}
 	replica_check_offer(replica);
 	replica_forward_changes(replica);
@@ -343,8 +382,9 @@
 {
 	const store_result_t *result = msg->u.store_result;
 
-	if (msg->ref.index == READ_RELAYED) {
-		relay_received(replica, result);
+	if (msg->ref.index == READ_RELAYED ||
+	    msg->ref.index == READ_RELAYED_PARTLY) {
+		relay_received(replica, result, msg->ref.index == READ_RELAYED);
 		return;
 	}
 	replica->reading = READ_NONE;
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -20,6 +20,12 @@
 
 #define REPLICA_WATCHES_MAX 4
 #define REPLICA_KEY_CONF "fleet/conf"
+#define REPLICA_EVACUATIONS "evacuation/"
+/*
+ * An item without a value in a message of a build that knows evacuations.
+ * Items of a build that does not are not complete.
+ */
+#define REPLICA_KEY_COMPLETE "evacuation"
 
 typedef struct replica_opts_t {
 	char incarnation[INCARNATION_SIZE];
@@ -39,6 +45,7 @@
 	READ_LIST, /* all keys, in pages */
 	READ_CHANGES,
 	READ_RELAYED, /* decoding of items from a peer */
+	READ_RELAYED_PARTLY, /* of a build that passes over keys */
 } replica_read_t;
 
 typedef struct replica_t {
@@ -56,6 +63,8 @@
 	int64_t missing_revision;
 	int64_t last_pull_at; /* monotonic, us, pull for the missing change */
 	bool synced; /* entries hold the complete state at revision */
+	/* The state at revision comes from a build that passes over keys. */
+	bool incomplete;
 	bool store_up; /* the last read succeeded */
 	bool read_requested; /* the next timer reads, even in a follower */
 	bool read_again; /* once the read in progress has ended */
