Publish evacuated zones to subscribers

Service fleet keeps the zones in force and tells subscribers of their begin and end, later ones of all in force. An absence counts as for targets: one that is seen while the store is away, or within 2 s of its return or restore, ends the evacuation only after that time and if the key was not written again. Log lines tell the revision, the source and the number of targets in the zone, since a misspelt zone has none; a gauge counts the zones.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -13,6 +13,13 @@
 #define KEY_CONF "fleet/conf"
 #define KEY_PREFIX_TARGETS "fleet/target/"
 
+#define KEY_PREFIX_EVACUATIONS "evacuation/"
+
+typedef struct evacuation_t {
+	bool removal_pending; /* key deleted around a store outage */
+	int64_t removal_revision; /* if removal_pending */
+} evacuation_t;
+
 typedef struct known_target_t {
 	fleet_target_t target;
 	bool removal_pending; /* entry deleted around a store outage */
@@ -63,6 +70,17 @@
 	kernel_post(fleet->kernel, fleet->svc, to, &msg);
 }
 
+static void post_evacuation(fleet_t *fleet, svc_t to, const char *zone,
+			    bool evacuated)
+{
+	msg_t msg = {.kind = MSG_FLEET_EVACUATION};
+
+	g_strlcpy(msg.u.fleet_evacuation.zone, zone,
+		  sizeof(msg.u.fleet_evacuation.zone));
+	msg.u.fleet_evacuation.evacuated = evacuated;
+	kernel_post(fleet->kernel, fleet->svc, to, &msg);
+}
+
 static void post_behind(fleet_t *fleet, svc_t to)
 {
 	msg_t msg = {.kind = MSG_FLEET_BEHIND};
@@ -81,7 +99,7 @@
 static void subscribe(fleet_t *fleet, svc_t subscriber)
 {
 	GHashTableIter iter;
-	gpointer data;
+	gpointer zone, data;
 
 	if (fleet->subscriber_count == FLEET_SUBSCRIBERS_MAX)
 		return;
@@ -89,6 +107,9 @@
 	post_conf(fleet, subscriber);
 	post_size(fleet, subscriber);
 	post_behind(fleet, subscriber);
+	g_hash_table_iter_init(&iter, fleet->evacuations);
+	while (g_hash_table_iter_next(&iter, &zone, NULL))
+		post_evacuation(fleet, subscriber, zone, true);
 	g_hash_table_iter_init(&iter, fleet->targets);
 	while (g_hash_table_iter_next(&iter, NULL, &data))
 		post_target(fleet, subscriber,
@@ -184,6 +205,105 @@
 	publish_target(fleet, &target, true);
 }
 
+static uint32_t count_targets(const fleet_t *fleet, const char *zone)
+{
+	GHashTableIter iter;
+	gpointer data;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, fleet->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &data))
+		count += strcmp(((known_target_t *)data)->target.zone, zone) ==
+			 0;
+	return count;
+}
+
+/* A zone without targets may be misspelt, which the number of them shows. */
+static void publish_evacuation(fleet_t *fleet, const char *zone, bool evacuated,
+			       int64_t revision, const char *source)
+{
+	for (uint32_t i = 0; i < fleet->subscriber_count; i++)
+		post_evacuation(fleet, fleet->subscribers[i], zone, evacuated);
+	log_event(LOG_LEVEL_WARN, "fleet",
+		  evacuated ? "evacuation_begun" : "evacuation_ended",
+		  "zone=%s revision=" REVISION_FORMAT
+		  " source=%s store_up=%d targets=%u",
+		  log_quote(zone), REVISION_ARGS(revision), source,
+		  fleet->store_up, count_targets(fleet, zone));
+	metrics_set(fleet->kernel->metrics, GAUGE_ZONES_EVACUATED,
+		    g_hash_table_size(fleet->evacuations));
+}
+
+static void begin_evacuation(fleet_t *fleet, const char *zone, int64_t revision,
+			     const char *source)
+{
+	evacuation_t *known = g_hash_table_lookup(fleet->evacuations, zone);
+
+	if (known != NULL) {
+		known->removal_pending = false;
+		return;
+	}
+	g_hash_table_insert(fleet->evacuations, g_strdup(zone),
+			    g_new0(evacuation_t, 1));
+	publish_evacuation(fleet, zone, true, revision, source);
+}
+
+/* As with targets, an absence counts only once the store answers. */
+static void end_evacuation(fleet_t *fleet, const char *zone, int64_t revision,
+			   const char *source)
+{
+	evacuation_t *known = g_hash_table_lookup(fleet->evacuations, zone);
+
+	if (known == NULL)
+		return;
+	if (is_removal_deferred(fleet)) {
+		known->removal_pending = true;
+		known->removal_revision = revision;
+		arm_removal_timer(fleet);
+		return;
+	}
+	g_hash_table_remove(fleet->evacuations, zone);
+	publish_evacuation(fleet, zone, false, revision, source);
+}
+
+static void apply_evacuation(fleet_t *fleet, const store_kv_t *kv,
+			     const char *source)
+{
+	const char *zone = kv->key + strlen(KEY_PREFIX_EVACUATIONS);
+
+	switch (kv->record.kind) {
+	case RECORD_EVACUATION:
+		begin_evacuation(fleet, zone, kv->revision, source);
+		break;
+	case RECORD_NONE:
+		end_evacuation(fleet, zone, kv->revision, source);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Ends the evacuations whose keys were not written again. */
+static void flush_pending_ends(fleet_t *fleet)
+{
+	GPtrArray *ended = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer zone, data;
+
+	g_hash_table_iter_init(&iter, fleet->evacuations);
+	while (g_hash_table_iter_next(&iter, &zone, &data))
+		if (((evacuation_t *)data)->removal_pending)
+			g_ptr_array_add(ended, g_strdup(zone));
+	for (guint i = 0; i < ended->len; i++) {
+		const evacuation_t *known = g_hash_table_lookup(
+			fleet->evacuations, g_ptr_array_index(ended, i));
+
+		end_evacuation(fleet, g_ptr_array_index(ended, i),
+			       known->removal_revision, "store");
+	}
+	g_ptr_array_unref(ended);
+}
+
 /* Removes the targets whose entries were not written again. */
 static void flush_pending_removals(fleet_t *fleet)
 {
@@ -202,16 +322,21 @@
 			g_ptr_array_add(removed, g_strdup(key));
 	for (guint i = 0; i < removed->len; i++)
 		remove_target(fleet, g_ptr_array_index(removed, i));
+	flush_pending_ends(fleet);
 out:
 	g_ptr_array_unref(removed);
 }
 
-static void apply_item(fleet_t *fleet, const store_kv_t *kv)
+static void apply_item(fleet_t *fleet, const store_kv_t *kv, bool relayed)
 {
 	if (strcmp(kv->key, KEY_CONF) == 0) {
 		apply_conf(fleet, &kv->record);
 		return;
 	}
+	if (g_str_has_prefix(kv->key, KEY_PREFIX_EVACUATIONS)) {
+		apply_evacuation(fleet, kv, relayed ? "peer" : "store");
+		return;
+	}
 	if (!g_str_has_prefix(kv->key, KEY_PREFIX_TARGETS))
 		return;
 	if (kv->record.kind == RECORD_FLEET_TARGET)
@@ -236,7 +361,8 @@
 		}
 	}
 	for (guint i = 0; i < result->kvs->len; i++)
-		apply_item(fleet, &g_array_index(result->kvs, store_kv_t, i));
+		apply_item(fleet, &g_array_index(result->kvs, store_kv_t, i),
+			   result->relayed);
 }
 
 static void forward_list_current(const fleet_t *fleet, int64_t as_of)
@@ -257,16 +383,22 @@
 		post_size(fleet, fleet->subscribers[i]);
 }
 
-static void start(fleet_t *fleet)
+static void watch(fleet_t *fleet, const char *prefix)
 {
 	msg_t msg = {.kind = MSG_STORE_WATCH};
 
-	g_strlcpy(msg.u.store_get.key, "fleet/", sizeof(msg.u.store_get.key));
+	g_strlcpy(msg.u.store_get.key, prefix, sizeof(msg.u.store_get.key));
 	msg.u.store_get.prefix = true;
 	kernel_post(fleet->kernel, fleet->svc,
 		    kernel_find(fleet->kernel, "replica"), &msg);
 }
 
+static void start(fleet_t *fleet)
+{
+	watch(fleet, "fleet/");
+	watch(fleet, KEY_PREFIX_EVACUATIONS);
+}
+
 static void receive(void *self, msg_t *msg)
 {
 	fleet_t *fleet = self;
@@ -305,6 +437,8 @@
 	fleet->instances = 1;
 	fleet->targets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->evacuations =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->svc = kernel_register(kernel, "fleet", receive, fleet);
 }
 
@@ -313,5 +447,6 @@
 	kernel_timer_cancel(fleet->kernel, &fleet->removal_timer);
 	fleet_conf_unref(fleet->conf);
 	g_hash_table_unref(fleet->targets);
+	g_hash_table_unref(fleet->evacuations);
 	kernel_unregister(fleet->kernel, fleet->svc);
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -1,8 +1,8 @@
 /*
  * Service "fleet": keeps the configuration in force, the targets that the
- * platform lists and the number of instances, and publishes them to its
- * subscribers.  A configuration is replaced only by a newer version, or by
- * another document of the same version.
+ * platform lists, the zones that are evacuated and the number of instances, and
+ * publishes them to its subscribers.  A configuration is replaced only by a
+ * newer version, or by another document of the same version.
  */
 #ifndef FLEET_FLEET_H
 #define FLEET_FLEET_H
@@ -20,6 +20,7 @@
 	uint32_t subscriber_count;
 	fleet_conf_t *conf; /* NULL until one is received */
 	GHashTable *targets; /* id -> known_target_t */
+	GHashTable *evacuations; /* zone -> evacuation_t */
 	bool store_up;
 	bool behind; /* a newer configuration has not arrived yet */
 	/* Last recovery or restore, monotonic, us. */
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -164,6 +164,7 @@
 	MSG_FLEET_CONF, /* a newer configuration took effect */
 	MSG_FLEET_TARGET, /* a target was added, changed or removed */
 	MSG_FLEET_BEHIND, /* a newer configuration has not arrived yet */
+	MSG_FLEET_EVACUATION, /* a zone's evacuation began or ended */
 	/* replica -> fleet -> subscribers: the list is complete as of then */
 	MSG_LIST_CURRENT,
 	MSG_LIST_REQUEST, /* streams -> replica: read the store soon */
@@ -545,6 +546,10 @@
 			fleet_target_t target;
 			bool gone;
 		} fleet_target;
+		struct {
+			char zone[NAME_SIZE];
+			bool evacuated;
+		} fleet_evacuation;
 		struct {
 			bool behind;
 		} fleet_behind; /* replica -> fleet -> subscribers */
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -87,6 +87,9 @@
 	X(PEERS, "peers", "peers connected")                                \
 	X(TARGETS, "targets", "targets in the configuration")               \
 	X(TARGETS_EJECTED, "targets_ejected", "targets ejected now")        \
+	X(ZONES_EVACUATED, "zones_evacuated", "zones that get no requests") \
+	X(EVACUATED_RUNNING, "evacuated_running",                           \
+	  "own requests that still run in evacuated zones")                 \
 	X(CONF_REVISION, "conf_revision", "highest revision applied")       \
 	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent") \
 	X(WITHHELD_TOKENS, "withheld_tokens",                               \
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -52,6 +52,10 @@
 						: target.draining ? "draining"
 								  : "ready";
 			f->notifications++;
+		} else if (msg->kind == MSG_FLEET_EVACUATION) {
+			f->evacuated[msg->u.fleet_evacuation.zone] =
+				msg->u.fleet_evacuation.evacuated;
+			f->evacuation_notifications++;
 		}
 	}
 	void send_event(store_result_t *result)
@@ -110,6 +114,18 @@
 				 &record);
 		send_event(result);
 	}
+	void put_evacuation(const char *zone,
+			    record_kind_t kind = RECORD_EVACUATION)
+	{
+		store_result_t *result = store_result_new(STORE_OK);
+		record_t record = {};
+
+		record.kind = kind;
+		store_result_add(result, 0,
+				 (std::string("evacuation/") + zone).c_str(), 3,
+				 &record);
+		send_event(result);
+	}
 	void run_for(int64_t us)
 	{
 		kernel_run_until(&kernel, kernel_now(&kernel) + us);
@@ -120,6 +136,8 @@
 	int64_t version = 0;
 	std::map<std::string, std::string> targets;
 	int notifications = 0, conf_notifications = 0;
+	std::map<std::string, bool> evacuated;
+	int evacuation_notifications = 0;
 };
 
 TEST_F(Fleet, ConfigurationNeverReverts)
@@ -220,6 +238,68 @@
 	EXPECT_EQ(targets["i-1"], "gone");
 }
 
+// Guards against an evacuation that a subscriber misses because it subscribes
+// later, and against news without a change.
+TEST_F(Fleet, EvacuationIsToldToAllSubscribersOnce)
+{
+	msg_t subscribe = {};
+
+	put_evacuation("z1");
+	put_evacuation("z1");
+	EXPECT_TRUE(evacuated["z1"]);
+	EXPECT_EQ(evacuation_notifications, 1);
+	EXPECT_EQ(kernel.metrics->gauges[GAUGE_ZONES_EVACUATED], 1);
+	subscribe.kind = MSG_FLEET_SUBSCRIBE;
+	kernel_post(&kernel, listener, fleet.svc, &subscribe);
+	run_for(0);
+	EXPECT_EQ(evacuation_notifications, 2);
+	put_evacuation("z1", RECORD_NONE);
+	EXPECT_FALSE(evacuated["z1"]);
+	EXPECT_EQ(kernel.metrics->gauges[GAUGE_ZONES_EVACUATED], 0);
+	put_evacuation("z2", RECORD_INVALID);
+	EXPECT_EQ(evacuated.count("z2"), 0u);
+}
+
+// Guards against requests to an evacuated zone because its key was missing
+// around an outage, and against an evacuation that never ends.
+TEST_F(Fleet, EvacuationEndsOnlyOnceTheStoreAnswers)
+{
+	put_evacuation("z1");
+	put_evacuation("z2");
+	set_store_up(false);
+	put_evacuation("z1", RECORD_NONE);
+	run_for(10 * USEC_PER_SEC);
+	EXPECT_TRUE(evacuated["z1"]);
+	set_store_up(true);
+	put_evacuation("z2", RECORD_NONE);
+	run_for(1900 * USEC_PER_MSEC);
+	EXPECT_TRUE(evacuated["z1"]);
+	put_evacuation("z2");
+	run_for(200 * USEC_PER_MSEC);
+	EXPECT_FALSE(evacuated["z1"]);
+	EXPECT_TRUE(evacuated["z2"]);
+}
+
+// Guards against an evacuation that ends at once because the store was restored
+// from a copy that is older than its key.
+TEST_F(Fleet, EvacuationMissingInARestoredStoreIsKeptForAWhile)
+{
+	store_result_t *restored = store_result_new(STORE_OK);
+
+	put_evacuation("z1");
+	put_evacuation("z2");
+	restored->revision = revision_make(2, 0);
+	send_event(restored);
+	put_evacuation("z1", RECORD_NONE);
+	put_evacuation("z2", RECORD_NONE);
+	run_for(1900 * USEC_PER_MSEC);
+	EXPECT_TRUE(evacuated["z1"]);
+	put_evacuation("z2");
+	run_for(200 * USEC_PER_MSEC);
+	EXPECT_FALSE(evacuated["z1"]);
+	EXPECT_TRUE(evacuated["z2"]);
+}
+
 struct mesh_world_t;
 
 // One instance with its own kernel and a fake peer service.
