Send nothing to targets of evacuated zones

balance passes over targets of an evacuated zone before anything else about them is looked at (reason "evacuated"), so new requests, retries, take-ups and probes go elsewhere. The home gives no permit for such a target, also to an instance that does not know of the evacuation yet, and no report is asked of it. Requests that wait run through the queue again when an evacuation begins or ends. A service whose targets are all evacuated, draining or leaving is refused at once with Retry-After; a stream whose version only an evacuated zone has is treated as one whose version is gone. A gauge counts the own requests that still run in the zone, also at targets that have left the list.

The buffer for the counts in log lines grows, since the counts of nine reasons did not fit in 160 bytes in the worst case.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -1,6 +1,7 @@
 #include "balance/balance.h"
 #include "balance/brittle.h"
 
+#include "balance/evacuation.h"
 #include "balance/flow.h"
 #include "balance/home.h"
 #include "balance/notice.h"
@@ -79,6 +80,7 @@
 	/* targets_by_id refers to the id, which is the same. */
 	target->info = *info;
 	target->unavailable = info->draining;
+	target->evacuated = evacuation_covers(balance, info->zone);
 	update_service_info(balance, target);
 	queue_run(balance);
 }
@@ -169,6 +171,9 @@
 	case MSG_FLEET_TARGET:
 		target_changed(balance, msg);
 		break;
+	case MSG_FLEET_EVACUATION:
+		evacuation_changed(balance, msg);
+		break;
 	case MSG_FLEET_SIZE:
 		balance->instances = msg->u.fleet_size.instances;
 		break;
@@ -233,6 +238,7 @@
 	process_init(balance);
 	notices_init(balance);
 	flows_init(balance);
+	evacuation_init(balance);
 	balance->targets_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
 }
@@ -253,6 +259,7 @@
 	table_finish(&balance->asks);
 	notices_finish(balance);
 	flows_finish(balance);
+	evacuation_finish(balance);
 	peer_set_finish(&balance->peers);
 	kernel_unregister(balance->kernel, balance->svc);
 }
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -42,6 +42,7 @@
 	table_t queue; /* queued_t */
 	table_t placements; /* placement_t */
 	GHashTable *targets_by_id; /* id -> balance_target_t */
+	GHashTable *evacuated; /* set of zones; see balance/evacuation.h */
 	GHashTable *flows; /* service -> flow_t */
 	GHashTable *kept_notices; /* id -> kept_notice_t, of unlisted targets */
 	uint64_t arrivals; /* orders queued requests of equal priority */
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -85,7 +85,7 @@
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
 	       NULL) {
 		if (!target->engine || target->unavailable ||
-		    target->notice.leaving ||
+		    target->evacuated || target->notice.leaving ||
 		    strcmp(target->info.service, request->u.place.service) != 0)
 			continue;
 		score = balance_target_affinity(target, request->u.place.parts,
@@ -129,7 +129,8 @@
 	return strcmp(target->info.service, request->u.place.service) == 0 &&
 	       !has_other_version(target, request) &&
 	       !is_doubted(target, request) && !target->unavailable &&
-	       !target->notice.leaving && !is_avoided(request, target->self);
+	       !target->evacuated && !target->notice.leaving &&
+	       !is_avoided(request, target->self);
 }
 
 limit_request_t balance_limit_request(const msg_t *request, int64_t now)
@@ -196,6 +197,8 @@
 				    const balance_target_t *target,
 				    const msg_t *request, int64_t now)
 {
+	if (target->evacuated)
+		return PASS_EVACUATED;
 	if (has_other_version(target, request))
 		return PASS_VERSION;
 	if (is_doubted(target, request))
--- a/balance/permit.c
+++ b/balance/permit.c
@@ -219,7 +219,8 @@
 		.priority = body->u.permit_request.priority,
 	};
 
-	if (target == NULL) {
+	/* The peer may not know of the evacuation yet. */
+	if (target == NULL || target->evacuated) {
 		admission.admitted = false;
 		admission.at = now + UNLISTED_RETRY_US;
 		goto out;
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -1,6 +1,7 @@
 #include "balance/placement.h"
 
 #include "balance/brittle.h"
+#include "balance/evacuation.h"
 #include "balance/notice.h"
 #include "balance/permit.h"
 #include "balance/process.h"
@@ -64,6 +65,7 @@
 
 	placement->self = self;
 	placement->target = target->self;
+	g_strlcpy(placement->zone, target->info.zone, sizeof(placement->zone));
 	placement->placed_at = kernel_now(balance->kernel);
 	placement->prefill_tokens =
 		MAX(request->u.place.prompt_tokens - cached, 0);
@@ -207,5 +209,6 @@
 		record_result(balance, target, msg->u.place_done.result);
 	}
 	table_remove(&balance->placements, msg->ref);
+	evacuation_count_running(balance);
 	queue_run(balance);
 }
--- a/balance/placement.h
+++ b/balance/placement.h
@@ -11,6 +11,7 @@
 typedef struct placement_t {
 	handle_t self;
 	handle_t target;
+	char zone[NAME_SIZE]; /* of the target, which may be gone */
 	int64_t placed_at; /* monotonic, us; 0 once the first byte came */
 	int64_t prefill_tokens; /* unread tokens; 0 after the first byte */
 	GList link; /* in the target's unanswered; data is NULL if not */
--- a/balance/process.c
+++ b/balance/process.c
@@ -149,7 +149,8 @@
 
 static bool takes_streams(const balance_target_t *target)
 {
-	return !target->unavailable && !target->notice.leaving;
+	return !target->unavailable && !target->evacuated &&
+	       !target->notice.leaving;
 }
 
 void process_want(balance_t *balance, balance_target_t *target)
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -1,6 +1,7 @@
 #include "balance/queue.h"
 
 #include "balance/choose.h"
+#include "balance/evacuation.h"
 #include "balance/flow.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
@@ -11,9 +12,11 @@
 /* Suggested to a refused caller if it isn't known when a target has room. */
 #define RETRY_AFTER_MS 300
 #define RETRY_AFTER_MAX_MS 60000
+/* An instance learns of the end of an evacuation within about a second. */
+#define EVACUATED_TIME_US USEC_PER_SEC
 /* By then, a target that sent no report has been asked again. */
 #define DOUBT_TIME_US USEC_PER_SEC
-#define PASSED_OVER_SIZE 160 /* bytes, with terminator */
+#define PASSED_OVER_SIZE 320 /* bytes, with terminator */
 
 static void refuse(balance_t *balance, const msg_t *request, refusal_t reason,
 		   uint32_t retry_after_ms)
@@ -223,7 +226,7 @@
 		return false;
 	for (int i = PASS_NONE + 1; i < PASS_COUNT; i++)
 		if (i != PASS_VERSION && i != PASS_DOUBTED &&
-		    choice->passed_over.count[i] > 0)
+		    i != PASS_EVACUATED && choice->passed_over.count[i] > 0)
 			return false;
 	return true;
 }
@@ -248,6 +251,11 @@
 	refuse(balance, request, REFUSAL_NO_TARGET, wait_ms);
 }
 
+static int64_t evacuated_until(const balance_t *balance)
+{
+	return kernel_now(balance->kernel) + EVACUATED_TIME_US;
+}
+
 /* Asks for permits as long as this instance answers them itself. */
 static void try_place(balance_t *balance, queued_t *queued)
 {
@@ -271,6 +279,11 @@
 			wait_or_refuse(balance, queued, &choice);
 			return;
 		case CHOICE_NONE:
+			if (evacuation_leaves_none(&choice)) {
+				refuse_choice(balance, queued, &choice,
+					      evacuated_until(balance));
+				return;
+			}
 			if (!is_version_gone(request, &choice))
 				return;
 			refuse_version(balance, request, &choice);
@@ -299,7 +312,7 @@
 	}
 	enqueue(balance, msg);
 	/* More urgent requests claim their permits first. */
-	if (choice.kind != CHOICE_NONE)
+	if (choice.kind != CHOICE_NONE || evacuation_leaves_none(&choice))
 		queue_run(balance);
 }
 
--- a/balance/target.h
+++ b/balance/target.h
@@ -50,6 +50,7 @@
 	process_doubt_t doubt;
 	int64_t kv_cache_tokens; /* capacity of the KV cache */
 	bool unavailable; /* draining or gone: gets no new requests */
+	bool evacuated; /* its zone gets no new requests */
 	uint32_t outstanding; /* requests of this instance */
 	GQueue unanswered; /* placement_t without a first byte, oldest first */
 	int64_t prefill_tokens; /* tokens of requests without a first byte */
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -120,6 +120,20 @@
 		kernel_post(&kernel, fleet, balance.svc, &msg);
 		run(0);
 	}
+	void set_evacuated(const char *zone, bool evacuated)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_FLEET_EVACUATION;
+		g_strlcpy(msg.u.fleet_evacuation.zone, zone, NAME_SIZE);
+		msg.u.fleet_evacuation.evacuated = evacuated;
+		kernel_post(&kernel, fleet, balance.svc, &msg);
+		run(0);
+	}
+	int64_t gauge(gauge_t id) const
+	{
+		return kernel.metrics->gauges[id];
+	}
 	void set_fleet_size(uint32_t instances)
 	{
 		msg_t msg = {};
@@ -776,6 +790,180 @@
 	EXPECT_EQ(a.placed.size(), 3u);
 }
 
+// Guards against requests to a zone that operators have evacuated, whatever the
+// order in which the evacuation and the targets become known, and against a
+// zone that stays evacuated after its end.
+TEST(Balance, EvacuatedZoneGetsNothingUntilItsEnd)
+{
+	instance_t a("z1", 1);
+
+	a.set_evacuated("z1", true);
+	a.set_target("call", "i-1", "z1");
+	a.set_target("call", "i-2", "z2");
+	for (uint32_t i = 1; i <= 20; i++) {
+		a.request(i, "call");
+		ASSERT_EQ(a.placed.size(), i);
+		EXPECT_EQ(a.placed.back().second, "i-2");
+		a.finish_request(i - 1, PLACE_OK);
+	}
+	EXPECT_EQ(a.kernel.metrics->passed_over[PASS_EVACUATED], 20u);
+	// Neither another process at the address nor an unknown zone ends it.
+	a.set_target("call", "i-1", "z1", false, false, 8, 2);
+	a.set_evacuated("z9", true);
+	a.set_evacuated("z9", false);
+	a.request(21, "call");
+	EXPECT_EQ(a.placed.back().second, "i-2");
+	a.set_evacuated("z1", false);
+	a.set_evacuated("z2", true);
+	a.request(22, "call");
+	EXPECT_EQ(a.placed.back().second, "i-1");
+}
+
+// Guards against callers that are held although every target of their service
+// is in an evacuated zone, or is about to leave, and against a service without
+// evacuated targets that no longer waits for one.
+TEST(Balance, RequestIsRefusedAtOnceWhileAllTargetsAreEvacuated)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("call", "i-1", "z1", false, false, 1);
+	a.set_target("call", "i-2", "z2", true);
+	a.request(1, "call");
+	a.request(2, "call");
+	a.request(3, "call");
+	ASSERT_EQ(a.placed.size(), 2u);
+	ASSERT_TRUE(a.refused.empty());
+	// The third waits for room at a target of the zone.
+	a.set_evacuated("z1", true);
+	ASSERT_EQ(a.refused, std::vector<uint32_t>{3});
+	a.request(4, "call");
+	EXPECT_EQ(a.refused, (std::vector<uint32_t>{3, 4}));
+	EXPECT_EQ(a.reason, REFUSAL_NO_TARGET);
+	EXPECT_GE(a.retry_after_ms, 1000u);
+	EXPECT_LT(a.retry_after_ms, 2000u);
+	a.request(5, "engine");
+	EXPECT_EQ(a.refused.size(), 2u);
+}
+
+// Guards against requests that wait for a zone although another one has room,
+// and against ones that miss the end of an evacuation.
+TEST(Balance, WaitingRequestsArePlacedAnewWhenAnEvacuationBeginsOrEnds)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("call", "i-1", "z1", false, false, 1);
+	a.set_target("call", "i-2", "z2", false, false, 1);
+	a.set_evacuated("z2", true);
+	for (uint32_t i = 1; i <= 3; i++)
+		a.request(i, "call");
+	ASSERT_EQ(a.placed.size(), 2u);
+	a.set_evacuated("z2", false);
+	ASSERT_EQ(a.placed.size(), 3u);
+	EXPECT_EQ(a.placed[2].second, "i-2");
+	a.request(4, "call");
+	a.request(5, "call");
+	ASSERT_EQ(a.placed.size(), 4u);
+	// The waiting request is not sent to the zone when it has room there.
+	a.set_evacuated("z1", true);
+	a.finish_request(0, PLACE_OK);
+	EXPECT_EQ(a.placed.size(), 4u);
+	a.finish_request(2, PLACE_OK);
+	ASSERT_EQ(a.placed.size(), 5u);
+	EXPECT_EQ(a.placed[4].second, "i-2");
+}
+
+// Guards against a stream that goes on in an evacuated zone, or at another
+// version of the software, or that waits for a version which only an evacuated
+// zone has.
+TEST(Balance, StreamOfAnEvacuatedZoneGoesOnAtItsVersionElsewhere)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("engine", "i-1", "z1", false, false, 8, 1, "v1");
+	a.set_target("engine", "i-2", "z2", false, false, 8, 1, "v2");
+	a.set_target("engine", "i-3", "z3", false, false, 8, 1, "v1");
+	a.set_evacuated("z1", true);
+	a.request(1, "engine", 0, 0, "v1");
+	ASSERT_EQ(a.placed.size(), 1u);
+	EXPECT_EQ(a.placed[0].second, "i-3");
+	a.set_evacuated("z3", true);
+	a.request(2, "engine", 0, 0, "v1");
+	EXPECT_EQ(a.placed.size(), 1u);
+	ASSERT_EQ(a.refused.size(), 1u);
+	EXPECT_EQ(a.reason, REFUSAL_NO_TARGET);
+}
+
+// Guards against a report that is asked of a target in an evacuated zone for
+// the sake of a stream that may not go there.
+TEST(Balance, TargetInDoubtIsNotAskedWhileItsZoneIsEvacuated)
+{
+	instance_t a("z1", 1);
+
+	a.run(1000);
+	a.set_target("engine", "t1", "z1");
+	a.set_target("engine", "t2", "z2");
+	a.request(1, "engine", 1, 0, "v1");
+	a.request(2, "engine", 2, 0, "v1");
+	a.finish_request(0, PLACE_RESET);
+	a.finish_request(1, PLACE_RESET);
+	a.set_evacuated("z1", true);
+	a.set_evacuated("z2", true);
+	a.request(3, "engine", 1, 0, "v1");
+	EXPECT_EQ(a.refused.size(), 1u);
+	a.run(USEC_PER_SEC);
+	EXPECT_EQ(a.reports, 0u);
+}
+
+// Guards against a home that gives permits for a target of an evacuated zone to
+// an instance that does not know of the evacuation yet.
+TEST(Balance, HomeGivesNoPermitForAnEvacuatedTarget)
+{
+	instance_t a("z1", 1);
+	peer_body_t asked = {};
+	size_t answers = 0;
+
+	a.set_target("engine", "t1", "z1");
+	asked.kind = PEER_PERMIT_REQUEST;
+	g_strlcpy(asked.u.permit_request.target, "t1", NAME_SIZE);
+	asked.u.permit_request.wait_us = 100000;
+	asked.u.permit_request.limit.kind = LIMIT_STATED;
+	asked.u.permit_request.limit.per_ks = 100000;
+	for (bool evacuated : {false, true}) {
+		a.set_evacuated("z1", evacuated);
+		a.receive_from_peer(asked);
+		for (auto &body : a.announced) {
+			if (body.kind != PEER_PERMIT_REPLY)
+				continue;
+			EXPECT_EQ(body.u.permit_reply.admitted, !evacuated);
+			answers++;
+		}
+		a.announced.clear();
+	}
+	EXPECT_EQ(answers, 2u);
+}
+
+// Guards against a zone that looks empty while requests of this instance still
+// run there, also at a target that has left the list meanwhile.
+TEST(Balance, RequestsThatStillRunInAnEvacuatedZoneAreCounted)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("call", "i-1", "z1");
+	a.request(1, "call");
+	a.request(2, "call");
+	a.request(3, "call");
+	EXPECT_EQ(a.gauge(GAUGE_EVACUATED_RUNNING), 0);
+	a.set_evacuated("z1", true);
+	EXPECT_EQ(a.gauge(GAUGE_EVACUATED_RUNNING), 3);
+	a.finish_request(0, PLACE_OK);
+	EXPECT_EQ(a.gauge(GAUGE_EVACUATED_RUNNING), 2);
+	a.set_target("call", "i-1", "z1", false, true);
+	a.finish_request(1, PLACE_OK);
+	EXPECT_EQ(a.gauge(GAUGE_EVACUATED_RUNNING), 1);
+	a.set_evacuated("z1", false);
+	EXPECT_EQ(a.gauge(GAUGE_EVACUATED_RUNNING), 0);
+}
+
 // Guards against a peer's news of a leaving target that is lost because the
 // target is not listed yet, or that is held against its next process.
 TEST(Balance, PeersTellOfLeavingTargets)
