Play evacuations of a zone in the soak

A seed "evacuated-N" puts the workers into two zones; an operator writes the key of one of them beside stops, kills, pauses and outages of the store, and removes it later. Checked: 5 s after the store took the key no request of a gateway that reached the store for as long arrives at a worker of the zone, and the zone is used again after the end.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import random
 import signal
 
+import evacuated
 import relay
 import renewed
 
@@ -164,6 +165,8 @@
                          soak.add_worker_fault)
     elif fault.kind == "renew":
         await renewed.renew(soak, fault)
+    elif fault.kind == "evacuate":
+        await evacuated.perform(soak, fault)
     elif fault.kind == "worker_crash":
         await soak.replace_worker(fault.selector, crash=True)
     elif fault.kind == "worker_drain":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,8 +6,9 @@
 requests of the clients, but not the scheduling of the processes.  A seed with
 the prefix "planned-" plays planned work only, one with the prefix "stated-"
 also workers that state what they want, one with the prefix "restored-" a
-store that comes back from a copy, twice, and one with the prefix "renewed-"
-workers that start again under their ids with other software.
+store that comes back from a copy, twice, one with the prefix "renewed-"
+workers that start again under their ids with other software, and one with the
+prefix "evacuated-" the evacuation of a zone.
 """
 import argparse
 import asyncio
@@ -22,6 +23,7 @@
 import time
 
 import clients
+import evacuated
 import faults
 import gateways
 import planned
@@ -46,6 +48,7 @@
 STATED_PREFIX = "stated-"
 RESTORED_PREFIX = "restored-"
 RENEWED_PREFIX = "renewed-"
+EVACUATED_PREFIX = "evacuated-"
 COPY_INTERVAL_S = 0.5  # between two copies of the store
 STEPS_STATED = 6  # statements of a run
 
@@ -58,6 +61,8 @@
         self.args = args
         self.prefix = prefix
         self.is_planned = prefix == PLANNED_PREFIX
+        self.evacuated_at = {}  # zone -> time, while it is evacuated
+        self.returned_at = {}  # zone -> time
         self.joined = []  # take-ups of streams with events of two versions
         # (time, limits) of the configurations
         self.limits = [(0, {"idle_timeout_ms": 15000, "timeout_ms": 6000,
@@ -91,6 +96,11 @@
     def now(self):
         return time.monotonic() - self.epoch
 
+    def zone(self, number):
+        """Returns the zone of the worker with this number of its service."""
+        return evacuated.zone(number) if self.prefix == EVACUATED_PREFIX \
+            else "a"
+
     def add_worker_fault(self, until):
         self.worker_faults.add(self.now(), until)
 
@@ -170,6 +180,9 @@
         worker.crash()
         self.links.pop(worker).close()
 
+    def record_arrival(self, worker, attempt):
+        evacuated.arrived(self, worker, attempt)
+
     def record_statement(self, attempt, fields):
         runs = self.runs.get(attempt.id, [])
         if runs:
@@ -419,6 +432,9 @@
     if prefix == RENEWED_PREFIX:
         return sorted(renewed.plan(seed, args.seconds, args.faults),
                       key=lambda step: step.start_s)
+    if prefix == EVACUATED_PREFIX:
+        return sorted(evacuated.plan(seed, args.seconds, args.faults),
+                      key=lambda step: step.start_s)
     if prefix == RESTORED_PREFIX:
         return sorted(faults.plan_restores(seed, args.seconds, args.faults),
                       key=lambda step: step.start_s)
@@ -440,6 +456,7 @@
         for gateway in soak.gateways:
             await gateway.kill()
     renewed.check(soak)
+    evacuated.check(soak)
     spent = soak.check_tokens()
     for attempt in soak.cut:
         # Delays of this process are known only afterwards.
@@ -464,7 +481,7 @@
     for part in text.split(","):
         prefix = ""
         for each in (PLANNED_PREFIX, STATED_PREFIX, RESTORED_PREFIX,
-                     RENEWED_PREFIX):
+                     RENEWED_PREFIX, EVACUATED_PREFIX):
             if part.startswith(each):
                 prefix = each
         first, _, last = part.removeprefix(prefix).partition("-")
@@ -475,7 +492,8 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--binary", default="build/tanagertrestle")
-    parser.add_argument("--seeds", default="1", help="as 1,5-9,planned-1-4,stated-1-4,restored-1-4,renewed-1-4")
+    parser.add_argument("--seeds", default="1", help="as 1,5-9,planned-1-4,stated-1-4,restored-1-4,renewed-1-4,"
+                        "evacuated-1-4")
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--clients", type=int, default=24)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -55,6 +55,7 @@
         self.soak = soak
         self.service = service
         self.id = "i-%s-%d" % (service, number)
+        self.zone = soak.zone(number)
         self.slots = slots
         self.service_time_s = service_time_s
         self.running = 0
@@ -82,7 +83,7 @@
     def _write(self):
         self.sequence += 1
         self.soak.store.write("servers/" + self.id, json.dumps({
-            "service": self.service, "address": self.address, "zone": "a",
+            "service": self.service, "address": self.address, "zone": self.zone,
             "version": str(self.software), "batch_slots": self.slots, "state": self.state,
             "cold_remaining_ms": 0, "sequence": self.sequence,
             "born": self.born}).encode())
@@ -166,6 +167,8 @@
         attempt = self.soak.attempts.get(attempt_id)
         if attempt is not None:
             self.statements.arrived(attempt)
+        if attempt is not None and fields.get("expect-instance") == self.id:
+            self.soak.record_arrival(self, attempt)
         stated = self.statements.fields()
         if fields.get("expect-instance") != self.id:
             code, reason = 421, "misdirected"
