Test evacuations in a large fleet and beside a former build

Further tests cover a replica that starts without the store beside the former build, reports of targets in doubt, and the choice of targets for prompts.

--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -906,14 +906,36 @@
 	a.request(2, "engine", 2, 0, "v1");
 	a.finish_request(0, PLACE_RESET);
 	a.finish_request(1, PLACE_RESET);
+	// It waits for the report of either.
+	a.request(3, "engine", 1, 0, "v1");
+	EXPECT_TRUE(a.refused.empty());
 	a.set_evacuated("z1", true);
 	a.set_evacuated("z2", true);
-	a.request(3, "engine", 1, 0, "v1");
 	EXPECT_EQ(a.refused.size(), 1u);
 	a.run(USEC_PER_SEC);
 	EXPECT_EQ(a.reports, 0u);
 }
 
+// Guards against prompts that are read at several targets, since the ones that
+// all instances prefer for them are in an evacuated zone.
+TEST(Balance, InstancesAgreeOnTargetsOutsideOfAnEvacuatedZone)
+{
+	instance_t a("z3", 1), b("z3", 2);
+
+	for (instance_t *i : {&a, &b}) {
+		for (int t = 0; t < 8; t++)
+			i->set_target("engine",
+				      ("t" + std::to_string(t)).c_str(),
+				      t < 5 ? "z1" : "z2");
+		i->set_evacuated("z1", true);
+		for (uint32_t n = 1; n <= 20; n++) {
+			i->request(n, "engine", 100 + n);
+			i->finish_request(n - 1, PLACE_OK);
+		}
+	}
+	EXPECT_EQ(a.placed, b.placed);
+}
+
 // Guards against a home that gives permits for a target of an evacuated zone to
 // an instance that does not know of the evacuation yet.
 TEST(Balance, HomeGivesNoPermitForAnEvacuatedTarget)
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <functional>
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
@@ -159,6 +160,7 @@
 				msg->u.peer.body->u.conf_offer.version);
 		} else if (msg->u.peer.body->kind == PEER_STORE_PULL) {
 			r->pulls.push_back(msg->u.peer.incarnation);
+			r->pull_after = msg->u.peer.body->u.store_pull.after;
 		} else {
 			r->pushes[msg->u.peer.incarnation]++;
 			r->pushed += msg->u.peer.body->u.store_items.items->len;
@@ -283,7 +285,7 @@
 	std::map<std::string, bool> relayed; // the last event, by a peer
 	size_t pushed = 0, decoded = 0; // number of items
 	size_t push_marks = 0;
-	int64_t push_after = 0, push_up_to = 0;
+	int64_t push_after = 0, push_up_to = 0, pull_after = -1;
 	bool push_partial = false;
 	int64_t list_as_of = -1;
 	bool behind = false;
@@ -841,6 +843,9 @@
 	run(USEC_PER_SEC);
 	receive_items(9, 30, TARGET, true, false, false, true);
 	EXPECT_EQ(seen[TARGET], RECORD_NONE);
+	EXPECT_EQ(replica.revision, 9);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(pull_after, 9);
 	receive_items(9, 20, "evacuation/z1", false, false);
 	EXPECT_EQ(seen["evacuation/z1"], RECORD_EVACUATION);
 }
@@ -864,6 +869,23 @@
 	EXPECT_FALSE(replica.incomplete);
 }
 
+// The same while the store stays away: the whole state is asked for until a
+// peer of this build has sent it.
+TEST_F(Replica, StateOfTheFormerBuildIsCompletedByAPeer)
+{
+	watch("evacuation/");
+	status = STORE_UNAVAILABLE;
+	peer_up("a100", "y");
+	start();
+	receive_items(0, 30, TARGET, false, false, false, true);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(pull_after, 0);
+	receive_items(0, 30, "evacuation/z1", false, false);
+	EXPECT_EQ(seen["evacuation/z1"], RECORD_EVACUATION);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(pull_after, 30);
+}
+
 // A peer that was cut off does not know of the deletion.
 TEST_F(Replica, PeerBringsNoDeletedKeyBack)
 {
@@ -961,6 +983,8 @@
 struct fleet_t;
 
 struct member_t {
+	void read_evacuation(const msg_t *msg, store_result_t *result) const;
+
 	fleet_t *fleet;
 	std::string incarnation, zone;
 	kernel_t kernel;
@@ -968,6 +992,7 @@
 	svc_t store, peer;
 	bool silent = false; // sends nothing, as if paused
 	bool cut = false; // its calls to the store fail
+	bool former = false; // of a build that passes over evacuations
 	int calls = 0;
 };
 
@@ -976,6 +1001,7 @@
 	std::vector<std::unique_ptr<member_t>> members;
 	int64_t now = 0;
 	int64_t revision = 9;
+	int64_t evacuation = 0; // revision of the key; 0: absent
 
 	fleet_t()
 	{
@@ -1041,14 +1067,31 @@
 			result->status = STORE_OK;
 			result->revision =
 				msg->u.peer.body->u.store_items.up_to;
+			copy_evacuations(msg->u.peer.body, result);
 		} else {
 			member->calls++;
+			member->read_evacuation(msg, result);
 		}
 		reply.kind = MSG_STORE_RESULT;
 		reply.ref = msg->id;
 		reply.u.store_result = result;
 		kernel_post(&member->kernel, member->store, msg->from, &reply);
 	}
+	static void copy_evacuations(const peer_body_t *body,
+				     store_result_t *result)
+	{
+		const GArray *items = body->u.store_items.items;
+
+		for (guint i = 0; i < items->len; i++) {
+			const store_item_t *item =
+				&g_array_index(items, store_item_t, i);
+			record_t record = {};
+
+			record.kind = RECORD_EVACUATION;
+			store_result_add_raw(result, item->key, item->revision,
+					     &record, item->value);
+		}
+	}
 	static void on_peer(void *self, msg_t *msg)
 	{
 		member_t *from = static_cast<member_t *>(self);
@@ -1056,11 +1099,15 @@
 
 		if (msg->kind != MSG_PEER_SEND || from->silent)
 			return;
+		if (from->former)
+			drop_what_is_new(msg->u.peer.body);
 		for (auto &to : from->fleet->members) {
 			if (to->incarnation != msg->u.peer.incarnation)
 				continue;
 			copy.kind = MSG_PEER_RECEIVED;
 			copy.u.peer.body = g_steal_pointer(&msg->u.peer.body);
+			if (to->former)
+				accept_as_former(copy.u.peer.body);
 			g_strlcpy(copy.u.peer.incarnation,
 				  from->incarnation.c_str(),
 				  sizeof(copy.u.peer.incarnation));
@@ -1069,6 +1116,41 @@
 			return;
 		}
 	}
+	// A former build neither marks its messages nor passes the key on.
+	static void drop_what_is_new(const peer_body_t *body)
+	{
+		GArray *items = body->u.store_items.items;
+
+		if (body->kind != PEER_STORE_ITEMS)
+			return;
+		for (guint i = items->len; i > 0; i--)
+			if (g_str_has_prefix(
+				    g_array_index(items, store_item_t, i - 1)
+					    .key,
+				    "evacuation"))
+				g_array_remove_index(items, i - 1);
+	}
+	// It takes each message for complete, and passes over the key.
+	static void accept_as_former(const peer_body_t *body)
+	{
+		store_item_t mark = {};
+
+		drop_what_is_new(body);
+		if (body->kind != PEER_STORE_ITEMS)
+			return;
+		g_strlcpy(mark.key, REPLICA_KEY_COMPLETE, sizeof(mark.key));
+		g_array_append_val(body->u.store_items.items, mark);
+	}
+	size_t count_knowing(bool former) const
+	{
+		size_t count = 0;
+
+		for (auto &member : members)
+			count += member->former == former &&
+				 g_hash_table_contains(member->replica.entries,
+						       "evacuation/z1");
+		return count;
+	}
 	void run(int64_t us)
 	{
 		for (int64_t end = now + us; now < end;) {
@@ -1108,6 +1190,71 @@
 	}
 };
 
+void member_t::read_evacuation(const msg_t *msg, store_result_t *result) const
+{
+	record_t record = {};
+	GBytes *raw;
+
+	if (former || fleet->evacuation == 0 || cut ||
+	    (msg->kind == MSG_STORE_LIST &&
+	     strcmp(msg->u.store_list.prefix, "evacuation/") != 0) ||
+	    (msg->kind == MSG_STORE_CHANGES &&
+	     msg->u.store_get.min_revision >= fleet->evacuation))
+		return;
+	raw = g_bytes_new("x", 1);
+	record.kind = RECORD_EVACUATION;
+	store_result_add_raw(result, "evacuation/z1", fleet->evacuation,
+			     &record, raw);
+	g_bytes_unref(raw);
+}
+
+// Guards against an evacuation that reaches an instance too late: the bound is
+// 5 s for all of them together, which read, pass on and place.
+TEST(ReplicaFleet, EvacuationReachesAllSoon)
+{
+	fleet_t fleet;
+
+	fleet.run(10 * USEC_PER_SEC);
+	fleet.evacuation = ++fleet.revision;
+	fleet.run(2 * USEC_PER_SEC);
+	EXPECT_EQ(fleet.count_knowing(false), fleet.members.size());
+}
+
+// Guards against an evacuation that instances of this build never learn while
+// the reader or the relays are of a former build, which pass over its key; and
+// against calls without bound meanwhile.
+TEST(ReplicaFleet, EvacuationReachesInstancesBesideTheFormerBuild)
+{
+	// By the rank in the zone: 0 and 1 are relays, 0 of zone 0 the reader.
+	const std::function<bool(size_t, size_t)> patterns[] = {
+		[](size_t rank, size_t) { return rank == 0; },
+		[](size_t rank, size_t) { return rank < 2; },
+		[](size_t rank, size_t zone) { return rank + zone > 0; },
+		[](size_t rank, size_t zone) { return rank < 2 && zone > 0; },
+		[](size_t rank, size_t) { return rank % 2 == 0; },
+		[](size_t rank, size_t) { return rank != ZONE_SIZE - 1; },
+	};
+
+	for (size_t p = 0; p < G_N_ELEMENTS(patterns); p++) {
+		fleet_t fleet;
+		size_t present = 0;
+
+		for (size_t i = 0; i < fleet.members.size(); i++) {
+			fleet.members[i]->former =
+				patterns[p](i / ZONES, i % ZONES);
+			present += !fleet.members[i]->former;
+		}
+		fleet.run(10 * USEC_PER_SEC);
+		fleet.clear_calls();
+		fleet.evacuation = ++fleet.revision;
+		fleet.run(2 * USEC_PER_SEC);
+		EXPECT_EQ(fleet.count_knowing(false), present) << p;
+		EXPECT_EQ(fleet.count_knowing(true), 0u) << p;
+		// Four reads of each in 2 s, at an interval of 600 ms.
+		EXPECT_LE(fleet.calls(), (int)(4 * (present + ZONES))) << p;
+	}
+}
+
 // Guards against calls that grow with the zones or the size of the fleet; each
 // one is billed.
 TEST(ReplicaFleet, ReadsTheStoreAsOneInCalm)
