--- a/replica/relay.c
+++ b/replica/relay.c
@@ -370,17 +370,30 @@
 }
 
 /* Has the store service decode the items, as it decodes what it reads. */
+static void decode_items(replica_t *replica, msg_t *msg, replica_read_t kind)
+{
+	msg_t decode = {.kind = MSG_STORE_DECODE,
+			.id = {.index = kind, .gen = 1}};
+
+	decode.u.peer.body = g_steal_pointer(&msg->u.peer.body);
+	kernel_post(replica->kernel, replica->svc, replica->store, &decode);
+}
+
 static void items_received(replica_t *replica, msg_t *msg)
 {
 	const peer_body_t *body = msg->u.peer.body;
-	msg_t decode = {.kind = MSG_STORE_DECODE,
-			.id = {.index = READ_RELAYED, .gen = 1}};
 	bool complete = take_complete_mark(body->u.store_items.items);
 
-	/* An instance that reaches the store reads for itself instead. */
-	if (!complete && replica->store_up)
-		return;
 	drop_known_items(replica, body->u.store_items.items);
+	if (!complete && replica->store_up) {
+		/*
+		 * This instance takes the items, among them a configuration
+		 * that it asked for, and reads what they lack from the store.
+		 */
+		if (body->u.store_items.items->len > 0)
+			decode_items(replica, msg, READ_RELAYED_PARTLY);
+		return;
+	}
 	if (body->u.store_items.partial)
 		replica_set_missing(replica, body->u.store_items.up_to + 1);
 	if (body->u.store_items.after > replica->revision ||
@@ -420,10 +433,8 @@
 	if (complete && body->u.store_items.after == 0 &&
 	    body->u.store_items.up_to >= replica->revision)
 		replica->incomplete = false;
-	if (!complete)
-		decode.id.index = READ_RELAYED_PARTLY;
-	decode.u.peer.body = g_steal_pointer(&msg->u.peer.body);
-	kernel_post(replica->kernel, replica->svc, replica->store, &decode);
+	decode_items(replica, msg,
+		     complete ? READ_RELAYED : READ_RELAYED_PARTLY);
 }
 
 void replica_peer_received(replica_t *replica, msg_t *msg)
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -369,7 +369,7 @@
 	set_era(replica, result->revision);
 	apply_all(replica, result, true);
 	if (result->revision > replica->revision &&
-	    (complete || !replica->synced)) {
+	    (complete || (!replica->synced && !replica->store_up))) {
 		advance(replica, result->revision);
 		replica->synced = true;
 		replica->incomplete |= !complete;
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -742,7 +742,8 @@
 	start();
 	ASSERT_EQ(conf_requests["b"], std::vector<int64_t>{15});
 	conf_version = 15;
-	receive_items(0, 0, "fleet/conf", false, false);
+	// The answer holds that item only, and so has no mark.
+	receive_items(0, 0, "fleet/conf", false, false, false, true);
 	EXPECT_EQ(seen["fleet/conf"], RECORD_FLEET_CONF);
 	// It is passed on to others that start.
 	peer_up("c", "z");
