Send a kind of frame only to peers that know it, skip what newer ones add

New kinds would cost the connections of a fleet while it is replaced.

- Service "peer" sends a kind that was added after only to peers that state it, and counts the others (peer_frames_withheld).
- Frames of unknown kinds and additional fields at the end of a structure are skipped, counted (peer_frames_unknown, peer_fields_unknown) and logged once a connection.
A malformed frame of a known kind closes the connection as before; hello and proof stay strict.

--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -35,6 +35,12 @@
 	X(PEER_BYTES_IN, "peer_bytes_in", "bytes received from peers")        \
 	X(PEER_BYTES_OUT, "peer_bytes_out", "bytes sent to peers")            \
 	X(PEER_FRAMES_BAD, "peer_frames_bad", "malformed frames from peers")  \
+	X(PEER_FRAMES_UNKNOWN, "peer_frames_unknown",                         \
+	  "frames of kinds that only newer versions know")                    \
+	X(PEER_FIELDS_UNKNOWN, "peer_fields_unknown",                         \
+	  "fields of frames that only newer versions know")                   \
+	X(PEER_FRAMES_WITHHELD, "peer_frames_withheld",                       \
+	  "frames not sent as the peer does not know their kind")             \
 	X(PEER_AUTH_FAILED, "peer_auth_failed", "peers with a wrong key")     \
 	X(CONF_CHANGES, "conf_changes", "configuration records applied")      \
 	X(CONF_STALE, "conf_stale", "configuration records older than ours")  \
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -67,10 +67,10 @@
 }
 
 static bool parse_struct(const msgpack_object *object, fields_t fields,
-			 void *to, errmsg_t *err)
+			 void *to, uint32_t *extra, errmsg_t *err)
 {
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != fields.count) {
+	    !peer_fields_fit(object->via.array.size, fields.count, extra)) {
 		errmsg_set(err, "structure has the wrong number of fields");
 		return false;
 	}
@@ -110,7 +110,8 @@
 }
 
 static bool parse_list(const msgpack_object *object, fields_t fields,
-		       GArray *list, uint32_t max, errmsg_t *err)
+		       GArray *list, uint32_t max, uint32_t *extra,
+		       errmsg_t *err)
 {
 	guint size = g_array_get_element_size(list);
 
@@ -119,7 +120,7 @@
 	g_array_set_size(list, object->via.array.size);
 	for (uint32_t i = 0; i < object->via.array.size; i++) {
 		if (!parse_struct(&object->via.array.ptr[i], fields,
-				  list->data + (size_t)i * size, err))
+				  list->data + (size_t)i * size, extra, err))
 			return false;
 	}
 	return true;
@@ -149,14 +150,15 @@
 }
 
 static bool parse_items(const msgpack_object *object, GArray *kvs,
-			errmsg_t *err)
+			uint32_t *extra, errmsg_t *err)
 {
 	if (!check_list(object, PEER_ITEMS_MAX, err))
 		return false;
 	for (uint32_t i = 0; i < object->via.array.size; i++) {
 		store_kv_t kv = {0};
 
-		if (!peer_conf_item_parse(&object->via.array.ptr[i], &kv, err))
+		if (!peer_conf_item_parse(&object->via.array.ptr[i], &kv, extra,
+					  err))
 			return false;
 		g_array_append_val(kvs, kv);
 	}
@@ -189,13 +191,13 @@
 }
 
 static bool parse_store_item(const msgpack_object *object, store_item_t *item,
-			     errmsg_t *err)
+			     uint32_t *extra, errmsg_t *err)
 {
 	const msgpack_object *fields = object->via.array.ptr;
 	uint64_t revision, deleted;
 
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != 4 ||
+	    !peer_fields_fit(object->via.array.size, 4, extra) ||
 	    fields[3].type != MSGPACK_OBJECT_BIN) {
 		errmsg_set(err, "store item is malformed");
 		return false;
@@ -214,14 +216,15 @@
 }
 
 static bool parse_store_items(const msgpack_object *object, GArray *items,
-			      errmsg_t *err)
+			      uint32_t *extra, errmsg_t *err)
 {
 	if (!check_list(object, PEER_ITEMS_MAX, err))
 		return false;
 	for (uint32_t i = 0; i < object->via.array.size; i++) {
 		store_item_t item = {0};
 
-		if (!parse_store_item(&object->via.array.ptr[i], &item, err))
+		if (!parse_store_item(&object->via.array.ptr[i], &item, extra,
+				      err))
 			return false;
 		g_array_append_val(items, item);
 	}
@@ -266,10 +269,13 @@
 {
 	fields_t fields = peer_body_fields(kind);
 	const msgpack_object *nested = array->ptr + 2 + fields.count;
+	uint32_t *extra = &frame->extra_fields;
 	peer_body_t *body;
 	bool ok = false;
 
-	if (array->size != 2 + fields.count + body_nested_count(kind)) {
+	if (!peer_fields_fit(array->size,
+			     2 + fields.count + body_nested_count(kind),
+			     extra)) {
 		errmsg_set(err, "body has the wrong number of fields");
 		return false;
 	}
@@ -279,25 +285,28 @@
 	switch (kind) {
 	case PEER_HEARTBEAT:
 		ok = parse_struct(&nested[0], FIELDS_OF(member_fields),
-				  &body->u.heartbeat.self, err) &&
+				  &body->u.heartbeat.self, extra, err) &&
 		     parse_list(&nested[1], FIELDS_OF(member_fields),
 				body->u.heartbeat.members, PEER_MEMBERS_MAX,
-				err);
+				extra, err);
 		break;
 	case PEER_CONF_ITEMS:
-		ok = parse_items(&nested[0], body->u.conf_items.kvs, err);
+		ok = parse_items(&nested[0], body->u.conf_items.kvs, extra,
+				 err);
 		break;
 	case PEER_BILL_COPY:
 		ok = parse_list(&nested[0], FIELDS_OF(bill_fields),
-				body->u.bill_copy.bills, PEER_BILLS_MAX, err);
+				body->u.bill_copy.bills, PEER_BILLS_MAX, extra,
+				err);
 		break;
 	case PEER_HOLDINGS:
 		ok = parse_list(&nested[0], FIELDS_OF(holding_fields),
-				body->u.holdings.list, PEER_HOLDINGS_MAX, err);
+				body->u.holdings.list, PEER_HOLDINGS_MAX, extra,
+				err);
 		break;
 	case PEER_STORE_ITEMS:
 		ok = parse_store_items(&nested[0], body->u.store_items.items,
-				       err);
+				       extra, err);
 		break;
 	default:
 		ok = true;
@@ -313,6 +322,31 @@
 	return true;
 }
 
+/*
+ * Release 5a054ba accepts any number as the heartbeat of a hello and does not
+ * act on it, so the kinds that the sender knows are sent there.
+ */
+static bool pack_hello_self(msgpack_packer *packer, const peer_frame_t *hello,
+			    errmsg_t *err)
+{
+	member_info_t self = hello->u.hello.self;
+
+	self.heartbeat = hello->u.hello.kinds;
+	return pack_struct(packer, FIELDS_OF(member_fields), &self, err);
+}
+
+static bool parse_hello_self(const msgpack_object *object, peer_frame_t *hello,
+			     errmsg_t *err)
+{
+	member_info_t *self = &hello->u.hello.self;
+
+	if (!parse_struct(object, FIELDS_OF(member_fields), self, NULL, err))
+		return false;
+	hello->u.hello.kinds = self->heartbeat;
+	self->heartbeat = 0;
+	return true;
+}
+
 static bool pack_frame(msgpack_packer *packer, const peer_frame_t *frame,
 		       errmsg_t *err)
 {
@@ -328,8 +362,7 @@
 		msgpack_pack_bin(packer, PEER_NONCE_SIZE);
 		msgpack_pack_bin_body(packer, frame->u.hello.nonce,
 				      PEER_NONCE_SIZE);
-		return pack_struct(packer, FIELDS_OF(member_fields),
-				   &frame->u.hello.self, err);
+		return pack_hello_self(packer, frame, err);
 	case FRAME_PROOF:
 		msgpack_pack_bin(packer, PEER_PROOF_SIZE);
 		msgpack_pack_bin_body(packer, frame->u.proof, PEER_PROOF_SIZE);
@@ -489,13 +522,12 @@
 	if (kind == FRAME_HELLO && array->size == 4)
 		return parse_bytes(&array->ptr[2], frame->u.hello.nonce,
 				   PEER_NONCE_SIZE, err) &&
-		       parse_struct(&array->ptr[3], FIELDS_OF(member_fields),
-				    &frame->u.hello.self, err);
+		       parse_hello_self(&array->ptr[3], frame, err);
 	if (kind == FRAME_PROOF && array->size == 3)
 		return parse_bytes(&array->ptr[2], frame->u.proof,
 				   PEER_PROOF_SIZE, err);
-	if (kind == FRAME_PING && array->size == 2)
-		return true;
+	if (kind == FRAME_PING)
+		return peer_fields_fit(array->size, 2, &frame->extra_fields);
 	errmsg_set(err,
 		   "frame has an unknown kind or the wrong number of fields");
 	return false;
@@ -513,9 +545,8 @@
 	}
 	if (!peer_field_parse_uint(&array->ptr[0], UINT64_MAX, &version,
 				   "version", err) ||
-	    !peer_field_parse_uint(&array->ptr[1],
-				   BODY_KIND_BASE + PEER_KIND_COUNT - 1, &kind,
-				   "kind", err))
+	    !peer_field_parse_uint(&array->ptr[1], UINT64_MAX, &kind, "kind",
+				   err))
 		return false;
 	if (version != PROTOCOL_VERSION) {
 		errmsg_set(err, "protocol version is not %d", PROTOCOL_VERSION);
@@ -523,6 +554,11 @@
 	}
 	if (kind < BODY_KIND_BASE)
 		return parse_control(array, kind, frame, err);
+	if (kind >= BODY_KIND_BASE + PEER_KIND_COUNT) {
+		frame->kind = FRAME_UNKNOWN;
+		frame->u.unknown = kind;
+		return true;
+	}
 	return parse_body(array, (peer_kind_t)(kind - BODY_KIND_BASE), frame,
 			  err);
 }
--- a/peer/codec.h
+++ b/peer/codec.h
@@ -1,7 +1,9 @@
 /*
  * Encoding of the frames that routers and gateways exchange: a header with
  * the length as 4 bytes in big-endian order, then one msgpack array,
- * [version, kind, ...].  The decoder accepts only what the encoder writes and
+ * [version, kind, ...].  The decoder accepts only what the encoder writes,
+ * apart from what a newer build may add: frames of a kind from 16 on that this
+ * build does not know, and additional fields at the end of a structure.  It
  * limits the memory that a frame can make it allocate.
  */
 #ifndef PEER_CODEC_H
@@ -25,17 +27,25 @@
 	FRAME_PROOF,
 	FRAME_PING,
 	FRAME_BODY,
+	FRAME_UNKNOWN, /* decoded only: a body of a kind of a newer build */
 } peer_frame_kind_t;
 
 typedef struct peer_frame_t {
 	peer_frame_kind_t kind;
+	uint32_t extra_fields; /* fields of a newer build that were skipped */
 	union {
 		struct {
 			uint8_t nonce[PEER_NONCE_SIZE];
+			/*
+			 * The heartbeat of a hello is not used.  Its place in
+			 * the frame holds the kinds.
+			 */
 			member_info_t self;
+			uint64_t kinds; /* as in peer/kinds.h */
 		} hello;
 		uint8_t proof[PEER_PROOF_SIZE];
 		peer_body_t *body; /* owned */
+		uint64_t unknown; /* wire value of the kind */
 	} u;
 } peer_frame_t;
 
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -1,6 +1,7 @@
 #include "peer/conn.h"
 
 #include "log/log.h"
+#include "peer/kinds.h"
 
 #include <errno.h>
 #include <netinet/in.h>
@@ -112,6 +113,21 @@
 	return true;
 }
 
+bool peer_conn_takes(conn_t *conn, peer_kind_t kind)
+{
+	if (peer_kind_is_known(conn->kinds, kind))
+		return true;
+	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_FRAMES_WITHHELD,
+		    1);
+	if (!conn->withheld_logged)
+		log_event(LOG_LEVEL_INFO, "peer", "kind_not_sent",
+			  "peer=%s kind=%d kinds=%" G_GINT64_MODIFIER "x",
+			  log_quote(conn->remote.incarnation), (int)kind,
+			  conn->kinds);
+	conn->withheld_logged = true;
+	return false;
+}
+
 static bool send_frame(conn_t *conn, const peer_frame_t *frame)
 {
 	GByteArray *scratch = conn->peer->scratch;
@@ -142,6 +158,7 @@
 	dialler_t *dialler = table_get(&conn->peer->diallers, conn->dialler);
 
 	conn->remote = hello->u.hello.self;
+	conn->kinds = hello->u.hello.kinds;
 	if (strcmp(conn->remote.incarnation,
 		   conn->peer->opts.self.incarnation) == 0) {
 		if (dialler != NULL)
@@ -201,6 +218,35 @@
 	return table_get(&peer->conns, self) != NULL;
 }
 
+/* Counts what an authenticated peer of a newer build sent and is skipped. */
+static void note_skipped(conn_t *conn, const peer_frame_t *frame)
+{
+	metrics_t *metrics = conn->peer->kernel->metrics;
+
+	if (frame->kind == FRAME_UNKNOWN) {
+		metrics_add(metrics, COUNTER_PEER_FRAMES_UNKNOWN, 1);
+		if (!conn->unknown_logged)
+			log_event(LOG_LEVEL_INFO, "peer", "kind_unknown",
+				  "peer=%s kind=%" G_GUINT64_FORMAT,
+				  log_quote(conn->remote.incarnation),
+				  frame->u.unknown);
+		conn->unknown_logged = true;
+	}
+	if (frame->extra_fields > 0) {
+		metrics_add(metrics, COUNTER_PEER_FIELDS_UNKNOWN,
+			    frame->extra_fields);
+		if (!conn->extra_logged)
+			log_event(LOG_LEVEL_INFO, "peer", "fields_unknown",
+				  "peer=%s kind=%d fields=%u",
+				  log_quote(conn->remote.incarnation),
+				  frame->kind == FRAME_BODY
+					  ? (int)frame->u.body->kind
+					  : -1,
+				  frame->extra_fields);
+		conn->extra_logged = true;
+	}
+}
+
 /* Processes a frame with its header.  Returns false if conn was closed. */
 static bool process_frame(conn_t *conn, const uint8_t *data, size_t len)
 {
@@ -214,13 +260,16 @@
 		close_protocol_error(conn, conn->peer->err.text);
 		return false;
 	}
+	if (conn->state == CONN_UP)
+		note_skipped(conn, &frame);
 	if (frame.kind == FRAME_HELLO && conn->state == CONN_HELLO)
 		open = process_hello(conn, &frame, data, len);
 	else if (frame.kind == FRAME_PROOF && conn->state == CONN_PROOF)
 		open = process_proof(conn, &frame);
 	else if (frame.kind == FRAME_BODY && conn->state == CONN_UP)
 		open = process_body(conn, &frame);
-	else if (frame.kind != FRAME_PING || conn->state != CONN_UP) {
+	else if ((frame.kind != FRAME_PING && frame.kind != FRAME_UNKNOWN) ||
+		 conn->state != CONN_UP) {
 		close_protocol_error(conn, "unexpected frame");
 		open = false;
 	}
@@ -300,6 +349,7 @@
 	peer_frame_t hello = {.kind = FRAME_HELLO};
 
 	hello.u.hello.self = conn->peer->opts.self;
+	hello.u.hello.kinds = peer_kinds_own();
 	if (!peer_auth_nonce(hello.u.hello.nonce) ||
 	    !peer_encode(&hello, conn->hello_sent, &conn->peer->err)) {
 		peer_conn_close(conn, "cannot create the hello");
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -30,6 +30,11 @@
 	GByteArray *hello_sent; /* frame with its header */
 	GByteArray *hello_received; /* frame with its header */
 	member_info_t remote; /* the peer, as stated in its hello */
+	uint64_t kinds; /* that the peer knows, as stated in its hello */
+	/* What is logged once for each connection. */
+	bool unknown_logged; /* frames of kinds that this build lacks */
+	bool extra_logged; /* fields that this build lacks */
+	bool withheld_logged; /* frames of kinds that the peer lacks */
 	int64_t opened; /* monotonic, us */
 	int64_t last_sent; /* monotonic, us */
 	int64_t last_received; /* monotonic, us */
@@ -61,6 +66,11 @@
  * the connection is closed then.
  */
 bool peer_conn_send(conn_t *conn, const uint8_t *data, size_t len);
+/*
+ * Returns true if the peer knows the kind; otherwise counts a frame that is not
+ * sent to it.
+ */
+bool peer_conn_takes(conn_t *conn, peer_kind_t kind);
 /* Writes as much of the output as the socket accepts without blocking. */
 void peer_conn_flush(conn_t *conn);
 /*
--- a/peer/fields.c
+++ b/peer/fields.c
@@ -177,6 +177,16 @@
 	return true;
 }
 
+bool peer_fields_fit(uint32_t size, uint32_t count, uint32_t *extra)
+{
+	if (size == count)
+		return true;
+	if (size < count || extra == NULL)
+		return false;
+	*extra += size - count;
+	return true;
+}
+
 bool peer_fields_pack(msgpack_packer *packer, fields_t fields, const void *from,
 		      errmsg_t *err)
 {
--- a/peer/fields.h
+++ b/peer/fields.h
@@ -49,6 +49,13 @@
 bool peer_fields_parse(const msgpack_object *objects, fields_t fields, void *to,
 		       errmsg_t *err);
 
+/*
+ * Checks the number of values of a structure of count fields.  Values beyond
+ * those are fields that a newer build has added at the end, and are counted in
+ * *extra; if extra is NULL, they are not allowed.
+ */
+bool peer_fields_fit(uint32_t size, uint32_t count, uint32_t *extra);
+
 bool peer_field_pack_text(msgpack_packer *packer, const char *text,
 			  errmsg_t *err);
 bool peer_field_parse_text(const msgpack_object *object, char *to, size_t size,
@@ -65,7 +72,7 @@
 bool peer_conf_item_pack(msgpack_packer *packer, const store_kv_t *kv,
 			 errmsg_t *err);
 bool peer_conf_item_parse(const msgpack_object *object, store_kv_t *kv,
-			  errmsg_t *err);
+			  uint32_t *extra, errmsg_t *err);
 
 G_END_DECLS
 
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -86,9 +86,11 @@
 		post_addr(peer, peer->overload, MSG_PEER_UP, conn);
 		return;
 	}
-	log_event(LOG_LEVEL_INFO, "peer", "up", "peer=%s name=%s dialled=%d",
+	log_event(LOG_LEVEL_INFO, "peer", "up",
+		  "peer=%s name=%s dialled=%d kinds=%" G_GINT64_MODIFIER "x",
 		  log_quote(conn->remote.incarnation),
-		  log_quote(conn->remote.name), !handle_is_none(conn->dialler));
+		  log_quote(conn->remote.name), !handle_is_none(conn->dialler),
+		  conn->kinds);
 	post_addr(peer, peer->member, MSG_PEER_UP, conn);
 	post_addr(peer, peer->conf, MSG_PEER_UP, conn);
 	post_addr(peer, peer->replica, MSG_PEER_UP, conn);
@@ -183,9 +185,9 @@
 
 /*
  * Sends the frame in peer->scratch to the peers in an availability zone, or to
- * all peers if zone is empty.
+ * all peers if zone is empty, that know its kind.
  */
-static void broadcast(peer_t *peer, const char *zone)
+static void broadcast(peer_t *peer, const char *zone, peer_kind_t kind)
 {
 	uint32_t cursor = 0;
 	conn_t *conn;
@@ -195,7 +197,8 @@
 		    strcmp(conn->remote.availability_zone, zone) != 0)
 			continue;
 		if (g_hash_table_lookup(peer->active,
-					conn->remote.incarnation) == conn)
+					conn->remote.incarnation) == conn &&
+		    peer_conn_takes(conn, kind))
 			peer_conn_send(conn, peer->scratch->data,
 				       peer->scratch->len);
 	}
@@ -210,7 +213,7 @@
 
 	if (incarnation[0] != '\0') {
 		conn = g_hash_table_lookup(peer->active, incarnation);
-		if (conn == NULL)
+		if (conn == NULL || !peer_conn_takes(conn, body->kind))
 			return;
 	}
 	g_byte_array_set_size(peer->scratch, 0);
@@ -223,7 +226,7 @@
 	if (conn != NULL)
 		peer_conn_send(conn, peer->scratch->data, peer->scratch->len);
 	else
-		broadcast(peer, msg->u.peer.availability_zone);
+		broadcast(peer, msg->u.peer.availability_zone, body->kind);
 }
 
 static void check_conn(peer_t *peer, conn_t *conn, int64_t now)
--- a/peer/records.c
+++ b/peer/records.c
@@ -205,7 +205,8 @@
 }
 
 static bool parse_api_keys(const msgpack_object_kv *item,
-			   record_client_account_t *account, errmsg_t *err)
+			   record_client_account_t *account, uint32_t *extra,
+			   errmsg_t *err)
 {
 	const msgpack_object *value = &item->val;
 
@@ -220,7 +221,8 @@
 		const msgpack_object *key = &value->via.array.ptr[i];
 
 		if (key->type != MSGPACK_OBJECT_ARRAY ||
-		    key->via.array.size != G_N_ELEMENTS(api_key_fields)) {
+		    !peer_fields_fit(key->via.array.size,
+				     G_N_ELEMENTS(api_key_fields), extra)) {
 			errmsg_set(err, "an API key is not a pair");
 			return false;
 		}
@@ -233,14 +235,15 @@
 }
 
 static bool parse_record(const msgpack_object *object, record_t *record,
-			 errmsg_t *err)
+			 uint32_t *extra, errmsg_t *err)
 {
 	fields_t fields = record_fields(record->kind);
 	bool has_keys = record->kind == RECORD_CLIENT_ACCOUNT;
 	const msgpack_object_kv *items;
 
 	if (fields.count == 0 || object->type != MSGPACK_OBJECT_MAP ||
-	    object->via.map.size != fields.count + (has_keys ? 1 : 0)) {
+	    !peer_fields_fit(object->via.map.size,
+			     fields.count + (has_keys ? 1 : 0), extra)) {
 		errmsg_set(err, "record has an unknown kind or the wrong "
 				"number of fields");
 		return false;
@@ -257,18 +260,19 @@
 		if (!peer_fields_parse(&items[i].val, field, record, err))
 			return false;
 	}
-	return !has_keys || parse_api_keys(&items[fields.count],
-					   &record->u.client_account, err);
+	return !has_keys ||
+	       parse_api_keys(&items[fields.count], &record->u.client_account,
+			      extra, err);
 }
 
 bool peer_conf_item_parse(const msgpack_object *object, store_kv_t *kv,
-			  errmsg_t *err)
+			  uint32_t *extra, errmsg_t *err)
 {
 	const msgpack_object *items;
 	uint64_t revision, kind;
 
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != 4) {
+	    !peer_fields_fit(object->via.array.size, 4, extra)) {
 		errmsg_set(err, "configuration item is malformed");
 		return false;
 	}
@@ -282,7 +286,7 @@
 		return false;
 	kv->revision = (int64_t)revision;
 	kv->record.kind = (record_kind_t)kind;
-	if (!parse_record(&items[3], &kv->record, err))
+	if (!parse_record(&items[3], &kv->record, extra, err))
 		return false;
 	if (!peer_conf_item_is_packable(kv)) {
 		errmsg_set(err, "record does not match its key");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -147,6 +147,69 @@
 	g_bytes_unref(bytes);
 }
 
+// Instances of release 5a054ba run beside this build and read the entries that
+// it writes.  The texts were written by entry_encode() of that release.
+TEST(Entries, AreWrittenAsTheFormerReleaseWritesThem)
+{
+	const struct {
+		const char *key, *text;
+	} former[] = {
+		{"prepaid/a",
+		 R"({"closed":70,"holders":[{"node":"n1","incarnation":"run-1",)"
+		 R"("granted":500},{"node":"n1","incarnation":"run-0",)"
+		 R"("granted":30,"state":"returned"},{"node":"n2",)"
+		 R"("incarnation":"run-2","granted":7,"state":"lost"}]})"},
+		{"streams/x",
+		 R"({"streams":[{"id":"9c41d07be2a35f68","service":"s",)"
+		 R"("account":"acme","version":"v1.1"}]})"},
+		{"quarantine/x",
+		 R"({"part":"fedc","strikes":2,"decided_ms":1764900000000,)"
+		 R"("expires_ms":1764900600000})"},
+		{"quarantine/y",
+		 R"({"request":"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa)"
+		 R"(aaaaaaaaaaaaaaaa","decided_ms":1764900000000,)"
+		 R"("expires_ms":1764900600000})"},
+	};
+
+	for (const auto &entry : former) {
+		record_t record = {};
+		gsize size = 0;
+
+		ASSERT_NE(decode(entry.key, entry.text, &record),
+			  RECORD_INVALID);
+		GBytes *bytes = entry_encode(&record);
+		const char *text = static_cast<const char *>(
+			g_bytes_get_data(bytes, &size));
+		EXPECT_EQ(std::string(text, size), entry.text);
+		g_bytes_unref(bytes);
+		record_clear(&record);
+	}
+}
+
+// A newer build, or the platform, may add members to an entry.  Instances that
+// do not know them must go on with those that they know.
+TEST(Entries, UnknownMembersAreIgnored)
+{
+	const std::string more = R"({"added":{"x":[1,null]},)";
+	const std::string empty =
+		R"({"version":1,"routes":[],"services":[],"tenants":[]})";
+
+	for (const auto &entry :
+	     {std::make_pair("fleet/target/i-1", target_json),
+	      std::make_pair("fleet/conf", empty),
+	      std::make_pair("prepaid/a",
+			     std::string(R"({"closed":0,"holders":[]})")),
+	      std::make_pair("streams/x", std::string(R"({"streams":[]})")),
+	      std::make_pair(
+		      "quarantine/x",
+		      std::string(R"({"part":"1","strikes":1,)"
+				  R"("decided_ms":1,"expires_ms":2})"))}) {
+		EXPECT_NE(decode(entry.first, more + entry.second.substr(1)),
+			  RECORD_INVALID)
+			<< entry.first;
+	}
+}
+
 TEST(Entries, SavedStreamsAreUnchangedByEncodingAndDecoding)
 {
 	record_t record = {}, back;
