Never take a reset for the end of a response

A write to a connection that was reset takes the socket's error, so that the next receive returns 0. outbound/conn.c took that for an orderly end: a part of a response without a length was complete for its caller while the upload was still being written. A look for input with MSG_PEEK takes the error as well.

A second fault in the same place: while output remained after the connect, the first report of the connection to "outbound" was that of a failed write, which it took for a failed connect. The request counted as not sent although the target may have begun to run it, so that unsafe ones were sent again, and it was evidence that no target is reached.

- http_socket_read() returns the error after a failed write or look, once the bytes that had arrived are read.
- http_socket_has_input() asks for the number of bytes instead.
- The socket remembers that it was connected; only a connection that never was is FAILURE_CONNECT.

Statuses outside 100 to 599 are errors of the parser. Before, 600 to 999 reached the caller as they were, and those below 100 were skipped like interim responses until the call's deadline (5 s in the test). All forms fail at once now, with bodies of 0, 2,000 and 4,000,000 bytes (Outbound.ResponseWithoutAValidStatusIsAFailure).

--- a/http/parse.c
+++ b/http/parse.c
@@ -3,6 +3,11 @@
 #include <string.h>
 
 #define HEAD_MAX_BYTES 65536 /* default of max_head */
+/* http-parser accepts any number up to 999. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+/* Makes http-parser stop; 1 and 2 have other meanings. */
+#define HEAD_REFUSED (-1)
 
 static http_parse_t *get_parse(http_parser *parser)
 {
@@ -85,6 +90,9 @@
 			http_method_str((enum http_method)parser->method));
 		parse->head->uri = g_strdup(parse->uri->str);
 	} else {
+		if (parser->status_code < STATUS_MIN ||
+		    parser->status_code > STATUS_MAX)
+			return HEAD_REFUSED;
 		parse->head->status = parser->status_code;
 	}
 	parse->until_eof = needs_eof(parser);
--- a/http/parse.h
+++ b/http/parse.h
@@ -17,7 +17,10 @@
 	HTTP_STATE_HEAD,
 	HTTP_STATE_BODY,
 	HTTP_STATE_COMPLETE,
-	/* Invalid, truncated or too large, or with conflicting lengths. */
+	/*
+	 * Invalid, truncated or too large, with conflicting lengths, or a
+	 * response whose status is none.
+	 */
 	HTTP_STATE_ERROR,
 } http_state_t;
 
--- a/http/socket.c
+++ b/http/socket.c
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 1024
@@ -88,6 +89,7 @@
 			sock->ready(sock->data, POLLSET_ERROR);
 			return;
 		}
+		sock->connected = true;
 		sock->watches_input = true;
 	}
 	flush(sock);
@@ -133,6 +135,7 @@
 {
 	memset(sock, 0, sizeof(*sock));
 	sock->socket = g_object_ref(socket);
+	sock->connected = true;
 	set_options(socket);
 	return start_watch(sock, pollset, POLLSET_IN, ready, data);
 }
@@ -200,12 +203,13 @@
 	return sock->output->len - sock->written;
 }
 
+/* Unlike a receive, this does not take a pending error. */
 bool http_socket_has_input(const http_socket_t *sock)
 {
-	char byte;
+	int len = 0;
 
-	return recv(g_socket_get_fd(sock->socket), &byte, 1,
-		    MSG_PEEK | MSG_DONTWAIT) > 0;
+	return ioctl(g_socket_get_fd(sock->socket), FIONREAD, &len) == 0 &&
+	       len > 0;
 }
 
 socket_read_t http_socket_read(http_socket_t *sock, char *buffer, size_t size,
@@ -221,20 +225,24 @@
 		return SOCKET_DATA;
 	}
 	if (n == 0)
-		return SOCKET_EOF;
+		return sock->failed ? SOCKET_ERROR : SOCKET_EOF;
 	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
 		result = SOCKET_AGAIN;
 	g_clear_error(&error);
 	return result;
 }
 
-bool http_socket_is_idle(const http_socket_t *sock)
+bool http_socket_is_idle(http_socket_t *sock)
 {
 	char byte;
 
-	return recv(g_socket_get_fd(sock->socket), &byte, 1,
-		    MSG_PEEK | MSG_DONTWAIT) < 0 &&
-	       (errno == EAGAIN || errno == EWOULDBLOCK);
+	if (recv(g_socket_get_fd(sock->socket), &byte, 1,
+		 MSG_PEEK | MSG_DONTWAIT) >= 0)
+		return false;
+	if (errno == EAGAIN || errno == EWOULDBLOCK)
+		return true;
+	sock->failed = true;
+	return false;
 }
 
 void http_socket_abort(http_socket_t *sock)
--- a/http/socket.h
+++ b/http/socket.h
@@ -30,7 +30,13 @@
 	GByteArray *output;
 	guint written; /* bytes of output already written */
 	bool connecting;
-	bool failed; /* connect or write failed; a read returns the error */
+	bool connected; /* bytes may have reached the peer */
+	/*
+	 * Connect or write failed.  The failed call has taken the error from
+	 * the system, which reports an orderly end from then on; a read returns
+	 * SOCKET_ERROR instead, after the bytes that had arrived.
+	 */
+	bool failed;
 	bool refused; /* the peer refused or reset the connection at once */
 	/* Gets POLLSET_OUT alone when all output is written. */
 	pollset_fn_t ready;
@@ -61,7 +67,7 @@
 /* Starts or stops polling for input. */
 void http_socket_watch_input(http_socket_t *sock, bool watch);
 /* True if there is no input and the peer has not closed the connection. */
-bool http_socket_is_idle(const http_socket_t *sock);
+bool http_socket_is_idle(http_socket_t *sock);
 /*
  * Makes the next close send a reset, so that the peer can't take a truncated
  * message for a complete one.
--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -334,7 +334,8 @@
 	}
 	if (!handle_is_none(conn->connect_timer) && !conn->sock.connecting) {
 		kernel_timer_cancel(outbound->kernel, &conn->connect_timer);
-		if (conn->sock.failed) {
+		/* A connection that was established may have failed since. */
+		if (!conn->sock.connected) {
 			out_call_fail(outbound, call, FAILURE_CONNECT, false,
 				      false);
 			goto out;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,10 +1,14 @@
-// Tests of the HTTP parser: messages split at any byte, request smuggling by
-// conflicting lengths, and truncated responses.
+// Tests of the HTTP parser and socket: messages split at any byte, request
+// smuggling by conflicting lengths, truncated responses, and resets that are
+// taken for an orderly end.
 #include "http/parse.h"
+#include "http/socket.h"
+#include "kernel/kernel.h"
 
 #include <cstring>
 #include <gtest/gtest.h>
 #include <string>
+#include <sys/socket.h>
 
 namespace
 {
@@ -140,6 +144,137 @@
 	EXPECT_TRUE(p.parse.too_large);
 }
 
+// A response whose status is none, or whose length of digits is wrong, is not
+// forwarded as if it were one.
+TEST(Parse, StatusesOutsideTheirRangeAreErrors)
+{
+	for (const char *status : {"000", "0", "99", "099", "20", "600", "999",
+				   "1000", "2000", "2OO", "200x"}) {
+		std::string text = std::string("HTTP/1.1 ") + status +
+				   " X\r\nContent-Length: 2\r\n\r\nok";
+
+		for (size_t piece = 1; piece <= text.size(); piece++) {
+			Parse p(true);
+
+			p.feed(text, piece);
+			EXPECT_EQ(p.parse.state, HTTP_STATE_ERROR)
+				<< status << " " << piece;
+		}
+	}
+	for (const char *status : {"100", "200", "599"}) {
+		Parse p(true);
+
+		p.feed(std::string("HTTP/1.1 ") + status + "\r\n\r\n", 1);
+		EXPECT_NE(p.parse.state, HTTP_STATE_ERROR) << status;
+	}
+}
+
+// Two ends of a TCP connection on the loopback interface.
+struct Connection {
+	kernel_t kernel;
+	GSocket *other;
+	http_socket_t sock;
+
+	static void ignore(void *, unsigned)
+	{
+	}
+	Connection()
+	{
+		errmsg_t err;
+		GSocket *listener = http_socket_listen("127.0.0.1", 0, &err);
+		GSocketAddress *address =
+			g_socket_get_local_address(listener, nullptr);
+		GSocket *accepted;
+
+		kernel_init(&kernel, CLOCK_REAL, 1);
+		other = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, nullptr);
+		EXPECT_TRUE(g_socket_connect(other, address, nullptr, nullptr));
+		g_socket_set_blocking(listener, TRUE);
+		accepted = g_socket_accept(listener, nullptr, nullptr);
+		EXPECT_TRUE(http_socket_init(&sock, &kernel.pollset, accepted,
+					     ignore, nullptr));
+		g_object_unref(accepted);
+		g_object_unref(address);
+		g_object_unref(listener);
+	}
+	~Connection()
+	{
+		http_socket_finish(&sock);
+		kernel_finish(&kernel);
+		g_object_unref(other);
+	}
+	void send(const std::string &text) const
+	{
+		EXPECT_EQ(g_socket_send(other, text.data(), text.size(),
+					nullptr, nullptr),
+			  (gssize)text.size());
+	}
+	void reset() const
+	{
+		struct linger linger = {1, 0};
+
+		setsockopt(g_socket_get_fd(other), SOL_SOCKET, SO_LINGER,
+			   &linger, sizeof(linger));
+		g_socket_close(other, nullptr);
+	}
+	// Returns how the input ends, and what came before.
+	socket_read_t read_all(std::string *text)
+	{
+		char buffer[100];
+		socket_read_t result;
+		size_t n = 0;
+
+		while ((result = http_socket_read(&sock, buffer, sizeof(buffer),
+						  &n)) == SOCKET_DATA)
+			text->append(buffer, n);
+		return result;
+	}
+};
+
+// Calls that take the pending error of a reset connection must not make the
+// next read return an orderly end.
+TEST(Socket, ResetIsNoEndAfterAFailedWrite)
+{
+	std::string text;
+	Connection c;
+
+	c.send("part");
+	c.reset();
+	http_socket_write(&c.sock, "more", 4);
+	EXPECT_TRUE(c.sock.failed);
+	EXPECT_EQ(c.read_all(&text), SOCKET_ERROR);
+	EXPECT_EQ(text, "part");
+}
+
+TEST(Socket, ResetIsNoEndAfterALookForInput)
+{
+	for (bool idle : {true, false}) {
+		std::string text;
+		Connection c;
+
+		c.reset();
+		EXPECT_FALSE(idle ? http_socket_is_idle(&c.sock)
+				  : http_socket_has_input(&c.sock));
+		EXPECT_EQ(c.read_all(&text), SOCKET_ERROR) << idle;
+	}
+}
+
+TEST(Socket, OrderlyEndIsOne)
+{
+	std::string text;
+	Connection c;
+
+	c.send("whole");
+	EXPECT_TRUE(http_socket_has_input(&c.sock));
+	g_socket_close(c.other, nullptr);
+	http_socket_write(&c.sock, "more", 4);
+	EXPECT_EQ(c.read_all(&text), SOCKET_EOF);
+	EXPECT_EQ(text, "whole");
+	EXPECT_FALSE(http_socket_has_input(&c.sock));
+	EXPECT_FALSE(http_socket_is_idle(&c.sock));
+}
+
 TEST(Head, ListTokensMatchWhole)
 {
 	http_head_t *head = http_head_response(200);
--- a/tests/outbound_test.cc
+++ b/tests/outbound_test.cc
@@ -254,6 +254,122 @@
 	EXPECT_TRUE(r.sent);
 }
 
+// Guards against a part of a response that a caller gets as the whole: a write
+// that fails takes the error of a reset connection, so that the read after it
+// finds an end instead of the reset.
+TEST_F(Outbound, ResetDuringAnUploadIsNoEndOfTheResponse)
+{
+	const std::string heads[] = {
+		"HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"384\r\n",
+	};
+	const std::string part(400, 'a');
+
+	for (bool at_once : {true, false}) {
+		for (const std::string &head : heads) {
+			ScriptServer server([&](script_conn_t &conn) {
+				conn.send(head + part);
+				/* The rest of the request is not read. */
+				g_source_destroy(conn.source);
+				if (at_once)
+					conn.reset();
+			});
+			uint32_t number = post(server.port, "", 4000000);
+
+			if (!at_once) {
+				ASSERT_TRUE(pump([&] {
+					return results[number].body.size() ==
+					       part.size();
+				}));
+				server.conns[0]->reset();
+			}
+			result_t &r = results[number];
+			EXPECT_TRUE(
+				pump([&] { return r.ends + r.failures > 0; }));
+			EXPECT_EQ(r.ends, 0) << head;
+			EXPECT_EQ(r.failures, 1) << head;
+			EXPECT_TRUE(r.sent);
+			EXPECT_TRUE(r.reset);
+		}
+	}
+}
+
+// A response that is complete by its own length was sent in full, whatever
+// happens to the rest of the upload.
+TEST_F(Outbound, CompleteResponseBeforeAResetIsDelivered)
+{
+	const std::string bodies[] = {
+		"Content-Length: 5\r\n\r\nearly",
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nearly\r\n0\r\n\r\n",
+	};
+
+	for (const std::string &body : bodies) {
+		ScriptServer server([&](script_conn_t &conn) {
+			conn.send("HTTP/1.1 413 Too Large\r\n" + body);
+			g_source_destroy(conn.source);
+			conn.reset();
+		});
+		result_t &r = call(server.port, "", 4000000);
+
+		EXPECT_EQ(r.ends, 1) << body;
+		EXPECT_EQ(r.status, 413u);
+		EXPECT_EQ(r.body, "early");
+	}
+}
+
+// A target in trouble may send a status that is none.  Such a response must not
+// reach a caller, nor be waited for until the call's deadline.
+TEST_F(Outbound, ResponseWithoutAValidStatusIsAFailure)
+{
+	const char *const statuses[] = {
+		"000", "0",    "00",   "099", "99",  "20",   "600", "700",
+		"999", "1000", "2000", "2OO", "-20", "200x", "",
+	};
+	const char *const rests[] = {
+		" OK\r\nContent-Length: 2\r\n\r\nok",
+		" OK\r\n\r\nok",
+		" OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"\r\nContent-Length: 0\r\n\r\n",
+	};
+
+	for (size_t body : {0, 2000, 4000000}) {
+		for (const char *status : statuses) {
+			for (const char *rest : rests) {
+				std::string text = std::string("HTTP/1.1 ") +
+						   status + rest;
+				ScriptServer server([&](script_conn_t &conn) {
+					conn.send(text);
+				});
+				result_t &r = call(server.port, "", body);
+
+				EXPECT_EQ(r.failures, 1) << text;
+				EXPECT_EQ(r.heads + r.ends, 0) << text;
+				EXPECT_TRUE(r.sent) << text;
+				EXPECT_EQ(r.failure, FAILURE_HEAD) << text;
+			}
+		}
+	}
+}
+
+// Statuses at the bounds, and those without a name, are passed on.
+TEST_F(Outbound, UnusualStatusesAreDelivered)
+{
+	for (uint32_t status : {200u, 299u, 399u, 499u, 599u}) {
+		ScriptServer server([&](script_conn_t &conn) {
+			conn.send("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 " +
+				  std::to_string(status) +
+				  " X\r\nContent-Length: 2\r\n\r\nok");
+		});
+		result_t &r = call(server.port);
+
+		EXPECT_EQ(r.ends, 1) << status;
+		EXPECT_EQ(r.status, status);
+		EXPECT_EQ(r.body, "ok");
+	}
+}
+
 // A request whose connection is reset may have run, so it must not be resent.
 TEST_F(Outbound, RequestIsNotResentAfterAReset)
 {
