Test complete answers at callers, peers and the store

- Served: ingress, proxy and outbound with real sockets; invalid statuses and parts of responses, on all kinds of routes, with bodies of 0, 2,000 and 4,000,000 bytes, from a target and through a peer.
- StoreAnswer: a write of 8 MB whose answer is cut.
- Ingress.RequestCutByAResetIsNotForwarded and Peer.FrameCutByAResetIsNotDelivered: these messages have a length, so no fault was found; they are guards.

--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -292,6 +292,35 @@
 	EXPECT_EQ(cancelled[0], 1u);
 }
 
+// Guards against a part of a request that is taken for the whole one, as its
+// connection was reset while an earlier response was still being written.
+TEST_F(Ingress, RequestCutByAResetIsNotForwarded)
+{
+	const char *const parts[] = {
+		"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc",
+		"POST /b HTTP/1.1\r\nHost: h\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"POST /b HTTP/1.0\r\nHost: h\r\n",
+	};
+	const std::string large(8000000, 'a');
+
+	for (const char *part : parts) {
+		size_t before = specs.size();
+		Client client(port(LISTENER_CALLERS));
+
+		client.send("POST /a HTTP/1.1\r\nHost: h\r\n"
+			    "Content-Length: 0\r\n\r\n");
+		ASSERT_TRUE(wait_requests(before + 1));
+		respond(before, large.c_str());
+		EXPECT_TRUE(has_unsent_output());
+		client.send(part);
+		client.reset();
+		EXPECT_TRUE(
+			pump([&] { return table_count(&ingress.conns) == 0; }));
+		EXPECT_EQ(specs.size(), before + 1) << part;
+	}
+}
+
 TEST_F(Ingress, AbortedResponseDoesNotLookComplete)
 {
 	Client client(port(LISTENER_CALLERS));
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -929,7 +929,8 @@
 	}
 	~RawPeer()
 	{
-		close(fd);
+		if (fd >= 0)
+			close(fd);
 	}
 	static GByteArray *make_array(const std::string &bytes)
 	{
@@ -1048,6 +1049,32 @@
 	EXPECT_EQ(a.counter(COUNTER_PEER_FRAMES_BAD), 1u);
 }
 
+// Guards against a part of a frame that is taken for a whole one, as its
+// connection was reset while frames were still being written to it.
+TEST(Peer, FrameCutByAResetIsNotDelivered)
+{
+	std::string report = sample_frames()[PEER_CRASH_REPORT];
+	struct linger linger = {1, 0};
+
+	for (size_t cut : {(size_t)1, (size_t)5, report.size() - 1}) {
+		Router a("a", shared_key);
+		RawPeer raw(a, 0);
+
+		while (a.counter(COUNTER_PEER_FRAMES_OUT) < 5000) {
+			a.send("former", PEER_CONF_ITEMS);
+			kernel_deliver_one(&a.kernel);
+		}
+		raw.write_bytes(report.substr(0, cut));
+		setsockopt(raw.fd, SOL_SOCKET, SO_LINGER, &linger,
+			   sizeof(linger));
+		close(raw.fd);
+		raw.fd = -1;
+		ASSERT_TRUE(wait_for([&] { return a.down == 1; }));
+		EXPECT_EQ(a.crash_reports, 0) << cut;
+		EXPECT_EQ(a.counter(COUNTER_PEER_FRAMES_BAD), 0u) << cut;
+	}
+}
+
 // A kind that this build does not know must not pass for a handshake.
 TEST(Peer, UnknownKindBeforeAuthenticationClosesTheConnection)
 {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,9 +2,11 @@
 // of HTTP headers: malformed and mutated items, header fields that callers must
 // not set, missing responses of the store, and a compacted change history.
 #include "http/parse.h"
+#include "outbound/outbound.h"
 #include "platform/entries.h"
 #include "platform/store.h"
 #include "platform/wire.h"
+#include "tests/script_server.h"
 
 #include <algorithm>
 #include <cstring>
@@ -1086,6 +1088,70 @@
 	EXPECT_EQ(failure_events, 4);
 }
 
+// Guards against a write that counts as committed although the store's answer
+// was cut: without a length, nothing in it tells that it is whole.
+TEST(StoreAnswer, CutDuringALargeWriteIsNoCommit)
+{
+	struct requester_t {
+		store_result_t *result = nullptr;
+
+		static void receive(void *self, msg_t *msg)
+		{
+			if (msg->kind != MSG_STORE_RESULT)
+				return;
+			static_cast<requester_t *>(self)->result =
+				msg->u.store_result;
+			msg->u.store_result = nullptr;
+		}
+	} requester;
+	ScriptServer server([](script_conn_t &conn) {
+		conn.send("HTTP/1.1 200 OK\r\n\r\n{\"revision\":12}");
+		/* The rest of the request is not read. */
+		g_source_destroy(conn.source);
+		g_timeout_add(
+			20,
+			[](gpointer data) -> gboolean {
+				static_cast<script_conn_t *>(data)->reset();
+				return G_SOURCE_REMOVE;
+			},
+			&conn);
+	});
+	platform_store_opts_t opts = {"127.0.0.1", server.port};
+	saved_stream_t saved = {"9c41d07be2a35f68", {"s", "acme", "v1.1"}};
+	record_t record = {};
+	msg_t msg = {};
+	kernel_t kernel;
+	outbound_t outbound;
+	platform_store_t store;
+	svc_t owner;
+
+	kernel_init(&kernel, CLOCK_REAL, 1);
+	outbound_init(&outbound, &kernel);
+	owner = kernel_register(&kernel, "owner", requester_t::receive,
+				&requester);
+	platform_store_init(&store, &kernel, &opts);
+	kernel_start(&kernel);
+	record.kind = RECORD_STREAMS;
+	record.u.streams = record_streams_new();
+	for (int i = 0; i < SAVED_STREAMS_MAX; i++)
+		g_array_append_val(record.u.streams->list, saved);
+	msg.kind = MSG_STORE_TXN;
+	msg.u.store_txn = store_txn_new();
+	store_txn_group(msg.u.store_txn);
+	for (int i = 0; i < 60; i++)
+		store_txn_put(msg.u.store_txn,
+			      ("streams/" + std::to_string(i)).c_str(), 0, 0,
+			      &record);
+	record_clear(&record);
+	kernel_post(&kernel, owner, store.svc, &msg);
+	EXPECT_TRUE(pump([&] { return requester.result != nullptr; }));
+	EXPECT_EQ(requester.result->status, STORE_UNKNOWN);
+	store_result_free(requester.result);
+	platform_store_finish(&store);
+	outbound_finish(&outbound);
+	kernel_finish(&kernel);
+}
+
 TEST(Entries, QuarantinesAreUnchangedByEncodingAndDecoding)
 {
 	const std::string hash(HASH_SIZE - 1, 'a');
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1,9 +1,12 @@
 // Tests the proxy: which requests may be sent to a second target, whether a
 // refusal says that nothing ran, and this instance's share of the fleet's
 // retry budget.
+#include "ingress/ingress.h"
+#include "outbound/outbound.h"
 #include "proxy/part_quarantine.h"
 #include "proxy/proxy.h"
 #include "proxy/sse.h"
+#include "tests/script_server.h"
 
 #include <cstring>
 #include <gtest/gtest.h>
@@ -67,12 +70,11 @@
 			  sizeof(route.shares[0].service));
 		g_array_append_val(conf->routes, route);
 	}
-	void send_conf()
+	static fleet_conf_t *make_conf()
 	{
 		fleet_conf_t *conf = fleet_conf_new();
 		fleet_service_t engine = {}, plain = {};
 		fleet_account_t account = {};
-		msg_t msg = {};
 
 		conf->version = 7;
 		conf->has_accounts = true;
@@ -93,8 +95,14 @@
 		g_array_append_val(conf->accounts, account);
 		g_hash_table_insert(conf->keys, g_strdup("key"),
 				    GUINT_TO_POINTER(1));
+		return conf;
+	}
+	void send_conf()
+	{
+		msg_t msg = {};
+
 		msg.kind = MSG_FLEET_CONF;
-		msg.u.fleet_conf = conf;
+		msg.u.fleet_conf = make_conf();
 		kernel_post(&kernel, fleet, proxy.svc, &msg);
 		run(0);
 	}
@@ -2696,4 +2704,225 @@
 	EXPECT_EQ(sent_to, 81);
 }
 
+// The proxy between the HTTP server and the HTTP client of the gateway.
+class Served : public Proxy
+{
+      protected:
+	void SetUp() override
+	{
+		proxy_opts_t opts = {};
+
+		g_strlcpy(opts.incarnation, "run-1", sizeof(opts.incarnation));
+		g_strlcpy(opts.zone, "a", sizeof(opts.zone));
+		g_strlcpy(opts.peer_key, "a key of the fleet",
+			  sizeof(opts.peer_key));
+		opts.retry_limits = {0.2, 1000, 10 * USEC_PER_SEC};
+		kernel_init(&kernel, CLOCK_REAL, 1);
+		ingress_init(&server, &kernel);
+		outbound_init(&client, &kernel);
+		for (const char *name : {"balance", "prepaid", "streams",
+					 "peer", "store", "fleet"})
+			kernel_register(&kernel, name, receive_other, this);
+		balance = kernel_find(&kernel, "balance");
+		prepaid = kernel_find(&kernel, "prepaid");
+		store = kernel_find(&kernel, "store");
+		proxy_init(&proxy, &kernel, &opts);
+		ASSERT_EQ(ingress_listen(&server, LISTENER_CALLERS, "127.0.0.1",
+					 0),
+			  INGRESS_OK);
+		kernel_start(&kernel);
+		for (svc_t to : {proxy.svc, server.svc}) {
+			msg_t msg = {};
+
+			msg.kind = MSG_FLEET_CONF;
+			msg.u.fleet_conf = make_conf();
+			set_timeouts(msg.u.fleet_conf, 30000);
+			msg.u.fleet_conf->limits.max_header = 16384;
+			msg.u.fleet_conf->limits.max_body = 4194304;
+			msg.u.fleet_conf->limits.header_timeout_ms = 30000;
+			msg.u.fleet_conf->limits.idle_timeout_ms = 30000;
+			kernel_post(&kernel, balance, to, &msg);
+		}
+		EXPECT_TRUE(pump([&] { return server.ready; }));
+	}
+	void TearDown() override
+	{
+		ingress_finish(&server);
+		outbound_finish(&client);
+		Proxy::TearDown();
+	}
+	// No test depends on how soon a response comes.
+	static void set_timeouts(fleet_conf_t *conf, uint32_t ms)
+	{
+		for (guint i = 0; i < conf->routes->len; i++)
+			g_array_index(conf->routes, fleet_route_t, i)
+				.timeout_ms = ms;
+	}
+	static void receive_other(void *self, msg_t *msg)
+	{
+		auto *s = static_cast<Served *>(self);
+
+		if (msg->kind == MSG_RESERVE)
+			s->handle_reserve(msg);
+		else if (msg->kind == MSG_PLACE)
+			s->place(msg);
+		else if (msg->kind == MSG_STORE_LIST ||
+			 msg->kind == MSG_STORE_TXN)
+			s->handle_store(msg);
+	}
+	void place(const msg_t *request)
+	{
+		msg_t msg = {};
+
+		placements++;
+		msg.kind = MSG_PLACED;
+		msg.ref = request->id;
+		msg.id = {(uint32_t)placements, 1};
+		msg.u.placed.target = {(uint32_t)placements, 1};
+		g_snprintf(msg.u.placed.instance, sizeof(msg.u.placed.instance),
+			   "i-%d", placements);
+		g_strlcpy(msg.u.placed.host, "127.0.0.1",
+			  sizeof(msg.u.placed.host));
+		msg.u.placed.port = target_port;
+		kernel_post(&kernel, balance, request->from, &msg);
+	}
+	// From then on no target accepts a connection, and a peer takes the
+	// requests.
+	void go_through_peer(uint16_t port)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_UP;
+		g_strlcpy(msg.u.peer_addr.incarnation, "p1",
+			  sizeof(msg.u.peer_addr.incarnation));
+		g_strlcpy(msg.u.peer_addr.host, "127.0.0.1", HOST_SIZE);
+		msg.u.peer_addr.request_port = port;
+		kernel_post(&kernel, balance, proxy.svc, &msg);
+		ScriptServer gone([](script_conn_t &) {});
+		target_port = gone.port;
+	}
+	// Returns all that the caller of a request gets.
+	std::string call(const char *kind, size_t size)
+	{
+		GSocketAddress *address = g_socket_get_local_address(
+			server.listeners[LISTENER_CALLERS].socket, nullptr);
+		Client caller(g_inet_socket_address_get_port(
+			G_INET_SOCKET_ADDRESS(address)));
+		std::string text =
+			std::string("POST /") + kind + "/" +
+			std::to_string(++calls) +
+			" HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"
+			"Attempt-Id: r1\r\nToken-Count: 10,10\r\n"
+			"Connection: close\r\nContent-Length: " +
+			std::to_string(size) + "\r\n\r\n";
+
+		g_object_unref(address);
+		caller.send(text + std::string(size, 'a'));
+		EXPECT_TRUE(caller.wait_closed());
+		return caller.in;
+	}
+	ingress_t server;
+	outbound_t client;
+	uint16_t target_port = 0;
+	int calls = 0;
+};
+
+const char *const route_kinds[] = {"safe", "unsafe", "stream", "resume",
+				   "call"};
+
+// A target in trouble, or a peer of an earlier build that passes its response
+// on, may send a status that is none.  The caller must get a 502.
+TEST_F(Served, InvalidStatusIsNoAnswer)
+{
+	const char *const statuses[] = {"000", "0", "99", "600", "999", "2OO"};
+	std::string sent;
+	ScriptServer target([&](script_conn_t &conn) {
+		conn.send("HTTP/1.1 " + sent +
+			  " OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n"
+			  "Content-Length: 2\r\n\r\nok");
+	});
+
+	target_port = target.port;
+	for (bool through_peer : {false, true}) {
+		for (const char *text : statuses) {
+			sent = text;
+			for (const char *kind : route_kinds) {
+				for (size_t size : {0, 2000, 4000000}) {
+					/* A peer that fails is avoided for a
+					 * while. */
+					if (through_peer)
+						go_through_peer(target.port);
+					std::string got = call(kind, size);
+
+					EXPECT_EQ(got.substr(0, 13),
+						  "HTTP/1.1 502 ")
+						<< text << " " << kind << " "
+						<< size << " " << through_peer;
+				}
+			}
+		}
+		sent = "200";
+		if (through_peer)
+			go_through_peer(target.port);
+		EXPECT_EQ(call("unsafe", 0).substr(0, 13), "HTTP/1.1 200 ");
+	}
+}
+
+// Guards against a part of a response that the caller gets as a whole one.
+TEST_F(Served, PartOfAResponseIsNoAnswer)
+{
+	int requests = 0;
+	ScriptServer target([&](script_conn_t &conn) {
+		requests++;
+		conn.send("HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
+			  "Response-Seal: s\r\n\r\n" +
+			  std::string(400, 'a'));
+		/* The rest of the request is not read. */
+		g_source_destroy(conn.source);
+		g_timeout_add(
+			20,
+			[](gpointer data) -> gboolean {
+				static_cast<script_conn_t *>(data)->reset();
+				return G_SOURCE_REMOVE;
+			},
+			&conn);
+	});
+
+	target_port = target.port;
+	for (bool through_peer : {false, true}) {
+		for (const char *kind : route_kinds) {
+			for (size_t size : {0, 2000, 4000000}) {
+				/* A peer that fails is avoided for a while. */
+				if (through_peer)
+					go_through_peer(target.port);
+				std::string got = call(kind, size);
+
+				EXPECT_EQ(got.substr(0, 13), "HTTP/1.1 502 ")
+					<< kind << " " << size << " "
+					<< through_peer;
+			}
+		}
+	}
+}
+
+// A request that was sent in part may have run: it is sent once on a route that
+// forbids repeats.
+TEST_F(Served, UnsafeRequestCutInItsUploadIsNotSentAgain)
+{
+	int requests = 0;
+	ScriptServer target([&](script_conn_t &conn) {
+		requests++;
+		g_source_destroy(conn.source);
+		conn.reset();
+	});
+
+	target_port = target.port;
+	for (const char *kind : {"unsafe", "stream"}) {
+		requests = 0;
+		EXPECT_EQ(call(kind, 4000000).substr(0, 13), "HTTP/1.1 502 ")
+			<< kind;
+		EXPECT_EQ(requests, 1) << kind;
+	}
+}
+
 } // namespace
--- a/tests/pump.h
+++ b/tests/pump.h
@@ -97,6 +97,14 @@
 	{
 		g_socket_close(socket, nullptr);
 	}
+	void reset()
+	{
+		struct linger linger = {1, 0};
+
+		setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER,
+			   &linger, sizeof(linger));
+		close();
+	}
 	std::string in;
 	bool connected;
 	bool closed = false;
