Tell what would happen to a request, by the search that places requests

Operators ask where a request would go now, and why a target is not used. balance_choose() and the new balance_explain() are one search; the latter notes each target with its reason and the parts of its cost, and leaves out what has an effect: jitter and process_want(). queue_explain() adds the outcome with the functions of the queue.

balance_target_cost() is split into its parts, claim_permit() into a search and the claim, and flow_time() no longer stores the rate that it computes; flow_add() does, so the rate is the same.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -1,5 +1,6 @@
 #include "balance/balance.h"
 #include "balance/brittle.h"
+#include "balance/explain.h"
 
 #include "balance/flow.h"
 #include "balance/home.h"
@@ -199,6 +200,9 @@
 	case MSG_PLACE:
 		queue_place(balance, msg);
 		break;
+	case MSG_PLACE_EXPLAIN:
+		explain_place(balance, msg);
+		break;
 	case MSG_PLACE_CANCEL:
 		queue_cancel(balance, msg);
 		break;
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -8,7 +8,6 @@
 
 #include <string.h>
 
-#define JITTER_MS 2.0 /* keeps instances from choosing in lockstep */
 /*
  * A target that runs calls queues a few requests.  Further ones would only wait
  * there.
@@ -262,17 +261,23 @@
 		keep_cheapest(&found->later, &found->later_cost, target, cost);
 }
 
-static double target_cost(balance_t *balance, const balance_target_t *target,
-			  const msg_t *request, const preferred_t *preferred,
-			  int64_t now)
+static double target_cost(const balance_t *balance,
+			  const balance_target_t *target, const msg_t *request,
+			  const preferred_t *preferred, int64_t now,
+			  target_cost_t *parts)
 {
 	bool same_zone = strcmp(target->info.zone, balance->zone) == 0;
 
-	return balance_target_cost(target, request, same_zone,
-				   target_rank(preferred, target),
-				   oldest_unanswered_age(target, now), now) +
-	       (double)kernel_random_below(balance->kernel, 1000) / 1000.0 *
-		       JITTER_MS;
+	balance_target_cost_parts(
+		target, request, same_zone, target_rank(preferred, target),
+		oldest_unanswered_age(target, now), now, parts);
+	return parts->total;
+}
+
+static double jitter(balance_t *balance)
+{
+	return (double)kernel_random_below(balance->kernel, 1000) / 1000.0 *
+	       CHOICE_JITTER_MS;
 }
 
 static int64_t paused_until(const balance_target_t *target)
@@ -281,7 +286,14 @@
 		   target->notice.brittle.paused_until);
 }
 
-void balance_choose(balance_t *balance, const msg_t *request, choice_t *choice)
+static bool needs_cost(pass_reason_t reason)
+{
+	return reason == PASS_NONE || reason == PASS_LIMITED;
+}
+
+/* considered is NULL for a choice; otherwise the search has no effect. */
+static void search(balance_t *balance, const msg_t *request, choice_t *choice,
+		   GArray *considered)
 {
 	int64_t now = kernel_now(balance->kernel);
 	limit_request_t limit_request = balance_limit_request(request, now);
@@ -294,6 +306,7 @@
 	memset(choice, 0, sizeof(*choice));
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
 	       NULL) {
+		considered_t found_here = {.target = target};
 		pass_reason_t reason;
 
 		if (strcmp(target->info.service, request->u.place.service) != 0)
@@ -301,16 +314,18 @@
 		reason = reason_to_pass(balance, target, request, now);
 		if (reason != PASS_NONE)
 			count_passed(&choice->passed_over, target, reason);
+		cost = 0.0;
+		if (considered != NULL || needs_cost(reason))
+			cost = target_cost(balance, target, request, &preferred,
+					   now, &found_here.cost);
+		if (considered == NULL && needs_cost(reason))
+			cost += jitter(balance);
 		switch (reason) {
 		case PASS_NONE:
-			cost = target_cost(balance, target, request, &preferred,
-					   now);
 			keep_cheapest(&found.open, &found.open_cost, target,
 				      cost);
 			break;
 		case PASS_LIMITED:
-			cost = target_cost(balance, target, request, &preferred,
-					   now);
 			add_limited(&found, target, &limit_request, cost, now);
 			break;
 		case PASS_PAUSED:
@@ -318,12 +333,27 @@
 				MIN(found.room_at, paused_until(target));
 			break;
 		case PASS_DOUBTED:
-			process_want(balance, target);
+			if (considered == NULL)
+				process_want(balance, target);
 			found.reporting |= process_is_reporting(target);
 			break;
 		default:
 			break;
 		}
+		found_here.reason = reason;
+		if (considered != NULL)
+			g_array_append_val(considered, found_here);
 	}
 	decide(&found, choice);
 }
+
+void balance_choose(balance_t *balance, const msg_t *request, choice_t *choice)
+{
+	search(balance, request, choice, NULL);
+}
+
+void balance_explain(balance_t *balance, const msg_t *request, choice_t *choice,
+		     GArray *considered)
+{
+	search(balance, request, choice, considered);
+}
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -40,10 +40,26 @@
 	} u;
 } choice_t;
 
+/* What was found of one target of the service. */
+typedef struct considered_t {
+	const balance_target_t *target;
+	pass_reason_t reason; /* PASS_NONE: it has room */
+	target_cost_t cost;
+} considered_t;
+
+/* Costs differ by up to this at random in a choice. */
+#define CHOICE_JITTER_MS 2.0 /* keeps instances from choosing in lockstep */
+
 /* Whether targets were passed over for what they had stated. */
 bool passed_over_stated(const passed_over_t *passed_over);
 /* Chooses the target with the lowest expected delay. */
 void balance_choose(balance_t *balance, const msg_t *request, choice_t *choice);
+/*
+ * Decides as balance_choose() does, by costs without jitter, and has no effect.
+ * Appends a considered_t for each target of the service.
+ */
+void balance_explain(balance_t *balance, const msg_t *request, choice_t *choice,
+		     GArray *considered);
 /*
  * How long a request may wait for a permit: the less urgent it is, the fewer
  * others may go before it.
--- a/balance/flow.c
+++ b/balance/flow.c
@@ -24,34 +24,41 @@
 	g_hash_table_unref(balance->flows);
 }
 
-static flow_t *current_flow(balance_t *balance, const char *service)
+/* Returns the flow as it is now. */
+static flow_t current_flow(const balance_t *balance, const char *service)
 {
-	flow_t *flow = g_hash_table_lookup(balance->flows, service);
+	const flow_t *known = g_hash_table_lookup(balance->flows, service);
 	int64_t now = kernel_now(balance->kernel);
+	flow_t flow = {0};
 
-	if (flow == NULL) {
-		flow = g_new0(flow_t, 1);
-		g_hash_table_insert(balance->flows, g_strdup(service), flow);
-	}
-	flow->rate *= exp(-(double)(now - flow->at) / MEMORY_US);
-	if (flow->rate < RATE_MIN)
-		flow->since = now;
-	flow->at = now;
+	if (known != NULL)
+		flow = *known;
+	flow.rate *= exp(-(double)(now - flow.at) / MEMORY_US);
+	if (flow.rate < RATE_MIN)
+		flow.since = now;
+	flow.at = now;
 	return flow;
 }
 
 void flow_add(balance_t *balance, const char *service)
 {
-	current_flow(balance, service)->rate +=
-		(double)USEC_PER_SEC / MEMORY_US;
+	flow_t *flow = g_hash_table_lookup(balance->flows, service);
+
+	if (flow == NULL) {
+		flow = g_new0(flow_t, 1);
+		g_hash_table_insert(balance->flows, g_strdup(service), flow);
+	}
+	*flow = current_flow(balance, service);
+	flow->rate += (double)USEC_PER_SEC / MEMORY_US;
 }
 
-int64_t flow_time(balance_t *balance, const char *service, uint32_t requests)
+int64_t flow_time(const balance_t *balance, const char *service,
+		  uint32_t requests)
 {
-	const flow_t *flow = current_flow(balance, service);
+	flow_t flow = current_flow(balance, service);
 	/* What came before the first request must not lower the rate. */
-	double known = 1.0 - exp(-(double)(flow->at - flow->since) / MEMORY_US);
-	double rate = MAX(flow->rate, RATE_MIN) / MAX(known, KNOWN_MIN);
+	double known = 1.0 - exp(-(double)(flow.at - flow.since) / MEMORY_US);
+	double rate = MAX(flow.rate, RATE_MIN) / MAX(known, KNOWN_MIN);
 
 	return (int64_t)(requests / rate * (double)USEC_PER_SEC);
 }
--- a/balance/flow.h
+++ b/balance/flow.h
@@ -14,7 +14,8 @@
 /* Counts a request that was placed. */
 void flow_add(balance_t *balance, const char *service);
 /* Returns the time in which this many requests are placed; us. */
-int64_t flow_time(balance_t *balance, const char *service, uint32_t requests);
+int64_t flow_time(const balance_t *balance, const char *service,
+		  uint32_t requests);
 
 G_END_DECLS
 
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -168,10 +168,11 @@
 }
 
 /*
- * Claims a permit that becomes valid in time and is not claimed by a more
- * urgent request.
+ * Returns a target with a permit that becomes valid in time and is not claimed
+ * by a more urgent request, or NULL.
  */
-static bool claim_permit(balance_t *balance, const msg_t *request)
+static balance_target_t *find_permit(const balance_t *balance,
+				     const msg_t *request)
 {
 	balance_target_t *target;
 	uint32_t cursor = 0;
@@ -183,10 +184,19 @@
 			    request->u.place.deadline ||
 		    !balance_is_usable(target, request))
 			continue;
-		queue_wake_at(balance, target->permits[target->claimed++]);
-		return true;
+		return target;
 	}
-	return false;
+	return NULL;
+}
+
+static bool claim_permit(balance_t *balance, const msg_t *request)
+{
+	balance_target_t *target = find_permit(balance, request);
+
+	if (target == NULL)
+		return false;
+	queue_wake_at(balance, target->permits[target->claimed++]);
+	return true;
 }
 
 static void ask(balance_t *balance, queued_t *queued, const choice_t *choice)
@@ -303,6 +313,66 @@
 		queue_run(balance);
 }
 
+/* The request can't go at once and has found no permit of its own. */
+static void explain_wait(balance_t *balance, const queued_t *queued,
+			 prospect_t *prospect)
+{
+	const choice_t *choice = &prospect->choice;
+
+	prospect->kind = PROSPECT_WAITS;
+	switch (choice->kind) {
+	case CHOICE_WAIT:
+		prospect->room_at = room_at(balance, queued, choice);
+		if (prospect->room_at <= queued->request.u.place.deadline)
+			break;
+		prospect->kind = PROSPECT_REFUSED;
+		prospect->reason = REFUSAL_OVERLOADED;
+		break;
+	case CHOICE_NONE:
+		/* Refused at its deadline, unless a target joins. */
+		prospect->reason = REFUSAL_NO_TARGET;
+		if (is_version_gone(&queued->request, choice))
+			prospect->kind = PROSPECT_REFUSED;
+		break;
+	case CHOICE_TARGET:
+	case CHOICE_ASK:
+		break;
+	}
+}
+
+void queue_explain(balance_t *balance, const msg_t *msg, GArray *considered,
+		   prospect_t *prospect)
+{
+	queued_t queued = {.request = *msg, .arrival = balance->arrivals};
+	const balance_target_t *permitted;
+
+	memset(prospect, 0, sizeof(*prospect));
+	prospect->room_at = INT64_MAX;
+	if (balance->conf == NULL) {
+		prospect->kind = PROSPECT_REFUSED;
+		prospect->reason = REFUSAL_NO_CONFIGURATION;
+		return;
+	}
+	balance_explain(balance, msg, &prospect->choice, considered);
+	prospect->ahead = count_ahead(balance, &queued);
+	if (prospect->choice.kind == CHOICE_TARGET) {
+		prospect->kind = PROSPECT_SENT;
+		return;
+	}
+	permitted = prospect->choice.kind == CHOICE_NONE
+			    ? NULL
+			    : find_permit(balance, msg);
+	if (prospect->choice.kind == CHOICE_ASK &&
+	    (permitted == NULL || prospect->choice.u.ask.at_once)) {
+		prospect->kind = PROSPECT_ASKS;
+	} else if (permitted != NULL) {
+		prospect->kind = PROSPECT_WAITS;
+		prospect->room_at = permitted->permits[permitted->claimed];
+	} else {
+		explain_wait(balance, &queued, prospect);
+	}
+}
+
 void queue_run(balance_t *balance)
 {
 	GPtrArray *order;
--- a/balance/target.c
+++ b/balance/target.c
@@ -296,20 +296,36 @@
 	return CALL_TIME_MS * (1.0 + busy * busy * CALL_LOAD_WEIGHT);
 }
 
-double balance_target_cost(const balance_target_t *target, const msg_t *request,
-			   bool same_zone, target_rank_t rank,
-			   int64_t oldest_unanswered_us, int64_t now)
+void balance_target_cost_parts(const balance_target_t *target,
+			       const msg_t *request, bool same_zone,
+			       target_rank_t rank, int64_t oldest_unanswered_us,
+			       int64_t now, target_cost_t *parts)
 {
-	double cost = target->engine ? engine_cost(target, request, rank, now)
-				     : call_cost(target, now);
+	double slow;
 
-	cost *= latency_factor(target, now);
+	memset(parts, 0, sizeof(*parts));
+	parts->work = target->engine ? engine_cost(target, request, rank, now)
+				     : call_cost(target, now);
+	slow = parts->work * latency_factor(target, now);
+	parts->slowness = slow - parts->work;
 	if (!same_zone)
-		cost += target->engine ? ENGINE_CROSS_ZONE_MS
-				       : CALL_CROSS_ZONE_MS;
-	cost += current_failure_score(target, now) * FAILURE_COST_MS;
+		parts->zone = target->engine ? ENGINE_CROSS_ZONE_MS
+					     : CALL_CROSS_ZONE_MS;
+	parts->failures = current_failure_score(target, now) * FAILURE_COST_MS;
 	if (oldest_unanswered_us > FIRST_BYTE_OVERDUE_US)
-		cost += (double)(oldest_unanswered_us - FIRST_BYTE_OVERDUE_US) /
+		parts->overdue =
+			(double)(oldest_unanswered_us - FIRST_BYTE_OVERDUE_US) /
 			USEC_PER_MSEC_F * OVERDUE_WEIGHT;
-	return cost;
+	parts->total = slow + parts->zone + parts->failures + parts->overdue;
+}
+
+double balance_target_cost(const balance_target_t *target, const msg_t *request,
+			   bool same_zone, target_rank_t rank,
+			   int64_t oldest_unanswered_us, int64_t now)
+{
+	target_cost_t parts;
+
+	balance_target_cost_parts(target, request, same_zone, rank,
+				  oldest_unanswered_us, now, &parts);
+	return parts.total;
 }
--- a/balance/target.h
+++ b/balance/target.h
@@ -115,6 +115,20 @@
 	TARGET_OTHER,
 } target_rank_t;
 
+/* Expected delay at a target and what it consists of, in ms. */
+typedef struct target_cost_t {
+	double work; /* what runs and waits there, and the prompt */
+	double slowness; /* it responds more slowly than others */
+	double zone; /* it is in another zone */
+	double failures; /* recent ones */
+	double overdue; /* its oldest request has no first byte */
+	double total;
+} target_cost_t;
+
+void balance_target_cost_parts(const balance_target_t *target,
+			       const msg_t *request, bool same_zone,
+			       target_rank_t rank, int64_t oldest_unanswered_us,
+			       int64_t now, target_cost_t *parts);
 /* oldest_unanswered_us is the age of the oldest request with no first byte. */
 double balance_target_cost(const balance_target_t *target, const msg_t *request,
 			   bool same_zone, target_rank_t rank,
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -48,6 +48,18 @@
 exchange_spec_t *exchange_spec_new(void);
 void exchange_spec_free(exchange_spec_t *spec);
 
+/* An operator asks where a request would go now. */
+typedef struct explain_query_t {
+	char host[HOST_SIZE];
+	char path[PATH_SIZE];
+	char service[NAME_SIZE]; /* empty: as the route says */
+	char account[NAME_SIZE]; /* empty: none */
+	int64_t prompt_tokens;
+	int64_t max_tokens;
+	uint32_t part_count;
+	prompt_part_t parts[PROMPT_PARTS_MAX];
+} explain_query_t;
+
 /* Where a stream began, and for whom. */
 typedef struct stream_origin_t {
 	char service[NAME_SIZE];
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -144,6 +144,12 @@
 	MSG_PLACE_FIRST_BYTE,
 	MSG_PLACE_REPORT, /* a response head told about its target */
 	MSG_PLACE_DONE, /* ends a placement */
+	/*
+	 * As MSG_PLACE, but only tells what would happen, in MSG_EXCHANGE_DATA
+	 * and MSG_EXCHANGE_END to "ingress" with this ref.
+	 */
+	MSG_PLACE_EXPLAIN, /* proxy -> balance */
+	MSG_EXPLAIN, /* ingress -> proxy: where would a request go? */
 
 	MSG_OUT_SEND, /* any -> outbound */
 	MSG_OUT_STARTED,
@@ -452,6 +458,7 @@
 		instance_list_t *instances; /* MSG_INSTANCES_LISTED */
 
 		exchange_spec_t *exchange; /* MSG_EXCHANGE_OPEN */
+		explain_query_t *explain; /* MSG_EXPLAIN; id is the caller */
 		struct {
 			http_head_t *head;
 			int64_t length; /* bytes of the body; -1 if unknown */
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -35,6 +35,7 @@
 	std::vector<handle_t> confirmed;
 	std::vector<peer_body_t> announced; // bodies sent to peers
 	std::string announced_zone;
+	std::string explanation; // of the last MSG_PLACE_EXPLAIN
 
 	static void receive(void *self, msg_t *msg)
 	{
@@ -52,6 +53,13 @@
 					       msg->u.placed.instance);
 			i->placed_versions.push_back(msg->u.placed.version);
 			i->placements.push_back(msg->id);
+		} else if (msg->kind == MSG_EXCHANGE_DATA) {
+			gsize size;
+			const void *data =
+				g_bytes_get_data(msg->u.data.bytes, &size);
+
+			i->explanation.assign(static_cast<const char *>(data),
+					      size);
 		} else if (msg->kind == MSG_PLACE_REFUSED) {
 			i->refused.push_back(msg->ref.index);
 			i->reason = msg->u.place_refused.reason;
@@ -65,6 +73,7 @@
 		fleet = kernel_register(&kernel, "fleet", receive, this);
 		peer = kernel_register(&kernel, "peer", receive, this);
 		outbound = kernel_register(&kernel, "outbound", receive, this);
+		kernel_register(&kernel, "ingress", receive, this);
 		balance_init(&balance, &kernel, "run-1", zone);
 		kernel_start(&kernel);
 		send_conf();
@@ -139,12 +148,26 @@
 		kernel_post(&kernel, peer, balance.svc, &msg);
 		run(0);
 	}
+	// Returns what would happen to the request.
+	const std::string &explain(const char *service, uint64_t part = 0,
+				   int32_t priority = 0,
+				   const char *version = nullptr)
+	{
+		explanation.clear();
+		request(0, service, part, priority, version, MSG_PLACE_EXPLAIN);
+		return explanation;
+	}
+	bool explains(const std::string &text) const
+	{
+		return explanation.find(text) != std::string::npos;
+	}
 	void request(uint32_t number, const char *service, uint64_t part = 0,
-		     int32_t priority = 0, const char *version = nullptr)
+		     int32_t priority = 0, const char *version = nullptr,
+		     msg_kind_t kind = MSG_PLACE)
 	{
 		msg_t msg = {};
 
-		msg.kind = MSG_PLACE;
+		msg.kind = kind;
 		msg.u.place.one_version = version != nullptr;
 		g_strlcpy(msg.u.place.version,
 			  version != nullptr ? version : "",
@@ -1205,4 +1228,106 @@
 	}
 }
 
+// An operator acts on the explanation, so it must name the target that the next
+// request goes to.
+TEST(Explain, NamesTheTargetOfTheNextRequest)
+{
+	instance_t i("a", 1);
+	uint32_t number = 0;
+
+	for (const char *id : {"e1", "e2", "e3", "e4", "e5"})
+		i.set_target("engine", id, "a");
+	i.set_target("engine", "far", "b");
+	i.set_target("engine", "old", "a", true);
+	for (uint64_t part = 10; part < 40; part++) {
+		i.explain("engine", part);
+		i.request(++number, "engine", part);
+		ASSERT_EQ(i.placed.size(), number);
+		EXPECT_TRUE(i.explains(
+			"outcome=sent target=" + i.placed.back().second + " "))
+			<< i.explanation << i.placed.back().second;
+		EXPECT_TRUE(i.explains("target=old zone=a usable=no "
+				       "reason=unavailable chosen=no "));
+		i.finish_request(number - 1, PLACE_OK);
+	}
+}
+
+// Asking must not change what happens to requests: it asks for no permit or
+// report, counts nothing, and draws no random number.
+TEST(Explain, HasNoEffect)
+{
+	instance_t a("a", 1), b("a", 1);
+
+	for (instance_t *i : {&a, &b}) {
+		i->run(1000);
+		i->set_target("engine", "e1", "a");
+		i->set_target("engine", "e2", "a");
+		i->set_target("engine", "e3", "a");
+		i->request(1, "engine", 7);
+		i->request(2, "engine", 8);
+		i->report(0, true, 0);
+		i->report(1, false, 5000);
+		/* A stream of a version would want its report. */
+		i->finish_request(1, PLACE_RESET);
+	}
+	metrics_t before = *a.kernel.metrics;
+	size_t told = a.announced.size();
+	int64_t timer = kernel_next_timer(&a.kernel);
+
+	for (uint64_t part = 10; part < 30; part++) {
+		EXPECT_FALSE(a.explain("engine", part).empty());
+		a.explain("engine", part, 2, "v1");
+		a.explain("engine", part, 0, "v9");
+		a.explain("call");
+	}
+	EXPECT_TRUE(a.explain("engine", 7, 0, "v1").find("reason=doubted") !=
+		    std::string::npos)
+		<< a.explanation;
+	EXPECT_EQ(memcmp(&before, a.kernel.metrics, sizeof(before)), 0);
+	EXPECT_EQ(a.announced.size(), told);
+	EXPECT_EQ(kernel_next_timer(&a.kernel), timer);
+	EXPECT_EQ(table_count(&a.balance.queue), 0u);
+	EXPECT_EQ(table_count(&a.balance.asks), 0u);
+	EXPECT_EQ(table_count(&a.balance.reports), 0u);
+	EXPECT_EQ(a.reports, b.reports);
+	EXPECT_EQ(g_hash_table_size(a.balance.flows),
+		  g_hash_table_size(b.balance.flows));
+	EXPECT_EQ(a.refused.size(), 0u);
+	/* Both draw the same numbers from then on. */
+	for (uint32_t number = 3; number < 9; number++)
+		for (instance_t *i : {&a, &b})
+			i->request(number, "engine", number * 100);
+	EXPECT_EQ(a.placed, b.placed);
+	EXPECT_EQ(kernel_random(&a.kernel), kernel_random(&b.kernel));
+}
+
+// Each reason to pass over a target, and each outcome, is told.
+TEST(Explain, TellsReasonsAndOutcomes)
+{
+	instance_t i("a", 1);
+
+	i.explain("engine");
+	EXPECT_TRUE(i.explains("outcome=waits at_most_ms=100 "
+			       "room_in_ms=unknown ahead=0 "));
+	i.set_target("engine", "e1", "a", false, false, 1);
+	i.explain("engine", 7, 0, "v9");
+	EXPECT_TRUE(i.explains("reason=version "));
+	EXPECT_TRUE(i.explains("outcome=refused reason=no_target "));
+	i.request(1, "engine", 7);
+	i.explain("engine", 7);
+	EXPECT_TRUE(i.explains("usable=no reason=full ")) << i.explanation;
+	EXPECT_TRUE(i.explains("outcome=waits ")) << i.explanation;
+	i.request(2, "engine", 7);
+	i.explain("engine", 7, 1);
+	EXPECT_TRUE(i.explains(" ahead=1 ")) << i.explanation;
+	i.report(0, false, 5000);
+	i.explain("engine", 7);
+	EXPECT_TRUE(i.explains("reason=paused ")) << i.explanation;
+	EXPECT_TRUE(i.explains("outcome=refused reason=overloaded "))
+		<< i.explanation;
+	i.report(0, true, 0);
+	i.explain("engine", 7);
+	EXPECT_TRUE(i.explains("reason=leaving ")) << i.explanation;
+}
+
 } // namespace
