Add the command tanagertrestle explain

It asks a gateway at its metrics address, GET /explain, where a request would go: the route and service by host and path, the account's priority, and each target with its reason to be passed over or its cost, and the outcome. The proxy answers what exchange_admit() decides by the configuration, "balance" the rest; nothing is sent or counted.

Tests: Served.ExplanationTellsRouteAndService, Wire.QueryForAnExplanationIsRead.

--- a/ctl/args.c
+++ b/ctl/args.c
@@ -13,6 +13,7 @@
 	OPTIONS_SERVICE = 4,
 	OPTIONS_TARGET = 8,
 	OPTIONS_RECLAIM = 16,
+	OPTIONS_EXPLAIN = 32, /* of a command that does not use the store */
 } option_group_t;
 
 typedef struct command_spec_t {
@@ -86,6 +87,8 @@
 	 "show the preset in force and what each one sets"},
 	{"status", "", COMMAND_STATUS, 0, 0, "",
 	 "show routers, targets, budgets, preset, refusals"},
+	{"explain", "", COMMAND_EXPLAIN, OPTIONS_EXPLAIN, 1, "ADDRESS",
+	 "show where a gateway would send a request now"},
 };
 
 bool ctl_has_noun(const char *noun)
@@ -261,6 +264,27 @@
 	g_option_context_add_main_entries(context, entries, NULL);
 }
 
+static void add_explain(GOptionContext *context, args_t *args)
+{
+	const GOptionEntry entries[] = {
+		{"host", 0, 0, G_OPTION_ARG_STRING, &args->host,
+		 "host of the request", "NAME"},
+		{"path", 0, 0, G_OPTION_ARG_STRING, &args->path,
+		 "path of the request", "PATH"},
+		{"service", 0, 0, G_OPTION_ARG_STRING, &args->service,
+		 "service, instead of the one of the route", "NAME"},
+		{"account", 0, 0, G_OPTION_ARG_STRING, &args->account,
+		 "client account", "NAME"},
+		{"tokens", 0, 0, G_OPTION_ARG_STRING, &args->tokens,
+		 "tokens of the prompt and limit on generated ones",
+		 "PROMPT,MAX"},
+		{"parts", 0, 0, G_OPTION_ARG_STRING, &args->parts,
+		 "parts of the prompt, the ids in hexadecimal",
+		 "ID:TOKENS,..."},
+		{NULL}};
+	g_option_context_add_main_entries(context, entries, NULL);
+}
+
 static bool parse_options(const command_spec_t *spec, int *argc, char ***argv,
 			  args_t *args, errmsg_t *err)
 {
@@ -282,6 +306,8 @@
 		add_service(context, args);
 	if (spec->options & OPTIONS_TARGET)
 		add_target(context, args);
+	if (spec->options & OPTIONS_EXPLAIN)
+		add_explain(context, args);
 	if (!g_option_context_parse(context, argc, argv, &error)) {
 		errmsg_set(err, "%s", error->message);
 		return false;
@@ -319,6 +345,11 @@
 	g_free(args->address);
 	g_free(args->availability_zone);
 	g_free(args->checks_fencing);
+	g_free(args->host);
+	g_free(args->path);
+	g_free(args->account);
+	g_free(args->parts);
+	g_free(args->tokens);
 }
 
 static ctl_status_t check_arguments(const command_spec_t *spec, args_t *args,
@@ -331,6 +362,8 @@
 			   spec->noun, spec->verb, spec->args);
 		return CTL_USAGE;
 	}
+	if (spec->options & OPTIONS_EXPLAIN)
+		return CTL_OK;
 	if (args->stores == NULL && store_env != NULL)
 		args->stores = g_strsplit(store_env, ",", 0);
 	if (args->stores == NULL || args->stores[0] == NULL) {
--- a/ctl/args.h
+++ b/ctl/args.h
@@ -39,6 +39,7 @@
 	COMMAND_PRESET_SET,
 	COMMAND_PRESET_SHOW,
 	COMMAND_STATUS,
+	COMMAND_EXPLAIN,
 } command_t;
 
 #define OPTION_UNSET (-1) /* an integer option that was not given */
@@ -76,6 +77,12 @@
 	char *availability_zone;
 	gint concurrency;
 	char *checks_fencing;
+
+	char *host;
+	char *path;
+	char *account;
+	char *parts;
+	char *tokens;
 } args_t;
 
 /*
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -17,6 +17,8 @@
 ctl_status_t order_run(ctl_t *ctl, const args_t *args);
 ctl_status_t preset_run(ctl_t *ctl, const args_t *args);
 ctl_status_t status_run(ctl_t *ctl, const args_t *args);
+/* Asks a gateway; the store is not used. */
+ctl_status_t explain_run(const args_t *args, errmsg_t *err);
 
 G_END_DECLS
 
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -51,6 +51,8 @@
 		return preset_run(ctl, args);
 	case COMMAND_STATUS:
 		return status_run(ctl, args);
+	case COMMAND_EXPLAIN:
+		break;
 	}
 	return CTL_USAGE;
 }
@@ -101,7 +103,9 @@
 	errmsg_t err = {""};
 	ctl_status_t status = args_parse(&args, argc, argv, &err);
 
-	if (status == CTL_OK)
+	if (status == CTL_OK && args.command == COMMAND_EXPLAIN)
+		status = explain_run(&args, &err);
+	else if (status == CTL_OK)
 		status = run_with_store(&args, &err);
 	if (status != CTL_OK)
 		fprintf(stderr, "tanagertrestle: %s\n", err.text);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -170,6 +170,22 @@
 	g_string_free(text, TRUE);
 }
 
+/* "proxy" and "balance" answer. */
+static void explain(ingress_t *ingress, ingress_conn_t *conn)
+{
+	explain_query_t *query = g_new(explain_query_t, 1);
+	msg_t msg = {.kind = MSG_EXPLAIN, .id = conn->self};
+	errmsg_t err;
+
+	if (!wire_read_explain(conn->parse.head, query, &err)) {
+		g_free(query);
+		ingress_conn_respond(conn, 400, "text/plain", err.text, false);
+		return;
+	}
+	msg.u.explain = query;
+	kernel_post(ingress->kernel, ingress->svc, ingress->proxy, &msg);
+}
+
 static int64_t stop_age(const ingress_t *ingress)
 {
 	return kernel_now(ingress->kernel) - ingress->stop_requested_at;
@@ -247,6 +263,8 @@
 	case LISTENER_METRICS:
 		if (hop_is_passed_on(conn->parse.head))
 			forward(ingress, conn);
+		else if (wire_is_explain(conn->parse.head))
+			explain(ingress, conn);
 		else
 			respond_metrics(ingress, conn);
 		break;
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -414,12 +414,17 @@
 	}
 }
 
+int64_t exchange_place_wait_ms(const fleet_route_t *route)
+{
+	return MAX(route->latency_goal_ms / PLACE_WAIT_DIVISOR,
+		   PLACE_WAIT_MIN_MS);
+}
+
 void exchange_place(proxy_t *proxy, exchange_t *exchange)
 {
 	const exchange_spec_t *spec = exchange->spec;
 	msg_t msg = {.kind = MSG_PLACE, .id = exchange->self};
-	int64_t wait = MAX(exchange->route.latency_goal_ms / PLACE_WAIT_DIVISOR,
-			   PLACE_WAIT_MIN_MS);
+	int64_t wait = exchange_place_wait_ms(&exchange->route);
 
 	exchange->state = EXCHANGE_PLACING;
 	g_strlcpy(msg.u.place.request_id, spec->request_id,
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -110,6 +110,11 @@
 void exchange_cancelled(proxy_t *proxy, handle_t ref);
 /* Requests a target for the first attempt or for a retry. */
 void exchange_place(proxy_t *proxy, exchange_t *exchange);
+/* How long a request of the route waits for a target. */
+int64_t exchange_place_wait_ms(const fleet_route_t *route);
+
+/* explain.c: answers MSG_EXPLAIN. */
+void explain_query(proxy_t *proxy, const msg_t *msg);
 /*
  * Ends an exchange without a complete response of a target: refuses the
  * request, or aborts the response if its head was sent.
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -182,6 +182,9 @@
 	case MSG_EXCHANGE_OPEN:
 		exchange_start(proxy, msg);
 		break;
+	case MSG_EXPLAIN:
+		explain_query(proxy, msg);
+		break;
 	case MSG_EXCHANGE_CANCEL:
 		exchange_cancelled(proxy, msg->ref);
 		break;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -580,6 +580,54 @@
 	}
 }
 
+// A query that is misread would explain another request than the operator's.
+TEST(Wire, QueryForAnExplanationIsRead)
+{
+	const char *const bad[] = {
+		"/explain",
+		"/explain?host=h",
+		"/explain?host=h&path=x",
+		"/explain?service=s&unknown=1",
+		"/explain?service=s&tokens=1",
+		"/explain?service=s&parts=x",
+		"/explain?service=s%00",
+		"/explain?service=%zz",
+		"/explain?service=s&account=%zz",
+		"/explain?service=s&account",
+	};
+	http_head_t *head = http_head_request(
+		"GET", "/explain?host=h.example&path=%2Fa%2Fb%20c&account=acme"
+		       "&tokens=100,50&parts=ff:40,1a:7");
+	explain_query_t query;
+	errmsg_t err;
+
+	EXPECT_TRUE(wire_is_explain(head));
+	ASSERT_TRUE(wire_read_explain(head, &query, &err)) << err.text;
+	EXPECT_STREQ(query.host, "h.example");
+	EXPECT_STREQ(query.path, "/a/b c");
+	EXPECT_STREQ(query.account, "acme");
+	EXPECT_STREQ(query.service, "");
+	EXPECT_EQ(query.prompt_tokens, 100);
+	EXPECT_EQ(query.max_tokens, 50);
+	ASSERT_EQ(query.part_count, 2u);
+	EXPECT_EQ(query.parts[0].id, 255u);
+	EXPECT_EQ(query.parts[1].tokens, 7u);
+	http_head_free(head);
+	for (const char *uri : bad) {
+		head = http_head_request("GET", uri);
+		EXPECT_FALSE(wire_read_explain(head, &query, &err)) << uri;
+		http_head_free(head);
+	}
+	for (const char *uri : {"/metrics", "/explained", "/"}) {
+		head = http_head_request("GET", uri);
+		EXPECT_FALSE(wire_is_explain(head)) << uri;
+		http_head_free(head);
+	}
+	head = http_head_request("POST", "/explain?service=s");
+	EXPECT_FALSE(wire_read_explain(head, &query, &err));
+	http_head_free(head);
+}
+
 TEST(Wire, RequestThatIsPassedOnIsAsItsCallerSentIt)
 {
 	http_head_t *head = http_head_request("POST", "/a/b?c=1"), *out;
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -2730,6 +2730,9 @@
 		ASSERT_EQ(ingress_listen(&server, LISTENER_CALLERS, "127.0.0.1",
 					 0),
 			  INGRESS_OK);
+		ASSERT_EQ(ingress_listen(&server, LISTENER_METRICS, "127.0.0.1",
+					 0),
+			  INGRESS_OK);
 		kernel_start(&kernel);
 		for (svc_t to : {proxy.svc, server.svc}) {
 			msg_t msg = {};
@@ -2766,6 +2769,8 @@
 			s->handle_reserve(msg);
 		else if (msg->kind == MSG_PLACE)
 			s->place(msg);
+		else if (msg->kind == MSG_PLACE_EXPLAIN)
+			s->explain_place(msg);
 		else if (msg->kind == MSG_STORE_LIST ||
 			 msg->kind == MSG_STORE_TXN)
 			s->handle_store(msg);
@@ -2786,6 +2791,34 @@
 		msg.u.placed.port = target_port;
 		kernel_post(&kernel, balance, request->from, &msg);
 	}
+	// "balance" has its own tests.
+	void explain_place(const msg_t *query)
+	{
+		msg_t data = {}, end = {};
+		std::string text = std::string("explained=") +
+				   query->u.place.service + "\n";
+
+		data.kind = MSG_EXCHANGE_DATA;
+		end.kind = MSG_EXCHANGE_END;
+		data.ref = end.ref = query->ref;
+		data.u.data.bytes = g_bytes_new(text.data(), text.size());
+		kernel_post(&kernel, balance, server.svc, &data);
+		kernel_post(&kernel, balance, server.svc, &end);
+	}
+	std::string explain(const std::string &query)
+	{
+		GSocketAddress *address = g_socket_get_local_address(
+			server.listeners[LISTENER_METRICS].socket, nullptr);
+		Client caller(g_inet_socket_address_get_port(
+			G_INET_SOCKET_ADDRESS(address)));
+
+		g_object_unref(address);
+		caller.send("GET /explain?" + query +
+			    " HTTP/1.1\r\nHost: h\r\n"
+			    "Connection: close\r\n\r\n");
+		EXPECT_TRUE(caller.wait_closed());
+		return caller.in;
+	}
 	// From then on no target accepts a connection, and a peer takes the
 	// requests.
 	void go_through_peer(uint16_t port)
@@ -2925,4 +2958,42 @@
 	}
 }
 
+// An operator's question is answered with the route, the account's priority and
+// the service that a request would have, and sends nothing.
+TEST_F(Served, ExplanationTellsRouteAndService)
+{
+	const struct {
+		const char *query, *text;
+	} cases[] = {
+		{"host=h&path=/safe/x&account=a1", "route=safe kind=safe "},
+		{"host=h&path=/safe/x&account=a1",
+		 "service=plain account=a1 priority=0 wait_ms=100\n"},
+		{"host=h&path=/safe/x&account=a1", "explained=plain\n"},
+		{"host=h&path=/safe/x&account=a1&service=engine",
+		 "explained=engine\n"},
+		{"service=plain", "explained=plain\n"},
+		{"host=h&path=/safe/x",
+		 "outcome=refused reason=unauthenticated\n"},
+		{"host=h&path=/safe/x&account=nobody",
+		 "outcome=refused reason=unauthenticated\n"},
+		{"host=h&path=/other&account=a1",
+		 "outcome=refused reason=no_route\n"},
+		{"host=h", "HTTP/1.1 400 "},
+	};
+	metrics_t before = *kernel.metrics;
+
+	for (auto &c : cases) {
+		std::string got = explain(c.query);
+
+		EXPECT_NE(got.find(c.text), std::string::npos)
+			<< c.query << "\n"
+			<< got;
+	}
+	EXPECT_EQ(placements, 0);
+	EXPECT_EQ(table_count(&proxy.exchanges), 0u);
+	EXPECT_EQ(memcmp(before.counters, kernel.metrics->counters,
+			 sizeof(before.counters)),
+		  0);
+}
+
 } // namespace
