--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,9 +2,11 @@
 // of HTTP headers: malformed and mutated items, header fields that callers must
 // not set, missing responses of the store, and a compacted change history.
 #include "http/parse.h"
+#include "outbound/outbound.h"
 #include "platform/entries.h"
 #include "platform/store.h"
 #include "platform/wire.h"
+#include "tests/script_server.h"
 
 #include <algorithm>
 #include <cstring>
@@ -161,6 +163,69 @@
 	g_bytes_unref(bytes);
 }
 
+// Instances of release 5a054ba run beside this build and read the entries that
+// it writes.  The texts were written by entry_encode() of that release.
+TEST(Entries, AreWrittenAsTheFormerReleaseWritesThem)
+{
+	const struct {
+		const char *key, *text;
+	} former[] = {
+		{"prepaid/a",
+		 R"({"closed":70,"holders":[{"node":"n1","incarnation":"run-1",)"
+		 R"("granted":500},{"node":"n1","incarnation":"run-0",)"
+		 R"("granted":30,"state":"returned"},{"node":"n2",)"
+		 R"("incarnation":"run-2","granted":7,"state":"lost"}]})"},
+		{"streams/x",
+		 R"({"streams":[{"id":"9c41d07be2a35f68","service":"s",)"
+		 R"("account":"acme","version":"v1.1"}]})"},
+		{"quarantine/x",
+		 R"({"part":"fedc","strikes":2,"decided_ms":1764900000000,)"
+		 R"("expires_ms":1764900600000})"},
+		{"quarantine/y",
+		 R"({"request":"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa)"
+		 R"(aaaaaaaaaaaaaaaa","decided_ms":1764900000000,)"
+		 R"("expires_ms":1764900600000})"},
+	};
+
+	for (const auto &entry : former) {
+		record_t record = {};
+		gsize size = 0;
+
+		ASSERT_NE(decode(entry.key, entry.text, &record),
+			  RECORD_INVALID);
+		GBytes *bytes = entry_encode(&record);
+		const char *text = static_cast<const char *>(
+			g_bytes_get_data(bytes, &size));
+		EXPECT_EQ(std::string(text, size), entry.text);
+		g_bytes_unref(bytes);
+		record_clear(&record);
+	}
+}
+
+// A newer build, or the platform, may add members to an entry.  Instances that
+// do not know them must go on with those that they know.
+TEST(Entries, UnknownMembersAreIgnored)
+{
+	const std::string more = R"({"added":{"x":[1,null]},)";
+	const std::string empty =
+		R"({"version":1,"routes":[],"services":[],"tenants":[]})";
+
+	for (const auto &entry :
+	     {std::make_pair("fleet/target/i-1", target_json),
+	      std::make_pair("fleet/conf", empty),
+	      std::make_pair("prepaid/a",
+			     std::string(R"({"closed":0,"holders":[]})")),
+	      std::make_pair("streams/x", std::string(R"({"streams":[]})")),
+	      std::make_pair(
+		      "quarantine/x",
+		      std::string(R"({"part":"1","strikes":1,)"
+				  R"("decided_ms":1,"expires_ms":2})"))}) {
+		EXPECT_NE(decode(entry.first, more + entry.second.substr(1)),
+			  RECORD_INVALID)
+			<< entry.first;
+	}
+}
+
 TEST(Entries, SavedStreamsAreUnchangedByEncodingAndDecoding)
 {
 	record_t record = {}, back;
@@ -529,6 +594,54 @@
 	}
 }
 
+// A query that is misread would explain another request than the operator's.
+TEST(Wire, QueryForAnExplanationIsRead)
+{
+	const char *const bad[] = {
+		"/explain",
+		"/explain?host=h",
+		"/explain?host=h&path=x",
+		"/explain?service=s&unknown=1",
+		"/explain?service=s&tokens=1",
+		"/explain?service=s&parts=x",
+		"/explain?service=s%00",
+		"/explain?service=%zz",
+		"/explain?service=s&account=%zz",
+		"/explain?service=s&account",
+	};
+	http_head_t *head = http_head_request(
+		"GET", "/explain?host=h.example&path=%2Fa%2Fb%20c&account=acme"
+		       "&tokens=100,50&parts=ff:40,1a:7");
+	explain_query_t query;
+	errmsg_t err;
+
+	EXPECT_TRUE(wire_is_explain(head));
+	ASSERT_TRUE(wire_read_explain(head, &query, &err)) << err.text;
+	EXPECT_STREQ(query.host, "h.example");
+	EXPECT_STREQ(query.path, "/a/b c");
+	EXPECT_STREQ(query.account, "acme");
+	EXPECT_STREQ(query.service, "");
+	EXPECT_EQ(query.prompt_tokens, 100);
+	EXPECT_EQ(query.max_tokens, 50);
+	ASSERT_EQ(query.part_count, 2u);
+	EXPECT_EQ(query.parts[0].id, 255u);
+	EXPECT_EQ(query.parts[1].tokens, 7u);
+	http_head_free(head);
+	for (const char *uri : bad) {
+		head = http_head_request("GET", uri);
+		EXPECT_FALSE(wire_read_explain(head, &query, &err)) << uri;
+		http_head_free(head);
+	}
+	for (const char *uri : {"/metrics", "/explained", "/"}) {
+		head = http_head_request("GET", uri);
+		EXPECT_FALSE(wire_is_explain(head)) << uri;
+		http_head_free(head);
+	}
+	head = http_head_request("POST", "/explain?service=s");
+	EXPECT_FALSE(wire_read_explain(head, &query, &err));
+	http_head_free(head);
+}
+
 TEST(Wire, RequestThatIsPassedOnIsAsItsCallerSentIt)
 {
 	http_head_t *head = http_head_request("POST", "/a/b?c=1"), *out;
@@ -1070,6 +1183,70 @@
 	EXPECT_EQ(failure_events, 4);
 }
 
+// Guards against a write that counts as committed although the store's answer
+// was cut: without a length, nothing in it tells that it is whole.
+TEST(StoreAnswer, CutDuringALargeWriteIsNoCommit)
+{
+	struct requester_t {
+		store_result_t *result = nullptr;
+
+		static void receive(void *self, msg_t *msg)
+		{
+			if (msg->kind != MSG_STORE_RESULT)
+				return;
+			static_cast<requester_t *>(self)->result =
+				msg->u.store_result;
+			msg->u.store_result = nullptr;
+		}
+	} requester;
+	ScriptServer server([](script_conn_t &conn) {
+		conn.send("HTTP/1.1 200 OK\r\n\r\n{\"revision\":12}");
+		/* The rest of the request is not read. */
+		g_source_destroy(conn.source);
+		g_timeout_add(
+			20,
+			[](gpointer data) -> gboolean {
+				static_cast<script_conn_t *>(data)->reset();
+				return G_SOURCE_REMOVE;
+			},
+			&conn);
+	});
+	platform_store_opts_t opts = {"127.0.0.1", server.port};
+	saved_stream_t saved = {"9c41d07be2a35f68", {"s", "acme", "v1.1"}};
+	record_t record = {};
+	msg_t msg = {};
+	kernel_t kernel;
+	outbound_t outbound;
+	platform_store_t store;
+	svc_t owner;
+
+	kernel_init(&kernel, CLOCK_REAL, 1);
+	outbound_init(&outbound, &kernel);
+	owner = kernel_register(&kernel, "owner", requester_t::receive,
+				&requester);
+	platform_store_init(&store, &kernel, &opts);
+	kernel_start(&kernel);
+	record.kind = RECORD_STREAMS;
+	record.u.streams = record_streams_new();
+	for (int i = 0; i < SAVED_STREAMS_MAX; i++)
+		g_array_append_val(record.u.streams->list, saved);
+	msg.kind = MSG_STORE_TXN;
+	msg.u.store_txn = store_txn_new();
+	store_txn_group(msg.u.store_txn);
+	for (int i = 0; i < 60; i++)
+		store_txn_put(msg.u.store_txn,
+			      ("streams/" + std::to_string(i)).c_str(), 0, 0,
+			      &record);
+	record_clear(&record);
+	kernel_post(&kernel, owner, store.svc, &msg);
+	EXPECT_TRUE(pump([&] { return requester.result != nullptr; }));
+	EXPECT_EQ(requester.result->status, STORE_UNKNOWN);
+	store_result_free(requester.result);
+	platform_store_finish(&store);
+	outbound_finish(&outbound);
+	kernel_finish(&kernel);
+}
+
 TEST(Entries, QuarantinesAreUnchangedByEncodingAndDecoding)
 {
 	const std::string hash(HASH_SIZE - 1, 'a');
