Pass over the targets of a zone that is cut off from this instance

Change: three targets of a zone that can't be connected to, with no answer from the zone in between, while another zone answers, are a cut. Its targets are passed over if others are usable or full, and connected to every 250 ms. The text of the reasons had 160 bytes and no room for more of them; it has 320 now.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -9,6 +9,7 @@
 #include "balance/process.h"
 #include "balance/queue.h"
 #include "balance/target.h"
+#include "balance/zone_reach.h"
 
 #include <string.h>
 
@@ -120,6 +121,9 @@
 	case BALANCE_TIMER_PROCESS:
 		process_check(balance);
 		break;
+	case BALANCE_TIMER_ZONES:
+		zones_check(balance);
+		break;
 	}
 }
 
@@ -193,6 +197,9 @@
 	case MSG_OUT_FAILED:
 		process_report_received(balance, msg);
 		break;
+	case MSG_OUT_CHECKED:
+		zones_checked(balance, msg);
+		break;
 	case MSG_OUT_CLOSED:
 		process_closed(balance, msg);
 		break;
@@ -232,6 +239,7 @@
 	permit_init(balance);
 	process_init(balance);
 	notices_init(balance);
+	zones_init(balance);
 	flows_init(balance);
 	balance->targets_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
@@ -245,6 +253,7 @@
 	while ((target = table_next(&balance->targets, &cursor, NULL)) != NULL)
 		balance_target_finish(target);
 	process_finish(balance);
+	zones_finish(balance);
 	fleet_conf_unref(balance->conf);
 	g_hash_table_unref(balance->targets_by_id);
 	table_finish(&balance->targets);
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -25,6 +25,7 @@
 	BALANCE_TIMER_ASK, /* a home has not answered */
 	BALANCE_TIMER_WAKE, /* the queue is to be run */
 	BALANCE_TIMER_PROCESS, /* targets in doubt are checked */
+	BALANCE_TIMER_ZONES, /* zones that are cut off are checked */
 } balance_timer_t;
 
 typedef struct balance_t {
@@ -52,6 +53,8 @@
 	table_t reports; /* report_t */
 	handle_t process_timer;
 	int64_t process_check_at; /* monotonic, us; if process_timer is set */
+	GArray *zones; /* zone_reach_t */
+	handle_t zone_timer;
 } balance_t;
 
 void balance_init(balance_t *balance, kernel_t *kernel, const char *incarnation,
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -5,6 +5,7 @@
 #include "balance/permit.h"
 #include "balance/placement.h"
 #include "balance/process.h"
+#include "balance/zone_reach.h"
 
 #include <string.h>
 
@@ -85,7 +86,7 @@
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
 	       NULL) {
 		if (!target->engine || target->unavailable ||
-		    target->notice.leaving ||
+		    target->notice.leaving || zones_is_cut(balance, target) ||
 		    strcmp(target->info.service, request->u.place.service) != 0)
 			continue;
 		score = balance_target_affinity(target, request->u.place.parts,
@@ -152,6 +153,8 @@
 	double free_cost;
 	balance_target_t *later; /* may give a permit for later */
 	double later_cost;
+	balance_target_t *cut_off; /* in a zone that seems to be cut off */
+	double cut_off_cost;
 	int64_t room_at; /* earliest known; monotonic, us; INT64_MAX: none */
 	bool reporting; /* a target in doubt may soon be known */
 } candidates_t;
@@ -187,6 +190,10 @@
 		choice->u.wait.until = found->room_at;
 		choice->u.wait.known =
 			count[PASS_FULL] == 0 && !found->reporting;
+	} else if (found->cut_off != NULL) {
+		/* The zone may be reached again, or never was cut off. */
+		choice->kind = CHOICE_TARGET;
+		choice->u.target = found->cut_off;
 	} else {
 		choice->kind = CHOICE_NONE;
 	}
@@ -210,6 +217,8 @@
 		return PASS_PAUSED;
 	if (is_full(balance, target, now))
 		return PASS_FULL;
+	if (zones_is_cut(balance, target))
+		return PASS_ZONE_CUT;
 	return permit_is_open(target, now) ? PASS_NONE : PASS_LIMITED;
 }
 
@@ -313,6 +322,14 @@
 					   now);
 			add_limited(&found, target, &limit_request, cost, now);
 			break;
+		case PASS_ZONE_CUT:
+			if (!permit_is_open(target, now))
+				break;
+			cost = target_cost(balance, target, request, &preferred,
+					   now);
+			keep_cheapest(&found.cut_off, &found.cut_off_cost,
+				      target, cost);
+			break;
 		case PASS_PAUSED:
 			found.room_at =
 				MIN(found.room_at, paused_until(target));
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -5,6 +5,7 @@
 #include "balance/permit.h"
 #include "balance/process.h"
 #include "balance/queue.h"
+#include "balance/zone_reach.h"
 #include "kernel/peer_set.h"
 #include "log/log.h"
 
@@ -129,6 +130,7 @@
 	if (target != NULL) {
 		target->prefill_tokens -= placement->prefill_tokens;
 		set_answered(target, placement);
+		zones_target_answered(balance, target);
 	}
 	metrics_observe(balance->kernel->metrics, HISTOGRAM_FIRST_BYTE,
 			kernel_now(balance->kernel) - placement->placed_at);
@@ -144,8 +146,10 @@
 
 	if (placement != NULL)
 		target = table_get(&balance->targets, placement->target);
-	if (target != NULL)
-		notice_heard(balance, target, &msg->u.place_report);
+	if (target == NULL)
+		return;
+	zones_target_answered(balance, target);
+	notice_heard(balance, target, &msg->u.place_report);
 }
 
 static void record_result(balance_t *balance, balance_target_t *target,
@@ -161,10 +165,12 @@
 		balance_target_add_failure(target, FAILURE_WEIGHT_UNREACHABLE,
 					   now);
 		process_doubt(balance, target, EVIDENCE_RESET);
+		zones_target_failed(balance, target);
 		break;
 	case PLACE_REFUSED:
 		balance_target_add_failure(target, FAILURE_WEIGHT_UNREACHABLE,
 					   now);
+		zones_target_failed(balance, target);
 		process_doubt(balance, target, EVIDENCE_REFUSED);
 		break;
 	case PLACE_LOST:
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -13,7 +13,7 @@
 #define RETRY_AFTER_MAX_MS 60000
 /* By then, a target that sent no report has been asked again. */
 #define DOUBT_TIME_US USEC_PER_SEC
-#define PASSED_OVER_SIZE 160 /* bytes, with terminator */
+#define PASSED_OVER_SIZE 320 /* bytes, with terminator */
 
 static void refuse(balance_t *balance, const msg_t *request, refusal_t reason,
 		   uint32_t retry_after_ms)
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -96,6 +96,8 @@
 	X(BUFFERED_BYTES, "buffered_bytes",                                 \
 	  "bytes held for calls in progress")                               \
 	X(UNREACHABLE, "unreachable", "1 while no target is reached")       \
+	X(ZONES_CUT, "zones_cut",                                           \
+	  "availability zones of which no target is reached")               \
 	X(BEHIND, "behind", "1 while input or timers wait too long")        \
 	X(STORE_UP, "store_up", "1 when the store answered last time")      \
 	X(STORE_ERA, "store_era", "restores of the store, as it states them")
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -4,6 +4,7 @@
 // balance_prove.cc.
 #include "balance/balance.h"
 #include "balance/limit.h"
+#include "balance/zone_reach.h"
 
 #include <algorithm>
 #include <cstring>
@@ -33,6 +34,7 @@
 	bool refuses = false; // it accepts no connections
 	size_t reports = 0;
 	std::vector<handle_t> confirmed;
+	std::vector<std::string> checked; // targets that are connected to
 	std::vector<peer_body_t> announced; // bodies sent to peers
 	std::string announced_zone;
 
@@ -42,6 +44,8 @@
 
 		if (msg->kind == MSG_OUT_SEND) {
 			i->send_report(msg);
+		} else if (msg->kind == MSG_OUT_CHECK) {
+			i->checked.push_back(msg->u.out_check.instance);
 		} else if (msg->kind == MSG_TARGET_CONFIRMED) {
 			i->confirmed.push_back(msg->u.target_confirmed.target);
 		} else if (msg->kind == MSG_PEER_SEND) {
@@ -245,6 +249,16 @@
 		msg.ref = request->id;
 		kernel_post(&kernel, outbound, request->from, &msg);
 	}
+	void accept_check(const std::string &id)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_OUT_CHECKED;
+		g_strlcpy(msg.u.out_check.instance, id.c_str(), NAME_SIZE);
+		msg.u.out_check.result = CHECK_ACCEPTED;
+		kernel_post(&kernel, outbound, balance.svc, &msg);
+		run(0);
+	}
 	void run(int64_t us)
 	{
 		kernel_run_until(&kernel, kernel_now(&kernel) + us);
@@ -565,6 +579,107 @@
 	EXPECT_EQ(a.placed.back().second, "i-2");
 }
 
+// A zone that is cut off: its targets are found out one by one, each by a
+// request that is late.
+TEST(ZoneReach, ThreeTargetsWithoutAnAnswerInBetweenAreACut)
+{
+	zone_reach_t reach = {};
+	const int64_t ms = USEC_PER_MSEC;
+
+	EXPECT_FALSE(zone_reach_failed(&reach, {1, 1}, 1005 * ms, 1000 * ms));
+	// The same target again shows nothing new.
+	EXPECT_FALSE(zone_reach_failed(&reach, {1, 1}, 1005 * ms, 1010 * ms));
+	EXPECT_FALSE(zone_reach_failed(&reach, {2, 1}, 1005 * ms, 1020 * ms));
+	EXPECT_FALSE(zone_reach_answered(&reach, 1030 * ms));
+	EXPECT_FALSE(zone_reach_failed(&reach, {3, 1}, 1050 * ms, 1040 * ms));
+	EXPECT_FALSE(zone_reach_failed(&reach, {1, 1}, 1050 * ms, 1050 * ms));
+	EXPECT_TRUE(zone_reach_failed(&reach, {2, 1}, 1050 * ms, 1060 * ms));
+	EXPECT_TRUE(zone_reach_answered(&reach, 1070 * ms));
+}
+
+// Guards against taking an instance that reaches nothing at all, and failures
+// that have nothing to do with each other, for zones that are cut off.
+TEST(ZoneReach, NoCutWhileNoOtherZoneAnswersOrFailuresAreFarApart)
+{
+	zone_reach_t alone = {}, apart = {};
+	const int64_t ms = USEC_PER_MSEC;
+
+	for (uint32_t i = 1; i <= 6; i++)
+		EXPECT_FALSE(zone_reach_failed(&alone, {i, 1}, 900 * ms,
+					       (1000 + i) * ms));
+	// Another zone has answered since: the next failure counts.
+	EXPECT_TRUE(zone_reach_failed(&alone, {7, 1}, 1010 * ms, 1020 * ms));
+	for (uint32_t i = 1; i <= 6; i++)
+		EXPECT_FALSE(zone_reach_failed(&apart, {i, 1}, i * 2500 * ms,
+					       i * 2500 * ms));
+}
+
+// Load: requests for a service with targets in two zones, one of which is cut
+// off.  Guards against a connect that fails for each target of that zone.
+TEST(Balance, TargetsOfAZoneThatIsCutOffArePassedOver)
+{
+	instance_t a("z1", 1);
+
+	for (int i = 0; i < 10; i++)
+		a.set_target("engine", ("i-far-" + std::to_string(i)).c_str(),
+			     "z2", false, false, 4);
+	a.set_target("engine", "i-near", "z1", false, false, 4);
+	a.run(1000);
+	// The near target is full; the others fail to connect.
+	for (uint32_t i = 1; i <= 4; i++)
+		a.request(i, "engine");
+	for (size_t i = 0; i < 4; i++) {
+		ASSERT_EQ(a.placed[i].second, "i-near");
+		a.report(i, false, 0);
+	}
+	for (uint32_t i = 5; i <= 7; i++) {
+		a.request(i, "engine");
+		EXPECT_NE(a.placed.back().second, "i-near");
+	}
+	a.run(400 * USEC_PER_MSEC);
+	a.report(0, false, 0);
+	a.finish_request(4, PLACE_UNREACHABLE);
+	a.report(0, false, 0);
+	a.finish_request(5, PLACE_UNREACHABLE);
+	a.finish_request(6, PLACE_UNREACHABLE);
+	EXPECT_EQ(a.kernel.metrics->gauges[GAUGE_ZONES_CUT], 1);
+	// Room at the near target is worth more than a free target far away.
+	a.request(8, "engine");
+	a.run(1000);
+	EXPECT_EQ(a.placed.size(), 7u);
+	a.finish_request(0, PLACE_OK);
+	ASSERT_EQ(a.placed.size(), 8u);
+	EXPECT_EQ(a.placed.back().second, "i-near");
+	// A check that is accepted ends the cut.
+	a.run(300 * USEC_PER_MSEC);
+	ASSERT_FALSE(a.checked.empty());
+	a.accept_check(a.checked.back());
+	EXPECT_EQ(a.kernel.metrics->gauges[GAUGE_ZONES_CUT], 0);
+	a.request(9, "engine");
+	EXPECT_NE(a.placed.back().second, "i-near");
+}
+
+// Guards against refusing what only a zone that seems to be cut off could run.
+TEST(Balance, ZoneThatIsCutOffIsTheLastResort)
+{
+	instance_t a("z1", 1);
+
+	a.set_target("engine", "i-near", "z1");
+	for (int i = 0; i < 4; i++)
+		a.set_target("call", ("i-far-" + std::to_string(i)).c_str(),
+			     "z2");
+	a.request(1, "engine");
+	for (uint32_t i = 0; i < 3; i++) {
+		a.request(2 + i, "call");
+		a.report(0, false, 0);
+		a.finish_request(1 + i, PLACE_UNREACHABLE);
+		a.report(0, false, 0);
+	}
+	a.request(9, "call");
+	EXPECT_EQ(a.placed.size(), 5u);
+	EXPECT_TRUE(a.refused.empty());
+}
+
 TEST(Balance, QueuedRequestsArePlacedByPriority)
 {
 	instance_t a("z1", 1);
