Tell congestion here from a partition

Cause: an instance with several times the load that it bears gives up connects after 400 ms, as its link or processor is late.

Change: a connect that times out, or a silent attempt, is no evidence of a cut if bytes of any target arrived since the attempt began, or if the instance is behind and something arrived within 2 s. Such a request is tried at another target within its deadline; if this instance is behind, or too little time is left for another connect, it is refused as not run with a Retry-After of 10 to 30 ms. Targets are not put in doubt for connects that are late while this instance is behind. Refused connects count as before. Service overload tells proxy whether the process is behind.

--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -50,7 +50,7 @@
 	MSG_STOPPED, /* any -> router: the sender has finished */
 	MSG_TIMER,
 	MSG_BUFFERS_FULL, /* kernel -> the service that holds the most bytes */
-	MSG_OVERLOAD, /* overload -> ingress */
+	MSG_OVERLOAD, /* overload -> ingress, proxy */
 
 	MSG_REQ_OPEN, /* front -> request */
 	MSG_REQ_STARTED, /* request -> front */
@@ -247,6 +247,7 @@
 		struct {
 			/* Callers do better at other instances. */
 			bool yields;
+			bool behind; /* input or timers wait too long */
 		} overload;
 		request_spec_t *open; /* MSG_REQ_OPEN */
 		struct {
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -46,6 +46,8 @@
 	  "targets whose process may have been replaced")                     \
 	X(PASSED_ON, "passed_on",                                             \
 	  "requests sent to a peer, as no target was reached")                \
+	X(CONNECTS_LATE, "connects_late",                                     \
+	  "connects that timed out for lack of time or capacity here")        \
 	X(PERMITS, "permits",                                                 \
 	  "permits received for targets that state a limit")                  \
 	X(PERMITS_REFUSED, "permits_refused", "permits that a home refused")  \
--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -9,8 +9,6 @@
  * broken server may send them without end.
  */
 #define DISCARD_MAX 131072
-/* Connecting takes a few ms without loss, and a second if a packet is lost. */
-#define CONNECT_TIMEOUT_US (400 * USEC_PER_MSEC)
 /* Idle limit for servers that do not state how long they keep connections. */
 #define IDLE_LIMIT_DEFAULT_US (500 * USEC_PER_MSEC)
 /* Time for a request to arrive before the server closes the connection. */
@@ -87,7 +85,7 @@
 	http_parse_init(&conn->parse, true);
 	conn->connect_timer =
 		kernel_timer(outbound->kernel, outbound->svc,
-			     CONNECT_TIMEOUT_US, self, OUT_TIMER_CONNECT);
+			     OUT_CONNECT_TIMEOUT_US, self, OUT_TIMER_CONNECT);
 	return conn;
 }
 
--- a/outbound/outbound.h
+++ b/outbound/outbound.h
@@ -15,6 +15,9 @@
 
 G_BEGIN_DECLS
 
+/* Connecting takes a few ms without loss, and a second if a packet is lost. */
+#define OUT_CONNECT_TIMEOUT_US (400 * USEC_PER_MSEC)
+
 #define ADDRESS_SIZE (HOST_SIZE + 8) /* bytes, with terminator */
 
 typedef struct outbound_t {
--- a/overload/overload.c
+++ b/overload/overload.c
@@ -77,12 +77,20 @@
 	kernel_post(overload->kernel, overload->svc, overload->peer, &msg);
 }
 
+static void post_state(const overload_t *overload, svc_t to)
+{
+	msg_t msg = {.kind = MSG_OVERLOAD};
+
+	msg.u.overload.yields = overload->yields;
+	msg.u.overload.behind = overload->state.behind;
+	kernel_post(overload->kernel, overload->svc, to, &msg);
+}
+
 static void decide_yield(overload_t *overload)
 {
 	uint32_t instances =
 		1 + peer_set_count_in_zone(&overload->peers, overload->zone);
 	uint32_t behind = 1 + g_hash_table_size(overload->behind);
-	msg_t msg = {.kind = MSG_OVERLOAD};
 	bool yields =
 		overload->state.behind &&
 		(overload->yields || overload_may_yield(instances, behind));
@@ -92,8 +100,7 @@
 	overload->yields = yields;
 	log_event(LOG_LEVEL_INFO, "overload", yields ? "yields" : "returns",
 		  "zone_instances=%u zone_behind=%u", instances, behind);
-	msg.u.overload.yields = yields;
-	kernel_post(overload->kernel, overload->svc, overload->ingress, &msg);
+	post_state(overload, overload->ingress);
 }
 
 static void take_sample(overload_t *overload)
@@ -106,10 +113,12 @@
 	case OVERLOAD_BEGAN:
 		log_change(overload, "behind", 0);
 		tell(overload, "");
+		post_state(overload, overload->proxy);
 		break;
 	case OVERLOAD_ENDED:
 		log_change(overload, "caught_up", state->last - state->since);
 		tell(overload, "");
+		post_state(overload, overload->proxy);
 		break;
 	case OVERLOAD_UNCHANGED:
 		break;
@@ -142,6 +151,7 @@
 	switch (msg->kind) {
 	case MSG_START:
 		overload->ingress = kernel_find(overload->kernel, "ingress");
+		overload->proxy = kernel_find(overload->kernel, "proxy");
 		overload->peer = kernel_find(overload->kernel, "peer");
 		take_sample(overload);
 		break;
--- a/overload/overload.h
+++ b/overload/overload.h
@@ -41,6 +41,7 @@
 	overload_state_t state;
 	char zone[NAME_SIZE]; /* own availability zone */
 	svc_t ingress;
+	svc_t proxy;
 	svc_t peer;
 	peer_set_t peers;
 	GHashTable *behind; /* incarnations of peers in the zone */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -23,9 +23,19 @@
 #define HEAD_TIMEOUT_MIN_MS 600
 #define RETRY_AFTER_DEFAULT_MS 300 /* applies if a refusal states no time */
 #define ELSEWHERE_RETRY_AFTER_MS 100 /* another instance takes the request */
+/* A small part of the shortest latency goals, which are 120 ms. */
+#define RETRY_ELSEWHERE_MIN_MS 10
+#define RETRY_ELSEWHERE_SPAN_MS 21
 /* Priority levels of a target's queue per priority level of a route. */
 #define QUEUE_PRIORITY_FACTOR 4
 
+uint32_t exchange_retry_elsewhere_ms(proxy_t *proxy)
+{
+	return RETRY_ELSEWHERE_MIN_MS +
+	       (uint32_t)kernel_random_below(proxy->kernel,
+					     RETRY_ELSEWHERE_SPAN_MS);
+}
+
 void exchange_free(proxy_t *proxy, exchange_t *exchange)
 {
 	kernel_timer_cancel(proxy->kernel, &exchange->deadline_timer);
@@ -473,6 +483,7 @@
 	msg_t msg = {.kind = MSG_OUT_SEND, .id = exchange->self};
 
 	exchange->state = EXCHANGE_SENT;
+	exchange->sent_at = now;
 	exchange->sends++;
 	exchange->call = HANDLE_NONE;
 	exchange->attempt_began = false;
@@ -569,7 +580,8 @@
 	if (exchange == NULL)
 		return;
 	exchange->deadline_timer = HANDLE_NONE;
-	if (exchange->state == EXCHANGE_SENT && !exchange->passed_on)
+	if (exchange->state == EXCHANGE_SENT && !exchange->passed_on &&
+	    forward_judge_late(proxy, exchange) == REACH_LATE_CUT)
 		forward_target_failed(proxy, exchange);
 	cancel_placement(proxy, exchange);
 	count_run(exchange);
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -63,6 +63,7 @@
 	uint32_t sends; /* requests sent to targets */
 	uint32_t runs; /* sent requests that may have run */
 	uint32_t unreached; /* attempts that reached no target */
+	int64_t sent_at; /* monotonic, us; last attempt at a target */
 	bool trial; /* shows whether targets are reached again */
 	bool passed_on; /* sent to a peer instead of a target */
 	uint32_t hops; /* peers that it was sent to */
@@ -116,6 +117,12 @@
  */
 void exchange_refuse(proxy_t *proxy, exchange_t *exchange, refusal_t reason,
 		     uint32_t retry_after_ms);
+/*
+ * Returns the time after which a request that this instance is too busy for is
+ * sent to another one.  It is at random, so that what is refused together does
+ * not come back together.
+ */
+uint32_t exchange_retry_elsewhere_ms(proxy_t *proxy);
 /* Ends an exchange whose last message to ingress has been posted. */
 void exchange_end(proxy_t *proxy, exchange_t *exchange, const char *outcome);
 /* Cancels the call to the target and ends the placement. */
@@ -165,6 +172,9 @@
 /* What attempts and checks tell of whether targets are reached. */
 void forward_target_failed(proxy_t *proxy, const exchange_t *exchange);
 void forward_target_answered(proxy_t *proxy);
+/* What the last attempt, which got no answer in time, tells. */
+reach_late_t forward_judge_late(const proxy_t *proxy,
+				const exchange_t *exchange);
 void forward_checked(proxy_t *proxy, check_result_t result);
 void forward_check_due(proxy_t *proxy);
 
--- a/proxy/forward.c
+++ b/proxy/forward.c
@@ -140,6 +140,13 @@
 			     HANDLE_NONE, EXCHANGE_TIMER_REACH);
 }
 
+reach_late_t forward_judge_late(const proxy_t *proxy,
+				const exchange_t *exchange)
+{
+	return reach_judge_late(&proxy->reach, exchange->sent_at,
+				kernel_now(proxy->kernel));
+}
+
 void forward_target_failed(proxy_t *proxy, const exchange_t *exchange)
 {
 	int64_t now = kernel_now(proxy->kernel);
@@ -162,6 +169,7 @@
 {
 	int64_t since = proxy->reach.cut_at;
 
+	reach_heard(&proxy->reach, kernel_now(proxy->kernel));
 	if (!reach_answered(&proxy->reach))
 		return;
 	metrics_set(proxy->kernel->metrics, GAUGE_UNREACHABLE, 0);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -173,6 +173,9 @@
 		if (!msg->u.fleet_target.gone)
 			crash_target_listed(proxy, &msg->u.fleet_target.target);
 		break;
+	case MSG_OVERLOAD:
+		proxy->reach.congested = msg->u.overload.behind;
+		break;
 	case MSG_FLEET_BEHIND:
 		proxy->conf_behind = msg->u.fleet_behind.behind;
 		break;
--- a/proxy/reach.c
+++ b/proxy/reach.c
@@ -5,6 +5,26 @@
 /* A request that was sent for a trial and has no answer is given up. */
 #define TRIAL_US INT64_C(1000000)
 
+/*
+ * Congestion excuses connects only while something arrives, however late.
+ * Input waited for up to 1.2 s at instances with several times the load that
+ * they bear.
+ */
+#define CONGESTED_SILENCE_US INT64_C(2000000)
+
+void reach_heard(reach_t *reach, int64_t now)
+{
+	reach->heard_at = now;
+}
+
+reach_late_t reach_judge_late(const reach_t *reach, int64_t began, int64_t now)
+{
+	if (reach->congested && reach->heard_at > 0 &&
+	    now - reach->heard_at < CONGESTED_SILENCE_US)
+		return REACH_LATE_LOCAL;
+	return reach->heard_at > began ? REACH_LATE_TARGET : REACH_LATE_CUT;
+}
+
 static bool is_known(const reach_t *reach, const char *instance)
 {
 	for (uint32_t i = 0; i < reach->failed_count; i++)
--- a/proxy/reach.h
+++ b/proxy/reach.h
@@ -34,8 +34,25 @@
 	reach_target_t failed[REACH_FAILED_MAX];
 	uint32_t failed_count; /* since the last answer */
 	uint32_t checked; /* next of failed to connect to */
+	int64_t heard_at; /* monotonic, us; last bytes of any target; 0: none */
+	bool congested; /* this instance is behind, or its link is full */
 } reach_t;
 
+/* What an attempt that got no answer in time tells. */
+typedef enum reach_late_t {
+	REACH_LATE_CUT, /* the target may be out of reach */
+	REACH_LATE_TARGET, /* others answer: it is the target, or the link */
+	REACH_LATE_LOCAL, /* this instance is late itself */
+} reach_late_t;
+
+/* Bytes of a target have arrived. */
+void reach_heard(reach_t *reach, int64_t now);
+/*
+ * Judges an attempt, begun at that time, that got no answer.  What an instance
+ * in a partition sends is followed by silence of all targets.
+ */
+reach_late_t reach_judge_late(const reach_t *reach, int64_t began, int64_t now);
+
 /* These return whether the state changed to or from REACH_OPEN. */
 bool reach_failed(reach_t *reach, const reach_target_t *target, int64_t now);
 bool reach_answered(reach_t *reach);
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -5,6 +5,7 @@
 #include "proxy/exchange.h"
 
 #include "log/log.h"
+#include "outbound/outbound.h"
 #include "platform/wire.h"
 
 #include <string.h>
@@ -403,6 +404,8 @@
 	gsize size;
 	const guint8 *data;
 
+	if (!exchange->passed_on)
+		reach_heard(&proxy->reach, kernel_now(proxy->kernel));
 	if (exchange->state == EXCHANGE_REJECTED) {
 		discard_rejection(proxy, exchange,
 				  g_bytes_get_size(msg->u.data.bytes));
@@ -555,10 +558,52 @@
 	}
 }
 
+/* Returns whether the caller gets another answer soonest elsewhere. */
+static bool is_refused_here(const proxy_t *proxy, const exchange_t *exchange,
+			    reach_late_t late)
+{
+	int64_t left = exchange->deadline - kernel_now(proxy->kernel);
+
+	/* What may have run is not refused as not run. */
+	if (exchange->runs > 0 || exchange->head_sent)
+		return false;
+	return late == REACH_LATE_LOCAL || left < OUT_CONNECT_TIMEOUT_US;
+}
+
+/*
+ * A connect has timed out, which is no sign of a partition: this instance is
+ * late itself, or other targets answer.
+ */
+static void connect_late(proxy_t *proxy, exchange_t *exchange,
+			 reach_late_t late)
+{
+	bool local = late == REACH_LATE_LOCAL;
+	bool refused = is_refused_here(proxy, exchange, late);
+
+	metrics_add(proxy->kernel->metrics, COUNTER_CONNECTS_LATE, 1);
+	log_event(LOG_LEVEL_INFO, "proxy", "connect_late",
+		  "request=%s target=%s local=%d send=%u refused=%d",
+		  log_quote(exchange->spec->request_id), exchange->instance,
+		  local, exchange->sends, refused);
+	if (!local)
+		crash_target_unreachable(proxy, exchange->instance);
+	if (!refused) {
+		fail_attempt(proxy, exchange, FAILURE_CONNECT, false,
+			     local ? PLACE_NOT_SENT : PLACE_UNREACHABLE);
+		return;
+	}
+	parts_not_run(proxy, exchange);
+	exchange_release_target(proxy, exchange,
+				local ? PLACE_NOT_SENT : PLACE_UNREACHABLE);
+	exchange_refuse(proxy, exchange, REFUSAL_BEHIND,
+			exchange_retry_elsewhere_ms(proxy));
+}
+
 void response_failed(proxy_t *proxy, exchange_t *exchange, const msg_t *msg)
 {
 	failure_t failure = msg->u.out_failed.failure;
 	bool sent = msg->u.out_failed.sent;
+	reach_late_t late = REACH_LATE_CUT;
 
 	if (exchange->state == EXCHANGE_RESOLVING ||
 	    exchange->state == EXCHANGE_RESERVING ||
@@ -574,10 +619,18 @@
 		reject_attempt(proxy, exchange);
 		return;
 	}
+	if (!sent && !msg->u.out_failed.refused)
+		late = forward_judge_late(proxy, exchange);
+	else if (failure == FAILURE_SILENT)
+		late = forward_judge_late(proxy, exchange);
 	/* A reset may be a crash that the request itself has caused. */
 	if (!exchange->passed_on && exchange->state == EXCHANGE_SENT &&
-	    (!sent || failure == FAILURE_SILENT))
+	    (!sent || failure == FAILURE_SILENT) && late == REACH_LATE_CUT)
 		forward_target_failed(proxy, exchange);
+	if (!sent && late != REACH_LATE_CUT) {
+		connect_late(proxy, exchange, late);
+		return;
+	}
 	if (!sent) {
 		exchange->unreached++;
 		crash_target_unreachable(proxy, exchange->instance);
