Count the bytes on the link and let settings state its capacity

Cause: an instance knows neither how much it moves nor what its link bears, so it can't tell a full link from anything else.

Change: the sockets of callers, targets, the store and peers count bytes in each direction, with an allowance of 40 bytes for each packet's headers. Nothing depends on either yet.

--- a/http/socket.c
+++ b/http/socket.c
@@ -53,6 +53,7 @@
 		if (n < 0)
 			break;
 		sock->written += (guint)n;
+		traffic_sent(&sock->pollset->traffic, (size_t)n);
 	}
 	if (error != NULL &&
 	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
@@ -218,6 +219,7 @@
 	n = g_socket_receive(sock->socket, buffer, size, NULL, &error);
 	if (n > 0) {
 		*received = (size_t)n;
+		traffic_received(&sock->pollset->traffic, (size_t)n);
 		return SOCKET_DATA;
 	}
 	if (n == 0)
--- a/kernel/pollset.c
+++ b/kernel/pollset.c
@@ -198,6 +198,7 @@
 	set->found_at = 0;
 	set->drained_at = 0;
 	set->ready_since = 0;
+	set->traffic = (traffic_t){0};
 	g_queue_init(&set->deferred);
 	table_init(&set->watches, sizeof(watch_t));
 }
--- a/kernel/pollset.h
+++ b/kernel/pollset.h
@@ -8,6 +8,7 @@
 
 #include "kernel/lag.h"
 #include "kernel/table.h"
+#include "kernel/traffic.h"
 
 G_BEGIN_DECLS
 
@@ -34,6 +35,7 @@
 	int64_t found_at; /* monotonic, us; last look for what is ready */
 	int64_t drained_at; /* monotonic, us; all that was ready is found */
 	int64_t ready_since; /* monotonic, us; of the input being handled */
+	traffic_t traffic; /* of the descriptors; their owners count it */
 } pollset_t;
 
 void pollset_init(pollset_t *set, GSource *source, lag_t *lag);
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -75,6 +75,7 @@
 		return;
 	}
 	conn->written += (guint)n;
+	traffic_sent(&conn->peer->kernel->pollset.traffic, (size_t)n);
 	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_BYTES_OUT,
 		    (uint64_t)n);
 	if (conn->written == conn->output->len) {
@@ -279,6 +280,7 @@
 	}
 	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_BYTES_IN,
 		    (uint64_t)n);
+	traffic_received(&conn->peer->kernel->pollset.traffic, (size_t)n);
 	conn->last_received = kernel_now(conn->peer->kernel);
 	g_byte_array_append(conn->input, (const guint8 *)buffer, (guint)n);
 	process_input(conn);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -145,6 +145,10 @@
 	{"gateway.buffers_mib", SETTING_INTEGER, FIELD(gateway_buffers_mib),
 	 REQUIRED_BY_NONE, 16, 65536, 64, "",
 	 "memory for requests and responses in progress, MiB"},
+	{"gateway.link_mbps", SETTING_DECIMAL, FIELD(gateway_link_mbps),
+	 REQUIRED_BY_NONE, 0, 1000000, 0, "0",
+	 "capacity of the machine's link in each direction, Mbit/s; load above "
+	 "it is refused or moved; 0: unknown, no decision depends on it"},
 	{"gateway.retry_ratio", SETTING_DECIMAL, FIELD(gateway_retry_ratio),
 	 REQUIRED_BY_NONE, 0, 1, 0, "0.1",
 	 "requests sent again to a service, as a share of its requests"},
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -73,6 +73,7 @@
 	char gateway_store[SETTING_TEXT_SIZE];
 	int64_t gateway_watch_pause_ms;
 	int64_t gateway_buffers_mib;
+	double gateway_link_mbps; /* 0: unknown */
 	double gateway_retry_ratio;
 	double gateway_retry_slack;
 	double gateway_retry_window_s;
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -179,6 +179,21 @@
 	EXPECT_TRUE(cancelled.empty());
 }
 
+// Guards against a link whose load is not known, as bytes are not counted.
+TEST_F(Ingress, BytesOfCallersAreCounted)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_EQ(kernel.pollset.traffic.in,
+		  traffic_on_link(get_request.size()));
+	EXPECT_EQ(kernel.pollset.traffic.out, 0u);
+	respond(0, "one");
+	EXPECT_TRUE(client.wait_for("0\r\n\r\n"));
+	EXPECT_GE(kernel.pollset.traffic.out, client.in.size());
+}
+
 // Guards against time-outs that are counted from when a request is read.
 TEST_F(Ingress, RequestCarriesWhenItArrivedAndHowLongItWasUnread)
 {
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -268,6 +268,20 @@
 
 // A peer that reconnects must not be counted twice.  Services that rank peers
 // rely on the order of the set.
+// Guards against a link that is full of small events and looks half empty.
+TEST(Traffic, BytesOnTheLinkIncludeTheHeadersOfPackets)
+{
+	traffic_t traffic = {};
+
+	for (int i = 0; i < 10; i++)
+		traffic_sent(&traffic, 60);
+	EXPECT_EQ(traffic.out, 1000u);
+	traffic_received(&traffic, 2 * TRAFFIC_PACKET_SIZE + 1);
+	EXPECT_EQ(traffic.in,
+		  2u * TRAFFIC_PACKET_SIZE + 1 + 3 * TRAFFIC_PACKET_HEADER);
+	EXPECT_EQ(traffic.out, 1000u);
+}
+
 TEST(PeerSet, HoldsEachPeerOnceInOrder)
 {
 	peer_set_t set;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -145,6 +145,7 @@
 	EXPECT_DOUBLE_EQ(settings.gateway_retry_slack, 33.157894736842103);
 	EXPECT_DOUBLE_EQ(settings.gateway_retry_window_s, 9.5);
 	EXPECT_DOUBLE_EQ(settings.gateway_grace_s, 7.25);
+	EXPECT_DOUBLE_EQ(settings.gateway_link_mbps, 0);
 	EXPECT_NE(parse(R"({"gateway":{"retry_slack":-0.5}})", &err),
 		  SETTINGS_OK);
 	EXPECT_NE(strstr(err.text, "a number from 0 to 1000000"), nullptr)
@@ -163,6 +164,12 @@
 	EXPECT_NE(parse(R"({"gateway":{"retry_ratio":1.5}})", &err),
 		  SETTINGS_OK);
 	EXPECT_NE(strstr(err.text, "from 0 to 1"), nullptr) << err.text;
+	EXPECT_NE(parse(R"({"gateway":{"link_mbps":-1}})", &err), SETTINGS_OK);
+	EXPECT_NE(strstr(err.text, "gateway.link_mbps: -1"), nullptr)
+		<< err.text;
+	EXPECT_NE(parse(R"({"gateway":{"link_mbps":"fast"}})", &err),
+		  SETTINGS_OK);
+	EXPECT_NE(strstr(err.text, "gateway.link_mbps"), nullptr) << err.text;
 }
 
 TEST_P(InvalidSettingTest, IsRefusedWithPathValueAndRange)
