Refuse what exceeds the capacity of the instance at its arrival

Cause: an instance that gets more than its link or processor bears serves all of it, late. Requests are refused only after they have waited unread for a quarter of their goal.

Change: with gateway.link_mbps set, ingress decides at the head of a request if that states the length of the body, else when the request is complete. Requests that a peer passes on and streams that are taken up again go last. A refusal is 503 with a Retry-After of 10 to 30 ms at random; a body up to 32 KiB that was refused from its head is not read, longer ones are read and discarded so that their callers get to the refusal. A full link counts as congestion for proxy/reach.c as well.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -243,6 +243,8 @@
 	ingress_init(&gateway->ingress, &gateway->kernel);
 	overload_init(&gateway->overload, &gateway->kernel,
 		      settings->availability_zone);
+	ingress_set_link(&gateway->ingress, settings->gateway_link_mbps);
+	gateway->overload.link_mbps = settings->gateway_link_mbps;
 }
 
 static uint16_t metrics_port(const settings_t *settings)
--- /dev/null
+++ b/ingress/admit.c
@@ -0,0 +1,161 @@
+/*
+ * Refuses requests beyond what this instance bears, by the decision of
+ * overload/admission.c: from the head on if it states the length of the body,
+ * which is then not read.
+ */
+#include "ingress/conn.h"
+#include "log/log.h"
+#include "platform/wire.h"
+#include "proxy/hop.h"
+
+#include <stdio.h>
+
+/*
+ * The retry goes to another instance.  The times are at random, so that what
+ * is refused together does not arrive there together, and a small part of the
+ * shortest latency goals, which are 120 ms.
+ */
+#define RETRY_MIN_MS 10
+#define RETRY_SPAN_MS 21
+#define PERCENT 100
+/* A system buffers this much between a caller and this process. */
+#define UNREAD_BODY_MAX 32768 /* bytes */
+
+void ingress_set_link(ingress_t *ingress, double link_mbps)
+{
+	admission_init(&ingress->admission, link_mbps);
+}
+
+void ingress_load_measured(ingress_t *ingress, const msg_t *msg)
+{
+	admission_load_t load = {
+		.in = msg->u.load.in,
+		.out = msg->u.load.out,
+		.wait = msg->u.load.wait,
+	};
+
+	admission_control(&ingress->admission, &load);
+	metrics_set(ingress->kernel->metrics, GAUGE_ADMISSION_RATE,
+		    (int64_t)(ingress->admission.scale * PERCENT));
+}
+
+/* Returns false if the configuration has no route for it. */
+static bool describe(const ingress_conn_t *conn, const exchange_spec_t *spec,
+		     uint64_t body, uint64_t arrived,
+		     admission_request_t *request)
+{
+	const fleet_conf_t *conf = conn->ingress->conf;
+	const fleet_route_t *route;
+	const fleet_account_t *account = NULL;
+
+	if (conf == NULL)
+		return false;
+	route = fleet_conf_route(conf, spec->host, spec->path);
+	if (route == NULL)
+		return false;
+	if (spec->api_key[0] != '\0')
+		account = fleet_conf_account_by_key(conf, spec->api_key);
+	request->route = route->name;
+	request->priority = account != NULL && account->priority >= 0
+				    ? account->priority
+				    : route->priority;
+	request->bytes = traffic_on_link(conn->parse.head_bytes + body);
+	request->arrived = traffic_on_link(conn->parse.head_bytes + arrived);
+	request->continued = conn->kind == LISTENER_METRICS ||
+			     spec->last_event_id[0] != '\0';
+	return true;
+}
+
+static void refuse(ingress_conn_t *conn, const admission_request_t *request)
+{
+	ingress_t *ingress = conn->ingress;
+	kernel_t *kernel = ingress->kernel;
+	uint64_t ms = RETRY_MIN_MS + kernel_random_below(kernel, RETRY_SPAN_MS);
+	char retry_after[16];
+
+	admission_count(&ingress->admission, request, false,
+			kernel_now(kernel));
+	metrics_refusal(kernel->metrics, REFUSAL_OVER_CAPACITY);
+	log_event(LOG_LEVEL_DEBUG, "ingress", "over_capacity",
+		  "route=%s bytes=%" G_GUINT64_FORMAT, request->route,
+		  request->bytes);
+	g_snprintf(retry_after, sizeof(retry_after), "0.%03u", (unsigned)ms);
+	ingress_conn_respond_retry_after(
+		conn, 503, "this instance has no capacity left\n", retry_after);
+}
+
+/*
+ * The rest of the body does not use the link unless it is so long that its
+ * caller could not write all of it before it reads the refusal.
+ */
+static void leave_body(ingress_conn_t *conn, int64_t length)
+{
+	bool leaves = length <= UNREAD_BODY_MAX;
+
+	g_byte_array_set_size(conn->input, 0);
+	http_parse_reset(&conn->parse);
+	if (leaves)
+		http_socket_watch_input(&conn->sock, false);
+}
+
+bool ingress_admit_head(ingress_conn_t *conn)
+{
+	ingress_t *ingress = conn->ingress;
+	int64_t now = kernel_now(ingress->kernel);
+	int64_t length = http_parse_content_length(&conn->parse);
+	admission_request_t request = {0};
+	exchange_spec_t *spec;
+	errmsg_t err;
+	bool admitted = true;
+
+	conn->admitted = false;
+	if (length < 0 || conn->kind == LISTENER_READINESS ||
+	    ingress->admission.capacity <= 0)
+		return true;
+	conn->admitted = true;
+	if (admission_is_calm(&ingress->admission, now))
+		return true;
+	spec = exchange_spec_new();
+	if (wire_read_request(conn->parse.head, NULL, spec, &err) &&
+	    describe(conn, spec, (uint64_t)length, conn->parse.body->len,
+		     &request))
+		admitted = admission_test(&ingress->admission, &request, now);
+	if (!admitted) {
+		conn->admitted = false;
+		metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
+		refuse(conn, &request);
+		leave_body(conn, length);
+	}
+	exchange_spec_free(spec);
+	return admitted;
+}
+
+bool ingress_admit_request(ingress_conn_t *conn, const exchange_spec_t *spec)
+{
+	ingress_t *ingress = conn->ingress;
+	int64_t now = kernel_now(ingress->kernel);
+	admission_request_t request = {0};
+
+	if (ingress->admission.capacity <= 0 ||
+	    !describe(conn, spec, conn->request_bytes, conn->request_bytes,
+		      &request))
+		return true;
+	if (!conn->admitted &&
+	    !admission_test(&ingress->admission, &request, now)) {
+		refuse(conn, &request);
+		return false;
+	}
+	conn->admitted = false;
+	admission_count(&ingress->admission, &request, true, now);
+	g_strlcpy(conn->route, request.route, sizeof(conn->route));
+	conn->answer_bytes = 0;
+	return true;
+}
+
+void ingress_answered(ingress_conn_t *conn)
+{
+	if (conn->route[0] != '\0')
+		admission_answered(&conn->ingress->admission, conn->route,
+				   conn->answer_bytes);
+	conn->route[0] = '\0';
+}
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -181,6 +181,7 @@
 /* Continues with the next request, or closes, after a complete response. */
 static void finish_response(ingress_conn_t *conn)
 {
+	ingress_answered(conn);
 	conn->exchange = HANDLE_NONE;
 	conn->head_sent = false;
 	conn->request_bytes = 0;
@@ -227,6 +228,7 @@
 		add_keep_alive(conn, head);
 	http_head_write(head, bytes);
 	http_socket_write(&conn->sock, bytes->data, bytes->len);
+	conn->answer_bytes += traffic_on_link(bytes->len);
 	g_byte_array_unref(bytes);
 	conn->head_sent = true;
 	conn->chunked = length < 0;
@@ -318,8 +320,11 @@
 		if (!check_limits(conn))
 			return;
 		if (before < HTTP_STATE_BODY &&
-		    conn->parse.state == HTTP_STATE_BODY)
+		    conn->parse.state == HTTP_STATE_BODY) {
+			if (!ingress_admit_head(conn))
+				return;
 			send_continue(conn);
+		}
 		if (conn->parse.state != HTTP_STATE_COMPLETE)
 			return;
 		conn->close_after = !conn->parse.keep_alive;
@@ -427,6 +432,7 @@
 
 	if (size == 0)
 		return;
+	conn->answer_bytes += traffic_on_link(size);
 	if (!conn->chunked) {
 		http_socket_write(&conn->sock, data, size);
 		return;
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -33,6 +33,9 @@
 	int64_t arrived_at; /* monotonic, us; of the request */
 	int64_t unread; /* us for which the request waited to be read */
 	size_t request_bytes; /* body of the request in progress */
+	bool admitted; /* from the head of the request, which is being read */
+	char route[NAME_SIZE]; /* of the admitted request; empty: none */
+	uint64_t answer_bytes; /* on the link, of its answer so far */
 	size_t counted_requests; /* bytes in the process's buffers */
 	size_t counted_output;
 } ingress_conn_t;
@@ -56,6 +59,15 @@
 				      const char *text,
 				      const char *retry_after);
 
+/* admit.c: refuses requests beyond the capacity of this instance. */
+/* Returns false after refusing a request whose head has arrived. */
+bool ingress_admit_head(ingress_conn_t *conn);
+/* Returns false after refusing a request that is complete. */
+bool ingress_admit_request(ingress_conn_t *conn, const exchange_spec_t *spec);
+/* The answer, if the request was admitted, is complete. */
+void ingress_answered(ingress_conn_t *conn);
+void ingress_load_measured(ingress_t *ingress, const msg_t *msg);
+
 /* ingress.c */
 bool ingress_sends_callers_away(const ingress_t *ingress);
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -226,6 +226,8 @@
 		goto out;
 	}
 	spec->from_peer = conn->kind == LISTENER_METRICS;
+	if (!ingress_admit_request(conn, spec))
+		goto out;
 	spec->arrived_at = conn->arrived_at;
 	spec->unread = conn->unread;
 	msg.u.exchange = g_steal_pointer(&spec);
@@ -351,6 +353,9 @@
 						? kernel_now(ingress->kernel)
 						: 0;
 		break;
+	case MSG_LOAD:
+		ingress_load_measured(ingress, msg);
+		break;
 	case MSG_BUFFERS_FULL:
 		ingress_conn_relieve(ingress, msg->u.buffers_full.kind);
 		break;
@@ -359,6 +364,8 @@
 		break;
 	case MSG_FLEET_CONF:
 		ingress->limits = msg->u.fleet_conf->limits;
+		fleet_conf_unref(ingress->conf);
+		ingress->conf = g_steal_pointer(&msg->u.fleet_conf);
 		ingress->ready = true;
 		break;
 	case MSG_EXCHANGE_STARTED:
@@ -378,6 +385,7 @@
 	memset(ingress, 0, sizeof(*ingress));
 	ingress->kernel = kernel;
 	ingress->limits = default_limits;
+	admission_init(&ingress->admission, 0);
 	table_init(&ingress->conns, sizeof(ingress_conn_t));
 	ingress->svc = kernel_register(kernel, "ingress", receive, ingress);
 }
@@ -392,5 +400,6 @@
 	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
 		ingress_conn_close(conn);
 	table_finish(&ingress->conns);
+	fleet_conf_unref(ingress->conf);
 	kernel_unregister(ingress->kernel, ingress->svc);
 }
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -10,6 +10,7 @@
 #include "http/socket.h"
 #include "kernel/errmsg.h"
 #include "kernel/kernel.h"
+#include "overload/admission.h"
 
 G_BEGIN_DECLS
 
@@ -42,6 +43,8 @@
 	table_t conns; /* ingress_conn_t */
 	uint32_t busy; /* requests in progress */
 	fleet_limits_t limits;
+	fleet_conf_t *conf; /* NULL until one is received */
+	admission_t admission;
 	bool ready; /* a configuration has been received */
 	bool stopping;
 	int64_t yields_since; /* callers are sent away, monotonic, us; 0: no */
@@ -54,6 +57,8 @@
 
 void ingress_init(ingress_t *ingress, kernel_t *kernel);
 void ingress_finish(ingress_t *ingress);
+/* States the capacity of the link; without it nothing is refused for load. */
+void ingress_set_link(ingress_t *ingress, double link_mbps);
 /* Listens on host and port; ingress->err holds the message of a failure. */
 ingress_status_t ingress_listen(ingress_t *ingress, listener_kind_t kind,
 				const char *host, uint16_t port);
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -50,6 +50,7 @@
 	MSG_STOPPED, /* any -> router: the sender has finished */
 	MSG_TIMER,
 	MSG_BUFFERS_FULL, /* kernel -> the service that holds the most bytes */
+	MSG_LOAD, /* overload -> ingress; every 50 ms if the link is known */
 	MSG_OVERLOAD, /* overload -> ingress, proxy */
 
 	MSG_REQ_OPEN, /* front -> request */
@@ -247,8 +248,15 @@
 		struct {
 			/* Callers do better at other instances. */
 			bool yields;
-			bool behind; /* input or timers wait too long */
+			/* Input or timers wait too long, or the link is full.
+			 */
+			bool congested;
 		} overload;
+		struct {
+			double in; /* utilization of the link, 1: full */
+			double out;
+			int64_t wait; /* us, longest wait of input */
+		} load;
 		request_spec_t *open; /* MSG_REQ_OPEN */
 		struct {
 			uint32_t status; /* HTTP */
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -36,6 +36,7 @@
 	X(NOT_GENUINE, "not_genuine")               \
 	X(STOPPING, "stopping")                     \
 	X(BEHIND, "behind")                         \
+	X(OVER_CAPACITY, "over_capacity")           \
 	X(UNREACHABLE, "unreachable")               \
 	X(CALLER_GONE, "caller_gone")               \
 	X(INTERNAL, "internal")
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -99,6 +99,10 @@
 	  "bytes held for calls in progress")                               \
 	X(UNREACHABLE, "unreachable", "1 while no target is reached")       \
 	X(BEHIND, "behind", "1 while input or timers wait too long")        \
+	X(LINK_IN, "link_in_percent", "bytes received, of the link, %")     \
+	X(LINK_OUT, "link_out_percent", "bytes sent, of the link, %")       \
+	X(ADMISSION_RATE, "admission_rate_percent",                         \
+	  "rate of admitted load, of the usual one, %")                     \
 	X(STORE_UP, "store_up", "1 when the store answered last time")      \
 	X(STORE_ERA, "store_era", "restores of the store, as it states them")
 
--- a/overload/overload.c
+++ b/overload/overload.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define SAMPLE_INTERVAL_US (50 * USEC_PER_MSEC)
+#define BYTES_PER_MBIT 125000.0
+#define PERCENT 100
 
 static int64_t longest_wait(const lag_sample_t *sample)
 {
@@ -82,7 +84,7 @@
 	msg_t msg = {.kind = MSG_OVERLOAD};
 
 	msg.u.overload.yields = overload->yields;
-	msg.u.overload.behind = overload->state.behind;
+	msg.u.overload.congested = overload->congested;
 	kernel_post(overload->kernel, overload->svc, to, &msg);
 }
 
@@ -103,6 +105,56 @@
 	post_state(overload, overload->ingress);
 }
 
+static double utilization(const overload_t *overload, uint64_t bytes,
+			  int64_t elapsed)
+{
+	double capacity = overload->link_mbps * BYTES_PER_MBIT / USEC_PER_SEC;
+
+	return (double)bytes / (capacity * (double)elapsed);
+}
+
+/* Tells ingress what is moved, and how long input waits. */
+static void report_load(overload_t *overload, const lag_sample_t *sample,
+			int64_t now)
+{
+	const traffic_t *traffic = &overload->kernel->pollset.traffic;
+	overload_total_t *oldest = &overload->totals[overload->next];
+	msg_t msg = {.kind = MSG_LOAD};
+
+	if (overload->link_mbps <= 0)
+		return;
+	if (oldest->at > 0 && now > oldest->at) {
+		msg.u.load.in =
+			utilization(overload, traffic->in - oldest->traffic.in,
+				    now - oldest->at);
+		msg.u.load.out = utilization(overload,
+					     traffic->out - oldest->traffic.out,
+					     now - oldest->at);
+	}
+	msg.u.load.wait = sample->input;
+	overload->link_full =
+		MAX(msg.u.load.in, msg.u.load.out) > OVERLOAD_LINK_FULL;
+	oldest->at = now;
+	oldest->traffic = *traffic;
+	overload->next = (overload->next + 1) % OVERLOAD_TOTALS;
+	metrics_set(overload->kernel->metrics, GAUGE_LINK_IN,
+		    (int64_t)(msg.u.load.in * PERCENT));
+	metrics_set(overload->kernel->metrics, GAUGE_LINK_OUT,
+		    (int64_t)(msg.u.load.out * PERCENT));
+	kernel_post(overload->kernel, overload->svc, overload->ingress, &msg);
+}
+
+/* The proxy must not take congestion for a partition. */
+static void tell_proxy(overload_t *overload)
+{
+	bool congested = overload->state.behind || overload->link_full;
+
+	if (congested == overload->congested)
+		return;
+	overload->congested = congested;
+	post_state(overload, overload->proxy);
+}
+
 static void take_sample(overload_t *overload)
 {
 	overload_state_t *state = &overload->state;
@@ -113,17 +165,17 @@
 	case OVERLOAD_BEGAN:
 		log_change(overload, "behind", 0);
 		tell(overload, "");
-		post_state(overload, overload->proxy);
 		break;
 	case OVERLOAD_ENDED:
 		log_change(overload, "caught_up", state->last - state->since);
 		tell(overload, "");
-		post_state(overload, overload->proxy);
 		break;
 	case OVERLOAD_UNCHANGED:
 		break;
 	}
 	decide_yield(overload);
+	report_load(overload, &sample, now);
+	tell_proxy(overload);
 	metrics_set(overload->kernel->metrics, GAUGE_BEHIND, state->behind);
 	kernel_timer(overload->kernel, overload->svc, SAMPLE_INTERVAL_US,
 		     HANDLE_NONE, 0);
--- a/overload/overload.h
+++ b/overload/overload.h
@@ -35,6 +35,16 @@
 	lag_sample_t worst; /* since it began */
 } overload_state_t;
 
+/* Utilization at which connects are late because of the link. */
+#define OVERLOAD_LINK_FULL 0.9
+/* Utilization is measured over this number of intervals between samples. */
+#define OVERLOAD_TOTALS 4
+
+typedef struct overload_total_t {
+	int64_t at; /* monotonic, us; 0: no sample */
+	traffic_t traffic;
+} overload_total_t;
+
 typedef struct overload_t {
 	kernel_t *kernel;
 	svc_t svc;
@@ -46,6 +56,12 @@
 	peer_set_t peers;
 	GHashTable *behind; /* incarnations of peers in the zone */
 	bool yields; /* callers are sent to other instances */
+	double link_mbps; /* in each direction; 0: unknown */
+	/* Totals of the last samples, oldest first from next on. */
+	overload_total_t totals[OVERLOAD_TOTALS];
+	uint32_t next;
+	bool link_full;
+	bool congested; /* what the proxy knows */
 } overload_t;
 
 void overload_init(overload_t *overload, kernel_t *kernel, const char *zone);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -174,7 +174,7 @@
 			crash_target_listed(proxy, &msg->u.fleet_target.target);
 		break;
 	case MSG_OVERLOAD:
-		proxy->reach.congested = msg->u.overload.behind;
+		proxy->reach.congested = msg->u.overload.congested;
 		break;
 	case MSG_FLEET_BEHIND:
 		proxy->conf_behind = msg->u.fleet_behind.behind;
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -151,6 +151,32 @@
 		kernel_post(&kernel, proxy, ingress.svc, &msg);
 		kernel_flush(&kernel);
 	}
+	// Routes /a/ of the host of the requests below.
+	void send_conf()
+	{
+		fleet_conf_t *conf = fleet_conf_new();
+		fleet_route_t route = {};
+		msg_t msg = {};
+
+		g_strlcpy(route.name, "a", sizeof(route.name));
+		g_strlcpy(route.host, "h.example", sizeof(route.host));
+		g_strlcpy(route.path_prefix, "/a/", sizeof(route.path_prefix));
+		route.priority = 1;
+		g_array_append_val(conf->routes, route);
+		conf->limits = ingress.limits;
+		msg.kind = MSG_FLEET_CONF;
+		msg.u.fleet_conf = conf;
+		kernel_post(&kernel, proxy, ingress.svc, &msg);
+		kernel_flush(&kernel);
+	}
+	// A link of 10 Mbit/s with so many us of work admitted.
+	void fill_link(int64_t us)
+	{
+		ingress_set_link(&ingress, 10);
+		ingress.admission.backlog_out =
+			(double)us * ingress.admission.capacity;
+		ingress.admission.updated = kernel_now(&kernel);
+	}
 	kernel_t kernel;
 	ingress_t ingress;
 	svc_t proxy;
@@ -235,6 +261,124 @@
 	EXPECT_TRUE(late.wait_for("Connection: close"));
 }
 
+std::string retry_after_of(const std::string &response)
+{
+	const std::string name = "Retry-After: ";
+	size_t at = response.find(name);
+
+	return at == std::string::npos ? ""
+				       : response.substr(at + name.size(), 5);
+}
+
+// Guards against a queue at an instance that gets more than its link bears,
+// and against callers that come back too late for their goals.
+TEST_F(Ingress, RequestBeyondTheCapacityIsRefusedWithAShortRetryAfter)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(USEC_PER_SEC);
+	client.send(get_request);
+	EXPECT_TRUE(client.wait_for("no capacity left"));
+	EXPECT_TRUE(client.wait_closed());
+	EXPECT_EQ(client.in.compare(0, 12, "HTTP/1.1 503"), 0);
+	EXPECT_GE(retry_after_of(client.in), "0.010");
+	EXPECT_LE(retry_after_of(client.in), "0.030");
+	EXPECT_TRUE(specs.empty());
+	EXPECT_EQ(kernel.metrics->refusals[REFUSAL_OVER_CAPACITY], 1u);
+}
+
+// Guards against bodies that use the link although they are not wanted, and
+// against a refusal that its caller can't read while it still writes.
+TEST_F(Ingress, BodyBeyondTheCapacityIsRefusedFromTheHeadOn)
+{
+	Client client(port(LISTENER_CALLERS));
+	uint64_t before;
+
+	send_conf();
+	fill_link(USEC_PER_SEC);
+	client.send("POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
+		    "Content-Length: 12000\r\n\r\n" +
+		    std::string(1000, 'x'));
+	EXPECT_TRUE(client.wait_for("no capacity left"));
+	before = kernel.pollset.traffic.in;
+	client.send(std::string(11000, 'x'));
+	for (int i = 0; i < 100; i++)
+		pump([] { return true; });
+	EXPECT_EQ(kernel.pollset.traffic.in, before);
+	EXPECT_TRUE(specs.empty());
+	set_age(2 * USEC_PER_SEC);
+	sweep();
+	EXPECT_TRUE(pump([&] { return table_count(&ingress.conns) == 0; }));
+}
+
+// A request that was admitted by its head is not refused with its last byte.
+TEST_F(Ingress, RequestThatWasAdmittedByItsHeadIsServed)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(0);
+	client.send("POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
+		    "Content-Length: 2\r\n\r\nx");
+	ASSERT_TRUE(pump([&] { return kernel.pollset.traffic.in > 0; }));
+	fill_link(USEC_PER_SEC);
+	client.send("x");
+	EXPECT_TRUE(wait_requests(1));
+	EXPECT_GT(ingress.admission.admitted, 0);
+}
+
+TEST_F(Ingress, NothingIsRefusedIfTheLinkIsUnknown)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(USEC_PER_SEC);
+	ingress.admission.capacity = 0;
+	client.send(get_request);
+	EXPECT_TRUE(wait_requests(1));
+}
+
+// Guards against requests that no instance takes, as the one that a peer chose
+// refuses them.
+TEST_F(Ingress, RequestsOfPeersAreAdmittedLonger)
+{
+	ASSERT_EQ(ingress_listen(&ingress, LISTENER_METRICS, "127.0.0.1", 0),
+		  INGRESS_OK);
+	Client peer(port(LISTENER_METRICS)), caller(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(330 * USEC_PER_MSEC);
+	caller.send(get_request);
+	EXPECT_TRUE(caller.wait_for("HTTP/1.1 503"));
+	peer.send(get_request.substr(0, get_request.size() - 2) +
+		  "Gateway-Passed-By: p1\r\n\r\n");
+	EXPECT_TRUE(wait_requests(1));
+}
+
+// What is expected of a request follows from the answers of its route.
+TEST_F(Ingress, SizeOfAnswersIsLearntByRoute)
+{
+	Client client(port(LISTENER_CALLERS));
+	double before;
+
+	send_conf();
+	fill_link(0);
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_STREQ(ingress.admission.kinds[0].route, "");
+	respond(0, std::string(20000, 'x').c_str());
+	ASSERT_TRUE(client.wait_for("0\r\n\r\n"));
+	EXPECT_STREQ(ingress.admission.kinds[0].route, "a");
+	before = ingress.admission.kinds[0].answer;
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(2));
+	respond(1, std::string(20000, 'x').c_str());
+	EXPECT_TRUE(pump(
+		[&] { return ingress.admission.kinds[0].answer > before; }));
+	EXPECT_LT(ingress.admission.kinds[0].answer, 21000);
+}
+
 TEST_F(Ingress, PeersPassRequestsOnAtTheAddressOfTheMetrics)
 {
 	ASSERT_EQ(ingress_listen(&ingress, LISTENER_METRICS, "127.0.0.1", 0),
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -80,6 +80,7 @@
 	{
 		kernel_init(&kernel, CLOCK_VIRTUAL, 1);
 		kernel_register(&kernel, "ingress", receive, this);
+		kernel_register(&kernel, "proxy", receive_proxy, this);
 		peer = kernel_register(&kernel, "peer", receive, this);
 		overload_init(&overload, &kernel, "a");
 		kernel_start(&kernel);
@@ -91,10 +92,21 @@
 		overload_finish(&overload);
 		kernel_finish(&kernel);
 	}
+	static void receive_proxy(void *self, msg_t *msg)
+	{
+		if (msg->kind == MSG_OVERLOAD)
+			static_cast<OverloadService *>(self)->congested =
+				msg->u.overload.congested;
+	}
 	static void receive(void *self, msg_t *msg)
 	{
 		auto *test = static_cast<OverloadService *>(self);
 
+		if (msg->kind == MSG_LOAD) {
+			test->in = msg->u.load.in;
+			test->out = msg->u.load.out;
+			test->loads++;
+		}
 		if (msg->kind == MSG_OVERLOAD)
 			test->yields = msg->u.overload.yields;
 		if (msg->kind == MSG_PEER_SEND)
@@ -137,7 +149,9 @@
 	overload_t overload;
 	svc_t peer;
 	std::vector<bool> told;
-	bool yields = false;
+	bool yields = false, congested = false;
+	double in = 0, out = 0;
+	int loads = 0;
 };
 
 TEST_F(OverloadService, InstanceThatIsBehindSendsCallersAwayUntilItHasCaughtUp)
@@ -179,4 +193,33 @@
 	EXPECT_TRUE(told[1]);
 }
 
+// Guards against connects that are late behind a full link and look like a
+// partition.
+TEST_F(OverloadService, FullLinkIsMeasuredInEachDirection)
+{
+	overload.link_mbps = 10;
+	run(500 * USEC_PER_MSEC);
+	EXPECT_GE(loads, 9);
+	for (int i = 0; i < 10; i++) {
+		kernel.pollset.traffic.in += 62500;
+		kernel.pollset.traffic.out += 31250;
+		run(50 * USEC_PER_MSEC);
+	}
+	EXPECT_NEAR(in, 1, 0.01);
+	EXPECT_NEAR(out, 0.5, 0.01);
+	EXPECT_TRUE(congested);
+	EXPECT_FALSE(yields);
+	run(500 * USEC_PER_MSEC);
+	EXPECT_NEAR(in, 0, 0.01);
+	EXPECT_FALSE(congested);
+}
+
+TEST_F(OverloadService, NothingIsReportedIfTheLinkIsUnknown)
+{
+	kernel.pollset.traffic.in += 10000000;
+	run(500 * USEC_PER_MSEC);
+	EXPECT_EQ(loads, 0);
+	EXPECT_FALSE(congested);
+}
+
 } // namespace
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -572,7 +572,7 @@
 		msg_t msg = {};
 
 		msg.kind = MSG_OVERLOAD;
-		msg.u.overload.behind = behind;
+		msg.u.overload.congested = behind;
 		kernel_post(&kernel, ingress, proxy.svc, &msg);
 		run(0);
 	}
