Move the callers that an instance can't bear, not all of them

Cause: readiness and closed connections move callers only once input waits for 100 ms, at one instance in eight of a zone, and all callers of the instance at once, so that the next one gets them all.

Change, where gateway.link_mbps is set: ingress reports what was asked for, admitted or not, of what is admitted at most. overload/move.c: above 0.9 for half a second an instance is in need, tells its zone (the message of an instance that is behind, so former builds understand it) and leaves the rotation; below 0.5 for 2 s it returns. Meanwhile each connection is considered once a second and closed after an answer with the probability of the excess over 0.85; a load up to that is kept. At most a quarter of a zone does so, the first by incarnation; if most are in need nobody does. A refusal of a complete request leaves its connection open, so that refusals don't move more than the excess. Where the link is unknown everything is as before.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -244,7 +244,8 @@
 	overload_init(&gateway->overload, &gateway->kernel,
 		      settings->availability_zone);
 	ingress_set_link(&gateway->ingress, settings->gateway_link_mbps);
-	gateway->overload.link_mbps = settings->gateway_link_mbps;
+	overload_set_link(&gateway->overload, gateway->incarnation,
+			  settings->gateway_link_mbps);
 }
 
 static uint16_t metrics_port(const settings_t *settings)
--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -18,6 +18,12 @@
 #define RETRY_MIN_MS 10
 #define RETRY_SPAN_MS 21
 #define PERCENT 100
+/*
+ * A connection is considered once in this time, however many requests it
+ * carries, so that no more are closed than the load makes up for meanwhile.
+ */
+#define MOVE_PERIOD_US USEC_PER_SEC
+#define RANDOM_RANGE 1000000
 /* A system buffers this much between a caller and this process. */
 #define UNREAD_BODY_MAX 32768 /* bytes */
 
@@ -26,6 +32,36 @@
 	admission_init(&ingress->admission, link_mbps);
 }
 
+/* Tells service "overload" what was asked for since the last time. */
+static void report_offered(ingress_t *ingress)
+{
+	int64_t now = kernel_now(ingress->kernel);
+	msg_t msg = {.kind = MSG_OFFERED};
+
+	if (ingress->measured_at > 0 && now > ingress->measured_at) {
+		msg.u.offered.load = admission_take_load(
+			&ingress->admission, now - ingress->measured_at);
+		kernel_post(ingress->kernel, ingress->svc,
+			    kernel_find(ingress->kernel, "overload"), &msg);
+	}
+	ingress->measured_at = now;
+}
+
+bool ingress_moves_caller(ingress_conn_t *conn)
+{
+	ingress_t *ingress = conn->ingress;
+	int64_t now = kernel_now(ingress->kernel);
+
+	if (ingress->excess <= 0 || now - conn->considered_at < MOVE_PERIOD_US)
+		return false;
+	conn->considered_at = now;
+	if ((double)kernel_random_below(ingress->kernel, RANDOM_RANGE) >=
+	    ingress->excess * RANDOM_RANGE)
+		return false;
+	metrics_add(ingress->kernel->metrics, COUNTER_CALLERS_MOVED, 1);
+	return true;
+}
+
 void ingress_load_measured(ingress_t *ingress, const msg_t *msg)
 {
 	admission_load_t load = {
@@ -34,6 +70,7 @@
 		.wait = msg->u.load.wait,
 	};
 
+	report_offered(ingress);
 	admission_control(&ingress->admission, &load);
 	metrics_set(ingress->kernel->metrics, GAUGE_ADMISSION_RATE,
 		    (int64_t)(ingress->admission.scale * PERCENT));
@@ -66,7 +103,8 @@
 	return true;
 }
 
-static void refuse(ingress_conn_t *conn, const admission_request_t *request)
+static void refuse(ingress_conn_t *conn, const admission_request_t *request,
+		   bool close)
 {
 	ingress_t *ingress = conn->ingress;
 	kernel_t *kernel = ingress->kernel;
@@ -80,8 +118,9 @@
 		  "route=%s bytes=%" G_GUINT64_FORMAT, request->route,
 		  request->bytes);
 	g_snprintf(retry_after, sizeof(retry_after), "0.%03u", (unsigned)ms);
-	ingress_conn_respond_retry_after(
-		conn, 503, "this instance has no capacity left\n", retry_after);
+	ingress_conn_respond_retry_after(conn, 503,
+					 "this instance has no capacity left\n",
+					 retry_after, close);
 }
 
 /*
@@ -123,7 +162,7 @@
 	if (!admitted) {
 		conn->admitted = false;
 		metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
-		refuse(conn, &request);
+		refuse(conn, &request, true);
 		leave_body(conn, length);
 	}
 	exchange_spec_free(spec);
@@ -142,7 +181,8 @@
 		return true;
 	if (!conn->admitted &&
 	    !admission_test(&ingress->admission, &request, now)) {
-		refuse(conn, &request);
+		/* Its other requests may be admitted. */
+		refuse(conn, &request, false);
 		return false;
 	}
 	conn->admitted = false;
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -219,9 +219,9 @@
 		http_head_add_int(head, "Content-Length", length);
 	else
 		http_head_add(head, "Transfer-Encoding", "chunked");
-	conn->close_after |= conn->ingress->stopping ||
-			     (conn->kind == LISTENER_CALLERS &&
-			      ingress_sends_callers_away(conn->ingress));
+	conn->close_after |=
+		conn->ingress->stopping ||
+		(conn->kind == LISTENER_CALLERS && ingress_sends_away(conn));
 	if (conn->close_after)
 		http_head_add(head, "Connection", "close");
 	else
@@ -252,11 +252,12 @@
 }
 
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
-				      const char *text, const char *retry_after)
+				      const char *text, const char *retry_after,
+				      bool close)
 {
 	http_head_t *head = http_head_response(status);
 
-	conn->close_after = true;
+	conn->close_after |= close;
 	http_head_add(head, "Retry-After", retry_after);
 	write_response(conn, head, "text/plain", text);
 }
@@ -529,7 +530,7 @@
 		return;
 	}
 	ingress_conn_respond_retry_after(conn, 503, "too many large requests\n",
-					 FULL_RETRY_AFTER);
+					 FULL_RETRY_AFTER, true);
 	g_byte_array_set_size(conn->input, 0);
 	http_parse_reset(&conn->parse);
 	count_bytes(conn);
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -33,6 +33,7 @@
 	int64_t arrived_at; /* monotonic, us; of the request */
 	int64_t unread; /* us for which the request waited to be read */
 	size_t request_bytes; /* body of the request in progress */
+	int64_t considered_at; /* monotonic, us; whether to move its caller */
 	bool admitted; /* from the head of the request, which is being read */
 	char route[NAME_SIZE]; /* of the admitted request; empty: none */
 	uint64_t answer_bytes; /* on the link, of its answer so far */
@@ -54,10 +55,10 @@
 /* Writes a complete response of the gateway itself. */
 void ingress_conn_respond(ingress_conn_t *conn, uint32_t status,
 			  const char *type, const char *text, bool close);
-/* Refuses a request with Retry-After, in seconds, and closes. */
+/* Refuses a request with Retry-After, in seconds. */
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
-				      const char *text,
-				      const char *retry_after);
+				      const char *text, const char *retry_after,
+				      bool close);
 
 /* admit.c: refuses requests beyond the capacity of this instance. */
 /* Returns false after refusing a request whose head has arrived. */
@@ -66,10 +67,12 @@
 bool ingress_admit_request(ingress_conn_t *conn, const exchange_spec_t *spec);
 /* The answer, if the request was admitted, is complete. */
 void ingress_answered(ingress_conn_t *conn);
+/* Whether the connection is closed, as one of those that can't be borne. */
+bool ingress_moves_caller(ingress_conn_t *conn);
 void ingress_load_measured(ingress_t *ingress, const msg_t *msg);
 
 /* ingress.c */
-bool ingress_sends_callers_away(const ingress_t *ingress);
+bool ingress_sends_away(ingress_conn_t *conn);
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn);
 
 G_END_DECLS
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -143,11 +143,25 @@
 	g_clear_object(&listener->socket);
 }
 
-bool ingress_sends_callers_away(const ingress_t *ingress)
+bool ingress_sends_away(ingress_conn_t *conn)
 {
-	return ingress->yields_since != 0 &&
-	       kernel_now(ingress->kernel) - ingress->yields_since >=
-		       UNREADY_SEEN_US;
+	const ingress_t *ingress = conn->ingress;
+
+	if (ingress->yields_since == 0 ||
+	    kernel_now(ingress->kernel) - ingress->yields_since <
+		    UNREADY_SEEN_US)
+		return false;
+	/* Without a known capacity there is no part that it bears. */
+	return ingress->admission.capacity <= 0 || ingress_moves_caller(conn);
+}
+
+static void overload_changed(ingress_t *ingress, const msg_t *msg)
+{
+	ingress->excess = msg->u.overload.excess;
+	if (!msg->u.overload.yields)
+		ingress->yields_since = 0;
+	else if (ingress->yields_since == 0)
+		ingress->yields_since = kernel_now(ingress->kernel);
 }
 
 static void respond_readiness(ingress_t *ingress, ingress_conn_t *conn)
@@ -202,8 +216,9 @@
 		  "request=%s reason=%s stop_ms=%" G_GINT64_FORMAT,
 		  log_quote(request_id), refusal_name(REFUSAL_STOPPING),
 		  stop_age(ingress) / USEC_PER_MSEC);
-	ingress_conn_respond_retry_after(
-		conn, 503, "this instance is stopping\n", STOP_RETRY_AFTER);
+	ingress_conn_respond_retry_after(conn, 503,
+					 "this instance is stopping\n",
+					 STOP_RETRY_AFTER, true);
 }
 
 static void forward(ingress_t *ingress, ingress_conn_t *conn)
@@ -349,9 +364,7 @@
 		ingress->stop_deadline = msg->u.stop.deadline;
 		break;
 	case MSG_OVERLOAD:
-		ingress->yields_since = msg->u.overload.yields
-						? kernel_now(ingress->kernel)
-						: 0;
+		overload_changed(ingress, msg);
 		break;
 	case MSG_LOAD:
 		ingress_load_measured(ingress, msg);
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -45,6 +45,8 @@
 	fleet_limits_t limits;
 	fleet_conf_t *conf; /* NULL until one is received */
 	admission_t admission;
+	int64_t measured_at; /* monotonic, us; last MSG_LOAD; 0: none */
+	double excess; /* part of the callers that is moved */
 	bool ready; /* a configuration has been received */
 	bool stopping;
 	int64_t yields_since; /* callers are sent away, monotonic, us; 0: no */
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -50,6 +50,7 @@
 	MSG_STOPPED, /* any -> router: the sender has finished */
 	MSG_TIMER,
 	MSG_BUFFERS_FULL, /* kernel -> the service that holds the most bytes */
+	MSG_OFFERED, /* ingress -> overload; answers MSG_LOAD */
 	MSG_LOAD, /* overload -> ingress; every 50 ms if the link is known */
 	MSG_OVERLOAD, /* overload -> ingress, proxy */
 
@@ -251,12 +252,18 @@
 			/* Input or timers wait too long, or the link is full.
 			 */
 			bool congested;
+			/* Part of its callers that the instance can't bear. */
+			double excess;
 		} overload;
 		struct {
 			double in; /* utilization of the link, 1: full */
 			double out;
 			int64_t wait; /* us, longest wait of input */
 		} load;
+		struct {
+			/* Asked for, of what is admitted at most. */
+			double load;
+		} offered;
 		request_spec_t *open; /* MSG_REQ_OPEN */
 		struct {
 			uint32_t status; /* HTTP */
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -72,6 +72,8 @@
 	X(LOG_DROPPED, "log_dropped", "log lines dropped")                    \
 	X(CALLERS_GONE, "callers_gone",                                       \
 	  "callers that left before their answer")                            \
+	X(CALLERS_MOVED, "callers_moved",                                     \
+	  "connections closed so that other instances get their load")        \
 	X(MSG_UNDELIVERED, "msg_undelivered", "messages without a receiver")
 
 typedef enum counter_t {
--- a/overload/admission.c
+++ b/overload/admission.c
@@ -154,7 +154,6 @@
 	if (admitted) {
 		admission->backlog_in += cost;
 		admission->backlog_out += cost;
-		admission->admitted += cost;
 	} else {
 		admission->backlog_in = MAX(
 			admission->backlog_in,
@@ -165,6 +164,16 @@
 	}
 }
 
+double admission_take_load(admission_t *admission, int64_t elapsed)
+{
+	double most = admission->capacity * ADMISSION_UTILIZATION *
+		      MIN(admission->scale, 1) * (double)elapsed;
+	double offered = admission->offered;
+
+	admission->offered = 0;
+	return most > 0 ? offered / most : 0;
+}
+
 void admission_answered(admission_t *admission, const char *route,
 			uint64_t bytes)
 {
--- a/overload/admission.h
+++ b/overload/admission.h
@@ -55,9 +55,7 @@
 	uint32_t late; /* samples in a row in which input waited */
 	uint32_t full; /* samples in a row in which the link was full */
 	bool refused; /* since the last sample */
-	/* Bytes of requests that arrived and that were admitted. */
-	double offered;
-	double admitted;
+	double offered; /* bytes of requests since admission_take_load() */
 } admission_t;
 
 /* Bits per second of the link in each direction; 0: admit everything. */
@@ -71,6 +69,11 @@
 /* Takes a request into account that has arrived, and was admitted or not. */
 void admission_count(admission_t *admission, const admission_request_t *request,
 		     bool admitted, int64_t now);
+/*
+ * Returns what was asked for since the last call, elapsed us ago, relative to
+ * what is admitted at most, and starts anew.
+ */
+double admission_take_load(admission_t *admission, int64_t elapsed);
 /* The answer of a request of the route has moved these bytes. */
 void admission_answered(admission_t *admission, const char *route,
 			uint64_t bytes);
--- a/overload/overload.c
+++ b/overload/overload.c
@@ -65,6 +65,13 @@
 		  buffers_total(buffers));
 }
 
+/* Whether callers do better elsewhere: by the link, if that is known. */
+static bool is_in_need(const overload_t *overload)
+{
+	return overload->link_mbps > 0 ? overload->move.needy
+				       : overload->state.behind;
+}
+
 /* Tells the peers in the zone, or one of them, whether this one is behind. */
 static void tell(const overload_t *overload, const char *incarnation)
 {
@@ -75,7 +82,7 @@
 	g_strlcpy(msg.u.peer.availability_zone, overload->zone,
 		  sizeof(msg.u.peer.availability_zone));
 	msg.u.peer.body = peer_body_new(PEER_OVERLOAD);
-	msg.u.peer.body->u.overload.behind = overload->state.behind;
+	msg.u.peer.body->u.overload.behind = is_in_need(overload);
 	kernel_post(overload->kernel, overload->svc, overload->peer, &msg);
 }
 
@@ -85,26 +92,71 @@
 
 	msg.u.overload.yields = overload->yields;
 	msg.u.overload.congested = overload->congested;
+	msg.u.overload.excess =
+		overload->yields ? move_excess(&overload->move) : 0;
 	kernel_post(overload->kernel, overload->svc, to, &msg);
 }
 
+/* Returns how many peers in need come before this instance. */
+static uint32_t count_before(const overload_t *overload)
+{
+	GHashTableIter iter;
+	gpointer key;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, overload->behind);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (strcmp(key, overload->incarnation) < 0)
+			count++;
+	return count;
+}
+
 static void decide_yield(overload_t *overload)
 {
 	uint32_t instances =
 		1 + peer_set_count_in_zone(&overload->peers, overload->zone);
 	uint32_t behind = 1 + g_hash_table_size(overload->behind);
-	bool yields =
-		overload->state.behind &&
-		(overload->yields || overload_may_yield(instances, behind));
+	bool may, yields;
 
-	if (yields == overload->yields)
+	if (overload->link_mbps > 0)
+		may = move_may_yield(instances, behind, count_before(overload));
+	else
+		may = overload->yields || overload_may_yield(instances, behind);
+	yields = is_in_need(overload) && may;
+	if (yields == overload->yields) {
+		/* The excess changes while callers leave. */
+		if (yields && overload->link_mbps > 0)
+			post_state(overload, overload->ingress);
 		return;
+	}
 	overload->yields = yields;
 	log_event(LOG_LEVEL_INFO, "overload", yields ? "yields" : "returns",
-		  "zone_instances=%u zone_behind=%u", instances, behind);
+		  "zone_instances=%u zone_behind=%u load_percent=%d", instances,
+		  behind, (int)(overload->move.load * PERCENT));
 	post_state(overload, overload->ingress);
 }
 
+/* Callers ask for more than this instance bears, or no longer do. */
+static void need_changed(overload_t *overload)
+{
+	const move_t *move = &overload->move;
+
+	log_event(LOG_LEVEL_WARN, "overload",
+		  move->needy ? "over_capacity" : "within_capacity",
+		  "load_percent=%d link_mbps=%g in_percent=%d out_percent=%d",
+		  (int)(move->load * PERCENT), overload->link_mbps,
+		  (int)overload->kernel->metrics->gauges[GAUGE_LINK_IN],
+		  (int)overload->kernel->metrics->gauges[GAUGE_LINK_OUT]);
+	tell(overload, "");
+}
+
+static void load_offered(overload_t *overload, double load)
+{
+	if (move_update(&overload->move, load, kernel_now(overload->kernel)))
+		need_changed(overload);
+	decide_yield(overload);
+}
+
 static double utilization(const overload_t *overload, uint64_t bytes,
 			  int64_t elapsed)
 {
@@ -155,6 +207,12 @@
 	post_state(overload, overload->proxy);
 }
 
+static void behind_changed(const overload_t *overload)
+{
+	if (overload->link_mbps <= 0)
+		tell(overload, "");
+}
+
 static void take_sample(overload_t *overload)
 {
 	overload_state_t *state = &overload->state;
@@ -164,11 +222,11 @@
 	switch (overload_update(state, &sample, now)) {
 	case OVERLOAD_BEGAN:
 		log_change(overload, "behind", 0);
-		tell(overload, "");
+		behind_changed(overload);
 		break;
 	case OVERLOAD_ENDED:
 		log_change(overload, "caught_up", state->last - state->since);
-		tell(overload, "");
+		behind_changed(overload);
 		break;
 	case OVERLOAD_UNCHANGED:
 		break;
@@ -212,7 +270,7 @@
 		break;
 	case MSG_PEER_UP:
 		peer_set_update(&overload->peers, msg);
-		if (overload->state.behind && is_in_zone(overload, msg))
+		if (is_in_need(overload) && is_in_zone(overload, msg))
 			tell(overload, msg->u.peer_addr.incarnation);
 		break;
 	case MSG_PEER_DOWN:
@@ -220,6 +278,9 @@
 		g_hash_table_remove(overload->behind,
 				    msg->u.peer_addr.incarnation);
 		break;
+	case MSG_OFFERED:
+		load_offered(overload, msg->u.offered.load);
+		break;
 	case MSG_PEER_RECEIVED:
 		peer_told(overload, msg);
 		break;
@@ -239,6 +300,14 @@
 	overload->svc = kernel_register(kernel, "overload", receive, overload);
 }
 
+void overload_set_link(overload_t *overload, const char *incarnation,
+		       double link_mbps)
+{
+	g_strlcpy(overload->incarnation, incarnation,
+		  sizeof(overload->incarnation));
+	overload->link_mbps = link_mbps;
+}
+
 void overload_finish(overload_t *overload)
 {
 	g_hash_table_unref(overload->behind);
--- a/overload/overload.h
+++ b/overload/overload.h
@@ -8,6 +8,7 @@
 
 #include "kernel/kernel.h"
 #include "kernel/peer_set.h"
+#include "overload/move.h"
 
 G_BEGIN_DECLS
 
@@ -56,6 +57,8 @@
 	peer_set_t peers;
 	GHashTable *behind; /* incarnations of peers in the zone */
 	bool yields; /* callers are sent to other instances */
+	char incarnation[INCARNATION_SIZE]; /* own */
+	move_t move; /* if the link is known */
 	double link_mbps; /* in each direction; 0: unknown */
 	/* Totals of the last samples, oldest first from next on. */
 	overload_total_t totals[OVERLOAD_TOTALS];
@@ -65,6 +68,9 @@
 } overload_t;
 
 void overload_init(overload_t *overload, kernel_t *kernel, const char *zone);
+/* States the capacity of the link; then load decides, not waits alone. */
+void overload_set_link(overload_t *overload, const char *incarnation,
+		       double link_mbps);
 void overload_finish(overload_t *overload);
 
 /* The decision: applies what was measured up to now. */
