--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -149,11 +149,10 @@
  */
 static void leave_body(ingress_conn_t *conn, int64_t length)
 {
-	bool leaves = length <= UNREAD_BODY_MAX;
-
+	conn->leaves_body = length <= UNREAD_BODY_MAX;
 	g_byte_array_set_size(conn->input, 0);
 	http_parse_reset(&conn->parse);
-	if (leaves)
+	if (conn->leaves_body)
 		http_socket_watch_input(&conn->sock, false);
 }
 
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -134,6 +134,9 @@
 
 	if (unsent == 0 && !unread && conn->input->len == 0)
 		return;
+	/* The rest of a refused body is left unread on purpose. */
+	if (conn->leaves_body && unsent == 0)
+		return;
 	log_event(LOG_LEVEL_INFO, "ingress", "closed",
 		  "phase=%s age_ms=%" G_GINT64_FORMAT
 		  " unsent=%u unread=%d unparsed=%u stopping=%d",
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -35,6 +35,7 @@
 	size_t request_bytes; /* body of the request in progress */
 	int64_t considered_at; /* monotonic, us; whether to move its caller */
 	bool admitted; /* from the head of the request, which is being read */
+	bool leaves_body; /* the rest of a refused body is not read */
 	char route[NAME_SIZE]; /* of the admitted request; empty: none */
 	uint64_t answer_bytes; /* on the link, of its answer so far */
 	size_t counted_requests; /* bytes in the process's buffers */
