--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -33,7 +33,9 @@
 	int64_t arrived_at; /* monotonic, us; of the request */
 	int64_t unread; /* us for which the request waited to be read */
 	size_t request_bytes; /* body of the request in progress */
+	int64_t considered_at; /* monotonic, us; whether to move its caller */
 	bool admitted; /* from the head of the request, which is being read */
+	bool leaves_body; /* the rest of a refused body is not read */
 	char route[NAME_SIZE]; /* of the admitted request; empty: none */
 	uint64_t answer_bytes; /* on the link, of its answer so far */
 	size_t counted_requests; /* bytes in the process's buffers */
@@ -54,22 +56,26 @@
 /* Writes a complete response of the gateway itself. */
 void ingress_conn_respond(ingress_conn_t *conn, uint32_t status,
 			  const char *type, const char *text, bool close);
-/* Refuses a request with Retry-After, in seconds, and closes. */
+/* Refuses a request with Retry-After, in seconds. */
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
-				      const char *text,
-				      const char *retry_after);
+				      const char *text, const char *retry_after,
+				      bool close);
 
 /* admit.c: refuses requests beyond the capacity of this instance. */
+/* Lets no more of a body arrive than is read, if the link is small. */
+void ingress_limit_window(const ingress_t *ingress, GSocket *socket);
 /* Returns false after refusing a request whose head has arrived. */
 bool ingress_admit_head(ingress_conn_t *conn);
 /* Returns false after refusing a request that is complete. */
 bool ingress_admit_request(ingress_conn_t *conn, const exchange_spec_t *spec);
 /* The answer, if the request was admitted, is complete. */
 void ingress_answered(ingress_conn_t *conn);
+/* Whether the connection is closed, as one of those that can't be borne. */
+bool ingress_moves_caller(ingress_conn_t *conn);
 void ingress_load_measured(ingress_t *ingress, const msg_t *msg);
 
 /* ingress.c */
-bool ingress_sends_callers_away(const ingress_t *ingress);
+bool ingress_sends_away(ingress_conn_t *conn);
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn);
 
 G_END_DECLS
