--- a/front/refusal.c
+++ b/front/refusal.c
@@ -66,6 +66,8 @@
 			      "this router is stopping"},
 	[REFUSAL_BEHIND] = {REFUSAL_BEHIND, 503, 1,
 			    "this instance is behind with its requests"},
+	[REFUSAL_OVER_CAPACITY] = {REFUSAL_OVER_CAPACITY, 503, 1,
+				   "this instance has no capacity left"},
 	[REFUSAL_UNREACHABLE] = {REFUSAL_UNREACHABLE, 503, 1,
 				 "no target is reached from here"},
 	[REFUSAL_CALLER_GONE] = {REFUSAL_CALLER_GONE, 499, 0,
