Give refusals for lack of capacity the id of their request

Cause: the refusal was plain text without the id, so a peer that had passed the request on, and a caller that compares ids, could not tell whose it was.

Change: head and body are those of the proxy's refusals.

--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -3,12 +3,11 @@
  * overload/admission.c: from the head on if it states the length of the body,
  * which is then not read.
  */
+#include "front/refusal.h"
 #include "ingress/conn.h"
 #include "log/log.h"
 #include "platform/wire.h"
-#include "proxy/hop.h"
 
-#include <stdio.h>
 #include <sys/socket.h>
 
 /*
@@ -123,24 +122,27 @@
 	return true;
 }
 
-static void refuse(ingress_conn_t *conn, const admission_request_t *request,
-		   bool close)
+static void refuse(ingress_conn_t *conn, const exchange_spec_t *spec,
+		   const admission_request_t *request, bool close)
 {
 	ingress_t *ingress = conn->ingress;
 	kernel_t *kernel = ingress->kernel;
 	uint64_t ms = RETRY_MIN_MS + kernel_random_below(kernel, RETRY_SPAN_MS);
-	char retry_after[16];
+	char *text = refusal_json(REFUSAL_OVER_CAPACITY, RUN_NOT_RUN,
+				  spec->request_id, NULL);
 
 	admission_count(&ingress->admission, request, false,
 			kernel_now(kernel));
 	metrics_refusal(kernel->metrics, REFUSAL_OVER_CAPACITY);
 	log_event(LOG_LEVEL_DEBUG, "ingress", "over_capacity",
-		  "route=%s bytes=%" G_GUINT64_FORMAT, request->route,
-		  request->bytes);
-	g_snprintf(retry_after, sizeof(retry_after), "0.%03u", (unsigned)ms);
-	ingress_conn_respond_retry_after(conn, 503,
-					 "this instance has no capacity left\n",
-					 retry_after, close);
+		  "request=%s route=%s bytes=%" G_GUINT64_FORMAT,
+		  log_quote(spec->request_id), request->route, request->bytes);
+	ingress_conn_refuse(
+		conn,
+		wire_write_refusal(spec, refusal_status(REFUSAL_OVER_CAPACITY),
+				   (uint32_t)ms),
+		text, close);
+	g_free(text);
 }
 
 /*
@@ -181,7 +183,7 @@
 	if (!admitted) {
 		conn->admitted = false;
 		metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
-		refuse(conn, &request, true);
+		refuse(conn, spec, &request, true);
 		leave_body(conn, length);
 	}
 	exchange_spec_free(spec);
@@ -201,7 +203,7 @@
 	if (!conn->admitted &&
 	    !admission_test(&ingress->admission, &request, now)) {
 		/* Its other requests may be admitted. */
-		refuse(conn, &request, false);
+		refuse(conn, spec, &request, false);
 		return false;
 	}
 	conn->admitted = false;
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -254,13 +254,22 @@
 	write_response(conn, http_head_response(status), type, text);
 }
 
+void ingress_conn_refuse(ingress_conn_t *conn, http_head_t *head,
+			 const char *text, bool close)
+{
+	conn->close_after |= close;
+	write_head(conn, head, (int64_t)strlen(text));
+	write_text(conn, text);
+	http_head_free(head);
+	finish_response(conn);
+}
+
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
-				      const char *text, const char *retry_after,
-				      bool close)
+				      const char *text, const char *retry_after)
 {
 	http_head_t *head = http_head_response(status);
 
-	conn->close_after |= close;
+	conn->close_after = true;
 	http_head_add(head, "Retry-After", retry_after);
 	write_response(conn, head, "text/plain", text);
 }
@@ -533,7 +542,7 @@
 		return;
 	}
 	ingress_conn_respond_retry_after(conn, 503, "too many large requests\n",
-					 FULL_RETRY_AFTER, true);
+					 FULL_RETRY_AFTER);
 	g_byte_array_set_size(conn->input, 0);
 	http_parse_reset(&conn->parse);
 	count_bytes(conn);
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -56,10 +56,13 @@
 /* Writes a complete response of the gateway itself. */
 void ingress_conn_respond(ingress_conn_t *conn, uint32_t status,
 			  const char *type, const char *text, bool close);
-/* Refuses a request with Retry-After, in seconds. */
+/* Refuses a request with Retry-After, in seconds, and closes. */
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
-				      const char *text, const char *retry_after,
-				      bool close);
+				      const char *text,
+				      const char *retry_after);
+/* Writes a refusal with this head, which it takes. */
+void ingress_conn_refuse(ingress_conn_t *conn, http_head_t *head,
+			 const char *text, bool close);
 
 /* admit.c: refuses requests beyond the capacity of this instance. */
 /* Lets no more of a body arrive than is read, if the link is small. */
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -218,9 +218,8 @@
 		  "request=%s reason=%s stop_ms=%" G_GINT64_FORMAT,
 		  log_quote(request_id), refusal_name(REFUSAL_STOPPING),
 		  stop_age(ingress) / USEC_PER_MSEC);
-	ingress_conn_respond_retry_after(conn, 503,
-					 "this instance is stopping\n",
-					 STOP_RETRY_AFTER, true);
+	ingress_conn_respond_retry_after(
+		conn, 503, "this instance is stopping\n", STOP_RETRY_AFTER);
 }
 
 static void forward(ingress_t *ingress, ingress_conn_t *conn)
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -280,8 +280,11 @@
 
 	send_conf();
 	fill_link(USEC_PER_SEC);
-	client.send(get_request);
+	client.send(get_request.substr(0, get_request.size() - 2) +
+		    "Attempt-Id: r7\r\n\r\n");
 	EXPECT_TRUE(client.wait_for("no capacity left"));
+	EXPECT_NE(client.in.find("Attempt-Id: r7\r\n"), std::string::npos);
+	EXPECT_NE(client.in.find("\"not_run\""), std::string::npos);
 	EXPECT_EQ(client.in.compare(0, 12, "HTTP/1.1 503"), 0);
 	EXPECT_GE(retry_after_of(client.in), "0.010");
 	EXPECT_LE(retry_after_of(client.in), "0.030");
