--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -156,6 +156,33 @@
 	EXPECT_GE(in_time(with.sum()), 0.2);
 }
 
+// Guards against an instance that refuses requests and keeps their callers, and
+// against one that gives callers away which it bears.
+TEST(Admission, CallersAreMovedSoonAboveTheCapacityAndNotBelow)
+{
+	for (double rate : {73.0, 150.0}) {
+		admission_world_t world(10);
+
+		play(&world, rate);
+		EXPECT_EQ(world.needy_at, 0) << rate;
+	}
+	for (double rate : {250.0, 470.0}) {
+		admission_world_t world(10);
+
+		world.window = 2000;
+		play(&world, rate);
+		EXPECT_GT(world.needy_at, 3 * second) << rate;
+		EXPECT_LT(world.needy_at, 5 * second) << rate;
+	}
+	// 73 requests are more than this processor bears.
+	admission_world_t slow(10);
+
+	slow.processor_us = 20000;
+	play(&slow, 73);
+	EXPECT_GT(slow.needy_at, 0);
+	EXPECT_LT(slow.needy_at, 3 * second);
+}
+
 // One late turn of a busy machine is no load above the capacity.
 TEST(Admission, SingleLateSamplesChangeNothing)
 {
--- a/tests/admission_world.h
+++ b/tests/admission_world.h
@@ -5,6 +5,7 @@
 #define TESTS_ADMISSION_WORLD_H
 
 #include "overload/admission.h"
+#include "overload/move.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -46,6 +47,8 @@
 {
       public:
 	admission_t admission;
+	move_t move = {};
+	int64_t needy_at = 0; // first need to move callers; 0: none
 	kind_result_t results[KINDS];
 	int64_t now = 0;
 	double processor_us = 0; // that a request takes; 0: not modelled
@@ -238,6 +241,9 @@
 		load.out = out / (rate * 200000);
 		load.wait = (int64_t)worst_wait;
 		worst_wait = std::max(cpu_free - (double)now, 0.0);
+		move_update(&move, admission_take_load(&admission, 50000), now);
+		if (move.needy && needy_at == 0)
+			needy_at = now;
 		if (decides)
 			admission_control(&admission, &load);
 		at(now + 50000, [this] { sample(); });
