--- a/overload/move.c
+++ b/overload/move.c
@@ -28,5 +28,5 @@
 
 bool move_may_yield(uint32_t instances, uint32_t needy, uint32_t before)
 {
-	return needy * 2 <= instances && before < instances / MOVE_YIELD_PART;
+	return needy * 2 <= instances && before < (instances - 1) / 2;
 }
--- a/overload/move.h
+++ b/overload/move.h
@@ -22,7 +22,7 @@
  * it, which were too many before.
  */
 #define MOVE_LOAD_LOW 0.5
-#define MOVE_CALM_US INT64_C(2000000)
+#define MOVE_CALM_US INT64_C(60000000)
 /* One instance in so many of an availability zone moves callers at a time. */
 #define MOVE_YIELD_PART 4
 
