Keep an instance out of rotation for a minute after it had too much

Cause: the load balancer leads all callers of an account to the first ready instance of an order of its own.

--- a/overload/move.c
+++ b/overload/move.c
@@ -7,12 +7,16 @@
 {
 	move->load += (load - move->load) * LOAD_SMOOTHING;
 	if (move->load > MOVE_LOAD_LOW)
+		move->low_at = now;
+	if (move->load > MOVE_LOAD_HIGH) {
 		move->high_at = now;
-	if (!move->needy && move->load > MOVE_LOAD_HIGH) {
-		move->needy = true;
-		return true;
+		if (!move->needy) {
+			move->needy = true;
+			return true;
+		}
 	}
-	if (move->needy && now - move->high_at >= MOVE_CALM_US) {
+	if (move->needy && now - move->high_at >= MOVE_HOLD_US &&
+	    now - move->low_at >= MOVE_CALM_US) {
 		move->needy = false;
 		return true;
 	}
