--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -134,6 +134,9 @@
 
 	if (unsent == 0 && !unread && conn->input->len == 0)
 		return;
+	/* The rest of a refused body is left unread on purpose. */
+	if (conn->leaves_body && unsent == 0)
+		return;
 	log_event(LOG_LEVEL_INFO, "ingress", "closed",
 		  "phase=%s age_ms=%" G_GINT64_FORMAT
 		  " unsent=%u unread=%d unparsed=%u stopping=%d",
@@ -181,6 +184,7 @@
 /* Continues with the next request, or closes, after a complete response. */
 static void finish_response(ingress_conn_t *conn)
 {
+	ingress_answered(conn);
 	conn->exchange = HANDLE_NONE;
 	conn->head_sent = false;
 	conn->request_bytes = 0;
@@ -218,15 +222,16 @@
 		http_head_add_int(head, "Content-Length", length);
 	else
 		http_head_add(head, "Transfer-Encoding", "chunked");
-	conn->close_after |= conn->ingress->stopping ||
-			     (conn->kind == LISTENER_CALLERS &&
-			      ingress_sends_callers_away(conn->ingress));
+	conn->close_after |=
+		conn->ingress->stopping ||
+		(conn->kind == LISTENER_CALLERS && ingress_sends_away(conn));
 	if (conn->close_after)
 		http_head_add(head, "Connection", "close");
 	else
 		add_keep_alive(conn, head);
 	http_head_write(head, bytes);
 	http_socket_write(&conn->sock, bytes->data, bytes->len);
+	conn->answer_bytes += traffic_on_link(bytes->len);
 	g_byte_array_unref(bytes);
 	conn->head_sent = true;
 	conn->chunked = length < 0;
@@ -249,6 +254,16 @@
 	write_response(conn, http_head_response(status), type, text);
 }
 
+void ingress_conn_refuse(ingress_conn_t *conn, http_head_t *head,
+			 const char *text, bool close)
+{
+	conn->close_after |= close;
+	write_head(conn, head, (int64_t)strlen(text));
+	write_text(conn, text);
+	http_head_free(head);
+	finish_response(conn);
+}
+
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
 				      const char *text, const char *retry_after)
 {
@@ -318,8 +333,11 @@
 		if (!check_limits(conn))
 			return;
 		if (before < HTTP_STATE_BODY &&
-		    conn->parse.state == HTTP_STATE_BODY)
+		    conn->parse.state == HTTP_STATE_BODY) {
+			if (!ingress_admit_head(conn))
+				return;
 			send_continue(conn);
+		}
 		if (conn->parse.state != HTTP_STATE_COMPLETE)
 			return;
 		conn->close_after = !conn->parse.keep_alive;
@@ -427,6 +445,7 @@
 
 	if (size == 0)
 		return;
+	conn->answer_bytes += traffic_on_link(size);
 	if (!conn->chunked) {
 		http_socket_write(&conn->sock, data, size);
 		return;
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -119,6 +119,8 @@
 	listener->socket = http_socket_listen(host, port, &ingress->err);
 	if (listener->socket == NULL)
 		return INGRESS_LISTEN_FAILED;
+	if (kind == LISTENER_CALLERS)
+		ingress_limit_window(ingress, listener->socket);
 	listener->watch = pollset_add(&ingress->kernel->pollset,
 				      g_socket_get_fd(listener->socket),
 				      POLLSET_IN, on_accept, listener);
@@ -143,11 +145,25 @@
 	g_clear_object(&listener->socket);
 }
 
-bool ingress_sends_callers_away(const ingress_t *ingress)
+bool ingress_sends_away(ingress_conn_t *conn)
+{
+	const ingress_t *ingress = conn->ingress;
+
+	if (ingress->yields_since == 0 ||
+	    kernel_now(ingress->kernel) - ingress->yields_since <
+		    UNREADY_SEEN_US)
+		return false;
+	/* Without a known capacity there is no part that it bears. */
+	return ingress->admission.capacity <= 0 || ingress_moves_caller(conn);
+}
+
+static void overload_changed(ingress_t *ingress, const msg_t *msg)
 {
-	return ingress->yields_since != 0 &&
-	       kernel_now(ingress->kernel) - ingress->yields_since >=
-		       UNREADY_SEEN_US;
+	ingress->excess = msg->u.overload.excess;
+	if (!msg->u.overload.yields)
+		ingress->yields_since = 0;
+	else if (ingress->yields_since == 0)
+		ingress->yields_since = kernel_now(ingress->kernel);
 }
 
 static void respond_readiness(ingress_t *ingress, ingress_conn_t *conn)
@@ -242,6 +258,8 @@
 		goto out;
 	}
 	spec->from_peer = conn->kind == LISTENER_METRICS;
+	if (!ingress_admit_request(conn, spec))
+		goto out;
 	spec->arrived_at = conn->arrived_at;
 	spec->unread = conn->unread;
 	msg.u.exchange = g_steal_pointer(&spec);
@@ -365,9 +383,10 @@
 		ingress->stop_deadline = msg->u.stop.deadline;
 		break;
 	case MSG_OVERLOAD:
-		ingress->yields_since = msg->u.overload.yields
-						? kernel_now(ingress->kernel)
-						: 0;
+		overload_changed(ingress, msg);
+		break;
+	case MSG_LOAD:
+		ingress_load_measured(ingress, msg);
 		break;
 	case MSG_BUFFERS_FULL:
 		ingress_conn_relieve(ingress, msg->u.buffers_full.kind);
@@ -377,6 +396,8 @@
 		break;
 	case MSG_FLEET_CONF:
 		ingress->limits = msg->u.fleet_conf->limits;
+		fleet_conf_unref(ingress->conf);
+		ingress->conf = g_steal_pointer(&msg->u.fleet_conf);
 		ingress->ready = true;
 		break;
 	case MSG_EXCHANGE_STARTED:
@@ -396,6 +417,7 @@
 	memset(ingress, 0, sizeof(*ingress));
 	ingress->kernel = kernel;
 	ingress->limits = default_limits;
+	admission_init(&ingress->admission, 0);
 	table_init(&ingress->conns, sizeof(ingress_conn_t));
 	ingress->svc = kernel_register(kernel, "ingress", receive, ingress);
 }
@@ -410,5 +432,6 @@
 	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
 		ingress_conn_close(conn);
 	table_finish(&ingress->conns);
+	fleet_conf_unref(ingress->conf);
 	kernel_unregister(ingress->kernel, ingress->svc);
 }
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -36,6 +36,7 @@
 	X(NOT_GENUINE, "not_genuine")               \
 	X(STOPPING, "stopping")                     \
 	X(BEHIND, "behind")                         \
+	X(OVER_CAPACITY, "over_capacity")           \
 	X(UNREACHABLE, "unreachable")               \
 	X(CALLER_GONE, "caller_gone")               \
 	X(INTERNAL, "internal")
@@ -79,7 +80,8 @@
 	X(LIMITED, "limited")         \
 	X(VERSION, "version")         \
 	X(DOUBTED, "doubted")         \
-	X(EVACUATED, "evacuated")
+	X(EVACUATED, "evacuated")     \
+	X(ZONE_CUT, "zone_cut")
 
 typedef enum pass_reason_t {
 	PASS_NONE,
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -52,6 +52,8 @@
 	  "targets whose process may have been replaced")                     \
 	X(PASSED_ON, "passed_on",                                             \
 	  "requests sent to a peer, as no target was reached")                \
+	X(CONNECTS_LATE, "connects_late",                                     \
+	  "connects that timed out for lack of time or capacity here")        \
 	X(PERMITS, "permits",                                                 \
 	  "permits received for targets that state a limit")                  \
 	X(PERMITS_REFUSED, "permits_refused", "permits that a home refused")  \
@@ -76,6 +78,8 @@
 	X(LOG_DROPPED, "log_dropped", "log lines dropped")                    \
 	X(CALLERS_GONE, "callers_gone",                                       \
 	  "callers that left before their answer")                            \
+	X(CALLERS_MOVED, "callers_moved",                                     \
+	  "connections closed so that other instances get their load")        \
 	X(MSG_UNDELIVERED, "msg_undelivered", "messages without a receiver")
 
 typedef enum counter_t {
@@ -105,7 +109,13 @@
 	X(BUFFERED_BYTES, "buffered_bytes",                                 \
 	  "bytes held for calls in progress")                               \
 	X(UNREACHABLE, "unreachable", "1 while no target is reached")       \
+	X(ZONES_CUT, "zones_cut",                                           \
+	  "availability zones of which no target is reached")               \
 	X(BEHIND, "behind", "1 while input or timers wait too long")        \
+	X(LINK_IN, "link_in_percent", "bytes received, of the link, %")     \
+	X(LINK_OUT, "link_out_percent", "bytes sent, of the link, %")       \
+	X(ADMISSION_RATE, "admission_rate_percent",                         \
+	  "rate of admitted load, of the usual one, %")                     \
 	X(STORE_UP, "store_up", "1 when the store answered last time")      \
 	X(STORE_ERA, "store_era", "restores of the store, as it states them")
 
--- a/overload/overload.h
+++ b/overload/overload.h
@@ -8,6 +8,7 @@
 
 #include "kernel/kernel.h"
 #include "kernel/peer_set.h"
+#include "overload/move.h"
 
 G_BEGIN_DECLS
 
@@ -35,19 +36,41 @@
 	lag_sample_t worst; /* since it began */
 } overload_state_t;
 
+/* Utilization at which connects are late because of the link. */
+#define OVERLOAD_LINK_FULL 0.9
+/* Utilization is measured over this number of intervals between samples. */
+#define OVERLOAD_TOTALS 4
+
+typedef struct overload_total_t {
+	int64_t at; /* monotonic, us; 0: no sample */
+	traffic_t traffic;
+} overload_total_t;
+
 typedef struct overload_t {
 	kernel_t *kernel;
 	svc_t svc;
 	overload_state_t state;
 	char zone[NAME_SIZE]; /* own availability zone */
 	svc_t ingress;
+	svc_t proxy;
 	svc_t peer;
 	peer_set_t peers;
 	GHashTable *behind; /* incarnations of peers in the zone */
 	bool yields; /* callers are sent to other instances */
+	char incarnation[INCARNATION_SIZE]; /* own */
+	move_t move; /* if the link is known */
+	double link_mbps; /* in each direction; 0: unknown */
+	/* Totals of the last samples, oldest first from next on. */
+	overload_total_t totals[OVERLOAD_TOTALS];
+	uint32_t next;
+	bool link_full;
+	bool congested; /* what the proxy knows */
 } overload_t;
 
 void overload_init(overload_t *overload, kernel_t *kernel, const char *zone);
+/* States the capacity of the link; then load decides, not waits alone. */
+void overload_set_link(overload_t *overload, const char *incarnation,
+		       double link_mbps);
 void overload_finish(overload_t *overload);
 
 /* The decision: applies what was measured up to now. */
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -21,6 +21,7 @@
 	{
 		kernel_init(&kernel, CLOCK_REAL, 1);
 		ingress_init(&ingress, &kernel);
+		ingress_set_link(&ingress, link_mbps);
 		proxy = kernel_register(&kernel, "proxy", receive, this);
 		kernel_register(&kernel, "gateway", receive_gateway, this);
 		ASSERT_EQ(ingress_listen(&ingress, LISTENER_CALLERS,
@@ -151,6 +152,33 @@
 		kernel_post(&kernel, proxy, ingress.svc, &msg);
 		kernel_flush(&kernel);
 	}
+	// Routes /a/ of the host of the requests below.
+	void send_conf()
+	{
+		fleet_conf_t *conf = fleet_conf_new();
+		fleet_route_t route = {};
+		msg_t msg = {};
+
+		g_strlcpy(route.name, "a", sizeof(route.name));
+		g_strlcpy(route.host, "h.example", sizeof(route.host));
+		g_strlcpy(route.path_prefix, "/a/", sizeof(route.path_prefix));
+		route.priority = 1;
+		g_array_append_val(conf->routes, route);
+		conf->limits = ingress.limits;
+		msg.kind = MSG_FLEET_CONF;
+		msg.u.fleet_conf = conf;
+		kernel_post(&kernel, proxy, ingress.svc, &msg);
+		kernel_flush(&kernel);
+	}
+	// A link of 10 Mbit/s with so many us of work admitted.
+	void fill_link(int64_t us)
+	{
+		ingress_set_link(&ingress, 10);
+		ingress.admission.backlog_out =
+			(double)us * ingress.admission.capacity;
+		ingress.admission.updated = kernel_now(&kernel);
+	}
+	double link_mbps = 0; // of the instance when it starts to listen
 	kernel_t kernel;
 	ingress_t ingress;
 	svc_t proxy;
@@ -179,6 +207,21 @@
 	EXPECT_TRUE(cancelled.empty());
 }
 
+// Guards against a link whose load is not known, as bytes are not counted.
+TEST_F(Ingress, BytesOfCallersAreCounted)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_EQ(kernel.pollset.traffic.in,
+		  traffic_on_link(get_request.size()));
+	EXPECT_EQ(kernel.pollset.traffic.out, 0u);
+	respond(0, "one");
+	EXPECT_TRUE(client.wait_for("0\r\n\r\n"));
+	EXPECT_GE(kernel.pollset.traffic.out, client.in.size());
+}
+
 // Guards against time-outs that are counted from when a request is read.
 TEST_F(Ingress, RequestCarriesWhenItArrivedAndHowLongItWasUnread)
 {
@@ -220,6 +263,230 @@
 	EXPECT_TRUE(late.wait_for("Connection: close"));
 }
 
+std::string retry_after_of(const std::string &response)
+{
+	const std::string name = "Retry-After: ";
+	size_t at = response.find(name);
+
+	return at == std::string::npos ? ""
+				       : response.substr(at + name.size(), 5);
+}
+
+// Guards against a queue at an instance that gets more than its link bears,
+// and against callers that come back too late for their goals.
+TEST_F(Ingress, RequestBeyondTheCapacityIsRefusedWithAShortRetryAfter)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(USEC_PER_SEC);
+	client.send(get_request.substr(0, get_request.size() - 2) +
+		    "Attempt-Id: r7\r\n\r\n");
+	EXPECT_TRUE(client.wait_for("no capacity left"));
+	EXPECT_NE(client.in.find("Attempt-Id: r7\r\n"), std::string::npos);
+	EXPECT_NE(client.in.find("\"not_run\""), std::string::npos);
+	EXPECT_EQ(client.in.compare(0, 12, "HTTP/1.1 503"), 0);
+	EXPECT_GE(retry_after_of(client.in), "0.010");
+	EXPECT_LE(retry_after_of(client.in), "0.030");
+	EXPECT_TRUE(specs.empty());
+	EXPECT_EQ(kernel.metrics->refusals[REFUSAL_OVER_CAPACITY], 1u);
+	fill_link(0);
+	client.send(get_request);
+	EXPECT_TRUE(wait_requests(1));
+}
+
+// Guards against an instance that loses all callers at once, so that the next
+// one gets them all.
+TEST_F(Ingress, PartOfTheCallersIsMovedOnceTheLoadBalancerKnows)
+{
+	std::vector<std::unique_ptr<Client>> clients;
+	Client ready(port(LISTENER_READINESS));
+	msg_t msg = {};
+	int closed = 0;
+
+	ingress.ready = true;
+	fill_link(0);
+	for (int i = 0; i < 60; i++)
+		clients.push_back(
+			std::make_unique<Client>(port(LISTENER_CALLERS)));
+	msg.kind = MSG_OVERLOAD;
+	msg.u.overload.yields = true;
+	msg.u.overload.excess = 0.5;
+	kernel_post(&kernel, proxy, ingress.svc, &msg);
+	ready.send(get_request);
+	EXPECT_TRUE(ready.wait_for("HTTP/1.1 503"));
+	clients[0]->send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	respond(0, "one");
+	ASSERT_TRUE(clients[0]->wait_for("0\r\n\r\n"));
+	EXPECT_EQ(clients[0]->in.find("Connection: close"), std::string::npos);
+	ingress.yields_since -= 2200 * USEC_PER_MSEC;
+	for (size_t i = 1; i < clients.size(); i++) {
+		clients[i]->send(get_request);
+		ASSERT_TRUE(wait_requests(i + 1));
+		respond(i, "one");
+		ASSERT_TRUE(clients[i]->wait_for("0\r\n\r\n"));
+		if (clients[i]->in.find("Connection: close") !=
+		    std::string::npos)
+			closed++;
+	}
+	EXPECT_GT(closed, 10);
+	EXPECT_LT(closed, 50);
+	EXPECT_EQ(kernel.metrics->counters[COUNTER_CALLERS_MOVED],
+		  (uint64_t)closed);
+}
+
+// Guards against busy connections that are all closed within a second, as each
+// of their answers is another chance.
+TEST_F(Ingress, ConnectionIsConsideredForAMoveOnceASecond)
+{
+	Client client(port(LISTENER_CALLERS));
+	ingress_conn_t *conn;
+	uint32_t cursor = 0;
+
+	fill_link(0);
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	conn = (ingress_conn_t *)table_next(&ingress.conns, &cursor, nullptr);
+	ingress.excess = 1;
+	EXPECT_TRUE(ingress_moves_caller(conn));
+	EXPECT_FALSE(ingress_moves_caller(conn));
+	conn->considered_at -= USEC_PER_SEC;
+	EXPECT_TRUE(ingress_moves_caller(conn));
+	ingress.excess = 0;
+	conn->considered_at -= USEC_PER_SEC;
+	EXPECT_FALSE(ingress_moves_caller(conn));
+}
+
+// Guards against bodies that use the link although they are not wanted, and
+// against a refusal that its caller can't read while it still writes.
+TEST_F(Ingress, BodyBeyondTheCapacityIsRefusedFromTheHeadOn)
+{
+	Client client(port(LISTENER_CALLERS));
+	uint64_t before;
+
+	send_conf();
+	fill_link(USEC_PER_SEC);
+	client.send("POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
+		    "Content-Length: 12000\r\n\r\n" +
+		    std::string(1000, 'x'));
+	EXPECT_TRUE(client.wait_for("no capacity left"));
+	before = kernel.pollset.traffic.in;
+	client.send(std::string(11000, 'x'));
+	for (int i = 0; i < 100; i++)
+		pump([] { return true; });
+	EXPECT_EQ(kernel.pollset.traffic.in, before);
+	EXPECT_TRUE(specs.empty());
+	set_age(2 * USEC_PER_SEC);
+	sweep();
+	EXPECT_TRUE(pump([&] { return table_count(&ingress.conns) == 0; }));
+}
+
+class IngressOfASmallLink : public Ingress
+{
+      protected:
+	IngressOfASmallLink()
+	{
+		link_mbps = 10;
+	}
+};
+
+// Guards against refused bodies that have filled the link before they can be
+// refused.
+TEST_F(IngressOfASmallLink, MostOfARefusedBodyStaysOffTheLink)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(USEC_PER_SEC);
+	client.send("POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
+		    "Content-Length: 12000\r\n\r\n" +
+		    std::string(12000, 'x'));
+	EXPECT_TRUE(client.wait_for("no capacity left"));
+	EXPECT_LT(kernel.pollset.traffic.in, 6000u);
+	EXPECT_TRUE(specs.empty());
+}
+
+TEST_F(IngressOfASmallLink, LongBodyIsReadInFull)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(0);
+	client.send("POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
+		    "Content-Length: 200000\r\n\r\n" +
+		    std::string(200000, 'x'));
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_EQ(g_bytes_get_size(specs[0]->body), 200000u);
+}
+
+// A request that was admitted by its head is not refused with its last byte.
+TEST_F(Ingress, RequestThatWasAdmittedByItsHeadIsServed)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(0);
+	client.send("POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
+		    "Content-Length: 2\r\n\r\nx");
+	ASSERT_TRUE(pump([&] { return kernel.pollset.traffic.in > 0; }));
+	fill_link(USEC_PER_SEC);
+	client.send("x");
+	EXPECT_TRUE(wait_requests(1));
+	EXPECT_GT(ingress.admission.offered, 0);
+}
+
+TEST_F(Ingress, NothingIsRefusedIfTheLinkIsUnknown)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(USEC_PER_SEC);
+	ingress.admission.capacity = 0;
+	client.send(get_request);
+	EXPECT_TRUE(wait_requests(1));
+}
+
+// Guards against requests that no instance takes, as the one that a peer chose
+// refuses them.
+TEST_F(Ingress, RequestsOfPeersAreAdmittedLonger)
+{
+	ASSERT_EQ(ingress_listen(&ingress, LISTENER_METRICS, "127.0.0.1", 0),
+		  INGRESS_OK);
+	Client peer(port(LISTENER_METRICS)), caller(port(LISTENER_CALLERS));
+
+	send_conf();
+	fill_link(330 * USEC_PER_MSEC);
+	caller.send(get_request);
+	EXPECT_TRUE(caller.wait_for("HTTP/1.1 503"));
+	peer.send(get_request.substr(0, get_request.size() - 2) +
+		  "Gateway-Passed-By: p1\r\n\r\n");
+	EXPECT_TRUE(wait_requests(1));
+}
+
+// What is expected of a request follows from the answers of its route.
+TEST_F(Ingress, SizeOfAnswersIsLearntByRoute)
+{
+	Client client(port(LISTENER_CALLERS));
+	double before;
+
+	send_conf();
+	fill_link(0);
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	EXPECT_STREQ(ingress.admission.kinds[0].route, "");
+	respond(0, std::string(20000, 'x').c_str());
+	ASSERT_TRUE(client.wait_for("0\r\n\r\n"));
+	EXPECT_STREQ(ingress.admission.kinds[0].route, "a");
+	before = ingress.admission.kinds[0].answer;
+	client.send(get_request);
+	ASSERT_TRUE(wait_requests(2));
+	respond(1, std::string(20000, 'x').c_str());
+	EXPECT_TRUE(pump(
+		[&] { return ingress.admission.kinds[0].answer > before; }));
+	EXPECT_LT(ingress.admission.kinds[0].answer, 21000);
+}
+
 TEST_F(Ingress, PeersPassRequestsOnAtTheAddressOfTheMetrics)
 {
 	ASSERT_EQ(ingress_listen(&ingress, LISTENER_METRICS, "127.0.0.1", 0),
