--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -2734,6 +2734,128 @@
 	EXPECT_EQ(sent_to, 81);
 }
 
+// Guards against connects that are late at an instance with more load than it
+// bears, taken for a partition: its requests then go through its peers.
+TEST_F(Proxy, LateConnectsAreNoPartitionWhileTargetsAnswer)
+{
+	handle_t stream;
+	int attempt;
+
+	peer_up_at("p1", "a", 81);
+	for (int i = 0; i < 4; i++) {
+		post_open("/stream/x");
+		post_head(200);
+		stream = call_ref;
+		attempt = attempts;
+		post_open("/unsafe/x");
+		for (int connects = 0; connects < 3; connects++) {
+			run(100 * USEC_PER_MSEC);
+			post_event_of(stream, attempt);
+			run(300 * USEC_PER_MSEC);
+			post_failed(FAILURE_CONNECT, false);
+		}
+		EXPECT_EQ(sent_to, 0);
+		EXPECT_EQ(proxy.reach.state, REACH_OPEN);
+		post_head(200);
+		post_end();
+	}
+}
+
+// Guards against attempts whose caller could not be served any more.
+TEST_F(Proxy, RequestWithoutTimeForAnotherConnectIsRefusedAsNotRun)
+{
+	handle_t stream;
+
+	peer_up_at("p1", "a", 81);
+	post_open("/stream/x");
+	post_head(200);
+	stream = call_ref;
+	wait_ms = 700;
+	post_open("/unsafe/x");
+	run(400 * USEC_PER_MSEC);
+	post_event_of(stream, 1);
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(attempts, 2);
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(status, 503u);
+	EXPECT_GE(retry_after_text, "0.010");
+	EXPECT_LE(retry_after_text, "0.030");
+}
+
+// Guards against callers held for connect after connect at an instance that is
+// behind, while others would answer at once, and against targets that are
+// avoided as their connections could not be noticed.
+TEST_F(Proxy, LateConnectOfAnInstanceThatIsBehindIsRefusedAtOnce)
+{
+	run(USEC_PER_SEC);
+	peer_up_at("p1", "a", 81);
+	post_open("/safe/x");
+	post_head(200);
+	post_end();
+	completed = 0;
+	post_overload(true);
+	post_open("/unsafe/x");
+	run(400 * USEC_PER_MSEC);
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(attempts, 2);
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(status, 503u);
+	EXPECT_GE(retry_after_text, "0.010");
+	EXPECT_LE(retry_after_text, "0.030");
+	EXPECT_EQ(results.back(), PLACE_NOT_SENT);
+	EXPECT_EQ(proxy.reach.failed_count, 0u);
+}
+
+// Guards against a partition that an instance does not notice because it is
+// behind as well.
+TEST_F(Proxy, PartitionOfAnInstanceThatIsBehindIsNoticedBySilence)
+{
+	peer_up_at("p1", "a", 81);
+	post_open("/safe/x");
+	post_head(200);
+	post_end();
+	post_overload(true);
+	run(2 * USEC_PER_SEC);
+	post_open("/unsafe/x");
+	run(100 * USEC_PER_MSEC);
+	post_failed(FAILURE_CONNECT, false);
+	post_failed(FAILURE_CONNECT, false);
+	EXPECT_EQ(sent_to, 81);
+}
+
+TEST_F(Proxy, RefusedConnectsCountWhateverElseArrives)
+{
+	handle_t stream;
+
+	peer_up_at("p1", "a", 81);
+	post_open("/stream/x");
+	post_head(200);
+	stream = call_ref;
+	post_overload(true);
+	post_open("/unsafe/x");
+	run(USEC_PER_MSEC);
+	post_event_of(stream, 1);
+	post_connect_refused();
+	post_connect_refused();
+	EXPECT_EQ(sent_to, 81);
+}
+
+TEST(Reach, LateConnectIsJudgedByWhatArrivedSinceItBegan)
+{
+	const int64_t second = USEC_PER_SEC;
+	reach_t reach = {};
+
+	EXPECT_EQ(reach_judge_late(&reach, 0, second), REACH_LATE_CUT);
+	reach_heard(&reach, second);
+	EXPECT_EQ(reach_judge_late(&reach, second, second), REACH_LATE_CUT);
+	EXPECT_EQ(reach_judge_late(&reach, second - 1, 2 * second),
+		  REACH_LATE_TARGET);
+	reach.congested = true;
+	EXPECT_EQ(reach_judge_late(&reach, second, 3 * second - 1),
+		  REACH_LATE_LOCAL);
+	EXPECT_EQ(reach_judge_late(&reach, second, 3 * second), REACH_LATE_CUT);
+}
+
 // The proxy between the HTTP server and the HTTP client of the gateway.
 class Served : public Proxy
 {
@@ -3024,126 +3146,6 @@
 	EXPECT_EQ(memcmp(before.counters, kernel.metrics->counters,
 			 sizeof(before.counters)),
 		  0);
-// Guards against connects that are late at an instance with more load than it
-// bears, taken for a partition: its requests then go through its peers.
-TEST_F(Proxy, LateConnectsAreNoPartitionWhileTargetsAnswer)
-{
-	handle_t stream;
-	int attempt;
-
-	peer_up_at("p1", "a", 81);
-	for (int i = 0; i < 4; i++) {
-		post_open("/stream/x");
-		post_head(200);
-		stream = call_ref;
-		attempt = attempts;
-		post_open("/unsafe/x");
-		for (int connects = 0; connects < 3; connects++) {
-			run(100 * USEC_PER_MSEC);
-			post_event_of(stream, attempt);
-			run(300 * USEC_PER_MSEC);
-			post_failed(FAILURE_CONNECT, false);
-		}
-		EXPECT_EQ(sent_to, 0);
-		EXPECT_EQ(proxy.reach.state, REACH_OPEN);
-		post_head(200);
-		post_end();
-	}
-}
-
-// Guards against attempts whose caller could not be served any more.
-TEST_F(Proxy, RequestWithoutTimeForAnotherConnectIsRefusedAsNotRun)
-{
-	handle_t stream;
-
-	peer_up_at("p1", "a", 81);
-	post_open("/stream/x");
-	post_head(200);
-	stream = call_ref;
-	wait_ms = 700;
-	post_open("/unsafe/x");
-	run(400 * USEC_PER_MSEC);
-	post_event_of(stream, 1);
-	post_failed(FAILURE_CONNECT, false);
-	EXPECT_EQ(attempts, 2);
-	EXPECT_EQ(completed, 1);
-	EXPECT_EQ(status, 503u);
-	EXPECT_GE(retry_after_text, "0.010");
-	EXPECT_LE(retry_after_text, "0.030");
-}
-
-// Guards against callers held for connect after connect at an instance that is
-// behind, while others would answer at once, and against targets that are
-// avoided as their connections could not be noticed.
-TEST_F(Proxy, LateConnectOfAnInstanceThatIsBehindIsRefusedAtOnce)
-{
-	run(USEC_PER_SEC);
-	peer_up_at("p1", "a", 81);
-	post_open("/safe/x");
-	post_head(200);
-	post_end();
-	completed = 0;
-	post_overload(true);
-	post_open("/unsafe/x");
-	run(400 * USEC_PER_MSEC);
-	post_failed(FAILURE_CONNECT, false);
-	EXPECT_EQ(attempts, 2);
-	EXPECT_EQ(completed, 1);
-	EXPECT_EQ(status, 503u);
-	EXPECT_GE(retry_after_text, "0.010");
-	EXPECT_LE(retry_after_text, "0.030");
-	EXPECT_EQ(results.back(), PLACE_NOT_SENT);
-	EXPECT_EQ(proxy.reach.failed_count, 0u);
-}
-
-// Guards against a partition that an instance does not notice because it is
-// behind as well.
-TEST_F(Proxy, PartitionOfAnInstanceThatIsBehindIsNoticedBySilence)
-{
-	peer_up_at("p1", "a", 81);
-	post_open("/safe/x");
-	post_head(200);
-	post_end();
-	post_overload(true);
-	run(2 * USEC_PER_SEC);
-	post_open("/unsafe/x");
-	run(100 * USEC_PER_MSEC);
-	post_failed(FAILURE_CONNECT, false);
-	post_failed(FAILURE_CONNECT, false);
-	EXPECT_EQ(sent_to, 81);
-}
-
-TEST_F(Proxy, RefusedConnectsCountWhateverElseArrives)
-{
-	handle_t stream;
-
-	peer_up_at("p1", "a", 81);
-	post_open("/stream/x");
-	post_head(200);
-	stream = call_ref;
-	post_overload(true);
-	post_open("/unsafe/x");
-	run(USEC_PER_MSEC);
-	post_event_of(stream, 1);
-	post_connect_refused();
-	post_connect_refused();
-	EXPECT_EQ(sent_to, 81);
-}
-
-TEST(Reach, LateConnectIsJudgedByWhatArrivedSinceItBegan)
-{
-	const int64_t second = USEC_PER_SEC;
-	reach_t reach = {};
-
-	EXPECT_EQ(reach_judge_late(&reach, 0, second), REACH_LATE_CUT);
-	reach_heard(&reach, second);
-	EXPECT_EQ(reach_judge_late(&reach, second, second), REACH_LATE_CUT);
-	EXPECT_EQ(reach_judge_late(&reach, second - 1, 2 * second),
-		  REACH_LATE_TARGET);
-	reach.congested = true;
-	EXPECT_EQ(reach_judge_late(&reach, second, 3 * second - 1),
-		  REACH_LATE_LOCAL);
-	EXPECT_EQ(reach_judge_late(&reach, second, 3 * second), REACH_LATE_CUT);
 }
 
 } // namespace
