Read what the platform says of cold targets

Cause: a target's entry (cold_remaining_ms), its responses (Cold-Ms) and its service (cold_s, cold_per_s) say for how long it is cold and what it sustains then, and nothing read them.

Each entry of a cold target counts as a change, because a second cold time may state the same figure as the first.

--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -93,6 +93,7 @@
 	bool brittle; /* it falls over if it turns too many away */
 	uint32_t brittle_per_s; /* rejections a second that it bears */
 	int64_t pause_ms; /* it wants no requests for this long; 0: none */
+	int64_t cold_ms; /* it remains cold for this long; 0: not stated */
 	const char *unreadable; /* field with a malformed value, or NULL */
 } target_report_t;
 
--- a/kernel/fleet.c
+++ b/kernel/fleet.c
@@ -206,6 +206,8 @@
 {
 	return a->draining == b->draining && a->port == b->port &&
 	       a->slots == b->slots && a->started_ms == b->started_ms &&
+	       a->cold_ms == b->cold_ms &&
+	       (a->cold_ms == 0 || a->sequence == b->sequence) &&
 	       strcmp(a->version, b->version) == 0 &&
 	       strcmp(a->host, b->host) == 0 && strcmp(a->zone, b->zone) == 0 &&
 	       strcmp(a->service, b->service) == 0;
--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -47,6 +47,9 @@
 	uint32_t slots; /* requests that an engine runs concurrently */
 	int64_t kv_cache_tokens; /* capacity of the KV cache of an engine */
 	uint32_t event_tokens; /* limit on the generated tokens in one event */
+	int64_t cold_ms; /* for which a target is cold after a start */
+	/* Requests in 1,000 s that a cold target sustains; 0: never cold. */
+	uint32_t cold_per_ks;
 } fleet_service_t;
 
 typedef struct fleet_account_t {
@@ -102,9 +105,13 @@
 	bool draining;
 	int64_t started_ms; /* Unix time when the target started */
 	uint64_t sequence; /* increases with each heartbeat */
+	int64_t cold_ms; /* for which it remains cold; 0: it is not */
 } fleet_target_t;
 
-/* True if two entries of a target differ only in the heartbeat. */
+/*
+ * True if two entries of a target differ only in the heartbeat.  Each entry of
+ * a cold target says anew how long it remains cold.
+ */
 bool fleet_target_equal(const fleet_target_t *a, const fleet_target_t *b);
 
 #define SAVED_STREAMS_MAX 1000 /* in one record */
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -157,6 +157,13 @@
 	{"gateway.grace_s", SETTING_DECIMAL, FIELD(gateway_grace_s),
 	 REQUIRED_BY_NONE, 2, 3600, 0, "8",
 	 "time from SIGTERM to the end of the process, s"},
+	{"gateway.cold_overage", SETTING_DECIMAL, FIELD(gateway_cold_overage),
+	 REQUIRED_BY_NONE, 0, 100, 0, "1.5",
+	 "most requests that a cold target gets in a second, as a multiple of "
+	 "those that it sustains"},
+	{"gateway.cold_slack", SETTING_DECIMAL, FIELD(gateway_cold_slack),
+	 REQUIRED_BY_NONE, 0, 1000000, 0, "5",
+	 "requests beside that multiple that a cold target gets in a second"},
 };
 
 void settings_init(settings_t *settings)
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -77,6 +77,8 @@
 	double gateway_retry_slack;
 	double gateway_retry_window_s;
 	double gateway_grace_s;
+	double gateway_cold_overage;
+	double gateway_cold_slack;
 } settings_t;
 
 void settings_init(settings_t *settings);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -98,6 +98,80 @@
 		EXPECT_EQ(decode("fleet/conf", bad), RECORD_INVALID) << bad;
 }
 
+// Guards against a cold target that is sent what it does not sustain because
+// its entry or its service was not read, and against an entry that is dropped
+// for such a field.
+TEST(Entries, ColdTargetsAreRead)
+{
+	const struct {
+		const char *text;
+		int64_t ms;
+	} remaining[] = {
+		{"2400", 2400}, {"2400.7", 2400},     {"0", 0},
+		{"-1", 0},	{"\"2400\"", 0},      {"null", 0},
+		{"[1]", 0},	{"9999999999999", 0}, {"1e400", 0},
+	};
+	const struct {
+		const char *fields;
+		int64_t ms;
+		uint32_t per_ks;
+	} services[] = {
+		{R"("cold_s":3,"cold_per_s":12)", 3000, 12000},
+		{R"("cold_s":2.5,"cold_per_s":0.5)", 2500, 500},
+		{R"("cold_s":0,"cold_per_s":12)", 0, 0},
+		{R"("cold_s":3)", 3000, 0},
+		{R"("cold_s":"3","cold_per_s":true)", 0, 0},
+		{R"("cold_s":-3,"cold_per_s":12)", 0, 0},
+	};
+	record_t record;
+
+	for (auto &c : remaining) {
+		std::string text = target_json;
+
+		text.insert(1, std::string("\"cold_remaining_ms\":") + c.text +
+				       ",");
+		if (decode("fleet/target/i-1", text, &record) ==
+		    RECORD_FLEET_TARGET) {
+			EXPECT_EQ(record.u.fleet_target->cold_ms, c.ms)
+				<< c.text;
+			record_clear(&record);
+		} else {
+			ADD_FAILURE() << c.text;
+		}
+	}
+	for (auto &c : services) {
+		std::string text = replace_first(
+			conf_json, "\"max_connections\":3", c.fields);
+		const fleet_service_t *service;
+
+		ASSERT_EQ(decode("fleet/conf", text, &record),
+			  RECORD_FLEET_CONF)
+			<< text;
+		service = fleet_conf_service(record.u.fleet_conf, "s");
+		EXPECT_EQ(service->cold_ms, c.ms) << c.fields;
+		EXPECT_EQ(service->cold_per_ks, c.per_ks) << c.fields;
+		record_clear(&record);
+	}
+}
+
+// Guards against a target whose second cold time is taken for a heartbeat of
+// the first.
+TEST(Entries, EachEntryOfAColdTargetIsNews)
+{
+	fleet_target_t warm = {}, cold = {};
+
+	warm.sequence = 3;
+	cold = warm;
+	cold.sequence = 4;
+	EXPECT_TRUE(fleet_target_equal(&warm, &cold));
+	cold.cold_ms = 3000;
+	EXPECT_FALSE(fleet_target_equal(&warm, &cold));
+	fleet_target_t again = cold;
+	EXPECT_TRUE(fleet_target_equal(&cold, &again));
+	again.sequence = 9;
+	EXPECT_FALSE(fleet_target_equal(&cold, &again));
+}
+
 TEST(Entries, RouteWithTheLongestPathPrefixIsSelected)
 {
 	fleet_conf_t *all = fleet_conf_new();
@@ -479,6 +553,36 @@
 	exchange_spec_free(spec);
 }
 
+// Guards against a cold target whose response is not heard, or whose malformed
+// field makes it cold.
+TEST(Wire, ColdTimeOfATargetIsRead)
+{
+	const struct {
+		const char *value;
+		int64_t ms;
+		bool malformed;
+	} cases[] = {
+		{"2400", 2400, false},	 {"0", 0, false},   {nullptr, 0, false},
+		{"-1", 0, true},	 {"soon", 0, true}, {"", 0, true},
+		{"9999999999", 0, true},
+	};
+
+	for (auto &c : cases) {
+		http_head_t *head = http_head_response(200);
+		exchange_spec_t *spec = exchange_spec_new();
+		response_info_t info;
+
+		if (c.value != nullptr)
+			http_head_add(head, "cold-ms", c.value);
+		wire_read_reply(head, spec, &info);
+		EXPECT_EQ(info.report.cold_ms, c.ms) << c.value;
+		EXPECT_EQ(info.report.unreadable != nullptr, c.malformed)
+			<< c.value;
+		exchange_spec_free(spec);
+		http_head_free(head);
+	}
+}
+
 TEST(Wire, BrittleTargetsAreRead)
 {
 	const struct {
