Admit requests to a cold target at the rate that it sustains

Cause: a cold target sustains cold_per_s requests a second, 12, and crashes well above that; each instance sent it what the cost said.

Peers learn of a cold time through the frames of stated limits.

A request that claimed a valid permit of a full target woke the queue at once, again and again: FleetCold.ResponseTellsAllInstances did not end. Such a permit now waits for room.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -2,6 +2,7 @@
 #include "balance/brittle.h"
 
 #include "balance/flow.h"
+#include "balance/heat.h"
 #include "balance/home.h"
 #include "balance/notice.h"
 #include "balance/permit.h"
@@ -48,6 +49,9 @@
 	target->resumable =
 		balance->conf != NULL &&
 		has_resumable_route(balance->conf, target->info.service);
+	target->cold_us =
+		service != NULL ? service->cold_ms * USEC_PER_MSEC : 0;
+	target->cold_per_ks = service != NULL ? service->cold_per_ks : 0;
 	if (!target->resumable)
 		process_replaced(target);
 }
@@ -57,6 +61,7 @@
 	const fleet_target_t *info = &msg->u.fleet_target.target;
 	balance_target_t *target =
 		g_hash_table_lookup(balance->targets_by_id, info->id);
+	bool used = target != NULL;
 	handle_t self;
 
 	if (msg->u.fleet_target.gone) {
@@ -80,6 +85,7 @@
 	target->info = *info;
 	target->unavailable = info->draining;
 	update_service_info(balance, target);
+	heat_listed(balance, target, used);
 	queue_run(balance);
 }
 
@@ -92,6 +98,7 @@
 	balance->conf = g_steal_pointer(&msg->u.fleet_conf);
 	while ((target = table_next(&balance->targets, &cursor, NULL)) != NULL)
 		update_service_info(balance, target);
+	heat_update_gauge(balance);
 }
 
 static void start(balance_t *balance)
@@ -120,6 +127,9 @@
 	case BALANCE_TIMER_PROCESS:
 		process_check(balance);
 		break;
+	case BALANCE_TIMER_COLD:
+		heat_timed_out(balance, msg->ref);
+		break;
 	}
 }
 
@@ -170,18 +180,22 @@
 		target_changed(balance, msg);
 		break;
 	case MSG_FLEET_SIZE:
+		heat_update_share(balance);
 		balance->instances = msg->u.fleet_size.instances;
 		break;
 	case MSG_PEER_RECEIVED:
 		receive_peer(balance, msg);
 		break;
 	case MSG_PEER_UP:
+		heat_update_share(balance);
 		peer_set_update(&balance->peers, msg);
 		home_tell_peer(balance, msg->u.peer_addr.incarnation);
 		process_tell_peer(balance, msg->u.peer_addr.incarnation);
 		break;
 	case MSG_PEER_DOWN:
+		heat_update_share(balance);
 		peer_set_update(&balance->peers, msg);
+		heat_peer_lost(balance, msg);
 		break;
 	case MSG_TARGET_REFUSED:
 		process_refused(balance, msg->u.target_refused.id);
@@ -222,6 +236,8 @@
 	memset(balance, 0, sizeof(*balance));
 	balance->kernel = kernel;
 	balance->instances = 1;
+	balance->cold_bounds = COLD_BOUNDS_DEFAULT;
+	balance->cold_share.changed_at = kernel_now(kernel);
 	g_strlcpy(balance->incarnation, incarnation,
 		  sizeof(balance->incarnation));
 	g_strlcpy(balance->zone, zone, sizeof(balance->zone));
@@ -237,6 +253,11 @@
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
 }
 
+void balance_set_cold_bounds(balance_t *balance, const cold_bounds_t *bounds)
+{
+	balance->cold_bounds = *bounds;
+}
+
 void balance_finish(balance_t *balance)
 {
 	uint32_t cursor = 0;
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -7,6 +7,7 @@
 #ifndef BALANCE_BALANCE_H
 #define BALANCE_BALANCE_H
 
+#include "balance/cold.h"
 #include "kernel/kernel.h"
 #include "kernel/peer_set.h"
 
@@ -20,11 +21,29 @@
 	int64_t until; /* monotonic, us */
 } failed_home_t;
 
+/* Peers that were lost lately and may still admit requests elsewhere. */
+#define LOST_PEERS_MAX 128
+
+typedef struct lost_peer_t {
+	char incarnation[INCARNATION_SIZE];
+	char zone[NAME_SIZE];
+	int64_t lost_at; /* monotonic, us; 0: none */
+} lost_peer_t;
+
+/* Share of the fleet that this instance admits requests to cold targets for. */
+typedef struct cold_share_t {
+	double value; /* rises slowly */
+	int64_t changed_at; /* monotonic, us */
+	lost_peer_t lost[LOST_PEERS_MAX];
+	uint32_t next_lost;
+} cold_share_t;
+
 typedef enum balance_timer_t {
 	BALANCE_TIMER_QUEUE, /* deadline of a request that waits */
 	BALANCE_TIMER_ASK, /* a home has not answered */
 	BALANCE_TIMER_WAKE, /* the queue is to be run */
 	BALANCE_TIMER_PROCESS, /* targets in doubt are checked */
+	BALANCE_TIMER_COLD, /* a target may be cold no more */
 } balance_timer_t;
 
 typedef struct balance_t {
@@ -47,6 +66,8 @@
 	uint64_t arrivals; /* orders queued requests of equal priority */
 	table_t asks; /* ask_t */
 	failed_home_t failed_homes[FAILED_HOMES_MAX];
+	cold_bounds_t cold_bounds;
+	cold_share_t cold_share;
 	handle_t wake_timer;
 	int64_t wake_at; /* monotonic, us; if wake_timer is set */
 	table_t reports; /* report_t */
@@ -56,6 +77,8 @@
 
 void balance_init(balance_t *balance, kernel_t *kernel, const char *incarnation,
 		  const char *zone);
+/* Sets other bounds than the default ones for cold targets. */
+void balance_set_cold_bounds(balance_t *balance, const cold_bounds_t *bounds);
 void balance_finish(balance_t *balance);
 
 G_END_DECLS
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -1,6 +1,7 @@
 #include "balance/choose.h"
 
 #include "balance/brittle.h"
+#include "balance/heat.h"
 #include "balance/notice.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
@@ -180,7 +181,8 @@
 	} else if (found->later != NULL) {
 		choice->kind = CHOICE_ASK;
 		choice->u.ask.target = found->later;
-	} else if (count[PASS_FULL] + count[PASS_LIMITED] + count[PASS_PAUSED] >
+	} else if (count[PASS_FULL] + count[PASS_LIMITED] + count[PASS_PAUSED] +
+				   count[PASS_COLD] >
 			   0 ||
 		   found->reporting) {
 		choice->kind = CHOICE_WAIT;
@@ -210,7 +212,9 @@
 		return PASS_PAUSED;
 	if (is_full(balance, target, now))
 		return PASS_FULL;
-	return permit_is_open(target, now) ? PASS_NONE : PASS_LIMITED;
+	if (permit_is_open(target, now))
+		return PASS_NONE;
+	return heat_is_cold(target, now) ? PASS_COLD : PASS_LIMITED;
 }
 
 static int64_t stated_at(const target_notice_t *notice, pass_reason_t reason)
@@ -242,7 +246,8 @@
 {
 	return passed_over->count[PASS_LEAVING] +
 		       passed_over->count[PASS_PAUSED] +
-		       passed_over->count[PASS_LIMITED] >
+		       passed_over->count[PASS_LIMITED] +
+		       passed_over->count[PASS_COLD] >
 	       0;
 }
 
@@ -309,6 +314,7 @@
 				      cost);
 			break;
 		case PASS_LIMITED:
+		case PASS_COLD:
 			cost = target_cost(balance, target, request, &preferred,
 					   now);
 			add_limited(&found, target, &limit_request, cost, now);
--- a/balance/home.c
+++ b/balance/home.c
@@ -1,5 +1,6 @@
 #include "balance/home.h"
 
+#include "balance/heat.h"
 #include "balance/notice.h"
 #include "balance/queue.h"
 #include "kernel/hash.h"
@@ -45,7 +46,7 @@
  * Returns false if there is none.
  */
 static bool find_in_zone(balance_t *balance, const char *target,
-			 const char *zone, const char **incarnation)
+			 const char *zone, bool avoid, const char **incarnation)
 {
 	uint64_t best = 0;
 
@@ -62,7 +63,7 @@
 			continue;
 		weight = hash_rendezvous(peer->incarnation, target);
 		if ((*incarnation != NULL && weight <= best) ||
-		    is_avoided(balance, peer->incarnation))
+		    (avoid && is_avoided(balance, peer->incarnation)))
 			continue;
 		best = weight;
 		*incarnation = peer->incarnation;
@@ -71,17 +72,41 @@
 }
 
 /* Most requests to a target come from its zone, so its home is there too. */
-bool home_find(balance_t *balance, const balance_target_t *target,
-	       char incarnation[INCARNATION_SIZE])
+static bool find(balance_t *balance, const balance_target_t *target, bool avoid,
+		 char incarnation[INCARNATION_SIZE])
 {
 	const char *found;
 
-	if (!find_in_zone(balance, target->info.id, target->info.zone, &found))
-		find_in_zone(balance, target->info.id, NULL, &found);
+	if (!find_in_zone(balance, target->info.id, target->info.zone, avoid,
+			  &found))
+		find_in_zone(balance, target->info.id, NULL, avoid, &found);
 	g_strlcpy(incarnation, found, INCARNATION_SIZE);
 	return strcmp(found, balance->incarnation) != 0;
 }
 
+bool home_find(balance_t *balance, const balance_target_t *target,
+	       char incarnation[INCARNATION_SIZE])
+{
+	return find(balance, target, true, incarnation);
+}
+
+bool home_find_cold(balance_t *balance, const balance_target_t *target,
+		    char incarnation[INCARNATION_SIZE])
+{
+	return find(balance, target, false, incarnation);
+}
+
+bool home_precedes(const balance_t *balance, const balance_target_t *target,
+		   const char *incarnation, const char *zone)
+{
+	bool near = strcmp(zone, target->info.zone) == 0;
+
+	if (near != (strcmp(balance->zone, target->info.zone) == 0))
+		return near;
+	return hash_rendezvous(incarnation, target->info.id) >
+	       hash_rendezvous(balance->incarnation, target->info.id);
+}
+
 /*
  * Each side of a partition has a home of its own.  The larger part of the fleet
  * uses all of a limit, the others their part of it, so that all together stay
@@ -96,11 +121,37 @@
 	return (double)reached / balance->instances;
 }
 
-target_limit_t home_limit(const balance_target_t *target)
+static void tell(balance_t *balance, const balance_target_t *target,
+		 const target_limit_t *limit, uint64_t age_us, const char *to)
+{
+	peer_body_t *body = peer_body_new(PEER_TARGET_LIMIT);
+
+	g_strlcpy(body->u.limit.target, target->info.id,
+		  sizeof(body->u.limit.target));
+	body->u.limit.limit = *limit;
+	body->u.limit.age_us = age_us;
+	kernel_post_peer(balance->kernel, balance->svc, balance->peer, to,
+			 body);
+}
+
+/* Whether messages state the rate of a cold target as its limit. */
+static bool is_limited_by_cold(const balance_t *balance,
+			       const balance_target_t *target)
+{
+	return heat_is_cold(target, kernel_now(balance->kernel)) &&
+	       (!target->notice.limit.stated ||
+		target->notice.limit.per_ks >= target->cold_per_ks);
+}
+
+target_limit_t home_limit(const balance_t *balance,
+			  const balance_target_t *target)
 {
 	target_limit_t limit = {.kind = LIMIT_NONE};
 
-	if (target->notice.limit.stated) {
+	if (is_limited_by_cold(balance, target)) {
+		limit.kind = LIMIT_STATED;
+		limit.per_ks = target->cold_per_ks;
+	} else if (target->notice.limit.stated) {
 		limit.kind = LIMIT_STATED;
 		limit.per_ks = target->notice.limit.per_ks;
 	}
@@ -110,21 +161,28 @@
 uint64_t home_limit_age(const balance_t *balance,
 			const balance_target_t *target)
 {
-	return (uint64_t)MAX(
-		kernel_now(balance->kernel) - target->notice.limit.as_of, 0);
+	int64_t now = kernel_now(balance->kernel);
+	int64_t as_of = target->notice.limit.as_of;
+
+	if (is_limited_by_cold(balance, target))
+		return heat_age(target, now);
+	/* A peer of a former release takes the cold rate for a limit. */
+	if (!target->notice.limit.stated)
+		as_of = MAX(as_of, target->notice.cold.until);
+	return (uint64_t)MAX(now - as_of, 0);
 }
 
-static void tell(balance_t *balance, const balance_target_t *target,
-		 const target_limit_t *limit, uint64_t age_us, const char *to)
+void home_tell_cold(balance_t *balance, const balance_target_t *target,
+		    bool used)
 {
-	peer_body_t *body = peer_body_new(PEER_TARGET_LIMIT);
+	target_limit_t limit = home_limit(balance, target);
+	char home[INCARNATION_SIZE];
 
-	g_strlcpy(body->u.limit.target, target->info.id,
-		  sizeof(body->u.limit.target));
-	body->u.limit.limit = *limit;
-	body->u.limit.age_us = age_us;
-	kernel_post_peer(balance->kernel, balance->svc, balance->peer, to,
-			 body);
+	if (!home_find_cold(balance, target, home))
+		home[0] = '\0';
+	else if (!used)
+		return;
+	tell(balance, target, &limit, home_limit_age(balance, target), home);
 }
 
 static void log_limit(const balance_target_t *target, const char *source,
@@ -204,6 +262,8 @@
 	char home[INCARNATION_SIZE];
 
 	age_us = MIN(age_us, AGE_MAX_US);
+	if (heat_told(balance, target, limit, age_us))
+		return;
 	if (!limit_apply(&target->notice.limit, limit, now - (int64_t)age_us,
 			 now))
 		return;
@@ -232,16 +292,16 @@
 
 	while ((target = table_next(&balance->targets, &cursor, NULL)) !=
 	       NULL) {
-		target_limit_t limit = home_limit(target);
+		target_limit_t limit = home_limit(balance, target);
 
-		if (!target->notice.limit.stated && !target->notice.leaving)
+		if (limit.kind != LIMIT_STATED && !target->notice.leaving)
 			continue;
 		if (home_find(balance, target, home) &&
 		    strcmp(home, incarnation) != 0)
 			continue;
 		if (target->notice.leaving)
 			notice_tell(balance, target, incarnation);
-		if (target->notice.limit.stated)
+		if (limit.kind == LIMIT_STATED)
 			tell(balance, target, &limit,
 			     home_limit_age(balance, target), incarnation);
 	}
--- a/balance/home.h
+++ b/balance/home.h
@@ -15,6 +15,15 @@
  */
 bool home_find(balance_t *balance, const balance_target_t *target,
 	       char incarnation[INCARNATION_SIZE]);
+/*
+ * The same for a cold target, whose home is not replaced while this instance
+ * has a connection to it: two homes would admit more than the target sustains.
+ */
+bool home_find_cold(balance_t *balance, const balance_target_t *target,
+		    char incarnation[INCARNATION_SIZE]);
+/* Whether a peer would be the home of the target instead of this instance. */
+bool home_precedes(const balance_t *balance, const balance_target_t *target,
+		   const char *incarnation, const char *zone);
 /* The home did not answer: another instance takes its place for a while. */
 void home_failed(balance_t *balance, const char *incarnation);
 /* Part of a limit that the instances which reach this one may use. */
@@ -35,7 +44,15 @@
 void home_tell_peer(balance_t *balance, const char *incarnation);
 
 /* What this instance knows about a target's limit, for a message to a peer. */
-target_limit_t home_limit(const balance_target_t *target);
+target_limit_t home_limit(const balance_t *balance,
+			  const balance_target_t *target);
+/*
+ * Tells that a target has become cold: its home tells all peers, others tell
+ * the home, unless the target has just been listed: the home then has the same
+ * entry.
+ */
+void home_tell_cold(balance_t *balance, const balance_target_t *target,
+		    bool used);
 uint64_t home_limit_age(const balance_t *balance,
 			const balance_target_t *target);
 
--- a/balance/limit.c
+++ b/balance/limit.c
@@ -35,6 +35,7 @@
 	if (limit->stated && limit->per_ks == per_ks)
 		return false;
 	limit->per_ks = per_ks;
+	limit->burst = BURST_US;
 	most = now + BURST_US + interval(limit, 1.0);
 	/* What was sent before is not known, so nothing is left of the burst.
 	 */
@@ -88,7 +89,7 @@
 	int64_t wait = CLAMP(request->wait, 0, LIMIT_WAIT_MAX_US);
 	uint32_t priority = MIN(request->priority, LIMIT_PRIORITIES - 1);
 	int64_t step = interval(limit, share);
-	int64_t burst = BURST_US * (LIMIT_PRIORITIES - 1 - priority) /
+	int64_t burst = limit->burst * (LIMIT_PRIORITIES - 1 - priority) /
 			(LIMIT_PRIORITIES - 1);
 	admission_t admission = {.at = MAX(now, limit->due - burst)};
 
--- a/balance/limit.h
+++ b/balance/limit.h
@@ -16,6 +16,7 @@
 	bool stated;
 	uint32_t per_ks; /* requests in 1,000 s */
 	int64_t as_of; /* monotonic, us; last statement that is known */
+	int64_t burst; /* us; part of the limit that may be used at once */
 	/* The home's schedule: times in monotonic us. */
 	int64_t due; /* when the requests admitted so far are used up */
 	/* Times that the next refused requests are given, by priority. */
--- a/balance/notice.c
+++ b/balance/notice.c
@@ -1,6 +1,7 @@
 #include "balance/notice.h"
 
 #include "balance/brittle.h"
+#include "balance/heat.h"
 #include "balance/home.h"
 #include "balance/queue.h"
 #include "log/log.h"
@@ -78,6 +79,7 @@
 	const target_notice_t *notice = &target->notice;
 
 	if (notice->leaving || notice->limit.stated ||
+	    cold_is(&notice->cold, kernel_now(balance->kernel)) ||
 	    notice_is_paused(target, kernel_now(balance->kernel)))
 		keep(balance, target->info.id, target->info.started_ms, notice);
 }
@@ -154,6 +156,7 @@
 	if (report->pause_ms > 0)
 		set_pause(balance, target, report->pause_ms);
 	brittle_heard(balance, target, report);
+	heat_heard(balance, target, report);
 	home_heard(balance, target, &report->limit);
 }
 
--- a/balance/permit.c
+++ b/balance/permit.c
@@ -1,5 +1,6 @@
 #include "balance/permit.h"
 
+#include "balance/heat.h"
 #include "balance/home.h"
 #include "log/log.h"
 
@@ -14,6 +15,9 @@
 /* Time after which a home that does not list the target yet is asked again. */
 #define UNLISTED_RETRY_US (250 * USEC_PER_MSEC)
 
+/* Time after which the home of a cold target is asked again. */
+#define COLD_RETRY_US (500 * USEC_PER_MSEC)
+
 typedef struct ask_t {
 	handle_t self;
 	handle_t target;
@@ -41,7 +45,7 @@
 
 bool permit_is_open(const balance_target_t *target, int64_t now)
 {
-	if (!target->notice.limit.stated)
+	if (!target->notice.limit.stated && !heat_is_cold(target, now))
 		return true;
 	for (uint32_t i = 0; i < target->permit_count; i++)
 		if (is_valid(target->permits[i], now))
@@ -131,6 +135,30 @@
 	add_permit(target, admission->at);
 }
 
+/* Returns true if the home of the target is another instance. */
+static bool find_home(balance_t *balance, const balance_target_t *target,
+		      char home[INCARNATION_SIZE])
+{
+	if (heat_is_cold(target, kernel_now(balance->kernel)))
+		return home_find_cold(balance, target, home);
+	return home_find(balance, target, home);
+}
+
+/* This instance is the home. */
+static admission_t admit(balance_t *balance, balance_target_t *target,
+			 const limit_request_t *request)
+{
+	int64_t now = kernel_now(balance->kernel);
+	admission_t admission = {.admitted = true, .at = now};
+
+	if (heat_is_cold(target, now))
+		return heat_admit(balance, target, request);
+	if (target->notice.limit.stated)
+		admission = limit_admit(&target->notice.limit,
+					home_share(balance), now, request);
+	return admission;
+}
+
 static uint64_t pack_handle(handle_t handle)
 {
 	return (uint64_t)handle.gen << 32 | handle.index;
@@ -151,7 +179,7 @@
 	body->u.permit_request.ask = pack_handle(ask->self);
 	body->u.permit_request.wait_us = (uint64_t)wait;
 	body->u.permit_request.priority = ask->priority;
-	body->u.permit_request.limit = home_limit(target);
+	body->u.permit_request.limit = home_limit(balance, target);
 	body->u.permit_request.age_us = home_limit_age(balance, target);
 	kernel_post_peer(balance->kernel, balance->svc, balance->peer,
 			 ask->home, body);
@@ -165,10 +193,8 @@
 	ask_t *ask;
 	handle_t self;
 
-	if (!home_find(balance, target, home)) {
-		admission =
-			limit_admit(&target->notice.limit, home_share(balance),
-				    kernel_now(balance->kernel), request);
+	if (!find_home(balance, target, home)) {
+		admission = admit(balance, target, request);
 		receive_admission(balance, target, request->priority,
 				  &admission);
 		return;
@@ -198,7 +224,7 @@
 	body->u.permit_reply.admitted = admission->admitted;
 	body->u.permit_reply.delay_us = (uint64_t)MAX(delay, 0);
 	if (target != NULL) {
-		body->u.permit_reply.limit = home_limit(target);
+		body->u.permit_reply.limit = home_limit(balance, target);
 		body->u.permit_reply.age_us = home_limit_age(balance, target);
 	}
 	kernel_post_peer(balance->kernel, balance->svc, balance->peer,
@@ -226,9 +252,7 @@
 	}
 	home_apply(balance, target, &body->u.permit_request.limit,
 		   body->u.permit_request.age_us);
-	if (target->notice.limit.stated)
-		admission = limit_admit(&target->notice.limit,
-					home_share(balance), now, &request);
+	admission = admit(balance, target, &request);
 out:
 	reply(balance, msg, target, &admission);
 }
@@ -272,7 +296,8 @@
 void permit_timed_out(balance_t *balance, handle_t ref)
 {
 	ask_t *ask = table_get(&balance->asks, ref);
-	const balance_target_t *target;
+	balance_target_t *target;
+	int64_t now = kernel_now(balance->kernel);
 
 	if (ask == NULL)
 		return;
@@ -281,6 +306,9 @@
 	log_event(LOG_LEVEL_INFO, "balance", "home_failed", "home=%s target=%s",
 		  ask->home, target != NULL ? target->info.id : "");
 	home_failed(balance, ask->home);
+	/* The home of a cold target has no deputy. */
+	if (target != NULL && heat_is_cold(target, now))
+		receive_refusal(target, 0, now + COLD_RETRY_US);
 	end_ask(balance, ask);
 	queue_run(balance);
 }
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -13,7 +13,7 @@
 #define RETRY_AFTER_MAX_MS 60000
 /* By then, a target that sent no report has been asked again. */
 #define DOUBT_TIME_US USEC_PER_SEC
-#define PASSED_OVER_SIZE 160 /* bytes, with terminator */
+#define PASSED_OVER_SIZE 256 /* bytes, with terminator */
 
 static void refuse(balance_t *balance, const msg_t *request, refusal_t reason,
 		   uint32_t retry_after_ms)
@@ -183,7 +183,13 @@
 			    request->u.place.deadline ||
 		    !balance_is_usable(target, request))
 			continue;
-		queue_wake_at(balance, target->permits[target->claimed++]);
+		/* A valid permit of a target that is full waits for its room.
+		 */
+		if (target->permits[target->claimed] >
+		    kernel_now(balance->kernel))
+			queue_wake_at(balance,
+				      target->permits[target->claimed]);
+		target->claimed++;
 		return true;
 	}
 	return false;
--- a/balance/target.h
+++ b/balance/target.h
@@ -6,6 +6,7 @@
 #define BALANCE_TARGET_H
 
 #include "balance/balance.h"
+#include "balance/cold.h"
 #include "balance/limit.h"
 
 G_BEGIN_DECLS
@@ -29,6 +30,7 @@
 	int64_t paused_at; /* monotonic, us; when it was stated */
 	limit_t limit;
 	brittle_t brittle;
+	cold_t cold;
 } target_notice_t;
 
 /* Whether another process may have the address; see balance/process.h. */
@@ -49,6 +51,10 @@
 	bool resumable; /* a route takes up streams again at its service */
 	process_doubt_t doubt;
 	int64_t kv_cache_tokens; /* capacity of the KV cache */
+	int64_t cold_us; /* for which it is cold after a start */
+	/* Requests in 1,000 s that it sustains while it is cold; 0: never cold.
+	 */
+	uint32_t cold_per_ks;
 	bool unavailable; /* draining or gone: gets no new requests */
 	uint32_t outstanding; /* requests of this instance */
 	GQueue unanswered; /* placement_t without a first byte, oldest first */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -232,8 +232,14 @@
 				  (double)USEC_PER_SEC),
 	};
 
+	const cold_bounds_t cold = {
+		.overage = settings->gateway_cold_overage,
+		.slack = settings->gateway_cold_slack,
+	};
+
 	balance_init(&gateway->balance, &gateway->kernel, gateway->incarnation,
 		     settings->availability_zone);
+	balance_set_cold_bounds(&gateway->balance, &cold);
 	g_strlcpy(proxy.incarnation, gateway->incarnation,
 		  sizeof(proxy.incarnation));
 	g_strlcpy(proxy.zone, settings->availability_zone, sizeof(proxy.zone));
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -78,7 +78,8 @@
 	X(FULL, "full")               \
 	X(LIMITED, "limited")         \
 	X(VERSION, "version")         \
-	X(DOUBTED, "doubted")
+	X(DOUBTED, "doubted")         \
+	X(COLD, "cold")
 
 typedef enum pass_reason_t {
 	PASS_NONE,
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -50,6 +50,12 @@
 	  "permits received for targets that state a limit")                  \
 	X(PERMITS_REFUSED, "permits_refused", "permits that a home refused")  \
 	X(PERMITS_LAPSED, "permits_lapsed", "permits not used in time")       \
+	X(TARGETS_COLD_SEEN, "targets_cold_seen",                             \
+	  "times that a target became cold")                                  \
+	X(COLD_ADMITTED, "cold_admitted",                                     \
+	  "requests admitted to cold targets as their home")                  \
+	X(COLD_REFUSED, "cold_refused",                                       \
+	  "requests refused for cold targets as their home")                  \
 	X(BUFFERS_DROPPED, "buffers_dropped",                                 \
 	  "calls ended because the buffers were full")                        \
 	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
@@ -86,6 +92,7 @@
 	X(MEMBERS_ALIVE, "members_alive", "routers seen alive")             \
 	X(PEERS, "peers", "peers connected")                                \
 	X(TARGETS, "targets", "targets in the configuration")               \
+	X(TARGETS_COLD, "targets_cold", "targets that are cold")            \
 	X(TARGETS_EJECTED, "targets_ejected", "targets ejected now")        \
 	X(CONF_REVISION, "conf_revision", "highest revision applied")       \
 	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent") \
--- a/tests/balance_prove.cc
+++ b/tests/balance_prove.cc
@@ -310,4 +310,129 @@
 	EXPECT_LE(world.worst_excess(), 0);
 }
 
+// A fleet that has run for some time, with demand beyond what its cold targets
+// sustain, and requests that reach their targets up to 180 ms late.
+void build_cold_fleet(World &world, int count)
+{
+	add_instances(world, count);
+	add_targets(world, 4, 0, 0);
+	world.late_us = 180 * USEC_PER_MSEC;
+	world.stream_us = 100 * USEC_PER_MSEC;
+	world.step_us = USEC_PER_MSEC;
+	world.set_demand(300.0 / count);
+	world.run(5 * USEC_PER_SEC);
+}
+
+// Guards against a cold target that crashes, because each instance looks at its
+// own requests only, and against one that is left without requests.
+TEST(FleetCold, TargetGetsWhatItSustains)
+{
+	for (int count : {1, 7, 75}) {
+		World world(3);
+		int64_t from;
+
+		build_cold_fleet(world, count);
+		from = world.now;
+		target_t &target = world.add_cold_target("z1");
+		world.run(COLD_MS * USEC_PER_MSEC);
+		EXPECT_LE(world.worst_cold_second(), COLD_BOUND) << count;
+		EXPECT_GE(world.arrivals(target, from, world.now), 27u)
+			<< count;
+		world.run(USEC_PER_SEC);
+		EXPECT_GE(world.arrivals(target, world.now - USEC_PER_SEC,
+					 world.now),
+			  30u)
+			<< count;
+	}
+}
+
+// Guards against two homes that each admit the whole rate: at the sides of a
+// cut that is noticed late, after a home was replaced or stood still, and as
+// the sides meet again.
+TEST(FleetCold, BoundHoldsWhileHomesChange)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		World world(seed);
+		int64_t late = (int64_t)world.below(6) * USEC_PER_SEC;
+		int cut;
+
+		build_cold_fleet(world, 12);
+		for (int i = 0; i < 4; i++)
+			world.add_cold_target(zones[i]);
+		world.run(USEC_PER_MSEC);
+		cut = 2 + (int)world.below(7);
+		switch (seed % 4) {
+		case 0:
+			for (int i = 0; i < cut; i++)
+				world.cut((uint32_t)i, 1 + i % 2, late);
+			break;
+		case 1:
+			world.restart((uint32_t)world.below(12));
+			world.restart((uint32_t)world.below(12));
+			break;
+		case 2:
+			home_of(world, "t-5")->frozen = true;
+			break;
+		case 3:
+			for (int i = 0; i < cut; i++)
+				world.cut((uint32_t)i, 1, 0);
+			world.run(300 * USEC_PER_MSEC);
+			for (int i = 0; i < cut; i++)
+				world.cut((uint32_t)i, 0, USEC_PER_SEC);
+			break;
+		}
+		world.run(USEC_PER_SEC + (int64_t)world.below(1000000));
+		for (auto &i : world.instances)
+			i->frozen = false;
+		world.run(2 * USEC_PER_SEC);
+		EXPECT_LE(world.worst_cold_second(), COLD_BOUND) << seed;
+	}
+}
+
+// Guards against a target that becomes cold again and gets what was sent
+// before. It counts from the time at which its entry has reached all.
+TEST(FleetCold, TargetThatBecomesColdAgainGetsLess)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		World world(seed);
+		bool cut = seed % 3 == 0;
+
+		build_cold_fleet(world, 12);
+		for (uint32_t i = 0; i < 5 && cut; i++)
+			world.cut(i, 1, 0);
+		for (auto &t : world.targets) {
+			t->states_cold = seed % 2 == 0;
+			world.chill(*t, 600 * USEC_PER_MSEC);
+		}
+		world.run(4 * USEC_PER_SEC);
+		EXPECT_LE(world.worst_cold_second(), COLD_BOUND) << seed;
+		EXPECT_GE(world.arrivals(*world.targets[0],
+					 world.now - USEC_PER_SEC, world.now),
+			  30u)
+			<< seed;
+	}
+}
+
+// Guards against requests that go on until the entry comes although a response
+// has said that the target is cold.
+TEST(FleetCold, ResponseTellsAllInstances)
+{
+	World world(5);
+
+	build_cold_fleet(world, 12);
+	target_t &target = *world.targets[0];
+	target.states_cold = true;
+	target.cold_until = world.now + COLD_MS * USEC_PER_MSEC;
+	target.cold_known_at = world.now + 120 * USEC_PER_MSEC;
+	world.run(2500 * USEC_PER_MSEC);
+	EXPECT_LE(world.worst_cold_second(), COLD_BOUND);
+	EXPECT_GE(
+		world.instances[0]->kernel.metrics->gauges[GAUGE_TARGETS_COLD],
+		1);
+	/* Instances do not keep the news alive among them. */
+	world.run(1500 * USEC_PER_MSEC);
+	for (auto &i : world.instances)
+		EXPECT_EQ(i->kernel.metrics->gauges[GAUGE_TARGETS_COLD], 0);
+}
+
 } // namespace
--- a/tests/balance_world.h
+++ b/tests/balance_world.h
@@ -6,6 +6,7 @@
 
 #include "balance/balance.h"
 
+#include <algorithm>
 #include <cstring>
 #include <functional>
 #include <gtest/gtest.h>
@@ -23,6 +24,11 @@
 constexpr int64_t TOLD_US = 500 * USEC_PER_MSEC;
 constexpr int64_t WINDOW_US = 4 * USEC_PER_SEC;
 
+// The users' figures for cold targets.
+constexpr int64_t COLD_MS = 3000;
+constexpr uint32_t COLD_PER_KS = 12000;
+constexpr size_t COLD_BOUND = 23; // in a second: 12 x 1.5 + 5
+
 class World;
 
 struct arrival_t {
@@ -38,6 +44,11 @@
 	int64_t named_at = -1; // first response that stated the limit
 	std::vector<arrival_t> arrivals;
 	std::map<uint32_t, int64_t> told; // instance -> first such response
+	uint64_t sequence = 0; // of its entry
+	int64_t cold_until = -1;
+	int64_t cold_known_at = -1; // its entry has reached all instances
+	bool states_cold = false; // in its responses
+	std::vector<int64_t> cold_arrivals;
 };
 
 // One instance with its own kernel.
@@ -57,7 +68,8 @@
 		   uint64_t seed);
 	~instance_t();
 	void announce_size();
-	void announce_target(const target_t &target, bool gone = false);
+	void announce_target(const target_t &target, bool gone = false,
+			     int64_t cold_ms = 0);
 	void announce_peer(const instance_t &other, bool up);
 	void request(uint32_t id, int32_t priority, int64_t wait_us,
 		     uint64_t part);
@@ -81,6 +93,14 @@
 
 	instance_t &add_instance(const std::string &zone);
 	target_t &add_target(const std::string &zone);
+	// A target that is cold from the start.
+	target_t &add_cold_target(const std::string &zone);
+	// A target becomes cold; its entry reaches each instance within late.
+	void chill(target_t &target, int64_t late);
+	// Cuts an instance off; each end notices it within late.
+	void cut(uint32_t number, uint32_t group, int64_t late);
+	// Most requests that a cold target got in a second.
+	size_t worst_cold_second() const;
 	// Starts an instance anew, under another incarnation.
 	void restart(uint32_t number);
 	void remove(uint32_t number);
@@ -117,6 +137,8 @@
 	int64_t wait_us = 250 * USEC_PER_MSEC;
 	// Share of the requests that go to the busiest instance; 0: even.
 	double skew = 0.0;
+	// Requests reach their target up to this much later.
+	int64_t late_us = 0;
 	size_t limit_messages = 0; // sent for limits
 	size_t asked = 0, placed = 0;
 	std::map<int32_t, size_t> asked_by_priority, placed_by_priority;
@@ -172,6 +194,8 @@
 	engine.engine = true;
 	engine.kv_cache_tokens = 100000;
 	engine.max_connections = 100000;
+	engine.cold_ms = COLD_MS;
+	engine.cold_per_ks = COLD_PER_KS;
 	g_array_append_val(msg.u.fleet_conf->services, engine);
 	kernel_post(&kernel, fleet, balance.svc, &msg);
 }
@@ -192,7 +216,8 @@
 	kernel_post(&kernel, fleet, balance.svc, &msg);
 }
 
-inline void instance_t::announce_target(const target_t &target, bool gone)
+inline void instance_t::announce_target(const target_t &target, bool gone,
+					int64_t cold_ms)
 {
 	msg_t msg = {};
 	fleet_target_t *info = &msg.u.fleet_target.target;
@@ -205,6 +230,8 @@
 	info->port = 1;
 	info->slots = 64;
 	info->started_ms = 1;
+	info->sequence = target.sequence;
+	info->cold_ms = cold_ms;
 	msg.u.fleet_target.gone = gone;
 	kernel_post(&kernel, fleet, balance.svc, &msg);
 }
@@ -270,7 +297,8 @@
 inline void World::connect(instance_t &instance)
 {
 	for (auto &t : targets)
-		instance.announce_target(*t);
+		instance.announce_target(
+			*t, false, MAX(t->cold_until - now, 0) / USEC_PER_MSEC);
 	for (auto &other : instances) {
 		if (other.get() == &instance || !reach(*other, instance))
 			continue;
@@ -300,6 +328,82 @@
 	return *targets.back();
 }
 
+inline target_t &World::add_cold_target(const std::string &zone)
+{
+	targets.push_back(std::make_unique<target_t>());
+	targets.back()->id = "t-" + std::to_string(targets.size());
+	targets.back()->zone = zone;
+	targets.back()->sequence = 1;
+	targets.back()->cold_until = now + COLD_MS * USEC_PER_MSEC;
+	targets.back()->cold_known_at = now;
+	for (auto &i : instances)
+		i->announce_target(*targets.back(), false, COLD_MS);
+	return *targets.back();
+}
+
+inline void World::chill(target_t &target, int64_t late)
+{
+	target_t *chilled = &target;
+
+	target.sequence++;
+	target.cold_until = now + COLD_MS * USEC_PER_MSEC;
+	target.cold_known_at = now + late;
+	for (auto &i : instances) {
+		std::string incarnation = i->incarnation;
+
+		at(now + (int64_t)below((uint64_t)late + 1), [this, incarnation,
+							      chilled] {
+			instance_t *to = find(incarnation);
+
+			if (to != nullptr)
+				to->announce_target(*chilled, false, COLD_MS);
+		});
+	}
+}
+
+inline void World::cut(uint32_t number, uint32_t group, int64_t late)
+{
+	instance_t &moved = *instances[number];
+
+	for (auto &other : instances) {
+		std::string a = moved.incarnation, b = other->incarnation;
+		bool before = reach(*other, moved);
+		bool after = other->group == group && !other->left;
+
+		if (other.get() == &moved || before == after)
+			continue;
+		for (auto &ends : {std::make_pair(a, b), std::make_pair(b, a)})
+			at(now + (int64_t)below((uint64_t)late + 1),
+			   [this, ends, after] {
+				   instance_t *to = find(ends.first);
+				   instance_t *peer = find(ends.second);
+
+				   if (to != nullptr && peer != nullptr &&
+				       reach(*to, *peer) == after)
+					   to->announce_peer(*peer, after);
+			   });
+	}
+	moved.group = group;
+}
+
+inline size_t World::worst_cold_second() const
+{
+	size_t worst = 0;
+
+	for (const auto &t : targets) {
+		std::vector<int64_t> times = t->cold_arrivals;
+		size_t from = 0;
+
+		std::sort(times.begin(), times.end());
+		for (size_t to = 0; to < times.size(); to++) {
+			while (times[to] - times[from] >= USEC_PER_SEC)
+				from++;
+			worst = MAX(worst, to - from + 1);
+		}
+	}
+	return worst;
+}
+
 inline void World::restart(uint32_t number)
 {
 	std::string zone = instances[number]->zone;
@@ -388,6 +492,9 @@
 	msg.kind = MSG_PLACE_REPORT;
 	msg.ref = placement;
 	msg.u.place_report.limit = target->limit;
+	if (target->states_cold && now < target->cold_until)
+		msg.u.place_report.cold_ms =
+			(target->cold_until - now) / USEC_PER_MSEC;
 	if (target->limit.kind == LIMIT_STATED) {
 		if (target->named_at < 0)
 			target->named_at = now;
@@ -424,6 +531,9 @@
 	placed_by_priority[asked_for.priority]++;
 	waits.push_back(now - asked_for.at);
 	target->arrivals.push_back({now, number, counted});
+	if (now >= target->cold_known_at && now < target->cold_until)
+		target->cold_arrivals.push_back(
+			now + (int64_t)below((uint64_t)late_us + 1));
 	at(now + answer_us, [this, number, incarnation, target, placement] {
 		answer(number, incarnation, target, placement);
 	});
