Give a target that has just started as much as its answers bear

Cause: to each of 75 instances a target that has just started, or answers again after failures, looks idle.

Change: balance/pace.c holds a window of requests for the whole fleet, which doubles with an answer as fast as those of the target's peers and halves with one that is slow or fails. The first instances by the hash of the home may send; a change of the level is told to all, in the frame of limits with a kind that a former release ignores. A failure restrains all only if two instances have seen it. Off by default (gateway.pace), as deployments in service must be served as before. New: reason paced, log line pace, gauge targets_paced, a counter.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -5,6 +5,7 @@
 #include "balance/heat.h"
 #include "balance/home.h"
 #include "balance/notice.h"
+#include "balance/pacing.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
 #include "balance/process.h"
@@ -62,6 +63,7 @@
 	balance_target_t *target =
 		g_hash_table_lookup(balance->targets_by_id, info->id);
 	bool used = target != NULL;
+	bool started = !used || target->info.started_ms != info->started_ms;
 	handle_t self;
 
 	if (msg->u.fleet_target.gone) {
@@ -86,6 +88,8 @@
 	target->unavailable = info->draining;
 	update_service_info(balance, target);
 	heat_listed(balance, target, used);
+	if (started)
+		pacing_listed(balance, target);
 	queue_run(balance);
 }
 
@@ -149,7 +153,10 @@
 		process_told(balance, msg->u.peer.body);
 		break;
 	case PEER_TARGET_LIMIT:
-		home_told(balance, msg->u.peer.body);
+		if (msg->u.peer.body->u.limit.limit.kind == LIMIT_UNKNOWN)
+			pacing_told(balance, msg);
+		else
+			home_told(balance, msg->u.peer.body);
 		break;
 	case PEER_PERMIT_REQUEST:
 		permit_asked(balance, msg);
@@ -236,6 +243,7 @@
 	memset(balance, 0, sizeof(*balance));
 	balance->kernel = kernel;
 	balance->instances = 1;
+	balance->started_at = kernel_now(kernel);
 	balance->cold_bounds = COLD_BOUNDS_DEFAULT;
 	balance->cold_share.changed_at = kernel_now(kernel);
 	g_strlcpy(balance->incarnation, incarnation,
@@ -258,6 +266,11 @@
 	balance->cold_bounds = *bounds;
 }
 
+void balance_set_pace(balance_t *balance, bool pace)
+{
+	balance->pace = pace;
+}
+
 void balance_finish(balance_t *balance)
 {
 	uint32_t cursor = 0;
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -66,6 +66,8 @@
 	uint64_t arrivals; /* orders queued requests of equal priority */
 	table_t asks; /* ask_t */
 	failed_home_t failed_homes[FAILED_HOMES_MAX];
+	bool pace; /* targets that have just started are restrained */
+	int64_t started_at; /* monotonic, us */
 	cold_bounds_t cold_bounds;
 	cold_share_t cold_share;
 	handle_t wake_timer;
@@ -79,6 +81,8 @@
 		  const char *zone);
 /* Sets other bounds than the default ones for cold targets. */
 void balance_set_cold_bounds(balance_t *balance, const cold_bounds_t *bounds);
+/* Restrains targets that have just started or recovered. */
+void balance_set_pace(balance_t *balance, bool pace);
 void balance_finish(balance_t *balance);
 
 G_END_DECLS
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -3,6 +3,7 @@
 #include "balance/brittle.h"
 #include "balance/heat.h"
 #include "balance/notice.h"
+#include "balance/pacing.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
 #include "balance/process.h"
@@ -182,13 +183,14 @@
 		choice->kind = CHOICE_ASK;
 		choice->u.ask.target = found->later;
 	} else if (count[PASS_FULL] + count[PASS_LIMITED] + count[PASS_PAUSED] +
-				   count[PASS_COLD] >
+				   count[PASS_COLD] + count[PASS_PACED] >
 			   0 ||
 		   found->reporting) {
 		choice->kind = CHOICE_WAIT;
 		choice->u.wait.until = found->room_at;
 		choice->u.wait.known =
-			count[PASS_FULL] == 0 && !found->reporting;
+			count[PASS_FULL] + count[PASS_PACED] == 0 &&
+			!found->reporting;
 	} else {
 		choice->kind = CHOICE_NONE;
 	}
@@ -196,7 +198,8 @@
 
 static pass_reason_t reason_to_pass(const balance_t *balance,
 				    const balance_target_t *target,
-				    const msg_t *request, int64_t now)
+				    const msg_t *request, bool paced,
+				    int64_t now)
 {
 	if (has_other_version(target, request))
 		return PASS_VERSION;
@@ -212,6 +215,8 @@
 		return PASS_PAUSED;
 	if (is_full(balance, target, now))
 		return PASS_FULL;
+	if (paced && !pacing_is_open(balance, target, now))
+		return PASS_PACED;
 	if (permit_is_open(target, now))
 		return PASS_NONE;
 	return heat_is_cold(target, now) ? PASS_COLD : PASS_LIMITED;
@@ -293,6 +298,9 @@
 	preferred_t preferred = preferred_for(balance, request);
 	candidates_t found = {.room_at = INT64_MAX};
 	balance_target_t *target;
+	/* A stream that goes on may have no other target. */
+	bool paced = !request->u.place.one_version &&
+		     pacing_applies(balance, request->u.place.service);
 	uint32_t cursor = 0;
 	double cost;
 
@@ -303,7 +311,7 @@
 
 		if (strcmp(target->info.service, request->u.place.service) != 0)
 			continue;
-		reason = reason_to_pass(balance, target, request, now);
+		reason = reason_to_pass(balance, target, request, paced, now);
 		if (reason != PASS_NONE)
 			count_passed(&choice->passed_over, target, reason);
 		switch (reason) {
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -2,6 +2,7 @@
 
 #include "balance/brittle.h"
 #include "balance/notice.h"
+#include "balance/pacing.h"
 #include "balance/permit.h"
 #include "balance/process.h"
 #include "balance/queue.h"
@@ -65,6 +66,7 @@
 	placement->self = self;
 	placement->target = target->self;
 	placement->placed_at = kernel_now(balance->kernel);
+	placement->sent_at = placement->placed_at;
 	placement->prefill_tokens =
 		MAX(request->u.place.prompt_tokens - cached, 0);
 	target->outstanding++;
@@ -122,9 +124,11 @@
 {
 	placement_t *placement = table_get(&balance->placements, ref);
 	balance_target_t *target;
+	bool first;
 
 	if (placement == NULL)
 		return;
+	first = placement->placed_at != 0;
 	target = table_get(&balance->targets, placement->target);
 	if (target != NULL) {
 		target->prefill_tokens -= placement->prefill_tokens;
@@ -134,6 +138,9 @@
 			kernel_now(balance->kernel) - placement->placed_at);
 	placement->prefill_tokens = 0;
 	placement->placed_at = 0;
+	if (target != NULL && first &&
+	    pacing_answered(balance, target, placement->sent_at))
+		queue_run(balance);
 }
 
 void placement_reported(balance_t *balance, const msg_t *msg)
@@ -149,7 +156,7 @@
 }
 
 static void record_result(balance_t *balance, balance_target_t *target,
-			  place_result_t result)
+			  place_result_t result, int64_t sent_at)
 {
 	int64_t now = kernel_now(balance->kernel);
 
@@ -158,27 +165,33 @@
 		balance_target_add_success(target, now);
 		break;
 	case PLACE_UNREACHABLE:
+		pacing_failed(balance, target, sent_at, true);
 		balance_target_add_failure(target, FAILURE_WEIGHT_UNREACHABLE,
 					   now);
 		process_doubt(balance, target, EVIDENCE_RESET);
 		break;
 	case PLACE_REFUSED:
+		pacing_failed(balance, target, sent_at, true);
 		balance_target_add_failure(target, FAILURE_WEIGHT_UNREACHABLE,
 					   now);
 		process_doubt(balance, target, EVIDENCE_REFUSED);
 		break;
 	case PLACE_LOST:
+		pacing_failed(balance, target, sent_at, false);
 		balance_target_add_failure(target, FAILURE_WEIGHT_LOST, now);
 		break;
 	case PLACE_RESET:
+		pacing_failed(balance, target, sent_at, true);
 		balance_target_add_failure(target, FAILURE_WEIGHT_LOST, now);
 		process_doubt(balance, target, EVIDENCE_RESET);
 		break;
 	case PLACE_FULL:
 		brittle_rejected(balance, target);
+		pacing_failed(balance, target, sent_at, false);
 		balance_target_add_failure(target, FAILURE_WEIGHT_FULL, now);
 		break;
 	case PLACE_ERROR:
+		pacing_failed(balance, target, sent_at, false);
 		balance_target_add_failure(target, FAILURE_WEIGHT_ERROR, now);
 		break;
 	case PLACE_MISDIRECTED:
@@ -204,7 +217,8 @@
 		target->prefill_tokens -= placement->prefill_tokens;
 		balance_target_set_load(target, &msg->u.place_done.load,
 					kernel_now(balance->kernel));
-		record_result(balance, target, msg->u.place_done.result);
+		record_result(balance, target, msg->u.place_done.result,
+			      placement->sent_at);
 	}
 	table_remove(&balance->placements, msg->ref);
 	queue_run(balance);
--- a/balance/placement.h
+++ b/balance/placement.h
@@ -12,6 +12,7 @@
 	handle_t self;
 	handle_t target;
 	int64_t placed_at; /* monotonic, us; 0 once the first byte came */
+	int64_t sent_at; /* monotonic, us */
 	int64_t prefill_tokens; /* unread tokens; 0 after the first byte */
 	GList link; /* in the target's unanswered; data is NULL if not */
 } placement_t;
--- a/balance/target.c
+++ b/balance/target.c
@@ -94,6 +94,9 @@
 	target->peer_prefill_tokens = 0.0;
 	target->peer_requests = 0.0;
 	target->failure_score = 0.0;
+	memset(&target->pace, 0, sizeof(target->pace));
+	target->answer_us = 0.0;
+	target->doubter[0] = '\0';
 }
 
 int64_t balance_target_cached_tokens(const balance_target_t *target,
--- a/balance/target.h
+++ b/balance/target.h
@@ -8,6 +8,7 @@
 #include "balance/balance.h"
 #include "balance/cold.h"
 #include "balance/limit.h"
+#include "balance/pace.h"
 
 G_BEGIN_DECLS
 
@@ -63,6 +64,11 @@
 	int64_t load_at; /* monotonic, us */
 	uint32_t outstanding_at_load; /* outstanding at the last report */
 	target_notice_t notice;
+	pace_t pace;
+	double answer_us; /* mean time to an answer; 0: none */
+	/* Instance that has seen the target fail, as told to its home. */
+	char doubter[INCARNATION_SIZE];
+	int64_t doubter_at; /* monotonic, us */
 	int64_t end_told_at; /* monotonic, us; the limit's end, to the home */
 	/* Permits of the home: when they become valid; monotonic, us. */
 	int64_t permits[PERMITS_MAX];
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -240,6 +240,7 @@
 	balance_init(&gateway->balance, &gateway->kernel, gateway->incarnation,
 		     settings->availability_zone);
 	balance_set_cold_bounds(&gateway->balance, &cold);
+	balance_set_pace(&gateway->balance, settings->gateway_pace != 0);
 	g_strlcpy(proxy.incarnation, gateway->incarnation,
 		  sizeof(proxy.incarnation));
 	g_strlcpy(proxy.zone, settings->availability_zone, sizeof(proxy.zone));
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -79,7 +79,8 @@
 	X(LIMITED, "limited")         \
 	X(VERSION, "version")         \
 	X(DOUBTED, "doubted")         \
-	X(COLD, "cold")
+	X(COLD, "cold")               \
+	X(PACED, "paced")
 
 typedef enum pass_reason_t {
 	PASS_NONE,
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -52,6 +52,8 @@
 	X(PERMITS_LAPSED, "permits_lapsed", "permits not used in time")       \
 	X(TARGETS_COLD_SEEN, "targets_cold_seen",                             \
 	  "times that a target became cold")                                  \
+	X(TARGETS_PACED_SEEN, "targets_paced_seen",                           \
+	  "times that the pace began to restrain a target")                   \
 	X(COLD_ADMITTED, "cold_admitted",                                     \
 	  "requests admitted to cold targets as their home")                  \
 	X(COLD_REFUSED, "cold_refused",                                       \
@@ -85,26 +87,27 @@
 	COUNTER_COUNT,
 } counter_t;
 
-#define GAUGE_LIST(X)                                                       \
-	X(REQUESTS_RUNNING, "requests_running", "requests in progress")     \
-	X(CONNECTIONS, "connections", "connections of callers")             \
-	X(QUEUE_LENGTH, "queue_length", "requests that wait for a target")  \
-	X(MEMBERS_ALIVE, "members_alive", "routers seen alive")             \
-	X(PEERS, "peers", "peers connected")                                \
-	X(TARGETS, "targets", "targets in the configuration")               \
-	X(TARGETS_COLD, "targets_cold", "targets that are cold")            \
-	X(TARGETS_EJECTED, "targets_ejected", "targets ejected now")        \
-	X(CONF_REVISION, "conf_revision", "highest revision applied")       \
-	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent") \
-	X(WITHHELD_TOKENS, "withheld_tokens",                               \
-	  "tokens of dead routers that wait for budget reclaim")            \
-	X(BILLS_PENDING, "bills_pending", "bills not yet in the store")     \
-	X(PROTECTED, "protected", "1 when bills reach store or buddy")      \
-	X(BUFFERED_BYTES, "buffered_bytes",                                 \
-	  "bytes held for calls in progress")                               \
-	X(UNREACHABLE, "unreachable", "1 while no target is reached")       \
-	X(BEHIND, "behind", "1 while input or timers wait too long")        \
-	X(STORE_UP, "store_up", "1 when the store answered last time")      \
+#define GAUGE_LIST(X)                                                        \
+	X(REQUESTS_RUNNING, "requests_running", "requests in progress")      \
+	X(CONNECTIONS, "connections", "connections of callers")              \
+	X(QUEUE_LENGTH, "queue_length", "requests that wait for a target")   \
+	X(MEMBERS_ALIVE, "members_alive", "routers seen alive")              \
+	X(PEERS, "peers", "peers connected")                                 \
+	X(TARGETS, "targets", "targets in the configuration")                \
+	X(TARGETS_COLD, "targets_cold", "targets that are cold")             \
+	X(TARGETS_PACED, "targets_paced", "targets that the pace restrains") \
+	X(TARGETS_EJECTED, "targets_ejected", "targets ejected now")         \
+	X(CONF_REVISION, "conf_revision", "highest revision applied")        \
+	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent")  \
+	X(WITHHELD_TOKENS, "withheld_tokens",                                \
+	  "tokens of dead routers that wait for budget reclaim")             \
+	X(BILLS_PENDING, "bills_pending", "bills not yet in the store")      \
+	X(PROTECTED, "protected", "1 when bills reach store or buddy")       \
+	X(BUFFERED_BYTES, "buffered_bytes",                                  \
+	  "bytes held for calls in progress")                                \
+	X(UNREACHABLE, "unreachable", "1 while no target is reached")        \
+	X(BEHIND, "behind", "1 while input or timers wait too long")         \
+	X(STORE_UP, "store_up", "1 when the store answered last time")       \
 	X(STORE_ERA, "store_era", "restores of the store, as it states them")
 
 typedef enum gauge_t {
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -164,6 +164,9 @@
 	{"gateway.cold_slack", SETTING_DECIMAL, FIELD(gateway_cold_slack),
 	 REQUIRED_BY_NONE, 0, 1000000, 0, "5",
 	 "requests beside that multiple that a cold target gets in a second"},
+	{"gateway.pace", SETTING_INTEGER, FIELD(gateway_pace), REQUIRED_BY_NONE,
+	 0, 1, 0, "",
+	 "1: restrain targets that have just started or recovered"},
 };
 
 void settings_init(settings_t *settings)
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -79,6 +79,7 @@
 	double gateway_grace_s;
 	double gateway_cold_overage;
 	double gateway_cold_slack;
+	int64_t gateway_pace;
 } settings_t;
 
 void settings_init(settings_t *settings);
--- a/tests/balance_prove.cc
+++ b/tests/balance_prove.cc
@@ -435,4 +435,143 @@
 		EXPECT_EQ(i->kernel.metrics->gauges[GAUGE_TARGETS_COLD], 0);
 }
 
+// A fleet in which all targets answer, before another one starts.
+void build_paced_fleet(World &world, bool pace, int count = 75)
+{
+	world.pace = pace;
+	add_instances(world, count);
+	add_targets(world, 8, 0, 0);
+	world.step_us = USEC_PER_MSEC;
+	world.stream_us = 100 * USEC_PER_MSEC;
+	world.set_demand(800.0 / count);
+	world.run(6 * USEC_PER_SEC);
+}
+
+// Guards against a target that has just started and looks idle to 75 instances
+// at once, and against one that stays idle.
+TEST(FleetPace, StartedTargetIsNeitherFloodedNorIdle)
+{
+	size_t most[2], later[2];
+
+	for (bool pace : {false, true}) {
+		World world(7);
+
+		build_paced_fleet(world, pace);
+		target_t &target = world.add_target("z1");
+		world.run(100 * USEC_PER_MSEC);
+		most[pace] = target.most_running;
+		EXPECT_GE(target.arrivals.size(), 1u);
+		world.run(1900 * USEC_PER_MSEC);
+		later[pace] = world.arrivals(target, world.now - USEC_PER_SEC,
+					     world.now);
+		EXPECT_TRUE(world.refusals.empty());
+	}
+	EXPECT_LE(most[true], 8u);
+	EXPECT_GE(most[false], 2 * most[true]);
+	EXPECT_GE(later[true] * 10, later[false] * 8);
+}
+
+// Guards against a pace that lowers service on a quiet day: all targets start
+// with the fleet, or while it has few requests.
+TEST(FleetPace, QuietFleetIsServedAsWithoutIt)
+{
+	for (bool together : {true, false}) {
+		World world(9);
+
+		world.pace = true;
+		add_instances(world, 20);
+		world.step_us = USEC_PER_MSEC;
+		world.stream_us = 100 * USEC_PER_MSEC;
+		if (!together)
+			world.run(6 * USEC_PER_SEC);
+		add_targets(world, 8, 0, 0);
+		world.set_demand(3.0);
+		world.run(8 * USEC_PER_SEC);
+		EXPECT_TRUE(world.refusals.empty()) << together;
+		EXPECT_GE(world.placed + 3, world.asked) << together;
+		for (auto &t : world.targets)
+			EXPECT_GE(t->arrivals.size(), 10u) << together;
+	}
+}
+
+// Guards against a pace that holds up the requests of all when most targets of
+// a service start at once.
+TEST(FleetPace, TargetsThatStartTogetherUnderLoadAreNotRestrained)
+{
+	World world(15);
+
+	world.pace = true;
+	add_instances(world, 20);
+	world.step_us = USEC_PER_MSEC;
+	world.stream_us = 100 * USEC_PER_MSEC;
+	world.run(6 * USEC_PER_SEC);
+	add_targets(world, 8, 0, 0);
+	world.run(USEC_PER_MSEC);
+	world.set_demand(40.0);
+	world.run(300 * USEC_PER_MSEC);
+	std::sort(world.waits.begin(), world.waits.end());
+	ASSERT_GE(world.waits.size(), 150u);
+	EXPECT_LE(world.waits.back(), 2 * world.step_us);
+	EXPECT_TRUE(world.refusals.empty());
+}
+
+// Guards against a target that has failed and gets the requests of all as soon
+// as it answers again, slowly at first.
+TEST(FleetPace, RecoveringTargetIsSparedUntilItIsFast)
+{
+	size_t most[2];
+
+	for (bool pace : {false, true}) {
+		World world(11);
+
+		build_paced_fleet(world, pace);
+		/* Otherwise the failures are not played. */
+		world.pace = true;
+		target_t &target = *world.targets[0];
+		target.down = true;
+		world.run(500 * USEC_PER_MSEC);
+		target.down = false;
+		target.answer_us = 10 * world.answer_us;
+		world.run(USEC_PER_SEC);
+		target.most_running = target.running;
+		world.run(3 * USEC_PER_SEC);
+		most[pace] = target.most_running;
+		target.answer_us = 0;
+		world.run(6 * USEC_PER_SEC);
+		EXPECT_GE(world.arrivals(target, world.now - USEC_PER_SEC,
+					 world.now),
+			  40u);
+	}
+	/* A quarter of its slots. */
+	EXPECT_LE(most[true], 16u);
+	EXPECT_GE(most[false], 3 * most[true]);
+}
+
+// Guards against one instance with a bad link that restrains a target for all.
+TEST(FleetPace, FailureSeenByOneRestrainsNobodyElse)
+{
+	World world(13);
+
+	build_paced_fleet(world, true, 12);
+	for (int i = 0; i < 5; i++) {
+		instance_t &one = *world.instances[3];
+		peer_body_t body = {};
+		msg_t msg = {};
+
+		body.kind = PEER_TARGET_LIMIT;
+		body.u.limit.limit = {LIMIT_UNKNOWN, 0};
+		g_strlcpy(body.u.limit.target, "t-1", NAME_SIZE);
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, one.incarnation.c_str(),
+			  INCARNATION_SIZE);
+		msg.u.peer.body = peer_body_new(body.kind);
+		*msg.u.peer.body = body;
+		instance_t *home = home_of(world, "t-1");
+		kernel_post(&home->kernel, home->peer, home->balance.svc, &msg);
+		world.run(100 * USEC_PER_MSEC);
+	}
+	for (auto &i : world.instances)
+		EXPECT_EQ(i->kernel.metrics->gauges[GAUGE_TARGETS_PACED], 0);
+}
+
 } // namespace
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -4,6 +4,7 @@
 // balance_prove.cc.
 #include "balance/balance.h"
 #include "balance/limit.h"
+#include "balance/pace.h"
 
 #include <algorithm>
 #include <cstring>
@@ -1205,4 +1206,215 @@
 	}
 }
 
+// Instances that send requests to one target as far as its pace allows.
+class PaceWorld
+{
+      public:
+	static constexpr int64_t STEP = USEC_PER_MSEC;
+	static constexpr int64_t USUAL = 50 * USEC_PER_MSEC;
+	static constexpr int64_t PEER_DELAY = 3 * USEC_PER_MSEC;
+	static constexpr uint32_t ROOM = 32;
+
+	explicit PaceWorld(uint32_t count, uint32_t sides = 1)
+	    : side_count(sides), paces(count), running(count)
+	{
+		for (pace_t &pace : paces)
+			pace_begin(&pace, 0);
+	}
+	// asks_per_s: requests of each instance that might go to the target.
+	// Below the usual time, the target fails at once.
+	void run(int64_t us, double asks_per_s, int64_t answer_us)
+	{
+		int64_t end = now + us;
+
+		while (now < end) {
+			now += STEP;
+			deliver();
+			end_work();
+			for (uint32_t i = 0; i < paces.size(); i++)
+				if ((double)below(1000000) <
+				    asks_per_s * (double)STEP)
+					ask(i, answer_us);
+			most = MAX(most, work.size());
+		}
+	}
+	bool is_free() const
+	{
+		return std::none_of(paces.begin(), paces.end(),
+				    [](const pace_t &p) { return p.active; });
+	}
+	uint32_t max_level() const
+	{
+		uint32_t level = 0;
+
+		for (const pace_t &p : paces)
+			level = MAX(level, p.active ? p.level : 99);
+		return level;
+	}
+	int64_t now = 0;
+	size_t sent = 0, asked = 0, answered = 0, most = 0, news_sent = 0;
+	std::vector<size_t> silent; // instances whose requests go elsewhere
+
+      private:
+	struct work_t {
+		uint32_t instance;
+		int64_t sent_at, ends;
+		pace_answer_t answer;
+	};
+	struct news_t {
+		uint32_t from, level;
+		int64_t arrives;
+	};
+	uint64_t below(uint64_t n)
+	{
+		random = random * 6364136223846793005ULL +
+			 1442695040888963407ULL;
+		return (random >> 33) % n;
+	}
+	void ask(uint32_t i, int64_t answer_us)
+	{
+		uint32_t count = (uint32_t)paces.size();
+		pace_place_t place = {i / side_count, count / side_count, count,
+				      running[i], USUAL};
+
+		asked++;
+		if (std::count(silent.begin(), silent.end(), i) > 0 ||
+		    !pace_is_open(&paces[i], &place, now))
+			return;
+		sent++;
+		running[i]++;
+		work.push_back({i, now, now + answer_us,
+				answer_us < USUAL
+					? PACE_FAILED
+					: pace_rate_answer(answer_us, USUAL)});
+	}
+	void end_work()
+	{
+		for (size_t w = 0; w < work.size();) {
+			work_t done = work[w];
+			pace_t *pace = &paces[done.instance];
+
+			if (done.ends > now) {
+				w++;
+				continue;
+			}
+			work.erase(work.begin() + (long)w);
+			running[done.instance]--;
+			answered++;
+			if (!pace->active && done.answer == PACE_FAILED)
+				pace_begin(pace, now);
+			if (pace_answered(pace, done.answer, done.sent_at, ROOM,
+					  now)) {
+				news_sent++;
+				news.push_back(
+					{done.instance,
+					 pace->active ? pace->level : PACE_FREE,
+					 now + PEER_DELAY});
+			}
+		}
+	}
+	void deliver()
+	{
+		for (size_t n = 0; n < news.size();) {
+			news_t item = news[n];
+
+			if (item.arrives > now) {
+				n++;
+				continue;
+			}
+			news.erase(news.begin() + (long)n);
+			for (uint32_t i = 0; i < paces.size(); i++)
+				if (i % side_count == item.from % side_count)
+					pace_told(&paces[i], item.level, ROOM,
+						  now);
+		}
+	}
+	uint32_t side_count;
+	uint64_t random = 1;
+	std::vector<pace_t> paces;
+	std::vector<uint32_t> running;
+	std::vector<work_t> work;
+	std::vector<news_t> news;
+};
+
+// Guards against a target that has just started and gets a request of each of
+// 75 instances at once, and against one that stays restrained.
+TEST(Pace, FloodedStartGrowsWithItsAnswers)
+{
+	PaceWorld world(75);
+
+	world.run(40 * USEC_PER_MSEC, 1000.0, PaceWorld::USUAL);
+	EXPECT_GE(world.sent, 1u);
+	EXPECT_LE(world.most, 2u);
+	world.run(70 * USEC_PER_MSEC, 1000.0, PaceWorld::USUAL);
+	EXPECT_LE(world.most, 8u);
+	while (!world.is_free() && world.now < 2 * USEC_PER_SEC) {
+		world.run(PaceWorld::STEP, 1000.0, PaceWorld::USUAL);
+		EXPECT_TRUE(world.is_free() ||
+			    world.most <= 2 * PaceWorld::ROOM);
+	}
+	EXPECT_LE(world.now, 500 * USEC_PER_MSEC);
+}
+
+// Guards against a target that is left idle since the instances that may send
+// first have no requests for it, and against one that needs many answers.
+TEST(Pace, IdleStartOpensWithinAFewAnswers)
+{
+	PaceWorld quiet(75), absent(75);
+
+	quiet.run(6 * USEC_PER_SEC, 0.2, PaceWorld::USUAL);
+	EXPECT_TRUE(quiet.is_free());
+	EXPECT_LE(quiet.news_sent, 6u);
+	EXPECT_GE(quiet.sent * 2, quiet.asked);
+	for (size_t i = 0; i < 40; i++)
+		absent.silent.push_back(i);
+	absent.run(4 * USEC_PER_SEC, 2.0, PaceWorld::USUAL);
+	EXPECT_TRUE(absent.is_free());
+	/* It has cached nothing yet. */
+	PaceWorld uncached(75);
+	uncached.run(10 * USEC_PER_SEC, 1.0, 2 * PaceWorld::USUAL);
+	EXPECT_TRUE(uncached.is_free());
+}
+
+// Guards against a target that answers slowly and gets more and more, or
+// nothing at all.
+TEST(Pace, SlowTargetStaysRestrained)
+{
+	PaceWorld world(75);
+
+	world.run(5 * USEC_PER_SEC, 100.0, 5 * PaceWorld::USUAL);
+	EXPECT_EQ(world.max_level(), 0u);
+	EXPECT_GE(world.answered, 15u);
+	EXPECT_LE(world.most, 12u);
+	world.run(USEC_PER_SEC, 100.0, PaceWorld::USUAL);
+	EXPECT_TRUE(world.is_free());
+}
+
+// Guards against a window that stays as wide as it was when the target fails
+// again.
+TEST(Pace, TargetThatFailsAgainGetsLess)
+{
+	PaceWorld world(75);
+
+	world.run(160 * USEC_PER_MSEC, 1000.0, PaceWorld::USUAL);
+	ASSERT_GE(world.max_level(), 2u);
+	ASSERT_FALSE(world.is_free());
+	world.run(300 * USEC_PER_MSEC, 1000.0, 5 * USEC_PER_MSEC);
+	EXPECT_EQ(world.max_level(), 0u);
+	EXPECT_FALSE(world.is_free());
+	world.run(USEC_PER_SEC, 1000.0, PaceWorld::USUAL);
+	EXPECT_TRUE(world.is_free());
+}
+
+// Guards against sides of a partition that each use the whole window.
+TEST(Pace, SidesOfAPartitionShareTheWindow)
+{
+	PaceWorld world(75, 3);
+
+	world.run(45 * USEC_PER_MSEC, 1000.0, PaceWorld::USUAL);
+	EXPECT_LE(world.most, 3u);
+	world.run(55 * USEC_PER_MSEC, 1000.0, PaceWorld::USUAL);
+	EXPECT_LE(world.most, 6u);
+}
+
 } // namespace
--- a/tests/balance_world.h
+++ b/tests/balance_world.h
@@ -40,7 +40,9 @@
 struct target_t {
 	std::string id, zone;
 	target_limit_t limit = {LIMIT_NONE, 0};
-	bool down = false;
+	bool down = false; // with World::pace: it resets all connections
+	int64_t answer_us = 0; // 0: as World::answer_us
+	size_t running = 0, most_running = 0;
 	int64_t named_at = -1; // first response that stated the limit
 	std::vector<arrival_t> arrivals;
 	std::map<uint32_t, int64_t> told; // instance -> first such response
@@ -133,6 +135,7 @@
 	int64_t step_us = 500;
 	int64_t peer_delay_us = 1400;
 	int64_t answer_us = 80 * USEC_PER_MSEC;
+	bool pace = false; // of instances that are added later
 	int64_t stream_us = 1500 * USEC_PER_MSEC;
 	int64_t wait_us = 250 * USEC_PER_MSEC;
 	// Share of the requests that go to the busiest instance; 0: even.
@@ -187,6 +190,7 @@
 	fleet = kernel_register(&kernel, "fleet", receive, this);
 	peer = kernel_register(&kernel, "peer", receive, this);
 	balance_init(&balance, &kernel, incarnation.c_str(), zone.c_str());
+	balance_set_pace(&balance, world->pace);
 	kernel_start(&kernel);
 	msg.kind = MSG_FLEET_CONF;
 	msg.u.fleet_conf = fleet_conf_new();
@@ -489,6 +493,20 @@
 
 	if (to == nullptr)
 		return;
+	if (pace && target->down) {
+		msg.kind = MSG_PLACE_DONE;
+		msg.ref = placement;
+		msg.u.place_done.result = PLACE_RESET;
+		kernel_post(&to->kernel, to->proxy, to->balance.svc, &msg);
+		target->running--;
+		return;
+	}
+	if (pace) {
+		msg.kind = MSG_PLACE_FIRST_BYTE;
+		msg.ref = placement;
+		kernel_post(&to->kernel, to->proxy, to->balance.svc, &msg);
+		msg = {};
+	}
 	msg.kind = MSG_PLACE_REPORT;
 	msg.ref = placement;
 	msg.u.place_report.limit = target->limit;
@@ -501,10 +519,11 @@
 		target->told.emplace(number, now);
 	}
 	kernel_post(&to->kernel, to->proxy, to->balance.svc, &msg);
-	at(now + stream_us, [this, incarnation, placement] {
+	at(now + stream_us, [this, incarnation, target, placement] {
 		instance_t *owner = find(incarnation);
 		msg_t done = {};
 
+		target->running--;
 		if (owner == nullptr)
 			return;
 		done.kind = MSG_PLACE_DONE;
@@ -534,9 +553,12 @@
 	if (now >= target->cold_known_at && now < target->cold_until)
 		target->cold_arrivals.push_back(
 			now + (int64_t)below((uint64_t)late_us + 1));
-	at(now + answer_us, [this, number, incarnation, target, placement] {
-		answer(number, incarnation, target, placement);
-	});
+	target->running++;
+	target->most_running = MAX(target->most_running, target->running);
+	at(now + (target->answer_us > 0 ? target->answer_us : answer_us),
+	   [this, number, incarnation, target, placement] {
+		   answer(number, incarnation, target, placement);
+	   });
 }
 
 inline void World::on_refused(instance_t &from, const msg_t *msg)
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -138,7 +138,7 @@
 "gateway":{"callers":"127.0.0.1:1","readiness":"127.0.0.1:2",
 "metrics":"127.0.0.1:3","peers":"127.0.0.1:4","store":"127.0.0.1:5",
 "retry_slack":33.157894736842103,"retry_window_s":9.5,"grace_s":7.25,
-"cold_overage":1.25,"cold_slack":0},
+"cold_overage":1.25,"cold_slack":0,"pace":1},
 "peer":{"key":"0123456789abcdef"}})",
 				 -1, &err),
 		  SETTINGS_OK)
@@ -148,6 +148,7 @@
 	EXPECT_DOUBLE_EQ(settings.gateway_grace_s, 7.25);
 	EXPECT_DOUBLE_EQ(settings.gateway_cold_overage, 1.25);
 	EXPECT_DOUBLE_EQ(settings.gateway_cold_slack, 0.0);
+	EXPECT_EQ(settings.gateway_pace, 1);
 	EXPECT_NE(parse(R"({"gateway":{"retry_slack":-0.5}})", &err),
 		  SETTINGS_OK);
 	EXPECT_NE(strstr(err.text, "a number from 0 to 1000000"), nullptr)
