Hear from a report that a target is cold

Cause: a process that follows another one at an address is cold, and its entry comes later. The report that it is asked for carries Cold-Ms, and its head was not read for more than the status.

Change: the head of a report is read as that of any response.

Balance.ReportTellsThatATargetIsCold fails without the change.

--- a/balance/process.c
+++ b/balance/process.c
@@ -1,5 +1,6 @@
 #include "balance/process.h"
 
+#include "balance/heat.h"
 #include "balance/queue.h"
 #include "log/log.h"
 #include "platform/entries.h"
@@ -363,6 +364,19 @@
 	finish_report(balance, report, false, false);
 }
 
+/* Another process at the address is cold as well, and its entry comes later. */
+static void head_came(balance_t *balance, report_t *report,
+		      const http_head_t *head)
+{
+	balance_target_t *target =
+		g_hash_table_lookup(balance->targets_by_id, report->id);
+	target_report_t stated = {.cold_ms = wire_read_cold_ms(head)};
+
+	report->status = head->status;
+	if (target != NULL && head->status == STATUS_OK)
+		heat_heard(balance, target, &stated);
+}
+
 void process_report_received(balance_t *balance, const msg_t *msg)
 {
 	report_t *report = table_get(&balance->reports, msg->ref);
@@ -374,7 +388,7 @@
 		report->call = msg->id;
 		break;
 	case MSG_OUT_HEAD:
-		report->status = msg->u.out_head.head->status;
+		head_came(balance, report, msg->u.out_head.head);
 		break;
 	case MSG_OUT_DATA:
 		add_bytes(balance, report, msg->u.data.bytes);
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -31,6 +31,7 @@
 
 	svc_t peer, outbound;
 	int64_t reported_start = 0; // of the process; 0: it sends no report
+	int64_t reported_cold_ms = 0;
 	bool refuses = false; // it accepts no connections
 	size_t reports = 0;
 	std::vector<handle_t> confirmed;
@@ -92,6 +93,8 @@
 		engine.engine = true;
 		engine.kv_cache_tokens = 100000;
 		engine.max_connections = 1000;
+		engine.cold_ms = 3000;
+		engine.cold_per_ks = 12000;
 		g_array_append_val(msg.u.fleet_conf->services, engine);
 		g_strlcpy(call.name, "call", sizeof(call.name));
 		call.max_connections = 1000;
@@ -237,6 +240,9 @@
 		}
 		msg.kind = MSG_OUT_HEAD;
 		msg.u.out_head.head = http_head_response(200);
+		if (reported_cold_ms > 0)
+			http_head_add_int(msg.u.out_head.head, "Cold-Ms",
+					  reported_cold_ms);
 		kernel_post(&kernel, outbound, request->from, &msg);
 		msg.kind = MSG_OUT_DATA;
 		msg.ref = request->id;
@@ -894,6 +900,29 @@
 	EXPECT_LE(g_hash_table_size(a.balance.kept_notices), 1024u);
 }
 
+// Guards against a process that has just started behind the address of another
+// one, is cold, and gets what the former one sustained until its entry comes.
+TEST(Balance, ReportTellsThatATargetIsCold)
+{
+	instance_t i("z1", 1);
+
+	i.run(USEC_PER_SEC);
+	i.set_target("engine", "t1", "z1");
+	i.reported_start = 2;
+	i.reported_cold_ms = 2500;
+	i.request(1, "engine", 1, 0, "v1");
+	i.finish_request(0, PLACE_RESET);
+	i.request(2, "engine", 1, 0, "v1");
+	i.run(60 * USEC_PER_MSEC);
+	ASSERT_EQ(i.reports, 1u);
+	EXPECT_EQ(i.kernel.metrics->gauges[GAUGE_TARGETS_COLD], 1);
+	for (uint32_t n = 3; n < 20; n++)
+		i.request(n, "engine", n);
+	EXPECT_EQ(i.placed.size(), 1u);
+	i.run(3 * USEC_PER_SEC);
+	EXPECT_EQ(i.kernel.metrics->gauges[GAUGE_TARGETS_COLD], 0);
+}
+
 // Admits requests of a priority as often as possible until a time.
 std::vector<int64_t> admit_all(limit_t *limit, int64_t from, int64_t to,
 			       int64_t wait, uint32_t priority = 0)
