--- a/balance/balance.c
+++ b/balance/balance.c
@@ -4,8 +4,10 @@
 
 #include "balance/evacuation.h"
 #include "balance/flow.h"
+#include "balance/heat.h"
 #include "balance/home.h"
 #include "balance/notice.h"
+#include "balance/pacing.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
 #include "balance/process.h"
@@ -51,6 +53,9 @@
 	target->resumable =
 		balance->conf != NULL &&
 		has_resumable_route(balance->conf, target->info.service);
+	target->cold_us =
+		service != NULL ? service->cold_ms * USEC_PER_MSEC : 0;
+	target->cold_per_ks = service != NULL ? service->cold_per_ks : 0;
 	if (!target->resumable)
 		process_replaced(target);
 }
@@ -60,6 +65,8 @@
 	const fleet_target_t *info = &msg->u.fleet_target.target;
 	balance_target_t *target =
 		g_hash_table_lookup(balance->targets_by_id, info->id);
+	bool used = target != NULL;
+	bool started = !used || target->info.started_ms != info->started_ms;
 	handle_t self;
 
 	if (msg->u.fleet_target.gone) {
@@ -84,6 +91,9 @@
 	target->unavailable = info->draining;
 	target->evacuated = evacuation_covers(balance, info->zone);
 	update_service_info(balance, target);
+	heat_listed(balance, target, used);
+	if (started)
+		pacing_listed(balance, target);
 	queue_run(balance);
 }
 
@@ -96,6 +106,7 @@
 	balance->conf = g_steal_pointer(&msg->u.fleet_conf);
 	while ((target = table_next(&balance->targets, &cursor, NULL)) != NULL)
 		update_service_info(balance, target);
+	heat_update_gauge(balance);
 }
 
 static void start(balance_t *balance)
@@ -127,6 +138,9 @@
 	case BALANCE_TIMER_ZONES:
 		zones_check(balance);
 		break;
+	case BALANCE_TIMER_COLD:
+		heat_timed_out(balance, msg->ref);
+		break;
 	}
 }
 
@@ -146,7 +160,10 @@
 		process_told(balance, msg->u.peer.body);
 		break;
 	case PEER_TARGET_LIMIT:
-		home_told(balance, msg->u.peer.body);
+		if (msg->u.peer.body->u.limit.limit.kind == LIMIT_UNKNOWN)
+			pacing_told(balance, msg);
+		else
+			home_told(balance, msg->u.peer.body);
 		break;
 	case PEER_PERMIT_REQUEST:
 		permit_asked(balance, msg);
@@ -180,18 +197,22 @@
 		evacuation_changed(balance, msg);
 		break;
 	case MSG_FLEET_SIZE:
+		heat_update_share(balance);
 		balance->instances = msg->u.fleet_size.instances;
 		break;
 	case MSG_PEER_RECEIVED:
 		receive_peer(balance, msg);
 		break;
 	case MSG_PEER_UP:
+		heat_update_share(balance);
 		peer_set_update(&balance->peers, msg);
 		home_tell_peer(balance, msg->u.peer_addr.incarnation);
 		process_tell_peer(balance, msg->u.peer_addr.incarnation);
 		break;
 	case MSG_PEER_DOWN:
+		heat_update_share(balance);
 		peer_set_update(&balance->peers, msg);
+		heat_peer_lost(balance, msg);
 		break;
 	case MSG_TARGET_REFUSED:
 		process_refused(balance, msg->u.target_refused.id);
@@ -238,6 +259,9 @@
 	memset(balance, 0, sizeof(*balance));
 	balance->kernel = kernel;
 	balance->instances = 1;
+	balance->started_at = kernel_now(kernel);
+	balance->cold_bounds = COLD_BOUNDS_DEFAULT;
+	balance->cold_share.changed_at = kernel_now(kernel);
 	g_strlcpy(balance->incarnation, incarnation,
 		  sizeof(balance->incarnation));
 	g_strlcpy(balance->zone, zone, sizeof(balance->zone));
@@ -255,6 +279,16 @@
 	balance->svc = kernel_register(kernel, "balance", receive, balance);
 }
 
+void balance_set_cold_bounds(balance_t *balance, const cold_bounds_t *bounds)
+{
+	balance->cold_bounds = *bounds;
+}
+
+void balance_set_pace(balance_t *balance, bool pace)
+{
+	balance->pace = pace;
+}
+
 void balance_finish(balance_t *balance)
 {
 	uint32_t cursor = 0;
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -1,7 +1,9 @@
 #include "balance/choose.h"
 
 #include "balance/brittle.h"
+#include "balance/heat.h"
 #include "balance/notice.h"
+#include "balance/pacing.h"
 #include "balance/permit.h"
 #include "balance/placement.h"
 #include "balance/process.h"
@@ -184,13 +186,15 @@
 	} else if (found->later != NULL) {
 		choice->kind = CHOICE_ASK;
 		choice->u.ask.target = found->later;
-	} else if (count[PASS_FULL] + count[PASS_LIMITED] + count[PASS_PAUSED] >
+	} else if (count[PASS_FULL] + count[PASS_LIMITED] + count[PASS_PAUSED] +
+				   count[PASS_COLD] + count[PASS_PACED] >
 			   0 ||
 		   found->reporting) {
 		choice->kind = CHOICE_WAIT;
 		choice->u.wait.until = found->room_at;
 		choice->u.wait.known =
-			count[PASS_FULL] == 0 && !found->reporting;
+			count[PASS_FULL] + count[PASS_PACED] == 0 &&
+			!found->reporting;
 	} else if (found->cut_off != NULL) {
 		/* The zone may be reached again, or never was cut off. */
 		choice->kind = CHOICE_TARGET;
@@ -202,7 +206,8 @@
 
 static pass_reason_t reason_to_pass(const balance_t *balance,
 				    const balance_target_t *target,
-				    const msg_t *request, int64_t now)
+				    const msg_t *request, bool paced,
+				    int64_t now)
 {
 	if (target->evacuated)
 		return PASS_EVACUATED;
@@ -222,7 +227,11 @@
 		return PASS_FULL;
 	if (zones_is_cut(balance, target))
 		return PASS_ZONE_CUT;
-	return permit_is_open(target, now) ? PASS_NONE : PASS_LIMITED;
+	if (paced && !pacing_is_open(balance, target, now))
+		return PASS_PACED;
+	if (permit_is_open(target, now))
+		return PASS_NONE;
+	return heat_is_cold(target, now) ? PASS_COLD : PASS_LIMITED;
 }
 
 static int64_t stated_at(const target_notice_t *notice, pass_reason_t reason)
@@ -254,7 +263,8 @@
 {
 	return passed_over->count[PASS_LEAVING] +
 		       passed_over->count[PASS_PAUSED] +
-		       passed_over->count[PASS_LIMITED] >
+		       passed_over->count[PASS_LIMITED] +
+		       passed_over->count[PASS_COLD] >
 	       0;
 }
 
@@ -302,7 +312,7 @@
 static bool needs_cost(pass_reason_t reason)
 {
 	return reason == PASS_NONE || reason == PASS_LIMITED ||
-	       reason == PASS_ZONE_CUT;
+	       reason == PASS_COLD || reason == PASS_ZONE_CUT;
 }
 
 /* considered is NULL for a choice; otherwise the search has no effect. */
@@ -314,6 +324,9 @@
 	preferred_t preferred = preferred_for(balance, request);
 	candidates_t found = {.room_at = INT64_MAX};
 	balance_target_t *target;
+	/* A stream that goes on may have no other target. */
+	bool paced = !request->u.place.one_version &&
+		     pacing_applies(balance, request->u.place.service);
 	uint32_t cursor = 0;
 	double cost;
 
@@ -325,7 +338,7 @@
 
 		if (strcmp(target->info.service, request->u.place.service) != 0)
 			continue;
-		reason = reason_to_pass(balance, target, request, now);
+		reason = reason_to_pass(balance, target, request, paced, now);
 		if (reason != PASS_NONE)
 			count_passed(&choice->passed_over, target, reason);
 		cost = 0.0;
@@ -340,6 +353,7 @@
 				      cost);
 			break;
 		case PASS_LIMITED:
+		case PASS_COLD:
 			add_limited(&found, target, &limit_request, cost, now);
 			break;
 		case PASS_ZONE_CUT:
--- a/balance/queue.c
+++ b/balance/queue.c
@@ -198,7 +198,10 @@
 
 	if (target == NULL)
 		return false;
-	queue_wake_at(balance, target->permits[target->claimed++]);
+	/* A valid permit of a target that is full waits for its room. */
+	if (target->permits[target->claimed] > kernel_now(balance->kernel))
+		queue_wake_at(balance, target->permits[target->claimed]);
+	target->claimed++;
 	return true;
 }
 
--- a/balance/target.h
+++ b/balance/target.h
@@ -6,7 +6,9 @@
 #define BALANCE_TARGET_H
 
 #include "balance/balance.h"
+#include "balance/cold.h"
 #include "balance/limit.h"
+#include "balance/pace.h"
 
 G_BEGIN_DECLS
 
@@ -29,6 +31,7 @@
 	int64_t paused_at; /* monotonic, us; when it was stated */
 	limit_t limit;
 	brittle_t brittle;
+	cold_t cold;
 } target_notice_t;
 
 /* Whether another process may have the address; see balance/process.h. */
@@ -49,6 +52,10 @@
 	bool resumable; /* a route takes up streams again at its service */
 	process_doubt_t doubt;
 	int64_t kv_cache_tokens; /* capacity of the KV cache */
+	int64_t cold_us; /* for which it is cold after a start */
+	/* Requests in 1,000 s that it sustains while it is cold; 0: never cold.
+	 */
+	uint32_t cold_per_ks;
 	bool unavailable; /* draining or gone: gets no new requests */
 	bool evacuated; /* its zone gets no new requests */
 	uint32_t outstanding; /* requests of this instance */
@@ -58,6 +65,11 @@
 	int64_t load_at; /* monotonic, us */
 	uint32_t outstanding_at_load; /* outstanding at the last report */
 	target_notice_t notice;
+	pace_t pace;
+	double answer_us; /* mean time to an answer; 0: none */
+	/* Instance that has seen the target fail, as told to its home. */
+	char doubter[INCARNATION_SIZE];
+	int64_t doubter_at; /* monotonic, us */
 	int64_t end_told_at; /* monotonic, us; the limit's end, to the home */
 	/* Permits of the home: when they become valid; monotonic, us. */
 	int64_t permits[PERMITS_MAX];
--- a/kernel/refusal.h
+++ b/kernel/refusal.h
@@ -81,7 +81,9 @@
 	X(VERSION, "version")         \
 	X(DOUBTED, "doubted")         \
 	X(EVACUATED, "evacuated")     \
-	X(ZONE_CUT, "zone_cut")
+	X(ZONE_CUT, "zone_cut")       \
+	X(COLD, "cold")               \
+	X(PACED, "paced")
 
 typedef enum pass_reason_t {
 	PASS_NONE,
--- a/tests/balance_prove.cc
+++ b/tests/balance_prove.cc
@@ -310,4 +310,268 @@
 	EXPECT_LE(world.worst_excess(), 0);
 }
 
+// A fleet that has run for some time, with demand beyond what its cold targets
+// sustain, and requests that reach their targets up to 180 ms late.
+void build_cold_fleet(World &world, int count)
+{
+	add_instances(world, count);
+	add_targets(world, 4, 0, 0);
+	world.late_us = 180 * USEC_PER_MSEC;
+	world.stream_us = 100 * USEC_PER_MSEC;
+	world.step_us = USEC_PER_MSEC;
+	world.set_demand(300.0 / count);
+	world.run(5 * USEC_PER_SEC);
+}
+
+// Guards against a cold target that crashes, because each instance looks at its
+// own requests only, and against one that is left without requests.
+TEST(FleetCold, TargetGetsWhatItSustains)
+{
+	for (int count : {1, 7, 75}) {
+		World world(3);
+		int64_t from;
+
+		build_cold_fleet(world, count);
+		from = world.now;
+		target_t &target = world.add_cold_target("z1");
+		world.run(COLD_MS * USEC_PER_MSEC);
+		EXPECT_LE(world.worst_cold_second(), COLD_BOUND) << count;
+		EXPECT_GE(world.arrivals(target, from, world.now), 27u)
+			<< count;
+		world.run(USEC_PER_SEC);
+		EXPECT_GE(world.arrivals(target, world.now - USEC_PER_SEC,
+					 world.now),
+			  30u)
+			<< count;
+	}
+}
+
+// Guards against two homes that each admit the whole rate: at the sides of a
+// cut that is noticed late, after a home was replaced or stood still, and as
+// the sides meet again.
+TEST(FleetCold, BoundHoldsWhileHomesChange)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		World world(seed);
+		int64_t late = (int64_t)world.below(6) * USEC_PER_SEC;
+		int cut;
+
+		build_cold_fleet(world, 12);
+		for (int i = 0; i < 4; i++)
+			world.add_cold_target(zones[i]);
+		world.run(USEC_PER_MSEC);
+		cut = 2 + (int)world.below(7);
+		switch (seed % 4) {
+		case 0:
+			for (int i = 0; i < cut; i++)
+				world.cut((uint32_t)i, 1 + i % 2, late);
+			break;
+		case 1:
+			world.restart((uint32_t)world.below(12));
+			world.restart((uint32_t)world.below(12));
+			break;
+		case 2:
+			home_of(world, "t-5")->frozen = true;
+			break;
+		case 3:
+			for (int i = 0; i < cut; i++)
+				world.cut((uint32_t)i, 1, 0);
+			world.run(300 * USEC_PER_MSEC);
+			for (int i = 0; i < cut; i++)
+				world.cut((uint32_t)i, 0, USEC_PER_SEC);
+			break;
+		}
+		world.run(USEC_PER_SEC + (int64_t)world.below(1000000));
+		for (auto &i : world.instances)
+			i->frozen = false;
+		world.run(2 * USEC_PER_SEC);
+		EXPECT_LE(world.worst_cold_second(), COLD_BOUND) << seed;
+	}
+}
+
+// Guards against a target that becomes cold again and gets what was sent
+// before. It counts from the time at which its entry has reached all.
+TEST(FleetCold, TargetThatBecomesColdAgainGetsLess)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		World world(seed);
+		bool cut = seed % 3 == 0;
+
+		build_cold_fleet(world, 12);
+		for (uint32_t i = 0; i < 5 && cut; i++)
+			world.cut(i, 1, 0);
+		for (auto &t : world.targets) {
+			t->states_cold = seed % 2 == 0;
+			world.chill(*t, 600 * USEC_PER_MSEC);
+		}
+		world.run(4 * USEC_PER_SEC);
+		EXPECT_LE(world.worst_cold_second(), COLD_BOUND) << seed;
+		EXPECT_GE(world.arrivals(*world.targets[0],
+					 world.now - USEC_PER_SEC, world.now),
+			  30u)
+			<< seed;
+	}
+}
+
+// Guards against requests that go on until the entry comes although a response
+// has said that the target is cold.
+TEST(FleetCold, ResponseTellsAllInstances)
+{
+	World world(5);
+
+	build_cold_fleet(world, 12);
+	target_t &target = *world.targets[0];
+	target.states_cold = true;
+	target.cold_until = world.now + COLD_MS * USEC_PER_MSEC;
+	target.cold_known_at = world.now + 120 * USEC_PER_MSEC;
+	world.run(2500 * USEC_PER_MSEC);
+	EXPECT_LE(world.worst_cold_second(), COLD_BOUND);
+	EXPECT_GE(
+		world.instances[0]->kernel.metrics->gauges[GAUGE_TARGETS_COLD],
+		1);
+	/* Instances do not keep the news alive among them. */
+	world.run(1500 * USEC_PER_MSEC);
+	for (auto &i : world.instances)
+		EXPECT_EQ(i->kernel.metrics->gauges[GAUGE_TARGETS_COLD], 0);
+}
+
+// A fleet in which all targets answer, before another one starts.
+void build_paced_fleet(World &world, bool pace, int count = 75)
+{
+	world.pace = pace;
+	add_instances(world, count);
+	add_targets(world, 8, 0, 0);
+	world.step_us = USEC_PER_MSEC;
+	world.stream_us = 100 * USEC_PER_MSEC;
+	world.set_demand(800.0 / count);
+	world.run(6 * USEC_PER_SEC);
+}
+
+// Guards against a target that has just started and looks idle to 75 instances
+// at once, and against one that stays idle.
+TEST(FleetPace, StartedTargetIsNeitherFloodedNorIdle)
+{
+	size_t most[2], later[2];
+
+	for (bool pace : {false, true}) {
+		World world(7);
+
+		build_paced_fleet(world, pace);
+		target_t &target = world.add_target("z1");
+		world.run(100 * USEC_PER_MSEC);
+		most[pace] = target.most_running;
+		EXPECT_GE(target.arrivals.size(), 1u);
+		world.run(1900 * USEC_PER_MSEC);
+		later[pace] = world.arrivals(target, world.now - USEC_PER_SEC,
+					     world.now);
+		EXPECT_TRUE(world.refusals.empty());
+	}
+	EXPECT_LE(most[true], 8u);
+	EXPECT_GE(most[false], 2 * most[true]);
+	EXPECT_GE(later[true] * 10, later[false] * 8);
+}
+
+// Guards against a pace that lowers service on a quiet day: all targets start
+// with the fleet, or while it has few requests.
+TEST(FleetPace, QuietFleetIsServedAsWithoutIt)
+{
+	for (bool together : {true, false}) {
+		World world(9);
+
+		world.pace = true;
+		add_instances(world, 20);
+		world.step_us = USEC_PER_MSEC;
+		world.stream_us = 100 * USEC_PER_MSEC;
+		if (!together)
+			world.run(6 * USEC_PER_SEC);
+		add_targets(world, 8, 0, 0);
+		world.set_demand(3.0);
+		world.run(8 * USEC_PER_SEC);
+		EXPECT_TRUE(world.refusals.empty()) << together;
+		EXPECT_GE(world.placed + 3, world.asked) << together;
+		for (auto &t : world.targets)
+			EXPECT_GE(t->arrivals.size(), 10u) << together;
+	}
+}
+
+// Guards against a pace that holds up the requests of all when most targets of
+// a service start at once.
+TEST(FleetPace, TargetsThatStartTogetherUnderLoadAreNotRestrained)
+{
+	World world(15);
+
+	world.pace = true;
+	add_instances(world, 20);
+	world.step_us = USEC_PER_MSEC;
+	world.stream_us = 100 * USEC_PER_MSEC;
+	world.run(6 * USEC_PER_SEC);
+	add_targets(world, 8, 0, 0);
+	world.run(USEC_PER_MSEC);
+	world.set_demand(40.0);
+	world.run(300 * USEC_PER_MSEC);
+	std::sort(world.waits.begin(), world.waits.end());
+	ASSERT_GE(world.waits.size(), 150u);
+	EXPECT_LE(world.waits.back(), 2 * world.step_us);
+	EXPECT_TRUE(world.refusals.empty());
+}
+
+// Guards against a target that has failed and gets the requests of all as soon
+// as it answers again, slowly at first.
+TEST(FleetPace, RecoveringTargetIsSparedUntilItIsFast)
+{
+	size_t most[2];
+
+	for (bool pace : {false, true}) {
+		World world(11);
+
+		build_paced_fleet(world, pace);
+		/* Otherwise the failures are not played. */
+		world.pace = true;
+		target_t &target = *world.targets[0];
+		target.down = true;
+		world.run(500 * USEC_PER_MSEC);
+		target.down = false;
+		target.answer_us = 10 * world.answer_us;
+		world.run(USEC_PER_SEC);
+		target.most_running = target.running;
+		world.run(3 * USEC_PER_SEC);
+		most[pace] = target.most_running;
+		target.answer_us = 0;
+		world.run(6 * USEC_PER_SEC);
+		EXPECT_GE(world.arrivals(target, world.now - USEC_PER_SEC,
+					 world.now),
+			  40u);
+	}
+	/* A quarter of its slots. */
+	EXPECT_LE(most[true], 16u);
+	EXPECT_GE(most[false], 3 * most[true]);
+}
+
+// Guards against one instance with a bad link that restrains a target for all.
+TEST(FleetPace, FailureSeenByOneRestrainsNobodyElse)
+{
+	World world(13);
+
+	build_paced_fleet(world, true, 12);
+	for (int i = 0; i < 5; i++) {
+		instance_t &one = *world.instances[3];
+		peer_body_t body = {};
+		msg_t msg = {};
+
+		body.kind = PEER_TARGET_LIMIT;
+		body.u.limit.limit = {LIMIT_UNKNOWN, 0};
+		g_strlcpy(body.u.limit.target, "t-1", NAME_SIZE);
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, one.incarnation.c_str(),
+			  INCARNATION_SIZE);
+		msg.u.peer.body = peer_body_new(body.kind);
+		*msg.u.peer.body = body;
+		instance_t *home = home_of(world, "t-1");
+		kernel_post(&home->kernel, home->peer, home->balance.svc, &msg);
+		world.run(100 * USEC_PER_MSEC);
+	}
+	for (auto &i : world.instances)
+		EXPECT_EQ(i->kernel.metrics->gauges[GAUGE_TARGETS_PACED], 0);
+}
+
 } // namespace
