--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -44,7 +44,7 @@
 	uint32_t busy; /* requests in progress */
 	fleet_limits_t limits;
 	fleet_conf_t *conf; /* NULL until one is received */
-	admission_t admission;
+	admission_state_t admission;
 	int64_t measured_at; /* monotonic, us; last MSG_LOAD; 0: none */
 	double excess; /* part of the callers that is moved */
 	bool ready; /* a configuration has been received */
--- a/overload/admission.c
+++ b/overload/admission.c
@@ -45,7 +45,7 @@
 /* While the link is idle, requests move less than they are taken for. */
 #define SCALE_MAX 2
 
-void admission_init(admission_t *admission, double link_mbps)
+void admission_init(admission_state_t *admission, double link_mbps)
 {
 	memset(admission, 0, sizeof(*admission));
 	admission->capacity =
@@ -53,7 +53,8 @@
 	admission->scale = 1;
 }
 
-static admission_kind_t *find_kind(admission_t *admission, const char *route)
+static admission_kind_t *find_kind(admission_state_t *admission,
+				   const char *route)
 {
 	for (uint32_t i = 0; i < ADMISSION_KINDS_MAX; i++) {
 		admission_kind_t *kind = &admission->kinds[i];
@@ -68,7 +69,8 @@
 	return NULL;
 }
 
-static double expected_answer(const admission_t *admission, const char *route)
+static double expected_answer(const admission_state_t *admission,
+			      const char *route)
 {
 	for (uint32_t i = 0; i < ADMISSION_KINDS_MAX; i++)
 		if (strcmp(admission->kinds[i].route, route) == 0)
@@ -76,7 +78,7 @@
 	return ANSWER_DEFAULT;
 }
 
-static double cost_of(const admission_t *admission,
+static double cost_of(const admission_state_t *admission,
 		      const admission_request_t *request)
 {
 	double cost = (double)request->bytes +
@@ -86,13 +88,14 @@
 }
 
 /* Bytes for the least priority weigh the most. */
-static double weight_of(const admission_t *admission,
+static double weight_of(const admission_state_t *admission,
 			const admission_request_t *request)
 {
 	return cost_of(admission, request) * (1 + MAX(request->priority, 0));
 }
 
-static double drained(const admission_t *admission, double backlog, int64_t now)
+static double drained(const admission_state_t *admission, double backlog,
+		      int64_t now)
 {
 	double rate =
 		admission->capacity * ADMISSION_UTILIZATION * admission->scale;
@@ -102,7 +105,7 @@
 }
 
 /* Returns the backlog in bytes at which the request is refused. */
-static double threshold_of(const admission_t *admission,
+static double threshold_of(const admission_state_t *admission,
 			   const admission_request_t *request)
 {
 	double longest = (double)ADMISSION_BACKLOG_US * admission->capacity *
@@ -116,7 +119,7 @@
 	return MAX(longest / (1 + relative), CALM_US * admission->capacity);
 }
 
-bool admission_test(const admission_t *admission,
+bool admission_test(const admission_state_t *admission,
 		    const admission_request_t *request, int64_t now)
 {
 	if (admission->capacity <= 0)
@@ -126,15 +129,16 @@
 		       now) <= threshold_of(admission, request);
 }
 
-bool admission_is_calm(const admission_t *admission, int64_t now)
+bool admission_is_calm(const admission_state_t *admission, int64_t now)
 {
 	return drained(admission,
 		       MAX(admission->backlog_in, admission->backlog_out),
 		       now) <= CALM_US * admission->capacity;
 }
 
-void admission_count(admission_t *admission, const admission_request_t *request,
-		     bool admitted, int64_t now)
+void admission_count(admission_state_t *admission,
+		     const admission_request_t *request, bool admitted,
+		     int64_t now)
 {
 	double cost, weight, most;
 
@@ -164,7 +168,7 @@
 	}
 }
 
-double admission_take_load(admission_t *admission, int64_t elapsed)
+double admission_take_load(admission_state_t *admission, int64_t elapsed)
 {
 	double most = admission->capacity * ADMISSION_UTILIZATION *
 		      MIN(admission->scale, 1) * (double)elapsed;
@@ -174,7 +178,7 @@
 	return most > 0 ? offered / most : 0;
 }
 
-void admission_answered(admission_t *admission, const char *route,
+void admission_answered(admission_state_t *admission, const char *route,
 			uint64_t bytes)
 {
 	admission_kind_t *kind;
@@ -187,13 +191,13 @@
 			((double)bytes - kind->answer) * ANSWER_SMOOTHING;
 }
 
-static void cut(admission_t *admission, double scale, double least)
+static void cut(admission_state_t *admission, double scale, double least)
 {
 	if (scale < admission->scale)
 		admission->scale = MAX(scale, least);
 }
 
-static void recover(admission_t *admission, double used)
+static void recover(admission_state_t *admission, double used)
 {
 	if (admission->scale < 1)
 		admission->scale = MIN(admission->scale + SCALE_STEP, 1);
@@ -204,7 +208,8 @@
 		admission->scale = MAX(admission->scale - SCALE_STEP, 1);
 }
 
-void admission_control(admission_t *admission, const admission_load_t *load)
+void admission_control(admission_state_t *admission,
+		       const admission_load_t *load)
 {
 	double used = MAX(load->in, load->out);
 
--- a/overload/admission.h
+++ b/overload/admission.h
@@ -43,7 +43,7 @@
 	int64_t wait; /* us, longest wait of input */
 } admission_load_t;
 
-typedef struct admission_t {
+typedef struct admission_state_t {
 	double capacity; /* bytes per us in each direction; 0: unknown */
 	double scale; /* of the rate at which requests are admitted */
 	/* Bytes of requests that arrived or were admitted, at the time below */
@@ -56,29 +56,31 @@
 	uint32_t full; /* samples in a row in which the link was full */
 	bool refused; /* since the last sample */
 	double offered; /* bytes of requests since admission_take_load() */
-} admission_t;
+} admission_state_t;
 
 /* Bits per second of the link in each direction; 0: admit everything. */
-void admission_init(admission_t *admission, double link_mbps);
+void admission_init(admission_state_t *admission, double link_mbps);
 
 /* Whether every request is admitted now. */
-bool admission_is_calm(const admission_t *admission, int64_t now);
+bool admission_is_calm(const admission_state_t *admission, int64_t now);
 /* Whether the request is admitted; changes nothing. */
-bool admission_test(const admission_t *admission,
+bool admission_test(const admission_state_t *admission,
 		    const admission_request_t *request, int64_t now);
 /* Takes a request into account that has arrived, and was admitted or not. */
-void admission_count(admission_t *admission, const admission_request_t *request,
-		     bool admitted, int64_t now);
+void admission_count(admission_state_t *admission,
+		     const admission_request_t *request, bool admitted,
+		     int64_t now);
 /*
  * Returns what was asked for since the last call, elapsed us ago, relative to
  * what is admitted at most, and starts anew.
  */
-double admission_take_load(admission_t *admission, int64_t elapsed);
+double admission_take_load(admission_state_t *admission, int64_t elapsed);
 /* The answer of a request of the route has moved these bytes. */
-void admission_answered(admission_t *admission, const char *route,
+void admission_answered(admission_state_t *admission, const char *route,
 			uint64_t bytes);
 /* Adapts the rate to what was measured; called every 50 ms. */
-void admission_control(admission_t *admission, const admission_load_t *load);
+void admission_control(admission_state_t *admission,
+		       const admission_load_t *load);
 
 G_END_DECLS
 
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -56,7 +56,7 @@
 
 TEST(Admission, NothingIsRefusedIfTheLinkIsUnknown)
 {
-	admission_t admission;
+	admission_state_t admission;
 	admission_request_t request = {"r", 3, 1000000, 1000000, false};
 	admission_load_t load = {2, 2, 5 * second};
 
@@ -204,7 +204,7 @@
 // One late turn of a busy machine is no load above the capacity.
 TEST(Admission, SingleLateSamplesChangeNothing)
 {
-	admission_t admission;
+	admission_state_t admission;
 	admission_load_t late = {0.2, 0.2, 200000}, calm = {0.2, 0.2, 0};
 
 	admission_init(&admission, 10);
@@ -220,7 +220,7 @@
 // passed it on to, and against a stream that breaks twice.
 TEST(Admission, ContinuedRequestsAreRefusedLast)
 {
-	admission_t admission;
+	admission_state_t admission;
 	admission_request_t fresh = {"r", 2, 4000, 4000, false};
 	admission_request_t continued = fresh;
 	int64_t now = second;
@@ -243,7 +243,7 @@
 // Guards against one large upload that shuts out all others for seconds.
 TEST(Admission, OneLargeBodyDoesNotShutOutTheOthers)
 {
-	admission_t admission;
+	admission_state_t admission;
 	admission_request_t large = {"large", 0, 4000000, 4000000, false};
 	admission_request_t small = {"small", 0, 1000, 1000, false};
 	int64_t now = second;
--- a/tests/admission_world.h
+++ b/tests/admission_world.h
@@ -46,7 +46,7 @@
 class admission_world_t
 {
       public:
-	admission_t admission;
+	admission_state_t admission;
 	move_t move = {};
 	int64_t needy_at = 0; // first need to move callers; 0: none
 	kind_result_t results[KINDS];
