--- a/http/parse.c
+++ b/http/parse.c
@@ -3,6 +3,13 @@
 #include <string.h>
 
 #define HEAD_MAX_BYTES 65536 /* default of max_head */
+/*
+ * Default of max_fields.  A field takes more than 100 bytes of memory however
+ * short it is, and the time to handle a head grows with the square of their
+ * number: 7,000 fields took 325 ms.  512 fields of ordinary size exceed the
+ * bytes that a head may have.
+ */
+#define HEAD_MAX_FIELDS 512
 
 static http_parse_t *get_parse(http_parser *parser)
 {
@@ -18,14 +25,19 @@
 	return 1;
 }
 
-static void end_field(http_parse_t *parse)
+/* Returns non-zero if the head has too many fields. */
+static int end_field(http_parse_t *parse)
 {
 	if (!parse->in_value)
-		return;
+		return 0;
 	http_head_add(parse->head, parse->name->str, parse->value->str);
 	g_string_truncate(parse->name, 0);
 	g_string_truncate(parse->value, 0);
 	parse->in_value = false;
+	if (parse->head->fields->len <= parse->max_fields)
+		return 0;
+	parse->too_large = true;
+	return 1;
 }
 
 static int on_begin(http_parser *parser)
@@ -50,7 +62,8 @@
 {
 	http_parse_t *parse = get_parse(parser);
 
-	end_field(parse);
+	if (end_field(parse) != 0)
+		return 1;
 	g_string_append_len(parse->name, at, (gssize)len);
 	return count_head_bytes(parse, len);
 }
@@ -78,7 +91,8 @@
 {
 	http_parse_t *parse = get_parse(parser);
 
-	end_field(parse);
+	if (end_field(parse) != 0)
+		return -1;
 	parse->state = HTTP_STATE_BODY;
 	if (parser->type == HTTP_REQUEST) {
 		parse->head->method = g_strdup(
@@ -132,6 +146,7 @@
 	parse->value = g_string_new(NULL);
 	parse->body = g_byte_array_new();
 	parse->max_head = HEAD_MAX_BYTES;
+	parse->max_fields = HEAD_MAX_FIELDS;
 }
 
 void http_parse_finish(http_parse_t *parse)
@@ -152,7 +167,11 @@
 	g_string_truncate(parse->uri, 0);
 	g_string_truncate(parse->name, 0);
 	g_string_truncate(parse->value, 0);
-	g_byte_array_set_size(parse->body, 0);
+	/* An array that is only emptied keeps its memory. */
+	if (parse->body->len > 0) {
+		g_byte_array_unref(parse->body);
+		parse->body = g_byte_array_new();
+	}
 	parse->in_value = false;
 	parse->head_bytes = 0;
 	parse->too_large = false;
@@ -205,6 +224,18 @@
 	return g_steal_pointer(&parse->head);
 }
 
+bool http_parse_has_body(const http_parse_t *parse)
+{
+	return (parse->parser.flags & F_CHUNKED) != 0 ||
+	       http_parse_content_length(parse) > 0;
+}
+
+size_t http_parse_memory(const http_parse_t *parse)
+{
+	return parse->body->len + parse->uri->len + parse->name->len +
+	       parse->value->len + http_head_memory(parse->head);
+}
+
 int64_t http_parse_content_length(const http_parse_t *parse)
 {
 	uint64_t length;
--- a/http/parse.h
+++ b/http/parse.h
@@ -32,7 +32,8 @@
 	GByteArray *body; /* bytes received and not yet taken */
 	size_t head_bytes;
 	size_t max_head; /* bytes */
-	bool too_large; /* the head exceeds max_head */
+	size_t max_fields;
+	bool too_large; /* the head exceeds max_head or max_fields */
 	bool keep_alive; /* the connection may serve another message */
 	bool until_eof; /* the body ends with the connection */
 } http_parse_t;
@@ -54,6 +55,11 @@
 GBytes *http_parse_take_body(http_parse_t *parse);
 http_head_t *http_parse_take_head(http_parse_t *parse);
 
+/* Whether a body follows the complete head. */
+bool http_parse_has_body(const http_parse_t *parse);
+/* Returns the memory of the message received so far. */
+size_t http_parse_memory(const http_parse_t *parse);
+
 /* Returns the Content-Length, or -1 if it is missing or invalid. */
 int64_t http_parse_content_length(const http_parse_t *parse);
 
--- a/http/socket.c
+++ b/http/socket.c
@@ -1,9 +1,11 @@
 #include "http/socket.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 1024
@@ -12,6 +14,8 @@
  * connection.  A peer behind a network partition sends no reset.
  */
 #define USER_TIMEOUT_MS 4000
+/* Memory of a part of the output beside its bytes. */
+#define OUTPUT_PART_MEMORY 128
 
 static void set_options(GSocket *socket)
 {
@@ -40,27 +44,49 @@
 	update_interest(sock);
 }
 
-static void flush(http_socket_t *sock)
+static gboolean would_block(const GError *error)
+{
+	return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+}
+
+/* Returns how much was written; an error other than a full socket fails it. */
+static size_t send_some(http_socket_t *sock, const char *data, size_t len)
 {
 	GError *error = NULL;
+	size_t sent = 0;
 	gssize n;
 
-	while (sock->written < sock->output->len) {
-		n = g_socket_send(
-			sock->socket,
-			(const gchar *)sock->output->data + sock->written,
-			sock->output->len - sock->written, NULL, &error);
+	while (sent < len) {
+		n = g_socket_send(sock->socket, data + sent, len - sent, NULL,
+				  &error);
 		if (n < 0)
 			break;
-		sock->written += (guint)n;
+		sent += (size_t)n;
 	}
-	if (error != NULL &&
-	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+	if (error != NULL && !would_block(error))
 		sock->failed = true;
 	g_clear_error(&error);
-	if (sock->written == sock->output->len) {
-		g_byte_array_set_size(sock->output, 0);
+	sock->sent += sent;
+	return sent;
+}
+
+/* What is written is freed at once: large answers may be read slowly. */
+static void flush(http_socket_t *sock)
+{
+	GBytes *first;
+
+	while ((first = g_queue_peek_head(&sock->output)) != NULL) {
+		gsize size;
+		const char *data = g_bytes_get_data(first, &size);
+		size_t sent = send_some(sock, data + sock->written,
+					size - sock->written);
+
+		sock->written += sent;
+		sock->unwritten -= sent;
+		if (sock->written < size)
+			return;
 		sock->written = 0;
+		g_bytes_unref(g_queue_pop_head(&sock->output));
 	}
 }
 
@@ -91,7 +117,7 @@
 		sock->watches_input = true;
 	}
 	flush(sock);
-	if (sock->output->len > 0 && !sock->failed) {
+	if (http_socket_has_output(sock) && !sock->failed) {
 		update_interest(sock);
 		return;
 	}
@@ -118,7 +144,7 @@
 			unsigned interest, pollset_fn_t ready, void *data)
 {
 	sock->pollset = pollset;
-	sock->output = g_byte_array_new();
+	g_queue_init(&sock->output);
 	sock->ready = ready;
 	sock->data = data;
 	sock->watches_input = (interest & POLLSET_IN) != 0;
@@ -177,27 +203,66 @@
 	if (sock->socket != NULL)
 		g_socket_close(sock->socket, NULL);
 	g_clear_object(&sock->socket);
-	g_clear_pointer(&sock->output, g_byte_array_unref);
+	g_queue_clear_full(&sock->output, (GDestroyNotify)g_bytes_unref);
+	sock->written = 0;
+	sock->unwritten = 0;
 }
 
-void http_socket_write(http_socket_t *sock, const void *data, size_t len)
+/* Takes over the bytes. */
+static void append(http_socket_t *sock, GBytes *bytes)
 {
-	g_byte_array_append(sock->output, data, (guint)len);
+	g_queue_push_tail(&sock->output, bytes);
+	sock->unwritten += g_bytes_get_size(bytes);
 	if (sock->watches_output)
 		return;
 	flush(sock);
-	if (sock->output->len > 0 && !sock->failed)
+	if (http_socket_has_output(sock) && !sock->failed)
 		watch_output(sock, true);
 }
 
+void http_socket_write(http_socket_t *sock, const void *data, size_t len)
+{
+	size_t sent = 0;
+
+	if (!sock->watches_output && !sock->failed &&
+	    !http_socket_has_output(sock))
+		sent = send_some(sock, data, len);
+	if (sent < len)
+		append(sock,
+		       g_bytes_new((const char *)data + sent, len - sent));
+}
+
+void http_socket_write_bytes(http_socket_t *sock, GBytes *bytes)
+{
+	if (g_bytes_get_size(bytes) > 0)
+		append(sock, g_bytes_ref(bytes));
+}
+
 bool http_socket_has_output(const http_socket_t *sock)
 {
-	return sock->output->len > 0;
+	return !g_queue_is_empty((GQueue *)&sock->output);
 }
 
-uint32_t http_socket_output_len(const http_socket_t *sock)
+size_t http_socket_output_len(const http_socket_t *sock)
 {
-	return sock->output->len - sock->written;
+	return sock->unwritten;
+}
+
+size_t http_socket_output_memory(const http_socket_t *sock)
+{
+	/* Written bytes stay until their part is written as a whole. */
+	return sock->unwritten + sock->written +
+	       (size_t)sock->output.length * OUTPUT_PART_MEMORY;
+}
+
+uint64_t http_socket_delivered(const http_socket_t *sock)
+{
+	int queued = 0;
+
+	/* The system may hold megabytes that the peer has not taken yet. */
+	if (ioctl(g_socket_get_fd(sock->socket), SIOCOUTQ, &queued) != 0)
+		queued = 0;
+	return sock->sent - MIN((uint64_t)queued, sock->sent);
 }
 
 bool http_socket_has_input(const http_socket_t *sock)
--- a/http/socket.h
+++ b/http/socket.h
@@ -27,8 +27,10 @@
 	handle_t watch;
 	bool watches_input;
 	bool watches_output; /* while connecting or with bytes to write */
-	GByteArray *output;
-	guint written; /* bytes of output already written */
+	GQueue output; /* GBytes that wait to be written, oldest first */
+	gsize written; /* bytes of the first one already written */
+	size_t unwritten; /* bytes that wait in all */
+	uint64_t sent; /* bytes written so far */
 	bool connecting;
 	bool failed; /* connect or write failed; a read returns the error */
 	bool refused; /* the peer refused or reset the connection at once */
@@ -49,11 +51,17 @@
 			 void *data);
 void http_socket_finish(http_socket_t *sock);
 
-/* Writes as much as possible now and buffers the rest. */
+/* Writes as much as possible now and buffers a copy of the rest. */
 void http_socket_write(http_socket_t *sock, const void *data, size_t len);
+/* Does the same without a copy: the bytes are referenced until written. */
+void http_socket_write_bytes(http_socket_t *sock, GBytes *bytes);
 bool http_socket_has_output(const http_socket_t *sock);
 /* Returns the bytes that are buffered and not written yet. */
-uint32_t http_socket_output_len(const http_socket_t *sock);
+size_t http_socket_output_len(const http_socket_t *sock);
+/* Returns the memory that these bytes take. */
+size_t http_socket_output_memory(const http_socket_t *sock);
+/* Returns how many bytes the peer has acknowledged so far. */
+uint64_t http_socket_delivered(const http_socket_t *sock);
 /* Returns whether bytes have arrived that were not read. */
 bool http_socket_has_input(const http_socket_t *sock);
 socket_read_t http_socket_read(http_socket_t *sock, char *buffer, size_t size,
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -8,8 +8,15 @@
 
 #define READ_SIZE 16384 /* bytes read at a time */
 #define READS_MAX 8 /* reads from one connection per loop iteration */
-/* Bytes of further requests that are buffered while one is in progress. */
-#define INPUT_MAX 262144
+/*
+ * Bytes of further requests that are buffered while one is in progress: two
+ * heads of the greatest size.  The rest stays unread.
+ */
+#define INPUT_MAX 32768
+/* An emptied array that has held more than this is freed. */
+#define INPUT_KEPT 2048
+/* Memory of a connection without a request; 1.9 KiB were measured. */
+#define CONN_MEMORY 2048
 /*
  * Unsent response bytes beyond which a caller that reads too slowly is dropped
  * when more follows.
@@ -23,6 +30,12 @@
 /* Time for a caller that reads slowly to read the end of a response. */
 #define OUTPUT_TIMEOUT_US (30 * USEC_PER_SEC)
 
+/*
+ * Bytes a second that a caller has to read of an answer, on average over the
+ * idle limit of the configuration.
+ */
+#define READ_RATE_MIN 1024
+
 #define FULL_RETRY_AFTER "1" /* s */
 
 static void on_ready(void *data, unsigned ready);
@@ -71,10 +84,29 @@
 	kernel_t *kernel = conn->ingress->kernel;
 
 	kernel_count_bytes(kernel, BUFFER_REQUESTS, &conn->counted_requests,
-			   conn->input->len + conn->parse.body->len +
-				   conn->request_bytes);
+			   CONN_MEMORY + conn->input->len +
+				   http_parse_memory(&conn->parse));
 	kernel_count_bytes(kernel, BUFFER_OUTPUT, &conn->counted_output,
-			   http_socket_output_len(&conn->sock));
+			   http_socket_output_memory(&conn->sock));
+}
+
+/* An array that is only emptied keeps its memory. */
+static void free_input(ingress_conn_t *conn)
+{
+	if (conn->input_peak > INPUT_KEPT) {
+		g_byte_array_unref(conn->input);
+		conn->input = g_byte_array_new();
+		conn->input_peak = 0;
+	} else {
+		g_byte_array_set_size(conn->input, 0);
+	}
+}
+
+/* Frees what was received of a request that is not read any further. */
+static void discard_request(ingress_conn_t *conn)
+{
+	free_input(conn);
+	http_parse_reset(&conn->parse);
 }
 
 static int64_t idle_limit(const ingress_conn_t *conn)
@@ -107,6 +139,7 @@
 		ingress_conn_close(conn);
 		return;
 	}
+	count_bytes(conn);
 	metrics_set(ingress->kernel->metrics, GAUGE_CONNECTIONS,
 		    table_count(&ingress->conns));
 }
@@ -130,13 +163,13 @@
 static void log_lost_bytes(const ingress_conn_t *conn)
 {
 	bool unread = http_socket_has_input(&conn->sock);
-	uint32_t unsent = http_socket_output_len(&conn->sock);
+	size_t unsent = http_socket_output_len(&conn->sock);
 
 	if (unsent == 0 && !unread && conn->input->len == 0)
 		return;
 	log_event(LOG_LEVEL_INFO, "ingress", "closed",
 		  "phase=%s age_ms=%" G_GINT64_FORMAT
-		  " unsent=%u unread=%d unparsed=%u stopping=%d",
+		  " unsent=%zu unread=%d unparsed=%u stopping=%d",
 		  phase_name(conn->phase),
 		  (kernel_now(conn->ingress->kernel) - conn->phase_since) /
 			  USEC_PER_MSEC,
@@ -183,9 +216,9 @@
 {
 	conn->exchange = HANDLE_NONE;
 	conn->head_sent = false;
-	conn->request_bytes = 0;
 	conn->unread = 0;
 	if (conn->close_after) {
+		discard_request(conn);
 		set_phase(conn, INGRESS_LINGER);
 		if (!http_socket_has_output(&conn->sock))
 			start_linger(conn);
@@ -233,9 +266,8 @@
 }
 
 static void write_response(ingress_conn_t *conn, http_head_t *head,
-			   const char *type, const char *text)
+			   const char *text)
 {
-	http_head_add(head, "Content-Type", type);
 	write_head(conn, head, (int64_t)strlen(text));
 	write_text(conn, text);
 	http_head_free(head);
@@ -245,8 +277,18 @@
 void ingress_conn_respond(ingress_conn_t *conn, uint32_t status,
 			  const char *type, const char *text, bool close)
 {
+	http_head_t *head = http_head_response(status);
+
 	conn->close_after |= close;
-	write_response(conn, http_head_response(status), type, text);
+	http_head_add(head, "Content-Type", type);
+	write_response(conn, head, text);
+}
+
+void ingress_conn_respond_head(ingress_conn_t *conn, http_head_t *head,
+			       const char *text)
+{
+	conn->close_after = true;
+	write_response(conn, head, text);
 }
 
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
@@ -256,7 +298,8 @@
 
 	conn->close_after = true;
 	http_head_add(head, "Retry-After", retry_after);
-	write_response(conn, head, "text/plain", text);
+	http_head_add(head, "Content-Type", "text/plain");
+	write_response(conn, head, text);
 }
 
 static void respond_error(ingress_conn_t *conn, uint32_t status,
@@ -298,6 +341,28 @@
 		write_text(conn, "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+static void refuse_full(ingress_conn_t *conn)
+{
+	ingress_conn_respond_retry_after(conn, 503, "too many large requests\n",
+					 FULL_RETRY_AFTER);
+}
+
+/* Returns false after refusing a request that is too large to run now. */
+static bool check_room(ingress_conn_t *conn)
+{
+	kernel_t *kernel = conn->ingress->kernel;
+	size_t bytes = http_parse_memory(&conn->parse);
+
+	if (buffers_may_run(&kernel->buffers, bytes))
+		return true;
+	metrics_add(kernel->metrics, COUNTER_BUFFERS_DROPPED, 1);
+	log_event(LOG_LEVEL_WARN, "ingress", "refused",
+		  "reason=no_room bytes=%zu running=%" G_GUINT64_FORMAT, bytes,
+		  kernel->buffers.held[BUFFER_RUNNING]);
+	refuse_full(conn);
+	return false;
+}
+
 /* Parses the buffered input and starts the requests that are complete. */
 static void parse_input(ingress_conn_t *conn)
 {
@@ -314,13 +379,22 @@
 		used = http_parse_feed(&conn->parse,
 				       (const char *)conn->input->data,
 				       conn->input->len);
-		g_byte_array_remove_range(conn->input, 0, (guint)used);
+		if (used < conn->input->len)
+			g_byte_array_remove_range(conn->input, 0, (guint)used);
+		else
+			free_input(conn);
 		if (!check_limits(conn))
 			return;
 		if (before < HTTP_STATE_BODY &&
-		    conn->parse.state == HTTP_STATE_BODY)
-			send_continue(conn);
-		if (conn->parse.state != HTTP_STATE_COMPLETE)
+		    conn->parse.state >= HTTP_STATE_BODY) {
+			if (http_parse_has_body(&conn->parse) &&
+			    !ingress_check_head(conn->ingress, conn))
+				return;
+			if (conn->parse.state == HTTP_STATE_BODY)
+				send_continue(conn);
+		}
+		if (conn->parse.state != HTTP_STATE_COMPLETE ||
+		    !check_room(conn))
 			return;
 		conn->close_after = !conn->parse.keep_alive;
 		set_phase(conn, INGRESS_BUSY);
@@ -345,6 +419,8 @@
 				g_byte_array_append(conn->input,
 						    (const guint8 *)buffer,
 						    (guint)received);
+			conn->input_peak =
+				MAX(conn->input_peak, conn->input->len);
 			if (received < sizeof(buffer) && !hangup)
 				return true;
 			break;
@@ -403,7 +479,8 @@
 	note_wait(conn);
 	if (read_input(conn, (ready & POLLSET_ERROR) != 0)) {
 		/* If too much is buffered, send_end() resumes reading. */
-		if (conn->phase == INGRESS_BUSY && conn->input->len > INPUT_MAX)
+		if (conn->phase == INGRESS_BUSY &&
+		    conn->input->len >= INPUT_MAX)
 			http_socket_watch_input(&conn->sock, false);
 		else
 			parse_input(conn);
@@ -428,7 +505,7 @@
 	if (size == 0)
 		return;
 	if (!conn->chunked) {
-		http_socket_write(&conn->sock, data, size);
+		http_socket_write_bytes(&conn->sock, bytes);
 		return;
 	}
 	chunk = g_byte_array_sized_new((guint)size + sizeof(line));
@@ -492,12 +569,24 @@
 		count_bytes(conn);
 }
 
-/* Only a request that is being read can be refused as not run. */
+/*
+ * Only a request that is being read can be refused as not run.  Behind one in
+ * progress, the further ones can be left unread.
+ */
 static size_t droppable_bytes(const ingress_conn_t *conn, buffer_kind_t kind)
 {
 	if (kind == BUFFER_OUTPUT)
 		return conn->counted_output;
-	return conn->phase == INGRESS_READING ? conn->counted_requests : 0;
+	switch (conn->phase) {
+	case INGRESS_READING:
+		return conn->counted_requests - CONN_MEMORY;
+	case INGRESS_BUSY:
+		return conn->input->len;
+	case INGRESS_IDLE:
+	case INGRESS_LINGER:
+		break;
+	}
+	return 0;
 }
 
 static ingress_conn_t *find_largest(const ingress_t *ingress,
@@ -522,10 +611,14 @@
 		ingress_conn_close(conn);
 		return;
 	}
-	ingress_conn_respond_retry_after(conn, 503, "too many large requests\n",
-					 FULL_RETRY_AFTER);
-	g_byte_array_set_size(conn->input, 0);
-	http_parse_reset(&conn->parse);
+	if (conn->phase == INGRESS_BUSY) {
+		/* The connection closes after the answer in progress. */
+		conn->close_after = true;
+		free_input(conn);
+		http_socket_watch_input(&conn->sock, false);
+	} else {
+		refuse_full(conn);
+	}
 	count_bytes(conn);
 }
 
@@ -557,11 +650,57 @@
 					     : idle_limit(conn);
 }
 
+/*
+ * Returns whether a caller reads its answer too slowly: over the idle limit, it
+ * has taken neither all nor READ_RATE_MIN a second.
+ */
+static bool reads_too_slowly(ingress_conn_t *conn, int64_t now)
+{
+	int64_t limit = idle_limit(conn);
+	uint64_t least = (uint64_t)(READ_RATE_MIN * limit / USEC_PER_SEC);
+	uint64_t taken;
+
+	if (!http_socket_has_output(&conn->sock)) {
+		conn->read_since = 0;
+		return false;
+	}
+	taken = http_socket_delivered(&conn->sock);
+	if (conn->read_since == 0 || taken - conn->read_then >= least) {
+		conn->read_since = now;
+		conn->read_then = taken;
+	}
+	return now - conn->read_since > limit;
+}
+
+static void reset_slow_reader(ingress_conn_t *conn)
+{
+	metrics_add(conn->ingress->kernel->metrics, COUNTER_SLOW_READERS, 1);
+	log_event(LOG_LEVEL_INFO, "ingress", "reads_too_slowly",
+		  "phase=%s unread=%zu", phase_name(conn->phase),
+		  http_socket_output_len(&conn->sock));
+	http_socket_abort(&conn->sock);
+	ingress_conn_close(conn);
+}
+
+/* While no further caller can connect, slow bodies have less time. */
+static int64_t body_limit(const ingress_conn_t *conn)
+{
+	const ingress_t *ingress = conn->ingress;
+
+	if (ingress_is_full(ingress))
+		return ingress->limits.header_timeout_ms * USEC_PER_MSEC;
+	return idle_limit(conn);
+}
+
 static void sweep(ingress_conn_t *conn, int64_t now)
 {
 	const fleet_limits_t *limits = &conn->ingress->limits;
 	int64_t age = now - conn->phase_since;
 
+	if (reads_too_slowly(conn, now)) {
+		reset_slow_reader(conn);
+		return;
+	}
 	switch (conn->phase) {
 	case INGRESS_IDLE:
 		/* A request that has arrived is read in this iteration. */
@@ -577,7 +716,7 @@
 		    age > limits->header_timeout_ms * USEC_PER_MSEC)
 			respond_error(conn, 408,
 				      "the head did not come in time\n");
-		else if (age > idle_limit(conn))
+		else if (age > body_limit(conn))
 			respond_error(conn, 408,
 				      "the body did not come in time\n");
 		break;
@@ -612,6 +751,23 @@
 	return false;
 }
 
+void ingress_conn_make_room(ingress_t *ingress, listener_kind_t kind,
+			    uint32_t most)
+{
+	ingress_conn_t *conn, *oldest = NULL;
+	uint32_t cursor = 0, count = 0;
+
+	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL) {
+		if (conn->kind != kind || conn->phase == INGRESS_BUSY)
+			continue;
+		count++;
+		if (oldest == NULL || conn->phase_since < oldest->phase_since)
+			oldest = conn;
+	}
+	if (count >= most && oldest != NULL)
+		ingress_conn_close(oldest);
+}
+
 void ingress_conn_sweep(ingress_t *ingress)
 {
 	int64_t now = kernel_now(ingress->kernel);
@@ -619,8 +775,11 @@
 	ingress_conn_t *conn;
 
 	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL) {
-		/* What a slow caller reads is not reported one by one. */
-		count_bytes(conn);
+		handle_t self = conn->self;
+
 		sweep(conn, now);
+		/* What a slow caller reads is not reported one by one. */
+		if (table_get(&ingress->conns, self) != NULL)
+			count_bytes(conn);
 	}
 }
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -23,6 +23,7 @@
 	http_socket_t sock;
 	http_parse_t parse;
 	GByteArray *input; /* received, not yet parsed */
+	size_t input_peak; /* bytes that the array has held */
 	int64_t phase_since; /* start of the phase, monotonic, us */
 	uint32_t idle_timeout_ms; /* limit that the caller relies on */
 	handle_t exchange; /* handle in "proxy" while INGRESS_BUSY */
@@ -32,15 +33,19 @@
 	int64_t input_since; /* monotonic, us; arrival of the first of input */
 	int64_t arrived_at; /* monotonic, us; of the request */
 	int64_t unread; /* us for which the request waited to be read */
-	size_t request_bytes; /* body of the request in progress */
 	size_t counted_requests; /* bytes in the process's buffers */
 	size_t counted_output;
+	int64_t read_since; /* start of the time over which reading counts */
+	uint64_t read_then; /* bytes that the caller had taken at that time */
 } ingress_conn_t;
 
 void ingress_conn_open(ingress_t *ingress, GSocket *socket,
 		       listener_kind_t kind);
 /* Closes at once and cancels a request in progress. */
 void ingress_conn_close(ingress_conn_t *conn);
+/* Closes the oldest connections of a listener that has more than this. */
+void ingress_conn_make_room(ingress_t *ingress, listener_kind_t kind,
+			    uint32_t most);
 /* Closes connections that have been idle or slow for too long. */
 void ingress_conn_sweep(ingress_t *ingress);
 /* Returns whether a request has arrived or a response is being written. */
@@ -51,6 +56,9 @@
 /* Writes a complete response of the gateway itself. */
 void ingress_conn_respond(ingress_conn_t *conn, uint32_t status,
 			  const char *type, const char *text, bool close);
+/* The same with a head that is ready, and is freed. */
+void ingress_conn_respond_head(ingress_conn_t *conn, http_head_t *head,
+			       const char *text);
 /* Refuses a request with Retry-After, in seconds, and closes. */
 void ingress_conn_respond_retry_after(ingress_conn_t *conn, uint32_t status,
 				      const char *text,
@@ -58,7 +66,14 @@
 
 /* ingress.c */
 bool ingress_sends_callers_away(const ingress_t *ingress);
+/* Whether no further caller can connect. */
+bool ingress_is_full(const ingress_t *ingress);
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn);
+/*
+ * Refuses a request whose head shows that it can't be served, before its body
+ * is read.  Returns false if it was refused.
+ */
+bool ingress_check_head(ingress_t *ingress, ingress_conn_t *conn);
 
 G_END_DECLS
 
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -1,5 +1,6 @@
 #include "ingress/ingress.h"
 
+#include "front/refusal.h"
 #include "ingress/conn.h"
 #include "log/log.h"
 #include "platform/wire.h"
@@ -7,6 +8,7 @@
 
 #include <errno.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define ACCEPT_MAX 64 /* connections accepted per loop iteration */
 /* Resolution of the time limits. */
@@ -27,10 +29,19 @@
  */
 #define STOP_ACCEPT_US (2700 * USEC_PER_MSEC)
 /*
- * Callers' connections; leaves descriptors for the files, targets, peers and
- * readiness checks of this process.
+ * Callers' connections, and their part of the process's descriptors; leaves
+ * some for the files, targets and peers of this process.
  */
 #define CONNS_MAX 3000
+#define CONNS_QUARTERS 3
+/*
+ * Connections without a request in progress, at the listener for readiness
+ * checks or for metrics.  Beyond it the oldest one gives way: a crowd must not
+ * keep the load balancer's checks out.
+ */
+#define SERVICE_CONNS_MAX 128
+#define TOO_LARGE 413
+#define BEHIND_RETRY_AFTER_MS 300
 
 /*
  * Time until the load balancer has seen two failed readiness checks.  A caller
@@ -56,10 +67,24 @@
 	.idle_timeout_ms = 15000,
 };
 
+bool ingress_is_full(const ingress_t *ingress)
+{
+	return table_count(&ingress->conns) >= ingress->conns_max;
+}
+
 static bool is_full(const ingress_t *ingress, listener_kind_t kind)
 {
-	return kind == LISTENER_CALLERS &&
-	       table_count(&ingress->conns) >= CONNS_MAX;
+	return kind != LISTENER_READINESS && ingress_is_full(ingress);
+}
+
+static uint32_t connections_max(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+	    limit.rlim_cur == RLIM_INFINITY)
+		return CONNS_MAX;
+	return (uint32_t)MIN(limit.rlim_cur / 4 * CONNS_QUARTERS, CONNS_MAX);
 }
 
 /* Until the sweep resumes it, waiting connections do not wake the loop. */
@@ -83,6 +108,10 @@
 	}
 	accepted = g_socket_accept(listener->socket, NULL, &error);
 	if (accepted != NULL) {
+		if (listener->kind != LISTENER_CALLERS)
+			ingress_conn_make_room(listener->ingress,
+					       listener->kind,
+					       SERVICE_CONNS_MAX);
 		ingress_conn_open(listener->ingress, accepted, listener->kind);
 		g_object_unref(accepted);
 		return true;
@@ -214,7 +243,6 @@
 	errmsg_t err;
 
 	metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
-	conn->request_bytes = body != NULL ? g_bytes_get_size(body) : 0;
 	spec = exchange_spec_new();
 	if (!wire_read_request(conn->parse.head, body, spec, &err)) {
 		metrics_refusal(ingress->kernel->metrics, REFUSAL_BAD_REQUEST);
@@ -225,6 +253,8 @@
 		refuse_stopping(ingress, conn, spec->request_id);
 		goto out;
 	}
+	/* "proxy" has what it needs of the head. */
+	http_head_free(http_parse_take_head(&conn->parse));
 	spec->from_peer = conn->kind == LISTENER_METRICS;
 	spec->arrived_at = conn->arrived_at;
 	spec->unread = conn->unread;
@@ -235,6 +265,67 @@
 	g_clear_pointer(&body, g_bytes_unref);
 }
 
+/* Answers as "proxy" would, in the same form. */
+static void refuse_head(ingress_t *ingress, ingress_conn_t *conn,
+			const exchange_spec_t *spec, refusal_t reason)
+{
+	uint32_t status = refusal_status(reason);
+	char *text = refusal_json(reason, RUN_NOT_RUN, spec->request_id, NULL);
+
+	metrics_refusal(ingress->kernel->metrics, reason);
+	log_event(LOG_LEVEL_INFO, "ingress", "refused",
+		  "request=%s reason=%s unread_body=1",
+		  log_quote(spec->request_id), refusal_name(reason));
+	ingress_conn_respond_head(
+		conn,
+		wire_write_refusal(spec, status,
+				   status == 503 ? BEHIND_RETRY_AFTER_MS : 0),
+		text);
+	g_free(text);
+}
+
+/* A path without a route has no use for a body. */
+static bool check_caller_head(ingress_t *ingress, ingress_conn_t *conn)
+{
+	exchange_spec_t *spec = exchange_spec_new();
+	errmsg_t err;
+	bool accepted = true;
+
+	if (!wire_read_request(conn->parse.head, NULL, spec, &err)) {
+		metrics_refusal(ingress->kernel->metrics, REFUSAL_BAD_REQUEST);
+		ingress_conn_respond(conn, 400, "text/plain", err.text, true);
+		accepted = false;
+	} else if (ingress->conf != NULL &&
+		   fleet_conf_route(ingress->conf, spec->host, spec->path) ==
+			   NULL) {
+		refuse_head(ingress, conn, spec,
+			    ingress->conf_behind ? REFUSAL_CONF_BEHIND
+						 : REFUSAL_NO_ROUTE);
+		accepted = false;
+	}
+	exchange_spec_free(spec);
+	return accepted;
+}
+
+bool ingress_check_head(ingress_t *ingress, ingress_conn_t *conn)
+{
+	switch (conn->kind) {
+	case LISTENER_CALLERS:
+		return check_caller_head(ingress, conn);
+	case LISTENER_METRICS:
+		/* The mark of a peer is verified by "proxy". */
+		if (hop_is_passed_on(conn->parse.head))
+			return check_caller_head(ingress, conn);
+		break;
+	case LISTENER_READINESS:
+	case LISTENER_COUNT:
+		break;
+	}
+	ingress_conn_respond(conn, TOO_LARGE, "text/plain",
+			     "no body is accepted here\n", true);
+	return false;
+}
+
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn)
 {
 	switch (conn->kind) {
@@ -311,6 +402,7 @@
 	switch (kind) {
 	case INGRESS_TIMER_SWEEP:
 		ingress_conn_sweep(ingress);
+		kernel_return_memory(ingress->kernel);
 		resume_listeners(ingress);
 		check_stop_deadline(ingress);
 		kernel_timer(ingress->kernel, ingress->svc, SWEEP_INTERVAL_US,
@@ -359,8 +451,13 @@
 		break;
 	case MSG_FLEET_CONF:
 		ingress->limits = msg->u.fleet_conf->limits;
+		fleet_conf_unref(ingress->conf);
+		ingress->conf = fleet_conf_ref(msg->u.fleet_conf);
 		ingress->ready = true;
 		break;
+	case MSG_FLEET_BEHIND:
+		ingress->conf_behind = msg->u.fleet_behind.behind;
+		break;
 	case MSG_EXCHANGE_STARTED:
 	case MSG_EXCHANGE_HEAD:
 	case MSG_EXCHANGE_DATA:
@@ -378,6 +475,7 @@
 	memset(ingress, 0, sizeof(*ingress));
 	ingress->kernel = kernel;
 	ingress->limits = default_limits;
+	ingress->conns_max = connections_max();
 	table_init(&ingress->conns, sizeof(ingress_conn_t));
 	ingress->svc = kernel_register(kernel, "ingress", receive, ingress);
 }
@@ -392,5 +490,6 @@
 	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
 		ingress_conn_close(conn);
 	table_finish(&ingress->conns);
+	g_clear_pointer(&ingress->conf, fleet_conf_unref);
 	kernel_unregister(ingress->kernel, ingress->svc);
 }
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -43,6 +43,9 @@
 	uint32_t busy; /* requests in progress */
 	fleet_limits_t limits;
 	bool ready; /* a configuration has been received */
+	fleet_conf_t *conf; /* NULL until one has been received */
+	bool conf_behind; /* a newer configuration has not arrived yet */
+	uint32_t conns_max; /* callers' connections */
 	bool stopping;
 	int64_t yields_since; /* callers are sent away, monotonic, us; 0: no */
 	int64_t stop_requested_at; /* monotonic, us */
--- a/kernel/buffers.c
+++ b/kernel/buffers.c
@@ -4,6 +4,14 @@
 
 /* Part of the limit, in eighths, at which no more has to give way. */
 #define RELIEVED_EIGHTHS 7
+/* Growth, as a part of the limit, after which services are told again. */
+#define ASK_AGAIN_DIVISOR 64
+/* Part of the limit that is freed before memory returns to the system. */
+#define FALL_DIVISOR 8
+/* A request is large from this part of the limit on. */
+#define LARGE_DIVISOR 64
+/* Part of the limit that large requests in progress may take. */
+#define RUNNING_DIVISOR 2
 
 void buffers_init(buffers_t *buffers)
 {
@@ -17,6 +25,11 @@
 	buffers->held[kind] += bytes;
 	buffers->held[kind] -= *counted;
 	*counted = bytes;
+	buffers->peak = MAX(buffers->peak, buffers_total(buffers));
+	if (buffers->relieving || buffers_full(buffers))
+		return;
+	buffers->tried = 0;
+	buffers->ask_above = 0;
 }
 
 uint64_t buffers_total(const buffers_t *buffers)
@@ -38,16 +51,64 @@
 	return buffers_total(buffers) <= buffers->limit / 8 * RELIEVED_EIGHTHS;
 }
 
+bool buffers_must_relieve(const buffers_t *buffers)
+{
+	return buffers_full(buffers) && !buffers->relieving &&
+	       buffers_total(buffers) > buffers->ask_above;
+}
+
+bool buffers_note_relieved(buffers_t *buffers)
+{
+	buffers->relieving = false;
+	buffers->ask_above = 0;
+	if (!buffers_full(buffers)) {
+		buffers->tried = 0;
+		return false;
+	}
+	buffers->tried |= 1U << buffers->relieved;
+	if (buffers_largest(buffers) != BUFFER_KIND_COUNT)
+		return true;
+	buffers->tried = 0;
+	buffers->ask_above =
+		buffers_total(buffers) + buffers->limit / ASK_AGAIN_DIVISOR;
+	return false;
+}
+
+static bool can_give_way(const buffers_t *buffers, buffer_kind_t kind)
+{
+	return kind != BUFFER_RUNNING && buffers->held[kind] > 0 &&
+	       (buffers->tried & 1U << kind) == 0;
+}
+
 buffer_kind_t buffers_largest(const buffers_t *buffers)
 {
-	buffer_kind_t largest = BUFFER_REQUESTS;
+	buffer_kind_t largest = BUFFER_KIND_COUNT;
 
 	for (int i = 0; i < BUFFER_KIND_COUNT; i++)
-		if (buffers->held[i] > buffers->held[largest])
+		if (can_give_way(buffers, (buffer_kind_t)i) &&
+		    (largest == BUFFER_KIND_COUNT ||
+		     buffers->held[i] > buffers->held[largest]))
 			largest = (buffer_kind_t)i;
 	return largest;
 }
 
+bool buffers_may_run(const buffers_t *buffers, size_t bytes)
+{
+	return bytes < buffers->limit / LARGE_DIVISOR ||
+	       buffers->held[BUFFER_RUNNING] + bytes <=
+		       buffers->limit / RUNNING_DIVISOR;
+}
+
+bool buffers_take_fall(buffers_t *buffers)
+{
+	uint64_t total = buffers_total(buffers);
+
+	if (buffers->peak < total + buffers->limit / FALL_DIVISOR)
+		return false;
+	buffers->peak = total;
+	return true;
+}
+
 const char *buffers_owner(buffer_kind_t kind)
 {
 	switch (kind) {
@@ -58,6 +119,7 @@
 		return "proxy";
 	case BUFFER_STORE:
 		return "store";
+	case BUFFER_RUNNING:
 	case BUFFER_KIND_COUNT:
 		break;
 	}
@@ -75,6 +137,8 @@
 		return "responses";
 	case BUFFER_STORE:
 		return "store";
+	case BUFFER_RUNNING:
+		return "running";
 	case BUFFER_KIND_COUNT:
 		break;
 	}
--- a/kernel/http.c
+++ b/kernel/http.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+/*
+ * Memory of a field beside its text: the two pointers, doubled as the array
+ * doubles when it grows, and what the allocator needs for two strings.
+ */
+#define FIELD_MEMORY 80
+
 static const char *const hop_by_hop[] = {
 	"Connection", "Keep-Alive", "Proxy-Connection",	 "TE",
 	"Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",
@@ -68,11 +74,20 @@
 	g_free(head);
 }
 
+size_t http_head_memory(const http_head_t *head)
+{
+	if (head == NULL)
+		return 0;
+	return sizeof(*head) + head->text_bytes +
+	       (size_t)head->fields->len * FIELD_MEMORY;
+}
+
 void http_head_add(http_head_t *head, const char *name, const char *value)
 {
 	http_field_t field = {g_strdup(name), g_strdup(value)};
 
 	g_array_append_val(head->fields, field);
+	head->text_bytes += strlen(name) + strlen(value);
 }
 
 void http_head_add_int(http_head_t *head, const char *name, int64_t value)
--- a/kernel/http.h
+++ b/kernel/http.h
@@ -21,6 +21,7 @@
 	char *uri; /* requests only: path and query */
 	uint32_t status; /* responses only */
 	GArray *fields; /* http_field_t, in order of transmission */
+	size_t text_bytes; /* of the names and values */
 } http_head_t;
 
 http_head_t *http_head_new(void);
@@ -28,6 +29,8 @@
 http_head_t *http_head_response(uint32_t status);
 http_head_t *http_head_copy(const http_head_t *head);
 void http_head_free(http_head_t *head);
+/* Returns the memory of a head, which may be NULL. */
+size_t http_head_memory(const http_head_t *head);
 
 void http_head_add(http_head_t *head, const char *name, const char *value);
 void http_head_add_int(http_head_t *head, const char *name, int64_t value);
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -3,6 +3,7 @@
 #include "kernel/hash.h"
 #include "kernel/timer.h"
 
+#include <malloc.h>
 #include <string.h>
 #include <sys/random.h>
 
@@ -172,6 +173,7 @@
 	if (handle_is_none(owner))
 		return;
 	kernel->buffers.relieving = true;
+	kernel->buffers.relieved = kind;
 	msg.u.buffers_full.kind = kind;
 	kernel_post(kernel, owner, owner, &msg);
 }
@@ -184,13 +186,21 @@
 	buffers_set(&kernel->buffers, kind, counted, bytes);
 	metrics_set(kernel->metrics, GAUGE_BUFFERED_BYTES,
 		    (int64_t)buffers_total(&kernel->buffers));
-	if (buffers_full(&kernel->buffers) && !kernel->buffers.relieving)
+	if (buffers_must_relieve(&kernel->buffers))
 		relieve(kernel);
 }
 
 void kernel_buffers_relieved(kernel_t *kernel)
 {
-	kernel->buffers.relieving = false;
+	if (buffers_note_relieved(&kernel->buffers))
+		relieve(kernel);
+}
+
+void kernel_return_memory(kernel_t *kernel)
+{
+	/* The heap shrinks from its end only, unless it is told to. */
+	if (buffers_take_fall(&kernel->buffers))
+		malloc_trim(0);
 }
 
 void kernel_finish(kernel_t *kernel)
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -100,6 +100,8 @@
 			size_t bytes);
 /* Called by that service when it has given way. */
 void kernel_buffers_relieved(kernel_t *kernel);
+/* Returns memory to the system after much has been freed. */
+void kernel_return_memory(kernel_t *kernel);
 
 /* Sends MSG_TIMER with ref and kind to owner after the delay. */
 handle_t kernel_timer(kernel_t *kernel, svc_t owner, int64_t delay_us,
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -52,6 +52,8 @@
 	X(PERMITS_LAPSED, "permits_lapsed", "permits not used in time")       \
 	X(BUFFERS_DROPPED, "buffers_dropped",                                 \
 	  "calls ended because the buffers were full")                        \
+	X(SLOW_READERS, "slow_readers",                                       \
+	  "callers cut because they read an answer too slowly")               \
 	X(EJECTIONS, "ejections", "targets ejected as outliers")              \
 	X(QUARANTINES, "quarantines", "requests put into quarantine")         \
 	X(PART_CRASHES, "part_crashes",                                       \
--- a/outbound/outbound.c
+++ b/outbound/outbound.c
@@ -7,6 +7,8 @@
 
 /* Resolution of the idle limits. */
 #define SWEEP_INTERVAL_US (250 * USEC_PER_MSEC)
+/* A larger body is not copied; "proxy" holds it until the request ends. */
+#define COPIED_BODY_MAX 16384
 
 static void remove_call(outbound_t *outbound, out_call_t *call)
 {
@@ -107,19 +109,20 @@
 		out_conn_release(conn);
 }
 
+/* A small body is copied behind its head, so that both are sent at once. */
 static void write_request(out_conn_t *conn, const msg_t *msg)
 {
 	GByteArray *bytes = g_byte_array_new();
-	const void *body;
-	gsize size = 0;
+	GBytes *body = msg->u.out_send.body;
+	gsize size = body != NULL ? g_bytes_get_size(body) : 0;
 
 	http_head_write(msg->u.out_send.head, bytes);
-	if (msg->u.out_send.body != NULL) {
-		body = g_bytes_get_data(msg->u.out_send.body, &size);
-		if (size > 0)
-			g_byte_array_append(bytes, body, (guint)size);
-	}
+	if (size > 0 && size <= COPIED_BODY_MAX)
+		g_byte_array_append(bytes, g_bytes_get_data(body, NULL),
+				    (guint)size);
 	http_socket_write(&conn->sock, bytes->data, bytes->len);
+	if (size > COPIED_BODY_MAX)
+		http_socket_write_bytes(&conn->sock, body);
 	g_byte_array_unref(bytes);
 }
 
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -32,6 +32,8 @@
 	kernel_timer_cancel(proxy->kernel, &exchange->rejection_timer);
 	kernel_count_bytes(proxy->kernel, BUFFER_RESPONSES, &exchange->counted,
 			   0);
+	kernel_count_bytes(proxy->kernel, BUFFER_RUNNING,
+			   &exchange->counted_request, 0);
 	http_head_free(exchange->head);
 	exchange_spec_free(exchange->spec);
 	g_byte_array_unref(exchange->body);
@@ -316,6 +318,12 @@
 		exchange_place(proxy, exchange);
 }
 
+static size_t spec_memory(const exchange_spec_t *spec)
+{
+	return sizeof(*spec) + http_head_memory(spec->head) +
+	       (spec->body != NULL ? g_bytes_get_size(spec->body) : 0);
+}
+
 void exchange_start(proxy_t *proxy, msg_t *msg)
 {
 	msg_t started = {.kind = MSG_EXCHANGE_STARTED, .ref = msg->id};
@@ -329,6 +337,9 @@
 	exchange->started_at = kernel_now(proxy->kernel);
 	exchange->body = g_byte_array_new();
 	sse_init(&exchange->events);
+	kernel_count_bytes(proxy->kernel, BUFFER_RUNNING,
+			   &exchange->counted_request,
+			   spec_memory(exchange->spec));
 	started.id = self;
 	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &started);
 	reason = exchange_admit(proxy, exchange);
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -76,6 +76,7 @@
 	http_head_t *head; /* response head */
 	GByteArray *body; /* buffered response body, unless streaming */
 	size_t counted; /* bytes of the response in the process's buffers */
+	size_t counted_request; /* bytes of the request */
 	bool streaming; /* the response is forwarded event by event */
 	bool until_close; /* the response ends with its connection */
 	bool head_sent;
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -90,6 +90,15 @@
 			   exchange->body->len + exchange->events.partial->len);
 }
 
+/* An array that is only emptied keeps its memory. */
+static void free_body(exchange_t *exchange)
+{
+	if (exchange->body->len == 0)
+		return;
+	g_byte_array_unref(exchange->body);
+	exchange->body = g_byte_array_new();
+}
+
 /* Ends an attempt whose response cannot be forwarded. */
 static void fail_attempt(proxy_t *proxy, exchange_t *exchange,
 			 failure_t failure, bool ran, place_result_t result)
@@ -106,7 +115,7 @@
 	avoid_target(exchange);
 	if (!exchange->head_sent)
 		g_clear_pointer(&exchange->head, http_head_free);
-	g_byte_array_set_size(exchange->body, 0);
+	free_body(exchange);
 	sse_discard_partial(&exchange->events);
 	count_bytes(proxy, exchange);
 	if (!retry) {
@@ -521,16 +530,17 @@
 		log_failure(exchange, FAILURE_HEAD, true, true);
 		metrics_retry(proxy->kernel->metrics, FAILURE_HEAD);
 		avoid_target(exchange);
-		g_byte_array_set_size(exchange->body, 0);
+		free_body(exchange);
 		count_bytes(proxy, exchange);
 		exchange_place(proxy, exchange);
 		return;
 	}
 	send_head(proxy, exchange, exchange->body->len);
-	if (exchange->body->len > 0)
-		send_bytes(
-			proxy, exchange,
-			g_bytes_new(exchange->body->data, exchange->body->len));
+	if (exchange->body->len > 0) {
+		send_bytes(proxy, exchange,
+			   g_byte_array_free_to_bytes(exchange->body));
+		exchange->body = g_byte_array_new();
+	}
 	finish_exchange(proxy, exchange, error ? PLACE_ERROR : PLACE_OK);
 }
 
--- a/proxy/sse.c
+++ b/proxy/sse.c
@@ -15,7 +15,11 @@
 
 void sse_discard_partial(sse_t *sse)
 {
-	g_byte_array_set_size(sse->partial, 0);
+	/* An array that is only emptied keeps its memory. */
+	if (sse->partial->len == 0)
+		return;
+	g_byte_array_unref(sse->partial);
+	sse->partial = g_byte_array_new();
 }
 
 static void parse_line(sse_t *sse, const char *line, size_t len)
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -140,6 +140,27 @@
 	EXPECT_TRUE(p.parse.too_large);
 }
 
+// Guards against heads of legal size whose fields take far more memory and
+// time than their bytes show.
+TEST(Parse, HeadOfTooManyFieldsIsReported)
+{
+	Parse sound(false), last(false), before(false);
+	std::string fields;
+
+	for (int i = 0; i < 512; i++)
+		fields += "a:b\r\n";
+	sound.feed("GET / HTTP/1.1\r\n" + fields + "\r\n", 10);
+	EXPECT_EQ(sound.parse.state, HTTP_STATE_COMPLETE);
+	EXPECT_GT(http_parse_memory(&sound.parse), 512u * 80);
+	last.feed("GET / HTTP/1.1\r\n" + fields + "a:b\r\n\r\n", 10);
+	EXPECT_EQ(last.parse.state, HTTP_STATE_ERROR);
+	EXPECT_TRUE(last.parse.too_large);
+	before.feed("GET / HTTP/1.1\r\n" + fields + "a:b\r\na:b\r\n", 1000);
+	EXPECT_EQ(before.parse.state, HTTP_STATE_ERROR);
+	EXPECT_TRUE(before.parse.too_large);
+	EXPECT_LE(before.parse.head->fields->len, 513u);
+}
+
 TEST(Head, ListTokensMatchWhole)
 {
 	http_head_t *head = http_head_response(200);
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -151,6 +151,15 @@
 		kernel_post(&kernel, proxy, ingress.svc, &msg);
 		kernel_flush(&kernel);
 	}
+	void configure_route()
+	{
+		fleet_route_t route = {};
+
+		ingress.conf = fleet_conf_new();
+		g_strlcpy(route.host, "h", sizeof(route.host));
+		g_strlcpy(route.path_prefix, "/a/", sizeof(route.path_prefix));
+		g_array_append_val(ingress.conf->routes, route);
+	}
 	kernel_t kernel;
 	ingress_t ingress;
 	svc_t proxy;
@@ -281,6 +290,180 @@
 	EXPECT_TRUE(specs.empty());
 }
 
+// Guards against bodies that are read although nothing can use them.  A newer
+// configuration may have the route.
+TEST_F(Ingress, BodyWithoutARouteIsRefusedFromTheHead)
+{
+	const std::string head = "POST /none/x HTTP/1.1\r\nHost: h\r\n"
+				 "Attempt-Id: a-1\r\n"
+				 "Content-Length: 4000000\r\n\r\n";
+	Client none(port(LISTENER_CALLERS)), behind(port(LISTENER_CALLERS)),
+		known(port(LISTENER_CALLERS));
+
+	configure_route();
+	none.send(head);
+	EXPECT_TRUE(none.wait_for("HTTP/1.1 404"));
+	EXPECT_TRUE(none.wait_for("Attempt-Id: a-1\r\n"));
+	EXPECT_TRUE(none.wait_for("not_run"));
+	EXPECT_TRUE(none.wait_closed());
+	ingress.conf_behind = true;
+	behind.send(head);
+	EXPECT_TRUE(behind.wait_for("HTTP/1.1 503"));
+	EXPECT_TRUE(behind.wait_for("Retry-After: "));
+	known.send(
+		"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n");
+	known.send("ok");
+	EXPECT_TRUE(wait_requests(1));
+}
+
+// Guards against a refusal that its client can't read because it still sends.
+TEST_F(Ingress, ReadinessRefusesABodyAndItsClientCanReadThat)
+{
+	Client client(port(LISTENER_READINESS));
+
+	client.send("POST /api/readiness HTTP/1.1\r\nHost: h\r\n"
+		    "Content-Length: 4000000\r\n\r\n" +
+		    std::string(2000000, 'x'));
+	EXPECT_TRUE(client.wait_for("HTTP/1.1 413"));
+	EXPECT_TRUE(client.wait_for("no body"));
+	EXPECT_LT(buffers_total(&kernel.buffers), 8192u);
+}
+
+// Guards against a crowd that keeps the load balancer's checks out.
+TEST_F(Ingress, OldestIdleConnectionForReadinessGivesWay)
+{
+	std::vector<std::unique_ptr<Client>> crowd;
+
+	ingress.ready = true;
+	for (int i = 0; i < 140; i++)
+		crowd.push_back(
+			std::make_unique<Client>(port(LISTENER_READINESS)));
+	Client check(port(LISTENER_READINESS));
+	check.send(get_request);
+	EXPECT_TRUE(check.wait_for("HTTP/1.1 200"));
+	EXPECT_TRUE(crowd[0]->wait_closed());
+	EXPECT_LE(table_count(&ingress.conns), 128u);
+}
+
+// Guards against memory that a connection keeps after its request was refused.
+TEST_F(Ingress, WhatWasReadOfARefusedRequestIsFreed)
+{
+	Client client(port(LISTENER_CALLERS));
+	uint32_t cursor = 0;
+
+	client.send("POST / HTTP/1.1\r\nHost: h\r\n"
+		    "Content-Length: 3000000\r\n\r\n" +
+		    std::string(2000000, 'x'));
+	ASSERT_TRUE(pump(
+		[&] { return buffers_total(&kernel.buffers) >= 2000000u; }));
+	set_age(16 * USEC_PER_SEC);
+	sweep();
+	EXPECT_TRUE(client.wait_for("HTTP/1.1 408"));
+	EXPECT_LT(buffers_total(&kernel.buffers), 8192u);
+	auto *conn = static_cast<ingress_conn_t *>(
+		table_next(&ingress.conns, &cursor, nullptr));
+	if (conn != nullptr) {
+		EXPECT_EQ(conn->input_peak, 0u);
+		EXPECT_EQ(conn->parse.body->len, 0u);
+	}
+}
+
+// Guards against pipelined requests that fill the memory behind one that waits.
+TEST_F(Ingress, PipelinedSurplusIsLeftUnread)
+{
+	std::vector<std::unique_ptr<Client>> crowd;
+	std::string many;
+
+	for (int i = 0; i < 4000; i++)
+		many += get_request;
+	kernel.buffers.limit = 256 * 1024;
+	for (size_t i = 0; i < 16; i++) {
+		crowd.push_back(
+			std::make_unique<Client>(port(LISTENER_CALLERS)));
+		crowd.back()->send_at_once(many);
+		ASSERT_TRUE(wait_requests(i + 1));
+		EXPECT_LE(buffers_total(&kernel.buffers),
+			  kernel.buffers.limit + 131072u);
+	}
+	EXPECT_EQ(specs.size(), 16u);
+	EXPECT_LE(buffers_total(&kernel.buffers), kernel.buffers.limit);
+	// The request in progress is answered.
+	respond(0, "one");
+	EXPECT_TRUE(crowd[0]->wait_for("3\r\none\r\n0\r\n\r\n"));
+	EXPECT_NE(crowd[0]->in.find("Connection: close"), std::string::npos);
+}
+
+// Guards against large requests in progress that leave no room to any other.
+TEST_F(Ingress, LargeRequestWithoutRoomToRunIsRefusedAsNotRun)
+{
+	const std::string head =
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n";
+	Client large(port(LISTENER_CALLERS)), small(port(LISTENER_CALLERS));
+	size_t counted = 0;
+
+	kernel.buffers.limit = 16 * 1024 * 1024;
+	kernel_count_bytes(&kernel, BUFFER_RUNNING, &counted, 8000000);
+	large.send(head + std::string(1000000, 'x'));
+	EXPECT_TRUE(large.wait_for("HTTP/1.1 503"));
+	EXPECT_TRUE(large.wait_for("Retry-After: 1\r\n"));
+	EXPECT_TRUE(specs.empty());
+	small.send(get_request);
+	EXPECT_TRUE(wait_requests(1));
+	kernel_count_bytes(&kernel, BUFFER_RUNNING, &counted, 0);
+}
+
+// Guards against callers that hold an answer by reading next to nothing, and
+// against ones that read steadily and are cut.
+TEST_F(Ingress, CallerThatReadsTooSlowlyIsReset)
+{
+	const std::string part(900000, 'x');
+	Client slow(port(LISTENER_CALLERS), 4096);
+	uint32_t cursor = 0;
+
+	slow.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	shrink_send_buffers();
+	respond(0, part.c_str());
+	ASSERT_TRUE(has_unsent_output());
+	sweep();
+	auto *conn = static_cast<ingress_conn_t *>(
+		table_next(&ingress.conns, &cursor, nullptr));
+	ASSERT_NE(conn, nullptr);
+	// It reads more than the least rate over the time.
+	conn->read_since -= 16 * USEC_PER_SEC;
+	ASSERT_TRUE(pump([&] {
+		slow.read();
+		return slow.in.size() > 100000;
+	}));
+	sweep();
+	ASSERT_EQ(table_count(&ingress.conns), 1u);
+	// It reads nothing over the time.
+	pump([] { return false; }, 20);
+	sweep();
+	conn->read_since = kernel_now(&kernel) - 16 * USEC_PER_SEC;
+	conn->read_then = http_socket_delivered(&conn->sock);
+	sweep();
+	EXPECT_EQ(table_count(&ingress.conns), 0u);
+	EXPECT_EQ(kernel.metrics->counters[COUNTER_SLOW_READERS], 1u);
+}
+
+// Guards against slow bodies that keep other callers from connecting.
+TEST_F(Ingress, SlowBodyEndsSoonerWhileNoCallerCanConnect)
+{
+	Client client(port(LISTENER_CALLERS));
+
+	client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx");
+	ASSERT_TRUE(pump(
+		[&] { return buffers_total(&kernel.buffers) > 2048u + 64; }));
+	set_age(4 * USEC_PER_SEC);
+	sweep();
+	EXPECT_EQ(client.in, "");
+	ingress.conns_max = 1;
+	sweep();
+	EXPECT_TRUE(client.wait_for("HTTP/1.1 408"));
+	EXPECT_TRUE(specs.empty());
+}
+
 TEST_F(Ingress, CallerDisconnectCancelsTheExchange)
 {
 	Client client(port(LISTENER_CALLERS));
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -266,6 +266,74 @@
 	EXPECT_TRUE(pairs[0].ready.back() & POLLSET_ERROR);
 }
 
+class BuffersTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		buffers_init(&buffers);
+		buffers.limit = 1024 * 1024;
+	}
+	void hold(buffer_kind_t kind, size_t bytes)
+	{
+		buffers_set(&buffers, kind, &counted[kind], bytes);
+	}
+	buffers_t buffers;
+	size_t counted[BUFFER_KIND_COUNT] = {};
+};
+
+// Guards against a limit that does not hold because the kind that holds the
+// most can't end any of it.
+TEST_F(BuffersTest, KindThatCantGiveWayDoesNotShieldTheOthers)
+{
+	hold(BUFFER_RUNNING, 500 * 1024);
+	hold(BUFFER_REQUESTS, 400 * 1024);
+	hold(BUFFER_OUTPUT, 300 * 1024);
+	ASSERT_TRUE(buffers_must_relieve(&buffers));
+	EXPECT_EQ(buffers_largest(&buffers), BUFFER_REQUESTS);
+	buffers.relieving = true;
+	buffers.relieved = BUFFER_REQUESTS;
+	EXPECT_FALSE(buffers_must_relieve(&buffers));
+	ASSERT_TRUE(buffers_note_relieved(&buffers));
+	EXPECT_EQ(buffers_largest(&buffers), BUFFER_OUTPUT);
+	buffers.relieving = true;
+	buffers.relieved = BUFFER_OUTPUT;
+	// Nobody is asked again before more is held.
+	EXPECT_FALSE(buffers_note_relieved(&buffers));
+	EXPECT_FALSE(buffers_must_relieve(&buffers));
+	hold(BUFFER_REQUESTS, 420 * 1024);
+	EXPECT_TRUE(buffers_must_relieve(&buffers));
+	EXPECT_EQ(buffers_largest(&buffers), BUFFER_REQUESTS);
+	hold(BUFFER_OUTPUT, 0);
+	EXPECT_FALSE(buffers_must_relieve(&buffers));
+	hold(BUFFER_OUTPUT, 200 * 1024);
+	EXPECT_TRUE(buffers_must_relieve(&buffers));
+}
+
+// Guards against large requests in progress that leave no room to any other.
+TEST_F(BuffersTest, LargeRequestsLeaveHalfOfTheLimitToTheOthers)
+{
+	EXPECT_TRUE(buffers_may_run(&buffers, 500 * 1024));
+	hold(BUFFER_RUNNING, 400 * 1024);
+	EXPECT_FALSE(buffers_may_run(&buffers, 200 * 1024));
+	EXPECT_TRUE(buffers_may_run(&buffers, 100 * 1024));
+	EXPECT_TRUE(buffers_may_run(&buffers, 12 * 1024));
+	hold(BUFFER_RUNNING, 1000 * 1024);
+	EXPECT_TRUE(buffers_may_run(&buffers, 12 * 1024));
+}
+
+TEST_F(BuffersTest, MemoryReturnsOnceAfterMuchWasFreed)
+{
+	hold(BUFFER_OUTPUT, 100 * 1024);
+	hold(BUFFER_OUTPUT, 0);
+	EXPECT_FALSE(buffers_take_fall(&buffers));
+	hold(BUFFER_OUTPUT, 200 * 1024);
+	EXPECT_FALSE(buffers_take_fall(&buffers));
+	hold(BUFFER_OUTPUT, 10 * 1024);
+	EXPECT_TRUE(buffers_take_fall(&buffers));
+	EXPECT_FALSE(buffers_take_fall(&buffers));
+}
+
 // A peer that reconnects must not be counted twice.  Services that rank peers
 // rely on the order of the set.
 TEST(PeerSet, HoldsEachPeerOnceInOrder)
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1167,7 +1167,7 @@
 	for (int i = 0; i < 12; i++)
 		post_data(std::string(100 * 1024, 'l').c_str());
 	EXPECT_EQ(status, 502u);
-	EXPECT_EQ(buffers_total(&kernel.buffers), 100 * 1024u);
+	EXPECT_EQ(kernel.buffers.held[BUFFER_RESPONSES], 100 * 1024u);
 	body.clear();
 	call_ref = small;
 	attempts = 1;
