Bound the bytes of the requests at one target

A target crashes if the requests that it holds exceed its memory, and one that reads slowly makes the gateway hold what it does not read. An instance passes a target over as full once the bodies of its requests in progress there reach 64 MiB divided by the number of instances, 1 MiB at least; the request then waits in the queue or goes elsewhere, as with any full target. 1 MiB is 64 requests of 16 KiB, more than ordinary ones take at the largest engine. One request may exceed the bound, so that a large one does not starve behind small ones.

balance_test BytesOfTheRequestsAtATargetAreBounded.

--- a/balance/choose.c
+++ b/balance/choose.c
@@ -14,6 +14,13 @@
  * there.
  */
 #define CALL_REQUESTS_PER_SLOT 2
+/*
+ * Bytes of requests that one target holds of all instances, and what each may
+ * send in any case: 64 requests of 16 KiB.  A target crashes if it holds more
+ * than its memory.
+ */
+#define TARGET_BYTES (UINT64_C(64) * 1024 * 1024)
+#define INSTANCE_BYTES_MIN (UINT64_C(1024) * 1024)
 
 /* Returns the limit on this instance's concurrent requests to a target. */
 static uint32_t max_outstanding(const balance_t *balance,
@@ -35,6 +42,18 @@
 	return limit;
 }
 
+/*
+ * One request may exceed the bound, so that a large one does not wait for ever
+ * while small ones pass it.
+ */
+static bool holds_too_much(const balance_t *balance,
+			   const balance_target_t *target)
+{
+	return target->outstanding_bytes >=
+	       MAX(TARGET_BYTES / MAX(balance->instances, 1),
+		   INSTANCE_BYTES_MIN);
+}
+
 /*
  * Beyond its slots, an engine lets requests wait, in its order and without an
  * end in sight.
@@ -42,7 +61,8 @@
 static bool is_full(const balance_t *balance, const balance_target_t *target,
 		    int64_t now)
 {
-	if (target->outstanding >= max_outstanding(balance, target))
+	if (target->outstanding >= max_outstanding(balance, target) ||
+	    holds_too_much(balance, target))
 		return true;
 	/* What would wait there may be turned away. */
 	return (target->engine || target->notice.brittle.stated) &&
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -67,7 +67,9 @@
 	placement->placed_at = kernel_now(balance->kernel);
 	placement->prefill_tokens =
 		MAX(request->u.place.prompt_tokens - cached, 0);
+	placement->bytes = request->u.place.bytes;
 	target->outstanding++;
+	target->outstanding_bytes += placement->bytes;
 	set_unanswered(target, placement);
 	permit_use(target, placement->placed_at);
 	target->prefill_tokens += placement->prefill_tokens;
@@ -200,6 +202,7 @@
 	target = table_get(&balance->targets, placement->target);
 	if (target != NULL) {
 		target->outstanding--;
+		target->outstanding_bytes -= placement->bytes;
 		set_answered(target, placement);
 		target->prefill_tokens -= placement->prefill_tokens;
 		balance_target_set_load(target, &msg->u.place_done.load,
--- a/balance/placement.h
+++ b/balance/placement.h
@@ -13,6 +13,7 @@
 	handle_t target;
 	int64_t placed_at; /* monotonic, us; 0 once the first byte came */
 	int64_t prefill_tokens; /* unread tokens; 0 after the first byte */
+	uint64_t bytes; /* of the request's body */
 	GList link; /* in the target's unanswered; data is NULL if not */
 } placement_t;
 
--- a/balance/target.h
+++ b/balance/target.h
@@ -51,6 +51,7 @@
 	int64_t kv_cache_tokens; /* capacity of the KV cache */
 	bool unavailable; /* draining or gone: gets no new requests */
 	uint32_t outstanding; /* requests of this instance */
+	uint64_t outstanding_bytes; /* of their bodies */
 	GQueue unanswered; /* placement_t without a first byte, oldest first */
 	int64_t prefill_tokens; /* tokens of requests without a first byte */
 	target_load_t load; /* last report */
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -464,6 +464,7 @@
 			int64_t deadline; /* limit on the wait; monotonic, us */
 			int64_t prompt_tokens;
 			int64_t max_tokens;
+			uint64_t bytes; /* of the request's body */
 			uint32_t part_count;
 			prompt_part_t parts[PROMPT_PARTS_MAX];
 			uint32_t avoid_count;
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -443,6 +443,8 @@
 		    exchange->deadline);
 	msg.u.place.prompt_tokens = spec->prompt_tokens;
 	msg.u.place.max_tokens = spec->max_tokens;
+	if (spec->body != NULL)
+		msg.u.place.bytes = g_bytes_get_size(spec->body);
 	msg.u.place.part_count = spec->part_count;
 	memcpy(msg.u.place.parts, spec->parts, sizeof(spec->parts));
 	msg.u.place.avoid_count = exchange->avoid_count;
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -21,6 +21,7 @@
 	kernel_t kernel;
 	balance_t balance;
 	svc_t proxy, fleet;
+	uint64_t request_bytes = 0; // of the following requests
 	std::vector<std::pair<uint32_t, std::string>> placed;
 	std::vector<std::string> placed_versions;
 	std::vector<handle_t> placements;
@@ -153,6 +154,7 @@
 		g_strlcpy(msg.u.place.service, service,
 			  sizeof(msg.u.place.service));
 		msg.u.place.priority = priority;
+		msg.u.place.bytes = request_bytes;
 		msg.u.place.deadline = kernel_now(&kernel) + 100000;
 		if (part != 0) {
 			msg.u.place.part_count = 3;
@@ -565,6 +567,36 @@
 	EXPECT_EQ(a.placed.back().second, "i-2");
 }
 
+// Guards against a target that crashes under the large requests that it holds.
+TEST(Balance, BytesOfTheRequestsAtATargetAreBounded)
+{
+	instance_t a("z1", 1);
+
+	a.set_fleet_size(75);
+	a.set_target("call", "i-1", "z1", false, false, 64);
+	a.request_bytes = 1000 * 1024;
+	a.request(1, "call");
+	// One may exceed the bound of 1 MiB: large ones must not starve.
+	a.request_bytes = 4 * 1024 * 1024;
+	a.request(2, "call");
+	EXPECT_EQ(a.placed.size(), 2u);
+	a.request_bytes = 100;
+	a.request(3, "call");
+	EXPECT_EQ(a.placed.size(), 2u);
+	EXPECT_TRUE(a.refused.empty());
+	a.finish_request(1, PLACE_OK);
+	ASSERT_EQ(a.placed.size(), 3u);
+	EXPECT_EQ(a.placed[2].first, 3u);
+	// Another target takes what this one does not.
+	a.request_bytes = 4 * 1024 * 1024;
+	a.request(4, "call");
+	a.set_target("call", "i-2", "z1", false, false, 64);
+	a.request_bytes = 100;
+	a.request(5, "call");
+	ASSERT_EQ(a.placed.size(), 5u);
+	EXPECT_EQ(a.placed[4].second, "i-2");
+}
+
 TEST(Balance, QueuedRequestsArePlacedByPriority)
 {
 	instance_t a("z1", 1);
