Let the bound on buffers follow the machine's memory

A quarter, since the process needs some 10 MiB beside, at its peak 1.3 times the limit, and the system's socket buffers are in the same memory.

settings_test BuffersFollowTheMemoryOfTheMachine, BuffersBelowTheLeastAreRefused.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -336,7 +336,8 @@
 
 	kernel_init(&gateway->kernel, CLOCK_REAL, 0);
 	gateway->kernel.buffers.limit =
-		(uint64_t)gateway->settings.gateway_buffers_mib * BYTES_PER_MIB;
+		(uint64_t)settings_buffers_mib(&gateway->settings) *
+		BYTES_PER_MIB;
 	kernel_uuid(&gateway->kernel, gateway->incarnation);
 	gateway->svc =
 		kernel_register(&gateway->kernel, "gateway", receive, gateway);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -7,6 +7,14 @@
 #define FILE_SIZE_MAX 1048576 /* bytes */
 #define NESTING_MAX 8 /* levels of objects and arrays */
 #define PORT_MAX 65535
+#define BUFFERS_MIB_MIN 16 /* four bodies of the greatest usual size */
+#define BUFFERS_MIB_DEFAULT 64
+/*
+ * Part of the memory for requests and responses.  The process needs some 10 MiB
+ * beside, and up to 1.3 times the limit at its peak; the sockets' buffers are
+ * in the memory of the machine as well.
+ */
+#define MEMORY_BUFFERS_DIVISOR 4
 
 typedef enum setting_type_t {
 	SETTING_INTEGER, /* a whole number from min to max */
@@ -142,9 +150,13 @@
 	{"gateway.watch_pause_ms", SETTING_INTEGER,
 	 FIELD(gateway_watch_pause_ms), REQUIRED_BY_NONE, 10, 10000, 600, "",
 	 "pause between two reads of the store's changes, ms"},
+	{"gateway.memory_mib", SETTING_DECIMAL, FIELD(gateway_memory_mib),
+	 REQUIRED_BY_NONE, 0, 1048576, 0, "0",
+	 "memory of the machine, MiB, 0: unknown"},
 	{"gateway.buffers_mib", SETTING_INTEGER, FIELD(gateway_buffers_mib),
-	 REQUIRED_BY_NONE, 16, 65536, 64, "",
-	 "memory for requests and responses in progress, MiB"},
+	 REQUIRED_BY_NONE, 0, 65536, 0, "",
+	 "memory for requests and responses in progress, MiB, 16 or more; 0: a "
+	 "quarter of `gateway.memory_mib`, 64 if that is unknown"},
 	{"gateway.retry_ratio", SETTING_DECIMAL, FIELD(gateway_retry_ratio),
 	 REQUIRED_BY_NONE, 0, 1, 0, "0.1",
 	 "requests sent again to a service, as a share of its requests"},
@@ -500,6 +512,14 @@
 			return SETTINGS_INVALID;
 		}
 	}
+	if (settings->gateway_buffers_mib != 0 &&
+	    settings->gateway_buffers_mib < BUFFERS_MIB_MIN) {
+		errmsg_set(err,
+			   "gateway.buffers_mib: %" G_GINT64_FORMAT
+			   " is not allowed, expected 0 or at least %d",
+			   settings->gateway_buffers_mib, BUFFERS_MIB_MIN);
+		return SETTINGS_INVALID;
+	}
 	if ((settings->caller_tls_certificate[0] == '\0') !=
 	    (settings->caller_tls_key[0] == '\0')) {
 		errmsg_set(err, "caller.tls_key: caller.tls_certificate and "
@@ -593,6 +613,18 @@
 	return status;
 }
 
+int64_t settings_buffers_mib(const settings_t *settings)
+{
+	int64_t part;
+
+	if (settings->gateway_buffers_mib > 0)
+		return settings->gateway_buffers_mib;
+	if (settings->gateway_memory_mib <= 0)
+		return BUFFERS_MIB_DEFAULT;
+	part = (int64_t)settings->gateway_memory_mib / MEMORY_BUFFERS_DIVISOR;
+	return MAX(part, BUFFERS_MIB_MIN);
+}
+
 void settings_print_reference(GString *out)
 {
 	g_string_append(out, "| key | allowed | default | meaning |\n"
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -72,7 +72,8 @@
 	char gateway_peers[SETTING_TEXT_SIZE];
 	char gateway_store[SETTING_TEXT_SIZE];
 	int64_t gateway_watch_pause_ms;
-	int64_t gateway_buffers_mib;
+	double gateway_memory_mib;
+	int64_t gateway_buffers_mib; /* see settings_buffers_mib() */
 	double gateway_retry_ratio;
 	double gateway_retry_slack;
 	double gateway_retry_window_s;
@@ -88,6 +89,9 @@
 settings_status_t settings_parse(settings_t *settings, const char *text,
 				 gssize len, errmsg_t *err);
 
+/* Returns the memory for requests and responses in progress, in MiB. */
+int64_t settings_buffers_mib(const settings_t *settings);
+
 /* Appends a reference of all keys as a Markdown table. */
 void settings_print_reference(GString *out);
 
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -50,6 +50,45 @@
 	EXPECT_STREQ(settings.log_level, "info");
 }
 
+// Guards against buffers that exceed the memory of a small machine.
+TEST(Settings, BuffersFollowTheMemoryOfTheMachine)
+{
+	settings_t settings;
+	errmsg_t err;
+
+	settings_init(&settings);
+	EXPECT_EQ(settings_buffers_mib(&settings), 64);
+	settings.gateway_memory_mib = 120;
+	EXPECT_EQ(settings_buffers_mib(&settings), 30);
+	settings.gateway_memory_mib = 512;
+	EXPECT_EQ(settings_buffers_mib(&settings), 128);
+	settings.gateway_memory_mib = 20.5;
+	EXPECT_EQ(settings_buffers_mib(&settings), 16);
+	settings.gateway_buffers_mib = 40;
+	EXPECT_EQ(settings_buffers_mib(&settings), 40);
+	EXPECT_NE(parse(R"({"gateway":{"memory_mib":-1}})", &err), SETTINGS_OK);
+	EXPECT_NE(strstr(err.text, "gateway.memory_mib"), nullptr) << err.text;
+}
+
+// Guards against a limit that no request of legal size fits in.
+TEST(Settings, BuffersBelowTheLeastAreRefused)
+{
+	std::ifstream file("demo/gateway.json");
+	std::stringstream example;
+	errmsg_t err;
+
+	example << file.rdbuf();
+	std::string text = example.str();
+	size_t at = text.find("\"buffers_mib\": 64");
+
+	ASSERT_NE(at, std::string::npos);
+	text.replace(at, strlen("\"buffers_mib\": 64"), "\"buffers_mib\": 15");
+	EXPECT_EQ(parse(text, &err), SETTINGS_INVALID);
+	EXPECT_NE(strstr(err.text, "gateway.buffers_mib"), nullptr) << err.text;
+	text.replace(at, strlen("\"buffers_mib\": 15"), "\"buffers_mib\": 0");
+	EXPECT_EQ(parse(text, &err), SETTINGS_OK) << err.text;
+}
+
 // The settings page must match the table in the code.  The test fails after a
 // key was added or changed in the code only.  Tests run in the root folder of
 // the repository.
