Leave a quarter of the buffers to what is read and answered

Requests in progress never give way, so that many small ones could fill the limit and every answer would be cut. A request now begins to run only while those in progress take less than three quarters of the limit (large ones: half). The check of a route reads host and path only, as it is made for each request with a body.

--- a/http/socket.c
+++ b/http/socket.c
@@ -240,7 +240,7 @@
 
 bool http_socket_has_output(const http_socket_t *sock)
 {
-	return !g_queue_is_empty((GQueue *)&sock->output);
+	return sock->output.length > 0;
 }
 
 size_t http_socket_output_len(const http_socket_t *sock)
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -402,6 +402,12 @@
 	}
 }
 
+/* Whether further requests wait in the socket until this one is answered. */
+static bool is_saturated(const ingress_conn_t *conn)
+{
+	return conn->phase == INGRESS_BUSY && conn->input->len >= INPUT_MAX;
+}
+
 /*
  * Reads until nothing is left.  Without a hang-up, less than was asked for
  * shows that.  Returns false if the connection was closed.
@@ -421,6 +427,8 @@
 						    (guint)received);
 			conn->input_peak =
 				MAX(conn->input_peak, conn->input->len);
+			if (is_saturated(conn) && !hangup)
+				return true;
 			if (received < sizeof(buffer) && !hangup)
 				return true;
 			break;
@@ -479,8 +487,7 @@
 	note_wait(conn);
 	if (read_input(conn, (ready & POLLSET_ERROR) != 0)) {
 		/* If too much is buffered, send_end() resumes reading. */
-		if (conn->phase == INGRESS_BUSY &&
-		    conn->input->len >= INPUT_MAX)
+		if (is_saturated(conn))
 			http_socket_watch_input(&conn->sock, false);
 		else
 			parse_input(conn);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -284,25 +284,32 @@
 	g_free(text);
 }
 
+static bool has_route(const ingress_t *ingress, const exchange_spec_t *spec)
+{
+	/* Without a configuration, "proxy" refuses. */
+	return ingress->conf == NULL ||
+	       fleet_conf_route(ingress->conf, spec->host, spec->path) != NULL;
+}
+
 /* A path without a route has no use for a body. */
 static bool check_caller_head(ingress_t *ingress, ingress_conn_t *conn)
 {
 	exchange_spec_t *spec = exchange_spec_new();
 	errmsg_t err;
-	bool accepted = true;
+	bool accepted = wire_read_request_target(conn->parse.head, spec) &&
+			has_route(ingress, spec);
 
+	if (accepted)
+		goto out;
 	if (!wire_read_request(conn->parse.head, NULL, spec, &err)) {
 		metrics_refusal(ingress->kernel->metrics, REFUSAL_BAD_REQUEST);
 		ingress_conn_respond(conn, 400, "text/plain", err.text, true);
-		accepted = false;
-	} else if (ingress->conf != NULL &&
-		   fleet_conf_route(ingress->conf, spec->host, spec->path) ==
-			   NULL) {
-		refuse_head(ingress, conn, spec,
-			    ingress->conf_behind ? REFUSAL_CONF_BEHIND
-						 : REFUSAL_NO_ROUTE);
-		accepted = false;
+		goto out;
 	}
+	refuse_head(ingress, conn, spec,
+		    ingress->conf_behind ? REFUSAL_CONF_BEHIND
+					 : REFUSAL_NO_ROUTE);
+out:
 	exchange_spec_free(spec);
 	return accepted;
 }
--- a/kernel/buffers.c
+++ b/kernel/buffers.c
@@ -10,8 +10,11 @@
 #define FALL_DIVISOR 8
 /* A request is large from this part of the limit on. */
 #define LARGE_DIVISOR 64
-/* Part of the limit that large requests in progress may take. */
+/* Part of the limit up to which a large request may begin to run. */
 #define RUNNING_DIVISOR 2
+/* The same for another request; the rest is left to requests and answers. */
+#define QUARTERS 4
+#define RUNNING_QUARTERS 3
 
 void buffers_init(buffers_t *buffers)
 {
@@ -94,9 +97,11 @@
 
 bool buffers_may_run(const buffers_t *buffers, size_t bytes)
 {
-	return bytes < buffers->limit / LARGE_DIVISOR ||
-	       buffers->held[BUFFER_RUNNING] + bytes <=
-		       buffers->limit / RUNNING_DIVISOR;
+	uint64_t most = bytes < buffers->limit / LARGE_DIVISOR
+				? buffers->limit / QUARTERS * RUNNING_QUARTERS
+				: buffers->limit / RUNNING_DIVISOR;
+
+	return buffers->held[BUFFER_RUNNING] + bytes <= most;
 }
 
 bool buffers_take_fall(buffers_t *buffers)
--- a/kernel/buffers.h
+++ b/kernel/buffers.h
@@ -58,7 +58,8 @@
 buffer_kind_t buffers_largest(const buffers_t *buffers);
 /*
  * Whether a request of this size may run: large ones leave half of the limit
- * to the others, as nothing can take their memory back until they end.
+ * to the others, and all requests a quarter to what is read and answered, as
+ * nothing can take their memory back until they end.
  */
 bool buffers_may_run(const buffers_t *buffers, size_t bytes);
 /*
