Keep readiness, metrics and small refused requests as they were

A small request without a route that is complete already goes to "proxy" as before, so that its connection stays open; only a body that is still to come is refused from the head on. Such a refusal counts as a request, too.

Requests in progress that fill the buffers keep no readiness check or scrape of the metrics from its answer: an instance that is full is not down. The listener for metrics, where peers pass requests on, has connections of its own beyond those of callers.

ingress_test BodyWithoutARouteIsRefusedFromTheHead and LargeRequestWithoutRoomToRunIsRefusedAsNotRun check this.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -353,7 +353,8 @@
 	kernel_t *kernel = conn->ingress->kernel;
 	size_t bytes = http_parse_memory(&conn->parse);
 
-	if (buffers_may_run(&kernel->buffers, bytes))
+	if (!ingress_is_forwarded(conn) ||
+	    buffers_may_run(&kernel->buffers, bytes))
 		return true;
 	metrics_add(kernel->metrics, COUNTER_BUFFERS_DROPPED, 1);
 	log_event(LOG_LEVEL_WARN, "ingress", "refused",
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -69,6 +69,8 @@
 /* Whether no further caller can connect. */
 bool ingress_is_full(const ingress_t *ingress);
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn);
+/* Whether a request with this head goes to "proxy". */
+bool ingress_is_forwarded(const ingress_conn_t *conn);
 /*
  * Refuses a request whose head shows that it can't be served, before its body
  * is read.  Returns false if it was refused.
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -34,6 +34,8 @@
  */
 #define CONNS_MAX 3000
 #define CONNS_QUARTERS 3
+/* Part of that number which the listener for metrics has beside it. */
+#define METRICS_DIVISOR 12
 /*
  * Connections without a request in progress, at the listener for readiness
  * checks or for metrics.  Beyond it the oldest one gives way: a crowd must not
@@ -72,9 +74,22 @@
 	return table_count(&ingress->conns) >= ingress->conns_max;
 }
 
+/* Callers do not keep metrics and requests of peers out. */
 static bool is_full(const ingress_t *ingress, listener_kind_t kind)
 {
-	return kind != LISTENER_READINESS && ingress_is_full(ingress);
+	uint32_t count = table_count(&ingress->conns);
+
+	switch (kind) {
+	case LISTENER_CALLERS:
+		return ingress_is_full(ingress);
+	case LISTENER_METRICS:
+		return count >= ingress->conns_max +
+					ingress->conns_max / METRICS_DIVISOR;
+	case LISTENER_READINESS:
+	case LISTENER_COUNT:
+		break;
+	}
+	return false;
 }
 
 static uint32_t connections_max(void)
@@ -272,6 +287,7 @@
 	uint32_t status = refusal_status(reason);
 	char *text = refusal_json(reason, RUN_NOT_RUN, spec->request_id, NULL);
 
+	metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
 	metrics_refusal(ingress->kernel->metrics, reason);
 	log_event(LOG_LEVEL_INFO, "ingress", "refused",
 		  "request=%s reason=%s unread_body=1",
@@ -296,8 +312,10 @@
 {
 	exchange_spec_t *spec = exchange_spec_new();
 	errmsg_t err;
-	bool accepted = wire_read_request_target(conn->parse.head, spec) &&
-			has_route(ingress, spec);
+	/* A request that is complete already is refused by "proxy". */
+	bool accepted = conn->parse.state == HTTP_STATE_COMPLETE ||
+			(wire_read_request_target(conn->parse.head, spec) &&
+			 has_route(ingress, spec));
 
 	if (accepted)
 		goto out;
@@ -314,20 +332,25 @@
 	return accepted;
 }
 
-bool ingress_check_head(ingress_t *ingress, ingress_conn_t *conn)
+bool ingress_is_forwarded(const ingress_conn_t *conn)
 {
 	switch (conn->kind) {
 	case LISTENER_CALLERS:
-		return check_caller_head(ingress, conn);
+		return true;
 	case LISTENER_METRICS:
 		/* The mark of a peer is verified by "proxy". */
-		if (hop_is_passed_on(conn->parse.head))
-			return check_caller_head(ingress, conn);
-		break;
+		return hop_is_passed_on(conn->parse.head);
 	case LISTENER_READINESS:
 	case LISTENER_COUNT:
 		break;
 	}
+	return false;
+}
+
+bool ingress_check_head(ingress_t *ingress, ingress_conn_t *conn)
+{
+	if (ingress_is_forwarded(conn))
+		return check_caller_head(ingress, conn);
 	ingress_conn_respond(conn, TOO_LARGE, "text/plain",
 			     "no body is accepted here\n", true);
 	return false;
@@ -335,22 +358,12 @@
 
 void ingress_request(ingress_t *ingress, ingress_conn_t *conn)
 {
-	switch (conn->kind) {
-	case LISTENER_CALLERS:
+	if (ingress_is_forwarded(conn))
 		forward(ingress, conn);
-		break;
-	case LISTENER_READINESS:
+	else if (conn->kind == LISTENER_READINESS)
 		respond_readiness(ingress, conn);
-		break;
-	case LISTENER_METRICS:
-		if (hop_is_passed_on(conn->parse.head))
-			forward(ingress, conn);
-		else
-			respond_metrics(ingress, conn);
-		break;
-	case LISTENER_COUNT:
-		break;
-	}
+	else
+		respond_metrics(ingress, conn);
 }
 
 static bool is_listening(const ingress_t *ingress, listener_kind_t kind)
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -310,10 +310,15 @@
 	behind.send(head);
 	EXPECT_TRUE(behind.wait_for("HTTP/1.1 503"));
 	EXPECT_TRUE(behind.wait_for("Retry-After: "));
+	// A whole small one is refused by "proxy", which keeps the connection.
+	Client whole(port(LISTENER_CALLERS));
+	whole.send_at_once("POST /none/x HTTP/1.1\r\nHost: h\r\n"
+			   "Content-Length: 2\r\n\r\nok");
+	EXPECT_TRUE(wait_requests(1));
 	known.send(
 		"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n");
 	known.send("ok");
-	EXPECT_TRUE(wait_requests(1));
+	EXPECT_TRUE(wait_requests(2));
 }
 
 // Guards against a refusal that its client can't read because it still sends.
@@ -407,6 +412,13 @@
 	EXPECT_TRUE(large.wait_for("HTTP/1.1 503"));
 	EXPECT_TRUE(large.wait_for("Retry-After: 1\r\n"));
 	EXPECT_TRUE(specs.empty());
+	// The load balancer must not take this for an instance that is down.
+	Client check(port(LISTENER_READINESS));
+	ingress.ready = true;
+	kernel_count_bytes(&kernel, BUFFER_RUNNING, &counted, 16000000);
+	check.send(get_request);
+	EXPECT_TRUE(check.wait_for("HTTP/1.1 200"));
+	kernel_count_bytes(&kernel, BUFFER_RUNNING, &counted, 8000000);
 	small.send(get_request);
 	EXPECT_TRUE(wait_requests(1));
 	kernel_count_bytes(&kernel, BUFFER_RUNNING, &counted, 0);
