Make room for callers while the table of connections is full

A crowd that holds all connections with unfinished heads, or without any request, kept ordinary callers waiting for 3 s or 15 s in the backlog. While no further caller can connect, an unfinished head has a quarter of header_timeout_ms, and a connection that has had no request yet has header_timeout_ms; ones that were used keep idle_timeout_ms, as their callers rely on it.

ingress_test UnusedConnectionsMakeRoomWhileNoCallerCanConnect.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -36,6 +36,9 @@
  */
 #define READ_RATE_MIN 1024
 
+/* Part of the time for a head while no further caller can connect. */
+#define FULL_HEAD_DIVISOR 4
+
 #define FULL_RETRY_AFTER "1" /* s */
 
 static void on_ready(void *data, unsigned ready);
@@ -215,6 +218,7 @@
 static void finish_response(ingress_conn_t *conn)
 {
 	conn->exchange = HANDLE_NONE;
+	conn->served = true;
 	conn->head_sent = false;
 	conn->unread = 0;
 	if (conn->close_after) {
@@ -649,13 +653,24 @@
 	kernel_buffers_relieved(ingress->kernel);
 }
 
-/* Returns how long a connection without a request stays open. */
+static int64_t header_limit(const ingress_conn_t *conn)
+{
+	return conn->ingress->limits.header_timeout_ms * USEC_PER_MSEC;
+}
+
+/*
+ * Returns how long a connection without a request stays open.  One that has
+ * had none yet makes room while no further caller can connect.
+ */
 static int64_t rest_limit(const ingress_conn_t *conn)
 {
 	if (http_socket_has_output(&conn->sock))
 		return OUTPUT_TIMEOUT_US;
-	return conn->phase == INGRESS_LINGER ? LINGER_TIMEOUT_US
-					     : idle_limit(conn);
+	if (conn->phase == INGRESS_LINGER)
+		return LINGER_TIMEOUT_US;
+	if (!conn->served && ingress_is_full(conn->ingress))
+		return MIN(header_limit(conn), idle_limit(conn));
+	return idle_limit(conn);
 }
 
 /*
@@ -690,19 +705,22 @@
 	ingress_conn_close(conn);
 }
 
-/* While no further caller can connect, slow bodies have less time. */
-static int64_t body_limit(const ingress_conn_t *conn)
+/*
+ * Returns the time for a request to arrive.  While no further caller can
+ * connect, slow ones have less: sound heads come in one piece.
+ */
+static int64_t read_limit(const ingress_conn_t *conn)
 {
-	const ingress_t *ingress = conn->ingress;
+	bool full = ingress_is_full(conn->ingress);
 
-	if (ingress_is_full(ingress))
-		return ingress->limits.header_timeout_ms * USEC_PER_MSEC;
-	return idle_limit(conn);
+	if (conn->parse.state < HTTP_STATE_BODY)
+		return full ? header_limit(conn) / FULL_HEAD_DIVISOR
+			    : header_limit(conn);
+	return full ? header_limit(conn) : idle_limit(conn);
 }
 
 static void sweep(ingress_conn_t *conn, int64_t now)
 {
-	const fleet_limits_t *limits = &conn->ingress->limits;
 	int64_t age = now - conn->phase_since;
 
 	if (reads_too_slowly(conn, now)) {
@@ -720,13 +738,12 @@
 		/* A caller is not late if its input waits to be read. */
 		if (http_socket_has_input(&conn->sock))
 			break;
-		if (conn->parse.state < HTTP_STATE_BODY &&
-		    age > limits->header_timeout_ms * USEC_PER_MSEC)
-			respond_error(conn, 408,
-				      "the head did not come in time\n");
-		else if (age > body_limit(conn))
-			respond_error(conn, 408,
-				      "the body did not come in time\n");
+		if (age <= read_limit(conn))
+			break;
+		respond_error(conn, 408,
+			      conn->parse.state < HTTP_STATE_BODY
+				      ? "the head did not come in time\n"
+				      : "the body did not come in time\n");
 		break;
 	case INGRESS_BUSY:
 		break;
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -27,6 +27,7 @@
 	int64_t phase_since; /* start of the phase, monotonic, us */
 	uint32_t idle_timeout_ms; /* limit that the caller relies on */
 	handle_t exchange; /* handle in "proxy" while INGRESS_BUSY */
+	bool served; /* a request has been answered */
 	bool head_sent;
 	bool chunked; /* the response body is sent in chunks */
 	bool close_after; /* close after this response */
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -459,6 +459,36 @@
 	EXPECT_EQ(kernel.metrics->counters[COUNTER_SLOW_READERS], 1u);
 }
 
+// Guards against connections without a request, and against unfinished heads,
+// that keep other callers from connecting.  A connection that was used stays.
+TEST_F(Ingress, UnusedConnectionsMakeRoomWhileNoCallerCanConnect)
+{
+	Client used(port(LISTENER_CALLERS)), unused(port(LISTENER_CALLERS)),
+		head(port(LISTENER_CALLERS));
+
+	used.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	respond(0, "ok");
+	EXPECT_TRUE(used.wait_for("2\r\nok\r\n0\r\n\r\n"));
+	head.send("GET / HTTP/1.1\r\n");
+	ASSERT_TRUE(pump([&] { return table_count(&ingress.conns) == 3; }));
+	pump([] { return false; }, 20);
+	set_age(2 * USEC_PER_SEC);
+	sweep();
+	EXPECT_EQ(table_count(&ingress.conns), 3u);
+	ingress.conns_max = 3;
+	sweep();
+	EXPECT_TRUE(head.wait_for("HTTP/1.1 408"));
+	ingress.conns_max = 1;
+	set_age(4 * USEC_PER_SEC);
+	sweep();
+	EXPECT_TRUE(unused.wait_closed());
+	used.read();
+	EXPECT_FALSE(used.closed);
+	used.send(get_request);
+	EXPECT_TRUE(wait_requests(2));
+}
+
 // Guards against slow bodies that keep other callers from connecting.
 TEST_F(Ingress, SlowBodyEndsSoonerWhileNoCallerCanConnect)
 {
