Check at once that the oldest readiness connection gives way

The test passed without the limit, as the idle time ended the connections while it waited. It now compares the number before it waits, and fails then.

--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -346,8 +346,9 @@
 	Client check(port(LISTENER_READINESS));
 	check.send(get_request);
 	EXPECT_TRUE(check.wait_for("HTTP/1.1 200"));
-	EXPECT_TRUE(crowd[0]->wait_closed());
+	// At once, not only when its idle time is over.
 	EXPECT_LE(table_count(&ingress.conns), 128u);
+	EXPECT_TRUE(crowd[0]->wait_closed());
 }
 
 // Guards against memory that a connection keeps after its request was refused.
