--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -193,12 +193,12 @@
 bool ingress_admit_request(ingress_conn_t *conn, const exchange_spec_t *spec)
 {
 	ingress_t *ingress = conn->ingress;
+	uint64_t body = spec->body != NULL ? g_bytes_get_size(spec->body) : 0;
 	int64_t now = kernel_now(ingress->kernel);
 	admission_request_t request = {0};
 
 	if (ingress->admission.capacity <= 0 ||
-	    !describe(conn, spec, conn->request_bytes, conn->request_bytes,
-		      &request))
+	    !describe(conn, spec, body, body, &request))
 		return true;
 	if (!conn->admitted &&
 	    !admission_test(&ingress->admission, &request, now)) {
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -48,6 +48,9 @@
 	int64_t measured_at; /* monotonic, us; last MSG_LOAD; 0: none */
 	double excess; /* part of the callers that is moved */
 	bool ready; /* a configuration has been received */
+	fleet_conf_t *conf; /* NULL until one has been received */
+	bool conf_behind; /* a newer configuration has not arrived yet */
+	uint32_t conns_max; /* callers' connections */
 	bool stopping;
 	int64_t yields_since; /* callers are sent away, monotonic, us; 0: no */
 	int64_t stop_requested_at; /* monotonic, us */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -42,6 +42,8 @@
 	kernel_timer_cancel(proxy->kernel, &exchange->rejection_timer);
 	kernel_count_bytes(proxy->kernel, BUFFER_RESPONSES, &exchange->counted,
 			   0);
+	kernel_count_bytes(proxy->kernel, BUFFER_RUNNING,
+			   &exchange->counted_request, 0);
 	http_head_free(exchange->head);
 	exchange_spec_free(exchange->spec);
 	g_byte_array_unref(exchange->body);
@@ -326,6 +328,12 @@
 		exchange_place(proxy, exchange);
 }
 
+static size_t spec_memory(const exchange_spec_t *spec)
+{
+	return sizeof(*spec) + http_head_memory(spec->head) +
+	       (spec->body != NULL ? g_bytes_get_size(spec->body) : 0);
+}
+
 void exchange_start(proxy_t *proxy, msg_t *msg)
 {
 	msg_t started = {.kind = MSG_EXCHANGE_STARTED, .ref = msg->id};
@@ -339,6 +347,9 @@
 	exchange->started_at = kernel_now(proxy->kernel);
 	exchange->body = g_byte_array_new();
 	sse_init(&exchange->events);
+	kernel_count_bytes(proxy->kernel, BUFFER_RUNNING,
+			   &exchange->counted_request,
+			   spec_memory(exchange->spec));
 	started.id = self;
 	kernel_post(proxy->kernel, proxy->svc, proxy->ingress, &started);
 	reason = exchange_admit(proxy, exchange);
@@ -447,6 +458,8 @@
 		    exchange->deadline);
 	msg.u.place.prompt_tokens = spec->prompt_tokens;
 	msg.u.place.max_tokens = spec->max_tokens;
+	if (spec->body != NULL)
+		msg.u.place.bytes = g_bytes_get_size(spec->body);
 	msg.u.place.part_count = spec->part_count;
 	memcpy(msg.u.place.parts, spec->parts, sizeof(spec->parts));
 	msg.u.place.avoid_count = exchange->avoid_count;
