--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -43,7 +43,6 @@
 	table_t conns; /* ingress_conn_t */
 	uint32_t busy; /* requests in progress */
 	fleet_limits_t limits;
-	fleet_conf_t *conf; /* NULL until one is received */
 	admission_state_t admission;
 	int64_t measured_at; /* monotonic, us; last MSG_LOAD; 0: none */
 	double excess; /* part of the callers that is moved */
