Give callers 30 s at least before they are reset for reading slowly

Cause: the time over which the least rate of reading is judged was the idle limit alone.

Change: 30 s at least, as the output of a closed connection had before.

--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -693,12 +693,14 @@
 }
 
 /*
- * Returns whether a caller reads its answer too slowly: over the idle limit, it
- * has taken neither all nor READ_RATE_MIN a second.
+ * Returns whether a caller reads its answer too slowly: over the idle limit,
+ * and OUTPUT_TIMEOUT_US at least, it has taken neither all nor READ_RATE_MIN a
+ * second.
  */
 static bool reads_too_slowly(ingress_conn_t *conn, int64_t now)
 {
-	int64_t limit = idle_limit(conn);
+	/* Sound callers pause for seconds before they read. */
+	int64_t limit = MAX(idle_limit(conn), OUTPUT_TIMEOUT_US);
 	uint64_t least = (uint64_t)(READ_RATE_MIN * limit / USEC_PER_SEC);
 	uint64_t taken;
 
