Split the limits on callers' connections from ingress/conn.c

conn.c had grown to 831 lines; what ends connections for what they hold or for the time that they take is in limits.c now.

--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -1,3 +1,7 @@
+/*
+ * The command "explain": asks a gateway where a request would go now, and why,
+ * without sending it.
+ */
 #include "ctl/command.h"
 #include "ctl/out.h"
 
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -15,8 +15,6 @@
 #define INPUT_MAX 32768
 /* An emptied array that has held more than this is freed. */
 #define INPUT_KEPT 2048
-/* Memory of a connection without a request; 1.9 KiB were measured. */
-#define CONN_MEMORY 2048
 /*
  * Unsent response bytes beyond which a caller that reads too slowly is dropped
  * when more follows.
@@ -25,19 +23,6 @@
 /* Time for a request on an idle connection to arrive before it is closed. */
 #define KEEP_ALIVE_MARGIN_MS 500
 #define MSEC_PER_SEC 1000
-/* Time for the caller to close after the last response was written. */
-#define LINGER_TIMEOUT_US USEC_PER_SEC
-/* Time for a caller that reads slowly to read the end of a response. */
-#define OUTPUT_TIMEOUT_US (30 * USEC_PER_SEC)
-
-/*
- * Bytes a second that a caller has to read of an answer, on average over the
- * idle limit of the configuration.
- */
-#define READ_RATE_MIN 1024
-
-/* Part of the time for a head while no further caller can connect. */
-#define FULL_HEAD_DIVISOR 4
 
 #define FULL_RETRY_AFTER "1" /* s */
 
@@ -82,7 +67,7 @@
 			 input_class(conn));
 }
 
-static void count_bytes(ingress_conn_t *conn)
+void ingress_conn_count_bytes(ingress_conn_t *conn)
 {
 	kernel_t *kernel = conn->ingress->kernel;
 
@@ -94,7 +79,7 @@
 }
 
 /* An array that is only emptied keeps its memory. */
-static void free_input(ingress_conn_t *conn)
+void ingress_conn_free_input(ingress_conn_t *conn)
 {
 	if (conn->input_peak > INPUT_KEPT) {
 		g_byte_array_unref(conn->input);
@@ -108,11 +93,11 @@
 /* Frees what was received of a request that is not read any further. */
 static void discard_request(ingress_conn_t *conn)
 {
-	free_input(conn);
+	ingress_conn_free_input(conn);
 	http_parse_reset(&conn->parse);
 }
 
-static int64_t idle_limit(const ingress_conn_t *conn)
+int64_t ingress_conn_idle_limit(const ingress_conn_t *conn)
 {
 	return MAX(conn->idle_timeout_ms,
 		   conn->ingress->limits.idle_timeout_ms) *
@@ -142,12 +127,12 @@
 		ingress_conn_close(conn);
 		return;
 	}
-	count_bytes(conn);
+	ingress_conn_count_bytes(conn);
 	metrics_set(ingress->kernel->metrics, GAUGE_CONNECTIONS,
 		    table_count(&ingress->conns));
 }
 
-static const char *phase_name(ingress_phase_t phase)
+const char *ingress_phase_name(ingress_phase_t phase)
 {
 	switch (phase) {
 	case INGRESS_IDLE:
@@ -176,7 +161,7 @@
 	log_event(LOG_LEVEL_INFO, "ingress", "closed",
 		  "phase=%s age_ms=%" G_GINT64_FORMAT
 		  " unsent=%zu unread=%d unparsed=%u stopping=%d",
-		  phase_name(conn->phase),
+		  ingress_phase_name(conn->phase),
 		  (kernel_now(conn->ingress->kernel) - conn->phase_since) /
 			  USEC_PER_MSEC,
 		  unsent, unread, conn->input->len, conn->ingress->stopping);
@@ -321,8 +306,8 @@
 	write_response(conn, head, text);
 }
 
-static void respond_error(ingress_conn_t *conn, uint32_t status,
-			  const char *text)
+void ingress_conn_respond_error(ingress_conn_t *conn, uint32_t status,
+				const char *text)
 {
 	ingress_conn_respond(conn, status, "text/plain", text, true);
 }
@@ -333,19 +318,20 @@
 	const fleet_limits_t *limits = &conn->ingress->limits;
 
 	if (conn->parse.too_large) {
-		respond_error(conn, 431,
-			      "the head of the request is too large\n");
+		ingress_conn_respond_error(
+			conn, 431, "the head of the request is too large\n");
 		return false;
 	}
 	if (conn->parse.state == HTTP_STATE_ERROR) {
-		respond_error(conn, 400, "the request is not valid HTTP\n");
+		ingress_conn_respond_error(conn, 400,
+					   "the request is not valid HTTP\n");
 		return false;
 	}
 	if (conn->parse.body->len > limits->max_body ||
 	    http_parse_content_length(&conn->parse) >
 		    (int64_t)limits->max_body) {
-		respond_error(conn, 413,
-			      "the body of the request is too large\n");
+		ingress_conn_respond_error(
+			conn, 413, "the body of the request is too large\n");
 		return false;
 	}
 	return true;
@@ -360,7 +346,7 @@
 		write_text(conn, "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-static void refuse_full(ingress_conn_t *conn)
+void ingress_conn_refuse_full(ingress_conn_t *conn)
 {
 	ingress_conn_respond_retry_after(conn, 503, "too many large requests\n",
 					 FULL_RETRY_AFTER);
@@ -379,7 +365,7 @@
 	log_event(LOG_LEVEL_WARN, "ingress", "refused",
 		  "reason=no_room bytes=%zu running=%" G_GUINT64_FORMAT, bytes,
 		  kernel->buffers.held[BUFFER_RUNNING]);
-	refuse_full(conn);
+	ingress_conn_refuse_full(conn);
 	return false;
 }
 
@@ -402,7 +388,7 @@
 		if (used < conn->input->len)
 			g_byte_array_remove_range(conn->input, 0, (guint)used);
 		else
-			free_input(conn);
+			ingress_conn_free_input(conn);
 		if (!check_limits(conn))
 			return;
 		if (before < HTTP_STATE_BODY &&
@@ -503,7 +489,7 @@
 
 	if (ready == POLLSET_OUT) {
 		on_output_written(conn);
-		count_bytes(conn);
+		ingress_conn_count_bytes(conn);
 		kernel_flush(kernel);
 		return;
 	}
@@ -514,7 +500,7 @@
 			http_socket_watch_input(&conn->sock, false);
 		else
 			parse_input(conn);
-		count_bytes(conn);
+		ingress_conn_count_bytes(conn);
 	}
 	kernel_flush(kernel);
 }
@@ -597,235 +583,5 @@
 	/* The message may have closed the connection. */
 	conn = table_get(&ingress->conns, msg->ref);
 	if (conn != NULL)
-		count_bytes(conn);
-}
-
-/*
- * Only a request that is being read can be refused as not run.  Behind one in
- * progress, the further ones can be left unread.
- */
-static size_t droppable_bytes(const ingress_conn_t *conn, buffer_kind_t kind)
-{
-	if (kind == BUFFER_OUTPUT)
-		return conn->counted_output;
-	switch (conn->phase) {
-	case INGRESS_READING:
-		return conn->counted_requests - CONN_MEMORY;
-	case INGRESS_BUSY:
-		return conn->input->len;
-	case INGRESS_IDLE:
-	case INGRESS_LINGER:
-		break;
-	}
-	return 0;
-}
-
-static ingress_conn_t *find_largest(const ingress_t *ingress,
-				    buffer_kind_t kind)
-{
-	ingress_conn_t *conn, *largest = NULL;
-	uint32_t cursor = 0;
-
-	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
-		if (droppable_bytes(conn, kind) > 0 &&
-		    (largest == NULL || droppable_bytes(conn, kind) >
-						droppable_bytes(largest, kind)))
-			largest = conn;
-	return largest;
-}
-
-static void drop(ingress_conn_t *conn, buffer_kind_t kind)
-{
-	if (kind == BUFFER_OUTPUT) {
-		/* A truncated response must not look complete. */
-		http_socket_abort(&conn->sock);
-		ingress_conn_close(conn);
-		return;
-	}
-	if (conn->phase == INGRESS_BUSY) {
-		/* The connection closes after the answer in progress. */
-		conn->close_after = true;
-		free_input(conn);
-		http_socket_watch_input(&conn->sock, false);
-	} else {
-		refuse_full(conn);
-	}
-	count_bytes(conn);
-}
-
-void ingress_conn_relieve(ingress_t *ingress, buffer_kind_t kind)
-{
-	const buffers_t *buffers = &ingress->kernel->buffers;
-	ingress_conn_t *conn;
-
-	while (!buffers_relieved(buffers) &&
-	       (conn = find_largest(ingress, kind)) != NULL) {
-		metrics_add(ingress->kernel->metrics, COUNTER_BUFFERS_DROPPED,
-			    1);
-		log_event(LOG_LEVEL_WARN, "ingress", "dropped",
-			  "kind=%s phase=%s bytes=%zu "
-			  "buffered=%" G_GUINT64_FORMAT,
-			  buffers_kind_name(kind), phase_name(conn->phase),
-			  droppable_bytes(conn, kind), buffers_total(buffers));
-		drop(conn, kind);
-	}
-	kernel_buffers_relieved(ingress->kernel);
-}
-
-static int64_t header_limit(const ingress_conn_t *conn)
-{
-	return conn->ingress->limits.header_timeout_ms * USEC_PER_MSEC;
-}
-
-/*
- * Returns how long a connection without a request stays open.  One that has
- * had none yet makes room while no further caller can connect.
- */
-static int64_t rest_limit(const ingress_conn_t *conn)
-{
-	if (http_socket_has_output(&conn->sock))
-		return OUTPUT_TIMEOUT_US;
-	if (conn->phase == INGRESS_LINGER)
-		return LINGER_TIMEOUT_US;
-	if (!conn->served && ingress_is_full(conn->ingress))
-		return MIN(header_limit(conn), idle_limit(conn));
-	return idle_limit(conn);
-}
-
-/*
- * Returns whether a caller reads its answer too slowly: over the idle limit,
- * and OUTPUT_TIMEOUT_US at least, it has taken neither all nor READ_RATE_MIN a
- * second.
- */
-static bool reads_too_slowly(ingress_conn_t *conn, int64_t now)
-{
-	/* Sound callers pause for seconds before they read. */
-	int64_t limit = MAX(idle_limit(conn), OUTPUT_TIMEOUT_US);
-	uint64_t least = (uint64_t)(READ_RATE_MIN * limit / USEC_PER_SEC);
-	uint64_t taken;
-
-	if (!http_socket_has_output(&conn->sock)) {
-		conn->read_since = 0;
-		return false;
-	}
-	taken = http_socket_delivered(&conn->sock);
-	if (conn->read_since == 0 || taken - conn->read_then >= least) {
-		conn->read_since = now;
-		conn->read_then = taken;
-	}
-	return now - conn->read_since > limit;
-}
-
-static void reset_slow_reader(ingress_conn_t *conn)
-{
-	metrics_add(conn->ingress->kernel->metrics, COUNTER_SLOW_READERS, 1);
-	log_event(LOG_LEVEL_INFO, "ingress", "reads_too_slowly",
-		  "phase=%s unread=%zu", phase_name(conn->phase),
-		  http_socket_output_len(&conn->sock));
-	http_socket_abort(&conn->sock);
-	ingress_conn_close(conn);
-}
-
-/*
- * Returns the time for a request to arrive.  While no further caller can
- * connect, slow ones have less: sound heads come in one piece.
- */
-static int64_t read_limit(const ingress_conn_t *conn)
-{
-	bool full = ingress_is_full(conn->ingress);
-
-	if (conn->parse.state < HTTP_STATE_BODY)
-		return full ? header_limit(conn) / FULL_HEAD_DIVISOR
-			    : header_limit(conn);
-	return full ? header_limit(conn) : idle_limit(conn);
-}
-
-static void sweep(ingress_conn_t *conn, int64_t now)
-{
-	int64_t age = now - conn->phase_since;
-
-	if (reads_too_slowly(conn, now)) {
-		reset_slow_reader(conn);
-		return;
-	}
-	switch (conn->phase) {
-	case INGRESS_IDLE:
-		/* A request that has arrived is read in this iteration. */
-		if (age > rest_limit(conn) &&
-		    !http_socket_has_input(&conn->sock))
-			ingress_conn_close(conn);
-		break;
-	case INGRESS_READING:
-		/* A caller is not late if its input waits to be read. */
-		if (http_socket_has_input(&conn->sock))
-			break;
-		if (age <= read_limit(conn))
-			break;
-		respond_error(conn, 408,
-			      conn->parse.state < HTTP_STATE_BODY
-				      ? "the head did not come in time\n"
-				      : "the body did not come in time\n");
-		break;
-	case INGRESS_BUSY:
-		break;
-	case INGRESS_LINGER:
-		if (age > rest_limit(conn))
-			ingress_conn_close(conn);
-		break;
-	}
-}
-
-static bool is_unfinished(const ingress_conn_t *conn)
-{
-	if (conn->sock.failed)
-		return false;
-	if (conn->phase == INGRESS_READING ||
-	    http_socket_has_output(&conn->sock))
-		return true;
-	return conn->phase == INGRESS_IDLE &&
-	       http_socket_has_input(&conn->sock);
-}
-
-bool ingress_conn_any_unfinished(const ingress_t *ingress)
-{
-	uint32_t cursor = 0;
-	const ingress_conn_t *conn;
-
-	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
-		if (is_unfinished(conn))
-			return true;
-	return false;
-}
-
-void ingress_conn_make_room(ingress_t *ingress, listener_kind_t kind,
-			    uint32_t most)
-{
-	ingress_conn_t *conn, *oldest = NULL;
-	uint32_t cursor = 0, count = 0;
-
-	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL) {
-		if (conn->kind != kind || conn->phase == INGRESS_BUSY)
-			continue;
-		count++;
-		if (oldest == NULL || conn->phase_since < oldest->phase_since)
-			oldest = conn;
-	}
-	if (count >= most && oldest != NULL)
-		ingress_conn_close(oldest);
-}
-
-void ingress_conn_sweep(ingress_t *ingress)
-{
-	int64_t now = kernel_now(ingress->kernel);
-	uint32_t cursor = 0;
-	ingress_conn_t *conn;
-
-	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL) {
-		handle_t self = conn->self;
-
-		sweep(conn, now);
-		/* What a slow caller reads is not reported one by one. */
-		if (table_get(&ingress->conns, self) != NULL)
-			count_bytes(conn);
-	}
+		ingress_conn_count_bytes(conn);
 }
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -45,6 +45,9 @@
 	uint64_t read_then; /* bytes that the caller had taken at that time */
 } ingress_conn_t;
 
+/* Memory of a connection without a request; 1.9 KiB were measured. */
+#define CONN_MEMORY 2048
+
 void ingress_conn_open(ingress_t *ingress, GSocket *socket,
 		       listener_kind_t kind);
 /* Closes at once and cancels a request in progress. */
@@ -73,6 +76,19 @@
 void ingress_conn_refuse(ingress_conn_t *conn, http_head_t *head,
 			 const char *text, bool close);
 
+/* conn.c, for limits.c. */
+void ingress_conn_count_bytes(ingress_conn_t *conn);
+/* Frees the input that is not parsed yet. */
+void ingress_conn_free_input(ingress_conn_t *conn);
+/* Refuses the request that is being read, as the process holds too much. */
+void ingress_conn_refuse_full(ingress_conn_t *conn);
+/* Returns how long the caller may rest, us. */
+int64_t ingress_conn_idle_limit(const ingress_conn_t *conn);
+/* Refuses with a text and closes. */
+void ingress_conn_respond_error(ingress_conn_t *conn, uint32_t status,
+				const char *text);
+const char *ingress_phase_name(ingress_phase_t phase);
+
 /* admit.c: refuses requests beyond the capacity of this instance. */
 /* Lets no more of a body arrive than is read, if the link is small. */
 void ingress_limit_window(const ingress_t *ingress, GSocket *socket);
