--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,104 +1,102 @@
-"""Another writer leaves entries of workers in which fields are missing."""
+"""The operator adds a route whose host has a long name, and takes a key away."""
 import asyncio
-import json
 
 import rig
 from rig import http1
 
-ORDERS_PER_S = 40
-LOAD_S = 10.0
-WRITES = 4  # of the other writer
-WRITE_GAP_S = 2.0
+LONG_HOST = ("uzletek.asszisztens.szunyoghalo-franchise-kozpont."
+             "kozep-magyarorszag.example")
+CONFIG_S = 2.0  # config_ms
+REQUESTS = 30
 
 
-class Application(rig.Worker):
-    """A plain service: it runs what names its id, or answers 421."""
-
-    def __init__(self, *args, runs):
+class Desk(rig.Worker):
+    def __init__(self, *args):
         super().__init__(*args)
-        self.runs = runs
+        self.runs = {}
 
     async def run(self, writer, line, fields, body):
         attempt = fields.get("attempt-id", "")
-        self.runs.append((self, attempt, line))
-        await asyncio.sleep(0.03)
+        self.runs[attempt] = (self.rig.now(), line)
+        await asyncio.sleep(0.02)
         writer.write(http1.message(
             "HTTP/1.1 200 OK",
-            [("Attempt-Id", attempt), ("Response-Seal", "seal." + attempt),
-             ("Instance-Load", "1,0,%d" % self.slots)],
-            b"done by " + self.id.encode()))
+            [("Attempt-Id", attempt), ("Response-Seal", "seal." + attempt)],
+            b"done"))
 
 
-async def order(world, number, answers):
-    gateway = world.gateways[number % len(world.gateways)]
-    attempt = "%016x" % (0x0de00000 + number)
-    reader, writer = await asyncio.open_connection(
-        gateway.ip, gateway.ports["callers"])
-    try:
-        writer.write(http1.message(
-            "POST /order-book/%d HTTP/1.1" % number,
-            [("Host", rig.HOST), ("Attempt-Id", attempt),
-             ("Authorization", "Bearer key-of-the-shop"),
-             ("Time-Budget-Ms", "2500"), ("Connection", "close")],
-            b'{"frame": "%d"}' % number))
-        line, fields = await http1.read_head(reader)
-        await http1.read_body(reader, fields)
-        answers[line.split(" ")[1]] = answers.get(line.split(" ")[1], 0) + 1
-    except (OSError, http1.ConnectionLost):
-        answers["lost"] = answers.get("lost", 0) + 1
-    finally:
-        writer.transport.abort()
+class Caller:
+    def __init__(self, world):
+        self.world = world
+        self.number = 0
 
+    async def send(self, gateway, host, path, key):
+        attempt = "%016x" % (0xcf000000 + self.number)
+        self.number += 1
+        reader, writer = await asyncio.open_connection(
+            gateway.ip, gateway.ports["callers"])
+        try:
+            writer.write(http1.message(
+                "GET %s HTTP/1.1" % path,
+                [("Host", host), ("Attempt-Id", attempt),
+                 ("Authorization", "Bearer " + key),
+                 ("Time-Budget-Ms", "2500"), ("Connection", "close")]))
+            line, fields = await asyncio.wait_for(http1.read_head(reader), 3)
+            return attempt, line.split(" ")[1]
+        except (OSError, http1.ConnectionLost, asyncio.TimeoutError):
+            return attempt, "lost"
+        finally:
+            writer.transport.abort()
 
-def write_incomplete(world, worker):
-    """The entry lacks version, cold_remaining_ms, sequence and born."""
-    entry = {"service": "rendeles", "address": "127.0.0.1:%d" % worker.port,
-             "zone": worker.zone, "batch_slots": 6, "state": "ready"}
-    world.store.write("servers/" + worker.id, json.dumps(entry).encode())
-    world.note("another writer: servers/%s = %s" % (
-        worker.id, json.dumps(entry)))
+
+def configure(world, version, more_routes, keys):
+    world.configure(
+        version,
+        [rig.route("jobsheet-read", "safe", "rendeles", timeout_ms=1200,
+                   target_latency_ms=150, max_attempts=2)] + more_routes,
+        [{"name": "rendeles", "max_connections": 100}],
+        [{"name": "shop", "api_keys": keys}])
 
 
 async def play(world):
-    runs = []
-    desks = [Application(world, "rendeles", "i-desk-%d" % i, "zone-%d" % i,
-                         runs=runs) for i in (1, 2)]
-    store_rooms = [Application(world, "raktar", "i-room-%d" % i, "zone-%d" % i,
-                               runs=runs) for i in (1, 2)]
-    for worker in desks + store_rooms:
-        await worker.listen()
-    world.configure(
-        1, [rig.route("order-book", "unsafe", "rendeles", timeout_ms=1200,
-                      target_latency_ms=150),
-            rig.route("room", "unsafe", "raktar", timeout_ms=1200,
-                      target_latency_ms=150)],
-        [{"name": name, "max_connections": 100}
-         for name in ("rendeles", "raktar")],
-        [{"name": "shop", "api_keys": ["key-of-the-shop"]}])
-    for worker in desks + store_rooms:
-        worker.beat()
+    desk = Desk(world, "rendeles", "i-desk-1")
+    await desk.listen()
+    configure(world, 1, [], ["key-kept", "key-taken-away"])
+    desk.beat()
     await world.start()
     await world.wait_ready()
     await asyncio.sleep(2)
-    answers, tasks, written = {}, [], 0
-    begin = world.now()
-    while world.now() < begin + LOAD_S:
-        if rig.TROUBLE and written < WRITES and \
-                world.now() > begin + 1 + written * WRITE_GAP_S:
-            write_incomplete(world, store_rooms[written % 2])
-            written += 1
-        tasks.append(asyncio.ensure_future(
-            order(world, len(tasks), answers)))
-        await asyncio.sleep(1 / ORDERS_PER_S)
-    await asyncio.gather(*tasks)
-    world.note("orders sent: %d, answers: %s" % (len(tasks), answers))
-    if not runs:
-        raise rig.CannotRun("no order has run")
-    for worker, attempt, line in runs:
-        if worker.service != "rendeles":
-            world.rule_broken("%s of service %s ran %s, %s, whose route goes "
-                              "to rendeles only" % (worker.id, worker.service,
-                                                    attempt, line))
+    caller = Caller(world)
+    for gateway in world.gateways:
+        for key in ("key-kept", "key-taken-away"):
+            _, status = await caller.send(gateway, rig.HOST,
+                                          "/jobsheet-read/1", key)
+            world.note("version 1: %s with %s at %s" % (status, key,
+                                                        gateway.name))
+    host = LONG_HOST if rig.TROUBLE else "uzletek.example"
+    world.note("version 2 adds a route of host %s (%d characters) and takes "
+               "key-taken-away away" % (host, len(host)))
+    configure(world, 2, [dict(rig.route(
+        "shop-read", "safe", "rendeles", timeout_ms=1200, max_attempts=2),
+        host=host)], ["key-kept"])
+    await asyncio.sleep(CONFIG_S + 1)
+    seen = {}
+    for number in range(REQUESTS):
+        gateway = world.gateways[number % len(world.gateways)]
+        for host_, path, key in (
+                (rig.HOST, "/jobsheet-read/2", "key-taken-away"),
+                (host, "/shop-read/2", "key-kept")):
+            attempt, status = await caller.send(gateway, host_, path, key)
+            ran = "ran" if attempt in desk.runs else "did not run"
+            what = "%s with %s" % (path, key)
+            seen[what, status, ran] = seen.get((what, status, ran), 0) + 1
+        await asyncio.sleep(0.1)
+    for (what, status, ran), count in sorted(seen.items()):
+        text = "later than config_ms after version 2: %d requests for %s: " \
+            "%s, %s" % (count, what, status, ran)
+        world.note(text)
+        if ("taken-away" in what) == (ran == "ran"):
+            world.rule_broken(text)
 
 
 rig.main(play, gateways=3)
