Name the member of a configuration that cannot be read

Operators saw one line for each configuration that was not applied, "configuration: field missing, of the wrong type or out of range", and no metric.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -100,6 +100,35 @@
 		EXPECT_EQ(decode("fleet/conf", bad), RECORD_INVALID) << bad;
 }
 
+// Guards against a configuration that is not applied while the log does not say
+// which member of which version is at fault.
+TEST(Entries, ErrorOfAConfigurationNamesVersionAndMember)
+{
+	const struct {
+		const char *from, *to, *reason;
+	} cases[] = {
+		{"\"version\":7", "\"version\":\"7\"",
+		 "version: missing or not a whole number"},
+		{"\"services\":[", "\"services\":[1,",
+		 "version 7, services[0]: not an object"},
+		{"\"services\":", "\"other\":",
+		 "version 7, services: missing or not an array"},
+	};
+
+	for (const auto &c : cases) {
+		std::string text = replace_first(conf_json, c.from, c.to);
+		GBytes *bytes = g_bytes_new(text.data(), text.size());
+		record_t record;
+		errmsg_t err;
+
+		entry_decode("fleet/conf", bytes, &record, &err);
+		EXPECT_EQ(record.kind, RECORD_INVALID) << text;
+		EXPECT_STREQ(err.text, c.reason);
+		record_clear(&record);
+		g_bytes_unref(bytes);
+	}
+}
+
 // Guards against an evacuation that does not begin because of its value: only
 // the presence of the key counts.
 TEST(Entries, EvacuationHoldsWithAnyValue)
@@ -1021,6 +1050,37 @@
 	EXPECT_EQ(store_result_find(result, "fleet/target/i-2")->revision, 9);
 }
 
+// Guards against an instance whose metrics do not tell that the newest
+// configuration is not in force.
+TEST_F(Store, UnreadableConfigurationIsShownUntilTheNextOne)
+{
+	const struct {
+		int revision;
+		const char *text;
+		int64_t unreadable;
+	} steps[] = {
+		{3, conf_json.c_str(), 0},
+		{4, "{}", 1},
+		{3, conf_json.c_str(), 1}, // an older one, from a peer
+		{5, conf_json.c_str(), 0},
+	};
+
+	for (const auto &step : steps) {
+		gchar *value = g_base64_encode(
+			reinterpret_cast<const guchar *>(step.text),
+			strlen(step.text));
+
+		get("fleet/conf", 200,
+		    R"({"key":"op/config","revision":)" +
+			    std::to_string(step.revision) + R"(,"value":")" +
+			    value + R"("})");
+		g_free(value);
+		EXPECT_EQ(kernel.metrics->gauges[GAUGE_CONF_UNREADABLE],
+			  step.unreadable)
+			<< step.revision;
+	}
+}
+
 // Guards against an evacuation that is not found under its key, or that harms
 // builds which do not know the key: they take its value for an allocation, and
 // log and count one that they can't decode.
