Apply configurations whatever the length of their values

Cause: names, hosts and prefixes were decoded into buffers of 64 and 512 bytes, shares into an array of 4, and one value that did not fit made the decoder reject the whole document. The store had accepted it, so the former version stayed in force without end. Requests had the same limits: a path of 512 bytes or more, a host of 64 and a key of 160 got 400.

Change: a configuration owns its hosts, prefixes and shares, which have no limit but that of the store's value. Targets get the account's name in full. A request owns its host, path and key. The dot that ends a host is no part of it.

A part that cannot be read at all no longer keeps the rest from being in force: its route is refused with 503, its account with 402, and conf_parts_unreadable counts it. Numbers with decimals or beyond what is used are limited, not replaced by a default.

Tests: Entries.ConfigurationHoldsWithValuesOfAnyLength, UnreadablePartOfAConfigurationIsRefusedAndTheRestHolds, NumbersOfAConfigurationAreLimitedAndNotReplaced, Wire.PathHostAndKeyOfAnyLengthAreRead, HostIsReadWithoutItsPortAndFinalDot, Identifier.DiffersWhereTheTextsDo, and two in proxy_test. Before the fix a reduced form of the first four failed for each of ten members and for path, host and key. ErrorOfAConfigurationNamesVersionAndMember and three lines that expected a rejected document are replaced: they asked for the behaviour that let the key run; their members are in the new tests with the fault's text.

A service with a long name still gets 503; its targets are the next change.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -31,11 +31,10 @@
 		const fleet_route_t *route =
 			&g_array_index(conf->routes, fleet_route_t, i);
 
-		if (route->kind != ROUTE_STREAM || !route->resumable)
-			continue;
-		for (uint32_t j = 0; j < route->share_count; j++)
-			if (strcmp(route->shares[j].service, service) == 0)
-				return true;
+		if (route->terms.kind == ROUTE_STREAM &&
+		    route->terms.resumable &&
+		    fleet_conf_leads_to(conf, route, service))
+			return true;
 	}
 	return false;
 }
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -144,11 +144,14 @@
 	fleet->conf = fleet_conf_ref(conf);
 	metrics_add(fleet->kernel->metrics, COUNTER_CONF_CHANGES, 1);
 	metrics_set(fleet->kernel->metrics, GAUGE_CONF_REVISION, conf->version);
+	metrics_set(fleet->kernel->metrics, GAUGE_CONF_PARTS_UNREADABLE,
+		    conf->unreadable);
 	log_event(LOG_LEVEL_INFO, "fleet", "configuration",
 		  "version=%" G_GINT64_FORMAT " routes=%u accounts=%u "
-		  "store_up=%d",
+		  "store_up=%d unreadable=%u fault=%s",
 		  conf->version, conf->routes->len, conf->accounts->len,
-		  fleet->store_up);
+		  fleet->store_up, conf->unreadable,
+		  log_quote(conf->fault.text));
 	for (uint32_t i = 0; i < fleet->subscriber_count; i++)
 		post_conf(fleet, fleet->subscribers[i]);
 }
--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -109,12 +109,12 @@
 	route = fleet_conf_route(conf, spec->host, spec->path);
 	if (route == NULL)
 		return false;
-	if (spec->api_key[0] != '\0')
+	if (spec->api_key != NULL)
 		account = fleet_conf_account_by_key(conf, spec->api_key);
-	request->route = route->name;
+	request->route = route->terms.name;
 	request->priority = account != NULL && account->priority >= 0
 				    ? account->priority
-				    : route->priority;
+				    : route->terms.priority;
 	request->bytes = traffic_on_link(conn->parse.head_bytes + body);
 	request->arrived = traffic_on_link(conn->parse.head_bytes + arrived);
 	request->continued = conn->kind == LISTENER_METRICS ||
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -233,12 +233,12 @@
 /* "proxy" and "balance" answer. */
 static void explain(ingress_t *ingress, ingress_conn_t *conn)
 {
-	explain_query_t *query = g_new(explain_query_t, 1);
+	explain_query_t *query = g_new0(explain_query_t, 1);
 	msg_t msg = {.kind = MSG_EXPLAIN, .id = conn->self};
 	errmsg_t err;
 
 	if (!wire_read_explain(conn->parse.head, query, &err)) {
-		g_free(query);
+		explain_query_free(query);
 		ingress_conn_respond(conn, 400, "text/plain", err.text, false);
 		return;
 	}
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -12,7 +12,6 @@
 G_BEGIN_DECLS
 
 #define REQUEST_ID_SIZE 80 /* bytes, with terminator */
-#define API_KEY_SIZE 160 /* bytes, with terminator */
 #define EVENT_ID_SIZE 48 /* bytes, with terminator */
 #define PROMPT_PARTS_MAX 16
 
@@ -27,9 +26,9 @@
 
 typedef struct exchange_spec_t {
 	char request_id[REQUEST_ID_SIZE]; /* unique per attempt */
-	char host[HOST_SIZE];
-	char path[PATH_SIZE]; /* without the query */
-	char api_key[API_KEY_SIZE]; /* empty if none was given */
+	char *host; /* without the port */
+	char *path; /* without the query */
+	char *api_key; /* NULL if none was given */
 	int64_t wait_ms; /* limit on the caller's wait; -1 if not stated */
 	int64_t prompt_tokens;
 	int64_t max_tokens; /* limit on generated tokens */
@@ -50,8 +49,8 @@
 
 /* An operator asks where a request would go now. */
 typedef struct explain_query_t {
-	char host[HOST_SIZE];
-	char path[PATH_SIZE];
+	char *host; /* NULL: only a service is given */
+	char *path; /* NULL: only a service is given */
 	char service[NAME_SIZE]; /* empty: as the route says */
 	char account[NAME_SIZE]; /* empty: none */
 	int64_t prompt_tokens;
@@ -60,6 +59,8 @@
 	prompt_part_t parts[PROMPT_PARTS_MAX];
 } explain_query_t;
 
+void explain_query_free(explain_query_t *query);
+
 /* Where a stream began, and for whom. */
 typedef struct stream_origin_t {
 	char service[NAME_SIZE];
--- a/kernel/fleet.c
+++ b/kernel/fleet.c
@@ -1,13 +1,19 @@
 #include "kernel/fleet.h"
 
+#include "kernel/identifier.h"
+
 #include <string.h>
 
+#define TEXTS_BLOCK_SIZE 1024 /* bytes */
+
 fleet_conf_t *fleet_conf_new(void)
 {
 	fleet_conf_t *conf = g_new0(fleet_conf_t, 1);
 
 	conf->refs = 1;
 	conf->routes = g_array_new(FALSE, TRUE, sizeof(fleet_route_t));
+	conf->shares = g_array_new(FALSE, TRUE, sizeof(route_share_t));
+	conf->texts = g_string_chunk_new(TEXTS_BLOCK_SIZE);
 	conf->services = g_array_new(FALSE, TRUE, sizeof(fleet_service_t));
 	conf->accounts = g_array_new(FALSE, TRUE, sizeof(fleet_account_t));
 	conf->keys =
@@ -26,6 +32,8 @@
 	if (conf == NULL || --conf->refs > 0)
 		return;
 	g_array_unref(conf->routes);
+	g_array_unref(conf->shares);
+	g_string_chunk_free(conf->texts);
 	g_array_unref(conf->services);
 	g_array_unref(conf->accounts);
 	g_hash_table_unref(conf->keys);
@@ -33,6 +41,53 @@
 	g_free(conf);
 }
 
+const char *fleet_conf_keep(fleet_conf_t *conf, const char *text)
+{
+	return g_string_chunk_insert(conf->texts, text);
+}
+
+void fleet_conf_add_route(fleet_conf_t *conf, const route_terms_t *terms,
+			  const char *host, const char *path_prefix)
+{
+	fleet_route_t route = {
+		.terms = *terms,
+		.host = fleet_conf_keep(conf, host),
+		.path_prefix = fleet_conf_keep(conf, path_prefix),
+		.first_share = conf->shares->len,
+	};
+
+	g_array_append_val(conf->routes, route);
+}
+
+void fleet_conf_add_share(fleet_conf_t *conf, const char *service,
+			  uint32_t weight)
+{
+	fleet_route_t *route = &g_array_index(conf->routes, fleet_route_t,
+					      conf->routes->len - 1);
+	route_share_t share = {.weight = weight};
+
+	identifier_set(share.service, sizeof(share.service), service);
+	g_array_append_val(conf->shares, share);
+	route->share_count++;
+}
+
+const route_share_t *fleet_conf_share(const fleet_conf_t *conf,
+				      const fleet_route_t *route, guint i)
+{
+	return &g_array_index(conf->shares, route_share_t,
+			      route->first_share + i);
+}
+
+bool fleet_conf_leads_to(const fleet_conf_t *conf, const fleet_route_t *route,
+			 const char *service)
+{
+	for (guint i = 0; i < route->share_count; i++)
+		if (strcmp(fleet_conf_share(conf, route, i)->service,
+			   service) == 0)
+			return true;
+	return false;
+}
+
 const fleet_route_t *fleet_conf_route(const fleet_conf_t *conf,
 				      const char *host, const char *path)
 {
--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -5,11 +5,11 @@
 #ifndef KERNEL_FLEET_H
 #define KERNEL_FLEET_H
 
+#include "kernel/errmsg.h"
 #include "kernel/exchange.h"
 
 G_BEGIN_DECLS
 
-#define ROUTE_SPLIT_MAX 4 /* services that share the requests of one route */
 #define GRANT_HOLDERS_MAX 512 /* holders of the allocation of one account */
 
 typedef enum route_kind_t {
@@ -18,15 +18,15 @@
 	ROUTE_STREAM, /* event stream; can be resumed on a resumable route */
 } route_kind_t;
 
+/* A service that gets a part of the requests of a route. */
 typedef struct route_share_t {
 	char service[NAME_SIZE];
 	uint32_t weight;
 } route_share_t;
 
-typedef struct fleet_route_t {
+/* How requests of a route are handled. */
+typedef struct route_terms_t {
 	char name[NAME_SIZE];
-	char host[HOST_SIZE];
-	char path_prefix[PATH_SIZE];
 	route_kind_t kind;
 	uint32_t timeout_ms; /* limit on the time a caller waits */
 	/* Intended time to the response, or to the first event of a stream. */
@@ -36,10 +36,20 @@
 	uint32_t max_attempts; /* limit on the targets one request is sent to */
 	bool is_public; /* no API key is required */
 	bool resumable; /* another target can continue a stream */
-	uint32_t share_count;
-	route_share_t shares[ROUTE_SPLIT_MAX];
+} route_terms_t;
+
+typedef struct fleet_route_t {
+	route_terms_t terms;
+	const char *host; /* owned by the configuration */
+	const char *path_prefix; /* owned by the configuration */
+	guint first_share; /* index into the shares of the configuration */
+	guint share_count; /* 0: the route was not readable; it is refused */
 } fleet_route_t;
 
+/*
+ * The names of routes, services and accounts are identifiers, see
+ * kernel/identifier.h.
+ */
 typedef struct fleet_service_t {
 	char name[NAME_SIZE];
 	uint32_t max_connections; /* per target, from all instances */
@@ -54,6 +64,7 @@
 
 typedef struct fleet_account_t {
 	char name[NAME_SIZE];
+	const char *full_name; /* owned by the configuration */
 	int32_t priority; /* overrides the route's priority; -1 if none */
 	int64_t prepaid; /* tokens for one day; -1 if not limited */
 } fleet_account_t;
@@ -70,17 +81,38 @@
 	int refs;
 	int64_t version;
 	GArray *routes; /* fleet_route_t */
+	GArray *shares; /* route_share_t, those of one route together */
+	GStringChunk *texts;
 	GArray *services; /* fleet_service_t */
 	GArray *accounts; /* fleet_account_t */
 	GHashTable *keys; /* API key -> index into accounts + 1 */
 	bool has_accounts; /* requests require an API key */
 	fleet_limits_t limits;
 	GBytes *document; /* encoded form as stored, for peers */
+	/*
+	 * Parts that were not readable.  Requests that need one are refused;
+	 * the rest of the configuration is in force.
+	 */
+	uint32_t unreadable;
+	errmsg_t fault; /* names the first of them */
 } fleet_conf_t;
 
 fleet_conf_t *fleet_conf_new(void);
 fleet_conf_t *fleet_conf_ref(fleet_conf_t *conf);
 void fleet_conf_unref(fleet_conf_t *conf);
+/* Returns a copy of the text that lives as long as the configuration. */
+const char *fleet_conf_keep(fleet_conf_t *conf, const char *text);
+/* Adds a route, whose shares are to be added before the next route. */
+void fleet_conf_add_route(fleet_conf_t *conf, const route_terms_t *terms,
+			  const char *host, const char *path_prefix);
+/* Adds a share to the route that was added last. */
+void fleet_conf_add_share(fleet_conf_t *conf, const char *service,
+			  uint32_t weight);
+const route_share_t *fleet_conf_share(const fleet_conf_t *conf,
+				      const fleet_route_t *route, guint i);
+/* True if the service gets requests of the route. */
+bool fleet_conf_leads_to(const fleet_conf_t *conf, const fleet_route_t *route,
+			 const char *service);
 /*
  * Returns the route of the host with the longest prefix that matches path, or
  * NULL.
--- a/kernel/msg.c
+++ b/kernel/msg.c
@@ -24,7 +24,7 @@
 		g_clear_pointer(&msg->u.exchange, exchange_spec_free);
 		break;
 	case MSG_EXPLAIN:
-		g_clear_pointer(&msg->u.explain, g_free);
+		g_clear_pointer(&msg->u.explain, explain_query_free);
 		break;
 	case MSG_EXCHANGE_HEAD:
 		g_clear_pointer(&msg->u.exchange_head.head, http_head_free);
--- a/metrics/metrics.h
+++ b/metrics/metrics.h
@@ -115,6 +115,8 @@
 	X(CONF_REVISION, "conf_revision", "highest revision applied")        \
 	X(CONF_UNREADABLE, "conf_unreadable",                                \
 	  "1 while the newest configuration cannot be read")                 \
+	X(CONF_PARTS_UNREADABLE, "conf_parts_unreadable",                    \
+	  "parts of the configuration in force that cannot be read")         \
 	X(GRANT_TOKENS, "grant_tokens", "tokens granted and not yet spent")  \
 	X(WITHHELD_TOKENS, "withheld_tokens",                                \
 	  "tokens of dead routers that wait for budget reclaim")             \
--- a/proxy/admit.c
+++ b/proxy/admit.c
@@ -19,20 +19,22 @@
 		service != NULL && service->engine ? service->event_tokens : 0;
 }
 
-static void choose_service(proxy_t *proxy, exchange_t *exchange)
+static void choose_service(proxy_t *proxy, exchange_t *exchange,
+			   const fleet_route_t *route)
 {
-	const fleet_route_t *route = &exchange->route;
+	const fleet_conf_t *conf = proxy->conf;
 	uint64_t total = 0, at;
-	uint32_t chosen = 0;
+	guint chosen = 0;
 
-	for (uint32_t i = 0; i < route->share_count; i++)
-		total += route->shares[i].weight;
+	for (guint i = 0; i < route->share_count; i++)
+		total += fleet_conf_share(conf, route, i)->weight;
 	if (total > 0) {
 		at = kernel_random_below(proxy->kernel, total);
-		while (at >= route->shares[chosen].weight)
-			at -= route->shares[chosen++].weight;
+		while (at >= fleet_conf_share(conf, route, chosen)->weight)
+			at -= fleet_conf_share(conf, route, chosen++)->weight;
 	}
-	exchange_set_service(proxy, exchange, route->shares[chosen].service);
+	exchange_set_service(proxy, exchange,
+			     fleet_conf_share(conf, route, chosen)->service);
 }
 
 /* Equal requests with the same API key have the same fingerprint. */
@@ -48,7 +50,8 @@
 	g_checksum_update(sum, (const guchar *)spec->host, -1);
 	g_checksum_update(sum, (const guchar *)spec->head->uri, -1);
 	g_checksum_update(sum, (const guchar *)"\n", 1);
-	g_checksum_update(sum, (const guchar *)spec->api_key, -1);
+	if (spec->api_key != NULL)
+		g_checksum_update(sum, (const guchar *)spec->api_key, -1);
 	g_checksum_update(sum, (const guchar *)"\n", 1);
 	if (spec->body != NULL)
 		body = g_bytes_get_data(spec->body, &len);
@@ -86,24 +89,28 @@
 	route = fleet_conf_route(proxy->conf, spec->host, spec->path);
 	if (route == NULL)
 		return REFUSAL_NO_ROUTE;
-	exchange->route = *route;
-	exchange->priority = route->priority;
-	if (spec->api_key[0] != '\0')
+	exchange->route = route->terms;
+	exchange->priority = route->terms.priority;
+	if (spec->api_key != NULL)
 		account = fleet_conf_account_by_key(proxy->conf, spec->api_key);
-	if (proxy->conf->has_accounts && !route->is_public && account == NULL)
+	if (proxy->conf->has_accounts && !route->terms.is_public &&
+	    account == NULL)
 		return REFUSAL_UNAUTHENTICATED;
 	if (account != NULL) {
 		g_strlcpy(exchange->account, account->name,
 			  sizeof(exchange->account));
+		exchange->account_name = g_strdup(account->full_name);
 		if (account->priority >= 0)
 			exchange->priority = account->priority;
 	}
+	if (route->share_count == 0)
+		return REFUSAL_NO_TARGET;
 	if (is_outdated(exchange))
 		return REFUSAL_BEHIND;
 	compute_fingerprint(exchange);
 	if (crash_quarantined(proxy, exchange))
 		return REFUSAL_QUARANTINED;
-	choose_service(proxy, exchange);
+	choose_service(proxy, exchange, route);
 	/* The instance that passed it on has counted it. */
 	if (!exchange->spec->from_peer)
 		retry_window_add_request(&proxy->retries, exchange->service,
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -46,6 +46,7 @@
 			   &exchange->counted_request, 0);
 	http_head_free(exchange->head);
 	exchange_spec_free(exchange->spec);
+	g_free(exchange->account_name);
 	g_byte_array_unref(exchange->body);
 	sse_finish(&exchange->events);
 	table_remove(&proxy->exchanges, exchange->self);
@@ -330,7 +331,8 @@
 
 static size_t spec_memory(const exchange_spec_t *spec)
 {
-	return sizeof(*spec) + http_head_memory(spec->head) +
+	return sizeof(*spec) + strlen(spec->host) + strlen(spec->path) +
+	       http_head_memory(spec->head) +
 	       (spec->body != NULL ? g_bytes_get_size(spec->body) : 0);
 }
 
@@ -379,12 +381,16 @@
 		reserve_or_place(proxy, exchange);
 }
 
-static bool is_service_of(const fleet_route_t *route, const char *service)
+/* The route may lead to another service than when the stream began. */
+static bool leads_to(const proxy_t *proxy, const exchange_t *exchange,
+		     const char *service)
 {
-	for (uint32_t i = 0; i < route->share_count; i++)
-		if (strcmp(route->shares[i].service, service) == 0)
-			return true;
-	return false;
+	const exchange_spec_t *spec = exchange->spec;
+	const fleet_route_t *route =
+		fleet_conf_route(proxy->conf, spec->host, spec->path);
+
+	return route != NULL &&
+	       fleet_conf_leads_to(proxy->conf, route, service);
 }
 
 void exchange_resolved(proxy_t *proxy, const msg_t *msg)
@@ -398,8 +404,7 @@
 		exchange_refuse(proxy, exchange, REFUSAL_VERSION_UNKNOWN, 0);
 		return;
 	}
-	/* The route may lead to another service by now. */
-	if (!is_service_of(&exchange->route, origin->service)) {
+	if (!leads_to(proxy, exchange, origin->service)) {
 		exchange_refuse(proxy, exchange, REFUSAL_NO_TARGET, 0);
 		return;
 	}
@@ -435,7 +440,7 @@
 	}
 }
 
-int64_t exchange_place_wait_ms(const fleet_route_t *route)
+int64_t exchange_place_wait_ms(const route_terms_t *route)
 {
 	return MAX(route->latency_goal_ms / PLACE_WAIT_DIVISOR,
 		   PLACE_WAIT_MIN_MS);
@@ -473,7 +478,7 @@
 /* Returns when a missing response head fails the attempt; 0: never. */
 static int64_t head_deadline(const exchange_t *exchange, int64_t now)
 {
-	const fleet_route_t *route = &exchange->route;
+	const route_terms_t *route = &exchange->route;
 	int64_t timeout_ms =
 		MAX((int64_t)route->latency_goal_ms * HEAD_TIMEOUT_GOALS,
 		    HEAD_TIMEOUT_MIN_MS);
@@ -490,8 +495,7 @@
 	int64_t now = kernel_now(proxy->kernel);
 	wire_request_opts_t fields = {
 		.instance = placed->u.placed.instance,
-		.account =
-			exchange->account[0] != '\0' ? exchange->account : NULL,
+		.account = exchange->account_name,
 		.time_budget_ms = (exchange->deadline - now) / USEC_PER_MSEC,
 		.priority = exchange->priority * QUEUE_PRIORITY_FACTOR,
 		.last_event_id = exchange->events.last_id[0] != '\0'
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -34,10 +34,11 @@
 	handle_t caller; /* handle of the connection in ingress */
 	exchange_spec_t *spec;
 	int64_t version; /* configuration version at admission */
-	fleet_route_t route;
+	route_terms_t route;
 	char service[NAME_SIZE];
 	uint32_t event_tokens; /* 0 if the service is not an engine */
 	char account[NAME_SIZE]; /* empty: none */
+	char *account_name; /* in full, for targets; NULL: none */
 	char fingerprint[HASH_SIZE];
 	int32_t priority;
 	int64_t started_at; /* monotonic, us */
@@ -113,7 +114,7 @@
 /* Requests a target for the first attempt or for a retry. */
 void exchange_place(proxy_t *proxy, exchange_t *exchange);
 /* How long a request of the route waits for a target. */
-int64_t exchange_place_wait_ms(const fleet_route_t *route);
+int64_t exchange_place_wait_ms(const route_terms_t *route);
 
 /* explain.c: answers MSG_EXPLAIN. */
 void explain_query(proxy_t *proxy, const msg_t *msg);
--- a/proxy/explain.c
+++ b/proxy/explain.c
@@ -42,14 +42,18 @@
 }
 
 /* A split route draws its service at random; the likeliest one is explained. */
-static const char *likeliest_service(const fleet_route_t *route)
+static const char *likeliest_service(const fleet_conf_t *conf,
+				     const fleet_route_t *route)
 {
-	uint32_t best = 0;
+	const route_share_t *best = NULL;
 
-	for (uint32_t i = 1; i < route->share_count; i++)
-		if (route->shares[i].weight > route->shares[best].weight)
-			best = i;
-	return route->shares[best].service;
+	for (guint i = 0; i < route->share_count; i++) {
+		const route_share_t *share = fleet_conf_share(conf, route, i);
+
+		if (best == NULL || share->weight > best->weight)
+			best = share;
+	}
+	return best != NULL ? best->service : NULL;
 }
 
 static void resolve(const proxy_t *proxy, const explain_query_t *query,
@@ -61,20 +65,22 @@
 	found->reason = REFUSAL_NO_CONFIGURATION;
 	if (conf == NULL)
 		return;
-	found->route = fleet_conf_route(conf, query->host, query->path);
+	if (query->host != NULL && query->path != NULL)
+		found->route = fleet_conf_route(conf, query->host, query->path);
 	found->account = fleet_conf_account_by_name(conf, query->account);
 	if (query->service[0] != '\0')
 		found->service = query->service;
 	else if (found->route != NULL)
-		found->service = likeliest_service(found->route);
-	found->reason = REFUSAL_NO_ROUTE;
+		found->service = likeliest_service(conf, found->route);
+	found->reason =
+		found->route != NULL ? REFUSAL_NO_TARGET : REFUSAL_NO_ROUTE;
 	if (found->service == NULL)
 		return;
 	found->reason = REFUSAL_UNAUTHENTICATED;
 	if (found->account == NULL && query->account[0] != '\0')
 		return;
 	if (found->account == NULL && found->route != NULL &&
-	    conf->has_accounts && !found->route->is_public)
+	    conf->has_accounts && !found->route->terms.is_public)
 		return;
 	found->reason = REFUSAL_NONE;
 }
@@ -83,33 +89,38 @@
 {
 	if (found->account != NULL && found->account->priority >= 0)
 		return found->account->priority;
-	return found->route != NULL ? found->route->priority : 0;
+	return found->route != NULL ? found->route->terms.priority : 0;
 }
 
 static int64_t wait_ms_of(const explanation_t *found)
 {
-	static const fleet_route_t no_route;
+	static const route_terms_t no_route;
 
-	return exchange_place_wait_ms(found->route != NULL ? found->route
-							   : &no_route);
+	return exchange_place_wait_ms(
+		found->route != NULL ? &found->route->terms : &no_route);
 }
 
-static void add_route(const explanation_t *found, GString *text)
+static void add_route(const fleet_conf_t *conf, const explanation_t *found,
+		      GString *text)
 {
 	const fleet_route_t *route = found->route;
+	const route_terms_t *terms;
 
 	if (route == NULL)
 		return;
+	terms = &route->terms;
 	g_string_append_printf(text,
 			       "route=%s kind=%s timeout_ms=%u "
 			       "latency_goal_ms=%u max_attempts=%u\n",
-			       route->name, kind_name(route->kind),
-			       route->timeout_ms, route->latency_goal_ms,
-			       route->max_attempts);
-	for (uint32_t i = 0; i < route->share_count; i++)
+			       terms->name, kind_name(terms->kind),
+			       terms->timeout_ms, terms->latency_goal_ms,
+			       terms->max_attempts);
+	for (guint i = 0; i < route->share_count; i++) {
+		const route_share_t *share = fleet_conf_share(conf, route, i);
+
 		g_string_append_printf(text, "share=%s weight=%u\n",
-				       route->shares[i].service,
-				       route->shares[i].weight);
+				       share->service, share->weight);
+	}
 }
 
 static void add_request(const proxy_t *proxy, const explanation_t *found,
@@ -122,7 +133,7 @@
 			" newer_expected=%s reach=%s peers=%u\n",
 			proxy->conf->version, proxy->conf_behind ? "yes" : "no",
 			reach_name(proxy->reach.state), proxy->hops.peers->len);
-	add_route(found, text);
+	add_route(proxy->conf, found, text);
 	if (found->reason != REFUSAL_NONE) {
 		g_string_append_printf(text, "outcome=refused reason=%s\n",
 				       refusal_name(found->reason));
--- a/streams/streams.c
+++ b/streams/streams.c
@@ -577,9 +577,10 @@
 		const fleet_route_t *route =
 			&g_array_index(conf->routes, fleet_route_t, i);
 
-		if (route->kind == ROUTE_STREAM && route->resumable)
-			longest = MAX(longest, (int64_t)route->timeout_ms *
-						       USEC_PER_MSEC);
+		if (route->terms.kind == ROUTE_STREAM && route->terms.resumable)
+			longest =
+				MAX(longest, (int64_t)route->terms.timeout_ms *
+						     USEC_PER_MSEC);
 	}
 	streams->ttl = CLAMP(longest * STREAM_TTL_TIMEOUTS, STREAM_TTL_MIN_US,
 			     STREAM_TTL_MAX_US);
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -94,15 +94,14 @@
 	{
 		msg_t msg = {};
 		fleet_service_t engine = {}, call = {};
-		fleet_route_t route = {};
+		route_terms_t terms = {};
 
 		msg.kind = MSG_FLEET_CONF;
 		msg.u.fleet_conf = fleet_conf_new();
-		route.kind = ROUTE_STREAM;
-		route.resumable = true;
-		route.share_count = 1;
-		g_strlcpy(route.shares[0].service, "engine", NAME_SIZE);
-		g_array_append_val(msg.u.fleet_conf->routes, route);
+		terms.kind = ROUTE_STREAM;
+		terms.resumable = true;
+		fleet_conf_add_route(msg.u.fleet_conf, &terms, "h", "/");
+		fleet_conf_add_share(msg.u.fleet_conf, "engine", 1);
 		g_strlcpy(engine.name, "engine", sizeof(engine.name));
 		engine.engine = true;
 		engine.kv_cache_tokens = 100000;
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -156,14 +156,12 @@
 	void send_conf()
 	{
 		fleet_conf_t *conf = fleet_conf_new();
-		fleet_route_t route = {};
+		route_terms_t terms = {};
 		msg_t msg = {};
 
-		g_strlcpy(route.name, "a", sizeof(route.name));
-		g_strlcpy(route.host, "h.example", sizeof(route.host));
-		g_strlcpy(route.path_prefix, "/a/", sizeof(route.path_prefix));
-		route.priority = 1;
-		g_array_append_val(conf->routes, route);
+		g_strlcpy(terms.name, "a", sizeof(terms.name));
+		terms.priority = 1;
+		fleet_conf_add_route(conf, &terms, "h.example", "/a/");
 		conf->limits = ingress.limits;
 		msg.kind = MSG_FLEET_CONF;
 		msg.u.fleet_conf = conf;
@@ -181,12 +179,10 @@
 	double link_mbps = 0; // of the instance when it starts to listen
 	void configure_route()
 	{
-		fleet_route_t route = {};
+		route_terms_t terms = {};
 
 		ingress.conf = fleet_conf_new();
-		g_strlcpy(route.host, "h", sizeof(route.host));
-		g_strlcpy(route.path_prefix, "/a/", sizeof(route.path_prefix));
-		g_array_append_val(ingress.conf->routes, route);
+		fleet_conf_add_route(ingress.conf, &terms, "h", "/a/");
 	}
 	kernel_t kernel;
 	ingress_t ingress;
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -1,5 +1,6 @@
 // Tests of the micro-kernel: handles, timers, services, messages, readiness of
 // descriptors and the set of peers.
+#include "kernel/identifier.h"
 #include "kernel/kernel.h"
 #include "kernel/peer_set.h"
 
@@ -47,6 +48,30 @@
 
 // A handle kept after the removal of its entry must not reach the next entry in
 // the same slot.
+// Guards against two long names or ids that are taken for one because they
+// agree in their first bytes, and against a short one that poses as a long one.
+TEST(Identifier, DiffersWhereTheTextsDo)
+{
+	std::string longest(63, 'a'), longer(64, 'a');
+	char of_long[64], other[64], posing[64];
+
+	identifier_set(other, sizeof(other), longest.c_str());
+	EXPECT_EQ(other, longest);
+	identifier_set(of_long, sizeof(of_long), longer.c_str());
+	EXPECT_STRNE(of_long, longest.c_str());
+	EXPECT_EQ(strlen(of_long), IDENTIFIER_SIZE_MIN - 1);
+	EXPECT_TRUE(name_is_valid(of_long));
+	EXPECT_TRUE(
+		identifier_matches(of_long, sizeof(of_long), longer.c_str()));
+	EXPECT_FALSE(identifier_matches(of_long, sizeof(of_long),
+					(longer + "b").c_str()));
+	EXPECT_FALSE(identifier_matches(of_long, sizeof(of_long), of_long));
+	identifier_set(posing, sizeof(posing), of_long);
+	EXPECT_STRNE(posing, of_long);
+	identifier_set(other, sizeof(other), "sha256-abc");
+	EXPECT_STREQ(other, "sha256-abc");
+}
+
 TEST(Table, StaleHandleResolvesToNull)
 {
 	table_t table;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -77,7 +77,7 @@
 	R"("limits":{"max_body_bytes":9},)"
 	R"("tenants":[{"name":"a","api_keys":["k1","k2"],"prepaid":5}]})";
 
-TEST(Entries, ValidConfigurationIsDecodedAndInvalidOnesAreRejected)
+TEST(Entries, ValidConfigurationIsDecodedAndOneWithoutVersionIsRejected)
 {
 	record_t record;
 	const fleet_conf_t *fleet_conf;
@@ -92,40 +92,179 @@
 	EXPECT_EQ(fleet_conf_route(fleet_conf, "h", "/p/x")->share_count, 2u);
 	EXPECT_EQ(fleet_conf_route(fleet_conf, "h", "/q/x"), nullptr);
 	record_clear(&record);
-	for (auto &bad :
-	     {replace_first(conf_json, "7", "\"7\""),
-	      replace_first(conf_json, "\"r\"", "1"),
-	      replace_first(conf_json, "streaming", "odd"),
-	      replace_first(conf_json, "\"prepaid\":5", "\"prepaid\":\"5\"")})
+	for (auto &bad : {replace_first(conf_json, "7", "\"7\""),
+			  replace_first(conf_json, "7", "7.5"),
+			  replace_first(conf_json, "7", "-7"),
+			  replace_first(conf_json, "version", "revision"),
+			  std::string("{"), std::string("[]")})
 		EXPECT_EQ(decode("fleet/conf", bad), RECORD_INVALID) << bad;
 }
 
-// Guards against a configuration that is not applied while the log does not say
-// which member of which version is at fault.
-TEST(Entries, ErrorOfAConfigurationNamesVersionAndMember)
+// Guards against a configuration that is never applied, so that a key that it
+// takes away still runs, because a value is longer than a buffer.
+TEST(Entries, ConfigurationHoldsWithValuesOfAnyLength)
+{
+	std::string host = std::string(63, 'a') + "." + std::string(189, 'b');
+	std::string prefix = "/" + std::string(5000, 'p') + "/";
+	std::string account(300, 'c'), key(5000, 'k'), service(300, 's');
+	std::string split;
+	const fleet_route_t *route;
+	const fleet_account_t *found;
+	record_t record;
+
+	for (int i = 0; i < 40; i++)
+		split += std::string(i > 0 ? "," : "") + R"({"service":")" +
+			 service + std::to_string(i) + R"(","weight":1})";
+	ASSERT_EQ(decode("fleet/conf",
+			 R"({"version":8,"routes":[{"name":")" +
+				 std::string(500, 'r') + R"(","host":")" +
+				 host + R"(","path_prefix":")" + prefix +
+				 R"(","kind":"safe","split":[)" + split +
+				 R"(]}],"services":[{"name":")" + service +
+				 R"(1","max_connections":3}],"tenants":)" +
+				 R"([{"name":")" + account +
+				 R"(","api_keys":[")" + key + R"("]}]})",
+			 &record),
+		  RECORD_FLEET_CONF);
+	const fleet_conf_t *fleet_conf = record.u.fleet_conf;
+
+	EXPECT_EQ(fleet_conf->unreadable, 0u) << fleet_conf->fault.text;
+	route = fleet_conf_route(fleet_conf, host.c_str(),
+				 (prefix + "1").c_str());
+	ASSERT_NE(route, nullptr);
+	EXPECT_EQ(fleet_conf_route(fleet_conf, host.c_str(),
+				   prefix.substr(0, 4000).c_str()),
+		  nullptr);
+	ASSERT_EQ(route->share_count, 40u);
+	// Names that agree in their first bytes are different services.
+	EXPECT_STRNE(fleet_conf_share(fleet_conf, route, 1)->service,
+		     fleet_conf_share(fleet_conf, route, 2)->service);
+	EXPECT_EQ(fleet_conf_service(
+			  fleet_conf,
+			  fleet_conf_share(fleet_conf, route, 1)->service)
+			  ->max_connections,
+		  3u);
+	EXPECT_EQ(fleet_conf_service(
+			  fleet_conf,
+			  fleet_conf_share(fleet_conf, route, 2)->service),
+		  nullptr);
+	found = fleet_conf_account_by_key(fleet_conf, key.c_str());
+	ASSERT_NE(found, nullptr);
+	EXPECT_EQ(found->full_name, account);
+	EXPECT_EQ(fleet_conf_account_by_key(fleet_conf,
+					    key.substr(0, 4999).c_str()),
+		  nullptr);
+	record_clear(&record);
+}
+
+// Guards against one part that cannot be read keeping a former version, with
+// keys that were taken away, in force.  What needs that part is refused.
+TEST(Entries, UnreadablePartOfAConfigurationIsRefusedAndTheRestHolds)
 {
 	const struct {
-		const char *from, *to, *reason;
+		const char *from, *to, *fault;
+		guint shares; // of the route /p/; it is known in any case
+		int64_t prepaid; // of the account of k2; -2: no such account
 	} cases[] = {
-		{"\"version\":7", "\"version\":\"7\"",
-		 "version: missing or not a whole number"},
+		{"\"r\"", "1", "routes[0].name: missing or not a string", 0, 5},
+		{"streaming", "odd", "routes[0].kind: not known", 0, 5},
+		{"\"service\":\"s\",\"weight\":9", "\"weight\":9",
+		 "routes[0].split: a share without service or weight", 1, 5},
+		{"\"weight\":9", "\"weight\":-9",
+		 "routes[0].split: a share without service or weight", 1, 5},
 		{"\"services\":[", "\"services\":[1,",
-		 "version 7, services[0]: not an object"},
+		 "services[0]: not an object", 2, 5},
 		{"\"services\":", "\"other\":",
-		 "version 7, services: missing or not an array"},
+		 "services: missing or not an array", 2, 5},
+		{"\"k1\"", "1", "tenants[0].api_keys: a key is not a string", 2,
+		 5},
+		{"\"prepaid\":5", "\"prepaid\":\"5\"",
+		 "tenants[0].prepaid: not a number of tokens", 2, 0},
+		{"\"prepaid\":5", "\"prepaid\":-5",
+		 "tenants[0].prepaid: not a number of tokens", 2, 0},
+		{"\"name\":\"a\"", "\"name\":[]",
+		 "tenants[0].name: missing or not a string", 2, -2},
+		{"\"tenants\":[", "\"tenants\":{\"x\":[",
+		 "tenants: missing or not an array", 2, -2},
 	};
 
 	for (const auto &c : cases) {
 		std::string text = replace_first(conf_json, c.from, c.to);
-		GBytes *bytes = g_bytes_new(text.data(), text.size());
+		const fleet_account_t *account;
+		const fleet_route_t *route;
 		record_t record;
-		errmsg_t err;
 
-		entry_decode("fleet/conf", bytes, &record, &err);
-		EXPECT_EQ(record.kind, RECORD_INVALID) << text;
-		EXPECT_STREQ(err.text, c.reason);
+		if (strstr(c.to, "{\"x\":[") != nullptr)
+			text.insert(text.size() - 1, "}");
+		ASSERT_EQ(decode("fleet/conf", text, &record),
+			  RECORD_FLEET_CONF)
+			<< text;
+		EXPECT_EQ(record.u.fleet_conf->version, 7);
+		EXPECT_EQ(record.u.fleet_conf->unreadable, 1u) << text;
+		EXPECT_STREQ(record.u.fleet_conf->fault.text, c.fault);
+		EXPECT_TRUE(record.u.fleet_conf->has_accounts) << text;
+		route = fleet_conf_route(record.u.fleet_conf, "h", "/p/x");
+		ASSERT_NE(route, nullptr) << text;
+		EXPECT_EQ(route->share_count, c.shares) << text;
+		account = fleet_conf_account_by_key(record.u.fleet_conf, "k2");
+		EXPECT_EQ(account != nullptr ? account->prepaid : -2, c.prepaid)
+			<< text;
+		record_clear(&record);
+	}
+}
+
+// Guards against a number that is beyond what this build uses, or written with
+// decimals, being taken for a missing one: a default is no substitute.
+TEST(Entries, NumbersOfAConfigurationAreLimitedAndNotReplaced)
+{
+	const struct {
+		const char *from, *to;
+		uint32_t timeout_ms, attempts;
+		int32_t priority;
+		int64_t prepaid;
+		double ratio; // of the weights of the two shares
+	} cases[] = {
+		{"100", "100.9", 100, 2, 1, 5, 9},
+		{"100", "99999999999999", 86400000, 2, 1, 5, 9},
+		{"\"priority\":1", "\"priority\":2000", 100, 2, 1000, 5, 9},
+		{"\"max_attempts\":2", "\"max_attempts\":1e9", 100, 100, 1, 5,
+		 9},
+		{"\"prepaid\":5", "\"prepaid\":1e6", 100, 2, 1, 1000000, 9},
+		{"\"prepaid\":5", "\"prepaid\":1e30", 100, 2, 1, INT64_MAX, 9},
+		{"\"prepaid\":5", "\"prepaid\":null", 100, 2, 1, -1, 9},
+		{"\"weight\":9", "\"weight\":0.5", 100, 2, 1, 5, 0.5},
+		{"\"weight\":9", "\"weight\":9000000000", 100, 2, 1, 5, 9e9},
+	};
+
+	for (const auto &c : cases) {
+		std::string text = replace_first(conf_json, c.from, c.to);
+		const fleet_route_t *route;
+		record_t record;
+
+		ASSERT_EQ(decode("fleet/conf", text, &record),
+			  RECORD_FLEET_CONF)
+			<< text;
+		const fleet_conf_t *fleet_conf = record.u.fleet_conf;
+
+		EXPECT_EQ(fleet_conf->unreadable, 0u) << text;
+		route = fleet_conf_route(fleet_conf, "h", "/p/x");
+		ASSERT_NE(route, nullptr) << text;
+		EXPECT_EQ(route->terms.timeout_ms, c.timeout_ms) << text;
+		EXPECT_EQ(route->terms.max_attempts, c.attempts) << text;
+		EXPECT_EQ(route->terms.priority, c.priority) << text;
+		EXPECT_EQ(fleet_conf_account_by_key(fleet_conf, "k1")->prepaid,
+			  c.prepaid)
+			<< text;
+		uint32_t first = fleet_conf_share(fleet_conf, route, 0)->weight;
+		uint32_t second =
+			fleet_conf_share(fleet_conf, route, 1)->weight;
+
+		if (c.ratio < 1e6)
+			EXPECT_DOUBLE_EQ((double)first / second, c.ratio)
+				<< text;
+		else
+			EXPECT_GT(first, second * 1000.0) << text;
 		record_clear(&record);
-		g_bytes_unref(bytes);
 	}
 }
 
@@ -222,11 +361,9 @@
 	fleet_conf_t *all = fleet_conf_new();
 
 	for (const char *prefix : {"/", "/a/", "/a/b/"}) {
-		fleet_route_t route = {};
+		route_terms_t terms = {};
 
-		g_strlcpy(route.host, "h", sizeof(route.host));
-		g_strlcpy(route.path_prefix, prefix, sizeof(route.path_prefix));
-		g_array_append_val(all->routes, route);
+		fleet_conf_add_route(all, &terms, "h", prefix);
 	}
 	EXPECT_STREQ(fleet_conf_route(all, "h", "/a/b/c")->path_prefix,
 		     "/a/b/");
@@ -234,6 +371,13 @@
 	EXPECT_STREQ(fleet_conf_route(all, "h", "/x")->path_prefix, "/");
 	EXPECT_EQ(fleet_conf_route(all, "g", "/x"), nullptr);
 	fleet_conf_unref(all);
+	std::string dotted = replace_first(conf_json, "\"h\"", "\"h.x.\"");
+	record_t record;
+
+	ASSERT_EQ(decode("fleet/conf", dotted, &record), RECORD_FLEET_CONF);
+	EXPECT_NE(fleet_conf_route(record.u.fleet_conf, "h.x", "/p/x"),
+		  nullptr);
+	record_clear(&record);
 }
 
 TEST(Entries, AllocationIsUnchangedByEncodingAndDecoding)
@@ -417,6 +561,55 @@
 	http_head_free(head);
 }
 
+// Guards against a request within max_header_bytes that is refused because its
+// path, host or key is longer than a buffer.
+TEST(Wire, PathHostAndKeyOfAnyLengthAreRead)
+{
+	std::string path = "/" + std::string(9000, 'p');
+	std::string host = std::string(200, 'h') + ".example";
+	std::string key(3000, 'k');
+	http_head_t *head = http_head_request("GET", (path + "?q=1").c_str());
+	exchange_spec_t *spec = exchange_spec_new();
+	errmsg_t err;
+
+	http_head_add(head, "Host", (host + ":8080").c_str());
+	http_head_add(head, "Authorization", ("Bearer " + key).c_str());
+	ASSERT_TRUE(wire_read_request(head, nullptr, spec, &err)) << err.text;
+	EXPECT_EQ(spec->path, path);
+	EXPECT_EQ(spec->host, host);
+	EXPECT_EQ(spec->api_key, key);
+	exchange_spec_free(spec);
+	http_head_free(head);
+}
+
+// Guards against a host that has no route because of its port or of the dot
+// that ends a fully qualified name.
+TEST(Wire, HostIsReadWithoutItsPortAndFinalDot)
+{
+	const std::vector<std::pair<const char *, const char *>> cases = {
+		{"h.example", "h.example"},
+		{"h.example.", "h.example"},
+		{"h.example:80", "h.example"},
+		{"h.example.:80", "h.example"},
+		{"[::1]:80", "[::1]"},
+		{"[::1]", "[::1]"},
+		{"[::1", "[::1"},
+		{".", "."},
+		{"", ""},
+	};
+
+	for (const auto &c : cases) {
+		http_head_t *head = http_head_request("GET", "/");
+		exchange_spec_t *spec = exchange_spec_new();
+
+		http_head_add(head, "Host", c.first);
+		ASSERT_TRUE(wire_read_request_target(head, spec));
+		EXPECT_STREQ(spec->host, c.second) << c.first;
+		exchange_spec_free(spec);
+		http_head_free(head);
+	}
+}
+
 // A field that is missing, ambiguous or too long names no stream.
 TEST(Wire, StreamThatIsTakenUpAgainIsRead)
 {
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -53,28 +53,24 @@
 			      route_kind_t kind, bool resumable,
 			      uint32_t attempts, const char *service)
 	{
-		fleet_route_t route = {};
-
-		g_strlcpy(route.name, name, sizeof(route.name));
-		g_strlcpy(route.host, "h", sizeof(route.host));
-		g_snprintf(route.path_prefix, sizeof(route.path_prefix), "/%s/",
-			   name);
-		route.kind = kind;
-		route.resumable = resumable;
-		route.max_attempts = attempts;
-		route.timeout_ms = 2000;
-		route.latency_goal_ms = 200;
-		route.share_count = 1;
-		route.shares[0].weight = 1;
-		g_strlcpy(route.shares[0].service, service,
-			  sizeof(route.shares[0].service));
-		g_array_append_val(conf->routes, route);
-	}
-	static fleet_conf_t *make_conf()
+		route_terms_t terms = {};
+		std::string prefix = std::string("/") + name + "/";
+
+		g_strlcpy(terms.name, name, sizeof(terms.name));
+		terms.kind = kind;
+		terms.resumable = resumable;
+		terms.max_attempts = attempts;
+		terms.timeout_ms = 2000;
+		terms.latency_goal_ms = 200;
+		fleet_conf_add_route(conf, &terms, "h", prefix.c_str());
+		fleet_conf_add_share(conf, service, 1);
+	}
+	fleet_conf_t *make_conf() const
 	{
 		fleet_conf_t *conf = fleet_conf_new();
 		fleet_service_t engine = {}, plain = {};
 		fleet_account_t account = {};
+		const route_terms_t no_terms = {};
 
 		conf->version = 7;
 		conf->has_accounts = true;
@@ -83,6 +79,7 @@
 		add_route(conf, "stream", ROUTE_STREAM, false, 2, "engine");
 		add_route(conf, "resume", ROUTE_STREAM, true, 3, "engine");
 		add_route(conf, "call", ROUTE_SAFE, false, 2, "engine");
+		fleet_conf_add_route(conf, &no_terms, "h", "/call/unreadable/");
 		g_strlcpy(engine.name, "engine", sizeof(engine.name));
 		engine.engine = true;
 		engine.event_tokens = 6;
@@ -90,6 +87,7 @@
 		g_strlcpy(plain.name, "plain", sizeof(plain.name));
 		g_array_append_val(conf->services, plain);
 		g_strlcpy(account.name, "a1", sizeof(account.name));
+		account.full_name = fleet_conf_keep(conf, account_name.c_str());
 		account.priority = -1;
 		account.prepaid = 1000000;
 		g_array_append_val(conf->accounts, account);
@@ -457,9 +455,10 @@
 			spec->body = g_bytes_new(&++bodies, sizeof(bodies));
 		spec->from_peer = passed_on;
 
-		g_strlcpy(spec->host, "h", sizeof(spec->host));
-		g_strlcpy(spec->path, path, sizeof(spec->path));
-		g_strlcpy(spec->api_key, key, sizeof(spec->api_key));
+		spec->host = g_strdup("h");
+		spec->path = g_strdup(path);
+		if (key[0] != '\0')
+			spec->api_key = g_strdup(key);
 		g_strlcpy(spec->request_id, request_id,
 			  sizeof(spec->request_id));
 		g_strlcpy(spec->last_event_id, last_event.c_str(),
@@ -635,6 +634,7 @@
 	bool retry_after = false, no_target = false, target_down = false;
 	bool kept_connection = false, own_connection = false;
 	const char *request_id = "r1";
+	std::string account_name = "a1"; // in full
 	std::string retry_after_text;
 	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
@@ -2582,6 +2582,26 @@
 			  i % REACH_FAILED_MAX + 1);
 }
 
+// Guards against a target that gets a shortened name for the client account.
+TEST_F(Proxy, TargetsGetTheFullNameOfAnAccount)
+{
+	account_name = std::string(300, 'c');
+	send_conf();
+	post_open("/call/x");
+	ASSERT_EQ(attempts, 1);
+	EXPECT_STREQ(http_head_get(sent_head, "Tenant"), account_name.c_str());
+}
+
+// Guards against a request that is run as a shorter prefix says, or kept
+// waiting, because its own route was not readable.
+TEST_F(Proxy, RequestOfAnUnreadableRouteIsRefusedAtOnce)
+{
+	post_open("/call/unreadable/x");
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(completed, 1);
+}
+
 // Guards against callers of an instance that is cut off from all targets being
 // served worse than those of its peers.
 TEST_F(Proxy, RequestsGoThroughAPeerWhileNoTargetIsReached)
@@ -2911,7 +2931,7 @@
 	{
 		for (guint i = 0; i < conf->routes->len; i++)
 			g_array_index(conf->routes, fleet_route_t, i)
-				.timeout_ms = ms;
+				.terms.timeout_ms = ms;
 	}
 	static void receive_other(void *self, msg_t *msg)
 	{
--- a/tests/streams_test.cc
+++ b/tests/streams_test.cc
@@ -222,14 +222,14 @@
 	static void post_conf(instance_t *to)
 	{
 		msg_t msg = {};
-		fleet_route_t route = {};
+		route_terms_t terms = {};
 
-		route.kind = ROUTE_STREAM;
-		route.resumable = true;
-		route.timeout_ms = 12000;
+		terms.kind = ROUTE_STREAM;
+		terms.resumable = true;
+		terms.timeout_ms = 12000;
 		msg.kind = MSG_FLEET_CONF;
 		msg.u.fleet_conf = fleet_conf_new();
-		g_array_append_val(msg.u.fleet_conf->routes, route);
+		fleet_conf_add_route(msg.u.fleet_conf, &terms, "h", "/");
 		kernel_post(&to->kernel, to->fleet, to->streams.svc, &msg);
 	}
 	static void post_target(instance_t *to, const std::string &id,
