Use targets and evacuate zones whatever the length of their names

Cause: the entry of a target was void if its id, service, zone or version did not fit 64 bytes, or if its id had other characters than a name of this project; a key of the store may have 200 bytes.

Change: these are identifiers now. The id as the target knows it goes along with a placement and into Expect-Instance; its bound is that of the store's keys. An id that can't be sent in a header field still makes an entry void.

--- a/balance/placement.c
+++ b/balance/placement.c
@@ -86,6 +86,8 @@
 	msg.u.placed.started_ms = target->info.started_ms;
 	g_strlcpy(msg.u.placed.instance, target->info.id,
 		  sizeof(msg.u.placed.instance));
+	g_strlcpy(msg.u.placed.full_id, fleet_target_full_id(&target->info),
+		  sizeof(msg.u.placed.full_id));
 	g_strlcpy(msg.u.placed.version,
 		  process_is_known(target) ? target->info.version
 					   : VERSION_UNKNOWN,
--- a/balance/process.c
+++ b/balance/process.c
@@ -249,7 +249,8 @@
 	g_strlcpy(msg.u.out_send.host, target->info.host,
 		  sizeof(msg.u.out_send.host));
 	msg.u.out_send.port = target->info.port;
-	msg.u.out_send.head = wire_write_report_request(target->info.id);
+	msg.u.out_send.head =
+		wire_write_report_request(fleet_target_full_id(&target->info));
 	msg.u.out_send.own_connection = true;
 	msg.u.out_send.deadline = report->asked_at + REPORT_TIMEOUT_US;
 	kernel_post(balance->kernel, balance->svc, balance->outbound, &msg);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet/fleet.h"
 
+#include "kernel/identifier.h"
 #include "log/log.h"
 
 #include <string.h>
@@ -272,8 +273,10 @@
 static void apply_evacuation(fleet_t *fleet, const store_kv_t *kv,
 			     const char *source)
 {
-	const char *zone = kv->key + strlen(KEY_PREFIX_EVACUATIONS);
+	char zone[NAME_SIZE];
 
+	identifier_set(zone, sizeof(zone),
+		       kv->key + strlen(KEY_PREFIX_EVACUATIONS));
 	switch (kv->record.kind) {
 	case RECORD_EVACUATION:
 		begin_evacuation(fleet, zone, kv->revision, source);
@@ -332,6 +335,8 @@
 
 static void apply_item(fleet_t *fleet, const store_kv_t *kv, bool relayed)
 {
+	char id[NAME_SIZE];
+
 	if (strcmp(kv->key, KEY_CONF) == 0) {
 		apply_conf(fleet, &kv->record);
 		return;
@@ -342,10 +347,12 @@
 	}
 	if (!g_str_has_prefix(kv->key, KEY_PREFIX_TARGETS))
 		return;
-	if (kv->record.kind == RECORD_FLEET_TARGET)
+	if (kv->record.kind == RECORD_FLEET_TARGET) {
 		update_target(fleet, kv->record.u.fleet_target);
-	else
-		remove_target(fleet, kv->key + strlen(KEY_PREFIX_TARGETS));
+		return;
+	}
+	fleet_target_id(id, kv->key + strlen(KEY_PREFIX_TARGETS));
+	remove_target(fleet, id);
 }
 
 static void handle_store_event(fleet_t *fleet, const store_result_t *result)
--- a/kernel/fleet.c
+++ b/kernel/fleet.c
@@ -257,6 +257,19 @@
 	return total;
 }
 
+void fleet_target_id(char to[NAME_SIZE], const char *full_id)
+{
+	if (name_is_valid(full_id))
+		identifier_set(to, NAME_SIZE, full_id);
+	else
+		identifier_set_digest(to, NAME_SIZE, full_id);
+}
+
+const char *fleet_target_full_id(const fleet_target_t *target)
+{
+	return target->full_id[0] != '\0' ? target->full_id : target->id;
+}
+
 bool fleet_target_equal(const fleet_target_t *a, const fleet_target_t *b)
 {
 	return a->draining == b->draining && a->port == b->port &&
--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -126,8 +126,14 @@
 const fleet_account_t *fleet_conf_account_by_name(const fleet_conf_t *conf,
 						  const char *name);
 
+/* A key of the store has at most 200 bytes, 8 of them before the id. */
+#define TARGET_FULL_ID_SIZE 193 /* bytes, with terminator */
+
+/* The id, service, zone and version are identifiers. */
 typedef struct fleet_target_t {
 	char id[NAME_SIZE]; /* identifies one incarnation of a target */
+	/* The id as the target knows it; empty: as above. */
+	char full_id[TARGET_FULL_ID_SIZE];
 	char service[NAME_SIZE];
 	char host[HOST_SIZE];
 	uint16_t port;
@@ -140,6 +146,13 @@
 	int64_t cold_ms; /* for which it remains cold; 0: it is not */
 } fleet_target_t;
 
+/*
+ * Sets the identifier for the id of a target: the id itself if it is a valid
+ * name, else its digest.
+ */
+void fleet_target_id(char to[NAME_SIZE], const char *full_id);
+/* Returns the id as the target knows it. */
+const char *fleet_target_full_id(const fleet_target_t *target);
 /*
  * True if two entries of a target differ only in the heartbeat.  Each entry of
  * a cold target says anew how long it remains cold.
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -499,6 +499,8 @@
 		struct {
 			handle_t target;
 			char instance[NAME_SIZE];
+			/* The id as the target knows it. */
+			char full_id[TARGET_FULL_ID_SIZE];
 			/* Of the target's software, or VERSION_UNKNOWN. */
 			char version[NAME_SIZE];
 			int64_t started_ms; /* process of the target */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -494,7 +494,7 @@
 {
 	int64_t now = kernel_now(proxy->kernel);
 	wire_request_opts_t fields = {
-		.instance = placed->u.placed.instance,
+		.instance = placed->u.placed.full_id,
 		.account = exchange->account_name,
 		.time_budget_ms = (exchange->deadline - now) / USEC_PER_MSEC,
 		.priority = exchange->priority * QUEUE_PRIORITY_FACTOR,
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -36,6 +36,8 @@
 	int64_t reported_cold_ms = 0;
 	bool refuses = false; // it accepts no connections
 	size_t reports = 0;
+	std::string full_id; // of targets that are set
+	std::string placed_full_id, reported_full_id; // the last ones
 	std::vector<handle_t> confirmed;
 	std::vector<std::string> checked; // targets that are connected to
 	std::vector<peer_body_t> announced; // bodies sent to peers
@@ -59,6 +61,7 @@
 			i->placed.emplace_back(msg->ref.index,
 					       msg->u.placed.instance);
 			i->placed_versions.push_back(msg->u.placed.version);
+			i->placed_full_id = msg->u.placed.full_id;
 			i->placements.push_back(msg->id);
 		} else if (msg->kind == MSG_EXCHANGE_DATA) {
 			gsize size;
@@ -125,6 +128,8 @@
 
 		msg.kind = MSG_FLEET_TARGET;
 		g_strlcpy(info->id, id, sizeof(info->id));
+		g_strlcpy(info->full_id, full_id.c_str(),
+			  sizeof(info->full_id));
 		g_strlcpy(info->service, service, sizeof(info->service));
 		g_strlcpy(info->zone, zone, sizeof(info->zone));
 		g_strlcpy(info->host, "127.0.0.1", sizeof(info->host));
@@ -273,6 +278,8 @@
 		msg_t msg = {};
 
 		reports++;
+		reported_full_id = http_head_get(request->u.out_send.head,
+						 "Expect-Instance");
 		msg.ref = request->id;
 		if (reported_start == 0) {
 			msg.kind = MSG_OUT_FAILED;
@@ -353,6 +360,24 @@
 	EXPECT_EQ(i.placed_versions[6], "v2");
 }
 
+// Guards against a target that refuses a request, or the question for its
+// start, as misdirected, since they expect a shortened id.
+TEST(Balance, TargetsAreAskedAndPlacedByTheirFullId)
+{
+	instance_t i("z1", 1);
+
+	i.run(1000);
+	i.full_id = std::string(180, 't');
+	i.set_target("engine", "t1", "z1");
+	i.request(1, "engine", 1, 0, "v1");
+	EXPECT_EQ(i.placed_full_id, i.full_id);
+	i.finish_request(0, PLACE_RESET);
+	i.request(2, "engine", 1, 0, "v1");
+	i.run(100 * USEC_PER_MSEC);
+	ASSERT_GT(i.reports, 0u);
+	EXPECT_EQ(i.reported_full_id, i.full_id);
+}
+
 // Guards against a new process that gets no requests for what the one before
 // it was like: full, slow and lost.
 TEST(Balance, RestartedTargetIsNotJudgedByItsFormerProcess)
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -223,6 +223,8 @@
 		msg.u.placed.target = {(uint32_t)placements, 1};
 		g_snprintf(msg.u.placed.instance, sizeof(msg.u.placed.instance),
 			   "i-%d", placements);
+		g_snprintf(msg.u.placed.full_id, sizeof(msg.u.placed.full_id),
+			   "i-%d%s", placements, full_id_rest.c_str());
 		g_strlcpy(msg.u.placed.version, target_version.c_str(),
 			  sizeof(msg.u.placed.version));
 		msg.u.placed.started_ms = target_started_ms;
@@ -635,6 +637,7 @@
 	bool kept_connection = false, own_connection = false;
 	const char *request_id = "r1";
 	std::string account_name = "a1"; // in full
+	std::string full_id_rest; // of the targets
 	std::string retry_after_text;
 	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
@@ -2592,6 +2595,17 @@
 	EXPECT_STREQ(http_head_get(sent_head, "Tenant"), account_name.c_str());
 }
 
+// Guards against a target that refuses requests as misdirected, since they
+// expect a shortened id.
+TEST_F(Proxy, RequestsExpectTheFullIdOfTheirTarget)
+{
+	full_id_rest = std::string(180, 'i');
+	post_open("/call/x");
+	ASSERT_EQ(attempts, 1);
+	EXPECT_EQ(http_head_get(sent_head, "Expect-Instance"),
+		  "i-1" + full_id_rest);
+}
+
 // Guards against a request that is run as a shorter prefix says, or kept
 // waiting, because its own route was not readable.
 TEST_F(Proxy, RequestOfAnUnreadableRouteIsRefusedAtOnce)
