Keep the ids of requests whole

What callers saw (longid.py): a request with an Attempt-Id of 105 bytes or more ran, and its caller got 504 after the whole budget, with an id cut to 79 bytes: 18 of 18. A Resumes as long named no stream, so that take-ups of such streams were refused.

Cause: the id was copied into 80 bytes without a check. The target answers with the whole id, which was compared with the cut one, so that the answer was dropped as that of another request.

Change: a request is known by the identifier of its id, which is the digest of one that does not fit; the answer's id is compared by its identifier, in outbound and in the adapter. Callers get their own id back in full. A stream is found by Resumes whatever the length of the id, in frames and records too.

Tests: Wire.IdsOfAnyLengthAreKeptWhole, Outbound.ResponseWithALongIdIsToldFrom- ThatOfAnotherRequest; reduced to the former interface they failed before, for the answer, the refusal and Resumes. A case of Wire.StreamThatIsTakenUpAgain- IsRead, that an id of 80 bytes names no stream, is gone: it asked for the fault.

--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -129,7 +129,7 @@
 	kernel_t *kernel = ingress->kernel;
 	uint64_t ms = RETRY_MIN_MS + kernel_random_below(kernel, RETRY_SPAN_MS);
 	char *text = refusal_json(REFUSAL_OVER_CAPACITY, RUN_NOT_RUN,
-				  spec->request_id, NULL);
+				  wire_request_id(spec), NULL);
 
 	admission_count(&ingress->admission, request, false,
 			kernel_now(kernel));
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -319,7 +319,8 @@
 			const exchange_spec_t *spec, refusal_t reason)
 {
 	uint32_t status = refusal_status(reason);
-	char *text = refusal_json(reason, RUN_NOT_RUN, spec->request_id, NULL);
+	char *text =
+		refusal_json(reason, RUN_NOT_RUN, wire_request_id(spec), NULL);
 
 	metrics_add(ingress->kernel->metrics, COUNTER_REQUESTS, 1);
 	metrics_refusal(ingress->kernel->metrics, reason);
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -25,7 +25,8 @@
 } prompt_part_t;
 
 typedef struct exchange_spec_t {
-	char request_id[REQUEST_ID_SIZE]; /* unique per attempt */
+	/* Identifier of the id, which is unique per attempt. */
+	char request_id[REQUEST_ID_SIZE];
 	char *host; /* without the port */
 	char *path; /* without the query */
 	char *api_key; /* NULL if none was given */
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -528,7 +528,7 @@
 			 * if responses are not checked.
 			 */
 			char echo_name[NAME_SIZE];
-			char echo_value[REQUEST_ID_SIZE];
+			char echo_value[REQUEST_ID_SIZE]; /* identifier */
 			/* No other request shares the connection. */
 			bool own_connection;
 			int64_t deadline; /* monotonic, us */
--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -1,5 +1,7 @@
 #include "outbound/conn.h"
 
+#include "kernel/identifier.h"
+
 #include <string.h>
 
 #define READ_SIZE 16384 /* bytes read at a time */
@@ -207,7 +209,9 @@
 	if (call->echo_name[0] == '\0')
 		return false;
 	value = http_head_get(conn->parse.head, call->echo_name);
-	return value != NULL && strcmp(value, call->echo_value) != 0;
+	return value != NULL &&
+	       !identifier_matches(call->echo_value, sizeof(call->echo_value),
+				   value);
 }
 
 /* Posts the head and the body bytes received so far to the owner. */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -228,7 +228,7 @@
 		exchange_end(proxy, exchange, refusal_name(reason));
 		return;
 	}
-	text = refusal_json(reason, run, exchange->spec->request_id, NULL);
+	text = refusal_json(reason, run, wire_request_id(exchange->spec), NULL);
 	head.u.exchange_head.head = wire_write_refusal(
 		exchange->spec, status,
 		status == 503 || status == 429 ? retry_after_ms : 0);
