Keep the ids of events whole

Cause: the id of the last event that was forwarded was cut to 47 bytes in silence.

Change: the id has no limit but that of the event. Of a request only whether it names a last event is kept; the field itself is passed on as it came.

Test: Proxy.StreamGoesOnAfterAnEventWithALongId, which failed before with the first 47 of 300 bytes.

--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -117,8 +117,7 @@
 				    : route->terms.priority;
 	request->bytes = traffic_on_link(conn->parse.head_bytes + body);
 	request->arrived = traffic_on_link(conn->parse.head_bytes + arrived);
-	request->continued = conn->kind == LISTENER_METRICS ||
-			     spec->last_event_id[0] != '\0';
+	request->continued = conn->kind == LISTENER_METRICS || spec->taken_up;
 	return true;
 }
 
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -12,7 +12,6 @@
 G_BEGIN_DECLS
 
 #define REQUEST_ID_SIZE 80 /* bytes, with terminator */
-#define EVENT_ID_SIZE 48 /* bytes, with terminator */
 #define PROMPT_PARTS_MAX 16
 
 /*
@@ -35,7 +34,7 @@
 	int64_t max_tokens; /* limit on generated tokens */
 	uint32_t part_count;
 	prompt_part_t parts[PROMPT_PARTS_MAX];
-	char last_event_id[EVENT_ID_SIZE]; /* last event of a resumed stream */
+	bool taken_up; /* names the last event of a stream that is to go on */
 	/* Attempt that brought the first event of a resumed stream. */
 	char resumes[REQUEST_ID_SIZE]; /* empty: not stated */
 	bool from_peer; /* passed on by a peer that reaches no target */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -299,8 +299,7 @@
 static bool is_taken_up_again(const exchange_t *exchange)
 {
 	return exchange->route.kind == ROUTE_STREAM &&
-	       exchange->route.resumable &&
-	       exchange->spec->last_event_id[0] != '\0';
+	       exchange->route.resumable && exchange->spec->taken_up;
 }
 
 /* Asks at which version the stream began. */
@@ -498,8 +497,8 @@
 		.account = exchange->account_name,
 		.time_budget_ms = (exchange->deadline - now) / USEC_PER_MSEC,
 		.priority = exchange->priority * QUEUE_PRIORITY_FACTOR,
-		.last_event_id = exchange->events.last_id[0] != '\0'
-					 ? exchange->events.last_id
+		.last_event_id = exchange->events.last_id->len > 0
+					 ? exchange->events.last_id->str
 					 : NULL,
 	};
 	msg_t msg = {.kind = MSG_OUT_SEND, .id = exchange->self};
--- a/proxy/sse.c
+++ b/proxy/sse.c
@@ -6,10 +6,12 @@
 {
 	memset(sse, 0, sizeof(*sse));
 	sse->partial = g_byte_array_new();
+	sse->last_id = g_string_new(NULL);
 }
 
 void sse_finish(sse_t *sse)
 {
+	g_string_free(sse->last_id, TRUE);
 	g_byte_array_unref(sse->partial);
 }
 
@@ -34,8 +36,8 @@
 	if (len > skip && line[skip] == ' ')
 		skip++;
 	sse->count++;
-	g_snprintf(sse->last_id, sizeof(sse->last_id), "%.*s",
-		   (int)(len - skip), line + skip);
+	g_string_truncate(sse->last_id, 0);
+	g_string_append_len(sse->last_id, line + skip, (gssize)(len - skip));
 }
 
 /* Returns the length of the complete events and records their ids. */
--- a/proxy/sse.h
+++ b/proxy/sse.h
@@ -11,7 +11,7 @@
 typedef struct sse_t {
 	GByteArray *partial; /* bytes after the last complete event */
 	uint32_t count; /* complete events with an id */
-	char last_id[EVENT_ID_SIZE]; /* id of the last such event */
+	GString *last_id; /* id of the last such event; empty: none */
 } sse_t;
 
 void sse_init(sse_t *sse);
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -463,8 +463,7 @@
 			spec->api_key = g_strdup(key);
 		g_strlcpy(spec->request_id, request_id,
 			  sizeof(spec->request_id));
-		g_strlcpy(spec->last_event_id, last_event.c_str(),
-			  sizeof(spec->last_event_id));
+		spec->taken_up = !last_event.empty();
 		g_strlcpy(spec->resumes, resumes.c_str(),
 			  sizeof(spec->resumes));
 		spec->prompt_tokens = 100;
@@ -810,6 +809,20 @@
 	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
 }
 
+// Guards against pieces that come twice or are missing, because a stream goes
+// on after an event whose id was cut.
+TEST_F(Proxy, StreamGoesOnAfterAnEventWithALongId)
+{
+	const std::string id(300, '7');
+
+	post_open("/resume/x");
+	post_head(200);
+	post_data(("id: " + id + "\ndata: a\n\nid: 8\nda").c_str());
+	post_failed(FAILURE_STREAM, true, true);
+	EXPECT_EQ(attempts, 2);
+	EXPECT_EQ(last_event_id, id);
+}
+
 TEST_F(Proxy, StreamResumesAfterItsLastCompleteEvent)
 {
 	post_open("/resume/x");
@@ -2480,7 +2493,7 @@
 		}
 		EXPECT_EQ(out, text.substr(0, text.find("id: 9")));
 		EXPECT_EQ(sse.count, 2u);
-		EXPECT_STREQ(sse.last_id, "8");
+		EXPECT_STREQ(sse.last_id->str, "8");
 		sse_finish(&sse);
 	}
 }
