Find a part that crashes targets wherever it is in its prompt

Cause: a request kept the first 16 parts of its prompt, and the list of suspects of a crash the first 32 of several prompts. A part further back that crashes targets was never counted, and another, sound part was blamed in its place; the last of the 16 also passed for the request's own.

Change: a request keeps all its parts, which max_header_bytes bounds. For a crash the 32 parts with the highest scores are counted, so that those which sound requests share, and which were answered, give way to the cause; the number of news to peers is as before. A placement looks at 16 parts, as before, which only costs cache hits.

Test: Proxy.PartFarBackInALongPromptIsQuarantined.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define PARTS_CAPACITY_MIN 4
+
 bool version_is_known(const char *version)
 {
 	return strcmp(version, VERSION_UNKNOWN) != 0;
@@ -33,7 +35,30 @@
 	g_free(spec->api_key);
 	g_free(spec->host);
 	g_free(spec->path);
+	g_free(spec->parts);
 	http_head_free(spec->head);
 	g_clear_pointer(&spec->body, g_bytes_unref);
 	g_free(spec);
 }
+
+void exchange_spec_add_part(exchange_spec_t *spec, uint64_t id, uint32_t tokens)
+{
+	if (spec->part_count == spec->part_capacity) {
+		spec->part_capacity =
+			MAX(2 * spec->part_capacity, PARTS_CAPACITY_MIN);
+		spec->parts = g_renew(prompt_part_t, spec->parts,
+				      spec->part_capacity);
+	}
+	spec->parts[spec->part_count++] =
+		(prompt_part_t){.id = id, .tokens = tokens};
+}
+
+uint32_t exchange_spec_place_parts(const exchange_spec_t *spec,
+				   prompt_part_t to[PLACE_PARTS_MAX])
+{
+	uint32_t count = MIN(spec->part_count, PLACE_PARTS_MAX);
+
+	if (count > 0)
+		memcpy(to, spec->parts, count * sizeof(*to));
+	return count;
+}
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -12,7 +12,8 @@
 G_BEGIN_DECLS
 
 #define REQUEST_ID_SIZE 80 /* bytes, with terminator */
-#define PROMPT_PARTS_MAX 16
+/* Parts of a prompt that decide on its placement. */
+#define PLACE_PARTS_MAX 16
 
 /*
  * A part of a prompt.  Prompts that begin with the same parts share the
@@ -33,7 +34,8 @@
 	int64_t prompt_tokens;
 	int64_t max_tokens; /* limit on generated tokens */
 	uint32_t part_count;
-	prompt_part_t parts[PROMPT_PARTS_MAX];
+	uint32_t part_capacity;
+	prompt_part_t *parts; /* in order; the last is the request's own */
 	bool taken_up; /* names the last event of a stream that is to go on */
 	/* Attempt that brought the first event of a resumed stream. */
 	char resumes[REQUEST_ID_SIZE]; /* empty: not stated */
@@ -46,6 +48,14 @@
 
 exchange_spec_t *exchange_spec_new(void);
 void exchange_spec_free(exchange_spec_t *spec);
+void exchange_spec_add_part(exchange_spec_t *spec, uint64_t id,
+			    uint32_t tokens);
+/*
+ * Copies the parts that decide on the placement and returns their number.
+ * Leaving out the others only costs cache hits.
+ */
+uint32_t exchange_spec_place_parts(const exchange_spec_t *spec,
+				   prompt_part_t to[PLACE_PARTS_MAX]);
 
 /* An operator asks where a request would go now. */
 typedef struct explain_query_t {
@@ -56,7 +66,7 @@
 	int64_t prompt_tokens;
 	int64_t max_tokens;
 	uint32_t part_count;
-	prompt_part_t parts[PROMPT_PARTS_MAX];
+	prompt_part_t parts[PLACE_PARTS_MAX];
 } explain_query_t;
 
 void explain_query_free(explain_query_t *query);
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -490,7 +490,7 @@
 			int64_t max_tokens;
 			uint64_t bytes; /* of the request's body */
 			uint32_t part_count;
-			prompt_part_t parts[PROMPT_PARTS_MAX];
+			prompt_part_t parts[PLACE_PARTS_MAX];
 			uint32_t avoid_count;
 			handle_t avoid[ROUTE_AVOID_MAX]; /* targets */
 			bool one_version; /* only at targets of that version */
--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -33,6 +33,13 @@
 			CRASH_SPACING_MS);
 }
 
+void crash_finish(proxy_t *proxy)
+{
+	for (int i = 0; i < SUSPECTS_MAX; i++)
+		g_clear_pointer(&proxy->suspects[i].parts, g_free);
+	quarantine_finish(&proxy->quarantine);
+}
+
 bool crash_quarantined(const proxy_t *proxy, const exchange_t *exchange)
 {
 	return quarantine_contains(&proxy->quarantine, exchange->fingerprint,
@@ -167,6 +174,7 @@
 	suspect = find_entry(proxy, suspicion);
 	if (suspect == NULL)
 		return;
+	g_free(suspect->parts);
 	memset(suspect, 0, sizeof(*suspect));
 	g_strlcpy(suspect->request_id, spec->request_id,
 		  sizeof(suspect->request_id));
@@ -180,6 +188,7 @@
 	suspect->started_ms = exchange->target_started_ms;
 	suspect->suspicion = suspicion;
 	suspect->part_count = exchange_shared_parts(spec);
+	suspect->parts = g_new(uint64_t, suspect->part_count);
 	for (uint32_t i = 0; i < suspect->part_count; i++)
 		suspect->parts[i] = spec->parts[i].id;
 	suspect->at = kernel_now(proxy->kernel);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -23,6 +23,7 @@
 #define HEAD_TIMEOUT_MIN_MS 600
 #define RETRY_AFTER_DEFAULT_MS 300 /* applies if a refusal states no time */
 #define ELSEWHERE_RETRY_AFTER_MS 100 /* another instance takes the request */
+#define PARTS_LOGGED_MAX 16 /* a log line has 2 kB */
 /* A small part of the shortest latency goals, which are 120 ms. */
 #define RETRY_ELSEWHERE_MIN_MS 10
 #define RETRY_ELSEWHERE_SPAN_MS 21
@@ -57,16 +58,15 @@
 	return spec->part_count > 0 ? spec->part_count - 1 : 0;
 }
 
-void exchange_format_parts(const exchange_spec_t *spec,
-			   char text[PARTS_TEXT_SIZE])
+char *exchange_format_parts(const exchange_spec_t *spec)
 {
-	size_t len = 0;
+	GString *text = g_string_new(NULL);
+	uint32_t count = MIN(exchange_shared_parts(spec), PARTS_LOGGED_MAX);
 
-	text[0] = '\0';
-	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++)
-		len += (size_t)g_snprintf(text + len, PARTS_TEXT_SIZE - len,
-					  "%s%" G_GINT64_MODIFIER "x",
-					  i > 0 ? ":" : "", spec->parts[i].id);
+	for (uint32_t i = 0; i < count; i++)
+		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
+				       i > 0 ? ":" : "", spec->parts[i].id);
+	return g_string_free(text, FALSE);
 }
 
 bool exchange_is_idempotent(const exchange_t *exchange)
@@ -331,6 +331,7 @@
 static size_t spec_memory(const exchange_spec_t *spec)
 {
 	return sizeof(*spec) + strlen(spec->host) + strlen(spec->path) +
+	       spec->part_capacity * sizeof(*spec->parts) +
 	       http_head_memory(spec->head) +
 	       (spec->body != NULL ? g_bytes_get_size(spec->body) : 0);
 }
@@ -464,8 +465,8 @@
 	msg.u.place.max_tokens = spec->max_tokens;
 	if (spec->body != NULL)
 		msg.u.place.bytes = g_bytes_get_size(spec->body);
-	msg.u.place.part_count = spec->part_count;
-	memcpy(msg.u.place.parts, spec->parts, sizeof(spec->parts));
+	msg.u.place.part_count =
+		exchange_spec_place_parts(spec, msg.u.place.parts);
 	msg.u.place.avoid_count = exchange->avoid_count;
 	memcpy(msg.u.place.avoid, exchange->avoid, sizeof(exchange->avoid));
 	msg.u.place.one_version = exchange->has_stream_version;
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -99,7 +99,6 @@
  * a request may crash its target.
  */
 #define ANSWER_START_US (250 * USEC_PER_MSEC)
-#define PARTS_TEXT_SIZE (PROMPT_PARTS_MAX * 17 + 1) /* bytes */
 
 /* exchange.c */
 void exchange_start(proxy_t *proxy, msg_t *msg);
@@ -144,9 +143,11 @@
 bool exchange_is_idempotent(const exchange_t *exchange);
 /* Parts that requests share: all but the last. */
 uint32_t exchange_shared_parts(const exchange_spec_t *spec);
-/* Writes the ids of the shared parts for the log, separated by colons. */
-void exchange_format_parts(const exchange_spec_t *spec,
-			   char text[PARTS_TEXT_SIZE]);
+/*
+ * Returns the ids of the first shared parts for the log, separated by colons.
+ * The caller frees the text.
+ */
+char *exchange_format_parts(const exchange_spec_t *spec);
 
 /* response.c */
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg);
@@ -192,6 +193,7 @@
  * loses a response.
  */
 void crash_init(proxy_t *proxy);
+void crash_finish(proxy_t *proxy);
 /* Whether the request or a part of its prompt is in quarantine. */
 bool crash_quarantined(const proxy_t *proxy, const exchange_t *exchange);
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange);
--- a/proxy/parts.c
+++ b/proxy/parts.c
@@ -17,7 +17,12 @@
  */
 #define TELL_DELAY_MS 100
 #define TELL_DELAY_INSTANCE_MS 2 /* added for each instance of the fleet */
-#define CRASH_PARTS_MAX 32 /* parts counted for one crash */
+/*
+ * Parts counted for one crash, each of which is told to all peers.  Sound
+ * requests share the parts beside the cause, so that it is among the ones with
+ * the highest scores.
+ */
+#define CRASH_PARTS_MAX 32
 #define PEER_SENTENCES_MAX 64 /* quarantines told to a new peer */
 #define PERCENT 100
 #define PART_FORMAT "%" G_GINT64_MODIFIER "x"
@@ -25,6 +30,12 @@
 static const double weights[] = {
 	[SUSPICION_NONE] = 0, [SUSPICION_WEAK] = 0.5, [SUSPICION_STRONG] = 1};
 
+typedef struct candidate_t {
+	part_suspect_t suspect;
+	uint32_t place; /* among all candidates */
+	double score;
+} candidate_t;
+
 /* Parts that may have caused a crash, ordered by their places in prompts. */
 typedef struct crash_parts_t {
 	part_suspect_t suspects[CRASH_PARTS_MAX];
@@ -196,29 +207,66 @@
 	}
 }
 
-static void add_part(crash_parts_t *list, const suspect_t *suspect,
-		     uint64_t part)
+static void add_candidate(const proxy_t *proxy, GArray *candidates,
+			  GHashTable *seen, const suspect_t *suspect,
+			  uint64_t *part)
 {
-	for (uint32_t i = 0; i < list->count; i++) {
-		if (list->suspects[i].part == part)
-			return;
-	}
-	if (list->count < CRASH_PARTS_MAX)
-		list->suspects[list->count++] =
-			(part_suspect_t){part, hash_name(suspect->fingerprint)};
+	candidate_t candidate = {
+		.suspect = {*part, hash_name(suspect->fingerprint)},
+		.place = candidates->len,
+		.score = part_quarantine_score(&proxy->parts, *part,
+					       now_ms(proxy)),
+	};
+
+	if (g_hash_table_add(seen, part))
+		g_array_append_val(candidates, candidate);
 }
 
-static void collect_parts(crash_parts_t *list, const suspect_t *const *suspects,
-			  uint32_t count)
+/* The highest score comes first and, of equal ones, the one furthest back. */
+static gint compare_scores(gconstpointer a, gconstpointer b)
 {
-	list->count = 0;
-	for (uint32_t place = 0; place < PROMPT_PARTS_MAX; place++) {
+	const candidate_t *x = a, *y = b;
+
+	if (x->score != y->score)
+		return x->score > y->score ? -1 : 1;
+	return (x->place < y->place) - (x->place > y->place);
+}
+
+static gint compare_places(gconstpointer a, gconstpointer b)
+{
+	const candidate_t *x = a, *y = b;
+
+	return (x->place > y->place) - (x->place < y->place);
+}
+
+static void collect_parts(const proxy_t *proxy, crash_parts_t *list,
+			  const suspect_t *const *suspects, uint32_t count)
+{
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	GHashTable *seen = g_hash_table_new(g_int64_hash, g_int64_equal);
+	uint32_t longest = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		longest = MAX(longest, suspects[i]->part_count);
+	for (uint32_t place = 0; place < longest; place++) {
 		for (uint32_t i = 0; i < count; i++) {
 			if (place < suspects[i]->part_count)
-				add_part(list, suspects[i],
-					 suspects[i]->parts[place]);
+				add_candidate(proxy, candidates, seen,
+					      suspects[i],
+					      &suspects[i]->parts[place]);
 		}
 	}
+	if (candidates->len > CRASH_PARTS_MAX) {
+		g_array_sort(candidates, compare_scores);
+		g_array_set_size(candidates, CRASH_PARTS_MAX);
+		g_array_sort(candidates, compare_places);
+	}
+	list->count = candidates->len;
+	for (uint32_t i = 0; i < list->count; i++)
+		list->suspects[i] =
+			g_array_index(candidates, candidate_t, i).suspect;
+	g_hash_table_unref(seen);
+	g_array_unref(candidates);
 }
 
 /* Counts the crash for the parts, and tells the peers. */
@@ -268,7 +316,7 @@
 void parts_crashed(proxy_t *proxy, const suspect_t *const *suspects,
 		   uint32_t count)
 {
-	crash_parts_t list;
+	crash_parts_t list = {0};
 	part_crash_t crash = {
 		.target = hash_name(suspects[0]->instance),
 		.weight = weights[suspects[0]->suspicion],
@@ -276,7 +324,7 @@
 	};
 	int cause;
 
-	collect_parts(&list, suspects, count);
+	collect_parts(proxy, &list, suspects, count);
 	if (list.count == 0)
 		return;
 	cause = count_crash(proxy, &list, suspects[0], &crash);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -266,7 +266,7 @@
 	kernel_timer_cancel(proxy->kernel, &proxy->tell_timer);
 	kernel_timer_cancel(proxy->kernel, &proxy->held.timer);
 	held_finish(&proxy->held);
-	quarantine_finish(&proxy->quarantine);
+	crash_finish(proxy);
 	part_quarantine_finish(&proxy->parts);
 	table_finish(&proxy->exchanges);
 	kernel_unregister(proxy->kernel, proxy->svc);
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -48,7 +48,7 @@
 	check_t check;
 	suspicion_t suspicion;
 	uint32_t part_count;
-	uint64_t parts[PROMPT_PARTS_MAX]; /* shared parts, in order */
+	uint64_t *parts; /* shared parts, in order; owned */
 	int64_t at; /* monotonic, us */
 } suspect_t;
 
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -67,9 +67,8 @@
 static void log_failure(const exchange_t *exchange, failure_t failure, bool ran,
 			bool retry)
 {
-	char parts[PARTS_TEXT_SIZE];
+	char *parts = exchange_format_parts(exchange->spec);
 
-	exchange_format_parts(exchange->spec, parts);
 	log_event(LOG_LEVEL_INFO, "proxy", "attempt_failed",
 		  "request=%s target=%s failure=%s ran=%d reused=%d send=%u "
 		  "status=%u events=%u parts=%s retry=%d",
@@ -77,6 +76,7 @@
 		  failure_name(failure), ran, exchange->reused, exchange->sends,
 		  exchange->head != NULL ? exchange->head->status : 0,
 		  exchange->events.count, parts, retry);
+	g_free(parts);
 }
 
 static void avoid_target(exchange_t *exchange)
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -452,7 +452,7 @@
 		exchange_spec_t *spec = exchange_spec_new();
 
 		for (uint64_t part : parts)
-			spec->parts[spec->part_count++] = {part, 40};
+			exchange_spec_add_part(spec, part, 40);
 		if (!parts.empty()) // no two requests are alike
 			spec->body = g_bytes_new(&++bodies, sizeof(bodies));
 		spec->from_peer = passed_on;
@@ -1842,6 +1842,46 @@
 	EXPECT_EQ(status, 503u);
 }
 
+// Guards against a part that crashes targets and is never found, because it is
+// further back in its prompt than the parts that were looked at.
+TEST_F(Proxy, PartFarBackInALongPromptIsQuarantined)
+{
+	uint64_t own = 10000;
+	auto prompt = [&](bool deadly) {
+		std::vector<uint64_t> parts;
+
+		for (uint64_t part = 100; part < 160; part++) {
+			parts.push_back(part);
+			if (part == 130 && deadly)
+				parts.push_back(2);
+		}
+		parts.push_back(own++);
+		return parts;
+	};
+
+	for (int crashes = 0; crashes < 5; crashes++) {
+		post_open("/stream/x", "key", prompt(false));
+		post_head(200);
+		post_data("id: 1\ndata: a\n\n");
+		run(USEC_PER_SEC);
+		post_data("id: 2\ndata: a\n\n");
+		post_end();
+		post_open("/stream/x", "key", prompt(true));
+		post_head(200);
+		target_down = true;
+		post_failed(FAILURE_STREAM, true, true);
+		run(USEC_PER_SEC);
+		target_down = false;
+	}
+	status = 0;
+	attempts = 0;
+	post_open("/stream/x", "key", prompt(true));
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(attempts, 0);
+	post_open("/stream/x", "key", prompt(false));
+	EXPECT_EQ(attempts, 1);
+}
+
 // A target that crashes may close the connection without an error.
 TEST_F(Proxy, EmptyAnswerWithoutLengthDoesNotHideACrash)
 {
@@ -2015,7 +2055,7 @@
 		part_crash_t crash = {target, repeats ? requests : ++requests,
 				      weight, now};
 		std::vector<part_suspect_t> suspects;
-		bool counted[PROMPT_PARTS_MAX] = {};
+		bool counted[16] = {};
 		int cause;
 
 		for (uint64_t part : parts)
