Pass the largest values and many changes on between peers

Cause: a frame between peers has 1 MiB at most, and a value of the store may have 1 MiB beside its key, so a configuration just below the store's limit was never passed on; instances that the store turns away kept the former one. A message of changes was limited by the bytes of its values alone: with more than 4,096 removals in it, or many long keys, its receiver rejected the frame and closed the connection, again and again.

Change: frames may have 64 KiB more. One above the former limit goes only to peers that state that they take it, as former builds close the connection. A message has 4,000 items at most, and keys count.

--- a/peer/codec.h
+++ b/peer/codec.h
@@ -14,7 +14,10 @@
 
 G_BEGIN_DECLS
 
-#define PEER_FRAME_MAX 1048576 /* bytes after the header */
+/* Limit of builds that do not state PEER_KINDS_LONG_FRAMES. */
+#define PEER_FRAME_FORMER_MAX 1048576 /* bytes after the header */
+/* Room for the largest value of the store with its key and other items. */
+#define PEER_FRAME_MAX (PEER_FRAME_FORMER_MAX + 65536)
 #define PEER_FRAME_HEADER_SIZE 4 /* bytes */
 #define PEER_MEMBERS_MAX 64 /* members in one heartbeat */
 #define PEER_ITEMS_MAX 4096 /* configuration or store items in one frame */
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -114,16 +114,23 @@
 	return true;
 }
 
-bool peer_conn_takes(conn_t *conn, peer_kind_t kind)
+static bool takes_length(const conn_t *conn, size_t len)
 {
-	if (peer_kind_is_known(conn->kinds, kind))
+	return len <= PEER_FRAME_FORMER_MAX + PEER_FRAME_HEADER_SIZE ||
+	       (conn->kinds & PEER_KINDS_LONG_FRAMES) != 0;
+}
+
+bool peer_conn_takes(conn_t *conn, peer_kind_t kind, size_t len)
+{
+	if (peer_kind_is_known(conn->kinds, kind) && takes_length(conn, len))
 		return true;
 	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_FRAMES_WITHHELD,
 		    1);
 	if (!conn->withheld_logged)
 		log_event(LOG_LEVEL_INFO, "peer", "kind_not_sent",
-			  "peer=%s kind=%d kinds=%" G_GINT64_MODIFIER "x",
-			  log_quote(conn->remote.incarnation), (int)kind,
+			  "peer=%s kind=%d bytes=%zu "
+			  "kinds=%" G_GINT64_MODIFIER "x",
+			  log_quote(conn->remote.incarnation), (int)kind, len,
 			  conn->kinds);
 	conn->withheld_logged = true;
 	return false;
--- a/peer/kinds.h
+++ b/peer/kinds.h
@@ -22,6 +22,9 @@
  */
 #define PEER_KINDS_SKIPS_UNKNOWN UINT64_C(1)
 
+/* Stated by builds that take frames up to PEER_FRAME_MAX. */
+#define PEER_KINDS_LONG_FRAMES (UINT64_C(1) << 63)
+
 /* Returns the statement of this build. */
 uint64_t peer_kinds_own(void);
 /* Returns true if a peer with this statement may be sent the kind. */
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -198,7 +198,7 @@
 			continue;
 		if (g_hash_table_lookup(peer->active,
 					conn->remote.incarnation) == conn &&
-		    peer_conn_takes(conn, kind))
+		    peer_conn_takes(conn, kind, peer->scratch->len))
 			peer_conn_send(conn, peer->scratch->data,
 				       peer->scratch->len);
 	}
@@ -213,7 +213,7 @@
 
 	if (incarnation[0] != '\0') {
 		conn = g_hash_table_lookup(peer->active, incarnation);
-		if (conn == NULL || !peer_conn_takes(conn, body->kind))
+		if (conn == NULL || !peer_conn_takes(conn, body->kind, 0))
 			return;
 	}
 	g_byte_array_set_size(peer->scratch, 0);
@@ -223,10 +223,10 @@
 			  log_quote(peer->err.text));
 		return;
 	}
-	if (conn != NULL)
-		peer_conn_send(conn, peer->scratch->data, peer->scratch->len);
-	else
+	if (conn == NULL)
 		broadcast(peer, msg->u.peer.availability_zone, body->kind);
+	else if (peer_conn_takes(conn, body->kind, peer->scratch->len))
+		peer_conn_send(conn, peer->scratch->data, peer->scratch->len);
 }
 
 static void check_conn(peer_t *peer, conn_t *conn, int64_t now)
--- a/replica/entry.c
+++ b/replica/entry.c
@@ -4,7 +4,13 @@
 
 #include <string.h>
 
-#define ITEMS_BYTES_MAX 500000 /* total of the values in a message */
+/*
+ * A message has fewer items and bytes than a frame takes (peer/codec.h), except
+ * that a single item may be as large as the store allows.
+ */
+#define ITEMS_MAX 4000
+#define ITEMS_BYTES_MAX 500000
+#define ITEM_OVERHEAD 32 /* bytes beside key and value */
 /*
  * Prepaid token records are not relayed: only instances that write to the
  * store use them, and they change so often that relaying would saturate a
@@ -159,9 +165,10 @@
 		const store_item_t *item =
 			&g_array_index(items, store_item_t, i);
 
-		bytes +=
-			item->value != NULL ? g_bytes_get_size(item->value) : 0;
-		if (bytes > ITEMS_BYTES_MAX && i > 0) {
+		bytes += strlen(item->key) + ITEM_OVERHEAD;
+		if (item->value != NULL)
+			bytes += g_bytes_get_size(item->value);
+		if (i >= ITEMS_MAX || (bytes > ITEMS_BYTES_MAX && i > 0)) {
 			up_to = item->revision - 1;
 			g_array_set_size(items, i);
 			break;
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -381,6 +381,45 @@
 	EXPECT_EQ(known("fleet/conf")->u.fleet_conf->version, 15);
 }
 
+// Guards against a message that peers reject, with the connection, since it has
+// more items or bytes than a frame takes.
+TEST_F(Entry, ManyItemsGoInMessagesThatAFrameTakes)
+{
+	const int64_t count = 10000;
+	int64_t after = 0, received = 0;
+
+	for (int64_t i = 1; i <= count; i++) {
+		record_t gone = {};
+		std::string key = "fleet/target/" + std::to_string(i);
+
+		// A few keys are as long as the store allows.
+		if (i > count - 3000)
+			key.resize(200, 'k');
+		apply(key.c_str(), i, &gone);
+	}
+	while (after < count) {
+		GArray *items = g_array_new(FALSE, TRUE, sizeof(store_item_t));
+		int64_t up_to =
+			replica_entries_since(entries, after, count, items);
+		size_t bytes = 0;
+
+		for (guint i = 0; i < items->len; i++) {
+			store_item_t *item =
+				&g_array_index(items, store_item_t, i);
+
+			bytes += strlen(item->key) + 16;
+			g_clear_pointer(&item->value, g_bytes_unref);
+		}
+		received += items->len;
+		EXPECT_LT(items->len, 4096u);
+		EXPECT_LT(bytes, 1048576u);
+		ASSERT_GT(up_to, after);
+		after = up_to;
+		g_array_unref(items);
+	}
+	EXPECT_EQ(received, count);
+}
+
 TEST_F(Entry, RestoredStoreMakesNoDrainingTargetReady)
 {
 	EXPECT_TRUE(target(revision_make(1, 50), 1000, 7, false));
