Read and pass on prepaid records with any number of holders

Cause: a record of an account's tokens with more than 512 holders was written but not read: it was void to all instances, so nobody could take tokens, and a reply to a peer after a restore that had more than 2,048 holders of one record in it was not sent, so that tokens could be taken twice. Holders that are open are never merged, and the target in two years has 1,700 instances.

Change: the number of holders has no limit but that of the store's value, and a reply goes on in a further message when one is full.

--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -10,7 +10,6 @@
 
 G_BEGIN_DECLS
 
-#define GRANT_HOLDERS_MAX 512 /* holders of the allocation of one account */
 
 typedef enum route_kind_t {
 	ROUTE_SAFE, /* idempotent: may be executed more than once */
--- a/prepaid/account.c
+++ b/prepaid/account.c
@@ -23,6 +23,8 @@
 #define REFILL_HEADROOM_S 4.0
 /* Minimum share of the grants, as a fraction of an equal share. */
 #define GRANT_SHARE_MIN 0.5
+/* A record with so many holders is rid of those that have ended. */
+#define HOLDERS_MERGE_MIN 256
 #define MEAN_TOKENS_WEIGHT 0.1 /* weight of the newest reservation */
 #define DEMAND_TIME_CONSTANT_S 6.0
 /* Minimum age of a rate: two requests in quick succession are no trend. */
@@ -260,7 +262,7 @@
 		    holder->state == GRANT_OPEN)
 			holder->state = GRANT_LOST;
 	}
-	if (next->holders->len >= GRANT_HOLDERS_MAX / 2)
+	if (next->holders->len >= HOLDERS_MERGE_MIN)
 		merge_ended(next, account, self);
 	g_strlcpy(own.node, self->node, sizeof(own.node));
 	g_strlcpy(own.incarnation, self->incarnation, sizeof(own.incarnation));
--- a/prepaid/restore.c
+++ b/prepaid/restore.c
@@ -100,13 +100,14 @@
 			 body);
 }
 
-static void add_record(const prepaid_account_t *account, peer_body_t *body)
+/* Sends the message once it is full.  Returns the one to go on with. */
+static peer_body_t *send_if_full(prepaid_t *prepaid, const char *peer,
+				 peer_body_t *body)
 {
-	for (guint i = 0;
-	     account->record != NULL && i < account->record->holders->len; i++)
-		add_holding(body, account,
-			    &g_array_index(account->record->holders,
-					   grant_holder_t, i));
+	if (body->u.holdings.list->len < PEER_HOLDINGS_MAX)
+		return body;
+	send_holdings(prepaid, peer, body);
+	return holdings_new(prepaid, false);
 }
 
 /*
@@ -121,13 +122,14 @@
 
 	while ((account = table_next(&prepaid->accounts, &cursor, NULL)) !=
 	       NULL) {
-		if (account->unsaved)
-			add_record(account, body);
-		if (body->u.holdings.list->len <
-		    PEER_HOLDINGS_MAX - GRANT_HOLDERS_MAX)
+		if (!account->unsaved || account->record == NULL)
 			continue;
-		send_holdings(prepaid, peer, body);
-		body = holdings_new(prepaid, false);
+		for (guint i = 0; i < account->record->holders->len; i++) {
+			add_holding(body, account,
+				    &g_array_index(account->record->holders,
+						   grant_holder_t, i));
+			body = send_if_full(prepaid, peer, body);
+		}
 	}
 	body->u.holdings.complete = true;
 	send_holdings(prepaid, peer, body);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -449,6 +449,32 @@
 	g_bytes_unref(bytes);
 }
 
+// Guards against an account whose tokens nobody can take or count, because more
+// instances hold some than an array has places.
+TEST(Entries, AllocationWithAnyNumberOfHoldersIsRead)
+{
+	record_t record = {}, back;
+	GBytes *bytes;
+	errmsg_t err;
+
+	record.kind = RECORD_ALLOCATION;
+	record.u.allocation = allocation_new();
+	for (int i = 0; i < 1700; i++) {
+		grant_holder_t holder = {"node", "", 2, GRANT_OPEN};
+
+		g_snprintf(holder.incarnation, sizeof(holder.incarnation),
+			   "run-%d", i);
+		g_array_append_val(record.u.allocation->holders, holder);
+	}
+	bytes = entry_encode(&record);
+	entry_decode("prepaid/a", bytes, &back, &err);
+	ASSERT_EQ(back.kind, RECORD_ALLOCATION) << err.text;
+	EXPECT_EQ(allocation_total(back.u.allocation), 3400);
+	record_clear(&record);
+	record_clear(&back);
+	g_bytes_unref(bytes);
+}
+
 // Instances of release 5a054ba run beside this build and read the entries that
 // it writes.  The texts were written by entry_encode() of that release.
 TEST(Entries, AreWrittenAsTheFormerReleaseWritesThem)
--- a/tests/prepaid_test.cc
+++ b/tests/prepaid_test.cc
@@ -138,6 +138,7 @@
 	int granted = 0;
 	int incarnations = 0;
 	int messages = 0; // between instances
+	guint most_holdings = 0; // in one message
 	int pulls_to_lose = 0; // requests for holdings that do not arrive
 	uint32_t retry_after_ms = 0; // of the last refusal
 
@@ -299,6 +300,10 @@
 	if (msg->kind != MSG_PEER_SEND ||
 	    cluster->partitioned[(size_t)node->index])
 		return;
+	if (msg->u.peer.body->kind == PEER_HOLDINGS)
+		cluster->most_holdings =
+			MAX(cluster->most_holdings,
+			    msg->u.peer.body->u.holdings.list->len);
 	if (msg->u.peer.body->kind == PEER_HOLDINGS_PULL &&
 	    cluster->pulls_to_lose-- > 0)
 		return;
@@ -689,6 +694,41 @@
 			<< "seed " << seed;
 }
 
+// Guards against a reply that is not sent, as it has more holders than a frame
+// takes, so that tokens are taken twice after a restore.
+TEST(Prepaid, RecordWithManyHoldersIsToldToPeers)
+{
+	cluster_t cluster;
+
+	cluster.random.seed(31);
+	start_cluster(&cluster, 2, 100000);
+	prepaid_t *from = &cluster.nodes[0]->prepaid;
+	prepaid_t *to = &cluster.nodes[1]->prepaid;
+	prepaid_account_t *account = prepaid_find_account(from, "a1");
+	msg_t pull = {};
+
+	if (account->record == nullptr)
+		account->record = allocation_new();
+	for (int i = 0; i < 5000; i++) {
+		grant_holder_t holder = {"m", "", 3, GRANT_OPEN};
+
+		g_snprintf(holder.incarnation, sizeof(holder.incarnation),
+			   "run-%d", i);
+		allocation_join_holder(account->record, &holder);
+	}
+	account->unsaved = true;
+	pull.kind = MSG_PEER_RECEIVED;
+	pull.u.peer.body = peer_body_new(PEER_HOLDINGS_PULL);
+	g_strlcpy(pull.u.peer.incarnation, to->opts.incarnation,
+		  sizeof(pull.u.peer.incarnation));
+	kernel_post(from->kernel, cluster.nodes[0]->peer, from->svc, &pull);
+	for (int i = 0; i < 5; i++)
+		step(&cluster);
+	EXPECT_LE(cluster.most_holdings, (guint)PEER_HOLDINGS_MAX);
+	EXPECT_GE(prepaid_find_account(to, "a1")->record->holders->len, 5000u);
+	finish_cluster(&cluster);
+}
+
 // A message is lost with a connection that is replaced, and the wait for its
 // reply would last until its limit.
 TEST(Prepaid, PeerThatDoesNotReplyAfterARestoreIsAskedAgain)
@@ -967,7 +1007,7 @@
 	record_allocation_t *next;
 
 	account.record = allocation_new();
-	for (int i = 0; i < GRANT_HOLDERS_MAX - 1; i++) {
+	for (int i = 0; i < 511; i++) {
 		grant_holder_t holder = {"m", "", 3, GRANT_RETURNED};
 
 		if (i % 8 == 0)
