--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -10,7 +10,6 @@
 
 G_BEGIN_DECLS
 
-
 typedef enum route_kind_t {
 	ROUTE_SAFE, /* idempotent: may be executed more than once */
 	ROUTE_UNSAFE, /* executed at most once */
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1261,7 +1261,7 @@
 		call(&msg, status, body);
 	}
 	void transaction(uint32_t status, const std::string &body,
-			 int64_t expect = 3)
+			 int64_t expect = 3, const char *key = "prepaid/a1")
 	{
 		msg_t msg = {};
 		record_t record = {};
@@ -1271,8 +1271,7 @@
 		msg.kind = MSG_STORE_TXN;
 		msg.u.store_txn = store_txn_new();
 		store_txn_group(msg.u.store_txn);
-		store_txn_put(msg.u.store_txn, "prepaid/a1", expect, 0,
-			      &record);
+		store_txn_put(msg.u.store_txn, key, expect, 0, &record);
 		record_clear(&record);
 		call(&msg, status, body);
 	}
@@ -1634,6 +1633,21 @@
 	EXPECT_EQ(table_count(&store.calls), 0u);
 }
 
+// Guards against an account that gets no tokens, as the store refuses a write
+// whose key is not quoted.
+TEST_F(Store, KeysOfAWriteAreQuoted)
+{
+	transaction(200, "{\"revision\":9}", 3, "prepaid/a \"b\" \\ c");
+	EXPECT_NE(request_body.find(
+			  R"({"key":"prepaid/a \"b\" \\ c","revision":3})"),
+		  std::string::npos)
+		<< request_body;
+	EXPECT_NE(
+		request_body.find(R"({"key":"prepaid/a \"b\" \\ c","value":)"),
+		std::string::npos)
+		<< request_body;
+}
+
 TEST_F(Store, TransactionStatusFollowsTheResponse)
 {
 	struct {
