Read the body of a request that offers another protocol

Cause: on_head() made http-parser skip the body of a request with which it leaves HTTP. Nothing was switched, the connection went on, and the body was parsed as the next request.

Change: the offer is ignored, as HTTP allows, and the request read as any other. CONNECT is refused with 404, not run, and what is behind its head is never parsed. 101 is no answer of a target, as no request asks for another protocol.

--- a/http/parse.c
+++ b/http/parse.c
@@ -5,6 +5,7 @@
 #define HEAD_MAX_BYTES 65536 /* default of max_head */
 /* http-parser accepts any number up to 999. */
 #define STATUS_MIN 100
+#define STATUS_SWITCHING_PROTOCOLS 101
 #define STATUS_MAX 599
 /* Makes http-parser stop; 1 and 2 have other meanings. */
 #define HEAD_REFUSED (-1)
@@ -104,14 +105,21 @@
 			http_method_str((enum http_method)parser->method));
 		parse->head->uri = g_strdup(parse->uri->str);
 	} else {
+		/* No request offers another protocol. */
 		if (parser->status_code < STATUS_MIN ||
-		    parser->status_code > STATUS_MAX)
+		    parser->status_code > STATUS_MAX ||
+		    parser->status_code == STATUS_SWITCHING_PROTOCOLS)
 			return HEAD_REFUSED;
 		parse->head->status = parser->status_code;
 	}
 	parse->until_eof = needs_eof(parser);
-	/* Tunnels and protocol upgrades are not supported. */
-	return parser->upgrade ? 1 : 0;
+	/*
+	 * A server may ignore the offer of another protocol.  http-parser would
+	 * leave the body of such a request unread, and its bytes would be
+	 * parsed as requests.
+	 */
+	parser->upgrade = 0;
+	return 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -238,6 +246,12 @@
 	       http_parse_content_length(parse) > 0;
 }
 
+bool http_parse_asks_tunnel(const http_parse_t *parse)
+{
+	return parse->parser.type == HTTP_REQUEST &&
+	       parse->parser.method == HTTP_CONNECT;
+}
+
 size_t http_parse_memory(const http_parse_t *parse)
 {
 	return parse->body->len + parse->uri->len + parse->name->len +
--- a/http/parse.h
+++ b/http/parse.h
@@ -60,6 +60,11 @@
 
 /* Whether a body follows the complete head. */
 bool http_parse_has_body(const http_parse_t *parse);
+/*
+ * True for CONNECT.  What follows the head belongs to the tunnel and must not
+ * be parsed as requests.
+ */
+bool http_parse_asks_tunnel(const http_parse_t *parse);
 /* Returns the memory of the message received so far. */
 size_t http_parse_memory(const http_parse_t *parse);
 
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -393,7 +393,8 @@
 			return;
 		if (before < HTTP_STATE_BODY &&
 		    conn->parse.state >= HTTP_STATE_BODY) {
-			if (http_parse_has_body(&conn->parse) &&
+			if ((http_parse_has_body(&conn->parse) ||
+			     http_parse_asks_tunnel(&conn->parse)) &&
 			    !ingress_check_head(conn->ingress, conn))
 				return;
 			if (conn->parse.state == HTTP_STATE_BODY) {
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -342,15 +342,20 @@
 	       fleet_conf_route(ingress->conf, spec->host, spec->path) != NULL;
 }
 
-/* A path without a route has no use for a body. */
+/*
+ * A path without a route has no use for a body.  A tunnel has no route, and the
+ * bytes behind its request, which belong to the tunnel, are never parsed.
+ */
 static bool check_caller_head(ingress_t *ingress, ingress_conn_t *conn)
 {
 	exchange_spec_t *spec = exchange_spec_new();
 	errmsg_t err;
+	bool tunnel = http_parse_asks_tunnel(&conn->parse);
 	/* A request that is complete already is refused by "proxy". */
-	bool accepted = conn->parse.state == HTTP_STATE_COMPLETE ||
-			(wire_read_request_target(conn->parse.head, spec) &&
-			 has_route(ingress, spec));
+	bool accepted =
+		!tunnel && (conn->parse.state == HTTP_STATE_COMPLETE ||
+			    (wire_read_request_target(conn->parse.head, spec) &&
+			     has_route(ingress, spec)));
 
 	if (accepted)
 		goto out;
@@ -360,8 +365,8 @@
 		goto out;
 	}
 	refuse_head(ingress, conn, spec,
-		    ingress->conf_behind ? REFUSAL_CONF_BEHIND
-					 : REFUSAL_NO_ROUTE);
+		    ingress->conf_behind && !tunnel ? REFUSAL_CONF_BEHIND
+						    : REFUSAL_NO_ROUTE);
 out:
 	exchange_spec_free(spec);
 	return accepted;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -89,6 +89,76 @@
 	EXPECT_EQ(p.parse.state, HTTP_STATE_ERROR);
 }
 
+// Guards against a request that runs without its body, while the body is parsed
+// as a request, because it offers another protocol.
+TEST(Parse, BodyBelongsToARequestThatOffersAnotherProtocol)
+{
+	const std::string inside = "GET /inside HTTP/1.1\r\nHost: h\r\n\r\n";
+	const std::string length =
+		"Content-Length: " + std::to_string(inside.size()) +
+		"\r\n\r\n" + inside;
+	const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n2\r\n" +
+				   inside.substr(0, 2) + "\r\n1f\r\n" +
+				   inside.substr(2) + "\r\n0\r\n\r\n";
+
+	ASSERT_EQ(inside.size(), 0x1fu + 2);
+	for (const std::string &offer :
+	     {std::string("Connection: Upgrade, HTTP2-Settings\r\n"
+			  "Upgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"),
+	      std::string("Connection: Upgrade\r\nUpgrade: websocket\r\n"),
+	      std::string("Connection: keep-alive, Upgrade\r\n"
+			  "Upgrade: TLS/1.0\r\n"),
+	      std::string("Upgrade: h2c\r\n"),
+	      std::string("Connection: upgrade\r\n")}) {
+		for (const std::string &framing : {length, chunks}) {
+			std::string first = "POST /a HTTP/1.1\r\nHost: h\r\n" +
+					    offer + framing;
+
+			for (size_t piece :
+			     {size_t(1), size_t(7), size_t(4096)}) {
+				Parse p(false);
+
+				EXPECT_EQ(p.feed(first + "GET /b HTTP/1.1\r\n",
+						 piece),
+					  first.size())
+					<< first;
+				EXPECT_EQ(p.parse.state, HTTP_STATE_COMPLETE);
+				EXPECT_EQ(p.body, inside);
+				EXPECT_TRUE(p.parse.keep_alive);
+				EXPECT_FALSE(http_parse_asks_tunnel(&p.parse));
+			}
+		}
+	}
+	Parse tunnel(false);
+
+	tunnel.feed("CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", 4096);
+	EXPECT_TRUE(http_parse_asks_tunnel(&tunnel.parse));
+}
+
+// Guards against bytes of another protocol that are read as the response to a
+// request, and against a response that only announces one being lost.
+TEST(Parse, ResponseSwitchesToNoOtherProtocol)
+{
+	for (const char *head :
+	     {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+	      "Upgrade: h2c\r\n\r\n",
+	      "HTTP/1.1 101 Switching Protocols\r\n\r\n"}) {
+		Parse p(true);
+
+		p.feed(std::string(head) + "HTTP/1.1 200 OK\r\n"
+					   "Content-Length: 2\r\n\r\nok",
+		       4096);
+		EXPECT_EQ(p.parse.state, HTTP_STATE_ERROR) << head;
+	}
+	Parse p(true);
+
+	p.feed("HTTP/1.1 200 OK\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+	       "Content-Length: 2\r\n\r\nok",
+	       4096);
+	EXPECT_EQ(p.parse.state, HTTP_STATE_COMPLETE);
+	EXPECT_EQ(p.body, "ok");
+}
+
 TEST(Parse, BytesAfterAMessageAreNotConsumed)
 {
 	Parse p(true);
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -212,6 +212,49 @@
 	EXPECT_TRUE(cancelled.empty());
 }
 
+// Guards against the body of a request that runs as a request of its own.
+TEST_F(Ingress, BodyOfARequestThatOffersAnotherProtocolIsNoRequest)
+{
+	Client client(port(LISTENER_CALLERS));
+	const std::string offer = "POST /a/b HTTP/1.1\r\nHost: h\r\n"
+				  "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+				  "Content-Length: " +
+				  std::to_string(get_request.size()) +
+				  "\r\n\r\n" + get_request;
+	gsize size = 0;
+
+	client.send(offer + get_request);
+	ASSERT_TRUE(wait_requests(1));
+	ASSERT_NE(specs[0]->body, nullptr);
+	g_bytes_get_data(specs[0]->body, &size);
+	EXPECT_EQ(size, get_request.size());
+	EXPECT_EQ(http_head_get(specs[0]->head, "Upgrade"), nullptr);
+	respond(0, "one");
+	ASSERT_TRUE(wait_requests(2));
+	EXPECT_EQ(specs[1]->body, nullptr);
+	respond(1, "two");
+	EXPECT_TRUE(client.wait_for("3\r\ntwo\r\n0\r\n\r\n"));
+	EXPECT_EQ(specs.size(), 2u);
+}
+
+// Guards against what a client sends into a tunnel being run as requests.
+TEST_F(Ingress, TunnelIsRefusedAndNothingBehindItIsRead)
+{
+	for (const char *start :
+	     {"CONNECT /a/b HTTP/1.1\r\nHost: h\r\n",
+	      "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n",
+	      "CONNECT /a/b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n"}) {
+		Client client(port(LISTENER_CALLERS));
+
+		client.send(start + std::string("\r\n") + get_request +
+			    get_request);
+		EXPECT_TRUE(client.wait_for("HTTP/1.1 40")) << start;
+		EXPECT_TRUE(client.wait_for("Connection: close")) << start;
+		EXPECT_EQ(client.in.find("HTTP/1.1", 1), std::string::npos);
+		EXPECT_TRUE(specs.empty()) << start;
+	}
+}
+
 // Guards against a link whose load is not known, as bytes are not counted.
 TEST_F(Ingress, BytesOfCallersAreCounted)
 {
