Fuzz the HTTP parsers, and reject names of fields with a space

Cause: http-parser accepts a space before the colon and takes "Content-Length : 2" for the length, while the forwarded head kept the field under that name beside our own length, so that a target may read the body of a request as requests. "Transfer-Encoding : chunked" likewise.

Change: a name that is no token is an error, as RFC 9112 demands for requests.

Test: Parse.NameOfAFieldWithASpaceIsAnError, which failed before.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
 		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev \
 		  libhttp-parser-dev \
-		  glib-networking
+		  glib-networking clang libclang-rt-14-dev
 
 BUILD ?= build
 PREFIX ?= /usr/local
@@ -45,13 +45,22 @@
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/fakes/%,$(wildcard tests/fakes/*.c))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/*.c)) \
 	  $(patsubst bench/%.cc,$(BUILD)/bench/%,$(wildcard bench/*.cc))
-OWN_C = $(SRC) $(wildcard main/*.c tests/fakes/*.c bench/*.c)
+OWN_C = $(SRC) $(wildcard main/*.c tests/fakes/*.c bench/*.c fuzz/*.c)
 OWN_ALL = $(OWN_C) $(foreach m,$(MODULES),$(wildcard $(m)/*.h)) \
 	  $(wildcard tests/*.cc tests/*.h bench/*.h)
+# Each fuzz/NAME.c is a fuzz target of libFuzzer, with seeds in fuzz/seeds/NAME.
+FUZZERS = $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard fuzz/*.c))
+# Compiled with the fuzzer's instrumentation; the rest comes from the library.
+FUZZ_SRC = http/parse.c platform/wire.c kernel/http.c kernel/exchange.c \
+	   kernel/identifier.c
+FUZZ_FLAGS = -std=gnu11 -I. -O1 -g -fsanitize=fuzzer,address,undefined \
+	     -fno-sanitize-recover=undefined
+FUZZ_RUNS ?= 200000
+FUZZ_SEED ?= 1
 PAGES = $(wildcard main/*.1 ctl/*.1 router/*.8 gateway/*.8)
 
 .PHONY: all packages build check test format lint clean demo prove bench \
-	latency slopes fakes install docs/settings.md process
+	latency slopes fakes install docs/settings.md process fuzz
 
 all: $(BIN) $(FAKES)
 
@@ -85,6 +94,11 @@
 $(BUILD)/tests/%_test: $(BUILD)/tests/%_test.o $(LIB)
 	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(PKG_LIBS) $(GTEST_LIBS)
 
+$(BUILD)/fuzz/%: fuzz/%.c $(FUZZ_SRC) $(LIB)
+	@mkdir -p $(@D)
+	@echo "fuzz cc $<"
+	@clang $(FUZZ_FLAGS) $(CWARNINGS) $(PKG_CFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "cc $<"
@@ -116,8 +130,22 @@
 check: packages
 	$(MAKE) format
 	$(MAKE) lint
+	$(MAKE) fuzz
 	$(MAKE) test
 
+# Runs each fuzz target on FUZZ_RUNS inputs that follow from FUZZ_SEED.  An input
+# that fails is kept in the build folder.
+fuzz: $(FUZZERS)
+	@for f in $(FUZZERS); do \
+		name=$$(basename $$f); \
+		echo "fuzz $$name"; \
+		rm -rf $$f.corpus; mkdir -p $$f.corpus; \
+		$$f -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=2048 \
+			-artifact_prefix=$(BUILD)/fuzz/$$name- \
+			$$f.corpus fuzz/seeds/$$name >$$f.log 2>&1 || \
+		{ tail -n 40 $$f.log; exit 1; }; \
+	done
+
 # Installs the required packages, builds the program and runs a small fleet.
 demo: packages
 	@$(MAKE) -s all
--- a/http/parse.c
+++ b/http/parse.c
@@ -31,11 +31,26 @@
 	return 1;
 }
 
-/* Returns non-zero if the head has too many fields. */
+/*
+ * http-parser accepts a space in a name, and takes "Content-Length " for the
+ * length, under which nobody else knows it.
+ */
+static bool is_field_name(const char *name)
+{
+	for (const char *p = name; *p != '\0'; p++)
+		if (!g_ascii_isalnum(*p) &&
+		    strchr("!#$%&'*+-.^_`|~", *p) == NULL)
+			return false;
+	return name[0] != '\0';
+}
+
+/* Returns non-zero if the name is not valid or the head has too many fields. */
 static int end_field(http_parse_t *parse)
 {
 	if (!parse->in_value)
 		return 0;
+	if (!is_field_name(parse->name->str))
+		return 1;
 	http_head_add(parse->head, parse->name->str, parse->value->str);
 	g_string_truncate(parse->name, 0);
 	g_string_truncate(parse->value, 0);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -159,6 +159,27 @@
 	EXPECT_EQ(p.body, "ok");
 }
 
+// Guards against a length that this side obeys and the next one does not know:
+// a target would read the body of a request as requests.
+TEST(Parse, NameOfAFieldWithASpaceIsAnError)
+{
+	for (bool response : {false, true}) {
+		for (const char *field :
+		     {"Content-Length : 5", "Transfer-Encoding : chunked",
+		      "X Y: 1", "X\x01: 1"}) {
+			Parse p(response);
+
+			p.feed(std::string(response ? "HTTP/1.1 200 OK\r\n"
+						    : "POST / HTTP/1.1\r\n") +
+				       field +
+				       "\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+			       4096);
+			EXPECT_EQ(p.parse.state, HTTP_STATE_ERROR) << field;
+			EXPECT_FALSE(p.parse.too_large);
+		}
+	}
+}
+
 TEST(Parse, BytesAfterAMessageAreNotConsumed)
 {
 	Parse p(true);
