Let a stream go on only at the process that its target's entry describes

Cause: a target was doubted only if a connection to it had ended. For one without a connection, the entry of its former process decided on the version.

Change: once the head of an answer with which a stream goes on has come, the target is asked for its report, and the events wait until it states the listed start. Otherwise the attempt fails and another target is asked. A stream that is not broken off asks nothing.

Tests: three in proxy_test, one in balance_test.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -213,6 +213,9 @@
 		peer_set_update(&balance->peers, msg);
 		heat_peer_lost(balance, msg);
 		break;
+	case MSG_PROCESS_VERIFY:
+		process_verify(balance, msg);
+		break;
 	case MSG_TARGET_REFUSED:
 		process_refused(balance, msg->u.target_refused.id);
 		break;
--- a/balance/process.c
+++ b/balance/process.c
@@ -22,6 +22,10 @@
 typedef struct report_t {
 	handle_t self;
 	char id[NAME_SIZE]; /* of the target */
+	bool verifies; /* for an exchange, rather than for a doubt */
+	svc_t asker; /* if it verifies */
+	handle_t exchange; /* of the asker */
+	process_check_t check;
 	int64_t asked_at; /* monotonic, us */
 	handle_t call; /* in outbound */
 	uint32_t status; /* HTTP; 0: no head yet */
@@ -235,7 +239,7 @@
 		process_doubt(balance, target, EVIDENCE_PEER);
 }
 
-static void ask(balance_t *balance, balance_target_t *target)
+static report_t *ask(balance_t *balance, const balance_target_t *target)
 {
 	msg_t msg = {.kind = MSG_OUT_SEND};
 	report_t *report;
@@ -254,6 +258,35 @@
 	msg.u.out_send.own_connection = true;
 	msg.u.out_send.deadline = report->asked_at + REPORT_TIMEOUT_US;
 	kernel_post(balance->kernel, balance->svc, balance->outbound, &msg);
+	return report;
+}
+
+static void post_verified(balance_t *balance, svc_t asker, handle_t exchange,
+			  const process_check_t *check, bool listed)
+{
+	msg_t msg = {.kind = MSG_PROCESS_VERIFIED, .ref = exchange};
+
+	msg.u.process = *check;
+	msg.u.process.listed = listed;
+	kernel_post(balance->kernel, balance->svc, asker, &msg);
+}
+
+void process_verify(balance_t *balance, const msg_t *msg)
+{
+	const balance_target_t *target =
+		table_get(&balance->targets, msg->u.process.target);
+	report_t *report;
+
+	if (target == NULL) {
+		post_verified(balance, msg->from, msg->id, &msg->u.process,
+			      false);
+		return;
+	}
+	report = ask(balance, target);
+	report->verifies = true;
+	report->asker = msg->from;
+	report->exchange = msg->id;
+	report->check = msg->u.process;
 }
 
 void process_check(balance_t *balance)
@@ -301,6 +334,14 @@
 	kernel_post(balance->kernel, balance->svc, balance->proxy, &msg);
 }
 
+static void log_other(const char *id, int64_t started_ms, int64_t listed_ms)
+{
+	log_event(LOG_LEVEL_INFO, "balance", "process_is_other",
+		  "target=%s started_ms=%" G_GINT64_FORMAT
+		  " listed_ms=%" G_GINT64_FORMAT,
+		  id, started_ms, listed_ms);
+}
+
 static void report_came(balance_t *balance, const report_t *report,
 			balance_target_t *target, int64_t started_ms)
 {
@@ -310,15 +351,28 @@
 	} else if (started_ms == target->info.started_ms) {
 		confirm(balance, target);
 	} else {
-		log_event(LOG_LEVEL_INFO, "balance", "process_is_other",
-			  "target=%s started_ms=%" G_GINT64_FORMAT
-			  " listed_ms=%" G_GINT64_FORMAT,
-			  target->info.id, started_ms, target->info.started_ms);
+		log_other(target->info.id, started_ms, target->info.started_ms);
 		wait_longer(balance, &target->doubt);
 		process_doubt(balance, target, EVIDENCE_OTHER);
 	}
 }
 
+/* Returns false if no start can be read from it. */
+static bool read_start(const report_t *report, bool complete,
+		       int64_t *started_ms)
+{
+	return complete && report->status == STATUS_OK &&
+	       report_decode((const char *)report->body->data,
+			     report->body->len, started_ms);
+}
+
+static void log_no_report(const report_t *report, bool refused)
+{
+	log_event(LOG_LEVEL_INFO, "balance", "no_report",
+		  "target=%s status=%u bytes=%u refused=%d", report->id,
+		  report->status, report->body->len, refused);
+}
+
 static void report_ended(balance_t *balance, const report_t *report,
 			 bool complete, bool refused)
 {
@@ -329,25 +383,43 @@
 	if (target == NULL || process_is_known(target))
 		return;
 	target->doubt.asked = false;
-	if (complete && report->status == STATUS_OK &&
-	    report_decode((const char *)report->body->data, report->body->len,
-			  &started_ms)) {
+	if (read_start(report, complete, &started_ms)) {
 		report_came(balance, report, target, started_ms);
 		return;
 	}
-	log_event(LOG_LEVEL_INFO, "balance", "no_report",
-		  "target=%s status=%u bytes=%u refused=%d", report->id,
-		  report->status, report->body->len, refused);
+	log_no_report(report, refused);
 	wait_longer(balance, &target->doubt);
 	if (refused)
 		process_doubt(balance, target, EVIDENCE_REFUSED);
 }
 
+static void verify_ended(balance_t *balance, const report_t *report,
+			 bool complete, bool refused)
+{
+	balance_target_t *target =
+		g_hash_table_lookup(balance->targets_by_id, report->id);
+	int64_t listed_ms = report->check.started_ms;
+	int64_t started_ms = 0;
+	bool read = read_start(report, complete, &started_ms);
+
+	if (!read)
+		log_no_report(report, refused);
+	else if (started_ms != listed_ms)
+		log_other(report->id, started_ms, listed_ms);
+	post_verified(balance, report->asker, report->exchange, &report->check,
+		      read && started_ms == listed_ms);
+	if (read && target != NULL && started_ms != target->info.started_ms)
+		process_doubt(balance, target, EVIDENCE_OTHER);
+}
+
 /* The streams that wait for the target go on there, or are refused. */
 static void finish_report(balance_t *balance, report_t *report, bool complete,
 			  bool refused)
 {
-	report_ended(balance, report, complete, refused);
+	if (report->verifies)
+		verify_ended(balance, report, complete, refused);
+	else
+		report_ended(balance, report, complete, refused);
 	remove_report(balance, report);
 	queue_run(balance);
 }
--- a/balance/process.h
+++ b/balance/process.h
@@ -48,6 +48,11 @@
 /* The entry of another process has arrived. */
 void process_replaced(balance_target_t *target);
 
+/*
+ * Asks a target which process it is, and tells the sender whether that is the
+ * process that was listed.
+ */
+void process_verify(balance_t *balance, const msg_t *msg);
 /* Asks for the reports that are due. */
 void process_check(balance_t *balance);
 /* A part of a report has come, or its end. */
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -167,6 +167,8 @@
 	MSG_TARGET_REFUSED, /* proxy -> balance: it accepts no connection */
 	/* balance -> proxy: the process is the one that its entry states */
 	MSG_TARGET_CONFIRMED,
+	MSG_PROCESS_VERIFY, /* proxy -> balance: is it the listed process? */
+	MSG_PROCESS_VERIFIED, /* balance -> proxy */
 
 	MSG_FLEET_SUBSCRIBE, /* any -> fleet */
 	MSG_FLEET_CONF, /* a newer configuration took effect */
@@ -237,6 +239,14 @@
 
 #define ROUTE_AVOID_MAX 4
 
+/* Whether the process that answers an exchange is the listed one. */
+typedef struct process_check_t {
+	handle_t target;
+	int64_t started_ms; /* process that was listed */
+	uint32_t attempt; /* of the exchange; returned unchanged */
+	bool listed; /* MSG_PROCESS_VERIFIED only */
+} process_check_t;
+
 typedef struct msg_t {
 	msg_kind_t kind;
 	svc_t from;
@@ -558,6 +568,7 @@
 			handle_t target;
 			char version[NAME_SIZE];
 		} target_confirmed;
+		process_check_t process; /* MSG_PROCESS_VERIFY, _VERIFIED */
 		struct {
 			char instance[NAME_SIZE]; /* returned unchanged */
 			char host[HOST_SIZE];
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -510,6 +510,10 @@
 	exchange->call = HANDLE_NONE;
 	exchange->attempt_began = false;
 	exchange->survived = false;
+	exchange->verifying = false;
+	exchange->ended = false;
+	exchange->joins = exchange->has_stream_version &&
+			  version_is_known(exchange->stream_version);
 	memset(&exchange->response_info, 0, sizeof(exchange->response_info));
 	g_strlcpy(msg.u.out_send.host, placed->u.placed.host,
 		  sizeof(msg.u.out_send.host));
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -83,6 +83,10 @@
 	bool until_close; /* the response ends with its connection */
 	bool head_sent;
 	bool completed; /* a target has sent a complete response */
+	bool joins; /* the attempt goes on with a stream of that version */
+	bool verifying; /* events wait in body until the process is known */
+	int64_t verify_at; /* monotonic, us; when it was asked for */
+	bool ended; /* the response has ended meanwhile */
 	sse_t events;
 	int64_t first_byte_at; /* monotonic, us, 0: none */
 	int64_t first_event_at; /* monotonic, us, 0: none */
@@ -158,6 +162,8 @@
 void response_relieve(proxy_t *proxy);
 /* The version of a target's software has become known. */
 void response_target_confirmed(proxy_t *proxy, const msg_t *msg);
+/* Whether the process that answers is the listed one is known now. */
+void response_verified(proxy_t *proxy, const msg_t *msg);
 /* The body of a rejection has not ended in time. */
 void response_rejection_timed_out(proxy_t *proxy, handle_t ref);
 
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -214,6 +214,9 @@
 		crash_tell_peer(proxy, msg->u.peer_addr.incarnation);
 		parts_tell_peer(proxy, msg->u.peer_addr.incarnation);
 		break;
+	case MSG_PROCESS_VERIFIED:
+		response_verified(proxy, msg);
+		break;
 	case MSG_TARGET_CONFIRMED:
 		response_target_confirmed(proxy, msg);
 		break;
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -246,6 +246,25 @@
 	       g_strcmp0(type, first) == 0;
 }
 
+/*
+ * An entry may describe a process that has ended, and the one that follows it
+ * under the same id may run other software.  Asked once it has answered, the
+ * target tells which of them does.  Targets that state no start can't tell.
+ */
+static void verify_process(proxy_t *proxy, exchange_t *exchange)
+{
+	msg_t msg = {.kind = MSG_PROCESS_VERIFY, .id = exchange->self};
+
+	if (exchange->target_started_ms == 0 || exchange->passed_on)
+		return;
+	exchange->verifying = true;
+	exchange->verify_at = kernel_now(proxy->kernel);
+	msg.u.process.target = exchange->target;
+	msg.u.process.started_ms = exchange->target_started_ms;
+	msg.u.process.attempt = exchange->sends;
+	kernel_post(proxy->kernel, proxy->svc, proxy->balance, &msg);
+}
+
 void response_head(proxy_t *proxy, exchange_t *exchange, msg_t *msg)
 {
 	const http_head_t *head = msg->u.out_head.head;
@@ -283,12 +302,14 @@
 	exchange->state = EXCHANGE_RESPONDING;
 	exchange->until_close = ends_with_connection(head);
 	/* A resumed stream keeps the head of its first target. */
-	if (exchange->head_sent)
-		return;
-	exchange->streaming = success && is_event_stream(head) &&
-			      exchange->route.kind == ROUTE_STREAM;
-	http_head_free(exchange->head);
-	exchange->head = g_steal_pointer(&msg->u.out_head.head);
+	if (!exchange->head_sent) {
+		exchange->streaming = success && is_event_stream(head) &&
+				      exchange->route.kind == ROUTE_STREAM;
+		http_head_free(exchange->head);
+		exchange->head = g_steal_pointer(&msg->u.out_head.head);
+	}
+	if (exchange->streaming && exchange->joins)
+		verify_process(proxy, exchange);
 }
 
 static void record_start(const proxy_t *proxy, exchange_t *exchange)
@@ -422,7 +443,7 @@
 	}
 	if (exchange->state != EXCHANGE_RESPONDING)
 		return;
-	if (exchange->streaming) {
+	if (exchange->streaming && !exchange->verifying) {
 		forward_events(proxy, exchange, msg->u.data.bytes);
 		return;
 	}
@@ -555,7 +576,9 @@
 		reject_attempt(proxy, exchange);
 		break;
 	case EXCHANGE_RESPONDING:
-		if (exchange->streaming)
+		if (exchange->verifying)
+			exchange->ended = true;
+		else if (exchange->streaming)
 			end_stream(proxy, exchange);
 		else
 			end_buffered(proxy, exchange);
@@ -568,6 +591,40 @@
 	}
 }
 
+void response_verified(proxy_t *proxy, const msg_t *msg)
+{
+	exchange_t *exchange = table_get(&proxy->exchanges, msg->ref);
+	GBytes *bytes;
+
+	if (exchange == NULL || !exchange->verifying ||
+	    exchange->state != EXCHANGE_RESPONDING ||
+	    exchange->sends != msg->u.process.attempt)
+		return;
+	exchange->verifying = false;
+	log_event(LOG_LEVEL_INFO, "proxy", "process_verified",
+		  "request=%s target=%s software=%s listed=%d "
+		  "us=%" G_GINT64_FORMAT " held=%u",
+		  log_quote(exchange->spec->request_id), exchange->instance,
+		  exchange->stream_version, msg->u.process.listed,
+		  kernel_now(proxy->kernel) - exchange->verify_at,
+		  exchange->body->len);
+	if (!msg->u.process.listed) {
+		fail_attempt(proxy, exchange, FAILURE_MISDIRECTED, true,
+			     PLACE_CANCELLED);
+		return;
+	}
+	bytes = g_byte_array_free_to_bytes(exchange->body);
+	exchange->body = g_byte_array_new();
+	if (g_bytes_get_size(bytes) > 0)
+		forward_events(proxy, exchange, bytes);
+	g_bytes_unref(bytes);
+	/* An event that is too large ends the attempt. */
+	exchange = table_get(&proxy->exchanges, msg->ref);
+	if (exchange != NULL && exchange->state == EXCHANGE_RESPONDING &&
+	    exchange->ended)
+		end_stream(proxy, exchange);
+}
+
 /* Returns whether the caller gets another answer soonest elsewhere. */
 static bool is_refused_here(const proxy_t *proxy, const exchange_t *exchange,
 			    reach_late_t late)
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -36,6 +36,7 @@
 	int64_t reported_cold_ms = 0;
 	bool refuses = false; // it accepts no connections
 	size_t reports = 0;
+	std::vector<bool> verified; // answers to verify()
 	std::string full_id; // of targets that are set
 	std::string placed_full_id, reported_full_id; // the last ones
 	std::vector<handle_t> confirmed;
@@ -54,6 +55,10 @@
 			i->checked.push_back(msg->u.out_check.instance);
 		} else if (msg->kind == MSG_TARGET_CONFIRMED) {
 			i->confirmed.push_back(msg->u.target_confirmed.target);
+		} else if (msg->kind == MSG_PROCESS_VERIFIED) {
+			i->verified.push_back(msg->u.process.listed);
+			EXPECT_EQ(msg->ref.index, 5u);
+			EXPECT_EQ(msg->u.process.attempt, 2u);
 		} else if (msg->kind == MSG_PEER_SEND) {
 			i->announced.push_back(*msg->u.peer.body);
 			i->announced_zone = msg->u.peer.availability_zone;
@@ -271,6 +276,20 @@
 		run(0);
 	}
 	// Answers a request for a report as the target's process does.
+	// Asks whether the first target is the process with that start.
+	void verify(int64_t started_ms)
+	{
+		uint32_t cursor = 0;
+		msg_t msg = {};
+
+		table_next(&balance.targets, &cursor, &msg.u.process.target);
+		msg.kind = MSG_PROCESS_VERIFY;
+		msg.id = {5, 1};
+		msg.u.process.started_ms = started_ms;
+		msg.u.process.attempt = 2;
+		kernel_post(&kernel, proxy, balance.svc, &msg);
+		run(USEC_PER_SEC);
+	}
 	void send_report(const msg_t *request)
 	{
 		std::string text = "{\"sequence\":2,\"born\":" +
@@ -360,6 +379,27 @@
 	EXPECT_EQ(i.placed_versions[6], "v2");
 }
 
+// Guards against a stream that goes on at another process than the listed one.
+TEST(Balance, ProcessThatAnswersIsVerified)
+{
+	instance_t i("z1", 1);
+
+	i.run(1000);
+	i.set_target("engine", "t1", "z1");
+	i.reported_start = 1;
+	i.verify(1);
+	i.reported_start = 2;
+	i.verify(1);
+	// The target is in doubt now, and takes no streams that go on.
+	i.request(1, "engine", 1, 0, "v1");
+	EXPECT_TRUE(i.placed.empty());
+	i.reported_start = 0;
+	i.verify(1);
+	i.set_target("engine", "t1", "z1", false, true);
+	i.verify(1);
+	EXPECT_EQ(i.verified, std::vector<bool>({true, false, false, false}));
+}
+
 // Guards against a target that refuses a request, or the question for its
 // start, as misdirected, since they expect a shortened id.
 TEST(Balance, TargetsAreAskedAndPlacedByTheirFullId)
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -141,6 +141,9 @@
 		case MSG_RESERVE:
 			handle_reserve(msg);
 			break;
+		case MSG_PROCESS_VERIFY:
+			verifies.push_back(*msg);
+			break;
 		case MSG_SPEND:
 			spent = msg->u.spend.tokens;
 			break;
@@ -480,6 +483,32 @@
 		kernel_post(&kernel, ingress, proxy.svc, &msg);
 		run(0);
 	}
+	// Answers a question for the process that answers an attempt.
+	void post_verified(size_t n, bool listed)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PROCESS_VERIFIED;
+		msg.ref = verifies.at(n).id;
+		msg.u.process = verifies[n].u.process;
+		msg.u.process.listed = listed;
+		kernel_post(&kernel, balance, proxy.svc, &msg);
+		run(0);
+	}
+	// Opens a stream that is cut after its first event and goes on.
+	void post_cut_stream()
+	{
+		target_started_ms = 17;
+		post_open("/resume/x");
+		post_head(200);
+		post_data("id: 1\ndata: a\n\n");
+		EXPECT_TRUE(verifies.empty()); // at no cost to a whole stream
+		post_failed(FAILURE_STREAM, true, true);
+		post_head(200);
+		ASSERT_EQ(attempts, 2);
+		ASSERT_EQ(verifies.size(), 1u);
+		EXPECT_EQ(verifies[0].u.process.started_ms, 17);
+	}
 	void post_behind(bool behind)
 	{
 		msg_t msg = {};
@@ -637,6 +666,7 @@
 	const char *request_id = "r1";
 	std::string account_name = "a1"; // in full
 	std::string full_id_rest; // of the targets
+	std::vector<msg_t> verifies; // MSG_PROCESS_VERIFY
 	std::string retry_after_text;
 	reserve_result_t reserve_result = RESERVE_OK;
 	std::string body, last_event_id;
@@ -809,6 +839,52 @@
 	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
 }
 
+// Guards against a stream with events of two software versions: a target has
+// started again, and its former entry is still known.
+TEST_F(Proxy, StreamGoesOnOnceTheListedProcessAnswers)
+{
+	post_cut_stream();
+	post_data("id: 2\nda");
+	post_data("ta: b\n\n");
+	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+	post_verified(0, true);
+	EXPECT_EQ(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	post_verified(0, false); // a second answer changes nothing
+	post_data("id: 3\ndata: c\n\n");
+	post_end();
+	EXPECT_EQ(completed, 1);
+	EXPECT_EQ(verifies.size(), 1u);
+	EXPECT_EQ(body.substr(body.size() - 15), "id: 3\ndata: c\n\n");
+}
+
+TEST_F(Proxy, StreamDoesNotGoOnAtAnotherProcess)
+{
+	post_cut_stream();
+	post_data("id: 2\ndata: other\n\n");
+	post_verified(0, false);
+	EXPECT_EQ(attempts, 3);
+	EXPECT_EQ(last_event_id, "1");
+	post_head(200);
+	ASSERT_EQ(verifies.size(), 2u);
+	post_verified(0, true); // of the attempt before
+	post_data("id: 2\ndata: b\n\n");
+	EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+	post_verified(1, true);
+	EXPECT_EQ(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+// Guards against a stream that never ends, as its end came first.
+TEST_F(Proxy, StreamThatEndsBeforeItsProcessIsKnownIsDelivered)
+{
+	post_cut_stream();
+	post_data("id: 2\ndata: b\n\n");
+	post_end();
+	EXPECT_EQ(completed, 0);
+	post_verified(0, true);
+	EXPECT_EQ(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	EXPECT_EQ(completed, 1);
+}
+
 // Guards against pieces that come twice or are missing, because a stream goes
 // on after an event whose id was cut.
 TEST_F(Proxy, StreamGoesOnAfterAnEventWithALongId)
