Put the versions of streams into proxy/version.c, and refuse infinite weights

A weight of 1e400 in a split was scaled to a number that is none; it makes its share unreadable now, with a case in the test of such parts.

--- a/kernel/fleet.h
+++ b/kernel/fleet.h
@@ -80,7 +80,7 @@
 	int64_t version;
 	GArray *routes; /* fleet_route_t */
 	GArray *shares; /* route_share_t, those of one route together */
-	GStringChunk *texts;
+	GStringChunk *texts; /* that routes and accounts point to */
 	GArray *services; /* fleet_service_t */
 	GArray *accounts; /* fleet_account_t */
 	GHashTable *keys; /* API key -> index into accounts + 1 */
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -67,8 +67,8 @@
  */
 bool peer_conn_send(conn_t *conn, const uint8_t *data, size_t len);
 /*
- * Returns true if the peer knows the kind and takes frames of that length;
- * otherwise counts a frame that is not sent to it.
+ * Returns true if the peer knows the kind and takes frames of that length, 0 if
+ * it is not known yet; otherwise counts a frame that is not sent to it.
  */
 bool peer_conn_takes(conn_t *conn, peer_kind_t kind, size_t len);
 /* Writes as much of the output as the socket accepts without blocking. */
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -160,13 +160,19 @@
 void response_failed(proxy_t *proxy, exchange_t *exchange, const msg_t *msg);
 /* Ends the attempts that hold the most bytes. */
 void response_relieve(proxy_t *proxy);
-/* The version of a target's software has become known. */
-void response_target_confirmed(proxy_t *proxy, const msg_t *msg);
 /* Whether the process that answers is the listed one is known now. */
 void response_verified(proxy_t *proxy, const msg_t *msg);
 /* The body of a rejection has not ended in time. */
 void response_rejection_timed_out(proxy_t *proxy, handle_t ref);
 
+/* version.c: versions of the targets' software */
+/* Keeps the version of the target whose events are forwarded first. */
+void version_keep(proxy_t *proxy, exchange_t *exchange);
+/* The version of a target's software has become known. */
+void version_confirmed(proxy_t *proxy, const msg_t *msg);
+/* Has a target asked which process answers.  Its events wait meanwhile. */
+void version_verify(proxy_t *proxy, exchange_t *exchange);
+
 /* admit.c */
 /* Checks route, API key and account against the current configuration. */
 refusal_t exchange_admit(proxy_t *proxy, exchange_t *exchange);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -218,7 +218,7 @@
 		response_verified(proxy, msg);
 		break;
 	case MSG_TARGET_CONFIRMED:
-		response_target_confirmed(proxy, msg);
+		version_confirmed(proxy, msg);
 		break;
 	case MSG_STORE_RESULT:
 		held_store_result(proxy, msg);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -251,6 +251,8 @@
 		 "routes[0].split: a share without service or weight", 1, 5},
 		{"\"weight\":9", "\"weight\":-9",
 		 "routes[0].split: a share without service or weight", 1, 5},
+		{"\"weight\":9", "\"weight\":1e400",
+		 "routes[0].split: a share without service or weight", 1, 5},
 		{"\"services\":[", "\"services\":[1,",
 		 "services[0]: not an object", 2, 5},
 		{"\"services\":", "\"other\":",
