Free what a query for an explanation owns with a function of its own

The sanitizer build found that a test of wire_read_explain() leaked the host and the path, which a query owns since the values of any length.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -9,12 +9,17 @@
 	return strcmp(version, VERSION_UNKNOWN) != 0;
 }
 
+void explain_query_finish(explain_query_t *query)
+{
+	g_clear_pointer(&query->host, g_free);
+	g_clear_pointer(&query->path, g_free);
+}
+
 void explain_query_free(explain_query_t *query)
 {
 	if (query == NULL)
 		return;
-	g_free(query->host);
-	g_free(query->path);
+	explain_query_finish(query);
 	g_free(query);
 }
 
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -69,6 +69,8 @@
 	prompt_part_t parts[PLACE_PARTS_MAX];
 } explain_query_t;
 
+/* Frees what the query owns, which is all zero or was read. */
+void explain_query_finish(explain_query_t *query);
 void explain_query_free(explain_query_t *query);
 
 /* Where a stream began, and for whom. */
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1115,10 +1115,12 @@
 	ASSERT_EQ(query.part_count, 2u);
 	EXPECT_EQ(query.parts[0].id, 255u);
 	EXPECT_EQ(query.parts[1].tokens, 7u);
+	explain_query_finish(&query);
 	http_head_free(head);
 	for (const char *uri : bad) {
 		head = http_head_request("GET", uri);
 		EXPECT_FALSE(wire_read_explain(head, &query, &err)) << uri;
+		explain_query_finish(&query);
 		http_head_free(head);
 	}
 	for (const char *uri : {"/metrics", "/explained", "/"}) {
@@ -1128,6 +1130,7 @@
 	}
 	head = http_head_request("POST", "/explain?service=s");
 	EXPECT_FALSE(wire_read_explain(head, &query, &err));
+	explain_query_finish(&query);
 	http_head_free(head);
 }
 
