--- a/tests/process/crowd.py
+++ b/tests/process/crowd.py
@@ -47,6 +47,21 @@
     """A check of the test failed."""
 
 
+async def retry_calm(server, send, when):
+    """Sends an ordinary request to a server until it gets 200."""
+    result = ""
+    for _ in range(CALM_TRIES):
+        server.check_alive(when)
+        try:
+            result = await asyncio.wait_for(send(), 5)
+        except (OSError, http1.ConnectionLost, asyncio.TimeoutError) as e:
+            result = repr(e)
+        if result == "200":
+            return
+        await asyncio.sleep(CALM_PAUSE_S)
+    raise Failed("an ordinary request got %s %s" % (result, when))
+
+
 class Target:
     """A target whose answers are as large or late as the path says."""
 
@@ -139,8 +154,8 @@
         self.ports = dict(zip(names, gateways.free_ports(len(names))))
         section = {name: "127.0.0.1:%d" % port
                    for name, port in self.ports.items()}
-        section.update(store="127.0.0.1:%d" % self.store.port,
-                       buffers_mib=LIMIT_MIB)
+        section.update(self.settings(),
+                       store="127.0.0.1:%d" % self.store.port)
         path = os.path.join(self.folder, "gateway.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump({"name": "crowd", "availability_zone": "a",
@@ -154,6 +169,10 @@
                 preexec_fn=lambda: resource.setrlimit(
                     resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)))
 
+    def settings(self):
+        """The limits of the test, in the section of the gateway."""
+        return {"buffers_mib": LIMIT_MIB}
+
     def check_alive(self, when):
         if self.process.returncode is not None:
             raise Failed("the gateway ended with %s %s" %
@@ -185,17 +204,7 @@
 
     async def expect_calm(self, when):
         """Sends an ordinary request until it gets 200."""
-        result = ""
-        for _ in range(CALM_TRIES):
-            self.check_alive(when)
-            try:
-                result = await asyncio.wait_for(self._send_calm(), 5)
-            except (OSError, http1.ConnectionLost, asyncio.TimeoutError) as e:
-                result = repr(e)
-            if result == "200":
-                return
-            await asyncio.sleep(CALM_PAUSE_S)
-        raise Failed("an ordinary request got %s %s" % (result, when))
+        await retry_calm(self, self._send_calm, when)
 
     async def stop(self):
         if self.process is not None and self.process.returncode is None:
@@ -386,26 +395,31 @@
 }
 
 
-async def run(form):
+async def play(form, fleet):
     listener, kind, members = FORMS[form]
+    await fleet.start()
+    await fleet.expect_calm("before the crowd")
+    base = fleet.peak_kib()
+    descriptors = await kind(fleet, listener).run(members())
+    await fleet.expect_calm("after the crowd")
+    fleet.check_alive("after the crowd")
+    peak = fleet.peak_kib()
+    bound = base + (LIMIT_MIB + ALLOWANCE_MIB) * 1024
+    print("%s: peak %d KiB, base %d KiB, bound %d KiB; %d descriptors, "
+          "bound %d" % (form, peak, base, bound, descriptors,
+                        DESCRIPTORS_BOUND))
+    if peak > bound:
+        raise Failed("the peak of memory is above its bound")
+    if descriptors > DESCRIPTORS_BOUND:
+        raise Failed("the descriptors are above their bound")
+
+
+async def run_fleet(form, make_fleet, play_form):
+    """Returns the exit code of a form that is played with a new fleet."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(folder)
+        fleet = make_fleet(folder)
         try:
-            await fleet.start()
-            await fleet.expect_calm("before the crowd")
-            base = fleet.peak_kib()
-            descriptors = await kind(fleet, listener).run(members())
-            await fleet.expect_calm("after the crowd")
-            fleet.check_alive("after the crowd")
-            peak = fleet.peak_kib()
-            bound = base + (LIMIT_MIB + ALLOWANCE_MIB) * 1024
-            print("%s: peak %d KiB, base %d KiB, bound %d KiB; %d descriptors, "
-                  "bound %d" % (form, peak, base, bound, descriptors,
-                                DESCRIPTORS_BOUND))
-            if peak > bound:
-                raise Failed("the peak of memory is above its bound")
-            if descriptors > DESCRIPTORS_BOUND:
-                raise Failed("the descriptors are above their bound")
+            await play_form(fleet)
         except Failed as error:
             print("FAILED: %s: %s" % (form, error))
             with open(os.path.join(folder, "gateway.log"),
@@ -419,4 +433,5 @@
 
 if __name__ == "__main__":
     os.chdir(ROOT)
-    sys.exit(asyncio.run(run(sys.argv[1])))
+    sys.exit(asyncio.run(run_fleet(
+        sys.argv[1], Fleet, lambda fleet: play(sys.argv[1], fleet))))
