Bound what the system holds of input that a gateway has not read

Callers saw nothing yet: the process would have been killed on a machine that enforces its memory, with every request on it.

Cause: sockets had no receive window of their own. Linux lets the window of a connection that is read fast grow to megabytes, and one that waits to be accepted has 64 KiB, so the sum over a crowd depends on the pace of reading.

Change: kernel/windows.c shares a quarter of the machine's memory out over all sockets that clients can make the process have, waiting ones too; a connection whose sender fills its window gets one of 64 KiB while a pool of an eighth of the memory lasts. Callers, targets, peers, checks and the store use it. The bound then holds by construction.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -258,6 +258,15 @@
 			  settings->gateway_link_mbps);
 }
 
+static void init_windows(gateway_t *gateway)
+{
+	windows_set_memory(&gateway->kernel.pollset.windows,
+			   (uint64_t)settings_memory_mib(&gateway->settings) *
+				   BYTES_PER_MIB,
+			   ingress_sockets_max(&gateway->ingress) +
+				   PEER_SOCKETS_MAX);
+}
+
 static uint16_t metrics_port(const settings_t *settings)
 {
 	char host[HOST_SIZE];
@@ -357,6 +366,7 @@
 	g_unix_signal_add(SIGHUP, on_hup, gateway);
 	init_data_services(gateway);
 	init_requests(gateway);
+	init_windows(gateway);
 	if (open_ports(gateway) != 0)
 		goto out;
 	kernel_start(&gateway->kernel);
--- a/http/socket.c
+++ b/http/socket.c
@@ -8,7 +8,6 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#define LISTEN_BACKLOG 1024
 /*
  * Time without an acknowledgement after which the operating system closes a
  * connection.  A peer behind a network partition sends no reset.
@@ -146,6 +145,7 @@
 			unsigned interest, pollset_fn_t ready, void *data)
 {
 	sock->pollset = pollset;
+	window_init(&sock->window);
 	g_queue_init(&sock->output);
 	sock->ready = ready;
 	sock->data = data;
@@ -184,6 +184,9 @@
 	if (sock->socket == NULL)
 		goto out;
 	set_options(sock->socket);
+	if (pollset->windows.least > 0)
+		windows_apply(g_socket_get_fd(sock->socket),
+			      pollset->windows.least);
 	if (!g_socket_connect(sock->socket, address, NULL, &error) &&
 	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) {
 		http_socket_finish(sock);
@@ -199,10 +202,18 @@
 	return ok;
 }
 
+void http_socket_check_window(http_socket_t *sock)
+{
+	window_check(&sock->window, &sock->pollset->windows,
+		     g_socket_get_fd(sock->socket));
+}
+
 void http_socket_finish(http_socket_t *sock)
 {
-	if (sock->pollset != NULL)
+	if (sock->pollset != NULL) {
 		pollset_remove(sock->pollset, &sock->watch);
+		window_finish(&sock->window, &sock->pollset->windows);
+	}
 	if (sock->socket != NULL)
 		g_socket_close(sock->socket, NULL);
 	g_clear_object(&sock->socket);
@@ -288,6 +299,8 @@
 	if (n > 0) {
 		*received = (size_t)n;
 		traffic_received(&sock->pollset->traffic, (size_t)n);
+		window_received(&sock->window, &sock->pollset->windows,
+				g_socket_get_fd(sock->socket), (size_t)n);
 		return SOCKET_DATA;
 	}
 	if (n == 0)
@@ -324,30 +337,32 @@
 	g_socket_shutdown(sock->socket, FALSE, TRUE, NULL);
 }
 
-GSocket *http_socket_listen(const char *host, uint16_t port, errmsg_t *err)
+GSocket *http_socket_listen(const http_listen_t *listen, errmsg_t *err)
 {
-	GSocketAddress *address =
-		g_inet_socket_address_new_from_string(host, port);
+	GSocketAddress *address = g_inet_socket_address_new_from_string(
+		listen->host, listen->port);
 	GError *error = NULL;
 	GSocket *socket = NULL;
 
 	if (address == NULL) {
-		errmsg_set(err, "%s is not an IP address", host);
+		errmsg_set(err, "%s is not an IP address", listen->host);
 		return NULL;
 	}
 	socket = g_socket_new(g_socket_address_get_family(address),
 			      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
 			      &error);
 	if (socket != NULL) {
-		g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+		g_socket_set_listen_backlog(socket, listen->backlog);
 		g_socket_set_blocking(socket, FALSE);
+		if (listen->window > 0)
+			windows_apply(g_socket_get_fd(socket), listen->window);
 		if (!g_socket_bind(socket, address, TRUE, &error) ||
 		    !g_socket_listen(socket, &error))
 			g_clear_object(&socket);
 	}
 	if (socket == NULL)
-		errmsg_set(err, "cannot listen on %s port %u: %s", host, port,
-			   error->message);
+		errmsg_set(err, "cannot listen on %s port %u: %s", listen->host,
+			   listen->port, error->message);
 	g_clear_error(&error);
 	g_object_unref(address);
 	return socket;
--- a/http/socket.h
+++ b/http/socket.h
@@ -40,6 +40,7 @@
 	 */
 	bool failed;
 	bool refused; /* the peer refused or reset the connection at once */
+	window_t window; /* its receive window */
 	/* Gets POLLSET_OUT alone when all output is written. */
 	pollset_fn_t ready;
 	void *data;
@@ -72,6 +73,8 @@
 bool http_socket_has_input(const http_socket_t *sock);
 socket_read_t http_socket_read(http_socket_t *sock, char *buffer, size_t size,
 			       size_t *received);
+/* Narrows the receive window if nothing has arrived since the last call. */
+void http_socket_check_window(http_socket_t *sock);
 /* Starts or stops polling for input. */
 void http_socket_watch_input(http_socket_t *sock, bool watch);
 /* True if there is no input and the peer has not closed the connection. */
@@ -83,7 +86,15 @@
 void http_socket_abort(http_socket_t *sock);
 void http_socket_shutdown(http_socket_t *sock);
 
-GSocket *http_socket_listen(const char *host, uint16_t port, errmsg_t *err);
+/* At most so many connections wait to be accepted, each with this window. */
+typedef struct http_listen_t {
+	const char *host; /* IP address */
+	uint16_t port;
+	int backlog;
+	uint32_t window; /* bytes; 0: the system chooses */
+} http_listen_t;
+
+GSocket *http_socket_listen(const http_listen_t *listen, errmsg_t *err);
 
 G_END_DECLS
 
--- a/ingress/admit.c
+++ b/ingress/admit.c
@@ -8,8 +8,6 @@
 #include "log/log.h"
 #include "platform/wire.h"
 
-#include <sys/socket.h>
-
 /*
  * The retry goes to another instance.  The times are at random, so that what
  * is refused together does not arrive there together, and a small part of the
@@ -25,7 +23,7 @@
  */
 #define WINDOW_US 3000
 #define WINDOW_MIN 4096 /* bytes */
-#define WINDOW_MAX 32768 /* bytes; larger links keep the system's buffers */
+#define WINDOW_MAX 32768 /* bytes; larger links do not need it */
 /*
  * A connection is considered once in this time, however many requests it
  * carries, so that no more are closed than the load makes up for meanwhile.
@@ -40,15 +38,30 @@
 	admission_init(&ingress->admission, link_mbps);
 }
 
-void ingress_limit_window(const ingress_t *ingress, GSocket *socket)
+/* Returns the largest receive window of a caller that the link suggests. */
+static uint32_t link_window(const ingress_t *ingress)
 {
 	double window = ingress->admission.capacity * WINDOW_US;
 
 	if (window <= 0 || window > WINDOW_MAX)
-		return;
-	/* Accepted sockets inherit it. */
-	g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
-			    MAX((int)window, WINDOW_MIN), NULL);
+		return WINDOW_WIDE;
+	return MAX((uint32_t)window, WINDOW_MIN);
+}
+
+uint32_t ingress_first_window(const ingress_t *ingress)
+{
+	uint32_t least = ingress->kernel->pollset.windows.least;
+	uint32_t window = link_window(ingress);
+
+	if (least == 0)
+		return window < WINDOW_WIDE ? window : 0;
+	return MIN(window, least);
+}
+
+void ingress_limit_window(ingress_conn_t *conn)
+{
+	if (conn->kind == LISTENER_CALLERS)
+		conn->sock.window.wide = link_window(conn->ingress);
 }
 
 /* Tells service "overload" what was asked for since the last time. */
--- a/ingress/conn.c
+++ b/ingress/conn.c
@@ -119,6 +119,7 @@
 	conn->parse.max_head = ingress->limits.max_header;
 	watched = http_socket_init(&conn->sock, &ingress->kernel->pollset,
 				   socket, on_ready, conn);
+	ingress_limit_window(conn);
 	set_phase(conn, INGRESS_IDLE);
 	keep_idle_limit(conn);
 	if (!watched) {
--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -90,8 +90,10 @@
 const char *ingress_phase_name(ingress_phase_t phase);
 
 /* admit.c: refuses requests beyond the capacity of this instance. */
+/* Returns the receive window of new callers, bytes; 0: the system chooses. */
+uint32_t ingress_first_window(const ingress_t *ingress);
 /* Lets no more of a body arrive than is read, if the link is small. */
-void ingress_limit_window(const ingress_t *ingress, GSocket *socket);
+void ingress_limit_window(ingress_conn_t *conn);
 /* Returns false after refusing a request whose head has arrived. */
 bool ingress_admit_head(ingress_conn_t *conn);
 /* Returns false after refusing a request that is complete. */
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -42,6 +42,8 @@
  * keep the load balancer's checks out.
  */
 #define SERVICE_CONNS_MAX 128
+/* Connections of a listener that wait; each may hold a receive window. */
+#define LISTEN_BACKLOG 1024
 #define TOO_LARGE 413
 #define BEHIND_RETRY_AFTER_MS 300
 
@@ -92,14 +94,31 @@
 	return false;
 }
 
-static uint32_t connections_max(void)
+/* Returns how many descriptors the process may have open. */
+static uint32_t descriptors_max(void)
 {
 	struct rlimit limit;
 
 	if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
-	    limit.rlim_cur == RLIM_INFINITY)
-		return CONNS_MAX;
-	return (uint32_t)MIN(limit.rlim_cur / 4 * CONNS_QUARTERS, CONNS_MAX);
+	    limit.rlim_cur > G_MAXINT32)
+		return G_MAXINT32;
+	return (uint32_t)limit.rlim_cur;
+}
+
+static uint32_t connections_max(void)
+{
+	return MIN(descriptors_max() / 4 * CONNS_QUARTERS, CONNS_MAX);
+}
+
+uint32_t ingress_sockets_max(const ingress_t *ingress)
+{
+	/* Callers, requests of peers, and the connection of each to a target.
+	 */
+	uint32_t open = 2 * (ingress->conns_max +
+			     ingress->conns_max / METRICS_DIVISOR) +
+			2 * SERVICE_CONNS_MAX;
+
+	return MIN(open, descriptors_max()) + LISTENER_COUNT * LISTEN_BACKLOG;
 }
 
 /* Until the sweep resumes it, waiting connections do not wake the loop. */
@@ -157,14 +176,20 @@
 				const char *host, uint16_t port)
 {
 	listener_t *listener = &ingress->listeners[kind];
+	http_listen_t spec = {
+		.host = host,
+		.port = port,
+		.backlog = LISTEN_BACKLOG,
+		.window = kind == LISTENER_CALLERS
+				  ? ingress_first_window(ingress)
+				  : ingress->kernel->pollset.windows.least,
+	};
 
 	listener->ingress = ingress;
 	listener->kind = kind;
-	listener->socket = http_socket_listen(host, port, &ingress->err);
+	listener->socket = http_socket_listen(&spec, &ingress->err);
 	if (listener->socket == NULL)
 		return INGRESS_LISTEN_FAILED;
-	if (kind == LISTENER_CALLERS)
-		ingress_limit_window(ingress, listener->socket);
 	listener->watch = pollset_add(&ingress->kernel->pollset,
 				      g_socket_get_fd(listener->socket),
 				      POLLSET_IN, on_accept, listener);
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -66,6 +66,11 @@
  * is refused for load.
  */
 void ingress_set_link(ingress_t *ingress, double link_mbps);
+/*
+ * Returns how many sockets clients can make this process have at one time, with
+ * those that wait to be accepted.
+ */
+uint32_t ingress_sockets_max(const ingress_t *ingress);
 /* Listens on host and port; ingress->err holds the message of a failure. */
 ingress_status_t ingress_listen(ingress_t *ingress, listener_kind_t kind,
 				const char *host, uint16_t port);
--- a/ingress/limits.c
+++ b/ingress/limits.c
@@ -244,8 +244,10 @@
 		handle_t self = conn->self;
 
 		sweep(conn, now);
+		if (table_get(&ingress->conns, self) == NULL)
+			continue;
 		/* What a slow caller reads is not reported one by one. */
-		if (table_get(&ingress->conns, self) != NULL)
-			ingress_conn_count_bytes(conn);
+		ingress_conn_count_bytes(conn);
+		http_socket_check_window(&conn->sock);
 	}
 }
--- a/kernel/pollset.c
+++ b/kernel/pollset.c
@@ -199,6 +199,7 @@
 	set->drained_at = 0;
 	set->ready_since = 0;
 	set->traffic = (traffic_t){0};
+	windows_init(&set->windows);
 	g_queue_init(&set->deferred);
 	table_init(&set->watches, sizeof(watch_t));
 }
--- a/kernel/pollset.h
+++ b/kernel/pollset.h
@@ -9,6 +9,7 @@
 #include "kernel/lag.h"
 #include "kernel/table.h"
 #include "kernel/traffic.h"
+#include "kernel/windows.h"
 
 G_BEGIN_DECLS
 
@@ -36,6 +37,7 @@
 	int64_t drained_at; /* monotonic, us; all that was ready is found */
 	int64_t ready_since; /* monotonic, us; of the input being handled */
 	traffic_t traffic; /* of the descriptors; their owners count it */
+	windows_t windows; /* of the descriptors; their owners apply them */
 } pollset_t;
 
 void pollset_init(pollset_t *set, GSource *source, lag_t *lag);
--- a/outbound/conn.c
+++ b/outbound/conn.c
@@ -171,6 +171,8 @@
 		if (handle_is_none(conn->call) &&
 		    now - conn->idle_since >= conn->idle_limit)
 			out_conn_close(conn);
+		else
+			http_socket_check_window(&conn->sock);
 	}
 }
 
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -20,6 +20,7 @@
 void peer_conn_free(conn_t *conn)
 {
 	pollset_remove(&conn->peer->kernel->pollset, &conn->watch);
+	window_finish(&conn->window, &conn->peer->kernel->pollset.windows);
 	g_socket_close(conn->socket, NULL);
 	g_object_unref(conn->stream);
 	g_byte_array_unref(conn->input);
@@ -337,6 +338,10 @@
 	metrics_add(conn->peer->kernel->metrics, COUNTER_PEER_BYTES_IN,
 		    (uint64_t)n);
 	traffic_received(&conn->peer->kernel->pollset.traffic, (size_t)n);
+	if (conn->state == CONN_UP)
+		window_received(&conn->window,
+				&conn->peer->kernel->pollset.windows,
+				g_socket_get_fd(conn->socket), (size_t)n);
 	conn->last_received = kernel_now(conn->peer->kernel);
 	g_byte_array_append(conn->input, (const guint8 *)buffer, (guint)n);
 	process_input(conn);
@@ -409,6 +414,10 @@
 	conn->last_received = conn->opened;
 	g_socket_set_blocking(conn->socket, FALSE);
 	set_options(conn->socket);
+	window_init(&conn->window);
+	if (peer->kernel->pollset.windows.least > 0)
+		windows_apply(g_socket_get_fd(conn->socket),
+			      peer->kernel->pollset.windows.least);
 	conn->watch = pollset_add(&peer->kernel->pollset,
 				  g_socket_get_fd(conn->socket), POLLSET_IN,
 				  on_ready, conn);
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -23,6 +23,7 @@
 	conn_state_t state;
 	GSocketConnection *stream;
 	GSocket *socket;
+	window_t window; /* receive window of the socket */
 	handle_t watch;
 	GByteArray *input;
 	GByteArray *output;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -16,7 +16,8 @@
  * have lost the old connection already.
  */
 #define STALE_AFTER_PINGS 2
-#define CONNS_MAX 512
+#define CONNS_MAX (PEER_SOCKETS_MAX - LISTEN_BACKLOG)
+#define LISTEN_BACKLOG 32
 #define HANDSHAKES_MAX 64 /* unauthenticated connections */
 
 enum {
@@ -256,8 +257,11 @@
 	uint32_t cursor = 0;
 	conn_t *conn;
 
-	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL)
+	while ((conn = table_next(&peer->conns, &cursor, NULL)) != NULL) {
+		window_check(&conn->window, &peer->kernel->pollset.windows,
+			     g_socket_get_fd(conn->socket));
 		check_conn(peer, conn, now);
+	}
 	peer_dial_due(peer);
 	kernel_timer(peer->kernel, peer->svc, TICK_US, HANDLE_NONE, TIMER_TICK);
 }
@@ -337,6 +341,18 @@
 	return TRUE;
 }
 
+/* Accepted connections inherit the window. */
+static void on_listener_event(GSocketListener *listener,
+			      GSocketListenerEvent event, GSocket *socket,
+			      gpointer data)
+{
+	const windows_t *windows = &((peer_t *)data)->kernel->pollset.windows;
+
+	(void)listener;
+	if (event == G_SOCKET_LISTENER_BINDING && windows->least > 0)
+		windows_apply(g_socket_get_fd(socket), windows->least);
+}
+
 static int open_listener(peer_t *peer)
 {
 	GSocketAddress *address, *effective = NULL;
@@ -389,6 +405,10 @@
 	g_socket_service_stop(peer->listener);
 	g_signal_connect(peer->listener, "incoming", G_CALLBACK(on_incoming),
 			 peer);
+	g_signal_connect(peer->listener, "event", G_CALLBACK(on_listener_event),
+			 peer);
+	g_socket_listener_set_backlog(G_SOCKET_LISTENER(peer->listener),
+				      LISTEN_BACKLOG);
 	peer->svc = kernel_register(kernel, "peer", receive, peer);
 	if (strlen(opts->key) < PEER_KEY_MIN) {
 		errmsg_set(&peer->err, "the peer key is shorter than %d bytes",
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -14,6 +14,9 @@
 
 G_BEGIN_DECLS
 
+/* Connections of peers at one time, with those that wait to be accepted. */
+#define PEER_SOCKETS_MAX 544
+
 #define PEER_KEY_MIN 16 /* bytes, shortest shared key */
 #define PEER_KEY_SIZE 256 /* bytes, including the terminator */
 #define PEER_OUTPUT_MAX 4194304 /* bytes queued on one connection */
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -639,6 +639,13 @@
 	return MAX(part, BUFFERS_MIB_MIN);
 }
 
+int64_t settings_memory_mib(const settings_t *settings)
+{
+	if (settings->gateway_memory_mib > 0)
+		return (int64_t)settings->gateway_memory_mib;
+	return settings_buffers_mib(settings) * MEMORY_BUFFERS_DIVISOR;
+}
+
 void settings_print_reference(GString *out)
 {
 	g_string_append(out, "| key | allowed | default | meaning |\n"
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -95,6 +95,9 @@
 
 /* Returns the memory for requests and responses in progress, in MiB. */
 int64_t settings_buffers_mib(const settings_t *settings);
+/* Returns the memory of the machine, MiB; what the buffers suggest if unknown.
+ */
+int64_t settings_memory_mib(const settings_t *settings);
 
 /* Appends a reference of all keys as a Markdown table. */
 void settings_print_reference(GString *out);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -272,7 +272,8 @@
 	Connection()
 	{
 		errmsg_t err;
-		GSocket *listener = http_socket_listen("127.0.0.1", 0, &err);
+		http_listen_t listen = {"127.0.0.1", 0, 1, 0};
+		GSocket *listener = http_socket_listen(&listen, &err);
 		GSocketAddress *address =
 			g_socket_get_local_address(listener, nullptr);
 		GSocket *accepted;
@@ -338,6 +339,35 @@
 	EXPECT_EQ(text, "part");
 }
 
+// Guards against a sender of a large body that stays at the least window.
+TEST(Socket, SenderThatFillsItsWindowGetsAWideOne)
+{
+	char buffer[8192];
+	size_t n = 0;
+	Connection c;
+	windows_t *windows = &c.kernel.pollset.windows;
+
+	*windows = (windows_t){.least = 4096, .pool = 1048576, .taken = 0};
+	c.send(std::string(100, 'x'));
+	EXPECT_EQ(http_socket_read(&c.sock, buffer, sizeof(buffer), &n),
+		  SOCKET_DATA);
+	EXPECT_FALSE(c.sock.window.widened);
+	c.send(std::string(4096, 'x'));
+	EXPECT_EQ(http_socket_read(&c.sock, buffer, sizeof(buffer), &n),
+		  SOCKET_DATA);
+	EXPECT_TRUE(c.sock.window.widened);
+	c.send("more");
+	http_socket_check_window(&c.sock);
+	http_socket_check_window(&c.sock);
+	EXPECT_TRUE(c.sock.window.widened) << "input waits";
+	EXPECT_EQ(http_socket_read(&c.sock, buffer, sizeof(buffer), &n),
+		  SOCKET_DATA);
+	http_socket_check_window(&c.sock);
+	http_socket_check_window(&c.sock);
+	EXPECT_FALSE(c.sock.window.widened);
+	EXPECT_EQ(windows->taken, 0u);
+}
+
 TEST(Socket, ResetIsNoEndAfterALookForInput)
 {
 	for (bool idle : {true, false}) {
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -377,6 +377,55 @@
 	EXPECT_EQ(traffic.out, 1000u);
 }
 
+// Guards against sockets that fill the memory of the machine together.
+TEST(Windows, LeastWindowsOfAllSocketsFitIntoAQuarterOfTheMemory)
+{
+	const uint64_t mib = 1048576;
+
+	for (uint64_t memory : {64 * mib, 260 * mib, 512 * mib, 4096 * mib}) {
+		for (uint32_t sockets : {1U, 1000U, 2500U}) {
+			windows_t windows;
+
+			windows_init(&windows);
+			EXPECT_EQ(windows.least, 0u);
+			windows_set_memory(&windows, memory, sockets);
+			EXPECT_GT(windows.least, 0u);
+			EXPECT_LE(2 * (uint64_t)windows.least * sockets,
+				  memory / 4);
+		}
+	}
+}
+
+// Guards against wide windows without a bound on their sum, and against a pool
+// that connections keep which no longer send.
+TEST(Windows, WideWindowsStayWithinThePoolAndReturnToIt)
+{
+	const int none = -1; // no descriptor
+	windows_t windows;
+	window_t window[100];
+	int wide = 0;
+
+	windows_init(&windows);
+	windows_set_memory(&windows, 64 * 1048576, 1500);
+	for (window_t &w : window) {
+		window_init(&w);
+		window_received(&w, &windows, none, 1);
+		EXPECT_FALSE(w.widened);
+		window_received(&w, &windows, none, windows.least);
+		wide += w.widened;
+	}
+	EXPECT_GT(wide, 10);
+	EXPECT_LT(wide, 100);
+	EXPECT_LE(windows.taken, windows.pool);
+	for (window_t &w : window)
+		window_check(&w, &windows, none);
+	EXPECT_GT(windows.taken, 0u) << "input has arrived since";
+	window_finish(&window[0], &windows);
+	for (window_t &w : window)
+		window_check(&w, &windows, none);
+	EXPECT_EQ(windows.taken, 0u);
+}
+
 TEST(PeerSet, HoldsEachPeerOnceInOrder)
 {
 	peer_set_t set;
