Play callers that read fast and then leave the rest of a series unread

Cause: the answers of the form unread_answers exceed what the gateway holds for its callers, which cuts their connections before the system holds much.

Change: a form whose callers get many answers of 200 KB one after the other, each beginning 0.1 s after the one before. Callers of the reading forms have a receive buffer of 64 KiB; what their own system holds is not the gateway's.

--- a/tests/process/sockets.py
+++ b/tests/process/sockets.py
@@ -20,6 +20,7 @@
 MEMORY_MIB = 64
 PAUSE_S = 1.0  # from the start of a crowd until the process is paused
 SAMPLE_S = 0.1  # between two measurements
+STEP_S = 0.1  # between two clients that begin one after the other
 # What the system of a client keeps for it; the test counts only the server's.
 CLIENT_BUFFER = 65536
 CLIENTS_MAX = 4096  # descriptors of this process
@@ -98,17 +99,22 @@
         self.ports = [fleet.ports[name] for name in listeners]
         self.opened = 0
 
-    async def open(self):
+    async def connect(self, option, limit):
         client = socket.socket()
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, CLIENT_BUFFER)
+        client.setsockopt(socket.SOL_SOCKET, option, CLIENT_BUFFER)
         client.setblocking(False)
         port = self.ports[self.opened % len(self.ports)]
         self.opened += 1
         await asyncio.get_running_loop().sock_connect(client,
                                                       ("127.0.0.1", port))
-        _, writer = await asyncio.open_connection(sock=client, limit=1)
-        writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
+        reader, writer = await asyncio.open_connection(sock=client,
+                                                       limit=limit)
         self.writers.append(writer)
+        return reader, writer
+
+    async def open(self):
+        _, writer = await self.connect(socket.SO_SNDBUF, 1)
+        writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
         return writer
 
 
@@ -120,9 +126,8 @@
     async def member(self, parts):
         read = 0
         with contextlib.suppress(OSError, asyncio.TimeoutError):
-            reader, writer = await asyncio.open_connection("127.0.0.1",
-                                                           self.port)
-            self.writers.append(writer)
+            reader, writer = await self.connect(socket.SO_RCVBUF,
+                                                CLIENT_BUFFER)
             for part in parts:
                 writer.write(part)
             while not self.is_over():
@@ -139,6 +144,17 @@
     stop_after = 4 * crowd.MIB  # one answer
 
 
+class SteppedReaders(StoppingReaders):
+    """Begin one after the other, so that none is refused for load."""
+
+    begun = 0
+
+    async def member(self, parts):
+        self.begun += 1
+        await asyncio.sleep(self.begun * STEP_S)
+        await super().member(parts)
+
+
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 CHUNK = b"10000\r\n" + b"x" * 65536 + b"\r\n"
 # A chunk of one byte with an extension.
@@ -150,10 +166,10 @@
         yield [crowd.post("/crowd/x", CHUNKED, i)] + [part] * parts
 
 
-def large_answers(count=48, answers=50):
+def large_answers(path, count=48, answers=50):
     for i in range(count):
-        yield [crowd.post("/crowd/huge", "Content-Length: 0\r\n",
-                          i * 100 + k) for k in range(answers)]
+        yield [crowd.post(path, "Content-Length: 0\r\n", i * 100 + k)
+               for k in range(answers)]
 
 
 # form: (when the gateway is paused, kind, listeners, members)
@@ -165,8 +181,12 @@
                    lambda: bodies(EXTENSION, parts=400)),
     "services": (FIRST, Crowd, ("readiness", "metrics", "peers"),
                  lambda: bodies(CHUNK, 900)),
-    "answers": (DURING, Readers, ("callers",), large_answers),
-    "unread_answers": (NEVER, StoppingReaders, ("callers",), large_answers),
+    "answers": (DURING, Readers, ("callers",),
+                lambda: large_answers("/crowd/huge")),
+    "unread_answers": (NEVER, StoppingReaders, ("callers",),
+                       lambda: large_answers("/crowd/huge")),
+    "unread_series": (NEVER, SteppedReaders, ("callers",),
+                      lambda: large_answers("/crowd/large", 40, 100)),
 }
 
 
