Bound what the system holds of answers that callers leave unread

Callers saw nothing; the memory of the machine was filled with answers.

Cause: for a peer that reads fast, Linux takes up to tcp_wmem[2] (4 MB) ahead of what it has sent, and keeps it when the peer stops. The gateway no longer counts what it has written, so no limit applied.

Change: TCP_NOTSENT_LOWAT of 16 KiB on all sockets of callers and targets. The rest stays in the process, where it is counted and its connection gives way.

--- a/http/socket.c
+++ b/http/socket.c
@@ -13,6 +13,11 @@
  * connection.  A peer behind a network partition sends no reset.
  */
 #define USER_TIMEOUT_MS 4000
+/*
+ * Bytes that the system holds for a peer beyond what it has sent.  Left alone, it
+ * takes megabytes for a peer that read fast before it stopped.
+ */
+#define UNSENT_MAX 16384
 /* Memory of a part of the output beside its bytes. */
 #define OUTPUT_PART_MEMORY 128
 
@@ -22,6 +27,8 @@
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
 			    USER_TIMEOUT_MS, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, UNSENT_MAX,
+			    NULL);
 }
 
 static void update_interest(http_socket_t *sock)
