Bound the bodies that a router reads

Ordinary callers got no answer for 40 s and more, and the memory of the machine was filled, while a crowd with a valid key sent bodies without their end.

Cause: libsoup kept each chunk as an object of a list; caller.max_body bounds one body, and nothing their sum. What was freed stayed in the heap.

Change: front/body.c collects bodies in arrays that kernel/buffers.c counts; the largest gives way with 503, not run, as in a gateway. caller.memory_mib sets the limit, 64 MiB by default. Both programs set the allocator up alike.

--- a/front/front.c
+++ b/front/front.c
@@ -1,5 +1,6 @@
 #include "front/front.h"
 
+#include "front/body.h"
 #include "front/caller.h"
 #include "front/listen.h"
 #include "front/parse.h"
@@ -9,8 +10,6 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-/* Bytes read beyond the limit of a body before the connection is closed. */
-#define DISCARD_BYTES_MAX 1048576
 /* Time for requests on the last connections, which were just established. */
 #define STOP_SETTLE_US (50 * USEC_PER_MSEC)
 #define KEY_HASH "key-hash" /* hash of the API key, attached to a message */
@@ -66,15 +65,12 @@
 	return size;
 }
 
-/* Refuses a request whose body was not read completely. */
-static void refuse_unread(front_t *front, SoupServerMessage *msg,
-			  refusal_t reason)
+void front_refuse_unread(front_t *front, SoupServerMessage *msg,
+			 refusal_t reason)
 {
-	SoupMessageBody *body = soup_server_message_get_request_body(msg);
 	char request_id[INCARNATION_SIZE];
 
-	soup_message_body_set_accumulate(body, FALSE);
-	soup_message_body_truncate(body);
+	body_drop(msg);
 	kernel_uuid(front->kernel, request_id);
 	refuse(front, msg, request_id, reason, NULL);
 	soup_message_headers_replace(
@@ -82,22 +78,6 @@
 		"close");
 }
 
-static void on_chunk(SoupServerMessage *msg, GBytes *chunk, front_t *front)
-{
-	gsize size = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(msg), "size"));
-	GSocket *socket = caller_socket(msg);
-
-	size += g_bytes_get_size(chunk);
-	g_object_set_data(G_OBJECT(msg), "size", GSIZE_TO_POINTER(size));
-	if (size <= front->opts.max_body)
-		return;
-	if (soup_server_message_get_status(msg) == 0)
-		refuse_unread(front, msg, REFUSAL_TOO_LARGE);
-	if (size > (gsize)front->opts.max_body + DISCARD_BYTES_MAX &&
-	    socket != NULL)
-		g_socket_shutdown(socket, TRUE, TRUE, NULL);
-}
-
 /*
  * Attaches the hash of the API key to the message and erases the key.  The
  * hash is enough to find the client account.
@@ -149,16 +129,16 @@
 	if (caller_at_eof(msg))
 		return;
 	caller_set_phase(msg, CALLER_BODY);
+	if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_NONE)
+		body_collect(front, msg);
 	size = header_bytes(headers);
 	extract_key_hash(msg, hash);
 	if (!key_is_valid(front, hash))
-		refuse_unread(front, msg, REFUSAL_UNAUTHENTICATED);
+		front_refuse_unread(front, msg, REFUSAL_UNAUTHENTICATED);
 	else if (size > front->opts.max_header ||
 		 soup_message_headers_get_content_length(headers) >
 			 (goffset)front->opts.max_body)
-		refuse_unread(front, msg, REFUSAL_TOO_LARGE);
-	if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_NONE)
-		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), front);
+		front_refuse_unread(front, msg, REFUSAL_TOO_LARGE);
 }
 
 static bool is_model_path(const char *path)
@@ -257,8 +237,7 @@
 		reason = check_limits(front, spec);
 	if (reason != REFUSAL_NONE)
 		return reason;
-	spec->body = soup_message_body_flatten(
-		soup_server_message_get_request_body(msg));
+	spec->body = body_take(msg);
 	spec->prompt_bytes = (int64_t)g_bytes_get_size(spec->body);
 	fingerprint_request(spec);
 	if (strcmp(spec->method, "POST") == 0 && is_model_path(spec->path) &&
@@ -412,6 +391,9 @@
 	case MSG_STOP:
 		stop(front);
 		break;
+	case MSG_BUFFERS_FULL:
+		body_relieve(front);
+		break;
 	case MSG_CONF_CHANGED:
 		conf_snapshot_unref(front->conf);
 		front->conf = g_steal_pointer(&msg->u.conf);
@@ -439,6 +421,7 @@
 	front->opts = *opts;
 	front->svc = kernel_register(kernel, "front", receive, front);
 	table_init(&front->streams, sizeof(stream_t));
+	table_init(&front->bodies, sizeof(body_t));
 	front->unwatched = g_array_new(FALSE, FALSE, sizeof(handle_t));
 	front->streams_per_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -461,6 +444,7 @@
 	front->stopped = true;
 	while ((stream = table_next(&front->streams, &cursor, NULL)) != NULL)
 		stream_free(stream);
+	body_finish(front);
 	listen_close(front);
 	soup_server_disconnect(front->server);
 	g_clear_object(&front->server);
--- a/front/front.h
+++ b/front/front.h
@@ -63,6 +63,7 @@
 	handle_t watch_timer;
 	handle_t timeout_timer; /* runs while there are connections */
 	table_t streams; /* stream_t */
+	table_t bodies; /* body_t */
 	GHashTable *streams_per_key; /* API key hash -> requests in progress */
 	front_connections_t *connections; /* a GRcBox */
 	bool stopping;
--- a/front/listen.c
+++ b/front/listen.c
@@ -73,6 +73,7 @@
 	connection_t *connection;
 	uint32_t cursor = 0;
 
+	kernel_return_memory(front->kernel);
 	front->timeout_timer = HANDLE_NONE;
 	while ((connection = table_next(table, &cursor, NULL)) != NULL)
 		caller_check_timeout(connection->caller, now,
--- a/front/stream.h
+++ b/front/stream.h
@@ -40,6 +40,9 @@
 		   const char *request_id, refusal_t reason, run_state_t run,
 		   uint32_t retry_after_s, const char *detail);
 
+/* Refuses a request whose body was not read completely. */
+void front_refuse_unread(front_t *front, SoupServerMessage *msg,
+			 refusal_t reason);
 /* Sends MSG_STOPPED if the stop has settled and no stream is left. */
 void front_check_stopped(front_t *front);
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -16,15 +16,12 @@
 #include "streams/streams.h"
 
 #include <glib-unix.h>
-#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
 #define BYTES_PER_MIB UINT64_C(1048576)
 #define EXIT_USAGE 2
-#define MAPPED_BLOCK_MIN 65536 /* bytes */
-#define HEAP_END_MAX 524288 /* free bytes at the end of the heap */
 /* Time left of the grace period when the process exits by itself. */
 #define EXIT_MARGIN_US (400 * USEC_PER_MSEC)
 /* Time before the exit in which the callers of ended requests are answered. */
@@ -401,18 +398,6 @@
 	return 0;
 }
 
-/*
- * Blocks from this size on are mapped one by one, so that their memory returns
- * to the system when they are freed.  Left alone, glibc raises the size up to
- * 32 MiB as such blocks are freed; they then come from the heap, which shrinks
- * only from its end.
- */
-static void set_up_memory(void)
-{
-	mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_MIN);
-	mallopt(M_TRIM_THRESHOLD, HEAP_END_MAX);
-}
-
 int gateway_main(int argc, char **argv)
 {
 	gateway_t *gateway;
@@ -427,7 +412,7 @@
 
 	/* Until its handler is installed, the signal would end the process. */
 	signal(SIGHUP, SIG_IGN);
-	set_up_memory();
+	kernel_set_up_memory();
 	g_option_context_add_main_entries(context, entries, NULL);
 	gateway = g_new0(gateway_t, 1);
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
--- a/kernel/buffers.c
+++ b/kernel/buffers.c
@@ -124,6 +124,8 @@
 		return "proxy";
 	case BUFFER_STORE:
 		return "store";
+	case BUFFER_BODIES:
+		return "front";
 	case BUFFER_RUNNING:
 	case BUFFER_KIND_COUNT:
 		break;
@@ -142,6 +144,8 @@
 		return "responses";
 	case BUFFER_STORE:
 		return "store";
+	case BUFFER_BODIES:
+		return "bodies";
 	case BUFFER_RUNNING:
 		return "running";
 	case BUFFER_KIND_COUNT:
--- a/kernel/buffers.h
+++ b/kernel/buffers.h
@@ -21,7 +21,8 @@
 	BUFFER_OUTPUT, /* ingress: responses that callers have not read */
 	BUFFER_RESPONSES, /* proxy: responses of targets */
 	BUFFER_STORE, /* store: its answers */
-	BUFFER_RUNNING, /* proxy: requests in progress; never give way */
+	BUFFER_RUNNING, /* proxy, request: in progress; never give way */
+	BUFFER_BODIES, /* front: bodies that are being read */
 	BUFFER_KIND_COUNT,
 } buffer_kind_t;
 
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -20,6 +20,8 @@
 #define PROMPT_ROUNDS_MAX 8
 /* Deferred input gets as much time as the prompt input of its turn, or this. */
 #define DEFERRED_MIN_US (10 * USEC_PER_MSEC)
+#define MAPPED_BLOCK_MIN 65536 /* bytes */
+#define HEAP_END_MAX 524288 /* free bytes at the end of the heap */
 /* 2026-01-01T00:00:00Z, the wall clock time when a virtual run starts. */
 #define VIRTUAL_EPOCH (INT64_C(1767225600) * USEC_PER_SEC)
 
@@ -196,6 +198,18 @@
 		relieve(kernel);
 }
 
+/*
+ * Blocks from this size on are mapped one by one, so that their memory returns
+ * to the system when they are freed.  Left alone, glibc raises the size up to
+ * 32 MiB as such blocks are freed; they then come from the heap, which shrinks
+ * only from its end.
+ */
+void kernel_set_up_memory(void)
+{
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_MIN);
+	mallopt(M_TRIM_THRESHOLD, HEAP_END_MAX);
+}
+
 void kernel_return_memory(kernel_t *kernel)
 {
 	/* The heap shrinks from its end only, unless it is told to. */
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -100,6 +100,8 @@
 			size_t bytes);
 /* Called by that service when it has given way. */
 void kernel_buffers_relieved(kernel_t *kernel);
+/* Sets up the allocator; precedes all else in a program that serves callers. */
+void kernel_set_up_memory(void);
 /* Returns memory to the system after much has been freed. */
 void kernel_return_memory(kernel_t *kernel);
 
--- a/router/router.c
+++ b/router/router.c
@@ -21,6 +21,7 @@
 #include <string.h>
 
 #define EXIT_USAGE 2
+#define BYTES_PER_MIB UINT64_C(1048576)
 /* A target is paused at the high-water mark and resumed at a quarter of it. */
 #define LOW_WATER_DIVISOR 4
 /*
@@ -368,6 +369,9 @@
 	int status = 1;
 
 	kernel_init(&router->kernel, CLOCK_REAL, 0);
+	router->kernel.buffers.limit =
+		(uint64_t)settings_buffers_mib(&router->settings) *
+		BYTES_PER_MIB;
 	kernel_uuid(&router->kernel, router->incarnation);
 	router->svc =
 		kernel_register(&router->kernel, "router", receive, router);
@@ -423,6 +427,7 @@
 	g_autoptr(GError) error = NULL;
 	int status = EXIT_USAGE;
 
+	kernel_set_up_memory();
 	g_option_context_add_main_entries(context, entries, NULL);
 	router = g_new0(router_t, 1);
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -84,6 +84,10 @@
 	{"caller.buffer", SETTING_INTEGER, FIELD(caller_buffer),
 	 REQUIRED_BY_NONE, 4096, 16777216, 65536, "",
 	 "unsent bytes of one answer at which its target is paused"},
+	{"caller.memory_mib", SETTING_DECIMAL, FIELD(caller_memory_mib),
+	 REQUIRED_BY_NONE, 0, 1048576, 0, "0",
+	 "memory of the machine, MiB, a quarter of it for requests, 16 MiB at "
+	 "least; 0: unknown, 64 MiB for requests"},
 
 	{"peer.host", SETTING_ADDRESS, FIELD(peer_host), REQUIRED_BY_NONE, 0, 0,
 	 0, "127.0.0.1", "address for other routers"},
@@ -627,22 +631,29 @@
 	return status;
 }
 
+static double stated_memory_mib(const settings_t *settings)
+{
+	return settings->gateway_memory_mib > 0 ? settings->gateway_memory_mib
+						: settings->caller_memory_mib;
+}
+
 int64_t settings_buffers_mib(const settings_t *settings)
 {
-	int64_t part;
+	double memory = stated_memory_mib(settings);
 
 	if (settings->gateway_buffers_mib > 0)
 		return settings->gateway_buffers_mib;
-	if (settings->gateway_memory_mib <= 0)
+	if (memory <= 0)
 		return BUFFERS_MIB_DEFAULT;
-	part = (int64_t)settings->gateway_memory_mib / MEMORY_BUFFERS_DIVISOR;
-	return MAX(part, BUFFERS_MIB_MIN);
+	return MAX((int64_t)memory / MEMORY_BUFFERS_DIVISOR, BUFFERS_MIB_MIN);
 }
 
 int64_t settings_memory_mib(const settings_t *settings)
 {
-	if (settings->gateway_memory_mib > 0)
-		return (int64_t)settings->gateway_memory_mib;
+	double memory = stated_memory_mib(settings);
+
+	if (memory > 0)
+		return (int64_t)memory;
 	return settings_buffers_mib(settings) * MEMORY_BUFFERS_DIVISOR;
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -40,6 +40,7 @@
 	int64_t caller_max_header;
 	int64_t caller_max_connections;
 	int64_t caller_buffer;
+	double caller_memory_mib; /* 0: unknown */
 
 	char peer_host[SETTING_TEXT_SIZE];
 	int64_t peer_port;
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -320,6 +320,44 @@
 	const char *immediate_reply = nullptr;
 };
 
+// Guards against a crowd whose bodies stop short of their end and fill the
+// memory together, each within its own limit.
+TEST_F(FrontTest, LargestUnendedBodiesGiveWayWhenTheyFillTheBuffers)
+{
+	const std::string head = "POST /x HTTP/1.1\r\nHost: x\r\n"
+				 "Authorization: Bearer abc\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n";
+	const std::string chunk = "384\r\n" + std::string(900, 'a') + "\r\n";
+	std::vector<std::unique_ptr<Client>> crowd;
+	Client small(front_port(&front));
+	int refused = 0;
+
+	kernel.buffers.limit = 4000;
+	immediate_reply = "done";
+	small.send(head + "2\r\nab\r\n");
+	for (int i = 0; i < 6; i++) {
+		crowd.push_back(std::make_unique<Client>(front_port(&front)));
+		crowd.back()->send(head + chunk);
+	}
+	ASSERT_TRUE(pump([&] {
+		return kernel.metrics->counters[COUNTER_BUFFERS_DROPPED] >= 2;
+	}));
+	EXPECT_LE(buffers_total(&kernel.buffers), 4000u);
+	small.send("0\r\n\r\n");
+	EXPECT_TRUE(small.wait_for("HTTP/1.1 200"));
+	for (auto &client : crowd) {
+		client->send("0\r\n\r\n");
+		EXPECT_TRUE(client->wait_for("HTTP/1.1 "));
+		if (client->in.find("HTTP/1.1 503") == std::string::npos)
+			continue;
+		refused++;
+		EXPECT_TRUE(client->wait_for("not_run"));
+		EXPECT_NE(client->in.find("Retry-After: "), std::string::npos);
+	}
+	EXPECT_EQ(refused, 2);
+	EXPECT_EQ(buffers_total(&kernel.buffers), 0u);
+}
+
 TEST_F(FrontTest, CompleteResponsesHaveContentLength)
 {
 	Client client(front_port(&front));
