Bound the bodies of requests in progress at a router

The memory of a router grew with every whole body that it ran, up to 20,000 of 4 MiB by default.

Cause: request.max_running bounds the number of requests, and nothing their bodies, of which a second copy is sent to the target.

Change: "request" counts twice the size of each body until its request ends; "front" refuses one that finds no room, with 429 overloaded, not run.

--- a/front/front.c
+++ b/front/front.c
@@ -204,7 +204,8 @@
 	return REFUSAL_NONE;
 }
 
-static refusal_t check_limits(front_t *front, const request_spec_t *spec)
+static refusal_t check_limits(front_t *front, SoupServerMessage *msg,
+			      const request_spec_t *spec)
 {
 	guint key_streams = GPOINTER_TO_UINT(
 		g_hash_table_lookup(front->streams_per_key, spec->key_hash));
@@ -215,6 +216,11 @@
 		return REFUSAL_OVERLOADED;
 	if (key_streams >= front->opts.max_streams_per_key)
 		return REFUSAL_TOO_MANY_REQUESTS;
+	if (!buffers_may_run(&front->kernel->buffers,
+			     REQUEST_BODY_COPIES * body_size(msg))) {
+		metrics_add(front->kernel->metrics, COUNTER_BUFFERS_DROPPED, 1);
+		return REFUSAL_OVERLOADED;
+	}
 	return REFUSAL_NONE;
 }
 
@@ -234,7 +240,7 @@
 	if (reason == REFUSAL_NONE)
 		reason = read_request_line(msg, spec, err);
 	if (reason == REFUSAL_NONE)
-		reason = check_limits(front, spec);
+		reason = check_limits(front, msg, spec);
 	if (reason != REFUSAL_NONE)
 		return reason;
 	spec->body = body_take(msg);
--- a/kernel/buffers.h
+++ b/kernel/buffers.h
@@ -57,6 +57,8 @@
  * BUFFER_KIND_COUNT.
  */
 buffer_kind_t buffers_largest(const buffers_t *buffers);
+/* Copies of a body while its request runs: as received and as sent on. */
+#define REQUEST_BODY_COPIES 2
 /*
  * Whether a request of this size may run: large ones leave half of the limit
  * to the others, and all requests a quarter to what is read and answered, as
--- a/request/internal.h
+++ b/request/internal.h
@@ -27,6 +27,7 @@
 	svc_t front;
 	handle_t front_id;
 	request_spec_t *spec;
+	size_t counted; /* in the process's buffers */
 	char client_account[NAME_SIZE];
 	char budget[NAME_SIZE];
 	record_service_t service; /* settings at admission */
--- a/request/lifecycle.c
+++ b/request/lifecycle.c
@@ -73,6 +73,7 @@
 	response_reset(request);
 	if (request->outcome != NULL)
 		g_byte_array_unref(request->outcome);
+	kernel_count_bytes(svc->kernel, BUFFER_RUNNING, &request->counted, 0);
 	request_spec_free(request->spec);
 	table_remove(&svc->requests, self);
 	metrics_set(svc->kernel->metrics, GAUGE_REQUESTS_RUNNING,
@@ -214,6 +215,16 @@
 	kernel_post(svc->kernel, svc->self, request->front, &msg);
 }
 
+static void count_body(request_svc_t *svc, request_t *request)
+{
+	GBytes *body = request->spec->body;
+
+	if (body != NULL)
+		kernel_count_bytes(
+			svc->kernel, BUFFER_RUNNING, &request->counted,
+			REQUEST_BODY_COPIES * g_bytes_get_size(body));
+}
+
 void request_open(request_svc_t *svc, msg_t *msg)
 {
 	request_t *request;
@@ -226,6 +237,7 @@
 	request->front_id = msg->id;
 	request->spec = msg->u.open;
 	msg->u.open = NULL;
+	count_body(svc, request);
 	request->started = kernel_now(svc->kernel);
 	g_queue_init(&request->buffered);
 	/* In REQUEST_CLAIMING a refusal would wait for CLAIM_RESULT. */
--- a/request/request.c
+++ b/request/request.c
@@ -179,6 +179,8 @@
 		response_reset(request);
 		if (request->outcome != NULL)
 			g_byte_array_unref(request->outcome);
+		kernel_count_bytes(svc->kernel, BUFFER_RUNNING,
+				   &request->counted, 0);
 		request_spec_free(request->spec);
 	}
 	kernel_unregister(svc->kernel, svc->self);
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -348,7 +348,7 @@
 	for (auto &client : crowd) {
 		client->send("0\r\n\r\n");
 		EXPECT_TRUE(client->wait_for("HTTP/1.1 "));
-		if (client->in.find("HTTP/1.1 503") == std::string::npos)
+		if (client->in.find("HTTP/1.1 429") == std::string::npos)
 			continue;
 		refused++;
 		EXPECT_TRUE(client->wait_for("not_run"));
@@ -358,6 +358,23 @@
 	EXPECT_EQ(buffers_total(&kernel.buffers), 0u);
 }
 
+// Guards against whole bodies that arrive one after the other and fill the
+// memory while their requests run.
+TEST_F(FrontTest, LargeRequestIsRefusedWhileRequestsFillTheBuffers)
+{
+	Client large(front_port(&front)), small(front_port(&front));
+	size_t counted = 0;
+
+	kernel.buffers.limit = 10000;
+	kernel_count_bytes(&kernel, BUFFER_RUNNING, &counted, 4500);
+	immediate_reply = "done";
+	large.send(request("/x", std::string(1000, 'a')));
+	EXPECT_TRUE(large.wait_for("HTTP/1.1 429"));
+	EXPECT_TRUE(large.wait_for("not_run"));
+	small.send(request("/x", "ab"));
+	EXPECT_TRUE(small.wait_for("HTTP/1.1 200"));
+}
+
 TEST_F(FrontTest, CompleteResponsesHaveContentLength)
 {
 	Client client(front_port(&front));
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -225,6 +225,23 @@
 
 // Tokens of an event stream must not reach the caller one interval late, and
 // the end marker must not be sent before the bill is recorded.
+// Guards against bodies of requests in progress that no limit counts.
+TEST_F(RequestTest, BodyCountsUntilItsRequestEnds)
+{
+	const uint64_t *held = &kernel.buffers.held[BUFFER_RUNNING];
+
+	open_chat(true);
+	EXPECT_GT(*held, 0u);
+	reserved();
+	handle_t attempt = picked();
+	head(attempt);
+	data(attempt, "one");
+	EXPECT_GT(*held, 0u);
+	end(attempt);
+	billed();
+	EXPECT_EQ(*held, 0u);
+}
+
 TEST_F(RequestTest, EventStreamIsForwardedAtOnceExceptItsEndMarker)
 {
 	open_chat(true);
