Bound what the system holds of input that a router has not read

Cause: as in a gateway, the sockets of callers had no receive window of their own: 400 clients and a router that is paused held 826,401 KiB, 331,173 of them unread.

--- a/front/caller.c
+++ b/front/caller.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #define DATA_KEY "front-caller"
-
 static const char synthetic_request[] = "GET / HTTP/1.0\r\n\r\n";
 static const char timeout_response[] =
 	"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
@@ -12,7 +11,11 @@
 typedef struct caller_input_t {
 	GInputStream parent;
 	GPollableInputStream *base;
+	windows_t *windows;
+	window_t window; /* receive window of the socket */
 	caller_phase_t phase;
+	int64_t body_since; /* monotonic, us; first check in CALLER_BODY, or 0
+			     */
 	bool progressed; /* phase change or data since the last check */
 	/* Monotonic time of the last timeout check that saw progress. */
 	int64_t last_progress_us;
@@ -74,6 +77,11 @@
 		input->progressed = true;
 }
 
+static int descriptor(caller_input_t *input)
+{
+	return g_socket_get_fd(g_object_get_data(G_OBJECT(input), DATA_KEY));
+}
+
 static gssize read_nonblocking(GPollableInputStream *stream, void *buffer,
 			       gsize count, GError **error)
 {
@@ -87,6 +95,8 @@
 						     NULL, &failure);
 	if (n > 0) {
 		note_progress(input);
+		window_received(&input->window, input->windows,
+				descriptor(input), (size_t)n);
 	} else if (is_idle(input) && !g_error_matches(failure, G_IO_ERROR,
 						      G_IO_ERROR_WOULD_BLOCK)) {
 		g_clear_error(&failure);
@@ -136,7 +146,10 @@
 
 static void input_finalize(GObject *object)
 {
-	g_object_unref(((caller_input_t *)object)->base);
+	caller_input_t *input = (caller_input_t *)object;
+
+	window_finish(&input->window, input->windows);
+	g_object_unref(input->base);
 	G_OBJECT_CLASS(caller_input_parent_class)->finalize(object);
 }
 
@@ -150,6 +163,7 @@
 {
 	input->phase = CALLER_NEW;
 	input->progressed = true;
+	window_init(&input->window);
 }
 
 static GInputStream *get_input(GIOStream *stream)
@@ -212,12 +226,13 @@
 	(void)io;
 }
 
-GIOStream *caller_new(GIOStream *base, GSocket *socket)
+GIOStream *caller_new(GIOStream *base, GSocket *socket, windows_t *windows)
 {
 	caller_io_t *io = g_object_new(caller_io_get_type(), NULL);
 
 	io->base = base;
 	io->input = g_object_new(caller_input_get_type(), NULL);
+	io->input->windows = windows;
 	io->input->base = G_POLLABLE_INPUT_STREAM(
 		g_object_ref(g_io_stream_get_input_stream(base)));
 	g_object_set_data_full(G_OBJECT(io->input), DATA_KEY,
@@ -325,6 +340,7 @@
 	caller_io_t *io = (caller_io_t *)caller;
 	caller_input_t *input = io->input;
 
+	window_check(&input->window, input->windows, descriptor(input));
 	if (input->progressed) {
 		input->progressed = false;
 		input->last_progress_us = now;
--- a/front/caller.h
+++ b/front/caller.h
@@ -7,6 +7,8 @@
 #ifndef FRONT_CALLER_H
 #define FRONT_CALLER_H
 
+#include "kernel/windows.h"
+
 #include <libsoup/soup.h>
 #include <stdbool.h>
 
@@ -29,9 +31,10 @@
 
 /*
  * Wraps a connection.  The stream owns base, which is the socket's connection
- * or a TLS connection on top of it.
+ * or a TLS connection on top of it.  The windows are those of the process, and
+ * outlive the stream.
  */
-GIOStream *caller_new(GIOStream *base, GSocket *socket);
+GIOStream *caller_new(GIOStream *base, GSocket *socket, windows_t *windows);
 /* Passes the connection to the server, which keeps a reference. */
 bool caller_accept(SoupServer *server, GIOStream *caller, GSocket *socket);
 
--- a/front/front.h
+++ b/front/front.h
@@ -79,6 +79,8 @@
 void front_init(front_t *front, kernel_t *kernel, const front_opts_t *opts);
 void front_finish(front_t *front);
 
+/* Returns how many callers' sockets there may be, with those that wait. */
+uint32_t front_sockets_max(const front_t *front);
 /* Starts listening.  On failure, front->err holds the reason. */
 front_status_t front_listen(front_t *front);
 /* Returns the listening port, or 0 before front_listen(). */
--- a/front/listen.c
+++ b/front/listen.c
@@ -107,7 +107,7 @@
 	base = wrap_socket(front, socket);
 	if (base == NULL)
 		return;
-	caller = caller_new(base, socket);
+	caller = caller_new(base, socket, &front->kernel->pollset.windows);
 	track_connection(front, caller);
 	caller_accept(front->server, caller, socket);
 	g_object_unref(caller);
@@ -205,7 +205,14 @@
 	return FRONT_OK;
 }
 
-static GSocket *open_listener(GSocketAddress *address, GError **error)
+uint32_t front_sockets_max(const front_t *front)
+{
+	return front->opts.max_connections + LISTEN_BACKLOG;
+}
+
+/* Accepted connections inherit the window; 0: the system chooses. */
+static GSocket *open_listener(GSocketAddress *address, uint32_t window,
+			      GError **error)
 {
 	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
 				       G_SOCKET_TYPE_STREAM,
@@ -215,6 +222,8 @@
 		return NULL;
 	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
 	g_socket_set_blocking(socket, FALSE);
+	if (window > 0)
+		windows_apply(g_socket_get_fd(socket), window);
 	if (!g_socket_bind(socket, address, TRUE, error) ||
 	    !g_socket_listen(socket, error))
 		g_clear_object(&socket);
@@ -241,7 +250,7 @@
 {
 	GInetAddress *host = g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
 	GSocketAddress *address = g_inet_socket_address_new(host, 0);
-	GSocket *socket = open_listener(address, error);
+	GSocket *socket = open_listener(address, 0, error);
 	bool ok = false;
 
 	if (socket != NULL) {
@@ -271,7 +280,8 @@
 	if (tls && (status = load_tls(front)) != FRONT_OK)
 		goto out;
 	status = FRONT_LISTEN_FAILED;
-	front->listener = open_listener(address, &error);
+	front->listener = open_listener(
+		address, front->kernel->pollset.windows.least, &error);
 	if (front->listener == NULL ||
 	    !enable_keep_alive(front->server, &error)) {
 		errmsg_set(&front->err, "cannot listen on %s port %u: %s",
--- a/router/router.c
+++ b/router/router.c
@@ -382,6 +382,11 @@
 		   router->settings.availability_zone);
 	dispatch_init(&router->dispatch, &router->kernel);
 	init_front(router);
+	windows_set_memory(&router->kernel.pollset.windows,
+			   (uint64_t)settings_memory_mib(&router->settings) *
+				   BYTES_PER_MIB,
+			   front_sockets_max(&router->front) +
+				   PEER_SOCKETS_MAX);
 	if (open_ports(router) != 0)
 		goto out;
 	term = g_unix_signal_add(SIGTERM, on_stop_signal, router);
