Let other callers have their turn while one has much input

Ordinary callers of a router got no answer while a crowd sent chunks of one byte.

Cause: libsoup reads a connection for as long as there is input.

Change: after eight reads front/caller.c reports that there is no input yet; the connection is polled again, behind the others.

Result: CallerWithMuchInputLeavesTurnsToOthers: 5,000 of 5,000 chunks were read before the other caller was answered, and fail the test; it passes now.

--- a/front/caller.c
+++ b/front/caller.c
@@ -3,6 +3,12 @@
 #include <string.h>
 
 #define DATA_KEY "front-caller"
+/*
+ * Reads in a row after which other connections have their turn.  libsoup reads
+ * for as long as there is input.
+ */
+#define READS_MAX 8
+
 static const char synthetic_request[] = "GET / HTTP/1.0\r\n\r\n";
 static const char timeout_response[] =
 	"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
@@ -13,6 +19,7 @@
 	GPollableInputStream *base;
 	windows_t *windows;
 	window_t window; /* receive window of the socket */
+	int reads; /* in a row */
 	caller_phase_t phase;
 	int64_t body_since; /* monotonic, us; first check in CALLER_BODY, or 0
 			     */
@@ -82,6 +89,17 @@
 	return g_socket_get_fd(g_object_get_data(G_OBJECT(input), DATA_KEY));
 }
 
+/* Returns whether this connection has had its turn; it is polled again. */
+static bool is_turn_over(caller_input_t *input, GError **error)
+{
+	if (input->reads < READS_MAX)
+		return false;
+	input->reads = 0;
+	g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK,
+			    "other connections have their turn");
+	return true;
+}
+
 static gssize read_nonblocking(GPollableInputStream *stream, void *buffer,
 			       gsize count, GError **error)
 {
@@ -91,8 +109,11 @@
 
 	if (input->eof)
 		return read_synthetic_request(input, buffer, count);
+	if (is_turn_over(input, error))
+		return -1;
 	n = g_pollable_input_stream_read_nonblocking(input->base, buffer, count,
 						     NULL, &failure);
+	input->reads = n > 0 ? input->reads + 1 : 0;
 	if (n > 0) {
 		note_progress(input);
 		window_received(&input->window, input->windows,
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -1,6 +1,7 @@
 // Tests of the HTTP server for callers: input limits, complete responses,
 // truncated responses that must not look complete, back-pressure, disconnects,
 // timeouts and the planned stop.
+#include "front/body.h"
 #include "front/front.h"
 #include "front/parse.h"
 #include "front/refusal.h"
@@ -375,6 +376,30 @@
 	EXPECT_TRUE(small.wait_for("HTTP/1.1 200"));
 }
 
+// Guards against one caller that keeps all others waiting for as long as it has
+// input, as it does with chunks of one byte.
+TEST_F(FrontTest, CallerWithMuchInputLeavesTurnsToOthers)
+{
+	const int chunks = 5000;
+	Client busy(front_port(&front)), other(front_port(&front));
+	std::string text = "POST /x HTTP/1.1\r\nHost: x\r\n"
+			   "Authorization: Bearer abc\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\n";
+	uint32_t cursor = 0;
+
+	for (int i = 0; i < chunks; i++)
+		text += "1\r\nx\r\n";
+	immediate_reply = "done";
+	ASSERT_TRUE(pump([&] { return front.connections->count == 2; }));
+	busy.send(text);
+	other.send(request("/x", "ab"));
+	ASSERT_TRUE(other.wait_for("HTTP/1.1 200"));
+	auto *body = static_cast<body_t *>(
+		table_next(&front.bodies, &cursor, nullptr));
+	ASSERT_NE(body, nullptr);
+	EXPECT_LT(body->received, (uint64_t)chunks);
+}
+
 TEST_F(FrontTest, CompleteResponsesHaveContentLength)
 {
 	Client client(front_port(&front));
