End bodies that come byte by byte at a router

A caller that sends a byte now and then kept its connection and what it had sent for as long as it liked.

Cause: the time for a body starts again at each read.

Change: front/caller.c also ends a body 300 s after its head, with 408.

Result: BodyThatNeverEndsTimesOut gets no answer without it and 408 with it.

--- a/front/caller.c
+++ b/front/caller.c
@@ -67,6 +67,7 @@
 	if (input->phase == CALLER_EXPIRED)
 		return;
 	input->phase = phase;
+	input->body_since = 0;
 	input->progressed = true;
 }
 
@@ -362,7 +363,12 @@
 	caller_input_t *input = io->input;
 
 	window_check(&input->window, input->windows, descriptor(input));
-	if (input->progressed) {
+	if (input->phase == CALLER_BODY && input->body_since == 0)
+		input->body_since = now;
+	if (input->phase == CALLER_BODY &&
+	    now - input->body_since >= timeouts->whole_body_us) {
+		expire(io);
+	} else if (input->progressed) {
 		input->progressed = false;
 		input->last_progress_us = now;
 	} else if (now - input->last_progress_us >=
--- a/front/caller.h
+++ b/front/caller.h
@@ -26,6 +26,7 @@
 typedef struct caller_timeouts_t {
 	int64_t head_us; /* until the first byte, then until the head's end */
 	int64_t body_us; /* between two reads of a body */
+	int64_t whole_body_us; /* from the head to the end of the body */
 	int64_t idle_us; /* between two requests */
 } caller_timeouts_t;
 
--- a/front/front.c
+++ b/front/front.c
@@ -32,6 +32,7 @@
 	opts->low_water = 65536;
 	opts->timeouts.head_us = 10 * USEC_PER_SEC;
 	opts->timeouts.body_us = 30 * USEC_PER_SEC;
+	opts->timeouts.whole_body_us = 300 * USEC_PER_SEC;
 	opts->timeouts.idle_us = 120 * USEC_PER_SEC;
 }
 
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -793,6 +793,23 @@
 	EXPECT_TRUE(handle_is_none(front.timeout_timer));
 }
 
+// Guards against a body that a caller sends byte by byte and never ends.
+TEST_F(TimedFrontTest, BodyThatNeverEndsTimesOut)
+{
+	Client client(front_port(&front));
+	std::string text = request("/x", std::string(100, 'a'));
+
+	client.send(text.substr(0, text.size() - 99));
+	for (int i = 0; i < 11; i++) {
+		advance(25);
+		client.read();
+		ASSERT_FALSE(client.closed) << i;
+		client.send("b");
+	}
+	advance(27);
+	expect_timeout(client);
+}
+
 TEST_F(TimedFrontTest, StalledBodyTimesOut)
 {
 	Client client(front_port(&front));
