--- a/tests/process/router_crowd.py
+++ b/tests/process/router_crowd.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Crowds of misbehaving clients with a valid key against one router.
 
-router_crowd.py FORM URL KEY PID lets a crowd misbehave at a router that runs
+router_crowd.py FORM URL KEY PID [ADMIN_PORT] lets a crowd misbehave at a router that runs
 with its default limits, bounds the sum of what the router and the operating
 system hold for it, and sends an ordinary request before and afterwards.
 """
@@ -34,8 +34,10 @@
 class Router:
     """A router that the script around this program has started."""
 
-    def __init__(self, url, key, pid):
+    def __init__(self, url, key, pid, admin):
         self.ports = {"callers": int(url.rsplit(":", 1)[1])}
+        if admin is not None:
+            self.ports["admin"] = int(admin)
         self.key = key
         self.pid = pid
 
@@ -86,6 +88,12 @@
         yield [head(key, "Content-Length: %d\r\n" % len(data)), data]
 
 
+def readiness(count, parts):
+    for _ in range(count):
+        yield [b"POST /readyz HTTP/1.1\r\nHost: router\r\n" +
+               CHUNKED.encode() + b"\r\n"] + [sockets.CHUNK] * parts
+
+
 # form: (when the router is paused, members for a key)
 FORMS = {
     "bodies": (sockets.NEVER,
@@ -97,6 +105,7 @@
     "complete": (sockets.NEVER, lambda key: complete(key, 64)),
     # The largest prompts that a router runs have some 1,000,000 bytes.
     "running": (sockets.NEVER, lambda key: complete(key, 200, 1000000)),
+    "admin": (sockets.NEVER, lambda key: readiness(64, 60)),
     "paused": (sockets.DURING,
                lambda key: chunked(key, sockets.CHUNK, 400, 60)),
     "waiting": (sockets.FIRST,
@@ -109,16 +118,17 @@
     await router.expect_calm("before the crowd")
     usage = sockets.Usage(router.pid, router.ports.values())
     kind = Sequence if form == "running" else sockets.Crowd
-    await sockets.run_crowd(kind(router, ("callers",)), members(router.key),
+    listener = "admin" if form == "admin" else "callers"
+    await sockets.run_crowd(kind(router, (listener,)), members(router.key),
                             usage, when)
     await router.expect_calm("after the crowd")
     usage.check(form, MEMORY_MIB)
 
 
-def main(form, url, key, pid):
+def main(form, url, key, pid, admin=None):
     sockets.allow_clients()
     try:
-        asyncio.run(play(form, Router(url, key, int(pid))))
+        asyncio.run(play(form, Router(url, key, int(pid), admin)))
     except crowd.Failed as error:
         print("FAILED: %s: %s" % (form, error))
         return 1
