Refuse JSON bodies of very many values before they are parsed

One legal body of 3.8 MB, a list of token ids of one digit, took 154 MB of a router's memory while it was parsed; a crowd of 16 held 205,449 KiB together.

Cause: json-glib takes 80 bytes and more for each value; only the depth was checked before.

Change: kernel/json_depth.c also counts values; a request may have 524,288. A prompt that a router runs has at most some 1,000,000 bytes and so fewer tokens.

--- a/front/parse.c
+++ b/front/parse.c
@@ -305,8 +305,9 @@
 		errmsg_set(err, "the body is empty");
 		goto out;
 	}
-	if (!json_depth_ok(text, len, JSON_DEPTH_MAX)) {
-		errmsg_set(err, "the body is nested too deeply or not JSON");
+	if (!json_extent_ok(text, len, JSON_DEPTH_MAX, JSON_VALUES_MAX)) {
+		errmsg_set(err, "the body is nested too deeply, has too many "
+				"values or is not JSON");
 		goto out;
 	}
 	parser = json_parser_new_immutable();
--- a/kernel/json_depth.c
+++ b/kernel/json_depth.c
@@ -1,8 +1,10 @@
 #include "kernel/json_depth.h"
 
-bool json_depth_ok(const char *text, size_t len, int max_depth)
+bool json_extent_ok(const char *text, size_t len, int max_depth,
+		    size_t max_values)
 {
 	bool in_string = false;
+	size_t values = 1;
 	int depth = 0;
 
 	for (size_t i = 0; i < len; i++) {
@@ -16,7 +18,10 @@
 		} else if (c == '"') {
 			in_string = true;
 		} else if (c == '{' || c == '[') {
-			if (++depth > max_depth)
+			if (++depth > max_depth || ++values > max_values)
+				return false;
+		} else if (c == ',') {
+			if (++values > max_values)
 				return false;
 		} else if (c == '}' || c == ']') {
 			depth--;
@@ -31,3 +36,8 @@
 	}
 	return true;
 }
+
+bool json_depth_ok(const char *text, size_t len, int max_depth)
+{
+	return json_extent_ok(text, len, max_depth, G_MAXSIZE);
+}
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -99,6 +99,23 @@
 	EXPECT_TRUE(json_depth_ok(text.data(), text.size(), 1));
 }
 
+// Guards against bodies that take many times their size while they are parsed.
+TEST(Parse, NumberOfValuesIsBounded)
+{
+	EXPECT_TRUE(json_extent_ok("[1,2,{\"a,\":3}]", 14, 2, 5));
+	EXPECT_FALSE(json_extent_ok("[1,2,{\"a,\":3}]", 14, 2, 4));
+	EXPECT_FALSE(json_extent_ok("[1,2,{\"a,\":3}]", 14, 1, 5));
+	std::string many = R"({"model":"m","prompt":[1)";
+	request_spec_t spec;
+
+	for (int i = 1; i < 500000; i++)
+		many += ",1";
+	EXPECT_EQ(parse(many + "]}", &spec, "/v1/completions"), PARSE_OK);
+	for (int i = 0; i < 30000; i++)
+		many += ",1";
+	EXPECT_EQ(parse(many + "]}", &spec, "/v1/completions"), PARSE_INVALID);
+}
+
 TEST(Parse, HeadersAndPathsAreValidated)
 {
 	char hash[HASH_SIZE], key[IDEM_KEY_SIZE];
--- a/tests/process/router_crowd.py
+++ b/tests/process/router_crowd.py
@@ -88,6 +88,15 @@
         yield [head(key, "Content-Length: %d\r\n" % len(data)), data]
 
 
+def short_values(key, count):
+    data = json.dumps({"model": "assistant", "max_tokens": 5,
+                       "prompt": [1] * 1900000},
+                      separators=(",", ":")).encode()
+    for _ in range(count):
+        yield [head(key, "Content-Length: %d\r\n" % len(data)).replace(
+            b"/chat/", b"/"), data]
+
+
 def readiness(count, parts):
     for _ in range(count):
         yield [b"POST /readyz HTTP/1.1\r\nHost: router\r\n" +
@@ -105,6 +114,7 @@
     "complete": (sockets.NEVER, lambda key: complete(key, 64)),
     # The largest prompts that a router runs have some 1,000,000 bytes.
     "running": (sockets.NEVER, lambda key: complete(key, 200, 1000000)),
+    "short_values": (sockets.NEVER, lambda key: short_values(key, 16)),
     "admin": (sockets.NEVER, lambda key: readiness(64, 60)),
     "paused": (sockets.DURING,
                lambda key: chunked(key, sockets.CHUNK, 400, 60)),
