--- a/front/caller.c
+++ b/front/caller.c
@@ -21,8 +21,7 @@
 	window_t window; /* receive window of the socket */
 	int reads; /* in a row */
 	caller_phase_t phase;
-	int64_t body_since; /* monotonic, us; first check in CALLER_BODY, or 0
-			     */
+	int64_t body_since; /* monotonic, us; first check of a body; 0: none */
 	bool progressed; /* phase change or data since the last check */
 	/* Monotonic time of the last timeout check that saw progress. */
 	int64_t last_progress_us;
--- a/http/parse.c
+++ b/http/parse.c
@@ -241,8 +241,8 @@
 size_t http_parse_feed(http_parse_t *parse, const char *data, size_t len)
 {
 	bool in_body = parse->state == HTTP_STATE_BODY;
-	guint body = parse->body->len;
-	size_t used;
+	guint before = parse->body->len;
+	size_t used, received;
 
 	if (parse->state == HTTP_STATE_COMPLETE ||
 	    parse->state == HTTP_STATE_ERROR || len == 0)
@@ -252,9 +252,9 @@
 		return used;
 	if (HTTP_PARSER_ERRNO(&parse->parser) != HPE_OK)
 		parse->state = HTTP_STATE_ERROR;
-	body = parse->body->len - body;
+	received = parse->body->len - before;
 	if (parse->state == HTTP_STATE_BODY)
-		count_framing(parse, in_body ? used - body : 0, body);
+		count_framing(parse, in_body ? used - received : 0, received);
 	return used;
 }
 
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -112,8 +112,7 @@
 
 uint32_t ingress_sockets_max(const ingress_t *ingress)
 {
-	/* Callers, requests of peers, and the connection of each to a target.
-	 */
+	/* Callers and requests of peers, each with a connection to a target. */
 	uint32_t open = 2 * (ingress->conns_max +
 			     ingress->conns_max / METRICS_DIVISOR) +
 			2 * SERVICE_CONNS_MAX;
--- a/kernel/windows.c
+++ b/kernel/windows.c
@@ -37,8 +37,7 @@
 	int size = (int)window;
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	/* Kernels before 6.10 do not let SO_RCVBUF raise the limit of a window.
-	 */
+	/* Before Linux 6.10, SO_RCVBUF does not raise the limit of a window. */
 	setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &size, sizeof(size));
 }
 
@@ -61,8 +60,7 @@
 void window_received(window_t *window, windows_t *windows, int fd, size_t len)
 {
 	window->arrived = true;
-	/* A sender that fills half of a window between two reads waits for it.
-	 */
+	/* A sender that fills half of it between two reads waits for it. */
 	if (window->widened || windows->least == 0 ||
 	    window->wide <= windows->least || len < windows->least / 2 ||
 	    !take(windows, window->wide))
