Let idle connections give way to callers that wait

Cause: a place was free only when the idle limit of its connection was over.

Change: the connection that has been idle the longest, 1 s at least, gives way once a caller waits; after 1 s without any, the readiness check fails until there is room. FullTableOfConnectionsDoesNotSpin fills the table with entries that are in use, since idle ones without a socket would give way.

--- a/ingress/conn.h
+++ b/ingress/conn.h
@@ -55,6 +55,11 @@
 /* Closes the oldest connections of a listener that has more than this. */
 void ingress_conn_make_room(ingress_t *ingress, listener_kind_t kind,
 			    uint32_t most);
+/*
+ * Returns the caller's connection that has been without a request the longest,
+ * or NULL if none has been for long enough to give way.
+ */
+ingress_conn_t *ingress_conn_longest_idle(const ingress_t *ingress);
 /* Closes connections that have been idle or slow for too long. */
 void ingress_conn_sweep(ingress_t *ingress);
 /* Returns whether a request has arrived or a response is being written. */
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -44,6 +44,8 @@
 #define SERVICE_CONNS_MAX 128
 /* Connections of a listener that wait; each may hold a receive window. */
 #define LISTEN_BACKLOG 1024
+/* Time without room for a further caller after which this is not ready. */
+#define FULL_UNREADY_US USEC_PER_SEC
 #define TOO_LARGE 413
 #define BEHIND_RETRY_AFTER_MS 300
 
@@ -120,6 +122,20 @@
 	return MIN(open, descriptors_max()) + LISTENER_COUNT * LISTEN_BACKLOG;
 }
 
+/*
+ * Whether a connection can be accepted; gives is the idle one of another caller
+ * that has to give way for it, or NULL.
+ */
+static bool can_accept(const listener_t *listener, ingress_conn_t **gives)
+{
+	*gives = NULL;
+	if (!is_full(listener->ingress, listener->kind))
+		return true;
+	if (listener->kind == LISTENER_CALLERS)
+		*gives = ingress_conn_longest_idle(listener->ingress);
+	return *gives != NULL;
+}
+
 /* Until the sweep resumes it, waiting connections do not wake the loop. */
 static void pause_listener(listener_t *listener, const char *reason)
 {
@@ -134,13 +150,20 @@
 {
 	GError *error = NULL;
 	GSocket *accepted;
+	ingress_conn_t *gives;
 
-	if (is_full(listener->ingress, listener->kind)) {
+	if (!can_accept(listener, &gives)) {
 		pause_listener(listener, "limit");
+		if (listener->kind == LISTENER_CALLERS &&
+		    listener->ingress->full_since == 0)
+			listener->ingress->full_since =
+				kernel_now(listener->ingress->kernel);
 		return false;
 	}
 	accepted = g_socket_accept(listener->socket, NULL, &error);
 	if (accepted != NULL) {
+		if (gives != NULL)
+			ingress_conn_close(gives);
 		if (listener->kind != LISTENER_CALLERS)
 			ingress_conn_make_room(listener->ingress,
 					       listener->kind,
@@ -157,10 +180,17 @@
 
 static void resume_listeners(ingress_t *ingress)
 {
-	for (int i = 0; i < LISTENER_COUNT; i++)
-		if (!is_full(ingress, (listener_kind_t)i))
-			pollset_set(&ingress->kernel->pollset,
-				    ingress->listeners[i].watch, POLLSET_IN);
+	ingress_conn_t *gives;
+
+	for (int i = 0; i < LISTENER_COUNT; i++) {
+		if (ingress->listeners[i].socket == NULL ||
+		    !can_accept(&ingress->listeners[i], &gives))
+			continue;
+		pollset_set(&ingress->kernel->pollset,
+			    ingress->listeners[i].watch, POLLSET_IN);
+		if (i == LISTENER_CALLERS)
+			ingress->full_since = 0;
+	}
 }
 
 static void on_accept(void *data, unsigned ready)
@@ -236,7 +266,10 @@
 
 static void respond_readiness(ingress_t *ingress, ingress_conn_t *conn)
 {
-	bool ready = ingress->ready && !ingress->stopping &&
+	bool full = ingress->full_since != 0 &&
+		    kernel_now(ingress->kernel) - ingress->full_since >=
+			    FULL_UNREADY_US;
+	bool ready = ingress->ready && !ingress->stopping && !full &&
 		     ingress->yields_since == 0;
 
 	ingress_conn_respond(conn, ready ? 200 : 503, "text/plain",
--- a/ingress/ingress.h
+++ b/ingress/ingress.h
@@ -50,6 +50,7 @@
 	fleet_conf_t *conf; /* NULL until one has been received */
 	bool conf_behind; /* a newer configuration has not arrived yet */
 	uint32_t conns_max; /* callers' connections */
+	int64_t full_since; /* no caller can connect, monotonic, us; 0: can */
 	bool stopping;
 	int64_t yields_since; /* callers are sent away, monotonic, us; 0: no */
 	int64_t stop_requested_at; /* monotonic, us */
--- a/ingress/limits.c
+++ b/ingress/limits.c
@@ -15,6 +15,11 @@
 #define READ_RATE_MIN 1024
 /* Part of the time for a head while no further caller can connect. */
 #define FULL_HEAD_DIVISOR 4
+/*
+ * Time for which an idle connection is kept while further callers wait.  A next
+ * request that follows at once is not met by the close.
+ */
+#define IDLE_KEPT_US USEC_PER_SEC
 /* Time for the caller to close after the last response was written. */
 #define LINGER_TIMEOUT_US USEC_PER_SEC
 
@@ -234,6 +239,26 @@
 		ingress_conn_close(oldest);
 }
 
+ingress_conn_t *ingress_conn_longest_idle(const ingress_t *ingress)
+{
+	int64_t latest = kernel_now(ingress->kernel) - IDLE_KEPT_US;
+	ingress_conn_t *conn, *longest = NULL;
+	uint32_t cursor = 0;
+
+	while ((conn = table_next(&ingress->conns, &cursor, NULL)) != NULL)
+		if (conn->kind == LISTENER_CALLERS &&
+		    conn->phase == INGRESS_IDLE &&
+		    conn->phase_since <= latest &&
+		    !http_socket_has_output(&conn->sock) &&
+		    (longest == NULL ||
+		     conn->phase_since < longest->phase_since))
+			longest = conn;
+	/* A request that has arrived is read first. */
+	if (longest != NULL && http_socket_has_input(&longest->sock))
+		return NULL;
+	return longest;
+}
+
 void ingress_conn_sweep(ingress_t *ingress)
 {
 	int64_t now = kernel_now(ingress->kernel);
--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -627,6 +627,64 @@
 	EXPECT_TRUE(wait_requests(2));
 }
 
+// Guards against a crowd of kept connections that keeps ordinary callers out
+// while this instance says that it is ready.
+TEST_F(Ingress, LongestIdleConnectionGivesWayToACallerThatWaits)
+{
+	std::vector<std::unique_ptr<Client>> crowd;
+
+	ingress.ready = true;
+	ingress.conns_max = 4;
+	for (size_t i = 0; i < 4; i++) {
+		crowd.push_back(
+			std::make_unique<Client>(port(LISTENER_CALLERS)));
+		crowd.back()->send(get_request);
+		ASSERT_TRUE(wait_requests(i + 1));
+		respond(i, "done");
+		ASSERT_TRUE(crowd.back()->wait_for("done"));
+	}
+	Client next(port(LISTENER_CALLERS));
+	next.send(get_request);
+	pump([] { return false; }, 20);
+	EXPECT_EQ(specs.size(), 4u) << "all were used a moment ago";
+	set_age(2 * USEC_PER_SEC);
+	table_t *conns = &ingress.conns;
+	uint32_t cursor = 0;
+	auto *first = static_cast<ingress_conn_t *>(
+		table_next(conns, &cursor, nullptr));
+	first->phase_since -= USEC_PER_SEC;
+	sweep();
+	ASSERT_TRUE(wait_requests(5));
+	EXPECT_TRUE(crowd[0]->wait_closed());
+	EXPECT_EQ(table_count(conns), 4u);
+	EXPECT_FALSE(crowd[1]->closed);
+}
+
+TEST_F(Ingress, InstanceWithoutRoomForCallersIsNotReady)
+{
+	Client busy(port(LISTENER_CALLERS));
+
+	ingress.ready = true;
+	ingress.conns_max = 1;
+	busy.send(get_request);
+	ASSERT_TRUE(wait_requests(1));
+	Client next(port(LISTENER_CALLERS));
+	ASSERT_TRUE(pump([&] { return ingress.full_since != 0; }));
+	Client soon(port(LISTENER_READINESS)), late(port(LISTENER_READINESS)),
+		again(port(LISTENER_READINESS));
+	soon.send(get_request);
+	EXPECT_TRUE(soon.wait_for("HTTP/1.1 200"));
+	ingress.full_since -= USEC_PER_SEC;
+	late.send(get_request);
+	EXPECT_TRUE(late.wait_for("HTTP/1.1 503"));
+	respond(0, "done");
+	ASSERT_TRUE(busy.wait_for("done"));
+	set_age(2 * USEC_PER_SEC);
+	sweep();
+	again.send(get_request);
+	EXPECT_TRUE(again.wait_for("HTTP/1.1 200"));
+}
+
 // Guards against clients that take processor time with chunk extensions.
 TEST_F(Ingress, BodyThatIsMostlyFramingIsRefused)
 {
@@ -1228,8 +1286,11 @@
 	int iterations = 0;
 	void *conn;
 
-	for (int i = 0; i < 3000; i++)
+	for (int i = 0; i < 3000; i++) {
 		handles.push_back(table_add(&ingress.conns, &conn));
+		// An idle one would give way to the client.
+		static_cast<ingress_conn_t *>(conn)->phase = INGRESS_BUSY;
+	}
 	Client client(port(LISTENER_CALLERS));
 	for (; kernel_now(&kernel) < end; iterations++)
 		g_main_context_iteration(nullptr, TRUE);
