--- a/tests/ingress_test.cc
+++ b/tests/ingress_test.cc
@@ -635,6 +635,7 @@
 
 	ingress.ready = true;
 	ingress.conns_max = 4;
+	ingress.limits.idle_timeout_ms = 60000;
 	for (size_t i = 0; i < 4; i++) {
 		crowd.push_back(
 			std::make_unique<Client>(port(LISTENER_CALLERS)));
@@ -647,12 +648,12 @@
 	next.send(get_request);
 	pump([] { return false; }, 20);
 	EXPECT_EQ(specs.size(), 4u) << "all were used a moment ago";
-	set_age(2 * USEC_PER_SEC);
+	set_age(1500 * USEC_PER_MSEC);
 	table_t *conns = &ingress.conns;
 	uint32_t cursor = 0;
 	auto *first = static_cast<ingress_conn_t *>(
 		table_next(conns, &cursor, nullptr));
-	first->phase_since -= USEC_PER_SEC;
+	first->phase_since -= 100 * USEC_PER_MSEC;
 	sweep();
 	ASSERT_TRUE(wait_requests(5));
 	EXPECT_TRUE(crowd[0]->wait_closed());
