--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -114,6 +114,7 @@
 	PEER_QUARANTINE,
 	PEER_OVERLOAD,
 	PEER_TARGET_FULL,
+	PEER_PART_SET,
 	PEER_KIND_COUNT,
 } peer_kind_t;
 
@@ -236,10 +237,19 @@
 			uint64_t request; /* crashed: hash of the request */
 			char target[NAME_SIZE]; /* crashed */
 			uint64_t weight; /* crashed: percent */
-			uint64_t age_ms; /* crashed, held */
+			/* crashed, held; survived: since it began, 0: unknown
+			 */
+			uint64_t age_ms;
 			uint64_t left_ms; /* held */
 			uint64_t strikes; /* held */
 		} part_report;
+		struct {
+			part_event_t event; /* held or released */
+			part_set_t set; /* of two parts or more */
+			uint64_t age_ms; /* held */
+			uint64_t left_ms; /* held */
+			uint64_t strikes; /* held */
+		} part_set;
 		struct {
 			char target[NAME_SIZE];
 			int64_t started_ms; /* process of the target */
--- a/kernel/record.h
+++ b/kernel/record.h
@@ -5,6 +5,8 @@
 #ifndef KERNEL_RECORD_H
 #define KERNEL_RECORD_H
 
+#include "kernel/part_set.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -45,7 +47,7 @@
 	RECORD_FLEET_TARGET,
 	RECORD_ALLOCATION, /* allocation of prepaid tokens */
 	RECORD_STREAMS, /* streams that began lately */
-	RECORD_HELD, /* a request or a part of prompts in quarantine */
+	RECORD_HELD, /* a request or parts of prompts in quarantine */
 	RECORD_EVACUATION, /* a zone gets no requests; the key names it */
 } record_kind_t;
 
@@ -236,11 +238,11 @@
 struct record_allocation_t;
 struct record_streams_t;
 
-/* Either a request or a part that prompts share. */
+/* Either a request or a set of parts that prompts share. */
 typedef struct record_held_t {
-	char fingerprint[HASH_SIZE]; /* of a request; empty: a part */
-	uint64_t part;
-	uint32_t strikes; /* quarantines of the part so far */
+	char fingerprint[HASH_SIZE]; /* of a request; empty: a set */
+	part_set_t set;
+	uint32_t strikes; /* quarantines of the set so far */
 	int64_t decided_ms; /* wall clock */
 	int64_t expires_ms; /* wall clock */
 } record_held_t;
--- a/peer/bodies.c
+++ b/peer/bodies.c
@@ -101,6 +101,14 @@
 	BODY_U64(part_report, strikes),
 };
 
+static const field_t part_set_fields[] = {
+	{"event", FIELD_ENUM, offsetof(peer_body_t, u.part_set.event),
+	 PART_EVENT_COUNT - 1},
+	BODY_U64(part_set, age_ms),
+	BODY_U64(part_set, left_ms),
+	BODY_U64(part_set, strikes),
+};
+
 #define BODY_LIMIT(body)                                                  \
 	{"kind", FIELD_ENUM, offsetof(peer_body_t, u.body.limit.kind),    \
 	 LIMIT_STATED},                                                   \
@@ -195,6 +203,8 @@
 		return FIELDS_OF(placed_fields);
 	case PEER_PART_REPORT:
 		return FIELDS_OF(part_report_fields);
+	case PEER_PART_SET:
+		return FIELDS_OF(part_set_fields);
 	case PEER_TARGET_LEAVING:
 		return FIELDS_OF(leaving_fields);
 	case PEER_TARGET_LIMIT:
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -53,6 +53,7 @@
 	case PEER_BILL_COPY:
 	case PEER_STORE_ITEMS:
 	case PEER_HOLDINGS:
+	case PEER_PART_SET:
 		return 1;
 	default:
 		return 0;
@@ -231,6 +232,30 @@
 	return true;
 }
 
+static bool pack_part_set(msgpack_packer *packer, const part_set_t *set)
+{
+	msgpack_pack_array(packer, set->count);
+	for (uint32_t i = 0; i < set->count; i++)
+		msgpack_pack_uint64(packer, set->parts[i]);
+	return true;
+}
+
+static bool parse_part_set(const msgpack_object *object, part_set_t *set,
+			   errmsg_t *err)
+{
+	uint64_t part;
+
+	if (!check_list(object, PART_SET_MAX, err))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		if (!peer_field_parse_uint(&object->via.array.ptr[i],
+					   UINT64_MAX, &part, "part", err))
+			return false;
+		part_set_add(set, part);
+	}
+	return true;
+}
+
 static bool pack_body(msgpack_packer *packer, const peer_body_t *body,
 		      errmsg_t *err)
 {
@@ -259,6 +284,8 @@
 				 body->u.holdings.list, PEER_HOLDINGS_MAX, err);
 	case PEER_STORE_ITEMS:
 		return pack_store_items(packer, body->u.store_items.items, err);
+	case PEER_PART_SET:
+		return pack_part_set(packer, &body->u.part_set.set);
 	default:
 		return true;
 	}
@@ -308,6 +335,9 @@
 		ok = parse_store_items(&nested[0], body->u.store_items.items,
 				       extra, err);
 		break;
+	case PEER_PART_SET:
+		ok = parse_part_set(&nested[0], &body->u.part_set.set, err);
+		break;
 	default:
 		ok = true;
 		break;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -139,6 +139,7 @@
 	case PEER_CRASH_REPORT:
 		return peer->request;
 	case PEER_PART_REPORT:
+	case PEER_PART_SET:
 	case PEER_QUARANTINE:
 		return peer->proxy;
 	case PEER_STORE_PULL:
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -92,7 +92,7 @@
 	int64_t first_event_at; /* monotonic, us, 0: none */
 	bool attempt_began; /* an event, or bytes of a buffered body, came */
 	int64_t attempt_began_at; /* monotonic, us, if it has */
-	bool probing; /* the attempt probes parts whose quarantine is over */
+	bool probing; /* the attempt probes sets whose quarantine is over */
 	bool survived; /* the attempt's response has gone on */
 	int64_t last_event_at; /* monotonic, us */
 	int64_t longest_gap; /* us, between two events */
@@ -206,7 +206,7 @@
  */
 void crash_init(proxy_t *proxy);
 void crash_finish(proxy_t *proxy);
-/* Whether the request or a part of its prompt is in quarantine. */
+/* Whether the request or a set of parts of its prompt is in quarantine. */
 bool crash_quarantined(const proxy_t *proxy, const exchange_t *exchange);
 void crash_add_suspect(proxy_t *proxy, const exchange_t *exchange);
 void crash_check_targets(proxy_t *proxy);
@@ -227,12 +227,9 @@
 /* parts.c: parts of prompts that crash targets, on all instances. */
 void parts_init(proxy_t *proxy);
 bool parts_quarantined(const proxy_t *proxy, const exchange_spec_t *spec);
-/* Logs which parts are the reason of a refusal. */
+/* Logs which set of parts is the reason of a refusal. */
 void parts_log_refused(const proxy_t *proxy, const exchange_spec_t *spec);
-/*
- * Called before a request is sent.  Returns false if a part is in quarantine,
- * or is being probed by another request.
- */
+/* Called before a request is sent.  Returns false if it is held back. */
 bool parts_admit(proxy_t *proxy, exchange_t *exchange);
 /* The attempt did not run, so it has probed nothing. */
 void parts_not_run(proxy_t *proxy, exchange_t *exchange);
@@ -245,6 +242,7 @@
 /* Tells a peer that has just connected of the quarantines in force. */
 void parts_tell_peer(proxy_t *proxy, const char *incarnation);
 void parts_report_received(proxy_t *proxy, const msg_t *msg);
+void parts_set_received(proxy_t *proxy, const msg_t *msg);
 /* Applies a quarantine that a peer or the store tells of. */
 void parts_adopt(proxy_t *proxy, const part_sentence_t *sentence,
 		 const char *source);
--- a/proxy/held.c
+++ b/proxy/held.c
@@ -1,5 +1,6 @@
 #include "proxy/held.h"
 
+#include "kernel/hash.h"
 #include "log/log.h"
 #include "proxy/exchange.h"
 
@@ -114,30 +115,37 @@
 	write_later(proxy, &write);
 }
 
-static void part_key(char key[STORE_KEY_SIZE], uint64_t part)
+/* Only the key of a set of one part is the one of former builds. */
+static void parts_key(char key[STORE_KEY_SIZE], const part_set_t *set)
 {
-	g_snprintf(key, STORE_KEY_SIZE,
-		   KEY_PREFIX "part.%" G_GINT64_MODIFIER "x", part);
+	char text[PART_SET_TEXT_SIZE];
+
+	if (set->count == 1)
+		g_snprintf(key, STORE_KEY_SIZE, KEY_PREFIX "part." PART_FORMAT,
+			   set->parts[0]);
+	else
+		g_snprintf(key, STORE_KEY_SIZE, KEY_PREFIX "parts." PART_FORMAT,
+			   hash_rendezvous(part_set_format(set, text), ""));
 }
 
-void held_save_part(proxy_t *proxy, const part_sentence_t *sentence)
+void held_save_parts(proxy_t *proxy, const part_sentence_t *sentence)
 {
 	held_write_t write = {.removed = false};
 	int64_t now = wall_ms(proxy);
 
-	write.record.part = sentence->part;
+	write.record.set = sentence->set;
 	write.record.strikes = sentence->strikes;
 	write.record.decided_ms = now - sentence->age_ms;
 	write.record.expires_ms = now + sentence->left_ms;
-	part_key(write.key, sentence->part);
+	parts_key(write.key, &sentence->set);
 	write_later(proxy, &write);
 }
 
-void held_remove_part(proxy_t *proxy, uint64_t part)
+void held_remove_parts(proxy_t *proxy, const part_set_t *set)
 {
 	held_write_t write = {.removed = true};
 
-	part_key(write.key, part);
+	parts_key(write.key, set);
 	write_later(proxy, &write);
 }
 
@@ -200,7 +208,7 @@
 	int64_t age = clamp_age(now - record->decided_ms);
 	quarantine_news_t news = {.age_ms = age, .left_ms = left};
 	part_sentence_t sentence = {
-		.part = record->part,
+		.set = record->set,
 		.left_ms = MIN(left, PART_QUARANTINE_MAX_MS),
 		.age_ms = age,
 		.strikes = MIN(record->strikes, PART_STRIKES_MAX)};
--- a/proxy/held.h
+++ b/proxy/held.h
@@ -15,11 +15,11 @@
 
 /* Starts to read the quarantines in force. */
 void held_load(proxy_t *proxy);
-/* Has the quarantine of a request, or of a part of prompts, written soon. */
+/* Has the quarantine of a request, or of parts of prompts, written soon. */
 void held_save_request(proxy_t *proxy, const quarantine_news_t *news);
-void held_save_part(proxy_t *proxy, const part_sentence_t *sentence);
-/* Has the record of a part removed that is not in quarantine any more. */
-void held_remove_part(proxy_t *proxy, uint64_t part);
+void held_save_parts(proxy_t *proxy, const part_sentence_t *sentence);
+/* Has the record of a set removed that is not in quarantine any more. */
+void held_remove_parts(proxy_t *proxy, const part_set_t *set);
 void held_timed_out(proxy_t *proxy);
 void held_store_result(proxy_t *proxy, const msg_t *msg);
 
--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -1,486 +1,235 @@
 #include "proxy/part_quarantine.h"
 
-#include <math.h>
-#include <string.h>
-
-/* Score that quarantines a part: three crashes within minutes. */
-#define SCORE_QUARANTINE 2.25
-/* Bounds, so that the past of a part that changed is soon outweighed. */
-#define SCORE_MIN (-2.0)
-#define SCORE_MAX 4.0
-#define SCORE_CLEAR (-1.5) /* below, further evidence changes nothing */
-/* Most that a part keeps of crashes that another part explains. */
-#define SCORE_EXPLAINED 1.0
-/* Half-lives of positive and of negative scores. */
-#define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000)
-#define HALF_LIFE_TRUSTED_MS (60.0 * 1000)
-/* Reports of the same target within this time are of one crash. */
-#define SAME_CRASH_MS 2000
-#define CRASHES_KEPT 4
-#define WEIGHT_STRONG 1 /* crash of a target that had begun to answer */
-/*
- * All crashes with one request weigh no more: it is quarantined as a whole, and
- * others share its parts.
- */
-#define WEIGHT_REPEATED_MAX 1.5
-/* A part whose last crash is older is not worth a message to peers. */
-#define CRASH_NEWS_MS ((int64_t)10 * 60 * 1000)
-/* A quarantine that is told at once is younger. */
-#define QUARANTINE_NEWS_MS 1000
-#define PROBE_RETRY_MS 60000 /* after a probe that did not run */
-#define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
-
-typedef struct kept_crash_t {
-	part_crash_t crash; /* with the weight counted so far */
-	bool strong; /* a target had begun to answer a request */
-} kept_crash_t;
-
-typedef struct part_entry_t {
-	uint64_t id;
-	double score; /* as of scored_at */
-	int64_t scored_at;
-	kept_crash_t crashes[CRASHES_KEPT];
-	uint32_t crash_count; /* crashes ever counted */
-	int64_t crashed_at; /* time at which the last crash was counted */
-	bool held;
-	bool probed; /* a request of this instance probes the part */
-	uint32_t strikes; /* quarantines so far */
-	int64_t until; /* end of the quarantine, without stagger_ms */
-	int64_t decided_at;
-	bool released; /* released_at is set */
-	int64_t released_at;
-	GQueue *queue; /* queue that holds the entry */
-	GList link;
-} part_entry_t;
+/* A part that may have caused a crash. */
+typedef struct candidate_t {
+	part_suspect_t suspect;
+	uint32_t place; /* among all candidates */
+	double score;
+} candidate_t;
+
+/* What the crashes point to in one request. */
+typedef struct finding_t {
+	part_set_t set;
+	bool unknown; /* a part of it has not been seen in sound responses */
+	double score; /* the highest one */
+} finding_t;
 
 void part_quarantine_init(part_quarantine_t *quarantine, int64_t stagger_ms)
 {
-	memset(quarantine, 0, sizeof(*quarantine));
-	quarantine->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						    NULL, g_free);
-	quarantine->stagger_ms = stagger_ms;
+	part_scores_init(&quarantine->scores);
+	part_holds_init(&quarantine->holds, &quarantine->scores, stagger_ms);
 }
 
 void part_quarantine_finish(part_quarantine_t *quarantine)
 {
-	g_hash_table_unref(quarantine->entries);
-	memset(quarantine, 0, sizeof(*quarantine));
-}
-
-static part_entry_t *find_entry(const part_quarantine_t *quarantine,
-				uint64_t part)
-{
-	return g_hash_table_lookup(quarantine->entries, &part);
-}
-
-static void move_entry(part_entry_t *entry, GQueue *queue)
-{
-	if (entry->queue != NULL)
-		g_queue_unlink(entry->queue, &entry->link);
-	entry->queue = queue;
-	g_queue_push_tail_link(queue, &entry->link);
-}
-
-static void remove_entry(part_quarantine_t *quarantine, part_entry_t *entry)
-{
-	g_queue_unlink(entry->queue, &entry->link);
-	g_hash_table_remove(quarantine->entries, &entry->id);
+	part_holds_finish(&quarantine->holds);
+	part_scores_finish(&quarantine->scores);
 }
 
-/* Entries in quarantine are kept as long as there are others. */
-static void remove_victim(part_quarantine_t *quarantine)
+double part_quarantine_score(const part_quarantine_t *quarantine,
+			     const part_set_t *set, int64_t now)
 {
-	part_entry_t *victim = g_queue_peek_head(&quarantine->trusted);
-	const GList *link = quarantine->suspected.head;
+	double score = part_scores_get(&quarantine->scores, set->parts[0], now);
 
-	for (; victim == NULL && link != NULL; link = link->next) {
-		part_entry_t *entry = link->data;
-
-		if (!entry->held)
-			victim = entry;
-	}
-	if (victim == NULL)
-		victim = g_queue_peek_head(&quarantine->suspected);
-	if (victim != NULL)
-		remove_entry(quarantine, victim);
-}
-
-static part_entry_t *touch_entry(part_quarantine_t *quarantine, uint64_t part,
-				 bool suspected)
-{
-	part_entry_t *entry = find_entry(quarantine, part);
-
-	if (entry == NULL) {
-		if (g_hash_table_size(quarantine->entries) >= PARTS_SCORED_MAX)
-			remove_victim(quarantine);
-		entry = g_new0(part_entry_t, 1);
-		entry->id = part;
-		entry->link.data = entry;
-		g_hash_table_insert(quarantine->entries, &entry->id, entry);
-	}
-	if (suspected || entry->queue == &quarantine->suspected)
-		move_entry(entry, &quarantine->suspected);
-	else
-		move_entry(entry, &quarantine->trusted);
-	return entry;
+	for (uint32_t i = 1; i < set->count; i++)
+		score = MAX(score, part_scores_get(&quarantine->scores,
+						   set->parts[i], now));
+	return score;
 }
 
-static double score_at(const part_entry_t *entry, int64_t now)
+/* The highest score comes first and, of equal ones, the one furthest back. */
+static gint compare_scores(gconstpointer a, gconstpointer b)
 {
-	double half_life = HALF_LIFE_TRUSTED_MS;
-
-	if (entry->score > 0)
-		half_life = HALF_LIFE_BLAMED_MS;
-	return entry->score *
-	       exp2(-(double)(now - entry->scored_at) / half_life);
-}
+	const candidate_t *x = a, *y = b;
 
-static void add_score(part_entry_t *entry, double change, int64_t now)
-{
-	entry->score =
-		CLAMP(score_at(entry, now) + change, SCORE_MIN, SCORE_MAX);
-	entry->scored_at = now;
+	if (x->score != y->score)
+		return x->score > y->score ? -1 : 1;
+	return (x->place < y->place) - (x->place > y->place);
 }
 
-double part_quarantine_score(const part_quarantine_t *quarantine, uint64_t part,
-			     int64_t now)
+static gint compare_places(gconstpointer a, gconstpointer b)
 {
-	const part_entry_t *entry = find_entry(quarantine, part);
+	const candidate_t *x = a, *y = b;
 
-	return entry != NULL ? score_at(entry, now) : 0;
+	return (x->place > y->place) - (x->place < y->place);
 }
 
-static part_state_t entry_state(const part_quarantine_t *quarantine,
-				const part_entry_t *entry, int64_t now)
+static void add_candidate(const part_quarantine_t *quarantine,
+			  GArray *candidates, GHashTable *seen,
+			  const part_request_t *request, uint32_t index,
+			  int64_t now)
 {
-	if (entry == NULL || !entry->held)
-		return PART_ALLOWED;
-	return now < entry->until + quarantine->stagger_ms ? PART_QUARANTINED
-							   : PART_PROBE_DUE;
-}
+	uint64_t part = request->parts[index];
+	candidate_t candidate = {
+		.suspect = {.part = part, .request = request->request},
+		.place = candidates->len,
+		.score = part_scores_get(&quarantine->scores, part, now),
+	};
 
-part_state_t part_quarantine_state(const part_quarantine_t *quarantine,
-				   uint64_t part, int64_t now)
-{
-	return entry_state(quarantine, find_entry(quarantine, part), now);
+	if (g_hash_table_add(seen, (gpointer)&request->parts[index]))
+		g_array_append_val(candidates, candidate);
 }
 
-static void hold(part_entry_t *entry, int64_t now)
+static void collect_suspects(const part_quarantine_t *quarantine,
+			     const part_request_t *requests, uint32_t count,
+			     int64_t now, part_suspects_t *suspects)
 {
-	int64_t length = PART_QUARANTINE_MIN_MS
-			 << (STRIKE_FACTOR_BITS * entry->strikes);
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	GHashTable *seen = g_hash_table_new(g_int64_hash, g_int64_equal);
+	uint32_t longest = 0;
 
-	entry->held = true;
-	entry->probed = false;
-	entry->until = now + MIN(length, PART_QUARANTINE_MAX_MS);
-	entry->decided_at = now;
-	if (entry->strikes < PART_STRIKES_MAX)
-		entry->strikes++;
-}
-
-static void release(part_entry_t *entry, int64_t now)
-{
-	add_score(entry, 0, now);
-	entry->score = MIN(entry->score, 0);
-	entry->held = false;
-	entry->probed = false;
-	entry->released = true;
-	entry->released_at = now;
-}
-
-static kept_crash_t *find_same_crash(part_entry_t *entry,
-				     const part_crash_t *crash)
-{
-	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
-
-	for (uint32_t i = 0; i < kept; i++) {
-		kept_crash_t *known = &entry->crashes[i];
-		int64_t apart = ABS(known->crash.at - crash->at);
-
-		if (apart < CRASH_SPACING_MS ||
-		    (known->crash.target == crash->target &&
-		     apart < SAME_CRASH_MS))
-			return known;
-	}
-	return NULL;
-}
-
-static kept_crash_t *find_same_request(part_entry_t *entry,
-				       const part_crash_t *crash)
-{
-	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
-
-	for (uint32_t i = 0; i < kept; i++) {
-		if (entry->crashes[i].crash.request == crash->request)
-			return &entry->crashes[i];
+	for (uint32_t i = 0; i < count; i++)
+		longest = MAX(longest, requests[i].count);
+	for (uint32_t place = 0; place < longest; place++) {
+		for (uint32_t i = 0; i < count; i++) {
+			if (place < requests[i].count)
+				add_candidate(quarantine, candidates, seen,
+					      &requests[i], place, now);
+		}
 	}
-	return NULL;
-}
-
-/* Returns whether the crash is new or weighs more than what was counted. */
-static bool count_crash(part_entry_t *entry, const part_crash_t *crash,
-			int64_t now)
-{
-	kept_crash_t *known = find_same_crash(entry, crash);
-	double weight = crash->weight, change = weight;
-	bool strong = weight >= WEIGHT_STRONG;
-
-	if (known == NULL) {
-		known = find_same_request(entry, crash);
-		if (known != NULL)
-			weight = MIN(known->crash.weight + weight / 2,
-				     WEIGHT_REPEATED_MAX);
+	if (candidates->len > CRASH_PARTS_MAX) {
+		g_array_sort(candidates, compare_scores);
+		g_array_set_size(candidates, CRASH_PARTS_MAX);
+		g_array_sort(candidates, compare_places);
 	}
-	if (known != NULL) {
-		change = weight - known->crash.weight;
-		if (change <= 0)
-			return false;
-		known->crash.weight = weight;
-		known->strong = known->strong || strong;
-	} else {
-		entry->crashes[entry->crash_count++ % CRASHES_KEPT] =
-			(kept_crash_t){*crash, strong};
+	suspects->count = candidates->len;
+	for (uint32_t i = 0; i < suspects->count; i++)
+		suspects->list[i] =
+			g_array_index(candidates, candidate_t, i).suspect;
+	g_hash_table_unref(seen);
+	g_array_unref(candidates);
+}
+
+/* Returns the parts of the request to which the crashes point. */
+static finding_t find_causes(const part_quarantine_t *quarantine,
+			     const part_request_t *request,
+			     const part_suspects_t *suspects,
+			     const part_crash_t *crash, int64_t now)
+{
+	const part_scores_t *scores = &quarantine->scores;
+	finding_t finding = {.set = {.count = 0}};
+
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		uint64_t part = suspects->list[i].part;
+		part_set_t one = part_set_of(part);
+
+		if (!part_set_is_within(&one, request->parts, request->count) ||
+		    !part_scores_is_high(scores, part, now) ||
+		    !part_scores_may_decide(scores, part, crash))
+			continue;
+		part_set_add(&finding.set, part);
+		finding.score =
+			MAX(finding.score, part_scores_get(scores, part, now));
 	}
-	entry->crashed_at = now;
-	add_score(entry, change, now);
-	return true;
+	finding.unknown =
+		!part_scores_all_sound_lately(scores, &finding.set, now);
+	return finding;
 }
 
-void part_quarantine_crash_told(part_quarantine_t *quarantine, uint64_t part,
-				const part_crash_t *crash, int64_t now)
+/* Of equal evidence, the larger set holds back fewer other requests. */
+static bool is_better(const finding_t *finding, const finding_t *best)
 {
-	count_crash(touch_entry(quarantine, part, true), crash, now);
+	if (finding->unknown != best->unknown)
+		return finding->unknown;
+	if (finding->score != best->score)
+		return finding->score > best->score;
+	return finding->set.count > best->set.count;
 }
 
-/* Returns whether one of the parts is in quarantine. */
+/* Returns whether the quarantine of one of the requests explains the crash. */
 static bool is_explained(const part_quarantine_t *quarantine,
-			 const part_suspect_t *suspects, uint32_t count)
+			 const part_request_t *requests, uint32_t count,
+			 int64_t now)
 {
 	for (uint32_t i = 0; i < count; i++) {
-		const part_entry_t *entry =
-			find_entry(quarantine, suspects[i].part);
-
-		if (entry != NULL && entry->held)
+		if (part_holds_state(&quarantine->holds, requests[i].parts,
+				     requests[i].count, now) != PART_ALLOWED)
 			return true;
 	}
 	return false;
 }
 
-/*
- * A request that only waited at the target shares parts with the one that
- * crashed it, which another instance knows: a weak crash decides nothing for a
- * part with strong ones.
- */
-static bool may_decide(const part_entry_t *entry, const part_crash_t *crash)
+void part_quarantine_crashed(part_quarantine_t *quarantine,
+			     const part_request_t *requests, uint32_t count,
+			     const part_crash_t *crash, int64_t now,
+			     part_suspects_t *suspects)
 {
-	uint32_t kept = MIN(entry->crash_count, CRASHES_KEPT);
+	finding_t best = {.set = {.count = 0}};
 
-	if (crash->weight >= WEIGHT_STRONG)
-		return true;
-	for (uint32_t i = 0; i < kept; i++) {
-		if (entry->crashes[i].strong)
-			return false;
+	suspects->count = 0;
+	if (is_explained(quarantine, requests, count, now))
+		return;
+	collect_suspects(quarantine, requests, count, now, suspects);
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		part_suspect_t *suspect = &suspects->list[i];
+		part_crash_t own = *crash;
+
+		own.request = suspect->request;
+		suspect->counted = part_scores_crashed(
+			&quarantine->scores, suspect->part, &own, now);
 	}
-	return true;
-}
-
-/* Returns the part that the crashes point to most, or -1. */
-static int find_cause(const part_quarantine_t *quarantine,
-		      const part_suspect_t *suspects, uint32_t count,
-		      const part_crash_t *crash, int64_t now)
-{
-	const part_entry_t *entry;
-	double best = SCORE_QUARANTINE, score;
-	int found = -1;
-
 	for (uint32_t i = 0; i < count; i++) {
-		entry = find_entry(quarantine, suspects[i].part);
-		if (entry == NULL || !may_decide(entry, crash))
-			continue;
-		score = score_at(entry, now);
-		if (score < best)
-			continue;
-		best = score;
-		found = (int)i;
-	}
-	return found;
-}
-
-static bool count_suspect(part_quarantine_t *quarantine,
-			  const part_suspect_t *suspect,
-			  const part_crash_t *crash, int64_t now)
-{
-	part_crash_t own = *crash;
-
-	own.request = suspect->request;
-	return count_crash(touch_entry(quarantine, suspect->part, true), &own,
-			   now);
-}
-
-int part_quarantine_crashed(part_quarantine_t *quarantine,
-			    const part_suspect_t *suspects, uint32_t count,
-			    const part_crash_t *crash, int64_t now,
-			    bool *counted)
-{
-	int found;
+		finding_t finding = find_causes(quarantine, &requests[i],
+						suspects, crash, now);
 
-	memset(counted, 0, count * sizeof(*counted));
-	if (is_explained(quarantine, suspects, count))
-		return -1;
-	for (uint32_t i = 0; i < count; i++)
-		counted[i] =
-			count_suspect(quarantine, &suspects[i], crash, now);
-	found = find_cause(quarantine, suspects, count, crash, now);
-	if (found < 0)
-		return -1;
-	for (uint32_t i = 0; i < count; i++) {
-		if ((int)i != found)
-			part_quarantine_explained(quarantine, suspects[i].part,
-						  now);
+		if (finding.set.count > 0 && is_better(&finding, &best))
+			best = finding;
 	}
-	hold(find_entry(quarantine, suspects[found].part), now);
-	return found;
-}
-
-void part_quarantine_explained(part_quarantine_t *quarantine, uint64_t part,
-			       int64_t now)
-{
-	part_entry_t *entry = find_entry(quarantine, part);
-
-	if (entry == NULL || entry->held)
+	if (best.set.count == 0)
 		return;
-	add_score(entry, 0, now);
-	entry->score = MIN(entry->score, SCORE_EXPLAINED);
-}
-
-part_news_t part_quarantine_survived(part_quarantine_t *quarantine,
-				     uint64_t part, bool told, int64_t now)
-{
-	part_entry_t *entry = find_entry(quarantine, part);
-	double before;
-
-	if (entry == NULL && told)
-		return PART_NO_NEWS;
-	entry = touch_entry(quarantine, part, false);
-	before = score_at(entry, now);
-	add_score(entry, -1, now);
-	if (entry->held && (entry->probed || entry->score <= 0)) {
-		release(entry, now);
-		return PART_RELEASED;
+	part_holds_begin(&quarantine->holds, &best.set, now);
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		part_suspect_t *suspect = &suspects->list[i];
+
+		suspect->explained =
+			!part_set_contains(&best.set, suspect->part);
+		if (suspect->explained)
+			part_quarantine_explained(quarantine, suspect->part,
+						  now);
 	}
-	if (told || entry->crash_count == 0 ||
-	    now - entry->crashed_at > CRASH_NEWS_MS || before < SCORE_CLEAR)
-		return PART_NO_NEWS;
-	return PART_NEWS;
-}
-
-bool part_quarantine_begin_probe(part_quarantine_t *quarantine, uint64_t part,
-				 int64_t now)
-{
-	part_entry_t *entry = find_entry(quarantine, part);
-
-	if (entry_state(quarantine, entry, now) != PART_PROBE_DUE)
-		return false;
-	hold(entry, now);
-	entry->probed = true;
-	return true;
-}
-
-bool part_quarantine_probe_unused(part_quarantine_t *quarantine, uint64_t part,
-				  int64_t now)
-{
-	part_entry_t *entry = find_entry(quarantine, part);
-
-	if (entry == NULL || !entry->held || !entry->probed)
-		return false;
-	entry->probed = false;
-	entry->strikes--;
-	entry->until = now + PROBE_RETRY_MS;
-	return true;
 }
 
-bool part_quarantine_sentence(const part_quarantine_t *quarantine,
-			      uint64_t part, int64_t now,
-			      part_sentence_t *sentence)
+bool part_quarantine_crash_told(part_quarantine_t *quarantine, uint64_t part,
+				const part_crash_t *crash, int64_t now,
+				part_sentence_t *sentence)
 {
-	const part_entry_t *entry = find_entry(quarantine, part);
-
-	if (entry == NULL || !entry->held)
-		return false;
-	sentence->part = part;
-	sentence->left_ms = MAX(entry->until - now, 0);
-	sentence->age_ms = now - entry->decided_at;
-	sentence->strikes = entry->strikes;
-	return true;
+	part_scores_crashed(&quarantine->scores, part, crash, now);
+	/* A peer that knew of the quarantine would not have counted it. */
+	return part_holds_explain(&quarantine->holds, part, crash->request, now,
+				  sentence);
 }
 
-uint32_t part_quarantine_list(const part_quarantine_t *quarantine, int64_t now,
-			      part_sentence_t *list, uint32_t max)
+void part_quarantine_explained(part_quarantine_t *quarantine, uint64_t part,
+			       int64_t now)
 {
-	const GList *link = quarantine->suspected.tail;
-	uint32_t count = 0;
-
-	for (; link != NULL && count < max; link = link->prev) {
-		const part_entry_t *entry = link->data;
-
-		if (part_quarantine_sentence(quarantine, entry->id, now,
-					     &list[count]))
-			count++;
-	}
-	return count;
+	if (!part_holds_contain(&quarantine->holds, part))
+		part_scores_explained(&quarantine->scores, part, now);
 }
 
-/*
- * An instance that was cut off from the targets takes them for crashed, and
- * tells of its quarantines when it is connected again.
- */
-static bool is_disproved(const part_entry_t *entry, int64_t age_ms,
-			 int64_t decided_at, int64_t now)
+uint32_t part_quarantine_survived(part_quarantine_t *quarantine,
+				  const uint64_t *parts, uint32_t count,
+				  int64_t began_at, int64_t now, uint64_t *news)
 {
-	if (entry->released && decided_at <= entry->released_at)
-		return true;
-	return !entry->held && age_ms > QUARANTINE_NEWS_MS &&
-	       score_at(entry, now) < SCORE_CLEAR;
-}
+	uint32_t told = 0;
 
-bool part_quarantine_adopt(part_quarantine_t *quarantine,
-			   const part_sentence_t *sentence, int64_t now)
-{
-	part_entry_t *entry = find_entry(quarantine, sentence->part);
-	int64_t left = CLAMP(sentence->left_ms, 0, PART_QUARANTINE_MAX_MS);
-	int64_t decided_at = now - MAX(sentence->age_ms, 0);
-	bool added;
+	for (uint32_t i = 0; i < count; i++) {
+		bool awaited =
+			part_holds_await(&quarantine->holds, parts[i], now);
 
-	if (entry != NULL &&
-	    is_disproved(entry, sentence->age_ms, decided_at, now))
-		return false;
-	entry = touch_entry(quarantine, sentence->part, true);
-	added = !entry->held;
-	entry->until = added ? now + left : MAX(entry->until, now + left);
-	entry->decided_at =
-		added ? decided_at : MAX(entry->decided_at, decided_at);
-	entry->strikes =
-		MIN(MAX(entry->strikes, sentence->strikes), PART_STRIKES_MAX);
-	entry->held = true;
-	if (added) {
-		add_score(entry, 0, now);
-		entry->score = MAX(entry->score, SCORE_QUARANTINE);
+		if (part_scores_survived(&quarantine->scores, parts[i],
+					 began_at, now) ||
+		    awaited)
+			news[told++] = parts[i];
 	}
-	return added;
+	part_holds_weigh(&quarantine->holds, parts, count, began_at,
+			 PART_ORIGIN_HERE, now);
+	return told;
 }
 
-bool part_quarantine_release(part_quarantine_t *quarantine, uint64_t part,
-			     int64_t now)
+void part_quarantine_survival_told(part_quarantine_t *quarantine, uint64_t part,
+				   int64_t began_at, int64_t now)
 {
-	part_entry_t *entry = find_entry(quarantine, part);
-
-	if (entry != NULL && entry->held) {
-		release(entry, now);
-		return true;
-	}
-	/* The release may have overtaken the quarantine. */
-	entry = touch_entry(quarantine, part, false);
-	entry->released = true;
-	entry->released_at = now;
-	return false;
+	part_scores_survival_told(&quarantine->scores, part, began_at, now);
+	part_holds_weigh(&quarantine->holds, &part, 1, began_at,
+			 PART_ORIGIN_TOLD, now);
 }
--- a/proxy/part_quarantine.h
+++ b/proxy/part_quarantine.h
@@ -1,135 +1,93 @@
 /*
- * Quarantine of prompt parts that crash the targets which begin to answer
- * requests with them.  A part is scored by crashes with it against responses
- * with it that went on, both aged.  Several parts occur in each crash: one at
- * most is quarantined for it, the one with the highest score and, of equal
- * scores, the one furthest back in its prompt, which the fewest other requests
- * share.
+ * Decides which prompt parts are quarantined because they crash the targets
+ * that begin to answer requests with them.  Several parts occur in each crash,
+ * and often nothing tells yet which of them is the cause: what is quarantined
+ * is the set of all parts of a request that the crashes point to.  Requests
+ * without the cause do not have all of it, and go on.
  *
- * After its quarantine, one request of the fleet probes a part and begins the
- * next quarantine, four times as long, which ends if the probe is answered.
+ * A crash of a request with some parts of the set only, and responses that show
+ * parts of it to be sound, make it smaller.
  *
  * Times are in ms, of any clock, but of the same one in all calls.
  */
 #ifndef PROXY_PART_QUARANTINE_H
 #define PROXY_PART_QUARANTINE_H
 
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
+#include "proxy/part_holds.h"
+#include "proxy/part_scores.h"
 
 G_BEGIN_DECLS
 
 /*
- * Crashes of several targets within this time count once: a rack or a network
- * that fails takes many targets down at the same moment.
+ * Parts counted for one crash, each of which is told to all peers.  Sound
+ * requests share the parts beside the cause, so that it is among the ones with
+ * the highest scores.
  */
-#define CRASH_SPACING_MS 100
-#define PARTS_SCORED_MAX 512
-#define PART_QUARANTINE_MIN_MS ((int64_t)10 * 60 * 1000)
-#define PART_QUARANTINE_MAX_MS ((int64_t)24 * 3600 * 1000)
-#define PART_STRIKES_MAX 8
+#define CRASH_PARTS_MAX PART_SET_MAX
 
 typedef struct part_quarantine_t {
-	GHashTable *entries; /* id -> part_entry_t */
-	GQueue trusted; /* entries without crashes, oldest use first */
-	GQueue suspected; /* entries with crashes, oldest use first */
-	/* Added to each quarantine, so that few instances probe at once. */
-	int64_t stagger_ms;
+	part_scores_t scores;
+	part_holds_t holds;
 } part_quarantine_t;
 
-typedef enum part_state_t {
-	PART_ALLOWED,
-	PART_QUARANTINED,
-	PART_PROBE_DUE, /* one request may be sent */
-} part_state_t;
+/* A request that may have caused a crash. */
+typedef struct part_request_t {
+	uint64_t request; /* hash of all of it */
+	const uint64_t *parts; /* which other requests share, in order */
+	uint32_t count;
+} part_request_t;
 
-/* What a response that went on changes. */
-typedef enum part_news_t {
-	PART_NO_NEWS,
-	PART_NEWS, /* other instances have counted a crash with the part */
-	PART_RELEASED, /* the quarantine has ended */
-} part_news_t;
-
-/* A quarantine as told to other instances. */
-typedef struct part_sentence_t {
-	uint64_t part;
-	int64_t left_ms;
-	int64_t age_ms; /* since it was decided */
-	uint32_t strikes; /* quarantines of the part so far */
-} part_sentence_t;
-
-/* A part of a request that may have caused a crash. */
+/* A part of the requests that may have caused a crash. */
 typedef struct part_suspect_t {
 	uint64_t part;
-	uint64_t request; /* hash of all of the request */
+	uint64_t request; /* the first one with the part */
+	bool counted; /* unless the crash was counted before */
+	bool explained; /* other parts are in quarantine for the crash */
 } part_suspect_t;
 
-typedef struct part_crash_t {
-	uint64_t target; /* hash of its id */
-	uint64_t request; /* repeats of a request weigh less */
-	double weight; /* 1 if the target had begun to answer the request */
-	int64_t at;
-} part_crash_t;
+typedef struct part_suspects_t {
+	uint32_t count;
+	part_suspect_t list[CRASH_PARTS_MAX];
+} part_suspects_t;
 
 void part_quarantine_init(part_quarantine_t *quarantine, int64_t stagger_ms);
 void part_quarantine_finish(part_quarantine_t *quarantine);
 
-part_state_t part_quarantine_state(const part_quarantine_t *quarantine,
-				   uint64_t part, int64_t now);
-double part_quarantine_score(const part_quarantine_t *quarantine, uint64_t part,
-			     int64_t now);
-
+/* Returns the highest score among the parts of the set. */
+double part_quarantine_score(const part_quarantine_t *quarantine,
+			     const part_set_t *set, int64_t now);
 /*
- * Counts a crash for all parts of the requests that may have caused it, ordered
- * by their places in the prompts.  Sets counted[i] unless the crash was counted
- * before.  crash->request is ignored.  Returns the index of the part that is
- * quarantined, or -1.  Nothing is counted if a part that is in quarantine
- * explains the crash.
+ * Counts a crash for the parts of the requests that may have caused it, and
+ * writes the parts that were considered.  crash->request is ignored.  Nothing
+ * is counted if the quarantine of one of the requests explains the crash.
  */
-int part_quarantine_crashed(part_quarantine_t *quarantine,
-			    const part_suspect_t *suspects, uint32_t count,
-			    const part_crash_t *crash, int64_t now,
-			    bool *counted);
-/* Counts a crash told by a peer, which decides what is quarantined for it. */
-void part_quarantine_crash_told(part_quarantine_t *quarantine, uint64_t part,
-				const part_crash_t *crash, int64_t now);
-/* Lowers the score of a part whose crashes another part explains. */
-void part_quarantine_explained(part_quarantine_t *quarantine, uint64_t part,
-			       int64_t now);
-/* Counts a response that went on, here or as told by a peer. */
-part_news_t part_quarantine_survived(part_quarantine_t *quarantine,
-				     uint64_t part, bool told, int64_t now);
-
-/* Returns false if another request probes the part. */
-bool part_quarantine_begin_probe(part_quarantine_t *quarantine, uint64_t part,
-				 int64_t now);
-/*
- * The request that probed the part did not run: another may soon.  Returns
- * false if the part is not being probed.
- */
-bool part_quarantine_probe_unused(part_quarantine_t *quarantine, uint64_t part,
-				  int64_t now);
-/* Returns false if the part is not in quarantine. */
-bool part_quarantine_sentence(const part_quarantine_t *quarantine,
-			      uint64_t part, int64_t now,
-			      part_sentence_t *sentence);
-/* Writes quarantines in force and returns their number. */
-uint32_t part_quarantine_list(const part_quarantine_t *quarantine, int64_t now,
-			      part_sentence_t *list, uint32_t max);
+void part_quarantine_crashed(part_quarantine_t *quarantine,
+			     const part_request_t *requests, uint32_t count,
+			     const part_crash_t *crash, int64_t now,
+			     part_suspects_t *suspects);
 /*
- * Applies a quarantine told by a peer, unless the part was released after it,
- * or the quarantine is old and responses with the part go on here.  Returns
- * whether it is new here.
+ * Counts a crash told by a peer, which decides what is quarantined for it.
+ * Returns whether the peer has missed a quarantine, which is written to
+ * sentence then.
  */
-bool part_quarantine_adopt(part_quarantine_t *quarantine,
-			   const part_sentence_t *sentence, int64_t now);
+bool part_quarantine_crash_told(part_quarantine_t *quarantine, uint64_t part,
+				const part_crash_t *crash, int64_t now,
+				part_sentence_t *sentence);
+/* Lowers the score of a part whose crashes other parts explain. */
+void part_quarantine_explained(part_quarantine_t *quarantine, uint64_t part,
+			       int64_t now);
 /*
- * Ends the quarantine of the part, and those decided before that are told
- * later.  Returns whether the part was in quarantine.
+ * Counts a response that went on.  began_at is the time at which its target
+ * began to write it.  Writes the parts that peers are to be told of to news,
+ * of count elements, and returns their number.
  */
-bool part_quarantine_release(part_quarantine_t *quarantine, uint64_t part,
-			     int64_t now);
+uint32_t part_quarantine_survived(part_quarantine_t *quarantine,
+				  const uint64_t *parts, uint32_t count,
+				  int64_t began_at, int64_t now,
+				  uint64_t *news);
+/* Counts a response with the part that a peer tells of. */
+void part_quarantine_survival_told(part_quarantine_t *quarantine, uint64_t part,
+				   int64_t began_at, int64_t now);
 
 G_END_DECLS
 
--- a/proxy/parts.c
+++ b/proxy/parts.c
@@ -1,5 +1,5 @@
 /*
- * Connects the quarantine of prompt parts to requests and to the peers.
+ * Connects the quarantine of prompt parts to requests, the peers and the store.
  */
 #include "proxy/exchange.h"
 
@@ -9,7 +9,7 @@
 
 #include <string.h>
 
-/* Spread over which the instances of a fleet begin probes of a part. */
+/* Spread over which the instances of a fleet begin probes of a set. */
 #define PROBE_STAGGER_MS 60000
 /*
  * Longest time until peers are told that a response went on.  The first to
@@ -17,32 +17,13 @@
  */
 #define TELL_DELAY_MS 100
 #define TELL_DELAY_INSTANCE_MS 2 /* added for each instance of the fleet */
-/*
- * Parts counted for one crash, each of which is told to all peers.  Sound
- * requests share the parts beside the cause, so that it is among the ones with
- * the highest scores.
- */
-#define CRASH_PARTS_MAX 32
-#define PEER_SENTENCES_MAX 64 /* quarantines told to a new peer */
+/* Age of a response of which a former build tells, which states none. */
+#define SURVIVAL_AGE_MS 1000
 #define PERCENT 100
-#define PART_FORMAT "%" G_GINT64_MODIFIER "x"
 
 static const double weights[] = {
 	[SUSPICION_NONE] = 0, [SUSPICION_WEAK] = 0.5, [SUSPICION_STRONG] = 1};
 
-typedef struct candidate_t {
-	part_suspect_t suspect;
-	uint32_t place; /* among all candidates */
-	double score;
-} candidate_t;
-
-/* Parts that may have caused a crash, ordered by their places in prompts. */
-typedef struct crash_parts_t {
-	part_suspect_t suspects[CRASH_PARTS_MAX];
-	bool counted[CRASH_PARTS_MAX];
-	uint32_t count;
-} crash_parts_t;
-
 static int64_t now_ms(const proxy_t *proxy)
 {
 	return kernel_now(proxy->kernel) / USEC_PER_MSEC;
@@ -60,6 +41,18 @@
 	part_quarantine_init(&proxy->parts, (int64_t)(hash % PROBE_STAGGER_MS));
 }
 
+/* Returns the ids of the shared parts; the caller frees them. */
+static uint64_t *copy_shared(const exchange_spec_t *spec, uint32_t *count)
+{
+	uint64_t *parts;
+
+	*count = exchange_shared_parts(spec);
+	parts = g_new(uint64_t, *count);
+	for (uint32_t i = 0; i < *count; i++)
+		parts[i] = spec->parts[i].id;
+	return parts;
+}
+
 static peer_body_t *new_report(part_event_t event, uint64_t part)
 {
 	peer_body_t *body = peer_body_new(PEER_PART_REPORT);
@@ -75,14 +68,25 @@
 			 body);
 }
 
+/* Former builds know of sets of one part only. */
 static void tell_sentence(proxy_t *proxy, const char *incarnation,
-			  const part_sentence_t *sentence)
+			  part_event_t event, const part_sentence_t *sentence)
 {
-	peer_body_t *body = new_report(PART_EVENT_HELD, sentence->part);
-
-	body->u.part_report.left_ms = (uint64_t)sentence->left_ms;
-	body->u.part_report.age_ms = (uint64_t)sentence->age_ms;
-	body->u.part_report.strikes = sentence->strikes;
+	peer_body_t *body;
+
+	if (sentence->set.count == 1) {
+		body = new_report(event, sentence->set.parts[0]);
+		body->u.part_report.left_ms = (uint64_t)sentence->left_ms;
+		body->u.part_report.age_ms = (uint64_t)sentence->age_ms;
+		body->u.part_report.strikes = sentence->strikes;
+	} else {
+		body = peer_body_new(PEER_PART_SET);
+		body->u.part_set.event = event;
+		body->u.part_set.set = sentence->set;
+		body->u.part_set.left_ms = (uint64_t)sentence->left_ms;
+		body->u.part_set.age_ms = (uint64_t)sentence->age_ms;
+		body->u.part_set.strikes = sentence->strikes;
+	}
 	tell(proxy, incarnation, body);
 }
 
@@ -99,306 +103,328 @@
 	tell(proxy, "", body);
 }
 
-static void log_held(proxy_t *proxy, const part_sentence_t *sentence,
-		     const char *reporter, const char *target)
+static void log_change(proxy_t *proxy, const part_change_t *change,
+		       const char *reporter, const char *target)
 {
-	metrics_add(proxy->kernel->metrics, COUNTER_PART_QUARANTINES, 1);
-	log_event(LOG_LEVEL_WARN, "proxy", "part_quarantined",
-		  "part=" PART_FORMAT " score=%.2f strikes=%u "
-		  "left_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
-		  " reporter=%s target=%s",
-		  sentence->part,
-		  part_quarantine_score(&proxy->parts, sentence->part,
-					now_ms(proxy)),
-		  sentence->strikes, sentence->left_ms, sentence->age_ms,
-		  reporter, target);
+	const part_sentence_t *sentence = &change->sentence;
+	char text[PART_SET_TEXT_SIZE];
+	double score = part_quarantine_score(&proxy->parts, &sentence->set,
+					     now_ms(proxy));
+
+	part_set_format(&sentence->set, text);
+	switch (change->kind) {
+	case PART_CHANGE_HELD:
+		metrics_add(proxy->kernel->metrics, COUNTER_PART_QUARANTINES,
+			    1);
+		log_event(LOG_LEVEL_WARN, "proxy", "part_quarantined",
+			  "parts=%s score=%.2f strikes=%u "
+			  "left_ms=%" G_GINT64_FORMAT
+			  " age_ms=%" G_GINT64_FORMAT " reporter=%s target=%s",
+			  text, score, sentence->strikes, sentence->left_ms,
+			  sentence->age_ms, reporter, target);
+		break;
+	case PART_CHANGE_RELEASED:
+		metrics_add(proxy->kernel->metrics, COUNTER_PART_RELEASES, 1);
+		log_event(LOG_LEVEL_WARN, "proxy", "part_released",
+			  "parts=%s score=%.2f reporter=%s", text, score,
+			  reporter);
+		break;
+	case PART_CHANGE_REPLACED:
+		log_event(LOG_LEVEL_INFO, "proxy", "part_replaced",
+			  "parts=%s reporter=%s", text, reporter);
+		break;
+	}
 }
 
-static void log_released(proxy_t *proxy, uint64_t part, const char *reporter)
+static void tell_change(proxy_t *proxy, const part_change_t *change,
+			const char *incarnation)
 {
-	metrics_add(proxy->kernel->metrics, COUNTER_PART_RELEASES, 1);
-	log_event(LOG_LEVEL_WARN, "proxy", "part_released",
-		  "part=" PART_FORMAT " score=%.2f reporter=%s", part,
-		  part_quarantine_score(&proxy->parts, part, now_ms(proxy)),
-		  reporter);
+	switch (change->kind) {
+	case PART_CHANGE_HELD:
+		tell_sentence(proxy, incarnation, PART_EVENT_HELD,
+			      &change->sentence);
+		break;
+	case PART_CHANGE_RELEASED:
+		tell_sentence(proxy, incarnation, PART_EVENT_RELEASED,
+			      &change->sentence);
+		break;
+	case PART_CHANGE_REPLACED:
+		/* Peers are told of the quarantine in its place. */
+		break;
+	}
 }
 
-bool parts_quarantined(const proxy_t *proxy, const exchange_spec_t *spec)
+static void save_change(proxy_t *proxy, const part_change_t *change)
 {
-	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++) {
-		if (part_quarantine_state(&proxy->parts, spec->parts[i].id,
-					  now_ms(proxy)) == PART_QUARANTINED)
-			return true;
+	switch (change->kind) {
+	case PART_CHANGE_HELD:
+		held_save_parts(proxy, &change->sentence);
+		break;
+	case PART_CHANGE_RELEASED:
+	case PART_CHANGE_REPLACED:
+		held_remove_parts(proxy, &change->sentence.set);
+		break;
 	}
-	return false;
+}
+
+/*
+ * Logs, tells and saves what has changed.  The reporter is the peer, or the
+ * store, from which it follows, and the target the one that crashed.
+ */
+static void apply_changes(proxy_t *proxy, const char *reporter,
+			  const char *target)
+{
+	part_change_t change;
+
+	while (part_holds_next_change(&proxy->parts.holds, &change)) {
+		log_change(proxy, &change, reporter, target);
+		if (change.origin == PART_ORIGIN_HERE)
+			tell_change(proxy, &change, "");
+		if (change.origin == PART_ORIGIN_ANSWER)
+			tell_change(proxy, &change, reporter);
+		if (change.origin == PART_ORIGIN_HERE || change.own)
+			save_change(proxy, &change);
+	}
+}
+
+static part_state_t state_of(const proxy_t *proxy, const exchange_spec_t *spec)
+{
+	part_state_t state;
+	uint64_t *parts;
+	uint32_t count;
+
+	if (proxy->parts.holds.held == 0)
+		return PART_ALLOWED;
+	parts = copy_shared(spec, &count);
+	state = part_holds_state(&proxy->parts.holds, parts, count,
+				 now_ms(proxy));
+	g_free(parts);
+	return state;
+}
+
+bool parts_quarantined(const proxy_t *proxy, const exchange_spec_t *spec)
+{
+	return state_of(proxy, spec) == PART_QUARANTINED;
 }
 
 void parts_log_refused(const proxy_t *proxy, const exchange_spec_t *spec)
 {
-	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++) {
-		uint64_t part = spec->parts[i].id;
+	char text[PART_SET_TEXT_SIZE];
+	uint64_t *parts;
+	uint32_t count;
+	part_set_t set;
 
-		if (part_quarantine_state(&proxy->parts, part, now_ms(proxy)) ==
-		    PART_ALLOWED)
-			continue;
+	parts = copy_shared(spec, &count);
+	if (part_holds_reason(&proxy->parts.holds, parts, count, now_ms(proxy),
+			      &set))
 		log_event(LOG_LEVEL_INFO, "proxy", "part_refused",
-			  "request=%s part=" PART_FORMAT " score=%.2f",
-			  log_quote(spec->request_id), part,
-			  part_quarantine_score(&proxy->parts, part,
+			  "request=%s parts=%s score=%.2f",
+			  log_quote(spec->request_id),
+			  part_set_format(&set, text),
+			  part_quarantine_score(&proxy->parts, &set,
 						now_ms(proxy)));
-	}
+	g_free(parts);
 }
 
-static bool begin_probe(proxy_t *proxy, const exchange_spec_t *spec,
-			uint64_t part)
+static void begin_probe(proxy_t *proxy, exchange_t *exchange)
 {
-	part_sentence_t sentence;
-
-	if (!part_quarantine_begin_probe(&proxy->parts, part, now_ms(proxy)))
-		return false;
-	if (part_quarantine_sentence(&proxy->parts, part, now_ms(proxy),
-				     &sentence)) {
-		tell_sentence(proxy, "", &sentence);
-		held_save_part(proxy, &sentence);
-	}
-	metrics_add(proxy->kernel->metrics, COUNTER_PART_PROBES, 1);
-	log_event(LOG_LEVEL_WARN, "proxy", "part_probe",
-		  "part=" PART_FORMAT " request=%s", part,
-		  log_quote(spec->request_id));
-	return true;
+	uint32_t count, begun;
+	uint64_t *parts = copy_shared(exchange->spec, &count);
+
+	begun = part_holds_begin_probe(&proxy->parts.holds, parts, count,
+				       now_ms(proxy));
+	g_free(parts);
+	exchange->probing = true;
+	metrics_add(proxy->kernel->metrics, COUNTER_PART_PROBES, begun);
+	log_event(LOG_LEVEL_WARN, "proxy", "part_probe", "request=%s sets=%u",
+		  log_quote(exchange->spec->request_id), begun);
+	apply_changes(proxy, proxy->opts.incarnation, "");
 }
 
 bool parts_admit(proxy_t *proxy, exchange_t *exchange)
 {
-	const exchange_spec_t *spec = exchange->spec;
-
 	exchange->probing = false;
-	if (parts_quarantined(proxy, spec))
+	switch (state_of(proxy, exchange->spec)) {
+	case PART_ALLOWED:
+		return true;
+	case PART_QUARANTINED:
 		return false;
-	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++) {
-		uint64_t part = spec->parts[i].id;
-
-		if (part_quarantine_state(&proxy->parts, part, now_ms(proxy)) !=
-		    PART_PROBE_DUE)
-			continue;
-		if (!begin_probe(proxy, spec, part)) {
-			parts_not_run(proxy, exchange);
-			return false;
-		}
-		exchange->probing = true;
+	case PART_PROBE_DUE:
+		begin_probe(proxy, exchange);
+		return true;
 	}
-	return true;
+	return false;
 }
 
 void parts_not_run(proxy_t *proxy, exchange_t *exchange)
 {
-	const exchange_spec_t *spec = exchange->spec;
+	uint32_t count, unused;
+	uint64_t *parts;
 
 	if (!exchange->probing)
 		return;
 	exchange->probing = false;
-	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++) {
-		if (!part_quarantine_probe_unused(
-			    &proxy->parts, spec->parts[i].id, now_ms(proxy)))
-			continue;
-		log_event(LOG_LEVEL_INFO, "proxy", "part_probe_unused",
-			  "part=" PART_FORMAT " request=%s", spec->parts[i].id,
-			  log_quote(spec->request_id));
-	}
+	parts = copy_shared(exchange->spec, &count);
+	unused = part_holds_probe_unused(&proxy->parts.holds, parts, count,
+					 now_ms(proxy));
+	g_free(parts);
+	log_event(LOG_LEVEL_INFO, "proxy", "part_probe_unused",
+		  "request=%s sets=%u", log_quote(exchange->spec->request_id),
+		  unused);
 }
 
-static void add_candidate(const proxy_t *proxy, GArray *candidates,
-			  GHashTable *seen, const suspect_t *suspect,
-			  uint64_t *part)
-{
-	candidate_t candidate = {
-		.suspect = {*part, hash_name(suspect->fingerprint)},
-		.place = candidates->len,
-		.score = part_quarantine_score(&proxy->parts, *part,
-					       now_ms(proxy)),
-	};
-
-	if (g_hash_table_add(seen, part))
-		g_array_append_val(candidates, candidate);
-}
-
-/* The highest score comes first and, of equal ones, the one furthest back. */
-static gint compare_scores(gconstpointer a, gconstpointer b)
-{
-	const candidate_t *x = a, *y = b;
-
-	if (x->score != y->score)
-		return x->score > y->score ? -1 : 1;
-	return (x->place < y->place) - (x->place > y->place);
-}
-
-static gint compare_places(gconstpointer a, gconstpointer b)
+static void tell_later(proxy_t *proxy, uint64_t part)
 {
-	const candidate_t *x = a, *y = b;
+	uint32_t delay = TELL_DELAY_MS;
 
-	return (x->place > y->place) - (x->place < y->place);
+	for (uint32_t i = 0; i < proxy->tell_count; i++) {
+		if (proxy->tells[i].part == part)
+			return;
+	}
+	if (proxy->tell_count == PART_TELLS_MAX)
+		return;
+	proxy->tells[proxy->tell_count++] = (part_tell_t){.part = part};
+	if (!handle_is_none(proxy->tell_timer))
+		return;
+	delay += TELL_DELAY_INSTANCE_MS * proxy->instances;
+	proxy->tell_timer = kernel_timer(
+		proxy->kernel, proxy->svc,
+		(int64_t)kernel_random_below(proxy->kernel, delay) *
+			USEC_PER_MSEC,
+		HANDLE_NONE, EXCHANGE_TIMER_TELL);
 }
 
-static void collect_parts(const proxy_t *proxy, crash_parts_t *list,
-			  const suspect_t *const *suspects, uint32_t count)
+/* Peers that count a crash with the part need to know that it was sound. */
+static void tell_if_unheard(proxy_t *proxy, uint64_t part)
 {
-	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-	GHashTable *seen = g_hash_table_new(g_int64_hash, g_int64_equal);
-	uint32_t longest = 0;
-
-	for (uint32_t i = 0; i < count; i++)
-		longest = MAX(longest, suspects[i]->part_count);
-	for (uint32_t place = 0; place < longest; place++) {
-		for (uint32_t i = 0; i < count; i++) {
-			if (place < suspects[i]->part_count)
-				add_candidate(proxy, candidates, seen,
-					      suspects[i],
-					      &suspects[i]->parts[place]);
-		}
-	}
-	if (candidates->len > CRASH_PARTS_MAX) {
-		g_array_sort(candidates, compare_scores);
-		g_array_set_size(candidates, CRASH_PARTS_MAX);
-		g_array_sort(candidates, compare_places);
-	}
-	list->count = candidates->len;
-	for (uint32_t i = 0; i < list->count; i++)
-		list->suspects[i] =
-			g_array_index(candidates, candidate_t, i).suspect;
-	g_hash_table_unref(seen);
-	g_array_unref(candidates);
+	if (part_scores_is_unheard(&proxy->parts.scores, part, now_ms(proxy)))
+		tell_later(proxy, part);
 }
 
-/* Counts the crash for the parts, and tells the peers. */
-static int count_crash(proxy_t *proxy, crash_parts_t *list,
-		       const suspect_t *suspect, const part_crash_t *crash)
+static void report_crash(proxy_t *proxy, const part_suspects_t *parts,
+			 const suspect_t *suspect, const part_crash_t *crash)
 {
-	int cause = part_quarantine_crashed(&proxy->parts, list->suspects,
-					    list->count, crash, now_ms(proxy),
-					    list->counted);
+	for (uint32_t i = 0; i < parts->count; i++) {
+		const part_suspect_t *part = &parts->list[i];
 
-	for (uint32_t i = 0; i < list->count; i++) {
-		if (!list->counted[i])
+		if (!part->counted)
 			continue;
-		tell_crash(proxy, &list->suspects[i], suspect, crash);
+		tell_crash(proxy, part, suspect, crash);
+		tell_if_unheard(proxy, part->part);
 		metrics_add(proxy->kernel->metrics, COUNTER_PART_CRASHES, 1);
 		log_event(LOG_LEVEL_INFO, "proxy", "part_crash",
 			  "part=" PART_FORMAT " target=%s score=%.2f "
 			  "weight=%.1f",
-			  list->suspects[i].part, suspect->instance,
-			  part_quarantine_score(&proxy->parts,
-						list->suspects[i].part,
-						now_ms(proxy)),
+			  part->part, suspect->instance,
+			  part_scores_get(&proxy->parts.scores, part->part,
+					  now_ms(proxy)),
 			  crash->weight);
 	}
-	return cause;
 }
 
-static void quarantine_part(proxy_t *proxy, const crash_parts_t *list,
-			    int cause, const suspect_t *suspect)
+static void report_explained(proxy_t *proxy, const part_suspects_t *parts)
 {
-	part_sentence_t sentence;
-
-	if (!part_quarantine_sentence(&proxy->parts, list->suspects[cause].part,
-				      now_ms(proxy), &sentence))
-		return;
-	log_held(proxy, &sentence, proxy->opts.incarnation, suspect->instance);
-	tell_sentence(proxy, "", &sentence);
-	held_save_part(proxy, &sentence);
-	for (uint32_t i = 0; i < list->count; i++) {
-		if ((int)i != cause)
+	for (uint32_t i = 0; i < parts->count; i++) {
+		if (parts->list[i].explained)
 			tell(proxy, "",
 			     new_report(PART_EVENT_EXPLAINED,
-					list->suspects[i].part));
+					parts->list[i].part));
 	}
 }
 
 void parts_crashed(proxy_t *proxy, const suspect_t *const *suspects,
 		   uint32_t count)
 {
-	crash_parts_t list = {0};
+	part_request_t requests[SUSPECTS_MAX];
+	part_suspects_t parts = {.count = 0};
 	part_crash_t crash = {
 		.target = hash_name(suspects[0]->instance),
 		.weight = weights[suspects[0]->suspicion],
 		.at = suspects[0]->at / USEC_PER_MSEC,
 	};
-	int cause;
 
-	collect_parts(proxy, &list, suspects, count);
-	if (list.count == 0)
-		return;
-	cause = count_crash(proxy, &list, suspects[0], &crash);
-	if (cause >= 0)
-		quarantine_part(proxy, &list, cause, suspects[0]);
+	for (uint32_t i = 0; i < count; i++)
+		requests[i] = (part_request_t){
+			.request = hash_name(suspects[i]->fingerprint),
+			.parts = suspects[i]->parts,
+			.count = suspects[i]->part_count,
+		};
+	part_quarantine_crashed(&proxy->parts, requests, count, &crash,
+				now_ms(proxy), &parts);
+	report_crash(proxy, &parts, suspects[0], &crash);
+	apply_changes(proxy, proxy->opts.incarnation, suspects[0]->instance);
+	report_explained(proxy, &parts);
 }
 
-static void tell_later(proxy_t *proxy, uint64_t part)
+void parts_survived(proxy_t *proxy, exchange_t *exchange)
 {
-	uint32_t delay = TELL_DELAY_MS;
+	int64_t began_at = exchange->sent_at;
+	uint32_t count, told;
+	uint64_t *parts, *news;
 
-	for (uint32_t i = 0; i < proxy->tell_count; i++) {
-		if (proxy->tells[i].part == part)
-			return;
-	}
-	if (proxy->tell_count == PART_TELLS_MAX)
-		return;
-	proxy->tells[proxy->tell_count++] = (part_tell_t){.part = part};
-	if (!handle_is_none(proxy->tell_timer))
+	if (exchange->survived)
 		return;
-	delay += TELL_DELAY_INSTANCE_MS * proxy->instances;
-	proxy->tell_timer = kernel_timer(
-		proxy->kernel, proxy->svc,
-		(int64_t)kernel_random_below(proxy->kernel, delay) *
-			USEC_PER_MSEC,
-		HANDLE_NONE, EXCHANGE_TIMER_TELL);
+	exchange->survived = true;
+	if (exchange->attempt_began)
+		began_at = exchange->attempt_began_at;
+	parts = copy_shared(exchange->spec, &count);
+	news = g_new(uint64_t, count);
+	told = part_quarantine_survived(&proxy->parts, parts, count,
+					began_at / USEC_PER_MSEC, now_ms(proxy),
+					news);
+	for (uint32_t i = 0; i < told; i++)
+		tell_later(proxy, news[i]);
+	apply_changes(proxy, proxy->opts.incarnation, "");
+	g_free(news);
+	g_free(parts);
 }
 
-void parts_survived(proxy_t *proxy, exchange_t *exchange)
+static void tell_survival(proxy_t *proxy, const char *incarnation,
+			  uint64_t part)
 {
-	const exchange_spec_t *spec = exchange->spec;
+	peer_body_t *body = new_report(PART_EVENT_SURVIVED, part);
+	int64_t age = part_scores_sound_age(&proxy->parts.scores, part,
+					    now_ms(proxy));
 
-	if (exchange->survived)
-		return;
-	exchange->survived = true;
-	for (uint32_t i = 0; i < exchange_shared_parts(spec); i++) {
-		uint64_t part = spec->parts[i].id;
-
-		switch (part_quarantine_survived(&proxy->parts, part, false,
-						 now_ms(proxy))) {
-		case PART_NO_NEWS:
-			break;
-		case PART_NEWS:
-			tell_later(proxy, part);
-			break;
-		case PART_RELEASED:
-			log_released(proxy, part, proxy->opts.incarnation);
-			tell(proxy, "", new_report(PART_EVENT_RELEASED, part));
-			held_remove_part(proxy, part);
-			break;
-		}
-	}
+	body->u.part_report.age_ms = (uint64_t)MAX(age, 1);
+	tell(proxy, incarnation, body);
 }
 
 void parts_tell_survivals(proxy_t *proxy)
 {
 	proxy->tell_timer = HANDLE_NONE;
 	for (uint32_t i = 0; i < proxy->tell_count; i++) {
-		if (!proxy->tells[i].heard)
-			tell(proxy, "",
-			     new_report(PART_EVENT_SURVIVED,
-					proxy->tells[i].part));
+		if (proxy->tells[i].heard)
+			continue;
+		part_scores_heard(&proxy->parts.scores, proxy->tells[i].part,
+				  now_ms(proxy));
+		tell_survival(proxy, "", proxy->tells[i].part);
 	}
 	proxy->tell_count = 0;
 }
 
+/* Which parts of a set were sound lately decides on how it becomes smaller. */
+static void tell_sound_parts(proxy_t *proxy, const char *incarnation,
+			     const part_set_t *set)
+{
+	for (uint32_t i = 0; set->count > 1 && i < set->count; i++) {
+		if (part_scores_sound_lately(&proxy->parts.scores,
+					     set->parts[i], now_ms(proxy)))
+			tell_survival(proxy, incarnation, set->parts[i]);
+	}
+}
+
 void parts_tell_peer(proxy_t *proxy, const char *incarnation)
 {
-	part_sentence_t list[PEER_SENTENCES_MAX];
-	uint32_t count = part_quarantine_list(&proxy->parts, now_ms(proxy),
-					      list, PEER_SENTENCES_MAX);
+	part_sentence_t *list = g_new(part_sentence_t, PART_HOLDS_MAX);
+	uint32_t count = part_holds_list(&proxy->parts.holds, now_ms(proxy),
+					 list, PART_HOLDS_MAX);
 
-	for (uint32_t i = 0; i < count; i++)
-		tell_sentence(proxy, incarnation, &list[i]);
+	for (uint32_t i = 0; i < count; i++) {
+		tell_sentence(proxy, incarnation, PART_EVENT_HELD, &list[i]);
+		tell_sound_parts(proxy, incarnation, &list[i].set);
+	}
+	g_free(list);
 }
 
 static void log_told(const proxy_t *proxy, const char *event, uint64_t part,
@@ -406,13 +432,14 @@
 {
 	log_event(LOG_LEVEL_DEBUG, "proxy", event,
 		  "part=" PART_FORMAT " score=%.2f reporter=%s", part,
-		  part_quarantine_score(&proxy->parts, part, now_ms(proxy)),
+		  part_scores_get(&proxy->parts.scores, part, now_ms(proxy)),
 		  reporter);
 }
 
 static void crash_told(proxy_t *proxy, const peer_body_t *body,
 		       const char *reporter)
 {
+	uint64_t part = body->u.part_report.part;
 	part_crash_t crash = {
 		.target = hash_name(body->u.part_report.target),
 		.request = body->u.part_report.request,
@@ -424,48 +451,64 @@
 	};
 	part_sentence_t sentence;
 
-	part_quarantine_crash_told(&proxy->parts, body->u.part_report.part,
-				   &crash, now_ms(proxy));
-	log_told(proxy, "part_crash_told", body->u.part_report.part, reporter);
-	/* An instance that knew of it would not have counted the crash. */
-	if (part_quarantine_sentence(&proxy->parts, body->u.part_report.part,
-				     now_ms(proxy), &sentence))
-		tell_sentence(proxy, reporter, &sentence);
+	if (part_quarantine_crash_told(&proxy->parts, part, &crash,
+				       now_ms(proxy), &sentence))
+		tell_sentence(proxy, reporter, PART_EVENT_HELD, &sentence);
+	else
+		tell_if_unheard(proxy, part);
+	log_told(proxy, "part_crash_told", part, reporter);
 }
 
-static void survival_told(proxy_t *proxy, uint64_t part, const char *reporter)
+static void survival_told(proxy_t *proxy, const peer_body_t *body,
+			  const char *reporter)
 {
+	uint64_t part = body->u.part_report.part;
+	int64_t age = (int64_t)MIN(body->u.part_report.age_ms,
+				   (uint64_t)PART_QUARANTINE_MAX_MS);
+
 	for (uint32_t i = 0; i < proxy->tell_count; i++) {
 		if (proxy->tells[i].part == part)
 			proxy->tells[i].heard = true;
 	}
-	if (part_quarantine_survived(&proxy->parts, part, true,
-				     now_ms(proxy)) == PART_RELEASED)
-		log_released(proxy, part, reporter);
-	else
-		log_told(proxy, "part_survival_told", part, reporter);
+	part_quarantine_survival_told(&proxy->parts, part,
+				      now_ms(proxy) -
+					      (age > 0 ? age : SURVIVAL_AGE_MS),
+				      now_ms(proxy));
+	log_told(proxy, "part_survival_told", part, reporter);
 }
 
-static void sentence_told(proxy_t *proxy, const peer_body_t *body,
-			  const char *reporter)
+void parts_adopt(proxy_t *proxy, const part_sentence_t *sentence,
+		 const char *source)
 {
-	uint64_t most = (uint64_t)PART_QUARANTINE_MAX_MS;
-	part_sentence_t sentence = {
-		.part = body->u.part_report.part,
-		.left_ms = (int64_t)MIN(body->u.part_report.left_ms, most),
-		.age_ms = (int64_t)MIN(body->u.part_report.age_ms, most),
-		.strikes = (uint32_t)MIN(body->u.part_report.strikes,
-					 PART_STRIKES_MAX),
-	};
+	part_holds_adopt(&proxy->parts.holds, sentence, PART_ORIGIN_HERE,
+			 now_ms(proxy));
+	apply_changes(proxy, source, "");
+}
 
-	parts_adopt(proxy, &sentence, reporter);
+static void sentence_told(proxy_t *proxy, part_event_t event,
+			  const part_sentence_t *sentence, const char *reporter)
+{
+	if (event == PART_EVENT_RELEASED)
+		part_holds_release(&proxy->parts.holds, &sentence->set,
+				   now_ms(proxy));
+	else if (event == PART_EVENT_HELD)
+		part_holds_adopt(&proxy->parts.holds, sentence,
+				 PART_ORIGIN_ANSWER, now_ms(proxy));
+	apply_changes(proxy, reporter, "");
 }
 
-void parts_adopt(proxy_t *proxy, const part_sentence_t *sentence,
-		 const char *source)
+static part_sentence_t read_sentence(const part_set_t *set, uint64_t left_ms,
+				     uint64_t age_ms, uint64_t strikes)
 {
-	if (part_quarantine_adopt(&proxy->parts, sentence, now_ms(proxy)))
-		log_held(proxy, sentence, source, "");
+	uint64_t most = (uint64_t)PART_QUARANTINE_MAX_MS;
+	part_sentence_t sentence = {
+		.set = *set,
+		.left_ms = (int64_t)MIN(left_ms, most),
+		.age_ms = (int64_t)MIN(age_ms, most),
+		.strikes = (uint32_t)MIN(strikes, PART_STRIKES_MAX),
+	};
+
+	return sentence;
 }
 
 void parts_report_received(proxy_t *proxy, const msg_t *msg)
@@ -473,6 +516,10 @@
 	const peer_body_t *body = msg->u.peer.body;
 	const char *reporter = msg->u.peer.incarnation;
 	uint64_t part = body->u.part_report.part;
+	part_set_t set = part_set_of(part);
+	part_sentence_t sentence = read_sentence(
+		&set, body->u.part_report.left_ms, body->u.part_report.age_ms,
+		body->u.part_report.strikes);
 
 	switch (body->u.part_report.event) {
 	case PART_EVENT_CRASHED:
@@ -482,16 +529,26 @@
 		part_quarantine_explained(&proxy->parts, part, now_ms(proxy));
 		break;
 	case PART_EVENT_SURVIVED:
-		survival_told(proxy, part, reporter);
+		survival_told(proxy, body, reporter);
 		break;
 	case PART_EVENT_HELD:
-		sentence_told(proxy, body, reporter);
-		break;
 	case PART_EVENT_RELEASED:
-		if (part_quarantine_release(&proxy->parts, part, now_ms(proxy)))
-			log_released(proxy, part, reporter);
+		sentence_told(proxy, body->u.part_report.event, &sentence,
+			      reporter);
 		break;
 	case PART_EVENT_COUNT:
 		break;
 	}
+	apply_changes(proxy, reporter, "");
+}
+
+void parts_set_received(proxy_t *proxy, const msg_t *msg)
+{
+	const peer_body_t *body = msg->u.peer.body;
+	part_sentence_t sentence = read_sentence(
+		&body->u.part_set.set, body->u.part_set.left_ms,
+		body->u.part_set.age_ms, body->u.part_set.strikes);
+
+	sentence_told(proxy, body->u.part_set.event, &sentence,
+		      msg->u.peer.incarnation);
 }
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -102,6 +102,9 @@
 	case PEER_PART_REPORT:
 		parts_report_received(proxy, msg);
 		break;
+	case PEER_PART_SET:
+		parts_set_received(proxy, msg);
+		break;
 	default:
 		break;
 	}
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -152,6 +152,14 @@
 		body->u.part_report.left_ms = 600000;
 		body->u.part_report.strikes = 3;
 		break;
+	case PEER_PART_SET:
+		body->u.part_set.event = PART_EVENT_HELD;
+		part_set_add(&body->u.part_set.set, UINT64_MAX);
+		part_set_add(&body->u.part_set.set, 2);
+		body->u.part_set.age_ms = 700;
+		body->u.part_set.left_ms = 600000;
+		body->u.part_set.strikes = 3;
+		break;
 	case PEER_TARGET_LEAVING:
 		g_strlcpy(body->u.leaving.target, "i-1", NAME_SIZE);
 		body->u.leaving.started_ms = 1764900000000;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1787,7 +1787,7 @@
 TEST(Entries, QuarantinesAreUnchangedByEncodingAndDecoding)
 {
 	const std::string hash(HASH_SIZE - 1, 'a');
-	record_t request = {}, part = {}, read = {};
+	record_t request = {}, part = {}, parts = {}, read = {};
 	errmsg_t err;
 
 	request.kind = RECORD_HELD;
@@ -1796,16 +1796,20 @@
 	request.u.held.expires_ms = 1764900600000;
 	part = request;
 	part.u.held.fingerprint[0] = '\0';
-	part.u.held.part = UINT64_MAX;
+	part.u.held.set = part_set_of(UINT64_MAX);
 	part.u.held.strikes = 3;
-	for (const record_t *record : {&request, &part}) {
+	parts = part;
+	for (uint64_t i = 1; i < PART_SET_MAX; i++)
+		part_set_add(&parts.u.held.set, UINT64_MAX - i);
+	for (const record_t *record : {&request, &part, &parts}) {
 		GBytes *value = entry_encode(record);
 
 		entry_decode("quarantine/x", value, &read, &err);
 		ASSERT_EQ(read.kind, RECORD_HELD) << err.text;
 		EXPECT_STREQ(read.u.held.fingerprint,
 			     record->u.held.fingerprint);
-		EXPECT_EQ(read.u.held.part, record->u.held.part);
+		EXPECT_TRUE(
+			part_set_equal(&read.u.held.set, &record->u.held.set));
 		EXPECT_EQ(read.u.held.strikes, record->u.held.strikes);
 		EXPECT_EQ(read.u.held.decided_ms, record->u.held.decided_ms);
 		EXPECT_EQ(read.u.held.expires_ms, record->u.held.expires_ms);
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -8,6 +8,7 @@
 #include "proxy/sse.h"
 #include "tests/script_server.h"
 
+#include <algorithm>
 #include <cstring>
 #include <gtest/gtest.h>
 #include <map>
@@ -182,6 +183,12 @@
 				quarantine_told_to = msg->u.peer.incarnation;
 				break;
 			}
+			if (msg->u.peer.body->kind == PEER_PART_SET) {
+				told_sets.push_back(
+					{msg->u.peer.body->u.part_set.event,
+					 msg->u.peer.body->u.part_set.set});
+				break;
+			}
 			told.push_back(msg->u.peer.body->kind ==
 						       PEER_PART_REPORT
 					       ? (int)msg->u.peer.body->u
@@ -337,6 +344,23 @@
 		kernel_post(&kernel, peer, proxy.svc, &msg);
 		run(0);
 	}
+	void post_part_set(part_event_t event,
+			   const std::vector<uint64_t> &parts)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, "run-2",
+			  sizeof(msg.u.peer.incarnation));
+		msg.u.peer.body = peer_body_new(PEER_PART_SET);
+		msg.u.peer.body->u.part_set.event = event;
+		for (uint64_t part : parts)
+			part_set_add(&msg.u.peer.body->u.part_set.set, part);
+		msg.u.peer.body->u.part_set.left_ms = 600000;
+		msg.u.peer.body->u.part_set.strikes = 1;
+		kernel_post(&kernel, peer, proxy.svc, &msg);
+		run(0);
+	}
 	void post_target(const char *id, int64_t started_ms)
 	{
 		msg_t msg = {};
@@ -434,11 +458,13 @@
 		run(USEC_PER_SEC);
 		target_down = false;
 	}
-	// Crashes three targets, which begin to answer requests with the part.
-	void quarantine(uint64_t part)
+	// Crashes three targets, which begin to answer requests with the parts.
+	void quarantine(std::vector<uint64_t> parts)
 	{
+		parts.push_back(0);
 		for (uint64_t own = 1000; own < 1003; own++) {
-			post_open("/stream/x", "key", {part, own});
+			parts.back() = own;
+			post_open("/stream/x", "key", parts);
 			post_head(200);
 			target_down = true;
 			post_failed(FAILURE_STREAM, true, true);
@@ -448,6 +474,20 @@
 		attempts = 0;
 		status = 0;
 	}
+	void quarantine(uint64_t part)
+	{
+		quarantine(std::vector<uint64_t>{part});
+	}
+	// A stream goes on for longer than a crash takes.
+	void stream(const std::vector<uint64_t> &parts)
+	{
+		post_open("/stream/x", "key", parts);
+		post_head(200);
+		post_data("id: 1\ndata: a\n\n");
+		run(USEC_PER_SEC / 2);
+		post_data("id: 2\ndata: a\n\n");
+		post_end();
+	}
 	void post_open(const char *path, const char *key = "key",
 		       const std::vector<uint64_t> &parts = {})
 	{
@@ -685,6 +725,7 @@
 	std::vector<peer_body_t> quarantines; // of requests, told to peers
 	std::string quarantine_told_to;
 	std::vector<int> told; // events of part reports; -1: another message
+	std::vector<std::pair<part_event_t, part_set_t>> told_sets;
 	int64_t spent = -1;
 };
 
@@ -1910,8 +1951,8 @@
 		run(USEC_PER_SEC);
 		target_down = false;
 	}
-	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
-					kernel_now(&kernel) / USEC_PER_MSEC),
+	EXPECT_GT(part_scores_get(&proxy.parts.scores, 2,
+				  kernel_now(&kernel) / USEC_PER_MSEC),
 		  1.0);
 	status = 0;
 	post_open("/stream/x", "key", {2, own});
@@ -1970,8 +2011,8 @@
 		target_down = false;
 	}
 	EXPECT_LE(attempts, 8);
-	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
-					kernel_now(&kernel) / USEC_PER_MSEC),
+	EXPECT_GT(part_scores_get(&proxy.parts.scores, 2,
+				  kernel_now(&kernel) / USEC_PER_MSEC),
 		  0);
 }
 
@@ -2001,8 +2042,8 @@
 	run(8 * USEC_PER_MSEC); // the target still listens
 	target_down = true;
 	run(USEC_PER_SEC);
-	EXPECT_GT(part_quarantine_score(&proxy.parts, 2,
-					kernel_now(&kernel) / USEC_PER_MSEC),
+	EXPECT_GT(part_scores_get(&proxy.parts.scores, 2,
+				  kernel_now(&kernel) / USEC_PER_MSEC),
 		  0);
 }
 
@@ -2016,8 +2057,8 @@
 	placements--;
 	post_open("/stream/x", "key", {3, 11});
 	post_failed(FAILURE_CONNECT, false);
-	EXPECT_EQ(part_quarantine_score(&proxy.parts, 2,
-					kernel_now(&kernel) / USEC_PER_MSEC),
+	EXPECT_EQ(part_scores_get(&proxy.parts.scores, 2,
+				  kernel_now(&kernel) / USEC_PER_MSEC),
 		  0);
 }
 
@@ -2095,6 +2136,87 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+// Nothing tells the parts of the crashing requests apart: requests with some of
+// them must go on, at this instance, at its peers and after a restart of all.
+TEST_F(Proxy, OnlyRequestsWithAllSuspectedPartsAreHeldBack)
+{
+	part_set_t set = {3, {1, 2, 3}};
+
+	quarantine({1, 2, 3});
+	ASSERT_EQ(told_sets.size(), 1u);
+	EXPECT_EQ(told_sets[0].first, PART_EVENT_HELD);
+	EXPECT_TRUE(part_set_equal(&told_sets[0].second, &set));
+	EXPECT_EQ(records.size(), 1u);
+	for (int i = 0; i < 2; i++) {
+		attempts = 0;
+		post_open("/stream/x", "key", {1, 2, 3, 9});
+		EXPECT_EQ(attempts, 0);
+		EXPECT_EQ(status, 503u);
+		post_open("/stream/x", "key", {1, 3, 9});
+		EXPECT_EQ(attempts, 1);
+		restart();
+		run(USEC_PER_SEC);
+	}
+}
+
+// The set of a peer must be applied, and its release as well.
+TEST_F(Proxy, SetOfAPeerHoldsBackRequestsUntilItsRelease)
+{
+	post_part_set(PART_EVENT_HELD, {1, 2});
+	post_open("/stream/x", "key", {1, 2, 9});
+	EXPECT_EQ(attempts, 0);
+	post_open("/stream/x", "key", {2, 9});
+	EXPECT_EQ(attempts, 1);
+	post_part_set(PART_EVENT_RELEASED, {1, 2});
+	post_open("/stream/x", "key", {1, 2, 9});
+	EXPECT_EQ(attempts, 2);
+}
+
+// Once responses have cleared the others, the cause must be held back whatever
+// stands beside it, also by peers and builds that know single parts only.
+TEST_F(Proxy, SetBecomesSmallerWithSoundResponses)
+{
+	quarantine({1, 2, 3});
+	told.clear();
+	stream({1, 3, 9});
+	run(USEC_PER_SEC);
+	EXPECT_EQ(std::count(told.begin(), told.end(), PART_EVENT_HELD), 1);
+	ASSERT_EQ(records.size(), 1u);
+	EXPECT_EQ(records.begin()->first, "quarantine/part.2");
+	attempts = 0;
+	post_open("/stream/x", "key", {7, 2, 9});
+	EXPECT_EQ(attempts, 0);
+	post_open("/stream/x", "key", {1, 3, 9});
+	EXPECT_EQ(attempts, 1);
+}
+
+// The instance that counts crashes may never have served the parts in them:
+// those that have must tell it, once.
+TEST_F(Proxy, CrashReportIsAnsweredWithWhatWasSoundBefore)
+{
+	stream({2, 9});
+	told.clear();
+	post_part_report(PART_EVENT_CRASHED, 2);
+	post_part_report(PART_EVENT_CRASHED, 3);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(told, std::vector<int>{PART_EVENT_SURVIVED});
+	post_part_report(PART_EVENT_CRASHED, 2);
+	run(USEC_PER_SEC);
+	EXPECT_EQ(told, std::vector<int>{PART_EVENT_SURVIVED});
+}
+
+// A former build quarantines one part by its place. One that went on here must
+// stay in use, and the next response must end its quarantine everywhere.
+TEST_F(Proxy, WrongQuarantineOfAFormerBuildIsContradicted)
+{
+	stream({2, 9});
+	post_part_report(PART_EVENT_HELD, 2, 600000);
+	told.clear();
+	run(USEC_PER_SEC);
+	stream({2, 8});
+	EXPECT_EQ(std::count(told.begin(), told.end(), PART_EVENT_RELEASED), 1);
+}
+
 // An instance that missed a quarantine would send the part to more targets.
 TEST_F(Proxy, CrashReportOfAnInstanceThatMissedAQuarantineIsAnswered)
 {
@@ -2124,67 +2246,133 @@
 	{
 		return a != b && a != cut && b != cut;
 	}
-	// Returns the part that is quarantined, or 0.
+	// Returns the last of the parts that are quarantined, or 0.
 	uint64_t crash(size_t reporter, uint64_t target,
 		       const std::vector<uint64_t> &parts, double weight = 1)
 	{
 		part_crash_t crash = {target, repeats ? requests : ++requests,
 				      weight, now};
-		std::vector<part_suspect_t> suspects;
-		bool counted[16] = {};
-		int cause;
-
-		for (uint64_t part : parts)
-			suspects.push_back({part, requests});
-		cause = part_quarantine_crashed(
-			&fleet[reporter], suspects.data(),
-			(uint32_t)suspects.size(), &crash, now, counted);
-		for (size_t peer = 0; peer < fleet.size(); peer++) {
-			if (!connected(reporter, peer))
+		part_request_t request = {requests, parts.data(),
+					  (uint32_t)parts.size()};
+		part_suspects_t suspects = {};
+		uint64_t held = 0;
+
+		part_quarantine_crashed(&fleet[reporter], &request, 1, &crash,
+					now, &suspects);
+		for (size_t peer = 0; peer < fleet.size(); peer++)
+			if (connected(reporter, peer))
+				tell_crash(peer, suspects, crash);
+		for (const part_change_t &change : spread(reporter)) {
+			if (change.kind != PART_CHANGE_HELD)
 				continue;
-			for (size_t i = 0; i < parts.size(); i++) {
-				if (counted[i])
-					part_quarantine_crash_told(&fleet[peer],
-								   parts[i],
-								   &crash, now);
-			}
-			for (size_t i = 0; cause >= 0 && i < parts.size(); i++)
+			for (uint64_t part : parts)
+				if (part_set_contains(&change.sentence.set,
+						      part))
+					held = part;
+		}
+		return held;
+	}
+	void tell_crash(size_t peer, const part_suspects_t &suspects,
+			const part_crash_t &crash)
+	{
+		part_sentence_t missed;
+
+		for (uint32_t i = 0; i < suspects.count; i++) {
+			const part_suspect_t &suspect = suspects.list[i];
+			part_crash_t told = crash;
+
+			told.request = suspect.request;
+			if (suspect.counted)
+				part_quarantine_crash_told(&fleet[peer],
+							   suspect.part, &told,
+							   now, &missed);
+			if (suspect.explained)
 				part_quarantine_explained(&fleet[peer],
-							  parts[i], now);
-			if (cause >= 0)
-				tell(reporter, peer, parts[(size_t)cause]);
+							  suspect.part, now);
+		}
+	}
+	// Tells the peers what has changed at an instance, and returns it.
+	std::vector<part_change_t> spread(size_t from)
+	{
+		std::vector<part_change_t> changes;
+		part_change_t change;
+
+		while (part_holds_next_change(&fleet[from].holds, &change)) {
+			changes.push_back(change);
+			for (size_t to = 0; to < fleet.size(); to++)
+				if (connected(from, to) &&
+				    change.origin == PART_ORIGIN_HERE)
+					apply(to, change);
 		}
-		return cause < 0 ? 0 : parts[(size_t)cause];
+		return changes;
+	}
+	void apply(size_t to, const part_change_t &change)
+	{
+		if (change.kind == PART_CHANGE_HELD)
+			part_holds_adopt(&fleet[to].holds, &change.sentence,
+					 PART_ORIGIN_ANSWER, now);
+		if (change.kind == PART_CHANGE_RELEASED)
+			part_holds_release(&fleet[to].holds,
+					   &change.sentence.set, now);
 	}
 	void tell(size_t from, size_t to, uint64_t part)
 	{
+		part_set_t set = part_set_of(part);
 		part_sentence_t sentence = {};
 
-		if (part_quarantine_sentence(&fleet[from], part, now,
-					     &sentence))
-			part_quarantine_adopt(&fleet[to], &sentence, now);
+		if (part_holds_sentence(&fleet[from].holds, &set, now,
+					&sentence))
+			part_holds_adopt(&fleet[to].holds, &sentence,
+					 PART_ORIGIN_ANSWER, now);
 	}
 	void survive(size_t at, const std::vector<uint64_t> &parts)
+	{
+		std::vector<uint64_t> news(parts.size());
+
+		news.resize(part_quarantine_survived(&fleet[at], parts.data(),
+						     (uint32_t)parts.size(),
+						     now, now, news.data()));
+		for (size_t peer = 0; peer < fleet.size(); peer++)
+			for (uint64_t part : news)
+				if (connected(at, peer))
+					part_quarantine_survival_told(
+						&fleet[peer], part, now, now);
+		spread(at);
+	}
+	// What an instance does when a peer tells it of a crash with the parts.
+	void tell_of_sound_parts(size_t from,
+				 const std::vector<uint64_t> &parts)
 	{
 		for (uint64_t part : parts) {
-			part_news_t news = part_quarantine_survived(
-				&fleet[at], part, false, now);
-
-			for (size_t peer = 0; peer < fleet.size(); peer++) {
-				if (!connected(at, peer))
-					continue;
-				if (news == PART_RELEASED)
-					part_quarantine_release(&fleet[peer],
-								part, now);
-				if (news == PART_NEWS)
-					part_quarantine_survived(
-						&fleet[peer], part, true, now);
-			}
+			if (!part_scores_is_unheard(&fleet[from].scores, part,
+						    now))
+				continue;
+			int64_t began_at =
+				now - part_scores_sound_age(&fleet[from].scores,
+							    part, now);
+
+			part_scores_heard(&fleet[from].scores, part, now);
+			for (size_t to = 0; to < fleet.size(); to++)
+				if (connected(from, to))
+					part_quarantine_survival_told(
+						&fleet[to], part, began_at,
+						now);
 		}
 	}
+	part_state_t state(size_t at, const std::vector<uint64_t> &parts)
+	{
+		return part_holds_state(&fleet[at].holds, parts.data(),
+					(uint32_t)parts.size(), now);
+	}
 	part_state_t state(size_t at, uint64_t part)
 	{
-		return part_quarantine_state(&fleet[at], part, now);
+		return state(at, std::vector<uint64_t>{part});
+	}
+	bool begin_probe(size_t at, uint64_t part)
+	{
+		return state(at, part) == PART_PROBE_DUE &&
+		       part_holds_begin_probe(&fleet[at].holds, &part, 1, now) >
+			       0;
 	}
 	// Three crashes with the part, at different instances and targets.
 	void quarantine(uint64_t part)
@@ -2218,10 +2406,208 @@
 	EXPECT_EQ(blamed, bad);
 	EXPECT_EQ(crashes, 3);
 	for (size_t at = 0; at < fleet.size(); at++) {
-		EXPECT_EQ(state(at, bad), PART_QUARANTINED);
+		EXPECT_EQ(state(at, {hot, thing, bad}), PART_QUARANTINED);
 		EXPECT_EQ(state(at, hot), PART_ALLOWED);
 		EXPECT_EQ(state(at, thing), PART_ALLOWED);
 	}
+	// What tells them apart is the next crash, or a sound response.
+	EXPECT_EQ(crash(4, next_target++, {hot, bad, 9}), bad);
+	for (size_t at = 0; at < fleet.size(); at++) {
+		EXPECT_EQ(state(at, bad), PART_QUARANTINED);
+		EXPECT_EQ(state(at, {hot, thing}), PART_ALLOWED);
+	}
+}
+
+// A sound part must not be held back in place of the cause because of its place
+// in the prompt, at an instance that has not served requests with it.
+TEST_F(Parts, SoundPartsAroundTheCauseStayInUseWhereverItStands)
+{
+	const uint64_t bad = 40;
+
+	for (size_t place = 0; place < 5; place++, now += 3600000) {
+		std::vector<uint64_t> sound, deadly;
+
+		for (uint64_t i = 0; i < 4; i++)
+			sound.push_back(place * 10 + i + 100);
+		deadly = sound;
+		deadly.insert(deadly.begin() + (long)place, bad + place);
+		for (int i = 0; i < 20; i++, now += 1500)
+			survive(0, sound);
+		for (int i = 0; i < 3; i++, now += 150)
+			crash(1, next_target++, deadly);
+		for (size_t at = 0; at < fleet.size(); at++) {
+			EXPECT_EQ(state(at, deadly), PART_QUARANTINED);
+			EXPECT_EQ(state(at, sound), PART_ALLOWED);
+		}
+		survive(0, sound);
+		for (size_t at = 0; at < fleet.size(); at++) {
+			EXPECT_EQ(state(at, bad + place), PART_QUARANTINED);
+			for (uint64_t part : sound)
+				EXPECT_EQ(state(at, part), PART_ALLOWED);
+		}
+	}
+}
+
+// An instance that reaches no other and has no evidence must not hold back
+// sound requests of callers that come to it later.
+TEST_F(Parts, InstanceAloneHoldsBackNoSoundRequests)
+{
+	cut = 6;
+	for (int i = 0; i < 3; i++, now += 150)
+		crash(6, next_target++, {1, 2, 3});
+	EXPECT_EQ(state(6, {1, 2, 3}), PART_QUARANTINED);
+	EXPECT_EQ(state(6, {1, 3}), PART_ALLOWED);
+	now += 1000;
+	survive(6, {1, 3});
+	EXPECT_EQ(state(6, {8, 2, 9}), PART_QUARANTINED);
+	EXPECT_EQ(state(6, {1, 3}), PART_ALLOWED);
+}
+
+// Requests with the cause and other parts beside it must not crash one target
+// after the other while it is held with its first company.
+TEST_F(Parts, CauseIsFoundWhateverStandsBesideIt)
+{
+	const uint64_t bad = 9;
+	std::mt19937 random(1);
+
+	for (int run = 0; run < 200; run++, now += 24 * 3600000) {
+		const uint64_t base = (uint64_t)run * 100;
+		int crashes = 0;
+
+		for (int i = 0; i < 60; i++, now += 300) {
+			std::vector<uint64_t> parts = {base + bad};
+
+			for (uint64_t part = 0; part < 5; part++)
+				if (i < 3 || random() % 2 == 0)
+					parts.push_back(base + part);
+			if (state(0, parts) != PART_ALLOWED)
+				continue;
+			crash(0, next_target++, parts);
+			crashes++;
+		}
+		EXPECT_LE(crashes, 5 + 3) << "run " << run;
+	}
+}
+
+// A response that is older than the crashes does not show that a part is sound
+// now: one that has changed must be found, however many instances knew it.
+TEST_F(Parts, PartThatTurnedDeadlyIsFound)
+{
+	const uint64_t hot = 1, bad = 2;
+	int crashes = 0;
+
+	for (int i = 0; i < 20; i++, now += 500)
+		survive((size_t)i % 7, {hot, bad});
+	for (; crashes < 12 && state(0, {hot, bad}) == PART_ALLOWED;
+	     crashes++, now += 700) {
+		crash((size_t)crashes % 7, next_target++, {hot, bad});
+		for (size_t from = 0; from < fleet.size(); from++)
+			tell_of_sound_parts(from, {hot, bad});
+		survive((size_t)crashes % 7, {hot});
+	}
+	EXPECT_LE(crashes, 6);
+	for (size_t at = 0; at < fleet.size(); at++) {
+		EXPECT_EQ(state(at, {hot, bad}), PART_QUARANTINED);
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+	}
+}
+
+// What other instances know counts at the one that decides.
+TEST_F(Parts, ResponsesOfOtherInstancesCountWhereTheCrashesAreSeen)
+{
+	const uint64_t hot = 1, bad = 2;
+
+	for (int i = 0; i < 20; i++, now += 500)
+		survive(0, {hot});
+	for (int i = 0; i < 3; i++, now += 500) {
+		crash(1, next_target++, {hot, bad});
+		tell_of_sound_parts(0, {hot, bad});
+	}
+	for (size_t at = 0; at < fleet.size(); at++) {
+		EXPECT_EQ(state(at, bad), PART_QUARANTINED);
+		EXPECT_EQ(state(at, hot), PART_ALLOWED);
+	}
+}
+
+// Former builds choose one of several parts by its place. An instance that
+// knows better must neither apply this nor leave it in force elsewhere.
+TEST_F(Parts, WrongQuarantineOfAPeerEndsWithTheNextResponse)
+{
+	const uint64_t sound = 1, bad = 2;
+	part_sentence_t wrong = {part_set_of(sound), 600000, 0, 1};
+
+	for (int i = 0; i < 20; i++, now += 500)
+		survive(0, {sound});
+	for (int i = 0; i < 3; i++, now += 150)
+		crash(1, next_target++, {sound, bad});
+	for (size_t at = 0; at < fleet.size(); at++) {
+		part_holds_adopt(&fleet[at].holds, &wrong, PART_ORIGIN_ANSWER,
+				 now);
+		spread(at);
+	}
+	EXPECT_EQ(state(0, sound), PART_ALLOWED);
+	EXPECT_EQ(state(3, sound), PART_QUARANTINED);
+	now += 1000;
+	survive(0, {sound});
+	for (size_t at = 0; at < fleet.size(); at++) {
+		EXPECT_EQ(state(at, sound), PART_ALLOWED);
+		EXPECT_EQ(state(at, {sound, bad}), PART_QUARANTINED);
+	}
+}
+
+// A quarantine that is read from the store becomes smaller like any other.
+TEST_F(Parts, SetReadFromTheStoreBecomesSmallerWithSoundResponses)
+{
+	part_sentence_t saved = {{2, {1, 2}}, 590000, 10000, 1};
+
+	for (size_t at = 0; at < fleet.size(); at++)
+		part_holds_adopt(&fleet[at].holds, &saved, PART_ORIGIN_HERE,
+				 now);
+	EXPECT_EQ(state(0, {1, 2}), PART_QUARANTINED);
+	EXPECT_EQ(state(0, {2, 3}), PART_ALLOWED);
+	now += 1000;
+	survive(5, {1, 3});
+	for (size_t at = 0; at < fleet.size(); at++) {
+		EXPECT_EQ(state(at, {2, 3}), PART_QUARANTINED);
+		EXPECT_EQ(state(at, 1), PART_ALLOWED);
+	}
+}
+
+// Three crashes that parts did not cause must not hold a sound part back for
+// longer than it takes to see it in a response.
+TEST_F(Parts, SetOfSoundPartsIsReleasedOnceEachWasSeen)
+{
+	for (int i = 0; i < 5; i++, now += 500)
+		survive(0, {1, 2});
+	now += 60000;
+	for (int i = 0; i < 4; i++, now += 500) {
+		crash(0, next_target++, {1, 2});
+		tell_of_sound_parts(0, {1, 2});
+	}
+	ASSERT_EQ(state(0, {1, 2}), PART_QUARANTINED);
+	survive(1, {1, 7});
+	EXPECT_EQ(state(3, {2, 8}), PART_ALLOWED);
+	survive(2, {2, 8});
+	for (size_t at = 0; at < fleet.size(); at++)
+		EXPECT_EQ(state(at, {1, 2}), PART_ALLOWED);
+}
+
+// A bystander at each of the crashed targets must not be blamed for them.
+TEST_F(Parts, RequestsBesideTheCauseAreNotHeldBack)
+{
+	std::vector<uint64_t> deadly = {1, 2, 3}, beside = {1, 3};
+	part_suspects_t suspects;
+
+	for (int i = 0; i < 3; i++, now += 500) {
+		part_crash_t crash = {next_target++, 0, 1, now};
+		part_request_t found[] = {{++requests, beside.data(), 2},
+					  {++requests, deadly.data(), 3}};
+
+		part_quarantine_crashed(&fleet[0], found, 2, &crash, now,
+					&suspects);
+	}
+	EXPECT_EQ(state(0, deadly), PART_QUARANTINED);
+	EXPECT_EQ(state(0, beside), PART_ALLOWED);
 }
 
 // The blame must not stop at the parts behind the one that crashes targets.
@@ -2322,14 +2708,15 @@
 	EXPECT_EQ(state(6, 2), PART_ALLOWED);
 	cut = SIZE_MAX;
 	now += 5000;
-	ASSERT_EQ(part_quarantine_list(&fleet[0], now, list, 8), 1u);
-	EXPECT_TRUE(part_quarantine_adopt(&fleet[6], &list[0], now));
+	ASSERT_EQ(part_holds_list(&fleet[0].holds, now, list, 8), 1u);
+	part_holds_adopt(&fleet[6].holds, &list[0], PART_ORIGIN_ANSWER, now);
 	EXPECT_EQ(state(6, 2), PART_QUARANTINED);
 }
 
 // An instance that returns must not renew what was found to be wrong.
 TEST_F(Parts, ReleaseOutlivesOlderQuarantineOfAnInstanceCutOff)
 {
+	part_set_t set = part_set_of(2);
 	part_sentence_t sentence;
 
 	quarantine(2);
@@ -2341,8 +2728,8 @@
 	EXPECT_EQ(state(6, 2), PART_QUARANTINED);
 	cut = SIZE_MAX;
 	now += 5000;
-	ASSERT_TRUE(part_quarantine_sentence(&fleet[6], 2, now, &sentence));
-	EXPECT_FALSE(part_quarantine_adopt(&fleet[1], &sentence, now));
+	ASSERT_TRUE(part_holds_sentence(&fleet[6].holds, &set, now, &sentence));
+	part_holds_adopt(&fleet[1].holds, &sentence, PART_ORIGIN_ANSWER, now);
 	EXPECT_EQ(state(1, 2), PART_ALLOWED);
 }
 
@@ -2350,7 +2737,7 @@
 {
 	quarantine(2);
 	now += PART_QUARANTINE_MIN_MS;
-	ASSERT_TRUE(part_quarantine_begin_probe(&fleet[0], 2, now));
+	ASSERT_TRUE(begin_probe(0, 2));
 	tell(0, 1, 2);
 	EXPECT_EQ(state(0, 2), PART_QUARANTINED);
 	EXPECT_EQ(state(1, 2), PART_QUARANTINED);
@@ -2370,7 +2757,7 @@
 	quarantine(2);
 	for (; now < end; now += 1000) {
 		for (size_t at = 0; at < fleet.size(); at++) {
-			if (!part_quarantine_begin_probe(&fleet[at], 2, now))
+			if (!begin_probe(at, 2))
 				continue;
 			for (size_t peer = 0; peer < fleet.size(); peer++)
 				tell(at, peer, 2);
@@ -2392,7 +2779,7 @@
 
 	quarantine(2);
 	for (; now < end; now += 1000) {
-		if (part_quarantine_begin_probe(&fleet[0], 2, now))
+		if (begin_probe(0, 2))
 			probes++;
 	}
 	EXPECT_GT(probes, 0);
@@ -2424,11 +2811,12 @@
 	}
 	cut = SIZE_MAX;
 	now += 500;
-	count = part_quarantine_list(&fleet[6], now, list, 8);
+	count = part_holds_list(&fleet[6].holds, now, list, 8);
 	for (size_t at = 0; at < 6; at++) {
-		EXPECT_LT(part_quarantine_score(&fleet[at], hot, now), -1.5);
+		EXPECT_LT(part_scores_get(&fleet[at].scores, hot, now), -1.5);
 		for (uint32_t i = 0; i < count; i++)
-			part_quarantine_adopt(&fleet[at], &list[i], now);
+			part_holds_adopt(&fleet[at].holds, &list[i],
+					 PART_ORIGIN_ANSWER, now);
 		EXPECT_EQ(state(at, hot), PART_ALLOWED);
 	}
 }
@@ -2485,17 +2873,18 @@
 // A release may overtake the quarantine that it ends.
 TEST_F(Parts, ReleaseThatOvertakesItsQuarantineHolds)
 {
+	part_set_t set = part_set_of(2);
 	part_sentence_t sentence;
 
 	cut = 6;
 	quarantine(2);
-	ASSERT_TRUE(part_quarantine_sentence(&fleet[0], 2, now, &sentence));
+	ASSERT_TRUE(part_holds_sentence(&fleet[0].holds, &set, now, &sentence));
 	ASSERT_EQ(sentence.age_ms, 1000);
 	now += 20;
-	part_quarantine_release(&fleet[1], 2, now);
-	part_quarantine_release(&fleet[6], 2, now);
+	part_holds_release(&fleet[1].holds, &set, now);
+	part_holds_release(&fleet[6].holds, &set, now);
 	now += 20;
-	part_quarantine_adopt(&fleet[6], &sentence, now);
+	part_holds_adopt(&fleet[6].holds, &sentence, PART_ORIGIN_ANSWER, now);
 	EXPECT_EQ(state(1, 2), PART_ALLOWED);
 	EXPECT_EQ(state(6, 2), PART_ALLOWED);
 }
@@ -2539,7 +2928,7 @@
 	now += 300000;
 	survive(5, {2});
 	for (const part_quarantine_t &instance : fleet)
-		EXPECT_LT(part_quarantine_score(&instance, 2, now), 0);
+		EXPECT_LT(part_scores_get(&instance.scores, 2, now), 0);
 }
 
 TEST_F(Parts, ThousandsOfPartsSeenOnceAreBoundedAndBlameless)
@@ -2556,7 +2945,7 @@
 		survive(0, {300000 + i});
 	}
 	for (part_quarantine_t &instance : fleet)
-		EXPECT_LE(g_hash_table_size(instance.entries),
+		EXPECT_LE(g_hash_table_size(instance.scores.entries),
 			  (guint)PARTS_SCORED_MAX);
 	now -= 2 * 5000 * 300;
 	EXPECT_EQ(state(0, bad), PART_QUARANTINED);
