proxy: a set of a request beside the cause yields to the larger one

Cause: each instance decides for the parts of its own requests, with scores that it was told. The one with the deadly request decides for {1, 65, 66}, the one with a sound request beside it for {65, 66}, and the smaller set was applied by all.

Change: a set states the target whose crash decided. Of two sets of which one includes the other, the larger stays if it explains all crashes of the smaller. An instance for which a set of several parts explains a crash tells so. Parts that crashed along with a cause that is held lose the score of those crashes, wherever they were counted. A part one crash behind the best one is in the set too, unless it was sound lately: peers report a crash part by part.

--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -234,7 +234,11 @@
 		struct {
 			part_event_t event;
 			uint64_t part;
-			uint64_t request; /* crashed: hash of the request */
+			/*
+			 * Hash: of the request (crashed), or of the target
+			 * whose crash decided, 0: unknown (held).
+			 */
+			uint64_t request;
 			char target[NAME_SIZE]; /* crashed */
 			uint64_t weight; /* crashed: percent */
 			/* crashed, held; survived: since it began, 0: unknown
@@ -249,6 +253,9 @@
 			uint64_t age_ms; /* held */
 			uint64_t left_ms; /* held */
 			uint64_t strikes; /* held */
+			/* Last crash with the whole set; 0: unknown. */
+			uint64_t target; /* hash of its id */
+			uint64_t crash_age_ms;
 		} part_set;
 		struct {
 			char target[NAME_SIZE];
--- a/proxy/part_holds.c
+++ b/proxy/part_holds.c
@@ -1,28 +1,9 @@
-#include "proxy/part_holds.h"
+#include "proxy/part_hold.h"
 
 #include <string.h>
 
 #define PROBE_RETRY_MS 60000 /* after a probe that did not run */
 #define STRIKE_FACTOR_BITS 2 /* each quarantine is four times the last */
-/* Responses with all of a set that end its quarantine. */
-#define RESPONSES_RELEASE 3
-
-typedef struct part_hold_t {
-	handle_t self;
-	part_set_t set;
-	/* Bit i: a response that began since has shown parts[i] to be sound. */
-	uint32_t cleared;
-	bool held; /* false: released */
-	bool own; /* decided by this instance */
-	bool probed; /* a request of this instance probes the set */
-	uint32_t against; /* responses with all of the set that went on */
-	uint32_t strikes; /* quarantines so far */
-	int64_t until; /* end of the quarantine, without stagger_ms */
-	int64_t decided_at;
-	int64_t released_at; /* the last time; INT64_MIN: never */
-} part_hold_t;
-
-G_STATIC_ASSERT(PART_SET_MAX <= 32); /* bits of part_hold_t.cleared */
 
 void part_holds_init(part_holds_t *holds, part_scores_t *scores,
 		     int64_t stagger_ms)
@@ -50,17 +31,17 @@
 	return true;
 }
 
-static part_hold_t *next_hold(const part_holds_t *holds, uint32_t *cursor)
+part_hold_t *part_hold_next(const part_holds_t *holds, uint32_t *cursor)
 {
 	return table_next(&holds->table, cursor, NULL);
 }
 
-static part_hold_t *find_hold(const part_holds_t *holds, const part_set_t *set)
+part_hold_t *part_hold_find(const part_holds_t *holds, const part_set_t *set)
 {
 	uint32_t cursor = 0;
 	part_hold_t *hold;
 
-	while ((hold = next_hold(holds, &cursor)) != NULL) {
+	while ((hold = part_hold_next(holds, &cursor)) != NULL) {
 		if (part_set_equal(&hold->set, set))
 			return hold;
 	}
@@ -76,7 +57,7 @@
 	hold->held = held;
 }
 
-static void remove_hold(part_holds_t *holds, part_hold_t *hold)
+void part_hold_remove(part_holds_t *holds, part_hold_t *hold)
 {
 	set_held(holds, hold, false);
 	table_remove(&holds->table, hold->self);
@@ -88,7 +69,7 @@
 	part_hold_t *victim = NULL, *hold;
 	uint32_t cursor = 0;
 
-	while ((hold = next_hold(holds, &cursor)) != NULL) {
+	while ((hold = part_hold_next(holds, &cursor)) != NULL) {
 		if (victim == NULL || (victim->held && !hold->held) ||
 		    (victim->held == hold->held &&
 		     hold->decided_at < victim->decided_at))
@@ -99,13 +80,13 @@
 
 static part_hold_t *find_or_add_hold(part_holds_t *holds, const part_set_t *set)
 {
-	part_hold_t *hold = find_hold(holds, set);
+	part_hold_t *hold = part_hold_find(holds, set);
 	handle_t self;
 
 	if (hold != NULL)
 		return hold;
 	if (table_count(&holds->table) >= PART_HOLDS_MAX)
-		remove_hold(holds, find_victim(holds));
+		part_hold_remove(holds, find_victim(holds));
 	self = table_add(&holds->table, (void **)&hold);
 	hold->self = self;
 	hold->set = *set;
@@ -113,13 +94,8 @@
 	return hold;
 }
 
-/*
- * Responses outweigh the crashes of each of the parts here, and another
- * instance that does not know of them has decided: one that reaches no target
- * takes them for crashed.
- */
-static bool is_doubted(const part_holds_t *holds, const part_hold_t *hold,
-		       int64_t now)
+bool part_hold_is_doubted(const part_holds_t *holds, const part_hold_t *hold,
+			  int64_t now)
 {
 	const part_scores_t *scores = holds->scores;
 
@@ -138,7 +114,7 @@
 static bool is_in_force(const part_holds_t *holds, const part_hold_t *hold,
 			int64_t now)
 {
-	return hold->held && !is_doubted(holds, hold, now);
+	return hold->held && !part_hold_is_doubted(holds, hold, now);
 }
 
 /* Returns the next quarantine in force that holds back the request. */
@@ -150,7 +126,7 @@
 
 	if (holds->held == 0)
 		return NULL;
-	while ((hold = next_hold(holds, cursor)) != NULL) {
+	while ((hold = part_hold_next(holds, cursor)) != NULL) {
 		if (hold->held &&
 		    part_set_is_within(&hold->set, parts, count) &&
 		    is_in_force(holds, hold, now))
@@ -203,12 +179,19 @@
 		.strikes = hold->strikes,
 	};
 
+	if (hold->crash_count > 0) {
+		const known_crash_t *last =
+			&hold->crashes[(hold->crash_count - 1) % CRASHES_KNOWN];
+
+		sentence.target = last->target;
+		sentence.crash_age_ms = MAX(now - last->at, 0);
+	}
 	return sentence;
 }
 
-static void add_change(part_holds_t *holds, part_change_kind_t kind,
-		       const part_hold_t *hold, part_origin_t origin,
-		       int64_t now)
+void part_hold_add_change(part_holds_t *holds, part_change_kind_t kind,
+			  const part_hold_t *hold, part_origin_t origin,
+			  int64_t now)
 {
 	part_change_t change = {
 		.kind = kind,
@@ -234,188 +217,158 @@
 	hold->decided_at = now;
 	if (hold->strikes < PART_STRIKES_MAX)
 		hold->strikes++;
-	add_change(holds, PART_CHANGE_HELD, hold, PART_ORIGIN_HERE, now);
+	part_hold_add_change(holds, PART_CHANGE_HELD, hold, PART_ORIGIN_HERE,
+			     now);
 }
 
-static void end(part_holds_t *holds, part_hold_t *hold, part_origin_t origin,
-		int64_t now)
+void part_hold_end(part_holds_t *holds, part_hold_t *hold, part_origin_t origin,
+		   int64_t now)
 {
 	for (uint32_t i = 0; i < hold->set.count; i++)
 		part_scores_cleared(holds->scores, hold->set.parts[i], now);
 	set_held(holds, hold, false);
 	hold->probed = false;
 	hold->released_at = now;
-	add_change(holds, PART_CHANGE_RELEASED, hold, origin, now);
+	part_hold_add_change(holds, PART_CHANGE_RELEASED, hold, origin, now);
 }
 
-static part_set_t not_cleared(const part_hold_t *hold)
+static bool is_larger(const part_hold_t *hold, const part_set_t *set)
 {
-	part_set_t rest = {.count = 0};
-
-	for (uint32_t i = 0; i < hold->set.count; i++) {
-		if ((hold->cleared & (UINT32_C(1) << i)) == 0)
-			part_set_add(&rest, hold->set.parts[i]);
-	}
-	return rest;
+	return hold->held && hold->set.count > set->count &&
+	       part_set_includes(&hold->set, set);
 }
 
-/* The parts of the rest explain the crashes with the others. */
-static void explain_others(part_holds_t *holds, const part_set_t *set,
-			   const part_set_t *rest, int64_t now)
+static bool knows_crash(const part_hold_t *hold, uint64_t target, int64_t at)
 {
-	for (uint32_t i = 0; i < set->count; i++) {
-		if (!part_set_contains(rest, set->parts[i]))
-			part_scores_explained(holds->scores, set->parts[i],
-					      now);
+	for (uint32_t i = 0; i < MIN(hold->crash_count, CRASHES_KNOWN); i++) {
+		const known_crash_t *known = &hold->crashes[i];
+
+		if (known->target == target &&
+		    ABS(known->at - at) < SAME_CRASH_MS)
+			return true;
 	}
+	return false;
 }
 
-/* The quarantine goes on for some of its parts. */
-static void narrow(part_holds_t *holds, part_hold_t *hold,
-		   const part_set_t *rest, part_origin_t origin, int64_t now)
+static void note_crash(part_hold_t *hold, uint64_t target, int64_t at)
 {
-	part_hold_t *other = find_hold(holds, rest);
-
-	if (other != NULL && !other->held &&
-	    other->released_at >= hold->decided_at)
-		return;
-	add_change(holds, PART_CHANGE_REPLACED, hold, origin, now);
-	explain_others(holds, &hold->set, rest, now);
-	if (other != NULL && other->held) {
-		remove_hold(holds, hold);
-		return;
-	}
-	if (other != NULL) {
-		hold->strikes = MAX(hold->strikes, other->strikes);
-		remove_hold(holds, other);
-	}
-	hold->set = *rest;
-	hold->cleared = 0;
-	hold->against = 0;
-	add_change(holds, PART_CHANGE_HELD, hold, origin, now);
+	if (target != 0 && !knows_crash(hold, target, at))
+		hold->crashes[hold->crash_count++ % CRASHES_KNOWN] =
+			(known_crash_t){target, at};
 }
 
-/*
- * Acts on the parts that responses have cleared.  If all were, no part alone
- * caused the crashes; should they go on, the set is held though.  The rest is
- * held by itself only if it has a part that has not been seen in sound
- * responses, as the crashes may have had another cause.
- */
-static void weigh_cleared(part_holds_t *holds, part_hold_t *hold,
-			  part_origin_t origin, int64_t now)
+/* Whether a request with all of the larger set explains each known crash. */
+static bool is_explained_by(const part_hold_t *hold, const part_hold_t *larger)
 {
-	part_set_t rest = not_cleared(hold);
+	uint32_t known = MIN(hold->crash_count, CRASHES_KNOWN);
 
-	if (rest.count == hold->set.count)
-		return;
-	if (rest.count == 0) {
-		if (hold->strikes <= 1)
-			end(holds, hold, origin, now);
-		return;
+	for (uint32_t i = 0; i < known; i++) {
+		if (!knows_crash(larger, hold->crashes[i].target,
+				 hold->crashes[i].at))
+			return false;
 	}
-	if (!part_scores_all_sound_lately(holds->scores, &rest, now))
-		narrow(holds, hold, &rest, origin, now);
+	return known > 0;
 }
 
-static void clear_parts(part_hold_t *hold, const uint64_t *parts,
-			uint32_t count, int64_t began_at)
+/*
+ * Ends the quarantine in favour of that of a larger set: it was decided for a
+ * request that was only beside the one which crashed the target.
+ */
+static void yield_to(part_holds_t *holds, part_hold_t *hold,
+		     const part_hold_t *larger, int64_t now)
 {
-	if (began_at <= hold->decided_at)
-		return;
-	for (uint32_t i = 0; i < count; i++) {
-		for (uint32_t j = 0; j < hold->set.count; j++) {
-			if (hold->set.parts[j] == parts[i])
-				hold->cleared |= UINT32_C(1) << j;
-		}
-	}
-}
+	bool own = hold->own;
 
-/* A response with all of the set went on. */
-static void count_against(part_holds_t *holds, part_hold_t *hold,
-			  int64_t began_at, part_origin_t origin, int64_t now)
-{
-	hold->against++;
-	if (hold->probed || hold->against >= RESPONSES_RELEASE ||
-	    (began_at > hold->decided_at && is_doubted(holds, hold, now)))
-		end(holds, hold, origin, now);
+	part_hold_add_change(holds, PART_CHANGE_REPLACED, hold,
+			     PART_ORIGIN_TOLD, now);
+	part_hold_remove(holds, hold);
+	part_hold_add_change(holds, PART_CHANGE_HELD, larger, PART_ORIGIN_TOLD,
+			     now);
+	g_array_index(holds->changes, part_change_t, holds->changes->len - 1)
+		.own |= own;
 }
 
-bool part_holds_contain(const part_holds_t *holds, uint64_t part)
+/* Ends the quarantines of smaller sets that this one explains. */
+static void replace_smaller(part_holds_t *holds, const part_hold_t *larger,
+			    int64_t now)
 {
 	uint32_t cursor = 0;
-	const part_hold_t *hold;
+	part_hold_t *hold;
 
-	while ((hold = next_hold(holds, &cursor)) != NULL) {
-		if (hold->held && part_set_contains(&hold->set, part))
-			return true;
+	while ((hold = part_hold_next(holds, &cursor)) != NULL) {
+		if (hold->held && is_larger(larger, &hold->set) &&
+		    is_explained_by(hold, larger))
+			yield_to(holds, hold, larger, now);
 	}
-	return false;
 }
 
-/* Whether a response with the part may change a quarantine of its set. */
-bool part_holds_await(const part_holds_t *holds, uint64_t part, int64_t now)
+/* Returns whether a larger set explains this one, which has ended then. */
+static bool is_replaced(part_holds_t *holds, part_hold_t *hold, int64_t now)
 {
 	uint32_t cursor = 0;
-	const part_hold_t *hold;
+	const part_hold_t *larger;
 
-	if (holds->held == 0)
-		return false;
-	while ((hold = next_hold(holds, &cursor)) != NULL) {
-		part_set_t rest = not_cleared(hold);
-
-		if (hold->held && part_set_contains(&rest, part) &&
-		    (hold->set.count > 1 || is_doubted(holds, hold, now)))
-			return true;
+	while ((larger = part_hold_next(holds, &cursor)) != NULL) {
+		if (!is_larger(larger, &hold->set) ||
+		    !is_explained_by(hold, larger))
+			continue;
+		yield_to(holds, hold, larger, now);
+		return true;
 	}
 	return false;
 }
 
-/* Applies a response to the quarantines of sets with any of these parts. */
-void part_holds_weigh(part_holds_t *holds, const uint64_t *parts,
-		      uint32_t count, int64_t began_at, part_origin_t origin,
-		      int64_t now)
+bool part_holds_begin(part_holds_t *holds, const part_set_t *set,
+		      const part_crash_t *crash, int64_t now)
 {
 	uint32_t cursor = 0;
 	part_hold_t *hold;
 
-	if (holds->held == 0)
-		return;
-	while ((hold = next_hold(holds, &cursor)) != NULL) {
-		if (!hold->held)
-			continue;
-		if (part_set_is_within(&hold->set, parts, count)) {
-			count_against(holds, hold, began_at, origin, now);
+	while ((hold = part_hold_next(holds, &cursor)) != NULL) {
+		if (is_larger(hold, set) &&
+		    knows_crash(hold, crash->target, now))
+			return false;
+	}
+	cursor = 0;
+	while ((hold = part_hold_next(holds, &cursor)) != NULL) {
+		if (!is_larger(hold, set))
 			continue;
-		}
-		clear_parts(hold, parts, count, began_at);
-		weigh_cleared(holds, hold, origin, now);
+		part_hold_add_change(holds, PART_CHANGE_REPLACED, hold,
+				     PART_ORIGIN_HERE, now);
+		part_hold_explain_others(holds, &hold->set, set, now);
+		part_hold_remove(holds, hold);
 	}
+	hold = find_or_add_hold(holds, set);
+	/* It was told, but not in force here: this is the same quarantine. */
+	if (hold->held && hold->strikes > 0)
+		hold->strikes--;
+	hold->crash_count = 0;
+	note_crash(hold, crash->target, now);
+	part_scores_explain_by(holds->scores, set, now);
+	begin(holds, hold, now);
+	return true;
 }
 
-static bool is_larger(const part_hold_t *hold, const part_set_t *set)
-{
-	return hold->held && hold->set.count > set->count &&
-	       part_set_includes(&hold->set, set);
-}
-
-void part_holds_begin(part_holds_t *holds, const part_set_t *set, int64_t now)
+bool part_holds_explain_crash(part_holds_t *holds, const uint64_t *parts,
+			      uint32_t count, const part_crash_t *crash,
+			      int64_t now)
 {
 	uint32_t cursor = 0;
+	bool explained = false;
 	part_hold_t *hold;
 
-	while ((hold = next_hold(holds, &cursor)) != NULL) {
-		if (!is_larger(hold, set))
+	while ((hold = next_in_force(holds, &cursor, parts, count, now)) !=
+	       NULL) {
+		explained = true;
+		if (hold->set.count < 2 ||
+		    knows_crash(hold, crash->target, now))
 			continue;
-		add_change(holds, PART_CHANGE_REPLACED, hold, PART_ORIGIN_HERE,
-			   now);
-		explain_others(holds, &hold->set, set, now);
-		remove_hold(holds, hold);
+		note_crash(hold, crash->target, now);
+		part_hold_add_change(holds, PART_CHANGE_CRASHED, hold,
+				     PART_ORIGIN_HERE, now);
+		replace_smaller(holds, hold, now);
 	}
-	hold = find_or_add_hold(holds, set);
-	/* It was told, but not in force here: this is the same quarantine. */
-	if (hold->held && hold->strikes > 0)
-		hold->strikes--;
-	begin(holds, hold, now);
+	return explained;
 }
 
 /*
@@ -441,7 +394,7 @@
 	uint32_t cursor = 0;
 	const part_hold_t *hold;
 
-	while ((hold = next_hold(holds, &cursor)) != NULL) {
+	while ((hold = part_hold_next(holds, &cursor)) != NULL) {
 		if (!part_set_contains(&hold->set, part) ||
 		    !is_in_force(holds, hold, now) ||
 		    !is_crash_of(holds, &hold->set, part, request))
@@ -490,7 +443,7 @@
 bool part_holds_sentence(const part_holds_t *holds, const part_set_t *set,
 			 int64_t now, part_sentence_t *sentence)
 {
-	const part_hold_t *hold = find_hold(holds, set);
+	const part_hold_t *hold = part_hold_find(holds, set);
 
 	if (hold == NULL || !hold->held)
 		return false;
@@ -504,7 +457,7 @@
 	uint32_t cursor = 0, count = 0;
 	const part_hold_t *hold;
 
-	while (count < max && (hold = next_hold(holds, &cursor)) != NULL) {
+	while (count < max && (hold = part_hold_next(holds, &cursor)) != NULL) {
 		if (is_in_force(holds, hold, now))
 			list[count++] = sentence_of(hold, now);
 	}
@@ -523,15 +476,18 @@
 	hold->against = 0;
 	if (hold->held)
 		return;
+	hold->crash_count = 0;
 	hold->own = false;
 	hold->probed = false;
 	hold->until = INT64_MIN;
 	set_held(holds, hold, true);
 	/* Larger sets stay: the peer may be wrong. */
-	while ((other = next_hold(holds, &cursor)) != NULL) {
+	while ((other = part_hold_next(holds, &cursor)) != NULL) {
 		if (is_larger(other, &hold->set))
-			explain_others(holds, &other->set, &hold->set, now);
+			part_hold_explain_others(holds, &other->set, &hold->set,
+						 now);
 	}
+	part_scores_explain_by(holds->scores, &hold->set, now);
 }
 
 static void clear_sound_parts(const part_holds_t *holds, part_hold_t *hold)
@@ -562,19 +518,23 @@
 	hold->until = MAX(hold->until, now + left);
 	hold->strikes =
 		MIN(MAX(hold->strikes, sentence->strikes), PART_STRIKES_MAX);
+	note_crash(hold, sentence->target, now - sentence->crash_age_ms);
 	if (added)
-		add_change(holds, PART_CHANGE_HELD, hold, PART_ORIGIN_TOLD,
-			   now);
+		part_hold_add_change(holds, PART_CHANGE_HELD, hold,
+				     PART_ORIGIN_TOLD, now);
+	replace_smaller(holds, hold, now);
+	if (is_replaced(holds, hold, now))
+		return;
 	clear_sound_parts(holds, hold);
-	weigh_cleared(holds, hold, origin, now);
+	part_hold_weigh_cleared(holds, hold, origin, now);
 }
 
 void part_holds_release(part_holds_t *holds, const part_set_t *set, int64_t now)
 {
-	part_hold_t *hold = find_hold(holds, set);
+	part_hold_t *hold = part_hold_find(holds, set);
 
 	if (hold != NULL && hold->held) {
-		end(holds, hold, PART_ORIGIN_TOLD, now);
+		part_hold_end(holds, hold, PART_ORIGIN_TOLD, now);
 		return;
 	}
 	/* The release may have overtaken the quarantine. */
--- a/proxy/part_holds.h
+++ b/proxy/part_holds.h
@@ -44,10 +44,14 @@
 	int64_t left_ms;
 	int64_t age_ms; /* since it was decided */
 	uint32_t strikes; /* quarantines of the set so far */
+	/* The last crash of a request with the whole set. */
+	uint64_t target; /* hash of its id; 0: not known */
+	int64_t crash_age_ms;
 } part_sentence_t;
 
 typedef enum part_change_kind_t {
 	PART_CHANGE_HELD, /* a quarantine has begun */
+	PART_CHANGE_CRASHED, /* it explains another crash */
 	PART_CHANGE_RELEASED, /* responses have ended it */
 	PART_CHANGE_REPLACED, /* one of fewer parts takes its place */
 } part_change_kind_t;
@@ -83,8 +87,20 @@
  */
 bool part_holds_reason(const part_holds_t *holds, const uint64_t *parts,
 		       uint32_t count, int64_t now, part_set_t *set);
-/* Begins a quarantine, which replaces those of larger sets. */
-void part_holds_begin(part_holds_t *holds, const part_set_t *set, int64_t now);
+/*
+ * Begins a quarantine for the crash, which replaces those of larger sets.
+ * Returns false if one of these explains the crash.
+ */
+bool part_holds_begin(part_holds_t *holds, const part_set_t *set,
+		      const part_crash_t *crash, int64_t now);
+/*
+ * Whether quarantines in force explain a crash by a request with these parts.
+ * Those of several parts change: other instances may only know a request beside
+ * it, and decide for some of the parts.
+ */
+bool part_holds_explain_crash(part_holds_t *holds, const uint64_t *parts,
+			      uint32_t count, const part_crash_t *crash,
+			      int64_t now);
 /* Whether the part is in a set in quarantine. */
 bool part_holds_contain(const part_holds_t *holds, uint64_t part);
 /* Whether a response with the part may change the quarantine of its set. */
--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -1,5 +1,7 @@
 #include "proxy/part_quarantine.h"
 
+#define CRASH_MARGIN 1.05 /* the score of a crash, and of its ageing */
+
 /* A part that may have caused a crash. */
 typedef struct candidate_t {
 	part_suspect_t suspect;
@@ -100,26 +102,61 @@
 	g_array_unref(candidates);
 }
 
+/*
+ * Whether the part is as suspect as the one with the best score.  Peers report
+ * a crash part by part, so that one crash less may only be one not heard of
+ * yet.
+ */
+static bool is_as_suspect(const part_scores_t *scores, uint64_t part,
+			  double best, int64_t now)
+{
+	if (part_scores_is_high(scores, part, now))
+		return true;
+	return part_scores_get(scores, part, now) >= best - CRASH_MARGIN &&
+	       !part_scores_sound_lately(scores, part, now);
+}
+
+static bool is_in_request(const part_request_t *request, uint64_t part)
+{
+	part_set_t set = part_set_of(part);
+
+	return part_set_is_within(&set, request->parts, request->count);
+}
+
+/* Returns the highest score among the parts of the request that may decide. */
+static double find_best_score(const part_scores_t *scores,
+			      const part_request_t *request,
+			      const part_suspects_t *suspects,
+			      const part_crash_t *crash, int64_t now)
+{
+	double best = 0;
+
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		uint64_t part = suspects->list[i].part;
+
+		if (is_in_request(request, part) &&
+		    part_scores_is_high(scores, part, now) &&
+		    part_scores_may_decide(scores, part, crash))
+			best = MAX(best, part_scores_get(scores, part, now));
+	}
+	return best;
+}
+
 /* Returns the parts of the request to which the crashes point. */
-static finding_t find_causes(const part_quarantine_t *quarantine,
+static finding_t find_causes(const part_scores_t *scores,
 			     const part_request_t *request,
 			     const part_suspects_t *suspects,
 			     const part_crash_t *crash, int64_t now)
 {
-	const part_scores_t *scores = &quarantine->scores;
 	finding_t finding = {.set = {.count = 0}};
 
-	for (uint32_t i = 0; i < suspects->count; i++) {
+	finding.score = find_best_score(scores, request, suspects, crash, now);
+	for (uint32_t i = 0; finding.score > 0 && i < suspects->count; i++) {
 		uint64_t part = suspects->list[i].part;
-		part_set_t one = part_set_of(part);
-
-		if (!part_set_is_within(&one, request->parts, request->count) ||
-		    !part_scores_is_high(scores, part, now) ||
-		    !part_scores_may_decide(scores, part, crash))
-			continue;
-		part_set_add(&finding.set, part);
-		finding.score =
-			MAX(finding.score, part_scores_get(scores, part, now));
+
+		if (is_in_request(request, part) &&
+		    is_as_suspect(scores, part, finding.score, now))
+			part_set_add(&finding.set, part);
 	}
 	finding.unknown =
 		!part_scores_all_sound_lately(scores, &finding.set, now);
@@ -137,16 +174,17 @@
 }
 
 /* Returns whether the quarantine of one of the requests explains the crash. */
-static bool is_explained(const part_quarantine_t *quarantine,
+static bool is_explained(part_quarantine_t *quarantine,
 			 const part_request_t *requests, uint32_t count,
-			 int64_t now)
+			 const part_crash_t *crash, int64_t now)
 {
-	for (uint32_t i = 0; i < count; i++) {
-		if (part_holds_state(&quarantine->holds, requests[i].parts,
-				     requests[i].count, now) != PART_ALLOWED)
-			return true;
-	}
-	return false;
+	bool explained = false;
+
+	for (uint32_t i = 0; i < count; i++)
+		explained |= part_holds_explain_crash(
+			&quarantine->holds, requests[i].parts,
+			requests[i].count, crash, now);
+	return explained;
 }
 
 void part_quarantine_crashed(part_quarantine_t *quarantine,
@@ -157,7 +195,7 @@
 	finding_t best = {.set = {.count = 0}};
 
 	suspects->count = 0;
-	if (is_explained(quarantine, requests, count, now))
+	if (is_explained(quarantine, requests, count, crash, now))
 		return;
 	collect_suspects(quarantine, requests, count, now, suspects);
 	for (uint32_t i = 0; i < suspects->count; i++) {
@@ -169,15 +207,16 @@
 			&quarantine->scores, suspect->part, &own, now);
 	}
 	for (uint32_t i = 0; i < count; i++) {
-		finding_t finding = find_causes(quarantine, &requests[i],
-						suspects, crash, now);
+		finding_t finding =
+			find_causes(&quarantine->scores, &requests[i], suspects,
+				    crash, now);
 
 		if (finding.set.count > 0 && is_better(&finding, &best))
 			best = finding;
 	}
-	if (best.set.count == 0)
+	if (best.set.count == 0 ||
+	    !part_holds_begin(&quarantine->holds, &best.set, crash, now))
 		return;
-	part_holds_begin(&quarantine->holds, &best.set, now);
 	for (uint32_t i = 0; i < suspects->count; i++) {
 		part_suspect_t *suspect = &suspects->list[i];
 
--- a/proxy/part_scores.c
+++ b/proxy/part_scores.c
@@ -14,8 +14,6 @@
 /* Half-lives of positive and of negative scores. */
 #define HALF_LIFE_BLAMED_MS (10 * 60.0 * 1000)
 #define HALF_LIFE_TRUSTED_MS (60.0 * 1000)
-/* Reports of the same target within this time are of one crash. */
-#define SAME_CRASH_MS 2000
 #define CRASHES_KEPT 4
 #define WEIGHT_STRONG 1 /* crash of a target that had begun to answer */
 /*
@@ -247,6 +245,43 @@
 		limit_score(entry, SCORE_EXPLAINED, now);
 }
 
+static bool had_crash(const part_scores_t *scores, const part_set_t *set,
+		      const part_crash_t *crash)
+{
+	for (uint32_t i = 0; i < set->count; i++) {
+		part_entry_t *entry = find_entry(scores, set->parts[i]);
+
+		if (entry == NULL || find_same_crash(entry, crash) == NULL)
+			return false;
+	}
+	return true;
+}
+
+void part_scores_explain_by(part_scores_t *scores, const part_set_t *set,
+			    int64_t now)
+{
+	const GList *link = scores->suspected.head;
+
+	for (; link != NULL; link = link->next) {
+		part_entry_t *entry = link->data;
+		double other = 0; /* weight of the crashes not explained */
+		bool explained = false;
+
+		if (part_set_contains(set, entry->id))
+			continue;
+		for (uint32_t i = 0; i < kept_count(entry); i++) {
+			const part_crash_t *crash = &entry->crashes[i].crash;
+
+			if (had_crash(scores, set, crash))
+				explained = true;
+			else
+				other += crash->weight;
+		}
+		if (explained)
+			limit_score(entry, SCORE_EXPLAINED + other, now);
+	}
+}
+
 void part_scores_cleared(part_scores_t *scores, uint64_t part, int64_t now)
 {
 	part_entry_t *entry = find_entry(scores, part);
--- a/proxy/part_scores.h
+++ b/proxy/part_scores.h
@@ -17,6 +17,8 @@
  * that fails takes many targets down at the same moment.
  */
 #define CRASH_SPACING_MS 100
+/* Reports of the same target within this time are of one crash. */
+#define SAME_CRASH_MS 2000
 #define PARTS_SCORED_MAX 512
 
 typedef struct part_scores_t {
@@ -51,6 +53,12 @@
 			       int64_t began_at, int64_t now);
 /* Lowers the score of a part whose crashes another part explains. */
 void part_scores_explained(part_scores_t *scores, uint64_t part, int64_t now);
+/*
+ * Lowers the scores of other parts by the crashes that all parts of the set had
+ * as well.
+ */
+void part_scores_explain_by(part_scores_t *scores, const part_set_t *set,
+			    int64_t now);
 /* Lowers the score of a part that turned out to be sound. */
 void part_scores_cleared(part_scores_t *scores, uint64_t part, int64_t now);
 
--- a/proxy/parts.c
+++ b/proxy/parts.c
@@ -79,6 +79,7 @@
 		body->u.part_report.left_ms = (uint64_t)sentence->left_ms;
 		body->u.part_report.age_ms = (uint64_t)sentence->age_ms;
 		body->u.part_report.strikes = sentence->strikes;
+		body->u.part_report.request = sentence->target;
 	} else {
 		body = peer_body_new(PEER_PART_SET);
 		body->u.part_set.event = event;
@@ -86,6 +87,9 @@
 		body->u.part_set.left_ms = (uint64_t)sentence->left_ms;
 		body->u.part_set.age_ms = (uint64_t)sentence->age_ms;
 		body->u.part_set.strikes = sentence->strikes;
+		body->u.part_set.target = sentence->target;
+		body->u.part_set.crash_age_ms =
+			(uint64_t)sentence->crash_age_ms;
 	}
 	tell(proxy, incarnation, body);
 }
@@ -129,6 +133,10 @@
 			  "parts=%s score=%.2f reporter=%s", text, score,
 			  reporter);
 		break;
+	case PART_CHANGE_CRASHED:
+		log_event(LOG_LEVEL_INFO, "proxy", "part_crash_explained",
+			  "parts=%s target=%s", text, target);
+		break;
 	case PART_CHANGE_REPLACED:
 		log_event(LOG_LEVEL_INFO, "proxy", "part_replaced",
 			  "parts=%s reporter=%s", text, reporter);
@@ -141,6 +149,7 @@
 {
 	switch (change->kind) {
 	case PART_CHANGE_HELD:
+	case PART_CHANGE_CRASHED:
 		tell_sentence(proxy, incarnation, PART_EVENT_HELD,
 			      &change->sentence);
 		break;
@@ -160,6 +169,8 @@
 	case PART_CHANGE_HELD:
 		held_save_parts(proxy, &change->sentence);
 		break;
+	case PART_CHANGE_CRASHED:
+		break;
 	case PART_CHANGE_RELEASED:
 	case PART_CHANGE_REPLACED:
 		held_remove_parts(proxy, &change->sentence.set);
@@ -497,15 +508,37 @@
 	apply_changes(proxy, reporter, "");
 }
 
-static part_sentence_t read_sentence(const part_set_t *set, uint64_t left_ms,
-				     uint64_t age_ms, uint64_t strikes)
+static uint64_t limit_ms(uint64_t ms)
+{
+	return MIN(ms, (uint64_t)PART_QUARANTINE_MAX_MS);
+}
+
+static part_sentence_t read_part(const peer_body_t *body)
+{
+	part_sentence_t sentence = {
+		.set = part_set_of(body->u.part_report.part),
+		.left_ms = (int64_t)limit_ms(body->u.part_report.left_ms),
+		.age_ms = (int64_t)limit_ms(body->u.part_report.age_ms),
+		.strikes = (uint32_t)MIN(body->u.part_report.strikes,
+					 PART_STRIKES_MAX),
+		.target = body->u.part_report.request,
+		.crash_age_ms = (int64_t)limit_ms(body->u.part_report.age_ms),
+	};
+
+	return sentence;
+}
+
+static part_sentence_t read_set(const peer_body_t *body)
 {
-	uint64_t most = (uint64_t)PART_QUARANTINE_MAX_MS;
 	part_sentence_t sentence = {
-		.set = *set,
-		.left_ms = (int64_t)MIN(left_ms, most),
-		.age_ms = (int64_t)MIN(age_ms, most),
-		.strikes = (uint32_t)MIN(strikes, PART_STRIKES_MAX),
+		.set = body->u.part_set.set,
+		.left_ms = (int64_t)limit_ms(body->u.part_set.left_ms),
+		.age_ms = (int64_t)limit_ms(body->u.part_set.age_ms),
+		.strikes = (uint32_t)MIN(body->u.part_set.strikes,
+					 PART_STRIKES_MAX),
+		.target = body->u.part_set.target,
+		.crash_age_ms =
+			(int64_t)limit_ms(body->u.part_set.crash_age_ms),
 	};
 
 	return sentence;
@@ -516,10 +549,7 @@
 	const peer_body_t *body = msg->u.peer.body;
 	const char *reporter = msg->u.peer.incarnation;
 	uint64_t part = body->u.part_report.part;
-	part_set_t set = part_set_of(part);
-	part_sentence_t sentence = read_sentence(
-		&set, body->u.part_report.left_ms, body->u.part_report.age_ms,
-		body->u.part_report.strikes);
+	part_sentence_t sentence = read_part(body);
 
 	switch (body->u.part_report.event) {
 	case PART_EVENT_CRASHED:
@@ -545,9 +575,7 @@
 void parts_set_received(proxy_t *proxy, const msg_t *msg)
 {
 	const peer_body_t *body = msg->u.peer.body;
-	part_sentence_t sentence = read_sentence(
-		&body->u.part_set.set, body->u.part_set.left_ms,
-		body->u.part_set.age_ms, body->u.part_set.strikes);
+	part_sentence_t sentence = read_set(body);
 
 	sentence_told(proxy, body->u.part_set.event, &sentence,
 		      msg->u.peer.incarnation);
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -159,6 +159,8 @@
 		body->u.part_set.age_ms = 700;
 		body->u.part_set.left_ms = 600000;
 		body->u.part_set.strikes = 3;
+		body->u.part_set.target = UINT64_MAX;
+		body->u.part_set.crash_age_ms = 70;
 		break;
 	case PEER_TARGET_LEAVING:
 		g_strlcpy(body->u.leaving.target, "i-1", NAME_SIZE);
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -2308,7 +2308,8 @@
 	}
 	void apply(size_t to, const part_change_t &change)
 	{
-		if (change.kind == PART_CHANGE_HELD)
+		if (change.kind == PART_CHANGE_HELD ||
+		    change.kind == PART_CHANGE_CRASHED)
 			part_holds_adopt(&fleet[to].holds, &change.sentence,
 					 PART_ORIGIN_ANSWER, now);
 		if (change.kind == PART_CHANGE_RELEASED)
@@ -2592,6 +2593,52 @@
 		EXPECT_EQ(state(at, {1, 2}), PART_ALLOWED);
 }
 
+// Two instances see a crash at the same moment, one only a request beside the
+// cause. Its smaller set must not hold back sound requests.
+TEST_F(Parts, InstanceWithARequestBesideTheCauseYields)
+{
+	std::vector<uint64_t> deadly = {1, 2, 3}, beside = {1, 3};
+	part_request_t cause = {7, deadly.data(), 3},
+		       other = {8, beside.data(), 2};
+	part_suspects_t suspects[2];
+
+	for (int i = 0; i < 2; i++, now += 500)
+		crash(0, next_target++, deadly);
+	for (size_t first : {0, 1}) {
+		part_crash_t crash = {next_target, 0, 1, now};
+
+		for (size_t i = 0; i < 2; i++) {
+			size_t at = (first + i) % 2;
+
+			part_quarantine_crashed(&fleet[at],
+						at == 0 ? &cause : &other, 1,
+						&crash, now, &suspects[at]);
+		}
+		spread(first);
+		spread(1 - first);
+		spread(first);
+		for (size_t at = 0; at < fleet.size(); at++) {
+			EXPECT_EQ(state(at, deadly), PART_QUARANTINED);
+			EXPECT_EQ(state(at, beside), PART_ALLOWED) << at;
+		}
+		// Further crashes at targets with requests of both kinds.
+		next_target++;
+		now += 500;
+	}
+}
+
+// The cause must explain all crashes that it was in, also those of which the
+// instance with the last one knows nothing but the reports.
+TEST_F(Parts, CrashesOfACauseThatIsHeldBlameNothingElse)
+{
+	for (int i = 0; i < 2; i++, now += 500)
+		crash(0, next_target++, {1, 2, 3});
+	EXPECT_EQ(crash(0, next_target++, {2}), 2u);
+	now += 500;
+	EXPECT_EQ(crash(1, next_target++, {1, 3}), 0u);
+	EXPECT_EQ(state(4, {1, 3}), PART_ALLOWED);
+}
+
 // A bystander at each of the crashed targets must not be blamed for them.
 TEST_F(Parts, RequestsBesideTheCauseAreNotHeldBack)
 {
