quarantine: a completed response ends the quarantine of its request

Callers would have seen: a sound request that many send refused with 503 for ten minutes after three crashes at whose targets copies of it waited, though other copies complete.

Several requests are at a target that crashes, all without an answer are blamed, and nothing could end a wrong quarantine: completed responses only cleared blames.

Change: a response that its target began to write after the first of the crashes ends the quarantine, here, at the peers, which are told when it began, and in the store. Such a request would have crashed the target.

Tests: Proxy.CompletedResponseEndsTheQuarantineOfItsRequest, which fails without the change (no message, the request is refused), and ResponseFromBeforeTheCrashesEndsNoQuarantine.

--- a/kernel/peering.h
+++ b/kernel/peering.h
@@ -198,7 +198,12 @@
 			char fingerprint[HASH_SIZE];
 			/* Counted for the request; 0: it was answered. */
 			uint64_t crashes;
-			uint64_t age_ms; /* since the last of them */
+			/*
+			 * Since the last of them; without any: since the target
+			 * began to write the response that clears them, 0:
+			 * unknown.
+			 */
+			uint64_t age_ms;
 			uint64_t left_ms; /* of its quarantine; 0: none */
 		} quarantine;
 		struct {
--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -333,18 +333,49 @@
 	}
 }
 
+static void log_released(const char *fingerprint, const char *reporter)
+{
+	log_event(LOG_LEVEL_WARN, "proxy", "released",
+		  "fingerprint=%.16s reporter=%s", fingerprint, reporter);
+}
+
 void crash_request_completed(proxy_t *proxy, const exchange_t *exchange)
 {
+	int64_t began_ms = (exchange->attempt_began ? exchange->attempt_began_at
+						    : exchange->sent_at) /
+			   USEC_PER_MSEC;
 	quarantine_news_t cleared = {.blames = 0};
 
-	if (!quarantine_clear_blames(&proxy->quarantine, exchange->fingerprint))
-		return;
-	/* Peers may not get the request, and would add up what is unrelated. */
 	g_strlcpy(cleared.fingerprint, exchange->fingerprint,
 		  sizeof(cleared.fingerprint));
+	switch (quarantine_complete(&proxy->quarantine, cleared.fingerprint,
+				    began_ms, now_ms(proxy))) {
+	case QUARANTINE_UNCHANGED:
+		return;
+	case QUARANTINE_CLEARED:
+		break;
+	case QUARANTINE_ENDED:
+		log_released(cleared.fingerprint, proxy->opts.incarnation);
+		held_remove_request(proxy, cleared.fingerprint);
+		break;
+	}
+	/* Peers may not get the request, and would add up what is unrelated. */
+	cleared.age_ms = MAX(now_ms(proxy) - began_ms, 1);
 	tell_quarantine(proxy, "", &cleared);
 }
 
+/* A former build states no age, and clears what is not in quarantine. */
+static void clear_told(proxy_t *proxy, const quarantine_news_t *news,
+		       const char *reporter)
+{
+	int64_t began_ms =
+		news->age_ms > 0 ? now_ms(proxy) - news->age_ms : INT64_MIN;
+
+	if (quarantine_complete(&proxy->quarantine, news->fingerprint, began_ms,
+				now_ms(proxy)) == QUARANTINE_ENDED)
+		log_released(news->fingerprint, reporter);
+}
+
 void crash_report_received(proxy_t *proxy, const msg_t *msg)
 {
 	const peer_body_t *body = msg->u.peer.body;
@@ -384,7 +415,7 @@
 	g_strlcpy(news.fingerprint, body->u.quarantine.fingerprint,
 		  sizeof(news.fingerprint));
 	if (news.blames == 0 && news.left_ms == 0)
-		quarantine_clear_blames(&proxy->quarantine, news.fingerprint);
+		clear_told(proxy, &news, msg->u.peer.incarnation);
 	else
 		crash_adopt(proxy, &news, msg->u.peer.incarnation);
 }
--- a/proxy/held.c
+++ b/proxy/held.c
@@ -101,6 +101,11 @@
 	schedule(proxy, WRITE_DELAY_US);
 }
 
+static void request_key(char key[STORE_KEY_SIZE], const char *fingerprint)
+{
+	g_snprintf(key, STORE_KEY_SIZE, KEY_PREFIX "request.%s", fingerprint);
+}
+
 void held_save_request(proxy_t *proxy, const quarantine_news_t *news)
 {
 	held_write_t write = {.removed = false};
@@ -110,8 +115,15 @@
 		  sizeof(write.record.fingerprint));
 	write.record.decided_ms = now - news->age_ms;
 	write.record.expires_ms = now + news->left_ms;
-	g_snprintf(write.key, sizeof(write.key), KEY_PREFIX "request.%s",
-		   news->fingerprint);
+	request_key(write.key, news->fingerprint);
+	write_later(proxy, &write);
+}
+
+void held_remove_request(proxy_t *proxy, const char *fingerprint)
+{
+	held_write_t write = {.removed = true};
+
+	request_key(write.key, fingerprint);
 	write_later(proxy, &write);
 }
 
--- a/proxy/held.h
+++ b/proxy/held.h
@@ -17,6 +17,8 @@
 void held_load(proxy_t *proxy);
 /* Has the quarantine of a request, or of parts of prompts, written soon. */
 void held_save_request(proxy_t *proxy, const quarantine_news_t *news);
+/* Has the record of a request removed that is not in quarantine any more. */
+void held_remove_request(proxy_t *proxy, const char *fingerprint);
 void held_save_parts(proxy_t *proxy, const part_sentence_t *sentence);
 /* Has the record of a set removed that is not in quarantine any more. */
 void held_remove_parts(proxy_t *proxy, const part_set_t *set);
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -11,7 +11,9 @@
 	char fingerprint[HASH_SIZE];
 	uint32_t count;
 	blame_t blames[QUARANTINE_BLAMES_MAX];
+	int64_t first_blame_ms; /* time of the first of the blames */
 	int64_t last_blame_ms; /* time of the last blame */
+	int64_t ended_ms; /* when responses ended a quarantine, 0: never */
 	int64_t until_ms; /* end of the quarantine, 0 for none */
 	GList link; /* node in quarantine_t.order */
 } quarantine_entry_t;
@@ -86,6 +88,8 @@
 	if (entry->count > 0 &&
 	    now_ms - entry->last_blame_ms < quarantine->spacing_ms)
 		return false;
+	if (entry->count == 0)
+		entry->first_blame_ms = now_ms;
 	blame = &entry->blames[entry->count++];
 	g_strlcpy(blame->reporter, reporter, sizeof(blame->reporter));
 	blame->seq = seq;
@@ -170,6 +174,10 @@
 		entry = add_entry(quarantine, news->fingerprint);
 		entry->last_blame_ms = blamed_ms;
 	}
+	if (entry->ended_ms != 0 && blamed_ms <= entry->ended_ms)
+		return false;
+	if (entry->count == 0)
+		entry->first_blame_ms = blamed_ms;
 	entry->last_blame_ms = MAX(entry->last_blame_ms, blamed_ms);
 	if (news->left_ms > 0)
 		return adopt_quarantine(quarantine, entry, news->left_ms,
@@ -192,3 +200,24 @@
 	remove_entry(quarantine, entry);
 	return true;
 }
+
+quarantine_change_t quarantine_complete(quarantine_t *quarantine,
+					const char *fingerprint,
+					int64_t began_ms, int64_t now_ms)
+{
+	quarantine_entry_t *entry =
+		g_hash_table_lookup(quarantine->entries, fingerprint);
+
+	if (entry == NULL || entry->count == 0)
+		return QUARANTINE_UNCHANGED;
+	if (now_ms >= entry->until_ms) {
+		remove_entry(quarantine, entry);
+		return QUARANTINE_CLEARED;
+	}
+	if (began_ms <= entry->first_blame_ms)
+		return QUARANTINE_UNCHANGED;
+	entry->count = 0;
+	entry->until_ms = 0;
+	entry->ended_ms = now_ms;
+	return QUARANTINE_ENDED;
+}
--- a/request/quarantine.h
+++ b/request/quarantine.h
@@ -65,6 +65,22 @@
  */
 bool quarantine_clear_blames(quarantine_t *quarantine, const char *fingerprint);
 
+/* What a response that was completed changes. */
+typedef enum quarantine_change_t {
+	QUARANTINE_UNCHANGED,
+	QUARANTINE_CLEARED, /* there were blames, and no quarantine */
+	QUARANTINE_ENDED,
+} quarantine_change_t;
+
+/*
+ * Clears the blames after a response that a target began to write at began_ms.
+ * Ends a quarantine if that was after the first of its blames: a request that
+ * crashes targets would have crashed this one too.
+ */
+quarantine_change_t quarantine_complete(quarantine_t *quarantine,
+					const char *fingerprint,
+					int64_t began_ms, int64_t now_ms);
+
 G_END_DECLS
 
 #endif
--- a/tests/proxy_prove.cc
+++ b/tests/proxy_prove.cc
@@ -35,6 +35,7 @@
 // What a schedule plays.
 struct Plan {
 	bool whole; // the deadly request is one and the same
+	bool popular; // so are the sound ones
 	size_t instances, targets;
 	std::vector<uint64_t> sound, deadly; // parts
 	bool varied; // each deadly request has other company
@@ -46,13 +47,14 @@
 	bool cut; // the instance with the series reaches no other for a while
 	int64_t late; // most by which a message is late
 
-	explicit Plan(Rng &rng)
+	Plan(Rng &rng, uint64_t seed)
 	{
 		static const int64_t series_gaps[] = {50,  100, 150,
 						      300, 600, 3000};
 		static const size_t sizes[] = {1, 2, 3, 3, 5, 7};
 
 		whole = rng.percent(25);
+		popular = whole && seed % 2 == 0;
 		instances = sizes[rng.below(6)];
 		if (getenv("INSTANCES") != nullptr)
 			instances = (size_t)atoi(getenv("INSTANCES"));
@@ -206,7 +208,7 @@
 		msg_t msg = {};
 		exchange_spec_t *spec = exchange_spec_new();
 		size_t number = w->requests.size();
-		uint64_t own = whole ? 0 : number + 1;
+		uint64_t own = !whole ? number + 2 : deadly;
 
 		w->requests.push_back({deadly, index, w->now});
 		w->requests.back().in_touch = in_touch();
@@ -547,7 +549,7 @@
 	uint64_t deadly_sent = 0;
 
 	explicit Schedule(uint64_t seed)
-	    : w(seed), plan(w.rng), members(plan.instances)
+	    : w(seed), plan(w.rng, seed), members(plan.instances)
 	{
 		w.targets.resize(plan.targets);
 		w.late = plan.late;
@@ -578,7 +580,7 @@
 		size_t at = plan.apart ? 0 : w.rng.below(members.size());
 
 		if (members[at].up)
-			members[at].open(false, false, plan.sound);
+			members[at].open(false, plan.popular, plan.sound);
 		if (w.now + plan.sound_gap < end)
 			w.after(plan.sound_gap,
 				[=]() { send_sound(number + 1); });
@@ -686,11 +688,12 @@
 void print(uint64_t seed, const Outcome &outcome)
 {
 	Rng rng = FleetWorld(seed).rng;
-	Plan plan(rng);
+	Plan plan(rng, seed);
 
 	printf("seed %" G_GUINT64_FORMAT
-	       ": instances=%zu whole=%d parts=%zu deadly=",
-	       seed, plan.instances, plan.whole, plan.sound.size());
+	       ": instances=%zu whole=%d popular=%d parts=%zu deadly=",
+	       seed, plan.instances, plan.whole, plan.popular,
+	       plan.sound.size());
 	for (uint64_t part : plan.deadly)
 		printf("%" G_GUINT64_FORMAT ":", part);
 	printf(" varied=%d apart=%d series=%d at_once=%d restarts=%d all=%d "
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -450,12 +450,12 @@
 		run(0);
 	}
 	// The request crashes its target.
-	void crash(const char *path)
+	void crash(const char *path, int64_t us = USEC_PER_SEC)
 	{
 		post_open(path);
 		target_down = true;
 		post_failed(FAILURE_SENT, true, true);
-		run(USEC_PER_SEC);
+		run(us);
 		target_down = false;
 	}
 	// Crashes three targets, which begin to answer requests with the parts.
@@ -1631,6 +1631,75 @@
 	EXPECT_TRUE(quarantines.empty()); // there was nothing to clear
 }
 
+// Requests that wait at crashed targets are blamed like the one that crashed
+// them: a sound one must not be refused for the rest of its quarantine.
+TEST_F(Proxy, CompletedResponseEndsTheQuarantineOfItsRequest)
+{
+	const int64_t soon = 200 * USEC_PER_MSEC;
+	peer_body_t cleared = {};
+
+	crash("/unsafe/popular", soon);
+	post_open("/unsafe/popular");
+	handle_t running = call_ref;
+	int attempt = attempts;
+	crash("/unsafe/popular", soon);
+	crash("/unsafe/popular", soon);
+	status = 0;
+	post_open("/unsafe/popular");
+	EXPECT_EQ(status, 503u);
+	EXPECT_EQ(records.size(), 1u);
+	quarantines.clear();
+	call_ref = running;
+	attempts = attempt;
+	post_head(200, true, false, true);
+	post_data("x");
+	post_end();
+	run(USEC_PER_SEC);
+	ASSERT_EQ(quarantines.size(), 1u);
+	cleared = quarantines[0];
+	EXPECT_EQ(cleared.u.quarantine.crashes, 0u);
+	EXPECT_GT(cleared.u.quarantine.age_ms, 0u);
+	EXPECT_EQ(records.size(), 0u);
+	attempts = 0;
+	post_open("/unsafe/popular");
+	EXPECT_EQ(attempts, 1);
+	// A peer tells of a response: from before the crashes, and from after.
+	post_head(200, true, false, true);
+	post_end();
+	for (int i = 0; i < 3; i++)
+		crash("/unsafe/popular");
+	cleared.u.quarantine.age_ms = 60000;
+	post_from_peer(cleared);
+	attempts = 0;
+	post_open("/unsafe/popular");
+	EXPECT_EQ(attempts, 0);
+	cleared.u.quarantine.age_ms = 1;
+	post_from_peer(cleared);
+	post_open("/unsafe/popular");
+	EXPECT_EQ(attempts, 1);
+}
+
+// A response that a target began to write before the crashes proves nothing.
+TEST_F(Proxy, ResponseFromBeforeTheCrashesEndsNoQuarantine)
+{
+	post_open("/stream/popular");
+	handle_t running = call_ref;
+	int attempt = attempts;
+	post_head(200);
+	post_data("id: 1\ndata: a\n\n");
+	run(300 * USEC_PER_MSEC);
+	for (int i = 0; i < 3; i++)
+		crash("/stream/popular", 200 * USEC_PER_MSEC);
+	call_ref = running;
+	attempts = attempt;
+	post_data("id: 2\ndata: a\n\n");
+	post_end();
+	attempts = 0;
+	post_open("/stream/popular");
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(status, 503u);
+}
+
 // Guards against an instance that was cut off while the others learned.
 TEST_F(Proxy, CrashReportOfAQuarantinedRequestIsAnswered)
 {
