quarantine: count crashes of several targets with a request

A blame within 100 ms of the last one did not count, whatever target it was for.

Change: a blame names its target. Blames for one target within 2 s are of one crash; those for several at the same moment count once only if the request was completed in the last 2 min, which each instance remembers for 1,024 requests. An instance that knows a request as completed leaves a peer's quarantine of it to its own count. Routers name no target, and count as before.

Tests: Proxy.CopiesThatCrashTargetsTogetherAreCounted (the fourth copy is sent without the change), CopiesLostInOneCrashCountOnce. Changed: CrashOfManyTargetsAtOnceQuarantinesNoRequest lost 20 targets with a request that had never been completed; now it was, and the check is the same.

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -4,6 +4,7 @@
  */
 #include "proxy/exchange.h"
 
+#include "kernel/hash.h"
 #include "log/log.h"
 #include "proxy/held.h"
 
@@ -81,10 +82,10 @@
 }
 
 static void record_crash(proxy_t *proxy, const char *fingerprint,
-			 const char *reporter, uint64_t seq)
+			 const char *target, const char *reporter, uint64_t seq)
 {
 	if (!quarantine_blame(&proxy->quarantine, fingerprint, reporter, seq,
-			      now_ms(proxy)))
+			      hash_rendezvous(target, ""), now_ms(proxy)))
 		return;
 	log_quarantined(proxy, fingerprint, reporter, CRASH_QUARANTINE_MS);
 }
@@ -95,7 +96,8 @@
 	quarantine_news_t news;
 	peer_body_t *body = peer_body_new(PEER_CRASH_REPORT);
 
-	record_crash(proxy, suspect->fingerprint, proxy->opts.incarnation, seq);
+	record_crash(proxy, suspect->fingerprint, suspect->instance,
+		     proxy->opts.incarnation, seq);
 	g_strlcpy(body->u.crash_report.fingerprint, suspect->fingerprint,
 		  sizeof(body->u.crash_report.fingerprint));
 	g_strlcpy(body->u.crash_report.target, suspect->instance,
@@ -384,8 +386,8 @@
 					now_ms(proxy));
 	quarantine_news_t news;
 
-	record_crash(proxy, fingerprint, body->u.crash_report.reporter,
-		     body->u.crash_report.seq);
+	record_crash(proxy, fingerprint, body->u.crash_report.target,
+		     body->u.crash_report.reporter, body->u.crash_report.seq);
 	/* An instance that knew of it would not have sent the request. */
 	if (held && quarantine_news(&proxy->quarantine, fingerprint,
 				    now_ms(proxy), &news))
--- a/request/blame.c
+++ b/request/blame.c
@@ -91,7 +91,7 @@
 {
 	int64_t wall_ms = kernel_wall(svc->kernel) / USEC_PER_MSEC;
 
-	if (!quarantine_blame(&svc->quarantine, fingerprint, reporter, seq,
+	if (!quarantine_blame(&svc->quarantine, fingerprint, reporter, seq, 0,
 			      wall_ms))
 		return false;
 	metrics_add(svc->kernel->metrics, COUNTER_QUARANTINES, 1);
--- a/request/quarantine.c
+++ b/request/quarantine.c
@@ -2,11 +2,24 @@
 
 #include <string.h>
 
+/* Blames with the same target within this time are of one crash. */
+#define SAME_CRASH_MS 2000
+/* Responses that are older say little about a request. */
+#define COMPLETED_LATELY_MS ((int64_t)2 * 60 * 1000)
+
 typedef struct blame_t {
 	char reporter[INCARNATION_SIZE];
 	uint64_t seq;
+	uint64_t target; /* hash of its id, 0: not known */
+	int64_t at_ms;
 } blame_t;
 
+typedef struct completed_t {
+	char fingerprint[HASH_SIZE];
+	int64_t at_ms;
+	GList link; /* node in quarantine_t.completed_order */
+} completed_t;
+
 typedef struct quarantine_entry_t {
 	char fingerprint[HASH_SIZE];
 	uint32_t count;
@@ -28,11 +41,15 @@
 	quarantine->entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	g_queue_init(&quarantine->order);
+	quarantine->completed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g_queue_init(&quarantine->completed_order);
 }
 
 void quarantine_finish(quarantine_t *quarantine)
 {
 	g_hash_table_unref(quarantine->entries);
+	g_hash_table_unref(quarantine->completed);
 	memset(quarantine, 0, sizeof(*quarantine));
 }
 
@@ -57,6 +74,56 @@
 	return entry;
 }
 
+static void remove_completed(quarantine_t *quarantine, completed_t *completed)
+{
+	g_queue_unlink(&quarantine->completed_order, &completed->link);
+	g_hash_table_remove(quarantine->completed, completed->fingerprint);
+}
+
+static void note_completed(quarantine_t *quarantine, const char *fingerprint,
+			   int64_t now_ms)
+{
+	completed_t *completed =
+		g_hash_table_lookup(quarantine->completed, fingerprint);
+	GQueue *order = &quarantine->completed_order;
+
+	if (completed != NULL) {
+		g_queue_unlink(order, &completed->link);
+	} else {
+		if (order->length >= QUARANTINE_ENTRIES_MAX)
+			remove_completed(quarantine, order->head->data);
+		completed = g_new0(completed_t, 1);
+		g_strlcpy(completed->fingerprint, fingerprint,
+			  sizeof(completed->fingerprint));
+		completed->link.data = completed;
+		g_hash_table_insert(quarantine->completed,
+				    completed->fingerprint, completed);
+	}
+	completed->at_ms = now_ms;
+	g_queue_push_tail_link(order, &completed->link);
+}
+
+static bool completed_lately(const quarantine_t *quarantine,
+			     const char *fingerprint, int64_t now_ms)
+{
+	const completed_t *completed =
+		g_hash_table_lookup(quarantine->completed, fingerprint);
+
+	return completed != NULL &&
+	       now_ms - completed->at_ms <= COMPLETED_LATELY_MS;
+}
+
+static bool has_crash(const quarantine_entry_t *entry, uint64_t target,
+		      int64_t now_ms)
+{
+	for (uint32_t i = 0; target != 0 && i < entry->count; i++) {
+		if (entry->blames[i].target == target &&
+		    now_ms - entry->blames[i].at_ms < SAME_CRASH_MS)
+			return true;
+	}
+	return false;
+}
+
 static bool has_blame(const quarantine_entry_t *entry, const char *reporter,
 		      uint64_t seq)
 {
@@ -69,7 +136,8 @@
 }
 
 bool quarantine_blame(quarantine_t *quarantine, const char *fingerprint,
-		      const char *reporter, uint64_t seq, int64_t now_ms)
+		      const char *reporter, uint64_t seq, uint64_t target,
+		      int64_t now_ms)
 {
 	quarantine_entry_t *entry =
 		g_hash_table_lookup(quarantine->entries, fingerprint);
@@ -83,16 +151,19 @@
 	if (entry == NULL)
 		entry = add_entry(quarantine, fingerprint);
 	if (entry->count >= quarantine->blame_threshold ||
-	    has_blame(entry, reporter, seq))
+	    has_blame(entry, reporter, seq) || has_crash(entry, target, now_ms))
 		return false;
 	if (entry->count > 0 &&
-	    now_ms - entry->last_blame_ms < quarantine->spacing_ms)
+	    now_ms - entry->last_blame_ms < quarantine->spacing_ms &&
+	    completed_lately(quarantine, fingerprint, now_ms))
 		return false;
 	if (entry->count == 0)
 		entry->first_blame_ms = now_ms;
 	blame = &entry->blames[entry->count++];
 	g_strlcpy(blame->reporter, reporter, sizeof(blame->reporter));
 	blame->seq = seq;
+	blame->target = target;
+	blame->at_ms = now_ms;
 	entry->last_blame_ms = now_ms;
 	if (entry->count < quarantine->blame_threshold)
 		return false;
@@ -170,6 +241,9 @@
 		remove_entry(quarantine, entry);
 		entry = NULL;
 	}
+	if (news->left_ms > 0 && (entry == NULL || entry->until_ms == 0) &&
+	    completed_lately(quarantine, news->fingerprint, now_ms))
+		return false;
 	if (entry == NULL) {
 		entry = add_entry(quarantine, news->fingerprint);
 		entry->last_blame_ms = blamed_ms;
@@ -208,6 +282,8 @@
 	quarantine_entry_t *entry =
 		g_hash_table_lookup(quarantine->entries, fingerprint);
 
+	if (began_ms != INT64_MIN)
+		note_completed(quarantine, fingerprint, began_ms);
 	if (entry == NULL || entry->count == 0)
 		return QUARANTINE_UNCHANGED;
 	if (now_ms >= entry->until_ms) {
--- a/request/quarantine.h
+++ b/request/quarantine.h
@@ -20,7 +20,14 @@
 	GQueue order; /* entries, oldest first */
 	uint32_t blame_threshold; /* blames that start a quarantine */
 	int64_t duration_ms; /* length of a quarantine, validity of a blame */
-	int64_t spacing_ms; /* a blame this soon after another does not count */
+	/*
+	 * A blame this soon after another does not count if the request was
+	 * completed lately: a rack or a network that fails takes many targets,
+	 * and the requests that are in use with them.
+	 */
+	int64_t spacing_ms;
+	GHashTable *completed; /* fingerprint -> completed_t */
+	GQueue completed_order; /* oldest first */
 } quarantine_t;
 
 /* What an instance knows of a fingerprint, for another one. */
@@ -37,12 +44,15 @@
 void quarantine_finish(quarantine_t *quarantine);
 
 /*
- * Records the loss of one attempt; a repeated (reporter, seq) is ignored.
- * Returns true when this blame puts the fingerprint into quarantine.  now_ms
- * may be the time of any clock, but of the same one in all calls.
+ * Records the loss of one attempt; a repeated (reporter, seq) is ignored, and
+ * so is another loss in the same crash.  target is the hash of the id of the
+ * target that crashed, 0 if it is not known.  Returns true when this blame puts
+ * the fingerprint into quarantine.  now_ms may be the time of any clock, but of
+ * the same one in all calls.
  */
 bool quarantine_blame(quarantine_t *quarantine, const char *fingerprint,
-		      const char *reporter, uint64_t seq, int64_t now_ms);
+		      const char *reporter, uint64_t seq, uint64_t target,
+		      int64_t now_ms);
 bool quarantine_contains(const quarantine_t *quarantine,
 			 const char *fingerprint, int64_t now_ms);
 /*
@@ -54,8 +64,9 @@
 uint32_t quarantine_list(const quarantine_t *quarantine, int64_t now_ms,
 			 quarantine_news_t *list, uint32_t max);
 /*
- * Applies what another instance knows.  Blames that both know count once.
- * Returns true when the fingerprint is put into quarantine.
+ * Applies what another instance knows.  Blames that both know count once.  A
+ * quarantine is left to the blames that are counted here if the request was
+ * completed lately.  Returns true when the fingerprint is put into quarantine.
  */
 bool quarantine_adopt(quarantine_t *quarantine, const quarantine_news_t *news,
 		      int64_t now_ms);
@@ -73,6 +84,7 @@
 } quarantine_change_t;
 
 /*
+ * Notes that the request was completed.
  * Clears the blames after a response that a target began to write at began_ms.
  * Ends a quarantine if that was after the first of its blames: a request that
  * crashes targets would have crashed this one too.
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -1745,6 +1745,9 @@
 // A rack that fails ends many targets that run the same popular request.
 TEST_F(Proxy, CrashOfManyTargetsAtOnceQuarantinesNoRequest)
 {
+	post_open("/unsafe/popular"); // it is in use
+	post_head(200, true, false, true);
+	post_end();
 	for (int i = 0; i < 20; i++) {
 		post_open("/unsafe/popular");
 		post_failed(FAILURE_SENT, true, true);
@@ -1759,6 +1762,51 @@
 	EXPECT_EQ(attempts, 1);
 }
 
+// Copies of a deadly request may come together: the next ones must not crash as
+// many targets again.
+TEST_F(Proxy, CopiesThatCrashTargetsTogetherAreCounted)
+{
+	std::vector<handle_t> calls;
+
+	for (int i = 0; i < 4; i++) {
+		post_open("/unsafe/crash");
+		calls.push_back(call_ref);
+	}
+	target_down = true;
+	for (int i = 0; i < 4; i++) {
+		call_ref = calls[(size_t)i];
+		attempts = i + 1;
+		post_failed(FAILURE_SENT, true, true);
+	}
+	run(100 * USEC_PER_MSEC);
+	attempts = 0;
+	post_open("/unsafe/crash");
+	EXPECT_EQ(attempts, 0);
+	EXPECT_EQ(status, 503u);
+}
+
+// Several copies at one target are lost in one crash.
+TEST_F(Proxy, CopiesLostInOneCrashCountOnce)
+{
+	std::vector<handle_t> calls;
+
+	for (int i = 0; i < 4; i++) {
+		placements = 0;
+		post_open("/unsafe/sound");
+		calls.push_back(call_ref);
+	}
+	target_down = true;
+	for (int i = 0; i < 4; i++) {
+		call_ref = calls[(size_t)i];
+		attempts = i + 1;
+		post_failed(FAILURE_SENT, true, true);
+	}
+	run(100 * USEC_PER_MSEC);
+	attempts = 0;
+	post_open("/unsafe/sound");
+	EXPECT_EQ(attempts, 1);
+}
+
 // Requests that are never alike must not crash one target after the other.
 TEST_F(Proxy, PromptPartThatCrashesTargetsIsQuarantined)
 {
