proxy: the release of a wrong set reaches instances that know nothing

Found on reading: an instance that was cut off tells its wrong quarantine to each peer that it connects to. A peer that knows better answers only it, so that the others, which apply the quarantine, were not told.

Change: the instance that decided passes the release on. An empty set from a peer is ignored: it would hold back every request. Also names and comments: part_holds_missed(), no comment twice.

Test: Parts.ReleaseOfAWrongQuarantineReachesThoseThatKnowNothing."

--- a/proxy/part_hold.h
+++ b/proxy/part_hold.h
@@ -45,9 +45,11 @@
 			  int64_t now);
 void part_hold_end(part_holds_t *holds, part_hold_t *hold, part_origin_t origin,
 		   int64_t now);
-void part_hold_add_change(part_holds_t *holds, part_change_kind_t kind,
-			  const part_hold_t *hold, part_origin_t origin,
-			  int64_t now);
+/* Returns the change, which is valid until the next one is added. */
+part_change_t *part_hold_add_change(part_holds_t *holds,
+				    part_change_kind_t kind,
+				    const part_hold_t *hold,
+				    part_origin_t origin, int64_t now);
 
 /* part_responses.c */
 
--- a/proxy/part_holds.c
+++ b/proxy/part_holds.c
@@ -192,9 +192,10 @@
 	return sentence;
 }
 
-void part_hold_add_change(part_holds_t *holds, part_change_kind_t kind,
-			  const part_hold_t *hold, part_origin_t origin,
-			  int64_t now)
+part_change_t *part_hold_add_change(part_holds_t *holds,
+				    part_change_kind_t kind,
+				    const part_hold_t *hold,
+				    part_origin_t origin, int64_t now)
 {
 	part_change_t change = {
 		.kind = kind,
@@ -204,6 +205,8 @@
 	};
 
 	g_array_append_val(holds->changes, change);
+	return &g_array_index(holds->changes, part_change_t,
+			      holds->changes->len - 1);
 }
 
 static void begin(part_holds_t *holds, part_hold_t *hold, int64_t now)
@@ -290,15 +293,16 @@
 		     const part_hold_t *larger, int64_t now)
 {
 	bool own = hold->own;
+	part_change_t *change;
 
 	part_scores_level(holds->scores, &larger->set, now);
 	part_hold_add_change(holds, PART_CHANGE_REPLACED, hold,
 			     PART_ORIGIN_TOLD, now);
 	part_hold_remove(holds, hold);
-	part_hold_add_change(holds, PART_CHANGE_HELD, larger, PART_ORIGIN_TOLD,
-			     now);
-	g_array_index(holds->changes, part_change_t, holds->changes->len - 1)
-		.own |= own;
+	change = part_hold_add_change(holds, PART_CHANGE_HELD, larger,
+				      PART_ORIGIN_TOLD, now);
+	/* Its record was removed when the smaller set replaced it. */
+	change->own = change->own || own;
 }
 
 /* Ends the quarantines of smaller sets that this one explains. */
@@ -400,9 +404,8 @@
 	return true;
 }
 
-bool part_holds_explain(const part_holds_t *holds, uint64_t part,
-			uint64_t request, int64_t now,
-			part_sentence_t *sentence)
+bool part_holds_missed(const part_holds_t *holds, uint64_t part,
+		       uint64_t request, int64_t now, part_sentence_t *sentence)
 {
 	uint32_t cursor = 0;
 	const part_hold_t *hold;
@@ -564,8 +567,11 @@
 {
 	part_hold_t *hold = part_hold_find(holds, set);
 
+	/* Only the instance that decided is told by those that know better. */
 	if (hold != NULL && hold->held) {
-		part_hold_end(holds, hold, PART_ORIGIN_TOLD, now);
+		part_hold_end(holds, hold,
+			      hold->own ? PART_ORIGIN_HERE : PART_ORIGIN_TOLD,
+			      now);
 		return;
 	}
 	/* The release may have overtaken the quarantine. */
--- a/proxy/part_holds.h
+++ b/proxy/part_holds.h
@@ -112,12 +112,12 @@
 		      uint32_t count, int64_t began_at, part_origin_t origin,
 		      int64_t now);
 /*
- * Writes the quarantine that explains why a request with the part has crashed a
- * target, and returns whether there is one.
+ * Writes the quarantine that an instance has missed where a request with the
+ * part has crashed a target, and returns whether there is one.
  */
-bool part_holds_explain(const part_holds_t *holds, uint64_t part,
-			uint64_t request, int64_t now,
-			part_sentence_t *sentence);
+bool part_holds_missed(const part_holds_t *holds, uint64_t part,
+		       uint64_t request, int64_t now,
+		       part_sentence_t *sentence);
 
 /*
  * Begins the next quarantine of the sets that the request is the first one to
--- a/proxy/part_quarantine.c
+++ b/proxy/part_quarantine.c
@@ -289,8 +289,8 @@
 			    const part_crash_t *crash, int64_t now,
 			    part_sentence_t *sentence)
 {
-	return part_holds_explain(&quarantine->holds, part, crash->request, now,
-				  sentence);
+	return part_holds_missed(&quarantine->holds, part, crash->request, now,
+				 sentence);
 }
 
 void part_quarantine_explained(part_quarantine_t *quarantine, uint64_t part,
--- a/proxy/part_responses.c
+++ b/proxy/part_responses.c
@@ -108,7 +108,6 @@
 	return false;
 }
 
-/* Whether a response with the part may change a quarantine of its set. */
 bool part_holds_await(const part_holds_t *holds, uint64_t part, int64_t now)
 {
 	uint32_t cursor = 0;
@@ -127,7 +126,6 @@
 	return false;
 }
 
-/* Applies a response to the quarantines of sets with any of these parts. */
 void part_holds_weigh(part_holds_t *holds, const uint64_t *parts,
 		      uint32_t count, int64_t began_at, part_origin_t origin,
 		      int64_t now)
--- a/proxy/parts.c
+++ b/proxy/parts.c
@@ -521,6 +521,8 @@
 static void sentence_told(proxy_t *proxy, part_event_t event,
 			  const part_sentence_t *sentence, const char *reporter)
 {
+	if (sentence->set.count == 0)
+		return;
 	if (event == PART_EVENT_RELEASED)
 		part_holds_release(&proxy->parts.holds, &sentence->set,
 				   now_ms(proxy));
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -2671,6 +2671,31 @@
 	}
 }
 
+// An instance that was cut off learns from one that knows better that its
+// quarantine was wrong; those that know nothing must learn it too.
+TEST_F(Parts, ReleaseOfAWrongQuarantineReachesThoseThatKnowNothing)
+{
+	const part_set_t hot = part_set_of(1);
+	part_sentence_t wrong;
+
+	cut = 6;
+	for (int i = 0; i < 3; i++, now += 500)
+		crash(6, next_target++, {1, 50 + (uint64_t)i});
+	now += 100;
+	survive(0, {1});
+	cut = SIZE_MAX;
+	now += 500;
+	ASSERT_TRUE(part_holds_sentence(&fleet[6].holds, &hot, now, &wrong));
+	for (size_t at = 0; at < 6; at++)
+		part_holds_adopt(&fleet[at].holds, &wrong, PART_ORIGIN_ANSWER,
+				 now);
+	EXPECT_EQ(state(3, 1), PART_QUARANTINED);
+	part_holds_release(&fleet[6].holds, &hot, now); // the answer of 0
+	spread(6);
+	for (size_t at = 0; at < fleet.size(); at++)
+		EXPECT_EQ(state(at, 1), PART_ALLOWED);
+}
+
 // A quarantine that is read from the store becomes smaller like any other.
 TEST_F(Parts, SetReadFromTheStoreBecomesSmallerWithSoundResponses)
 {
