balance: bound the parts that targets are supposed to have cached

Cause: the parts of a target were bounded by the tokens that it holds, 500,000, and an entry takes the same memory whatever its tokens are.

The least recently used part of all gives way, then those beyond the tokens of their target.

Tests: Cache.PartsOfAllTargetsAreBounded, PartThatIsUsedStays and TokensOfATargetAreBounded in balance_test.

--- a/balance/balance.c
+++ b/balance/balance.c
@@ -17,6 +17,8 @@
 
 #include <string.h>
 
+#define MEMORY_DEFAULT (UINT64_C(256) * 1048576) /* bytes */
+
 static void remove_target(balance_t *balance, balance_target_t *target)
 {
 	notice_keep(balance, target);
@@ -48,7 +50,8 @@
 					     target->info.service);
 
 	target->engine = service != NULL && service->engine;
-	target->kv_cache_tokens = target->engine ? service->kv_cache_tokens : 0;
+	target->cache.max_tokens =
+		target->engine ? service->kv_cache_tokens : 0;
 	target->resumable =
 		balance->conf != NULL &&
 		has_resumable_route(balance->conf, target->info.service);
@@ -76,7 +79,7 @@
 	if (target == NULL) {
 		self = table_add(&balance->targets, (void **)&target);
 		target->self = self;
-		balance_target_init(target, info);
+		balance_target_init(target, info, &balance->caches);
 		g_hash_table_insert(balance->targets_by_id, target->info.id,
 				    target);
 		notice_restore(balance, target);
@@ -261,6 +264,7 @@
 	memset(balance, 0, sizeof(*balance));
 	balance->kernel = kernel;
 	balance->instances = 1;
+	caches_init(&balance->caches, MEMORY_DEFAULT);
 	balance->started_at = kernel_now(kernel);
 	balance->cold_bounds = COLD_BOUNDS_DEFAULT;
 	balance->cold_share.changed_at = kernel_now(kernel);
@@ -286,6 +290,11 @@
 	balance->cold_bounds = *bounds;
 }
 
+void balance_set_memory(balance_t *balance, uint64_t memory)
+{
+	caches_init(&balance->caches, memory);
+}
+
 void balance_set_pace(balance_t *balance, bool pace)
 {
 	balance->pace = pace;
--- a/balance/balance.h
+++ b/balance/balance.h
@@ -7,6 +7,7 @@
 #ifndef BALANCE_BALANCE_H
 #define BALANCE_BALANCE_H
 
+#include "balance/cache.h"
 #include "balance/cold.h"
 #include "kernel/kernel.h"
 #include "kernel/peer_set.h"
@@ -58,6 +59,7 @@
 	peer_set_t peers;
 	fleet_conf_t *conf;
 	uint32_t instances; /* size of the fleet, including this one */
+	caches_t caches; /* of the targets */
 	table_t targets; /* balance_target_t */
 	table_t queue; /* queued_t */
 	table_t placements; /* placement_t */
@@ -85,6 +87,11 @@
 		  const char *zone);
 /* Sets other bounds than the default ones for cold targets. */
 void balance_set_cold_bounds(balance_t *balance, const cold_bounds_t *bounds);
+/*
+ * Bounds what is kept of the targets' caches by the bytes of memory that the
+ * process may use.  Called before the kernel starts.
+ */
+void balance_set_memory(balance_t *balance, uint64_t memory);
 /* Restrains targets that have just started or recovered. */
 void balance_set_pace(balance_t *balance, bool pace);
 void balance_finish(balance_t *balance);
--- a/balance/placement.c
+++ b/balance/placement.c
@@ -60,8 +60,8 @@
 		     balance_target_t *target)
 {
 	msg_t msg = {.kind = MSG_PLACED, .ref = request->id};
-	int64_t cached = balance_target_cached_tokens(
-		target, request->u.place.parts, request->u.place.part_count);
+	int64_t cached = cache_tokens(&target->cache, request->u.place.parts,
+				      request->u.place.part_count);
 	placement_t *placement;
 	handle_t self = table_add(&balance->placements, (void **)&placement);
 
@@ -78,8 +78,8 @@
 	set_unanswered(target, placement);
 	permit_use(target, placement->placed_at);
 	target->prefill_tokens += placement->prefill_tokens;
-	balance_target_cache_parts(target, request->u.place.parts,
-				   request->u.place.part_count);
+	cache_add(&target->cache, request->u.place.parts,
+		  request->u.place.part_count);
 	msg.id = self;
 	msg.u.placed.target = target->self;
 	msg.u.placed.port = target->info.port;
--- a/balance/target.c
+++ b/balance/target.c
@@ -57,36 +57,22 @@
  */
 #define STREAM_HALF_LIFE_US (1.5 * 1e6)
 
-typedef struct cached_part_t {
-	uint64_t id;
-	uint32_t tokens;
-	GList link;
-} cached_part_t;
-
-void balance_target_init(balance_target_t *target, const fleet_target_t *info)
+void balance_target_init(balance_target_t *target, const fleet_target_t *info,
+			 caches_t *caches)
 {
 	target->info = *info;
 	target->load.latency_percent = LATENCY_PERCENT_USUAL;
-	target->cached_parts = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, NULL, g_free);
-	g_queue_init(&target->cached_lru);
+	cache_init(&target->cache, caches);
 }
 
 void balance_target_finish(balance_target_t *target)
 {
-	g_hash_table_unref(target->cached_parts);
-}
-
-static void clear_cache(balance_target_t *target)
-{
-	g_queue_init(&target->cached_lru);
-	g_hash_table_remove_all(target->cached_parts);
-	target->cached_tokens = 0;
+	cache_finish(&target->cache);
 }
 
 void balance_target_reset(balance_target_t *target)
 {
-	clear_cache(target);
+	cache_clear(&target->cache);
 	memset(&target->notice, 0, sizeof(target->notice));
 	memset(&target->load, 0, sizeof(target->load));
 	target->load.latency_percent = LATENCY_PERCENT_USUAL;
@@ -99,54 +85,6 @@
 	target->doubter[0] = '\0';
 }
 
-int64_t balance_target_cached_tokens(const balance_target_t *target,
-				     const prompt_part_t *parts, uint32_t count)
-{
-	int64_t tokens = 0;
-
-	for (uint32_t i = 0; i < count; i++) {
-		if (!g_hash_table_contains(target->cached_parts, &parts[i].id))
-			break;
-		tokens += parts[i].tokens;
-	}
-	return tokens;
-}
-
-static void evict(balance_target_t *target)
-{
-	while (target->cached_tokens > target->kv_cache_tokens &&
-	       target->cached_lru.length > 0) {
-		cached_part_t *part = target->cached_lru.head->data;
-
-		g_queue_unlink(&target->cached_lru, &part->link);
-		target->cached_tokens -= part->tokens;
-		g_hash_table_remove(target->cached_parts, &part->id);
-	}
-}
-
-void balance_target_cache_parts(balance_target_t *target,
-				const prompt_part_t *parts, uint32_t count)
-{
-	for (uint32_t i = 0; i < count; i++) {
-		cached_part_t *part =
-			g_hash_table_lookup(target->cached_parts, &parts[i].id);
-
-		if (part != NULL) {
-			g_queue_unlink(&target->cached_lru, &part->link);
-		} else {
-			part = g_new0(cached_part_t, 1);
-			part->id = parts[i].id;
-			part->tokens = parts[i].tokens;
-			part->link.data = part;
-			g_hash_table_insert(target->cached_parts, &part->id,
-					    part);
-			target->cached_tokens += part->tokens;
-		}
-		g_queue_push_tail_link(&target->cached_lru, &part->link);
-	}
-	evict(target);
-}
-
 void balance_target_set_load(balance_target_t *target,
 			     const target_load_t *load, int64_t now)
 {
@@ -274,8 +212,8 @@
 static double engine_cost(const balance_target_t *target, const msg_t *request,
 			  target_rank_t rank, int64_t now)
 {
-	int64_t cached = balance_target_cached_tokens(
-		target, request->u.place.parts, request->u.place.part_count);
+	int64_t cached = cache_tokens(&target->cache, request->u.place.parts,
+				      request->u.place.part_count);
 	double uncached = (double)(request->u.place.prompt_tokens - cached);
 	double running = estimate_requests(target, target->load.running, now);
 	double waiting = target->load.known ? target->load.waiting : 0.0;
--- a/balance/target.h
+++ b/balance/target.h
@@ -51,7 +51,6 @@
 	bool engine;
 	bool resumable; /* a route takes up streams again at its service */
 	process_doubt_t doubt;
-	int64_t kv_cache_tokens; /* capacity of the KV cache */
 	int64_t cold_us; /* for which it is cold after a start */
 	/* Requests in 1,000 s that it sustains while it is cold; 0: never cold.
 	 */
@@ -83,23 +82,13 @@
 	int64_t peer_load_at; /* monotonic, us; last change of either */
 	double failure_score; /* weighted recent failures, decaying */
 	int64_t failure_score_at; /* monotonic, us; last change */
-	GHashTable *cached_parts; /* prompt part -> cached_part_t */
-	GQueue cached_lru; /* cached_part_t, least recently used first */
-	int64_t cached_tokens;
+	cache_t cache;
 } balance_target_t;
 
-void balance_target_init(balance_target_t *target, const fleet_target_t *info);
+void balance_target_init(balance_target_t *target, const fleet_target_t *info,
+			 caches_t *caches);
 void balance_target_finish(balance_target_t *target);
 
-/*
- * Tokens of the leading parts that the target has cached, judging by the
- * requests that this instance sent to it.
- */
-int64_t balance_target_cached_tokens(const balance_target_t *target,
-				     const prompt_part_t *parts,
-				     uint32_t count);
-void balance_target_cache_parts(balance_target_t *target,
-				const prompt_part_t *parts, uint32_t count);
 /*
  * Forgets what is known of the process of a target that was replaced.  Requests
  * of this instance stay counted until they end.
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -241,6 +241,9 @@
 		     settings->availability_zone);
 	balance_set_cold_bounds(&gateway->balance, &cold);
 	balance_set_pace(&gateway->balance, settings->gateway_pace != 0);
+	balance_set_memory(&gateway->balance,
+			   (uint64_t)settings_memory_mib(settings) *
+				   BYTES_PER_MIB);
 	g_strlcpy(proxy.incarnation, gateway->incarnation,
 		  sizeof(proxy.incarnation));
 	g_strlcpy(proxy.zone, settings->availability_zone, sizeof(proxy.zone));
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -1992,4 +1992,76 @@
 	EXPECT_LE(world.most, 6u);
 }
 
+class Cache : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		caches_init(&caches, 0); // the least that is kept
+		for (cache_t &cache : targets) {
+			cache_init(&cache, &caches);
+			cache.max_tokens = 1000000000;
+		}
+	}
+	void TearDown() override
+	{
+		for (cache_t &cache : targets)
+			cache_finish(&cache);
+		EXPECT_EQ(caches.lru.length, 0u);
+	}
+	bool is_cached(size_t target, uint64_t id)
+	{
+		prompt_part_t part = {id, 0};
+
+		return g_hash_table_contains(targets[target].parts, &part.id);
+	}
+	void add(size_t target, uint64_t id, uint32_t size)
+	{
+		prompt_part_t part = {id, size};
+
+		cache_add(&targets[target], &part, 1);
+	}
+	caches_t caches = {};
+	std::vector<cache_t> targets = std::vector<cache_t>(5);
+};
+
+// Requests with many parts of no or few tokens must not fill the memory, at
+// whichever targets they are placed.
+TEST_F(Cache, PartsOfAllTargetsAreBounded)
+{
+	for (uint64_t id = 0; id < 100000; id++)
+		add(id % 5, id, id % 2 == 0 ? 0 : 1);
+	EXPECT_EQ(caches.lru.length, caches.max_parts);
+	guint held = 0;
+	for (cache_t &cache : targets)
+		held += g_hash_table_size(cache.parts);
+	EXPECT_EQ(held, caches.max_parts);
+}
+
+// Parts that are in use must outlive a flood of others.
+TEST_F(Cache, PartThatIsUsedStays)
+{
+	for (uint64_t id = 1000; id < 100000; id++) {
+		add(id % 5, id, 1);
+		if (id % 500 == 0)
+			add(2, 1, 600);
+	}
+	EXPECT_TRUE(is_cached(2, 1));
+	EXPECT_FALSE(is_cached(2, 1002));
+}
+
+// A target that holds fewer tokens than the parts have keeps the latest ones.
+TEST_F(Cache, TokensOfATargetAreBounded)
+{
+	targets[0].max_tokens = 1000;
+	for (uint64_t id = 0; id < 20; id++)
+		add(0, id, 100);
+	EXPECT_EQ(targets[0].tokens, 1000);
+	EXPECT_FALSE(is_cached(0, 9));
+	EXPECT_TRUE(is_cached(0, 10));
+	cache_clear(&targets[0]);
+	EXPECT_EQ(targets[0].tokens, 0);
+	EXPECT_EQ(caches.lru.length, 0u);
+}
+
 } // namespace
