--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -129,7 +129,8 @@
  * operator may write another one with the same version after a restore of the
  * store; the one that is written last is in force.
  */
-static void apply_conf(fleet_t *fleet, const record_t *record)
+static void apply_conf(fleet_t *fleet, const record_t *record,
+		       const char *source)
 {
 	fleet_conf_t *conf = record->u.fleet_conf;
 
@@ -149,9 +150,9 @@
 		    conf->unreadable);
 	log_event(LOG_LEVEL_INFO, "fleet", "configuration",
 		  "version=%" G_GINT64_FORMAT " routes=%u accounts=%u "
-		  "store_up=%d unreadable=%u fault=%s",
+		  "store_up=%d source=%s unreadable=%u fault=%s",
 		  conf->version, conf->routes->len, conf->accounts->len,
-		  fleet->store_up, conf->unreadable,
+		  fleet->store_up, source, conf->unreadable,
 		  log_quote(conf->fault.text));
 	for (uint32_t i = 0; i < fleet->subscriber_count; i++)
 		post_conf(fleet, fleet->subscribers[i]);
@@ -335,14 +336,15 @@
 
 static void apply_item(fleet_t *fleet, const store_kv_t *kv, bool relayed)
 {
+	const char *source = relayed ? "peer" : "store";
 	char id[NAME_SIZE];
 
 	if (strcmp(kv->key, KEY_CONF) == 0) {
-		apply_conf(fleet, &kv->record);
+		apply_conf(fleet, &kv->record, source);
 		return;
 	}
 	if (g_str_has_prefix(kv->key, KEY_PREFIX_EVACUATIONS)) {
-		apply_evacuation(fleet, kv, relayed ? "peer" : "store");
+		apply_evacuation(fleet, kv, source);
 		return;
 	}
 	if (!g_str_has_prefix(kv->key, KEY_PREFIX_TARGETS))
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -306,14 +306,36 @@
 		peer_set_at(&replica->peers, replica->next_peer)->incarnation);
 }
 
+static gsize count_bytes(const GArray *items)
+{
+	gsize bytes = 0;
+
+	for (guint i = 0; i < items->len; i++) {
+		const store_item_t *item =
+			&g_array_index(items, store_item_t, i);
+
+		if (item->value != NULL)
+			bytes += g_bytes_get_size(item->value);
+	}
+	return bytes;
+}
+
 static void answer_pull(replica_t *replica, const msg_t *msg)
 {
 	int64_t after = msg->u.peer.body->u.store_pull.after;
+	peer_body_t *body;
 
 	if (!replica->synced || replica->revision <= after)
 		return;
-	send_body(replica, msg->u.peer.incarnation,
-		  items_since(replica, after));
+	body = items_since(replica, after);
+	log_event(LOG_LEVEL_INFO, "replica", "pull_answered",
+		  "peer=%s after=" REVISION_FORMAT " revision=" REVISION_FORMAT
+		  " items=%u bytes=%" G_GSIZE_FORMAT,
+		  msg->u.peer.incarnation, REVISION_ARGS(after),
+		  REVISION_ARGS(body->u.store_items.up_to),
+		  body->u.store_items.items->len,
+		  count_bytes(body->u.store_items.items));
+	send_body(replica, msg->u.peer.incarnation, body);
 }
 
 /*
@@ -426,10 +448,13 @@
 	}
 	log_event(replica->store_up ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
 		  "replica", "relayed",
-		  "peer=%s revision=" REVISION_FORMAT " items=%u",
+		  "peer=%s revision=" REVISION_FORMAT " items=%u"
+		  " bytes=%" G_GSIZE_FORMAT " live=%d",
 		  msg->u.peer.incarnation,
 		  REVISION_ARGS(body->u.store_items.up_to),
-		  body->u.store_items.items->len);
+		  body->u.store_items.items->len,
+		  count_bytes(body->u.store_items.items),
+		  body->u.store_items.live);
 	if (complete && body->u.store_items.after == 0 &&
 	    body->u.store_items.up_to >= replica->revision)
 		replica->incomplete = false;
