--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1284,6 +1284,7 @@
 		kernel_post(&kernel, outbound, msg->from, &head);
 		kernel_post(&kernel, outbound, msg->from, &data);
 		call_ref = msg->id;
+		call_deadline = msg->u.out_send.deadline;
 		if (!endless)
 			kernel_post(&kernel, outbound, msg->from, &end);
 	}
@@ -1297,6 +1298,28 @@
 		kernel_post(&kernel, outbound, store.svc, &data);
 		kernel_run_until(&kernel, kernel_now(&kernel));
 	}
+	void end_response()
+	{
+		msg_t end = {};
+
+		end.kind = MSG_OUT_END;
+		end.ref = call_ref;
+		kernel_post(&kernel, outbound, store.svc, &end);
+		kernel_run_until(&kernel, kernel_now(&kernel));
+	}
+	// As outbound does at the deadline of a call.
+	void fail_if_overdue()
+	{
+		msg_t failed = {};
+
+		if (kernel_now(&kernel) < call_deadline)
+			return;
+		failed.kind = MSG_OUT_FAILED;
+		failed.ref = call_ref;
+		failed.u.out_failed.sent = true;
+		kernel_post(&kernel, outbound, store.svc, &failed);
+		kernel_run_until(&kernel, kernel_now(&kernel));
+	}
 	void get(const char *key, uint32_t status, const std::string &body)
 	{
 		msg_t msg = {};
@@ -1371,6 +1394,7 @@
 	uint32_t http_status = 200;
 	int sends = 0, failure_events = 0, cancels = 0;
 	handle_t call_ref = HANDLE_NONE;
+	int64_t call_deadline = 0;
 	bool endless = false; // responses do not end
 };
 
@@ -1679,6 +1703,74 @@
 	EXPECT_EQ(table_count(&store.calls), 0u);
 }
 
+// Guards against an instance that never catches up: on a slow link the changes
+// it missed take longer to arrive than a silent store may take to answer.
+TEST_F(Store, ResponseThatKeepsArrivingIsNotGivenUp)
+{
+	msg_t msg = {};
+
+	endless = true;
+	msg.kind = MSG_STORE_CHANGES;
+	msg.u.store_get.min_revision = 7;
+	call(&msg, 200, "{\"at\":9,\"events\":[");
+	for (int i = 0; i < 10; i++) {
+		kernel_run_until(&kernel, kernel_now(&kernel) + 300000);
+		fail_if_overdue();
+		post_more(" ");
+	}
+	post_more("]}");
+	end_response();
+	ASSERT_NE(result, nullptr);
+	EXPECT_EQ(result->status, STORE_OK);
+	EXPECT_EQ(result->revision, 9);
+}
+
+// Guards against a store that is not given up although it has fallen silent in
+// the middle of a response.
+TEST_F(Store, ResponseThatStopsArrivingIsGivenUp)
+{
+	msg_t msg = {};
+
+	endless = true;
+	msg.kind = MSG_STORE_CHANGES;
+	msg.u.store_get.min_revision = 7;
+	call(&msg, 200, "{\"at\":9,");
+	for (int i = 0; i < 5 && result == nullptr; i++) {
+		kernel_run_until(&kernel, kernel_now(&kernel) + 300000);
+		fail_if_overdue();
+	}
+	ASSERT_NE(result, nullptr);
+	EXPECT_EQ(result->status, STORE_UNKNOWN);
+}
+
+// Guards against the time for versions that are no longer in force: each one
+// takes as long to decode as the newest.
+TEST_F(Store, OnlyTheNewestConfigurationOfARangeIsDecoded)
+{
+	const std::string valid = "{\"version\":5,\"routes\":[],\"services\":"
+				  "[],\"tenants\":[]}";
+	const std::string newer = "{\"version\":6,\"routes\":[],\"services\":"
+				  "[],\"tenants\":[]}";
+	const std::string key = "op/config";
+
+	changes(3, 200,
+		"{\"at\":6,\"events\":[" + item(key.c_str(), 4, valid) + "," +
+			item("servers/i-1", 5, "x") + "," +
+			item(key.c_str(), 6, newer) + "]}");
+	ASSERT_EQ(result->status, STORE_OK);
+	ASSERT_EQ(result->kvs->len, 2u);
+	EXPECT_EQ(store_result_find(result, "fleet/conf")
+			  ->record.u.fleet_conf->version,
+		  6);
+	// One that cannot be read leaves the one before it in force.
+	changes(6, 200,
+		"{\"at\":9,\"events\":[" + item(key.c_str(), 7, valid) + "," +
+			item(key.c_str(), 9, "{") + "]}");
+	ASSERT_EQ(result->kvs->len, 2u);
+	EXPECT_EQ(g_array_index(result->kvs, store_kv_t, 0).record.kind,
+		  RECORD_FLEET_CONF);
+}
+
 // Guards against an account that gets no tokens, as the store refuses a write
 // whose key is not quoted.
 TEST_F(Store, KeysOfAWriteAreQuoted)
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -1,11 +1,13 @@
 // Tests the replica: listing again after the store compacted its history,
 // changes pulled from peers while the store is unavailable, and the number of
 // store calls of a large fleet.
+#include "kernel/hash.h"
 #include "replica/entry.h"
 #include "replica/replica.h"
 
 #include <algorithm>
 #include <cstring>
+#include <deque>
 #include <functional>
 #include <gtest/gtest.h>
 #include <map>
@@ -162,6 +164,7 @@
 			r->pulls.push_back(msg->u.peer.incarnation);
 			r->pull_after = msg->u.peer.body->u.store_pull.after;
 		} else {
+			r->keep_bytes(msg->u.peer.body->u.store_items.items);
 			r->pushes[msg->u.peer.incarnation]++;
 			r->pushed += msg->u.peer.body->u.store_items.items->len;
 			r->pushed -= r->count_marks(msg->u.peer.body);
@@ -171,6 +174,29 @@
 				msg->u.peer.body->u.store_items.partial;
 		}
 	}
+	void keep_bytes(const GArray *items)
+	{
+		pushed_bytes = 0;
+		for (guint i = 0; i < items->len; i++) {
+			const store_item_t *item =
+				&g_array_index(items, store_item_t, i);
+
+			if (item->value != nullptr)
+				pushed_bytes += g_bytes_get_size(item->value);
+		}
+	}
+	void receive_pull(const char *from, int64_t after)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, from,
+			  sizeof(msg.u.peer.incarnation));
+		msg.u.peer.body = peer_body_new(PEER_STORE_PULL);
+		msg.u.peer.body->u.store_pull.after = after;
+		kernel_post(&kernel, peer, replica.svc, &msg);
+		run(0);
+	}
 	// Counts the marks of a build that knows evacuations.
 	size_t count_marks(const peer_body_t *body)
 	{
@@ -285,6 +311,7 @@
 	std::map<std::string, bool> relayed; // the last event, by a peer
 	size_t pushed = 0, decoded = 0; // number of items
 	size_t push_marks = 0;
+	size_t pushed_bytes = 0; // in the values of the last message
 	int64_t push_after = 0, push_up_to = 0, pull_after = -1;
 	bool push_partial = false;
 	int64_t list_as_of = -1;
@@ -732,6 +759,26 @@
 	EXPECT_EQ(replica.revision, 21);
 }
 
+// Guards against links that are full of documents: an instance that the store
+// turns away asks a peer every 300 ms, and only one of them has to send it.
+TEST_F(Replica, PullIsAnsweredWithAnOfferOfALargeConfiguration)
+{
+	conf_version = 3;
+	start();
+	peer_up("p1", "z");
+	put("fleet/conf", 14);
+	run(600000);
+	ASSERT_EQ(seen["fleet/conf"], RECORD_FLEET_CONF);
+	conf_offers.clear();
+	receive_pull("p1", 9);
+	EXPECT_EQ(pushes.count("p1"), 1u);
+	EXPECT_LE(pushed_bytes, 8192u);
+	EXPECT_EQ(conf_offers["p1"], std::vector<int64_t>{3});
+	// The changes that the offer stands for are not complete without it.
+	EXPECT_TRUE(push_partial);
+	EXPECT_EQ(push_up_to, 13);
+}
+
 // Services wait for targets to write themselves again only if they learn of the
 // restore before the deletions.
 TEST_F(Replica, RestoreIsReportedBeforeItsDeletions)
@@ -1019,11 +1066,20 @@
 constexpr int ZONE_SIZE = 10;
 constexpr int64_t POLL_US = 600000;
 constexpr int64_t FLEET_STEP_US = 5000;
+constexpr int64_t LINK_BYTES_PER_MS = 1250; // 10 Mbit/s
+constexpr int64_t CONF_INTERVAL_US = 1600000;
+constexpr int64_t CONF_BOUND_US = 3 * USEC_PER_SEC;
+constexpr int CONF_ROUTES = 2000;
 
 struct fleet_t;
 
 struct member_t {
 	void read_evacuation(const msg_t *msg, store_result_t *result) const;
+	size_t read_conf(const msg_t *msg, store_result_t *result) const;
+	// Bytes arrive one after the other; returns when the last one has.
+	int64_t receive_bytes(size_t bytes);
+	void deliver(int64_t until);
+	int64_t version() const;
 
 	fleet_t *fleet;
 	std::string incarnation, zone;
@@ -1034,6 +1090,9 @@
 	bool cut = false; // its calls to the store fail
 	bool former = false; // of a build that passes over evacuations
 	int calls = 0;
+	int64_t bytes_in = 0;
+	int64_t link_free_at = 0;
+	std::deque<std::pair<int64_t, msg_t>> arriving; // with time, us
 };
 
 // A fleet of replicas in several zones that share a store.
@@ -1042,6 +1101,9 @@
 	int64_t now = 0;
 	int64_t revision = 9;
 	int64_t evacuation = 0; // revision of the key; 0: absent
+	std::map<int64_t, GBytes *> documents; // by revision
+	std::map<int64_t, int64_t> versions; // by revision
+	bool slow_links = false;
 
 	fleet_t()
 	{
@@ -1057,7 +1119,60 @@
 		for (auto &member : members) {
 			replica_finish(&member->replica);
 			kernel_finish(&member->kernel);
+			for (auto &[at, msg] : member->arriving)
+				msg_clear(&msg);
 		}
+		for (auto &[at, document] : documents)
+			g_bytes_unref(document);
+	}
+	// Writes a document that differs from the last one in a few places.
+	void write_conf()
+	{
+		int64_t version = (int64_t)versions.size() * 3 + 1;
+		std::string text = "{\"version\":" + std::to_string(version);
+		uint64_t seed = 7;
+
+		for (int i = 0; i < CONF_ROUTES; i++) {
+			seed = hash_mix(seed + 1);
+			text += ",{\"name\":\"r-" + std::to_string(seed) +
+				"\",\"host\":\"" +
+				std::to_string(hash_mix(seed)) +
+				".example\",\"path_prefix\":\"/" +
+				std::to_string(hash_mix(seed + 2)) +
+				"/\",\"kind\":\"streaming\","
+				"\"service\":\"s\",\"max_attempts\":2,"
+				"\"timeout_ms\":" +
+				std::to_string(i == version % CONF_ROUTES
+						       ? 9000
+						       : 10000) +
+				"}";
+		}
+		revision++;
+		documents[revision] = g_bytes_new(text.data(), text.size());
+		versions[revision] = version;
+	}
+	int64_t newest_version() const
+	{
+		return versions.empty() ? 0 : versions.rbegin()->second;
+	}
+	// Runs until all members have the newest version; at most 30 s.
+	int64_t time_until_in_force()
+	{
+		int64_t from = now;
+		auto has_newest = [this](auto &member) {
+			return member->version() == newest_version();
+		};
+
+		while (!std::all_of(members.begin(), members.end(),
+				    has_newest) &&
+		       now - from < 30 * USEC_PER_SEC)
+			run(FLEET_STEP_US);
+		return now - from;
+	}
+	void clear_bytes()
+	{
+		for (auto &member : members)
+			member->bytes_in = 0;
 	}
 	void add(int i)
 	{
@@ -1101,6 +1216,7 @@
 		store_result_t *result = store_result_new(
 			member->cut ? STORE_UNAVAILABLE : STORE_OK);
 		msg_t reply = {};
+		size_t bytes = 0;
 
 		result->revision = member->fleet->revision;
 		if (msg->kind == MSG_STORE_DECODE) {
@@ -1111,10 +1227,17 @@
 		} else {
 			member->calls++;
 			member->read_evacuation(msg, result);
+			bytes = member->read_conf(msg, result);
 		}
 		reply.kind = MSG_STORE_RESULT;
 		reply.ref = msg->id;
 		reply.u.store_result = result;
+		if (bytes > 0 && member->fleet->slow_links) {
+			member->arriving.push_back(
+				{member->receive_bytes(bytes), reply});
+			return;
+		}
+		member->bytes_in += (int64_t)bytes;
 		kernel_post(&member->kernel, member->store, msg->from, &reply);
 	}
 	static void copy_evacuations(const peer_body_t *body,
@@ -1127,11 +1250,24 @@
 				&g_array_index(items, store_item_t, i);
 			record_t record = {};
 
-			record.kind = RECORD_EVACUATION;
+			if (strcmp(item->key, "fleet/conf") == 0)
+				set_conf(&record, item->value);
+			else
+				record.kind = RECORD_EVACUATION;
 			store_result_add_raw(result, item->key, item->revision,
 					     &record, item->value);
+			record_clear(&record);
 		}
 	}
+	static void set_conf(record_t *record, GBytes *document)
+	{
+		const char *text = static_cast<const char *>(
+			g_bytes_get_data(document, nullptr));
+
+		record->kind = RECORD_FLEET_CONF;
+		record->u.fleet_conf = fleet_conf_new();
+		record->u.fleet_conf->version = atoll(strchr(text, ':') + 1);
+	}
 	static void on_peer(void *self, msg_t *msg)
 	{
 		member_t *from = static_cast<member_t *>(self);
@@ -1151,11 +1287,30 @@
 			g_strlcpy(copy.u.peer.incarnation,
 				  from->incarnation.c_str(),
 				  sizeof(copy.u.peer.incarnation));
-			kernel_post(&to->kernel, to->peer, to->replica.svc,
-				    &copy);
+			to->arriving.push_back({to->receive_bytes(count_bytes(
+							copy.u.peer.body)),
+						copy});
+			if (!to->fleet->slow_links)
+				to->deliver(INT64_MAX);
 			return;
 		}
 	}
+	static size_t count_bytes(const peer_body_t *body)
+	{
+		size_t bytes = 100;
+
+		if (body->kind != PEER_STORE_ITEMS)
+			return bytes;
+		for (guint i = 0; i < body->u.store_items.items->len; i++) {
+			const store_item_t *item = &g_array_index(
+				body->u.store_items.items, store_item_t, i);
+
+			bytes += strlen(item->key) + 20;
+			if (item->value != nullptr)
+				bytes += g_bytes_get_size(item->value);
+		}
+		return bytes;
+	}
 	// A former build neither marks its messages nor passes the key on.
 	static void drop_what_is_new(const peer_body_t *body)
 	{
@@ -1195,8 +1350,10 @@
 	{
 		for (int64_t end = now + us; now < end;) {
 			now += FLEET_STEP_US;
-			for (auto &member : members)
+			for (auto &member : members) {
+				member->deliver(now);
 				kernel_run_until(&member->kernel, now);
+			}
 		}
 	}
 	int calls() const
@@ -1248,6 +1405,111 @@
 	g_bytes_unref(raw);
 }
 
+// A read of changes brings each version since a revision, as the store does.
+size_t member_t::read_conf(const msg_t *msg, store_result_t *result) const
+{
+	int64_t after = msg->kind == MSG_STORE_CHANGES
+				? msg->u.store_get.min_revision
+				: INT64_MAX;
+	size_t bytes = 0;
+
+	if (cut || fleet->documents.empty())
+		return 0;
+	if (msg->kind == MSG_STORE_LIST &&
+	    strcmp(msg->u.store_list.prefix, "fleet/conf") == 0)
+		after = fleet->documents.rbegin()->first - 1;
+	for (auto &[at, document] : fleet->documents) {
+		record_t record = {};
+
+		if (at <= after)
+			continue;
+		fleet_t::set_conf(&record, document);
+		store_result_add_raw(result, "fleet/conf", at, &record,
+				     document);
+		record_clear(&record);
+		bytes += g_bytes_get_size(document) * 4 / 3; // base64
+	}
+	return bytes;
+}
+
+int64_t member_t::receive_bytes(size_t bytes)
+{
+	bytes_in += (int64_t)bytes;
+	link_free_at = std::max(link_free_at, fleet->now) +
+		       (int64_t)bytes * USEC_PER_MSEC / LINK_BYTES_PER_MS;
+	return link_free_at;
+}
+
+void member_t::deliver(int64_t until)
+{
+	while (!arriving.empty() && arriving.front().first <= until) {
+		msg_t msg = arriving.front().second;
+
+		arriving.pop_front();
+		kernel_post(&kernel,
+			    msg.kind == MSG_STORE_RESULT ? store : peer,
+			    replica.svc, &msg);
+	}
+}
+
+int64_t member_t::version() const
+{
+	const replica_entry_t *entry = static_cast<const replica_entry_t *>(
+		g_hash_table_lookup(replica.entries, REPLICA_KEY_CONF));
+
+	return entry != nullptr ? entry->record.u.fleet_conf->version : 0;
+}
+
+// Guards against callers that wait behind documents: while a large
+// configuration changes again and again, only the reader may read it whole.
+TEST(ReplicaFleet, ChangesOfALargeConfigurationLeaveLinksToCallers)
+{
+	fleet_t fleet;
+	int64_t from;
+	int busy = 0;
+
+	fleet.slow_links = true;
+	fleet.run(3 * USEC_PER_SEC);
+	fleet.write_conf();
+	fleet.run(10 * USEC_PER_SEC);
+	fleet.clear_bytes();
+	from = fleet.now;
+	for (int i = 0; i < 10; i++) {
+		fleet.write_conf();
+		EXPECT_LE(fleet.time_until_in_force(), CONF_BOUND_US / 2);
+		fleet.run(CONF_INTERVAL_US -
+			  (fleet.now - from) % CONF_INTERVAL_US);
+	}
+	/* 2 % of what the link carries; the reader reads each version. */
+	for (auto &member : fleet.members)
+		busy += member->bytes_in > (fleet.now - from) / USEC_PER_MSEC *
+						   LINK_BYTES_PER_MS / 50;
+	EXPECT_LE(busy, 1);
+}
+
+// Guards against a configuration that is seconds late at instances which the
+// store turns away: their links were full of documents from several peers.
+TEST(ReplicaFleet, LargeConfigurationReachesInstancesWithoutTheStore)
+{
+	fleet_t fleet;
+	int64_t from;
+
+	fleet.slow_links = true;
+	fleet.run(3 * USEC_PER_SEC);
+	fleet.write_conf();
+	fleet.run(10 * USEC_PER_SEC);
+	for (size_t i = 0; i < fleet.members.size(); i++)
+		fleet.members[i]->cut = i % 5 != 2;
+	fleet.run(4 * USEC_PER_SEC);
+	from = fleet.now;
+	for (int i = 0; i < 10; i++) {
+		fleet.write_conf();
+		EXPECT_LE(fleet.time_until_in_force(), CONF_BOUND_US);
+		fleet.run(CONF_INTERVAL_US -
+			  (fleet.now - from) % CONF_INTERVAL_US);
+	}
+}
+
 // Guards against an evacuation that reaches an instance too late: the bound is
 // 5 s for all of them together, which read, pass on and place.
 TEST(ReplicaFleet, EvacuationReachesAllSoon)
