replica: pass a large configuration on as a patch

Callers saw: each change of a large configuration slowed everything down.

Cause: pushes left items above 8 kB to the store, whole, so a change cost instances x document, however small it was. Class: the cost of a change is set by the size of the state.

Change: replica/patch.c, a zstd frame of the new document with the former one as its prefix (libzstd-dev, Debian). The reader and the relays put it in their pushes, where builds that do not know it pass over it; a hello states who takes patches. Who lacks the base reads from the store, as before. A patch above 8 kB, many new routes, is not passed on.

--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,13 @@
 	  request dispatch front member peer instances admin router ctl \
 	  http replica fleet prepaid balance streams proxy ingress outbound overload \
 	  platform gateway
-PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c
+PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 msgpack log4c libzstd
 # http-parser has no pkg-config file.
 EXTRA_LIBS = -lhttp_parser -lm
 DEBIAN_PACKAGES = gcc g++ make pkg-config clang-format clang-tidy curl \
 		  mandoc python3 libglib2.0-dev libsoup-3.0-dev \
 		  libjson-glib-dev libmsgpack-dev liblog4c-dev libgtest-dev \
-		  libhttp-parser-dev \
+		  libhttp-parser-dev libzstd-dev \
 		  glib-networking clang libclang-rt-14-dev
 
 BUILD ?= build
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -467,6 +467,8 @@
 			char availability_zone[NAME_SIZE]; /* MSG_PEER_UP */
 			/* For callers' requests, 0: none; MSG_PEER_UP. */
 			uint16_t request_port;
+			/* A configuration may be left out; MSG_PEER_UP. */
+			bool takes_patches;
 		} peer_addr; /* MSG_PEER_CONNECT, _DISCONNECT, _UP, _DOWN */
 
 		member_list_t *members; /* MSG_MEMBER_CHANGED */
--- a/kernel/peer_set.c
+++ b/kernel/peer_set.c
@@ -24,6 +24,14 @@
 	return &g_array_index(set->peers, peer_ref_t, i);
 }
 
+const peer_ref_t *peer_set_find(const peer_set_t *set, const char *incarnation)
+{
+	for (guint i = 0; i < peer_set_count(set); i++)
+		if (strcmp(peer_set_at(set, i)->incarnation, incarnation) == 0)
+			return peer_set_at(set, i);
+	return NULL;
+}
+
 bool peer_set_is_large(const peer_set_t *set)
 {
 	return peer_set_count(set) >= LARGE_FLEET_PEERS;
@@ -54,6 +62,7 @@
 		  sizeof(peer.incarnation));
 	g_strlcpy(peer.availability_zone, msg->u.peer_addr.availability_zone,
 		  sizeof(peer.availability_zone));
+	peer.takes_patches = msg->u.peer_addr.takes_patches;
 	for (guint i = 0; i < peer_set_count(set); i++) {
 		if (compare(peer_set_at(set, i), &peer) != 0)
 			continue;
--- a/kernel/peer_set.h
+++ b/kernel/peer_set.h
@@ -19,6 +19,7 @@
 typedef struct peer_ref_t {
 	char incarnation[INCARNATION_SIZE];
 	char availability_zone[NAME_SIZE];
+	bool takes_patches; /* a configuration may be left out */
 } peer_ref_t;
 
 typedef struct peer_set_t {
@@ -32,6 +33,8 @@
 
 guint peer_set_count(const peer_set_t *set);
 const peer_ref_t *peer_set_at(const peer_set_t *set, guint i);
+/* Returns NULL if the peer is not connected. */
+const peer_ref_t *peer_set_find(const peer_set_t *set, const char *incarnation);
 bool peer_set_is_large(const peer_set_t *set);
 /* Returns the number of peers in an availability zone. */
 uint32_t peer_set_count_in_zone(const peer_set_t *set, const char *zone);
--- a/peer/kinds.c
+++ b/peer/kinds.c
@@ -2,7 +2,7 @@
 
 /* Each further kind needs a bit of the statement. */
 G_STATIC_ASSERT(PEER_TARGET_FULL + 1 == PEER_KINDS_FORMER);
-G_STATIC_ASSERT(PEER_KIND_COUNT <= PEER_KINDS_FORMER + 62);
+G_STATIC_ASSERT(PEER_KIND_COUNT <= PEER_KINDS_FORMER + 61);
 
 static uint64_t kind_bit(uint32_t kind)
 {
@@ -11,7 +11,8 @@
 
 uint64_t peer_kinds_own(void)
 {
-	uint64_t stated = PEER_KINDS_SKIPS_UNKNOWN | PEER_KINDS_LONG_FRAMES;
+	uint64_t stated = PEER_KINDS_SKIPS_UNKNOWN | PEER_KINDS_LONG_FRAMES |
+			  PEER_KINDS_PATCHES;
 
 	for (uint32_t kind = PEER_KINDS_FORMER; kind < PEER_KIND_COUNT; kind++)
 		stated |= kind_bit(kind);
@@ -22,6 +23,6 @@
 {
 	if ((uint32_t)kind < PEER_KINDS_FORMER)
 		return true;
-	return (uint32_t)kind < PEER_KINDS_FORMER + 62 &&
+	return (uint32_t)kind < PEER_KINDS_FORMER + 61 &&
 	       (stated & kind_bit(kind)) != 0;
 }
--- a/peer/kinds.h
+++ b/peer/kinds.h
@@ -25,6 +25,9 @@
 /* Stated by builds that take frames up to PEER_FRAME_MAX. */
 #define PEER_KINDS_LONG_FRAMES (UINT64_C(1) << 63)
 
+/* Stated by builds that take the configuration as a patch (replica/patch.h). */
+#define PEER_KINDS_PATCHES (UINT64_C(1) << 62)
+
 /* Returns the statement of this build. */
 uint64_t peer_kinds_own(void);
 /* Returns true if a peer with this statement may be sent the kind. */
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -2,6 +2,7 @@
 
 #include "log/log.h"
 #include "peer/conn.h"
+#include "peer/kinds.h"
 
 #include <string.h>
 
@@ -40,6 +41,7 @@
 	g_strlcpy(msg.u.peer_addr.availability_zone,
 		  conn->remote.availability_zone,
 		  sizeof(msg.u.peer_addr.availability_zone));
+	msg.u.peer_addr.takes_patches = (conn->kinds & PEER_KINDS_PATCHES) != 0;
 	kernel_post(peer->kernel, peer->svc, to, &msg);
 }
 
--- a/replica/offer.c
+++ b/replica/offer.c
@@ -1,14 +1,13 @@
 #include "replica/offer.h"
 
 #include "log/log.h"
-#include "replica/entry.h"
 
 #include <string.h>
 
-/* Interval between two requests of a version; a full link takes that long. */
+/* Interval between two requests of a document; a full link takes that long. */
 #define REQUEST_INTERVAL_US (2 * USEC_PER_SEC)
 
-static const replica_entry_t *find_conf(const replica_t *replica)
+const replica_entry_t *replica_find_conf(const replica_t *replica)
 {
 	const replica_entry_t *entry =
 		g_hash_table_lookup(replica->entries, REPLICA_KEY_CONF);
@@ -19,7 +18,7 @@
 
 static int64_t known_version(const replica_t *replica)
 {
-	const replica_entry_t *entry = find_conf(replica);
+	const replica_entry_t *entry = replica_find_conf(replica);
 
 	return entry != NULL ? entry->record.u.fleet_conf->version : -1;
 }
@@ -28,7 +27,7 @@
 {
 	peer_body_t *body;
 
-	if (find_conf(replica) == NULL)
+	if (replica_find_conf(replica) == NULL)
 		return;
 	body = peer_body_new(PEER_CONF_OFFER);
 	body->u.conf_offer.version = known_version(replica);
@@ -85,7 +84,7 @@
 
 void replica_conf_requested(replica_t *replica, const msg_t *msg)
 {
-	const replica_entry_t *entry = find_conf(replica);
+	const replica_entry_t *entry = replica_find_conf(replica);
 	store_item_t item = {0};
 	peer_body_t *body;
 
--- a/replica/offer.h
+++ b/replica/offer.h
@@ -8,10 +8,13 @@
 #ifndef REPLICA_OFFER_H
 #define REPLICA_OFFER_H
 
+#include "replica/entry.h"
 #include "replica/replica.h"
 
 G_BEGIN_DECLS
 
+/* Returns the entry of the configuration, or NULL if none is known. */
+const replica_entry_t *replica_find_conf(const replica_t *replica);
 /* Tells a peer, or all peers if incarnation is empty, the known version. */
 void replica_offer_conf(replica_t *replica, const char *incarnation);
 /* After a listing: tells all peers if the store holds an older version. */
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -32,9 +32,10 @@
  */
 #define MISSING_PULL_US (2 * USEC_PER_SEC)
 /*
- * Larger items are not pushed: a configuration of some 100 kB, sent to each
- * instance of a zone, would saturate the reader's link for seconds.  The store
- * has a fast link, and the configuration seldom changes.
+ * Larger items are not passed on: a configuration of some 100 kB, sent to each
+ * instance of a zone, would saturate the reader's link for seconds.  Instances
+ * get a patch of it.  One that has no version to which the patch applies reads
+ * from the store, which has a fast link, or asks one peer for the document.
  */
 #define PUSH_ITEM_BYTES_MAX 8192
 
@@ -192,16 +193,81 @@
 	g_array_append_val(body->u.store_items.items, mark);
 }
 
+/* Returns the index of an item after 1, or 0 if there is none. */
+static guint find_item(const GArray *items, const char *key)
+{
+	guint i = items->len;
+
+	while (i > 0 &&
+	       strcmp(g_array_index(items, store_item_t, i - 1).key, key) != 0)
+		i--;
+	return i;
+}
+
 static bool take_complete_mark(GArray *items)
 {
-	for (guint i = items->len; i > 0; i--) {
-		if (strcmp(g_array_index(items, store_item_t, i - 1).key,
-			   REPLICA_KEY_COMPLETE) != 0)
-			continue;
-		g_array_remove_index(items, i - 1);
-		return true;
+	guint found = find_item(items, REPLICA_KEY_COMPLETE);
+
+	if (found > 0)
+		g_array_remove_index(items, found - 1);
+	return found > 0;
+}
+
+static patch_t take_patch(GArray *items)
+{
+	guint found = find_item(items, REPLICA_KEY_PATCH);
+	GBytes *value =
+		found > 0 ? g_array_index(items, store_item_t, found - 1).value
+			  : NULL;
+	patch_t patch = {0};
+
+	if (value != NULL && !patch_decode(value, &patch))
+		patch_clear(&patch);
+	if (found > 0)
+		g_array_remove_index(items, found - 1);
+	return patch;
+}
+
+/* Adds the configuration that the patch makes of the known one. */
+static bool apply_patch(const replica_t *replica, const patch_t *patch,
+			GArray *items)
+{
+	const replica_entry_t *conf = replica_find_conf(replica);
+	store_item_t item = {.revision = patch->revision};
+
+	if (patch->frame == NULL || conf == NULL || conf->raw == NULL ||
+	    conf->changed_revision != patch->base)
+		return false;
+	item.value = patch_apply_frame(conf->raw, patch->frame);
+	if (item.value == NULL)
+		return false;
+	g_strlcpy(item.key, REPLICA_KEY_CONF, sizeof(item.key));
+	g_array_append_val(items, item);
+	return true;
+}
+
+/*
+ * Completes a message without its configuration, if that is known or can be
+ * made.  Relays pass the patch on.
+ */
+static void restore_conf(replica_t *replica, peer_body_t *body)
+{
+	const replica_entry_t *conf = replica_find_conf(replica);
+	patch_t patch = take_patch(body->u.store_items.items);
+
+	if (patch.revision == 0)
+		return;
+	if (conf == NULL || conf->revision < patch.revision) {
+		if (!apply_patch(replica, &patch, body->u.store_items.items))
+			goto out;
+		patch_clear(&replica->patch);
+		replica->patch = patch;
+		patch.frame = NULL;
 	}
-	return false;
+	body->u.store_items.partial = false;
+	body->u.store_items.up_to = patch.up_to;
+out:
+	patch_clear(&patch);
 }
 
 static peer_body_t *items_since(const replica_t *replica, int64_t after)
@@ -217,10 +283,58 @@
 	return body;
 }
 
-/* Removes large items, which followers read from the store. */
-static void drop_large_items(peer_body_t *body)
+/*
+ * Makes the patch from the configuration that was pushed last, unless it is
+ * known from the peer that has sent it.
+ */
+static void update_patch(replica_t *replica)
+{
+	const replica_entry_t *conf = replica_find_conf(replica);
+	patch_t *patch = &replica->patch;
+
+	if (conf == NULL || conf->raw == NULL ||
+	    patch->revision == conf->changed_revision)
+		return;
+	patch_clear(patch);
+	patch->revision = conf->changed_revision;
+	if (replica->pushed_conf == NULL ||
+	    g_bytes_get_size(conf->raw) <= PUSH_ITEM_BYTES_MAX)
+		return;
+	patch->base = replica->pushed_conf_revision;
+	patch->frame = patch_make_frame(replica->pushed_conf, conf->raw);
+	if (patch->frame != NULL &&
+	    g_bytes_get_size(patch->frame) > PUSH_ITEM_BYTES_MAX)
+		g_clear_pointer(&patch->frame, g_bytes_unref);
+}
+
+/* As the mark of completeness, passed over by builds that do not know it. */
+static void add_patch(const replica_t *replica, peer_body_t *body,
+		      int64_t up_to)
+{
+	const replica_entry_t *conf = replica_find_conf(replica);
+	store_item_t item = {.revision = body->u.store_items.after};
+	patch_t patch = {0};
+
+	if (replica->patch.revision == conf->changed_revision)
+		patch = replica->patch;
+	patch.revision = conf->changed_revision;
+	patch.up_to = up_to;
+	g_strlcpy(item.key, REPLICA_KEY_PATCH, sizeof(item.key));
+	item.value = patch_encode(&patch);
+	g_array_append_val(body->u.store_items.items, item);
+}
+
+/*
+ * Removes large items.  For a peer that takes patches, the one of the
+ * configuration takes its place.  Returns true if there was one.
+ */
+static bool drop_large_items(const replica_t *replica, const peer_ref_t *peer,
+			     peer_body_t *body)
 {
 	GArray *items = body->u.store_items.items;
+	bool readable = replica_find_conf(replica) != NULL;
+	int64_t up_to = body->u.store_items.up_to;
+	bool has_conf = false;
 
 	for (guint i = items->len; i > 0; i--) {
 		const store_item_t *item =
@@ -229,11 +343,16 @@
 		if (item->value == NULL ||
 		    g_bytes_get_size(item->value) <= PUSH_ITEM_BYTES_MAX)
 			continue;
+		has_conf |=
+			readable && strcmp(item->key, REPLICA_KEY_CONF) == 0;
 		body->u.store_items.partial = true;
 		body->u.store_items.up_to =
 			MIN(body->u.store_items.up_to, item->revision - 1);
 		g_array_remove_index(items, i - 1);
 	}
+	if (has_conf && peer->takes_patches)
+		add_patch(replica, body, up_to);
+	return has_conf;
 }
 
 /* True if this instance passes its changes on to the peer. */
@@ -245,10 +364,23 @@
 	return in_own_zone(replica, peer);
 }
 
+static void set_pushed(replica_t *replica, int64_t up_to)
+{
+	const replica_entry_t *conf = replica_find_conf(replica);
+
+	replica->pushed_revision = up_to;
+	if (conf == NULL || conf->raw == NULL || conf->changed_revision > up_to)
+		return;
+	g_clear_pointer(&replica->pushed_conf, g_bytes_unref);
+	replica->pushed_conf = g_bytes_ref(conf->raw);
+	replica->pushed_conf_revision = conf->changed_revision;
+}
+
 static void push_changes(replica_t *replica, bool to_relays)
 {
 	int64_t up_to = replica->revision;
 
+	update_patch(replica);
 	for (guint i = 0; i < peer_set_count(&replica->peers); i++) {
 		const peer_ref_t *peer = peer_set_at(&replica->peers, i);
 		peer_body_t *body;
@@ -258,10 +390,10 @@
 		body = items_since(replica, replica->pushed_revision);
 		body->u.store_items.live = true;
 		up_to = body->u.store_items.up_to;
-		drop_large_items(body);
+		drop_large_items(replica, peer, body);
 		send_body(replica, peer->incarnation, body);
 	}
-	replica->pushed_revision = up_to;
+	set_pushed(replica, up_to);
 }
 
 void replica_push_changes(replica_t *replica)
@@ -272,7 +404,7 @@
 		 */
 		push_changes(replica, !replica_relay_active(replica));
 	else
-		replica->pushed_revision = replica->revision;
+		set_pushed(replica, replica->revision);
 }
 
 void replica_forward_changes(replica_t *replica)
@@ -403,9 +535,10 @@
 
 static void items_received(replica_t *replica, msg_t *msg)
 {
-	const peer_body_t *body = msg->u.peer.body;
+	peer_body_t *body = msg->u.peer.body;
 	bool complete = take_complete_mark(body->u.store_items.items);
 
+	restore_conf(replica, body);
 	drop_known_items(replica, body->u.store_items.items);
 	if (!complete && replica->store_up) {
 		/*
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -549,6 +549,8 @@
 	 */
 	replica->entries = replica_entries_new();
 	replica->era = -1;
+	replica->offered_version = -1;
+	replica->requested_version = -1;
 	replica->listed_keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peer_set_init(&replica->peers);
@@ -560,6 +562,8 @@
 	kernel_timer_cancel(replica->kernel, &replica->timer);
 	g_hash_table_unref(replica->entries);
 	g_hash_table_unref(replica->listed_keys);
+	g_clear_pointer(&replica->pushed_conf, g_bytes_unref);
+	patch_clear(&replica->patch);
 	peer_set_finish(&replica->peers);
 	kernel_unregister(replica->kernel, replica->svc);
 }
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -15,6 +15,7 @@
 
 #include "kernel/kernel.h"
 #include "kernel/peer_set.h"
+#include "replica/patch.h"
 
 G_BEGIN_DECLS
 
@@ -80,9 +81,14 @@
 	int64_t last_relay_at; /* monotonic, us, last push received */
 	bool forward_due; /* changes that were pushed are not passed on yet */
 	int64_t pushed_revision; /* changes up to this revision were pushed */
-	int64_t offered_version; /* highest of the configuration, by a peer */
+	GBytes *pushed_conf; /* as of pushed_revision; NULL: none */
+	int64_t pushed_conf_revision;
+	patch_t patch; /* to the newest configuration; revision 0: none */
+	/* Highest of the configuration, by a peer; -1: none. */
+	int64_t offered_version;
 	char offered_by[INCARNATION_SIZE];
-	int64_t requested_version; /* last one requested from a peer */
+	int64_t requested_version; /* last one requested from a peer; -1: none
+				    */
 	int64_t requested_at; /* monotonic, us */
 } replica_t;
 
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -185,6 +185,18 @@
 				pushed_bytes += g_bytes_get_size(item->value);
 		}
 	}
+	void receive_offer(const char *from, int64_t version)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_PEER_RECEIVED;
+		g_strlcpy(msg.u.peer.incarnation, from,
+			  sizeof(msg.u.peer.incarnation));
+		msg.u.peer.body = peer_body_new(PEER_CONF_OFFER);
+		msg.u.peer.body->u.conf_offer.version = version;
+		kernel_post(&kernel, peer, replica.svc, &msg);
+		run(0);
+	}
 	void receive_pull(const char *from, int64_t after)
 	{
 		msg_t msg = {};
@@ -206,7 +218,10 @@
 		for (guint i = 0; i < items->len; i++)
 			marks += strcmp(g_array_index(items, store_item_t, i)
 						.key,
-					REPLICA_KEY_COMPLETE) == 0;
+					REPLICA_KEY_COMPLETE) == 0 ||
+				 strcmp(g_array_index(items, store_item_t, i)
+						.key,
+					REPLICA_KEY_PATCH) == 0;
 		push_marks += marks;
 		return marks;
 	}
@@ -244,6 +259,7 @@
 			  sizeof(msg.u.peer_addr.incarnation));
 		g_strlcpy(msg.u.peer_addr.availability_zone, zone,
 			  sizeof(msg.u.peer_addr.availability_zone));
+		msg.u.peer_addr.takes_patches = !former_peers;
 		kernel_post(&kernel, peer, replica.svc, &msg);
 	}
 	// Connects peers, half of them in the replica's zone. With self_first,
@@ -304,6 +320,7 @@
 	int64_t store_revision = 0;
 	bool compacted = false;
 	bool restore_after_page = false;
+	bool former_peers = false; // of a build that does not take patches
 	bool store_reported_up = false;
 	std::vector<std::string> calls, pulls;
 	std::map<std::string, int> pushes;
@@ -779,6 +796,39 @@
 	EXPECT_EQ(push_up_to, 13);
 }
 
+// Guards against an instance of the former build that never gets a
+// configuration while the store turns it away: it asks for no document.
+TEST_F(Replica, PullOfTheFormerBuildIsAnsweredWithTheDocument)
+{
+	conf_version = 3;
+	former_peers = true;
+	start();
+	peer_up("p1", "z");
+	put("fleet/conf", 14);
+	run(600000);
+	receive_pull("p1", 9);
+	EXPECT_GE(pushed_bytes, 200000u);
+	EXPECT_FALSE(push_partial);
+	EXPECT_EQ(push_up_to, 14);
+}
+
+// Guards against several documents on one link: one that was asked for has to
+// arrive, or be late, before another is.
+TEST_F(Replica, OneDocumentIsRequestedAtATime)
+{
+	start();
+	peer_up("a100", "z");
+	peer_up("a101", "z");
+	receive_offer("a100", 5);
+	EXPECT_EQ(conf_requests["a100"], std::vector<int64_t>{5});
+	EXPECT_EQ(conf_requests.count(""), 0u);
+	receive_offer("a101", 6);
+	EXPECT_EQ(conf_requests.count("a101"), 0u);
+	run(2 * USEC_PER_SEC);
+	receive_offer("a101", 6);
+	EXPECT_EQ(conf_requests["a101"], std::vector<int64_t>{6});
+}
+
 // Services wait for targets to write themselves again only if they learn of the
 // restore before the deletions.
 TEST_F(Replica, RestoreIsReportedBeforeItsDeletions)
@@ -1062,6 +1112,89 @@
 	EXPECT_EQ(push_up_to, 16);
 }
 
+GBytes *make_text(size_t size, uint64_t seed)
+{
+	std::string text;
+
+	for (uint64_t i = 0; text.size() < size; i++)
+		text += std::to_string(hash_mix(seed + i));
+	text.resize(size);
+	return g_bytes_new(text.data(), text.size());
+}
+
+// Returns the document with one byte changed.
+GBytes *change(GBytes *document, size_t at)
+{
+	gsize size;
+	const char *data =
+		static_cast<const char *>(g_bytes_get_data(document, &size));
+	std::string text(data, size);
+
+	text[at] = 'x';
+	return g_bytes_new(text.data(), text.size());
+}
+
+// Guards against a document that differs from the one that was written.
+TEST(Patch, MakesTheDocumentOfItsBaseOnly)
+{
+	for (size_t size : {1u, 5000u, 400000u, (unsigned)PATCH_DOCUMENT_MAX}) {
+		g_autoptr(GBytes) base = make_text(size, 1);
+		g_autoptr(GBytes) other = make_text(size + 10, 9);
+		g_autoptr(GBytes) next = change(base, size / 2);
+		g_autoptr(GBytes) frame = patch_make_frame(base, next);
+		g_autoptr(GBytes) made = patch_apply_frame(base, frame);
+		g_autoptr(GBytes) wrong = patch_apply_frame(other, frame);
+
+		ASSERT_NE(made, nullptr);
+		EXPECT_TRUE(g_bytes_equal(made, next));
+		EXPECT_LE(g_bytes_get_size(frame), 300u);
+		EXPECT_TRUE(wrong == nullptr || g_bytes_equal(wrong, next));
+	}
+}
+
+// Guards against a process that ends, or fills its memory, on the bytes of a
+// peer.
+TEST(Patch, MutatedFramesAreAppliedOrRefused)
+{
+	g_autoptr(GBytes) base = make_text(20000, 1);
+	g_autoptr(GBytes) next = change(base, 700);
+	g_autoptr(GBytes) frame = patch_make_frame(base, next);
+	patch_t patch = {1, 2, 3, frame}, read = {};
+	g_autoptr(GBytes) whole = patch_encode(&patch);
+	gsize size;
+	const guint8 *data =
+		static_cast<const guint8 *>(g_bytes_get_data(whole, &size));
+
+	for (uint64_t i = 0; i < 20000; i++) {
+		std::vector<guint8> bytes(data, data + size);
+		g_autoptr(GBytes) value = nullptr;
+		g_autoptr(GBytes) made = nullptr;
+
+		bytes[hash_mix(i) % size] = (guint8)hash_mix(i + 1);
+		if (i % 3 == 0)
+			bytes.resize(hash_mix(i + 2) % size);
+		value = g_bytes_new(bytes.data(), bytes.size());
+		if (!patch_decode(value, &read))
+			continue;
+		EXPECT_GE(read.up_to, 0);
+		if (read.frame != nullptr)
+			made = patch_apply_frame(base, read.frame);
+		EXPECT_TRUE(made == nullptr ||
+			    g_bytes_get_size(made) <= PATCH_DOCUMENT_MAX);
+		patch_clear(&read);
+	}
+}
+
+// Guards against a frame that names a size beyond any document.
+TEST(Patch, DocumentAboveTheLimitIsRefused)
+{
+	g_autoptr(GBytes) base = make_text(1000, 1);
+	g_autoptr(GBytes) large = make_text(PATCH_DOCUMENT_MAX + 1, 1);
+	g_autoptr(GBytes) frame = patch_make_frame(base, large);
+
+	EXPECT_EQ(frame, nullptr);
+}
+
 constexpr int ZONES = 6;
 constexpr int ZONE_SIZE = 10;
 constexpr int64_t POLL_US = 600000;
@@ -1087,6 +1220,7 @@
 	replica_t replica;
 	svc_t store, peer;
 	bool silent = false; // sends nothing, as if paused
+	bool deaf = false; // receives nothing from peers
 	bool cut = false; // its calls to the store fail
 	bool former = false; // of a build that passes over evacuations
 	int calls = 0;
@@ -1207,6 +1341,7 @@
 		g_strlcpy(msg.u.peer_addr.availability_zone,
 			  other->zone.c_str(),
 			  sizeof(msg.u.peer_addr.availability_zone));
+		msg.u.peer_addr.takes_patches = true;
 		kernel_post(&member->kernel, member->peer, member->replica.svc,
 			    &msg);
 	}
@@ -1280,6 +1415,8 @@
 		for (auto &to : from->fleet->members) {
 			if (to->incarnation != msg->u.peer.incarnation)
 				continue;
+			if (to->deaf)
+				return;
 			copy.kind = MSG_PEER_RECEIVED;
 			copy.u.peer.body = g_steal_pointer(&msg->u.peer.body);
 			if (to->former)
@@ -1487,6 +1624,30 @@
 	EXPECT_LE(busy, 1);
 }
 
+// Guards against an instance that stays behind as it has another version than
+// the one that a patch applies to.
+TEST(ReplicaFleet, InstanceWithoutTheBaseOfAPatchCatchesUp)
+{
+	fleet_t fleet;
+	member_t *late;
+
+	fleet.run(3 * USEC_PER_SEC);
+	fleet.write_conf();
+	fleet.run(3 * USEC_PER_SEC);
+	late = fleet.members.back().get();
+	for (bool cut : {false, true}) {
+		late->deaf = true;
+		fleet.write_conf();
+		fleet.run(USEC_PER_SEC / 2);
+		fleet.write_conf();
+		fleet.run(USEC_PER_SEC / 2);
+		late->deaf = false;
+		late->cut = cut;
+		fleet.write_conf();
+		EXPECT_LE(fleet.time_until_in_force(), CONF_BOUND_US) << cut;
+	}
+}
+
 // Guards against a configuration that is seconds late at instances which the
 // store turns away: their links were full of documents from several peers.
 TEST(ReplicaFleet, LargeConfigurationReachesInstancesWithoutTheStore)
