replica: answer pulls without the document, and request one at a time

Cause: an instance without the store asks one peer after the other every 300 ms, and each reply held the whole configuration. Class: a retry that begins a second transfer beside the first.

Change: a reply leaves the document out, as a push does, and offers its version; the peer asks one for it, and no other within 2 s or before it has come. Builds that take no patches are answered as before.

--- a/replica/offer.c
+++ b/replica/offer.c
@@ -53,7 +53,8 @@
 	if (!replica->synced ||
 	    replica->offered_version <= known_version(replica))
 		return;
-	if (replica->offered_version == replica->requested_version &&
+	/* One document at a time: several would fill a slow link. */
+	if (known_version(replica) < replica->requested_version &&
 	    now - replica->requested_at < REQUEST_INTERVAL_US)
 		return;
 	replica->requested_version = replica->offered_version;
--- a/replica/relay.c
+++ b/replica/relay.c
@@ -452,14 +452,23 @@
 	return bytes;
 }
 
+/*
+ * Peers that lack changes ask one of the others after the other.  They are
+ * offered a large configuration rather than sent it, and ask one for it.
+ */
 static void answer_pull(replica_t *replica, const msg_t *msg)
 {
+	const peer_ref_t *peer =
+		peer_set_find(&replica->peers, msg->u.peer.incarnation);
 	int64_t after = msg->u.peer.body->u.store_pull.after;
 	peer_body_t *body;
+	bool offered;
 
 	if (!replica->synced || replica->revision <= after)
 		return;
 	body = items_since(replica, after);
+	offered = peer != NULL && peer->takes_patches &&
+		  drop_large_items(replica, peer, body);
 	log_event(LOG_LEVEL_INFO, "replica", "pull_answered",
 		  "peer=%s after=" REVISION_FORMAT " revision=" REVISION_FORMAT
 		  " items=%u bytes=%" G_GSIZE_FORMAT,
@@ -468,6 +477,8 @@
 		  body->u.store_items.items->len,
 		  count_bytes(body->u.store_items.items));
 	send_body(replica, msg->u.peer.incarnation, body);
+	if (offered)
+		replica_offer_conf(replica, msg->u.peer.incarnation);
 }
 
 /*
