replica, store: list the state if the changes are larger

Cause: a read of changes brings every version that the store still keeps. In 20 s of history that is twelve versions of a document of 0.53 MB, 5 s of a link of 10 Mbit/s without any caller; a read that fails begins anew with more. Class: catching up costs what has happened, not what there is.

Change: a read of changes names the most bytes that it takes, two times the state or a value of the largest size; the store service ends one that announces or brings more, and the replica lists the state, as after a compaction.

Replica.StateIsListedIfTheChangesAreLarger and Store.ChangesBeyondTheLimitAreNotRead; neither the status nor the limit existed before.

--- a/ctl/call.c
+++ b/ctl/call.c
@@ -30,6 +30,7 @@
 		return CTL_OK;
 	case STORE_INVALID:
 	case STORE_COMPACTED:
+	case STORE_TOO_LARGE:
 		errmsg_set(&ctl->err, "the store rejected the request");
 		return CTL_FAILED;
 	case STORE_UNKNOWN:
--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -437,6 +437,7 @@
 			bool prefix; /* all keys with the prefix key */
 			/* A watch starts at this revision, changes after it. */
 			int64_t min_revision;
+			uint64_t max_bytes; /* of changes; 0: no limit */
 		} store_get; /* MSG_STORE_GET, _WATCH, _CHANGES */
 		struct {
 			char prefix[STORE_KEY_SIZE];
--- a/kernel/storage.h
+++ b/kernel/storage.h
@@ -52,6 +52,7 @@
 	STORE_UNKNOWN, /* the call may have taken effect */
 	STORE_INVALID, /* the store refused the call as malformed */
 	STORE_COMPACTED, /* the requested changes are no longer kept */
+	STORE_TOO_LARGE, /* the requested changes have more than max_bytes */
 } store_status_t;
 
 typedef enum store_op_kind_t {
--- a/prepaid/grant.c
+++ b/prepaid/grant.c
@@ -295,6 +295,7 @@
 		break;
 	case STORE_INVALID:
 	case STORE_COMPACTED:
+	case STORE_TOO_LARGE:
 		account->conflicts = 0;
 		back_off(prepaid, account);
 		break;
--- a/replica/entry.c
+++ b/replica/entry.c
@@ -145,6 +145,22 @@
 	}
 }
 
+uint64_t replica_entries_bytes(GHashTable *entries)
+{
+	GHashTableIter iter;
+	uint64_t bytes = 0;
+	gpointer data;
+
+	g_hash_table_iter_init(&iter, entries);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const replica_entry_t *entry = data;
+
+		if (entry->raw != NULL)
+			bytes += g_bytes_get_size(entry->raw);
+	}
+	return bytes * 4 / 3; /* base64 */
+}
+
 static gint compare_items(gconstpointer a, gconstpointer b)
 {
 	const store_item_t *x = a, *y = b;
--- a/replica/entry.h
+++ b/replica/entry.h
@@ -31,6 +31,8 @@
 			   int64_t now);
 /* Removes the entries of keys that were deleted before the given time. */
 void replica_entries_expire(GHashTable *entries, int64_t before);
+/* Returns the bytes of all values, as the store sends them. */
+uint64_t replica_entries_bytes(GHashTable *entries);
 /*
  * Appends the keys that changed after a revision to items, as many as fit in
  * one frame, and returns the revision up to which items is complete.
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -12,6 +12,13 @@
 /* Deleted keys are kept this long, for peers that were disconnected. */
 #define TOMBSTONE_TTL_US (300 * USEC_PER_SEC)
 
+/*
+ * Limit on a read of changes: the state, in base64, may be read this often, or
+ * a value of the largest size once.  Beyond it the state is listed: the store
+ * keeps many versions of a large configuration, only one of which matters.
+ */
+#define CHANGES_STATES_MAX 2
+#define CHANGES_BYTES_LEAST 1500000
 /* Least time between two reads that other services ask for. */
 #define READ_SPACING_US (100 * USEC_PER_MSEC)
 
@@ -221,6 +228,9 @@
 
 	msg.u.store_get.prefix = true;
 	msg.u.store_get.min_revision = replica->revision;
+	msg.u.store_get.max_bytes = MAX(
+		CHANGES_STATES_MAX * replica_entries_bytes(replica->entries),
+		CHANGES_BYTES_LEAST);
 	replica->reading = READ_CHANGES;
 	kernel_post(replica->kernel, replica->svc, replica->store, &msg);
 }
@@ -326,6 +336,8 @@
 		return "invalid";
 	case STORE_COMPACTED:
 		return "compacted";
+	case STORE_TOO_LARGE:
+		return "too_large";
 	}
 	return "unknown";
 }
@@ -342,10 +354,11 @@
 
 static void read_failed(replica_t *replica, store_status_t status)
 {
-	if (status == STORE_COMPACTED) {
+	if (status == STORE_COMPACTED || status == STORE_TOO_LARGE) {
 		log_event(LOG_LEVEL_WARN, "replica", "changes_compacted",
-			  "revision=" REVISION_FORMAT,
-			  REVISION_ARGS(replica->revision));
+			  "revision=" REVISION_FORMAT " reason=%s",
+			  REVISION_ARGS(replica->revision),
+			  status_name(status));
 		replica->synced = false;
 		/* The store responds, so the listing does not wait. */
 		set_store_up(replica, true, status_name(status));
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1279,6 +1279,9 @@
 		if (!era.empty())
 			http_head_add(head.u.out_head.head, "Store-Era",
 				      era.c_str());
+		if (announced_bytes > 0)
+			http_head_add_int(head.u.out_head.head,
+					  "Content-Length", announced_bytes);
 		data.u.data.bytes =
 			g_bytes_new(response_body.data(), response_body.size());
 		kernel_post(&kernel, outbound, msg->from, &head);
@@ -1395,6 +1398,7 @@
 	int sends = 0, failure_events = 0, cancels = 0;
 	handle_t call_ref = HANDLE_NONE;
 	int64_t call_deadline = 0;
+	int64_t announced_bytes = 0; // Content-Length, unless 0
 	bool endless = false; // responses do not end
 };
 
@@ -1743,6 +1747,29 @@
 	EXPECT_EQ(result->status, STORE_UNKNOWN);
 }
 
+// Guards against a read that takes seconds although its changes are more than
+// the state that they lead to: it ends before they have arrived.
+TEST_F(Store, ChangesBeyondTheLimitAreNotRead)
+{
+	msg_t msg = {};
+
+	for (int64_t length : {INT64_C(200001), INT64_C(0)}) {
+		g_clear_pointer(&result, store_result_free);
+		endless = true;
+		cancels = 0;
+		announced_bytes = length;
+		msg.kind = MSG_STORE_CHANGES;
+		msg.u.store_get.min_revision = 7;
+		msg.u.store_get.max_bytes = 200000;
+		call(&msg, 200, "{");
+		if (length == 0)
+			post_more(std::string(200000, ' '));
+		ASSERT_NE(result, nullptr) << length;
+		EXPECT_EQ(result->status, STORE_TOO_LARGE) << length;
+		EXPECT_EQ(cancels, 1) << length;
+	}
+}
+
 // Guards against the time for versions that are no longer in force: each one
 // takes as long to decode as the newest.
 TEST_F(Store, OnlyTheNewestConfigurationOfARangeIsDecoded)
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -120,6 +120,9 @@
 				result->status = STORE_COMPACTED;
 				compacted = false;
 			}
+			max_bytes = msg->u.store_get.max_bytes;
+			if (changes_bytes > max_bytes)
+				result->status = STORE_TOO_LARGE;
 			for (auto &[key, revision] : store_items)
 				if (result->status == STORE_OK &&
 				    revision > msg->u.store_get.min_revision)
@@ -319,6 +322,8 @@
 	std::map<std::string, int64_t> store_items; // key -> revision
 	int64_t store_revision = 0;
 	bool compacted = false;
+	uint64_t max_bytes = 0; // of the last read of changes
+	uint64_t changes_bytes = 0; // that a read of changes has
 	bool restore_after_page = false;
 	bool former_peers = false; // of a build that does not take patches
 	bool store_reported_up = false;
@@ -511,6 +516,28 @@
 	EXPECT_LE(calls.size(), 4u + 7u);
 }
 
+// Guards against an instance that never catches up: all versions of a large
+// configuration that the store still keeps take longer than a read may.
+TEST_F(Replica, StateIsListedIfTheChangesAreLarger)
+{
+	conf_version = 3;
+	put("fleet/conf", 7);
+	start();
+	put("fleet/conf", 14);
+	conf_version = 4;
+	// Twelve versions of 200,000 bytes, in base64.
+	changes_bytes = 3200000;
+	calls.clear();
+	run(600000);
+	EXPECT_EQ(calls[0], "changes 7");
+	EXPECT_EQ(calls[1], "list evacuation/");
+	EXPECT_EQ(replica.revision, 14);
+	EXPECT_TRUE(store_reported_up);
+	// One value of the largest size is read as a change.
+	EXPECT_GE(max_bytes, 1400000u);
+	EXPECT_LE(max_bytes, 1600000u);
+}
+
 // A target that is deleted before a compaction is missing from the changes;
 // only a new listing shows the deletion.
 TEST_F(Replica, CompactedHistoryIsListedAgainWithoutAGap)
@@ -1259,12 +1286,12 @@
 		for (auto &[at, document] : documents)
 			g_bytes_unref(document);
 	}
-	// Writes a document that differs from the last one in a few places.
-	void write_conf()
+	// Writes a document that differs from the last one in a few places, or
+	// with another seed in all of them.
+	void write_conf(uint64_t seed = 7)
 	{
 		int64_t version = (int64_t)versions.size() * 3 + 1;
 		std::string text = "{\"version\":" + std::to_string(version);
-		uint64_t seed = 7;
 
 		for (int i = 0; i < CONF_ROUTES; i++) {
 			seed = hash_mix(seed + 1);
