replica: say that a large read goes on, so that others do not repeat it

Cause: a reader whose link takes 0.47 s for a document pushes every 1.12 s.

Change: the store service tells the requester while a large response arrives, and the reader pushes an empty message, for at most 0.8 s of a read, so that a reader whose read hangs is still replaced.

--- a/kernel/msg.h
+++ b/kernel/msg.h
@@ -111,6 +111,7 @@
 	MSG_STORE_LIST, /* replica -> store: one page of a prefix */
 	MSG_STORE_CHANGES, /* replica -> store: changes after a revision */
 	MSG_STORE_DECODE, /* replica -> store: items read by a peer */
+	MSG_STORE_ARRIVING, /* store -> replica: a large read goes on */
 	MSG_STORE_RESULT, /* reply to each store call except the watch */
 	MSG_STORE_EVENT,
 
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -19,6 +19,12 @@
  */
 #define CHANGES_STATES_MAX 2
 #define CHANGES_BYTES_LEAST 1500000
+/*
+ * A reader of a large fleet whose read is still arriving says so for this long,
+ * so that others do not begin the same read.
+ */
+#define ANNOUNCED_READ_US (800 * USEC_PER_MSEC)
+
 /* Least time between two reads that other services ask for. */
 #define READ_SPACING_US (100 * USEC_PER_MSEC)
 
@@ -499,6 +505,17 @@
 		start_listing(replica);
 }
 
+/* An empty push tells the others that this instance reads for them. */
+static void read_goes_on(replica_t *replica)
+{
+	if (replica->reading == READ_CHANGES &&
+	    peer_set_is_large(&replica->peers) &&
+	    replica_reads_store(replica) &&
+	    kernel_now(replica->kernel) - replica->last_read_at <
+		    ANNOUNCED_READ_US)
+		replica_push_changes(replica);
+}
+
 static void start(replica_t *replica)
 {
 	replica->store = kernel_find(replica->kernel, "store");
@@ -523,6 +540,9 @@
 	case MSG_LIST_REQUEST:
 		read_soon(replica);
 		break;
+	case MSG_STORE_ARRIVING:
+		read_goes_on(replica);
+		break;
 	case MSG_STORE_RESULT:
 		result_received(replica, msg);
 		break;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1252,6 +1252,7 @@
 	{
 		Store *s = static_cast<Store *>(self);
 
+		s->arriving += msg->kind == MSG_STORE_ARRIVING;
 		if (msg->kind != MSG_STORE_RESULT)
 			return;
 		store_result_free(s->result);
@@ -1399,6 +1400,7 @@
 	handle_t call_ref = HANDLE_NONE;
 	int64_t call_deadline = 0;
 	int64_t announced_bytes = 0; // Content-Length, unless 0
+	int arriving = 0; // messages that a response is arriving
 	bool endless = false; // responses do not end
 };
 
@@ -1770,6 +1772,28 @@
 	}
 }
 
+// Guards against instances that read a large response as well because the one
+// that reads for them seems to be gone.
+TEST_F(Store, LargeResponseIsAnnouncedWhileItArrives)
+{
+	msg_t msg = {};
+
+	endless = true;
+	msg.kind = MSG_STORE_CHANGES;
+	announced_bytes = 50000;
+	call(&msg, 200, "{");
+	EXPECT_EQ(arriving, 0);
+	msg.kind = MSG_STORE_CHANGES;
+	announced_bytes = 500000;
+	call(&msg, 200, "{");
+	EXPECT_EQ(arriving, 1);
+	kernel_run_until(&kernel, kernel_now(&kernel) + 300000);
+	post_more(" ");
+	EXPECT_EQ(arriving, 2);
+	post_more(" ");
+	EXPECT_EQ(arriving, 2);
+}
+
 // Guards against the time for versions that are no longer in force: each one
 // takes as long to decode as the newest.
 TEST_F(Store, OnlyTheNewestConfigurationOfARangeIsDecoded)
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -1395,6 +1395,7 @@
 		reply.ref = msg->id;
 		reply.u.store_result = result;
 		if (bytes > 0 && member->fleet->slow_links) {
+			announce(member);
 			member->arriving.push_back(
 				{member->receive_bytes(bytes), reply});
 			return;
@@ -1402,6 +1403,15 @@
 		member->bytes_in += (int64_t)bytes;
 		kernel_post(&member->kernel, member->store, msg->from, &reply);
 	}
+	// As the store service does once a large response begins to arrive.
+	static void announce(member_t *member)
+	{
+		msg_t msg = {};
+
+		msg.kind = MSG_STORE_ARRIVING;
+		kernel_post(&member->kernel, member->store, member->replica.svc,
+			    &msg);
+	}
 	static void copy_evacuations(const peer_body_t *body,
 				     store_result_t *result)
 	{
