replica: relays tell followers at once of a change that only the store has

Cause: relays read it first and told their followers afterwards, which then read as well: three reads of 0.4 s one after the other.

Change: a relay passes the notice on and begins to read, unless a patch came with it, which followers may be able to use.

--- a/replica/relay.c
+++ b/replica/relay.c
@@ -255,6 +255,9 @@
 	const replica_entry_t *conf = replica_find_conf(replica);
 	patch_t patch = take_patch(body->u.store_items.items);
 
+	replica->missing_for_all =
+		body->u.store_items.partial && patch.frame == NULL &&
+		body->u.store_items.up_to >= replica->revision;
 	if (patch.revision == 0)
 		return;
 	if (conf == NULL || conf->revision < patch.revision) {
@@ -266,6 +269,7 @@
 	}
 	body->u.store_items.partial = false;
 	body->u.store_items.up_to = patch.up_to;
+	replica->missing_for_all = false;
 out:
 	patch_clear(&patch);
 }
@@ -389,6 +393,8 @@
 			continue;
 		body = items_since(replica, replica->pushed_revision);
 		body->u.store_items.live = true;
+		/* Followers begin to read when the relay does. */
+		body->u.store_items.partial = replica->missing_for_all;
 		up_to = body->u.store_items.up_to;
 		drop_large_items(replica, peer, body);
 		send_body(replica, peer->incarnation, body);
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -149,6 +149,7 @@
 	    replica->revision < replica->missing_revision)
 		return;
 	replica->missing_revision = 0;
+	replica->missing_for_all = false;
 	post_behind(replica);
 }
 
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -80,6 +80,8 @@
 	uint32_t next_peer;
 	int64_t last_relay_at; /* monotonic, us, last push received */
 	bool forward_due; /* changes that were pushed are not passed on yet */
+	/* The missing change is only in the store, for all instances. */
+	bool missing_for_all;
 	int64_t pushed_revision; /* changes up to this revision were pushed */
 	GBytes *pushed_conf; /* as of pushed_revision; NULL: none */
 	int64_t pushed_conf_revision;
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -1661,6 +1661,21 @@
 	EXPECT_LE(busy, 1);
 }
 
+// Guards against a large change that goes through the fleet one instance after
+// the other: those that have to read it begin at once.
+TEST(ReplicaFleet, NewLargeConfigurationIsSoonInForce)
+{
+	fleet_t fleet;
+
+	fleet.slow_links = true;
+	fleet.run(3 * USEC_PER_SEC);
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		fleet.write_conf(seed);
+		EXPECT_LE(fleet.time_until_in_force(), CONF_BOUND_US / 2);
+		fleet.run(5 * USEC_PER_SEC);
+	}
+}
+
 // Guards against an instance that stays behind as it has another version than
 // the one that a patch applies to.
 TEST(ReplicaFleet, InstanceWithoutTheBaseOfAPatchCatchesUp)
