--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -1248,6 +1248,7 @@
 	svc_t store, peer;
 	bool silent = false; // sends nothing, as if paused
 	bool deaf = false; // receives nothing from peers
+	bool plain = false; // of a build that takes no patches
 	bool cut = false; // its calls to the store fail
 	bool former = false; // of a build that passes over evacuations
 	int calls = 0;
@@ -1266,10 +1267,14 @@
 	std::map<int64_t, int64_t> versions; // by revision
 	bool slow_links = false;
 
-	fleet_t()
+	// Of a period of instances, the first ones are of a build that takes no
+	// patches.
+	fleet_t(int plain = 0, int period = 1)
 	{
 		for (int i = 0; i < ZONES * ZONE_SIZE; i++)
 			add(i);
+		for (int i = 0; i < ZONES * ZONE_SIZE; i++)
+			members[(size_t)i]->plain = i % period < plain;
 		for (auto &member : members)
 			for (auto &other : members)
 				if (member != other)
@@ -1368,7 +1373,7 @@
 		g_strlcpy(msg.u.peer_addr.availability_zone,
 			  other->zone.c_str(),
 			  sizeof(msg.u.peer_addr.availability_zone));
-		msg.u.peer_addr.takes_patches = true;
+		msg.u.peer_addr.takes_patches = !other->plain;
 		kernel_post(&member->kernel, member->peer, member->replica.svc,
 			    &msg);
 	}
@@ -1458,6 +1463,7 @@
 			copy.u.peer.body = g_steal_pointer(&msg->u.peer.body);
 			if (to->former)
 				accept_as_former(copy.u.peer.body);
+			EXPECT_FALSE(to->plain && has_patch(copy.u.peer.body));
 			g_strlcpy(copy.u.peer.incarnation,
 				  from->incarnation.c_str(),
 				  sizeof(copy.u.peer.incarnation));
@@ -1469,6 +1475,19 @@
 			return;
 		}
 	}
+	static bool has_patch(const peer_body_t *body)
+	{
+		bool found = false;
+
+		if (body->kind != PEER_STORE_ITEMS)
+			return false;
+		for (guint i = 0; i < body->u.store_items.items->len; i++)
+			found |= strcmp(g_array_index(body->u.store_items.items,
+						      store_item_t, i)
+						.key,
+					REPLICA_KEY_PATCH) == 0;
+		return found;
+	}
 	static size_t count_bytes(const peer_body_t *body)
 	{
 		size_t bytes = 100;
@@ -1676,6 +1695,32 @@
 	}
 }
 
+// Guards against a configuration that is late while two builds run side by
+// side, with and without the store: only one of them takes patches.
+TEST(ReplicaFleet, LargeConfigurationReachesBuildsWithAndWithoutPatches)
+{
+	for (auto [plain, period] :
+	     {std::pair{1, 60}, {12, 60}, {1, 2}, {59, 60}})
+		for (bool cut : {false, true}) {
+			fleet_t fleet(plain, period);
+
+			fleet.slow_links = true;
+			fleet.run(3 * USEC_PER_SEC);
+			fleet.write_conf();
+			fleet.run(5 * USEC_PER_SEC);
+			for (size_t i = 0; cut && i < fleet.members.size(); i++)
+				fleet.members[i]->cut = i % 5 != 2;
+			fleet.run(4 * USEC_PER_SEC);
+			for (int i = 0; i < 4; i++) {
+				fleet.write_conf();
+				EXPECT_LE(fleet.time_until_in_force(),
+					  CONF_BOUND_US)
+					<< plain << " of " << period << " cut "
+					<< cut;
+			}
+		}
+}
+
 // Guards against an instance that stays behind as it has another version than
 // the one that a patch applies to.
 TEST(ReplicaFleet, InstanceWithoutTheBaseOfAPatchCatchesUp)
