--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -664,6 +664,7 @@
 	int up = 0, down = 0, crash_reports = 0, heartbeats = 0;
 	int leaves_to_member = 0, leaves_to_prepaid = 0;
 	int connections_to_proxy = 0;
+	bool takes_patches = false; // the last peer that connected
 	std::string last_sender;
 
 	static void receive_prepaid(void *self, msg_t *msg)
@@ -683,8 +684,10 @@
 	{
 		auto *router = static_cast<Router *>(self);
 
-		if (msg->kind == MSG_PEER_UP)
+		if (msg->kind == MSG_PEER_UP) {
 			router->up++;
+			router->takes_patches = msg->u.peer_addr.takes_patches;
+		}
 		if (msg->kind == MSG_PEER_DOWN)
 			router->down++;
 		if (msg->kind != MSG_PEER_RECEIVED)
@@ -1050,6 +1053,20 @@
 	EXPECT_EQ(a.counter(COUNTER_PEER_FRAMES_WITHHELD), 0u);
 }
 
+// Guards against a build without patches that is sent one in place of a
+// configuration, and so never gets it.
+TEST(Peer, TakesPatchesOnlyIfItStatesSo)
+{
+	for (uint64_t kinds : {UINT64_C(0), UINT64_MAX & ~PEER_KINDS_PATCHES,
+			       (uint64_t)PEER_KINDS_PATCHES}) {
+		Router a("a", shared_key);
+		RawPeer raw(a, kinds);
+
+		EXPECT_EQ(a.takes_patches, kinds == PEER_KINDS_PATCHES);
+	}
+	EXPECT_NE(peer_kinds_own() & PEER_KINDS_PATCHES, 0u);
+}
+
 // An instance of a former build closes the connection to a peer that sends it a
 // frame above its limit.
 TEST(Peer, SendsALongFrameOnlyToPeersThatTakeIt)
