--- a/replica/relay.c
+++ b/replica/relay.c
@@ -193,7 +193,7 @@
 	g_array_append_val(body->u.store_items.items, mark);
 }
 
-/* Returns the index of an item after 1, or 0 if there is none. */
+/* Returns 1 more than the index of the item, or 0 if there is none. */
 static guint find_item(const GArray *items, const char *key)
 {
 	guint i = items->len;
